--- /dev/null
+++ b/packages/backend_client/src/fireflylink_backend_client/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded connections to backend servers, grants and health."""
--- /dev/null
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP front end towards callers."""
--- /dev/null
+++ b/packages/core/src/fireflylink_core/_member.py
@@ -0,0 +1,34 @@
+"""Daemons as their peers know them."""
+
+import enum
+
+from fireflylink_core._value import BaseValue
+
+
+class MemberState(enum.Enum):
+    """Whether a daemon takes part or has announced that it leaves."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Member(BaseValue):
+    """A daemon: its instance, its data centre and the ports of its inner listeners."""
+
+    __slots__ = ("control_port", "data_centre", "forward_port", "host", "instance_id", "state")
+
+    def __init__(
+        self,
+        instance_id: str,
+        data_centre: str,
+        host: str,
+        control_port: int,
+        forward_port: int,
+        state: MemberState = MemberState.LIVE,
+    ) -> None:
+        self.instance_id = instance_id
+        self.data_centre = data_centre
+        self.host = host
+        self.control_port = control_port
+        self.forward_port = forward_port
+        self.state = state
--- /dev/null
+++ b/packages/daemon/src/fireflylink_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on an entry instance."""
--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: ownership, routing, limits, retries, membership."""
--- /dev/null
+++ b/packages/documents/src/fireflylink_documents/__init__.py
@@ -0,0 +1,1 @@
+"""JSON encoding, checks and signatures of the stored documents."""
--- /dev/null
+++ b/packages/experiments/src/fireflylink_experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that measure a decision beside its naive baseline."""
--- /dev/null
+++ b/packages/operator_client/src/fireflylink_operator_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/packages/protocol/src/fireflylink_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between daemons: messages, server and client."""
--- /dev/null
+++ b/packages/specification/src/fireflylink_specification/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the core protocol and its checks."""
