--- a/packages/core/src/fireflylink_core/_control.py
+++ b/packages/core/src/fireflylink_core/_control.py
@@ -63,13 +63,27 @@
 
 
 class CrashReport(BaseValue):
-    """How many crashes of backend servers a request fingerprint is held responsible for."""
+    """A crash of a backend server and the fingerprint of a request that was in flight on it.
 
-    __slots__ = ("crashes", "fingerprint")
+    ``evidence`` ranks what the crash says about the request; the receiver keeps the highest.
+    ``remaining_ms`` is for how long the report still counts.
+    """
+
+    __slots__ = ("evidence", "fingerprint", "generation", "remaining_ms", "server_id")
 
-    def __init__(self, fingerprint: int, crashes: int) -> None:
+    def __init__(
+        self,
+        fingerprint: str,
+        server_id: str,
+        generation: str,
+        evidence: int,
+        remaining_ms: int,
+    ) -> None:
         self.fingerprint = fingerprint
-        self.crashes = crashes
+        self.server_id = server_id
+        self.generation = generation
+        self.evidence = evidence
+        self.remaining_ms = remaining_ms
 
 
 class MemberProgress(BaseValue):
@@ -213,41 +227,47 @@
 
 
 class HandoverShard(BaseValue):
-    """A shard that its former gateway has released, with the epoch of the new record."""
+    """A shard that its former gateway has released, with the epochs of the new term.
 
-    __slots__ = ("epoch", "exception", "shard")
+    ``request_ids`` are the ids, as numbers, of non-idempotent requests that may have run. Ids whose
+    timestamp is below ``floor_ms`` may have run although they are not listed.
+    """
 
-    def __init__(self, shard: ShardKey, exception: bool, epoch: int) -> None:
+    __slots__ = ("epoch", "exception", "floor_ms", "gateway_epoch", "request_ids", "shard")
+
+    def __init__(
+        self,
+        shard: ShardKey,
+        exception: bool,
+        epoch: int,
+        gateway_epoch: int,
+        floor_ms: int,
+        request_ids: tuple[int, ...] = (),
+    ) -> None:
         self.shard = shard
         self.exception = exception
         self.epoch = epoch
+        self.gateway_epoch = gateway_epoch
+        self.floor_ms = floor_ms
+        self.request_ids = request_ids
 
 
 class HandoverRequest(BaseValue):
-    """Tells a new gateway that the former one has released shards of a group.
+    """Tells a new gateway that the former one has released shards.
 
     The former gateway sends it once it holds a majority's authority for the change, has stopped
-    sending, and its requests in flight have ended. ``request_ids`` are the ids of non-idempotent
-    requests that it remembers; ``term_start_ms`` is the wall time from which that memory is whole.
+    sending, and its requests in flight have ended.
     """
 
-    __slots__ = ("request_ids", "sender", "shards", "table_id", "term_start_ms", "version")
+    __slots__ = ("sender", "shards", "table_id", "version")
 
     def __init__(
-        self,
-        sender: str,
-        table_id: str,
-        version: int,
-        shards: tuple[HandoverShard, ...],
-        term_start_ms: int,
-        request_ids: tuple[str, ...] = (),
+        self, sender: str, table_id: str, version: int, shards: tuple[HandoverShard, ...]
     ) -> None:
         self.sender = sender
         self.table_id = table_id
         self.version = version
         self.shards = shards
-        self.term_start_ms = term_start_ms
-        self.request_ids = request_ids
 
 
 class HandoverReply(BaseValue):
--- /dev/null
+++ b/packages/daemon/src/fireflylink_daemon/_reports.py
@@ -0,0 +1,65 @@
+"""What gateways of a data centre have reported, as its root needs it for planning."""
+
+from fireflylink_core import LoadReport, ServerReport, ServerStatus, ShardKey
+
+REPORT_LIFETIME = 3.0
+"""Seconds after which a server report counts no more, because its gateway may be gone."""
+
+LOAD_LIFETIME = 15.0
+"""Seconds after which a load report counts no more; gateways repeat theirs every 5 s."""
+
+
+class ReportBoard:
+    """Keeps the latest report about each server, shard and hot key."""
+
+    __slots__ = ("_hot_keys", "_servers", "_shard_loads")
+
+    def __init__(self) -> None:
+        self._servers: dict[str, tuple[ServerStatus, float]] = {}
+        self._shard_loads: dict[ShardKey, tuple[float, float]] = {}
+        self._hot_keys: dict[ShardKey, tuple[float, float]] = {}
+
+    def take_servers(self, reports: tuple[ServerReport, ...], now: float) -> None:
+        """Takes what gateways see of their servers."""
+        for report in reports:
+            self._servers[report.server_id] = (report.status, now)
+
+    def take_loads(self, reports: tuple[LoadReport, ...], now: float) -> None:
+        """Takes loads of shards and hot keys in requests per second."""
+        for report in reports:
+            board = self._hot_keys if report.exception else self._shard_loads
+            board[report.shard] = (report.requests_per_second, now)
+
+    def servers_with(self, status: ServerStatus, now: float) -> frozenset[str]:
+        """Returns the servers whose recent report has a status."""
+        return frozenset(
+            server_id
+            for server_id, (reported, heard) in self._servers.items()
+            if reported is status and now - heard < REPORT_LIFETIME
+        )
+
+    def server_reports(self, now: float) -> tuple[ServerReport, ...]:
+        """Returns the recent reports other than ``UP``, to pass on to a parent."""
+        return tuple(
+            ServerReport(server_id, status)
+            for server_id, (status, heard) in sorted(self._servers.items())
+            if now - heard < REPORT_LIFETIME
+        )
+
+    def shard_loads(self, now: float) -> dict[ShardKey, float]:
+        """Returns the recent load of each shard in requests per second."""
+        return _recent(self._shard_loads, now)
+
+    def hot_keys(self, now: float) -> dict[ShardKey, float]:
+        """Returns the recent load of each hot key in requests per second."""
+        return _recent(self._hot_keys, now)
+
+    def load_reports(self, now: float) -> tuple[LoadReport, ...]:
+        """Returns the recent load reports, to pass on to a parent."""
+        shards = [LoadReport(shard, False, load) for shard, load in self.shard_loads(now).items()]
+        keys = [LoadReport(shard, True, load) for shard, load in self.hot_keys(now).items()]
+        return (*shards, *keys)
+
+
+def _recent(board: dict[ShardKey, tuple[float, float]], now: float) -> dict[ShardKey, float]:
+    return {shard: load for shard, (load, heard) in board.items() if now - heard < LOAD_LIFETIME}
--- a/packages/decisions/src/fireflylink_decisions/authority/_round.py
+++ b/packages/decisions/src/fireflylink_decisions/authority/_round.py
@@ -14,8 +14,8 @@
     """Collects the voters' answers for one version of a table.
 
     ``started`` is the time, in seconds, before the first question was sent; authority from the
-    round counts from it. While a table lists previous voters, a majority of those is needed too, so that
-    any two rounds share a voter also across a change of the voters.
+    round counts from it. While a table lists previous voters, a majority of those is needed too, so
+    that any two rounds share a voter also across a change of the voters.
     """
 
     __slots__ = (
--- a/packages/protocol/src/fireflylink_protocol/_codec.py
+++ b/packages/protocol/src/fireflylink_protocol/_codec.py
@@ -22,6 +22,7 @@
 )
 from fireflylink_protocol import control_pb2
 
+REQUEST_ID_BYTES = 16
 STATUS_NUMBERS = {ServerStatus.UP: 0, ServerStatus.COLD: 1, ServerStatus.DOWN: 2}
 STATUS_OF_NUMBER = {number: status for status, number in STATUS_NUMBERS.items()}
 
@@ -77,11 +78,23 @@
 
 
 def _encode_crash(report: CrashReport) -> control_pb2.CrashReport:
-    return control_pb2.CrashReport(fingerprint=report.fingerprint, crashes=report.crashes)
+    return control_pb2.CrashReport(
+        fingerprint=report.fingerprint,
+        server_id=report.server_id,
+        generation=report.generation,
+        evidence=report.evidence,
+        remaining_ms=report.remaining_ms,
+    )
 
 
 def _decode_crash(message: control_pb2.CrashReport) -> CrashReport:
-    return CrashReport(fingerprint=message.fingerprint, crashes=message.crashes)
+    return CrashReport(
+        fingerprint=message.fingerprint,
+        server_id=message.server_id,
+        generation=message.generation,
+        evidence=message.evidence,
+        remaining_ms=message.remaining_ms,
+    )
 
 
 def _encode_load(report: LoadReport) -> control_pb2.LoadReport:
@@ -231,20 +244,40 @@
     )
 
 
+def _encode_handover_shard(shard: HandoverShard) -> control_pb2.HandoverShard:
+    return control_pb2.HandoverShard(
+        shard=_encode_shard(shard.shard, shard.exception),
+        epoch=shard.epoch,
+        gateway_epoch=shard.gateway_epoch,
+        floor_ms=shard.floor_ms,
+        request_ids=b"".join(
+            request_id.to_bytes(REQUEST_ID_BYTES) for request_id in shard.request_ids
+        ),
+    )
+
+
+def _decode_handover_shard(message: control_pb2.HandoverShard) -> HandoverShard:
+    data = message.request_ids
+    return HandoverShard(
+        shard=_decode_shard(message.shard),
+        exception=message.shard.exception,
+        epoch=message.epoch,
+        gateway_epoch=message.gateway_epoch,
+        floor_ms=message.floor_ms,
+        request_ids=tuple(
+            int.from_bytes(data[start : start + REQUEST_ID_BYTES])
+            for start in range(0, len(data), REQUEST_ID_BYTES)
+        ),
+    )
+
+
 def encode_handover_request(request: HandoverRequest) -> bytes:
     """Encodes the release of shards to their new gateway."""
     message = control_pb2.HandoverRequest(
         sender=request.sender,
         table_id=request.table_id,
         version=request.version,
-        shards=[
-            control_pb2.HandoverShard(
-                shard=_encode_shard(shard.shard, shard.exception), epoch=shard.epoch
-            )
-            for shard in request.shards
-        ],
-        term_start_ms=request.term_start_ms,
-        request_ids=request.request_ids,
+        shards=[_encode_handover_shard(shard) for shard in request.shards],
     )
     return bytes(message.SerializeToString())
 
@@ -256,12 +289,7 @@
         sender=message.sender,
         table_id=message.table_id,
         version=message.version,
-        shards=tuple(
-            HandoverShard(_decode_shard(shard.shard), shard.shard.exception, shard.epoch)
-            for shard in message.shards
-        ),
-        term_start_ms=message.term_start_ms,
-        request_ids=tuple(message.request_ids),
+        shards=tuple(_decode_handover_shard(shard) for shard in message.shards),
     )
 
 
