--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/admission/_admission_values.py
@@ -0,0 +1,78 @@
+"""What admission decides about a request, and what a gateway hands over."""
+
+from fireflylink_core import BaseReply, BaseValue, CallerRequest
+
+
+class BaseDecision(BaseValue):
+    """The decision about an offered request."""
+
+    __slots__ = ()
+
+
+class Admitted(BaseDecision):
+    """The request starts now on a server.
+
+    ``generation`` is the generation that the connection must have shown in a reply; a connection
+    that has not is probed first. It is empty when any connection will do. ``alone`` marks a
+    request that is suspected of crashing servers and has the server to itself.
+    """
+
+    __slots__ = ("alone", "call_id", "generation", "request", "server_id", "shard_index")
+
+    def __init__(
+        self,
+        call_id: str,
+        request: CallerRequest,
+        server_id: str,
+        shard_index: int,
+        generation: str = "",
+        alone: bool = False,
+    ) -> None:
+        self.call_id = call_id
+        self.request = request
+        self.server_id = server_id
+        self.shard_index = shard_index
+        self.generation = generation
+        self.alone = alone
+
+
+class Queued(BaseDecision):
+    """The request waits; ``finish`` admits it or ``expire`` returns its reply."""
+
+    __slots__ = ("call_id",)
+
+    def __init__(self, call_id: str) -> None:
+        self.call_id = call_id
+
+
+class Rejected(BaseDecision):
+    """The request does not start; the reply says what is known about it."""
+
+    __slots__ = ("reply",)
+
+    def __init__(self, reply: BaseReply) -> None:
+        self.reply = reply
+
+
+class ShardHandover(BaseValue):
+    """What a gateway knows about the request ids of a shard.
+
+    Ids with a timestamp below ``floor_ms`` may have run although they are not listed.
+    """
+
+    __slots__ = ("floor_ms", "request_ids", "shard_index")
+
+    def __init__(self, shard_index: int, floor_ms: int, request_ids: tuple[int, ...]) -> None:
+        self.shard_index = shard_index
+        self.floor_ms = floor_ms
+        self.request_ids = request_ids
+
+
+class Handover(BaseValue):
+    """What a gateway transfers to the next gateway of some shards."""
+
+    __slots__ = ("service", "shards")
+
+    def __init__(self, service: str, shards: tuple[ShardHandover, ...]) -> None:
+        self.service = service
+        self.shards = shards
