--- a/packages/core/src/fireflylink_core/_configuration.py
+++ b/packages/core/src/fireflylink_core/_configuration.py
@@ -155,18 +155,28 @@
 
 
 class AppliedNote(BaseValue):
-    """A release note that made a version of the configuration."""
+    """A release note that made a version of the configuration.
 
-    __slots__ = ("applied_ms", "author", "note_id", "summary", "version")
+    ``digest`` identifies the content of the note.
+    """
+
+    __slots__ = ("applied_ms", "author", "digest", "note_id", "summary", "version")
 
     def __init__(
-        self, note_id: str, version: int, author: str, applied_ms: int, summary: str
+        self,
+        note_id: str,
+        version: int,
+        author: str,
+        applied_ms: int,
+        summary: str,
+        digest: str = "",
     ) -> None:
         self.note_id = note_id
         self.version = version
         self.author = author
         self.applied_ms = applied_ms
         self.summary = summary
+        self.digest = digest
 
 
 class Configuration(BaseValue):
--- a/packages/documents/src/fireflylink_documents/_fields.py
+++ b/packages/documents/src/fireflylink_documents/_fields.py
@@ -2,7 +2,7 @@
 
 import enum
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TypeVar
 
 from returns.result import Failure, Result, Success
@@ -67,6 +67,18 @@
         """Tells whether the object has a field with a value other than null."""
         return self.fields.get(name) is not None
 
+    def know(self, names: Iterable[str]) -> None:
+        """Declares fields that are known, whether or not they are read."""
+        self.seen.update(names)
+
+    def kind(self, expected: str) -> None:
+        """Checks the field ``document``, which tells the kind of a stored document.
+
+        One key signs documents of all kinds, so the kind is a part of the signed payload.
+        """
+        if self.text("document") != expected:
+            raise self.error("document", f"must be {expected}")
+
     def error(self, name: str, problem: str) -> DocumentError:
         """Returns an error about a field of this object, for checks of the caller's own."""
         return DocumentError(self.path_of(name), problem)
--- a/packages/documents/src/fireflylink_documents/_tables.py
+++ b/packages/documents/src/fireflylink_documents/_tables.py
@@ -6,13 +6,12 @@
 released_to]``.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from returns.result import Result
 
 from fireflylink_core import OwnershipTable, ServerGroup, ShardKey, ShardRecord
-from fireflylink_documents._configuration import check_kind
 from fireflylink_documents._errors import DocumentError
 from fireflylink_documents._fields import (
     LARGEST_INTEGER,
@@ -52,7 +51,7 @@
 
 
 def _read_table(fields: FieldReader) -> OwnershipTable:
-    check_kind(fields, TABLE_KIND)
+    fields.kind(TABLE_KIND)
     names = fields.texts("names")
     return OwnershipTable(
         table_id=fields.text("table_id"),
@@ -194,11 +193,3 @@
             checked_integer(value, place, 0, LARGEST_INTEGER)
         elif value is not None:
             checked_integer(value, place, 0, name_count - 1)
-
-
-def rows_of_indexes(keys: Iterable[ShardKey]) -> dict[str, list[int]]:
-    """Returns the indexes of each service in order."""
-    found: dict[str, list[int]] = {}
-    for service, index in sorted(keys):
-        found.setdefault(service, []).append(index)
-    return found
