--- a/packages/core/src/fireflylink_core/__init__.py
+++ b/packages/core/src/fireflylink_core/__init__.py
@@ -43,6 +43,13 @@
     isolation_of_table,
     table_id_of,
 )
+from fireflylink_core._release_note import (
+    FieldChanges,
+    NoteAdditions,
+    NoteChanges,
+    NoteWithdrawals,
+    ReleaseNote,
+)
 from fireflylink_core._request import (
     IDEMPOTENT_METHODS,
     MAX_ANSWER_BYTES,
@@ -77,6 +84,7 @@
     "DocumentKind",
     "EndorseReply",
     "EndorseRequest",
+    "FieldChanges",
     "HandoverReply",
     "HandoverRequest",
     "HandoverShard",
@@ -88,9 +96,13 @@
     "MemberProgress",
     "MemberState",
     "NotRun",
+    "NoteAdditions",
+    "NoteChanges",
+    "NoteWithdrawals",
     "Outcome",
     "OutcomeUnknown",
     "OwnershipTable",
+    "ReleaseNote",
     "ServerGroup",
     "ServerReport",
     "ServerState",
