--- a/packages/backend_client/src/fireflylink_backend_client/__init__.py
+++ b/packages/backend_client/src/fireflylink_backend_client/__init__.py
@@ -6,7 +6,7 @@
     ServerStatus,
     WarmthState,
 )
-from fireflylink_backend_client._control import CONTROL_CONNECTIONS
+from fireflylink_backend_client._control import CONTROL_CONNECTIONS, BackendControl
 from fireflylink_backend_client._errors import (
     BackendError,
     BackendReplyLost,
@@ -28,6 +28,7 @@
 __all__ = [
     "CONTROL_CONNECTIONS",
     "Answered",
+    "BackendControl",
     "BackendError",
     "BackendPool",
     "BackendReplyLost",
--- a/packages/daemon/src/fireflylink_daemon/_control_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_task.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 import gevent
-from fireflylink_decisions.ownership import merge_tables
 from returns.pipeline import is_successful
 
 from fireflylink_core import (
@@ -49,6 +48,7 @@
 from fireflylink_daemon._task import BaseTask
 from fireflylink_daemon._view import View
 from fireflylink_decisions.authority import RENEWAL_PERIOD, EndorsementRound
+from fireflylink_decisions.ownership import merge_tables
 from fireflylink_platform_client import Entry
 
 PEER_TIMEOUT = 0.3
--- a/packages/daemon/src/fireflylink_daemon/_group_gateway.py
+++ b/packages/daemon/src/fireflylink_daemon/_group_gateway.py
@@ -98,14 +98,14 @@
         self.changed.set()
         self.changed = Event()
 
-    def run(self, request: CallerRequest, view: ShardView, permission: "BasePermission") -> BaseReply:
+    def run(
+        self, request: CallerRequest, view: ShardView, permission: "BasePermission"
+    ) -> BaseReply:
         """Admits a request of a shard that is served here, and runs it."""
         now = self.clock.now()
         self.calls += 1
         call_id = f"{self.group_id}-{view.group.gateway_epoch}-{self.calls:x}"
-        decision = self.admission.offer(
-            request, call_id, now, self.clock.wall_ms(), view.shard[1]
-        )
+        decision = self.admission.offer(request, call_id, now, self.clock.wall_ms(), view.shard[1])
         if isinstance(decision, Rejected):
             return decision.reply
         if isinstance(decision, Queued):
@@ -205,7 +205,7 @@
     def _status(self, link: ServerLink, now: float) -> ServerStatus:
         if link.is_lost(now):
             return ServerStatus.DOWN
-        limiter = self.admission.servers_by_id[link.server.server_id]
+        limiter = self.admission.servers.limiters_by_id[link.server.server_id]
         return ServerStatus.COLD if limiter.cold else ServerStatus.UP
 
     def close(self) -> None:
@@ -239,6 +239,4 @@
         refused = outcome.reason is NotSentReason.CONNECT_REFUSED
         return CallResult(CallOutcome.NOT_SENT, latency, refused=refused)
     assert isinstance(outcome, Lost)
-    return CallResult(
-        LOST_OUTCOMES.get(outcome.reason, CallOutcome.CONNECTION_LOST), latency
-    )
+    return CallResult(LOST_OUTCOMES.get(outcome.reason, CallOutcome.CONNECTION_LOST), latency)
--- a/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
@@ -21,6 +21,7 @@
     Handover,
     Queued,
     Rejected,
+    ShardHandover,
 )
 from fireflylink_decisions.admission._fingerprint import fingerprint_of
 from fireflylink_decisions.admission._group_servers import GroupServers
@@ -219,6 +220,19 @@
         indexes = frozenset(shard_indexes)
         return all(call.shard_index not in indexes for call in self.servers.calls.values())
 
+    def requests(self) -> tuple[CallerRequest, ...]:
+        """Returns the requests that are in flight or wait."""
+        waiting = (*self.queue.entries.values(), *self.isolation.waiting.values())
+        running = (call.request for call in self.servers.calls.values())
+        return (*running, *(entry.request for entry in waiting))
+
+    def fold_exception(self, exception_index: int, shard_index: int) -> None:
+        """Takes the request ids of an ended single-key exception back into its shard."""
+        memory = self.id_gate.memory
+        for known in memory.export_shards((exception_index,)):
+            memory.import_shard(ShardHandover(shard_index, known.floor_ms, known.request_ids))
+        memory.drop_shards((exception_index,))
+
     def export_handover(self, shard_indexes: Iterable[int]) -> Result[Handover, StillRunningError]:
         """Returns what the next gateway of some shards has to know, and holds them no longer."""
         indexes = tuple(shard_indexes)
--- a/packages/decisions/src/fireflylink_decisions/membership/_succession.py
+++ b/packages/decisions/src/fireflylink_decisions/membership/_succession.py
@@ -30,8 +30,7 @@
         return all(self._silent(voter, now) for voter in earlier)
 
     def _silent(self, voter: str, now: float) -> bool:
-        since = max(
-            self._answered.get(voter, 0.0),
-            self._asked_since.setdefault(voter, now),
-        )
+        since = self._answered.get(voter)
+        if since is None:
+            since = self._asked_since.setdefault(voter, now)
         return now - since >= MEMBER_LOSS_TIMEOUT
