Do not wait in the check of an idle connection

Cause: a cooperative socket waits for data despite MSG_DONTWAIT, so the second call on a pooled connection never returned. The check now sets the socket's timeout to 0. A receive whose deadline has passed keeps a timeout of 1 ms: with 0 its error looked like a lost connection, which is evidence of a crash.

--- a/packages/backend_client/src/fireflylink_backend_client/_connection.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_connection.py
@@ -1,7 +1,7 @@
 """One TCP connection to a backend server."""
 
 from errno import ECONNREFUSED
-from socket import MSG_DONTWAIT, MSG_PEEK
+from socket import MSG_PEEK
 
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
@@ -13,6 +13,8 @@
 RECEIVE_BYTES = 65536
 CONNECT_TIMEOUT = 0.5
 PROGRESS_TIMEOUT = 1.0
+SHORTEST_TIMEOUT = 0.001
+# A timeout of 0 would make the socket non-blocking, and its error look like a lost connection.
 CLOSE_TIMEOUT = 1.0
 
 
@@ -70,7 +72,9 @@
     def usable(self) -> bool:
         """Tells whether the idle connection is open and holds no unexpected bytes."""
         try:
-            self.sock.recv(1, MSG_PEEK | MSG_DONTWAIT)
+            # A cooperative socket waits despite MSG_DONTWAIT unless its timeout is 0.
+            self.sock.settimeout(0.0)
+            self.sock.recv(1, MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
@@ -106,7 +110,7 @@
         try:
             self.sock.shutdown(socket.SHUT_WR)
             while not self.peer_closed:
-                self.sock.settimeout(max(0.0, deadline - self.clock.now()))
+                self.sock.settimeout(max(SHORTEST_TIMEOUT, deadline - self.clock.now()))
                 self.peer_closed = not self.sock.recv(RECEIVE_BYTES)
         except OSError:
             pass
@@ -139,7 +143,7 @@
             raise self._broken(error) from error
 
     def _receive(self, reader: ResponseReader, deadline: float) -> None:
-        self.sock.settimeout(max(0.0, deadline - self.clock.now()))
+        self.sock.settimeout(max(SHORTEST_TIMEOUT, deadline - self.clock.now()))
         while not reader.message_complete:
             try:
                 data = self.sock.recv(RECEIVE_BYTES)
@@ -156,7 +160,7 @@
                 self.sock.settimeout(self._progress_timeout(deadline))
 
     def _progress_timeout(self, deadline: float) -> float:
-        return max(0.0, min(deadline - self.clock.now(), PROGRESS_TIMEOUT))
+        return max(SHORTEST_TIMEOUT, min(deadline - self.clock.now(), PROGRESS_TIMEOUT))
 
     def _broken(self, error: OSError) -> LostError:
         self.peer_closed = True
--- a/packages/daemon/src/fireflylink_daemon/_control_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_task.py
@@ -236,22 +236,26 @@
         self._publish_view()
 
     def _take_table(self, entry: Entry) -> OwnershipTable | None:
+        """Takes a table of the platform; returns it if the cache now holds this version."""
         table_id = entry.key.removeprefix(OWNERSHIP_PREFIX)
-        if not self._take(DocumentKind.TABLE, table_id, entry):
+        version = self._take(DocumentKind.TABLE, table_id, entry)
+        table = self.state.cache.tables.get(table_id)
+        if table is None or table.version != version:
             return None
-        table = self.state.cache.tables[table_id]
         self.desk.note_entry(entry, table.version)
         return table
 
-    def _take(self, kind: DocumentKind, name: str, entry: Entry) -> bool:
-        """Takes a stored document; tells whether the cache now holds exactly this one."""
-        result = self.state.cache.take_raw(kind, name, entry.value)
+    def _take(self, kind: DocumentKind, name: str, entry: Entry) -> int:
+        """Takes a stored document; returns its version, 0 when it was refused."""
+        before = self.state.cache.version(kind, name)
+        result = self.state.cache.take_stored(kind, name, entry.value)
         if not is_successful(result):
             log_problem("document-refused", key=entry.key, problem=result.failure())
-            return False
-        if result.unwrap():
-            log_event("document-accepted", key=entry.key, revision=entry.revision)
-        return self.state.cache.holds(kind, name, entry.value)
+            return 0
+        version = result.unwrap()
+        if version > before:
+            log_event("document-accepted", key=entry.key, version=version)
+        return version
 
     def on_platform_failed(self, message: PlatformFailed) -> None:
         """Notes that the platform does not answer."""
@@ -273,7 +277,7 @@
     def on_table_written(self, message: TableWritten) -> None:
         """Takes a confirmed write and tells the voters at once."""
         table = message.table
-        self.state.cache.take_raw(DocumentKind.TABLE, table.table_id, message.signed)
+        self.state.cache.take_stored(DocumentKind.TABLE, table.table_id, message.signed)
         self.desk.note_revision(table.table_id, table.version, message.revision)
         self._run_rounds(self.clock.now())
         self._publish_view()
--- a/packages/platform_client/src/fireflylink_platform_client/_connection.py
+++ b/packages/platform_client/src/fireflylink_platform_client/_connection.py
@@ -136,9 +136,13 @@
 def _readable(connection: socket.socket) -> bool:
     """Tells whether an idle connection was closed by the peer or holds unexpected bytes."""
     try:
-        connection.recv(1, standard_socket.MSG_PEEK | standard_socket.MSG_DONTWAIT)
+        # A cooperative socket waits despite MSG_DONTWAIT unless its timeout is 0.
+        connection.settimeout(0.0)
+        connection.recv(1, standard_socket.MSG_PEEK)
     except BlockingIOError:
         return False
     except OSError:
         return True
+    finally:
+        connection.settimeout(None)
     return True
