--- a/packages/daemon/src/fireflylink_daemon/_control_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_state.py
@@ -30,6 +30,7 @@
     VoterLedger,
 )
 from fireflylink_decisions.membership import (
+    MEMBER_LOSS_TIMEOUT,
     ConfigurationProgress,
     InForce,
     MemberDirectory,
@@ -60,12 +61,14 @@
         "reports",
         "root",
         "settlements",
+        "started",
         "succession",
         "was_root",
     )
 
-    def __init__(self, myself: Member, cache: DocumentCache) -> None:
+    def __init__(self, myself: Member, cache: DocumentCache, started: float) -> None:
         self.myself = myself
+        self.started = started
         self.cache = cache
         self.directory = MemberDirectory()
         self.ledger = VoterLedger(myself.instance_id)
@@ -95,7 +98,13 @@
         return tuple(sorted(ranked, key=lambda instance_id: instance_id in leaving))
 
     def is_root(self, now: float) -> bool:
-        """Whether this daemon has to act as the root of its data centre."""
+        """Whether this daemon has to act as the root of its data centre.
+
+        A daemon that has just started knows of no other member yet, so it waits as long as it would
+        for a silent one.
+        """
+        if now < self.started + MEMBER_LOSS_TIMEOUT:
+            return False
         is_root = self.succession.is_root(self.order_of_succession(), now)
         if is_root and not self.was_root:
             self.directory.restart_watch(now)
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -120,7 +120,7 @@
             settings.control_port,
             settings.forward_port,
         )
-        self.state = ControlState(myself, DocumentCache(signer))
+        self.state = ControlState(myself, DocumentCache(signer), clock.now())
         self.state.directory.take_list((myself, *settings.peers), clock.now())
         self._view = self._first_view(myself)
         self._peers = PeerDirectory(settings.credentials)
