--- a/packages/decisions/src/fireflylink_decisions/admission/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/__init__.py
@@ -3,14 +3,16 @@
 from fireflylink_decisions.admission._admission_values import (
     Admitted,
     BaseDecision,
+    Delegated,
     Handover,
     Queued,
     Rejected,
     ShardHandover,
 )
 from fireflylink_decisions.admission._answer_store import AnswerStore
+from fireflylink_decisions.admission._delegation import Delegation
 from fireflylink_decisions.admission._fingerprint import fingerprint_of
-from fireflylink_decisions.admission._gateway_admission import GatewayAdmission
+from fireflylink_decisions.admission._gateway_admission import GatewayAdmission, StillRunningError
 from fireflylink_decisions.admission._poison_detector import (
     CrashEvidence,
     CrashReport,
@@ -40,6 +42,8 @@
     "CallResult",
     "CrashEvidence",
     "CrashReport",
+    "Delegated",
+    "Delegation",
     "GatewayAdmission",
     "Handover",
     "InvalidRequestIdError",
@@ -48,6 +52,7 @@
     "Rejected",
     "RequestIdMemory",
     "ShardHandover",
+    "StillRunningError",
     "Suspicion",
     "fingerprint_of",
     "issue_request_id",
--- a/packages/decisions/src/fireflylink_decisions/admission/_admission_values.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_admission_values.py
@@ -36,6 +36,20 @@
         self.alone = alone
 
 
+class Delegated(BaseDecision):
+    """The request is sent to the gateway of another group, which runs it without an id check.
+
+    This gateway keeps the request id, and the end of the call is reported to it with ``finish``.
+    """
+
+    __slots__ = ("call_id", "group_id", "request")
+
+    def __init__(self, call_id: str, request: CallerRequest, group_id: str) -> None:
+        self.call_id = call_id
+        self.request = request
+        self.group_id = group_id
+
+
 class Queued(BaseDecision):
     """The request waits; ``finish`` admits it or ``expire`` returns its reply."""
 
--- a/packages/decisions/src/fireflylink_decisions/admission/_answer_store.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_answer_store.py
@@ -2,22 +2,23 @@
 
 from collections import OrderedDict
 
-from fireflylink_core import BackendAnswer
+from fireflylink_core import BackendAnswer, CallerRequest
 
 MAX_ANSWERS = 1_024
 MAX_ANSWER_STORE_BYTES = 4 << 20
 MAX_HELD_ANSWER_BYTES = 16 << 10
+SAME_FIELDS = ("tenant", "service", "method", "key", "query", "body")
 
 
 class HeldAnswer:
     """An answer and the request that it belongs to."""
 
-    __slots__ = ("answer", "fingerprint", "tenant")
+    __slots__ = ("answer", "request", "size")
 
-    def __init__(self, answer: BackendAnswer, fingerprint: str, tenant: str) -> None:
+    def __init__(self, answer: BackendAnswer, request: CallerRequest) -> None:
         self.answer = answer
-        self.fingerprint = fingerprint
-        self.tenant = tenant
+        self.request = request
+        self.size = len(answer.body) + len(request.body)
 
 
 class AnswerStore:
@@ -35,18 +36,17 @@
 
     def hold(self, request_id: int, held: HeldAnswer) -> None:
         """Keeps an answer unless it is too large."""
-        size = len(held.answer.body)
-        if size > MAX_HELD_ANSWER_BYTES or request_id in self.answers:
+        if held.size > MAX_HELD_ANSWER_BYTES or request_id in self.answers:
             return
         self.answers[request_id] = held
-        self.held_bytes += size
+        self.held_bytes += held.size
         while len(self.answers) > MAX_ANSWERS or self.held_bytes > MAX_ANSWER_STORE_BYTES:
-            oldest = self.answers.popitem(last=False)[1]
-            self.held_bytes -= len(oldest.answer.body)
+            self.held_bytes -= self.answers.popitem(last=False)[1].size
 
-    def find(self, request_id: int, fingerprint: str, tenant: str) -> BackendAnswer | None:
+    def find(self, request_id: int, request: CallerRequest) -> BackendAnswer | None:
         """Returns the answer that the same request got before, if it is still held."""
         held = self.answers.get(request_id)
-        if held is None or held.fingerprint != fingerprint or held.tenant != tenant:
+        if held is None:
             return None
-        return held.answer
+        same = all(getattr(held.request, field) == getattr(request, field) for field in SAME_FIELDS)
+        return held.answer if same else None
--- a/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
@@ -10,7 +10,6 @@
     BaseFireflylinkError,
     BaseReply,
     CallerRequest,
-    NotRun,
     Service,
     ServiceKind,
     shard_of,
@@ -18,31 +17,29 @@
 from fireflylink_decisions.admission import _replies as replies
 from fireflylink_decisions.admission._admission_values import (
     Admitted,
+    Delegated,
     Handover,
     Queued,
     Rejected,
 )
+from fireflylink_decisions.admission._call import Call
+from fireflylink_decisions.admission._delegation import Delegation
 from fireflylink_decisions.admission._fingerprint import fingerprint_of
 from fireflylink_decisions.admission._group_servers import GroupServers
 from fireflylink_decisions.admission._id_gate import IdGate
-from fireflylink_decisions.admission._isolation import Isolation
 from fireflylink_decisions.admission._poison_detector import PoisonDetector, Suspicion
 from fireflylink_decisions.admission._request_id_memory import RequestIdMemory
-from fireflylink_decisions.limits import (
-    QUANTUM,
-    FairQueue,
-    QueueEntry,
-    ReportedState,
-    ServerLimiter,
-)
+from fireflylink_decisions.admission._shard_control import ShardControl
+from fireflylink_decisions.admission._waiting_requests import Reply, WaitingRequests
+from fireflylink_decisions.limits import QUANTUM, ReportedState, ServerLimiter
 from fireflylink_decisions.retries import CallResult
 from fireflylink_decisions.routing import BasePicker, LatencyAwarePicker
 
 NO_SHARD = -1
 BODY_COST_BYTES = float(1 << 20)
 
-Reply = tuple[str, BaseReply]
-"""Call id and what its caller is told."""
+Started = Admitted | Delegated
+Decision = Admitted | Delegated | Queued | Rejected
 
 
 class StillRunningError(BaseFireflylinkError):
@@ -53,8 +50,9 @@
     """Decides for one server group which request starts when and on which server.
 
     The gateway task offers each request, starts what is admitted and reports every end. Requests
-    that were queued are admitted by ``finish`` and ``observe``; ``expire``, which the task calls
-    every few milliseconds while ``needs_expiry``, returns the replies of those that are not.
+    that wait are admitted by later calls; while ``needs_expiry``, the task calls ``expire`` and
+    ``start_waiting`` every few milliseconds, which return the replies of requests that will not
+    start and the requests that start because time has passed.
 
     Example::
 
@@ -67,15 +65,13 @@
 
     __slots__ = (
         "counters",
+        "delegation",
         "id_gate",
-        "isolation",
         "poison",
-        "queue",
         "servers",
         "service",
-        "stopped",
-        "stopped_shards",
-        "unsent",
+        "shards",
+        "waiting",
     )
 
     def __init__(
@@ -85,31 +81,29 @@
         poison: PoisonDetector | None = None,
         picker: BasePicker | None = None,
         ids: RequestIdMemory | None = None,
+        delegation: Delegation | None = None,
     ) -> None:
         self.service = service
         self.poison = poison if poison is not None else PoisonDetector()
         self.servers = GroupServers(
             service, servers, picker if picker is not None else LatencyAwarePicker(), self.poison
         )
-        self.id_gate = IdGate(ids if ids is not None else RequestIdMemory())
-        self.queue = FairQueue(service.queue_limit)
-        self.isolation = Isolation()
-        self.unsent: list[Reply] = []
-        self.stopped = ""
-        self.stopped_shards: set[int] = set()
         self.counters: dict[str, int] = {"admitted": 0}
+        self.id_gate = IdGate(ids if ids is not None else RequestIdMemory())
+        self.shards = ShardControl(self.id_gate)
+        self.waiting = WaitingRequests(service.queue_limit, self.id_gate, self.counters)
+        self.delegation = delegation
 
     @property
     def idle(self) -> bool:
         """Whether no request is in flight or waits."""
-        return not (
-            self.servers.calls or self.queue.entries or self.isolation.waiting or self.unsent
-        )
+        delegated = self.delegation is not None and self.delegation.calls
+        return not (self.servers.calls or delegated or len(self.waiting) or self.waiting.unsent)
 
     @property
     def needs_expiry(self) -> bool:
-        """Whether ``expire`` has to be called soon."""
-        return bool(self.queue.entries or self.isolation.waiting or self.unsent)
+        """Whether ``expire`` and ``start_waiting`` have to be called soon."""
+        return bool(len(self.waiting) or self.waiting.unsent)
 
     def offer(
         self,
@@ -118,66 +112,71 @@
         now: float,
         wall_ms: int,
         shard_index: int | None = None,
-    ) -> Admitted | Queued | Rejected:
-        """Decides about a new request. ``shard_index`` names its shard or exception if known."""
+        delegated: bool = False,
+    ) -> Decision:
+        """Decides about a new request. ``shard_index`` names its shard or exception if known.
+
+        ``delegated`` marks a request that another gateway has sent here; that one keeps its id.
+        """
         index = self.shard_index_of(request) if shard_index is None else shard_index
-        number = 0
-        if request.method not in IDEMPOTENT_METHODS:
-            checked = self.id_gate.check(request, index, wall_ms)
-            if not isinstance(checked, int):
-                return self.reject(checked)
-            number = checked
-        if self.stopped or index in self.stopped_shards or request.deadline <= now:
-            return self.reject(self.refusal(index))
+        call = Call(call_id, request, index, delegated)
+        refusal = self.refusal(call, now, wall_ms)
+        if refusal is not None:
+            return refusal
         if self.poison.active:
             suspicion = self.poison.suspicion(fingerprint_of(request), now)
-            if suspicion is Suspicion.BLOCKED:
-                return self.reject(replies.POISON)
-            if suspicion is Suspicion.SUSPECT:
-                return self.offer_suspect(request, call_id, index, number, now)
-        if not self.queue.entries:
+            if suspicion is not Suspicion.NONE:
+                return self.offer_suspect(call, suspicion, now)
+        if not self.waiting.queue.entries:
             server = self.servers.pick(now)
             if server is not None:
-                if number:
-                    self.id_gate.memory.remember(index, number)
-                return self.start(request, call_id, index, number, server, now)
-        return self.enqueue(request, call_id, index, number, now)
+                self.id_gate.remember(call)
+                return self.start(call, server, now)
+        return self.enqueue(call, now)
 
     def finish(self, call_id: str, result: CallResult, now: float) -> tuple[Admitted, ...]:
         """Takes the end of a call into account and returns the requests that start now."""
+        delegated = None if self.delegation is None else self.delegation.end(call_id)
+        if delegated is not None:
+            self.id_gate.settle(delegated, result)
+            return ()
         call = self.servers.end(call_id, result, now)
         if call.request_number:
-            self.id_gate.settle(call.request, call.shard_index, call.request_number, result)
+            self.id_gate.settle(call, result)
         if call.alone:
-            self.isolation.ended(call_id)
-        if self.queue.entries or self.isolation.waiting:
+            self.waiting.isolation.ended(call_id)
+        if self.waiting.any_startable:
             return self.start_waiting(now)
         return ()
 
     def expire(self, now: float) -> tuple[Reply, ...]:
-        """Returns the replies of queued requests that will not start."""
-        for entry in self.queue.expire(now):
-            self.give_up(entry, replies.OVERLOADED)
-        for entry in tuple(self.isolation.waiting.values()):
-            if entry.latest_start <= now:
-                self.isolation.remove(entry.call_id)
-                self.give_up(entry, replies.DEADLINE)
+        """Returns the replies of waiting requests that will not start."""
+        self.waiting.expire(now)
         self.poison.expire(now)
-        unsent = tuple(self.unsent)
-        self.unsent.clear()
-        return unsent
+        return self.waiting.take_unsent()
+
+    def start_waiting(self, now: float) -> tuple[Admitted, ...]:
+        """Starts as many waiting requests as the servers may run."""
+        started = []
+        if self.waiting.isolation.waiting:
+            self.waiting.review_suspects(self.poison, now)
+            suspect = self.waiting.isolation.next(self.servers.limiters)
+            if suspect is not None:
+                started.append(self.start_alone(suspect[0], suspect[1], now))
+        while self.waiting.queue.entries:
+            server = self.servers.pick(now)
+            call = None if server is None else self.waiting.pop(now)
+            if server is None or call is None:
+                break
+            started.append(self.start(call, server, now))
+        return tuple(started)
 
     def cancel(self, call_id: str, now: float) -> bool:
         """Drops a request that waits, and tells whether there was one.
 
         A request that runs ends with ``finish`` once its connection is closed.
         """
-        entry = self.take_out(call_id)
-        if entry is None:
-            return False
-        self.id_gate.forget(entry.shard_index, entry.request_number)
-        self.count("cancelled")
-        return True
+        return self.waiting.remove(call_id)
 
     def observe(
         self,
@@ -203,152 +202,148 @@
 
         ``reason`` is ``moved`` for a handover and ``leaving`` for a drain.
         """
-        if shard_indexes is None:
-            self.stopped = reason
-        else:
-            self.stopped_shards.update(shard_indexes)
-        waiting = (*self.queue.entries.values(), *self.isolation.waiting.values())
-        for entry in waiting:
-            if self.stopped or entry.shard_index in self.stopped_shards:
-                self.take_out(entry.call_id)
-                self.give_up(entry, replies.STOP_REPLIES[reason])
-        return self.expire(float("-inf"))
+        indexes = None if shard_indexes is None else frozenset(shard_indexes)
+        self.shards.stop(reason, indexes)
+        self.waiting.stop(
+            lambda call: indexes is None or call.shard_index in indexes,
+            replies.STOP_REPLIES[reason],
+        )
+        return self.waiting.take_unsent()
 
     def idle_for(self, shard_indexes: Iterable[int]) -> bool:
         """Tells whether no request of some shards is in flight."""
         indexes = frozenset(shard_indexes)
-        return all(call.shard_index not in indexes for call in self.servers.calls.values())
+        calls = list(self.servers.calls.values())
+        if any(call.shard_index in indexes for call in calls):
+            return False
+        if self.delegation is None:
+            return True
+        return all(call.shard_index not in indexes for call in self.delegation.calls.values())
 
     def export_handover(self, shard_indexes: Iterable[int]) -> Result[Handover, StillRunningError]:
         """Returns what the next gateway of some shards has to know, and holds them no longer."""
         indexes = tuple(shard_indexes)
         if not self.idle_for(indexes):
             return Failure(StillRunningError("requests of the shards are still in flight"))
-        shards = self.id_gate.export(indexes, self.service.shard_count)
-        self.stopped_shards.update(indexes)
-        self.id_gate.memory.drop_shards(indexes)
-        return Success(Handover(self.service.name, shards))
-
-    def import_handover(self, handover: Handover) -> None:
-        """Takes over shards from the gateway that has released them."""
-        for shard in handover.shards:
-            self.id_gate.memory.import_shard(shard)
-            self.stopped_shards.discard(shard.shard_index)
-
-    def start_term(self, shard_indexes: Iterable[int], wall_ms: int) -> None:
-        """Takes over shards without a handover. Required whenever a shard is gained that way."""
-        indexes = tuple(shard_indexes)
-        self.id_gate.memory.start_term(indexes, wall_ms)
-        self.stopped_shards.difference_update(indexes)
+        return Success(self.shards.release(indexes, self.service.name, self.service.shard_count))
 
-    def start_waiting(self, now: float) -> tuple[Admitted, ...]:
-        """Starts as many waiting requests as the servers may run."""
-        started = []
-        suspect = self.isolation.next(self.servers.limiters)
-        if suspect is not None:
-            started.append(self.start_entry(suspect[0], suspect[1], now, alone=True))
-        while self.queue.entries:
-            server = self.servers.pick(now)
-            if server is None:
-                break
-            entry = self.queue.pop()
-            if entry is None:
-                break
-            if entry.latest_start < now:
-                self.give_up(entry, replies.OVERLOADED)
-                continue
-            started.append(self.start_entry(entry, server, now, alone=False))
+    def expect_handover(self, shard_indexes: Iterable[int]) -> None:
+        """Lets requests of some shards wait until the former gateway hands them over."""
+        self.shards.expect(shard_indexes)
+
+    def import_handover(self, handover: Handover, now: float, wall_ms: int) -> tuple[Started, ...]:
+        """Takes over shards and returns the requests that waited for them and start now."""
+        return self.offer_held(self.shards.receive(handover), now, wall_ms)
+
+    def start_term(
+        self, shard_indexes: Iterable[int], now: float, wall_ms: int
+    ) -> tuple[Started, ...]:
+        """Takes over shards without a handover; required whenever shards are gained that way.
+
+        Returns the requests that waited for them and start now.
+        """
+        return self.offer_held(self.shards.start_term(shard_indexes, wall_ms), now, wall_ms)
+
+    def offer_held(
+        self, shard_indexes: tuple[int, ...], now: float, wall_ms: int
+    ) -> tuple[Started, ...]:
+        """Offers the requests that waited for shards."""
+        started: list[Started] = []
+        for call in self.waiting.take_held(shard_indexes):
+            decision = self.offer(call.request, call.call_id, now, wall_ms, call.shard_index)
+            if isinstance(decision, Admitted | Delegated):
+                started.append(decision)
+            elif isinstance(decision, Rejected):
+                self.waiting.unsent.append((call.call_id, decision.reply))
         return tuple(started)
 
-    def start(
-        self,
-        request: CallerRequest,
-        call_id: str,
-        index: int,
-        number: int,
-        server: ServerLimiter,
-        now: float,
-        alone: bool = False,
-    ) -> Admitted:
+    def refusal(self, call: Call, now: float, wall_ms: int) -> Queued | Rejected | None:
+        """Returns why a request is not admitted now, or None when it may be.
+
+        An id that may have run is recognised before any other reason is given, so that no reply
+        says of such a request that it was not run.
+        """
+        if self.shards.restricted:
+            decision = self.refusal_without_ids(call)
+            if decision is not None:
+                return decision
+        request = call.request
+        if request.method not in IDEMPOTENT_METHODS and not call.delegated:
+            reply = self.id_gate.check(call, wall_ms)
+            if reply is not None:
+                return self.reject(reply)
+        if request.deadline <= now:
+            return self.reject(replies.DEADLINE)
+        if self.shards.restricted:
+            reply = self.shards.refusal(call.shard_index, call.delegated)
+            return None if reply is None else self.reject(reply)
+        return None
+
+    def refusal_without_ids(self, call: Call) -> Queued | Rejected | None:
+        """Decides about a request of a shard whose ids are not held here."""
+        if call.delegated:
+            return None
+        if call.shard_index in self.shards.awaited:
+            if not self.waiting.hold(call):
+                return self.reject(replies.NOT_HELD)
+            self.count("held")
+            return Queued(call.call_id)
+        return self.reject(replies.NOT_HELD) if self.shards.gone(call.shard_index) else None
+
+    def start(self, call: Call, server: ServerLimiter, now: float) -> Admitted:
         """Counts a request on a server."""
         self.counters["admitted"] += 1
-        return self.servers.start(request, call_id, index, number, server, now, alone)
-
-    def start_entry(
-        self, entry: QueueEntry, server: ServerLimiter, now: float, alone: bool
-    ) -> Admitted:
-        """Starts a request that has waited; its id is remembered already."""
-        return self.start(
-            entry.request,
-            entry.call_id,
-            entry.shard_index,
-            entry.request_number,
-            server,
-            now,
-            alone,
-        )
+        return self.servers.start(call, server, now)
 
-    def enqueue(
-        self, request: CallerRequest, call_id: str, index: int, number: int, now: float
-    ) -> Queued | Rejected:
-        """Lets a request wait if it can be expected to finish in time."""
-        entry = self.entry_of(request, call_id, index, number)
-        capacity = self.servers.capacity
-        if capacity <= 0 and self.servers.all_draining:
-            return self.reject(replies.DRAINING)
-        ahead = self.queue.requests_ahead(request.tenant) + 1
-        wait = ahead * self.servers.service_time.mean / max(1, capacity)
-        if now + wait > entry.latest_start:
-            return self.reject(replies.OVERLOADED)
-        displaced = self.queue.push(entry)
-        if displaced is entry:
-            return self.reject(replies.QUEUE_FULL)
-        if displaced is not None:
-            self.give_up(displaced, replies.QUEUE_FULL)
-        if number:
-            self.id_gate.memory.remember(index, number)
-        self.count("queued")
-        return Queued(call_id)
+    def start_alone(self, call: Call, server: ServerLimiter, now: float) -> Admitted:
+        """Starts a suspect on the server that is kept free for it."""
+        call.alone = True
+        return self.start(call, server, now)
 
     def offer_suspect(
-        self, request: CallerRequest, call_id: str, index: int, number: int, now: float
+        self, call: Call, suspicion: Suspicion, now: float
     ) -> Admitted | Queued | Rejected:
         """Starts a suspect if a server is free for it alone, or lets it wait for one."""
-        if not self.isolation.add(self.entry_of(request, call_id, index, number)):
+        if suspicion is Suspicion.BLOCKED:
+            return self.reject(replies.POISON)
+        isolation = self.waiting.isolation
+        call.fingerprint = fingerprint_of(call.request)
+        self.estimate(call)
+        if not isolation.add(call):
             return self.reject(replies.QUEUE_FULL)
-        if number:
-            self.id_gate.memory.remember(index, number)
+        self.id_gate.remember(call)
         self.count("suspect")
-        suspect = self.isolation.next(self.servers.limiters)
-        if suspect is None:
-            return Queued(call_id)
-        return self.start_entry(suspect[0], suspect[1], now, alone=True)
-
-    def entry_of(self, request: CallerRequest, call_id: str, index: int, number: int) -> QueueEntry:
-        """Describes a request that may have to wait."""
-        expected = self.servers.service_time.mean + self.servers.service_time.deviation
-        cost = 1.0 + len(request.body) / BODY_COST_BYTES
-        return QueueEntry(
-            call_id, request, request.deadline - expected, index, min(cost, QUANTUM), number
-        )
+        suspect = isolation.next(self.servers.limiters) if len(isolation.waiting) == 1 else None
+        return Queued(call.call_id) if suspect is None else self.start_alone(*suspect, now)
+
+    def enqueue(self, call: Call, now: float) -> Delegated | Queued | Rejected:
+        """Sends a request to a group that is free, or lets it wait if it can finish in time."""
+        mean = self.servers.service_time.mean
+        capacity = self.servers.capacity(now)
+        ahead = self.waiting.queue.requests_ahead(call.request.tenant) + 1
+        wait = ahead * mean / max(1, capacity)
+        if self.delegation is not None and not call.delegated:
+            target = self.delegation.target(wait + mean, now)
+            if target:
+                self.id_gate.remember(call)
+                self.count("delegated")
+                return self.delegation.start(call, target)
+        if capacity <= 0 and self.servers.all_draining:
+            return self.reject(replies.DRAINING)
+        self.estimate(call)
+        overloaded = now + wait > call.latest_start
+        reply = replies.OVERLOADED if overloaded else self.waiting.push(call)
+        if reply is not None:
+            return self.reject(reply)
+        self.id_gate.remember(call)
+        self.count("queued")
+        return Queued(call.call_id)
 
-    def take_out(self, call_id: str) -> QueueEntry | None:
-        """Takes a waiting request out of where it waits."""
-        return self.queue.remove(call_id) or self.isolation.remove(call_id)
-
-    def give_up(self, entry: QueueEntry, reply: NotRun) -> None:
-        """Notes the reply of a waiting request that will not start."""
-        self.id_gate.forget(entry.shard_index, entry.request_number)
-        self.count(reply.reason)
-        self.unsent.append((entry.call_id, reply))
-
-    def refusal(self, index: int) -> BaseReply:
-        """Returns why nothing is admitted now."""
-        if self.stopped:
-            return replies.STOP_REPLIES[self.stopped]
-        if index in self.stopped_shards:
-            return replies.MOVED
-        return replies.DEADLINE
+    def estimate(self, call: Call) -> None:
+        """Estimates how late a request may start and what it costs its tenant."""
+        service_time = self.servers.service_time
+        call.latest_start = call.request.deadline - service_time.mean - service_time.deviation
+        call.cost = min(QUANTUM, 1.0 + len(call.request.body) / BODY_COST_BYTES)
 
     def reject(self, reply: BaseReply) -> Rejected:
         """Counts a reply by its reason and returns the decision."""
--- a/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Iterable
 
-from fireflylink_core import BackendServer, CallerRequest, Service
+from fireflylink_core import BackendServer, Service
 from fireflylink_decisions.admission._admission_values import Admitted
+from fireflylink_decisions.admission._call import Call
 from fireflylink_decisions.admission._fingerprint import fingerprint_of
 from fireflylink_decisions.admission._poison_detector import PoisonDetector
 from fireflylink_decisions.limits import ReportedState, ServerLimiter, ServiceTime
@@ -13,32 +14,18 @@
 NEVER = float("-inf")
 
 
-class RunningCall:
-    """A request that runs on a server."""
-
-    __slots__ = ("alone", "request", "request_number", "server", "shard_index", "started_at")
-
-    def __init__(
-        self,
-        request: CallerRequest,
-        server: ServerLimiter,
-        shard_index: int,
-        started_at: float,
-        request_number: int,
-        alone: bool,
-    ) -> None:
-        self.request = request
-        self.server = server
-        self.shard_index = shard_index
-        self.started_at = started_at
-        self.request_number = request_number
-        self.alone = alone
-
-
 class GroupServers:
     """Starts and ends requests on the servers of a group and learns from how they end."""
 
-    __slots__ = ("calls", "limiters", "limiters_by_id", "picker", "poison", "service_time")
+    __slots__ = (
+        "blocked",
+        "calls",
+        "limiters",
+        "limiters_by_id",
+        "picker",
+        "poison",
+        "service_time",
+    )
 
     def __init__(
         self,
@@ -54,12 +41,12 @@
         self.picker = picker
         self.poison = poison
         self.service_time = ServiceTime()
-        self.calls: dict[str, RunningCall] = {}
+        self.calls: dict[str, Call] = {}
+        self.blocked: list[ServerLimiter] = []
 
-    @property
-    def capacity(self) -> int:
-        """How many requests the group may run at once."""
-        return sum(limiter.limit for limiter in self.limiters)
+    def capacity(self, now: float) -> int:
+        """Returns how many requests the group may run at once at present."""
+        return sum(self.picker.usable(limiter, now) for limiter in self.limiters)
 
     @property
     def all_draining(self) -> bool:
@@ -68,41 +55,38 @@
 
     def pick(self, now: float) -> ServerLimiter | None:
         """Returns the server for the next request, or None when none is free."""
+        if self.blocked:
+            self.blocked = [limiter for limiter in self.blocked if not limiter.retry(now)]
         return self.picker.pick(self.limiters, now)
 
-    def start(
-        self,
-        request: CallerRequest,
-        call_id: str,
-        shard_index: int,
-        request_number: int,
-        server: ServerLimiter,
-        now: float,
-        alone: bool,
-    ) -> Admitted:
+    def start(self, call: Call, server: ServerLimiter, now: float) -> Admitted:
         """Counts a request on a server."""
         generation = server.start()
-        call = RunningCall(request, server, shard_index, now, request_number, alone)
+        call_id = call.call_id
+        server_id = server.server_id
+        call.server_id = server_id
+        call.started_at = now
         self.calls[call_id] = call
-        self.picker.started(server.server_id, call_id, now)
-        return Admitted(call_id, request, server.server_id, shard_index, generation, alone)
+        self.picker.started(server_id, call_id, now)
+        return Admitted(call_id, call.request, server_id, call.shard_index, generation, call.alone)
 
-    def end(self, call_id: str, result: CallResult, now: float) -> RunningCall:
+    def end(self, call_id: str, result: CallResult, now: float) -> Call:
         """Takes the end of a call into account."""
         call = self.calls.pop(call_id)
-        server = call.server
+        server = self.limiters_by_id[call.server_id]
         answered = result.outcome is CallOutcome.ANSWERED
-        self.picker.ended(server.server_id, call_id, result.latency, answered, now)
+        self.picker.ended(call.server_id, call_id, result.latency, answered, now)
         server.in_flight -= 1
         if answered:
-            self.note_answer(call, result, now)
+            self.note_answer(call, server, result, now)
         else:
-            self.note_failure(call, result, now)
+            self.note_failure(call, server, result, now)
         return call
 
-    def note_answer(self, call: RunningCall, result: CallResult, now: float) -> None:
+    def note_answer(
+        self, call: Call, server: ServerLimiter, result: CallResult, now: float
+    ) -> None:
         """Learns from an answer."""
-        server = call.server
         before = server.generation
         self.service_time.add(result.latency)
         server.answered(result.generation, call.started_at)
@@ -112,12 +96,13 @@
                 self.poison.ran_alone(fingerprint_of(call.request))
         self.note_restart(server, before, now)
 
-    def note_failure(self, call: RunningCall, result: CallResult, now: float) -> None:
+    def note_failure(
+        self, call: Call, server: ServerLimiter, result: CallResult, now: float
+    ) -> None:
         """Learns from a call that was not answered: lowers the limit, collects crash evidence."""
-        server = call.server
         outcome = result.outcome
         if outcome in (CallOutcome.CONNECTION_LOST, CallOutcome.TRUNCATED):
-            self.note_lost_connection(call, now)
+            self.note_lost_connection(call, server, now)
         before = server.generation
         if result.generation:
             server.saw_generation(result.generation, call.started_at)
@@ -129,13 +114,17 @@
                 server.drain()
             elif result.not_run_reason == "busy":
                 server.busy()
+        elif outcome is CallOutcome.NOT_SENT and not result.generation:
+            server.block(now)
+            self.blocked.append(server)
         elif outcome is not CallOutcome.CANCELLED:
             server.doubt(now)
 
-    def note_lost_connection(self, call: RunningCall, now: float) -> None:
+    def note_lost_connection(self, call: Call, server: ServerLimiter, now: float) -> None:
         """Makes suspects of everything that was in flight on a server."""
-        server = call.server
-        others = [other.request for other in self.calls.values() if other.server is server]
+        others = [
+            other.request for other in self.calls.values() if other.server_id == server.server_id
+        ]
         fingerprints = [fingerprint_of(request) for request in (call.request, *others)]
         self.poison.connection_lost(server.server_id, server.generation, fingerprints, now)
 
--- a/packages/decisions/src/fireflylink_decisions/admission/_id_gate.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_id_gate.py
@@ -4,10 +4,10 @@
 
 from returns.result import Success
 
-from fireflylink_core import BaseReply, CallerRequest, NotRun, OutcomeUnknown
+from fireflylink_core import BaseReply, NotRun
 from fireflylink_decisions.admission._admission_values import ShardHandover
 from fireflylink_decisions.admission._answer_store import AnswerStore, HeldAnswer
-from fireflylink_decisions.admission._fingerprint import fingerprint_of
+from fireflylink_decisions.admission._call import Call
 from fireflylink_decisions.admission._request_id import parse_request_id
 from fireflylink_decisions.admission._request_id_memory import RequestIdMemory
 from fireflylink_decisions.retries import CallResult
@@ -27,36 +27,40 @@
         self.memory = memory
         self.answers = AnswerStore()
 
-    def check(self, request: CallerRequest, shard_index: int, wall_ms: int) -> int | BaseReply:
-        """Returns the number of the request id, or the reply when the request must not run."""
+    def check(self, call: Call, wall_ms: int) -> BaseReply | None:
+        """Returns why a request must not run, or None when it may; notes the number of its id."""
+        request = call.request
         parsed = parse_request_id(request.request_id)
         if not isinstance(parsed, Success):
             return BAD_ID
         number: int = parsed.unwrap()
-        reply = self.memory.check(shard_index, number, wall_ms)
+        call.request_number = number
+        reply = self.memory.check(call.shard_index, number, wall_ms)
         if reply is None:
-            return number
-        if isinstance(reply, OutcomeUnknown) and number in self.answers.answers:
-            held = self.answers.find(number, fingerprint_of(request), request.tenant)
-            return held if held is not None else reply
-        return reply
+            return None
+        held = self.answers.find(number, request)
+        return reply if held is None else held
 
-    def settle(
-        self, request: CallerRequest, shard_index: int, number: int, result: CallResult
-    ) -> None:
+    def remember(self, call: Call) -> None:
+        """Notes that a request that has an id was accepted."""
+        if call.request_number:
+            self.memory.remember(call.shard_index, call.request_number)
+
+    def settle(self, call: Call, result: CallResult) -> None:
         """Notes how the call of a request ended."""
+        if not call.request_number:
+            return
         if result.certainly_not_run:
-            self.memory.forget(shard_index, number)
+            self.memory.forget(call.shard_index, call.request_number)
             return
-        self.memory.ended(shard_index, number)
+        self.memory.ended(call.shard_index, call.request_number)
         if result.answer is not None:
-            held = HeldAnswer(result.answer, fingerprint_of(request), request.tenant)
-            self.answers.hold(number, held)
+            self.answers.hold(call.request_number, HeldAnswer(result.answer, call.request))
 
-    def forget(self, shard_index: int, number: int) -> None:
-        """Allows the id of a request that left the queue without running; 0 stands for none."""
-        if number:
-            self.memory.forget(shard_index, number)
+    def forget(self, call: Call) -> None:
+        """Allows the id of a request that left the queue without running."""
+        if call.request_number:
+            self.memory.forget(call.shard_index, call.request_number)
 
     def export(self, shard_indexes: Iterable[int], shard_count: int) -> tuple[ShardHandover, ...]:
         """Returns what is known about shards and exceptions.
--- a/packages/decisions/src/fireflylink_decisions/admission/_isolation.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_isolation.py
@@ -3,7 +3,8 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 
-from fireflylink_decisions.limits import QueueEntry, ServerLimiter
+from fireflylink_decisions.admission._call import Call
+from fireflylink_decisions.limits import ServerLimiter
 
 MAX_SUSPECTS = 16
 
@@ -18,18 +19,18 @@
     __slots__ = ("running", "server", "waiting")
 
     def __init__(self) -> None:
-        self.waiting: OrderedDict[str, QueueEntry] = OrderedDict()
+        self.waiting: OrderedDict[str, Call] = OrderedDict()
         self.server: ServerLimiter | None = None
         self.running = ""
 
-    def add(self, entry: QueueEntry) -> bool:
+    def add(self, call: Call) -> bool:
         """Lets a suspect wait, or returns False when too many do."""
         if len(self.waiting) >= MAX_SUSPECTS:
             return False
-        self.waiting[entry.call_id] = entry
+        self.waiting[call.call_id] = call
         return True
 
-    def next(self, servers: Sequence[ServerLimiter]) -> tuple[QueueEntry, ServerLimiter] | None:
+    def next(self, servers: Sequence[ServerLimiter]) -> tuple[Call, ServerLimiter] | None:
         """Returns a suspect that may start and its server, or None."""
         if self.running or not self.waiting:
             return None
@@ -38,9 +39,9 @@
             self.server = self.choose(servers)
         if self.server is None or self.server.in_flight > 0:
             return None
-        call_id, entry = self.waiting.popitem(last=False)
-        self.running = call_id
-        return entry, self.server
+        call = self.waiting.popitem(last=False)[1]
+        self.running = call.call_id
+        return call, self.server
 
     def choose(self, servers: Sequence[ServerLimiter]) -> ServerLimiter | None:
         """Keeps a server free: one that is sure to live, and has the fewest requests to finish."""
@@ -57,11 +58,11 @@
             self.running = ""
         self.release_unneeded()
 
-    def remove(self, call_id: str) -> QueueEntry | None:
+    def remove(self, call_id: str) -> Call | None:
         """Takes out a waiting suspect."""
-        entry = self.waiting.pop(call_id, None)
+        call = self.waiting.pop(call_id, None)
         self.release_unneeded()
-        return entry
+        return call
 
     def release_unneeded(self) -> None:
         """Gives the server back when no suspect needs it."""
--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/admission/_shard_control.py
@@ -0,0 +1,81 @@
+"""Shards of a gateway that are stopped, awaited or handed over."""
+
+from collections.abc import Iterable
+
+from fireflylink_core import BaseReply
+from fireflylink_decisions.admission import _replies as replies
+from fireflylink_decisions.admission._admission_values import Handover
+from fireflylink_decisions.admission._id_gate import IdGate
+
+
+class ShardControl:
+    """Knows for which shards the gateway admits requests.
+
+    ``stopped`` is the reason why it admits none at all, ``moved`` are shards that it has stopped
+    serving, ``awaited`` are shards whose handover it waits for.
+    """
+
+    __slots__ = ("awaited", "id_gate", "moved", "stopped")
+
+    def __init__(self, id_gate: IdGate) -> None:
+        self.id_gate = id_gate
+        self.stopped = ""
+        self.moved: set[int] = set()
+        self.awaited: set[int] = set()
+
+    @property
+    def restricted(self) -> bool:
+        """Whether requests of any shard are not admitted."""
+        return bool(self.stopped or self.moved or self.awaited)
+
+    def gone(self, shard_index: int) -> bool:
+        """Whether a shard was handed over, so that its ids are not known here."""
+        return shard_index in self.moved and shard_index not in self.id_gate.memory.shards
+
+    def refusal(self, shard_index: int, delegated: bool) -> BaseReply | None:
+        """Returns why requests of a shard are not admitted, or None when they are.
+
+        A delegated request belongs to a shard of another gateway.
+        """
+        if self.stopped:
+            return replies.STOP_REPLIES[self.stopped]
+        return replies.MOVED if shard_index in self.moved and not delegated else None
+
+    def stop(self, reason: str, shard_indexes: Iterable[int] | None) -> None:
+        """Stops admitting for shards, or for all."""
+        if shard_indexes is None:
+            self.stopped = reason
+        else:
+            self.moved.update(shard_indexes)
+
+    def expect(self, shard_indexes: Iterable[int]) -> None:
+        """Waits for the handover of shards."""
+        indexes = frozenset(shard_indexes)
+        self.awaited |= indexes
+        self.moved -= indexes
+
+    def release(self, shard_indexes: tuple[int, ...], service: str, shard_count: int) -> Handover:
+        """Returns what the next gateway has to know, and holds the shards no longer."""
+        shards = self.id_gate.export(shard_indexes, shard_count)
+        self.moved.update(shard_indexes)
+        self.id_gate.memory.drop_shards(shard_indexes)
+        return Handover(service, shards)
+
+    def receive(self, handover: Handover) -> tuple[int, ...]:
+        """Takes over shards with what the former gateway knew, and returns their indexes."""
+        for shard in handover.shards:
+            self.id_gate.memory.import_shard(shard)
+        return self.hold(shard.shard_index for shard in handover.shards)
+
+    def start_term(self, shard_indexes: Iterable[int], wall_ms: int) -> tuple[int, ...]:
+        """Takes over shards of which nothing is known, and returns their indexes."""
+        indexes = tuple(shard_indexes)
+        self.id_gate.memory.start_term(indexes, wall_ms)
+        return self.hold(indexes)
+
+    def hold(self, shard_indexes: Iterable[int]) -> tuple[int, ...]:
+        """Admits requests of shards again."""
+        indexes = tuple(shard_indexes)
+        self.awaited.difference_update(indexes)
+        self.moved.difference_update(indexes)
+        return indexes
--- a/packages/decisions/src/fireflylink_decisions/limits/_fair_queue.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_fair_queue.py
@@ -1,6 +1,7 @@
 """Queue in front of a group of servers: bounded, fair across tenants, aware of deadlines."""
 
 from collections import OrderedDict
+from typing import Generic, TypeVar
 
 from fireflylink_core import CallerRequest
 
@@ -13,53 +14,39 @@
 
 
 class QueueEntry:
-    """A request that waits.
+    """A request that may wait.
 
     ``latest_start`` is when it has to start to be answered before its deadline. ``cost`` is
-    between 1 and ``QUANTUM``. ``shard_index`` and ``request_number`` are kept for whoever takes the
-    entry out.
+    between 1 and ``QUANTUM``.
     """
 
-    __slots__ = (
-        "call_id",
-        "cost",
-        "latest_start",
-        "request",
-        "request_number",
-        "shard_index",
-        "tick",
-    )
+    __slots__ = ("call_id", "cost", "latest_start", "request", "tick")
 
     def __init__(
-        self,
-        call_id: str,
-        request: CallerRequest,
-        latest_start: float,
-        shard_index: int = 0,
-        cost: float = 1.0,
-        request_number: int = 0,
+        self, call_id: str, request: CallerRequest, latest_start: float, cost: float = 1.0
     ) -> None:
         self.call_id = call_id
         self.request = request
         self.latest_start = latest_start
-        self.shard_index = shard_index
         self.cost = cost
-        self.request_number = request_number
         self.tick = 0
 
 
-class TenantQueue:
+EntryT = TypeVar("EntryT", bound=QueueEntry)
+
+
+class TenantQueue(Generic[EntryT]):
     """The waiting requests of one tenant, oldest first."""
 
     __slots__ = ("deficit", "entries", "tenant")
 
     def __init__(self, tenant: str) -> None:
         self.tenant = tenant
-        self.entries: OrderedDict[str, QueueEntry] = OrderedDict()
+        self.entries: OrderedDict[str, EntryT] = OrderedDict()
         self.deficit = 0.0
 
 
-class FairQueue:
+class FairQueue(Generic[EntryT]):
     """Requests of several tenants that wait for a server, served by deficit round robin.
 
     At most ``limit`` requests wait. When the queue is full, a request of the tenant with the most
@@ -71,11 +58,11 @@
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
-        self.entries: dict[str, QueueEntry] = {}
-        self.ring: OrderedDict[str, TenantQueue] = OrderedDict()
-        self.by_length: dict[int, dict[str, TenantQueue]] = {}
+        self.entries: dict[str, EntryT] = {}
+        self.ring: OrderedDict[str, TenantQueue[EntryT]] = OrderedDict()
+        self.by_length: dict[int, dict[str, TenantQueue[EntryT]]] = {}
         self.longest = 0
-        self.wheel: dict[int, dict[str, QueueEntry]] = {}
+        self.wheel: dict[int, dict[str, EntryT]] = {}
         self.next_tick = 0
 
     def __len__(self) -> int:
@@ -88,7 +75,7 @@
             return min(len(self.entries), len(self.ring))
         return min(len(self.entries), (len(queue.entries) + 1) * len(self.ring))
 
-    def push(self, entry: QueueEntry) -> QueueEntry | None:
+    def push(self, entry: EntryT) -> EntryT | None:
         """Adds an entry and returns the one that has to leave for it, possibly the entry itself."""
         displaced = None
         if len(self.entries) >= self.limit:
@@ -101,7 +88,7 @@
         self.wheel.setdefault(entry.tick, {})[entry.call_id] = entry
         return displaced
 
-    def displace(self, entry: QueueEntry) -> QueueEntry:
+    def displace(self, entry: EntryT) -> EntryT:
         """Takes out the entry that leaves a full queue when ``entry`` arrives, and returns it."""
         own = self.ring.get(entry.request.tenant)
         own_length = len(own.entries) if own is not None else 0
@@ -111,7 +98,7 @@
         newest = next(reversed(longest.entries))
         return self.take(longest, newest)
 
-    def pop(self) -> QueueEntry | None:
+    def pop(self) -> EntryT | None:
         """Takes the entry whose turn it is, or returns None when none waits."""
         while self.ring:
             queue = next(iter(self.ring.values()))
@@ -123,14 +110,14 @@
             self.ring.move_to_end(queue.tenant)
         return None
 
-    def remove(self, call_id: str) -> QueueEntry | None:
+    def remove(self, call_id: str) -> EntryT | None:
         """Takes out an entry wherever it waits, or returns None when there is none."""
         entry = self.entries.get(call_id)
         if entry is None:
             return None
         return self.take(self.ring[entry.request.tenant], call_id)
 
-    def expire(self, now: float) -> tuple[QueueEntry, ...]:
+    def expire(self, now: float) -> tuple[EntryT, ...]:
         """Takes out the entries that can no longer be answered before their deadline."""
         tick = int(now / TICK_SECONDS)
         if tick - self.next_tick > len(self.wheel):
@@ -143,14 +130,14 @@
             self.remove(entry.call_id)
         return tuple(expired)
 
-    def clear(self) -> tuple[QueueEntry, ...]:
+    def clear(self) -> tuple[EntryT, ...]:
         """Takes out every entry."""
         entries = tuple(self.entries.values())
         for entry in entries:
             self.remove(entry.call_id)
         return entries
 
-    def add_to_tenant(self, entry: QueueEntry) -> None:
+    def add_to_tenant(self, entry: EntryT) -> None:
         """Appends an entry to the queue of its tenant."""
         tenant = entry.request.tenant
         queue = self.ring.get(tenant)
@@ -160,7 +147,7 @@
         queue.entries[entry.call_id] = entry
         self.change_length(queue, length)
 
-    def take(self, queue: TenantQueue, call_id: str) -> QueueEntry:
+    def take(self, queue: TenantQueue[EntryT], call_id: str) -> EntryT:
         """Takes out an entry of a tenant and forgets a tenant that has no other."""
         length = len(queue.entries)
         entry = queue.entries.pop(call_id)
@@ -174,7 +161,7 @@
             del self.wheel[entry.tick]
         return entry
 
-    def change_length(self, queue: TenantQueue, before: int) -> None:
+    def change_length(self, queue: TenantQueue[EntryT], before: int) -> None:
         """Files a tenant under its number of waiting requests, which was ``before``."""
         if before:
             group = self.by_length[before]
--- a/packages/decisions/src/fireflylink_decisions/limits/_server_limiter.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_server_limiter.py
@@ -7,6 +7,8 @@
 COLD_RAMP_SUCCESSES = 16
 REMEMBERED_GENERATIONS = 8
 NEVER = float("-inf")
+FIRST_BLOCK_SECONDS = 0.05
+MAX_BLOCK_SECONDS = 0.4
 
 
 class ReportedState(enum.Enum):
@@ -37,6 +39,7 @@
     """
 
     __slots__ = (
+        "blocked_until",
         "cold_slots",
         "connections",
         "doubted_at",
@@ -47,6 +50,7 @@
         "limit",
         "ramp_successes",
         "ramped_limit",
+        "refusals",
         "reported_cold",
         "reserved",
         "server_id",
@@ -78,6 +82,8 @@
         self.stated_slots = slots
         self.reserved = False
         self.doubted_at = NEVER
+        self.blocked_until = NEVER
+        self.refusals = 0
         self.limit = self.cold_slots
 
     @property
@@ -127,6 +133,8 @@
 
         A reply of an earlier generation that arrives late changes nothing.
         """
+        if self.refusals:
+            self.unblock()
         if generation == self.generation:
             if self.doubted_at != NEVER and sent_at > self.doubted_at:
                 self.doubted_at = NEVER
@@ -153,6 +161,30 @@
         self.doubted_at = now
         self.update_limit()
 
+    def block(self, now: float) -> None:
+        """Starts no request for a while after the server could not be reached.
+
+        Requests wait in the meantime instead of failing one after the other.
+        """
+        seconds = min(MAX_BLOCK_SECONDS, FIRST_BLOCK_SECONDS * 2.0**self.refusals)
+        self.refusals += 1
+        self.blocked_until = now + seconds
+        self.doubt(now)
+
+    def retry(self, now: float) -> bool:
+        """Allows a request again after the block, and tells whether it has ended."""
+        if now < self.blocked_until:
+            return False
+        self.blocked_until = NEVER
+        self.update_limit()
+        return True
+
+    def unblock(self) -> None:
+        """Ends the block because the server has replied."""
+        self.refusals = 0
+        self.blocked_until = NEVER
+        self.update_limit()
+
     def busy(self) -> None:
         """Lowers the limit to what the server runs when it refuses a request as too much."""
         self.ramped_limit = max(self.cold_slots, min(self.ramped_limit, self.in_flight))
@@ -189,7 +221,7 @@
 
     def update_limit(self) -> None:
         """Recomputes the limit from everything that bounds it."""
-        if self.draining or self.reserved:
+        if self.draining or self.reserved or self.blocked_until != NEVER:
             self.limit = 0
             return
         known = self.generation and self.doubted_at == NEVER
--- a/packages/decisions/src/fireflylink_decisions/routing/_group_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_group_choice.py
@@ -1,6 +1,6 @@
 """Choice of a group for an idempotent request of a pooled service."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from fireflylink_core import BaseValue
 
@@ -71,11 +71,14 @@
 
     def choose(self, group_ids: tuple[str, ...], now: float) -> str:
         """Returns the group with the lowest expected time; unknown groups come last."""
-        best = group_ids[0]
-        best_seconds = float("inf")
+        best = self.quickest(group_ids, now)
+        return group_ids[0] if best is None else best[0]
+
+    def quickest(self, group_ids: Iterable[str], now: float) -> tuple[str, float] | None:
+        """Returns the known group with the lowest expected time, and that time in seconds."""
+        best = None
         for group_id in group_ids:
             seconds = self.expected_seconds(group_id, now)
-            if seconds is not None and seconds < best_seconds:
-                best = group_id
-                best_seconds = seconds
+            if seconds is not None and (best is None or seconds < best[1]):
+                best = (group_id, seconds)
         return best
--- a/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
@@ -8,15 +8,20 @@
 LATENCY_WEIGHT = 0.2
 EJECTION_FACTOR = 3.0
 MIN_SAMPLES = 4
+SAMPLES_PER_MEDIAN = 8
 FIRST_EJECTION_SECONDS = 1.0
-MAX_EJECTION_SECONDS = 30.0
+MAX_EJECTION_SECONDS = 10.0
 RETURN_SUCCESSES = 4
-MAX_EJECTED_SHARE = 3
-"""At most one server in this many is ejected."""
+SERVERS_PER_EJECTION = 3
+COLD_PENALTY_SECONDS = 1000.0
+"""Added to the cost of a server below its full limit, so that others are preferred."""
 
 
 class ServerHistory:
-    """What a picker knows about one server; latencies in seconds."""
+    """What a picker knows about one server; latencies in seconds.
+
+    ``allowed`` bounds the requests of a server that was ejected; 0 means no bound.
+    """
 
     __slots__ = (
         "allowed",
@@ -37,6 +42,14 @@
         self.allowed = 0
         self.returned = 0
 
+    def add(self, latency: float) -> None:
+        """Takes a latency into account."""
+        self.samples += 1
+        if self.samples == 1:
+            self.latency = latency
+        else:
+            self.latency += (latency - self.latency) * LATENCY_WEIGHT
+
     def age(self, now: float) -> float:
         """Returns for how long the oldest request has been running, 0 when none runs."""
         for started_at in self.running.values():
@@ -50,48 +63,46 @@
     The latency is an exponentially weighted mean; a request that has been running for longer
     counts as if it had just ended, so that a frozen server is noticed before its first deadline. A
     server whose latency exceeds three times the median of the group is ejected, at most a third of
-    the group at a time. After the ejection it gets one request at a time, and one more for every
-    few answers that are not slow; if it is still slow it is ejected for twice as long. Cold servers
-    come last.
+    the group, but one of two. After the ejection it gets one request at a time, and one more for
+    every few answers that are not slow; if it is still slow it is ejected for twice as long. Cold
+    servers come last. Once a third of the group is ejected, other slow servers stay in use.
     """
 
-    __slots__ = ("ejected", "histories", "median")
+    __slots__ = ("ejected", "histories", "median", "pairs", "samples", "servers")
 
     def __init__(self) -> None:
         self.histories: dict[str, ServerHistory] = {}
+        self.servers: Sequence[ServerLimiter] = ()
+        self.pairs: list[tuple[ServerLimiter, ServerHistory]] = []
         self.ejected: set[str] = set()
         self.median = 0.0
+        self.samples = 0
 
     def pick(self, servers: Sequence[ServerLimiter], now: float) -> ServerLimiter | None:
+        if servers is not self.servers:
+            self.bind(servers)
         best = None
-        best_score = 0.0
-        for server in servers:
+        best_cost = 0.0
+        for server, history in self.pairs:
             in_flight = server.in_flight
             if in_flight >= server.limit:
                 continue
-            score = self.score(server, in_flight, now)
-            if score < 0.0:
+            if history.allowed and (now < history.ejected_until or in_flight >= history.allowed):
                 continue
-            if best is None or score < best_score:
+            cost = history.latency
+            if in_flight:
+                for started_at in history.running.values():
+                    if now - started_at > cost:
+                        cost = now - started_at
+                    break
+                cost *= in_flight + 1
+            if server.limit < server.slots:
+                cost += COLD_PENALTY_SECONDS
+            if best is None or cost < best_cost:
                 best = server
-                best_score = score
+                best_cost = cost
         return best
 
-    def score(self, server: ServerLimiter, in_flight: int, now: float) -> float:
-        """Returns the cost of giving a request to a server; negative when it gets none."""
-        history = self.histories.get(server.server_id)
-        if history is None:
-            history = self.histories[server.server_id] = ServerHistory()
-        if history.allowed and (now < history.ejected_until or in_flight >= history.allowed):
-            return -1.0
-        latency = history.latency
-        for started_at in history.running.values():
-            if now - started_at > latency:
-                latency = now - started_at
-            break
-        cost = (in_flight + 1) * latency
-        return cost if server.limit >= server.slots else cost + 1000.0
-
     def started(self, server_id: str, call_id: str, now: float) -> None:
         self.histories[server_id].running[call_id] = now
 
@@ -99,27 +110,37 @@
         self, server_id: str, call_id: str, latency: float, answered: bool, now: float
     ) -> None:
         history = self.histories[server_id]
-        history.running.pop(call_id, None)
+        del history.running[call_id]
         if not answered and latency <= history.latency:
             return
-        history.samples += 1
-        if history.samples == 1:
-            history.latency = latency
-        else:
-            history.latency += (latency - history.latency) * LATENCY_WEIGHT
+        history.add(latency)
+        self.samples += 1
+        if self.samples % SAMPLES_PER_MEDIAN == 0:
+            self.update_median()
         if history.allowed:
             self.judge_returning(server_id, history, latency, now)
-        elif history.samples >= MIN_SAMPLES:
+        elif history.latency > EJECTION_FACTOR * self.median:
             self.judge(server_id, history, now)
 
+    def usable(self, server: ServerLimiter, now: float) -> int:
+        history = self.histories.get(server.server_id)
+        if history is None or not history.allowed:
+            return server.limit
+        return 0 if now < history.ejected_until else min(history.allowed, server.limit)
+
+    def bind(self, servers: Sequence[ServerLimiter]) -> None:
+        """Takes the servers of the group and keeps what is known of those that stay."""
+        self.servers = servers
+        for server in servers:
+            self.histories.setdefault(server.server_id, ServerHistory())
+        self.pairs = [(server, self.histories[server.server_id]) for server in servers]
+
     def judge(self, server_id: str, history: ServerHistory, now: float) -> None:
         """Ejects a server whose latency is far above the median of its group."""
-        if history.latency <= EJECTION_FACTOR * self.median:
-            self.update_median()
-            return
         self.update_median()
-        allowed = max(1, len(self.histories) // MAX_EJECTED_SHARE)
-        if len(self.histories) < 2 or len(self.ejected) >= allowed:
+        count = len(self.pairs)
+        allowed = max(1, count // SERVERS_PER_EJECTION)
+        if count < 2 or len(self.ejected) >= allowed or history.samples < MIN_SAMPLES:
             return
         if history.latency > EJECTION_FACTOR * self.median > 0.0:
             self.eject(server_id, history, now)
@@ -134,14 +155,19 @@
             self.eject(server_id, history, now)
             return
         history.returned += 1
-        if history.returned % RETURN_SUCCESSES == 0:
-            history.allowed += 1
-        if history.allowed > 4:
+        if history.returned % RETURN_SUCCESSES:
+            return
+        history.allowed += 1
+        if history.allowed > self.slots_of(server_id):
             history.allowed = 0
-            history.returned = 0
             history.ejections = 0
+            history.latency = self.median
             self.ejected.discard(server_id)
 
+    def slots_of(self, server_id: str) -> int:
+        """Returns the full limit of a server."""
+        return next((s.slots for s, _ in self.pairs if s.server_id == server_id), 0)
+
     def eject(self, server_id: str, history: ServerHistory, now: float) -> None:
         """Gives a server no requests for a time that doubles with each ejection."""
         seconds = min(MAX_EJECTION_SECONDS, FIRST_EJECTION_SECONDS * 2.0**history.ejections)
@@ -153,5 +179,5 @@
 
     def update_median(self) -> None:
         """Recomputes the median latency of the servers that have answered."""
-        known = sorted(h.latency for h in self.histories.values() if h.samples)
+        known = sorted(history.latency for _, history in self.pairs if history.samples)
         self.median = known[(len(known) - 1) // 2] if known else 0.0
--- a/packages/decisions/src/fireflylink_decisions/routing/_picker.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_picker.py
@@ -19,6 +19,10 @@
     def pick(self, servers: Sequence[ServerLimiter], now: float) -> ServerLimiter | None:
         """Returns a server with a free slot, or None when there is none."""
 
+    def usable(self, server: ServerLimiter, now: float) -> int:
+        """Returns how many requests at a time a server may be given at present."""
+        return server.limit
+
     def started(self, server_id: str, call_id: str, now: float) -> None:  # noqa: B027
         """Notes that a request was given to a server."""
 
--- a/packages/decisions/tests/test_gateway_admission.py
+++ b/packages/decisions/tests/test_gateway_admission.py
@@ -33,7 +33,7 @@
     service = Service("bookings", ServiceKind.POOLED, ("kingston",), queue_limit=2)
     server = BackendServer("s1", "bookings", "kingston", "127.0.0.1", 9000, 4, 110)
     admission = GatewayAdmission(service, (server,))
-    admission.start_term(range(service.shard_count), WALL_MS)
+    admission.start_term(range(service.shard_count), NOW, WALL_MS)
     return admission
 
 
--- /dev/null
+++ b/packages/experiments/src/fireflylink_experiments/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under load and faults, beside naive baselines."""
--- /dev/null
+++ b/packages/experiments/src/fireflylink_experiments/requests/_entries.py
@@ -0,0 +1,127 @@
+"""Entry daemons of the simulation."""
+
+import random
+
+from fireflylink_core import BaseReply, CallerRequest, NotRun, ServiceKind
+from fireflylink_decisions.retries import RetryBudget, RetryPolicy
+from fireflylink_decisions.routing import GroupChoice
+from fireflylink_experiments.requests._event_loop import EventLoop
+from fireflylink_experiments.requests._gateways import Attempt, BaseGateway
+from fireflylink_experiments.requests._ledger import RequestRecord
+from fireflylink_experiments.requests._sizes import LOCAL_HOP_SECONDS, ServiceSize
+
+
+class PendingRequest:
+    """A request whose caller waits at an entry daemon."""
+
+    __slots__ = ("attempts", "record", "request", "shard_index")
+
+    def __init__(self, request: CallerRequest, record: RequestRecord, shard_index: int) -> None:
+        self.request = request
+        self.record = record
+        self.shard_index = shard_index
+        self.attempts = 0
+
+
+class SimulatedEntry:
+    """Forwards requests to gateways and, with the policy, retries them."""
+
+    __slots__ = (
+        "choice",
+        "data_centre",
+        "loop",
+        "name",
+        "next_call",
+        "random_source",
+        "retry_policy",
+        "size",
+        "table",
+    )
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        name: str,
+        data_centre: int,
+        random_source: random.Random,
+        size: ServiceSize,
+        table: dict[int, BaseGateway],
+        retries: bool,
+    ) -> None:
+        self.loop = loop
+        self.name = name
+        self.data_centre = data_centre
+        self.random_source = random_source
+        self.size = size
+        self.table = table
+        self.next_call = 0
+        self.retry_policy = RetryPolicy(RetryBudget(0.0), random_source) if retries else None
+        hops = {gateway.group_id: 2.0 * self.hop(gateway) for gateway in table.values()}
+        self.choice = GroupChoice(hops)
+
+    def hop(self, gateway: BaseGateway) -> float:
+        """Returns the one-way latency to a gateway."""
+        if gateway.data_centre == self.data_centre:
+            return LOCAL_HOP_SECONDS
+        return self.size.hop_seconds
+
+    def arrive(self, request: CallerRequest, record: RequestRecord, shard_index: int) -> None:
+        """Takes a request of a caller."""
+        self.forward(PendingRequest(request, record, shard_index))
+
+    def forward(self, pending: PendingRequest) -> None:
+        """Sends a request to its gateway."""
+        pending.attempts += 1
+        pending.record.attempts += 1
+        self.next_call += 1
+        gateway = self.gateway_of(pending)
+        hop = self.hop(gateway)
+        free_choice = self.is_free_choice(pending)
+        if free_choice:
+            self.choice.sent(gateway.group_id)
+
+        def reply(answer: BaseReply) -> None:
+            self.loop.after(hop, self.replied, pending, gateway, free_choice, answer)
+
+        call_id = f"{self.name}-{self.next_call}"
+        attempt = Attempt(call_id, pending.request, pending.record, pending.shard_index, reply)
+        self.loop.after(hop, gateway.receive, attempt)
+
+    def is_free_choice(self, pending: PendingRequest) -> bool:
+        """Tells whether any group may run a request."""
+        if self.retry_policy is None or self.size.kind is not ServiceKind.POOLED:
+            return False
+        return pending.request.idempotent
+
+    def gateway_of(self, pending: PendingRequest) -> BaseGateway:
+        """Returns the gateway for a request."""
+        if not self.is_free_choice(pending):
+            return self.table[pending.shard_index]
+        gateways = {gateway.group_id: gateway for gateway in self.table.values()}
+        return gateways[self.choice.choose(tuple(gateways), self.loop.now)]
+
+    def replied(
+        self,
+        pending: PendingRequest,
+        gateway: BaseGateway,
+        free_choice: bool,
+        reply: BaseReply,
+    ) -> None:
+        """Takes a gateway's reply: tells the caller or sends the request again."""
+        if free_choice:
+            self.choice.ended(gateway.group_id)
+        if self.retry_policy is not None:
+            at = self.retry_policy.retry_at(
+                reply,
+                pending.request.idempotent,
+                pending.attempts,
+                pending.request.deadline,
+                self.loop.now,
+            )
+            if at is not None:
+                self.loop.after(at - self.loop.now, self.forward, pending)
+                return
+        record = pending.record
+        record.outcome = reply.outcome
+        record.ended_at = self.loop.now
+        record.reason = reply.reason if isinstance(reply, NotRun) else reply.outcome.value
