--- a/packages/daemon/src/fireflylink_daemon/_gateway_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_gateway_task.py
@@ -152,6 +152,7 @@
         for group in self.groups.values():
             if group.admission.needs_expiry:
                 group.resolve(group.admission.expire(now))
+                group.start_admitted(group.admission.start_waiting(now))
         for identity in self.releases.progress(self.groups, self.view, now):
             self._drop_release(identity)
         self._activate(now)
@@ -275,7 +276,7 @@
         for shard in activated:
             group = self.groups.get(shard.group.group_id)
             if group is not None and not self.activation.is_handed_over(shard):
-                group.admission.start_term((shard.shard[1],), wall_ms)
+                group.admission.start_term((shard.shard[1],), now, wall_ms)
         log_event("shards-started", count=len(activated))
         for group_id in {shard.group.group_id for shard in activated}:
             group = self.groups.get(group_id)
@@ -294,7 +295,8 @@
         for released, group in zip(request.shards, groups, strict=True):
             known = ShardHandover(released.shard[1], released.floor_ms, released.request_ids)
             if group is not None:
-                group.admission.import_handover(Handover(released.shard[0], (known,)))
+                handover = Handover(released.shard[0], (known,))
+                group.admission.import_handover(handover, self.clock.now(), self.clock.wall_ms())
         self.activation.handovers.take(request)
         self._activate(self.clock.now())
         return True
--- a/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
@@ -223,9 +223,10 @@
 
     def requests(self) -> tuple[CallerRequest, ...]:
         """Returns the requests that are in flight or wait."""
-        waiting = (*self.queue.entries.values(), *self.isolation.waiting.values())
+        queued = (entry.request for entry in self.waiting.queue.entries.values())
+        alone = (entry.request for entry in self.waiting.isolation.waiting.values())
         running = (call.request for call in self.servers.calls.values())
-        return (*running, *(entry.request for entry in waiting))
+        return (*running, *queued, *alone)
 
     def fold_exception(self, exception_index: int, shard_index: int) -> None:
         """Takes the request ids of an ended single-key exception back into its shard."""
