--- a/packages/backend_client/src/fireflylink_backend_client/_connection.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_connection.py
@@ -4,6 +4,8 @@
 from socket import MSG_PEEK
 
 from gevent import socket
+from gevent.select import select
+from gevent.ssl import SSLContext
 from geventhttpclient.response import HTTPParseError
 
 from fireflylink_backend_client._response import ResponseReader
@@ -40,13 +42,14 @@
     """A connection that carries one exchange at a time.
 
     After ``NotSentError`` or ``LostError`` the connection must be closed. ``used_at`` is when the
-    last exchange ended, in seconds on the local clock.
+    last exchange ended, in seconds on the local clock. With ``tls`` both ends authenticate.
     """
 
-    __slots__ = ("cancelled", "clock", "peer_closed", "sent_at", "sock", "used_at")
+    __slots__ = ("cancelled", "clock", "peer_closed", "sent_at", "sock", "tls", "used_at")
 
-    def __init__(self, clock: BaseClock) -> None:
+    def __init__(self, clock: BaseClock, tls: SSLContext | None = None) -> None:
         self.clock = clock
+        self.tls = tls
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.used_at = 0.0
@@ -62,6 +65,8 @@
         self.sock.settimeout(remaining)
         try:
             self.sock.connect((host, port))
+            if self.tls is not None:
+                self.sock = self.tls.wrap_socket(self.sock)
         except OSError as error:
             self.peer_closed = True
             refused = error.errno == ECONNREFUSED
@@ -71,6 +76,9 @@
 
     def usable(self) -> bool:
         """Tells whether the idle connection is open and holds no unexpected bytes."""
+        if self.tls is not None:
+            # An encrypted socket cannot be peeked at; nothing must be readable between exchanges.
+            return not select([self.sock], [], [], 0)[0]
         try:
             # A cooperative socket waits despite MSG_DONTWAIT unless its timeout is 0.
             self.sock.settimeout(0.0)
--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -4,6 +4,7 @@
 
 import gevent
 from gevent.event import AsyncResult
+from gevent.ssl import SSLContext
 from returns.result import Result
 
 from fireflylink_backend_client._commands import GrantCommand, RevokeCommand, ServerStatus
@@ -61,11 +62,18 @@
         "limit",
         "open_count",
         "server",
+        "tls",
         "waiting",
     )
 
-    def __init__(self, server: BackendServer, clock: BaseClock | None = None) -> None:
+    def __init__(
+        self,
+        server: BackendServer,
+        clock: BaseClock | None = None,
+        tls: SSLContext | None = None,
+    ) -> None:
         self.server = server
+        self.tls = tls
         self.clock = clock or SystemClock()
         self.limit = max(1, server.connections - CONTROL_CONNECTIONS)
         self.host_header = f"{server.host}:{server.port}"
@@ -172,7 +180,7 @@
         return connection
 
     def _open(self, call_id: str, deadline: float) -> BackendConnection:
-        connection = BackendConnection(self.clock)
+        connection = BackendConnection(self.clock, self.tls)
         self.active[call_id] = connection
         connect_deadline = min(deadline, self.clock.now() + CONNECT_TIMEOUT)
         try:
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -1,7 +1,6 @@
 """HTTP listener on gevent's WSGI server, with a graceful end."""
 
 import socket
-import ssl
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -9,6 +8,7 @@
 from gevent.event import Event
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.ssl import SSLContext
 
 from fireflylink_caller_frontend._errors import ListenerError
 
@@ -89,7 +89,7 @@
         application: WsgiApplication,
         host: str,
         port: int,
-        tls: ssl.SSLContext | None = None,
+        tls: SSLContext | None = None,
         max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         options = {"ssl_context": tls} if tls is not None else {}
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -1,10 +1,10 @@
 """Wiring of the tasks and listeners of a daemon, its start and its graceful end."""
 
 import random
-import ssl
 
 import gevent
 from gevent.event import Event
+from gevent.ssl import CERT_REQUIRED, PROTOCOL_TLS_CLIENT, PROTOCOL_TLS_SERVER, SSLContext
 
 from fireflylink_caller_frontend import HttpListener, make_application
 from fireflylink_core import (
@@ -287,20 +287,20 @@
         )
 
 
-def _server_tls(tls: PeerTls | None) -> ssl.SSLContext | None:
+def _server_tls(tls: PeerTls | None) -> SSLContext | None:
     if tls is None:
         return None
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context = SSLContext(PROTOCOL_TLS_SERVER)
     context.load_cert_chain(tls.certificate_file, tls.private_key_file)
     context.load_verify_locations(tls.authority_file)
-    context.verify_mode = ssl.CERT_REQUIRED
+    context.verify_mode = CERT_REQUIRED
     return context
 
 
-def _client_tls(tls: PeerTls | None) -> ssl.SSLContext | None:
+def _client_tls(tls: PeerTls | None) -> SSLContext | None:
     if tls is None:
         return None
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context = SSLContext(PROTOCOL_TLS_CLIENT)
     context.load_cert_chain(tls.certificate_file, tls.private_key_file)
     context.load_verify_locations(tls.authority_file)
     # Peers are addressed by IP number; the authority signs daemons only.
--- a/packages/daemon/src/fireflylink_daemon/_forwarding.py
+++ b/packages/daemon/src/fireflylink_daemon/_forwarding.py
@@ -1,11 +1,12 @@
 """Forwarding of requests to the gateway daemon, and the listener that receives them."""
 
 import json
-import ssl
 from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import unquote
 
+from gevent.ssl import SSLContext
+
 from fireflylink_backend_client import (
     Answered,
     BackendPool,
@@ -45,7 +46,7 @@
 
     __slots__ = ("_calls", "_pools", "clock", "instance_id", "tls")
 
-    def __init__(self, instance_id: str, clock: BaseClock, tls: ssl.SSLContext | None) -> None:
+    def __init__(self, instance_id: str, clock: BaseClock, tls: SSLContext | None) -> None:
         self.instance_id = instance_id
         self.clock = clock
         self.tls = tls
@@ -85,7 +86,7 @@
             slots=PEER_CONNECTIONS,
             connections=PEER_CONNECTIONS,
         )
-        pool = BackendPool(peer, self.clock)
+        pool = BackendPool(peer, self.clock, self.tls)
         self._pools[member.instance_id] = pool
         return pool
 
--- a/packages/daemon/src/fireflylink_daemon/_server_link.py
+++ b/packages/daemon/src/fireflylink_daemon/_server_link.py
@@ -37,7 +37,7 @@
     def __init__(self, server: BackendServer, clock: BaseClock) -> None:
         self.server = server
         self.pool = BackendPool(server, clock)
-        self.control = BackendControl(server, clock)
+        self.control: BackendControl = self.pool.control
         self.clock = ServerClock()
         self.status: ServerStatus | None = None
         self.granted: dict[ShardIdentity, tuple[int, int]] = {}
