Wait for the requests of a former gateway before sending to its servers

A gateway that took over at once added its own requests to those that the former one had left running, which a server in cold start does not bear. It now waits until a grant's reply shows the server idle, at most for the fence wait. A server that lost its grant is sent a new one at once instead of at the next period.

--- a/packages/daemon/src/fireflylink_daemon/_gateway_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_gateway_task.py
@@ -7,6 +7,7 @@
     BaseValue,
     CallerRequest,
     HandoverRequest,
+    NotRun,
     ShardKey,
 )
 from fireflylink_daemon._control_messages import GatewayReport, HandoverAsked
@@ -38,9 +39,14 @@
 from fireflylink_decisions.authority import RENEWAL_PERIOD
 from fireflylink_decisions.ownership import Route
 
+STALE_GRANT = "stale-grant"
+
 EXPIRY_PERIOD = 0.01
 """Seconds between looks for queued requests that can no longer finish in time."""
 
+FIRST_RENEWAL_PERIOD = 0.05
+"""Seconds between grants to a server that is not ready for requests yet."""
+
 RELEASE_PERIOD = 0.01
 """Seconds between looks whether the requests in flight of a released shard have ended."""
 
@@ -54,6 +60,15 @@
         self.view = view
 
 
+class GrantMissing(BaseValue):
+    """A server refused a request because it has no grant, as after a restart."""
+
+    __slots__ = ("group_id",)
+
+    def __init__(self, group_id: str) -> None:
+        self.group_id = group_id
+
+
 class GatewayTask(BaseTask, BasePermission):
     """Acts as gateway for the groups that the tables give to this daemon.
 
@@ -118,12 +133,17 @@
         if self.deadline(shard) <= self.clock.now():
             return NO_AUTHORITY
         group.meter.count(shard.shard, shard.exception, hashed_key)
-        return group.run(request, shard, self)
+        reply = group.run(request, shard, self)
+        if isinstance(reply, NotRun) and reply.reason == STALE_GRANT:
+            self.post(GrantMissing(group.group_id))
+        return reply
 
     def _ready(self, group: GroupGateway, shard: ShardView) -> bool:
         if self.activation.phase(shard.identity) is not ShardPhase.SERVING:
             return False
-        return any(link.clock.known and link.has_grant(shard) for link in group.links.values())
+        now = self.clock.now()
+        usable = [link for link in group.links.values() if not link.is_lost(now)]
+        return bool(usable) and all(link.is_ready(now) and link.has_grant(shard) for link in usable)
 
     def deadline(self, view: ShardView) -> float:
         identity = view.identity
@@ -169,6 +189,8 @@
             self._take_grant_answer(message)
         elif isinstance(message, HandoverAsked):
             return self._take_handover(message.request)
+        elif isinstance(message, GrantMissing):
+            self._renew_at = self.clock.now()
         elif isinstance(message, RevokeAnswered):
             self.releases.take_revoke_answer(message)
         elif isinstance(message, HandoverAnswered):
@@ -327,9 +349,9 @@
         link = group.links.get(message.server_id) if group is not None else None
         if group is None or link is None:
             return
-        if self._grants.take_answer(message, group, link):
-            self._renew(group)
         now = self.clock.now()
+        if self._grants.take_answer(message, group, link) or not link.is_ready(now):
+            self._renew_at = min(self._renew_at, now + FIRST_RENEWAL_PERIOD)
         if link.is_lost(now):
             self._report(now)
         group.wake_waiting()
--- a/packages/daemon/src/fireflylink_daemon/_group_gateway.py
+++ b/packages/daemon/src/fireflylink_daemon/_group_gateway.py
@@ -157,7 +157,7 @@
         link = self.links[admitted.server_id]
         now = self.clock.now()
         limit = permission.deadline(view)
-        if limit <= now or not link.clock.known:
+        if limit <= now or not link.is_ready(now):
             return CallResult(CallOutcome.NOT_SENT, 0.0)
         deadline = request.deadline
         # No request of an exclusive shard outlives the authority under which it was sent, so a
--- a/packages/daemon/src/fireflylink_daemon/_server_link.py
+++ b/packages/daemon/src/fireflylink_daemon/_server_link.py
@@ -3,7 +3,7 @@
 from fireflylink_backend_client import BackendControl, BackendPool, ServerStatus
 from fireflylink_core import BackendServer, BaseClock
 from fireflylink_decisions.activation import ShardView
-from fireflylink_decisions.authority import ServerClock
+from fireflylink_decisions.authority import FENCE_WAIT, ServerClock
 
 SERVER_LOSS_TIMEOUT = 1.0
 """Seconds without an answer to a grant after which a server counts as lost."""
@@ -28,10 +28,10 @@
         "failed",
         "grant_end",
         "granted",
+        "opened_at",
         "pool",
+        "seen_idle",
         "server",
-        "status",
-        "wanted_since",
     )
 
     def __init__(self, server: BackendServer, clock: BaseClock) -> None:
@@ -39,20 +39,28 @@
         self.pool = BackendPool(server, clock)
         self.control: BackendControl = self.pool.control
         self.clock = ServerClock()
-        self.status: ServerStatus | None = None
         self.granted: dict[ShardIdentity, tuple[int, int]] = {}
         self.grant_end = 0.0
         self.answered_at = clock.now()
-        self.wanted_since = clock.now()
+        self.opened_at = clock.now()
+        self.seen_idle = False
         self.failed = False
 
     def take_status(self, status: ServerStatus) -> None:
         """Takes the reply to a grant."""
-        self.status = status
+        self.seen_idle = self.seen_idle or status.in_flight == 0
         self.clock.observe(status.clock_ms, status.received_at)
         self.answered_at = status.received_at
         self.failed = False
 
+    def is_ready(self, now: float) -> bool:
+        """Whether requests may be sent: the clock is known and no earlier gateway's requests run.
+
+        A new gateway does not know what its predecessor left running, and a cold server bears
+        little, so it waits until the server was seen idle, or until those requests have ended.
+        """
+        return self.clock.known and (self.seen_idle or now >= self.opened_at + FENCE_WAIT)
+
     def is_lost(self, now: float) -> bool:
         """Whether the server has not answered a grant for ``SERVER_LOSS_TIMEOUT``."""
         return self.failed and now - self.answered_at >= SERVER_LOSS_TIMEOUT
