--- a/packages/backend_client/src/fireflylink_backend_client/_connection.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_connection.py
@@ -1,7 +1,6 @@
 """One TCP connection to a backend server."""
 
 from errno import ECONNREFUSED
-from socket import MSG_DONTWAIT, MSG_PEEK
 
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
@@ -69,8 +68,9 @@
 
     def usable(self) -> bool:
         """Tells whether the idle connection is open and holds no unexpected bytes."""
+        self.sock.settimeout(0.0)
         try:
-            self.sock.recv(1, MSG_PEEK | MSG_DONTWAIT)
+            self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
--- a/packages/platform_client/src/fireflylink_platform_client/_connection.py
+++ b/packages/platform_client/src/fireflylink_platform_client/_connection.py
@@ -5,8 +5,6 @@
 would be told of a revision conflict.
 """
 
-import socket as standard_socket
-
 import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
@@ -126,8 +124,6 @@
         raise
     except (OSError, HTTPParseError) as error:
         raise ReplyLostError(f"receive: {error}") from error
-    if not response.message_complete:
-        raise ReplyLostError("receive: reply is truncated")
     revision = response.get("revision")
     number = int(revision) if isinstance(revision, str) and revision.isdigit() else 0
     return HttpReply(response.status_code, body, number), not response.should_close()
@@ -135,10 +131,13 @@
 
 def _readable(connection: socket.socket) -> bool:
     """Tells whether an idle connection was closed by the peer or holds unexpected bytes."""
+    connection.settimeout(0.0)
     try:
-        connection.recv(1, standard_socket.MSG_PEEK | standard_socket.MSG_DONTWAIT)
+        connection.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return False
     except OSError:
         return True
+    finally:
+        connection.settimeout(None)
     return True
