--- a/packages/standins/src/fireflylink_standins/_http_server.py
+++ b/packages/standins/src/fireflylink_standins/_http_server.py
@@ -23,10 +23,13 @@
         super().__init__(sock, address, server)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.silent = False
+        self.was_reset = False
 
     def handle(self) -> None:
         self.server.connections.add(self)
         try:
+            if not self.server.admit(len(self.server.connections)):
+                self.reset()
             super().handle()
         finally:
             self.server.connections.discard(self)
@@ -85,6 +88,7 @@
 
         The shutdown sends nothing; it wakes the greenlet of the connection, which closes it.
         """
+        self.was_reset = True
         sock = self.__dict__.get("socket")
         if sock is None or sock.closed:
             return
@@ -99,15 +103,25 @@
 class StandinServer:
     """A listener on a fixed port that can be closed and opened again.
 
+    ``admit`` is called with the number of open connections, the new one included; when it returns
+    False the new connection is reset.
+
     A second socket, which never listens, stays bound to the port: connections are refused while the
     listener is closed, and no other process can take the port.
     """
 
-    __slots__ = ("application", "connections", "host", "placeholder", "port", "wsgi")
+    __slots__ = ("admit", "application", "connections", "host", "placeholder", "port", "wsgi")
 
-    def __init__(self, application: WsgiApplication, host: str, port: int) -> None:
+    def __init__(
+        self,
+        application: WsgiApplication,
+        host: str,
+        port: int,
+        admit: Callable[[int], bool] = lambda count: True,
+    ) -> None:
         self.application = application
         self.host = host
+        self.admit = admit
         self.connections: set[StandinHandler] = set()
         self.placeholder = _bound_socket(host, port)
         self.port: int = self.placeholder.getsockname()[1]
@@ -121,6 +135,7 @@
         listener.listen(LISTEN_BACKLOG)
         self.wsgi = WSGIServer(listener, self.application, handler_class=StandinHandler, log=None)
         self.wsgi.connections = self.connections
+        self.wsgi.admit = self.admit
         self.wsgi.start()
 
     def stop_listening(self) -> None:
