--- a/packages/backend_client/src/fireflylink_backend_client/_connection.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_connection.py
@@ -1,7 +1,6 @@
 """One TCP connection to a backend server."""
 
 from errno import ECONNREFUSED
-from socket import MSG_PEEK
 
 from gevent import socket
 from gevent.select import select
@@ -82,7 +81,7 @@
         try:
             # A cooperative socket waits despite MSG_DONTWAIT unless its timeout is 0.
             self.sock.settimeout(0.0)
-            self.sock.recv(1, MSG_PEEK)
+            self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
