--- /dev/null
+++ b/packages/standins/src/fireflylink_standins/_local_files.py
@@ -0,0 +1,123 @@
+"""Files of a system on one machine: secrets, settings of daemons and of the operators' client."""
+
+import json
+import pathlib
+import secrets
+import socket
+
+from fireflylink_core import BaseValue
+
+HOST = "127.0.0.1"
+
+
+class DaemonPlace(BaseValue):
+    """Where one daemon of a local system listens, and its settings file."""
+
+    __slots__ = (
+        "caller_port",
+        "control_port",
+        "data_centre",
+        "forward_port",
+        "instance_id",
+        "operator_port",
+        "settings_path",
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        data_centre: str,
+        caller_port: int,
+        control_port: int,
+        forward_port: int,
+        operator_port: int,
+        settings_path: pathlib.Path,
+    ) -> None:
+        self.instance_id = instance_id
+        self.data_centre = data_centre
+        self.caller_port = caller_port
+        self.control_port = control_port
+        self.forward_port = forward_port
+        self.operator_port = operator_port
+        self.settings_path = settings_path
+
+    def listing(self) -> dict[str, object]:
+        """Returns the daemon's entry in the platform's instance list."""
+        return {
+            "instance_id": self.instance_id,
+            "data_centre": self.data_centre,
+            "host": HOST,
+            "control_port": self.control_port,
+            "forward_port": self.forward_port,
+            "operator_port": self.operator_port,
+            "caller_port": self.caller_port,
+            "state": "live",
+        }
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that are free now; all are held at once so that none is returned twice."""
+    held = []
+    for _ in range(count):
+        bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((HOST, 0))
+        held.append(bound)
+    ports = [int(bound.getsockname()[1]) for bound in held]
+    for bound in held:
+        bound.close()
+    return ports
+
+
+class LocalFiles:
+    """The folder of a local system."""
+
+    __slots__ = ("folder", "key_path", "operator_settings", "token", "token_path")
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.key_path = folder / "cluster.key"
+        self.token_path = folder / "operator.token"
+        self.operator_settings = folder / "operator.json"
+        self.token = secrets.token_hex(16)
+        self.key_path.write_text(secrets.token_hex(32))
+        self.token_path.write_text(self.token)
+
+    def write_operator_settings(self, platform_port: int) -> None:
+        """Writes the settings of the operators' client."""
+        self.operator_settings.write_text(
+            json.dumps(
+                {
+                    "platform": {"host": HOST, "port": platform_port},
+                    "cluster_key_file": str(self.key_path),
+                    "operator_token_file": str(self.token_path),
+                },
+                indent=2,
+            )
+        )
+
+    def write_daemon_settings(
+        self, instance_id: str, data_centre: str, platform_port: int
+    ) -> DaemonPlace:
+        """Writes the settings of a daemon on free ports."""
+        caller, control, forward, operator = free_ports(4)
+        path = self.folder / f"{instance_id}.json"
+        path.write_text(
+            json.dumps(
+                {
+                    "instance_id": instance_id,
+                    "data_centre": data_centre,
+                    "host": HOST,
+                    "caller_port": caller,
+                    "control_port": control,
+                    "forward_port": forward,
+                    "operator_port": operator,
+                    "platform": {"host": HOST, "port": platform_port},
+                    "cluster_key_file": str(self.key_path),
+                    "operator_token_file": str(self.token_path),
+                    "plain_inner_listeners": True,
+                },
+                indent=2,
+            )
+        )
+        return DaemonPlace(instance_id, data_centre, caller, control, forward, operator, path)
