--- a/packages/core/src/fireflylink_core/_member.py
+++ b/packages/core/src/fireflylink_core/_member.py
@@ -13,9 +13,20 @@
 
 
 class Member(BaseValue):
-    """A daemon: its instance, its data centre and the ports of its inner listeners."""
+    """A daemon: its instance, its data centre and the ports of its inner listeners.
 
-    __slots__ = ("control_port", "data_centre", "forward_port", "host", "instance_id", "state")
+    ``operator_port`` is 0 where it is not known: peers do not need it.
+    """
+
+    __slots__ = (
+        "control_port",
+        "data_centre",
+        "forward_port",
+        "host",
+        "instance_id",
+        "operator_port",
+        "state",
+    )
 
     def __init__(
         self,
@@ -25,6 +36,7 @@
         control_port: int,
         forward_port: int,
         state: MemberState = MemberState.LIVE,
+        operator_port: int = 0,
     ) -> None:
         self.instance_id = instance_id
         self.data_centre = data_centre
@@ -32,3 +44,4 @@
         self.control_port = control_port
         self.forward_port = forward_port
         self.state = state
+        self.operator_port = operator_port
--- a/packages/documents/src/fireflylink_documents/_fields.py
+++ b/packages/documents/src/fireflylink_documents/_fields.py
@@ -19,10 +19,13 @@
 _REQUIRED: Any = object()
 
 
-def read_fields(payload: bytes, parse: Callable[["FieldReader"], T]) -> Result[T, DocumentError]:
+def read_fields(
+    payload: bytes, parse: Callable[["FieldReader"], T], allow_unknown: bool = False
+) -> Result[T, DocumentError]:
     """Decodes a JSON object with a function that reads its fields.
 
-    A field that ``parse`` has not read is an error, at every level.
+    A field that ``parse`` has not read is an error, at every level. ``allow_unknown`` is for
+    replies of processes that may be of a later release.
 
     Example::
 
@@ -34,7 +37,8 @@
     try:
         reader = FieldReader(load_json(payload))
         value = parse(reader)
-        reader.finish()
+        if not allow_unknown:
+            reader.finish()
     except DocumentError as error:
         return Failure(error)
     return Success(value)
