--- a/packages/core/src/fireflylink_core/_member.py
+++ b/packages/core/src/fireflylink_core/_member.py
@@ -15,7 +15,7 @@
 class Member(BaseValue):
     """A daemon: its instance, its data centre and the ports of its inner listeners.
 
-    ``operator_port`` is 0 where it is not known: peers do not need it.
+    ``operator_port`` is 0 where it is not known, as for peers that settings name.
     """
 
     __slots__ = (
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -119,6 +119,7 @@
             settings.host,
             settings.control_port,
             settings.forward_port,
+            operator_port=settings.operator_port,
         )
         self.state = ControlState(myself, DocumentCache(signer), clock.now())
         self.state.directory.take_list((myself, *settings.peers), clock.now())
@@ -214,7 +215,9 @@
     def _announce_ports(self) -> None:
         """Replaces ports that were left to the operating system by the ones it chose."""
         self.state.myself = self.state.myself.replace(
-            control_port=self.control_server.port, forward_port=self.forward_listener.port
+            control_port=self.control_server.port,
+            forward_port=self.forward_listener.port,
+            operator_port=self.operators.port,
         )
         self.state.directory.hear(self.state.myself, self.clock.now())
 
--- a/packages/platform_client/src/fireflylink_platform_client/_instances.py
+++ b/packages/platform_client/src/fireflylink_platform_client/_instances.py
@@ -59,6 +59,7 @@
             control_port=int(item["control_port"]),
             forward_port=int(item["forward_port"]),
             state=MemberState(item["state"]),
+            operator_port=int(item.get("operator_port", 0)),
         )
         for item in json.loads(body)
     )
--- a/packages/protocol/src/fireflylink_protocol/_codec.py
+++ b/packages/protocol/src/fireflylink_protocol/_codec.py
@@ -35,6 +35,7 @@
         control_port=member.control_port,
         forward_port=member.forward_port,
         leaving=member.state is MemberState.LEAVING,
+        operator_port=member.operator_port,
     )
 
 
@@ -46,6 +47,7 @@
         control_port=message.control_port,
         forward_port=message.forward_port,
         state=MemberState.LEAVING if message.leaving else MemberState.LIVE,
+        operator_port=message.operator_port,
     )
 
 
--- a/packages/standins/src/fireflylink_standins/_local_processes.py
+++ b/packages/standins/src/fireflylink_standins/_local_processes.py
@@ -48,9 +48,7 @@
         while time.monotonic() < deadline:
             for line in self.log().splitlines():
                 if "event=listening" in line or "event=started" in line:
-                    self.fields = dict(
-                        pair.split("=", 1) for pair in line.split() if "=" in pair
-                    )
+                    self.fields = dict(pair.split("=", 1) for pair in line.split() if "=" in pair)
                     return
             if self.process.poll() is not None:
                 break
--- a/packages/standins/src/fireflylink_standins/_local_system.py
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -158,9 +158,9 @@
                 sys.executable,
                 "-m",
                 "fireflylink_operator_client",
-                "--settings",
-                str(self.files.operator_settings),
-                *arguments,
+                arguments[0],
+                f"--settings={self.files.operator_settings}",
+                *arguments[1:],
             ],
             capture_output=True,
             text=True,
@@ -175,7 +175,8 @@
         path.write_text(json.dumps(note, indent=2))
         ended = self.operator("apply", str(path), f"--wait_seconds={IN_FORCE_SECONDS}")
         if ended.returncode:
-            raise LocalSystemError(f"apply ended with {ended.returncode}: {ended.stderr}")
+            detail = f"{ended.stdout}{ended.stderr}"
+            raise LocalSystemError(f"apply ended with {ended.returncode}: {detail}")
 
     def caller_url(self, instance_id: str, path: str) -> str:
         """Returns the address of a path at an entry daemon."""
