Send pooled requests to a group that answers earlier

Cause: the id of a booking fixes its group, and a group of two servers with one straggler has less capacity than its share of the load. Change: a gateway without a free server sends the request to the gateway of another group when that is expected to answer earlier, and keeps the request id itself. Every reply between daemons carries the load of its group, because loads that are 0.4 s old send the overflow to busy groups.

--- a/packages/decisions/src/fireflylink_decisions/admission/_delegation.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_delegation.py
@@ -21,20 +21,17 @@
 
     def target(self, own_seconds: float, now: float) -> str:
         """Returns the group that is expected to answer earlier than this one, or empty."""
-        others = [group_id for group_id in self.choice.reports if group_id != self.own_group]
+        others = [group_id for group_id in self.choice.views if group_id != self.own_group]
         best = self.choice.quickest(others, now)
         return best[0] if best is not None and best[1] < own_seconds else ""
 
-    def start(self, call: Call, group_id: str) -> Delegated:
+    def start(self, call: Call, group_id: str, now: float) -> Delegated:
         """Counts a request that another group runs."""
         call.group_id = group_id
         self.calls[call.call_id] = call
-        self.choice.sent(group_id)
+        self.choice.sent(group_id, now)
         return Delegated(call.call_id, call.request, group_id)
 
     def end(self, call_id: str) -> Call | None:
         """Stops counting a request, or returns None if it was not delegated."""
-        call = self.calls.pop(call_id, None)
-        if call is not None:
-            self.choice.ended(call.group_id)
-        return call
+        return self.calls.pop(call_id, None)
--- a/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
@@ -33,7 +33,7 @@
 from fireflylink_decisions.admission._waiting_requests import Reply, WaitingRequests
 from fireflylink_decisions.limits import QUANTUM, ReportedState, ServerLimiter
 from fireflylink_decisions.retries import CallResult
-from fireflylink_decisions.routing import BasePicker, LatencyAwarePicker
+from fireflylink_decisions.routing import BasePicker, GroupReport, LatencyAwarePicker
 
 NO_SHARD = -1
 BODY_COST_BYTES = float(1 << 20)
@@ -244,6 +244,13 @@
         """
         return self.offer_held(self.shards.start_term(shard_indexes, wall_ms), now, wall_ms)
 
+    def report(self, group_id: str, now: float) -> GroupReport:
+        """Returns the load of the group, for Sync and for replies to other daemons."""
+        servers = self.servers
+        in_flight = len(servers.calls) + len(self.waiting.queue)
+        mean = servers.service_time.mean
+        return GroupReport(group_id, in_flight, servers.capacity(now), mean, now)
+
     def offer_held(
         self, shard_indexes: tuple[int, ...], now: float, wall_ms: int
     ) -> tuple[Started, ...]:
@@ -327,7 +334,7 @@
             if target:
                 self.id_gate.remember(call)
                 self.count("delegated")
-                return self.delegation.start(call, target)
+                return self.delegation.start(call, target, now)
         if capacity <= 0 and self.servers.all_draining:
             return self.reject(replies.DRAINING)
         self.estimate(call)
--- a/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
@@ -131,6 +131,7 @@
     def note_restart(self, server: ServerLimiter, before: str, now: float) -> None:
         """Tells the poison detector when a server has a new generation."""
         if before and server.generation != before:
+            self.picker.restarted(server.server_id)
             self.poison.restarted(server.server_id, now)
 
     def observe(
--- a/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
@@ -5,7 +5,7 @@
 from fireflylink_decisions.limits import ServerLimiter
 from fireflylink_decisions.routing._picker import BasePicker
 
-LATENCY_WEIGHT = 0.2
+LATENCY_WEIGHT = 0.1
 EJECTION_FACTOR = 3.0
 MIN_SAMPLES = 4
 SAMPLES_PER_MEDIAN = 8
@@ -16,6 +16,10 @@
 COLD_PENALTY_SECONDS = 1000.0
 """Added to the cost of a server below its full limit, so that others are preferred."""
 
+PICKS_PER_COLD_START = 8
+"""One pick in this many prefers an idle cold server: without requests it would stay cold, and be
+missing when the load rises."""
+
 
 class ServerHistory:
     """What a picker knows about one server; latencies in seconds.
@@ -42,6 +46,15 @@
         self.allowed = 0
         self.returned = 0
 
+    def restart(self) -> None:
+        """Forgets how the server was before it restarted; its requests may still be running."""
+        self.latency = 0.0
+        self.samples = 0
+        self.ejected_until = 0.0
+        self.ejections = 0
+        self.allowed = 0
+        self.returned = 0
+
     def add(self, latency: float) -> None:
         """Takes a latency into account."""
         self.samples += 1
@@ -64,11 +77,12 @@
     counts as if it had just ended, so that a frozen server is noticed before its first deadline. A
     server whose latency exceeds three times the median of the group is ejected, at most a third of
     the group, but one of two. After the ejection it gets one request at a time, and one more for
-    every few answers that are not slow; if it is still slow it is ejected for twice as long. Cold
-    servers come last. Once a third of the group is ejected, other slow servers stay in use.
+    every few answers that are not slow; if it is still slow it is ejected for twice as long. Once a
+    third of the group is ejected, other slow servers stay in use. Cold servers come last, but for
+    the few requests that warm them up, and are not ejected: being slow is expected of them.
     """
 
-    __slots__ = ("ejected", "histories", "median", "pairs", "samples", "servers")
+    __slots__ = ("ejected", "histories", "median", "pairs", "picks", "samples", "servers")
 
     def __init__(self) -> None:
         self.histories: dict[str, ServerHistory] = {}
@@ -77,10 +91,13 @@
         self.ejected: set[str] = set()
         self.median = 0.0
         self.samples = 0
+        self.picks = 0
 
     def pick(self, servers: Sequence[ServerLimiter], now: float) -> ServerLimiter | None:
         if servers is not self.servers:
             self.bind(servers)
+        self.picks += 1
+        warm_up = self.picks % PICKS_PER_COLD_START == 0
         best = None
         best_cost = 0.0
         for server, history in self.pairs:
@@ -97,6 +114,8 @@
                     break
                 cost *= in_flight + 1
             if server.limit < server.slots:
+                if warm_up and not in_flight:
+                    return server
                 cost += COLD_PENALTY_SECONDS
             if best is None or cost < best_cost:
                 best = server
@@ -139,6 +158,8 @@
         """Ejects a server whose latency is far above the median of its group."""
         self.update_median()
         count = len(self.pairs)
+        if self.server(server_id).cold:
+            return
         allowed = max(1, count // SERVERS_PER_EJECTION)
         if count < 2 or len(self.ejected) >= allowed or history.samples < MIN_SAMPLES:
             return
@@ -158,15 +179,19 @@
         if history.returned % RETURN_SUCCESSES:
             return
         history.allowed += 1
-        if history.allowed > self.slots_of(server_id):
+        if history.allowed > self.server(server_id).slots:
             history.allowed = 0
             history.ejections = 0
             history.latency = self.median
             self.ejected.discard(server_id)
 
-    def slots_of(self, server_id: str) -> int:
-        """Returns the full limit of a server."""
-        return next((s.slots for s, _ in self.pairs if s.server_id == server_id), 0)
+    def restarted(self, server_id: str) -> None:
+        self.histories[server_id].restart()
+        self.ejected.discard(server_id)
+
+    def server(self, server_id: str) -> ServerLimiter:
+        """Returns a server of the group."""
+        return next(server for server, _ in self.pairs if server.server_id == server_id)
 
     def eject(self, server_id: str, history: ServerHistory, now: float) -> None:
         """Gives a server no requests for a time that doubles with each ejection."""
--- a/packages/decisions/src/fireflylink_decisions/routing/_picker.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_picker.py
@@ -19,6 +19,9 @@
     def pick(self, servers: Sequence[ServerLimiter], now: float) -> ServerLimiter | None:
         """Returns a server with a free slot, or None when there is none."""
 
+    def restarted(self, server_id: str) -> None:  # noqa: B027
+        """Notes that a server has a new generation."""
+
     def usable(self, server: ServerLimiter, now: float) -> int:
         """Returns how many requests at a time a server may be given at present."""
         return server.limit
--- a/packages/experiments/src/fireflylink_experiments/requests/__main__.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/__main__.py
@@ -13,7 +13,7 @@
 flags.DEFINE_string("scenario", "", "Measures only this scenario.")
 flags.DEFINE_string("policy", "", "Measures only this policy.")
 
-POLICIES = ("policy", "round-robin", "least-in-flight")
+POLICIES = ("policy", "no-delegation", "round-robin", "least-in-flight")
 HEADER = (
     f"{'service':13} {'scenario':18} {'policy':16} {'requests':>8} {'p50':>7} {'p99':>7}"
     f" {'p99.9':>7} {'goodput':>7} {'shed':>6} {'unknown':>7} {'retries':>7} {'cold':>4}"
--- a/packages/experiments/src/fireflylink_experiments/requests/_gateways.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/_gateways.py
@@ -1,19 +1,22 @@
 """Gateways of the simulation: the policy of the project and the baselines."""
 
 import abc
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from fireflylink_core import (
     BackendAnswer,
     BackendServer,
     BaseReply,
     CallerRequest,
+    Outcome,
     Service,
 )
 from fireflylink_decisions.admission import (
     Admitted,
     CallOutcome,
     CallResult,
+    Delegated,
+    Delegation,
     GatewayAdmission,
     Handover,
     PoisonDetector,
@@ -21,7 +24,7 @@
 )
 from fireflylink_decisions.limits import ReportedState, ServerLimiter
 from fireflylink_decisions.retries import classify
-from fireflylink_decisions.routing import BasePicker
+from fireflylink_decisions.routing import BasePicker, GroupReport
 from fireflylink_experiments.requests._event_loop import EventLoop
 from fireflylink_experiments.requests._fake_pool import FakeConnection, FakePool
 from fireflylink_experiments.requests._fake_server import ServerCall, ServerReply
@@ -35,6 +38,11 @@
 WALL_OFFSET_MS = 1_700_000_000_000
 ANSWER = BackendAnswer(200, b"ok", "text/plain", "")
 UNLIMITED = 1 << 30
+DELEGATED_OUTCOMES = {
+    Outcome.ANSWERED: CallOutcome.ANSWERED,
+    Outcome.NOT_RUN: CallOutcome.NOT_RUN,
+    Outcome.UNKNOWN: CallOutcome.CONNECTION_LOST,
+}
 
 ReplyAction = Callable[[BaseReply], None]
 
@@ -47,7 +55,7 @@
 class Attempt:
     """A request that an entry daemon has sent to a gateway."""
 
-    __slots__ = ("call_id", "record", "reply", "request", "shard_index")
+    __slots__ = ("call_id", "delegated", "record", "reply", "request", "shard_index")
 
     def __init__(
         self,
@@ -56,7 +64,9 @@
         record: RequestRecord,
         shard_index: int,
         reply: ReplyAction,
+        delegated: bool = False,
     ) -> None:
+        self.delegated = delegated
         self.call_id = call_id
         self.request = request
         self.record = record
@@ -102,6 +112,10 @@
     def ended(self, attempt: Attempt, server_id: str, result: CallResult) -> None:
         """Takes the end of a call."""
 
+    def report(self) -> GroupReport | None:
+        """Returns the load that replies carry, if the policy reports it."""
+        return None
+
     def probes(self, call: OpenCall, connection: FakeConnection) -> bool:
         """Tells whether a connection has to answer a probe before the request is sent."""
         return False
@@ -257,7 +271,7 @@
 class PolicyGateway(BaseGateway):
     """Sends requests as ``GatewayAdmission`` decides."""
 
-    __slots__ = ("admission", "expiry_scheduled", "waiting")
+    __slots__ = ("admission", "expiry_scheduled", "hop_seconds", "peers", "waiting")
 
     def __init__(
         self,
@@ -268,9 +282,13 @@
         service: Service,
         servers: tuple[BackendServer, ...],
         poison: PoisonDetector,
+        delegation: Delegation | None,
+        hop_seconds: float,
     ) -> None:
         super().__init__(loop, group_id, data_centre, pools)
-        self.admission = GatewayAdmission(service, servers, poison)
+        self.admission = GatewayAdmission(service, servers, poison, delegation=delegation)
+        self.peers: dict[str, PolicyGateway] = {}
+        self.hop_seconds = hop_seconds
         self.waiting: dict[str, Attempt] = {}
         self.expiry_scheduled = False
         self.grant()
@@ -295,6 +313,9 @@
         now = self.loop.now
         self.start_all(self.admission.observe(server_id, generation, state, now, sent_at))
 
+    def report(self) -> GroupReport | None:
+        return self.admission.report(self.group_id, self.loop.now)
+
     def probes(self, call: OpenCall, connection: FakeConnection) -> bool:
         if call.needed_generation and connection.generation != call.needed_generation:
             return True
@@ -304,22 +325,62 @@
     def receive(self, attempt: Attempt) -> None:
         now = self.loop.now
         decision = self.admission.offer(
-            attempt.request, attempt.call_id, now, wall_ms_at(now), attempt.shard_index
+            attempt.request,
+            attempt.call_id,
+            now,
+            wall_ms_at(now),
+            attempt.shard_index,
+            attempt.delegated,
         )
         if isinstance(decision, Rejected):
             attempt.reply(decision.reply)
             return
         self.waiting[attempt.call_id] = attempt
-        if isinstance(decision, Admitted):
+        if isinstance(decision, Admitted | Delegated):
             self.start(decision)
         self.schedule_expiry()
 
-    def start(self, admitted: Admitted) -> None:
+    def start(self, admitted: Admitted | Delegated) -> None:
         """Sends an admitted request."""
         attempt = self.waiting.pop(admitted.call_id)
+        if isinstance(admitted, Delegated):
+            self.delegate(attempt, self.peers[admitted.group_id])
+            return
         self.send(attempt, admitted.server_id, admitted.generation)
 
-    def start_all(self, admitted: tuple[Admitted, ...]) -> None:
+    def delegate(self, attempt: Attempt, peer: "PolicyGateway") -> None:
+        """Has the gateway of another group run a request."""
+        started_at = self.loop.now
+
+        def reply(answer: BaseReply) -> None:
+            report = peer.report()
+            self.loop.after(
+                self.hop_seconds, self.delegate_replied, attempt, started_at, answer, report
+            )
+
+        sent = Attempt(
+            f"{self.group_id}-{attempt.call_id}",
+            attempt.request,
+            attempt.record,
+            attempt.shard_index,
+            reply,
+            delegated=True,
+        )
+        self.loop.after(self.hop_seconds, peer.receive, sent)
+
+    def delegate_replied(
+        self, attempt: Attempt, started_at: float, reply: BaseReply, report: GroupReport | None
+    ) -> None:
+        """Takes the reply of the gateway of another group."""
+        if report is not None and self.admission.delegation is not None:
+            self.admission.delegation.choice.report(report.replace(received_at=self.loop.now))
+        outcome = DELEGATED_OUTCOMES[reply.outcome]
+        answer = reply if isinstance(reply, BackendAnswer) else None
+        result = CallResult(outcome, self.loop.now - started_at, answer=answer)
+        self.start_all(self.admission.finish(attempt.call_id, result, self.loop.now))
+        attempt.reply(reply)
+
+    def start_all(self, admitted: Iterable[Admitted | Delegated]) -> None:
         """Sends admitted requests."""
         for each in admitted:
             self.start(each)
--- a/packages/experiments/src/fireflylink_experiments/requests/_ledger.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/_ledger.py
@@ -27,6 +27,10 @@
         self.outcome: Outcome | None = None
         self.reason = ""
 
+    def answered_within(self, first: float, last: float) -> bool:
+        """Tells whether the caller got an answer in a period."""
+        return self.outcome is Outcome.ANSWERED and first <= self.ended_at < last
+
 
 class Ledger:
     """Collects the records of a run and counts violations of the guarantees."""
