Keep earlier attempts in the final reply and count crashes once

The measurement found four faults of the decisions: - A read whose first attempt was lost and whose retries were refused was reported as not run. RequestAttempts keeps the uncertain reply. - A server that crashed twice before it had replied counted as one crash, so a poison request crashed 4 servers; crashes are now told apart by their time, and a request sent before a crash does not open another. - The limit of a restarted server rose before the first report of its state, to 2 on a server that takes 1. Scenarios for a data centre out and back and for a poison request are new.

--- a/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
@@ -36,6 +36,8 @@
 from fireflylink_decisions.routing import BasePicker, GroupReport, LatencyAwarePicker
 
 NO_SHARD = -1
+"""An idempotent request of a pooled service belongs to no shard: any group may run it."""
+
 BODY_COST_BYTES = float(1 << 20)
 
 Started = Admitted | Delegated
@@ -68,6 +70,7 @@
         "delegation",
         "id_gate",
         "poison",
+        "pooled",
         "servers",
         "service",
         "shards",
@@ -84,6 +87,7 @@
         delegation: Delegation | None = None,
     ) -> None:
         self.service = service
+        self.pooled = service.kind is ServiceKind.POOLED
         self.poison = poison if poison is not None else PoisonDetector()
         self.servers = GroupServers(
             service, servers, picker if picker is not None else LatencyAwarePicker(), self.poison
@@ -118,7 +122,10 @@
 
         ``delegated`` marks a request that another gateway has sent here; that one keeps its id.
         """
-        index = self.shard_index_of(request) if shard_index is None else shard_index
+        if self.pooled and request.method in IDEMPOTENT_METHODS:
+            index = NO_SHARD
+        else:
+            index = self.shard_index_of(request) if shard_index is None else shard_index
         call = Call(call_id, request, index, delegated)
         refusal = self.refusal(call, now, wall_ms)
         if refusal is not None:
@@ -160,7 +167,7 @@
         started = []
         if self.waiting.isolation.waiting:
             self.waiting.review_suspects(self.poison, now)
-            suspect = self.waiting.isolation.next(self.servers.limiters)
+            suspect = self.waiting.isolation.next(self.servers.limiters, now)
             if suspect is not None:
                 started.append(self.start_alone(suspect[0], suspect[1], now))
         while self.waiting.queue.entries:
@@ -248,8 +255,8 @@
         """Returns the load of the group, for Sync and for replies to other daemons."""
         servers = self.servers
         in_flight = len(servers.calls) + len(self.waiting.queue)
-        mean = servers.service_time.mean
-        return GroupReport(group_id, in_flight, servers.capacity(now), mean, now)
+        capacity = 0 if self.shards.stopped else servers.capacity(now)
+        return GroupReport(group_id, in_flight, capacity, servers.service_time.mean, now)
 
     def offer_held(
         self, shard_indexes: tuple[int, ...], now: float, wall_ms: int
@@ -320,7 +327,9 @@
             return self.reject(replies.QUEUE_FULL)
         self.id_gate.remember(call)
         self.count("suspect")
-        suspect = isolation.next(self.servers.limiters) if len(isolation.waiting) == 1 else None
+        suspect = (
+            isolation.next(self.servers.limiters, now) if len(isolation.waiting) == 1 else None
+        )
         return Queued(call.call_id) if suspect is None else self.start_alone(*suspect, now)
 
     def enqueue(self, call: Call, now: float) -> Delegated | Queued | Rejected:
@@ -363,5 +372,5 @@
 
     def shard_index_of(self, request: CallerRequest) -> int:
         """Returns the shard of a request."""
-        name = request.key if self.service.kind is ServiceKind.KEYED else request.request_id
-        return shard_of(name, self.service.shard_count) if name else NO_SHARD
+        name = request.request_id if self.pooled else request.key
+        return shard_of(name, self.service.shard_count)
--- a/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
@@ -126,7 +126,9 @@
             other.request for other in self.calls.values() if other.server_id == server.server_id
         ]
         fingerprints = [fingerprint_of(request) for request in (call.request, *others)]
-        self.poison.connection_lost(server.server_id, server.generation, fingerprints, now)
+        self.poison.connection_lost(
+            server.server_id, server.generation, fingerprints, call.started_at, now
+        )
 
     def note_restart(self, server: ServerLimiter, before: str, now: float) -> None:
         """Tells the poison detector when a server has a new generation."""
--- a/packages/decisions/src/fireflylink_decisions/admission/_isolation.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_isolation.py
@@ -30,18 +30,21 @@
         self.waiting[call.call_id] = call
         return True
 
-    def next(self, servers: Sequence[ServerLimiter]) -> tuple[Call, ServerLimiter] | None:
+    def next(
+        self, servers: Sequence[ServerLimiter], now: float
+    ) -> tuple[Call, ServerLimiter] | None:
         """Returns a suspect that may start and its server, or None."""
         if self.running or not self.waiting:
             return None
         if self.server is None or self.server.draining:
             self.release()
             self.server = self.choose(servers)
-        if self.server is None or self.server.in_flight > 0:
+        server = self.server
+        if server is None or server.in_flight > 0 or server.blocked_until > now:
             return None
         call = self.waiting.popitem(last=False)[1]
         self.running = call.call_id
-        return call, self.server
+        return call, server
 
     def choose(self, servers: Sequence[ServerLimiter]) -> ServerLimiter | None:
         """Keeps a server free: one that is sure to live, and has the fewest requests to finish."""
--- a/packages/decisions/src/fireflylink_decisions/admission/_poison_detector.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_poison_detector.py
@@ -9,9 +9,11 @@
 CASE_SECONDS = 10.0
 CRASHES_TO_BLOCK = 2
 MAX_FINGERPRINTS = 1_024
+NEVER = float("-inf")
 
-CrashId = tuple[str, str]
-"""Server and the generation that ended."""
+CrashId = tuple[str, str, float]
+"""Server, its generation if known, and when its gateway lost the first connection. The generation
+alone does not tell two crashes apart: a server may crash again before it has replied."""
 
 
 class Suspicion(enum.Enum):
@@ -37,19 +39,17 @@
 class CrashReport(BaseValue):
     """One crash and one fingerprint that was in flight, as daemons tell each other."""
 
-    __slots__ = ("evidence", "fingerprint", "generation", "remaining_seconds", "server_id")
+    __slots__ = ("crash_id", "evidence", "fingerprint", "remaining_seconds")
 
     def __init__(
         self,
         fingerprint: str,
-        server_id: str,
-        generation: str,
+        crash_id: CrashId,
         evidence: CrashEvidence,
         remaining_seconds: float,
     ) -> None:
         self.fingerprint = fingerprint
-        self.server_id = server_id
-        self.generation = generation
+        self.crash_id = crash_id
         self.evidence = evidence
         self.remaining_seconds = remaining_seconds
 
@@ -92,11 +92,15 @@
     generation confirms the crash; an answer of the same generation to a later request closes the
     case. From the moment the case opens its requests are suspects, which run alone, so that the
     first repetition shows which of them is to blame: an answer clears it, a second crash blocks it.
+    ``changes`` rises whenever ``reports`` has something new for the other daemons; telling them at
+    once keeps a request that is resent from crashing a server at each of them.
     """
 
-    __slots__ = ("cases", "records")
+    __slots__ = ("cases", "changes", "last_crashes", "records")
 
     def __init__(self) -> None:
+        self.changes = 0
+        self.last_crashes: dict[str, float] = {}
         self.cases: dict[str, CrashCase] = {}
         self.records: dict[str, FingerprintRecord] = {}
 
@@ -118,11 +122,18 @@
         return Suspicion.NONE
 
     def connection_lost(
-        self, server_id: str, generation: str, in_flight: Iterable[str], now: float
+        self,
+        server_id: str,
+        generation: str,
+        in_flight: Iterable[str],
+        sent_at: float,
+        now: float,
     ) -> None:
-        """Opens a case for a server with the fingerprints that were in flight on it."""
-        case = self.cases.get(server_id)
-        if case is not None and case.generation == generation:
+        """Opens a case for a server with the fingerprints that were in flight on it.
+
+        A request that was sent before the last crash was lost in that one.
+        """
+        if server_id in self.cases or sent_at <= self.last_crashes.get(server_id, NEVER):
             return
         fingerprints = tuple(in_flight)
         alone = len(fingerprints) == 1
@@ -133,9 +144,10 @@
         case = self.cases.pop(server_id, None)
         if case is None or now - case.opened_at >= CASE_SECONDS:
             return
+        self.last_crashes[server_id] = case.opened_at
         evidence = CrashEvidence.ALONE if case.alone else CrashEvidence.PRESENT
         for fingerprint in case.fingerprints:
-            crash = (server_id, case.generation)
+            crash = (server_id, case.generation, case.opened_at)
             self.note(fingerprint, crash, evidence, now + SUSPICION_SECONDS)
 
     def answered(self, server_id: str, generation: str, sent_at: float) -> None:
@@ -149,13 +161,14 @@
         record = self.records.get(fingerprint)
         if record is not None and record.suspicion() is not Suspicion.BLOCKED:
             record.crashes = dict.fromkeys(record.crashes, CrashEvidence.CLEARED)
+            self.changes += 1
         for case in self.cases.values():
             case.fingerprints -= {fingerprint}
 
     def reports(self, now: float) -> tuple[CrashReport, ...]:
         """Returns every confirmed crash for the other daemons."""
         return tuple(
-            CrashReport(fingerprint, crash[0], crash[1], evidence, record.expires_at - now)
+            CrashReport(fingerprint, crash, evidence, record.expires_at - now)
             for fingerprint, record in self.records.items()
             if record.expires_at > now
             for crash, evidence in record.crashes.items()
@@ -166,8 +179,7 @@
         for report in reports:
             if report.remaining_seconds > 0.0:
                 expires_at = now + min(report.remaining_seconds, SUSPICION_SECONDS)
-                crash = (report.server_id, report.generation)
-                self.note(report.fingerprint, crash, report.evidence, expires_at)
+                self.note(report.fingerprint, report.crash_id, report.evidence, expires_at)
 
     def expire(self, now: float) -> None:
         """Drops what no longer counts."""
@@ -188,4 +200,6 @@
         known = record.crashes.get(crash)
         if known is None:
             record.expires_at = max(record.expires_at, expires_at)
-        record.crashes[crash] = evidence if known is None else max(known, evidence)
+        if known is None or evidence > known:
+            record.crashes[crash] = evidence
+            self.changes += 1
--- a/packages/decisions/src/fireflylink_decisions/admission/_shard_control.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_shard_control.py
@@ -45,12 +45,15 @@
         """Stops admitting for shards, or for all."""
         if shard_indexes is None:
             self.stopped = reason
+            self.moved.update(self.id_gate.memory.shards)
         else:
             self.moved.update(shard_indexes)
 
     def expect(self, shard_indexes: Iterable[int]) -> None:
         """Waits for the handover of shards."""
         indexes = frozenset(shard_indexes)
+        if indexes:
+            self.stopped = ""
         self.awaited |= indexes
         self.moved -= indexes
 
@@ -76,6 +79,8 @@
     def hold(self, shard_indexes: Iterable[int]) -> tuple[int, ...]:
         """Admits requests of shards again."""
         indexes = tuple(shard_indexes)
+        if indexes:
+            self.stopped = ""
         self.awaited.difference_update(indexes)
         self.moved.difference_update(indexes)
         return indexes
--- a/packages/decisions/src/fireflylink_decisions/limits/_server_limiter.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_server_limiter.py
@@ -23,9 +23,9 @@
     """How many requests one server may run at this moment, and how many it runs.
 
     A generation names one life of the server. A new generation in any reply makes the server cold
-    at once: its limit is ``cold_slots`` and rises by one for each ``ramp_successes`` answers, and
-    requests of the former generation that have not ended still count. While the server itself
-    reports that it is cold, the limit does not rise.
+    at once: its limit is ``cold_slots``, and requests of the former generation that have not ended
+    still count. The limit stays there until the server reports in this generation that it is warm.
+    Then it rises by one for each ``ramp_successes`` answers, because reports can mislead.
 
     A server of which nothing is known counts as cold. So does one that lost a connection, refused
     one or did not answer: it may have restarted. An answer to a request that was sent afterwards
@@ -78,7 +78,7 @@
         self.successes = 0
         self.in_flight = 0
         self.draining = False
-        self.reported_cold = False
+        self.reported_cold = True
         self.stated_slots = slots
         self.reserved = False
         self.doubted_at = NEVER
@@ -153,7 +153,7 @@
         self.ramped_limit = self.cold_slots
         self.successes = 0
         self.doubted_at = NEVER
-        self.reported_cold = False
+        self.reported_cold = True
         self.update_limit()
 
     def doubt(self, now: float) -> None:
--- a/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
@@ -63,11 +63,14 @@
         else:
             self.latency += (latency - self.latency) * LATENCY_WEIGHT
 
-    def age(self, now: float) -> float:
-        """Returns for how long the oldest request has been running, 0 when none runs."""
+    def busy_cost(self, in_flight: int, now: float) -> float:
+        """Returns the cost of one more request on a server that runs some."""
+        latency = self.latency
         for started_at in self.running.values():
-            return now - started_at
-        return 0.0
+            if now - started_at > latency:
+                latency = now - started_at
+            break
+        return (in_flight + 1) * latency
 
 
 class LatencyAwarePicker(BasePicker):
@@ -97,7 +100,10 @@
         if servers is not self.servers:
             self.bind(servers)
         self.picks += 1
-        warm_up = self.picks % PICKS_PER_COLD_START == 0
+        if self.picks % PICKS_PER_COLD_START == 0:
+            cold = self.idle_cold_server()
+            if cold is not None:
+                return cold
         best = None
         best_cost = 0.0
         for server, history in self.pairs:
@@ -106,22 +112,21 @@
                 continue
             if history.allowed and (now < history.ejected_until or in_flight >= history.allowed):
                 continue
-            cost = history.latency
-            if in_flight:
-                for started_at in history.running.values():
-                    if now - started_at > cost:
-                        cost = now - started_at
-                    break
-                cost *= in_flight + 1
+            cost = history.busy_cost(in_flight, now) if in_flight else history.latency
             if server.limit < server.slots:
-                if warm_up and not in_flight:
-                    return server
                 cost += COLD_PENALTY_SECONDS
             if best is None or cost < best_cost:
                 best = server
                 best_cost = cost
         return best
 
+    def idle_cold_server(self) -> ServerLimiter | None:
+        """Returns a server in cold start that has nothing to do."""
+        for server, history in self.pairs:
+            if 0 < server.limit < server.slots and not (server.in_flight or history.allowed):
+                return server
+        return None
+
     def started(self, server_id: str, call_id: str, now: float) -> None:
         self.histories[server_id].running[call_id] = now
 
--- a/packages/experiments/src/fireflylink_experiments/requests/__main__.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/__main__.py
@@ -2,9 +2,10 @@
 
 from absl import app, flags
 
+from fireflylink_core import ServiceKind
 from fireflylink_experiments.requests._run import RunResult, run
 from fireflylink_experiments.requests._scenarios import SCENARIOS
-from fireflylink_experiments.requests._sizes import SIZES
+from fireflylink_experiments.requests._sizes import SIZES, ServiceSize
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("seed", 1, "Seed of everything that is random.")
@@ -17,18 +18,25 @@
 HEADER = (
     f"{'service':13} {'scenario':18} {'policy':16} {'requests':>8} {'p50':>7} {'p99':>7}"
     f" {'p99.9':>7} {'goodput':>7} {'shed':>6} {'unknown':>7} {'retries':>7} {'cold':>4}"
-    f" {'crash':>5} {'doubled':>7} {'lost':>4} {'wrong':>5}"
+    f" {'crash':>5} {'late':>5} {'doubled':>7} {'lost':>4} {'wrong':>5}"
 )
 
 
+def policies_of(size: ServiceSize) -> tuple[str, ...]:
+    """Returns the policies that differ for a service."""
+    if size.kind is ServiceKind.POOLED:
+        return POLICIES
+    return tuple(policy for policy in POLICIES if policy != "no-delegation")
+
+
 def row(result: RunResult) -> str:
     """Returns one line of the table."""
     return (
         f"{result.size.name:13} {result.scenario:18} {result.policy:16} {result.requests:8d}"
         f" {result.p50:7.1f} {result.p99:7.1f} {result.p999:7.1f} {result.goodput:7.3f}"
         f" {result.shed:6.3f} {result.unknown:7.4f} {result.retries:7.4f}"
-        f" {result.highest_cold_load:4d} {result.crashes:5d} {result.doubled:7d}"
-        f" {result.lost:4d} {result.wrongly_not_run:5d}"
+        f" {result.highest_cold_load:4d} {result.crashes:5d} {result.late_work:5d}"
+        f" {result.doubled:7d} {result.lost:4d} {result.wrongly_not_run:5d}"
     )
 
 
@@ -42,7 +50,7 @@
         for scenario in SCENARIOS:
             if FLAGS.scenario not in ("", scenario.name):
                 continue
-            for policy in POLICIES:
+            for policy in policies_of(size):
                 if FLAGS.policy in ("", policy):
                     result = run(size, scenario, policy, FLAGS.seconds, FLAGS.seed)
                     print(row(result), flush=True)
--- a/packages/experiments/src/fireflylink_experiments/requests/_cluster.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/_cluster.py
@@ -3,7 +3,7 @@
 import random
 
 from fireflylink_core import BackendServer, Service, ServiceKind
-from fireflylink_decisions.admission import Delegation, PoisonDetector
+from fireflylink_decisions.admission import Delegation
 from fireflylink_decisions.routing import (
     GroupChoice,
     LeastInFlightPicker,
@@ -37,7 +37,6 @@
         "gateways",
         "ledger",
         "loop",
-        "poison",
         "policy",
         "random_source",
         "servers",
@@ -52,7 +51,6 @@
         self.loop = EventLoop()
         self.ledger = Ledger()
         self.random_source = random.Random(seed)
-        self.poison = PoisonDetector()
         self.service = Service(
             size.name,
             size.kind,
@@ -110,7 +108,6 @@
             pools,
             self.service,
             backends,
-            self.poison,
             self.make_delegation(group_id),
             self.size.hop_seconds,
         )
@@ -150,7 +147,7 @@
             index % self.size.data_centres,
             random.Random(self.random_source.random()),
             self.size,
-            dict(self.table),
+            self.table,
             retries=self.policy not in BASELINES,
         )
 
--- a/packages/experiments/src/fireflylink_experiments/requests/_entries.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/_entries.py
@@ -3,13 +3,15 @@
 import random
 
 from fireflylink_core import BaseReply, CallerRequest, NotRun, ServiceKind
-from fireflylink_decisions.retries import RetryBudget, RetryPolicy
+from fireflylink_decisions.retries import RequestAttempts, RetryAt, RetryBudget, RetryPolicy
 from fireflylink_decisions.routing import GroupChoice, GroupReport
 from fireflylink_experiments.requests._event_loop import EventLoop
 from fireflylink_experiments.requests._gateways import Attempt, BaseGateway
 from fireflylink_experiments.requests._ledger import RequestRecord
 from fireflylink_experiments.requests._sizes import LOCAL_HOP_SECONDS, ServiceSize
 
+STALE_TABLE_REASONS = ("moved", "not-held")
+
 
 class PendingRequest:
     """A request whose caller waits at an entry daemon."""
@@ -20,7 +22,7 @@
         self.request = request
         self.record = record
         self.shard_index = shard_index
-        self.attempts = 0
+        self.attempts = RequestAttempts(request.idempotent, request.deadline)
 
 
 class SimulatedEntry:
@@ -34,6 +36,7 @@
         "next_call",
         "random_source",
         "retry_policy",
+        "shared_table",
         "size",
         "table",
     )
@@ -53,7 +56,8 @@
         self.data_centre = data_centre
         self.random_source = random_source
         self.size = size
-        self.table = table
+        self.shared_table = table
+        self.table = dict(table)
         self.next_call = 0
         self.retry_policy = RetryPolicy(RetryBudget(0.0), random_source) if retries else None
         hops = {gateway.group_id: 2.0 * self.hop(gateway) for gateway in table.values()}
@@ -65,13 +69,16 @@
             return LOCAL_HOP_SECONDS
         return self.size.hop_seconds
 
+    def learn_table(self) -> None:
+        """Learns the newest table."""
+        self.table = dict(self.shared_table)
+
     def arrive(self, request: CallerRequest, record: RequestRecord, shard_index: int) -> None:
         """Takes a request of a caller."""
         self.forward(PendingRequest(request, record, shard_index))
 
     def forward(self, pending: PendingRequest) -> None:
         """Sends a request to its gateway."""
-        pending.attempts += 1
         pending.record.attempts += 1
         self.next_call += 1
         gateway = self.gateway_of(pending)
@@ -109,17 +116,16 @@
         if report is not None:
             self.choice.report(report.replace(received_at=self.loop.now))
         if self.retry_policy is not None:
-            at = self.retry_policy.retry_at(
-                reply,
-                pending.request.idempotent,
-                pending.attempts,
-                pending.request.deadline,
-                self.loop.now,
-            )
-            if at is not None:
-                self.loop.after(at - self.loop.now, self.forward, pending)
+            if isinstance(reply, NotRun) and reply.reason in STALE_TABLE_REASONS:
+                self.learn_table()
+            decision = self.retry_policy.decide(pending.attempts, reply, self.loop.now)
+            if isinstance(decision, RetryAt):
+                self.loop.after(decision.at - self.loop.now, self.forward, pending)
                 return
+            reply = decision
         record = pending.record
         record.outcome = reply.outcome
         record.ended_at = self.loop.now
         record.reason = reply.reason if isinstance(reply, NotRun) else reply.outcome.value
+        if record.follow_up is not None:
+            record.follow_up(record)
--- a/packages/experiments/src/fireflylink_experiments/requests/_fake_server.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/_fake_server.py
@@ -62,6 +62,7 @@
         "ledger",
         "loop",
         "mean_seconds",
+        "out_of_service",
         "process",
         "random_source",
         "running",
@@ -95,6 +96,7 @@
         self.cold_until = 0.0
         self.down = False
         self.draining = False
+        self.out_of_service = False
         self.running: dict[ServerCall, None] = {}
         self.waiting: deque[ServerCall] = deque()
 
@@ -137,6 +139,8 @@
         """Runs a request."""
         self.running[call] = None
         call.record.runs += 1
+        if self.out_of_service:
+            self.ledger.late_work += 1
         if call.request.body == POISON_BODY:
             self.loop.after(POISON_SECONDS, self.crash_if, self.process)
             return
@@ -178,9 +182,13 @@
         if process == self.process and not self.down:
             self.crash()
 
-    def crash(self, restart_seconds: float = RESTART_SECONDS) -> None:
-        """Ends the process: its connections are reset, and it comes back cold."""
+    def crash(self) -> None:
+        """Ends the process by a fault."""
         self.ledger.crashes += 1
+        self.restart(RESTART_SECONDS)
+
+    def restart(self, restart_seconds: float) -> None:
+        """Ends the process: its connections are reset, and it comes back cold."""
         ended = [*self.running, *self.waiting]
         self.running.clear()
         self.waiting.clear()
--- a/packages/experiments/src/fireflylink_experiments/requests/_gateways.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/_gateways.py
@@ -15,11 +15,11 @@
     Admitted,
     CallOutcome,
     CallResult,
+    CrashReport,
     Delegated,
     Delegation,
     GatewayAdmission,
     Handover,
-    PoisonDetector,
     Rejected,
 )
 from fireflylink_decisions.limits import ReportedState, ServerLimiter
@@ -271,7 +271,14 @@
 class PolicyGateway(BaseGateway):
     """Sends requests as ``GatewayAdmission`` decides."""
 
-    __slots__ = ("admission", "expiry_scheduled", "hop_seconds", "peers", "waiting")
+    __slots__ = (
+        "admission",
+        "expiry_scheduled",
+        "hop_seconds",
+        "known_changes",
+        "peers",
+        "waiting",
+    )
 
     def __init__(
         self,
@@ -281,12 +288,12 @@
         pools: Mapping[str, FakePool],
         service: Service,
         servers: tuple[BackendServer, ...],
-        poison: PoisonDetector,
         delegation: Delegation | None,
         hop_seconds: float,
     ) -> None:
         super().__init__(loop, group_id, data_centre, pools)
-        self.admission = GatewayAdmission(service, servers, poison, delegation=delegation)
+        self.admission = GatewayAdmission(service, servers, delegation=delegation)
+        self.known_changes = 0
         self.peers: dict[str, PolicyGateway] = {}
         self.hop_seconds = hop_seconds
         self.waiting: dict[str, Attempt] = {}
@@ -389,6 +396,7 @@
         self.start_all(self.admission.finish(attempt.call_id, result, self.loop.now))
         attempt.reply(classify(result, attempt.request.idempotent).reply)
         self.schedule_expiry()
+        self.exchange_crashes()
 
     def schedule_expiry(self) -> None:
         """Calls ``expire`` soon while anything waits."""
@@ -409,7 +417,25 @@
         for call_id, reply in replies:
             self.waiting.pop(call_id).reply(reply)
 
-    def hand_over(self, shard_indexes: tuple[int, ...]) -> Handover | None:
-        """Releases shards, or returns None while requests for them are in flight."""
-        exported = self.admission.export_handover(shard_indexes)
-        return exported.value_or(None)
+    def import_handover(self, handover: Handover) -> None:
+        """Takes over shards and starts the requests that waited for them."""
+        now = self.loop.now
+        self.start_all(self.admission.import_handover(handover, now, wall_ms_at(now)))
+        self.schedule_expiry()
+
+    def exchange_crashes(self) -> None:
+        """Tells the other gateways at once what has changed about suspects."""
+        poison = self.admission.poison
+        if poison.changes == self.known_changes:
+            return
+        self.known_changes = poison.changes
+        reports = poison.reports(self.loop.now)
+        for peer in self.peers.values():
+            if peer is not self:
+                self.loop.after(self.hop_seconds, peer.merge_crashes, reports)
+
+    def merge_crashes(self, reports: tuple[CrashReport, ...]) -> None:
+        """Takes the crash reports of another gateway into account."""
+        poison = self.admission.poison
+        poison.merge(reports, self.loop.now)
+        self.known_changes = poison.changes
--- a/packages/experiments/src/fireflylink_experiments/requests/_ledger.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/_ledger.py
@@ -1,5 +1,7 @@
 """What happened to every simulated request, and what its caller was told."""
 
+from collections.abc import Callable
+
 from fireflylink_core import Outcome
 
 NEVER = float("inf")
@@ -12,6 +14,7 @@
         "arrived_at",
         "attempts",
         "ended_at",
+        "follow_up",
         "idempotent",
         "outcome",
         "reason",
@@ -26,6 +29,7 @@
         self.ended_at = NEVER
         self.outcome: Outcome | None = None
         self.reason = ""
+        self.follow_up: Callable[[RequestRecord], None] | None = None
 
     def answered_within(self, first: float, last: float) -> bool:
         """Tells whether the caller got an answer in a period."""
@@ -35,12 +39,13 @@
 class Ledger:
     """Collects the records of a run and counts violations of the guarantees."""
 
-    __slots__ = ("crashes", "highest_cold_load", "records")
+    __slots__ = ("crashes", "highest_cold_load", "late_work", "records")
 
     def __init__(self) -> None:
         self.records: list[RequestRecord] = []
         self.highest_cold_load = 0
         self.crashes = 0
+        self.late_work = 0
 
     @property
     def doubled(self) -> int:
--- a/packages/experiments/src/fireflylink_experiments/requests/_run.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/_run.py
@@ -25,6 +25,7 @@
         "doubled",
         "goodput",
         "highest_cold_load",
+        "late_work",
         "lost",
         "p50",
         "p99",
@@ -61,6 +62,7 @@
         self.unknown = sum(1 for r in records if r.outcome is Outcome.UNKNOWN) / total
         self.retries = sum(r.attempts - 1 for r in records) / total
         self.highest_cold_load = cluster.ledger.highest_cold_load
+        self.late_work = cluster.ledger.late_work
         self.crashes = cluster.ledger.crashes
         self.doubled = cluster.ledger.doubled
         self.lost = cluster.ledger.lost
--- a/packages/experiments/src/fireflylink_experiments/requests/_scenarios.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/_scenarios.py
@@ -2,10 +2,24 @@
 
 import abc
 
-from fireflylink_experiments.requests._cluster import Cluster
+from fireflylink_core import CallerRequest, ServiceKind
+from fireflylink_decisions.admission import issue_request_id
+from fireflylink_experiments.requests._cluster import SHARD_COUNT, Cluster
+from fireflylink_experiments.requests._fake_server import POISON_BODY, FakeServer
+from fireflylink_experiments.requests._gateways import wall_ms_at
+from fireflylink_experiments.requests._ledger import RequestRecord
+from fireflylink_experiments.requests._moves import Moves
 
 FAULT_AT = 3.0
 STRAGGLER_FACTOR = 10.0
+BACK_AT = 6.0
+RETURN_STEPS = ((0.0, 0.1), (2.3, 0.3), (2.5, 0.5), (2.7, 1.0))
+"""When shards return, in seconds, and which share of those that are away: few while the servers
+are cold."""
+
+TAKE_OUT_BOUND_SECONDS = 2.0
+POISON_ATTEMPTS = 10
+RESEND_SECONDS = 0.05
 
 
 class BaseScenario(abc.ABC):
@@ -99,6 +113,69 @@
                 gateway.pools[server_id].silence(0.5)
 
 
+class DataCentreOutAndBack(BaseScenario):
+    """Operators take a data centre out of service and bring it back with cold servers."""
+
+    __slots__ = ()
+    name = "data-centre-moves"
+    load = 0.5
+
+    def schedule(self, cluster: Cluster) -> None:
+        moves = Moves(cluster)
+        servers = [server for server in cluster.servers if server.data_centre == 0]
+        cluster.loop.after(FAULT_AT, moves.take_out, 0)
+        cluster.loop.after(FAULT_AT + TAKE_OUT_BOUND_SECONDS, self.set_out, servers, True)
+        cluster.loop.after(BACK_AT - 0.1, self.restart, servers)
+        cluster.loop.after(BACK_AT, self.set_out, servers, False)
+        for delay, share in RETURN_STEPS:
+            cluster.loop.after(BACK_AT + delay, moves.bring_back, share)
+
+    def set_out(self, servers: list[FakeServer], out: bool) -> None:
+        """Marks servers as out of service, where new work counts as late."""
+        for server in servers:
+            server.out_of_service = out
+
+    def restart(self, servers: list[FakeServer]) -> None:
+        """Restarts the servers that were out of service."""
+        for server in servers:
+            server.restart(0.05)
+
+
+class PoisonRequest(BaseScenario):
+    """A caller resends a request that crashes each server that runs it."""
+
+    __slots__ = ()
+    name = "poison"
+
+    def schedule(self, cluster: Cluster) -> None:
+        cluster.loop.after(FAULT_AT, self.send, cluster, 1)
+
+    def send(self, cluster: Cluster, attempt: int) -> None:
+        """Sends the request with a new id, and again when its caller was told the end."""
+
+        def send_again(record: RequestRecord) -> None:
+            if attempt < POISON_ATTEMPTS:
+                cluster.loop.after(RESEND_SECONDS, self.send, cluster, attempt + 1)
+
+        source = cluster.random_source
+        now = cluster.loop.now
+        shard = source.randrange(SHARD_COUNT)
+        pooled = cluster.size.kind is ServiceKind.POOLED
+        request = CallerRequest(
+            cluster.size.name,
+            "" if pooled else "poisoned-key",
+            "POST",
+            POISON_BODY,
+            now + 1.0,
+            request_id=issue_request_id(wall_ms_at(now), source),
+        )
+        record = RequestRecord(now, idempotent=False)
+        record.follow_up = send_again
+        cluster.ledger.records.append(record)
+        entry = cluster.entries[source.randrange(len(cluster.entries))]
+        entry.arrive(request, record, shard if pooled else 0)
+
+
 SCENARIOS: tuple[BaseScenario, ...] = (
     Healthy(),
     Stragglers(1),
@@ -107,4 +184,6 @@
     TurnsCold(),
     Overload(),
     SilentConnections(),
+    DataCentreOutAndBack(),
+    PoisonRequest(),
 )
