--- a/packages/decisions/src/fireflylink_decisions/admission/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/__init__.py
@@ -7,6 +7,7 @@
     Handover,
     Queued,
     Rejected,
+    ServerHandover,
     ShardHandover,
 )
 from fireflylink_decisions.admission._answer_store import AnswerStore
@@ -51,6 +52,7 @@
     "Queued",
     "Rejected",
     "RequestIdMemory",
+    "ServerHandover",
     "ShardHandover",
     "StillRunningError",
     "Suspicion",
--- a/packages/decisions/src/fireflylink_decisions/admission/_admission_values.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_admission_values.py
@@ -62,9 +62,10 @@
 class Rejected(BaseDecision):
     """The request does not start; the reply says what is known about it."""
 
-    __slots__ = ("reply",)
+    __slots__ = ("call_id", "reply")
 
-    def __init__(self, reply: BaseReply) -> None:
+    def __init__(self, call_id: str, reply: BaseReply) -> None:
+        self.call_id = call_id
         self.reply = reply
 
 
@@ -82,11 +83,31 @@
         self.request_ids = request_ids
 
 
+class ServerHandover(BaseValue):
+    """How many requests a server could run in one of its generations."""
+
+    __slots__ = ("generation", "limit", "server_id")
+
+    def __init__(self, server_id: str, generation: str, limit: int) -> None:
+        self.server_id = server_id
+        self.generation = generation
+        self.limit = limit
+
+
 class Handover(BaseValue):
-    """What a gateway transfers to the next gateway of some shards."""
+    """What a gateway transfers to the next gateway of some shards.
+
+    ``servers`` matter only if the next gateway takes over the servers as well.
+    """
 
-    __slots__ = ("service", "shards")
+    __slots__ = ("servers", "service", "shards")
 
-    def __init__(self, service: str, shards: tuple[ShardHandover, ...]) -> None:
+    def __init__(
+        self,
+        service: str,
+        shards: tuple[ShardHandover, ...],
+        servers: tuple[ServerHandover, ...] = (),
+    ) -> None:
         self.service = service
         self.shards = shards
+        self.servers = servers
--- a/packages/decisions/src/fireflylink_decisions/admission/_call.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_call.py
@@ -1,9 +1,10 @@
 """A request in the hands of a gateway."""
 
-from fireflylink_core import CallerRequest
-from fireflylink_decisions.limits import QueueEntry
+from fireflylink_core import MAX_REQUEST_BYTES, CallerRequest
+from fireflylink_decisions.limits import QUANTUM, QueueEntry, ServiceTime
 
 NO_REQUEST_NUMBER = 0
+BODY_COST_BYTES = float(MAX_REQUEST_BYTES)
 
 
 class Call(QueueEntry):
@@ -12,12 +13,14 @@
     ``request_number`` is the number of its request id, or ``NO_REQUEST_NUMBER`` when this gateway
     remembers no id for it. ``delegated`` marks a request that another gateway has sent here;
     ``group_id`` is the group that it was sent to by this one. ``alone`` marks a suspect that has a
-    server to itself, and ``fingerprint`` is known of suspects only.
+    server to itself, and ``fingerprint`` is known of suspects only. ``due_at`` is when a request
+    may start whose id is ahead of the clock, 0 for others.
     """
 
     __slots__ = (
         "alone",
         "delegated",
+        "due_at",
         "fingerprint",
         "group_id",
         "request_number",
@@ -41,4 +44,11 @@
         self.server_id = ""
         self.started_at = 0.0
         self.alone = False
+        self.due_at = 0.0
         self.fingerprint = ""
+
+    def estimate(self, service_time: ServiceTime) -> None:
+        """Estimates how late the request may start and what it costs its tenant."""
+        expected = service_time.mean + service_time.deviation
+        self.latest_start = self.request.deadline - expected
+        self.cost = min(QUANTUM, 1.0 + len(self.request.body) / BODY_COST_BYTES)
--- a/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_gateway_admission.py
@@ -31,15 +31,13 @@
 from fireflylink_decisions.admission._request_id_memory import RequestIdMemory
 from fireflylink_decisions.admission._shard_control import ShardControl
 from fireflylink_decisions.admission._waiting_requests import Reply, WaitingRequests
-from fireflylink_decisions.limits import QUANTUM, ReportedState, ServerLimiter
+from fireflylink_decisions.limits import ReportedState, ServerLimiter
 from fireflylink_decisions.retries import CallResult
 from fireflylink_decisions.routing import BasePicker, GroupReport, LatencyAwarePicker
 
 NO_SHARD = -1
 """An idempotent request of a pooled service belongs to no shard: any group may run it."""
 
-BODY_COST_BYTES = float(1 << 20)
-
 Started = Admitted | Delegated
 Decision = Admitted | Delegated | Queued | Rejected
 
@@ -130,18 +128,11 @@
         refusal = self.refusal(call, now, wall_ms)
         if refusal is not None:
             return refusal
-        if self.poison.active:
-            suspicion = self.poison.suspicion(fingerprint_of(request), now)
-            if suspicion is not Suspicion.NONE:
-                return self.offer_suspect(call, suspicion, now)
-        if not self.waiting.queue.entries:
-            server = self.servers.pick(now)
-            if server is not None:
-                self.id_gate.remember(call)
-                return self.start(call, server, now)
-        return self.enqueue(call, now)
+        if call.due_at:
+            return self.hold_early(call)
+        return self.admit(call, now)
 
-    def finish(self, call_id: str, result: CallResult, now: float) -> tuple[Admitted, ...]:
+    def finish(self, call_id: str, result: CallResult, now: float) -> tuple[Started, ...]:
         """Takes the end of a call into account and returns the requests that start now."""
         delegated = None if self.delegation is None else self.delegation.end(call_id)
         if delegated is not None:
@@ -162,9 +153,12 @@
         self.poison.expire(now)
         return self.waiting.take_unsent()
 
-    def start_waiting(self, now: float) -> tuple[Admitted, ...]:
+    def start_waiting(self, now: float) -> tuple[Started, ...]:
         """Starts as many waiting requests as the servers may run."""
-        started = []
+        started: list[Started] = []
+        if self.waiting.early:
+            due = self.waiting.take_due(now)
+            started.extend(self.started_of(self.admit_due(call, now) for call in due))
         if self.waiting.isolation.waiting:
             self.waiting.review_suspects(self.poison, now)
             suspect = self.waiting.isolation.next(self.servers.limiters, now)
@@ -193,7 +187,7 @@
         now: float,
         sent_at: float | None = None,
         stated_slots: int = 0,
-    ) -> tuple[Admitted, ...]:
+    ) -> tuple[Started, ...]:
         """Takes the reply to a grant into account and returns the requests that start now.
 
         ``sent_at`` is when the grant was sent. Without it the reply does not confirm a generation
@@ -220,19 +214,23 @@
     def idle_for(self, shard_indexes: Iterable[int]) -> bool:
         """Tells whether no request of some shards is in flight."""
         indexes = frozenset(shard_indexes)
-        calls = list(self.servers.calls.values())
-        if any(call.shard_index in indexes for call in calls):
-            return False
-        if self.delegation is None:
-            return True
-        return all(call.shard_index not in indexes for call in self.delegation.calls.values())
+        delegated = {} if self.delegation is None else self.delegation.calls
+        calls = (*self.servers.calls.values(), *delegated.values())
+        return all(call.shard_index not in indexes for call in calls)
 
     def export_handover(self, shard_indexes: Iterable[int]) -> Result[Handover, StillRunningError]:
         """Returns what the next gateway of some shards has to know, and holds them no longer."""
         indexes = tuple(shard_indexes)
         if not self.idle_for(indexes):
             return Failure(StillRunningError("requests of the shards are still in flight"))
-        return Success(self.shards.release(indexes, self.service.name, self.service.shard_count))
+        shards = self.shards.release(indexes, self.service.shard_count)
+        return Success(Handover(self.service.name, shards, self.servers.export()))
+
+    def drop_shards(self, shard_indexes: Iterable[int]) -> None:
+        """Forgets the ids of shards that another gateway has taken over without a handover."""
+        indexes = tuple(shard_indexes)
+        self.shards.stop("moved", indexes)
+        self.id_gate.memory.drop_shards(indexes)
 
     def expect_handover(self, shard_indexes: Iterable[int]) -> None:
         """Lets requests of some shards wait until the former gateway hands them over."""
@@ -240,7 +238,8 @@
 
     def import_handover(self, handover: Handover, now: float, wall_ms: int) -> tuple[Started, ...]:
         """Takes over shards and returns the requests that waited for them and start now."""
-        return self.offer_held(self.shards.receive(handover), now, wall_ms)
+        self.servers.adopt(handover.servers, now)
+        return self.offer_held(self.shards.receive(handover.shards), now, wall_ms)
 
     def start_term(
         self, shard_indexes: Iterable[int], now: float, wall_ms: int
@@ -262,13 +261,24 @@
         self, shard_indexes: tuple[int, ...], now: float, wall_ms: int
     ) -> tuple[Started, ...]:
         """Offers the requests that waited for shards."""
+        return self.started_of(
+            self.offer(call.request, call.call_id, now, wall_ms, call.shard_index)
+            for call in self.waiting.take_held(shard_indexes)
+        )
+
+    def admit_due(self, call: Call, now: float) -> Decision:
+        """Admits a request that waited for the time of its id, which ``admit`` remembers again."""
+        self.id_gate.forget(call)
+        return self.admit(call, now)
+
+    def started_of(self, decisions: Iterable[Decision]) -> tuple[Started, ...]:
+        """Returns the requests that start now, and keeps the replies of those that are rejected."""
         started: list[Started] = []
-        for call in self.waiting.take_held(shard_indexes):
-            decision = self.offer(call.request, call.call_id, now, wall_ms, call.shard_index)
+        for decision in decisions:
             if isinstance(decision, Admitted | Delegated):
                 started.append(decision)
             elif isinstance(decision, Rejected):
-                self.waiting.unsent.append((call.call_id, decision.reply))
+                self.waiting.unsent.append((decision.call_id, decision.reply))
         return tuple(started)
 
     def refusal(self, call: Call, now: float, wall_ms: int) -> Queued | Rejected | None:
@@ -283,14 +293,14 @@
                 return decision
         request = call.request
         if request.method not in IDEMPOTENT_METHODS and not call.delegated:
-            reply = self.id_gate.check(call, wall_ms)
+            reply = self.id_gate.check(call, now, wall_ms)
             if reply is not None:
-                return self.reject(reply)
+                return self.reject(call, reply)
         if request.deadline <= now:
-            return self.reject(replies.DEADLINE)
+            return self.reject(call, replies.DEADLINE)
         if self.shards.restricted:
             reply = self.shards.refusal(call.shard_index, call.delegated)
-            return None if reply is None else self.reject(reply)
+            return None if reply is None else self.reject(call, reply)
         return None
 
     def refusal_without_ids(self, call: Call) -> Queued | Rejected | None:
@@ -299,10 +309,31 @@
             return None
         if call.shard_index in self.shards.awaited:
             if not self.waiting.hold(call):
-                return self.reject(replies.NOT_HELD)
+                return self.reject(call, replies.NOT_HELD)
             self.count("held")
             return Queued(call.call_id)
-        return self.reject(replies.NOT_HELD) if self.shards.gone(call.shard_index) else None
+        return self.reject(call, replies.NOT_HELD) if self.shards.gone(call.shard_index) else None
+
+    def hold_early(self, call: Call) -> Queued | Rejected:
+        """Lets a request wait for the time of its id."""
+        if not self.waiting.hold_early(call):
+            return self.reject(call, replies.QUEUE_FULL)
+        self.id_gate.remember(call)
+        self.count("early")
+        return Queued(call.call_id)
+
+    def admit(self, call: Call, now: float) -> Decision:
+        """Starts a request that nothing speaks against, or lets it wait."""
+        if self.poison.active:
+            suspicion = self.poison.suspicion(fingerprint_of(call.request), now)
+            if suspicion is not Suspicion.NONE:
+                return self.offer_suspect(call, suspicion, now)
+        if not self.waiting.queue.entries:
+            server = self.servers.pick(now)
+            if server is not None:
+                self.id_gate.remember(call)
+                return self.start(call, server, now)
+        return self.enqueue(call, now)
 
     def start(self, call: Call, server: ServerLimiter, now: float) -> Admitted:
         """Counts a request on a server."""
@@ -319,12 +350,12 @@
     ) -> Admitted | Queued | Rejected:
         """Starts a suspect if a server is free for it alone, or lets it wait for one."""
         if suspicion is Suspicion.BLOCKED:
-            return self.reject(replies.POISON)
+            return self.reject(call, replies.POISON)
         isolation = self.waiting.isolation
         call.fingerprint = fingerprint_of(call.request)
-        self.estimate(call)
+        call.estimate(self.servers.service_time)
         if not isolation.add(call):
-            return self.reject(replies.QUEUE_FULL)
+            return self.reject(call, replies.QUEUE_FULL)
         self.id_gate.remember(call)
         self.count("suspect")
         suspect = (
@@ -345,26 +376,20 @@
                 self.count("delegated")
                 return self.delegation.start(call, target, now)
         if capacity <= 0 and self.servers.all_draining:
-            return self.reject(replies.DRAINING)
-        self.estimate(call)
+            return self.reject(call, replies.DRAINING)
+        call.estimate(self.servers.service_time)
         overloaded = now + wait > call.latest_start
         reply = replies.OVERLOADED if overloaded else self.waiting.push(call)
         if reply is not None:
-            return self.reject(reply)
+            return self.reject(call, reply)
         self.id_gate.remember(call)
         self.count("queued")
         return Queued(call.call_id)
 
-    def estimate(self, call: Call) -> None:
-        """Estimates how late a request may start and what it costs its tenant."""
-        service_time = self.servers.service_time
-        call.latest_start = call.request.deadline - service_time.mean - service_time.deviation
-        call.cost = min(QUANTUM, 1.0 + len(call.request.body) / BODY_COST_BYTES)
-
-    def reject(self, reply: BaseReply) -> Rejected:
+    def reject(self, call: Call, reply: BaseReply) -> Rejected:
         """Counts a reply by its reason and returns the decision."""
         self.count(getattr(reply, "reason", "replayed"))
-        return Rejected(reply)
+        return Rejected(call.call_id, reply)
 
     def count(self, reason: str) -> None:
         """Counts a decision by its reason."""
--- a/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from fireflylink_core import BackendServer, Service
-from fireflylink_decisions.admission._admission_values import Admitted
+from fireflylink_decisions.admission._admission_values import Admitted, ServerHandover
 from fireflylink_decisions.admission._call import Call
 from fireflylink_decisions.admission._fingerprint import fingerprint_of
 from fireflylink_decisions.admission._poison_detector import PoisonDetector
@@ -151,3 +151,18 @@
         asked_at = NEVER if sent_at is None else sent_at
         server.reported(generation, state, asked_at, stated_slots)
         self.note_restart(server, before, now)
+
+    def export(self) -> tuple[ServerHandover, ...]:
+        """Returns the limits that the servers have reached."""
+        return tuple(
+            ServerHandover(limiter.server_id, limiter.generation, limiter.ramped_limit)
+            for limiter in self.limiters
+            if limiter.confirmed
+        )
+
+    def adopt(self, servers: tuple[ServerHandover, ...], now: float) -> None:
+        """Takes over the limits that servers of this group had at the former gateway."""
+        for server in servers:
+            limiter = self.limiters_by_id.get(server.server_id)
+            if limiter is not None:
+                limiter.adopt(server.generation, server.limit, now)
--- a/packages/decisions/src/fireflylink_decisions/admission/_id_gate.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_id_gate.py
@@ -12,6 +12,7 @@
 from fireflylink_decisions.admission._request_id_memory import RequestIdMemory
 from fireflylink_decisions.retries import CallResult
 
+MILLISECONDS_PER_SECOND = 1000.0
 BAD_ID = NotRun("invalid-request-id", "The request id is not a UUID of version 7.", 400)
 
 
@@ -27,8 +28,11 @@
         self.memory = memory
         self.answers = AnswerStore()
 
-    def check(self, call: Call, wall_ms: int) -> BaseReply | None:
-        """Returns why a request must not run, or None when it may; notes the number of its id."""
+    def check(self, call: Call, now: float, wall_ms: int) -> BaseReply | None:
+        """Returns why a request must not run, or None when it may.
+
+        Notes the number of its id, and when it may start if the id is ahead of the clock.
+        """
         request = call.request
         parsed = parse_request_id(request.request_id)
         if not isinstance(parsed, Success):
@@ -37,6 +41,9 @@
         call.request_number = number
         reply = self.memory.check(call.shard_index, number, wall_ms)
         if reply is None:
+            early_ms = self.memory.early_ms(number, wall_ms)
+            if early_ms > 0:
+                call.due_at = now + early_ms / MILLISECONDS_PER_SECOND
             return None
         held = self.answers.find(number, request)
         return reply if held is None else held
--- a/packages/decisions/src/fireflylink_decisions/admission/_request_id_memory.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_request_id_memory.py
@@ -8,11 +8,13 @@
 from fireflylink_decisions.admission._request_id import timestamp_of
 
 CLOCK_SKEW_MS = 2_000
-"""Highest difference between the wall clocks of two instances."""
+"""Highest difference between the wall clocks of two instances; each is at most half of it away
+from the true time, also when it is set."""
 
 AHEAD_TOLERANCE_MS = 100
-"""How far an id may be ahead of the gateway's clock. An id further ahead waits at its caller,
-because the next gateway must be able to recognise by its time that it may have run."""
+"""How far an id may be ahead of the gateway's clock when its request starts. A request with an id
+further ahead waits: were it run at once, a term that starts without a handover would have to
+refuse ids up to twice ``CLOCK_SKEW_MS`` ahead of its clock instead of once."""
 
 ID_WINDOW_MS = 600_000
 BUCKET_MS = 30_000
@@ -86,16 +88,17 @@
         issued_ms = timestamp_of(request_id)
         if issued_ms < shard.floor_ms:
             return OutcomeUnknown("id-too-old", "A request with this id may have run before.")
-        ahead_ms = issued_ms - wall_ms
-        if ahead_ms > CLOCK_SKEW_MS:
+        if issued_ms - wall_ms > CLOCK_SKEW_MS:
             return NotRun("id-ahead", "The time of the request id is ahead of the clock.", 400)
-        if ahead_ms > AHEAD_TOLERANCE_MS:
-            return NotRun("id-ahead", "The time of the request id is not yet due.", 503, ahead_ms)
         if self.size >= self.capacity:
             detail = "The gateway remembers as many request ids as it can hold."
             return NotRun("id-memory-full", detail, 503, FULL_RETRY_AFTER_MS)
         return None
 
+    def early_ms(self, request_id: int, wall_ms: int) -> int:
+        """Returns for how long a request has to wait because its id is ahead; 0 or less if not."""
+        return timestamp_of(request_id) - wall_ms - AHEAD_TOLERANCE_MS
+
     def remember(self, shard_index: int, request_id: int) -> None:
         """Notes that a request with this id was accepted. ``check`` has allowed it."""
         bucket = timestamp_of(request_id) // BUCKET_MS
--- a/packages/decisions/src/fireflylink_decisions/admission/_shard_control.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_shard_control.py
@@ -4,7 +4,7 @@
 
 from fireflylink_core import BaseReply
 from fireflylink_decisions.admission import _replies as replies
-from fireflylink_decisions.admission._admission_values import Handover
+from fireflylink_decisions.admission._admission_values import ShardHandover
 from fireflylink_decisions.admission._id_gate import IdGate
 
 
@@ -57,18 +57,20 @@
         self.awaited |= indexes
         self.moved -= indexes
 
-    def release(self, shard_indexes: tuple[int, ...], service: str, shard_count: int) -> Handover:
+    def release(
+        self, shard_indexes: tuple[int, ...], shard_count: int
+    ) -> tuple[ShardHandover, ...]:
         """Returns what the next gateway has to know, and holds the shards no longer."""
         shards = self.id_gate.export(shard_indexes, shard_count)
         self.moved.update(shard_indexes)
         self.id_gate.memory.drop_shards(shard_indexes)
-        return Handover(service, shards)
+        return shards
 
-    def receive(self, handover: Handover) -> tuple[int, ...]:
+    def receive(self, shards: tuple[ShardHandover, ...]) -> tuple[int, ...]:
         """Takes over shards with what the former gateway knew, and returns their indexes."""
-        for shard in handover.shards:
+        for shard in shards:
             self.id_gate.memory.import_shard(shard)
-        return self.hold(shard.shard_index for shard in handover.shards)
+        return self.hold(shard.shard_index for shard in shards)
 
     def start_term(self, shard_indexes: Iterable[int], wall_ms: int) -> tuple[int, ...]:
         """Takes over shards of which nothing is known, and returns their indexes."""
--- a/packages/decisions/src/fireflylink_decisions/admission/_waiting_requests.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_waiting_requests.py
@@ -10,29 +10,35 @@
 from fireflylink_decisions.admission._poison_detector import PoisonDetector, Suspicion
 from fireflylink_decisions.limits import FairQueue
 
+EARLY_PER_QUEUED = 4
+"""Bound of the requests that wait for the time of their id, as a multiple of the queue limit: they
+wait for up to 2 s, and their servers are not to blame."""
+
 Reply = tuple[str, BaseReply]
 """Call id and what its caller is told."""
 
 
 class WaitingRequests:
-    """Requests that wait for a slot, for a server of their own or for the handover of a shard.
+    """Requests that wait for a slot, for a server of their own, for the handover of their shard
+    (``held``) or for the time of their id (``early``).
 
     A request that leaves without having started gives its id back, so that its caller may repeat
     it, and its reply is kept in ``unsent`` until it is fetched.
     """
 
-    __slots__ = ("counters", "held", "id_gate", "isolation", "queue", "unsent")
+    __slots__ = ("counters", "early", "held", "id_gate", "isolation", "queue", "unsent")
 
     def __init__(self, limit: int, id_gate: IdGate, counters: dict[str, int]) -> None:
         self.queue: FairQueue[Call] = FairQueue(limit)
         self.isolation = Isolation()
         self.held: dict[str, Call] = {}
+        self.early: dict[str, Call] = {}
         self.unsent: list[Reply] = []
         self.id_gate = id_gate
         self.counters = counters
 
     def __len__(self) -> int:
-        return len(self.queue) + len(self.isolation.waiting) + len(self.held)
+        return len(self.queue) + len(self.isolation.waiting) + len(self.held) + len(self.early)
 
     @property
     def any_startable(self) -> bool:
@@ -71,6 +77,20 @@
             del self.held[call.call_id]
         return taken
 
+    def hold_early(self, call: Call) -> bool:
+        """Keeps a request until the time of its id, or returns False without room."""
+        if len(self.early) >= EARLY_PER_QUEUED * self.queue.limit:
+            return False
+        self.early[call.call_id] = call
+        return True
+
+    def take_due(self, now: float) -> tuple[Call, ...]:
+        """Takes out the requests that may start because the time of their id has come."""
+        due = tuple(call for call in self.early.values() if call.due_at <= now)
+        for call in due:
+            del self.early[call.call_id]
+        return due
+
     def remove(self, call_id: str) -> bool:
         """Drops a request whose caller has gone, and tells whether it waited."""
         call = self.take_out(call_id)
@@ -82,14 +102,14 @@
 
     def take_out(self, call_id: str) -> Call | None:
         """Takes a request out of wherever it waits."""
-        held = self.held.pop(call_id, None)
+        held = self.held.pop(call_id, None) or self.early.pop(call_id, None)
         return held or self.queue.remove(call_id) or self.isolation.remove(call_id)
 
     def expire(self, now: float) -> None:
         """Gives up the requests that can no longer be answered before their deadline."""
         for call in self.queue.expire(now):
             self.give_up(call, replies.OVERLOADED)
-        others = (*self.isolation.waiting.values(), *self.held.values())
+        others = (*self.isolation.waiting.values(), *self.held.values(), *self.early.values())
         for call in others:
             if call.latest_start <= now:
                 self.take_out(call.call_id)
@@ -101,6 +121,7 @@
             *self.queue.entries.values(),
             *self.isolation.waiting.values(),
             *self.held.values(),
+            *self.early.values(),
         )
         for call in waiting:
             if matches(call):
--- a/packages/decisions/src/fireflylink_decisions/limits/_server_limiter.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_server_limiter.py
@@ -147,8 +147,9 @@
 
     def become_cold(self, generation: str) -> None:
         """Starts a new generation at the cold limit."""
-        former = (*self.former_generations, self.generation)
-        self.former_generations = former[-REMEMBERED_GENERATIONS:]
+        if self.generation:
+            former = (*self.former_generations, self.generation)
+            self.former_generations = former[-REMEMBERED_GENERATIONS:]
         self.generation = generation
         self.ramped_limit = self.cold_slots
         self.successes = 0
@@ -156,6 +157,19 @@
         self.reported_cold = True
         self.update_limit()
 
+    def adopt(self, generation: str, limit: int, now: float) -> None:
+        """Takes over the limit that a former gateway reached in a generation.
+
+        It applies once a request that is sent later confirms that this is still the generation.
+        """
+        if not self.generation:
+            self.become_cold(generation)
+            self.doubt(now)
+        if generation == self.generation:
+            self.reported_cold = False
+            self.ramped_limit = max(self.ramped_limit, min(limit, self.slots))
+            self.update_limit()
+
     def doubt(self, now: float) -> None:
         """Applies the cold limit until a request that is sent later confirms the generation."""
         self.doubted_at = now
--- a/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
@@ -1,5 +1,6 @@
 """Choice of a server by requests in flight and recent latency, with ejection of outliers."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 
 from fireflylink_decisions.limits import ServerLimiter
@@ -7,6 +8,14 @@
 
 LATENCY_WEIGHT = 0.1
 EJECTION_FACTOR = 3.0
+OUTLIER_FACTOR = 10.0
+"""Bound of one latency in the mean, as a multiple of the median: a single request that hangs must
+not eject its server."""
+
+RETURN_FACTOR = 2.0
+"""Mean with which a server returns, as a multiple of the median: two slow answers eject it again,
+where one slow answer would often eject a healthy server."""
+
 MIN_SAMPLES = 4
 SAMPLES_PER_MEDIAN = 8
 FIRST_EJECTION_SECONDS = 1.0
@@ -88,7 +97,7 @@
     __slots__ = ("ejected", "histories", "median", "pairs", "picks", "samples", "servers")
 
     def __init__(self) -> None:
-        self.histories: dict[str, ServerHistory] = {}
+        self.histories: defaultdict[str, ServerHistory] = defaultdict(ServerHistory)
         self.servers: Sequence[ServerLimiter] = ()
         self.pairs: list[tuple[ServerLimiter, ServerHistory]] = []
         self.ejected: set[str] = set()
@@ -118,8 +127,20 @@
             if best is None or cost < best_cost:
                 best = server
                 best_cost = cost
+        if best is None and self.ejected:
+            return self.ejected_server()
         return best
 
+    def ejected_server(self) -> ServerLimiter | None:
+        """Returns an ejected server if every other one is cold, draining or not reachable."""
+        free = None
+        for server, history in self.pairs:
+            if not history.allowed and server.limit >= server.slots:
+                return None
+            if history.allowed and server.in_flight < server.limit:
+                free = server
+        return free
+
     def idle_cold_server(self) -> ServerLimiter | None:
         """Returns a server in cold start that has nothing to do."""
         for server, history in self.pairs:
@@ -135,51 +156,43 @@
     ) -> None:
         history = self.histories[server_id]
         del history.running[call_id]
-        if not answered and latency <= history.latency:
+        if now < history.ejected_until or (not answered and latency <= history.latency):
             return
-        history.add(latency)
+        bound = OUTLIER_FACTOR * self.median
+        history.add(latency if latency < bound or bound == 0.0 else bound)
         self.samples += 1
         if self.samples % SAMPLES_PER_MEDIAN == 0:
             self.update_median()
-        if history.allowed:
-            self.judge_returning(server_id, history, latency, now)
-        elif history.latency > EJECTION_FACTOR * self.median:
+        if history.latency > EJECTION_FACTOR * self.median:
             self.judge(server_id, history, now)
+        elif history.allowed:
+            self.let_return(server_id, history)
 
     def usable(self, server: ServerLimiter, now: float) -> int:
-        history = self.histories.get(server.server_id)
-        if history is None or not history.allowed:
+        history = self.histories[server.server_id]
+        if not history.allowed:
             return server.limit
         return 0 if now < history.ejected_until else min(history.allowed, server.limit)
 
     def bind(self, servers: Sequence[ServerLimiter]) -> None:
         """Takes the servers of the group and keeps what is known of those that stay."""
         self.servers = servers
-        for server in servers:
-            self.histories.setdefault(server.server_id, ServerHistory())
         self.pairs = [(server, self.histories[server.server_id]) for server in servers]
 
     def judge(self, server_id: str, history: ServerHistory, now: float) -> None:
         """Ejects a server whose latency is far above the median of its group."""
         self.update_median()
         count = len(self.pairs)
-        if self.server(server_id).cold:
+        others = len(self.ejected - {server_id})
+        if count < 2 or others >= max(1, count // SERVERS_PER_EJECTION):
             return
-        allowed = max(1, count // SERVERS_PER_EJECTION)
-        if count < 2 or len(self.ejected) >= allowed or history.samples < MIN_SAMPLES:
+        if self.server(server_id).cold or history.samples < MIN_SAMPLES:
             return
         if history.latency > EJECTION_FACTOR * self.median > 0.0:
             self.eject(server_id, history, now)
 
-    def judge_returning(
-        self, server_id: str, history: ServerHistory, latency: float, now: float
-    ) -> None:
-        """Lets a server that was ejected have more requests, or ejects it for longer."""
-        if now < history.ejected_until:
-            return
-        if latency > EJECTION_FACTOR * self.median:
-            self.eject(server_id, history, now)
-            return
+    def let_return(self, server_id: str, history: ServerHistory) -> None:
+        """Lets a server that was ejected have more requests after some that were not slow."""
         history.returned += 1
         if history.returned % RETURN_SUCCESSES:
             return
@@ -187,7 +200,6 @@
         if history.allowed > self.server(server_id).slots:
             history.allowed = 0
             history.ejections = 0
-            history.latency = self.median
             self.ejected.discard(server_id)
 
     def restarted(self, server_id: str) -> None:
@@ -205,6 +217,7 @@
         history.ejected_until = now + seconds
         history.allowed = 1
         history.returned = 0
+        history.latency = RETURN_FACTOR * self.median
         self.ejected.add(server_id)
 
     def update_median(self) -> None:
--- a/packages/decisions/tests/test_gateway_admission.py
+++ b/packages/decisions/tests/test_gateway_admission.py
@@ -48,7 +48,7 @@
     repeated = gateway.offer(booking(), "c2", NOW, wall_ms)
     assert_that(repeated.reply, IsInstance(OutcomeUnknown))
     gateway.finish("c1", CallResult(CallOutcome.ANSWERED, 0.01, "g1", ANSWER), NOW)
-    assert_that(gateway.offer(booking(), "c3", NOW, wall_ms), Equals(Rejected(ANSWER)))
+    assert_that(gateway.offer(booking(), "c3", NOW, wall_ms), Equals(Rejected("c3", ANSWER)))
 
 
 def test_queued_request_starts_when_a_slot_is_free(gateway: GatewayAdmission) -> None:
--- /dev/null
+++ b/packages/experiments/src/fireflylink_experiments/request_faults/__init__.py
@@ -0,0 +1,1 @@
+"""Generated requests under faults, with a count of violated guarantees."""
