--- a/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
@@ -1,12 +1,21 @@
 """Choice of a server by requests in flight and recent latency, with ejection of outliers."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 
 from fireflylink_decisions.limits import ServerLimiter
 from fireflylink_decisions.routing._picker import BasePicker
 
-LATENCY_WEIGHT = 0.2
+LATENCY_WEIGHT = 0.1
 EJECTION_FACTOR = 3.0
+OUTLIER_FACTOR = 10.0
+"""Bound of one latency in the mean, as a multiple of the median: a single request that hangs must
+not eject its server."""
+
+RETURN_FACTOR = 2.0
+"""Mean with which a server returns, as a multiple of the median: two slow answers eject it again,
+where one slow answer would often eject a healthy server."""
+
 MIN_SAMPLES = 4
 SAMPLES_PER_MEDIAN = 8
 FIRST_EJECTION_SECONDS = 1.0
@@ -16,6 +25,10 @@
 COLD_PENALTY_SECONDS = 1000.0
 """Added to the cost of a server below its full limit, so that others are preferred."""
 
+PICKS_PER_COLD_START = 8
+"""One pick in this many prefers an idle cold server: without requests it would stay cold, and be
+missing when the load rises."""
+
 
 class ServerHistory:
     """What a picker knows about one server; latencies in seconds.
@@ -42,6 +55,15 @@
         self.allowed = 0
         self.returned = 0
 
+    def restart(self) -> None:
+        """Forgets how the server was before it restarted; its requests may still be running."""
+        self.latency = 0.0
+        self.samples = 0
+        self.ejected_until = 0.0
+        self.ejections = 0
+        self.allowed = 0
+        self.returned = 0
+
     def add(self, latency: float) -> None:
         """Takes a latency into account."""
         self.samples += 1
@@ -50,11 +72,14 @@
         else:
             self.latency += (latency - self.latency) * LATENCY_WEIGHT
 
-    def age(self, now: float) -> float:
-        """Returns for how long the oldest request has been running, 0 when none runs."""
+    def busy_cost(self, in_flight: int, now: float) -> float:
+        """Returns the cost of one more request on a server that runs some."""
+        latency = self.latency
         for started_at in self.running.values():
-            return now - started_at
-        return 0.0
+            if now - started_at > latency:
+                latency = now - started_at
+            break
+        return (in_flight + 1) * latency
 
 
 class LatencyAwarePicker(BasePicker):
@@ -64,23 +89,30 @@
     counts as if it had just ended, so that a frozen server is noticed before its first deadline. A
     server whose latency exceeds three times the median of the group is ejected, at most a third of
     the group, but one of two. After the ejection it gets one request at a time, and one more for
-    every few answers that are not slow; if it is still slow it is ejected for twice as long. Cold
-    servers come last. Once a third of the group is ejected, other slow servers stay in use.
+    every few answers that are not slow; if it is still slow it is ejected for twice as long. Once a
+    third of the group is ejected, other slow servers stay in use. Cold servers come last, but for
+    the few requests that warm them up, and are not ejected: being slow is expected of them.
     """
 
-    __slots__ = ("ejected", "histories", "median", "pairs", "samples", "servers")
+    __slots__ = ("ejected", "histories", "median", "pairs", "picks", "samples", "servers")
 
     def __init__(self) -> None:
-        self.histories: dict[str, ServerHistory] = {}
+        self.histories: defaultdict[str, ServerHistory] = defaultdict(ServerHistory)
         self.servers: Sequence[ServerLimiter] = ()
         self.pairs: list[tuple[ServerLimiter, ServerHistory]] = []
         self.ejected: set[str] = set()
         self.median = 0.0
         self.samples = 0
+        self.picks = 0
 
     def pick(self, servers: Sequence[ServerLimiter], now: float) -> ServerLimiter | None:
         if servers is not self.servers:
             self.bind(servers)
+        self.picks += 1
+        if self.picks % PICKS_PER_COLD_START == 0:
+            cold = self.idle_cold_server()
+            if cold is not None:
+                return cold
         best = None
         best_cost = 0.0
         for server, history in self.pairs:
@@ -89,20 +121,33 @@
                 continue
             if history.allowed and (now < history.ejected_until or in_flight >= history.allowed):
                 continue
-            cost = history.latency
-            if in_flight:
-                for started_at in history.running.values():
-                    if now - started_at > cost:
-                        cost = now - started_at
-                    break
-                cost *= in_flight + 1
+            cost = history.busy_cost(in_flight, now) if in_flight else history.latency
             if server.limit < server.slots:
                 cost += COLD_PENALTY_SECONDS
             if best is None or cost < best_cost:
                 best = server
                 best_cost = cost
+        if best is None and self.ejected:
+            return self.ejected_server()
         return best
 
+    def ejected_server(self) -> ServerLimiter | None:
+        """Returns an ejected server if every other one is cold, draining or not reachable."""
+        free = None
+        for server, history in self.pairs:
+            if not history.allowed and server.limit >= server.slots:
+                return None
+            if history.allowed and server.in_flight < server.limit:
+                free = server
+        return free
+
+    def idle_cold_server(self) -> ServerLimiter | None:
+        """Returns a server in cold start that has nothing to do."""
+        for server, history in self.pairs:
+            if 0 < server.limit < server.slots and not (server.in_flight or history.allowed):
+                return server
+        return None
+
     def started(self, server_id: str, call_id: str, now: float) -> None:
         self.histories[server_id].running[call_id] = now
 
@@ -111,62 +156,59 @@
     ) -> None:
         history = self.histories[server_id]
         del history.running[call_id]
-        if not answered and latency <= history.latency:
+        if now < history.ejected_until or (not answered and latency <= history.latency):
             return
-        history.add(latency)
+        bound = OUTLIER_FACTOR * self.median
+        history.add(latency if latency < bound or bound == 0.0 else bound)
         self.samples += 1
         if self.samples % SAMPLES_PER_MEDIAN == 0:
             self.update_median()
-        if history.allowed:
-            self.judge_returning(server_id, history, latency, now)
-        elif history.latency > EJECTION_FACTOR * self.median:
+        if history.latency > EJECTION_FACTOR * self.median:
             self.judge(server_id, history, now)
+        elif history.allowed:
+            self.let_return(server_id, history)
 
     def usable(self, server: ServerLimiter, now: float) -> int:
-        history = self.histories.get(server.server_id)
-        if history is None or not history.allowed:
+        history = self.histories[server.server_id]
+        if not history.allowed:
             return server.limit
         return 0 if now < history.ejected_until else min(history.allowed, server.limit)
 
     def bind(self, servers: Sequence[ServerLimiter]) -> None:
         """Takes the servers of the group and keeps what is known of those that stay."""
         self.servers = servers
-        for server in servers:
-            self.histories.setdefault(server.server_id, ServerHistory())
         self.pairs = [(server, self.histories[server.server_id]) for server in servers]
 
     def judge(self, server_id: str, history: ServerHistory, now: float) -> None:
         """Ejects a server whose latency is far above the median of its group."""
         self.update_median()
         count = len(self.pairs)
-        allowed = max(1, count // SERVERS_PER_EJECTION)
-        if count < 2 or len(self.ejected) >= allowed or history.samples < MIN_SAMPLES:
+        others = len(self.ejected - {server_id})
+        if count < 2 or others >= max(1, count // SERVERS_PER_EJECTION):
+            return
+        if self.server(server_id).cold or history.samples < MIN_SAMPLES:
             return
         if history.latency > EJECTION_FACTOR * self.median > 0.0:
             self.eject(server_id, history, now)
 
-    def judge_returning(
-        self, server_id: str, history: ServerHistory, latency: float, now: float
-    ) -> None:
-        """Lets a server that was ejected have more requests, or ejects it for longer."""
-        if now < history.ejected_until:
-            return
-        if latency > EJECTION_FACTOR * self.median:
-            self.eject(server_id, history, now)
-            return
+    def let_return(self, server_id: str, history: ServerHistory) -> None:
+        """Lets a server that was ejected have more requests after some that were not slow."""
         history.returned += 1
         if history.returned % RETURN_SUCCESSES:
             return
         history.allowed += 1
-        if history.allowed > self.slots_of(server_id):
+        if history.allowed > self.server(server_id).slots:
             history.allowed = 0
             history.ejections = 0
-            history.latency = self.median
             self.ejected.discard(server_id)
 
-    def slots_of(self, server_id: str) -> int:
-        """Returns the full limit of a server."""
-        return next((s.slots for s, _ in self.pairs if s.server_id == server_id), 0)
+    def restarted(self, server_id: str) -> None:
+        self.histories[server_id].restart()
+        self.ejected.discard(server_id)
+
+    def server(self, server_id: str) -> ServerLimiter:
+        """Returns a server of the group."""
+        return next(server for server, _ in self.pairs if server.server_id == server_id)
 
     def eject(self, server_id: str, history: ServerHistory, now: float) -> None:
         """Gives a server no requests for a time that doubles with each ejection."""
@@ -175,6 +217,7 @@
         history.ejected_until = now + seconds
         history.allowed = 1
         history.returned = 0
+        history.latency = RETURN_FACTOR * self.median
         self.ejected.add(server_id)
 
     def update_median(self) -> None:
--- a/packages/experiments/src/fireflylink_experiments/requests/_run.py
+++ b/packages/experiments/src/fireflylink_experiments/requests/_run.py
@@ -13,6 +13,7 @@
 TIMEOUT_SECONDS = 1.0
 DRAIN_SECONDS = 5.0
 WARM_UP_SECONDS = 1.5
+QUERIES = 1000
 TENANTS = ("walk-in", "partner", "batch")
 
 
@@ -24,6 +25,7 @@
         "doubled",
         "goodput",
         "highest_cold_load",
+        "late_work",
         "lost",
         "p50",
         "p99",
@@ -60,6 +62,7 @@
         self.unknown = sum(1 for r in records if r.outcome is Outcome.UNKNOWN) / total
         self.retries = sum(r.attempts - 1 for r in records) / total
         self.highest_cold_load = cluster.ledger.highest_cold_load
+        self.late_work = cluster.ledger.late_work
         self.crashes = cluster.ledger.crashes
         self.doubled = cluster.ledger.doubled
         self.lost = cluster.ledger.lost
@@ -92,10 +95,11 @@
             size.name,
             key,
             "GET" if idempotent else "POST",
-            b"",
+            b"" if idempotent else request_id.encode(),
             loop.now + TIMEOUT_SECONDS,
             TENANTS[source.randrange(len(TENANTS))],
             request_id,
+            query=f"venue={source.randrange(QUERIES)}" if idempotent else "",
         )
         record = RequestRecord(loop.now, idempotent)
         self.cluster.ledger.records.append(record)
