--- a/packages/decisions/src/fireflylink_decisions/releases/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/releases/__init__.py
@@ -11,6 +11,7 @@
     NoteIdReusedError,
     VersionConflictError,
 )
+from fireflylink_decisions.releases._owners import exception_owners, shard_owners
 from fireflylink_decisions.releases._preview import preview
 from fireflylink_decisions.releases._preview_values import (
     EntryChange,
@@ -31,7 +32,9 @@
     "ServerLoad",
     "VersionConflictError",
     "apply_note",
+    "exception_owners",
     "find_applied",
     "preview",
+    "shard_owners",
     "version_conflict",
 ]
--- a/packages/decisions/src/fireflylink_decisions/releases/_preview.py
+++ b/packages/decisions/src/fireflylink_decisions/releases/_preview.py
@@ -206,10 +206,11 @@
 
 
 def _remaining_ownership(old: Configuration, new: Configuration, owners: Owners) -> Iterator[str]:
+    """Yields names that owners still refer to; a group of several servers outlives one of them."""
     counts: dict[str, int] = {}
     for servers in owners.values():
-        for server_id in servers:
-            counts[server_id] = counts.get(server_id, 0) + 1
+        if len(servers) == 1:
+            counts[servers[0]] = counts.get(servers[0], 0) + 1
     for name in sorted(old.servers.keys() - new.servers.keys()):
         if counts.get(name):
             yield f"servers.{name}: is withdrawn while it still owns {counts[name]} shards"
--- a/packages/documents/src/fireflylink_documents/_entries.py
+++ b/packages/documents/src/fireflylink_documents/_entries.py
@@ -63,7 +63,7 @@
 SERVER_READERS: FieldReaders = {
     "service": lambda fields: fields.text("service", max_length=MAX_NAME_LENGTH),
     "data_centre": lambda fields: fields.text("data_centre", max_length=MAX_NAME_LENGTH),
-    "host": lambda fields: fields.text("host", max_length=MAX_NAME_LENGTH),
+    "host": lambda fields: fields.address("host"),
     "port": lambda fields: fields.integer("port", 1, MAX_PORT),
     "slots": lambda fields: fields.integer("slots", 1, MAX_SLOTS),
     "connections": lambda fields: fields.integer("connections", 1, MAX_SLOTS),
--- a/packages/documents/src/fireflylink_documents/_fields.py
+++ b/packages/documents/src/fireflylink_documents/_fields.py
@@ -1,6 +1,7 @@
 """Checked reading of the fields of JSON documents and settings files."""
 
 import enum
+import ipaddress
 import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TypeVar
@@ -105,6 +106,15 @@
         self.seen.add(name)
         return self.text(name, max_length=max_length) if self.has(name) else None
 
+    def address(self, name: str) -> str:
+        """Returns the text of an IP address."""
+        text = self.text(name)
+        try:
+            ipaddress.ip_address(text)
+        except ValueError as error:
+            raise self._refused(name, "must be an IP address") from error
+        return text
+
     def integer(
         self, name: str, minimum: int, maximum: int = LARGEST_INTEGER, default: int = _REQUIRED
     ) -> int:
--- a/packages/operator_client/src/fireflylink_operator_client/__init__.py
+++ b/packages/operator_client/src/fireflylink_operator_client/__init__.py
@@ -1,6 +1,10 @@
 """The operators' command-line client."""
 
-from fireflylink_operator_client._daemon_reader import BaseDaemonReader, DaemonError
+from fireflylink_operator_client._daemon_reader import (
+    BaseDaemonReader,
+    DaemonError,
+    DaemonRefusedError,
+)
 from fireflylink_operator_client._directory import (
     BaseDaemonDirectory,
     DaemonAddress,
@@ -27,6 +31,7 @@
     "ClientError",
     "DaemonAddress",
     "DaemonError",
+    "DaemonRefusedError",
     "ExitStatus",
     "FixedDirectory",
     "Repository",
--- a/packages/operator_client/src/fireflylink_operator_client/_daemon_reader.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_daemon_reader.py
@@ -9,11 +9,13 @@
 from returns.result import Failure, Result, Success
 
 from fireflylink_core import BaseFireflylinkError
+from fireflylink_documents import DocumentError, load_json
 from fireflylink_operator_client._directory import DaemonAddress
 
 HTTP_OK = 200
 HTTP_UNAUTHORIZED = 401
 HTTP_FORBIDDEN = 403
+REFUSALS = (400, 404)
 MAX_QUOTED_BODY = 200
 
 
@@ -21,6 +23,10 @@
     """A daemon gave no usable answer."""
 
 
+class DaemonRefusedError(DaemonError):
+    """A daemon answered that the question itself is wrong; other daemons would say the same."""
+
+
 class BaseDaemonReader(abc.ABC):
     """Reads from operator endpoints."""
 
@@ -76,5 +82,17 @@
         return Success(body)
     if status in (HTTP_UNAUTHORIZED, HTTP_FORBIDDEN):
         return Failure(DaemonError("the operator token was not accepted"))
-    text = " ".join(body.decode(errors="replace").split())[:MAX_QUOTED_BODY]
-    return Failure(DaemonError(f"status {status}: {text}" if text else f"status {status}"))
+    kind = DaemonRefusedError if status in REFUSALS else DaemonError
+    return Failure(kind(_description(body) or f"status {status}"))
+
+
+def _description(body: bytes) -> str:
+    """Returns the reason in the body of an error as one line."""
+    text = body.decode(errors="replace")
+    try:
+        document = load_json(body)
+    except DocumentError:
+        document = None
+    if isinstance(document, dict):
+        text = str(document.get("description") or document.get("title") or text)
+    return " ".join(text.split())[:MAX_QUOTED_BODY]
--- a/packages/operator_client/src/fireflylink_operator_client/_main.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_main.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import textwrap
 from collections.abc import Callable, Sequence
 from typing import Any, TextIO
 
@@ -17,6 +18,7 @@
 PROGRAM = "fireflylink"
 DEFAULT_SETTINGS = "fireflylink.json"
 INTERRUPTED = 130
+HELP_COLUMNS = 80
 
 Emit = Callable[[dict[str, Any], str], None]
 Connect = Callable[[str, Emit], Result[Session, ClientError]]
@@ -57,20 +59,26 @@
     """Returns the text of ``fireflylink --help``."""
     lines = ["usage: fireflylink COMMAND [ARGUMENTS] [flags]", "", "commands:"]
     for verb in VERBS:
-        lines += ["", f"  {verb.usage}", f"      {verb.description}"]
+        lines += ["", f"  {verb.usage}", _wrapped(verb.description, indent=6)]
     lines += ["", "fireflylink COMMAND --help shows the flags of a command."]
     return "\n".join(lines)
 
 
 def verb_help(verb: BaseVerb, values: flags.FlagValues) -> str:
     """Returns the text of ``fireflylink COMMAND --help``."""
-    lines = [f"usage: {verb.usage}", "", verb.description, "", "flags:"]
+    lines = [f"usage: {verb.usage}", "", _wrapped(verb.description), "", "flags:"]
     for name in sorted(values):
         if name == values[name].name:
-            lines.append(f"  --{name}: {values[name].help} (default: {values[name].default})")
+            default = json_text(values[name].default)
+            lines.append(f"  --{name}: {values[name].help} (default: {default})")
     return "\n".join(lines)
 
 
+def _wrapped(text: str, indent: int = 0) -> str:
+    margin = " " * indent
+    return textwrap.fill(text, HELP_COLUMNS, initial_indent=margin, subsequent_indent=margin)
+
+
 def _run_verb(
     verb: BaseVerb, arguments: Sequence[str], connect: Connect, stdout: TextIO, stderr: TextIO
 ) -> int:
--- a/packages/operator_client/src/fireflylink_operator_client/_settings.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_settings.py
@@ -100,7 +100,7 @@
     )
     former = fields.texts("former_cluster_key_files", ())
     return Settings(
-        platform_host=platform.text("host"),
+        platform_host=platform.address("host"),
         platform_port=platform.integer("port", 1, MAX_PORT),
         cluster_key_file=folder / fields.text("cluster_key_file"),
         operator_token_file=folder / fields.text("operator_token_file"),
@@ -113,6 +113,6 @@
 def _read_daemon(fields: FieldReader) -> DaemonAddress:
     return DaemonAddress(
         data_centre=fields.text("data_centre"),
-        host=fields.text("host"),
+        host=fields.address("host"),
         port=fields.integer("operator_port", 1, MAX_PORT),
     )
--- a/packages/operator_client/src/fireflylink_operator_client/_verbs/__init__.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_verbs/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflylink_operator_client._verbs._apply import ApplyVerb
 from fireflylink_operator_client._verbs._base import BaseVerb
+from fireflylink_operator_client._verbs._diagnose import DiagnoseVerb
 from fireflylink_operator_client._verbs._explain import ExplainVerb
 from fireflylink_operator_client._verbs._history import HistoryVerb
 from fireflylink_operator_client._verbs._latency import LatencyVerb
@@ -18,6 +19,7 @@
     HistoryVerb(),
     WatchVerb(),
     LatencyVerb(),
+    DiagnoseVerb(),
 )
 
 __all__ = ["VERBS", "BaseVerb"]
--- a/packages/operator_client/src/fireflylink_operator_client/_verbs/_explain.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_verbs/_explain.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from fireflylink_documents import DocumentError, load_json
+from fireflylink_operator_client._daemon_reader import DaemonRefusedError
 from fireflylink_operator_client._errors import ClientError, RefusedError, UnavailableError
 from fireflylink_operator_client._output import Outcome, table
 from fireflylink_operator_client._session import Session
@@ -37,6 +38,8 @@
             answer = session.reader.explain(address, service, key)
             if isinstance(answer, Success):
                 return _explained(answer.unwrap())
+            if isinstance(answer.failure(), DaemonRefusedError):
+                return Failure(RefusedError(f"{address.label}: {answer.failure()}"))
             problem = f"{address.label}: {answer.failure()}"
         return Failure(UnavailableError(f"no daemon explained the key; {problem}"))
 
--- a/packages/operator_client/src/fireflylink_operator_client/_verbs/_status.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_verbs/_status.py
@@ -48,21 +48,46 @@
     def run(
         self, session: Session, arguments: tuple[str, ...], values: flags.FlagValues
     ) -> Result[Outcome, ClientError]:
-        found = session.directory.daemons()
-        if isinstance(found, Failure):
-            return Failure(found.failure())
-        asked = ask_all(found.unwrap(), lambda entry: read_status(session.reader, entry))
-        answers = tuple(answer.unwrap() for _, answer in asked if isinstance(answer, Success))
-        warnings = [
-            f"{address.data_centre} {address.label}: {answer.failure()}"
-            for address, answer in asked
-            if isinstance(answer, Failure)
-        ]
-        listed: dict[str, int] = {}
-        for address, _ in asked:
-            listed[address.data_centre] = listed.get(address.data_centre, 0) + 1
-        rows = tuple(_data_centre(name, listed[name], answers) for name in sorted(listed))
-        return Success(_outcome(session, rows, answers if values.daemons else (), warnings))
+        return ask_daemons(session).map(
+            lambda found: _outcome(
+                session, found.data_centres, found.daemons if values.daemons else (), found.silent
+            )
+        )
+
+
+class DaemonAnswers(BaseValue):
+    """What the daemons answered; ``silent`` is a line for each that did not."""
+
+    __slots__ = ("daemons", "data_centres", "silent")
+
+    def __init__(
+        self,
+        daemons: tuple[DaemonStatus, ...],
+        data_centres: tuple[DataCentreStatus, ...],
+        silent: tuple[str, ...],
+    ) -> None:
+        self.daemons = daemons
+        self.data_centres = data_centres
+        self.silent = silent
+
+
+def ask_daemons(session: Session) -> Result[DaemonAnswers, ClientError]:
+    """Asks every daemon for its status."""
+    found = session.directory.daemons()
+    if isinstance(found, Failure):
+        return Failure(found.failure())
+    asked = ask_all(found.unwrap(), lambda entry: read_status(session.reader, entry))
+    answers = tuple(answer.unwrap() for _, answer in asked if isinstance(answer, Success))
+    silent = tuple(
+        f"{address.data_centre} {address.label}: {answer.failure()}"
+        for address, answer in asked
+        if isinstance(answer, Failure)
+    )
+    listed: dict[str, int] = {}
+    for address, _ in asked:
+        listed[address.data_centre] = listed.get(address.data_centre, 0) + 1
+    rows = tuple(_data_centre(name, listed[name], answers) for name in sorted(listed))
+    return Success(DaemonAnswers(answers, rows, silent))
 
 
 def _data_centre(name: str, listed: int, answers: tuple[DaemonStatus, ...]) -> DataCentreStatus:
@@ -76,12 +101,12 @@
     session: Session,
     rows: tuple[DataCentreStatus, ...],
     daemons: tuple[DaemonStatus, ...],
-    warnings: list[str],
+    warnings: tuple[str, ...],
 ) -> Outcome:
     current = session.repository.read_current()
     document = {"data_centres": plain(rows), "daemons": plain(daemons)}
     if isinstance(current, Failure):
-        warnings.append(str(current.failure()))
+        warnings = (*warnings, str(current.failure()))
         version, note, status = 0, "", current.failure().exit_status
     else:
         configuration = current.unwrap().configuration
@@ -94,7 +119,7 @@
     heading = f"configuration version {version}{note}" if version else "configuration unknown"
     lines = [heading, "", *_data_centre_lines(rows), "", *_table_lines(rows)]
     lines += ["", *_daemon_lines(daemons)] if daemons else []
-    return Outcome(document, lines, status, tuple(warnings))
+    return Outcome(document, lines, status, warnings)
 
 
 def _data_centre_lines(rows: tuple[DataCentreStatus, ...]) -> list[str]:
--- a/packages/operator_client/tests/test_other_commands.py
+++ b/packages/operator_client/tests/test_other_commands.py
@@ -95,6 +95,15 @@
     assert_that(fireflylink("explain", "holds", "hold-17", "--json").document["shard"], Equals(3))
 
 
+def test_explain_of_an_unknown_service(fireflylink: Any) -> None:
+    """A misspelt service must not look like an outage."""
+    fireflylink.daemons.refusals["kingston-1"] = "there is no service 'hold'"
+    result = fireflylink("explain", "hold", "hold-17")
+    assert_that(result.status, Equals(1))
+    expected = "fireflylink: kingston-1: there is no service 'hold'\n"
+    assert_that(result.errors, Equals(expected))
+
+
 def test_explain_without_daemons(fireflylink: Any) -> None:
     """The reason of the failure must be shown."""
     result = fireflylink("explain", "holds", "hold-17")
@@ -118,6 +127,23 @@
     assert_that(result.output, Contains("table kingston.keep version 1: 8 shards, 1 groups in it"))
 
 
+@pytest.mark.usefixtures("stored_table")
+def test_diagnose_names_servers_that_still_own_shards(fireflylink: Any, drain_note: str) -> None:
+    """A machine that is stopped while it owns shards leaves them without an owner."""
+    assert_that(fireflylink("diagnose").status, Equals(0))
+    fireflylink("apply", drain_note, "--wait_seconds=0")
+    result = fireflylink("diagnose")
+    assert_that(result.status, Equals(3))
+    expected = "attention  server holds-1          takes no new work but owns 8 shards"
+    assert_that(result.output, Contains(expected))
+    assert_that(result.output, Contains("version 2 is not in force everywhere"))
+
+
+def test_diagnose_names_shards_without_an_owner(fireflylink: Any) -> None:
+    """Callers of these keys get no answer."""
+    assert_that(fireflylink("diagnose").output, Contains("8 shards have no owner"))
+
+
 def test_latency_merges_daemons(fireflylink: Any) -> None:
     """A percentile of one daemon says little about the callers of all of them."""
     for number, microseconds in enumerate((1000, 1000, 1000, 9000)):
