--- a/packages/documents/src/fireflylink_documents/_tables.py
+++ b/packages/documents/src/fireflylink_documents/_tables.py
@@ -24,6 +24,7 @@
 TABLE_KIND = "ownership"
 REQUIRED_POSITIONS = 6
 ALL_POSITIONS = 9
+NAME_POSITIONS = (1, 5)
 
 
 def encode_table(table: OwnershipTable) -> bytes:
@@ -150,46 +151,46 @@
     services = fields.child(field)
     found: dict[ShardKey, ShardRecord] = {}
     for service in services.checked_names():
-        path = services.path_of(service)
         rows = services.items(service)
-        for place, row in enumerate(rows):
-            index, record = _read_row(row, f"{path}[{place}]", names)
-            found[(service, index)] = record
+        _check_rows(rows, services.path_of(service), len(names))
         if len({row[0] for row in rows}) != len(rows):
             raise services.error(service, "must not hold an index twice")
+        found.update(((service, row[0]), _record_of(row, names)) for row in rows)
     return found
 
 
-def _read_row(row: Any, path: str, names: tuple[str, ...]) -> tuple[int, ShardRecord]:
-    if not isinstance(row, list) or not REQUIRED_POSITIONS <= len(row) <= ALL_POSITIONS:
-        rule = f"must be a list of {REQUIRED_POSITIONS} to {ALL_POSITIONS} numbers"
-        raise DocumentError(path, f"{rule}, not {quoted(row)}")
-    if not _is_plain_row(row, len(names)):
-        _explain_row(row, path, len(names))
+def _record_of(row: list[Any], names: tuple[str, ...]) -> ShardRecord:
+    if len(row) == REQUIRED_POSITIONS:
+        return ShardRecord(names[row[1]], row[2], row[3], row[4], names[row[5]])
     optional = [None if place is None else names[place] for place in row[REQUIRED_POSITIONS:]]
-    record = ShardRecord(names[row[1]], row[2], row[3], row[4], names[row[5]], *optional)
-    return row[0], record
-
-
-def _is_plain_row(row: list[Any], name_count: int) -> bool:
-    """Checks a row in few steps, because a table holds thousands of rows."""
-    if any(type(value) is not int for value in row[:REQUIRED_POSITIONS]) or min(row[:6]) < 0:
-        return False
-    if max(row[:REQUIRED_POSITIONS]) > LARGEST_INTEGER or max(row[1], row[5]) >= name_count:
-        return False
-    return all(
-        place is None or (type(place) is int and 0 <= place < name_count)
-        for place in row[REQUIRED_POSITIONS:]
-    )
+    return ShardRecord(names[row[1]], row[2], row[3], row[4], names[row[5]], *optional)
+
+
+def _check_rows(rows: tuple[Any, ...], path: str, name_count: int) -> None:
+    """Checks rows without optional positions all at once, because a table holds thousands."""
+    short = [row for row in rows if type(row) is list and len(row) == REQUIRED_POSITIONS]
+    all_valid = _are_valid(short, name_count)
+    for place, row in enumerate(rows):
+        if all_valid and type(row) is list and len(row) == REQUIRED_POSITIONS:
+            continue
+        _check_row(row, f"{path}[{place}]", name_count)
 
 
-def _explain_row(row: list[Any], path: str, name_count: int) -> None:
+def _are_valid(rows: list[list[Any]], name_count: int) -> bool:
+    for position, column in enumerate(zip(*rows, strict=True)):
+        limit = name_count - 1 if position in NAME_POSITIONS else LARGEST_INTEGER
+        if set(map(type, column)) != {int} or min(column) < 0 or max(column) > limit:
+            return False
+    return True
+
+
+def _check_row(row: Any, path: str, name_count: int) -> None:
     """Raises the error for the first position of a row that is not allowed."""
+    if not isinstance(row, list) or not REQUIRED_POSITIONS <= len(row) <= ALL_POSITIONS:
+        rule = f"must be a list of {REQUIRED_POSITIONS} to {ALL_POSITIONS} numbers"
+        raise DocumentError(path, f"{rule}, not {quoted(row)}")
     for position, value in enumerate(row):
-        place = f"{path}[{position}]"
-        if position in (1, 5):
-            checked_integer(value, place, 0, name_count - 1)
-        elif position < REQUIRED_POSITIONS:
-            checked_integer(value, place, 0, LARGEST_INTEGER)
-        elif value is not None:
-            checked_integer(value, place, 0, name_count - 1)
+        is_name = position in NAME_POSITIONS or position >= REQUIRED_POSITIONS
+        if value is not None or position < REQUIRED_POSITIONS:
+            limit = name_count - 1 if is_name else LARGEST_INTEGER
+            checked_integer(value, f"{path}[{position}]", 0, limit)
