--- a/packages/backend_client/src/fireflylink_backend_client/__init__.py
+++ b/packages/backend_client/src/fireflylink_backend_client/__init__.py
@@ -6,6 +6,7 @@
     ServerStatus,
     WarmthState,
 )
+from fireflylink_backend_client._connection import BackendConnection, LostError, NotSentError
 from fireflylink_backend_client._control import CONTROL_CONNECTIONS
 from fireflylink_backend_client._errors import (
     BackendError,
@@ -14,6 +15,7 @@
     GrantRefused,
 )
 from fireflylink_backend_client._pool import BackendPool
+from fireflylink_backend_client._response import ResponseReader
 from fireflylink_backend_client._results import (
     Answered,
     BaseCallResult,
@@ -28,6 +30,7 @@
 __all__ = [
     "CONTROL_CONNECTIONS",
     "Answered",
+    "BackendConnection",
     "BackendError",
     "BackendPool",
     "BackendReplyLost",
@@ -37,10 +40,13 @@
     "GrantCommand",
     "GrantRefused",
     "Lost",
+    "LostError",
     "LostReason",
     "NotRunByServer",
     "NotSent",
+    "NotSentError",
     "NotSentReason",
+    "ResponseReader",
     "RevokeCommand",
     "ServerStatus",
     "WarmthState",
--- a/packages/backend_client/src/fireflylink_backend_client/_connection.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_connection.py
@@ -3,9 +3,12 @@
 from errno import ECONNREFUSED
 
 from gevent import socket
-from geventhttpclient.response import HTTPParseError
 
-from fireflylink_backend_client._response import ResponseReader
+from fireflylink_backend_client._response import (
+    MalformedResponseError,
+    OversizeResponseError,
+    ResponseReader,
+)
 from fireflylink_backend_client._results import LostReason, NotSentReason
 from fireflylink_core import BaseClock, BaseFireflylinkError
 
@@ -42,9 +45,10 @@
 
     __slots__ = ("cancelled", "clock", "peer_closed", "sent_at", "sock", "used_at")
 
-    def __init__(self, clock: BaseClock) -> None:
+    def __init__(self, host: str, clock: BaseClock) -> None:
         self.clock = clock
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.used_at = 0.0
         self.sent_at = 0.0
@@ -61,6 +65,8 @@
             self.sock.connect((host, port))
         except OSError as error:
             self.peer_closed = True
+            if self.cancelled:
+                raise NotSentError(NotSentReason.CANCELLED, "while connecting") from error
             refused = error.errno == ECONNREFUSED
             reason = NotSentReason.CONNECT_REFUSED if refused else NotSentReason.CONNECT_FAILED
             raise NotSentError(reason, f"{host}:{port}: {error}") from error
@@ -83,16 +89,22 @@
         reader = ResponseReader(method)
         try:
             self._receive(reader, deadline)
-        except HTTPParseError as error:
+        except MalformedResponseError as error:
             raise LostError(LostReason.MALFORMED, str(error)) from error
+        except OversizeResponseError as error:
+            raise LostError(LostReason.TOO_LARGE, str(error)) from error
         self.used_at = self.clock.now()
         return reader
 
     def interrupt(self) -> None:
-        """Ends the exchange in progress: it fails and the server sees the connection close."""
+        """Ends the sending direction, by which the server notices that the call is cancelled.
+
+        The exchange in progress ends when the server closes the connection, at its deadline at the
+        latest, so that the connection counts as long as the server has it open.
+        """
         self.cancelled = True
         try:
-            self.sock.shutdown(socket.SHUT_RDWR)
+            self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             self.sock.close()
 
@@ -140,7 +152,7 @@
 
     def _receive(self, reader: ResponseReader, deadline: float) -> None:
         self.sock.settimeout(max(0.0, deadline - self.clock.now()))
-        while not reader.message_complete:
+        while not reader.complete:
             try:
                 data = self.sock.recv(RECEIVE_BYTES)
             except TimeoutError as error:
@@ -150,9 +162,7 @@
             if not data:
                 raise self._ended(reader)
             reader.feed(data)
-            if reader.too_large:
-                raise LostError(LostReason.TOO_LARGE, "answer exceeds the limit")
-            if not reader.message_complete:
+            if not reader.complete:
                 self.sock.settimeout(self._progress_timeout(deadline))
 
     def _progress_timeout(self, deadline: float) -> float:
@@ -168,6 +178,6 @@
         if self.cancelled:
             return LostError(LostReason.CANCELLED, "by the caller")
         self.peer_closed = True
-        if reader.message_begun:
+        if reader.begun:
             return LostError(LostReason.TRUNCATED, "connection closed within the answer")
         return LostError(LostReason.CLOSED, "connection closed before the answer")
--- a/packages/backend_client/src/fireflylink_backend_client/_control.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_control.py
@@ -20,7 +20,7 @@
     LostError,
     NotSentError,
 )
-from fireflylink_backend_client._encoding import encode_command
+from fireflylink_backend_client._encoding import encode_command, host_header_of
 from fireflylink_backend_client._errors import (
     BackendError,
     BackendReplyLost,
@@ -54,7 +54,7 @@
     def __init__(self, server: BackendServer, clock: BaseClock | None = None) -> None:
         self.server = server
         self.clock = clock or SystemClock()
-        self.host_header = f"{server.host}:{server.port}"
+        self.host_header = host_header_of(server)
         self.connection: BackendConnection | None = None
         self.in_turn = Semaphore(1)
         self.open_slots = Semaphore(CONTROL_CONNECTIONS)
@@ -93,13 +93,13 @@
         except LostError as error:
             return Failure(BackendReplyLost(str(error)))
         try:
-            if reader.status_code == HTTP_CONFLICT:
+            if reader.status == HTTP_CONFLICT:
                 return Failure(_decode_refusal(reader))
-            if reader.status_code == HTTP_OK:
+            if reader.status == HTTP_OK:
                 return Success(decode(reader, connection))
         except (ValueError, KeyError, TypeError) as error:
             return Failure(BackendReplyLost(f"{target}: malformed reply: {error}"))
-        return Failure(BackendReplyLost(f"{target}: status {reader.status_code}"))
+        return Failure(BackendReplyLost(f"{target}: status {reader.status}"))
 
     def _exchange(
         self, request: bytes, method: str, deadline: float
@@ -126,7 +126,7 @@
             return self.connection
         if not self.open_slots.acquire(timeout=self._remaining(deadline)):
             raise NotSentError(NotSentReason.DEADLINE, "while earlier connections were closed")
-        self.connection = BackendConnection(self.clock)
+        self.connection = BackendConnection(self.server.host, self.clock)
         connect_deadline = min(deadline, self.clock.now() + CONNECT_TIMEOUT)
         try:
             self.connection.connect(self.server.host, self.server.port, connect_deadline)
@@ -153,13 +153,13 @@
         return max(0.0, deadline - self.clock.now())
 
     def _decode_status(self, reader: ResponseReader, connection: BackendConnection) -> ServerStatus:
-        return decode_status(reader.whole_body(), connection.sent_at, connection.used_at)
+        return decode_status(reader.body, connection.sent_at, connection.used_at)
 
 
 def _decode_running(reader: ResponseReader, connection: BackendConnection) -> int:
-    return int(json.loads(reader.whole_body())["in_flight"])
+    return int(json.loads(reader.body)["in_flight"])
 
 
 def _decode_refusal(reader: ResponseReader) -> GrantRefused:
-    document = json.loads(reader.whole_body())
+    document = json.loads(reader.body)
     return GrantRefused(int(document["gateway_epoch"]), int(document["clock_ms"]))
--- a/packages/backend_client/src/fireflylink_backend_client/_encoding.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_encoding.py
@@ -4,7 +4,7 @@
 from urllib.parse import quote
 
 from fireflylink_backend_client._results import CallHeaders
-from fireflylink_core import CallerRequest
+from fireflylink_core import BackendServer, CallerRequest
 
 PLAIN_SEGMENT = re.compile(r"[A-Za-z0-9._~-]+").fullmatch
 PLAIN_QUERY = re.compile(r"[\x21-\x7e]*").fullmatch
@@ -15,6 +15,12 @@
     """A field of a request would break the framing of HTTP."""
 
 
+def host_header_of(server: BackendServer) -> str:
+    """Returns the value of the Host header for a server."""
+    host = f"[{server.host}]" if ":" in server.host else server.host
+    return f"{host}:{server.port}"
+
+
 def encode_call(request: CallerRequest, headers: CallHeaders, host: str) -> bytes:
     """Returns the bytes of a call, or raises ``MalformedRequestError``."""
     target = f"/{_segment(request.service)}"
--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -3,7 +3,7 @@
 import collections
 
 import gevent
-from gevent.event import AsyncResult
+from gevent.event import Event
 from returns.result import Result
 
 from fireflylink_backend_client._commands import GrantCommand, RevokeCommand, ServerStatus
@@ -18,9 +18,10 @@
     MalformedRequestError,
     encode_call,
     encode_command,
+    host_header_of,
 )
 from fireflylink_backend_client._errors import BackendError
-from fireflylink_backend_client._response import ResponseReader
+from fireflylink_backend_client._response import ResponseReader, decimal_of
 from fireflylink_backend_client._results import (
     Answered,
     BaseCallResult,
@@ -34,10 +35,37 @@
 from fireflylink_core import BackendServer, BaseClock, CallerRequest, SystemClock
 
 PROBE_TIMEOUT = 0.25
+TRUSTED_AFTER_USE = 0.02
 PROBE_AFTER_IDLE = 1.0
 HTTP_UNAVAILABLE = 503
 
 
+class Waiter:
+    """A call that waits until it may use or open a connection.
+
+    ``granted`` with no ``connection`` is the right to open one. ``refusal`` ends the wait.
+    """
+
+    __slots__ = ("connection", "granted", "refusal", "woken")
+
+    def __init__(self) -> None:
+        self.woken = Event()
+        self.granted = False
+        self.connection: BackendConnection | None = None
+        self.refusal: NotSentError | None = None
+
+    def grant(self, connection: BackendConnection | None) -> None:
+        """Hands over a connection, or the right to open one."""
+        self.granted = True
+        self.connection = connection
+        self.woken.set()
+
+    def refuse(self, reason: NotSentReason) -> None:
+        """Ends the wait without a connection."""
+        self.refusal = NotSentError(reason, "while waiting for a connection")
+        self.woken.set()
+
+
 class BackendPool:
     """Connections to one server; all of them together stay within the server's limit.
 
@@ -68,13 +96,13 @@
         self.server = server
         self.clock = clock or SystemClock()
         self.limit = max(1, server.connections - CONTROL_CONNECTIONS)
-        self.host_header = f"{server.host}:{server.port}"
+        self.host_header = host_header_of(server)
         self.control = BackendControl(server, self.clock)
         self.open_count = 0
         self.closed = False
         self.idle: list[BackendConnection] = []
-        self.active: dict[str, BackendConnection | AsyncResult] = {}
-        self.waiting: collections.deque[AsyncResult] = collections.deque()
+        self.active: dict[str, BackendConnection | Waiter] = {}
+        self.waiting: collections.deque[Waiter] = collections.deque()
 
     def call(self, request: CallerRequest, headers: CallHeaders) -> BaseCallResult:
         """Runs one attempt of a request by the request's deadline."""
@@ -83,23 +111,13 @@
         except MalformedRequestError as error:
             return NotSent(NotSentReason.MALFORMED_REQUEST, str(error))
         try:
-            connection = self._checkout(headers.call_id, request.deadline, request.idempotent)
+            return self._call(encoded, request, headers.call_id)
         except NotSentError as error:
-            self.active.pop(headers.call_id, None)
             return NotSent(error.reason, error.detail)
-        reusable = False
-        try:
-            reader = connection.exchange(encoded, request.method, request.deadline)
-            result = _result_of(reader, headers.call_id, connection)
-            reusable = reader.reusable and not isinstance(result, Lost)
-        except NotSentError as error:
-            result = NotSent(error.reason, error.detail)
         except LostError as error:
-            result = Lost(error.reason, error.detail)
+            return Lost(error.reason, error.detail)
         finally:
             self.active.pop(headers.call_id, None)
-            self._release(connection, reusable)
-        return result
 
     def cancel(self, call_id: str) -> bool:
         """Ends a call in progress and closes its connection; tells whether there was one."""
@@ -109,7 +127,7 @@
         if isinstance(holder, BackendConnection):
             holder.interrupt()
         else:
-            holder.set_exception(NotSentError(NotSentReason.CANCELLED, "while waiting"))
+            holder.refuse(NotSentReason.CANCELLED)
         return True
 
     def grant(self, command: GrantCommand, deadline: float) -> Result[ServerStatus, BackendError]:
@@ -131,8 +149,18 @@
         while self.idle:
             self._retire(self.idle.pop())
         while self.waiting:
-            closed = NotSentError(NotSentReason.POOL_CLOSED, "while waiting")
-            self.waiting.popleft().set_exception(closed)
+            self.waiting.popleft().refuse(NotSentReason.POOL_CLOSED)
+
+    def _call(self, encoded: bytes, request: CallerRequest, call_id: str) -> BaseCallResult:
+        connection = self._checkout(call_id, request.deadline, request.idempotent)
+        reusable = False
+        try:
+            reader = connection.exchange(encoded, request.method, request.deadline)
+            result = _result_of(reader, call_id, connection)
+            reusable = reader.reusable
+            return result
+        finally:
+            self._release(connection, reusable)
 
     def _checkout(self, call_id: str, deadline: float, idempotent: bool) -> BackendConnection:
         while True:
@@ -140,9 +168,14 @@
             if connection is None:
                 return self._open(call_id, deadline)
             self.active[call_id] = connection
-            if self._verify(connection, deadline, idempotent):
+            verified = False
+            try:
+                verified = self._verify(connection, deadline, idempotent)
+            finally:
+                if not verified:
+                    self._retire(connection)
+            if verified:
                 return connection
-            self._retire(connection)
             if connection.cancelled:
                 raise NotSentError(NotSentReason.CANCELLED, "before sending")
 
@@ -158,21 +191,32 @@
         return self._wait(call_id, deadline)
 
     def _wait(self, call_id: str, deadline: float) -> BackendConnection | None:
-        waiter = AsyncResult()
+        waiter = Waiter()
         self.waiting.append(waiter)
         self.active[call_id] = waiter
         try:
-            waiter.wait(timeout=max(0.0, deadline - self.clock.now()))
-        finally:
+            waiter.woken.wait(max(0.0, deadline - self.clock.now()))
+            if waiter.refusal is None and not waiter.granted:
+                waiter.refuse(NotSentReason.DEADLINE)
+            if waiter.refusal is not None:
+                raise waiter.refusal
+            return waiter.connection
+        except BaseException:
+            self._give_back(waiter)
+            raise
+
+    def _give_back(self, waiter: Waiter) -> None:
+        """Passes on what a waiter was granted but will not use."""
+        if not waiter.granted:
             if waiter in self.waiting:
                 self.waiting.remove(waiter)
-        if not waiter.ready():
-            raise NotSentError(NotSentReason.DEADLINE, "while waiting for a connection")
-        connection: BackendConnection | None = waiter.get()
-        return connection
+        elif waiter.connection is None:
+            self._closed()
+        else:
+            self._release(waiter.connection, reusable=True)
 
     def _open(self, call_id: str, deadline: float) -> BackendConnection:
-        connection = BackendConnection(self.clock)
+        connection = BackendConnection(self.server.host, self.clock)
         self.active[call_id] = connection
         connect_deadline = min(deadline, self.clock.now() + CONNECT_TIMEOUT)
         try:
@@ -183,10 +227,13 @@
         return connection
 
     def _verify(self, connection: BackendConnection, deadline: float, idempotent: bool) -> bool:
+        now = self.clock.now()
+        idle = now - connection.used_at
+        if idle <= TRUSTED_AFTER_USE:
+            return True
         if not connection.usable():
             return False
-        now = self.clock.now()
-        if idempotent or now - connection.used_at <= PROBE_AFTER_IDLE:
+        if idempotent or idle <= PROBE_AFTER_IDLE:
             return True
         probe = encode_command("GET", "/health", self.host_header, b"")
         try:
@@ -208,7 +255,7 @@
         if not reusable or connection.cancelled or self.closed:
             self._retire(connection)
         elif self.waiting:
-            self.waiting.popleft().set(connection)
+            self.waiting.popleft().grant(connection)
         else:
             self.idle.append(connection)
 
@@ -227,7 +274,7 @@
 
     def _closed(self) -> None:
         if self.waiting and not self.closed:
-            self.waiting.popleft().set(None)
+            self.waiting.popleft().grant(None)
         else:
             self.open_count -= 1
 
@@ -236,22 +283,22 @@
     reader: ResponseReader, call_id: str, connection: BackendConnection
 ) -> BaseCallResult:
     if reader.header("fireflylink-call-id") != call_id:
-        return Lost(LostReason.MISMATCHED, "the answer names another call")
-    clock_ms = reader.header("fireflylink-clock-ms")
-    if not clock_ms.isdigit():
-        return Lost(LostReason.MALFORMED, "the answer has no server clock")
+        raise LostError(LostReason.MISMATCHED, "the answer names another call")
+    clock_ms = decimal_of(reader.header("fireflylink-clock-ms"))
+    if clock_ms is None:
+        raise LostError(LostReason.MALFORMED, "the answer has no server clock")
     server_id = reader.header("fireflylink-server-id")
     generation = reader.header("fireflylink-generation")
     not_run = reader.header("fireflylink-not-run")
-    if not_run and reader.status_code == HTTP_UNAVAILABLE:
-        return NotRunByServer(not_run, server_id, generation, int(clock_ms), connection.sent_at)
+    if not_run and reader.status == HTTP_UNAVAILABLE:
+        return NotRunByServer(not_run, server_id, generation, clock_ms, connection.sent_at)
     return Answered(
-        reader.status_code,
-        reader.whole_body(),
+        reader.status,
+        reader.body,
         reader.header("content-type"),
         server_id,
         generation,
-        int(clock_ms),
+        clock_ms,
         connection.sent_at,
         connection.used_at,
     )
--- a/packages/platform_client/src/fireflylink_platform_client/_connection.py
+++ b/packages/platform_client/src/fireflylink_platform_client/_connection.py
@@ -125,7 +125,7 @@
     except (OSError, HTTPParseError) as error:
         raise ReplyLostError(f"receive: {error}") from error
     revision = response.get("revision")
-    number = int(revision) if isinstance(revision, str) and revision.isdigit() else 0
+    number = int(revision) if isinstance(revision, str) and revision.isdecimal() else 0
     return HttpReply(response.status_code, body, number), not response.should_close()
 
 
--- a/packages/standins/src/fireflylink_standins/__init__.py
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -26,10 +26,15 @@
     entry_from_document,
     overlapping_owners,
 )
+from fireflylink_standins._load_generator import LoadGenerator
+from fireflylink_standins._load_report import LoadReport, Verification, verify
+from fireflylink_standins._load_settings import LoadSettings, LoadSettingsError
 from fireflylink_standins._memory_key_value import MemoryKeyValue
 from fireflylink_standins._platform_faults import CallCounts, PlatformFaults, PlatformMode
 from fireflylink_standins._platform_server import PlatformStandin
 from fireflylink_standins._platform_store import PlatformStore
+from fireflylink_standins._process_group import ProcessError, ProcessGroup, WorkspaceProcess
+from fireflylink_standins._request_ids import make_request_id
 
 __all__ = [
     "BackendAdmin",
@@ -43,6 +48,10 @@
     "Freeze",
     "Journal",
     "JournalEntry",
+    "LoadGenerator",
+    "LoadReport",
+    "LoadSettings",
+    "LoadSettingsError",
     "LoseAnswer",
     "LyingHealth",
     "MemoryKeyValue",
@@ -52,12 +61,18 @@
     "PlatformStandin",
     "PlatformStore",
     "Poison",
+    "ProcessError",
+    "ProcessGroup",
     "Silence",
     "Slow",
     "Truncate",
     "TurnCold",
+    "Verification",
+    "WorkspaceProcess",
     "WrongCallId",
     "duplicated_requests",
     "entry_from_document",
+    "make_request_id",
     "overlapping_owners",
+    "verify",
 ]
--- a/packages/standins/src/fireflylink_standins/_http_server.py
+++ b/packages/standins/src/fireflylink_standins/_http_server.py
@@ -62,6 +62,8 @@
 
         Raises ``ConnectionResetError`` when the stand-in closes the connection itself.
         """
+        if timeout is not None and timeout <= 0:
+            return False
         sock = self.socket
         sock.settimeout(timeout)
         try:
