--- a/packages/backend_client/src/fireflylink_backend_client/_connection.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_connection.py
@@ -5,17 +5,18 @@
 from gevent import socket
 from gevent.select import select
 from gevent.ssl import SSLContext
-from geventhttpclient.response import HTTPParseError
 
-from fireflylink_backend_client._response import ResponseReader
+from fireflylink_backend_client._response import (
+    MalformedResponseError,
+    OversizeResponseError,
+    ResponseReader,
+)
 from fireflylink_backend_client._results import LostReason, NotSentReason
 from fireflylink_core import BaseClock, BaseFireflylinkError
 
 RECEIVE_BYTES = 65536
 CONNECT_TIMEOUT = 0.5
 PROGRESS_TIMEOUT = 1.0
-SHORTEST_TIMEOUT = 0.001
-# A timeout of 0 would make the socket non-blocking, and its error look like a lost connection.
 CLOSE_TIMEOUT = 1.0
 
 
@@ -46,10 +47,11 @@
 
     __slots__ = ("cancelled", "clock", "peer_closed", "sent_at", "sock", "tls", "used_at")
 
-    def __init__(self, clock: BaseClock, tls: SSLContext | None = None) -> None:
+    def __init__(self, host: str, clock: BaseClock, tls: SSLContext | None = None) -> None:
         self.clock = clock
         self.tls = tls
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.used_at = 0.0
         self.sent_at = 0.0
@@ -68,6 +70,8 @@
                 self.sock = self.tls.wrap_socket(self.sock)
         except OSError as error:
             self.peer_closed = True
+            if self.cancelled:
+                raise NotSentError(NotSentReason.CANCELLED, "while connecting") from error
             refused = error.errno == ECONNREFUSED
             reason = NotSentReason.CONNECT_REFUSED if refused else NotSentReason.CONNECT_FAILED
             raise NotSentError(reason, f"{host}:{port}: {error}") from error
@@ -78,9 +82,8 @@
         if self.tls is not None:
             # An encrypted socket cannot be peeked at; nothing must be readable between exchanges.
             return not select([self.sock], [], [], 0)[0]
+        self.sock.settimeout(0.0)
         try:
-            # A cooperative socket waits despite MSG_DONTWAIT unless its timeout is 0.
-            self.sock.settimeout(0.0)
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
@@ -94,16 +97,22 @@
         reader = ResponseReader(method)
         try:
             self._receive(reader, deadline)
-        except HTTPParseError as error:
+        except MalformedResponseError as error:
             raise LostError(LostReason.MALFORMED, str(error)) from error
+        except OversizeResponseError as error:
+            raise LostError(LostReason.TOO_LARGE, str(error)) from error
         self.used_at = self.clock.now()
         return reader
 
     def interrupt(self) -> None:
-        """Ends the exchange in progress: it fails and the server sees the connection close."""
+        """Ends the sending direction, by which the server notices that the call is cancelled.
+
+        The exchange in progress ends when the server closes the connection, at its deadline at the
+        latest, so that the connection counts as long as the server has it open.
+        """
         self.cancelled = True
         try:
-            self.sock.shutdown(socket.SHUT_RDWR)
+            self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             self.sock.close()
 
@@ -117,7 +126,7 @@
         try:
             self.sock.shutdown(socket.SHUT_WR)
             while not self.peer_closed:
-                self.sock.settimeout(max(SHORTEST_TIMEOUT, deadline - self.clock.now()))
+                self.sock.settimeout(max(0.0, deadline - self.clock.now()))
                 self.peer_closed = not self.sock.recv(RECEIVE_BYTES)
         except OSError:
             pass
@@ -150,8 +159,8 @@
             raise self._broken(error) from error
 
     def _receive(self, reader: ResponseReader, deadline: float) -> None:
-        self.sock.settimeout(max(SHORTEST_TIMEOUT, deadline - self.clock.now()))
-        while not reader.message_complete:
+        self.sock.settimeout(max(0.0, deadline - self.clock.now()))
+        while not reader.complete:
             try:
                 data = self.sock.recv(RECEIVE_BYTES)
             except TimeoutError as error:
@@ -161,13 +170,11 @@
             if not data:
                 raise self._ended(reader)
             reader.feed(data)
-            if reader.too_large:
-                raise LostError(LostReason.TOO_LARGE, "answer exceeds the limit")
-            if not reader.message_complete:
+            if not reader.complete:
                 self.sock.settimeout(self._progress_timeout(deadline))
 
     def _progress_timeout(self, deadline: float) -> float:
-        return max(SHORTEST_TIMEOUT, min(deadline - self.clock.now(), PROGRESS_TIMEOUT))
+        return max(0.0, min(deadline - self.clock.now(), PROGRESS_TIMEOUT))
 
     def _broken(self, error: OSError) -> LostError:
         self.peer_closed = True
@@ -179,6 +186,6 @@
         if self.cancelled:
             return LostError(LostReason.CANCELLED, "by the caller")
         self.peer_closed = True
-        if reader.message_begun:
+        if reader.begun:
             return LostError(LostReason.TRUNCATED, "connection closed within the answer")
         return LostError(LostReason.CLOSED, "connection closed before the answer")
--- a/packages/backend_client/src/fireflylink_backend_client/_response.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_response.py
@@ -1,42 +1,102 @@
 """Incremental reading of one HTTP response with the parser of geventhttpclient."""
 
-from geventhttpclient.response import HTTPResponse
+from typing import Any
 
-from fireflylink_core import MAX_ANSWER_BYTES
+from geventhttpclient.response import HTTPParseError, HTTPResponse
 
+from fireflylink_core import MAX_ANSWER_BYTES, BaseFireflylinkError
 
-class ResponseReader(HTTPResponse):
-    """Parses the response to one request.
+MAX_DECIMAL_DIGITS = 18
+FIRST_FINAL_STATUS = 200
 
-    ``excess`` is set when bytes follow the end of the response: the connection then carries
-    something that was not asked for and must not be used again.
-    """
+
+class MalformedResponseError(BaseFireflylinkError):
+    """The bytes received are not a response that the contract allows."""
+
+
+class OversizeResponseError(BaseFireflylinkError):
+    """The response has a body over ``MAX_ANSWER_BYTES``."""
+
+
+class _Parser(HTTPResponse):
+    """Notes what the parser of the library meets besides the response itself."""
 
     def __init__(self, method: str) -> None:
         super().__init__(method)
         self.excess = False
-        self.too_large = False
 
     def _on_message_begin(self) -> None:
         if self.message_complete:
             self.excess = True
         super()._on_message_begin()
 
-    def _on_body(self, buf: bytearray) -> None:
-        super()._on_body(buf)
-        if len(self._body_buffer) > MAX_ANSWER_BYTES:
-            self.too_large = True
+    @property
+    def received(self) -> bytearray:
+        """The part of the body that has arrived."""
+        body: bytearray = self._body_buffer
+        return body
+
+
+class ResponseReader:
+    """Collects the response to one request of the given method.
+
+    ``reusable`` tells, once ``complete`` is true, whether the connection may carry another
+    exchange: bytes after the end of the response are something that was not asked for. Only what
+    the contract of backend servers allows is accepted: one final status and a ``Content-Length``.
+    """
+
+    __slots__ = ("_parser", "begun")
+
+    def __init__(self, method: str) -> None:
+        self._parser: Any = _Parser(method)
+        self.begun = False
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole response was received."""
+        return bool(self._parser.message_complete)
+
+    @property
+    def status(self) -> int:
+        """The status of the response."""
+        return int(self._parser.status_code)
+
+    @property
+    def body(self) -> bytes:
+        """The body of a complete response."""
+        return bytes(self._parser.received)
 
     @property
     def reusable(self) -> bool:
         """Whether the connection may carry another exchange."""
-        return not self.excess and not self.should_close()
+        return not self._parser.excess and not self._parser.should_close()
 
     def header(self, name: str) -> str:
         """Returns the value of a header, empty when it is absent or not unique."""
-        value = self.get(name)
+        value = self._parser.get(name)
         return value if isinstance(value, str) else ""
 
-    def whole_body(self) -> bytes:
-        """Returns the body of a complete response."""
-        return bytes(self._body_buffer)
+    def feed(self, data: bytes) -> None:
+        """Takes received bytes; raises when they break the contract."""
+        self.begun = True
+        try:
+            self._parser.feed(data)
+        except HTTPParseError as error:
+            raise MalformedResponseError(str(error)) from error
+        if len(self._parser.received) > MAX_ANSWER_BYTES:
+            raise OversizeResponseError("the answer exceeds the limit")
+        if self.complete:
+            self._check()
+
+    def _check(self) -> None:
+        if decimal_of(self.header("content-length")) is None:
+            raise MalformedResponseError("no valid Content-Length")
+        if self.status < FIRST_FINAL_STATUS:
+            raise MalformedResponseError(f"status {self.status} is not a final one")
+
+
+def decimal_of(text: str) -> int | None:
+    """Returns the number that a header value holds, None when it is not a plain decimal one."""
+    if not text.isascii() or not text.isdecimal() or len(text) > MAX_DECIMAL_DIGITS:
+        return None
+    return int(text)
--- a/packages/core/src/fireflylink_core/_control.py
+++ b/packages/core/src/fireflylink_core/_control.py
@@ -65,23 +65,34 @@
 class CrashReport(BaseValue):
     """A crash of a backend server and the fingerprint of a request that was in flight on it.
 
-    ``evidence`` ranks what the crash says about the request; the receiver keeps the highest.
-    ``remaining_ms`` is for how long the report still counts.
+    Server, generation and ``noticed_at`` identify the crash; the last one is in seconds on the
+    clock of the gateway that noticed it and is compared for equality only. ``evidence`` ranks what
+    the crash says about the request; the receiver keeps the highest. ``remaining_ms`` is for how
+    long the report still counts.
     """
 
-    __slots__ = ("evidence", "fingerprint", "generation", "remaining_ms", "server_id")
+    __slots__ = (
+        "evidence",
+        "fingerprint",
+        "generation",
+        "noticed_at",
+        "remaining_ms",
+        "server_id",
+    )
 
     def __init__(
         self,
         fingerprint: str,
         server_id: str,
         generation: str,
+        noticed_at: float,
         evidence: int,
         remaining_ms: int,
     ) -> None:
         self.fingerprint = fingerprint
         self.server_id = server_id
         self.generation = generation
+        self.noticed_at = noticed_at
         self.evidence = evidence
         self.remaining_ms = remaining_ms
 
--- a/packages/daemon/src/fireflylink_daemon/_crash_reports.py
+++ b/packages/daemon/src/fireflylink_daemon/_crash_reports.py
@@ -14,8 +14,9 @@
     return tuple(
         CrashReport(
             report.fingerprint,
-            report.server_id,
-            report.generation,
+            report.crash_id[0],
+            report.crash_id[1],
+            report.crash_id[2],
             int(report.evidence),
             int(report.remaining_seconds * MILLISECONDS_PER_SECOND),
         )
@@ -32,8 +33,7 @@
         (
             DetectorReport(
                 report.fingerprint,
-                report.server_id,
-                report.generation,
+                (report.server_id, report.generation, report.noticed_at),
                 CrashEvidence(report.evidence),
                 report.remaining_ms / MILLISECONDS_PER_SECOND,
             )
--- a/packages/daemon/src/fireflylink_daemon/_forwarding.py
+++ b/packages/daemon/src/fireflylink_daemon/_forwarding.py
@@ -57,7 +57,7 @@
         """Sends a request to its gateway daemon and returns that daemon's reply."""
         remaining = request.deadline - self.clock.now()
         if remaining <= 0:
-            return NotRun("deadline", "The deadline passed before the request was sent.", 503)
+            return NotRun("not-forwarded", "The deadline passed before the request was sent.")
         self._calls += 1
         headers = CallHeaders(
             call_id=f"{self.instance_id}-{self._calls:x}",
--- a/packages/daemon/src/fireflylink_daemon/_group_gateway.py
+++ b/packages/daemon/src/fireflylink_daemon/_group_gateway.py
@@ -31,6 +31,7 @@
     Admitted,
     CallOutcome,
     CallResult,
+    Delegated,
     GatewayAdmission,
     PoisonDetector,
     Queued,
@@ -182,7 +183,7 @@
             if waiter is not None:
                 waiter.set(reply)
 
-    def _resolve(self, started: tuple[Admitted, ...]) -> None:
+    def _resolve(self, started: tuple[Admitted | Delegated, ...]) -> None:
         for admitted in started:
             waiter = self.waiters.get(admitted.call_id)
             if waiter is not None:
@@ -191,7 +192,7 @@
                 unsent = CallResult(CallOutcome.NOT_SENT, 0.0)
                 self._resolve(self.admission.finish(admitted.call_id, unsent, self.clock.now()))
 
-    def start_admitted(self, started: tuple[Admitted, ...]) -> None:
+    def start_admitted(self, started: tuple[Admitted | Delegated, ...]) -> None:
         """Lets queued requests run that the admission has started."""
         self._resolve(started)
 
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -21,7 +21,7 @@
 from fireflylink_daemon._task import BaseTask
 from fireflylink_daemon._view import View
 from fireflylink_decisions.admission import issue_request_id
-from fireflylink_decisions.retries import RetryBudget, RetryPolicy
+from fireflylink_decisions.retries import RequestAttempts, RetryBudget, RetryPolicy
 
 HASH_BITS = 64
 REROUTE_REASONS = frozenset({"moved", "no-owner", "no-authority", "gateway-unreachable"})
@@ -87,7 +87,7 @@
 
     def _run(self, request: CallerRequest) -> BaseReply:
         policy = self._policy(request.service)
-        attempts = 0
+        attempts = RequestAttempts(request.idempotent, request.deadline)
         reroute_delay = FIRST_REROUTE_DELAY
         while True:
             reply = self._attempt(request, self._hashed_key(request))
@@ -95,16 +95,15 @@
             if isinstance(reply, NotRun) and reply.reason in REROUTE_REASONS:
                 # The wait for a newer table is not a retry that could overload a server.
                 if now + reroute_delay >= request.deadline:
-                    return reply
+                    return attempts.final(reply)
                 self.control.post(SyncNow())
                 gevent.sleep(reroute_delay)
                 reroute_delay = min(reroute_delay * 2, LAST_REROUTE_DELAY)
                 continue
-            attempts += 1
-            again = policy.retry_at(reply, request.idempotent, attempts, request.deadline, now)
-            if again is None:
-                return reply
-            gevent.sleep(again - now)
+            decision = policy.decide(attempts, reply, now)
+            if isinstance(decision, BaseReply):
+                return decision
+            gevent.sleep(decision.at - now)
 
     def _policy(self, service: str) -> RetryPolicy:
         policy = self._budgets.get(service)
--- a/packages/decisions/src/fireflylink_decisions/retries/_retry_policy.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/_retry_policy.py
@@ -8,7 +8,9 @@
 MAX_ATTEMPTS = 4
 FIRST_BACKOFF_SECONDS = 0.01
 MAX_BACKOFF_SECONDS = 0.25
-UNVERIFIED_REASONS = frozenset({"not-held", "no-gateway", "gateway-unreachable"})
+UNVERIFIED_REASONS = frozenset(
+    {"moved", "no-owner", "no-authority", "not-held", "gateway-unreachable", "not-forwarded"}
+)
 """Reasons of replies that did not come from the memory of request ids: an earlier attempt of the
 same caller may have run, so they are not reported as not-run for a request with an id."""
 
--- a/packages/protocol/src/fireflylink_protocol/_codec.py
+++ b/packages/protocol/src/fireflylink_protocol/_codec.py
@@ -84,6 +84,7 @@
         fingerprint=report.fingerprint,
         server_id=report.server_id,
         generation=report.generation,
+        noticed_at=report.noticed_at,
         evidence=report.evidence,
         remaining_ms=report.remaining_ms,
     )
@@ -94,6 +95,7 @@
         fingerprint=message.fingerprint,
         server_id=message.server_id,
         generation=message.generation,
+        noticed_at=message.noticed_at,
         evidence=message.evidence,
         remaining_ms=message.remaining_ms,
     )
