Model voters, succession of gateways, racing deciders and moves

The models cover restarts and replacement of voters, handover with restarts of gateways, moves in a row, deciders that race by compare-and-swap, and moves between data centres.

--- a/packages/specification/src/fireflylink_specification/__init__.py
+++ b/packages/specification/src/fireflylink_specification/__init__.py
@@ -2,25 +2,23 @@
 
 from fireflylink_specification._check import (
     MAX_STATES,
+    ModelChecker,
     ProgressResult,
     SafetyResult,
-    check_progress,
-    check_safety,
 )
 from fireflylink_specification._guards import ALL_GUARDS, Guard, Guards
 from fireflylink_specification._model import BaseModel, Step
-from fireflylink_specification._takeover import TakeoverModel
+from fireflylink_specification._models import MODELS
 
 __all__ = [
     "ALL_GUARDS",
     "MAX_STATES",
+    "MODELS",
     "BaseModel",
     "Guard",
     "Guards",
+    "ModelChecker",
     "ProgressResult",
     "SafetyResult",
     "Step",
-    "TakeoverModel",
-    "check_progress",
-    "check_safety",
 ]
--- a/packages/specification/src/fireflylink_specification/_model.py
+++ b/packages/specification/src/fireflylink_specification/_model.py
@@ -40,6 +40,10 @@
     def faults(self, state: State) -> Iterator[Step[State]]:
         """Yields the faults that may happen."""
 
+    def representative(self, state: State) -> State:
+        """Returns the one state that stands for all that differ only in interchangeable parts."""
+        return state
+
     @abstractmethod
     def properties(self) -> Mapping[str, Callable[[State], bool]]:
         """Returns the safety properties by name."""
