--- a/packages/specification/src/fireflylink_specification/__init__.py
+++ b/packages/specification/src/fireflylink_specification/__init__.py
@@ -8,12 +8,13 @@
 )
 from fireflylink_specification._guards import ALL_GUARDS, Guard, Guards
 from fireflylink_specification._model import BaseModel, Step
-from fireflylink_specification._models import MODELS
+from fireflylink_specification._models import MODELS, WIDE_MODELS
 
 __all__ = [
     "ALL_GUARDS",
     "MAX_STATES",
     "MODELS",
+    "WIDE_MODELS",
     "BaseModel",
     "Guard",
     "Guards",
--- a/packages/specification/src/fireflylink_specification/_check.py
+++ b/packages/specification/src/fireflylink_specification/_check.py
@@ -9,7 +9,7 @@
 from fireflylink_specification._model import BaseModel, Step
 
 MAX_STATES = 200_000
-"""Bound of the library's progress check, which has no parameter for it."""
+"""Bound of a safety check unless another is given, and of the library's progress check."""
 
 
 class SafetyResult:
@@ -79,7 +79,7 @@
         self.numbers: dict[Any, int] = {}
         self.successors: dict[int, tuple[list[tuple[str, int]], list[tuple[str, int]]]] = {}
 
-    def safety(self) -> SafetyResult:
+    def safety(self, max_states: int = MAX_STATES) -> SafetyResult:
         """Checks the safety properties over steps and faults."""
         self.broken = False
         protocol = minicheck.Protocol(
@@ -90,7 +90,7 @@
             transitions=self._transitions,
             invariants={name: self._watched(name) for name in self.model.properties()},
         )
-        found = minicheck.check_safety(protocol, max_states=MAX_STATES)
+        found = minicheck.check_safety(protocol, max_states=max_states)
         results = found["properties"]
         broken = next((name for name in results if results[name]["holds"] is False), None)
         trace: tuple[Step[Any], ...] = ()
--- a/packages/specification/src/fireflylink_specification/_deciders.py
+++ b/packages/specification/src/fireflylink_specification/_deciders.py
@@ -48,7 +48,7 @@
     """Safety: told versions keep their content, reported notes stay, each note applies once."""
 
     name = "racing deciders"
-    bounds = "2 writers with 1 note each, 1 reading daemon, any number of lost replies"
+    bounds = "2 writers with 1 note each, 1 reading daemon"
     guards = (Guard.CAS_EXPECTED, Guard.READ_BACK, Guard.NOTE_ONCE, Guard.NEVER_BACK)
 
     def initial(self) -> DecidersState:
--- a/packages/specification/src/fireflylink_specification/_guards.py
+++ b/packages/specification/src/fireflylink_specification/_guards.py
@@ -149,6 +149,15 @@
         "confirm-before-move",
         "a destination makes its pending record a plain one before the shard moves again",
     )
+    EXCEPTION_MERGED_FIRST = (
+        "exception-merged-first",
+        "an exception is removed only once a settled version gave its key to the group of its"
+        " shard",
+    )
+    NEW_RECORD_WAITS = (
+        "new-record-waits",
+        "the owner of a record without a previous owner waits until its version is settled",
+    )
 
     def __init__(self, key: str, rule: str) -> None:
         self.key = key
--- a/packages/specification/src/fireflylink_specification/_models.py
+++ b/packages/specification/src/fireflylink_specification/_models.py
@@ -5,8 +5,10 @@
 from fireflylink_specification._deciders import DecidersModel
 from fireflylink_specification._model import BaseModel
 from fireflylink_specification._move import MoveModel
+from fireflylink_specification._records import ReAddedServiceModel, RemovedExceptionModel
 from fireflylink_specification._succession import SuccessionModel
 from fireflylink_specification._succession_scenarios import (
+    BackAndForthModel,
     ReturnModel,
     SameGatewayModel,
     TakeoverThenMoveModel,
@@ -22,6 +24,16 @@
     TwoReplacementsModel,
     TwoVotersModel,
 )
+from fireflylink_specification._wide_models import (
+    FiveVotersModel,
+    ThreeVotersReAddedModel,
+    WideBackAndForthModel,
+    WideFourVotersModel,
+    WideMoveModel,
+    WideRestartModel,
+    WideTakeoverThenMoveModel,
+    WideTwoMovesModel,
+)
 
 MODELS: tuple[type[BaseModel[Any]], ...] = (
     TakeoverModel,
@@ -36,7 +48,22 @@
     SameGatewayModel,
     TwoMovesModel,
     ReturnModel,
+    BackAndForthModel,
     TakeoverThenMoveModel,
+    RemovedExceptionModel,
+    ReAddedServiceModel,
     DecidersModel,
     MoveModel,
 )
+
+WIDE_MODELS: tuple[type[BaseModel[Any]], ...] = (
+    WideRestartModel,
+    WideFourVotersModel,
+    FiveVotersModel,
+    ThreeVotersReAddedModel,
+    WideTwoMovesModel,
+    WideBackAndForthModel,
+    WideTakeoverThenMoveModel,
+    WideMoveModel,
+)
+"""Models with wider bounds, which take longer than the tests may."""
--- a/packages/specification/src/fireflylink_specification/_move.py
+++ b/packages/specification/src/fireflylink_specification/_move.py
@@ -13,7 +13,6 @@
 from fireflylink_specification._time import LONGEST_TERM, after_tick
 
 DECIDERS = 2
-STARTED_MOVES = 3
 TABLE_NAMES = ("west", "east")
 
 NO_RECORD, PENDING, OWNED, RELEASED = range(4)
@@ -71,10 +70,11 @@
         Guard.EPOCH_RISES,
         Guard.CONFIRM_BEFORE_MOVE,
     )
+    started_moves = 3
 
     def initial(self) -> MoveState:
         tables = Table(1, OWNED, 1), Table(1, NO_RECORD, 0)
-        return MoveState(tables, (Decider(),) * DECIDERS, STARTED_MOVES)
+        return MoveState(tables, (Decider(),) * DECIDERS, self.started_moves)
 
     def steps(self, state: MoveState) -> Iterator[Step[MoveState]]:
         yield "one tick passes", _after_tick(state)
--- a/packages/specification/src/fireflylink_specification/_succession.py
+++ b/packages/specification/src/fireflylink_specification/_succession.py
@@ -111,6 +111,18 @@
         earlier_calls = any(call.phase for call in state.calls[:-1])
         return self._may_act(state, len(self.owners)) and not earlier_calls
 
+    def representative(self, state: SuccessionState) -> SuccessionState:
+        """A gateway acts alike by all versions before the first that makes it owner."""
+        gateways = tuple(
+            (
+                gateway._replace(known=NOTHING)
+                if NOTHING < gateway.known <= self.owners.index(index)
+                else gateway
+            )
+            for index, gateway in enumerate(state.gateways)
+        )
+        return state._replace(gateways=gateways)
+
     def _restarted(self, state: SuccessionState, index: int) -> SuccessionState:
         calls = tuple(
             call._replace(remembered=False) if owner == index else call
--- a/packages/specification/src/fireflylink_specification/_takeover.py
+++ b/packages/specification/src/fireflylink_specification/_takeover.py
@@ -57,7 +57,7 @@
     """Safety: the old and the new owner never act at once, and no told version is unwritten."""
 
     name = "takeover"
-    bounds = "3 voters, 2 versions, term 2 ticks, drift 1 tick, one request in flight"
+    bounds = "3 voters, 2 versions, one request in flight"
     guards = (
         Guard.MAJORITY_BEFORE_FENCE,
         Guard.FENCE_WAIT,
--- a/packages/specification/src/fireflylink_specification/_voters.py
+++ b/packages/specification/src/fireflylink_specification/_voters.py
@@ -20,6 +20,7 @@
     Round,
     VoterList,
     VotersState,
+    interchangeable_daemons,
     least_permutation,
 )
 
@@ -36,12 +37,11 @@
     daemon_count: int
     restarts = 0
     ends = 0
-    is_symmetric = False
-    """Whether all daemons are voters of all versions."""
 
     def __init__(self, guards: Guards) -> None:
         super().__init__(guards)
         self.lists = self.versions()
+        self.classes = interchangeable_daemons(self.lists, self.daemon_count)
 
     @abstractmethod
     def versions(self) -> tuple[VoterList, ...]:
@@ -79,7 +79,7 @@
                 )._replace(ends_left=state.ends_left - 1)
 
     def representative(self, state: VotersState) -> VotersState:
-        return least_permutation(state) if self.is_symmetric else state
+        return least_permutation(state, self.classes)
 
     def properties(self) -> Mapping[str, Callable[[VotersState], bool]]:
         return {"no authority below an acknowledged version": self._no_stale_authority}
--- a/packages/specification/src/fireflylink_specification/_voters_state.py
+++ b/packages/specification/src/fireflylink_specification/_voters_state.py
@@ -54,9 +54,22 @@
     return VoterList(frozenset(members), frozenset(previous))
 
 
-def least_permutation(state: VotersState) -> VotersState:
-    """Returns the least of the states that differ from this one by a permutation of the daemons."""
-    orders = _candidate_orders(state)
+def interchangeable_daemons(
+    lists: tuple[VoterList, ...], daemon_count: int
+) -> tuple[tuple[int, ...], ...]:
+    """Returns the sets of daemons that are members of the same lists."""
+    classes: dict[tuple[bool, ...], list[int]] = {}
+    for index in range(daemon_count):
+        member_of = tuple(index in group for members in lists for group in members)
+        classes.setdefault(member_of, []).append(index)
+    return tuple(tuple(members) for members in classes.values())
+
+
+def least_permutation(state: VotersState, classes: tuple[tuple[int, ...], ...]) -> VotersState:
+    """Returns the least of the states that differ only by a permutation within each class."""
+    if all(len(members) == 1 for members in classes):
+        return state
+    orders = _candidate_orders(state, classes)
     first = next(orders)
     if not any(daemon.replies for daemon in state.daemons):
         return _reordered(state, first)
@@ -64,8 +77,10 @@
     return min(candidates, key=_sorted_replies)
 
 
-def _candidate_orders(state: VotersState) -> Iterator[tuple[int, ...]]:
-    """Yields the orders sorted by what is visible without naming other daemons."""
+def _candidate_orders(
+    state: VotersState, classes: tuple[tuple[int, ...], ...]
+) -> Iterator[tuple[int, ...]]:
+    """Yields the orders that sort each class by what is visible without naming other daemons."""
 
     def key(index: int) -> tuple[object, ...]:
         daemon = state.daemons[index]
@@ -76,10 +91,13 @@
             index in state.new_round.endorsers,
         )
 
-    ranked = sorted(range(len(state.daemons)), key=key)
-    groups = [tuple(group) for _, group in groupby(ranked, key=key)]
-    for arranged in product(*(permutations(group) for group in groups)):
-        yield tuple(chain.from_iterable(arranged))
+    positions = tuple(chain.from_iterable(classes))
+    ties: list[tuple[int, ...]] = []
+    for members in classes:
+        ties.extend(tuple(tie) for _, tie in groupby(sorted(members, key=key), key=key))
+    for arranged in product(*(permutations(tie) for tie in ties)):
+        placed = zip(positions, chain.from_iterable(arranged), strict=True)
+        yield tuple(index for _, index in sorted(placed))
 
 
 def _sorted_replies(state: VotersState) -> list[list[int]]:
@@ -87,6 +105,8 @@
 
 
 def _reordered(state: VotersState, order: tuple[int, ...]) -> VotersState:
+    if order == tuple(range(len(order))):
+        return state
     place = {index: position for position, index in enumerate(order)}
 
     def moved(members: frozenset[int]) -> frozenset[int]:
