--- a/packages/specification/src/fireflylink_specification/_model.py
+++ b/packages/specification/src/fireflylink_specification/_model.py
@@ -25,6 +25,9 @@
     guards: tuple[Guard, ...]
     """The guards whose removal breaks a property of this model."""
 
+    progress_guards: tuple[Guard, ...] = ()
+    """The guards whose removal keeps this model from its goal."""
+
     def __init__(self, guards: Guards) -> None:
         self.in_force = guards
 
@@ -40,6 +43,10 @@
     def faults(self, state: State) -> Iterator[Step[State]]:
         """Yields the faults that may happen."""
 
+    def representative(self, state: State) -> State:
+        """Returns the one state that stands for all that differ only in interchangeable parts."""
+        return state
+
     @abstractmethod
     def properties(self) -> Mapping[str, Callable[[State], bool]]:
         """Returns the safety properties by name."""
