--- a/packages/backend_client/src/fireflylink_backend_client/_response.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_response.py
@@ -92,10 +92,14 @@
                 raise MalformedResponseError("head exceeds the limit")
             return False
         lines = head.decode("latin-1").split("\r\n")
+        if head.count(b"\n") != len(lines) - 1:
+            raise MalformedResponseError("a line of the head does not end with CRLF")
         self.status = _status_of(lines[0])
         fields = self.fields
         for index in range(1, len(lines)):
-            name, _, value = lines[index].partition(":")
+            name, colon, value = lines[index].partition(":")
+            if not colon or " " in name or "\t" in name:
+                raise MalformedResponseError("a line of the head is not a header")
             name = name.lower()
             if name in fields:
                 raise MalformedResponseError(f"header {name} occurs twice")
