--- a/packages/backend_client/src/fireflylink_backend_client/_response.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_response.py
@@ -88,8 +88,46 @@
         if self.complete:
             self._check()
 
+<<<<<<< HEAD
     def _check(self) -> None:
         if decimal_of(self.header("content-length")) is None:
+=======
+    def _finish(self) -> None:
+        surplus = self.received - self.expected
+        self.body = self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
+        if surplus:
+            self.body = self.body[: self.expected]
+        self.complete = True
+        self.reusable = not surplus and self.fields.get("connection", "").lower() != "close"
+
+    def _take_head(self) -> bool:
+        head, end, rest = self.head.partition(HEAD_END)
+        if not end:
+            if len(head) > MAX_HEAD_BYTES:
+                raise MalformedResponseError("head exceeds the limit")
+            return False
+        lines = head.decode("latin-1").split("\r\n")
+        if head.count(b"\n") != len(lines) - 1:
+            raise MalformedResponseError("a line of the head does not end with CRLF")
+        self.status = _status_of(lines[0])
+        fields = self.fields
+        for index in range(1, len(lines)):
+            name, colon, value = lines[index].partition(":")
+            if not colon or " " in name or "\t" in name:
+                raise MalformedResponseError("a line of the head is not a header")
+            name = name.lower()
+            if name in fields:
+                raise MalformedResponseError(f"header {name} occurs twice")
+            fields[name] = value.strip()
+        self.expected = self._body_length()
+        self.parts.append(rest)
+        self.received = len(rest)
+        return True
+
+    def _body_length(self) -> int:
+        length = decimal_of(self.fields.get("content-length", ""))
+        if length is None:
+>>>>>>> standins
             raise MalformedResponseError("no valid Content-Length")
         if self.status < FIRST_FINAL_STATUS:
             raise MalformedResponseError(f"status {self.status} is not a final one")
--- a/packages/specification/tests/test_models.py
+++ b/packages/specification/tests/test_models.py
@@ -1,4 +1,4 @@
-"""Guards the ownership protocol: the properties of each model and the need for each rule."""
+"""Guards the ownership protocol: properties of each model and the need for each of its guards."""
 
 from collections.abc import Callable
 from typing import Any
