Keep the library's parser and its strictness

The head of an answer is checked as soon as it is complete; the surplus after an answer no longer changes it.

--- a/packages/backend_client/src/fireflylink_backend_client/_response.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_response.py
@@ -8,6 +8,7 @@
 
 MAX_DECIMAL_DIGITS = 18
 FIRST_FINAL_STATUS = 200
+REQUIRED_VERSION = "HTTP/1.1"
 
 
 class MalformedResponseError(BaseFireflylinkError):
@@ -19,15 +20,30 @@
 
 
 class _Parser(HTTPResponse):
-    """Notes what the parser of the library meets besides the response itself."""
+    """Notes what the parser of the library meets besides the response itself.
+
+    ``body_length`` and ``encoding`` are the headers that frame the body, as the head of the
+    response had them.
+    """
 
     def __init__(self, method: str) -> None:
         super().__init__(method)
         self.excess = False
+        self.head_complete = False
+        self.body_length: object = None
+        self.encoding: object = None
+
+    def _on_headers_complete(self) -> None:
+        super()._on_headers_complete()
+        if not self.head_complete:
+            self.head_complete = True
+            self.body_length = self.get("content-length")
+            self.encoding = self.get("transfer-encoding")
 
     def _on_message_begin(self) -> None:
         if self.message_complete:
             self.excess = True
+            return
         super()._on_message_begin()
 
     @property
@@ -45,11 +61,12 @@
     the contract of backend servers allows is accepted: one final status and a ``Content-Length``.
     """
 
-    __slots__ = ("_parser", "begun")
+    __slots__ = ("_checked", "_parser", "begun")
 
     def __init__(self, method: str) -> None:
         self._parser: Any = _Parser(method)
         self.begun = False
+        self._checked = False
 
     @property
     def complete(self) -> bool:
@@ -85,52 +102,20 @@
             raise MalformedResponseError(str(error)) from error
         if len(self._parser.received) > MAX_ANSWER_BYTES:
             raise OversizeResponseError("the answer exceeds the limit")
-        if self.complete:
-            self._check()
-
-<<<<<<< HEAD
-    def _check(self) -> None:
-        if decimal_of(self.header("content-length")) is None:
-=======
-    def _finish(self) -> None:
-        surplus = self.received - self.expected
-        self.body = self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
-        if surplus:
-            self.body = self.body[: self.expected]
-        self.complete = True
-        self.reusable = not surplus and self.fields.get("connection", "").lower() != "close"
-
-    def _take_head(self) -> bool:
-        head, end, rest = self.head.partition(HEAD_END)
-        if not end:
-            if len(head) > MAX_HEAD_BYTES:
-                raise MalformedResponseError("head exceeds the limit")
-            return False
-        lines = head.decode("latin-1").split("\r\n")
-        if head.count(b"\n") != len(lines) - 1:
-            raise MalformedResponseError("a line of the head does not end with CRLF")
-        self.status = _status_of(lines[0])
-        fields = self.fields
-        for index in range(1, len(lines)):
-            name, colon, value = lines[index].partition(":")
-            if not colon or " " in name or "\t" in name:
-                raise MalformedResponseError("a line of the head is not a header")
-            name = name.lower()
-            if name in fields:
-                raise MalformedResponseError(f"header {name} occurs twice")
-            fields[name] = value.strip()
-        self.expected = self._body_length()
-        self.parts.append(rest)
-        self.received = len(rest)
-        return True
-
-    def _body_length(self) -> int:
-        length = decimal_of(self.fields.get("content-length", ""))
-        if length is None:
->>>>>>> standins
+        if self._parser.head_complete and not self._checked:
+            self._checked = True
+            self._check_head()
+
+    def _check_head(self) -> None:
+        length = self._parser.body_length
+        if not isinstance(length, str) or decimal_of(length) is None:
             raise MalformedResponseError("no valid Content-Length")
+        if self._parser.encoding is not None:
+            raise MalformedResponseError("transfer encodings are not allowed")
         if self.status < FIRST_FINAL_STATUS:
             raise MalformedResponseError(f"status {self.status} is not a final one")
+        if self._parser.get_http_version() != REQUIRED_VERSION:
+            raise MalformedResponseError(f"the version must be {REQUIRED_VERSION}")
 
 
 def decimal_of(text: str) -> int | None:
