--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -206,10 +206,15 @@
             "started",
             instance=self.settings.instance_id,
             data_centre=self.settings.data_centre,
-            caller_port=self.callers.port,
-            control_port=self.control_server.port,
-            forward_port=self.forward_listener.port,
-            operator_port=self.operators.port,
+        )
+
+    def listening_line(self) -> str:
+        """Returns the ports of the listeners as one line of key=value pairs."""
+        return (
+            f"event=listening caller_port={self.callers.port} "
+            f"control_port={self.control_server.port} "
+            f"forward_port={self.forward_listener.port} "
+            f"operator_port={self.operators.port}"
         )
 
     def _announce_ports(self) -> None:
--- a/packages/daemon/src/fireflylink_daemon/_log.py
+++ b/packages/daemon/src/fireflylink_daemon/_log.py
@@ -1,7 +1,10 @@
 """Structured log: one line of key=value pairs for each event."""
 
+import logging as standard_logging
+
 from absl import logging
 
+TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"
 NEEDS_QUOTES = frozenset(' "=\n\r\t')
 
 
@@ -20,6 +23,16 @@
     logging.warning("%s", _line(event, fields))
 
 
+def start_logging() -> None:
+    """Writes events to the standard error, each as one line of key=value pairs."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    handler = logging.get_absl_handler()
+    handler.setFormatter(
+        standard_logging.Formatter("time=%(asctime)s level=%(levelname)s %(message)s", TIME_FORMAT)
+    )
+
+
 def _line(event: str, fields: dict[str, object]) -> str:
     pairs = [f"event={event}"]
     pairs.extend(f"{name}={_value(value)}" for name, value in fields.items())
--- a/packages/daemon/src/fireflylink_daemon/_main.py
+++ b/packages/daemon/src/fireflylink_daemon/_main.py
@@ -9,14 +9,14 @@
 monkey.patch_all()
 
 import gevent  # noqa: E402
-from absl import app, flags, logging  # noqa: E402
+from absl import app, flags  # noqa: E402
 from grpc.experimental import gevent as grpc_gevent  # noqa: E402
 from returns.pipeline import is_successful  # noqa: E402
 
 from fireflylink_caller_frontend import ListenerError  # noqa: E402
 from fireflylink_core import SystemClock  # noqa: E402
 from fireflylink_daemon._daemon import Daemon  # noqa: E402
-from fireflylink_daemon._log import log_event, log_problem  # noqa: E402
+from fireflylink_daemon._log import log_event, log_problem, start_logging  # noqa: E402
 from fireflylink_daemon._settings import read_settings  # noqa: E402
 from fireflylink_protocol import PeerError  # noqa: E402
 
@@ -40,8 +40,7 @@
 
 
 def _run(_arguments: list[str]) -> int:
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
+    start_logging()
     result = read_settings(str(SETTINGS.value))
     if not is_successful(result):
         sys.stderr.write(f"fireflylinkd: {result.failure()}\n")
@@ -60,6 +59,8 @@
         log_problem("start-failed", problem=error)
         return EXIT_START
     daemon.start()
+    sys.stdout.write(f"{daemon.listening_line()}\n")
+    sys.stdout.flush()
     gevent.signal_handler(signal.SIGTERM, gevent.spawn, daemon.leave)
     gevent.signal_handler(signal.SIGINT, gevent.spawn, daemon.leave)
     daemon.wait()
--- a/packages/standins/src/fireflylink_standins/__init__.py
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -19,6 +19,7 @@
 )
 from fireflylink_standins._backend_server import BackendStandin
 from fireflylink_standins._backend_settings import BackendSettings
+from fireflylink_standins._examples import ASSOCIATION, PRESS, ExampleSystem, first_note
 from fireflylink_standins._journal import (
     Journal,
     JournalEntry,
@@ -29,6 +30,7 @@
 from fireflylink_standins._load_generator import LoadGenerator
 from fireflylink_standins._load_report import LoadReport, Verification, verify
 from fireflylink_standins._load_settings import LoadSettings, LoadSettingsError
+from fireflylink_standins._local_system import LocalSystem, LocalSystemError
 from fireflylink_standins._memory_key_value import MemoryKeyValue
 from fireflylink_standins._platform_faults import CallCounts, PlatformFaults, PlatformMode
 from fireflylink_standins._platform_server import PlatformStandin
@@ -37,6 +39,8 @@
 from fireflylink_standins._request_ids import make_request_id
 
 __all__ = [
+    "ASSOCIATION",
+    "PRESS",
     "BackendAdmin",
     "BackendSettings",
     "BackendStandin",
@@ -45,6 +49,7 @@
     "Crash",
     "Delay",
     "Drain",
+    "ExampleSystem",
     "Freeze",
     "Journal",
     "JournalEntry",
@@ -52,6 +57,8 @@
     "LoadReport",
     "LoadSettings",
     "LoadSettingsError",
+    "LocalSystem",
+    "LocalSystemError",
     "LoseAnswer",
     "LyingHealth",
     "MemoryKeyValue",
@@ -72,6 +79,7 @@
     "WrongCallId",
     "duplicated_requests",
     "entry_from_document",
+    "first_note",
     "make_request_id",
     "overlapping_owners",
     "verify",
--- a/packages/standins/src/fireflylink_standins/_local_system.py
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -3,18 +3,15 @@
 import json
 import pathlib
 import signal
-import subprocess
-import sys
 import time
 import urllib.request
 from typing import Any
 
-from fireflylink_core import BaseFireflylinkError
-from fireflylink_standins._examples import ExampleSystem, first_note
+from fireflylink_core import BaseFireflylinkError, BaseValue
+from fireflylink_standins._examples import ExampleService, ExampleSystem, first_note
 from fireflylink_standins._local_files import HOST, DaemonPlace, LocalFiles
-from fireflylink_standins._local_processes import LocalProcess, LocalProcesses
+from fireflylink_standins._process_group import ProcessGroup, WorkspaceProcess
 
-PLATFORM = "platform"
 CALL_TIMEOUT = 5.0
 IN_FORCE_SECONDS = 20
 SERVING_TIMEOUT = 20.0
@@ -25,6 +22,17 @@
     """The local system did not reach the state that was waited for."""
 
 
+class OperatorRun(BaseValue):
+    """How a run of the operators' command line ended."""
+
+    __slots__ = ("errors", "output", "status")
+
+    def __init__(self, status: int, output: str, errors: str) -> None:
+        self.status = status
+        self.output = output
+        self.errors = errors
+
+
 class LocalSystem:
     """Starts the platform and backend stand-ins and daemons, and applies the first release note.
 
@@ -37,12 +45,14 @@
 
     __slots__ = (
         "backend_flags",
+        "backends",
         "checks_grants",
         "daemons",
         "daemons_per_centre",
         "example",
         "files",
         "folder",
+        "group",
         "platform_port",
         "processes",
         "server_ports",
@@ -62,7 +72,9 @@
         self.checks_grants = checks_grants
         self.backend_flags = backend_flags
         self.files = LocalFiles(folder)
-        self.processes = LocalProcesses(folder)
+        self.group = ProcessGroup()
+        self.processes: dict[str, WorkspaceProcess] = {}
+        self.backends: dict[str, WorkspaceProcess] = {}
         self.daemons: dict[str, DaemonPlace] = {}
         self.server_ports: dict[str, list[int]] = {}
         self.platform_port = 0
@@ -79,28 +91,23 @@
             self.wait_until_served(service.name)
 
     def _start_platform(self) -> None:
-        arguments = ("fireflylink_standins.platform", "--port", "0", "--instance_lag_ms", "200")
-        platform = self.processes.start(PLATFORM, *arguments)
-        platform.wait_started()
-        self.platform_port = int(platform.fields["port"])
+        platform = self.group.start("fireflylink_standins.platform", "--instance_lag_ms=200")
+        self.platform_port = platform.port
         self.files.write_operator_settings(self.platform_port)
 
     def _start_backends(self) -> None:
-        started = [self._start_backend(service.name) for service in self.example.services]
-        for service, process in zip(self.example.services, started, strict=True):
-            process.wait_started()
-            self.server_ports[service.name] = [
-                int(port) for port in process.fields["ports"].split(",")
-            ]
-
-    def _start_backend(self, name: str) -> LocalProcess:
-        service = next(found for found in self.example.services if found.name == name)
+        for service in self.example.services:
+            self.backends[service.name] = self._launch_backend(service)
+        for name, process in self.backends.items():
+            self.group.await_listening(process)
+            self.server_ports[name] = [int(port) for port in process.fields["ports"].split(",")]
+
+    def _launch_backend(self, service: ExampleService) -> WorkspaceProcess:
         checks = "--checks_grants" if self.checks_grants else "--nochecks_grants"
-        return self.processes.start(
-            f"backend-{name}",
+        return self.group.launch(
             "fireflylink_standins.backend",
-            f"--service={name}",
-            f"--server_id={name}",
+            f"--service={service.name}",
+            f"--server_id={service.name}",
             f"--count={service.servers}",
             f"--slots={self.example.slots}",
             f"--connections={self.example.connections}",
@@ -117,28 +124,31 @@
                 )
         listing = [place.listing() for place in self.daemons.values()]
         self.platform("PUT", "/admin/instances?lag_ms=0", listing)
-        started = [self.start_daemon(instance_id) for instance_id in self.daemons]
-        for process in started:
-            process.wait_started()
+        for instance_id in self.daemons:
+            self._launch_daemon(instance_id)
+        for process in self.processes.values():
+            self.group.await_listening(process)
 
-    def start_daemon(self, instance_id: str) -> LocalProcess:
-        """Starts a daemon that has its settings, for the first time or again."""
+    def _launch_daemon(self, instance_id: str) -> None:
         path = self.daemons[instance_id].settings_path
-        return self.processes.start(
-            instance_id, "fireflylink_standins.run_daemon", "--settings", str(path)
-        )
+        module = "fireflylink_standins.run_daemon"
+        self.processes[instance_id] = self.group.launch(module, f"--settings={path}")
+
+    def restart_daemon(self, instance_id: str) -> None:
+        """Starts a daemon that has ended again, with its former settings."""
+        self._launch_daemon(instance_id)
+        self.group.await_listening(self.processes[instance_id])
 
     def stop(self) -> None:
         """Ends every process at once."""
-        self.processes.stop_all()
+        for process in self.processes.values():
+            process.resume() if process.running else None
+            process.kill()
+        self.group.close()
 
     def leave(self, instance_id: str) -> None:
         """Tells a daemon to leave gracefully."""
-        self.processes.running[instance_id].send(signal.SIGTERM)
-
-    def kill(self, instance_id: str) -> None:
-        """Ends a daemon without warning."""
-        self.processes.running[instance_id].send(signal.SIGKILL)
+        self.processes[instance_id].send_signal(signal.SIGTERM)
 
     # Calls
 
@@ -148,35 +158,27 @@
 
     def backend_admin(self, service: str, method: str, path: str, document: Any = None) -> Any:
         """Calls the admin endpoint of the servers of a service."""
-        port = self.processes.running[f"backend-{service}"].fields["admin_port"]
+        port = self.backends[service].fields["admin_port"]
         return _call(f"http://{HOST}:{port}{path}", method, document)
 
-    def operator(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+    def operator(self, verb: str, *arguments: str) -> OperatorRun:
         """Runs the operators' command line and returns how it ended."""
-        return subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "fireflylink_operator_client",
-                arguments[0],
-                f"--settings={self.files.operator_settings}",
-                *arguments[1:],
-            ],
-            capture_output=True,
-            text=True,
-            timeout=IN_FORCE_SECONDS * 2,
-            cwd=self.folder,
-            check=False,
-        )
+        settings = f"--settings={self.files.operator_settings}"
+        process = self.group.launch("fireflylink_operator_client", verb, settings, *arguments)
+        status = process.wait(IN_FORCE_SECONDS * 2)
+        if status is None:
+            process.kill()
+            raise LocalSystemError(f"{verb} did not end")
+        return OperatorRun(status, process.output_text(), process.error_text())
 
     def apply(self, note: dict[str, Any]) -> None:
         """Applies a release note and waits until it is in force."""
         path = self.folder / f"{note['note_id']}.json"
         path.write_text(json.dumps(note, indent=2))
         ended = self.operator("apply", str(path), f"--wait_seconds={IN_FORCE_SECONDS}")
-        if ended.returncode:
-            detail = f"{ended.stdout}{ended.stderr}"
-            raise LocalSystemError(f"apply ended with {ended.returncode}: {detail}")
+        if ended.status:
+            detail = f"{ended.output}{ended.errors}"
+            raise LocalSystemError(f"apply ended with {ended.status}: {detail}")
 
     def caller_url(self, instance_id: str, path: str) -> str:
         """Returns the address of a path at an entry daemon."""
--- a/packages/standins/src/fireflylink_standins/demo.py
+++ b/packages/standins/src/fireflylink_standins/demo.py
@@ -26,6 +26,7 @@
 
 MILLISECONDS_PER_SECOND = 1000
 REQUEST_TIMEOUT = 5.0
+LEAVE_TIMEOUT = 60.0
 KEYS = 50
 
 Counts = collections.Counter[tuple[str, str, str]]
@@ -109,9 +110,8 @@
 def _stop(system: LocalSystem) -> None:
     for instance_id in system.daemons:
         system.leave(instance_id)
-    statuses = [system.processes.running[name].wait() for name in system.daemons]
+    statuses = [system.processes[name].wait(LEAVE_TIMEOUT) for name in system.daemons]
     print(f"\ndaemons left with exit statuses {statuses}")
-    system.stop()
 
 
 def _main(_arguments: list[str]) -> None:
@@ -130,7 +130,7 @@
             signal.sigwait({signal.SIGINT, signal.SIGTERM})
         _stop(system)
     finally:
-        system.processes.stop_all()
+        system.stop()
 
 
 if __name__ == "__main__":
