--- a/packages/specification/src/fireflylink_specification/_guards.py
+++ b/packages/specification/src/fireflylink_specification/_guards.py
@@ -79,7 +79,7 @@
     )
     GONE_COUNTS = (
         "gone-counts",
-        "a previous voter whose instance has ended counts as having acknowledged",
+        "a voter whose instance has ended counts as having acknowledged",
     )
     SILENT_START = (
         "silent-start",
--- a/packages/specification/src/fireflylink_specification/_move.py
+++ b/packages/specification/src/fireflylink_specification/_move.py
@@ -130,37 +130,25 @@
     def _writes(
         self, state: MoveState, source: int, here: View, there: View
     ) -> Iterator[tuple[str, Write, int]]:
-        """Yields the writes that move the shard on from the source, as read, to the other table."""
+        """Yields the writes that move the shard on from the source, and the moves they start."""
         target = 1 - source
-        source_name, target_name = TABLE_NAMES[source], TABLE_NAMES[target]
+        target_name = TABLE_NAMES[target]
         if state.moves_left and self._may_move(here, there):
-            yield (
-                f"{target_name} that the shard is pending",
-                Write(target, there.version, PENDING, here.epoch + 1),
-                1,
-            )
+            pending = Write(target, there.version, PENDING, here.epoch + 1)
+            yield f"{target_name} that the shard is pending", pending, 1
         if there.kind != PENDING:
             return
         if here.kind == OWNED and self._epochs_match(there.epoch, here.epoch + 1):
-            yield (
-                f"{source_name} that the shard is released",
-                Write(source, here.version, RELEASED, there.epoch),
-                0,
-            )
-            yield from self._withdrawal(source, here, there)
+            release = Write(source, here.version, RELEASED, there.epoch)
+            yield f"{TABLE_NAMES[source]} that the shard is released", release, 0
+            yield self._withdrawal(source, here, there)
         if here.kind == OWNED and there.epoch <= here.epoch:
-            yield (
-                f"{target_name} to remove the pending record",
-                Write(target, there.version, NO_RECORD, 0),
-                0,
-            )
+            removal = Write(target, there.version, NO_RECORD, 0)
+            yield f"{target_name} to remove the pending record", removal, 0
         is_settled = state.tables[source].authority_left == 0
         if here.kind == RELEASED and here.epoch == there.epoch and is_settled:
-            yield (
-                f"{target_name} that the shard is owned",
-                Write(target, there.version, OWNED, there.epoch),
-                0,
-            )
+            confirmation = Write(target, there.version, OWNED, there.epoch)
+            yield f"{target_name} that the shard is owned", confirmation, 0
 
     def _may_move(self, here: View, there: View) -> bool:
         if there.kind not in (NO_RECORD, RELEASED):
@@ -172,19 +160,12 @@
         is_effective = here.kind == PENDING and there.kind == RELEASED and here.epoch == there.epoch
         return is_effective and not self.in_force.has(Guard.CONFIRM_BEFORE_MOVE)
 
-    def _withdrawal(self, source: int, here: View, there: View) -> Iterator[tuple[str, Write, int]]:
+    def _withdrawal(self, source: int, here: View, there: View) -> tuple[str, Write, int]:
         if self.in_force.has(Guard.WITHDRAW_AT_SOURCE):
-            yield (
-                f"{TABLE_NAMES[source]} a higher epoch to withdraw the move",
-                Write(source, here.version, OWNED, there.epoch),
-                0,
-            )
-        else:
-            yield (
-                f"{TABLE_NAMES[1 - source]} to withdraw the pending record",
-                Write(1 - source, there.version, NO_RECORD, 0),
-                0,
-            )
+            raised = Write(source, here.version, OWNED, there.epoch)
+            return f"{TABLE_NAMES[source]} a higher epoch to withdraw the move", raised, 0
+        removal = Write(1 - source, there.version, NO_RECORD, 0)
+        return f"{TABLE_NAMES[1 - source]} to withdraw the pending record", removal, 0
 
     def _platform_step(self, state: MoveState, index: int, write: Write) -> Step[MoveState]:
         table = state.tables[write.table]
--- a/packages/specification/src/fireflylink_specification/_voters_state.py
+++ b/packages/specification/src/fireflylink_specification/_voters_state.py
@@ -85,7 +85,7 @@
     def key(index: int) -> tuple[object, ...]:
         daemon = state.daemons[index]
         return (
-            daemon._replace(replies=frozenset()),
+            daemon._replace(replies=frozenset()) if daemon.replies else daemon,
             len(daemon.replies),
             index in state.old_round.endorsers,
             index in state.new_round.endorsers,
