Read request headers directly in the stand-ins; tell crashes apart

pywsgi parses headers with the email package. A crash now also drops requests that wait for a slot, and the end of an earlier outage no longer ends a later one. The platform client connects without the resolver's threads.

--- a/packages/platform_client/src/fireflylink_platform_client/_connection.py
+++ b/packages/platform_client/src/fireflylink_platform_client/_connection.py
@@ -34,7 +34,10 @@
 
 
 class PlatformConnections:
-    """Connections to one address of the platform, each used by one exchange at a time."""
+    """Connections to one address of the platform, each used by one exchange at a time.
+
+    The host is an IP address, so that no name resolution, with its thread pool, is involved.
+    """
 
     __slots__ = ("clock", "host", "idle", "port")
 
@@ -81,11 +84,15 @@
         remaining = self._remaining(deadline)
         if remaining <= 0:
             raise NotSentError("deadline passed before connecting")
+        family = socket.AF_INET6 if ":" in self.host else socket.AF_INET
+        connection = socket.socket(family, socket.SOCK_STREAM)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.settimeout(remaining)
         try:
-            connection = socket.create_connection((self.host, self.port), timeout=remaining)
+            connection.connect((self.host, self.port))
         except OSError as error:
+            connection.close()
             raise NotSentError(f"connect to {self.host}:{self.port}: {error}") from error
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.settimeout(None)
         return connection
 
--- a/packages/standins/src/fireflylink_standins/_backend_server.py
+++ b/packages/standins/src/fireflylink_standins/_backend_server.py
@@ -100,8 +100,11 @@
         self.frozen_until = 0.0
         self.thawed.set()
         self.server.reset_connections()
+        while self.waiting:
+            self.waiting.popleft().set()
         if down_ms > 0:
-            gevent.spawn_later(down_ms / MILLISECONDS_PER_SECOND, self.server.open)
+            number = self.state.generation_number
+            gevent.spawn_later(down_ms / MILLISECONDS_PER_SECOND, self._return, number)
         else:
             self.server.open()
 
@@ -118,6 +121,11 @@
     def drain(self, draining: bool) -> None:
         self.state.drain_started_ms = self.state.clock_ms() if draining else None
 
+    def _return(self, generation_number: int) -> None:
+        """Listens again after a crash, unless another crash came since."""
+        if generation_number == self.state.generation_number:
+            self.server.open()
+
     def _thaw(self) -> None:
         if self.clock.now() >= self.frozen_until:
             self.thawed.set()
@@ -177,11 +185,12 @@
     def _serve(
         self, call: ServerCall, connection: StandinHandler, start_response: StartResponse
     ) -> Iterable[bytes]:
-        started = self.state.check(call) or self._start(call)
+        started = self.state.check(call) or self._start(call, connection)
         if isinstance(started, OverloadCrash):
             self.crash(self.settings.crash_ms)
             raise dropped_connection()
         if isinstance(started, Refusal):
+            self.state.note_answer()
             headers = [*self._headers(call), ("Fireflylink-Not-Run", started.value)]
             return _send(start_response, "503 Service Unavailable", headers, b"")
         if self.switches.poison and self.switches.poison in call.body:
@@ -192,7 +201,9 @@
             return _send(start_response, "504 Gateway Timeout", self._headers(call), b"")
         return self._reply(call, state, connection, start_response)
 
-    def _start(self, call: ServerCall) -> JournalEntry | Refusal | OverloadCrash:
+    def _start(
+        self, call: ServerCall, connection: StandinHandler
+    ) -> JournalEntry | Refusal | OverloadCrash:
         started = self.state.start(call)
         while started is Refusal.BUSY and len(self.waiting) < self.settings.queue_limit:
             turn = Event()
@@ -200,6 +211,7 @@
             if not turn.wait(self._seconds_left(call)):
                 self.waiting.remove(turn)
                 return Refusal.DEADLINE
+            self._pass_faults(connection)
             started = self.state.check(call) or self.state.start(call)
         return started
 
--- a/packages/standins/src/fireflylink_standins/_http_server.py
+++ b/packages/standins/src/fireflylink_standins/_http_server.py
@@ -9,6 +9,8 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from fireflylink_standins._request_headers import RequestHeaders
+
 CONNECTION_KEY = "fireflylink.connection"
 LISTEN_BACKLOG = 512
 RECEIVE_BYTES = 65536
@@ -25,6 +27,10 @@
         self.silent = False
         self.was_reset = False
 
+    def MessageClass(self, stream: Any, _seekable: int) -> RequestHeaders:  # noqa: N802
+        """Reads the headers of a request; the name is pywsgi's."""
+        return RequestHeaders(stream)
+
     def handle(self) -> None:
         self.server.connections.add(self)
         try:
@@ -112,7 +118,16 @@
     listener is closed, and no other process can take the port.
     """
 
-    __slots__ = ("admit", "application", "connections", "host", "placeholder", "port", "wsgi")
+    __slots__ = (
+        "admit",
+        "application",
+        "closed",
+        "connections",
+        "host",
+        "placeholder",
+        "port",
+        "wsgi",
+    )
 
     def __init__(
         self,
@@ -123,6 +138,7 @@
     ) -> None:
         self.application = application
         self.host = host
+        self.closed = False
         self.admit = admit
         self.connections: set[StandinHandler] = set()
         self.placeholder = _bound_socket(host, port)
@@ -130,8 +146,8 @@
         self.wsgi: WSGIServer | None = None
 
     def open(self) -> None:
-        """Starts to listen."""
-        if self.wsgi is not None:
+        """Starts to listen, unless the server was closed for good."""
+        if self.wsgi is not None or self.closed:
             return
         listener = _bound_socket(self.host, self.port)
         listener.listen(LISTEN_BACKLOG)
@@ -153,6 +169,7 @@
 
     def close(self) -> None:
         """Closes the listener, its connections and the port."""
+        self.closed = True
         self.stop_listening()
         self.reset_connections()
         self.placeholder.close()
--- a/packages/standins/src/fireflylink_standins/_load_generator.py
+++ b/packages/standins/src/fireflylink_standins/_load_generator.py
@@ -20,6 +20,7 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 REPLY_GRACE = 1.0
+FIRST_ERROR_STATUS = 400
 CONNECT_TIMEOUT = 0.5
 OUTCOMES = ("answered", "not-run", "unknown")
 Address = tuple[str, int]
@@ -125,6 +126,8 @@
             self._conclude(request, "wrong-answer", "request-id")
         else:
             self._conclude(request, outcome, str(reader.status))
+            if request.method == "POST" and reader.status >= FIRST_ERROR_STATUS:
+                self.report.post_outcomes[request.request_id] = "answered-error"
 
     def _conclude(self, request: GeneratedRequest, outcome: str, reason: str) -> None:
         self.report.record(outcome, self.clock.now() - request.due)
--- a/packages/standins/src/fireflylink_standins/_load_report.py
+++ b/packages/standins/src/fireflylink_standins/_load_report.py
@@ -22,7 +22,8 @@
     Counts: ``answered``, ``not-run`` and ``unknown`` are the outcomes in replies; ``no-reply`` is a
     connection that broke, ``unreachable`` a request that no daemon accepted, ``skipped`` one that
     the generator did not send, ``wrong-answer`` a reply to another request. Latencies count from
-    the time at which a request was due.
+    the time at which a request was due. ``post_outcomes`` has ``answered-error`` for a POST that
+    the server itself answered with an error status, after which it need not have been completed.
     """
 
     __slots__ = ("answered", "counts", "everything", "lag", "post_outcomes", "reasons")
--- a/packages/standins/tests/test_backend_standin.py
+++ b/packages/standins/tests/test_backend_standin.py
@@ -5,6 +5,7 @@
 
 import gevent
 import pytest
+from gevent import socket
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, IsInstance, LessThan, Not
 
@@ -207,3 +208,47 @@
     server.call("POST", "c2", request_id="order")
     server.call("PUT", "c3", request_id="order")
     assert_that(server.violations["duplicate-request"], Equals(1))
+
+
+def test_connection_over_the_limit_is_counted_and_reset(make_server: Callable[..., Any]) -> None:
+    """A pool that exceeds its limit is found by this count only."""
+    server = make_server(connections=2)
+    address = ("127.0.0.1", server.standin.port)
+    opened = [socket.create_connection(address) for _ in range(3)]
+    gevent.sleep(0.05)
+    assert_that(server.violations, Equals({"connections-exceeded": 1}))
+    assert_that(len(server.standin.server.connections), Equals(2))
+    with pytest.raises(ConnectionResetError):
+        opened[2].recv(1)
+    for connection in opened:
+        connection.close()
+
+
+def test_crash_drops_requests_that_wait_for_a_slot(make_server: Callable[..., Any]) -> None:
+    """A request that a crash has ended must not run in the next generation."""
+    server = make_server(slots=1, queue_limit=1, service_time_ms=50)
+    workers = [gevent.spawn(server.call, "POST", f"call-{n}") for n in range(2)]
+    gevent.sleep(0.02)
+    server.standin.apply(Crash())
+    assert_that([type(worker.get()) for worker in workers], Equals([Lost, Lost]))
+    gevent.sleep(0.1)
+    assert_that(server.standin.state.journal.next_position, Equals(1))
+
+
+def test_second_crash_keeps_the_server_away_for_its_whole_time(server: Any) -> None:
+    """The end of the first outage must not end the second."""
+    server.standin.apply(Crash(down_ms=50))
+    server.standin.apply(Crash(down_ms=300))
+    gevent.sleep(0.1)
+    assert_that(server.call(), IsInstance(NotSent))
+
+
+@pytest.mark.parametrize(
+    "line", [b"no-colon", b" folded: x", b"Host : x", b"Content-Length: 1\r\nContent-Length: 2"]
+)
+def test_malformed_headers_are_refused(server: Any, line: bytes) -> None:
+    """A stand-in that accepts them would not show a client that sends them."""
+    connection = socket.create_connection(("127.0.0.1", server.standin.port))
+    connection.sendall(b"GET /health HTTP/1.1\r\n" + line + b"\r\n\r\n")
+    assert_that(connection.recv(1000).startswith(b"HTTP/1.1 400"), Equals(True))
+    connection.close()
