--- a/packages/backend_client/src/fireflylink_backend_client/_connection.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_connection.py
@@ -16,6 +16,7 @@
 CONNECT_TIMEOUT = 0.5
 PROGRESS_TIMEOUT = 1.0
 CLOSE_TIMEOUT = 1.0
+TIMER_TOLERANCE = 0.005
 
 
 class NotSentError(BaseFireflylinkError):
@@ -146,7 +147,7 @@
             self.sock.settimeout(self._progress_timeout(deadline))
             return int(self.sock.send(data))
         except TimeoutError as error:
-            raise LostError(LostReason.DEADLINE, "while sending") from error
+            raise self._late("while sending", deadline) from error
         except OSError as error:
             raise self._broken(error) from error
 
@@ -156,7 +157,7 @@
             try:
                 data = self.sock.recv(RECEIVE_BYTES)
             except TimeoutError as error:
-                raise LostError(LostReason.DEADLINE, "while receiving") from error
+                raise self._late("while receiving", deadline) from error
             except OSError as error:
                 raise self._broken(error) from error
             if not data:
@@ -168,6 +169,10 @@
     def _progress_timeout(self, deadline: float) -> float:
         return max(0.0, min(deadline - self.clock.now(), PROGRESS_TIMEOUT))
 
+    def _late(self, detail: str, deadline: float) -> LostError:
+        passed = self.clock.now() >= deadline - TIMER_TOLERANCE
+        return LostError(LostReason.DEADLINE if passed else LostReason.STALLED, detail)
+
     def _broken(self, error: OSError) -> LostError:
         self.peer_closed = True
         if self.cancelled:
--- a/packages/backend_client/src/fireflylink_backend_client/_results.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_results.py
@@ -18,9 +18,13 @@
 
 
 class LostReason(enum.Enum):
-    """Why the outcome of a request that was sent, at least in part, is not known."""
+    """Why the outcome of a request that was sent, at least in part, is not known.
+
+    ``STALLED``: no byte came for ``PROGRESS_TIMEOUT`` within the answer, or none could be sent.
+    """
 
     DEADLINE = "deadline"
+    STALLED = "stalled"
     CANCELLED = "cancelled"
     RESET = "reset"
     CLOSED = "closed"
--- a/packages/backend_client/tests/test_backend_pool.py
+++ b/packages/backend_client/tests/test_backend_pool.py
@@ -12,6 +12,7 @@
 
 from fireflylink_backend_client import (
     Answered,
+    BackendPool,
     Lost,
     LostReason,
     NotRunByServer,
@@ -74,6 +75,28 @@
     assert_that(json.loads(following.body)["request_id"], Equals("request-of-following"))
 
 
+def test_answer_that_stalls_ends_the_call_before_its_deadline(setup: Any) -> None:
+    """A connection that goes silent within an answer would hold its slot to the deadline."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(1)
+
+    def serve() -> None:
+        connection, _ = listener.accept()
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
+        connection.recv(100_000)
+        gevent.sleep(3.0)
+
+    server = gevent.spawn(serve)
+    setup.pool = BackendPool(setup.server().replace(port=listener.getsockname()[1]))
+    started = setup.clock.now()
+    result = setup.call(seconds=3.0)
+    server.kill()
+    listener.close()
+    assert_that(result.reason, Equals(LostReason.STALLED))
+    assert_that(setup.clock.now() - started, LessThan(2.0))
+
+
 def test_late_answer_reaches_no_other_call(setup: Any) -> None:
     """An answer that comes after the deadline must not be taken for that of the next call."""
     setup.backend.apply(Delay(200))
--- a/packages/standins/tests/test_journal_analysis.py
+++ b/packages/standins/tests/test_journal_analysis.py
@@ -45,6 +45,7 @@
         ([entry("a", 0, 100), entry("a", 1, 2), entry("b", 50, 60, epoch=2)], 1),
         ([entry("a", 0, 1), entry("b", 2, 3, epoch=2), entry("a", 4, 5)], 1),
         ([entry("a", 0, 1), entry("b", 2, 3, epoch=2), entry("a", 4, 5, epoch=3)], 0),
+        ([entry("a", 0, 1, epoch=7), entry("b", 2, 3, shard=2), entry("a", 4, 5, epoch=8)], 0),
         ([entry("a", 0, 0, ending="running"), entry("b", 10, 20, epoch=2)], 1),
         ([entry("a", 0, 11, key=""), entry("b", 10, 20, key="")], 0),
         ([entry("a", 0, 11), entry("b", 10, 20, key="other")], 0),
