--- a/packages/daemon/src/fireflylink_daemon/_control_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_messages.py
@@ -65,14 +65,22 @@
 
 
 class EndorseAnswered(BaseValue):
-    """A voter answered in a round; ``round`` is None for a question of a recovering voter."""
+    """A voter answered in a round; ``round`` is None for a question of a recovering voter.
 
-    __slots__ = ("reply", "round", "table_id")
+    ``asked`` is the time at which the question was sent.
+    """
+
+    __slots__ = ("asked", "reply", "round", "table_id")
 
     def __init__(
-        self, table_id: str, reply: EndorseReply, endorsement_round: EndorsementRound | None
+        self,
+        table_id: str,
+        asked: float,
+        reply: EndorseReply,
+        endorsement_round: EndorsementRound | None,
     ) -> None:
         self.table_id = table_id
+        self.asked = asked
         self.reply = reply
         self.round = endorsement_round
 
--- a/packages/daemon/src/fireflylink_daemon/_control_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_state.py
@@ -71,7 +71,7 @@
         self.started = started
         self.cache = cache
         self.directory = MemberDirectory()
-        self.ledger = VoterLedger(myself.instance_id)
+        self.ledger = VoterLedger(myself.instance_id, started)
         self.book = AuthorityBook()
         self.settlements: dict[str, Settlement] = {}
         self.succession = RootSuccession(myself.instance_id)
@@ -140,7 +140,7 @@
             table.table_id, table.version, table.voters, table.previous_voters, now
         )
         if self.myself.instance_id in endorsement_round.electorate:
-            endorsement_round.record(self.ledger.endorse(table.table_id, table.version))
+            endorsement_round.record(self.ledger.endorse(table.table_id, table.version), now)
         return endorsement_round
 
     def close_round(self, endorsement_round: EndorsementRound, now: float) -> bool:
--- a/packages/daemon/src/fireflylink_daemon/_control_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_task.py
@@ -196,8 +196,7 @@
         if message.round is None:
             table = self.state.cache.tables.get(message.table_id)
             if table is not None:
-                electorate = table.previous_voters or table.voters
-                self.state.ledger.note_peer_answer(message.table_id, electorate, message.reply)
+                self.state.ledger.note_peer_answer(table, message.reply, message.asked)
             return
         self._record_endorsement(message.round, message, now)
 
@@ -205,7 +204,7 @@
         self, endorsement_round: EndorsementRound, message: EndorseAnswered, now: float
     ) -> None:
         had_majority = endorsement_round.has_majority
-        endorsement_round.record(message.reply)
+        endorsement_round.record(message.reply, now)
         self.state.directory.hear_of(message.reply.voter, now)
         if endorsement_round.highest_known > endorsement_round.version:
             self._ask_platform(ReadAll())
@@ -328,7 +327,8 @@
     def _has_majority_authority(self, now: float) -> bool:
         margin = now + 2 * RENEWAL_PERIOD
         return all(
-            self.state.book.deadline(table.table_id, table.version, by_majority=True) > margin
+            self.state.book.deadline(table.table_id, table.version, table.version, by_majority=True)
+            > margin
             for table in self.state.own_tables()
         )
 
@@ -342,11 +342,15 @@
     def _endorse(
         self, member: Member, request: EndorseRequest, endorsement_round: EndorsementRound | None
     ) -> None:
+        asked = self.clock.now()
         result = self.peers.channel(member).endorse(request, PEER_TIMEOUT)
         if is_successful(result):
-            self.post(EndorseAnswered(request.table_id, result.unwrap(), endorsement_round))
+            reply = result.unwrap()
+            self.post(EndorseAnswered(request.table_id, asked, reply, endorsement_round))
 
     def _ask_other_voters(self) -> None:
+        if not self.state.ledger.may_ask_peers(self.clock.now()):
+            return
         for table in self.state.recovering_tables():
             for voter in {*table.voters, *table.previous_voters}:
                 member = self.state.directory.find(voter)
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -285,7 +285,7 @@
         authority_ms = {
             table_id: max(
                 0,
-                int((view.book.deadline(table_id, table.version) - now) * MILLISECONDS_PER_SECOND),
+                int((view.deadline(table_id, table.version) - now) * MILLISECONDS_PER_SECOND),
             )
             for table_id, table in view.tables.items()
         }
--- a/packages/daemon/src/fireflylink_daemon/_gateway_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_gateway_task.py
@@ -100,8 +100,8 @@
         self.control = control
         self.poison = PoisonDetector()
         self.groups: dict[str, GroupGateway] = {}
-        self.releases = ReleaseDesk(instance_id, clock, self.post, send_handover)
         self.activation = ShardActivation(instance_id, clock.now(), self._all_check_grants)
+        self.releases = ReleaseDesk(instance_id, self.activation, clock, self.post, send_handover)
         self._grants = GrantDesk(instance_id, clock, self.post, self)
         self._renew_at = clock.now()
 
@@ -154,7 +154,7 @@
         current = self.activation.view(identity)
         if current is None or current.term != view.term:
             return 0.0
-        return self.view.book.deadline(view.table_id, view.fence_version)
+        return self.view.deadline(view.table_id, view.fence_version)
 
     # Task
 
@@ -291,7 +291,9 @@
     # Activation
 
     def _activate(self, now: float) -> None:
-        activated = self.activation.activate(self.view.book, self.view.settled, now)
+        view = self.view
+        held_versions = {table_id: table.version for table_id, table in view.tables.items()}
+        activated = self.activation.activate(view.book, view.settled, held_versions, now)
         if not activated:
             return
         wall_ms = self.clock.wall_ms()
--- a/packages/daemon/src/fireflylink_daemon/_grant_desk.py
+++ b/packages/daemon/src/fireflylink_daemon/_grant_desk.py
@@ -5,7 +5,7 @@
 import gevent
 from returns.pipeline import is_successful
 
-from fireflylink_backend_client import GrantCommand, ServerStatus
+from fireflylink_backend_client import BackendReplyLost, GrantCommand, ServerStatus
 from fireflylink_core import BaseClock, BaseValue
 from fireflylink_daemon._group_gateway import BasePermission, GroupGateway
 from fireflylink_daemon._log import log_event, log_problem
@@ -82,7 +82,10 @@
             confirmed = current if command.deadline_ms else ()
             self._post(GrantAnswered(group_id, server_id, result.unwrap(), confirmed))
         else:
-            self._post(GrantAnswered(group_id, server_id, None, (), str(result.failure())))
+            failure = result.failure()
+            if isinstance(failure, BackendReplyLost):
+                link.unanswered_grant_end = max(link.unanswered_grant_end, end)
+            self._post(GrantAnswered(group_id, server_id, None, (), str(failure)))
 
     def take_answer(self, message: GrantAnswered, group: GroupGateway, link: ServerLink) -> bool:
         """Takes a server's answer; tells whether its clock was read for the first time."""
--- a/packages/daemon/src/fireflylink_daemon/_group_gateway.py
+++ b/packages/daemon/src/fireflylink_daemon/_group_gateway.py
@@ -66,6 +66,7 @@
         "clock",
         "group_id",
         "links",
+        "lost_until",
         "meter",
         "service",
         "waiters",
@@ -88,6 +89,7 @@
         self.changed = Event()
         self.meter = LoadMeter(clock.now())
         self.calls = 0
+        self.lost_until: dict[int, float] = {}
 
     @property
     def exclusive(self) -> bool:
@@ -174,8 +176,16 @@
             epoch=view.record.epoch,
         )
         outcome = link.pool.call(request, headers)
+        if isinstance(outcome, Lost):
+            # The server may still work on the request until the deadline that it was sent.
+            index = view.shard[1]
+            self.lost_until[index] = max(self.lost_until.get(index, 0.0), deadline)
         return _call_result(outcome, self.clock.now() - now)
 
+    def may_still_run(self, shard_index: int, now: float) -> bool:
+        """Whether a server may still work on a request of a shard whose answer was lost."""
+        return self.lost_until.get(shard_index, 0.0) > now
+
     def resolve(self, replies: tuple[tuple[str, BaseReply], ...]) -> None:
         """Answers requests that waited in the queue and will not start."""
         for call_id, reply in replies:
--- a/packages/daemon/src/fireflylink_daemon/_release_desk.py
+++ b/packages/daemon/src/fireflylink_daemon/_release_desk.py
@@ -17,6 +17,7 @@
 )
 from fireflylink_daemon._server_link import GRANT_TIMEOUT, ServerLink
 from fireflylink_daemon._view import View
+from fireflylink_decisions.activation import ShardActivation
 
 SendHandover = Callable[[Member, HandoverRequest], bool]
 
@@ -47,16 +48,18 @@
     Owned by the gateway task, whose mailbox receives the answers through ``post``.
     """
 
-    __slots__ = ("_instance_id", "_post", "_send", "clock", "pending")
+    __slots__ = ("_activation", "_instance_id", "_post", "_send", "clock", "pending")
 
     def __init__(
         self,
         instance_id: str,
+        activation: ShardActivation,
         clock: BaseClock,
         post: Callable[[object], None],
         send: SendHandover,
     ) -> None:
         self._instance_id = instance_id
+        self._activation = activation
         self._post = post
         self._send = send
         self.clock = clock
@@ -92,9 +95,11 @@
         could restart, be told the former version by a stale peer, and act on it again.
         """
         former = release.former
-        if not is_drained(group, release):
+        if not is_drained(group, release, now):
             return
-        authority = view.book.deadline(former.table_id, release.version, by_majority=True)
+        if not self._activation.is_entitled(former, view.settled):
+            return
+        authority = view.deadline(former.table_id, release.version, by_majority=True)
         if authority <= now or not self._is_fenced(group, release, view, now):
             return
         release.handover = export(group, release, self.clock.wall_ms())
@@ -107,11 +112,16 @@
         routes = view.routes.exceptions if exception else view.routes.shards
         route = routes.get(shard)
         stays = route is not None and route.group.group_id == release.former.group.group_id
-        if stays or release.revoked or release.single_key is not None:
+        if stays or release.single_key is not None:
             return True
         checking = [link for link in group.links.values() if link.server.checks_grants]
+        # A grant whose reply was lost may still arrive after the revocation.
+        if release.revoked and all(link.unanswered_grant_end <= now for link in checking):
+            return True
         if all(link.grant_end <= now for link in checking):
             return True
+        if release.revoked:
+            return False
         if not release.sending:
             release.sending = True
             for link in checking:
--- a/packages/daemon/src/fireflylink_daemon/_releases.py
+++ b/packages/daemon/src/fireflylink_daemon/_releases.py
@@ -74,8 +74,10 @@
         return member, route.table_id, released
 
 
-def is_drained(group: GroupGateway, release: PendingRelease) -> bool:
-    """Tells whether no request of a released shard or key is in flight or waits."""
+def is_drained(group: GroupGateway, release: PendingRelease, now: float) -> bool:
+    """Tells whether no request of a released shard or key is in flight, waits or may still run."""
+    if group.may_still_run(release.former.shard[1], now):
+        return False
     admission = group.admission
     if release.single_key is None:
         return admission.idle_for((release.former.shard[1],))
--- a/packages/daemon/src/fireflylink_daemon/_server_link.py
+++ b/packages/daemon/src/fireflylink_daemon/_server_link.py
@@ -17,8 +17,9 @@
 class ServerLink:
     """Connections, clock and grant of one server, owned by the gateway task.
 
-    ``grant_end`` is the local time at which every grant sent to the server has ended. ``granted``
-    holds the epoch of each shard in the last grant that the server confirmed.
+    ``grant_end`` is the local time at which every grant sent to the server has ended, and
+    ``unanswered_grant_end`` that of the grants whose reply was lost. ``granted`` holds the epoch of
+    each shard in the last grant that the server confirmed.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "pool",
         "seen_idle",
         "server",
+        "unanswered_grant_end",
     )
 
     def __init__(self, server: BackendServer, clock: BaseClock) -> None:
@@ -41,6 +43,7 @@
         self.clock = ServerClock()
         self.granted: dict[ShardIdentity, tuple[int, int]] = {}
         self.grant_end = 0.0
+        self.unanswered_grant_end = 0.0
         self.answered_at = clock.now()
         self.opened_at = clock.now()
         self.seen_idle = False
--- a/packages/daemon/src/fireflylink_daemon/_view.py
+++ b/packages/daemon/src/fireflylink_daemon/_view.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Mapping
 
-from fireflylink_decisions.ownership import Routes
-
 from fireflylink_core import (
     BaseValue,
     Configuration,
@@ -12,6 +10,7 @@
     OwnershipTable,
 )
 from fireflylink_decisions.authority import AuthorityBook
+from fireflylink_decisions.ownership import Routes
 
 
 class View(BaseValue):
@@ -54,3 +53,13 @@
         self.crashes = crashes
         self.root = root
         self.leaving = leaving
+
+    def held_version(self, table_id: str) -> int:
+        """Returns the version of a table that is held here, 0 for none."""
+        table = self.tables.get(table_id)
+        return table.version if table is not None else 0
+
+    def deadline(self, table_id: str, changed_version: int, by_majority: bool = False) -> float:
+        """Returns until when a record of a table may be acted on, in seconds on the clock."""
+        held_version = self.held_version(table_id)
+        return self.book.deadline(table_id, changed_version, held_version, by_majority)
--- a/packages/decisions/src/fireflylink_decisions/activation/_activation.py
+++ b/packages/decisions/src/fireflylink_decisions/activation/_activation.py
@@ -85,28 +85,53 @@
         self.releasing.pop(identity, None)
 
     def activate(
-        self, book: AuthorityBook, settled: Mapping[str, int], now: float
+        self,
+        book: AuthorityBook,
+        settled: Mapping[str, int],
+        held_versions: Mapping[str, int],
+        now: float,
     ) -> tuple[ShardView, ...]:
-        """Returns the waiting shards that may be served from now on."""
+        """Returns the waiting shards that may be served from now on.
+
+        ``held_versions`` are the versions of the tables that are held here.
+        """
         if now < self.started + FENCE_WAIT:
             return ()
         activated = []
         for identity, view in self._views.items():
             waits = self._phases[identity] is ShardPhase.WAITING and identity not in self.releasing
-            if waits and self._may_serve(view, book, settled, now):
+            if waits and self._may_serve(view, book, settled, held_versions, now):
                 self._phases[identity] = ShardPhase.SERVING
                 activated.append(view)
         return tuple(activated)
 
     def _may_serve(
-        self, view: ShardView, book: AuthorityBook, settled: Mapping[str, int], now: float
+        self,
+        view: ShardView,
+        book: AuthorityBook,
+        settled: Mapping[str, int],
+        held_versions: Mapping[str, int],
+        now: float,
     ) -> bool:
-        if book.deadline(view.table_id, view.fence_version) <= now:
+        held_version = held_versions.get(view.table_id, 0)
+        if book.deadline(view.table_id, view.fence_version, held_version) <= now:
             return False
         return self.is_handed_over(view) or (
             self._owner_is_fenced(view, settled) and self._gateway_is_fenced(view, settled)
         )
 
+    def is_entitled(self, view: ShardView, settled: Mapping[str, int]) -> bool:
+        """Tells whether this daemon may release a shard.
+
+        A gateway that started only because servers refuse the former one could otherwise release a
+        shard that the former one still serves.
+        """
+        if self.is_handed_over(view) or view.fence_version <= FIRST_VERSION:
+            return True
+        return settled.get(view.table_id, 0) >= view.fence_version and self._owner_is_fenced(
+            view, settled
+        )
+
     def _owner_is_fenced(self, view: ShardView, settled: Mapping[str, int]) -> bool:
         record = view.record
         if record.changed_version <= FIRST_VERSION:
--- a/packages/decisions/src/fireflylink_decisions/authority/_book.py
+++ b/packages/decisions/src/fireflylink_decisions/authority/_book.py
@@ -49,16 +49,20 @@
             authority = Authority(report.table_id, report.version, deadline, report.by_majority)
             self.add(authority, now)
 
-    def deadline(self, table_id: str, changed_version: int, by_majority: bool = False) -> float:
-        """Returns until when a record may be acted on; in the past if not at all."""
-        return max(
-            (
-                entry.deadline
-                for entry in self._entries.get(table_id, [])
-                if entry.version >= changed_version and (entry.by_majority or not by_majority)
-            ),
-            default=0.0,
-        )
+    def deadline(
+        self, table_id: str, changed_version: int, held_version: int, by_majority: bool = False
+    ) -> float:
+        """Returns until when a record may be acted on; in the past if not at all.
+
+        Authority above the version held here does not count: that version may have given the
+        record's shard to another owner.
+        """
+        latest = 0.0
+        for entry in self._entries.get(table_id, ()):
+            usable = changed_version <= entry.version <= held_version
+            if usable and entry.deadline > latest and (entry.by_majority or not by_majority):
+                latest = entry.deadline
+        return latest
 
     def entries(self, table_id: str) -> tuple[Authority, ...]:
         """Returns the authority held for a table."""
--- a/packages/decisions/src/fireflylink_decisions/authority/_ledger.py
+++ b/packages/decisions/src/fireflylink_decisions/authority/_ledger.py
@@ -1,7 +1,8 @@
 """What a voter has promised, and how it recovers after a restart."""
 
-from fireflylink_core import EndorseReply
+from fireflylink_core import EndorseReply, OwnershipTable
 from fireflylink_decisions.authority._round import majority_of
+from fireflylink_decisions.authority._timing import FENCE_WAIT
 
 
 class VoterLedger:
@@ -13,10 +14,18 @@
     the n - 1 others, so n - m + 1 of them include one that knows it.
     """
 
-    __slots__ = ("_known", "_peer_answers", "_platform_read", "_recovered", "instance_id")
+    __slots__ = (
+        "_known",
+        "_peer_answers",
+        "_platform_read",
+        "_recovered",
+        "_started",
+        "instance_id",
+    )
 
-    def __init__(self, instance_id: str) -> None:
+    def __init__(self, instance_id: str, started: float) -> None:
         self.instance_id = instance_id
+        self._started = started
         self._known: dict[str, int] = {}
         self._recovered: set[str] = set()
         self._peer_answers: dict[str, dict[str, int]] = {}
@@ -47,14 +56,36 @@
         for table_id, version in versions.items():
             self._known[table_id] = max(version, self.known_version(table_id))
 
-    def note_peer_answer(self, table_id: str, voters: tuple[str, ...], reply: EndorseReply) -> None:
-        """Takes another voter's answer while this one is recovering."""
-        if reply.recovering or reply.voter == self.instance_id or reply.voter not in voters:
+    def may_ask_peers(self, now: float) -> bool:
+        """Whether recovery from other voters may begin.
+
+        Until ``FENCE_WAIT`` after the start, a root may still count an endorsement that this voter
+        gave before its restart and that the others do not know of.
+        """
+        return now >= self._started + FENCE_WAIT
+
+    def note_peer_answer(self, table: OwnershipTable, reply: EndorseReply, asked: float) -> None:
+        """Takes another voter's answer to a question asked at ``asked`` while recovering.
+
+        The quorum is that of the voters of the highest version learned: if an answer names a higher
+        version than the table held here, recovery waits for that table.
+        """
+        counts = not reply.recovering and reply.voter != self.instance_id
+        if not counts or not self.may_ask_peers(asked):
+            return
+        answers = self._peer_answers.setdefault(table.table_id, {})
+        answers[reply.voter] = max(reply.known_version, answers.get(reply.voter, 0))
+        electorates = [table.voters]
+        if table.previous_voters:
+            electorates.append(table.previous_voters)
+        if not all(self._has_quorum(answers, voters) for voters in electorates):
             return
-        answers = self._peer_answers.setdefault(table_id, {})
-        answers[reply.voter] = reply.known_version
-        counted = [answers[voter] for voter in voters if voter in answers]
-        needed = len(voters) - majority_of(len(voters)) + 1
-        if len(counted) >= needed:
-            self._known[table_id] = max(*counted, self.known_version(table_id), 0)
-            self._recovered.add(table_id)
+        highest = max(answers.values())
+        if highest <= table.version:
+            known = self.known_version(table.table_id)
+            self._known[table.table_id] = max(highest, known)
+            self._recovered.add(table.table_id)
+
+    def _has_quorum(self, answers: dict[str, int], voters: tuple[str, ...]) -> bool:
+        heard = sum(voter in answers for voter in voters)
+        return heard >= len(voters) - majority_of(len(voters)) + 1
--- a/packages/decisions/src/fireflylink_decisions/authority/_round.py
+++ b/packages/decisions/src/fireflylink_decisions/authority/_round.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from fireflylink_core import EndorseReply
+from fireflylink_decisions.authority._timing import GRANT_TERM
 
 
 def majority_of(count: int) -> int:
@@ -49,9 +50,15 @@
         """Every daemon whose answer may count."""
         return frozenset(self.voters) | frozenset(self.previous_voters)
 
-    def record(self, reply: EndorseReply) -> None:
-        """Takes a voter's answer; answers of recovering voters and of others do not count."""
+    def record(self, reply: EndorseReply, now: float) -> None:
+        """Takes a voter's answer; answers of recovering voters and of others do not count.
+
+        An answer that arrives after ``GRANT_TERM`` does not count either: the voter may have
+        restarted since and have forgotten it, without waiting for this round.
+        """
         self.highest_known = max(self.highest_known, reply.known_version)
+        if now > self.started + GRANT_TERM:
+            return
         if reply.endorsed and not reply.recovering and reply.voter in self.electorate:
             self.endorsers.add(reply.voter)
 
