--- a/packages/standins/src/fireflylink_standins/_http_server.py
+++ b/packages/standins/src/fireflylink_standins/_http_server.py
@@ -9,6 +9,8 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from fireflylink_standins._request_headers import RequestHeaders
+
 CONNECTION_KEY = "fireflylink.connection"
 LISTEN_BACKLOG = 512
 RECEIVE_BYTES = 65536
@@ -25,6 +27,10 @@
         self.silent = False
         self.was_reset = False
 
+    def MessageClass(self, stream: Any, _seekable: int) -> RequestHeaders:  # noqa: N802
+        """Reads the headers of a request; the name is pywsgi's."""
+        return RequestHeaders(stream)
+
     def handle(self) -> None:
         self.server.connections.add(self)
         try:
