--- a/packages/decisions/src/fireflylink_decisions/ownership/_pending.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_pending.py
@@ -4,7 +4,7 @@
 from fireflylink_decisions.ownership._draft import PlanningDraft
 from fireflylink_decisions.ownership._ledger import ServiceLedger
 from fireflylink_decisions.ownership._measure import LoadMeasure
-from fireflylink_decisions.ownership._records import releases
+from fireflylink_decisions.ownership._records import record_in, releases
 from fireflylink_decisions.ownership._rule import BaseRule
 from fireflylink_decisions.ownership._transfers import can_move_planned, linked, transfer_shard
 
@@ -23,7 +23,7 @@
     def apply(self, draft: PlanningDraft) -> None:
         for exception in (False, True):
             self._as_source(draft, exception)
-            self._from_lost(draft, exception)
+        self._from_lost(draft)
 
     def _as_source(self, draft: PlanningDraft, exception: bool) -> None:
         own = draft.own
@@ -38,18 +38,49 @@
                 if _is_released(record, pending, table_id):
                     book[key] = pending.replace(pending_from=None)
 
-    def _from_lost(self, draft: PlanningDraft, exception: bool) -> None:
+    def _from_lost(self, draft: PlanningDraft) -> None:
+        """Confirms shards that came from a lost table, each together with its single keys."""
         own = draft.own
-        book = own.book(exception)
-        for key, record in list(book.items()):
+        for key, record in list(own.shards.items()):
             if record.pending_from is None or record.released_to is not None:
                 continue
-            if record.changed_version > draft.source.settled_version:
+            if key[0] not in draft.configuration.services:
                 continue
-            if draft.state_of(data_centre_of_table(record.pending_from)) is (
-                DataCentreState.LOST
-            ) and draft.record_active(own.table_id, key, exception):
-                book[key] = record.replace(pending_from=None)
+            moved = [(False, key), *_pending_keys(draft, key, record.pending_from)]
+            if all(self._is_confirmed(draft, *found) for found in moved):
+                for exception, found_key in moved:
+                    book = own.book(exception)
+                    book[found_key] = book[found_key].replace(pending_from=None)
+
+    def _is_confirmed(self, draft: PlanningDraft, exception: bool, key: ShardKey) -> bool:
+        record = draft.own.book(exception)[key]
+        if record.pending_from is None or record.changed_version > draft.source.settled_version:
+            return False
+        if not draft.record_active(draft.own.table_id, key, exception):
+            return False
+        return self._is_lost_for_good(draft, key, record.pending_from, exception)
+
+    def _is_lost_for_good(
+        self, draft: PlanningDraft, key: ShardKey, table_id: str, exception: bool
+    ) -> bool:
+        """Tells whether a table is lost and no owner before it can hold the shard either."""
+        if draft.state_of(data_centre_of_table(table_id)) is not DataCentreState.LOST:
+            return False
+        record = record_in(draft.tables.get(table_id), key, exception)
+        return record is not None and record.pending_from is None
+
+
+def _pending_keys(
+    draft: PlanningDraft, shard_key: ShardKey, source: str
+) -> list[tuple[bool, ShardKey]]:
+    """Lists the single keys of an own shard that are pending from the same table."""
+    return [
+        (True, key)
+        for key, record in draft.own.exceptions.items()
+        if record.pending_from == source
+        and record.released_to is None
+        and _shard_key(draft, key) == shard_key
+    ]
 
 
 def _is_released(record: ShardRecord, pending: ShardRecord, table_id: str) -> bool:
@@ -91,25 +122,27 @@
 
         Both move in the same writes, so the move that made the record was given up.
         """
-        shard = draft.own.shards.get(_shard_key(draft, key))
-        return record.pending_from is not None and (
-            shard is None or shard.pending_from != record.pending_from
-        )
+        if record.pending_from is None or draft.record_active(draft.own.table_id, key, True):
+            return False
+        shard = record_in(draft.own.base, _shard_key(draft, key), False)
+        return shard is None or shard.pending_from != record.pending_from
 
     def _is_passed_on(self, draft: PlanningDraft, key: ShardKey, record: ShardRecord) -> bool:
         """Tells whether no pending record depends on the release of a single key."""
+        # A destination that this plan changes may be written after this table.
+        written = draft.source.tables
         if record.changed_version > draft.source.settled_version:
             return False
         shard_key = _shard_key(draft, key)
         shard = draft.own.shards.get(shard_key)
-        for table in draft.tables.values():
+        for table in written.values():
             found = table.exceptions.get(key)
             if found is not None and found.pending_from == draft.own.table_id:
                 return False
         if shard is None or shard.released_to is None:
             return True
         # The known version of the destination has to be one that includes the move.
-        destination = draft.tables.get(shard.released_to)
+        destination = written.get(shard.released_to)
         moved = destination.shards.get(shard_key) if destination else None
         return moved is not None and moved.epoch > shard.epoch
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_takeover.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_takeover.py
@@ -28,7 +28,13 @@
                     self._take(draft, service, draft.tables[table_id])
 
     def _take(self, draft: PlanningDraft, service: Service, source: TableDraft) -> None:
-        keys = self._available(draft, service, source)
+        keys = [
+            key
+            for key in sorted(source.shards)
+            if key[0] == service.name
+            and draft.record_active(source.table_id, key, False)
+            and can_transfer(draft, source, draft.own, key)
+        ]
         if not keys:
             return
         measure = LoadMeasure(draft, service)
@@ -44,25 +50,6 @@
                 transfer_shard(draft, ledger, source, key[1], group_id, LOST_REASON, False)
         _adopt(draft, source)
 
-    def _available(
-        self, draft: PlanningDraft, service: Service, source: TableDraft
-    ) -> list[ShardKey]:
-        """Returns the shards that the lost table owns and that can be taken in this plan.
-
-        A shard that the own table had released to the lost one is first made plain there:
-        overwriting that release in the first write of a move would leave the shard without owner.
-        """
-        base = draft.source.tables[source.table_id].shards if source.base else {}
-        found: list[ShardKey] = []
-        for key in sorted(source.shards):
-            if key[0] != service.name or not draft.record_active(source.table_id, key, False):
-                continue
-            if key in base and base[key].pending_from == draft.own.table_id:
-                _make_plain(draft, service, source, key)
-            elif can_transfer(draft, source, draft.own, key):
-                found.append(key)
-        return found
-
     def _pending_group(
         self, draft: PlanningDraft, ledger: ServiceLedger, source: TableDraft, key: ShardKey
     ) -> str | None:
@@ -73,14 +60,6 @@
         return pending.group_id if pending.group_id in ledger.groups else None
 
 
-def _make_plain(draft: PlanningDraft, service: Service, source: TableDraft, key: ShardKey) -> None:
-    source.shards[key] = source.shards[key].replace(pending_from=None)
-    for found, record in list(source.exceptions.items()):
-        held = found[0] == service.name and found[1] % service.shard_count == key[1]
-        if held and draft.record_active(source.table_id, found, True):
-            source.exceptions[found] = record.replace(pending_from=None)
-
-
 def _is_lost(draft: PlanningDraft, table_id: str) -> bool:
     return draft.state_of(data_centre_of_table(table_id)) is DataCentreState.LOST
 
