--- a/packages/decisions/src/fireflylink_decisions/ownership/_hot_keys.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_hot_keys.py
@@ -84,7 +84,8 @@
                 continue
             if draft.source.hot_keys.get(key, 0.0) >= COOL_SHARE * mean:
                 continue
-            if draft.source.now_ms - record.since_ms < MIN_EXCEPTION_MS:
+            recent = draft.source.now_ms - record.since_ms < MIN_EXCEPTION_MS
+            if recent and record.reason != COOL_REASON:
                 continue
             self._end(draft, service, key, record)
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_rebalancing.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_rebalancing.py
@@ -146,7 +146,7 @@
         return False
 
     def _room(self, target: GroupLoad) -> float:
-        return self.mean * target.cold_slots * BOUND_FACTOR - target.load
+        return self.ledger.bound(target.cold_slots, self.mean) - target.load
 
     def _move_from(self, source: GroupLoad, targets: list[GroupLoad]) -> bool:
         ranked = sorted(
@@ -192,20 +192,28 @@
     def _best(
         self, source: GroupLoad, target: GroupLoad, movable: list[_Movable]
     ) -> _Movable | None:
-        """Returns the largest entry that fits, so that few moves are enough."""
-        excess = source.load - self.mean * source.slots
-        limit = min(self._room(target), excess * BOUND_FACTOR)
-        for entry in movable:
-            if entry.exception and target.table_id != source.table_id:
+        """Returns the largest entry within the excess, so that few moves are enough.
+
+        If there is none, the smallest one is moved as long as the higher of both loads falls.
+        """
+        excess = (source.load - self.mean * source.slots) * BOUND_FACTOR
+        fitting = [entry for entry in movable if 0 < entry.load <= self._room(target)]
+        within = [entry for entry in fitting if entry.load <= excess]
+        beyond = [entry for entry in reversed(fitting) if entry.load > excess]
+        for entry in within + beyond:
+            if target.relative(entry.load) >= source.relative():
                 continue
-            if not 0 < entry.load <= limit or target.relative(entry.load) >= source.relative():
-                continue
-            if not target.admits(self.measure.service, self._index(entry)):
-                continue
-            if target.table_id == source.table_id or self._may_leave(target, entry):
+            if self._may_move(source, target, entry):
                 return entry
         return None
 
+    def _may_move(self, source: GroupLoad, target: GroupLoad, entry: _Movable) -> bool:
+        if not target.admits(self.measure.service, self._index(entry)):
+            return False
+        if target.table_id == source.table_id:
+            return True
+        return not entry.exception and self._may_leave(target, entry)
+
     def _may_leave(self, target: GroupLoad, entry: _Movable) -> bool:
         destination = self.draft.tables[target.table_id]
         if can_transfer(self.draft, self.draft.own, destination, entry.key):
--- a/packages/decisions/tests/ownership/test_planner_invariants.py
+++ b/packages/decisions/tests/ownership/test_planner_invariants.py
@@ -29,6 +29,7 @@
         self.configurations = [cluster.configuration]
         self.owners = {}
         self.holders = {}
+        self.routes = merge_tables(cluster.configuration, ())
 
     def apply(self, event: str) -> None:
         getattr(self, "event_" + event)()
@@ -134,6 +135,10 @@
     def check(self, written) -> None:
         tables = self.cluster.tables
         owners = find_owners(tables)
+        self.routes = self.routes.with_table(written)
+        merged = merge_tables(self.cluster.configuration, tables.values())
+        assert self.routes.shards == merged.shards
+        assert self.routes.exceptions == merged.exceptions
         for key in self.owners:
             if not key[0]:
                 assert key in owners, f"no owner of {key}"
@@ -168,7 +173,7 @@
     def check_exclusive(self, key, record) -> None:
         """Checks that the owner starts only after all groups that may still hold the shard."""
         held = self.holders.get(key, {}).keys() - {record.group_id}
-        routes = merge_tables(self.cluster.configuration, self.cluster.tables.values())
+        routes = self.routes
         route = (routes.exceptions if key[0] else routes.shards)[key[1]]
         waits = any(self.cluster.settled.get(name, 0) < v for name, v in route.settle_first)
         if not waits:
