Add failure tests and close the gaps they and the generated run showed

Reads now wait for the handover of the whole group, and requests of a former gateway that the first report of a server names count until it reports fewer.

--- a/packages/decisions/src/fireflylink_decisions/admission/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/__init__.py
@@ -31,6 +31,7 @@
     ID_WINDOW_MS,
     RequestIdMemory,
 )
+from fireflylink_decisions.admission._server_report import ServerReport
 from fireflylink_decisions.retries import CallOutcome, CallResult
 
 __all__ = [
@@ -53,6 +54,7 @@
     "Rejected",
     "RequestIdMemory",
     "ServerHandover",
+    "ServerReport",
     "ShardHandover",
     "StillRunningError",
     "Suspicion",
--- a/packages/decisions/src/fireflylink_decisions/admission/_admission_values.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_admission_values.py
@@ -97,17 +97,19 @@
 class Handover(BaseValue):
     """What a gateway transfers to the next gateway of some shards.
 
-    ``servers`` matter only if the next gateway takes over the servers as well.
+    ``whole_group`` tells that the servers are handed over as well and run nothing any more.
     """
 
-    __slots__ = ("servers", "service", "shards")
+    __slots__ = ("servers", "service", "shards", "whole_group")
 
     def __init__(
         self,
         service: str,
         shards: tuple[ShardHandover, ...],
         servers: tuple[ServerHandover, ...] = (),
+        whole_group: bool = False,
     ) -> None:
         self.service = service
         self.shards = shards
         self.servers = servers
+        self.whole_group = whole_group
--- a/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
@@ -7,11 +7,14 @@
 from fireflylink_decisions.admission._call import Call
 from fireflylink_decisions.admission._fingerprint import fingerprint_of
 from fireflylink_decisions.admission._poison_detector import PoisonDetector
-from fireflylink_decisions.limits import ReportedState, ServerLimiter, ServiceTime
+from fireflylink_decisions.admission._server_report import ServerReport
+from fireflylink_decisions.limits import ServerLimiter, ServiceTime
 from fireflylink_decisions.retries import CallOutcome, CallResult
 from fireflylink_decisions.routing import BasePicker
 
 NEVER = float("-inf")
+ARRIVAL_SECONDS = 0.05
+"""A call that was sent this long before a grant has reached the server before it."""
 
 
 class GroupServers:
@@ -137,22 +140,21 @@
             self.picker.restarted(server.server_id)
             self.poison.restarted(server.server_id, now)
 
-    def observe(
-        self,
-        server_id: str,
-        generation: str,
-        state: ReportedState,
-        now: float,
-        sent_at: float | None,
-        stated_slots: int,
-    ) -> None:
+    def observe(self, report: ServerReport, now: float) -> None:
         """Takes the reply to a grant into account."""
-        server = self.limiters_by_id[server_id]
+        server = self.limiters_by_id[report.server_id]
         before = server.generation
-        asked_at = NEVER if sent_at is None else sent_at
-        server.reported(generation, state, asked_at, stated_slots)
+        sent_at = NEVER if report.sent_at is None else report.sent_at
+        others = max(0, report.in_flight - self.certainly_at(report.server_id, sent_at))
+        server.reported(report.generation, report.state, sent_at, report.slots, others)
         self.note_restart(server, before, now)
 
+    def certainly_at(self, server_id: str, sent_at: float) -> int:
+        """Counts the calls that had reached a server when it answered a grant."""
+        started_by = sent_at - ARRIVAL_SECONDS
+        calls = self.calls.values()
+        return sum(1 for c in calls if c.server_id == server_id and c.started_at <= started_by)
+
     def export(self) -> tuple[ServerHandover, ...]:
         """Returns the limits that the servers have reached."""
         return tuple(
--- a/packages/decisions/src/fireflylink_decisions/admission/_request_id_memory.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_request_id_memory.py
@@ -20,6 +20,7 @@
 BUCKET_MS = 30_000
 MAX_REQUEST_IDS = 400_000
 FULL_RETRY_AFTER_MS = 1_000
+EXPIRY_PERIOD_MS = 1_000
 
 
 class IdState(enum.Enum):
@@ -60,12 +61,13 @@
     run again. A shard that was neither started nor imported starts its term when it is first used.
     """
 
-    __slots__ = ("capacity", "shards", "size")
+    __slots__ = ("capacity", "expired_ms", "shards", "size")
 
     def __init__(self, capacity: int = MAX_REQUEST_IDS) -> None:
         self.capacity = capacity
         self.shards: dict[int, ShardIds] = {}
         self.size = 0
+        self.expired_ms = 0
 
     def start_term(self, shard_indexes: Iterable[int], wall_ms: int) -> None:
         """Takes over shards of which no handover tells what was run."""
@@ -90,11 +92,20 @@
             return OutcomeUnknown("id-too-old", "A request with this id may have run before.")
         if issued_ms - wall_ms > CLOCK_SKEW_MS:
             return NotRun("id-ahead", "The time of the request id is ahead of the clock.", 400)
-        if self.size >= self.capacity:
+        if self.full(wall_ms):
             detail = "The gateway remembers as many request ids as it can hold."
             return NotRun("id-memory-full", detail, 503, FULL_RETRY_AFTER_MS)
         return None
 
+    def full(self, wall_ms: int) -> bool:
+        """Tells whether there is no room, after dropping what has expired at most once a second."""
+        if self.size < self.capacity:
+            return False
+        if abs(wall_ms - self.expired_ms) >= EXPIRY_PERIOD_MS:
+            self.expired_ms = wall_ms
+            self.expire(wall_ms)
+        return self.size >= self.capacity
+
     def early_ms(self, request_id: int, wall_ms: int) -> int:
         """Returns for how long a request has to wait because its id is ahead; 0 or less if not."""
         return timestamp_of(request_id) - wall_ms - AHEAD_TOLERANCE_MS
@@ -165,7 +176,7 @@
         if shard is None:
             self.start_term((shard_index,), wall_ms)
             shard = self.shards[shard_index]
-        if wall_ms - ID_WINDOW_MS > shard.floor_ms:
+        if wall_ms - ID_WINDOW_MS > shard.floor_ms + BUCKET_MS:
             self.raise_floor(shard, wall_ms)
         return shard
 
--- a/packages/decisions/src/fireflylink_decisions/limits/_server_limiter.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_server_limiter.py
@@ -31,6 +31,9 @@
     one or did not answer: it may have restarted. An answer to a request that was sent afterwards
     confirms the generation, and the limit that was reached before applies again.
 
+    ``foreign`` are requests of a former gateway that still run when this one takes over. They
+    count until the server reports fewer.
+
     Example::
 
         limiter = ServerLimiter("s1", slots=4, cold_slots=1, connections=110)
@@ -44,6 +47,7 @@
         "connections",
         "doubted_at",
         "draining",
+        "foreign",
         "former_generations",
         "generation",
         "in_flight",
@@ -77,6 +81,7 @@
         self.ramped_limit = self.cold_slots
         self.successes = 0
         self.in_flight = 0
+        self.foreign = 0
         self.draining = False
         self.reported_cold = True
         self.stated_slots = slots
@@ -151,6 +156,7 @@
             former = (*self.former_generations, self.generation)
             self.former_generations = former[-REMEMBERED_GENERATIONS:]
         self.generation = generation
+        self.foreign = 0
         self.ramped_limit = self.cold_slots
         self.successes = 0
         self.doubted_at = NEVER
@@ -206,11 +212,21 @@
         self.update_limit()
 
     def reported(
-        self, generation: str, state: ReportedState, sent_at: float, stated_slots: int = 0
+        self,
+        generation: str,
+        state: ReportedState,
+        sent_at: float,
+        stated_slots: int = 0,
+        others: int = 0,
     ) -> None:
-        """Takes the reply to a grant into account."""
+        """Takes the reply to a grant into account.
+
+        ``others`` is how many requests the server runs that this gateway did not certainly send.
+        """
+        first = not self.generation
         if not self.saw_generation(generation, sent_at):
             return
+        self.foreign = others if first else min(self.foreign, others)
         self.draining = state is ReportedState.DRAINING
         self.reported_cold = state is ReportedState.COLD
         self.stated_slots = stated_slots or self.slots
@@ -240,4 +256,4 @@
             return
         known = self.generation and self.doubted_at == NEVER
         limit = self.ramped_limit if known else self.cold_slots
-        self.limit = min(limit, self.stated_slots, self.connections.usable)
+        self.limit = max(0, min(limit, self.stated_slots, self.connections.usable) - self.foreign)
--- a/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_latency_aware.py
@@ -22,9 +22,16 @@
 MAX_EJECTION_SECONDS = 10.0
 RETURN_SUCCESSES = 4
 SERVERS_PER_EJECTION = 3
-COLD_PENALTY_SECONDS = 1000.0
+COLD_PENALTY = 1e6
 """Added to the cost of a server below its full limit, so that others are preferred."""
 
+SLOW_FACTOR = 1.5
+"""Latencies up to this many medians count as equal, so that chance does not decide which servers
+get the requests of a quiet time."""
+
+AGE_FACTOR = 3.0
+"""A running request counts as evidence when it is older than this many mean latencies."""
+
 PICKS_PER_COLD_START = 8
 """One pick in this many prefers an idle cold server: without requests it would stay cold, and be
 missing when the load rises."""
@@ -72,20 +79,22 @@
         else:
             self.latency += (latency - self.latency) * LATENCY_WEIGHT
 
-    def busy_cost(self, in_flight: int, now: float) -> float:
-        """Returns the cost of one more request on a server that runs some."""
-        latency = self.latency
+    def held_back(self, in_flight: int, now: float) -> bool:
+        """Tells whether a server that was ejected gets no request now."""
+        return now < self.ejected_until or in_flight >= self.allowed
+
+    def latency_at(self, now: float) -> float:
+        """Returns the mean latency, or the age of the oldest request if that is much higher."""
         for started_at in self.running.values():
-            if now - started_at > latency:
-                latency = now - started_at
-            break
-        return (in_flight + 1) * latency
+            age = now - started_at
+            return age if age > AGE_FACTOR * self.latency else self.latency
+        return self.latency
 
 
 class LatencyAwarePicker(BasePicker):
-    """Takes the server with the lowest (requests in flight + 1) x latency.
+    """Takes the server with the fewest requests in flight, weighted by latency if it is slow.
 
-    The latency is an exponentially weighted mean; a request that has been running for longer
+    The latency is an exponentially weighted mean; a request that has been running for much longer
     counts as if it had just ended, so that a frozen server is noticed before its first deadline. A
     server whose latency exceeds three times the median of the group is ejected, at most a third of
     the group, but one of two. After the ejection it gets one request at a time, and one more for
@@ -113,17 +122,20 @@
             cold = self.idle_cold_server()
             if cold is not None:
                 return cold
+        self.pairs.append(self.pairs.pop(0))
+        slow = SLOW_FACTOR * self.median
         best = None
         best_cost = 0.0
         for server, history in self.pairs:
             in_flight = server.in_flight
-            if in_flight >= server.limit:
-                continue
-            if history.allowed and (now < history.ejected_until or in_flight >= history.allowed):
+            if in_flight >= server.limit or (history.allowed and history.held_back(in_flight, now)):
                 continue
-            cost = history.busy_cost(in_flight, now) if in_flight else history.latency
+            cost = in_flight + 1.0
+            latency = history.latency_at(now) if in_flight else history.latency
+            if latency > slow > 0.0:
+                cost *= latency / self.median
             if server.limit < server.slots:
-                cost += COLD_PENALTY_SECONDS
+                cost += COLD_PENALTY
             if best is None or cost < best_cost:
                 best = server
                 best_cost = cost
--- a/packages/experiments/src/fireflylink_experiments/request_faults/__main__.py
+++ b/packages/experiments/src/fireflylink_experiments/request_faults/__main__.py
@@ -12,8 +12,8 @@
 def main(arguments: list[str]) -> None:
     """Prints the counts; fails when a guarantee was violated."""
     del arguments
-    fault_run = FaultRun(FLAGS.seed)
-    violations = fault_run.run(FLAGS.requests, FLAGS.seed)
+    fault_run = FaultRun(FLAGS.requests, FLAGS.seed)
+    violations = fault_run.run()
     print(f"requests={violations.requests} attempts={violations.attempts}")
     print(f"faults={fault_run.faults.counts}")
     for name, count in sorted(violations.outcomes.items()):
--- a/packages/experiments/src/fireflylink_experiments/request_faults/_callers.py
+++ b/packages/experiments/src/fireflylink_experiments/request_faults/_callers.py
@@ -12,6 +12,10 @@
 REPEAT_AFTER_ANSWER_SHARE = 0.02
 REPEAT_LATE_SHARE = 0.001
 MAX_REPEATS = 3
+OWN_CLOCK_SHARE = 0.05
+"""Callers that make their ids themselves, with clocks that are further off than allowed."""
+
+OWN_CLOCK_MS = 3_000
 TIMEOUT_SECONDS = 1.0
 TENANTS = ("a", "b", "c")
 
@@ -37,8 +41,10 @@
         source = self.random_source
         idempotent = source.random() >= POST_SHARE
         self.world.violations.requests += 1
-        issuer = source.choice(self.world.entries)
-        request_id = issue_request_id(self.world.wall_ms(issuer), source)
+        issued_ms = self.world.wall_ms(source.choice(self.world.entries))
+        if source.random() < OWN_CLOCK_SHARE:
+            issued_ms += source.randint(-OWN_CLOCK_MS, OWN_CLOCK_MS)
+        request_id = issue_request_id(issued_ms, source)
         history = RequestHistory(idempotent)
         self.send(history, request_id)
         if source.random() < REPEAT_WHILE_RUNNING_SHARE:
@@ -78,7 +84,7 @@
         if source.random() < REPEAT_LATE_SHARE:
             self.repeat(history, request_id, source.uniform(1.0, 1500.0))
         elif reply.outcome is not Outcome.ANSWERED:
-            self.repeat(history, request_id, source.expovariate(1.0))
+            self.repeat(history, request_id, source.expovariate(2.0))
         elif source.random() < REPEAT_AFTER_ANSWER_SHARE:
             self.repeat(history, request_id, source.expovariate(0.5))
         else:
--- a/packages/experiments/src/fireflylink_experiments/request_faults/_faults.py
+++ b/packages/experiments/src/fireflylink_experiments/request_faults/_faults.py
@@ -5,19 +5,27 @@
 from fireflylink_experiments.request_faults._faulty_gateway import FaultyGateway
 from fireflylink_experiments.request_faults._world import GROUPS, Entry, World
 
-FAULT_PERIOD_SECONDS = 2.0
+STORM_PERIOD_SECONDS = 0.1
+CALM_PERIOD_SECONDS = 3.0
+PHASE_SECONDS = 4.0
+PHASES_PER_STORM = 4
+"""Every fourth phase is a storm, in which the next fault comes before the last one is over."""
+
 HANDOVER_POLL_SECONDS = 0.005
 HOP_SECONDS = 0.001
 LEARN_SECONDS = 0.4
+FORGET_SHARE = 0.5
+"""Gateways that drop what they know of shards that were taken from them; others keep it."""
 
 
 class Faults:
     """Causes one fault after the other at random times, several at once included."""
 
-    __slots__ = ("busy_shards", "counts", "random_source", "world")
+    __slots__ = ("busy_shards", "counts", "random_source", "storms_until", "world")
 
-    def __init__(self, world: World, seed: int) -> None:
+    def __init__(self, world: World, seed: int, storms_until: float) -> None:
         self.world = world
+        self.storms_until = storms_until
         self.random_source = random.Random(seed)
         self.counts: dict[str, int] = {}
         self.busy_shards: set[int] = set()
@@ -28,7 +36,7 @@
         fault = source.choice(
             (
                 self.crash,
-                self.crash,
+                self.vanish,
                 self.lose_gateway,
                 self.move_shards,
                 self.take_shards,
@@ -39,8 +47,13 @@
         name = fault.__name__
         self.counts[name] = self.counts.get(name, 0) + 1
         fault()
-        delay = source.expovariate(1.0 / FAULT_PERIOD_SECONDS)
-        self.world.loop.after(delay, self.run)
+        self.world.loop.after(source.expovariate(1.0 / self.period()), self.run)
+
+    def period(self) -> float:
+        """Returns the mean time between faults in the present phase."""
+        now = self.world.loop.now
+        storm = now < self.storms_until and int(now / PHASE_SECONDS) % PHASES_PER_STORM == 1
+        return STORM_PERIOD_SECONDS if storm else CALM_PERIOD_SECONDS
 
     def crash(self) -> None:
         """Crashes a server."""
@@ -49,6 +62,13 @@
         if not server.down:
             server.crash(self.random_source.uniform(0.01, 0.6))
 
+    def vanish(self) -> None:
+        """Restarts a server without a sign: its connections go silent."""
+        group = self.world.servers[self.random_source.randrange(GROUPS)]
+        server = group[self.random_source.choice(sorted(group))]
+        if not server.down:
+            server.vanish(self.random_source.uniform(0.01, 0.2))
+
     def lose_gateway(self) -> None:
         """Loses the gateway of a group; another daemon takes over without a handover."""
         group = self.random_source.randrange(GROUPS)
@@ -63,8 +83,9 @@
         world = self.world
         if not world.gateways[group].lost:
             return
-        world.gateways[group] = world.make_gateway(group)
-        world.gateways[group].start_term(world.shards_of(group))
+        gateway = world.make_gateway(group)
+        world.gateways[group] = gateway
+        gateway.take_over(world.shards_of(group), whole_group=True)
 
     def replace_gateway(self) -> None:
         """Hands all shards of a group over to a new daemon."""
@@ -77,9 +98,9 @@
         new = world.make_gateway(group)
         self.busy_shards.update(shards)
         old.reply_all(old.admission.stop_admitting("moved"))
-        new.admission.expect_handover(shards)
+        new.admission.expect_handover(shards, whole_group=True)
         world.gateways[group] = new
-        self.hand_over(old, new, shards)
+        self.hand_over(old, new, shards, whole_group=True)
 
     def move_shards(self) -> None:
         """Hands some shards over to another group."""
@@ -94,7 +115,7 @@
         self.assign(shards, target)
         new.admission.expect_handover(shards)
         old.reply_all(old.admission.stop_admitting("moved", shards))
-        self.hand_over(old, new, shards)
+        self.hand_over(old, new, shards, whole_group=False)
 
     def take_shards(self) -> None:
         """Moves shards to another group without a handover; requests for them may still run."""
@@ -105,7 +126,8 @@
         world = self.world
         old = world.gateways[source]
         old.reply_all(old.admission.stop_admitting("moved", shards))
-        old.admission.drop_shards(shards)
+        if self.random_source.random() < FORGET_SHARE:
+            old.admission.drop_shards(shards)
         self.assign(shards, target)
         world.gateways[target].start_term(shards)
 
@@ -128,24 +150,22 @@
             delay = self.random_source.random() * LEARN_SECONDS
             world.loop.after(delay, entry.table.update, dict.fromkeys(shards, group))
 
-    def hand_over(self, old: FaultyGateway, new: FaultyGateway, shards: tuple[int, ...]) -> None:
+    def hand_over(
+        self, old: FaultyGateway, new: FaultyGateway, shards: tuple[int, ...], whole_group: bool
+    ) -> None:
         """Transfers the shards once their last request has ended, unless a daemon is lost."""
         loop = self.world.loop
         if old.lost or new.lost:
-            self.end_handover(new, shards)
+            self.busy_shards.difference_update(shards)
+            new.take_over(shards, whole_group)
             return
         handover = old.admission.export_handover(shards).value_or(None)
         if handover is None:
-            loop.after(HANDOVER_POLL_SECONDS, self.hand_over, old, new, shards)
+            loop.after(HANDOVER_POLL_SECONDS, self.hand_over, old, new, shards, whole_group)
             return
         self.busy_shards.difference_update(shards)
         loop.after(HOP_SECONDS, new.import_handover, handover)
 
-    def end_handover(self, new: FaultyGateway, shards: tuple[int, ...]) -> None:
-        """Takes the shards over without a handover because the former gateway is lost."""
-        self.busy_shards.difference_update(shards)
-        new.start_term(shards)
-
     def busy(self, group: int) -> bool:
         """Whether shards of a group are being handed over."""
         return any(shard in self.busy_shards for shard in self.world.shards_of(group))
--- a/packages/experiments/src/fireflylink_experiments/request_faults/_faulty_gateway.py
+++ b/packages/experiments/src/fireflylink_experiments/request_faults/_faulty_gateway.py
@@ -23,6 +23,7 @@
 from fireflylink_experiments.requests._event_loop import EventLoop
 
 EXPIRY_SECONDS = 0.02
+ASK_AGAIN_SECONDS = 0.02
 WALL_START_MS = 1_700_000_000_000
 SLOTS = 4
 CONNECTIONS = 110
@@ -130,17 +131,28 @@
         self.schedule_expiry()
 
     def observe_servers(self) -> None:
-        """Takes the replies to grants."""
+        """Takes the replies of all servers to grants."""
+        for server_id in self.servers:
+            self.observe(server_id)
+
+    def observe(self, server_id: str) -> None:
+        """Takes the reply of a server to a grant, and asks again while it runs other requests."""
+        server = self.servers[server_id]
+        if self.lost or server.down:
+            return
         now = self.loop.now
-        for server in self.servers.values():
-            if self.lost or server.down:
-                continue
-            state = server.state
-            started = self.admission.observe(
-                server.server_id, server.generation, state, now, now - 0.001
-            )
-            for admitted in started:
-                self.start(admitted)
+        started = self.admission.observe(
+            server_id,
+            server.generation,
+            server.state,
+            now,
+            now - 0.001,
+            in_flight=len(server.running),
+        )
+        for admitted in started:
+            self.start(admitted)
+        if server_id in self.admission.awaits_former:
+            self.loop.after(ASK_AGAIN_SECONDS, self.observe, server_id)
 
     def schedule_expiry(self) -> None:
         """Calls ``expire`` soon while anything waits."""
@@ -171,11 +183,17 @@
             self.start(admitted)
         self.schedule_expiry()
 
-    def start_term(self, shard_indexes: tuple[int, ...]) -> None:
+    def take_over(self, shard_indexes: tuple[int, ...], whole_group: bool) -> None:
+        """Takes over without a handover: learns first what the servers still run."""
+        self.observe_servers()
+        self.start_term(shard_indexes, whole_group)
+
+    def start_term(self, shard_indexes: tuple[int, ...], whole_group: bool = False) -> None:
         """Takes over shards without a handover."""
         if self.lost:
             return
-        for admitted in self.admission.start_term(shard_indexes, self.loop.now, self.wall_ms):
+        now = self.loop.now
+        for admitted in self.admission.start_term(shard_indexes, now, self.wall_ms, whole_group):
             self.start(admitted)
         self.schedule_expiry()
 
--- a/packages/experiments/src/fireflylink_experiments/request_faults/_faulty_server.py
+++ b/packages/experiments/src/fireflylink_experiments/request_faults/_faulty_server.py
@@ -120,6 +120,16 @@
             self.loop.after(HOP_SECONDS, end, CallResult(CallOutcome.CONNECTION_LOST, 0.0))
         self.loop.after(restart_seconds, self.come_back)
 
+    def vanish(self, restart_seconds: float) -> None:
+        """Ends the process without closing its connections: the calls end at their deadlines."""
+        ended = list(self.running.values())
+        self.running.clear()
+        self.down = True
+        result = CallResult(CallOutcome.DEADLINE_PASSED, HANGING_SECONDS)
+        for end in ended:
+            self.loop.after(HANGING_SECONDS, end, result)
+        self.loop.after(restart_seconds, self.come_back)
+
     def come_back(self) -> None:
         """Begins a new process, in cold start."""
         if self.down:
--- a/packages/experiments/src/fireflylink_experiments/request_faults/_run.py
+++ b/packages/experiments/src/fireflylink_experiments/request_faults/_run.py
@@ -13,17 +13,19 @@
 class FaultRun:
     """A run and its counts."""
 
-    __slots__ = ("faults", "world")
+    __slots__ = ("faults", "requests", "seed", "world")
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, requests: int, seed: int) -> None:
+        self.requests = requests
+        self.seed = seed
         self.world = World(seed)
-        self.faults = Faults(self.world, seed + 1)
+        self.faults = Faults(self.world, seed + 1, requests / REQUESTS_PER_SECOND)
 
-    def run(self, requests: int, seed: int) -> Violations:
+    def run(self) -> Violations:
         """Sends the requests, lets all of them end and returns what was violated."""
         loop = self.world.loop
-        callers = Callers(self.world, requests, REQUESTS_PER_SECOND, seed + 2)
+        callers = Callers(self.world, self.requests, REQUESTS_PER_SECOND, self.seed + 2)
         loop.after(0.0, callers.run)
         loop.after(1.0, self.faults.run)
-        loop.run(requests / REQUESTS_PER_SECOND + LATE_SECONDS)
+        loop.run(self.requests / REQUESTS_PER_SECOND + LATE_SECONDS)
         return self.world.violations
