--- a/packages/standins/src/fireflylink_standins/__init__.py
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -37,6 +37,7 @@
 from fireflylink_standins._platform_store import PlatformStore
 from fireflylink_standins._process_group import ProcessError, ProcessGroup, WorkspaceProcess
 from fireflylink_standins._request_ids import make_request_id
+from fireflylink_standins._scenario import Scenario, ScenarioError, Told, wrongly_not_run
 
 __all__ = [
     "ASSOCIATION",
@@ -70,8 +71,11 @@
     "Poison",
     "ProcessError",
     "ProcessGroup",
+    "Scenario",
+    "ScenarioError",
     "Silence",
     "Slow",
+    "Told",
     "Truncate",
     "TurnCold",
     "Verification",
@@ -83,4 +87,5 @@
     "make_request_id",
     "overlapping_owners",
     "verify",
+    "wrongly_not_run",
 ]
--- a/packages/standins/src/fireflylink_standins/_load_generator.py
+++ b/packages/standins/src/fireflylink_standins/_load_generator.py
@@ -10,6 +10,7 @@
 from fireflylink_backend_client import (
     BackendConnection,
     LostError,
+    LostReason,
     NotSentError,
     ResponseReader,
 )
@@ -21,6 +22,7 @@
 MILLISECONDS_PER_SECOND = 1000.0
 REPLY_GRACE = 1.0
 CONNECT_TIMEOUT = 0.5
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
 OUTCOMES = ("answered", "not-run", "unknown")
 Address = tuple[str, int]
 
@@ -46,11 +48,21 @@
         report = LoadGenerator(settings).run()
     """
 
-    __slots__ = ("clock", "idle", "key_weights", "open_requests", "random", "report", "settings")
+    __slots__ = (
+        "clock",
+        "end",
+        "idle",
+        "key_weights",
+        "open_requests",
+        "random",
+        "report",
+        "settings",
+    )
 
     def __init__(self, settings: LoadSettings) -> None:
         self.settings = settings
         self.clock = SystemClock()
+        self.end = float("inf")
         self.random = random.Random(settings.seed)
         self.report = LoadReport()
         self.idle: dict[Address, list[BackendConnection]] = {}
@@ -60,11 +72,11 @@
 
     def run(self) -> LoadReport:
         """Runs the load to its end and waits for the last replies."""
-        end = self.clock.now() + self.settings.duration
         due = self.clock.now()
+        self.end = min(self.end, due + self.settings.duration)
         while True:
             due += self.random.expovariate(self.settings.rate)
-            if due >= end:
+            if due >= self.end:
                 break
             self._wait_until(due)
             self._start(due)
@@ -75,6 +87,10 @@
                 connection.close()
         return self.report
 
+    def finish(self) -> None:
+        """Ends the load early; may be called from another thread."""
+        self.end = self.clock.now()
+
     def _wait_until(self, due: float) -> None:
         remaining = due - self.clock.now()
         gevent.sleep(max(0.0, remaining))
@@ -147,7 +163,30 @@
     def _exchange(
         self, address: Address, request: GeneratedRequest, deadline: float
     ) -> ResponseReader:
-        connection = self._connection_to(address, deadline)
+        """Sends on an idle connection or a new one.
+
+        An idempotent request that gets no reply on an idle connection is sent once more on a new
+        one, as HTTP allows: the daemon may close an idle connection at any moment.
+        """
+        connection = self._idle_connection(address)
+        if connection is not None and request.method in IDEMPOTENT_METHODS:
+            try:
+                return self._exchange_on(connection, address, request, deadline)
+            except LostError as error:
+                if error.reason not in (LostReason.CLOSED, LostReason.RESET):
+                    raise
+                connection = None
+        if connection is None:
+            connection = self._new_connection(address, deadline)
+        return self._exchange_on(connection, address, request, deadline)
+
+    def _exchange_on(
+        self,
+        connection: BackendConnection,
+        address: Address,
+        request: GeneratedRequest,
+        deadline: float,
+    ) -> ResponseReader:
         reusable = False
         try:
             encoded = self._encode(request, address)
@@ -160,13 +199,16 @@
             else:
                 connection.close()
 
-    def _connection_to(self, address: Address, deadline: float) -> BackendConnection:
+    def _idle_connection(self, address: Address) -> BackendConnection | None:
         idle = self.idle.get(address, [])
         while idle:
             connection = idle.pop()
             if connection.usable():
                 return connection
             connection.close()
+        return None
+
+    def _new_connection(self, address: Address, deadline: float) -> BackendConnection:
         connection = BackendConnection(address[0], self.clock)
         try:
             connection.connect(*address, min(deadline, self.clock.now() + CONNECT_TIMEOUT))
--- a/packages/standins/tests/conftest.py
+++ b/packages/standins/tests/conftest.py
@@ -1,13 +1,24 @@
 """Stand-ins within this process, and a group for processes of the workspace."""
 
+import pathlib
 from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
 
 from fireflylink_backend_client import BackendPool, BaseCallResult, CallHeaders, GrantCommand
-from fireflylink_core import BackendServer, CallerRequest, SystemClock
-from fireflylink_standins import BackendSettings, BackendStandin, ProcessGroup
+from fireflylink_core import BackendServer, CallerRequest, ServiceKind, SystemClock
+from fireflylink_standins import (
+    BackendSettings,
+    BackendStandin,
+    ExampleSystem,
+    LocalSystem,
+    ProcessGroup,
+    Scenario,
+    duplicated_requests,
+    overlapping_owners,
+)
+from fireflylink_standins._examples import ExampleService
 
 SERVICE = "holds"
 
@@ -87,3 +98,79 @@
 def group() -> Iterator[ProcessGroup]:
     with ProcessGroup() as processes:
         yield processes
+
+
+HOLDS = ExampleService("holds", ServiceKind.KEYED, 4, 24)
+BOOKINGS = ExampleService("bookings", ServiceKind.POOLED, 4, 24)
+TWO_CENTRES = ExampleSystem(
+    "jm-south", ("kingston", "mandeville"), (HOLDS, BOOKINGS), slots=4, connections=110
+)
+ONE_CENTRE = ExampleSystem("jm-south", ("kingston",), (HOLDS,), slots=4, connections=110)
+DAEMONS_PER_CENTRE = 3
+SEED = 17
+HEALTHY_SECONDS = 20.0
+
+
+def run_system(
+    folder: pathlib.Path, example: ExampleSystem, checks_grants: bool
+) -> Iterator[LocalSystem]:
+    system = LocalSystem(folder, example, DAEMONS_PER_CENTRE, checks_grants)
+    try:
+        system.start()
+        yield system
+    finally:
+        system.stop()
+
+
+@pytest.fixture(scope="session")
+def checked_system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[LocalSystem]:
+    """Two data centres whose servers verify grants, for all failure tests but the next ones."""
+    yield from run_system(tmp_path_factory.mktemp("checked"), TWO_CENTRES, True)
+
+
+@pytest.fixture(scope="session")
+def unchecked_system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[LocalSystem]:
+    """A data centre whose servers obey whoever sends to them."""
+    yield from run_system(tmp_path_factory.mktemp("unchecked"), ONE_CENTRE, False)
+
+
+def guarded(system: LocalSystem, violations: tuple[str, ...]) -> Iterator[Scenario]:
+    """Ends the faults after a test; fails it when the journals show a broken guarantee."""
+    scenario = Scenario(system, SEED)
+    earlier = {name: scenario.violations(name) for name in system.backends}
+    started_ms = scenario.now_ms()
+    yield scenario
+    scenario.quiet()
+    for service in system.example.services:
+        system.wait_until_served(service.name)
+        entries = scenario.started_after(service.name, started_ms)
+        assert duplicated_requests(entries) == []
+        overlaps = [
+            (first.as_document(), second.as_document())
+            for first, second in overlapping_owners(entries)
+        ]
+        assert overlaps == []
+        counted = scenario.violations(service.name)
+        for kind in violations:
+            assert counted.get(kind, 0) == earlier[service.name].get(kind, 0), (kind, counted)
+    scenario.until(
+        "every daemon has the same configuration",
+        lambda: len(set(scenario.versions().values())) == 1,
+        HEALTHY_SECONDS,
+    )
+
+
+@pytest.fixture
+def scenario(checked_system: LocalSystem) -> Iterator[Scenario]:
+    """The system of two data centres; every test that uses it also checks its journals."""
+    yield from guarded(
+        checked_system, ("cold-overload", "duplicate-request", "connections-exceeded")
+    )
+
+
+@pytest.fixture
+def unchecked(unchecked_system: LocalSystem) -> Iterator[Scenario]:
+    """The system whose servers do not check grants; the journals tell who sent to them."""
+    yield from guarded(
+        unchecked_system, ("cold-overload", "duplicate-request", "connections-exceeded")
+    )
