--- a/packages/standins/src/fireflylink_standins/_local_files.py
+++ b/packages/standins/src/fireflylink_standins/_local_files.py
@@ -4,6 +4,7 @@
 import pathlib
 import secrets
 import socket
+from collections.abc import Iterable
 
 from fireflylink_core import BaseValue
 
@@ -55,6 +56,12 @@
         }
 
 
+    def peer(self) -> dict[str, object]:
+        """Returns the daemon as the settings of other daemons name it."""
+        names = ("instance_id", "data_centre", "host", "control_port", "forward_port")
+        return {name: value for name, value in self.listing().items() if name in names}
+
+
 def free_ports(count: int) -> list[int]:
     """Returns ports that are free now; all are held at once so that none is returned twice."""
     held = []
@@ -121,3 +128,11 @@
             )
         )
         return DaemonPlace(instance_id, data_centre, caller, control, forward, operator, path)
+
+    def write_peers(self, places: Iterable[DaemonPlace]) -> None:
+        """Adds to the settings of each daemon the others, which it asks during an outage."""
+        places = tuple(places)
+        for place in places:
+            settings = json.loads(place.settings_path.read_text())
+            settings["peers"] = [other.peer() for other in places if other is not place]
+            place.settings_path.write_text(json.dumps(settings, indent=2))
--- a/packages/standins/src/fireflylink_standins/_local_system.py
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -122,6 +122,7 @@
                 self.daemons[instance_id] = self.files.write_daemon_settings(
                     instance_id, data_centre, self.platform_port
                 )
+        self.files.write_peers(self.daemons.values())
         listing = [place.listing() for place in self.daemons.values()]
         self.platform("PUT", "/admin/instances?lag_ms=0", listing)
         for instance_id in self.daemons:
