--- a/packages/daemon/src/fireflylink_daemon/_control_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_state.py
@@ -272,10 +272,11 @@
     def in_force(self) -> InForce:
         """Returns how far the newest configuration has come in this data centre."""
         version = self.cache.configuration.version
+        self.progress.note(MemberProgress(self.myself.instance_id, version), float("inf"))
         expected = tuple(
             member.instance_id for member in self.directory.members(self.myself.data_centre)
         )
-        return self.progress.in_force(version, self.myself.instance_id, expected)
+        return self.progress.in_force(version, expected)
 
     def yield_tables_elsewhere(self) -> tuple[OwnershipTable, ...]:
         """Returns the tables of other data centres that yield when their home is cut off."""
--- a/packages/decisions/src/fireflylink_decisions/membership/_progress.py
+++ b/packages/decisions/src/fireflylink_decisions/membership/_progress.py
@@ -38,15 +38,11 @@
             if now - heard < MEMBER_LOSS_TIMEOUT
         )
 
-    def in_force(self, version: int, own_id: str, expected: tuple[str, ...]) -> InForce:
-        """Returns which of the expected daemons have at least a version in force.
-
-        The daemon itself, ``own_id``, has it. It is not noted among the reports: they are passed on
-        to the parent, where an old version would replace the one in the daemon's own message.
-        """
+    def in_force(self, version: int, expected: tuple[str, ...]) -> InForce:
+        """Returns which of the expected daemons have at least a version in force."""
         lagging = tuple(
             instance_id
             for instance_id in expected
-            if instance_id != own_id and self._reported.get(instance_id, (-1, 0.0))[0] < version
+            if self._reported.get(instance_id, (-1, 0.0))[0] < version
         )
         return InForce(version, len(expected), len(expected) - len(lagging), lagging)
