--- a/packages/standins/src/fireflylink_standins/_local_files.py
+++ b/packages/standins/src/fireflylink_standins/_local_files.py
@@ -55,7 +55,6 @@
             "state": "live",
         }
 
-
     def peer(self) -> dict[str, object]:
         """Returns the daemon as the settings of other daemons name it."""
         names = ("instance_id", "data_centre", "host", "control_port", "forward_port")
