Wait for the request ids of a gateway that leaves

Cause: where all servers check grants, a new gateway started at once and began a term without a handover, also when the former one was leaving and about to hand over. New ids were answered 'unknown' for 2 s. Change: the planner names a lost gateway as one that releases nothing; only then does its successor start at once. Otherwise it waits for the handover, or until the version is settled. The activation test of the immediate start now names a lost gateway; one for a leaving gateway was added.

--- a/packages/decisions/src/fireflylink_decisions/activation/_activation.py
+++ b/packages/decisions/src/fireflylink_decisions/activation/_activation.py
@@ -6,6 +6,7 @@
 from fireflylink_decisions.activation._handovers import HandoverBook
 from fireflylink_decisions.activation._shard_view import ShardPhase, ShardView
 from fireflylink_decisions.authority import FENCE_WAIT, AuthorityBook
+from fireflylink_decisions.ownership import NO_RELEASE
 
 FIRST_VERSION = 1
 
@@ -123,7 +124,9 @@
             return True
         if settled.get(view.table_id, 0) >= group.changed_version:
             return True
-        return self.servers_check_grants(group.server_ids)
+        # A former gateway that is not lost hands over the ids of the requests that it admitted.
+        releases = group.previous_gateway != NO_RELEASE
+        return not releases and self.servers_check_grants(group.server_ids)
 
     def is_handed_over(self, view: ShardView) -> bool:
         """Tells whether the former gateway released the shard for this term."""
--- a/packages/decisions/src/fireflylink_decisions/ownership/_groups.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_groups.py
@@ -167,7 +167,11 @@
     def _replace(self, draft: PlanningDraft, group_id: str) -> None:
         group = draft.own.groups[group_id]
         unsettled = group.changed_version > draft.source.settled_version
-        former = NO_RELEASE if unsettled and group.previous_gateway else group.gateway
+        several = unsettled and group.previous_gateway is not None
+        # A lost gateway releases nothing. One that leaves or is relieved hands over what it knows
+        # about request ids, and its successor waits for that.
+        lost = group.gateway in draft.source.lost_members
+        former = NO_RELEASE if several or lost else group.gateway
         draft.own.groups[group_id] = group.replace(
             gateway=least_loaded_gateway(draft, group_id),
             gateway_epoch=group.gateway_epoch + 1,
--- a/packages/decisions/tests/test_activation.py
+++ b/packages/decisions/tests/test_activation.py
@@ -7,6 +7,7 @@
 from fireflylink_core import HandoverRequest, HandoverShard, ServerGroup, ShardRecord
 from fireflylink_decisions.activation import ShardActivation, ShardPhase, ShardView
 from fireflylink_decisions.authority import FENCE_WAIT, Authority, AuthorityBook
+from fireflylink_decisions.ownership import NO_RELEASE
 
 TABLE = "kingston.keep"
 SHARD = ("holds", 7)
@@ -85,11 +86,20 @@
 ) -> None:
     """A server that does not check grants would take requests of two gateways (P1, P3)."""
     activation = ShardActivation("a", START, lambda _servers: checks)
-    view = _view(version=2, gateway_version=8, previous_gateway="b")
+    view = _view(version=2, gateway_version=8, previous_gateway=NO_RELEASE)
     activation.take_views({IDENTITY: view}, READY)
     assert_that(activation.activate(book, {TABLE: 2}, READY), HasLength(started))
 
 
+def test_new_gateway_waits_for_the_request_ids_of_one_that_leaves(book: AuthorityBook) -> None:
+    """Without them it would answer new requests as if they may have run before (P9)."""
+    activation = ShardActivation("a", START, lambda _servers: True)
+    view = _view(version=2, gateway_version=8, previous_gateway="b")
+    activation.take_views({IDENTITY: view}, READY)
+    assert_that(activation.activate(book, {TABLE: 2}, READY), HasLength(0))
+    assert_that(activation.activate(book, {TABLE: 8}, READY), HasLength(1))
+
+
 def test_shard_without_authority_is_not_started(activation: ShardActivation) -> None:
     """A daemon that is cut off would start what others have taken over (P1)."""
     activation.take_views({IDENTITY: _view(version=1)}, READY)
