Send no new request to a drained server of a pooled group

Cause: the state of a server in the configuration was no limit for the gateway of a pooled group, and any change of a group's servers replaced the gateway, which cut its connections and lost its request ids. Change: the gateway takes the changed list, keeps what stays and withholds drained servers while others of the group remain.

--- a/packages/daemon/src/fireflylink_daemon/_gateway_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_gateway_task.py
@@ -8,6 +8,8 @@
     CallerRequest,
     HandoverRequest,
     NotRun,
+    Service,
+    ServiceKind,
     ShardKey,
 )
 from fireflylink_daemon._control_messages import GatewayReport, HandoverAsked
@@ -269,16 +271,32 @@
             if service is None or not servers:
                 continue
             held = self.groups.get(group.group_id)
-            if held is not None and _same_servers(held, servers):
-                held.service = service
+            if held is not None and held.take_servers(
+                service, servers, self._withheld(service, servers)
+            ):
                 continue
             if held is not None:
                 held.close()
             opened = GroupGateway(group.group_id, service, servers, self.poison, self.clock)
+            opened.take_servers(service, servers, self._withheld(service, servers))
             self.groups[group.group_id] = opened
             log_event("gateway-opened", group=group.group_id, epoch=group.gateway_epoch)
             self._renew_at = self.clock.now()
 
+    def _withheld(self, service: Service, servers: tuple[BackendServer, ...]) -> frozenset[str]:
+        """Returns the servers of a pooled group that operators take out while others stay.
+
+        The shards of a group without any other server move, and are served until then.
+        """
+        leaving = frozenset(
+            server.server_id
+            for server in servers
+            if not self.view.configuration.takes_new_work(server)
+        )
+        if service.kind is ServiceKind.KEYED or len(leaving) == len(servers):
+            return frozenset()
+        return leaving
+
     def _close_groups(self) -> None:
         needed = {shard.group.group_id for shard in self.activation.views()}
         for release in self.releases.pending.values():
@@ -371,7 +389,3 @@
         super().stop()
         for group in self.groups.values():
             group.close()
-
-
-def _same_servers(held: GroupGateway, servers: tuple[BackendServer, ...]) -> bool:
-    return tuple(link.server for link in held.links.values()) == servers
--- a/packages/daemon/src/fireflylink_daemon/_group_gateway.py
+++ b/packages/daemon/src/fireflylink_daemon/_group_gateway.py
@@ -1,5 +1,6 @@
 """The gateway of one server group: its servers, admission and waiting requests."""
 
+import gevent
 from gevent.event import AsyncResult, Event
 
 from fireflylink_backend_client import (
@@ -45,6 +46,8 @@
 )
 DEADLINE = NotRun("deadline", "The deadline passed before the request was sent.", 503)
 
+MILLISECONDS_PER_SECOND = 1000.0
+
 LOST_OUTCOMES = {
     LostReason.DEADLINE: CallOutcome.DEADLINE_PASSED,
     LostReason.CANCELLED: CallOutcome.CANCELLED,
@@ -89,6 +92,29 @@
         self.meter = LoadMeter(clock.now())
         self.calls = 0
 
+    def take_servers(
+        self, service: Service, servers: tuple[BackendServer, ...], withheld: frozenset[str]
+    ) -> bool:
+        """Takes a changed list of servers; False when a new gateway has to be opened for it.
+
+        Connections, request ids and requests in flight of the servers that stay are kept.
+        """
+        held = {server_id: link.server for server_id, link in self.links.items()}
+        if any(_moved(held.get(server.server_id, server), server) for server in servers):
+            return False
+        self.service = service
+        self.admission.servers.take_servers(service, servers, withheld)
+        links = {}
+        for server in servers:
+            link = self.links.pop(server.server_id) if server.server_id in self.links else None
+            links[server.server_id] = link or ServerLink(server, self.clock)
+            links[server.server_id].server = server
+        for link in self.links.values():
+            # Its last requests end by then.
+            gevent.spawn_later(service.max_request_ms / MILLISECONDS_PER_SECOND, link.close)
+        self.links = links
+        return True
+
     @property
     def exclusive(self) -> bool:
         """Whether a shard of the group has exactly one owning server."""
@@ -241,3 +267,8 @@
         return CallResult(CallOutcome.NOT_SENT, latency, refused=refused)
     assert isinstance(outcome, Lost)
     return CallResult(LOST_OUTCOMES.get(outcome.reason, CallOutcome.CONNECTION_LOST), latency)
+
+
+def _moved(held: BackendServer, server: BackendServer) -> bool:
+    """Tells whether a server differs in more than its state."""
+    return held.replace(state=server.state) != server
--- a/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_group_servers.py
@@ -34,9 +34,7 @@
         picker: BasePicker,
         poison: PoisonDetector,
     ) -> None:
-        self.limiters = tuple(
-            ServerLimiter(s.server_id, s.slots, service.cold_slots, s.connections) for s in servers
-        )
+        self.limiters = tuple(_limiter_of(service, server) for server in servers)
         self.limiters_by_id = {limiter.server_id: limiter for limiter in self.limiters}
         self.picker = picker
         self.poison = poison
@@ -44,6 +42,25 @@
         self.calls: dict[str, Call] = {}
         self.blocked: list[ServerLimiter] = []
 
+    def take_servers(
+        self, service: Service, servers: Iterable[BackendServer], withheld: frozenset[str]
+    ) -> None:
+        """Takes a changed list of servers and keeps what is known of those that stay.
+
+        ``withheld`` ones get no new request. A server that is not listed any more is only kept for
+        the ends of its calls.
+        """
+        current = []
+        listed = {limiter.server_id for limiter in self.limiters}
+        for server in servers:
+            limiter = self.limiters_by_id.get(server.server_id)
+            if limiter is None or server.server_id not in listed:
+                limiter = _limiter_of(service, server)
+            limiter.withhold(server.server_id in withheld)
+            current.append(limiter)
+        self.limiters = tuple(current)
+        self.limiters_by_id.update((limiter.server_id, limiter) for limiter in current)
+
     def capacity(self, now: float) -> int:
         """Returns how many requests the group may run at once at present."""
         return sum(self.picker.usable(limiter, now) for limiter in self.limiters)
@@ -51,7 +68,7 @@
     @property
     def all_draining(self) -> bool:
         """Whether no server takes new requests."""
-        return all(limiter.draining for limiter in self.limiters)
+        return all(limiter.draining or limiter.withheld for limiter in self.limiters)
 
     def pick(self, now: float) -> ServerLimiter | None:
         """Returns the server for the next request, or None when none is free."""
@@ -166,3 +183,7 @@
             limiter = self.limiters_by_id.get(server.server_id)
             if limiter is not None:
                 limiter.adopt(server.generation, server.limit, now)
+
+
+def _limiter_of(service: Service, server: BackendServer) -> ServerLimiter:
+    return ServerLimiter(server.server_id, server.slots, service.cold_slots, server.connections)
--- a/packages/decisions/src/fireflylink_decisions/admission/_isolation.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_isolation.py
@@ -36,7 +36,7 @@
         """Returns a suspect that may start and its server, or None."""
         if self.running or not self.waiting:
             return None
-        if self.server is None or self.server.draining:
+        if self.server is None or self.server.draining or self.server.withheld:
             self.release()
             self.server = self.choose(servers)
         server = self.server
@@ -48,7 +48,7 @@
 
     def choose(self, servers: Sequence[ServerLimiter]) -> ServerLimiter | None:
         """Keeps a server free: one that is sure to live, and has the fewest requests to finish."""
-        candidates = [server for server in servers if not server.draining]
+        candidates = [server for server in servers if not (server.draining or server.withheld)]
         if not candidates:
             return None
         chosen = min(candidates, key=lambda server: (not server.confirmed, server.in_flight))
--- a/packages/decisions/src/fireflylink_decisions/limits/_server_limiter.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_server_limiter.py
@@ -57,6 +57,7 @@
         "slots",
         "stated_slots",
         "successes",
+        "withheld",
     )
 
     def __init__(
@@ -78,6 +79,7 @@
         self.successes = 0
         self.in_flight = 0
         self.draining = False
+        self.withheld = False
         self.reported_cold = True
         self.stated_slots = slots
         self.reserved = False
@@ -224,6 +226,11 @@
         self.draining = True
         self.update_limit()
 
+    def withhold(self, withheld: bool) -> None:
+        """Admits no more requests because operators take the server out, or ends that."""
+        self.withheld = withheld
+        self.update_limit()
+
     def reserve(self, reserved: bool) -> None:
         """Keeps the server free for a request that has to run alone, or ends that."""
         self.reserved = reserved
@@ -235,7 +242,7 @@
 
     def update_limit(self) -> None:
         """Recomputes the limit from everything that bounds it."""
-        if self.draining or self.reserved or self.blocked_until != NEVER:
+        if self.draining or self.withheld or self.reserved or self.blocked_until != NEVER:
             self.limit = 0
             return
         known = self.generation and self.doubted_at == NEVER
