Forget a root that stepped back and watch every local member

Its relays kept it as their parent while it was their child, so the real root heard from 7 of 17 daemons. The planner then gave gateways in turn to daemons that were silent but not watched: versions rose without end in one instant of the manual clock.

A daemon that steps back, or is told that it is the root while it is not, now asks the voters in order; the root judges the silence of every local member.

--- a/packages/daemon/src/fireflylink_daemon/_control_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_state.py
@@ -108,6 +108,9 @@
         is_root = self.succession.is_root(self.order_of_succession(), now)
         if is_root and not self.was_root:
             self.directory.restart_watch(now)
+        if self.was_root and not is_root:
+            # A daemon that still named itself would be its relays' parent and their child at once.
+            self.root = ""
         self.was_root = is_root
         if is_root:
             self.root = self.myself.instance_id
@@ -250,7 +253,8 @@
         self.directory.hear(peer, now)
         is_parent = peer.data_centre == self.myself.data_centre
         if is_parent:
-            self.root = reply.root
+            stale = reply.root == self.myself.instance_id and not self.was_root
+            self.root = "" if stale else reply.root
         changed = False
         for document in reply.documents:
             changed |= self.cache.take(document).value_or(False)
--- a/packages/daemon/src/fireflylink_daemon/_planning.py
+++ b/packages/daemon/src/fireflylink_daemon/_planning.py
@@ -1,7 +1,5 @@
 """Building the planner's input and keeping track of platform revisions."""
 
-from fireflylink_decisions.ownership import BasePlanner, PlanningInput
-
 from fireflylink_core import (
     DataCentreState,
     OwnershipTable,
@@ -10,6 +8,7 @@
 )
 from fireflylink_daemon._control_state import ControlState
 from fireflylink_daemon._platform_task import OWNERSHIP_PREFIX, WriteTables, new_write_id
+from fireflylink_decisions.ownership import BasePlanner, PlanningInput
 from fireflylink_platform_client import Entry
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -76,8 +75,10 @@
 ) -> PlanningInput:
     table = state.cache.tables.get(table_id)
     data_centre = data_centre_of_table(table_id)
-    watched = set(table.voters) if table is not None else set()
+    # Every local member is watched, because each of them may be chosen as voter or gateway.
+    watched = {member.instance_id for member in state.directory.members(data_centre)}
     if table is not None:
+        watched.update(table.voters)
         watched.update(group.gateway for group in table.groups.values())
     watched.discard(state.myself.instance_id)
     lost = state.directory.lost(now, _watched_here(state, watched, isolated))
