--- a/packages/daemon/src/fireflylink_daemon/_control_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_state.py
@@ -35,7 +35,6 @@
     InForce,
     MemberDirectory,
     RootSuccession,
-    members_digest,
     parent_candidates,
 )
 
@@ -187,16 +186,33 @@
 
     # Sync
 
+    def distant_sync_request(self, now: float) -> SyncRequest:
+        """Returns what the root of a data centre tells the other roots.
+
+        They do not plan for its servers, so it passes no reports on, and none are kept for that.
+        """
+        self.reports.new_load_reports()
+        return SyncRequest(
+            sender=self.myself,
+            configuration_version=self.cache.configuration.version,
+            table_versions=self.cache.table_versions(),
+            members_digest=self.directory.digest(),
+            progress=(),
+            servers=(),
+            loads=(),
+            crashes=crash_reports(self.poison, now),
+        )
+
     def sync_request(self, now: float) -> SyncRequest:
-        """Returns what this daemon tells its parent."""
+        """Returns what this daemon tells its parent, loads only once each."""
         return SyncRequest(
             sender=self.myself,
             configuration_version=self.cache.configuration.version,
             table_versions=self.cache.table_versions(),
-            members_digest=members_digest(self.directory.members()),
+            members_digest=self.directory.digest(),
             progress=self.progress.recent(now),
             servers=self.reports.server_reports(now),
-            loads=self.reports.load_reports(now),
+            loads=self.reports.new_load_reports(),
             crashes=crash_reports(self.poison, now),
         )
 
@@ -208,7 +224,7 @@
         if is_child:
             self._take_child(request, now)
         self.take_crashes(request.crashes, now)
-        digest = members_digest(self.directory.members())
+        digest = self.directory.digest()
         current = request.members_digest == digest
         return SyncReply(
             root=self.root,
--- a/packages/daemon/src/fireflylink_daemon/_control_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_task.py
@@ -394,7 +394,7 @@
     def _sync_with_distant_centres(self, is_root: bool) -> None:
         if not is_root:
             return
-        request = self.state.sync_request(self.clock.now())
+        request = self.state.distant_sync_request(self.clock.now())
         for data_centre in self.state.cache.configuration.data_centres:
             if data_centre == self.state.myself.data_centre:
                 continue
--- a/packages/decisions/src/fireflylink_decisions/membership/_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/membership/_directory.py
@@ -24,23 +24,32 @@
     is heard from.
     """
 
-    __slots__ = ("_announced", "_heard", "_listed", "_watched_since")
+    __slots__ = ("_announced", "_digest", "_heard", "_listed", "_sorted", "_watched_since")
 
     def __init__(self) -> None:
         self._listed: dict[str, Member] = {}
         self._announced: dict[str, Member] = {}
         self._heard: dict[str, float] = {}
         self._watched_since: dict[str, float] = {}
+        # Kept until a member changes: both were most of a relay's processor time when made anew
+        # for each sync message.
+        self._sorted: dict[str | None, tuple[Member, ...]] = {}
+        self._digest: int | None = None
 
     def take_list(self, members: Iterable[Member], now: float) -> None:
         """Takes the platform's instance list, or the list that a parent sent."""
-        self._listed = {member.instance_id: member for member in members}
+        listed = {member.instance_id: member for member in members}
+        if listed != self._listed:
+            self._listed = listed
+            self._forget_sorted()
         for instance_id in self._listed:
             self._watched_since.setdefault(instance_id, now)
 
     def hear(self, member: Member, now: float) -> None:
         """Takes a message from a daemon about itself."""
-        self._announced[member.instance_id] = member
+        if self._announced.get(member.instance_id) != member:
+            self._announced[member.instance_id] = member
+            self._forget_sorted()
         self.hear_of(member.instance_id, now)
 
     def hear_of(self, instance_id: str, now: float) -> None:
@@ -59,6 +68,21 @@
 
     def members(self, data_centre: str | None = None) -> tuple[Member, ...]:
         """Returns the known members, of one data centre or of all, in the order of their ids."""
+        if data_centre not in self._sorted:
+            self._sorted[data_centre] = self._sort(data_centre)
+        return self._sorted[data_centre]
+
+    def digest(self) -> int:
+        """Returns the digest of all known members."""
+        if self._digest is None:
+            self._digest = members_digest(self.members())
+        return self._digest
+
+    def _forget_sorted(self) -> None:
+        self._sorted = {}
+        self._digest = None
+
+    def _sort(self, data_centre: str | None) -> tuple[Member, ...]:
         known = {**self._listed, **self._announced}
         found = [
             member
@@ -92,5 +116,6 @@
             silent = now - self._heard.get(instance_id, 0.0) >= retention
             if silent and instance_id not in self._listed:
                 del self._announced[instance_id]
+                self._forget_sorted()
                 self._heard.pop(instance_id, None)
                 self._watched_since.pop(instance_id, None)
