Report loads of shards by difference and only keys that may be hot

Cause: a gateway reported every shard and 16 keys of each group each 5 s; at 200 daemons in 3 data centres that was more than half of a root's bytes.

--- a/packages/daemon/src/fireflylink_daemon/_reports.py
+++ b/packages/daemon/src/fireflylink_daemon/_reports.py
@@ -5,8 +5,11 @@
 REPORT_LIFETIME = 3.0
 """Seconds after which a server report counts no more, because its gateway may be gone."""
 
-LOAD_LIFETIME = 15.0
-"""Seconds after which a load report counts no more; gateways repeat theirs every 5 s."""
+SHARD_LOAD_LIFETIME = 75.0
+"""Seconds after which the load of a shard counts no more; gateways repeat it every 30 s."""
+
+HOT_KEY_LIFETIME = 15.0
+"""Seconds after which the load of a key counts no more; gateways repeat it every 5 s."""
 
 
 class ReportBoard:
@@ -60,11 +63,11 @@
 
     def shard_loads(self, now: float) -> dict[ShardKey, float]:
         """Returns the recent load of each shard in requests per second."""
-        return _recent(self._shard_loads, now)
+        return _recent(self._shard_loads, now, SHARD_LOAD_LIFETIME)
 
     def hot_keys(self, now: float) -> dict[ShardKey, float]:
         """Returns the recent load of each hot key in requests per second."""
-        return _recent(self._hot_keys, now)
+        return _recent(self._hot_keys, now, HOT_KEY_LIFETIME)
 
     def new_load_reports(self) -> tuple[LoadReport, ...]:
         """Returns the load reports that were not passed on to a parent yet.
@@ -77,5 +80,7 @@
         return reports
 
 
-def _recent(board: dict[ShardKey, tuple[float, float]], now: float) -> dict[ShardKey, float]:
-    return {shard: load for shard, (load, heard) in board.items() if now - heard < LOAD_LIFETIME}
+def _recent(
+    board: dict[ShardKey, tuple[float, float]], now: float, lifetime: float
+) -> dict[ShardKey, float]:
+    return {shard: load for shard, (load, heard) in board.items() if now - heard < lifetime}
--- a/packages/daemon/src/fireflylink_daemon/control/__init__.py
+++ b/packages/daemon/src/fireflylink_daemon/control/__init__.py
@@ -16,7 +16,7 @@
 from fireflylink_daemon._control_state import ControlState
 from fireflylink_daemon._control_task import ControlTask
 from fireflylink_daemon._document_cache import DocumentCache
-from fireflylink_daemon._load_meter import LOAD_PERIOD, REPORTED_KEYS
+from fireflylink_daemon._load_meter import LOAD_PERIOD, LoadMeter
 from fireflylink_daemon._peers import PeerDirectory
 from fireflylink_daemon._planning import PlanningDesk
 from fireflylink_daemon._platform_task import (
@@ -35,7 +35,6 @@
     "INSTANCE_PERIOD",
     "LOAD_PERIOD",
     "OWNERSHIP_PREFIX",
-    "REPORTED_KEYS",
     "BaseTask",
     "ControlState",
     "ControlTask",
@@ -43,6 +42,7 @@
     "EndorseAsked",
     "GatewayReport",
     "InstancesRead",
+    "LoadMeter",
     "PeerDirectory",
     "PlanningDesk",
     "PlatformRead",
--- a/packages/experiments/src/fireflylink_experiments/_control_system.py
+++ b/packages/experiments/src/fireflylink_experiments/_control_system.py
@@ -27,12 +27,12 @@
 from fireflylink_daemon.control import (
     INSTANCE_PERIOD,
     LOAD_PERIOD,
-    REPORTED_KEYS,
     ControlState,
     ControlTask,
     DocumentCache,
     EndorseAsked,
     GatewayReport,
+    LoadMeter,
     PeerDirectory,
     PlanningDesk,
     ReadAll,
@@ -62,7 +62,9 @@
 
 CLUSTER_KEY = b"k" * 32
 SERVICE = "service"
-NEVER = float("inf")
+REQUESTS_OF_A_SHARD = 200
+"""Requests that a shard gets in a load period; the reports depend on them only by their noise."""
+NOISE = 16
 
 
 class SystemShape:
@@ -126,7 +128,9 @@
         "instances_at",
         "loads_at",
         "member",
+        "meters",
         "platform",
+        "random",
         "tally",
         "task",
         "versions",
@@ -135,6 +139,8 @@
     def __init__(self, member: Member, system: "ControlSystem") -> None:
         self.member = member
         self.tally = Tally()
+        self.random = system.random
+        self.meters: dict[str, LoadMeter] = {}
         cache = DocumentCache(system.signer)
         state = ControlState(member, cache, system.clock.now())
         desk = PlanningDesk(BoundedLoadPlanner())
@@ -173,10 +179,19 @@
         if with_loads:
             self.loads_at = now + LOAD_PERIOD
         for group_id, (server_id, shards) in self.groups.items():
-            loads = _loads(shards) if with_loads else ()
+            loads = self._loads(group_id, shards, now) if with_loads else ()
             reports = (ServerReport(server_id, ServerStatus.UP),)
             self.task.post(GatewayReport(group_id, reports, loads, ()))
 
+    def _loads(self, group_id: str, shards: tuple[int, ...], now: float) -> tuple[LoadReport, ...]:
+        """Counts random keys of each shard with the real meter, as a gateway does."""
+        meter = self.meters.setdefault(group_id, LoadMeter(now - LOAD_PERIOD))
+        meter.started = now - LOAD_PERIOD
+        for shard in shards:
+            for _ in range(REQUESTS_OF_A_SHARD + self.random.randrange(-NOISE, NOISE + 1)):
+                meter.count((SERVICE, shard), False, self.random.getrandbits(64))
+        return meter.report(now)
+
     def _find_groups(self) -> None:
         versions = self.task.state.cache.table_versions()
         if versions == self.versions:
@@ -204,13 +219,6 @@
         return found
 
 
-def _loads(shards: tuple[int, ...]) -> tuple[LoadReport, ...]:
-    by_shard = [LoadReport((SERVICE, shard), False, 100.0) for shard in shards]
-    first = shards[0] if shards else 0
-    by_key = [LoadReport((SERVICE, (first << 32) + n), True, 0.1) for n in range(REPORTED_KEYS)]
-    return (*by_shard, *by_key)
-
-
 class SimulatedChannel(PeerChannel):
     """Passes encoded messages from one simulated daemon to another and counts both ways."""
 
