--- a/packages/experiments/src/fireflylink_experiments/state_size.py
+++ b/packages/experiments/src/fireflylink_experiments/state_size.py
@@ -6,6 +6,7 @@
 """
 
 import gc
+import random
 import time
 import tracemalloc
 from collections.abc import Callable
@@ -15,6 +16,11 @@
 
 from fireflylink_core import OwnershipTable
 from fireflylink_daemon.control import View
+from fireflylink_decisions.admission import (
+    RequestIdMemory,
+    issue_request_id,
+    parse_request_id,
+)
 from fireflylink_decisions.authority import AuthorityBook
 from fireflylink_decisions.membership import MemberDirectory
 from fireflylink_decisions.ownership import (
@@ -37,7 +43,8 @@
 REPEATS = flags.DEFINE_integer("repeats", 3, "Repetitions; the least time counts.", 1, 100)
 
 MICROSECONDS = 1e6
-IDS = 20_000
+IDS_OF_A_SERVER = 100
+NOW_MS = 1_700_000_000_000
 TABLE_ID = "dc00.keep"
 
 
@@ -78,7 +85,6 @@
 
 def planned_table(servers: int) -> tuple[SystemShape, PlanningInput, OwnershipTable]:
     """Returns a settled table for one data centre and the input that plans it again."""
-    shape = SystemShape(max(1, servers // 3), 1, 1, 1)
     shape = SystemShape(servers, 1, 1, SHARDS.value)
     configuration = shape.configuration()
     members = shape.members()[: max(1, servers // 3)]
@@ -100,7 +106,7 @@
             },
             hot_keys={},
             settled_version=version,
-            now_ms=1_700_000_000_000,
+            now_ms=NOW_MS,
             write_id="write",
         )
         plan = BoundedLoadPlanner().plan(given)
@@ -130,10 +136,21 @@
     sample.take("decode_us_per_shard", shards, time_of(lambda: decode_table(encoded)))
     sample.take("merge_us_per_shard", shards, time_of(lambda: merge_tables(configuration, [table])))
     sample.take("plan_us_per_shard", shards, time_of(lambda: BoundedLoadPlanner().plan(given)))
+    used, memory = memory_of(lambda: _request_ids(servers * IDS_OF_A_SERVER))
+    sample.take("request_id_memory_bytes_per_id", memory.size, used)
     _take_members(sample, shape, given, merge_tables(configuration, [table]))
     return sample
 
 
+def _request_ids(count: int) -> RequestIdMemory:
+    source = random.Random(count)
+    memory = RequestIdMemory()
+    memory.start_term((0,), NOW_MS)
+    for _ in range(count):
+        memory.remember(0, parse_request_id(issue_request_id(NOW_MS, source)))
+    return memory
+
+
 def _take_members(sample: Sample, shape: SystemShape, given: PlanningInput, routes: Routes) -> None:
     members = shape.members()
     directory = MemberDirectory()
