--- a/packages/daemon/src/fireflylink_daemon/_control_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_state.py
@@ -35,7 +35,6 @@
     InForce,
     MemberDirectory,
     RootSuccession,
-    members_digest,
     parent_candidates,
 )
 
@@ -108,6 +107,9 @@
         is_root = self.succession.is_root(self.order_of_succession(), now)
         if is_root and not self.was_root:
             self.directory.restart_watch(now)
+        if self.was_root and not is_root:
+            # A daemon that still named itself would be its relays' parent and their child at once.
+            self.root = ""
         self.was_root = is_root
         if is_root:
             self.root = self.myself.instance_id
@@ -184,16 +186,33 @@
 
     # Sync
 
+    def distant_sync_request(self, now: float) -> SyncRequest:
+        """Returns what the root of a data centre tells the other roots.
+
+        They do not plan for its servers, so it passes no reports on, and none are kept for that.
+        """
+        self.reports.new_load_reports()
+        return SyncRequest(
+            sender=self.myself,
+            configuration_version=self.cache.configuration.version,
+            table_versions=self.cache.table_versions(),
+            members_digest=self.directory.digest(),
+            progress=(),
+            servers=(),
+            loads=(),
+            crashes=crash_reports(self.poison, now),
+        )
+
     def sync_request(self, now: float) -> SyncRequest:
-        """Returns what this daemon tells its parent."""
+        """Returns what this daemon tells its parent, loads only once each."""
         return SyncRequest(
             sender=self.myself,
             configuration_version=self.cache.configuration.version,
             table_versions=self.cache.table_versions(),
-            members_digest=members_digest(self.directory.members()),
+            members_digest=self.directory.digest(),
             progress=self.progress.recent(now),
             servers=self.reports.server_reports(now),
-            loads=self.reports.load_reports(now),
+            loads=self.reports.new_load_reports(),
             crashes=crash_reports(self.poison, now),
         )
 
@@ -205,7 +224,7 @@
         if is_child:
             self._take_child(request, now)
         self.take_crashes(request.crashes, now)
-        digest = members_digest(self.directory.members())
+        digest = self.directory.digest()
         current = request.members_digest == digest
         return SyncReply(
             root=self.root,
@@ -250,7 +269,8 @@
         self.directory.hear(peer, now)
         is_parent = peer.data_centre == self.myself.data_centre
         if is_parent:
-            self.root = reply.root
+            stale = reply.root == self.myself.instance_id and not self.was_root
+            self.root = "" if stale else reply.root
         changed = False
         for document in reply.documents:
             changed |= self.cache.take(document).value_or(False)
