Stop reporting an old configuration version after a status query

A child that was asked for its status kept the version it had then in its progress reports, noted at a time that never became old.

--- a/packages/daemon/src/fireflylink_daemon/_control_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_state.py
@@ -272,7 +272,9 @@
     def in_force(self) -> InForce:
         """Returns how far the newest configuration has come in this data centre."""
         version = self.cache.configuration.version
-        self.progress.note(MemberProgress(self.myself.instance_id, version), float("inf"))
+        # A report that is older than any other is never passed on to the parent, where it would
+        # replace the current version that the sender of a Sync states itself.
+        self.progress.note(MemberProgress(self.myself.instance_id, version), float("-inf"))
         expected = tuple(
             member.instance_id for member in self.directory.members(self.myself.data_centre)
         )
--- a/packages/operator_client/src/fireflylink_operator_client/_connections.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_connections.py
@@ -10,6 +10,7 @@
 from fireflylink_operator_client._daemon_reader import HttpDaemonReader
 from fireflylink_operator_client._directory import FixedDirectory
 from fireflylink_operator_client._errors import ClientError
+from fireflylink_operator_client._platform_store import platform_directory, platform_store
 from fireflylink_operator_client._repository import Repository
 from fireflylink_operator_client._session import Session
 from fireflylink_operator_client._settings import Settings, load_settings, load_signer, load_token
@@ -38,9 +39,6 @@
     token: str,
     emit: Callable[[dict[str, Any], str], None],
 ) -> Session:
-    # The platform client is imported only when a command talks to the platform.
-    from fireflylink_operator_client._platform_store import platform_directory, platform_store
-
     place = (settings.platform_host, settings.platform_port, settings.call_timeout)
     directory = FixedDirectory(settings.daemons) if settings.daemons else platform_directory(*place)
     return Session(
--- a/packages/operator_client/src/fireflylink_operator_client/_platform_store.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_platform_store.py
@@ -15,7 +15,7 @@
     StoreSnapshot,
     StoreUnavailableError,
 )
-from fireflylink_platform_client import (  # type: ignore[attr-defined, unused-ignore]
+from fireflylink_platform_client import (
     BaseInstanceListClient,
     BaseKeyValueClient,
     Entry,
