--- a/packages/daemon/src/fireflylink_daemon/_planning.py
+++ b/packages/daemon/src/fireflylink_daemon/_planning.py
@@ -1,7 +1,5 @@
 """Building the planner's input and keeping track of platform revisions."""
 
-from fireflylink_decisions.ownership import BasePlanner, PlanningInput
-
 from fireflylink_core import (
     DataCentreState,
     OwnershipTable,
@@ -10,6 +8,7 @@
 )
 from fireflylink_daemon._control_state import ControlState
 from fireflylink_daemon._platform_task import OWNERSHIP_PREFIX, WriteTables, new_write_id
+from fireflylink_decisions.ownership import BasePlanner, PlanningInput
 from fireflylink_platform_client import Entry
 
 MILLISECONDS_PER_SECOND = 1000.0
--- a/packages/daemon/src/fireflylink_daemon/_view.py
+++ b/packages/daemon/src/fireflylink_daemon/_view.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Mapping
 
-from fireflylink_decisions.ownership import Routes
-
 from fireflylink_core import (
     BaseValue,
     Configuration,
@@ -12,6 +10,7 @@
     OwnershipTable,
 )
 from fireflylink_decisions.authority import AuthorityBook
+from fireflylink_decisions.ownership import Routes
 
 
 class View(BaseValue):
