--- a/packages/operator_client/src/fireflylink_operator_client/_confirmation.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_confirmation.py
@@ -110,7 +110,7 @@
         return DataCentreReport(self.data_centre, False, detail=detail)
 
     def _report(self, status: DaemonStatus) -> DataCentreReport:
-        self._prefer(status.root)
+        self._prefer_root(status)
         counted = status.in_force
         report = DataCentreReport(
             data_centre=self.data_centre,
@@ -124,11 +124,20 @@
             return report.replace(confirmed=0, detail=detail)
         return self._with_outsiders(report, status) if report.in_force else report
 
-    def _prefer(self, root: str) -> None:
+    def _prefer_root(self, status: DaemonStatus) -> None:
+        """Puts the root first for the next poll.
+
+        Daemons that the settings name have no id until they answer, so while the root is not known
+        among them, the next poll asks the next one.
+        """
+        self.addresses[0] = self.addresses[0].replace(instance_id=status.instance_id)
+        if not status.root or status.root == status.instance_id:
+            return
         for place, address in enumerate(self.addresses):
-            if root and address.instance_id == root:
+            if address.instance_id == status.root:
                 self.addresses.insert(0, self.addresses.pop(place))
                 return
+        self.addresses.append(self.addresses.pop(0))
 
     def _with_outsiders(self, report: DataCentreReport, status: DaemonStatus) -> DataCentreReport:
         """Adds the daemons that are listed but not counted by the root.
--- a/packages/operator_client/src/fireflylink_operator_client/_note_writer.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_note_writer.py
@@ -76,7 +76,8 @@
 
     def write(self) -> Result[WrittenNote, ClientError]:
         """Applies the note to the stored configuration, then stores the note in the history."""
-        return self.repository.read_current().bind(self._apply).map(self._with_history)
+        current = self.repository.read_current().alt(_nothing_written)
+        return current.bind(self._apply).map(self._with_history)
 
     def _apply(self, current: CurrentConfiguration) -> Result[WrittenNote, ClientError]:
         applied = apply_note(current.configuration, self.note, self.clock.wall_ms())
@@ -150,6 +151,13 @@
         )
 
 
+def _nothing_written(error: ClientError) -> ClientError:
+    """Adds to an outage before the write what it means for the note."""
+    if isinstance(error, UnavailableError):
+        return UnavailableError(f"{error}; nothing written, apply the same file again later")
+    return error
+
+
 def client_error(error: NoteError) -> ClientError:
     """Returns the error of this package for a note that does not apply."""
     if isinstance(error, VersionConflictError):
--- a/packages/operator_client/src/fireflylink_operator_client/_platform_store.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_platform_store.py
@@ -27,6 +27,8 @@
     Snapshot,
 )
 
+DAEMONS_HINT = 'name the daemons under "daemons" in the settings to ask them without the platform'
+
 
 class PlatformStore(BaseStore):
     """The platform's key-value service through ``KeyValueClient``."""
@@ -66,7 +68,7 @@
     def daemons(self) -> Result[tuple[DaemonAddress, ...], UnavailableError]:
         found: Result[Any, Any] = self.client.read()
         if isinstance(found, Failure):
-            return Failure(UnavailableError(f"instance list: {found.failure()}"))
+            return Failure(UnavailableError(f"instance list: {found.failure()}; {DAEMONS_HINT}"))
         return Success(
             tuple(
                 DaemonAddress(
--- a/packages/operator_client/tests/test_apply_command.py
+++ b/packages/operator_client/tests/test_apply_command.py
@@ -159,7 +159,9 @@
 def test_unreadable_platform_is_unavailable(fireflylink: Any, drain_note: str) -> None:
     """Nothing may be written when the version in force is not known."""
     fireflylink.store.failed_reads = 1
-    assert_that(fireflylink("apply", drain_note).status, Equals(4))
+    result = fireflylink("apply", drain_note)
+    assert_that(result.status, Equals(4))
+    assert_that(result.errors, Contains("nothing written, apply the same file again later"))
 
 
 def test_altered_configuration_is_refused(fireflylink: Any, drain_note: str) -> None:
