--- a/packages/operator_client/tests/test_apply_command.py
+++ b/packages/operator_client/tests/test_apply_command.py
@@ -196,6 +196,28 @@
     assert_that(mandeville["lagging"], Equals(["mandeville-2"]))
 
 
+@pytest.mark.usefixtures("in_force")
+def test_root_is_found_among_daemons_of_the_settings(
+    fireflylink: Any, drain_note: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Only a root counts its members; a daemon that the settings name has no id at first."""
+    ids = {address.port: address.instance_id for address in fireflylink.addresses}
+    fireflylink.addresses = tuple(
+        address.replace(instance_id="") for address in fireflylink.addresses
+    )
+    get = fireflylink.daemons.get
+    monkeypatch.setattr(
+        type(fireflylink.daemons),
+        "get",
+        lambda _daemons, address, path: get(address.replace(instance_id=ids[address.port]), path),
+    )
+    lagging = {"version": 2, "members": 2, "confirmed": 1, "lagging": ["kingston-2"]}
+    fireflylink.daemons.set_status("kingston-1", 2, root="kingston-2", in_force=lagging)
+    fireflylink.daemons.set_status("kingston-2", 2, root="kingston-2")
+    result = fireflylink("apply", drain_note, "--wait_seconds=1")
+    assert_that(result.status, Equals(0))
+
+
 @pytest.mark.usefixtures("in_force")
 def test_silent_data_centre_is_not_confirmed(fireflylink: Any, drain_note: str) -> None:
     """A data centre that cannot be asked must not count as confirmed."""
