Do not wait for the daemons of a lost data centre

apply waited its whole 10 s and ended with status 3 although nothing was wrong. A lost data centre is asked once; one that answers without the version is still named.

--- a/packages/decisions/src/fireflylink_decisions/releases/_checks.py
+++ b/packages/decisions/src/fireflylink_decisions/releases/_checks.py
@@ -72,7 +72,7 @@
         if entry.last < entry.first:
             yield f"{place}: {shown} is not a range; last must be at least first"
         if entry.first < expected:
-            yield f"{place}: {shown} overlaps the range that ends at {expected - 1}"
+            yield f"{place}: {shown} overlap the range that ends at {expected - 1}"
         if entry.first > expected:
             yield f"{place}: shards {expected} to {entry.first - 1} are in no range"
         expected = max(expected, entry.last + 1)
--- a/packages/operator_client/src/fireflylink_operator_client/_confirmation.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_confirmation.py
@@ -180,15 +180,23 @@
     for name in sorted(places.keys() | configuration.data_centres.keys()):
         latest[name] = _initial_report(configuration, name, bool(places.get(name)))
         if places.get(name):
-            task = DataCentreTask(name, places[name], reader, reports, version, clock, deadline)
+            # A lost data centre is asked once; its daemons are not expected to answer.
+            until = clock.now() if _is_lost(configuration, name) else deadline
+            task = DataCentreTask(name, places[name], reader, reports, version, clock, until)
             tasks.append(gevent.spawn(task.run))
     gevent.joinall(tasks)
     while not reports.empty():
         report = reports.get()
-        latest[report.data_centre] = report
+        silent = report.members == 0 and _is_lost(configuration, report.data_centre)
+        latest[report.data_centre] = report.replace(waited=not silent)
     return tuple(latest.values())
 
 
+def _is_lost(configuration: Configuration, name: str) -> bool:
+    entry = configuration.data_centres.get(name)
+    return entry is not None and entry.state is DataCentreState.LOST
+
+
 def _by_data_centre(
     addresses: tuple[DaemonAddress, ...],
 ) -> dict[str, tuple[DaemonAddress, ...]]:
--- a/packages/operator_client/tests/test_apply_command.py
+++ b/packages/operator_client/tests/test_apply_command.py
@@ -265,6 +265,21 @@
     assert_that(fireflylink("apply", out).status, Equals(0))
 
 
+@pytest.mark.usefixtures("in_force")
+@pytest.mark.parametrize(("answers", "status"), [(False, 0), (True, 3)])
+def test_lost_data_centre_is_not_waited_for(fireflylink: Any, answers: bool, status: int) -> None:
+    """A lost data centre does not answer, but one that still runs must not be passed over."""
+    for number in (1, 2):
+        if answers:
+            fireflylink.daemons.set_status(f"mandeville-{number}", 1)
+        else:
+            del fireflylink.daemons.replies[f"mandeville-{number}", "/operator/status"]
+    lost = {"data_centres": {"mandeville": {"state": "lost"}}}
+    note = fireflylink.note("lost", 1, changed=lost)
+    result = fireflylink("apply", note, "--wait_seconds=2")
+    assert_that(result.status, Equals(status))
+
+
 @pytest.mark.usefixtures("in_force")
 def test_confirmation_waits(fireflylink: Any, drain_note: str) -> None:
     """A version needs some seconds to come into force."""
