--- a/packages/standins/tests/test_operator_pages.py
+++ b/packages/standins/tests/test_operator_pages.py
@@ -218,6 +218,7 @@
         getattr(self, f"_action_{name}")(*arguments)
 
     def _action_platform(self, mode: str) -> None:
+        self._version()
         self.system.platform("POST", "/admin/faults", {"mode": mode})
 
     def _action_fault(self, service: str, rest: str) -> None:
