--- a/packages/operator_client/tests/test_apply_command.py
+++ b/packages/operator_client/tests/test_apply_command.py
@@ -159,7 +159,9 @@
 def test_unreadable_platform_is_unavailable(fireflylink: Any, drain_note: str) -> None:
     """Nothing may be written when the version in force is not known."""
     fireflylink.store.failed_reads = 1
-    assert_that(fireflylink("apply", drain_note).status, Equals(4))
+    result = fireflylink("apply", drain_note)
+    assert_that(result.status, Equals(4))
+    assert_that(result.errors, Contains("nothing written, apply the same file again later"))
 
 
 def test_altered_configuration_is_refused(fireflylink: Any, drain_note: str) -> None:
@@ -194,6 +196,28 @@
     assert_that(mandeville["lagging"], Equals(["mandeville-2"]))
 
 
+@pytest.mark.usefixtures("in_force")
+def test_root_is_found_among_daemons_of_the_settings(
+    fireflylink: Any, drain_note: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Only a root counts its members; a daemon that the settings name has no id at first."""
+    ids = {address.port: address.instance_id for address in fireflylink.addresses}
+    fireflylink.addresses = tuple(
+        address.replace(instance_id="") for address in fireflylink.addresses
+    )
+    get = fireflylink.daemons.get
+    monkeypatch.setattr(
+        type(fireflylink.daemons),
+        "get",
+        lambda _daemons, address, path: get(address.replace(instance_id=ids[address.port]), path),
+    )
+    lagging = {"version": 2, "members": 2, "confirmed": 1, "lagging": ["kingston-2"]}
+    fireflylink.daemons.set_status("kingston-1", 2, root="kingston-2", in_force=lagging)
+    fireflylink.daemons.set_status("kingston-2", 2, root="kingston-2")
+    result = fireflylink("apply", drain_note, "--wait_seconds=1")
+    assert_that(result.status, Equals(0))
+
+
 @pytest.mark.usefixtures("in_force")
 def test_silent_data_centre_is_not_confirmed(fireflylink: Any, drain_note: str) -> None:
     """A data centre that cannot be asked must not count as confirmed."""
@@ -241,6 +265,21 @@
     assert_that(fireflylink("apply", out).status, Equals(0))
 
 
+@pytest.mark.usefixtures("in_force")
+@pytest.mark.parametrize(("answers", "status"), [(False, 0), (True, 3)])
+def test_lost_data_centre_is_not_waited_for(fireflylink: Any, answers: bool, status: int) -> None:
+    """A lost data centre does not answer, but one that still runs must not be passed over."""
+    for number in (1, 2):
+        if answers:
+            fireflylink.daemons.set_status(f"mandeville-{number}", 1)
+        else:
+            del fireflylink.daemons.replies[f"mandeville-{number}", "/operator/status"]
+    lost = {"data_centres": {"mandeville": {"state": "lost"}}}
+    note = fireflylink.note("lost", 1, changed=lost)
+    result = fireflylink("apply", note, "--wait_seconds=2")
+    assert_that(result.status, Equals(status))
+
+
 @pytest.mark.usefixtures("in_force")
 def test_confirmation_waits(fireflylink: Any, drain_note: str) -> None:
     """A version needs some seconds to come into force."""
