Measure the planner beside rendezvous hashing with leases

The run showed two hot keys on one server that never parted, and a shard that took the load of its hot key to another data centre. A shard or key is now moved beyond the bound if the higher of both loads falls by 5 %, and shards with exceptions stay in their table.

--- a/packages/decisions/src/fireflylink_decisions/ownership/_rebalancing.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_rebalancing.py
@@ -29,6 +29,9 @@
 STOP_BELOW = 0.95
 """Bounds on min/mean load, so that a server or data centre that returns is filled up."""
 
+DISPLACEMENT_GAIN = 0.95
+"""A shard is moved beyond the bound only if the higher of both loads falls to this multiple."""
+
 
 class RebalancingRule(BaseRule):
     """Moves shards from the most to the least loaded groups.
@@ -164,6 +167,26 @@
             if found is not None:
                 self._apply(source, target, found)
                 return True
+        return self._displace(source, ranked, movable)
+
+    def _displace(
+        self, source: GroupLoad, targets: list[GroupLoad], movable: list[_Movable]
+    ) -> bool:
+        """Moves an entry for which no group has room, if the higher load falls by enough.
+
+        The group that takes it gives up smaller shards afterwards. This separates hot keys.
+        """
+        pairs = [
+            (max(source.relative(-entry.load), target.relative(entry.load)), entry, target)
+            for entry in movable
+            for target in targets
+        ]
+        for highest, entry, target in sorted(pairs, key=lambda pair: pair[0]):
+            if highest > source.relative() * DISPLACEMENT_GAIN:
+                return False
+            if self._may_move(source, target, entry):
+                self._apply(source, target, entry)
+                return True
         return False
 
     def _movable(self, source: GroupLoad) -> list[_Movable]:
@@ -215,6 +238,12 @@
         return not entry.exception and self._may_leave(target, entry)
 
     def _may_leave(self, target: GroupLoad, entry: _Movable) -> bool:
+        """Tells whether a shard may move to another table.
+
+        One with single-key exceptions stays, as it would take the load of its hot keys along.
+        """
+        if exceptions_of(self.draft, self.draft.own, self.measure.service, entry.key[1]):
+            return False
         destination = self.draft.tables[target.table_id]
         if can_transfer(self.draft, self.draft.own, destination, entry.key):
             return True
@@ -231,10 +260,6 @@
             source.load -= entry.load
             target.load += entry.load
             return
-        keys = exceptions_of(self.draft, self.draft.own, self.measure.service, entry.key[1])
-        for key in keys:
-            load = self.measure.load(source.table_id, key, True)
-            self.ledger.add(self.draft.own.exceptions[key].group_id, -load)
         transfer_shard(
             self.draft,
             self.ledger,
--- /dev/null
+++ b/packages/experiments/src/fireflylink_experiments/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of the ownership planner beside rendezvous hashing with a lease on every shard."""
