--- a/packages/decisions/src/fireflylink_decisions/ownership/_relocation.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_relocation.py
@@ -155,6 +155,8 @@
         return "data centre out of service", True
     if service.isolation is not draft.isolation:
         return "isolation mode changed", True
+    if draft.data_centre not in service.data_centres:
+        return "data centre left the service", True
     if group is None or any(name not in draft.configuration.servers for name in servers):
         return "server withdrawn", True
     if any(draft.configuration.servers[name].state is ServerState.IN for name in servers):
