--- a/packages/standins/tests/test_operator_pages.py
+++ b/packages/standins/tests/test_operator_pages.py
@@ -25,7 +25,7 @@
 RETRY_SECONDS = 20.0
 RETRY_PERIOD = 0.3
 REQUEST_TIMEOUT = 5.0
-HOT_SECONDS = 8.0
+HOT_SECONDS = 15.0
 HOT_THREADS = 4
 
 PAGE_ORDER = (
@@ -135,7 +135,7 @@
     def __init__(self, system: LocalSystem) -> None:
         self.system = system
         self.folder = system.folder
-        spare = system.group.start(
+        self.spare = system.group.start(
             "fireflylink_standins.backend", "--service=holds", "--server_id=holds-9", "--count=1"
         )
         kingston = system.daemons["kingston-1"]
@@ -143,10 +143,9 @@
             "20000": system.platform_port,
             "8080": kingston.caller_port,
             "9090": kingston.operator_port,
-            "21031": int(spare.fields["ports"].split(",")[0]),
+            "21031": int(self.spare.fields["ports"].split(",")[0]),
             "21032": system.server_ports["holds"][0],
         }
-        self.version = 0
         self._write_settings()
 
     def _write_settings(self) -> None:
@@ -173,10 +172,8 @@
             (self.folder / block.options["file"]).write_text(json.dumps(document))
 
     def _version(self) -> int:
-        """Returns the version in force; during an outage of the platform the latest known one."""
-        listed = self._shell("fireflylink status --json")
-        self.version = int(json.loads(listed.stdout)["version"]) or self.version
-        return self.version
+        """Returns the version in force; the daemon answers during an outage of the platform, too."""
+        return int(self.system.status("kingston-2")["configuration_version"])
 
     def _run_console(self, block: PageBlock) -> None:
         for command, printed in block.commands:
@@ -218,13 +215,21 @@
         getattr(self, f"_action_{name}")(*arguments)
 
     def _action_platform(self, mode: str) -> None:
-        self._version()
         self.system.platform("POST", "/admin/faults", {"mode": mode})
 
     def _action_fault(self, service: str, rest: str) -> None:
         server, _, fault = rest.partition(" ")
         path = "/admin/faults" if server == "*" else f"/admin/faults?server={server}"
         self.system.backend_admin(service, "POST", path, json.loads(fault))
+        if server == "*":
+            self._post_fault_of_spare(fault)
+
+    def _post_fault_of_spare(self, fault: str) -> None:
+        url = f"http://127.0.0.1:{self.spare.fields['admin_port']}/admin/faults"
+        headers = {"Content-Type": "application/json"}
+        request = urllib.request.Request(url, data=fault.encode(), method="POST", headers=headers)
+        with urllib.request.urlopen(request, timeout=REQUEST_TIMEOUT) as response:
+            response.read()
 
     def _action_leave(self, instance_id: str) -> None:
         self.system.leave(instance_id)
@@ -241,15 +246,14 @@
             self._get(path)
 
     def _action_hot(self, path: str) -> None:
+        """Sends load in the background while the reader goes on."""
         deadline = time.monotonic() + HOT_SECONDS
         threads = [
-            threading.Thread(target=self._send_until, args=(path, deadline))
+            threading.Thread(target=self._send_until, args=(path, deadline), daemon=True)
             for _ in range(HOT_THREADS)
         ]
         for thread in threads:
             thread.start()
-        for thread in threads:
-            thread.join()
 
     def _send_until(self, path: str, deadline: float) -> None:
         while time.monotonic() < deadline:
