--- a/packages/standins/tests/test_operator_pages.py
+++ b/packages/standins/tests/test_operator_pages.py
@@ -172,7 +172,7 @@
             (self.folder / block.options["file"]).write_text(json.dumps(document))
 
     def _version(self) -> int:
-        """Returns the version in force; the daemon answers during an outage of the platform, too."""
+        """Returns the version in force; daemons answer during an outage of the platform, too."""
         return int(self.system.status("kingston-2")["configuration_version"])
 
     def _run_console(self, block: PageBlock) -> None:
