--- a/packages/daemon/src/fireflylink_daemon/_gateway_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_gateway_task.py
@@ -37,7 +37,12 @@
     ShardView,
     view_of_shards,
 )
-from fireflylink_decisions.admission import Handover, PoisonDetector, ShardHandover
+from fireflylink_decisions.admission import (
+    CLOCK_SKEW_MS,
+    Handover,
+    PoisonDetector,
+    ShardHandover,
+)
 from fireflylink_decisions.authority import RENEWAL_PERIOD
 from fireflylink_decisions.ownership import Route
 
@@ -79,6 +84,7 @@
     """
 
     __slots__ = (
+        "_first_term_ms",
         "_grants",
         "_renew_at",
         "activation",
@@ -106,6 +112,7 @@
         self.releases = ReleaseDesk(instance_id, self.activation, clock, self.post, send_handover)
         self._grants = GrantDesk(instance_id, clock, self.post, self)
         self._renew_at = clock.now()
+        self._first_term_ms = clock.wall_ms() + CLOCK_SKEW_MS
 
     def _all_check_grants(self, server_ids: tuple[str, ...]) -> bool:
         servers = self.view.configuration.servers
@@ -317,7 +324,14 @@
         wall_ms = self.clock.wall_ms()
         for shard in activated:
             group = self.groups.get(shard.group.group_id)
-            if group is not None and not self.activation.is_handed_over(shard):
+            if group is None or self.activation.is_handed_over(shard):
+                continue
+            if shard.never_served and shard.record.since_ms >= self._first_term_ms:
+                # Nobody can have admitted a request of this shard before.
+                known = ShardHandover(shard.shard[1], 0, ())
+                handover = Handover(shard.shard[0], (known,))
+                group.admission.import_handover(handover, now, wall_ms)
+            else:
                 group.admission.start_term((shard.shard[1],), now, wall_ms)
         log_event("shards-started", count=len(activated))
         for group_id in {shard.group.group_id for shard in activated}:
--- a/packages/decisions/src/fireflylink_decisions/activation/_activation.py
+++ b/packages/decisions/src/fireflylink_decisions/activation/_activation.py
@@ -127,21 +127,14 @@
         A gateway that started only because servers refuse the former one could otherwise release a
         shard that the former one still serves.
         """
-        if self.is_handed_over(view) or view.fence_version <= FIRST_VERSION:
+        if self.is_handed_over(view):
             return True
         return settled.get(view.table_id, 0) >= view.fence_version and self._owner_is_fenced(
             view, settled
         )
 
     def _owner_is_fenced(self, view: ShardView, settled: Mapping[str, int]) -> bool:
-        record = view.record
-        if record.changed_version <= FIRST_VERSION:
-            return True
-        if settled.get(view.table_id, 0) < record.changed_version:
-            return False
-        if not record.pending_from:
-            return True
-        return settled.get(record.pending_from, 0) >= view.source_version
+        return all(settled.get(table_id, 0) >= version for table_id, version in view.settle_first)
 
     def _gateway_is_fenced(self, view: ShardView, settled: Mapping[str, int]) -> bool:
         group = view.group
--- a/packages/decisions/src/fireflylink_decisions/activation/_shard_view.py
+++ b/packages/decisions/src/fireflylink_decisions/activation/_shard_view.py
@@ -17,11 +17,11 @@
 class ShardView(BaseValue):
     """A shard as a gateway has it: its record, its group and the versions that it depends on.
 
-    ``source_table`` and ``source_version`` name the table version that released the shard, when it
-    comes from another data centre.
+    ``settle_first`` lists the table versions, as (table id, version), that have to be settled
+    before the shard is served here, unless its former gateway releases it.
     """
 
-    __slots__ = ("exception", "group", "record", "shard", "source_version", "table_id")
+    __slots__ = ("exception", "group", "record", "settle_first", "shard", "table_id")
 
     def __init__(
         self,
@@ -30,14 +30,14 @@
         exception: bool,
         record: ShardRecord,
         group: ServerGroup,
-        source_version: int = 0,
+        settle_first: tuple[tuple[str, int], ...] = (),
     ) -> None:
         self.table_id = table_id
         self.shard = shard
         self.exception = exception
         self.record = record
         self.group = group
-        self.source_version = source_version
+        self.settle_first = settle_first
 
     @property
     def identity(self) -> tuple[ShardKey, bool]:
@@ -49,6 +49,13 @@
         """Epoch, gateway epoch and group: what must not change while the gateway serves it."""
         return (self.record.epoch, self.group.gateway_epoch, self.group.group_id)
 
+    @property
+    def never_served(self) -> bool:
+        """Whether the record names no earlier owner and no earlier gateway."""
+        record = self.record
+        earlier = record.previous_group or record.pending_from or self.group.previous_gateway
+        return not earlier
+
     @property
     def fence_version(self) -> int:
         """The version of its own table under which the gateway acts on the shard."""
@@ -61,18 +68,12 @@
     for shards in (routes.shards, routes.exceptions):
         for shard, route in shards.items():
             if route.group.gateway == instance_id:
-                view = _view_of_route(routes, shard, route)
+                view = _view_of_route(shard, route)
                 found[view.identity] = view
     return found
 
 
-def _view_of_route(routes: Routes, shard: ShardKey, route: Route) -> ShardView:
-    source_version = 0
-    if route.record.pending_from:
-        source = routes.tables[route.record.pending_from]
-        records = source.exceptions if route.is_exception else source.shards
-        released = records.get(shard)
-        source_version = released.changed_version if released is not None else source.version
+def _view_of_route(shard: ShardKey, route: Route) -> ShardView:
     return ShardView(
-        route.table_id, shard, route.is_exception, route.record, route.group, source_version
+        route.table_id, shard, route.is_exception, route.record, route.group, route.settle_first
     )
