--- a/packages/experiments/src/fireflylink_experiments/state_size.py
+++ b/packages/experiments/src/fireflylink_experiments/state_size.py
@@ -147,7 +147,7 @@
     memory = RequestIdMemory()
     memory.start_term((0,), NOW_MS)
     for _ in range(count):
-        memory.remember(0, parse_request_id(issue_request_id(NOW_MS, source)))
+        memory.remember(0, parse_request_id(issue_request_id(NOW_MS, source)).unwrap())
     return memory
 
 
--- a/packages/standins/src/fireflylink_standins/bench.py
+++ b/packages/standins/src/fireflylink_standins/bench.py
@@ -29,6 +29,8 @@
 KEY = "room-17"
 MILLISECONDS = 1e3
 MICROSECONDS = 1e6
+KILOBYTES_PER_MEGABYTE = 1024.0
+IDLE_SECONDS = 4.0
 CPU_FIELDS = slice(11, 13)
 
 
@@ -99,6 +101,14 @@
     return ticks / os.sysconf("SC_CLK_TCK")
 
 
+def resident_megabytes(process_id: int) -> float:
+    """Returns the resident memory of a process."""
+    for line in pathlib.Path(f"/proc/{process_id}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / KILOBYTES_PER_MEGABYTE
+    return 0.0
+
+
 def ways_of(system: LocalSystem) -> tuple[Way, ...]:
     """Returns the three ways to send a request for the same key to the same server."""
     entry = next(iter(system.daemons))
@@ -139,10 +149,19 @@
             for _ in range(ROUNDS.value):
                 for way in ways:
                     way.run(REQUESTS.value, CONCURRENCY.value)
+            process_ids = tuple(process.process_id for process in system.processes.values())
+            resident = [resident_megabytes(process_id) for process_id in process_ids]
+            used = processor_seconds(process_ids)
+            time.sleep(IDLE_SECONDS)
+            idle = (processor_seconds(process_ids) - used) / IDLE_SECONDS / len(process_ids)
         finally:
             system.stop()
     for way in ways:
         print(way.line(), flush=True)
+    print(
+        f"event=bench_daemon count={len(resident)} resident_mb={max(resident):.0f}"
+        f" idle_cpu_ms_per_second={idle * MILLISECONDS:.1f}"
+    )
 
 
 if __name__ == "__main__":
