Do not call an order not-run that waited for a handover in vain

The reply now says that the gateway does not hold the shard, which the entry daemon reports as unknown.

--- a/packages/decisions/src/fireflylink_decisions/admission/_waiting_requests.py
+++ b/packages/decisions/src/fireflylink_decisions/admission/_waiting_requests.py
@@ -112,8 +112,17 @@
         others = (*self.isolation.waiting.values(), *self.held.values(), *self.early.values())
         for call in others:
             if call.latest_start <= now:
-                self.take_out(call.call_id)
-                self.give_up(call, replies.DEADLINE)
+                self.leave(call, replies.DEADLINE)
+
+    def leave(self, call: Call, reply: NotRun) -> None:
+        """Takes out a waiting request and gives it up.
+
+        The id of a held request was not compared with those that have run, so its reply must not
+        say more than that this gateway does not hold the shard.
+        """
+        told = replies.NOT_HELD if call.call_id in self.held else reply
+        self.take_out(call.call_id)
+        self.give_up(call, told)
 
     def stop(self, matches: Callable[[Call], bool], reply: NotRun) -> None:
         """Gives up the waiting requests that match."""
@@ -125,8 +134,7 @@
         )
         for call in waiting:
             if matches(call):
-                self.take_out(call.call_id)
-                self.give_up(call, reply)
+                self.leave(call, reply)
 
     def review_suspects(self, poison: PoisonDetector, now: float) -> None:
         """Queues the suspects that have been cleared and gives up those that are blocked."""
--- a/packages/decisions/tests/test_gateway_admission.py
+++ b/packages/decisions/tests/test_gateway_admission.py
@@ -21,6 +21,7 @@
     fingerprint_of,
 )
 from fireflylink_decisions.limits import ReportedState
+from fireflylink_decisions.retries import RequestAttempts
 from fireflylink_decisions.routing import GroupChoice, GroupReport
 
 NOW = 100.0
@@ -284,6 +285,19 @@
     assert_that([each.call_id for each in started], Equals(["c1"]))
 
 
+@pytest.mark.parametrize("stopped", [False, True], ids=["deadline", "stopped"])
+def test_order_that_waited_for_a_handover_in_vain_is_not_called_not_run(
+    gateway: GatewayAdmission, post: Make, wall_ms: int, stopped: bool
+) -> None:
+    """The former gateway may have run it, and this one never learned of it (P6)."""
+    gateway.expect_handover([5])
+    order = post(deadline=NOW + 1.0)
+    gateway.offer(order, "c1", NOW, wall_ms, shard_index=5)
+    replies = gateway.stop_admitting("leaving") if stopped else gateway.expire(NOW + 1.0)
+    attempts = RequestAttempts(idempotent=False, deadline=NOW + 1.0)
+    assert_that(attempts.final(replies[0][1]).outcome, Is(Outcome.UNKNOWN))
+
+
 def test_gateway_without_the_ids_of_a_shard_says_that_it_does_not_hold_it(
     gateway: GatewayAdmission, post: Make, wall_ms: int
 ) -> None:
