Find a hot key although most shards of its service are idle

Cause: the mean load of a shard was taken over the shards that had requests, so that a shard without requests counted with 1% of the busy one's load, and no server could take the hot key within its bound. The mean is now over all shards of the tables that report.

--- a/packages/decisions/src/fireflylink_decisions/ownership/_measure.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_measure.py
@@ -20,22 +20,26 @@
             load for (name, _), load in draft.source.shard_loads.items() if name == service.name
         ]
         self.measured = sum(loads) > 0
-        self.mean = sum(loads) / len(loads) if self.measured else 1.0
+        self.unmeasured: set[str] = set()
+        # A gateway reports only shards that had requests; the others of its table count as idle.
+        shards = self._split_tables() if self.measured else 0
+        self.mean = sum(loads) / max(shards, len(loads)) if self.measured else 1.0
         self.idle = self.mean * IDLE_SHARE if self.measured else 0.0
-        self.unmeasured = self._unmeasured_tables() if self.measured else set()
 
-    def _unmeasured_tables(self) -> set[str]:
-        """Returns the tables that own shards of the service but report no load of any."""
-        found: set[str] = set()
+    def _split_tables(self) -> int:
+        """Finds the tables that report no load of any shard; counts the shards of the others."""
+        shards = 0
         for table_id in self.draft.tables_of(self.service):
             keys = [
                 key
                 for key in self.draft.tables[table_id].shards
                 if key[0] == self.service.name and self.draft.record_active(table_id, key, False)
             ]
-            if keys and not any(key in self.draft.source.shard_loads for key in keys):
-                found.add(table_id)
-        return found
+            if any(key in self.draft.source.shard_loads for key in keys):
+                shards += len(keys)
+            elif keys:
+                self.unmeasured.add(table_id)
+        return shards
 
     def load(self, table_id: str, key: ShardKey, exception: bool) -> float:
         """Returns the load of a shard or of a single key."""
--- a/packages/decisions/tests/ownership/test_planner_reactions.py
+++ b/packages/decisions/tests/ownership/test_planner_reactions.py
@@ -238,6 +238,17 @@
     assert_that(after.record.epoch, Not(LessThan(route.record.epoch)))
 
 
+def test_key_with_the_whole_load_of_its_service_is_found_hot(cluster) -> None:
+    """A key would never be hot if shards without requests raised the mean load of a shard."""
+    hot = ("rooms", 48 * 1000 + 7)
+    cluster.run()
+    cluster.loads = {("rooms", 7): 200.0}
+    cluster.hot = {hot: 200.0}
+    cluster.run()
+    routes = merge_tables(cluster.configuration, cluster.tables.values())
+    assert_that(routes.find_hash(*hot).is_exception, Equals(True))
+
+
 def test_unowned_shards_are_listed(cluster) -> None:
     """A release note that leaves shards without a server has to be refused."""
     for name in cluster.configuration.servers:
