--- a/packages/daemon/src/fireflylink_daemon/_control_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_state.py
@@ -160,6 +160,14 @@
         deadline = started + GRANT_TERM
         self.book.add(Authority(table.table_id, table.version, deadline, False), now)
 
+    def has_majority_authority(self, until: float) -> bool:
+        """Whether a majority of voters gave authority for every own table until a time."""
+        return all(
+            self.book.deadline(table.table_id, table.version, table.version, by_majority=True)
+            > until
+            for table in self.own_tables()
+        )
+
     def settlement(self, table_id: str) -> Settlement:
         """Returns the settlement of a table."""
         return self.settlements.setdefault(table_id, Settlement())
--- a/packages/daemon/src/fireflylink_daemon/_control_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_control_task.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import gevent
 from returns.pipeline import is_successful
 
 from fireflylink_core import (
@@ -10,11 +9,9 @@
     DocumentKind,
     EndorseRequest,
     Isolation,
-    Member,
     MemberState,
     OwnershipTable,
     ServerStatus,
-    SyncRequest,
     data_centre_of_table,
     table_id_of,
 )
@@ -37,6 +34,7 @@
 from fireflylink_daemon._crash_reports import crash_reports
 from fireflylink_daemon._distant_centres import DistantCentres
 from fireflylink_daemon._log import log_event, log_problem
+from fireflylink_daemon._peer_calls import PeerCalls
 from fireflylink_daemon._peers import PeerDirectory
 from fireflylink_daemon._planning import PlanningDesk
 from fireflylink_daemon._platform_task import (
@@ -45,18 +43,12 @@
     ReadAll,
     SetWatching,
 )
+from fireflylink_daemon._route_keeper import RouteKeeper
 from fireflylink_daemon._task import BaseTask
 from fireflylink_daemon._view import View
 from fireflylink_decisions.authority import RENEWAL_PERIOD, EndorsementRound
-from fireflylink_decisions.ownership import merge_tables
 from fireflylink_platform_client import Entry
 
-PEER_TIMEOUT = 0.3
-"""Seconds that a peer has to answer a control message."""
-
-UNRESPONSIVE_PEER_PAUSE = 1.0
-"""Seconds for which a peer that did not answer is asked only after the others."""
-
 DISTANT_SYNC_PERIOD = 1.0
 FORGET_MEMBER_AFTER = 60.0
 
@@ -70,15 +62,13 @@
     """
 
     __slots__ = (
-        "_busy_peers",
         "_distant_at",
         "_handlers",
         "_platform",
         "_publish",
-        "_published_tables",
         "_routes",
-        "_unresponsive_until",
         "_wake_at",
+        "calls",
         "desk",
         "distant",
         "peers",
@@ -99,15 +89,13 @@
         self.state = state
         self.desk = desk
         self.peers = peers
+        self.calls = PeerCalls(clock, peers, self.post)
         self.distant = DistantCentres()
         self.platform_reachable = False
         self.watching = False
         self._platform: BaseTask | None = None
         self._publish = publish
-        self._published_tables: tuple[tuple[str, int], ...] | None = None
-        self._routes = merge_tables(state.cache.configuration, ())
-        self._busy_peers: set[str] = set()
-        self._unresponsive_until: dict[str, float] = {}
+        self._routes = RouteKeeper(state.cache)
         self._wake_at = clock.now()
         self._distant_at = clock.now()
         self._handlers: dict[type, Callable[..., object]] = {
@@ -141,7 +129,7 @@
         if is_root:
             self._run_rounds(now)
             self._plan(now)
-            if not self._has_majority_authority(now):
+            if not self.state.has_majority_authority(now + 2 * RENEWAL_PERIOD):
                 self._ask_platform(ReadAll())
         else:
             self._sync_with_parent(now)
@@ -176,8 +164,7 @@
 
     def on_sync_answered(self, message: SyncAnswered) -> None:
         """Takes what a parent or a distant root told."""
-        self._busy_peers.discard(message.peer.instance_id)
-        self._unresponsive_until.pop(message.peer.instance_id, None)
+        self.calls.note_answer(message.peer)
         now = self.clock.now()
         if message.peer.data_centre != self.state.myself.data_centre:
             self.distant.note_answer(message.peer.data_centre, message.reply.root, now)
@@ -186,9 +173,7 @@
 
     def on_sync_failed(self, message: SyncFailed) -> None:
         """Notes that a peer is silent."""
-        self._busy_peers.discard(message.peer.instance_id)
-        until = self.clock.now() + UNRESPONSIVE_PEER_PAUSE
-        self._unresponsive_until[message.peer.instance_id] = until
+        self.calls.note_failure(message.peer)
 
     def on_endorse_answered(self, message: EndorseAnswered) -> None:
         """Takes a voter's answer."""
@@ -324,29 +309,12 @@
                 continue
             self._ask_voters(endorsement_round)
 
-    def _has_majority_authority(self, now: float) -> bool:
-        margin = now + 2 * RENEWAL_PERIOD
-        return all(
-            self.state.book.deadline(table.table_id, table.version, table.version, by_majority=True)
-            > margin
-            for table in self.state.own_tables()
-        )
-
     def _ask_voters(self, endorsement_round: EndorsementRound) -> None:
         request = EndorseRequest(endorsement_round.table_id, endorsement_round.version)
         for voter in endorsement_round.electorate - {self.state.myself.instance_id}:
             member = self.state.directory.find(voter)
             if member is not None:
-                gevent.spawn(self._endorse, member, request, endorsement_round)
-
-    def _endorse(
-        self, member: Member, request: EndorseRequest, endorsement_round: EndorsementRound | None
-    ) -> None:
-        asked = self.clock.now()
-        result = self.peers.channel(member).endorse(request, PEER_TIMEOUT)
-        if is_successful(result):
-            reply = result.unwrap()
-            self.post(EndorseAnswered(request.table_id, asked, reply, endorsement_round))
+                self.calls.endorse(member, request, endorsement_round)
 
     def _ask_other_voters(self) -> None:
         if not self.state.ledger.may_ask_peers(self.clock.now()):
@@ -356,7 +324,7 @@
                 member = self.state.directory.find(voter)
                 if member is not None and voter != self.state.myself.instance_id:
                     request = EndorseRequest(table.table_id, 0)
-                    gevent.spawn(self._endorse, member, request, None)
+                    self.calls.endorse(member, request, None)
 
     def _adopted_tables(self, now: float) -> tuple[OwnershipTable, ...]:
         """Returns the yield tables of cut-off data centres for which this root decides."""
@@ -384,16 +352,10 @@
                 self._ask_platform(writes)
 
     def _sync_with_parent(self, now: float) -> None:
-        parents = sorted(
-            self.state.parents(),
-            key=lambda member: self._unresponsive_until.get(member.instance_id, 0.0) > now,
-        )
-        free = [member for member in parents if member.instance_id not in self._busy_peers]
-        if not free:
-            return
-        request = self.state.sync_request(now)
-        self._busy_peers.add(free[0].instance_id)
-        gevent.spawn(self._sync, tuple(free), request)
+        parents = self.calls.ready(self.state.parents())
+        if parents:
+            # A request reports each load once, so it is made only when it is sent.
+            self.calls.sync(parents, self.state.sync_request(now))
 
     def _sync_with_distant_centres(self, is_root: bool) -> None:
         if not is_root:
@@ -403,18 +365,8 @@
             if data_centre == self.state.myself.data_centre:
                 continue
             target = self.distant.target(data_centre, self.state.directory.members(data_centre))
-            if target is not None and target.instance_id not in self._busy_peers:
-                self._busy_peers.add(target.instance_id)
-                gevent.spawn(self._sync, (target,), request)
-
-    def _sync(self, candidates: tuple[Member, ...], request: SyncRequest) -> None:
-        for member in candidates:
-            sent = self.clock.now()
-            result = self.peers.channel(member).sync(request, PEER_TIMEOUT)
-            if is_successful(result):
-                self.post(SyncAnswered(member, sent, result.unwrap()))
-                return
-            self.post(SyncFailed(member))
+            if target is not None and self.calls.ready((target,)):
+                self.calls.sync((target,), request)
 
     def _set_watching(self, enabled: bool) -> None:
         if enabled != self.watching:
@@ -431,17 +383,13 @@
     def _publish_view(self) -> None:
         now = self.clock.now()
         state = self.state
-        versions = (("", state.configuration_version()), *state.cache.table_versions())
-        if versions != self._published_tables:
-            self._published_tables = versions
-            self._merge_changed_tables()
         members = {member.instance_id: member for member in state.directory.members()}
         members[state.myself.instance_id] = state.myself
         self._publish(
             View(
                 configuration=state.cache.configuration,
                 tables=dict(state.cache.tables),
-                routes=self._routes,
+                routes=self._routes.refresh(),
                 book=state.book.snapshot(),
                 settled=state.settled_versions(now),
                 members=members,
@@ -450,12 +398,3 @@
                 leaving=state.myself.state is MemberState.LEAVING,
             )
         )
-
-    def _merge_changed_tables(self) -> None:
-        """Merges only what changed, because merging every shard delays requests for too long."""
-        cache = self.state.cache
-        routes = self._routes.with_configuration(cache.configuration)
-        for table_id, table in cache.tables.items():
-            if routes.tables.get(table_id) is not table:
-                routes = routes.with_table(table)
-        self._routes = routes
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -21,10 +21,11 @@
 )
 from fireflylink_daemon._control_messages import EndorseAsked, HandoverAsked, Leave, SyncAsked
 from fireflylink_daemon._control_state import MILLISECONDS_PER_SECOND, ControlState
-from fireflylink_daemon._control_task import PEER_TIMEOUT, ControlTask
+from fireflylink_daemon._control_task import ControlTask
 from fireflylink_daemon._document_cache import DocumentCache
 from fireflylink_daemon._forwarding import ForwardApplication, Forwarder
-from fireflylink_daemon._gateway_task import GatewayTask, ViewChanged
+from fireflylink_daemon._gateway_messages import ViewChanged
+from fireflylink_daemon._gateway_task import GatewayTask
 from fireflylink_daemon._log import log_event
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._operator_endpoint import (
@@ -32,6 +33,7 @@
     DaemonStatus,
     make_operator_application,
 )
+from fireflylink_daemon._peer_calls import PEER_TIMEOUT
 from fireflylink_daemon._peers import PeerDirectory
 from fireflylink_daemon._planning import PlanningDesk
 from fireflylink_daemon._platform_task import PlatformTask
--- a/packages/daemon/src/fireflylink_daemon/_gateway_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_gateway_task.py
@@ -4,7 +4,6 @@
     BackendServer,
     BaseClock,
     BaseReply,
-    BaseValue,
     CallerRequest,
     HandoverRequest,
     NotRun,
@@ -14,6 +13,7 @@
 )
 from fireflylink_daemon._control_messages import GatewayReport, HandoverAsked
 from fireflylink_daemon._crash_reports import crash_reports, merge_crash_reports
+from fireflylink_daemon._gateway_messages import GrantMissing, ViewChanged
 from fireflylink_daemon._grant_desk import GrantAnswered, GrantDesk
 from fireflylink_daemon._group_gateway import (
     MOVED,
@@ -58,24 +58,6 @@
 """Seconds between looks whether the requests in flight of a released shard have ended."""
 
 
-class ViewChanged(BaseValue):
-    """The control task has a newer view."""
-
-    __slots__ = ("view",)
-
-    def __init__(self, view: View) -> None:
-        self.view = view
-
-
-class GrantMissing(BaseValue):
-    """A server refused a request because it has no grant, as after a restart."""
-
-    __slots__ = ("group_id",)
-
-    def __init__(self, group_id: str) -> None:
-        self.group_id = group_id
-
-
 class GatewayTask(BaseTask, BasePermission):
     """Acts as gateway for the groups that the tables give to this daemon.
 
