Start the demo's requests after the first terms

Cause: request ids from before a gateway's first term plus the clock skew are answered 'unknown' by design; the demo began right after the installation, and 79 of 104 bookings were unknown.

--- a/packages/standins/src/fireflylink_standins/demo.py
+++ b/packages/standins/src/fireflylink_standins/demo.py
@@ -14,7 +14,7 @@
 from absl import app, flags
 
 from fireflylink_core import ServiceKind
-from fireflylink_decisions.admission import issue_request_id
+from fireflylink_decisions.admission import CLOCK_SKEW_MS, issue_request_id
 from fireflylink_standins._examples import EXAMPLES, ExampleService
 from fireflylink_standins._local_system import LocalSystem
 
@@ -28,6 +28,7 @@
 REQUEST_TIMEOUT = 5.0
 LEAVE_TIMEOUT = 60.0
 KEYS = 50
+FIRST_TERM_SECONDS = CLOCK_SKEW_MS / MILLISECONDS_PER_SECOND + 1.0
 
 Counts = collections.Counter[tuple[str, str, str]]
 
@@ -121,8 +122,11 @@
     started = time.monotonic()
     try:
         system.start()
-        print(f"serving after {time.monotonic() - started:.1f} s; status of one daemon:")
-        print(json.dumps(system.status(next(iter(system.daemons)))["in_force"]))
+        print(f"serving after {time.monotonic() - started:.1f} s; status of the first root:")
+        root = system.status(next(iter(system.daemons)))["root"]
+        print(json.dumps(system.status(root)["in_force"]))
+        # Ids from before a gateway's first term plus the clock skew are answered "unknown".
+        time.sleep(FIRST_TERM_SECONDS)
         _run_requests(system)
         _print_addresses(system)
         if STAY.value:
