--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -1,127 +1,117 @@
-"""Grants, revocations and the status that a backend server reports."""
-
-import enum
-import json
-
-from fireflylink_core import BaseValue
-
-
-class WarmthState(enum.Enum):
-    """What a backend server says about itself."""
-
-    COLD = "cold"
-    WARM = "warm"
-    DRAINING = "draining"
-
-
-class GrantCommand(BaseValue):
-    """A fenced grant. ``deadline_ms`` is in milliseconds on the server's own clock.
-
-    ``shards`` and ``exceptions`` hold pairs of index (or key hash) and epoch; None leaves those of
-    the previous grant unchanged.
-    """
-
-    __slots__ = ("deadline_ms", "exceptions", "gateway", "gateway_epoch", "shards")
-
-    def __init__(
-        self,
-        gateway: str,
-        gateway_epoch: int,
-        deadline_ms: int,
-        shards: tuple[tuple[int, int], ...] | None,
-        exceptions: tuple[tuple[int, int], ...] | None,
-    ) -> None:
-        self.gateway = gateway
-        self.gateway_epoch = gateway_epoch
-        self.deadline_ms = deadline_ms
-        self.shards = shards
-        self.exceptions = exceptions
-
-    def encode(self) -> bytes:
-        """Returns the JSON body of the command."""
-        return json.dumps(
-            {
-                "gateway": self.gateway,
-                "gateway_epoch": self.gateway_epoch,
-                "deadline_ms": self.deadline_ms,
-                "shards": self.shards,
-                "exceptions": self.exceptions,
-            }
-        ).encode()
-
-
-class RevokeCommand(BaseValue):
-    """Takes shards and single-key exceptions out of the grant in force."""
-
-    __slots__ = ("exceptions", "gateway_epoch", "shards")
-
-    def __init__(
-        self, gateway_epoch: int, shards: tuple[int, ...], exceptions: tuple[int, ...]
-    ) -> None:
-        self.gateway_epoch = gateway_epoch
-        self.shards = shards
-        self.exceptions = exceptions
-
-    def encode(self) -> bytes:
-        """Returns the JSON body of the command."""
-        return json.dumps(
-            {
-                "gateway_epoch": self.gateway_epoch,
-                "shards": self.shards,
-                "exceptions": self.exceptions,
-            }
-        ).encode()
-
-
-class ServerStatus(BaseValue):
-    """Reply to a grant or a health request.
-
-    ``sent_at`` is the local time, in seconds, at which the request was sent, ``received_at`` the
-    one at which the reply was whole; the server read ``clock_ms`` between them.
-    """
-
-    __slots__ = (
-        "clock_ms",
-        "generation",
-        "in_flight",
-        "load",
-        "received_at",
-        "sent_at",
-        "slots",
-        "state",
-    )
-
-    def __init__(
-        self,
-        generation: str,
-        clock_ms: int,
-        state: WarmthState,
-        in_flight: int,
-        slots: int,
-        load: float,
-        sent_at: float,
-        received_at: float,
-    ) -> None:
-        self.generation = generation
-        self.clock_ms = clock_ms
-        self.state = state
-        self.in_flight = in_flight
-        self.slots = slots
-        self.load = load
-        self.sent_at = sent_at
-        self.received_at = received_at
-
-
-def decode_status(body: bytes, sent_at: float, received_at: float) -> ServerStatus:
-    """Decodes a status; raises ValueError, KeyError or TypeError when it is malformed."""
-    document = json.loads(body)
-    return ServerStatus(
-        generation=str(document["generation"]),
-        clock_ms=int(document["clock_ms"]),
-        state=WarmthState(document["state"]),
-        in_flight=int(document["in_flight"]),
-        slots=int(document["slots"]),
-        load=float(document["load"]),
-        sent_at=sent_at,
-        received_at=received_at,
-    )
+"""Commands of the daemon's own to one backend server: grants, releases, health."""
+
+from returns.result import Failure, Result, Success
+
+from fireflylink_backend_client._dialect import BaseServerDialect, ServerCommand
+from fireflylink_core import BackendServer, BaseClock, BaseFireflylinkError, KeyRange
+from fireflylink_http_client import (
+    ExchangeError,
+    HttpConnection,
+    HttpResponse,
+    NotSentError,
+    encode_request,
+)
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+
+
+class CommandError(BaseFireflylinkError):
+    """A command had no good end. ``sent`` tells that the server may still carry it out."""
+
+    def __init__(self, detail: str, sent: bool) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+class HigherFenceError(CommandError):
+    """The server has seen a higher fence on one of the keys."""
+
+    def __init__(self) -> None:
+        super().__init__("the server has seen a higher fence", False)
+
+
+class ServerHealth:
+    """What a server says when asked for its health."""
+
+    __slots__ = ("cold_seconds", "healthy", "server_id")
+
+    def __init__(self, server_id: str, healthy: bool, cold_seconds: float) -> None:
+        self.server_id = server_id
+        self.healthy = healthy
+        self.cold_seconds = cold_seconds
+
+
+class ServerCommands:
+    """Sends commands to one server over a connection of their own."""
+
+    __slots__ = ("clock", "connection", "dialect", "server")
+
+    def __init__(self, server: BackendServer, clock: BaseClock, dialect: BaseServerDialect) -> None:
+        self.server = server
+        self.clock = clock
+        self.dialect = dialect
+        self.connection: HttpConnection | None = None
+
+    def grant(
+        self, keys: KeyRange, fence: int, hold_seconds: float, handover: str, deadline: float
+    ) -> Result[None, CommandError]:
+        """Grants or renews keys; fails with ``HigherFenceError`` when another took them."""
+        sent = self._send(self.dialect.grant(keys, fence, hold_seconds, handover), deadline)
+        return sent.bind(_granted)
+
+    def release(self, keys: KeyRange, fence: int, deadline: float) -> Result[str, CommandError]:
+        """Takes keys back; returns the hand-over token once the work on them has ended."""
+        sent = self._send(self.dialect.release(keys, fence), deadline)
+        return sent.bind(self._released)
+
+    def health(self, path: str, deadline: float) -> Result[ServerHealth, CommandError]:
+        """Asks for the server's health."""
+        return self._send(self.dialect.health(path), deadline).map(self._health)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self.connection is not None:
+            self.connection.abort()
+            self.connection = None
+
+    def _health(self, response: HttpResponse) -> ServerHealth:
+        return ServerHealth(
+            self.dialect.health_server_id(response),
+            response.status == HTTP_OK,
+            self.dialect.cold_seconds(response),
+        )
+
+    def _released(self, response: HttpResponse) -> Result[str, CommandError]:
+        if response.status != HTTP_OK:
+            return Failure(CommandError(f"release: status {response.status}", True))
+        return Success(self.dialect.handover(response))
+
+    def _send(self, command: ServerCommand, deadline: float) -> Result[HttpResponse, CommandError]:
+        try:
+            connection = self._connected(deadline)
+            encoded = encode_request(command.method, command.target, command.headers, command.body)
+            response, reusable = connection.exchange(encoded, command.method, deadline)
+        except ExchangeError as error:
+            self.close()
+            return Failure(CommandError(str(error), not isinstance(error, NotSentError)))
+        if not reusable:
+            self.close()
+        return Success(response)
+
+    def _connected(self, deadline: float) -> HttpConnection:
+        if self.connection is not None and self.connection.usable():
+            return self.connection
+        self.close()
+        connection = HttpConnection(self.clock)
+        self.connection = connection
+        connection.connect(self.server.host, self.server.port, deadline)
+        return connection
+
+
+def _granted(response: HttpResponse) -> Result[None, CommandError]:
+    if response.status == HTTP_OK:
+        return Success(None)
+    if response.status == HTTP_CONFLICT:
+        return Failure(HigherFenceError())
+    return Failure(CommandError(f"grant: status {response.status}", True))
--- /dev/null
+++ b/packages/backend_client/src/fireflylink_backend_client/_dialect.py
@@ -0,0 +1,76 @@
+"""How requests and grants are spelled towards backend servers."""
+
+import abc
+
+from fireflylink_core import CallerRequest, Headers, KeyRange, ServerAnswer, ServerLoad
+from fireflylink_http_client import HttpResponse
+
+
+class ServerCommand:
+    """A request of the daemon's own to a server."""
+
+    __slots__ = ("body", "headers", "method", "target")
+
+    def __init__(self, method: str, target: str, headers: Headers = (), body: bytes = b"") -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+
+class BaseServerDialect(abc.ABC):
+    """Translates requests, grants and answers; it decides nothing."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def request_headers(
+        self, request: CallerRequest, server_id: str, remaining_seconds: float
+    ) -> Headers:
+        """Returns the headers of a request that only the server ``server_id`` may run."""
+
+    @abc.abstractmethod
+    def belongs(self, response: HttpResponse, request_id: str) -> bool:
+        """Whether the response answers the request, not an earlier one."""
+
+    @abc.abstractmethod
+    def declined(self, response: HttpResponse) -> bool:
+        """Whether the server states that it did not run the request."""
+
+    @abc.abstractmethod
+    def misdirected(self, response: HttpResponse) -> bool:
+        """Whether the server declined because it is another one or does not hold the key."""
+
+    @abc.abstractmethod
+    def answer(self, response: HttpResponse) -> ServerAnswer | None:
+        """Returns the server's answer for the caller, None when it is not the server's own."""
+
+    @abc.abstractmethod
+    def load(self, response: HttpResponse) -> ServerLoad | None:
+        """Returns the load that the server told, if any."""
+
+    @abc.abstractmethod
+    def health(self, path: str) -> ServerCommand:
+        """Returns the question for the server's health."""
+
+    @abc.abstractmethod
+    def health_server_id(self, response: HttpResponse) -> str:
+        """Returns the id of the server that answered."""
+
+    @abc.abstractmethod
+    def cold_seconds(self, response: HttpResponse) -> float:
+        """Returns how much longer the server stays cold, by its answer about its health."""
+
+    @abc.abstractmethod
+    def grant(
+        self, keys: KeyRange, fence: int, hold_seconds: float, handover: str
+    ) -> ServerCommand:
+        """Returns the command that grants or renews keys."""
+
+    @abc.abstractmethod
+    def release(self, keys: KeyRange, fence: int) -> ServerCommand:
+        """Returns the command that takes keys back."""
+
+    @abc.abstractmethod
+    def handover(self, response: HttpResponse) -> str:
+        """Returns the token that a release gave, empty when it gave none."""
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/__init__.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/__init__.py
@@ -1,18 +1,19 @@
 """HTTP front end towards callers."""
 
 from fireflylink_caller_frontend._application import make_application
-from fireflylink_caller_frontend._errors import ListenerError, RequestRefusedError
-from fireflylink_caller_frontend._handler import BaseRequestHandler
-from fireflylink_caller_frontend._listener import HttpListener, WsgiApplication
-from fireflylink_caller_frontend._replies import OUTCOME_HEADER, write_reply
+from fireflylink_caller_frontend._dialect import BaseCallerDialect, ReceivedRequest, SentReply
+from fireflylink_caller_frontend._errors import ListenerError, RefusedRequestError
+from fireflylink_caller_frontend._handler import BaseDeparture, BaseRequestHandler
+from fireflylink_caller_frontend._listener import HttpListener
 
 __all__ = [
-    "OUTCOME_HEADER",
+    "BaseCallerDialect",
+    "BaseDeparture",
     "BaseRequestHandler",
     "HttpListener",
     "ListenerError",
-    "RequestRefusedError",
-    "WsgiApplication",
+    "ReceivedRequest",
+    "RefusedRequestError",
+    "SentReply",
     "make_application",
-    "write_reply",
 ]
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
@@ -1,80 +1,95 @@
 """The falcon application towards callers."""
 
-import json
 from typing import Any
 
 import falcon
 
-from fireflylink_caller_frontend._errors import RequestRefusedError
+from fireflylink_caller_frontend._departure import SocketDeparture
+from fireflylink_caller_frontend._dialect import BaseCallerDialect, ReceivedRequest, SentReply
+from fireflylink_caller_frontend._errors import RefusedRequestError
 from fireflylink_caller_frontend._handler import BaseRequestHandler
-from fireflylink_caller_frontend._replies import JSON_TYPE, write_reply
-from fireflylink_caller_frontend._request_reader import METHODS, read_request
-from fireflylink_core import BaseClock, NotRun
+from fireflylink_caller_frontend._listener import HANDLER_KEY
+from fireflylink_core import CallerLimits
 
-UNKNOWN_PATH = NotRun("unknown-path", "The path must be /v1/<service> or /v1/<service>/<key>.", 404)
+READ_BYTES = 65536
 
 
-class _ServiceResource:
-    """Requests of a service, with or without a key."""
+class _Callers:
+    """Receives every request of callers, whatever its path."""
 
-    __slots__ = ("clock", "handler")
+    __slots__ = ("dialect", "handler")
 
-    def __init__(self, handler: BaseRequestHandler, clock: BaseClock) -> None:
+    def __init__(self, handler: BaseRequestHandler, dialect: BaseCallerDialect) -> None:
         self.handler = handler
-        self.clock = clock
-
-    def respond(
-        self, source: falcon.Request, target: falcon.Response, service: str, key: str = ""
-    ) -> None:
-        """Reads, runs and answers one request."""
-        declared = self.handler.service(service)
-        if declared is None:
-            write_reply(target, NotRun("unknown-service", f"There is no service {service!r}.", 404))
-            return
+        self.dialect = dialect
+
+    def __call__(self, req: falcon.Request, resp: falcon.Response, **_kwargs: Any) -> None:
+        connection = req.env[HANDLER_KEY]
         try:
-            request = read_request(source, declared, key, self.clock)
-        except RequestRefusedError as error:
-            write_reply(target, error.reply)
+            body = _read_body(req, self.handler.limits())
+            request = self.dialect.read(_received(connection, body))
+        except RefusedRequestError as error:
+            connection.close_connection = True
+            _write(resp, self.dialect.refuse(error))
             return
-        write_reply(target, self.handler.handle(request))
-
-    on_get = on_head = on_put = on_delete = on_post = respond
-    on_patch = on_options = respond
-
-
-class _RequestIdResource:
-    """Request ids for callers that do not make their own."""
-
-    __slots__ = ("handler",)
-
-    def __init__(self, handler: BaseRequestHandler) -> None:
-        self.handler = handler
-
-    def on_post(self, _source: falcon.Request, target: falcon.Response) -> None:
-        """Issues a request id."""
-        target.content_type = JSON_TYPE
-        target.data = json.dumps({"request_id": self.handler.issue_request_id()}).encode()
-
-
-def _unknown_path(req: falcon.Request, resp: falcon.Response, **kwargs: Any) -> None:
-    write_reply(resp, UNKNOWN_PATH)
-
-
-def make_application(handler: BaseRequestHandler, clock: BaseClock) -> Any:
+        departure = SocketDeparture(connection.socket)
+        try:
+            reply = self.handler.handle(request, departure)
+        finally:
+            departure.stop()
+        _write(resp, self.dialect.write(request.request_id, reply))
+
+
+def _received(connection: Any, body: bytes) -> ReceivedRequest:
+    headers = tuple((str(name), str(value)) for name, value in connection.headers.items())
+    return ReceivedRequest(
+        connection.command, connection.path, headers, body, connection.received_at
+    )
+
+
+def _read_body(req: falcon.Request, limits: CallerLimits) -> bytes:
+    length = req.content_length or 0
+    if length > limits.max_body_bytes:
+        raise RefusedRequestError(413, "the body is over the limit")
+    stream = req.env["wsgi.input"]
+    if not length and not stream.chunked_input:
+        return b""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        part = _read_part(stream)
+        if not part:
+            return b"".join(parts)
+        size += len(part)
+        if size > limits.max_body_bytes:
+            raise RefusedRequestError(413, "the body is over the limit")
+        parts.append(part)
+
+
+def _read_part(stream: Any) -> bytes:
+    try:
+        part: bytes = stream.read(READ_BYTES)
+    except (OSError, ValueError) as error:
+        raise RefusedRequestError(400, f"the body is not whole: {error}") from error
+    return part
+
+
+def _write(resp: falcon.Response, sent: SentReply) -> None:
+    resp.status = sent.status
+    for name, value in sent.headers:
+        resp.append_header(name, value)
+    resp.data = sent.body
+
+
+def make_application(handler: BaseRequestHandler, dialect: BaseCallerDialect) -> Any:
     """Returns the WSGI application that callers use.
 
     Example::
 
-        listener = HttpListener(make_application(handler, clock), "127.0.0.1", 8080)
+        listener = HttpListener(make_application(handler, dialect), "127.0.0.1", 0, handler.limits)
     """
     application = falcon.App()
-    application.req_options.strip_url_path_trailing_slash = False
-    resource = _ServiceResource(handler, clock)
-    application.add_route("/v1/request-ids", _RequestIdResource(handler))
-    application.add_route("/v1/{service}/{key}", resource)
-    application.add_route("/v1/{service}", resource)
-    application.add_sink(_unknown_path, "/")
+    # An answer without a content type is passed on as it is.
+    application.resp_options.default_media_type = None  # type: ignore[assignment]
+    application.add_sink(_Callers(handler, dialect), "/")
     return application
-
-
-__all__ = ["METHODS", "make_application"]
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_errors.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_errors.py
@@ -1,15 +1,15 @@
-"""Errors of the front end towards callers."""
+"""Errors of the front end."""
 
-from fireflylink_core import BaseFireflylinkError, NotRun
+from fireflylink_core import BaseFireflylinkError
 
 
 class ListenerError(BaseFireflylinkError):
-    """An address cannot be bound."""
+    """An address could not be bound."""
 
 
-class RequestRefusedError(BaseFireflylinkError):
-    """A request is malformed; ``reply`` is what its caller is told."""
+class RefusedRequestError(BaseFireflylinkError):
+    """A request that breaks the protocol or a limit; it is not passed on."""
 
-    def __init__(self, reply: NotRun) -> None:
-        super().__init__(reply.detail)
-        self.reply = reply
+    def __init__(self, status: int, problem: str) -> None:
+        super().__init__(problem)
+        self.status = status
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_handler.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_handler.py
@@ -1,23 +1,30 @@
-"""What the front end asks of the daemon."""
+"""What the front end needs of the daemon."""
 
 import abc
+from collections.abc import Callable
 
-from fireflylink_core import BaseReply, CallerRequest, Service
+from fireflylink_core import BaseReply, CallerLimits, CallerRequest
 
 
-class BaseRequestHandler(abc.ABC):
-    """Runs the requests that the front end has read and checked."""
+class BaseDeparture(abc.ABC):
+    """Tells that a caller closed its connection before its reply."""
 
     __slots__ = ()
 
     @abc.abstractmethod
-    def service(self, name: str) -> Service | None:
-        """Returns a service by its name, None for an unknown one."""
+    def on_departure(self, action: Callable[[], None]) -> None:
+        """Runs ``action`` once when the caller leaves, at once if it has left already."""
+
+
+class BaseRequestHandler(abc.ABC):
+    """Runs requests for the front end."""
+
+    __slots__ = ()
 
     @abc.abstractmethod
-    def handle(self, request: CallerRequest) -> BaseReply:
-        """Runs a request within its deadline and returns what its caller is told."""
+    def handle(self, request: CallerRequest, departure: BaseDeparture) -> BaseReply:
+        """Runs a request and returns its reply; called in the greenlet of the connection."""
 
     @abc.abstractmethod
-    def issue_request_id(self) -> str:
-        """Returns a new request id for a caller that does not make its own."""
+    def limits(self) -> CallerLimits:
+        """Returns the limits in force."""
--- a/packages/core/src/fireflylink_core/_configuration.py
+++ b/packages/core/src/fireflylink_core/_configuration.py
@@ -1,217 +1,144 @@
-"""The operators' configuration: data centres, services and backend servers."""
+"""The operators' configuration: routes of callers, services and limits."""
 
 import enum
-from collections.abc import Mapping
 
 from fireflylink_core._value import BaseValue
 
 
-class DataCentreState(enum.Enum):
-    """What operators declared about a data centre."""
+class RequestKind(enum.Enum):
+    """What may be done twice with the requests of a route."""
 
-    IN = "in"
-    OUT = "out"
-    LOST = "lost"
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
 
 
-class ServerState(enum.Enum):
-    """What operators declared about a backend server."""
+class RouteTarget(BaseValue):
+    """A service that takes part of a route's requests, in proportion to ``weight``."""
 
-    IN = "in"
-    DRAINING = "draining"
+    __slots__ = ("service", "weight")
 
-
-class ServiceKind(enum.Enum):
-    """Whether a request has one owning server or may go to any server of the service."""
-
-    KEYED = "keyed"
-    POOLED = "pooled"
-
-
-class Isolation(enum.Enum):
-    """What a data centre that is cut off does with the shards of a service.
-
-    ``KEEP``: it goes on serving them. ``YIELD``: it stops by a deadline and others take over.
-    """
-
-    KEEP = "keep"
-    YIELD = "yield"
-
-
-class DataCentre(BaseValue):
-    """A data centre and whether it takes new work."""
-
-    __slots__ = ("name", "region", "state")
-
-    def __init__(self, name: str, region: str, state: DataCentreState = DataCentreState.IN) -> None:
-        self.name = name
-        self.region = region
-        self.state = state
-
-
-class ShardRange(BaseValue):
-    """A range of shards, both ends included, and the servers that may own them.
-
-    An empty ``server_ids`` admits every server of the service.
-    """
-
-    __slots__ = ("first", "last", "server_ids")
-
-    def __init__(self, first: int, last: int, server_ids: tuple[str, ...] = ()) -> None:
-        self.first = first
-        self.last = last
-        self.server_ids = server_ids
+    def __init__(self, service: str, weight: float = 1.0) -> None:
+        self.service = service
+        self.weight = weight
 
 
-class Service(BaseValue):
-    """A service that callers address by name.
+class Route(BaseValue):
+    """Requests of one host whose path begins with ``prefix``, and how they are treated.
 
-    ``max_request_ms`` bounds the deadline of a request. ``cold_slots`` is the number of requests a
-    server in cold start may run at once. ``queue_limit`` bounds the requests that wait at a
-    gateway. ``churn_percent_per_minute`` bounds the shards that rebalancing moves.
+    ``max_servers`` is the largest number of servers that one request may be sent to, ``rank`` the
+    order of urgency with 0 first, ``objective_ms`` the time within which an answer has its full
+    worth, ``timeout_ms`` the longest time that a caller is kept waiting.
     """
 
     __slots__ = (
-        "churn_percent_per_minute",
-        "cold_slots",
-        "data_centres",
-        "isolation",
+        "host",
         "kind",
-        "max_request_ms",
+        "max_servers",
         "name",
-        "queue_limit",
-        "ranges",
-        "shard_count",
+        "objective_ms",
+        "prefix",
+        "rank",
+        "targets",
+        "timeout_ms",
     )
 
     def __init__(
         self,
         name: str,
-        kind: ServiceKind,
-        data_centres: tuple[str, ...],
-        shard_count: int = 256,
-        isolation: Isolation = Isolation.KEEP,
-        max_request_ms: int = 2000,
-        cold_slots: int = 1,
-        queue_limit: int = 64,
-        churn_percent_per_minute: float = 2.0,
-        ranges: tuple[ShardRange, ...] = (),
+        host: str,
+        prefix: str,
+        kind: RequestKind,
+        targets: tuple[RouteTarget, ...],
+        timeout_ms: float,
+        objective_ms: float,
+        rank: int = 0,
+        max_servers: int = 1,
     ) -> None:
         self.name = name
+        self.host = host
+        self.prefix = prefix
         self.kind = kind
-        self.data_centres = data_centres
-        self.shard_count = shard_count
-        self.isolation = isolation
-        self.max_request_ms = max_request_ms
-        self.cold_slots = cold_slots
-        self.queue_limit = queue_limit
-        self.churn_percent_per_minute = churn_percent_per_minute
-        self.ranges = ranges or (ShardRange(0, shard_count - 1),)
-
-    def admits(self, shard_index: int, server_id: str) -> bool:
-        """Tells whether a server may own a shard."""
-        for shard_range in self.ranges:
-            if shard_range.first <= shard_index <= shard_range.last:
-                return not shard_range.server_ids or server_id in shard_range.server_ids
-        return False
-
-
-class BackendServer(BaseValue):
-    """A backend server: its address, its limits and whether it checks grants."""
+        self.targets = targets
+        self.timeout_ms = timeout_ms
+        self.objective_ms = objective_ms
+        self.rank = rank
+        self.max_servers = max_servers
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RequestKind.IDEMPOTENT
+
+
+class Service(BaseValue):
+    """A kind of backend server.
+
+    ``connection_limit`` is what one server accepts from all daemons together. A cold server bears
+    ``cold_requests_per_second`` for ``cold_seconds``. Servers of a ``keyed`` service run only
+    requests of keys that they hold; a key that arrives without its hand-over token is slow for
+    ``key_warm_seconds``.
+    """
 
     __slots__ = (
-        "checks_grants",
-        "connections",
-        "data_centre",
-        "host",
-        "port",
-        "server_id",
-        "service",
-        "slots",
-        "state",
+        "cold_requests_per_second",
+        "cold_seconds",
+        "connection_limit",
+        "health_path",
+        "key_warm_seconds",
+        "keyed",
+        "name",
     )
 
     def __init__(
         self,
-        server_id: str,
-        service: str,
-        data_centre: str,
-        host: str,
-        port: int,
-        slots: int,
-        connections: int,
-        checks_grants: bool = True,
-        state: ServerState = ServerState.IN,
+        name: str,
+        connection_limit: int,
+        cold_seconds: float,
+        cold_requests_per_second: float,
+        health_path: str = "/",
+        keyed: bool = False,
+        key_warm_seconds: float = 0.0,
     ) -> None:
-        self.server_id = server_id
-        self.service = service
-        self.data_centre = data_centre
-        self.host = host
-        self.port = port
-        self.slots = slots
-        self.connections = connections
-        self.checks_grants = checks_grants
-        self.state = state
-
+        self.name = name
+        self.connection_limit = connection_limit
+        self.cold_seconds = cold_seconds
+        self.cold_requests_per_second = cold_requests_per_second
+        self.health_path = health_path
+        self.keyed = keyed
+        self.key_warm_seconds = key_warm_seconds
 
-class AppliedNote(BaseValue):
-    """A release note that made a version of the configuration.
 
-    ``digest`` identifies the content of the note.
-    """
+class CallerLimits(BaseValue):
+    """What a caller may send, in bytes, and how long it may take or stay idle, in milliseconds."""
 
-    __slots__ = ("applied_ms", "author", "digest", "note_id", "summary", "version")
+    __slots__ = ("max_body_bytes", "max_head_bytes", "max_head_ms", "max_idle_ms")
 
     def __init__(
         self,
-        note_id: str,
-        version: int,
-        author: str,
-        applied_ms: int,
-        summary: str,
-        digest: str = "",
+        max_head_bytes: int = 16384,
+        max_body_bytes: int = 1 << 26,
+        max_head_ms: float = 3000.0,
+        max_idle_ms: float = 15000.0,
     ) -> None:
-        self.note_id = note_id
-        self.version = version
-        self.author = author
-        self.applied_ms = applied_ms
-        self.summary = summary
-        self.digest = digest
+        self.max_head_bytes = max_head_bytes
+        self.max_body_bytes = max_body_bytes
+        self.max_head_ms = max_head_ms
+        self.max_idle_ms = max_idle_ms
 
 
 class Configuration(BaseValue):
-    """One version of everything that operators declared.
+    """One version of everything that operators declare. Versions compare as numbers."""
 
-    ``applied_notes`` lists the most recent notes, newest last, so that a note that is applied again
-    after a lost reply is recognised.
-    """
-
-    __slots__ = ("applied_notes", "data_centres", "servers", "services", "version")
+    __slots__ = ("limits", "routes", "services", "version")
 
     def __init__(
         self,
         version: int,
-        data_centres: Mapping[str, DataCentre],
-        services: Mapping[str, Service],
-        servers: Mapping[str, BackendServer],
-        applied_notes: tuple[AppliedNote, ...] = (),
+        routes: tuple[Route, ...],
+        services: tuple[Service, ...],
+        limits: CallerLimits,
     ) -> None:
         self.version = version
-        self.data_centres = data_centres
+        self.routes = routes
         self.services = services
-        self.servers = servers
-        self.applied_notes = applied_notes
-
-    def takes_new_work(self, server: BackendServer) -> bool:
-        """Tells whether operators let a server receive new requests."""
-        if server.state is not ServerState.IN:
-            return False
-        return self.data_centres[server.data_centre].state is DataCentreState.IN
-
-    def servers_of(self, service: str) -> tuple[BackendServer, ...]:
-        """Returns the servers of a service in the order of their identifiers."""
-        found = [server for server in self.servers.values() if server.service == service]
-        return tuple(sorted(found, key=lambda server: server.server_id))
-
-
-EMPTY_CONFIGURATION = Configuration(0, {}, {}, {})
+        self.limits = limits
--- /dev/null
+++ b/packages/core/src/fireflylink_core/_keys.py
@@ -0,0 +1,93 @@
+"""Ownership of keys: ranges, fences and the table of a service."""
+
+import bisect
+
+from fireflylink_core._server import ServerLife
+from fireflylink_core._value import BaseValue
+
+FIRST_KEY = 0
+LAST_KEY = 65535
+KEY_COUNT = LAST_KEY - FIRST_KEY + 1
+
+
+class KeyRange(BaseValue):
+    """Keys from ``first`` to ``last``, both included."""
+
+    __slots__ = ("first", "last")
+
+    def __init__(self, first: int, last: int) -> None:
+        self.first = first
+        self.last = last
+
+    def __len__(self) -> int:
+        return self.last - self.first + 1
+
+    def __str__(self) -> str:
+        return f"{self.first}-{self.last}"
+
+    def overlaps(self, other: "KeyRange") -> bool:
+        """Whether a key lies in both ranges."""
+        return self.first <= other.last and other.first <= self.last
+
+
+class Assignment(BaseValue):
+    """A range of keys and the server that is to hold it under a fence.
+
+    ``previous`` are the former holders that have not been seen to give the keys up. The owner may
+    be granted the keys only when each of them has, or when its hold has run out. ``handover`` is
+    the token of the last holder, empty when there is none.
+    """
+
+    __slots__ = ("fence", "handover", "keys", "owner", "previous")
+
+    def __init__(
+        self,
+        keys: KeyRange,
+        owner: ServerLife,
+        fence: int,
+        previous: tuple[ServerLife, ...] = (),
+        handover: str = "",
+    ) -> None:
+        self.keys = keys
+        self.owner = owner
+        self.fence = fence
+        self.previous = previous
+        self.handover = handover
+
+
+class OwnershipTable(BaseValue):
+    """The assignments of one service, in the order of their keys, without gap or overlap.
+
+    ``fence`` is the highest one ever used for the service; each change uses a higher one.
+    """
+
+    __slots__ = ("_firsts", "assignments", "fence", "service")
+
+    def __init__(self, service: str, fence: int, assignments: tuple[Assignment, ...]) -> None:
+        self.service = service
+        self.fence = fence
+        self.assignments = assignments
+        self._firsts = [assignment.keys.first for assignment in assignments]
+
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, OwnershipTable)
+            and self.service == other.service
+            and self.fence == other.fence
+            and self.assignments == other.assignments
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.service, self.fence, self.assignments))
+
+    def find(self, key: int) -> Assignment | None:
+        """Returns the assignment of a key, None when the table does not cover it."""
+        index = bisect.bisect_right(self._firsts, key) - 1
+        if index < 0:
+            return None
+        found = self.assignments[index]
+        return found if key <= found.keys.last else None
+
+    def owned_by(self, life: ServerLife) -> tuple[Assignment, ...]:
+        """Returns the assignments of one life of a server."""
+        return tuple(found for found in self.assignments if found.owner == life)
--- a/packages/core/src/fireflylink_core/_request.py
+++ b/packages/core/src/fireflylink_core/_request.py
@@ -1,119 +1,104 @@
-"""Requests of callers and the three outcomes that a caller is told."""
-
-import enum
+"""Requests of callers, and what a caller is told."""
 
 from fireflylink_core._value import BaseValue
 
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
-MAX_REQUEST_BYTES = 1 << 20
-MAX_ANSWER_BYTES = 4 << 20
-
-
-class Outcome(enum.Enum):
-    """What the system knows about a request when it answers the caller."""
+Headers = tuple[tuple[str, str], ...]
 
-    ANSWERED = "answered"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
+NO_KEY = -1
+"""``key`` of a request that carries none."""
 
 
 class CallerRequest(BaseValue):
-    """A request as it was accepted at an entry daemon.
+    """One attempt of a caller, whole.
 
-    ``deadline`` is in seconds on the clock of the daemon that holds the request. ``key`` is empty
-    for a pooled service. ``request_id`` is the caller's UUIDv7, empty when an idempotent request
-    has none.
+    ``target`` is the path with its query, as it was sent. ``deadline`` is in seconds on the
+    daemon's clock; ``headers`` are those that are passed on unchanged. ``key`` is ``NO_KEY`` when
+    the caller sent none.
     """
 
     __slots__ = (
         "body",
-        "content_type",
         "deadline",
+        "headers",
+        "host",
         "key",
         "method",
-        "query",
+        "received_at",
         "request_id",
-        "service",
-        "tenant",
+        "target",
     )
 
     def __init__(
         self,
-        service: str,
-        key: str,
+        request_id: str,
+        host: str,
         method: str,
+        target: str,
+        headers: Headers,
         body: bytes,
+        received_at: float,
         deadline: float,
-        tenant: str = "default",
-        request_id: str = "",
-        content_type: str = "",
-        query: str = "",
+        key: int = NO_KEY,
     ) -> None:
-        self.service = service
-        self.key = key
+        self.request_id = request_id
+        self.host = host
         self.method = method
+        self.target = target
+        self.headers = headers
         self.body = body
+        self.received_at = received_at
         self.deadline = deadline
-        self.tenant = tenant
-        self.request_id = request_id
-        self.content_type = content_type
-        self.query = query
+        self.key = key
 
     @property
-    def idempotent(self) -> bool:
-        """Whether the request may run more than once without harm."""
-        return self.method in IDEMPOTENT_METHODS
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
 
 
 class BaseReply(BaseValue):
-    """What a caller is told: one of the three outcomes."""
+    """What a caller is told."""
 
     __slots__ = ()
 
-    outcome: Outcome
-
-
-class BackendAnswer(BaseReply):
-    """The backend server's own answer, whole."""
 
-    __slots__ = ("body", "content_type", "server_id", "status")
+class ServerAnswer(BaseReply):
+    """The whole answer of a backend server, unchanged."""
 
-    outcome = Outcome.ANSWERED
+    __slots__ = ("body", "headers", "status")
 
-    def __init__(self, status: int, body: bytes, content_type: str, server_id: str) -> None:
+    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
         self.status = status
+        self.headers = headers
         self.body = body
-        self.content_type = content_type
-        self.server_id = server_id
 
 
 class NotRun(BaseReply):
-    """The request certainly was not run.
+    """A promise: the request has not run and never will.
 
-    ``reason`` is a stable word for programs, ``detail`` a sentence for people. ``status`` is the
-    HTTP status. ``retry_after_ms`` is 0 when sending the request again unchanged cannot help.
+    ``reason`` is a stable word for programs and logs. ``retry_after`` is in seconds; None tells
+    that sending the request again unchanged cannot help.
     """
 
-    __slots__ = ("detail", "reason", "retry_after_ms", "status")
+    __slots__ = ("reason", "retry_after", "status")
 
-    outcome = Outcome.NOT_RUN
-
-    def __init__(
-        self, reason: str, detail: str, status: int = 503, retry_after_ms: int = 0
-    ) -> None:
+    def __init__(self, reason: str, status: int = 503, retry_after: float | None = None) -> None:
         self.reason = reason
-        self.detail = detail
         self.status = status
-        self.retry_after_ms = retry_after_ms
+        self.retry_after = retry_after
 
 
 class OutcomeUnknown(BaseReply):
-    """The request may or may not have run, and the system does not run it again."""
-
-    __slots__ = ("detail", "reason")
+    """The request may have run; it is not sent again. ``late`` tells that time ran out."""
 
-    outcome = Outcome.UNKNOWN
+    __slots__ = ("late", "reason")
 
-    def __init__(self, reason: str, detail: str) -> None:
+    def __init__(self, reason: str, late: bool = False) -> None:
         self.reason = reason
-        self.detail = detail
+        self.late = late
+
+
+class CallerLeft(BaseReply):
+    """The caller closed its connection: there is nobody to tell."""
+
+    __slots__ = ()
--- /dev/null
+++ b/packages/core/src/fireflylink_core/_server.py
@@ -0,0 +1,101 @@
+"""Backend servers as they register themselves."""
+
+import enum
+
+from fireflylink_core._value import BaseValue
+
+
+class ServerState(enum.Enum):
+    """Whether a server takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class BackendServer(BaseValue):
+    """One life of a backend server.
+
+    ``born_ms`` is the Unix millisecond of its start: the same ``server_id`` with another value is
+    another life, which holds no key. ``cold_ms`` is how much longer the server said it is cold when
+    it wrote the registration.
+    """
+
+    __slots__ = (
+        "born_ms",
+        "cold_ms",
+        "data_centre",
+        "host",
+        "port",
+        "server_id",
+        "service",
+        "slots",
+        "software",
+        "state",
+    )
+
+    def __init__(
+        self,
+        server_id: str,
+        service: str,
+        host: str,
+        port: int,
+        data_centre: str,
+        slots: int,
+        state: ServerState = ServerState.READY,
+        cold_ms: float = 0.0,
+        born_ms: int = 0,
+        software: str = "",
+    ) -> None:
+        self.server_id = server_id
+        self.service = service
+        self.host = host
+        self.port = port
+        self.data_centre = data_centre
+        self.slots = slots
+        self.state = state
+        self.cold_ms = cold_ms
+        self.born_ms = born_ms
+        self.software = software
+
+    @property
+    def life(self) -> "ServerLife":
+        """The identity of this life of the server."""
+        return ServerLife(self.server_id, self.born_ms)
+
+
+class ServerLife(BaseValue):
+    """Identifies one life of a server: its id and the Unix millisecond of its start."""
+
+    __slots__ = ("born_ms", "server_id")
+
+    def __init__(self, server_id: str, born_ms: int) -> None:
+        self.server_id = server_id
+        self.born_ms = born_ms
+
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, ServerLife)
+            and self.server_id == other.server_id
+            and self.born_ms == other.born_ms
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.server_id, self.born_ms))
+
+    def __str__(self) -> str:
+        return f"{self.server_id}@{self.born_ms}"
+
+
+class ServerLoad(BaseValue):
+    """What a server told of its load with an answer.
+
+    ``pace`` is how long work takes on its machine at this moment, 1 as usual.
+    """
+
+    __slots__ = ("pace", "running", "slots", "waiting")
+
+    def __init__(self, running: int, waiting: int, slots: int, pace: float = 1.0) -> None:
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.pace = pace
--- a/packages/daemon/src/fireflylink_daemon/__init__.py
+++ b/packages/daemon/src/fireflylink_daemon/__init__.py
@@ -1,15 +1,12 @@
 """The daemon that runs on an entry instance."""
 
+from fireflylink_daemon._settings import Settings, SettingsError, read_settings
 
-def main() -> None:
-    """Runs ``fireflylinkd``.
-
-    The command line is imported here and not above, because it makes the standard library
-    cooperative for the whole process, which a program that only imports the package does not want.
-    """
-    from fireflylink_daemon import _main
+__all__ = ["Settings", "SettingsError", "main", "read_settings"]
 
-    _main.main()
 
+def main() -> None:
+    """Runs the daemon; its modules are loaded only now, after the sockets were made cooperative."""
+    from fireflylink_daemon._main import main as run
 
-__all__ = ["main"]
+    run()
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -1,318 +1,235 @@
-"""Wiring of the tasks and listeners of a daemon, its start and its graceful end."""
+"""A daemon: its tasks, how they are connected, and how it leaves."""
 
-import random
+import os
 
 import gevent
 from gevent.event import Event
-from gevent.ssl import CERT_REQUIRED, PROTOCOL_TLS_CLIENT, PROTOCOL_TLS_SERVER, SSLContext
+from returns.result import Success
 
 from fireflylink_caller_frontend import HttpListener, make_application
-from fireflylink_core import (
-    BaseClock,
-    BaseReply,
-    CallerRequest,
-    EndorseReply,
-    EndorseRequest,
-    HandoverReply,
-    HandoverRequest,
-    Member,
-    SyncReply,
-    SyncRequest,
-)
-from fireflylink_daemon._control_messages import EndorseAsked, HandoverAsked, Leave, SyncAsked
-from fireflylink_daemon._control_state import MILLISECONDS_PER_SECOND, ControlState
-from fireflylink_daemon._control_task import ControlTask
-from fireflylink_daemon._document_cache import DocumentCache
-from fireflylink_daemon._forwarding import ForwardApplication, Forwarder
-from fireflylink_daemon._gateway_messages import ViewChanged
-from fireflylink_daemon._gateway_task import GatewayTask
-from fireflylink_daemon._log import log_event
+from fireflylink_core import BaseClock
+from fireflylink_daemon._decider_task import DeciderTask
+from fireflylink_daemon._dispatch_task import DispatchTask
+from fireflylink_daemon._endpoints import make_metrics_application, make_readiness_application
+from fireflylink_daemon._log import flush_log, log_event, log_problem
+from fireflylink_daemon._member_task import MemberTask
 from fireflylink_daemon._metrics import Metrics
-from fireflylink_daemon._operator_endpoint import (
-    BaseStatusSource,
-    DaemonStatus,
-    make_operator_application,
-)
-from fireflylink_daemon._peer_calls import PEER_TIMEOUT
-from fireflylink_daemon._peers import PeerDirectory
-from fireflylink_daemon._planning import PlanningDesk
-from fireflylink_daemon._platform_task import PlatformTask
+from fireflylink_daemon._ownership_task import OwnershipTask
+from fireflylink_daemon._reporting import KeyCounter, ReportSocket
 from fireflylink_daemon._request_path import RequestPath
-from fireflylink_daemon._settings import DaemonSettings, PeerTls
-from fireflylink_daemon._view import View
-from fireflylink_decisions.authority import AuthorityBook
-from fireflylink_decisions.ownership import BoundedLoadPlanner, merge_tables
-from fireflylink_documents import DocumentSigner
-from fireflylink_platform_client import InstanceListClient, KeyValueClient
-from fireflylink_protocol import BaseControlHandler, ControlServer
-
-LEAVE_NOTICE = 2.0
-"""Seconds between the announcement of a leave and the closing of the caller listener, so that the
-balancer has noticed and callers have moved their connections."""
-
-LEAVE_TIMEOUT = 20.0
-"""Seconds after which a daemon that could not hand over its groups ends all the same."""
-
-IN_FLIGHT_TIMEOUT = 30.0
-LEAVE_CHECK_PERIOD = 0.05
-CONTROL_STOP_GRACE = 0.5
-NO_SETTINGS = "no configuration has been received"
-
-
-class _ControlHandler(BaseControlHandler):
-    """Passes the control messages of other daemons to the tasks."""
-
-    __slots__ = ("_control", "_gateway")
-
-    def __init__(self, control: ControlTask, gateway: GatewayTask) -> None:
-        self._control = control
-        self._gateway = gateway
-
-    def sync(self, request: SyncRequest) -> SyncReply:
-        reply: SyncReply = self._control.ask(SyncAsked(request), PEER_TIMEOUT)
-        return reply
+from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._settings import Settings, read_settings
+from fireflylink_daemon._store_task import StoreReader
+from fireflylink_daemon._view_task import ViewTask
+from fireflylink_platform import (
+    READY_PATH,
+    PlatformCallerDialect,
+    PlatformCatalogue,
+    PlatformServerDialect,
+    PlatformStore,
+)
+from fireflylink_protocol import MemberRecord
 
-    def endorse(self, request: EndorseRequest) -> EndorseReply:
-        reply: EndorseReply = self._control.ask(EndorseAsked(request), PEER_TIMEOUT)
-        return reply
+NOTICE_SECONDS = 2.5
+"""Time until the balancer has asked twice and sends no new connections."""
 
-    def handover(self, request: HandoverRequest) -> HandoverReply:
-        return HandoverReply(bool(self._gateway.ask(HandoverAsked(request), PEER_TIMEOUT)))
+LEAVE_MARGIN_SECONDS = 0.4
+LAST_IDLE_SECONDS = 0.5
+SETTINGS_CHECK_SECONDS = 1.0
 
 
-class Daemon(BaseStatusSource):
-    """One daemon: its tasks, its four listeners and the order in which they start and end.
+class Daemon:
+    """All tasks of one process.
 
     Example::
 
-        daemon = Daemon(settings, SystemClock())
+        daemon = Daemon(settings, "settings.json", SystemClock())
         daemon.start()
-        daemon.leave()
+        daemon.wait()
     """
 
     __slots__ = (
-        "_ended",
-        "_peers",
-        "_view",
         "callers",
         "clock",
-        "control",
-        "control_server",
-        "forward_listener",
-        "forwarder",
-        "gateway",
+        "decider",
+        "dispatch",
+        "leaving",
+        "left",
+        "member",
         "metrics",
-        "operators",
-        "path",
-        "platform",
+        "metrics_listener",
+        "ownership",
+        "reader",
+        "readiness",
+        "reports",
+        "serving",
         "settings",
-        "state",
+        "settings_path",
+        "settings_stamp",
+        "stores",
+        "view",
     )
 
-    def __init__(self, settings: DaemonSettings, clock: BaseClock) -> None:
+    def __init__(self, settings: Settings, settings_path: str, clock: BaseClock) -> None:
         self.settings = settings
+        self.settings_path = settings_path
+        self.settings_stamp = _stamp(settings_path)
         self.clock = clock
+        self.leaving = False
+        self.left = Event()
         self.metrics = Metrics()
-        self._ended = Event()
-        signer = DocumentSigner(settings.cluster_key)
-        myself = Member(
-            settings.instance_id,
+        self.stores: list[PlatformStore] = []
+        dialect = PlatformServerDialect()
+        self.serving = Serving(settings, clock, dialect)
+        self.dispatch = DispatchTask(self.serving.dispatcher, clock)
+        self.view = ViewTask(self.serving, clock)
+        record = MemberRecord(
+            settings.instance,
+            clock.wall_ms(),
             settings.data_centre,
-            settings.host,
-            settings.control_port,
-            settings.forward_port,
-            operator_port=settings.operator_port,
-        )
-        self.state = ControlState(myself, DocumentCache(signer), clock.now())
-        self.state.directory.take_list((myself, *settings.peers), clock.now())
-        self._view = self._first_view(myself)
-        self._peers = PeerDirectory(settings.credentials)
-        self.control = ControlTask(
-            clock, self.state, PlanningDesk(BoundedLoadPlanner()), self._peers, self._publish
+            settings.address,
+            settings.report_port,
         )
-        self.gateway = GatewayTask(
-            clock, settings.instance_id, self._view, self.control, self._send_handover
+        self.member = MemberTask(record, self._store(), clock, self.metrics)
+        self.decider = DeciderTask(record, self._store(), self.serving, clock, self.metrics)
+        self.ownership = OwnershipTask(self.serving, self.decider, clock, dialect)
+        self.decider.ownership = self.ownership
+        self.view.ownership = self.ownership
+        self.reader = StoreReader(
+            self._store(), PlatformCatalogue(), self.view, clock, self.metrics
         )
-        self.platform = PlatformTask(
+        keys = KeyCounter()
+        self.reports = ReportSocket(
+            settings.instance,
+            settings.address,
+            settings.report_port,
+            keys,
+            self.view,
+            self.ownership,
             clock,
-            signer,
-            lambda: KeyValueClient(settings.platform_host, settings.platform_port, clock=clock),
-            InstanceListClient(settings.platform_host, settings.platform_port, clock=clock),
-            self.control,
-        )
-        self.control.connect(self.platform)
-        client_tls = _client_tls(settings.tls)
-        self.forwarder = Forwarder(settings.instance_id, clock, client_tls)
-        self.path = RequestPath(
-            settings.instance_id,
-            clock,
-            self._view,
-            self.gateway,
-            self.forwarder,
-            self.control,
-            self.metrics,
-            random.Random(),
-        )
-        self.control_server = ControlServer(
-            settings.host,
-            settings.control_port,
-            _ControlHandler(self.control, self.gateway),
-            settings.credentials,
-        )
-        forward = ForwardApplication(settings.instance_id, clock, self._serve_forwarded)
-        self.forward_listener = HttpListener(
-            forward, settings.host, settings.forward_port, _server_tls(settings.tls)
         )
+        path = RequestPath(self.serving, self.dispatch, keys, clock, self.metrics)
         self.callers = HttpListener(
-            make_application(self.path, clock), settings.host, settings.caller_port
+            make_application(path, PlatformCallerDialect()),
+            settings.caller_address.host,
+            settings.caller_address.port,
+            path.limits,
         )
-        self.operators = HttpListener(
-            make_operator_application(
-                settings.instance_id,
-                settings.data_centre,
-                settings.operator_token,
-                self,
-                self.metrics,
-            ),
-            settings.host,
-            settings.operator_port,
+        self.readiness = HttpListener(
+            make_readiness_application(READY_PATH, self.ready),
+            settings.readiness_address.host,
+            settings.readiness_address.port,
+            path.limits,
         )
-
-    def _first_view(self, myself: Member) -> View:
-        configuration = self.state.cache.configuration
-        return View(
-            configuration=configuration,
-            tables={},
-            routes=merge_tables(configuration, ()),
-            book=AuthorityBook(),
-            settled={},
-            members={myself.instance_id: myself},
-            crashes=(),
-            root="",
-            leaving=False,
+        self.metrics_listener = HttpListener(
+            make_metrics_application(self.metrics),
+            settings.address,
+            settings.metrics_port,
+            path.limits,
         )
-
-    # Start and end
+        self._declare_gauges()
 
     def start(self) -> None:
-        """Starts the tasks and then the listeners."""
-        self._announce_ports()
-        self.control.start()
-        self.gateway.start()
-        self.platform.start()
-        self.control_server.start()
-        self.forward_listener.start()
-        self.operators.start()
-        self.callers.start()
+        """Starts every task."""
+        for listener in (self.callers, self.readiness, self.metrics_listener):
+            listener.start()
+        for task in (
+            self.view,
+            self.member,
+            self.decider,
+            self.ownership,
+            self.reader,
+            self.reports,
+        ):
+            task.start()
+        gevent.spawn(self._watch_settings)
         log_event(
             "started",
-            instance=self.settings.instance_id,
+            instance=self.settings.instance,
             data_centre=self.settings.data_centre,
+            callers=self.settings.caller_address,
+            store=self.settings.store_address,
         )
 
-    def listening_line(self) -> str:
-        """Returns the ports of the listeners as one line of key=value pairs."""
-        return (
-            f"event=listening caller_port={self.callers.port} "
-            f"control_port={self.control_server.port} "
-            f"forward_port={self.forward_listener.port} "
-            f"operator_port={self.operators.port}"
-        )
-
-    def _announce_ports(self) -> None:
-        """Replaces ports that were left to the operating system by the ones it chose."""
-        self.state.myself = self.state.myself.replace(
-            control_port=self.control_server.port,
-            forward_port=self.forward_listener.port,
-            operator_port=self.operators.port,
-        )
-        self.state.directory.hear(self.state.myself, self.clock.now())
-
-    def leave(self) -> None:
-        """Leaves gracefully: announces it, hands over the groups and ends what is in flight.
-
-        Returns when the daemon has ended.
-        """
-        started = self.clock.now()
-        self.control.post(Leave())
-        self.callers.begin_closing()
-        while self.clock.now() < started + LEAVE_NOTICE:
-            gevent.sleep(LEAVE_CHECK_PERIOD)
-        drained = self.callers.close(IN_FLIGHT_TIMEOUT)
-        while not self.gateway.is_idle and self.clock.now() < started + LEAVE_TIMEOUT:
-            gevent.sleep(LEAVE_CHECK_PERIOD)
-        # Entry daemons that have not heard of the move yet are told that it moved.
-        gevent.sleep(LEAVE_NOTICE if self.gateway.is_idle else 0)
-        drained = self.forward_listener.close(IN_FLIGHT_TIMEOUT) and drained
-        log_event("left", drained=drained, handed_over=self.gateway.is_idle)
-        self._stop()
-
-    def _stop(self) -> None:
-        self.gateway.stop()
-        self.platform.stop()
-        self.control.stop()
-        self.control_server.stop(CONTROL_STOP_GRACE)
-        self.operators.close(0)
-        self.forwarder.close()
-        self._peers.close()
-        self._ended.set()
-
     def wait(self) -> None:
-        """Waits until the daemon has ended."""
-        self._ended.wait()
-
-    # What the tasks need of each other
-
-    def _publish(self, view: View) -> None:
-        self._view = view
-        self.path.view = view
-        self.gateway.post(ViewChanged(view))
-        self.forwarder.retain(frozenset(view.members))
+        """Waits until the daemon has left."""
+        self.left.wait()
 
-    def _send_handover(self, member: Member, request: HandoverRequest) -> bool:
-        if member.instance_id == self.settings.instance_id:
-            accepted: bool = self.gateway.ask(HandoverAsked(request), PEER_TIMEOUT)
-            return accepted
-        result = self._peers.channel(member).handover(request, PEER_TIMEOUT)
-        return result.map(lambda reply: reply.accepted).value_or(False)
+    def ready(self) -> bool:
+        """Whether the daemon should get new connections."""
+        return not self.leaving and self.serving.routes is not None
 
-    def _serve_forwarded(self, request: CallerRequest, hashed_key: int) -> BaseReply:
-        return self.path.serve_forwarded(request, hashed_key)
-
-    # Status
-
-    def status(self) -> DaemonStatus:
-        now = self.clock.now()
-        view = self._view
-        authority_ms = {
-            table_id: max(
-                0,
-                int((view.deadline(table_id, table.version) - now) * MILLISECONDS_PER_SECOND),
-            )
-            for table_id, table in view.tables.items()
-        }
-        broken = "" if view.configuration.version else NO_SETTINGS
-        return DaemonStatus(
-            view, self.state.in_force(), authority_ms, self.control.platform_reachable, broken
-        )
-
-
-def _server_tls(tls: PeerTls | None) -> SSLContext | None:
-    if tls is None:
-        return None
-    context = SSLContext(PROTOCOL_TLS_SERVER)
-    context.load_cert_chain(tls.certificate_file, tls.private_key_file)
-    context.load_verify_locations(tls.authority_file)
-    context.verify_mode = CERT_REQUIRED
-    return context
-
-
-def _client_tls(tls: PeerTls | None) -> SSLContext | None:
-    if tls is None:
-        return None
-    context = SSLContext(PROTOCOL_TLS_CLIENT)
-    context.load_cert_chain(tls.certificate_file, tls.private_key_file)
-    context.load_verify_locations(tls.authority_file)
-    # Peers are addressed by IP number; the authority signs daemons only.
-    context.check_hostname = False
-    return context
+    def leave(self) -> None:
+        """Ends the daemon within the time that the settings give, without cutting a request off."""
+        if self.leaving:
+            return
+        self.leaving = True
+        started_at = self.clock.now()
+        deadline = started_at + self.settings.bounds.leave_seconds - LEAVE_MARGIN_SECONDS
+        log_event("leaving", instance=self.settings.instance, active=self.callers.active)
+        self.callers.begin_closing(NOTICE_SECONDS)
+        gevent.spawn(self._leave_store)
+        gevent.sleep(NOTICE_SECONDS)
+        self.callers.stop_accepting()
+        gevent.sleep(LAST_IDLE_SECONDS)
+        self.callers.close_idle()
+        quiet = self.callers.wait_quiet(max(0.0, deadline - self.clock.now()))
+        log_event("stopped", instance=self.settings.instance, quiet=quiet)
+        flush_log()
+        self.left.set()
+
+    def reload(self) -> None:
+        """Reads the settings file again; addresses stay as they are until the next start."""
+        self.settings_stamp = _stamp(self.settings_path)
+        result = read_settings(self.settings_path)
+        if not isinstance(result, Success):
+            log_problem("settings-refused", problem=result.failure())
+            return
+        settings = result.unwrap()
+        changed = settings != self.settings
+        self.settings = settings
+        self.serving.settings = settings
+        for store in self.stores:
+            store.host = settings.store_address.host
+            store.port = settings.store_address.port
+        log_event("settings-reloaded", changed=changed)
+
+    def _leave_store(self) -> None:
+        """Hands the decider's work over; the member record goes last."""
+        self.decider.stop()
+        self.decider.leave()
+        self.member.stop()
+        self.member.leave()
+
+    def _store(self) -> PlatformStore:
+        address = self.settings.store_address
+        store = PlatformStore(address.host, address.port, self.clock)
+        self.stores.append(store)
+        return store
+
+    def _watch_settings(self) -> None:
+        while not self.leaving:
+            gevent.sleep(SETTINGS_CHECK_SECONDS)
+            if _stamp(self.settings_path) != self.settings_stamp:
+                self.reload()
+
+    def _declare_gauges(self) -> None:
+        serving = self.serving
+        gauge = self.metrics.gauge
+        gauge("requests_active", lambda: self.callers.active)
+        gauge("requests_waiting", lambda: serving.dispatcher.waiting)
+        gauge("members", lambda: serving.position.members)
+        gauge("decider", lambda: float(self.decider.decidership.held))
+        gauge("store_reached", lambda: float(serving.directory.store_reached))
+        gauge("servers", lambda: len(serving.directory.entries))
+        gauge("connections_opened", lambda: sum(pool.opened for pool in serving.pools.values()))
+        gauge("configuration_version", lambda: serving.routes.version if serving.routes else 0)
+
+
+def _stamp(path: str) -> tuple[int, int]:
+    """Returns what tells one state of a file from another."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
--- /dev/null
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -0,0 +1,205 @@
+"""Election of the decider, and its conditional writes of ownership tables."""
+
+from returns.result import Success
+
+from fireflylink_core import BaseClock, OwnershipTable
+from fireflylink_daemon._log import log_event, log_problem
+from fireflylink_daemon._messages import DeciderChanged, DeciderLost, DeciderWon, TableChanged
+from fireflylink_daemon._metrics import Metrics
+from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._task import BaseTask
+from fireflylink_decisions.ownership import Decidership
+from fireflylink_protocol import (
+    DECIDER_KEY,
+    MemberRecord,
+    encode_member,
+    encode_table,
+    ownership_key,
+)
+from fireflylink_store import (
+    ABSENT,
+    BaseStore,
+    Commit,
+    ConflictError,
+    LeaseEndedError,
+    Put,
+    StoreError,
+)
+
+LEASE_SECONDS = 1.6
+RENEWAL_SECONDS = 0.5
+CALL_SECONDS = 0.8
+TICK_SECONDS = 0.1
+CANDIDACY_RETRY_SECONDS = 0.4
+
+
+class CommitTable:
+    """A table to write in place of the record that has ``revision``."""
+
+    __slots__ = ("revision", "table")
+
+    def __init__(self, table: OwnershipTable, revision: int) -> None:
+        self.table = table
+        self.revision = revision
+
+
+class DeciderTask(BaseTask):
+    """Owns this daemon's candidacy, the decider's lease, and a client of the store.
+
+    ``ownership`` is told when this daemon becomes the decider, ceases to be it, and when the store
+    has accepted a table.
+    """
+
+    __slots__ = (
+        "decidership",
+        "lease_id",
+        "metrics",
+        "next_candidacy",
+        "next_renewal",
+        "ownership",
+        "record",
+        "serving",
+        "store",
+        "store_read",
+    )
+
+    def __init__(
+        self,
+        record: MemberRecord,
+        store: BaseStore,
+        serving: Serving,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__("decider", clock)
+        self.record = record
+        self.store = store
+        self.serving = serving
+        self.metrics = metrics
+        self.decidership = Decidership()
+        self.decidership.vacant_since = None
+        self.ownership: BaseTask | None = None
+        self.lease_id = 0
+        self.next_renewal = 0.0
+        self.next_candidacy = 0.0
+
+    def next_wake(self) -> float:
+        if self.decidership.held:
+            return self.next_renewal
+        return self.clock.now() + TICK_SECONDS
+
+    def wake(self) -> None:
+        now = self.clock.now()
+        if self.decidership.held:
+            if now >= self.next_renewal:
+                self._renew(now)
+            return
+        candidate_at = self.decidership.candidate_at(self.serving.position.rank)
+        if candidate_at is not None and now >= max(candidate_at, self.next_candidacy):
+            self._stand()
+
+    def receive(self, message: object) -> object:
+        if isinstance(message, DeciderChanged):
+            self._note_record(message)
+        elif isinstance(message, CommitTable):
+            self._commit(message)
+        if self.decidership.held and self.clock.now() >= self.next_renewal:
+            self._renew(self.clock.now())
+        return None
+
+    def leave(self) -> None:
+        """Ends the decider's lease, so that another daemon takes over at once."""
+        if self.lease_id:
+            self.store.end_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
+        self._lose("leaving")
+
+    def _note_record(self, message: DeciderChanged) -> None:
+        held = self.decidership.held
+        member = message.member
+        now = self.clock.now()
+        if member is not None and member == self.record:
+            if not held and self.lease_id:
+                # The answer to the write was lost, and the write took effect.
+                self._win(message.revision, now)
+            return
+        self.decidership.note_record(message.revision, member is not None, now)
+        if held and not self.decidership.held:
+            self._lose("replaced")
+
+    def _stand(self) -> None:
+        """Tries to become the decider."""
+        self.next_candidacy = self.clock.now() + CANDIDACY_RETRY_SECONDS
+        error = self._open_lease()
+        if error is None:
+            asked_at = self.clock.now()
+            put = Put(DECIDER_KEY, encode_member(self.record), self.lease_id)
+            commit = Commit(expected=((DECIDER_KEY, ABSENT),), puts=(put,))
+            written = self.store.commit(commit, asked_at + CALL_SECONDS)
+            if isinstance(written, Success):
+                self._win(written.unwrap(), asked_at)
+                return
+            error = written.failure()
+        if isinstance(error, ConflictError | LeaseEndedError):
+            self.lease_id = 0
+        log_event("decider-candidacy-failed", problem=error)
+
+    def _open_lease(self) -> StoreError | None:
+        opened = self.store.open_lease(LEASE_SECONDS, self.clock.now() + CALL_SECONDS)
+        if not isinstance(opened, Success):
+            return opened.failure()
+        self.lease_id = opened.unwrap().lease_id
+        return None
+
+    def _win(self, revision: int, asked_at: float) -> None:
+        self.decidership.note_won(revision, asked_at)
+        self.next_renewal = asked_at + RENEWAL_SECONDS
+        log_event("decider-won", instance=self.record.instance, revision=revision)
+        self._tell(DeciderWon(asked_at))
+
+    def _lose(self, reason: str) -> None:
+        self.decidership.note_lost()
+        self.lease_id = 0
+        log_event("decider-lost", instance=self.record.instance, reason=reason)
+        self._tell(DeciderLost())
+
+    def _renew(self, asked_at: float) -> None:
+        self.next_renewal = asked_at + RENEWAL_SECONDS
+        renewed = self.store.renew_lease(self.lease_id, asked_at + CALL_SECONDS)
+        result = type(renewed).__name__
+        self.metrics.count("store_calls", kind="decider-renewal", result=result)
+        if isinstance(renewed, Success):
+            self.decidership.note_confirmed(asked_at)
+        elif isinstance(renewed.failure(), LeaseEndedError):
+            self._lose("lease-ended")
+            self.decidership.vacant_since = self.clock.now()
+
+    def _commit(self, message: CommitTable) -> None:
+        if not self.decidership.held:
+            return
+        table = message.table
+        key = ownership_key(table.service)
+        commit = Commit(
+            expected=((key, message.revision), (DECIDER_KEY, self.decidership.revision)),
+            puts=(Put(key, encode_table(table)),),
+        )
+        asked_at = self.clock.now()
+        written = self.store.commit(commit, asked_at + CALL_SECONDS)
+        self.metrics.count("store_calls", kind="table", result=type(written).__name__)
+        if isinstance(written, Success):
+            self.decidership.note_confirmed(asked_at)
+            log_event(
+                "ownership-written",
+                service=table.service,
+                fence=table.fence,
+                ranges=len(table.assignments),
+                revision=written.unwrap(),
+            )
+            first = message.revision == ABSENT
+            self._tell(TableChanged(table, written.unwrap(), first))
+            self.serving.set_table(table)
+            return
+        log_problem("ownership-not-written", service=table.service, problem=written.failure())
+
+    def _tell(self, message: object) -> None:
+        if self.ownership is not None:
+            self.ownership.post(message)
--- /dev/null
+++ b/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
@@ -0,0 +1,62 @@
+"""Requests that wait for a server: their greenlets sleep until the dispatcher has placed them."""
+
+import gevent
+from gevent.event import Event
+
+from fireflylink_core import BaseClock
+from fireflylink_decisions.dispatch import BasePlacement, Dispatcher, Ticket
+
+SWEEP_SECONDS = 0.02
+
+
+class WaitingRequest:
+    """A ticket and the greenlet that waits for its placement."""
+
+    __slots__ = ("placement", "woken")
+
+    def __init__(self) -> None:
+        self.woken = Event()
+        self.placement: BasePlacement | None = None
+
+
+class DispatchTask:
+    """Wakes waiting requests; it runs only while there are any."""
+
+    __slots__ = ("clock", "dispatcher", "running", "waiting")
+
+    def __init__(self, dispatcher: Dispatcher, clock: BaseClock) -> None:
+        self.dispatcher = dispatcher
+        self.clock = clock
+        self.waiting: dict[Ticket, WaitingRequest] = {}
+        self.running = False
+
+    def place(self, ticket: Ticket, request: WaitingRequest) -> BasePlacement | None:
+        """Returns the placement of a ticket; None when the request was woken without one."""
+        placement = self.dispatcher.submit(ticket, self.clock.now())
+        if placement is not None:
+            return placement
+        self.waiting[ticket] = request
+        if not self.running:
+            self.running = True
+            gevent.spawn(self._run)
+        try:
+            request.woken.wait()
+        finally:
+            self.waiting.pop(ticket, None)
+            self.dispatcher.withdraw(ticket)
+        return request.placement
+
+    def sweep(self) -> None:
+        """Places what can be placed, after a request has ended or the servers have changed."""
+        if not self.waiting:
+            return
+        for ticket, placement in self.dispatcher.sweep(self.clock.now()):
+            request = self.waiting.pop(ticket)
+            request.placement = placement
+            request.woken.set()
+
+    def _run(self) -> None:
+        while self.waiting:
+            gevent.sleep(SWEEP_SECONDS)
+            self.sweep()
+        self.running = False
--- /dev/null
+++ b/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
@@ -0,0 +1,83 @@
+"""Tasks that send grants and releases to servers."""
+
+import gevent
+from returns.result import Success
+
+from fireflylink_backend_client import BaseServerDialect, ServerCommands
+from fireflylink_core import BackendServer, BaseClock
+from fireflylink_daemon._messages import CommandDue, CommandEnded
+from fireflylink_daemon._task import BaseTask
+from fireflylink_decisions.ownership import (
+    COMMAND_SECONDS,
+    HOLD_SECONDS,
+    RELEASE_SECONDS,
+    GrantCommand,
+    ReleaseCommand,
+)
+
+IDLE_SECONDS = 3600.0
+
+
+class GrantTask(BaseTask):
+    """Sends the grants and renewals of one server, one after the other over one connection."""
+
+    __slots__ = ("commands", "ownership")
+
+    def __init__(
+        self,
+        server: BackendServer,
+        clock: BaseClock,
+        dialect: BaseServerDialect,
+        ownership: BaseTask,
+    ) -> None:
+        super().__init__(f"grants-{server.server_id}", clock)
+        self.commands = ServerCommands(server, clock, dialect)
+        self.ownership = ownership
+
+    def next_wake(self) -> float:
+        return self.clock.now() + IDLE_SECONDS
+
+    def wake(self) -> None:
+        """Nothing is done without a command."""
+
+    def receive(self, message: object) -> object:
+        if isinstance(message, CommandDue) and isinstance(message.command, GrantCommand):
+            command = message.command
+            ended = self.commands.grant(
+                command.keys,
+                command.fence,
+                HOLD_SECONDS,
+                command.handover,
+                self.clock.now() + COMMAND_SECONDS,
+            )
+            error = None if isinstance(ended, Success) else ended.failure()
+            self.ownership.post(CommandEnded(message.service, command, error))
+        return None
+
+    def close(self) -> None:
+        """Ends the task and its connection."""
+        self.stop()
+        self.commands.close()
+
+
+def spawn_release(
+    server: BackendServer,
+    clock: BaseClock,
+    dialect: BaseServerDialect,
+    service: str,
+    command: ReleaseCommand,
+    ownership: BaseTask,
+) -> None:
+    """Sends a release from a greenlet of its own: its answer waits for the work on the keys."""
+
+    def run() -> None:
+        commands = ServerCommands(server, clock, dialect)
+        deadline = clock.now() + RELEASE_SECONDS
+        ended = commands.release(command.keys, command.fence, deadline)
+        commands.close()
+        if isinstance(ended, Success):
+            ownership.post(CommandEnded(service, command, None, ended.unwrap()))
+        else:
+            ownership.post(CommandEnded(service, command, ended.failure()))
+
+    gevent.spawn(run)
--- a/packages/daemon/src/fireflylink_daemon/_main.py
+++ b/packages/daemon/src/fireflylink_daemon/_main.py
@@ -1,30 +1,32 @@
 """Command line of the daemon."""
 
 # Imported before anything else that opens sockets, so that all of them are cooperative.
+import os
 import signal
 import sys
 
 from gevent import monkey
 
-monkey.patch_all()
+monkey.patch_all(subprocess=False, thread=False)
 
 import gevent  # noqa: E402
-from absl import app, flags  # noqa: E402
-from grpc.experimental import gevent as grpc_gevent  # noqa: E402
-from returns.pipeline import is_successful  # noqa: E402
+from absl import flags  # noqa: E402
+from returns.result import Success  # noqa: E402
 
 from fireflylink_caller_frontend import ListenerError  # noqa: E402
 from fireflylink_core import SystemClock  # noqa: E402
 from fireflylink_daemon._daemon import Daemon  # noqa: E402
-from fireflylink_daemon._log import log_event, log_problem, start_logging  # noqa: E402
+from fireflylink_daemon._log import flush_log, log_event, log_problem, start_logging  # noqa: E402
 from fireflylink_daemon._settings import read_settings  # noqa: E402
-from fireflylink_protocol import PeerError  # noqa: E402
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
 REQUIRED_LOOP = "epoll"
+SETTINGS_VARIABLE = "FIREFLYLINK_CONFIG"
 
-SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file, in JSON.")
+SETTINGS = flags.DEFINE_string(
+    "settings", None, f"Path of the settings file, in JSON; by default that in {SETTINGS_VARIABLE}."
+)
 CHECK = flags.DEFINE_bool("check", False, "Check the settings and exit without starting.")
 
 
@@ -39,35 +41,41 @@
     return f"the event loop must be libev with {REQUIRED_LOOP}, not {type(loop).__module__}"
 
 
-def _run(_arguments: list[str]) -> int:
-    start_logging()
-    result = read_settings(str(SETTINGS.value))
-    if not is_successful(result):
+def _run() -> int:
+    path = SETTINGS.value or os.environ.get(SETTINGS_VARIABLE, "")
+    result = read_settings(path)
+    if not isinstance(result, Success):
         sys.stderr.write(f"fireflylinkd: {result.failure()}\n")
         return EXIT_SETTINGS
+    if CHECK.value:
+        sys.stdout.write(f"{path}: the settings are valid\n")
+        return 0
     problem = _loop_problem()
     if problem:
         sys.stderr.write(f"fireflylinkd: {problem}\n")
         return EXIT_START
-    if CHECK.value:
-        log_event("settings-checked", file=SETTINGS.value)
-        return 0
-    grpc_gevent.init_gevent()
+    start_logging()
     try:
-        daemon = Daemon(result.unwrap(), SystemClock())
-    except (ListenerError, PeerError) as error:
+        daemon = Daemon(result.unwrap(), path, SystemClock())
+    except (ListenerError, OSError) as error:
         log_problem("start-failed", problem=error)
+        flush_log()
         return EXIT_START
     daemon.start()
-    sys.stdout.write(f"{daemon.listening_line()}\n")
-    sys.stdout.flush()
     gevent.signal_handler(signal.SIGTERM, gevent.spawn, daemon.leave)
     gevent.signal_handler(signal.SIGINT, gevent.spawn, daemon.leave)
+    gevent.signal_handler(signal.SIGHUP, daemon.reload)
     daemon.wait()
+    log_event("exit", status=0)
+    flush_log()
     return 0
 
 
 def main() -> None:
     """Runs the daemon until it is told to leave."""
-    flags.mark_flag_as_required("settings")  # type: ignore[no-untyped-call]
-    app.run(_run)
+    try:
+        flags.FLAGS(sys.argv)
+    except flags.Error as error:
+        sys.stderr.write(f"fireflylinkd: {error}\n{flags.FLAGS.get_help()}\n")
+        sys.exit(EXIT_SETTINGS)
+    sys.exit(_run())
--- a/packages/daemon/src/fireflylink_daemon/_metrics.py
+++ b/packages/daemon/src/fireflylink_daemon/_metrics.py
@@ -1,110 +1,89 @@
-"""Counters and latency histograms of a daemon."""
+"""Counters, gauges and latency histograms of a daemon, in the Prometheus text format."""
 
-import base64
+from collections.abc import Callable
 
 from hdrh.histogram import HdrHistogram
 
-from fireflylink_core import BaseReply, NotRun, Outcome, OutcomeUnknown
-
 LOWEST_MICROSECONDS = 1
 HIGHEST_MICROSECONDS = 60_000_000
 SIGNIFICANT_FIGURES = 2
-MAX_HISTOGRAMS = 512
-OTHER_TENANTS = "other"
-EXPORTED_PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+MAX_HISTOGRAMS = 64
+"""Each takes tens of kilobytes; routes beyond this number share one."""
+
+OTHER_ROUTES = "other"
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
 MICROSECONDS_PER_SECOND = 1_000_000
 
-HistogramName = tuple[str, str]
-"""Service and tenant."""
+Labels = tuple[tuple[str, str], ...]
 
 
 class Metrics:
-    """Latency of requests for each service and tenant, and counts of replies by reason.
+    """What one daemon counts.
 
-    The number of histograms is bounded: tenants beyond it share one histogram a service.
+    Example::
+
+        metrics.count("requests", route="r-1", outcome="answered")
     """
 
-    __slots__ = ("gauges", "histograms", "replies")
+    __slots__ = ("counters", "gauges", "histograms")
 
     def __init__(self) -> None:
-        self.histograms: dict[HistogramName, HdrHistogram] = {}
-        self.replies: dict[tuple[str, str, str], int] = {}
-        self.gauges: dict[str, float] = {}
-
-    def note_reply(self, service: str, tenant: str, reply: BaseReply, seconds: float) -> None:
-        """Counts a reply to a caller and records its latency."""
-        reason = reply.reason if isinstance(reply, NotRun | OutcomeUnknown) else "whole"
-        name = (service, reply.outcome.value, reason)
-        self.replies[name] = self.replies.get(name, 0) + 1
-        if reply.outcome is Outcome.ANSWERED:
-            microseconds = int(seconds * MICROSECONDS_PER_SECOND)
-            self._histogram(service, tenant).record_value(
-                min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
-            )
-
-    def _histogram(self, service: str, tenant: str) -> HdrHistogram:
-        name = (service, tenant)
-        found = self.histograms.get(name)
+        self.counters: dict[tuple[str, Labels], int] = {}
+        self.gauges: dict[str, Callable[[], float]] = {}
+        self.histograms: dict[str, HdrHistogram] = {}
+
+    def count(self, name: str, **labels: str) -> None:
+        """Adds one to a counter."""
+        key = (name, tuple(labels.items()))
+        self.counters[key] = self.counters.get(key, 0) + 1
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Declares a gauge that is read when metrics are asked for."""
+        self.gauges[name] = read
+
+    def record_latency(self, route: str, seconds: float) -> None:
+        """Records the latency of an answered request."""
+        microseconds = int(seconds * MICROSECONDS_PER_SECOND)
+        bounded = min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
+        self._histogram(route).record_value(bounded)
+
+    def exposition(self) -> str:
+        """Returns all metrics as text."""
+        lines = []
+        for (name, labels), count in sorted(self.counters.items()):
+            lines.append(f"fireflylink_{name}_total{_labels(labels)} {count}")
+        for name, read in sorted(self.gauges.items()):
+            lines.append(f"fireflylink_{name} {read():g}")
+        for route, histogram in sorted(self.histograms.items()):
+            lines.extend(_latency_lines(route, histogram))
+        return "\n".join(lines) + "\n"
+
+    def _histogram(self, route: str) -> HdrHistogram:
+        found = self.histograms.get(route)
         if found is not None:
             return found
-        if len(self.histograms) >= MAX_HISTOGRAMS:
-            name = (service, OTHER_TENANTS)
+        name = route if len(self.histograms) < MAX_HISTOGRAMS else OTHER_ROUTES
         return self.histograms.setdefault(
             name, HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_FIGURES)
         )
 
-    def encoded_histograms(self) -> dict[str, str]:
-        """Returns each histogram in the encoding of HdrHistogram, which clients can merge."""
-        return {
-            f"{service}/{tenant}": _text(histogram.encode())
-            for (service, tenant), histogram in sorted(self.histograms.items())
-        }
 
-    def exposition(self) -> str:
-        """Returns all metrics in the Prometheus text format."""
-        lines = [
-            "# HELP fireflylink_replies_total Replies to callers by outcome and reason.",
-            "# TYPE fireflylink_replies_total counter",
-        ]
-        for (service, outcome, reason), count in sorted(self.replies.items()):
-            labels = _labels(service=service, outcome=outcome, reason=reason)
-            lines.append(f"fireflylink_replies_total{labels} {count}")
-        lines.extend(self._latency_lines())
-        for name, value in sorted(self.gauges.items()):
-            lines.append(f"# TYPE fireflylink_{name} gauge")
-            lines.append(f"fireflylink_{name} {value:g}")
-        return "\n".join(lines) + "\n"
+def _latency_lines(route: str, histogram: HdrHistogram) -> list[str]:
+    lines = []
+    for quantile in QUANTILES:
+        seconds = histogram.get_value_at_percentile(quantile) / MICROSECONDS_PER_SECOND
+        labels = _labels((("route", route), ("quantile", f"{quantile / 100:g}")))
+        lines.append(f"fireflylink_latency_seconds{labels} {seconds:g}")
+    labels = _labels((("route", route),))
+    lines.append(f"fireflylink_latency_seconds_count{labels} {histogram.get_total_count()}")
+    return lines
 
-    def _latency_lines(self) -> list[str]:
-        lines = [
-            "# HELP fireflylink_latency_seconds Latency of answered requests.",
-            "# TYPE fireflylink_latency_seconds summary",
-        ]
-        for (service, tenant), histogram in sorted(self.histograms.items()):
-            for percentile in EXPORTED_PERCENTILES:
-                value = histogram.get_value_at_percentile(percentile) / MICROSECONDS_PER_SECOND
-                labels = _labels(service=service, tenant=tenant, quantile=f"{percentile / 100:g}")
-                lines.append(f"fireflylink_latency_seconds{labels} {value:g}")
-            labels = _labels(service=service, tenant=tenant)
-            count = histogram.get_total_count()
-            lines.append(f"fireflylink_latency_seconds_count{labels} {count}")
-        return lines
 
-
-def _labels(**labels: str) -> str:
-    pairs = ",".join(f'{name}="{_escaped(value)}"' for name, value in labels.items())
-    return "{" + pairs + "}"
+def _labels(labels: Labels) -> str:
+    if not labels:
+        return ""
+    return "{" + ",".join(f'{name}="{_escaped(value)}"' for name, value in labels) + "}"
 
 
 def _escaped(value: str) -> str:
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
-
-
-def _text(encoded: bytes | str) -> str:
-    """Returns an encoded histogram as text; the library's encoding is base64 already."""
-    if isinstance(encoded, str):
-        return encoded
-    try:
-        return encoded.decode("ascii")
-    except UnicodeDecodeError:
-        return base64.b64encode(encoded).decode("ascii")
--- /dev/null
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -0,0 +1,343 @@
+"""The decider's work: plans of ownership, grants and releases."""
+
+from returns.result import Success
+
+from fireflylink_backend_client import BaseServerDialect, CommandError, HigherFenceError
+from fireflylink_core import BackendServer, BaseClock, OwnershipTable, ServerLife
+from fireflylink_daemon._decider_task import CommitTable, DeciderTask
+from fireflylink_daemon._grant_tasks import GrantTask, spawn_release
+from fireflylink_daemon._log import log_event, log_problem
+from fireflylink_daemon._messages import (
+    CommandDue,
+    CommandEnded,
+    DeciderChanged,
+    DeciderLost,
+    DeciderWon,
+    ReportReceived,
+    ServersChanged,
+    TableChanged,
+)
+from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._task import BaseTask
+from fireflylink_decisions.ownership import (
+    Candidate,
+    GrantBook,
+    GrantCommand,
+    KeyLoad,
+    RangeLoad,
+    ReleaseCommand,
+    first_table,
+    plan,
+)
+from fireflylink_protocol import decode_report
+
+TICK_SECONDS = 0.1
+PLAN_SECONDS = 0.4
+FIRST_TABLE_SECONDS = 1.5
+"""Time for servers to register before the first table of a service."""
+
+COMMIT_PATIENCE_SECONDS = 2.0
+UNREACHABLE_FAILURES = 3
+TRUSTED_ANSWERS = 8
+LEAST_CAPACITY_FACTOR = 0.4
+LARGEST_CAPACITY_FACTOR = 2.0
+DEFAULT_SERVICE_SECONDS = 0.16
+
+
+class _KeyedService:
+    """What the decider knows of one service with keys."""
+
+    __slots__ = (
+        "book",
+        "commit_asked_at",
+        "failures",
+        "load",
+        "next_plan",
+        "revision",
+        "seen_at",
+        "table",
+    )
+
+    def __init__(self, service: str, now: float) -> None:
+        self.table: OwnershipTable | None = None
+        self.revision = 0
+        self.book: GrantBook | None = None
+        self.load = KeyLoad(service, now)
+        self.seen_at = now
+        self.next_plan = 0.0
+        self.commit_asked_at: float | None = None
+        self.failures: dict[ServerLife, int] = {}
+
+
+class OwnershipTask(BaseTask):
+    """Follows every ownership table; plans and grants while this daemon is the decider."""
+
+    __slots__ = ("decider", "deciding", "dialect", "grants", "next_tick", "services", "serving")
+
+    def __init__(
+        self,
+        serving: Serving,
+        decider: DeciderTask,
+        clock: BaseClock,
+        dialect: BaseServerDialect,
+    ) -> None:
+        super().__init__("ownership", clock)
+        self.serving = serving
+        self.decider = decider
+        self.dialect = dialect
+        self.deciding = False
+        self.services: dict[str, _KeyedService] = {}
+        self.grants: dict[ServerLife, GrantTask] = {}
+        self.next_tick = 0.0
+
+    def next_wake(self) -> float:
+        return self.next_tick
+
+    def wake(self) -> None:
+        now = self.clock.now()
+        self.next_tick = now + TICK_SECONDS
+        if not self.deciding:
+            return
+        for name in self._keyed_services():
+            self._advance(name, self._service(name), now)
+
+    def receive(self, message: object) -> object:
+        if isinstance(message, TableChanged):
+            self._note_table(message)
+        elif isinstance(message, CommandEnded):
+            self._note_ended(message)
+        elif isinstance(message, ReportReceived):
+            self._note_report(message.datagram)
+        elif isinstance(message, DeciderChanged):
+            self.decider.post(message)
+        elif isinstance(message, DeciderWon):
+            self._begin(message.asked_at)
+        elif isinstance(message, DeciderLost):
+            self._end()
+        elif isinstance(message, ServersChanged):
+            self._note_servers()
+        if self.clock.now() >= self.next_tick:
+            self.wake()
+        return None
+
+    def _begin(self, began_at: float) -> None:
+        self.deciding = True
+        for name, service in self.services.items():
+            service.book = GrantBook(began_at)
+            service.commit_asked_at = None
+            service.failures = {}
+            service.load = KeyLoad(name, began_at)
+            if service.table is not None:
+                service.book.set_table(service.table)
+        self._note_servers()
+        self.next_tick = 0.0
+
+    def _end(self) -> None:
+        self.deciding = False
+        for service in self.services.values():
+            service.book = None
+        for task in self.grants.values():
+            task.close()
+        self.grants = {}
+
+    def _service(self, name: str) -> _KeyedService:
+        service = self.services.get(name)
+        if service is None:
+            service = self.services[name] = _KeyedService(name, self.clock.now())
+        if self.deciding and service.book is None:
+            service.book = GrantBook(self.clock.now())
+        return service
+
+    def _keyed_services(self) -> list[str]:
+        routes = self.serving.routes
+        if routes is None:
+            return []
+        return [service.name for service in routes.services.values() if service.keyed]
+
+    def _note_table(self, message: TableChanged) -> None:
+        service = self._service(message.table.service)
+        if message.first and service.book is not None:
+            service.book.note_first_table()
+        if message.revision <= service.revision:
+            return
+        service.table = message.table
+        service.revision = message.revision
+        service.commit_asked_at = None
+        if service.book is not None:
+            service.book.set_table(message.table)
+
+    def _advance(self, name: str, service: _KeyedService, now: float) -> None:
+        if service.book is not None and self.decider.decidership.may_grant(now):
+            for command in service.book.due(now):
+                self._send(name, service.book, command, now)
+        if now >= service.next_plan:
+            service.next_plan = now + PLAN_SECONDS
+            self._plan(name, service, now)
+
+    def _plan(self, name: str, service: _KeyedService, now: float) -> None:
+        if service.commit_asked_at is not None:
+            if now < service.commit_asked_at + COMMIT_PATIENCE_SECONDS:
+                return
+            service.commit_asked_at = None
+        service.load.advance(now)
+        candidates = self._candidates(name, service, now)
+        if not candidates or service.book is None:
+            return
+        wanted = self._wanted_table(name, service, candidates, now)
+        if wanted is not None:
+            service.commit_asked_at = now
+            self.decider.post(CommitTable(wanted, service.revision))
+
+    def _wanted_table(
+        self, name: str, service: _KeyedService, candidates: list[Candidate], now: float
+    ) -> OwnershipTable | None:
+        if service.table is None:
+            if now < service.seen_at + FIRST_TABLE_SECONDS:
+                return None
+            return first_table(name, candidates, fence=1)
+        rates = RangeLoad(service.load.sorted_rates(now))
+        settled = service.book.settled() if service.book is not None else None
+        changed = plan(settled or service.table, candidates, rates)
+        if changed is not None:
+            log_event(
+                "ownership-planned",
+                service=name,
+                fence=changed.fence,
+                ranges=len(changed.assignments),
+                requests_per_second=rates.sums[-1],
+            )
+        return changed or settled
+
+    def _candidates(self, name: str, service: _KeyedService, now: float) -> list[Candidate]:
+        entries = self.serving.directory.usable(name)
+        found = []
+        for entry in entries:
+            server = entry.server
+            if service.failures.get(server.life, 0) < UNREACHABLE_FAILURES:
+                found.append(Candidate(server.life, self._capacity(server), server.data_centre))
+        return found
+
+    def _capacity(self, server: BackendServer) -> float:
+        tracker = self.serving.trackers.get(server.life)
+        usual = server.slots / DEFAULT_SERVICE_SECONDS
+        if tracker is None or tracker.answers < TRUSTED_ANSWERS:
+            return usual
+        factor = DEFAULT_SERVICE_SECONDS / tracker.base_seconds
+        return usual * min(LARGEST_CAPACITY_FACTOR, max(LEAST_CAPACITY_FACTOR, factor))
+
+    def _send(self, name: str, book: GrantBook, command: object, now: float) -> None:
+        if isinstance(command, ReleaseCommand):
+            server = self._server_of(command.server)
+            if server is None:
+                book.note_failed(command, now)
+                return
+            spawn_release(server, self.clock, self.dialect, name, command, self)
+        elif isinstance(command, GrantCommand):
+            task = self._grant_task(command.server)
+            if task is None:
+                book.note_failed(command, now)
+                return
+            book.note_sent(command, now)
+            task.post(CommandDue(name, command))
+
+    def _server_of(self, life: ServerLife) -> BackendServer | None:
+        tracker = self.serving.trackers.get(life)
+        return None if tracker is None else tracker.server
+
+    def _grant_task(self, life: ServerLife) -> GrantTask | None:
+        task = self.grants.get(life)
+        if task is None:
+            server = self._server_of(life)
+            if server is None:
+                return None
+            task = GrantTask(server, self.clock, self.dialect, self)
+            task.start()
+            self.grants[life] = task
+        return task
+
+    def _note_ended(self, message: CommandEnded) -> None:
+        service = self._service(message.service)
+        book = service.book
+        if book is None:
+            return
+        now = self.clock.now()
+        command = message.command
+        if message.error is not None:
+            self._note_failed(service, book, message, message.error, now)
+        elif isinstance(command, GrantCommand):
+            service.failures.pop(command.server, None)
+            book.note_granted(command, now)
+            if not command.renewal:
+                log_event(
+                    "keys-granted",
+                    service=message.service,
+                    server=command.server,
+                    keys=command.keys,
+                    fence=command.fence,
+                )
+        elif isinstance(command, ReleaseCommand):
+            book.note_released(command, message.handover, now)
+            log_event(
+                "keys-released",
+                service=message.service,
+                server=command.server,
+                keys=command.keys,
+                fence=command.fence,
+                handover=bool(message.handover),
+            )
+        self.next_tick = 0.0
+
+    def _note_failed(
+        self,
+        service: _KeyedService,
+        book: GrantBook,
+        message: CommandEnded,
+        error: CommandError,
+        now: float,
+    ) -> None:
+        command = message.command
+        if isinstance(command, GrantCommand) and not error.sent:
+            book.note_not_sent(command)
+        book.note_failed(command, now)
+        if not isinstance(error, HigherFenceError):
+            failures = service.failures.get(command.server, 0) + 1
+            service.failures[command.server] = failures
+        log_problem(
+            "command-failed",
+            service=message.service,
+            kind=type(command).__name__,
+            server=command.server,
+            problem=error,
+            sent=error.sent,
+        )
+
+    def _note_servers(self) -> None:
+        """Forgets what was granted to lives of servers that certainly ended."""
+        present = {
+            entry.server.server_id: entry.server.life
+            for entry in self.serving.directory.entries.values()
+        }
+        for life in list(self.grants):
+            if present.get(life.server_id) != life and life not in self.serving.trackers:
+                self.grants.pop(life).close()
+        for service in self.services.values():
+            if service.book is None or service.table is None:
+                continue
+            for assignment in service.table.assignments:
+                for life in (assignment.owner, *assignment.previous):
+                    now_present = present.get(life.server_id, life)
+                    if now_present.born_ms > life.born_ms > 0:
+                        service.book.note_life_ended(life)
+
+    def _note_report(self, datagram: bytes) -> None:
+        decoded = decode_report(datagram)
+        if not isinstance(decoded, Success):
+            log_problem("report-unreadable", problem=decoded.failure())
+            return
+        report = decoded.unwrap()
+        if not self.deciding or not report.keys:
+            return
+        load = self._service(report.service).load
+        each = report.requests / len(report.keys)
+        for key in report.keys:
+            load.add(key, each)
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -1,148 +1,257 @@
-"""The path of a request from the entry daemon to the gateway of its shard."""
+"""A request from its route to its reply: placement, attempts, retries."""
 
-import random
-
-import gevent
-
-from fireflylink_caller_frontend import BaseRequestHandler
+from fireflylink_backend_client import Cancellation
+from fireflylink_caller_frontend import BaseDeparture, BaseRequestHandler
 from fireflylink_core import (
+    NO_KEY,
+    Answered,
+    BaseCallResult,
     BaseClock,
     BaseReply,
+    CallerLeft,
+    CallerLimits,
     CallerRequest,
+    Declined,
+    Lost,
+    LostReason,
     NotRun,
-    Service,
-    ServiceKind,
-    key_hash,
+    NotSent,
+    OutcomeUnknown,
+    Route,
+    ServerAnswer,
 )
-from fireflylink_daemon._control_messages import SyncNow
-from fireflylink_daemon._forwarding import Forwarder
-from fireflylink_daemon._gateway_task import GatewayTask
+from fireflylink_daemon._dispatch_task import DispatchTask, WaitingRequest
+from fireflylink_daemon._log import log_event
 from fireflylink_daemon._metrics import Metrics
-from fireflylink_daemon._task import BaseTask
-from fireflylink_daemon._view import View
-from fireflylink_decisions.admission import issue_request_id
-from fireflylink_decisions.retries import RequestAttempts, RetryBudget, RetryPolicy
-
-HASH_BITS = 64
-REROUTE_REASONS = frozenset({"moved", "no-owner", "no-authority", "gateway-unreachable"})
-"""Refusals that end once a newer table arrives; they are retried until the deadline."""
-
-FIRST_REROUTE_DELAY = 0.005
-LAST_REROUTE_DELAY = 0.1
+from fireflylink_daemon._reporting import KeyCounter
+from fireflylink_daemon._serving import Serving
+from fireflylink_decisions.dispatch import BasePlacement, Refuse, Send, Ticket
+from fireflylink_decisions.retries import Attempts, BaseNext, GiveUp, TryAgain
 
-NO_OWNER = NotRun("no-owner", "No daemon is the gateway of this shard.", 503, retry_after_ms=200)
+NO_ROUTE_STATUS = 404
+SERVER_ERROR = 500
+NOT_CONFIGURED_RETRY_SECONDS = 1.0
+REPLY_MARGIN_SECONDS = 0.03
+"""Time for the reply to reach the caller before its deadline."""
 
+MILLISECONDS_PER_SECOND = 1000.0
 
-class RequestPath(BaseRequestHandler):
-    """Finds the gateway of each request, here or at another daemon, and retries where it may.
 
-    Only the entry daemon retries, so that two layers never multiply the load.
-    """
+class _Course:
+    """One request on its way: what was decided for it so far."""
 
     __slots__ = (
-        "_budgets",
-        "_random",
-        "clock",
-        "control",
-        "forwarder",
-        "gateway",
-        "instance_id",
-        "metrics",
-        "view",
+        "attempts",
+        "cancellation",
+        "latest",
+        "left",
+        "request",
+        "route",
+        "service",
+        "wait",
     )
 
+    def __init__(
+        self, request: CallerRequest, route: Route, service: str, latest: float, attempts: Attempts
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.latest = latest
+        self.attempts = attempts
+        self.cancellation = Cancellation()
+        self.wait = WaitingRequest()
+        self.left = False
+
+    def leave(self) -> None:
+        """Ends the wait or the call: the caller has left."""
+        self.left = True
+        self.cancellation.cancel()
+        self.wait.woken.set()
+
+
+class RequestPath(BaseRequestHandler):
+    """Handles callers' requests with the state of ``Serving``."""
+
+    __slots__ = ("clock", "dispatch", "keys", "metrics", "serving")
+
     def __init__(
         self,
-        instance_id: str,
+        serving: Serving,
+        dispatch: DispatchTask,
+        keys: KeyCounter,
         clock: BaseClock,
-        view: View,
-        gateway: GatewayTask,
-        forwarder: Forwarder,
-        control: BaseTask,
         metrics: Metrics,
-        random_source: random.Random,
     ) -> None:
-        self.instance_id = instance_id
+        self.serving = serving
+        self.dispatch = dispatch
+        self.keys = keys
         self.clock = clock
-        self.view = view
-        self.gateway = gateway
-        self.forwarder = forwarder
-        self.control = control
         self.metrics = metrics
-        self._random = random_source
-        self._budgets: dict[str, RetryPolicy] = {}
-
-    def service(self, name: str) -> Service | None:
-        found: Service | None = self.view.configuration.services.get(name)
-        return found
 
-    def issue_request_id(self) -> str:
-        return issue_request_id(self.clock.wall_ms(), self._random)
+    def limits(self) -> CallerLimits:
+        return self.serving.limits()
 
-    def handle(self, request: CallerRequest) -> BaseReply:
-        started = self.clock.now()
-        reply = self._run(request)
-        self.metrics.note_reply(request.service, request.tenant, reply, self.clock.now() - started)
+    def handle(self, request: CallerRequest, departure: BaseDeparture) -> BaseReply:
+        routes = self.serving.routes
+        if routes is None:
+            return self._refused(
+                request, NotRun("no-configuration", 503, NOT_CONFIGURED_RETRY_SECONDS)
+            )
+        route = routes.find(request.host, request.path)
+        if route is None:
+            return self._refused(request, NotRun("no-route", NO_ROUTE_STATUS))
+        course = self._course(request, route)
+        departure.on_departure(course.leave)
+        reply = self._run(course)
+        self._finish(course, reply)
         return reply
 
-    def _run(self, request: CallerRequest) -> BaseReply:
-        policy = self._policy(request.service)
-        attempts = RequestAttempts(request.idempotent, request.deadline)
-        reroute_delay = FIRST_REROUTE_DELAY
+    def _course(self, request: CallerRequest, route: Route) -> _Course:
+        service = self.serving.splits.choose(route)
+        self.serving.budget(service).note_request(request.received_at)
+        if request.key != NO_KEY:
+            self.keys.add(service, request.key)
+        timeout = route.timeout_ms / MILLISECONDS_PER_SECOND
+        latest = min(request.deadline - REPLY_MARGIN_SECONDS, request.received_at + timeout)
+        attempts = Attempts(route.repeatable, route.max_servers)
+        return _Course(request, route, service, latest, attempts)
+
+    def _run(self, course: _Course) -> BaseReply:
         while True:
-            reply = self._attempt(request, self._hashed_key(request))
-            now = self.clock.now()
-            if isinstance(reply, NotRun) and reply.reason in REROUTE_REASONS:
-                # The wait for a newer table is not a retry that could overload a server.
-                if now + reroute_delay >= request.deadline:
-                    return attempts.final(reply)
-                self.control.post(SyncNow())
-                gevent.sleep(reroute_delay)
-                reroute_delay = min(reroute_delay * 2, LAST_REROUTE_DELAY)
-                continue
-            decision = policy.decide(attempts, reply, now)
-            if isinstance(decision, BaseReply):
-                return decision
-            gevent.sleep(decision.at - now)
-
-    def _policy(self, service: str) -> RetryPolicy:
-        policy = self._budgets.get(service)
-        if policy is None:
-            policy = RetryPolicy(RetryBudget(self.clock.now()), self._random)
-            self._budgets[service] = policy
-        return policy
-
-    def _hashed_key(self, request: CallerRequest) -> int:
-        """Returns the hash by which the request finds its shard.
-
-        An idempotent request of a pooled service may go to any shard, and to another one each time.
-        """
-        if request.key:
-            return key_hash(request.key)
-        if request.idempotent:
-            return self._random.getrandbits(HASH_BITS)
-        return key_hash(request.request_id)
-
-    def _attempt(self, request: CallerRequest, hashed_key: int) -> BaseReply:
-        route = self.view.routes.find_hash(request.service, hashed_key)
-        if route is None:
-            return NO_OWNER
-        gateway = route.group.gateway
-        if gateway == self.instance_id:
-            return self.gateway.serve(request, route, hashed_key)
-        member = self.view.members.get(gateway)
-        if member is None:
-            return NO_OWNER
-        return self.forwarder.forward(member, request, hashed_key)
-
-    def serve_forwarded(self, request: CallerRequest, hashed_key: int) -> BaseReply:
-        """Serves a request that another entry daemon forwarded, without forwarding it again."""
-        service = self.service(request.service)
-        if service is None:
-            return NO_OWNER
-        if service.kind is ServiceKind.KEYED or not request.idempotent:
-            hashed_key = key_hash(request.key or request.request_id)
-        route = self.view.routes.find_hash(request.service, hashed_key)
-        if route is None or route.group.gateway != self.instance_id:
-            return NotRun("moved", "This daemon is not the gateway of the shard.", 503, 20)
-        return self.gateway.serve(request, route, hashed_key)
+            placement = self._place(course)
+            if course.left:
+                self._undo(placement)
+                return CallerLeft()
+            if isinstance(placement, Refuse):
+                return course.attempts.refusal(placement.reason, placement.retry_after)
+            if not isinstance(placement, Send):
+                return course.attempts.refusal("not-placed", NOT_CONFIGURED_RETRY_SECONDS)
+            result = self._call(course, placement)
+            if course.left:
+                return CallerLeft()
+            decision = self._next(course, placement, result)
+            if isinstance(decision, GiveUp):
+                return decision.reply
+
+    def _place(self, course: _Course) -> BasePlacement | None:
+        ticket = Ticket(
+            course.service,
+            course.route.rank,
+            course.request.received_at,
+            course.latest,
+            course.request.key,
+            frozenset(course.attempts.tried),
+        )
+        course.wait.woken.clear()
+        if course.left:
+            return None
+        return self.dispatch.place(ticket, course.wait)
+
+    def _undo(self, placement: BasePlacement | None) -> None:
+        if isinstance(placement, Send):
+            placement.tracker.note_ended()
+
+    def _call(self, course: _Course, send: Send) -> BaseCallResult:
+        tracker = send.tracker
+        pool = self.serving.pool_of(tracker)
+        sent_at = self.clock.now()
+        course.attempts.note_sent(tracker.server.server_id)
+        try:
+            result = pool.call(course.request, course.latest, course.cancellation)
+        finally:
+            tracker.note_ended()
+        now = self.clock.now()
+        if isinstance(result, Answered | Declined) and result.load is not None:
+            tracker.note_load(result.load, now)
+        if isinstance(result, Answered) and result.answer.status < SERVER_ERROR:
+            tracker.note_answer(now - sent_at, send.fullness, now)
+        elif _failed_at_server(result):
+            tracker.note_failure(now)
+        elif _was_silent(result):
+            tracker.note_silence(now)
+        self.dispatch.sweep()
+        return result
+
+    def _next(self, course: _Course, send: Send, result: BaseCallResult) -> BaseNext:
+        now = self.clock.now()
+        budget = self.serving.budget(course.service)
+        if isinstance(result, Declined) and result.misdirected:
+            self._note_misdirected(course, send, now)
+        decision = course.attempts.next(
+            result, course.latest - now, budget.allows(now, self.serving.position)
+        )
+        if isinstance(decision, TryAgain):
+            if decision.arrived:
+                budget.note_repeat(now)
+            log_event(
+                "request-retried",
+                request=course.request.request_id,
+                server=send.tracker.server.server_id,
+                result=type(result).__name__,
+                reason=decision.reason,
+                left_seconds=course.latest - now,
+            )
+        return decision
+
+    def _note_misdirected(self, course: _Course, send: Send, now: float) -> None:
+        ticket = Ticket(course.service, 0, now, course.latest, course.request.key)
+        self.dispatch.dispatcher.note_misdirected(ticket, send, now)
+
+    def _refused(self, request: CallerRequest, reply: NotRun) -> NotRun:
+        self.metrics.count("requests", route="none", outcome=reply.reason)
+        log_event(
+            "request-refused",
+            request=request.request_id,
+            host=request.host,
+            path=request.path,
+            reason=reply.reason,
+            status=reply.status,
+            version=self.serving.routes.version if self.serving.routes is not None else 0,
+        )
+        return reply
+
+    def _finish(self, course: _Course, reply: BaseReply) -> None:
+        seconds = self.clock.now() - course.request.received_at
+        outcome, status = _outcome(reply)
+        self.metrics.count("requests", route=course.route.name, outcome=outcome)
+        if isinstance(reply, ServerAnswer):
+            self.metrics.record_latency(course.route.name, seconds)
+        table = self.serving.owner_tables.get(course.service)
+        log_event(
+            "request",
+            request=course.request.request_id,
+            route=course.route.name,
+            service=course.service,
+            key=course.request.key,
+            outcome=outcome,
+            status=status,
+            servers=",".join(course.attempts.tried) or "none",
+            seconds=seconds,
+            limit_seconds=course.latest - course.request.received_at,
+            version=self.serving.routes.version if self.serving.routes is not None else 0,
+            fence=table.fence if table is not None else 0,
+            waiting=self.dispatch.dispatcher.waiting,
+        )
+
+
+def _failed_at_server(result: BaseCallResult) -> bool:
+    """Whether the server failed the request, or turned it away other than for its key."""
+    return isinstance(result, Answered) or (isinstance(result, Declined) and not result.misdirected)
+
+
+def _was_silent(result: BaseCallResult) -> bool:
+    """Whether the server could not be reached or gave no whole answer."""
+    if isinstance(result, Lost):
+        return result.reason is not LostReason.CANCELLED
+    return isinstance(result, NotSent)
+
+
+def _outcome(reply: BaseReply) -> tuple[str, int]:
+    if isinstance(reply, ServerAnswer):
+        return "answered", reply.status
+    if isinstance(reply, NotRun):
+        return reply.reason, reply.status
+    if isinstance(reply, OutcomeUnknown):
+        return f"unknown-{reply.reason}", 504 if reply.late else 502
+    return "caller-left", 0
--- /dev/null
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -0,0 +1,230 @@
+"""What the request path of a daemon works with: routes, servers, owners, limits."""
+
+from fireflylink_backend_client import BaseServerDialect, ServerPool
+from fireflylink_core import (
+    BackendServer,
+    BaseClock,
+    CallerLimits,
+    Configuration,
+    OwnershipTable,
+    ServerLife,
+    Service,
+)
+from fireflylink_daemon._log import log_event, log_problem
+from fireflylink_daemon._settings import Settings
+from fireflylink_decisions.dispatch import Dispatcher, ServicePool
+from fireflylink_decisions.limits import (
+    ColdLimit,
+    FleetPosition,
+    RetryBudget,
+    RetryBudgetRule,
+    position_of,
+)
+from fireflylink_decisions.routing import RouteTable, SplitChooser
+from fireflylink_decisions.servers import (
+    DirectoryEntry,
+    ServerDirectory,
+    ServerTracker,
+    ServiceTerms,
+)
+
+KEYED_DRAIN_SECONDS = 1.2
+"""How long a leaving owner still gets requests of its keys while they are handed over."""
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+class Serving:
+    """The state of the request path. It changes by messages of the store, in one task."""
+
+    __slots__ = (
+        "budgets",
+        "clock",
+        "configuration",
+        "dialect",
+        "directory",
+        "dispatcher",
+        "members",
+        "owner_tables",
+        "pools",
+        "position",
+        "routes",
+        "settings",
+        "splits",
+        "started_at",
+        "trackers",
+    )
+
+    def __init__(self, settings: Settings, clock: BaseClock, dialect: BaseServerDialect) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.dialect = dialect
+        self.configuration: Configuration | None = None
+        self.routes: RouteTable | None = None
+        self.splits = SplitChooser()
+        self.directory = ServerDirectory()
+        self.dispatcher = Dispatcher()
+        self.budgets: dict[str, RetryBudget] = {}
+        self.members: set[str] = set()
+        self.owner_tables: dict[str, OwnershipTable] = {}
+        self.position = position_of(settings.instance, ())
+        self.trackers: dict[ServerLife, ServerTracker] = {}
+        self.pools: dict[ServerLife, ServerPool] = {}
+        self.started_at = clock.now()
+
+    def limits(self) -> CallerLimits:
+        """Returns the limits for callers in force."""
+        return CallerLimits() if self.configuration is None else self.configuration.limits
+
+    def set_configuration(self, configuration: Configuration) -> bool:
+        """Takes a configuration unless it is older than the one in force."""
+        present = self.configuration
+        if present is not None and configuration.version <= present.version:
+            return False
+        self.configuration = configuration
+        self.routes = RouteTable(configuration)
+        self.splits.keep_only(configuration.routes)
+        self.refresh()
+        log_event(
+            "configuration-applied",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            services=len(configuration.services),
+        )
+        return True
+
+    def set_members(self, members: set[str]) -> None:
+        """Takes the daemons that the store lists."""
+        self.members = members
+        self.position = position_of(self.settings.instance, tuple(members))
+        log_event("members-changed", members=self.position.members, rank=self.position.rank)
+        self.refresh()
+
+    def set_table(self, table: OwnershipTable) -> None:
+        """Takes the owners of a service's keys."""
+        present = self.owner_tables.get(table.service)
+        if present is not None and present.fence > table.fence:
+            log_problem("ownership-went-back", service=table.service, fence=table.fence)
+            return
+        self.owner_tables[table.service] = table
+        pool = self.dispatcher.pools.get(table.service)
+        if pool is not None:
+            pool.table = table
+            pool.doubted.clear()
+
+    def put_server(self, server: BackendServer) -> None:
+        """Takes a registration."""
+        now = self.clock.now()
+        known = self.directory.find(server.server_id)
+        joined = known is None or known.server.life != server.life
+        self.directory.put(server, now)
+        tracker = self.trackers.get(server.life)
+        if tracker is None:
+            tracker = ServerTracker(server)
+            self.trackers[server.life] = tracker
+        tracker.server = server
+        cold_seconds = server.cold_ms / MILLISECONDS_PER_SECOND
+        if cold_seconds > 0:
+            tracker.gate.note_cold(now + cold_seconds)
+        if joined or cold_seconds > 0 or known is None or known.server.state != server.state:
+            log_event(
+                "server-registered",
+                server=server.life,
+                service=server.service,
+                state=server.state.value,
+                data_centre=server.data_centre,
+                cold_ms=server.cold_ms,
+            )
+
+    def remove_server(self, server_id: str) -> None:
+        """Takes the end of a registration."""
+        gone = self.directory.remove(server_id, self.clock.now())
+        log_event("server-unregistered", server=server_id, gone=gone)
+
+    def set_evacuated(self, data_centre: str, requested: bool) -> None:
+        """Takes an evacuation or its end; servers that come back are taken for cold."""
+        now = self.clock.now()
+        if not self.directory.set_evacuated(data_centre, requested, now):
+            return
+        log_event("evacuation", data_centre=data_centre, requested=requested)
+        if requested or self.routes is None:
+            return
+        for entry in self.directory.entries.values():
+            service = self.routes.services.get(entry.server.service)
+            if entry.server.data_centre == data_centre and service is not None:
+                tracker = self.trackers[entry.server.life]
+                tracker.gate.note_cold(now + service.cold_seconds)
+
+    def refresh(self) -> None:
+        """Brings the pools of servers in line with configuration, registrations and time."""
+        now = self.clock.now()
+        for server_id in self.directory.expire(now):
+            log_event("server-gone", server=server_id, reason="missing after the store's return")
+        if self.routes is None:
+            return
+        for service in self.routes.services.values():
+            self._refresh_service(service, now)
+        self._forget_absent()
+
+    def budget(self, service: str) -> RetryBudget:
+        """Returns this daemon's retry budget for a service."""
+        found = self.budgets.get(service)
+        if found is None:
+            bounds = self.settings.bounds
+            rule = RetryBudgetRule(
+                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
+            )
+            found = self.budgets[service] = RetryBudget(rule)
+        return found
+
+    def pool_of(self, tracker: ServerTracker) -> ServerPool:
+        """Returns the connections to a server."""
+        life = tracker.server.life
+        pool = self.pools.get(life)
+        if pool is None:
+            pool = self.pools[life] = ServerPool(tracker.server, self.clock, self.dialect)
+        return pool
+
+    def drop_idle_connections(self) -> None:
+        """Closes connections to servers that were idle for too long."""
+        for pool in self.pools.values():
+            pool.drop_idle()
+
+    def _refresh_service(self, service: Service, now: float) -> None:
+        pool = self.dispatcher.pools.get(service.name)
+        terms = self._terms(service, self.position)
+        if pool is None:
+            pool = ServicePool(service.keyed, terms)
+            self.dispatcher.pools[service.name] = pool
+            pool.table = self.owner_tables.get(service.name)
+        pool.keyed = service.keyed
+        pool.terms = terms
+        entries = [
+            entry
+            for entry in self.directory.entries.values()
+            if entry.server.service == service.name and self._serves(entry, service, now)
+        ]
+        pool.trackers = {entry.server.life: self.trackers[entry.server.life] for entry in entries}
+
+    def _serves(self, entry: DirectoryEntry, service: Service, now: float) -> bool:
+        if self.directory.may_get_work(entry):
+            return True
+        if not service.keyed:
+            return False
+        evacuated_at = self.directory.evacuated.get(entry.server.data_centre)
+        since = [at for at in (entry.leaving_since, evacuated_at) if at is not None]
+        return bool(since) and now < min(since) + KEYED_DRAIN_SECONDS
+
+    def _terms(self, service: Service, position: FleetPosition) -> ServiceTerms:
+        bounds = self.settings.bounds
+        cold = ColdLimit(service.cold_requests_per_second, bounds.cold_factor, bounds.cold_extra)
+        return ServiceTerms(cold, service.connection_limit, position, self.settings.data_centre)
+
+    def _forget_absent(self) -> None:
+        present = {entry.server.life for entry in self.directory.entries.values()}
+        for life in list(self.pools):
+            if life not in present:
+                self.pools.pop(life).close()
+        for life in list(self.trackers):
+            if life not in present and not self.trackers[life].in_flight:
+                del self.trackers[life]
--- a/packages/daemon/src/fireflylink_daemon/_settings.py
+++ b/packages/daemon/src/fireflylink_daemon/_settings.py
@@ -1,180 +1,220 @@
-"""Settings of the daemon, read from a JSON file and checked field by field."""
+"""The settings file: JSON, checked as a whole before anything starts."""
 
-import ipaddress
-import pathlib
+import json
+from typing import Any
 
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from fireflylink_core import BaseValue, Member
-from fireflylink_daemon._errors import SettingsError
-from fireflylink_documents import DocumentError, FieldReader, read_fields
-from fireflylink_protocol import PeerCredentials
+from fireflylink_core import BaseFireflylinkError, BaseValue
 
-MIN_SECRET_BYTES = 16
+MILLISECONDS_PER_SECOND = 1000.0
 MAX_PORT = 65535
 
 
-class PeerTls(BaseValue):
-    """Files of the keys with which daemons authenticate each other, in PEM."""
+class SettingsError(BaseFireflylinkError):
+    """The settings file cannot be used; the text names the field and what is allowed."""
 
-    __slots__ = ("authority_file", "certificate_file", "private_key_file")
 
-    def __init__(self, authority_file: str, certificate_file: str, private_key_file: str) -> None:
-        self.authority_file = authority_file
-        self.certificate_file = certificate_file
-        self.private_key_file = private_key_file
+class Address(BaseValue):
+    """An IP address and a port."""
 
+    __slots__ = ("host", "port")
 
-class DaemonSettings(BaseValue):
-    """Everything that a daemon is told before it starts.
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
 
-    A port of 0 lets the operating system choose. ``peers`` are daemons to ask while the platform
-    does not answer. ``tls`` is None only when the settings say that the inner listeners are plain.
-    """
+
+class Bounds(BaseValue):
+    """The figures that the system is held to."""
 
     __slots__ = (
-        "caller_port",
-        "cluster_key",
-        "control_port",
-        "credentials",
+        "cold_extra",
+        "cold_factor",
+        "drain_seconds",
+        "evacuate_seconds",
+        "hold_max_seconds",
+        "leave_seconds",
+        "retry_extra",
+        "retry_ratio",
+        "retry_window_seconds",
+    )
+
+    def __init__(
+        self,
+        drain_seconds: float,
+        evacuate_seconds: float,
+        leave_seconds: float,
+        hold_max_seconds: float,
+        retry_ratio: float,
+        retry_window_seconds: float,
+        retry_extra: float,
+        cold_factor: float,
+        cold_extra: float,
+    ) -> None:
+        self.drain_seconds = drain_seconds
+        self.evacuate_seconds = evacuate_seconds
+        self.leave_seconds = leave_seconds
+        self.hold_max_seconds = hold_max_seconds
+        self.retry_ratio = retry_ratio
+        self.retry_window_seconds = retry_window_seconds
+        self.retry_extra = retry_extra
+        self.cold_factor = cold_factor
+        self.cold_extra = cold_extra
+
+
+class Settings(BaseValue):
+    """Everything that a daemon is told by the instance it runs on."""
+
+    __slots__ = (
+        "address",
+        "bounds",
+        "caller_address",
         "data_centre",
-        "forward_port",
-        "host",
-        "instance_id",
-        "operator_port",
-        "operator_token",
-        "peers",
-        "platform_host",
-        "platform_port",
-        "tls",
+        "heartbeat_seconds",
+        "instance",
+        "metrics_port",
+        "minimum_lease_seconds",
+        "readiness_address",
+        "report_port",
+        "store_address",
     )
 
     def __init__(
         self,
-        instance_id: str,
+        instance: str,
         data_centre: str,
-        host: str,
-        caller_port: int,
-        control_port: int,
-        forward_port: int,
-        operator_port: int,
-        platform_host: str,
-        platform_port: int,
-        cluster_key: bytes,
-        operator_token: str,
-        peers: tuple[Member, ...] = (),
-        tls: PeerTls | None = None,
-        credentials: PeerCredentials | None = None,
+        address: str,
+        caller_address: Address,
+        readiness_address: Address,
+        report_port: int,
+        metrics_port: int,
+        store_address: Address,
+        minimum_lease_seconds: float,
+        heartbeat_seconds: float,
+        bounds: Bounds,
     ) -> None:
-        self.instance_id = instance_id
+        self.instance = instance
         self.data_centre = data_centre
-        self.host = host
-        self.caller_port = caller_port
-        self.control_port = control_port
-        self.forward_port = forward_port
-        self.operator_port = operator_port
-        self.platform_host = platform_host
-        self.platform_port = platform_port
-        self.cluster_key = cluster_key
-        self.operator_token = operator_token
-        self.peers = peers
-        self.tls = tls
-        self.credentials = credentials
-
-    def __repr__(self) -> str:
-        return f"DaemonSettings(instance_id={self.instance_id!r}, data_centre={self.data_centre!r})"
-
-
-def read_settings(path: str) -> Result[DaemonSettings, SettingsError]:
-    """Reads and checks a settings file; the error is one line that names the field."""
+        self.address = address
+        self.caller_address = caller_address
+        self.readiness_address = readiness_address
+        self.report_port = report_port
+        self.metrics_port = metrics_port
+        self.store_address = store_address
+        self.minimum_lease_seconds = minimum_lease_seconds
+        self.heartbeat_seconds = heartbeat_seconds
+        self.bounds = bounds
+
+
+class _Reader:
+    """Reads fields of one object; raises ``SettingsError``."""
+
+    __slots__ = ("name", "value")
+
+    def __init__(self, value: object, name: str) -> None:
+        if not isinstance(value, dict):
+            raise SettingsError(f"{name or 'the file'}: must be an object")
+        self.value: dict[str, Any] = value
+        self.name = name
+
+    def text(self, field: str) -> str:
+        found = self._find(field)
+        if not isinstance(found, str) or not found:
+            raise SettingsError(f"{self._path(field)}: must be a string that is not empty")
+        return found
+
+    def number(self, field: str) -> float:
+        found = self._find(field)
+        if isinstance(found, bool) or not isinstance(found, int | float) or not found >= 0:
+            raise SettingsError(f"{self._path(field)}: must be a number from 0")
+        return float(found)
+
+    def seconds(self, field: str) -> float:
+        return self.number(field) / MILLISECONDS_PER_SECOND
+
+    def address(self, field: str) -> Address:
+        host, _, port = self.text(field).rpartition(":")
+        if not host or not port.isdecimal() or int(port) > MAX_PORT:
+            raise SettingsError(f"{self._path(field)}: must be an IP address and a port")
+        return Address(host, int(port))
+
+    def port(self, field: str) -> int:
+        found = self._find(field)
+        if not isinstance(found, int) or not 0 <= found <= MAX_PORT:
+            raise SettingsError(f"{self._path(field)}: must be a port")
+        return found
+
+    def ports(self, field: str) -> tuple[int, int]:
+        found = self._find(field)
+        if (
+            not isinstance(found, list)
+            or len(found) != 2
+            or not all(isinstance(port, int) and 0 <= port <= MAX_PORT for port in found)
+            or (found[0] and found[0] >= found[1])
+        ):
+            raise SettingsError(
+                f"{self._path(field)}: must be the first and the last of two or more ports"
+            )
+        return found[0], found[1]
+
+    def table(self, field: str) -> "_Reader":
+        return _Reader(self._find(field), self._path(field))
+
+    def _find(self, field: str) -> object:
+        if self.value.get(field) is None:
+            raise SettingsError(f"{self._path(field)}: is missing")
+        return self.value[field]
+
+    def _path(self, field: str) -> str:
+        return f"{self.name}.{field}" if self.name else field
+
+
+def read_settings(path: str) -> Result[Settings, SettingsError]:
+    """Returns the checked settings of a file. Fields that are not known are ignored."""
     try:
-        payload = pathlib.Path(path).read_bytes()
+        with open(path, encoding="utf-8") as file:
+            value = json.load(file)
     except OSError as error:
         return Failure(SettingsError(f"{path}: {error.strerror}"))
-    result = read_fields(payload, _parse)
-    if is_successful(result):
-        return Success(result.unwrap())
-    return Failure(SettingsError(f"{path}: {result.failure()}"))
-
-
-def _parse(fields: FieldReader) -> DaemonSettings:
-    platform = fields.child("platform")
-    tls = _parse_tls(fields)
-    return DaemonSettings(
-        instance_id=fields.text("instance_id", max_length=64),
-        data_centre=fields.text("data_centre", max_length=64),
-        host=_address(fields, "host"),
-        caller_port=fields.integer("caller_port", 0, MAX_PORT),
-        control_port=fields.integer("control_port", 0, MAX_PORT),
-        forward_port=fields.integer("forward_port", 0, MAX_PORT),
-        operator_port=fields.integer("operator_port", 0, MAX_PORT),
-        platform_host=_address(platform, "host"),
-        platform_port=platform.integer("port", 1, MAX_PORT),
-        cluster_key=_secret(fields, "cluster_key_file"),
-        operator_token=_secret(fields, "operator_token_file").decode("ascii", "replace"),
-        peers=tuple(_parse_peer(peer) for peer in fields.child_list("peers", ())),
-        tls=tls,
-        credentials=_credentials(fields, tls),
-    )
-
-
-def _address(fields: FieldReader, name: str) -> str:
-    text = fields.text(name)
+    except ValueError as error:
+        return Failure(SettingsError(f"{path}: is no JSON: {error}"))
     try:
-        return str(ipaddress.ip_address(text))
-    except ValueError:
-        raise fields.error(name, f"must be an IP number, not {text!r}") from None
-
-
-def _secret(fields: FieldReader, name: str) -> bytes:
-    secret = _file(fields, name).strip()
-    if len(secret) < MIN_SECRET_BYTES:
-        raise fields.error(name, f"the file must hold at least {MIN_SECRET_BYTES} bytes")
-    return secret
-
-
-def _file(fields: FieldReader, name: str) -> bytes:
-    path = fields.text(name)
-    try:
-        return pathlib.Path(path).read_bytes()
-    except OSError as error:
-        raise fields.error(name, f"cannot be read: {error.strerror}") from None
-
-
-def _parse_peer(fields: FieldReader) -> Member:
-    return Member(
-        instance_id=fields.text("instance_id", max_length=64),
-        data_centre=fields.text("data_centre", max_length=64),
-        host=_address(fields, "host"),
-        control_port=fields.integer("control_port", 1, MAX_PORT),
-        forward_port=fields.integer("forward_port", 1, MAX_PORT),
+        return Success(_settings(_Reader(value, "")))
+    except SettingsError as error:
+        return Failure(SettingsError(f"{path}: {error}"))
+
+
+def _settings(reader: _Reader) -> Settings:
+    store = reader.table("store")
+    first_port, _ = reader.ports("peer_ports")
+    return Settings(
+        instance=reader.text("instance"),
+        data_centre=reader.text("data_centre"),
+        address=reader.text("address"),
+        caller_address=reader.address("caller_address"),
+        readiness_address=reader.address("readiness_address"),
+        report_port=first_port,
+        metrics_port=reader.port("metrics_port"),
+        store_address=store.address("address"),
+        minimum_lease_seconds=store.seconds("minimum_lease_ms"),
+        heartbeat_seconds=reader.seconds("heartbeat_ms"),
+        bounds=_bounds(reader.table("bounds")),
     )
 
 
-def _parse_tls(fields: FieldReader) -> PeerTls | None:
-    plain = fields.boolean("plain_inner_listeners", False)
-    if fields.has("tls"):
-        if plain:
-            raise fields.error("plain_inner_listeners", "must be false when tls is given")
-        tls = fields.child("tls")
-        return PeerTls(
-            tls.text("authority_file"), tls.text("certificate_file"), tls.text("private_key_file")
-        )
-    if not plain:
-        raise fields.error("tls", "is required unless plain_inner_listeners is true")
-    return None
-
-
-def _credentials(fields: FieldReader, tls: PeerTls | None) -> PeerCredentials | None:
-    if tls is None:
-        return None
-    reader = fields.child("tls")
-    return PeerCredentials(
-        authority=_file(reader, "authority_file"),
-        certificate=_file(reader, "certificate_file"),
-        private_key=_file(reader, "private_key_file"),
+def _bounds(reader: _Reader) -> Bounds:
+    return Bounds(
+        drain_seconds=reader.seconds("drain_ms"),
+        evacuate_seconds=reader.seconds("evacuate_ms"),
+        leave_seconds=reader.number("leave_seconds"),
+        hold_max_seconds=reader.seconds("hold_max_ms"),
+        retry_ratio=reader.number("retry_ratio"),
+        retry_window_seconds=reader.number("retry_window_seconds"),
+        retry_extra=reader.number("retry_extra"),
+        cold_factor=reader.number("cold_factor"),
+        cold_extra=reader.number("cold_extra"),
     )
-
-
-__all__ = ["DaemonSettings", "DocumentError", "PeerTls", "read_settings"]
--- /dev/null
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -0,0 +1,153 @@
+"""The task that applies what the store says to the state of the request path."""
+
+from typing import TypeVar
+
+from returns.result import Result, Success
+
+from fireflylink_core import BaseClock, OwnershipTable
+from fireflylink_daemon._log import log_problem
+from fireflylink_daemon._messages import (
+    DeciderChanged,
+    FactsRead,
+    ServersChanged,
+    StoreLost,
+    StoreReached,
+    TableChanged,
+)
+from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._task import BaseTask
+from fireflylink_protocol import (
+    DECIDER_KEY,
+    MEMBERS_PREFIX,
+    OWNERSHIP_PREFIX,
+    MemberRecord,
+    RecordError,
+    decode_member,
+    decode_table,
+)
+from fireflylink_store import (
+    BaseFact,
+    ConfigurationFact,
+    EvacuationFact,
+    RecordFact,
+    ServerFact,
+    ServerGoneFact,
+    UnreadableFact,
+)
+
+TICK_SECONDS = 0.2
+
+Decoded = TypeVar("Decoded")
+
+
+class ViewTask(BaseTask):
+    """Owns the changes of ``Serving`` and passes ownership matters on.
+
+    ``decider`` is the member record of the daemon that decides on ownership, if there is one.
+    """
+
+    __slots__ = ("decider", "next_tick", "ownership", "serving")
+
+    def __init__(self, serving: Serving, clock: BaseClock) -> None:
+        super().__init__("view", clock)
+        self.serving = serving
+        self.ownership: BaseTask | None = None
+        self.decider: MemberRecord | None = None
+        self.next_tick = 0.0
+
+    def next_wake(self) -> float:
+        return self.next_tick
+
+    def wake(self) -> None:
+        self.next_tick = self.clock.now() + TICK_SECONDS
+        self.serving.refresh()
+        self.serving.drop_idle_connections()
+
+    def receive(self, message: object) -> object:
+        if isinstance(message, FactsRead):
+            self._apply(message)
+        elif isinstance(message, StoreLost):
+            self.serving.directory.note_store_lost()
+        elif isinstance(message, StoreReached):
+            self.serving.directory.note_store_reached(self.clock.now())
+        return None
+
+    def _apply(self, message: FactsRead) -> None:
+        if message.whole:
+            self._drop_absent(message)
+        for fact in message.facts:
+            self._apply_fact(fact)
+        self.serving.refresh()
+        self._tell_ownership(ServersChanged())
+
+    def _drop_absent(self, message: FactsRead) -> None:
+        """Takes what a whole reading does not hold as removed."""
+        facts = message.facts
+        serving = self.serving
+        server_ids = frozenset(
+            fact.server.server_id for fact in facts if isinstance(fact, ServerFact)
+        )
+        serving.directory.keep_only(server_ids, self.clock.now())
+        wanted = {fact.data_centre for fact in facts if isinstance(fact, EvacuationFact)}
+        for data_centre in [found for found in serving.directory.evacuated if found not in wanted]:
+            serving.set_evacuated(data_centre, False)
+        keys = {fact.key for fact in facts if isinstance(fact, RecordFact)}
+        members = {name for name in serving.members if f"{MEMBERS_PREFIX}{name}" in keys}
+        if members != serving.members:
+            serving.set_members(members)
+        if DECIDER_KEY not in keys:
+            self._set_decider(None, message.revision)
+
+    def _apply_fact(self, fact: BaseFact) -> None:
+        if isinstance(fact, ServerFact):
+            self.serving.put_server(fact.server)
+        elif isinstance(fact, ServerGoneFact):
+            self.serving.remove_server(fact.server_id)
+        elif isinstance(fact, ConfigurationFact):
+            self.serving.set_configuration(fact.configuration)
+        elif isinstance(fact, EvacuationFact):
+            self.serving.set_evacuated(fact.data_centre, fact.requested)
+        elif isinstance(fact, RecordFact):
+            self._apply_record(fact)
+        elif isinstance(fact, UnreadableFact):
+            log_problem(
+                "item-unreadable", key=fact.key, problem=fact.problem, revision=fact.revision
+            )
+
+    def _apply_record(self, fact: RecordFact) -> None:
+        if fact.key == DECIDER_KEY:
+            member = _decoded(decode_member(fact.value), fact) if fact.value is not None else None
+            self._set_decider(member, fact.revision)
+        elif fact.key.startswith(MEMBERS_PREFIX):
+            self._apply_member(fact)
+        elif fact.key.startswith(OWNERSHIP_PREFIX) and fact.value is not None:
+            table: OwnershipTable | None = _decoded(decode_table(fact.value), fact)
+            if table is not None:
+                self.serving.set_table(table)
+                self._tell_ownership(TableChanged(table, fact.revision))
+
+    def _apply_member(self, fact: RecordFact) -> None:
+        name = fact.key.removeprefix(MEMBERS_PREFIX)
+        members = set(self.serving.members)
+        if fact.value is None:
+            members.discard(name)
+        else:
+            members.add(name)
+        if members != self.serving.members:
+            self.serving.set_members(members)
+
+    def _set_decider(self, member: MemberRecord | None, revision: int) -> None:
+        self.decider = member
+        self._tell_ownership(DeciderChanged(member, revision))
+
+    def _tell_ownership(self, message: object) -> None:
+        if self.ownership is not None:
+            self.ownership.post(message)
+
+
+def _decoded(result: Result[Decoded, RecordError], fact: RecordFact) -> Decoded | None:
+    if isinstance(result, Success):
+        value: Decoded = result.unwrap()
+        return value
+    log_problem("record-unreadable", key=fact.key, problem=result.failure(), revision=fact.revision)
+    return None
--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -0,0 +1,138 @@
+"""Where each request goes, how long it waits for that, and when it is turned away."""
+
+from fireflylink_core import NO_KEY, OwnershipTable, ServerLife
+from fireflylink_decisions.dispatch._ticket import BasePlacement, Refuse, Send, Ticket
+from fireflylink_decisions.dispatch._waiting_line import WaitingLine
+from fireflylink_decisions.servers import ServerTracker, ServiceTerms, choose_server, room_at
+
+OWNER_WAIT_SECONDS = 0.8
+"""How long a request waits for its key to get an owner that takes it."""
+
+SHORT_RETRY_SECONDS = 0.25
+LONG_RETRY_SECONDS = 1.0
+RECHECK_SECONDS = 0.1
+
+
+class ServicePool:
+    """The servers of one service as this daemon sees them, and the requests that wait for them.
+
+    ``trackers`` are the servers that may get work. ``keyed`` services are served by the owner of
+    the key alone; ``doubted`` holds owners that declined a key under a fence, until when.
+    """
+
+    __slots__ = ("doubted", "keyed", "line", "table", "terms", "trackers")
+
+    def __init__(self, keyed: bool, terms: ServiceTerms) -> None:
+        self.keyed = keyed
+        self.terms = terms
+        self.trackers: dict[ServerLife, ServerTracker] = {}
+        self.table: OwnershipTable | None = None
+        self.line = WaitingLine()
+        self.doubted: dict[tuple[ServerLife, int], float] = {}
+
+
+class Dispatcher:
+    """Places requests on servers, in the order of their urgency.
+
+    Example::
+
+        placement = dispatcher.submit(ticket, now)
+        if placement is None:
+            ...  # wait until sweep() returns one for the ticket
+    """
+
+    __slots__ = ("pools",)
+
+    def __init__(self) -> None:
+        self.pools: dict[str, ServicePool] = {}
+
+    def submit(self, ticket: Ticket, now: float) -> BasePlacement | None:
+        """Places a new ticket, or lets it join the line and returns None."""
+        pool = self.pools.get(ticket.service)
+        if pool is None:
+            return Refuse("no-such-service", LONG_RETRY_SECONDS)
+        ahead = pool.line.ahead(ticket)
+        if not ahead or pool.keyed:
+            placement = self._try(pool, ticket, now)
+            if placement is not None:
+                return placement
+        if pool.line.full or self._hopeless(pool, ticket, ahead, now):
+            return Refuse("no-room", SHORT_RETRY_SECONDS)
+        pool.line.join(ticket)
+        return None
+
+    def sweep(self, now: float) -> list[tuple[Ticket, BasePlacement]]:
+        """Places what can be placed now, and turns away what cannot be served in time."""
+        ended = []
+        for pool in self.pools.values():
+            for ticket in list(pool.line.tickets):
+                placement = self._try(pool, ticket, now) or self._overdue(pool, ticket, now)
+                if placement is not None:
+                    pool.line.leave(ticket)
+                    ended.append((ticket, placement))
+        return ended
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Takes a ticket whose caller has left out of the line."""
+        pool = self.pools.get(ticket.service)
+        if pool is not None:
+            pool.line.leave(ticket)
+
+    def note_misdirected(self, ticket: Ticket, send: Send, now: float) -> None:
+        """Takes a server's word that it does not hold a key that the table gives it."""
+        pool = self.pools.get(ticket.service)
+        if pool is not None:
+            pool.doubted[(send.tracker.server.life, send.fence)] = now + RECHECK_SECONDS
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return sum(len(pool.line.tickets) for pool in self.pools.values())
+
+    def _try(self, pool: ServicePool, ticket: Ticket, now: float) -> BasePlacement | None:
+        if pool.keyed and ticket.key != NO_KEY:
+            return self._try_owner(pool, ticket, now)
+        tracker = choose_server(list(pool.trackers.values()), pool.terms, now, ticket.tried)
+        return None if tracker is None else _send(pool, tracker, 0, now)
+
+    def _try_owner(self, pool: ServicePool, ticket: Ticket, now: float) -> BasePlacement | None:
+        assignment = pool.table.find(ticket.key) if pool.table is not None else None
+        if assignment is None:
+            return None
+        tracker = pool.trackers.get(assignment.owner)
+        if tracker is None:
+            return None
+        if now < pool.doubted.get((assignment.owner, assignment.fence), 0.0):
+            return None
+        open_at = room_at(tracker, pool.terms, now)
+        if open_at is None or open_at > now:
+            return None
+        return _send(pool, tracker, assignment.fence, now)
+
+    def _overdue(self, pool: ServicePool, ticket: Ticket, now: float) -> Refuse | None:
+        if now - ticket.since > OWNER_WAIT_SECONDS and self._ownerless(pool, ticket):
+            return Refuse("no-owner", LONG_RETRY_SECONDS)
+        if now + _least_seconds(pool) > ticket.latest:
+            return Refuse("no-room", SHORT_RETRY_SECONDS)
+        return None
+
+    def _ownerless(self, pool: ServicePool, ticket: Ticket) -> bool:
+        if not pool.keyed:
+            return False
+        assignment = pool.table.find(ticket.key) if pool.table is not None else None
+        return assignment is None or assignment.owner not in pool.trackers
+
+    def _hopeless(self, pool: ServicePool, ticket: Ticket, ahead: int, now: float) -> bool:
+        wait = 0.0 if pool.keyed else pool.line.expected_wait(ahead, now)
+        return now + wait + _least_seconds(pool) > ticket.latest
+
+
+def _send(pool: ServicePool, tracker: ServerTracker, fence: int, now: float) -> Send:
+    fullness = tracker.fullness(now)
+    tracker.note_sent(now)
+    pool.line.placed.add(now)
+    return Send(tracker, fullness, fence)
+
+
+def _least_seconds(pool: ServicePool) -> float:
+    return min((tracker.base_seconds for tracker in pool.trackers.values()), default=0.0)
--- a/packages/decisions/src/fireflylink_decisions/limits/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/__init__.py
@@ -1,21 +1,17 @@
-"""Limits of backend servers and the queue in front of them."""
+"""Limits that all daemons share: cold servers, retries, connections."""
 
-from fireflylink_decisions.limits._connection_limit import ConnectionLimit
-from fireflylink_decisions.limits._fair_queue import QUANTUM, FairQueue, QueueEntry
-from fireflylink_decisions.limits._server_limiter import (
-    COLD_RAMP_SUCCESSES,
-    ReportedState,
-    ServerLimiter,
-)
-from fireflylink_decisions.limits._service_time import ServiceTime
+from fireflylink_decisions.limits._cold_gate import ColdGate, ColdLimit
+from fireflylink_decisions.limits._retry_budget import RetryBudget, RetryBudgetRule
+from fireflylink_decisions.limits._share import UNKNOWN_MEMBERS, FleetPosition, position_of
+from fireflylink_decisions.limits._sliding_count import SlidingCount
 
 __all__ = [
-    "COLD_RAMP_SUCCESSES",
-    "QUANTUM",
-    "ConnectionLimit",
-    "FairQueue",
-    "QueueEntry",
-    "ReportedState",
-    "ServerLimiter",
-    "ServiceTime",
+    "UNKNOWN_MEMBERS",
+    "ColdGate",
+    "ColdLimit",
+    "FleetPosition",
+    "RetryBudget",
+    "RetryBudgetRule",
+    "SlidingCount",
+    "position_of",
 ]
--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/limits/_cold_gate.py
@@ -0,0 +1,52 @@
+"""How many requests a cold server may get from this daemon."""
+
+from fireflylink_decisions.limits._share import FleetPosition
+from fireflylink_decisions.limits._sliding_count import SlidingCount
+
+COLD_WINDOW_SECONDS = 1.1
+"""Longer than the second of the bound, because requests that leave a second apart can arrive closer
+together."""
+
+SAFE_PART = 0.9
+
+
+class ColdLimit:
+    """What one cold server of a service bears from all daemons in any second."""
+
+    __slots__ = ("requests",)
+
+    def __init__(self, requests_per_second: float, factor: float, extra: float) -> None:
+        self.requests = (requests_per_second * factor + extra) * SAFE_PART
+
+
+class ColdGate:
+    """Keeps this daemon's requests to one server within its share while the server is cold.
+
+    Every request is counted, also while the server is warm: the window that a server turns cold in
+    begins before that is known.
+    """
+
+    __slots__ = ("cold_until", "sent")
+
+    def __init__(self) -> None:
+        self.cold_until = 0.0
+        self.sent = SlidingCount(COLD_WINDOW_SECONDS)
+
+    def note_cold(self, until: float) -> None:
+        """Takes the server for cold until a moment, or longer if that is known already."""
+        self.cold_until = max(self.cold_until, until)
+
+    def note_sent(self, now: float) -> None:
+        """Counts a request, a probe or a retry."""
+        self.sent.add(now)
+
+    def is_cold(self, now: float) -> bool:
+        """Whether the limit applies."""
+        return now < self.cold_until
+
+    def open_at(self, now: float, limit: ColdLimit, position: FleetPosition, server: str) -> float:
+        """Returns when the next request may be sent."""
+        if now >= self.cold_until:
+            return now
+        share = position.share(limit.requests, server)
+        return min(self.cold_until, self.sent.room_at(now, share))
--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -1,31 +1,33 @@
-"""Ownership of shards: planning of tables and lookup of owners."""
+"""Ownership of keys: who decides, who owns, which grants are due."""
 
-from fireflylink_decisions.ownership._eligibility import find_unowned
-from fireflylink_decisions.ownership._errors import OwnershipError
-from fireflylink_decisions.ownership._plan import (
-    EMPTY_PLAN,
-    BasePlanner,
-    Plan,
-    PlanningInput,
-    ShardMove,
+from fireflylink_decisions.ownership._decidership import Decidership
+from fireflylink_decisions.ownership._grant_book import (
+    COMMAND_SECONDS,
+    HOLD_SECONDS,
+    OUTAGE_GRACE_SECONDS,
+    RELEASE_SECONDS,
+    BaseCommand,
+    GrantBook,
+    GrantCommand,
+    ReleaseCommand,
 )
-from fireflylink_decisions.ownership._planner import BoundedLoadPlanner
-from fireflylink_decisions.ownership._records import NO_RELEASE, in_transit, is_active
-from fireflylink_decisions.ownership._routes import Route, Routes, merge_tables
+from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
+from fireflylink_decisions.ownership._plan_values import Candidate
+from fireflylink_decisions.ownership._planner import first_table, plan
 
 __all__ = [
-    "EMPTY_PLAN",
-    "NO_RELEASE",
-    "BasePlanner",
-    "BoundedLoadPlanner",
-    "OwnershipError",
-    "Plan",
-    "PlanningInput",
-    "Route",
-    "Routes",
-    "ShardMove",
-    "find_unowned",
-    "in_transit",
-    "is_active",
-    "merge_tables",
+    "COMMAND_SECONDS",
+    "HOLD_SECONDS",
+    "OUTAGE_GRACE_SECONDS",
+    "RELEASE_SECONDS",
+    "BaseCommand",
+    "Candidate",
+    "Decidership",
+    "GrantBook",
+    "GrantCommand",
+    "KeyLoad",
+    "RangeLoad",
+    "ReleaseCommand",
+    "first_table",
+    "plan",
 ]
--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -0,0 +1,285 @@
+"""Which grants, renewals and releases are due, and when a silent server's hold has ended."""
+
+from fireflylink_core import Assignment, BaseValue, KeyRange, OwnershipTable, ServerLife
+
+HOLD_SECONDS = 3.6
+"""A lost server's keys are served again when its hold has ended, within 5 s of its loss."""
+
+RENEWAL_SECONDS = 1.2
+COMMAND_SECONDS = 0.6
+"""Time-out of a grant; the connection is then reset, so that it does not arrive later."""
+
+RELEASE_SECONDS = 3.0
+"""Time-out of a release: the server answers when the work on the keys has ended."""
+
+RETRY_SECONDS = 0.3
+CLOCK_DRIFT = 1.02
+HOLD_MARGIN_SECONDS = 0.2
+HOLD_TIME = HOLD_SECONDS * CLOCK_DRIFT + HOLD_MARGIN_SECONDS
+"""How long a server may hold keys after a grant arrived, by the decider's clock."""
+
+OUTAGE_GRACE_SECONDS = 12.0
+"""How long a decider renews without the store."""
+
+FORMER_DECIDER = 0
+"""Stands for the fences of what a former decider granted."""
+
+
+class BaseCommand(BaseValue):
+    """Something to tell a server."""
+
+    __slots__ = ()
+
+    server: ServerLife
+
+
+class GrantCommand(BaseCommand):
+    """Grant keys, or renew their grant."""
+
+    __slots__ = ("fence", "handover", "keys", "renewal", "server")
+
+    def __init__(
+        self, server: ServerLife, keys: KeyRange, fence: int, handover: str, renewal: bool
+    ) -> None:
+        self.server = server
+        self.keys = keys
+        self.fence = fence
+        self.handover = handover
+        self.renewal = renewal
+
+
+class ReleaseCommand(BaseCommand):
+    """Take keys back under the fence of their next holder."""
+
+    __slots__ = ("fence", "keys", "server")
+
+    def __init__(self, server: ServerLife, keys: KeyRange, fence: int) -> None:
+        self.server = server
+        self.keys = keys
+        self.fence = fence
+
+
+class _Progress:
+    """How far the grant of one assignment is."""
+
+    __slots__ = (
+        "busy",
+        "due_at",
+        "granted",
+        "granted_at",
+        "handover",
+        "pending",
+        "unanswered_until",
+    )
+
+    def __init__(self, assignment: Assignment) -> None:
+        self.pending = list(dict.fromkeys(assignment.previous))
+        self.handover = assignment.handover
+        self.granted = False
+        self.granted_at = 0.0
+        self.unanswered_until = 0.0
+        self.busy: set[ServerLife] = set()
+        self.due_at: dict[ServerLife, float] = {}
+
+
+class GrantBook:
+    """The decider's bookkeeping of grants.
+
+    A new holder is granted keys only when every former holder has confirmed their release under the
+    new fence, or when each grant to it that may still come true has run out. ``began_at`` is when
+    this decider took over: what a former decider sent is known to have ended only
+    ``OUTAGE_GRACE_SECONDS`` and a whole hold later.
+    """
+
+    __slots__ = ("ended", "former_hold_ends", "holds", "progress", "table")
+
+    def __init__(self, began_at: float) -> None:
+        self.former_hold_ends = began_at + OUTAGE_GRACE_SECONDS + COMMAND_SECONDS + HOLD_TIME
+        self.table: OwnershipTable | None = None
+        self.progress: dict[tuple[KeyRange, int], _Progress] = {}
+        self.holds: dict[ServerLife, dict[tuple[KeyRange, int], float]] = {}
+        self.ended: set[ServerLife] = set()
+
+    def note_first_table(self) -> None:
+        """Takes note that there was no table before: no former decider granted anything."""
+        self.former_hold_ends = float("-inf")
+
+    def set_table(self, table: OwnershipTable) -> None:
+        """Takes a table that the store has acknowledged."""
+        old = self.progress
+        inherited = self._granted_ranges()
+        self.table = table
+        self.progress = {}
+        for assignment in table.assignments:
+            name = (assignment.keys, assignment.fence)
+            progress = old.get(name)
+            if progress is None:
+                progress = _Progress(assignment)
+                self._inherit(progress, assignment, inherited)
+            self.progress[name] = progress
+
+    def due(self, now: float) -> list[BaseCommand]:
+        """Returns the commands to send now; each counts as under way until its end is noted."""
+        if self.table is None:
+            return []
+        commands: list[BaseCommand] = []
+        for assignment in self.table.assignments:
+            progress = self.progress[(assignment.keys, assignment.fence)]
+            self._drop_ended_holds(progress, now)
+            if progress.pending:
+                commands.extend(self._releases(assignment, progress, now))
+            elif self._is_due(progress, assignment.owner, now):
+                commands.append(self._grant(assignment, progress))
+        for command in commands:
+            self._mark_busy(command)
+        return commands
+
+    def note_sent(self, command: GrantCommand, now: float) -> None:
+        """Takes note that a grant is about to be sent: it may come true whatever follows."""
+        holds = self.holds.get(command.server)
+        if holds is None:
+            # What a former decider granted is not known, so the most is assumed.
+            holds = {(command.keys, FORMER_DECIDER): self.former_hold_ends}
+            self.holds[command.server] = holds
+        holds[(command.keys, command.fence)] = now + COMMAND_SECONDS + HOLD_TIME
+
+    def note_not_sent(self, command: GrantCommand) -> None:
+        """Takes note that a grant was not sent after all: no byte of it left."""
+        progress = self._progress_of(command.keys, command.fence, command.server)
+        holds = self.holds.get(command.server, {})
+        if progress is not None and not progress.granted:
+            holds.pop((command.keys, command.fence), None)
+        elif progress is not None:
+            until = progress.granted_at + HOLD_TIME
+            holds[(command.keys, command.fence)] = max(until, progress.unanswered_until)
+
+    def note_granted(self, command: GrantCommand, now: float) -> None:
+        """Takes a server's word that it holds the keys."""
+        holds = self.holds.setdefault(command.server, {})
+        holds[(command.keys, command.fence)] = now + HOLD_TIME
+        progress = self._progress_of(command.keys, command.fence, command.server)
+        if progress is not None:
+            progress.granted = True
+            progress.granted_at = now
+            progress.unanswered_until = 0.0
+            progress.due_at[command.server] = now + RENEWAL_SECONDS
+
+    def note_released(self, command: ReleaseCommand, handover: str, now: float) -> None:
+        """Takes a server's word that it gave the keys up, with the token for the next holder."""
+        progress = self._progress_of(command.keys, command.fence, command.server)
+        if progress is None:
+            return
+        if command.server in progress.pending:
+            progress.pending.remove(command.server)
+        progress.handover = handover or progress.handover
+
+    def note_failed(self, command: BaseCommand, now: float) -> None:
+        """Takes note that a command had no good end; it is due again soon."""
+        keys, fence = _subject(command)
+        progress = self._progress_of(keys, fence, command.server)
+        if progress is None:
+            return
+        progress.due_at[command.server] = now + RETRY_SECONDS
+        if isinstance(command, GrantCommand):
+            until = self.holds.get(command.server, {}).get((keys, fence), 0.0)
+            progress.unanswered_until = max(progress.unanswered_until, until)
+
+    def note_life_ended(self, server: ServerLife) -> None:
+        """Takes note that a life of a server is over: it holds nothing, whatever was granted."""
+        self.ended.add(server)
+
+    def settled(self) -> OwnershipTable | None:
+        """Returns the table without former holders that have given up, None when there are none."""
+        if self.table is None:
+            return None
+        assignments = tuple(self._settled_assignment(found) for found in self.table.assignments)
+        if assignments == self.table.assignments:
+            return None
+        return OwnershipTable(self.table.service, self.table.fence, assignments)
+
+    def ungranted(self) -> int:
+        """Returns how many keys no server has confirmed to hold."""
+        if self.table is None:
+            return 0
+        return sum(
+            len(assignment.keys)
+            for assignment in self.table.assignments
+            if not self.progress[(assignment.keys, assignment.fence)].granted
+        )
+
+    def hold_ends(self, server: ServerLife) -> float:
+        """Returns when no grant to a server can be in force any more."""
+        if server in self.ended:
+            return float("-inf")
+        holds = self.holds.get(server)
+        if holds is None:
+            return self.former_hold_ends
+        return max(holds.values(), default=float("-inf"))
+
+    def _granted_ranges(self) -> list[tuple[Assignment, _Progress]]:
+        if self.table is None:
+            return []
+        return [
+            (assignment, self.progress[(assignment.keys, assignment.fence)])
+            for assignment in self.table.assignments
+        ]
+
+    def _inherit(
+        self,
+        progress: _Progress,
+        assignment: Assignment,
+        former: list[tuple[Assignment, _Progress]],
+    ) -> None:
+        """Takes over the state of the assignment that a new one was cut from."""
+        for old, state in former:
+            if old.fence == assignment.fence and old.keys.overlaps(assignment.keys):
+                progress.pending = list(state.pending)
+                progress.handover = state.handover
+                progress.granted = state.granted
+                progress.granted_at = state.granted_at
+                progress.unanswered_until = state.unanswered_until
+                progress.due_at = dict(state.due_at)
+                return
+
+    def _settled_assignment(self, assignment: Assignment) -> Assignment:
+        progress = self.progress[(assignment.keys, assignment.fence)]
+        if not assignment.previous or progress.pending or not progress.granted:
+            return assignment
+        return assignment.replace(previous=(), handover="")
+
+    def _drop_ended_holds(self, progress: _Progress, now: float) -> None:
+        progress.pending = [life for life in progress.pending if now < self.hold_ends(life)]
+
+    def _releases(
+        self, assignment: Assignment, progress: _Progress, now: float
+    ) -> list[BaseCommand]:
+        return [
+            ReleaseCommand(life, assignment.keys, assignment.fence)
+            for life in progress.pending
+            if self._is_due(progress, life, now)
+        ]
+
+    def _grant(self, assignment: Assignment, progress: _Progress) -> GrantCommand:
+        handover = "" if progress.granted else progress.handover
+        return GrantCommand(
+            assignment.owner, assignment.keys, assignment.fence, handover, progress.granted
+        )
+
+    def _is_due(self, progress: _Progress, life: ServerLife, now: float) -> bool:
+        return life not in progress.busy and now >= progress.due_at.get(life, 0.0)
+
+    def _mark_busy(self, command: BaseCommand) -> None:
+        keys, fence = _subject(command)
+        self.progress[(keys, fence)].busy.add(command.server)
+
+    def _progress_of(self, keys: KeyRange, fence: int, server: ServerLife) -> _Progress | None:
+        progress = self.progress.get((keys, fence))
+        if progress is not None:
+            progress.busy.discard(server)
+        return progress
+
+
+def _subject(command: BaseCommand) -> tuple[KeyRange, int]:
+    if isinstance(command, GrantCommand | ReleaseCommand):
+        return command.keys, command.fence
+    raise TypeError(type(command).__name__)
--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
@@ -0,0 +1,77 @@
+"""How often each key was asked for lately, over all daemons."""
+
+import bisect
+import math
+
+from fireflylink_core import KeyRange
+
+HALF_LIFE_SECONDS = 1.0
+FORGOTTEN_BELOW = 0.02
+
+
+class KeyLoad:
+    """Requests a second of each key, averaged with exponential decay.
+
+    Sparse: a key that was not asked for costs nothing. ``scale`` turns the decayed count into a
+    rate.
+
+    Example::
+
+        load.add(513, 1.0)
+        load.advance(clock.now())
+    """
+
+    __slots__ = ("advanced_at", "counts", "service", "started_at")
+
+    def __init__(self, service: str, now: float) -> None:
+        self.service = service
+        self.counts: dict[int, float] = {}
+        self.started_at = now
+        self.advanced_at = now
+
+    def add(self, key: int, requests: float) -> None:
+        """Counts requests of a key."""
+        self.counts[key] = self.counts.get(key, 0.0) + requests
+
+    def advance(self, now: float) -> None:
+        """Lets what was counted before fade."""
+        factor = 0.5 ** (max(0.0, now - self.advanced_at) / HALF_LIFE_SECONDS)
+        self.advanced_at = now
+        self.counts = {
+            key: count * factor
+            for key, count in self.counts.items()
+            if count * factor >= FORGOTTEN_BELOW
+        }
+
+    def scale(self, now: float) -> float:
+        """Returns the factor from a decayed count to requests a second."""
+        age = max(HALF_LIFE_SECONDS / 2, now - self.started_at)
+        mean_life = HALF_LIFE_SECONDS / math.log(2)
+        return 1.0 / (mean_life * (1.0 - math.exp(-age / mean_life)))
+
+    def sorted_rates(self, now: float) -> list[tuple[int, float]]:
+        """Returns the keys that were asked for, in order, with their rates."""
+        scale = self.scale(now)
+        return [(key, self.counts[key] * scale) for key in sorted(self.counts)]
+
+
+class RangeLoad:
+    """The rates of keys in their order, for sums over ranges."""
+
+    __slots__ = ("keys", "rates", "sums")
+
+    def __init__(self, rates: list[tuple[int, float]]) -> None:
+        self.keys = [key for key, _ in rates]
+        self.rates = [rate for _, rate in rates]
+        self.sums = [0.0]
+        for rate in self.rates:
+            self.sums.append(self.sums[-1] + rate)
+
+    def total(self, keys: KeyRange) -> float:
+        """Returns the rate of a range."""
+        first, last = self.bounds(keys)
+        return self.sums[last] - self.sums[first]
+
+    def bounds(self, keys: KeyRange) -> tuple[int, int]:
+        """Returns the positions of a range's keys: the first one, and the one after the last."""
+        return bisect.bisect_left(self.keys, keys.first), bisect.bisect_right(self.keys, keys.last)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -1,105 +1,252 @@
-"""The planner of the system: rules applied in order to a draft."""
+"""Who should own which keys: lost owners, joined servers, keys that became busy.
+
+Busy keys lie close together and change within seconds, so ranges are cut by measured load. A piece
+is cut from an end of a range: that keeps the number of ranges, and with it of renewals, small. The
+price is that a piece may take some quiet keys along.
+"""
 
 from fireflylink_core import (
-    DataCentreState,
-    Isolation,
+    FIRST_KEY,
+    KEY_COUNT,
+    LAST_KEY,
+    Assignment,
+    KeyRange,
     OwnershipTable,
-    data_centre_of_table,
-    isolation_of_table,
-)
-from fireflylink_decisions.ownership._claims import ClaimRule, WithdrawalRule
-from fireflylink_decisions.ownership._draft import PlanningDraft
-from fireflylink_decisions.ownership._errors import OwnershipError
-from fireflylink_decisions.ownership._groups import GatewayRule, GroupRule
-from fireflylink_decisions.ownership._hot_keys import HotKeyRule
-from fireflylink_decisions.ownership._pending import (
-    CleanupRule,
-    ConfirmationRule,
-    OrphanRule,
-    RecoveryRule,
+    ServerLife,
 )
-from fireflylink_decisions.ownership._plan import EMPTY_PLAN, BasePlanner, Plan, PlanningInput
-from fireflylink_decisions.ownership._rebalancing import RebalancingRule
-from fireflylink_decisions.ownership._relocation import RelocationRule
-from fireflylink_decisions.ownership._rule import BaseRule
-from fireflylink_decisions.ownership._takeover import TakeoverRule
-from fireflylink_decisions.ownership._voters import VoterRule
-
-
-class BoundedLoadPlanner(BasePlanner):
-    """Places shards by bounded-load rendezvous hashing.
-
-    Example::
-
-        plan = BoundedLoadPlanner().plan(planning_input)
-        for table in plan.tables:
-            write_by_cas(table)
-    """
-
-    __slots__ = ("rules",)
-
-    def __init__(self) -> None:
-        self.rules: tuple[BaseRule, ...] = (
-            VoterRule(),
-            WithdrawalRule(),
-            GroupRule(),
-            GatewayRule(),
-            ConfirmationRule(),
-            CleanupRule(),
-            OrphanRule(),
-            RecoveryRule(),
-            ClaimRule(),
-            RelocationRule(),
-            TakeoverRule(),
-            HotKeyRule(),
-            RebalancingRule(),
+from fireflylink_decisions.ownership._draft import Draft
+from fireflylink_decisions.ownership._key_load import RangeLoad
+from fireflylink_decisions.ownership._plan_values import Candidate
+
+BUSY_UTILIZATION = 0.55
+"""Below this, a server's own queue absorbs the load and a move would gain nothing."""
+
+IMBALANCE = 1.35
+"""A server is relieved when it is this much above the mean."""
+
+AIM = 1.1
+MAX_MOVES = 10
+MAX_RANGES_PER_SERVER = 4
+NEW_SERVER_PART = 0.7
+"""A server that joined is filled up to this part of the mean load."""
+
+
+def first_table(service: str, candidates: list[Candidate], fence: int) -> OwnershipTable:
+    """Returns a table of a service that has none: ranges in proportion to the capacities."""
+    ordered = sorted(candidates, key=lambda candidate: (candidate.data_centre, str(candidate.life)))
+    total = sum(candidate.capacity for candidate in ordered)
+    assignments = []
+    first = FIRST_KEY
+    reached = 0.0
+    for candidate in ordered:
+        reached += candidate.capacity
+        end = FIRST_KEY + round(KEY_COUNT * reached / total)
+        if candidate is ordered[-1]:
+            end = LAST_KEY + 1
+        if end > first:
+            assignments.append(Assignment(KeyRange(first, end - 1), candidate.life, fence))
+            first = end
+    return OwnershipTable(service, fence, tuple(assignments))
+
+
+def plan(
+    table: OwnershipTable, candidates: list[Candidate], loads: RangeLoad
+) -> OwnershipTable | None:
+    """Returns a better table under a new fence, None when the present one is good enough."""
+    if not candidates:
+        return None
+    draft = Draft(table, loads)
+    planner = _Planner(draft, candidates)
+    planner.replace_lost_owners()
+    planner.fill_joined_servers()
+    planner.relieve_busy_servers()
+    if draft.changed or len(draft.assignments) > len(candidates) * MAX_RANGES_PER_SERVER / 2:
+        draft.merge()
+    return draft.table() if draft.changed else None
+
+
+class _Planner:
+    """The steps of one plan."""
+
+    __slots__ = ("candidates", "draft", "mean", "rates")
+
+    def __init__(self, draft: Draft, candidates: list[Candidate]) -> None:
+        self.draft = draft
+        self.candidates = {candidate.life: candidate for candidate in candidates}
+        self.rates = {life: draft.load(life) for life in self.candidates}
+        total = draft.loads.sums[-1]
+        self.mean = total / sum(candidate.capacity for candidate in candidates)
+
+    def replace_lost_owners(self) -> None:
+        """Gives the keys of servers that may not own any to the least busy ones."""
+        index = 0
+        while index < len(self.draft.assignments):
+            assignment = self.draft.assignments[index]
+            if assignment.owner not in self.candidates:
+                pieces = self._pieces(assignment.keys)
+                for piece in pieces:
+                    self._give(index, piece)
+                    index += 1
+            else:
+                index += 1
+
+    def fill_joined_servers(self) -> None:
+        """Gives a server without keys a part of the keys of others."""
+        owners = {assignment.owner for assignment in self.draft.assignments}
+        for life in sorted(self.candidates, key=str):
+            if life not in owners:
+                self._fill(life)
+
+    def relieve_busy_servers(self) -> None:
+        """Moves load from the busiest servers to the least busy ones."""
+        for _ in range(MAX_MOVES):
+            if len(self.draft.assignments) >= len(self.candidates) * MAX_RANGES_PER_SERVER:
+                return
+            busiest = max(self.candidates, key=self._utilization)
+            if self._utilization(busiest) < max(BUSY_UTILIZATION, IMBALANCE * self.mean):
+                return
+            if not self._relieve(busiest):
+                return
+
+    def _utilization(self, life: ServerLife) -> float:
+        return self.rates[life] / self.candidates[life].capacity
+
+    def _pieces(self, keys: KeyRange) -> list[KeyRange]:
+        """Cuts the keys of a lost server so that no piece exceeds what one server should take."""
+        room = max(self.mean, BUSY_UTILIZATION) * max(
+            candidate.capacity for candidate in self.candidates.values()
         )
-
-    def plan(self, planning_input: PlanningInput) -> Plan:
-        _check(planning_input)
-        if planning_input.configuration.version == 0:
-            return EMPTY_PLAN
-        draft = PlanningDraft(planning_input)
-        if draft.own.base is None and not _wants_table(draft):
-            return EMPTY_PLAN
-        for rule in self.rules:
-            rule.apply(draft)
-        return Plan(_changed_tables(draft), tuple(draft.moves))
-
-
-def _check(planning_input: PlanningInput) -> None:
-    table_id = planning_input.table_id
-    try:
-        isolation_of_table(table_id)
-    except ValueError:
-        raise OwnershipError(
-            f"table_id {table_id!r} is not '<data centre>.keep' or '<data centre>.yield'"
-        ) from None
-    if not planning_input.write_id:
-        raise OwnershipError("write_id is empty; it has to be unique to the write")
-
-
-def _wants_table(draft: PlanningDraft) -> bool:
-    """Tells whether a table that does not exist is to be created."""
-    if not draft.local_members() or draft.data_centre not in draft.configuration.data_centres:
-        return False
-    if draft.state_of(draft.data_centre) is DataCentreState.LOST:
-        return False
-    # The keep table is always needed, as its first live voter is the root of the data centre.
-    if draft.isolation is Isolation.KEEP:
+        pieces: list[KeyRange] = []
+        rest = keys
+        while self.draft.loads.total(rest) > room and len(pieces) < MAX_MOVES:
+            cut = _cut_first(self.draft.loads, rest, room / 2)
+            if cut is None or cut.last >= rest.last:
+                break
+            pieces.append(cut)
+            rest = KeyRange(cut.last + 1, rest.last)
+        return [*pieces, rest]
+
+    def _give(self, index: int, keys: KeyRange) -> None:
+        """Gives keys at the start of an assignment to the server that then is the least busy."""
+        rate = self.draft.loads.total(keys)
+        part = len(keys) / KEY_COUNT
+        receiver = min(
+            self.candidates,
+            key=lambda life: (
+                (self.rates[life] + rate) / self.candidates[life].capacity,
+                self._owned_part(life) + part,
+            ),
+        )
+        self.draft.move(index, keys, receiver)
+        self.rates[receiver] += rate
+
+    def _owned_part(self, life: ServerLife) -> float:
+        return sum(
+            len(assignment.keys)
+            for assignment in self.draft.assignments
+            if assignment.owner == life
+        ) / (KEY_COUNT * self.candidates[life].capacity)
+
+    def _fill(self, life: ServerLife) -> None:
+        giver = max(self.candidates, key=lambda other: (self._utilization(other), str(other)))
+        ranges = self._ranges_of(giver)
+        if not ranges:
+            return
+        index = max(ranges, key=lambda found: self._rank_of_range(found))
+        keys = self.draft.assignments[index].keys
+        wanted = self.mean * self.candidates[life].capacity * NEW_SERVER_PART
+        wanted = min(wanted, self.rates[giver] * 0.5)
+        cut = _cut_last(self.draft.loads, keys, wanted) or _half(keys)
+        if cut is None:
+            return
+        self._shift(index, cut, giver, life)
+
+    def _relieve(self, giver: ServerLife) -> bool:
+        """Moves one piece from a busy server; returns whether that helped."""
+        receiver = min(self.candidates, key=self._utilization)
+        aim = max(self.mean * AIM, BUSY_UTILIZATION / 2)
+        excess = self.rates[giver] - aim * self.candidates[giver].capacity
+        room = aim * self.candidates[receiver].capacity - self.rates[receiver]
+        wanted = min(excess, room)
+        ranges = self._ranges_of(giver)
+        if wanted <= 0 or not ranges:
+            return False
+        index = max(ranges, key=lambda found: self.draft.loads.total(self._keys(found)))
+        cut = self._cut(self._keys(index), wanted)
+        if cut is None:
+            return False
+        moved = self.draft.loads.total(cut)
+        after = (self.rates[receiver] + moved) / self.candidates[receiver].capacity
+        if moved <= 0 or after >= self._utilization(giver):
+            return False
+        self._shift(index, cut, giver, receiver)
         return True
-    return any(draft.data_centre in service.data_centres for service in draft.own_services())
-
-
-def _changed_tables(draft: PlanningDraft) -> tuple[OwnershipTable, ...]:
-    """Returns the changed tables: destinations, the own table, then lost sources."""
-    order = sorted(draft.tables, key=lambda table_id: (_rank(draft, table_id), table_id))
-    built = [draft.tables[table_id].built(draft.source.write_id) for table_id in order]
-    return tuple(table for table in built if table is not None)
-
 
-def _rank(draft: PlanningDraft, table_id: str) -> int:
-    if table_id == draft.own.table_id:
-        return 1
-    lost = draft.state_of(data_centre_of_table(table_id)) is DataCentreState.LOST
-    return 2 if lost else 0
+    def _cut(self, keys: KeyRange, wanted: float) -> KeyRange | None:
+        """Returns the piece at the end that takes the fewest quiet keys along."""
+        cuts = [
+            cut
+            for cut in (
+                _cut_first(self.draft.loads, keys, wanted),
+                _cut_last(self.draft.loads, keys, wanted),
+            )
+            if cut is not None
+        ]
+        return min(cuts, key=len, default=None)
+
+    def _shift(self, index: int, cut: KeyRange, giver: ServerLife, receiver: ServerLife) -> None:
+        rate = self.draft.loads.total(cut)
+        self.draft.move(index, cut, receiver)
+        self.rates[giver] -= rate
+        self.rates[receiver] += rate
+
+    def _ranges_of(self, life: ServerLife) -> list[int]:
+        """Returns the positions of a server's ranges that nothing is pending for."""
+        return [
+            index
+            for index, assignment in enumerate(self.draft.assignments)
+            if assignment.owner == life and not assignment.previous
+        ]
+
+    def _keys(self, index: int) -> KeyRange:
+        return self.draft.assignments[index].keys
+
+    def _rank_of_range(self, index: int) -> tuple[float, int]:
+        keys = self._keys(index)
+        return (self.draft.loads.total(keys), len(keys))
+
+
+def _cut_first(loads: RangeLoad, keys: KeyRange, wanted: float) -> KeyRange | None:
+    """Returns keys from the start of a range with about the wanted rate, but not all of them."""
+    position, end = loads.bounds(keys)
+    base = loads.sums[position]
+    last = None
+    while position < end and loads.sums[position + 1] - base <= wanted:
+        last = loads.keys[position]
+        position += 1
+    if last is None:
+        last = loads.keys[position] if position < end else None
+    if last is None or last >= keys.last:
+        return None
+    return KeyRange(keys.first, last)
+
+
+def _cut_last(loads: RangeLoad, keys: KeyRange, wanted: float) -> KeyRange | None:
+    """Returns keys from the end of a range with about the wanted rate, but not all of them."""
+    start, position = loads.bounds(keys)
+    top = loads.sums[position]
+    first = None
+    while position > start and top - loads.sums[position - 1] <= wanted:
+        first = loads.keys[position - 1]
+        position -= 1
+    if first is None:
+        first = loads.keys[position - 1] if position > start else None
+    if first is None or first <= keys.first:
+        return None
+    return KeyRange(first, keys.last)
+
+
+def _half(keys: KeyRange) -> KeyRange | None:
+    if len(keys) < 2:
+        return None
+    return KeyRange(keys.first + len(keys) // 2, keys.last)
--- a/packages/decisions/src/fireflylink_decisions/retries/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/__init__.py
@@ -1,23 +1,5 @@
-"""Whether a call that went wrong is made again, and what its caller is told."""
+"""Whether and where a request is sent again."""
 
-from fireflylink_decisions.retries._call_result import CallOutcome, CallResult
-from fireflylink_decisions.retries._classify import Verdict, classify
-from fireflylink_decisions.retries._retry_budget import RetryBudget
-from fireflylink_decisions.retries._retry_policy import (
-    UNVERIFIED_REASONS,
-    RequestAttempts,
-    RetryAt,
-    RetryPolicy,
-)
+from fireflylink_decisions.retries._attempts import Attempts, BaseNext, GiveUp, TryAgain
 
-__all__ = [
-    "UNVERIFIED_REASONS",
-    "CallOutcome",
-    "CallResult",
-    "RequestAttempts",
-    "RetryAt",
-    "RetryBudget",
-    "RetryPolicy",
-    "Verdict",
-    "classify",
-]
+__all__ = ["Attempts", "BaseNext", "GiveUp", "TryAgain"]
--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/servers/__init__.py
@@ -0,0 +1,25 @@
+"""Backend servers: which exist, how they do, which one gets a request."""
+
+from fireflylink_decisions.servers._server_choice import (
+    ServiceTerms,
+    choose_server,
+    cost_seconds,
+    room_at,
+)
+from fireflylink_decisions.servers._server_directory import (
+    LAPSE_GRACE_SECONDS,
+    DirectoryEntry,
+    ServerDirectory,
+)
+from fireflylink_decisions.servers._server_tracker import ServerTracker
+
+__all__ = [
+    "LAPSE_GRACE_SECONDS",
+    "DirectoryEntry",
+    "ServerDirectory",
+    "ServerTracker",
+    "ServiceTerms",
+    "choose_server",
+    "cost_seconds",
+    "room_at",
+]
--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -0,0 +1,86 @@
+"""Which of several servers gets a request, and whether one server has room."""
+
+from fireflylink_decisions.limits import ColdLimit, FleetPosition
+from fireflylink_decisions.servers._server_tracker import ServerTracker
+
+QUEUE_DEPTH = 3.0
+"""A server is given at most this many requests a slot; more would wait at the daemon."""
+
+DISTANCE_SECONDS = 0.03
+"""What a server in another data centre must be faster by, for the price of the bytes."""
+
+FAILURE_SECONDS = 0.6
+"""What a certain failure counts as, in seconds of latency."""
+
+CONNECTION_SAFE_PART = 0.8
+DEAD_AFTER_FAILURES = 2
+DEAD_RETRY_SECONDS = 0.5
+
+
+class ServiceTerms:
+    """Limits of one service's servers, and this daemon's place among the others."""
+
+    __slots__ = ("cold_limit", "connection_limit", "data_centre", "position")
+
+    def __init__(
+        self,
+        cold_limit: ColdLimit,
+        connection_limit: int,
+        position: FleetPosition,
+        data_centre: str,
+    ) -> None:
+        self.cold_limit = cold_limit
+        self.connection_limit = connection_limit
+        self.position = position
+        self.data_centre = data_centre
+
+    @property
+    def connection_share(self) -> int:
+        """How many connections this daemon may open to one server."""
+        return max(1, int(self.position.fraction(self.connection_limit) * CONNECTION_SAFE_PART))
+
+
+def room_at(tracker: ServerTracker, terms: ServiceTerms, now: float) -> float | None:
+    """Returns when a server may be given one more request; None until another one ends."""
+    if tracker.in_flight >= terms.connection_share:
+        return None
+    if tracker.queue(now) + 1.0 > tracker.server.slots * QUEUE_DEPTH:
+        return None
+    server_id = tracker.server.server_id
+    open_at = tracker.gate.open_at(now, terms.cold_limit, terms.position, server_id)
+    if tracker.silent_failures >= DEAD_AFTER_FAILURES:
+        open_at = max(open_at, tracker.failure_rate_at + DEAD_RETRY_SECONDS)
+    return open_at
+
+
+def cost_seconds(tracker: ServerTracker, terms: ServiceTerms, now: float) -> float:
+    """Returns the expected time of one more request, with distance and failures counted in."""
+    distant = tracker.server.data_centre != terms.data_centre
+    return (
+        tracker.expected_seconds(now)
+        + tracker.failures(now) * FAILURE_SECONDS
+        + (DISTANCE_SECONDS if distant else 0.0)
+    )
+
+
+def choose_server(
+    candidates: list[ServerTracker],
+    terms: ServiceTerms,
+    now: float,
+    tried: frozenset[str],
+) -> ServerTracker | None:
+    """Returns the server with the least cost among those with room now, None without one.
+
+    Servers that were tried for the request are taken only when there is no other.
+    """
+    open_now = [tracker for tracker in candidates if _has_room(tracker, terms, now)]
+    untried = [tracker for tracker in open_now if tracker.server.server_id not in tried]
+    choices = untried or open_now
+    if not choices:
+        return None
+    return min(choices, key=lambda tracker: cost_seconds(tracker, terms, now))
+
+
+def _has_room(tracker: ServerTracker, terms: ServiceTerms, now: float) -> bool:
+    open_at = room_at(tracker, terms, now)
+    return open_at is not None and open_at <= now
--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -0,0 +1,128 @@
+"""Which backend servers exist, and which of them may get work."""
+
+from fireflylink_core import BackendServer, ServerState
+
+LAPSE_GRACE_SECONDS = 2.0
+"""Registrations that expired while the store was away are back this long after its return."""
+
+
+class DirectoryEntry:
+    """A registered server and what is known of its leaving.
+
+    ``missing`` tells that its registration expired around an outage of the store, so that it may
+    come back. ``leaving_since`` is when it was first seen to drain.
+    """
+
+    __slots__ = ("joined_at", "leaving_since", "missing", "server")
+
+    def __init__(self, server: BackendServer, joined_at: float) -> None:
+        self.server = server
+        self.joined_at = joined_at
+        self.missing = False
+        self.leaving_since: float | None = None
+
+
+class ServerDirectory:
+    """The registrations that the store holds, as far as this daemon has read them.
+
+    Example::
+
+        directory.put(server, now)
+        for entry in directory.usable("holds"):
+            ...
+    """
+
+    __slots__ = ("entries", "evacuated", "store_reached", "trusted_from")
+
+    def __init__(self) -> None:
+        self.entries: dict[str, DirectoryEntry] = {}
+        self.evacuated: dict[str, float] = {}
+        self.store_reached = True
+        self.trusted_from = float("-inf")
+
+    def put(self, server: BackendServer, now: float) -> DirectoryEntry:
+        """Takes a registration; a changed life makes a new entry."""
+        entry = self.entries.get(server.server_id)
+        if entry is None or entry.server.life != server.life or _moved(entry.server, server):
+            entry = DirectoryEntry(server, now)
+            self.entries[server.server_id] = entry
+        entry.server = server
+        entry.missing = False
+        if server.state is not ServerState.DRAINING:
+            entry.leaving_since = None
+        elif entry.leaving_since is None:
+            entry.leaving_since = now
+        return entry
+
+    def remove(self, server_id: str, now: float) -> bool:
+        """Takes the end of a registration; returns whether the server is gone for good.
+
+        Around an outage of the store a registration may have expired although its server lives:
+        it stays until ``LAPSE_GRACE_SECONDS`` after the store's return.
+        """
+        entry = self.entries.get(server_id)
+        if entry is None:
+            return False
+        draining = entry.server.state is ServerState.DRAINING
+        if draining or (self.store_reached and now >= self.trusted_from):
+            del self.entries[server_id]
+            return True
+        entry.missing = True
+        return False
+
+    def keep_only(self, server_ids: frozenset[str], now: float) -> list[str]:
+        """Takes a whole reading of the store; returns the servers that are gone for good."""
+        absent = [server_id for server_id in self.entries if server_id not in server_ids]
+        return [server_id for server_id in absent if self.remove(server_id, now)]
+
+    def note_store_lost(self) -> None:
+        """Takes note that the store does not answer this daemon."""
+        self.store_reached = False
+
+    def note_store_reached(self, now: float) -> None:
+        """Takes note that the store answers; after an outage the grace time begins."""
+        if not self.store_reached:
+            self.store_reached = True
+            self.trusted_from = now + LAPSE_GRACE_SECONDS
+
+    def expire(self, now: float) -> list[str]:
+        """Drops registrations that were still missing at the end of the grace time."""
+        if not self.store_reached or now < self.trusted_from:
+            return []
+        gone = [server_id for server_id, entry in self.entries.items() if entry.missing]
+        for server_id in gone:
+            del self.entries[server_id]
+        return gone
+
+    def set_evacuated(self, data_centre: str, requested: bool, now: float) -> bool:
+        """Takes an evacuation or its end; returns whether that is news."""
+        if requested == (data_centre in self.evacuated):
+            return False
+        if requested:
+            self.evacuated[data_centre] = now
+        else:
+            del self.evacuated[data_centre]
+        return True
+
+    def find(self, server_id: str) -> DirectoryEntry | None:
+        """Returns the entry of a server."""
+        return self.entries.get(server_id)
+
+    def may_get_work(self, entry: DirectoryEntry) -> bool:
+        """Whether new work may be placed on a server."""
+        return (
+            entry.server.state is ServerState.READY
+            and entry.server.data_centre not in self.evacuated
+        )
+
+    def usable(self, service: str) -> list[DirectoryEntry]:
+        """Returns the servers of a service that may get new work."""
+        return [
+            entry
+            for entry in self.entries.values()
+            if entry.server.service == service and self.may_get_work(entry)
+        ]
+
+
+def _moved(old: BackendServer, new: BackendServer) -> bool:
+    return (old.host, old.port, old.service) != (new.host, new.port, new.service)
