--- /dev/null
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -0,0 +1,121 @@
+"""What this daemon knows of one server from its own requests and the server's answers."""
+
+import math
+
+from fireflylink_core import BackendServer, ServerLoad
+from fireflylink_decisions.limits import ColdGate
+
+DEFAULT_BASE_SECONDS = 0.12
+"""Service time that is assumed before the first answer."""
+
+BASE_WEIGHT = 0.15
+FAILURE_WEIGHT = 0.15
+REPORT_DECAY_SECONDS = 1.0
+PACE_DECAY_SECONDS = 0.5
+FAILURE_DECAY_SECONDS = 3.0
+FULLNESS_SLOWDOWN = 0.3
+"""Servers slow down somewhat when their slots fill up."""
+
+
+class ServerTracker:
+    """In-flight requests, reported load, speed and failures of one life of a server.
+
+    ``base_seconds`` is the service time on an idle server at its usual pace, ``failure_rate`` the
+    recent part of requests that failed. Reports count less as they age.
+    """
+
+    __slots__ = (
+        "answers",
+        "base_seconds",
+        "failure_rate",
+        "failure_rate_at",
+        "gate",
+        "in_flight",
+        "reported",
+        "reported_at",
+        "reported_own",
+        "server",
+        "silent_failures",
+    )
+
+    def __init__(self, server: BackendServer) -> None:
+        self.server = server
+        self.gate = ColdGate()
+        self.in_flight = 0
+        self.answers = 0
+        self.base_seconds = DEFAULT_BASE_SECONDS
+        self.failure_rate = 0.0
+        self.failure_rate_at = 0.0
+        self.reported: ServerLoad | None = None
+        self.reported_at = 0.0
+        self.reported_own = 0
+        self.silent_failures = 0
+
+    def note_sent(self, now: float) -> None:
+        """Counts a request that is about to be sent."""
+        self.in_flight += 1
+        self.gate.note_sent(now)
+
+    def note_ended(self) -> None:
+        """Counts the end of a request."""
+        self.in_flight -= 1
+
+    def note_load(self, load: ServerLoad, now: float) -> None:
+        """Takes the load that came with an answer."""
+        self.reported = load
+        self.reported_at = now
+        self.reported_own = max(0, self.in_flight - 1)
+
+    def note_answer(self, seconds: float, fullness: float, now: float) -> None:
+        """Takes a whole answer, its time, and how much the queue was expected to stretch it."""
+        self.answers += 1
+        self.silent_failures = 0
+        base = seconds / max(1.0, fullness) / self.pace(now)
+        weight = BASE_WEIGHT if self.answers > 4 else 0.5
+        self.base_seconds += weight * (base - self.base_seconds)
+        self._note_outcome(0.0, now)
+
+    def note_failure(self, now: float) -> None:
+        """Takes a request that failed at the server or was turned away without need."""
+        self._note_outcome(1.0, now)
+
+    def note_silence(self, now: float) -> None:
+        """Takes a connection that could not be opened or that brought no answer."""
+        self.silent_failures += 1
+        self._note_outcome(1.0, now)
+
+    def failures(self, now: float) -> float:
+        """Returns the recent part of failures; it fades while the server gets no requests."""
+        age = max(0.0, now - self.failure_rate_at)
+        return self.failure_rate * math.exp(-age / FAILURE_DECAY_SECONDS)
+
+    def pace(self, now: float) -> float:
+        """Returns how much longer work takes on the server's machine now than usual."""
+        if self.reported is None:
+            return 1.0
+        age = max(0.0, now - self.reported_at)
+        return 1.0 + (self.reported.pace - 1.0) * math.exp(-age / PACE_DECAY_SECONDS)
+
+    def queue(self, now: float) -> float:
+        """Returns how many requests the server is expected to hold, those of others included."""
+        if self.reported is None:
+            return float(self.in_flight)
+        age = max(0.0, now - self.reported_at)
+        others = self.reported.running + self.reported.waiting - self.reported_own
+        return self.in_flight + max(0, others) * math.exp(-age / REPORT_DECAY_SECONDS)
+
+    def fullness(self, now: float) -> float:
+        """Returns by how much one more request is stretched by those that the server holds."""
+        slots = self.server.slots
+        held = self.queue(now)
+        slowdown = 1.0 + FULLNESS_SLOWDOWN * min(1.0, held / slots)
+        return slowdown * (1.0 + max(0.0, held + 1.0 - slots) / slots)
+
+    def expected_seconds(self, now: float) -> float:
+        """Returns how long one more request is expected to take."""
+        return self.base_seconds * self.pace(now) * self.fullness(now)
+
+    def _note_outcome(self, outcome: float, now: float) -> None:
+        rate = self.failures(now)
+        self.failure_rate = rate + FAILURE_WEIGHT * (outcome - rate)
+        self.failure_rate_at = now
--- /dev/null
+++ b/packages/http_client/src/fireflylink_http_client/__init__.py
@@ -0,0 +1,16 @@
+"""HTTP exchanges over connections that a task owns."""
+
+from fireflylink_http_client._connection import HttpConnection
+from fireflylink_http_client._encoding import encode_request
+from fireflylink_http_client._errors import ExchangeError, LostError, NotSentError
+from fireflylink_http_client._response import HttpResponse, ResponseReader
+
+__all__ = [
+    "ExchangeError",
+    "HttpConnection",
+    "HttpResponse",
+    "LostError",
+    "NotSentError",
+    "ResponseReader",
+    "encode_request",
+]
--- a/packages/protocol/src/fireflylink_protocol/__init__.py
+++ b/packages/protocol/src/fireflylink_protocol/__init__.py
@@ -1,40 +1,45 @@
-"""The protocol between daemons: typed control messages over gRPC."""
+"""The inner protocol: records of the daemons in the store, and load reports between them."""
 
-from fireflylink_protocol._channel import PeerChannel
-from fireflylink_protocol._codec import (
-    decode_endorse_reply,
-    decode_endorse_request,
-    decode_handover_reply,
-    decode_handover_request,
-    decode_sync_reply,
-    decode_sync_request,
-    encode_endorse_reply,
-    encode_endorse_request,
-    encode_handover_reply,
-    encode_handover_request,
-    encode_sync_reply,
-    encode_sync_request,
+from fireflylink_protocol._errors import RecordError
+from fireflylink_protocol._load_report import (
+    MAX_REPORTED_KEYS,
+    LoadReport,
+    decode_report,
+    encode_report,
+)
+from fireflylink_protocol._records import (
+    DECIDER_KEY,
+    MEMBERS_PREFIX,
+    OWNERSHIP_PREFIX,
+    POISON_PREFIX,
+    RECORD_PREFIX,
+    MemberRecord,
+    decode_member,
+    decode_table,
+    encode_member,
+    encode_table,
+    member_key,
+    ownership_key,
+    poison_key,
 )
-from fireflylink_protocol._credentials import PeerCredentials
-from fireflylink_protocol._errors import PeerError
-from fireflylink_protocol._server import BaseControlHandler, ControlServer
 
 __all__ = [
-    "BaseControlHandler",
-    "ControlServer",
-    "PeerChannel",
-    "PeerCredentials",
-    "PeerError",
-    "decode_endorse_reply",
-    "decode_endorse_request",
-    "decode_handover_reply",
-    "decode_handover_request",
-    "decode_sync_reply",
-    "decode_sync_request",
-    "encode_endorse_reply",
-    "encode_endorse_request",
-    "encode_handover_reply",
-    "encode_handover_request",
-    "encode_sync_reply",
-    "encode_sync_request",
+    "DECIDER_KEY",
+    "MAX_REPORTED_KEYS",
+    "MEMBERS_PREFIX",
+    "OWNERSHIP_PREFIX",
+    "POISON_PREFIX",
+    "RECORD_PREFIX",
+    "LoadReport",
+    "MemberRecord",
+    "RecordError",
+    "decode_member",
+    "decode_report",
+    "decode_table",
+    "encode_member",
+    "encode_report",
+    "encode_table",
+    "member_key",
+    "ownership_key",
+    "poison_key",
 ]
--- a/packages/protocol/src/fireflylink_protocol/_errors.py
+++ b/packages/protocol/src/fireflylink_protocol/_errors.py
@@ -1,13 +1,7 @@
-"""Errors of the protocol between daemons."""
+"""Errors of the inner protocol."""
 
 from fireflylink_core import BaseFireflylinkError
 
 
-class PeerError(BaseFireflylinkError):
-    """A control message to another daemon was not answered in time or was refused."""
-
-    def __init__(self, peer: str, operation: str, problem: str) -> None:
-        super().__init__(f"peer={peer} operation={operation}: {problem}")
-        self.peer = peer
-        self.operation = operation
-        self.problem = problem
+class RecordError(BaseFireflylinkError):
+    """A record or a datagram of the daemons cannot be read."""
