--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -14,6 +14,7 @@
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
+HTTP_MISDIRECTED = 421
 
 
 class CommandError(BaseFireflylinkError):
@@ -57,13 +58,14 @@
         self, keys: KeyRange, fence: int, hold_seconds: float, handover: str, deadline: float
     ) -> Result[None, CommandError]:
         """Grants or renews keys; fails with ``HigherFenceError`` when another took them."""
-        sent = self._send(self.dialect.grant(keys, fence, hold_seconds, handover), deadline)
-        return sent.bind(_granted)
+        server_id = self.server.server_id
+        command = self.dialect.grant(server_id, keys, fence, hold_seconds, handover)
+        return self._send(command, deadline).bind(_granted)
 
     def release(self, keys: KeyRange, fence: int, deadline: float) -> Result[str, CommandError]:
         """Takes keys back; returns the hand-over token once the work on them has ended."""
-        sent = self._send(self.dialect.release(keys, fence), deadline)
-        return sent.bind(self._released)
+        command = self.dialect.release(self.server.server_id, keys, fence)
+        return self._send(command, deadline).bind(self._released)
 
     def health(self, path: str, deadline: float) -> Result[ServerHealth, CommandError]:
         """Asks for the server's health."""
@@ -114,4 +116,6 @@
         return Success(None)
     if response.status == HTTP_CONFLICT:
         return Failure(HigherFenceError())
+    if response.status == HTTP_MISDIRECTED:
+        return Failure(CommandError("another server has the address", False))
     return Failure(CommandError(f"grant: status {response.status}", True))
--- a/packages/backend_client/src/fireflylink_backend_client/_dialect.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_dialect.py
@@ -63,13 +63,13 @@
 
     @abc.abstractmethod
     def grant(
-        self, keys: KeyRange, fence: int, hold_seconds: float, handover: str
+        self, server_id: str, keys: KeyRange, fence: int, hold_seconds: float, handover: str
     ) -> ServerCommand:
-        """Returns the command that grants or renews keys."""
+        """Returns the command that grants or renews keys; only ``server_id`` carries it out."""
 
     @abc.abstractmethod
-    def release(self, keys: KeyRange, fence: int) -> ServerCommand:
-        """Returns the command that takes keys back."""
+    def release(self, server_id: str, keys: KeyRange, fence: int) -> ServerCommand:
+        """Returns the command that takes keys back from ``server_id``."""
 
     @abc.abstractmethod
     def handover(self, response: HttpResponse) -> str:
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -15,7 +15,7 @@
 from fireflylink_daemon._member_task import MemberTask
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._ownership_task import OwnershipTask
-from fireflylink_daemon._reporting import KeyCounter, ReportSocket
+from fireflylink_daemon._peers import KeyCounter, PeerSocket
 from fireflylink_daemon._request_path import RequestPath
 from fireflylink_daemon._serving import Serving
 from fireflylink_daemon._settings import Settings, read_settings
@@ -59,9 +59,9 @@
         "metrics",
         "metrics_listener",
         "ownership",
+        "peers",
         "reader",
         "readiness",
-        "reports",
         "serving",
         "settings",
         "settings_path",
@@ -92,22 +92,17 @@
         )
         self.member = MemberTask(record, self._store(), clock, self.metrics)
         self.decider = DeciderTask(record, self._store(), self.serving, clock, self.metrics)
-        self.ownership = OwnershipTask(self.serving, self.decider, clock, dialect)
+        keys = KeyCounter()
+        self.peers = PeerSocket(
+            settings.instance, settings.address, settings.report_port, keys, self.view
+        )
+        self.ownership = OwnershipTask(self.serving, self.decider, self.peers, clock, dialect)
+        self.peers.ownership = self.ownership
         self.decider.ownership = self.ownership
         self.view.ownership = self.ownership
         self.reader = StoreReader(
             self._store(), PlatformCatalogue(), self.view, clock, self.metrics
         )
-        keys = KeyCounter()
-        self.reports = ReportSocket(
-            settings.instance,
-            settings.address,
-            settings.report_port,
-            keys,
-            self.view,
-            self.ownership,
-            clock,
-        )
         path = RequestPath(self.serving, self.dispatch, keys, clock, self.metrics)
         self.callers = HttpListener(
             make_application(path, PlatformCallerDialect()),
@@ -139,7 +134,7 @@
             self.decider,
             self.ownership,
             self.reader,
-            self.reports,
+            self.peers,
         ):
             task.start()
         gevent.spawn(self._watch_settings)
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -3,7 +3,7 @@
 from fireflylink_backend_client import CommandError
 from fireflylink_core import OwnershipTable
 from fireflylink_decisions.ownership import BaseCommand
-from fireflylink_protocol import MemberRecord
+from fireflylink_protocol import LoadReport, MemberRecord
 from fireflylink_store import BaseFact
 
 
@@ -79,12 +79,12 @@
 
 
 class ReportReceived:
-    """A datagram arrived on the port for load reports."""
+    """Another daemon, or this one, reported the keys that it was asked for."""
 
-    __slots__ = ("datagram",)
+    __slots__ = ("report",)
 
-    def __init__(self, datagram: bytes) -> None:
-        self.datagram = datagram
+    def __init__(self, report: LoadReport) -> None:
+        self.report = report
 
 
 class CommandDue:
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -1,7 +1,5 @@
 """The decider's work: plans of ownership, grants and releases."""
 
-from returns.result import Success
-
 from fireflylink_backend_client import BaseServerDialect, CommandError, HigherFenceError
 from fireflylink_core import BackendServer, BaseClock, OwnershipTable, ServerLife
 from fireflylink_daemon._decider_task import CommitTable, DeciderTask
@@ -17,6 +15,7 @@
     ServersChanged,
     TableChanged,
 )
+from fireflylink_daemon._peers import PeerSocket
 from fireflylink_daemon._serving import Serving
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.ownership import (
@@ -29,13 +28,16 @@
     first_table,
     plan,
 )
-from fireflylink_protocol import decode_report
+from fireflylink_protocol import GrantNotice, LoadReport
 
 TICK_SECONDS = 0.1
-PLAN_SECONDS = 0.4
+PLAN_SECONDS = 0.25
 FIRST_TABLE_SECONDS = 1.5
 """Time for servers to register before the first table of a service."""
 
+SETTLE_SECONDS = 2.0
+"""Moves that have ended are written down after this time, unless another change comes before."""
+
 COMMIT_PATIENCE_SECONDS = 2.0
 UNREACHABLE_FAILURES = 3
 TRUSTED_ANSWERS = 8
@@ -55,6 +57,7 @@
         "next_plan",
         "revision",
         "seen_at",
+        "settled_at",
         "table",
     )
 
@@ -64,6 +67,7 @@
         self.book: GrantBook | None = None
         self.load = KeyLoad(service, now)
         self.seen_at = now
+        self.settled_at = now
         self.next_plan = 0.0
         self.commit_asked_at: float | None = None
         self.failures: dict[ServerLife, int] = {}
@@ -72,17 +76,28 @@
 class OwnershipTask(BaseTask):
     """Follows every ownership table; plans and grants while this daemon is the decider."""
 
-    __slots__ = ("decider", "deciding", "dialect", "grants", "next_tick", "services", "serving")
+    __slots__ = (
+        "decider",
+        "deciding",
+        "dialect",
+        "grants",
+        "next_tick",
+        "peers",
+        "services",
+        "serving",
+    )
 
     def __init__(
         self,
         serving: Serving,
         decider: DeciderTask,
+        peers: PeerSocket,
         clock: BaseClock,
         dialect: BaseServerDialect,
     ) -> None:
         super().__init__("ownership", clock)
         self.serving = serving
+        self.peers = peers
         self.decider = decider
         self.dialect = dialect
         self.deciding = False
@@ -107,7 +122,7 @@
         elif isinstance(message, CommandEnded):
             self._note_ended(message)
         elif isinstance(message, ReportReceived):
-            self._note_report(message.datagram)
+            self._note_report(message.report)
         elif isinstance(message, DeciderChanged):
             self.decider.post(message)
         elif isinstance(message, DeciderWon):
@@ -192,12 +207,16 @@
         self, name: str, service: _KeyedService, candidates: list[Candidate], now: float
     ) -> OwnershipTable | None:
         if service.table is None:
-            if now < service.seen_at + FIRST_TABLE_SECONDS:
+            joined = [entry.joined_at for entry in self.serving.directory.usable(name)]
+            if now < max(joined, default=now) + FIRST_TABLE_SECONDS:
                 return None
             return first_table(name, candidates, fence=1)
         rates = RangeLoad(service.load.sorted_rates(now))
         settled = service.book.settled() if service.book is not None else None
-        changed = plan(settled or service.table, candidates, rates)
+        if settled is None:
+            service.settled_at = now
+        lapsed = service.book.lapsed(now) if service.book is not None else frozenset()
+        changed = plan(settled or service.table, candidates, rates, lapsed)
         if changed is not None:
             log_event(
                 "ownership-planned",
@@ -206,7 +225,9 @@
                 ranges=len(changed.assignments),
                 requests_per_second=rates.sums[-1],
             )
-        return changed or settled
+        if changed is None and now >= service.settled_at + SETTLE_SECONDS:
+            return settled
+        return changed
 
     def _candidates(self, name: str, service: _KeyedService, now: float) -> list[Candidate]:
         entries = self.serving.directory.usable(name)
@@ -268,6 +289,7 @@
             service.failures.pop(command.server, None)
             book.note_granted(command, now)
             if not command.renewal:
+                self.peers.notify(GrantNotice(message.service, command.keys, command.fence))
                 log_event(
                     "keys-granted",
                     service=message.service,
@@ -329,12 +351,7 @@
                     if now_present.born_ms > life.born_ms > 0:
                         service.book.note_life_ended(life)
 
-    def _note_report(self, datagram: bytes) -> None:
-        decoded = decode_report(datagram)
-        if not isinstance(decoded, Success):
-            log_problem("report-unreadable", problem=decoded.failure())
-            return
-        report = decoded.unwrap()
+    def _note_report(self, report: LoadReport) -> None:
         if not self.deciding or not report.keys:
             return
         load = self._service(report.service).load
--- a/packages/daemon/src/fireflylink_daemon/_reporting.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -1,18 +1,25 @@
-"""Load reports: the keys that this daemon was asked for, sent to the decider."""
+"""Datagrams between daemons: load reports to the decider, notices of granted keys."""
 
 import random
 
 import gevent
 from gevent import socket
+from returns.result import Success
 
-from fireflylink_core import BaseClock
 from fireflylink_daemon._log import log_problem
 from fireflylink_daemon._messages import ReportReceived
 from fireflylink_daemon._task import BaseTask
 from fireflylink_daemon._view_task import ViewTask
-from fireflylink_protocol import MAX_REPORTED_KEYS, LoadReport, encode_report
-
-REPORT_SECONDS = 0.4
+from fireflylink_protocol import (
+    MAX_REPORTED_KEYS,
+    GrantNotice,
+    LoadReport,
+    MemberRecord,
+    decode_datagram,
+    encode_datagram,
+)
+
+REPORT_SECONDS = 0.25
 MAX_DATAGRAM_BYTES = 2048
 
 
@@ -47,73 +54,78 @@
         return taken
 
 
-class ReportSocket:
-    """Owns the datagram socket: sends this daemon's reports and receives those of others."""
+class PeerSocket:
+    """Owns the datagram socket between daemons.
+
+    It sends this daemon's load reports to the decider and the decider's notices to all members, and
+    receives those of others. A datagram may be lost: reports come again, and a daemon without a
+    notice tries the new owner after a time.
+    """
 
     __slots__ = (
-        "clock",
         "counter",
         "greenlets",
         "instance",
         "ownership",
         "sequence",
+        "serving",
         "sock",
         "view",
     )
 
     def __init__(
-        self,
-        instance: str,
-        host: str,
-        port: int,
-        counter: KeyCounter,
-        view: ViewTask,
-        ownership: BaseTask,
-        clock: BaseClock,
+        self, instance: str, host: str, port: int, counter: KeyCounter, view: ViewTask
     ) -> None:
         self.instance = instance
         self.counter = counter
         self.view = view
-        self.ownership = ownership
-        self.clock = clock
+        self.serving = view.serving
+        self.ownership: BaseTask | None = None
         self.sequence = 0
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, port))
         self.greenlets: list[gevent.Greenlet] = []
 
-    @property
-    def port(self) -> int:
-        """The port that reports are taken on."""
-        return int(self.sock.getsockname()[1])
-
     def start(self) -> None:
         """Starts to send and to receive."""
-        self.greenlets = [gevent.spawn(self._receive), gevent.spawn(self._send)]
+        self.greenlets = [gevent.spawn(self._receive), gevent.spawn(self._report)]
 
     def stop(self) -> None:
         """Ends both."""
         for greenlet in self.greenlets:
             greenlet.kill(block=False)
 
+    def notify(self, notice: GrantNotice) -> None:
+        """Tells every member that moved keys have arrived at their new owner."""
+        datagram = encode_datagram(notice)
+        for member in self.serving.members.values():
+            self._send(datagram, member)
+
     def _receive(self) -> None:
         while True:
-            datagram, _ = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
-            self.ownership.post(ReportReceived(datagram))
-
-    def _send(self) -> None:
+            datagram, sender = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
+            decoded = decode_datagram(datagram)
+            if not isinstance(decoded, Success):
+                log_problem("datagram-unreadable", sender=sender[0], problem=decoded.failure())
+                continue
+            message = decoded.unwrap()
+            if isinstance(message, GrantNotice):
+                self.view.post(message)
+            elif self.ownership is not None:
+                self.ownership.post(ReportReceived(message))
+
+    def _report(self) -> None:
         while True:
             gevent.sleep(REPORT_SECONDS)
             decider = self.view.decider
             for service, requests, keys in self.counter.take():
                 if decider is not None:
-                    self._send_report(decider.host, decider.port, service, requests, keys)
+                    self.sequence += 1
+                    report = LoadReport(self.instance, service, self.sequence, requests, keys)
+                    self._send(encode_datagram(report), decider)
 
-    def _send_report(
-        self, host: str, port: int, service: str, requests: int, keys: tuple[int, ...]
-    ) -> None:
-        self.sequence += 1
-        report = LoadReport(self.instance, service, self.sequence, requests, keys)
+    def _send(self, datagram: bytes, member: MemberRecord) -> None:
         try:
-            self.sock.sendto(encode_report(report), (host, port))
+            self.sock.sendto(datagram, (member.host, member.port))
         except OSError as error:
-            log_problem("report-not-sent", decider=f"{host}:{port}", problem=error)
+            log_problem("datagram-not-sent", to=member.instance, problem=error)
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -23,7 +23,7 @@
 from fireflylink_daemon._dispatch_task import DispatchTask, WaitingRequest
 from fireflylink_daemon._log import log_event
 from fireflylink_daemon._metrics import Metrics
-from fireflylink_daemon._reporting import KeyCounter
+from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._serving import Serving
 from fireflylink_decisions.dispatch import BasePlacement, Refuse, Send, Ticket
 from fireflylink_decisions.retries import Attempts, BaseNext, GiveUp, TryAgain
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -27,6 +27,7 @@
     ServerTracker,
     ServiceTerms,
 )
+from fireflylink_protocol import GrantNotice, MemberRecord
 
 KEYED_DRAIN_SECONDS = 1.2
 """How long a leaving owner still gets requests of its keys while they are handed over."""
@@ -65,7 +66,7 @@
         self.directory = ServerDirectory()
         self.dispatcher = Dispatcher()
         self.budgets: dict[str, RetryBudget] = {}
-        self.members: set[str] = set()
+        self.members: dict[str, MemberRecord] = {}
         self.owner_tables: dict[str, OwnershipTable] = {}
         self.position = position_of(settings.instance, ())
         self.trackers: dict[ServerLife, ServerTracker] = {}
@@ -93,7 +94,7 @@
         )
         return True
 
-    def set_members(self, members: set[str]) -> None:
+    def set_members(self, members: dict[str, MemberRecord]) -> None:
         """Takes the daemons that the store lists."""
         self.members = members
         self.position = position_of(self.settings.instance, tuple(members))
@@ -109,8 +110,13 @@
         self.owner_tables[table.service] = table
         pool = self.dispatcher.pools.get(table.service)
         if pool is not None:
-            pool.table = table
-            pool.doubted.clear()
+            pool.set_table(table, self.clock.now())
+
+    def note_granted(self, notice: GrantNotice) -> None:
+        """Takes the decider's word that moved keys have arrived at their new owner."""
+        pool = self.dispatcher.pools.get(notice.service)
+        if pool is not None:
+            pool.granted.add((notice.keys, notice.fence))
 
     def put_server(self, server: BackendServer) -> None:
         """Takes a registration."""
@@ -196,7 +202,9 @@
         if pool is None:
             pool = ServicePool(service.keyed, terms)
             self.dispatcher.pools[service.name] = pool
-            pool.table = self.owner_tables.get(service.name)
+            table = self.owner_tables.get(service.name)
+            if table is not None:
+                pool.set_table(table, now)
         pool.keyed = service.keyed
         pool.terms = terms
         entries = [
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -20,6 +20,7 @@
     DECIDER_KEY,
     MEMBERS_PREFIX,
     OWNERSHIP_PREFIX,
+    GrantNotice,
     MemberRecord,
     RecordError,
     decode_member,
@@ -66,6 +67,8 @@
     def receive(self, message: object) -> object:
         if isinstance(message, FactsRead):
             self._apply(message)
+        elif isinstance(message, GrantNotice):
+            self.serving.note_granted(message)
         elif isinstance(message, StoreLost):
             self.serving.directory.note_store_lost()
         elif isinstance(message, StoreReached):
@@ -92,7 +95,11 @@
         for data_centre in [found for found in serving.directory.evacuated if found not in wanted]:
             serving.set_evacuated(data_centre, False)
         keys = {fact.key for fact in facts if isinstance(fact, RecordFact)}
-        members = {name for name in serving.members if f"{MEMBERS_PREFIX}{name}" in keys}
+        members = {
+            name: member
+            for name, member in serving.members.items()
+            if f"{MEMBERS_PREFIX}{name}" in keys
+        }
         if members != serving.members:
             serving.set_members(members)
         if DECIDER_KEY not in keys:
@@ -128,11 +135,12 @@
 
     def _apply_member(self, fact: RecordFact) -> None:
         name = fact.key.removeprefix(MEMBERS_PREFIX)
-        members = set(self.serving.members)
-        if fact.value is None:
-            members.discard(name)
-        else:
-            members.add(name)
+        members = dict(self.serving.members)
+        members.pop(name, None)
+        if fact.value is not None:
+            member = _decoded(decode_member(fact.value), fact)
+            if member is not None:
+                members[name] = member
         if members != self.serving.members:
             self.serving.set_members(members)
 
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -1,6 +1,6 @@
 """Where each request goes, how long it waits for that, and when it is turned away."""
 
-from fireflylink_core import NO_KEY, OwnershipTable, ServerLife
+from fireflylink_core import NO_KEY, Assignment, KeyRange, OwnershipTable, ServerLife
 from fireflylink_decisions.dispatch._ticket import BasePlacement, Refuse, Send, Ticket
 from fireflylink_decisions.dispatch._waiting_line import WaitingLine
 from fireflylink_decisions.servers import ServerTracker, ServiceTerms, choose_server, room_at
@@ -11,6 +11,8 @@
 SHORT_RETRY_SECONDS = 0.25
 LONG_RETRY_SECONDS = 1.0
 RECHECK_SECONDS = 0.1
+MOVE_SECONDS = 0.6
+"""After this time a moved key's new owner is tried even if no notice of its grant has come."""
 
 
 class ServicePool:
@@ -18,9 +20,20 @@
 
     ``trackers`` are the servers that may get work. ``keyed`` services are served by the owner of
     the key alone; ``doubted`` holds owners that declined a key under a fence, until when.
+    ``granted`` are the moved ranges whose new owner has confirmed them, and ``table_at`` is when
+    the table came.
     """
 
-    __slots__ = ("doubted", "keyed", "line", "table", "terms", "trackers")
+    __slots__ = (
+        "doubted",
+        "granted",
+        "keyed",
+        "line",
+        "table",
+        "table_at",
+        "terms",
+        "trackers",
+    )
 
     def __init__(self, keyed: bool, terms: ServiceTerms) -> None:
         self.keyed = keyed
@@ -29,6 +42,24 @@
         self.table: OwnershipTable | None = None
         self.line = WaitingLine()
         self.doubted: dict[tuple[ServerLife, int], float] = {}
+        self.granted: set[tuple[KeyRange, int]] = set()
+        self.table_at = 0.0
+
+    def set_table(self, table: OwnershipTable, now: float) -> None:
+        """Takes the owners of the keys."""
+        self.table = table
+        self.table_at = now
+        self.doubted.clear()
+        pending = {(moved.keys, moved.fence) for moved in table.assignments if moved.previous}
+        self.granted &= pending
+
+    def on_its_way(self, assignment: Assignment, now: float) -> bool:
+        """Whether the owner of an assignment is not expected to hold the keys yet."""
+        return (
+            bool(assignment.previous)
+            and (assignment.keys, assignment.fence) not in self.granted
+            and now < self.table_at + MOVE_SECONDS
+        )
 
 
 class Dispatcher:
@@ -100,7 +131,7 @@
         if assignment is None:
             return None
         tracker = pool.trackers.get(assignment.owner)
-        if tracker is None:
+        if tracker is None or pool.on_its_way(assignment, now):
             return None
         if now < pool.doubted.get((assignment.owner, assignment.fence), 0.0):
             return None
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -81,6 +81,10 @@
         self.busy: set[ServerLife] = set()
         self.due_at: dict[ServerLife, float] = {}
 
+    def lapsed(self, now: float) -> bool:
+        """Whether a confirmed grant has run out."""
+        return self.granted and now > self.granted_at + HOLD_SECONDS
+
 
 class GrantBook:
     """The decider's bookkeeping of grants.
@@ -128,7 +132,7 @@
             self._drop_ended_holds(progress, now)
             if progress.pending:
                 commands.extend(self._releases(assignment, progress, now))
-            elif self._is_due(progress, assignment.owner, now):
+            elif not progress.lapsed(now) and self._is_due(progress, assignment.owner, now):
                 commands.append(self._grant(assignment, progress))
         for command in commands:
             self._mark_busy(command)
@@ -265,6 +269,19 @@
             assignment.owner, assignment.keys, assignment.fence, handover, progress.granted
         )
 
+    def lapsed(self, now: float) -> frozenset[KeyRange]:
+        """Returns the ranges whose grant ran out before it could be renewed.
+
+        Their server may have started again and know nothing of the fence, so they need a new one.
+        """
+        if self.table is None:
+            return frozenset()
+        return frozenset(
+            assignment.keys
+            for assignment in self.table.assignments
+            if self.progress[(assignment.keys, assignment.fence)].lapsed(now)
+        )
+
     def _is_due(self, progress: _Progress, life: ServerLife, now: float) -> bool:
         return life not in progress.busy and now >= progress.due_at.get(life, 0.0)
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
@@ -3,10 +3,15 @@
 import bisect
 import math
 
-from fireflylink_core import KeyRange
+from fireflylink_core import FIRST_KEY, KEY_COUNT, LAST_KEY, KeyRange
 
-HALF_LIFE_SECONDS = 1.0
+HALF_LIFE_SECONDS = 0.7
 FORGOTTEN_BELOW = 0.02
+ASSUMED_RATE = 1.0
+"""Requests a second that are assumed over all keys together."""
+
+ASSUMED_KEYS = 512
+_ASSUMED = range(FIRST_KEY, LAST_KEY + 1, KEY_COUNT // ASSUMED_KEYS)
 
 
 class KeyLoad:
@@ -56,13 +61,18 @@
 
 
 class RangeLoad:
-    """The rates of keys in their order, for sums over ranges."""
+    """The rates of keys in their order, for sums over ranges.
+
+    A little load is assumed all over the keys, so that without requests the widths decide.
+    """
 
     __slots__ = ("keys", "rates", "sums")
 
     def __init__(self, rates: list[tuple[int, float]]) -> None:
-        self.keys = [key for key, _ in rates]
-        self.rates = [rate for _, rate in rates]
+        assumed = [(key, ASSUMED_RATE / ASSUMED_KEYS) for key in _ASSUMED]
+        merged = sorted([*rates, *assumed])
+        self.keys = [key for key, _ in merged]
+        self.rates = [rate for _, rate in merged]
         self.sums = [0.0]
         for rate in self.rates:
             self.sums.append(self.sums[-1] + rate)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -18,9 +18,12 @@
 from fireflylink_decisions.ownership._key_load import RangeLoad
 from fireflylink_decisions.ownership._plan_values import Candidate
 
-BUSY_UTILIZATION = 0.55
+BUSY_UTILIZATION = 0.4
 """Below this, a server's own queue absorbs the load and a move would gain nothing."""
 
+FULL_UTILIZATION = 0.8
+"""Up to this, fast servers get more than their part, because their answers come sooner."""
+
 IMBALANCE = 1.35
 """A server is relieved when it is this much above the mean."""
 
@@ -50,14 +53,20 @@
 
 
 def plan(
-    table: OwnershipTable, candidates: list[Candidate], loads: RangeLoad
+    table: OwnershipTable,
+    candidates: list[Candidate],
+    loads: RangeLoad,
+    lapsed: frozenset[KeyRange] = frozenset(),
 ) -> OwnershipTable | None:
-    """Returns a better table under a new fence, None when the present one is good enough."""
+    """Returns a better table under a new fence, None when the present one is good enough.
+
+    The grants of ``lapsed`` ranges ran out: they get a new fence even if their owner stays.
+    """
     if not candidates:
         return None
     draft = Draft(table, loads)
     planner = _Planner(draft, candidates)
-    planner.replace_lost_owners()
+    planner.replace_lost_owners(lapsed)
     planner.fill_joined_servers()
     planner.relieve_busy_servers()
     if draft.changed or len(draft.assignments) > len(candidates) * MAX_RANGES_PER_SERVER / 2:
@@ -68,21 +77,21 @@
 class _Planner:
     """The steps of one plan."""
 
-    __slots__ = ("candidates", "draft", "mean", "rates")
+    __slots__ = ("candidates", "draft", "mean", "rates", "weights")
 
     def __init__(self, draft: Draft, candidates: list[Candidate]) -> None:
         self.draft = draft
         self.candidates = {candidate.life: candidate for candidate in candidates}
         self.rates = {life: draft.load(life) for life in self.candidates}
-        total = draft.loads.sums[-1]
-        self.mean = total / sum(candidate.capacity for candidate in candidates)
+        self.weights = _weights(candidates, draft.loads.sums[-1])
+        self.mean = draft.loads.sums[-1] / sum(self.weights.values())
 
-    def replace_lost_owners(self) -> None:
-        """Gives the keys of servers that may not own any to the least busy ones."""
+    def replace_lost_owners(self, lapsed: frozenset[KeyRange]) -> None:
+        """Gives the keys of servers that may not own any, or lost them, to the least busy ones."""
         index = 0
         while index < len(self.draft.assignments):
             assignment = self.draft.assignments[index]
-            if assignment.owner not in self.candidates:
+            if assignment.owner not in self.candidates or assignment.keys in lapsed:
                 pieces = self._pieces(assignment.keys)
                 for piece in pieces:
                     self._give(index, piece)
@@ -102,20 +111,21 @@
         for _ in range(MAX_MOVES):
             if len(self.draft.assignments) >= len(self.candidates) * MAX_RANGES_PER_SERVER:
                 return
-            busiest = max(self.candidates, key=self._utilization)
-            if self._utilization(busiest) < max(BUSY_UTILIZATION, IMBALANCE * self.mean):
-                return
-            if not self._relieve(busiest):
+            busy = [life for life in self.candidates if self._is_busy(life)]
+            if not any(self._relieve(life) for life in sorted(busy, key=self._ratio, reverse=True)):
                 return
 
-    def _utilization(self, life: ServerLife) -> float:
-        return self.rates[life] / self.candidates[life].capacity
+    def _is_busy(self, life: ServerLife) -> bool:
+        utilization = self.rates[life] / self.candidates[life].capacity
+        return utilization > BUSY_UTILIZATION and self._ratio(life) > IMBALANCE * self.mean
+
+    def _ratio(self, life: ServerLife) -> float:
+        """Returns a server's load in proportion to what it should have."""
+        return self.rates[life] / self.weights[life]
 
     def _pieces(self, keys: KeyRange) -> list[KeyRange]:
         """Cuts the keys of a lost server so that no piece exceeds what one server should take."""
-        room = max(self.mean, BUSY_UTILIZATION) * max(
-            candidate.capacity for candidate in self.candidates.values()
-        )
+        room = self.mean * max(self.weights.values())
         pieces: list[KeyRange] = []
         rest = keys
         while self.draft.loads.total(rest) > room and len(pieces) < MAX_MOVES:
@@ -133,7 +143,7 @@
         receiver = min(
             self.candidates,
             key=lambda life: (
-                (self.rates[life] + rate) / self.candidates[life].capacity,
+                (self.rates[life] + rate) / self.weights[life],
                 self._owned_part(life) + part,
             ),
         )
@@ -148,13 +158,13 @@
         ) / (KEY_COUNT * self.candidates[life].capacity)
 
     def _fill(self, life: ServerLife) -> None:
-        giver = max(self.candidates, key=lambda other: (self._utilization(other), str(other)))
+        giver = max(self.candidates, key=lambda other: (self._ratio(other), str(other)))
         ranges = self._ranges_of(giver)
         if not ranges:
             return
         index = max(ranges, key=lambda found: self._rank_of_range(found))
         keys = self.draft.assignments[index].keys
-        wanted = self.mean * self.candidates[life].capacity * NEW_SERVER_PART
+        wanted = self.mean * self.weights[life] * NEW_SERVER_PART
         wanted = min(wanted, self.rates[giver] * 0.5)
         cut = _cut_last(self.draft.loads, keys, wanted) or _half(keys)
         if cut is None:
@@ -163,10 +173,10 @@
 
     def _relieve(self, giver: ServerLife) -> bool:
         """Moves one piece from a busy server; returns whether that helped."""
-        receiver = min(self.candidates, key=self._utilization)
-        aim = max(self.mean * AIM, BUSY_UTILIZATION / 2)
-        excess = self.rates[giver] - aim * self.candidates[giver].capacity
-        room = aim * self.candidates[receiver].capacity - self.rates[receiver]
+        receiver = min(self.candidates, key=self._ratio)
+        aim = self.mean * AIM
+        excess = self.rates[giver] - aim * self.weights[giver]
+        room = aim * self.weights[receiver] - self.rates[receiver]
         wanted = min(excess, room)
         ranges = self._ranges_of(giver)
         if wanted <= 0 or not ranges:
@@ -176,8 +186,8 @@
         if cut is None:
             return False
         moved = self.draft.loads.total(cut)
-        after = (self.rates[receiver] + moved) / self.candidates[receiver].capacity
-        if moved <= 0 or after >= self._utilization(giver):
+        after = (self.rates[receiver] + moved) / self.weights[receiver]
+        if moved <= 0 or after >= self._ratio(giver):
             return False
         self._shift(index, cut, giver, receiver)
         return True
@@ -216,6 +226,21 @@
         return (self.draft.loads.total(keys), len(keys))
 
 
+def _weights(candidates: list[Candidate], total: float) -> dict[ServerLife, float]:
+    """Returns what part of the load each server should have.
+
+    While there is room, servers that are faster than the mean get more than in proportion: their
+    answers come sooner. At full load the capacities decide alone.
+    """
+    capacity = sum(candidate.capacity for candidate in candidates)
+    mean = capacity / len(candidates)
+    spare = max(0.0, 1.0 - total / capacity / FULL_UTILIZATION)
+    return {
+        candidate.life: candidate.capacity * (candidate.capacity / mean) ** spare
+        for candidate in candidates
+    }
+
+
 def _cut_first(loads: RangeLoad, keys: KeyRange, wanted: float) -> KeyRange | None:
     """Returns keys from the start of a range with about the wanted rate, but not all of them."""
     position, end = loads.bounds(keys)
--- /dev/null
+++ b/packages/decisions/tests/conftest.py
@@ -0,0 +1,41 @@
+"""Servers, tables and clocks for the tests of decisions."""
+
+import pytest
+
+from fireflylink_core import BackendServer, ManualClock, ServerLife
+from fireflylink_decisions.limits import ColdLimit, FleetPosition
+from fireflylink_decisions.ownership import Candidate
+from fireflylink_decisions.servers import ServerTracker, ServiceTerms
+
+
+def make_server(name: str, data_centre: str = "kingston", slots: int = 4) -> BackendServer:
+    return BackendServer(name, "holds", "127.0.0.1", 1000, data_centre, slots, born_ms=1)
+
+
+def make_candidate(name: str, capacity: float = 25.0) -> Candidate:
+    return Candidate(ServerLife(name, 1), capacity, "kingston")
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock()
+
+
+@pytest.fixture
+def terms() -> ServiceTerms:
+    return ServiceTerms(ColdLimit(7.3, 1.5, 5.0), 110, FleetPosition(0, 9), "kingston")
+
+
+@pytest.fixture
+def tracker() -> ServerTracker:
+    return ServerTracker(make_server("s1"))
+
+
+@pytest.fixture
+def servers():
+    return make_server
+
+
+@pytest.fixture
+def candidates():
+    return make_candidate
--- /dev/null
+++ b/packages/decisions/tests/test_limits.py
@@ -0,0 +1,96 @@
+"""Shares of limits, cold servers and the retry budget."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from fireflylink_decisions.limits import (
+    ColdGate,
+    ColdLimit,
+    FleetPosition,
+    RetryBudget,
+    RetryBudgetRule,
+    SlidingCount,
+    position_of,
+)
+
+
+@pytest.mark.parametrize("members", [1, 2, 9, 12, 30, 300])
+@pytest.mark.parametrize("total", [0.5, 9.45, 14.3, 110.0])
+def test_shares_of_all_daemons_stay_within_the_total(members, total):
+    """Guards against a cold server that gets more than it bears from all daemons together."""
+    for subject in ("i-1", "i-2", "i-3"):
+        shares = [FleetPosition(rank, members).share(total, subject) for rank in range(members)]
+        assert_that(sum(shares), Equals(int(total)))
+
+
+def test_the_rest_of_a_share_goes_to_other_daemons_for_other_servers():
+    """Guards against one daemon that may warm no server at all while another warms every one."""
+    position = FleetPosition(11, 12)
+    given = {position.share(9.45, f"i-{number}") for number in range(40)}
+    assert_that(given, Equals({0, 1}))
+
+
+def test_a_daemon_that_is_not_listed_takes_the_share_of_a_large_fleet():
+    """Guards against a new daemon that spends shares which the others use already."""
+    assert_that(position_of("new", ("a", "b")).members, GreaterThan(3))
+    assert_that(position_of("b", ("a", "b")).rank, Equals(1))
+
+
+def cold_arrivals(members: int, demand_per_daemon: float, clock) -> list[float]:
+    """Returns when requests of all daemons reach one cold server."""
+    limit = ColdLimit(3.7, 1.5, 5.0)
+    gates = [ColdGate() for _ in range(members)]
+    for gate in gates:
+        gate.note_cold(clock.now() + 6.0)
+    arrivals = []
+    for _ in range(500):
+        for rank, gate in enumerate(gates):
+            now = clock.now() + 0.001 * rank
+            if gate.open_at(now, limit, FleetPosition(rank, members), "i-1") <= now:
+                gate.note_sent(now)
+                arrivals.append(now)
+        clock.advance(1.0 / demand_per_daemon)
+    return sorted(arrivals)
+
+
+@pytest.mark.parametrize("members", [1, 4, 9, 12, 40])
+def test_a_cold_server_is_within_its_bound_in_every_sliding_second(members, clock):
+    """Guards against FAILBACK: 3.7 x 1.5 + 5 requests in a second, over all daemons."""
+    arrivals = cold_arrivals(members, 100.0, clock)
+    window = SlidingCount(1.0)
+    most = 0
+    for arrival in arrivals:
+        window.add(arrival)
+        most = max(most, window.count(arrival))
+    assert_that(most, LessThan(10.56))
+    assert_that(len(arrivals), GreaterThan(10))
+
+
+def test_the_gate_counts_requests_from_before_the_server_turned_cold(clock):
+    """Guards against a second in which the requests before the news are forgotten."""
+    gate = ColdGate()
+    limit = ColdLimit(7.3, 1.5, 5.0)
+    position = FleetPosition(0, 9)
+    for _ in range(5):
+        gate.note_sent(clock.now())
+    gate.note_cold(clock.now() + 3.0)
+    assert_that(gate.open_at(clock.now(), limit, position, "i-1"), GreaterThan(clock.now()))
+
+
+def test_repeats_stay_within_the_budget_of_the_fleet(clock):
+    """Guards against BUDGET: 0.2 of the requests and 58 more in any 10 s, over all daemons."""
+    rule = RetryBudgetRule(0.2, 58.0, 10.0)
+    budgets = [RetryBudget(rule) for _ in range(9)]
+    repeats = requests = 0
+    for step in range(900):
+        rank = step % 9
+        now = clock.now()
+        budgets[rank].note_request(now)
+        requests += 1
+        while budgets[rank].allows(now, FleetPosition(rank, 9)):
+            budgets[rank].note_repeat(now)
+            repeats += 1
+        clock.advance(0.01)
+    assert_that(repeats, LessThan(0.2 * requests + 58))
+    assert_that(repeats, GreaterThan(0.1 * requests))
--- a/packages/protocol/src/fireflylink_protocol/__init__.py
+++ b/packages/protocol/src/fireflylink_protocol/__init__.py
@@ -1,12 +1,14 @@
 """The inner protocol: records of the daemons in the store, and load reports between them."""
 
-from fireflylink_protocol._errors import RecordError
-from fireflylink_protocol._load_report import (
+from fireflylink_protocol._datagrams import (
     MAX_REPORTED_KEYS,
+    Datagram,
+    GrantNotice,
     LoadReport,
-    decode_report,
-    encode_report,
+    decode_datagram,
+    encode_datagram,
 )
+from fireflylink_protocol._errors import RecordError
 from fireflylink_protocol._records import (
     DECIDER_KEY,
     MEMBERS_PREFIX,
@@ -30,14 +32,16 @@
     "OWNERSHIP_PREFIX",
     "POISON_PREFIX",
     "RECORD_PREFIX",
+    "Datagram",
+    "GrantNotice",
     "LoadReport",
     "MemberRecord",
     "RecordError",
+    "decode_datagram",
     "decode_member",
-    "decode_report",
     "decode_table",
+    "encode_datagram",
     "encode_member",
-    "encode_report",
     "encode_table",
     "member_key",
     "ownership_key",
--- /dev/null
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -0,0 +1,91 @@
+"""Datagrams between daemons: load reports to the decider, and its notices of granted keys."""
+
+import msgpack
+from returns.result import Failure, Result, Success
+
+from fireflylink_core import BaseValue, KeyRange
+from fireflylink_protocol._errors import RecordError
+
+REPORT_FORMAT = 1
+NOTICE_FORMAT = 2
+MAX_REPORTED_KEYS = 400
+"""A datagram stays below 1,500 bytes, which no link splits."""
+
+MAX_KEY = 65535
+
+
+class LoadReport(BaseValue):
+    """Keys that a daemon was asked for since its last report, in arrival order.
+
+    ``requests`` is how many there were; ``keys`` is a sample of them when there were more than
+    ``MAX_REPORTED_KEYS``. ``sequence`` grows with each report of one life of a daemon.
+    """
+
+    __slots__ = ("instance", "keys", "requests", "sequence", "service")
+
+    def __init__(
+        self, instance: str, service: str, sequence: int, requests: int, keys: tuple[int, ...]
+    ) -> None:
+        self.instance = instance
+        self.service = service
+        self.sequence = sequence
+        self.requests = requests
+        self.keys = keys
+
+
+class GrantNotice(BaseValue):
+    """Keys whose new owner has confirmed to hold them under a fence."""
+
+    __slots__ = ("fence", "keys", "service")
+
+    def __init__(self, service: str, keys: KeyRange, fence: int) -> None:
+        self.service = service
+        self.keys = keys
+        self.fence = fence
+
+
+Datagram = LoadReport | GrantNotice
+
+
+def encode_datagram(message: Datagram) -> bytes:
+    """Returns the bytes of a datagram."""
+    fields: list[object]
+    if isinstance(message, LoadReport):
+        fields = [
+            REPORT_FORMAT,
+            message.instance,
+            message.service,
+            message.sequence,
+            message.requests,
+            list(message.keys),
+        ]
+    else:
+        keys = message.keys
+        fields = [NOTICE_FORMAT, message.service, keys.first, keys.last, message.fence]
+    packed: bytes = msgpack.packb(fields)
+    return packed
+
+
+def decode_datagram(datagram: bytes) -> Result[Datagram, RecordError]:
+    """Returns the message of a datagram; anything else that arrives on the port is an error."""
+    try:
+        form, *fields = msgpack.unpackb(datagram)
+        if form == REPORT_FORMAT:
+            return Success(_report(*fields))
+        if form == NOTICE_FORMAT:
+            return Success(_notice(*fields))
+        return Failure(RecordError(f"format {form!r} is not known"))
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        return Failure(RecordError(f"the datagram cannot be read: {error!r}"))
+
+
+def _report(
+    instance: str, service: str, sequence: int, requests: int, keys: list[int]
+) -> LoadReport:
+    if not all(0 <= key <= MAX_KEY for key in keys):
+        raise ValueError("a key is out of range")
+    return LoadReport(str(instance), str(service), int(sequence), int(requests), tuple(keys))
+
+
+def _notice(service: str, first: int, last: int, fence: int) -> GrantNotice:
+    return GrantNotice(str(service), KeyRange(int(first), int(last)), int(fence))
--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -5,7 +5,14 @@
 
 from returns.result import Failure, Result, Success
 
-from fireflylink_core import Assignment, BaseValue, KeyRange, OwnershipTable, ServerLife
+from fireflylink_core import (
+    FIRST_KEY,
+    Assignment,
+    BaseValue,
+    KeyRange,
+    OwnershipTable,
+    ServerLife,
+)
 from fireflylink_protocol._errors import RecordError
 
 RECORD_PREFIX = "fireflylink/"
@@ -77,51 +84,63 @@
 
 
 def encode_table(table: OwnershipTable) -> bytes:
-    """Returns the record of an ownership table, one row an assignment."""
-    rows = [
-        [
-            assignment.keys.first,
-            assignment.keys.last,
-            assignment.fence,
-            _life_row(assignment.owner),
-            [_life_row(life) for life in assignment.previous],
-            assignment.handover,
+    """Returns the record of an ownership table.
+
+    Lives of servers are listed once and named by their position: every daemon reads the record
+    after each change, and bytes between data centres are paid for. An assignment is the distance
+    of its last key from the former one, its fence below the table's, its owner, and, while it is
+    on its way, its former holders and the hand-over token.
+    """
+    lives: dict[ServerLife, int] = {}
+    rows: list[list[object]] = []
+    before = FIRST_KEY - 1
+    for assignment in table.assignments:
+        row: list[object] = [
+            assignment.keys.last - before,
+            table.fence - assignment.fence,
+            lives.setdefault(assignment.owner, len(lives)),
         ]
-        for assignment in table.assignments
-    ]
-    return _encode({"service": table.service, "fence": table.fence, "assignments": rows})
+        if assignment.previous or assignment.handover:
+            row.append([lives.setdefault(life, len(lives)) for life in assignment.previous])
+            row.append(assignment.handover)
+        rows.append(row)
+        before = assignment.keys.last
+    return _encode(
+        {
+            "service": table.service,
+            "fence": table.fence,
+            "lives": [[life.server_id, life.born_ms] for life in lives],
+            "assignments": rows,
+        }
+    )
 
 
 def decode_table(value: bytes) -> Result[OwnershipTable, RecordError]:
     """Returns the ownership table of a record."""
 
     def table(fields: Any) -> OwnershipTable:
-        assignments = tuple(_assignment(row) for row in fields["assignments"])
-        return OwnershipTable(str(fields["service"]), int(fields["fence"]), assignments)
+        lives = [ServerLife(str(server), int(born)) for server, born in fields["lives"]]
+        fence = int(fields["fence"])
+        assignments = []
+        before = FIRST_KEY - 1
+        for length, below, owner, *rest in fields["assignments"]:
+            last = before + int(length)
+            previous, handover = rest or ((), "")
+            assignments.append(
+                Assignment(
+                    KeyRange(before + 1, last),
+                    lives[owner],
+                    fence - int(below),
+                    tuple(lives[life] for life in previous),
+                    str(handover),
+                )
+            )
+            before = last
+        return OwnershipTable(str(fields["service"]), fence, tuple(assignments))
 
     return _decode(value, table)
 
 
-def _assignment(row: Any) -> Assignment:
-    first, last, fence, owner, previous, handover = row
-    return Assignment(
-        KeyRange(int(first), int(last)),
-        _life(owner),
-        int(fence),
-        tuple(_life(life) for life in previous),
-        str(handover),
-    )
-
-
-def _life_row(life: ServerLife) -> list[object]:
-    return [life.server_id, life.born_ms]
-
-
-def _life(row: Any) -> ServerLife:
-    server_id, born_ms = row
-    return ServerLife(str(server_id), int(born_ms))
-
-
 def _encode(fields: object) -> bytes:
     return json.dumps(fields, separators=(",", ":")).encode()
 
@@ -129,5 +148,5 @@
 def _decode(value: bytes, build: Any) -> Result[Any, RecordError]:
     try:
         return Success(build(json.loads(value)))
-    except (ValueError, TypeError, KeyError) as error:
+    except (ValueError, TypeError, LookupError) as error:
         return Failure(RecordError(f"the record cannot be read: {error!r}"))
