--- a/packages/backend_client/src/fireflylink_backend_client/__init__.py
+++ b/packages/backend_client/src/fireflylink_backend_client/__init__.py
@@ -4,6 +4,7 @@
 from fireflylink_backend_client._commands import (
     CommandError,
     HigherFenceError,
+    OtherServerError,
     ServerCommands,
     ServerHealth,
 )
@@ -15,6 +16,7 @@
     "Cancellation",
     "CommandError",
     "HigherFenceError",
+    "OtherServerError",
     "ServerCommand",
     "ServerCommands",
     "ServerHealth",
--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -32,6 +32,13 @@
         super().__init__("the server has seen a higher fence", False)
 
 
+class OtherServerError(CommandError):
+    """Another server has the address, so the one that had it has ended."""
+
+    def __init__(self) -> None:
+        super().__init__("another server has the address", False)
+
+
 class ServerHealth:
     """What a server says when asked for its health."""
 
@@ -85,6 +92,8 @@
         )
 
     def _released(self, response: HttpResponse) -> Result[str, CommandError]:
+        if response.status == HTTP_MISDIRECTED:
+            return Failure(OtherServerError())
         if response.status != HTTP_OK:
             return Failure(CommandError(f"release: status {response.status}", True))
         return Success(self.dialect.handover(response))
@@ -117,5 +126,5 @@
     if response.status == HTTP_CONFLICT:
         return Failure(HigherFenceError())
     if response.status == HTTP_MISDIRECTED:
-        return Failure(CommandError("another server has the address", False))
+        return Failure(OtherServerError())
     return Failure(CommandError(f"grant: status {response.status}", True))
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -11,7 +11,9 @@
 from fireflylink_decisions.ownership import Decidership
 from fireflylink_protocol import (
     DECIDER_KEY,
+    OWNERSHIP_PREFIX,
     MemberRecord,
+    decode_table,
     encode_member,
     encode_table,
     ownership_key,
@@ -43,6 +45,15 @@
         self.revision = revision
 
 
+class Superseded:
+    """Another daemon has decided on ownership meanwhile."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
 class DeciderTask(BaseTask):
     """Owns this daemon's candidacy, the decider's lease, and a client of the store.
 
@@ -103,15 +114,20 @@
             self._note_record(message)
         elif isinstance(message, CommitTable):
             self._commit(message)
+        elif isinstance(message, Superseded) and self.decidership.held:
+            self._resign(message.reason)
         if self.decidership.held and self.clock.now() >= self.next_renewal:
             self._renew(self.clock.now())
         return None
 
     def leave(self) -> None:
         """Ends the decider's lease, so that another daemon takes over at once."""
+        self._resign("leaving")
+
+    def _resign(self, reason: str) -> None:
         if self.lease_id:
             self.store.end_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
-        self._lose("leaving")
+        self._lose(reason)
 
     def _note_record(self, message: DeciderChanged) -> None:
         held = self.decidership.held
@@ -151,11 +167,29 @@
         return None
 
     def _win(self, revision: int, asked_at: float) -> None:
+        error = self._read_tables()
+        if error is not None:
+            log_problem("decider-tables-not-read", problem=error)
+            self._resign("tables not read")
+            return
         self.decidership.note_won(revision, asked_at)
         self.next_renewal = asked_at + RENEWAL_SECONDS
         log_event("decider-won", instance=self.record.instance, revision=revision)
         self._tell(DeciderWon(asked_at))
 
+    def _read_tables(self) -> StoreError | None:
+        """Reads the tables as they are now that no other daemon can write them."""
+        read = self.store.list(OWNERSHIP_PREFIX, self.clock.now() + CALL_SECONDS)
+        if not isinstance(read, Success):
+            return read.failure()
+        for item in read.unwrap().items:
+            table = decode_table(item.value)
+            if isinstance(table, Success):
+                self._tell(TableChanged(table.unwrap(), item.revision))
+            else:
+                log_problem("record-unreadable", key=item.key, problem=table.failure())
+        return None
+
     def _lose(self, reason: str) -> None:
         self.decidership.note_lost()
         self.lease_id = 0
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -1,8 +1,13 @@
 """The decider's work: plans of ownership, grants and releases."""
 
-from fireflylink_backend_client import BaseServerDialect, CommandError, HigherFenceError
+from fireflylink_backend_client import (
+    BaseServerDialect,
+    CommandError,
+    HigherFenceError,
+    OtherServerError,
+)
 from fireflylink_core import BackendServer, BaseClock, OwnershipTable, ServerLife
-from fireflylink_daemon._decider_task import CommitTable, DeciderTask
+from fireflylink_daemon._decider_task import CommitTable, DeciderTask, Superseded
 from fireflylink_daemon._grant_tasks import GrantTask, spawn_release
 from fireflylink_daemon._log import log_event, log_problem
 from fireflylink_daemon._messages import (
@@ -27,6 +32,7 @@
     ReleaseCommand,
     first_table,
     plan,
+    refenced,
 )
 from fireflylink_protocol import GrantNotice, LoadReport
 
@@ -50,6 +56,7 @@
     """What the decider knows of one service with keys."""
 
     __slots__ = (
+        "asked",
         "book",
         "commit_asked_at",
         "failures",
@@ -64,6 +71,7 @@
     def __init__(self, service: str, now: float) -> None:
         self.table: OwnershipTable | None = None
         self.revision = 0
+        self.asked: OwnershipTable | None = None
         self.book: GrantBook | None = None
         self.load = KeyLoad(service, now)
         self.seen_at = now
@@ -142,8 +150,7 @@
             service.commit_asked_at = None
             service.failures = {}
             service.load = KeyLoad(name, began_at)
-            if service.table is not None:
-                service.book.set_table(service.table)
+            service.asked = None
         self._note_servers()
         self.next_tick = 0.0
 
@@ -171,6 +178,9 @@
 
     def _note_table(self, message: TableChanged) -> None:
         service = self._service(message.table.service)
+        if self.deciding and message.revision > service.revision and message.table != service.asked:
+            # Another decider wrote it, and what it granted is not known here.
+            self._yield("another decider wrote a table")
         if message.first and service.book is not None:
             service.book.note_first_table()
         if message.revision <= service.revision:
@@ -178,6 +188,7 @@
         service.table = message.table
         service.revision = message.revision
         service.commit_asked_at = None
+        service.asked = None
         if service.book is not None:
             service.book.set_table(message.table)
 
@@ -196,21 +207,26 @@
             service.commit_asked_at = None
         service.load.advance(now)
         candidates = self._candidates(name, service, now)
-        if not candidates or service.book is None:
+        if service.book is None or not (candidates or service.table):
             return
         wanted = self._wanted_table(name, service, candidates, now)
         if wanted is not None:
             service.commit_asked_at = now
+            service.asked = wanted
             self.decider.post(CommitTable(wanted, service.revision))
 
     def _wanted_table(
         self, name: str, service: _KeyedService, candidates: list[Candidate], now: float
     ) -> OwnershipTable | None:
+        if service.table is None and not candidates:
+            return None
         if service.table is None:
             joined = [entry.joined_at for entry in self.serving.directory.usable(name)]
             if now < max(joined, default=now) + FIRST_TABLE_SECONDS:
                 return None
             return first_table(name, candidates, fence=1)
+        if service.book is not None and service.book.table is None:
+            return refenced(service.table)
         rates = RangeLoad(service.load.sorted_rates(now))
         settled = service.book.settled() if service.book is not None else None
         if settled is None:
@@ -229,18 +245,27 @@
             return settled
         return changed
 
+    def _yield(self, reason: str) -> None:
+        """Stops to decide: what was granted meanwhile is not known to this daemon."""
+        log_problem("decider-superseded", reason=reason)
+        self._end()
+        self.decider.post(Superseded(reason))
+
     def _candidates(self, name: str, service: _KeyedService, now: float) -> list[Candidate]:
         entries = self.serving.directory.usable(name)
         found = []
         for entry in entries:
             server = entry.server
             if service.failures.get(server.life, 0) < UNREACHABLE_FAILURES:
-                found.append(Candidate(server.life, self._capacity(server), server.data_centre))
+                capacity = self._capacity(server, now)
+                found.append(Candidate(server.life, capacity, server.data_centre))
         return found
 
-    def _capacity(self, server: BackendServer) -> float:
+    def _capacity(self, server: BackendServer, now: float) -> float:
         tracker = self.serving.trackers.get(server.life)
         usual = server.slots / DEFAULT_SERVICE_SECONDS
+        if tracker is not None and tracker.gate.is_cold(now):
+            return usual * LEAST_CAPACITY_FACTOR
         if tracker is None or tracker.answers < TRUSTED_ANSWERS:
             return usual
         factor = DEFAULT_SERVICE_SECONDS / tracker.base_seconds
@@ -321,7 +346,13 @@
         if isinstance(command, GrantCommand) and not error.sent:
             book.note_not_sent(command)
         book.note_failed(command, now)
-        if not isinstance(error, HigherFenceError):
+        if isinstance(error, OtherServerError):
+            book.note_life_ended(command.server)
+        if isinstance(error, HigherFenceError):
+            if isinstance(command, GrantCommand) and book.is_current(command):
+                # Only another decider can have used a higher fence: it has taken over.
+                self._yield("a server has seen a higher fence")
+        else:
             failures = service.failures.get(command.server, 0) + 1
             service.failures[command.server] = failures
         log_problem(
@@ -335,10 +366,8 @@
 
     def _note_servers(self) -> None:
         """Forgets what was granted to lives of servers that certainly ended."""
-        present = {
-            entry.server.server_id: entry.server.life
-            for entry in self.serving.directory.entries.values()
-        }
+        entries = self.serving.directory.entries.values()
+        present = {entry.server.server_id: entry.server.life for entry in entries}
         for life in list(self.grants):
             if present.get(life.server_id) != life and life not in self.serving.trackers:
                 self.grants.pop(life).close()
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -123,6 +123,7 @@
         now = self.clock.now()
         known = self.directory.find(server.server_id)
         joined = known is None or known.server.life != server.life
+        state = known.server.state if known is not None else None
         self.directory.put(server, now)
         tracker = self.trackers.get(server.life)
         if tracker is None:
@@ -132,7 +133,7 @@
         cold_seconds = server.cold_ms / MILLISECONDS_PER_SECOND
         if cold_seconds > 0:
             tracker.gate.note_cold(now + cold_seconds)
-        if joined or cold_seconds > 0 or known is None or known.server.state != server.state:
+        if joined or state != server.state:
             log_event(
                 "server-registered",
                 server=server.life,
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -3,10 +3,19 @@
 from fireflylink_core import NO_KEY, Assignment, KeyRange, OwnershipTable, ServerLife
 from fireflylink_decisions.dispatch._ticket import BasePlacement, Refuse, Send, Ticket
 from fireflylink_decisions.dispatch._waiting_line import WaitingLine
-from fireflylink_decisions.servers import ServerTracker, ServiceTerms, choose_server, room_at
+from fireflylink_decisions.servers import (
+    ServerTracker,
+    ServiceTerms,
+    choose_server,
+    is_silent,
+    room_at,
+)
 
-OWNER_WAIT_SECONDS = 0.8
-"""How long a request waits for its key to get an owner that takes it."""
+OWNER_WAIT_SECONDS = 0.25
+"""How long a request waits for its key to get an owner that is there."""
+
+LONGEST_WAIT_PART = 0.5
+"""A request waits for at most this part of its time: after it, it could only be answered late."""
 
 SHORT_RETRY_SECONDS = 0.25
 LONG_RETRY_SECONDS = 1.0
@@ -143,7 +152,8 @@
     def _overdue(self, pool: ServicePool, ticket: Ticket, now: float) -> Refuse | None:
         if now - ticket.since > OWNER_WAIT_SECONDS and self._ownerless(pool, ticket):
             return Refuse("no-owner", LONG_RETRY_SECONDS)
-        if now + _least_seconds(pool) > ticket.latest:
+        end_of_wait = ticket.since + (ticket.latest - ticket.since) * LONGEST_WAIT_PART
+        if now > end_of_wait or now + _least_seconds(pool) > ticket.latest:
             return Refuse("no-room", SHORT_RETRY_SECONDS)
         return None
 
@@ -151,7 +161,10 @@
         if not pool.keyed:
             return False
         assignment = pool.table.find(ticket.key) if pool.table is not None else None
-        return assignment is None or assignment.owner not in pool.trackers
+        if assignment is None:
+            return True
+        tracker = pool.trackers.get(assignment.owner)
+        return tracker is None or is_silent(tracker)
 
     def _hopeless(self, pool: ServicePool, ticket: Ticket, ahead: int, now: float) -> bool:
         wait = 0.0 if pool.keyed else pool.line.expected_wait(ahead, now)
--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -10,6 +10,7 @@
     GrantBook,
     GrantCommand,
     ReleaseCommand,
+    refenced,
 )
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
 from fireflylink_decisions.ownership._plan_values import Candidate
@@ -30,4 +31,5 @@
     "ReleaseCommand",
     "first_table",
     "plan",
+    "refenced",
 ]
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -86,19 +86,31 @@
         return self.granted and now > self.granted_at + HOLD_SECONDS
 
 
+def refenced(table: OwnershipTable) -> OwnershipTable:
+    """Returns the table with which a decider takes over: every range under a new fence.
+
+    A former decider that is cut off from the store may still renew its grants. A server that has
+    confirmed the new fence refuses them, so its hold is known again.
+    """
+    fence = table.fence + 1
+    assignments = tuple(assignment.replace(fence=fence) for assignment in table.assignments)
+    return OwnershipTable(table.service, fence, assignments)
+
+
 class GrantBook:
     """The decider's bookkeeping of grants.
 
     A new holder is granted keys only when every former holder has confirmed their release under the
     new fence, or when each grant to it that may still come true has run out. ``began_at`` is when
-    this decider took over: what a former decider sent is known to have ended only
-    ``OUTAGE_GRACE_SECONDS`` and a whole hold later.
+    this decider took over: what a former decider sent to a server that does not answer is known to
+    have ended only ``OUTAGE_GRACE_SECONDS`` and a whole hold later.
     """
 
-    __slots__ = ("ended", "former_hold_ends", "holds", "progress", "table")
+    __slots__ = ("ended", "first_fence", "former_hold_ends", "holds", "progress", "table")
 
     def __init__(self, began_at: float) -> None:
         self.former_hold_ends = began_at + OUTAGE_GRACE_SECONDS + COMMAND_SECONDS + HOLD_TIME
+        self.first_fence = 0
         self.table: OwnershipTable | None = None
         self.progress: dict[tuple[KeyRange, int], _Progress] = {}
         self.holds: dict[ServerLife, dict[tuple[KeyRange, int], float]] = {}
@@ -109,7 +121,12 @@
         self.former_hold_ends = float("-inf")
 
     def set_table(self, table: OwnershipTable) -> None:
-        """Takes a table that the store has acknowledged."""
+        """Takes a table that the store has acknowledged.
+
+        The first one comes from ``refenced``: all its fences are above those of former deciders.
+        """
+        if self.table is None:
+            self.first_fence = table.fence
         old = self.progress
         inherited = self._granted_ranges()
         self.table = table
@@ -143,7 +160,7 @@
         holds = self.holds.get(command.server)
         if holds is None:
             # What a former decider granted is not known, so the most is assumed.
-            holds = {(command.keys, FORMER_DECIDER): self.former_hold_ends}
+            holds = self._former_holds(command.server)
             self.holds[command.server] = holds
         holds[(command.keys, command.fence)] = now + COMMAND_SECONDS + HOLD_TIME
 
@@ -161,6 +178,9 @@
         """Takes a server's word that it holds the keys."""
         holds = self.holds.setdefault(command.server, {})
         holds[(command.keys, command.fence)] = now + HOLD_TIME
+        if command.fence >= self.first_fence:
+            # The server refuses what a former decider may still send for these keys.
+            holds.pop((command.keys, FORMER_DECIDER), None)
         progress = self._progress_of(command.keys, command.fence, command.server)
         if progress is not None:
             progress.granted = True
@@ -201,6 +221,10 @@
             return None
         return OwnershipTable(self.table.service, self.table.fence, assignments)
 
+    def is_current(self, command: GrantCommand) -> bool:
+        """Whether a grant is one of the present table."""
+        return (command.keys, command.fence) in self.progress
+
     def ungranted(self) -> int:
         """Returns how many keys no server has confirmed to hold."""
         if self.table is None:
@@ -220,6 +244,15 @@
             return self.former_hold_ends
         return max(holds.values(), default=float("-inf"))
 
+    def _former_holds(self, server: ServerLife) -> dict[tuple[KeyRange, int], float]:
+        """Returns the grants that a former decider may have sent to a server."""
+        assignments = self.table.assignments if self.table is not None else ()
+        return {
+            (assignment.keys, FORMER_DECIDER): self.former_hold_ends
+            for assignment in assignments
+            if assignment.owner == server
+        }
+
     def _granted_ranges(self) -> list[tuple[Assignment, _Progress]]:
         if self.table is None:
             return []
--- a/packages/decisions/src/fireflylink_decisions/servers/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/__init__.py
@@ -4,6 +4,7 @@
     ServiceTerms,
     choose_server,
     cost_seconds,
+    is_silent,
     room_at,
 )
 from fireflylink_decisions.servers._server_directory import (
@@ -21,5 +22,6 @@
     "ServiceTerms",
     "choose_server",
     "cost_seconds",
+    "is_silent",
     "room_at",
 ]
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -48,11 +48,16 @@
         return None
     server_id = tracker.server.server_id
     open_at = tracker.gate.open_at(now, terms.cold_limit, terms.position, server_id)
-    if tracker.silent_failures >= DEAD_AFTER_FAILURES:
+    if is_silent(tracker):
         open_at = max(open_at, tracker.failure_rate_at + DEAD_RETRY_SECONDS)
     return open_at
 
 
+def is_silent(tracker: ServerTracker) -> bool:
+    """Whether a server has answered none of the last requests."""
+    return tracker.silent_failures >= DEAD_AFTER_FAILURES
+
+
 def cost_seconds(tracker: ServerTracker, terms: ServiceTerms, now: float) -> float:
     """Returns the expected time of one more request, with distance and failures counted in."""
     distant = tracker.server.data_centre != terms.data_centre
