--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -13,6 +13,7 @@
 from fireflylink_daemon._endpoints import make_metrics_application, make_readiness_application
 from fireflylink_daemon._log import flush_log, log_event, log_problem
 from fireflylink_daemon._member_task import MemberTask
+from fireflylink_daemon._messages import Leave
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._ownership_task import OwnershipTask
 from fireflylink_daemon._peers import KeyCounter, PeerSocket
@@ -35,6 +36,9 @@
 
 LEAVE_MARGIN_SECONDS = 0.4
 LAST_IDLE_SECONDS = 0.5
+MEMBER_STAYS_SECONDS = 4.0
+"""While requests are still sent, the others must count this daemon's shares."""
+
 SETTINGS_CHECK_SECONDS = 1.0
 
 
@@ -163,7 +167,8 @@
         deadline = started_at + self.settings.bounds.leave_seconds - LEAVE_MARGIN_SECONDS
         log_event("leaving", instance=self.settings.instance, active=self.callers.active)
         self.callers.begin_closing(NOTICE_SECONDS)
-        gevent.spawn(self._leave_store)
+        self.decider.post(Leave())
+        gevent.spawn_later(MEMBER_STAYS_SECONDS, self.member.post, Leave())
         gevent.sleep(NOTICE_SECONDS)
         self.callers.stop_accepting()
         gevent.sleep(LAST_IDLE_SECONDS)
@@ -189,13 +194,6 @@
             store.port = settings.store_address.port
         log_event("settings-reloaded", changed=changed)
 
-    def _leave_store(self) -> None:
-        """Hands the decider's work over; the member record goes last."""
-        self.decider.stop()
-        self.decider.leave()
-        self.member.stop()
-        self.member.leave()
-
     def _store(self) -> PlatformStore:
         address = self.settings.store_address
         store = PlatformStore(address.host, address.port, self.clock)
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -4,7 +4,13 @@
 
 from fireflylink_core import BaseClock, OwnershipTable
 from fireflylink_daemon._log import log_event, log_problem
-from fireflylink_daemon._messages import DeciderChanged, DeciderLost, DeciderWon, TableChanged
+from fireflylink_daemon._messages import (
+    DeciderChanged,
+    DeciderLost,
+    DeciderWon,
+    Leave,
+    TableChanged,
+)
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._serving import Serving
 from fireflylink_daemon._task import BaseTask
@@ -64,6 +70,7 @@
     __slots__ = (
         "decidership",
         "lease_id",
+        "leaving",
         "metrics",
         "next_candidacy",
         "next_renewal",
@@ -90,6 +97,7 @@
         self.decidership = Decidership()
         self.decidership.vacant_since = None
         self.ownership: BaseTask | None = None
+        self.leaving = False
         self.lease_id = 0
         self.next_renewal = 0.0
         self.next_candidacy = 0.0
@@ -105,6 +113,8 @@
             if now >= self.next_renewal:
                 self._renew(now)
             return
+        if self.leaving:
+            return
         candidate_at = self.decidership.candidate_at(self.serving.position.rank)
         if candidate_at is not None and now >= max(candidate_at, self.next_candidacy):
             self._stand()
@@ -114,17 +124,17 @@
             self._note_record(message)
         elif isinstance(message, CommitTable):
             self._commit(message)
+        elif isinstance(message, Leave):
+            self.leaving = True
+            self._resign("leaving")
         elif isinstance(message, Superseded) and self.decidership.held:
             self._resign(message.reason)
         if self.decidership.held and self.clock.now() >= self.next_renewal:
             self._renew(self.clock.now())
         return None
 
-    def leave(self) -> None:
-        """Ends the decider's lease, so that another daemon takes over at once."""
-        self._resign("leaving")
-
     def _resign(self, reason: str) -> None:
+        """Ends the decider's lease, so that another daemon takes over at once."""
         if self.lease_id:
             self.store.end_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
         self._lose(reason)
--- a/packages/daemon/src/fireflylink_daemon/_member_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_member_task.py
@@ -4,6 +4,7 @@
 
 from fireflylink_core import BaseClock
 from fireflylink_daemon._log import log_event, log_problem
+from fireflylink_daemon._messages import Leave
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._task import BaseTask
 from fireflylink_protocol import MemberRecord, encode_member, member_key
@@ -13,6 +14,7 @@
 RENEWAL_SECONDS = 2.0
 CALL_SECONDS = 1.0
 RETRY_SECONDS = 0.5
+NEVER = float("inf")
 
 
 class MemberMissing:
@@ -51,16 +53,20 @@
         self.due_at = self.clock.now() + RETRY_SECONDS
 
     def receive(self, message: object) -> object:
-        if isinstance(message, MemberMissing) and self.lease_id:
+        if isinstance(message, Leave):
+            self._leave()
+        elif isinstance(message, MemberMissing) and self.lease_id:
             log_problem("member-record-missing", instance=self.record.instance)
             self.lease_id = 0
             self.due_at = 0.0
         return None
 
-    def leave(self) -> None:
+    def _leave(self) -> None:
         """Removes the record, so that the others take over this daemon's shares."""
+        self.due_at = NEVER
         if self.lease_id:
             self.store.end_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
+            self.lease_id = 0
 
     def _join(self) -> StoreError | None:
         opened = self.store.open_lease(LEASE_SECONDS, self.clock.now() + CALL_SECONDS)
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -18,6 +18,12 @@
         self.whole = whole
 
 
+class Leave:
+    """The daemon is about to end: give up what it holds in the store."""
+
+    __slots__ = ()
+
+
 class StoreLost:
     """The store stopped to answer this daemon."""
 
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -168,7 +168,9 @@
             tracker.note_answer(now - sent_at, send.fullness, now)
         elif _failed_at_server(result):
             tracker.note_failure(now)
-        elif _was_silent(result):
+        elif isinstance(result, Lost) and result.reason is LostReason.LATE:
+            tracker.note_late(now - sent_at, send.fullness, now)
+        elif isinstance(result, NotSent):
             tracker.note_silence(now)
         self.dispatch.sweep()
         return result
@@ -237,14 +239,11 @@
 
 def _failed_at_server(result: BaseCallResult) -> bool:
     """Whether the server failed the request, or turned it away other than for its key."""
-    return isinstance(result, Answered) or (isinstance(result, Declined) and not result.misdirected)
-
-
-def _was_silent(result: BaseCallResult) -> bool:
-    """Whether the server could not be reached or gave no whole answer."""
+    if isinstance(result, Declined):
+        return not result.misdirected
     if isinstance(result, Lost):
-        return result.reason is not LostReason.CANCELLED
-    return isinstance(result, NotSent)
+        return result.reason not in (LostReason.CANCELLED, LostReason.LATE)
+    return isinstance(result, Answered)
 
 
 def _outcome(reply: BaseReply) -> tuple[str, int]:
--- a/packages/daemon/src/fireflylink_daemon/_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_task.py
@@ -11,6 +11,8 @@
 from fireflylink_core import BaseClock
 from fireflylink_daemon._log import log_problem
 
+LONGEST_WAIT_SECONDS = 3600.0
+
 
 class Ask:
     """A message whose sender waits for a reply."""
@@ -68,7 +70,7 @@
     def _next_message(self) -> object:
         remaining = max(0.0, self.next_wake() - self.clock.now())
         try:
-            return self.mailbox.get(timeout=remaining)
+            return self.mailbox.get(timeout=min(remaining, LONGEST_WAIT_SECONDS))
         except Empty:
             return None
 
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -19,7 +19,7 @@
 
 SHORT_RETRY_SECONDS = 0.25
 LONG_RETRY_SECONDS = 1.0
-RECHECK_SECONDS = 0.1
+RECHECK_SECONDS = 0.3
 MOVE_SECONDS = 0.6
 """After this time a moved key's new owner is tried even if no notice of its grant has come."""
 
@@ -62,6 +62,11 @@
         pending = {(moved.keys, moved.fence) for moved in table.assignments if moved.previous}
         self.granted &= pending
 
+    def owner_of(self, key: int) -> ServerTracker | None:
+        """Returns the owner of a key, None when it has none that is there."""
+        assignment = self.table.find(key) if self.table is not None else None
+        return None if assignment is None else self.trackers.get(assignment.owner)
+
     def on_its_way(self, assignment: Assignment, now: float) -> bool:
         """Whether the owner of an assignment is not expected to hold the keys yet."""
         return (
@@ -98,7 +103,7 @@
                 return placement
         if pool.line.full or self._hopeless(pool, ticket, ahead, now):
             return Refuse("no-room", SHORT_RETRY_SECONDS)
-        pool.line.join(ticket)
+        self._join(pool, ticket)
         return None
 
     def sweep(self, now: float) -> list[tuple[Ticket, BasePlacement]]:
@@ -108,7 +113,7 @@
             for ticket in list(pool.line.tickets):
                 placement = self._try(pool, ticket, now) or self._overdue(pool, ticket, now)
                 if placement is not None:
-                    pool.line.leave(ticket)
+                    self._leave(pool, ticket)
                     ended.append((ticket, placement))
         return ended
 
@@ -116,7 +121,7 @@
         """Takes a ticket whose caller has left out of the line."""
         pool = self.pools.get(ticket.service)
         if pool is not None:
-            pool.line.leave(ticket)
+            self._leave(pool, ticket)
 
     def note_misdirected(self, ticket: Ticket, send: Send, now: float) -> None:
         """Takes a server's word that it does not hold a key that the table gives it."""
@@ -160,15 +165,30 @@
     def _ownerless(self, pool: ServicePool, ticket: Ticket) -> bool:
         if not pool.keyed:
             return False
-        assignment = pool.table.find(ticket.key) if pool.table is not None else None
-        if assignment is None:
-            return True
-        tracker = pool.trackers.get(assignment.owner)
+        tracker = pool.owner_of(ticket.key)
         return tracker is None or is_silent(tracker)
 
     def _hopeless(self, pool: ServicePool, ticket: Ticket, ahead: int, now: float) -> bool:
-        wait = 0.0 if pool.keyed else pool.line.expected_wait(ahead, now)
-        return now + wait + _least_seconds(pool) > ticket.latest
+        if not pool.keyed:
+            wait = pool.line.expected_wait(ahead, now)
+            return now + wait + _least_seconds(pool) > ticket.latest
+        tracker = pool.owner_of(ticket.key)
+        if tracker is None:
+            return False
+        return now + tracker.expected_wait(now) + tracker.expected_seconds(now) > ticket.latest
+
+    def _join(self, pool: ServicePool, ticket: Ticket) -> None:
+        pool.line.join(ticket)
+        if pool.keyed:
+            ticket.awaited = pool.owner_of(ticket.key)
+            if ticket.awaited is not None:
+                ticket.awaited.waiting += 1
+
+    def _leave(self, pool: ServicePool, ticket: Ticket) -> None:
+        pool.line.leave(ticket)
+        if ticket.awaited is not None:
+            ticket.awaited.waiting -= 1
+            ticket.awaited = None
 
 
 def _send(pool: ServicePool, tracker: ServerTracker, fence: int, now: float) -> Send:
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_ticket.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_ticket.py
@@ -8,10 +8,10 @@
     """What the dispatcher needs to know of a request; its identity is the object itself.
 
     ``latest`` is when its answer is needed at the latest, ``tried`` the servers that it was sent
-    to. ``rank`` 0 is the most urgent.
+    to. ``rank`` 0 is the most urgent. ``awaited`` is the server whose room it waits for.
     """
 
-    __slots__ = ("key", "latest", "rank", "service", "since", "tried")
+    __slots__ = ("awaited", "key", "latest", "rank", "service", "since", "tried")
 
     def __init__(
         self,
@@ -22,6 +22,7 @@
         key: int = NO_KEY,
         tried: frozenset[str] = frozenset(),
     ) -> None:
+        self.awaited: ServerTracker | None = None
         self.service = service
         self.rank = rank
         self.since = since
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -29,7 +29,12 @@
 
 AIM = 1.1
 MAX_MOVES = 10
-MAX_RANGES_PER_SERVER = 4
+MAX_RANGES_PER_SERVER = 5
+WANTED_RANGES_PER_SERVER = 2.5
+"""Above this, small neighbouring ranges are joined: each range is a renewal a second."""
+
+MAX_JOINS = 3
+JOIN_RATIO = 1.2
 NEW_SERVER_PART = 0.7
 """A server that joined is filled up to this part of the mean load."""
 
@@ -69,8 +74,8 @@
     planner.replace_lost_owners(lapsed)
     planner.fill_joined_servers()
     planner.relieve_busy_servers()
-    if draft.changed or len(draft.assignments) > len(candidates) * MAX_RANGES_PER_SERVER / 2:
-        draft.merge()
+    planner.join_small_ranges()
+    draft.merge()
     return draft.table() if draft.changed else None
 
 
@@ -115,6 +120,41 @@
             if not any(self._relieve(life) for life in sorted(busy, key=self._ratio, reverse=True)):
                 return
 
+    def join_small_ranges(self) -> None:
+        """Gives small ranges to the owners of their neighbours when there are many ranges."""
+        for _ in range(MAX_JOINS):
+            if len(self.draft.assignments) <= len(self.candidates) * WANTED_RANGES_PER_SERVER:
+                return
+            joins = [join for join in map(self._join, range(len(self.draft.assignments))) if join]
+            if not joins:
+                return
+            _, index, receiver = min(joins, key=lambda join: join[:2])
+            giver = self.draft.assignments[index].owner
+            self._shift(index, self._keys(index), giver, receiver)
+
+    def _join(self, index: int) -> tuple[float, int, ServerLife] | None:
+        """Returns the load of a range, its position and the neighbour's owner that can take it."""
+        assignment = self.draft.assignments[index]
+        if assignment.previous or assignment.owner not in self.rates:
+            return None
+        load = self.draft.loads.total(assignment.keys)
+        receivers = [
+            neighbour.owner
+            for neighbour in self._neighbours(index)
+            if not neighbour.previous
+            and neighbour.owner in self.rates
+            and neighbour.owner != assignment.owner
+            and (self.rates[neighbour.owner] + load) / self.weights[neighbour.owner]
+            <= JOIN_RATIO * self.mean
+        ]
+        if not receivers:
+            return None
+        return load, index, min(receivers, key=self._ratio)
+
+    def _neighbours(self, index: int) -> list[Assignment]:
+        before = self.draft.assignments[index - 1 : index] if index else []
+        return [*before, *self.draft.assignments[index + 1 : index + 2]]
+
     def _is_busy(self, life: ServerLife) -> bool:
         utilization = self.rates[life] / self.candidates[life].capacity
         return utilization > BUSY_UTILIZATION and self._ratio(life) > IMBALANCE * self.mean
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -3,7 +3,7 @@
 from fireflylink_decisions.limits import ColdLimit, FleetPosition
 from fireflylink_decisions.servers._server_tracker import ServerTracker
 
-QUEUE_DEPTH = 3.0
+QUEUE_DEPTH = 2.5
 """A server is given at most this many requests a slot; more would wait at the daemon."""
 
 DISTANCE_SECONDS = 0.03
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -10,6 +10,7 @@
 
 BASE_WEIGHT = 0.15
 FAILURE_WEIGHT = 0.15
+LATE_WEIGHT = 0.5
 REPORT_DECAY_SECONDS = 1.0
 PACE_DECAY_SECONDS = 0.5
 FAILURE_DECAY_SECONDS = 3.0
@@ -36,6 +37,7 @@
         "reported_own",
         "server",
         "silent_failures",
+        "waiting",
     )
 
     def __init__(self, server: BackendServer) -> None:
@@ -50,6 +52,7 @@
         self.reported_at = 0.0
         self.reported_own = 0
         self.silent_failures = 0
+        self.waiting = 0
 
     def note_sent(self, now: float) -> None:
         """Counts a request that is about to be sent."""
@@ -75,6 +78,12 @@
         self.base_seconds += weight * (base - self.base_seconds)
         self._note_outcome(0.0, now)
 
+    def note_late(self, seconds: float, fullness: float, now: float) -> None:
+        """Takes a request whose time ran out at the server: it takes at least that long."""
+        base = seconds / max(1.0, fullness) / self.pace(now)
+        self.base_seconds += LATE_WEIGHT * max(0.0, base - self.base_seconds)
+        self.note_silence(now)
+
     def note_failure(self, now: float) -> None:
         """Takes a request that failed at the server or was turned away without need."""
         self._note_outcome(1.0, now)
@@ -115,6 +124,14 @@
         """Returns how long one more request is expected to take."""
         return self.base_seconds * self.pace(now) * self.fullness(now)
 
+    def expected_wait(self, now: float) -> float:
+        """Returns how long one more request waits at this daemon while the server has no room.
+
+        By Little's law this daemon's requests leave at the rate of those in flight over their time.
+        """
+        rate = max(1, self.in_flight) / self.expected_seconds(now)
+        return (self.waiting + 1) / rate
+
     def _note_outcome(self, outcome: float, now: float) -> None:
         rate = self.failures(now)
         self.failure_rate = rate + FAILURE_WEIGHT * (outcome - rate)
