--- /dev/null
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -0,0 +1,36 @@
+"""Stand-ins for the platform's store and for backend servers, and a local system on them."""
+
+from fireflylink_standins._backend_server import BackendServerStandin
+from fireflylink_standins._backend_state import BackendState
+from fireflylink_standins._caller import Caller
+from fireflylink_standins._local_system import (
+    DATA_CENTRES,
+    HOST,
+    KEYED_SERVICE,
+    LOOKUP_PATH,
+    ORDER_PATH,
+    POOLED_SERVICE,
+    LocalDaemon,
+    LocalSystem,
+)
+from fireflylink_standins._memory_store import MemoryStore
+from fireflylink_standins._store_server import StoreFaults, make_store_application
+from fireflylink_standins._store_state import StoreState
+
+__all__ = [
+    "DATA_CENTRES",
+    "HOST",
+    "KEYED_SERVICE",
+    "LOOKUP_PATH",
+    "ORDER_PATH",
+    "POOLED_SERVICE",
+    "BackendServerStandin",
+    "BackendState",
+    "Caller",
+    "LocalDaemon",
+    "LocalSystem",
+    "MemoryStore",
+    "StoreFaults",
+    "StoreState",
+    "make_store_application",
+]
--- /dev/null
+++ b/packages/standins/src/fireflylink_standins/_caller.py
@@ -0,0 +1,70 @@
+"""A caller of the system."""
+
+import uuid
+
+from fireflylink_core import BaseClock
+from fireflylink_http_client import (
+    ExchangeError,
+    HttpConnection,
+    HttpResponse,
+    encode_request,
+)
+from fireflylink_platform import names
+from fireflylink_standins._local_system import HOST
+
+CONNECT_SECONDS = 1.0
+MILLISECONDS_PER_SECOND = 1000
+
+
+class Caller:
+    """Sends requests to one daemon over a kept connection."""
+
+    __slots__ = ("clock", "connection", "port")
+
+    def __init__(self, port: int, clock: BaseClock) -> None:
+        self.port = port
+        self.clock = clock
+        self.connection: HttpConnection | None = None
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        key: int | None = None,
+        body: bytes = b"",
+        deadline_seconds: float = 3.0,
+        request_id: str = "",
+    ) -> HttpResponse | None:
+        """Returns the reply, None when the connection ended without one."""
+        headers = [
+            ("Host", HOST),
+            (names.REQUEST_ID, request_id or uuid.uuid4().hex[:16]),
+            (names.DEADLINE_MS, str(int(deadline_seconds * MILLISECONDS_PER_SECOND))),
+        ]
+        if key is not None:
+            headers.append((names.SHARD_KEY, str(key)))
+        encoded = encode_request(method, path, tuple(headers), body)
+        try:
+            connection = self._connected()
+            response, reusable = connection.exchange(
+                encoded, method, self.clock.now() + deadline_seconds
+            )
+        except ExchangeError:
+            self.close()
+            return None
+        if not reusable:
+            self.close()
+        return response
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+    def _connected(self) -> HttpConnection:
+        if self.connection is None or not self.connection.usable():
+            self.close()
+            self.connection = HttpConnection(self.clock)
+            self.connection.connect("127.0.0.1", self.port, self.clock.now() + CONNECT_SECONDS)
+        return self.connection
--- /dev/null
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -0,0 +1,221 @@
+"""A local system: stand-ins in this process, daemons as processes of their own."""
+
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import gevent
+
+from fireflylink_caller_frontend import HttpListener
+from fireflylink_core import CallerLimits, SystemClock
+from fireflylink_platform import names
+from fireflylink_standins._backend_server import BackendServerStandin
+from fireflylink_standins._store_server import StoreFaults, encode, make_store_application
+from fireflylink_standins._store_state import StoreState
+from fireflylink_store import Commit, Put
+
+DATA_CENTRES = ("kingston", "spanish-town", "mandeville")
+KEYED_SERVICE = "availability"
+POOLED_SERVICE = "bookings"
+HOST = "rooms.example"
+LOOKUP_PATH = "/lookup/"
+ORDER_PATH = "/orders/"
+START_SECONDS = 10.0
+POLL_SECONDS = 0.05
+
+
+class LocalDaemon:
+    """One daemon process and its addresses."""
+
+    __slots__ = ("callers", "log", "metrics", "process", "readiness", "settings")
+
+    def __init__(
+        self, settings: pathlib.Path, log: pathlib.Path, callers: int, readiness: int, metrics: int
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.callers = callers
+        self.readiness = readiness
+        self.metrics = metrics
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Starts the process; its log goes to a file."""
+        with self.log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "fireflylink_daemon", "--settings", str(self.settings)],
+                stdout=output,
+                stderr=output,
+            )
+
+    def kill(self) -> None:
+        """Ends the process without notice."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+    def terminate(self) -> None:
+        """Asks the process to leave."""
+        if self.process is not None:
+            self.process.send_signal(signal.SIGTERM)
+
+    def wait(self, seconds: float) -> int | None:
+        """Returns the exit status, None when the process is still there after a time."""
+        if self.process is None:
+            return None
+        with gevent.Timeout(seconds, False):
+            while self.process.poll() is None:
+                gevent.sleep(POLL_SECONDS)
+        return self.process.poll()
+
+
+class LocalSystem:
+    """Store, servers and daemons on this machine.
+
+    Example::
+
+        system = LocalSystem(folder)
+        system.start(daemons=3)
+        ...
+        system.stop()
+    """
+
+    __slots__ = ("clock", "daemons", "faults", "folder", "listener", "servers", "store", "version")
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.clock = SystemClock()
+        self.store = StoreState(self.clock)
+        self.faults = StoreFaults()
+        application = make_store_application(self.store, self.faults)
+        self.listener = HttpListener(application, "127.0.0.1", 0, CallerLimits)
+        self.servers: dict[str, BackendServerStandin] = {}
+        self.daemons: list[LocalDaemon] = []
+        self.version = 0
+
+    def start(self, daemons: int = 3, keyed: int = 3, pooled: int = 2) -> None:
+        """Starts everything and waits until every daemon is ready."""
+        self.listener.start()
+        self.configure()
+        for number in range(keyed):
+            self.add_server(f"a{number}", KEYED_SERVICE, number, keyed=True)
+        for number in range(pooled):
+            self.add_server(f"b{number}", POOLED_SERVICE, number, keyed=False)
+        for number in range(daemons):
+            daemon = self._daemon(number)
+            daemon.start()
+            self.daemons.append(daemon)
+
+    def stop(self) -> None:
+        """Ends every process and stand-in."""
+        for daemon in self.daemons:
+            daemon.kill()
+        for server in self.servers.values():
+            server.stop()
+        self.listener.close()
+
+    def configure(self, order_timeout_ms: int = 2000) -> None:
+        """Writes the next version of the configuration."""
+        self.version += 1
+        value = encode(_configuration(self.version, order_timeout_ms))
+        self.store.commit(Commit(puts=(Put(names.CONFIGURATION_KEY, value),)))
+
+    def evacuate(self, data_centre: str, requested: bool) -> None:
+        """Asks for an evacuation, or takes it back."""
+        key = f"{names.EVACUATION_PREFIX}{data_centre}"
+        if requested:
+            self.store.commit(Commit(puts=(Put(key, b"{}"),)))
+        else:
+            self.store.commit(Commit(deletions=(key,)))
+
+    def add_server(
+        self, server_id: str, service: str, number: int, keyed: bool
+    ) -> BackendServerStandin:
+        """Starts a server."""
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        server = BackendServerStandin(
+            server_id, service, data_centre, keyed, self.store, self.clock
+        )
+        server.start()
+        self.servers[server_id] = server
+        return server
+
+    def _daemon(self, number: int) -> LocalDaemon:
+        callers, readiness, metrics, peers = (_free_port() for _ in range(4))
+        settings = {
+            "instance": f"front-{number}",
+            "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
+            "address": "127.0.0.1",
+            "caller_address": f"127.0.0.1:{callers}",
+            "readiness_address": f"127.0.0.1:{readiness}",
+            "metrics_port": metrics,
+            "peer_ports": [peers, peers + 1],
+            "store": {"address": f"127.0.0.1:{self.listener.port}", "minimum_lease_ms": 1000},
+            "heartbeat_ms": 870,
+            "bounds": BOUNDS,
+        }
+        path = self.folder / f"front-{number}.json"
+        path.write_text(json.dumps(settings))
+        log = self.folder / f"front-{number}.log"
+        return LocalDaemon(path, log, callers, readiness, metrics)
+
+
+BOUNDS = {
+    "drain_ms": 2000,
+    "evacuate_ms": 5000,
+    "leave_seconds": 6,
+    "hold_max_ms": 10000,
+    "retry_ratio": 0.2,
+    "retry_window_seconds": 10,
+    "retry_extra": 58,
+    "cold_factor": 1.5,
+    "cold_extra": 5,
+}
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def _configuration(version: int, order_timeout_ms: int) -> dict[str, object]:
+    common = {"health-check": "/healthz", "max-conns": 110, "warmup-s": 3.0, "warmup-per-s": 7.3}
+    lookups = {
+        "name": "lookup",
+        "prefix": LOOKUP_PATH,
+        "kind": "safe",
+        "timeout-ms": 2000,
+        "target-latency-ms": 500,
+        "priority": 1,
+        "service": KEYED_SERVICE,
+        "max-attempts": 2,
+    }
+    orders = {
+        "name": "orders",
+        "prefix": ORDER_PATH,
+        "kind": "unsafe",
+        "timeout-ms": order_timeout_ms,
+        "target-latency-ms": 500,
+        "priority": 0,
+        "service": POOLED_SERVICE,
+        "max-attempts": 2,
+    }
+    return {
+        "version": f"r{version}",
+        "services": [
+            {"name": KEYED_SERVICE, "sharded": True, "warm-s": 5.0, **common},
+            {"name": POOLED_SERVICE, **common},
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 1 << 20,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "virtual-hosts": [{"host": HOST, "paths": [lookups, orders]}],
+    }
--- /dev/null
+++ b/packages/standins/src/fireflylink_standins/_memory_store.py
@@ -0,0 +1,101 @@
+"""A store in memory, for tests of tasks without sockets."""
+
+import gevent
+from returns.result import Failure, Result, Success
+
+from fireflylink_standins._store_state import (
+    ConditionFailedError,
+    NoSuchLeaseError,
+    StoreState,
+)
+from fireflylink_store import (
+    BaseStore,
+    Changes,
+    Commit,
+    ConflictError,
+    HistoryGoneError,
+    Item,
+    Lease,
+    LeaseEndedError,
+    Snapshot,
+    StoreError,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+
+POLL_SECONDS = 0.01
+
+
+class MemoryStore(BaseStore):
+    """One daemon's access to a ``StoreState``.
+
+    ``reachable`` false makes every call fail; ``loses_replies`` makes writes take effect although
+    their callers are told that no answer came.
+    """
+
+    __slots__ = ("loses_replies", "reachable", "state")
+
+    def __init__(self, state: StoreState) -> None:
+        self.state = state
+        self.reachable = True
+        self.loses_replies = False
+
+    def read(self, key: str, deadline: float) -> Result[Item | None, StoreError]:
+        if not self.reachable:
+            return _unavailable()
+        return Success(self.state.read(key))
+
+    def list(self, prefix: str, deadline: float) -> Result[Snapshot, StoreError]:
+        if not self.reachable:
+            return _unavailable()
+        return Success(Snapshot(tuple(self.state.range(prefix)), self.state.revision))
+
+    def watch(
+        self, prefix: str, revision: int, wait_seconds: float, deadline: float
+    ) -> Result[Changes, StoreError]:
+        until = self.state.clock.now() + wait_seconds
+        while self.reachable:
+            changes = self.state.changes(prefix, revision)
+            if changes is None:
+                return Failure(HistoryGoneError("dropped"))
+            if changes or self.state.clock.now() >= until:
+                return Success(Changes(tuple(changes), self.state.revision))
+            gevent.sleep(POLL_SECONDS)
+        return _unavailable()
+
+    def commit(self, commit: Commit, deadline: float) -> Result[int, StoreError]:
+        if not self.reachable:
+            return _unavailable()
+        try:
+            revision = self.state.commit(commit)
+        except ConditionFailedError as error:
+            return Failure(ConflictError(error.items))
+        except NoSuchLeaseError:
+            return Failure(LeaseEndedError("ended"))
+        return self._answer(revision)
+
+    def open_lease(self, seconds: float, deadline: float) -> Result[Lease, StoreError]:
+        if not self.reachable:
+            return _unavailable()
+        return Success(Lease(self.state.open_lease(seconds), seconds))
+
+    def renew_lease(self, lease_id: int, deadline: float) -> Result[float, StoreError]:
+        if not self.reachable:
+            return _unavailable()
+        seconds = self.state.renew_lease(lease_id)
+        return Failure(LeaseEndedError("ended")) if seconds is None else Success(seconds)
+
+    def end_lease(self, lease_id: int, deadline: float) -> Result[None, StoreError]:
+        if not self.reachable:
+            return _unavailable()
+        self.state.end_lease(lease_id)
+        return Success(None)
+
+    def _answer(self, revision: int) -> Result[int, StoreError]:
+        if self.loses_replies:
+            return Failure(StoreUncertainError("the reply was lost"))
+        return Success(revision)
+
+
+def _unavailable() -> Failure[StoreError]:
+    return Failure(StoreUnavailableError("not reachable"))
