--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -94,7 +94,7 @@
             settings.address,
             settings.report_port,
         )
-        self.member = MemberTask(record, self._store(), clock, self.metrics)
+        self.member = MemberTask(record, self._store(), self.view, clock, self.metrics)
         self.decider = DeciderTask(record, self._store(), self.serving, clock, self.metrics)
         keys = KeyCounter()
         self.peers = PeerSocket(
@@ -104,6 +104,7 @@
         self.peers.ownership = self.ownership
         self.decider.ownership = self.ownership
         self.view.ownership = self.ownership
+        self.view.member = self.member
         self.reader = StoreReader(
             self._store(), PlatformCatalogue(), self.view, clock, self.metrics
         )
--- a/packages/daemon/src/fireflylink_daemon/_member_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_member_task.py
@@ -4,37 +4,38 @@
 
 from fireflylink_core import BaseClock
 from fireflylink_daemon._log import log_event, log_problem
-from fireflylink_daemon._messages import Leave
+from fireflylink_daemon._messages import Leave, MemberMissing, StoreDoubted
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._task import BaseTask
 from fireflylink_protocol import MemberRecord, encode_member, member_key
 from fireflylink_store import BaseStore, Commit, LeaseEndedError, Put, StoreError
 
 LEASE_SECONDS = 6.0
-RENEWAL_SECONDS = 2.0
+RENEWAL_SECONDS = 1.0
 CALL_SECONDS = 1.0
 RETRY_SECONDS = 0.5
 NEVER = float("inf")
 
 
-class MemberMissing:
-    """The store no longer has this daemon's member record."""
-
-    __slots__ = ()
-
-
 class MemberTask(BaseTask):
     """Keeps the member record under a lease; the record ends with the daemon."""
 
-    __slots__ = ("due_at", "lease_id", "metrics", "record", "store")
+    __slots__ = ("doubted", "due_at", "lease_id", "metrics", "record", "store", "view")
 
     def __init__(
-        self, record: MemberRecord, store: BaseStore, clock: BaseClock, metrics: Metrics
+        self,
+        record: MemberRecord,
+        store: BaseStore,
+        view: BaseTask,
+        clock: BaseClock,
+        metrics: Metrics,
     ) -> None:
         super().__init__("member", clock)
         self.record = record
         self.store = store
         self.metrics = metrics
+        self.view = view
+        self.doubted = False
         self.lease_id = 0
         self.due_at = 0.0
 
@@ -44,6 +45,7 @@
     def wake(self) -> None:
         error = self._renew() if self.lease_id else self._join()
         self.metrics.count("store_calls", kind="member", result="Failure" if error else "Success")
+        self._tell_doubt(error is not None)
         if error is None:
             self.due_at = self.clock.now() + RENEWAL_SECONDS
             return
@@ -61,6 +63,12 @@
             self.due_at = 0.0
         return None
 
+    def _tell_doubt(self, doubted: bool) -> None:
+        """Lets the view know at once: its own call may wait for seconds before it fails."""
+        if doubted != self.doubted:
+            self.doubted = doubted
+            self.view.post(StoreDoubted(doubted))
+
     def _leave(self) -> None:
         """Removes the record, so that the others take over this daemon's shares."""
         self.due_at = NEVER
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -33,6 +33,21 @@
         self.problem = problem
 
 
+class StoreDoubted:
+    """Whether the last call to the store, other than reading, failed."""
+
+    __slots__ = ("doubted",)
+
+    def __init__(self, doubted: bool) -> None:
+        self.doubted = doubted
+
+
+class MemberMissing:
+    """The store no longer has this daemon's member record."""
+
+    __slots__ = ()
+
+
 class StoreReached:
     """The store answers this daemon."""
 
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -30,6 +30,7 @@
     KeyLoad,
     RangeLoad,
     ReleaseCommand,
+    ServiceTimes,
     first_table,
     plan,
     refenced,
@@ -46,10 +47,9 @@
 
 COMMIT_PATIENCE_SECONDS = 2.0
 UNREACHABLE_FAILURES = 3
-TRUSTED_ANSWERS = 8
+MILLISECONDS_PER_SECOND = 1000.0
 LEAST_CAPACITY_FACTOR = 0.4
 LARGEST_CAPACITY_FACTOR = 2.0
-DEFAULT_SERVICE_SECONDS = 0.16
 
 
 class _KeyedService:
@@ -66,6 +66,7 @@
         "seen_at",
         "settled_at",
         "table",
+        "times",
     )
 
     def __init__(self, service: str, now: float) -> None:
@@ -75,6 +76,7 @@
         self.book: GrantBook | None = None
         self.load = KeyLoad(service, now)
         self.seen_at = now
+        self.times = ServiceTimes()
         self.settled_at = now
         self.next_plan = 0.0
         self.commit_asked_at: float | None = None
@@ -257,19 +259,18 @@
         for entry in entries:
             server = entry.server
             if service.failures.get(server.life, 0) < UNREACHABLE_FAILURES:
-                capacity = self._capacity(server, now)
+                capacity = self._capacity(service, server, now)
                 found.append(Candidate(server.life, capacity, server.data_centre))
         return found
 
-    def _capacity(self, server: BackendServer, now: float) -> float:
+    def _capacity(self, service: _KeyedService, server: BackendServer, now: float) -> float:
+        """Returns how many requests a second a server can run."""
         tracker = self.serving.trackers.get(server.life)
-        usual = server.slots / DEFAULT_SERVICE_SECONDS
+        usual = server.slots / service.times.mean()
         if tracker is not None and tracker.gate.is_cold(now):
             return usual * LEAST_CAPACITY_FACTOR
-        if tracker is None or tracker.answers < TRUSTED_ANSWERS:
-            return usual
-        factor = DEFAULT_SERVICE_SECONDS / tracker.base_seconds
-        return usual * min(LARGEST_CAPACITY_FACTOR, max(LEAST_CAPACITY_FACTOR, factor))
+        own = server.slots / service.times.seconds(server.server_id)
+        return min(LARGEST_CAPACITY_FACTOR * usual, max(LEAST_CAPACITY_FACTOR * usual, own))
 
     def _send(self, name: str, book: GrantBook, command: object, now: float) -> None:
         if isinstance(command, ReleaseCommand):
@@ -383,7 +384,11 @@
     def _note_report(self, report: LoadReport) -> None:
         if not self.deciding or not report.keys:
             return
-        load = self._service(report.service).load
+        service = self._service(report.service)
+        for times in report.times:
+            seconds = times.milliseconds / MILLISECONDS_PER_SECOND
+            service.times.add(times.server_id, times.answers, seconds)
+        load = service.load
         each = report.requests / len(report.keys)
         for key in report.keys:
             load.add(key, each)
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -15,22 +15,31 @@
     GrantNotice,
     LoadReport,
     MemberRecord,
+    ServerTimes,
     decode_datagram,
     encode_datagram,
 )
 
 REPORT_SECONDS = 0.25
+TIMES_EACH_REPORTS = 8
+MILLISECONDS_PER_SECOND = 1000.0
 MAX_DATAGRAM_BYTES = 2048
 
 
 class KeyCounter:
-    """Keys that were asked for since the last report, by service."""
+    """Keys that were asked for, and times of servers, since the last report, by service."""
 
-    __slots__ = ("keys", "requests")
+    __slots__ = ("keys", "reports", "requests", "times")
 
     def __init__(self) -> None:
         self.keys: dict[str, list[int]] = {}
         self.requests: dict[str, int] = {}
+        self.times: dict[str, dict[str, list[float]]] = {}
+        self.reports = 0
+
+    def add_time(self, service: str, server_id: str, seconds: float) -> None:
+        """Counts an answer of a server and its service time."""
+        self.times.setdefault(service, {}).setdefault(server_id, []).append(seconds)
 
     def add(self, service: str, key: int) -> None:
         """Counts a request; beyond the size of a report, keys are sampled at random."""
@@ -44,15 +53,32 @@
         if position < MAX_REPORTED_KEYS:
             keys[position] = key
 
-    def take(self) -> list[tuple[str, int, tuple[int, ...]]]:
-        """Returns service, requests and keys since the last call."""
+    def take(self, instance: str) -> list[LoadReport]:
+        """Returns the reports of what came since the last call."""
+        self.reports += 1
+        with_times = self.reports % TIMES_EACH_REPORTS == 0
         taken = [
-            (service, self.requests[service], tuple(keys)) for service, keys in self.keys.items()
+            LoadReport(
+                instance,
+                service,
+                self.reports,
+                self.requests[service],
+                tuple(keys),
+                self._take_times(service) if with_times else (),
+            )
+            for service, keys in self.keys.items()
         ]
         self.keys = {}
         self.requests = {}
         return taken
 
+    def _take_times(self, service: str) -> tuple[ServerTimes, ...]:
+        times = self.times.pop(service, {})
+        return tuple(
+            ServerTimes(server_id, len(seconds), int(sum(seconds) * MILLISECONDS_PER_SECOND))
+            for server_id, seconds in times.items()
+        )
+
 
 class PeerSocket:
     """Owns the datagram socket between daemons.
@@ -67,7 +93,6 @@
         "greenlets",
         "instance",
         "ownership",
-        "sequence",
         "serving",
         "sock",
         "view",
@@ -81,7 +106,6 @@
         self.view = view
         self.serving = view.serving
         self.ownership: BaseTask | None = None
-        self.sequence = 0
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, port))
         self.greenlets: list[gevent.Greenlet] = []
@@ -118,10 +142,8 @@
         while True:
             gevent.sleep(REPORT_SECONDS)
             decider = self.view.decider
-            for service, requests, keys in self.counter.take():
+            for report in self.counter.take(self.instance):
                 if decider is not None:
-                    self.sequence += 1
-                    report = LoadReport(self.instance, service, self.sequence, requests, keys)
                     self._send(encode_datagram(report), decider)
 
     def _send(self, datagram: bytes, member: MemberRecord) -> None:
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -166,6 +166,9 @@
             tracker.note_load(result.load, now)
         if isinstance(result, Answered) and result.answer.status < SERVER_ERROR:
             tracker.note_answer(now - sent_at, send.fullness, now)
+            if course.request.key != NO_KEY:
+                seconds = (now - sent_at) / max(1.0, send.fullness) / tracker.pace(now)
+                self.keys.add_time(course.service, tracker.server.server_id, seconds)
         elif _failed_at_server(result):
             tracker.note_failure(now)
         elif isinstance(result, Lost) and result.reason is LostReason.LATE:
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -53,6 +53,7 @@
         "settings",
         "splits",
         "started_at",
+        "store_doubted",
         "trackers",
     )
 
@@ -72,6 +73,7 @@
         self.trackers: dict[ServerLife, ServerTracker] = {}
         self.pools: dict[ServerLife, ServerPool] = {}
         self.started_at = clock.now()
+        self.store_doubted = False
 
     def limits(self) -> CallerLimits:
         """Returns the limits for callers in force."""
@@ -216,6 +218,8 @@
         pool.trackers = {entry.server.life: self.trackers[entry.server.life] for entry in entries}
 
     def _serves(self, entry: DirectoryEntry, service: Service, now: float) -> bool:
+        if not self.directory.believed(entry):
+            return False
         if self.directory.may_get_work(entry):
             return True
         if not service.keyed:
@@ -227,7 +231,11 @@
     def _terms(self, service: Service, position: FleetPosition) -> ServiceTerms:
         bounds = self.settings.bounds
         cold = ColdLimit(service.cold_requests_per_second, bounds.cold_factor, bounds.cold_extra)
-        return ServiceTerms(cold, service.connection_limit, position, self.settings.data_centre)
+        # A keyed server that started again runs nothing before it is granted keys.
+        cautious = not service.keyed and (self.store_doubted or not self.directory.store_reached)
+        return ServiceTerms(
+            cold, service.connection_limit, position, self.settings.data_centre, cautious
+        )
 
     def _forget_absent(self) -> None:
         present = {entry.server.life for entry in self.directory.entries.values()}
--- a/packages/daemon/src/fireflylink_daemon/_store_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_task.py
@@ -18,7 +18,7 @@
 """Changes within this time are read with one call: each waiting call is paid for."""
 
 FIRST_RETRY_SECONDS = 0.1
-LAST_RETRY_SECONDS = 0.8
+LAST_RETRY_SECONDS = 0.3
 
 
 class StoreReader:
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -5,11 +5,13 @@
 from returns.result import Result, Success
 
 from fireflylink_core import BaseClock, OwnershipTable
-from fireflylink_daemon._log import log_problem
+from fireflylink_daemon._log import log_event, log_problem
 from fireflylink_daemon._messages import (
     DeciderChanged,
     FactsRead,
+    MemberMissing,
     ServersChanged,
+    StoreDoubted,
     StoreLost,
     StoreReached,
     TableChanged,
@@ -47,12 +49,13 @@
     ``decider`` is the member record of the daemon that decides on ownership, if there is one.
     """
 
-    __slots__ = ("decider", "next_tick", "ownership", "serving")
+    __slots__ = ("decider", "member", "next_tick", "ownership", "serving")
 
     def __init__(self, serving: Serving, clock: BaseClock) -> None:
         super().__init__("view", clock)
         self.serving = serving
         self.ownership: BaseTask | None = None
+        self.member: BaseTask | None = None
         self.decider: MemberRecord | None = None
         self.next_tick = 0.0
 
@@ -71,6 +74,9 @@
             self.serving.note_granted(message)
         elif isinstance(message, StoreLost):
             self.serving.directory.note_store_lost()
+        elif isinstance(message, StoreDoubted):
+            self.serving.store_doubted = message.doubted
+            log_event("store-doubted", doubted=message.doubted)
         elif isinstance(message, StoreReached):
             self.serving.directory.note_store_reached(self.clock.now())
         return None
@@ -143,6 +149,9 @@
                 members[name] = member
         if members != self.serving.members:
             self.serving.set_members(members)
+        if fact.value is None and name == self.serving.settings.instance and self.member:
+            # The record can be taken away without any of this daemon's calls showing it.
+            self.member.post(MemberMissing())
 
     def _set_decider(self, member: MemberRecord | None, revision: int) -> None:
         self.decider = member
--- a/packages/decisions/src/fireflylink_decisions/limits/_cold_gate.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_cold_gate.py
@@ -44,9 +44,15 @@
         """Whether the limit applies."""
         return now < self.cold_until
 
-    def open_at(self, now: float, limit: ColdLimit, position: FleetPosition, server: str) -> float:
-        """Returns when the next request may be sent."""
-        if now >= self.cold_until:
+    def open_at(
+        self, now: float, limit: ColdLimit, position: FleetPosition, server: str, cautious: bool
+    ) -> float:
+        """Returns when the next request may be sent.
+
+        ``cautious`` tells that a server that turned cold would not be known to this daemon.
+        """
+        if now >= self.cold_until and not cautious:
             return now
         share = position.share(limit.requests, server)
-        return min(self.cold_until, self.sent.room_at(now, share))
+        room_at = self.sent.room_at(now, share)
+        return room_at if cautious else min(self.cold_until, room_at)
--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -15,6 +15,7 @@
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
 from fireflylink_decisions.ownership._plan_values import Candidate
 from fireflylink_decisions.ownership._planner import first_table, plan
+from fireflylink_decisions.ownership._service_times import ServiceTimes
 
 __all__ = [
     "COMMAND_SECONDS",
@@ -29,6 +30,7 @@
     "KeyLoad",
     "RangeLoad",
     "ReleaseCommand",
+    "ServiceTimes",
     "first_table",
     "plan",
     "refenced",
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -5,6 +5,8 @@
 price is that a piece may take some quiet keys along.
 """
 
+import math
+
 from fireflylink_core import (
     FIRST_KEY,
     KEY_COUNT,
@@ -24,13 +26,14 @@
 FULL_UTILIZATION = 0.8
 """Up to this, fast servers get more than their part, because their answers come sooner."""
 
-IMBALANCE = 1.35
+IMBALANCE = 1.4
 """A server is relieved when it is this much above the mean."""
 
 AIM = 1.1
+NOISE_DEVIATIONS = 1.3
 MAX_MOVES = 10
 MAX_RANGES_PER_SERVER = 5
-WANTED_RANGES_PER_SERVER = 2.5
+WANTED_RANGES_PER_SERVER = 1.7
 """Above this, small neighbouring ranges are joined: each range is a renewal a second."""
 
 MAX_JOINS = 3
@@ -156,8 +159,14 @@
         return [*before, *self.draft.assignments[index + 1 : index + 2]]
 
     def _is_busy(self, life: ServerLife) -> bool:
-        utilization = self.rates[life] / self.candidates[life].capacity
-        return utilization > BUSY_UTILIZATION and self._ratio(life) > IMBALANCE * self.mean
+        rate = self.rates[life]
+        # A rate over about a second of few requests is uncertain; moves that follow its chance
+        # variations would cost more than they gain.
+        least = rate - NOISE_DEVIATIONS * math.sqrt(max(0.0, rate))
+        return (
+            least > BUSY_UTILIZATION * self.candidates[life].capacity
+            or least > IMBALANCE * self.mean * self.weights[life]
+        ) and self._ratio(life) > IMBALANCE * self.mean
 
     def _ratio(self, life: ServerLife) -> float:
         """Returns a server's load in proportion to what it should have."""
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -6,7 +6,7 @@
 QUEUE_DEPTH = 2.5
 """A server is given at most this many requests a slot; more would wait at the daemon."""
 
-DISTANCE_SECONDS = 0.03
+DISTANCE_SECONDS = 0.08
 """What a server in another data centre must be faster by, for the price of the bytes."""
 
 FAILURE_SECONDS = 0.6
@@ -18,9 +18,13 @@
 
 
 class ServiceTerms:
-    """Limits of one service's servers, and this daemon's place among the others."""
+    """Limits of one service's servers, and this daemon's place among the others.
 
-    __slots__ = ("cold_limit", "connection_limit", "data_centre", "position")
+    ``cautious`` tells that the store does not answer this daemon: a server may have turned cold,
+    or a data centre may have been taken back with cold servers, without its knowing.
+    """
+
+    __slots__ = ("cautious", "cold_limit", "connection_limit", "data_centre", "position")
 
     def __init__(
         self,
@@ -28,7 +32,9 @@
         connection_limit: int,
         position: FleetPosition,
         data_centre: str,
+        cautious: bool = False,
     ) -> None:
+        self.cautious = cautious
         self.cold_limit = cold_limit
         self.connection_limit = connection_limit
         self.position = position
@@ -47,7 +53,7 @@
     if tracker.queue(now) + 1.0 > tracker.server.slots * QUEUE_DEPTH:
         return None
     server_id = tracker.server.server_id
-    open_at = tracker.gate.open_at(now, terms.cold_limit, terms.position, server_id)
+    open_at = tracker.gate.open_at(now, terms.cold_limit, terms.position, server_id, terms.cautious)
     if is_silent(tracker):
         open_at = max(open_at, tracker.failure_rate_at + DEAD_RETRY_SECONDS)
     return open_at
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -115,6 +115,18 @@
             and entry.server.data_centre not in self.evacuated
         )
 
+    def believed(self, entry: DirectoryEntry) -> bool:
+        """Whether a missing registration is rather taken for lapsed than for ended.
+
+        When most servers of a service are registered, the store was not away for them, and a
+        missing one has left; when most are missing, their registrations lapsed.
+        """
+        if not entry.missing:
+            return True
+        service = entry.server.service
+        same = [found for found in self.entries.values() if found.server.service == service]
+        return 2 * sum(found.missing for found in same) > len(same)
+
     def usable(self, service: str) -> list[DirectoryEntry]:
         """Returns the servers of a service that may get new work."""
         return [
--- a/packages/decisions/tests/test_limits.py
+++ b/packages/decisions/tests/test_limits.py
@@ -47,7 +47,7 @@
     for _ in range(500):
         for rank, gate in enumerate(gates):
             now = clock.now() + 0.001 * rank
-            if gate.open_at(now, limit, FleetPosition(rank, members), "i-1") <= now:
+            if gate.open_at(now, limit, FleetPosition(rank, members), "i-1", False) <= now:
                 gate.note_sent(now)
                 arrivals.append(now)
         clock.advance(1.0 / demand_per_daemon)
@@ -75,7 +75,18 @@
     for _ in range(5):
         gate.note_sent(clock.now())
     gate.note_cold(clock.now() + 3.0)
-    assert_that(gate.open_at(clock.now(), limit, position, "i-1"), GreaterThan(clock.now()))
+    assert_that(gate.open_at(clock.now(), limit, position, "i-1", False), GreaterThan(clock.now()))
+
+
+def test_a_daemon_that_cannot_know_keeps_to_its_share_of_a_cold_server(clock):
+    """Guards against FAILBACK: a data centre was taken back cold while the store was away."""
+    gate = ColdGate()
+    limit = ColdLimit(3.7, 1.5, 5.0)
+    position = FleetPosition(0, 12)
+    gate.note_sent(clock.now())
+    assert_that(gate.open_at(clock.now(), limit, position, "i-1", False), Equals(clock.now()))
+    opens = gate.open_at(clock.now(), limit, position, "i-1", True)
+    assert_that(opens, GreaterThan(clock.now() + 1.0))
 
 
 def test_repeats_stay_within_the_budget_of_the_fleet(clock):
--- a/packages/decisions/tests/test_server_directory.py
+++ b/packages/decisions/tests/test_server_directory.py
@@ -71,3 +71,16 @@
     clock.advance(5.0)
     entry = directory.put(servers("s1").replace(born_ms=2), clock.now())
     assert_that(entry.joined_at, Equals(clock.now()))
+
+
+def test_one_missing_server_among_registered_ones_is_not_believed_to_live(servers, clock):
+    """Guards against DRAIN: a daemon that was cut off takes a server that left for lapsed."""
+    directory = ServerDirectory()
+    entries = [directory.put(servers(f"s{number}"), clock.now()) for number in range(3)]
+    directory.note_store_lost()
+    directory.note_store_reached(clock.now())
+    directory.remove("s0", clock.now())
+    assert_that(directory.believed(entries[0]), Is(False))
+    directory.remove("s1", clock.now())
+    assert_that(directory.believed(entries[0]), Is(True))
+    assert_that(directory.believed(entries[2]), Is(True))
--- a/packages/protocol/src/fireflylink_protocol/__init__.py
+++ b/packages/protocol/src/fireflylink_protocol/__init__.py
@@ -5,6 +5,7 @@
     Datagram,
     GrantNotice,
     LoadReport,
+    ServerTimes,
     decode_datagram,
     encode_datagram,
 )
@@ -37,6 +38,7 @@
     "LoadReport",
     "MemberRecord",
     "RecordError",
+    "ServerTimes",
     "decode_datagram",
     "decode_member",
     "decode_table",
--- a/packages/protocol/src/fireflylink_protocol/_datagrams.py
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -14,23 +14,45 @@
 MAX_KEY = 65535
 
 
+class ServerTimes(BaseValue):
+    """How long a server took for some requests of one daemon.
+
+    ``milliseconds`` is the sum of the service times without the time in queues.
+    """
+
+    __slots__ = ("answers", "milliseconds", "server_id")
+
+    def __init__(self, server_id: str, answers: int, milliseconds: int) -> None:
+        self.server_id = server_id
+        self.answers = answers
+        self.milliseconds = milliseconds
+
+
 class LoadReport(BaseValue):
     """Keys that a daemon was asked for since its last report, in arrival order.
 
     ``requests`` is how many there were; ``keys`` is a sample of them when there were more than
-    ``MAX_REPORTED_KEYS``. ``sequence`` grows with each report of one life of a daemon.
+    ``MAX_REPORTED_KEYS``. ``times`` are those of servers that answered since they were last sent.
+    ``sequence`` grows with each report of one life of a daemon.
     """
 
-    __slots__ = ("instance", "keys", "requests", "sequence", "service")
+    __slots__ = ("instance", "keys", "requests", "sequence", "service", "times")
 
     def __init__(
-        self, instance: str, service: str, sequence: int, requests: int, keys: tuple[int, ...]
+        self,
+        instance: str,
+        service: str,
+        sequence: int,
+        requests: int,
+        keys: tuple[int, ...],
+        times: tuple[ServerTimes, ...] = (),
     ) -> None:
         self.instance = instance
         self.service = service
         self.sequence = sequence
         self.requests = requests
         self.keys = keys
+        self.times = times
 
 
 class GrantNotice(BaseValue):
@@ -58,6 +80,7 @@
             message.sequence,
             message.requests,
             list(message.keys),
+            [[times.server_id, times.answers, times.milliseconds] for times in message.times],
         ]
     else:
         keys = message.keys
@@ -80,11 +103,29 @@
 
 
 def _report(
-    instance: str, service: str, sequence: int, requests: int, keys: list[int]
+    instance: str,
+    service: str,
+    sequence: int,
+    requests: int,
+    keys: list[int],
+    times: list[list[object]],
 ) -> LoadReport:
     if not all(0 <= key <= MAX_KEY for key in keys):
         raise ValueError("a key is out of range")
-    return LoadReport(str(instance), str(service), int(sequence), int(requests), tuple(keys))
+    return LoadReport(
+        str(instance),
+        str(service),
+        int(sequence),
+        int(requests),
+        tuple(keys),
+        tuple(_times(*entry) for entry in times),
+    )
+
+
+def _times(server_id: object, answers: object, milliseconds: object) -> ServerTimes:
+    if not isinstance(answers, int) or not isinstance(milliseconds, int) or answers < 1:
+        raise ValueError("service times must be whole numbers")
+    return ServerTimes(str(server_id), answers, milliseconds)
 
 
 def _notice(service: str, first: int, last: int, fence: int) -> GrantNotice:
