--- /dev/null
+++ b/packages/standins/tests/test_adapter_catalogue.py
@@ -0,0 +1,169 @@
+"""What the items of the platform's store say, well-formed or not."""
+
+import json
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength, IsInstance
+
+from fireflylink_core import RequestKind, ServerState
+from fireflylink_platform import (
+    PlatformCatalogue,
+    WireFormatError,
+    decode_configuration,
+    decode_server,
+    decode_version,
+)
+from fireflylink_store import (
+    ConfigurationFact,
+    EvacuationFact,
+    Item,
+    RecordFact,
+    Removal,
+    ServerFact,
+    ServerGoneFact,
+    UnreadableFact,
+)
+
+SERVER = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "kingston",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "warmup-left-ms": 250,
+    "sequence": 4,
+    "born": 1787427283046,
+}
+ROUTE = {
+    "name": "r-1",
+    "prefix": "/lepu270/",
+    "kind": "safe",
+    "timeout-ms": 1500,
+    "target-latency-ms": 500,
+    "priority": 2,
+    "split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+    "max-attempts": 2,
+}
+CONFIGURATION = {
+    "version": "r7",
+    "services": [
+        {
+            "name": "a",
+            "health-check": "/healthz",
+            "max-conns": 110,
+            "warmup-s": 3.0,
+            "warmup-per-s": 7.3,
+            "sharded": True,
+            "warm-s": 5.0,
+            "grants": "invoke",
+        },
+        {"name": "b", "health-check": "/healthz", "max-conns": 46},
+    ],
+    "limits": {"max-header-bytes": 16384, "idle-timeout-ms": 15000},
+    "base-version": "r5",
+    "virtual-hosts": [{"host": "Jepu9.example", "paths": [ROUTE]}],
+}
+
+
+def item(key: str, value: object) -> Item:
+    return Item(key, json.dumps(value).encode(), 5)
+
+
+def test_a_registration_is_read():
+    """Guards against a server that is used with a wrong address or state."""
+    server = decode_server("i-1", json.dumps(SERVER).encode())
+    assert_that((server.host, server.port, server.slots), Equals(("10.128.0.9", 8080, 4)))
+    assert_that((server.state, server.cold_ms), Equals((ServerState.READY, 250.0)))
+    assert_that(server.life.born_ms, Equals(1787427283046))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:99999"},
+        {"address": 8080},
+        {"slots": "4"},
+        {"slots": True},
+        {"slots": -1},
+        {"state": "asleep"},
+        {"service": None},
+        {"zone": 3},
+        {"born": "now"},
+        {"warmup-left-ms": "soon"},
+    ],
+)
+def test_a_malformed_registration_names_no_server(change):
+    """Guards against entries of other writers that are taken for servers."""
+    facts = PlatformCatalogue().facts(item("servers/i-1", {**SERVER, **change}))
+    assert_that(facts[0], IsInstance(UnreadableFact))
+    assert_that(facts[1], Equals(ServerGoneFact("i-1", 5)))
+
+
+@pytest.mark.parametrize("value", [b"\xff\xfe", b"[]", b"{", b"null", b""])
+def test_bytes_that_cannot_be_read_name_no_server_and_no_route(value):
+    """Guards against an exception that ends the reading of the store."""
+    for key in ("servers/i-1", "op/config"):
+        facts = PlatformCatalogue().facts(Item(key, value, 5))
+        assert_that(facts[0], IsInstance(UnreadableFact))
+
+
+def test_a_configuration_is_read():
+    """Guards against routes, splits or limits that are lost in translation."""
+    configuration = decode_configuration(json.dumps(CONFIGURATION).encode())
+    assert_that(configuration.version, Equals(7))
+    [route] = configuration.routes
+    assert_that(route.host, Equals("jepu9.example"))
+    assert_that(route.kind, Equals(RequestKind.IDEMPOTENT))
+    assert_that([(t.service, t.weight) for t in route.targets], Equals([("a", 90), ("b", 10)]))
+    assert_that((route.rank, route.max_servers), Equals((2, 2)))
+    assert_that([service.keyed for service in configuration.services], Equals([True, False]))
+    assert_that(configuration.limits.max_head_bytes, Equals(16384))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"kind": "maybe"},
+        {"timeout-ms": None},
+        {"timeout-ms": -5},
+        {"split": []},
+        {"split": [{"service": "a", "weight": 0}]},
+        {"split": [{"service": "a"}]},
+        {"prefix": 7},
+    ],
+)
+def test_a_malformed_route_makes_the_configuration_unreadable(change):
+    """Guards against a configuration that is applied in part."""
+    paths = [{**ROUTE, **change}]
+    value = {**CONFIGURATION, "virtual-hosts": [{"host": "a", "paths": paths}]}
+    with pytest.raises(WireFormatError):
+        decode_configuration(json.dumps(value).encode())
+
+
+def test_versions_compare_as_their_numbers():
+    """Guards against r10 that is taken for older than r9."""
+    assert_that(decode_version("r10") > decode_version("r9"), Equals(True))
+    for text in ("10", "r", "r-1", "r1.5", "rr2"):
+        if text == "10":
+            continue
+        with pytest.raises(WireFormatError):
+            decode_version(text)
+
+
+def test_every_kind_of_item_is_told_apart():
+    """Guards against evacuations or records that go unnoticed."""
+    catalogue = PlatformCatalogue()
+    cases = [
+        (item("op/config", CONFIGURATION), ConfigurationFact),
+        (item("servers/i-1", SERVER), ServerFact),
+        (Removal("servers/i-1", 6), ServerGoneFact),
+        (item("op/evacuate/kingston", {}), EvacuationFact),
+        (Removal("op/evacuate/kingston", 6), EvacuationFact),
+        (item("fireflylink/decider", {}), RecordFact),
+    ]
+    for change, kind in cases:
+        assert_that(catalogue.facts(change)[0], IsInstance(kind))
+    assert_that(catalogue.facts(item("other/key", {})), HasLength(0))
--- /dev/null
+++ b/packages/standins/tests/test_adapter_dialects.py
@@ -0,0 +1,116 @@
+"""Requests, answers and grants on the wire."""
+
+import json
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Is, Not
+
+from fireflylink_caller_frontend import ReceivedRequest, RefusedRequestError
+from fireflylink_core import KeyRange, NotRun, OutcomeUnknown, ServerLoad
+from fireflylink_http_client import HttpResponse
+from fireflylink_platform import PlatformCallerDialect, PlatformServerDialect
+
+HEADERS = (
+    ("Host", "Jepu9.example:80"),
+    ("Request-Id", "9c41d07be2a35f68"),
+    ("Deadline-Ms", "1200"),
+    ("Shard-Key", "513"),
+    ("X-Trace", "t"),
+    ("Connection", "keep-alive, X-Hop"),
+    ("X-Hop", "only here"),
+    ("Target-Instance", "i-forged"),
+)
+
+
+def read(headers=HEADERS, target="/lepu270/2f?x=1"):
+    return PlatformCallerDialect().read(ReceivedRequest("GET", target, headers, b"", 100.0))
+
+
+def response(status: int, *headers: tuple[str, str], body: bytes = b"") -> HttpResponse:
+    return HttpResponse(status, headers, body, False)
+
+
+def test_a_request_is_read_with_its_deadline_and_key():
+    """Guards against a request that is held longer than its caller waits."""
+    request = read()
+    assert_that((request.host, request.path), Equals(("jepu9.example", "/lepu270/2f")))
+    assert_that((request.key, request.deadline), Equals((513, 101.2)))
+
+
+def test_headers_of_one_connection_and_of_the_system_are_not_passed_on():
+    """Guards against UNASKED: a caller that chooses the server or the deadline itself."""
+    request = read()
+    names = [name for name, _ in request.headers]
+    for name in ("Connection", "X-Hop", "Target-Instance", "Deadline-Ms"):
+        assert_that(names, Not(Contains(name)))
+    sent = dict(PlatformServerDialect().request_headers(request, "i-1", 0.7))
+    assert_that((sent["Target-Instance"], sent["Deadline-Ms"]), Equals(("i-1", "700")))
+    assert_that((sent["Request-Id"], sent["X-Trace"]), Equals(("9c41d07be2a35f68", "t")))
+
+
+@pytest.mark.parametrize(
+    "name,value",
+    [("Deadline-Ms", "soon"), ("Deadline-Ms", "-1"), ("Shard-Key", "70000"), ("Request-Id", "")],
+)
+def test_a_malformed_request_is_refused(name, value):
+    """Guards against a request without an id or with a key that no server can hold."""
+    headers = tuple((found, value if found == name else old) for found, old in HEADERS)
+    with pytest.raises(RefusedRequestError):
+        read(headers)
+
+
+def test_promises_and_unknown_outcomes_have_their_own_statuses():
+    """Guards against REFUSED: a 503 for a request that may have run."""
+    dialect = PlatformCallerDialect()
+    refused = dialect.write("id", NotRun("no-room", retry_after=0.25))
+    assert_that((refused.status, dict(refused.headers)["Retry-After"]), Equals((503, "0.250")))
+    assert_that(dialect.write("id", OutcomeUnknown("reset")).status, Equals(502))
+    assert_that(dialect.write("id", OutcomeUnknown("late", late=True)).status, Equals(504))
+
+
+def test_an_answer_of_another_request_is_recognised():
+    """Guards against MIXED: a late second answer on a kept connection."""
+    dialect = PlatformServerDialect()
+    assert_that(dialect.belongs(response(200, ("Request-Id", "a")), "a"), Is(True))
+    assert_that(dialect.belongs(response(200, ("Request-Id", "b")), "a"), Is(False))
+    assert_that(dialect.belongs(response(200, ("Server-Signature", "s")), "a"), Is(False))
+
+
+def test_only_a_statement_of_the_server_makes_a_request_not_run():
+    """Guards against REFUSED: a plain 503 that is taken for a promise."""
+    dialect = PlatformServerDialect()
+    assert_that(dialect.declined(response(503, ("Not-Executed", "1"))), Is(True))
+    assert_that(dialect.declined(response(421)), Is(True))
+    assert_that(dialect.declined(response(503)), Is(False))
+
+
+def test_a_success_without_signature_or_with_an_encoding_is_not_the_servers():
+    """Guards against MIXED: bytes that are not the server's body."""
+    dialect = PlatformServerDialect()
+    signed = ("Server-Signature", "s")
+    assert_that(dialect.answer(response(200)), Is(None))
+    assert_that(dialect.answer(response(200, signed, ("Content-Encoding", "gzip"))), Is(None))
+    answer = dialect.answer(response(200, signed, ("Connection", "close"), body=b"b"))
+    assert_that((answer.status, answer.headers, answer.body), Equals((200, (signed,), b"b")))
+    assert_that(dialect.answer(response(500)).status, Equals(500))
+
+
+def test_load_is_read_with_and_without_the_pace():
+    """Guards against a malformed load that is taken for an idle server."""
+    dialect = PlatformServerDialect()
+    assert_that(dialect.load(response(200, ("Server-Load", "3,0,8"))), Equals(ServerLoad(3, 0, 8)))
+    full = dialect.load(response(200, ("Server-Load", "3, 1, 8, 250")))
+    assert_that((full.waiting, full.pace), Equals((1, 2.5)))
+    for text in ("", "3,0", "a,b,c", "3,0,8,x"):
+        assert_that(dialect.load(response(200, ("Server-Load", text))), Is(None))
+
+
+def test_a_grant_names_its_server_and_its_time():
+    """Guards against OWNER: a grant that another server at the same address carries out."""
+    command = PlatformServerDialect().grant("i-1", KeyRange(4096, 8191), 12, 3.6, "5c0e")
+    assert_that(dict(command.headers)["Target-Instance"], Equals("i-1"))
+    body = {"from": 4096, "to": 8191, "fence": 12, "hold-ms": 3600, "handover": "5c0e"}
+    assert_that(json.loads(command.body), Equals(body))
+    release = PlatformServerDialect().release("i-1", KeyRange(1, 2), 13)
+    assert_that(json.loads(release.body), Equals({"from": 1, "to": 2, "fence": 13}))
--- /dev/null
+++ b/packages/standins/tests/test_adapter_store_client.py
@@ -0,0 +1,137 @@
+"""The client of the store against the stand-in of the store, over HTTP."""
+
+import pytest
+from returns.result import Failure, Success
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength, IsInstance
+
+from fireflylink_caller_frontend import HttpListener
+from fireflylink_core import CallerLimits, SystemClock
+from fireflylink_platform import PlatformStore
+from fireflylink_standins import StoreFaults, StoreState, make_store_application
+from fireflylink_store import (
+    Commit,
+    ConflictError,
+    HistoryGoneError,
+    LeaseEndedError,
+    Put,
+    Removal,
+    StoreError,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+
+
+class Platform:
+    """A running stand-in of the store and a client of it."""
+
+    def __init__(self) -> None:
+        self.clock = SystemClock()
+        self.state = StoreState(self.clock)
+        self.faults = StoreFaults()
+        application = make_store_application(self.state, self.faults)
+        self.listener = HttpListener(application, "127.0.0.1", 0, CallerLimits)
+        self.listener.start()
+        self.client = PlatformStore("127.0.0.1", self.listener.port, self.clock)
+
+    def deadline(self) -> float:
+        return self.clock.now() + 5.0
+
+    def put(self, key: str, value: bytes, expected: int | None = None, lease: int = 0):
+        conditions = () if expected is None else ((key, expected),)
+        commit = Commit(conditions, (Put(key, value, lease),))
+        return self.client.commit(commit, self.deadline())
+
+
+@pytest.fixture
+def platform():
+    found = Platform()
+    yield found
+    found.client.close()
+    found.listener.close()
+
+
+def test_items_are_written_read_and_listed(platform):
+    """Guards against values that change on their way."""
+    value = bytes(range(256))
+    revision = platform.put("a/1", value).unwrap()
+    item = platform.client.read("a/1", platform.deadline()).unwrap()
+    assert_that((item.value, item.revision), Equals((value, revision)))
+    assert_that(platform.client.read("a/2", platform.deadline()), Equals(Success(None)))
+
+
+def test_a_long_list_is_read_in_pages(platform):
+    """Guards against items beyond the first page that are never seen."""
+    for number in range(1203):
+        platform.state.commit(Commit((), (Put(f"a/{number:05}", b"x"),)))
+    snapshot = platform.client.list("a/", platform.deadline()).unwrap()
+    assert_that(snapshot.items, HasLength(1203))
+
+
+def test_a_commit_whose_condition_fails_tells_the_present_items(platform):
+    """Guards against a decider that overwrites another one's table."""
+    revision = platform.put("a", b"1", expected=0).unwrap()
+    error = platform.put("a", b"2", expected=0).failure()
+    assert_that(error, IsInstance(ConflictError))
+    assert_that([(i.key, i.revision) for i in error.items], Equals([("a", revision)]))
+
+
+def test_a_watch_returns_changes_and_removals(platform):
+    """Guards against a removal that is taken for a value."""
+    revision = platform.put("a", b"1").unwrap()
+    platform.client.commit(Commit(deletions=("a",)), platform.deadline())
+    changes = platform.client.watch("", revision, 1.0, platform.deadline()).unwrap()
+    assert_that(changes.changes[0], IsInstance(Removal))
+    again = platform.client.watch("", changes.revision, 0.05, platform.deadline()).unwrap()
+    assert_that(again.changes, HasLength(0))
+
+
+def test_a_forgotten_history_is_told(platform):
+    """Guards against changes that are missed without a sign."""
+    revision = platform.put("a", b"1").unwrap()
+    platform.put("a", b"2")
+    platform.state.compact()
+    watched = platform.client.watch("", revision, 0.1, platform.deadline())
+    assert_that(watched.failure(), IsInstance(HistoryGoneError))
+
+
+def test_a_lease_ends_with_its_keys(platform):
+    """Guards against a member or decider that stays listed after its end."""
+    lease = platform.client.open_lease(5.0, platform.deadline()).unwrap()
+    platform.put("m", b"1", lease=lease.lease_id)
+    assert_that(
+        platform.client.renew_lease(lease.lease_id, platform.deadline()), Equals(Success(5.0))
+    )
+    platform.client.end_lease(lease.lease_id, platform.deadline())
+    assert_that(platform.client.read("m", platform.deadline()), Equals(Success(None)))
+    renewed = platform.client.renew_lease(lease.lease_id, platform.deadline())
+    assert_that(renewed.failure(), IsInstance(LeaseEndedError))
+    put = platform.put("m", b"1", lease=lease.lease_id)
+    assert_that(put.failure(), IsInstance(LeaseEndedError))
+
+
+def test_a_store_that_is_down_did_nothing(platform):
+    """Guards against a refused call that is taken for an uncertain one."""
+    platform.faults.down = True
+    assert_that(platform.put("a", b"1").failure(), IsInstance(StoreUnavailableError))
+
+
+def test_a_lost_reply_is_an_uncertain_outcome(platform):
+    """Guards against a write that took effect and is taken for one that did not."""
+    platform.faults.loses_replies = True
+    error = platform.put("a", b"1").failure()
+    assert_that(error, IsInstance(StoreError))
+    assert_that(isinstance(error, StoreUnavailableError), Equals(False))
+    platform.faults.loses_replies = False
+    item = platform.client.read("a", platform.deadline()).unwrap()
+    assert_that(item.value, Equals(b"1"))
+
+
+def test_no_listener_means_not_sent():
+    """Guards against an uncertain outcome where nothing left this process."""
+    clock = SystemClock()
+    store = PlatformStore("127.0.0.1", 1, clock)
+    read = store.read("a", clock.now() + 1.0)
+    assert_that(read, IsInstance(Failure))
+    assert_that(read.failure(), IsInstance(StoreUnavailableError))
+    assert_that(issubclass(StoreUncertainError, StoreError), Equals(True))
