--- /dev/null
+++ b/packages/specification/src/fireflylink_specification/_check.py
@@ -0,0 +1,185 @@
+"""Checks of a model: safety over steps and faults, progress over steps after any faults."""
+
+from itertools import chain
+from typing import Any
+
+import minicheck
+
+from fireflylink_specification._guards import ALL_GUARDS, Guard, Guards
+from fireflylink_specification._model import BaseModel, Step
+
+MAX_STATES = 200_000
+"""Bound of a safety check unless another is given, and of the library's progress check."""
+
+
+class SafetyResult:
+    """Whether the properties hold; ``trace`` is a shortest run that breaks ``broken_property``.
+
+    The search stops at the first broken property, so ``states`` counts the whole space only if the
+    properties hold.
+    """
+
+    __slots__ = ("broken_property", "exhaustive", "holds", "states", "trace")
+
+    def __init__(
+        self,
+        states: int,
+        holds: bool,
+        exhaustive: bool,
+        broken_property: str | None,
+        trace: tuple[Step[Any], ...],
+    ) -> None:
+        self.states = states
+        self.holds = holds
+        self.exhaustive = exhaustive
+        self.broken_property = broken_property
+        self.trace = trace
+
+    @property
+    def steps(self) -> tuple[str, ...]:
+        """What happens in the trace, without the initial state."""
+        return tuple(label for label, _ in self.trace[1:])
+
+
+class ProgressResult:
+    """Whether every reachable state leads to the goal without further faults.
+
+    If not, ``trace`` is a shortest run to a state that does not. ``note`` says why an unfinished
+    search has no answer.
+    """
+
+    __slots__ = ("holds", "note", "trace")
+
+    def __init__(self, holds: bool, note: str, trace: tuple[Step[Any], ...]) -> None:
+        self.holds = holds
+        self.note = note
+        self.trace = trace
+
+    @property
+    def steps(self) -> tuple[str, ...]:
+        """What happens in the trace, without the initial state."""
+        return tuple(label for label, _ in self.trace[1:])
+
+
+class ModelChecker:
+    """Checks one model with all guards or with one removed; both checks share the explored states.
+
+    Example::
+
+        checker = ModelChecker(TransferModel, without=Guard.HOLD_WAIT)
+        checker.safety().steps
+    """
+
+    __slots__ = ("broken", "model", "numbers", "states", "successors")
+
+    def __init__(self, model_type: type[BaseModel[Any]], without: Guard | None = None) -> None:
+        self.model = model_type(Guards(without) if without else ALL_GUARDS)
+        self.broken = False
+        self.states: list[Any] = []
+        self.numbers: dict[Any, int] = {}
+        self.successors: dict[int, tuple[list[tuple[str, int]], list[tuple[str, int]]]] = {}
+
+    def safety(self, max_states: int = MAX_STATES) -> SafetyResult:
+        """Checks the safety properties over steps and faults."""
+        self.broken = False
+        protocol = minicheck.Protocol(
+            name=self.model.name,
+            candidate=False,
+            fields=("number",),
+            initial=(self._number(self.model.initial()),),
+            transitions=self._transitions,
+            invariants={name: self._watched(name) for name in self.model.properties()},
+        )
+        found = minicheck.check_safety(protocol, max_states=max_states)
+        results = found["properties"]
+        broken = next((name for name in results if results[name]["holds"] is False), None)
+        trace: tuple[Step[Any], ...] = ()
+        if broken is not None:
+            trace = self._trace(results[broken]["counterexample"])
+        holds = all(result["holds"] is True for result in results.values())
+        return SafetyResult(found["reachable_states"], holds, found["exhaustive"], broken, trace)
+
+    def progress(self) -> ProgressResult:
+        """Checks that steps without faults lead from every reachable state to the goal.
+
+        The states of this search also say whether faults have ended.
+        """
+        self.broken = False
+        protocol = minicheck.Protocol(
+            name=self.model.name,
+            candidate=False,
+            fields=("number", "faults_ended"),
+            initial=(self._number(self.model.initial()), False),
+            transitions=self._transitions_until_faults_end,
+            invariants={},
+            goal=lambda values: (
+                values["faults_ended"] and self.model.is_goal(self.states[values["number"]])
+            ),
+        )
+        found = minicheck.check_liveness(protocol)
+        trace = self._trace(found.get("counterexample") or [])
+        return ProgressResult(found["holds"] is True, found.get("note", ""), trace)
+
+    def _number(self, unreduced: Any) -> int:
+        known = self.numbers.get(unreduced)
+        if known is not None:
+            return known
+        state = self.model.representative(unreduced)
+        number = self.numbers.setdefault(state, len(self.states))
+        if number == len(self.states):
+            self.states.append(state)
+        self.numbers[unreduced] = number
+        return number
+
+    def _successors(self, number: int) -> tuple[list[tuple[str, int]], list[tuple[str, int]]]:
+        known = self.successors.get(number)
+        if known is None:
+            state = self.states[number]
+            known = (
+                [(label, self._number(after)) for label, after in self.model.steps(state)],
+                [(label, self._number(after)) for label, after in self.model.faults(state)],
+            )
+            self.successors[number] = known
+        return known
+
+    def _transitions(self, key: tuple[int]) -> list[tuple[str, tuple[int]]]:
+        if self.broken:
+            return []
+        steps, faults = self._successors(key[0])
+        return [(label, (number,)) for label, number in steps + faults]
+
+    def _transitions_until_faults_end(
+        self, key: tuple[int, bool]
+    ) -> list[tuple[str, tuple[int, bool]]]:
+        number, faults_ended = key
+        steps, faults = self._successors(number)
+        if faults_ended:
+            return [(label, (after, True)) for label, after in steps]
+        transitions = [(label, (after, False)) for label, after in steps + faults]
+        transitions.append(("no fault happens from here on", (number, True)))
+        return transitions
+
+    def _watched(self, name: str) -> Any:
+        holds = self.model.properties()[name]
+
+        def watched(values: dict[str, int]) -> bool:
+            result = holds(self.states[values["number"]])
+            self.broken = self.broken or not result
+            return result
+
+        return watched
+
+    def _trace(self, counterexample: list[dict[str, Any]]) -> tuple[Step[Any], ...]:
+        """Replays a run through representatives so that it names interchangeable parts alike."""
+        if not counterexample:
+            return ()
+        state = self.model.initial()
+        trace: list[Step[Any]] = [("start", state)]
+        for entry in counterexample[1:]:
+            number = entry["state"]["number"]
+            if number == self._number(state):
+                continue  # The step after which no fault happens leaves the state as it is.
+            successors = chain(self.model.steps(state), self.model.faults(state))
+            label, state = next(step for step in successors if self._number(step[1]) == number)
+            trace.append((label, state))
+        return tuple(trace)
--- /dev/null
+++ b/packages/specification/src/fireflylink_specification/_models.py
@@ -0,0 +1,18 @@
+"""All models that the checks run."""
+
+from typing import Any
+
+from fireflylink_specification._model import BaseModel
+from fireflylink_specification._transfer import (
+    LongGraceModel,
+    RestartModel,
+    SteadyDeciderModel,
+    TakeoverModel,
+)
+
+MODELS: tuple[type[BaseModel[Any]], ...] = (
+    SteadyDeciderModel,
+    TakeoverModel,
+    LongGraceModel,
+    RestartModel,
+)
--- /dev/null
+++ b/packages/specification/src/fireflylink_specification/_report.py
@@ -0,0 +1,74 @@
+"""The report of all checks as text."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from fireflylink_specification._check import ModelChecker
+from fireflylink_specification._guards import Guard
+from fireflylink_specification._model import BaseModel, Step
+from fireflylink_specification._models import MODELS
+
+ROW = "{:<32}{:<64}{:>7}  {:<6}{:<11}{}"
+
+
+def model_lines() -> Iterator[str]:
+    """Yields the table of the models with all guards in force."""
+    yield ROW.format("model", "bounds", "states", "holds", "exhaustive", "progress")
+    for model in MODELS:
+        checker = ModelChecker(model)
+        safety, progress = checker.safety(), checker.progress()
+        yield ROW.format(
+            model.name,
+            model.bounds,
+            safety.states,
+            _yes(safety.holds),
+            _yes(safety.exhaustive),
+            _yes(progress.holds),
+        )
+
+
+def removal_lines() -> Iterator[str]:
+    """Yields what goes wrong without each guard, in plain words."""
+    for model, guard in _removals():
+        broken, trace = _counterexample(model, guard)
+        yield ""
+        yield f"without {guard.key} ({guard.rule})"
+        yield f"  {model.name}: {len(trace) - 1} steps break '{broken}'"
+        yield from (f"    {number}. {label}" for number, (label, _) in enumerate(trace) if number)
+
+
+def trace_lines(guard: Guard) -> Iterator[str]:
+    """Yields the counterexamples of a removed guard with what changes at each step."""
+    for model, removed in _removals():
+        if removed is not guard:
+            continue
+        broken, trace = _counterexample(model, guard)
+        yield f"{model.name} without {guard.key}: '{broken}' is broken"
+        before: dict[str, Any] = {}
+        for number, (label, state) in enumerate(trace):
+            fields = state._asdict()
+            yield f"  {number}. {label}"
+            yield from (
+                f"       {name} = {value}"
+                for name, value in fields.items()
+                if before.get(name) != value or not number
+            )
+            before = fields
+
+
+def _removals() -> Iterator[tuple[type[BaseModel[Any]], Guard]]:
+    for model in MODELS:
+        for guard in (*model.guards, *model.progress_guards):
+            yield model, guard
+
+
+def _counterexample(model: type[BaseModel[Any]], guard: Guard) -> tuple[str, tuple[Step[Any], ...]]:
+    checker = ModelChecker(model, without=guard)
+    if guard in model.progress_guards:
+        return "the goal stays reachable", checker.progress().trace
+    safety = checker.safety()
+    return safety.broken_property or "nothing", safety.trace
+
+
+def _yes(value: bool) -> str:
+    return "yes" if value else "NO"
