--- /dev/null
+++ b/packages/operator_client/src/fireflylink_operator_client/_main.py
@@ -0,0 +1,93 @@
+"""Command line of the operators' client."""
+
+import pathlib
+import sys
+from collections.abc import Iterator
+
+from absl import flags
+from returns.result import Success
+
+from fireflylink_core import SystemClock
+from fireflylink_daemon import read_settings
+from fireflylink_operator_client._commands import history_lines, owner_lines, status_lines
+from fireflylink_operator_client._errors import OperatorError
+from fireflylink_operator_client._system_view import SystemView, read_system
+from fireflylink_platform import PlatformCatalogue, PlatformStore
+
+USAGE = """fireflylink: what the system knows, and what became of a request
+
+  fireflylink status --store HOST:PORT               daemons, decider, servers, configuration
+  fireflylink owners SERVICE --store HOST:PORT       who owns which keys   [--key K]
+  fireflylink request ID LOG...                      every line of the logs about a request
+  fireflylink check-settings FILE                    whether a daemon takes a settings file
+"""
+EXIT_PROBLEM = 1
+EXIT_USAGE = 2
+
+STORE = flags.DEFINE_string("store", None, "Address of the metadata store, as HOST:PORT.")
+KEY = flags.DEFINE_integer("key", None, "Show only the owner of this key.")
+
+
+def _view() -> SystemView:
+    host, _, port = (STORE.value or "").rpartition(":")
+    if not host or not port.isdecimal():
+        raise OperatorError("--store must be HOST:PORT, as in a daemon's settings")
+    clock = SystemClock()
+    read = read_system(PlatformStore(host, int(port), clock), PlatformCatalogue(), clock)
+    if not isinstance(read, Success):
+        raise read.failure()
+    view: SystemView = read.unwrap()
+    return view
+
+
+def _check_settings(path: str) -> Iterator[str]:
+    result = read_settings(path)
+    if not isinstance(result, Success):
+        raise OperatorError(str(result.failure()))
+    yield f"{path}: the settings are valid"
+
+
+def _read_log(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
+        raise OperatorError(f"{path}: {error.strerror}") from error
+
+
+def _lines(arguments: list[str]) -> Iterator[str] | None:
+    match arguments:
+        case ["status"]:
+            return status_lines(_view())
+        case ["owners", service]:
+            return owner_lines(_view(), service, KEY.value)
+        case ["request", request_id, *paths] if paths:
+            return history_lines(request_id, [_read_log(path) for path in paths])
+        case ["check-settings", path]:
+            return _check_settings(path)
+        case _:
+            return None
+
+
+def run(arguments: list[str]) -> int:
+    """Runs one command; returns the exit status."""
+    try:
+        lines = _lines(arguments)
+        if lines is None:
+            sys.stderr.write(USAGE)
+            return EXIT_USAGE
+        for line in lines:
+            sys.stdout.write(f"{line}\n")
+    except OperatorError as error:
+        sys.stderr.write(f"fireflylink: {error}\n")
+        return EXIT_PROBLEM
+    return 0
+
+
+def main() -> None:
+    """Runs the command that the arguments name."""
+    try:
+        arguments = flags.FLAGS(sys.argv)[1:]
+    except flags.Error as error:
+        sys.stderr.write(f"fireflylink: {error}\n{USAGE}")
+        sys.exit(EXIT_USAGE)
+    sys.exit(run(arguments))
--- /dev/null
+++ b/packages/operator_client/src/fireflylink_operator_client/_system_view.py
@@ -0,0 +1,99 @@
+"""What the store holds, in the product's terms."""
+
+from returns.result import Failure, Result, Success
+
+from fireflylink_core import (
+    BackendServer,
+    BaseClock,
+    Configuration,
+    OwnershipTable,
+)
+from fireflylink_operator_client._errors import OperatorError
+from fireflylink_protocol import (
+    DECIDER_KEY,
+    MEMBERS_PREFIX,
+    OWNERSHIP_PREFIX,
+    MemberRecord,
+    decode_member,
+    decode_table,
+)
+from fireflylink_store import (
+    BaseCatalogue,
+    BaseFact,
+    BaseStore,
+    ConfigurationFact,
+    EvacuationFact,
+    RecordFact,
+    ServerFact,
+    UnreadableFact,
+)
+
+EVERYTHING = ""
+READ_SECONDS = 5.0
+
+
+class SystemView:
+    """One reading of the store."""
+
+    __slots__ = (
+        "configuration",
+        "decider",
+        "evacuated",
+        "members",
+        "revision",
+        "servers",
+        "tables",
+        "unreadable",
+    )
+
+    def __init__(self, revision: int) -> None:
+        self.revision = revision
+        self.configuration: Configuration | None = None
+        self.decider: MemberRecord | None = None
+        self.members: list[MemberRecord] = []
+        self.servers: list[BackendServer] = []
+        self.evacuated: list[str] = []
+        self.tables: dict[str, OwnershipTable] = {}
+        self.unreadable: list[UnreadableFact] = []
+
+    def take(self, fact: BaseFact) -> None:
+        """Adds what one fact says."""
+        if isinstance(fact, ConfigurationFact):
+            self.configuration = fact.configuration
+        elif isinstance(fact, ServerFact):
+            self.servers.append(fact.server)
+        elif isinstance(fact, EvacuationFact) and fact.requested:
+            self.evacuated.append(fact.data_centre)
+        elif isinstance(fact, UnreadableFact):
+            self.unreadable.append(fact)
+        elif isinstance(fact, RecordFact) and fact.value is not None:
+            self._take_record(fact.key, fact.value)
+
+    def _take_record(self, key: str, value: bytes) -> None:
+        if key.startswith(OWNERSHIP_PREFIX):
+            table = decode_table(value).value_or(None)
+            if table is not None:
+                self.tables[table.service] = table
+            return
+        member = decode_member(value).value_or(None)
+        if member is None:
+            return
+        if key == DECIDER_KEY:
+            self.decider = member
+        elif key.startswith(MEMBERS_PREFIX):
+            self.members.append(member)
+
+
+def read_system(
+    store: BaseStore, catalogue: BaseCatalogue, clock: BaseClock
+) -> Result[SystemView, OperatorError]:
+    """Reads everything that the store holds."""
+    read = store.list(EVERYTHING, clock.now() + READ_SECONDS)
+    if not isinstance(read, Success):
+        return Failure(OperatorError(f"the store cannot be read: {read.failure()}"))
+    snapshot = read.unwrap()
+    view = SystemView(snapshot.revision)
+    for item in snapshot.items:
+        for fact in catalogue.facts(item):
+            view.take(fact)
+    return Success(view)
