--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -43,9 +43,12 @@
 FIRST_TABLE_SECONDS = 1.5
 """Time for servers to register before the first table of a service."""
 
-SETTLE_SECONDS = 2.0
+SETTLE_SECONDS = 6.0
 """Moves that have ended are written down after this time, unless another change comes before."""
 
+TIDY_SECONDS = 1.5
+"""Changes that are not urgent are gathered for so long."""
+
 COMMIT_PATIENCE_SECONDS = 2.0
 UNREACHABLE_FAILURES = 3
 MILLISECONDS_PER_SECOND = 1000.0
@@ -63,6 +66,7 @@
         "failures",
         "load",
         "next_plan",
+        "next_tidy",
         "revision",
         "seen_at",
         "settled_at",
@@ -82,6 +86,7 @@
         self.watch = BusyWatch()
         self.settled_at = now
         self.next_plan = 0.0
+        self.next_tidy = 0.0
         self.commit_asked_at: float | None = None
         self.failures: dict[ServerLife, int] = {}
 
@@ -237,7 +242,11 @@
         if settled is None:
             service.settled_at = now
         lapsed = service.book.lapsed(now) if service.book is not None else frozenset()
-        changed = plan(settled or service.table, candidates, rates, service.watch, now, lapsed)
+        tidy = now >= service.next_tidy
+        if tidy:
+            service.next_tidy = now + TIDY_SECONDS
+        present = settled or service.table
+        changed = plan(present, candidates, rates, service.watch, now, lapsed, tidy)
         if changed is not None:
             log_event(
                 "ownership-planned",
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -73,22 +73,26 @@
     watch: BusyWatch,
     now: float,
     lapsed: frozenset[KeyRange] = frozenset(),
+    tidy: bool = True,
 ) -> OwnershipTable | None:
     """Returns a better table under a new fence, None when the present one is good enough.
 
     The grants of ``lapsed`` ranges ran out: they get a new fence even if their owner stays.
-    ``watch`` is kept from plan to plan.
+    ``watch`` is kept from plan to plan. Without ``tidy``, only what is urgent is changed: each new
+    table is read by every daemon.
     """
     if not candidates:
         return None
     draft = Draft(table, loads)
     planner = _Planner(draft, candidates)
-    planner.watch(watch, now)
+    planner.watch(watch, now, tidy)
     planner.replace_lost_owners(lapsed)
     planner.fill_joined_servers()
     planner.relieve_busy_servers()
-    planner.join_small_ranges()
-    draft.merge()
+    if tidy:
+        planner.join_small_ranges()
+    if tidy or draft.changed:
+        draft.merge()
     return draft.table() if draft.changed else None
 
 
@@ -184,10 +188,11 @@
     def _is_above(self, life: ServerLife) -> bool:
         return self.rates[life] > IMBALANCE * self.mean * self.weights[life]
 
-    def watch(self, watch: BusyWatch, now: float) -> None:
+    def watch(self, watch: BusyWatch, now: float, tidy: bool) -> None:
         """Notes which servers are above their part before anything is changed."""
         watch.note(frozenset(life for life in self.candidates if self._is_above(life)), now)
-        self.lasting = watch.lasting(now)
+        if tidy:
+            self.lasting = watch.lasting(now)
 
     def _ratio(self, life: ServerLife) -> float:
         """Returns a server's load in proportion to what it should have."""
