--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -161,6 +161,7 @@
             service.failures = {}
             service.load = KeyLoad(name, began_at)
             service.asked = None
+            service.next_plan = 0.0
         self._note_servers()
         self.next_tick = 0.0
 
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -236,8 +236,32 @@
             version=self.serving.routes.version if self.serving.routes is not None else 0,
             fence=table.fence if table is not None else 0,
             waiting=self.dispatch.dispatcher.waiting,
+            **({} if isinstance(reply, ServerAnswer) else self._owner_fields(course)),
         )
 
+    def _owner_fields(self, course: _Course) -> dict[str, object]:
+        """Returns what was known of the owner of a key when its request was not answered."""
+        pool = self.serving.dispatcher.pools.get(course.service)
+        if pool is None or not pool.keyed or pool.table is None:
+            return {}
+        assignment = pool.table.find(course.request.key)
+        if assignment is None:
+            return {"owner": "none"}
+        now = self.clock.now()
+        tracker = pool.trackers.get(assignment.owner)
+        fields: dict[str, object] = {
+            "owner": assignment.owner,
+            "keys_fence": assignment.fence,
+            "moving": bool(assignment.previous),
+            "table_age": now - pool.table_at,
+            "reachable": tracker is not None,
+        }
+        if tracker is not None:
+            fields["owner_queue"] = tracker.queue(now)
+            fields["owner_report_age"] = now - tracker.reported_at if tracker.reported else -1.0
+            fields["owner_failures"] = tracker.silent_failures
+        return fields
+
 
 def _failed_at_server(result: BaseCallResult) -> bool:
     """Whether the server failed the request, or turned it away other than for its key."""
--- /dev/null
+++ b/packages/experiments/src/fireflylink_experiments/slopes.py
@@ -0,0 +1,91 @@
+"""How the cost of control grows with the fleet: the figures of ``docs/CAPACITY.md``.
+
+python -m fireflylink_experiments.slopes --seed 1
+"""
+
+import random
+import sys
+import time
+from collections.abc import Callable
+
+from absl import flags
+
+from fireflylink_core import KEY_COUNT, ManualClock, OwnershipTable, ServerLife
+from fireflylink_decisions.ownership import (
+    BusyWatch,
+    Candidate,
+    GrantBook,
+    GrantCommand,
+    RangeLoad,
+    first_table,
+    plan,
+)
+from fireflylink_protocol import LoadReport, encode_datagram, encode_table
+
+SEED = flags.DEFINE_integer("seed", 1, "Seed of the random loads.")
+
+SIZES = (30, 100, 300, 1000)
+REQUESTS_PER_SERVER = 10.0
+REPEATS = 5
+MILLISECONDS = 1000.0
+
+
+def _fleet(count: int) -> list[Candidate]:
+    return [Candidate(ServerLife(f"i-{number:010x}", 1), 25.0, "a") for number in range(count)]
+
+
+def _loads(source: random.Random, servers: int) -> RangeLoad:
+    rate = servers * REQUESTS_PER_SERVER
+    keys = sorted({source.randrange(KEY_COUNT) for _ in range(int(rate))})
+    return RangeLoad([(key, rate / len(keys)) for key in keys])
+
+
+def _milliseconds(action: Callable[[], object]) -> float:
+    began = time.perf_counter()
+    for _ in range(REPEATS):
+        action()
+    return (time.perf_counter() - began) / REPEATS * MILLISECONDS
+
+
+def _renewals(table: OwnershipTable) -> tuple[float, int]:
+    """Returns the milliseconds that the book takes a second, and the grants a second."""
+    clock = ManualClock()
+    book = GrantBook(clock.now())
+    book.note_first_table()
+    book.set_table(table)
+    sent = 0
+    began = time.perf_counter()
+    for _ in range(100):
+        for command in book.due(clock.now()):
+            if isinstance(command, GrantCommand):
+                book.note_sent(command, clock.now())
+                book.note_granted(command, clock.now())
+                sent += 1
+        clock.advance(0.1)
+    return (time.perf_counter() - began) * MILLISECONDS / 10.0, sent // 10
+
+
+def main() -> None:
+    """Prints one row a fleet size."""
+    flags.FLAGS(sys.argv)
+    source = random.Random(SEED.value)
+    print(f"seed {SEED.value}; a fleet of N servers of one service, {REQUESTS_PER_SERVER:g}/s each")
+    print("servers  plan ms  book ms/s  grants/s  table bytes  report bytes")
+    for count in SIZES:
+        candidates = _fleet(count)
+        table = first_table("availability", candidates, 1)
+        loads = _loads(source, count)
+        planned = _milliseconds(
+            lambda c=candidates, t=table, r=loads: plan(t, c, r, BusyWatch(), 0.0)  # type: ignore[misc]
+        )
+        booked, grants = _renewals(table)
+        keys = tuple(source.randrange(KEY_COUNT) for _ in range(min(400, count)))
+        report = encode_datagram(LoadReport("front-1", "availability", 1, len(keys), keys))
+        print(
+            f"{count:>7} {planned:>8.1f} {booked:>10.1f} {grants:>9}"
+            f" {len(encode_table(table)):>12} {len(report):>13}"
+        )
+
+
+if __name__ == "__main__":
+    main()
