--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -8,6 +8,7 @@
 
 from fireflylink_caller_frontend import HttpListener, make_application
 from fireflylink_core import BaseClock
+from fireflylink_daemon._crash_watch import CrashWatch
 from fireflylink_daemon._decider_task import DeciderTask
 from fireflylink_daemon._dispatch_task import DispatchTask
 from fireflylink_daemon._endpoints import make_metrics_application, make_readiness_application
@@ -108,7 +109,9 @@
         self.reader = StoreReader(
             self._store(), PlatformCatalogue(), self.view, clock, self.metrics
         )
-        path = RequestPath(self.serving, self.dispatch, keys, clock, self.metrics)
+        path = RequestPath(
+            self.serving, self.dispatch, keys, CrashWatch(self.peers, clock), clock, self.metrics
+        )
         self.callers = HttpListener(
             make_application(path, PlatformCallerDialect()),
             settings.caller_address.host,
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -12,6 +12,7 @@
 from fireflylink_daemon._view_task import ViewTask
 from fireflylink_protocol import (
     MAX_REPORTED_KEYS,
+    CrashNotice,
     GrantNotice,
     LoadReport,
     MemberRecord,
@@ -119,8 +120,8 @@
         for greenlet in self.greenlets:
             greenlet.kill(block=False)
 
-    def notify(self, notice: GrantNotice) -> None:
-        """Tells every member that moved keys have arrived at their new owner."""
+    def notify(self, notice: GrantNotice | CrashNotice) -> None:
+        """Tells every member, this daemon included."""
         datagram = encode_datagram(notice)
         for member in self.serving.members.values():
             self._send(datagram, member)
@@ -133,7 +134,7 @@
                 log_problem("datagram-unreadable", sender=sender[0], problem=decoded.failure())
                 continue
             message = decoded.unwrap()
-            if isinstance(message, GrantNotice):
+            if isinstance(message, GrantNotice | CrashNotice):
                 self.view.post(message)
             elif self.ownership is not None:
                 self.ownership.post(ReportReceived(message))
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -20,16 +20,20 @@
     Route,
     ServerAnswer,
 )
+from fireflylink_daemon._crash_watch import CrashWatch
 from fireflylink_daemon._dispatch_task import DispatchTask, WaitingRequest
+from fireflylink_daemon._line_budget import LineBudget
 from fireflylink_daemon._log import log_event
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._serving import Serving
 from fireflylink_decisions.dispatch import BasePlacement, Refuse, Send, Ticket
+from fireflylink_decisions.poison import fingerprint_of
 from fireflylink_decisions.retries import Attempts, BaseNext, GiveUp, TryAgain
 
 NO_ROUTE_STATUS = 404
 SERVER_ERROR = 500
+CRASH_REASONS = (LostReason.RESET, LostReason.CLOSED)
 NOT_CONFIGURED_RETRY_SECONDS = 1.0
 REPLY_MARGIN_SECONDS = 0.03
 """Time for the reply to reach the caller before its deadline."""
@@ -73,19 +77,22 @@
 class RequestPath(BaseRequestHandler):
     """Handles callers' requests with the state of ``Serving``."""
 
-    __slots__ = ("clock", "dispatch", "keys", "metrics", "serving")
+    __slots__ = ("clock", "crashes", "dispatch", "keys", "lines", "metrics", "serving")
 
     def __init__(
         self,
         serving: Serving,
         dispatch: DispatchTask,
         keys: KeyCounter,
+        crashes: CrashWatch,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
         self.serving = serving
         self.dispatch = dispatch
         self.keys = keys
+        self.lines = LineBudget()
+        self.crashes = crashes
         self.clock = clock
         self.metrics = metrics
 
@@ -101,12 +108,18 @@
         route = routes.find(request.host, request.path)
         if route is None:
             return self._refused(request, NotRun("no-route", NO_ROUTE_STATUS))
+        if self._is_poison(request):
+            return self._refused(request, NotRun("poison"))
         course = self._course(request, route)
         departure.on_departure(course.leave)
         reply = self._run(course)
         self._finish(course, reply)
         return reply
 
+    def _is_poison(self, request: CallerRequest) -> bool:
+        poison = self.serving.poison
+        return poison.any_suspects() and poison.is_poison(fingerprint_of(request), self.clock.now())
+
     def _course(self, request: CallerRequest, route: Route) -> _Course:
         service = self.serving.splits.choose(route)
         self.serving.budget(service).note_request(request.received_at)
@@ -174,6 +187,8 @@
             tracker.note_late(now - sent_at, send.fullness, now)
         elif isinstance(result, NotSent):
             tracker.note_silence(now)
+        if isinstance(result, Lost) and result.reason in CRASH_REASONS:
+            self.crashes.note_ended(tracker.server, course.request)
         self.dispatch.sweep()
         return result
 
@@ -221,6 +236,16 @@
         self.metrics.count("requests", route=course.route.name, outcome=outcome)
         if isinstance(reply, ServerAnswer):
             self.metrics.record_latency(course.route.name, seconds)
+        self._log_request(course, reply, outcome, status, seconds)
+
+    def _log_request(
+        self, course: _Course, reply: BaseReply, outcome: str, status: int, seconds: float
+    ) -> None:
+        if not self.lines.take(isinstance(reply, ServerAnswer), self.clock.now()):
+            return
+        omitted = self.lines.take_omitted()
+        if omitted:
+            log_event("request-lines-omitted", count=omitted)
         table = self.serving.owner_tables.get(course.service)
         log_event(
             "request",
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -19,6 +19,7 @@
     RetryBudget,
     RetryBudgetRule,
 )
+from fireflylink_decisions.poison import PoisonRegistry
 from fireflylink_decisions.routing import RouteTable, SplitChooser
 from fireflylink_decisions.servers import (
     DirectoryEntry,
@@ -46,6 +47,7 @@
         "dispatcher",
         "members",
         "owner_tables",
+        "poison",
         "pools",
         "position",
         "routes",
@@ -65,6 +67,7 @@
         self.splits = SplitChooser()
         self.directory = ServerDirectory()
         self.dispatcher = Dispatcher()
+        self.poison = PoisonRegistry()
         self.budgets: dict[str, RetryBudget] = {}
         self.members: dict[str, MemberRecord] = {}
         self.owner_tables: dict[str, OwnershipTable] = {}
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -22,6 +22,7 @@
     DECIDER_KEY,
     MEMBERS_PREFIX,
     OWNERSHIP_PREFIX,
+    CrashNotice,
     GrantNotice,
     MemberRecord,
     RecordError,
@@ -72,6 +73,8 @@
             self._apply(message)
         elif isinstance(message, GrantNotice):
             self.serving.note_granted(message)
+        elif isinstance(message, CrashNotice):
+            self.serving.poison.note_crash(message.fingerprint, message.life, self.clock.now())
         elif isinstance(message, StoreLost):
             self.serving.directory.note_store_lost()
         elif isinstance(message, StoreDoubted):
--- a/packages/protocol/src/fireflylink_protocol/__init__.py
+++ b/packages/protocol/src/fireflylink_protocol/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflylink_protocol._datagrams import (
     MAX_REPORTED_KEYS,
+    CrashNotice,
     Datagram,
     GrantNotice,
     LoadReport,
@@ -33,6 +34,7 @@
     "OWNERSHIP_PREFIX",
     "POISON_PREFIX",
     "RECORD_PREFIX",
+    "CrashNotice",
     "Datagram",
     "GrantNotice",
     "LoadReport",
--- a/packages/protocol/src/fireflylink_protocol/_datagrams.py
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -1,13 +1,14 @@
-"""Datagrams between daemons: load reports to the decider, and its notices of granted keys."""
+"""Datagrams between daemons: load reports, notices of granted keys, notices of crashes."""
 
 import msgpack
 from returns.result import Failure, Result, Success
 
-from fireflylink_core import BaseValue, KeyRange
+from fireflylink_core import BaseValue, KeyRange, ServerLife
 from fireflylink_protocol._errors import RecordError
 
 REPORT_FORMAT = 1
 NOTICE_FORMAT = 2
+CRASH_FORMAT = 3
 MAX_REPORTED_KEYS = 400
 """A datagram stays below 1,500 bytes, which no link splits."""
 
@@ -66,7 +67,17 @@
         self.fence = fence
 
 
-Datagram = LoadReport | GrantNotice
+class CrashNotice(BaseValue):
+    """A request, by its fingerprint, that was running on a life of a server when it crashed."""
+
+    __slots__ = ("fingerprint", "life")
+
+    def __init__(self, fingerprint: bytes, life: ServerLife) -> None:
+        self.fingerprint = fingerprint
+        self.life = life
+
+
+Datagram = LoadReport | GrantNotice | CrashNotice
 
 
 def encode_datagram(message: Datagram) -> bytes:
@@ -82,6 +93,9 @@
             list(message.keys),
             [[times.server_id, times.answers, times.milliseconds] for times in message.times],
         ]
+    elif isinstance(message, CrashNotice):
+        life = message.life
+        fields = [CRASH_FORMAT, message.fingerprint, life.server_id, life.born_ms]
     else:
         keys = message.keys
         fields = [NOTICE_FORMAT, message.service, keys.first, keys.last, message.fence]
@@ -97,6 +111,8 @@
             return Success(_report(*fields))
         if form == NOTICE_FORMAT:
             return Success(_notice(*fields))
+        if form == CRASH_FORMAT:
+            return Success(_crash(*fields))
         return Failure(RecordError(f"format {form!r} is not known"))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         return Failure(RecordError(f"the datagram cannot be read: {error!r}"))
@@ -128,5 +144,9 @@
     return ServerTimes(str(server_id), answers, milliseconds)
 
 
+def _crash(fingerprint: bytes, server_id: str, born_ms: int) -> CrashNotice:
+    return CrashNotice(bytes(fingerprint), ServerLife(str(server_id), int(born_ms)))
+
+
 def _notice(service: str, first: int, last: int, fence: int) -> GrantNotice:
     return GrantNotice(str(service), KeyRange(int(first), int(last)), int(fence))
