Wait for former holders of a settled past one hold only; decide on without the store while leaving

Change: tables tell whether an earlier decider could still grant when they were written; holds are kept by keys; ranges that an unanswered table takes away are not renewed; a leaving decider goes on until the store has ended its lease.

--- a/packages/core/src/fireflylink_core/_keys.py
+++ b/packages/core/src/fireflylink_core/_keys.py
@@ -25,6 +25,10 @@
     def __str__(self) -> str:
         return f"{self.first}-{self.last}"
 
+    def covers(self, other: "KeyRange") -> bool:
+        """Whether every key of the other range lies in this one."""
+        return self.first <= other.first and other.last <= self.last
+
     def overlaps(self, other: "KeyRange") -> bool:
         """Whether a key lies in both ranges."""
         return self.first <= other.last and other.first <= self.last
@@ -59,11 +63,19 @@
     """The assignments of one service, in the order of their keys, without gap or overlap.
 
     ``fence`` is the highest one ever used for the service; each change uses a higher one.
+    ``alone`` tells that no decider from before its writer could still grant when it was written.
     """
 
-    __slots__ = ("_firsts", "assignments", "fence", "service")
+    __slots__ = ("_firsts", "alone", "assignments", "fence", "service")
 
-    def __init__(self, service: str, fence: int, assignments: tuple[Assignment, ...]) -> None:
+    def __init__(
+        self,
+        service: str,
+        fence: int,
+        assignments: tuple[Assignment, ...],
+        alone: bool = False,
+    ) -> None:
+        self.alone = alone
         self.service = service
         self.fence = fence
         self.assignments = assignments
@@ -74,6 +86,7 @@
             isinstance(other, OwnershipTable)
             and self.service == other.service
             and self.fence == other.fence
+            and self.alone == other.alone
             and self.assignments == other.assignments
         )
 
--- a/packages/core/src/fireflylink_core/_value.py
+++ b/packages/core/src/fireflylink_core/_value.py
@@ -30,6 +30,8 @@
 
     def replace(self, **changes: Any) -> Self:
         """Returns a copy with the given fields changed."""
-        fields = {name: getattr(self, name) for name in self.__slots__}
+        # Slots with an underscore are derived from the fields.
+        names = (name for name in self.__slots__ if not name.startswith("_"))
+        fields = {name: getattr(self, name) for name in names}
         fields.update(changes)
         return type(self)(**fields)
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -10,6 +10,7 @@
     DeciderWon,
     Leave,
     TableChanged,
+    TableRefused,
 )
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._serving import Serving
@@ -32,6 +33,7 @@
     LeaseEndedError,
     Put,
     StoreError,
+    StoreUnavailableError,
 )
 
 LEASE_SECONDS = 1.6
@@ -112,6 +114,8 @@
         if self.decidership.held:
             if now >= self.next_renewal:
                 self._renew(now)
+                if self.leaving:
+                    self._leave()
             return
         if self.leaving:
             return
@@ -126,13 +130,26 @@
             self._commit(message)
         elif isinstance(message, Leave):
             self.leaving = True
-            self._resign("leaving")
+            self._leave()
         elif isinstance(message, Superseded) and self.decidership.held:
             self._resign(message.reason)
         if self.decidership.held and self.clock.now() >= self.next_renewal:
             self._renew(self.clock.now())
         return None
 
+    def _leave(self) -> None:
+        """Hands the decider's work over; without the store it goes on to the end of the process.
+
+        Nobody could take over, and the keys would lose their owners.
+        """
+        if not self.decidership.held:
+            return
+        ended = self.store.end_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
+        if isinstance(ended, Success):
+            self._lose("leaving")
+        else:
+            log_problem("decider-stays", problem=ended.failure())
+
     def _resign(self, reason: str) -> None:
         """Ends the decider's lease, so that another daemon takes over at once."""
         if self.lease_id:
@@ -242,7 +259,10 @@
             self._tell(TableChanged(table, written.unwrap(), first))
             self.serving.set_table(table)
             return
-        log_problem("ownership-not-written", service=table.service, problem=written.failure())
+        error = written.failure()
+        log_problem("ownership-not-written", service=table.service, problem=error)
+        if isinstance(error, ConflictError | StoreUnavailableError):
+            self._tell(TableRefused(table))
 
     def _tell(self, message: object) -> None:
         if self.ownership is not None:
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -68,6 +68,15 @@
         self.revision = revision
 
 
+class TableRefused:
+    """The store certainly did not take a table, and will not."""
+
+    __slots__ = ("table",)
+
+    def __init__(self, table: OwnershipTable) -> None:
+        self.table = table
+
+
 class DeciderChanged:
     """The decider record was written or removed; ``member`` is None when there is none."""
 
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -6,7 +6,7 @@
     HigherFenceError,
     OtherServerError,
 )
-from fireflylink_core import BackendServer, BaseClock, OwnershipTable, ServerLife
+from fireflylink_core import BackendServer, BaseClock, KeyRange, OwnershipTable, ServerLife
 from fireflylink_daemon._decider_task import CommitTable, DeciderTask, Superseded
 from fireflylink_daemon._grant_tasks import GrantTask, spawn_release
 from fireflylink_daemon._log import log_event, log_problem
@@ -19,6 +19,7 @@
     ReportReceived,
     ServersChanged,
     TableChanged,
+    TableRefused,
 )
 from fireflylink_daemon._peers import PeerSocket
 from fireflylink_daemon._serving import Serving
@@ -32,18 +33,20 @@
     RangeLoad,
     ReleaseCommand,
     ServiceTimes,
+    alone_from,
     first_table,
     plan,
     refenced,
 )
 from fireflylink_protocol import GrantNotice, LoadReport
+from fireflylink_store import ABSENT
 
 TICK_SECONDS = 0.1
 PLAN_SECONDS = 0.3
 FIRST_TABLE_SECONDS = 1.5
 """Time for servers to register before the first table of a service."""
 
-SETTLE_SECONDS = 6.0
+SETTLE_SECONDS = 2.0
 """Moves that have ended are written down after this time, unless another change comes before."""
 
 TIDY_SECONDS = 1.5
@@ -69,6 +72,7 @@
         "next_tidy",
         "revision",
         "seen_at",
+        "seen_table_at",
         "settled_at",
         "table",
         "times",
@@ -78,7 +82,8 @@
     def __init__(self, service: str, now: float) -> None:
         self.table: OwnershipTable | None = None
         self.revision = 0
-        self.asked: OwnershipTable | None = None
+        self.asked: list[OwnershipTable] = []
+        self.seen_table_at = now
         self.book: GrantBook | None = None
         self.load = KeyLoad(service, now)
         self.seen_at = now
@@ -90,11 +95,21 @@
         self.commit_asked_at: float | None = None
         self.failures: dict[ServerLife, int] = {}
 
+    def suspended(self) -> frozenset[tuple[KeyRange, int]]:
+        """Returns the ranges that a table takes away whose writing was not answered yet."""
+        if not self.asked or self.table is None:
+            return frozenset()
+        present = {(found.keys, found.fence) for found in self.table.assignments}
+        for table in self.asked:
+            present -= {(found.keys, found.fence) for found in table.assignments}
+        return frozenset(present)
+
 
 class OwnershipTask(BaseTask):
     """Follows every ownership table; plans and grants while this daemon is the decider."""
 
     __slots__ = (
+        "began_at",
         "decider",
         "deciding",
         "dialect",
@@ -119,6 +134,7 @@
         self.decider = decider
         self.dialect = dialect
         self.deciding = False
+        self.began_at = 0.0
         self.services: dict[str, _KeyedService] = {}
         self.grants: dict[ServerLife, GrantTask] = {}
         self.next_tick = 0.0
@@ -137,6 +153,9 @@
     def receive(self, message: object) -> object:
         if isinstance(message, TableChanged):
             self._note_table(message)
+        elif isinstance(message, TableRefused):
+            service = self._service(message.table.service)
+            service.asked = [table for table in service.asked if table is not message.table]
         elif isinstance(message, CommandEnded):
             self._note_ended(message)
         elif isinstance(message, ReportReceived):
@@ -155,12 +174,13 @@
 
     def _begin(self, began_at: float) -> None:
         self.deciding = True
+        self.began_at = began_at
         for name, service in self.services.items():
             service.book = GrantBook(began_at)
             service.commit_asked_at = None
             service.failures = {}
             service.load = KeyLoad(name, began_at)
-            service.asked = None
+            service.asked = []
             service.next_plan = 0.0
         self._note_servers()
         self.next_tick = 0.0
@@ -189,7 +209,11 @@
 
     def _note_table(self, message: TableChanged) -> None:
         service = self._service(message.table.service)
-        if self.deciding and message.revision > service.revision and message.table != service.asked:
+        if (
+            self.deciding
+            and message.revision > service.revision
+            and message.table not in service.asked
+        ):
             # Another decider wrote it, and what it granted is not known here.
             self._yield("another decider wrote a table")
         if message.first and service.book is not None:
@@ -199,13 +223,14 @@
         service.table = message.table
         service.revision = message.revision
         service.commit_asked_at = None
-        service.asked = None
+        service.asked = []
+        service.seen_table_at = self.clock.now()
         if service.book is not None:
             service.book.set_table(message.table)
 
     def _advance(self, name: str, service: _KeyedService, now: float) -> None:
         if service.book is not None and self.decider.decidership.may_grant(now):
-            for command in service.book.due(now):
+            for command in service.book.due(now, service.suspended()):
                 self._send(name, service.book, command, now)
         if now >= service.next_plan:
             service.next_plan = now + PLAN_SECONDS
@@ -222,9 +247,11 @@
             return
         wanted = self._wanted_table(name, service, candidates, now)
         if wanted is not None:
+            alone = service.revision == ABSENT or now >= alone_from(self.began_at)
+            marked = wanted.replace(alone=alone)
             service.commit_asked_at = now
-            service.asked = wanted
-            self.decider.post(CommitTable(wanted, service.revision))
+            service.asked.append(marked)
+            self.decider.post(CommitTable(marked, service.revision))
 
     def _wanted_table(
         self, name: str, service: _KeyedService, candidates: list[Candidate], now: float
@@ -237,6 +264,7 @@
                 return None
             return first_table(name, candidates, fence=1)
         if service.book is not None and service.book.table is None:
+            service.book.note_former_table(service.table, service.seen_table_at)
             return refenced(service.table)
         rates = RangeLoad(service.load.sorted_rates(now))
         settled = service.book.settled() if service.book is not None else None
--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -11,6 +11,7 @@
     GrantBook,
     GrantCommand,
     ReleaseCommand,
+    alone_from,
     refenced,
 )
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
@@ -33,6 +34,7 @@
     "RangeLoad",
     "ReleaseCommand",
     "ServiceTimes",
+    "alone_from",
     "first_table",
     "plan",
     "refenced",
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -97,6 +97,11 @@
     return OwnershipTable(table.service, fence, assignments)
 
 
+def alone_from(began_at: float) -> float:
+    """Returns from when on no decider from before one that began at a time can grant."""
+    return began_at + OUTAGE_GRACE_SECONDS + COMMAND_SECONDS
+
+
 class GrantBook:
     """The decider's bookkeeping of grants.
 
@@ -106,10 +111,19 @@
     have ended only ``OUTAGE_GRACE_SECONDS`` and a whole hold later.
     """
 
-    __slots__ = ("ended", "first_fence", "former_hold_ends", "holds", "progress", "table")
+    __slots__ = (
+        "ended",
+        "first_fence",
+        "former_hold_ends",
+        "former_previous_ends",
+        "holds",
+        "progress",
+        "table",
+    )
 
     def __init__(self, began_at: float) -> None:
         self.former_hold_ends = began_at + OUTAGE_GRACE_SECONDS + COMMAND_SECONDS + HOLD_TIME
+        self.former_previous_ends = self.former_hold_ends
         self.first_fence = 0
         self.table: OwnershipTable | None = None
         self.progress: dict[tuple[KeyRange, int], _Progress] = {}
@@ -119,6 +133,17 @@
     def note_first_table(self) -> None:
         """Takes note that there was no table before: no former decider granted anything."""
         self.former_hold_ends = float("-inf")
+        self.former_previous_ends = float("-inf")
+
+    def note_former_table(self, table: OwnershipTable, seen_at: float) -> None:
+        """Takes the table that this decider found, and when this daemon first saw it.
+
+        Its writer granted its former holders nothing after it was written. If no earlier decider
+        could grant then, their holds have ended a whole hold after the table was seen.
+        """
+        if table.alone:
+            latest = seen_at + COMMAND_SECONDS + HOLD_TIME
+            self.former_previous_ends = min(self.former_hold_ends, latest)
 
     def set_table(self, table: OwnershipTable) -> None:
         """Takes a table that the store has acknowledged.
@@ -127,6 +152,7 @@
         """
         if self.table is None:
             self.first_fence = table.fence
+            self._presume_former_holds(table)
         old = self.progress
         inherited = self._granted_ranges()
         self.table = table
@@ -139,17 +165,25 @@
                 self._inherit(progress, assignment, inherited)
             self.progress[name] = progress
 
-    def due(self, now: float) -> list[BaseCommand]:
-        """Returns the commands to send now; each counts as under way until its end is noted."""
+    def due(
+        self, now: float, suspended: frozenset[tuple[KeyRange, int]] = frozenset()
+    ) -> list[BaseCommand]:
+        """Returns the commands to send now; each counts as under way until its end is noted.
+
+        ``suspended`` are ranges and fences that a table takes away whose writing was not answered
+        yet: they are not renewed, because a successor may count on that.
+        """
         if self.table is None:
             return []
         commands: list[BaseCommand] = []
         for assignment in self.table.assignments:
             progress = self.progress[(assignment.keys, assignment.fence)]
-            self._drop_ended_holds(progress, now)
+            self._drop_ended_holds(progress, assignment.keys, now)
             if progress.pending:
                 commands.extend(self._releases(assignment, progress, now))
-            elif not progress.lapsed(now) and self._is_due(progress, assignment.owner, now):
+            elif (assignment.keys, assignment.fence) in suspended or progress.lapsed(now):
+                continue
+            elif self._is_due(progress, assignment.owner, now):
                 commands.append(self._grant(assignment, progress))
         for command in commands:
             self._mark_busy(command)
@@ -157,11 +191,7 @@
 
     def note_sent(self, command: GrantCommand, now: float) -> None:
         """Takes note that a grant is about to be sent: it may come true whatever follows."""
-        holds = self.holds.get(command.server)
-        if holds is None:
-            # What a former decider granted is not known, so the most is assumed.
-            holds = self._former_holds(command.server)
-            self.holds[command.server] = holds
+        holds = self.holds.setdefault(command.server, {})
         holds[(command.keys, command.fence)] = now + COMMAND_SECONDS + HOLD_TIME
 
     def note_not_sent(self, command: GrantCommand) -> None:
@@ -180,7 +210,9 @@
         holds[(command.keys, command.fence)] = now + HOLD_TIME
         if command.fence >= self.first_fence:
             # The server refuses what a former decider may still send for these keys.
-            holds.pop((command.keys, FORMER_DECIDER), None)
+            for held, fence in list(holds):
+                if fence == FORMER_DECIDER and command.keys.covers(held):
+                    del holds[(held, fence)]
         progress = self._progress_of(command.keys, command.fence, command.server)
         if progress is not None:
             progress.granted = True
@@ -219,7 +251,7 @@
         assignments = tuple(self._settled_assignment(found) for found in self.table.assignments)
         if assignments == self.table.assignments:
             return None
-        return OwnershipTable(self.table.service, self.table.fence, assignments)
+        return OwnershipTable(self.table.service, self.table.fence, assignments, self.table.alone)
 
     def is_current(self, command: GrantCommand) -> bool:
         """Whether a grant is one of the present table."""
@@ -235,23 +267,22 @@
             if not self.progress[(assignment.keys, assignment.fence)].granted
         )
 
-    def hold_ends(self, server: ServerLife) -> float:
-        """Returns when no grant to a server can be in force any more."""
+    def hold_ends(self, server: ServerLife, keys: KeyRange) -> float:
+        """Returns when no grant of any of the keys to a server can be in force any more."""
         if server in self.ended:
             return float("-inf")
-        holds = self.holds.get(server)
-        if holds is None:
-            return self.former_hold_ends
-        return max(holds.values(), default=float("-inf"))
-
-    def _former_holds(self, server: ServerLife) -> dict[tuple[KeyRange, int], float]:
-        """Returns the grants that a former decider may have sent to a server."""
-        assignments = self.table.assignments if self.table is not None else ()
-        return {
-            (assignment.keys, FORMER_DECIDER): self.former_hold_ends
-            for assignment in assignments
-            if assignment.owner == server
-        }
+        holds = self.holds.get(server, {})
+        ends = (until for (held, _), until in holds.items() if held.overlaps(keys))
+        return max(ends, default=float("-inf"))
+
+    def _presume_former_holds(self, table: OwnershipTable) -> None:
+        """Notes what former deciders may have granted, and may still grant to the owners."""
+        for assignment in table.assignments:
+            name = (assignment.keys, FORMER_DECIDER)
+            self.holds.setdefault(assignment.owner, {})[name] = self.former_hold_ends
+            for life in assignment.previous:
+                holds = self.holds.setdefault(life, {})
+                holds[name] = max(holds.get(name, float("-inf")), self.former_previous_ends)
 
     def _granted_ranges(self) -> list[tuple[Assignment, _Progress]]:
         if self.table is None:
@@ -284,8 +315,8 @@
             return assignment
         return assignment.replace(previous=(), handover="")
 
-    def _drop_ended_holds(self, progress: _Progress, now: float) -> None:
-        progress.pending = [life for life in progress.pending if now < self.hold_ends(life)]
+    def _drop_ended_holds(self, progress: _Progress, keys: KeyRange, now: float) -> None:
+        progress.pending = [life for life in progress.pending if now < self.hold_ends(life, keys)]
 
     def _releases(
         self, assignment: Assignment, progress: _Progress, now: float
--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -112,6 +112,7 @@
         {
             "service": table.service,
             "fence": table.fence,
+            "alone": table.alone,
             "lives": [[life.server_id, life.born_ms] for life in lives],
             "assignments": rows,
         }
@@ -140,7 +141,8 @@
                 )
             )
             before = last
-        return OwnershipTable(str(fields["service"]), fence, tuple(assignments))
+        alone = bool(fields["alone"])
+        return OwnershipTable(str(fields["service"]), fence, tuple(assignments), alone)
 
     try:
         fields = zlib.decompress(value)
