--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -7,6 +7,7 @@
 
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerLife
 from fireflylink_daemon._messages import DeciderChanged, FactsRead, StoreLost, StoreReached
+from fireflylink_decisions.ownership import OUTAGE_GRACE_SECONDS
 from fireflylink_protocol import DECIDER_KEY, encode_table, ownership_key
 from fireflylink_store import Commit, Item, Put
 
@@ -118,7 +119,7 @@
     decider = configured(bench())
     elect(decider, clock)
     decider.store.reachable = False
-    clock.advance(11.0)
+    clock.advance(OUTAGE_GRACE_SECONDS - 1.0)
     decider.decider.wake()
     assert_that(decider.decider.decidership.may_grant(clock.now()), Is(True))
     clock.advance(2.0)
