--- a/packages/specification/src/fireflylink_specification/_guards.py
+++ b/packages/specification/src/fireflylink_specification/_guards.py
@@ -34,6 +34,14 @@
         "takeover-fence",
         "a new decider puts every range under a new fence before it trusts a server's hold",
     )
+    ALONE_TABLE = (
+        "alone-table",
+        "former holders of a table are waited out for one hold only if its writer was alone",
+    )
+    SUSPEND_MOVED = (
+        "suspend-moved",
+        "keys that a table takes away are not renewed while its writing is unanswered",
+    )
     YIELD = (
         "yield",
         "a decider that reads another one's table stops, as it does not know what that one granted",
--- a/packages/specification/src/fireflylink_specification/_models.py
+++ b/packages/specification/src/fireflylink_specification/_models.py
@@ -5,6 +5,7 @@
 from fireflylink_specification._model import BaseModel
 from fireflylink_specification._transfer import (
     LongGraceModel,
+    LostReplyModel,
     RestartModel,
     SteadyDeciderModel,
     TakeoverModel,
@@ -14,5 +15,6 @@
     SteadyDeciderModel,
     TakeoverModel,
     LongGraceModel,
+    LostReplyModel,
     RestartModel,
 )
--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -18,11 +18,15 @@
 
 
 class Table(NamedTuple):
-    """The owner of the key, the fence, and the former holder that has not given it up."""
+    """The owner of the key, the fence, and the former holder that has not given it up.
+
+    ``alone`` tells that no decider from before its writer could grant when it was written.
+    """
 
     owner: int
     fence: int
     previous: int
+    alone: bool = False
 
 
 class Server(NamedTuple):
@@ -38,8 +42,8 @@
 
     ``contact`` is how many ticks it may go on without the store. ``known`` is for each server in
     how many ticks its hold has ended as far as this decider knows, ``confirmed`` how many ticks are
-    left of the hold that the owner last confirmed, ``taken_over`` whether its first table is
-    written.
+    left of the hold that the owner last confirmed. ``age`` counts the ticks since it took over, up
+    to ``grace``, and ``unanswered`` tells that a move was written without its knowing.
     """
 
     deciding: bool
@@ -48,6 +52,8 @@
     known: tuple[int, int]
     granted: bool
     confirmed: int
+    age: int = 0
+    unanswered: bool = False
 
 
 class LateGrant(NamedTuple):
@@ -79,16 +85,17 @@
     fences = 3
     crashes = True
     late_grants = True
+    lost_replies = False
 
     def initial(self) -> State:
         table = Table(0, 1, NOBODY)
-        first = Decider(True, self.grace, table, (HOLD, 0), True, HOLD)
+        first = Decider(True, self.grace, table, (HOLD, 0), True, HOLD, self.grace)
         others = (IDLE,) * (self.deciders - 1)
         servers = (Server(HOLD, 1, 0), Server(0, NO_FENCE, 0))
         return State(table, 0, servers, (first, *others), None)
 
     def steps(self, state: State) -> Iterator[Step[State]]:
-        yield "a tick passes", _tick(state)
+        yield "a tick passes", _tick(state, self.grace)
         for number, decider in enumerate(state.deciders):
             name = f"decider {number}"
             if decider.deciding:
@@ -109,6 +116,11 @@
                     _with_server(state, server, crashed)._replace(late=late),
                 )
         for number, decider in enumerate(state.deciders):
+            if self.lost_replies and self._may_move(state, number, decider):
+                yield (
+                    f"decider {number} moves the key and gets no answer",
+                    self._move_without_answer(state, number, decider),
+                )
             may_send = self._may_grant(decider) and self._grantable(decider)
             if self.late_grants and state.late is None and may_send:
                 yield (
@@ -139,11 +151,12 @@
             yield f"{name} reads another table and goes on", _with(state, number, adopted)
         else:
             yield f"{name} finds its record gone and stops", _with(state, number, IDLE)
-        may_write = own or not self.in_force.has(Guard.CONDITIONAL_COMMIT)
-        settled = decider.table.previous == NOBODY
-        if may_write and settled and state.table.fence < self.fences:
+        if self._may_move(state, number, decider):
             yield f"{name} moves the key", self._move(state, number, decider)
-        if own and decider.table != state.table and decider.table.previous == NOBODY:
+        if own and decider.unanswered:
+            learned = decider._replace(table=state.table, granted=False, unanswered=False)
+            yield f"{name} reads that its move was written", _with(state, number, learned)
+        elif own and decider.table != state.table and decider.table.previous == NOBODY:
             yield f"{name} writes the move down", state._replace(table=decider.table)
 
     def _server_steps(
@@ -175,7 +188,15 @@
             renewed = decider._replace(table=table, granted=False)
             yield f"{name} renews the fence", _with(state, number, renewed)._replace(table=table)
 
+    def _may_move(self, state: State, number: int, decider: Decider) -> bool:
+        if not decider.deciding or decider.unanswered or decider.table.previous != NOBODY:
+            return False
+        may_write = state.record == number or not self.in_force.has(Guard.CONDITIONAL_COMMIT)
+        return may_write and state.table.fence < self.fences
+
     def _may_grant(self, decider: Decider) -> bool:
+        if decider.unanswered and self.in_force.has(Guard.SUSPEND_MOVED):
+            return False
         if not decider.deciding or decider.table.previous != NOBODY:
             return False
         return decider.contact > 0 or not self.in_force.has(Guard.OUTAGE_GRACE)
@@ -186,19 +207,30 @@
         return not decider.granted or decider.confirmed > 0
 
     def _take_over(self, state: State, number: int) -> State:
-        table = state.table
+        found = state.table
+        table = found._replace(alone=False)
         if self.in_force.has(Guard.TAKEOVER_FENCE):
             table = table._replace(fence=table.fence + 1)
         wait = self.grace + HOLD if self.in_force.has(Guard.TAKEOVER_WAIT) else 0
-        decider = Decider(True, self.grace, table, (wait, wait), False, 0)
+        known = (wait, wait)
+        if found.previous != NOBODY and (found.alone or not self.in_force.has(Guard.ALONE_TABLE)):
+            known = _set(known, found.previous, min(wait, HOLD))
+        decider = Decider(True, self.grace, table, known, False, 0)
         return _with(state, number, decider)._replace(record=number, table=table)
 
     def _move(self, state: State, number: int, decider: Decider) -> State:
-        owner = decider.table.owner
-        table = Table(1 - owner, state.table.fence + 1, owner)
+        table = self._moved_table(state, decider)
         moved = decider._replace(table=table, granted=False)
         return _with(state, number, moved)._replace(table=table)
 
+    def _move_without_answer(self, state: State, number: int, decider: Decider) -> State:
+        table = self._moved_table(state, decider)
+        return _with(state, number, decider._replace(unanswered=True))._replace(table=table)
+
+    def _moved_table(self, state: State, decider: Decider) -> Table:
+        owner = decider.table.owner
+        return Table(1 - owner, state.table.fence + 1, owner, decider.age >= self.grace)
+
     def _release(self, state: State, number: int, decider: Decider) -> State:
         previous = decider.table.previous
         server = state.servers[previous]
@@ -269,6 +301,20 @@
     late_grants = False
 
 
+class LostReplyModel(_TransferModel):
+    """Two deciders; the store takes a table and its writer does not learn of it."""
+
+    name = "lost-reply"
+    bounds = "2 deciders, 2 servers, 4 fences, lost replies"
+    guards = (Guard.ALONE_TABLE, Guard.SUSPEND_MOVED)
+    deciders = 2
+    grace = 2
+    fences = 4
+    crashes = False
+    late_grants = False
+    lost_replies = True
+
+
 class RestartModel(_TransferModel):
     """Two deciders; servers start again under their ids while the former one still grants."""
 
@@ -280,7 +326,7 @@
     late_grants = False
 
 
-def _tick(state: State) -> State:
+def _tick(state: State, grace: int) -> State:
     first, second = (
         Server(max(0, server.hold - 1), server.seen, max(0, server.down - 1))
         for server in state.servers
@@ -290,6 +336,7 @@
             contact=max(0, decider.contact - 1),
             known=(max(0, decider.known[0] - 1), max(0, decider.known[1] - 1)),
             confirmed=max(0, decider.confirmed - 1),
+            age=min(grace, decider.age + 1) if decider.deciding else 0,
         )
         for decider in state.deciders
     )
