--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -99,12 +99,13 @@
         return True
 
     def set_members(self, members: dict[str, MemberRecord]) -> None:
-        """Takes the daemons that the store lists."""
+        """Takes the daemons that the store lists.
+
+        A daemon whose own record lapsed has no share of a cold server until it is listed again: the
+        others divide without it.
+        """
         self.members = members
-        position = FleetPosition(self.settings.instance, tuple(members))
-        if position.listed or not self.position.listed:
-            # A daemon whose own record lapsed still counts itself: the others may do so too.
-            self.position = position
+        self.position = FleetPosition(self.settings.instance, tuple(members))
         log_event("members-changed", members=len(members), rank=self.position.rank)
         self.refresh()
 
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -8,7 +8,14 @@
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerLife
 from fireflylink_daemon._messages import DeciderChanged, FactsRead, StoreLost, StoreReached
 from fireflylink_decisions.ownership import OUTAGE_GRACE_SECONDS
-from fireflylink_protocol import DECIDER_KEY, encode_table, ownership_key
+from fireflylink_protocol import (
+    DECIDER_KEY,
+    MemberRecord,
+    encode_member,
+    encode_table,
+    member_key,
+    ownership_key,
+)
 from fireflylink_store import Commit, Item, Put
 
 CONFIGURATION = {
@@ -184,3 +191,19 @@
     assert_that(tracker.gate.is_cold(clock.now()), Is(False))
     reader.serving.set_evacuated("kingston", False)
     assert_that(tracker.gate.is_cold(clock.now()), Is(True))
+
+
+def test_a_daemon_whose_record_lapsed_has_no_share_of_cold_servers(bench):
+    """Guards against FAILBACK, cmva trouble-1 at 23 s: a daemon came back from an outage in which
+    the others had divided its share among themselves, and used it once more."""
+    daemon = configured(bench())
+    names = [f"front-{number}" for number in range(4)]
+    for name in names:
+        record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
+        read(daemon, Item(member_key(name), encode_member(record), 5))
+    assert_that(daemon.serving.position.share(14.0, "i-1"), GreaterThan(2))
+    read(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), whole=True)
+    for name in names[1:]:
+        record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
+        read(daemon, Item(member_key(name), encode_member(record), 9))
+    assert_that(daemon.serving.position.share(14.0, "i-1"), Equals(0))
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -175,7 +175,7 @@
         tracker = pool.owner_of(ticket.key)
         if tracker is None:
             return False
-        return now + tracker.expected_wait(now) + tracker.expected_seconds(now) > ticket.latest
+        return now + tracker.expected_wait(now) + tracker.expected_in_line(now) > ticket.latest
 
     def _join(self, pool: ServicePool, ticket: Ticket) -> None:
         pool.line.join(ticket)
--- a/packages/decisions/src/fireflylink_decisions/limits/_cold_gate.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_cold_gate.py
@@ -7,7 +7,8 @@
 """Longer than the second of the bound: a request that waits for a new connection to a slow server
 arrives closer to the next one than it left."""
 
-SAFE_PART = 0.9
+SAFE_PART = 0.85
+"""The rest is for a daemon that is cut off and not listed any more, but goes on with its share."""
 
 
 class ColdLimit:
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -20,6 +20,9 @@
 """A reported queue fades within about so many service times: the server works it off."""
 
 LEAST_REPORT_DECAY_SECONDS = 0.1
+PACE_OUTLOOK = 0.4
+"""A machine that is slow now is as usual again before a queue is worked off."""
+
 CONTENTION = 2.0
 """Room that a server gets is taken by other daemons as often as by this one."""
 
@@ -150,9 +153,16 @@
         A full server ends as many requests a service time as it has slots; other daemons wait for
         the same room.
         """
-        seconds = self.base_seconds * self.pace(now) / self.server.slots
+        seconds = self.base_seconds * self._outlook(now) / self.server.slots
         return (self.waiting + 1) * seconds * CONTENTION
 
+    def expected_in_line(self, now: float) -> float:
+        """Returns how long a request takes that is sent after a wait."""
+        return self.base_seconds * self._outlook(now) * self.fullness(now)
+
+    def _outlook(self, now: float) -> float:
+        return 1.0 + (self.pace(now) - 1.0) * PACE_OUTLOOK
+
     def _note_outcome(self, outcome: float, now: float) -> None:
         rate = self.failures(now)
         self.failure_rate = rate + FAILURE_WEIGHT * (outcome - rate)
--- a/packages/decisions/tests/test_dispatcher.py
+++ b/packages/decisions/tests/test_dispatcher.py
@@ -239,3 +239,11 @@
         told = tracker.note_answer(0.6, 6.0, clock.now())
         assert_that(told, Is(False))
     assert_that(abs(tracker.base_seconds - before), LessThan(0.01))
+
+
+def test_a_machine_that_is_slow_for_a_moment_does_not_make_its_line_hopeless(keyed, clock):
+    """Guards against refusals at once, although the machine's pace changes many times a second."""
+    [tracker, _] = keyed.pools["holds"].trackers.values()
+    tracker.base_seconds = 0.16
+    tracker.note_load(ServerLoad(4, 6, 4, 3.0), clock.now())
+    assert_that(keyed.submit(ticket(clock.now(), 5, seconds=1.2), clock.now()), Is(None))
