--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -18,7 +18,7 @@
 HOLD_TIME = HOLD_SECONDS * CLOCK_DRIFT + HOLD_MARGIN_SECONDS
 """How long a server may hold keys after a grant arrived, by the decider's clock."""
 
-OUTAGE_GRACE_SECONDS = 7.0
+OUTAGE_GRACE_SECONDS = 12.0
 """How long a decider renews without the store."""
 
 FORMER_DECIDER = 0
