--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -64,6 +64,7 @@
         "metrics",
         "metrics_listener",
         "ownership",
+        "path",
         "peers",
         "reader",
         "readiness",
@@ -109,7 +110,7 @@
         self.reader = StoreReader(
             self._store(), PlatformCatalogue(), self.view, clock, self.metrics
         )
-        path = RequestPath(
+        self.path = path = RequestPath(
             self.serving, self.dispatch, keys, CrashWatch(self.peers, clock), clock, self.metrics
         )
         self.callers = HttpListener(
@@ -176,6 +177,8 @@
         gevent.sleep(NOTICE_SECONDS)
         self.callers.stop_accepting()
         gevent.sleep(LAST_IDLE_SECONDS)
+        # A request that comes now might not end in time: another daemon takes it at once.
+        self.path.closed = True
         self.callers.close_idle()
         quiet = self.callers.wait_quiet(max(0.0, deadline - self.clock.now()))
         log_event("stopped", instance=self.settings.instance, quiet=quiet)
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -35,6 +35,7 @@
 SERVER_ERROR = 500
 CRASH_REASONS = (LostReason.RESET, LostReason.CLOSED)
 NOT_CONFIGURED_RETRY_SECONDS = 1.0
+LEAVING_RETRY_SECONDS = 0.05
 REPLY_MARGIN_SECONDS = 0.03
 """Time for the reply to reach the caller before its deadline."""
 
@@ -77,7 +78,7 @@
 class RequestPath(BaseRequestHandler):
     """Handles callers' requests with the state of ``Serving``."""
 
-    __slots__ = ("clock", "crashes", "dispatch", "keys", "lines", "metrics", "serving")
+    __slots__ = ("clock", "closed", "crashes", "dispatch", "keys", "lines", "metrics", "serving")
 
     def __init__(
         self,
@@ -90,6 +91,7 @@
     ) -> None:
         self.serving = serving
         self.dispatch = dispatch
+        self.closed = False
         self.keys = keys
         self.lines = LineBudget()
         self.crashes = crashes
@@ -101,6 +103,8 @@
 
     def handle(self, request: CallerRequest, departure: BaseDeparture) -> BaseReply:
         routes = self.serving.routes
+        if self.closed:
+            return self._refused(request, NotRun("leaving", retry_after=LEAVING_RETRY_SECONDS))
         if routes is None:
             return self._refused(
                 request, NotRun("no-configuration", 503, NOT_CONFIGURED_RETRY_SECONDS)
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -163,6 +163,16 @@
     assert_that((type(reply), reply.status), Equals((NotRun, 503)))
 
 
+def test_a_request_that_comes_late_in_a_planned_stop_is_refused_and_not_begun(paths):
+    """Guards against LOST, cmva trouble-3 --seed 47511267048: a request that was taken long after
+    SIGTERM did not end before the process did."""
+    paths.path.closed = True
+    script = Script(paths.clock, [WHOLE])
+    reply = paths.send("/o/1", script)
+    assert_that((type(reply), reply.reason), Equals((NotRun, "leaving")))
+    assert_that(len(script.results), Equals(1))
+
+
 def test_answers_of_a_keyed_server_tell_the_decider_its_speed(paths):
     """Guards against slow servers that keep as many keys as fast ones."""
     paths.send("/k/1", Script(paths.clock, [WHOLE], seconds=0.3))
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -203,14 +203,17 @@
         holds[(command.keys, command.fence)] = now + COMMAND_SECONDS + self.hold_time
 
     def note_not_sent(self, command: GrantCommand) -> None:
-        """Takes note that a grant was not sent after all: no byte of it left."""
+        """Takes note that a grant was not sent after all: no byte of it left.
+
+        What was sent before it, answered or not, counts on.
+        """
         progress = self._progress_of(command.keys, command.fence, command.server)
-        holds = self.holds.get(command.server, {})
-        if progress is not None and not progress.granted:
-            holds.pop((command.keys, command.fence), None)
-        elif progress is not None:
-            until = progress.granted_at + self.hold_time
-            holds[(command.keys, command.fence)] = max(until, progress.unanswered_until)
+        if progress is None:
+            return
+        until = progress.unanswered_until
+        if progress.granted:
+            until = max(until, progress.granted_at + self.hold_time)
+        self.holds[command.server][(command.keys, command.fence)] = until
 
     def note_granted(self, command: GrantCommand, now: float) -> None:
         """Takes a server's word that it holds the keys."""
--- a/packages/decisions/tests/test_grant_book.py
+++ b/packages/decisions/tests/test_grant_book.py
@@ -220,3 +220,22 @@
     clock.advance(0.6)
     assert_that(book.due(clock.now()), HasLength(1))
     assert_that(book.hold_ends(OLD, KEYS), LessThan(clock.now() + 1.5))
+
+
+def test_a_grant_that_was_not_sent_does_not_undo_an_earlier_one_without_answer(clock):
+    """Guards against OWNER: a first grant came true and its answer was lost, the second one found no
+    connection, and the decider forgot the first."""
+    book = GrantBook(clock.now())
+    book.note_first_table()
+    book.set_table(table(OLD, 1))
+    [first] = book.due(clock.now())
+    book.note_sent(first, clock.now())
+    clock.advance(COMMAND_SECONDS)
+    book.note_failed(first, clock.now())
+    expected = book.hold_ends(OLD, KEYS)
+    clock.advance(0.5)
+    [second] = book.due(clock.now())
+    book.note_sent(second, clock.now())
+    book.note_not_sent(second)
+    book.note_failed(second, clock.now())
+    assert_that(book.hold_ends(OLD, KEYS), Equals(expected))
