--- a/packages/decisions/tests/test_grant_book.py
+++ b/packages/decisions/tests/test_grant_book.py
@@ -223,8 +223,8 @@
 
 
 def test_a_grant_that_was_not_sent_does_not_undo_an_earlier_one_without_answer(clock):
-    """Guards against OWNER: a first grant came true and its answer was lost, the second one found no
-    connection, and the decider forgot the first."""
+    """Guards against OWNER: a first grant came true and its answer was lost, the second one found
+    no connection, and the decider forgot the first."""
     book = GrantBook(clock.now())
     book.note_first_table()
     book.set_table(table(OLD, 1))
