--- a/packages/backend_client/src/fireflylink_backend_client/__init__.py
+++ b/packages/backend_client/src/fireflylink_backend_client/__init__.py
@@ -6,7 +6,6 @@
     HigherFenceError,
     OtherServerError,
     ServerCommands,
-    ServerHealth,
 )
 from fireflylink_backend_client._dialect import BaseServerDialect, ServerCommand
 from fireflylink_backend_client._pool import ServerPool
@@ -19,6 +18,5 @@
     "OtherServerError",
     "ServerCommand",
     "ServerCommands",
-    "ServerHealth",
     "ServerPool",
 ]
--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -1,4 +1,4 @@
-"""Commands of the daemon's own to one backend server: grants, releases, health."""
+"""Commands of the daemon's own to one backend server: grants and releases."""
 
 from returns.result import Failure, Result, Success
 
@@ -40,17 +40,6 @@
         super().__init__("another server has the address", False)
 
 
-class ServerHealth:
-    """What a server says when asked for its health."""
-
-    __slots__ = ("cold_seconds", "healthy", "server_id")
-
-    def __init__(self, server_id: str, healthy: bool, cold_seconds: float) -> None:
-        self.server_id = server_id
-        self.healthy = healthy
-        self.cold_seconds = cold_seconds
-
-
 class ServerCommands:
     """Sends commands to one server over a connection of their own."""
 
@@ -74,21 +63,10 @@
         command = self.dialect.release(self.server.server_id, keys, fence)
         return self._send(command, deadline).bind(self._released)
 
-    def health(self, path: str, deadline: float) -> Result[ServerHealth, CommandError]:
-        """Asks for the server's health."""
-        return self._send(self.dialect.health(path), deadline).map(self._health)
-
     def close(self) -> None:
         """Closes the connection."""
         self.connection.close()
 
-    def _health(self, response: HttpResponse) -> ServerHealth:
-        return ServerHealth(
-            self.dialect.health_server_id(response),
-            response.status == HTTP_OK,
-            self.dialect.cold_seconds(response),
-        )
-
     def _released(self, response: HttpResponse) -> Result[str, CommandError]:
         if response.status == HTTP_MISDIRECTED:
             return Failure(OtherServerError())
--- a/packages/backend_client/src/fireflylink_backend_client/_dialect.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_dialect.py
@@ -49,18 +49,6 @@
     def load(self, response: HttpResponse) -> ServerLoad | None:
         """Returns the load that the server told, if any."""
 
-    @abc.abstractmethod
-    def health(self, path: str) -> ServerCommand:
-        """Returns the question for the server's health."""
-
-    @abc.abstractmethod
-    def health_server_id(self, response: HttpResponse) -> str:
-        """Returns the id of the server that answered."""
-
-    @abc.abstractmethod
-    def cold_seconds(self, response: HttpResponse) -> float:
-        """Returns how much longer the server stays cold, by its answer about its health."""
-
     @abc.abstractmethod
     def grant(
         self, server_id: str, keys: KeyRange, fence: int, hold_seconds: float, handover: str
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -72,6 +72,7 @@
     __slots__ = (
         "decidership",
         "lease_id",
+        "lease_seconds",
         "leaving",
         "metrics",
         "next_candidacy",
@@ -101,6 +102,7 @@
         self.ownership: BaseTask | None = None
         self.leaving = False
         self.lease_id = 0
+        self.lease_seconds = max(LEASE_SECONDS, serving.settings.minimum_lease_seconds)
         self.next_renewal = 0.0
         self.next_candidacy = 0.0
 
@@ -187,7 +189,7 @@
         log_event("decider-candidacy-failed", problem=error)
 
     def _open_lease(self) -> StoreError | None:
-        opened = self.store.open_lease(LEASE_SECONDS, self.clock.now() + CALL_SECONDS)
+        opened = self.store.open_lease(self.lease_seconds, self.clock.now() + CALL_SECONDS)
         if not isinstance(opened, Success):
             return opened.failure()
         self.lease_id = opened.unwrap().lease_id
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -53,7 +53,6 @@
         "routes",
         "settings",
         "splits",
-        "started_at",
         "store_doubted",
         "trackers",
     )
@@ -74,7 +73,6 @@
         self.position = FleetPosition(settings.instance, ())
         self.trackers: dict[ServerLife, ServerTracker] = {}
         self.pools: dict[ServerLife, ServerPool] = {}
-        self.started_at = clock.now()
         self.store_doubted = False
 
     def limits(self) -> CallerLimits:
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -207,3 +207,16 @@
         record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
         read(daemon, Item(member_key(name), encode_member(record), 9))
     assert_that(daemon.serving.position.share(14.0, "i-1"), Equals(0))
+
+
+def test_a_lease_is_as_long_as_the_store_asks_for(bench, clock, state, settings_file):
+    """Guards against a fleet without a decider where the store refuses short leases."""
+    daemon = bench()
+    daemon.serving.settings = daemon.serving.settings.replace(minimum_lease_seconds=4.0)
+    again = type(daemon.decider)(
+        daemon.record, daemon.store, daemon.serving, clock, daemon.decider.metrics
+    )
+    again.receive(DeciderChanged(None, 0))
+    clock.advance(5.0)
+    again.wake()
+    assert_that([seconds for seconds, _ in state.leases.values()], Equals([4.0]))
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -268,16 +268,6 @@
         """Whether a grant is one of the present table."""
         return (command.keys, command.fence) in self.progress
 
-    def ungranted(self) -> int:
-        """Returns how many keys no server has confirmed to hold."""
-        if self.table is None:
-            return 0
-        return sum(
-            len(assignment.keys)
-            for assignment in self.table.assignments
-            if not self.progress[(assignment.keys, assignment.fence)].granted
-        )
-
     def hold_ends(self, server: ServerLife, keys: KeyRange) -> float:
         """Returns when no grant of any of the keys to a server can be in force any more."""
         if server in self.ended:
--- a/packages/operator_client/src/fireflylink_operator_client/_commands.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_commands.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from fireflylink_core import LAST_KEY, OwnershipTable, ServerLife
+from fireflylink_core import LAST_KEY, ServerLife
 from fireflylink_operator_client._errors import OperatorError
 from fireflylink_operator_client._system_view import SystemView
 
@@ -59,11 +59,3 @@
             "or the lines were dropped (look for event=log-lines-dropped)"
         )
     yield from found
-
-
-def owned_keys(table: OwnershipTable) -> dict[ServerLife, int]:
-    """Returns how many keys each server owns."""
-    owned: dict[ServerLife, int] = {}
-    for assignment in table.assignments:
-        owned[assignment.owner] = owned.get(assignment.owner, 0) + len(assignment.keys)
-    return owned
