Remove the poison records that nothing writes; pass a service, not a made-up ticket

Poisonous requests are told between daemons in datagrams, so the store's key for them had no caller. Dispatcher.note_misdirected used only the service of a ticket that its caller made up for it.

--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -200,7 +200,7 @@
         now = self.clock.now()
         budget = self.serving.budget(course.service)
         if isinstance(result, Declined) and result.misdirected:
-            self._note_misdirected(course, send, now)
+            self.dispatch.dispatcher.note_misdirected(course.service, send, now)
         decision = course.attempts.next(
             result, course.latest - now, budget.allows(now, self.serving.position)
         )
@@ -217,10 +217,6 @@
             )
         return decision
 
-    def _note_misdirected(self, course: _Course, send: Send, now: float) -> None:
-        ticket = Ticket(course.service, 0, now, course.latest, course.request.key)
-        self.dispatch.dispatcher.note_misdirected(ticket, send, now)
-
     def _refused(self, request: CallerRequest, reply: NotRun) -> NotRun:
         self.metrics.count("requests", route="none", outcome=reply.reason)
         log_event(
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -123,9 +123,9 @@
         if pool is not None:
             self._leave(pool, ticket)
 
-    def note_misdirected(self, ticket: Ticket, send: Send, now: float) -> None:
+    def note_misdirected(self, service: str, send: Send, now: float) -> None:
         """Takes a server's word that it does not hold a key that the table gives it."""
-        pool = self.pools.get(ticket.service)
+        pool = self.pools.get(service)
         if pool is not None:
             pool.doubted[(send.tracker.server.life, send.fence)] = now + RECHECK_SECONDS
 
--- a/packages/decisions/tests/test_dispatcher.py
+++ b/packages/decisions/tests/test_dispatcher.py
@@ -105,7 +105,7 @@
 def test_an_owner_that_declined_a_key_is_left_alone_for_a_while(keyed, clock):
     """Guards against spending the retry budget on a server that lost its keys."""
     send = keyed.submit(ticket(clock.now(), 5), clock.now())
-    keyed.note_misdirected(ticket(clock.now(), 5), send, clock.now())
+    keyed.note_misdirected("holds", send, clock.now())
     assert_that(keyed.submit(ticket(clock.now(), 5), clock.now()), Is(None))
     clock.advance(0.4)
     [(_, placement)] = keyed.sweep(clock.now())
--- a/packages/protocol/src/fireflylink_protocol/__init__.py
+++ b/packages/protocol/src/fireflylink_protocol/__init__.py
@@ -15,7 +15,6 @@
     DECIDER_KEY,
     MEMBERS_PREFIX,
     OWNERSHIP_PREFIX,
-    POISON_PREFIX,
     RECORD_PREFIX,
     MemberRecord,
     decode_member,
@@ -24,7 +23,6 @@
     encode_table,
     member_key,
     ownership_key,
-    poison_key,
 )
 
 __all__ = [
@@ -32,7 +30,6 @@
     "MAX_REPORTED_KEYS",
     "MEMBERS_PREFIX",
     "OWNERSHIP_PREFIX",
-    "POISON_PREFIX",
     "RECORD_PREFIX",
     "CrashNotice",
     "Datagram",
@@ -49,5 +46,4 @@
     "encode_table",
     "member_key",
     "ownership_key",
-    "poison_key",
 ]
--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -19,7 +19,6 @@
 RECORD_PREFIX = "fireflylink/"
 MEMBERS_PREFIX = f"{RECORD_PREFIX}members/"
 OWNERSHIP_PREFIX = f"{RECORD_PREFIX}ownership/"
-POISON_PREFIX = f"{RECORD_PREFIX}poison/"
 DECIDER_KEY = f"{RECORD_PREFIX}decider"
 COMPRESSION_LEVEL = 9
 
@@ -52,11 +51,6 @@
     return f"{OWNERSHIP_PREFIX}{service}"
 
 
-def poison_key(fingerprint: str) -> str:
-    """Returns the key that marks a poisonous request."""
-    return f"{POISON_PREFIX}{fingerprint}"
-
-
 def encode_member(member: MemberRecord) -> bytes:
     """Returns the record of a daemon; the decider's record has the same form."""
     return _encode(
