--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -188,7 +188,9 @@
         elif _failed_at_server(result):
             tracker.note_failure(now)
         elif isinstance(result, Lost) and result.reason is LostReason.LATE:
-            tracker.note_late(now - sent_at, send.fullness, now)
+            seconds = tracker.note_late(now - sent_at, send.fullness, now)
+            if course.request.key != NO_KEY:
+                self.keys.add_time(course.service, tracker.server.server_id, seconds)
         elif isinstance(result, NotSent):
             tracker.note_silence(now)
         if isinstance(result, Lost) and result.reason in CRASH_REASONS:
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -100,11 +100,16 @@
         self.base_seconds += weight * (seconds / self.pace(now) - self.base_seconds)
         return True
 
-    def note_late(self, seconds: float, fullness: float, now: float) -> None:
-        """Takes a request whose time ran out at the server: it takes at least that long."""
-        base = seconds / max(1.0, fullness) / self.pace(now)
+    def note_late(self, seconds: float, fullness: float, now: float) -> float:
+        """Takes a request whose time ran out at the server: it takes at least that long.
+
+        Returns the least service time that this tells, without the expected time in the queue.
+        """
+        unqueued = seconds / max(1.0, fullness)
+        base = unqueued / self.pace(now)
         self.base_seconds += LATE_WEIGHT * max(0.0, base - self.base_seconds)
         self.note_silence(now)
+        return unqueued
 
     def note_failure(self, now: float) -> None:
         """Takes a request that failed at the server or was turned away without need."""
