Move the keyed service's decisions out of the daemon; log why keys move

KeyedService and the capacity move to decisions; the line now has lost_keys, moved_keys, joined and candidates.

--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -6,10 +6,9 @@
     HigherFenceError,
     OtherServerError,
 )
-from fireflylink_core import BackendServer, BaseClock, ServerLife
+from fireflylink_core import BackendServer, BaseClock, OwnershipTable, ServerLife
 from fireflylink_daemon._decider_task import CommitTable, DeciderTask, Superseded
 from fireflylink_daemon._grant_tasks import GrantTask, spawn_release
-from fireflylink_daemon._keyed_service import KeyedService
 from fireflylink_daemon._log import log_event, log_problem
 from fireflylink_daemon._messages import (
     CommandDue,
@@ -30,9 +29,11 @@
     Candidate,
     GrantBook,
     GrantCommand,
+    KeyedService,
     KeyLoad,
     ReleaseCommand,
     alone_from,
+    changes_between,
 )
 from fireflylink_protocol import GrantNotice, LoadReport
 from fireflylink_store import ABSENT
@@ -42,8 +43,6 @@
 COMMIT_PATIENCE_SECONDS = 2.0
 UNREACHABLE_FAILURES = 3
 MILLISECONDS_PER_SECOND = 1000.0
-LEAST_CAPACITY_FACTOR = 0.4
-LARGEST_CAPACITY_FACTOR = 2.0
 
 
 class OwnershipTask(BaseTask):
@@ -191,12 +190,32 @@
         joined = [entry.joined_at for entry in self.serving.directory.usable(name)]
         wanted = service.wanted_table(candidates, max(joined, default=now), now)
         if wanted is not None:
+            self._log_plan(service, wanted, candidates)
             alone = service.revision == ABSENT or now >= alone_from(self.began_at)
             marked = wanted.replace(alone=alone)
             service.commit_asked_at = now
             service.asked.append(marked)
             self.decider.post(CommitTable(marked, service.revision))
 
+    def _log_plan(
+        self, service: KeyedService, wanted: OwnershipTable, candidates: list[Candidate]
+    ) -> None:
+        """Writes which keys change hands, and whether because their owner may not go on."""
+        lives = frozenset(candidate.life for candidate in candidates)
+        present = service.table if service.table is not None else wanted
+        changes = changes_between(present, wanted, lives)
+        log_event(
+            "ownership-planned",
+            service=service.name,
+            fence=wanted.fence,
+            ranges=len(wanted.assignments),
+            candidates=len(candidates),
+            requests_per_second=service.requests_per_second,
+            lost_keys=changes.lost_keys,
+            moved_keys=changes.moved_keys,
+            joined=changes.joined,
+        )
+
     def _yield(self, reason: str) -> None:
         """Stops to decide: what was granted meanwhile is not known to this daemon."""
         log_problem("decider-superseded", reason=reason)
@@ -216,11 +235,8 @@
     def _capacity(self, service: KeyedService, server: BackendServer, now: float) -> float:
         """Returns how many requests a second a server can run."""
         tracker = self.serving.trackers.get(server.life)
-        usual = server.slots / service.times.mean()
-        if tracker is not None and tracker.gate.is_cold(now):
-            return usual * LEAST_CAPACITY_FACTOR
-        own = server.slots / service.times.seconds(server.server_id)
-        return min(LARGEST_CAPACITY_FACTOR * usual, max(LEAST_CAPACITY_FACTOR * usual, own))
+        cold = tracker is not None and tracker.gate.is_cold(now)
+        return service.times.capacity(server.server_id, server.slots, cold)
 
     def _send(self, name: str, book: GrantBook, command: object, now: float) -> None:
         if isinstance(command, ReleaseCommand):
--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -15,9 +15,11 @@
     refenced,
 )
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
+from fireflylink_decisions.ownership._keyed_service import KeyedService
 from fireflylink_decisions.ownership._plan_values import Candidate
 from fireflylink_decisions.ownership._planner import first_table, plan
 from fireflylink_decisions.ownership._service_times import ServiceTimes
+from fireflylink_decisions.ownership._table_changes import TableChanges, changes_between
 
 __all__ = [
     "COMMAND_SECONDS",
@@ -31,10 +33,13 @@
     "GrantBook",
     "GrantCommand",
     "KeyLoad",
+    "KeyedService",
     "RangeLoad",
     "ReleaseCommand",
     "ServiceTimes",
+    "TableChanges",
     "alone_from",
+    "changes_between",
     "first_table",
     "plan",
     "refenced",
--- a/packages/daemon/src/fireflylink_daemon/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -1,18 +1,12 @@
 """What the decider knows of one service with keys, and which table it wants."""
 
 from fireflylink_core import KeyRange, OwnershipTable, ServerLife
-from fireflylink_daemon._log import log_event
-from fireflylink_decisions.ownership import (
-    BusyWatch,
-    Candidate,
-    GrantBook,
-    KeyLoad,
-    RangeLoad,
-    ServiceTimes,
-    first_table,
-    plan,
-    refenced,
-)
+from fireflylink_decisions.ownership._busy_watch import BusyWatch
+from fireflylink_decisions.ownership._grant_book import GrantBook, refenced
+from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
+from fireflylink_decisions.ownership._plan_values import Candidate
+from fireflylink_decisions.ownership._planner import first_table, plan
+from fireflylink_decisions.ownership._service_times import ServiceTimes
 
 FIRST_TABLE_SECONDS = 1.5
 """Time for servers to register before the first table of a service."""
@@ -40,6 +34,7 @@
         "name",
         "next_plan",
         "next_tidy",
+        "requests_per_second",
         "revision",
         "seen_at",
         "seen_table_at",
@@ -63,6 +58,7 @@
         self.settled_at = now
         self.next_plan = 0.0
         self.next_tidy = 0.0
+        self.requests_per_second = 0.0
         self.commit_asked_at: float | None = None
         self.failures: dict[ServerLife, int] = {}
 
@@ -92,6 +88,7 @@
             self.book.note_former_table(self.table, self.seen_table_at)
             return refenced(self.table)
         rates = RangeLoad(self.load.sorted_rates(now))
+        self.requests_per_second = rates.sums[-1]
         settled = self.book.settled() if self.book is not None else None
         if settled is None:
             self.settled_at = now
@@ -101,14 +98,6 @@
             self.next_tidy = now + TIDY_SECONDS
         present = settled or self.table
         changed = plan(present, candidates, rates, self.watch, now, lapsed, tidy)
-        if changed is not None:
-            log_event(
-                "ownership-planned",
-                service=self.name,
-                fence=changed.fence,
-                ranges=len(changed.assignments),
-                requests_per_second=rates.sums[-1],
-            )
         if changed is None and now >= self.settled_at + SETTLE_SECONDS:
             return settled
         return changed
--- a/packages/decisions/src/fireflylink_decisions/ownership/_service_times.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_service_times.py
@@ -7,6 +7,8 @@
 """What is older than about so many answers of a server is forgotten."""
 
 DEFAULT_SECONDS = 0.16
+LEAST_CAPACITY_FACTOR = 0.4
+LARGEST_CAPACITY_FACTOR = 2.0
 
 
 class _Sum:
@@ -55,6 +57,14 @@
         prior = self.mean() * PRIOR_ANSWERS
         return (found.seconds + prior) / (found.answers + PRIOR_ANSWERS)
 
+    def capacity(self, server_id: str, slots: int, cold: bool) -> float:
+        """Returns how many requests a second a server can run, within bounds around the mean."""
+        usual = slots / self.mean()
+        if cold:
+            return usual * LEAST_CAPACITY_FACTOR
+        own = slots / self.seconds(server_id)
+        return min(LARGEST_CAPACITY_FACTOR * usual, max(LEAST_CAPACITY_FACTOR * usual, own))
+
     def keep_only(self, server_ids: frozenset[str]) -> None:
         """Forgets servers that are gone."""
         self.sums = {name: found for name, found in self.sums.items() if name in server_ids}
