--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -2,10 +2,11 @@
 
 from fireflylink_core import Assignment, BaseValue, KeyRange, OwnershipTable, ServerLife
 
-HOLD_SECONDS = 3.6
-"""A lost server's keys are served again when its hold has ended, within 5 s of its loss."""
+HOLD_SECONDS = 3.3
+"""A lost server's keys are served again when its hold has ended. With less than about 2.2 s from a
+renewal that is due to the end of the hold, keys lapse while another daemon becomes the decider."""
 
-RENEWAL_SECONDS = 1.2
+RENEWAL_SECONDS = 1.0
 RENEWAL_PART = 1.0 / 3.0
 """Where the platform allows shorter holds only, they are renewed after this part of them."""
 
@@ -18,8 +19,9 @@
 RETRY_SECONDS = 0.3
 CLOCK_DRIFT = 1.02
 HOLD_MARGIN_SECONDS = 0.2
-OUTAGE_GRACE_SECONDS = 12.0
-"""How long a decider renews without the store."""
+OUTAGE_GRACE_SECONDS = 8.0
+"""How long a decider renews without the store. A successor waits for it before it gives the keys of
+servers that it cannot reach to others."""
 
 FORMER_DECIDER = 0
 """Stands for the fences of what a former decider granted."""
--- a/packages/standins/src/fireflylink_standins/_local_system.py
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -42,9 +42,10 @@
         self.metrics = metrics
         self.process: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> None:
-        """Starts the process; its log goes to a file."""
-        with self.log.open("ab") as output:
+    def start(self, log_output: int | None = None) -> None:
+        """Starts the process; its log goes to a file, or to ``log_output`` of ``subprocess``."""
+        with self.log.open("ab") as log:
+            output = log if log_output is None else log_output
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "fireflylink_daemon", "--settings", str(self.settings)],
                 stdout=output,
@@ -83,7 +84,17 @@
         system.stop()
     """
 
-    __slots__ = ("clock", "daemons", "faults", "folder", "listener", "servers", "store", "version")
+    __slots__ = (
+        "clock",
+        "daemons",
+        "faults",
+        "folder",
+        "listener",
+        "log_output",
+        "servers",
+        "store",
+        "version",
+    )
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
@@ -95,6 +106,7 @@
         self.servers: dict[str, BackendServerStandin] = {}
         self.daemons: list[LocalDaemon] = []
         self.version = 0
+        self.log_output: int | None = None
 
     def start(self, daemons: int = 3, keyed: int = 3, pooled: int = 2) -> None:
         """Starts everything and waits until every daemon is ready."""
@@ -104,10 +116,15 @@
             self.add_server(f"a{number}", KEYED_SERVICE, number, keyed=True)
         for number in range(pooled):
             self.add_server(f"b{number}", POOLED_SERVICE, number, keyed=False)
-        for number in range(daemons):
-            daemon = self._daemon(number)
-            daemon.start()
-            self.daemons.append(daemon)
+        for _ in range(daemons):
+            self.add_daemon()
+
+    def add_daemon(self) -> LocalDaemon:
+        """Starts one more daemon."""
+        daemon = self._daemon(len(self.daemons))
+        daemon.start(self.log_output)
+        self.daemons.append(daemon)
+        return daemon
 
     def stop(self) -> None:
         """Ends every process and stand-in."""
