--- a/packages/core/src/fireflylink_core/__init__.py
+++ b/packages/core/src/fireflylink_core/__init__.py
@@ -18,6 +18,7 @@
     Service,
 )
 from fireflylink_core._errors import BaseFireflylinkError, InvalidValueError
+from fireflylink_core._json_fields import MISSING, BaseJsonFields
 from fireflylink_core._keys import (
     FIRST_KEY,
     KEY_COUNT,
@@ -43,6 +44,7 @@
     "FIRST_KEY",
     "KEY_COUNT",
     "LAST_KEY",
+    "MISSING",
     "NO_KEY",
     "Answered",
     "Assignment",
@@ -50,6 +52,7 @@
     "BaseCallResult",
     "BaseClock",
     "BaseFireflylinkError",
+    "BaseJsonFields",
     "BaseReply",
     "BaseValue",
     "CallerLeft",
--- a/packages/core/src/fireflylink_core/_configuration.py
+++ b/packages/core/src/fireflylink_core/_configuration.py
@@ -75,16 +75,13 @@
 
     ``connection_limit`` is what one server accepts from all daemons together. A cold server bears
     ``cold_requests_per_second`` for ``cold_seconds``. Servers of a ``keyed`` service run only
-    requests of keys that they hold; a key that arrives without its hand-over token is slow for
-    ``key_warm_seconds``.
+    requests of keys that they hold.
     """
 
     __slots__ = (
         "cold_requests_per_second",
         "cold_seconds",
         "connection_limit",
-        "health_path",
-        "key_warm_seconds",
         "keyed",
         "name",
     )
@@ -95,17 +92,13 @@
         connection_limit: int,
         cold_seconds: float,
         cold_requests_per_second: float,
-        health_path: str = "/",
         keyed: bool = False,
-        key_warm_seconds: float = 0.0,
     ) -> None:
         self.name = name
         self.connection_limit = connection_limit
         self.cold_seconds = cold_seconds
         self.cold_requests_per_second = cold_requests_per_second
-        self.health_path = health_path
         self.keyed = keyed
-        self.key_warm_seconds = key_warm_seconds
 
 
 class CallerLimits(BaseValue):
--- a/packages/daemon/src/fireflylink_daemon/_settings.py
+++ b/packages/daemon/src/fireflylink_daemon/_settings.py
@@ -1,11 +1,10 @@
 """The settings file: JSON, checked as a whole before anything starts."""
 
 import json
-from typing import Any
 
 from returns.result import Failure, Result, Success
 
-from fireflylink_core import BaseFireflylinkError, BaseValue
+from fireflylink_core import MISSING, BaseFireflylinkError, BaseJsonFields, BaseValue
 
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_PORT = 65535
@@ -35,7 +34,6 @@
         "cold_extra",
         "cold_factor",
         "drain_seconds",
-        "evacuate_seconds",
         "hold_max_seconds",
         "leave_seconds",
         "retry_extra",
@@ -46,7 +44,6 @@
     def __init__(
         self,
         drain_seconds: float,
-        evacuate_seconds: float,
         leave_seconds: float,
         hold_max_seconds: float,
         retry_ratio: float,
@@ -56,7 +53,6 @@
         cold_extra: float,
     ) -> None:
         self.drain_seconds = drain_seconds
-        self.evacuate_seconds = evacuate_seconds
         self.leave_seconds = leave_seconds
         self.hold_max_seconds = hold_max_seconds
         self.retry_ratio = retry_ratio
@@ -74,7 +70,6 @@
         "bounds",
         "caller_address",
         "data_centre",
-        "heartbeat_seconds",
         "instance",
         "metrics_port",
         "minimum_lease_seconds",
@@ -94,7 +89,6 @@
         metrics_port: int,
         store_address: Address,
         minimum_lease_seconds: float,
-        heartbeat_seconds: float,
         bounds: Bounds,
     ) -> None:
         self.instance = instance
@@ -106,50 +100,39 @@
         self.metrics_port = metrics_port
         self.store_address = store_address
         self.minimum_lease_seconds = minimum_lease_seconds
-        self.heartbeat_seconds = heartbeat_seconds
         self.bounds = bounds
 
 
-class _Reader:
-    """Reads fields of one object; raises ``SettingsError``."""
+class _SettingsFields(BaseJsonFields):
+    """The fields of one object of the file."""
 
-    __slots__ = ("name", "value")
+    __slots__ = ()
 
-    def __init__(self, value: object, name: str) -> None:
-        if not isinstance(value, dict):
-            raise SettingsError(f"{name or 'the file'}: must be an object")
-        self.value: dict[str, Any] = value
-        self.name = name
+    error = SettingsError
 
-    def text(self, field: str) -> str:
-        found = self._find(field)
-        if not isinstance(found, str) or not found:
-            raise SettingsError(f"{self._path(field)}: must be a string that is not empty")
+    def text(self, field: str, default: object = MISSING) -> str:
+        found = super().text(field, default)
+        if not found:
+            raise SettingsError(f"{self.path(field)}: must be a string that is not empty")
         return found
 
-    def number(self, field: str) -> float:
-        found = self._find(field)
-        if isinstance(found, bool) or not isinstance(found, int | float) or not found >= 0:
-            raise SettingsError(f"{self._path(field)}: must be a number from 0")
-        return float(found)
-
     def seconds(self, field: str) -> float:
         return self.number(field) / MILLISECONDS_PER_SECOND
 
     def address(self, field: str) -> Address:
         host, _, port = self.text(field).rpartition(":")
         if not host or not port.isdecimal() or int(port) > MAX_PORT:
-            raise SettingsError(f"{self._path(field)}: must be an IP address and a port")
+            raise SettingsError(f"{self.path(field)}: must be an IP address and a port")
         return Address(host, int(port))
 
     def port(self, field: str) -> int:
-        found = self._find(field)
+        found = self.find(field, MISSING)
         if not isinstance(found, int) or not 0 <= found <= MAX_PORT:
-            raise SettingsError(f"{self._path(field)}: must be a port")
+            raise SettingsError(f"{self.path(field)}: must be a port")
         return found
 
     def ports(self, field: str) -> tuple[int, int]:
-        found = self._find(field)
+        found = self.find(field, MISSING)
         if (
             not isinstance(found, list)
             or len(found) != 2
@@ -157,21 +140,10 @@
             or (found[0] and found[0] >= found[1])
         ):
             raise SettingsError(
-                f"{self._path(field)}: must be the first and the last of two or more ports"
+                f"{self.path(field)}: must be the first and the last of two or more ports"
             )
         return found[0], found[1]
 
-    def table(self, field: str) -> "_Reader":
-        return _Reader(self._find(field), self._path(field))
-
-    def _find(self, field: str) -> object:
-        if self.value.get(field) is None:
-            raise SettingsError(f"{self._path(field)}: is missing")
-        return self.value[field]
-
-    def _path(self, field: str) -> str:
-        return f"{self.name}.{field}" if self.name else field
-
 
 def read_settings(path: str) -> Result[Settings, SettingsError]:
     """Returns the checked settings of a file. Fields that are not known are ignored."""
@@ -183,38 +155,36 @@
     except ValueError as error:
         return Failure(SettingsError(f"{path}: is no JSON: {error}"))
     try:
-        return Success(_settings(_Reader(value, "")))
+        return Success(_settings(_SettingsFields(value, "")))
     except SettingsError as error:
         return Failure(SettingsError(f"{path}: {error}"))
 
 
-def _settings(reader: _Reader) -> Settings:
-    store = reader.table("store")
-    first_port, _ = reader.ports("peer_ports")
+def _settings(fields: _SettingsFields) -> Settings:
+    store = fields.table("store")
+    first_port, _ = fields.ports("peer_ports")
     return Settings(
-        instance=reader.text("instance"),
-        data_centre=reader.text("data_centre"),
-        address=reader.text("address"),
-        caller_address=reader.address("caller_address"),
-        readiness_address=reader.address("readiness_address"),
+        instance=fields.text("instance"),
+        data_centre=fields.text("data_centre"),
+        address=fields.text("address"),
+        caller_address=fields.address("caller_address"),
+        readiness_address=fields.address("readiness_address"),
         report_port=first_port,
-        metrics_port=reader.port("metrics_port"),
+        metrics_port=fields.port("metrics_port"),
         store_address=store.address("address"),
         minimum_lease_seconds=store.seconds("minimum_lease_ms"),
-        heartbeat_seconds=reader.seconds("heartbeat_ms"),
-        bounds=_bounds(reader.table("bounds")),
+        bounds=_bounds(fields.table("bounds")),
     )
 
 
-def _bounds(reader: _Reader) -> Bounds:
+def _bounds(fields: _SettingsFields) -> Bounds:
     return Bounds(
-        drain_seconds=reader.seconds("drain_ms"),
-        evacuate_seconds=reader.seconds("evacuate_ms"),
-        leave_seconds=reader.number("leave_seconds"),
-        hold_max_seconds=reader.seconds("hold_max_ms"),
-        retry_ratio=reader.number("retry_ratio"),
-        retry_window_seconds=reader.number("retry_window_seconds"),
-        retry_extra=reader.number("retry_extra"),
-        cold_factor=reader.number("cold_factor"),
-        cold_extra=reader.number("cold_extra"),
+        drain_seconds=fields.seconds("drain_ms"),
+        leave_seconds=fields.number("leave_seconds"),
+        hold_max_seconds=fields.seconds("hold_max_ms"),
+        retry_ratio=fields.number("retry_ratio"),
+        retry_window_seconds=fields.number("retry_window_seconds"),
+        retry_extra=fields.number("retry_extra"),
+        cold_factor=fields.number("cold_factor"),
+        cold_extra=fields.number("cold_extra"),
     )
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -24,7 +24,6 @@
     "metrics_port": 0,
     "peer_ports": [0, 0],
     "store": {"address": "127.0.0.1:1", "minimum_lease_ms": 1000},
-    "heartbeat_ms": 870,
     "bounds": BOUNDS,
 }
 
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -28,7 +28,7 @@
         ({"store": {}}, "store.address: is missing"),
         ({"store": "10.0.0.1:1"}, "store: must be an object"),
         ({"bounds": {"drain_ms": -1}}, "bounds.drain_ms"),
-        ({"heartbeat_ms": True}, "heartbeat_ms"),
+        ({"bounds": {"drain_ms": True}}, "bounds.drain_ms"),
     ],
 )
 def test_a_wrong_field_is_named_with_what_is_allowed(settings_file, changes, text):
--- a/packages/standins/src/fireflylink_standins/_local_system.py
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -171,7 +171,6 @@
             "metrics_port": metrics,
             "peer_ports": [peers, peers + 1],
             "store": {"address": f"127.0.0.1:{self.listener.port}", "minimum_lease_ms": 1000},
-            "heartbeat_ms": 870,
             "bounds": BOUNDS,
         }
         path = self.folder / f"front-{number}.json"
@@ -182,7 +181,6 @@
 
 BOUNDS = {
     "drain_ms": 2000,
-    "evacuate_ms": 5000,
     "leave_seconds": 6,
     "hold_max_ms": 10000,
     "retry_ratio": 0.2,
--- a/packages/standins/tests/conftest.py
+++ b/packages/standins/tests/conftest.py
@@ -31,6 +31,13 @@
         caller.close()
         return 0 if reply is None else reply.status
 
+    def await_reply(self, daemon: int) -> None:
+        """Waits until a daemon that was just started replies to anything."""
+        began = self.clock.now()
+        while self.lookup(5, daemon) == 0:
+            assert self.clock.now() < began + START_SECONDS, "no reply in time"
+            gevent.sleep(POLL_SECONDS)
+
     def order(self, name: str, daemon: int = 0, request_id: str = "") -> int:
         """Returns the status of an order, 0 when there was no reply."""
         caller = self.caller(daemon)
--- a/packages/standins/tests/test_promises.py
+++ b/packages/standins/tests/test_promises.py
@@ -164,7 +164,10 @@
     running.system.faults.down = True
     running.system.daemons[2].kill()
     running.system.daemons[2].start()
-    gevent.sleep(2.5)
+    # Beside busy processes a daemon may take longer than a fixed time to start.
+    running.await_reply(2)
+    assert_that({running.lookup(5, 2) for _ in range(5)}, Equals({503}))
+    gevent.sleep(1.0)
     assert_that({running.lookup(5, 2) for _ in range(5)}, Equals({503}))
     running.system.faults.down = False
     running.await_service(5.0)
