--- a/packages/emulator/src/fireflylink_emulator/__init__.py
+++ b/packages/emulator/src/fireflylink_emulator/__init__.py
@@ -18,6 +18,7 @@
     APPROVALS,
     FLEET,
     LOOKUPS,
+    ORDERS,
     FleetProfile,
     ServiceProfile,
 )
@@ -28,6 +29,7 @@
     "APPROVALS",
     "FLEET",
     "LOOKUPS",
+    "ORDERS",
     "SITUATIONS",
     "Agenda",
     "Arrival",
--- a/packages/emulator/src/fireflylink_emulator/_callers.py
+++ b/packages/emulator/src/fireflylink_emulator/_callers.py
@@ -49,8 +49,8 @@
         self.leavers = 0.0
 
     def tally(self, profile: ServiceProfile) -> Tally:
-        """Returns the counts of one service."""
-        return self.tallies.setdefault(profile.name, Tally())
+        """Returns the counts of one kind of requests."""
+        return self.tallies.setdefault(profile.kind, Tally())
 
     def ask(self, profile: ServiceProfile, key: int) -> None:
         """Sends the first attempt of a request."""
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -218,7 +218,7 @@
         self.ran += 1
         self.running.append(call)
         fullness = len(self.running) / self.profile.slots
-        seconds = self.profile.work_seconds * self.speed * self.pace
+        seconds = call.order.profile.work_seconds * self.speed * self.pace
         seconds *= 1.0 + FULL_SLOWDOWN * fullness
         seconds *= COLD_PACE if self.cold else 1.0
         seconds *= LEAST_PART + (1.0 - LEAST_PART) * self.source.expovariate(1.0)
--- a/packages/emulator/src/fireflylink_emulator/_emulation.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulation.py
@@ -33,7 +33,7 @@
     Example::
 
         emulation = Emulation((LOOKUPS,), FLEET, seed=1)
-        emulation.replay(LOOKUPS, pattern)
+        emulation.replay(pattern)
         print(emulation.callers.tally(LOOKUPS).worth)
     """
 
@@ -63,18 +63,19 @@
         self.fleet = fleet
         self.profiles = profiles
         self.naive = naive
-        self.servers = [server for profile in profiles for server in self._servers_of(profile)]
+        services = {profile.name: profile for profile in reversed(profiles)}.values()
+        self.servers = [server for profile in services for server in self._servers_of(profile)]
         self.since_silent: dict[EmulatedServer, float] = {}
         routed = [] if naive else self._routed_daemons()
         self.daemons: list[BaseEmulatedDaemon] = [*routed] or self._naive_daemons()
         self.callers = Callers(self.agenda, self.daemons, random.Random(seed + 1))
         self.deciders: dict[str, EmulatedDecider] = {}
         self.static: dict[str, list[tuple[EmulatedServer, KeyRange]]] = {}
-        for profile in profiles:
+        for profile in services:
             if profile.keyed and naive:
                 self.static[profile.name] = self._static_owners(profile)
             elif profile.keyed:
-                of_service = [server for server in self.servers if server.profile is profile]
+                of_service = self.servers_of(profile)
                 self.deciders[profile.name] = EmulatedDecider(
                     profile, of_service, routed, self.agenda
                 )
@@ -86,18 +87,15 @@
 
     def servers_of(self, profile: ServiceProfile) -> list[EmulatedServer]:
         """Returns the servers of a service."""
-        return [server for server in self.servers if server.profile is profile]
+        return [server for server in self.servers if server.profile.name == profile.name]
 
-    def replay(self, profile: ServiceProfile, pattern: ArrivalPattern) -> None:
+    def replay(self, pattern: ArrivalPattern) -> None:
         """Plays a pattern from now to the end of its last request."""
-        self.add(profile, pattern)
-        self.finish(pattern.seconds)
-
-    def add(self, profile: ServiceProfile, pattern: ArrivalPattern) -> None:
-        """Adds the arrivals of a pattern, without running them."""
         began_at = self.agenda.clock.now()
         for arrival in pattern.arrivals:
-            self.agenda.at(began_at + arrival.seconds, self._asking(profile, arrival.key))
+            asking = _Asking(self.callers, self.profiles[arrival.kind], arrival.key)
+            self.agenda.at(began_at + arrival.seconds, asking)
+        self.finish(pattern.seconds)
 
     def finish(self, seconds: float) -> None:
         """Runs for a time and to the end of the last request."""
@@ -124,9 +122,6 @@
         self._refresh_once()
         self.agenda.after(DRAIN_SECONDS, lambda: server.crash(RESTART_SECONDS))
 
-    def _asking(self, profile: ServiceProfile, key: int) -> "_Asking":
-        return _Asking(self.callers, profile, key)
-
     def _servers_of(self, profile: ServiceProfile) -> list[EmulatedServer]:
         centres = self.fleet.data_centres
         return [
--- a/packages/emulator/src/fireflylink_emulator/_pattern.py
+++ b/packages/emulator/src/fireflylink_emulator/_pattern.py
@@ -21,19 +21,23 @@
 
 
 class Arrival(BaseValue):
-    """A caller's first attempt: when, in seconds from the start, and its key."""
+    """A caller's first attempt: when, in seconds from the start, its key and its kind.
 
-    __slots__ = ("key", "seconds")
+    ``kind`` is the position of its profile among those of the situation.
+    """
+
+    __slots__ = ("key", "kind", "seconds")
 
-    def __init__(self, seconds: float, key: int) -> None:
+    def __init__(self, seconds: float, key: int, kind: int = 0) -> None:
         self.seconds = seconds
         self.key = key
+        self.kind = kind
 
 
 class ArrivalPattern(BaseValue):
     """The arrivals of one situation, in the order of time.
 
-    On disk it is one line ``milliseconds key`` for each arrival.
+    On disk it is one line ``milliseconds key``, or ``milliseconds key kind``, for each arrival.
     """
 
     __slots__ = ("arrivals", "name")
@@ -51,7 +55,8 @@
 def encode_pattern(pattern: ArrivalPattern) -> str:
     """Returns the text of a pattern."""
     return "".join(
-        f"{round(arrival.seconds * MILLISECONDS_PER_SECOND)} {arrival.key}\n"
+        f"{round(arrival.seconds * MILLISECONDS_PER_SECOND)} {arrival.key}"
+        + (f" {arrival.kind}\n" if arrival.kind else "\n")
         for arrival in pattern.arrivals
     )
 
@@ -61,9 +66,10 @@
     arrivals = []
     for number, line in enumerate(text.splitlines(), start=1):
         words = line.split()
-        if len(words) != 2 or not all(word.isdecimal() for word in words):
-            return Failure(PatternError(f"{name}, line {number}: not 'milliseconds key'"))
-        arrivals.append(Arrival(int(words[0]) / MILLISECONDS_PER_SECOND, int(words[1])))
+        if len(words) not in (2, 3) or not all(word.isdecimal() for word in words):
+            return Failure(PatternError(f"{name}, line {number}: not 'milliseconds key [kind]'"))
+        moment, key, *kind = map(int, words)
+        arrivals.append(Arrival(moment / MILLISECONDS_PER_SECOND, key, *kind))
     pairs = itertools.pairwise(arrivals)
     if any(after.seconds < before.seconds for before, after in pairs):
         return Failure(PatternError(f"{name}: arrivals are not in the order of time"))
--- a/packages/emulator/src/fireflylink_emulator/_profile.py
+++ b/packages/emulator/src/fireflylink_emulator/_profile.py
@@ -4,8 +4,9 @@
 
 
 class ServiceProfile(BaseValue):
-    """One service and the requests for it. Times are in seconds.
+    """One service and a kind of requests for it. Times are in seconds.
 
+    Two profiles may share a service: they have the same ``name`` and each a ``kind`` of its own.
     A request in time earns ``worth``, a late one ``late_worth``. ``repeats`` is how often a caller
     comes back after a refusal or, where ``repeatable``, after a failure.
     """
@@ -15,6 +16,7 @@
         "cold_per_second",
         "deadline_seconds",
         "keyed",
+        "kind",
         "late_worth",
         "max_servers",
         "name",
@@ -43,8 +45,10 @@
         rank: int = 1,
         max_servers: int = 2,
         cold_per_second: float = 3.7,
+        kind: str = "",
     ) -> None:
         self.name = name
+        self.kind = kind or name
         self.servers = servers
         self.slots = slots
         self.work_seconds = work_seconds
@@ -106,5 +110,10 @@
 LOOKUPS = ServiceProfile(
     "lookups", 21, 2, 0.16, 0.5, 1.2, 1.0, 0.1, keyed=True, repeatable=True, rank=2
 )
+ORDERS = ServiceProfile(
+    "lookups", 21, 2, 0.11, 0.3, 0.8, 3.0, 0.3, keyed=True, rank=0, kind="orders"
+)
+"""Orders that the configuration sends to the servers of the lookups."""
+
 APPROVALS = ServiceProfile("approvals", 10, 2, 0.21, 0.6, 1.5, 2.0, 0.2)
 FLEET = FleetProfile(12, ("a", "b", "c"), 46)
--- a/packages/emulator/src/fireflylink_emulator/_situations.py
+++ b/packages/emulator/src/fireflylink_emulator/_situations.py
@@ -7,7 +7,7 @@
 from fireflylink_emulator._emulated_server import EmulatedServer
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._pattern import Arrival, ArrivalPattern
-from fireflylink_emulator._profile import APPROVALS, LOOKUPS, ServiceProfile
+from fireflylink_emulator._profile import APPROVALS, LOOKUPS, ORDERS, ServiceProfile
 
 PATTERN_SECONDS = 12.0
 BEGIN_SECONDS = 3.0
@@ -24,16 +24,21 @@
     __slots__ = ()
 
     name: str
-    profile: ServiceProfile = LOOKUPS
+    profiles: tuple[ServiceProfile, ...] = (LOOKUPS,)
     usual_part: float = 0.4
 
+    @property
+    def profile(self) -> ServiceProfile:
+        """The kind of requests that the situation is about."""
+        return self.profiles[0]
+
     def record(self, source: random.Random) -> ArrivalPattern:
         """Makes the pattern that is then kept in a file."""
         rate = self.usual_part * self.profile.capacity
         seconds = source.expovariate(rate)
         arrivals = []
         while seconds < PATTERN_SECONDS:
-            arrivals.append(Arrival(seconds, self.key(source, seconds)))
+            arrivals.append(Arrival(seconds, self.key(source, seconds), self.kind(source)))
             seconds += source.expovariate(rate * self.factor(seconds))
         return ArrivalPattern(self.name, tuple(arrivals))
 
@@ -43,6 +48,10 @@
             return HOT_KEY + source.randrange(HOT_KEYS)
         return source.randrange(KEY_COUNT)
 
+    def kind(self, source: random.Random) -> int:
+        """Returns the position of the profile of one arrival."""
+        return 0
+
     def factor(self, seconds: float) -> float:
         """Returns by how much the load exceeds the usual at a moment."""
         return 1.0
@@ -121,7 +130,7 @@
 
     __slots__ = ()
     name = "grey-servers"
-    profile = APPROVALS
+    profiles = (APPROVALS,)
 
     def prepare(self, emulation: Emulation) -> None:
         grey = emulation.servers_of(self.profile)[::3]
@@ -148,6 +157,21 @@
             emulation.agenda.after(moment, _Replacement(emulation, server))
 
 
+class OrdersBesideLookups(BaseSituation):
+    """The configuration sends urgent orders to servers that much used lookups fill."""
+
+    __slots__ = ()
+    name = "orders-beside-lookups"
+    profiles = (ORDERS, LOOKUPS)
+    usual_part = 0.35
+
+    def kind(self, source: random.Random) -> int:
+        return 0 if source.random() < 0.3 else 1
+
+    def prepare(self, emulation: Emulation) -> None:
+        """Nothing else happens."""
+
+
 class _Replacement:
     """A replacement to come."""
 
@@ -168,4 +192,5 @@
     ImpatientCallers(),
     GreyServers(),
     ReplacedServers(),
+    OrdersBesideLookups(),
 )
--- a/packages/emulator/tests/test_situations.py
+++ b/packages/emulator/tests/test_situations.py
@@ -14,6 +14,7 @@
     "impatient-callers": 0.02,
     "grey-servers": 0.02,
     "replaced-servers": 0.02,
+    "orders-beside-lookups": 0.05,
 }
 """By how much the worth must exceed the baseline's."""
 
