--- a/packages/emulator/src/fireflylink_emulator/_profile.py
+++ b/packages/emulator/src/fireflylink_emulator/_profile.py
@@ -12,7 +12,6 @@
     """
 
     __slots__ = (
-        "aim_seconds",
         "cold_per_second",
         "deadline_seconds",
         "keyed",
@@ -20,6 +19,7 @@
         "late_worth",
         "max_servers",
         "name",
+        "objective_seconds",
         "rank",
         "repeatable",
         "repeats",
@@ -35,7 +35,7 @@
         servers: int,
         slots: int,
         work_seconds: float,
-        aim_seconds: float,
+        objective_seconds: float,
         deadline_seconds: float,
         worth: float,
         late_worth: float,
@@ -52,7 +52,7 @@
         self.servers = servers
         self.slots = slots
         self.work_seconds = work_seconds
-        self.aim_seconds = aim_seconds
+        self.objective_seconds = objective_seconds
         self.deadline_seconds = deadline_seconds
         self.worth = worth
         self.late_worth = late_worth
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -164,7 +164,7 @@
             order.latest - REPLY_MARGIN_SECONDS,
             order.key if order.profile.keyed else -1,
             frozenset(course.attempts.tried),
-            order.received_at + order.profile.aim_seconds,
+            order.received_at + order.profile.objective_seconds,
         )
         placement = self.dispatcher.submit(ticket, self.agenda.clock.now())
         if placement is not None:
--- a/packages/emulator/src/fireflylink_emulator/_tally.py
+++ b/packages/emulator/src/fireflylink_emulator/_tally.py
@@ -24,7 +24,7 @@
         "doubled",
         "earned",
         "failed",
-        "in_aim",
+        "in_time",
         "late",
         "latency",
         "lost",
@@ -36,7 +36,7 @@
 
     def __init__(self) -> None:
         self.asked = 0
-        self.in_aim = 0
+        self.in_time = 0
         self.late = 0
         self.refused = 0
         self.failed = 0
@@ -100,8 +100,8 @@
     def _note_served(self, order: CallerOrder, now: float) -> None:
         seconds = now - order.asked_at
         self.latency.record_value(max(1, int(seconds * MICROSECONDS_PER_SECOND)))
-        if seconds <= order.profile.aim_seconds:
-            self.in_aim += 1
+        if seconds <= order.profile.objective_seconds:
+            self.in_time += 1
             self.earned += order.profile.worth
         else:
             self.late += 1
--- a/packages/emulator/src/fireflylink_emulator/faults.py
+++ b/packages/emulator/src/fireflylink_emulator/faults.py
@@ -155,7 +155,7 @@
 
 def _line(name: str, tally: Tally) -> str:
     return (
-        f"{name}: asked {tally.asked}, in aim {tally.in_aim}, late {tally.late}, refused"
+        f"{name}: asked {tally.asked}, in time {tally.in_time}, late {tally.late}, refused"
         f" {tally.refused}, failed {tally.failed}; doubled {tally.doubled}, lost {tally.lost},"
         f" wrongly refused {tally.wrongly_refused}"
     )
--- a/packages/emulator/src/fireflylink_emulator/replay.py
+++ b/packages/emulator/src/fireflylink_emulator/replay.py
@@ -28,7 +28,7 @@
     cold = max(server.highest_cold for server in emulation.servers)
     moved = sum(decider.moved_keys for decider in emulation.deciders.values())
     return (
-        f"{name:<42} {tally.worth:>5.3f} {tally.asked:>6} {tally.in_aim:>6} {tally.late:>6}"
+        f"{name:<42} {tally.worth:>5.3f} {tally.asked:>6} {tally.in_time:>6} {tally.late:>6}"
         f" {tally.refused:>7} {tally.failed:>6} {tally.percentile(0.5):>6.3f}"
         f" {tally.percentile(0.99):>6.3f} {cold:>5} {moved:>7} {tally.broken_promises:>6}"
     )
@@ -38,7 +38,7 @@
     """Prints two rows a situation; returns 1 when a pattern cannot be read."""
     flags.FLAGS(sys.argv)
     print(
-        f"{'situation':<42} worth  asked in-aim   late refused failed  p50 s  p99 s  cold   moved"
+        f"{'situation':<42} worth  asked in-time   late refused failed  p50 s  p99 s  cold   moved"
         " broken"
     )
     for situation in SITUATIONS:
