--- a/packages/emulator/src/fireflylink_emulator/faults.py
+++ b/packages/emulator/src/fireflylink_emulator/faults.py
@@ -3,148 +3,26 @@
 python -m fireflylink_emulator.faults --seed 1 --requests 1000000
 """
 
-import random
 import sys
 
 from absl import flags
 
-from fireflylink_core import KEY_COUNT
-from fireflylink_emulator._emulated_server import EmulatedServer
-from fireflylink_emulator._emulation import Emulation
+from fireflylink_emulator._fault_run import FAULT_PROFILES, run_with_faults
 from fireflylink_emulator._flags import SEED
-from fireflylink_emulator._profile import APPROVALS, FLEET, LOOKUPS
 from fireflylink_emulator._tally import Tally
 
 REQUESTS = flags.DEFINE_integer("requests", 1_000_000, "How many requests are asked.", 1)
 
-PROFILES = (LOOKUPS, APPROVALS)
-RATE = 160.0
-LOOKUP_PART = 0.7
-FAULT_SECONDS = 4.0
-"""On average one fault begins in this time."""
-
-LONGEST_SECONDS = 8.0
-LEAVERS = 0.05
-IMPATIENT = 0.1
-DECIDER_LEASE_SECONDS = 1.4
-STEP_SECONDS = 10.0
-
-
-class _Faults:
-    """Begins and ends faults at random moments, several at once."""
-
-    __slots__ = ("begun", "emulation", "source")
-
-    def __init__(self, emulation: Emulation, source: random.Random) -> None:
-        self.emulation = emulation
-        self.source = source
-        self.begun: dict[str, int] = {}
-
-    def start(self) -> None:
-        """Begins faults until the run ends."""
-        self.emulation.agenda.after(self.source.expovariate(1.0 / FAULT_SECONDS), self._next)
-
-    def _next(self) -> None:
-        kinds = (
-            self._crash,
-            self._slow,
-            self._grey,
-            self._lossy,
-            self._cold,
-            self._silent,
-            self._replace,
-            self._decider,
-        )
-        kind = self.source.choice(kinds)
-        name = kind.__name__.removeprefix("_")
-        self.begun[name] = self.begun.get(name, 0) + 1
-        kind()
-        self.start()
-
-    def _server(self) -> EmulatedServer:
-        return self.source.choice(self.emulation.servers)
-
-    def _seconds(self) -> float:
-        return self.source.uniform(1.0, LONGEST_SECONDS)
-
-    def _crash(self) -> None:
-        server = self._server()
-        if not server.down:
-            server.crash()
-
-    def _slow(self) -> None:
-        server = self._server()
-        server.pace = self.source.uniform(2.0, 12.0)
-        self.emulation.agenda.after(self._seconds(), lambda: _set(server, "pace", 1.0))
-
-    def _grey(self) -> None:
-        server = self._server()
-        server.grey = self.source.uniform(0.1, 0.9)
-        self.emulation.agenda.after(self._seconds(), lambda: _set(server, "grey", 0.0))
-
-    def _lossy(self) -> None:
-        server = self._server()
-        server.lossy = self.source.uniform(0.1, 0.9)
-        self.emulation.agenda.after(self._seconds(), lambda: _set(server, "lossy", 0.0))
-
-    def _cold(self) -> None:
-        self._server().turn_cold()
-
-    def _silent(self) -> None:
-        server = self._server()
-        server.silent = True
-        self.emulation.agenda.after(self._seconds(), lambda: _set(server, "silent", False))
-
-    def _replace(self) -> None:
-        server = self._server()
-        if not server.down and not server.draining:
-            self.emulation.replace(server)
-
-    def _decider(self) -> None:
-        for decider in self.emulation.deciders.values():
-            if decider.running:
-                decider.stop()
-                self.emulation.agenda.after(DECIDER_LEASE_SECONDS, decider.start)
-
-
-def _set(server: EmulatedServer, name: str, value: float | bool) -> None:
-    setattr(server, name, value)
-
-
-def run(requests: int, seed: int) -> tuple[Emulation, dict[str, int]]:
-    """Plays a number of requests with faults; returns the run and how many faults there were."""
-    emulation = Emulation(PROFILES, FLEET, seed)
-    emulation.callers.leavers = LEAVERS
-    emulation.callers.impatient = IMPATIENT
-    source = random.Random(seed + 2)
-    faults = _Faults(emulation, random.Random(seed + 3))
-    faults.start()
-    asked = 0
-
-    def ask() -> None:
-        nonlocal asked
-        profile = LOOKUPS if source.random() < LOOKUP_PART else APPROVALS
-        emulation.callers.ask(profile, source.randrange(KEY_COUNT))
-        asked += 1
-        if asked < requests:
-            emulation.agenda.after(source.expovariate(RATE), ask)
-
-    ask()
-    while asked < requests:
-        emulation.agenda.run_until(emulation.agenda.clock.now() + STEP_SECONDS)
-    emulation.finish(STEP_SECONDS)
-    return emulation, faults.begun
-
 
 def main() -> int:
     """Prints the counts; returns 1 when a promise was broken."""
     flags.FLAGS(sys.argv)
-    emulation, begun = run(REQUESTS.value, SEED.value)
+    emulation, begun = run_with_faults(REQUESTS.value, SEED.value)
     print("faults: " + ", ".join(f"{name} {count}" for name, count in sorted(begun.items())))
-    tallies = [emulation.callers.tally(profile) for profile in PROFILES]
-    for profile, tally in zip(PROFILES, tallies, strict=True):
+    tallies = [emulation.callers.tally(profile) for profile in FAULT_PROFILES]
+    for profile, tally in zip(FAULT_PROFILES, tallies, strict=True):
         print(_line(profile.name, tally))
-    for profile in PROFILES:
+    for profile in FAULT_PROFILES:
         servers = emulation.servers_of(profile)
         highest = max(server.highest_cold for server in servers)
         bound = servers[0].allowed_cold
--- a/packages/emulator/src/fireflylink_emulator/replay.py
+++ b/packages/emulator/src/fireflylink_emulator/replay.py
@@ -10,20 +10,12 @@
 
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._flags import SEED
-from fireflylink_emulator._pattern import ArrivalPattern, read_pattern
-from fireflylink_emulator._profile import FLEET
-from fireflylink_emulator._situations import SITUATIONS, BaseSituation
+from fireflylink_emulator._pattern import read_pattern
+from fireflylink_emulator._situation_run import replay
+from fireflylink_emulator._situations import SITUATIONS
 from fireflylink_emulator._tally import Tally
 
 
-def replay(situation: BaseSituation, pattern: ArrivalPattern, seed: int, naive: bool) -> Emulation:
-    """Plays one situation to its end."""
-    emulation = Emulation(situation.profiles, FLEET, seed, naive)
-    situation.prepare(emulation)
-    emulation.replay(pattern)
-    return emulation
-
-
 def _row(name: str, emulation: Emulation, tally: Tally) -> str:
     cold = max(server.highest_cold for server in emulation.servers)
     moved = sum(decider.moved_keys for decider in emulation.deciders.values())
--- a/packages/emulator/tests/conftest.py
+++ b/packages/emulator/tests/conftest.py
@@ -3,8 +3,7 @@
 import pytest
 
 from fireflylink_core import ManualClock
-from fireflylink_emulator import Agenda, read_pattern
-from fireflylink_emulator.replay import replay
+from fireflylink_emulator import Agenda, read_pattern, replay
 
 
 @pytest.fixture
--- a/packages/emulator/tests/test_parts.py
+++ b/packages/emulator/tests/test_parts.py
@@ -11,6 +11,7 @@
     APPROVALS,
     FLEET,
     LOOKUPS,
+    LOSSES,
     Arrival,
     ArrivalPattern,
     Callers,
@@ -19,12 +20,12 @@
     Tally,
     decode_pattern,
     encode_pattern,
+    measure,
     read_pattern,
+    run_with_faults,
 )
 from fireflylink_emulator._emulated_server import Call
 from fireflylink_emulator._order import CallEnd, CallerOrder
-from fireflylink_emulator.faults import run
-from fireflylink_emulator.outages import LOSSES, measure
 
 WHOLE = ServerAnswer(200, (), b"")
 
@@ -148,7 +149,7 @@
 
 def test_generated_requests_with_faults_break_no_promise():
     """Guards against TWICE, REFUSED and FAILBACK: the small form of the run of a million."""
-    emulation, begun = run(requests=4000, seed=7)
+    emulation, begun = run_with_faults(requests=4000, seed=7)
     assert_that(len(begun), GreaterThan(3))
     for tally in emulation.callers.tallies.values():
         assert_that(tally.broken_promises, Equals(0))
--- a/packages/emulator/tests/test_situations.py
+++ b/packages/emulator/tests/test_situations.py
@@ -4,8 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from fireflylink_emulator import SITUATIONS, read_pattern
-from fireflylink_emulator.replay import replay
+from fireflylink_emulator import SITUATIONS, read_pattern, replay
 
 LEAST_GAIN = {
     "hot-key-on-cold-server": 0.05,
--- a/packages/standins/src/fireflylink_standins/__init__.py
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflylink_standins._backend_server import BackendServerStandin
 from fireflylink_standins._backend_state import BackendState
+from fireflylink_standins._bench_way import Way, processor_seconds, resident_megabytes
 from fireflylink_standins._caller import Caller
 from fireflylink_standins._local_system import (
     BOUNDS,
@@ -34,5 +35,8 @@
     "MemoryStore",
     "StoreFaults",
     "StoreState",
+    "Way",
     "make_store_application",
+    "processor_seconds",
+    "resident_megabytes",
 ]
--- a/packages/standins/tests/test_bench.py
+++ b/packages/standins/tests/test_bench.py
@@ -5,7 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, GreaterThan
 
-from fireflylink_standins.bench import Way, processor_seconds, resident_megabytes
+from fireflylink_standins import Way, processor_seconds, resident_megabytes
 
 
 def test_the_time_and_memory_of_a_process_are_read_from_the_operating_system():
