Make one piece of what stood twice; remove state that nothing reads

- GrantBook: unanswered_until was read only by the way of undoing an unsent grant that holds_before replaced.
- KeyedService counts commands without an answer for the daemon and the emulator, which had a copy with its own bound.
No assertion of a test changed.

--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -41,7 +41,6 @@
 TICK_SECONDS = 0.1
 PLAN_SECONDS = 0.3
 COMMIT_PATIENCE_SECONDS = 2.0
-UNREACHABLE_FAILURES = 3
 MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -227,7 +226,7 @@
         found = []
         for entry in entries:
             server = entry.server
-            if service.failures.get(server.life, 0) < UNREACHABLE_FAILURES:
+            if service.is_reachable(server.life):
                 capacity = self._capacity(service, server, now)
                 found.append(Candidate(server.life, capacity, server.data_centre))
         return found
@@ -278,7 +277,7 @@
         if message.error is not None:
             self._note_failed(service, book, message, message.error, now)
         elif isinstance(command, GrantCommand):
-            service.failures.pop(command.server, None)
+            service.note_answered(command.server)
             book.note_granted(command, now)
             if not command.renewal:
                 self.peers.notify(GrantNotice(message.service, command.keys, command.fence))
@@ -320,8 +319,7 @@
                 # Only another decider can have used a higher fence: it has taken over.
                 self._yield("a server has seen a higher fence")
         else:
-            failures = service.failures.get(command.server, 0) + 1
-            service.failures[command.server] = failures
+            service.note_unanswered(command.server)
         log_problem(
             "command-failed",
             service=message.service,
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -1,5 +1,7 @@
 """Where each request goes, how long it waits for that, and when it is turned away."""
 
+from collections.abc import Callable
+
 from fireflylink_core import NO_KEY, Assignment, KeyRange, OwnershipTable, ServerLife
 from fireflylink_decisions.dispatch._ticket import BasePlacement, Refuse, Send, Ticket
 from fireflylink_decisions.dispatch._waiting_line import WaitingLine
@@ -25,7 +27,6 @@
 MOVE_SECONDS = 0.6
 """After this time a moved key's new owner is tried even if no notice of its grant has come."""
 
-
 URGENT_MEMORY_SECONDS = 3.0
 """More urgent requests are expected to come for so long after the last one."""
 
@@ -111,8 +112,9 @@
         if pool is None:
             return Refuse("no-such-service", LONG_RETRY_SECONDS)
         pool.seen[ticket.rank] = now
-        ahead = pool.line.ahead(ticket, lambda waiting: _misses_objective(pool, waiting, now))
-        if not ahead or pool.keyed:
+        # A request with a key waits for its owner's room, not for the line.
+        ahead = 0 if pool.keyed else pool.line.ahead(ticket, _lateness(pool, now))
+        if not ahead:
             placement = self._try(pool, ticket, now)
             if placement is not None:
                 return placement
@@ -125,15 +127,8 @@
         """Places what can be placed now, and turns away what cannot be served in time."""
         ended = []
         for pool in self.pools.values():
-            if not pool.line.tickets:
-                continue
-            for ticket in pool.line.in_order(
-                lambda waiting, pool=pool: _misses_objective(pool, waiting, now)  # type: ignore[misc]
-            ):
-                placement = self._try(pool, ticket, now) or self._overdue(pool, ticket, now)
-                if placement is not None:
-                    self._leave(pool, ticket)
-                    ended.append((ticket, placement))
+            if pool.line.tickets:
+                ended.extend(self._sweep_pool(pool, now))
         return ended
 
     def withdraw(self, ticket: Ticket) -> None:
@@ -153,6 +148,15 @@
         """How many requests wait."""
         return sum(len(pool.line.tickets) for pool in self.pools.values())
 
+    def _sweep_pool(self, pool: ServicePool, now: float) -> list[tuple[Ticket, BasePlacement]]:
+        ended = []
+        for ticket in pool.line.in_order(_lateness(pool, now)):
+            placement = self._try(pool, ticket, now) or self._overdue(pool, ticket, now)
+            if placement is not None:
+                self._leave(pool, ticket)
+                ended.append((ticket, placement))
+        return ended
+
     def _try(self, pool: ServicePool, ticket: Ticket, now: float) -> BasePlacement | None:
         if pool.keyed and ticket.key != NO_KEY:
             return self._try_owner(pool, ticket, now)
@@ -219,14 +223,17 @@
     return Send(tracker, fullness, fence)
 
 
-def _misses_objective(pool: ServicePool, ticket: Ticket, now: float) -> bool:
-    """Whether a request that is sent now is expected to be late."""
+def _lateness(pool: ServicePool, now: float) -> Callable[[Ticket], bool]:
+    """Returns what tells whether a request that is sent now is expected to be late."""
     if pool.keyed:
-        tracker = pool.owner_of(ticket.key)
-        seconds = 0.0 if tracker is None else tracker.expected_seconds(now)
-    else:
-        seconds = _least_seconds(pool)
-    return now + seconds > ticket.objective_at
+        return lambda ticket: now + _owner_seconds(pool, ticket, now) > ticket.objective_at
+    earliest = now + _least_seconds(pool)
+    return lambda ticket: earliest > ticket.objective_at
+
+
+def _owner_seconds(pool: ServicePool, ticket: Ticket, now: float) -> float:
+    tracker = pool.owner_of(ticket.key)
+    return 0.0 if tracker is None else tracker.expected_seconds(now)
 
 
 def _least_seconds(pool: ServicePool) -> float:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -71,7 +71,6 @@
         "granted_at",
         "handover",
         "pending",
-        "unanswered_until",
     )
 
     def __init__(self, assignment: Assignment) -> None:
@@ -79,7 +78,6 @@
         self.handover = assignment.handover
         self.granted = False
         self.granted_at = 0.0
-        self.unanswered_until = 0.0
         self.busy: set[ServerLife] = set()
         self.due_at: dict[ServerLife, float] = {}
 
@@ -232,7 +230,6 @@
         if progress is not None:
             progress.granted = True
             progress.granted_at = now
-            progress.unanswered_until = 0.0
             progress.due_at[command.server] = now + self.renewal_seconds
 
     def note_released(self, command: ReleaseCommand, handover: str, now: float) -> None:
@@ -252,9 +249,6 @@
         if progress is None:
             return
         progress.due_at[command.server] = now + RETRY_SECONDS
-        if isinstance(command, GrantCommand):
-            until = self.holds.get(command.server, {}).get((keys, fence), 0.0)
-            progress.unanswered_until = max(progress.unanswered_until, until)
 
     def note_life_ended(self, server: ServerLife) -> None:
         """Takes note that a life of a server is over: it holds nothing, whatever was granted."""
@@ -311,7 +305,6 @@
                 progress.handover = state.handover
                 progress.granted = state.granted
                 progress.granted_at = state.granted_at
-                progress.unanswered_until = state.unanswered_until
                 progress.due_at = dict(state.due_at)
                 return
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -14,6 +14,9 @@
 SETTLE_SECONDS = 2.0
 """Moves that have ended are written down after this time, unless another change comes before."""
 
+UNREACHABLE_FAILURES = 3
+"""After so many commands without an answer a server is taken for one that cannot be reached."""
+
 TIDY_SECONDS = 1.5
 """Changes that are not urgent are gathered for so long."""
 
@@ -62,6 +65,18 @@
         self.commit_asked_at: float | None = None
         self.failures: dict[ServerLife, int] = {}
 
+    def note_answered(self, server: ServerLife) -> None:
+        """Takes note that a server answered a command."""
+        self.failures.pop(server, None)
+
+    def note_unanswered(self, server: ServerLife) -> None:
+        """Takes note that a server did not do what it was told."""
+        self.failures[server] = self.failures.get(server, 0) + 1
+
+    def is_reachable(self, server: ServerLife) -> bool:
+        """Whether a server may be given keys, as far as its answers tell."""
+        return self.failures.get(server, 0) < UNREACHABLE_FAILURES
+
     def suspended(self) -> frozenset[tuple[KeyRange, int]]:
         """Returns the ranges that a table takes away whose writing was not answered yet."""
         if not self.asked or self.table is None:
--- a/packages/emulator/src/fireflylink_emulator/_callers.py
+++ b/packages/emulator/src/fireflylink_emulator/_callers.py
@@ -32,7 +32,6 @@
         "daemons",
         "impatient",
         "leavers",
-        "numbers",
         "source",
         "tallies",
     )
@@ -44,7 +43,6 @@
         self.daemons = daemons
         self.source = source
         self.tallies: dict[str, Tally] = {}
-        self.numbers = 0
         self.impatient = 0.0
         self.leavers = 0.0
 
@@ -68,9 +66,8 @@
     def _order(
         self, profile: ServiceProfile, key: int, asked_at: float, repeats: int, impatient: bool
     ) -> CallerOrder:
-        self.numbers += 1
         received_at = self.agenda.clock.now() + NETWORK_SECONDS
-        return CallerOrder(self.numbers, profile, key, asked_at, received_at, repeats, impatient)
+        return CallerOrder(profile, key, asked_at, received_at, repeats, impatient)
 
     def _send(self, order: CallerOrder) -> None:
         running = [daemon for daemon in self.daemons if daemon.running]
--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -1,9 +1,11 @@
 """The decider of one keyed service: plans, grants and releases with the project's own code."""
 
+import functools
 from collections.abc import Callable
 
 from fireflylink_core import KEY_COUNT, KeyRange, OwnershipTable, ServerLife
 from fireflylink_decisions.ownership import (
+    COMMAND_SECONDS,
     HOLD_SECONDS,
     BaseCommand,
     Candidate,
@@ -24,10 +26,8 @@
 REPORT_SECONDS = 0.25
 TIMES_EACH_REPORTS = 8
 STORE_SECONDS = 0.02
-COMMAND_SECONDS = 0.01
-COMMAND_TIMEOUT_SECONDS = 0.6
+COMMAND_TRAVEL_SECONDS = 0.01
 RELEASE_POLL_SECONDS = 0.02
-UNREACHABLE_FAILURES = 3
 
 
 class EmulatedDecider:
@@ -40,16 +40,13 @@
     __slots__ = (
         "agenda",
         "daemons",
-        "failures",
         "is_registered",
         "moved_keys",
-        "on_granted",
         "profile",
         "reports",
         "running",
         "servers",
         "service",
-        "tables_written",
         "written",
     )
 
@@ -67,12 +64,9 @@
         self.running = False
         self.written: OwnershipTable | None = None
         self.moved_keys = 0
-        self.tables_written = 0
         self.reports = 0
-        self.failures: dict[ServerLife, int] = {}
         self.is_registered: Callable[[EmulatedServer], bool] = _answers
         self.service = KeyedService(profile.name, agenda.clock.now())
-        self.on_granted: Callable[[KeyRange, int], None] = self._notify
 
     def start(self) -> None:
         """Begins to decide, from what the store holds."""
@@ -85,7 +79,6 @@
         else:
             service.table = self.written
             self._write(refenced(self.written))
-        self.failures = {}
         self._tick(service)
         self._take_reports(service)
 
@@ -112,7 +105,7 @@
             for server in self.servers
             if self.is_registered(server)
             and not server.draining
-            and self.failures.get(server.life, 0) < UNREACHABLE_FAILURES
+            and service.is_reachable(server.life)
         ]
         if service.commit_asked_at is not None or not candidates:
             return
@@ -136,7 +129,6 @@
     def _written(self, service: KeyedService, table: OwnershipTable) -> None:
         if service is not self.service or not self.running:
             return
-        self.tables_written += 1
         self.written = table
         service.commit_asked_at = None
         service.table = table
@@ -153,9 +145,9 @@
             return
         if isinstance(command, GrantCommand):
             book.note_sent(command, self.agenda.clock.now())
-            self.agenda.after(COMMAND_SECONDS, lambda: self._grant(book, server, command))
+            self.agenda.after(COMMAND_TRAVEL_SECONDS, lambda: self._grant(book, server, command))
         elif isinstance(command, ReleaseCommand):
-            self.agenda.after(COMMAND_SECONDS, lambda: self._release(book, server, command))
+            self.agenda.after(COMMAND_TRAVEL_SECONDS, lambda: self._release(book, server, command))
 
     def _server_of(self, life: ServerLife) -> EmulatedServer | None:
         return next((server for server in self.servers if server.life == life), None)
@@ -169,17 +161,17 @@
         ):
             book.note_failed(command, now)
             return
-        self.failures.pop(command.server, None)
+        self.service.note_answered(command.server)
         book.note_granted(command, now)
         if not command.renewal:
-            self.on_granted(command.keys, command.fence)
+            self._notify(command.keys, command.fence)
 
     def _release(self, book: GrantBook, server: EmulatedServer, command: ReleaseCommand) -> None:
         if self._unreachable(book, server, command):
             return
         server.release(command.keys, command.fence)
         if server.busy_with(command.keys):
-            again = lambda: self._release(book, server, command)  # noqa: E731
+            again = functools.partial(self._release, book, server, command)
             self.agenda.after(RELEASE_POLL_SECONDS, again)
             return
         book.note_released(command, "", self.agenda.clock.now())
@@ -188,14 +180,13 @@
         """Handles a server that does not answer, at once or after the time-out."""
         if not server.down and not server.silent:
             return False
-        wait = COMMAND_TIMEOUT_SECONDS if server.silent else 0.0
+        wait = COMMAND_SECONDS if server.silent else 0.0
 
         def fail() -> None:
-            failures = self.failures.get(command.server, 0)
-            self.failures[command.server] = failures + 1
-            if failures and isinstance(command, GrantCommand):
+            if command.server in self.service.failures and isinstance(command, GrantCommand):
                 # The connection was closed after the first time-out, and no new one opens.
                 book.note_not_sent(command)
+            self.service.note_unanswered(command.server)
             book.note_failed(command, self.agenda.clock.now())
 
         self.agenda.after(wait, fail)
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -25,13 +25,12 @@
 class Call:
     """One request at a server."""
 
-    __slots__ = ("done", "ended", "latest", "order", "started")
+    __slots__ = ("done", "ended", "latest", "order")
 
     def __init__(self, order: CallerOrder, latest: float, done: CallDone) -> None:
         self.order = order
         self.latest = latest
         self.done = done
-        self.started = False
         self.ended = False
 
 
@@ -60,7 +59,6 @@
         "name",
         "pace",
         "profile",
-        "ran",
         "running",
         "silent",
         "source",
@@ -99,7 +97,6 @@
         self.fences: dict[KeyRange, int] = {}
         self.running: list[Call] = []
         self.waiting: list[Call] = []
-        self.ran = 0
 
     @property
     def life(self) -> ServerLife:
@@ -213,9 +210,7 @@
             self.crash()
 
     def _start(self, call: Call) -> None:
-        call.started = True
         call.order.runs += 1
-        self.ran += 1
         self.running.append(call)
         fullness = len(self.running) / self.profile.slots
         seconds = call.order.profile.work_seconds * self.speed * self.pace
--- a/packages/emulator/src/fireflylink_emulator/_emulation.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulation.py
@@ -1,5 +1,6 @@
 """A whole deployment on a manual clock: callers, daemons, servers, and who decides on keys."""
 
+import functools
 import random
 
 from fireflylink_core import Assignment, KeyRange, ManualClock, OwnershipTable
@@ -43,7 +44,6 @@
         "daemons",
         "deciders",
         "fleet",
-        "naive",
         "profiles",
         "servers",
         "since_silent",
@@ -62,7 +62,6 @@
         self.agenda = Agenda(ManualClock())
         self.fleet = fleet
         self.profiles = profiles
-        self.naive = naive
         services = {profile.name: profile for profile in reversed(profiles)}.values()
         self.servers = [server for profile in services for server in self._servers_of(profile)]
         self.since_silent: dict[EmulatedServer, float] = {}
@@ -93,7 +92,8 @@
         """Plays a pattern from now to the end of its last request."""
         began_at = self.agenda.clock.now()
         for arrival in pattern.arrivals:
-            asking = _Asking(self.callers, self.profiles[arrival.kind], arrival.key)
+            profile = self.profiles[arrival.kind]
+            asking = functools.partial(self.callers.ask, profile, arrival.key)
             self.agenda.at(began_at + arrival.seconds, asking)
         self.finish(pattern.seconds)
 
@@ -201,17 +201,3 @@
         assignments = tuple(Assignment(keys, server.life, 1) for server, keys in owners)
         for daemon in self.daemons:
             daemon.note_table(OwnershipTable(name, 1, assignments))
-
-
-class _Asking:
-    """An arrival to come."""
-
-    __slots__ = ("callers", "key", "profile")
-
-    def __init__(self, callers: Callers, profile: ServiceProfile, key: int) -> None:
-        self.callers = callers
-        self.profile = profile
-        self.key = key
-
-    def __call__(self) -> None:
-        self.callers.ask(self.profile, self.key)
--- a/packages/emulator/src/fireflylink_emulator/_fault_run.py
+++ b/packages/emulator/src/fireflylink_emulator/_fault_run.py
@@ -1,5 +1,6 @@
 """A run of generated requests with faults."""
 
+import functools
 import random
 
 from fireflylink_core import KEY_COUNT
@@ -57,6 +58,11 @@
     def _seconds(self) -> float:
         return self.source.uniform(1.0, LONGEST_SECONDS)
 
+    def _restore(self, server: EmulatedServer, name: str, value: float | bool) -> None:
+        """Ends a fault of a server after a random time."""
+        restored = functools.partial(setattr, server, name, value)
+        self.emulation.agenda.after(self._seconds(), restored)
+
     def _crash(self) -> None:
         server = self._server()
         if not server.down:
@@ -65,17 +71,23 @@
     def _slow(self) -> None:
         server = self._server()
         server.pace = self.source.uniform(2.0, 12.0)
-        self.emulation.agenda.after(self._seconds(), lambda: _set(server, "pace", 1.0))
+        self.emulation.agenda.after(
+            self._seconds(), functools.partial(setattr, server, "pace", 1.0)
+        )
 
     def _grey(self) -> None:
         server = self._server()
         server.grey = self.source.uniform(0.1, 0.9)
-        self.emulation.agenda.after(self._seconds(), lambda: _set(server, "grey", 0.0))
+        self.emulation.agenda.after(
+            self._seconds(), functools.partial(setattr, server, "grey", 0.0)
+        )
 
     def _lossy(self) -> None:
         server = self._server()
         server.lossy = self.source.uniform(0.1, 0.9)
-        self.emulation.agenda.after(self._seconds(), lambda: _set(server, "lossy", 0.0))
+        self.emulation.agenda.after(
+            self._seconds(), functools.partial(setattr, server, "lossy", 0.0)
+        )
 
     def _cold(self) -> None:
         self._server().turn_cold()
@@ -83,7 +95,9 @@
     def _silent(self) -> None:
         server = self._server()
         server.silent = True
-        self.emulation.agenda.after(self._seconds(), lambda: _set(server, "silent", False))
+        self.emulation.agenda.after(
+            self._seconds(), functools.partial(setattr, server, "silent", False)
+        )
 
     def _replace(self) -> None:
         server = self._server()
@@ -97,10 +111,6 @@
                 self.emulation.agenda.after(DECIDER_LEASE_SECONDS, decider.start)
 
 
-def _set(server: EmulatedServer, name: str, value: float | bool) -> None:
-    setattr(server, name, value)
-
-
 def run_with_faults(requests: int, seed: int) -> tuple[Emulation, dict[str, int]]:
     """Plays a number of requests with faults; returns the run and how many faults there were."""
     emulation = Emulation(FAULT_PROFILES, FLEET, seed)
--- a/packages/emulator/src/fireflylink_emulator/_order.py
+++ b/packages/emulator/src/fireflylink_emulator/_order.py
@@ -3,12 +3,12 @@
 import enum
 from collections.abc import Callable
 
-from fireflylink_core import BaseReply, BaseValue, ServerLoad
+from fireflylink_core import BaseValue, ServerLoad
 from fireflylink_emulator._profile import ServiceProfile
 
 
 class CallerOrder:
-    """One attempt of a caller. Each attempt has a number of its own.
+    """One attempt of a caller.
 
     ``asked_at`` is when the caller's first attempt began, ``latest`` when its deadline passes. An
     ``impatient`` caller repeats at once, whatever it is told. ``runs`` counts its runs at servers.
@@ -20,7 +20,6 @@
         "impatient",
         "key",
         "latest",
-        "number",
         "profile",
         "received_at",
         "runs",
@@ -28,7 +27,6 @@
 
     def __init__(
         self,
-        number: int,
         profile: ServiceProfile,
         key: int,
         asked_at: float,
@@ -36,7 +34,6 @@
         attempts_left: int,
         impatient: bool = False,
     ) -> None:
-        self.number = number
         self.profile = profile
         self.key = key
         self.asked_at = asked_at
@@ -70,4 +67,3 @@
 
 
 CallDone = Callable[[CallOutcome], None]
-ReplyDone = Callable[[BaseReply], None]
--- a/packages/emulator/src/fireflylink_emulator/_situations.py
+++ b/packages/emulator/src/fireflylink_emulator/_situations.py
@@ -1,10 +1,10 @@
 """The worst loads, each a recorded arrival pattern and what happens to the servers meanwhile."""
 
 import abc
+import functools
 import random
 
 from fireflylink_core import KEY_COUNT
-from fireflylink_emulator._emulated_server import EmulatedServer
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._pattern import Arrival, ArrivalPattern
 from fireflylink_emulator._profile import APPROVALS, LOOKUPS, ORDERS, ServiceProfile
@@ -154,7 +154,7 @@
         step = (PATTERN_SECONDS - BEGIN_SECONDS) / len(servers)
         for number, server in enumerate(servers):
             moment = BEGIN_SECONDS / 2 + number * step
-            emulation.agenda.after(moment, _Replacement(emulation, server))
+            emulation.agenda.after(moment, functools.partial(emulation.replace, server))
 
 
 class OrdersBesideLookups(BaseSituation):
@@ -172,19 +172,6 @@
         """Nothing else happens."""
 
 
-class _Replacement:
-    """A replacement to come."""
-
-    __slots__ = ("emulation", "server")
-
-    def __init__(self, emulation: Emulation, server: EmulatedServer) -> None:
-        self.emulation = emulation
-        self.server = server
-
-    def __call__(self) -> None:
-        self.emulation.replace(self.server)
-
-
 SITUATIONS: tuple[BaseSituation, ...] = (
     HotKeyOnColdServer(),
     SlowThird(),
--- a/packages/emulator/tests/test_parts.py
+++ b/packages/emulator/tests/test_parts.py
@@ -37,13 +37,13 @@
 
 @pytest.fixture
 def order() -> CallerOrder:
-    return CallerOrder(1, APPROVALS, 5, 0.0, 0.0, 1)
+    return CallerOrder(APPROVALS, 5, 0.0, 0.0, 1)
 
 
 def arrive(server: EmulatedServer, count: int = 1) -> list[CallEnd]:
     ends: list[CallEnd] = []
-    for number in range(count):
-        order = CallerOrder(number, LOOKUPS, 5, 0.0, 0.0, 0)
+    for _ in range(count):
+        order = CallerOrder(LOOKUPS, 5, 0.0, 0.0, 0)
         call = Call(order, 10.0, lambda outcome: ends.append(outcome.end))
         server.arrive(call, server.life)
     return ends
