--- a/packages/backend_client/tests/test_pool.py
+++ b/packages/backend_client/tests/test_pool.py
@@ -81,7 +81,7 @@
     pool = pool_of(answer)
     results = [call(pool, f"r{number}") for number in range(5)]
     assert_that({type(result) for result in results}, Equals({Answered}))
-    assert_that((results[0].load.waiting, results[0].load.pace), Equals((1, 1.5)))
+    assert_that((results[0].load.waiting, results[0].load.slowdown_factor), Equals((1, 1.5)))
     assert_that((pool.opened, pool_of.servers[0].accepted), Equals((1, 1)))
 
 
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -52,7 +52,7 @@
         finally:
             self.server.idle.discard(self)
         self.received_at = time.clock_gettime(time.CLOCK_BOOTTIME)
-        self.socket.settimeout(limits.max_head_ms / MILLISECONDS_PER_SECOND)
+        self.socket.settimeout(limits.header_timeout_ms / MILLISECONDS_PER_SECOND)
         return line
 
     def read_request(self, raw_requestline: str) -> Any:
@@ -60,7 +60,7 @@
         size = len(raw_requestline) + sum(
             len(name) + len(value) + 4 for name, value in self.headers.items()
         )
-        if size > self.server.limits().max_head_bytes:
+        if size > self.server.limits().max_header_bytes:
             raise _HeadTooLargeError(raw_requestline)
         if self.headers.get("transfer-encoding") and self.headers.get("content-length"):
             raise ValueError("two lengths")
@@ -76,7 +76,7 @@
     def get_environ(self) -> dict[str, Any]:
         environ: dict[str, Any] = super().get_environ()
         environ[HANDLER_KEY] = self
-        self.socket.settimeout(self.server.limits().max_idle_ms / MILLISECONDS_PER_SECOND)
+        self.socket.settimeout(self.server.limits().idle_timeout_ms / MILLISECONDS_PER_SECOND)
         return environ
 
     def handle_one_response(self) -> None:
@@ -119,7 +119,7 @@
     def idle_seconds(self, limits: CallerLimits) -> float:
         """Returns how long a connection may stay idle."""
         offered = IDLE_OFFER_SECONDS + IDLE_MARGIN_SECONDS
-        return min(offered, limits.max_idle_ms / MILLISECONDS_PER_SECOND)
+        return min(offered, limits.idle_timeout_ms / MILLISECONDS_PER_SECOND)
 
     def closing_idle_seconds(self) -> float:
         """Returns how long a connection may stay idle while the daemon leaves."""
--- a/packages/caller_frontend/tests/test_front_end.py
+++ b/packages/caller_frontend/tests/test_front_end.py
@@ -17,7 +17,7 @@
 from fireflylink_core import CallerLimits, CallerRequest, ServerAnswer
 
 LIMITS = CallerLimits(
-    max_head_bytes=2000, max_body_bytes=1000, max_head_ms=300.0, max_idle_ms=600.0
+    max_header_bytes=2000, max_body_bytes=1000, header_timeout_ms=300.0, idle_timeout_ms=600.0
 )
 
 
--- a/packages/core/src/fireflylink_core/__init__.py
+++ b/packages/core/src/fireflylink_core/__init__.py
@@ -30,14 +30,14 @@
 from fireflylink_core._request import (
     NO_KEY,
     BaseReply,
-    CallerLeft,
+    CallerDisconnected,
     CallerRequest,
     Headers,
     NotRun,
     OutcomeUnknown,
     ServerAnswer,
 )
-from fireflylink_core._server import BackendServer, ServerLife, ServerLoad, ServerState
+from fireflylink_core._server import BackendServer, ServerIncarnation, ServerLoad, ServerState
 from fireflylink_core._value import BaseValue
 
 __all__ = [
@@ -55,7 +55,7 @@
     "BaseJsonFields",
     "BaseReply",
     "BaseValue",
-    "CallerLeft",
+    "CallerDisconnected",
     "CallerLimits",
     "CallerRequest",
     "Configuration",
@@ -74,7 +74,7 @@
     "Route",
     "RouteTarget",
     "ServerAnswer",
-    "ServerLife",
+    "ServerIncarnation",
     "ServerLoad",
     "ServerState",
     "Service",
--- a/packages/core/src/fireflylink_core/_configuration.py
+++ b/packages/core/src/fireflylink_core/_configuration.py
@@ -25,19 +25,19 @@
 class Route(BaseValue):
     """Requests of one host whose path begins with ``prefix``, and how they are treated.
 
-    ``max_servers`` is the largest number of servers that one request may be sent to, ``rank`` the
-    order of urgency with 0 first, ``objective_ms`` the time within which an answer has its full
+    ``max_attempts`` is the largest number of servers that one request may be sent to, ``priority``
+    the order of urgency with 0 first, ``objective_ms`` the time within which an answer has its full
     worth, ``timeout_ms`` the longest time that a caller is kept waiting.
     """
 
     __slots__ = (
         "host",
         "kind",
-        "max_servers",
+        "max_attempts",
         "name",
         "objective_ms",
         "prefix",
-        "rank",
+        "priority",
         "targets",
         "timeout_ms",
     )
@@ -51,8 +51,8 @@
         targets: tuple[RouteTarget, ...],
         timeout_ms: float,
         objective_ms: float,
-        rank: int = 0,
-        max_servers: int = 1,
+        priority: int = 0,
+        max_attempts: int = 1,
     ) -> None:
         self.name = name
         self.host = host
@@ -61,11 +61,11 @@
         self.targets = targets
         self.timeout_ms = timeout_ms
         self.objective_ms = objective_ms
-        self.rank = rank
-        self.max_servers = max_servers
+        self.priority = priority
+        self.max_attempts = max_attempts
 
     @property
-    def repeatable(self) -> bool:
+    def idempotent(self) -> bool:
         """Whether a request may run more than once."""
         return self.kind is RequestKind.IDEMPOTENT
 
@@ -104,19 +104,19 @@
 class CallerLimits(BaseValue):
     """What a caller may send, in bytes, and how long it may take or stay idle, in milliseconds."""
 
-    __slots__ = ("max_body_bytes", "max_head_bytes", "max_head_ms", "max_idle_ms")
+    __slots__ = ("header_timeout_ms", "idle_timeout_ms", "max_body_bytes", "max_header_bytes")
 
     def __init__(
         self,
-        max_head_bytes: int = 16384,
+        max_header_bytes: int = 16384,
         max_body_bytes: int = 1 << 26,
-        max_head_ms: float = 3000.0,
-        max_idle_ms: float = 15000.0,
+        header_timeout_ms: float = 3000.0,
+        idle_timeout_ms: float = 15000.0,
     ) -> None:
-        self.max_head_bytes = max_head_bytes
+        self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
-        self.max_head_ms = max_head_ms
-        self.max_idle_ms = max_idle_ms
+        self.header_timeout_ms = header_timeout_ms
+        self.idle_timeout_ms = idle_timeout_ms
 
 
 class Configuration(BaseValue):
--- a/packages/core/src/fireflylink_core/_json_fields.py
+++ b/packages/core/src/fireflylink_core/_json_fields.py
@@ -18,7 +18,7 @@
         class SettingsFields(BaseJsonFields):
             error = SettingsError
 
-        slots = SettingsFields(json.loads(text), "servers.s1").whole("slots")
+        slots = SettingsFields(json.loads(text), "servers.s1").integer("slots")
     """
 
     __slots__ = ("name", "value")
@@ -31,14 +31,14 @@
         self.value: dict[str, Any] = value
         self.name = name
 
-    def text(self, field: str, default: object = MISSING) -> str:
+    def string(self, field: str, default: object = MISSING) -> str:
         """Returns a string."""
         found = self.find(field, default)
         if not isinstance(found, str):
             raise self.error(f"{self.path(field)}: must be a string")
         return found
 
-    def whole(self, field: str, default: object = MISSING) -> int:
+    def integer(self, field: str, default: object = MISSING) -> int:
         """Returns a whole number that is not negative."""
         found = self.find(field, default)
         if isinstance(found, bool) or not isinstance(found, int) or found < 0:
@@ -52,18 +52,18 @@
             raise self.error(f"{self.path(field)}: must be a number from 0")
         return float(found)
 
-    def flag(self, field: str, default: object = MISSING) -> bool:
+    def boolean(self, field: str, default: object = MISSING) -> bool:
         """Returns a truth value."""
         found = self.find(field, default)
         if not isinstance(found, bool):
             raise self.error(f"{self.path(field)}: must be true or false")
         return found
 
-    def table(self, field: str) -> Self:
+    def json_object(self, field: str) -> Self:
         """Returns the object in a field."""
         return type(self)(self.find(field, MISSING), self.path(field))
 
-    def entries(self, field: str, default: object = MISSING) -> tuple[Self, ...]:
+    def json_objects(self, field: str, default: object = MISSING) -> tuple[Self, ...]:
         """Returns the objects of a list."""
         found = self.find(field, default)
         if not isinstance(found, list):
--- a/packages/core/src/fireflylink_core/_keys.py
+++ b/packages/core/src/fireflylink_core/_keys.py
@@ -2,7 +2,7 @@
 
 import bisect
 
-from fireflylink_core._server import ServerLife
+from fireflylink_core._server import ServerIncarnation
 from fireflylink_core._value import BaseValue
 
 FIRST_KEY = 0
@@ -37,25 +37,25 @@
 class Assignment(BaseValue):
     """A range of keys and the server that is to hold it under a fence.
 
-    ``previous`` are the former holders that have not been seen to give the keys up. The owner may
-    be granted the keys only when each of them has, or when its hold has run out. ``handover`` is
-    the token of the last holder, empty when there is none.
+    ``previous_holders`` are the former holders that have not been seen to give the keys up. The
+    owner may be granted the keys only when each of them has, or when its hold has run out.
+    ``handover`` is the token of the last holder, empty when there is none.
     """
 
-    __slots__ = ("fence", "handover", "keys", "owner", "previous")
+    __slots__ = ("fence", "handover", "keys", "owner", "previous_holders")
 
     def __init__(
         self,
         keys: KeyRange,
-        owner: ServerLife,
+        owner: ServerIncarnation,
         fence: int,
-        previous: tuple[ServerLife, ...] = (),
+        previous_holders: tuple[ServerIncarnation, ...] = (),
         handover: str = "",
     ) -> None:
         self.keys = keys
         self.owner = owner
         self.fence = fence
-        self.previous = previous
+        self.previous_holders = previous_holders
         self.handover = handover
 
 
@@ -63,19 +63,20 @@
     """The assignments of one service, in the order of their keys, without gap or overlap.
 
     ``fence`` is the highest one ever used for the service; each change uses a higher one.
-    ``alone`` tells that no decider from before its writer could still grant when it was written.
+    ``written_by_sole_decider`` tells that no decider from before its writer could still grant when
+    it was written.
     """
 
-    __slots__ = ("_firsts", "alone", "assignments", "fence", "service")
+    __slots__ = ("_firsts", "assignments", "fence", "service", "written_by_sole_decider")
 
     def __init__(
         self,
         service: str,
         fence: int,
         assignments: tuple[Assignment, ...],
-        alone: bool = False,
+        written_by_sole_decider: bool = False,
     ) -> None:
-        self.alone = alone
+        self.written_by_sole_decider = written_by_sole_decider
         self.service = service
         self.fence = fence
         self.assignments = assignments
@@ -86,7 +87,7 @@
             isinstance(other, OwnershipTable)
             and self.service == other.service
             and self.fence == other.fence
-            and self.alone == other.alone
+            and self.written_by_sole_decider == other.written_by_sole_decider
             and self.assignments == other.assignments
         )
 
@@ -101,6 +102,6 @@
         found = self.assignments[index]
         return found if key <= found.keys.last else None
 
-    def owned_by(self, life: ServerLife) -> tuple[Assignment, ...]:
+    def owned_by(self, incarnation: ServerIncarnation) -> tuple[Assignment, ...]:
         """Returns the assignments of one life of a server."""
-        return tuple(found for found in self.assignments if found.owner == life)
+        return tuple(found for found in self.assignments if found.owner == incarnation)
--- a/packages/core/src/fireflylink_core/_request.py
+++ b/packages/core/src/fireflylink_core/_request.py
@@ -89,16 +89,16 @@
 
 
 class OutcomeUnknown(BaseReply):
-    """The request may have run; it is not sent again. ``late`` tells that time ran out."""
+    """The request may have run; it is not sent again. ``timed_out`` tells that time ran out."""
 
-    __slots__ = ("late", "reason")
+    __slots__ = ("reason", "timed_out")
 
-    def __init__(self, reason: str, late: bool = False) -> None:
+    def __init__(self, reason: str, timed_out: bool = False) -> None:
         self.reason = reason
-        self.late = late
+        self.timed_out = timed_out
 
 
-class CallerLeft(BaseReply):
+class CallerDisconnected(BaseReply):
     """The caller closed its connection: there is nobody to tell."""
 
     __slots__ = ()
--- a/packages/core/src/fireflylink_core/_server.py
+++ b/packages/core/src/fireflylink_core/_server.py
@@ -15,13 +15,12 @@
 class BackendServer(BaseValue):
     """One life of a backend server.
 
-    ``born_ms`` is the Unix millisecond of its start: the same ``server_id`` with another value is
-    another life, which holds no key. ``cold_ms`` is how much longer the server said it is cold when
-    it wrote the registration.
+    ``started_ms`` is the Unix millisecond of its start: the same ``server_id`` with another value
+    is another life, which holds no key. ``cold_ms`` is how much longer the server said it is cold
+    when it wrote the registration.
     """
 
     __slots__ = (
-        "born_ms",
         "cold_ms",
         "data_centre",
         "host",
@@ -30,6 +29,7 @@
         "service",
         "slots",
         "software",
+        "started_ms",
         "state",
     )
 
@@ -43,7 +43,7 @@
         slots: int,
         state: ServerState = ServerState.READY,
         cold_ms: float = 0.0,
-        born_ms: int = 0,
+        started_ms: int = 0,
         software: str = "",
     ) -> None:
         self.server_id = server_id
@@ -54,48 +54,50 @@
         self.slots = slots
         self.state = state
         self.cold_ms = cold_ms
-        self.born_ms = born_ms
+        self.started_ms = started_ms
         self.software = software
 
     @property
-    def life(self) -> "ServerLife":
+    def incarnation(self) -> "ServerIncarnation":
         """The identity of this life of the server."""
-        return ServerLife(self.server_id, self.born_ms)
+        return ServerIncarnation(self.server_id, self.started_ms)
 
 
-class ServerLife(BaseValue):
+class ServerIncarnation(BaseValue):
     """Identifies one life of a server: its id and the Unix millisecond of its start."""
 
-    __slots__ = ("born_ms", "server_id")
+    __slots__ = ("server_id", "started_ms")
 
-    def __init__(self, server_id: str, born_ms: int) -> None:
+    def __init__(self, server_id: str, started_ms: int) -> None:
         self.server_id = server_id
-        self.born_ms = born_ms
+        self.started_ms = started_ms
 
     def __eq__(self, other: object) -> bool:
         return (
-            isinstance(other, ServerLife)
+            isinstance(other, ServerIncarnation)
             and self.server_id == other.server_id
-            and self.born_ms == other.born_ms
+            and self.started_ms == other.started_ms
         )
 
     def __hash__(self) -> int:
-        return hash((self.server_id, self.born_ms))
+        return hash((self.server_id, self.started_ms))
 
     def __str__(self) -> str:
-        return f"{self.server_id}@{self.born_ms}"
+        return f"{self.server_id}@{self.started_ms}"
 
 
 class ServerLoad(BaseValue):
     """What a server told of its load with an answer.
 
-    ``pace`` is how long work takes on its machine at this moment, 1 as usual.
+    ``slowdown_factor`` is how long work takes on its machine at this moment, 1 as usual.
     """
 
-    __slots__ = ("pace", "running", "slots", "waiting")
+    __slots__ = ("running", "slots", "slowdown_factor", "waiting")
 
-    def __init__(self, running: int, waiting: int, slots: int, pace: float = 1.0) -> None:
+    def __init__(
+        self, running: int, waiting: int, slots: int, slowdown_factor: float = 1.0
+    ) -> None:
         self.running = running
         self.waiting = waiting
         self.slots = slots
-        self.pace = pace
+        self.slowdown_factor = slowdown_factor
--- a/packages/daemon/src/fireflylink_daemon/_crash_watch.py
+++ b/packages/daemon/src/fireflylink_daemon/_crash_watch.py
@@ -44,9 +44,12 @@
             connection.connect(server.host, server.port, self.clock.now() + CONNECT_SECONDS)
         except NotSentError as error:
             log_problem(
-                "server-crashed", server=server.life, requests=len(fingerprints), problem=error
+                "server-crashed",
+                server=server.incarnation,
+                requests=len(fingerprints),
+                problem=error,
             )
             for fingerprint in fingerprints:
-                self.peers.notify(CrashNotice(fingerprint, server.life))
+                self.peers.notify(CrashNotice(fingerprint, server.incarnation))
         finally:
             connection.close()
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -6,7 +6,7 @@
     HigherFenceError,
     OtherServerError,
 )
-from fireflylink_core import BackendServer, BaseClock, OwnershipTable, ServerLife
+from fireflylink_core import BackendServer, BaseClock, OwnershipTable, ServerIncarnation
 from fireflylink_daemon._decider_task import CommitTable, DeciderTask, Superseded
 from fireflylink_daemon._grant_tasks import GrantTask, spawn_release
 from fireflylink_daemon._log import log_event, log_problem
@@ -77,7 +77,7 @@
         self.began_at = 0.0
         self.hold_seconds = min(HOLD_SECONDS, serving.settings.bounds.hold_max_seconds)
         self.services: dict[str, KeyedService] = {}
-        self.grants: dict[ServerLife, GrantTask] = {}
+        self.grants: dict[ServerIncarnation, GrantTask] = {}
         self.next_tick = 0.0
 
     def next_wake(self) -> float:
@@ -191,7 +191,7 @@
         if wanted is not None:
             self._log_plan(service, wanted, candidates)
             alone = service.revision == ABSENT or now >= alone_from(self.began_at)
-            marked = wanted.replace(alone=alone)
+            marked = wanted.replace(written_by_sole_decider=alone)
             service.commit_asked_at = now
             service.asked.append(marked)
             self.decider.post(CommitTable(marked, service.revision))
@@ -226,14 +226,14 @@
         found = []
         for entry in entries:
             server = entry.server
-            if service.is_reachable(server.life):
+            if service.is_reachable(server.incarnation):
                 capacity = self._capacity(service, server, now)
-                found.append(Candidate(server.life, capacity, server.data_centre))
+                found.append(Candidate(server.incarnation, capacity, server.data_centre))
         return found
 
     def _capacity(self, service: KeyedService, server: BackendServer, now: float) -> float:
         """Returns how many requests a second a server can run."""
-        tracker = self.serving.trackers.get(server.life)
+        tracker = self.serving.trackers.get(server.incarnation)
         cold = tracker is not None and tracker.gate.is_cold(now)
         return service.times.capacity(server.server_id, server.slots, cold)
 
@@ -252,11 +252,11 @@
             book.note_sent(command, now)
             task.post(CommandDue(name, command))
 
-    def _server_of(self, life: ServerLife) -> BackendServer | None:
+    def _server_of(self, life: ServerIncarnation) -> BackendServer | None:
         tracker = self.serving.trackers.get(life)
         return None if tracker is None else tracker.server
 
-    def _grant_task(self, life: ServerLife) -> GrantTask | None:
+    def _grant_task(self, life: ServerIncarnation) -> GrantTask | None:
         task = self.grants.get(life)
         if task is None:
             server = self._server_of(life)
@@ -332,7 +332,7 @@
     def _note_servers(self) -> None:
         """Forgets what was granted to lives of servers that certainly ended."""
         entries = self.serving.directory.entries.values()
-        present = {entry.server.server_id: entry.server.life for entry in entries}
+        present = {entry.server.server_id: entry.server.incarnation for entry in entries}
         for life in list(self.grants):
             if present.get(life.server_id) != life and life not in self.serving.trackers:
                 self.grants.pop(life).close()
@@ -340,9 +340,9 @@
             if service.book is None or service.table is None:
                 continue
             for assignment in service.table.assignments:
-                for life in (assignment.owner, *assignment.previous):
+                for life in (assignment.owner, *assignment.previous_holders):
                     now_present = present.get(life.server_id, life)
-                    if now_present.born_ms > life.born_ms > 0:
+                    if now_present.started_ms > life.started_ms > 0:
                         service.book.note_life_ended(life)
 
     def _note_report(self, report: LoadReport) -> None:
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -8,7 +8,7 @@
     BaseCallResult,
     BaseClock,
     BaseReply,
-    CallerLeft,
+    CallerDisconnected,
     CallerLimits,
     CallerRequest,
     Declined,
@@ -133,7 +133,7 @@
             self.keys.add(service, request.key)
         timeout = route.timeout_ms / MILLISECONDS_PER_SECOND
         latest = min(request.deadline - REPLY_MARGIN_SECONDS, request.received_at + timeout)
-        attempts = Attempts(route.repeatable, route.max_servers)
+        attempts = Attempts(route.idempotent, route.max_attempts)
         return _Course(request, route, service, latest, attempts)
 
     def _run(self, course: _Course) -> BaseReply:
@@ -141,14 +141,14 @@
             placement = self._place(course)
             if course.left:
                 self._undo(placement)
-                return CallerLeft()
+                return CallerDisconnected()
             if isinstance(placement, Refuse):
                 return course.attempts.refusal(placement.reason, placement.retry_after)
             if not isinstance(placement, Send):
                 return course.attempts.refusal("not-placed", NOT_CONFIGURED_RETRY_SECONDS)
             result = self._call(course, placement)
             if course.left:
-                return CallerLeft()
+                return CallerDisconnected()
             decision = self._next(course, placement, result)
             if isinstance(decision, GiveUp):
                 return decision.reply
@@ -156,7 +156,7 @@
     def _place(self, course: _Course) -> BasePlacement | None:
         ticket = Ticket(
             course.service,
-            course.route.rank,
+            course.route.priority,
             course.request.received_at,
             course.latest,
             course.request.key,
@@ -282,7 +282,7 @@
         fields: dict[str, object] = {
             "owner": assignment.owner,
             "keys_fence": assignment.fence,
-            "moving": bool(assignment.previous),
+            "moving": bool(assignment.previous_holders),
             "table_age": now - pool.table_at,
             "reachable": tracker is not None,
         }
@@ -308,5 +308,5 @@
     if isinstance(reply, NotRun):
         return reply.reason, reply.status
     if isinstance(reply, OutcomeUnknown):
-        return f"unknown-{reply.reason}", 504 if reply.late else 502
+        return f"unknown-{reply.reason}", 504 if reply.timed_out else 502
     return "caller-left", 0
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -7,7 +7,7 @@
     CallerLimits,
     Configuration,
     OwnershipTable,
-    ServerLife,
+    ServerIncarnation,
     Service,
 )
 from fireflylink_daemon._log import log_event, log_problem
@@ -71,8 +71,8 @@
         self.members: dict[str, MemberRecord] = {}
         self.owner_tables: dict[str, OwnershipTable] = {}
         self.position = FleetPosition(settings.instance, ())
-        self.trackers: dict[ServerLife, ServerTracker] = {}
-        self.pools: dict[ServerLife, ServerPool] = {}
+        self.trackers: dict[ServerIncarnation, ServerTracker] = {}
+        self.pools: dict[ServerIncarnation, ServerPool] = {}
         self.store_doubted = False
 
     def limits(self) -> CallerLimits:
@@ -128,13 +128,13 @@
         """Takes a registration."""
         now = self.clock.now()
         known = self.directory.find(server.server_id)
-        joined = known is None or known.server.life != server.life
+        joined = known is None or known.server.incarnation != server.incarnation
         state = known.server.state if known is not None else None
         self.directory.put(server, now)
-        tracker = self.trackers.get(server.life)
+        tracker = self.trackers.get(server.incarnation)
         if tracker is None:
             tracker = ServerTracker(server)
-            self.trackers[server.life] = tracker
+            self.trackers[server.incarnation] = tracker
         tracker.server = server
         cold_seconds = server.cold_ms / MILLISECONDS_PER_SECOND
         if cold_seconds > 0:
@@ -142,7 +142,7 @@
         if joined or state != server.state:
             log_event(
                 "server-registered",
-                server=server.life,
+                server=server.incarnation,
                 service=server.service,
                 state=server.state.value,
                 data_centre=server.data_centre,
@@ -165,7 +165,7 @@
         for entry in self.directory.entries.values():
             service = self.routes.services.get(entry.server.service)
             if entry.server.data_centre == data_centre and service is not None:
-                tracker = self.trackers[entry.server.life]
+                tracker = self.trackers[entry.server.incarnation]
                 tracker.gate.note_cold(now + service.cold_seconds)
 
     def refresh(self) -> None:
@@ -192,7 +192,7 @@
 
     def pool_of(self, tracker: ServerTracker) -> ServerPool:
         """Returns the connections to a server."""
-        life = tracker.server.life
+        life = tracker.server.incarnation
         pool = self.pools.get(life)
         if pool is None:
             pool = self.pools[life] = ServerPool(tracker.server, self.clock, self.dialect)
@@ -219,7 +219,9 @@
             for entry in self.directory.entries.values()
             if entry.server.service == service.name and self._serves(entry, service, now)
         ]
-        pool.trackers = {entry.server.life: self.trackers[entry.server.life] for entry in entries}
+        pool.trackers = {
+            entry.server.incarnation: self.trackers[entry.server.incarnation] for entry in entries
+        }
 
     def _serves(self, entry: DirectoryEntry, service: Service, now: float) -> bool:
         if not self.directory.believed(entry):
@@ -243,7 +245,7 @@
         )
 
     def _forget_absent(self) -> None:
-        present = {entry.server.life for entry in self.directory.entries.values()}
+        present = {entry.server.incarnation for entry in self.directory.entries.values()}
         for life in list(self.pools):
             if life not in present:
                 self.pools.pop(life).close()
--- a/packages/daemon/src/fireflylink_daemon/_settings.py
+++ b/packages/daemon/src/fireflylink_daemon/_settings.py
@@ -110,8 +110,8 @@
 
     error = SettingsError
 
-    def text(self, field: str, default: object = MISSING) -> str:
-        found = super().text(field, default)
+    def string(self, field: str, default: object = MISSING) -> str:
+        found = super().string(field, default)
         if not found:
             raise SettingsError(f"{self.path(field)}: must be a string that is not empty")
         return found
@@ -120,7 +120,7 @@
         return self.number(field) / MILLISECONDS_PER_SECOND
 
     def address(self, field: str) -> Address:
-        host, _, port = self.text(field).rpartition(":")
+        host, _, port = self.string(field).rpartition(":")
         if not host or not port.isdecimal() or int(port) > MAX_PORT:
             raise SettingsError(f"{self.path(field)}: must be an IP address and a port")
         return Address(host, int(port))
@@ -161,19 +161,19 @@
 
 
 def _settings(fields: _SettingsFields) -> Settings:
-    store = fields.table("store")
+    store = fields.json_object("store")
     first_port, _ = fields.ports("peer_ports")
     return Settings(
-        instance=fields.text("instance"),
-        data_centre=fields.text("data_centre"),
-        address=fields.text("address"),
+        instance=fields.string("instance"),
+        data_centre=fields.string("data_centre"),
+        address=fields.string("address"),
         caller_address=fields.address("caller_address"),
         readiness_address=fields.address("readiness_address"),
         report_port=first_port,
         metrics_port=fields.port("metrics_port"),
         store_address=store.address("address"),
         minimum_lease_seconds=store.seconds("minimum_lease_ms"),
-        bounds=_bounds(fields.table("bounds")),
+        bounds=_bounds(fields.json_object("bounds")),
     )
 
 
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -9,7 +9,7 @@
 from fireflylink_core import (
     Answered,
     Assignment,
-    CallerLeft,
+    CallerDisconnected,
     CallerRequest,
     Declined,
     KeyRange,
@@ -19,7 +19,7 @@
     OutcomeUnknown,
     OwnershipTable,
     ServerAnswer,
-    ServerLife,
+    ServerIncarnation,
     ServerLoad,
 )
 from fireflylink_daemon._dispatch_task import DispatchTask
@@ -45,7 +45,7 @@
         }
     ],
 }
-LIFE = ServerLife("i-1", 1)
+LIFE = ServerIncarnation("i-1", 1)
 WHOLE = Answered(ServerAnswer(200, (), b"ok"), ServerLoad(1, 0, 4))
 LATE = Lost(LostReason.LATE, "late")
 
@@ -151,7 +151,7 @@
     script = Script(paths.clock, [Lost(LostReason.CANCELLED, "left"), WHOLE])
     departure = Stays()
     script.during = departure.leave
-    assert_that(paths.send("/o/1", script, departure), IsInstance(CallerLeft))
+    assert_that(paths.send("/o/1", script, departure), IsInstance(CallerDisconnected))
     assert_that(len(script.results), Equals(1))
 
 
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -5,7 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is
 
-from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerLife
+from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_daemon._messages import DeciderChanged, FactsRead, StoreLost, StoreReached
 from fireflylink_decisions.ownership import OUTAGE_GRACE_SECONDS
 from fireflylink_protocol import (
@@ -23,7 +23,7 @@
     "services": [{"name": "a", "max-conns": 110, "sharded": True}],
     "virtual-hosts": [],
 }
-TABLE = OwnershipTable("a", 3, (Assignment(KeyRange(0, 65535), ServerLife("i-1", 1), 3),))
+TABLE = OwnershipTable("a", 3, (Assignment(KeyRange(0, 65535), ServerIncarnation("i-1", 1), 3),))
 
 
 def server_item(name: str, revision: int, **changes: object) -> Item:
@@ -105,7 +105,9 @@
     elect(old, clock)
     old.ownership.wake()
     old.deliver()
-    moved = Assignment(KeyRange(0, 65535), ServerLife("i-2", 1), 9, (ServerLife("i-1", 1),))
+    moved = Assignment(
+        KeyRange(0, 65535), ServerIncarnation("i-2", 1), 9, (ServerIncarnation("i-1", 1),)
+    )
     foreign = OwnershipTable("a", 9, (moved,))
     read(old, Item(ownership_key("a"), encode_table(foreign), 900))
     assert_that(old.ownership.deciding, Is(False))
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from fireflylink_core import NO_KEY, Assignment, KeyRange, OwnershipTable, ServerLife
+from fireflylink_core import NO_KEY, Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.dispatch._ticket import BasePlacement, Refuse, Send, Ticket
 from fireflylink_decisions.dispatch._waiting_line import WaitingLine
 from fireflylink_decisions.servers import (
@@ -55,10 +55,10 @@
     def __init__(self, keyed: bool, terms: ServiceTerms) -> None:
         self.keyed = keyed
         self.terms = terms
-        self.trackers: dict[ServerLife, ServerTracker] = {}
+        self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.table: OwnershipTable | None = None
         self.line = WaitingLine()
-        self.doubted: dict[tuple[ServerLife, int], float] = {}
+        self.doubted: dict[tuple[ServerIncarnation, int], float] = {}
         self.granted: set[tuple[KeyRange, int]] = set()
         self.table_at = 0.0
         self.seen: dict[int, float] = {}
@@ -74,7 +74,9 @@
         self.table = table
         self.table_at = now
         self.doubted.clear()
-        pending = {(moved.keys, moved.fence) for moved in table.assignments if moved.previous}
+        pending = {
+            (moved.keys, moved.fence) for moved in table.assignments if moved.previous_holders
+        }
         self.granted &= pending
 
     def owner_of(self, key: int) -> ServerTracker | None:
@@ -85,7 +87,7 @@
     def on_its_way(self, assignment: Assignment, now: float) -> bool:
         """Whether the owner of an assignment is not expected to hold the keys yet."""
         return (
-            bool(assignment.previous)
+            bool(assignment.previous_holders)
             and (assignment.keys, assignment.fence) not in self.granted
             and now < self.table_at + MOVE_SECONDS
         )
@@ -141,7 +143,7 @@
         """Takes a server's word that it does not hold a key that the table gives it."""
         pool = self.pools.get(service)
         if pool is not None:
-            pool.doubted[(send.tracker.server.life, send.fence)] = now + RECHECK_SECONDS
+            pool.doubted[(send.tracker.server.incarnation, send.fence)] = now + RECHECK_SECONDS
 
     @property
     def waiting(self) -> int:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_busy_watch.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_busy_watch.py
@@ -1,6 +1,6 @@
 """How long servers have had more than their part of the load."""
 
-from fireflylink_core import ServerLife
+from fireflylink_core import ServerIncarnation
 
 PATIENCE_SECONDS = 2.0
 """A load over so long a time is no chance variation any more."""
@@ -16,13 +16,13 @@
     __slots__ = ("since",)
 
     def __init__(self) -> None:
-        self.since: dict[ServerLife, float] = {}
+        self.since: dict[ServerIncarnation, float] = {}
 
-    def note(self, above: frozenset[ServerLife], now: float) -> None:
+    def note(self, above: frozenset[ServerIncarnation], now: float) -> None:
         """Takes the servers that are above their part now."""
         self.since = {life: self.since.get(life, now) for life in above}
 
-    def lasting(self, now: float) -> frozenset[ServerLife]:
+    def lasting(self, now: float) -> frozenset[ServerIncarnation]:
         """Returns the servers that have been above their part for long."""
         return frozenset(
             life for life, since in self.since.items() if now >= since + PATIENCE_SECONDS
--- a/packages/decisions/src/fireflylink_decisions/ownership/_draft.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_draft.py
@@ -1,6 +1,6 @@
 """A table that is being changed."""
 
-from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerLife
+from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership._key_load import RangeLoad
 
 
@@ -16,7 +16,7 @@
         self.loads = loads
         self.changed = False
 
-    def load(self, life: ServerLife) -> float:
+    def load(self, life: ServerIncarnation) -> float:
         """Returns the rate of all keys of a server."""
         return sum(
             self.loads.total(assignment.keys)
@@ -24,11 +24,11 @@
             if assignment.owner == life
         )
 
-    def move(self, index: int, keys: KeyRange, owner: ServerLife) -> None:
+    def move(self, index: int, keys: KeyRange, owner: ServerIncarnation) -> None:
         """Gives a part of an assignment, at either of its ends or whole, to another server."""
         old = self.assignments[index]
         moved = Assignment(
-            keys, owner, self.fence, _holders(old), old.handover if old.previous else ""
+            keys, owner, self.fence, _holders(old), old.handover if old.previous_holders else ""
         )
         parts = []
         if old.keys.first < keys.first:
@@ -60,10 +60,10 @@
         return OwnershipTable(self.service, self.fence, tuple(self.assignments))
 
 
-def _holders(old: Assignment) -> tuple[ServerLife, ...]:
+def _holders(old: Assignment) -> tuple[ServerIncarnation, ...]:
     """Returns who may hold the keys of an assignment: its owner and who has not given them up."""
-    return (*old.previous, old.owner)
+    return (*old.previous_holders, old.owner)
 
 
 def _joins(left: Assignment, right: Assignment) -> bool:
-    return left.owner == right.owner and not left.previous and not right.previous
+    return left.owner == right.owner and not left.previous_holders and not right.previous_holders
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -1,6 +1,6 @@
 """Which grants, renewals and releases are due, and when a silent server's hold has ended."""
 
-from fireflylink_core import Assignment, BaseValue, KeyRange, OwnershipTable, ServerLife
+from fireflylink_core import Assignment, BaseValue, KeyRange, OwnershipTable, ServerIncarnation
 
 HOLD_SECONDS = 3.0
 """A lost server's keys are served again when its hold has ended, within 5 s of its loss. Keys lapse
@@ -32,7 +32,7 @@
 
     __slots__ = ()
 
-    server: ServerLife
+    server: ServerIncarnation
 
 
 class GrantCommand(BaseCommand):
@@ -41,7 +41,7 @@
     __slots__ = ("fence", "handover", "keys", "renewal", "server")
 
     def __init__(
-        self, server: ServerLife, keys: KeyRange, fence: int, handover: str, renewal: bool
+        self, server: ServerIncarnation, keys: KeyRange, fence: int, handover: str, renewal: bool
     ) -> None:
         self.server = server
         self.keys = keys
@@ -55,7 +55,7 @@
 
     __slots__ = ("fence", "keys", "server")
 
-    def __init__(self, server: ServerLife, keys: KeyRange, fence: int) -> None:
+    def __init__(self, server: ServerIncarnation, keys: KeyRange, fence: int) -> None:
         self.server = server
         self.keys = keys
         self.fence = fence
@@ -74,12 +74,12 @@
     )
 
     def __init__(self, assignment: Assignment) -> None:
-        self.pending = list(dict.fromkeys(assignment.previous))
+        self.pending = list(dict.fromkeys(assignment.previous_holders))
         self.handover = assignment.handover
         self.granted = False
         self.granted_at = 0.0
-        self.busy: set[ServerLife] = set()
-        self.due_at: dict[ServerLife, float] = {}
+        self.busy: set[ServerIncarnation] = set()
+        self.due_at: dict[ServerIncarnation, float] = {}
 
     def lapsed(self, now: float, hold_seconds: float) -> bool:
         """Whether a confirmed grant has run out."""
@@ -134,9 +134,9 @@
         self.first_fence = 0
         self.table: OwnershipTable | None = None
         self.progress: dict[tuple[KeyRange, int], _Progress] = {}
-        self.holds: dict[ServerLife, dict[tuple[KeyRange, int], float]] = {}
-        self.holds_before: dict[tuple[ServerLife, KeyRange, int], float] = {}
-        self.ended: set[ServerLife] = set()
+        self.holds: dict[ServerIncarnation, dict[tuple[KeyRange, int], float]] = {}
+        self.holds_before: dict[tuple[ServerIncarnation, KeyRange, int], float] = {}
+        self.ended: set[ServerIncarnation] = set()
 
     def note_first_table(self) -> None:
         """Takes note that there was no table before: no former decider granted anything."""
@@ -149,7 +149,7 @@
         Its writer granted its former holders nothing after it was written. If no earlier decider
         could grant then, their holds have ended a whole hold after the table was seen.
         """
-        if table.alone:
+        if table.written_by_sole_decider:
             latest = seen_at + COMMAND_SECONDS + self.hold_time
             self.former_previous_ends = min(self.former_hold_ends, latest)
 
@@ -250,7 +250,7 @@
             return
         progress.due_at[command.server] = now + RETRY_SECONDS
 
-    def note_life_ended(self, server: ServerLife) -> None:
+    def note_life_ended(self, server: ServerIncarnation) -> None:
         """Takes note that a life of a server is over: it holds nothing, whatever was granted."""
         self.ended.add(server)
 
@@ -261,13 +261,15 @@
         assignments = tuple(self._settled_assignment(found) for found in self.table.assignments)
         if assignments == self.table.assignments:
             return None
-        return OwnershipTable(self.table.service, self.table.fence, assignments, self.table.alone)
+        return OwnershipTable(
+            self.table.service, self.table.fence, assignments, self.table.written_by_sole_decider
+        )
 
     def is_current(self, command: GrantCommand) -> bool:
         """Whether a grant is one of the present table."""
         return (command.keys, command.fence) in self.progress
 
-    def hold_ends(self, server: ServerLife, keys: KeyRange) -> float:
+    def hold_ends(self, server: ServerIncarnation, keys: KeyRange) -> float:
         """Returns when no grant of any of the keys to a server can be in force any more."""
         if server in self.ended:
             return float("-inf")
@@ -280,7 +282,7 @@
         for assignment in table.assignments:
             name = (assignment.keys, FORMER_DECIDER)
             self.holds.setdefault(assignment.owner, {})[name] = self.former_hold_ends
-            for life in assignment.previous:
+            for life in assignment.previous_holders:
                 holds = self.holds.setdefault(life, {})
                 holds[name] = max(holds.get(name, float("-inf")), self.former_previous_ends)
 
@@ -310,9 +312,9 @@
 
     def _settled_assignment(self, assignment: Assignment) -> Assignment:
         progress = self.progress[(assignment.keys, assignment.fence)]
-        if not assignment.previous or progress.pending or not progress.granted:
+        if not assignment.previous_holders or progress.pending or not progress.granted:
             return assignment
-        return assignment.replace(previous=(), handover="")
+        return assignment.replace(previous_holders=(), handover="")
 
     def _drop_ended_holds(self, progress: _Progress, keys: KeyRange, now: float) -> None:
         progress.pending = [life for life in progress.pending if now < self.hold_ends(life, keys)]
@@ -345,14 +347,16 @@
             if self.progress[(assignment.keys, assignment.fence)].lapsed(now, self.hold_seconds)
         )
 
-    def _is_due(self, progress: _Progress, life: ServerLife, now: float) -> bool:
+    def _is_due(self, progress: _Progress, life: ServerIncarnation, now: float) -> bool:
         return life not in progress.busy and now >= progress.due_at.get(life, 0.0)
 
     def _mark_busy(self, command: BaseCommand) -> None:
         keys, fence = _subject(command)
         self.progress[(keys, fence)].busy.add(command.server)
 
-    def _progress_of(self, keys: KeyRange, fence: int, server: ServerLife) -> _Progress | None:
+    def _progress_of(
+        self, keys: KeyRange, fence: int, server: ServerIncarnation
+    ) -> _Progress | None:
         progress = self.progress.get((keys, fence))
         if progress is not None:
             progress.busy.discard(server)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -1,6 +1,6 @@
 """What the decider knows of one service with keys, and which table it wants."""
 
-from fireflylink_core import KeyRange, OwnershipTable, ServerLife
+from fireflylink_core import KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership._busy_watch import BusyWatch
 from fireflylink_decisions.ownership._grant_book import GrantBook, refenced
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
@@ -63,17 +63,17 @@
         self.next_tidy = 0.0
         self.requests_per_second = 0.0
         self.commit_asked_at: float | None = None
-        self.failures: dict[ServerLife, int] = {}
+        self.failures: dict[ServerIncarnation, int] = {}
 
-    def note_answered(self, server: ServerLife) -> None:
+    def note_answered(self, server: ServerIncarnation) -> None:
         """Takes note that a server answered a command."""
         self.failures.pop(server, None)
 
-    def note_unanswered(self, server: ServerLife) -> None:
+    def note_unanswered(self, server: ServerIncarnation) -> None:
         """Takes note that a server did not do what it was told."""
         self.failures[server] = self.failures.get(server, 0) + 1
 
-    def is_reachable(self, server: ServerLife) -> bool:
+    def is_reachable(self, server: ServerIncarnation) -> bool:
         """Whether a server may be given keys, as far as its answers tell."""
         return self.failures.get(server, 0) < UNREACHABLE_FAILURES
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_plan_values.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_plan_values.py
@@ -1,6 +1,6 @@
 """Input of the planner: the servers that may own keys."""
 
-from fireflylink_core import BaseValue, ServerLife
+from fireflylink_core import BaseValue, ServerIncarnation
 
 
 class Candidate(BaseValue):
@@ -8,7 +8,7 @@
 
     __slots__ = ("capacity", "data_centre", "life")
 
-    def __init__(self, life: ServerLife, capacity: float, data_centre: str) -> None:
+    def __init__(self, life: ServerIncarnation, capacity: float, data_centre: str) -> None:
         self.life = life
         self.capacity = capacity
         self.data_centre = data_centre
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -14,7 +14,7 @@
     Assignment,
     KeyRange,
     OwnershipTable,
-    ServerLife,
+    ServerIncarnation,
 )
 from fireflylink_decisions.ownership._busy_watch import BusyWatch
 from fireflylink_decisions.ownership._draft import Draft
@@ -104,7 +104,7 @@
     def __init__(self, draft: Draft, candidates: list[Candidate]) -> None:
         self.draft = draft
         self.candidates = {candidate.life: candidate for candidate in candidates}
-        self.lasting: frozenset[ServerLife] = frozenset()
+        self.lasting: frozenset[ServerIncarnation] = frozenset()
         self.rates = {life: draft.load(life) for life in self.candidates}
         self.weights = _weights(candidates, draft.loads.sums[-1])
         self.mean = draft.loads.sums[-1] / sum(self.weights.values())
@@ -150,10 +150,10 @@
             giver = self.draft.assignments[index].owner
             self._shift(index, self._keys(index), giver, receiver)
 
-    def _join(self, index: int) -> tuple[float, int, ServerLife] | None:
+    def _join(self, index: int) -> tuple[float, int, ServerIncarnation] | None:
         """Returns the load of a range, its position and the neighbour's owner that can take it."""
         assignment = self.draft.assignments[index]
-        if assignment.previous or assignment.owner not in self.rates:
+        if assignment.previous_holders or assignment.owner not in self.rates:
             return None
         load = self.draft.loads.total(assignment.keys)
         usual = self.draft.loads.sums[-1] / len(self.candidates)
@@ -162,7 +162,7 @@
         receivers = [
             neighbour.owner
             for neighbour in self._neighbours(index)
-            if not neighbour.previous
+            if not neighbour.previous_holders
             and neighbour.owner in self.rates
             and neighbour.owner != assignment.owner
             and (self.rates[neighbour.owner] + load) / self.weights[neighbour.owner]
@@ -176,7 +176,7 @@
         before = self.draft.assignments[index - 1 : index] if index else []
         return [*before, *self.draft.assignments[index + 1 : index + 2]]
 
-    def _is_busy(self, life: ServerLife) -> bool:
+    def _is_busy(self, life: ServerIncarnation) -> bool:
         # A rate over about a second of few requests is uncertain; moves that follow its chance
         # variations would cost more than they gain.
         rate = self.rates[life]
@@ -185,7 +185,7 @@
         least = rate - NOISE_DEVIATIONS * math.sqrt(rate)
         return life in self.lasting or least > IMBALANCE * self.mean * self.weights[life]
 
-    def _is_above(self, life: ServerLife) -> bool:
+    def _is_above(self, life: ServerIncarnation) -> bool:
         return self.rates[life] > IMBALANCE * self.mean * self.weights[life]
 
     def watch(self, watch: BusyWatch, now: float, tidy: bool) -> None:
@@ -194,7 +194,7 @@
         if tidy:
             self.lasting = watch.lasting(now)
 
-    def _ratio(self, life: ServerLife) -> float:
+    def _ratio(self, life: ServerIncarnation) -> float:
         """Returns a server's load in proportion to what it should have."""
         return self.rates[life] / self.weights[life]
 
@@ -225,14 +225,14 @@
         self.draft.move(index, keys, receiver)
         self.rates[receiver] += rate
 
-    def _owned_part(self, life: ServerLife) -> float:
+    def _owned_part(self, life: ServerIncarnation) -> float:
         return sum(
             len(assignment.keys)
             for assignment in self.draft.assignments
             if assignment.owner == life
         ) / (KEY_COUNT * self.candidates[life].capacity)
 
-    def _fill(self, life: ServerLife) -> None:
+    def _fill(self, life: ServerIncarnation) -> None:
         giver = max(self.candidates, key=lambda other: (self._ratio(other), str(other)))
         ranges = self._ranges_of(giver)
         if not ranges:
@@ -246,7 +246,7 @@
             return
         self._shift(index, cut, giver, life)
 
-    def _relieve(self, giver: ServerLife) -> bool:
+    def _relieve(self, giver: ServerIncarnation) -> bool:
         """Moves one piece from a busy server; returns whether that helped."""
         aim = self.mean * AIM
         excess = self.rates[giver] - aim * self.weights[giver]
@@ -279,18 +279,20 @@
         ]
         return min(cuts, key=len, default=None)
 
-    def _shift(self, index: int, cut: KeyRange, giver: ServerLife, receiver: ServerLife) -> None:
+    def _shift(
+        self, index: int, cut: KeyRange, giver: ServerIncarnation, receiver: ServerIncarnation
+    ) -> None:
         rate = self.draft.loads.total(cut)
         self.draft.move(index, cut, receiver)
         self.rates[giver] -= rate
         self.rates[receiver] += rate
 
-    def _ranges_of(self, life: ServerLife) -> list[int]:
+    def _ranges_of(self, life: ServerIncarnation) -> list[int]:
         """Returns the positions of a server's ranges that nothing is pending for."""
         return [
             index
             for index, assignment in enumerate(self.draft.assignments)
-            if assignment.owner == life and not assignment.previous
+            if assignment.owner == life and not assignment.previous_holders
         ]
 
     def _keys(self, index: int) -> KeyRange:
@@ -301,7 +303,7 @@
         return (self.draft.loads.total(keys), len(keys))
 
 
-def _weights(candidates: list[Candidate], total: float) -> dict[ServerLife, float]:
+def _weights(candidates: list[Candidate], total: float) -> dict[ServerIncarnation, float]:
     """Returns what part of the load each server should have.
 
     While there is room, servers that are faster than the mean get more than in proportion: their
--- a/packages/decisions/src/fireflylink_decisions/ownership/_table_changes.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_table_changes.py
@@ -1,6 +1,6 @@
 """What a new table changes, for logs and for the price of moved keys."""
 
-from fireflylink_core import BaseValue, OwnershipTable, ServerLife
+from fireflylink_core import BaseValue, OwnershipTable, ServerIncarnation
 
 
 class TableChanges(BaseValue):
@@ -19,7 +19,7 @@
 
 
 def changes_between(
-    old: OwnershipTable, new: OwnershipTable, candidates: frozenset[ServerLife]
+    old: OwnershipTable, new: OwnershipTable, candidates: frozenset[ServerIncarnation]
 ) -> TableChanges:
     """Compares two tables of a service. ``candidates`` are the servers that may own keys.
 
--- a/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
+++ b/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
@@ -3,7 +3,7 @@
 import collections
 import hashlib
 
-from fireflylink_core import CallerRequest, ServerLife
+from fireflylink_core import CallerRequest, ServerIncarnation
 
 CRASHES = 3
 """Distinct lives of servers that must have ended under a request before it is refused."""
@@ -31,17 +31,17 @@
 
     Example::
 
-        registry.note_crash(fingerprint_of(request), server.life, now)
+        registry.note_crash(fingerprint_of(request), server.incarnation, now)
     """
 
     __slots__ = ("suspects",)
 
     def __init__(self) -> None:
-        self.suspects: collections.OrderedDict[bytes, dict[ServerLife, float]] = (
+        self.suspects: collections.OrderedDict[bytes, dict[ServerIncarnation, float]] = (
             collections.OrderedDict()
         )
 
-    def note_crash(self, fingerprint: bytes, life: ServerLife, now: float) -> None:
+    def note_crash(self, fingerprint: bytes, life: ServerIncarnation, now: float) -> None:
         """Takes a request that ran on a server when it crashed."""
         lives = self.suspects.setdefault(fingerprint, {})
         lives[life] = now
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -43,7 +43,11 @@
     def put(self, server: BackendServer, now: float) -> DirectoryEntry:
         """Takes a registration; a changed life makes a new entry."""
         entry = self.entries.get(server.server_id)
-        if entry is None or entry.server.life != server.life or _moved(entry.server, server):
+        if (
+            entry is None
+            or entry.server.incarnation != server.incarnation
+            or _moved(entry.server, server)
+        ):
             entry = DirectoryEntry(server, now)
             self.entries[server.server_id] = entry
         entry.server = server
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -130,7 +130,7 @@
         if self.reported is None:
             return 1.0
         age = max(0.0, now - self.reported_at)
-        return 1.0 + (self.reported.pace - 1.0) * math.exp(-age / PACE_DECAY_SECONDS)
+        return 1.0 + (self.reported.slowdown_factor - 1.0) * math.exp(-age / PACE_DECAY_SECONDS)
 
     def queue(self, now: float) -> float:
         """Returns how many requests the server is expected to hold, those of others included."""
--- a/packages/decisions/tests/conftest.py
+++ b/packages/decisions/tests/conftest.py
@@ -2,18 +2,18 @@
 
 import pytest
 
-from fireflylink_core import BackendServer, ManualClock, ServerLife
+from fireflylink_core import BackendServer, ManualClock, ServerIncarnation
 from fireflylink_decisions.limits import ColdLimit, FleetPosition
 from fireflylink_decisions.ownership import Candidate
 from fireflylink_decisions.servers import ServerTracker, ServiceTerms
 
 
 def make_server(name: str, data_centre: str = "kingston", slots: int = 4) -> BackendServer:
-    return BackendServer(name, "holds", "127.0.0.1", 1000, data_centre, slots, born_ms=1)
+    return BackendServer(name, "holds", "127.0.0.1", 1000, data_centre, slots, started_ms=1)
 
 
 def make_candidate(name: str, capacity: float = 25.0) -> Candidate:
-    return Candidate(ServerLife(name, 1), capacity, "kingston")
+    return Candidate(ServerIncarnation(name, 1), capacity, "kingston")
 
 
 @pytest.fixture
--- a/packages/decisions/tests/test_dispatcher.py
+++ b/packages/decisions/tests/test_dispatcher.py
@@ -9,7 +9,7 @@
     BackendServer,
     KeyRange,
     OwnershipTable,
-    ServerLife,
+    ServerIncarnation,
     ServerLoad,
 )
 from fireflylink_decisions.dispatch import Dispatcher, Refuse, Send, ServicePool, Ticket
@@ -19,8 +19,8 @@
 def make_pool(names: list[str], keyed: bool, terms: ServiceTerms) -> ServicePool:
     pool = ServicePool(keyed, terms)
     for name in names:
-        server = BackendServer(name, "holds", "127.0.0.1", 1, "kingston", 4, born_ms=1)
-        pool.trackers[server.life] = ServerTracker(server)
+        server = BackendServer(name, "holds", "127.0.0.1", 1, "kingston", 4, started_ms=1)
+        pool.trackers[server.incarnation] = ServerTracker(server)
     return pool
 
 
@@ -40,9 +40,9 @@
     return dispatcher
 
 
-def owners(fence: int, previous: tuple[ServerLife, ...] = ()) -> OwnershipTable:
-    low = Assignment(KeyRange(0, 999), ServerLife("s1", 1), fence, previous)
-    high = Assignment(KeyRange(1000, 65535), ServerLife("s2", 1), fence)
+def owners(fence: int, previous: tuple[ServerIncarnation, ...] = ()) -> OwnershipTable:
+    low = Assignment(KeyRange(0, 999), ServerIncarnation("s1", 1), fence, previous)
+    high = Assignment(KeyRange(1000, 65535), ServerIncarnation("s2", 1), fence)
     return OwnershipTable("holds", fence, (low, high))
 
 
@@ -72,7 +72,7 @@
 def test_a_moved_key_waits_for_the_notice_of_its_grant(keyed, clock):
     """Guards against arrivals that the new owner can only turn away."""
     pool = keyed.pools["holds"]
-    table = owners(2, (ServerLife("s2", 1),))
+    table = owners(2, (ServerIncarnation("s2", 1),))
     pool.set_table(table, clock.now())
     waiting = ticket(clock.now(), 5)
     assert_that(keyed.submit(waiting, clock.now()), Is(None))
@@ -85,7 +85,7 @@
 
 def test_a_moved_key_is_tried_when_no_notice_comes(keyed, clock):
     """Guards against a lost datagram that keeps a key from being served."""
-    keyed.pools["holds"].set_table(owners(2, (ServerLife("s2", 1),)), clock.now())
+    keyed.pools["holds"].set_table(owners(2, (ServerIncarnation("s2", 1),)), clock.now())
     keyed.submit(ticket(clock.now(), 5), clock.now())
     clock.advance(0.7)
     [(_, placement)] = keyed.sweep(clock.now())
@@ -94,7 +94,7 @@
 
 def test_a_key_without_an_owner_is_refused_soon(keyed, clock):
     """Guards against holding a request that is known to be hopeless."""
-    del keyed.pools["holds"].trackers[ServerLife("s1", 1)]
+    del keyed.pools["holds"].trackers[ServerIncarnation("s1", 1)]
     keyed.submit(ticket(clock.now(), 5), clock.now())
     clock.advance(0.3)
     [(_, placement)] = keyed.sweep(clock.now())
@@ -207,8 +207,8 @@
 
 def test_work_stays_in_the_callers_data_centre_while_there_is_room(terms, clock):
     """Guards against bytes between data centres that are paid for."""
-    near = ServerTracker(BackendServer("near", "holds", "h", 1, "kingston", 4, born_ms=1))
-    far = ServerTracker(BackendServer("far", "holds", "h", 2, "mandeville", 4, born_ms=1))
+    near = ServerTracker(BackendServer("near", "holds", "h", 1, "kingston", 4, started_ms=1))
+    far = ServerTracker(BackendServer("far", "holds", "h", 2, "mandeville", 4, started_ms=1))
     assert_that(choose_server([far, near], terms, clock.now(), frozenset()), Is(near))
     for _ in range(9):
         near.note_sent(clock.now())
@@ -230,7 +230,7 @@
 def test_an_overloaded_server_does_not_look_fast(clock):
     """Guards against a feedback: times divided by the expected queue made the busiest servers of
     a day look fast, so that they were given still more keys."""
-    server = BackendServer("s1", "holds", "h", 1, "kingston", 2, born_ms=1)
+    server = BackendServer("s1", "holds", "h", 1, "kingston", 2, started_ms=1)
     tracker = ServerTracker(server)
     for _ in range(10):
         tracker.note_answer(0.2, 1.0, clock.now())
--- a/packages/decisions/tests/test_grant_book.py
+++ b/packages/decisions/tests/test_grant_book.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, Is, IsInstance, LessThan
 
-from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerLife
+from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import (
     COMMAND_SECONDS,
     HOLD_SECONDS,
@@ -15,12 +15,14 @@
     refenced,
 )
 
-OLD = ServerLife("old", 1)
-NEW = ServerLife("new", 1)
+OLD = ServerIncarnation("old", 1)
+NEW = ServerIncarnation("new", 1)
 KEYS = KeyRange(0, 65535)
 
 
-def table(owner: ServerLife, fence: int, previous: tuple[ServerLife, ...] = ()) -> OwnershipTable:
+def table(
+    owner: ServerIncarnation, fence: int, previous: tuple[ServerIncarnation, ...] = ()
+) -> OwnershipTable:
     return OwnershipTable("holds", fence, (Assignment(KEYS, owner, fence, previous),))
 
 
@@ -182,7 +184,7 @@
 def test_a_former_holder_of_a_settled_past_is_waited_out_for_one_hold_only(clock):
     """Guards against keys without owner for 16 s after all daemons were killed beside a move: the
     table's writer granted its former holder nothing any more."""
-    former = table(NEW, 2, (OLD,)).replace(alone=True)
+    former = table(NEW, 2, (OLD,)).replace(written_by_sole_decider=True)
     seen_at = clock.now() - 1.0
     book = GrantBook(clock.now())
     book.note_former_table(former, seen_at)
--- a/packages/decisions/tests/test_keyed_service.py
+++ b/packages/decisions/tests/test_keyed_service.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
-from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerLife
+from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import (
     GrantBook,
     KeyedService,
@@ -13,12 +13,12 @@
     changes_between,
 )
 
-ONE = ServerLife("s1", 1)
-TWO = ServerLife("s2", 1)
-THREE = ServerLife("s3", 1)
+ONE = ServerIncarnation("s1", 1)
+TWO = ServerIncarnation("s2", 1)
+THREE = ServerIncarnation("s3", 1)
 
 
-def table(fence: int, *pieces: tuple[int, int, ServerLife]) -> OwnershipTable:
+def table(fence: int, *pieces: tuple[int, int, ServerIncarnation]) -> OwnershipTable:
     return OwnershipTable(
         "holds",
         fence,
--- a/packages/decisions/tests/test_planner.py
+++ b/packages/decisions/tests/test_planner.py
@@ -7,7 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
-from fireflylink_core import FIRST_KEY, KEY_COUNT, LAST_KEY, OwnershipTable, ServerLife
+from fireflylink_core import FIRST_KEY, KEY_COUNT, LAST_KEY, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import (
     BusyWatch,
     Candidate,
@@ -25,14 +25,14 @@
 
 def fleet(count: int, capacity: float = 25.0) -> list[Candidate]:
     return [
-        Candidate(ServerLife(f"s{number:02}", 1), capacity * SPEEDS[number % 4], "kingston")
+        Candidate(ServerIncarnation(f"s{number:02}", 1), capacity * SPEEDS[number % 4], "kingston")
         for number in range(count)
     ]
 
 
 def settle(table: OwnershipTable) -> OwnershipTable:
     """Returns the table after every move has ended."""
-    done = tuple(found.replace(previous=(), handover="") for found in table.assignments)
+    done = tuple(found.replace(previous_holders=(), handover="") for found in table.assignments)
     return OwnershipTable(table.service, table.fence, done)
 
 
@@ -75,8 +75,8 @@
     check_covers_all_keys(changed)
     assert_that(changed.owned_by(lost), Equals(()))
     for assignment in changed.assignments:
-        if assignment.previous:
-            assert_that(assignment.previous, Equals((lost,)))
+        if assignment.previous_holders:
+            assert_that(assignment.previous_holders, Equals((lost,)))
             assert_that(assignment.fence, GreaterThan(table.fence))
 
 
@@ -94,14 +94,14 @@
     table = first_table("availability", candidates, 1)
     first_lost = candidates[0].life
     once = plan(table, candidates[1:], no_load(), BusyWatch(), 0.0)
-    heirs = {a.owner for a in once.assignments if first_lost in a.previous}
+    heirs = {a.owner for a in once.assignments if first_lost in a.previous_holders}
     twice = plan(
         once, [c for c in candidates[1:] if c.life not in heirs], no_load(), BusyWatch(), 0.0
     )
     for assignment in twice.assignments:
         if assignment.keys.overlaps(table.owned_by(first_lost)[0].keys):
-            assert_that(first_lost in assignment.previous, Is(True))
-            assert_that(bool(heirs & set(assignment.previous)), Is(True))
+            assert_that(first_lost in assignment.previous_holders, Is(True))
+            assert_that(bool(heirs & set(assignment.previous_holders)), Is(True))
 
 
 def test_a_lapsed_range_gets_a_new_fence():
@@ -198,7 +198,7 @@
         load.advance(now)
         changed = plan(table, candidates, RangeLoad(load.sorted_rates(now)), watch, now)
         if changed is not None:
-            moved += sum(len(a.keys) for a in changed.assignments if a.previous)
+            moved += sum(len(a.keys) for a in changed.assignments if a.previous_holders)
             table = settle(changed)
     assert_that(moved / KEY_COUNT, LessThan(0.3))
 
@@ -245,7 +245,7 @@
             found = changed.find(key)
             if found.owner != owners[key]:
                 assert_that(found.fence, GreaterThan(fences[key]))
-                assert_that(owners[key] in found.previous, Is(True))
+                assert_that(owners[key] in found.previous_holders, Is(True))
             fences[key], owners[key] = found.fence, found.owner
         table = settle(changed) if data.draw(strategies.booleans()) else changed
 
--- a/packages/decisions/tests/test_server_directory.py
+++ b/packages/decisions/tests/test_server_directory.py
@@ -69,7 +69,7 @@
     directory = ServerDirectory()
     directory.put(servers("s1"), clock.now())
     clock.advance(5.0)
-    entry = directory.put(servers("s1").replace(born_ms=2), clock.now())
+    entry = directory.put(servers("s1").replace(started_ms=2), clock.now())
     assert_that(entry.joined_at, Equals(clock.now()))
 
 
--- a/packages/emulator/src/fireflylink_emulator/_callers.py
+++ b/packages/emulator/src/fireflylink_emulator/_callers.py
@@ -2,7 +2,7 @@
 
 import random
 
-from fireflylink_core import BaseReply, CallerLeft, NotRun, OutcomeUnknown, ServerAnswer
+from fireflylink_core import BaseReply, CallerDisconnected, NotRun, OutcomeUnknown, ServerAnswer
 from fireflylink_emulator._agenda import Agenda
 from fireflylink_emulator._base_daemon import BaseEmulatedDaemon
 from fireflylink_emulator._order import CallerOrder
@@ -87,7 +87,7 @@
             if not ended[0]:
                 ended[0] = True
                 daemon.leave(order)
-                self._ended(order, CallerLeft())
+                self._ended(order, CallerDisconnected())
 
         if daemon.running:
             self.agenda.after(NETWORK_SECONDS, lambda: daemon.receive(order, reply))
--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -3,7 +3,7 @@
 import functools
 from collections.abc import Callable
 
-from fireflylink_core import KEY_COUNT, KeyRange, OwnershipTable, ServerLife
+from fireflylink_core import KEY_COUNT, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import (
     COMMAND_SECONDS,
     HOLD_SECONDS,
@@ -149,7 +149,7 @@
         elif isinstance(command, ReleaseCommand):
             self.agenda.after(COMMAND_TRAVEL_SECONDS, lambda: self._release(book, server, command))
 
-    def _server_of(self, life: ServerLife) -> EmulatedServer | None:
+    def _server_of(self, life: ServerIncarnation) -> EmulatedServer | None:
         return next((server for server in self.servers if server.life == life), None)
 
     def _grant(self, book: GrantBook, server: EmulatedServer, command: GrantCommand) -> None:
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -2,7 +2,7 @@
 
 import random
 
-from fireflylink_core import BackendServer, KeyRange, ServerLife, ServerLoad
+from fireflylink_core import BackendServer, KeyRange, ServerIncarnation, ServerLoad
 from fireflylink_decisions.limits import SlidingCount
 from fireflylink_emulator._agenda import Agenda
 from fireflylink_emulator._order import CallDone, CallEnd, CallerOrder, CallOutcome
@@ -99,9 +99,9 @@
         self.waiting: list[Call] = []
 
     @property
-    def life(self) -> ServerLife:
+    def life(self) -> ServerIncarnation:
         """The identity of the present life."""
-        return ServerLife(self.name, self.born)
+        return ServerIncarnation(self.name, self.born)
 
     @property
     def cold(self) -> bool:
@@ -119,7 +119,7 @@
             self.data_centre,
             self.profile.slots,
             cold_ms=cold_ms,
-            born_ms=self.born,
+            started_ms=self.born,
         )
 
     def holds(self, key: int) -> bool:
@@ -129,7 +129,7 @@
             keys.first <= key <= keys.last and now < until for (keys, _), until in self.held.items()
         )
 
-    def arrive(self, call: Call, life: ServerLife) -> None:
+    def arrive(self, call: Call, life: ServerIncarnation) -> None:
         """Takes a request that was sent to one of its lives."""
         if self.silent:
             return
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -6,14 +6,14 @@
     Answered,
     BaseCallResult,
     BaseReply,
-    CallerLeft,
+    CallerDisconnected,
     Declined,
     KeyRange,
     Lost,
     LostReason,
     NotSent,
     OwnershipTable,
-    ServerLife,
+    ServerIncarnation,
 )
 from fireflylink_decisions.dispatch import (
     BasePlacement,
@@ -90,8 +90,8 @@
         self.position = FleetPosition(name, members)
         self.profiles = {profile.name: profile for profile in profiles}
         self.dispatcher = Dispatcher()
-        self.trackers: dict[ServerLife, ServerTracker] = {}
-        self.servers: dict[ServerLife, EmulatedServer] = {}
+        self.trackers: dict[ServerIncarnation, ServerTracker] = {}
+        self.servers: dict[ServerIncarnation, EmulatedServer] = {}
         self.courses: dict[CallerOrder, _Course] = {}
         self.waiting: dict[Ticket, _Course] = {}
         self.sweeping = False
@@ -114,13 +114,13 @@
             pool.trackers = {}
         for server in servers:
             registration = server.registration()
-            tracker = self.trackers.get(registration.life)
+            tracker = self.trackers.get(registration.incarnation)
             if tracker is None:
-                tracker = self.trackers[registration.life] = ServerTracker(registration)
-                self.servers[registration.life] = server
+                tracker = self.trackers[registration.incarnation] = ServerTracker(registration)
+                self.servers[registration.incarnation] = server
             if registration.cold_ms > 0:
                 tracker.gate.note_cold(now + registration.cold_ms / MILLISECONDS_PER_SECOND)
-            self.dispatcher.pools[server.profile.name].trackers[registration.life] = tracker
+            self.dispatcher.pools[server.profile.name].trackers[registration.incarnation] = tracker
         self._sweep()
 
     def note_table(self, table: OwnershipTable) -> None:
@@ -153,7 +153,7 @@
         if found is not None:
             found[0].drop(found[1])
             found[1].done(CallOutcome(CallEnd.LATE))
-        course.done(CallerLeft())
+        course.done(CallerDisconnected())
 
     def _place(self, course: _Course) -> None:
         order = course.order
@@ -193,7 +193,7 @@
             reply = course.attempts.refusal(placement.reason, placement.retry_after)
             self._finish(course, reply)
         elif isinstance(placement, Send):
-            life = placement.tracker.server.life
+            life = placement.tracker.server.incarnation
             course.attempts.note_sent(life.server_id)
             sent_at = self.agenda.clock.now()
             self.call(
--- a/packages/emulator/src/fireflylink_emulator/_tally.py
+++ b/packages/emulator/src/fireflylink_emulator/_tally.py
@@ -2,7 +2,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from fireflylink_core import BaseReply, CallerLeft, NotRun, OutcomeUnknown, ServerAnswer
+from fireflylink_core import BaseReply, CallerDisconnected, NotRun, OutcomeUnknown, ServerAnswer
 from fireflylink_emulator._order import CallerOrder
 
 MICROSECONDS_PER_SECOND = 1_000_000
@@ -89,7 +89,7 @@
             self._note_served(order, now)
         elif isinstance(reply, NotRun):
             self.refused += 1
-        elif isinstance(reply, ServerAnswer | OutcomeUnknown | CallerLeft):
+        elif isinstance(reply, ServerAnswer | OutcomeUnknown | CallerDisconnected):
             self.failed += 1
 
     def close(self) -> None:
--- a/packages/emulator/tests/test_parts.py
+++ b/packages/emulator/tests/test_parts.py
@@ -115,7 +115,7 @@
     assert_that(server.down, Equals(True))
     assert_that(server.highest_cold, GreaterThan(2 * int(server.allowed_cold) - 1))
     agenda.run_until(6.0)
-    assert_that((server.down, server.life.born_ms, server.holds(5)), Equals((False, 2, False)))
+    assert_that((server.down, server.life.started_ms, server.holds(5)), Equals((False, 2, False)))
 
 
 def test_a_tally_counts_each_broken_promise(order):
--- a/packages/experiments/src/fireflylink_experiments/slopes.py
+++ b/packages/experiments/src/fireflylink_experiments/slopes.py
@@ -10,7 +10,7 @@
 
 from absl import flags
 
-from fireflylink_core import KEY_COUNT, ManualClock, OwnershipTable, ServerLife
+from fireflylink_core import KEY_COUNT, ManualClock, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import (
     BusyWatch,
     Candidate,
@@ -31,7 +31,9 @@
 
 
 def _fleet(source: random.Random, count: int) -> list[Candidate]:
-    lives = (ServerLife(f"i-{source.getrandbits(40):010x}", 1787427283046) for _ in range(count))
+    lives = (
+        ServerIncarnation(f"i-{source.getrandbits(40):010x}", 1787427283046) for _ in range(count)
+    )
     return [Candidate(life, 25.0, "a") for life in lives]
 
 
--- a/packages/operator_client/src/fireflylink_operator_client/_commands.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_commands.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from fireflylink_core import LAST_KEY, ServerLife
+from fireflylink_core import LAST_KEY, ServerIncarnation
 from fireflylink_operator_client._errors import OperatorError
 from fireflylink_operator_client._system_view import SystemView
 
@@ -33,16 +33,16 @@
         raise OperatorError(f"{service!r} has no ownership table; services with one: {known}")
     if key is not None and not 0 <= key <= LAST_KEY:
         raise OperatorError(f"the key must be from 0 to {LAST_KEY}")
-    present = {server.life for server in view.servers}
+    present = {server.incarnation for server in view.servers}
     yield f"{service}: fence {table.fence}, {len(table.assignments)} ranges"
     for assignment in table.assignments:
         if key is not None and not assignment.keys.first <= key <= assignment.keys.last:
             continue
-        notes = _notes(assignment.previous, assignment.owner in present)
+        notes = _notes(assignment.previous_holders, assignment.owner in present)
         yield f"  {assignment.keys!s:>12}  {assignment.owner}  fence {assignment.fence}{notes}"
 
 
-def _notes(previous: tuple[ServerLife, ...], registered: bool) -> str:
+def _notes(previous: tuple[ServerIncarnation, ...], registered: bool) -> str:
     notes = "" if registered else "  NOT REGISTERED"
     if previous:
         notes += f"  on its way from {', '.join(map(str, previous))}"
--- a/packages/operator_client/tests/test_commands.py
+++ b/packages/operator_client/tests/test_commands.py
@@ -7,7 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength, IsInstance
 
-from fireflylink_core import Assignment, KeyRange, ManualClock, OwnershipTable, ServerLife
+from fireflylink_core import Assignment, KeyRange, ManualClock, OwnershipTable, ServerIncarnation
 from fireflylink_operator_client import (
     OperatorError,
     history_lines,
@@ -33,8 +33,10 @@
     "availability",
     4,
     (
-        Assignment(KeyRange(0, 99), ServerLife("i-1", 1), 3),
-        Assignment(KeyRange(100, 65535), ServerLife("i-2", 1), 4, (ServerLife("i-1", 1),)),
+        Assignment(KeyRange(0, 99), ServerIncarnation("i-1", 1), 3),
+        Assignment(
+            KeyRange(100, 65535), ServerIncarnation("i-2", 1), 4, (ServerIncarnation("i-1", 1),)
+        ),
     ),
 )
 
--- a/packages/protocol/src/fireflylink_protocol/_datagrams.py
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -3,7 +3,7 @@
 import msgpack
 from returns.result import Failure, Result, Success
 
-from fireflylink_core import BaseValue, KeyRange, ServerLife
+from fireflylink_core import BaseValue, KeyRange, ServerIncarnation
 from fireflylink_protocol._errors import RecordError
 
 REPORT_FORMAT = 1
@@ -72,7 +72,7 @@
 
     __slots__ = ("fingerprint", "life")
 
-    def __init__(self, fingerprint: bytes, life: ServerLife) -> None:
+    def __init__(self, fingerprint: bytes, life: ServerIncarnation) -> None:
         self.fingerprint = fingerprint
         self.life = life
 
@@ -95,7 +95,7 @@
         ]
     elif isinstance(message, CrashNotice):
         life = message.life
-        fields = [CRASH_FORMAT, message.fingerprint, life.server_id, life.born_ms]
+        fields = [CRASH_FORMAT, message.fingerprint, life.server_id, life.started_ms]
     else:
         keys = message.keys
         fields = [NOTICE_FORMAT, message.service, keys.first, keys.last, message.fence]
@@ -145,7 +145,7 @@
 
 
 def _crash(fingerprint: bytes, server_id: str, born_ms: int) -> CrashNotice:
-    return CrashNotice(bytes(fingerprint), ServerLife(str(server_id), int(born_ms)))
+    return CrashNotice(bytes(fingerprint), ServerIncarnation(str(server_id), int(born_ms)))
 
 
 def _notice(service: str, first: int, last: int, fence: int) -> GrantNotice:
--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -12,7 +12,7 @@
     BaseValue,
     KeyRange,
     OwnershipTable,
-    ServerLife,
+    ServerIncarnation,
 )
 from fireflylink_protocol._errors import RecordError
 
@@ -88,7 +88,7 @@
     on its way, its former holders and the hand-over token. The JSON is compressed; operators see
     it with ``fireflylink owners``.
     """
-    lives: dict[ServerLife, int] = {}
+    lives: dict[ServerIncarnation, int] = {}
     rows: list[list[object]] = []
     before = FIRST_KEY - 1
     for assignment in table.assignments:
@@ -97,8 +97,8 @@
             table.fence - assignment.fence,
             lives.setdefault(assignment.owner, len(lives)),
         ]
-        if assignment.previous or assignment.handover:
-            row.append([lives.setdefault(life, len(lives)) for life in assignment.previous])
+        if assignment.previous_holders or assignment.handover:
+            row.append([lives.setdefault(life, len(lives)) for life in assignment.previous_holders])
             row.append(assignment.handover)
         rows.append(row)
         before = assignment.keys.last
@@ -106,8 +106,8 @@
         {
             "service": table.service,
             "fence": table.fence,
-            "alone": table.alone,
-            "lives": [[life.server_id, life.born_ms] for life in lives],
+            "alone": table.written_by_sole_decider,
+            "lives": [[life.server_id, life.started_ms] for life in lives],
             "assignments": rows,
         }
     )
@@ -118,7 +118,7 @@
     """Returns the ownership table of a record."""
 
     def table(fields: Any) -> OwnershipTable:
-        lives = [ServerLife(str(server), int(born)) for server, born in fields["lives"]]
+        lives = [ServerIncarnation(str(server), int(born)) for server, born in fields["lives"]]
         fence = int(fields["fence"])
         assignments = []
         before = FIRST_KEY - 1
--- a/packages/protocol/tests/test_records.py
+++ b/packages/protocol/tests/test_records.py
@@ -6,7 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, IsInstance, LessThan
 
-from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerLife
+from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_protocol import (
     CrashNotice,
     GrantNotice,
@@ -22,7 +22,9 @@
 )
 
 LIVES = strategies.builds(
-    ServerLife, strategies.text("abc0123", min_size=1, max_size=4), strategies.integers(0, 1 << 41)
+    ServerIncarnation,
+    strategies.text("abc0123", min_size=1, max_size=4),
+    strategies.integers(0, 1 << 41),
 )
 
 
@@ -72,7 +74,7 @@
     [
         LoadReport("front-0", "availability", 3, 9, (1, 65535, 1), (ServerTimes("i-1", 2, 310),)),
         GrantNotice("availability", KeyRange(4, 99), 12),
-        CrashNotice(b"12345678", ServerLife("i-1", 1787427283046)),
+        CrashNotice(b"12345678", ServerIncarnation("i-1", 1787427283046)),
     ],
 )
 def test_a_datagram_is_read_as_it_was_sent(message):
@@ -103,7 +105,9 @@
     assignments = tuple(
         Assignment(
             KeyRange(first, first + 1023),
-            ServerLife(f"i-{(first * 2654435761) % (1 << 40):010x}", 1787427283046 + first % 30),
+            ServerIncarnation(
+                f"i-{(first * 2654435761) % (1 << 40):010x}", 1787427283046 + first % 30
+            ),
             first % 7 + 1,
         )
         for first in range(0, 65536, 1024)
--- a/packages/standins/tests/test_adapter_catalogue.py
+++ b/packages/standins/tests/test_adapter_catalogue.py
@@ -76,7 +76,7 @@
     server = decode_server("i-1", json.dumps(SERVER).encode())
     assert_that((server.host, server.port, server.slots), Equals(("10.128.0.9", 8080, 4)))
     assert_that((server.state, server.cold_ms), Equals((ServerState.READY, 250.0)))
-    assert_that(server.life.born_ms, Equals(1787427283046))
+    assert_that(server.incarnation.started_ms, Equals(1787427283046))
 
 
 @pytest.mark.parametrize(
@@ -118,9 +118,9 @@
     assert_that(route.host, Equals("jepu9.example"))
     assert_that(route.kind, Equals(RequestKind.IDEMPOTENT))
     assert_that([(t.service, t.weight) for t in route.targets], Equals([("a", 90), ("b", 10)]))
-    assert_that((route.rank, route.max_servers), Equals((2, 2)))
+    assert_that((route.priority, route.max_attempts), Equals((2, 2)))
     assert_that([service.keyed for service in configuration.services], Equals([True, False]))
-    assert_that(configuration.limits.max_head_bytes, Equals(16384))
+    assert_that(configuration.limits.max_header_bytes, Equals(16384))
 
 
 @pytest.mark.parametrize(
--- a/packages/standins/tests/test_adapter_dialects.py
+++ b/packages/standins/tests/test_adapter_dialects.py
@@ -66,7 +66,7 @@
     refused = dialect.write("id", NotRun("no-room", retry_after=0.25))
     assert_that((refused.status, dict(refused.headers)["Retry-After"]), Equals((503, "0.250")))
     assert_that(dialect.write("id", OutcomeUnknown("reset")).status, Equals(502))
-    assert_that(dialect.write("id", OutcomeUnknown("late", late=True)).status, Equals(504))
+    assert_that(dialect.write("id", OutcomeUnknown("late", timed_out=True)).status, Equals(504))
 
 
 def test_an_answer_of_another_request_is_recognised():
@@ -101,7 +101,7 @@
     dialect = PlatformServerDialect()
     assert_that(dialect.load(response(200, ("Server-Load", "3,0,8"))), Equals(ServerLoad(3, 0, 8)))
     full = dialect.load(response(200, ("Server-Load", "3, 1, 8, 250")))
-    assert_that((full.waiting, full.pace), Equals((1, 2.5)))
+    assert_that((full.waiting, full.slowdown_factor), Equals((1, 2.5)))
     for text in ("", "3,0", "a,b,c", "3,0,8,x"):
         assert_that(dialect.load(response(200, ("Server-Load", text))), Is(None))
 
