Name store items, leases and decoders by the terms of key-value stores

A catalogue of facts becomes an item decoder that returns updates, a lease is created and revoked, a history is compacted, and a removal is a deletion. The adapter's classes follow: PlatformItemDecoder, PlatformStoreClient and the codecs.

--- a/packages/backend_client/tests/test_pool.py
+++ b/packages/backend_client/tests/test_pool.py
@@ -17,7 +17,7 @@
     NotSent,
     SystemClock,
 )
-from fireflylink_platform import PlatformServerDialect
+from fireflylink_platform import PlatformServerCodec
 
 SIGNED = b"Server-Signature: s\r\nServer-Load: 2,1,4,150\r\n"
 
@@ -59,7 +59,7 @@
         servers.append(server)
         port = server.listener.getsockname()[1]
         backend = BackendServer("i-1", "a", "127.0.0.1", port, "kingston", 4)
-        return ServerPool(backend, SystemClock(), PlatformServerDialect())
+        return ServerPool(backend, SystemClock(), PlatformServerCodec())
 
     make.servers = servers
     yield make
@@ -111,7 +111,7 @@
 def test_nobody_listening_is_not_sent():
     """Guards against an unknown outcome of a request that never left."""
     backend = BackendServer("i-1", "a", "127.0.0.1", 1, "kingston", 4)
-    pool = ServerPool(backend, SystemClock(), PlatformServerDialect())
+    pool = ServerPool(backend, SystemClock(), PlatformServerCodec())
     assert_that(call(pool), IsInstance(NotSent))
 
 
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -25,10 +25,10 @@
 from fireflylink_daemon._view_task import ViewTask
 from fireflylink_platform import (
     READY_PATH,
-    PlatformCallerDialect,
-    PlatformCatalogue,
-    PlatformServerDialect,
-    PlatformStore,
+    PlatformCallerCodec,
+    PlatformItemDecoder,
+    PlatformServerCodec,
+    PlatformStoreClient,
 )
 from fireflylink_protocol import MemberRecord
 
@@ -84,8 +84,8 @@
         self.leaving = False
         self.left = Event()
         self.metrics = Metrics()
-        self.stores: list[PlatformStore] = []
-        dialect = PlatformServerDialect()
+        self.stores: list[PlatformStoreClient] = []
+        dialect = PlatformServerCodec()
         self.serving = Serving(settings, clock, dialect)
         self.dispatch = DispatchTask(self.serving.dispatcher, clock)
         self.view = ViewTask(self.serving, clock)
@@ -108,13 +108,13 @@
         self.view.ownership = self.ownership
         self.view.member = self.member
         self.reader = StoreReader(
-            self._store(), PlatformCatalogue(), self.view, clock, self.metrics
+            self._store(), PlatformItemDecoder(), self.view, clock, self.metrics
         )
         self.path = path = RequestPath(
             self.serving, self.dispatch, keys, CrashWatch(self.peers, clock), clock, self.metrics
         )
         self.callers = HttpListener(
-            make_application(path, PlatformCallerDialect()),
+            make_application(path, PlatformCallerCodec()),
             settings.caller_address.host,
             settings.caller_address.port,
             path.limits,
@@ -197,12 +197,12 @@
         self.settings = settings
         self.serving.settings = settings
         for store in self.stores:
-            store.move(settings.store_address.host, settings.store_address.port)
+            store.set_address(settings.store_address.host, settings.store_address.port)
         log_event("settings-reloaded", changed=changed)
 
-    def _store(self) -> PlatformStore:
+    def _store(self) -> PlatformStoreClient:
         address = self.settings.store_address
-        store = PlatformStore(address.host, address.port, self.clock)
+        store = PlatformStoreClient(address.host, address.port, self.clock)
         self.stores.append(store)
         return store
 
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -26,11 +26,11 @@
     ownership_key,
 )
 from fireflylink_store import (
-    ABSENT,
+    ABSENT_REVISION,
     BaseStore,
     Commit,
     ConflictError,
-    LeaseEndedError,
+    LeaseNotFoundError,
     Put,
     StoreError,
     StoreUnavailableError,
@@ -146,7 +146,7 @@
         """
         if not self.decidership.held:
             return
-        ended = self.store.end_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
+        ended = self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
         if isinstance(ended, Success):
             self._lose("leaving")
         else:
@@ -155,7 +155,7 @@
     def _resign(self, reason: str) -> None:
         """Ends the decider's lease, so that another daemon takes over at once."""
         if self.lease_id:
-            self.store.end_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
+            self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
         self._lose(reason)
 
     def _note_record(self, message: DeciderChanged) -> None:
@@ -178,18 +178,18 @@
         if error is None:
             asked_at = self.clock.now()
             put = Put(DECIDER_KEY, encode_member(self.record), self.lease_id)
-            commit = Commit(expected=((DECIDER_KEY, ABSENT),), puts=(put,))
+            commit = Commit(expected=((DECIDER_KEY, ABSENT_REVISION),), puts=(put,))
             written = self.store.commit(commit, asked_at + CALL_SECONDS)
             if isinstance(written, Success):
                 self._win(written.unwrap(), asked_at)
                 return
             error = written.failure()
-        if isinstance(error, ConflictError | LeaseEndedError):
+        if isinstance(error, ConflictError | LeaseNotFoundError):
             self.lease_id = 0
         log_event("decider-candidacy-failed", problem=error)
 
     def _open_lease(self) -> StoreError | None:
-        opened = self.store.open_lease(self.lease_seconds, self.clock.now() + CALL_SECONDS)
+        opened = self.store.create_lease(self.lease_seconds, self.clock.now() + CALL_SECONDS)
         if not isinstance(opened, Success):
             return opened.failure()
         self.lease_id = opened.unwrap().lease_id
@@ -232,7 +232,7 @@
         self.metrics.count("store_calls", kind="decider-renewal", result=result)
         if isinstance(renewed, Success):
             self.decidership.note_confirmed(asked_at)
-        elif isinstance(renewed.failure(), LeaseEndedError):
+        elif isinstance(renewed.failure(), LeaseNotFoundError):
             self._lose("lease-ended")
             self.decidership.vacant_since = self.clock.now()
 
@@ -257,7 +257,7 @@
                 ranges=len(table.assignments),
                 revision=written.unwrap(),
             )
-            first = message.revision == ABSENT
+            first = message.revision == ABSENT_REVISION
             self._tell(TableChanged(table, written.unwrap(), first))
             self.serving.set_table(table)
             return
--- a/packages/daemon/src/fireflylink_daemon/_member_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_member_task.py
@@ -8,7 +8,7 @@
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._task import BaseTask
 from fireflylink_protocol import MemberRecord, encode_member, member_key
-from fireflylink_store import BaseStore, Commit, LeaseEndedError, Put, StoreError
+from fireflylink_store import BaseStore, Commit, LeaseNotFoundError, Put, StoreError
 
 LEASE_SECONDS = 6.0
 RENEWAL_SECONDS = 1.0
@@ -49,7 +49,7 @@
         if error is None:
             self.due_at = self.clock.now() + RENEWAL_SECONDS
             return
-        if isinstance(error, LeaseEndedError):
+        if isinstance(error, LeaseNotFoundError):
             log_problem("member-lease-ended", instance=self.record.instance)
             self.lease_id = 0
         self.due_at = self.clock.now() + RETRY_SECONDS
@@ -73,11 +73,11 @@
         """Removes the record, so that the others take over this daemon's shares."""
         self.due_at = NEVER
         if self.lease_id:
-            self.store.end_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
+            self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
             self.lease_id = 0
 
     def _join(self) -> StoreError | None:
-        opened = self.store.open_lease(LEASE_SECONDS, self.clock.now() + CALL_SECONDS)
+        opened = self.store.create_lease(LEASE_SECONDS, self.clock.now() + CALL_SECONDS)
         if not isinstance(opened, Success):
             return opened.failure()
         lease_id = opened.unwrap().lease_id
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -4,7 +4,7 @@
 from fireflylink_core import OwnershipTable
 from fireflylink_decisions.ownership import BaseCommand
 from fireflylink_protocol import LoadReport, MemberRecord
-from fireflylink_store import BaseFact
+from fireflylink_store import BaseUpdate
 
 
 class FactsRead:
@@ -12,7 +12,7 @@
 
     __slots__ = ("facts", "revision", "whole")
 
-    def __init__(self, facts: tuple[BaseFact, ...], revision: int, whole: bool) -> None:
+    def __init__(self, facts: tuple[BaseUpdate, ...], revision: int, whole: bool) -> None:
         self.facts = facts
         self.revision = revision
         self.whole = whole
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -36,7 +36,7 @@
     changes_between,
 )
 from fireflylink_protocol import GrantNotice, LoadReport
-from fireflylink_store import ABSENT
+from fireflylink_store import ABSENT_REVISION
 
 TICK_SECONDS = 0.1
 PLAN_SECONDS = 0.3
@@ -190,7 +190,7 @@
         wanted = service.wanted_table(candidates, max(joined, default=now), now)
         if wanted is not None:
             self._log_plan(service, wanted, candidates)
-            alone = service.revision == ABSENT or now >= alone_from(self.began_at)
+            alone = service.revision == ABSENT_REVISION or now >= alone_from(self.began_at)
             marked = wanted.replace(written_by_sole_decider=alone)
             service.commit_asked_at = now
             service.asked.append(marked)
--- a/packages/daemon/src/fireflylink_daemon/_store_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_task.py
@@ -8,7 +8,13 @@
 from fireflylink_daemon._messages import FactsRead, StoreLost, StoreReached
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._task import BaseTask
-from fireflylink_store import BaseCatalogue, BaseFact, BaseStore, HistoryGoneError, StoreError
+from fireflylink_store import (
+    BaseItemDecoder,
+    BaseStore,
+    BaseUpdate,
+    HistoryCompactedError,
+    StoreError,
+)
 
 EVERYTHING = ""
 READ_SECONDS = 2.0
@@ -39,7 +45,7 @@
     def __init__(
         self,
         store: BaseStore,
-        catalogue: BaseCatalogue,
+        catalogue: BaseItemDecoder,
         view: BaseTask,
         clock: BaseClock,
         metrics: Metrics,
@@ -80,7 +86,7 @@
             return read.failure()
         snapshot = read.unwrap()
         self._note_reached()
-        facts = tuple(fact for item in snapshot.items for fact in self.catalogue.facts(item))
+        facts = tuple(fact for item in snapshot.items for fact in self.catalogue.decode(item))
         self.revision = snapshot.revision
         self._post(facts, whole=True)
         log_event("store-read", items=len(snapshot.items), revision=snapshot.revision)
@@ -94,14 +100,14 @@
             return read.failure()
         changes = read.unwrap()
         self._note_reached()
-        facts = tuple(fact for change in changes.changes for fact in self.catalogue.facts(change))
+        facts = tuple(fact for change in changes.changes for fact in self.catalogue.decode(change))
         self.revision = max(self.revision, changes.revision)
         if facts:
             self._post(facts, whole=False)
             gevent.sleep(GATHER_SECONDS)
         return None
 
-    def _post(self, facts: tuple[BaseFact, ...], whole: bool) -> None:
+    def _post(self, facts: tuple[BaseUpdate, ...], whole: bool) -> None:
         self.view.post(FactsRead(facts, self.revision, whole))
 
     def _note_reached(self) -> None:
@@ -111,7 +117,7 @@
             self.view.post(StoreReached())
 
     def _note_error(self, error: StoreError) -> None:
-        if isinstance(error, HistoryGoneError):
+        if isinstance(error, HistoryCompactedError):
             log_problem("store-history-gone", revision=self.revision)
             self.revision = 0
             # Registrations may have lapsed and come back in the gap that was not seen.
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -30,13 +30,13 @@
     decode_table,
 )
 from fireflylink_store import (
-    BaseFact,
-    ConfigurationFact,
-    EvacuationFact,
-    RecordFact,
-    ServerFact,
-    ServerGoneFact,
-    UnreadableFact,
+    BaseUpdate,
+    ConfigurationUpdate,
+    EvacuationUpdate,
+    RecordUpdate,
+    ServerRemoved,
+    ServerUpdate,
+    UnreadableItem,
 )
 
 TICK_SECONDS = 0.2
@@ -97,13 +97,13 @@
         facts = message.facts
         serving = self.serving
         server_ids = frozenset(
-            fact.server.server_id for fact in facts if isinstance(fact, ServerFact)
+            fact.server.server_id for fact in facts if isinstance(fact, ServerUpdate)
         )
         serving.directory.keep_only(server_ids, self.clock.now())
-        wanted = {fact.data_centre for fact in facts if isinstance(fact, EvacuationFact)}
+        wanted = {fact.data_centre for fact in facts if isinstance(fact, EvacuationUpdate)}
         for data_centre in [found for found in serving.directory.evacuated if found not in wanted]:
             serving.set_evacuated(data_centre, False)
-        keys = {fact.key for fact in facts if isinstance(fact, RecordFact)}
+        keys = {fact.key for fact in facts if isinstance(fact, RecordUpdate)}
         members = {
             name: member
             for name, member in serving.members.items()
@@ -114,23 +114,23 @@
         if DECIDER_KEY not in keys:
             self._set_decider(None, message.revision)
 
-    def _apply_fact(self, fact: BaseFact) -> None:
-        if isinstance(fact, ServerFact):
+    def _apply_fact(self, fact: BaseUpdate) -> None:
+        if isinstance(fact, ServerUpdate):
             self.serving.put_server(fact.server)
-        elif isinstance(fact, ServerGoneFact):
+        elif isinstance(fact, ServerRemoved):
             self.serving.remove_server(fact.server_id)
-        elif isinstance(fact, ConfigurationFact):
+        elif isinstance(fact, ConfigurationUpdate):
             self.serving.set_configuration(fact.configuration)
-        elif isinstance(fact, EvacuationFact):
+        elif isinstance(fact, EvacuationUpdate):
             self.serving.set_evacuated(fact.data_centre, fact.requested)
-        elif isinstance(fact, RecordFact):
+        elif isinstance(fact, RecordUpdate):
             self._apply_record(fact)
-        elif isinstance(fact, UnreadableFact):
+        elif isinstance(fact, UnreadableItem):
             log_problem(
                 "item-unreadable", key=fact.key, problem=fact.problem, revision=fact.revision
             )
 
-    def _apply_record(self, fact: RecordFact) -> None:
+    def _apply_record(self, fact: RecordUpdate) -> None:
         if fact.key == DECIDER_KEY:
             member = _decoded(decode_member(fact.value), fact) if fact.value is not None else None
             self._set_decider(member, fact.revision)
@@ -142,7 +142,7 @@
                 self.serving.set_table(table)
                 self._tell_ownership(TableChanged(table, fact.revision))
 
-    def _apply_member(self, fact: RecordFact) -> None:
+    def _apply_member(self, fact: RecordUpdate) -> None:
         name = fact.key.removeprefix(MEMBERS_PREFIX)
         members = dict(self.serving.members)
         members.pop(name, None)
@@ -165,7 +165,7 @@
             self.ownership.post(message)
 
 
-def _decoded(result: Result[Decoded, RecordError], fact: RecordFact) -> Decoded | None:
+def _decoded(result: Result[Decoded, RecordError], fact: RecordUpdate) -> Decoded | None:
     if isinstance(result, Success):
         value: Decoded = result.unwrap()
         return value
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -11,7 +11,7 @@
 from fireflylink_daemon._ownership_task import OwnershipTask
 from fireflylink_daemon._serving import Serving
 from fireflylink_daemon._view_task import ViewTask
-from fireflylink_platform import PlatformCatalogue, PlatformServerDialect
+from fireflylink_platform import PlatformItemDecoder, PlatformServerCodec
 from fireflylink_protocol import MemberRecord
 from fireflylink_standins import BOUNDS, MemoryStore, StoreState
 
@@ -44,17 +44,17 @@
     def __init__(self, settings, clock: ManualClock, state: StoreState, name: str) -> None:
         self.clock = clock
         self.store = MemoryStore(state)
-        self.serving = Serving(settings, clock, PlatformServerDialect())
+        self.serving = Serving(settings, clock, PlatformServerCodec())
         self.view = ViewTask(self.serving, clock)
         self.record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
         self.decider = DeciderTask(self.record, self.store, self.serving, clock, Metrics())
         self.peers = QuietPeers()
         self.ownership = OwnershipTask(
-            self.serving, self.decider, self.peers, clock, PlatformServerDialect()
+            self.serving, self.decider, self.peers, clock, PlatformServerCodec()
         )
         self.decider.ownership = self.ownership
         self.view.ownership = self.ownership
-        self.catalogue = PlatformCatalogue()
+        self.catalogue = PlatformItemDecoder()
         self.read_to = 0
 
     def deliver(self) -> None:
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -104,7 +104,7 @@
             items.append(Item(f"servers/{name}", json.dumps(entry).encode(), 2))
         table = OwnershipTable("a", 1, (Assignment(KeyRange(0, 65535), LIFE, 1),))
         items.append(Item(ownership_key("a"), encode_table(table), 3))
-        facts = tuple(fact for item in items for fact in bench.catalogue.facts(item))
+        facts = tuple(fact for item in items for fact in bench.catalogue.decode(item))
         bench.view.receive(FactsRead(facts, 3, True))
 
     def note_ended(self, server, request) -> None:
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -41,7 +41,7 @@
 
 def read(bench, *items: Item, whole: bool = False) -> None:
     """Lets the view read items as the store's reader posts them."""
-    facts = tuple(fact for item in items for fact in bench.catalogue.facts(item))
+    facts = tuple(fact for item in items for fact in bench.catalogue.decode(item))
     bench.read_to += 1
     bench.view.receive(FactsRead(facts, bench.read_to, whole))
     bench.deliver()
--- a/packages/operator_client/src/fireflylink_operator_client/_main.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_main.py
@@ -12,7 +12,7 @@
 from fireflylink_operator_client._commands import history_lines, owner_lines, status_lines
 from fireflylink_operator_client._errors import OperatorError
 from fireflylink_operator_client._system_view import SystemView, read_system
-from fireflylink_platform import PlatformCatalogue, PlatformStore
+from fireflylink_platform import PlatformItemDecoder, PlatformStoreClient
 
 USAGE = """fireflylink: what the system knows, and what became of a request
 
@@ -33,7 +33,7 @@
     if not host or not port.isdecimal():
         raise OperatorError("--store must be HOST:PORT, as in a daemon's settings")
     clock = SystemClock()
-    read = read_system(PlatformStore(host, int(port), clock), PlatformCatalogue(), clock)
+    read = read_system(PlatformStoreClient(host, int(port), clock), PlatformItemDecoder(), clock)
     if not isinstance(read, Success):
         raise read.failure()
     view: SystemView = read.unwrap()
--- a/packages/operator_client/src/fireflylink_operator_client/_system_view.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_system_view.py
@@ -18,14 +18,14 @@
     decode_table,
 )
 from fireflylink_store import (
-    BaseCatalogue,
-    BaseFact,
+    BaseItemDecoder,
     BaseStore,
-    ConfigurationFact,
-    EvacuationFact,
-    RecordFact,
-    ServerFact,
-    UnreadableFact,
+    BaseUpdate,
+    ConfigurationUpdate,
+    EvacuationUpdate,
+    RecordUpdate,
+    ServerUpdate,
+    UnreadableItem,
 )
 
 EVERYTHING = ""
@@ -54,20 +54,20 @@
         self.servers: list[BackendServer] = []
         self.evacuated: list[str] = []
         self.tables: dict[str, OwnershipTable] = {}
-        self.unreadable: list[UnreadableFact] = []
+        self.unreadable: list[UnreadableItem] = []
 
-    def take(self, fact: BaseFact) -> None:
+    def apply(self, update: BaseUpdate) -> None:
         """Adds what one fact says."""
-        if isinstance(fact, ConfigurationFact):
-            self.configuration = fact.configuration
-        elif isinstance(fact, ServerFact):
-            self.servers.append(fact.server)
-        elif isinstance(fact, EvacuationFact) and fact.requested:
-            self.evacuated.append(fact.data_centre)
-        elif isinstance(fact, UnreadableFact):
-            self.unreadable.append(fact)
-        elif isinstance(fact, RecordFact) and fact.value is not None:
-            self._take_record(fact.key, fact.value)
+        if isinstance(update, ConfigurationUpdate):
+            self.configuration = update.configuration
+        elif isinstance(update, ServerUpdate):
+            self.servers.append(update.server)
+        elif isinstance(update, EvacuationUpdate) and update.requested:
+            self.evacuated.append(update.data_centre)
+        elif isinstance(update, UnreadableItem):
+            self.unreadable.append(update)
+        elif isinstance(update, RecordUpdate) and update.value is not None:
+            self._take_record(update.key, update.value)
 
     def _take_record(self, key: str, value: bytes) -> None:
         if key.startswith(OWNERSHIP_PREFIX):
@@ -85,7 +85,7 @@
 
 
 def read_system(
-    store: BaseStore, catalogue: BaseCatalogue, clock: BaseClock
+    store: BaseStore, decoder: BaseItemDecoder, clock: BaseClock
 ) -> Result[SystemView, OperatorError]:
     """Reads everything that the store holds."""
     read = store.list(EVERYTHING, clock.now() + READ_SECONDS)
@@ -94,6 +94,6 @@
     snapshot = read.unwrap()
     view = SystemView(snapshot.revision)
     for item in snapshot.items:
-        for fact in catalogue.facts(item):
-            view.take(fact)
+        for fact in decoder.decode(item):
+            view.apply(fact)
     return Success(view)
--- a/packages/operator_client/tests/test_commands.py
+++ b/packages/operator_client/tests/test_commands.py
@@ -16,7 +16,7 @@
     run,
     status_lines,
 )
-from fireflylink_platform import PlatformCatalogue
+from fireflylink_platform import PlatformItemDecoder
 from fireflylink_protocol import (
     DECIDER_KEY,
     MemberRecord,
@@ -73,14 +73,14 @@
 
 def test_status_shows_daemons_decider_servers_and_what_cannot_be_read(store, clock):
     """Guards against an operator who cannot tell what the system believes."""
-    text = "\n".join(status_lines(read_system(store, PlatformCatalogue(), clock).unwrap()))
+    text = "\n".join(status_lines(read_system(store, PlatformItemDecoder(), clock).unwrap()))
     for part in ("version 7", "front-0", "1 of 1 servers ready", "servers/i-3"):
         assert_that(text, Contains(part))
 
 
 def test_owners_show_moves_and_servers_that_are_not_registered(store, clock):
     """Guards against a key without an owner that nobody sees."""
-    view = read_system(store, PlatformCatalogue(), clock).unwrap()
+    view = read_system(store, PlatformItemDecoder(), clock).unwrap()
     lines = list(owner_lines(view, "availability", None))
     assert_that(lines, HasLength(3))
     assert_that(lines[2], Contains("NOT REGISTERED"))
@@ -91,7 +91,7 @@
 
 def test_an_unknown_service_or_key_is_explained(store, clock):
     """Guards against an empty answer to a wrong question."""
-    view = read_system(store, PlatformCatalogue(), clock).unwrap()
+    view = read_system(store, PlatformItemDecoder(), clock).unwrap()
     for service, key in (("nope", None), ("availability", 70000)):
         with pytest.raises(OperatorError):
             list(owner_lines(view, service, key))
@@ -100,7 +100,7 @@
 def test_a_store_that_is_away_is_an_error_with_a_text(store, clock):
     """Guards against a view that looks empty because nothing could be read."""
     store.reachable = False
-    read = read_system(store, PlatformCatalogue(), clock)
+    read = read_system(store, PlatformItemDecoder(), clock)
     assert_that(isinstance(read, Success), Equals(False))
     assert_that(read.failure(), IsInstance(OperatorError))
 
--- a/packages/standins/src/fireflylink_standins/_memory_store.py
+++ b/packages/standins/src/fireflylink_standins/_memory_store.py
@@ -10,17 +10,17 @@
 )
 from fireflylink_store import (
     BaseStore,
-    Changes,
+    ChangeBatch,
     Commit,
     ConflictError,
-    HistoryGoneError,
+    HistoryCompactedError,
     Item,
     Lease,
-    LeaseEndedError,
+    LeaseNotFoundError,
     Snapshot,
     StoreError,
+    StoreOutcomeUnknownError,
     StoreUnavailableError,
-    StoreUncertainError,
 )
 
 POLL_SECONDS = 0.01
@@ -52,14 +52,14 @@
 
     def watch(
         self, prefix: str, revision: int, wait_seconds: float, deadline: float
-    ) -> Result[Changes, StoreError]:
+    ) -> Result[ChangeBatch, StoreError]:
         until = self.state.clock.now() + wait_seconds
         while self.reachable:
             changes = self.state.changes(prefix, revision)
             if changes is None:
-                return Failure(HistoryGoneError("dropped"))
+                return Failure(HistoryCompactedError("dropped"))
             if changes or self.state.clock.now() >= until:
-                return Success(Changes(tuple(changes), self.state.revision))
+                return Success(ChangeBatch(tuple(changes), self.state.revision))
             gevent.sleep(POLL_SECONDS)
         return _unavailable()
 
@@ -71,10 +71,10 @@
         except ConditionFailedError as error:
             return Failure(ConflictError(error.items))
         except NoSuchLeaseError:
-            return Failure(LeaseEndedError("ended"))
+            return Failure(LeaseNotFoundError("ended"))
         return self._answer(revision)
 
-    def open_lease(self, seconds: float, deadline: float) -> Result[Lease, StoreError]:
+    def create_lease(self, seconds: float, deadline: float) -> Result[Lease, StoreError]:
         if not self.reachable:
             return _unavailable()
         return Success(Lease(self.state.open_lease(seconds), seconds))
@@ -83,9 +83,9 @@
         if not self.reachable:
             return _unavailable()
         seconds = self.state.renew_lease(lease_id)
-        return Failure(LeaseEndedError("ended")) if seconds is None else Success(seconds)
+        return Failure(LeaseNotFoundError("ended")) if seconds is None else Success(seconds)
 
-    def end_lease(self, lease_id: int, deadline: float) -> Result[None, StoreError]:
+    def revoke_lease(self, lease_id: int, deadline: float) -> Result[None, StoreError]:
         if not self.reachable:
             return _unavailable()
         self.state.end_lease(lease_id)
@@ -93,7 +93,7 @@
 
     def _answer(self, revision: int) -> Result[int, StoreError]:
         if self.loses_replies:
-            return Failure(StoreUncertainError("the reply was lost"))
+            return Failure(StoreOutcomeUnknownError("the reply was lost"))
         return Success(revision)
 
 
--- a/packages/standins/src/fireflylink_standins/_store_state.py
+++ b/packages/standins/src/fireflylink_standins/_store_state.py
@@ -1,7 +1,7 @@
 """The state of the store's stand-in: items, history, leases."""
 
 from fireflylink_core import BaseClock
-from fireflylink_store import ABSENT, NO_LEASE, Change, Commit, Item, Removal
+from fireflylink_store import ABSENT_REVISION, NO_LEASE, Change, Commit, Deletion, Item
 
 FIRST_REVISION = 1
 
@@ -114,8 +114,8 @@
 
     def _remove(self, key: str) -> None:
         if self.items.pop(key, None) is not None:
-            self.history.append(Removal(key, self.revision))
+            self.history.append(Deletion(key, self.revision))
 
     def _revision_of(self, key: str) -> int:
         item = self.items.get(key)
-        return ABSENT if item is None else item.revision
+        return ABSENT_REVISION if item is None else item.revision
--- a/packages/standins/tests/test_adapter_catalogue.py
+++ b/packages/standins/tests/test_adapter_catalogue.py
@@ -8,21 +8,21 @@
 
 from fireflylink_core import RequestKind, ServerState
 from fireflylink_platform import (
-    PlatformCatalogue,
+    PlatformItemDecoder,
     WireFormatError,
     decode_configuration,
     decode_server,
     decode_version,
 )
 from fireflylink_store import (
-    ConfigurationFact,
-    EvacuationFact,
+    ConfigurationUpdate,
+    Deletion,
+    EvacuationUpdate,
     Item,
-    RecordFact,
-    Removal,
-    ServerFact,
-    ServerGoneFact,
-    UnreadableFact,
+    RecordUpdate,
+    ServerRemoved,
+    ServerUpdate,
+    UnreadableItem,
 )
 
 SERVER = {
@@ -97,17 +97,17 @@
 )
 def test_a_malformed_registration_names_no_server(change):
     """Guards against entries of other writers that are taken for servers."""
-    facts = PlatformCatalogue().facts(item("servers/i-1", {**SERVER, **change}))
-    assert_that(facts[0], IsInstance(UnreadableFact))
-    assert_that(facts[1], Equals(ServerGoneFact("i-1", 5)))
+    facts = PlatformItemDecoder().decode(item("servers/i-1", {**SERVER, **change}))
+    assert_that(facts[0], IsInstance(UnreadableItem))
+    assert_that(facts[1], Equals(ServerRemoved("i-1", 5)))
 
 
 @pytest.mark.parametrize("value", [b"\xff\xfe", b"[]", b"{", b"null", b""])
 def test_bytes_that_cannot_be_read_name_no_server_and_no_route(value):
     """Guards against an exception that ends the reading of the store."""
     for key in ("servers/i-1", "op/config"):
-        facts = PlatformCatalogue().facts(Item(key, value, 5))
-        assert_that(facts[0], IsInstance(UnreadableFact))
+        facts = PlatformItemDecoder().decode(Item(key, value, 5))
+        assert_that(facts[0], IsInstance(UnreadableItem))
 
 
 def test_a_configuration_is_read():
@@ -155,15 +155,15 @@
 
 def test_every_kind_of_item_is_told_apart():
     """Guards against evacuations or records that go unnoticed."""
-    catalogue = PlatformCatalogue()
+    catalogue = PlatformItemDecoder()
     cases = [
-        (item("op/config", CONFIGURATION), ConfigurationFact),
-        (item("servers/i-1", SERVER), ServerFact),
-        (Removal("servers/i-1", 6), ServerGoneFact),
-        (item("op/evacuate/kingston", {}), EvacuationFact),
-        (Removal("op/evacuate/kingston", 6), EvacuationFact),
-        (item("fireflylink/decider", {}), RecordFact),
+        (item("op/config", CONFIGURATION), ConfigurationUpdate),
+        (item("servers/i-1", SERVER), ServerUpdate),
+        (Deletion("servers/i-1", 6), ServerRemoved),
+        (item("op/evacuate/kingston", {}), EvacuationUpdate),
+        (Deletion("op/evacuate/kingston", 6), EvacuationUpdate),
+        (item("fireflylink/decider", {}), RecordUpdate),
     ]
     for change, kind in cases:
-        assert_that(catalogue.facts(change)[0], IsInstance(kind))
-    assert_that(catalogue.facts(item("other/key", {})), HasLength(0))
+        assert_that(catalogue.decode(change)[0], IsInstance(kind))
+    assert_that(catalogue.decode(item("other/key", {})), HasLength(0))
--- a/packages/standins/tests/test_adapter_store_client.py
+++ b/packages/standins/tests/test_adapter_store_client.py
@@ -7,18 +7,18 @@
 
 from fireflylink_caller_frontend import HttpListener
 from fireflylink_core import CallerLimits, SystemClock
-from fireflylink_platform import PlatformStore
+from fireflylink_platform import PlatformStoreClient
 from fireflylink_standins import StoreFaults, StoreState, make_store_application
 from fireflylink_store import (
     Commit,
     ConflictError,
-    HistoryGoneError,
-    LeaseEndedError,
+    Deletion,
+    HistoryCompactedError,
+    LeaseNotFoundError,
     Put,
-    Removal,
     StoreError,
+    StoreOutcomeUnknownError,
     StoreUnavailableError,
-    StoreUncertainError,
 )
 
 
@@ -32,7 +32,7 @@
         application = make_store_application(self.state, self.faults)
         self.listener = HttpListener(application, "127.0.0.1", 0, CallerLimits)
         self.listener.start()
-        self.client = PlatformStore("127.0.0.1", self.listener.port, self.clock)
+        self.client = PlatformStoreClient("127.0.0.1", self.listener.port, self.clock)
 
     def deadline(self) -> float:
         return self.clock.now() + 5.0
@@ -81,7 +81,7 @@
     revision = platform.put("a", b"1").unwrap()
     platform.client.commit(Commit(deletions=("a",)), platform.deadline())
     changes = platform.client.watch("", revision, 1.0, platform.deadline()).unwrap()
-    assert_that(changes.changes[0], IsInstance(Removal))
+    assert_that(changes.changes[0], IsInstance(Deletion))
     again = platform.client.watch("", changes.revision, 0.05, platform.deadline()).unwrap()
     assert_that(again.changes, HasLength(0))
 
@@ -92,22 +92,22 @@
     platform.put("a", b"2")
     platform.state.compact()
     watched = platform.client.watch("", revision, 0.1, platform.deadline())
-    assert_that(watched.failure(), IsInstance(HistoryGoneError))
+    assert_that(watched.failure(), IsInstance(HistoryCompactedError))
 
 
 def test_a_lease_ends_with_its_keys(platform):
     """Guards against a member or decider that stays listed after its end."""
-    lease = platform.client.open_lease(5.0, platform.deadline()).unwrap()
+    lease = platform.client.create_lease(5.0, platform.deadline()).unwrap()
     platform.put("m", b"1", lease=lease.lease_id)
     assert_that(
         platform.client.renew_lease(lease.lease_id, platform.deadline()), Equals(Success(5.0))
     )
-    platform.client.end_lease(lease.lease_id, platform.deadline())
+    platform.client.revoke_lease(lease.lease_id, platform.deadline())
     assert_that(platform.client.read("m", platform.deadline()), Equals(Success(None)))
     renewed = platform.client.renew_lease(lease.lease_id, platform.deadline())
-    assert_that(renewed.failure(), IsInstance(LeaseEndedError))
+    assert_that(renewed.failure(), IsInstance(LeaseNotFoundError))
     put = platform.put("m", b"1", lease=lease.lease_id)
-    assert_that(put.failure(), IsInstance(LeaseEndedError))
+    assert_that(put.failure(), IsInstance(LeaseNotFoundError))
 
 
 def test_a_store_that_is_down_did_nothing(platform):
@@ -130,8 +130,8 @@
 def test_no_listener_means_not_sent():
     """Guards against an uncertain outcome where nothing left this process."""
     clock = SystemClock()
-    store = PlatformStore("127.0.0.1", 1, clock)
+    store = PlatformStoreClient("127.0.0.1", 1, clock)
     read = store.read("a", clock.now() + 1.0)
     assert_that(read, IsInstance(Failure))
     assert_that(read.failure(), IsInstance(StoreUnavailableError))
-    assert_that(issubclass(StoreUncertainError, StoreError), Equals(True))
+    assert_that(issubclass(StoreOutcomeUnknownError, StoreError), Equals(True))
--- a/packages/store/src/fireflylink_store/_errors.py
+++ b/packages/store/src/fireflylink_store/_errors.py
@@ -12,15 +12,15 @@
     """The store did nothing: it refused the call or could not be reached."""
 
 
-class StoreUncertainError(StoreError):
+class StoreOutcomeUnknownError(StoreError):
     """No answer arrived: the call may have taken effect, or may still."""
 
 
-class HistoryGoneError(StoreError):
+class HistoryCompactedError(StoreError):
     """The changes after the given revision are no longer known; read everything again."""
 
 
-class LeaseEndedError(StoreError):
+class LeaseNotFoundError(StoreError):
     """The lease does not exist any more."""
 
 
--- a/packages/store/src/fireflylink_store/_facts.py
+++ b/packages/store/src/fireflylink_store/_facts.py
@@ -6,13 +6,13 @@
 from fireflylink_store._items import Change
 
 
-class BaseFact(BaseValue):
+class BaseUpdate(BaseValue):
     """One thing that the store says, with the revision that says it."""
 
     __slots__ = ()
 
 
-class ConfigurationFact(BaseFact):
+class ConfigurationUpdate(BaseUpdate):
     """The operators' newest configuration."""
 
     __slots__ = ("configuration", "revision")
@@ -22,7 +22,7 @@
         self.revision = revision
 
 
-class ServerFact(BaseFact):
+class ServerUpdate(BaseUpdate):
     """A registration of a backend server."""
 
     __slots__ = ("revision", "server")
@@ -32,7 +32,7 @@
         self.revision = revision
 
 
-class ServerGoneFact(BaseFact):
+class ServerRemoved(BaseUpdate):
     """A registration that was removed, or that names no server any more."""
 
     __slots__ = ("revision", "server_id")
@@ -42,7 +42,7 @@
         self.revision = revision
 
 
-class EvacuationFact(BaseFact):
+class EvacuationUpdate(BaseUpdate):
     """Whether a data centre's servers are to get nothing."""
 
     __slots__ = ("data_centre", "requested", "revision")
@@ -53,7 +53,7 @@
         self.revision = revision
 
 
-class RecordFact(BaseFact):
+class RecordUpdate(BaseUpdate):
     """A record of the daemons themselves; ``value`` is None when it was removed."""
 
     __slots__ = ("key", "revision", "value")
@@ -64,7 +64,7 @@
         self.revision = revision
 
 
-class UnreadableFact(BaseFact):
+class UnreadableItem(BaseUpdate):
     """An item that cannot be read: it names no server and no route."""
 
     __slots__ = ("key", "problem", "revision")
@@ -75,11 +75,11 @@
         self.revision = revision
 
 
-class BaseCatalogue(abc.ABC):
+class BaseItemDecoder(abc.ABC):
     """Turns items of the store into facts."""
 
     __slots__ = ()
 
     @abc.abstractmethod
-    def facts(self, change: Change) -> tuple[BaseFact, ...]:
+    def decode(self, change: Change) -> tuple[BaseUpdate, ...]:
         """Returns what a change says; empty when it does not concern the daemons."""
--- a/packages/store/src/fireflylink_store/_items.py
+++ b/packages/store/src/fireflylink_store/_items.py
@@ -2,7 +2,7 @@
 
 from fireflylink_core import BaseValue
 
-ABSENT = 0
+ABSENT_REVISION = 0
 """Revision of a key that does not exist."""
 
 NO_LEASE = 0
@@ -20,7 +20,7 @@
         self.lease = lease
 
 
-class Removal(BaseValue):
+class Deletion(BaseValue):
     """A key that was removed at ``revision``."""
 
     __slots__ = ("key", "revision")
@@ -30,7 +30,7 @@
         self.revision = revision
 
 
-Change = Item | Removal
+Change = Item | Deletion
 
 
 class Snapshot(BaseValue):
@@ -43,7 +43,7 @@
         self.revision = revision
 
 
-class Changes(BaseValue):
+class ChangeBatch(BaseValue):
     """What happened up to ``revision``."""
 
     __slots__ = ("changes", "revision")
@@ -56,11 +56,11 @@
 class Lease(BaseValue):
     """A lease and its time to live in seconds, from each renewal's arrival."""
 
-    __slots__ = ("lease_id", "seconds")
+    __slots__ = ("lease_id", "ttl_seconds")
 
-    def __init__(self, lease_id: int, seconds: float) -> None:
+    def __init__(self, lease_id: int, ttl_seconds: float) -> None:
         self.lease_id = lease_id
-        self.seconds = seconds
+        self.ttl_seconds = ttl_seconds
 
 
 class Put(BaseValue):
--- a/packages/store/src/fireflylink_store/_store.py
+++ b/packages/store/src/fireflylink_store/_store.py
@@ -5,7 +5,7 @@
 from returns.result import Result
 
 from fireflylink_store._errors import StoreError
-from fireflylink_store._items import Changes, Commit, Item, Lease, Snapshot
+from fireflylink_store._items import ChangeBatch, Commit, Item, Lease, Snapshot
 
 
 class BaseStore(abc.ABC):
@@ -28,7 +28,7 @@
     @abc.abstractmethod
     def watch(
         self, prefix: str, revision: int, wait_seconds: float, deadline: float
-    ) -> Result[Changes, StoreError]:
+    ) -> Result[ChangeBatch, StoreError]:
         """Waits for changes after a revision; none after ``wait_seconds``."""
 
     @abc.abstractmethod
@@ -36,7 +36,7 @@
         """Applies a commit; returns its revision."""
 
     @abc.abstractmethod
-    def open_lease(self, seconds: float, deadline: float) -> Result[Lease, StoreError]:
+    def create_lease(self, seconds: float, deadline: float) -> Result[Lease, StoreError]:
         """Opens a lease."""
 
     @abc.abstractmethod
@@ -44,5 +44,5 @@
         """Renews a lease; returns its time to live in seconds."""
 
     @abc.abstractmethod
-    def end_lease(self, lease_id: int, deadline: float) -> Result[None, StoreError]:
+    def revoke_lease(self, lease_id: int, deadline: float) -> Result[None, StoreError]:
         """Ends a lease; its keys are removed."""
