--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -7,8 +7,8 @@
 from fireflylink_http_client import (
     ExchangeError,
     HttpResponse,
-    KeptConnection,
     NotSentError,
+    PersistentConnection,
     encode_request,
 )
 
@@ -48,7 +48,7 @@
     def __init__(self, server: BackendServer, clock: BaseClock, dialect: BaseServerDialect) -> None:
         self.server = server
         self.dialect = dialect
-        self.connection = KeptConnection(server.host, server.port, clock, CONNECT_SECONDS)
+        self.connection = PersistentConnection(server.host, server.port, clock, CONNECT_SECONDS)
 
     def grant(
         self, keys: KeyRange, fence: int, hold_seconds: float, handover: str, deadline: float
--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -72,9 +72,9 @@
     def drop_idle(self) -> None:
         """Closes connections that have been idle for too long."""
         oldest = self.clock.now() - self.idle_seconds
-        kept = [connection for connection in self.idle if connection.used_at > oldest]
+        kept = [connection for connection in self.idle if connection.last_used_at > oldest]
         for connection in self.idle:
-            if connection.used_at <= oldest:
+            if connection.last_used_at <= oldest:
                 connection.close()
         self.idle = kept
 
@@ -109,7 +109,7 @@
         return Answered(answer, load)
 
     def _learn_idle_time(self, response: HttpResponse) -> None:
-        stated = response.idle_seconds
+        stated = response.keep_alive_seconds
         if stated is not None:
             self.idle_seconds = max(0.0, min(DEFAULT_IDLE_SECONDS, stated - IDLE_MARGIN_SECONDS))
 
@@ -119,7 +119,7 @@
         self.drop_idle()
         while self.idle:
             connection = self.idle.pop()
-            if connection.usable():
+            if connection.is_usable():
                 cancellation.connection = connection
                 return connection
             connection.close()
--- a/packages/http_client/src/fireflylink_http_client/__init__.py
+++ b/packages/http_client/src/fireflylink_http_client/__init__.py
@@ -3,16 +3,16 @@
 from fireflylink_http_client._connection import HttpConnection
 from fireflylink_http_client._encoding import encode_request
 from fireflylink_http_client._errors import ExchangeError, LostError, NotSentError
-from fireflylink_http_client._kept_connection import KeptConnection
+from fireflylink_http_client._kept_connection import PersistentConnection
 from fireflylink_http_client._response import HttpResponse, ResponseReader
 
 __all__ = [
     "ExchangeError",
     "HttpConnection",
     "HttpResponse",
-    "KeptConnection",
     "LostError",
     "NotSentError",
+    "PersistentConnection",
     "ResponseReader",
     "encode_request",
 ]
--- a/packages/http_client/src/fireflylink_http_client/_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_connection.py
@@ -25,8 +25,8 @@
 class HttpConnection:
     """A connection to one address.
 
-    After an error the connection must be closed. ``used_at`` is when the last exchange ended, in
-    seconds on the local clock.
+    After an error the connection must be closed. ``last_used_at`` is when the last exchange ended,
+    in seconds on the local clock.
 
     Example::
 
@@ -35,12 +35,12 @@
         response, reusable = connection.exchange(request, "GET", clock.now() + 2.0)
     """
 
-    __slots__ = ("cancelled", "clock", "sock", "used_at")
+    __slots__ = ("cancelled", "clock", "last_used_at", "sock")
 
     def __init__(self, clock: BaseClock) -> None:
         self.clock = clock
         self.sock: Any = None
-        self.used_at = 0.0
+        self.last_used_at = 0.0
         self.cancelled = False
 
     def connect(self, host: str, port: int, deadline: float) -> None:
@@ -55,9 +55,9 @@
             self.sock.connect((host, port))
         except OSError as error:
             raise NotSentError(f"connect to {host}:{port}: {error}") from error
-        self.used_at = self.clock.now()
+        self.last_used_at = self.clock.now()
 
-    def usable(self) -> bool:
+    def is_usable(self) -> bool:
         """Tells whether the idle connection is open and holds no unexpected bytes."""
         self.sock.settimeout(0.0)
         try:
@@ -69,28 +69,35 @@
         return False
 
     def exchange(
-        self, request: bytes, method: str, deadline: float, belongs: Belongs | None = None
+        self,
+        request: bytes,
+        method: str,
+        deadline: float,
+        is_response_to_request: Belongs | None = None,
     ) -> tuple[HttpResponse, bool]:
         """Sends a request; returns its response and whether the connection may be used again.
 
-        Responses for which ``belongs`` is false are late answers to earlier requests; they are
-        passed over. Raises ``NotSentError`` or ``LostError``.
+        Responses for which ``is_response_to_request`` is false are late answers to earlier
+        requests; they are passed over. Raises ``NotSentError`` or ``LostError``.
         """
         reader = ResponseReader(method)
         sent = self._send_first(request, deadline)
         whole = sent == len(request) or self._send_rest(request, sent, reader, deadline)
         skipped = 0
         while True:
-            response = reader.take()
+            response = reader.next_response()
             if response is None:
                 response = self._receive(reader, deadline)
             if response is None:
                 continue
-            if belongs is None or belongs(response):
+            if is_response_to_request is None or is_response_to_request(response):
                 break
             skipped += 1
-        self.used_at = self.clock.now()
-        return response, whole and not skipped and not response.last and not reader.excess
+        self.last_used_at = self.clock.now()
+        return (
+            response,
+            whole and not skipped and not response.closes_connection and not reader.has_excess,
+        )
 
     def cancel(self) -> None:
         """Ends an exchange of another greenlet; the peer sees a reset."""
@@ -165,7 +172,7 @@
         return True
 
     def _receive(self, reader: ResponseReader, deadline: float) -> HttpResponse | None:
-        if reader.broken:
+        if reader.malformed:
             raise LostError(LostReason.MALFORMED, "bytes that are no response")
         self.sock.settimeout(max(0.0, deadline - self.clock.now()))
         try:
@@ -187,10 +194,10 @@
     def _ended(self, reader: ResponseReader) -> HttpResponse:
         if self.cancelled:
             raise LostError(LostReason.CANCELLED, "by the caller")
-        response = reader.end()
+        response = reader.finish()
         if response is not None:
             return response
-        if reader.begun:
+        if reader.started:
             raise LostError(LostReason.TRUNCATED, "connection closed within the answer")
         raise LostError(LostReason.CLOSED, "connection closed before the answer")
 
--- a/packages/http_client/src/fireflylink_http_client/_kept_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_kept_connection.py
@@ -6,7 +6,7 @@
 from fireflylink_http_client._response import HttpResponse
 
 
-class KeptConnection:
+class PersistentConnection:
     """Sends one request after the other to an address.
 
     After an error the connection is reset, so that what was sent on it is not delivered later.
@@ -16,13 +16,15 @@
         response = kept.exchange(request, "POST", clock.now() + 1.0)
     """
 
-    __slots__ = ("clock", "connect_seconds", "connection", "host", "port")
+    __slots__ = ("clock", "connect_timeout_seconds", "connection", "host", "port")
 
-    def __init__(self, host: str, port: int, clock: BaseClock, connect_seconds: float) -> None:
+    def __init__(
+        self, host: str, port: int, clock: BaseClock, connect_timeout_seconds: float
+    ) -> None:
         self.host = host
         self.port = port
         self.clock = clock
-        self.connect_seconds = connect_seconds
+        self.connect_timeout_seconds = connect_timeout_seconds
         self.connection: HttpConnection | None = None
 
     def exchange(self, request: bytes, method: str, deadline: float) -> HttpResponse:
@@ -44,12 +46,12 @@
             self.connection = None
 
     def _connected(self, deadline: float) -> HttpConnection:
-        if self.connection is not None and self.connection.usable():
+        if self.connection is not None and self.connection.is_usable():
             return self.connection
         self.close()
         connection = HttpConnection(self.clock)
         self.connection = connection
         connection.connect(
-            self.host, self.port, min(deadline, self.clock.now() + self.connect_seconds)
+            self.host, self.port, min(deadline, self.clock.now() + self.connect_timeout_seconds)
         )
         return connection
--- a/packages/http_client/src/fireflylink_http_client/_response.py
+++ b/packages/http_client/src/fireflylink_http_client/_response.py
@@ -11,15 +11,18 @@
 
 
 class HttpResponse:
-    """One whole response. ``last`` tells that the peer ends the connection after it."""
+    """One whole response.
 
-    __slots__ = ("_index", "body", "headers", "last", "status")
+    ``closes_connection`` tells that the peer ends the connection after it.
+    """
+
+    __slots__ = ("_index", "body", "closes_connection", "headers", "status")
 
-    def __init__(self, status: int, headers: Headers, body: bytes, last: bool) -> None:
+    def __init__(self, status: int, headers: Headers, body: bytes, closes_connection: bool) -> None:
         self.status = status
         self.headers = headers
         self.body = body
-        self.last = last
+        self.closes_connection = closes_connection
         self._index = {name.lower(): value for name, value in headers}
 
     def header(self, name: str) -> str:
@@ -27,7 +30,7 @@
         return self._index.get(name.lower(), "")
 
     @property
-    def idle_seconds(self) -> int | None:
+    def keep_alive_seconds(self) -> int | None:
         """How long the peer keeps the connection open while it is idle, if it says so."""
         for part in self.header("keep-alive").split(","):
             text = part.strip().lower()
@@ -63,34 +66,34 @@
     """Reads the responses that arrive on a connection after a request of the given method.
 
     More than one may arrive: a server can send a late second answer to an earlier request. Bytes
-    that are no response make ``broken`` true; the whole responses before them stay valid.
+    that are no response make ``malformed`` true; the whole responses before them stay valid.
     """
 
-    __slots__ = ("_parser", "_taken", "begun", "broken")
+    __slots__ = ("_parser", "_taken", "malformed", "started")
 
     def __init__(self, method: str) -> None:
         self._parser: Any = _Parser(method)
         self._taken = 0
-        self.begun = False
-        self.broken = False
+        self.started = False
+        self.malformed = False
 
     @property
-    def excess(self) -> bool:
+    def has_excess(self) -> bool:
         """Whether more has arrived than the responses that were taken."""
         parser = self._parser
         return bool(
-            self.broken or self._taken < len(parser.responses) or not parser.message_complete
+            self.malformed or self._taken < len(parser.responses) or not parser.message_complete
         )
 
     def feed(self, data: bytes) -> None:
         """Takes received bytes."""
-        self.begun = True
+        self.started = True
         try:
             self._parser.feed(data)
         except (HTTPParseError, UnicodeDecodeError):
-            self.broken = True
+            self.malformed = True
 
-    def take(self) -> HttpResponse | None:
+    def next_response(self) -> HttpResponse | None:
         """Returns the next whole response, None while there is none."""
         responses = self._parser.responses
         if self._taken >= len(responses):
@@ -99,10 +102,10 @@
         self._taken += 1
         return response
 
-    def end(self) -> HttpResponse | None:
+    def finish(self) -> HttpResponse | None:
         """Returns the response that the orderly end of the connection completes, if any."""
         parser = self._parser
-        if self.broken or not parser.headers_complete or parser.message_complete:
+        if self.malformed or not parser.headers_complete or parser.message_complete:
             return None
         if parser.get("content-length") is not None or parser.get("transfer-encoding") is not None:
             return None
--- a/packages/http_client/tests/test_connection.py
+++ b/packages/http_client/tests/test_connection.py
@@ -91,7 +91,7 @@
     connection = connect(ScriptedPeer([ANSWER, LATE]))
     exchange(connection)
     gevent.sleep(0.05)
-    assert_that(connection.usable(), Is(False))
+    assert_that(connection.is_usable(), Is(False))
 
 
 @pytest.mark.parametrize(
--- a/packages/http_client/tests/test_response_reader.py
+++ b/packages/http_client/tests/test_response_reader.py
@@ -14,21 +14,21 @@
     reader = ResponseReader("GET")
     for position in range(len(WHOLE) - 1):
         reader.feed(WHOLE[position : position + 1])
-        assert_that(reader.take(), Is(None))
+        assert_that(reader.next_response(), Is(None))
     reader.feed(WHOLE[-1:])
-    response = reader.take()
+    response = reader.next_response()
     assert_that((response.status, response.body), Equals((200, b"body")))
-    assert_that(reader.excess, Is(False))
+    assert_that(reader.has_excess, Is(False))
 
 
 def test_a_second_response_in_the_same_bytes_is_told_apart():
     """Guards against MIXED: the bytes of one answer in another one."""
     reader = ResponseReader("GET")
     reader.feed(WHOLE + WHOLE.replace(b"body", b"next").replace(b"Id: a", b"Id: b"))
-    first = reader.take()
+    first = reader.next_response()
     assert_that((first.header("request-id"), first.body), Equals(("a", b"body")))
-    assert_that(reader.excess, Is(True))
-    second = reader.take()
+    assert_that(reader.has_excess, Is(True))
+    second = reader.next_response()
     assert_that((second.header("request-id"), second.body), Equals(("b", b"next")))
 
 
@@ -36,25 +36,25 @@
     """Guards against a connection that is used again although it holds junk."""
     reader = ResponseReader("GET")
     reader.feed(WHOLE + b"\x00\xffjunk")
-    assert_that(reader.take().body, Equals(b"body"))
-    assert_that(reader.excess, Is(True))
+    assert_that(reader.next_response().body, Equals(b"body"))
+    assert_that(reader.has_excess, Is(True))
 
 
 def test_junk_in_place_of_an_answer_is_no_answer():
     """Guards against bytes that are no response."""
     reader = ResponseReader("GET")
     reader.feed(b"SMTP ready\r\n\r\n")
-    assert_that(reader.take(), Is(None))
-    assert_that(reader.broken, Is(True))
+    assert_that(reader.next_response(), Is(None))
+    assert_that(reader.malformed, Is(True))
 
 
 def test_an_answer_without_a_length_ends_with_its_connection():
     """Guards against losing an answer whose end is the end of the connection."""
     reader = ResponseReader("GET")
     reader.feed(b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nbody")
-    assert_that(reader.take(), Is(None))
-    response = reader.end()
-    assert_that((response.body, response.last), Equals((b"body", True)))
+    assert_that(reader.next_response(), Is(None))
+    response = reader.finish()
+    assert_that((response.body, response.closes_connection), Equals((b"body", True)))
 
 
 @pytest.mark.parametrize(
@@ -65,11 +65,11 @@
     """Guards against MIXED: a truncated answer that looks complete."""
     reader = ResponseReader("GET")
     reader.feed(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n4\r\nbody")
-    assert_that(reader.end(), Is(None))
+    assert_that(reader.finish(), Is(None))
 
 
 def test_the_time_that_a_server_keeps_a_connection_is_read():
     """Guards against requests on connections that the server is about to close."""
     reader = ResponseReader("GET")
     reader.feed(WHOLE.replace(b"Content-Length", b"Keep-Alive: timeout=9\r\nContent-Length"))
-    assert_that(reader.take().idle_seconds, Equals(9))
+    assert_that(reader.next_response().keep_alive_seconds, Equals(9))
--- a/packages/standins/src/fireflylink_standins/_caller.py
+++ b/packages/standins/src/fireflylink_standins/_caller.py
@@ -63,7 +63,7 @@
             self.connection = None
 
     def _connected(self) -> HttpConnection:
-        if self.connection is None or not self.connection.usable():
+        if self.connection is None or not self.connection.is_usable():
             self.close()
             self.connection = HttpConnection(self.clock)
             self.connection.connect("127.0.0.1", self.port, self.clock.now() + CONNECT_SECONDS)
