Rename dialects to codecs and departures to disconnect notifiers

A dialect only encodes and decodes messages, so its classes are codecs and its methods say which way they convert. ServerPool becomes ServerConnectionPool to set it apart from the pool of a service. Reports and notices follow.

--- a/packages/backend_client/src/fireflylink_backend_client/__init__.py
+++ b/packages/backend_client/src/fireflylink_backend_client/__init__.py
@@ -3,20 +3,20 @@
 from fireflylink_backend_client._cancellation import Cancellation
 from fireflylink_backend_client._commands import (
     CommandError,
-    HigherFenceError,
-    OtherServerError,
-    ServerCommands,
+    ServerCommandClient,
+    ServerMismatchError,
+    StaleFenceError,
 )
-from fireflylink_backend_client._dialect import BaseServerDialect, ServerCommand
-from fireflylink_backend_client._pool import ServerPool
+from fireflylink_backend_client._dialect import BaseServerCodec, EncodedCommand
+from fireflylink_backend_client._pool import ServerConnectionPool
 
 __all__ = [
-    "BaseServerDialect",
+    "BaseServerCodec",
     "Cancellation",
     "CommandError",
-    "HigherFenceError",
-    "OtherServerError",
-    "ServerCommand",
-    "ServerCommands",
-    "ServerPool",
+    "EncodedCommand",
+    "ServerCommandClient",
+    "ServerConnectionPool",
+    "ServerMismatchError",
+    "StaleFenceError",
 ]
--- a/packages/backend_client/src/fireflylink_backend_client/_dialect.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_dialect.py
@@ -6,7 +6,7 @@
 from fireflylink_http_client import HttpResponse
 
 
-class ServerCommand:
+class EncodedCommand:
     """A request of the daemon's own to a server."""
 
     __slots__ = ("body", "headers", "method", "target")
@@ -18,7 +18,7 @@
         self.body = body
 
 
-class BaseServerDialect(abc.ABC):
+class BaseServerCodec(abc.ABC):
     """Translates requests, grants and answers; it decides nothing."""
 
     __slots__ = ()
@@ -30,35 +30,35 @@
         """Returns the headers of a request that only the server ``server_id`` may run."""
 
     @abc.abstractmethod
-    def belongs(self, response: HttpResponse, request_id: str) -> bool:
+    def is_response_to(self, response: HttpResponse, request_id: str) -> bool:
         """Whether the response answers the request, not an earlier one."""
 
     @abc.abstractmethod
-    def declined(self, response: HttpResponse) -> bool:
+    def is_declined(self, response: HttpResponse) -> bool:
         """Whether the server states that it did not run the request."""
 
     @abc.abstractmethod
-    def misdirected(self, response: HttpResponse) -> bool:
+    def is_misdirected(self, response: HttpResponse) -> bool:
         """Whether the server declined because it is another one or does not hold the key."""
 
     @abc.abstractmethod
-    def answer(self, response: HttpResponse) -> ServerAnswer | None:
+    def decode_answer(self, response: HttpResponse) -> ServerAnswer | None:
         """Returns the server's answer for the caller, None when it is not the server's own."""
 
     @abc.abstractmethod
-    def load(self, response: HttpResponse) -> ServerLoad | None:
+    def decode_load(self, response: HttpResponse) -> ServerLoad | None:
         """Returns the load that the server told, if any."""
 
     @abc.abstractmethod
-    def grant(
+    def encode_grant(
         self, server_id: str, keys: KeyRange, fence: int, hold_seconds: float, handover: str
-    ) -> ServerCommand:
+    ) -> EncodedCommand:
         """Returns the command that grants or renews keys; only ``server_id`` carries it out."""
 
     @abc.abstractmethod
-    def release(self, server_id: str, keys: KeyRange, fence: int) -> ServerCommand:
+    def encode_release(self, server_id: str, keys: KeyRange, fence: int) -> EncodedCommand:
         """Returns the command that takes keys back from ``server_id``."""
 
     @abc.abstractmethod
-    def handover(self, response: HttpResponse) -> str:
+    def decode_handover(self, response: HttpResponse) -> str:
         """Returns the token that a release gave, empty when it gave none."""
--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -1,7 +1,7 @@
 """Kept connections to one backend server."""
 
 from fireflylink_backend_client._cancellation import Cancellation
-from fireflylink_backend_client._dialect import BaseServerDialect
+from fireflylink_backend_client._dialect import BaseServerCodec
 from fireflylink_core import (
     Answered,
     BackendServer,
@@ -27,7 +27,7 @@
 MINIMUM_REMAINING_SECONDS = 0.001
 
 
-class ServerPool:
+class ServerConnectionPool:
     """Connections to one life of a server, each used for one call at a time.
 
     An idle connection is closed before the server closes it. The last one used is used again
@@ -38,15 +38,23 @@
         result = pool.call(request, deadline, Cancellation())
     """
 
-    __slots__ = ("clock", "closed", "dialect", "idle", "idle_seconds", "opened", "server")
-
-    def __init__(self, server: BackendServer, clock: BaseClock, dialect: BaseServerDialect) -> None:
+    __slots__ = (
+        "clock",
+        "closed",
+        "codec",
+        "idle_connections",
+        "idle_timeout_seconds",
+        "opened_connections",
+        "server",
+    )
+
+    def __init__(self, server: BackendServer, clock: BaseClock, codec: BaseServerCodec) -> None:
         self.server = server
         self.clock = clock
-        self.dialect = dialect
-        self.idle: list[HttpConnection] = []
-        self.idle_seconds = DEFAULT_IDLE_SECONDS
-        self.opened = 0
+        self.codec = codec
+        self.idle_connections: list[HttpConnection] = []
+        self.idle_timeout_seconds = DEFAULT_IDLE_SECONDS
+        self.opened_connections = 0
         self.closed = False
 
     def call(
@@ -69,40 +77,42 @@
             cancellation.connection = None
             self._checkin(connection, reusable)
 
-    def drop_idle(self) -> None:
+    def evict_idle(self) -> None:
         """Closes connections that have been idle for too long."""
-        oldest = self.clock.now() - self.idle_seconds
-        kept = [connection for connection in self.idle if connection.last_used_at > oldest]
-        for connection in self.idle:
+        oldest = self.clock.now() - self.idle_timeout_seconds
+        kept = [
+            connection for connection in self.idle_connections if connection.last_used_at > oldest
+        ]
+        for connection in self.idle_connections:
             if connection.last_used_at <= oldest:
                 connection.close()
-        self.idle = kept
+        self.idle_connections = kept
 
     def close(self) -> None:
         """Closes the idle connections; those in use are closed after their call."""
         self.closed = True
-        for connection in self.idle:
+        for connection in self.idle_connections:
             connection.close()
-        self.idle = []
+        self.idle_connections = []
 
     def _exchange(
         self, connection: HttpConnection, request: CallerRequest, deadline: float
     ) -> tuple[HttpResponse, bool]:
         remaining = max(MINIMUM_REMAINING_SECONDS, deadline - self.clock.now())
-        headers = self.dialect.request_headers(request, self.server.server_id, remaining)
+        headers = self.codec.request_headers(request, self.server.server_id, remaining)
         encoded = encode_request(request.method, request.target, headers, request.body)
         return connection.exchange(
             encoded,
             request.method,
             deadline,
-            lambda response: self.dialect.belongs(response, request.request_id),
+            lambda response: self.codec.is_response_to(response, request.request_id),
         )
 
     def _result(self, response: HttpResponse) -> BaseCallResult:
-        load = self.dialect.load(response)
-        if self.dialect.declined(response):
-            return Declined(response.status, self.dialect.misdirected(response), load)
-        answer = self.dialect.answer(response)
+        load = self.codec.decode_load(response)
+        if self.codec.is_declined(response):
+            return Declined(response.status, self.codec.is_misdirected(response), load)
+        answer = self.codec.decode_answer(response)
         if answer is None:
             return Lost(LostReason.MALFORMED, f"status {response.status} is not the server's")
         self._learn_idle_time(response)
@@ -111,14 +121,16 @@
     def _learn_idle_time(self, response: HttpResponse) -> None:
         stated = response.keep_alive_seconds
         if stated is not None:
-            self.idle_seconds = max(0.0, min(DEFAULT_IDLE_SECONDS, stated - IDLE_MARGIN_SECONDS))
+            self.idle_timeout_seconds = max(
+                0.0, min(DEFAULT_IDLE_SECONDS, stated - IDLE_MARGIN_SECONDS)
+            )
 
     def _checkout(self, deadline: float, cancellation: Cancellation) -> HttpConnection:
         if cancellation.cancelled:
             raise NotSentError("cancelled before sending")
-        self.drop_idle()
-        while self.idle:
-            connection = self.idle.pop()
+        self.evict_idle()
+        while self.idle_connections:
+            connection = self.idle_connections.pop()
             if connection.is_usable():
                 cancellation.connection = connection
                 return connection
@@ -128,7 +140,7 @@
     def _open(self, deadline: float, cancellation: Cancellation) -> HttpConnection:
         connection = HttpConnection(self.clock)
         cancellation.connection = connection
-        self.opened += 1
+        self.opened_connections += 1
         latest = min(deadline, self.clock.now() + CONNECT_SECONDS)
         try:
             connection.connect(self.server.host, self.server.port, latest)
@@ -139,6 +151,6 @@
 
     def _checkin(self, connection: HttpConnection, reusable: bool) -> None:
         if reusable and not self.closed and not connection.cancelled:
-            self.idle.append(connection)
+            self.idle_connections.append(connection)
         else:
             connection.close()
--- a/packages/backend_client/tests/test_pool.py
+++ b/packages/backend_client/tests/test_pool.py
@@ -6,7 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, IsInstance
 
-from fireflylink_backend_client import Cancellation, ServerPool
+from fireflylink_backend_client import Cancellation, ServerConnectionPool
 from fireflylink_core import (
     Answered,
     BackendServer,
@@ -54,12 +54,12 @@
 def pool_of():
     servers = []
 
-    def make(script) -> ServerPool:
+    def make(script) -> ServerConnectionPool:
         server = ScriptedServer(script)
         servers.append(server)
         port = server.listener.getsockname()[1]
         backend = BackendServer("i-1", "a", "127.0.0.1", port, "kingston", 4)
-        return ServerPool(backend, SystemClock(), PlatformServerCodec())
+        return ServerConnectionPool(backend, SystemClock(), PlatformServerCodec())
 
     make.servers = servers
     yield make
@@ -68,7 +68,9 @@
         server.listener.close()
 
 
-def call(pool: ServerPool, request_id: str = "r1", cancellation: Cancellation | None = None):
+def call(
+    pool: ServerConnectionPool, request_id: str = "r1", cancellation: Cancellation | None = None
+):
     now = pool.clock.now()
     request = CallerRequest(
         request_id, "h", "GET", "/", (("Request-Id", request_id),), b"", now, now + 1.0
@@ -82,7 +84,7 @@
     results = [call(pool, f"r{number}") for number in range(5)]
     assert_that({type(result) for result in results}, Equals({Answered}))
     assert_that((results[0].load.waiting, results[0].load.slowdown_factor), Equals((1, 1.5)))
-    assert_that((pool.opened, pool_of.servers[0].accepted), Equals((1, 1)))
+    assert_that((pool.opened_connections, pool_of.servers[0].accepted), Equals((1, 1)))
 
 
 def test_a_refusal_of_the_server_is_told_from_a_failure(pool_of):
@@ -111,7 +113,7 @@
 def test_nobody_listening_is_not_sent():
     """Guards against an unknown outcome of a request that never left."""
     backend = BackendServer("i-1", "a", "127.0.0.1", 1, "kingston", 4)
-    pool = ServerPool(backend, SystemClock(), PlatformServerCodec())
+    pool = ServerConnectionPool(backend, SystemClock(), PlatformServerCodec())
     assert_that(call(pool), IsInstance(NotSent))
 
 
@@ -120,5 +122,5 @@
     pool = pool_of(lambda i: answer(i, extra=SIGNED + b"Keep-Alive: timeout=1\r\n"))
     call(pool)
     gevent.sleep(0.01)
-    pool.drop_idle()
-    assert_that(len(pool.idle), Equals(0))
+    pool.evict_idle()
+    assert_that(len(pool.idle_connections), Equals(0))
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
@@ -4,8 +4,8 @@
 
 import falcon
 
-from fireflylink_caller_frontend._departure import SocketDeparture
-from fireflylink_caller_frontend._dialect import BaseCallerDialect, ReceivedRequest, SentReply
+from fireflylink_caller_frontend._departure import SocketDisconnectNotifier
+from fireflylink_caller_frontend._dialect import BaseCallerCodec, EncodedReply, ReceivedRequest
 from fireflylink_caller_frontend._errors import RefusedRequestError
 from fireflylink_caller_frontend._handler import BaseRequestHandler
 from fireflylink_caller_frontend._listener import HANDLER_KEY
@@ -17,27 +17,27 @@
 class _Callers:
     """Receives every request of callers, whatever its path."""
 
-    __slots__ = ("dialect", "handler")
+    __slots__ = ("codec", "handler")
 
-    def __init__(self, handler: BaseRequestHandler, dialect: BaseCallerDialect) -> None:
+    def __init__(self, handler: BaseRequestHandler, codec: BaseCallerCodec) -> None:
         self.handler = handler
-        self.dialect = dialect
+        self.codec = codec
 
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_kwargs: Any) -> None:
         connection = req.env[HANDLER_KEY]
         try:
             body = _read_body(req, self.handler.limits())
-            request = self.dialect.read(_received(connection, body))
+            request = self.codec.decode_request(_received(connection, body))
         except RefusedRequestError as error:
             connection.close_connection = True
-            _write(resp, self.dialect.refuse(error))
+            _write(resp, self.codec.encode_refusal(error))
             return
-        departure = SocketDeparture(connection.socket)
+        departure = SocketDisconnectNotifier(connection.socket)
         try:
             reply = self.handler.handle(request, departure)
         finally:
             departure.stop()
-        _write(resp, self.dialect.write(request.request_id, reply))
+        _write(resp, self.codec.encode_reply(request.request_id, reply))
 
 
 def _received(connection: Any, body: bytes) -> ReceivedRequest:
@@ -74,14 +74,14 @@
     return part
 
 
-def _write(resp: falcon.Response, sent: SentReply) -> None:
+def _write(resp: falcon.Response, sent: EncodedReply) -> None:
     resp.status = sent.status
     for name, value in sent.headers:
         resp.append_header(name, value)
     resp.data = sent.body
 
 
-def make_application(handler: BaseRequestHandler, dialect: BaseCallerDialect) -> Any:
+def make_application(handler: BaseRequestHandler, codec: BaseCallerCodec) -> Any:
     """Returns the WSGI application that callers use.
 
     Example::
@@ -91,5 +91,5 @@
     application = falcon.App()
     # An answer without a content type is passed on as it is.
     application.resp_options.default_media_type = None  # type: ignore[assignment]
-    application.add_sink(_Callers(handler, dialect), "/")
+    application.add_sink(_Callers(handler, codec), "/")
     return application
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_departure.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_departure.py
@@ -6,12 +6,12 @@
 import gevent
 from gevent import socket
 
-from fireflylink_caller_frontend._handler import BaseDeparture
+from fireflylink_caller_frontend._handler import BaseDisconnectNotifier
 
 READABLE = 1
 
 
-class SocketDeparture(BaseDeparture):
+class SocketDisconnectNotifier(BaseDisconnectNotifier):
     """Watches the connection of a request for its end.
 
     Bytes of a next request that arrive early end the watch: whether the caller has left shows when
@@ -27,7 +27,7 @@
         self.watcher = gevent.get_hub().loop.io(sock.fileno(), READABLE)
         self.watcher.start(self._readable)
 
-    def on_departure(self, action: Callable[[], None]) -> None:
+    def on_disconnect(self, action: Callable[[], None]) -> None:
         if self.left:
             action()
         else:
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_dialect.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_dialect.py
@@ -21,7 +21,7 @@
         self.received_at = received_at
 
 
-class SentReply:
+class EncodedReply:
     """A reply as it is sent."""
 
     __slots__ = ("body", "headers", "status")
@@ -32,19 +32,19 @@
         self.body = body
 
 
-class BaseCallerDialect(abc.ABC):
+class BaseCallerCodec(abc.ABC):
     """Translates requests and replies; it decides nothing."""
 
     __slots__ = ()
 
     @abc.abstractmethod
-    def read(self, received: ReceivedRequest) -> CallerRequest:
+    def decode_request(self, received: ReceivedRequest) -> CallerRequest:
         """Returns the request; raises ``RefusedRequestError`` when it is malformed."""
 
     @abc.abstractmethod
-    def write(self, request_id: str, reply: BaseReply) -> SentReply:
+    def encode_reply(self, request_id: str, reply: BaseReply) -> EncodedReply:
         """Returns what the caller is sent."""
 
-    def refuse(self, error: RefusedRequestError) -> SentReply:
+    def encode_refusal(self, error: RefusedRequestError) -> EncodedReply:
         """Returns what the caller of a malformed request is sent."""
-        return SentReply(error.status, (("Content-Type", "text/plain"),), str(error).encode())
+        return EncodedReply(error.status, (("Content-Type", "text/plain"),), str(error).encode())
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_handler.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_handler.py
@@ -6,13 +6,13 @@
 from fireflylink_core import BaseReply, CallerLimits, CallerRequest
 
 
-class BaseDeparture(abc.ABC):
+class BaseDisconnectNotifier(abc.ABC):
     """Tells that a caller closed its connection before its reply."""
 
     __slots__ = ()
 
     @abc.abstractmethod
-    def on_departure(self, action: Callable[[], None]) -> None:
+    def on_disconnect(self, action: Callable[[], None]) -> None:
         """Runs ``action`` once when the caller leaves, at once if it has left already."""
 
 
@@ -22,7 +22,9 @@
     __slots__ = ()
 
     @abc.abstractmethod
-    def handle(self, request: CallerRequest, departure: BaseDeparture) -> BaseReply:
+    def handle(
+        self, request: CallerRequest, disconnect_notifier: BaseDisconnectNotifier
+    ) -> BaseReply:
         """Runs a request and returns its reply; called in the greenlet of the connection."""
 
     @abc.abstractmethod
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -164,7 +164,7 @@
         self.port: int = self._server.server_port
 
     @property
-    def active(self) -> int:
+    def active_requests(self) -> int:
         """How many requests are in progress."""
         return int(self._server.active)
 
@@ -172,7 +172,7 @@
         """Starts to accept connections."""
         self._server.start()
 
-    def begin_closing(self, idle_seconds: float) -> None:
+    def begin_drain(self, idle_seconds: float) -> None:
         """Ends each connection with its next answer, but still accepts new ones.
 
         A connection that gets no request for ``idle_seconds`` from now is closed.
@@ -180,7 +180,7 @@
         self._server.closing = True
         self._server.closing_until = time.monotonic() + idle_seconds
 
-    def close_idle(self) -> None:
+    def close_idle_connections(self) -> None:
         """Closes connections on which no request has begun."""
         for handler in list(self._server.idle):
             if not _has_bytes(handler.socket):
@@ -190,12 +190,12 @@
         """Accepts no further connections."""
         self._server.stop_accepting()
 
-    def wait_quiet(self, deadline_seconds: float) -> bool:
+    def wait_idle(self, deadline_seconds: float) -> bool:
         """Waits until no request is in progress; returns whether that was so in time."""
         with gevent.Timeout(deadline_seconds, False):
             while self._server.active:
                 gevent.sleep(POLL_SECONDS)
-        return self.active == 0
+        return self.active_requests == 0
 
     def close(self) -> None:
         """Closes the listener and every connection."""
--- a/packages/caller_frontend/tests/test_front_end.py
+++ b/packages/caller_frontend/tests/test_front_end.py
@@ -7,11 +7,11 @@
 from testtools.matchers import Contains, Equals, Is, Not
 
 from fireflylink_caller_frontend import (
-    BaseCallerDialect,
+    BaseCallerCodec,
     BaseRequestHandler,
+    EncodedReply,
     HttpListener,
     RefusedRequestError,
-    SentReply,
     make_application,
 )
 from fireflylink_core import CallerLimits, CallerRequest, ServerAnswer
@@ -21,12 +21,12 @@
 )
 
 
-class PlainDialect(BaseCallerDialect):
+class PlainCodec(BaseCallerCodec):
     """Names of its own, so that the front end is seen to use none."""
 
     __slots__ = ()
 
-    def read(self, received):
+    def decode_request(self, received):
         index = dict(received.headers)
         if "X-Id" not in index:
             raise RefusedRequestError(400, "X-Id is missing")
@@ -41,8 +41,8 @@
             received.received_at + 5.0,
         )
 
-    def write(self, request_id, reply):
-        return SentReply(reply.status, (("X-Id", request_id), *reply.headers), reply.body)
+    def encode_reply(self, request_id, reply):
+        return EncodedReply(reply.status, (("X-Id", request_id), *reply.headers), reply.body)
 
 
 class Handler(BaseRequestHandler):
@@ -53,9 +53,9 @@
         self.requests = []
         self.departures = 0
 
-    def handle(self, request, departure):
+    def handle(self, request, disconnect_notifier):
         self.requests.append(request)
-        departure.on_departure(self._leave)
+        disconnect_notifier.on_disconnect(self._leave)
         gevent.sleep(self.hold_seconds)
         return ServerAnswer(200, (("X-Server", "s1"),), request.body)
 
@@ -71,7 +71,7 @@
 
     def __init__(self) -> None:
         self.handler = Handler()
-        application = make_application(self.handler, PlainDialect())
+        application = make_application(self.handler, PlainCodec())
         self.listener = HttpListener(application, "127.0.0.1", 0, self.handler.limits)
         self.listener.start()
 
@@ -192,8 +192,8 @@
     with front_end.open() as sock:
         sock.sendall(head())
         assert_that(read_reply(sock), Not(Contains(b"Connection: close")))
-        front_end.listener.begin_closing(1.0)
+        front_end.listener.begin_drain(1.0)
         sock.sendall(head())
         assert_that(read_reply(sock), Contains(b"Connection: close"))
         assert_that(sock.recv(1), Equals(b""))
-    assert_that(front_end.listener.wait_quiet(1.0), Is(True))
+    assert_that(front_end.listener.wait_idle(1.0), Is(True))
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -170,8 +170,8 @@
         self.leaving = True
         started_at = self.clock.now()
         deadline = started_at + self.settings.bounds.leave_seconds - LEAVE_MARGIN_SECONDS
-        log_event("leaving", instance=self.settings.instance, active=self.callers.active)
-        self.callers.begin_closing(NOTICE_SECONDS)
+        log_event("leaving", instance=self.settings.instance, active=self.callers.active_requests)
+        self.callers.begin_drain(NOTICE_SECONDS)
         self.decider.post(Leave())
         gevent.spawn_later(MEMBER_STAYS_SECONDS, self.member.post, Leave())
         gevent.sleep(NOTICE_SECONDS)
@@ -179,8 +179,8 @@
         gevent.sleep(LAST_IDLE_SECONDS)
         # A request that comes now might not end in time: another daemon takes it at once.
         self.path.closed = True
-        self.callers.close_idle()
-        quiet = self.callers.wait_quiet(max(0.0, deadline - self.clock.now()))
+        self.callers.close_idle_connections()
+        quiet = self.callers.wait_idle(max(0.0, deadline - self.clock.now()))
         log_event("stopped", instance=self.settings.instance, quiet=quiet)
         flush_log()
         self.left.set()
@@ -215,13 +215,16 @@
     def _declare_gauges(self) -> None:
         serving = self.serving
         gauge = self.metrics.gauge
-        gauge("requests_active", lambda: self.callers.active)
+        gauge("requests_active", lambda: self.callers.active_requests)
         gauge("requests_waiting", lambda: serving.dispatcher.waiting)
         gauge("members", lambda: len(serving.position.members))
         gauge("decider", lambda: float(self.decider.decidership.held))
         gauge("store_reached", lambda: float(serving.directory.store_reached))
         gauge("servers", lambda: len(serving.directory.entries))
-        gauge("connections_opened", lambda: sum(pool.opened for pool in serving.pools.values()))
+        gauge(
+            "connections_opened",
+            lambda: sum(pool.opened_connections for pool in serving.pools.values()),
+        )
         gauge("configuration_version", lambda: serving.routes.version if serving.routes else 0)
 
 
--- a/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
+++ b/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
@@ -3,7 +3,7 @@
 import gevent
 from returns.result import Success
 
-from fireflylink_backend_client import BaseServerDialect, ServerCommands
+from fireflylink_backend_client import BaseServerCodec, ServerCommandClient
 from fireflylink_core import BackendServer, BaseClock
 from fireflylink_daemon._messages import CommandDue, CommandEnded
 from fireflylink_daemon._task import BaseTask
@@ -26,12 +26,12 @@
         self,
         server: BackendServer,
         clock: BaseClock,
-        dialect: BaseServerDialect,
+        dialect: BaseServerCodec,
         ownership: BaseTask,
         hold_seconds: float,
     ) -> None:
         super().__init__(f"grants-{server.server_id}", clock)
-        self.commands = ServerCommands(server, clock, dialect)
+        self.commands = ServerCommandClient(server, clock, dialect)
         self.ownership = ownership
         self.hold_seconds = hold_seconds
 
@@ -64,7 +64,7 @@
 def spawn_release(
     server: BackendServer,
     clock: BaseClock,
-    dialect: BaseServerDialect,
+    dialect: BaseServerCodec,
     service: str,
     command: ReleaseCommand,
     ownership: BaseTask,
@@ -72,7 +72,7 @@
     """Sends a release from a greenlet of its own: its answer waits for the work on the keys."""
 
     def run() -> None:
-        commands = ServerCommands(server, clock, dialect)
+        commands = ServerCommandClient(server, clock, dialect)
         deadline = clock.now() + RELEASE_SECONDS
         ended = commands.release(command.keys, command.fence, deadline)
         commands.close()
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -1,10 +1,10 @@
 """The decider's work: plans of ownership, grants and releases."""
 
 from fireflylink_backend_client import (
-    BaseServerDialect,
+    BaseServerCodec,
     CommandError,
-    HigherFenceError,
-    OtherServerError,
+    ServerMismatchError,
+    StaleFenceError,
 )
 from fireflylink_core import BackendServer, BaseClock, OwnershipTable, ServerIncarnation
 from fireflylink_daemon._decider_task import CommitTable, DeciderTask, Superseded
@@ -66,7 +66,7 @@
         decider: DeciderTask,
         peers: PeerSocket,
         clock: BaseClock,
-        dialect: BaseServerDialect,
+        dialect: BaseServerCodec,
     ) -> None:
         super().__init__("ownership", clock)
         self.serving = serving
@@ -312,9 +312,9 @@
         if isinstance(command, GrantCommand) and not error.sent:
             book.note_not_sent(command)
         book.note_failed(command, now)
-        if isinstance(error, OtherServerError):
+        if isinstance(error, ServerMismatchError):
             book.note_life_ended(command.server)
-        if isinstance(error, HigherFenceError):
+        if isinstance(error, StaleFenceError):
             if isinstance(command, GrantCommand) and book.is_current(command):
                 # Only another decider can have used a higher fence: it has taken over.
                 self._yield("a server has seen a higher fence")
@@ -349,8 +349,8 @@
         if not self.deciding or not report.keys:
             return
         service = self._service(report.service)
-        for times in report.times:
-            seconds = times.milliseconds / MILLISECONDS_PER_SECOND
+        for times in report.service_times:
+            seconds = times.total_ms / MILLISECONDS_PER_SECOND
             service.times.add(times.server_id, times.answers, seconds)
         load = service.load
         each = report.requests / len(report.keys)
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -16,7 +16,7 @@
     GrantNotice,
     LoadReport,
     MemberRecord,
-    ServerTimes,
+    ServerServiceTime,
     decode_datagram,
     encode_datagram,
 )
@@ -73,10 +73,10 @@
         self.requests = {}
         return taken
 
-    def _take_times(self, service: str) -> tuple[ServerTimes, ...]:
+    def _take_times(self, service: str) -> tuple[ServerServiceTime, ...]:
         times = self.times.pop(service, {})
         return tuple(
-            ServerTimes(server_id, len(seconds), int(sum(seconds) * MILLISECONDS_PER_SECOND))
+            ServerServiceTime(server_id, len(seconds), int(sum(seconds) * MILLISECONDS_PER_SECOND))
             for server_id, seconds in times.items()
         )
 
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -1,7 +1,7 @@
 """A request from its route to its reply: placement, attempts, retries."""
 
 from fireflylink_backend_client import Cancellation
-from fireflylink_caller_frontend import BaseDeparture, BaseRequestHandler
+from fireflylink_caller_frontend import BaseDisconnectNotifier, BaseRequestHandler
 from fireflylink_core import (
     NO_KEY,
     Answered,
@@ -103,7 +103,9 @@
     def limits(self) -> CallerLimits:
         return self.serving.limits()
 
-    def handle(self, request: CallerRequest, departure: BaseDeparture) -> BaseReply:
+    def handle(
+        self, request: CallerRequest, disconnect_notifier: BaseDisconnectNotifier
+    ) -> BaseReply:
         routes = self.serving.routes
         if self.closed:
             return self._refused(request, NotRun("leaving", retry_after=LEAVING_RETRY_SECONDS))
@@ -117,7 +119,7 @@
         if self._is_poison(request):
             return self._refused(request, NotRun("poison"))
         course = self._course(request, route)
-        departure.on_departure(course.leave)
+        disconnect_notifier.on_disconnect(course.leave)
         reply = self._run(course)
         self._finish(course, reply)
         return reply
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -1,6 +1,6 @@
 """What the request path of a daemon works with: routes, servers, owners, limits."""
 
-from fireflylink_backend_client import BaseServerDialect, ServerPool
+from fireflylink_backend_client import BaseServerCodec, ServerConnectionPool
 from fireflylink_core import (
     BackendServer,
     BaseClock,
@@ -57,7 +57,7 @@
         "trackers",
     )
 
-    def __init__(self, settings: Settings, clock: BaseClock, dialect: BaseServerDialect) -> None:
+    def __init__(self, settings: Settings, clock: BaseClock, dialect: BaseServerCodec) -> None:
         self.settings = settings
         self.clock = clock
         self.dialect = dialect
@@ -72,7 +72,7 @@
         self.owner_tables: dict[str, OwnershipTable] = {}
         self.position = FleetPosition(settings.instance, ())
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
-        self.pools: dict[ServerIncarnation, ServerPool] = {}
+        self.pools: dict[ServerIncarnation, ServerConnectionPool] = {}
         self.store_doubted = False
 
     def limits(self) -> CallerLimits:
@@ -190,18 +190,18 @@
             found = self.budgets[service] = RetryBudget(rule)
         return found
 
-    def pool_of(self, tracker: ServerTracker) -> ServerPool:
+    def pool_of(self, tracker: ServerTracker) -> ServerConnectionPool:
         """Returns the connections to a server."""
         life = tracker.server.incarnation
         pool = self.pools.get(life)
         if pool is None:
-            pool = self.pools[life] = ServerPool(tracker.server, self.clock, self.dialect)
+            pool = self.pools[life] = ServerConnectionPool(tracker.server, self.clock, self.dialect)
         return pool
 
     def drop_idle_connections(self) -> None:
         """Closes connections to servers that were idle for too long."""
         for pool in self.pools.values():
-            pool.drop_idle()
+            pool.evict_idle()
 
     def _refresh_service(self, service: Service, now: float) -> None:
         pool = self.dispatcher.pools.get(service.name)
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -74,7 +74,9 @@
         elif isinstance(message, GrantNotice):
             self.serving.note_granted(message)
         elif isinstance(message, CrashNotice):
-            self.serving.poison.note_crash(message.fingerprint, message.life, self.clock.now())
+            self.serving.poison.note_crash(
+                message.fingerprint, message.incarnation, self.clock.now()
+            )
         elif isinstance(message, StoreLost):
             self.serving.directory.note_store_lost()
         elif isinstance(message, StoreDoubted):
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -71,7 +71,7 @@
     def __init__(self) -> None:
         self.actions = []
 
-    def on_departure(self, action) -> None:
+    def on_disconnect(self, action) -> None:
         self.actions.append(action)
 
     def leave(self) -> None:
--- a/packages/protocol/src/fireflylink_protocol/__init__.py
+++ b/packages/protocol/src/fireflylink_protocol/__init__.py
@@ -6,7 +6,7 @@
     Datagram,
     GrantNotice,
     LoadReport,
-    ServerTimes,
+    ServerServiceTime,
     decode_datagram,
     encode_datagram,
 )
@@ -37,7 +37,7 @@
     "LoadReport",
     "MemberRecord",
     "RecordError",
-    "ServerTimes",
+    "ServerServiceTime",
     "decode_datagram",
     "decode_member",
     "decode_table",
--- a/packages/protocol/src/fireflylink_protocol/_datagrams.py
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -15,29 +15,29 @@
 MAX_KEY = 65535
 
 
-class ServerTimes(BaseValue):
+class ServerServiceTime(BaseValue):
     """How long a server took for some requests of one daemon.
 
-    ``milliseconds`` is the sum of the service times without the time in queues.
+    ``total_ms`` is the sum of the service times without the time in queues.
     """
 
-    __slots__ = ("answers", "milliseconds", "server_id")
+    __slots__ = ("answers", "server_id", "total_ms")
 
-    def __init__(self, server_id: str, answers: int, milliseconds: int) -> None:
+    def __init__(self, server_id: str, answers: int, total_ms: int) -> None:
         self.server_id = server_id
         self.answers = answers
-        self.milliseconds = milliseconds
+        self.total_ms = total_ms
 
 
 class LoadReport(BaseValue):
     """Keys that a daemon was asked for since its last report, in arrival order.
 
     ``requests`` is how many there were; ``keys`` is a sample of them when there were more than
-    ``MAX_REPORTED_KEYS``. ``times`` are those of servers that answered since they were last sent.
-    ``sequence`` grows with each report of one life of a daemon.
+    ``MAX_REPORTED_KEYS``. ``service_times`` are those of servers that answered since they were last
+    sent. ``sequence`` grows with each report of one life of a daemon.
     """
 
-    __slots__ = ("instance", "keys", "requests", "sequence", "service", "times")
+    __slots__ = ("instance", "keys", "requests", "sequence", "service", "service_times")
 
     def __init__(
         self,
@@ -46,14 +46,14 @@
         sequence: int,
         requests: int,
         keys: tuple[int, ...],
-        times: tuple[ServerTimes, ...] = (),
+        service_times: tuple[ServerServiceTime, ...] = (),
     ) -> None:
         self.instance = instance
         self.service = service
         self.sequence = sequence
         self.requests = requests
         self.keys = keys
-        self.times = times
+        self.service_times = service_times
 
 
 class GrantNotice(BaseValue):
@@ -70,11 +70,11 @@
 class CrashNotice(BaseValue):
     """A request, by its fingerprint, that was running on a life of a server when it crashed."""
 
-    __slots__ = ("fingerprint", "life")
+    __slots__ = ("fingerprint", "incarnation")
 
-    def __init__(self, fingerprint: bytes, life: ServerIncarnation) -> None:
+    def __init__(self, fingerprint: bytes, incarnation: ServerIncarnation) -> None:
         self.fingerprint = fingerprint
-        self.life = life
+        self.incarnation = incarnation
 
 
 Datagram = LoadReport | GrantNotice | CrashNotice
@@ -91,10 +91,10 @@
             message.sequence,
             message.requests,
             list(message.keys),
-            [[times.server_id, times.answers, times.milliseconds] for times in message.times],
+            [[times.server_id, times.answers, times.total_ms] for times in message.service_times],
         ]
     elif isinstance(message, CrashNotice):
-        life = message.life
+        life = message.incarnation
         fields = [CRASH_FORMAT, message.fingerprint, life.server_id, life.started_ms]
     else:
         keys = message.keys
@@ -138,10 +138,10 @@
     )
 
 
-def _times(server_id: object, answers: object, milliseconds: object) -> ServerTimes:
+def _times(server_id: object, answers: object, milliseconds: object) -> ServerServiceTime:
     if not isinstance(answers, int) or not isinstance(milliseconds, int) or answers < 1:
         raise ValueError("service times must be whole numbers")
-    return ServerTimes(str(server_id), answers, milliseconds)
+    return ServerServiceTime(str(server_id), answers, milliseconds)
 
 
 def _crash(fingerprint: bytes, server_id: str, born_ms: int) -> CrashNotice:
--- a/packages/protocol/tests/test_records.py
+++ b/packages/protocol/tests/test_records.py
@@ -12,7 +12,7 @@
     GrantNotice,
     LoadReport,
     MemberRecord,
-    ServerTimes,
+    ServerServiceTime,
     decode_datagram,
     decode_member,
     decode_table,
@@ -72,7 +72,9 @@
 @pytest.mark.parametrize(
     "message",
     [
-        LoadReport("front-0", "availability", 3, 9, (1, 65535, 1), (ServerTimes("i-1", 2, 310),)),
+        LoadReport(
+            "front-0", "availability", 3, 9, (1, 65535, 1), (ServerServiceTime("i-1", 2, 310),)
+        ),
         GrantNotice("availability", KeyRange(4, 99), 12),
         CrashNotice(b"12345678", ServerIncarnation("i-1", 1787427283046)),
     ],
