Name limits, cold servers and server tracking by the terms of the field

ColdGate becomes ColdServerLimiter, SlidingCount a SlidingWindowCounter, and terms of a service are its limits. Methods named note_ become record_ for measurements and mark_ for flags; predicates and counts say what they hold.

--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -219,7 +219,7 @@
         gauge("requests_waiting", lambda: serving.dispatcher.waiting)
         gauge("members", lambda: len(serving.position.members))
         gauge("decider", lambda: float(self.decider.decidership.held))
-        gauge("store_reached", lambda: float(serving.directory.store_reached))
+        gauge("store_reached", lambda: float(serving.directory.store_reachable))
         gauge("servers", lambda: len(serving.directory.entries))
         gauge(
             "connections_opened",
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -186,7 +186,7 @@
         candidates = self._candidates(name, service, now)
         if service.book is None or not (candidates or service.table):
             return
-        joined = [entry.joined_at for entry in self.serving.directory.usable(name)]
+        joined = [entry.joined_at for entry in self.serving.directory.eligible_servers(name)]
         wanted = service.wanted_table(candidates, max(joined, default=now), now)
         if wanted is not None:
             self._log_plan(service, wanted, candidates)
@@ -222,7 +222,7 @@
         self.decider.post(Superseded(reason))
 
     def _candidates(self, name: str, service: KeyedService, now: float) -> list[Candidate]:
-        entries = self.serving.directory.usable(name)
+        entries = self.serving.directory.eligible_servers(name)
         found = []
         for entry in entries:
             server = entry.server
@@ -234,7 +234,7 @@
     def _capacity(self, service: KeyedService, server: BackendServer, now: float) -> float:
         """Returns how many requests a second a server can run."""
         tracker = self.serving.trackers.get(server.incarnation)
-        cold = tracker is not None and tracker.gate.is_cold(now)
+        cold = tracker is not None and tracker.cold_limiter.is_cold(now)
         return service.times.capacity(server.server_id, server.slots, cold)
 
     def _send(self, name: str, book: GrantBook, command: object, now: float) -> None:
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -126,11 +126,11 @@
 
     def _is_poison(self, request: CallerRequest) -> bool:
         poison = self.serving.poison
-        return poison.any_suspects() and poison.is_poison(fingerprint_of(request), self.clock.now())
+        return poison.has_suspects() and poison.is_poison(fingerprint_of(request), self.clock.now())
 
     def _course(self, request: CallerRequest, route: Route) -> _Course:
         service = self.serving.splits.choose(route)
-        self.serving.budget(service).note_request(request.received_at)
+        self.serving.budget(service).record_request(request.received_at)
         if request.key != NO_KEY:
             self.keys.add(service, request.key)
         timeout = route.timeout_ms / MILLISECONDS_PER_SECOND
@@ -172,7 +172,7 @@
 
     def _undo(self, placement: BasePlacement | None) -> None:
         if isinstance(placement, Send):
-            placement.tracker.note_ended()
+            placement.tracker.record_completed()
 
     def _call(self, course: _Course, send: Send) -> BaseCallResult:
         tracker = send.tracker
@@ -182,22 +182,22 @@
         try:
             result = pool.call(course.request, course.latest, course.cancellation)
         finally:
-            tracker.note_ended()
+            tracker.record_completed()
         now = self.clock.now()
         if isinstance(result, Answered | Declined) and result.load is not None:
-            tracker.note_load(result.load, now)
+            tracker.record_load(result.load, now)
         if isinstance(result, Answered) and result.answer.status < SERVER_ERROR:
             seconds = now - sent_at
-            if tracker.note_answer(seconds, send.fullness, now) and course.request.key != NO_KEY:
+            if tracker.record_answer(seconds, send.fullness, now) and course.request.key != NO_KEY:
                 self.keys.add_time(course.service, tracker.server.server_id, seconds)
         elif _failed_at_server(result):
-            tracker.note_failure(now)
+            tracker.record_failure(now)
         elif isinstance(result, Lost) and result.reason is LostReason.LATE:
-            seconds = tracker.note_late(now - sent_at, send.fullness, now)
+            seconds = tracker.record_timeout(now - sent_at, send.fullness, now)
             if course.request.key != NO_KEY:
                 self.keys.add_time(course.service, tracker.server.server_id, seconds)
         elif isinstance(result, NotSent):
-            tracker.note_silence(now)
+            tracker.record_no_response(now)
         if isinstance(result, Lost) and result.reason in CRASH_REASONS:
             self.crashes.note_ended(tracker.server, course.request)
         self.dispatch.sweep()
@@ -209,11 +209,11 @@
         if isinstance(result, Declined) and result.misdirected:
             self.dispatch.dispatcher.note_misdirected(course.service, send, now)
         decision = course.attempts.next(
-            result, course.latest - now, budget.allows(now, self.serving.position)
+            result, course.latest - now, budget.allows_retry(now, self.serving.position)
         )
         if isinstance(decision, TryAgain):
             if decision.arrived:
-                budget.note_repeat(now)
+                budget.record_retry(now)
             log_event(
                 "request-retried",
                 request=course.request.request_id,
@@ -289,9 +289,11 @@
             "reachable": tracker is not None,
         }
         if tracker is not None:
-            fields["owner_queue"] = tracker.queue(now)
-            fields["owner_report_age"] = now - tracker.reported_at if tracker.reported else -1.0
-            fields["owner_failures"] = tracker.silent_failures
+            fields["owner_queue"] = tracker.expected_load(now)
+            fields["owner_report_age"] = (
+                now - tracker.reported_at if tracker.reported_load else -1.0
+            )
+            fields["owner_failures"] = tracker.consecutive_no_responses
         return fields
 
 
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -17,15 +17,15 @@
     ColdLimit,
     FleetPosition,
     RetryBudget,
-    RetryBudgetRule,
+    RetryBudgetLimits,
 )
 from fireflylink_decisions.poison import PoisonRegistry
-from fireflylink_decisions.routing import RouteTable, SplitChooser
+from fireflylink_decisions.routing import RouteTable, TrafficSplitter
 from fireflylink_decisions.servers import (
     DirectoryEntry,
     ServerDirectory,
     ServerTracker,
-    ServiceTerms,
+    ServiceLimits,
 )
 from fireflylink_protocol import GrantNotice, MemberRecord
 
@@ -63,7 +63,7 @@
         self.dialect = dialect
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
-        self.splits = SplitChooser()
+        self.splits = TrafficSplitter()
         self.directory = ServerDirectory()
         self.dispatcher = Dispatcher()
         self.poison = PoisonRegistry()
@@ -130,7 +130,7 @@
         known = self.directory.find(server.server_id)
         joined = known is None or known.server.incarnation != server.incarnation
         state = known.server.state if known is not None else None
-        self.directory.put(server, now)
+        self.directory.register(server, now)
         tracker = self.trackers.get(server.incarnation)
         if tracker is None:
             tracker = ServerTracker(server)
@@ -138,7 +138,7 @@
         tracker.server = server
         cold_seconds = server.cold_ms / MILLISECONDS_PER_SECOND
         if cold_seconds > 0:
-            tracker.gate.note_cold(now + cold_seconds)
+            tracker.cold_limiter.mark_cold(now + cold_seconds)
         if joined or state != server.state:
             log_event(
                 "server-registered",
@@ -166,7 +166,7 @@
             service = self.routes.services.get(entry.server.service)
             if entry.server.data_centre == data_centre and service is not None:
                 tracker = self.trackers[entry.server.incarnation]
-                tracker.gate.note_cold(now + service.cold_seconds)
+                tracker.cold_limiter.mark_cold(now + service.cold_seconds)
 
     def refresh(self) -> None:
         """Brings the pools of servers in line with configuration, registrations and time."""
@@ -184,7 +184,7 @@
         found = self.budgets.get(service)
         if found is None:
             bounds = self.settings.bounds
-            rule = RetryBudgetRule(
+            rule = RetryBudgetLimits(
                 bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
             )
             found = self.budgets[service] = RetryBudget(rule)
@@ -224,23 +224,23 @@
         }
 
     def _serves(self, entry: DirectoryEntry, service: Service, now: float) -> bool:
-        if not self.directory.believed(entry):
+        if not self.directory.is_presumed_alive(entry):
             return False
-        if self.directory.may_get_work(entry):
+        if self.directory.is_eligible(entry):
             return True
         if not service.keyed:
             return False
         evacuated_at = self.directory.evacuated.get(entry.server.data_centre)
-        since = [at for at in (entry.leaving_since, evacuated_at) if at is not None]
+        since = [at for at in (entry.draining_since, evacuated_at) if at is not None]
         drain_seconds = self.settings.bounds.drain_seconds * KEYED_DRAIN_PART
         return bool(since) and now < min(since) + drain_seconds
 
-    def _terms(self, service: Service, position: FleetPosition) -> ServiceTerms:
+    def _terms(self, service: Service, position: FleetPosition) -> ServiceLimits:
         bounds = self.settings.bounds
         cold = ColdLimit(service.cold_requests_per_second, bounds.cold_factor, bounds.cold_extra)
         # A keyed server that started again runs nothing before it is granted keys.
-        cautious = not service.keyed and (self.store_doubted or not self.directory.store_reached)
-        return ServiceTerms(
+        cautious = not service.keyed and (self.store_doubted or not self.directory.store_reachable)
+        return ServiceLimits(
             cold, service.connection_limit, position, self.settings.data_centre, cautious
         )
 
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -74,16 +74,16 @@
         elif isinstance(message, GrantNotice):
             self.serving.note_granted(message)
         elif isinstance(message, CrashNotice):
-            self.serving.poison.note_crash(
+            self.serving.poison.record_crash(
                 message.fingerprint, message.incarnation, self.clock.now()
             )
         elif isinstance(message, StoreLost):
-            self.serving.directory.note_store_lost()
+            self.serving.directory.mark_store_unreachable()
         elif isinstance(message, StoreDoubted):
             self.serving.store_doubted = message.doubted
             log_event("store-doubted", doubted=message.doubted)
         elif isinstance(message, StoreReached):
-            self.serving.directory.note_store_reached(self.clock.now())
+            self.serving.directory.mark_store_reachable(self.clock.now())
         return None
 
     def _apply(self, message: FactsRead) -> None:
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -190,9 +190,9 @@
     read(reader, Item("op/config", json.dumps(value).encode(), 1), server_item("i-1", 2))
     [tracker] = reader.serving.trackers.values()
     reader.serving.set_evacuated("kingston", True)
-    assert_that(tracker.gate.is_cold(clock.now()), Is(False))
+    assert_that(tracker.cold_limiter.is_cold(clock.now()), Is(False))
     reader.serving.set_evacuated("kingston", False)
-    assert_that(tracker.gate.is_cold(clock.now()), Is(True))
+    assert_that(tracker.cold_limiter.is_cold(clock.now()), Is(True))
 
 
 def test_a_daemon_whose_record_lapsed_has_no_share_of_cold_servers(bench):
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -6,13 +6,13 @@
 from fireflylink_decisions.dispatch._ticket import BasePlacement, Refuse, Send, Ticket
 from fireflylink_decisions.dispatch._waiting_line import WaitingLine
 from fireflylink_decisions.servers import (
-    LESS_URGENT_DEPTH,
-    QUEUE_DEPTH,
+    MAX_LOW_PRIORITY_REQUESTS_PER_SLOT,
+    MAX_REQUESTS_PER_SLOT,
     ServerTracker,
-    ServiceTerms,
+    ServiceLimits,
+    available_at,
     choose_server,
-    is_silent,
-    room_at,
+    is_unresponsive,
 )
 
 OWNER_WAIT_SECONDS = 0.25
@@ -52,7 +52,7 @@
         "trackers",
     )
 
-    def __init__(self, keyed: bool, terms: ServiceTerms) -> None:
+    def __init__(self, keyed: bool, terms: ServiceLimits) -> None:
         self.keyed = keyed
         self.terms = terms
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
@@ -67,7 +67,7 @@
         """Returns how many requests a slot a server may hold for one more of a rank."""
         oldest = now - URGENT_MEMORY_SECONDS
         urgent = any(other < rank and at > oldest for other, at in self.seen.items())
-        return LESS_URGENT_DEPTH if urgent else QUEUE_DEPTH
+        return MAX_LOW_PRIORITY_REQUESTS_PER_SLOT if urgent else MAX_REQUESTS_PER_SLOT
 
     def set_table(self, table: OwnershipTable, now: float) -> None:
         """Takes the owners of the keys."""
@@ -176,7 +176,7 @@
             return None
         if now < pool.doubted.get((assignment.owner, assignment.fence), 0.0):
             return None
-        open_at = room_at(tracker, pool.terms, now, pool.depth(ticket.rank, now))
+        open_at = available_at(tracker, pool.terms, now, pool.depth(ticket.rank, now))
         if open_at is None or open_at > now:
             return None
         return _send(pool, tracker, assignment.fence, now)
@@ -193,7 +193,7 @@
         if not pool.keyed:
             return False
         tracker = pool.owner_of(ticket.key)
-        return tracker is None or is_silent(tracker)
+        return tracker is None or is_unresponsive(tracker)
 
     def _hopeless(self, pool: ServicePool, ticket: Ticket, ahead: int, now: float) -> bool:
         if not pool.keyed:
@@ -202,25 +202,28 @@
         tracker = pool.owner_of(ticket.key)
         if tracker is None:
             return False
-        return now + tracker.expected_wait(now) + tracker.expected_in_line(now) > ticket.latest
+        return (
+            now + tracker.expected_wait_seconds(now) + tracker.expected_seconds_after_wait(now)
+            > ticket.latest
+        )
 
     def _join(self, pool: ServicePool, ticket: Ticket) -> None:
         pool.line.join(ticket)
         if pool.keyed:
             ticket.awaited = pool.owner_of(ticket.key)
             if ticket.awaited is not None:
-                ticket.awaited.waiting += 1
+                ticket.awaited.queued += 1
 
     def _leave(self, pool: ServicePool, ticket: Ticket) -> None:
         pool.line.leave(ticket)
         if ticket.awaited is not None:
-            ticket.awaited.waiting -= 1
+            ticket.awaited.queued -= 1
             ticket.awaited = None
 
 
 def _send(pool: ServicePool, tracker: ServerTracker, fence: int, now: float) -> Send:
-    fullness = tracker.fullness(now)
-    tracker.note_sent(now)
+    fullness = tracker.queueing_factor(now)
+    tracker.record_sent(now)
     pool.line.placed.add(now)
     return Send(tracker, fullness, fence)
 
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_waiting_line.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_waiting_line.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from fireflylink_decisions.dispatch._ticket import Ticket
-from fireflylink_decisions.limits import SlidingCount
+from fireflylink_decisions.limits import SlidingWindowCounter
 
 RATE_WINDOW_SECONDS = 2.0
 MAX_WAITING = 200
@@ -17,7 +17,7 @@
 
     def __init__(self) -> None:
         self.tickets: list[Ticket] = []
-        self.placed = SlidingCount(RATE_WINDOW_SECONDS)
+        self.placed = SlidingWindowCounter(RATE_WINDOW_SECONDS)
 
     def join(self, ticket: Ticket) -> None:
         """Adds a ticket behind those that are as urgent."""
--- a/packages/decisions/src/fireflylink_decisions/limits/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/__init__.py
@@ -1,16 +1,16 @@
 """Limits that all daemons share: cold servers, retries, connections."""
 
-from fireflylink_decisions.limits._cold_gate import ColdGate, ColdLimit
-from fireflylink_decisions.limits._retry_budget import RetryBudget, RetryBudgetRule
-from fireflylink_decisions.limits._share import UNKNOWN_MEMBERS, FleetPosition
-from fireflylink_decisions.limits._sliding_count import SlidingCount
+from fireflylink_decisions.limits._cold_gate import ColdLimit, ColdServerLimiter
+from fireflylink_decisions.limits._retry_budget import RetryBudget, RetryBudgetLimits
+from fireflylink_decisions.limits._share import ASSUMED_MEMBER_COUNT, FleetPosition
+from fireflylink_decisions.limits._sliding_count import SlidingWindowCounter
 
 __all__ = [
-    "UNKNOWN_MEMBERS",
-    "ColdGate",
+    "ASSUMED_MEMBER_COUNT",
     "ColdLimit",
+    "ColdServerLimiter",
     "FleetPosition",
     "RetryBudget",
-    "RetryBudgetRule",
-    "SlidingCount",
+    "RetryBudgetLimits",
+    "SlidingWindowCounter",
 ]
--- a/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
@@ -1,41 +1,41 @@
 """The budget for arrivals at servers beyond the first of each request."""
 
 from fireflylink_decisions.limits._share import FleetPosition
-from fireflylink_decisions.limits._sliding_count import SlidingCount
+from fireflylink_decisions.limits._sliding_count import SlidingWindowCounter
 
 SAFE_PART = 0.7
 
 
-class RetryBudgetRule:
+class RetryBudgetLimits:
     """What all daemons together may repeat for one service in any window."""
 
-    __slots__ = ("extra", "ratio", "window")
+    __slots__ = ("extra", "ratio", "window_seconds")
 
-    def __init__(self, ratio: float, extra: float, window: float) -> None:
+    def __init__(self, ratio: float, extra: float, window_seconds: float) -> None:
         self.ratio = ratio
         self.extra = extra
-        self.window = window
+        self.window_seconds = window_seconds
 
 
 class RetryBudget:
     """This daemon's part of the budget of one service."""
 
-    __slots__ = ("repeats", "requests", "rule")
+    __slots__ = ("limits", "requests", "retries")
 
-    def __init__(self, rule: RetryBudgetRule) -> None:
-        self.rule = rule
-        self.requests = SlidingCount(rule.window)
-        self.repeats = SlidingCount(rule.window)
+    def __init__(self, limits: RetryBudgetLimits) -> None:
+        self.limits = limits
+        self.requests = SlidingWindowCounter(limits.window_seconds)
+        self.retries = SlidingWindowCounter(limits.window_seconds)
 
-    def note_request(self, now: float) -> None:
+    def record_request(self, now: float) -> None:
         """Counts a request of a caller."""
         self.requests.add(now)
 
-    def note_repeat(self, now: float) -> None:
+    def record_retry(self, now: float) -> None:
         """Counts an arrival beyond the first of a request, also one that the server rejects."""
-        self.repeats.add(now)
+        self.retries.add(now)
 
-    def allows(self, now: float, position: FleetPosition) -> bool:
+    def allows_retry(self, now: float, position: FleetPosition) -> bool:
         """Whether one more repeat stays within the budget."""
-        own = self.rule.ratio * self.requests.count(now) + position.fraction(self.rule.extra)
-        return self.repeats.count(now) + 1 <= own * SAFE_PART
+        own = self.limits.ratio * self.requests.count(now) + position.fraction(self.limits.extra)
+        return self.retries.count(now) + 1 <= own * SAFE_PART
--- a/packages/decisions/src/fireflylink_decisions/limits/_share.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_share.py
@@ -3,7 +3,7 @@
 import hashlib
 import math
 
-UNKNOWN_MEMBERS = 24
+ASSUMED_MEMBER_COUNT = 24
 """Members assumed while this daemon is not listed: a share that is too small is safe."""
 
 
@@ -31,7 +31,9 @@
     @property
     def count(self) -> int:
         """How many members a total is divided by."""
-        return len(self.members) if self.listed else max(UNKNOWN_MEMBERS, len(self.members) + 1)
+        return (
+            len(self.members) if self.listed else max(ASSUMED_MEMBER_COUNT, len(self.members) + 1)
+        )
 
     @property
     def rank(self) -> int:
--- a/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
+++ b/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
@@ -31,7 +31,7 @@
 
     Example::
 
-        registry.note_crash(fingerprint_of(request), server.incarnation, now)
+        registry.record_crash(fingerprint_of(request), server.incarnation, now)
     """
 
     __slots__ = ("suspects",)
@@ -41,10 +41,10 @@
             collections.OrderedDict()
         )
 
-    def note_crash(self, fingerprint: bytes, life: ServerIncarnation, now: float) -> None:
+    def record_crash(self, fingerprint: bytes, incarnation: ServerIncarnation, now: float) -> None:
         """Takes a request that ran on a server when it crashed."""
         lives = self.suspects.setdefault(fingerprint, {})
-        lives[life] = now
+        lives[incarnation] = now
         self.suspects.move_to_end(fingerprint)
         while len(self.suspects) > MAX_SUSPECTS:
             self.suspects.popitem(last=False)
@@ -57,6 +57,6 @@
         recent = sum(now - at < MEMORY_SECONDS for at in lives.values())
         return recent >= CRASHES
 
-    def any_suspects(self) -> bool:
+    def has_suspects(self) -> bool:
         """Whether fingerprints have to be computed at all."""
         return bool(self.suspects)
--- a/packages/decisions/src/fireflylink_decisions/routing/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/__init__.py
@@ -1,5 +1,5 @@
 """From a request to its route and service."""
 
-from fireflylink_decisions.routing._route_table import RouteTable, SplitChooser
+from fireflylink_decisions.routing._route_table import RouteTable, TrafficSplitter
 
-__all__ = ["RouteTable", "SplitChooser"]
+__all__ = ["RouteTable", "TrafficSplitter"]
--- a/packages/decisions/src/fireflylink_decisions/routing/_route_table.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_route_table.py
@@ -37,26 +37,26 @@
         return None
 
 
-class SplitChooser:
+class TrafficSplitter:
     """Spreads the requests of split routes over their services in proportion to the weights.
 
     Smooth weighted round robin keeps each daemon's shares exact over any few requests, so that the
     sum over daemons is too. A change of the weights starts anew.
     """
 
-    __slots__ = ("balances",)
+    __slots__ = ("current_weights",)
 
     def __init__(self) -> None:
-        self.balances: dict[str, dict[str, float]] = {}
+        self.current_weights: dict[str, dict[str, float]] = {}
 
     def choose(self, route: Route) -> str:
         """Returns the service of the next request of a route."""
         if len(route.targets) == 1:
             return route.targets[0].service
-        balances = self.balances.get(route.name)
+        balances = self.current_weights.get(route.name)
         if balances is None or balances.keys() != {target.service for target in route.targets}:
             balances = {target.service: 0.0 for target in route.targets}
-            self.balances[route.name] = balances
+            self.current_weights[route.name] = balances
         total = 0.0
         for target in route.targets:
             balances[target.service] += target.weight
@@ -68,6 +68,6 @@
     def keep_only(self, routes: tuple[Route, ...]) -> None:
         """Forgets routes that a configuration no longer has."""
         kept = {route.name for route in routes}
-        for name in list(self.balances):
+        for name in list(self.current_weights):
             if name not in kept:
-                del self.balances[name]
+                del self.current_weights[name]
--- a/packages/decisions/src/fireflylink_decisions/servers/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/__init__.py
@@ -1,31 +1,31 @@
 """Backend servers: which exist, how they do, which one gets a request."""
 
 from fireflylink_decisions.servers._server_choice import (
-    LESS_URGENT_DEPTH,
-    QUEUE_DEPTH,
-    ServiceTerms,
+    MAX_LOW_PRIORITY_REQUESTS_PER_SLOT,
+    MAX_REQUESTS_PER_SLOT,
+    ServiceLimits,
+    available_at,
     choose_server,
     cost_seconds,
-    is_silent,
-    room_at,
+    is_unresponsive,
 )
 from fireflylink_decisions.servers._server_directory import (
-    LAPSE_GRACE_SECONDS,
+    REGISTRATION_GRACE_SECONDS,
     DirectoryEntry,
     ServerDirectory,
 )
 from fireflylink_decisions.servers._server_tracker import ServerTracker
 
 __all__ = [
-    "LAPSE_GRACE_SECONDS",
-    "LESS_URGENT_DEPTH",
-    "QUEUE_DEPTH",
+    "MAX_LOW_PRIORITY_REQUESTS_PER_SLOT",
+    "MAX_REQUESTS_PER_SLOT",
+    "REGISTRATION_GRACE_SECONDS",
     "DirectoryEntry",
     "ServerDirectory",
     "ServerTracker",
-    "ServiceTerms",
+    "ServiceLimits",
+    "available_at",
     "choose_server",
     "cost_seconds",
-    "is_silent",
-    "room_at",
+    "is_unresponsive",
 ]
--- a/packages/decisions/tests/conftest.py
+++ b/packages/decisions/tests/conftest.py
@@ -5,7 +5,7 @@
 from fireflylink_core import BackendServer, ManualClock, ServerIncarnation
 from fireflylink_decisions.limits import ColdLimit, FleetPosition
 from fireflylink_decisions.ownership import Candidate
-from fireflylink_decisions.servers import ServerTracker, ServiceTerms
+from fireflylink_decisions.servers import ServerTracker, ServiceLimits
 
 
 def make_server(name: str, data_centre: str = "kingston", slots: int = 4) -> BackendServer:
@@ -22,8 +22,8 @@
 
 
 @pytest.fixture
-def terms() -> ServiceTerms:
-    return ServiceTerms(
+def terms() -> ServiceLimits:
+    return ServiceLimits(
         ColdLimit(7.3, 1.5, 5.0),
         110,
         FleetPosition("d0", tuple(f"d{number}" for number in range(9))),
--- a/packages/decisions/tests/test_dispatcher.py
+++ b/packages/decisions/tests/test_dispatcher.py
@@ -13,10 +13,10 @@
     ServerLoad,
 )
 from fireflylink_decisions.dispatch import Dispatcher, Refuse, Send, ServicePool, Ticket
-from fireflylink_decisions.servers import ServerTracker, ServiceTerms, choose_server
+from fireflylink_decisions.servers import ServerTracker, ServiceLimits, choose_server
 
 
-def make_pool(names: list[str], keyed: bool, terms: ServiceTerms) -> ServicePool:
+def make_pool(names: list[str], keyed: bool, terms: ServiceLimits) -> ServicePool:
     pool = ServicePool(keyed, terms)
     for name in names:
         server = BackendServer(name, "holds", "127.0.0.1", 1, "kingston", 4, started_ms=1)
@@ -119,7 +119,7 @@
     early = ticket(clock.now(), rank=0)
     pooled.submit(late, clock.now())
     pooled.submit(early, clock.now())
-    placed[0].tracker.note_ended()
+    placed[0].tracker.record_completed()
     [(first, _)] = pooled.sweep(clock.now())
     assert_that(first, Is(early))
 
@@ -141,7 +141,7 @@
     pooled.submit(waiting, clock.now())
     clock.advance(0.55)
     for tracker in pooled.pools["holds"].trackers.values():
-        tracker.note_load(ServerLoad(4, 16, 4), clock.now())
+        tracker.record_load(ServerLoad(4, 16, 4), clock.now())
     refused = [placement for _, placement in pooled.sweep(clock.now())]
     assert_that(refused[0], IsInstance(Refuse))
 
@@ -152,7 +152,7 @@
     waiting = ticket(clock.now())
     pooled.submit(waiting, clock.now())
     pooled.withdraw(waiting)
-    placed[0].tracker.note_ended()
+    placed[0].tracker.record_completed()
     assert_that(pooled.sweep(clock.now()), Equals([]))
 
 
@@ -169,8 +169,8 @@
         now = clock.now()
         for entry in [found for found in running if found[0] <= now]:
             running.remove(entry)
-            entry[2].tracker.note_ended()
-            entry[2].tracker.note_answer(now - entry[1], entry[2].fullness, now)
+            entry[2].tracker.record_completed()
+            entry[2].tracker.record_answer(now - entry[1], entry[2].fullness, now)
         placement = dispatcher.submit(ticket(now), now)
         if isinstance(placement, Send):
             name = placement.tracker.server.server_id
@@ -189,12 +189,12 @@
     pool = make_pool(["good", "grey"], False, terms)
     good, grey = pool.trackers.values()
     for _ in range(10):
-        good.note_answer(0.12, 1.0, clock.now())
-        grey.note_failure(clock.now())
+        good.record_answer(0.12, 1.0, clock.now())
+        grey.record_failure(clock.now())
     chosen = choose_server([good, grey], terms, clock.now(), frozenset())
     assert_that(chosen, Is(good))
     clock.advance(30.0)
-    assert_that(grey.failures(clock.now()), LessThan(0.01))
+    assert_that(grey.decayed_failure_rate(clock.now()), LessThan(0.01))
 
 
 def test_a_retry_goes_to_another_server(terms, clock):
@@ -211,7 +211,7 @@
     far = ServerTracker(BackendServer("far", "holds", "h", 2, "mandeville", 4, started_ms=1))
     assert_that(choose_server([far, near], terms, clock.now(), frozenset()), Is(near))
     for _ in range(9):
-        near.note_sent(clock.now())
+        near.record_sent(clock.now())
     assert_that(choose_server([far, near], terms, clock.now(), frozenset()), Is(far))
 
 
@@ -222,7 +222,7 @@
     tracker.server = tracker.server.replace(slots=1000)
     sent = 0
     while choose_server([tracker], terms, clock.now(), frozenset()) is not None:
-        tracker.note_sent(clock.now())
+        tracker.record_sent(clock.now())
         sent += 1
     assert_that(sent, LessThan(110 // 9 + 1))
 
@@ -233,10 +233,10 @@
     server = BackendServer("s1", "holds", "h", 1, "kingston", 2, started_ms=1)
     tracker = ServerTracker(server)
     for _ in range(10):
-        tracker.note_answer(0.2, 1.0, clock.now())
+        tracker.record_answer(0.2, 1.0, clock.now())
     before = tracker.base_seconds
     for _ in range(20):
-        told = tracker.note_answer(0.6, 6.0, clock.now())
+        told = tracker.record_answer(0.6, 6.0, clock.now())
         assert_that(told, Is(False))
     assert_that(abs(tracker.base_seconds - before), LessThan(0.01))
 
@@ -245,7 +245,7 @@
     """Guards against refusals at once, although the machine's pace changes many times a second."""
     [tracker, _] = keyed.pools["holds"].trackers.values()
     tracker.base_seconds = 0.16
-    tracker.note_load(ServerLoad(4, 6, 4, 3.0), clock.now())
+    tracker.record_load(ServerLoad(4, 6, 4, 3.0), clock.now())
     assert_that(keyed.submit(ticket(clock.now(), 5, seconds=1.2), clock.now()), Is(None))
 
 
@@ -258,7 +258,7 @@
     clock.advance(0.3)
     fresh = Ticket("holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.5)
     assert_that(pooled.submit(fresh, clock.now()), Is(None))
-    placed[0].tracker.note_ended()
+    placed[0].tracker.record_completed()
     [(served, _)] = pooled.sweep(clock.now())
     assert_that(served, Is(fresh))
 
@@ -271,7 +271,7 @@
     clock.advance(0.3)
     fresh = Ticket("holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.5)
     assert_that(pooled.submit(fresh, clock.now()), Is(None))
-    placed[0].tracker.note_ended()
+    placed[0].tracker.record_completed()
     [(served, _)] = pooled.sweep(clock.now())
     assert_that(served, Is(urgent))
 
@@ -280,7 +280,7 @@
     """Guards against orders that queue at a server behind lookups, cfp scale-2: orders that were
     routed to the keyed service were served in time in 55 of 100 cases."""
     urgent = keyed.submit(ticket(clock.now(), 5, rank=0), clock.now())
-    urgent.tracker.note_ended()
+    urgent.tracker.record_completed()
     lookups = 0
     while isinstance(keyed.submit(ticket(clock.now(), 5, rank=2), clock.now()), Send):
         lookups += 1
@@ -290,7 +290,7 @@
 
 def test_the_whole_queue_is_used_when_no_urgent_requests_come(keyed, clock):
     """Guards against idle slots for the sake of requests that do not come."""
-    keyed.submit(ticket(clock.now(), 5, rank=0), clock.now()).tracker.note_ended()
+    keyed.submit(ticket(clock.now(), 5, rank=0), clock.now()).tracker.record_completed()
     clock.advance(4.0)
     lookups = 0
     while isinstance(keyed.submit(ticket(clock.now(), 5, rank=2), clock.now()), Send):
--- a/packages/decisions/tests/test_limits.py
+++ b/packages/decisions/tests/test_limits.py
@@ -5,12 +5,12 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from fireflylink_decisions.limits import (
-    ColdGate,
     ColdLimit,
+    ColdServerLimiter,
     FleetPosition,
     RetryBudget,
-    RetryBudgetRule,
-    SlidingCount,
+    RetryBudgetLimits,
+    SlidingWindowCounter,
 )
 
 
@@ -59,16 +59,16 @@
 def cold_arrivals(members: int, demand_per_daemon: float, clock) -> list[float]:
     """Returns when requests of all daemons reach one cold server."""
     limit = ColdLimit(3.7, 1.5, 5.0)
-    gates = [ColdGate() for _ in range(members)]
+    gates = [ColdServerLimiter() for _ in range(members)]
     positions = fleet(members)
     for gate in gates:
-        gate.note_cold(clock.now() + 6.0)
+        gate.mark_cold(clock.now() + 6.0)
     arrivals = []
     for _ in range(500):
         for rank, (gate, position) in enumerate(zip(gates, positions, strict=True)):
             now = clock.now() + 0.001 * rank
-            if gate.open_at(now, limit, position, "i-1", False) <= now:
-                gate.note_sent(now)
+            if gate.available_at(now, limit, position, "i-1", False) <= now:
+                gate.record_sent(now)
                 arrivals.append(now)
         clock.advance(1.0 / demand_per_daemon)
     return sorted(arrivals)
@@ -78,7 +78,7 @@
 def test_a_cold_server_is_within_its_bound_in_every_sliding_second(members, clock):
     """Guards against FAILBACK: 3.7 x 1.5 + 5 requests in a second, over all daemons."""
     arrivals = cold_arrivals(members, 100.0, clock)
-    window = SlidingCount(1.0)
+    window = SlidingWindowCounter(1.0)
     most = 0
     for arrival in arrivals:
         window.add(arrival)
@@ -89,39 +89,41 @@
 
 def test_the_gate_counts_requests_from_before_the_server_turned_cold(clock):
     """Guards against a second in which the requests before the news are forgotten."""
-    gate = ColdGate()
+    gate = ColdServerLimiter()
     limit = ColdLimit(7.3, 1.5, 5.0)
     position = fleet(9)[0]
     for _ in range(5):
-        gate.note_sent(clock.now())
-    gate.note_cold(clock.now() + 3.0)
-    assert_that(gate.open_at(clock.now(), limit, position, "i-1", False), GreaterThan(clock.now()))
+        gate.record_sent(clock.now())
+    gate.mark_cold(clock.now() + 3.0)
+    assert_that(
+        gate.available_at(clock.now(), limit, position, "i-1", False), GreaterThan(clock.now())
+    )
 
 
 def test_a_daemon_that_cannot_know_keeps_to_its_share_of_a_cold_server(clock):
     """Guards against FAILBACK: a data centre was taken back cold while the store was away."""
-    gate = ColdGate()
+    gate = ColdServerLimiter()
     limit = ColdLimit(3.7, 1.5, 5.0)
     position = fleet(12)[0]
-    gate.note_sent(clock.now())
-    assert_that(gate.open_at(clock.now(), limit, position, "i-1", False), Equals(clock.now()))
-    opens = gate.open_at(clock.now(), limit, position, "i-1", True)
+    gate.record_sent(clock.now())
+    assert_that(gate.available_at(clock.now(), limit, position, "i-1", False), Equals(clock.now()))
+    opens = gate.available_at(clock.now(), limit, position, "i-1", True)
     assert_that(opens, GreaterThan(clock.now() + 1.0))
 
 
 def test_repeats_stay_within_the_budget_of_the_fleet(clock):
     """Guards against BUDGET: 0.2 of the requests and 58 more in any 10 s, over all daemons."""
-    rule = RetryBudgetRule(0.2, 58.0, 10.0)
+    rule = RetryBudgetLimits(0.2, 58.0, 10.0)
     budgets = [RetryBudget(rule) for _ in range(9)]
     positions = fleet(9)
     repeats = requests = 0
     for step in range(900):
         rank = step % 9
         now = clock.now()
-        budgets[rank].note_request(now)
+        budgets[rank].record_request(now)
         requests += 1
-        while budgets[rank].allows(now, positions[rank]):
-            budgets[rank].note_repeat(now)
+        while budgets[rank].allows_retry(now, positions[rank]):
+            budgets[rank].record_retry(now)
             repeats += 1
         clock.advance(0.01)
     assert_that(repeats, LessThan(0.2 * requests + 58))
--- a/packages/decisions/tests/test_poison_registry.py
+++ b/packages/decisions/tests/test_poison_registry.py
@@ -22,7 +22,7 @@
     poison = fingerprint_of(make_request())
     for number in range(3):
         assert_that(registry.is_poison(poison, clock.now()), Is(False))
-        registry.note_crash(poison, ServerIncarnation(f"s{number}", 1), clock.now())
+        registry.record_crash(poison, ServerIncarnation(f"s{number}", 1), clock.now())
     assert_that(registry.is_poison(poison, clock.now()), Is(True))
 
 
@@ -30,7 +30,7 @@
     """Guards against a bystander that is refused after a single crash."""
     seen = fingerprint_of(make_request())
     for _ in range(5):
-        registry.note_crash(seen, ServerIncarnation("s1", 1), clock.now())
+        registry.record_crash(seen, ServerIncarnation("s1", 1), clock.now())
     assert_that(registry.is_poison(seen, clock.now()), Is(False))
 
 
@@ -46,7 +46,7 @@
     """Guards against a request that is refused for ever."""
     poison = fingerprint_of(make_request())
     for number in range(3):
-        registry.note_crash(poison, ServerIncarnation(f"s{number}", 1), clock.now())
+        registry.record_crash(poison, ServerIncarnation(f"s{number}", 1), clock.now())
     clock.advance(61.0)
     assert_that(registry.is_poison(poison, clock.now()), Is(False))
 
@@ -54,5 +54,5 @@
 def test_memory_is_bounded(registry, clock):
     """Guards against memory that grows with every reset connection."""
     for number in range(5000):
-        registry.note_crash(number.to_bytes(8, "big"), ServerIncarnation("s", 1), clock.now())
+        registry.record_crash(number.to_bytes(8, "big"), ServerIncarnation("s", 1), clock.now())
     assert_that(len(registry.suspects), Equals(2000))
--- a/packages/decisions/tests/test_routing.py
+++ b/packages/decisions/tests/test_routing.py
@@ -6,7 +6,7 @@
 from testtools.matchers import Equals, Is, LessThan
 
 from fireflylink_core import CallerLimits, Configuration, RequestKind, Route, RouteTarget
-from fireflylink_decisions.routing import RouteTable, SplitChooser
+from fireflylink_decisions.routing import RouteTable, TrafficSplitter
 
 
 def make_route(name: str, prefix: str, *targets: RouteTarget, host: str = "a.example") -> Route:
@@ -46,7 +46,7 @@
 def test_each_part_of_a_split_gets_its_share_of_any_few_requests():
     """Guards against shares that are off by a tenth in a short time."""
     route = make_route("r", "/", RouteTarget("x", 70.0), RouteTarget("y", 30.0))
-    chooser = SplitChooser()
+    chooser = TrafficSplitter()
     chosen = [chooser.choose(route) for _ in range(200)]
     for start in range(0, 180, 10):
         part = chosen[start : start + 20].count("x") / 20
@@ -55,7 +55,7 @@
 
 def test_new_weights_hold_from_the_next_request_on():
     """Guards against a split that goes on in the old proportions."""
-    chooser = SplitChooser()
+    chooser = TrafficSplitter()
     for _ in range(7):
         chooser.choose(make_route("r", "/", RouteTarget("x", 90.0), RouteTarget("y", 10.0)))
     changed = make_route("r", "/", RouteTarget("y", 90.0), RouteTarget("z", 10.0))
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -3,7 +3,7 @@
 import random
 
 from fireflylink_core import BackendServer, KeyRange, ServerIncarnation, ServerLoad
-from fireflylink_decisions.limits import SlidingCount
+from fireflylink_decisions.limits import SlidingWindowCounter
 from fireflylink_emulator._agenda import Agenda
 from fireflylink_emulator._order import CallDone, CallEnd, CallerOrder, CallOutcome
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
@@ -91,7 +91,7 @@
         self.grey = 0.0
         self.lossy = 0.0
         self.cold_until = float("-inf")
-        self.cold_arrivals = SlidingCount(1.0)
+        self.cold_arrivals = SlidingWindowCounter(1.0)
         self.highest_cold = 0
         self.held: dict[tuple[KeyRange, int], float] = {}
         self.fences: dict[KeyRange, int] = {}
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -23,9 +23,9 @@
     ServicePool,
     Ticket,
 )
-from fireflylink_decisions.limits import ColdLimit, FleetPosition, RetryBudget, RetryBudgetRule
+from fireflylink_decisions.limits import ColdLimit, FleetPosition, RetryBudget, RetryBudgetLimits
 from fireflylink_decisions.retries import Attempts, GiveUp, TryAgain
-from fireflylink_decisions.servers import ServerTracker, ServiceTerms
+from fireflylink_decisions.servers import ServerTracker, ServiceLimits
 from fireflylink_emulator._agenda import Agenda
 from fireflylink_emulator._base_daemon import (
     REPLY_MARGIN_SECONDS,
@@ -97,7 +97,7 @@
         self.sweeping = False
         self.key_counts: list[int] = []
         self.key_times: list[tuple[str, float]] = []
-        rule = RetryBudgetRule(fleet.budget_ratio, fleet.budget_extra, fleet.budget_window)
+        rule = RetryBudgetLimits(fleet.budget_ratio, fleet.budget_extra, fleet.budget_window)
         self.budgets = {profile.name: RetryBudget(rule) for profile in profiles}
         for profile in profiles:
             self.dispatcher.pools[profile.name] = ServicePool(profile.keyed, self._terms(profile))
@@ -119,7 +119,7 @@
                 tracker = self.trackers[registration.incarnation] = ServerTracker(registration)
                 self.servers[registration.incarnation] = server
             if registration.cold_ms > 0:
-                tracker.gate.note_cold(now + registration.cold_ms / MILLISECONDS_PER_SECOND)
+                tracker.cold_limiter.mark_cold(now + registration.cold_ms / MILLISECONDS_PER_SECOND)
             self.dispatcher.pools[server.profile.name].trackers[registration.incarnation] = tracker
         self._sweep()
 
@@ -132,7 +132,7 @@
         self._sweep()
 
     def receive(self, order: CallerOrder, done: Callable[[BaseReply], None]) -> None:
-        self.budgets[order.profile.name].note_request(self.agenda.clock.now())
+        self.budgets[order.profile.name].record_request(self.agenda.clock.now())
         if order.profile.keyed:
             self.key_counts.append(order.key)
         attempts = Attempts(order.profile.repeatable, order.profile.max_servers)
@@ -205,9 +205,9 @@
     def _returned(self, course: _Course, send: Send, sent_at: float, outcome: CallOutcome) -> None:
         now = self.agenda.clock.now()
         tracker = send.tracker
-        tracker.note_ended()
+        tracker.record_completed()
         if outcome.load is not None:
-            tracker.note_load(outcome.load, now)
+            tracker.record_load(outcome.load, now)
         self._learn(course, send, now - sent_at, outcome.end)
         if outcome.end is CallEnd.MISDIRECTED:
             self.dispatcher.note_misdirected(course.order.profile.name, send, now)
@@ -216,10 +216,12 @@
             return
         budget = self.budgets[course.order.profile.name]
         left = course.order.latest - REPLY_MARGIN_SECONDS - now
-        decision = course.attempts.next(_result(outcome), left, budget.allows(now, self.position))
+        decision = course.attempts.next(
+            _result(outcome), left, budget.allows_retry(now, self.position)
+        )
         if isinstance(decision, TryAgain):
             if decision.arrived:
-                budget.note_repeat(now)
+                budget.record_retry(now)
             self._place(course)
         elif isinstance(decision, GiveUp):
             self._finish(course, decision.reply)
@@ -229,25 +231,25 @@
         tracker = send.tracker
         name = tracker.server.server_id
         if end is CallEnd.ANSWERED:
-            if tracker.note_answer(seconds, send.fullness, now) and course.order.profile.keyed:
+            if tracker.record_answer(seconds, send.fullness, now) and course.order.profile.keyed:
                 self.key_times.append((name, seconds))
         elif end is CallEnd.LATE:
-            unqueued = tracker.note_late(seconds, send.fullness, now)
+            unqueued = tracker.record_timeout(seconds, send.fullness, now)
             if course.order.profile.keyed:
                 self.key_times.append((name, unqueued))
         elif end is CallEnd.NOT_SENT:
-            tracker.note_silence(now)
+            tracker.record_no_response(now)
         elif end is not CallEnd.MISDIRECTED:
-            tracker.note_failure(now)
+            tracker.record_failure(now)
 
     def _finish(self, course: _Course, reply: BaseReply) -> None:
         self.courses.pop(course.order, None)
         if not course.left:
             course.done(reply)
 
-    def _terms(self, profile: ServiceProfile) -> ServiceTerms:
+    def _terms(self, profile: ServiceProfile) -> ServiceLimits:
         cold = ColdLimit(profile.cold_per_second, self.fleet.cold_factor, self.fleet.cold_extra)
-        return ServiceTerms(cold, self.fleet.connection_limit, self.position, self.data_centre)
+        return ServiceLimits(cold, self.fleet.connection_limit, self.position, self.data_centre)
 
 
 def _result(outcome: CallOutcome) -> BaseCallResult:
