Name the request queue and retry decisions by the terms of the field

A Ticket in a WaitingLine becomes a QueuedRequest in a RequestQueue with a priority and a deadline. Results of dispatching and retry decisions are named after the result, such as Dispatched, Refused and Retry.

--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -216,7 +216,7 @@
         serving = self.serving
         gauge = self.metrics.gauge
         gauge("requests_active", lambda: self.callers.active_requests)
-        gauge("requests_waiting", lambda: serving.dispatcher.waiting)
+        gauge("requests_waiting", lambda: serving.dispatcher.queued_count)
         gauge("members", lambda: len(serving.position.members))
         gauge("decider", lambda: float(self.decider.decidership.held))
         gauge("store_reached", lambda: float(serving.directory.store_reachable))
--- a/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
@@ -4,7 +4,7 @@
 from gevent.event import Event
 
 from fireflylink_core import BaseClock
-from fireflylink_decisions.dispatch import BasePlacement, Dispatcher, Ticket
+from fireflylink_decisions.dispatch import BaseDispatchResult, Dispatcher, QueuedRequest
 
 SWEEP_SECONDS = 0.02
 
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         self.woken = Event()
-        self.placement: BasePlacement | None = None
+        self.placement: BaseDispatchResult | None = None
 
 
 class DispatchTask:
@@ -27,10 +27,10 @@
     def __init__(self, dispatcher: Dispatcher, clock: BaseClock) -> None:
         self.dispatcher = dispatcher
         self.clock = clock
-        self.waiting: dict[Ticket, WaitingRequest] = {}
+        self.waiting: dict[QueuedRequest, WaitingRequest] = {}
         self.running = False
 
-    def place(self, ticket: Ticket, request: WaitingRequest) -> BasePlacement | None:
+    def place(self, ticket: QueuedRequest, request: WaitingRequest) -> BaseDispatchResult | None:
         """Returns the placement of a ticket; None when the request was woken without one."""
         placement = self.dispatcher.submit(ticket, self.clock.now())
         if placement is not None:
@@ -43,7 +43,7 @@
             request.woken.wait()
         finally:
             self.waiting.pop(ticket, None)
-            self.dispatcher.withdraw(ticket)
+            self.dispatcher.cancel(ticket)
         return request.placement
 
     def sweep(self) -> None:
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -27,9 +27,9 @@
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._serving import Serving
-from fireflylink_decisions.dispatch import BasePlacement, Refuse, Send, Ticket
+from fireflylink_decisions.dispatch import BaseDispatchResult, Dispatched, QueuedRequest, Refused
 from fireflylink_decisions.poison import fingerprint_of
-from fireflylink_decisions.retries import Attempts, BaseNext, GiveUp, TryAgain
+from fireflylink_decisions.retries import Attempts, BaseRetryDecision, Retry, ReturnReply
 
 NO_ROUTE_STATUS = 404
 SERVER_ERROR = 500
@@ -144,25 +144,25 @@
             if course.left:
                 self._undo(placement)
                 return CallerDisconnected()
-            if isinstance(placement, Refuse):
-                return course.attempts.refusal(placement.reason, placement.retry_after)
-            if not isinstance(placement, Send):
-                return course.attempts.refusal("not-placed", NOT_CONFIGURED_RETRY_SECONDS)
+            if isinstance(placement, Refused):
+                return course.attempts.refusal_reply(placement.reason, placement.retry_after)
+            if not isinstance(placement, Dispatched):
+                return course.attempts.refusal_reply("not-placed", NOT_CONFIGURED_RETRY_SECONDS)
             result = self._call(course, placement)
             if course.left:
                 return CallerDisconnected()
             decision = self._next(course, placement, result)
-            if isinstance(decision, GiveUp):
+            if isinstance(decision, ReturnReply):
                 return decision.reply
 
-    def _place(self, course: _Course) -> BasePlacement | None:
-        ticket = Ticket(
+    def _place(self, course: _Course) -> BaseDispatchResult | None:
+        ticket = QueuedRequest(
             course.service,
             course.route.priority,
             course.request.received_at,
             course.latest,
             course.request.key,
-            frozenset(course.attempts.tried),
+            frozenset(course.attempts.tried_servers),
             course.objective_at,
         )
         course.wait.woken.clear()
@@ -170,15 +170,15 @@
             return None
         return self.dispatch.place(ticket, course.wait)
 
-    def _undo(self, placement: BasePlacement | None) -> None:
-        if isinstance(placement, Send):
+    def _undo(self, placement: BaseDispatchResult | None) -> None:
+        if isinstance(placement, Dispatched):
             placement.tracker.record_completed()
 
-    def _call(self, course: _Course, send: Send) -> BaseCallResult:
+    def _call(self, course: _Course, send: Dispatched) -> BaseCallResult:
         tracker = send.tracker
         pool = self.serving.pool_of(tracker)
         sent_at = self.clock.now()
-        course.attempts.note_sent(tracker.server.server_id)
+        course.attempts.record_sent(tracker.server.server_id)
         try:
             result = pool.call(course.request, course.latest, course.cancellation)
         finally:
@@ -188,12 +188,15 @@
             tracker.record_load(result.load, now)
         if isinstance(result, Answered) and result.answer.status < SERVER_ERROR:
             seconds = now - sent_at
-            if tracker.record_answer(seconds, send.fullness, now) and course.request.key != NO_KEY:
+            if (
+                tracker.record_answer(seconds, send.queueing_factor, now)
+                and course.request.key != NO_KEY
+            ):
                 self.keys.add_time(course.service, tracker.server.server_id, seconds)
         elif _failed_at_server(result):
             tracker.record_failure(now)
         elif isinstance(result, Lost) and result.reason is LostReason.LATE:
-            seconds = tracker.record_timeout(now - sent_at, send.fullness, now)
+            seconds = tracker.record_timeout(now - sent_at, send.queueing_factor, now)
             if course.request.key != NO_KEY:
                 self.keys.add_time(course.service, tracker.server.server_id, seconds)
         elif isinstance(result, NotSent):
@@ -203,16 +206,16 @@
         self.dispatch.sweep()
         return result
 
-    def _next(self, course: _Course, send: Send, result: BaseCallResult) -> BaseNext:
+    def _next(self, course: _Course, send: Dispatched, result: BaseCallResult) -> BaseRetryDecision:
         now = self.clock.now()
         budget = self.serving.budget(course.service)
         if isinstance(result, Declined) and result.misdirected:
-            self.dispatch.dispatcher.note_misdirected(course.service, send, now)
-        decision = course.attempts.next(
+            self.dispatch.dispatcher.record_misdirected(course.service, send, now)
+        decision = course.attempts.decide(
             result, course.latest - now, budget.allows_retry(now, self.serving.position)
         )
-        if isinstance(decision, TryAgain):
-            if decision.arrived:
+        if isinstance(decision, Retry):
+            if decision.reached_server:
                 budget.record_retry(now)
             log_event(
                 "request-retried",
@@ -262,12 +265,12 @@
             key=course.request.key,
             outcome=outcome,
             status=status,
-            servers=",".join(course.attempts.tried) or "none",
+            servers=",".join(course.attempts.tried_servers) or "none",
             seconds=seconds,
             limit_seconds=course.latest - course.request.received_at,
             version=self.serving.routes.version if self.serving.routes is not None else 0,
             fence=table.fence if table is not None else 0,
-            waiting=self.dispatch.dispatcher.waiting,
+            waiting=self.dispatch.dispatcher.queued_count,
             **({} if isinstance(reply, ServerAnswer) else self._owner_fields(course)),
         )
 
@@ -285,7 +288,7 @@
             "owner": assignment.owner,
             "keys_fence": assignment.fence,
             "moving": bool(assignment.previous_holders),
-            "table_age": now - pool.table_at,
+            "table_age": now - pool.table_received_at,
             "reachable": tracker is not None,
         }
         if tracker is not None:
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -122,7 +122,7 @@
         """Takes the decider's word that moved keys have arrived at their new owner."""
         pool = self.dispatcher.pools.get(notice.service)
         if pool is not None:
-            pool.granted.add((notice.keys, notice.fence))
+            pool.confirmed_grants.add((notice.keys, notice.fence))
 
     def put_server(self, server: BackendServer) -> None:
         """Takes a registration."""
@@ -213,7 +213,7 @@
             if table is not None:
                 pool.set_table(table, now)
         pool.keyed = service.keyed
-        pool.terms = terms
+        pool.limits = terms
         entries = [
             entry
             for entry in self.directory.entries.values()
--- a/packages/decisions/src/fireflylink_decisions/dispatch/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/__init__.py
@@ -1,15 +1,20 @@
 """Waiting, placing and refusing."""
 
 from fireflylink_decisions.dispatch._dispatcher import Dispatcher, ServicePool
-from fireflylink_decisions.dispatch._ticket import BasePlacement, Refuse, Send, Ticket
-from fireflylink_decisions.dispatch._waiting_line import WaitingLine
+from fireflylink_decisions.dispatch._ticket import (
+    BaseDispatchResult,
+    Dispatched,
+    QueuedRequest,
+    Refused,
+)
+from fireflylink_decisions.dispatch._waiting_line import RequestQueue
 
 __all__ = [
-    "BasePlacement",
+    "BaseDispatchResult",
+    "Dispatched",
     "Dispatcher",
-    "Refuse",
-    "Send",
+    "QueuedRequest",
+    "Refused",
+    "RequestQueue",
     "ServicePool",
-    "Ticket",
-    "WaitingLine",
 ]
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_ticket.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_ticket.py
@@ -4,63 +4,63 @@
 from fireflylink_decisions.servers import ServerTracker
 
 
-class Ticket:
+class QueuedRequest:
     """What the dispatcher needs to know of a request; its identity is the object itself.
 
-    ``latest`` is when its answer is needed at the latest, ``objective_at`` until when it has its
-    full worth, ``tried`` the servers that it was sent to. ``rank`` 0 is the most urgent.
-    ``awaited`` is the server whose room it waits for.
+    ``deadline`` is when its answer is needed at the latest, ``objective_at`` until when it has its
+    full worth, ``tried_servers`` the servers that it was sent to. ``priority`` 0 is the most
+    urgent. ``awaited_server`` is the server whose room it waits for.
     """
 
     __slots__ = (
-        "awaited",
+        "awaited_server",
+        "deadline",
+        "enqueued_at",
         "key",
-        "latest",
         "objective_at",
-        "rank",
+        "priority",
         "service",
-        "since",
-        "tried",
+        "tried_servers",
     )
 
     def __init__(
         self,
         service: str,
-        rank: int,
-        since: float,
-        latest: float,
+        priority: int,
+        enqueued_at: float,
+        deadline: float,
         key: int = NO_KEY,
-        tried: frozenset[str] = frozenset(),
+        tried_servers: frozenset[str] = frozenset(),
         objective_at: float | None = None,
     ) -> None:
-        self.awaited: ServerTracker | None = None
+        self.awaited_server: ServerTracker | None = None
         self.service = service
-        self.rank = rank
-        self.since = since
-        self.latest = latest
-        self.objective_at = latest if objective_at is None else objective_at
+        self.priority = priority
+        self.enqueued_at = enqueued_at
+        self.deadline = deadline
+        self.objective_at = deadline if objective_at is None else objective_at
         self.key = key
-        self.tried = tried
+        self.tried_servers = tried_servers
 
 
-class BasePlacement(BaseValue):
+class BaseDispatchResult(BaseValue):
     """How the wait of a ticket ended."""
 
     __slots__ = ()
 
 
-class Send(BasePlacement):
+class Dispatched(BaseDispatchResult):
     """The request is to be sent to a server, where it counts as in flight already."""
 
-    __slots__ = ("fence", "fullness", "tracker")
+    __slots__ = ("fence", "queueing_factor", "tracker")
 
-    def __init__(self, tracker: ServerTracker, fullness: float, fence: int = 0) -> None:
+    def __init__(self, tracker: ServerTracker, queueing_factor: float, fence: int = 0) -> None:
         self.tracker = tracker
-        self.fullness = fullness
+        self.queueing_factor = queueing_factor
         self.fence = fence
 
 
-class Refuse(BasePlacement):
+class Refused(BaseDispatchResult):
     """The request cannot be served in time. ``retry_after`` is in seconds."""
 
     __slots__ = ("reason", "retry_after")
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_waiting_line.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_waiting_line.py
@@ -3,55 +3,62 @@
 import bisect
 from collections.abc import Callable
 
-from fireflylink_decisions.dispatch._ticket import Ticket
+from fireflylink_decisions.dispatch._ticket import QueuedRequest
 from fireflylink_decisions.limits import SlidingWindowCounter
 
 RATE_WINDOW_SECONDS = 2.0
 MAX_WAITING = 200
 
 
-class WaitingLine:
+class RequestQueue:
     """Tickets by rank, then by arrival, and how fast the service takes them."""
 
-    __slots__ = ("placed", "tickets")
+    __slots__ = ("dispatched", "requests")
 
     def __init__(self) -> None:
-        self.tickets: list[Ticket] = []
-        self.placed = SlidingWindowCounter(RATE_WINDOW_SECONDS)
+        self.requests: list[QueuedRequest] = []
+        self.dispatched = SlidingWindowCounter(RATE_WINDOW_SECONDS)
 
-    def join(self, ticket: Ticket) -> None:
+    def enqueue(self, ticket: QueuedRequest) -> None:
         """Adds a ticket behind those that are as urgent."""
-        bisect.insort_right(self.tickets, ticket, key=_order)
+        bisect.insort_right(self.requests, ticket, key=_order)
 
-    def leave(self, ticket: Ticket) -> None:
+    def remove(self, ticket: QueuedRequest) -> None:
         """Removes a ticket, if it still waits."""
-        for index, waiting in enumerate(self.tickets):
+        for index, waiting in enumerate(self.requests):
             if waiting is ticket:
-                del self.tickets[index]
+                del self.requests[index]
                 return
 
-    def ahead(self, ticket: Ticket, missed: Callable[[Ticket], bool]) -> int:
+    def count_ahead(
+        self, ticket: QueuedRequest, misses_objective: Callable[[QueuedRequest], bool]
+    ) -> int:
         """Returns how many waiting tickets come before a new one that can meet its objective."""
-        before = self.tickets[: bisect.bisect_right(self.tickets, _order(ticket), key=_order)]
-        return sum(waiting.rank < ticket.rank or not missed(waiting) for waiting in before)
-
-    def in_order(self, missed: Callable[[Ticket], bool]) -> list[Ticket]:
+        before = self.requests[: bisect.bisect_right(self.requests, _order(ticket), key=_order)]
+        return sum(
+            waiting.priority < ticket.priority or not misses_objective(waiting)
+            for waiting in before
+        )
+
+    def in_dispatch_order(
+        self, misses_objective: Callable[[QueuedRequest], bool]
+    ) -> list[QueuedRequest]:
         """Returns the tickets by rank; those that can only be late come behind the others.
 
         Under overload, first come first served lets every request wait until it is late.
         """
-        return sorted(self.tickets, key=lambda ticket: (ticket.rank, missed(ticket)))
+        return sorted(self.requests, key=lambda ticket: (ticket.priority, misses_objective(ticket)))
 
-    def expected_wait(self, ahead: int, now: float) -> float:
+    def expected_wait_seconds(self, ahead: int, now: float) -> float:
         """Returns how long ``ahead`` tickets take at the rate of the last seconds."""
-        rate = self.placed.count(now) / RATE_WINDOW_SECONDS
+        rate = self.dispatched.count(now) / RATE_WINDOW_SECONDS
         return ahead / rate if rate > 0 else 0.0
 
     @property
-    def full(self) -> bool:
+    def is_full(self) -> bool:
         """Whether no more tickets are taken."""
-        return len(self.tickets) >= MAX_WAITING
+        return len(self.requests) >= MAX_WAITING
 
 
-def _order(ticket: Ticket) -> tuple[int, float]:
-    return (ticket.rank, ticket.since)
+def _order(ticket: QueuedRequest) -> tuple[int, float]:
+    return (ticket.priority, ticket.enqueued_at)
--- a/packages/decisions/tests/test_dispatcher.py
+++ b/packages/decisions/tests/test_dispatcher.py
@@ -12,7 +12,13 @@
     ServerIncarnation,
     ServerLoad,
 )
-from fireflylink_decisions.dispatch import Dispatcher, Refuse, Send, ServicePool, Ticket
+from fireflylink_decisions.dispatch import (
+    Dispatched,
+    Dispatcher,
+    QueuedRequest,
+    Refused,
+    ServicePool,
+)
 from fireflylink_decisions.servers import ServerTracker, ServiceLimits, choose_server
 
 
@@ -46,18 +52,18 @@
     return OwnershipTable("holds", fence, (low, high))
 
 
-def ticket(now: float, key: int = -1, rank: int = 1, seconds: float = 2.0) -> Ticket:
-    return Ticket("holds", rank, now, now + seconds, key)
+def ticket(now: float, key: int = -1, rank: int = 1, seconds: float = 2.0) -> QueuedRequest:
+    return QueuedRequest("holds", rank, now, now + seconds, key)
 
 
-def fill(dispatcher: Dispatcher, now: float) -> list[Send]:
+def fill(dispatcher: Dispatcher, now: float) -> list[Dispatched]:
     """Places requests until no server has room."""
     placed = []
     while True:
         request = ticket(now, key=5)
         placement = dispatcher.submit(request, now)
-        if not isinstance(placement, Send):
-            dispatcher.withdraw(request)
+        if not isinstance(placement, Dispatched):
+            dispatcher.cancel(request)
             return placed
         placed.append(placement)
 
@@ -77,10 +83,10 @@
     waiting = ticket(clock.now(), 5)
     assert_that(keyed.submit(waiting, clock.now()), Is(None))
     assert_that(keyed.sweep(clock.now()), Equals([]))
-    pool.granted.add((KeyRange(0, 999), 2))
+    pool.confirmed_grants.add((KeyRange(0, 999), 2))
     [(placed, placement)] = keyed.sweep(clock.now())
     assert_that(placed, Is(waiting))
-    assert_that(placement, IsInstance(Send))
+    assert_that(placement, IsInstance(Dispatched))
 
 
 def test_a_moved_key_is_tried_when_no_notice_comes(keyed, clock):
@@ -89,7 +95,7 @@
     keyed.submit(ticket(clock.now(), 5), clock.now())
     clock.advance(0.7)
     [(_, placement)] = keyed.sweep(clock.now())
-    assert_that(placement, IsInstance(Send))
+    assert_that(placement, IsInstance(Dispatched))
 
 
 def test_a_key_without_an_owner_is_refused_soon(keyed, clock):
@@ -98,18 +104,18 @@
     keyed.submit(ticket(clock.now(), 5), clock.now())
     clock.advance(0.3)
     [(_, placement)] = keyed.sweep(clock.now())
-    assert_that(placement, IsInstance(Refuse))
+    assert_that(placement, IsInstance(Refused))
     assert_that(placement.reason, Equals("no-owner"))
 
 
 def test_an_owner_that_declined_a_key_is_left_alone_for_a_while(keyed, clock):
     """Guards against spending the retry budget on a server that lost its keys."""
     send = keyed.submit(ticket(clock.now(), 5), clock.now())
-    keyed.note_misdirected("holds", send, clock.now())
+    keyed.record_misdirected("holds", send, clock.now())
     assert_that(keyed.submit(ticket(clock.now(), 5), clock.now()), Is(None))
     clock.advance(0.4)
     [(_, placement)] = keyed.sweep(clock.now())
-    assert_that(placement, IsInstance(Send))
+    assert_that(placement, IsInstance(Dispatched))
 
 
 def test_the_more_urgent_request_gets_the_next_room(pooled, clock):
@@ -130,7 +136,7 @@
     for _ in range(30):
         pooled.submit(ticket(clock.now(), rank=0), clock.now())
     placement = pooled.submit(ticket(clock.now(), rank=1, seconds=0.1), clock.now())
-    assert_that(placement, IsInstance(Refuse))
+    assert_that(placement, IsInstance(Refused))
     assert_that(placement.retry_after, GreaterThan(0.0))
 
 
@@ -143,7 +149,7 @@
     for tracker in pooled.pools["holds"].trackers.values():
         tracker.record_load(ServerLoad(4, 16, 4), clock.now())
     refused = [placement for _, placement in pooled.sweep(clock.now())]
-    assert_that(refused[0], IsInstance(Refuse))
+    assert_that(refused[0], IsInstance(Refused))
 
 
 def test_a_caller_that_leaves_gives_its_place_up(pooled, clock):
@@ -151,7 +157,7 @@
     placed = fill(pooled, clock.now())
     waiting = ticket(clock.now())
     pooled.submit(waiting, clock.now())
-    pooled.withdraw(waiting)
+    pooled.cancel(waiting)
     placed[0].tracker.record_completed()
     assert_that(pooled.sweep(clock.now()), Equals([]))
 
@@ -161,7 +167,7 @@
     pool = make_pool(["fast1", "fast2", "slow"], False, terms)
     counts = {"fast1": 0, "fast2": 0, "slow": 0}
     seconds = {"fast1": 0.1, "fast2": 0.1, "slow": 1.2}
-    running: list[tuple[float, float, Send]] = []
+    running: list[tuple[float, float, Dispatched]] = []
     dispatcher = Dispatcher()
     dispatcher.pools["holds"] = pool
     total = 0.0
@@ -170,9 +176,9 @@
         for entry in [found for found in running if found[0] <= now]:
             running.remove(entry)
             entry[2].tracker.record_completed()
-            entry[2].tracker.record_answer(now - entry[1], entry[2].fullness, now)
+            entry[2].tracker.record_answer(now - entry[1], entry[2].queueing_factor, now)
         placement = dispatcher.submit(ticket(now), now)
-        if isinstance(placement, Send):
+        if isinstance(placement, Dispatched):
             name = placement.tracker.server.server_id
             counts[name] += 1
             total += seconds[name]
@@ -253,10 +259,14 @@
     """Guards against overload in which every request waits until it is late: pattern
     impatient-callers, where first come first served earned 0.03 less."""
     placed = fill(pooled, clock.now())
-    early = Ticket("holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.2)
+    early = QueuedRequest(
+        "holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.2
+    )
     assert_that(pooled.submit(early, clock.now()), Is(None))
     clock.advance(0.3)
-    fresh = Ticket("holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.5)
+    fresh = QueuedRequest(
+        "holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.5
+    )
     assert_that(pooled.submit(fresh, clock.now()), Is(None))
     placed[0].tracker.record_completed()
     [(served, _)] = pooled.sweep(clock.now())
@@ -266,10 +276,14 @@
 def test_a_late_request_of_a_more_urgent_kind_still_comes_first(pooled, clock):
     """Guards against a less urgent kind that fares better than a more urgent one."""
     placed = fill(pooled, clock.now())
-    urgent = Ticket("holds", 0, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.1)
+    urgent = QueuedRequest(
+        "holds", 0, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.1
+    )
     assert_that(pooled.submit(urgent, clock.now()), Is(None))
     clock.advance(0.3)
-    fresh = Ticket("holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.5)
+    fresh = QueuedRequest(
+        "holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.5
+    )
     assert_that(pooled.submit(fresh, clock.now()), Is(None))
     placed[0].tracker.record_completed()
     [(served, _)] = pooled.sweep(clock.now())
@@ -282,10 +296,10 @@
     urgent = keyed.submit(ticket(clock.now(), 5, rank=0), clock.now())
     urgent.tracker.record_completed()
     lookups = 0
-    while isinstance(keyed.submit(ticket(clock.now(), 5, rank=2), clock.now()), Send):
+    while isinstance(keyed.submit(ticket(clock.now(), 5, rank=2), clock.now()), Dispatched):
         lookups += 1
     assert_that(lookups, Equals(6))
-    assert_that(keyed.submit(ticket(clock.now(), 5, rank=0), clock.now()), IsInstance(Send))
+    assert_that(keyed.submit(ticket(clock.now(), 5, rank=0), clock.now()), IsInstance(Dispatched))
 
 
 def test_the_whole_queue_is_used_when_no_urgent_requests_come(keyed, clock):
@@ -293,7 +307,7 @@
     keyed.submit(ticket(clock.now(), 5, rank=0), clock.now()).tracker.record_completed()
     clock.advance(4.0)
     lookups = 0
-    while isinstance(keyed.submit(ticket(clock.now(), 5, rank=2), clock.now()), Send):
+    while isinstance(keyed.submit(ticket(clock.now(), 5, rank=2), clock.now()), Dispatched):
         lookups += 1
     # The share of connections is the limit then.
     assert_that(lookups, Equals(9))
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -16,15 +16,15 @@
     ServerIncarnation,
 )
 from fireflylink_decisions.dispatch import (
-    BasePlacement,
+    BaseDispatchResult,
+    Dispatched,
     Dispatcher,
-    Refuse,
-    Send,
+    QueuedRequest,
+    Refused,
     ServicePool,
-    Ticket,
 )
 from fireflylink_decisions.limits import ColdLimit, FleetPosition, RetryBudget, RetryBudgetLimits
-from fireflylink_decisions.retries import Attempts, GiveUp, TryAgain
+from fireflylink_decisions.retries import Attempts, Retry, ReturnReply
 from fireflylink_decisions.servers import ServerTracker, ServiceLimits
 from fireflylink_emulator._agenda import Agenda
 from fireflylink_emulator._base_daemon import (
@@ -93,7 +93,7 @@
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.servers: dict[ServerIncarnation, EmulatedServer] = {}
         self.courses: dict[CallerOrder, _Course] = {}
-        self.waiting: dict[Ticket, _Course] = {}
+        self.waiting: dict[QueuedRequest, _Course] = {}
         self.sweeping = False
         self.key_counts: list[int] = []
         self.key_times: list[tuple[str, float]] = []
@@ -106,7 +106,7 @@
         """Takes the daemons that the store lists."""
         self.position = FleetPosition(self.name, members)
         for name, pool in self.dispatcher.pools.items():
-            pool.terms = self._terms(self.profiles[name])
+            pool.limits = self._terms(self.profiles[name])
 
     def note_servers(self, servers: list[EmulatedServer]) -> None:
         now = self.agenda.clock.now()
@@ -128,7 +128,7 @@
 
     def note_granted_keys(self, service: str, keys: KeyRange, fence: int) -> None:
         """Takes the decider's notice that a moved range has its new holder."""
-        self.dispatcher.pools[service].granted.add((keys, fence))
+        self.dispatcher.pools[service].confirmed_grants.add((keys, fence))
         self._sweep()
 
     def receive(self, order: CallerOrder, done: Callable[[BaseReply], None]) -> None:
@@ -148,7 +148,7 @@
         for ticket, waiting in list(self.waiting.items()):
             if waiting is course:
                 del self.waiting[ticket]
-                self.dispatcher.withdraw(ticket)
+                self.dispatcher.cancel(ticket)
         found = self.calls.get(order)
         if found is not None:
             found[0].drop(found[1])
@@ -157,13 +157,13 @@
 
     def _place(self, course: _Course) -> None:
         order = course.order
-        ticket = Ticket(
+        ticket = QueuedRequest(
             order.profile.name,
             order.profile.rank,
             order.received_at,
             order.latest - REPLY_MARGIN_SECONDS,
             order.key if order.profile.keyed else -1,
-            frozenset(course.attempts.tried),
+            frozenset(course.attempts.tried_servers),
             order.received_at + order.profile.objective_seconds,
         )
         placement = self.dispatcher.submit(ticket, self.agenda.clock.now())
@@ -188,13 +188,13 @@
         for ticket, placement in self.dispatcher.sweep(self.agenda.clock.now()):
             self._follow(self.waiting.pop(ticket), placement)
 
-    def _follow(self, course: _Course, placement: BasePlacement) -> None:
-        if isinstance(placement, Refuse):
-            reply = course.attempts.refusal(placement.reason, placement.retry_after)
+    def _follow(self, course: _Course, placement: BaseDispatchResult) -> None:
+        if isinstance(placement, Refused):
+            reply = course.attempts.refusal_reply(placement.reason, placement.retry_after)
             self._finish(course, reply)
-        elif isinstance(placement, Send):
+        elif isinstance(placement, Dispatched):
             life = placement.tracker.server.incarnation
-            course.attempts.note_sent(life.server_id)
+            course.attempts.record_sent(life.server_id)
             sent_at = self.agenda.clock.now()
             self.call(
                 course.order,
@@ -202,7 +202,9 @@
                 lambda outcome: self._returned(course, placement, sent_at, outcome),
             )
 
-    def _returned(self, course: _Course, send: Send, sent_at: float, outcome: CallOutcome) -> None:
+    def _returned(
+        self, course: _Course, send: Dispatched, sent_at: float, outcome: CallOutcome
+    ) -> None:
         now = self.agenda.clock.now()
         tracker = send.tracker
         tracker.record_completed()
@@ -210,31 +212,34 @@
             tracker.record_load(outcome.load, now)
         self._learn(course, send, now - sent_at, outcome.end)
         if outcome.end is CallEnd.MISDIRECTED:
-            self.dispatcher.note_misdirected(course.order.profile.name, send, now)
+            self.dispatcher.record_misdirected(course.order.profile.name, send, now)
         self._sweep()
         if course.left:
             return
         budget = self.budgets[course.order.profile.name]
         left = course.order.latest - REPLY_MARGIN_SECONDS - now
-        decision = course.attempts.next(
+        decision = course.attempts.decide(
             _result(outcome), left, budget.allows_retry(now, self.position)
         )
-        if isinstance(decision, TryAgain):
-            if decision.arrived:
+        if isinstance(decision, Retry):
+            if decision.reached_server:
                 budget.record_retry(now)
             self._place(course)
-        elif isinstance(decision, GiveUp):
+        elif isinstance(decision, ReturnReply):
             self._finish(course, decision.reply)
 
-    def _learn(self, course: _Course, send: Send, seconds: float, end: CallEnd) -> None:
+    def _learn(self, course: _Course, send: Dispatched, seconds: float, end: CallEnd) -> None:
         now = self.agenda.clock.now()
         tracker = send.tracker
         name = tracker.server.server_id
         if end is CallEnd.ANSWERED:
-            if tracker.record_answer(seconds, send.fullness, now) and course.order.profile.keyed:
+            if (
+                tracker.record_answer(seconds, send.queueing_factor, now)
+                and course.order.profile.keyed
+            ):
                 self.key_times.append((name, seconds))
         elif end is CallEnd.LATE:
-            unqueued = tracker.record_timeout(seconds, send.fullness, now)
+            unqueued = tracker.record_timeout(seconds, send.queueing_factor, now)
             if course.order.profile.keyed:
                 self.key_times.append((name, unqueued))
         elif end is CallEnd.NOT_SENT:
