--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -218,7 +218,7 @@
         gauge("requests_active", lambda: self.callers.active_requests)
         gauge("requests_waiting", lambda: serving.dispatcher.queued_count)
         gauge("members", lambda: len(serving.position.members))
-        gauge("decider", lambda: float(self.decider.decidership.held))
+        gauge("decider", lambda: float(self.decider.election.is_decider))
         gauge("store_reached", lambda: float(serving.directory.store_reachable))
         gauge("servers", lambda: len(serving.directory.entries))
         gauge(
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -15,7 +15,7 @@
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._serving import Serving
 from fireflylink_daemon._task import BaseTask
-from fireflylink_decisions.ownership import Decidership
+from fireflylink_decisions.ownership import DeciderElection
 from fireflylink_protocol import (
     DECIDER_KEY,
     OWNERSHIP_PREFIX,
@@ -70,7 +70,7 @@
     """
 
     __slots__ = (
-        "decidership",
+        "election",
         "lease_id",
         "lease_seconds",
         "leaving",
@@ -97,8 +97,8 @@
         self.store = store
         self.serving = serving
         self.metrics = metrics
-        self.decidership = Decidership()
-        self.decidership.vacant_since = None
+        self.election = DeciderElection()
+        self.election.vacant_since = None
         self.ownership: BaseTask | None = None
         self.leaving = False
         self.lease_id = 0
@@ -107,13 +107,13 @@
         self.next_candidacy = 0.0
 
     def next_wake(self) -> float:
-        if self.decidership.held:
+        if self.election.is_decider:
             return self.next_renewal
         return self.clock.now() + TICK_SECONDS
 
     def wake(self) -> None:
         now = self.clock.now()
-        if self.decidership.held:
+        if self.election.is_decider:
             if now >= self.next_renewal:
                 self._renew(now)
                 if self.leaving:
@@ -121,7 +121,7 @@
             return
         if self.leaving:
             return
-        candidate_at = self.decidership.candidate_at(self.serving.position.rank)
+        candidate_at = self.election.candidacy_at(self.serving.position.rank)
         if candidate_at is not None and now >= max(candidate_at, self.next_candidacy):
             self._stand()
 
@@ -133,9 +133,9 @@
         elif isinstance(message, Leave):
             self.leaving = True
             self._leave()
-        elif isinstance(message, Superseded) and self.decidership.held:
+        elif isinstance(message, Superseded) and self.election.is_decider:
             self._resign(message.reason)
-        if self.decidership.held and self.clock.now() >= self.next_renewal:
+        if self.election.is_decider and self.clock.now() >= self.next_renewal:
             self._renew(self.clock.now())
         return None
 
@@ -144,7 +144,7 @@
 
         Nobody could take over, and the keys would lose their owners.
         """
-        if not self.decidership.held:
+        if not self.election.is_decider:
             return
         ended = self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
         if isinstance(ended, Success):
@@ -159,7 +159,7 @@
         self._lose(reason)
 
     def _note_record(self, message: DeciderChanged) -> None:
-        held = self.decidership.held
+        held = self.election.is_decider
         member = message.member
         now = self.clock.now()
         if member is not None and member == self.record:
@@ -167,8 +167,8 @@
                 # The answer to the write was lost, and the write took effect.
                 self._win(message.revision, now)
             return
-        self.decidership.note_record(message.revision, member is not None, now)
-        if held and not self.decidership.held:
+        self.election.on_decider_record(message.revision, member is not None, now)
+        if held and not self.election.is_decider:
             self._lose("replaced")
 
     def _stand(self) -> None:
@@ -201,7 +201,7 @@
             log_problem("decider-tables-not-read", problem=error)
             self._resign("tables not read")
             return
-        self.decidership.note_won(revision, asked_at)
+        self.election.on_elected(revision, asked_at)
         self.next_renewal = asked_at + RENEWAL_SECONDS
         log_event("decider-won", instance=self.record.instance, revision=revision)
         self._tell(DeciderWon(asked_at))
@@ -220,7 +220,7 @@
         return None
 
     def _lose(self, reason: str) -> None:
-        self.decidership.note_lost()
+        self.election.on_demoted()
         self.lease_id = 0
         log_event("decider-lost", instance=self.record.instance, reason=reason)
         self._tell(DeciderLost())
@@ -231,25 +231,25 @@
         result = type(renewed).__name__
         self.metrics.count("store_calls", kind="decider-renewal", result=result)
         if isinstance(renewed, Success):
-            self.decidership.note_confirmed(asked_at)
+            self.election.on_confirmed(asked_at)
         elif isinstance(renewed.failure(), LeaseNotFoundError):
             self._lose("lease-ended")
-            self.decidership.vacant_since = self.clock.now()
+            self.election.vacant_since = self.clock.now()
 
     def _commit(self, message: CommitTable) -> None:
-        if not self.decidership.held:
+        if not self.election.is_decider:
             return
         table = message.table
         key = ownership_key(table.service)
         commit = Commit(
-            expected=((key, message.revision), (DECIDER_KEY, self.decidership.revision)),
+            expected=((key, message.revision), (DECIDER_KEY, self.election.revision)),
             puts=(Put(key, encode_table(table)),),
         )
         asked_at = self.clock.now()
         written = self.store.commit(commit, asked_at + CALL_SECONDS)
         self.metrics.count("store_calls", kind="table", result=type(written).__name__)
         if isinstance(written, Success):
-            self.decidership.note_confirmed(asked_at)
+            self.election.on_confirmed(asked_at)
             log_event(
                 "ownership-written",
                 service=table.service,
--- a/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
+++ b/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
@@ -8,8 +8,8 @@
 from fireflylink_daemon._messages import CommandDue, CommandEnded
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.ownership import (
-    COMMAND_SECONDS,
-    RELEASE_SECONDS,
+    GRANT_TIMEOUT_SECONDS,
+    RELEASE_TIMEOUT_SECONDS,
     GrantCommand,
     ReleaseCommand,
 )
@@ -49,7 +49,7 @@
                 command.fence,
                 self.hold_seconds,
                 command.handover,
-                self.clock.now() + COMMAND_SECONDS,
+                self.clock.now() + GRANT_TIMEOUT_SECONDS,
             )
             error = None if isinstance(ended, Success) else ended.failure()
             self.ownership.post(CommandEnded(message.service, command, error))
@@ -73,7 +73,7 @@
 
     def run() -> None:
         commands = ServerCommandClient(server, clock, dialect)
-        deadline = clock.now() + RELEASE_SECONDS
+        deadline = clock.now() + RELEASE_TIMEOUT_SECONDS
         ended = commands.release(command.keys, command.fence, deadline)
         commands.close()
         if isinstance(ended, Success):
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -7,13 +7,13 @@
 from fireflylink_store import BaseUpdate
 
 
-class FactsRead:
+class UpdatesRead:
     """Facts that were read from the store. ``whole`` tells that they are all there are."""
 
-    __slots__ = ("facts", "revision", "whole")
+    __slots__ = ("revision", "updates", "whole")
 
-    def __init__(self, facts: tuple[BaseUpdate, ...], revision: int, whole: bool) -> None:
-        self.facts = facts
+    def __init__(self, updates: tuple[BaseUpdate, ...], revision: int, whole: bool) -> None:
+        self.updates = updates
         self.revision = revision
         self.whole = whole
 
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -27,13 +27,13 @@
 from fireflylink_decisions.ownership import (
     HOLD_SECONDS,
     Candidate,
-    GrantBook,
     GrantCommand,
+    GrantTracker,
     KeyedService,
     KeyLoad,
     ReleaseCommand,
-    alone_from,
     changes_between,
+    former_deciders_expire_at,
 )
 from fireflylink_protocol import GrantNotice, LoadReport
 from fireflylink_store import ABSENT_REVISION
@@ -49,9 +49,9 @@
 
     __slots__ = (
         "began_at",
+        "codec",
         "decider",
         "deciding",
-        "dialect",
         "grants",
         "hold_seconds",
         "next_tick",
@@ -66,13 +66,13 @@
         decider: DeciderTask,
         peers: PeerSocket,
         clock: BaseClock,
-        dialect: BaseServerCodec,
+        codec: BaseServerCodec,
     ) -> None:
         super().__init__("ownership", clock)
         self.serving = serving
         self.peers = peers
         self.decider = decider
-        self.dialect = dialect
+        self.codec = codec
         self.deciding = False
         self.began_at = 0.0
         self.hold_seconds = min(HOLD_SECONDS, serving.settings.bounds.hold_max_seconds)
@@ -96,7 +96,9 @@
             self._note_table(message)
         elif isinstance(message, TableRefused):
             service = self._service(message.table.service)
-            service.asked = [table for table in service.asked if table is not message.table]
+            service.unacknowledged_tables = [
+                table for table in service.unacknowledged_tables if table is not message.table
+            ]
         elif isinstance(message, CommandEnded):
             self._note_ended(message)
         elif isinstance(message, ReportReceived):
@@ -117,19 +119,19 @@
         self.deciding = True
         self.began_at = began_at
         for name, service in self.services.items():
-            service.book = GrantBook(began_at, self.hold_seconds)
-            service.commit_asked_at = None
-            service.failures = {}
+            service.grants = GrantTracker(began_at, self.hold_seconds)
+            service.commit_sent_at = None
+            service.consecutive_failures = {}
             service.load = KeyLoad(name, began_at)
-            service.asked = []
-            service.next_plan = 0.0
+            service.unacknowledged_tables = []
+            service.next_plan_at = 0.0
         self._note_servers()
         self.next_tick = 0.0
 
     def _end(self) -> None:
         self.deciding = False
         for service in self.services.values():
-            service.book = None
+            service.grants = None
         for task in self.grants.values():
             task.close()
         self.grants = {}
@@ -138,8 +140,8 @@
         service = self.services.get(name)
         if service is None:
             service = self.services[name] = KeyedService(name, self.clock.now())
-        if self.deciding and service.book is None:
-            service.book = GrantBook(self.clock.now(), self.hold_seconds)
+        if self.deciding and service.grants is None:
+            service.grants = GrantTracker(self.clock.now(), self.hold_seconds)
         return service
 
     def _keyed_services(self) -> list[str]:
@@ -153,54 +155,56 @@
         if (
             self.deciding
             and message.revision > service.revision
-            and message.table not in service.asked
+            and message.table not in service.unacknowledged_tables
         ):
             # Another decider wrote it, and what it granted is not known here.
             self._yield("another decider wrote a table")
-        if message.first and service.book is not None:
-            service.book.note_first_table()
+        if message.first and service.grants is not None:
+            service.grants.mark_no_former_decider()
         if message.revision <= service.revision:
             return
         service.table = message.table
         service.revision = message.revision
-        service.commit_asked_at = None
-        service.asked = []
-        service.seen_table_at = self.clock.now()
-        if service.book is not None:
-            service.book.set_table(message.table)
+        service.commit_sent_at = None
+        service.unacknowledged_tables = []
+        service.table_first_seen_at = self.clock.now()
+        if service.grants is not None:
+            service.grants.set_table(message.table)
 
     def _advance(self, name: str, service: KeyedService, now: float) -> None:
-        if service.book is not None and self.decider.decidership.may_grant(now):
-            for command in service.book.due(now, service.suspended()):
-                self._send(name, service.book, command, now)
-        if now >= service.next_plan:
-            service.next_plan = now + PLAN_SECONDS
+        if service.grants is not None and self.decider.election.may_grant(now):
+            for command in service.grants.due_commands(now, service.suspended_ranges()):
+                self._send(name, service.grants, command, now)
+        if now >= service.next_plan_at:
+            service.next_plan_at = now + PLAN_SECONDS
             self._plan(name, service, now)
 
     def _plan(self, name: str, service: KeyedService, now: float) -> None:
-        if service.commit_asked_at is not None:
-            if now < service.commit_asked_at + COMMIT_PATIENCE_SECONDS:
+        if service.commit_sent_at is not None:
+            if now < service.commit_sent_at + COMMIT_PATIENCE_SECONDS:
                 return
-            service.commit_asked_at = None
-        service.load.advance(now)
+            service.commit_sent_at = None
+        service.load.decay(now)
         candidates = self._candidates(name, service, now)
-        if service.book is None or not (candidates or service.table):
+        if service.grants is None or not (candidates or service.table):
             return
         joined = [entry.joined_at for entry in self.serving.directory.eligible_servers(name)]
-        wanted = service.wanted_table(candidates, max(joined, default=now), now)
+        wanted = service.next_table(candidates, max(joined, default=now), now)
         if wanted is not None:
             self._log_plan(service, wanted, candidates)
-            alone = service.revision == ABSENT_REVISION or now >= alone_from(self.began_at)
+            alone = service.revision == ABSENT_REVISION or now >= former_deciders_expire_at(
+                self.began_at
+            )
             marked = wanted.replace(written_by_sole_decider=alone)
-            service.commit_asked_at = now
-            service.asked.append(marked)
+            service.commit_sent_at = now
+            service.unacknowledged_tables.append(marked)
             self.decider.post(CommitTable(marked, service.revision))
 
     def _log_plan(
         self, service: KeyedService, wanted: OwnershipTable, candidates: list[Candidate]
     ) -> None:
         """Writes which keys change hands, and whether because their owner may not go on."""
-        lives = frozenset(candidate.life for candidate in candidates)
+        lives = frozenset(candidate.incarnation for candidate in candidates)
         present = service.table if service.table is not None else wanted
         changes = changes_between(present, wanted, lives)
         log_event(
@@ -235,21 +239,21 @@
         """Returns how many requests a second a server can run."""
         tracker = self.serving.trackers.get(server.incarnation)
         cold = tracker is not None and tracker.cold_limiter.is_cold(now)
-        return service.times.capacity(server.server_id, server.slots, cold)
+        return service.service_times.capacity(server.server_id, server.slots, cold)
 
-    def _send(self, name: str, book: GrantBook, command: object, now: float) -> None:
+    def _send(self, name: str, book: GrantTracker, command: object, now: float) -> None:
         if isinstance(command, ReleaseCommand):
             server = self._server_of(command.server)
             if server is None:
-                book.note_failed(command, now)
+                book.record_failed(command, now)
                 return
-            spawn_release(server, self.clock, self.dialect, name, command, self)
+            spawn_release(server, self.clock, self.codec, name, command, self)
         elif isinstance(command, GrantCommand):
             task = self._grant_task(command.server)
             if task is None:
-                book.note_failed(command, now)
+                book.record_failed(command, now)
                 return
-            book.note_sent(command, now)
+            book.record_sent(command, now)
             task.post(CommandDue(name, command))
 
     def _server_of(self, life: ServerIncarnation) -> BackendServer | None:
@@ -262,14 +266,14 @@
             server = self._server_of(life)
             if server is None:
                 return None
-            task = GrantTask(server, self.clock, self.dialect, self, self.hold_seconds)
+            task = GrantTask(server, self.clock, self.codec, self, self.hold_seconds)
             task.start()
             self.grants[life] = task
         return task
 
     def _note_ended(self, message: CommandEnded) -> None:
         service = self._service(message.service)
-        book = service.book
+        book = service.grants
         if book is None:
             return
         now = self.clock.now()
@@ -277,8 +281,8 @@
         if message.error is not None:
             self._note_failed(service, book, message, message.error, now)
         elif isinstance(command, GrantCommand):
-            service.note_answered(command.server)
-            book.note_granted(command, now)
+            service.record_answer(command.server)
+            book.record_granted(command, now)
             if not command.renewal:
                 self.peers.notify(GrantNotice(message.service, command.keys, command.fence))
                 log_event(
@@ -289,7 +293,7 @@
                     fence=command.fence,
                 )
         elif isinstance(command, ReleaseCommand):
-            book.note_released(command, message.handover, now)
+            book.record_released(command, message.handover, now)
             log_event(
                 "keys-released",
                 service=message.service,
@@ -303,23 +307,23 @@
     def _note_failed(
         self,
         service: KeyedService,
-        book: GrantBook,
+        book: GrantTracker,
         message: CommandEnded,
         error: CommandError,
         now: float,
     ) -> None:
         command = message.command
         if isinstance(command, GrantCommand) and not error.sent:
-            book.note_not_sent(command)
-        book.note_failed(command, now)
+            book.record_not_sent(command)
+        book.record_failed(command, now)
         if isinstance(error, ServerMismatchError):
-            book.note_life_ended(command.server)
+            book.record_incarnation_ended(command.server)
         if isinstance(error, StaleFenceError):
             if isinstance(command, GrantCommand) and book.is_current(command):
                 # Only another decider can have used a higher fence: it has taken over.
                 self._yield("a server has seen a higher fence")
         else:
-            service.note_unanswered(command.server)
+            service.record_no_answer(command.server)
         log_problem(
             "command-failed",
             service=message.service,
@@ -337,13 +341,13 @@
             if present.get(life.server_id) != life and life not in self.serving.trackers:
                 self.grants.pop(life).close()
         for service in self.services.values():
-            if service.book is None or service.table is None:
+            if service.grants is None or service.table is None:
                 continue
             for assignment in service.table.assignments:
                 for life in (assignment.owner, *assignment.previous_holders):
                     now_present = present.get(life.server_id, life)
                     if now_present.started_ms > life.started_ms > 0:
-                        service.book.note_life_ended(life)
+                        service.grants.record_incarnation_ended(life)
 
     def _note_report(self, report: LoadReport) -> None:
         if not self.deciding or not report.keys:
@@ -351,7 +355,7 @@
         service = self._service(report.service)
         for times in report.service_times:
             seconds = times.total_ms / MILLISECONDS_PER_SECOND
-            service.times.add(times.server_id, times.answers, seconds)
+            service.service_times.add(times.server_id, times.answers, seconds)
         load = service.load
         each = report.requests / len(report.keys)
         for key in report.keys:
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -41,8 +41,8 @@
     __slots__ = (
         "budgets",
         "clock",
+        "codec",
         "configuration",
-        "dialect",
         "directory",
         "dispatcher",
         "members",
@@ -57,10 +57,10 @@
         "trackers",
     )
 
-    def __init__(self, settings: Settings, clock: BaseClock, dialect: BaseServerCodec) -> None:
+    def __init__(self, settings: Settings, clock: BaseClock, codec: BaseServerCodec) -> None:
         self.settings = settings
         self.clock = clock
-        self.dialect = dialect
+        self.codec = codec
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
         self.splits = TrafficSplitter()
@@ -195,7 +195,7 @@
         life = tracker.server.incarnation
         pool = self.pools.get(life)
         if pool is None:
-            pool = self.pools[life] = ServerConnectionPool(tracker.server, self.clock, self.dialect)
+            pool = self.pools[life] = ServerConnectionPool(tracker.server, self.clock, self.codec)
         return pool
 
     def drop_idle_connections(self) -> None:
@@ -205,7 +205,7 @@
 
     def _refresh_service(self, service: Service, now: float) -> None:
         pool = self.dispatcher.pools.get(service.name)
-        terms = self._terms(service, self.position)
+        terms = self._service_limits(service, self.position)
         if pool is None:
             pool = ServicePool(service.keyed, terms)
             self.dispatcher.pools[service.name] = pool
@@ -235,7 +235,7 @@
         drain_seconds = self.settings.bounds.drain_seconds * KEYED_DRAIN_PART
         return bool(since) and now < min(since) + drain_seconds
 
-    def _terms(self, service: Service, position: FleetPosition) -> ServiceLimits:
+    def _service_limits(self, service: Service, position: FleetPosition) -> ServiceLimits:
         bounds = self.settings.bounds
         cold = ColdLimit(service.cold_requests_per_second, bounds.cold_factor, bounds.cold_extra)
         # A keyed server that started again runs nothing before it is granted keys.
--- a/packages/daemon/src/fireflylink_daemon/_store_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_task.py
@@ -5,7 +5,7 @@
 
 from fireflylink_core import BaseClock
 from fireflylink_daemon._log import log_event, log_problem
-from fireflylink_daemon._messages import FactsRead, StoreLost, StoreReached
+from fireflylink_daemon._messages import StoreLost, StoreReached, UpdatesRead
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._task import BaseTask
 from fireflylink_store import (
@@ -31,8 +31,8 @@
     """A greenlet that owns a client of the store and posts what it reads to the view's task."""
 
     __slots__ = (
-        "catalogue",
         "clock",
+        "decoder",
         "greenlet",
         "metrics",
         "reached",
@@ -45,13 +45,13 @@
     def __init__(
         self,
         store: BaseStore,
-        catalogue: BaseItemDecoder,
+        decoder: BaseItemDecoder,
         view: BaseTask,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
         self.store = store
-        self.catalogue = catalogue
+        self.decoder = decoder
         self.view = view
         self.clock = clock
         self.metrics = metrics
@@ -86,7 +86,7 @@
             return read.failure()
         snapshot = read.unwrap()
         self._note_reached()
-        facts = tuple(fact for item in snapshot.items for fact in self.catalogue.decode(item))
+        facts = tuple(fact for item in snapshot.items for fact in self.decoder.decode(item))
         self.revision = snapshot.revision
         self._post(facts, whole=True)
         log_event("store-read", items=len(snapshot.items), revision=snapshot.revision)
@@ -100,7 +100,7 @@
             return read.failure()
         changes = read.unwrap()
         self._note_reached()
-        facts = tuple(fact for change in changes.changes for fact in self.catalogue.decode(change))
+        facts = tuple(fact for change in changes.changes for fact in self.decoder.decode(change))
         self.revision = max(self.revision, changes.revision)
         if facts:
             self._post(facts, whole=False)
@@ -108,7 +108,7 @@
         return None
 
     def _post(self, facts: tuple[BaseUpdate, ...], whole: bool) -> None:
-        self.view.post(FactsRead(facts, self.revision, whole))
+        self.view.post(UpdatesRead(facts, self.revision, whole))
 
     def _note_reached(self) -> None:
         if self.reached is not True:
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -8,13 +8,13 @@
 from fireflylink_daemon._log import log_event, log_problem
 from fireflylink_daemon._messages import (
     DeciderChanged,
-    FactsRead,
     MemberMissing,
     ServersChanged,
     StoreDoubted,
     StoreLost,
     StoreReached,
     TableChanged,
+    UpdatesRead,
 )
 from fireflylink_daemon._serving import Serving
 from fireflylink_daemon._task import BaseTask
@@ -69,7 +69,7 @@
         self.serving.drop_idle_connections()
 
     def receive(self, message: object) -> object:
-        if isinstance(message, FactsRead):
+        if isinstance(message, UpdatesRead):
             self._apply(message)
         elif isinstance(message, GrantNotice):
             self.serving.note_granted(message)
@@ -86,17 +86,17 @@
             self.serving.directory.mark_store_reachable(self.clock.now())
         return None
 
-    def _apply(self, message: FactsRead) -> None:
+    def _apply(self, message: UpdatesRead) -> None:
         if message.whole:
             self._drop_absent(message)
-        for fact in message.facts:
-            self._apply_fact(fact)
+        for fact in message.updates:
+            self._apply_update(fact)
         self.serving.refresh()
         self._tell_ownership(ServersChanged())
 
-    def _drop_absent(self, message: FactsRead) -> None:
+    def _drop_absent(self, message: UpdatesRead) -> None:
         """Takes what a whole reading does not hold as removed."""
-        facts = message.facts
+        facts = message.updates
         serving = self.serving
         server_ids = frozenset(
             fact.server.server_id for fact in facts if isinstance(fact, ServerUpdate)
@@ -116,7 +116,7 @@
         if DECIDER_KEY not in keys:
             self._set_decider(None, message.revision)
 
-    def _apply_fact(self, fact: BaseUpdate) -> None:
+    def _apply_update(self, fact: BaseUpdate) -> None:
         if isinstance(fact, ServerUpdate):
             self.serving.put_server(fact.server)
         elif isinstance(fact, ServerRemoved):
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -54,7 +54,7 @@
         )
         self.decider.ownership = self.ownership
         self.view.ownership = self.ownership
-        self.catalogue = PlatformItemDecoder()
+        self.decoder = PlatformItemDecoder()
         self.read_to = 0
 
     def deliver(self) -> None:
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -23,7 +23,7 @@
     ServerLoad,
 )
 from fireflylink_daemon._dispatch_task import DispatchTask
-from fireflylink_daemon._messages import FactsRead
+from fireflylink_daemon._messages import UpdatesRead
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._request_path import RequestPath
@@ -104,8 +104,8 @@
             items.append(Item(f"servers/{name}", json.dumps(entry).encode(), 2))
         table = OwnershipTable("a", 1, (Assignment(KeyRange(0, 65535), LIFE, 1),))
         items.append(Item(ownership_key("a"), encode_table(table), 3))
-        facts = tuple(fact for item in items for fact in bench.catalogue.decode(item))
-        bench.view.receive(FactsRead(facts, 3, True))
+        facts = tuple(fact for item in items for fact in bench.decoder.decode(item))
+        bench.view.receive(UpdatesRead(facts, 3, True))
 
     def note_ended(self, server, request) -> None:
         """Takes the place of the watch for crashes."""
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -6,7 +6,7 @@
 from testtools.matchers import Equals, GreaterThan, Is
 
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
-from fireflylink_daemon._messages import DeciderChanged, FactsRead, StoreLost, StoreReached
+from fireflylink_daemon._messages import DeciderChanged, StoreLost, StoreReached, UpdatesRead
 from fireflylink_decisions.ownership import OUTAGE_GRACE_SECONDS
 from fireflylink_protocol import (
     DECIDER_KEY,
@@ -41,9 +41,9 @@
 
 def read(bench, *items: Item, whole: bool = False) -> None:
     """Lets the view read items as the store's reader posts them."""
-    facts = tuple(fact for item in items for fact in bench.catalogue.decode(item))
+    facts = tuple(fact for item in items for fact in bench.decoder.decode(item))
     bench.read_to += 1
-    bench.view.receive(FactsRead(facts, bench.read_to, whole))
+    bench.view.receive(UpdatesRead(facts, bench.read_to, whole))
     bench.deliver()
 
 
@@ -67,8 +67,8 @@
     clock.advance(5.0)
     for daemon in (first, second):
         daemon.decider.wake()
-    assert_that(first.decider.decidership.held, Is(True))
-    assert_that(second.decider.decidership.held, Is(False))
+    assert_that(first.decider.election.is_decider, Is(True))
+    assert_that(second.decider.election.is_decider, Is(False))
 
 
 def test_an_election_whose_answer_was_lost_is_noticed_by_the_watch(bench, clock, state):
@@ -76,11 +76,11 @@
     candidate = bench()
     candidate.store.loses_replies = True
     elect(candidate, clock)
-    assert_that(candidate.decider.decidership.held, Is(False))
+    assert_that(candidate.decider.election.is_decider, Is(False))
     candidate.store.loses_replies = False
     item = state.read(DECIDER_KEY)
     candidate.decider.receive(DeciderChanged(candidate.record, item.revision))
-    assert_that(candidate.decider.decidership.held, Is(True))
+    assert_that(candidate.decider.election.is_decider, Is(True))
 
 
 def test_a_decider_takes_over_the_tables_under_a_new_fence(bench, clock, state):
@@ -111,7 +111,7 @@
     foreign = OwnershipTable("a", 9, (moved,))
     read(old, Item(ownership_key("a"), encode_table(foreign), 900))
     assert_that(old.ownership.deciding, Is(False))
-    assert_that(old.decider.decidership.held, Is(False))
+    assert_that(old.decider.election.is_decider, Is(False))
 
 
 def test_a_decider_whose_record_was_taken_away_stops(bench, clock):
@@ -130,9 +130,9 @@
     decider.store.reachable = False
     clock.advance(OUTAGE_GRACE_SECONDS - 1.0)
     decider.decider.wake()
-    assert_that(decider.decider.decidership.may_grant(clock.now()), Is(True))
+    assert_that(decider.decider.election.may_grant(clock.now()), Is(True))
     clock.advance(2.0)
-    assert_that(decider.decider.decidership.may_grant(clock.now()), Is(False))
+    assert_that(decider.decider.election.may_grant(clock.now()), Is(False))
 
 
 def test_a_whole_reading_removes_what_it_does_not_hold(bench, clock):
--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -1,46 +1,46 @@
 """Ownership of keys: who decides, who owns, which grants are due."""
 
-from fireflylink_decisions.ownership._busy_watch import BusyWatch
-from fireflylink_decisions.ownership._decidership import Decidership
+from fireflylink_decisions.ownership._busy_watch import OverloadDetector
+from fireflylink_decisions.ownership._decidership import DeciderElection
 from fireflylink_decisions.ownership._grant_book import (
-    COMMAND_SECONDS,
+    GRANT_TIMEOUT_SECONDS,
     HOLD_SECONDS,
     OUTAGE_GRACE_SECONDS,
-    RELEASE_SECONDS,
+    RELEASE_TIMEOUT_SECONDS,
     BaseCommand,
-    GrantBook,
     GrantCommand,
+    GrantTracker,
     ReleaseCommand,
-    alone_from,
-    refenced,
+    former_deciders_expire_at,
+    with_new_fence,
 )
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
 from fireflylink_decisions.ownership._keyed_service import KeyedService
 from fireflylink_decisions.ownership._plan_values import Candidate
-from fireflylink_decisions.ownership._planner import first_table, plan
-from fireflylink_decisions.ownership._service_times import ServiceTimes
+from fireflylink_decisions.ownership._planner import initial_table, plan_table
+from fireflylink_decisions.ownership._service_times import ServiceTimeEstimates
 from fireflylink_decisions.ownership._table_changes import TableChanges, changes_between
 
 __all__ = [
-    "COMMAND_SECONDS",
+    "GRANT_TIMEOUT_SECONDS",
     "HOLD_SECONDS",
     "OUTAGE_GRACE_SECONDS",
-    "RELEASE_SECONDS",
+    "RELEASE_TIMEOUT_SECONDS",
     "BaseCommand",
-    "BusyWatch",
     "Candidate",
-    "Decidership",
-    "GrantBook",
+    "DeciderElection",
     "GrantCommand",
+    "GrantTracker",
     "KeyLoad",
     "KeyedService",
+    "OverloadDetector",
     "RangeLoad",
     "ReleaseCommand",
-    "ServiceTimes",
+    "ServiceTimeEstimates",
     "TableChanges",
-    "alone_from",
     "changes_between",
-    "first_table",
-    "plan",
-    "refenced",
+    "former_deciders_expire_at",
+    "initial_table",
+    "plan_table",
+    "with_new_fence",
 ]
--- a/packages/decisions/src/fireflylink_decisions/ownership/_busy_watch.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_busy_watch.py
@@ -6,24 +6,24 @@
 """A load over so long a time is no chance variation any more."""
 
 
-class BusyWatch:
+class OverloadDetector:
     """Since when each server is above its part.
 
     A large excess is acted on at once. A small one may be chance, as rates are measured over about
     a second, so it has to last.
     """
 
-    __slots__ = ("since",)
+    __slots__ = ("overloaded_since",)
 
     def __init__(self) -> None:
-        self.since: dict[ServerIncarnation, float] = {}
+        self.overloaded_since: dict[ServerIncarnation, float] = {}
 
-    def note(self, above: frozenset[ServerIncarnation], now: float) -> None:
+    def update(self, overloaded: frozenset[ServerIncarnation], now: float) -> None:
         """Takes the servers that are above their part now."""
-        self.since = {life: self.since.get(life, now) for life in above}
+        self.overloaded_since = {life: self.overloaded_since.get(life, now) for life in overloaded}
 
-    def lasting(self, now: float) -> frozenset[ServerIncarnation]:
+    def sustained(self, now: float) -> frozenset[ServerIncarnation]:
         """Returns the servers that have been above their part for long."""
         return frozenset(
-            life for life, since in self.since.items() if now >= since + PATIENCE_SECONDS
+            life for life, since in self.overloaded_since.items() if now >= since + PATIENCE_SECONDS
         )
--- a/packages/decisions/src/fireflylink_decisions/ownership/_decidership.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_decidership.py
@@ -6,7 +6,7 @@
 """Daemons of a higher rank wait longer before they try, so that one write is usually enough."""
 
 
-class Decidership:
+class DeciderElection:
     """Whether this daemon is the decider, as far as the store has confirmed it.
 
     ``revision`` is that of the decider record that this daemon wrote; each write of ownership is
@@ -21,42 +21,42 @@
         self.vacant_since: float | None = 0.0
 
     @property
-    def held(self) -> bool:
+    def is_decider(self) -> bool:
         """Whether this daemon became the decider and was not told otherwise."""
         return self.revision > 0
 
-    def note_won(self, revision: int, now: float) -> None:
+    def on_elected(self, revision: int, now: float) -> None:
         """Takes note that the store has accepted this daemon's record."""
         self.revision = revision
         self.confirmed_at = now
         self.vacant_since = None
 
-    def note_confirmed(self, asked_at: float) -> None:
+    def on_confirmed(self, sent_at: float) -> None:
         """Takes note that the store confirmed the record in answer to a call sent at a time."""
-        self.confirmed_at = max(self.confirmed_at, asked_at)
+        self.confirmed_at = max(self.confirmed_at, sent_at)
 
-    def note_lost(self) -> None:
+    def on_demoted(self) -> None:
         """Takes note that another daemon may be the decider."""
         self.revision = 0
 
-    def note_record(self, revision: int, present: bool, now: float) -> None:
+    def on_decider_record(self, revision: int, present: bool, now: float) -> None:
         """Takes the decider record as the store has it."""
         if present:
             self.vacant_since = None
-            if self.held and revision > self.revision:
-                self.note_lost()
+            if self.is_decider and revision > self.revision:
+                self.on_demoted()
         else:
-            if self.held and revision > self.revision:
-                self.note_lost()
+            if self.is_decider and revision > self.revision:
+                self.on_demoted()
             if self.vacant_since is None:
                 self.vacant_since = now
 
     def may_grant(self, now: float) -> bool:
         """Whether grants may be sent: a decider without the store stops after a time."""
-        return self.held and now < self.confirmed_at + OUTAGE_GRACE_SECONDS
+        return self.is_decider and now < self.confirmed_at + OUTAGE_GRACE_SECONDS
 
-    def candidate_at(self, rank: int) -> float | None:
+    def candidacy_at(self, rank: int) -> float | None:
         """Returns when this daemon should try to become the decider, None when there is one."""
-        if self.held or self.vacant_since is None:
+        if self.is_decider or self.vacant_since is None:
             return None
         return self.vacant_since + rank * CANDIDACY_STEP_SECONDS
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -10,10 +10,10 @@
 RENEWAL_PART = 1.0 / 3.0
 """Where the platform allows shorter holds only, they are renewed after this part of them."""
 
-COMMAND_SECONDS = 0.6
+GRANT_TIMEOUT_SECONDS = 0.6
 """Time-out of a grant; the connection is then reset, so that it does not arrive later."""
 
-RELEASE_SECONDS = 3.0
+RELEASE_TIMEOUT_SECONDS = 3.0
 """Time-out of a release: the server answers when the work on the keys has ended."""
 
 RETRY_SECONDS = 0.3
@@ -86,7 +86,7 @@
         return self.granted and now > self.granted_at + hold_seconds
 
 
-def refenced(table: OwnershipTable) -> OwnershipTable:
+def with_new_fence(table: OwnershipTable) -> OwnershipTable:
     """Returns the table with which a decider takes over: every range under a new fence.
 
     A former decider that is cut off from the store may still renew its grants. A server that has
@@ -97,66 +97,69 @@
     return OwnershipTable(table.service, fence, assignments)
 
 
-def alone_from(began_at: float) -> float:
+def former_deciders_expire_at(elected_at: float) -> float:
     """Returns from when on no decider from before one that began at a time can grant."""
-    return began_at + OUTAGE_GRACE_SECONDS + COMMAND_SECONDS
+    return elected_at + OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS
 
 
-class GrantBook:
+class GrantTracker:
     """The decider's bookkeeping of grants.
 
     A new holder is granted keys only when every former holder has confirmed their release under the
-    new fence, or when each grant to it that may still come true has run out. ``began_at`` is when
+    new fence, or when each grant to it that may still come true has run out. ``elected_at`` is when
     this decider took over: what a former decider sent to a server that does not answer is known to
     have ended only ``OUTAGE_GRACE_SECONDS`` and a whole hold later.
     """
 
     __slots__ = (
-        "ended",
+        "ended_incarnations",
         "first_fence",
-        "former_hold_ends",
-        "former_previous_ends",
+        "former_holds_expire_at",
+        "former_previous_holds_expire_at",
+        "hold_expiries",
         "hold_seconds",
-        "hold_time",
-        "holds",
-        "holds_before",
+        "max_hold_seconds",
+        "previous_hold_expiries",
         "progress",
         "renewal_seconds",
         "table",
     )
 
-    def __init__(self, began_at: float, hold_seconds: float = HOLD_SECONDS) -> None:
+    def __init__(self, elected_at: float, hold_seconds: float = HOLD_SECONDS) -> None:
         self.hold_seconds = hold_seconds
-        self.hold_time = hold_seconds * CLOCK_DRIFT + HOLD_MARGIN_SECONDS
+        self.max_hold_seconds = hold_seconds * CLOCK_DRIFT + HOLD_MARGIN_SECONDS
         self.renewal_seconds = min(RENEWAL_SECONDS, hold_seconds * RENEWAL_PART)
-        self.former_hold_ends = began_at + OUTAGE_GRACE_SECONDS + COMMAND_SECONDS + self.hold_time
-        self.former_previous_ends = self.former_hold_ends
+        self.former_holds_expire_at = (
+            elected_at + OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
+        )
+        self.former_previous_holds_expire_at = self.former_holds_expire_at
         self.first_fence = 0
         self.table: OwnershipTable | None = None
         self.progress: dict[tuple[KeyRange, int], _Progress] = {}
-        self.holds: dict[ServerIncarnation, dict[tuple[KeyRange, int], float]] = {}
-        self.holds_before: dict[tuple[ServerIncarnation, KeyRange, int], float] = {}
-        self.ended: set[ServerIncarnation] = set()
+        self.hold_expiries: dict[ServerIncarnation, dict[tuple[KeyRange, int], float]] = {}
+        self.previous_hold_expiries: dict[tuple[ServerIncarnation, KeyRange, int], float] = {}
+        self.ended_incarnations: set[ServerIncarnation] = set()
 
-    def note_first_table(self) -> None:
+    def mark_no_former_decider(self) -> None:
         """Takes note that there was no table before: no former decider granted anything."""
-        self.former_hold_ends = float("-inf")
-        self.former_previous_ends = float("-inf")
+        self.former_holds_expire_at = float("-inf")
+        self.former_previous_holds_expire_at = float("-inf")
 
-    def note_former_table(self, table: OwnershipTable, seen_at: float) -> None:
+    def record_former_table(self, table: OwnershipTable, seen_at: float) -> None:
         """Takes the table that this decider found, and when this daemon first saw it.
 
         Its writer granted its former holders nothing after it was written. If no earlier decider
         could grant then, their holds have ended a whole hold after the table was seen.
         """
         if table.written_by_sole_decider:
-            latest = seen_at + COMMAND_SECONDS + self.hold_time
-            self.former_previous_ends = min(self.former_hold_ends, latest)
+            latest = seen_at + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
+            self.former_previous_holds_expire_at = min(self.former_holds_expire_at, latest)
 
     def set_table(self, table: OwnershipTable) -> None:
         """Takes a table that the store has acknowledged.
 
-        The first one comes from ``refenced``: all its fences are above those of former deciders.
+        The first one comes from ``with_new_fence``: all its fences are above those of former
+        deciders.
         """
         if self.table is None:
             self.first_fence = table.fence
@@ -173,7 +176,7 @@
                 self._inherit(progress, assignment, inherited)
             self.progress[name] = progress
 
-    def due(
+    def due_commands(
         self, now: float, suspended: frozenset[tuple[KeyRange, int]] = frozenset()
     ) -> list[BaseCommand]:
         """Returns the commands to send now; each counts as under way until its end is noted.
@@ -199,28 +202,28 @@
             self._mark_busy(command)
         return commands
 
-    def note_sent(self, command: GrantCommand, now: float) -> None:
+    def record_sent(self, command: GrantCommand, now: float) -> None:
         """Takes note that a grant is about to be sent: it may come true whatever follows."""
-        holds = self.holds.setdefault(command.server, {})
+        holds = self.hold_expiries.setdefault(command.server, {})
         name = (command.keys, command.fence)
-        self.holds_before[(command.server, *name)] = holds.get(name, float("-inf"))
-        holds[name] = now + COMMAND_SECONDS + self.hold_time
+        self.previous_hold_expiries[(command.server, *name)] = holds.get(name, float("-inf"))
+        holds[name] = now + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
 
-    def note_not_sent(self, command: GrantCommand) -> None:
+    def record_not_sent(self, command: GrantCommand) -> None:
         """Takes note that a grant was not sent after all: no byte of it left.
 
         What was sent before it, answered or not, counts on. The table may have changed meanwhile.
         """
         name = (command.keys, command.fence)
-        before = self.holds_before.pop((command.server, *name), None)
+        before = self.previous_hold_expiries.pop((command.server, *name), None)
         if before is not None:
-            self.holds[command.server][name] = before
+            self.hold_expiries[command.server][name] = before
 
-    def note_granted(self, command: GrantCommand, now: float) -> None:
+    def record_granted(self, command: GrantCommand, now: float) -> None:
         """Takes a server's word that it holds the keys."""
-        self.holds_before.pop((command.server, command.keys, command.fence), None)
-        holds = self.holds.setdefault(command.server, {})
-        holds[(command.keys, command.fence)] = now + self.hold_time
+        self.previous_hold_expiries.pop((command.server, command.keys, command.fence), None)
+        holds = self.hold_expiries.setdefault(command.server, {})
+        holds[(command.keys, command.fence)] = now + self.max_hold_seconds
         if command.fence >= self.first_fence:
             # The server refuses what a former decider may still send for these keys.
             for held, fence in list(holds):
@@ -232,7 +235,7 @@
             progress.granted_at = now
             progress.due_at[command.server] = now + self.renewal_seconds
 
-    def note_released(self, command: ReleaseCommand, handover: str, now: float) -> None:
+    def record_released(self, command: ReleaseCommand, handover: str, now: float) -> None:
         """Takes a server's word that it gave the keys up, with the token for the next holder."""
         progress = self._progress_of(command.keys, command.fence, command.server)
         if progress is None:
@@ -241,20 +244,20 @@
             progress.pending.remove(command.server)
         progress.handover = handover or progress.handover
 
-    def note_failed(self, command: BaseCommand, now: float) -> None:
+    def record_failed(self, command: BaseCommand, now: float) -> None:
         """Takes note that a command had no good end; it is due again soon."""
         keys, fence = _subject(command)
-        self.holds_before.pop((command.server, keys, fence), None)
+        self.previous_hold_expiries.pop((command.server, keys, fence), None)
         progress = self._progress_of(keys, fence, command.server)
         if progress is None:
             return
         progress.due_at[command.server] = now + RETRY_SECONDS
 
-    def note_life_ended(self, server: ServerIncarnation) -> None:
+    def record_incarnation_ended(self, server: ServerIncarnation) -> None:
         """Takes note that a life of a server is over: it holds nothing, whatever was granted."""
-        self.ended.add(server)
+        self.ended_incarnations.add(server)
 
-    def settled(self) -> OwnershipTable | None:
+    def settled_table(self) -> OwnershipTable | None:
         """Returns the table without former holders that have given up, None when there are none."""
         if self.table is None:
             return None
@@ -269,11 +272,11 @@
         """Whether a grant is one of the present table."""
         return (command.keys, command.fence) in self.progress
 
-    def hold_ends(self, server: ServerIncarnation, keys: KeyRange) -> float:
+    def hold_expires_at(self, server: ServerIncarnation, keys: KeyRange) -> float:
         """Returns when no grant of any of the keys to a server can be in force any more."""
-        if server in self.ended:
+        if server in self.ended_incarnations:
             return float("-inf")
-        holds = self.holds.get(server, {})
+        holds = self.hold_expiries.get(server, {})
         ends = (until for (held, _), until in holds.items() if held.overlaps(keys))
         return max(ends, default=float("-inf"))
 
@@ -281,10 +284,12 @@
         """Notes what former deciders may have granted, and may still grant to the owners."""
         for assignment in table.assignments:
             name = (assignment.keys, FORMER_DECIDER)
-            self.holds.setdefault(assignment.owner, {})[name] = self.former_hold_ends
+            self.hold_expiries.setdefault(assignment.owner, {})[name] = self.former_holds_expire_at
             for life in assignment.previous_holders:
-                holds = self.holds.setdefault(life, {})
-                holds[name] = max(holds.get(name, float("-inf")), self.former_previous_ends)
+                holds = self.hold_expiries.setdefault(life, {})
+                holds[name] = max(
+                    holds.get(name, float("-inf")), self.former_previous_holds_expire_at
+                )
 
     def _granted_ranges(self) -> list[tuple[Assignment, _Progress]]:
         if self.table is None:
@@ -317,7 +322,9 @@
         return assignment.replace(previous_holders=(), handover="")
 
     def _drop_ended_holds(self, progress: _Progress, keys: KeyRange, now: float) -> None:
-        progress.pending = [life for life in progress.pending if now < self.hold_ends(life, keys)]
+        progress.pending = [
+            life for life in progress.pending if now < self.hold_expires_at(life, keys)
+        ]
 
     def _releases(
         self, assignment: Assignment, progress: _Progress, now: float
@@ -334,7 +341,7 @@
             assignment.owner, assignment.keys, assignment.fence, handover, progress.granted
         )
 
-    def lapsed(self, now: float) -> frozenset[KeyRange]:
+    def expired_ranges(self, now: float) -> frozenset[KeyRange]:
         """Returns the ranges whose grant ran out before it could be renewed.
 
         Their server may have started again and know nothing of the fence, so they need a new one.
--- a/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
@@ -17,38 +17,38 @@
 class KeyLoad:
     """Requests a second of each key, averaged with exponential decay.
 
-    Sparse: a key that was not asked for costs nothing. ``scale`` turns the decayed count into a
-    rate.
+    Sparse: a key that was not asked for costs nothing. ``rate_factor`` turns the decayed count into
+    a rate.
 
     Example::
 
         load.add(513, 1.0)
-        load.advance(clock.now())
+        load.decay(clock.now())
     """
 
-    __slots__ = ("advanced_at", "counts", "service", "started_at")
+    __slots__ = ("counts", "decayed_at", "service", "started_at")
 
     def __init__(self, service: str, now: float) -> None:
         self.service = service
         self.counts: dict[int, float] = {}
         self.started_at = now
-        self.advanced_at = now
+        self.decayed_at = now
 
     def add(self, key: int, requests: float) -> None:
         """Counts requests of a key."""
         self.counts[key] = self.counts.get(key, 0.0) + requests
 
-    def advance(self, now: float) -> None:
+    def decay(self, now: float) -> None:
         """Lets what was counted before fade."""
-        factor = 0.5 ** (max(0.0, now - self.advanced_at) / HALF_LIFE_SECONDS)
-        self.advanced_at = now
+        factor = 0.5 ** (max(0.0, now - self.decayed_at) / HALF_LIFE_SECONDS)
+        self.decayed_at = now
         self.counts = {
             key: count * factor
             for key, count in self.counts.items()
             if count * factor >= FORGOTTEN_BELOW
         }
 
-    def scale(self, now: float) -> float:
+    def rate_factor(self, now: float) -> float:
         """Returns the factor from a decayed count to requests a second."""
         age = max(HALF_LIFE_SECONDS / 2, now - self.started_at)
         mean_life = HALF_LIFE_SECONDS / math.log(2)
@@ -56,7 +56,7 @@
 
     def sorted_rates(self, now: float) -> list[tuple[int, float]]:
         """Returns the keys that were asked for, in order, with their rates."""
-        scale = self.scale(now)
+        scale = self.rate_factor(now)
         return [(key, self.counts[key] * scale) for key in sorted(self.counts)]
 
 
@@ -66,22 +66,22 @@
     A little load is assumed all over the keys, so that without requests the widths decide.
     """
 
-    __slots__ = ("keys", "rates", "sums")
+    __slots__ = ("keys", "prefix_sums", "rates")
 
     def __init__(self, rates: list[tuple[int, float]]) -> None:
         assumed = [(key, ASSUMED_RATE / ASSUMED_KEYS) for key in _ASSUMED]
         merged = sorted([*rates, *assumed])
         self.keys = [key for key, _ in merged]
         self.rates = [rate for _, rate in merged]
-        self.sums = [0.0]
+        self.prefix_sums = [0.0]
         for rate in self.rates:
-            self.sums.append(self.sums[-1] + rate)
+            self.prefix_sums.append(self.prefix_sums[-1] + rate)
 
     def total(self, keys: KeyRange) -> float:
         """Returns the rate of a range."""
-        first, last = self.bounds(keys)
-        return self.sums[last] - self.sums[first]
+        first, last = self.index_range(keys)
+        return self.prefix_sums[last] - self.prefix_sums[first]
 
-    def bounds(self, keys: KeyRange) -> tuple[int, int]:
+    def index_range(self, keys: KeyRange) -> tuple[int, int]:
         """Returns the positions of a range's keys: the first one, and the one after the last."""
         return bisect.bisect_left(self.keys, keys.first), bisect.bisect_right(self.keys, keys.last)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -1,12 +1,12 @@
 """What the decider knows of one service with keys, and which table it wants."""
 
 from fireflylink_core import KeyRange, OwnershipTable, ServerIncarnation
-from fireflylink_decisions.ownership._busy_watch import BusyWatch
-from fireflylink_decisions.ownership._grant_book import GrantBook, refenced
+from fireflylink_decisions.ownership._busy_watch import OverloadDetector
+from fireflylink_decisions.ownership._grant_book import GrantTracker, with_new_fence
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
 from fireflylink_decisions.ownership._plan_values import Candidate
-from fireflylink_decisions.ownership._planner import first_table, plan
-from fireflylink_decisions.ownership._service_times import ServiceTimes
+from fireflylink_decisions.ownership._planner import initial_table, plan_table
+from fireflylink_decisions.ownership._service_times import ServiceTimeEstimates
 
 FIRST_TABLE_SECONDS = 1.5
 """Time for servers to register before the first table of a service."""
@@ -17,76 +17,77 @@
 UNREACHABLE_FAILURES = 3
 """After so many commands without an answer a server is taken for one that cannot be reached."""
 
-TIDY_SECONDS = 1.5
+REBALANCE_SECONDS = 1.5
 """Changes that are not urgent are gathered for so long."""
 
 
 class KeyedService:
     """What the decider knows of one service with keys.
 
-    ``asked`` are tables whose writing was not answered, ``revision`` is that of the table's record,
-    ``failures`` counts the commands that each server did not answer since its last answer.
+    ``unacknowledged_tables`` are tables whose writing was not answered, ``revision`` is that of the
+    table's record, ``consecutive_failures`` counts the commands that each server did not answer
+    since its last answer.
     """
 
     __slots__ = (
-        "asked",
-        "book",
-        "commit_asked_at",
-        "failures",
+        "commit_sent_at",
+        "consecutive_failures",
+        "grants",
         "load",
         "name",
-        "next_plan",
-        "next_tidy",
+        "next_plan_at",
+        "next_rebalance_at",
+        "overload_detector",
         "requests_per_second",
         "revision",
         "seen_at",
-        "seen_table_at",
+        "service_times",
         "settled_at",
         "table",
-        "times",
-        "watch",
+        "table_first_seen_at",
+        "unacknowledged_tables",
     )
 
     def __init__(self, name: str, now: float) -> None:
         self.table: OwnershipTable | None = None
         self.revision = 0
         self.name = name
-        self.asked: list[OwnershipTable] = []
-        self.seen_table_at = now
-        self.book: GrantBook | None = None
+        self.unacknowledged_tables: list[OwnershipTable] = []
+        self.table_first_seen_at = now
+        self.grants: GrantTracker | None = None
         self.load = KeyLoad(name, now)
         self.seen_at = now
-        self.times = ServiceTimes()
-        self.watch = BusyWatch()
+        self.service_times = ServiceTimeEstimates()
+        self.overload_detector = OverloadDetector()
         self.settled_at = now
-        self.next_plan = 0.0
-        self.next_tidy = 0.0
+        self.next_plan_at = 0.0
+        self.next_rebalance_at = 0.0
         self.requests_per_second = 0.0
-        self.commit_asked_at: float | None = None
-        self.failures: dict[ServerIncarnation, int] = {}
+        self.commit_sent_at: float | None = None
+        self.consecutive_failures: dict[ServerIncarnation, int] = {}
 
-    def note_answered(self, server: ServerIncarnation) -> None:
+    def record_answer(self, server: ServerIncarnation) -> None:
         """Takes note that a server answered a command."""
-        self.failures.pop(server, None)
+        self.consecutive_failures.pop(server, None)
 
-    def note_unanswered(self, server: ServerIncarnation) -> None:
+    def record_no_answer(self, server: ServerIncarnation) -> None:
         """Takes note that a server did not do what it was told."""
-        self.failures[server] = self.failures.get(server, 0) + 1
+        self.consecutive_failures[server] = self.consecutive_failures.get(server, 0) + 1
 
     def is_reachable(self, server: ServerIncarnation) -> bool:
         """Whether a server may be given keys, as far as its answers tell."""
-        return self.failures.get(server, 0) < UNREACHABLE_FAILURES
+        return self.consecutive_failures.get(server, 0) < UNREACHABLE_FAILURES
 
-    def suspended(self) -> frozenset[tuple[KeyRange, int]]:
+    def suspended_ranges(self) -> frozenset[tuple[KeyRange, int]]:
         """Returns the ranges that a table takes away whose writing was not answered yet."""
-        if not self.asked or self.table is None:
+        if not self.unacknowledged_tables or self.table is None:
             return frozenset()
         present = {(found.keys, found.fence) for found in self.table.assignments}
-        for table in self.asked:
+        for table in self.unacknowledged_tables:
             present -= {(found.keys, found.fence) for found in table.assignments}
         return frozenset(present)
 
-    def wanted_table(
+    def next_table(
         self, candidates: list[Candidate], joined_at: float, now: float
     ) -> OwnershipTable | None:
         """Returns the table to write now, None when the present one is good enough.
@@ -98,21 +99,21 @@
         if self.table is None:
             if now < joined_at + FIRST_TABLE_SECONDS:
                 return None
-            return first_table(self.name, candidates, fence=1)
-        if self.book is not None and self.book.table is None:
-            self.book.note_former_table(self.table, self.seen_table_at)
-            return refenced(self.table)
+            return initial_table(self.name, candidates, fence=1)
+        if self.grants is not None and self.grants.table is None:
+            self.grants.record_former_table(self.table, self.table_first_seen_at)
+            return with_new_fence(self.table)
         rates = RangeLoad(self.load.sorted_rates(now))
-        self.requests_per_second = rates.sums[-1]
-        settled = self.book.settled() if self.book is not None else None
+        self.requests_per_second = rates.prefix_sums[-1]
+        settled = self.grants.settled_table() if self.grants is not None else None
         if settled is None:
             self.settled_at = now
-        lapsed = self.book.lapsed(now) if self.book is not None else frozenset()
-        tidy = now >= self.next_tidy
+        lapsed = self.grants.expired_ranges(now) if self.grants is not None else frozenset()
+        tidy = now >= self.next_rebalance_at
         if tidy:
-            self.next_tidy = now + TIDY_SECONDS
+            self.next_rebalance_at = now + REBALANCE_SECONDS
         present = settled or self.table
-        changed = plan(present, candidates, rates, self.watch, now, lapsed, tidy)
+        changed = plan_table(present, candidates, rates, self.overload_detector, now, lapsed, tidy)
         if changed is not None:
             return changed
         if settled is None or now < self.settled_at + SETTLE_SECONDS:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_plan_values.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_plan_values.py
@@ -6,9 +6,9 @@
 class Candidate(BaseValue):
     """A server that may own keys. ``capacity`` is how many requests a second it can run."""
 
-    __slots__ = ("capacity", "data_centre", "life")
+    __slots__ = ("capacity", "data_centre", "incarnation")
 
-    def __init__(self, life: ServerIncarnation, capacity: float, data_centre: str) -> None:
-        self.life = life
+    def __init__(self, incarnation: ServerIncarnation, capacity: float, data_centre: str) -> None:
+        self.incarnation = incarnation
         self.capacity = capacity
         self.data_centre = data_centre
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -16,7 +16,7 @@
     OwnershipTable,
     ServerIncarnation,
 )
-from fireflylink_decisions.ownership._busy_watch import BusyWatch
+from fireflylink_decisions.ownership._busy_watch import OverloadDetector
 from fireflylink_decisions.ownership._draft import Draft
 from fireflylink_decisions.ownership._key_load import RangeLoad
 from fireflylink_decisions.ownership._plan_values import Candidate
@@ -48,9 +48,11 @@
 """A server that joined is filled up to this part of the mean load."""
 
 
-def first_table(service: str, candidates: list[Candidate], fence: int) -> OwnershipTable:
+def initial_table(service: str, candidates: list[Candidate], fence: int) -> OwnershipTable:
     """Returns a table of a service that has none: ranges in proportion to the capacities."""
-    ordered = sorted(candidates, key=lambda candidate: (candidate.data_centre, str(candidate.life)))
+    ordered = sorted(
+        candidates, key=lambda candidate: (candidate.data_centre, str(candidate.incarnation))
+    )
     total = sum(candidate.capacity for candidate in ordered)
     assignments = []
     first = FIRST_KEY
@@ -61,37 +63,37 @@
         if candidate is ordered[-1]:
             end = LAST_KEY + 1
         if end > first:
-            assignments.append(Assignment(KeyRange(first, end - 1), candidate.life, fence))
+            assignments.append(Assignment(KeyRange(first, end - 1), candidate.incarnation, fence))
             first = end
     return OwnershipTable(service, fence, tuple(assignments))
 
 
-def plan(
+def plan_table(
     table: OwnershipTable,
     candidates: list[Candidate],
     loads: RangeLoad,
-    watch: BusyWatch,
+    overload_detector: OverloadDetector,
     now: float,
-    lapsed: frozenset[KeyRange] = frozenset(),
-    tidy: bool = True,
+    expired: frozenset[KeyRange] = frozenset(),
+    rebalance: bool = True,
 ) -> OwnershipTable | None:
     """Returns a better table under a new fence, None when the present one is good enough.
 
-    The grants of ``lapsed`` ranges ran out: they get a new fence even if their owner stays.
-    ``watch`` is kept from plan to plan. Without ``tidy``, only what is urgent is changed: each new
-    table is read by every daemon.
+    The grants of ``expired`` ranges ran out: they get a new fence even if their owner stays.
+    ``overload_detector`` is kept from plan to plan. Without ``rebalance``, only what is urgent is
+    changed: each new table is read by every daemon.
     """
     if not candidates:
         return None
     draft = Draft(table, loads)
     planner = _Planner(draft, candidates)
-    planner.watch(watch, now, tidy)
-    planner.replace_lost_owners(lapsed)
+    planner.watch(overload_detector, now, rebalance)
+    planner.replace_lost_owners(expired)
     planner.fill_joined_servers()
     planner.relieve_busy_servers()
-    if tidy:
+    if rebalance:
         planner.join_small_ranges()
-    if tidy or draft.changed:
+    if rebalance or draft.changed:
         draft.merge()
     return draft.table() if draft.changed else None
 
@@ -103,11 +105,11 @@
 
     def __init__(self, draft: Draft, candidates: list[Candidate]) -> None:
         self.draft = draft
-        self.candidates = {candidate.life: candidate for candidate in candidates}
+        self.candidates = {candidate.incarnation: candidate for candidate in candidates}
         self.lasting: frozenset[ServerIncarnation] = frozenset()
         self.rates = {life: draft.load(life) for life in self.candidates}
-        self.weights = _weights(candidates, draft.loads.sums[-1])
-        self.mean = draft.loads.sums[-1] / sum(self.weights.values())
+        self.weights = _weights(candidates, draft.loads.prefix_sums[-1])
+        self.mean = draft.loads.prefix_sums[-1] / sum(self.weights.values())
 
     def replace_lost_owners(self, lapsed: frozenset[KeyRange]) -> None:
         """Gives the keys of servers that may not own any, or lost them, to the least busy ones."""
@@ -156,7 +158,7 @@
         if assignment.previous_holders or assignment.owner not in self.rates:
             return None
         load = self.draft.loads.total(assignment.keys)
-        usual = self.draft.loads.sums[-1] / len(self.candidates)
+        usual = self.draft.loads.prefix_sums[-1] / len(self.candidates)
         if load > JOIN_PART * usual or len(assignment.keys) > KEY_COUNT / len(self.candidates):
             return None
         receivers = [
@@ -188,11 +190,11 @@
     def _is_above(self, life: ServerIncarnation) -> bool:
         return self.rates[life] > IMBALANCE * self.mean * self.weights[life]
 
-    def watch(self, watch: BusyWatch, now: float, tidy: bool) -> None:
+    def watch(self, watch: OverloadDetector, now: float, tidy: bool) -> None:
         """Notes which servers are above their part before anything is changed."""
-        watch.note(frozenset(life for life in self.candidates if self._is_above(life)), now)
+        watch.update(frozenset(life for life in self.candidates if self._is_above(life)), now)
         if tidy:
-            self.lasting = watch.lasting(now)
+            self.lasting = watch.sustained(now)
 
     def _ratio(self, life: ServerIncarnation) -> float:
         """Returns a server's load in proportion to what it should have."""
@@ -313,17 +315,18 @@
     mean = capacity / len(candidates)
     spare = max(0.0, 1.0 - total / capacity / FULL_UTILIZATION)
     return {
-        candidate.life: candidate.capacity * (candidate.capacity / mean) ** (PREFERENCE * spare)
+        candidate.incarnation: candidate.capacity
+        * (candidate.capacity / mean) ** (PREFERENCE * spare)
         for candidate in candidates
     }
 
 
 def _cut_first(loads: RangeLoad, keys: KeyRange, wanted: float) -> KeyRange | None:
     """Returns keys from the start of a range with about the wanted rate, but not all of them."""
-    position, end = loads.bounds(keys)
-    base = loads.sums[position]
+    position, end = loads.index_range(keys)
+    base = loads.prefix_sums[position]
     last = None
-    while position < end and loads.sums[position + 1] - base <= wanted:
+    while position < end and loads.prefix_sums[position + 1] - base <= wanted:
         last = loads.keys[position]
         position += 1
     if last is None:
@@ -335,10 +338,10 @@
 
 def _cut_last(loads: RangeLoad, keys: KeyRange, wanted: float) -> KeyRange | None:
     """Returns keys from the end of a range with about the wanted rate, but not all of them."""
-    start, position = loads.bounds(keys)
-    top = loads.sums[position]
+    start, position = loads.index_range(keys)
+    top = loads.prefix_sums[position]
     first = None
-    while position > start and top - loads.sums[position - 1] <= wanted:
+    while position > start and top - loads.prefix_sums[position - 1] <= wanted:
         first = loads.keys[position - 1]
         position -= 1
     if first is None:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_service_times.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_service_times.py
@@ -21,7 +21,7 @@
         self.seconds = 0.0
 
 
-class ServiceTimes:
+class ServiceTimeEstimates:
     """Mean service times without the time in queues.
 
     One daemon sees too few answers of each server to tell a slow one within seconds, so the
@@ -43,26 +43,26 @@
             found.answers *= part
             found.seconds *= part
 
-    def mean(self) -> float:
+    def mean_seconds(self) -> float:
         """Returns the mean over all servers, in seconds."""
         answers = sum(found.answers for found in self.sums.values())
         seconds = sum(found.seconds for found in self.sums.values())
         return (seconds + DEFAULT_SECONDS) / (answers + 1.0)
 
-    def seconds(self, server_id: str) -> float:
+    def expected_seconds(self, server_id: str) -> float:
         """Returns the expected service time of a server."""
         found = self.sums.get(server_id)
         if found is None:
-            return self.mean()
-        prior = self.mean() * PRIOR_ANSWERS
+            return self.mean_seconds()
+        prior = self.mean_seconds() * PRIOR_ANSWERS
         return (found.seconds + prior) / (found.answers + PRIOR_ANSWERS)
 
     def capacity(self, server_id: str, slots: int, cold: bool) -> float:
         """Returns how many requests a second a server can run, within bounds around the mean."""
-        usual = slots / self.mean()
+        usual = slots / self.mean_seconds()
         if cold:
             return usual * LEAST_CAPACITY_FACTOR
-        own = slots / self.seconds(server_id)
+        own = slots / self.expected_seconds(server_id)
         return min(LARGEST_CAPACITY_FACTOR * usual, max(LEAST_CAPACITY_FACTOR * usual, own))
 
     def keep_only(self, server_ids: frozenset[str]) -> None:
--- a/packages/decisions/tests/test_keyed_service.py
+++ b/packages/decisions/tests/test_keyed_service.py
@@ -6,10 +6,10 @@
 
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import (
-    GrantBook,
+    GrantTracker,
     KeyedService,
     ReleaseCommand,
-    ServiceTimes,
+    ServiceTimeEstimates,
     changes_between,
 )
 
@@ -29,7 +29,7 @@
 @pytest.fixture
 def service(clock) -> KeyedService:
     found = KeyedService("holds", clock.now())
-    found.book = GrantBook(clock.now())
+    found.grants = GrantTracker(clock.now())
     return found
 
 
@@ -37,21 +37,21 @@
     """Guards against a first table for one server, whose keys then all move."""
     joined_at = clock.now()
     found = [candidates("s1"), candidates("s2")]
-    assert_that(service.wanted_table(found, joined_at, clock.now()), Is(None))
+    assert_that(service.next_table(found, joined_at, clock.now()), Is(None))
     clock.advance(1.6)
-    wanted = service.wanted_table(found, joined_at, clock.now())
+    wanted = service.next_table(found, joined_at, clock.now())
     assert_that(len(wanted.assignments), Equals(2))
 
 
 def test_without_servers_nothing_is_wanted(service, clock):
     """Guards against a table without owners."""
-    assert_that(service.wanted_table([], clock.now(), clock.now() + 9.0), Is(None))
+    assert_that(service.next_table([], clock.now(), clock.now() + 9.0), Is(None))
 
 
 def test_a_takeover_begins_with_every_range_under_a_new_fence(service, clock, candidates):
     """Guards against grants of a former decider that a server still takes."""
     service.table = table(7, (0, 65535, ONE))
-    wanted = service.wanted_table([candidates("s1")], clock.now(), clock.now())
+    wanted = service.next_table([candidates("s1")], clock.now(), clock.now())
     assert_that([found.fence for found in wanted.assignments], Equals([8]))
 
 
@@ -72,7 +72,7 @@
 
 def test_a_slow_server_counts_for_less_and_a_cold_one_for_least():
     """Guards against slow servers that keep as many keys as fast ones."""
-    times = ServiceTimes()
+    times = ServiceTimeEstimates()
     for _ in range(40):
         times.add("fast", 1, 0.1)
         times.add("slow", 1, 0.3)
@@ -84,12 +84,12 @@
 
 def test_the_bounds_keep_one_estimate_from_moving_all_keys():
     """Guards against a few strange times that take every key from a server."""
-    times = ServiceTimes()
+    times = ServiceTimeEstimates()
     for _ in range(40):
         times.add("usual", 1, 0.1)
     times.add("strange", 40, 400.0)
     times.add("usual", 40, 4.0)
-    usual = 4 / times.mean()
+    usual = 4 / times.mean_seconds()
     assert_that(times.capacity("strange", 4, False), GreaterThan(usual * 0.39))
     assert_that(times.capacity("usual", 4, False), LessThan(usual * 2.01))
 
@@ -97,37 +97,37 @@
 def settle_range(service: KeyedService, number: int, now: float) -> None:
     """Lets the release and the grant of one moved range be confirmed."""
     for _ in range(2):
-        for command in service.book.due(now):
+        for command in service.grants.due_commands(now):
             if command.keys.first != number * 100:
-                service.book.note_failed(command, now)
+                service.grants.record_failed(command, now)
             elif isinstance(command, ReleaseCommand):
-                service.book.note_released(command, "", now)
+                service.grants.record_released(command, "", now)
             else:
-                service.book.note_sent(command, now)
-                service.book.note_granted(command, now)
+                service.grants.record_sent(command, now)
+                service.grants.record_granted(command, now)
 
 
 def test_moves_that_end_one_after_the_other_are_written_down_together(service, clock, candidates):
     """Guards against a table at every plan while moves end, cfp trouble-2: five tables that moved
     no key within 1.6 s, each read by every daemon."""
-    service.book.note_first_table()
+    service.grants.mark_no_former_decider()
     moved = tuple(
         Assignment(KeyRange(number * 100, number * 100 + 99), TWO, 2, (ONE,))
         for number in range(10)
     )
     rest = Assignment(KeyRange(1000, 65535), ONE, 2)
     service.table = OwnershipTable("holds", 2, (*moved, rest))
-    service.book.set_table(service.table)
-    service.next_tidy = clock.now() + 100.0
+    service.grants.set_table(service.table)
+    service.next_rebalance_at = clock.now() + 100.0
     written = 0
     for number in range(10):
         settle_range(service, number, clock.now())
         clock.advance(0.4)
-        wanted = service.wanted_table(
+        wanted = service.next_table(
             [candidates("s1", 100.0), candidates("s2", 1.0)], clock.now(), clock.now()
         )
         if wanted is not None:
             written += 1
             service.table = wanted
-            service.book.set_table(wanted)
+            service.grants.set_table(wanted)
     assert_that(written, LessThan(3))
--- a/packages/decisions/tests/test_planner.py
+++ b/packages/decisions/tests/test_planner.py
@@ -9,14 +9,14 @@
 
 from fireflylink_core import FIRST_KEY, KEY_COUNT, LAST_KEY, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import (
-    BusyWatch,
     Candidate,
     KeyLoad,
+    OverloadDetector,
     RangeLoad,
-    ServiceTimes,
-    first_table,
-    plan,
-    refenced,
+    ServiceTimeEstimates,
+    initial_table,
+    plan_table,
+    with_new_fence,
 )
 
 SPEEDS = (0.5, 1.0, 1.0, 1.5)
@@ -51,9 +51,9 @@
 def test_the_first_table_covers_all_keys_in_proportion_to_the_capacities():
     """Guards against keys without an owner from the start."""
     candidates = fleet(16)
-    table = first_table("availability", candidates, 1)
+    table = initial_table("availability", candidates, 1)
     check_covers_all_keys(table)
-    slow, fast = candidates[0].life, candidates[3].life
+    slow, fast = candidates[0].incarnation, candidates[3].incarnation
     widths = {life: sum(len(a.keys) for a in table.owned_by(life)) for life in (slow, fast)}
     assert_that(widths[fast], GreaterThan(2 * widths[slow]))
 
@@ -61,17 +61,17 @@
 def test_nothing_changes_without_a_cause():
     """Guards against churn: keys that change hands are paid for."""
     candidates = fleet(16)
-    table = first_table("availability", candidates, 1)
-    assert_that(plan(table, candidates, no_load(), BusyWatch(), 0.0), Is(None))
+    table = initial_table("availability", candidates, 1)
+    assert_that(plan_table(table, candidates, no_load(), OverloadDetector(), 0.0), Is(None))
 
 
 def test_the_keys_of_a_lost_server_get_a_new_owner_and_a_higher_fence():
     """Guards against keys that stay with a lost server, or move under a fence already used."""
     candidates = fleet(16)
-    table = first_table("availability", candidates, 1)
-    lost = candidates[2].life
-    left = [candidate for candidate in candidates if candidate.life != lost]
-    changed = plan(table, left, no_load(), BusyWatch(), 0.0)
+    table = initial_table("availability", candidates, 1)
+    lost = candidates[2].incarnation
+    left = [candidate for candidate in candidates if candidate.incarnation != lost]
+    changed = plan_table(table, left, no_load(), OverloadDetector(), 0.0)
     check_covers_all_keys(changed)
     assert_that(changed.owned_by(lost), Equals(()))
     for assignment in changed.assignments:
@@ -83,20 +83,24 @@
 def test_a_joined_server_gets_keys_at_once():
     """Guards against servers that join and get no request."""
     candidates = fleet(16)
-    table = first_table("availability", candidates[:15], 1)
-    changed = plan(table, candidates, no_load(), BusyWatch(), 0.0)
-    assert_that(len(changed.owned_by(candidates[15].life)), GreaterThan(0))
+    table = initial_table("availability", candidates[:15], 1)
+    changed = plan_table(table, candidates, no_load(), OverloadDetector(), 0.0)
+    assert_that(len(changed.owned_by(candidates[15].incarnation)), GreaterThan(0))
 
 
 def test_a_key_that_moves_again_keeps_every_holder_that_has_not_given_it_up():
     """Guards against OWNER: a former holder that is forgotten by a second move."""
     candidates = fleet(4)
-    table = first_table("availability", candidates, 1)
-    first_lost = candidates[0].life
-    once = plan(table, candidates[1:], no_load(), BusyWatch(), 0.0)
+    table = initial_table("availability", candidates, 1)
+    first_lost = candidates[0].incarnation
+    once = plan_table(table, candidates[1:], no_load(), OverloadDetector(), 0.0)
     heirs = {a.owner for a in once.assignments if first_lost in a.previous_holders}
-    twice = plan(
-        once, [c for c in candidates[1:] if c.life not in heirs], no_load(), BusyWatch(), 0.0
+    twice = plan_table(
+        once,
+        [c for c in candidates[1:] if c.incarnation not in heirs],
+        no_load(),
+        OverloadDetector(),
+        0.0,
     )
     for assignment in twice.assignments:
         if assignment.keys.overlaps(table.owned_by(first_lost)[0].keys):
@@ -107,17 +111,17 @@
 def test_a_lapsed_range_gets_a_new_fence():
     """Guards against OWNER: a grant under a fence that a restarted server has not seen."""
     candidates = fleet(4)
-    table = first_table("availability", candidates, 1)
+    table = initial_table("availability", candidates, 1)
     lapsed = table.assignments[1].keys
-    changed = plan(table, candidates, no_load(), BusyWatch(), 0.0, frozenset({lapsed}))
+    changed = plan_table(table, candidates, no_load(), OverloadDetector(), 0.0, frozenset({lapsed}))
     fences = {a.fence for a in changed.assignments if a.keys.overlaps(lapsed)}
     assert_that(min(fences), GreaterThan(table.fence))
 
 
 def test_a_takeover_puts_every_range_under_a_new_fence():
     """Guards against a former decider whose renewals are still taken."""
-    table = first_table("availability", fleet(4), 7)
-    taken = refenced(table)
+    table = initial_table("availability", fleet(4), 7)
+    taken = with_new_fence(table)
     assert_that({a.fence for a in taken.assignments}, Equals({8}))
     assert_that([a.owner for a in taken.assignments], Equals([a.owner for a in table.assignments]))
 
@@ -143,7 +147,7 @@
 
     def utilization(self, table: OwnershipTable, candidates: list[Candidate]) -> float:
         """Returns the highest utilization of a server under the true rates."""
-        rates = {candidate.life: 0.0 for candidate in candidates}
+        rates = {candidate.incarnation: 0.0 for candidate in candidates}
         for assignment in table.assignments:
             hot = max(
                 0,
@@ -154,7 +158,7 @@
             rates[assignment.owner] += self.rate * (
                 self.part * hot / self.count + (1 - self.part) * len(assignment.keys) / KEY_COUNT
             )
-        return max(rates[candidate.life] / candidate.capacity for candidate in candidates)
+        return max(rates[candidate.incarnation] / candidate.capacity for candidate in candidates)
 
 
 @pytest.mark.parametrize("part,count", [(0.45, 200), (0.35, 60), (0.5, 60)])
@@ -162,18 +166,18 @@
     """Guards against one server under half of the traffic. Baseline: the table as it was."""
     candidates = fleet(16)
     day = HotDay(1, 200.0, part, 30000, count)
-    table = first_table("availability", candidates, 1)
+    table = initial_table("availability", candidates, 1)
     baseline = day.utilization(table, candidates)
     load = KeyLoad("availability", 0.0)
     now = 0.0
-    watch = BusyWatch()
+    watch = OverloadDetector()
     for _ in range(12):
         for key in day.arrivals():
             load.add(key, 1.0)
         now += STEP_SECONDS
-        load.advance(now)
+        load.decay(now)
         table = settle(
-            plan(table, candidates, RangeLoad(load.sorted_rates(now)), watch, now) or table
+            plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), watch, now) or table
         )
         check_covers_all_keys(table)
     reached = day.utilization(table, candidates)
@@ -186,17 +190,17 @@
     """Guards against churn that follows the chance variations of few requests."""
     candidates = fleet(21, 12.5)
     day = HotDay(3, 60.0, 0.0, 0, 1)
-    table = first_table("verses", candidates, 1)
+    table = initial_table("verses", candidates, 1)
     load = KeyLoad("verses", 0.0)
     now = 0.0
-    watch = BusyWatch()
+    watch = OverloadDetector()
     moved = 0
     for _ in range(120):
         for key in day.arrivals():
             load.add(key, 1.0)
         now += STEP_SECONDS
-        load.advance(now)
-        changed = plan(table, candidates, RangeLoad(load.sorted_rates(now)), watch, now)
+        load.decay(now)
+        changed = plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), watch, now)
         if changed is not None:
             moved += sum(len(a.keys) for a in changed.assignments if a.previous_holders)
             table = settle(changed)
@@ -206,19 +210,19 @@
 def test_many_ranges_are_joined_when_the_load_is_even_again():
     """Guards against renewals that grow with every hot key that ever was."""
     candidates = fleet(16)
-    table = first_table("availability", candidates, 1)
+    table = initial_table("availability", candidates, 1)
     load = KeyLoad("availability", 0.0)
     now = 0.0
-    watch = BusyWatch()
+    watch = OverloadDetector()
     most = 0
     for step in range(160):
         hot = HotDay(step, 200.0, 0.45 if step < 80 else 0.0, (step // 16) * 6000, 60)
         for key in hot.arrivals():
             load.add(key, 1.0)
         now += STEP_SECONDS
-        load.advance(now)
+        load.decay(now)
         table = settle(
-            plan(table, candidates, RangeLoad(load.sorted_rates(now)), watch, now) or table
+            plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), watch, now) or table
         )
         most = max(most, len(table.assignments))
     assert_that(most, LessThan(16 * 5 + 1))
@@ -230,14 +234,14 @@
 def test_any_history_covers_all_keys_with_rising_fences(data):
     """Guards against gaps, overlaps and fences that are used twice for the same keys."""
     candidates = fleet(8)
-    table = first_table("availability", candidates, 1)
+    table = initial_table("availability", candidates, 1)
     fences = {key: 1 for key in range(0, KEY_COUNT, 997)}
     owners = {key: table.find(key).owner for key in fences}
     for _ in range(data.draw(strategies.integers(1, 12))):
         present = [c for c in candidates if data.draw(strategies.booleans())] or candidates[:1]
         first = data.draw(strategies.integers(0, KEY_COUNT - 300))
         rates = [(first + step, 0.5) for step in range(data.draw(strategies.integers(0, 200)))]
-        changed = plan(table, present, RangeLoad(rates), BusyWatch(), 0.0)
+        changed = plan_table(table, present, RangeLoad(rates), OverloadDetector(), 0.0)
         if changed is None:
             continue
         check_covers_all_keys(changed)
@@ -252,7 +256,7 @@
 
 def test_the_owner_of_a_key_agrees_with_a_search_of_the_whole_table():
     """Differential: the binary search against the naive one."""
-    table = first_table("availability", fleet(7), 1)
+    table = initial_table("availability", fleet(7), 1)
     for key in range(0, KEY_COUNT, 31):
         naive = [a for a in table.assignments if a.keys.first <= key <= a.keys.last]
         assert_that([table.find(key)], Equals(naive))
@@ -263,7 +267,7 @@
     source = random.Random(5)
     rates = sorted((key, source.random()) for key in source.sample(range(KEY_COUNT), 500))
     load = RangeLoad(rates)
-    table = first_table("availability", fleet(9), 1)
+    table = initial_table("availability", fleet(9), 1)
     for assignment in table.assignments:
         keys = assignment.keys
         naive = sum(
@@ -276,9 +280,9 @@
 
 def test_a_slow_server_is_told_from_a_fast_one_after_a_few_answers():
     """Guards against slow servers that own as many busy keys as fast ones."""
-    times = ServiceTimes()
+    times = ServiceTimeEstimates()
     for _ in range(10):
         times.add("slow", 1, 0.32)
         times.add("fast", 1, 0.10)
-    assert_that(times.seconds("slow"), GreaterThan(2 * times.seconds("fast")))
-    assert_that(times.seconds("unknown"), Equals(times.mean()))
+    assert_that(times.expected_seconds("slow"), GreaterThan(2 * times.expected_seconds("fast")))
+    assert_that(times.expected_seconds("unknown"), Equals(times.mean_seconds()))
--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -5,16 +5,16 @@
 
 from fireflylink_core import KEY_COUNT, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import (
-    COMMAND_SECONDS,
+    GRANT_TIMEOUT_SECONDS,
     HOLD_SECONDS,
     BaseCommand,
     Candidate,
-    GrantBook,
     GrantCommand,
+    GrantTracker,
     KeyedService,
     ReleaseCommand,
     changes_between,
-    refenced,
+    with_new_fence,
 )
 from fireflylink_emulator._agenda import Agenda
 from fireflylink_emulator._emulated_server import EmulatedServer
@@ -73,12 +73,12 @@
         now = self.agenda.clock.now()
         self.running = True
         service = self.service = KeyedService(self.profile.name, now)
-        service.book = GrantBook(now)
+        service.grants = GrantTracker(now)
         if self.written is None:
-            service.book.note_first_table()
+            service.grants.mark_no_former_decider()
         else:
             service.table = self.written
-            self._write(refenced(self.written))
+            self._write(with_new_fence(self.written))
         self._tick(service)
         self._take_reports(service)
 
@@ -90,16 +90,16 @@
         if not self.running or service is not self.service:
             return
         now = self.agenda.clock.now()
-        if service.book is not None:
-            for command in service.book.due(now):
-                self._send(service.book, command)
-        if now >= service.next_plan:
-            service.next_plan = now + PLAN_SECONDS
+        if service.grants is not None:
+            for command in service.grants.due_commands(now):
+                self._send(service.grants, command)
+        if now >= service.next_plan_at:
+            service.next_plan_at = now + PLAN_SECONDS
             self._plan(service, now)
         self.agenda.after(TICK_SECONDS, lambda: self._tick(service))
 
     def _plan(self, service: KeyedService, now: float) -> None:
-        service.load.advance(now)
+        service.load.decay(now)
         candidates = [
             self._candidate(service, server)
             for server in self.servers
@@ -107,44 +107,44 @@
             and not server.draining
             and service.is_reachable(server.life)
         ]
-        if service.commit_asked_at is not None or not candidates:
+        if service.commit_sent_at is not None or not candidates:
             return
-        wanted = service.wanted_table(candidates, 0.0, now)
+        wanted = service.next_table(candidates, 0.0, now)
         if wanted is None:
             return
-        lives = frozenset(candidate.life for candidate in candidates)
+        lives = frozenset(candidate.incarnation for candidate in candidates)
         if service.table is not None:
             self.moved_keys += changes_between(service.table, wanted, lives).moved_keys
         self._write(wanted)
 
     def _candidate(self, service: KeyedService, server: EmulatedServer) -> Candidate:
-        capacity = service.times.capacity(server.name, self.profile.slots, server.cold)
+        capacity = service.service_times.capacity(server.name, self.profile.slots, server.cold)
         return Candidate(server.life, capacity, server.data_centre)
 
     def _write(self, table: OwnershipTable) -> None:
         service = self.service
-        service.commit_asked_at = self.agenda.clock.now()
+        service.commit_sent_at = self.agenda.clock.now()
         self.agenda.after(STORE_SECONDS, lambda: self._written(service, table))
 
     def _written(self, service: KeyedService, table: OwnershipTable) -> None:
         if service is not self.service or not self.running:
             return
         self.written = table
-        service.commit_asked_at = None
+        service.commit_sent_at = None
         service.table = table
-        if service.book is not None:
-            service.book.set_table(table)
+        if service.grants is not None:
+            service.grants.set_table(table)
         for daemon in self.daemons:
             daemon.note_table(table)
 
-    def _send(self, book: GrantBook, command: BaseCommand) -> None:
+    def _send(self, book: GrantTracker, command: BaseCommand) -> None:
         server = self._server_of(command.server)
         if server is None:
-            book.note_life_ended(command.server)
-            book.note_failed(command, self.agenda.clock.now())
+            book.record_incarnation_ended(command.server)
+            book.record_failed(command, self.agenda.clock.now())
             return
         if isinstance(command, GrantCommand):
-            book.note_sent(command, self.agenda.clock.now())
+            book.record_sent(command, self.agenda.clock.now())
             self.agenda.after(COMMAND_TRAVEL_SECONDS, lambda: self._grant(book, server, command))
         elif isinstance(command, ReleaseCommand):
             self.agenda.after(COMMAND_TRAVEL_SECONDS, lambda: self._release(book, server, command))
@@ -152,21 +152,21 @@
     def _server_of(self, life: ServerIncarnation) -> EmulatedServer | None:
         return next((server for server in self.servers if server.life == life), None)
 
-    def _grant(self, book: GrantBook, server: EmulatedServer, command: GrantCommand) -> None:
+    def _grant(self, book: GrantTracker, server: EmulatedServer, command: GrantCommand) -> None:
         if self._unreachable(book, server, command):
             return
         now = self.agenda.clock.now()
         if server.life != command.server or not server.grant(
             command.keys, command.fence, HOLD_SECONDS
         ):
-            book.note_failed(command, now)
+            book.record_failed(command, now)
             return
-        self.service.note_answered(command.server)
-        book.note_granted(command, now)
+        self.service.record_answer(command.server)
+        book.record_granted(command, now)
         if not command.renewal:
             self._notify(command.keys, command.fence)
 
-    def _release(self, book: GrantBook, server: EmulatedServer, command: ReleaseCommand) -> None:
+    def _release(self, book: GrantTracker, server: EmulatedServer, command: ReleaseCommand) -> None:
         if self._unreachable(book, server, command):
             return
         server.release(command.keys, command.fence)
@@ -174,20 +174,24 @@
             again = functools.partial(self._release, book, server, command)
             self.agenda.after(RELEASE_POLL_SECONDS, again)
             return
-        book.note_released(command, "", self.agenda.clock.now())
+        book.record_released(command, "", self.agenda.clock.now())
 
-    def _unreachable(self, book: GrantBook, server: EmulatedServer, command: BaseCommand) -> bool:
+    def _unreachable(
+        self, book: GrantTracker, server: EmulatedServer, command: BaseCommand
+    ) -> bool:
         """Handles a server that does not answer, at once or after the time-out."""
         if not server.down and not server.silent:
             return False
-        wait = COMMAND_SECONDS if server.silent else 0.0
+        wait = GRANT_TIMEOUT_SECONDS if server.silent else 0.0
 
         def fail() -> None:
-            if command.server in self.service.failures and isinstance(command, GrantCommand):
+            if command.server in self.service.consecutive_failures and isinstance(
+                command, GrantCommand
+            ):
                 # The connection was closed after the first time-out, and no new one opens.
-                book.note_not_sent(command)
-            self.service.note_unanswered(command.server)
-            book.note_failed(command, self.agenda.clock.now())
+                book.record_not_sent(command)
+            self.service.record_no_answer(command.server)
+            book.record_failed(command, self.agenda.clock.now())
 
         self.agenda.after(wait, fail)
         return True
@@ -206,7 +210,7 @@
             daemon.key_counts = []
             if self.reports % TIMES_EACH_REPORTS == 0:
                 for name, seconds in daemon.key_times:
-                    service.times.add(name, 1, seconds)
+                    service.service_times.add(name, 1, seconds)
                 daemon.key_times = []
         self.agenda.after(REPORT_SECONDS, lambda: self._take_reports(service))
 
--- a/packages/emulator/src/fireflylink_emulator/_emulation.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulation.py
@@ -4,7 +4,7 @@
 import random
 
 from fireflylink_core import Assignment, KeyRange, ManualClock, OwnershipTable
-from fireflylink_decisions.ownership import Candidate, first_table
+from fireflylink_decisions.ownership import Candidate, initial_table
 from fireflylink_emulator._agenda import Agenda
 from fireflylink_emulator._base_daemon import BaseEmulatedDaemon
 from fireflylink_emulator._callers import Callers
@@ -190,7 +190,7 @@
     def _static_owners(self, profile: ServiceProfile) -> list[tuple[EmulatedServer, KeyRange]]:
         servers = self.servers_of(profile)
         candidates = [Candidate(server.life, 1.0, server.data_centre) for server in servers]
-        table = first_table(profile.name, candidates, 1)
+        table = initial_table(profile.name, candidates, 1)
         by_life = {server.life: server for server in servers}
         return [(by_life[found.owner], found.keys) for found in table.assignments]
 
--- a/packages/experiments/src/fireflylink_experiments/slopes.py
+++ b/packages/experiments/src/fireflylink_experiments/slopes.py
@@ -12,13 +12,13 @@
 
 from fireflylink_core import KEY_COUNT, ManualClock, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import (
-    BusyWatch,
     Candidate,
-    GrantBook,
     GrantCommand,
+    GrantTracker,
+    OverloadDetector,
     RangeLoad,
-    first_table,
-    plan,
+    initial_table,
+    plan_table,
 )
 from fireflylink_protocol import LoadReport, encode_datagram, encode_table
 
@@ -53,16 +53,16 @@
 def _renewals(table: OwnershipTable) -> tuple[float, int]:
     """Returns the milliseconds that the book takes a second, and the grants a second."""
     clock = ManualClock()
-    book = GrantBook(clock.now())
-    book.note_first_table()
+    book = GrantTracker(clock.now())
+    book.mark_no_former_decider()
     book.set_table(table)
     sent = 0
     began = time.perf_counter()
     for _ in range(100):
-        for command in book.due(clock.now()):
+        for command in book.due_commands(clock.now()):
             if isinstance(command, GrantCommand):
-                book.note_sent(command, clock.now())
-                book.note_granted(command, clock.now())
+                book.record_sent(command, clock.now())
+                book.record_granted(command, clock.now())
                 sent += 1
         clock.advance(0.1)
     return (time.perf_counter() - began) * MILLISECONDS / 10.0, sent // 10
@@ -76,10 +76,10 @@
     print("servers  plan ms  book ms/s  grants/s  table bytes  report bytes")
     for count in SIZES:
         candidates = _fleet(source, count)
-        table = first_table("availability", candidates, 1)
+        table = initial_table("availability", candidates, 1)
         loads = _loads(source, count)
         planned = _milliseconds(
-            lambda c=candidates, t=table, r=loads: plan(t, c, r, BusyWatch(), 0.0)  # type: ignore[misc]
+            lambda c=candidates, t=table, r=loads: plan_table(t, c, r, OverloadDetector(), 0.0)  # type: ignore[misc]
         )
         booked, grants = _renewals(table)
         keys = tuple(source.randrange(KEY_COUNT) for _ in range(min(400, count)))
