--- a/packages/decisions/tests/test_attempts.py
+++ b/packages/decisions/tests/test_attempts.py
@@ -48,7 +48,7 @@
 
 
 def test_no_more_servers_than_the_route_allows():
-    """Guards against BUDGET: one request on more servers than ``max_servers``."""
+    """Guards against BUDGET: one request on more servers than ``max_attempts``."""
     attempts = Attempts(idempotent=True, max_attempts=2)
     assert_that(attempts.decide(FAILED, 1.0, True), IsInstance(Retry))
     decision = attempts.decide(FAILED, 1.0, True)
--- a/packages/emulator/src/fireflylink_emulator/__init__.py
+++ b/packages/emulator/src/fireflylink_emulator/__init__.py
@@ -1,13 +1,13 @@
 """A whole deployment on a manual clock, around the real decision code."""
 
-from fireflylink_emulator._agenda import Agenda
+from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._base_daemon import BaseEmulatedDaemon
 from fireflylink_emulator._callers import Callers
-from fireflylink_emulator._emulated_decider import EmulatedDecider, served_part
+from fireflylink_emulator._emulated_decider import EmulatedDecider, held_key_fraction
 from fireflylink_emulator._emulated_server import EmulatedServer
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._fault_run import FAULT_PROFILES, run_with_faults
-from fireflylink_emulator._losses import LOSSES, measure
+from fireflylink_emulator._losses import FAILURES, measure_recovery
 from fireflylink_emulator._pattern import (
     Arrival,
     ArrivalPattern,
@@ -24,36 +24,36 @@
     FleetProfile,
     ServiceProfile,
 )
-from fireflylink_emulator._situation_run import replay
-from fireflylink_emulator._situations import SITUATIONS, BaseSituation
-from fireflylink_emulator._tally import Tally
+from fireflylink_emulator._situation_run import replay_scenario
+from fireflylink_emulator._situations import SCENARIOS, BaseScenario
+from fireflylink_emulator._tally import RunStatistics
 
 __all__ = [
     "APPROVALS",
+    "FAILURES",
     "FAULT_PROFILES",
     "FLEET",
     "LOOKUPS",
-    "LOSSES",
     "ORDERS",
-    "SITUATIONS",
-    "Agenda",
+    "SCENARIOS",
     "Arrival",
     "ArrivalPattern",
     "BaseEmulatedDaemon",
-    "BaseSituation",
+    "BaseScenario",
     "Callers",
     "EmulatedDecider",
     "EmulatedServer",
     "Emulation",
+    "EventScheduler",
     "FleetProfile",
     "PatternError",
+    "RunStatistics",
     "ServiceProfile",
-    "Tally",
     "decode_pattern",
     "encode_pattern",
-    "measure",
+    "held_key_fraction",
+    "measure_recovery",
     "read_pattern",
-    "replay",
+    "replay_scenario",
     "run_with_faults",
-    "served_part",
 ]
--- a/packages/emulator/src/fireflylink_emulator/_agenda.py
+++ b/packages/emulator/src/fireflylink_emulator/_agenda.py
@@ -8,7 +8,7 @@
 Action = Callable[[], None]
 
 
-class Agenda:
+class EventScheduler:
     """Actions in the order of their time.
 
     Actions of the same moment run in the order in which they were added, so that a run repeats
@@ -16,25 +16,25 @@
 
     Example::
 
-        agenda.after(0.02, daemon.sweep)
-        agenda.run_until(agenda.clock.now() + 30.0)
+        scheduler.schedule_after(0.02, daemon.sweep)
+        scheduler.run_until(scheduler.clock.now() + 30.0)
     """
 
-    __slots__ = ("added", "clock", "entries")
+    __slots__ = ("clock", "entries", "next_sequence")
 
     def __init__(self, clock: ManualClock) -> None:
         self.clock = clock
         self.entries: list[tuple[float, int, Action]] = []
-        self.added = 0
+        self.next_sequence = 0
 
-    def at(self, moment: float, action: Action) -> None:
+    def schedule_at(self, moment: float, action: Action) -> None:
         """Adds an action for a moment; one in the past runs at once."""
-        self.added += 1
-        heapq.heappush(self.entries, (moment, self.added, action))
+        self.next_sequence += 1
+        heapq.heappush(self.entries, (moment, self.next_sequence, action))
 
-    def after(self, seconds: float, action: Action) -> None:
+    def schedule_after(self, seconds: float, action: Action) -> None:
         """Adds an action for a number of seconds from now."""
-        self.at(self.clock.now() + seconds, action)
+        self.schedule_at(self.clock.now() + seconds, action)
 
     def run_until(self, end: float) -> None:
         """Runs what is due up to a moment, and leaves the clock there."""
--- a/packages/emulator/src/fireflylink_emulator/_base_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_base_daemon.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from fireflylink_core import BaseReply, OwnershipTable, ServerAnswer
-from fireflylink_emulator._agenda import Agenda
+from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._emulated_server import Call, EmulatedServer
-from fireflylink_emulator._order import CallEnd, CallerOrder, CallOutcome
+from fireflylink_emulator._order import CallEnd, CallerAttempt, CallOutcome
 from fireflylink_emulator._profile import FleetProfile
 
 REPLY_MARGIN_SECONDS = 0.03
@@ -18,50 +18,54 @@
 class BaseEmulatedDaemon(abc.ABC):
     """One daemon in one data centre; ``calls`` are those under way, by order."""
 
-    __slots__ = ("agenda", "calls", "data_centre", "fleet", "name", "running")
+    __slots__ = ("calls", "data_centre", "fleet", "name", "running", "scheduler")
 
-    def __init__(self, name: str, data_centre: str, fleet: FleetProfile, agenda: Agenda) -> None:
+    def __init__(
+        self, name: str, data_centre: str, fleet: FleetProfile, scheduler: EventScheduler
+    ) -> None:
         self.name = name
         self.data_centre = data_centre
         self.fleet = fleet
-        self.agenda = agenda
+        self.scheduler = scheduler
         self.running = True
-        self.calls: dict[CallerOrder, tuple[EmulatedServer, Call]] = {}
+        self.calls: dict[CallerAttempt, tuple[EmulatedServer, Call]] = {}
 
     @abc.abstractmethod
-    def receive(self, order: CallerOrder, done: Callable[[BaseReply], None]) -> None:
+    def receive(self, attempt: CallerAttempt, done: Callable[[BaseReply], None]) -> None:
         """Takes an attempt of a caller; ``done`` is called once with its end."""
 
     @abc.abstractmethod
-    def leave(self, order: CallerOrder) -> None:
+    def cancel(self, attempt: CallerAttempt) -> None:
         """Takes note that the caller of an attempt has left."""
 
     @abc.abstractmethod
-    def note_servers(self, servers: list[EmulatedServer]) -> None:
+    def update_servers(self, servers: list[EmulatedServer]) -> None:
         """Takes the registrations of all servers."""
 
     @abc.abstractmethod
-    def note_table(self, table: OwnershipTable) -> None:
+    def update_table(self, table: OwnershipTable) -> None:
         """Takes the owners of the keys of a service."""
 
     def call(
         self,
-        order: CallerOrder,
+        attempt: CallerAttempt,
         server: EmulatedServer,
         ended: Callable[[CallOutcome], None],
     ) -> None:
         """Sends an order to the present life of a server; ``ended`` is called once."""
         latency = self._latency(server)
-        latest = order.latest - REPLY_MARGIN_SECONDS
-        call = Call(order, latest, lambda outcome: self.agenda.after(latency, arrive(outcome)))
-        life = server.life
+        latest = attempt.latest - REPLY_MARGIN_SECONDS
+        call = Call(
+            attempt, latest, lambda outcome: self.scheduler.schedule_after(latency, arrive(outcome))
+        )
+        life = server.incarnation
         finished = [False]
 
         def finish(outcome: CallOutcome) -> None:
             if finished[0]:
                 return
             finished[0] = True
-            self.calls.pop(order, None)
+            self.calls.pop(attempt, None)
             ended(outcome)
 
         def arrive(outcome: CallOutcome) -> Callable[[], None]:
@@ -69,12 +73,12 @@
 
         def give_up() -> None:
             if not finished[0]:
-                server.drop(call)
+                server.on_disconnect(call)
                 finish(CallOutcome(CallEnd.LATE))
 
-        self.calls[order] = (server, call)
-        self.agenda.after(latency, lambda: server.arrive(call, life))
-        self.agenda.at(latest, give_up)
+        self.calls[attempt] = (server, call)
+        self.scheduler.schedule_after(latency, lambda: server.receive(call, life))
+        self.scheduler.schedule_at(latest, give_up)
 
     def _latency(self, server: EmulatedServer) -> float:
         near = server.data_centre == self.data_centre
--- a/packages/emulator/src/fireflylink_emulator/_callers.py
+++ b/packages/emulator/src/fireflylink_emulator/_callers.py
@@ -3,11 +3,11 @@
 import random
 
 from fireflylink_core import BaseReply, CallerDisconnected, NotRun, OutcomeUnknown, ServerAnswer
-from fireflylink_emulator._agenda import Agenda
+from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._base_daemon import BaseEmulatedDaemon
-from fireflylink_emulator._order import CallerOrder
+from fireflylink_emulator._order import CallerAttempt
 from fireflylink_emulator._profile import ServiceProfile
-from fireflylink_emulator._tally import Tally
+from fireflylink_emulator._tally import RunStatistics
 
 NETWORK_SECONDS = 0.008
 HONOURED_PART = 1.0 / 3.0
@@ -23,59 +23,59 @@
 class Callers:
     """All callers of a run.
 
-    ``impatient`` is the part of callers that repeat at once and often, whatever they are told;
-    ``leavers`` the part that leave before their deadline.
+    ``impatient_fraction`` is the part of callers that repeat at once and often, whatever they are
+    told; ``early_disconnect_fraction`` the part that leave before their deadline.
     """
 
     __slots__ = (
-        "agenda",
         "daemons",
-        "impatient",
-        "leavers",
-        "source",
-        "tallies",
+        "early_disconnect_fraction",
+        "impatient_fraction",
+        "rng",
+        "scheduler",
+        "statistics",
     )
 
     def __init__(
-        self, agenda: Agenda, daemons: list[BaseEmulatedDaemon], source: random.Random
+        self, scheduler: EventScheduler, daemons: list[BaseEmulatedDaemon], rng: random.Random
     ) -> None:
-        self.agenda = agenda
+        self.scheduler = scheduler
         self.daemons = daemons
-        self.source = source
-        self.tallies: dict[str, Tally] = {}
-        self.impatient = 0.0
-        self.leavers = 0.0
+        self.rng = rng
+        self.statistics: dict[str, RunStatistics] = {}
+        self.impatient_fraction = 0.0
+        self.early_disconnect_fraction = 0.0
 
-    def tally(self, profile: ServiceProfile) -> Tally:
+    def statistics_of(self, profile: ServiceProfile) -> RunStatistics:
         """Returns the counts of one kind of requests."""
-        return self.tallies.setdefault(profile.kind, Tally())
+        return self.statistics.setdefault(profile.kind, RunStatistics())
 
-    def ask(self, profile: ServiceProfile, key: int) -> None:
+    def send_request(self, profile: ServiceProfile, key: int) -> None:
         """Sends the first attempt of a request."""
-        impatient = self.source.random() < self.impatient
-        repeats = IMPATIENT_REPEATS if impatient else profile.repeats
-        order = self._order(profile, key, self.agenda.clock.now(), repeats, impatient)
-        self.tally(profile).note_asked(order)
+        impatient = self.rng.random() < self.impatient_fraction
+        repeats = IMPATIENT_REPEATS if impatient else profile.max_caller_retries
+        order = self._order(profile, key, self.scheduler.clock.now(), repeats, impatient)
+        self.statistics_of(profile).record_request(order)
         self._send(order)
 
-    def close(self) -> None:
+    def check_guarantees(self) -> None:
         """Checks the promises about refused orders after the last event."""
-        for tally in self.tallies.values():
-            tally.close()
+        for tally in self.statistics.values():
+            tally.check_refused_attempts()
 
     def _order(
         self, profile: ServiceProfile, key: int, asked_at: float, repeats: int, impatient: bool
-    ) -> CallerOrder:
-        received_at = self.agenda.clock.now() + NETWORK_SECONDS
-        return CallerOrder(profile, key, asked_at, received_at, repeats, impatient)
+    ) -> CallerAttempt:
+        received_at = self.scheduler.clock.now() + NETWORK_SECONDS
+        return CallerAttempt(profile, key, asked_at, received_at, repeats, impatient)
 
-    def _send(self, order: CallerOrder) -> None:
+    def _send(self, order: CallerAttempt) -> None:
         running = [daemon for daemon in self.daemons if daemon.running]
-        daemon = self.source.choice(running or self.daemons)
+        daemon = self.rng.choice(running or self.daemons)
         ended = [False]
 
         def reply(found: BaseReply) -> None:
-            self.agenda.after(NETWORK_SECONDS, lambda: receive(found))
+            self.scheduler.schedule_after(NETWORK_SECONDS, lambda: receive(found))
 
         def receive(found: BaseReply) -> None:
             if ended[0]:
@@ -86,38 +86,38 @@
         def leave() -> None:
             if not ended[0]:
                 ended[0] = True
-                daemon.leave(order)
+                daemon.cancel(order)
                 self._ended(order, CallerDisconnected())
 
         if daemon.running:
-            self.agenda.after(NETWORK_SECONDS, lambda: daemon.receive(order, reply))
-        self.agenda.at(self._leaves_at(order), leave)
+            self.scheduler.schedule_after(NETWORK_SECONDS, lambda: daemon.receive(order, reply))
+        self.scheduler.schedule_at(self._leaves_at(order), leave)
 
-    def _leaves_at(self, order: CallerOrder) -> float:
-        if self.source.random() >= self.leavers:
+    def _leaves_at(self, order: CallerAttempt) -> float:
+        if self.rng.random() >= self.early_disconnect_fraction:
             return order.latest
-        now = self.agenda.clock.now()
-        return now + (order.latest - now) * self.source.random()
+        now = self.scheduler.clock.now()
+        return now + (order.latest - now) * self.rng.random()
 
-    def _ended(self, order: CallerOrder, reply: BaseReply) -> None:
-        now = self.agenda.clock.now()
-        tally = self.tally(order.profile)
-        tally.note_attempt(order, reply)
+    def _ended(self, order: CallerAttempt, reply: BaseReply) -> None:
+        now = self.scheduler.clock.now()
+        tally = self.statistics_of(order.profile)
+        tally.record_attempt(order, reply)
         # Work that goes on after the caller has its answer would be a second run.
-        self.agenda.at(order.latest + 1.0, lambda: tally.note_runs(order))
+        self.scheduler.schedule_at(order.latest + 1.0, lambda: tally.record_executions(order))
         wait = self._wait(order, reply, order.latest - now)
         if wait is None:
-            tally.note_end(order, reply, now)
+            tally.record_outcome(order, reply, now)
             return
-        self.agenda.after(wait, lambda: self._again(order))
+        self.scheduler.schedule_after(wait, lambda: self._again(order))
 
-    def _again(self, order: CallerOrder) -> None:
+    def _again(self, order: CallerAttempt) -> None:
         again = self._order(
             order.profile, order.key, order.asked_at, order.attempts_left - 1, order.impatient
         )
         self._send(again)
 
-    def _wait(self, order: CallerOrder, reply: BaseReply, left: float) -> float | None:
+    def _wait(self, order: CallerAttempt, reply: BaseReply, left: float) -> float | None:
         """Returns after how long the caller asks again, None if it does not."""
         if order.attempts_left <= 0 or left < LEAST_LEFT_SECONDS or not _asks_again(order, reply):
             return None
@@ -129,10 +129,10 @@
         return min(stated, left * HONOURED_PART)
 
 
-def _asks_again(order: CallerOrder, reply: BaseReply) -> bool:
+def _asks_again(order: CallerAttempt, reply: BaseReply) -> bool:
     if isinstance(reply, NotRun):
         return True
-    if not order.profile.repeatable:
+    if not order.profile.idempotent:
         return False
     if isinstance(reply, ServerAnswer):
         return reply.status >= SERVER_ERROR
--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -16,7 +16,7 @@
     changes_between,
     with_new_fence,
 )
-from fireflylink_emulator._agenda import Agenda
+from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._emulated_server import EmulatedServer
 from fireflylink_emulator._profile import ServiceProfile
 from fireflylink_emulator._routed_daemon import RoutedDaemon
@@ -33,21 +33,21 @@
 class EmulatedDecider:
     """Decides on the keys of one service while it is ``running``.
 
-    ``written`` stands for the store: each table is there from its write on. ``moved_keys`` counts
-    keys that changed hands between servers that go on.
+    ``stored_table`` stands for the store: each table is there from its write on. ``moved_keys``
+    counts keys that changed hands between servers that go on.
     """
 
     __slots__ = (
-        "agenda",
         "daemons",
         "is_registered",
         "moved_keys",
         "profile",
         "reports",
         "running",
+        "scheduler",
         "servers",
         "service",
-        "written",
+        "stored_table",
     )
 
     def __init__(
@@ -55,30 +55,30 @@
         profile: ServiceProfile,
         servers: list[EmulatedServer],
         daemons: list[RoutedDaemon],
-        agenda: Agenda,
+        scheduler: EventScheduler,
     ) -> None:
         self.profile = profile
         self.servers = servers
         self.daemons = daemons
-        self.agenda = agenda
+        self.scheduler = scheduler
         self.running = False
-        self.written: OwnershipTable | None = None
+        self.stored_table: OwnershipTable | None = None
         self.moved_keys = 0
         self.reports = 0
         self.is_registered: Callable[[EmulatedServer], bool] = _answers
-        self.service = KeyedService(profile.name, agenda.clock.now())
+        self.service = KeyedService(profile.name, scheduler.clock.now())
 
     def start(self) -> None:
         """Begins to decide, from what the store holds."""
-        now = self.agenda.clock.now()
+        now = self.scheduler.clock.now()
         self.running = True
         service = self.service = KeyedService(self.profile.name, now)
         service.grants = GrantTracker(now)
-        if self.written is None:
+        if self.stored_table is None:
             service.grants.mark_no_former_decider()
         else:
-            service.table = self.written
-            self._write(with_new_fence(self.written))
+            service.table = self.stored_table
+            self._write(with_new_fence(self.stored_table))
         self._tick(service)
         self._take_reports(service)
 
@@ -89,14 +89,14 @@
     def _tick(self, service: KeyedService) -> None:
         if not self.running or service is not self.service:
             return
-        now = self.agenda.clock.now()
+        now = self.scheduler.clock.now()
         if service.grants is not None:
             for command in service.grants.due_commands(now):
                 self._send(service.grants, command)
         if now >= service.next_plan_at:
             service.next_plan_at = now + PLAN_SECONDS
             self._plan(service, now)
-        self.agenda.after(TICK_SECONDS, lambda: self._tick(service))
+        self.scheduler.schedule_after(TICK_SECONDS, lambda: self._tick(service))
 
     def _plan(self, service: KeyedService, now: float) -> None:
         service.load.decay(now)
@@ -105,7 +105,7 @@
             for server in self.servers
             if self.is_registered(server)
             and not server.draining
-            and service.is_reachable(server.life)
+            and service.is_reachable(server.incarnation)
         ]
         if service.commit_sent_at is not None or not candidates:
             return
@@ -118,45 +118,49 @@
         self._write(wanted)
 
     def _candidate(self, service: KeyedService, server: EmulatedServer) -> Candidate:
-        capacity = service.service_times.capacity(server.name, self.profile.slots, server.cold)
-        return Candidate(server.life, capacity, server.data_centre)
+        capacity = service.service_times.capacity(server.name, self.profile.slots, server.is_cold)
+        return Candidate(server.incarnation, capacity, server.data_centre)
 
     def _write(self, table: OwnershipTable) -> None:
         service = self.service
-        service.commit_sent_at = self.agenda.clock.now()
-        self.agenda.after(STORE_SECONDS, lambda: self._written(service, table))
+        service.commit_sent_at = self.scheduler.clock.now()
+        self.scheduler.schedule_after(STORE_SECONDS, lambda: self._written(service, table))
 
     def _written(self, service: KeyedService, table: OwnershipTable) -> None:
         if service is not self.service or not self.running:
             return
-        self.written = table
+        self.stored_table = table
         service.commit_sent_at = None
         service.table = table
         if service.grants is not None:
             service.grants.set_table(table)
         for daemon in self.daemons:
-            daemon.note_table(table)
+            daemon.update_table(table)
 
     def _send(self, book: GrantTracker, command: BaseCommand) -> None:
         server = self._server_of(command.server)
         if server is None:
             book.record_incarnation_ended(command.server)
-            book.record_failed(command, self.agenda.clock.now())
+            book.record_failed(command, self.scheduler.clock.now())
             return
         if isinstance(command, GrantCommand):
-            book.record_sent(command, self.agenda.clock.now())
-            self.agenda.after(COMMAND_TRAVEL_SECONDS, lambda: self._grant(book, server, command))
+            book.record_sent(command, self.scheduler.clock.now())
+            self.scheduler.schedule_after(
+                COMMAND_TRAVEL_SECONDS, lambda: self._grant(book, server, command)
+            )
         elif isinstance(command, ReleaseCommand):
-            self.agenda.after(COMMAND_TRAVEL_SECONDS, lambda: self._release(book, server, command))
+            self.scheduler.schedule_after(
+                COMMAND_TRAVEL_SECONDS, lambda: self._release(book, server, command)
+            )
 
     def _server_of(self, life: ServerIncarnation) -> EmulatedServer | None:
-        return next((server for server in self.servers if server.life == life), None)
+        return next((server for server in self.servers if server.incarnation == life), None)
 
     def _grant(self, book: GrantTracker, server: EmulatedServer, command: GrantCommand) -> None:
         if self._unreachable(book, server, command):
             return
-        now = self.agenda.clock.now()
-        if server.life != command.server or not server.grant(
+        now = self.scheduler.clock.now()
+        if server.incarnation != command.server or not server.grant(
             command.keys, command.fence, HOLD_SECONDS
         ):
             book.record_failed(command, now)
@@ -170,19 +174,19 @@
         if self._unreachable(book, server, command):
             return
         server.release(command.keys, command.fence)
-        if server.busy_with(command.keys):
+        if server.has_work_on(command.keys):
             again = functools.partial(self._release, book, server, command)
-            self.agenda.after(RELEASE_POLL_SECONDS, again)
+            self.scheduler.schedule_after(RELEASE_POLL_SECONDS, again)
             return
-        book.record_released(command, "", self.agenda.clock.now())
+        book.record_released(command, "", self.scheduler.clock.now())
 
     def _unreachable(
         self, book: GrantTracker, server: EmulatedServer, command: BaseCommand
     ) -> bool:
         """Handles a server that does not answer, at once or after the time-out."""
-        if not server.down and not server.silent:
+        if not server.down and not server.unresponsive:
             return False
-        wait = GRANT_TIMEOUT_SECONDS if server.silent else 0.0
+        wait = GRANT_TIMEOUT_SECONDS if server.unresponsive else 0.0
 
         def fail() -> None:
             if command.server in self.service.consecutive_failures and isinstance(
@@ -191,14 +195,14 @@
                 # The connection was closed after the first time-out, and no new one opens.
                 book.record_not_sent(command)
             self.service.record_no_answer(command.server)
-            book.record_failed(command, self.agenda.clock.now())
+            book.record_failed(command, self.scheduler.clock.now())
 
-        self.agenda.after(wait, fail)
+        self.scheduler.schedule_after(wait, fail)
         return True
 
     def _notify(self, keys: KeyRange, fence: int) -> None:
         for daemon in self.daemons:
-            daemon.note_granted_keys(self.profile.name, keys, fence)
+            daemon.record_granted_keys(self.profile.name, keys, fence)
 
     def _take_reports(self, service: KeyedService) -> None:
         if not self.running or service is not self.service:
@@ -212,20 +216,20 @@
                 for name, seconds in daemon.key_times:
                     service.service_times.add(name, 1, seconds)
                 daemon.key_times = []
-        self.agenda.after(REPORT_SECONDS, lambda: self._take_reports(service))
+        self.scheduler.schedule_after(REPORT_SECONDS, lambda: self._take_reports(service))
 
 
 def _answers(server: EmulatedServer) -> bool:
     return not server.down
 
 
-def served_part(servers: list[EmulatedServer]) -> float:
+def held_key_fraction(servers: list[EmulatedServer]) -> float:
     """Returns the part of the keys that some server which answers holds now."""
     ranges = sorted(
         (keys.first, keys.last)
         for server in servers
-        if not server.down and not server.silent
-        for (keys, _), until in server.held.items()
-        if server.agenda.clock.now() < until
+        if not server.down and not server.unresponsive
+        for (keys, _), until in server.held_ranges.items()
+        if server.scheduler.clock.now() < until
     )
     return sum(last - first + 1 for first, last in ranges) / KEY_COUNT
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -4,8 +4,8 @@
 
 from fireflylink_core import BackendServer, KeyRange, ServerIncarnation, ServerLoad
 from fireflylink_decisions.limits import SlidingWindowCounter
-from fireflylink_emulator._agenda import Agenda
-from fireflylink_emulator._order import CallDone, CallEnd, CallerOrder, CallOutcome
+from fireflylink_emulator._agenda import EventScheduler
+from fireflylink_emulator._order import CallDone, CallEnd, CallerAttempt, CallOutcome
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 
 QUEUE_PER_SLOT = 2
@@ -19,7 +19,7 @@
 LEAST_PART = 0.5
 """Work takes between this part and twice of the usual, less often long than short."""
 
-FIRST_BORN_MS = 1
+FIRST_STARTED_MS = 1
 
 
 class Call:
@@ -27,7 +27,7 @@
 
     __slots__ = ("done", "ended", "latest", "order")
 
-    def __init__(self, order: CallerOrder, latest: float, done: CallDone) -> None:
+    def __init__(self, order: CallerAttempt, latest: float, done: CallDone) -> None:
         self.order = order
         self.latest = latest
         self.done = done
@@ -37,32 +37,32 @@
 class EmulatedServer:
     """One backend server over all its lives.
 
-    ``held`` are the ranges that it was granted, each with its fence and the end of its hold.
-    ``grey`` is the part of requests that it fails, ``lossy`` that of answers that are lost.
-    ``highest_cold`` is the most that it got in one second while cold.
+    ``held_ranges`` are the ranges that it was granted, each with its fence and the end of its hold.
+    ``failure_fraction`` is the part of requests that it fails, ``answer_loss_fraction`` that of
+    answers that are lost. ``peak_cold_requests`` is the most that it got in one second while cold.
     """
 
     __slots__ = (
-        "agenda",
-        "allowed_cold",
-        "born",
+        "answer_loss_fraction",
         "cold_arrivals",
+        "cold_limit",
         "cold_until",
         "data_centre",
         "down",
         "draining",
+        "failure_fraction",
         "fences",
-        "grey",
-        "held",
-        "highest_cold",
-        "lossy",
+        "held_ranges",
         "name",
-        "pace",
+        "peak_cold_requests",
         "profile",
+        "rng",
         "running",
-        "silent",
-        "source",
+        "scheduler",
+        "slowdown_factor",
         "speed",
+        "started_ms",
+        "unresponsive",
         "waiting",
     )
 
@@ -73,44 +73,44 @@
         fleet: FleetProfile,
         data_centre: str,
         speed: float,
-        agenda: Agenda,
-        source: random.Random,
+        scheduler: EventScheduler,
+        rng: random.Random,
     ) -> None:
         self.name = name
         self.profile = profile
         self.data_centre = data_centre
         self.speed = speed
-        self.agenda = agenda
-        self.source = source
-        self.allowed_cold = profile.cold_per_second * fleet.cold_factor + fleet.cold_extra
-        self.born = FIRST_BORN_MS
+        self.scheduler = scheduler
+        self.rng = rng
+        self.cold_limit = profile.cold_per_second * fleet.cold_factor + fleet.cold_extra
+        self.started_ms = FIRST_STARTED_MS
         self.down = False
-        self.silent = False
+        self.unresponsive = False
         self.draining = False
-        self.pace = 1.0
-        self.grey = 0.0
-        self.lossy = 0.0
+        self.slowdown_factor = 1.0
+        self.failure_fraction = 0.0
+        self.answer_loss_fraction = 0.0
         self.cold_until = float("-inf")
         self.cold_arrivals = SlidingWindowCounter(1.0)
-        self.highest_cold = 0
-        self.held: dict[tuple[KeyRange, int], float] = {}
+        self.peak_cold_requests = 0
+        self.held_ranges: dict[tuple[KeyRange, int], float] = {}
         self.fences: dict[KeyRange, int] = {}
         self.running: list[Call] = []
         self.waiting: list[Call] = []
 
     @property
-    def life(self) -> ServerIncarnation:
+    def incarnation(self) -> ServerIncarnation:
         """The identity of the present life."""
-        return ServerIncarnation(self.name, self.born)
+        return ServerIncarnation(self.name, self.started_ms)
 
     @property
-    def cold(self) -> bool:
+    def is_cold(self) -> bool:
         """Whether it bears little now."""
-        return self.agenda.clock.now() < self.cold_until
+        return self.scheduler.clock.now() < self.cold_until
 
     def registration(self) -> BackendServer:
         """Returns what the server says of itself."""
-        cold_ms = max(0.0, self.cold_until - self.agenda.clock.now()) * 1000.0
+        cold_ms = max(0.0, self.cold_until - self.scheduler.clock.now()) * 1000.0
         return BackendServer(
             self.name,
             self.profile.name,
@@ -119,25 +119,28 @@
             self.data_centre,
             self.profile.slots,
             cold_ms=cold_ms,
-            started_ms=self.born,
+            started_ms=self.started_ms,
         )
 
     def holds(self, key: int) -> bool:
         """Whether a granted range with the key is in force."""
-        now = self.agenda.clock.now()
+        now = self.scheduler.clock.now()
         return any(
-            keys.first <= key <= keys.last and now < until for (keys, _), until in self.held.items()
+            keys.first <= key <= keys.last and now < until
+            for (keys, _), until in self.held_ranges.items()
         )
 
-    def arrive(self, call: Call, life: ServerIncarnation) -> None:
+    def receive(self, call: Call, incarnation: ServerIncarnation) -> None:
         """Takes a request that was sent to one of its lives."""
-        if self.silent:
+        if self.unresponsive:
             return
         if self.down:
             call.ended = True
             call.done(CallOutcome(CallEnd.NOT_SENT))
             return
-        if life != self.life or (self.profile.keyed and not self.holds(call.order.key)):
+        if incarnation != self.incarnation or (
+            self.profile.keyed and not self.holds(call.order.key)
+        ):
             self._end(call, CallEnd.MISDIRECTED)
             return
         self._count_cold()
@@ -150,16 +153,16 @@
         else:
             self._end(call, CallEnd.DECLINED)
 
-    def drop(self, call: Call) -> None:
+    def on_disconnect(self, call: Call) -> None:
         """Takes the close of the connection of a call."""
         if call.ended:
             return
         call.ended = True
         self._forget(call)
 
-    def turn_cold(self) -> None:
+    def make_cold(self) -> None:
         """Makes it cold, without a new life."""
-        self.cold_until = self.agenda.clock.now() + COLD_SECONDS
+        self.cold_until = self.scheduler.clock.now() + COLD_SECONDS
 
     def crash(self, restart_seconds: float | None = RESTART_SECONDS) -> None:
         """Ends this life with all its work and keys; None: it is lost for good."""
@@ -167,12 +170,12 @@
         lost = [*self.running, *self.waiting]
         self.running = []
         self.waiting = []
-        self.held = {}
+        self.held_ranges = {}
         self.fences = {}
         for call in lost:
             self._lose(call)
         if restart_seconds is not None:
-            self.agenda.after(restart_seconds, self._restart)
+            self.scheduler.schedule_after(restart_seconds, self._restart)
 
     def grant(self, keys: KeyRange, fence: int, seconds: float) -> bool:
         """Takes a grant; returns False when a higher fence was used for some of the keys."""
@@ -180,7 +183,7 @@
             return False
         self.fences[keys] = fence
         self._take_out(keys)
-        self.held[(keys, fence)] = self.agenda.clock.now() + seconds
+        self.held_ranges[(keys, fence)] = self.scheduler.clock.now() + seconds
         return True
 
     def release(self, keys: KeyRange, fence: int) -> None:
@@ -190,42 +193,42 @@
 
     def _take_out(self, keys: KeyRange) -> None:
         kept: dict[tuple[KeyRange, int], float] = {}
-        for (held, used), until in self.held.items():
+        for (held, used), until in self.held_ranges.items():
             for rest in _without(held, keys):
                 kept[(rest, used)] = until
-        self.held = kept
+        self.held_ranges = kept
 
-    def busy_with(self, keys: KeyRange) -> bool:
+    def has_work_on(self, keys: KeyRange) -> bool:
         """Whether work on any of the keys is under way."""
         return any(keys.first <= call.order.key <= keys.last for call in self.running)
 
     def _count_cold(self) -> None:
-        now = self.agenda.clock.now()
-        if not self.cold:
+        now = self.scheduler.clock.now()
+        if not self.is_cold:
             return
         self.cold_arrivals.add(now)
         count = self.cold_arrivals.count(now)
-        self.highest_cold = max(self.highest_cold, count)
-        if count > self.allowed_cold * CRASH_FACTOR:
+        self.peak_cold_requests = max(self.peak_cold_requests, count)
+        if count > self.cold_limit * CRASH_FACTOR:
             self.crash()
 
     def _start(self, call: Call) -> None:
         call.order.runs += 1
         self.running.append(call)
         fullness = len(self.running) / self.profile.slots
-        seconds = call.order.profile.work_seconds * self.speed * self.pace
+        seconds = call.order.profile.work_seconds * self.speed * self.slowdown_factor
         seconds *= 1.0 + FULL_SLOWDOWN * fullness
-        seconds *= COLD_PACE if self.cold else 1.0
-        seconds *= LEAST_PART + (1.0 - LEAST_PART) * self.source.expovariate(1.0)
-        self.agenda.after(seconds, lambda: self._finish(call))
+        seconds *= COLD_PACE if self.is_cold else 1.0
+        seconds *= LEAST_PART + (1.0 - LEAST_PART) * self.rng.expovariate(1.0)
+        self.scheduler.schedule_after(seconds, lambda: self._finish(call))
 
     def _finish(self, call: Call) -> None:
         if call.ended:
             return
         self._forget(call)
-        if self.source.random() < self.lossy:
+        if self.rng.random() < self.answer_loss_fraction:
             self._lose(call)
-        elif self.source.random() < self.grey:
+        elif self.rng.random() < self.failure_fraction:
             self._end(call, CallEnd.FAILED)
         else:
             self._end(call, CallEnd.ANSWERED)
@@ -238,7 +241,7 @@
             self._start_next()
 
     def _start_next(self) -> None:
-        now = self.agenda.clock.now()
+        now = self.scheduler.clock.now()
         while self.waiting and len(self.running) < self.profile.slots:
             call = self.waiting.pop(0)
             if now >= call.latest:
@@ -248,7 +251,9 @@
 
     def _end(self, call: Call, end: CallEnd) -> None:
         call.ended = True
-        load = ServerLoad(len(self.running), len(self.waiting), self.profile.slots, self.pace)
+        load = ServerLoad(
+            len(self.running), len(self.waiting), self.profile.slots, self.slowdown_factor
+        )
         call.done(CallOutcome(end, load))
 
     def _lose(self, call: Call) -> None:
@@ -258,8 +263,8 @@
     def _restart(self) -> None:
         self.down = False
         self.draining = False
-        self.born += 1
-        self.turn_cold()
+        self.started_ms += 1
+        self.make_cold()
 
 
 def _without(keys: KeyRange, removed: KeyRange) -> list[KeyRange]:
--- a/packages/emulator/src/fireflylink_emulator/_emulation.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulation.py
@@ -5,12 +5,12 @@
 
 from fireflylink_core import Assignment, KeyRange, ManualClock, OwnershipTable
 from fireflylink_decisions.ownership import Candidate, initial_table
-from fireflylink_emulator._agenda import Agenda
+from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._base_daemon import BaseEmulatedDaemon
 from fireflylink_emulator._callers import Callers
 from fireflylink_emulator._emulated_decider import EmulatedDecider
 from fireflylink_emulator._emulated_server import EmulatedServer
-from fireflylink_emulator._naive_daemon import NaiveDaemon
+from fireflylink_emulator._naive_daemon import BaselineDaemon
 from fireflylink_emulator._pattern import ArrivalPattern
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 from fireflylink_emulator._routed_daemon import RoutedDaemon
@@ -29,25 +29,25 @@
 
 
 class Emulation:
-    """One run. ``naive`` uses the baseline: no limits, no placement, keys that never move.
+    """One run. ``baseline`` uses the baseline: no limits, no placement, keys that never move.
 
     Example::
 
         emulation = Emulation((LOOKUPS,), FLEET, seed=1)
         emulation.replay(pattern)
-        print(emulation.callers.tally(LOOKUPS).worth)
+        print(emulation.callers.statistics_of(LOOKUPS).earned_fraction)
     """
 
     __slots__ = (
-        "agenda",
         "callers",
         "daemons",
         "deciders",
         "fleet",
         "profiles",
+        "rng",
+        "scheduler",
         "servers",
         "since_silent",
-        "source",
         "static",
     )
 
@@ -56,33 +56,33 @@
         profiles: tuple[ServiceProfile, ...],
         fleet: FleetProfile,
         seed: int,
-        naive: bool = False,
+        baseline: bool = False,
     ) -> None:
-        self.source = random.Random(seed)
-        self.agenda = Agenda(ManualClock())
+        self.rng = random.Random(seed)
+        self.scheduler = EventScheduler(ManualClock())
         self.fleet = fleet
         self.profiles = profiles
         services = {profile.name: profile for profile in reversed(profiles)}.values()
         self.servers = [server for profile in services for server in self._servers_of(profile)]
         self.since_silent: dict[EmulatedServer, float] = {}
-        routed = [] if naive else self._routed_daemons()
-        self.daemons: list[BaseEmulatedDaemon] = [*routed] or self._naive_daemons()
-        self.callers = Callers(self.agenda, self.daemons, random.Random(seed + 1))
+        routed = [] if baseline else self._routed_daemons()
+        self.daemons: list[BaseEmulatedDaemon] = [*routed] or self._baseline_daemons()
+        self.callers = Callers(self.scheduler, self.daemons, random.Random(seed + 1))
         self.deciders: dict[str, EmulatedDecider] = {}
         self.static: dict[str, list[tuple[EmulatedServer, KeyRange]]] = {}
         for profile in services:
-            if profile.keyed and naive:
+            if profile.keyed and baseline:
                 self.static[profile.name] = self._static_owners(profile)
             elif profile.keyed:
                 of_service = self.servers_of(profile)
                 self.deciders[profile.name] = EmulatedDecider(
-                    profile, of_service, routed, self.agenda
+                    profile, of_service, routed, self.scheduler
                 )
         self._refresh()
         for decider in self.deciders.values():
             decider.is_registered = self._is_registered
             decider.start()
-        self.agenda.run_until(self.agenda.clock.now() + SETTLE_SECONDS)
+        self.scheduler.run_until(self.scheduler.clock.now() + SETTLE_SECONDS)
 
     def servers_of(self, profile: ServiceProfile) -> list[EmulatedServer]:
         """Returns the servers of a service."""
@@ -90,37 +90,37 @@
 
     def replay(self, pattern: ArrivalPattern) -> None:
         """Plays a pattern from now to the end of its last request."""
-        began_at = self.agenda.clock.now()
+        began_at = self.scheduler.clock.now()
         for arrival in pattern.arrivals:
-            profile = self.profiles[arrival.kind]
-            asking = functools.partial(self.callers.ask, profile, arrival.key)
-            self.agenda.at(began_at + arrival.seconds, asking)
+            profile = self.profiles[arrival.profile_index]
+            asking = functools.partial(self.callers.send_request, profile, arrival.key)
+            self.scheduler.schedule_at(began_at + arrival.seconds, asking)
         self.finish(pattern.seconds)
 
     def finish(self, seconds: float) -> None:
         """Runs for a time and to the end of the last request."""
-        self.agenda.run_until(self.agenda.clock.now() + seconds + LAST_ANSWERS_SECONDS)
-        self.callers.close()
+        self.scheduler.run_until(self.scheduler.clock.now() + seconds + LAST_ANSWERS_SECONDS)
+        self.callers.check_guarantees()
 
     def stop_daemon(self, daemon: BaseEmulatedDaemon) -> None:
         """Ends a daemon; the others learn of it when its lease has ended."""
         daemon.running = False
-        self.agenda.after(EXPIRY_SECONDS, self._tell_members)
+        self.scheduler.schedule_after(EXPIRY_SECONDS, self._tell_members)
 
-    def cut_data_centre(self, data_centre: str) -> None:
+    def isolate_data_centre(self, data_centre: str) -> None:
         """Makes everything in a data centre silent."""
         for server in self.servers:
             if server.data_centre == data_centre:
-                server.silent = True
+                server.unresponsive = True
         for daemon in self.daemons:
             if daemon.data_centre == data_centre:
                 self.stop_daemon(daemon)
 
-    def replace(self, server: EmulatedServer) -> None:
+    def replace_server(self, server: EmulatedServer) -> None:
         """Drains a server, and starts it again as another, cold life."""
         server.draining = True
         self._refresh_once()
-        self.agenda.after(DRAIN_SECONDS, lambda: server.crash(RESTART_SECONDS))
+        self.scheduler.schedule_after(DRAIN_SECONDS, lambda: server.crash(RESTART_SECONDS))
 
     def _servers_of(self, profile: ServiceProfile) -> list[EmulatedServer]:
         centres = self.fleet.data_centres
@@ -130,9 +130,9 @@
                 profile,
                 self.fleet,
                 centres[number % len(centres)],
-                self.source.uniform(FASTEST, SLOWEST),
-                self.agenda,
-                random.Random(self.source.random()),
+                self.rng.uniform(FASTEST, SLOWEST),
+                self.scheduler,
+                random.Random(self.rng.random()),
             )
             for number in range(profile.servers)
         ]
@@ -143,13 +143,15 @@
     def _routed_daemons(self) -> list[RoutedDaemon]:
         names = self._names()
         return [
-            RoutedDaemon(name, self._centre(number), self.fleet, self.agenda, self.profiles, names)
+            RoutedDaemon(
+                name, self._centre(number), self.fleet, self.scheduler, self.profiles, names
+            )
             for number, name in enumerate(names)
         ]
 
-    def _naive_daemons(self) -> list[BaseEmulatedDaemon]:
+    def _baseline_daemons(self) -> list[BaseEmulatedDaemon]:
         return [
-            NaiveDaemon(name, self._centre(number), self.fleet, self.agenda)
+            BaselineDaemon(name, self._centre(number), self.fleet, self.scheduler)
             for number, name in enumerate(self._names())
         ]
 
@@ -160,17 +162,17 @@
         names = tuple(daemon.name for daemon in self.daemons if daemon.running)
         for daemon in self.daemons:
             if isinstance(daemon, RoutedDaemon):
-                daemon.note_members(names)
+                daemon.update_members(names)
 
     def _refresh(self) -> None:
         self._refresh_once()
-        self.agenda.after(REFRESH_SECONDS, self._refresh)
+        self.scheduler.schedule_after(REFRESH_SECONDS, self._refresh)
 
     def _refresh_once(self) -> None:
-        now = self.agenda.clock.now()
+        now = self.scheduler.clock.now()
         registered = []
         for server in self.servers:
-            if not server.down and not server.silent:
+            if not server.down and not server.unresponsive:
                 self.since_silent.pop(server, None)
             elif server not in self.since_silent:
                 self.since_silent[server] = now
@@ -179,25 +181,25 @@
             if serves and self._is_registered(server):
                 registered.append(server)
         for daemon in self.daemons:
-            daemon.note_servers(registered)
+            daemon.update_servers(registered)
         for name, owners in self.static.items():
             self._grant_static(name, owners)
 
     def _is_registered(self, server: EmulatedServer) -> bool:
         since = self.since_silent.get(server)
-        return since is None or self.agenda.clock.now() < since + EXPIRY_SECONDS
+        return since is None or self.scheduler.clock.now() < since + EXPIRY_SECONDS
 
     def _static_owners(self, profile: ServiceProfile) -> list[tuple[EmulatedServer, KeyRange]]:
         servers = self.servers_of(profile)
-        candidates = [Candidate(server.life, 1.0, server.data_centre) for server in servers]
+        candidates = [Candidate(server.incarnation, 1.0, server.data_centre) for server in servers]
         table = initial_table(profile.name, candidates, 1)
-        by_life = {server.life: server for server in servers}
+        by_life = {server.incarnation: server for server in servers}
         return [(by_life[found.owner], found.keys) for found in table.assignments]
 
     def _grant_static(self, name: str, owners: list[tuple[EmulatedServer, KeyRange]]) -> None:
         for server, keys in owners:
-            if not server.down and not server.held:
+            if not server.down and not server.held_ranges:
                 server.grant(keys, 1, ENDLESS_SECONDS)
-        assignments = tuple(Assignment(keys, server.life, 1) for server, keys in owners)
+        assignments = tuple(Assignment(keys, server.incarnation, 1) for server, keys in owners)
         for daemon in self.daemons:
-            daemon.note_table(OwnershipTable(name, 1, assignments))
+            daemon.update_table(OwnershipTable(name, 1, assignments))
--- a/packages/emulator/src/fireflylink_emulator/_fault_run.py
+++ b/packages/emulator/src/fireflylink_emulator/_fault_run.py
@@ -24,16 +24,18 @@
 class _Faults:
     """Begins and ends faults at random moments, several at once."""
 
-    __slots__ = ("begun", "emulation", "source")
+    __slots__ = ("begun", "emulation", "rng")
 
-    def __init__(self, emulation: Emulation, source: random.Random) -> None:
+    def __init__(self, emulation: Emulation, rng: random.Random) -> None:
         self.emulation = emulation
-        self.source = source
+        self.rng = rng
         self.begun: dict[str, int] = {}
 
     def start(self) -> None:
         """Begins faults until the run ends."""
-        self.emulation.agenda.after(self.source.expovariate(1.0 / FAULT_SECONDS), self._next)
+        self.emulation.scheduler.schedule_after(
+            self.rng.expovariate(1.0 / FAULT_SECONDS), self._next
+        )
 
     def _next(self) -> None:
         kinds = (
@@ -46,22 +48,22 @@
             self._replace,
             self._decider,
         )
-        kind = self.source.choice(kinds)
+        kind = self.rng.choice(kinds)
         name = kind.__name__.removeprefix("_")
         self.begun[name] = self.begun.get(name, 0) + 1
         kind()
         self.start()
 
     def _server(self) -> EmulatedServer:
-        return self.source.choice(self.emulation.servers)
+        return self.rng.choice(self.emulation.servers)
 
     def _seconds(self) -> float:
-        return self.source.uniform(1.0, LONGEST_SECONDS)
+        return self.rng.uniform(1.0, LONGEST_SECONDS)
 
     def _restore(self, server: EmulatedServer, name: str, value: float | bool) -> None:
         """Ends a fault of a server after a random time."""
         restored = functools.partial(setattr, server, name, value)
-        self.emulation.agenda.after(self._seconds(), restored)
+        self.emulation.scheduler.schedule_after(self._seconds(), restored)
 
     def _crash(self) -> None:
         server = self._server()
@@ -70,52 +72,52 @@
 
     def _slow(self) -> None:
         server = self._server()
-        server.pace = self.source.uniform(2.0, 12.0)
-        self.emulation.agenda.after(
-            self._seconds(), functools.partial(setattr, server, "pace", 1.0)
+        server.slowdown_factor = self.rng.uniform(2.0, 12.0)
+        self.emulation.scheduler.schedule_after(
+            self._seconds(), functools.partial(setattr, server, "slowdown_factor", 1.0)
         )
 
     def _grey(self) -> None:
         server = self._server()
-        server.grey = self.source.uniform(0.1, 0.9)
-        self.emulation.agenda.after(
-            self._seconds(), functools.partial(setattr, server, "grey", 0.0)
+        server.failure_fraction = self.rng.uniform(0.1, 0.9)
+        self.emulation.scheduler.schedule_after(
+            self._seconds(), functools.partial(setattr, server, "failure_fraction", 0.0)
         )
 
     def _lossy(self) -> None:
         server = self._server()
-        server.lossy = self.source.uniform(0.1, 0.9)
-        self.emulation.agenda.after(
-            self._seconds(), functools.partial(setattr, server, "lossy", 0.0)
+        server.answer_loss_fraction = self.rng.uniform(0.1, 0.9)
+        self.emulation.scheduler.schedule_after(
+            self._seconds(), functools.partial(setattr, server, "answer_loss_fraction", 0.0)
         )
 
     def _cold(self) -> None:
-        self._server().turn_cold()
+        self._server().make_cold()
 
     def _silent(self) -> None:
         server = self._server()
-        server.silent = True
-        self.emulation.agenda.after(
-            self._seconds(), functools.partial(setattr, server, "silent", False)
+        server.unresponsive = True
+        self.emulation.scheduler.schedule_after(
+            self._seconds(), functools.partial(setattr, server, "unresponsive", False)
         )
 
     def _replace(self) -> None:
         server = self._server()
         if not server.down and not server.draining:
-            self.emulation.replace(server)
+            self.emulation.replace_server(server)
 
     def _decider(self) -> None:
         for decider in self.emulation.deciders.values():
             if decider.running:
                 decider.stop()
-                self.emulation.agenda.after(DECIDER_LEASE_SECONDS, decider.start)
+                self.emulation.scheduler.schedule_after(DECIDER_LEASE_SECONDS, decider.start)
 
 
 def run_with_faults(requests: int, seed: int) -> tuple[Emulation, dict[str, int]]:
     """Plays a number of requests with faults; returns the run and how many faults there were."""
     emulation = Emulation(FAULT_PROFILES, FLEET, seed)
-    emulation.callers.leavers = LEAVERS
-    emulation.callers.impatient = IMPATIENT
+    emulation.callers.early_disconnect_fraction = LEAVERS
+    emulation.callers.impatient_fraction = IMPATIENT
     source = random.Random(seed + 2)
     faults = _Faults(emulation, random.Random(seed + 3))
     faults.start()
@@ -124,13 +126,13 @@
     def ask() -> None:
         nonlocal asked
         profile = LOOKUPS if source.random() < LOOKUP_PART else APPROVALS
-        emulation.callers.ask(profile, source.randrange(KEY_COUNT))
+        emulation.callers.send_request(profile, source.randrange(KEY_COUNT))
         asked += 1
         if asked < requests:
-            emulation.agenda.after(source.expovariate(RATE), ask)
+            emulation.scheduler.schedule_after(source.expovariate(RATE), ask)
 
     ask()
     while asked < requests:
-        emulation.agenda.run_until(emulation.agenda.clock.now() + STEP_SECONDS)
+        emulation.scheduler.run_until(emulation.scheduler.clock.now() + STEP_SECONDS)
     emulation.finish(STEP_SECONDS)
     return emulation, faults.begun
--- a/packages/emulator/src/fireflylink_emulator/_naive_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_naive_daemon.py
@@ -9,16 +9,16 @@
     OutcomeUnknown,
     OwnershipTable,
 )
-from fireflylink_emulator._agenda import Agenda
+from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._base_daemon import SERVER_FAILED, WHOLE, BaseEmulatedDaemon
 from fireflylink_emulator._emulated_server import EmulatedServer
-from fireflylink_emulator._order import CallEnd, CallerOrder, CallOutcome
+from fireflylink_emulator._order import CallEnd, CallerAttempt, CallOutcome
 from fireflylink_emulator._profile import FleetProfile
 
 RETRY_SECONDS = 1.0
 
 
-class NaiveDaemon(BaseEmulatedDaemon):
+class BaselineDaemon(BaseEmulatedDaemon):
     """Sends to the owner in the table, else to the servers in turn; repeats nothing.
 
     What a server declines is refused, what fails is told. It keeps every promise, and decides
@@ -27,34 +27,36 @@
 
     __slots__ = ("next_server", "servers", "tables")
 
-    def __init__(self, name: str, data_centre: str, fleet: FleetProfile, agenda: Agenda) -> None:
-        super().__init__(name, data_centre, fleet, agenda)
+    def __init__(
+        self, name: str, data_centre: str, fleet: FleetProfile, scheduler: EventScheduler
+    ) -> None:
+        super().__init__(name, data_centre, fleet, scheduler)
         self.servers: dict[str, list[EmulatedServer]] = {}
         self.tables: dict[str, OwnershipTable] = {}
         self.next_server = 0
 
-    def note_servers(self, servers: list[EmulatedServer]) -> None:
+    def update_servers(self, servers: list[EmulatedServer]) -> None:
         self.servers = {}
         for server in servers:
             self.servers.setdefault(server.profile.name, []).append(server)
 
-    def note_table(self, table: OwnershipTable) -> None:
+    def update_table(self, table: OwnershipTable) -> None:
         self.tables[table.service] = table
 
-    def receive(self, order: CallerOrder, done: Callable[[BaseReply], None]) -> None:
-        server = self._choose(order)
+    def receive(self, attempt: CallerAttempt, done: Callable[[BaseReply], None]) -> None:
+        server = self._choose(attempt)
         if server is None:
             done(NotRun("no-owner", retry_after=RETRY_SECONDS))
             return
-        self.call(order, server, lambda outcome: done(_reply(outcome)))
+        self.call(attempt, server, lambda outcome: done(_reply(outcome)))
 
-    def leave(self, order: CallerOrder) -> None:
-        found = self.calls.get(order)
+    def cancel(self, attempt: CallerAttempt) -> None:
+        found = self.calls.get(attempt)
         if found is not None:
-            found[0].drop(found[1])
+            found[0].on_disconnect(found[1])
             found[1].done(CallOutcome(CallEnd.LATE))
 
-    def _choose(self, order: CallerOrder) -> EmulatedServer | None:
+    def _choose(self, order: CallerAttempt) -> EmulatedServer | None:
         servers = self.servers.get(order.profile.name, [])
         if not servers:
             return None
@@ -66,7 +68,7 @@
             return servers[order.key * len(servers) // KEY_COUNT]
         assignment = table.find(order.key)
         owner = None if assignment is None else assignment.owner
-        return next((server for server in servers if server.life == owner), None)
+        return next((server for server in servers if server.incarnation == owner), None)
 
 
 def _reply(outcome: CallOutcome) -> BaseReply:
--- a/packages/emulator/src/fireflylink_emulator/_order.py
+++ b/packages/emulator/src/fireflylink_emulator/_order.py
@@ -7,7 +7,7 @@
 from fireflylink_emulator._profile import ServiceProfile
 
 
-class CallerOrder:
+class CallerAttempt:
     """One attempt of a caller.
 
     ``asked_at`` is when the caller's first attempt began, ``latest`` when its deadline passes. An
--- a/packages/emulator/src/fireflylink_emulator/_pattern.py
+++ b/packages/emulator/src/fireflylink_emulator/_pattern.py
@@ -23,15 +23,15 @@
 class Arrival(BaseValue):
     """A caller's first attempt: when, in seconds from the start, its key and its kind.
 
-    ``kind`` is the position of its profile among those of the situation.
+    ``profile_index`` is the position of its profile among those of the situation.
     """
 
-    __slots__ = ("key", "kind", "seconds")
+    __slots__ = ("key", "profile_index", "seconds")
 
-    def __init__(self, seconds: float, key: int, kind: int = 0) -> None:
+    def __init__(self, seconds: float, key: int, profile_index: int = 0) -> None:
         self.seconds = seconds
         self.key = key
-        self.kind = kind
+        self.profile_index = profile_index
 
 
 class ArrivalPattern(BaseValue):
@@ -56,7 +56,7 @@
     """Returns the text of a pattern."""
     return "".join(
         f"{round(arrival.seconds * MILLISECONDS_PER_SECOND)} {arrival.key}"
-        + (f" {arrival.kind}\n" if arrival.kind else "\n")
+        + (f" {arrival.profile_index}\n" if arrival.profile_index else "\n")
         for arrival in pattern.arrivals
     )
 
--- a/packages/emulator/src/fireflylink_emulator/_profile.py
+++ b/packages/emulator/src/fireflylink_emulator/_profile.py
@@ -6,27 +6,27 @@
 class ServiceProfile(BaseValue):
     """One service and a kind of requests for it. Times are in seconds.
 
-    Two profiles may share a service: they have the same ``name`` and each a ``kind`` of its own.
-    A request in time earns ``worth``, a late one ``late_worth``. ``repeats`` is how often a caller
-    comes back after a refusal or, where ``repeatable``, after a failure.
+    Two profiles may share a service: they have the same ``name`` and each a ``kind`` of its own. A
+    request in time earns ``value``, a late one ``late_value``. ``max_caller_retries`` is how often
+    a caller comes back after a refusal or, where ``idempotent``, after a failure.
     """
 
     __slots__ = (
         "cold_per_second",
         "deadline_seconds",
+        "idempotent",
         "keyed",
         "kind",
-        "late_worth",
-        "max_servers",
+        "late_value",
+        "max_attempts",
+        "max_caller_retries",
         "name",
         "objective_seconds",
-        "rank",
-        "repeatable",
-        "repeats",
+        "priority",
         "servers",
         "slots",
+        "value",
         "work_seconds",
-        "worth",
     )
 
     def __init__(
@@ -37,13 +37,13 @@
         work_seconds: float,
         objective_seconds: float,
         deadline_seconds: float,
-        worth: float,
-        late_worth: float,
+        value: float,
+        late_value: float,
         keyed: bool = False,
-        repeatable: bool = False,
-        repeats: int = 1,
-        rank: int = 1,
-        max_servers: int = 2,
+        idempotent: bool = False,
+        max_caller_retries: int = 1,
+        priority: int = 1,
+        max_attempts: int = 2,
         cold_per_second: float = 3.7,
         kind: str = "",
     ) -> None:
@@ -54,13 +54,13 @@
         self.work_seconds = work_seconds
         self.objective_seconds = objective_seconds
         self.deadline_seconds = deadline_seconds
-        self.worth = worth
-        self.late_worth = late_worth
+        self.value = value
+        self.late_value = late_value
         self.keyed = keyed
-        self.repeatable = repeatable
-        self.repeats = repeats
-        self.rank = rank
-        self.max_servers = max_servers
+        self.idempotent = idempotent
+        self.max_caller_retries = max_caller_retries
+        self.priority = priority
+        self.max_attempts = max_attempts
         self.cold_per_second = cold_per_second
 
     @property
@@ -75,7 +75,7 @@
     __slots__ = (
         "budget_extra",
         "budget_ratio",
-        "budget_window",
+        "budget_window_seconds",
         "cold_extra",
         "cold_factor",
         "connection_limit",
@@ -92,7 +92,7 @@
         distance_seconds: float = 0.004,
         budget_ratio: float = 0.2,
         budget_extra: float = 60.0,
-        budget_window: float = 10.0,
+        budget_window_seconds: float = 10.0,
         cold_factor: float = 1.5,
         cold_extra: float = 5.0,
     ) -> None:
@@ -102,16 +102,16 @@
         self.distance_seconds = distance_seconds
         self.budget_ratio = budget_ratio
         self.budget_extra = budget_extra
-        self.budget_window = budget_window
+        self.budget_window_seconds = budget_window_seconds
         self.cold_factor = cold_factor
         self.cold_extra = cold_extra
 
 
 LOOKUPS = ServiceProfile(
-    "lookups", 21, 2, 0.16, 0.5, 1.2, 1.0, 0.1, keyed=True, repeatable=True, rank=2
+    "lookups", 21, 2, 0.16, 0.5, 1.2, 1.0, 0.1, keyed=True, idempotent=True, priority=2
 )
 ORDERS = ServiceProfile(
-    "lookups", 21, 2, 0.11, 0.3, 0.8, 3.0, 0.3, keyed=True, rank=0, kind="orders"
+    "lookups", 21, 2, 0.11, 0.3, 0.8, 3.0, 0.3, keyed=True, priority=0, kind="orders"
 )
 """Orders that the configuration sends to the servers of the lookups."""
 
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -26,7 +26,7 @@
 from fireflylink_decisions.limits import ColdLimit, FleetPosition, RetryBudget, RetryBudgetLimits
 from fireflylink_decisions.retries import Attempts, Retry, ReturnReply
 from fireflylink_decisions.servers import ServerTracker, ServiceLimits
-from fireflylink_emulator._agenda import Agenda
+from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._base_daemon import (
     REPLY_MARGIN_SECONDS,
     SERVER_FAILED,
@@ -34,7 +34,7 @@
     BaseEmulatedDaemon,
 )
 from fireflylink_emulator._emulated_server import EmulatedServer
-from fireflylink_emulator._order import CallEnd, CallerOrder, CallOutcome
+from fireflylink_emulator._order import CallEnd, CallerAttempt, CallOutcome
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 
 SWEEP_SECONDS = 0.02
@@ -49,7 +49,7 @@
     __slots__ = ("attempts", "done", "left", "order")
 
     def __init__(
-        self, order: CallerOrder, attempts: Attempts, done: Callable[[BaseReply], None]
+        self, order: CallerAttempt, attempts: Attempts, done: Callable[[BaseReply], None]
     ) -> None:
         self.order = order
         self.attempts = attempts
@@ -82,34 +82,38 @@
         name: str,
         data_centre: str,
         fleet: FleetProfile,
-        agenda: Agenda,
+        scheduler: EventScheduler,
         profiles: tuple[ServiceProfile, ...],
         members: tuple[str, ...],
     ) -> None:
-        super().__init__(name, data_centre, fleet, agenda)
+        super().__init__(name, data_centre, fleet, scheduler)
         self.position = FleetPosition(name, members)
         self.profiles = {profile.name: profile for profile in profiles}
         self.dispatcher = Dispatcher()
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.servers: dict[ServerIncarnation, EmulatedServer] = {}
-        self.courses: dict[CallerOrder, _Course] = {}
+        self.courses: dict[CallerAttempt, _Course] = {}
         self.waiting: dict[QueuedRequest, _Course] = {}
         self.sweeping = False
         self.key_counts: list[int] = []
         self.key_times: list[tuple[str, float]] = []
-        rule = RetryBudgetLimits(fleet.budget_ratio, fleet.budget_extra, fleet.budget_window)
+        rule = RetryBudgetLimits(
+            fleet.budget_ratio, fleet.budget_extra, fleet.budget_window_seconds
+        )
         self.budgets = {profile.name: RetryBudget(rule) for profile in profiles}
         for profile in profiles:
-            self.dispatcher.pools[profile.name] = ServicePool(profile.keyed, self._terms(profile))
+            self.dispatcher.pools[profile.name] = ServicePool(
+                profile.keyed, self._service_limits(profile)
+            )
 
-    def note_members(self, members: tuple[str, ...]) -> None:
+    def update_members(self, members: tuple[str, ...]) -> None:
         """Takes the daemons that the store lists."""
         self.position = FleetPosition(self.name, members)
         for name, pool in self.dispatcher.pools.items():
-            pool.limits = self._terms(self.profiles[name])
+            pool.limits = self._service_limits(self.profiles[name])
 
-    def note_servers(self, servers: list[EmulatedServer]) -> None:
-        now = self.agenda.clock.now()
+    def update_servers(self, servers: list[EmulatedServer]) -> None:
+        now = self.scheduler.clock.now()
         for pool in self.dispatcher.pools.values():
             pool.trackers = {}
         for server in servers:
@@ -123,25 +127,25 @@
             self.dispatcher.pools[server.profile.name].trackers[registration.incarnation] = tracker
         self._sweep()
 
-    def note_table(self, table: OwnershipTable) -> None:
-        self.dispatcher.pools[table.service].set_table(table, self.agenda.clock.now())
+    def update_table(self, table: OwnershipTable) -> None:
+        self.dispatcher.pools[table.service].set_table(table, self.scheduler.clock.now())
 
-    def note_granted_keys(self, service: str, keys: KeyRange, fence: int) -> None:
+    def record_granted_keys(self, service: str, keys: KeyRange, fence: int) -> None:
         """Takes the decider's notice that a moved range has its new holder."""
         self.dispatcher.pools[service].confirmed_grants.add((keys, fence))
         self._sweep()
 
-    def receive(self, order: CallerOrder, done: Callable[[BaseReply], None]) -> None:
-        self.budgets[order.profile.name].record_request(self.agenda.clock.now())
-        if order.profile.keyed:
-            self.key_counts.append(order.key)
-        attempts = Attempts(order.profile.repeatable, order.profile.max_servers)
-        course = _Course(order, attempts, done)
-        self.courses[order] = course
+    def receive(self, attempt: CallerAttempt, done: Callable[[BaseReply], None]) -> None:
+        self.budgets[attempt.profile.name].record_request(self.scheduler.clock.now())
+        if attempt.profile.keyed:
+            self.key_counts.append(attempt.key)
+        attempts = Attempts(attempt.profile.idempotent, attempt.profile.max_attempts)
+        course = _Course(attempt, attempts, done)
+        self.courses[attempt] = course
         self._place(course)
 
-    def leave(self, order: CallerOrder) -> None:
-        course = self.courses.pop(order, None)
+    def cancel(self, attempt: CallerAttempt) -> None:
+        course = self.courses.pop(attempt, None)
         if course is None:
             return
         course.left = True
@@ -149,9 +153,9 @@
             if waiting is course:
                 del self.waiting[ticket]
                 self.dispatcher.cancel(ticket)
-        found = self.calls.get(order)
+        found = self.calls.get(attempt)
         if found is not None:
-            found[0].drop(found[1])
+            found[0].on_disconnect(found[1])
             found[1].done(CallOutcome(CallEnd.LATE))
         course.done(CallerDisconnected())
 
@@ -159,33 +163,33 @@
         order = course.order
         ticket = QueuedRequest(
             order.profile.name,
-            order.profile.rank,
+            order.profile.priority,
             order.received_at,
             order.latest - REPLY_MARGIN_SECONDS,
             order.key if order.profile.keyed else -1,
             frozenset(course.attempts.tried_servers),
             order.received_at + order.profile.objective_seconds,
         )
-        placement = self.dispatcher.submit(ticket, self.agenda.clock.now())
+        placement = self.dispatcher.submit(ticket, self.scheduler.clock.now())
         if placement is not None:
             self._follow(course, placement)
             return
         self.waiting[ticket] = course
         if not self.sweeping:
             self.sweeping = True
-            self.agenda.after(SWEEP_SECONDS, self._tick)
+            self.scheduler.schedule_after(SWEEP_SECONDS, self._tick)
 
     def _tick(self) -> None:
         self._sweep()
         if self.waiting:
-            self.agenda.after(SWEEP_SECONDS, self._tick)
+            self.scheduler.schedule_after(SWEEP_SECONDS, self._tick)
         else:
             self.sweeping = False
 
     def _sweep(self) -> None:
         if not self.waiting:
             return
-        for ticket, placement in self.dispatcher.sweep(self.agenda.clock.now()):
+        for ticket, placement in self.dispatcher.sweep(self.scheduler.clock.now()):
             self._follow(self.waiting.pop(ticket), placement)
 
     def _follow(self, course: _Course, placement: BaseDispatchResult) -> None:
@@ -195,7 +199,7 @@
         elif isinstance(placement, Dispatched):
             life = placement.tracker.server.incarnation
             course.attempts.record_sent(life.server_id)
-            sent_at = self.agenda.clock.now()
+            sent_at = self.scheduler.clock.now()
             self.call(
                 course.order,
                 self.servers[life],
@@ -205,7 +209,7 @@
     def _returned(
         self, course: _Course, send: Dispatched, sent_at: float, outcome: CallOutcome
     ) -> None:
-        now = self.agenda.clock.now()
+        now = self.scheduler.clock.now()
         tracker = send.tracker
         tracker.record_completed()
         if outcome.load is not None:
@@ -229,7 +233,7 @@
             self._finish(course, decision.reply)
 
     def _learn(self, course: _Course, send: Dispatched, seconds: float, end: CallEnd) -> None:
-        now = self.agenda.clock.now()
+        now = self.scheduler.clock.now()
         tracker = send.tracker
         name = tracker.server.server_id
         if end is CallEnd.ANSWERED:
@@ -252,7 +256,7 @@
         if not course.left:
             course.done(reply)
 
-    def _terms(self, profile: ServiceProfile) -> ServiceLimits:
+    def _service_limits(self, profile: ServiceProfile) -> ServiceLimits:
         cold = ColdLimit(profile.cold_per_second, self.fleet.cold_factor, self.fleet.cold_extra)
         return ServiceLimits(cold, self.fleet.connection_limit, self.position, self.data_centre)
 
--- a/packages/emulator/src/fireflylink_emulator/_situation_run.py
+++ b/packages/emulator/src/fireflylink_emulator/_situation_run.py
@@ -3,12 +3,14 @@
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._pattern import ArrivalPattern
 from fireflylink_emulator._profile import FLEET
-from fireflylink_emulator._situations import BaseSituation
+from fireflylink_emulator._situations import BaseScenario
 
 
-def replay(situation: BaseSituation, pattern: ArrivalPattern, seed: int, naive: bool) -> Emulation:
+def replay_scenario(
+    scenario: BaseScenario, pattern: ArrivalPattern, seed: int, baseline: bool
+) -> Emulation:
     """Plays one situation to its end."""
-    emulation = Emulation(situation.profiles, FLEET, seed, naive)
-    situation.prepare(emulation)
+    emulation = Emulation(scenario.profiles, FLEET, seed, baseline)
+    scenario.schedule_events(emulation)
     emulation.replay(pattern)
     return emulation
--- a/packages/emulator/src/fireflylink_emulator/_tally.py
+++ b/packages/emulator/src/fireflylink_emulator/_tally.py
@@ -3,7 +3,7 @@
 from hdrh.histogram import HdrHistogram
 
 from fireflylink_core import BaseReply, CallerDisconnected, NotRun, OutcomeUnknown, ServerAnswer
-from fireflylink_emulator._order import CallerOrder
+from fireflylink_emulator._order import CallerAttempt
 
 MICROSECONDS_PER_SECOND = 1_000_000
 LONGEST_MICROSECONDS = 60 * MICROSECONDS_PER_SECOND
@@ -12,78 +12,81 @@
 PERCENT = 100.0
 
 
-class Tally:
+class RunStatistics:
     """Counts over one run. A request is all attempts of a caller together.
 
-    ``doubled``, ``lost`` and ``wrongly_refused`` are broken promises: an order that ran twice in
-    one attempt, an answer of an order that never ran, and a refusal of one that ran.
+    ``duplicate_executions``, ``answers_without_execution`` and ``refused_but_executed`` are broken
+    promises: an order that ran twice in one attempt, an answer of an order that never ran, and a
+    refusal of one that ran.
     """
 
     __slots__ = (
-        "asked",
-        "doubled",
-        "earned",
+        "answers_without_execution",
+        "duplicate_executions",
+        "earned_value",
         "failed",
         "in_time",
         "late",
         "latency",
-        "lost",
-        "owed",
+        "possible_value",
         "refused",
-        "refused_orders",
-        "wrongly_refused",
+        "refused_attempts",
+        "refused_but_executed",
+        "requests",
     )
 
     def __init__(self) -> None:
-        self.asked = 0
+        self.requests = 0
         self.in_time = 0
         self.late = 0
         self.refused = 0
         self.failed = 0
-        self.owed = 0.0
-        self.earned = 0.0
-        self.doubled = 0
-        self.lost = 0
-        self.wrongly_refused = 0
+        self.possible_value = 0.0
+        self.earned_value = 0.0
+        self.duplicate_executions = 0
+        self.answers_without_execution = 0
+        self.refused_but_executed = 0
         self.latency = HdrHistogram(1, LONGEST_MICROSECONDS, SIGNIFICANT_FIGURES)
-        self.refused_orders: list[CallerOrder] = []
+        self.refused_attempts: list[CallerAttempt] = []
 
     @property
-    def worth(self) -> float:
+    def earned_fraction(self) -> float:
         """The part of what was owed that was earned."""
-        return self.earned / self.owed if self.owed else 1.0
+        return self.earned_value / self.possible_value if self.possible_value else 1.0
 
     @property
-    def broken_promises(self) -> int:
-        """How many promises were broken; call ``close`` first."""
-        return self.doubled + self.lost + self.wrongly_refused
+    def guarantee_violations(self) -> int:
+        """How many promises were broken; call ``check_refused_attempts`` first."""
+        return (
+            self.duplicate_executions + self.answers_without_execution + self.refused_but_executed
+        )
 
-    def percentile(self, part: float) -> float:
+    def percentile(self, fraction: float) -> float:
         """Returns the latency in seconds that a part of the answered requests kept to."""
-        value = self.latency.get_value_at_percentile(part * PERCENT)
+        value = self.latency.get_value_at_percentile(fraction * PERCENT)
         return float(value) / MICROSECONDS_PER_SECOND
 
-    def note_asked(self, order: CallerOrder) -> None:
+    def record_request(self, order: CallerAttempt) -> None:
         """Takes the first attempt of a request."""
-        self.asked += 1
-        self.owed += order.profile.worth
+        self.requests += 1
+        self.possible_value += order.profile.value
 
-    def note_attempt(self, order: CallerOrder, reply: BaseReply) -> None:
+    def record_attempt(self, order: CallerAttempt, reply: BaseReply) -> None:
         """Takes the end of one attempt, for the promises."""
         if isinstance(reply, ServerAnswer) and order.runs == 0:
-            self.lost += 1
+            self.answers_without_execution += 1
         if isinstance(reply, NotRun):
             if order.runs:
-                self.wrongly_refused += 1
+                self.refused_but_executed += 1
             else:
-                self.refused_orders.append(order)
+                self.refused_attempts.append(order)
 
-    def note_runs(self, order: CallerOrder) -> None:
+    def record_executions(self, order: CallerAttempt) -> None:
         """Takes the runs of an attempt that is over."""
-        if order.runs > 1 and not order.profile.repeatable:
-            self.doubled += 1
+        if order.runs > 1 and not order.profile.idempotent:
+            self.duplicate_executions += 1
 
-    def note_end(self, order: CallerOrder, reply: BaseReply, now: float) -> None:
+    def record_outcome(self, order: CallerAttempt, reply: BaseReply, now: float) -> None:
         """Takes the end of a request after its last attempt."""
         if isinstance(reply, ServerAnswer) and reply.status < SERVER_ERROR:
             self._note_served(order, now)
@@ -92,17 +95,17 @@
         elif isinstance(reply, ServerAnswer | OutcomeUnknown | CallerDisconnected):
             self.failed += 1
 
-    def close(self) -> None:
+    def check_refused_attempts(self) -> None:
         """Counts refusals of orders that ran after all."""
-        self.wrongly_refused += sum(1 for order in self.refused_orders if order.runs)
-        self.refused_orders = []
+        self.refused_but_executed += sum(1 for order in self.refused_attempts if order.runs)
+        self.refused_attempts = []
 
-    def _note_served(self, order: CallerOrder, now: float) -> None:
+    def _note_served(self, order: CallerAttempt, now: float) -> None:
         seconds = now - order.asked_at
         self.latency.record_value(max(1, int(seconds * MICROSECONDS_PER_SECOND)))
         if seconds <= order.profile.objective_seconds:
             self.in_time += 1
-            self.earned += order.profile.worth
+            self.earned_value += order.profile.value
         else:
             self.late += 1
-            self.earned += order.profile.late_worth
+            self.earned_value += order.profile.late_value
--- a/packages/emulator/src/fireflylink_emulator/faults.py
+++ b/packages/emulator/src/fireflylink_emulator/faults.py
@@ -9,7 +9,7 @@
 
 from fireflylink_emulator._fault_run import FAULT_PROFILES, run_with_faults
 from fireflylink_emulator._flags import SEED
-from fireflylink_emulator._tally import Tally
+from fireflylink_emulator._tally import RunStatistics
 
 REQUESTS = flags.DEFINE_integer("requests", 1_000_000, "How many requests are asked.", 1)
 
@@ -19,23 +19,24 @@
     flags.FLAGS(sys.argv)
     emulation, begun = run_with_faults(REQUESTS.value, SEED.value)
     print("faults: " + ", ".join(f"{name} {count}" for name, count in sorted(begun.items())))
-    tallies = [emulation.callers.tally(profile) for profile in FAULT_PROFILES]
+    tallies = [emulation.callers.statistics_of(profile) for profile in FAULT_PROFILES]
     for profile, tally in zip(FAULT_PROFILES, tallies, strict=True):
         print(_line(profile.name, tally))
     for profile in FAULT_PROFILES:
         servers = emulation.servers_of(profile)
-        highest = max(server.highest_cold for server in servers)
-        bound = servers[0].allowed_cold
+        highest = max(server.peak_cold_requests for server in servers)
+        bound = servers[0].cold_limit
         print(f"{profile.name}: most in a second at a cold server {highest}, bound {bound:.1f}")
-    exceeded = any(server.highest_cold > server.allowed_cold for server in emulation.servers)
-    return int(exceeded or any(tally.broken_promises for tally in tallies))
+    exceeded = any(server.peak_cold_requests > server.cold_limit for server in emulation.servers)
+    return int(exceeded or any(tally.guarantee_violations for tally in tallies))
 
 
-def _line(name: str, tally: Tally) -> str:
+def _line(name: str, tally: RunStatistics) -> str:
     return (
-        f"{name}: asked {tally.asked}, in time {tally.in_time}, late {tally.late}, refused"
-        f" {tally.refused}, failed {tally.failed}; doubled {tally.doubled}, lost {tally.lost},"
-        f" wrongly refused {tally.wrongly_refused}"
+        f"{name}: asked {tally.requests}, in time {tally.in_time}, late {tally.late}, refused"
+        f" {tally.refused}, failed {tally.failed}; doubled {tally.duplicate_executions}, lost"
+        f" {tally.answers_without_execution},"
+        f" wrongly refused {tally.refused_but_executed}"
     )
 
 
--- a/packages/emulator/src/fireflylink_emulator/outages.py
+++ b/packages/emulator/src/fireflylink_emulator/outages.py
@@ -12,15 +12,15 @@
 from absl import flags
 
 from fireflylink_emulator._flags import SEED
-from fireflylink_emulator._losses import LOSSES, PHASES, measure
+from fireflylink_emulator._losses import FAILURES, PHASES, measure_recovery
 
 
 def main() -> None:
     """Prints one row a loss."""
     flags.FLAGS(sys.argv)
     print(f"{'loss':<32} least part held  seconds until whole: median, most  baseline")
-    for name, lose, naive in LOSSES:
-        found = [measure(lose, SEED.value + phase) for phase in range(PHASES)]
+    for name, lose, naive in FAILURES:
+        found = [measure_recovery(lose, SEED.value + phase) for phase in range(PHASES)]
         least = min(part for part, _ in found)
         times = sorted(seconds for _, seconds in found)
         median = statistics.median(times)
--- a/packages/emulator/src/fireflylink_emulator/record.py
+++ b/packages/emulator/src/fireflylink_emulator/record.py
@@ -10,15 +10,15 @@
 
 from fireflylink_emulator._flags import SEED
 from fireflylink_emulator._pattern import PATTERN_DIRECTORY, encode_pattern
-from fireflylink_emulator._situations import SITUATIONS
+from fireflylink_emulator._situations import SCENARIOS
 
 
 def main() -> None:
     """Writes one file a situation."""
     flags.FLAGS(sys.argv)
     PATTERN_DIRECTORY.mkdir(exist_ok=True)
-    for situation in SITUATIONS:
-        pattern = situation.record(random.Random(SEED.value))
+    for situation in SCENARIOS:
+        pattern = situation.generate_pattern(random.Random(SEED.value))
         path = PATTERN_DIRECTORY / f"{situation.name}.txt"
         path.write_text(encode_pattern(pattern))
         print(f"{path.name}: {len(pattern.arrivals)} arrivals in {pattern.seconds:.1f} s")
--- a/packages/emulator/src/fireflylink_emulator/replay.py
+++ b/packages/emulator/src/fireflylink_emulator/replay.py
@@ -11,18 +11,19 @@
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._flags import SEED
 from fireflylink_emulator._pattern import read_pattern
-from fireflylink_emulator._situation_run import replay
-from fireflylink_emulator._situations import SITUATIONS
-from fireflylink_emulator._tally import Tally
+from fireflylink_emulator._situation_run import replay_scenario
+from fireflylink_emulator._situations import SCENARIOS
+from fireflylink_emulator._tally import RunStatistics
 
 
-def _row(name: str, emulation: Emulation, tally: Tally) -> str:
-    cold = max(server.highest_cold for server in emulation.servers)
+def _row(name: str, emulation: Emulation, tally: RunStatistics) -> str:
+    cold = max(server.peak_cold_requests for server in emulation.servers)
     moved = sum(decider.moved_keys for decider in emulation.deciders.values())
     return (
-        f"{name:<42} {tally.worth:>5.3f} {tally.asked:>6} {tally.in_time:>6} {tally.late:>6}"
+        f"{name:<42} {tally.earned_fraction:>5.3f} {tally.requests:>6} {tally.in_time:>6}"
+        f" {tally.late:>6}"
         f" {tally.refused:>7} {tally.failed:>6} {tally.percentile(0.5):>6.3f}"
-        f" {tally.percentile(0.99):>6.3f} {cold:>5} {moved:>7} {tally.broken_promises:>6}"
+        f" {tally.percentile(0.99):>6.3f} {cold:>5} {moved:>7} {tally.guarantee_violations:>6}"
     )
 
 
@@ -33,17 +34,17 @@
         f"{'situation':<42} worth  asked in-time   late refused failed  p50 s  p99 s  cold   moved"
         " broken"
     )
-    for situation in SITUATIONS:
+    for situation in SCENARIOS:
         pattern = read_pattern(situation.name)
         if not isinstance(pattern, Success):
             print(pattern.failure().detail, file=sys.stderr)
             return 1
         for naive in (False, True):
-            emulation = replay(situation, pattern.unwrap(), SEED.value, naive)
+            emulation = replay_scenario(situation, pattern.unwrap(), SEED.value, naive)
             name = f"{situation.name}, baseline" if naive else situation.name
             for profile in situation.profiles:
                 suffix = "" if profile is situation.profile else f" ({profile.kind})"
-                print(_row(name + suffix, emulation, emulation.callers.tally(profile)))
+                print(_row(name + suffix, emulation, emulation.callers.statistics_of(profile)))
     return 0
 
 
--- a/packages/emulator/tests/conftest.py
+++ b/packages/emulator/tests/conftest.py
@@ -3,12 +3,12 @@
 import pytest
 
 from fireflylink_core import ManualClock
-from fireflylink_emulator import Agenda, read_pattern, replay
+from fireflylink_emulator import EventScheduler, read_pattern, replay_scenario
 
 
 @pytest.fixture
-def agenda() -> Agenda:
-    return Agenda(ManualClock(0.0))
+def agenda() -> EventScheduler:
+    return EventScheduler(ManualClock(0.0))
 
 
 @pytest.fixture(scope="session")
@@ -20,7 +20,8 @@
         if situation.name not in runs:
             pattern = read_pattern(situation.name).unwrap()
             runs[situation.name] = tuple(
-                replay(situation, pattern, seed=1, naive=naive) for naive in (False, True)
+                replay_scenario(situation, pattern, seed=1, baseline=naive)
+                for naive in (False, True)
             )
         return runs[situation.name]
 
--- a/packages/emulator/tests/test_parts.py
+++ b/packages/emulator/tests/test_parts.py
@@ -9,23 +9,23 @@
 from fireflylink_core import KeyRange, NotRun, OutcomeUnknown, ServerAnswer
 from fireflylink_emulator import (
     APPROVALS,
+    FAILURES,
     FLEET,
     LOOKUPS,
-    LOSSES,
     Arrival,
     ArrivalPattern,
     Callers,
     EmulatedServer,
     PatternError,
-    Tally,
+    RunStatistics,
     decode_pattern,
     encode_pattern,
-    measure,
+    measure_recovery,
     read_pattern,
     run_with_faults,
 )
 from fireflylink_emulator._emulated_server import Call
-from fireflylink_emulator._order import CallEnd, CallerOrder
+from fireflylink_emulator._order import CallEnd, CallerAttempt
 
 WHOLE = ServerAnswer(200, (), b"")
 
@@ -36,25 +36,25 @@
 
 
 @pytest.fixture
-def order() -> CallerOrder:
-    return CallerOrder(APPROVALS, 5, 0.0, 0.0, 1)
+def order() -> CallerAttempt:
+    return CallerAttempt(APPROVALS, 5, 0.0, 0.0, 1)
 
 
 def arrive(server: EmulatedServer, count: int = 1) -> list[CallEnd]:
     ends: list[CallEnd] = []
     for _ in range(count):
-        order = CallerOrder(LOOKUPS, 5, 0.0, 0.0, 0)
+        order = CallerAttempt(LOOKUPS, 5, 0.0, 0.0, 0)
         call = Call(order, 10.0, lambda outcome: ends.append(outcome.end))
-        server.arrive(call, server.life)
+        server.receive(call, server.incarnation)
     return ends
 
 
 def test_actions_run_in_the_order_of_time_and_then_of_their_adding(agenda):
     """Guards against runs that do not repeat."""
     seen = []
-    agenda.after(2.0, lambda: seen.append("late"))
-    agenda.after(1.0, lambda: seen.append("first"))
-    agenda.after(1.0, lambda: seen.append("second"))
+    agenda.schedule_after(2.0, lambda: seen.append("late"))
+    agenda.schedule_after(1.0, lambda: seen.append("first"))
+    agenda.schedule_after(1.0, lambda: seen.append("second"))
     agenda.run_until(1.5)
     assert_that(seen, Equals(["first", "second"]))
     assert_that(agenda.clock.now(), Equals(1.5))
@@ -110,33 +110,35 @@
 def test_a_cold_server_crashes_well_above_its_bound(server, agenda):
     """Guards against an emulator that bears any load while cold."""
     server.grant(KeyRange(0, 9), 1, 30.0)
-    server.turn_cold()
+    server.make_cold()
     arrive(server, 30)
     assert_that(server.down, Equals(True))
-    assert_that(server.highest_cold, GreaterThan(2 * int(server.allowed_cold) - 1))
+    assert_that(server.peak_cold_requests, GreaterThan(2 * int(server.cold_limit) - 1))
     agenda.run_until(6.0)
-    assert_that((server.down, server.life.started_ms, server.holds(5)), Equals((False, 2, False)))
+    assert_that(
+        (server.down, server.incarnation.started_ms, server.holds(5)), Equals((False, 2, False))
+    )
 
 
 def test_a_tally_counts_each_broken_promise(order):
     """Guards against counts of broken promises that cannot be other than zero."""
-    tally = Tally()
-    tally.note_attempt(order, WHOLE)
-    assert_that(tally.lost, Equals(1))
+    tally = RunStatistics()
+    tally.record_attempt(order, WHOLE)
+    assert_that(tally.answers_without_execution, Equals(1))
     order.runs = 2
-    tally.note_runs(order)
-    assert_that(tally.doubled, Equals(1))
-    tally.note_attempt(order, NotRun("full"))
-    assert_that(tally.wrongly_refused, Equals(1))
+    tally.record_executions(order)
+    assert_that(tally.duplicate_executions, Equals(1))
+    tally.record_attempt(order, NotRun("full"))
+    assert_that(tally.refused_but_executed, Equals(1))
 
 
 def test_a_refused_order_that_runs_later_is_counted(order):
     """Guards against REFUSED: a refusal whose order still runs."""
-    tally = Tally()
-    tally.note_attempt(order, NotRun("full"))
+    tally = RunStatistics()
+    tally.record_attempt(order, NotRun("full"))
     order.runs = 1
-    tally.close()
-    assert_that(tally.wrongly_refused, Equals(1))
+    tally.check_refused_attempts()
+    assert_that(tally.refused_but_executed, Equals(1))
 
 
 def test_callers_come_back_after_a_refusal_and_not_after_an_unknown_end(agenda, order):
@@ -151,10 +153,10 @@
     """Guards against TWICE, REFUSED and FAILBACK: the small form of the run of a million."""
     emulation, begun = run_with_faults(requests=4000, seed=7)
     assert_that(len(begun), GreaterThan(3))
-    for tally in emulation.callers.tallies.values():
-        assert_that(tally.broken_promises, Equals(0))
+    for tally in emulation.callers.statistics.values():
+        assert_that(tally.guarantee_violations, Equals(0))
     for server in emulation.servers:
-        assert_that(server.highest_cold, LessThan(server.allowed_cold))
+        assert_that(server.peak_cold_requests, LessThan(server.cold_limit))
 
 
 @pytest.mark.parametrize(
@@ -167,6 +169,6 @@
 )
 def test_keys_are_held_again_soon_after_a_loss(name, longest):
     """Guards against keys that stay without an owner after a loss."""
-    [lose] = [found for label, found, _ in LOSSES if label == name]
-    _, seconds = measure(lose, seed=1)
+    [lose] = [found for label, found, _ in FAILURES if label == name]
+    _, seconds = measure_recovery(lose, seed=1)
     assert_that(seconds, LessThan(longest))
--- a/packages/emulator/tests/test_situations.py
+++ b/packages/emulator/tests/test_situations.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from fireflylink_emulator import SITUATIONS, read_pattern, replay
+from fireflylink_emulator import SCENARIOS, read_pattern, replay_scenario
 
 LEAST_GAIN = {
     "hot-key-on-cold-server": 0.05,
@@ -22,33 +22,38 @@
     return situation.name
 
 
-@pytest.mark.parametrize("situation", SITUATIONS, ids=by_name)
+@pytest.mark.parametrize("situation", SCENARIOS, ids=by_name)
 def test_the_decisions_earn_more_than_the_baseline(replayed, situation):
     """Guards against a change that makes one of the worst loads worse than deciding nothing."""
-    decided, naive = (run.callers.tally(situation.profile) for run in replayed(situation))
-    assert_that(decided.worth, GreaterThan(naive.worth + LEAST_GAIN[situation.name]))
+    decided, naive = (run.callers.statistics_of(situation.profile) for run in replayed(situation))
+    assert_that(
+        decided.earned_fraction, GreaterThan(naive.earned_fraction + LEAST_GAIN[situation.name])
+    )
 
 
-@pytest.mark.parametrize("situation", SITUATIONS, ids=by_name)
+@pytest.mark.parametrize("situation", SCENARIOS, ids=by_name)
 def test_no_promise_is_broken_under_load(replayed, situation):
     """Guards against TWICE and REFUSED: an order that runs twice, or runs after a refusal."""
     decided, _ = replayed(situation)
-    assert_that(decided.callers.tally(situation.profile).broken_promises, Equals(0))
+    assert_that(decided.callers.statistics_of(situation.profile).guarantee_violations, Equals(0))
 
 
-@pytest.mark.parametrize("situation", SITUATIONS, ids=by_name)
+@pytest.mark.parametrize("situation", SCENARIOS, ids=by_name)
 def test_cold_servers_get_no_more_than_they_bear(replayed, situation):
     """Guards against FAILBACK: the sum of all daemons over the bound of a cold server."""
     decided, _ = replayed(situation)
     for server in decided.servers:
-        assert_that(server.highest_cold, LessThan(server.allowed_cold))
+        assert_that(server.peak_cold_requests, LessThan(server.cold_limit))
 
 
-@pytest.mark.parametrize("situation", SITUATIONS, ids=by_name)
+@pytest.mark.parametrize("situation", SCENARIOS, ids=by_name)
 def test_a_replay_repeats_exactly(situation, replayed):
     """Guards against figures that change from run to run."""
 
-    again = replay(situation, read_pattern(situation.name).unwrap(), 1, False)
+    again = replay_scenario(situation, read_pattern(situation.name).unwrap(), 1, False)
     decided, _ = replayed(situation)
     profile = situation.profile
-    assert_that(again.callers.tally(profile).earned, Equals(decided.callers.tally(profile).earned))
+    assert_that(
+        again.callers.statistics_of(profile).earned_value,
+        Equals(decided.callers.statistics_of(profile).earned_value),
+    )
