Name what the stand-ins hold and measure

BackendState becomes GrantState, Way becomes BenchTarget, and figures carry their units. Printed lines and the state of the stand-ins' API stay.

--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -74,10 +74,10 @@
 def test_an_election_whose_answer_was_lost_is_noticed_by_the_watch(bench, clock, state):
     """Guards against a fleet without a decider: the write took effect, its answer did not come."""
     candidate = bench()
-    candidate.store.loses_replies = True
+    candidate.store.drops_replies = True
     elect(candidate, clock)
     assert_that(candidate.decider.election.is_decider, Is(False))
-    candidate.store.loses_replies = False
+    candidate.store.drops_replies = False
     item = state.read(DECIDER_KEY)
     candidate.decider.receive(DeciderChanged(candidate.record, item.revision))
     assert_that(candidate.decider.election.is_decider, Is(True))
--- a/packages/standins/src/fireflylink_standins/__init__.py
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -1,8 +1,8 @@
 """Stand-ins for the platform's store and for backend servers, and a local system on them."""
 
 from fireflylink_standins._backend_server import BackendServerStandin
-from fireflylink_standins._backend_state import BackendState
-from fireflylink_standins._bench_way import Way, processor_seconds, resident_megabytes
+from fireflylink_standins._backend_state import GrantState
+from fireflylink_standins._bench_way import BenchTarget, process_cpu_seconds, resident_megabytes
 from fireflylink_standins._caller import Caller
 from fireflylink_standins._local_system import (
     BOUNDS,
@@ -28,15 +28,15 @@
     "ORDER_PATH",
     "POOLED_SERVICE",
     "BackendServerStandin",
-    "BackendState",
+    "BenchTarget",
     "Caller",
+    "GrantState",
     "LocalDaemon",
     "LocalSystem",
     "MemoryStore",
     "StoreFaults",
     "StoreState",
-    "Way",
     "make_store_application",
-    "processor_seconds",
+    "process_cpu_seconds",
     "resident_megabytes",
 ]
--- a/packages/standins/src/fireflylink_standins/_backend_server.py
+++ b/packages/standins/src/fireflylink_standins/_backend_server.py
@@ -8,7 +8,7 @@
 from fireflylink_caller_frontend import HttpListener
 from fireflylink_core import NO_KEY, BaseClock, CallerLimits, KeyRange
 from fireflylink_platform import names
-from fireflylink_standins._backend_state import BackendState
+from fireflylink_standins._backend_state import GrantState
 from fireflylink_standins._store_server import encode
 from fireflylink_standins._store_state import StoreState
 from fireflylink_store import Commit, Put
@@ -22,23 +22,23 @@
 class BackendServerStandin:
     """One server: it registers itself, takes grants and runs requests.
 
-    ``work_seconds`` is how long a request runs. ``lose_answers`` makes it run requests and close
-    the connection without an answer; ``shed`` makes it decline every request.
+    ``work_seconds`` is how long a request runs. ``drops_answers`` makes it run requests and close
+    the connection without an answer; ``sheds_load`` makes it decline every request.
     """
 
     __slots__ = (
         "clock",
         "data_centre",
         "draining",
+        "drops_answers",
         "heartbeat",
         "keyed",
         "lease_id",
         "listener",
-        "lose_answers",
         "running",
         "server_id",
         "service",
-        "shed",
+        "sheds_load",
         "state",
         "stopped",
         "store",
@@ -60,10 +60,10 @@
         self.keyed = keyed
         self.store = store
         self.clock = clock
-        self.state = BackendState(clock)
+        self.state = GrantState(clock)
         self.draining = False
-        self.shed = False
-        self.lose_answers = False
+        self.sheds_load = False
+        self.drops_answers = False
         self.stopped = False
         self.running = 0
         self.work_seconds = 0.005
@@ -74,7 +74,7 @@
     def start(self) -> None:
         """Starts to serve and registers the server."""
         self.listener.start()
-        self.lease_id = self.store.open_lease(LAPSE_SECONDS)
+        self.lease_id = self.store.create_lease(LAPSE_SECONDS)
         self.register()
         self.heartbeat = gevent.spawn(self._beat)
 
@@ -133,7 +133,7 @@
             resp.status = falcon.HTTP_421
             resp.set_header(names.NOT_EXECUTED, "1")
             return
-        if server.shed:
+        if server.sheds_load:
             resp.status = falcon.HTTP_503
             resp.set_header(names.NOT_EXECUTED, "1")
             return
@@ -142,12 +142,12 @@
     def _run(self, request_id: str, key: int, req: falcon.Request, resp: falcon.Response) -> None:
         server = self.server
         server.running += 1
-        server.state.ran.append((request_id, key))
+        server.state.executed.append((request_id, key))
         gevent.sleep(server.work_seconds)
         server.running -= 1
-        if server.lose_answers:
+        if server.drops_answers:
             raise ConnectionResetError
-        resp.set_header(names.SIGNATURE, f"{server.server_id}.{len(server.state.ran)}")
+        resp.set_header(names.SIGNATURE, f"{server.server_id}.{len(server.state.executed)}")
         resp.content_type = "application/octet-stream"
         resp.data = server.server_id.encode() + b" " + req.bounded_stream.read()
 
--- a/packages/standins/src/fireflylink_standins/_backend_state.py
+++ b/packages/standins/src/fireflylink_standins/_backend_state.py
@@ -14,21 +14,21 @@
         self.until = until
 
 
-class BackendState:
-    """Grants of one life of a server. ``ran`` records each run request and its key."""
+class GrantState:
+    """Grants of one life of a server. ``executed`` records each run request and its key."""
 
-    __slots__ = ("clock", "holds", "ran", "seen", "tokens")
+    __slots__ = ("clock", "executed", "holds", "seen_fences", "tokens")
 
     def __init__(self, clock: BaseClock) -> None:
         self.clock = clock
         self.holds: list[_Hold] = []
-        self.seen: list[tuple[KeyRange, int]] = []
-        self.ran: list[tuple[str, int]] = []
+        self.seen_fences: list[tuple[KeyRange, int]] = []
+        self.executed: list[tuple[str, int]] = []
         self.tokens = 0
 
     def grant(self, keys: KeyRange, fence: int, hold_seconds: float) -> bool:
         """Takes keys; returns whether no higher fence was seen on one of them."""
-        if any(seen > fence and found.overlaps(keys) for found, seen in self.seen):
+        if any(seen > fence and found.overlaps(keys) for found, seen in self.seen_fences):
             return False
         self._note_seen(keys, fence)
         self._drop(keys)
@@ -50,8 +50,10 @@
         )
 
     def _note_seen(self, keys: KeyRange, fence: int) -> None:
-        self.seen = [(found, seen) for found, seen in self.seen if found != keys or seen > fence]
-        self.seen.append((keys, fence))
+        self.seen_fences = [
+            (found, seen) for found, seen in self.seen_fences if found != keys or seen > fence
+        ]
+        self.seen_fences.append((keys, fence))
 
     def _drop(self, keys: KeyRange) -> None:
         kept = []
--- a/packages/standins/src/fireflylink_standins/_bench_way.py
+++ b/packages/standins/src/fireflylink_standins/_bench_way.py
@@ -17,10 +17,19 @@
 """User and system time among the fields after the command's name in ``/proc/PID/stat``."""
 
 
-class Way:
+class BenchTarget:
     """A way to send the request, and what was measured of it; latencies in seconds."""
 
-    __slots__ = ("answered", "cpu", "latencies", "name", "port", "process_id", "seconds", "target")
+    __slots__ = (
+        "answered",
+        "cpu_seconds",
+        "elapsed_seconds",
+        "latencies",
+        "name",
+        "port",
+        "process_id",
+        "target",
+    )
 
     def __init__(self, name: str, port: int, target: str, process_id: int | None) -> None:
         self.name = name
@@ -29,8 +38,8 @@
         self.process_id = process_id
         self.latencies: list[float] = []
         self.answered = 0
-        self.seconds = 0.0
-        self.cpu = 0.0
+        self.elapsed_seconds = 0.0
+        self.cpu_seconds = 0.0
 
     def run(self, requests: int, concurrency: int, rate: float) -> None:
         """Sends requests over ``concurrency`` connections, one after another on each.
@@ -38,15 +47,15 @@
         ``rate`` is in requests a second over all connections; 0 stands for no pauses.
         """
         pause = concurrency / rate if rate else 0.0
-        before = 0.0 if self.process_id is None else processor_seconds(self.process_id)
+        before = 0.0 if self.process_id is None else process_cpu_seconds(self.process_id)
         started = time.monotonic()
         senders = [
             gevent.spawn(self._send, requests // concurrency, pause) for _ in range(concurrency)
         ]
         gevent.joinall(senders, raise_error=True)
-        self.seconds += time.monotonic() - started
+        self.elapsed_seconds += time.monotonic() - started
         if self.process_id is not None:
-            self.cpu += processor_seconds(self.process_id) - before
+            self.cpu_seconds += process_cpu_seconds(self.process_id) - before
 
     def _send(self, requests: int, pause: float) -> None:
         caller = Caller(self.port, SystemClock())
@@ -60,24 +69,24 @@
         caller.close()
 
     @property
-    def median(self) -> float:
+    def median_seconds(self) -> float:
         """The median latency in seconds."""
         return statistics.median(self.latencies)
 
-    def line(self) -> str:
+    def report_line(self) -> str:
         """Returns the measured figures as key=value pairs."""
         ordered = sorted(self.latencies)
         count = len(ordered)
         return (
             f"event=bench way={self.name} answered={count}"
-            f" requests_per_second={count / self.seconds:.0f}"
-            f" p50_ms={self.median * MILLISECONDS:.2f}"
+            f" requests_per_second={count / self.elapsed_seconds:.0f}"
+            f" p50_ms={self.median_seconds * MILLISECONDS:.2f}"
             f" p99_ms={ordered[int(count * 0.99)] * MILLISECONDS:.2f}"
-            f" daemon_cpu_us_per_request={self.cpu / count * MICROSECONDS:.0f}"
+            f" daemon_cpu_us_per_request={self.cpu_seconds / count * MICROSECONDS:.0f}"
         )
 
 
-def processor_seconds(process_id: int) -> float:
+def process_cpu_seconds(process_id: int) -> float:
     """Returns the processor time that a process has used so far."""
     text = pathlib.Path(f"/proc/{process_id}/stat").read_text()
     ticks = sum(int(field) for field in text.rpartition(")")[2].split()[CPU_FIELDS])
--- a/packages/standins/src/fireflylink_standins/_local_system.py
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -87,12 +87,12 @@
     __slots__ = (
         "clock",
         "daemons",
-        "faults",
         "folder",
         "listener",
         "log_output",
         "servers",
         "store",
+        "store_faults",
         "version",
     )
 
@@ -100,8 +100,8 @@
         self.folder = folder
         self.clock = SystemClock()
         self.store = StoreState(self.clock)
-        self.faults = StoreFaults()
-        application = make_store_application(self.store, self.faults)
+        self.store_faults = StoreFaults()
+        application = make_store_application(self.store, self.store_faults)
         self.listener = HttpListener(application, "127.0.0.1", 0, CallerLimits)
         self.servers: dict[str, BackendServerStandin] = {}
         self.daemons: list[LocalDaemon] = []
--- a/packages/standins/src/fireflylink_standins/_memory_store.py
+++ b/packages/standins/src/fireflylink_standins/_memory_store.py
@@ -29,16 +29,16 @@
 class MemoryStore(BaseStore):
     """One daemon's access to a ``StoreState``.
 
-    ``reachable`` false makes every call fail; ``loses_replies`` makes writes take effect although
+    ``reachable`` false makes every call fail; ``drops_replies`` makes writes take effect although
     their callers are told that no answer came.
     """
 
-    __slots__ = ("loses_replies", "reachable", "state")
+    __slots__ = ("drops_replies", "reachable", "state")
 
     def __init__(self, state: StoreState) -> None:
         self.state = state
         self.reachable = True
-        self.loses_replies = False
+        self.drops_replies = False
 
     def read(self, key: str, deadline: float) -> Result[Item | None, StoreError]:
         if not self.reachable:
@@ -77,7 +77,7 @@
     def create_lease(self, seconds: float, deadline: float) -> Result[Lease, StoreError]:
         if not self.reachable:
             return _unavailable()
-        return Success(Lease(self.state.open_lease(seconds), seconds))
+        return Success(Lease(self.state.create_lease(seconds), seconds))
 
     def renew_lease(self, lease_id: int, deadline: float) -> Result[float, StoreError]:
         if not self.reachable:
@@ -88,11 +88,11 @@
     def revoke_lease(self, lease_id: int, deadline: float) -> Result[None, StoreError]:
         if not self.reachable:
             return _unavailable()
-        self.state.end_lease(lease_id)
+        self.state.revoke_lease(lease_id)
         return Success(None)
 
     def _answer(self, revision: int) -> Result[int, StoreError]:
-        if self.loses_replies:
+        if self.drops_replies:
             return Failure(StoreOutcomeUnknownError("the reply was lost"))
         return Success(revision)
 
--- a/packages/standins/src/fireflylink_standins/_store_server.py
+++ b/packages/standins/src/fireflylink_standins/_store_server.py
@@ -25,11 +25,11 @@
 class StoreFaults:
     """What is wrong with the stand-in at this moment."""
 
-    __slots__ = ("down", "loses_replies")
+    __slots__ = ("down", "drops_replies")
 
     def __init__(self) -> None:
         self.down = False
-        self.loses_replies = False
+        self.drops_replies = False
 
 
 class _Resource:
@@ -110,7 +110,7 @@
             resp.media = {"items": [_fields(item) for item in error.items]}
         except NoSuchLeaseError:
             resp.status = falcon.HTTP_404
-        if self.faults.loses_replies:
+        if self.faults.drops_replies:
             raise ConnectionResetError
 
 
@@ -121,7 +121,7 @@
         """Opens a lease."""
         _check_up(self.faults)
         ttl = req.get_media()["ttl-ms"]
-        lease_id = self.state.open_lease(ttl / MILLISECONDS_PER_SECOND)
+        lease_id = self.state.create_lease(ttl / MILLISECONDS_PER_SECOND)
         resp.media = {"lease": lease_id, "ttl-ms": ttl}
 
 
@@ -144,7 +144,7 @@
     def on_delete(self, _req: falcon.Request, _resp: falcon.Response, lease: str) -> None:
         """Ends a lease."""
         _check_up(self.faults)
-        self.state.end_lease(int(lease))
+        self.state.revoke_lease(int(lease))
 
 
 def make_store_application(state: StoreState, faults: StoreFaults) -> Any:
--- a/packages/standins/src/fireflylink_standins/_store_state.py
+++ b/packages/standins/src/fireflylink_standins/_store_state.py
@@ -36,7 +36,7 @@
         """Ends leases whose time is over, with their keys."""
         now = self.clock.now()
         for lease_id in [found for found, (_, until) in self.leases.items() if until <= now]:
-            self.end_lease(lease_id)
+            self.revoke_lease(lease_id)
 
     def read(self, key: str) -> Item | None:
         """Returns the item of a key."""
@@ -87,7 +87,7 @@
             self._remove(key)
         return self.revision
 
-    def open_lease(self, seconds: float) -> int:
+    def create_lease(self, seconds: float) -> int:
         """Opens a lease."""
         lease_id = self.next_lease
         self.next_lease += 1
@@ -103,7 +103,7 @@
         self.leases[lease_id] = (seconds, self.clock.now() + seconds)
         return seconds
 
-    def end_lease(self, lease_id: int) -> None:
+    def revoke_lease(self, lease_id: int) -> None:
         """Ends a lease; its keys are removed."""
         self.leases.pop(lease_id, None)
         keys = [key for key, item in self.items.items() if item.lease == lease_id]
--- a/packages/standins/src/fireflylink_standins/bench.py
+++ b/packages/standins/src/fireflylink_standins/bench.py
@@ -17,10 +17,10 @@
 from fireflylink_core import SystemClock
 from fireflylink_standins import (
     ORDER_PATH,
+    BenchTarget,
     Caller,
     LocalSystem,
-    Way,
-    processor_seconds,
+    process_cpu_seconds,
     resident_megabytes,
 )
 
@@ -71,21 +71,22 @@
     if process is None:
         return 1
     resident = resident_megabytes(process.pid)
-    used = processor_seconds(process.pid)
+    used = process_cpu_seconds(process.pid)
     gevent.sleep(IDLE_SECONDS)
-    idle = (processor_seconds(process.pid) - used) / IDLE_SECONDS
+    idle = (process_cpu_seconds(process.pid) - used) / IDLE_SECONDS
     server = next(found for found in system.servers.values() if not found.keyed)
     target = f"{ORDER_PATH}1"
-    direct = Way("direct", server.listener.port, target, None)
-    routed = Way("daemon", daemon.callers, target, process.pid)
+    direct = BenchTarget("direct", server.listener.port, target, None)
+    routed = BenchTarget("daemon", daemon.callers, target, process.pid)
     for _ in range(ROUNDS.value):
         for way in (direct, routed):
             way.run(REQUESTS.value, CONCURRENCY.value, RATE.value)
     for way in (direct, routed):
-        print(way.line(), flush=True)
+        print(way.report_line(), flush=True)
     asked = REQUESTS.value // CONCURRENCY.value * CONCURRENCY.value * ROUNDS.value
     print(
-        f"event=bench_daemon added_p50_ms={(routed.median - direct.median) * MILLISECONDS:.2f}"
+        f"event=bench_daemon"
+        f" added_p50_ms={(routed.median_seconds - direct.median_seconds) * MILLISECONDS:.2f}"
         f" resident_mb={resident:.0f} idle_cpu_ms_per_second={idle * MILLISECONDS:.1f}"
         f" listening_seconds={listening_seconds(system):.2f} unanswered={asked - routed.answered}"
     )
--- a/packages/standins/src/fireflylink_standins/demo.py
+++ b/packages/standins/src/fireflylink_standins/demo.py
@@ -37,7 +37,7 @@
 
 def _show_runs(system: LocalSystem) -> None:
     for name, server in sorted(system.servers.items()):
-        print(f"  server {name} ({server.service}): ran {len(server.state.ran)} requests")
+        print(f"  server {name} ({server.service}): ran {len(server.state.executed)} requests")
 
 
 def main() -> int:
@@ -62,11 +62,11 @@
     gevent.sleep(LOSS_SECONDS)
     _send(system, REQUESTS.value)
     print("server b0 drains; new orders go to the others")
-    before = len(system.servers["b0"].state.ran)
+    before = len(system.servers["b0"].state.executed)
     system.servers["b0"].drain()
     gevent.sleep(1.0)
     _send(system, REQUESTS.value)
-    print(f"  server b0 ran {len(system.servers['b0'].state.ran) - before} requests since")
+    print(f"  server b0 ran {len(system.servers['b0'].state.executed) - before} requests since")
     print("the daemons leave")
     for daemon in system.daemons:
         daemon.terminate()
--- a/packages/standins/tests/test_adapter_store_client.py
+++ b/packages/standins/tests/test_adapter_store_client.py
@@ -118,11 +118,11 @@
 
 def test_a_lost_reply_is_an_uncertain_outcome(platform):
     """Guards against a write that took effect and is taken for one that did not."""
-    platform.faults.loses_replies = True
+    platform.faults.drops_replies = True
     error = platform.put("a", b"1").failure()
     assert_that(error, IsInstance(StoreError))
     assert_that(isinstance(error, StoreUnavailableError), Equals(False))
-    platform.faults.loses_replies = False
+    platform.faults.drops_replies = False
     item = platform.client.read("a", platform.deadline()).unwrap()
     assert_that(item.value, Equals(b"1"))
 
--- a/packages/standins/tests/test_bench.py
+++ b/packages/standins/tests/test_bench.py
@@ -5,22 +5,22 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, GreaterThan
 
-from fireflylink_standins import Way, processor_seconds, resident_megabytes
+from fireflylink_standins import BenchTarget, process_cpu_seconds, resident_megabytes
 
 
 def test_the_time_and_memory_of_a_process_are_read_from_the_operating_system():
     """Guards against a benchmark that prints zeros for what it could not read."""
     total = sum(number * number for number in range(1_000_000))
     assert_that(total, GreaterThan(0))
-    assert_that(processor_seconds(os.getpid()), GreaterThan(0.0))
+    assert_that(process_cpu_seconds(os.getpid()), GreaterThan(0.0))
     assert_that(resident_megabytes(os.getpid()), GreaterThan(5.0))
 
 
 def test_a_way_prints_its_median_and_its_cost():
     """Guards against figures of the wrong unit."""
-    way = Way("daemon", 1, "/orders/1", None)
+    way = BenchTarget("daemon", 1, "/orders/1", None)
     way.latencies = [0.001, 0.002, 0.010]
-    way.seconds = 0.5
-    way.cpu = 0.003
+    way.elapsed_seconds = 0.5
+    way.cpu_seconds = 0.003
     for part in ("p50_ms=2.00", "requests_per_second=6", "daemon_cpu_us_per_request=1000"):
-        assert_that(way.line(), Contains(part))
+        assert_that(way.report_line(), Contains(part))
--- a/packages/standins/tests/test_promises.py
+++ b/packages/standins/tests/test_promises.py
@@ -27,7 +27,7 @@
 def ran(running, service: str) -> dict[str, int]:
     """Returns how many requests each server of a service has run."""
     return {
-        name: len(server.state.ran)
+        name: len(server.state.executed)
         for name, server in running.system.servers.items()
         if server.service == service
     }
@@ -64,13 +64,13 @@
 
 def test_p2_the_stores_outage_alone_fails_no_request(running):
     """Guards against owners that lose their keys while the store is away."""
-    running.system.faults.down = True
+    running.system.store_faults.down = True
     statuses = collections.Counter()
     for step in range(50):
         statuses[running.lookup(step * 1300, step % 3)] += 1
         gevent.sleep(0.1)
     assert_that(dict(statuses), Equals({200: 50}))
-    running.system.faults.down = False
+    running.system.store_faults.down = False
     assert_that(running.await_service(5.0), LessThan(5.0))
 
 
@@ -90,12 +90,12 @@
     """Guards against TWICE and REFUSED: the server ran the order, its answer did not arrive."""
     servers = [running.system.servers[name] for name in ("b0", "b1")]
     for server in servers:
-        server.lose_answers = True
+        server.drops_answers = True
     statuses = collections.Counter(
         running.order(f"o{number}", number % 3, f"order-{number}") for number in range(30)
     )
     runs = collections.Counter(
-        request_id for server in servers for request_id, _ in server.state.ran
+        request_id for server in servers for request_id, _ in server.state.executed
     )
     assert_that([runs[f"order-{number}"] for number in range(30)], Equals([1] * 30))
     assert_that(set(statuses) & {429, 503, 408, 421}, Equals(set()))
@@ -104,7 +104,7 @@
 def test_p6_an_order_that_every_server_declines_is_called_not_run(running):
     """Guards against a promise that is not given although it is certain."""
     for name in ("b0", "b1"):
-        running.system.servers[name].shed = True
+        running.system.servers[name].sheds_load = True
     before = sum(ran(running, POOLED_SERVICE).values())
     assert_that(running.order("o"), Equals(503))
     assert_that(sum(ran(running, POOLED_SERVICE).values()), Equals(before))
@@ -161,7 +161,7 @@
 
 def test_a_daemon_that_starts_without_the_store_answers_503(running):
     """Guards against DENIED: a daemon without a configuration that says there is no route."""
-    running.system.faults.down = True
+    running.system.store_faults.down = True
     running.system.daemons[2].kill()
     running.system.daemons[2].start()
     # Beside busy processes a daemon may take longer than a fixed time to start.
@@ -169,7 +169,7 @@
     assert_that({running.lookup(5, 2) for _ in range(5)}, Equals({503}))
     gevent.sleep(1.0)
     assert_that({running.lookup(5, 2) for _ in range(5)}, Equals({503}))
-    running.system.faults.down = False
+    running.system.store_faults.down = False
     running.await_service(5.0)
 
 
