--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -85,8 +85,8 @@
         self.left = Event()
         self.metrics = Metrics()
         self.stores: list[PlatformStoreClient] = []
-        dialect = PlatformServerCodec()
-        self.serving = Serving(settings, clock, dialect)
+        codec = PlatformServerCodec()
+        self.serving = Serving(settings, clock, codec)
         self.dispatch = DispatchTask(self.serving.dispatcher, clock)
         self.view = ViewTask(self.serving, clock)
         record = MemberRecord(
@@ -102,7 +102,7 @@
         self.peers = PeerSocket(
             settings.instance, settings.address, settings.report_port, keys, self.view
         )
-        self.ownership = OwnershipTask(self.serving, self.decider, self.peers, clock, dialect)
+        self.ownership = OwnershipTask(self.serving, self.decider, self.peers, clock, codec)
         self.peers.ownership = self.ownership
         self.decider.ownership = self.ownership
         self.view.ownership = self.ownership
--- a/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
@@ -32,9 +32,9 @@
 
     def place(self, ticket: QueuedRequest, request: WaitingRequest) -> BaseDispatchResult | None:
         """Returns the placement of a ticket; None when the request was woken without one."""
-        placement = self.dispatcher.submit(ticket, self.clock.now())
-        if placement is not None:
-            return placement
+        result = self.dispatcher.submit(ticket, self.clock.now())
+        if result is not None:
+            return result
         self.waiting[ticket] = request
         if not self.running:
             self.running = True
@@ -50,9 +50,9 @@
         """Places what can be placed, after a request has ended or the servers have changed."""
         if not self.waiting:
             return
-        for ticket, placement in self.dispatcher.sweep(self.clock.now()):
+        for ticket, result in self.dispatcher.sweep(self.clock.now()):
             request = self.waiting.pop(ticket)
-            request.placement = placement
+            request.placement = result
             request.woken.set()
 
     def _run(self) -> None:
--- a/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
+++ b/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
@@ -26,12 +26,12 @@
         self,
         server: BackendServer,
         clock: BaseClock,
-        dialect: BaseServerCodec,
+        codec: BaseServerCodec,
         ownership: BaseTask,
         hold_seconds: float,
     ) -> None:
         super().__init__(f"grants-{server.server_id}", clock)
-        self.commands = ServerCommandClient(server, clock, dialect)
+        self.commands = ServerCommandClient(server, clock, codec)
         self.ownership = ownership
         self.hold_seconds = hold_seconds
 
@@ -64,7 +64,7 @@
 def spawn_release(
     server: BackendServer,
     clock: BaseClock,
-    dialect: BaseServerCodec,
+    codec: BaseServerCodec,
     service: str,
     command: ReleaseCommand,
     ownership: BaseTask,
@@ -72,7 +72,7 @@
     """Sends a release from a greenlet of its own: its answer waits for the work on the keys."""
 
     def run() -> None:
-        commands = ServerCommandClient(server, clock, dialect)
+        commands = ServerCommandClient(server, clock, codec)
         deadline = clock.now() + RELEASE_TIMEOUT_SECONDS
         ended = commands.release(command.keys, command.fence, deadline)
         commands.close()
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -241,48 +241,48 @@
         cold = tracker is not None and tracker.cold_limiter.is_cold(now)
         return service.service_times.capacity(server.server_id, server.slots, cold)
 
-    def _send(self, name: str, book: GrantTracker, command: object, now: float) -> None:
+    def _send(self, name: str, grants: GrantTracker, command: object, now: float) -> None:
         if isinstance(command, ReleaseCommand):
             server = self._server_of(command.server)
             if server is None:
-                book.record_failed(command, now)
+                grants.record_failed(command, now)
                 return
             spawn_release(server, self.clock, self.codec, name, command, self)
         elif isinstance(command, GrantCommand):
             task = self._grant_task(command.server)
             if task is None:
-                book.record_failed(command, now)
+                grants.record_failed(command, now)
                 return
-            book.record_sent(command, now)
+            grants.record_sent(command, now)
             task.post(CommandDue(name, command))
 
-    def _server_of(self, life: ServerIncarnation) -> BackendServer | None:
-        tracker = self.serving.trackers.get(life)
+    def _server_of(self, incarnation: ServerIncarnation) -> BackendServer | None:
+        tracker = self.serving.trackers.get(incarnation)
         return None if tracker is None else tracker.server
 
-    def _grant_task(self, life: ServerIncarnation) -> GrantTask | None:
-        task = self.grants.get(life)
+    def _grant_task(self, incarnation: ServerIncarnation) -> GrantTask | None:
+        task = self.grants.get(incarnation)
         if task is None:
-            server = self._server_of(life)
+            server = self._server_of(incarnation)
             if server is None:
                 return None
             task = GrantTask(server, self.clock, self.codec, self, self.hold_seconds)
             task.start()
-            self.grants[life] = task
+            self.grants[incarnation] = task
         return task
 
     def _note_ended(self, message: CommandEnded) -> None:
         service = self._service(message.service)
-        book = service.grants
-        if book is None:
+        grants = service.grants
+        if grants is None:
             return
         now = self.clock.now()
         command = message.command
         if message.error is not None:
-            self._note_failed(service, book, message, message.error, now)
+            self._note_failed(service, grants, message, message.error, now)
         elif isinstance(command, GrantCommand):
             service.record_answer(command.server)
-            book.record_granted(command, now)
+            grants.record_granted(command, now)
             if not command.renewal:
                 self.peers.notify(GrantNotice(message.service, command.keys, command.fence))
                 log_event(
@@ -293,7 +293,7 @@
                     fence=command.fence,
                 )
         elif isinstance(command, ReleaseCommand):
-            book.record_released(command, message.handover, now)
+            grants.record_released(command, message.handover, now)
             log_event(
                 "keys-released",
                 service=message.service,
@@ -307,19 +307,19 @@
     def _note_failed(
         self,
         service: KeyedService,
-        book: GrantTracker,
+        grants: GrantTracker,
         message: CommandEnded,
         error: CommandError,
         now: float,
     ) -> None:
         command = message.command
         if isinstance(command, GrantCommand) and not error.sent:
-            book.record_not_sent(command)
-        book.record_failed(command, now)
+            grants.record_not_sent(command)
+        grants.record_failed(command, now)
         if isinstance(error, ServerMismatchError):
-            book.record_incarnation_ended(command.server)
+            grants.record_incarnation_ended(command.server)
         if isinstance(error, StaleFenceError):
-            if isinstance(command, GrantCommand) and book.is_current(command):
+            if isinstance(command, GrantCommand) and grants.is_current(command):
                 # Only another decider can have used a higher fence: it has taken over.
                 self._yield("a server has seen a higher fence")
         else:
@@ -337,25 +337,28 @@
         """Forgets what was granted to lives of servers that certainly ended."""
         entries = self.serving.directory.entries.values()
         present = {entry.server.server_id: entry.server.incarnation for entry in entries}
-        for life in list(self.grants):
-            if present.get(life.server_id) != life and life not in self.serving.trackers:
-                self.grants.pop(life).close()
+        for incarnation in list(self.grants):
+            if (
+                present.get(incarnation.server_id) != incarnation
+                and incarnation not in self.serving.trackers
+            ):
+                self.grants.pop(incarnation).close()
         for service in self.services.values():
             if service.grants is None or service.table is None:
                 continue
             for assignment in service.table.assignments:
-                for life in (assignment.owner, *assignment.previous_holders):
-                    now_present = present.get(life.server_id, life)
-                    if now_present.started_ms > life.started_ms > 0:
-                        service.grants.record_incarnation_ended(life)
+                for incarnation in (assignment.owner, *assignment.previous_holders):
+                    now_present = present.get(incarnation.server_id, incarnation)
+                    if now_present.started_ms > incarnation.started_ms > 0:
+                        service.grants.record_incarnation_ended(incarnation)
 
     def _note_report(self, report: LoadReport) -> None:
         if not self.deciding or not report.keys:
             return
         service = self._service(report.service)
-        for times in report.service_times:
-            seconds = times.total_ms / MILLISECONDS_PER_SECOND
-            service.service_times.add(times.server_id, times.answers, seconds)
+        for service_times in report.service_times:
+            seconds = service_times.total_ms / MILLISECONDS_PER_SECOND
+            service.service_times.add(service_times.server_id, service_times.answers, seconds)
         load = service.load
         each = report.requests / len(report.keys)
         for key in report.keys:
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -156,7 +156,7 @@
                 return decision.reply
 
     def _place(self, course: _Course) -> BaseDispatchResult | None:
-        ticket = QueuedRequest(
+        request = QueuedRequest(
             course.service,
             course.route.priority,
             course.request.received_at,
@@ -168,14 +168,14 @@
         course.wait.woken.clear()
         if course.left:
             return None
-        return self.dispatch.place(ticket, course.wait)
+        return self.dispatch.place(request, course.wait)
 
     def _undo(self, placement: BaseDispatchResult | None) -> None:
         if isinstance(placement, Dispatched):
             placement.tracker.record_completed()
 
-    def _call(self, course: _Course, send: Dispatched) -> BaseCallResult:
-        tracker = send.tracker
+    def _call(self, course: _Course, dispatched: Dispatched) -> BaseCallResult:
+        tracker = dispatched.tracker
         pool = self.serving.pool_of(tracker)
         sent_at = self.clock.now()
         course.attempts.record_sent(tracker.server.server_id)
@@ -189,14 +189,14 @@
         if isinstance(result, Answered) and result.answer.status < SERVER_ERROR:
             seconds = now - sent_at
             if (
-                tracker.record_answer(seconds, send.queueing_factor, now)
+                tracker.record_answer(seconds, dispatched.queueing_factor, now)
                 and course.request.key != NO_KEY
             ):
                 self.keys.add_time(course.service, tracker.server.server_id, seconds)
         elif _failed_at_server(result):
             tracker.record_failure(now)
         elif isinstance(result, Lost) and result.reason is LostReason.LATE:
-            seconds = tracker.record_timeout(now - sent_at, send.queueing_factor, now)
+            seconds = tracker.record_timeout(now - sent_at, dispatched.queueing_factor, now)
             if course.request.key != NO_KEY:
                 self.keys.add_time(course.service, tracker.server.server_id, seconds)
         elif isinstance(result, NotSent):
@@ -206,11 +206,13 @@
         self.dispatch.sweep()
         return result
 
-    def _next(self, course: _Course, send: Dispatched, result: BaseCallResult) -> BaseRetryDecision:
+    def _next(
+        self, course: _Course, dispatched: Dispatched, result: BaseCallResult
+    ) -> BaseRetryDecision:
         now = self.clock.now()
         budget = self.serving.budget(course.service)
         if isinstance(result, Declined) and result.misdirected:
-            self.dispatch.dispatcher.record_misdirected(course.service, send, now)
+            self.dispatch.dispatcher.record_misdirected(course.service, dispatched, now)
         decision = course.attempts.decide(
             result, course.latest - now, budget.allows_retry(now, self.serving.position)
         )
@@ -220,7 +222,7 @@
             log_event(
                 "request-retried",
                 request=course.request.request_id,
-                server=send.tracker.server.server_id,
+                server=dispatched.tracker.server.server_id,
                 result=type(result).__name__,
                 reason=decision.reason,
                 left_seconds=course.latest - now,
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -184,18 +184,20 @@
         found = self.budgets.get(service)
         if found is None:
             bounds = self.settings.bounds
-            rule = RetryBudgetLimits(
+            limits = RetryBudgetLimits(
                 bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
             )
-            found = self.budgets[service] = RetryBudget(rule)
+            found = self.budgets[service] = RetryBudget(limits)
         return found
 
     def pool_of(self, tracker: ServerTracker) -> ServerConnectionPool:
         """Returns the connections to a server."""
-        life = tracker.server.incarnation
-        pool = self.pools.get(life)
+        incarnation = tracker.server.incarnation
+        pool = self.pools.get(incarnation)
         if pool is None:
-            pool = self.pools[life] = ServerConnectionPool(tracker.server, self.clock, self.codec)
+            pool = self.pools[incarnation] = ServerConnectionPool(
+                tracker.server, self.clock, self.codec
+            )
         return pool
 
     def drop_idle_connections(self) -> None:
@@ -205,15 +207,15 @@
 
     def _refresh_service(self, service: Service, now: float) -> None:
         pool = self.dispatcher.pools.get(service.name)
-        terms = self._service_limits(service, self.position)
+        limits = self._service_limits(service, self.position)
         if pool is None:
-            pool = ServicePool(service.keyed, terms)
+            pool = ServicePool(service.keyed, limits)
             self.dispatcher.pools[service.name] = pool
             table = self.owner_tables.get(service.name)
             if table is not None:
                 pool.set_table(table, now)
         pool.keyed = service.keyed
-        pool.limits = terms
+        pool.limits = limits
         entries = [
             entry
             for entry in self.directory.entries.values()
@@ -239,16 +241,18 @@
         bounds = self.settings.bounds
         cold = ColdLimit(service.cold_requests_per_second, bounds.cold_factor, bounds.cold_extra)
         # A keyed server that started again runs nothing before it is granted keys.
-        cautious = not service.keyed and (self.store_doubted or not self.directory.store_reachable)
+        assume_cold = not service.keyed and (
+            self.store_doubted or not self.directory.store_reachable
+        )
         return ServiceLimits(
-            cold, service.connection_limit, position, self.settings.data_centre, cautious
+            cold, service.connection_limit, position, self.settings.data_centre, assume_cold
         )
 
     def _forget_absent(self) -> None:
         present = {entry.server.incarnation for entry in self.directory.entries.values()}
-        for life in list(self.pools):
-            if life not in present:
-                self.pools.pop(life).close()
-        for life in list(self.trackers):
-            if life not in present and not self.trackers[life].in_flight:
-                del self.trackers[life]
+        for incarnation in list(self.pools):
+            if incarnation not in present:
+                self.pools.pop(incarnation).close()
+        for incarnation in list(self.trackers):
+            if incarnation not in present and not self.trackers[incarnation].in_flight:
+                del self.trackers[incarnation]
--- a/packages/daemon/src/fireflylink_daemon/_store_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_task.py
@@ -86,7 +86,7 @@
             return read.failure()
         snapshot = read.unwrap()
         self._note_reached()
-        facts = tuple(fact for item in snapshot.items for fact in self.decoder.decode(item))
+        facts = tuple(update for item in snapshot.items for update in self.decoder.decode(item))
         self.revision = snapshot.revision
         self._post(facts, whole=True)
         log_event("store-read", items=len(snapshot.items), revision=snapshot.revision)
@@ -100,7 +100,9 @@
             return read.failure()
         changes = read.unwrap()
         self._note_reached()
-        facts = tuple(fact for change in changes.changes for fact in self.decoder.decode(change))
+        facts = tuple(
+            update for change in changes.changes for update in self.decoder.decode(change)
+        )
         self.revision = max(self.revision, changes.revision)
         if facts:
             self._post(facts, whole=False)
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -89,8 +89,8 @@
     def _apply(self, message: UpdatesRead) -> None:
         if message.whole:
             self._drop_absent(message)
-        for fact in message.updates:
-            self._apply_update(fact)
+        for update in message.updates:
+            self._apply_update(update)
         self.serving.refresh()
         self._tell_ownership(ServersChanged())
 
@@ -132,29 +132,31 @@
                 "item-unreadable", key=fact.key, problem=fact.problem, revision=fact.revision
             )
 
-    def _apply_record(self, fact: RecordUpdate) -> None:
-        if fact.key == DECIDER_KEY:
-            member = _decoded(decode_member(fact.value), fact) if fact.value is not None else None
-            self._set_decider(member, fact.revision)
-        elif fact.key.startswith(MEMBERS_PREFIX):
-            self._apply_member(fact)
-        elif fact.key.startswith(OWNERSHIP_PREFIX) and fact.value is not None:
-            table: OwnershipTable | None = _decoded(decode_table(fact.value), fact)
+    def _apply_record(self, update: RecordUpdate) -> None:
+        if update.key == DECIDER_KEY:
+            member = (
+                _decoded(decode_member(update.value), update) if update.value is not None else None
+            )
+            self._set_decider(member, update.revision)
+        elif update.key.startswith(MEMBERS_PREFIX):
+            self._apply_member(update)
+        elif update.key.startswith(OWNERSHIP_PREFIX) and update.value is not None:
+            table: OwnershipTable | None = _decoded(decode_table(update.value), update)
             if table is not None:
                 self.serving.set_table(table)
-                self._tell_ownership(TableChanged(table, fact.revision))
+                self._tell_ownership(TableChanged(table, update.revision))
 
-    def _apply_member(self, fact: RecordUpdate) -> None:
-        name = fact.key.removeprefix(MEMBERS_PREFIX)
+    def _apply_member(self, update: RecordUpdate) -> None:
+        name = update.key.removeprefix(MEMBERS_PREFIX)
         members = dict(self.serving.members)
         members.pop(name, None)
-        if fact.value is not None:
-            member = _decoded(decode_member(fact.value), fact)
+        if update.value is not None:
+            member = _decoded(decode_member(update.value), update)
             if member is not None:
                 members[name] = member
         if members != self.serving.members:
             self.serving.set_members(members)
-        if fact.value is None and name == self.serving.settings.instance and self.member:
+        if update.value is None and name == self.serving.settings.instance and self.member:
             # The record can be taken away without any of this daemon's calls showing it.
             self.member.post(MemberMissing())
 
@@ -167,9 +169,11 @@
             self.ownership.post(message)
 
 
-def _decoded(result: Result[Decoded, RecordError], fact: RecordUpdate) -> Decoded | None:
+def _decoded(result: Result[Decoded, RecordError], update: RecordUpdate) -> Decoded | None:
     if isinstance(result, Success):
         value: Decoded = result.unwrap()
         return value
-    log_problem("record-unreadable", key=fact.key, problem=result.failure(), revision=fact.revision)
+    log_problem(
+        "record-unreadable", key=update.key, problem=result.failure(), revision=update.revision
+    )
     return None
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -104,18 +104,18 @@
             items.append(Item(f"servers/{name}", json.dumps(entry).encode(), 2))
         table = OwnershipTable("a", 1, (Assignment(KeyRange(0, 65535), LIFE, 1),))
         items.append(Item(ownership_key("a"), encode_table(table), 3))
-        facts = tuple(fact for item in items for fact in bench.decoder.decode(item))
+        facts = tuple(update for item in items for update in bench.decoder.decode(item))
         bench.view.receive(UpdatesRead(facts, 3, True))
 
     def note_ended(self, server, request) -> None:
         """Takes the place of the watch for crashes."""
         self.ended.append(server.server_id)
 
-    def send(self, target: str, script: Script, departure: Stays | None = None):
+    def send(self, target: str, script: Script, disconnect_notifier: Stays | None = None):
         self.monkeypatch.setattr(Serving, "pool_of", lambda _serving, _tracker: script)
         now = self.clock.now()
         request = CallerRequest("id", "h", "POST", target, (), b"", now, now + 3.0, 5)
-        return self.path.handle(request, departure or Stays())
+        return self.path.handle(request, disconnect_notifier or Stays())
 
 
 @pytest.fixture
@@ -149,9 +149,9 @@
 def test_a_caller_that_leaves_during_the_call_is_told_nothing(paths):
     """Guards against GONE: a request that is sent again for nobody."""
     script = Script(paths.clock, [Lost(LostReason.CANCELLED, "left"), WHOLE])
-    departure = Stays()
-    script.during = departure.leave
-    assert_that(paths.send("/o/1", script, departure), IsInstance(CallerDisconnected))
+    disconnect_notifier = Stays()
+    script.during = disconnect_notifier.leave
+    assert_that(paths.send("/o/1", script, disconnect_notifier), IsInstance(CallerDisconnected))
     assert_that(len(script.results), Equals(1))
 
 
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -41,7 +41,7 @@
 
 def read(bench, *items: Item, whole: bool = False) -> None:
     """Lets the view read items as the store's reader posts them."""
-    facts = tuple(fact for item in items for fact in bench.decoder.decode(item))
+    facts = tuple(update for item in items for update in bench.decoder.decode(item))
     bench.read_to += 1
     bench.view.receive(UpdatesRead(facts, bench.read_to, whole))
     bench.deliver()
@@ -163,7 +163,7 @@
     read(reader, server_item("i-1", 9))
     clock.advance(2.1)
     reader.view.wake()
-    assert_that([life.server_id for life in pool.trackers], Equals(["i-1"]))
+    assert_that([incarnation.server_id for incarnation in pool.trackers], Equals(["i-1"]))
 
 
 def test_an_older_configuration_never_replaces_a_newer_one(bench):
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -123,9 +123,9 @@
         # A request with a key waits for its owner's room, not for the line.
         ahead = 0 if pool.keyed else pool.queue.count_ahead(request, _lateness(pool, now))
         if not ahead:
-            placement = self._try(pool, request, now)
-            if placement is not None:
-                return placement
+            result = self._try(pool, request, now)
+            if result is not None:
+                return result
         if pool.queue.is_full or self._hopeless(pool, request, ahead, now):
             return Refused("no-room", SHORT_RETRY_SECONDS)
         self._join(pool, request)
@@ -162,27 +162,27 @@
         self, pool: ServicePool, now: float
     ) -> list[tuple[QueuedRequest, BaseDispatchResult]]:
         ended = []
-        for ticket in pool.queue.in_dispatch_order(_lateness(pool, now)):
-            placement = self._try(pool, ticket, now) or self._overdue(pool, ticket, now)
-            if placement is not None:
-                self._leave(pool, ticket)
-                ended.append((ticket, placement))
+        for request in pool.queue.in_dispatch_order(_lateness(pool, now)):
+            result = self._try(pool, request, now) or self._overdue(pool, request, now)
+            if result is not None:
+                self._leave(pool, request)
+                ended.append((request, result))
         return ended
 
     def _try(
-        self, pool: ServicePool, ticket: QueuedRequest, now: float
+        self, pool: ServicePool, request: QueuedRequest, now: float
     ) -> BaseDispatchResult | None:
-        if pool.keyed and ticket.key != NO_KEY:
-            return self._try_owner(pool, ticket, now)
-        depth = pool.max_requests_per_slot(ticket.priority, now)
+        if pool.keyed and request.key != NO_KEY:
+            return self._try_owner(pool, request, now)
+        depth = pool.max_requests_per_slot(request.priority, now)
         trackers = list(pool.trackers.values())
-        tracker = choose_server(trackers, pool.limits, now, ticket.tried_servers, depth)
+        tracker = choose_server(trackers, pool.limits, now, request.tried_servers, depth)
         return None if tracker is None else _send(pool, tracker, 0, now)
 
     def _try_owner(
-        self, pool: ServicePool, ticket: QueuedRequest, now: float
+        self, pool: ServicePool, request: QueuedRequest, now: float
     ) -> BaseDispatchResult | None:
-        assignment = pool.table.find(ticket.key) if pool.table is not None else None
+        assignment = pool.table.find(request.key) if pool.table is not None else None
         if assignment is None:
             return None
         tracker = pool.trackers.get(assignment.owner)
@@ -191,71 +191,71 @@
         if now < pool.misdirected_until.get((assignment.owner, assignment.fence), 0.0):
             return None
         open_at = available_at(
-            tracker, pool.limits, now, pool.max_requests_per_slot(ticket.priority, now)
+            tracker, pool.limits, now, pool.max_requests_per_slot(request.priority, now)
         )
         if open_at is None or open_at > now:
             return None
         return _send(pool, tracker, assignment.fence, now)
 
-    def _overdue(self, pool: ServicePool, ticket: QueuedRequest, now: float) -> Refused | None:
-        if now - ticket.enqueued_at > OWNER_WAIT_SECONDS and self._ownerless(pool, ticket):
+    def _overdue(self, pool: ServicePool, request: QueuedRequest, now: float) -> Refused | None:
+        if now - request.enqueued_at > OWNER_WAIT_SECONDS and self._ownerless(pool, request):
             return Refused("no-owner", LONG_RETRY_SECONDS)
         end_of_wait = (
-            ticket.enqueued_at + (ticket.deadline - ticket.enqueued_at) * LONGEST_WAIT_PART
+            request.enqueued_at + (request.deadline - request.enqueued_at) * LONGEST_WAIT_PART
         )
-        if now > end_of_wait or now + _least_seconds(pool) > ticket.deadline:
+        if now > end_of_wait or now + _least_seconds(pool) > request.deadline:
             return Refused("no-room", SHORT_RETRY_SECONDS)
         return None
 
-    def _ownerless(self, pool: ServicePool, ticket: QueuedRequest) -> bool:
+    def _ownerless(self, pool: ServicePool, request: QueuedRequest) -> bool:
         if not pool.keyed:
             return False
-        tracker = pool.owner_of(ticket.key)
+        tracker = pool.owner_of(request.key)
         return tracker is None or is_unresponsive(tracker)
 
-    def _hopeless(self, pool: ServicePool, ticket: QueuedRequest, ahead: int, now: float) -> bool:
+    def _hopeless(self, pool: ServicePool, request: QueuedRequest, ahead: int, now: float) -> bool:
         if not pool.keyed:
             wait = pool.queue.expected_wait_seconds(ahead, now)
-            return now + wait + _least_seconds(pool) > ticket.deadline
-        tracker = pool.owner_of(ticket.key)
+            return now + wait + _least_seconds(pool) > request.deadline
+        tracker = pool.owner_of(request.key)
         if tracker is None:
             return False
         return (
             now + tracker.expected_wait_seconds(now) + tracker.expected_seconds_after_wait(now)
-            > ticket.deadline
+            > request.deadline
         )
 
-    def _join(self, pool: ServicePool, ticket: QueuedRequest) -> None:
-        pool.queue.enqueue(ticket)
+    def _join(self, pool: ServicePool, request: QueuedRequest) -> None:
+        pool.queue.enqueue(request)
         if pool.keyed:
-            ticket.awaited_server = pool.owner_of(ticket.key)
-            if ticket.awaited_server is not None:
-                ticket.awaited_server.queued += 1
+            request.awaited_server = pool.owner_of(request.key)
+            if request.awaited_server is not None:
+                request.awaited_server.queued += 1
 
-    def _leave(self, pool: ServicePool, ticket: QueuedRequest) -> None:
-        pool.queue.remove(ticket)
-        if ticket.awaited_server is not None:
-            ticket.awaited_server.queued -= 1
-            ticket.awaited_server = None
+    def _leave(self, pool: ServicePool, request: QueuedRequest) -> None:
+        pool.queue.remove(request)
+        if request.awaited_server is not None:
+            request.awaited_server.queued -= 1
+            request.awaited_server = None
 
 
 def _send(pool: ServicePool, tracker: ServerTracker, fence: int, now: float) -> Dispatched:
-    fullness = tracker.queueing_factor(now)
+    queueing_factor = tracker.queueing_factor(now)
     tracker.record_sent(now)
     pool.queue.dispatched.add(now)
-    return Dispatched(tracker, fullness, fence)
+    return Dispatched(tracker, queueing_factor, fence)
 
 
 def _lateness(pool: ServicePool, now: float) -> Callable[[QueuedRequest], bool]:
     """Returns what tells whether a request that is sent now is expected to be late."""
     if pool.keyed:
-        return lambda ticket: now + _owner_seconds(pool, ticket, now) > ticket.objective_at
+        return lambda request: now + _owner_seconds(pool, request, now) > request.objective_at
     earliest = now + _least_seconds(pool)
     return lambda ticket: earliest > ticket.objective_at
 
 
-def _owner_seconds(pool: ServicePool, ticket: QueuedRequest, now: float) -> float:
-    tracker = pool.owner_of(ticket.key)
+def _owner_seconds(pool: ServicePool, request: QueuedRequest, now: float) -> float:
+    tracker = pool.owner_of(request.key)
     return 0.0 if tracker is None else tracker.expected_seconds(now)
 
 
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_waiting_line.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_waiting_line.py
@@ -19,24 +19,24 @@
         self.requests: list[QueuedRequest] = []
         self.dispatched = SlidingWindowCounter(RATE_WINDOW_SECONDS)
 
-    def enqueue(self, ticket: QueuedRequest) -> None:
+    def enqueue(self, request: QueuedRequest) -> None:
         """Adds a ticket behind those that are as urgent."""
-        bisect.insort_right(self.requests, ticket, key=_order)
+        bisect.insort_right(self.requests, request, key=_order)
 
-    def remove(self, ticket: QueuedRequest) -> None:
+    def remove(self, request: QueuedRequest) -> None:
         """Removes a ticket, if it still waits."""
         for index, waiting in enumerate(self.requests):
-            if waiting is ticket:
+            if waiting is request:
                 del self.requests[index]
                 return
 
     def count_ahead(
-        self, ticket: QueuedRequest, misses_objective: Callable[[QueuedRequest], bool]
+        self, request: QueuedRequest, misses_objective: Callable[[QueuedRequest], bool]
     ) -> int:
         """Returns how many waiting tickets come before a new one that can meet its objective."""
-        before = self.requests[: bisect.bisect_right(self.requests, _order(ticket), key=_order)]
+        before = self.requests[: bisect.bisect_right(self.requests, _order(request), key=_order)]
         return sum(
-            waiting.priority < ticket.priority or not misses_objective(waiting)
+            waiting.priority < request.priority or not misses_objective(waiting)
             for waiting in before
         )
 
@@ -47,7 +47,9 @@
 
         Under overload, first come first served lets every request wait until it is late.
         """
-        return sorted(self.requests, key=lambda ticket: (ticket.priority, misses_objective(ticket)))
+        return sorted(
+            self.requests, key=lambda request: (request.priority, misses_objective(request))
+        )
 
     def expected_wait_seconds(self, ahead: int, now: float) -> float:
         """Returns how long ``ahead`` tickets take at the rate of the last seconds."""
@@ -60,5 +62,5 @@
         return len(self.requests) >= MAX_WAITING
 
 
-def _order(ticket: QueuedRequest) -> tuple[int, float]:
-    return (ticket.priority, ticket.enqueued_at)
+def _order(request: QueuedRequest) -> tuple[int, float]:
+    return (request.priority, request.enqueued_at)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_busy_watch.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_busy_watch.py
@@ -20,10 +20,14 @@
 
     def update(self, overloaded: frozenset[ServerIncarnation], now: float) -> None:
         """Takes the servers that are above their part now."""
-        self.overloaded_since = {life: self.overloaded_since.get(life, now) for life in overloaded}
+        self.overloaded_since = {
+            incarnation: self.overloaded_since.get(incarnation, now) for incarnation in overloaded
+        }
 
     def sustained(self, now: float) -> frozenset[ServerIncarnation]:
         """Returns the servers that have been above their part for long."""
         return frozenset(
-            life for life, since in self.overloaded_since.items() if now >= since + PATIENCE_SECONDS
+            incarnation
+            for incarnation, since in self.overloaded_since.items()
+            if now >= since + PATIENCE_SECONDS
         )
--- a/packages/decisions/src/fireflylink_decisions/ownership/_draft.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_draft.py
@@ -16,12 +16,12 @@
         self.loads = loads
         self.changed = False
 
-    def load(self, life: ServerIncarnation) -> float:
+    def load(self, incarnation: ServerIncarnation) -> float:
         """Returns the rate of all keys of a server."""
         return sum(
             self.loads.total(assignment.keys)
             for assignment in self.assignments
-            if assignment.owner == life
+            if assignment.owner == incarnation
         )
 
     def move(self, index: int, keys: KeyRange, owner: ServerIncarnation) -> None:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_book.py
@@ -285,8 +285,8 @@
         for assignment in table.assignments:
             name = (assignment.keys, FORMER_DECIDER)
             self.hold_expiries.setdefault(assignment.owner, {})[name] = self.former_holds_expire_at
-            for life in assignment.previous_holders:
-                holds = self.hold_expiries.setdefault(life, {})
+            for incarnation in assignment.previous_holders:
+                holds = self.hold_expiries.setdefault(incarnation, {})
                 holds[name] = max(
                     holds.get(name, float("-inf")), self.former_previous_holds_expire_at
                 )
@@ -323,16 +323,18 @@
 
     def _drop_ended_holds(self, progress: _Progress, keys: KeyRange, now: float) -> None:
         progress.pending = [
-            life for life in progress.pending if now < self.hold_expires_at(life, keys)
+            incarnation
+            for incarnation in progress.pending
+            if now < self.hold_expires_at(incarnation, keys)
         ]
 
     def _releases(
         self, assignment: Assignment, progress: _Progress, now: float
     ) -> list[BaseCommand]:
         return [
-            ReleaseCommand(life, assignment.keys, assignment.fence)
-            for life in progress.pending
-            if self._is_due(progress, life, now)
+            ReleaseCommand(incarnation, assignment.keys, assignment.fence)
+            for incarnation in progress.pending
+            if self._is_due(progress, incarnation, now)
         ]
 
     def _grant(self, assignment: Assignment, progress: _Progress) -> GrantCommand:
@@ -354,8 +356,8 @@
             if self.progress[(assignment.keys, assignment.fence)].lapsed(now, self.hold_seconds)
         )
 
-    def _is_due(self, progress: _Progress, life: ServerIncarnation, now: float) -> bool:
-        return life not in progress.busy and now >= progress.due_at.get(life, 0.0)
+    def _is_due(self, progress: _Progress, incarnation: ServerIncarnation, now: float) -> bool:
+        return incarnation not in progress.busy and now >= progress.due_at.get(incarnation, 0.0)
 
     def _mark_busy(self, command: BaseCommand) -> None:
         keys, fence = _subject(command)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -109,11 +109,13 @@
         if settled is None:
             self.settled_at = now
         lapsed = self.grants.expired_ranges(now) if self.grants is not None else frozenset()
-        tidy = now >= self.next_rebalance_at
-        if tidy:
+        rebalance = now >= self.next_rebalance_at
+        if rebalance:
             self.next_rebalance_at = now + REBALANCE_SECONDS
         present = settled or self.table
-        changed = plan_table(present, candidates, rates, self.overload_detector, now, lapsed, tidy)
+        changed = plan_table(
+            present, candidates, rates, self.overload_detector, now, lapsed, rebalance
+        )
         if changed is not None:
             return changed
         if settled is None or now < self.settled_at + SETTLE_SECONDS:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -107,7 +107,7 @@
         self.draft = draft
         self.candidates = {candidate.incarnation: candidate for candidate in candidates}
         self.lasting: frozenset[ServerIncarnation] = frozenset()
-        self.rates = {life: draft.load(life) for life in self.candidates}
+        self.rates = {incarnation: draft.load(incarnation) for incarnation in self.candidates}
         self.weights = _weights(candidates, draft.loads.prefix_sums[-1])
         self.mean = draft.loads.prefix_sums[-1] / sum(self.weights.values())
 
@@ -127,16 +127,16 @@
     def fill_joined_servers(self) -> None:
         """Gives a server without keys a part of the keys of others."""
         owners = {assignment.owner for assignment in self.draft.assignments}
-        for life in sorted(self.candidates, key=str):
-            if life not in owners:
-                self._fill(life)
+        for incarnation in sorted(self.candidates, key=str):
+            if incarnation not in owners:
+                self._fill(incarnation)
 
     def relieve_busy_servers(self) -> None:
         """Moves load from the busiest servers to the least busy ones."""
         for _ in range(MAX_MOVES):
             if len(self.draft.assignments) >= len(self.candidates) * MAX_RANGES_PER_SERVER:
                 return
-            busy = [life for life in self.candidates if self._is_busy(life)]
+            busy = [incarnation for incarnation in self.candidates if self._is_busy(incarnation)]
             if not any(self._relieve(life) for life in sorted(busy, key=self._ratio, reverse=True)):
                 return
 
@@ -178,27 +178,34 @@
         before = self.draft.assignments[index - 1 : index] if index else []
         return [*before, *self.draft.assignments[index + 1 : index + 2]]
 
-    def _is_busy(self, life: ServerIncarnation) -> bool:
+    def _is_busy(self, incarnation: ServerIncarnation) -> bool:
         # A rate over about a second of few requests is uncertain; moves that follow its chance
         # variations would cost more than they gain.
-        rate = self.rates[life]
-        if rate < LEAST_RATE or not self._is_above(life):
+        rate = self.rates[incarnation]
+        if rate < LEAST_RATE or not self._is_above(incarnation):
             return False
         least = rate - NOISE_DEVIATIONS * math.sqrt(rate)
-        return life in self.lasting or least > IMBALANCE * self.mean * self.weights[life]
+        return (
+            incarnation in self.lasting or least > IMBALANCE * self.mean * self.weights[incarnation]
+        )
 
-    def _is_above(self, life: ServerIncarnation) -> bool:
-        return self.rates[life] > IMBALANCE * self.mean * self.weights[life]
+    def _is_above(self, incarnation: ServerIncarnation) -> bool:
+        return self.rates[incarnation] > IMBALANCE * self.mean * self.weights[incarnation]
 
-    def watch(self, watch: OverloadDetector, now: float, tidy: bool) -> None:
+    def watch(self, detector: OverloadDetector, now: float, rebalance: bool) -> None:
         """Notes which servers are above their part before anything is changed."""
-        watch.update(frozenset(life for life in self.candidates if self._is_above(life)), now)
-        if tidy:
-            self.lasting = watch.sustained(now)
+        detector.update(
+            frozenset(
+                incarnation for incarnation in self.candidates if self._is_above(incarnation)
+            ),
+            now,
+        )
+        if rebalance:
+            self.lasting = detector.sustained(now)
 
-    def _ratio(self, life: ServerIncarnation) -> float:
+    def _ratio(self, incarnation: ServerIncarnation) -> float:
         """Returns a server's load in proportion to what it should have."""
-        return self.rates[life] / self.weights[life]
+        return self.rates[incarnation] / self.weights[incarnation]
 
     def _pieces(self, keys: KeyRange) -> list[KeyRange]:
         """Cuts the keys of a lost server so that no piece exceeds what one server should take."""
@@ -219,40 +226,43 @@
         part = len(keys) / KEY_COUNT
         receiver = min(
             self.candidates,
-            key=lambda life: (
-                (self.rates[life] + rate) / self.weights[life],
-                self._owned_part(life) + part,
+            key=lambda incarnation: (
+                (self.rates[incarnation] + rate) / self.weights[incarnation],
+                self._owned_part(incarnation) + part,
             ),
         )
         self.draft.move(index, keys, receiver)
         self.rates[receiver] += rate
 
-    def _owned_part(self, life: ServerIncarnation) -> float:
+    def _owned_part(self, incarnation: ServerIncarnation) -> float:
         return sum(
             len(assignment.keys)
             for assignment in self.draft.assignments
-            if assignment.owner == life
-        ) / (KEY_COUNT * self.candidates[life].capacity)
+            if assignment.owner == incarnation
+        ) / (KEY_COUNT * self.candidates[incarnation].capacity)
 
-    def _fill(self, life: ServerIncarnation) -> None:
+    def _fill(self, incarnation: ServerIncarnation) -> None:
         giver = max(self.candidates, key=lambda other: (self._ratio(other), str(other)))
         ranges = self._ranges_of(giver)
         if not ranges:
             return
         index = max(ranges, key=lambda found: self._rank_of_range(found))
         keys = self.draft.assignments[index].keys
-        wanted = self.mean * self.weights[life] * NEW_SERVER_PART
+        wanted = self.mean * self.weights[incarnation] * NEW_SERVER_PART
         wanted = min(wanted, self.rates[giver] * 0.5)
         cut = _cut_last(self.draft.loads, keys, wanted) or _half(keys)
         if cut is None:
             return
-        self._shift(index, cut, giver, life)
+        self._shift(index, cut, giver, incarnation)
 
     def _relieve(self, giver: ServerIncarnation) -> bool:
         """Moves one piece from a busy server; returns whether that helped."""
         aim = self.mean * AIM
         excess = self.rates[giver] - aim * self.weights[giver]
-        rooms = {life: aim * self.weights[life] - self.rates[life] for life in self.candidates}
+        rooms = {
+            incarnation: aim * self.weights[incarnation] - self.rates[incarnation]
+            for incarnation in self.candidates
+        }
         receiver = max(rooms, key=lambda life: rooms[life])
         wanted = min(excess, rooms[receiver])
         ranges = self._ranges_of(giver)
@@ -289,12 +299,12 @@
         self.rates[giver] -= rate
         self.rates[receiver] += rate
 
-    def _ranges_of(self, life: ServerIncarnation) -> list[int]:
+    def _ranges_of(self, incarnation: ServerIncarnation) -> list[int]:
         """Returns the positions of a server's ranges that nothing is pending for."""
         return [
             index
             for index, assignment in enumerate(self.draft.assignments)
-            if assignment.owner == life and not assignment.previous_holders
+            if assignment.owner == incarnation and not assignment.previous_holders
         ]
 
     def _keys(self, index: int) -> KeyRange:
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -108,6 +108,6 @@
     return min(choices, key=lambda tracker: cost_seconds(tracker, limits, now))
 
 
-def _has_room(tracker: ServerTracker, terms: ServiceLimits, now: float, depth: float) -> bool:
-    open_at = available_at(tracker, terms, now, depth)
+def _has_room(tracker: ServerTracker, limits: ServiceLimits, now: float, depth: float) -> bool:
+    open_at = available_at(tracker, limits, now, depth)
     return open_at is not None and open_at <= now
--- a/packages/decisions/tests/conftest.py
+++ b/packages/decisions/tests/conftest.py
@@ -22,7 +22,7 @@
 
 
 @pytest.fixture
-def terms() -> ServiceLimits:
+def limits() -> ServiceLimits:
     return ServiceLimits(
         ColdLimit(7.3, 1.5, 5.0),
         110,
--- a/packages/decisions/tests/test_dispatcher.py
+++ b/packages/decisions/tests/test_dispatcher.py
@@ -22,8 +22,8 @@
 from fireflylink_decisions.servers import ServerTracker, ServiceLimits, choose_server
 
 
-def make_pool(names: list[str], keyed: bool, terms: ServiceLimits) -> ServicePool:
-    pool = ServicePool(keyed, terms)
+def make_pool(names: list[str], keyed: bool, limits: ServiceLimits) -> ServicePool:
+    pool = ServicePool(keyed, limits)
     for name in names:
         server = BackendServer(name, "holds", "127.0.0.1", 1, "kingston", 4, started_ms=1)
         pool.trackers[server.incarnation] = ServerTracker(server)
@@ -31,16 +31,16 @@
 
 
 @pytest.fixture
-def pooled(terms) -> Dispatcher:
+def pooled(limits) -> Dispatcher:
     dispatcher = Dispatcher()
-    dispatcher.pools["holds"] = make_pool(["s1", "s2"], False, terms)
+    dispatcher.pools["holds"] = make_pool(["s1", "s2"], False, limits)
     return dispatcher
 
 
 @pytest.fixture
-def keyed(terms) -> Dispatcher:
+def keyed(limits) -> Dispatcher:
     dispatcher = Dispatcher()
-    pool = make_pool(["s1", "s2"], True, terms)
+    pool = make_pool(["s1", "s2"], True, limits)
     pool.set_table(owners(1), 0.0)
     dispatcher.pools["holds"] = pool
     return dispatcher
@@ -71,8 +71,8 @@
 def test_a_keyed_request_goes_to_the_owner_of_its_key_alone(keyed, clock):
     """Guards against a request that runs on a server which does not hold its key."""
     for key, owner in ((5, "s1"), (999, "s1"), (1000, "s2"), (65535, "s2")):
-        placement = keyed.submit(ticket(clock.now(), key), clock.now())
-        assert_that(placement.tracker.server.server_id, Equals(owner))
+        result = keyed.submit(ticket(clock.now(), key), clock.now())
+        assert_that(result.tracker.server.server_id, Equals(owner))
 
 
 def test_a_moved_key_waits_for_the_notice_of_its_grant(keyed, clock):
@@ -84,9 +84,9 @@
     assert_that(keyed.submit(waiting, clock.now()), Is(None))
     assert_that(keyed.sweep(clock.now()), Equals([]))
     pool.confirmed_grants.add((KeyRange(0, 999), 2))
-    [(placed, placement)] = keyed.sweep(clock.now())
+    [(placed, result)] = keyed.sweep(clock.now())
     assert_that(placed, Is(waiting))
-    assert_that(placement, IsInstance(Dispatched))
+    assert_that(result, IsInstance(Dispatched))
 
 
 def test_a_moved_key_is_tried_when_no_notice_comes(keyed, clock):
@@ -94,8 +94,8 @@
     keyed.pools["holds"].set_table(owners(2, (ServerIncarnation("s2", 1),)), clock.now())
     keyed.submit(ticket(clock.now(), 5), clock.now())
     clock.advance(0.7)
-    [(_, placement)] = keyed.sweep(clock.now())
-    assert_that(placement, IsInstance(Dispatched))
+    [(_, result)] = keyed.sweep(clock.now())
+    assert_that(result, IsInstance(Dispatched))
 
 
 def test_a_key_without_an_owner_is_refused_soon(keyed, clock):
@@ -103,9 +103,9 @@
     del keyed.pools["holds"].trackers[ServerIncarnation("s1", 1)]
     keyed.submit(ticket(clock.now(), 5), clock.now())
     clock.advance(0.3)
-    [(_, placement)] = keyed.sweep(clock.now())
-    assert_that(placement, IsInstance(Refused))
-    assert_that(placement.reason, Equals("no-owner"))
+    [(_, result)] = keyed.sweep(clock.now())
+    assert_that(result, IsInstance(Refused))
+    assert_that(result.reason, Equals("no-owner"))
 
 
 def test_an_owner_that_declined_a_key_is_left_alone_for_a_while(keyed, clock):
@@ -114,8 +114,8 @@
     keyed.record_misdirected("holds", send, clock.now())
     assert_that(keyed.submit(ticket(clock.now(), 5), clock.now()), Is(None))
     clock.advance(0.4)
-    [(_, placement)] = keyed.sweep(clock.now())
-    assert_that(placement, IsInstance(Dispatched))
+    [(_, result)] = keyed.sweep(clock.now())
+    assert_that(result, IsInstance(Dispatched))
 
 
 def test_the_more_urgent_request_gets_the_next_room(pooled, clock):
@@ -135,9 +135,9 @@
     fill(pooled, clock.now())
     for _ in range(30):
         pooled.submit(ticket(clock.now(), rank=0), clock.now())
-    placement = pooled.submit(ticket(clock.now(), rank=1, seconds=0.1), clock.now())
-    assert_that(placement, IsInstance(Refused))
-    assert_that(placement.retry_after, GreaterThan(0.0))
+    result = pooled.submit(ticket(clock.now(), rank=1, seconds=0.1), clock.now())
+    assert_that(result, IsInstance(Refused))
+    assert_that(result.retry_after, GreaterThan(0.0))
 
 
 def test_a_waiting_request_is_refused_before_its_time_is_over(pooled, clock):
@@ -148,7 +148,7 @@
     clock.advance(0.55)
     for tracker in pooled.pools["holds"].trackers.values():
         tracker.record_load(ServerLoad(4, 16, 4), clock.now())
-    refused = [placement for _, placement in pooled.sweep(clock.now())]
+    refused = [result for _, result in pooled.sweep(clock.now())]
     assert_that(refused[0], IsInstance(Refused))
 
 
@@ -162,9 +162,9 @@
     assert_that(pooled.sweep(clock.now()), Equals([]))
 
 
-def test_a_slow_server_gets_less_than_a_fast_one(terms, clock):
+def test_a_slow_server_gets_less_than_a_fast_one(limits, clock):
     """Replays a third of the servers 12 times slower. Baseline: each server in turn."""
-    pool = make_pool(["fast1", "fast2", "slow"], False, terms)
+    pool = make_pool(["fast1", "fast2", "slow"], False, limits)
     counts = {"fast1": 0, "fast2": 0, "slow": 0}
     seconds = {"fast1": 0.1, "fast2": 0.1, "slow": 1.2}
     running: list[tuple[float, float, Dispatched]] = []
@@ -190,44 +190,44 @@
     assert_that(mean, LessThan(0.2))
 
 
-def test_a_server_that_sheds_without_need_is_passed_over(terms, clock):
+def test_a_server_that_sheds_without_need_is_passed_over(limits, clock):
     """Replays a server that fails half of its requests while it is healthy."""
-    pool = make_pool(["good", "grey"], False, terms)
+    pool = make_pool(["good", "grey"], False, limits)
     good, grey = pool.trackers.values()
     for _ in range(10):
         good.record_answer(0.12, 1.0, clock.now())
         grey.record_failure(clock.now())
-    chosen = choose_server([good, grey], terms, clock.now(), frozenset())
+    chosen = choose_server([good, grey], limits, clock.now(), frozenset())
     assert_that(chosen, Is(good))
     clock.advance(30.0)
     assert_that(grey.decayed_failure_rate(clock.now()), LessThan(0.01))
 
 
-def test_a_retry_goes_to_another_server(terms, clock):
+def test_a_retry_goes_to_another_server(limits, clock):
     """Guards against a second attempt at the server that has just declined."""
-    pool = make_pool(["s1", "s2"], False, terms)
+    pool = make_pool(["s1", "s2"], False, limits)
     for name in ("s1", "s2"):
-        chosen = choose_server(list(pool.trackers.values()), terms, clock.now(), frozenset({name}))
+        chosen = choose_server(list(pool.trackers.values()), limits, clock.now(), frozenset({name}))
         assert_that(chosen.server.server_id, Equals("s2" if name == "s1" else "s1"))
 
 
-def test_work_stays_in_the_callers_data_centre_while_there_is_room(terms, clock):
+def test_work_stays_in_the_callers_data_centre_while_there_is_room(limits, clock):
     """Guards against bytes between data centres that are paid for."""
     near = ServerTracker(BackendServer("near", "holds", "h", 1, "kingston", 4, started_ms=1))
     far = ServerTracker(BackendServer("far", "holds", "h", 2, "mandeville", 4, started_ms=1))
-    assert_that(choose_server([far, near], terms, clock.now(), frozenset()), Is(near))
+    assert_that(choose_server([far, near], limits, clock.now(), frozenset()), Is(near))
     for _ in range(9):
         near.record_sent(clock.now())
-    assert_that(choose_server([far, near], terms, clock.now(), frozenset()), Is(far))
+    assert_that(choose_server([far, near], limits, clock.now(), frozenset()), Is(far))
 
 
-def test_connections_to_a_server_stay_within_this_daemons_share(terms, clock):
+def test_connections_to_a_server_stay_within_this_daemons_share(limits, clock):
     """Guards against resets: a server takes 110 connections from all daemons together."""
-    pool = make_pool(["s1"], False, terms)
+    pool = make_pool(["s1"], False, limits)
     [tracker] = pool.trackers.values()
     tracker.server = tracker.server.replace(slots=1000)
     sent = 0
-    while choose_server([tracker], terms, clock.now(), frozenset()) is not None:
+    while choose_server([tracker], limits, clock.now(), frozenset()) is not None:
         tracker.record_sent(clock.now())
         sent += 1
     assert_that(sent, LessThan(110 // 9 + 1))
--- a/packages/decisions/tests/test_keyed_service.py
+++ b/packages/decisions/tests/test_keyed_service.py
@@ -22,7 +22,10 @@
     return OwnershipTable(
         "holds",
         fence,
-        tuple(Assignment(KeyRange(first, last), life, fence) for first, last, life in pieces),
+        tuple(
+            Assignment(KeyRange(first, last), incarnation, fence)
+            for first, last, incarnation in pieces
+        ),
     )
 
 
@@ -72,26 +75,26 @@
 
 def test_a_slow_server_counts_for_less_and_a_cold_one_for_least():
     """Guards against slow servers that keep as many keys as fast ones."""
-    times = ServiceTimeEstimates()
+    estimates = ServiceTimeEstimates()
     for _ in range(40):
-        times.add("fast", 1, 0.1)
-        times.add("slow", 1, 0.3)
-    fast = times.capacity("fast", 4, False)
-    slow = times.capacity("slow", 4, False)
+        estimates.add("fast", 1, 0.1)
+        estimates.add("slow", 1, 0.3)
+    fast = estimates.capacity("fast", 4, False)
+    slow = estimates.capacity("slow", 4, False)
     assert_that(slow, LessThan(fast * 0.5))
-    assert_that(times.capacity("fast", 4, True), LessThan(fast * 0.5))
+    assert_that(estimates.capacity("fast", 4, True), LessThan(fast * 0.5))
 
 
 def test_the_bounds_keep_one_estimate_from_moving_all_keys():
     """Guards against a few strange times that take every key from a server."""
-    times = ServiceTimeEstimates()
+    estimates = ServiceTimeEstimates()
     for _ in range(40):
-        times.add("usual", 1, 0.1)
-    times.add("strange", 40, 400.0)
-    times.add("usual", 40, 4.0)
-    usual = 4 / times.mean_seconds()
-    assert_that(times.capacity("strange", 4, False), GreaterThan(usual * 0.39))
-    assert_that(times.capacity("usual", 4, False), LessThan(usual * 2.01))
+        estimates.add("usual", 1, 0.1)
+    estimates.add("strange", 40, 400.0)
+    estimates.add("usual", 40, 4.0)
+    usual = 4 / estimates.mean_seconds()
+    assert_that(estimates.capacity("strange", 4, False), GreaterThan(usual * 0.39))
+    assert_that(estimates.capacity("usual", 4, False), LessThan(usual * 2.01))
 
 
 def settle_range(service: KeyedService, number: int, now: float) -> None:
--- a/packages/decisions/tests/test_limits.py
+++ b/packages/decisions/tests/test_limits.py
@@ -61,14 +61,14 @@
     limit = ColdLimit(3.7, 1.5, 5.0)
     gates = [ColdServerLimiter() for _ in range(members)]
     positions = fleet(members)
-    for gate in gates:
-        gate.mark_cold(clock.now() + 6.0)
+    for limiter in gates:
+        limiter.mark_cold(clock.now() + 6.0)
     arrivals = []
     for _ in range(500):
-        for rank, (gate, position) in enumerate(zip(gates, positions, strict=True)):
+        for rank, (limiter, position) in enumerate(zip(gates, positions, strict=True)):
             now = clock.now() + 0.001 * rank
-            if gate.available_at(now, limit, position, "i-1", False) <= now:
-                gate.record_sent(now)
+            if limiter.available_at(now, limit, position, "i-1", False) <= now:
+                limiter.record_sent(now)
                 arrivals.append(now)
         clock.advance(1.0 / demand_per_daemon)
     return sorted(arrivals)
@@ -78,43 +78,45 @@
 def test_a_cold_server_is_within_its_bound_in_every_sliding_second(members, clock):
     """Guards against FAILBACK: 3.7 x 1.5 + 5 requests in a second, over all daemons."""
     arrivals = cold_arrivals(members, 100.0, clock)
-    window = SlidingWindowCounter(1.0)
+    counter = SlidingWindowCounter(1.0)
     most = 0
     for arrival in arrivals:
-        window.add(arrival)
-        most = max(most, window.count(arrival))
+        counter.add(arrival)
+        most = max(most, counter.count(arrival))
     assert_that(most, LessThan(10.56))
     assert_that(len(arrivals), GreaterThan(10))
 
 
 def test_the_gate_counts_requests_from_before_the_server_turned_cold(clock):
     """Guards against a second in which the requests before the news are forgotten."""
-    gate = ColdServerLimiter()
+    limiter = ColdServerLimiter()
     limit = ColdLimit(7.3, 1.5, 5.0)
     position = fleet(9)[0]
     for _ in range(5):
-        gate.record_sent(clock.now())
-    gate.mark_cold(clock.now() + 3.0)
+        limiter.record_sent(clock.now())
+    limiter.mark_cold(clock.now() + 3.0)
     assert_that(
-        gate.available_at(clock.now(), limit, position, "i-1", False), GreaterThan(clock.now())
+        limiter.available_at(clock.now(), limit, position, "i-1", False), GreaterThan(clock.now())
     )
 
 
 def test_a_daemon_that_cannot_know_keeps_to_its_share_of_a_cold_server(clock):
     """Guards against FAILBACK: a data centre was taken back cold while the store was away."""
-    gate = ColdServerLimiter()
+    limiter = ColdServerLimiter()
     limit = ColdLimit(3.7, 1.5, 5.0)
     position = fleet(12)[0]
-    gate.record_sent(clock.now())
-    assert_that(gate.available_at(clock.now(), limit, position, "i-1", False), Equals(clock.now()))
-    opens = gate.available_at(clock.now(), limit, position, "i-1", True)
+    limiter.record_sent(clock.now())
+    assert_that(
+        limiter.available_at(clock.now(), limit, position, "i-1", False), Equals(clock.now())
+    )
+    opens = limiter.available_at(clock.now(), limit, position, "i-1", True)
     assert_that(opens, GreaterThan(clock.now() + 1.0))
 
 
 def test_repeats_stay_within_the_budget_of_the_fleet(clock):
     """Guards against BUDGET: 0.2 of the requests and 58 more in any 10 s, over all daemons."""
-    rule = RetryBudgetLimits(0.2, 58.0, 10.0)
-    budgets = [RetryBudget(rule) for _ in range(9)]
+    limits = RetryBudgetLimits(0.2, 58.0, 10.0)
+    budgets = [RetryBudget(limits) for _ in range(9)]
     positions = fleet(9)
     repeats = requests = 0
     for step in range(900):
--- a/packages/decisions/tests/test_planner.py
+++ b/packages/decisions/tests/test_planner.py
@@ -54,7 +54,10 @@
     table = initial_table("availability", candidates, 1)
     check_covers_all_keys(table)
     slow, fast = candidates[0].incarnation, candidates[3].incarnation
-    widths = {life: sum(len(a.keys) for a in table.owned_by(life)) for life in (slow, fast)}
+    widths = {
+        incarnation: sum(len(a.keys) for a in table.owned_by(incarnation))
+        for incarnation in (slow, fast)
+    }
     assert_that(widths[fast], GreaterThan(2 * widths[slow]))
 
 
@@ -170,14 +173,14 @@
     baseline = day.utilization(table, candidates)
     load = KeyLoad("availability", 0.0)
     now = 0.0
-    watch = OverloadDetector()
+    detector = OverloadDetector()
     for _ in range(12):
         for key in day.arrivals():
             load.add(key, 1.0)
         now += STEP_SECONDS
         load.decay(now)
         table = settle(
-            plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), watch, now) or table
+            plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), detector, now) or table
         )
         check_covers_all_keys(table)
     reached = day.utilization(table, candidates)
@@ -193,14 +196,14 @@
     table = initial_table("verses", candidates, 1)
     load = KeyLoad("verses", 0.0)
     now = 0.0
-    watch = OverloadDetector()
+    detector = OverloadDetector()
     moved = 0
     for _ in range(120):
         for key in day.arrivals():
             load.add(key, 1.0)
         now += STEP_SECONDS
         load.decay(now)
-        changed = plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), watch, now)
+        changed = plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), detector, now)
         if changed is not None:
             moved += sum(len(a.keys) for a in changed.assignments if a.previous_holders)
             table = settle(changed)
@@ -213,7 +216,7 @@
     table = initial_table("availability", candidates, 1)
     load = KeyLoad("availability", 0.0)
     now = 0.0
-    watch = OverloadDetector()
+    detector = OverloadDetector()
     most = 0
     for step in range(160):
         hot = HotDay(step, 200.0, 0.45 if step < 80 else 0.0, (step // 16) * 6000, 60)
@@ -222,7 +225,7 @@
         now += STEP_SECONDS
         load.decay(now)
         table = settle(
-            plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), watch, now) or table
+            plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), detector, now) or table
         )
         most = max(most, len(table.assignments))
     assert_that(most, LessThan(16 * 5 + 1))
@@ -264,8 +267,8 @@
 
 def test_range_sums_agree_with_a_sum_over_all_keys():
     """Differential: prefix sums against the naive sum."""
-    source = random.Random(5)
-    rates = sorted((key, source.random()) for key in source.sample(range(KEY_COUNT), 500))
+    rng = random.Random(5)
+    rates = sorted((key, rng.random()) for key in rng.sample(range(KEY_COUNT), 500))
     load = RangeLoad(rates)
     table = initial_table("availability", fleet(9), 1)
     for assignment in table.assignments:
@@ -280,9 +283,11 @@
 
 def test_a_slow_server_is_told_from_a_fast_one_after_a_few_answers():
     """Guards against slow servers that own as many busy keys as fast ones."""
-    times = ServiceTimeEstimates()
+    estimates = ServiceTimeEstimates()
     for _ in range(10):
-        times.add("slow", 1, 0.32)
-        times.add("fast", 1, 0.10)
-    assert_that(times.expected_seconds("slow"), GreaterThan(2 * times.expected_seconds("fast")))
-    assert_that(times.expected_seconds("unknown"), Equals(times.mean_seconds()))
+        estimates.add("slow", 1, 0.32)
+        estimates.add("fast", 1, 0.10)
+    assert_that(
+        estimates.expected_seconds("slow"), GreaterThan(2 * estimates.expected_seconds("fast"))
+    )
+    assert_that(estimates.expected_seconds("unknown"), Equals(estimates.mean_seconds()))
--- a/packages/decisions/tests/test_routing.py
+++ b/packages/decisions/tests/test_routing.py
@@ -29,15 +29,14 @@
 
 def test_routes_agree_with_a_search_of_all_prefixes():
     """Differential: the index of prefixes against the naive search, with 350 routes."""
-    source = random.Random(2)
+    rng = random.Random(2)
     parts = ["a", "b", "cc", "d1"]
     prefixes = {
-        "/" + "".join(f"{source.choice(parts)}/" for _ in range(source.randrange(4)))
-        for _ in range(350)
+        "/" + "".join(f"{rng.choice(parts)}/" for _ in range(rng.randrange(4))) for _ in range(350)
     }
     table = make_table(*(make_route(prefix, prefix) for prefix in prefixes))
     for _ in range(500):
-        path = "/" + "/".join(source.choice(parts) for _ in range(source.randrange(1, 6)))
+        path = "/" + "/".join(rng.choice(parts) for _ in range(rng.randrange(1, 6)))
         naive = max((p for p in prefixes if path.startswith(p)), key=len, default=None)
         found = table.find("a.example", path)
         assert_that(found.name if found else None, Equals(naive))
@@ -46,8 +45,8 @@
 def test_each_part_of_a_split_gets_its_share_of_any_few_requests():
     """Guards against shares that are off by a tenth in a short time."""
     route = make_route("r", "/", RouteTarget("x", 70.0), RouteTarget("y", 30.0))
-    chooser = TrafficSplitter()
-    chosen = [chooser.choose(route) for _ in range(200)]
+    splitter = TrafficSplitter()
+    chosen = [splitter.choose(route) for _ in range(200)]
     for start in range(0, 180, 10):
         part = chosen[start : start + 20].count("x") / 20
         assert_that(abs(part - 0.7), LessThan(0.06))
@@ -55,9 +54,9 @@
 
 def test_new_weights_hold_from_the_next_request_on():
     """Guards against a split that goes on in the old proportions."""
-    chooser = TrafficSplitter()
+    splitter = TrafficSplitter()
     for _ in range(7):
-        chooser.choose(make_route("r", "/", RouteTarget("x", 90.0), RouteTarget("y", 10.0)))
+        splitter.choose(make_route("r", "/", RouteTarget("x", 90.0), RouteTarget("y", 10.0)))
     changed = make_route("r", "/", RouteTarget("y", 90.0), RouteTarget("z", 10.0))
-    chosen = [chooser.choose(changed) for _ in range(20)]
+    chosen = [splitter.choose(changed) for _ in range(20)]
     assert_that(chosen.count("y"), Equals(18))
--- a/packages/emulator/src/fireflylink_emulator/_base_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_base_daemon.py
@@ -58,7 +58,7 @@
         call = Call(
             attempt, latest, lambda outcome: self.scheduler.schedule_after(latency, arrive(outcome))
         )
-        life = server.incarnation
+        incarnation = server.incarnation
         finished = [False]
 
         def finish(outcome: CallOutcome) -> None:
@@ -77,7 +77,7 @@
                 finish(CallOutcome(CallEnd.LATE))
 
         self.calls[attempt] = (server, call)
-        self.scheduler.schedule_after(latency, lambda: server.receive(call, life))
+        self.scheduler.schedule_after(latency, lambda: server.receive(call, incarnation))
         self.scheduler.schedule_at(latest, give_up)
 
     def _latency(self, server: EmulatedServer) -> float:
--- a/packages/emulator/src/fireflylink_emulator/_callers.py
+++ b/packages/emulator/src/fireflylink_emulator/_callers.py
@@ -54,14 +54,14 @@
         """Sends the first attempt of a request."""
         impatient = self.rng.random() < self.impatient_fraction
         repeats = IMPATIENT_REPEATS if impatient else profile.max_caller_retries
-        order = self._order(profile, key, self.scheduler.clock.now(), repeats, impatient)
-        self.statistics_of(profile).record_request(order)
-        self._send(order)
+        attempt = self._order(profile, key, self.scheduler.clock.now(), repeats, impatient)
+        self.statistics_of(profile).record_request(attempt)
+        self._send(attempt)
 
     def check_guarantees(self) -> None:
         """Checks the promises about refused orders after the last event."""
-        for tally in self.statistics.values():
-            tally.check_refused_attempts()
+        for statistics in self.statistics.values():
+            statistics.check_refused_attempts()
 
     def _order(
         self, profile: ServiceProfile, key: int, asked_at: float, repeats: int, impatient: bool
@@ -69,7 +69,7 @@
         received_at = self.scheduler.clock.now() + NETWORK_SECONDS
         return CallerAttempt(profile, key, asked_at, received_at, repeats, impatient)
 
-    def _send(self, order: CallerAttempt) -> None:
+    def _send(self, attempt: CallerAttempt) -> None:
         running = [daemon for daemon in self.daemons if daemon.running]
         daemon = self.rng.choice(running or self.daemons)
         ended = [False]
@@ -81,47 +81,57 @@
             if ended[0]:
                 return
             ended[0] = True
-            self._ended(order, found)
+            self._ended(attempt, found)
 
         def leave() -> None:
             if not ended[0]:
                 ended[0] = True
-                daemon.cancel(order)
-                self._ended(order, CallerDisconnected())
+                daemon.cancel(attempt)
+                self._ended(attempt, CallerDisconnected())
 
         if daemon.running:
-            self.scheduler.schedule_after(NETWORK_SECONDS, lambda: daemon.receive(order, reply))
-        self.scheduler.schedule_at(self._leaves_at(order), leave)
+            self.scheduler.schedule_after(NETWORK_SECONDS, lambda: daemon.receive(attempt, reply))
+        self.scheduler.schedule_at(self._leaves_at(attempt), leave)
 
-    def _leaves_at(self, order: CallerAttempt) -> float:
+    def _leaves_at(self, attempt: CallerAttempt) -> float:
         if self.rng.random() >= self.early_disconnect_fraction:
-            return order.latest
+            return attempt.latest
         now = self.scheduler.clock.now()
-        return now + (order.latest - now) * self.rng.random()
+        return now + (attempt.latest - now) * self.rng.random()
 
-    def _ended(self, order: CallerAttempt, reply: BaseReply) -> None:
+    def _ended(self, attempt: CallerAttempt, reply: BaseReply) -> None:
         now = self.scheduler.clock.now()
-        tally = self.statistics_of(order.profile)
-        tally.record_attempt(order, reply)
+        statistics = self.statistics_of(attempt.profile)
+        statistics.record_attempt(attempt, reply)
         # Work that goes on after the caller has its answer would be a second run.
-        self.scheduler.schedule_at(order.latest + 1.0, lambda: tally.record_executions(order))
-        wait = self._wait(order, reply, order.latest - now)
+        self.scheduler.schedule_at(
+            attempt.latest + 1.0, lambda: statistics.record_executions(attempt)
+        )
+        wait = self._wait(attempt, reply, attempt.latest - now)
         if wait is None:
-            tally.record_outcome(order, reply, now)
+            statistics.record_outcome(attempt, reply, now)
             return
-        self.scheduler.schedule_after(wait, lambda: self._again(order))
+        self.scheduler.schedule_after(wait, lambda: self._again(attempt))
 
-    def _again(self, order: CallerAttempt) -> None:
+    def _again(self, attempt: CallerAttempt) -> None:
         again = self._order(
-            order.profile, order.key, order.asked_at, order.attempts_left - 1, order.impatient
+            attempt.profile,
+            attempt.key,
+            attempt.asked_at,
+            attempt.attempts_left - 1,
+            attempt.impatient,
         )
         self._send(again)
 
-    def _wait(self, order: CallerAttempt, reply: BaseReply, left: float) -> float | None:
+    def _wait(self, attempt: CallerAttempt, reply: BaseReply, left: float) -> float | None:
         """Returns after how long the caller asks again, None if it does not."""
-        if order.attempts_left <= 0 or left < LEAST_LEFT_SECONDS or not _asks_again(order, reply):
+        if (
+            attempt.attempts_left <= 0
+            or left < LEAST_LEFT_SECONDS
+            or not _asks_again(attempt, reply)
+        ):
             return None
-        if order.impatient:
+        if attempt.impatient:
             return IMPATIENT_SECONDS
         stated = reply.retry_after if isinstance(reply, NotRun) else None
         if stated is None:
@@ -129,10 +139,10 @@
         return min(stated, left * HONOURED_PART)
 
 
-def _asks_again(order: CallerAttempt, reply: BaseReply) -> bool:
+def _asks_again(attempt: CallerAttempt, reply: BaseReply) -> bool:
     if isinstance(reply, NotRun):
         return True
-    if not order.profile.idempotent:
+    if not attempt.profile.idempotent:
         return False
     if isinstance(reply, ServerAnswer):
         return reply.status >= SERVER_ERROR
--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -137,51 +137,53 @@
         for daemon in self.daemons:
             daemon.update_table(table)
 
-    def _send(self, book: GrantTracker, command: BaseCommand) -> None:
+    def _send(self, grants: GrantTracker, command: BaseCommand) -> None:
         server = self._server_of(command.server)
         if server is None:
-            book.record_incarnation_ended(command.server)
-            book.record_failed(command, self.scheduler.clock.now())
+            grants.record_incarnation_ended(command.server)
+            grants.record_failed(command, self.scheduler.clock.now())
             return
         if isinstance(command, GrantCommand):
-            book.record_sent(command, self.scheduler.clock.now())
+            grants.record_sent(command, self.scheduler.clock.now())
             self.scheduler.schedule_after(
-                COMMAND_TRAVEL_SECONDS, lambda: self._grant(book, server, command)
+                COMMAND_TRAVEL_SECONDS, lambda: self._grant(grants, server, command)
             )
         elif isinstance(command, ReleaseCommand):
             self.scheduler.schedule_after(
-                COMMAND_TRAVEL_SECONDS, lambda: self._release(book, server, command)
+                COMMAND_TRAVEL_SECONDS, lambda: self._release(grants, server, command)
             )
 
-    def _server_of(self, life: ServerIncarnation) -> EmulatedServer | None:
-        return next((server for server in self.servers if server.incarnation == life), None)
+    def _server_of(self, incarnation: ServerIncarnation) -> EmulatedServer | None:
+        return next((server for server in self.servers if server.incarnation == incarnation), None)
 
-    def _grant(self, book: GrantTracker, server: EmulatedServer, command: GrantCommand) -> None:
-        if self._unreachable(book, server, command):
+    def _grant(self, grants: GrantTracker, server: EmulatedServer, command: GrantCommand) -> None:
+        if self._unreachable(grants, server, command):
             return
         now = self.scheduler.clock.now()
         if server.incarnation != command.server or not server.grant(
             command.keys, command.fence, HOLD_SECONDS
         ):
-            book.record_failed(command, now)
+            grants.record_failed(command, now)
             return
         self.service.record_answer(command.server)
-        book.record_granted(command, now)
+        grants.record_granted(command, now)
         if not command.renewal:
             self._notify(command.keys, command.fence)
 
-    def _release(self, book: GrantTracker, server: EmulatedServer, command: ReleaseCommand) -> None:
-        if self._unreachable(book, server, command):
+    def _release(
+        self, grants: GrantTracker, server: EmulatedServer, command: ReleaseCommand
+    ) -> None:
+        if self._unreachable(grants, server, command):
             return
         server.release(command.keys, command.fence)
         if server.has_work_on(command.keys):
-            again = functools.partial(self._release, book, server, command)
+            again = functools.partial(self._release, grants, server, command)
             self.scheduler.schedule_after(RELEASE_POLL_SECONDS, again)
             return
-        book.record_released(command, "", self.scheduler.clock.now())
+        grants.record_released(command, "", self.scheduler.clock.now())
 
     def _unreachable(
-        self, book: GrantTracker, server: EmulatedServer, command: BaseCommand
+        self, grants: GrantTracker, server: EmulatedServer, command: BaseCommand
     ) -> bool:
         """Handles a server that does not answer, at once or after the time-out."""
         if not server.down and not server.unresponsive:
@@ -193,9 +195,9 @@
                 command, GrantCommand
             ):
                 # The connection was closed after the first time-out, and no new one opens.
-                book.record_not_sent(command)
+                grants.record_not_sent(command)
             self.service.record_no_answer(command.server)
-            book.record_failed(command, self.scheduler.clock.now())
+            grants.record_failed(command, self.scheduler.clock.now())
 
         self.scheduler.schedule_after(wait, fail)
         return True
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -215,9 +215,9 @@
     def _start(self, call: Call) -> None:
         call.order.runs += 1
         self.running.append(call)
-        fullness = len(self.running) / self.profile.slots
+        queueing_factor = len(self.running) / self.profile.slots
         seconds = call.order.profile.work_seconds * self.speed * self.slowdown_factor
-        seconds *= 1.0 + FULL_SLOWDOWN * fullness
+        seconds *= 1.0 + FULL_SLOWDOWN * queueing_factor
         seconds *= COLD_PACE if self.is_cold else 1.0
         seconds *= LEAST_PART + (1.0 - LEAST_PART) * self.rng.expovariate(1.0)
         self.scheduler.schedule_after(seconds, lambda: self._finish(call))
--- a/packages/emulator/src/fireflylink_emulator/_fault_run.py
+++ b/packages/emulator/src/fireflylink_emulator/_fault_run.py
@@ -118,18 +118,18 @@
     emulation = Emulation(FAULT_PROFILES, FLEET, seed)
     emulation.callers.early_disconnect_fraction = LEAVERS
     emulation.callers.impatient_fraction = IMPATIENT
-    source = random.Random(seed + 2)
+    rng = random.Random(seed + 2)
     faults = _Faults(emulation, random.Random(seed + 3))
     faults.start()
     asked = 0
 
     def ask() -> None:
         nonlocal asked
-        profile = LOOKUPS if source.random() < LOOKUP_PART else APPROVALS
-        emulation.callers.send_request(profile, source.randrange(KEY_COUNT))
+        profile = LOOKUPS if rng.random() < LOOKUP_PART else APPROVALS
+        emulation.callers.send_request(profile, rng.randrange(KEY_COUNT))
         asked += 1
         if asked < requests:
-            emulation.scheduler.schedule_after(source.expovariate(RATE), ask)
+            emulation.scheduler.schedule_after(rng.expovariate(RATE), ask)
 
     ask()
     while asked < requests:
--- a/packages/emulator/src/fireflylink_emulator/_naive_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_naive_daemon.py
@@ -56,17 +56,17 @@
             found[0].on_disconnect(found[1])
             found[1].done(CallOutcome(CallEnd.LATE))
 
-    def _choose(self, order: CallerAttempt) -> EmulatedServer | None:
-        servers = self.servers.get(order.profile.name, [])
+    def _choose(self, attempt: CallerAttempt) -> EmulatedServer | None:
+        servers = self.servers.get(attempt.profile.name, [])
         if not servers:
             return None
-        if not order.profile.keyed:
+        if not attempt.profile.keyed:
             self.next_server += 1
             return servers[self.next_server % len(servers)]
-        table = self.tables.get(order.profile.name)
+        table = self.tables.get(attempt.profile.name)
         if table is None:
-            return servers[order.key * len(servers) // KEY_COUNT]
-        assignment = table.find(order.key)
+            return servers[attempt.key * len(servers) // KEY_COUNT]
+        assignment = table.find(attempt.key)
         owner = None if assignment is None else assignment.owner
         return next((server for server in servers if server.incarnation == owner), None)
 
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -97,10 +97,10 @@
         self.sweeping = False
         self.key_counts: list[int] = []
         self.key_times: list[tuple[str, float]] = []
-        rule = RetryBudgetLimits(
+        limits = RetryBudgetLimits(
             fleet.budget_ratio, fleet.budget_extra, fleet.budget_window_seconds
         )
-        self.budgets = {profile.name: RetryBudget(rule) for profile in profiles}
+        self.budgets = {profile.name: RetryBudget(limits) for profile in profiles}
         for profile in profiles:
             self.dispatcher.pools[profile.name] = ServicePool(
                 profile.keyed, self._service_limits(profile)
@@ -149,10 +149,10 @@
         if course is None:
             return
         course.left = True
-        for ticket, waiting in list(self.waiting.items()):
+        for request, waiting in list(self.waiting.items()):
             if waiting is course:
-                del self.waiting[ticket]
-                self.dispatcher.cancel(ticket)
+                del self.waiting[request]
+                self.dispatcher.cancel(request)
         found = self.calls.get(attempt)
         if found is not None:
             found[0].on_disconnect(found[1])
@@ -160,21 +160,21 @@
         course.done(CallerDisconnected())
 
     def _place(self, course: _Course) -> None:
-        order = course.order
-        ticket = QueuedRequest(
-            order.profile.name,
-            order.profile.priority,
-            order.received_at,
-            order.latest - REPLY_MARGIN_SECONDS,
-            order.key if order.profile.keyed else -1,
+        attempt = course.order
+        request = QueuedRequest(
+            attempt.profile.name,
+            attempt.profile.priority,
+            attempt.received_at,
+            attempt.latest - REPLY_MARGIN_SECONDS,
+            attempt.key if attempt.profile.keyed else -1,
             frozenset(course.attempts.tried_servers),
-            order.received_at + order.profile.objective_seconds,
+            attempt.received_at + attempt.profile.objective_seconds,
         )
-        placement = self.dispatcher.submit(ticket, self.scheduler.clock.now())
-        if placement is not None:
-            self._follow(course, placement)
+        result = self.dispatcher.submit(request, self.scheduler.clock.now())
+        if result is not None:
+            self._follow(course, result)
             return
-        self.waiting[ticket] = course
+        self.waiting[request] = course
         if not self.sweeping:
             self.sweeping = True
             self.scheduler.schedule_after(SWEEP_SECONDS, self._tick)
@@ -189,34 +189,34 @@
     def _sweep(self) -> None:
         if not self.waiting:
             return
-        for ticket, placement in self.dispatcher.sweep(self.scheduler.clock.now()):
-            self._follow(self.waiting.pop(ticket), placement)
+        for request, result in self.dispatcher.sweep(self.scheduler.clock.now()):
+            self._follow(self.waiting.pop(request), result)
 
     def _follow(self, course: _Course, placement: BaseDispatchResult) -> None:
         if isinstance(placement, Refused):
             reply = course.attempts.refusal_reply(placement.reason, placement.retry_after)
             self._finish(course, reply)
         elif isinstance(placement, Dispatched):
-            life = placement.tracker.server.incarnation
-            course.attempts.record_sent(life.server_id)
+            incarnation = placement.tracker.server.incarnation
+            course.attempts.record_sent(incarnation.server_id)
             sent_at = self.scheduler.clock.now()
             self.call(
                 course.order,
-                self.servers[life],
+                self.servers[incarnation],
                 lambda outcome: self._returned(course, placement, sent_at, outcome),
             )
 
     def _returned(
-        self, course: _Course, send: Dispatched, sent_at: float, outcome: CallOutcome
+        self, course: _Course, dispatched: Dispatched, sent_at: float, outcome: CallOutcome
     ) -> None:
         now = self.scheduler.clock.now()
-        tracker = send.tracker
+        tracker = dispatched.tracker
         tracker.record_completed()
         if outcome.load is not None:
             tracker.record_load(outcome.load, now)
-        self._learn(course, send, now - sent_at, outcome.end)
+        self._learn(course, dispatched, now - sent_at, outcome.end)
         if outcome.end is CallEnd.MISDIRECTED:
-            self.dispatcher.record_misdirected(course.order.profile.name, send, now)
+            self.dispatcher.record_misdirected(course.order.profile.name, dispatched, now)
         self._sweep()
         if course.left:
             return
@@ -232,18 +232,18 @@
         elif isinstance(decision, ReturnReply):
             self._finish(course, decision.reply)
 
-    def _learn(self, course: _Course, send: Dispatched, seconds: float, end: CallEnd) -> None:
+    def _learn(self, course: _Course, dispatched: Dispatched, seconds: float, end: CallEnd) -> None:
         now = self.scheduler.clock.now()
-        tracker = send.tracker
+        tracker = dispatched.tracker
         name = tracker.server.server_id
         if end is CallEnd.ANSWERED:
             if (
-                tracker.record_answer(seconds, send.queueing_factor, now)
+                tracker.record_answer(seconds, dispatched.queueing_factor, now)
                 and course.order.profile.keyed
             ):
                 self.key_times.append((name, seconds))
         elif end is CallEnd.LATE:
-            unqueued = tracker.record_timeout(seconds, send.queueing_factor, now)
+            unqueued = tracker.record_timeout(seconds, dispatched.queueing_factor, now)
             if course.order.profile.keyed:
                 self.key_times.append((name, unqueued))
         elif end is CallEnd.NOT_SENT:
--- a/packages/emulator/src/fireflylink_emulator/_situations.py
+++ b/packages/emulator/src/fireflylink_emulator/_situations.py
@@ -94,9 +94,9 @@
     def schedule_events(self, emulation: Emulation) -> None:
         slow = emulation.servers_of(self.profile)[::3]
 
-        def set_pace(pace: float) -> None:
+        def set_pace(slowdown_factor: float) -> None:
             for server in slow:
-                server.slowdown_factor = pace
+                server.slowdown_factor = slowdown_factor
 
         emulation.scheduler.schedule_after(BEGIN_SECONDS, lambda: set_pace(SLOW_PACE))
         emulation.scheduler.schedule_after(BEGIN_SECONDS + LASTING_SECONDS, lambda: set_pace(1.0))
--- a/packages/emulator/src/fireflylink_emulator/_tally.py
+++ b/packages/emulator/src/fireflylink_emulator/_tally.py
@@ -66,30 +66,30 @@
         value = self.latency.get_value_at_percentile(fraction * PERCENT)
         return float(value) / MICROSECONDS_PER_SECOND
 
-    def record_request(self, order: CallerAttempt) -> None:
+    def record_request(self, attempt: CallerAttempt) -> None:
         """Takes the first attempt of a request."""
         self.requests += 1
-        self.possible_value += order.profile.value
+        self.possible_value += attempt.profile.value
 
-    def record_attempt(self, order: CallerAttempt, reply: BaseReply) -> None:
+    def record_attempt(self, attempt: CallerAttempt, reply: BaseReply) -> None:
         """Takes the end of one attempt, for the promises."""
-        if isinstance(reply, ServerAnswer) and order.runs == 0:
+        if isinstance(reply, ServerAnswer) and attempt.runs == 0:
             self.answers_without_execution += 1
         if isinstance(reply, NotRun):
-            if order.runs:
+            if attempt.runs:
                 self.refused_but_executed += 1
             else:
-                self.refused_attempts.append(order)
+                self.refused_attempts.append(attempt)
 
-    def record_executions(self, order: CallerAttempt) -> None:
+    def record_executions(self, attempt: CallerAttempt) -> None:
         """Takes the runs of an attempt that is over."""
-        if order.runs > 1 and not order.profile.idempotent:
+        if attempt.runs > 1 and not attempt.profile.idempotent:
             self.duplicate_executions += 1
 
-    def record_outcome(self, order: CallerAttempt, reply: BaseReply, now: float) -> None:
+    def record_outcome(self, attempt: CallerAttempt, reply: BaseReply, now: float) -> None:
         """Takes the end of a request after its last attempt."""
         if isinstance(reply, ServerAnswer) and reply.status < SERVER_ERROR:
-            self._note_served(order, now)
+            self._note_served(attempt, now)
         elif isinstance(reply, NotRun):
             self.refused += 1
         elif isinstance(reply, ServerAnswer | OutcomeUnknown | CallerDisconnected):
@@ -97,15 +97,15 @@
 
     def check_refused_attempts(self) -> None:
         """Counts refusals of orders that ran after all."""
-        self.refused_but_executed += sum(1 for order in self.refused_attempts if order.runs)
+        self.refused_but_executed += sum(1 for attempt in self.refused_attempts if attempt.runs)
         self.refused_attempts = []
 
-    def _note_served(self, order: CallerAttempt, now: float) -> None:
-        seconds = now - order.asked_at
+    def _note_served(self, attempt: CallerAttempt, now: float) -> None:
+        seconds = now - attempt.asked_at
         self.latency.record_value(max(1, int(seconds * MICROSECONDS_PER_SECOND)))
-        if seconds <= order.profile.objective_seconds:
+        if seconds <= attempt.profile.objective_seconds:
             self.in_time += 1
-            self.earned_value += order.profile.value
+            self.earned_value += attempt.profile.value
         else:
             self.late += 1
-            self.earned_value += order.profile.late_value
+            self.earned_value += attempt.profile.late_value
--- a/packages/emulator/src/fireflylink_emulator/faults.py
+++ b/packages/emulator/src/fireflylink_emulator/faults.py
@@ -20,8 +20,8 @@
     emulation, begun = run_with_faults(REQUESTS.value, SEED.value)
     print("faults: " + ", ".join(f"{name} {count}" for name, count in sorted(begun.items())))
     tallies = [emulation.callers.statistics_of(profile) for profile in FAULT_PROFILES]
-    for profile, tally in zip(FAULT_PROFILES, tallies, strict=True):
-        print(_line(profile.name, tally))
+    for profile, statistics in zip(FAULT_PROFILES, tallies, strict=True):
+        print(_line(profile.name, statistics))
     for profile in FAULT_PROFILES:
         servers = emulation.servers_of(profile)
         highest = max(server.peak_cold_requests for server in servers)
@@ -31,12 +31,13 @@
     return int(exceeded or any(tally.guarantee_violations for tally in tallies))
 
 
-def _line(name: str, tally: RunStatistics) -> str:
+def _line(name: str, statistics: RunStatistics) -> str:
     return (
-        f"{name}: asked {tally.requests}, in time {tally.in_time}, late {tally.late}, refused"
-        f" {tally.refused}, failed {tally.failed}; doubled {tally.duplicate_executions}, lost"
-        f" {tally.answers_without_execution},"
-        f" wrongly refused {tally.refused_but_executed}"
+        f"{name}: asked {statistics.requests}, in time {statistics.in_time}, late"
+        f" {statistics.late}, refused"
+        f" {statistics.refused}, failed {statistics.failed}; doubled"
+        f" {statistics.duplicate_executions}, lost {statistics.answers_without_execution},"
+        f" wrongly refused {statistics.refused_but_executed}"
     )
 
 
--- a/packages/emulator/src/fireflylink_emulator/record.py
+++ b/packages/emulator/src/fireflylink_emulator/record.py
@@ -17,9 +17,9 @@
     """Writes one file a situation."""
     flags.FLAGS(sys.argv)
     PATTERN_DIRECTORY.mkdir(exist_ok=True)
-    for situation in SCENARIOS:
-        pattern = situation.generate_pattern(random.Random(SEED.value))
-        path = PATTERN_DIRECTORY / f"{situation.name}.txt"
+    for scenario in SCENARIOS:
+        pattern = scenario.generate_pattern(random.Random(SEED.value))
+        path = PATTERN_DIRECTORY / f"{scenario.name}.txt"
         path.write_text(encode_pattern(pattern))
         print(f"{path.name}: {len(pattern.arrivals)} arrivals in {pattern.seconds:.1f} s")
 
--- a/packages/emulator/src/fireflylink_emulator/replay.py
+++ b/packages/emulator/src/fireflylink_emulator/replay.py
@@ -16,14 +16,15 @@
 from fireflylink_emulator._tally import RunStatistics
 
 
-def _row(name: str, emulation: Emulation, tally: RunStatistics) -> str:
+def _row(name: str, emulation: Emulation, statistics: RunStatistics) -> str:
     cold = max(server.peak_cold_requests for server in emulation.servers)
     moved = sum(decider.moved_keys for decider in emulation.deciders.values())
     return (
-        f"{name:<42} {tally.earned_fraction:>5.3f} {tally.requests:>6} {tally.in_time:>6}"
-        f" {tally.late:>6}"
-        f" {tally.refused:>7} {tally.failed:>6} {tally.percentile(0.5):>6.3f}"
-        f" {tally.percentile(0.99):>6.3f} {cold:>5} {moved:>7} {tally.guarantee_violations:>6}"
+        f"{name:<42} {statistics.earned_fraction:>5.3f} {statistics.requests:>6}"
+        f" {statistics.in_time:>6} {statistics.late:>6}"
+        f" {statistics.refused:>7} {statistics.failed:>6} {statistics.percentile(0.5):>6.3f}"
+        f" {statistics.percentile(0.99):>6.3f} {cold:>5} {moved:>7}"
+        f" {statistics.guarantee_violations:>6}"
     )
 
 
@@ -34,16 +35,16 @@
         f"{'situation':<42} worth  asked in-time   late refused failed  p50 s  p99 s  cold   moved"
         " broken"
     )
-    for situation in SCENARIOS:
-        pattern = read_pattern(situation.name)
+    for scenario in SCENARIOS:
+        pattern = read_pattern(scenario.name)
         if not isinstance(pattern, Success):
             print(pattern.failure().detail, file=sys.stderr)
             return 1
-        for naive in (False, True):
-            emulation = replay_scenario(situation, pattern.unwrap(), SEED.value, naive)
-            name = f"{situation.name}, baseline" if naive else situation.name
-            for profile in situation.profiles:
-                suffix = "" if profile is situation.profile else f" ({profile.kind})"
+        for baseline in (False, True):
+            emulation = replay_scenario(scenario, pattern.unwrap(), SEED.value, baseline)
+            name = f"{scenario.name}, baseline" if baseline else scenario.name
+            for profile in scenario.profiles:
+                suffix = "" if profile is scenario.profile else f" ({profile.kind})"
                 print(_row(name + suffix, emulation, emulation.callers.statistics_of(profile)))
     return 0
 
--- a/packages/emulator/tests/conftest.py
+++ b/packages/emulator/tests/conftest.py
@@ -7,7 +7,7 @@
 
 
 @pytest.fixture
-def agenda() -> EventScheduler:
+def scheduler() -> EventScheduler:
     return EventScheduler(ManualClock(0.0))
 
 
@@ -16,13 +16,13 @@
     """Returns a run of a situation with the real decisions and one with the baseline."""
     runs = {}
 
-    def play(situation):
-        if situation.name not in runs:
-            pattern = read_pattern(situation.name).unwrap()
-            runs[situation.name] = tuple(
-                replay_scenario(situation, pattern, seed=1, baseline=naive)
-                for naive in (False, True)
+    def play(scenario):
+        if scenario.name not in runs:
+            pattern = read_pattern(scenario.name).unwrap()
+            runs[scenario.name] = tuple(
+                replay_scenario(scenario, pattern, seed=1, baseline=baseline)
+                for baseline in (False, True)
             )
-        return runs[situation.name]
+        return runs[scenario.name]
 
     return play
--- a/packages/emulator/tests/test_parts.py
+++ b/packages/emulator/tests/test_parts.py
@@ -31,33 +31,33 @@
 
 
 @pytest.fixture
-def server(agenda) -> EmulatedServer:
-    return EmulatedServer("s1", LOOKUPS, FLEET, "a", 1.0, agenda, random.Random(1))
+def server(scheduler) -> EmulatedServer:
+    return EmulatedServer("s1", LOOKUPS, FLEET, "a", 1.0, scheduler, random.Random(1))
 
 
 @pytest.fixture
-def order() -> CallerAttempt:
+def attempt() -> CallerAttempt:
     return CallerAttempt(APPROVALS, 5, 0.0, 0.0, 1)
 
 
 def arrive(server: EmulatedServer, count: int = 1) -> list[CallEnd]:
     ends: list[CallEnd] = []
     for _ in range(count):
-        order = CallerAttempt(LOOKUPS, 5, 0.0, 0.0, 0)
-        call = Call(order, 10.0, lambda outcome: ends.append(outcome.end))
+        attempt = CallerAttempt(LOOKUPS, 5, 0.0, 0.0, 0)
+        call = Call(attempt, 10.0, lambda outcome: ends.append(outcome.end))
         server.receive(call, server.incarnation)
     return ends
 
 
-def test_actions_run_in_the_order_of_time_and_then_of_their_adding(agenda):
+def test_actions_run_in_the_order_of_time_and_then_of_their_adding(scheduler):
     """Guards against runs that do not repeat."""
     seen = []
-    agenda.schedule_after(2.0, lambda: seen.append("late"))
-    agenda.schedule_after(1.0, lambda: seen.append("first"))
-    agenda.schedule_after(1.0, lambda: seen.append("second"))
-    agenda.run_until(1.5)
+    scheduler.schedule_after(2.0, lambda: seen.append("late"))
+    scheduler.schedule_after(1.0, lambda: seen.append("first"))
+    scheduler.schedule_after(1.0, lambda: seen.append("second"))
+    scheduler.run_until(1.5)
     assert_that(seen, Equals(["first", "second"]))
-    assert_that(agenda.clock.now(), Equals(1.5))
+    assert_that(scheduler.clock.now(), Equals(1.5))
 
 
 def test_a_pattern_reads_back_as_it_was_written():
@@ -81,13 +81,13 @@
     assert_that(read_pattern("none").failure(), IsInstance(PatternError))
 
 
-def test_a_keyed_server_runs_only_keys_that_it_holds(server, agenda):
+def test_a_keyed_server_runs_only_keys_that_it_holds(server, scheduler):
     """Guards against an emulator in which ownership does not matter."""
     assert_that(arrive(server), Equals([CallEnd.MISDIRECTED]))
     server.grant(KeyRange(0, 9), 1, 3.0)
     arrive(server)
     assert_that(len(server.running), Equals(1))
-    agenda.run_until(3.5)
+    scheduler.run_until(3.5)
     assert_that(arrive(server), Equals([CallEnd.MISDIRECTED]))
 
 
@@ -107,54 +107,54 @@
     assert_that(ends, Equals([CallEnd.DECLINED] * 4))
 
 
-def test_a_cold_server_crashes_well_above_its_bound(server, agenda):
+def test_a_cold_server_crashes_well_above_its_bound(server, scheduler):
     """Guards against an emulator that bears any load while cold."""
     server.grant(KeyRange(0, 9), 1, 30.0)
     server.make_cold()
     arrive(server, 30)
     assert_that(server.down, Equals(True))
     assert_that(server.peak_cold_requests, GreaterThan(2 * int(server.cold_limit) - 1))
-    agenda.run_until(6.0)
+    scheduler.run_until(6.0)
     assert_that(
         (server.down, server.incarnation.started_ms, server.holds(5)), Equals((False, 2, False))
     )
 
 
-def test_a_tally_counts_each_broken_promise(order):
+def test_a_tally_counts_each_broken_promise(attempt):
     """Guards against counts of broken promises that cannot be other than zero."""
-    tally = RunStatistics()
-    tally.record_attempt(order, WHOLE)
-    assert_that(tally.answers_without_execution, Equals(1))
-    order.runs = 2
-    tally.record_executions(order)
-    assert_that(tally.duplicate_executions, Equals(1))
-    tally.record_attempt(order, NotRun("full"))
-    assert_that(tally.refused_but_executed, Equals(1))
+    statistics = RunStatistics()
+    statistics.record_attempt(attempt, WHOLE)
+    assert_that(statistics.answers_without_execution, Equals(1))
+    attempt.runs = 2
+    statistics.record_executions(attempt)
+    assert_that(statistics.duplicate_executions, Equals(1))
+    statistics.record_attempt(attempt, NotRun("full"))
+    assert_that(statistics.refused_but_executed, Equals(1))
 
 
-def test_a_refused_order_that_runs_later_is_counted(order):
+def test_a_refused_order_that_runs_later_is_counted(attempt):
     """Guards against REFUSED: a refusal whose order still runs."""
-    tally = RunStatistics()
-    tally.record_attempt(order, NotRun("full"))
-    order.runs = 1
-    tally.check_refused_attempts()
-    assert_that(tally.refused_but_executed, Equals(1))
+    statistics = RunStatistics()
+    statistics.record_attempt(attempt, NotRun("full"))
+    attempt.runs = 1
+    statistics.check_refused_attempts()
+    assert_that(statistics.refused_but_executed, Equals(1))
 
 
-def test_callers_come_back_after_a_refusal_and_not_after_an_unknown_end(agenda, order):
+def test_callers_come_back_after_a_refusal_and_not_after_an_unknown_end(scheduler, attempt):
     """Guards against callers that repeat what may have run, or that give up at once."""
-    callers = Callers(agenda, [], random.Random(1))
-    assert_that(callers._wait(order, NotRun("full", retry_after=9.0), 1.5), Equals(0.5))
-    assert_that(callers._wait(order, NotRun("full", retry_after=0.2), 1.5), Equals(0.2))
-    assert_that(callers._wait(order, OutcomeUnknown("lost"), 1.5), Equals(None))
+    callers = Callers(scheduler, [], random.Random(1))
+    assert_that(callers._wait(attempt, NotRun("full", retry_after=9.0), 1.5), Equals(0.5))
+    assert_that(callers._wait(attempt, NotRun("full", retry_after=0.2), 1.5), Equals(0.2))
+    assert_that(callers._wait(attempt, OutcomeUnknown("lost"), 1.5), Equals(None))
 
 
 def test_generated_requests_with_faults_break_no_promise():
     """Guards against TWICE, REFUSED and FAILBACK: the small form of the run of a million."""
     emulation, begun = run_with_faults(requests=4000, seed=7)
     assert_that(len(begun), GreaterThan(3))
-    for tally in emulation.callers.statistics.values():
-        assert_that(tally.guarantee_violations, Equals(0))
+    for statistics in emulation.callers.statistics.values():
+        assert_that(statistics.guarantee_violations, Equals(0))
     for server in emulation.servers:
         assert_that(server.peak_cold_requests, LessThan(server.cold_limit))
 
--- a/packages/experiments/src/fireflylink_experiments/slopes.py
+++ b/packages/experiments/src/fireflylink_experiments/slopes.py
@@ -30,16 +30,16 @@
 MILLISECONDS = 1000.0
 
 
-def _fleet(source: random.Random, count: int) -> list[Candidate]:
+def _fleet(rng: random.Random, count: int) -> list[Candidate]:
     lives = (
-        ServerIncarnation(f"i-{source.getrandbits(40):010x}", 1787427283046) for _ in range(count)
+        ServerIncarnation(f"i-{rng.getrandbits(40):010x}", 1787427283046) for _ in range(count)
     )
-    return [Candidate(life, 25.0, "a") for life in lives]
+    return [Candidate(incarnation, 25.0, "a") for incarnation in lives]
 
 
-def _loads(source: random.Random, servers: int) -> RangeLoad:
+def _loads(rng: random.Random, servers: int) -> RangeLoad:
     rate = servers * REQUESTS_PER_SERVER
-    keys = sorted({source.randrange(KEY_COUNT) for _ in range(int(rate))})
+    keys = sorted({rng.randrange(KEY_COUNT) for _ in range(int(rate))})
     return RangeLoad([(key, rate / len(keys)) for key in keys])
 
 
@@ -53,16 +53,16 @@
 def _renewals(table: OwnershipTable) -> tuple[float, int]:
     """Returns the milliseconds that the book takes a second, and the grants a second."""
     clock = ManualClock()
-    book = GrantTracker(clock.now())
-    book.mark_no_former_decider()
-    book.set_table(table)
+    grants = GrantTracker(clock.now())
+    grants.mark_no_former_decider()
+    grants.set_table(table)
     sent = 0
     began = time.perf_counter()
     for _ in range(100):
-        for command in book.due_commands(clock.now()):
+        for command in grants.due_commands(clock.now()):
             if isinstance(command, GrantCommand):
-                book.record_sent(command, clock.now())
-                book.record_granted(command, clock.now())
+                grants.record_sent(command, clock.now())
+                grants.record_granted(command, clock.now())
                 sent += 1
         clock.advance(0.1)
     return (time.perf_counter() - began) * MILLISECONDS / 10.0, sent // 10
@@ -71,18 +71,18 @@
 def main() -> None:
     """Prints one row a fleet size."""
     flags.FLAGS(sys.argv)
-    source = random.Random(SEED.value)
+    rng = random.Random(SEED.value)
     print(f"seed {SEED.value}; a fleet of N servers of one service, {REQUESTS_PER_SERVER:g}/s each")
     print("servers  plan ms  book ms/s  grants/s  table bytes  report bytes")
     for count in SIZES:
-        candidates = _fleet(source, count)
+        candidates = _fleet(rng, count)
         table = initial_table("availability", candidates, 1)
-        loads = _loads(source, count)
+        loads = _loads(rng, count)
         planned = _milliseconds(
             lambda c=candidates, t=table, r=loads: plan_table(t, c, r, OverloadDetector(), 0.0)  # type: ignore[misc]
         )
         booked, grants = _renewals(table)
-        keys = tuple(source.randrange(KEY_COUNT) for _ in range(min(400, count)))
+        keys = tuple(rng.randrange(KEY_COUNT) for _ in range(min(400, count)))
         report = encode_datagram(LoadReport("front-1", "availability", 1, len(keys), keys))
         print(
             f"{count:>7} {planned:>8.1f} {booked:>10.1f} {grants:>9}"
--- a/packages/operator_client/src/fireflylink_operator_client/_commands.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_commands.py
@@ -21,8 +21,8 @@
         ready = sum(server.state.value == "ready" for server in servers)
         kind = "with keys" if service.keyed else "pooled"
         yield f"service            {service.name}, {kind}: {ready} of {len(servers)} servers ready"
-    for fact in view.unreadable:
-        yield f"unreadable         {fact.key}: {fact.problem}"
+    for update in view.unreadable:
+        yield f"unreadable         {update.key}: {update.problem}"
 
 
 def owner_lines(view: SystemView, service: str, key: int | None) -> Iterator[str]:
--- a/packages/operator_client/src/fireflylink_operator_client/_system_view.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_system_view.py
@@ -94,6 +94,6 @@
     snapshot = read.unwrap()
     view = SystemView(snapshot.revision)
     for item in snapshot.items:
-        for fact in decoder.decode(item):
-            view.apply(fact)
+        for update in decoder.decode(item):
+            view.apply(update)
     return Success(view)
--- a/packages/protocol/src/fireflylink_protocol/_datagrams.py
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -91,11 +91,14 @@
             message.sequence,
             message.requests,
             list(message.keys),
-            [[times.server_id, times.answers, times.total_ms] for times in message.service_times],
+            [
+                [service_times.server_id, service_times.answers, service_times.total_ms]
+                for service_times in message.service_times
+            ],
         ]
     elif isinstance(message, CrashNotice):
-        life = message.incarnation
-        fields = [CRASH_FORMAT, message.fingerprint, life.server_id, life.started_ms]
+        incarnation = message.incarnation
+        fields = [CRASH_FORMAT, message.fingerprint, incarnation.server_id, incarnation.started_ms]
     else:
         keys = message.keys
         fields = [NOTICE_FORMAT, message.service, keys.first, keys.last, message.fence]
@@ -144,8 +147,8 @@
     return ServerServiceTime(str(server_id), answers, milliseconds)
 
 
-def _crash(fingerprint: bytes, server_id: str, born_ms: int) -> CrashNotice:
-    return CrashNotice(bytes(fingerprint), ServerIncarnation(str(server_id), int(born_ms)))
+def _crash(fingerprint: bytes, server_id: str, started_ms: int) -> CrashNotice:
+    return CrashNotice(bytes(fingerprint), ServerIncarnation(str(server_id), int(started_ms)))
 
 
 def _notice(service: str, first: int, last: int, fence: int) -> GrantNotice:
--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -98,7 +98,12 @@
             lives.setdefault(assignment.owner, len(lives)),
         ]
         if assignment.previous_holders or assignment.handover:
-            row.append([lives.setdefault(life, len(lives)) for life in assignment.previous_holders])
+            row.append(
+                [
+                    lives.setdefault(incarnation, len(lives))
+                    for incarnation in assignment.previous_holders
+                ]
+            )
             row.append(assignment.handover)
         rows.append(row)
         before = assignment.keys.last
--- a/packages/standins/tests/test_adapter_catalogue.py
+++ b/packages/standins/tests/test_adapter_catalogue.py
@@ -155,7 +155,7 @@
 
 def test_every_kind_of_item_is_told_apart():
     """Guards against evacuations or records that go unnoticed."""
-    catalogue = PlatformItemDecoder()
+    decoder = PlatformItemDecoder()
     cases = [
         (item("op/config", CONFIGURATION), ConfigurationUpdate),
         (item("servers/i-1", SERVER), ServerUpdate),
@@ -165,5 +165,5 @@
         (item("fireflylink/decider", {}), RecordUpdate),
     ]
     for change, kind in cases:
-        assert_that(catalogue.decode(change)[0], IsInstance(kind))
-    assert_that(catalogue.decode(item("other/key", {})), HasLength(0))
+        assert_that(decoder.decode(change)[0], IsInstance(kind))
+    assert_that(decoder.decode(item("other/key", {})), HasLength(0))
--- a/packages/standins/tests/test_adapter_dialects.py
+++ b/packages/standins/tests/test_adapter_dialects.py
@@ -62,54 +62,52 @@
 
 def test_promises_and_unknown_outcomes_have_their_own_statuses():
     """Guards against REFUSED: a 503 for a request that may have run."""
-    dialect = PlatformCallerCodec()
-    refused = dialect.encode_reply("id", NotRun("no-room", retry_after=0.25))
+    codec = PlatformCallerCodec()
+    refused = codec.encode_reply("id", NotRun("no-room", retry_after=0.25))
     assert_that((refused.status, dict(refused.headers)["Retry-After"]), Equals((503, "0.250")))
-    assert_that(dialect.encode_reply("id", OutcomeUnknown("reset")).status, Equals(502))
+    assert_that(codec.encode_reply("id", OutcomeUnknown("reset")).status, Equals(502))
     assert_that(
-        dialect.encode_reply("id", OutcomeUnknown("late", timed_out=True)).status, Equals(504)
+        codec.encode_reply("id", OutcomeUnknown("late", timed_out=True)).status, Equals(504)
     )
 
 
 def test_an_answer_of_another_request_is_recognised():
     """Guards against MIXED: a late second answer on a kept connection."""
-    dialect = PlatformServerCodec()
-    assert_that(dialect.is_response_to(response(200, ("Request-Id", "a")), "a"), Is(True))
-    assert_that(dialect.is_response_to(response(200, ("Request-Id", "b")), "a"), Is(False))
-    assert_that(dialect.is_response_to(response(200, ("Server-Signature", "s")), "a"), Is(False))
+    codec = PlatformServerCodec()
+    assert_that(codec.is_response_to(response(200, ("Request-Id", "a")), "a"), Is(True))
+    assert_that(codec.is_response_to(response(200, ("Request-Id", "b")), "a"), Is(False))
+    assert_that(codec.is_response_to(response(200, ("Server-Signature", "s")), "a"), Is(False))
 
 
 def test_only_a_statement_of_the_server_makes_a_request_not_run():
     """Guards against REFUSED: a plain 503 that is taken for a promise."""
-    dialect = PlatformServerCodec()
-    assert_that(dialect.is_declined(response(503, ("Not-Executed", "1"))), Is(True))
-    assert_that(dialect.is_declined(response(421)), Is(True))
-    assert_that(dialect.is_declined(response(503)), Is(False))
+    codec = PlatformServerCodec()
+    assert_that(codec.is_declined(response(503, ("Not-Executed", "1"))), Is(True))
+    assert_that(codec.is_declined(response(421)), Is(True))
+    assert_that(codec.is_declined(response(503)), Is(False))
 
 
 def test_a_success_without_signature_or_with_an_encoding_is_not_the_servers():
     """Guards against MIXED: bytes that are not the server's body."""
-    dialect = PlatformServerCodec()
+    codec = PlatformServerCodec()
     signed = ("Server-Signature", "s")
-    assert_that(dialect.decode_answer(response(200)), Is(None))
-    assert_that(
-        dialect.decode_answer(response(200, signed, ("Content-Encoding", "gzip"))), Is(None)
-    )
-    answer = dialect.decode_answer(response(200, signed, ("Connection", "close"), body=b"b"))
+    assert_that(codec.decode_answer(response(200)), Is(None))
+    assert_that(codec.decode_answer(response(200, signed, ("Content-Encoding", "gzip"))), Is(None))
+    answer = codec.decode_answer(response(200, signed, ("Connection", "close"), body=b"b"))
     assert_that((answer.status, answer.headers, answer.body), Equals((200, (signed,), b"b")))
-    assert_that(dialect.decode_answer(response(500)).status, Equals(500))
+    assert_that(codec.decode_answer(response(500)).status, Equals(500))
 
 
 def test_load_is_read_with_and_without_the_pace():
     """Guards against a malformed load that is taken for an idle server."""
-    dialect = PlatformServerCodec()
+    codec = PlatformServerCodec()
     assert_that(
-        dialect.decode_load(response(200, ("Server-Load", "3,0,8"))), Equals(ServerLoad(3, 0, 8))
+        codec.decode_load(response(200, ("Server-Load", "3,0,8"))), Equals(ServerLoad(3, 0, 8))
     )
-    full = dialect.decode_load(response(200, ("Server-Load", "3, 1, 8, 250")))
+    full = codec.decode_load(response(200, ("Server-Load", "3, 1, 8, 250")))
     assert_that((full.waiting, full.slowdown_factor), Equals((1, 2.5)))
     for text in ("", "3,0", "a,b,c", "3,0,8,x"):
-        assert_that(dialect.decode_load(response(200, ("Server-Load", text))), Is(None))
+        assert_that(codec.decode_load(response(200, ("Server-Load", text))), Is(None))
 
 
 def test_a_grant_names_its_server_and_its_time():
--- a/packages/standins/tests/test_bench.py
+++ b/packages/standins/tests/test_bench.py
@@ -18,9 +18,9 @@
 
 def test_a_way_prints_its_median_and_its_cost():
     """Guards against figures of the wrong unit."""
-    way = BenchTarget("daemon", 1, "/orders/1", None)
-    way.latencies = [0.001, 0.002, 0.010]
-    way.elapsed_seconds = 0.5
-    way.cpu_seconds = 0.003
+    target = BenchTarget("daemon", 1, "/orders/1", None)
+    target.latencies = [0.001, 0.002, 0.010]
+    target.elapsed_seconds = 0.5
+    target.cpu_seconds = 0.003
     for part in ("p50_ms=2.00", "requests_per_second=6", "daemon_cpu_us_per_request=1000"):
-        assert_that(way.report_line(), Contains(part))
+        assert_that(target.report_line(), Contains(part))
