Rename private modules after the classes that they hold

Each module follows its renamed class, such as _grant_tracker for GrantTracker and _codec for the codecs. Imports follow; no module that a command line starts is among them.

--- a/packages/backend_client/src/fireflylink_backend_client/__init__.py
+++ b/packages/backend_client/src/fireflylink_backend_client/__init__.py
@@ -1,13 +1,13 @@
 """Pools of connections to backend servers, requests, grants and releases."""
 
 from fireflylink_backend_client._cancellation import Cancellation
+from fireflylink_backend_client._codec import BaseServerCodec, EncodedCommand
 from fireflylink_backend_client._commands import (
     CommandError,
     ServerCommandClient,
     ServerMismatchError,
     StaleFenceError,
 )
-from fireflylink_backend_client._dialect import BaseServerCodec, EncodedCommand
 from fireflylink_backend_client._pool import ServerConnectionPool
 
 __all__ = [
--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -2,7 +2,7 @@
 
 from returns.result import Failure, Result, Success
 
-from fireflylink_backend_client._dialect import BaseServerCodec, EncodedCommand
+from fireflylink_backend_client._codec import BaseServerCodec, EncodedCommand
 from fireflylink_core import BackendServer, BaseClock, BaseFireflylinkError, KeyRange
 from fireflylink_http_client import (
     ExchangeError,
--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -1,7 +1,7 @@
 """Kept connections to one backend server."""
 
 from fireflylink_backend_client._cancellation import Cancellation
-from fireflylink_backend_client._dialect import BaseServerCodec
+from fireflylink_backend_client._codec import BaseServerCodec
 from fireflylink_core import (
     Answered,
     BackendServer,
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/__init__.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/__init__.py
@@ -1,7 +1,7 @@
 """HTTP front end towards callers."""
 
 from fireflylink_caller_frontend._application import make_application
-from fireflylink_caller_frontend._dialect import BaseCallerCodec, EncodedReply, ReceivedRequest
+from fireflylink_caller_frontend._codec import BaseCallerCodec, EncodedReply, ReceivedRequest
 from fireflylink_caller_frontend._errors import ListenerError, RefusedRequestError
 from fireflylink_caller_frontend._handler import BaseDisconnectNotifier, BaseRequestHandler
 from fireflylink_caller_frontend._listener import HttpListener
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
@@ -4,8 +4,8 @@
 
 import falcon
 
-from fireflylink_caller_frontend._departure import SocketDisconnectNotifier
-from fireflylink_caller_frontend._dialect import BaseCallerCodec, EncodedReply, ReceivedRequest
+from fireflylink_caller_frontend._codec import BaseCallerCodec, EncodedReply, ReceivedRequest
+from fireflylink_caller_frontend._disconnect_notifier import SocketDisconnectNotifier
 from fireflylink_caller_frontend._errors import RefusedRequestError
 from fireflylink_caller_frontend._handler import BaseRequestHandler
 from fireflylink_caller_frontend._listener import HANDLER_KEY
--- a/packages/decisions/src/fireflylink_decisions/dispatch/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/__init__.py
@@ -1,13 +1,13 @@
 """Waiting, placing and refusing."""
 
 from fireflylink_decisions.dispatch._dispatcher import Dispatcher, ServicePool
-from fireflylink_decisions.dispatch._ticket import (
+from fireflylink_decisions.dispatch._queued_request import (
     BaseDispatchResult,
     Dispatched,
     QueuedRequest,
     Refused,
 )
-from fireflylink_decisions.dispatch._waiting_line import RequestQueue
+from fireflylink_decisions.dispatch._request_queue import RequestQueue
 
 __all__ = [
     "BaseDispatchResult",
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 
 from fireflylink_core import NO_KEY, Assignment, KeyRange, OwnershipTable, ServerIncarnation
-from fireflylink_decisions.dispatch._ticket import (
+from fireflylink_decisions.dispatch._queued_request import (
     BaseDispatchResult,
     Dispatched,
     QueuedRequest,
     Refused,
 )
-from fireflylink_decisions.dispatch._waiting_line import RequestQueue
+from fireflylink_decisions.dispatch._request_queue import RequestQueue
 from fireflylink_decisions.servers import (
     MAX_LOW_PRIORITY_REQUESTS_PER_SLOT,
     MAX_REQUESTS_PER_SLOT,
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_waiting_line.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_request_queue.py
@@ -3,7 +3,7 @@
 import bisect
 from collections.abc import Callable
 
-from fireflylink_decisions.dispatch._ticket import QueuedRequest
+from fireflylink_decisions.dispatch._queued_request import QueuedRequest
 from fireflylink_decisions.limits import SlidingWindowCounter
 
 RATE_WINDOW_SECONDS = 2.0
--- a/packages/decisions/src/fireflylink_decisions/limits/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/__init__.py
@@ -1,9 +1,9 @@
 """Limits that all daemons share: cold servers, retries, connections."""
 
-from fireflylink_decisions.limits._cold_gate import ColdLimit, ColdServerLimiter
+from fireflylink_decisions.limits._cold_server_limiter import ColdLimit, ColdServerLimiter
 from fireflylink_decisions.limits._retry_budget import RetryBudget, RetryBudgetLimits
 from fireflylink_decisions.limits._share import ASSUMED_MEMBER_COUNT, FleetPosition
-from fireflylink_decisions.limits._sliding_count import SlidingWindowCounter
+from fireflylink_decisions.limits._sliding_window_counter import SlidingWindowCounter
 
 __all__ = [
     "ASSUMED_MEMBER_COUNT",
--- a/packages/decisions/src/fireflylink_decisions/limits/_cold_gate.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_cold_server_limiter.py
@@ -1,7 +1,7 @@
 """How many requests a cold server may get from this daemon."""
 
 from fireflylink_decisions.limits._share import FleetPosition
-from fireflylink_decisions.limits._sliding_count import SlidingWindowCounter
+from fireflylink_decisions.limits._sliding_window_counter import SlidingWindowCounter
 
 COLD_WINDOW_SECONDS = 1.5
 """Longer than the second of the bound: a request that waits for a new connection to a slow server
--- a/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
@@ -1,7 +1,7 @@
 """The budget for arrivals at servers beyond the first of each request."""
 
 from fireflylink_decisions.limits._share import FleetPosition
-from fireflylink_decisions.limits._sliding_count import SlidingWindowCounter
+from fireflylink_decisions.limits._sliding_window_counter import SlidingWindowCounter
 
 SAFE_PART = 0.7
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_decidership.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_decider_election.py
@@ -1,6 +1,6 @@
 """Which daemon decides on key ownership, and for how long it may go on without the store."""
 
-from fireflylink_decisions.ownership._grant_book import OUTAGE_GRACE_SECONDS
+from fireflylink_decisions.ownership._grant_tracker import OUTAGE_GRACE_SECONDS
 
 CANDIDACY_STEP_SECONDS = 0.12
 """Daemons of a higher rank wait longer before they try, so that one write is usually enough."""
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -1,12 +1,12 @@
 """What the decider knows of one service with keys, and which table it wants."""
 
 from fireflylink_core import KeyRange, OwnershipTable, ServerIncarnation
-from fireflylink_decisions.ownership._busy_watch import OverloadDetector
-from fireflylink_decisions.ownership._grant_book import GrantTracker, with_new_fence
+from fireflylink_decisions.ownership._grant_tracker import GrantTracker, with_new_fence
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
+from fireflylink_decisions.ownership._overload_detector import OverloadDetector
 from fireflylink_decisions.ownership._plan_values import Candidate
 from fireflylink_decisions.ownership._planner import initial_table, plan_table
-from fireflylink_decisions.ownership._service_times import ServiceTimeEstimates
+from fireflylink_decisions.ownership._service_time_estimates import ServiceTimeEstimates
 
 FIRST_TABLE_SECONDS = 1.5
 """Time for servers to register before the first table of a service."""
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -16,9 +16,9 @@
     OwnershipTable,
     ServerIncarnation,
 )
-from fireflylink_decisions.ownership._busy_watch import OverloadDetector
 from fireflylink_decisions.ownership._draft import Draft
 from fireflylink_decisions.ownership._key_load import RangeLoad
+from fireflylink_decisions.ownership._overload_detector import OverloadDetector
 from fireflylink_decisions.ownership._plan_values import Candidate
 
 LEAST_RATE = 1.5
--- a/packages/emulator/src/fireflylink_emulator/__init__.py
+++ b/packages/emulator/src/fireflylink_emulator/__init__.py
@@ -1,13 +1,13 @@
 """A whole deployment on a manual clock, around the real decision code."""
 
-from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._base_daemon import BaseEmulatedDaemon
 from fireflylink_emulator._callers import Callers
 from fireflylink_emulator._emulated_decider import EmulatedDecider, held_key_fraction
 from fireflylink_emulator._emulated_server import EmulatedServer
 from fireflylink_emulator._emulation import Emulation
+from fireflylink_emulator._event_scheduler import EventScheduler
+from fireflylink_emulator._failures import FAILURES, measure_recovery
 from fireflylink_emulator._fault_run import FAULT_PROFILES, run_with_faults
-from fireflylink_emulator._losses import FAILURES, measure_recovery
 from fireflylink_emulator._pattern import (
     Arrival,
     ArrivalPattern,
@@ -24,9 +24,9 @@
     FleetProfile,
     ServiceProfile,
 )
-from fireflylink_emulator._situation_run import replay_scenario
-from fireflylink_emulator._situations import SCENARIOS, BaseScenario
-from fireflylink_emulator._tally import RunStatistics
+from fireflylink_emulator._run_statistics import RunStatistics
+from fireflylink_emulator._scenario_run import replay_scenario
+from fireflylink_emulator._scenarios import SCENARIOS, BaseScenario
 
 __all__ = [
     "APPROVALS",
--- a/packages/emulator/src/fireflylink_emulator/_base_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_base_daemon.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from fireflylink_core import BaseReply, OwnershipTable, ServerAnswer
-from fireflylink_emulator._agenda import EventScheduler
+from fireflylink_emulator._caller_attempt import CallEnd, CallerAttempt, CallOutcome
 from fireflylink_emulator._emulated_server import Call, EmulatedServer
-from fireflylink_emulator._order import CallEnd, CallerAttempt, CallOutcome
+from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import FleetProfile
 
 REPLY_MARGIN_SECONDS = 0.03
--- a/packages/emulator/src/fireflylink_emulator/_naive_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_baseline_daemon.py
@@ -9,10 +9,10 @@
     OutcomeUnknown,
     OwnershipTable,
 )
-from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._base_daemon import SERVER_FAILED, WHOLE, BaseEmulatedDaemon
+from fireflylink_emulator._caller_attempt import CallEnd, CallerAttempt, CallOutcome
 from fireflylink_emulator._emulated_server import EmulatedServer
-from fireflylink_emulator._order import CallEnd, CallerAttempt, CallOutcome
+from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import FleetProfile
 
 RETRY_SECONDS = 1.0
--- a/packages/emulator/src/fireflylink_emulator/_callers.py
+++ b/packages/emulator/src/fireflylink_emulator/_callers.py
@@ -3,11 +3,11 @@
 import random
 
 from fireflylink_core import BaseReply, CallerDisconnected, NotRun, OutcomeUnknown, ServerAnswer
-from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._base_daemon import BaseEmulatedDaemon
-from fireflylink_emulator._order import CallerAttempt
+from fireflylink_emulator._caller_attempt import CallerAttempt
+from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import ServiceProfile
-from fireflylink_emulator._tally import RunStatistics
+from fireflylink_emulator._run_statistics import RunStatistics
 
 NETWORK_SECONDS = 0.008
 HONOURED_PART = 1.0 / 3.0
--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -16,8 +16,8 @@
     changes_between,
     with_new_fence,
 )
-from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._emulated_server import EmulatedServer
+from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import ServiceProfile
 from fireflylink_emulator._routed_daemon import RoutedDaemon
 
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -4,8 +4,8 @@
 
 from fireflylink_core import BackendServer, KeyRange, ServerIncarnation, ServerLoad
 from fireflylink_decisions.limits import SlidingWindowCounter
-from fireflylink_emulator._agenda import EventScheduler
-from fireflylink_emulator._order import CallDone, CallEnd, CallerAttempt, CallOutcome
+from fireflylink_emulator._caller_attempt import CallDone, CallEnd, CallerAttempt, CallOutcome
+from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 
 QUEUE_PER_SLOT = 2
--- a/packages/emulator/src/fireflylink_emulator/_emulation.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulation.py
@@ -5,12 +5,12 @@
 
 from fireflylink_core import Assignment, KeyRange, ManualClock, OwnershipTable
 from fireflylink_decisions.ownership import Candidate, initial_table
-from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._base_daemon import BaseEmulatedDaemon
+from fireflylink_emulator._baseline_daemon import BaselineDaemon
 from fireflylink_emulator._callers import Callers
 from fireflylink_emulator._emulated_decider import EmulatedDecider
 from fireflylink_emulator._emulated_server import EmulatedServer
-from fireflylink_emulator._naive_daemon import BaselineDaemon
+from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._pattern import ArrivalPattern
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 from fireflylink_emulator._routed_daemon import RoutedDaemon
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -26,15 +26,15 @@
 from fireflylink_decisions.limits import ColdLimit, FleetPosition, RetryBudget, RetryBudgetLimits
 from fireflylink_decisions.retries import Attempts, Retry, ReturnReply
 from fireflylink_decisions.servers import ServerTracker, ServiceLimits
-from fireflylink_emulator._agenda import EventScheduler
 from fireflylink_emulator._base_daemon import (
     REPLY_MARGIN_SECONDS,
     SERVER_FAILED,
     WHOLE,
     BaseEmulatedDaemon,
 )
+from fireflylink_emulator._caller_attempt import CallEnd, CallerAttempt, CallOutcome
 from fireflylink_emulator._emulated_server import EmulatedServer
-from fireflylink_emulator._order import CallEnd, CallerAttempt, CallOutcome
+from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 
 SWEEP_SECONDS = 0.02
--- a/packages/emulator/src/fireflylink_emulator/_tally.py
+++ b/packages/emulator/src/fireflylink_emulator/_run_statistics.py
@@ -3,7 +3,7 @@
 from hdrh.histogram import HdrHistogram
 
 from fireflylink_core import BaseReply, CallerDisconnected, NotRun, OutcomeUnknown, ServerAnswer
-from fireflylink_emulator._order import CallerAttempt
+from fireflylink_emulator._caller_attempt import CallerAttempt
 
 MICROSECONDS_PER_SECOND = 1_000_000
 LONGEST_MICROSECONDS = 60 * MICROSECONDS_PER_SECOND
--- a/packages/emulator/src/fireflylink_emulator/_situation_run.py
+++ b/packages/emulator/src/fireflylink_emulator/_scenario_run.py
@@ -3,7 +3,7 @@
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._pattern import ArrivalPattern
 from fireflylink_emulator._profile import FLEET
-from fireflylink_emulator._situations import BaseScenario
+from fireflylink_emulator._scenarios import BaseScenario
 
 
 def replay_scenario(
--- a/packages/emulator/src/fireflylink_emulator/faults.py
+++ b/packages/emulator/src/fireflylink_emulator/faults.py
@@ -9,7 +9,7 @@
 
 from fireflylink_emulator._fault_run import FAULT_PROFILES, run_with_faults
 from fireflylink_emulator._flags import SEED
-from fireflylink_emulator._tally import RunStatistics
+from fireflylink_emulator._run_statistics import RunStatistics
 
 REQUESTS = flags.DEFINE_integer("requests", 1_000_000, "How many requests are asked.", 1)
 
--- a/packages/emulator/src/fireflylink_emulator/outages.py
+++ b/packages/emulator/src/fireflylink_emulator/outages.py
@@ -11,8 +11,8 @@
 
 from absl import flags
 
+from fireflylink_emulator._failures import FAILURES, PHASES, measure_recovery
 from fireflylink_emulator._flags import SEED
-from fireflylink_emulator._losses import FAILURES, PHASES, measure_recovery
 
 
 def main() -> None:
--- a/packages/emulator/src/fireflylink_emulator/record.py
+++ b/packages/emulator/src/fireflylink_emulator/record.py
@@ -10,7 +10,7 @@
 
 from fireflylink_emulator._flags import SEED
 from fireflylink_emulator._pattern import PATTERN_DIRECTORY, encode_pattern
-from fireflylink_emulator._situations import SCENARIOS
+from fireflylink_emulator._scenarios import SCENARIOS
 
 
 def main() -> None:
--- a/packages/emulator/src/fireflylink_emulator/replay.py
+++ b/packages/emulator/src/fireflylink_emulator/replay.py
@@ -11,9 +11,9 @@
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._flags import SEED
 from fireflylink_emulator._pattern import read_pattern
-from fireflylink_emulator._situation_run import replay_scenario
-from fireflylink_emulator._situations import SCENARIOS
-from fireflylink_emulator._tally import RunStatistics
+from fireflylink_emulator._run_statistics import RunStatistics
+from fireflylink_emulator._scenario_run import replay_scenario
+from fireflylink_emulator._scenarios import SCENARIOS
 
 
 def _row(name: str, emulation: Emulation, statistics: RunStatistics) -> str:
--- a/packages/emulator/tests/test_parts.py
+++ b/packages/emulator/tests/test_parts.py
@@ -24,8 +24,8 @@
     read_pattern,
     run_with_faults,
 )
+from fireflylink_emulator._caller_attempt import CallEnd, CallerAttempt
 from fireflylink_emulator._emulated_server import Call
-from fireflylink_emulator._order import CallEnd, CallerAttempt
 
 WHOLE = ServerAnswer(200, (), b"")
 
--- a/packages/http_client/src/fireflylink_http_client/__init__.py
+++ b/packages/http_client/src/fireflylink_http_client/__init__.py
@@ -3,7 +3,7 @@
 from fireflylink_http_client._connection import HttpConnection
 from fireflylink_http_client._encoding import encode_request
 from fireflylink_http_client._errors import ExchangeError, LostError, NotSentError
-from fireflylink_http_client._kept_connection import PersistentConnection
+from fireflylink_http_client._persistent_connection import PersistentConnection
 from fireflylink_http_client._response import HttpResponse, ResponseReader
 
 __all__ = [
--- a/packages/standins/src/fireflylink_standins/__init__.py
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -1,9 +1,9 @@
 """Stand-ins for the platform's store and for backend servers, and a local system on them."""
 
 from fireflylink_standins._backend_server import BackendServerStandin
-from fireflylink_standins._backend_state import GrantState
-from fireflylink_standins._bench_way import BenchTarget, process_cpu_seconds, resident_megabytes
+from fireflylink_standins._bench_target import BenchTarget, process_cpu_seconds, resident_megabytes
 from fireflylink_standins._caller import Caller
+from fireflylink_standins._grant_state import GrantState
 from fireflylink_standins._local_system import (
     BOUNDS,
     DATA_CENTRES,
--- a/packages/standins/src/fireflylink_standins/_backend_server.py
+++ b/packages/standins/src/fireflylink_standins/_backend_server.py
@@ -8,7 +8,7 @@
 from fireflylink_caller_frontend import HttpListener
 from fireflylink_core import NO_KEY, BaseClock, CallerLimits, KeyRange
 from fireflylink_platform import names
-from fireflylink_standins._backend_state import GrantState
+from fireflylink_standins._grant_state import GrantState
 from fireflylink_standins._store_server import encode
 from fireflylink_standins._store_state import StoreState
 from fireflylink_store import Commit, Put
--- a/packages/store/src/fireflylink_store/__init__.py
+++ b/packages/store/src/fireflylink_store/__init__.py
@@ -8,16 +8,6 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from fireflylink_store._facts import (
-    BaseItemDecoder,
-    BaseUpdate,
-    ConfigurationUpdate,
-    EvacuationUpdate,
-    RecordUpdate,
-    ServerRemoved,
-    ServerUpdate,
-    UnreadableItem,
-)
 from fireflylink_store._items import (
     ABSENT_REVISION,
     NO_LEASE,
@@ -31,6 +21,16 @@
     Snapshot,
 )
 from fireflylink_store._store import BaseStore
+from fireflylink_store._updates import (
+    BaseItemDecoder,
+    BaseUpdate,
+    ConfigurationUpdate,
+    EvacuationUpdate,
+    RecordUpdate,
+    ServerRemoved,
+    ServerUpdate,
+    UnreadableItem,
+)
 
 __all__ = [
     "ABSENT_REVISION",
