Bring doc comments and variables in line with the renamed names

Doc comments of renamed classes, methods and constants use the words of the new names: incarnation, priority, queued request, update, scenario, fraction and guarantee. Variables that hold several updates or incarnations, and those that narrow to a subclass, follow too.

--- a/packages/backend_client/src/fireflylink_backend_client/_codec.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_codec.py
@@ -47,7 +47,7 @@
 
     @abc.abstractmethod
     def decode_load(self, response: HttpResponse) -> ServerLoad | None:
-        """Returns the load that the server told, if any."""
+        """Returns the load that the server reported, if any."""
 
     @abc.abstractmethod
     def encode_grant(
--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -28,7 +28,7 @@
 
 
 class ServerConnectionPool:
-    """Connections to one life of a server, each used for one call at a time.
+    """Connections to one incarnation of a server, each used for one call at a time.
 
     An idle connection is closed before the server closes it. The last one used is used again
     first, so that a quiet server keeps few.
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
@@ -32,11 +32,11 @@
             connection.close_connection = True
             _write(resp, self.codec.encode_refusal(error))
             return
-        departure = SocketDisconnectNotifier(connection.socket)
+        disconnect_notifier = SocketDisconnectNotifier(connection.socket)
         try:
-            reply = self.handler.handle(request, departure)
+            reply = self.handler.handle(request, disconnect_notifier)
         finally:
-            departure.stop()
+            disconnect_notifier.stop()
         _write(resp, self.codec.encode_reply(request.request_id, reply))
 
 
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_disconnect_notifier.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_disconnect_notifier.py
@@ -14,8 +14,8 @@
 class SocketDisconnectNotifier(BaseDisconnectNotifier):
     """Watches the connection of a request for its end.
 
-    Bytes of a next request that arrive early end the watch: whether the caller has left shows when
-    they are read.
+    Bytes of a next request that arrive early end the watch: whether the caller has disconnected
+    shows when they are read.
     """
 
     __slots__ = ("actions", "left", "sock", "watcher")
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_handler.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_handler.py
@@ -13,7 +13,7 @@
 
     @abc.abstractmethod
     def on_disconnect(self, action: Callable[[], None]) -> None:
-        """Runs ``action`` once when the caller leaves, at once if it has left already."""
+        """Runs ``action`` once when the caller disconnects, at once if it already has."""
 
 
 class BaseRequestHandler(abc.ABC):
--- a/packages/core/src/fireflylink_core/_keys.py
+++ b/packages/core/src/fireflylink_core/_keys.py
@@ -103,5 +103,5 @@
         return found if key <= found.keys.last else None
 
     def owned_by(self, incarnation: ServerIncarnation) -> tuple[Assignment, ...]:
-        """Returns the assignments of one life of a server."""
+        """Returns the assignments of one incarnation of a server."""
         return tuple(found for found in self.assignments if found.owner == incarnation)
--- a/packages/core/src/fireflylink_core/_server.py
+++ b/packages/core/src/fireflylink_core/_server.py
@@ -13,11 +13,11 @@
 
 
 class BackendServer(BaseValue):
-    """One life of a backend server.
+    """One incarnation of a backend server.
 
     ``started_ms`` is the Unix millisecond of its start: the same ``server_id`` with another value
-    is another life, which holds no key. ``cold_ms`` is how much longer the server said it is cold
-    when it wrote the registration.
+    is another incarnation, which holds no key. ``cold_ms`` is how much longer the server said it is
+    cold when it wrote the registration.
     """
 
     __slots__ = (
@@ -59,12 +59,12 @@
 
     @property
     def incarnation(self) -> "ServerIncarnation":
-        """The identity of this life of the server."""
+        """The identity of this incarnation of the server."""
         return ServerIncarnation(self.server_id, self.started_ms)
 
 
 class ServerIncarnation(BaseValue):
-    """Identifies one life of a server: its id and the Unix millisecond of its start."""
+    """Identifies one incarnation of a server: its id and the Unix millisecond of its start."""
 
     __slots__ = ("server_id", "started_ms")
 
@@ -87,9 +87,9 @@
 
 
 class ServerLoad(BaseValue):
-    """What a server told of its load with an answer.
+    """The load that a server reported with an answer.
 
-    ``slowdown_factor`` is how long work takes on its machine at this moment, 1 as usual.
+    ``slowdown_factor`` is the present service time relative to the normal one, which is 1.
     """
 
     __slots__ = ("running", "slots", "slowdown_factor", "waiting")
--- a/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
@@ -10,7 +10,7 @@
 
 
 class WaitingRequest:
-    """A ticket and the greenlet that waits for its placement."""
+    """The greenlet of a queued request, which waits for the result of dispatching."""
 
     __slots__ = ("placement", "woken")
 
@@ -30,28 +30,30 @@
         self.waiting: dict[QueuedRequest, WaitingRequest] = {}
         self.running = False
 
-    def place(self, ticket: QueuedRequest, request: WaitingRequest) -> BaseDispatchResult | None:
-        """Returns the placement of a ticket; None when the request was woken without one."""
-        result = self.dispatcher.submit(ticket, self.clock.now())
+    def place(
+        self, queued_request: QueuedRequest, request: WaitingRequest
+    ) -> BaseDispatchResult | None:
+        """Returns the result for a queued request; None when it was woken without one."""
+        result = self.dispatcher.submit(queued_request, self.clock.now())
         if result is not None:
             return result
-        self.waiting[ticket] = request
+        self.waiting[queued_request] = request
         if not self.running:
             self.running = True
             gevent.spawn(self._run)
         try:
             request.woken.wait()
         finally:
-            self.waiting.pop(ticket, None)
-            self.dispatcher.cancel(ticket)
+            self.waiting.pop(queued_request, None)
+            self.dispatcher.cancel(queued_request)
         return request.placement
 
     def sweep(self) -> None:
         """Places what can be placed, after a request has ended or the servers have changed."""
         if not self.waiting:
             return
-        for ticket, result in self.dispatcher.sweep(self.clock.now()):
-            request = self.waiting.pop(ticket)
+        for queued_request, result in self.dispatcher.sweep(self.clock.now()):
+            request = self.waiting.pop(queued_request)
             request.placement = result
             request.woken.set()
 
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -8,7 +8,7 @@
 
 
 class UpdatesRead:
-    """Facts that were read from the store. ``whole`` tells that they are all there are."""
+    """Updates that were read from the store. ``whole`` tells that they are all there are."""
 
     __slots__ = ("revision", "updates", "whole")
 
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -204,9 +204,9 @@
         self, service: KeyedService, wanted: OwnershipTable, candidates: list[Candidate]
     ) -> None:
         """Writes which keys change hands, and whether because their owner may not go on."""
-        lives = frozenset(candidate.incarnation for candidate in candidates)
+        incarnations = frozenset(candidate.incarnation for candidate in candidates)
         present = service.table if service.table is not None else wanted
-        changes = changes_between(present, wanted, lives)
+        changes = changes_between(present, wanted, incarnations)
         log_event(
             "ownership-planned",
             service=service.name,
--- a/packages/daemon/src/fireflylink_daemon/_store_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_task.py
@@ -86,9 +86,9 @@
             return read.failure()
         snapshot = read.unwrap()
         self._note_reached()
-        facts = tuple(update for item in snapshot.items for update in self.decoder.decode(item))
+        updates = tuple(update for item in snapshot.items for update in self.decoder.decode(item))
         self.revision = snapshot.revision
-        self._post(facts, whole=True)
+        self._post(updates, whole=True)
         log_event("store-read", items=len(snapshot.items), revision=snapshot.revision)
         return None
 
@@ -100,17 +100,17 @@
             return read.failure()
         changes = read.unwrap()
         self._note_reached()
-        facts = tuple(
+        updates = tuple(
             update for change in changes.changes for update in self.decoder.decode(change)
         )
         self.revision = max(self.revision, changes.revision)
-        if facts:
-            self._post(facts, whole=False)
+        if updates:
+            self._post(updates, whole=False)
             gevent.sleep(GATHER_SECONDS)
         return None
 
-    def _post(self, facts: tuple[BaseUpdate, ...], whole: bool) -> None:
-        self.view.post(UpdatesRead(facts, self.revision, whole))
+    def _post(self, updates: tuple[BaseUpdate, ...], whole: bool) -> None:
+        self.view.post(UpdatesRead(updates, self.revision, whole))
 
     def _note_reached(self) -> None:
         if self.reached is not True:
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -96,16 +96,16 @@
 
     def _drop_absent(self, message: UpdatesRead) -> None:
         """Takes what a whole reading does not hold as removed."""
-        facts = message.updates
+        updates = message.updates
         serving = self.serving
         server_ids = frozenset(
-            fact.server.server_id for fact in facts if isinstance(fact, ServerUpdate)
+            update.server.server_id for update in updates if isinstance(update, ServerUpdate)
         )
         serving.directory.keep_only(server_ids, self.clock.now())
-        wanted = {fact.data_centre for fact in facts if isinstance(fact, EvacuationUpdate)}
+        wanted = {update.data_centre for update in updates if isinstance(update, EvacuationUpdate)}
         for data_centre in [found for found in serving.directory.evacuated if found not in wanted]:
             serving.set_evacuated(data_centre, False)
-        keys = {fact.key for fact in facts if isinstance(fact, RecordUpdate)}
+        keys = {update.key for update in updates if isinstance(update, RecordUpdate)}
         members = {
             name: member
             for name, member in serving.members.items()
@@ -116,20 +116,20 @@
         if DECIDER_KEY not in keys:
             self._set_decider(None, message.revision)
 
-    def _apply_update(self, fact: BaseUpdate) -> None:
-        if isinstance(fact, ServerUpdate):
-            self.serving.put_server(fact.server)
-        elif isinstance(fact, ServerRemoved):
-            self.serving.remove_server(fact.server_id)
-        elif isinstance(fact, ConfigurationUpdate):
-            self.serving.set_configuration(fact.configuration)
-        elif isinstance(fact, EvacuationUpdate):
-            self.serving.set_evacuated(fact.data_centre, fact.requested)
-        elif isinstance(fact, RecordUpdate):
-            self._apply_record(fact)
-        elif isinstance(fact, UnreadableItem):
+    def _apply_update(self, update: BaseUpdate) -> None:
+        if isinstance(update, ServerUpdate):
+            self.serving.put_server(update.server)
+        elif isinstance(update, ServerRemoved):
+            self.serving.remove_server(update.server_id)
+        elif isinstance(update, ConfigurationUpdate):
+            self.serving.set_configuration(update.configuration)
+        elif isinstance(update, EvacuationUpdate):
+            self.serving.set_evacuated(update.data_centre, update.requested)
+        elif isinstance(update, RecordUpdate):
+            self._apply_record(update)
+        elif isinstance(update, UnreadableItem):
             log_problem(
-                "item-unreadable", key=fact.key, problem=fact.problem, revision=fact.revision
+                "item-unreadable", key=update.key, problem=update.problem, revision=update.revision
             )
 
     def _apply_record(self, update: RecordUpdate) -> None:
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -104,8 +104,8 @@
             items.append(Item(f"servers/{name}", json.dumps(entry).encode(), 2))
         table = OwnershipTable("a", 1, (Assignment(KeyRange(0, 65535), LIFE, 1),))
         items.append(Item(ownership_key("a"), encode_table(table), 3))
-        facts = tuple(update for item in items for update in bench.decoder.decode(item))
-        bench.view.receive(UpdatesRead(facts, 3, True))
+        updates = tuple(update for item in items for update in bench.decoder.decode(item))
+        bench.view.receive(UpdatesRead(updates, 3, True))
 
     def note_ended(self, server, request) -> None:
         """Takes the place of the watch for crashes."""
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -41,9 +41,9 @@
 
 def read(bench, *items: Item, whole: bool = False) -> None:
     """Lets the view read items as the store's reader posts them."""
-    facts = tuple(update for item in items for update in bench.decoder.decode(item))
+    updates = tuple(update for item in items for update in bench.decoder.decode(item))
     bench.read_to += 1
-    bench.view.receive(UpdatesRead(facts, bench.read_to, whole))
+    bench.view.receive(UpdatesRead(updates, bench.read_to, whole))
     bench.deliver()
 
 
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -43,7 +43,7 @@
     the key alone; ``misdirected_until`` holds owners that declined a key under a fence, until when.
     ``confirmed_grants`` are the moved ranges whose new owner has confirmed them,
     ``table_received_at`` is when the table came, and ``last_arrival_at`` is when a request of each
-    rank came last.
+    priority came last.
     """
 
     __slots__ = (
@@ -70,7 +70,7 @@
         self.last_arrival_at: dict[int, float] = {}
 
     def max_requests_per_slot(self, priority: int, now: float) -> float:
-        """Returns how many requests a slot a server may hold for one more of a rank."""
+        """Returns how many requests per slot a server may hold before one more of a priority."""
         oldest = now - URGENT_MEMORY_SECONDS
         urgent = any(other < priority and at > oldest for other, at in self.last_arrival_at.items())
         return MAX_LOW_PRIORITY_REQUESTS_PER_SLOT if urgent else MAX_REQUESTS_PER_SLOT
@@ -104,9 +104,9 @@
 
     Example::
 
-        placement = dispatcher.submit(ticket, now)
-        if placement is None:
-            ...  # wait until sweep() returns one for the ticket
+        result = dispatcher.submit(request, now)
+        if result is None:
+            ...  # wait until sweep() returns one for the request
     """
 
     __slots__ = ("pools",)
@@ -115,7 +115,7 @@
         self.pools: dict[str, ServicePool] = {}
 
     def submit(self, request: QueuedRequest, now: float) -> BaseDispatchResult | None:
-        """Places a new ticket, or lets it join the line and returns None."""
+        """Dispatches a new request, or queues it and returns None."""
         pool = self.pools.get(request.service)
         if pool is None:
             return Refused("no-such-service", LONG_RETRY_SECONDS)
@@ -140,13 +140,13 @@
         return ended
 
     def cancel(self, request: QueuedRequest) -> None:
-        """Takes a ticket whose caller has left out of the line."""
+        """Removes a request whose caller has disconnected from the queue."""
         pool = self.pools.get(request.service)
         if pool is not None:
             self._leave(pool, request)
 
     def record_misdirected(self, service: str, dispatched: Dispatched, now: float) -> None:
-        """Takes a server's word that it does not hold a key that the table gives it."""
+        """Records that a server does not hold a key that the table assigns to it."""
         pool = self.pools.get(service)
         if pool is not None:
             pool.misdirected_until[(dispatched.tracker.server.incarnation, dispatched.fence)] = (
@@ -251,7 +251,7 @@
     if pool.keyed:
         return lambda request: now + _owner_seconds(pool, request, now) > request.objective_at
     earliest = now + _least_seconds(pool)
-    return lambda ticket: earliest > ticket.objective_at
+    return lambda request: earliest > request.objective_at
 
 
 def _owner_seconds(pool: ServicePool, request: QueuedRequest, now: float) -> float:
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_queued_request.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_queued_request.py
@@ -9,7 +9,7 @@
 
     ``deadline`` is when its answer is needed at the latest, ``objective_at`` until when it has its
     full worth, ``tried_servers`` the servers that it was sent to. ``priority`` 0 is the most
-    urgent. ``awaited_server`` is the server whose room it waits for.
+    urgent. ``awaited_server`` is the server that it waits for.
     """
 
     __slots__ = (
@@ -44,7 +44,7 @@
 
 
 class BaseDispatchResult(BaseValue):
-    """How the wait of a ticket ended."""
+    """How the wait of a queued request ended."""
 
     __slots__ = ()
 
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_request_queue.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_request_queue.py
@@ -11,7 +11,7 @@
 
 
 class RequestQueue:
-    """Tickets by rank, then by arrival, and how fast the service takes them."""
+    """Requests by priority, then by arrival, and the rate at which they are dispatched."""
 
     __slots__ = ("dispatched", "requests")
 
@@ -20,11 +20,11 @@
         self.dispatched = SlidingWindowCounter(RATE_WINDOW_SECONDS)
 
     def enqueue(self, request: QueuedRequest) -> None:
-        """Adds a ticket behind those that are as urgent."""
+        """Adds a request behind those of the same priority."""
         bisect.insort_right(self.requests, request, key=_order)
 
     def remove(self, request: QueuedRequest) -> None:
-        """Removes a ticket, if it still waits."""
+        """Removes a request, if it is still queued."""
         for index, waiting in enumerate(self.requests):
             if waiting is request:
                 del self.requests[index]
@@ -33,7 +33,7 @@
     def count_ahead(
         self, request: QueuedRequest, misses_objective: Callable[[QueuedRequest], bool]
     ) -> int:
-        """Returns how many waiting tickets come before a new one that can meet its objective."""
+        """Returns how many queued requests come before a new one that can meet its objective."""
         before = self.requests[: bisect.bisect_right(self.requests, _order(request), key=_order)]
         return sum(
             waiting.priority < request.priority or not misses_objective(waiting)
@@ -43,7 +43,7 @@
     def in_dispatch_order(
         self, misses_objective: Callable[[QueuedRequest], bool]
     ) -> list[QueuedRequest]:
-        """Returns the tickets by rank; those that can only be late come behind the others.
+        """Returns the requests by priority; those that can only be late come behind the others.
 
         Under overload, first come first served lets every request wait until it is late.
         """
@@ -52,13 +52,13 @@
         )
 
     def expected_wait_seconds(self, ahead: int, now: float) -> float:
-        """Returns how long ``ahead`` tickets take at the rate of the last seconds."""
+        """Returns how long ``ahead`` requests take at the rate of the last seconds."""
         rate = self.dispatched.count(now) / RATE_WINDOW_SECONDS
         return ahead / rate if rate > 0 else 0.0
 
     @property
     def is_full(self) -> bool:
-        """Whether no more tickets are taken."""
+        """Whether no more requests are queued."""
         return len(self.requests) >= MAX_WAITING
 
 
--- a/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
@@ -7,7 +7,7 @@
 
 
 class RetryBudgetLimits:
-    """What all daemons together may repeat for one service in any window."""
+    """What all daemons together may retry for one service in any window."""
 
     __slots__ = ("extra", "ratio", "window_seconds")
 
@@ -36,6 +36,6 @@
         self.retries.add(now)
 
     def allows_retry(self, now: float, position: FleetPosition) -> bool:
-        """Whether one more repeat stays within the budget."""
+        """Whether one more retry stays within the budget."""
         own = self.limits.ratio * self.requests.count(now) + position.fraction(self.limits.extra)
         return self.retries.count(now) + 1 <= own * SAFE_PART
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -210,7 +210,7 @@
         holds[name] = now + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
 
     def record_not_sent(self, command: GrantCommand) -> None:
-        """Takes note that a grant was not sent after all: no byte of it left.
+        """Records that a grant was not sent after all: no byte of it left.
 
         What was sent before it, answered or not, counts on. The table may have changed meanwhile.
         """
@@ -220,7 +220,7 @@
             self.hold_expiries[command.server][name] = before
 
     def record_granted(self, command: GrantCommand, now: float) -> None:
-        """Takes a server's word that it holds the keys."""
+        """Records that a server confirmed that it holds the keys."""
         self.previous_hold_expiries.pop((command.server, command.keys, command.fence), None)
         holds = self.hold_expiries.setdefault(command.server, {})
         holds[(command.keys, command.fence)] = now + self.max_hold_seconds
@@ -236,7 +236,7 @@
             progress.due_at[command.server] = now + self.renewal_seconds
 
     def record_released(self, command: ReleaseCommand, handover: str, now: float) -> None:
-        """Takes a server's word that it gave the keys up, with the token for the next holder."""
+        """Records that a server gave the keys up, with the token for the next holder."""
         progress = self._progress_of(command.keys, command.fence, command.server)
         if progress is None:
             return
@@ -254,7 +254,7 @@
         progress.due_at[command.server] = now + RETRY_SECONDS
 
     def record_incarnation_ended(self, server: ServerIncarnation) -> None:
-        """Takes note that a life of a server is over: it holds nothing, whatever was granted."""
+        """Records that an incarnation of a server ended: it holds nothing, whatever was granted."""
         self.ended_incarnations.add(server)
 
     def settled_table(self) -> OwnershipTable | None:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -71,7 +71,7 @@
         self.consecutive_failures.pop(server, None)
 
     def record_no_answer(self, server: ServerIncarnation) -> None:
-        """Takes note that a server did not do what it was told."""
+        """Records that a server did not carry out a command."""
         self.consecutive_failures[server] = self.consecutive_failures.get(server, 0) + 1
 
     def is_reachable(self, server: ServerIncarnation) -> bool:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_overload_detector.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_overload_detector.py
@@ -7,7 +7,7 @@
 
 
 class OverloadDetector:
-    """Since when each server is above its part.
+    """Since when each server is above its share of the load.
 
     A large excess is acted on at once. A small one may be chance, as rates are measured over about
     a second, so it has to last.
@@ -19,13 +19,13 @@
         self.overloaded_since: dict[ServerIncarnation, float] = {}
 
     def update(self, overloaded: frozenset[ServerIncarnation], now: float) -> None:
-        """Takes the servers that are above their part now."""
+        """Replaces the set of servers that are above their share now."""
         self.overloaded_since = {
             incarnation: self.overloaded_since.get(incarnation, now) for incarnation in overloaded
         }
 
     def sustained(self, now: float) -> frozenset[ServerIncarnation]:
-        """Returns the servers that have been above their part for long."""
+        """Returns the servers that have been above their share for long."""
         return frozenset(
             incarnation
             for incarnation, since in self.overloaded_since.items()
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -137,7 +137,10 @@
             if len(self.draft.assignments) >= len(self.candidates) * MAX_RANGES_PER_SERVER:
                 return
             busy = [incarnation for incarnation in self.candidates if self._is_busy(incarnation)]
-            if not any(self._relieve(life) for life in sorted(busy, key=self._ratio, reverse=True)):
+            if not any(
+                self._relieve(incarnation)
+                for incarnation in sorted(busy, key=self._ratio, reverse=True)
+            ):
                 return
 
     def join_small_ranges(self) -> None:
@@ -263,7 +266,7 @@
             incarnation: aim * self.weights[incarnation] - self.rates[incarnation]
             for incarnation in self.candidates
         }
-        receiver = max(rooms, key=lambda life: rooms[life])
+        receiver = max(rooms, key=lambda incarnation: rooms[incarnation])
         wanted = min(excess, rooms[receiver])
         ranges = self._ranges_of(giver)
         if wanted <= 0 or not ranges:
--- a/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
+++ b/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
@@ -6,7 +6,7 @@
 from fireflylink_core import CallerRequest, ServerIncarnation
 
 CRASHES = 3
-"""Distinct lives of servers that must have ended under a request before it is refused."""
+"""Distinct incarnations of servers that must have ended under a request before it is refused."""
 
 MEMORY_SECONDS = 60.0
 MAX_SUSPECTS = 2000
@@ -27,7 +27,7 @@
     """Which requests were running when servers crashed, as all daemons tell each other.
 
     A request that merely ran beside a poisonous one is seen at one crash, seldom at two. Only one
-    that was there at the end of three lives of servers is refused.
+    that was there at the end of three incarnations of servers is refused.
 
     Example::
 
@@ -43,18 +43,18 @@
 
     def record_crash(self, fingerprint: bytes, incarnation: ServerIncarnation, now: float) -> None:
         """Takes a request that ran on a server when it crashed."""
-        lives = self.suspects.setdefault(fingerprint, {})
-        lives[incarnation] = now
+        incarnations = self.suspects.setdefault(fingerprint, {})
+        incarnations[incarnation] = now
         self.suspects.move_to_end(fingerprint)
         while len(self.suspects) > MAX_SUSPECTS:
             self.suspects.popitem(last=False)
 
     def is_poison(self, fingerprint: bytes, now: float) -> bool:
         """Whether a request is refused."""
-        lives = self.suspects.get(fingerprint)
-        if lives is None:
+        incarnations = self.suspects.get(fingerprint)
+        if incarnations is None:
             return False
-        recent = sum(now - at < MEMORY_SECONDS for at in lives.values())
+        recent = sum(now - at < MEMORY_SECONDS for at in incarnations.values())
         return recent >= CRASHES
 
     def has_suspects(self) -> bool:
--- a/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
@@ -33,7 +33,7 @@
 class Retry(BaseRetryDecision):
     """Send the request again.
 
-    ``reached_server`` tells that the last attempt counts as an arrival.
+    ``reached_server`` tells that the last attempt reached a server.
     """
 
     __slots__ = ("reached_server", "reason")
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -7,7 +7,7 @@
 """A server is given at most this many requests a slot; more would wait at the daemon."""
 
 MAX_LOW_PRIORITY_REQUESTS_PER_SLOT = 1.5
-"""The same for requests beside which more urgent ones come: a server's queue knows no rank."""
+"""The same for requests beside which more urgent ones come: a server's queue knows no priority."""
 
 DISTANCE_SECONDS = 0.08
 """What a server in another data centre must be faster by, for the price of the bytes."""
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -41,7 +41,7 @@
         self.grace_ends_at = float("-inf")
 
     def register(self, server: BackendServer, now: float) -> DirectoryEntry:
-        """Takes a registration; a changed life makes a new entry."""
+        """Records a registration; a new incarnation makes a new entry."""
         entry = self.entries.get(server.server_id)
         if (
             entry is None
@@ -122,10 +122,10 @@
         )
 
     def is_presumed_alive(self, entry: DirectoryEntry) -> bool:
-        """Whether a missing registration is rather taken for lapsed than for ended.
+        """Whether a missing registration is presumed to have expired rather than ended.
 
         When most servers of a service are registered, the store was not away for them, and a
-        missing one has left; when most are missing, their registrations lapsed.
+        missing one has left; when most are missing, their registrations expired.
         """
         if not entry.registration_missing:
             return True
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -33,9 +33,9 @@
 
 
 class ServerTracker:
-    """In-flight requests, reported load, speed and failures of one life of a server.
+    """In-flight requests, reported load, speed and failures of one incarnation of a server.
 
-    ``base_seconds`` is the service time on an idle server at its usual pace, ``failure_rate`` the
+    ``base_seconds`` is the service time on an idle server at its usual speed, ``failure_rate`` the
     recent part of requests that failed. Reports count less as they age.
     """
 
@@ -84,7 +84,7 @@
         self.own_in_flight_at_report = max(0, self.in_flight - 1)
 
     def record_answer(self, seconds: float, queueing_factor: float, now: float) -> bool:
-        """Takes a whole answer, its time, and how much the queue was expected to stretch it.
+        """Records a whole answer, its time, and how much the queue was expected to stretch it.
 
         Returns whether the time tells the server's speed: with a queue, the time tells more of the
         queue, and an estimate that divides by the expected queue makes overloaded servers look
@@ -101,7 +101,7 @@
         return True
 
     def record_timeout(self, seconds: float, queueing_factor: float, now: float) -> float:
-        """Takes a request whose time ran out at the server: it takes at least that long.
+        """Records a request whose time ran out at the server: it takes at least that long.
 
         Returns the least service time that this tells, without the expected time in the queue.
         """
@@ -112,7 +112,7 @@
         return unqueued
 
     def record_failure(self, now: float) -> None:
-        """Takes a request that failed at the server or was turned away without need."""
+        """Records a request that failed at the server or was declined without need."""
         self._note_outcome(1.0, now)
 
     def record_no_response(self, now: float) -> None:
@@ -126,7 +126,7 @@
         return self.failure_rate * math.exp(-age / FAILURE_DECAY_SECONDS)
 
     def slowdown_factor(self, now: float) -> float:
-        """Returns how much longer work takes on the server's machine now than usual."""
+        """Returns the present service time relative to the normal one, which is 1."""
         if self.reported_load is None:
             return 1.0
         age = max(0.0, now - self.reported_at)
--- a/packages/emulator/src/fireflylink_emulator/_base_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_base_daemon.py
@@ -16,7 +16,7 @@
 
 
 class BaseEmulatedDaemon(abc.ABC):
-    """One daemon in one data centre; ``calls`` are those under way, by order."""
+    """One daemon in one data centre; ``calls`` are those under way, by attempt."""
 
     __slots__ = ("calls", "data_centre", "fleet", "name", "running", "scheduler")
 
@@ -36,7 +36,7 @@
 
     @abc.abstractmethod
     def cancel(self, attempt: CallerAttempt) -> None:
-        """Takes note that the caller of an attempt has left."""
+        """Cancels an attempt whose caller has disconnected."""
 
     @abc.abstractmethod
     def update_servers(self, servers: list[EmulatedServer]) -> None:
@@ -52,7 +52,7 @@
         server: EmulatedServer,
         ended: Callable[[CallOutcome], None],
     ) -> None:
-        """Sends an order to the present life of a server; ``ended`` is called once."""
+        """Sends an attempt to the present incarnation of a server; ``ended`` is called once."""
         latency = self._latency(server)
         latest = attempt.latest - REPLY_MARGIN_SECONDS
         call = Call(
--- a/packages/emulator/src/fireflylink_emulator/_callers.py
+++ b/packages/emulator/src/fireflylink_emulator/_callers.py
@@ -23,8 +23,8 @@
 class Callers:
     """All callers of a run.
 
-    ``impatient_fraction`` is the part of callers that repeat at once and often, whatever they are
-    told; ``early_disconnect_fraction`` the part that leave before their deadline.
+    ``impatient_fraction`` is the fraction of callers that retry at once and often, whatever they
+    are told; ``early_disconnect_fraction`` that of callers that disconnect before their deadline.
     """
 
     __slots__ = (
@@ -59,7 +59,7 @@
         self._send(attempt)
 
     def check_guarantees(self) -> None:
-        """Checks the promises about refused orders after the last event."""
+        """Checks the guarantees about refused attempts after the last event."""
         for statistics in self.statistics.values():
             statistics.check_refused_attempts()
 
--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -112,9 +112,9 @@
         wanted = service.next_table(candidates, 0.0, now)
         if wanted is None:
             return
-        lives = frozenset(candidate.incarnation for candidate in candidates)
+        incarnations = frozenset(candidate.incarnation for candidate in candidates)
         if service.table is not None:
-            self.moved_keys += changes_between(service.table, wanted, lives).moved_keys
+            self.moved_keys += changes_between(service.table, wanted, incarnations).moved_keys
         self._write(wanted)
 
     def _candidate(self, service: KeyedService, server: EmulatedServer) -> Candidate:
@@ -226,7 +226,7 @@
 
 
 def held_key_fraction(servers: list[EmulatedServer]) -> float:
-    """Returns the part of the keys that some server which answers holds now."""
+    """Returns the fraction of the keys that some server which answers holds now."""
     ranges = sorted(
         (keys.first, keys.last)
         for server in servers
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -35,10 +35,10 @@
 
 
 class EmulatedServer:
-    """One backend server over all its lives.
+    """One backend server over all its incarnations.
 
     ``held_ranges`` are the ranges that it was granted, each with its fence and the end of its hold.
-    ``failure_fraction`` is the part of requests that it fails, ``answer_loss_fraction`` that of
+    ``failure_fraction`` is the fraction of requests that it fails, ``answer_loss_fraction`` that of
     answers that are lost. ``peak_cold_requests`` is the most that it got in one second while cold.
     """
 
@@ -100,7 +100,7 @@
 
     @property
     def incarnation(self) -> ServerIncarnation:
-        """The identity of the present life."""
+        """The identity of the present incarnation."""
         return ServerIncarnation(self.name, self.started_ms)
 
     @property
@@ -131,7 +131,7 @@
         )
 
     def receive(self, call: Call, incarnation: ServerIncarnation) -> None:
-        """Takes a request that was sent to one of its lives."""
+        """Receives a request that was sent to one of its incarnations."""
         if self.unresponsive:
             return
         if self.down:
@@ -161,7 +161,7 @@
         self._forget(call)
 
     def make_cold(self) -> None:
-        """Makes it cold, without a new life."""
+        """Makes it cold, without a new incarnation."""
         self.cold_until = self.scheduler.clock.now() + COLD_SECONDS
 
     def crash(self, restart_seconds: float | None = RESTART_SECONDS) -> None:
--- a/packages/emulator/src/fireflylink_emulator/_emulation.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulation.py
@@ -108,7 +108,7 @@
         self.scheduler.schedule_after(EXPIRY_SECONDS, self._tell_members)
 
     def isolate_data_centre(self, data_centre: str) -> None:
-        """Makes everything in a data centre silent."""
+        """Makes everything in a data centre unresponsive."""
         for server in self.servers:
             if server.data_centre == data_centre:
                 server.unresponsive = True
@@ -117,7 +117,7 @@
                 self.stop_daemon(daemon)
 
     def replace_server(self, server: EmulatedServer) -> None:
-        """Drains a server, and starts it again as another, cold life."""
+        """Drains a server, and starts it again as another, cold incarnation."""
         server.draining = True
         self._refresh_once()
         self.scheduler.schedule_after(DRAIN_SECONDS, lambda: server.crash(RESTART_SECONDS))
--- a/packages/emulator/src/fireflylink_emulator/_failures.py
+++ b/packages/emulator/src/fireflylink_emulator/_failures.py
@@ -69,7 +69,7 @@
 
 
 def measure_recovery(inject_failure: Callable[[Emulation], None], seed: int) -> tuple[float, float]:
-    """Returns the least part of the keys that was held, and when all were held again."""
+    """Returns the least fraction of the keys that was held, and when all were held again."""
     emulation = Emulation((LOOKUPS,), FLEET, seed)
     # The phase of the renewals at the loss decides on the time.
     settle = SETTLE_SECONDS + (seed % PHASES) * PHASE_SECONDS
--- a/packages/emulator/src/fireflylink_emulator/_pattern.py
+++ b/packages/emulator/src/fireflylink_emulator/_pattern.py
@@ -23,7 +23,7 @@
 class Arrival(BaseValue):
     """A caller's first attempt: when, in seconds from the start, its key and its kind.
 
-    ``profile_index`` is the position of its profile among those of the situation.
+    ``profile_index`` is the position of its profile among those of the scenario.
     """
 
     __slots__ = ("key", "profile_index", "seconds")
@@ -35,7 +35,7 @@
 
 
 class ArrivalPattern(BaseValue):
-    """The arrivals of one situation, in the order of time.
+    """The arrivals of one scenario, in the order of time.
 
     On disk it is one line ``milliseconds key``, or ``milliseconds key kind``, for each arrival.
     """
--- a/packages/emulator/src/fireflylink_emulator/_run_statistics.py
+++ b/packages/emulator/src/fireflylink_emulator/_run_statistics.py
@@ -16,7 +16,7 @@
     """Counts over one run. A request is all attempts of a caller together.
 
     ``duplicate_executions``, ``answers_without_execution`` and ``refused_but_executed`` are broken
-    promises: an order that ran twice in one attempt, an answer of an order that never ran, and a
+    guarantees: an order that ran twice in one attempt, an answer of an order that never ran, and a
     refusal of one that ran.
     """
 
@@ -51,28 +51,28 @@
 
     @property
     def earned_fraction(self) -> float:
-        """The part of what was owed that was earned."""
+        """The fraction of the possible value that was earned."""
         return self.earned_value / self.possible_value if self.possible_value else 1.0
 
     @property
     def guarantee_violations(self) -> int:
-        """How many promises were broken; call ``check_refused_attempts`` first."""
+        """How many guarantees were violated; call ``check_refused_attempts`` first."""
         return (
             self.duplicate_executions + self.answers_without_execution + self.refused_but_executed
         )
 
     def percentile(self, fraction: float) -> float:
-        """Returns the latency in seconds that a part of the answered requests kept to."""
+        """Returns the latency in seconds that a fraction of the answered requests kept to."""
         value = self.latency.get_value_at_percentile(fraction * PERCENT)
         return float(value) / MICROSECONDS_PER_SECOND
 
     def record_request(self, attempt: CallerAttempt) -> None:
-        """Takes the first attempt of a request."""
+        """Records the first attempt of a request."""
         self.requests += 1
         self.possible_value += attempt.profile.value
 
     def record_attempt(self, attempt: CallerAttempt, reply: BaseReply) -> None:
-        """Takes the end of one attempt, for the promises."""
+        """Records the end of one attempt, for the guarantees."""
         if isinstance(reply, ServerAnswer) and attempt.runs == 0:
             self.answers_without_execution += 1
         if isinstance(reply, NotRun):
@@ -82,12 +82,12 @@
                 self.refused_attempts.append(attempt)
 
     def record_executions(self, attempt: CallerAttempt) -> None:
-        """Takes the runs of an attempt that is over."""
+        """Records the executions of an attempt that is over."""
         if attempt.runs > 1 and not attempt.profile.idempotent:
             self.duplicate_executions += 1
 
     def record_outcome(self, attempt: CallerAttempt, reply: BaseReply, now: float) -> None:
-        """Takes the end of a request after its last attempt."""
+        """Records the end of a request after its last attempt."""
         if isinstance(reply, ServerAnswer) and reply.status < SERVER_ERROR:
             self._note_served(attempt, now)
         elif isinstance(reply, NotRun):
@@ -96,7 +96,7 @@
             self.failed += 1
 
     def check_refused_attempts(self) -> None:
-        """Counts refusals of orders that ran after all."""
+        """Counts refusals of attempts that ran after all."""
         self.refused_but_executed += sum(1 for attempt in self.refused_attempts if attempt.runs)
         self.refused_attempts = []
 
--- a/packages/emulator/src/fireflylink_emulator/_scenario_run.py
+++ b/packages/emulator/src/fireflylink_emulator/_scenario_run.py
@@ -1,4 +1,4 @@
-"""One replay of a situation."""
+"""One replay of a scenario."""
 
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._pattern import ArrivalPattern
@@ -9,7 +9,7 @@
 def replay_scenario(
     scenario: BaseScenario, pattern: ArrivalPattern, seed: int, baseline: bool
 ) -> Emulation:
-    """Plays one situation to its end."""
+    """Replays one scenario to its end."""
     emulation = Emulation(scenario.profiles, FLEET, seed, baseline)
     scenario.schedule_events(emulation)
     emulation.replay(pattern)
--- a/packages/emulator/src/fireflylink_emulator/_scenarios.py
+++ b/packages/emulator/src/fireflylink_emulator/_scenarios.py
@@ -19,7 +19,7 @@
 
 
 class BaseScenario(abc.ABC):
-    """One situation. ``base_load_fraction`` is its load as a part of the servers' capacity."""
+    """One scenario. ``base_load_fraction`` is its load as a fraction of the servers' capacity."""
 
     __slots__ = ()
 
@@ -29,7 +29,7 @@
 
     @property
     def profile(self) -> ServiceProfile:
-        """The kind of requests that the situation is about."""
+        """The kind of requests that the scenario is about."""
         return self.profiles[0]
 
     def generate_pattern(self, rng: random.Random) -> ArrivalPattern:
@@ -45,7 +45,7 @@
         return ArrivalPattern(self.name, tuple(arrivals))
 
     def choose_key(self, rng: random.Random, seconds: float) -> int:
-        """Returns the key of one arrival: a part of them lies close together."""
+        """Returns the key of one arrival: a fraction of them lies close together."""
         if rng.random() < HOT_PART:
             return HOT_KEY + rng.randrange(HOT_KEYS)
         return rng.randrange(KEY_COUNT)
@@ -119,7 +119,7 @@
 
 
 class RetryStorm(BaseScenario):
-    """Half of the callers repeat at once and often, under more load than there is room for."""
+    """Half of the callers retry at once and often, under more load than the capacity."""
 
     __slots__ = ()
     name = "impatient-callers"
--- a/packages/emulator/src/fireflylink_emulator/record.py
+++ b/packages/emulator/src/fireflylink_emulator/record.py
@@ -14,7 +14,7 @@
 
 
 def main() -> None:
-    """Writes one file a situation."""
+    """Writes one file a scenario."""
     flags.FLAGS(sys.argv)
     PATTERN_DIRECTORY.mkdir(exist_ok=True)
     for scenario in SCENARIOS:
--- a/packages/emulator/src/fireflylink_emulator/replay.py
+++ b/packages/emulator/src/fireflylink_emulator/replay.py
@@ -29,7 +29,7 @@
 
 
 def main() -> int:
-    """Prints two rows a situation; returns 1 when a pattern cannot be read."""
+    """Prints two rows a scenario; returns 1 when a pattern cannot be read."""
     flags.FLAGS(sys.argv)
     print(
         f"{'situation':<42} worth  asked in-time   late refused failed  p50 s  p99 s  cold   moved"
--- a/packages/experiments/src/fireflylink_experiments/slopes.py
+++ b/packages/experiments/src/fireflylink_experiments/slopes.py
@@ -31,10 +31,10 @@
 
 
 def _fleet(rng: random.Random, count: int) -> list[Candidate]:
-    lives = (
+    incarnations = (
         ServerIncarnation(f"i-{rng.getrandbits(40):010x}", 1787427283046) for _ in range(count)
     )
-    return [Candidate(incarnation, 25.0, "a") for incarnation in lives]
+    return [Candidate(incarnation, 25.0, "a") for incarnation in incarnations]
 
 
 def _loads(rng: random.Random, servers: int) -> RangeLoad:
--- a/packages/operator_client/src/fireflylink_operator_client/_system_view.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_system_view.py
@@ -57,7 +57,7 @@
         self.unreadable: list[UnreadableItem] = []
 
     def apply(self, update: BaseUpdate) -> None:
-        """Adds what one fact says."""
+        """Applies one update."""
         if isinstance(update, ConfigurationUpdate):
             self.configuration = update.configuration
         elif isinstance(update, ServerUpdate):
--- a/packages/protocol/src/fireflylink_protocol/_datagrams.py
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -34,7 +34,7 @@
 
     ``requests`` is how many there were; ``keys`` is a sample of them when there were more than
     ``MAX_REPORTED_KEYS``. ``service_times`` are those of servers that answered since they were last
-    sent. ``sequence`` grows with each report of one life of a daemon.
+    sent. ``sequence`` grows with each report of one incarnation of a daemon.
     """
 
     __slots__ = ("instance", "keys", "requests", "sequence", "service", "service_times")
@@ -68,7 +68,7 @@
 
 
 class CrashNotice(BaseValue):
-    """A request, by its fingerprint, that was running on a life of a server when it crashed."""
+    """A request, by its fingerprint, that was running on a server incarnation when it crashed."""
 
     __slots__ = ("fingerprint", "incarnation")
 
--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -26,7 +26,7 @@
 class MemberRecord(BaseValue):
     """A daemon that runs, and where it takes load reports.
 
-    ``started_ms`` tells one life of a daemon from the next.
+    ``started_ms`` tells one incarnation of a daemon from the next.
     """
 
     __slots__ = ("data_centre", "host", "instance", "port", "started_ms")
@@ -88,19 +88,19 @@
     on its way, its former holders and the hand-over token. The JSON is compressed; operators see
     it with ``fireflylink owners``.
     """
-    lives: dict[ServerIncarnation, int] = {}
+    incarnations: dict[ServerIncarnation, int] = {}
     rows: list[list[object]] = []
     before = FIRST_KEY - 1
     for assignment in table.assignments:
         row: list[object] = [
             assignment.keys.last - before,
             table.fence - assignment.fence,
-            lives.setdefault(assignment.owner, len(lives)),
+            incarnations.setdefault(assignment.owner, len(incarnations)),
         ]
         if assignment.previous_holders or assignment.handover:
             row.append(
                 [
-                    lives.setdefault(incarnation, len(lives))
+                    incarnations.setdefault(incarnation, len(incarnations))
                     for incarnation in assignment.previous_holders
                 ]
             )
@@ -112,7 +112,9 @@
             "service": table.service,
             "fence": table.fence,
             "alone": table.written_by_sole_decider,
-            "lives": [[life.server_id, life.started_ms] for life in lives],
+            "lives": [
+                [incarnation.server_id, incarnation.started_ms] for incarnation in incarnations
+            ],
             "assignments": rows,
         }
     )
@@ -123,7 +125,9 @@
     """Returns the ownership table of a record."""
 
     def table(fields: Any) -> OwnershipTable:
-        lives = [ServerIncarnation(str(server), int(born)) for server, born in fields["lives"]]
+        incarnations = [
+            ServerIncarnation(str(server), int(born)) for server, born in fields["lives"]
+        ]
         fence = int(fields["fence"])
         assignments = []
         before = FIRST_KEY - 1
@@ -133,9 +137,9 @@
             assignments.append(
                 Assignment(
                     KeyRange(before + 1, last),
-                    lives[owner],
+                    incarnations[owner],
                     fence - int(below),
-                    tuple(lives[life] for life in previous),
+                    tuple(incarnations[incarnation] for incarnation in previous),
                     str(handover),
                 )
             )
--- a/packages/standins/src/fireflylink_standins/_caller.py
+++ b/packages/standins/src/fireflylink_standins/_caller.py
@@ -17,7 +17,7 @@
 
 
 class Caller:
-    """Sends requests to one daemon over a kept connection."""
+    """Sends requests to one daemon over a persistent connection."""
 
     __slots__ = ("clock", "connection", "port")
 
--- a/packages/standins/src/fireflylink_standins/_grant_state.py
+++ b/packages/standins/src/fireflylink_standins/_grant_state.py
@@ -15,7 +15,7 @@
 
 
 class GrantState:
-    """Grants of one life of a server. ``executed`` records each run request and its key."""
+    """Grants of one incarnation of a server. ``executed`` records each run request and its key."""
 
     __slots__ = ("clock", "executed", "holds", "seen_fences", "tokens")
 
--- a/packages/standins/tests/test_adapter_catalogue.py
+++ b/packages/standins/tests/test_adapter_catalogue.py
@@ -97,17 +97,17 @@
 )
 def test_a_malformed_registration_names_no_server(change):
     """Guards against entries of other writers that are taken for servers."""
-    facts = PlatformItemDecoder().decode(item("servers/i-1", {**SERVER, **change}))
-    assert_that(facts[0], IsInstance(UnreadableItem))
-    assert_that(facts[1], Equals(ServerRemoved("i-1", 5)))
+    updates = PlatformItemDecoder().decode(item("servers/i-1", {**SERVER, **change}))
+    assert_that(updates[0], IsInstance(UnreadableItem))
+    assert_that(updates[1], Equals(ServerRemoved("i-1", 5)))
 
 
 @pytest.mark.parametrize("value", [b"\xff\xfe", b"[]", b"{", b"null", b""])
 def test_bytes_that_cannot_be_read_name_no_server_and_no_route(value):
     """Guards against an exception that ends the reading of the store."""
     for key in ("servers/i-1", "op/config"):
-        facts = PlatformItemDecoder().decode(Item(key, value, 5))
-        assert_that(facts[0], IsInstance(UnreadableItem))
+        updates = PlatformItemDecoder().decode(Item(key, value, 5))
+        assert_that(updates[0], IsInstance(UnreadableItem))
 
 
 def test_a_configuration_is_read():
--- a/packages/store/src/fireflylink_store/__init__.py
+++ b/packages/store/src/fireflylink_store/__init__.py
@@ -1,4 +1,4 @@
-"""The metadata store: its interface, and the facts that its items state."""
+"""The metadata store: its interface, and the updates that its items decode to."""
 
 from fireflylink_store._errors import (
     ConflictError,
--- a/packages/store/src/fireflylink_store/_updates.py
+++ b/packages/store/src/fireflylink_store/_updates.py
@@ -76,7 +76,7 @@
 
 
 class BaseItemDecoder(abc.ABC):
-    """Turns items of the store into facts."""
+    """Decodes items of the store into updates."""
 
     __slots__ = ()
 
