--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -8,7 +8,7 @@
 
 from fireflylink_caller_frontend import HttpListener, make_application
 from fireflylink_core import BaseClock
-from fireflylink_daemon._crash_watch import CrashWatch
+from fireflylink_daemon._crash_detector import CrashDetector
 from fireflylink_daemon._decider_task import DeciderTask
 from fireflylink_daemon._dispatch_task import DispatchTask
 from fireflylink_daemon._endpoints import make_metrics_application, make_readiness_application
@@ -17,11 +17,11 @@
 from fireflylink_daemon._messages import Leave
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._ownership_task import OwnershipTask
-from fireflylink_daemon._peers import KeyCounter, PeerSocket
+from fireflylink_daemon._peers import LoadCounter, PeerSocket
 from fireflylink_daemon._request_path import RequestPath
 from fireflylink_daemon._serving import Serving
 from fireflylink_daemon._settings import Settings, read_settings
-from fireflylink_daemon._store_task import StoreReader
+from fireflylink_daemon._store_reader import StoreReader
 from fireflylink_daemon._view_task import ViewTask
 from fireflylink_platform import (
     READY_PATH,
@@ -98,7 +98,7 @@
         )
         self.member = MemberTask(record, self._store(), self.view, clock, self.metrics)
         self.decider = DeciderTask(record, self._store(), self.serving, clock, self.metrics)
-        keys = KeyCounter()
+        keys = LoadCounter()
         self.peers = PeerSocket(
             settings.instance, settings.address, settings.report_port, keys, self.view
         )
@@ -111,7 +111,7 @@
             self._store(), PlatformItemDecoder(), self.view, clock, self.metrics
         )
         self.path = path = RequestPath(
-            self.serving, self.dispatch, keys, CrashWatch(self.peers, clock), clock, self.metrics
+            self.serving, self.dispatch, keys, CrashDetector(self.peers, clock), clock, self.metrics
         )
         self.callers = HttpListener(
             make_application(path, PlatformCallerCodec()),
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -1,4 +1,7 @@
-"""Election of the decider, and its conditional writes of ownership tables."""
+"""Election of the decider, and its conditional writes of ownership tables.
+
+The decider is the daemon that is elected as the leader that assigns keys to servers.
+"""
 
 from returns.result import Success
 
@@ -6,11 +9,11 @@
 from fireflylink_daemon._log import log_event, log_problem
 from fireflylink_daemon._messages import (
     DeciderChanged,
-    DeciderLost,
-    DeciderWon,
+    DeciderDemoted,
+    DeciderElected,
     Leave,
     TableChanged,
-    TableRefused,
+    TableNotWritten,
 )
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._serving import Serving
@@ -36,15 +39,15 @@
     StoreUnavailableError,
 )
 
-LEASE_SECONDS = 1.2
-RENEWAL_SECONDS = 0.4
-CALL_SECONDS = 0.8
-TICK_SECONDS = 0.1
-CANDIDACY_RETRY_SECONDS = 0.4
+LEASE_TTL_SECONDS = 1.2
+RENEWAL_INTERVAL_SECONDS = 0.4
+CALL_TIMEOUT_SECONDS = 0.8
+CHECK_INTERVAL_SECONDS = 0.1
+CANDIDACY_RETRY_DELAY_SECONDS = 0.4
 
 
 class CommitTable:
-    """A table to write in place of the record that has ``revision``."""
+    """Requests that a table replaces the service's record that has ``revision``."""
 
     __slots__ = ("revision", "table")
 
@@ -54,7 +57,7 @@
 
 
 class Superseded:
-    """Another daemon has decided on ownership meanwhile."""
+    """Another daemon has acted as the decider, so this one must step down."""
 
     __slots__ = ("reason",)
 
@@ -63,20 +66,20 @@
 
 
 class DeciderTask(BaseTask):
-    """Owns this daemon's candidacy, the decider's lease, and a client of the store.
+    """Runs for decider, renews the decider's lease and writes ownership tables to the store.
 
-    ``ownership`` is told when this daemon becomes the decider, ceases to be it, and when the store
-    has accepted a table.
+    It notifies the ``ownership`` task when this daemon is elected or demoted, when the store has
+    accepted a table, and when a table was certainly not written.
     """
 
     __slots__ = (
         "election",
         "lease_id",
-        "lease_seconds",
+        "lease_ttl_seconds",
         "leaving",
         "metrics",
-        "next_candidacy",
-        "next_renewal",
+        "next_candidacy_at",
+        "next_renewal_at",
         "ownership",
         "record",
         "serving",
@@ -102,141 +105,148 @@
         self.ownership: BaseTask | None = None
         self.leaving = False
         self.lease_id = 0
-        self.lease_seconds = max(LEASE_SECONDS, serving.settings.minimum_lease_seconds)
-        self.next_renewal = 0.0
-        self.next_candidacy = 0.0
+        self.lease_ttl_seconds = max(LEASE_TTL_SECONDS, serving.settings.minimum_lease_seconds)
+        self.next_renewal_at = 0.0
+        self.next_candidacy_at = 0.0
 
-    def next_wake(self) -> float:
+    def next_wake_at(self) -> float:
         if self.election.is_decider:
-            return self.next_renewal
-        return self.clock.now() + TICK_SECONDS
+            return self.next_renewal_at
+        return self.clock.now() + CHECK_INTERVAL_SECONDS
 
-    def wake(self) -> None:
+    def on_wake(self) -> None:
         now = self.clock.now()
         if self.election.is_decider:
-            if now >= self.next_renewal:
-                self._renew(now)
+            if now >= self.next_renewal_at:
+                self._renew_lease(now)
                 if self.leaving:
                     self._leave()
             return
         if self.leaving:
             return
         candidate_at = self.election.candidacy_at(self.serving.position.rank)
-        if candidate_at is not None and now >= max(candidate_at, self.next_candidacy):
-            self._stand()
+        if candidate_at is not None and now >= max(candidate_at, self.next_candidacy_at):
+            self._run_for_decider()
 
     def receive(self, message: object) -> object:
         if isinstance(message, DeciderChanged):
-            self._note_record(message)
+            self._on_decider_record(message)
         elif isinstance(message, CommitTable):
-            self._commit(message)
+            self._write_table(message)
         elif isinstance(message, Leave):
             self.leaving = True
             self._leave()
         elif isinstance(message, Superseded) and self.election.is_decider:
             self._resign(message.reason)
-        if self.election.is_decider and self.clock.now() >= self.next_renewal:
-            self._renew(self.clock.now())
+        if self.election.is_decider and self.clock.now() >= self.next_renewal_at:
+            self._renew_lease(self.clock.now())
         return None
 
     def _leave(self) -> None:
-        """Hands the decider's work over; without the store it goes on to the end of the process.
+        """Revokes the decider's lease, so that another daemon takes over.
 
-        Nobody could take over, and the keys would lose their owners.
+        If that fails, this daemon remains the decider until its process ends: no other daemon could
+        take over without the store, and keys whose grants are not renewed lose their owners.
         """
         if not self.election.is_decider:
             return
-        ended = self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
-        if isinstance(ended, Success):
-            self._lose("leaving")
+        revoked = self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_TIMEOUT_SECONDS)
+        if isinstance(revoked, Success):
+            self._step_down("leaving")
         else:
-            log_problem("decider-stays", problem=ended.failure())
+            log_problem("decider-stays", problem=revoked.failure())
 
     def _resign(self, reason: str) -> None:
-        """Ends the decider's lease, so that another daemon takes over at once."""
+        """Steps down and revokes the decider's lease, so that another daemon takes over at once."""
         if self.lease_id:
-            self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
-        self._lose(reason)
+            self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_TIMEOUT_SECONDS)
+        self._step_down(reason)
 
-    def _note_record(self, message: DeciderChanged) -> None:
-        held = self.election.is_decider
+    def _on_decider_record(self, message: DeciderChanged) -> None:
+        was_decider = self.election.is_decider
         member = message.member
         now = self.clock.now()
         if member is not None and member == self.record:
-            if not held and self.lease_id:
-                # The answer to the write was lost, and the write took effect.
-                self._win(message.revision, now)
+            if not was_decider and self.lease_id:
+                # The write of the record took effect, but its answer was lost.
+                self._become_decider(message.revision, now)
             return
         self.election.on_decider_record(message.revision, member is not None, now)
-        if held and not self.election.is_decider:
-            self._lose("replaced")
+        if was_decider and not self.election.is_decider:
+            self._step_down("replaced")
 
-    def _stand(self) -> None:
-        """Tries to become the decider."""
-        self.next_candidacy = self.clock.now() + CANDIDACY_RETRY_SECONDS
-        error = self._open_lease()
+    def _run_for_decider(self) -> None:
+        """Tries to become the decider by writing the decider record, which must not exist."""
+        self.next_candidacy_at = self.clock.now() + CANDIDACY_RETRY_DELAY_SECONDS
+        error = self._create_lease()
         if error is None:
-            asked_at = self.clock.now()
+            sent_at = self.clock.now()
             put = Put(DECIDER_KEY, encode_member(self.record), self.lease_id)
             commit = Commit(expected=((DECIDER_KEY, ABSENT_REVISION),), puts=(put,))
-            written = self.store.commit(commit, asked_at + CALL_SECONDS)
+            written = self.store.commit(commit, sent_at + CALL_TIMEOUT_SECONDS)
             if isinstance(written, Success):
-                self._win(written.unwrap(), asked_at)
+                self._become_decider(written.unwrap(), sent_at)
                 return
             error = written.failure()
         if isinstance(error, ConflictError | LeaseNotFoundError):
             self.lease_id = 0
         log_event("decider-candidacy-failed", problem=error)
 
-    def _open_lease(self) -> StoreError | None:
-        opened = self.store.create_lease(self.lease_seconds, self.clock.now() + CALL_SECONDS)
-        if not isinstance(opened, Success):
-            return opened.failure()
-        self.lease_id = opened.unwrap().lease_id
+    def _create_lease(self) -> StoreError | None:
+        created = self.store.create_lease(
+            self.lease_ttl_seconds, self.clock.now() + CALL_TIMEOUT_SECONDS
+        )
+        if not isinstance(created, Success):
+            return created.failure()
+        self.lease_id = created.unwrap().lease_id
         return None
 
-    def _win(self, revision: int, asked_at: float) -> None:
+    def _become_decider(self, revision: int, sent_at: float) -> None:
         error = self._read_tables()
         if error is not None:
             log_problem("decider-tables-not-read", problem=error)
-            self._resign("tables not read")
+            self._resign("reading the ownership tables failed")
             return
-        self.election.on_elected(revision, asked_at)
-        self.next_renewal = asked_at + RENEWAL_SECONDS
+        self.election.on_elected(revision, sent_at)
+        self.next_renewal_at = sent_at + RENEWAL_INTERVAL_SECONDS
         log_event("decider-won", instance=self.record.instance, revision=revision)
-        self._tell(DeciderWon(asked_at))
+        self._notify_ownership(DeciderElected(sent_at))
 
     def _read_tables(self) -> StoreError | None:
-        """Reads the tables as they are now that no other daemon can write them."""
-        read = self.store.list(OWNERSHIP_PREFIX, self.clock.now() + CALL_SECONDS)
+        """Reads the tables of all services.
+
+        Other daemons can no longer write them: their writes are conditional on their own decider
+        record, which this daemon's has replaced.
+        """
+        read = self.store.list(OWNERSHIP_PREFIX, self.clock.now() + CALL_TIMEOUT_SECONDS)
         if not isinstance(read, Success):
             return read.failure()
         for item in read.unwrap().items:
             table = decode_table(item.value)
             if isinstance(table, Success):
-                self._tell(TableChanged(table.unwrap(), item.revision))
+                self._notify_ownership(TableChanged(table.unwrap(), item.revision))
             else:
                 log_problem("record-unreadable", key=item.key, problem=table.failure())
         return None
 
-    def _lose(self, reason: str) -> None:
+    def _step_down(self, reason: str) -> None:
         self.election.on_demoted()
         self.lease_id = 0
         log_event("decider-lost", instance=self.record.instance, reason=reason)
-        self._tell(DeciderLost())
+        self._notify_ownership(DeciderDemoted())
 
-    def _renew(self, asked_at: float) -> None:
-        self.next_renewal = asked_at + RENEWAL_SECONDS
-        renewed = self.store.renew_lease(self.lease_id, asked_at + CALL_SECONDS)
+    def _renew_lease(self, sent_at: float) -> None:
+        self.next_renewal_at = sent_at + RENEWAL_INTERVAL_SECONDS
+        renewed = self.store.renew_lease(self.lease_id, sent_at + CALL_TIMEOUT_SECONDS)
         result = type(renewed).__name__
         self.metrics.count("store_calls", kind="decider-renewal", result=result)
         if isinstance(renewed, Success):
-            self.election.on_confirmed(asked_at)
+            self.election.on_confirmed(sent_at)
         elif isinstance(renewed.failure(), LeaseNotFoundError):
-            self._lose("lease-ended")
+            self._step_down("lease-ended")
             self.election.vacant_since = self.clock.now()
 
-    def _commit(self, message: CommitTable) -> None:
+    def _write_table(self, message: CommitTable) -> None:
         if not self.election.is_decider:
             return
         table = message.table
@@ -245,11 +255,11 @@
             expected=((key, message.revision), (DECIDER_KEY, self.election.revision)),
             puts=(Put(key, encode_table(table)),),
         )
-        asked_at = self.clock.now()
-        written = self.store.commit(commit, asked_at + CALL_SECONDS)
+        sent_at = self.clock.now()
+        written = self.store.commit(commit, sent_at + CALL_TIMEOUT_SECONDS)
         self.metrics.count("store_calls", kind="table", result=type(written).__name__)
         if isinstance(written, Success):
-            self.election.on_confirmed(asked_at)
+            self.election.on_confirmed(sent_at)
             log_event(
                 "ownership-written",
                 service=table.service,
@@ -257,15 +267,15 @@
                 ranges=len(table.assignments),
                 revision=written.unwrap(),
             )
-            first = message.revision == ABSENT_REVISION
-            self._tell(TableChanged(table, written.unwrap(), first))
+            is_first = message.revision == ABSENT_REVISION
+            self._notify_ownership(TableChanged(table, written.unwrap(), is_first))
             self.serving.set_table(table)
             return
         error = written.failure()
         log_problem("ownership-not-written", service=table.service, problem=error)
         if isinstance(error, ConflictError | StoreUnavailableError):
-            self._tell(TableRefused(table))
+            self._notify_ownership(TableNotWritten(table))
 
-    def _tell(self, message: object) -> None:
+    def _notify_ownership(self, message: object) -> None:
         if self.ownership is not None:
             self.ownership.post(message)
--- a/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
+++ b/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
@@ -1,11 +1,11 @@
-"""Tasks that send grants and releases to servers."""
+"""Greenlets that send grants and releases to backend servers."""
 
 import gevent
 from returns.result import Success
 
 from fireflylink_backend_client import BaseServerCodec, ServerCommandClient
 from fireflylink_core import BackendServer, BaseClock
-from fireflylink_daemon._messages import CommandDue, CommandEnded
+from fireflylink_daemon._messages import CommandCompleted, CommandDue
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.ownership import (
     GRANT_TIMEOUT_SECONDS,
@@ -14,13 +14,16 @@
     ReleaseCommand,
 )
 
-IDLE_SECONDS = 3600.0
+IDLE_WAKE_SECONDS = 3600.0
 
 
 class GrantTask(BaseTask):
-    """Sends the grants and renewals of one server, one after the other over one connection."""
+    """Sends the grants and renewals of one server, one at a time over one connection.
 
-    __slots__ = ("commands", "hold_seconds", "ownership")
+    It posts a ``CommandCompleted`` to the ``ownership`` task for each of them.
+    """
+
+    __slots__ = ("command_client", "hold_seconds", "ownership")
 
     def __init__(
         self,
@@ -31,34 +34,34 @@
         hold_seconds: float,
     ) -> None:
         super().__init__(f"grants-{server.server_id}", clock)
-        self.commands = ServerCommandClient(server, clock, codec)
+        self.command_client = ServerCommandClient(server, clock, codec)
         self.ownership = ownership
         self.hold_seconds = hold_seconds
 
-    def next_wake(self) -> float:
-        return self.clock.now() + IDLE_SECONDS
+    def next_wake_at(self) -> float:
+        return self.clock.now() + IDLE_WAKE_SECONDS
 
-    def wake(self) -> None:
-        """Nothing is done without a command."""
+    def on_wake(self) -> None:
+        """Does nothing: this task only reacts to commands."""
 
     def receive(self, message: object) -> object:
         if isinstance(message, CommandDue) and isinstance(message.command, GrantCommand):
             command = message.command
-            ended = self.commands.grant(
+            result = self.command_client.grant(
                 command.keys,
                 command.fence,
                 self.hold_seconds,
                 command.handover,
                 self.clock.now() + GRANT_TIMEOUT_SECONDS,
             )
-            error = None if isinstance(ended, Success) else ended.failure()
-            self.ownership.post(CommandEnded(message.service, command, error))
+            error = None if isinstance(result, Success) else result.failure()
+            self.ownership.post(CommandCompleted(message.service, command, error))
         return None
 
     def close(self) -> None:
-        """Ends the task and its connection."""
+        """Stops the task and closes its connection."""
         self.stop()
-        self.commands.close()
+        self.command_client.close()
 
 
 def spawn_release(
@@ -69,16 +72,20 @@
     command: ReleaseCommand,
     ownership: BaseTask,
 ) -> None:
-    """Sends a release from a greenlet of its own: its answer waits for the work on the keys."""
+    """Sends a release from its own greenlet and posts the result to the ``ownership`` task.
+
+    The server answers a release only when the requests that run on the keys have ended; grants to
+    the same server must not wait for that.
+    """
 
     def run() -> None:
-        commands = ServerCommandClient(server, clock, codec)
+        command_client = ServerCommandClient(server, clock, codec)
         deadline = clock.now() + RELEASE_TIMEOUT_SECONDS
-        ended = commands.release(command.keys, command.fence, deadline)
-        commands.close()
-        if isinstance(ended, Success):
-            ownership.post(CommandEnded(service, command, None, ended.unwrap()))
+        result = command_client.release(command.keys, command.fence, deadline)
+        command_client.close()
+        if isinstance(result, Success):
+            ownership.post(CommandCompleted(service, command, None, result.unwrap()))
         else:
-            ownership.post(CommandEnded(service, command, ended.failure()))
+            ownership.post(CommandCompleted(service, command, result.failure()))
 
     gevent.spawn(run)
--- a/packages/daemon/src/fireflylink_daemon/_member_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_member_task.py
@@ -1,26 +1,29 @@
-"""The daemon's own record among the members of the fleet."""
+"""The daemon's membership in the fleet: its member record in the store."""
 
 from returns.result import Success
 
 from fireflylink_core import BaseClock
 from fireflylink_daemon._log import log_event, log_problem
-from fireflylink_daemon._messages import Leave, MemberMissing, StoreDoubted
+from fireflylink_daemon._messages import Leave, MemberRecordMissing, StoreCallStatus
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._task import BaseTask
 from fireflylink_protocol import MemberRecord, encode_member, member_key
 from fireflylink_store import BaseStore, Commit, LeaseNotFoundError, Put, StoreError
 
-LEASE_SECONDS = 6.0
-RENEWAL_SECONDS = 1.0
-CALL_SECONDS = 1.0
-RETRY_SECONDS = 0.5
+LEASE_TTL_SECONDS = 6.0
+RENEWAL_INTERVAL_SECONDS = 1.0
+CALL_TIMEOUT_SECONDS = 1.0
+RETRY_DELAY_SECONDS = 0.5
 NEVER = float("inf")
 
 
 class MemberTask(BaseTask):
-    """Keeps the member record under a lease; the record ends with the daemon."""
+    """Writes the member record under a lease and renews the lease.
 
-    __slots__ = ("doubted", "due_at", "lease_id", "metrics", "record", "store", "view")
+    The store deletes the record when the daemon revokes the lease or no longer renews it.
+    """
+
+    __slots__ = ("lease_id", "metrics", "next_call_at", "record", "store", "store_failing", "view")
 
     def __init__(
         self,
@@ -35,54 +38,64 @@
         self.store = store
         self.metrics = metrics
         self.view = view
-        self.doubted = False
+        self.store_failing = False
         self.lease_id = 0
-        self.due_at = 0.0
+        self.next_call_at = 0.0
 
-    def next_wake(self) -> float:
-        return self.due_at
+    def next_wake_at(self) -> float:
+        return self.next_call_at
 
-    def wake(self) -> None:
-        error = self._renew() if self.lease_id else self._join()
+    def on_wake(self) -> None:
+        error = self._renew() if self.lease_id else self._join_fleet()
         self.metrics.count("store_calls", kind="member", result="Failure" if error else "Success")
-        self._tell_doubt(error is not None)
+        self._report_store_status(error is not None)
         if error is None:
-            self.due_at = self.clock.now() + RENEWAL_SECONDS
+            self.next_call_at = self.clock.now() + RENEWAL_INTERVAL_SECONDS
             return
         if isinstance(error, LeaseNotFoundError):
             log_problem("member-lease-ended", instance=self.record.instance)
             self.lease_id = 0
-        self.due_at = self.clock.now() + RETRY_SECONDS
+        self.next_call_at = self.clock.now() + RETRY_DELAY_SECONDS
 
     def receive(self, message: object) -> object:
         if isinstance(message, Leave):
             self._leave()
-        elif isinstance(message, MemberMissing) and self.lease_id:
+        elif isinstance(message, MemberRecordMissing) and self.lease_id:
             log_problem("member-record-missing", instance=self.record.instance)
             self.lease_id = 0
-            self.due_at = 0.0
+            self.next_call_at = 0.0
         return None
 
-    def _tell_doubt(self, doubted: bool) -> None:
-        """Lets the view know at once: its own call may wait for seconds before it fails."""
-        if doubted != self.doubted:
-            self.doubted = doubted
-            self.view.post(StoreDoubted(doubted))
+    def _report_store_status(self, failing: bool) -> None:
+        """Notifies the view when calls to the store begin to fail or succeed again.
+
+        The reader of the store learns of an outage later: its watch call may wait for seconds
+        before it fails.
+        """
+        if failing != self.store_failing:
+            self.store_failing = failing
+            self.view.post(StoreCallStatus(failing))
 
     def _leave(self) -> None:
-        """Removes the record, so that the others take over this daemon's shares."""
-        self.due_at = NEVER
+        """Revokes the lease, which deletes the record.
+
+        The other members then divide this daemon's shares of the fleet-wide limits among
+        themselves.
+        """
+        self.next_call_at = NEVER
         if self.lease_id:
-            self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
+            self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_TIMEOUT_SECONDS)
             self.lease_id = 0
 
-    def _join(self) -> StoreError | None:
-        opened = self.store.create_lease(LEASE_SECONDS, self.clock.now() + CALL_SECONDS)
-        if not isinstance(opened, Success):
-            return opened.failure()
-        lease_id = opened.unwrap().lease_id
+    def _join_fleet(self) -> StoreError | None:
+        created = self.store.create_lease(
+            LEASE_TTL_SECONDS, self.clock.now() + CALL_TIMEOUT_SECONDS
+        )
+        if not isinstance(created, Success):
+            return created.failure()
+        lease_id = created.unwrap().lease_id
         put = Put(member_key(self.record.instance), encode_member(self.record), lease_id)
-        written = self.store.commit(Commit(puts=(put,)), self.clock.now() + CALL_SECONDS)
+        written = self.store.commit(Commit(puts=(put,)), self.clock.now() + CALL_TIMEOUT_SECONDS)
         if not isinstance(written, Success):
             return written.failure()
         self.lease_id = lease_id
@@ -90,5 +103,5 @@
         return None
 
     def _renew(self) -> StoreError | None:
-        renewed = self.store.renew_lease(self.lease_id, self.clock.now() + CALL_SECONDS)
+        renewed = self.store.renew_lease(self.lease_id, self.clock.now() + CALL_TIMEOUT_SECONDS)
         return None if isinstance(renewed, Success) else renewed.failure()
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -8,24 +8,28 @@
 
 
 class UpdatesRead:
-    """Updates that were read from the store. ``whole`` tells that they are all there are."""
+    """Updates that were read from the store up to ``revision``.
 
-    __slots__ = ("revision", "updates", "whole")
+    ``is_snapshot`` is true when they are the complete contents of the store, false when they are
+    only what has changed since the last read.
+    """
+
+    __slots__ = ("is_snapshot", "revision", "updates")
 
-    def __init__(self, updates: tuple[BaseUpdate, ...], revision: int, whole: bool) -> None:
+    def __init__(self, updates: tuple[BaseUpdate, ...], revision: int, is_snapshot: bool) -> None:
         self.updates = updates
         self.revision = revision
-        self.whole = whole
+        self.is_snapshot = is_snapshot
 
 
 class Leave:
-    """The daemon is about to end: give up what it holds in the store."""
+    """The daemon is shutting down: the receiver revokes its lease in the store."""
 
     __slots__ = ()
 
 
-class StoreLost:
-    """The store stopped to answer this daemon."""
+class StoreUnreachable:
+    """Reading from the store failed, or the store no longer has the changes to read next."""
 
     __slots__ = ("problem",)
 
@@ -33,43 +37,46 @@
         self.problem = problem
 
 
-class StoreDoubted:
-    """Whether the last call to the store, other than reading, failed."""
+class StoreCallStatus:
+    """The result of the member task's calls to the store has changed.
+
+    ``failing`` is true when its last call failed.
+    """
 
-    __slots__ = ("doubted",)
+    __slots__ = ("failing",)
 
-    def __init__(self, doubted: bool) -> None:
-        self.doubted = doubted
+    def __init__(self, failing: bool) -> None:
+        self.failing = failing
 
 
-class MemberMissing:
+class MemberRecordMissing:
     """The store no longer has this daemon's member record."""
 
     __slots__ = ()
 
 
-class StoreReached:
-    """The store answers this daemon."""
+class StoreReachable:
+    """Reading from the store succeeded, for the first time or again after a failure."""
 
     __slots__ = ()
 
 
 class TableChanged:
-    """The store holds a new ownership table. ``revision`` is that of its record.
+    """The store holds an ownership table. ``revision`` is that of its record.
 
-    ``first`` tells that this daemon wrote it and that the service had none before.
+    ``is_first`` is true when this daemon wrote the table and the service had none before.
     """
 
-    __slots__ = ("first", "revision", "table")
+    __slots__ = ("is_first", "revision", "table")
 
-    def __init__(self, table: OwnershipTable, revision: int, first: bool = False) -> None:
-        self.first = first
+    def __init__(self, table: OwnershipTable, revision: int, is_first: bool = False) -> None:
+        self.is_first = is_first
         self.table = table
         self.revision = revision
 
 
-class TableRefused:
-    """The store certainly did not take a table, and will not."""
+class TableNotWritten:
+    """The write of a table failed, and it is certain that the store will not apply it later."""
 
     __slots__ = ("table",)
 
@@ -78,7 +85,7 @@
 
 
 class DeciderChanged:
-    """The decider record was written or removed; ``member`` is None when there is none."""
+    """The decider record was written or deleted; ``member`` is None when there is none."""
 
     __slots__ = ("member", "revision")
 
@@ -87,29 +94,29 @@
         self.revision = revision
 
 
-class DeciderWon:
-    """This daemon is the decider; it asked the store for that at ``asked_at``."""
+class DeciderElected:
+    """This daemon was elected as the decider by a call that it sent to the store at ``sent_at``."""
 
-    __slots__ = ("asked_at",)
+    __slots__ = ("sent_at",)
 
-    def __init__(self, asked_at: float) -> None:
-        self.asked_at = asked_at
+    def __init__(self, sent_at: float) -> None:
+        self.sent_at = sent_at
 
 
-class DeciderLost:
-    """This daemon is not the decider any more."""
+class DeciderDemoted:
+    """This daemon is no longer the decider."""
 
     __slots__ = ()
 
 
 class ServersChanged:
-    """Servers joined, left or changed their state."""
+    """Updates were applied that may have added, removed or changed backend servers."""
 
     __slots__ = ()
 
 
-class ReportReceived:
-    """Another daemon, or this one, reported the keys that it was asked for."""
+class LoadReportReceived:
+    """A daemon, possibly this one, reported the keys of the requests that it received."""
 
     __slots__ = ("report",)
 
@@ -118,7 +125,7 @@
 
 
 class CommandDue:
-    """A grant or release is to be sent to a server."""
+    """A grant is to be sent to a server."""
 
     __slots__ = ("command", "service")
 
@@ -127,10 +134,11 @@
         self.command = command
 
 
-class CommandEnded:
-    """A grant or release ended.
+class CommandCompleted:
+    """A grant or release has succeeded or failed.
 
-    ``error`` is None when the server carried it out; then ``handover`` is the token of a release.
+    ``error`` is None when the server carried out the command. ``handover`` is then the token that
+    the server returned for a release; it is empty for a grant.
     """
 
     __slots__ = ("command", "error", "handover", "service")
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -1,4 +1,4 @@
-"""The decider's work: plans of ownership, grants and releases."""
+"""Key ownership: planning of ownership tables, and grants and releases of keys."""
 
 from fireflylink_backend_client import (
     BaseServerCodec,
@@ -11,15 +11,15 @@
 from fireflylink_daemon._grant_tasks import GrantTask, spawn_release
 from fireflylink_daemon._log import log_event, log_problem
 from fireflylink_daemon._messages import (
+    CommandCompleted,
     CommandDue,
-    CommandEnded,
     DeciderChanged,
-    DeciderLost,
-    DeciderWon,
-    ReportReceived,
+    DeciderDemoted,
+    DeciderElected,
+    LoadReportReceived,
     ServersChanged,
     TableChanged,
-    TableRefused,
+    TableNotWritten,
 )
 from fireflylink_daemon._peers import PeerSocket
 from fireflylink_daemon._serving import Serving
@@ -38,23 +38,30 @@
 from fireflylink_protocol import GrantNotice, LoadReport
 from fireflylink_store import ABSENT_REVISION
 
-TICK_SECONDS = 0.1
-PLAN_SECONDS = 0.3
-COMMIT_PATIENCE_SECONDS = 2.0
+WAKE_INTERVAL_SECONDS = 0.1
+PLANNING_INTERVAL_SECONDS = 0.3
+COMMIT_TIMEOUT_SECONDS = 2.0
+"""A service gets no new plan for this long while the write of a table is not acknowledged."""
+
 MILLISECONDS_PER_SECOND = 1000.0
 
 
 class OwnershipTask(BaseTask):
-    """Follows every ownership table; plans and grants while this daemon is the decider."""
+    """Keeps the latest ownership table of each service.
+
+    While this daemon is the decider (the elected leader), it also plans new tables and sends grants
+    and releases. The ``decider`` task writes the planned tables to the store, and one ``GrantTask``
+    for each server sends the grants.
+    """
 
     __slots__ = (
-        "began_at",
         "codec",
         "decider",
-        "deciding",
-        "grants",
+        "elected_at",
+        "grant_tasks",
         "hold_seconds",
-        "next_tick",
+        "is_decider",
+        "next_work_at",
         "peers",
         "services",
         "serving",
@@ -73,93 +80,93 @@
         self.peers = peers
         self.decider = decider
         self.codec = codec
-        self.deciding = False
-        self.began_at = 0.0
+        self.is_decider = False
+        self.elected_at = 0.0
         self.hold_seconds = min(HOLD_SECONDS, serving.settings.bounds.hold_max_seconds)
         self.services: dict[str, KeyedService] = {}
-        self.grants: dict[ServerIncarnation, GrantTask] = {}
-        self.next_tick = 0.0
+        self.grant_tasks: dict[ServerIncarnation, GrantTask] = {}
+        self.next_work_at = 0.0
 
-    def next_wake(self) -> float:
-        return self.next_tick
+    def next_wake_at(self) -> float:
+        return self.next_work_at
 
-    def wake(self) -> None:
+    def on_wake(self) -> None:
         now = self.clock.now()
-        self.next_tick = now + TICK_SECONDS
-        if not self.deciding:
+        self.next_work_at = now + WAKE_INTERVAL_SECONDS
+        if not self.is_decider:
             return
-        for name in self._keyed_services():
-            self._advance(name, self._service(name), now)
+        for name in self._keyed_service_names():
+            self._process_service(name, self._service(name), now)
 
     def receive(self, message: object) -> object:
         if isinstance(message, TableChanged):
-            self._note_table(message)
-        elif isinstance(message, TableRefused):
+            self._apply_table(message)
+        elif isinstance(message, TableNotWritten):
             service = self._service(message.table.service)
             service.unacknowledged_tables = [
                 table for table in service.unacknowledged_tables if table is not message.table
             ]
-        elif isinstance(message, CommandEnded):
-            self._note_ended(message)
-        elif isinstance(message, ReportReceived):
-            self._note_report(message.report)
+        elif isinstance(message, CommandCompleted):
+            self._record_completion(message)
+        elif isinstance(message, LoadReportReceived):
+            self._record_report(message.report)
         elif isinstance(message, DeciderChanged):
             self.decider.post(message)
-        elif isinstance(message, DeciderWon):
-            self._begin(message.asked_at)
-        elif isinstance(message, DeciderLost):
-            self._end()
+        elif isinstance(message, DeciderElected):
+            self._start_deciding(message.sent_at)
+        elif isinstance(message, DeciderDemoted):
+            self._stop_deciding()
         elif isinstance(message, ServersChanged):
-            self._note_servers()
-        if self.clock.now() >= self.next_tick:
-            self.wake()
+            self._update_incarnations()
+        if self.clock.now() >= self.next_work_at:
+            self.on_wake()
         return None
 
-    def _begin(self, began_at: float) -> None:
-        self.deciding = True
-        self.began_at = began_at
+    def _start_deciding(self, elected_at: float) -> None:
+        self.is_decider = True
+        self.elected_at = elected_at
         for name, service in self.services.items():
-            service.grants = GrantTracker(began_at, self.hold_seconds)
+            service.grants = GrantTracker(elected_at, self.hold_seconds)
             service.commit_sent_at = None
             service.consecutive_failures = {}
-            service.load = KeyLoad(name, began_at)
+            service.load = KeyLoad(name, elected_at)
             service.unacknowledged_tables = []
             service.next_plan_at = 0.0
-        self._note_servers()
-        self.next_tick = 0.0
+        self._update_incarnations()
+        self.next_work_at = 0.0
 
-    def _end(self) -> None:
-        self.deciding = False
+    def _stop_deciding(self) -> None:
+        self.is_decider = False
         for service in self.services.values():
             service.grants = None
-        for task in self.grants.values():
+        for task in self.grant_tasks.values():
             task.close()
-        self.grants = {}
+        self.grant_tasks = {}
 
     def _service(self, name: str) -> KeyedService:
         service = self.services.get(name)
         if service is None:
             service = self.services[name] = KeyedService(name, self.clock.now())
-        if self.deciding and service.grants is None:
+        if self.is_decider and service.grants is None:
             service.grants = GrantTracker(self.clock.now(), self.hold_seconds)
         return service
 
-    def _keyed_services(self) -> list[str]:
+    def _keyed_service_names(self) -> list[str]:
         routes = self.serving.routes
         if routes is None:
             return []
         return [service.name for service in routes.services.values() if service.keyed]
 
-    def _note_table(self, message: TableChanged) -> None:
+    def _apply_table(self, message: TableChanged) -> None:
         service = self._service(message.table.service)
         if (
-            self.deciding
+            self.is_decider
             and message.revision > service.revision
             and message.table not in service.unacknowledged_tables
         ):
-            # Another decider wrote it, and what it granted is not known here.
-            self._yield("another decider wrote a table")
-        if message.first and service.grants is not None:
+            # Another decider wrote the table, and this daemon does not know its grants.
+            self._step_down("another decider wrote a table")
+        if message.is_first and service.grants is not None:
             service.grants.mark_no_former_decider()
         if message.revision <= service.revision:
             return
@@ -171,17 +178,18 @@
         if service.grants is not None:
             service.grants.set_table(message.table)
 
-    def _advance(self, name: str, service: KeyedService, now: float) -> None:
+    def _process_service(self, name: str, service: KeyedService, now: float) -> None:
+        """Sends the commands that are due and, at intervals, plans a new table."""
         if service.grants is not None and self.decider.election.may_grant(now):
             for command in service.grants.due_commands(now, service.suspended_ranges()):
-                self._send(name, service.grants, command, now)
+                self._send_command(name, service.grants, command, now)
         if now >= service.next_plan_at:
-            service.next_plan_at = now + PLAN_SECONDS
-            self._plan(name, service, now)
+            service.next_plan_at = now + PLANNING_INTERVAL_SECONDS
+            self._plan_table(name, service, now)
 
-    def _plan(self, name: str, service: KeyedService, now: float) -> None:
+    def _plan_table(self, name: str, service: KeyedService, now: float) -> None:
         if service.commit_sent_at is not None:
-            if now < service.commit_sent_at + COMMIT_PATIENCE_SECONDS:
+            if now < service.commit_sent_at + COMMIT_TIMEOUT_SECONDS:
                 return
             service.commit_sent_at = None
         service.load.decay(now)
@@ -189,29 +197,29 @@
         if service.grants is None or not (candidates or service.table):
             return
         joined = [entry.joined_at for entry in self.serving.directory.eligible_servers(name)]
-        wanted = service.next_table(candidates, max(joined, default=now), now)
-        if wanted is not None:
-            self._log_plan(service, wanted, candidates)
-            alone = service.revision == ABSENT_REVISION or now >= former_deciders_expire_at(
-                self.began_at
+        planned = service.next_table(candidates, max(joined, default=now), now)
+        if planned is not None:
+            self._log_plan(service, planned, candidates)
+            sole_decider = service.revision == ABSENT_REVISION or now >= former_deciders_expire_at(
+                self.elected_at
             )
-            marked = wanted.replace(written_by_sole_decider=alone)
+            table = planned.replace(written_by_sole_decider=sole_decider)
             service.commit_sent_at = now
-            service.unacknowledged_tables.append(marked)
-            self.decider.post(CommitTable(marked, service.revision))
+            service.unacknowledged_tables.append(table)
+            self.decider.post(CommitTable(table, service.revision))
 
     def _log_plan(
-        self, service: KeyedService, wanted: OwnershipTable, candidates: list[Candidate]
+        self, service: KeyedService, planned: OwnershipTable, candidates: list[Candidate]
     ) -> None:
-        """Writes which keys change hands, and whether because their owner may not go on."""
+        """Logs how many keys change owners, and how many of them because their owner was lost."""
         incarnations = frozenset(candidate.incarnation for candidate in candidates)
-        present = service.table if service.table is not None else wanted
-        changes = changes_between(present, wanted, incarnations)
+        current = service.table if service.table is not None else planned
+        changes = changes_between(current, planned, incarnations)
         log_event(
             "ownership-planned",
             service=service.name,
-            fence=wanted.fence,
-            ranges=len(wanted.assignments),
+            fence=planned.fence,
+            ranges=len(planned.assignments),
             candidates=len(candidates),
             requests_per_second=service.requests_per_second,
             lost_keys=changes.lost_keys,
@@ -219,29 +227,29 @@
             joined=changes.joined,
         )
 
-    def _yield(self, reason: str) -> None:
-        """Stops to decide: what was granted meanwhile is not known to this daemon."""
+    def _step_down(self, reason: str) -> None:
+        """Stops deciding, because this daemon does not know the grants of another decider."""
         log_problem("decider-superseded", reason=reason)
-        self._end()
+        self._stop_deciding()
         self.decider.post(Superseded(reason))
 
     def _candidates(self, name: str, service: KeyedService, now: float) -> list[Candidate]:
         entries = self.serving.directory.eligible_servers(name)
-        found = []
+        candidates = []
         for entry in entries:
             server = entry.server
             if service.is_reachable(server.incarnation):
                 capacity = self._capacity(service, server, now)
-                found.append(Candidate(server.incarnation, capacity, server.data_centre))
-        return found
+                candidates.append(Candidate(server.incarnation, capacity, server.data_centre))
+        return candidates
 
     def _capacity(self, service: KeyedService, server: BackendServer, now: float) -> float:
-        """Returns how many requests a second a server can run."""
+        """Returns a server's estimated capacity in requests per second."""
         tracker = self.serving.trackers.get(server.incarnation)
         cold = tracker is not None and tracker.cold_limiter.is_cold(now)
         return service.service_times.capacity(server.server_id, server.slots, cold)
 
-    def _send(self, name: str, grants: GrantTracker, command: object, now: float) -> None:
+    def _send_command(self, name: str, grants: GrantTracker, command: object, now: float) -> None:
         if isinstance(command, ReleaseCommand):
             server = self._server_of(command.server)
             if server is None:
@@ -261,17 +269,17 @@
         return None if tracker is None else tracker.server
 
     def _grant_task(self, incarnation: ServerIncarnation) -> GrantTask | None:
-        task = self.grants.get(incarnation)
+        task = self.grant_tasks.get(incarnation)
         if task is None:
             server = self._server_of(incarnation)
             if server is None:
                 return None
             task = GrantTask(server, self.clock, self.codec, self, self.hold_seconds)
             task.start()
-            self.grants[incarnation] = task
+            self.grant_tasks[incarnation] = task
         return task
 
-    def _note_ended(self, message: CommandEnded) -> None:
+    def _record_completion(self, message: CommandCompleted) -> None:
         service = self._service(message.service)
         grants = service.grants
         if grants is None:
@@ -279,7 +287,7 @@
         now = self.clock.now()
         command = message.command
         if message.error is not None:
-            self._note_failed(service, grants, message, message.error, now)
+            self._record_failure(service, grants, message, message.error, now)
         elif isinstance(command, GrantCommand):
             service.record_answer(command.server)
             grants.record_granted(command, now)
@@ -302,13 +310,13 @@
                 fence=command.fence,
                 handover=bool(message.handover),
             )
-        self.next_tick = 0.0
+        self.next_work_at = 0.0
 
-    def _note_failed(
+    def _record_failure(
         self,
         service: KeyedService,
         grants: GrantTracker,
-        message: CommandEnded,
+        message: CommandCompleted,
         error: CommandError,
         now: float,
     ) -> None:
@@ -320,8 +328,9 @@
             grants.record_incarnation_ended(command.server)
         if isinstance(error, StaleFenceError):
             if isinstance(command, GrantCommand) and grants.is_current(command):
-                # Only another decider can have used a higher fence: it has taken over.
-                self._yield("a server has seen a higher fence")
+                # The fence is a fencing token that only a decider advances: another one has taken
+                # over.
+                self._step_down("a server has seen a higher fence")
         else:
             service.record_no_answer(command.server)
         log_problem(
@@ -333,33 +342,37 @@
             sent=error.sent,
         )
 
-    def _note_servers(self) -> None:
-        """Forgets what was granted to lives of servers that certainly ended."""
+    def _update_incarnations(self) -> None:
+        """Closes the grant tasks of incarnations that are gone; records which ones have ended.
+
+        An incarnation has certainly ended when a newer one of the same server is registered. It
+        then holds none of the keys that were granted to it.
+        """
         entries = self.serving.directory.entries.values()
-        present = {entry.server.server_id: entry.server.incarnation for entry in entries}
-        for incarnation in list(self.grants):
+        registered = {entry.server.server_id: entry.server.incarnation for entry in entries}
+        for incarnation in list(self.grant_tasks):
             if (
-                present.get(incarnation.server_id) != incarnation
+                registered.get(incarnation.server_id) != incarnation
                 and incarnation not in self.serving.trackers
             ):
-                self.grants.pop(incarnation).close()
+                self.grant_tasks.pop(incarnation).close()
         for service in self.services.values():
             if service.grants is None or service.table is None:
                 continue
             for assignment in service.table.assignments:
                 for incarnation in (assignment.owner, *assignment.previous_holders):
-                    now_present = present.get(incarnation.server_id, incarnation)
-                    if now_present.started_ms > incarnation.started_ms > 0:
+                    registered_incarnation = registered.get(incarnation.server_id, incarnation)
+                    if registered_incarnation.started_ms > incarnation.started_ms > 0:
                         service.grants.record_incarnation_ended(incarnation)
 
-    def _note_report(self, report: LoadReport) -> None:
-        if not self.deciding or not report.keys:
+    def _record_report(self, report: LoadReport) -> None:
+        if not self.is_decider or not report.keys:
             return
         service = self._service(report.service)
         for service_times in report.service_times:
             seconds = service_times.total_ms / MILLISECONDS_PER_SECOND
             service.service_times.add(service_times.server_id, service_times.answers, seconds)
         load = service.load
-        each = report.requests / len(report.keys)
+        requests_per_key = report.requests / len(report.keys)
         for key in report.keys:
-            load.add(key, each)
+            load.add(key, requests_per_key)
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -1,4 +1,4 @@
-"""Datagrams between daemons: load reports to the decider, notices of granted keys."""
+"""Datagrams between daemons: load reports to the decider, notices of grants and crashes."""
 
 import random
 
@@ -7,7 +7,7 @@
 from returns.result import Success
 
 from fireflylink_daemon._log import log_problem
-from fireflylink_daemon._messages import ReportReceived
+from fireflylink_daemon._messages import LoadReportReceived
 from fireflylink_daemon._task import BaseTask
 from fireflylink_daemon._view_task import ViewTask
 from fireflylink_protocol import (
@@ -21,29 +21,39 @@
     encode_datagram,
 )
 
-REPORT_SECONDS = 0.25
-TIMES_EACH_REPORTS = 8
+REPORT_INTERVAL_SECONDS = 0.25
+SERVICE_TIMES_REPORT_INTERVAL = 8
+"""Service times are included each time that this many reports per service have been taken."""
+
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_DATAGRAM_BYTES = 2048
 
 
-class KeyCounter:
-    """Keys that were asked for, and times of servers, since the last report, by service."""
+class LoadCounter:
+    """Counts the load of each service for this daemon's load reports.
+
+    ``keys`` are the keys of requests and ``requests`` the number of requests since the last report.
+    ``service_times`` are the service times of each server, in seconds, since the last report that
+    included them. ``reports`` counts the calls of ``take_reports``.
+    """
 
-    __slots__ = ("keys", "reports", "requests", "times")
+    __slots__ = ("keys", "reports", "requests", "service_times")
 
     def __init__(self) -> None:
         self.keys: dict[str, list[int]] = {}
         self.requests: dict[str, int] = {}
-        self.times: dict[str, dict[str, list[float]]] = {}
+        self.service_times: dict[str, dict[str, list[float]]] = {}
         self.reports = 0
 
-    def add_time(self, service: str, server_id: str, seconds: float) -> None:
-        """Counts an answer of a server and its service time."""
-        self.times.setdefault(service, {}).setdefault(server_id, []).append(seconds)
+    def record_service_time(self, service: str, server_id: str, seconds: float) -> None:
+        """Records the service time of one request at a server."""
+        self.service_times.setdefault(service, {}).setdefault(server_id, []).append(seconds)
+
+    def record_request(self, service: str, key: int) -> None:
+        """Records a request and its key.
 
-    def add(self, service: str, key: int) -> None:
-        """Counts a request; beyond the size of a report, keys are sampled at random."""
+        With more than ``MAX_REPORTED_KEYS`` requests, the keys are a uniform random sample.
+        """
         keys = self.keys.setdefault(service, [])
         count = self.requests.get(service, 0) + 1
         self.requests[service] = count
@@ -54,39 +64,40 @@
         if position < MAX_REPORTED_KEYS:
             keys[position] = key
 
-    def take(self, instance: str) -> list[LoadReport]:
-        """Returns the reports of what came since the last call."""
+    def take_reports(self, instance: str) -> list[LoadReport]:
+        """Returns a report for each service that had requests since the last call."""
         self.reports += 1
-        with_times = self.reports % TIMES_EACH_REPORTS == 0
-        taken = [
+        with_service_times = self.reports % SERVICE_TIMES_REPORT_INTERVAL == 0
+        reports = [
             LoadReport(
                 instance,
                 service,
                 self.reports,
                 self.requests[service],
                 tuple(keys),
-                self._take_times(service) if with_times else (),
+                self._take_service_times(service) if with_service_times else (),
             )
             for service, keys in self.keys.items()
         ]
         self.keys = {}
         self.requests = {}
-        return taken
+        return reports
 
-    def _take_times(self, service: str) -> tuple[ServerServiceTime, ...]:
-        times = self.times.pop(service, {})
+    def _take_service_times(self, service: str) -> tuple[ServerServiceTime, ...]:
+        service_times = self.service_times.pop(service, {})
         return tuple(
             ServerServiceTime(server_id, len(seconds), int(sum(seconds) * MILLISECONDS_PER_SECOND))
-            for server_id, seconds in times.items()
+            for server_id, seconds in service_times.items()
         )
 
 
 class PeerSocket:
-    """Owns the datagram socket between daemons.
+    """Owns the socket for datagrams between daemons.
 
-    It sends this daemon's load reports to the decider and the decider's notices to all members, and
-    receives those of others. A datagram may be lost: reports come again, and a daemon without a
-    notice tries the new owner after a time.
+    It sends this daemon's load reports to the decider and its notices to all members, and posts
+    received ones to the ``ownership`` and ``view`` tasks. Datagrams may be lost: reports are sent
+    periodically, and a daemon that did not receive the notice of a grant sends requests to the new
+    owner after a time-out.
     """
 
     __slots__ = (
@@ -100,7 +111,7 @@
     )
 
     def __init__(
-        self, instance: str, host: str, port: int, counter: KeyCounter, view: ViewTask
+        self, instance: str, host: str, port: int, counter: LoadCounter, view: ViewTask
     ) -> None:
         self.instance = instance
         self.counter = counter
@@ -112,21 +123,21 @@
         self.greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
-        """Starts to send and to receive."""
-        self.greenlets = [gevent.spawn(self._receive), gevent.spawn(self._report)]
+        """Starts the greenlets that receive datagrams and send load reports."""
+        self.greenlets = [gevent.spawn(self._receive_datagrams), gevent.spawn(self._send_reports)]
 
     def stop(self) -> None:
-        """Ends both."""
+        """Kills the greenlets without waiting until they have ended."""
         for greenlet in self.greenlets:
             greenlet.kill(block=False)
 
     def notify(self, notice: GrantNotice | CrashNotice) -> None:
-        """Tells every member, this daemon included."""
+        """Sends a notice to every member, including this daemon."""
         datagram = encode_datagram(notice)
         for member in self.serving.members.values():
-            self._send(datagram, member)
+            self._send_datagram(datagram, member)
 
-    def _receive(self) -> None:
+    def _receive_datagrams(self) -> None:
         while True:
             datagram, sender = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
             decoded = decode_datagram(datagram)
@@ -137,17 +148,17 @@
             if isinstance(message, GrantNotice | CrashNotice):
                 self.view.post(message)
             elif self.ownership is not None:
-                self.ownership.post(ReportReceived(message))
+                self.ownership.post(LoadReportReceived(message))
 
-    def _report(self) -> None:
+    def _send_reports(self) -> None:
         while True:
-            gevent.sleep(REPORT_SECONDS)
-            decider = self.view.decider
-            for report in self.counter.take(self.instance):
+            gevent.sleep(REPORT_INTERVAL_SECONDS)
+            decider = self.view.decider_record
+            for report in self.counter.take_reports(self.instance):
                 if decider is not None:
-                    self._send(encode_datagram(report), decider)
+                    self._send_datagram(encode_datagram(report), decider)
 
-    def _send(self, datagram: bytes, member: MemberRecord) -> None:
+    def _send_datagram(self, datagram: bytes, member: MemberRecord) -> None:
         try:
             self.sock.sendto(datagram, (member.host, member.port))
         except OSError as error:
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -20,12 +20,12 @@
     Route,
     ServerAnswer,
 )
-from fireflylink_daemon._crash_watch import CrashWatch
+from fireflylink_daemon._crash_detector import CrashDetector
 from fireflylink_daemon._dispatch_task import DispatchTask, WaitingRequest
 from fireflylink_daemon._line_budget import LineBudget
 from fireflylink_daemon._log import log_event
 from fireflylink_daemon._metrics import Metrics
-from fireflylink_daemon._peers import KeyCounter
+from fireflylink_daemon._peers import LoadCounter
 from fireflylink_daemon._serving import Serving
 from fireflylink_decisions.dispatch import BaseDispatchResult, Dispatched, QueuedRequest, Refused
 from fireflylink_decisions.poison import fingerprint_of
@@ -86,8 +86,8 @@
         self,
         serving: Serving,
         dispatch: DispatchTask,
-        keys: KeyCounter,
-        crashes: CrashWatch,
+        keys: LoadCounter,
+        crashes: CrashDetector,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
@@ -132,7 +132,7 @@
         service = self.serving.splits.choose(route)
         self.serving.budget(service).record_request(request.received_at)
         if request.key != NO_KEY:
-            self.keys.add(service, request.key)
+            self.keys.record_request(service, request.key)
         timeout = route.timeout_ms / MILLISECONDS_PER_SECOND
         latest = min(request.deadline - REPLY_MARGIN_SECONDS, request.received_at + timeout)
         attempts = Attempts(route.idempotent, route.max_attempts)
@@ -192,17 +192,17 @@
                 tracker.record_answer(seconds, dispatched.queueing_factor, now)
                 and course.request.key != NO_KEY
             ):
-                self.keys.add_time(course.service, tracker.server.server_id, seconds)
+                self.keys.record_service_time(course.service, tracker.server.server_id, seconds)
         elif _failed_at_server(result):
             tracker.record_failure(now)
         elif isinstance(result, Lost) and result.reason is LostReason.LATE:
             seconds = tracker.record_timeout(now - sent_at, dispatched.queueing_factor, now)
             if course.request.key != NO_KEY:
-                self.keys.add_time(course.service, tracker.server.server_id, seconds)
+                self.keys.record_service_time(course.service, tracker.server.server_id, seconds)
         elif isinstance(result, NotSent):
             tracker.record_no_response(now)
         if isinstance(result, Lost) and result.reason in CRASH_REASONS:
-            self.crashes.note_ended(tracker.server, course.request)
+            self.crashes.record_lost_connection(tracker.server, course.request)
         self.dispatch.sweep()
         return result
 
--- a/packages/daemon/src/fireflylink_daemon/_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_task.py
@@ -1,4 +1,4 @@
-"""Tasks: greenlets that own their state and receive messages."""
+"""Base class of the tasks: greenlets that own their state and receive messages."""
 
 import abc
 import traceback
@@ -11,10 +11,11 @@
 from fireflylink_core import BaseClock
 from fireflylink_daemon._log import log_problem
 
-LONGEST_WAIT_SECONDS = 3600.0
+MAX_WAIT_SECONDS = 3600.0
+"""Limit on a single wait, because ``next_wake_at`` may return infinity."""
 
 
-class Ask:
+class MessageWithReply:
     """A message whose sender waits for a reply."""
 
     __slots__ = ("message", "reply")
@@ -27,9 +28,9 @@
 class BaseTask(abc.ABC):
     """A greenlet that owns state and handles one message at a time.
 
-    Others send it messages with ``post``, or with ``ask`` when they need a reply. Between messages
-    it is woken at ``next_wake``, a time on the task's clock. A message whose handling fails is
-    logged and does not end the task.
+    Other tasks send it messages with ``post``, or with ``ask`` when they need a reply. When no
+    message arrives before ``next_wake_at``, a time in seconds on the task's clock, it calls
+    ``on_wake``. An exception while a message is handled is logged and does not end the task.
     """
 
     __slots__ = ("clock", "greenlet", "mailbox", "name")
@@ -41,11 +42,11 @@
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Starts the task."""
+        """Starts the task's greenlet."""
         self.greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Ends the task at its next wait."""
+        """Kills the task's greenlet without waiting until it has ended."""
         if self.greenlet is not None:
             self.greenlet.kill(block=False)
 
@@ -54,10 +55,13 @@
         self.mailbox.put(message)
 
     def ask(self, message: object, timeout: float) -> Any:
-        """Sends a message and waits for the reply, at most ``timeout`` s (``gevent.Timeout``)."""
-        question = Ask(message)
-        self.mailbox.put(question)
-        return question.reply.get(timeout=timeout)
+        """Sends a message and returns the reply.
+
+        Raises ``gevent.Timeout`` when no reply arrives within ``timeout`` seconds.
+        """
+        request = MessageWithReply(message)
+        self.mailbox.put(request)
+        return request.reply.get(timeout=timeout)
 
     def _run(self) -> None:
         while True:
@@ -68,16 +72,17 @@
                 log_problem("task-error", task=self.name, trace=traceback.format_exc())
 
     def _next_message(self) -> object:
-        remaining = max(0.0, self.next_wake() - self.clock.now())
+        """Returns the next message; None when it is time for ``on_wake``."""
+        remaining = max(0.0, self.next_wake_at() - self.clock.now())
         try:
-            return self.mailbox.get(timeout=min(remaining, LONGEST_WAIT_SECONDS))
+            return self.mailbox.get(timeout=min(remaining, MAX_WAIT_SECONDS))
         except Empty:
             return None
 
     def _handle(self, message: object) -> None:
         if message is None:
-            self.wake()
-        elif isinstance(message, Ask):
+            self.on_wake()
+        elif isinstance(message, MessageWithReply):
             try:
                 message.reply.set(self.receive(message.message))
             except Exception as error:
@@ -87,11 +92,11 @@
             self.receive(message)
 
     @abc.abstractmethod
-    def next_wake(self) -> float:
-        """Returns when to wake, in seconds on the clock, if no message arrives before."""
+    def next_wake_at(self) -> float:
+        """Returns when ``on_wake`` is to be called, in seconds on the task's clock."""
 
     @abc.abstractmethod
-    def wake(self) -> None:
+    def on_wake(self) -> None:
         """Does the periodic work."""
 
     @abc.abstractmethod
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -1,4 +1,4 @@
-"""The task that applies what the store says to the state of the request path."""
+"""The task that applies updates from the store to the state of the request path."""
 
 from typing import TypeVar
 
@@ -8,11 +8,11 @@
 from fireflylink_daemon._log import log_event, log_problem
 from fireflylink_daemon._messages import (
     DeciderChanged,
-    MemberMissing,
+    MemberRecordMissing,
     ServersChanged,
-    StoreDoubted,
-    StoreLost,
-    StoreReached,
+    StoreCallStatus,
+    StoreReachable,
+    StoreUnreachable,
     TableChanged,
     UpdatesRead,
 )
@@ -39,32 +39,34 @@
     UnreadableItem,
 )
 
-TICK_SECONDS = 0.2
+REFRESH_INTERVAL_SECONDS = 0.2
 
 Decoded = TypeVar("Decoded")
 
 
 class ViewTask(BaseTask):
-    """Owns the changes of ``Serving`` and passes ownership matters on.
+    """Applies updates from the store and notices from other daemons to ``Serving``.
 
-    ``decider`` is the member record of the daemon that decides on ownership, if there is one.
+    It posts what concerns key ownership to the ``ownership`` task. ``decider_record`` is the member
+    record of the decider (the elected leader that assigns keys to servers), None when there is
+    none.
     """
 
-    __slots__ = ("decider", "member", "next_tick", "ownership", "serving")
+    __slots__ = ("decider_record", "member", "next_refresh_at", "ownership", "serving")
 
     def __init__(self, serving: Serving, clock: BaseClock) -> None:
         super().__init__("view", clock)
         self.serving = serving
         self.ownership: BaseTask | None = None
         self.member: BaseTask | None = None
-        self.decider: MemberRecord | None = None
-        self.next_tick = 0.0
+        self.decider_record: MemberRecord | None = None
+        self.next_refresh_at = 0.0
 
-    def next_wake(self) -> float:
-        return self.next_tick
+    def next_wake_at(self) -> float:
+        return self.next_refresh_at
 
-    def wake(self) -> None:
-        self.next_tick = self.clock.now() + TICK_SECONDS
+    def on_wake(self) -> None:
+        self.next_refresh_at = self.clock.now() + REFRESH_INTERVAL_SECONDS
         self.serving.refresh()
         self.serving.drop_idle_connections()
 
@@ -77,33 +79,33 @@
             self.serving.poison.record_crash(
                 message.fingerprint, message.incarnation, self.clock.now()
             )
-        elif isinstance(message, StoreLost):
+        elif isinstance(message, StoreUnreachable):
             self.serving.directory.mark_store_unreachable()
-        elif isinstance(message, StoreDoubted):
-            self.serving.store_doubted = message.doubted
-            log_event("store-doubted", doubted=message.doubted)
-        elif isinstance(message, StoreReached):
+        elif isinstance(message, StoreCallStatus):
+            self.serving.store_doubted = message.failing
+            log_event("store-doubted", doubted=message.failing)
+        elif isinstance(message, StoreReachable):
             self.serving.directory.mark_store_reachable(self.clock.now())
         return None
 
     def _apply(self, message: UpdatesRead) -> None:
-        if message.whole:
-            self._drop_absent(message)
+        if message.is_snapshot:
+            self._remove_absent(message)
         for update in message.updates:
             self._apply_update(update)
         self.serving.refresh()
-        self._tell_ownership(ServersChanged())
+        self._notify_ownership(ServersChanged())
 
-    def _drop_absent(self, message: UpdatesRead) -> None:
-        """Takes what a whole reading does not hold as removed."""
+    def _remove_absent(self, message: UpdatesRead) -> None:
+        """Removes servers, evacuations and records that are not in a snapshot of the store."""
         updates = message.updates
         serving = self.serving
         server_ids = frozenset(
             update.server.server_id for update in updates if isinstance(update, ServerUpdate)
         )
         serving.directory.keep_only(server_ids, self.clock.now())
-        wanted = {update.data_centre for update in updates if isinstance(update, EvacuationUpdate)}
-        for data_centre in [found for found in serving.directory.evacuated if found not in wanted]:
+        listed = {update.data_centre for update in updates if isinstance(update, EvacuationUpdate)}
+        for data_centre in [found for found in serving.directory.evacuated if found not in listed]:
             serving.set_evacuated(data_centre, False)
         keys = {update.key for update in updates if isinstance(update, RecordUpdate)}
         members = {
@@ -144,7 +146,7 @@
             table: OwnershipTable | None = _decoded(decode_table(update.value), update)
             if table is not None:
                 self.serving.set_table(table)
-                self._tell_ownership(TableChanged(table, update.revision))
+                self._notify_ownership(TableChanged(table, update.revision))
 
     def _apply_member(self, update: RecordUpdate) -> None:
         name = update.key.removeprefix(MEMBERS_PREFIX)
@@ -157,19 +159,20 @@
         if members != self.serving.members:
             self.serving.set_members(members)
         if update.value is None and name == self.serving.settings.instance and self.member:
-            # The record can be taken away without any of this daemon's calls showing it.
-            self.member.post(MemberMissing())
+            # The record may be deleted without any of the member task's calls failing.
+            self.member.post(MemberRecordMissing())
 
     def _set_decider(self, member: MemberRecord | None, revision: int) -> None:
-        self.decider = member
-        self._tell_ownership(DeciderChanged(member, revision))
+        self.decider_record = member
+        self._notify_ownership(DeciderChanged(member, revision))
 
-    def _tell_ownership(self, message: object) -> None:
+    def _notify_ownership(self, message: object) -> None:
         if self.ownership is not None:
             self.ownership.post(message)
 
 
 def _decoded(result: Result[Decoded, RecordError], update: RecordUpdate) -> Decoded | None:
+    """Returns the decoded record, or logs the error and returns None."""
     if isinstance(result, Success):
         value: Decoded = result.unwrap()
         return value
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -25,7 +25,7 @@
 from fireflylink_daemon._dispatch_task import DispatchTask
 from fireflylink_daemon._messages import UpdatesRead
 from fireflylink_daemon._metrics import Metrics
-from fireflylink_daemon._peers import KeyCounter
+from fireflylink_daemon._peers import LoadCounter
 from fireflylink_daemon._request_path import RequestPath
 from fireflylink_daemon._serving import Serving
 from fireflylink_protocol import encode_table, ownership_key
@@ -86,7 +86,7 @@
         self.clock = clock
         self.monkeypatch = monkeypatch
         self.tasks = bench
-        self.keys = KeyCounter()
+        self.keys = LoadCounter()
         serving = bench.serving
         dispatch = DispatchTask(serving.dispatcher, clock)
         self.path = RequestPath(serving, dispatch, self.keys, self, clock, Metrics())
@@ -107,7 +107,7 @@
         updates = tuple(update for item in items for update in bench.decoder.decode(item))
         bench.view.receive(UpdatesRead(updates, 3, True))
 
-    def note_ended(self, server, request) -> None:
+    def record_lost_connection(self, server, request) -> None:
         """Takes the place of the watch for crashes."""
         self.ended.append(server.server_id)
 
@@ -176,7 +176,7 @@
 def test_answers_of_a_keyed_server_tell_the_decider_its_speed(paths):
     """Guards against slow servers that keep as many keys as fast ones."""
     paths.send("/k/1", Script(paths.clock, [WHOLE], seconds=0.3))
-    [seconds] = paths.keys.times["a"]["i-1"]
+    [seconds] = paths.keys.service_times["a"]["i-1"]
     assert_that(seconds, GreaterThan(0.29))
 
 
@@ -184,4 +184,4 @@
     """Guards against inc-6f95: servers that became 12 times slower kept their keys, because
     requests whose time ran out told nothing of their speed."""
     paths.send("/k/1", Script(paths.clock, [LATE], seconds=1.45))
-    assert_that("a" in paths.keys.times, Equals(True))
+    assert_that("a" in paths.keys.service_times, Equals(True))
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -1,4 +1,4 @@
-"""Election, takeover, outages and reading of the store, on the real tasks."""
+"""The decider's election and takeover, store outages, and updates read from the store."""
 
 import json
 
@@ -6,7 +6,12 @@
 from testtools.matchers import Equals, GreaterThan, Is
 
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
-from fireflylink_daemon._messages import DeciderChanged, StoreLost, StoreReached, UpdatesRead
+from fireflylink_daemon._messages import (
+    DeciderChanged,
+    StoreReachable,
+    StoreUnreachable,
+    UpdatesRead,
+)
 from fireflylink_decisions.ownership import OUTAGE_GRACE_SECONDS
 from fireflylink_protocol import (
     DECIDER_KEY,
@@ -39,40 +44,43 @@
     return Item(f"servers/{name}", json.dumps(value).encode(), revision)
 
 
-def read(bench, *items: Item, whole: bool = False) -> None:
-    """Lets the view read items as the store's reader posts them."""
+def apply_items(bench, *items: Item, is_snapshot: bool = False) -> None:
+    """Passes store items to the view task as the store reader does, and delivers all messages."""
     updates = tuple(update for item in items for update in bench.decoder.decode(item))
     bench.read_to += 1
-    bench.view.receive(UpdatesRead(updates, bench.read_to, whole))
+    bench.view.receive(UpdatesRead(updates, bench.read_to, is_snapshot))
     bench.deliver()
 
 
-def configured(bench):
-    read(bench, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), whole=True)
+def with_configuration(bench):
+    apply_items(bench, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
     return bench
 
 
 def elect(bench, clock) -> None:
     bench.decider.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
-    bench.decider.wake()
+    bench.decider.on_wake()
     bench.deliver()
 
 
 def test_one_daemon_of_several_becomes_the_decider(bench, clock):
-    """Guards against two daemons that both decide."""
+    """Guards against two deciders after two daemons have run for election at the same time."""
     first, second = bench("front-0"), bench("front-1")
     for daemon in (first, second):
         daemon.decider.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
     for daemon in (first, second):
-        daemon.decider.wake()
+        daemon.decider.on_wake()
     assert_that(first.decider.election.is_decider, Is(True))
     assert_that(second.decider.election.is_decider, Is(False))
 
 
-def test_an_election_whose_answer_was_lost_is_noticed_by_the_watch(bench, clock, state):
-    """Guards against a fleet without a decider: the write took effect, its answer did not come."""
+def test_a_daemon_reads_from_the_store_that_it_was_elected(bench, clock, state):
+    """Guards against a fleet without a decider.
+
+    The write of the decider record took effect, but the daemon did not receive the answer.
+    """
     candidate = bench()
     candidate.store.drops_replies = True
     elect(candidate, clock)
@@ -83,142 +91,160 @@
     assert_that(candidate.decider.election.is_decider, Is(True))
 
 
-def test_a_decider_takes_over_the_tables_under_a_new_fence(bench, clock, state):
-    """Guards against OWNER: renewals of a former decider that servers still take."""
+def test_a_new_decider_advances_the_fences_of_the_tables(bench, clock, state):
+    """Guards against two owners of a key.
+
+    With the old fences, servers would still accept renewals that a former decider sends.
+    """
     state.commit(Commit((), (Put(ownership_key("a"), encode_table(TABLE)),)))
-    taking = configured(bench())
-    read(taking, server_item("i-1", 2))
-    elect(taking, clock)
-    taking.ownership.wake()
-    taking.deliver()
-    service = taking.ownership.services["a"]
+    successor = with_configuration(bench())
+    apply_items(successor, server_item("i-1", 2))
+    elect(successor, clock)
+    successor.ownership.on_wake()
+    successor.deliver()
+    service = successor.ownership.services["a"]
     assert_that(service.table.fence, GreaterThan(TABLE.fence))
-    assert_that({a.fence for a in service.table.assignments}, Equals({service.table.fence}))
+    assert_that(
+        {assignment.fence for assignment in service.table.assignments},
+        Equals({service.table.fence}),
+    )
 
 
-def test_a_decider_that_reads_another_ones_table_stops(bench, clock, state):
-    """Guards against OWNER as on a day of the bench: a decider that was cut off came back, read the
-    table of its successor, and granted a key that its former holder still had."""
+def test_a_decider_steps_down_when_it_reads_a_table_of_another_decider(bench, clock, state):
+    """Guards against two owners of a key.
+
+    A decider that had been partitioned from the store read its successor's table and granted a key
+    to its new owner while the former owner still held it.
+    """
     state.commit(Commit((), (Put(ownership_key("a"), encode_table(TABLE)),)))
-    old = configured(bench())
-    read(old, server_item("i-1", 2))
-    elect(old, clock)
-    old.ownership.wake()
-    old.deliver()
+    former = with_configuration(bench())
+    apply_items(former, server_item("i-1", 2))
+    elect(former, clock)
+    former.ownership.on_wake()
+    former.deliver()
     moved = Assignment(
         KeyRange(0, 65535), ServerIncarnation("i-2", 1), 9, (ServerIncarnation("i-1", 1),)
     )
     foreign = OwnershipTable("a", 9, (moved,))
-    read(old, Item(ownership_key("a"), encode_table(foreign), 900))
-    assert_that(old.ownership.deciding, Is(False))
-    assert_that(old.decider.election.is_decider, Is(False))
+    apply_items(former, Item(ownership_key("a"), encode_table(foreign), 900))
+    assert_that(former.ownership.is_decider, Is(False))
+    assert_that(former.decider.election.is_decider, Is(False))
 
 
-def test_a_decider_whose_record_was_taken_away_stops(bench, clock):
-    """Guards against a decider that does not learn that its lease was revoked."""
-    decider = configured(bench())
-    elect(decider, clock)
-    decider.decider.receive(DeciderChanged(None, 10_000))
-    decider.deliver()
-    assert_that(decider.ownership.deciding, Is(False))
+def test_a_decider_steps_down_when_its_record_is_deleted(bench, clock):
+    """Guards against a decider that continues after its lease has been revoked."""
+    daemon = with_configuration(bench())
+    elect(daemon, clock)
+    daemon.decider.receive(DeciderChanged(None, 10_000))
+    daemon.deliver()
+    assert_that(daemon.ownership.is_decider, Is(False))
 
 
-def test_a_decider_without_the_store_grants_only_for_a_time(bench, clock):
-    """Guards against a decider that was cut off and goes on granting for ever."""
-    decider = configured(bench())
-    elect(decider, clock)
-    decider.store.reachable = False
+def test_a_decider_stops_granting_after_the_grace_time_without_the_store(bench, clock):
+    """Guards against a decider that is partitioned from the store and never stops granting."""
+    daemon = with_configuration(bench())
+    elect(daemon, clock)
+    daemon.store.reachable = False
     clock.advance(OUTAGE_GRACE_SECONDS - 1.0)
-    decider.decider.wake()
-    assert_that(decider.decider.election.may_grant(clock.now()), Is(True))
+    daemon.decider.on_wake()
+    assert_that(daemon.decider.election.may_grant(clock.now()), Is(True))
     clock.advance(2.0)
-    assert_that(decider.decider.election.may_grant(clock.now()), Is(False))
+    assert_that(daemon.decider.election.may_grant(clock.now()), Is(False))
+
 
+def test_a_snapshot_removes_what_it_does_not_contain(bench, clock):
+    """Guards against servers and evacuations that remain after their items were deleted.
 
-def test_a_whole_reading_removes_what_it_does_not_hold(bench, clock):
-    """Guards against servers and evacuations that ended while the history was lost."""
-    reader = configured(bench())
-    read(reader, server_item("i-1", 2), Item("op/evacuate/kingston", b"{}", 3))
-    assert_that(reader.serving.directory.evacuated.keys(), Equals({"kingston"}))
-    read(
-        reader,
+    A daemon that missed the deletions, because the store had compacted them, reads a snapshot.
+    """
+    daemon = with_configuration(bench())
+    apply_items(daemon, server_item("i-1", 2), Item("op/evacuate/kingston", b"{}", 3))
+    assert_that(daemon.serving.directory.evacuated.keys(), Equals({"kingston"}))
+    apply_items(
+        daemon,
         server_item("i-2", 4),
         Item("op/config", json.dumps(CONFIGURATION).encode(), 1),
-        whole=True,
+        is_snapshot=True,
     )
-    assert_that(set(reader.serving.directory.entries), Equals({"i-2"}))
-    assert_that(reader.serving.directory.evacuated, Equals({}))
+    assert_that(set(daemon.serving.directory.entries), Equals({"i-2"}))
+    assert_that(daemon.serving.directory.evacuated, Equals({}))
+
 
+def test_registrations_that_expired_in_an_outage_are_used_until_the_grace_time_ends(bench, clock):
+    """Guards against a daemon without servers after an outage of the store.
 
-def test_registrations_that_lapsed_in_an_outage_are_used_until_the_grace_time_ends(bench, clock):
-    """Guards against RECOVER: every server is given up at the end of an outage."""
-    reader = configured(bench())
-    read(reader, server_item("i-1", 2), server_item("i-2", 3))
-    reader.view.receive(StoreLost("down"))
+    The registrations expired during the outage, and the servers need some time to register again.
+    """
+    daemon = with_configuration(bench())
+    apply_items(daemon, server_item("i-1", 2), server_item("i-2", 3))
+    daemon.view.receive(StoreUnreachable("down"))
     clock.advance(8.0)
-    reader.view.receive(StoreReached())
-    read(reader, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), whole=True)
-    pool = reader.serving.dispatcher.pools["a"]
+    daemon.view.receive(StoreReachable())
+    apply_items(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
+    pool = daemon.serving.dispatcher.pools["a"]
     assert_that(len(pool.trackers), Equals(2))
-    read(reader, server_item("i-1", 9))
+    apply_items(daemon, server_item("i-1", 9))
     clock.advance(2.1)
-    reader.view.wake()
+    daemon.view.on_wake()
     assert_that([incarnation.server_id for incarnation in pool.trackers], Equals(["i-1"]))
 
 
 def test_an_older_configuration_never_replaces_a_newer_one(bench):
-    """Guards against CONFIG: a daemon that goes back."""
-    reader = configured(bench())
+    """Guards against a daemon that returns to an older configuration version."""
+    daemon = with_configuration(bench())
     older = {**CONFIGURATION, "version": "r6", "services": []}
-    read(reader, Item("op/config", json.dumps(older).encode(), 9))
-    assert_that(reader.serving.routes.version, Equals(7))
-
-
-def test_an_unreadable_item_changes_nothing(bench):
-    """Guards against a foreign value that empties the routes or adds a server."""
-    reader = configured(bench())
-    read(reader, Item("op/config", b"{}", 9), Item("servers/i-9", b"x", 10))
-    assert_that(reader.serving.routes.version, Equals(7))
-    assert_that(reader.serving.directory.entries, Equals({}))
-
-
-def test_servers_that_come_back_from_an_evacuation_are_taken_for_cold(bench, clock):
-    """Guards against FAILBACK: a data centre that is taken back at full rate."""
-    warm = {"name": "a", "max-conns": 110, "warmup-s": 3.0, "warmup-per-s": 7.3}
-    reader = bench()
-    value = {**CONFIGURATION, "services": [warm]}
-    read(reader, Item("op/config", json.dumps(value).encode(), 1), server_item("i-1", 2))
-    [tracker] = reader.serving.trackers.values()
-    reader.serving.set_evacuated("kingston", True)
+    apply_items(daemon, Item("op/config", json.dumps(older).encode(), 9))
+    assert_that(daemon.serving.routes.version, Equals(7))
+
+
+def test_an_item_that_cannot_be_decoded_changes_nothing(bench):
+    """Guards against a malformed value that removes the routes or adds a server."""
+    daemon = with_configuration(bench())
+    apply_items(daemon, Item("op/config", b"{}", 9), Item("servers/i-9", b"x", 10))
+    assert_that(daemon.serving.routes.version, Equals(7))
+    assert_that(daemon.serving.directory.entries, Equals({}))
+
+
+def test_servers_are_cold_after_an_evacuation_has_ended(bench, clock):
+    """Guards against overloading servers that need to warm up after an evacuation."""
+    service = {"name": "a", "max-conns": 110, "warmup-s": 3.0, "warmup-per-s": 7.3}
+    daemon = bench()
+    value = {**CONFIGURATION, "services": [service]}
+    apply_items(daemon, Item("op/config", json.dumps(value).encode(), 1), server_item("i-1", 2))
+    [tracker] = daemon.serving.trackers.values()
+    daemon.serving.set_evacuated("kingston", True)
     assert_that(tracker.cold_limiter.is_cold(clock.now()), Is(False))
-    reader.serving.set_evacuated("kingston", False)
+    daemon.serving.set_evacuated("kingston", False)
     assert_that(tracker.cold_limiter.is_cold(clock.now()), Is(True))
 
 
-def test_a_daemon_whose_record_lapsed_has_no_share_of_cold_servers(bench):
-    """Guards against FAILBACK, cmva trouble-1 at 23 s: a daemon came back from an outage in which
-    the others had divided its share among themselves, and used it once more."""
-    daemon = configured(bench())
+def test_a_daemon_whose_record_expired_has_no_share_of_cold_servers(bench):
+    """Guards against exceeding the rate limit of cold servers.
+
+    After an outage of the store, a daemon used its share of the limit although the other daemons
+    had divided that share among themselves.
+    """
+    daemon = with_configuration(bench())
     names = [f"front-{number}" for number in range(4)]
     for name in names:
         record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
-        read(daemon, Item(member_key(name), encode_member(record), 5))
+        apply_items(daemon, Item(member_key(name), encode_member(record), 5))
     assert_that(daemon.serving.position.share(14.0, "i-1"), GreaterThan(2))
-    read(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), whole=True)
+    apply_items(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
     for name in names[1:]:
         record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
-        read(daemon, Item(member_key(name), encode_member(record), 9))
+        apply_items(daemon, Item(member_key(name), encode_member(record), 9))
     assert_that(daemon.serving.position.share(14.0, "i-1"), Equals(0))
 
 
-def test_a_lease_is_as_long_as_the_store_asks_for(bench, clock, state, settings_file):
-    """Guards against a fleet without a decider where the store refuses short leases."""
+def test_a_lease_is_not_shorter_than_the_minimum_of_the_store(bench, clock, state, settings_file):
+    """Guards against a fleet without a decider when the store refuses short leases."""
     daemon = bench()
     daemon.serving.settings = daemon.serving.settings.replace(minimum_lease_seconds=4.0)
-    again = type(daemon.decider)(
+    decider = type(daemon.decider)(
         daemon.record, daemon.store, daemon.serving, clock, daemon.decider.metrics
     )
-    again.receive(DeciderChanged(None, 0))
+    decider.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
-    again.wake()
+    decider.on_wake()
     assert_that([seconds for seconds, _ in state.leases.values()], Equals([4.0]))
