--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -145,8 +145,9 @@
     def _leave(self) -> None:
         """Revokes the decider's lease, so that another daemon takes over.
 
-        If that fails, this daemon remains the decider until its process ends: no other daemon could
-        take over without the store, and keys whose grants are not renewed lose their owners.
+        If the call fails, this daemon remains the decider and tries again after later renewals of
+        the lease. No other daemon could take over without the store, and keys whose grants are not
+        renewed would lose their owners.
         """
         if not self.election.is_decider:
             return
--- a/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
+++ b/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
@@ -74,8 +74,8 @@
 ) -> None:
     """Sends a release from its own greenlet and posts the result to the ``ownership`` task.
 
-    The server answers a release only when the requests that run on the keys have ended; grants to
-    the same server must not wait for that.
+    The server answers a release only when its work on the keys has ended, so a release occupies
+    neither the server's ``GrantTask`` nor its connection.
     """
 
     def run() -> None:
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -328,8 +328,8 @@
             grants.record_incarnation_ended(command.server)
         if isinstance(error, StaleFenceError):
             if isinstance(command, GrantCommand) and grants.is_current(command):
-                # The fence is a fencing token that only a decider advances: another one has taken
-                # over.
+                # Only another decider can have advanced the fence (fencing token) of these keys, so
+                # it has taken over.
                 self._step_down("a server has seen a higher fence")
         else:
             service.record_no_answer(command.server)
