--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -202,16 +202,16 @@
         self.lease_id = created.unwrap().lease_id
         return None
 
-    def _become_decider(self, revision: int, sent_at: float) -> None:
+    def _become_decider(self, revision: int, elected_at: float) -> None:
         error = self._read_tables()
         if error is not None:
             log_problem("decider-tables-not-read", problem=error)
             self._resign("reading the ownership tables failed")
             return
-        self.election.on_elected(revision, sent_at)
-        self.next_renewal_at = sent_at + RENEWAL_INTERVAL_SECONDS
+        self.election.on_elected(revision, elected_at)
+        self.next_renewal_at = elected_at + RENEWAL_INTERVAL_SECONDS
         log_event("decider-won", instance=self.record.instance, revision=revision)
-        self._notify_ownership(DeciderElected(sent_at))
+        self._notify_ownership(DeciderElected(elected_at))
 
     def _read_tables(self) -> StoreError | None:
         """Reads the tables of all services.
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -95,12 +95,16 @@
 
 
 class DeciderElected:
-    """This daemon was elected as the decider by a call that it sent to the store at ``sent_at``."""
+    """This daemon was elected as the decider.
 
-    __slots__ = ("sent_at",)
+    ``elected_at`` is when it sent the write of the decider record to the store; if the answer was
+    lost, when it read the record.
+    """
+
+    __slots__ = ("elected_at",)
 
-    def __init__(self, sent_at: float) -> None:
-        self.sent_at = sent_at
+    def __init__(self, elected_at: float) -> None:
+        self.elected_at = elected_at
 
 
 class DeciderDemoted:
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -113,7 +113,7 @@
         elif isinstance(message, DeciderChanged):
             self.decider.post(message)
         elif isinstance(message, DeciderElected):
-            self._start_deciding(message.sent_at)
+            self._start_deciding(message.elected_at)
         elif isinstance(message, DeciderDemoted):
             self._stop_deciding()
         elif isinstance(message, ServersChanged):
