--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -17,7 +17,7 @@
 from fireflylink_daemon._messages import Leave
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._ownership_task import OwnershipTask
-from fireflylink_daemon._peers import LoadCounter, PeerSocket
+from fireflylink_daemon._peers import KeyCounter, PeerSocket
 from fireflylink_daemon._request_path import RequestPath
 from fireflylink_daemon._serving import Serving
 from fireflylink_daemon._settings import Settings, read_settings
@@ -98,7 +98,7 @@
         )
         self.member = MemberTask(record, self._store(), self.view, clock, self.metrics)
         self.decider = DeciderTask(record, self._store(), self.serving, clock, self.metrics)
-        keys = LoadCounter()
+        keys = KeyCounter()
         self.peers = PeerSocket(
             settings.instance, settings.address, settings.report_port, keys, self.view
         )
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -29,8 +29,8 @@
 MAX_DATAGRAM_BYTES = 2048
 
 
-class LoadCounter:
-    """Counts the load of each service for this daemon's load reports.
+class KeyCounter:
+    """Counts requests by key, and collects service times, for this daemon's load reports.
 
     ``keys`` are the keys of requests and ``requests`` the number of requests since the last report.
     ``service_times`` are the service times of each server, in seconds, since the last report that
@@ -111,7 +111,7 @@
     )
 
     def __init__(
-        self, instance: str, host: str, port: int, counter: LoadCounter, view: ViewTask
+        self, instance: str, host: str, port: int, counter: KeyCounter, view: ViewTask
     ) -> None:
         self.instance = instance
         self.counter = counter
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -25,7 +25,7 @@
 from fireflylink_daemon._line_budget import LineBudget
 from fireflylink_daemon._log import log_event
 from fireflylink_daemon._metrics import Metrics
-from fireflylink_daemon._peers import LoadCounter
+from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._serving import Serving
 from fireflylink_decisions.dispatch import BaseDispatchResult, Dispatched, QueuedRequest, Refused
 from fireflylink_decisions.poison import fingerprint_of
@@ -86,7 +86,7 @@
         self,
         serving: Serving,
         dispatch: DispatchTask,
-        keys: LoadCounter,
+        keys: KeyCounter,
         crashes: CrashDetector,
         clock: BaseClock,
         metrics: Metrics,
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -25,7 +25,7 @@
 from fireflylink_daemon._dispatch_task import DispatchTask
 from fireflylink_daemon._messages import UpdatesRead
 from fireflylink_daemon._metrics import Metrics
-from fireflylink_daemon._peers import LoadCounter
+from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._request_path import RequestPath
 from fireflylink_daemon._serving import Serving
 from fireflylink_protocol import encode_table, ownership_key
@@ -86,7 +86,7 @@
         self.clock = clock
         self.monkeypatch = monkeypatch
         self.tasks = bench
-        self.keys = LoadCounter()
+        self.keys = KeyCounter()
         serving = bench.serving
         dispatch = DispatchTask(serving.dispatcher, clock)
         self.path = RequestPath(serving, dispatch, self.keys, self, clock, Metrics())
