--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -22,8 +22,8 @@
 )
 
 REPORT_INTERVAL_SECONDS = 0.25
-SERVICE_TIMES_REPORT_INTERVAL = 8
-"""Service times are included each time that this many reports per service have been taken."""
+CALLS_PER_SERVICE_TIMES_REPORT = 8
+"""Reports include service times once in this many calls of ``take_reports``."""
 
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_DATAGRAM_BYTES = 2048
@@ -67,7 +67,7 @@
     def take_reports(self, instance: str) -> list[LoadReport]:
         """Returns a report for each service that had requests since the last call."""
         self.reports += 1
-        with_service_times = self.reports % SERVICE_TIMES_REPORT_INTERVAL == 0
+        with_service_times = self.reports % CALLS_PER_SERVICE_TIMES_REPORT == 0
         reports = [
             LoadReport(
                 instance,
