--- a/packages/daemon/src/fireflylink_daemon/__main__.py
+++ b/packages/daemon/src/fireflylink_daemon/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m fireflylink_daemon``: the same as the command ``fireflylinkd``."""
+"""Entry point of ``python -m fireflylink_daemon``, the same as the command ``fireflylinkd``."""
 
 from fireflylink_daemon import main
 
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -1,4 +1,4 @@
-"""A daemon: its tasks, how they are connected, and how it leaves."""
+"""A daemon: creates, connects, starts and shuts down its tasks."""
 
 import os
 
@@ -32,19 +32,26 @@
 )
 from fireflylink_protocol import MemberRecord
 
-NOTICE_SECONDS = 2.5
-"""Time until the balancer has asked twice and sends no new connections."""
+BALANCER_NOTICE_SECONDS = 2.5
+"""Within this time the load balancer checks the readiness twice, and then sends no new connections
+to a daemon that is not ready."""
 
-LEAVE_MARGIN_SECONDS = 0.4
-LAST_IDLE_SECONDS = 0.5
-MEMBER_STAYS_SECONDS = 4.0
-"""While requests are still sent, the others must count this daemon's shares."""
+SHUTDOWN_MARGIN_SECONDS = 0.4
+"""Part of the ``leave_seconds`` setting that is reserved for the end of the process."""
 
-SETTINGS_CHECK_SECONDS = 1.0
+IDLE_CLOSE_DELAY_SECONDS = 0.5
+"""Time between the end of accepting connections and the closing of idle ones."""
+
+MEMBER_REMOVAL_DELAY_SECONDS = 4.0
+"""While this daemon still sends requests, the other members must count its shares of the limits."""
+
+SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
 
 
 class Daemon:
-    """All tasks of one process.
+    """The tasks and listeners of one daemon process.
+
+    Tasks that refer to each other are connected by assignment after they have been created.
 
     Example::
 
@@ -54,40 +61,40 @@
     """
 
     __slots__ = (
-        "callers",
+        "caller_listener",
         "clock",
         "decider",
-        "dispatch",
-        "leaving",
-        "left",
+        "dispatch_task",
         "member",
         "metrics",
         "metrics_listener",
         "ownership",
-        "path",
         "peers",
-        "reader",
-        "readiness",
+        "readiness_listener",
+        "request_path",
         "serving",
         "settings",
+        "settings_file_stamp",
         "settings_path",
-        "settings_stamp",
-        "stores",
+        "shutting_down",
+        "stopped",
+        "store_clients",
+        "store_reader",
         "view",
     )
 
     def __init__(self, settings: Settings, settings_path: str, clock: BaseClock) -> None:
         self.settings = settings
         self.settings_path = settings_path
-        self.settings_stamp = _stamp(settings_path)
+        self.settings_file_stamp = _file_stamp(settings_path)
         self.clock = clock
-        self.leaving = False
-        self.left = Event()
+        self.shutting_down = False
+        self.stopped = Event()
         self.metrics = Metrics()
-        self.stores: list[PlatformStoreClient] = []
+        self.store_clients: list[PlatformStoreClient] = []
         codec = PlatformServerCodec()
         self.serving = Serving(settings, clock, codec)
-        self.dispatch = DispatchTask(self.serving.dispatcher, clock)
+        self.dispatch_task = DispatchTask(self.serving.dispatcher, clock)
         self.view = ViewTask(self.serving, clock)
         record = MemberRecord(
             settings.instance,
@@ -96,57 +103,64 @@
             settings.address,
             settings.report_port,
         )
-        self.member = MemberTask(record, self._store(), self.view, clock, self.metrics)
-        self.decider = DeciderTask(record, self._store(), self.serving, clock, self.metrics)
-        keys = KeyCounter()
+        self.member = MemberTask(record, self._make_store_client(), self.view, clock, self.metrics)
+        self.decider = DeciderTask(
+            record, self._make_store_client(), self.serving, clock, self.metrics
+        )
+        key_counter = KeyCounter()
         self.peers = PeerSocket(
-            settings.instance, settings.address, settings.report_port, keys, self.view
+            settings.instance, settings.address, settings.report_port, key_counter, self.view
         )
         self.ownership = OwnershipTask(self.serving, self.decider, self.peers, clock, codec)
         self.peers.ownership = self.ownership
         self.decider.ownership = self.ownership
         self.view.ownership = self.ownership
         self.view.member = self.member
-        self.reader = StoreReader(
-            self._store(), PlatformItemDecoder(), self.view, clock, self.metrics
+        self.store_reader = StoreReader(
+            self._make_store_client(), PlatformItemDecoder(), self.view, clock, self.metrics
         )
-        self.path = path = RequestPath(
-            self.serving, self.dispatch, keys, CrashWatch(self.peers, clock), clock, self.metrics
+        self.request_path = request_path = RequestPath(
+            self.serving,
+            self.dispatch_task,
+            key_counter,
+            CrashWatch(self.peers, clock),
+            clock,
+            self.metrics,
         )
-        self.callers = HttpListener(
-            make_application(path, PlatformCallerCodec()),
+        self.caller_listener = HttpListener(
+            make_application(request_path, PlatformCallerCodec()),
             settings.caller_address.host,
             settings.caller_address.port,
-            path.limits,
+            request_path.limits,
         )
-        self.readiness = HttpListener(
-            make_readiness_application(READY_PATH, self.ready),
+        self.readiness_listener = HttpListener(
+            make_readiness_application(READY_PATH, self.is_ready),
             settings.readiness_address.host,
             settings.readiness_address.port,
-            path.limits,
+            request_path.limits,
         )
         self.metrics_listener = HttpListener(
             make_metrics_application(self.metrics),
             settings.address,
             settings.metrics_port,
-            path.limits,
+            request_path.limits,
         )
-        self._declare_gauges()
+        self._register_gauges()
 
     def start(self) -> None:
-        """Starts every task."""
-        for listener in (self.callers, self.readiness, self.metrics_listener):
+        """Starts the listeners and the tasks."""
+        for listener in (self.caller_listener, self.readiness_listener, self.metrics_listener):
             listener.start()
         for task in (
             self.view,
             self.member,
             self.decider,
             self.ownership,
-            self.reader,
+            self.store_reader,
             self.peers,
         ):
             task.start()
-        gevent.spawn(self._watch_settings)
+        gevent.spawn(self._watch_settings_file)
         log_event(
             "started",
             instance=self.settings.instance,
@@ -156,38 +170,48 @@
         )
 
     def wait(self) -> None:
-        """Waits until the daemon has left."""
-        self.left.wait()
+        """Waits until the daemon has shut down."""
+        self.stopped.wait()
+
+    def is_ready(self) -> bool:
+        """Whether the load balancer should send new connections to the daemon."""
+        return not self.shutting_down and self.serving.routes is not None
 
-    def ready(self) -> bool:
-        """Whether the daemon should get new connections."""
-        return not self.leaving and self.serving.routes is not None
+    def shut_down(self) -> None:
+        """Drains and stops the daemon within the ``leave_seconds`` setting.
 
-    def leave(self) -> None:
-        """Ends the daemon within the time that the settings give, without cutting a request off."""
-        if self.leaving:
+        New requests are accepted until the load balancer has had time to notice. Those in progress
+        may complete until the end of ``leave_seconds``.
+        """
+        if self.shutting_down:
             return
-        self.leaving = True
+        self.shutting_down = True
         started_at = self.clock.now()
-        deadline = started_at + self.settings.bounds.leave_seconds - LEAVE_MARGIN_SECONDS
-        log_event("leaving", instance=self.settings.instance, active=self.callers.active_requests)
-        self.callers.begin_drain(NOTICE_SECONDS)
+        deadline = started_at + self.settings.bounds.leave_seconds - SHUTDOWN_MARGIN_SECONDS
+        log_event(
+            "leaving", instance=self.settings.instance, active=self.caller_listener.active_requests
+        )
+        self.caller_listener.begin_drain(BALANCER_NOTICE_SECONDS)
         self.decider.post(Leave())
-        gevent.spawn_later(MEMBER_STAYS_SECONDS, self.member.post, Leave())
-        gevent.sleep(NOTICE_SECONDS)
-        self.callers.stop_accepting()
-        gevent.sleep(LAST_IDLE_SECONDS)
-        # A request that comes now might not end in time: another daemon takes it at once.
-        self.path.closed = True
-        self.callers.close_idle_connections()
-        quiet = self.callers.wait_idle(max(0.0, deadline - self.clock.now()))
-        log_event("stopped", instance=self.settings.instance, quiet=quiet)
+        gevent.spawn_later(MEMBER_REMOVAL_DELAY_SECONDS, self.member.post, Leave())
+        gevent.sleep(BALANCER_NOTICE_SECONDS)
+        self.caller_listener.stop_accepting()
+        gevent.sleep(IDLE_CLOSE_DELAY_SECONDS)
+        # A new request might not complete in time. It is refused at once, so that its caller can
+        # send it to another daemon.
+        self.request_path.closed = True
+        self.caller_listener.close_idle_connections()
+        idle = self.caller_listener.wait_idle(max(0.0, deadline - self.clock.now()))
+        log_event("stopped", instance=self.settings.instance, quiet=idle)
         flush_log()
-        self.left.set()
+        self.stopped.set()
 
     def reload(self) -> None:
-        """Reads the settings file again; addresses stay as they are until the next start."""
-        self.settings_stamp = _stamp(self.settings_path)
+        """Reads the settings file again.
+
+        The addresses and ports of this daemon's own sockets change only at the next start.
+        """
+        self.settings_file_stamp = _file_stamp(self.settings_path)
         result = read_settings(self.settings_path)
         if not isinstance(result, Success):
             log_problem("settings-refused", problem=result.failure())
@@ -196,40 +220,40 @@
         changed = settings != self.settings
         self.settings = settings
         self.serving.settings = settings
-        for store in self.stores:
-            store.set_address(settings.store_address.host, settings.store_address.port)
+        for client in self.store_clients:
+            client.set_address(settings.store_address.host, settings.store_address.port)
         log_event("settings-reloaded", changed=changed)
 
-    def _store(self) -> PlatformStoreClient:
+    def _make_store_client(self) -> PlatformStoreClient:
         address = self.settings.store_address
-        store = PlatformStoreClient(address.host, address.port, self.clock)
-        self.stores.append(store)
-        return store
-
-    def _watch_settings(self) -> None:
-        while not self.leaving:
-            gevent.sleep(SETTINGS_CHECK_SECONDS)
-            if _stamp(self.settings_path) != self.settings_stamp:
+        client = PlatformStoreClient(address.host, address.port, self.clock)
+        self.store_clients.append(client)
+        return client
+
+    def _watch_settings_file(self) -> None:
+        while not self.shutting_down:
+            gevent.sleep(SETTINGS_CHECK_INTERVAL_SECONDS)
+            if _file_stamp(self.settings_path) != self.settings_file_stamp:
                 self.reload()
 
-    def _declare_gauges(self) -> None:
+    def _register_gauges(self) -> None:
         serving = self.serving
-        gauge = self.metrics.gauge
-        gauge("requests_active", lambda: self.callers.active_requests)
-        gauge("requests_waiting", lambda: serving.dispatcher.queued_count)
-        gauge("members", lambda: len(serving.position.members))
-        gauge("decider", lambda: float(self.decider.election.is_decider))
-        gauge("store_reached", lambda: float(serving.directory.store_reachable))
-        gauge("servers", lambda: len(serving.directory.entries))
-        gauge(
+        register = self.metrics.register_gauge
+        register("requests_active", lambda: self.caller_listener.active_requests)
+        register("requests_waiting", lambda: serving.dispatcher.queued_count)
+        register("members", lambda: len(serving.position.members))
+        register("decider", lambda: float(self.decider.election.is_decider))
+        register("store_reached", lambda: float(serving.directory.store_reachable))
+        register("servers", lambda: len(serving.directory.entries))
+        register(
             "connections_opened",
-            lambda: sum(pool.opened_connections for pool in serving.pools.values()),
+            lambda: sum(pool.opened_connections for pool in serving.connection_pools.values()),
         )
-        gauge("configuration_version", lambda: serving.routes.version if serving.routes else 0)
+        register("configuration_version", lambda: serving.routes.version if serving.routes else 0)
 
 
-def _stamp(path: str) -> tuple[int, int]:
-    """Returns what tells one state of a file from another."""
+def _file_stamp(path: str) -> tuple[int, int]:
+    """Returns the modification time in ns and the size of a file, which reveal a change."""
     try:
         status = os.stat(path)
     except OSError:
--- a/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
@@ -1,4 +1,4 @@
-"""Requests that wait for a server: their greenlets sleep until the dispatcher has placed them."""
+"""Queued requests: each greenlet sleeps until its request is dispatched or refused."""
 
 import gevent
 from gevent.event import Event
@@ -6,59 +6,71 @@
 from fireflylink_core import BaseClock
 from fireflylink_decisions.dispatch import BaseDispatchResult, Dispatcher, QueuedRequest
 
-SWEEP_SECONDS = 0.02
+SWEEP_INTERVAL_SECONDS = 0.02
 
 
-class WaitingRequest:
-    """The greenlet of a queued request, which waits for the result of dispatching."""
+class DispatchWaiter:
+    """Passes the dispatch result to the greenlet of a queued request.
 
-    __slots__ = ("placement", "woken")
+    ``wake_event`` is set when ``result`` is available or the caller has disconnected.
+    """
+
+    __slots__ = ("result", "wake_event")
 
     def __init__(self) -> None:
-        self.woken = Event()
-        self.placement: BaseDispatchResult | None = None
+        self.wake_event = Event()
+        self.result: BaseDispatchResult | None = None
 
 
 class DispatchTask:
-    """Wakes waiting requests; it runs only while there are any."""
+    """Wakes the greenlets of queued requests with their dispatch results.
+
+    A greenlet that sweeps the queues at intervals runs only while requests are queued.
+    """
 
-    __slots__ = ("clock", "dispatcher", "running", "waiting")
+    __slots__ = ("clock", "dispatcher", "sweeper_running", "waiters")
 
     def __init__(self, dispatcher: Dispatcher, clock: BaseClock) -> None:
         self.dispatcher = dispatcher
         self.clock = clock
-        self.waiting: dict[QueuedRequest, WaitingRequest] = {}
-        self.running = False
+        self.waiters: dict[QueuedRequest, DispatchWaiter] = {}
+        self.sweeper_running = False
 
-    def place(
-        self, queued_request: QueuedRequest, request: WaitingRequest
+    def dispatch(
+        self, queued_request: QueuedRequest, waiter: DispatchWaiter
     ) -> BaseDispatchResult | None:
-        """Returns the result for a queued request; None when it was woken without one."""
+        """Waits until a request is dispatched or refused, and returns the result.
+
+        Returns None when ``wake_event`` was set without a result.
+        """
         result = self.dispatcher.submit(queued_request, self.clock.now())
         if result is not None:
             return result
-        self.waiting[queued_request] = request
-        if not self.running:
-            self.running = True
-            gevent.spawn(self._run)
+        self.waiters[queued_request] = waiter
+        if not self.sweeper_running:
+            self.sweeper_running = True
+            gevent.spawn(self._run_sweeper)
         try:
-            request.woken.wait()
+            waiter.wake_event.wait()
         finally:
-            self.waiting.pop(queued_request, None)
+            self.waiters.pop(queued_request, None)
             self.dispatcher.cancel(queued_request)
-        return request.placement
+        return waiter.result
 
     def sweep(self) -> None:
-        """Places what can be placed, after a request has ended or the servers have changed."""
-        if not self.waiting:
+        """Dispatches or refuses queued requests, and wakes the greenlets of those that ended.
+
+        To be called also when a request has ended at a server, which may now accept another one.
+        """
+        if not self.waiters:
             return
         for queued_request, result in self.dispatcher.sweep(self.clock.now()):
-            request = self.waiting.pop(queued_request)
-            request.placement = result
-            request.woken.set()
+            waiter = self.waiters.pop(queued_request)
+            waiter.result = result
+            waiter.wake_event.set()
 
-    def _run(self) -> None:
-        while self.waiting:
-            gevent.sleep(SWEEP_SECONDS)
+    def _run_sweeper(self) -> None:
+        while self.waiters:
+            gevent.sleep(SWEEP_INTERVAL_SECONDS)
             self.sweep()
-        self.running = False
+        self.sweeper_running = False
--- a/packages/daemon/src/fireflylink_daemon/_log.py
+++ b/packages/daemon/src/fireflylink_daemon/_log.py
@@ -9,56 +9,60 @@
 from absl import logging
 from gevent.os import make_nonblocking
 
-NEEDS_QUOTES = frozenset(' "=\n\r\t')
+CHARACTERS_TO_QUOTE = frozenset(' "=\n\r\t')
 STANDARD_OUTPUT = 1
-MAX_WAITING_LINES = 2000
-RETRY_SECONDS = 0.05
+MAX_BUFFERED_LINES = 2000
+WRITE_RETRY_SECONDS = 0.05
 
 
 class _LineWriter:
-    """Writes lines to standard output; when the reader stops, lines are dropped and counted."""
+    """Writes lines to standard output without blocking.
 
-    __slots__ = ("dropped", "lines", "rest", "writing")
+    While the pipe is full, lines are buffered; when the buffer is full too, lines are dropped and
+    counted.
+    """
+
+    __slots__ = ("drain_running", "dropped", "lines", "unwritten")
 
     def __init__(self) -> None:
         self.lines: collections.deque[bytes] = collections.deque()
-        self.rest = b""
+        self.unwritten = b""
         self.dropped = 0
-        self.writing = False
+        self.drain_running = False
 
-    def put(self, line: str) -> None:
-        """Writes a line now, or later when the pipe is full."""
-        if len(self.lines) >= MAX_WAITING_LINES:
+    def write(self, line: str) -> None:
+        """Writes a line, or buffers it while the pipe is full."""
+        if len(self.lines) >= MAX_BUFFERED_LINES:
             self.dropped += 1
             return
         self.lines.append(line.encode("utf-8", "replace") + b"\n")
-        if not self.writing and not self.flush():
-            self.writing = True
+        if not self.drain_running and not self.flush():
+            self.drain_running = True
             gevent.spawn(self._drain)
 
     def flush(self) -> bool:
-        """Writes what the pipe takes; returns whether nothing is left."""
-        while self.rest or self.lines:
-            data = self.rest or self.lines.popleft()
+        """Writes buffered lines until the pipe is full; returns whether the buffer is empty."""
+        while self.unwritten or self.lines:
+            data = self.unwritten or self.lines.popleft()
             try:
                 written = os.write(STANDARD_OUTPUT, data)
             except BlockingIOError:
                 written = 0
             except OSError:
-                # Nobody reads the output any more: the lines are lost, and counted as such.
+                # Nothing reads the output any more: the buffered lines are counted as dropped.
                 self.dropped += len(self.lines) + 1
                 self.lines.clear()
-                self.rest = b""
+                self.unwritten = b""
                 return True
-            self.rest = data[written:]
-            if self.rest:
+            self.unwritten = data[written:]
+            if self.unwritten:
                 return False
         return True
 
     def _drain(self) -> None:
         while not self.flush():
-            gevent.sleep(RETRY_SECONDS)
-        self.writing = False
+            gevent.sleep(WRITE_RETRY_SECONDS)
+        self.drain_running = False
         if self.dropped:
             dropped, self.dropped = self.dropped, 0
             log_problem("log-lines-dropped", count=dropped)
@@ -69,19 +73,21 @@
 
 class _Handler(standard_logging.Handler):
     def emit(self, record: standard_logging.LogRecord) -> None:
-        _WRITER.put(self.format(record))
+        _WRITER.write(self.format(record))
 
 
 class _Formatter(standard_logging.Formatter):
     def format(self, record: standard_logging.LogRecord) -> str:
         seconds = int(record.created)
-        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
+        timestamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
         millis = int((record.created - seconds) * 1000)
-        return f"time={stamp}.{millis:03d}Z level={record.levelname.lower()} {record.getMessage()}"
+        return (
+            f"time={timestamp}.{millis:03d}Z level={record.levelname.lower()} {record.getMessage()}"
+        )
 
 
 def start_logging() -> None:
-    """Writes events to standard output, each as one line."""
+    """Configures the log: each event becomes one line on standard output."""
     make_nonblocking(STANDARD_OUTPUT)
     handler = _Handler()
     handler.setFormatter(_Formatter())
@@ -98,30 +104,30 @@
 
         log_event("configuration-applied", version=7)
     """
-    logging.get_absl_logger().info(_line(event, fields))
+    logging.get_absl_logger().info(_format_line(event, fields))
 
 
 def log_problem(event: str, **fields: object) -> None:
-    """Logs an event that an operator may have to act on."""
-    logging.get_absl_logger().warning(_line(event, fields))
+    """Logs, at level warning, an event that may need action by an operator."""
+    logging.get_absl_logger().warning(_format_line(event, fields))
 
 
 def flush_log() -> None:
-    """Writes the lines that wait, as far as the reader takes them."""
+    """Writes buffered lines until the pipe is full."""
     _WRITER.flush()
 
 
-def _line(event: str, fields: dict[str, object]) -> str:
+def _format_line(event: str, fields: dict[str, object]) -> str:
     pairs = [f"event={event}"]
-    pairs.extend(f"{name}={_value(value)}" for name, value in fields.items())
+    pairs.extend(f"{name}={_format_value(value)}" for name, value in fields.items())
     return " ".join(pairs)
 
 
-def _value(value: object) -> str:
+def _format_value(value: object) -> str:
     if isinstance(value, float):
         return f"{value:.3f}"
     text = str(value)
-    if text and not any(character in NEEDS_QUOTES for character in text):
+    if text and not any(character in CHARACTERS_TO_QUOTE for character in text):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
     return f'"{escaped}"'
--- a/packages/daemon/src/fireflylink_daemon/_metrics.py
+++ b/packages/daemon/src/fireflylink_daemon/_metrics.py
@@ -8,9 +8,9 @@
 HIGHEST_MICROSECONDS = 60_000_000
 SIGNIFICANT_FIGURES = 2
 MAX_HISTOGRAMS = 64
-"""Each takes tens of kilobytes; routes beyond this number share one."""
+"""Each one uses tens of kilobytes of memory; routes beyond this number share another one."""
 
-OTHER_ROUTES = "other"
+SHARED_HISTOGRAM_NAME = "other"
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 MICROSECONDS_PER_SECOND = 1_000_000
 
@@ -18,7 +18,7 @@
 
 
 class Metrics:
-    """What one daemon counts.
+    """The counters, gauges and latency histograms of one daemon.
 
     Example::
 
@@ -37,21 +37,21 @@
         key = (name, tuple(labels.items()))
         self.counters[key] = self.counters.get(key, 0) + 1
 
-    def gauge(self, name: str, read: Callable[[], float]) -> None:
-        """Declares a gauge that is read when metrics are asked for."""
+    def register_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Adds a gauge; ``read`` is called for its value at each exposition."""
         self.gauges[name] = read
 
     def record_latency(self, route: str, seconds: float) -> None:
         """Records the latency of an answered request."""
         microseconds = int(seconds * MICROSECONDS_PER_SECOND)
-        bounded = min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
-        self._histogram(route).record_value(bounded)
+        clamped = min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
+        self._histogram(route).record_value(clamped)
 
     def exposition(self) -> str:
-        """Returns all metrics as text."""
+        """Returns all metrics in the Prometheus text format."""
         lines = []
         for (name, labels), count in sorted(self.counters.items()):
-            lines.append(f"fireflylink_{name}_total{_labels(labels)} {count}")
+            lines.append(f"fireflylink_{name}_total{_format_labels(labels)} {count}")
         for name, read in sorted(self.gauges.items()):
             lines.append(f"fireflylink_{name} {read():g}")
         for route, histogram in sorted(self.histograms.items()):
@@ -59,10 +59,10 @@
         return "\n".join(lines) + "\n"
 
     def _histogram(self, route: str) -> HdrHistogram:
-        found = self.histograms.get(route)
-        if found is not None:
-            return found
-        name = route if len(self.histograms) < MAX_HISTOGRAMS else OTHER_ROUTES
+        histogram = self.histograms.get(route)
+        if histogram is not None:
+            return histogram
+        name = route if len(self.histograms) < MAX_HISTOGRAMS else SHARED_HISTOGRAM_NAME
         return self.histograms.setdefault(
             name, HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_FIGURES)
         )
@@ -72,18 +72,18 @@
     lines = []
     for quantile in QUANTILES:
         seconds = histogram.get_value_at_percentile(quantile) / MICROSECONDS_PER_SECOND
-        labels = _labels((("route", route), ("quantile", f"{quantile / 100:g}")))
+        labels = _format_labels((("route", route), ("quantile", f"{quantile / 100:g}")))
         lines.append(f"fireflylink_latency_seconds{labels} {seconds:g}")
-    labels = _labels((("route", route),))
+    labels = _format_labels((("route", route),))
     lines.append(f"fireflylink_latency_seconds_count{labels} {histogram.get_total_count()}")
     return lines
 
 
-def _labels(labels: Labels) -> str:
+def _format_labels(labels: Labels) -> str:
     if not labels:
         return ""
-    return "{" + ",".join(f'{name}="{_escaped(value)}"' for name, value in labels) + "}"
+    return "{" + ",".join(f'{name}="{_escape(value)}"' for name, value in labels) + "}"
 
 
-def _escaped(value: str) -> str:
+def _escape(value: str) -> str:
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_path.py
@@ -1,4 +1,4 @@
-"""A request from its route to its reply: placement, attempts, retries."""
+"""Handling of one request: routing, dispatch to a server, retries, reply."""
 
 from fireflylink_backend_client import Cancellation
 from fireflylink_caller_frontend import BaseDisconnectNotifier, BaseRequestHandler
@@ -21,82 +21,103 @@
     ServerAnswer,
 )
 from fireflylink_daemon._crash_watch import CrashWatch
-from fireflylink_daemon._dispatch_task import DispatchTask, WaitingRequest
-from fireflylink_daemon._line_budget import LineBudget
+from fireflylink_daemon._dispatch_task import DispatchTask, DispatchWaiter
 from fireflylink_daemon._log import log_event
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._peers import KeyCounter
+from fireflylink_daemon._request_log_limiter import RequestLogLimiter
 from fireflylink_daemon._serving import Serving
 from fireflylink_decisions.dispatch import BaseDispatchResult, Dispatched, QueuedRequest, Refused
 from fireflylink_decisions.poison import fingerprint_of
 from fireflylink_decisions.retries import Attempts, BaseRetryDecision, Retry, ReturnReply
 
 NO_ROUTE_STATUS = 404
-SERVER_ERROR = 500
-CRASH_REASONS = (LostReason.RESET, LostReason.CLOSED)
-NOT_CONFIGURED_RETRY_SECONDS = 1.0
+MIN_SERVER_ERROR_STATUS = 500
+POSSIBLE_CRASH_REASONS = (LostReason.RESET, LostReason.CLOSED)
+NO_CONFIGURATION_RETRY_SECONDS = 1.0
 LEAVING_RETRY_SECONDS = 0.05
 REPLY_MARGIN_SECONDS = 0.03
-"""Time for the reply to reach the caller before its deadline."""
+"""Reserved so that the reply reaches the caller before its deadline."""
 
 MILLISECONDS_PER_SECOND = 1000.0
 
 
-class _Course:
-    """One request on its way: what was decided for it so far."""
+class _RequestContext:
+    """A routed request with its deadline, its attempts and the means to cancel it.
+
+    ``deadline`` and ``objective_at`` are times in seconds on the daemon's clock; an answer after
+    ``objective_at`` misses the target latency of the route.
+    """
 
     __slots__ = (
         "attempts",
+        "caller_disconnected",
         "cancellation",
-        "latest",
-        "left",
+        "deadline",
         "objective_at",
         "request",
         "route",
         "service",
-        "wait",
+        "waiter",
     )
 
     def __init__(
-        self, request: CallerRequest, route: Route, service: str, latest: float, attempts: Attempts
+        self,
+        request: CallerRequest,
+        route: Route,
+        service: str,
+        deadline: float,
+        attempts: Attempts,
     ) -> None:
         self.request = request
         self.route = route
         self.service = service
-        self.latest = latest
+        self.deadline = deadline
         self.objective_at = request.received_at + route.objective_ms / MILLISECONDS_PER_SECOND
         self.attempts = attempts
         self.cancellation = Cancellation()
-        self.wait = WaitingRequest()
-        self.left = False
+        self.waiter = DispatchWaiter()
+        self.caller_disconnected = False
 
-    def leave(self) -> None:
-        """Ends the wait or the call: the caller has left."""
-        self.left = True
+    def on_disconnect(self) -> None:
+        """Cancels the wait for a server or the call, because the caller has disconnected."""
+        self.caller_disconnected = True
         self.cancellation.cancel()
-        self.wait.woken.set()
+        self.waiter.wake_event.set()
 
 
 class RequestPath(BaseRequestHandler):
-    """Handles callers' requests with the state of ``Serving``."""
+    """Handles callers' requests with the state of ``Serving``.
+
+    While ``closed`` is true, every new request is refused.
+    """
 
-    __slots__ = ("clock", "closed", "crashes", "dispatch", "keys", "lines", "metrics", "serving")
+    __slots__ = (
+        "clock",
+        "closed",
+        "crash_watch",
+        "dispatch_task",
+        "key_counter",
+        "log_limiter",
+        "metrics",
+        "serving",
+    )
 
     def __init__(
         self,
         serving: Serving,
-        dispatch: DispatchTask,
-        keys: KeyCounter,
-        crashes: CrashWatch,
+        dispatch_task: DispatchTask,
+        key_counter: KeyCounter,
+        crash_watch: CrashWatch,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
         self.serving = serving
-        self.dispatch = dispatch
+        self.dispatch_task = dispatch_task
         self.closed = False
-        self.keys = keys
-        self.lines = LineBudget()
-        self.crashes = crashes
+        self.key_counter = key_counter
+        self.log_limiter = RequestLogLimiter()
+        self.crash_watch = crash_watch
         self.clock = clock
         self.metrics = metrics
 
@@ -108,128 +129,131 @@
     ) -> BaseReply:
         routes = self.serving.routes
         if self.closed:
-            return self._refused(request, NotRun("leaving", retry_after=LEAVING_RETRY_SECONDS))
+            return self._refuse(request, NotRun("leaving", retry_after=LEAVING_RETRY_SECONDS))
         if routes is None:
-            return self._refused(
-                request, NotRun("no-configuration", 503, NOT_CONFIGURED_RETRY_SECONDS)
+            return self._refuse(
+                request, NotRun("no-configuration", 503, NO_CONFIGURATION_RETRY_SECONDS)
             )
         route = routes.find(request.host, request.path)
         if route is None:
-            return self._refused(request, NotRun("no-route", NO_ROUTE_STATUS))
+            return self._refuse(request, NotRun("no-route", NO_ROUTE_STATUS))
         if self._is_poison(request):
-            return self._refused(request, NotRun("poison"))
-        course = self._course(request, route)
-        disconnect_notifier.on_disconnect(course.leave)
-        reply = self._run(course)
-        self._finish(course, reply)
+            return self._refuse(request, NotRun("poison"))
+        context = self._make_context(request, route)
+        disconnect_notifier.on_disconnect(context.on_disconnect)
+        reply = self._execute(context)
+        self._record_outcome(context, reply)
         return reply
 
     def _is_poison(self, request: CallerRequest) -> bool:
         poison = self.serving.poison
         return poison.has_suspects() and poison.is_poison(fingerprint_of(request), self.clock.now())
 
-    def _course(self, request: CallerRequest, route: Route) -> _Course:
-        service = self.serving.splits.choose(route)
-        self.serving.budget(service).record_request(request.received_at)
+    def _make_context(self, request: CallerRequest, route: Route) -> _RequestContext:
+        service = self.serving.traffic_splitter.choose(route)
+        self.serving.retry_budget(service).record_request(request.received_at)
         if request.key != NO_KEY:
-            self.keys.add(service, request.key)
+            self.key_counter.add(service, request.key)
         timeout = route.timeout_ms / MILLISECONDS_PER_SECOND
-        latest = min(request.deadline - REPLY_MARGIN_SECONDS, request.received_at + timeout)
+        deadline = min(request.deadline - REPLY_MARGIN_SECONDS, request.received_at + timeout)
         attempts = Attempts(route.idempotent, route.max_attempts)
-        return _Course(request, route, service, latest, attempts)
+        return _RequestContext(request, route, service, deadline, attempts)
 
-    def _run(self, course: _Course) -> BaseReply:
+    def _execute(self, context: _RequestContext) -> BaseReply:
         while True:
-            placement = self._place(course)
-            if course.left:
-                self._undo(placement)
+            dispatch_result = self._dispatch(context)
+            if context.caller_disconnected:
+                self._discard(dispatch_result)
                 return CallerDisconnected()
-            if isinstance(placement, Refused):
-                return course.attempts.refusal_reply(placement.reason, placement.retry_after)
-            if not isinstance(placement, Dispatched):
-                return course.attempts.refusal_reply("not-placed", NOT_CONFIGURED_RETRY_SECONDS)
-            result = self._call(course, placement)
-            if course.left:
+            if isinstance(dispatch_result, Refused):
+                return context.attempts.refusal_reply(
+                    dispatch_result.reason, dispatch_result.retry_after
+                )
+            if not isinstance(dispatch_result, Dispatched):
+                return context.attempts.refusal_reply("not-placed", NO_CONFIGURATION_RETRY_SECONDS)
+            result = self._call(context, dispatch_result)
+            if context.caller_disconnected:
                 return CallerDisconnected()
-            decision = self._next(course, placement, result)
+            decision = self._decide_retry(context, dispatch_result, result)
             if isinstance(decision, ReturnReply):
                 return decision.reply
 
-    def _place(self, course: _Course) -> BaseDispatchResult | None:
+    def _dispatch(self, context: _RequestContext) -> BaseDispatchResult | None:
         request = QueuedRequest(
-            course.service,
-            course.route.priority,
-            course.request.received_at,
-            course.latest,
-            course.request.key,
-            frozenset(course.attempts.tried_servers),
-            course.objective_at,
+            context.service,
+            context.route.priority,
+            context.request.received_at,
+            context.deadline,
+            context.request.key,
+            frozenset(context.attempts.tried_servers),
+            context.objective_at,
         )
-        course.wait.woken.clear()
-        if course.left:
+        context.waiter.wake_event.clear()
+        if context.caller_disconnected:
             return None
-        return self.dispatch.place(request, course.wait)
+        return self.dispatch_task.dispatch(request, context.waiter)
 
-    def _undo(self, placement: BaseDispatchResult | None) -> None:
-        if isinstance(placement, Dispatched):
-            placement.tracker.record_completed()
+    def _discard(self, dispatch_result: BaseDispatchResult | None) -> None:
+        """Ends the in-flight count of a dispatched request that is not sent after all."""
+        if isinstance(dispatch_result, Dispatched):
+            dispatch_result.tracker.record_completed()
 
-    def _call(self, course: _Course, dispatched: Dispatched) -> BaseCallResult:
+    def _call(self, context: _RequestContext, dispatched: Dispatched) -> BaseCallResult:
         tracker = dispatched.tracker
-        pool = self.serving.pool_of(tracker)
+        pool = self.serving.connection_pool(tracker)
         sent_at = self.clock.now()
-        course.attempts.record_sent(tracker.server.server_id)
+        context.attempts.record_sent(tracker.server.server_id)
         try:
-            result = pool.call(course.request, course.latest, course.cancellation)
+            result = pool.call(context.request, context.deadline, context.cancellation)
         finally:
             tracker.record_completed()
         now = self.clock.now()
         if isinstance(result, Answered | Declined) and result.load is not None:
             tracker.record_load(result.load, now)
-        if isinstance(result, Answered) and result.answer.status < SERVER_ERROR:
+        if isinstance(result, Answered) and result.answer.status < MIN_SERVER_ERROR_STATUS:
             seconds = now - sent_at
             if (
                 tracker.record_answer(seconds, dispatched.queueing_factor, now)
-                and course.request.key != NO_KEY
+                and context.request.key != NO_KEY
             ):
-                self.keys.add_time(course.service, tracker.server.server_id, seconds)
+                self.key_counter.add_time(context.service, tracker.server.server_id, seconds)
         elif _failed_at_server(result):
             tracker.record_failure(now)
         elif isinstance(result, Lost) and result.reason is LostReason.LATE:
             seconds = tracker.record_timeout(now - sent_at, dispatched.queueing_factor, now)
-            if course.request.key != NO_KEY:
-                self.keys.add_time(course.service, tracker.server.server_id, seconds)
+            if context.request.key != NO_KEY:
+                self.key_counter.add_time(context.service, tracker.server.server_id, seconds)
         elif isinstance(result, NotSent):
             tracker.record_no_response(now)
-        if isinstance(result, Lost) and result.reason in CRASH_REASONS:
-            self.crashes.note_ended(tracker.server, course.request)
-        self.dispatch.sweep()
+        if isinstance(result, Lost) and result.reason in POSSIBLE_CRASH_REASONS:
+            self.crash_watch.note_ended(tracker.server, context.request)
+        self.dispatch_task.sweep()
         return result
 
-    def _next(
-        self, course: _Course, dispatched: Dispatched, result: BaseCallResult
+    def _decide_retry(
+        self, context: _RequestContext, dispatched: Dispatched, result: BaseCallResult
     ) -> BaseRetryDecision:
         now = self.clock.now()
-        budget = self.serving.budget(course.service)
+        budget = self.serving.retry_budget(context.service)
         if isinstance(result, Declined) and result.misdirected:
-            self.dispatch.dispatcher.record_misdirected(course.service, dispatched, now)
-        decision = course.attempts.decide(
-            result, course.latest - now, budget.allows_retry(now, self.serving.position)
+            self.dispatch_task.dispatcher.record_misdirected(context.service, dispatched, now)
+        decision = context.attempts.decide(
+            result, context.deadline - now, budget.allows_retry(now, self.serving.position)
         )
         if isinstance(decision, Retry):
             if decision.reached_server:
                 budget.record_retry(now)
             log_event(
                 "request-retried",
-                request=course.request.request_id,
+                request=context.request.request_id,
                 server=dispatched.tracker.server.server_id,
                 result=type(result).__name__,
                 reason=decision.reason,
-                left_seconds=course.latest - now,
+                left_seconds=context.deadline - now,
             )
         return decision
 
-    def _refused(self, request: CallerRequest, reply: NotRun) -> NotRun:
+    def _refuse(self, request: CallerRequest, reply: NotRun) -> NotRun:
         self.metrics.count("requests", route="none", outcome=reply.reason)
         log_event(
             "request-refused",
@@ -242,46 +266,46 @@
         )
         return reply
 
-    def _finish(self, course: _Course, reply: BaseReply) -> None:
-        seconds = self.clock.now() - course.request.received_at
-        outcome, status = _outcome(reply)
-        self.metrics.count("requests", route=course.route.name, outcome=outcome)
+    def _record_outcome(self, context: _RequestContext, reply: BaseReply) -> None:
+        seconds = self.clock.now() - context.request.received_at
+        outcome, status = _outcome_and_status(reply)
+        self.metrics.count("requests", route=context.route.name, outcome=outcome)
         if isinstance(reply, ServerAnswer):
-            self.metrics.record_latency(course.route.name, seconds)
-        self._log_request(course, reply, outcome, status, seconds)
+            self.metrics.record_latency(context.route.name, seconds)
+        self._log_request(context, reply, outcome, status, seconds)
 
     def _log_request(
-        self, course: _Course, reply: BaseReply, outcome: str, status: int, seconds: float
+        self, context: _RequestContext, reply: BaseReply, outcome: str, status: int, seconds: float
     ) -> None:
-        if not self.lines.take(isinstance(reply, ServerAnswer), self.clock.now()):
+        if not self.log_limiter.try_acquire(isinstance(reply, ServerAnswer), self.clock.now()):
             return
-        omitted = self.lines.take_omitted()
+        omitted = self.log_limiter.take_omitted()
         if omitted:
             log_event("request-lines-omitted", count=omitted)
-        table = self.serving.owner_tables.get(course.service)
+        table = self.serving.ownership_tables.get(context.service)
         log_event(
             "request",
-            request=course.request.request_id,
-            route=course.route.name,
-            service=course.service,
-            key=course.request.key,
+            request=context.request.request_id,
+            route=context.route.name,
+            service=context.service,
+            key=context.request.key,
             outcome=outcome,
             status=status,
-            servers=",".join(course.attempts.tried_servers) or "none",
+            servers=",".join(context.attempts.tried_servers) or "none",
             seconds=seconds,
-            limit_seconds=course.latest - course.request.received_at,
+            limit_seconds=context.deadline - context.request.received_at,
             version=self.serving.routes.version if self.serving.routes is not None else 0,
             fence=table.fence if table is not None else 0,
-            waiting=self.dispatch.dispatcher.queued_count,
-            **({} if isinstance(reply, ServerAnswer) else self._owner_fields(course)),
+            waiting=self.dispatch_task.dispatcher.queued_count,
+            **({} if isinstance(reply, ServerAnswer) else self._owner_fields(context)),
         )
 
-    def _owner_fields(self, course: _Course) -> dict[str, object]:
-        """Returns what was known of the owner of a key when its request was not answered."""
-        pool = self.serving.dispatcher.pools.get(course.service)
+    def _owner_fields(self, context: _RequestContext) -> dict[str, object]:
+        """Returns log fields about the owner of the key of a request that was not answered."""
+        pool = self.serving.dispatcher.pools.get(context.service)
         if pool is None or not pool.keyed or pool.table is None:
             return {}
-        assignment = pool.table.find(course.request.key)
+        assignment = pool.table.find(context.request.key)
         if assignment is None:
             return {"owner": "none"}
         now = self.clock.now()
@@ -303,7 +327,7 @@
 
 
 def _failed_at_server(result: BaseCallResult) -> bool:
-    """Whether the server failed the request, or turned it away other than for its key."""
+    """Whether the server failed the request, or declined it for another reason than its key."""
     if isinstance(result, Declined):
         return not result.misdirected
     if isinstance(result, Lost):
@@ -311,7 +335,7 @@
     return isinstance(result, Answered)
 
 
-def _outcome(reply: BaseReply) -> tuple[str, int]:
+def _outcome_and_status(reply: BaseReply) -> tuple[str, int]:
     if isinstance(reply, ServerAnswer):
         return "answered", reply.status
     if isinstance(reply, NotRun):
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -1,4 +1,4 @@
-"""What the request path of a daemon works with: routes, servers, owners, limits."""
+"""State of the request path: configuration, servers, key owners and limits."""
 
 from fireflylink_backend_client import BaseServerCodec, ServerConnectionPool
 from fireflylink_core import (
@@ -29,32 +29,37 @@
 )
 from fireflylink_protocol import GrantNotice, MemberRecord
 
-KEYED_DRAIN_PART = 0.6
-"""A leaving owner gets requests of its keys for this part of the bound, while they move."""
+KEYED_DRAIN_FRACTION = 0.6
+"""Part of the drain time for which a draining or evacuated owner still gets requests for its keys,
+while they move to another server."""
 
 MILLISECONDS_PER_SECOND = 1000.0
 
 
 class Serving:
-    """The state of the request path. It changes by messages of the store, in one task."""
+    """The state with which the request path routes, dispatches and retries requests.
+
+    ``ViewTask`` applies the updates from the store; ``DeciderTask`` adds the ownership tables that
+    it has written. ``store_doubted`` is true after a failed call of ``MemberTask`` to the store.
+    """
 
     __slots__ = (
-        "budgets",
         "clock",
         "codec",
         "configuration",
+        "connection_pools",
         "directory",
         "dispatcher",
         "members",
-        "owner_tables",
+        "ownership_tables",
         "poison",
-        "pools",
         "position",
+        "retry_budgets",
         "routes",
         "settings",
-        "splits",
         "store_doubted",
         "trackers",
+        "traffic_splitter",
     )
 
     def __init__(self, settings: Settings, clock: BaseClock, codec: BaseServerCodec) -> None:
@@ -63,30 +68,30 @@
         self.codec = codec
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
-        self.splits = TrafficSplitter()
+        self.traffic_splitter = TrafficSplitter()
         self.directory = ServerDirectory()
         self.dispatcher = Dispatcher()
         self.poison = PoisonRegistry()
-        self.budgets: dict[str, RetryBudget] = {}
+        self.retry_budgets: dict[str, RetryBudget] = {}
         self.members: dict[str, MemberRecord] = {}
-        self.owner_tables: dict[str, OwnershipTable] = {}
+        self.ownership_tables: dict[str, OwnershipTable] = {}
         self.position = FleetPosition(settings.instance, ())
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
-        self.pools: dict[ServerIncarnation, ServerConnectionPool] = {}
+        self.connection_pools: dict[ServerIncarnation, ServerConnectionPool] = {}
         self.store_doubted = False
 
     def limits(self) -> CallerLimits:
-        """Returns the limits for callers in force."""
+        """Returns the caller limits of the current configuration; defaults without one."""
         return CallerLimits() if self.configuration is None else self.configuration.limits
 
     def set_configuration(self, configuration: Configuration) -> bool:
-        """Takes a configuration unless it is older than the one in force."""
-        present = self.configuration
-        if present is not None and configuration.version <= present.version:
+        """Applies a configuration if it is newer than the current one; returns whether it was."""
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
             return False
         self.configuration = configuration
         self.routes = RouteTable(configuration)
-        self.splits.keep_only(configuration.routes)
+        self.traffic_splitter.keep_only(configuration.routes)
         self.refresh()
         log_event(
             "configuration-applied",
@@ -97,10 +102,10 @@
         return True
 
     def set_members(self, members: dict[str, MemberRecord]) -> None:
-        """Takes the daemons that the store lists.
+        """Replaces the members: the daemons that the store lists.
 
-        A daemon whose own record lapsed has no share of a cold server until it is listed again: the
-        others divide without it.
+        A daemon whose own record has expired gets no share of a cold server's requests until it is
+        listed again, because the other members divide the limit without it.
         """
         self.members = members
         self.position = FleetPosition(self.settings.instance, tuple(members))
@@ -108,24 +113,24 @@
         self.refresh()
 
     def set_table(self, table: OwnershipTable) -> None:
-        """Takes the owners of a service's keys."""
-        present = self.owner_tables.get(table.service)
-        if present is not None and present.fence > table.fence:
+        """Replaces the ownership table of a service, unless the new one has a lower fence."""
+        current = self.ownership_tables.get(table.service)
+        if current is not None and current.fence > table.fence:
             log_problem("ownership-went-back", service=table.service, fence=table.fence)
             return
-        self.owner_tables[table.service] = table
+        self.ownership_tables[table.service] = table
         pool = self.dispatcher.pools.get(table.service)
         if pool is not None:
             pool.set_table(table, self.clock.now())
 
-    def note_granted(self, notice: GrantNotice) -> None:
-        """Takes the decider's word that moved keys have arrived at their new owner."""
+    def record_grant(self, notice: GrantNotice) -> None:
+        """Records that the new owner of moved keys has confirmed their grant to the decider."""
         pool = self.dispatcher.pools.get(notice.service)
         if pool is not None:
             pool.confirmed_grants.add((notice.keys, notice.fence))
 
-    def put_server(self, server: BackendServer) -> None:
-        """Takes a registration."""
+    def register_server(self, server: BackendServer) -> None:
+        """Records a new or changed registration."""
         now = self.clock.now()
         known = self.directory.find(server.server_id)
         joined = known is None or known.server.incarnation != server.incarnation
@@ -149,13 +154,16 @@
                 cold_ms=server.cold_ms,
             )
 
-    def remove_server(self, server_id: str) -> None:
-        """Takes the end of a registration."""
+    def unregister_server(self, server_id: str) -> None:
+        """Records that a registration was deleted.
+
+        Around an outage of the store, the server stays in the directory for a grace time.
+        """
         gone = self.directory.remove(server_id, self.clock.now())
         log_event("server-unregistered", server=server_id, gone=gone)
 
     def set_evacuated(self, data_centre: str, requested: bool) -> None:
-        """Takes an evacuation or its end; servers that come back are taken for cold."""
+        """Records the start or end of an evacuation; after its end, the servers count as cold."""
         now = self.clock.now()
         if not self.directory.set_evacuated(data_centre, requested, now):
             return
@@ -169,40 +177,44 @@
                 tracker.cold_limiter.mark_cold(now + service.cold_seconds)
 
     def refresh(self) -> None:
-        """Brings the pools of servers in line with configuration, registrations and time."""
+        """Updates the service pools after a change of configuration, registrations or time."""
         now = self.clock.now()
         for server_id in self.directory.expire(now):
-            log_event("server-gone", server=server_id, reason="missing after the store's return")
+            log_event(
+                "server-gone",
+                server=server_id,
+                reason="registration still missing at the end of the grace time",
+            )
         if self.routes is None:
             return
         for service in self.routes.services.values():
             self._refresh_service(service, now)
-        self._forget_absent()
+        self._remove_absent_servers()
 
-    def budget(self, service: str) -> RetryBudget:
+    def retry_budget(self, service: str) -> RetryBudget:
         """Returns this daemon's retry budget for a service."""
-        found = self.budgets.get(service)
-        if found is None:
+        budget = self.retry_budgets.get(service)
+        if budget is None:
             bounds = self.settings.bounds
             limits = RetryBudgetLimits(
                 bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
             )
-            found = self.budgets[service] = RetryBudget(limits)
-        return found
+            budget = self.retry_budgets[service] = RetryBudget(limits)
+        return budget
 
-    def pool_of(self, tracker: ServerTracker) -> ServerConnectionPool:
-        """Returns the connections to a server."""
+    def connection_pool(self, tracker: ServerTracker) -> ServerConnectionPool:
+        """Returns the connection pool of a server, and creates it at the first call."""
         incarnation = tracker.server.incarnation
-        pool = self.pools.get(incarnation)
+        pool = self.connection_pools.get(incarnation)
         if pool is None:
-            pool = self.pools[incarnation] = ServerConnectionPool(
+            pool = self.connection_pools[incarnation] = ServerConnectionPool(
                 tracker.server, self.clock, self.codec
             )
         return pool
 
     def drop_idle_connections(self) -> None:
-        """Closes connections to servers that were idle for too long."""
-        for pool in self.pools.values():
+        """Closes connections to servers that have been idle for longer than their time-out."""
+        for pool in self.connection_pools.values():
             pool.evict_idle()
 
     def _refresh_service(self, service: Service, now: float) -> None:
@@ -211,7 +223,7 @@
         if pool is None:
             pool = ServicePool(service.keyed, limits)
             self.dispatcher.pools[service.name] = pool
-            table = self.owner_tables.get(service.name)
+            table = self.ownership_tables.get(service.name)
             if table is not None:
                 pool.set_table(table, now)
         pool.keyed = service.keyed
@@ -219,13 +231,13 @@
         entries = [
             entry
             for entry in self.directory.entries.values()
-            if entry.server.service == service.name and self._serves(entry, service, now)
+            if entry.server.service == service.name and self._accepts_requests(entry, service, now)
         ]
         pool.trackers = {
             entry.server.incarnation: self.trackers[entry.server.incarnation] for entry in entries
         }
 
-    def _serves(self, entry: DirectoryEntry, service: Service, now: float) -> bool:
+    def _accepts_requests(self, entry: DirectoryEntry, service: Service, now: float) -> bool:
         if not self.directory.is_presumed_alive(entry):
             return False
         if self.directory.is_eligible(entry):
@@ -233,14 +245,14 @@
         if not service.keyed:
             return False
         evacuated_at = self.directory.evacuated.get(entry.server.data_centre)
-        since = [at for at in (entry.draining_since, evacuated_at) if at is not None]
-        drain_seconds = self.settings.bounds.drain_seconds * KEYED_DRAIN_PART
-        return bool(since) and now < min(since) + drain_seconds
+        drain_starts = [at for at in (entry.draining_since, evacuated_at) if at is not None]
+        drain_seconds = self.settings.bounds.drain_seconds * KEYED_DRAIN_FRACTION
+        return bool(drain_starts) and now < min(drain_starts) + drain_seconds
 
     def _service_limits(self, service: Service, position: FleetPosition) -> ServiceLimits:
         bounds = self.settings.bounds
         cold = ColdLimit(service.cold_requests_per_second, bounds.cold_factor, bounds.cold_extra)
-        # A keyed server that started again runs nothing before it is granted keys.
+        # A restarted server of a keyed service runs no requests before it is granted keys.
         assume_cold = not service.keyed and (
             self.store_doubted or not self.directory.store_reachable
         )
@@ -248,11 +260,11 @@
             cold, service.connection_limit, position, self.settings.data_centre, assume_cold
         )
 
-    def _forget_absent(self) -> None:
+    def _remove_absent_servers(self) -> None:
         present = {entry.server.incarnation for entry in self.directory.entries.values()}
-        for incarnation in list(self.pools):
+        for incarnation in list(self.connection_pools):
             if incarnation not in present:
-                self.pools.pop(incarnation).close()
+                self.connection_pools.pop(incarnation).close()
         for incarnation in list(self.trackers):
             if incarnation not in present and not self.trackers[incarnation].in_flight:
                 del self.trackers[incarnation]
--- a/packages/daemon/src/fireflylink_daemon/_settings.py
+++ b/packages/daemon/src/fireflylink_daemon/_settings.py
@@ -1,4 +1,4 @@
-"""The settings file: JSON, checked as a whole before anything starts."""
+"""The settings file, in JSON. It is checked completely before the daemon starts anything."""
 
 import json
 
@@ -11,7 +11,7 @@
 
 
 class SettingsError(BaseFireflylinkError):
-    """The settings file cannot be used; the text names the field and what is allowed."""
+    """The settings file is invalid; the message names the field and the allowed values."""
 
 
 class Address(BaseValue):
@@ -28,7 +28,7 @@
 
 
 class Bounds(BaseValue):
-    """The figures that the system is held to."""
+    """Limits and durations that the system must keep, from ``bounds`` in the settings file."""
 
     __slots__ = (
         "cold_extra",
@@ -63,7 +63,7 @@
 
 
 class Settings(BaseValue):
-    """Everything that a daemon is told by the instance it runs on."""
+    """The settings of the daemon on one instance."""
 
     __slots__ = (
         "address",
@@ -104,17 +104,17 @@
 
 
 class _SettingsFields(BaseJsonFields):
-    """The fields of one object of the file."""
+    """Decodes the fields of one JSON object of the settings file."""
 
     __slots__ = ()
 
     error = SettingsError
 
     def string(self, field: str, default: object = MISSING) -> str:
-        found = super().string(field, default)
-        if not found:
+        value = super().string(field, default)
+        if not value:
             raise SettingsError(f"{self.path(field)}: must be a string that is not empty")
-        return found
+        return value
 
     def seconds(self, field: str) -> float:
         return self.number(field) / MILLISECONDS_PER_SECOND
@@ -126,27 +126,27 @@
         return Address(host, int(port))
 
     def port(self, field: str) -> int:
-        found = self.find(field, MISSING)
-        if not isinstance(found, int) or not 0 <= found <= MAX_PORT:
+        value = self.find(field, MISSING)
+        if not isinstance(value, int) or not 0 <= value <= MAX_PORT:
             raise SettingsError(f"{self.path(field)}: must be a port")
-        return found
+        return value
 
     def ports(self, field: str) -> tuple[int, int]:
-        found = self.find(field, MISSING)
+        value = self.find(field, MISSING)
         if (
-            not isinstance(found, list)
-            or len(found) != 2
-            or not all(isinstance(port, int) and 0 <= port <= MAX_PORT for port in found)
-            or (found[0] and found[0] >= found[1])
+            not isinstance(value, list)
+            or len(value) != 2
+            or not all(isinstance(port, int) and 0 <= port <= MAX_PORT for port in value)
+            or (value[0] and value[0] >= value[1])
         ):
             raise SettingsError(
                 f"{self.path(field)}: must be the first and the last of two or more ports"
             )
-        return found[0], found[1]
+        return value[0], value[1]
 
 
 def read_settings(path: str) -> Result[Settings, SettingsError]:
-    """Returns the checked settings of a file. Fields that are not known are ignored."""
+    """Reads and checks a settings file. Unknown fields are ignored."""
     try:
         with open(path, encoding="utf-8") as file:
             value = json.load(file)
@@ -155,12 +155,12 @@
     except ValueError as error:
         return Failure(SettingsError(f"{path}: is no JSON: {error}"))
     try:
-        return Success(_settings(_SettingsFields(value, "")))
+        return Success(_decode_settings(_SettingsFields(value, "")))
     except SettingsError as error:
         return Failure(SettingsError(f"{path}: {error}"))
 
 
-def _settings(fields: _SettingsFields) -> Settings:
+def _decode_settings(fields: _SettingsFields) -> Settings:
     store = fields.json_object("store")
     first_port, _ = fields.ports("peer_ports")
     return Settings(
@@ -173,11 +173,11 @@
         metrics_port=fields.port("metrics_port"),
         store_address=store.address("address"),
         minimum_lease_seconds=store.seconds("minimum_lease_ms"),
-        bounds=_bounds(fields.json_object("bounds")),
+        bounds=_decode_bounds(fields.json_object("bounds")),
     )
 
 
-def _bounds(fields: _SettingsFields) -> Bounds:
+def _decode_bounds(fields: _SettingsFields) -> Bounds:
     return Bounds(
         drain_seconds=fields.seconds("drain_ms"),
         leave_seconds=fields.number("leave_seconds"),
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -72,7 +72,7 @@
         if isinstance(message, UpdatesRead):
             self._apply(message)
         elif isinstance(message, GrantNotice):
-            self.serving.note_granted(message)
+            self.serving.record_grant(message)
         elif isinstance(message, CrashNotice):
             self.serving.poison.record_crash(
                 message.fingerprint, message.incarnation, self.clock.now()
@@ -118,9 +118,9 @@
 
     def _apply_update(self, update: BaseUpdate) -> None:
         if isinstance(update, ServerUpdate):
-            self.serving.put_server(update.server)
+            self.serving.register_server(update.server)
         elif isinstance(update, ServerRemoved):
-            self.serving.remove_server(update.server_id)
+            self.serving.unregister_server(update.server_id)
         elif isinstance(update, ConfigurationUpdate):
             self.serving.set_configuration(update.configuration)
         elif isinstance(update, EvacuationUpdate):
--- a/packages/daemon/tests/test_logging.py
+++ b/packages/daemon/tests/test_logging.py
@@ -9,8 +9,12 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from fireflylink_core import ManualClock
-from fireflylink_daemon._line_budget import ANSWERED_LINES, OTHER_LINES, LineBudget
-from fireflylink_daemon._log import MAX_WAITING_LINES, _line, _LineWriter
+from fireflylink_daemon._log import MAX_BUFFERED_LINES, _format_line, _LineWriter
+from fireflylink_daemon._request_log_limiter import (
+    MAX_ANSWERED_LINES_PER_SECOND,
+    MAX_UNANSWERED_LINES_PER_SECOND,
+    RequestLogLimiter,
+)
 
 
 @pytest.fixture
@@ -20,13 +24,18 @@
 
 def test_lines_about_requests_are_bounded_and_what_is_left_out_is_counted(clock):
     """Guards against a log that grows with the load, and against lines missing unnoticed."""
-    budget = LineBudget()
-    written = sum(budget.take(True, clock.now()) for _ in range(5000))
-    failed = sum(budget.take(False, clock.now()) for _ in range(5000))
-    assert_that((written, failed), Equals((ANSWERED_LINES, OTHER_LINES)))
-    assert_that(budget.take_omitted(), Equals(10000 - ANSWERED_LINES - OTHER_LINES))
+    limiter = RequestLogLimiter()
+    written = sum(limiter.try_acquire(True, clock.now()) for _ in range(5000))
+    failed = sum(limiter.try_acquire(False, clock.now()) for _ in range(5000))
+    assert_that(
+        (written, failed), Equals((MAX_ANSWERED_LINES_PER_SECOND, MAX_UNANSWERED_LINES_PER_SECOND))
+    )
+    assert_that(
+        limiter.take_omitted(),
+        Equals(10000 - MAX_ANSWERED_LINES_PER_SECOND - MAX_UNANSWERED_LINES_PER_SECOND),
+    )
     clock.advance(1.0)
-    assert_that(budget.take(True, clock.now()), Equals(True))
+    assert_that(limiter.try_acquire(True, clock.now()), Equals(True))
 
 
 def test_a_reader_that_stops_costs_lines_and_not_requests(monkeypatch):
@@ -37,8 +46,8 @@
     writer = _LineWriter()
     with gevent.Timeout(5.0):
         for _ in range(20_000):
-            writer.put("x" * 100)
-    assert_that(len(writer.lines), LessThan(MAX_WAITING_LINES + 1))
+            writer.write("x" * 100)
+    assert_that(len(writer.lines), LessThan(MAX_BUFFERED_LINES + 1))
     assert_that(writer.dropped, GreaterThan(10_000))
     os.read(reader, 1 << 20)
     os.close(reader)
@@ -47,7 +56,7 @@
 
 def test_a_line_is_one_line_whatever_its_values_are():
     """Guards against a value that forges another line or another field."""
-    line = _line("request", {"path": 'a b="c"\nevent=forged', "seconds": 0.12345})
+    line = _format_line("request", {"path": 'a b="c"\nevent=forged', "seconds": 0.12345})
     assert_that(line.count("\n"), Equals(0))
     assert_that(re.findall(r"(\w+)=", line.split('"', 1)[0]), Equals(["event", "path"]))
     assert_that(line.endswith("seconds=0.123"), Equals(True))
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -86,10 +86,10 @@
         self.clock = clock
         self.monkeypatch = monkeypatch
         self.tasks = bench
-        self.keys = KeyCounter()
+        self.key_counter = KeyCounter()
         serving = bench.serving
-        dispatch = DispatchTask(serving.dispatcher, clock)
-        self.path = RequestPath(serving, dispatch, self.keys, self, clock, Metrics())
+        dispatch_task = DispatchTask(serving.dispatcher, clock)
+        self.path = RequestPath(serving, dispatch_task, self.key_counter, self, clock, Metrics())
         self.ended = []
         items = [Item("op/config", json.dumps(CONFIGURATION).encode(), 1)]
         for name, service in (("i-1", "a"), ("i-2", "b"), ("i-3", "b")):
@@ -112,7 +112,7 @@
         self.ended.append(server.server_id)
 
     def send(self, target: str, script: Script, disconnect_notifier: Stays | None = None):
-        self.monkeypatch.setattr(Serving, "pool_of", lambda _serving, _tracker: script)
+        self.monkeypatch.setattr(Serving, "connection_pool", lambda _serving, _tracker: script)
         now = self.clock.now()
         request = CallerRequest("id", "h", "POST", target, (), b"", now, now + 3.0, 5)
         return self.path.handle(request, disconnect_notifier or Stays())
@@ -176,7 +176,7 @@
 def test_answers_of_a_keyed_server_tell_the_decider_its_speed(paths):
     """Guards against slow servers that keep as many keys as fast ones."""
     paths.send("/k/1", Script(paths.clock, [WHOLE], seconds=0.3))
-    [seconds] = paths.keys.times["a"]["i-1"]
+    [seconds] = paths.key_counter.times["a"]["i-1"]
     assert_that(seconds, GreaterThan(0.29))
 
 
@@ -184,4 +184,4 @@
     """Guards against inc-6f95: servers that became 12 times slower kept their keys, because
     requests whose time ran out told nothing of their speed."""
     paths.send("/k/1", Script(paths.clock, [LATE], seconds=1.45))
-    assert_that("a" in paths.keys.times, Equals(True))
+    assert_that("a" in paths.key_counter.times, Equals(True))
