--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Tasks of a daemon on a store in memory and a manual clock."""
+"""Fixtures: the tasks of a daemon with an in-memory store and a manual clock."""
 
 import json
 
@@ -28,8 +28,8 @@
 }
 
 
-class QuietPeers:
-    """Notices that would have been sent."""
+class RecordingPeers:
+    """Stands in for ``PeerSocket``: records the notices instead of sending them."""
 
     def __init__(self) -> None:
         self.notices = []
@@ -39,7 +39,10 @@
 
 
 class TaskBench:
-    """The tasks around ownership, driven by hand: no greenlet runs."""
+    """The view, decider and ownership tasks of a daemon.
+
+    They run without greenlets: a test calls ``receive``, ``wake`` and ``deliver`` itself.
+    """
 
     def __init__(self, settings, clock: ManualClock, state: StoreState, name: str) -> None:
         self.clock = clock
@@ -48,17 +51,17 @@
         self.view = ViewTask(self.serving, clock)
         self.record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
         self.decider = DeciderTask(self.record, self.store, self.serving, clock, Metrics())
-        self.peers = QuietPeers()
+        self.peers = RecordingPeers()
         self.ownership = OwnershipTask(
             self.serving, self.decider, self.peers, clock, PlatformServerCodec()
         )
         self.decider.ownership = self.ownership
         self.view.ownership = self.ownership
         self.decoder = PlatformItemDecoder()
-        self.read_to = 0
+        self.last_revision = 0
 
     def deliver(self) -> None:
-        """Handles every message that waits, until none is left."""
+        """Lets the tasks handle their messages until every mailbox is empty."""
         tasks = (self.view, self.decider, self.ownership)
         while any(not task.mailbox.empty() for task in tasks):
             for task in tasks:
--- a/packages/daemon/tests/test_logging.py
+++ b/packages/daemon/tests/test_logging.py
@@ -1,4 +1,4 @@
-"""Bounds of the log."""
+"""Limits of the log: lines per second, buffered lines, and the format of a line."""
 
 import os
 import re
@@ -22,13 +22,14 @@
     return ManualClock()
 
 
-def test_lines_about_requests_are_bounded_and_what_is_left_out_is_counted(clock):
-    """Guards against a log that grows with the load, and against lines missing unnoticed."""
+def test_lines_about_requests_are_limited_and_omitted_ones_are_counted(clock):
+    """Guards against a log that grows with the load, and against omitting lines silently."""
     limiter = RequestLogLimiter()
-    written = sum(limiter.try_acquire(True, clock.now()) for _ in range(5000))
-    failed = sum(limiter.try_acquire(False, clock.now()) for _ in range(5000))
+    answered = sum(limiter.try_acquire(True, clock.now()) for _ in range(5000))
+    unanswered = sum(limiter.try_acquire(False, clock.now()) for _ in range(5000))
     assert_that(
-        (written, failed), Equals((MAX_ANSWERED_LINES_PER_SECOND, MAX_UNANSWERED_LINES_PER_SECOND))
+        (answered, unanswered),
+        Equals((MAX_ANSWERED_LINES_PER_SECOND, MAX_UNANSWERED_LINES_PER_SECOND)),
     )
     assert_that(
         limiter.take_omitted(),
@@ -38,24 +39,24 @@
     assert_that(limiter.try_acquire(True, clock.now()), Equals(True))
 
 
-def test_a_reader_that_stops_costs_lines_and_not_requests(monkeypatch):
-    """Guards against a full pipe that blocks the daemon."""
-    reader, pipe = os.pipe()
-    os.set_blocking(pipe, False)
-    monkeypatch.setattr("fireflylink_daemon._log.STANDARD_OUTPUT", pipe)
+def test_lines_are_dropped_when_the_reader_of_the_pipe_stops(monkeypatch):
+    """Guards against a daemon that blocks on a write to a full pipe."""
+    read_end, write_end = os.pipe()
+    os.set_blocking(write_end, False)
+    monkeypatch.setattr("fireflylink_daemon._log.STANDARD_OUTPUT", write_end)
     writer = _LineWriter()
     with gevent.Timeout(5.0):
         for _ in range(20_000):
             writer.write("x" * 100)
     assert_that(len(writer.lines), LessThan(MAX_BUFFERED_LINES + 1))
     assert_that(writer.dropped, GreaterThan(10_000))
-    os.read(reader, 1 << 20)
-    os.close(reader)
-    os.close(pipe)
+    os.read(read_end, 1 << 20)
+    os.close(read_end)
+    os.close(write_end)
 
 
-def test_a_line_is_one_line_whatever_its_values_are():
-    """Guards against a value that forges another line or another field."""
+def test_values_with_special_characters_stay_within_one_line_and_field():
+    """Guards against log injection: a value from a request that adds a line or a field."""
     line = _format_line("request", {"path": 'a b="c"\nevent=forged', "seconds": 0.12345})
     assert_that(line.count("\n"), Equals(0))
     assert_that(re.findall(r"(\w+)=", line.split('"', 1)[0]), Equals(["event", "path"]))
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -1,4 +1,4 @@
-"""A request through the real decisions, with servers that follow a script."""
+"""The request path with the real dispatch and retry decisions, and with scripted servers."""
 
 import json
 
@@ -45,28 +45,31 @@
         }
     ],
 }
-LIFE = ServerIncarnation("i-1", 1)
-WHOLE = Answered(ServerAnswer(200, (), b"ok"), ServerLoad(1, 0, 4))
-LATE = Lost(LostReason.LATE, "late")
+INCARNATION = ServerIncarnation("i-1", 1)
+ANSWERED = Answered(ServerAnswer(200, (), b"ok"), ServerLoad(1, 0, 4))
+TIMED_OUT = Lost(LostReason.LATE, "late")
 
 
-class Script:
-    """Stands for the connections to every server: results in turn, each after ``seconds``."""
+class ScriptedServers:
+    """Stands in for the connection pool of every server.
+
+    Each call takes ``seconds``, runs ``during_call`` and returns the next one of ``results``.
+    """
 
     def __init__(self, clock, results, seconds: float = 0.1) -> None:
         self.clock = clock
         self.results = list(results)
         self.seconds = seconds
-        self.during = lambda: None
+        self.during_call = lambda: None
 
     def call(self, request, deadline, cancellation):
         self.clock.advance(self.seconds)
-        self.during()
+        self.during_call()
         return self.results.pop(0)
 
 
-class Stays:
-    """A caller that waits, unless ``leave`` is called."""
+class FakeDisconnectNotifier:
+    """A caller that stays connected until ``disconnect`` is called."""
 
     def __init__(self) -> None:
         self.actions = []
@@ -74,23 +77,25 @@
     def on_disconnect(self, action) -> None:
         self.actions.append(action)
 
-    def leave(self) -> None:
+    def disconnect(self) -> None:
         for action in self.actions:
             action()
 
 
-class PathBench:
-    """A request path whose servers follow a script."""
+class RequestPathBench:
+    """A request path with scripted servers. It also stands in for the ``CrashWatch``."""
 
     def __init__(self, bench, clock, monkeypatch) -> None:
         self.clock = clock
         self.monkeypatch = monkeypatch
-        self.tasks = bench
+        self.task_bench = bench
         self.key_counter = KeyCounter()
         serving = bench.serving
         dispatch_task = DispatchTask(serving.dispatcher, clock)
-        self.path = RequestPath(serving, dispatch_task, self.key_counter, self, clock, Metrics())
-        self.ended = []
+        self.request_path = RequestPath(
+            serving, dispatch_task, self.key_counter, self, clock, Metrics()
+        )
+        self.lost_connections = []
         items = [Item("op/config", json.dumps(CONFIGURATION).encode(), 1)]
         for name, service in (("i-1", "a"), ("i-2", "b"), ("i-3", "b")):
             entry = {
@@ -102,86 +107,108 @@
                 "born": 1,
             }
             items.append(Item(f"servers/{name}", json.dumps(entry).encode(), 2))
-        table = OwnershipTable("a", 1, (Assignment(KeyRange(0, 65535), LIFE, 1),))
+        table = OwnershipTable("a", 1, (Assignment(KeyRange(0, 65535), INCARNATION, 1),))
         items.append(Item(ownership_key("a"), encode_table(table), 3))
         updates = tuple(update for item in items for update in bench.decoder.decode(item))
         bench.view.receive(UpdatesRead(updates, 3, True))
 
     def note_ended(self, server, request) -> None:
-        """Takes the place of the watch for crashes."""
-        self.ended.append(server.server_id)
-
-    def send(self, target: str, script: Script, disconnect_notifier: Stays | None = None):
-        self.monkeypatch.setattr(Serving, "connection_pool", lambda _serving, _tracker: script)
+        """Records a server whose connection ended, in place of ``CrashWatch``."""
+        self.lost_connections.append(server.server_id)
+
+    def send(
+        self,
+        target: str,
+        servers: ScriptedServers,
+        disconnect_notifier: FakeDisconnectNotifier | None = None,
+    ):
+        self.monkeypatch.setattr(Serving, "connection_pool", lambda _serving, _tracker: servers)
         now = self.clock.now()
         request = CallerRequest("id", "h", "POST", target, (), b"", now, now + 3.0, 5)
-        return self.path.handle(request, disconnect_notifier or Stays())
+        return self.request_path.handle(request, disconnect_notifier or FakeDisconnectNotifier())
 
 
 @pytest.fixture
-def paths(bench, clock, monkeypatch):
-    return PathBench(bench(), clock, monkeypatch)
+def path_bench(bench, clock, monkeypatch):
+    return RequestPathBench(bench(), clock, monkeypatch)
 
 
-def test_an_order_whose_answer_was_lost_is_not_sent_again(paths):
-    """Guards against TWICE: the order may have run."""
-    script = Script(paths.clock, [Lost(LostReason.RESET, "reset"), WHOLE])
-    reply = paths.send("/o/1", script)
+def test_a_non_idempotent_request_is_not_retried_after_a_lost_answer(path_bench):
+    """Guards against running an order twice: it may have run although its answer was lost."""
+    servers = ScriptedServers(path_bench.clock, [Lost(LostReason.RESET, "reset"), ANSWERED])
+    reply = path_bench.send("/o/1", servers)
     assert_that(reply, IsInstance(OutcomeUnknown))
-    assert_that(len(script.results), Equals(1))
-    assert_that(len(paths.ended), Equals(1))
-
-
-def test_an_order_that_was_declined_goes_to_another_server(paths):
-    """Guards against giving up an order that certainly has not run."""
-    reply = paths.send("/o/1", Script(paths.clock, [Declined(503, False, None), WHOLE]))
-    assert_that(reply, Equals(WHOLE.answer))
-
-
-def test_in_flight_counts_return_to_zero_however_a_request_ends(paths):
-    """Guards against servers that look full for ever."""
-    for results in ([WHOLE], [LATE], [Declined(503, False, None)] * 3, [Declined(421, True, None)]):
-        paths.send("/o/1", Script(paths.clock, [*results, WHOLE, WHOLE]))
-    trackers = paths.tasks.serving.trackers.values()
+    assert_that(len(servers.results), Equals(1))
+    assert_that(len(path_bench.lost_connections), Equals(1))
+
+
+def test_a_declined_non_idempotent_request_is_retried(path_bench):
+    """Guards against refusing an order that certainly has not run and could still be served."""
+    reply = path_bench.send(
+        "/o/1", ScriptedServers(path_bench.clock, [Declined(503, False, None), ANSWERED])
+    )
+    assert_that(reply, Equals(ANSWERED.answer))
+
+
+def test_in_flight_counts_return_to_zero_however_a_request_ends(path_bench):
+    """Guards against leaked in-flight counts, with which idle servers look full for ever."""
+    for results in (
+        [ANSWERED],
+        [TIMED_OUT],
+        [Declined(503, False, None)] * 3,
+        [Declined(421, True, None)],
+    ):
+        path_bench.send("/o/1", ScriptedServers(path_bench.clock, [*results, ANSWERED, ANSWERED]))
+    trackers = path_bench.task_bench.serving.trackers.values()
     assert_that({tracker.in_flight for tracker in trackers}, Equals({0}))
 
 
-def test_a_caller_that_leaves_during_the_call_is_told_nothing(paths):
-    """Guards against GONE: a request that is sent again for nobody."""
-    script = Script(paths.clock, [Lost(LostReason.CANCELLED, "left"), WHOLE])
-    disconnect_notifier = Stays()
-    script.during = disconnect_notifier.leave
-    assert_that(paths.send("/o/1", script, disconnect_notifier), IsInstance(CallerDisconnected))
-    assert_that(len(script.results), Equals(1))
-
-
-def test_an_unknown_path_is_refused_with_404_and_a_missing_configuration_with_503(paths, bench):
-    """Guards against DENIED: 404 from a daemon that knows no routes yet."""
-    assert_that(paths.send("/nope/1", Script(paths.clock, [])).status, Equals(404))
-    paths.tasks.serving.routes = None
-    reply = paths.send("/k/1", Script(paths.clock, []))
+def test_a_disconnected_caller_gets_no_reply_and_no_retry(path_bench):
+    """Guards against a retry for a caller that disconnected during the call."""
+    servers = ScriptedServers(path_bench.clock, [Lost(LostReason.CANCELLED, "left"), ANSWERED])
+    disconnect_notifier = FakeDisconnectNotifier()
+    servers.during_call = disconnect_notifier.disconnect
+    assert_that(
+        path_bench.send("/o/1", servers, disconnect_notifier), IsInstance(CallerDisconnected)
+    )
+    assert_that(len(servers.results), Equals(1))
+
+
+def test_an_unknown_path_is_refused_with_404_and_a_missing_configuration_with_503(
+    path_bench, bench
+):
+    """Guards against a 404 for a valid path from a daemon that has no configuration yet."""
+    assert_that(
+        path_bench.send("/nope/1", ScriptedServers(path_bench.clock, [])).status, Equals(404)
+    )
+    path_bench.task_bench.serving.routes = None
+    reply = path_bench.send("/k/1", ScriptedServers(path_bench.clock, []))
     assert_that((type(reply), reply.status), Equals((NotRun, 503)))
 
 
-def test_a_request_that_comes_late_in_a_planned_stop_is_refused_and_not_begun(paths):
-    """Guards against LOST, cmva trouble-3 --seed 47511267048: a request that was taken long after
-    SIGTERM did not end before the process did."""
-    paths.path.closed = True
-    script = Script(paths.clock, [WHOLE])
-    reply = paths.send("/o/1", script)
+def test_a_request_late_in_the_shutdown_is_refused_and_not_sent(path_bench):
+    """Guards against a request that is lost because the process ends before it does.
+
+    It was accepted long after SIGTERM (seen in cmva trouble-3 --seed 47511267048).
+    """
+    path_bench.request_path.closed = True
+    servers = ScriptedServers(path_bench.clock, [ANSWERED])
+    reply = path_bench.send("/o/1", servers)
     assert_that((type(reply), reply.reason), Equals((NotRun, "leaving")))
-    assert_that(len(script.results), Equals(1))
+    assert_that(len(servers.results), Equals(1))
 
 
-def test_answers_of_a_keyed_server_tell_the_decider_its_speed(paths):
-    """Guards against slow servers that keep as many keys as fast ones."""
-    paths.send("/k/1", Script(paths.clock, [WHOLE], seconds=0.3))
-    [seconds] = paths.key_counter.times["a"]["i-1"]
+def test_answer_times_of_a_keyed_server_are_counted_for_the_decider(path_bench):
+    """Guards against slow servers that are assigned as many keys as fast ones."""
+    path_bench.send("/k/1", ScriptedServers(path_bench.clock, [ANSWERED], seconds=0.3))
+    [seconds] = path_bench.key_counter.times["a"]["i-1"]
     assert_that(seconds, GreaterThan(0.29))
 
 
-def test_late_requests_tell_the_decider_of_a_slow_server(paths):
-    """Guards against inc-6f95: servers that became 12 times slower kept their keys, because
-    requests whose time ran out told nothing of their speed."""
-    paths.send("/k/1", Script(paths.clock, [LATE], seconds=1.45))
-    assert_that("a" in paths.key_counter.times, Equals(True))
+def test_timed_out_requests_of_a_keyed_server_are_counted_for_the_decider(path_bench):
+    """Guards against slow servers that keep their keys, as in inc-6f95.
+
+    Servers there became 12 times slower, and requests that timed out were not counted.
+    """
+    path_bench.send("/k/1", ScriptedServers(path_bench.clock, [TIMED_OUT], seconds=1.45))
+    assert_that("a" in path_bench.key_counter.times, Equals(True))
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""The settings file."""
+"""Reading and checking the settings file."""
 
 import pytest
 from returns.result import Failure, Success
@@ -8,8 +8,8 @@
 from fireflylink_daemon import read_settings
 
 
-def test_valid_settings_are_taken_and_unknown_fields_ignored(settings_file):
-    """Guards against a daemon that does not start because of a new field."""
+def test_valid_settings_are_accepted_and_unknown_fields_ignored(settings_file):
+    """Guards against a daemon that does not start because its settings file has a new field."""
     result = read_settings(settings_file(something_new={"a": 1}))
     assert_that(result, IsInstance(Success))
     assert_that(result.unwrap().bounds.drain_seconds, Equals(2.0))
@@ -31,15 +31,15 @@
         ({"bounds": {"drain_ms": True}}, "bounds.drain_ms"),
     ],
 )
-def test_a_wrong_field_is_named_with_what_is_allowed(settings_file, changes, text):
-    """Guards against an error that does not tell the operator what to mend."""
+def test_an_error_names_the_invalid_field_and_the_allowed_values(settings_file, changes, text):
+    """Guards against an error from which an operator cannot see what to correct."""
     result = read_settings(settings_file(**changes))
     assert_that(result, IsInstance(Failure))
     assert_that(str(result.failure()), Contains(text))
 
 
-def test_a_file_that_is_missing_or_no_json_is_an_error(tmp_path):
-    """Guards against a trace in place of an explanation."""
+def test_a_file_that_is_missing_or_is_not_json_is_an_error(tmp_path):
+    """Guards against a stack trace in place of an error message."""
     path = tmp_path / "settings.json"
     assert_that(str(read_settings(str(path)).failure()), Contains("No such file"))
     path.write_text("instance = 1")
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -42,8 +42,8 @@
 def read(bench, *items: Item, whole: bool = False) -> None:
     """Lets the view read items as the store's reader posts them."""
     updates = tuple(update for item in items for update in bench.decoder.decode(item))
-    bench.read_to += 1
-    bench.view.receive(UpdatesRead(updates, bench.read_to, whole))
+    bench.last_revision += 1
+    bench.view.receive(UpdatesRead(updates, bench.last_revision, whole))
     bench.deliver()
 
 
