--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -18,7 +18,7 @@
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._ownership_task import OwnershipTask
 from fireflylink_daemon._peers import KeyCounter, PeerSocket
-from fireflylink_daemon._request_path import RequestPath
+from fireflylink_daemon._request_handler import RequestHandler
 from fireflylink_daemon._serving import Serving
 from fireflylink_daemon._settings import Settings, read_settings
 from fireflylink_daemon._store_task import StoreReader
@@ -71,7 +71,7 @@
         "ownership",
         "peers",
         "readiness_listener",
-        "request_path",
+        "request_handler",
         "serving",
         "settings",
         "settings_file_stamp",
@@ -119,7 +119,7 @@
         self.store_reader = StoreReader(
             self._make_store_client(), PlatformItemDecoder(), self.view, clock, self.metrics
         )
-        self.request_path = request_path = RequestPath(
+        self.request_handler = request_handler = RequestHandler(
             self.serving,
             self.dispatch_task,
             key_counter,
@@ -128,22 +128,22 @@
             self.metrics,
         )
         self.caller_listener = HttpListener(
-            make_application(request_path, PlatformCallerCodec()),
+            make_application(request_handler, PlatformCallerCodec()),
             settings.caller_address.host,
             settings.caller_address.port,
-            request_path.limits,
+            request_handler.limits,
         )
         self.readiness_listener = HttpListener(
             make_readiness_application(READY_PATH, self.is_ready),
             settings.readiness_address.host,
             settings.readiness_address.port,
-            request_path.limits,
+            request_handler.limits,
         )
         self.metrics_listener = HttpListener(
             make_metrics_application(self.metrics),
             settings.address,
             settings.metrics_port,
-            request_path.limits,
+            request_handler.limits,
         )
         self._register_gauges()
 
@@ -199,7 +199,7 @@
         gevent.sleep(IDLE_CLOSE_DELAY_SECONDS)
         # A new request might not complete in time. It is refused at once, so that its caller can
         # send it to another daemon.
-        self.request_path.closed = True
+        self.request_handler.closed = True
         self.caller_listener.close_idle_connections()
         idle = self.caller_listener.wait_idle(max(0.0, deadline - self.clock.now()))
         log_event("stopped", instance=self.settings.instance, quiet=idle)
--- a/packages/daemon/src/fireflylink_daemon/_main.py
+++ b/packages/daemon/src/fireflylink_daemon/_main.py
@@ -25,7 +25,9 @@
 SETTINGS_VARIABLE = "FIREFLYLINK_CONFIG"
 
 SETTINGS = flags.DEFINE_string(
-    "settings", None, f"Path of the settings file, in JSON; by default that in {SETTINGS_VARIABLE}."
+    "settings",
+    None,
+    f"Path of the settings file (JSON); by default, the value of the variable {SETTINGS_VARIABLE}.",
 )
 CHECK = flags.DEFINE_bool("check", False, "Check the settings and exit without starting.")
 
--- a/packages/daemon/src/fireflylink_daemon/_metrics.py
+++ b/packages/daemon/src/fireflylink_daemon/_metrics.py
@@ -4,14 +4,14 @@
 
 from hdrh.histogram import HdrHistogram
 
-LOWEST_MICROSECONDS = 1
-HIGHEST_MICROSECONDS = 60_000_000
+MIN_LATENCY_MICROSECONDS = 1
+MAX_LATENCY_MICROSECONDS = 60_000_000
 SIGNIFICANT_FIGURES = 2
 MAX_HISTOGRAMS = 64
 """Each one uses tens of kilobytes of memory; routes beyond this number share another one."""
 
 SHARED_HISTOGRAM_NAME = "other"
-QUANTILES = (50.0, 90.0, 99.0, 99.9)
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 MICROSECONDS_PER_SECOND = 1_000_000
 
 Labels = tuple[tuple[str, str], ...]
@@ -44,7 +44,7 @@
     def record_latency(self, route: str, seconds: float) -> None:
         """Records the latency of an answered request."""
         microseconds = int(seconds * MICROSECONDS_PER_SECOND)
-        clamped = min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
+        clamped = min(max(microseconds, MIN_LATENCY_MICROSECONDS), MAX_LATENCY_MICROSECONDS)
         self._histogram(route).record_value(clamped)
 
     def exposition(self) -> str:
@@ -64,15 +64,16 @@
             return histogram
         name = route if len(self.histograms) < MAX_HISTOGRAMS else SHARED_HISTOGRAM_NAME
         return self.histograms.setdefault(
-            name, HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_FIGURES)
+            name,
+            HdrHistogram(MIN_LATENCY_MICROSECONDS, MAX_LATENCY_MICROSECONDS, SIGNIFICANT_FIGURES),
         )
 
 
 def _latency_lines(route: str, histogram: HdrHistogram) -> list[str]:
     lines = []
-    for quantile in QUANTILES:
-        seconds = histogram.get_value_at_percentile(quantile) / MICROSECONDS_PER_SECOND
-        labels = _format_labels((("route", route), ("quantile", f"{quantile / 100:g}")))
+    for percentile in PERCENTILES:
+        seconds = histogram.get_value_at_percentile(percentile) / MICROSECONDS_PER_SECOND
+        labels = _format_labels((("route", route), ("quantile", f"{percentile / 100:g}")))
         lines.append(f"fireflylink_latency_seconds{labels} {seconds:g}")
     labels = _format_labels((("route", route),))
     lines.append(f"fireflylink_latency_seconds_count{labels} {histogram.get_total_count()}")
--- a/packages/daemon/src/fireflylink_daemon/_request_path.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -86,8 +86,8 @@
         self.waiter.wake_event.set()
 
 
-class RequestPath(BaseRequestHandler):
-    """Handles callers' requests with the state of ``Serving``.
+class RequestHandler(BaseRequestHandler):
+    """Routes callers' requests, dispatches and retries them, with the state of ``Serving``.
 
     While ``closed`` is true, every new request is refused.
     """
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_serving.py
@@ -1,4 +1,4 @@
-"""State of the request path: configuration, servers, key owners and limits."""
+"""State for the handling of requests: configuration, servers, key owners and limits."""
 
 from fireflylink_backend_client import BaseServerCodec, ServerConnectionPool
 from fireflylink_core import (
@@ -37,7 +37,7 @@
 
 
 class Serving:
-    """The state with which the request path routes, dispatches and retries requests.
+    """The state with which ``RequestHandler`` routes, dispatches and retries requests.
 
     ``ViewTask`` applies the updates from the store; ``DeciderTask`` adds the ownership tables that
     it has written. ``store_doubted`` is true after a failed call of ``MemberTask`` to the store.
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -1,4 +1,4 @@
-"""The request path with the real dispatch and retry decisions, and with scripted servers."""
+"""The request handler with the real dispatch and retry decisions, and scripted servers."""
 
 import json
 
@@ -26,7 +26,7 @@
 from fireflylink_daemon._messages import UpdatesRead
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._peers import KeyCounter
-from fireflylink_daemon._request_path import RequestPath
+from fireflylink_daemon._request_handler import RequestHandler
 from fireflylink_daemon._serving import Serving
 from fireflylink_protocol import encode_table, ownership_key
 from fireflylink_store import Item
@@ -82,8 +82,8 @@
             action()
 
 
-class RequestPathBench:
-    """A request path with scripted servers. It also stands in for the ``CrashWatch``."""
+class RequestHandlerBench:
+    """A request handler with scripted servers. It also stands in for the ``CrashWatch``."""
 
     def __init__(self, bench, clock, monkeypatch) -> None:
         self.clock = clock
@@ -92,7 +92,7 @@
         self.key_counter = KeyCounter()
         serving = bench.serving
         dispatch_task = DispatchTask(serving.dispatcher, clock)
-        self.request_path = RequestPath(
+        self.request_handler = RequestHandler(
             serving, dispatch_task, self.key_counter, self, clock, Metrics()
         )
         self.lost_connections = []
@@ -125,32 +125,32 @@
         self.monkeypatch.setattr(Serving, "connection_pool", lambda _serving, _tracker: servers)
         now = self.clock.now()
         request = CallerRequest("id", "h", "POST", target, (), b"", now, now + 3.0, 5)
-        return self.request_path.handle(request, disconnect_notifier or FakeDisconnectNotifier())
+        return self.request_handler.handle(request, disconnect_notifier or FakeDisconnectNotifier())
 
 
 @pytest.fixture
-def path_bench(bench, clock, monkeypatch):
-    return RequestPathBench(bench(), clock, monkeypatch)
+def handler_bench(bench, clock, monkeypatch):
+    return RequestHandlerBench(bench(), clock, monkeypatch)
 
 
-def test_a_non_idempotent_request_is_not_retried_after_a_lost_answer(path_bench):
+def test_a_non_idempotent_request_is_not_retried_after_a_lost_answer(handler_bench):
     """Guards against running an order twice: it may have run although its answer was lost."""
-    servers = ScriptedServers(path_bench.clock, [Lost(LostReason.RESET, "reset"), ANSWERED])
-    reply = path_bench.send("/o/1", servers)
+    servers = ScriptedServers(handler_bench.clock, [Lost(LostReason.RESET, "reset"), ANSWERED])
+    reply = handler_bench.send("/o/1", servers)
     assert_that(reply, IsInstance(OutcomeUnknown))
     assert_that(len(servers.results), Equals(1))
-    assert_that(len(path_bench.lost_connections), Equals(1))
+    assert_that(len(handler_bench.lost_connections), Equals(1))
 
 
-def test_a_declined_non_idempotent_request_is_retried(path_bench):
+def test_a_declined_non_idempotent_request_is_retried(handler_bench):
     """Guards against refusing an order that certainly has not run and could still be served."""
-    reply = path_bench.send(
-        "/o/1", ScriptedServers(path_bench.clock, [Declined(503, False, None), ANSWERED])
+    reply = handler_bench.send(
+        "/o/1", ScriptedServers(handler_bench.clock, [Declined(503, False, None), ANSWERED])
     )
     assert_that(reply, Equals(ANSWERED.answer))
 
 
-def test_in_flight_counts_return_to_zero_however_a_request_ends(path_bench):
+def test_in_flight_counts_return_to_zero_however_a_request_ends(handler_bench):
     """Guards against leaked in-flight counts, with which idle servers look full for ever."""
     for results in (
         [ANSWERED],
@@ -158,57 +158,59 @@
         [Declined(503, False, None)] * 3,
         [Declined(421, True, None)],
     ):
-        path_bench.send("/o/1", ScriptedServers(path_bench.clock, [*results, ANSWERED, ANSWERED]))
-    trackers = path_bench.task_bench.serving.trackers.values()
+        handler_bench.send(
+            "/o/1", ScriptedServers(handler_bench.clock, [*results, ANSWERED, ANSWERED])
+        )
+    trackers = handler_bench.task_bench.serving.trackers.values()
     assert_that({tracker.in_flight for tracker in trackers}, Equals({0}))
 
 
-def test_a_disconnected_caller_gets_no_reply_and_no_retry(path_bench):
+def test_a_disconnected_caller_gets_no_reply_and_no_retry(handler_bench):
     """Guards against a retry for a caller that disconnected during the call."""
-    servers = ScriptedServers(path_bench.clock, [Lost(LostReason.CANCELLED, "left"), ANSWERED])
+    servers = ScriptedServers(handler_bench.clock, [Lost(LostReason.CANCELLED, "left"), ANSWERED])
     disconnect_notifier = FakeDisconnectNotifier()
     servers.during_call = disconnect_notifier.disconnect
     assert_that(
-        path_bench.send("/o/1", servers, disconnect_notifier), IsInstance(CallerDisconnected)
+        handler_bench.send("/o/1", servers, disconnect_notifier), IsInstance(CallerDisconnected)
     )
     assert_that(len(servers.results), Equals(1))
 
 
 def test_an_unknown_path_is_refused_with_404_and_a_missing_configuration_with_503(
-    path_bench, bench
+    handler_bench, bench
 ):
     """Guards against a 404 for a valid path from a daemon that has no configuration yet."""
     assert_that(
-        path_bench.send("/nope/1", ScriptedServers(path_bench.clock, [])).status, Equals(404)
+        handler_bench.send("/nope/1", ScriptedServers(handler_bench.clock, [])).status, Equals(404)
     )
-    path_bench.task_bench.serving.routes = None
-    reply = path_bench.send("/k/1", ScriptedServers(path_bench.clock, []))
+    handler_bench.task_bench.serving.routes = None
+    reply = handler_bench.send("/k/1", ScriptedServers(handler_bench.clock, []))
     assert_that((type(reply), reply.status), Equals((NotRun, 503)))
 
 
-def test_a_request_late_in_the_shutdown_is_refused_and_not_sent(path_bench):
+def test_a_request_late_in_the_shutdown_is_refused_and_not_sent(handler_bench):
     """Guards against a request that is lost because the process ends before it does.
 
     It was accepted long after SIGTERM (seen in cmva trouble-3 --seed 47511267048).
     """
-    path_bench.request_path.closed = True
-    servers = ScriptedServers(path_bench.clock, [ANSWERED])
-    reply = path_bench.send("/o/1", servers)
+    handler_bench.request_handler.closed = True
+    servers = ScriptedServers(handler_bench.clock, [ANSWERED])
+    reply = handler_bench.send("/o/1", servers)
     assert_that((type(reply), reply.reason), Equals((NotRun, "leaving")))
     assert_that(len(servers.results), Equals(1))
 
 
-def test_answer_times_of_a_keyed_server_are_counted_for_the_decider(path_bench):
+def test_answer_times_of_a_keyed_server_are_counted_for_the_decider(handler_bench):
     """Guards against slow servers that are assigned as many keys as fast ones."""
-    path_bench.send("/k/1", ScriptedServers(path_bench.clock, [ANSWERED], seconds=0.3))
-    [seconds] = path_bench.key_counter.times["a"]["i-1"]
+    handler_bench.send("/k/1", ScriptedServers(handler_bench.clock, [ANSWERED], seconds=0.3))
+    [seconds] = handler_bench.key_counter.times["a"]["i-1"]
     assert_that(seconds, GreaterThan(0.29))
 
 
-def test_timed_out_requests_of_a_keyed_server_are_counted_for_the_decider(path_bench):
+def test_timed_out_requests_of_a_keyed_server_are_counted_for_the_decider(handler_bench):
     """Guards against slow servers that keep their keys, as in inc-6f95.
 
     Servers there became 12 times slower, and requests that timed out were not counted.
     """
-    path_bench.send("/k/1", ScriptedServers(path_bench.clock, [TIMED_OUT], seconds=1.45))
-    assert_that("a" in path_bench.key_counter.times, Equals(True))
+    handler_bench.send("/k/1", ScriptedServers(handler_bench.clock, [TIMED_OUT], seconds=1.45))
+    assert_that("a" in handler_bench.key_counter.times, Equals(True))
