--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -47,8 +47,8 @@
 def apply_items(bench, *items: Item, is_snapshot: bool = False) -> None:
     """Passes store items to the view task as the store reader does, and delivers all messages."""
     updates = tuple(update for item in items for update in bench.decoder.decode(item))
-    bench.read_to += 1
-    bench.view.receive(UpdatesRead(updates, bench.read_to, is_snapshot))
+    bench.last_revision += 1
+    bench.view.receive(UpdatesRead(updates, bench.last_revision, is_snapshot))
     bench.deliver()
 
 
