Describe backend connections and commands in HTTP terms

Comments and private names of the backend client spoke of kept connections and of spelling; they now name time-outs, encoding and cancellation. Test comments state the failure in place of codes.

--- a/packages/backend_client/src/fireflylink_backend_client/__init__.py
+++ b/packages/backend_client/src/fireflylink_backend_client/__init__.py
@@ -1,4 +1,4 @@
-"""Pools of connections to backend servers, requests, grants and releases."""
+"""Client for backend servers: connection pools for requests, and grant and release commands."""
 
 from fireflylink_backend_client._cancellation import Cancellation
 from fireflylink_backend_client._codec import BaseServerCodec, EncodedCommand
--- a/packages/backend_client/src/fireflylink_backend_client/_cancellation.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_cancellation.py
@@ -1,10 +1,13 @@
-"""Ending a call whose caller has left."""
+"""Cancellation of a call after its caller has disconnected."""
 
 from fireflylink_http_client import HttpConnection
 
 
 class Cancellation:
-    """Lets one greenlet end the call that another one waits for."""
+    """Lets one greenlet cancel a call that another greenlet is waiting for.
+
+    ``connection`` is the connection of the call while it is in progress.
+    """
 
     __slots__ = ("cancelled", "connection")
 
@@ -13,7 +16,7 @@
         self.connection: HttpConnection | None = None
 
     def cancel(self) -> None:
-        """Ends the call; the server sees its connection closed and stops its work."""
+        """Cancels the call; the server sees the connection reset and can stop its work."""
         self.cancelled = True
         if self.connection is not None:
             self.connection.cancel()
--- a/packages/backend_client/src/fireflylink_backend_client/_codec.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_codec.py
@@ -1,4 +1,4 @@
-"""How requests and grants are spelled towards backend servers."""
+"""Encoding of requests and commands to backend servers, and decoding of their responses."""
 
 import abc
 
@@ -7,7 +7,7 @@
 
 
 class EncodedCommand:
-    """A request of the daemon's own to a server."""
+    """An HTTP request that carries a command of the daemon to a server."""
 
     __slots__ = ("body", "headers", "method", "target")
 
@@ -19,7 +19,7 @@
 
 
 class BaseServerCodec(abc.ABC):
-    """Translates requests, grants and answers; it decides nothing."""
+    """Encodes requests and commands, and decodes responses; contains no routing decisions."""
 
     __slots__ = ()
 
@@ -27,38 +27,38 @@
     def request_headers(
         self, request: CallerRequest, server_id: str, remaining_seconds: float
     ) -> Headers:
-        """Returns the headers of a request that only the server ``server_id`` may run."""
+        """Returns the headers of a request that only the server ``server_id`` may execute."""
 
     @abc.abstractmethod
     def is_response_to(self, response: HttpResponse, request_id: str) -> bool:
-        """Whether the response answers the request, not an earlier one."""
+        """Whether the response belongs to this request and not to an earlier one."""
 
     @abc.abstractmethod
     def is_declined(self, response: HttpResponse) -> bool:
-        """Whether the server states that it did not run the request."""
+        """Whether the server states that it did not execute the request."""
 
     @abc.abstractmethod
     def is_misdirected(self, response: HttpResponse) -> bool:
-        """Whether the server declined because it is another one or does not hold the key."""
+        """Whether the server declined because it is not the target or does not hold the key."""
 
     @abc.abstractmethod
     def decode_answer(self, response: HttpResponse) -> ServerAnswer | None:
-        """Returns the server's answer for the caller, None when it is not the server's own."""
+        """Returns the answer to pass to the caller, or None if the server did not produce it."""
 
     @abc.abstractmethod
     def decode_load(self, response: HttpResponse) -> ServerLoad | None:
-        """Returns the load that the server reported, if any."""
+        """Returns the load that the server reported, or None if it reported none."""
 
     @abc.abstractmethod
     def encode_grant(
         self, server_id: str, keys: KeyRange, fence: int, hold_seconds: float, handover: str
     ) -> EncodedCommand:
-        """Returns the command that grants or renews keys; only ``server_id`` carries it out."""
+        """Returns the command that grants or renews keys; only ``server_id`` may execute it."""
 
     @abc.abstractmethod
     def encode_release(self, server_id: str, keys: KeyRange, fence: int) -> EncodedCommand:
-        """Returns the command that takes keys back from ``server_id``."""
+        """Returns the command that makes ``server_id`` release keys."""
 
     @abc.abstractmethod
     def decode_handover(self, response: HttpResponse) -> str:
-        """Returns the token that a release gave, empty when it gave none."""
+        """Returns the handover token of the response to a release, or an empty string."""
--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -1,4 +1,4 @@
-"""Commands of the daemon's own to one backend server: grants and releases."""
+"""Grant and release commands of the daemon to one backend server."""
 
 from returns.result import Failure, Result, Success
 
@@ -12,14 +12,14 @@
     encode_request,
 )
 
-CONNECT_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 1.0
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_MISDIRECTED = 421
 
 
 class CommandError(BaseFireflylinkError):
-    """A command had no good end. ``sent`` tells that the server may still carry it out."""
+    """A command failed. If ``sent`` is true, the server may have executed it or may still do so."""
 
     def __init__(self, detail: str, sent: bool) -> None:
         super().__init__(detail)
@@ -27,51 +27,56 @@
 
 
 class StaleFenceError(CommandError):
-    """The server has seen a higher fence on one of the keys."""
+    """The server has seen a higher fence (fencing token) on one of the keys and refused a grant."""
 
     def __init__(self) -> None:
         super().__init__("the server has seen a higher fence", False)
 
 
 class ServerMismatchError(CommandError):
-    """Another server has the address, so the one that had it has ended."""
+    """Another server uses the address now, so the one that the command was for has ended."""
 
     def __init__(self) -> None:
-        super().__init__("another server has the address", False)
+        super().__init__("another server uses the address now", False)
 
 
 class ServerCommandClient:
-    """Sends commands to one server over a connection of their own."""
+    """Sends commands to one server over a connection that carries no requests of callers."""
 
     __slots__ = ("codec", "connection", "server")
 
     def __init__(self, server: BackendServer, clock: BaseClock, codec: BaseServerCodec) -> None:
         self.server = server
         self.codec = codec
-        self.connection = PersistentConnection(server.host, server.port, clock, CONNECT_SECONDS)
+        self.connection = PersistentConnection(
+            server.host, server.port, clock, CONNECT_TIMEOUT_SECONDS
+        )
 
     def grant(
         self, keys: KeyRange, fence: int, hold_seconds: float, handover: str, deadline: float
     ) -> Result[None, CommandError]:
-        """Grants or renews keys; fails with ``StaleFenceError`` when another took them."""
+        """Grants or renews keys for ``hold_seconds``.
+
+        Fails with ``StaleFenceError`` if the server has seen a higher fence on one of the keys.
+        """
         server_id = self.server.server_id
         command = self.codec.encode_grant(server_id, keys, fence, hold_seconds, handover)
-        return self._send(command, deadline).bind(_granted)
+        return self._send(command, deadline).bind(_decode_granted)
 
     def release(self, keys: KeyRange, fence: int, deadline: float) -> Result[str, CommandError]:
-        """Takes keys back; returns the hand-over token once the work on them has ended."""
+        """Releases keys; returns the handover token once requests for them have finished."""
         command = self.codec.encode_release(self.server.server_id, keys, fence)
-        return self._send(command, deadline).bind(self._released)
+        return self._send(command, deadline).bind(self._decode_released)
 
     def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection; a command in progress fails."""
         self.connection.close()
 
-    def _released(self, response: HttpResponse) -> Result[str, CommandError]:
+    def _decode_released(self, response: HttpResponse) -> Result[str, CommandError]:
         if response.status == HTTP_MISDIRECTED:
             return Failure(ServerMismatchError())
         if response.status != HTTP_OK:
-            return Failure(CommandError(f"release: status {response.status}", True))
+            return Failure(CommandError(f"release failed with status {response.status}", True))
         return Success(self.codec.decode_handover(response))
 
     def _send(self, command: EncodedCommand, deadline: float) -> Result[HttpResponse, CommandError]:
@@ -82,11 +87,11 @@
             return Failure(CommandError(str(error), not isinstance(error, NotSentError)))
 
 
-def _granted(response: HttpResponse) -> Result[None, CommandError]:
+def _decode_granted(response: HttpResponse) -> Result[None, CommandError]:
     if response.status == HTTP_OK:
         return Success(None)
     if response.status == HTTP_CONFLICT:
         return Failure(StaleFenceError())
     if response.status == HTTP_MISDIRECTED:
         return Failure(ServerMismatchError())
-    return Failure(CommandError(f"grant: status {response.status}", True))
+    return Failure(CommandError(f"grant failed with status {response.status}", True))
--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -1,4 +1,4 @@
-"""Kept connections to one backend server."""
+"""Pool of persistent connections to one backend server."""
 
 from fireflylink_backend_client._cancellation import Cancellation
 from fireflylink_backend_client._codec import BaseServerCodec
@@ -21,17 +21,18 @@
     encode_request,
 )
 
-CONNECT_SECONDS = 0.4
-DEFAULT_IDLE_SECONDS = 4.0
-IDLE_MARGIN_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 0.4
+DEFAULT_IDLE_TIMEOUT_SECONDS = 4.0
+KEEP_ALIVE_MARGIN_SECONDS = 1.0
 MINIMUM_REMAINING_SECONDS = 0.001
 
 
 class ServerConnectionPool:
     """Connections to one incarnation of a server, each used for one call at a time.
 
-    An idle connection is closed before the server closes it. The last one used is used again
-    first, so that a quiet server keeps few.
+    An idle connection is closed before the server's keep-alive time-out ends. The most recently
+    used connection is reused first, so that surplus connections reach the idle time-out when the
+    request rate is low.
 
     Example::
 
@@ -53,14 +54,14 @@
         self.clock = clock
         self.codec = codec
         self.idle_connections: list[HttpConnection] = []
-        self.idle_timeout_seconds = DEFAULT_IDLE_SECONDS
+        self.idle_timeout_seconds = DEFAULT_IDLE_TIMEOUT_SECONDS
         self.opened_connections = 0
         self.closed = False
 
     def call(
         self, request: CallerRequest, deadline: float, cancellation: Cancellation
     ) -> BaseCallResult:
-        """Sends a request and waits for its answer until ``deadline``."""
+        """Sends a request and waits for its answer until ``deadline``, in seconds on the clock."""
         try:
             connection = self._checkout(deadline, cancellation)
         except NotSentError as error:
@@ -68,7 +69,7 @@
         reusable = False
         try:
             response, reusable = self._exchange(connection, request, deadline)
-            return self._result(response)
+            return self._decode_result(response)
         except NotSentError as error:
             return NotSent(str(error))
         except LostError as error:
@@ -78,18 +79,18 @@
             self._checkin(connection, reusable)
 
     def evict_idle(self) -> None:
-        """Closes connections that have been idle for too long."""
-        oldest = self.clock.now() - self.idle_timeout_seconds
-        kept = [
-            connection for connection in self.idle_connections if connection.last_used_at > oldest
+        """Closes connections that have been idle for ``idle_timeout_seconds`` or longer."""
+        cutoff = self.clock.now() - self.idle_timeout_seconds
+        remaining = [
+            connection for connection in self.idle_connections if connection.last_used_at > cutoff
         ]
         for connection in self.idle_connections:
-            if connection.last_used_at <= oldest:
+            if connection.last_used_at <= cutoff:
                 connection.close()
-        self.idle_connections = kept
+        self.idle_connections = remaining
 
     def close(self) -> None:
-        """Closes the idle connections; those in use are closed after their call."""
+        """Closes the idle connections; a connection in use is closed when its call ends."""
         self.closed = True
         for connection in self.idle_connections:
             connection.close()
@@ -98,8 +99,8 @@
     def _exchange(
         self, connection: HttpConnection, request: CallerRequest, deadline: float
     ) -> tuple[HttpResponse, bool]:
-        remaining = max(MINIMUM_REMAINING_SECONDS, deadline - self.clock.now())
-        headers = self.codec.request_headers(request, self.server.server_id, remaining)
+        remaining_seconds = max(MINIMUM_REMAINING_SECONDS, deadline - self.clock.now())
+        headers = self.codec.request_headers(request, self.server.server_id, remaining_seconds)
         encoded = encode_request(request.method, request.target, headers, request.body)
         return connection.exchange(
             encoded,
@@ -108,21 +109,22 @@
             lambda response: self.codec.is_response_to(response, request.request_id),
         )
 
-    def _result(self, response: HttpResponse) -> BaseCallResult:
+    def _decode_result(self, response: HttpResponse) -> BaseCallResult:
         load = self.codec.decode_load(response)
         if self.codec.is_declined(response):
             return Declined(response.status, self.codec.is_misdirected(response), load)
         answer = self.codec.decode_answer(response)
         if answer is None:
-            return Lost(LostReason.MALFORMED, f"status {response.status} is not the server's")
-        self._learn_idle_time(response)
+            return Lost(LostReason.MALFORMED, f"status {response.status}: not sent by the server")
+        self._update_idle_timeout(response)
         return Answered(answer, load)
 
-    def _learn_idle_time(self, response: HttpResponse) -> None:
-        stated = response.keep_alive_seconds
-        if stated is not None:
+    def _update_idle_timeout(self, response: HttpResponse) -> None:
+        keep_alive_seconds = response.keep_alive_seconds
+        if keep_alive_seconds is not None:
             self.idle_timeout_seconds = max(
-                0.0, min(DEFAULT_IDLE_SECONDS, stated - IDLE_MARGIN_SECONDS)
+                0.0,
+                min(DEFAULT_IDLE_TIMEOUT_SECONDS, keep_alive_seconds - KEEP_ALIVE_MARGIN_SECONDS),
             )
 
     def _checkout(self, deadline: float, cancellation: Cancellation) -> HttpConnection:
@@ -141,9 +143,9 @@
         connection = HttpConnection(self.clock)
         cancellation.connection = connection
         self.opened_connections += 1
-        latest = min(deadline, self.clock.now() + CONNECT_SECONDS)
+        connect_deadline = min(deadline, self.clock.now() + CONNECT_TIMEOUT_SECONDS)
         try:
-            connection.connect(self.server.host, self.server.port, latest)
+            connection.connect(self.server.host, self.server.port, connect_deadline)
         except NotSentError:
             connection.close()
             raise
--- a/packages/backend_client/tests/test_pool.py
+++ b/packages/backend_client/tests/test_pool.py
@@ -1,4 +1,4 @@
-"""Kept connections to a server that follows a script."""
+"""Calls through a connection pool to a scripted server on real sockets."""
 
 import gevent
 import pytest
@@ -19,11 +19,11 @@
 )
 from fireflylink_platform import PlatformServerCodec
 
-SIGNED = b"Server-Signature: s\r\nServer-Load: 2,1,4,150\r\n"
+SERVER_HEADERS = b"Server-Signature: s\r\nServer-Load: 2,1,4,150\r\n"
 
 
 class ScriptedServer:
-    """Answers each request on each connection by a function of the request's id."""
+    """Answers each request with the bytes that ``answer`` returns for the request id."""
 
     def __init__(self, answer) -> None:
         self.answer = answer
@@ -45,17 +45,17 @@
             sock.sendall(self.answer(request_id))
 
 
-def answer(request_id: bytes, status: str = "200 OK", extra: bytes = SIGNED) -> bytes:
+def answer(request_id: bytes, status: str = "200 OK", extra: bytes = SERVER_HEADERS) -> bytes:
     head = f"HTTP/1.1 {status}\r\n".encode() + b"Request-Id: " + request_id + b"\r\n" + extra
     return head + b"Content-Length: 2\r\n\r\nok"
 
 
 @pytest.fixture
-def pool_of():
+def make_pool():
     servers = []
 
-    def make(script) -> ServerConnectionPool:
-        server = ScriptedServer(script)
+    def make(answer_request) -> ServerConnectionPool:
+        server = ScriptedServer(answer_request)
         servers.append(server)
         port = server.listener.getsockname()[1]
         backend = BackendServer("i-1", "a", "127.0.0.1", port, "kingston", 4)
@@ -78,48 +78,52 @@
     return pool.call(request, now + 0.5, cancellation or Cancellation())
 
 
-def test_one_connection_serves_calls_one_after_the_other(pool_of):
-    """Guards against a new connection for every request: each is paid for."""
-    pool = pool_of(answer)
+def test_consecutive_calls_reuse_one_connection(make_pool):
+    """Guards against the cost of a new connection for every request."""
+    pool = make_pool(answer)
     results = [call(pool, f"r{number}") for number in range(5)]
     assert_that({type(result) for result in results}, Equals({Answered}))
     assert_that((results[0].load.waiting, results[0].load.slowdown_factor), Equals((1, 1.5)))
-    assert_that((pool.opened_connections, pool_of.servers[0].accepted), Equals((1, 1)))
+    assert_that((pool.opened_connections, make_pool.servers[0].accepted), Equals((1, 1)))
 
 
-def test_a_refusal_of_the_server_is_told_from_a_failure(pool_of):
-    """Guards against REFUSED: a 503 that is taken for a promise, or a promise for a failure."""
-    shed = pool_of(lambda i: answer(i, "503 Busy", b"Not-Executed: 1\r\n"))
-    assert_that(call(shed), IsInstance(Declined))
-    failed = pool_of(lambda i: answer(i, "503 Busy", b""))
-    assert_that(call(failed), IsInstance(Answered))
+def test_only_a_response_marked_as_not_executed_is_declined(make_pool):
+    """Guards against a wrong conclusion from a 503 about whether the request was executed.
 
+    A 503 guarantees that it was not only if it has the Not-Executed header; otherwise it is an
+    answer.
+    """
+    declining = make_pool(lambda i: answer(i, "503 Busy", b"Not-Executed: 1\r\n"))
+    assert_that(call(declining), IsInstance(Declined))
+    failing = make_pool(lambda i: answer(i, "503 Busy", b""))
+    assert_that(call(failing), IsInstance(Answered))
 
-def test_a_success_without_signature_is_no_answer(pool_of):
-    """Guards against MIXED: a body that is not the server's."""
-    result = call(pool_of(lambda i: answer(i, extra=b"")))
+
+def test_a_success_without_a_signature_is_lost(make_pool):
+    """Guards against returning a body that the server did not produce to the caller."""
+    result = call(make_pool(lambda i: answer(i, extra=b"")))
     assert_that((type(result), result.reason), Equals((Lost, LostReason.MALFORMED)))
 
 
-def test_a_cancelled_call_sends_nothing(pool_of):
-    """Guards against GONE: a request for a caller who has left."""
+def test_a_cancelled_call_sends_nothing(make_pool):
+    """Guards against sending a request after its caller has disconnected."""
     cancellation = Cancellation()
     cancellation.cancel()
-    pool = pool_of(answer)
+    pool = make_pool(answer)
     assert_that(call(pool, cancellation=cancellation), IsInstance(NotSent))
-    assert_that(pool_of.servers[0].accepted, Equals(0))
+    assert_that(make_pool.servers[0].accepted, Equals(0))
 
 
-def test_nobody_listening_is_not_sent():
-    """Guards against an unknown outcome of a request that never left."""
+def test_a_refused_connection_is_reported_as_not_sent():
+    """Guards against an unknown outcome for a request of which no byte was sent."""
     backend = BackendServer("i-1", "a", "127.0.0.1", 1, "kingston", 4)
     pool = ServerConnectionPool(backend, SystemClock(), PlatformServerCodec())
     assert_that(call(pool), IsInstance(NotSent))
 
 
-def test_idle_connections_are_closed_before_the_server_does(pool_of):
-    """Guards against a request that crosses the server's close."""
-    pool = pool_of(lambda i: answer(i, extra=SIGNED + b"Keep-Alive: timeout=1\r\n"))
+def test_idle_connections_are_closed_before_the_server_closes_them(make_pool):
+    """Guards against a lost request that is sent while the server closes the idle connection."""
+    pool = make_pool(lambda i: answer(i, extra=SERVER_HEADERS + b"Keep-Alive: timeout=1\r\n"))
     call(pool)
     gevent.sleep(0.01)
     pool.evict_idle()
