Name draining and disconnects in the caller front end

The listener's state and the disconnect notifier used figurative names (left, closing, offer); they now use the usual HTTP server terms. Test comments state the failure that they guard against.

--- a/packages/caller_frontend/src/fireflylink_caller_frontend/__init__.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP front end towards callers."""
+"""HTTP front end that receives the requests of callers."""
 
 from fireflylink_caller_frontend._application import make_application
 from fireflylink_caller_frontend._codec import BaseCallerCodec, EncodedReply, ReceivedRequest
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
@@ -1,4 +1,4 @@
-"""The falcon application towards callers."""
+"""Falcon application that serves the requests of callers."""
 
 from typing import Any
 
@@ -11,10 +11,10 @@
 from fireflylink_caller_frontend._listener import HANDLER_KEY
 from fireflylink_core import CallerLimits
 
-READ_BYTES = 65536
+READ_SIZE_BYTES = 65536
 
 
-class _Callers:
+class _RequestSink:
     """Receives every request of callers, whatever its path."""
 
     __slots__ = ("codec", "handler")
@@ -24,26 +24,26 @@
         self.codec = codec
 
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_kwargs: Any) -> None:
-        connection = req.env[HANDLER_KEY]
+        wsgi_handler = req.env[HANDLER_KEY]
         try:
             body = _read_body(req, self.handler.limits())
-            request = self.codec.decode_request(_received(connection, body))
+            request = self.codec.decode_request(_received_request(wsgi_handler, body))
         except RefusedRequestError as error:
-            connection.close_connection = True
-            _write(resp, self.codec.encode_refusal(error))
+            wsgi_handler.close_connection = True
+            _write_reply(resp, self.codec.encode_refusal(error))
             return
-        disconnect_notifier = SocketDisconnectNotifier(connection.socket)
+        disconnect_notifier = SocketDisconnectNotifier(wsgi_handler.socket)
         try:
             reply = self.handler.handle(request, disconnect_notifier)
         finally:
             disconnect_notifier.stop()
-        _write(resp, self.codec.encode_reply(request.request_id, reply))
+        _write_reply(resp, self.codec.encode_reply(request.request_id, reply))
 
 
-def _received(connection: Any, body: bytes) -> ReceivedRequest:
-    headers = tuple((str(name), str(value)) for name, value in connection.headers.items())
+def _received_request(wsgi_handler: Any, body: bytes) -> ReceivedRequest:
+    headers = tuple((str(name), str(value)) for name, value in wsgi_handler.headers.items())
     return ReceivedRequest(
-        connection.command, connection.path, headers, body, connection.received_at
+        wsgi_handler.command, wsgi_handler.path, headers, body, wsgi_handler.received_at
     )
 
 
@@ -68,28 +68,28 @@
 
 def _read_part(stream: Any) -> bytes:
     try:
-        part: bytes = stream.read(READ_BYTES)
+        part: bytes = stream.read(READ_SIZE_BYTES)
     except (OSError, ValueError) as error:
         raise RefusedRequestError(400, f"the body is not whole: {error}") from error
     return part
 
 
-def _write(resp: falcon.Response, sent: EncodedReply) -> None:
-    resp.status = sent.status
-    for name, value in sent.headers:
+def _write_reply(resp: falcon.Response, reply: EncodedReply) -> None:
+    resp.status = reply.status
+    for name, value in reply.headers:
         resp.append_header(name, value)
-    resp.data = sent.body
+    resp.data = reply.body
 
 
 def make_application(handler: BaseRequestHandler, codec: BaseCallerCodec) -> Any:
-    """Returns the WSGI application that callers use.
+    """Returns the WSGI application that passes the requests of callers to ``handler``.
 
     Example::
 
-        listener = HttpListener(make_application(handler, dialect), "127.0.0.1", 0, handler.limits)
+        listener = HttpListener(make_application(handler, codec), "127.0.0.1", 0, handler.limits)
     """
     application = falcon.App()
-    # An answer without a content type is passed on as it is.
+    # Keeps falcon from adding a Content-Type header to an answer that has none.
     application.resp_options.default_media_type = None  # type: ignore[assignment]
-    application.add_sink(_Callers(handler, codec), "/")
+    application.add_sink(_RequestSink(handler, codec), "/")
     return application
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_codec.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_codec.py
@@ -1,4 +1,4 @@
-"""How requests and replies are spelled towards callers."""
+"""Decoding of the requests of callers, and encoding of the replies to them."""
 
 import abc
 
@@ -7,7 +7,10 @@
 
 
 class ReceivedRequest:
-    """A request as it arrived: not yet read in terms of the product."""
+    """An HTTP request as it was received, before the codec decodes it.
+
+    ``received_at`` is in seconds on the daemon's clock.
+    """
 
     __slots__ = ("body", "headers", "method", "received_at", "target")
 
@@ -22,7 +25,7 @@
 
 
 class EncodedReply:
-    """A reply as it is sent."""
+    """The HTTP form of a reply."""
 
     __slots__ = ("body", "headers", "status")
 
@@ -33,18 +36,18 @@
 
 
 class BaseCallerCodec(abc.ABC):
-    """Translates requests and replies; it decides nothing."""
+    """Decodes requests and encodes replies; contains no routing decisions."""
 
     __slots__ = ()
 
     @abc.abstractmethod
     def decode_request(self, received: ReceivedRequest) -> CallerRequest:
-        """Returns the request; raises ``RefusedRequestError`` when it is malformed."""
+        """Returns the decoded request; raises ``RefusedRequestError`` if it is malformed."""
 
     @abc.abstractmethod
     def encode_reply(self, request_id: str, reply: BaseReply) -> EncodedReply:
-        """Returns what the caller is sent."""
+        """Returns the HTTP form of the reply to a request."""
 
     def encode_refusal(self, error: RefusedRequestError) -> EncodedReply:
-        """Returns what the caller of a malformed request is sent."""
+        """Returns the HTTP form of the reply to a request that was refused."""
         return EncodedReply(error.status, (("Content-Type", "text/plain"),), str(error).encode())
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_errors.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_errors.py
@@ -4,11 +4,14 @@
 
 
 class ListenerError(BaseFireflylinkError):
-    """An address could not be bound."""
+    """The listener could not bind its address."""
 
 
 class RefusedRequestError(BaseFireflylinkError):
-    """A request that breaks the protocol or a limit; it is not passed on."""
+    """A request that violates the protocol or a limit; it is not sent to a server.
+
+    ``status`` is the HTTP status of the reply to the caller, and the text is its body.
+    """
 
     def __init__(self, status: int, problem: str) -> None:
         super().__init__(problem)
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_handler.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_handler.py
@@ -1,4 +1,4 @@
-"""What the front end needs of the daemon."""
+"""Interfaces between the front end and the daemon's handling of requests."""
 
 import abc
 from collections.abc import Callable
@@ -7,17 +7,20 @@
 
 
 class BaseDisconnectNotifier(abc.ABC):
-    """Tells that a caller closed its connection before its reply."""
+    """Reports that a caller closed its connection before it received its reply."""
 
     __slots__ = ()
 
     @abc.abstractmethod
     def on_disconnect(self, action: Callable[[], None]) -> None:
-        """Runs ``action`` once when the caller disconnects, at once if it already has."""
+        """Registers ``action`` to run once when the caller disconnects.
+
+        It runs immediately if the caller has already disconnected.
+        """
 
 
 class BaseRequestHandler(abc.ABC):
-    """Runs requests for the front end."""
+    """Handles the requests that the front end receives."""
 
     __slots__ = ()
 
@@ -25,7 +28,7 @@
     def handle(
         self, request: CallerRequest, disconnect_notifier: BaseDisconnectNotifier
     ) -> BaseReply:
-        """Runs a request and returns its reply; called in the greenlet of the connection."""
+        """Handles a request and returns its reply; called in the greenlet of the connection."""
 
     @abc.abstractmethod
     def limits(self) -> CallerLimits:
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -1,4 +1,4 @@
-"""HTTP listener on gevent's WSGI server, with limits and a graceful end."""
+"""HTTP listener on gevent's WSGI server, with limits and graceful shutdown."""
 
 import socket
 import time
@@ -12,15 +12,15 @@
 from fireflylink_core import CallerLimits
 
 BACKLOG = 512
-POLL_SECONDS = 0.02
+POLL_INTERVAL_SECONDS = 0.02
 HANDLER_KEY = "fireflylink.handler"
 MILLISECONDS_PER_SECOND = 1000.0
-IDLE_OFFER_SECONDS = 6
-"""How long a caller is told that an idle connection stays open: each costs memory."""
+KEEP_ALIVE_TIMEOUT_SECONDS = 6
+"""Time-out in the Keep-Alive header; limited because every idle connection uses memory."""
 
-IDLE_MARGIN_SECONDS = 2.0
+KEEP_ALIVE_MARGIN_SECONDS = 2.0
 BAD_REQUEST = ("400", b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-HEAD_TOO_LARGE = (
+HEADER_TOO_LARGE = (
     "431",
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n",
@@ -29,12 +29,12 @@
 WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
-class _HeadTooLargeError(ValueError):
-    """The head of a request is over the limit."""
+class _HeaderTooLargeError(ValueError):
+    """The request line and header fields of a request exceed the limit together."""
 
 
-class _Handler(WSGIHandler):  # type: ignore[misc]
-    """Applies the limits to one connection and counts requests in progress."""
+class _ConnectionHandler(WSGIHandler):  # type: ignore[misc]
+    """Serves one connection: applies the limits and counts requests in progress."""
 
     rfile: Any
     socket: Any
@@ -43,34 +43,34 @@
 
     def read_requestline(self) -> Any:
         limits: CallerLimits = self.server.limits()
-        self.socket.settimeout(self.server.idle_seconds(limits))
-        if self.server.closing:
-            self.socket.settimeout(self.server.closing_idle_seconds())
-        self.server.idle.add(self)
+        self.socket.settimeout(self.server.idle_timeout_seconds(limits))
+        if self.server.draining:
+            self.socket.settimeout(self.server.drain_idle_timeout_seconds())
+        self.server.idle_handlers.add(self)
         try:
             line = super().read_requestline()
         finally:
-            self.server.idle.discard(self)
+            self.server.idle_handlers.discard(self)
         self.received_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         self.socket.settimeout(limits.header_timeout_ms / MILLISECONDS_PER_SECOND)
         return line
 
     def read_request(self, raw_requestline: str) -> Any:
-        read = super().read_request(raw_requestline)
-        size = len(raw_requestline) + sum(
+        valid = super().read_request(raw_requestline)
+        size_bytes = len(raw_requestline) + sum(
             len(name) + len(value) + 4 for name, value in self.headers.items()
         )
-        if size > self.server.limits().max_header_bytes:
-            raise _HeadTooLargeError(raw_requestline)
+        if size_bytes > self.server.limits().max_header_bytes:
+            raise _HeaderTooLargeError(raw_requestline)
         if self.headers.get("transfer-encoding") and self.headers.get("content-length"):
-            raise ValueError("two lengths")
+            raise ValueError("request with both Transfer-Encoding and Content-Length")
         if len(set(self.headers.get_all("content-length") or ())) > 1:
-            raise ValueError("two lengths")
-        return read
+            raise ValueError("request with conflicting Content-Length headers")
+        return valid
 
     def _handle_client_error(self, ex: Exception) -> Any:
-        if isinstance(ex, _HeadTooLargeError):
-            return HEAD_TOO_LARGE
+        if isinstance(ex, _HeaderTooLargeError):
+            return HEADER_TOO_LARGE
         return BAD_REQUEST
 
     def get_environ(self) -> dict[str, Any]:
@@ -80,51 +80,55 @@
         return environ
 
     def handle_one_response(self) -> None:
-        self.server.active += 1
+        self.server.active_requests += 1
         try:
             super().handle_one_response()
         finally:
-            self.server.active -= 1
+            self.server.active_requests -= 1
 
     def finalize_headers(self) -> None:
-        if self.server.closing:
+        if self.server.draining:
             self.close_connection = True
         if self.close_connection:
             self.response_headers.append((b"Connection", b"close"))
         else:
-            offer = f"timeout={IDLE_OFFER_SECONDS}".encode()
-            self.response_headers.append((b"Keep-Alive", offer))
+            keep_alive = f"timeout={KEEP_ALIVE_TIMEOUT_SECONDS}".encode()
+            self.response_headers.append((b"Keep-Alive", keep_alive))
         super().finalize_headers()
 
     def log_request(self) -> None:
-        """Logs nothing: the request path writes one line for each decision."""
+        """Suppresses gevent's access log; the daemon's request path logs requests itself."""
 
 
 class _Server(WSGIServer):  # type: ignore[misc]
-    """A WSGI server whose connections do not delay small writes."""
+    """A WSGI server that sets TCP_NODELAY on connections and counts requests in progress.
+
+    While ``draining`` is true, each connection is closed after its next response. One that starts
+    to wait for a request during that time waits until ``drain_idle_until`` on the monotonic clock.
+    """
 
     def __init__(self, limits: Callable[[], CallerLimits], *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self.limits = limits
-        self.active = 0
-        self.closing = False
-        self.closing_until = 0.0
-        self.idle: set[_Handler] = set()
+        self.active_requests = 0
+        self.draining = False
+        self.drain_idle_until = 0.0
+        self.idle_handlers: set[_ConnectionHandler] = set()
 
     def handle(self, client_socket: Any, address: Any) -> None:
-        # Nagle's algorithm would hold back the second write of an answer for 40 ms.
+        # Nagle's algorithm would delay the second write of a response by 40 ms.
         client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(client_socket, address)
 
-    def idle_seconds(self, limits: CallerLimits) -> float:
-        """Returns how long a connection may stay idle."""
-        offered = IDLE_OFFER_SECONDS + IDLE_MARGIN_SECONDS
-        return min(offered, limits.idle_timeout_ms / MILLISECONDS_PER_SECOND)
+    def idle_timeout_seconds(self, limits: CallerLimits) -> float:
+        """Returns how long a connection may stay idle when the listener is not draining."""
+        keep_alive_seconds = KEEP_ALIVE_TIMEOUT_SECONDS + KEEP_ALIVE_MARGIN_SECONDS
+        return min(keep_alive_seconds, limits.idle_timeout_ms / MILLISECONDS_PER_SECOND)
 
-    def closing_idle_seconds(self) -> float:
-        """Returns how long a connection may stay idle while the daemon leaves."""
-        remaining: float = max(0.05, self.closing_until - time.monotonic())
-        return remaining
+    def drain_idle_timeout_seconds(self) -> float:
+        """Returns how long a connection that starts to wait during a drain may stay idle."""
+        timeout_seconds: float = max(0.05, self.drain_idle_until - time.monotonic())
+        return timeout_seconds
 
 
 class HttpListener:
@@ -152,7 +156,7 @@
             limits,
             (host, port),
             application,
-            handler_class=_Handler,
+            handler_class=_ConnectionHandler,
             log=None,
             error_log=None,
             backlog=BACKLOG,
@@ -165,36 +169,37 @@
 
     @property
     def active_requests(self) -> int:
-        """How many requests are in progress."""
-        return int(self._server.active)
+        """Number of requests in progress."""
+        return int(self._server.active_requests)
 
     def start(self) -> None:
-        """Starts to accept connections."""
+        """Starts accepting connections."""
         self._server.start()
 
     def begin_drain(self, idle_seconds: float) -> None:
-        """Ends each connection with its next answer, but still accepts new ones.
+        """Closes each connection after its next response; new connections are still accepted.
 
-        A connection that gets no request for ``idle_seconds`` from now is closed.
+        A connection that starts to wait for a request after this call is closed if none arrives
+        within ``idle_seconds`` of the call.
         """
-        self._server.closing = True
-        self._server.closing_until = time.monotonic() + idle_seconds
+        self._server.draining = True
+        self._server.drain_idle_until = time.monotonic() + idle_seconds
 
     def close_idle_connections(self) -> None:
-        """Closes connections on which no request has begun."""
-        for handler in list(self._server.idle):
-            if not _has_bytes(handler.socket):
+        """Closes the connections on which no byte of a request has arrived."""
+        for handler in list(self._server.idle_handlers):
+            if not _has_unread_bytes(handler.socket):
                 handler.socket.close()
 
     def stop_accepting(self) -> None:
-        """Accepts no further connections."""
+        """Stops accepting connections; open ones stay open."""
         self._server.stop_accepting()
 
     def wait_idle(self, deadline_seconds: float) -> bool:
-        """Waits until no request is in progress; returns whether that was so in time."""
+        """Waits until no request is in progress; returns false if the deadline passes first."""
         with gevent.Timeout(deadline_seconds, False):
-            while self._server.active:
-                gevent.sleep(POLL_SECONDS)
+            while self._server.active_requests:
+                gevent.sleep(POLL_INTERVAL_SECONDS)
         return self.active_requests == 0
 
     def close(self) -> None:
@@ -202,8 +207,8 @@
         self._server.stop(timeout=0)
 
 
-def _has_bytes(sock: Any) -> bool:
-    """Whether the caller has sent bytes that nobody has read."""
+def _has_unread_bytes(sock: Any) -> bool:
+    """Whether the socket's receive buffer holds bytes that have not been read."""
     try:
         return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     except OSError:
--- a/packages/caller_frontend/tests/test_front_end.py
+++ b/packages/caller_frontend/tests/test_front_end.py
@@ -1,4 +1,4 @@
-"""The front end towards callers, over real sockets."""
+"""The front end on real sockets, with a handler that echoes the request body."""
 
 import gevent
 import pytest
@@ -22,17 +22,17 @@
 
 
 class PlainCodec(BaseCallerCodec):
-    """Names of its own, so that the front end is seen to use none."""
+    """Uses header names other than the platform's: the front end must not depend on any."""
 
     __slots__ = ()
 
     def decode_request(self, received):
-        index = dict(received.headers)
-        if "X-Id" not in index:
+        headers = dict(received.headers)
+        if "X-Id" not in headers:
             raise RefusedRequestError(400, "X-Id is missing")
         return CallerRequest(
-            index["X-Id"],
-            index["Host"],
+            headers["X-Id"],
+            headers["Host"],
             received.method,
             received.target,
             received.headers,
@@ -46,28 +46,28 @@
 
 
 class Handler(BaseRequestHandler):
-    """Answers with what it got; ``hold_seconds`` is how long that takes."""
+    """Answers with the body of the request after ``delay_seconds``; counts disconnects."""
 
     def __init__(self) -> None:
-        self.hold_seconds = 0.0
+        self.delay_seconds = 0.0
         self.requests = []
-        self.departures = 0
+        self.disconnects = 0
 
     def handle(self, request, disconnect_notifier):
         self.requests.append(request)
-        disconnect_notifier.on_disconnect(self._leave)
-        gevent.sleep(self.hold_seconds)
+        disconnect_notifier.on_disconnect(self._count_disconnect)
+        gevent.sleep(self.delay_seconds)
         return ServerAnswer(200, (("X-Server", "s1"),), request.body)
 
     def limits(self):
         return LIMITS
 
-    def _leave(self) -> None:
-        self.departures += 1
+    def _count_disconnect(self) -> None:
+        self.disconnects += 1
 
 
 class FrontEnd:
-    """A running front end and its handler."""
+    """A running listener and its handler."""
 
     def __init__(self) -> None:
         self.handler = Handler()
@@ -75,15 +75,15 @@
         self.listener = HttpListener(application, "127.0.0.1", 0, self.handler.limits)
         self.listener.start()
 
-    def open(self):
+    def connect(self):
         return socket.create_connection(("127.0.0.1", self.listener.port), timeout=2.0)
 
 
 @pytest.fixture
 def front_end():
-    found = FrontEnd()
-    yield found
-    found.listener.close()
+    running = FrontEnd()
+    yield running
+    running.listener.close()
 
 
 def head(*lines: str, method: str = "GET", target: str = "/a/%2Fb?x=1") -> bytes:
@@ -92,7 +92,7 @@
 
 
 def send(front_end: FrontEnd, data: bytes) -> bytes:
-    with front_end.open() as sock:
+    with front_end.connect() as sock:
         sock.sendall(data)
         return read_reply(sock)
 
@@ -113,8 +113,8 @@
     return start + b"\r\n\r\n" + body
 
 
-def test_method_target_and_body_arrive_as_they_were_sent(front_end):
-    """Guards against UNASKED: a path that is decoded, or a body that is changed."""
+def test_method_target_and_body_reach_the_handler_unchanged(front_end):
+    """Guards against percent-decoding of the target and against changes to the body."""
     body = bytes(range(256))
     reply = send(front_end, head(f"Content-Length: {len(body)}", method="PUT") + body)
     [request] = front_end.handler.requests
@@ -122,16 +122,16 @@
     assert_that((request.body, reply.endswith(body)), Equals((body, True)))
 
 
-def test_a_body_in_chunks_arrives_whole(front_end):
-    """Guards against chunk sizes that are read as a part of the body."""
+def test_a_chunked_body_is_decoded(front_end):
+    """Guards against chunk sizes that reach the handler as part of the body."""
     chunks = b"3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
     send(front_end, head("Transfer-Encoding: chunked", method="POST") + chunks)
     assert_that(front_end.handler.requests[0].body, Equals(b"abcdefg"))
 
 
-def test_a_kept_connection_carries_many_requests(front_end):
-    """Guards against a connection a request, and against a reply to another request."""
-    with front_end.open() as sock:
+def test_a_persistent_connection_carries_many_requests(front_end):
+    """Guards against one connection per request, and against replies without the request's id."""
+    with front_end.connect() as sock:
         for _ in range(5):
             sock.sendall(head())
             assert_that(read_reply(sock), Contains(b"X-Id: 7".lower().replace(b"x-id", b"x-id")))
@@ -149,47 +149,56 @@
         (b"no request at all\r\n\r\n", b"400"),
     ],
 )
-def test_requests_that_break_a_limit_or_the_protocol_are_refused(front_end, data, status):
-    """Guards against requests smuggled inside others, and against limits that do not hold."""
+def test_requests_that_violate_a_limit_or_the_protocol_are_refused(front_end, data, status):
+    """Guards against request smuggling and against limits that are not enforced.
+
+    Smuggling relies on a request with an ambiguous body length.
+    """
     reply = send(front_end, data)
     assert_that(reply.split(b" ")[1], Equals(status))
     assert_that(front_end.handler.requests, Equals([]))
 
 
-def test_a_caller_that_leaves_is_noticed(front_end):
-    """Guards against GONE: a server that works on for a caller who has left."""
-    front_end.handler.hold_seconds = 0.5
-    sock = front_end.open()
+def test_a_disconnect_of_the_caller_is_reported(front_end):
+    """Guards against a server that keeps working for a caller that has disconnected."""
+    front_end.handler.delay_seconds = 0.5
+    sock = front_end.connect()
     sock.sendall(head())
     gevent.sleep(0.05)
     sock.close()
     gevent.sleep(0.1)
-    assert_that(front_end.handler.departures, Equals(1))
+    assert_that(front_end.handler.disconnects, Equals(1))
+
 
+def test_a_pipelined_request_is_not_taken_for_a_disconnect(front_end):
+    """Guards against a pipelined request that cancels the one before it.
 
-def test_a_next_request_that_comes_early_is_no_departure(front_end):
-    """Guards against a pipelined request that cancels the one before it."""
-    front_end.handler.hold_seconds = 0.1
-    with front_end.open() as sock:
+    Both a disconnect and the bytes of a further request make the socket readable.
+    """
+    front_end.handler.delay_seconds = 0.1
+    with front_end.connect() as sock:
         sock.sendall(head())
         gevent.sleep(0.03)
         sock.sendall(head())
         replies = read_reply(sock) + read_reply(sock)
-    assert_that(front_end.handler.departures, Equals(0))
+    assert_that(front_end.handler.disconnects, Equals(0))
     assert_that(replies.count(b"HTTP/1.1 200"), Equals(2))
 
 
 @pytest.mark.parametrize("data", [b"", b"GET / HTTP/1.1\r\nHost: h\r\n"])
-def test_a_connection_that_stays_silent_is_closed(front_end, data):
-    """Guards against connections that are kept for ever."""
-    with front_end.open() as sock:
+def test_a_connection_without_a_complete_request_is_closed(front_end, data):
+    """Guards against connections that stay open for ever because no request is completed.
+
+    The caller sends either nothing or only a part of the header.
+    """
+    with front_end.connect() as sock:
         sock.sendall(data)
         assert_that(read_reply(sock), Not(Contains(b"200")))
 
 
-def test_a_listener_that_closes_answers_and_ends_its_connections(front_end):
-    """Guards against LOST: a request on a kept connection around a planned stop."""
-    with front_end.open() as sock:
+def test_a_draining_listener_answers_and_then_closes_its_connections(front_end):
+    """Guards against losing a request on a persistent connection during a planned shutdown."""
+    with front_end.connect() as sock:
         sock.sendall(head())
         assert_that(read_reply(sock), Not(Contains(b"Connection: close")))
         front_end.listener.begin_drain(1.0)
