Describe HTTP exchanges in protocol terms

Doc comments and private names of the HTTP client spoke of whole answers, rests and broken connections; they now name complete responses, requests in flight and reuse. Error texts stay, as the operators' command prints them when the store cannot be read.

--- a/packages/http_client/src/fireflylink_http_client/_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_connection.py
@@ -1,4 +1,4 @@
-"""One TCP connection that carries one HTTP exchange at a time."""
+"""A TCP connection that carries one HTTP exchange at a time."""
 
 import contextlib
 import struct
@@ -13,20 +13,20 @@
 from fireflylink_http_client._response import HttpResponse, ResponseReader
 
 RECEIVE_BYTES = 65536
-KEEP_ALIVE_IDLE_SECONDS = 1
-KEEP_ALIVE_INTERVAL_SECONDS = 1
-KEEP_ALIVE_PROBES = 2
-UNACKNOWLEDGED_TIMEOUT_MS = 3000
+TCP_KEEPALIVE_IDLE_SECONDS = 1
+TCP_KEEPALIVE_INTERVAL_SECONDS = 1
+TCP_KEEPALIVE_PROBES = 2
+TCP_USER_TIMEOUT_MS = 3000
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
-Belongs = Callable[[HttpResponse], bool]
+ResponsePredicate = Callable[[HttpResponse], bool]
 
 
 class HttpConnection:
     """A connection to one address.
 
-    After an error the connection must be closed. ``last_used_at`` is when the last exchange ended,
-    in seconds on the local clock.
+    After an error the connection must be closed. ``last_used_at`` is when the connection was
+    established or the last exchange ended, in seconds on the clock. Deadlines use the same clock.
 
     Example::
 
@@ -44,7 +44,7 @@
         self.cancelled = False
 
     def connect(self, host: str, port: int, deadline: float) -> None:
-        """Connects, or raises ``NotSentError``."""
+        """Connects over IPv4; raises ``NotSentError`` on failure."""
         remaining = deadline - self.clock.now()
         if remaining <= 0:
             raise NotSentError("deadline passed before connecting")
@@ -58,7 +58,7 @@
         self.last_used_at = self.clock.now()
 
     def is_usable(self) -> bool:
-        """Tells whether the idle connection is open and holds no unexpected bytes."""
+        """Whether the idle connection is open and has no unread bytes."""
         self.sock.settimeout(0.0)
         try:
             self.sock.recv(1, socket.MSG_PEEK)
@@ -73,16 +73,16 @@
         request: bytes,
         method: str,
         deadline: float,
-        is_response_to_request: Belongs | None = None,
+        is_response_to_request: ResponsePredicate | None = None,
     ) -> tuple[HttpResponse, bool]:
-        """Sends a request; returns its response and whether the connection may be used again.
+        """Sends a request; returns its response and whether the connection can be reused.
 
-        Responses for which ``is_response_to_request`` is false are late answers to earlier
-        requests; they are passed over. Raises ``NotSentError`` or ``LostError``.
+        Responses for which ``is_response_to_request`` returns false are late responses to earlier
+        requests and are skipped. Raises ``NotSentError`` or ``LostError``.
         """
         reader = ResponseReader(method)
-        sent = self._send_first(request, deadline)
-        whole = sent == len(request) or self._send_rest(request, sent, reader, deadline)
+        sent = self._send_initial(request, deadline)
+        fully_sent = sent == len(request) or self._send_remaining(request, sent, reader, deadline)
         skipped = 0
         while True:
             response = reader.next_response()
@@ -96,28 +96,28 @@
         self.last_used_at = self.clock.now()
         return (
             response,
-            whole and not skipped and not response.closes_connection and not reader.has_excess,
+            fully_sent and not skipped and not response.closes_connection and not reader.has_excess,
         )
 
     def cancel(self) -> None:
-        """Ends an exchange of another greenlet; the peer sees a reset."""
+        """Ends an exchange that another greenlet waits for; the peer sees a reset."""
         self.cancelled = True
         if self.sock is not None:
             self.abort()
 
     def abort(self) -> None:
-        """Resets the connection, so that bytes held up on the way are not delivered later."""
-        # The option fails on a socket that is closed already, which is what is wanted.
+        """Resets the connection, so that data in flight is not delivered later."""
+        # Setting the option fails if the socket is already closed; then no reset is needed.
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.close()
 
     def close(self) -> None:
-        """Closes the socket at once."""
+        """Closes the socket immediately."""
         if self.sock is not None:
             self.sock.close()
 
-    def _send_first(self, request: bytes, deadline: float) -> int:
+    def _send_initial(self, request: bytes, deadline: float) -> int:
         if self.clock.now() >= deadline:
             raise NotSentError("deadline passed before sending")
         self.sock.settimeout(0.0)
@@ -128,17 +128,17 @@
         except OSError as error:
             raise NotSentError(f"send: {error}") from error
 
-    def _send_rest(
+    def _send_remaining(
         self, request: bytes, sent: int, reader: ResponseReader, deadline: float
     ) -> bool:
-        """Sends what is left; returns false when the answer came before all was sent."""
+        """Sends the rest of the request; returns false if a response arrives before the end."""
         while sent < len(request):
             remaining = max(0.0, deadline - self.clock.now())
             readable, writable, _ = self._select(remaining)
-            if readable and self._receive_now(reader):
+            if readable and self._receive_early_response(reader):
                 return False
             if writable:
-                sent += self._send_part(request[sent:])
+                sent += self._send_more(request[sent:])
             elif not readable and self.clock.now() >= deadline:
                 raise LostError(LostReason.LATE, "while sending")
         return True
@@ -147,25 +147,25 @@
         try:
             readable, writable, failed = select([self.sock], [self.sock], [], timeout)
         except (OSError, ValueError) as error:
-            raise self._broken(OSError(str(error))) from error
+            raise self._connection_error(OSError(str(error))) from error
         return readable, writable, failed
 
-    def _send_part(self, data: bytes) -> int:
+    def _send_more(self, data: bytes) -> int:
         try:
             return int(self.sock.send(data))
         except BlockingIOError:
             return 0
         except OSError as error:
-            raise self._broken(error) from error
+            raise self._connection_error(error) from error
 
-    def _receive_now(self, reader: ResponseReader) -> bool:
-        """Takes bytes that arrived while the request is being sent; true at any of them."""
+    def _receive_early_response(self, reader: ResponseReader) -> bool:
+        """Receives bytes that arrive while the request is being sent; returns whether any did."""
         try:
             data = self.sock.recv(RECEIVE_BYTES)
         except BlockingIOError:
             return False
         except OSError as error:
-            raise self._broken(error) from error
+            raise self._connection_error(error) from error
         if not data:
             raise LostError(LostReason.CLOSED, "while sending")
         reader.feed(data)
@@ -180,18 +180,20 @@
         except (TimeoutError, BlockingIOError) as error:
             raise LostError(LostReason.LATE, "while receiving") from error
         except OSError as error:
-            raise self._broken(error) from error
+            raise self._connection_error(error) from error
         if not data:
-            return self._ended(reader)
+            return self._finish_response(reader)
         reader.feed(data)
         return None
 
-    def _broken(self, error: OSError) -> LostError:
+    def _connection_error(self, error: OSError) -> LostError:
+        """Returns the error to raise: a cancellation by another greenlet also causes OSError."""
         if self.cancelled:
             return LostError(LostReason.CANCELLED, "by the caller")
         return LostError(LostReason.RESET, str(error))
 
-    def _ended(self, reader: ResponseReader) -> HttpResponse:
+    def _finish_response(self, reader: ResponseReader) -> HttpResponse:
+        """Returns the response that ends with the connection; raises ``LostError`` otherwise."""
         if self.cancelled:
             raise LostError(LostReason.CANCELLED, "by the caller")
         response = reader.finish()
@@ -203,11 +205,11 @@
 
 
 def _set_options(sock: Any) -> None:
-    # Nagle's algorithm would hold back small writes for 40 ms. The keep-alive probes notice a
-    # connection that went silent, which no reset shows.
+    # Nagle's algorithm would delay small writes by 40 ms. The TCP keep-alive probes detect a peer
+    # that became unreachable without a reset.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
--- a/packages/http_client/src/fireflylink_http_client/_encoding.py
+++ b/packages/http_client/src/fireflylink_http_client/_encoding.py
@@ -4,9 +4,10 @@
 
 
 def encode_request(method: str, target: str, headers: Headers, body: bytes = b"") -> bytes:
-    """Returns the bytes of a request; a length is added when there is a body or the method has one.
+    """Returns the bytes of an HTTP/1.1 request.
 
-    The caller has checked that no header holds a line break: the front end refuses such requests.
+    Content-Length is added if there is a body or the method usually has one. Headers are not
+    checked for line breaks: the front end refuses requests that have them.
     """
     lines = [f"{method} {target} HTTP/1.1"]
     lines.extend(f"{name}: {value}" for name, value in headers)
--- a/packages/http_client/src/fireflylink_http_client/_errors.py
+++ b/packages/http_client/src/fireflylink_http_client/_errors.py
@@ -1,18 +1,18 @@
-"""Errors of an exchange, by what they tell about the request."""
+"""Errors of an exchange, distinguished by whether the request may have been executed."""
 
 from fireflylink_core import BaseFireflylinkError, LostReason
 
 
 class ExchangeError(BaseFireflylinkError):
-    """An exchange without a whole answer."""
+    """An exchange ended without a complete response."""
 
 
 class NotSentError(ExchangeError):
-    """No byte of the request was sent, so it certainly did not run."""
+    """No byte of the request was sent, so it has certainly not been executed."""
 
 
 class LostError(ExchangeError):
-    """The request was sent at least in part, so it may have run."""
+    """At least a part of the request was sent, so it may have been executed."""
 
     def __init__(self, reason: LostReason, detail: str) -> None:
         super().__init__(f"{reason.value}: {detail}")
--- a/packages/http_client/src/fireflylink_http_client/_persistent_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_persistent_connection.py
@@ -1,4 +1,4 @@
-"""A connection to one address that is opened again when it has ended."""
+"""A persistent connection to one address that reconnects when necessary."""
 
 from fireflylink_core import BaseClock
 from fireflylink_http_client._connection import HttpConnection
@@ -7,13 +7,13 @@
 
 
 class PersistentConnection:
-    """Sends one request after the other to an address.
+    """Sends requests to one address one at a time, over one connection where possible.
 
-    After an error the connection is reset, so that what was sent on it is not delivered later.
+    After an error the connection is reset, so that data in flight is not delivered later.
 
     Example::
 
-        response = kept.exchange(request, "POST", clock.now() + 1.0)
+        response = connection.exchange(request, "POST", clock.now() + 1.0)
     """
 
     __slots__ = ("clock", "connect_timeout_seconds", "connection", "host", "port")
@@ -28,9 +28,9 @@
         self.connection: HttpConnection | None = None
 
     def exchange(self, request: bytes, method: str, deadline: float) -> HttpResponse:
-        """Returns the response; raises ``NotSentError`` or ``LostError``."""
+        """Sends a request and returns its response; raises ``NotSentError`` or ``LostError``."""
         try:
-            connection = self._connected(deadline)
+            connection = self._connect_if_needed(deadline)
             response, reusable = connection.exchange(request, method, deadline)
         except ExchangeError:
             self.close()
@@ -45,7 +45,7 @@
             self.connection.abort()
             self.connection = None
 
-    def _connected(self, deadline: float) -> HttpConnection:
+    def _connect_if_needed(self, deadline: float) -> HttpConnection:
         if self.connection is not None and self.connection.is_usable():
             return self.connection
         self.close()
--- a/packages/http_client/tests/test_connection.py
+++ b/packages/http_client/tests/test_connection.py
@@ -1,4 +1,4 @@
-"""Exchanges over real sockets with a peer that follows a script."""
+"""Exchanges over real sockets with a scripted peer."""
 
 import gevent
 import pytest
@@ -9,13 +9,16 @@
 from fireflylink_core import LostReason, SystemClock
 from fireflylink_http_client import HttpConnection, LostError, NotSentError
 
-ANSWER = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 4\r\n\r\nbody"
-LATE = ANSWER.replace(b"Id: a", b"Id: old").replace(b"body", b"late")
+RESPONSE = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 4\r\n\r\nbody"
+LATE_RESPONSE = RESPONSE.replace(b"Id: a", b"Id: old").replace(b"body", b"late")
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
 class ScriptedPeer:
-    """Accepts one connection, waits for a request, then sends the given parts."""
+    """Accepts one connection, receives ``reads`` times, then sends the given parts.
+
+    With ``reset``, or if the last part is empty, it closes the connection afterwards.
+    """
 
     def __init__(self, parts: list[bytes], *, reset: bool = False, reads: int = 1) -> None:
         self.listener = socket.socket()
@@ -26,9 +29,9 @@
         self.reset = reset
         self.reads = reads
         self.received = b""
-        self.greenlet = gevent.spawn(self._play)
+        self.greenlet = gevent.spawn(self._run_script)
 
-    def _play(self) -> None:
+    def _run_script(self) -> None:
         accepted, _ = self.listener.accept()
         for _ in range(self.reads):
             self.received += accepted.recv(65536)
@@ -67,28 +70,31 @@
     )
 
 
-def test_an_answer_leaves_the_connection_usable(connect):
+def test_a_connection_is_reusable_after_a_response(connect):
     """Guards against a new connection for every request."""
-    response, reusable = exchange(connect(ScriptedPeer([ANSWER])))
+    response, reusable = exchange(connect(ScriptedPeer([RESPONSE])))
     assert_that((response.body, reusable), Equals((b"body", True)))
 
 
-@pytest.mark.parametrize("parts", [[LATE, ANSWER], [LATE + ANSWER]])
-def test_a_late_answer_to_an_earlier_request_is_passed_over(connect, parts):
-    """Guards against MIXED: the answer of another request on a kept connection."""
+@pytest.mark.parametrize("parts", [[LATE_RESPONSE, RESPONSE], [LATE_RESPONSE + RESPONSE]])
+def test_a_late_response_to_an_earlier_request_is_skipped(connect, parts):
+    """Guards against returning the response to another request on a persistent connection.
+
+    The late response arrives before the right one, in the same segment or in one of its own.
+    """
     response, reusable = exchange(connect(ScriptedPeer(parts)))
     assert_that((response.body, reusable), Equals((b"body", False)))
 
 
-def test_bytes_behind_an_answer_end_the_connection(connect):
-    """Guards against MIXED: junk that would be read as the next answer."""
-    response, reusable = exchange(connect(ScriptedPeer([ANSWER + b"junk"])))
+def test_a_connection_with_bytes_after_the_response_is_not_reusable(connect):
+    """Guards against surplus bytes that would be parsed as the start of the next response."""
+    response, reusable = exchange(connect(ScriptedPeer([RESPONSE + b"junk"])))
     assert_that((response.body, reusable), Equals((b"body", False)))
 
 
-def test_a_waiting_second_answer_makes_an_idle_connection_unusable(connect):
-    """Guards against a request on a connection that holds an answer nobody asked for."""
-    connection = connect(ScriptedPeer([ANSWER, LATE]))
+def test_an_unread_second_response_makes_an_idle_connection_unusable(connect):
+    """Guards against a request on a connection that holds an unexpected response."""
+    connection = connect(ScriptedPeer([RESPONSE, LATE_RESPONSE]))
     exchange(connection)
     gevent.sleep(0.05)
     assert_that(connection.is_usable(), Is(False))
@@ -98,47 +104,53 @@
     ("parts", "reset", "reason"),
     [
         ([b""], False, LostReason.CLOSED),
-        ([ANSWER[:-2], b""], False, LostReason.TRUNCATED),
+        ([RESPONSE[:-2], b""], False, LostReason.TRUNCATED),
         ([], True, LostReason.RESET),
         ([b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nbo"], True, LostReason.RESET),
         ([b"not HTTP at all\r\n\r\n"], False, LostReason.MALFORMED),
         ([], False, LostReason.LATE),
     ],
 )
-def test_an_answer_that_is_not_whole_is_lost(connect, parts, reset, reason):
-    """Guards against MIXED and REFUSED: what came is no answer, and the request may have run."""
+def test_an_incomplete_response_raises_lost_error(connect, parts, reset, reason):
+    """Guards against returning an incomplete response, or reporting the request as not executed.
+
+    The peer closes or resets the connection, sends no HTTP, or sends nothing until the deadline.
+    """
     with pytest.raises(LostError) as caught:
         exchange(connect(ScriptedPeer(parts, reset=reset)), seconds=0.3)
     assert_that(caught.value.reason, Equals(reason))
 
 
-def test_an_answer_that_comes_before_the_body_is_sent_ends_the_sending(connect):
-    """Guards against UNASKED: other bytes where the rest of a long body is due."""
+def test_a_response_before_the_body_is_sent_ends_the_sending(connect):
+    """Guards against a next request that the peer would read as the rest of a long body.
+
+    Sending stops at the early response, so the connection must not be reused.
+    """
     request = b"POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n" + b"x" * 9_000_000
-    response, reusable = exchange(connect(ScriptedPeer([ANSWER])), request, 3.0)
+    response, reusable = exchange(connect(ScriptedPeer([RESPONSE])), request, 3.0)
     assert_that((response.status, reusable), Equals((200, False)))
 
 
-def test_a_cancelled_exchange_is_closed_at_once(connect):
-    """Guards against GONE: a server that works on for a caller who has left."""
+def test_a_cancelled_exchange_ends_immediately(connect):
+    """Guards against a server that keeps working for a caller that has disconnected."""
     peer = ScriptedPeer([])
     connection = connect(peer)
     gevent.spawn_later(0.05, connection.cancel)
-    began = connection.clock.now()
+    started_at = connection.clock.now()
     with pytest.raises(LostError) as caught:
         exchange(connection, seconds=5.0)
     assert_that(caught.value.reason, Equals(LostReason.CANCELLED))
-    assert_that(connection.clock.now() - began < 1.0, Is(True))
+    assert_that(connection.clock.now() - started_at < 1.0, Is(True))
 
 
 def test_nothing_is_sent_after_the_deadline(connect):
-    """Guards against a request that is handed over when its time has run out."""
+    """Guards against sending a request whose deadline has passed."""
     with pytest.raises(NotSentError):
-        exchange(connect(ScriptedPeer([ANSWER])), seconds=-1.0)
+        exchange(connect(ScriptedPeer([RESPONSE])), seconds=-1.0)
 
 
-def test_small_writes_are_not_held_back(connect):
-    """Guards against 40 ms a request: Nagle's algorithm waits for an acknowledgement."""
-    connection = connect(ScriptedPeer([ANSWER]))
+def test_small_writes_are_not_delayed(connect):
+    """Guards against 40 ms more per request: Nagle's algorithm waits for an acknowledgement."""
+    connection = connect(ScriptedPeer([RESPONSE]))
     option = connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
     assert_that(bool(option), Is(True))
