Say what the operators' commands read and report

Doc comments spoke of what the system believes and of wrong questions; they now name the decoded store, the errors and the failure behind each test. Printed texts are unchanged.

--- a/packages/operator_client/src/fireflylink_operator_client/__init__.py
+++ b/packages/operator_client/src/fireflylink_operator_client/__init__.py
@@ -1,4 +1,4 @@
-"""The operators' command line."""
+"""The operators' command line: shows the contents of the store and the log lines of a request."""
 
 from fireflylink_operator_client._commands import history_lines, owner_lines, status_lines
 from fireflylink_operator_client._errors import OperatorError
--- a/packages/operator_client/src/fireflylink_operator_client/_commands.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_commands.py
@@ -1,4 +1,4 @@
-"""The commands, each from its input to the lines that it prints."""
+"""The commands: each is a function that yields the lines to print."""
 
 from collections.abc import Iterator
 
@@ -8,7 +8,7 @@
 
 
 def status_lines(view: SystemView) -> Iterator[str]:
-    """Yields the state of the system in few lines."""
+    """Yields a summary of the system's state."""
     configuration = view.configuration
     version = f"version {configuration.version}" if configuration else "none"
     yield f"store revision     {view.revision}"
@@ -26,36 +26,42 @@
 
 
 def owner_lines(view: SystemView, service: str, key: int | None) -> Iterator[str]:
-    """Yields the owners of the keys of a service, or that of one key."""
+    """Yields the owners of all keys of a service, or only the owner of ``key``.
+
+    Raises ``OperatorError`` if the service has no ownership table or the key is out of range.
+    """
     table = view.tables.get(service)
     if table is None:
-        known = ", ".join(sorted(view.tables)) or "none"
-        raise OperatorError(f"{service!r} has no ownership table; services with one: {known}")
+        services = ", ".join(sorted(view.tables)) or "none"
+        raise OperatorError(f"{service!r} has no ownership table; services with one: {services}")
     if key is not None and not 0 <= key <= LAST_KEY:
         raise OperatorError(f"the key must be from 0 to {LAST_KEY}")
-    present = {server.incarnation for server in view.servers}
+    registered = {server.incarnation for server in view.servers}
     yield f"{service}: fence {table.fence}, {len(table.assignments)} ranges"
     for assignment in table.assignments:
         if key is not None and not assignment.keys.first <= key <= assignment.keys.last:
             continue
-        notes = _notes(assignment.previous_holders, assignment.owner in present)
+        notes = _notes(assignment.previous_holders, assignment.owner in registered)
         yield f"  {assignment.keys!s:>12}  {assignment.owner}  fence {assignment.fence}{notes}"
 
 
-def _notes(previous: tuple[ServerIncarnation, ...], registered: bool) -> str:
-    notes = "" if registered else "  NOT REGISTERED"
-    if previous:
-        notes += f"  on its way from {', '.join(map(str, previous))}"
+def _notes(previous_holders: tuple[ServerIncarnation, ...], is_registered: bool) -> str:
+    notes = "" if is_registered else "  NOT REGISTERED"
+    if previous_holders:
+        notes += f"  on its way from {', '.join(map(str, previous_holders))}"
     return notes
 
 
 def history_lines(request_id: str, logs: list[str]) -> Iterator[str]:
-    """Yields every line of the logs that names a request, in the order of their times."""
+    """Yields every log line of a request, sorted by time. ``logs`` are the contents of the files.
+
+    Raises ``OperatorError`` if there is no such line.
+    """
     marker = f"request={request_id}"
-    found = sorted(line for log in logs for line in log.splitlines() if marker in line.split())
-    if not found:
+    matching = sorted(line for log in logs for line in log.splitlines() if marker in line.split())
+    if not matching:
         raise OperatorError(
             f"no line names request {request_id}: it did not reach a daemon whose log was given, "
             "or the lines were dropped (look for event=log-lines-dropped)"
         )
-    yield from found
+    yield from matching
--- a/packages/operator_client/src/fireflylink_operator_client/_errors.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_errors.py
@@ -1,7 +1,7 @@
-"""Errors of the operators' client."""
+"""Errors of the operators' command line."""
 
 from fireflylink_core import BaseFireflylinkError
 
 
 class OperatorError(BaseFireflylinkError):
-    """A command could not do what it was asked for; the text says what to do."""
+    """A command failed; the operator is shown the text, which states the cause or the remedy."""
--- a/packages/operator_client/src/fireflylink_operator_client/_main.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_main.py
@@ -1,4 +1,4 @@
-"""Command line of the operators' client."""
+"""Entry point of the operators' command line: parses the arguments and prints the lines."""
 
 import pathlib
 import sys
@@ -21,22 +21,22 @@
   fireflylink request ID LOG...                      every line of the logs about a request
   fireflylink check-settings FILE                    whether a daemon takes a settings file
 """
-EXIT_PROBLEM = 1
+EXIT_COMMAND_FAILED = 1
 EXIT_USAGE = 2
 
 STORE = flags.DEFINE_string("store", None, "Address of the metadata store, as HOST:PORT.")
 KEY = flags.DEFINE_integer("key", None, "Show only the owner of this key.")
 
 
-def _view() -> SystemView:
+def _read_view() -> SystemView:
     host, _, port = (STORE.value or "").rpartition(":")
     if not host or not port.isdecimal():
         raise OperatorError("--store must be HOST:PORT, as in a daemon's settings")
     clock = SystemClock()
-    read = read_system(PlatformStoreClient(host, int(port), clock), PlatformItemDecoder(), clock)
-    if not isinstance(read, Success):
-        raise read.failure()
-    view: SystemView = read.unwrap()
+    result = read_system(PlatformStoreClient(host, int(port), clock), PlatformItemDecoder(), clock)
+    if not isinstance(result, Success):
+        raise result.failure()
+    view: SystemView = result.unwrap()
     return view
 
 
@@ -54,12 +54,12 @@
         raise OperatorError(f"{path}: {error.strerror}") from error
 
 
-def _lines(arguments: list[str]) -> Iterator[str] | None:
+def _command_lines(arguments: list[str]) -> Iterator[str] | None:
     match arguments:
         case ["status"]:
-            return status_lines(_view())
+            return status_lines(_read_view())
         case ["owners", service]:
-            return owner_lines(_view(), service, KEY.value)
+            return owner_lines(_read_view(), service, KEY.value)
         case ["request", request_id, *paths] if paths:
             return history_lines(request_id, [_read_log(path) for path in paths])
         case ["check-settings", path]:
@@ -69,9 +69,9 @@
 
 
 def run(arguments: list[str]) -> int:
-    """Runs one command; returns the exit status."""
+    """Runs one command and prints its lines; returns the exit status of the process."""
     try:
-        lines = _lines(arguments)
+        lines = _command_lines(arguments)
         if lines is None:
             sys.stderr.write(USAGE)
             return EXIT_USAGE
@@ -79,12 +79,12 @@
             sys.stdout.write(f"{line}\n")
     except OperatorError as error:
         sys.stderr.write(f"fireflylink: {error}\n")
-        return EXIT_PROBLEM
+        return EXIT_COMMAND_FAILED
     return 0
 
 
 def main() -> None:
-    """Runs the command that the arguments name."""
+    """Runs the command given on the command line and exits with its status."""
     try:
         arguments = flags.FLAGS(sys.argv)[1:]
     except flags.Error as error:
--- a/packages/operator_client/src/fireflylink_operator_client/_system_view.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_system_view.py
@@ -1,4 +1,4 @@
-"""What the store holds, in the product's terms."""
+"""A decoded view of everything in the store."""
 
 from returns.result import Failure, Result, Success
 
@@ -28,12 +28,17 @@
     UnreadableItem,
 )
 
-EVERYTHING = ""
-READ_SECONDS = 5.0
+ALL_ITEMS_PREFIX = ""
+READ_TIMEOUT_SECONDS = 5.0
 
 
 class SystemView:
-    """One reading of the store."""
+    """The decoded contents of the store.
+
+    Changes after ``revision`` may be included only in part. ``evacuated`` lists the data centres
+    whose evacuation was requested. ``unreadable`` lists the operators' items and the server
+    registrations that could not be decoded.
+    """
 
     __slots__ = (
         "configuration",
@@ -57,7 +62,7 @@
         self.unreadable: list[UnreadableItem] = []
 
     def apply(self, update: BaseUpdate) -> None:
-        """Applies one update."""
+        """Adds a decoded store item to the view."""
         if isinstance(update, ConfigurationUpdate):
             self.configuration = update.configuration
         elif isinstance(update, ServerUpdate):
@@ -67,9 +72,9 @@
         elif isinstance(update, UnreadableItem):
             self.unreadable.append(update)
         elif isinstance(update, RecordUpdate) and update.value is not None:
-            self._take_record(update.key, update.value)
+            self._apply_record(update.key, update.value)
 
-    def _take_record(self, key: str, value: bytes) -> None:
+    def _apply_record(self, key: str, value: bytes) -> None:
         if key.startswith(OWNERSHIP_PREFIX):
             table = decode_table(value).value_or(None)
             if table is not None:
@@ -87,11 +92,11 @@
 def read_system(
     store: BaseStore, decoder: BaseItemDecoder, clock: BaseClock
 ) -> Result[SystemView, OperatorError]:
-    """Reads everything that the store holds."""
-    read = store.list(EVERYTHING, clock.now() + READ_SECONDS)
-    if not isinstance(read, Success):
-        return Failure(OperatorError(f"the store cannot be read: {read.failure()}"))
-    snapshot = read.unwrap()
+    """Reads and decodes all items of the store."""
+    result = store.list(ALL_ITEMS_PREFIX, clock.now() + READ_TIMEOUT_SECONDS)
+    if not isinstance(result, Success):
+        return Failure(OperatorError(f"the store cannot be read: {result.failure()}"))
+    snapshot = result.unwrap()
     view = SystemView(snapshot.revision)
     for item in snapshot.items:
         for update in decoder.decode(item):
--- a/packages/operator_client/tests/test_commands.py
+++ b/packages/operator_client/tests/test_commands.py
@@ -1,4 +1,4 @@
-"""What operators are shown."""
+"""Output of the operators' commands, and the errors that they report."""
 
 import json
 
@@ -71,42 +71,51 @@
     return MemoryStore(state)
 
 
-def test_status_shows_daemons_decider_servers_and_what_cannot_be_read(store, clock):
-    """Guards against an operator who cannot tell what the system believes."""
+def test_status_shows_daemons_decider_servers_and_unreadable_items(store, clock):
+    """Guards against a status that omits a part of the state recorded in the store.
+
+    One registration in the store cannot be decoded; it must be listed too.
+    """
     text = "\n".join(status_lines(read_system(store, PlatformItemDecoder(), clock).unwrap()))
-    for part in ("version 7", "front-0", "1 of 1 servers ready", "servers/i-3"):
-        assert_that(text, Contains(part))
+    for expected in ("version 7", "front-0", "1 of 1 servers ready", "servers/i-3"):
+        assert_that(text, Contains(expected))
+
 
+def test_owners_show_previous_holders_and_unregistered_servers(store, clock):
+    """Guards against keys that nobody serves without the operator being shown why.
 
-def test_owners_show_moves_and_servers_that_are_not_registered(store, clock):
-    """Guards against a key without an owner that nobody sees."""
+    The owner of a range is not registered, or a previous holder may still hold the range.
+    """
     view = read_system(store, PlatformItemDecoder(), clock).unwrap()
     lines = list(owner_lines(view, "availability", None))
     assert_that(lines, HasLength(3))
     assert_that(lines[2], Contains("NOT REGISTERED"))
     assert_that(lines[2], Contains("on its way from i-1@1"))
-    [_, only] = owner_lines(view, "availability", 50)
-    assert_that(only, Contains("i-1@1"))
+    [_, owner_line] = owner_lines(view, "availability", 50)
+    assert_that(owner_line, Contains("i-1@1"))
 
 
-def test_an_unknown_service_or_key_is_explained(store, clock):
-    """Guards against an empty answer to a wrong question."""
+def test_an_unknown_service_or_invalid_key_is_an_error(store, clock):
+    """Guards against empty output for a service without a table or a key that is out of range."""
     view = read_system(store, PlatformItemDecoder(), clock).unwrap()
     for service, key in (("nope", None), ("availability", 70000)):
         with pytest.raises(OperatorError):
             list(owner_lines(view, service, key))
 
 
-def test_a_store_that_is_away_is_an_error_with_a_text(store, clock):
-    """Guards against a view that looks empty because nothing could be read."""
+def test_an_unreachable_store_is_an_error(store, clock):
+    """Guards against showing an empty system when the store could not be read."""
     store.reachable = False
-    read = read_system(store, PlatformItemDecoder(), clock)
-    assert_that(isinstance(read, Success), Equals(False))
-    assert_that(read.failure(), IsInstance(OperatorError))
+    result = read_system(store, PlatformItemDecoder(), clock)
+    assert_that(isinstance(result, Success), Equals(False))
+    assert_that(result.failure(), IsInstance(OperatorError))
+
 
+def test_the_log_lines_of_a_request_are_sorted_by_time():
+    """Guards against lines of other requests, and against empty output for an unknown request.
 
-def test_the_history_of_a_request_is_in_order_of_time():
-    """Guards against lines of other requests, and against a missing one going unnoticed."""
+    The id of another request starts with the id that is asked for.
+    """
     logs = [
         "time=2 event=request request=a outcome=answered\ntime=1 event=request request=ab\n",
         "time=1 event=request-retried request=a server=i-1\n",
@@ -116,14 +125,14 @@
         list(history_lines("c", logs))
 
 
-def test_a_wrong_command_shows_the_usage(capsys):
-    """Guards against a mistyped command that does nothing."""
+def test_an_unknown_command_prints_the_usage(capsys):
+    """Guards against a mistyped command that ends without a message or an error status."""
     assert_that(run(["sttus"]), Equals(2))
     assert_that(capsys.readouterr().err, Contains("fireflylink owners SERVICE"))
 
 
-def test_wrong_settings_name_the_field(tmp_path, capsys):
-    """Guards against a settings file whose fault is found only at a start."""
+def test_invalid_settings_are_reported_with_the_field(tmp_path, capsys):
+    """Guards against an invalid settings file that is detected only when a daemon starts."""
     path = tmp_path / "settings.json"
     path.write_text('{"instance": "front-0"}')
     assert_that(run(["check-settings", str(path)]), Equals(1))
