Give time-outs of the clients their unit and the keep-alive margin its reason

Private time-outs carry seconds in their names, and the functions that decode command responses say so. A reset is described by its effect on unacknowledged data.

--- a/packages/backend_client/src/fireflylink_backend_client/_codec.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_codec.py
@@ -31,7 +31,7 @@
 
     @abc.abstractmethod
     def is_response_to(self, response: HttpResponse, request_id: str) -> bool:
-        """Whether the response belongs to this request and not to an earlier one."""
+        """Whether the response belongs to the request ``request_id`` and not to an earlier one."""
 
     @abc.abstractmethod
     def is_declined(self, response: HttpResponse) -> bool:
--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -34,7 +34,7 @@
 
 
 class ServerMismatchError(CommandError):
-    """Another server uses the address now, so the one that the command was for has ended."""
+    """Another server uses the address now, so the target of the command has ended."""
 
     def __init__(self) -> None:
         super().__init__("another server uses the address now", False)
@@ -61,18 +61,21 @@
         """
         server_id = self.server.server_id
         command = self.codec.encode_grant(server_id, keys, fence, hold_seconds, handover)
-        return self._send(command, deadline).bind(_decode_granted)
+        return self._send(command, deadline).bind(_decode_grant_response)
 
     def release(self, keys: KeyRange, fence: int, deadline: float) -> Result[str, CommandError]:
-        """Releases keys; returns the handover token once requests for them have finished."""
+        """Makes the server release keys; returns its handover token.
+
+        The server responds once its requests for these keys have finished.
+        """
         command = self.codec.encode_release(self.server.server_id, keys, fence)
-        return self._send(command, deadline).bind(self._decode_released)
+        return self._send(command, deadline).bind(self._decode_release_response)
 
     def close(self) -> None:
         """Closes the connection; a command in progress fails."""
         self.connection.close()
 
-    def _decode_released(self, response: HttpResponse) -> Result[str, CommandError]:
+    def _decode_release_response(self, response: HttpResponse) -> Result[str, CommandError]:
         if response.status == HTTP_MISDIRECTED:
             return Failure(ServerMismatchError())
         if response.status != HTTP_OK:
@@ -87,7 +90,7 @@
             return Failure(CommandError(str(error), not isinstance(error, NotSentError)))
 
 
-def _decode_granted(response: HttpResponse) -> Result[None, CommandError]:
+def _decode_grant_response(response: HttpResponse) -> Result[None, CommandError]:
     if response.status == HTTP_OK:
         return Success(None)
     if response.status == HTTP_CONFLICT:
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -19,6 +19,7 @@
 """Time-out in the Keep-Alive header; limited because every idle connection uses memory."""
 
 KEEP_ALIVE_MARGIN_SECONDS = 2.0
+"""Extra idle time for requests that callers send shortly before the stated time-out ends."""
 BAD_REQUEST = ("400", b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 HEADER_TOO_LARGE = (
     "431",
@@ -30,7 +31,7 @@
 
 
 class _HeaderTooLargeError(ValueError):
-    """The request line and header fields of a request exceed the limit together."""
+    """The request line and the headers together exceed the limit on header bytes."""
 
 
 class _ConnectionHandler(WSGIHandler):  # type: ignore[misc]
@@ -103,8 +104,9 @@
 class _Server(WSGIServer):  # type: ignore[misc]
     """A WSGI server that sets TCP_NODELAY on connections and counts requests in progress.
 
-    While ``draining`` is true, each connection is closed after its next response. One that starts
-    to wait for a request during that time waits until ``drain_idle_until`` on the monotonic clock.
+    While ``draining`` is true, each connection is closed after its next response. A connection
+    that starts to wait for a request while draining is closed at ``drain_idle_until``, in seconds
+    on the monotonic clock.
     """
 
     def __init__(self, limits: Callable[[], CallerLimits], *arguments: Any, **options: Any) -> None:
@@ -195,9 +197,9 @@
         """Stops accepting connections; open ones stay open."""
         self._server.stop_accepting()
 
-    def wait_idle(self, deadline_seconds: float) -> bool:
-        """Waits until no request is in progress; returns false if the deadline passes first."""
-        with gevent.Timeout(deadline_seconds, False):
+    def wait_idle(self, timeout_seconds: float) -> bool:
+        """Waits until no request is in progress; returns false if the time-out ends first."""
+        with gevent.Timeout(timeout_seconds, False):
             while self._server.active_requests:
                 gevent.sleep(POLL_INTERVAL_SECONDS)
         return self.active_requests == 0
--- a/packages/caller_frontend/tests/test_front_end.py
+++ b/packages/caller_frontend/tests/test_front_end.py
@@ -187,7 +187,7 @@
 
 @pytest.mark.parametrize("data", [b"", b"GET / HTTP/1.1\r\nHost: h\r\n"])
 def test_a_connection_without_a_complete_request_is_closed(front_end, data):
-    """Guards against connections that stay open for ever because no request is completed.
+    """Guards against connections that stay open forever because no request is completed.
 
     The caller sends either nothing or only a part of the header.
     """
--- a/packages/http_client/src/fireflylink_http_client/_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_connection.py
@@ -45,12 +45,12 @@
 
     def connect(self, host: str, port: int, deadline: float) -> None:
         """Connects over IPv4; raises ``NotSentError`` on failure."""
-        remaining = deadline - self.clock.now()
-        if remaining <= 0:
+        remaining_seconds = deadline - self.clock.now()
+        if remaining_seconds <= 0:
             raise NotSentError("deadline passed before connecting")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         _set_options(self.sock)
-        self.sock.settimeout(remaining)
+        self.sock.settimeout(remaining_seconds)
         try:
             self.sock.connect((host, port))
         except OSError as error:
@@ -106,7 +106,7 @@
             self.abort()
 
     def abort(self) -> None:
-        """Resets the connection, so that data in flight is not delivered later."""
+        """Resets the connection, which discards unacknowledged data: it is not delivered later."""
         # Setting the option fails if the socket is already closed; then no reset is needed.
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
@@ -133,8 +133,8 @@
     ) -> bool:
         """Sends the rest of the request; returns false if a response arrives before the end."""
         while sent < len(request):
-            remaining = max(0.0, deadline - self.clock.now())
-            readable, writable, _ = self._select(remaining)
+            remaining_seconds = max(0.0, deadline - self.clock.now())
+            readable, writable, _ = self._select(remaining_seconds)
             if readable and self._receive_early_response(reader):
                 return False
             if writable:
@@ -143,9 +143,9 @@
                 raise LostError(LostReason.LATE, "while sending")
         return True
 
-    def _select(self, timeout: float) -> tuple[list[Any], list[Any], list[Any]]:
+    def _select(self, timeout_seconds: float) -> tuple[list[Any], list[Any], list[Any]]:
         try:
-            readable, writable, failed = select([self.sock], [self.sock], [], timeout)
+            readable, writable, failed = select([self.sock], [self.sock], [], timeout_seconds)
         except (OSError, ValueError) as error:
             raise self._connection_error(OSError(str(error))) from error
         return readable, writable, failed
--- a/packages/http_client/src/fireflylink_http_client/_persistent_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_persistent_connection.py
@@ -9,7 +9,7 @@
 class PersistentConnection:
     """Sends requests to one address one at a time, over one connection where possible.
 
-    After an error the connection is reset, so that data in flight is not delivered later.
+    After an error the connection is reset, so that unacknowledged data is not delivered later.
 
     Example::
 
--- a/packages/http_client/tests/test_connection.py
+++ b/packages/http_client/tests/test_connection.py
@@ -50,13 +50,13 @@
     clock = SystemClock()
     opened = []
 
-    def run(peer: ScriptedPeer) -> HttpConnection:
+    def open_connection(peer: ScriptedPeer) -> HttpConnection:
         connection = HttpConnection(clock)
         connection.connect("127.0.0.1", peer.port, clock.now() + 2.0)
         opened.append((connection, peer))
         return connection
 
-    yield run
+    yield open_connection
     for connection, peer in opened:
         connection.close()
         peer.greenlet.kill()
