Rename Serving to RoutingState, after what it holds

The class holds routes, servers, members and ownership tables for the request path; its old name named an activity. The module follows. Mechanical rename in packages/daemon.

--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -19,7 +19,7 @@
 from fireflylink_daemon._ownership_task import OwnershipTask
 from fireflylink_daemon._peers import KeyCounter, PeerSocket
 from fireflylink_daemon._request_handler import RequestHandler
-from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._settings import Settings, read_settings
 from fireflylink_daemon._store_reader import StoreReader
 from fireflylink_daemon._view_task import ViewTask
@@ -72,7 +72,7 @@
         "peers",
         "readiness_listener",
         "request_handler",
-        "serving",
+        "routing_state",
         "settings",
         "settings_file_stamp",
         "settings_path",
@@ -93,9 +93,9 @@
         self.metrics = Metrics()
         self.store_clients: list[PlatformStoreClient] = []
         codec = PlatformServerCodec()
-        self.serving = Serving(settings, clock, codec)
-        self.dispatch_task = DispatchTask(self.serving.dispatcher, clock)
-        self.view = ViewTask(self.serving, clock)
+        self.routing_state = RoutingState(settings, clock, codec)
+        self.dispatch_task = DispatchTask(self.routing_state.dispatcher, clock)
+        self.view = ViewTask(self.routing_state, clock)
         record = MemberRecord(
             settings.instance,
             clock.wall_ms(),
@@ -105,13 +105,13 @@
         )
         self.member = MemberTask(record, self._make_store_client(), self.view, clock, self.metrics)
         self.decider = DeciderTask(
-            record, self._make_store_client(), self.serving, clock, self.metrics
+            record, self._make_store_client(), self.routing_state, clock, self.metrics
         )
         key_counter = KeyCounter()
         self.peers = PeerSocket(
             settings.instance, settings.address, settings.report_port, key_counter, self.view
         )
-        self.ownership = OwnershipTask(self.serving, self.decider, self.peers, clock, codec)
+        self.ownership = OwnershipTask(self.routing_state, self.decider, self.peers, clock, codec)
         self.peers.ownership = self.ownership
         self.decider.ownership = self.ownership
         self.view.ownership = self.ownership
@@ -120,7 +120,7 @@
             self._make_store_client(), PlatformItemDecoder(), self.view, clock, self.metrics
         )
         self.request_handler = request_handler = RequestHandler(
-            self.serving,
+            self.routing_state,
             self.dispatch_task,
             key_counter,
             CrashDetector(self.peers, clock),
@@ -175,7 +175,7 @@
 
     def is_ready(self) -> bool:
         """Whether the load balancer should send new connections to the daemon."""
-        return not self.shutting_down and self.serving.routes is not None
+        return not self.shutting_down and self.routing_state.routes is not None
 
     def shut_down(self) -> None:
         """Drains and stops the daemon within the ``leave_seconds`` setting.
@@ -219,7 +219,7 @@
         settings = result.unwrap()
         changed = settings != self.settings
         self.settings = settings
-        self.serving.settings = settings
+        self.routing_state.settings = settings
         for client in self.store_clients:
             client.set_address(settings.store_address.host, settings.store_address.port)
         log_event("settings-reloaded", changed=changed)
@@ -237,19 +237,24 @@
                 self.reload()
 
     def _register_gauges(self) -> None:
-        serving = self.serving
+        routing_state = self.routing_state
         register = self.metrics.register_gauge
         register("requests_active", lambda: self.caller_listener.active_requests)
-        register("requests_waiting", lambda: serving.dispatcher.queued_count)
-        register("members", lambda: len(serving.position.members))
+        register("requests_waiting", lambda: routing_state.dispatcher.queued_count)
+        register("members", lambda: len(routing_state.position.members))
         register("decider", lambda: float(self.decider.election.is_decider))
-        register("store_reached", lambda: float(serving.directory.store_reachable))
-        register("servers", lambda: len(serving.directory.entries))
+        register("store_reached", lambda: float(routing_state.directory.store_reachable))
+        register("servers", lambda: len(routing_state.directory.entries))
         register(
             "connections_opened",
-            lambda: sum(pool.opened_connections for pool in serving.connection_pools.values()),
+            lambda: sum(
+                pool.opened_connections for pool in routing_state.connection_pools.values()
+            ),
+        )
+        register(
+            "configuration_version",
+            lambda: routing_state.routes.version if routing_state.routes else 0,
         )
-        register("configuration_version", lambda: serving.routes.version if serving.routes else 0)
 
 
 def _file_stamp(path: str) -> tuple[int, int]:
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -16,7 +16,7 @@
     TableNotWritten,
 )
 from fireflylink_daemon._metrics import Metrics
-from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.ownership import DeciderElection
 from fireflylink_protocol import (
@@ -82,7 +82,7 @@
         "next_renewal_at",
         "ownership",
         "record",
-        "serving",
+        "routing_state",
         "store",
         "store_read",
     )
@@ -91,21 +91,23 @@
         self,
         record: MemberRecord,
         store: BaseStore,
-        serving: Serving,
+        routing_state: RoutingState,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
         super().__init__("decider", clock)
         self.record = record
         self.store = store
-        self.serving = serving
+        self.routing_state = routing_state
         self.metrics = metrics
         self.election = DeciderElection()
         self.election.vacant_since = None
         self.ownership: BaseTask | None = None
         self.leaving = False
         self.lease_id = 0
-        self.lease_ttl_seconds = max(LEASE_TTL_SECONDS, serving.settings.minimum_lease_seconds)
+        self.lease_ttl_seconds = max(
+            LEASE_TTL_SECONDS, routing_state.settings.minimum_lease_seconds
+        )
         self.next_renewal_at = 0.0
         self.next_candidacy_at = 0.0
 
@@ -124,7 +126,7 @@
             return
         if self.leaving:
             return
-        candidate_at = self.election.candidacy_at(self.serving.position.rank)
+        candidate_at = self.election.candidacy_at(self.routing_state.position.rank)
         if candidate_at is not None and now >= max(candidate_at, self.next_candidacy_at):
             self._run_for_decider()
 
@@ -270,7 +272,7 @@
             )
             is_first = message.revision == ABSENT_REVISION
             self._notify_ownership(TableChanged(table, written.unwrap(), is_first))
-            self.serving.set_table(table)
+            self.routing_state.set_table(table)
             return
         error = written.failure()
         log_problem("ownership-not-written", service=table.service, problem=error)
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -22,7 +22,7 @@
     TableNotWritten,
 )
 from fireflylink_daemon._peers import PeerSocket
-from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.ownership import (
     HOLD_SECONDS,
@@ -63,26 +63,26 @@
         "is_decider",
         "next_work_at",
         "peers",
+        "routing_state",
         "services",
-        "serving",
     )
 
     def __init__(
         self,
-        serving: Serving,
+        routing_state: RoutingState,
         decider: DeciderTask,
         peers: PeerSocket,
         clock: BaseClock,
         codec: BaseServerCodec,
     ) -> None:
         super().__init__("ownership", clock)
-        self.serving = serving
+        self.routing_state = routing_state
         self.peers = peers
         self.decider = decider
         self.codec = codec
         self.is_decider = False
         self.elected_at = 0.0
-        self.hold_seconds = min(HOLD_SECONDS, serving.settings.bounds.hold_max_seconds)
+        self.hold_seconds = min(HOLD_SECONDS, routing_state.settings.bounds.hold_max_seconds)
         self.services: dict[str, KeyedService] = {}
         self.grant_tasks: dict[ServerIncarnation, GrantTask] = {}
         self.next_work_at = 0.0
@@ -152,7 +152,7 @@
         return service
 
     def _keyed_service_names(self) -> list[str]:
-        routes = self.serving.routes
+        routes = self.routing_state.routes
         if routes is None:
             return []
         return [service.name for service in routes.services.values() if service.keyed]
@@ -196,7 +196,7 @@
         candidates = self._candidates(name, service, now)
         if service.grants is None or not (candidates or service.table):
             return
-        joined = [entry.joined_at for entry in self.serving.directory.eligible_servers(name)]
+        joined = [entry.joined_at for entry in self.routing_state.directory.eligible_servers(name)]
         planned = service.next_table(candidates, max(joined, default=now), now)
         if planned is not None:
             self._log_plan(service, planned, candidates)
@@ -234,7 +234,7 @@
         self.decider.post(Superseded(reason))
 
     def _candidates(self, name: str, service: KeyedService, now: float) -> list[Candidate]:
-        entries = self.serving.directory.eligible_servers(name)
+        entries = self.routing_state.directory.eligible_servers(name)
         candidates = []
         for entry in entries:
             server = entry.server
@@ -245,7 +245,7 @@
 
     def _capacity(self, service: KeyedService, server: BackendServer, now: float) -> float:
         """Returns a server's estimated capacity in requests per second."""
-        tracker = self.serving.trackers.get(server.incarnation)
+        tracker = self.routing_state.trackers.get(server.incarnation)
         cold = tracker is not None and tracker.cold_limiter.is_cold(now)
         return service.service_times.capacity(server.server_id, server.slots, cold)
 
@@ -265,7 +265,7 @@
             task.post(CommandDue(name, command))
 
     def _server_of(self, incarnation: ServerIncarnation) -> BackendServer | None:
-        tracker = self.serving.trackers.get(incarnation)
+        tracker = self.routing_state.trackers.get(incarnation)
         return None if tracker is None else tracker.server
 
     def _grant_task(self, incarnation: ServerIncarnation) -> GrantTask | None:
@@ -348,12 +348,12 @@
         An incarnation has certainly ended when a newer one of the same server is registered. It
         then holds none of the keys that were granted to it.
         """
-        entries = self.serving.directory.entries.values()
+        entries = self.routing_state.directory.entries.values()
         registered = {entry.server.server_id: entry.server.incarnation for entry in entries}
         for incarnation in list(self.grant_tasks):
             if (
                 registered.get(incarnation.server_id) != incarnation
-                and incarnation not in self.serving.trackers
+                and incarnation not in self.routing_state.trackers
             ):
                 self.grant_tasks.pop(incarnation).close()
         for service in self.services.values():
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -105,7 +105,7 @@
         "greenlets",
         "instance",
         "ownership",
-        "serving",
+        "routing_state",
         "sock",
         "view",
     )
@@ -116,7 +116,7 @@
         self.instance = instance
         self.counter = counter
         self.view = view
-        self.serving = view.serving
+        self.routing_state = view.routing_state
         self.ownership: BaseTask | None = None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, port))
@@ -134,7 +134,7 @@
     def notify(self, notice: GrantNotice | CrashNotice) -> None:
         """Sends a notice to every member, including this daemon."""
         datagram = encode_datagram(notice)
-        for member in self.serving.members.values():
+        for member in self.routing_state.members.values():
             self._send_datagram(datagram, member)
 
     def _receive_datagrams(self) -> None:
--- a/packages/daemon/src/fireflylink_daemon/_request_handler.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -26,7 +26,7 @@
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._request_log_limiter import RequestLogLimiter
-from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_decisions.dispatch import BaseDispatchResult, Dispatched, QueuedRequest, Refused
 from fireflylink_decisions.poison import fingerprint_of
 from fireflylink_decisions.retries import Attempts, BaseRetryDecision, Retry, ReturnReply
@@ -87,7 +87,7 @@
 
 
 class RequestHandler(BaseRequestHandler):
-    """Routes callers' requests, dispatches and retries them, with the state of ``Serving``.
+    """Routes callers' requests, dispatches and retries them, with the state of ``RoutingState``.
 
     While ``closed`` is true, every new request is refused.
     """
@@ -100,19 +100,19 @@
         "key_counter",
         "log_limiter",
         "metrics",
-        "serving",
+        "routing_state",
     )
 
     def __init__(
         self,
-        serving: Serving,
+        routing_state: RoutingState,
         dispatch_task: DispatchTask,
         key_counter: KeyCounter,
         crash_detector: CrashDetector,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
-        self.serving = serving
+        self.routing_state = routing_state
         self.dispatch_task = dispatch_task
         self.closed = False
         self.key_counter = key_counter
@@ -122,12 +122,12 @@
         self.metrics = metrics
 
     def limits(self) -> CallerLimits:
-        return self.serving.limits()
+        return self.routing_state.limits()
 
     def handle(
         self, request: CallerRequest, disconnect_notifier: BaseDisconnectNotifier
     ) -> BaseReply:
-        routes = self.serving.routes
+        routes = self.routing_state.routes
         if self.closed:
             return self._refuse(request, NotRun("leaving", retry_after=LEAVING_RETRY_SECONDS))
         if routes is None:
@@ -146,12 +146,12 @@
         return reply
 
     def _is_poison(self, request: CallerRequest) -> bool:
-        poison = self.serving.poison
+        poison = self.routing_state.poison
         return poison.has_suspects() and poison.is_poison(fingerprint_of(request), self.clock.now())
 
     def _make_context(self, request: CallerRequest, route: Route) -> _RequestContext:
-        service = self.serving.traffic_splitter.choose(route)
-        self.serving.retry_budget(service).record_request(request.received_at)
+        service = self.routing_state.traffic_splitter.choose(route)
+        self.routing_state.retry_budget(service).record_request(request.received_at)
         if request.key != NO_KEY:
             self.key_counter.record_request(service, request.key)
         timeout = route.timeout_ms / MILLISECONDS_PER_SECOND
@@ -200,7 +200,7 @@
 
     def _call(self, context: _RequestContext, dispatched: Dispatched) -> BaseCallResult:
         tracker = dispatched.tracker
-        pool = self.serving.connection_pool(tracker)
+        pool = self.routing_state.connection_pool(tracker)
         sent_at = self.clock.now()
         context.attempts.record_sent(tracker.server.server_id)
         try:
@@ -238,11 +238,11 @@
         self, context: _RequestContext, dispatched: Dispatched, result: BaseCallResult
     ) -> BaseRetryDecision:
         now = self.clock.now()
-        budget = self.serving.retry_budget(context.service)
+        budget = self.routing_state.retry_budget(context.service)
         if isinstance(result, Declined) and result.misdirected:
             self.dispatch_task.dispatcher.record_misdirected(context.service, dispatched, now)
         decision = context.attempts.decide(
-            result, context.deadline - now, budget.allows_retry(now, self.serving.position)
+            result, context.deadline - now, budget.allows_retry(now, self.routing_state.position)
         )
         if isinstance(decision, Retry):
             if decision.reached_server:
@@ -266,7 +266,9 @@
             path=request.path,
             reason=reply.reason,
             status=reply.status,
-            version=self.serving.routes.version if self.serving.routes is not None else 0,
+            version=(
+                self.routing_state.routes.version if self.routing_state.routes is not None else 0
+            ),
         )
         return reply
 
@@ -286,7 +288,7 @@
         omitted = self.log_limiter.take_omitted()
         if omitted:
             log_event("request-lines-omitted", count=omitted)
-        table = self.serving.ownership_tables.get(context.service)
+        table = self.routing_state.ownership_tables.get(context.service)
         log_event(
             "request",
             request=context.request.request_id,
@@ -298,7 +300,9 @@
             servers=",".join(context.attempts.tried_servers) or "none",
             seconds=seconds,
             limit_seconds=context.deadline - context.request.received_at,
-            version=self.serving.routes.version if self.serving.routes is not None else 0,
+            version=(
+                self.routing_state.routes.version if self.routing_state.routes is not None else 0
+            ),
             fence=table.fence if table is not None else 0,
             waiting=self.dispatch_task.dispatcher.queued_count,
             **({} if isinstance(reply, ServerAnswer) else self._owner_fields(context)),
@@ -306,7 +310,7 @@
 
     def _owner_fields(self, context: _RequestContext) -> dict[str, object]:
         """Returns log fields about the owner of the key of a request that was not answered."""
-        pool = self.serving.dispatcher.pools.get(context.service)
+        pool = self.routing_state.dispatcher.pools.get(context.service)
         if pool is None or not pool.keyed or pool.table is None:
             return {}
         assignment = pool.table.find(context.request.key)
--- a/packages/daemon/src/fireflylink_daemon/_serving.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -36,7 +36,7 @@
 MILLISECONDS_PER_SECOND = 1000.0
 
 
-class Serving:
+class RoutingState:
     """The state with which ``RequestHandler`` routes, dispatches and retries requests.
 
     ``ViewTask`` applies the updates from the store; ``DeciderTask`` adds the ownership tables that
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -16,7 +16,7 @@
     TableChanged,
     UpdatesRead,
 )
-from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._task import BaseTask
 from fireflylink_protocol import (
     DECIDER_KEY,
@@ -45,18 +45,18 @@
 
 
 class ViewTask(BaseTask):
-    """Applies updates from the store and notices from other daemons to ``Serving``.
+    """Applies updates from the store and notices from other daemons to ``RoutingState``.
 
     It posts what concerns key ownership to the ``ownership`` task. ``decider_record`` is the member
     record of the decider (the elected leader that assigns keys to servers), None when there is
     none.
     """
 
-    __slots__ = ("decider_record", "member", "next_refresh_at", "ownership", "serving")
+    __slots__ = ("decider_record", "member", "next_refresh_at", "ownership", "routing_state")
 
-    def __init__(self, serving: Serving, clock: BaseClock) -> None:
+    def __init__(self, routing_state: RoutingState, clock: BaseClock) -> None:
         super().__init__("view", clock)
-        self.serving = serving
+        self.routing_state = routing_state
         self.ownership: BaseTask | None = None
         self.member: BaseTask | None = None
         self.decider_record: MemberRecord | None = None
@@ -67,25 +67,25 @@
 
     def on_wake(self) -> None:
         self.next_refresh_at = self.clock.now() + REFRESH_INTERVAL_SECONDS
-        self.serving.refresh()
-        self.serving.drop_idle_connections()
+        self.routing_state.refresh()
+        self.routing_state.drop_idle_connections()
 
     def receive(self, message: object) -> object:
         if isinstance(message, UpdatesRead):
             self._apply(message)
         elif isinstance(message, GrantNotice):
-            self.serving.record_grant(message)
+            self.routing_state.record_grant(message)
         elif isinstance(message, CrashNotice):
-            self.serving.poison.record_crash(
+            self.routing_state.poison.record_crash(
                 message.fingerprint, message.incarnation, self.clock.now()
             )
         elif isinstance(message, StoreUnreachable):
-            self.serving.directory.mark_store_unreachable()
+            self.routing_state.directory.mark_store_unreachable()
         elif isinstance(message, StoreCallStatus):
-            self.serving.store_doubted = message.failing
+            self.routing_state.store_doubted = message.failing
             log_event("store-doubted", doubted=message.failing)
         elif isinstance(message, StoreReachable):
-            self.serving.directory.mark_store_reachable(self.clock.now())
+            self.routing_state.directory.mark_store_reachable(self.clock.now())
         return None
 
     def _apply(self, message: UpdatesRead) -> None:
@@ -93,40 +93,42 @@
             self._remove_absent(message)
         for update in message.updates:
             self._apply_update(update)
-        self.serving.refresh()
+        self.routing_state.refresh()
         self._notify_ownership(ServersChanged())
 
     def _remove_absent(self, message: UpdatesRead) -> None:
         """Removes servers, evacuations and records that are not in a snapshot of the store."""
         updates = message.updates
-        serving = self.serving
+        routing_state = self.routing_state
         server_ids = frozenset(
             update.server.server_id for update in updates if isinstance(update, ServerUpdate)
         )
-        serving.directory.keep_only(server_ids, self.clock.now())
+        routing_state.directory.keep_only(server_ids, self.clock.now())
         listed = {update.data_centre for update in updates if isinstance(update, EvacuationUpdate)}
-        for data_centre in [found for found in serving.directory.evacuated if found not in listed]:
-            serving.set_evacuated(data_centre, False)
+        for data_centre in [
+            found for found in routing_state.directory.evacuated if found not in listed
+        ]:
+            routing_state.set_evacuated(data_centre, False)
         keys = {update.key for update in updates if isinstance(update, RecordUpdate)}
         members = {
             name: member
-            for name, member in serving.members.items()
+            for name, member in routing_state.members.items()
             if f"{MEMBERS_PREFIX}{name}" in keys
         }
-        if members != serving.members:
-            serving.set_members(members)
+        if members != routing_state.members:
+            routing_state.set_members(members)
         if DECIDER_KEY not in keys:
             self._set_decider(None, message.revision)
 
     def _apply_update(self, update: BaseUpdate) -> None:
         if isinstance(update, ServerUpdate):
-            self.serving.register_server(update.server)
+            self.routing_state.register_server(update.server)
         elif isinstance(update, ServerRemoved):
-            self.serving.unregister_server(update.server_id)
+            self.routing_state.unregister_server(update.server_id)
         elif isinstance(update, ConfigurationUpdate):
-            self.serving.set_configuration(update.configuration)
+            self.routing_state.set_configuration(update.configuration)
         elif isinstance(update, EvacuationUpdate):
-            self.serving.set_evacuated(update.data_centre, update.requested)
+            self.routing_state.set_evacuated(update.data_centre, update.requested)
         elif isinstance(update, RecordUpdate):
             self._apply_record(update)
         elif isinstance(update, UnreadableItem):
@@ -145,20 +147,20 @@
         elif update.key.startswith(OWNERSHIP_PREFIX) and update.value is not None:
             table: OwnershipTable | None = _decoded(decode_table(update.value), update)
             if table is not None:
-                self.serving.set_table(table)
+                self.routing_state.set_table(table)
                 self._notify_ownership(TableChanged(table, update.revision))
 
     def _apply_member(self, update: RecordUpdate) -> None:
         name = update.key.removeprefix(MEMBERS_PREFIX)
-        members = dict(self.serving.members)
+        members = dict(self.routing_state.members)
         members.pop(name, None)
         if update.value is not None:
             member = _decoded(decode_member(update.value), update)
             if member is not None:
                 members[name] = member
-        if members != self.serving.members:
-            self.serving.set_members(members)
-        if update.value is None and name == self.serving.settings.instance and self.member:
+        if members != self.routing_state.members:
+            self.routing_state.set_members(members)
+        if update.value is None and name == self.routing_state.settings.instance and self.member:
             # The record may be deleted without any of the member task's calls failing.
             self.member.post(MemberRecordMissing())
 
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -9,7 +9,7 @@
 from fireflylink_daemon._decider_task import DeciderTask
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._ownership_task import OwnershipTask
-from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._view_task import ViewTask
 from fireflylink_platform import PlatformItemDecoder, PlatformServerCodec
 from fireflylink_protocol import MemberRecord
@@ -47,13 +47,13 @@
     def __init__(self, settings, clock: ManualClock, state: StoreState, name: str) -> None:
         self.clock = clock
         self.store = MemoryStore(state)
-        self.serving = Serving(settings, clock, PlatformServerCodec())
-        self.view = ViewTask(self.serving, clock)
+        self.routing_state = RoutingState(settings, clock, PlatformServerCodec())
+        self.view = ViewTask(self.routing_state, clock)
         self.record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
-        self.decider = DeciderTask(self.record, self.store, self.serving, clock, Metrics())
+        self.decider = DeciderTask(self.record, self.store, self.routing_state, clock, Metrics())
         self.peers = RecordingPeers()
         self.ownership = OwnershipTask(
-            self.serving, self.decider, self.peers, clock, PlatformServerCodec()
+            self.routing_state, self.decider, self.peers, clock, PlatformServerCodec()
         )
         self.decider.ownership = self.ownership
         self.view.ownership = self.ownership
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -27,7 +27,7 @@
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._request_handler import RequestHandler
-from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_protocol import encode_table, ownership_key
 from fireflylink_store import Item
 
@@ -90,10 +90,10 @@
         self.monkeypatch = monkeypatch
         self.task_bench = bench
         self.key_counter = KeyCounter()
-        serving = bench.serving
-        dispatch_task = DispatchTask(serving.dispatcher, clock)
+        routing_state = bench.routing_state
+        dispatch_task = DispatchTask(routing_state.dispatcher, clock)
         self.request_handler = RequestHandler(
-            serving, dispatch_task, self.key_counter, self, clock, Metrics()
+            routing_state, dispatch_task, self.key_counter, self, clock, Metrics()
         )
         self.lost_connections = []
         items = [Item("op/config", json.dumps(CONFIGURATION).encode(), 1)]
@@ -122,7 +122,7 @@
         servers: ScriptedServers,
         disconnect_notifier: FakeDisconnectNotifier | None = None,
     ):
-        self.monkeypatch.setattr(Serving, "connection_pool", lambda _serving, _tracker: servers)
+        self.monkeypatch.setattr(RoutingState, "connection_pool", lambda _state, _tracker: servers)
         now = self.clock.now()
         request = CallerRequest("id", "h", "POST", target, (), b"", now, now + 3.0, 5)
         return self.request_handler.handle(request, disconnect_notifier or FakeDisconnectNotifier())
@@ -161,7 +161,7 @@
         handler_bench.send(
             "/o/1", ScriptedServers(handler_bench.clock, [*results, ANSWERED, ANSWERED])
         )
-    trackers = handler_bench.task_bench.serving.trackers.values()
+    trackers = handler_bench.task_bench.routing_state.trackers.values()
     assert_that({tracker.in_flight for tracker in trackers}, Equals({0}))
 
 
@@ -183,7 +183,7 @@
     assert_that(
         handler_bench.send("/nope/1", ScriptedServers(handler_bench.clock, [])).status, Equals(404)
     )
-    handler_bench.task_bench.serving.routes = None
+    handler_bench.task_bench.routing_state.routes = None
     reply = handler_bench.send("/k/1", ScriptedServers(handler_bench.clock, []))
     assert_that((type(reply), reply.status), Equals((NotRun, 503)))
 
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -159,15 +159,15 @@
     """
     daemon = with_configuration(bench())
     apply_items(daemon, server_item("i-1", 2), Item("op/evacuate/kingston", b"{}", 3))
-    assert_that(daemon.serving.directory.evacuated.keys(), Equals({"kingston"}))
+    assert_that(daemon.routing_state.directory.evacuated.keys(), Equals({"kingston"}))
     apply_items(
         daemon,
         server_item("i-2", 4),
         Item("op/config", json.dumps(CONFIGURATION).encode(), 1),
         is_snapshot=True,
     )
-    assert_that(set(daemon.serving.directory.entries), Equals({"i-2"}))
-    assert_that(daemon.serving.directory.evacuated, Equals({}))
+    assert_that(set(daemon.routing_state.directory.entries), Equals({"i-2"}))
+    assert_that(daemon.routing_state.directory.evacuated, Equals({}))
 
 
 def test_registrations_that_expired_in_an_outage_are_used_until_the_grace_time_ends(bench, clock):
@@ -181,7 +181,7 @@
     clock.advance(8.0)
     daemon.view.receive(StoreReachable())
     apply_items(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
-    pool = daemon.serving.dispatcher.pools["a"]
+    pool = daemon.routing_state.dispatcher.pools["a"]
     assert_that(len(pool.trackers), Equals(2))
     apply_items(daemon, server_item("i-1", 9))
     clock.advance(2.1)
@@ -194,15 +194,15 @@
     daemon = with_configuration(bench())
     older = {**CONFIGURATION, "version": "r6", "services": []}
     apply_items(daemon, Item("op/config", json.dumps(older).encode(), 9))
-    assert_that(daemon.serving.routes.version, Equals(7))
+    assert_that(daemon.routing_state.routes.version, Equals(7))
 
 
 def test_an_item_that_cannot_be_decoded_changes_nothing(bench):
     """Guards against a malformed value that removes the routes or adds a server."""
     daemon = with_configuration(bench())
     apply_items(daemon, Item("op/config", b"{}", 9), Item("servers/i-9", b"x", 10))
-    assert_that(daemon.serving.routes.version, Equals(7))
-    assert_that(daemon.serving.directory.entries, Equals({}))
+    assert_that(daemon.routing_state.routes.version, Equals(7))
+    assert_that(daemon.routing_state.directory.entries, Equals({}))
 
 
 def test_servers_are_cold_after_an_evacuation_has_ended(bench, clock):
@@ -211,10 +211,10 @@
     daemon = bench()
     value = {**CONFIGURATION, "services": [service]}
     apply_items(daemon, Item("op/config", json.dumps(value).encode(), 1), server_item("i-1", 2))
-    [tracker] = daemon.serving.trackers.values()
-    daemon.serving.set_evacuated("kingston", True)
+    [tracker] = daemon.routing_state.trackers.values()
+    daemon.routing_state.set_evacuated("kingston", True)
     assert_that(tracker.cold_limiter.is_cold(clock.now()), Is(False))
-    daemon.serving.set_evacuated("kingston", False)
+    daemon.routing_state.set_evacuated("kingston", False)
     assert_that(tracker.cold_limiter.is_cold(clock.now()), Is(True))
 
 
@@ -229,20 +229,20 @@
     for name in names:
         record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
         apply_items(daemon, Item(member_key(name), encode_member(record), 5))
-    assert_that(daemon.serving.position.share(14.0, "i-1"), GreaterThan(2))
+    assert_that(daemon.routing_state.position.share(14.0, "i-1"), GreaterThan(2))
     apply_items(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
     for name in names[1:]:
         record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
         apply_items(daemon, Item(member_key(name), encode_member(record), 9))
-    assert_that(daemon.serving.position.share(14.0, "i-1"), Equals(0))
+    assert_that(daemon.routing_state.position.share(14.0, "i-1"), Equals(0))
 
 
 def test_a_lease_is_not_shorter_than_the_minimum_of_the_store(bench, clock, state, settings_file):
     """Guards against a fleet without a decider when the store refuses short leases."""
     daemon = bench()
-    daemon.serving.settings = daemon.serving.settings.replace(minimum_lease_seconds=4.0)
+    daemon.routing_state.settings = daemon.routing_state.settings.replace(minimum_lease_seconds=4.0)
     decider = type(daemon.decider)(
-        daemon.record, daemon.store, daemon.serving, clock, daemon.decider.metrics
+        daemon.record, daemon.store, daemon.routing_state, clock, daemon.decider.metrics
     )
     decider.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
