--- a/packages/decisions/src/fireflylink_decisions/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions free of I/O. Each takes the time as an argument and is tested with a manual clock."""
+"""Decision logic without I/O. The current time is an argument, so tests use a manual clock."""
--- a/packages/decisions/src/fireflylink_decisions/limits/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/__init__.py
@@ -1,8 +1,8 @@
-"""Limits that all daemons share: cold servers, retries, connections."""
+"""Limits that apply to all daemons together: cold servers, retries and connections."""
 
 from fireflylink_decisions.limits._cold_server_limiter import ColdLimit, ColdServerLimiter
+from fireflylink_decisions.limits._fleet_position import ASSUMED_MEMBER_COUNT, FleetPosition
 from fireflylink_decisions.limits._retry_budget import RetryBudget, RetryBudgetLimits
-from fireflylink_decisions.limits._share import ASSUMED_MEMBER_COUNT, FleetPosition
 from fireflylink_decisions.limits._sliding_window_counter import SlidingWindowCounter
 
 __all__ = [
--- a/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
@@ -1,13 +1,16 @@
-"""The budget for arrivals at servers beyond the first of each request."""
+"""Budget for retries, that is, attempts that follow one that has reached a server."""
 
-from fireflylink_decisions.limits._share import FleetPosition
+from fireflylink_decisions.limits._fleet_position import FleetPosition
 from fireflylink_decisions.limits._sliding_window_counter import SlidingWindowCounter
 
-SAFE_PART = 0.7
+SAFETY_FACTOR = 0.7
 
 
 class RetryBudgetLimits:
-    """What all daemons together may retry for one service in any window."""
+    """How many retries all daemons together may send for one service in any window.
+
+    The limit is ``ratio`` times the requests of the window, plus ``extra``.
+    """
 
     __slots__ = ("extra", "ratio", "window_seconds")
 
@@ -18,7 +21,7 @@
 
 
 class RetryBudget:
-    """This daemon's part of the budget of one service."""
+    """This daemon's share of the retry budget of one service."""
 
     __slots__ = ("limits", "requests", "retries")
 
@@ -28,14 +31,14 @@
         self.retries = SlidingWindowCounter(limits.window_seconds)
 
     def record_request(self, now: float) -> None:
-        """Counts a request of a caller."""
+        """Counts a request of a caller, once however often it is sent."""
         self.requests.add(now)
 
     def record_retry(self, now: float) -> None:
-        """Counts an arrival beyond the first of a request, also one that the server rejects."""
+        """Counts a retry, also one that the server declines."""
         self.retries.add(now)
 
     def allows_retry(self, now: float, position: FleetPosition) -> bool:
         """Whether one more retry stays within the budget."""
-        own = self.limits.ratio * self.requests.count(now) + position.fraction(self.limits.extra)
-        return self.retries.count(now) + 1 <= own * SAFE_PART
+        budget = self.limits.ratio * self.requests.count(now) + position.fraction(self.limits.extra)
+        return self.retries.count(now) + 1 <= budget * SAFETY_FACTOR
--- a/packages/decisions/src/fireflylink_decisions/limits/_sliding_window_counter.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_sliding_window_counter.py
@@ -1,15 +1,15 @@
-"""Counts of events within the last seconds."""
+"""Counter of events within a sliding time window."""
 
 import collections
 
 
 class SlidingWindowCounter:
-    """How many events fell into the last ``window_seconds`` seconds.
+    """Counts the events of the last ``window_seconds`` seconds.
 
     Example::
 
-        count = SlidingWindowCounter(1.0)
-        count.add(clock.now())
+        counter = SlidingWindowCounter(1.0)
+        counter.add(clock.now())
     """
 
     __slots__ = ("timestamps", "window_seconds")
@@ -24,13 +24,16 @@
 
     def count(self, now: float) -> int:
         """Returns the number of events within the window that ends now."""
-        oldest = now - self.window_seconds
-        while self.timestamps and self.timestamps[0] <= oldest:
+        window_start = now - self.window_seconds
+        while self.timestamps and self.timestamps[0] <= window_start:
             self.timestamps.popleft()
         return len(self.timestamps)
 
     def available_at(self, now: float, limit: int) -> float:
-        """Returns when one more event keeps the count within ``limit``."""
+        """Returns the earliest time at which one more event keeps the count within ``limit``.
+
+        A limit of 0 allows no event; the time returned is then one window from now.
+        """
         if limit <= 0:
             return now + self.window_seconds
         if self.count(now) < limit:
