--- a/packages/decisions/src/fireflylink_decisions/routing/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/__init__.py
@@ -1,4 +1,4 @@
-"""From a request to its route and service."""
+"""Selection of the route and the service of a request."""
 
 from fireflylink_decisions.routing._route_table import RouteTable, TrafficSplitter
 
--- a/packages/decisions/src/fireflylink_decisions/routing/_route_table.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_route_table.py
@@ -1,12 +1,12 @@
-"""Which route a request takes, and which service a split route sends it to."""
+"""Selection of a request's route, and of the service for a route with several targets."""
 
 from fireflylink_core import Configuration, Route, Service
 
 
 class RouteTable:
-    """The routes of one configuration.
+    """The routes and services of one configuration.
 
-    Among the routes of a host, the one with the longest prefix that begins the path is taken.
+    Of the routes of a host, the one with the longest prefix that matches the path applies.
     """
 
     __slots__ = ("hosts", "services", "version")
@@ -21,27 +21,28 @@
             self.hosts.setdefault(route.host, {})[route.prefix] = route
 
     def find(self, host: str, path: str) -> Route | None:
-        """Returns the route of a request, None when there is none.
+        """Returns the route of a request, None when no route matches.
 
-        Prefixes begin and end with a slash, so each candidate ends at a slash of the path.
+        Prefixes begin and end with a slash, so only the parts of the path up to one of its slashes
+        are looked up, the longest first.
         """
-        prefixes = self.hosts.get(host)
-        if prefixes is None:
+        routes_by_prefix = self.hosts.get(host)
+        if routes_by_prefix is None:
             return None
-        end = path.rfind("/")
-        while end >= 0:
-            route = prefixes.get(path[: end + 1])
+        slash = path.rfind("/")
+        while slash >= 0:
+            route = routes_by_prefix.get(path[: slash + 1])
             if route is not None:
                 return route
-            end = path.rfind("/", 0, end)
+            slash = path.rfind("/", 0, slash)
         return None
 
 
 class TrafficSplitter:
-    """Spreads the requests of split routes over their services in proportion to the weights.
+    """Distributes the requests of a route over its target services in proportion to their weights.
 
-    Smooth weighted round robin keeps each daemon's shares exact over any few requests, so that the
-    sum over daemons is too. A change of the weights starts anew.
+    Smooth weighted round robin keeps the proportions of each daemon, and so of all daemons
+    together, exact even over a few requests. A route starts anew when its set of services changes.
     """
 
     __slots__ = ("current_weights",)
@@ -50,24 +51,24 @@
         self.current_weights: dict[str, dict[str, float]] = {}
 
     def choose(self, route: Route) -> str:
-        """Returns the service of the next request of a route."""
+        """Returns the service for the next request of a route."""
         if len(route.targets) == 1:
             return route.targets[0].service
-        balances = self.current_weights.get(route.name)
-        if balances is None or balances.keys() != {target.service for target in route.targets}:
-            balances = {target.service: 0.0 for target in route.targets}
-            self.current_weights[route.name] = balances
+        weights = self.current_weights.get(route.name)
+        if weights is None or weights.keys() != {target.service for target in route.targets}:
+            weights = {target.service: 0.0 for target in route.targets}
+            self.current_weights[route.name] = weights
         total = 0.0
         for target in route.targets:
-            balances[target.service] += target.weight
+            weights[target.service] += target.weight
             total += target.weight
-        chosen = max(balances, key=lambda service: balances[service])
-        balances[chosen] -= total
+        chosen = max(weights, key=lambda service: weights[service])
+        weights[chosen] -= total
         return chosen
 
     def keep_only(self, routes: tuple[Route, ...]) -> None:
-        """Forgets routes that a configuration no longer has."""
-        kept = {route.name for route in routes}
+        """Drops the state of all routes other than the given ones."""
+        kept_names = {route.name for route in routes}
         for name in list(self.current_weights):
-            if name not in kept:
+            if name not in kept_names:
                 del self.current_weights[name]
