--- a/packages/decisions/src/fireflylink_decisions/poison/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/poison/__init__.py
@@ -1,4 +1,4 @@
-"""Requests that crash every server that runs them."""
+"""Detection of requests that crash every server that runs them."""
 
 from fireflylink_decisions.poison._poison_registry import PoisonRegistry, fingerprint_of
 
--- a/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
+++ b/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
@@ -1,33 +1,38 @@
-"""Requests that crash every server that runs them."""
+"""Detection of requests that crash every server that runs them."""
 
 import collections
 import hashlib
 
 from fireflylink_core import CallerRequest, ServerIncarnation
 
-CRASHES = 3
-"""Distinct incarnations of servers that must have ended under a request before it is refused."""
+MIN_CRASHES = 3
+"""Number of server incarnations that must have crashed while running a request before it is
+refused."""
 
-MEMORY_SECONDS = 60.0
+CRASH_RETENTION_SECONDS = 60.0
 MAX_SUSPECTS = 2000
 FINGERPRINT_BYTES = 8
 
 
 def fingerprint_of(request: CallerRequest) -> bytes:
-    """Returns what is the same each time that a caller sends a request again."""
+    """Returns a digest that is the same each time a caller sends the same request.
+
+    The request id is left out, since each attempt of a caller may have another one.
+    """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (request.method, request.host, request.target, str(request.key)):
-        digest.update(part.encode("utf-8", "surrogateescape"))
+    for field in (request.method, request.host, request.target, str(request.key)):
+        digest.update(field.encode("utf-8", "surrogateescape"))
         digest.update(b"\0")
     digest.update(request.body)
     return digest.digest()
 
 
 class PoisonRegistry:
-    """Which requests were running when servers crashed, as all daemons tell each other.
+    """Records which requests were running when servers crashed, as reported by all daemons.
 
-    A request that merely ran beside a poisonous one is seen at one crash, seldom at two. Only one
-    that was there at the end of three incarnations of servers is refused.
+    A harmless request that runs beside a poisonous one may be present at one crash, seldom at two.
+    A request is refused only after ``MIN_CRASHES`` incarnations of servers crashed while running
+    it.
 
     Example::
 
@@ -42,7 +47,7 @@
         )
 
     def record_crash(self, fingerprint: bytes, incarnation: ServerIncarnation, now: float) -> None:
-        """Takes a request that ran on a server when it crashed."""
+        """Records that a request was running on a server when the server crashed."""
         incarnations = self.suspects.setdefault(fingerprint, {})
         incarnations[incarnation] = now
         self.suspects.move_to_end(fingerprint)
@@ -50,13 +55,15 @@
             self.suspects.popitem(last=False)
 
     def is_poison(self, fingerprint: bytes, now: float) -> bool:
-        """Whether a request is refused."""
+        """Whether a request is to be refused because it has crashed too many servers."""
         incarnations = self.suspects.get(fingerprint)
         if incarnations is None:
             return False
-        recent = sum(now - at < MEMORY_SECONDS for at in incarnations.values())
-        return recent >= CRASHES
+        recent = sum(
+            now - crashed_at < CRASH_RETENTION_SECONDS for crashed_at in incarnations.values()
+        )
+        return recent >= MIN_CRASHES
 
     def has_suspects(self) -> bool:
-        """Whether fingerprints have to be computed at all."""
+        """Whether any crash is recorded; if not, callers need not compute fingerprints."""
         return bool(self.suspects)
