--- a/packages/decisions/src/fireflylink_decisions/retries/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/__init__.py
@@ -1,4 +1,4 @@
-"""Whether and where a request is sent again."""
+"""Decision whether a request is retried and what its caller receives otherwise."""
 
 from fireflylink_decisions.retries._attempts import Attempts, BaseRetryDecision, Retry, ReturnReply
 
--- a/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
@@ -1,4 +1,4 @@
-"""Whether a request is sent again after an attempt, and what its caller is told if not."""
+"""Decision whether a request is retried after an attempt, and the reply to its caller if not."""
 
 from fireflylink_core import (
     Answered,
@@ -13,19 +13,19 @@
     OutcomeUnknown,
 )
 
-MAX_UNSENT = 4
-"""Connections that could not be opened, before a request is given up."""
+MAX_CONNECT_FAILURES = 4
+"""Number of attempts without a connection after which a request is refused."""
 
-MAX_MISDIRECTED = 3
-MINIMUM_SECONDS = 0.05
-"""With less time left, another attempt could not be answered."""
+MAX_MISDIRECTIONS = 3
+MIN_ATTEMPT_SECONDS = 0.05
+"""With less time left until the deadline, another attempt could not be answered in time."""
 
 SERVER_ERROR = 500
-SHORT_RETRY_SECONDS = 0.25
+RETRY_AFTER_SECONDS = 0.25
 
 
 class BaseRetryDecision(BaseValue):
-    """What follows an attempt."""
+    """What to do after an attempt."""
 
     __slots__ = ()
 
@@ -33,7 +33,8 @@
 class Retry(BaseRetryDecision):
     """Send the request again.
 
-    ``reached_server`` tells that the last attempt reached a server.
+    ``reached_server`` is true if the last attempt reached a server, so that the retry counts
+    towards the retry budget.
     """
 
     __slots__ = ("reached_server", "reason")
@@ -44,7 +45,7 @@
 
 
 class ReturnReply(BaseRetryDecision):
-    """Answer the caller."""
+    """Return a reply to the caller."""
 
     __slots__ = ("reply",)
 
@@ -55,8 +56,10 @@
 class Attempts:
     """The attempts of one request.
 
-    A request that may have run is sent again only if it may run twice. A request that certainly
-    has not run is sent again within ``max_attempts``, the time left and the shared budget.
+    A request that may have run is retried only if it is idempotent; one that certainly has not run
+    is retried whether it is idempotent or not. Retries are limited by ``max_attempts``, the time
+    left and the shared retry budget. Failed connections and misdirected attempts do not count
+    towards ``max_attempts`` and have their own limits; a failed connection needs no budget either.
     """
 
     __slots__ = (
@@ -79,28 +82,28 @@
         self.may_have_run = False
 
     def record_sent(self, server_id: str) -> None:
-        """Takes note of the server that an attempt goes to."""
+        """Records the server to which an attempt is sent."""
         self.tried_servers.append(server_id)
 
     def decide(
         self, result: BaseCallResult, seconds_left: float, budget_allows: bool
     ) -> BaseRetryDecision:
-        """Returns what follows an attempt that ended with ``result``."""
+        """Returns whether to retry after an attempt that ended with ``result``."""
         if isinstance(result, Answered):
             return self._after_answer(result, seconds_left, budget_allows)
         if isinstance(result, NotSent):
             self.connect_failures += 1
-            if self.connect_failures < MAX_UNSENT and seconds_left > MINIMUM_SECONDS:
+            if self.connect_failures < MAX_CONNECT_FAILURES and seconds_left > MIN_ATTEMPT_SECONDS:
                 return Retry("not-sent", reached_server=False)
-            return ReturnReply(self.refusal_reply("unreachable", SHORT_RETRY_SECONDS))
+            return ReturnReply(self.refusal_reply("unreachable", RETRY_AFTER_SECONDS))
         if isinstance(result, Declined):
-            return self._after_refusal(result, seconds_left, budget_allows)
+            return self._after_decline(result, seconds_left, budget_allows)
         if isinstance(result, Lost):
             return self._after_loss(result, seconds_left, budget_allows)
         raise TypeError(type(result).__name__)
 
     def refusal_reply(self, reason: str, retry_after: float) -> BaseReply:
-        """Returns the reply to a request that is not sent (again)."""
+        """Returns the reply to a request for which no further attempt is made."""
         if self.may_have_run:
             return OutcomeUnknown(reason)
         return NotRun(reason, retry_after=retry_after)
@@ -110,37 +113,37 @@
     ) -> BaseRetryDecision:
         self.counted_attempts += 1
         self.may_have_run = True
-        failed = result.answer.status >= SERVER_ERROR
-        if failed and self.idempotent and self._may_repeat(seconds_left, budget_allows):
+        is_server_error = result.answer.status >= SERVER_ERROR
+        if is_server_error and self.idempotent and self._may_retry(seconds_left, budget_allows):
             return Retry(f"status-{result.answer.status}", reached_server=True)
         return ReturnReply(result.answer)
 
-    def _after_refusal(
+    def _after_decline(
         self, result: Declined, seconds_left: float, budget_allows: bool
     ) -> BaseRetryDecision:
         if result.misdirected:
             self.misdirections += 1
-            again = self.misdirections < MAX_MISDIRECTED
-            if again and budget_allows and seconds_left > MINIMUM_SECONDS:
+            below_limit = self.misdirections < MAX_MISDIRECTIONS
+            if below_limit and budget_allows and seconds_left > MIN_ATTEMPT_SECONDS:
                 return Retry("misdirected", reached_server=True)
-            return ReturnReply(self.refusal_reply("misdirected", SHORT_RETRY_SECONDS))
+            return ReturnReply(self.refusal_reply("misdirected", RETRY_AFTER_SECONDS))
         self.counted_attempts += 1
-        if self._may_repeat(seconds_left, budget_allows):
+        if self._may_retry(seconds_left, budget_allows):
             return Retry(f"declined-{result.status}", reached_server=True)
-        return ReturnReply(self.refusal_reply("declined", SHORT_RETRY_SECONDS))
+        return ReturnReply(self.refusal_reply("declined", RETRY_AFTER_SECONDS))
 
     def _after_loss(
         self, result: Lost, seconds_left: float, budget_allows: bool
     ) -> BaseRetryDecision:
         self.counted_attempts += 1
         self.may_have_run = True
-        if self.idempotent and self._may_repeat(seconds_left, budget_allows):
+        if self.idempotent and self._may_retry(seconds_left, budget_allows):
             return Retry(f"lost-{result.reason.value}", reached_server=True)
         return ReturnReply(OutcomeUnknown(result.reason.value, result.reason is LostReason.LATE))
 
-    def _may_repeat(self, seconds_left: float, budget_allows: bool) -> bool:
+    def _may_retry(self, seconds_left: float, budget_allows: bool) -> bool:
         return (
             self.counted_attempts < self.max_attempts
             and budget_allows
-            and seconds_left > MINIMUM_SECONDS
+            and seconds_left > MIN_ATTEMPT_SECONDS
         )
