--- a/packages/decisions/src/fireflylink_decisions/servers/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/__init__.py
@@ -1,4 +1,4 @@
-"""Backend servers: which exist, how they do, which one gets a request."""
+"""Backend servers: which are registered, how loaded and fast they are, and choice among them."""
 
 from fireflylink_decisions.servers._server_choice import (
     MAX_LOW_PRIORITY_REQUESTS_PER_SLOT,
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -1,30 +1,32 @@
-"""Which of several servers gets a request, and whether one server has room."""
+"""Choice of the server for a request, and whether a server can be given one now."""
 
 from fireflylink_decisions.limits import ColdLimit, FleetPosition
 from fireflylink_decisions.servers._server_tracker import ServerTracker
 
 MAX_REQUESTS_PER_SLOT = 2.5
-"""A server is given at most this many requests a slot; more would wait at the daemon."""
+"""A server is given at most this many requests per slot; further requests queue at the daemon."""
 
 MAX_LOW_PRIORITY_REQUESTS_PER_SLOT = 1.5
-"""The same for requests beside which more urgent ones come: a server's queue knows no priority."""
+"""Limit for a request while requests of a higher priority arrive too. A server's own queue does not
+order by priority, so the difference to ``MAX_REQUESTS_PER_SLOT`` is kept free for those."""
 
-DISTANCE_SECONDS = 0.08
-"""What a server in another data centre must be faster by, for the price of the bytes."""
+CROSS_DATA_CENTRE_COST_SECONDS = 0.08
+"""A server in another data centre must be faster by this much, because traffic between data centres
+is paid for."""
 
-FAILURE_SECONDS = 0.6
-"""What a certain failure counts as, in seconds of latency."""
+FAILURE_COST_SECONDS = 0.6
+"""Latency that is as bad as a certain failure."""
 
-CONNECTION_SAFE_PART = 0.8
-DEAD_AFTER_FAILURES = 2
-DEAD_RETRY_SECONDS = 0.5
+CONNECTION_SAFETY_FACTOR = 0.8
+UNRESPONSIVE_AFTER_ATTEMPTS = 2
+UNRESPONSIVE_RETRY_SECONDS = 0.5
 
 
 class ServiceLimits:
-    """Limits of one service's servers, and this daemon's place among the others.
+    """Limits of one service's servers, and this daemon's place in the membership.
 
-    ``assume_cold`` tells that the store does not answer this daemon: a server may have turned cold,
-    or a data centre may have been taken back with cold servers, without its knowing.
+    ``assume_cold`` is set while the store does not answer this daemon: without its knowledge a
+    server may have turned cold, or an evacuation may have ended and left servers cold.
     """
 
     __slots__ = ("assume_cold", "cold_limit", "connection_limit", "data_centre", "position")
@@ -46,7 +48,7 @@
     @property
     def connection_share(self) -> int:
         """How many connections this daemon may open to one server."""
-        return max(1, int(self.position.fraction(self.connection_limit) * CONNECTION_SAFE_PART))
+        return max(1, int(self.position.fraction(self.connection_limit) * CONNECTION_SAFETY_FACTOR))
 
 
 def available_at(
@@ -55,35 +57,36 @@
     now: float,
     max_requests_per_slot: float = MAX_REQUESTS_PER_SLOT,
 ) -> float | None:
-    """Returns when a server may be given one more request; None until another one ends.
+    """Returns when a server may be given one more request, None until one of its requests ends.
 
-    ``max_requests_per_slot`` is how many requests a slot the server may hold with it.
+    ``max_requests_per_slot`` limits the server's running and queued requests per slot, the new one
+    included.
     """
     if tracker.in_flight >= limits.connection_share:
         return None
     if tracker.expected_load(now) + 1.0 > tracker.server.slots * max_requests_per_slot:
         return None
     server_id = tracker.server.server_id
-    open_at = tracker.cold_limiter.available_at(
+    earliest = tracker.cold_limiter.available_at(
         now, limits.cold_limit, limits.position, server_id, limits.assume_cold
     )
     if is_unresponsive(tracker):
-        open_at = max(open_at, tracker.failure_rate_at + DEAD_RETRY_SECONDS)
-    return open_at
+        earliest = max(earliest, tracker.failure_rate_at + UNRESPONSIVE_RETRY_SECONDS)
+    return earliest
 
 
 def is_unresponsive(tracker: ServerTracker) -> bool:
-    """Whether a server has answered none of the last requests."""
-    return tracker.consecutive_no_responses >= DEAD_AFTER_FAILURES
+    """Whether several attempts got no response since the last answer of the server."""
+    return tracker.consecutive_no_responses >= UNRESPONSIVE_AFTER_ATTEMPTS
 
 
 def cost_seconds(tracker: ServerTracker, limits: ServiceLimits, now: float) -> float:
-    """Returns the expected time of one more request, with distance and failures counted in."""
-    distant = tracker.server.data_centre != limits.data_centre
+    """Returns the expected time of one more request, plus costs for distance and failures."""
+    is_remote = tracker.server.data_centre != limits.data_centre
     return (
         tracker.expected_seconds(now)
-        + tracker.decayed_failure_rate(now) * FAILURE_SECONDS
-        + (DISTANCE_SECONDS if distant else 0.0)
+        + tracker.decayed_failure_rate(now) * FAILURE_COST_SECONDS
+        + (CROSS_DATA_CENTRE_COST_SECONDS if is_remote else 0.0)
     )
 
 
@@ -94,20 +97,24 @@
     tried_servers: frozenset[str],
     max_requests_per_slot: float = MAX_REQUESTS_PER_SLOT,
 ) -> ServerTracker | None:
-    """Returns the server with the least cost among those with room now, None without one.
+    """Returns the server with the least cost of those available now, None if none is available.
 
-    Servers that were tried for the request are taken only when there is no other.
+    A server to which the request was sent before is chosen only if no other is available.
     """
-    open_now = [
-        tracker for tracker in candidates if _has_room(tracker, limits, now, max_requests_per_slot)
+    available = [
+        tracker
+        for tracker in candidates
+        if _is_available(tracker, limits, now, max_requests_per_slot)
     ]
-    untried = [tracker for tracker in open_now if tracker.server.server_id not in tried_servers]
-    choices = untried or open_now
+    untried = [tracker for tracker in available if tracker.server.server_id not in tried_servers]
+    choices = untried or available
     if not choices:
         return None
     return min(choices, key=lambda tracker: cost_seconds(tracker, limits, now))
 
 
-def _has_room(tracker: ServerTracker, limits: ServiceLimits, now: float, depth: float) -> bool:
-    open_at = available_at(tracker, limits, now, depth)
-    return open_at is not None and open_at <= now
+def _is_available(
+    tracker: ServerTracker, limits: ServiceLimits, now: float, max_requests_per_slot: float
+) -> bool:
+    earliest = available_at(tracker, limits, now, max_requests_per_slot)
+    return earliest is not None and earliest <= now
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -1,16 +1,18 @@
-"""Which backend servers exist, and which of them may get work."""
+"""Directory of registered backend servers, and which of them may get new work."""
 
 from fireflylink_core import BackendServer, ServerState
 
 REGISTRATION_GRACE_SECONDS = 2.0
-"""Registrations that expired while the store was away are back this long after its return."""
+"""A server whose registration expired during an outage of the store registers again within this
+time after the store has become reachable."""
 
 
 class DirectoryEntry:
-    """A registered server and what is known of its leaving.
+    """A registered server, and whether it is about to leave.
 
-    ``registration_missing`` tells that its registration expired around an outage of the store, so
-    that it may come back. ``draining_since`` is when it was first seen to drain.
+    ``registration_missing`` is set when the registration was removed around an outage of the store:
+    it may have expired although the server still runs, and may come back. ``draining_since`` is
+    when the server was first seen to drain.
     """
 
     __slots__ = ("draining_since", "joined_at", "registration_missing", "server")
@@ -23,7 +25,7 @@
 
 
 class ServerDirectory:
-    """The registrations that the store holds, as far as this daemon has read them.
+    """The server registrations in the store, as far as this daemon has read them.
 
     Example::
 
@@ -41,12 +43,12 @@
         self.grace_ends_at = float("-inf")
 
     def register(self, server: BackendServer, now: float) -> DirectoryEntry:
-        """Records a registration; a new incarnation makes a new entry."""
+        """Records a registration. A new incarnation, address or service makes a new entry."""
         entry = self.entries.get(server.server_id)
         if (
             entry is None
             or entry.server.incarnation != server.incarnation
-            or _moved(entry.server, server)
+            or _endpoint_changed(entry.server, server)
         ):
             entry = DirectoryEntry(server, now)
             self.entries[server.server_id] = entry
@@ -59,10 +61,11 @@
         return entry
 
     def remove(self, server_id: str, now: float) -> bool:
-        """Takes the end of a registration; returns whether the server is gone for good.
+        """Records that a registration was removed; returns whether the server was removed with it.
 
-        Around an outage of the store a registration may have expired although its server lives:
-        it stays until ``REGISTRATION_GRACE_SECONDS`` after the store's return.
+        Around an outage of the store a registration may have expired although its server still
+        runs. The server then stays until ``REGISTRATION_GRACE_SECONDS`` after the store has become
+        reachable again. A draining server is removed at once, because it is leaving anyway.
         """
         entry = self.entries.get(server_id)
         if entry is None:
@@ -75,33 +78,33 @@
         return False
 
     def keep_only(self, server_ids: frozenset[str], now: float) -> list[str]:
-        """Takes a whole reading of the store; returns the servers that are gone for good."""
+        """Records a full read of the store as ``remove`` does; returns the servers removed."""
         absent = [server_id for server_id in self.entries if server_id not in server_ids]
         return [server_id for server_id in absent if self.remove(server_id, now)]
 
     def mark_store_unreachable(self) -> None:
-        """Takes note that the store does not answer this daemon."""
+        """Marks the store as unreachable from this daemon."""
         self.store_reachable = False
 
     def mark_store_reachable(self, now: float) -> None:
-        """Takes note that the store answers; after an outage the grace time begins."""
+        """Marks the store as reachable; after an outage this starts the grace time."""
         if not self.store_reachable:
             self.store_reachable = True
             self.grace_ends_at = now + REGISTRATION_GRACE_SECONDS
 
     def expire(self, now: float) -> list[str]:
-        """Drops registrations that were still missing at the end of the grace time."""
+        """Removes and returns servers whose registration is missing after the grace time."""
         if not self.store_reachable or now < self.grace_ends_at:
             return []
-        gone = [
+        expired = [
             server_id for server_id, entry in self.entries.items() if entry.registration_missing
         ]
-        for server_id in gone:
+        for server_id in expired:
             del self.entries[server_id]
-        return gone
+        return expired
 
     def set_evacuated(self, data_centre: str, requested: bool, now: float) -> bool:
-        """Takes an evacuation or its end; returns whether that is news."""
+        """Records that an evacuation is requested or has ended; returns whether that is new."""
         if requested == (data_centre in self.evacuated):
             return False
         if requested:
@@ -111,30 +114,31 @@
         return True
 
     def find(self, server_id: str) -> DirectoryEntry | None:
-        """Returns the entry of a server."""
+        """Returns the entry of a server, None for an unknown one."""
         return self.entries.get(server_id)
 
     def is_eligible(self, entry: DirectoryEntry) -> bool:
-        """Whether new work may be placed on a server."""
+        """Whether a server may get new work: it is not draining, nor its data centre evacuated."""
         return (
             entry.server.state is ServerState.READY
             and entry.server.data_centre not in self.evacuated
         )
 
     def is_presumed_alive(self, entry: DirectoryEntry) -> bool:
-        """Whether a missing registration is presumed to have expired rather than ended.
+        """Whether a server is presumed to run, although its registration may be missing.
 
-        When most servers of a service are registered, the store was not away for them, and a
-        missing one has left; when most are missing, their registrations expired.
+        If most registrations of its service are missing, they are presumed to have expired during
+        the outage of the store. If most are present, the servers could reach the store, and one
+        whose registration is missing is presumed to have left.
         """
         if not entry.registration_missing:
             return True
         service = entry.server.service
-        same = [found for found in self.entries.values() if found.server.service == service]
-        return 2 * sum(found.registration_missing for found in same) > len(same)
+        peers = [other for other in self.entries.values() if other.server.service == service]
+        return 2 * sum(other.registration_missing for other in peers) > len(peers)
 
     def eligible_servers(self, service: str) -> list[DirectoryEntry]:
-        """Returns the servers of a service that may get new work."""
+        """Returns the entries of a service's servers that may get new work."""
         return [
             entry
             for entry in self.entries.values()
@@ -142,5 +146,5 @@
         ]
 
 
-def _moved(old: BackendServer, new: BackendServer) -> bool:
+def _endpoint_changed(old: BackendServer, new: BackendServer) -> bool:
     return (old.host, old.port, old.service) != (new.host, new.port, new.service)
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -1,4 +1,4 @@
-"""What this daemon knows of one server from its own requests and the server's answers."""
+"""State of one server, measured from this daemon's requests and reported with the answers."""
 
 import math
 
@@ -6,37 +6,39 @@
 from fireflylink_decisions.limits import ColdServerLimiter
 
 DEFAULT_BASE_SECONDS = 0.12
-"""Service time that is assumed before the first answer."""
+"""Service time assumed before the first answer."""
 
-BASE_WEIGHT = 0.15
-FIRST_ANSWERS = 4
-FIRST_WEIGHT = 0.5
-UNQUEUED_FULLNESS = 1.4
-"""Up to this, a request is taken to have found a free slot."""
+BASE_SECONDS_WEIGHT = 0.15
+INITIAL_ANSWER_COUNT = 4
+INITIAL_BASE_SECONDS_WEIGHT = 0.5
+MAX_UNQUEUED_FACTOR = 1.4
+"""Queueing factor up to which a request is assumed to have found a free slot at once."""
 
-FAILURE_WEIGHT = 0.15
-LATE_WEIGHT = 0.5
-REPORT_DECAY_WORK = 2.0
-"""A reported queue fades within about so many service times: the server works it off."""
+FAILURE_RATE_WEIGHT = 0.15
+TIMEOUT_BASE_SECONDS_WEIGHT = 0.5
+REPORT_DECAY_SERVICE_TIMES = 2.0
+"""A reported load decays within about this many service times, while the server processes it."""
 
-LEAST_REPORT_DECAY_SECONDS = 0.1
-PACE_OUTLOOK = 0.4
-"""A machine that is slow now is as usual again before a queue is worked off."""
+MIN_REPORT_DECAY_SECONDS = 0.1
+LASTING_SLOWDOWN_FRACTION = 0.4
+"""Fraction of the present slowdown that is expected to last over a wait: a machine that is slow now
+usually recovers before a queue is processed."""
 
-CONTENTION = 2.0
-"""Room that a server gets is taken by other daemons as often as by this one."""
+CONTENTION_FACTOR = 2.0
+"""Other daemons take a slot that becomes free as often as this one does."""
 
-PACE_DECAY_SECONDS = 0.5
+SLOWDOWN_DECAY_SECONDS = 0.5
 FAILURE_DECAY_SECONDS = 3.0
-FULLNESS_SLOWDOWN = 0.3
-"""Servers slow down somewhat when their slots fill up."""
+OCCUPANCY_SLOWDOWN = 0.3
+"""Relative increase of the service time when all slots of a server are occupied."""
 
 
 class ServerTracker:
     """In-flight requests, reported load, speed and failures of one incarnation of a server.
 
-    ``base_seconds`` is the service time on an idle server at its usual speed, ``failure_rate`` the
-    recent part of requests that failed. Reports count less as they age.
+    ``base_seconds`` is the service time while the server is idle and at its normal speed.
+    ``failure_rate`` is a moving average of the fraction of requests that failed, as of
+    ``failure_rate_at``. Reported values decay exponentially with their age.
     """
 
     __slots__ = (
@@ -74,105 +76,109 @@
         self.cold_limiter.record_sent(now)
 
     def record_completed(self) -> None:
-        """Counts the end of a request."""
+        """Counts a request as ended, whatever its result."""
         self.in_flight -= 1
 
     def record_load(self, load: ServerLoad, now: float) -> None:
-        """Takes the load that came with an answer."""
+        """Records the load that the server reported with an answer."""
         self.reported_load = load
         self.reported_at = now
         self.own_in_flight_at_report = max(0, self.in_flight - 1)
 
     def record_answer(self, seconds: float, queueing_factor: float, now: float) -> bool:
-        """Records a whole answer, its time, and how much the queue was expected to stretch it.
+        """Records an answer, its time, and the queueing factor expected when it was sent.
 
-        Returns whether the time tells the server's speed: with a queue, the time tells more of the
-        queue, and an estimate that divides by the expected queue makes overloaded servers look
-        fast.
+        Returns whether the time reflects the server's speed. With a queue at the server it reflects
+        mostly the queue, and dividing it by the expected queueing factor would make overloaded
+        servers look fast.
         """
         self.answers += 1
         self.consecutive_no_responses = 0
-        self._note_outcome(0.0, now)
-        if queueing_factor > UNQUEUED_FULLNESS:
+        self._update_failure_rate(0.0, now)
+        if queueing_factor > MAX_UNQUEUED_FACTOR:
             self.base_seconds = min(self.base_seconds, seconds)
             return False
-        weight = BASE_WEIGHT if self.answers > FIRST_ANSWERS else FIRST_WEIGHT
+        weight = (
+            BASE_SECONDS_WEIGHT
+            if self.answers > INITIAL_ANSWER_COUNT
+            else INITIAL_BASE_SECONDS_WEIGHT
+        )
         self.base_seconds += weight * (seconds / self.slowdown_factor(now) - self.base_seconds)
         return True
 
     def record_timeout(self, seconds: float, queueing_factor: float, now: float) -> float:
-        """Records a request whose time ran out at the server: it takes at least that long.
+        """Records a request that timed out at the server, which would take at least that long.
 
-        Returns the least service time that this tells, without the expected time in the queue.
+        Returns a lower bound of the service time, without the expected effect of queueing.
         """
-        unqueued = seconds / max(1.0, queueing_factor)
-        base = unqueued / self.slowdown_factor(now)
-        self.base_seconds += LATE_WEIGHT * max(0.0, base - self.base_seconds)
+        unqueued_seconds = seconds / max(1.0, queueing_factor)
+        base = unqueued_seconds / self.slowdown_factor(now)
+        self.base_seconds += TIMEOUT_BASE_SECONDS_WEIGHT * max(0.0, base - self.base_seconds)
         self.record_no_response(now)
-        return unqueued
+        return unqueued_seconds
 
     def record_failure(self, now: float) -> None:
-        """Records a request that failed at the server or was declined without need."""
-        self._note_outcome(1.0, now)
+        """Records a request that failed, or that the server declined although it holds the key."""
+        self._update_failure_rate(1.0, now)
 
     def record_no_response(self, now: float) -> None:
-        """Takes a connection that could not be opened or that brought no answer."""
+        """Records that a connection could not be opened or that no answer came."""
         self.consecutive_no_responses += 1
-        self._note_outcome(1.0, now)
+        self._update_failure_rate(1.0, now)
 
     def decayed_failure_rate(self, now: float) -> float:
-        """Returns the recent part of failures; it fades while the server gets no requests."""
+        """Returns the failure rate, which decays while the server gets no requests."""
         age = max(0.0, now - self.failure_rate_at)
         return self.failure_rate * math.exp(-age / FAILURE_DECAY_SECONDS)
 
     def slowdown_factor(self, now: float) -> float:
-        """Returns the present service time relative to the normal one, which is 1."""
+        """Returns the present service time relative to normal, 1 being normal."""
         if self.reported_load is None:
             return 1.0
         age = max(0.0, now - self.reported_at)
         return 1.0 + (self.reported_load.slowdown_factor - 1.0) * math.exp(
-            -age / PACE_DECAY_SECONDS
+            -age / SLOWDOWN_DECAY_SECONDS
         )
 
     def expected_load(self, now: float) -> float:
-        """Returns how many requests the server is expected to hold, those of others included."""
+        """Returns the expected number of requests at the server, from this and other daemons."""
         if self.reported_load is None:
             return float(self.in_flight)
         age = max(0.0, now - self.reported_at)
         others = (
             self.reported_load.running + self.reported_load.waiting - self.own_in_flight_at_report
         )
-        decay = max(LEAST_REPORT_DECAY_SECONDS, REPORT_DECAY_WORK * self.base_seconds)
+        decay = max(MIN_REPORT_DECAY_SECONDS, REPORT_DECAY_SERVICE_TIMES * self.base_seconds)
         return self.in_flight + max(0, others) * math.exp(-age / decay)
 
     def queueing_factor(self, now: float) -> float:
-        """Returns by how much one more request is stretched by those that the server holds."""
+        """Returns by which factor the present load lengthens the time of one more request."""
         slots = self.server.slots
-        held = self.expected_load(now)
-        slowdown = 1.0 + FULLNESS_SLOWDOWN * min(1.0, held / slots)
-        return slowdown * (1.0 + max(0.0, held + 1.0 - slots) / slots)
+        load = self.expected_load(now)
+        slowdown = 1.0 + OCCUPANCY_SLOWDOWN * min(1.0, load / slots)
+        return slowdown * (1.0 + max(0.0, load + 1.0 - slots) / slots)
 
     def expected_seconds(self, now: float) -> float:
-        """Returns how long one more request is expected to take."""
+        """Returns how long a request that is sent now is expected to take."""
         return self.base_seconds * self.slowdown_factor(now) * self.queueing_factor(now)
 
     def expected_wait_seconds(self, now: float) -> float:
-        """Returns how long one more request waits at this daemon while the server has no room.
+        """Returns how long one more request is expected to queue at this daemon for a full server.
 
-        A full server ends as many requests a service time as it has slots; other daemons wait for
-        the same room.
+        A full server completes as many requests per service time as it has slots. Other daemons
+        queue for the same slots.
         """
-        seconds = self.base_seconds * self._outlook(now) / self.server.slots
-        return (self.queued + 1) * seconds * CONTENTION
+        seconds = self.base_seconds * self._lasting_slowdown_factor(now) / self.server.slots
+        return (self.queued + 1) * seconds * CONTENTION_FACTOR
 
     def expected_seconds_after_wait(self, now: float) -> float:
-        """Returns how long a request takes that is sent after a wait."""
-        return self.base_seconds * self._outlook(now) * self.queueing_factor(now)
+        """Returns how long a request is expected to take once it is sent after that wait."""
+        return self.base_seconds * self._lasting_slowdown_factor(now) * self.queueing_factor(now)
 
-    def _outlook(self, now: float) -> float:
-        return 1.0 + (self.slowdown_factor(now) - 1.0) * PACE_OUTLOOK
+    def _lasting_slowdown_factor(self, now: float) -> float:
+        return 1.0 + (self.slowdown_factor(now) - 1.0) * LASTING_SLOWDOWN_FRACTION
 
-    def _note_outcome(self, outcome: float, now: float) -> None:
+    def _update_failure_rate(self, failed: float, now: float) -> None:
         rate = self.decayed_failure_rate(now)
-        self.failure_rate = rate + FAILURE_WEIGHT * (outcome - rate)
+        self.failure_rate = rate + FAILURE_RATE_WEIGHT * (failed - rate)
         self.failure_rate_at = now
