--- a/packages/decisions/src/fireflylink_decisions/dispatch/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/__init__.py
@@ -1,4 +1,4 @@
-"""Waiting, placing and refusing."""
+"""Queueing of requests, their dispatch to servers, and refusal of those that cannot be served."""
 
 from fireflylink_decisions.dispatch._dispatcher import Dispatcher, ServicePool
 from fireflylink_decisions.dispatch._queued_request import (
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -1,4 +1,4 @@
-"""Where each request goes, how long it waits for that, and when it is turned away."""
+"""Assignment of requests to servers, queueing, and refusal of requests that cannot be served."""
 
 from collections.abc import Callable
 
@@ -20,30 +20,32 @@
     is_unresponsive,
 )
 
-OWNER_WAIT_SECONDS = 0.25
-"""How long a request waits for its key to get an owner that is there."""
+OWNER_TIMEOUT_SECONDS = 0.25
+"""How long a request is queued while its key has no owner that responds."""
 
-LONGEST_WAIT_PART = 0.5
-"""A request waits for at most this part of its time: after it, it could only be answered late."""
+MAX_WAIT_FRACTION = 0.5
+"""Fraction of the time until its deadline for which a request may be queued. A request that is
+dispatched later could only be answered late."""
 
-SHORT_RETRY_SECONDS = 0.25
-LONG_RETRY_SECONDS = 1.0
-RECHECK_SECONDS = 0.3
-MOVE_SECONDS = 0.6
-"""After this time a moved key's new owner is tried even if no notice of its grant has come."""
+SHORT_RETRY_AFTER_SECONDS = 0.25
+LONG_RETRY_AFTER_SECONDS = 1.0
+MISDIRECTED_PAUSE_SECONDS = 0.3
+TRANSFER_TIMEOUT_SECONDS = 0.6
+"""Time after which a moved key's new owner is tried even if no notice of its grant has arrived."""
 
-URGENT_MEMORY_SECONDS = 3.0
-"""More urgent requests are expected to come for so long after the last one."""
+URGENT_DEMAND_SECONDS = 3.0
+"""How long after a request of a higher priority more of them are expected."""
 
 
 class ServicePool:
-    """The servers of one service as this daemon sees them, and the requests that wait for them.
-
-    ``trackers`` are the servers that may get work. ``keyed`` services are served by the owner of
-    the key alone; ``misdirected_until`` holds owners that declined a key under a fence, until when.
-    ``confirmed_grants`` are the moved ranges whose new owner has confirmed them,
-    ``table_received_at`` is when the table came, and ``last_arrival_at`` is when a request of each
-    priority came last.
+    """The servers of one service, as known to this daemon, and the requests queued for them.
+
+    ``trackers`` are the servers that may get requests. In a ``keyed`` service only the owner of a
+    key runs requests for it. ``misdirected_until`` maps an owner that declined a key, and the fence
+    of its assignment, to the time until which it gets no requests under that fence.
+    ``confirmed_grants`` are the moved ranges, with their fences, that have been granted to the new
+    owner. ``table_received_at`` is when ``table`` was set, and ``last_arrival_at`` the time of the
+    last request of each priority.
     """
 
     __slots__ = (
@@ -70,43 +72,46 @@
         self.last_arrival_at: dict[int, float] = {}
 
     def max_requests_per_slot(self, priority: int, now: float) -> float:
-        """Returns how many requests per slot a server may hold before one more of a priority."""
-        oldest = now - URGENT_MEMORY_SECONDS
-        urgent = any(other < priority and at > oldest for other, at in self.last_arrival_at.items())
-        return MAX_LOW_PRIORITY_REQUESTS_PER_SLOT if urgent else MAX_REQUESTS_PER_SLOT
+        """Returns the limit on a server's requests per slot that applies to a priority."""
+        window_start = now - URGENT_DEMAND_SECONDS
+        urgent_expected = any(
+            other < priority and arrived_at > window_start
+            for other, arrived_at in self.last_arrival_at.items()
+        )
+        return MAX_LOW_PRIORITY_REQUESTS_PER_SLOT if urgent_expected else MAX_REQUESTS_PER_SLOT
 
     def set_table(self, table: OwnershipTable, now: float) -> None:
-        """Takes the owners of the keys."""
+        """Replaces the table of the owners of keys."""
         self.table = table
         self.table_received_at = now
         self.misdirected_until.clear()
-        pending = {
+        moved_ranges = {
             (moved.keys, moved.fence) for moved in table.assignments if moved.previous_holders
         }
-        self.confirmed_grants &= pending
+        self.confirmed_grants &= moved_ranges
 
     def owner_of(self, key: int) -> ServerTracker | None:
-        """Returns the owner of a key, None when it has none that is there."""
+        """Returns the owner of a key, None if it has none that may get requests."""
         assignment = self.table.find(key) if self.table is not None else None
         return None if assignment is None else self.trackers.get(assignment.owner)
 
     def is_transfer_pending(self, assignment: Assignment, now: float) -> bool:
-        """Whether the owner of an assignment is not expected to hold the keys yet."""
+        """Whether the owner of an assignment presumably has not been granted the keys yet."""
         return (
             bool(assignment.previous_holders)
             and (assignment.keys, assignment.fence) not in self.confirmed_grants
-            and now < self.table_received_at + MOVE_SECONDS
+            and now < self.table_received_at + TRANSFER_TIMEOUT_SECONDS
         )
 
 
 class Dispatcher:
-    """Places requests on servers, in the order of their urgency.
+    """Dispatches requests to servers in the order of their priority.
 
     Example::
 
         result = dispatcher.submit(request, now)
         if result is None:
-            ...  # wait until sweep() returns one for the request
+            ...  # queued; wait until sweep() returns a result for it
     """
 
     __slots__ = ("pools",)
@@ -118,68 +123,70 @@
         """Dispatches a new request, or queues it and returns None."""
         pool = self.pools.get(request.service)
         if pool is None:
-            return Refused("no-such-service", LONG_RETRY_SECONDS)
+            return Refused("no-such-service", LONG_RETRY_AFTER_SECONDS)
         pool.last_arrival_at[request.priority] = now
-        # A request with a key waits for its owner's room, not for the line.
-        ahead = 0 if pool.keyed else pool.queue.count_ahead(request, _lateness(pool, now))
+        # In a keyed service a request waits for the owner of its key, not for others in the queue.
+        ahead = 0 if pool.keyed else pool.queue.count_ahead(request, _misses_objective(pool, now))
         if not ahead:
-            result = self._try(pool, request, now)
+            result = self._try_dispatch(pool, request, now)
             if result is not None:
                 return result
-        if pool.queue.is_full or self._hopeless(pool, request, ahead, now):
-            return Refused("no-room", SHORT_RETRY_SECONDS)
-        self._join(pool, request)
+        if pool.queue.is_full or self._would_miss_deadline(pool, request, ahead, now):
+            return Refused("no-room", SHORT_RETRY_AFTER_SECONDS)
+        self._enqueue(pool, request)
         return None
 
     def sweep(self, now: float) -> list[tuple[QueuedRequest, BaseDispatchResult]]:
-        """Places what can be placed now, and turns away what cannot be served in time."""
-        ended = []
+        """Dispatches the queued requests that can be, and refuses those that would be late."""
+        results = []
         for pool in self.pools.values():
             if pool.queue.requests:
-                ended.extend(self._sweep_pool(pool, now))
-        return ended
+                results.extend(self._sweep_pool(pool, now))
+        return results
 
     def cancel(self, request: QueuedRequest) -> None:
         """Removes a request whose caller has disconnected from the queue."""
         pool = self.pools.get(request.service)
         if pool is not None:
-            self._leave(pool, request)
+            self._dequeue(pool, request)
 
     def record_misdirected(self, service: str, dispatched: Dispatched, now: float) -> None:
-        """Records that a server does not hold a key that the table assigns to it."""
+        """Records that a server declined a key that the table assigns to it."""
         pool = self.pools.get(service)
         if pool is not None:
             pool.misdirected_until[(dispatched.tracker.server.incarnation, dispatched.fence)] = (
-                now + RECHECK_SECONDS
+                now + MISDIRECTED_PAUSE_SECONDS
             )
 
     @property
     def queued_count(self) -> int:
-        """How many requests wait."""
+        """The number of queued requests of all services."""
         return sum(len(pool.queue.requests) for pool in self.pools.values())
 
     def _sweep_pool(
         self, pool: ServicePool, now: float
     ) -> list[tuple[QueuedRequest, BaseDispatchResult]]:
-        ended = []
-        for request in pool.queue.in_dispatch_order(_lateness(pool, now)):
-            result = self._try(pool, request, now) or self._overdue(pool, request, now)
+        results = []
+        for request in pool.queue.in_dispatch_order(_misses_objective(pool, now)):
+            result = self._try_dispatch(pool, request, now) or self._try_refuse(pool, request, now)
             if result is not None:
-                self._leave(pool, request)
-                ended.append((request, result))
-        return ended
+                self._dequeue(pool, request)
+                results.append((request, result))
+        return results
 
-    def _try(
+    def _try_dispatch(
         self, pool: ServicePool, request: QueuedRequest, now: float
     ) -> BaseDispatchResult | None:
         if pool.keyed and request.key != NO_KEY:
-            return self._try_owner(pool, request, now)
-        depth = pool.max_requests_per_slot(request.priority, now)
+            return self._try_dispatch_to_owner(pool, request, now)
+        max_requests_per_slot = pool.max_requests_per_slot(request.priority, now)
         trackers = list(pool.trackers.values())
-        tracker = choose_server(trackers, pool.limits, now, request.tried_servers, depth)
-        return None if tracker is None else _send(pool, tracker, 0, now)
+        tracker = choose_server(
+            trackers, pool.limits, now, request.tried_servers, max_requests_per_slot
+        )
+        return None if tracker is None else _dispatch_to(pool, tracker, 0, now)
 
-    def _try_owner(
+    def _try_dispatch_to_owner(
         self, pool: ServicePool, request: QueuedRequest, now: float
     ) -> BaseDispatchResult | None:
         assignment = pool.table.find(request.key) if pool.table is not None else None
@@ -190,33 +197,35 @@
             return None
         if now < pool.misdirected_until.get((assignment.owner, assignment.fence), 0.0):
             return None
-        open_at = available_at(
+        earliest = available_at(
             tracker, pool.limits, now, pool.max_requests_per_slot(request.priority, now)
         )
-        if open_at is None or open_at > now:
+        if earliest is None or earliest > now:
             return None
-        return _send(pool, tracker, assignment.fence, now)
+        return _dispatch_to(pool, tracker, assignment.fence, now)
 
-    def _overdue(self, pool: ServicePool, request: QueuedRequest, now: float) -> Refused | None:
-        if now - request.enqueued_at > OWNER_WAIT_SECONDS and self._ownerless(pool, request):
-            return Refused("no-owner", LONG_RETRY_SECONDS)
-        end_of_wait = (
-            request.enqueued_at + (request.deadline - request.enqueued_at) * LONGEST_WAIT_PART
+    def _try_refuse(self, pool: ServicePool, request: QueuedRequest, now: float) -> Refused | None:
+        if now - request.enqueued_at > OWNER_TIMEOUT_SECONDS and self._lacks_owner(pool, request):
+            return Refused("no-owner", LONG_RETRY_AFTER_SECONDS)
+        wait_ends_at = (
+            request.enqueued_at + (request.deadline - request.enqueued_at) * MAX_WAIT_FRACTION
         )
-        if now > end_of_wait or now + _least_seconds(pool) > request.deadline:
-            return Refused("no-room", SHORT_RETRY_SECONDS)
+        if now > wait_ends_at or now + _min_service_seconds(pool) > request.deadline:
+            return Refused("no-room", SHORT_RETRY_AFTER_SECONDS)
         return None
 
-    def _ownerless(self, pool: ServicePool, request: QueuedRequest) -> bool:
+    def _lacks_owner(self, pool: ServicePool, request: QueuedRequest) -> bool:
         if not pool.keyed:
             return False
         tracker = pool.owner_of(request.key)
         return tracker is None or is_unresponsive(tracker)
 
-    def _hopeless(self, pool: ServicePool, request: QueuedRequest, ahead: int, now: float) -> bool:
+    def _would_miss_deadline(
+        self, pool: ServicePool, request: QueuedRequest, ahead: int, now: float
+    ) -> bool:
         if not pool.keyed:
             wait = pool.queue.expected_wait_seconds(ahead, now)
-            return now + wait + _least_seconds(pool) > request.deadline
+            return now + wait + _min_service_seconds(pool) > request.deadline
         tracker = pool.owner_of(request.key)
         if tracker is None:
             return False
@@ -225,39 +234,39 @@
             > request.deadline
         )
 
-    def _join(self, pool: ServicePool, request: QueuedRequest) -> None:
+    def _enqueue(self, pool: ServicePool, request: QueuedRequest) -> None:
         pool.queue.enqueue(request)
         if pool.keyed:
             request.awaited_server = pool.owner_of(request.key)
             if request.awaited_server is not None:
                 request.awaited_server.queued += 1
 
-    def _leave(self, pool: ServicePool, request: QueuedRequest) -> None:
+    def _dequeue(self, pool: ServicePool, request: QueuedRequest) -> None:
         pool.queue.remove(request)
         if request.awaited_server is not None:
             request.awaited_server.queued -= 1
             request.awaited_server = None
 
 
-def _send(pool: ServicePool, tracker: ServerTracker, fence: int, now: float) -> Dispatched:
+def _dispatch_to(pool: ServicePool, tracker: ServerTracker, fence: int, now: float) -> Dispatched:
     queueing_factor = tracker.queueing_factor(now)
     tracker.record_sent(now)
     pool.queue.dispatched.add(now)
     return Dispatched(tracker, queueing_factor, fence)
 
 
-def _lateness(pool: ServicePool, now: float) -> Callable[[QueuedRequest], bool]:
-    """Returns what tells whether a request that is sent now is expected to be late."""
+def _misses_objective(pool: ServicePool, now: float) -> Callable[[QueuedRequest], bool]:
+    """Returns a predicate: whether a request is expected to miss its objective if sent now."""
     if pool.keyed:
-        return lambda request: now + _owner_seconds(pool, request, now) > request.objective_at
-    earliest = now + _least_seconds(pool)
-    return lambda request: earliest > request.objective_at
+        return lambda request: now + _seconds_at_owner(pool, request, now) > request.objective_at
+    earliest_answer_at = now + _min_service_seconds(pool)
+    return lambda request: earliest_answer_at > request.objective_at
 
 
-def _owner_seconds(pool: ServicePool, request: QueuedRequest, now: float) -> float:
+def _seconds_at_owner(pool: ServicePool, request: QueuedRequest, now: float) -> float:
     tracker = pool.owner_of(request.key)
     return 0.0 if tracker is None else tracker.expected_seconds(now)
 
 
-def _least_seconds(pool: ServicePool) -> float:
+def _min_service_seconds(pool: ServicePool) -> float:
     return min((tracker.base_seconds for tracker in pool.trackers.values()), default=0.0)
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_queued_request.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_queued_request.py
@@ -1,15 +1,16 @@
-"""A request that waits for a server, and how the wait ends."""
+"""A request that is queued for a server, and the result of dispatching it."""
 
 from fireflylink_core import NO_KEY, BaseValue
 from fireflylink_decisions.servers import ServerTracker
 
 
 class QueuedRequest:
-    """What the dispatcher needs to know of a request; its identity is the object itself.
+    """The properties of a request that the dispatcher needs. Instances compare by identity.
 
-    ``deadline`` is when its answer is needed at the latest, ``objective_at`` until when it has its
-    full worth, ``tried_servers`` the servers that it was sent to. ``priority`` 0 is the most
-    urgent. ``awaited_server`` is the server that it waits for.
+    ``deadline`` is the latest time at which the answer is of use, and ``objective_at`` the latest
+    time at which it has its full value. ``priority`` 0 is the most urgent. ``tried_servers`` are
+    the ids of servers to which the request was sent before. ``awaited_server`` is the owner of
+    its key, which counts the request as queued; None if there is none.
     """
 
     __slots__ = (
@@ -44,13 +45,17 @@
 
 
 class BaseDispatchResult(BaseValue):
-    """How the wait of a queued request ended."""
+    """Whether a request was dispatched to a server or refused."""
 
     __slots__ = ()
 
 
 class Dispatched(BaseDispatchResult):
-    """The request is to be sent to a server, where it counts as in flight already."""
+    """The request is to be sent to a server, whose tracker already counts it as in flight.
+
+    ``fence`` is the fencing token of the server's assignment, 0 for a request without a key.
+    ``queueing_factor`` is by how much the server's load is expected to lengthen the request.
+    """
 
     __slots__ = ("fence", "queueing_factor", "tracker")
 
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_request_queue.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_request_queue.py
@@ -1,4 +1,4 @@
-"""Requests of one service that wait at this daemon, the most urgent first."""
+"""Queue of one service's requests at this daemon, ordered by priority."""
 
 import bisect
 from collections.abc import Callable
@@ -7,11 +7,11 @@
 from fireflylink_decisions.limits import SlidingWindowCounter
 
 RATE_WINDOW_SECONDS = 2.0
-MAX_WAITING = 200
+MAX_QUEUED_REQUESTS = 200
 
 
 class RequestQueue:
-    """Requests by priority, then by arrival, and the rate at which they are dispatched."""
+    """Requests ordered by priority, then by arrival, and a counter of recent dispatches."""
 
     __slots__ = ("dispatched", "requests")
 
@@ -21,46 +21,51 @@
 
     def enqueue(self, request: QueuedRequest) -> None:
         """Adds a request behind those of the same priority."""
-        bisect.insort_right(self.requests, request, key=_order)
+        bisect.insort_right(self.requests, request, key=_sort_key)
 
     def remove(self, request: QueuedRequest) -> None:
         """Removes a request, if it is still queued."""
-        for index, waiting in enumerate(self.requests):
-            if waiting is request:
+        for index, queued in enumerate(self.requests):
+            if queued is request:
                 del self.requests[index]
                 return
 
     def count_ahead(
         self, request: QueuedRequest, misses_objective: Callable[[QueuedRequest], bool]
     ) -> int:
-        """Returns how many queued requests come before a new one that can meet its objective."""
-        before = self.requests[: bisect.bisect_right(self.requests, _order(request), key=_order)]
+        """Returns how many queued requests would be dispatched before a new one.
+
+        The new request is taken to meet its objective. Queued requests of the same priority that
+        miss theirs are not counted, see ``in_dispatch_order``.
+        """
+        before = self.requests[
+            : bisect.bisect_right(self.requests, _sort_key(request), key=_sort_key)
+        ]
         return sum(
-            waiting.priority < request.priority or not misses_objective(waiting)
-            for waiting in before
+            queued.priority < request.priority or not misses_objective(queued) for queued in before
         )
 
     def in_dispatch_order(
         self, misses_objective: Callable[[QueuedRequest], bool]
     ) -> list[QueuedRequest]:
-        """Returns the requests by priority; those that can only be late come behind the others.
+        """Returns the requests by priority; within one, those that miss their objective come last.
 
-        Under overload, first come first served lets every request wait until it is late.
+        Under overload, serving strictly by arrival would make every request late.
         """
         return sorted(
             self.requests, key=lambda request: (request.priority, misses_objective(request))
         )
 
     def expected_wait_seconds(self, ahead: int, now: float) -> float:
-        """Returns how long ``ahead`` requests take at the rate of the last seconds."""
+        """Returns how long ``ahead`` requests take at the recent dispatch rate, 0 without one."""
         rate = self.dispatched.count(now) / RATE_WINDOW_SECONDS
         return ahead / rate if rate > 0 else 0.0
 
     @property
     def is_full(self) -> bool:
-        """Whether no more requests are queued."""
-        return len(self.requests) >= MAX_WAITING
+        """Whether the queue accepts no more requests."""
+        return len(self.requests) >= MAX_QUEUED_REQUESTS
 
 
-def _order(request: QueuedRequest) -> tuple[int, float]:
+def _sort_key(request: QueuedRequest) -> tuple[int, float]:
     return (request.priority, request.enqueued_at)
