--- a/packages/decisions/src/fireflylink_decisions/dispatch/_request_queue.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_request_queue.py
@@ -20,8 +20,8 @@
         self.dispatched = SlidingWindowCounter(RATE_WINDOW_SECONDS)
 
     def enqueue(self, request: QueuedRequest) -> None:
-        """Adds a request behind those of the same priority."""
-        bisect.insort_right(self.requests, request, key=_sort_key)
+        """Adds a request in the order of priority, then of arrival."""
+        bisect.insort_right(self.requests, request, key=_order)
 
     def remove(self, request: QueuedRequest) -> None:
         """Removes a request, if it is still queued."""
@@ -38,9 +38,7 @@
         The new request is taken to meet its objective. Queued requests of the same priority that
         miss theirs are not counted, see ``in_dispatch_order``.
         """
-        before = self.requests[
-            : bisect.bisect_right(self.requests, _sort_key(request), key=_sort_key)
-        ]
+        before = self.requests[: bisect.bisect_right(self.requests, _order(request), key=_order)]
         return sum(
             queued.priority < request.priority or not misses_objective(queued) for queued in before
         )
@@ -67,5 +65,5 @@
         return len(self.requests) >= MAX_QUEUED_REQUESTS
 
 
-def _sort_key(request: QueuedRequest) -> tuple[int, float]:
+def _order(request: QueuedRequest) -> tuple[int, float]:
     return (request.priority, request.enqueued_at)
