--- a/packages/decisions/tests/conftest.py
+++ b/packages/decisions/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Servers, tables and clocks for the tests of decisions."""
+"""Servers, candidates, limits and a manual clock for the tests of decisions."""
 
 import pytest
 
@@ -37,7 +37,7 @@
 
 
 @pytest.fixture
-def servers():
+def server_factory():
     return make_server
 
 
--- a/packages/decisions/tests/test_routing.py
+++ b/packages/decisions/tests/test_routing.py
@@ -1,4 +1,4 @@
-"""Routes and splits."""
+"""Route lookup and traffic splitting."""
 
 import random
 
@@ -17,8 +17,8 @@
     return RouteTable(Configuration(1, routes, (), CallerLimits()))
 
 
-def test_the_longest_prefix_of_the_host_is_taken():
-    """Guards against a request that runs at a service which its route does not allow."""
+def test_the_longest_matching_prefix_of_the_host_applies():
+    """Guards against sending a request to a service that its route does not list."""
     table = make_table(
         make_route("short", "/a/"), make_route("long", "/a/b/"), make_route("root", "/")
     )
@@ -27,33 +27,35 @@
     assert_that(table.find("b.example", "/a/b/c"), Is(None))
 
 
-def test_routes_agree_with_a_search_of_all_prefixes():
-    """Differential: the index of prefixes against the naive search, with 350 routes."""
+def test_the_prefix_index_agrees_with_a_linear_search():
+    """Guards against a wrong route from the prefix index: compares it with a linear search over the
+    prefixes of up to 350 routes."""
     rng = random.Random(2)
-    parts = ["a", "b", "cc", "d1"]
+    segments = ["a", "b", "cc", "d1"]
     prefixes = {
-        "/" + "".join(f"{rng.choice(parts)}/" for _ in range(rng.randrange(4))) for _ in range(350)
+        "/" + "".join(f"{rng.choice(segments)}/" for _ in range(rng.randrange(4)))
+        for _ in range(350)
     }
     table = make_table(*(make_route(prefix, prefix) for prefix in prefixes))
     for _ in range(500):
-        path = "/" + "/".join(rng.choice(parts) for _ in range(rng.randrange(1, 6)))
-        naive = max((p for p in prefixes if path.startswith(p)), key=len, default=None)
+        path = "/" + "/".join(rng.choice(segments) for _ in range(rng.randrange(1, 6)))
+        expected = max((p for p in prefixes if path.startswith(p)), key=len, default=None)
         found = table.find("a.example", path)
-        assert_that(found.name if found else None, Equals(naive))
+        assert_that(found.name if found else None, Equals(expected))
 
 
-def test_each_part_of_a_split_gets_its_share_of_any_few_requests():
-    """Guards against shares that are off by a tenth in a short time."""
+def test_a_split_is_proportional_over_any_20_requests():
+    """Guards against proportions that are wrong by a tenth over a short time."""
     route = make_route("r", "/", RouteTarget("x", 70.0), RouteTarget("y", 30.0))
     splitter = TrafficSplitter()
     chosen = [splitter.choose(route) for _ in range(200)]
     for start in range(0, 180, 10):
-        part = chosen[start : start + 20].count("x") / 20
-        assert_that(abs(part - 0.7), LessThan(0.06))
+        fraction = chosen[start : start + 20].count("x") / 20
+        assert_that(abs(fraction - 0.7), LessThan(0.06))
 
 
-def test_new_weights_hold_from_the_next_request_on():
-    """Guards against a split that goes on in the old proportions."""
+def test_changed_targets_apply_from_the_next_request():
+    """Guards against a split that keeps the proportions of the former targets."""
     splitter = TrafficSplitter()
     for _ in range(7):
         splitter.choose(make_route("r", "/", RouteTarget("x", 90.0), RouteTarget("y", 10.0)))
--- a/packages/decisions/tests/test_server_directory.py
+++ b/packages/decisions/tests/test_server_directory.py
@@ -1,4 +1,4 @@
-"""Registrations, drains, evacuations and outages of the store."""
+"""Server registrations, draining, evacuations and outages of the store."""
 
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
@@ -7,18 +7,21 @@
 from fireflylink_decisions.servers import REGISTRATION_GRACE_SECONDS, ServerDirectory
 
 
-def test_a_registration_that_ends_is_gone_at_once(servers, clock):
-    """Guards against DRAIN: requests for a server that has left."""
+def test_a_server_whose_registration_ends_is_removed_at_once(server_factory, clock):
+    """Guards against sending requests to a server that has left."""
     directory = ServerDirectory()
-    directory.register(servers("s1"), clock.now())
+    directory.register(server_factory("s1"), clock.now())
     assert_that(directory.remove("s1", clock.now()), Is(True))
     assert_that(directory.eligible_servers("holds"), Equals([]))
 
 
-def test_a_registration_that_lapsed_in_an_outage_stays_for_the_grace_time(servers, clock):
-    """Guards against giving up every server because the store forgot them while it was down."""
+def test_a_server_whose_registration_expired_in_an_outage_stays_for_the_grace_time(
+    server_factory, clock
+):
+    """Guards against dropping every server because their registrations expired during an outage of
+    the store."""
     directory = ServerDirectory()
-    directory.register(servers("s1"), clock.now())
+    directory.register(server_factory("s1"), clock.now())
     directory.mark_store_unreachable()
     clock.advance(9.0)
     directory.mark_store_reachable(clock.now())
@@ -30,53 +33,55 @@
     assert_that(directory.expire(clock.now()), Equals(["s1"]))
 
 
-def test_a_registration_that_comes_back_within_the_grace_time_is_kept(servers, clock):
-    """Guards against losing a live server that registers again after an outage."""
+def test_a_server_that_registers_again_within_the_grace_time_is_kept(server_factory, clock):
+    """Guards against dropping a running server that registers again after an outage."""
     directory = ServerDirectory()
-    directory.register(servers("s1"), clock.now())
+    directory.register(server_factory("s1"), clock.now())
     directory.mark_store_unreachable()
     directory.mark_store_reachable(clock.now())
     directory.remove("s1", clock.now())
     clock.advance(1.0)
-    directory.register(servers("s1"), clock.now())
+    directory.register(server_factory("s1"), clock.now())
     clock.advance(REGISTRATION_GRACE_SECONDS)
     assert_that(directory.expire(clock.now()), Equals([]))
 
 
-def test_a_draining_server_gets_no_work_and_is_gone_although_the_store_was_away(servers, clock):
-    """Guards against work for a server that had announced its leaving before an outage."""
+def test_a_draining_server_gets_no_work_and_is_removed_even_in_an_outage(server_factory, clock):
+    """Guards against sending work to a server that was draining before an outage: its registration
+    ended because it left, and did not expire."""
     directory = ServerDirectory()
-    directory.register(servers("s1").replace(state=ServerState.DRAINING), clock.now())
+    directory.register(server_factory("s1").replace(state=ServerState.DRAINING), clock.now())
     assert_that(directory.eligible_servers("holds"), Equals([]))
     directory.mark_store_unreachable()
     assert_that(directory.remove("s1", clock.now()), Is(True))
 
 
-def test_an_evacuated_data_centre_gets_no_work_until_it_is_taken_back(servers, clock):
-    """Guards against EVAC: requests for servers of a data centre that operators took out."""
+def test_an_evacuated_data_centre_gets_no_work_until_the_evacuation_ends(server_factory, clock):
+    """Guards against sending requests to servers of a data centre that operators evacuate."""
     directory = ServerDirectory()
-    directory.register(servers("s1", "kingston"), clock.now())
-    directory.register(servers("s2", "mandeville"), clock.now())
+    directory.register(server_factory("s1", "kingston"), clock.now())
+    directory.register(server_factory("s2", "mandeville"), clock.now())
     directory.set_evacuated("kingston", True, clock.now())
-    usable = [entry.server.server_id for entry in directory.eligible_servers("holds")]
-    assert_that(usable, Equals(["s2"]))
+    eligible = [entry.server.server_id for entry in directory.eligible_servers("holds")]
+    assert_that(eligible, Equals(["s2"]))
     directory.set_evacuated("kingston", False, clock.now())
     assert_that(len(directory.eligible_servers("holds")), Equals(2))
 
 
-def test_a_new_life_under_the_same_id_is_another_server(servers, clock):
-    """Guards against taking a restarted server for one that still holds keys."""
+def test_a_new_incarnation_under_the_same_id_is_another_server(server_factory, clock):
+    """Guards against treating a restarted server as one that still holds keys."""
     directory = ServerDirectory()
-    directory.register(servers("s1"), clock.now())
+    directory.register(server_factory("s1"), clock.now())
     clock.advance(5.0)
-    entry = directory.register(servers("s1").replace(started_ms=2), clock.now())
+    entry = directory.register(server_factory("s1").replace(started_ms=2), clock.now())
     assert_that(entry.joined_at, Equals(clock.now()))
 
 
-def test_one_missing_server_among_registered_ones_is_not_believed_to_live(servers, clock):
-    """Guards against DRAIN: a daemon that was cut off takes a server that left for lapsed."""
+def test_a_missing_server_is_presumed_alive_only_if_most_servers_are_missing(server_factory, clock):
+    """Guards against sending requests to a server that has left: a daemon that was cut off from the
+    store could presume that the registration has only expired."""
     directory = ServerDirectory()
-    entries = [directory.register(servers(f"s{number}"), clock.now()) for number in range(3)]
+    entries = [directory.register(server_factory(f"s{number}"), clock.now()) for number in range(3)]
     directory.mark_store_unreachable()
     directory.mark_store_reachable(clock.now())
     directory.remove("s0", clock.now())
