--- a/packages/core/src/fireflylink_core/_json_fields.py
+++ b/packages/core/src/fireflylink_core/_json_fields.py
@@ -1,4 +1,4 @@
-"""Typed reading of decoded JSON objects."""
+"""Typed access to decoded JSON objects."""
 
 from typing import Any, ClassVar, Self
 
@@ -8,10 +8,11 @@
 
 
 class BaseJsonFields:
-    """Reads the fields of one JSON object.
+    """Gives typed access to the fields of one JSON object.
 
-    Each method raises ``error``, which the layer that reads sets to its own; the text names the
-    path of the field and what is allowed. A field that is null counts as missing.
+    A required field that is missing and a value that is not allowed raise ``error``, which each
+    subclass sets to the error class of its layer. The message names the path of the field and what
+    is allowed. A field that is null counts as missing.
 
     Example::
 
@@ -32,58 +33,58 @@
         self.name = name
 
     def string(self, field: str, default: object = MISSING) -> str:
-        """Returns a string."""
-        found = self.find(field, default)
-        if not isinstance(found, str):
+        """Returns the string in a field."""
+        value = self.find(field, default)
+        if not isinstance(value, str):
             raise self.error(f"{self.path(field)}: must be a string")
-        return found
+        return value
 
     def integer(self, field: str, default: object = MISSING) -> int:
-        """Returns a whole number that is not negative."""
-        found = self.find(field, default)
-        if isinstance(found, bool) or not isinstance(found, int) or found < 0:
+        """Returns the integer in a field, which must be 0 or more."""
+        value = self.find(field, default)
+        if isinstance(value, bool) or not isinstance(value, int) or value < 0:
             raise self.error(f"{self.path(field)}: must be a whole number from 0")
-        return found
+        return value
 
     def number(self, field: str, default: object = MISSING) -> float:
-        """Returns a number that is not negative."""
-        found = self.find(field, default)
-        if isinstance(found, bool) or not isinstance(found, int | float) or not found >= 0:
+        """Returns the number in a field, which must be 0 or more."""
+        value = self.find(field, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 0:
             raise self.error(f"{self.path(field)}: must be a number from 0")
-        return float(found)
+        return float(value)
 
     def boolean(self, field: str, default: object = MISSING) -> bool:
-        """Returns a truth value."""
-        found = self.find(field, default)
-        if not isinstance(found, bool):
+        """Returns the boolean in a field."""
+        value = self.find(field, default)
+        if not isinstance(value, bool):
             raise self.error(f"{self.path(field)}: must be true or false")
-        return found
+        return value
 
     def json_object(self, field: str) -> Self:
-        """Returns the object in a field."""
+        """Returns the JSON object in a field."""
         return type(self)(self.find(field, MISSING), self.path(field))
 
     def json_objects(self, field: str, default: object = MISSING) -> tuple[Self, ...]:
-        """Returns the objects of a list."""
-        found = self.find(field, default)
-        if not isinstance(found, list):
+        """Returns the JSON objects of the list in a field."""
+        value = self.find(field, default)
+        if not isinstance(value, list):
             raise self.error(f"{self.path(field)}: must be a list")
         path = self.path(field)
-        return tuple(type(self)(entry, f"{path}.{index}") for index, entry in enumerate(found))
+        return tuple(type(self)(entry, f"{path}.{index}") for index, entry in enumerate(value))
 
     def has(self, field: str) -> bool:
         """Whether the field is present and not null."""
         return self.value.get(field) is not None
 
     def find(self, field: str, default: object) -> object:
-        """Returns the value of a field, or the default for one that is missing."""
-        found = self.value.get(field)
-        if found is None:
+        """Returns the value of a field, or the default if the field is missing."""
+        value = self.value.get(field)
+        if value is None:
             if default is MISSING:
                 raise self.error(f"{self.path(field)}: is missing")
             return default
-        return found
+        return value
 
     def path(self, field: str) -> str:
-        """Returns how errors name a field."""
+        """Returns the path by which error messages name a field."""
         return f"{self.name}.{field}" if self.name else field
