--- a/packages/core/src/fireflylink_core/_keys.py
+++ b/packages/core/src/fireflylink_core/_keys.py
@@ -1,4 +1,8 @@
-"""Ownership of keys: ranges, fences and the table of a service."""
+"""Ownership of keys: key ranges, their assignment to servers, and the ownership table of a service.
+
+A fence is a fencing token: a number that increases with each change of ownership. A server refuses
+a grant whose fence is lower than one that it has seen for the same keys.
+"""
 
 import bisect
 
@@ -11,7 +15,7 @@
 
 
 class KeyRange(BaseValue):
-    """Keys from ``first`` to ``last``, both included."""
+    """The keys from ``first`` to ``last``, inclusive."""
 
     __slots__ = ("first", "last")
 
@@ -26,20 +30,20 @@
         return f"{self.first}-{self.last}"
 
     def covers(self, other: "KeyRange") -> bool:
-        """Whether every key of the other range lies in this one."""
+        """Whether this range contains every key of the other one."""
         return self.first <= other.first and other.last <= self.last
 
     def overlaps(self, other: "KeyRange") -> bool:
-        """Whether a key lies in both ranges."""
+        """Whether the ranges have a key in common."""
         return self.first <= other.last and other.first <= self.last
 
 
 class Assignment(BaseValue):
-    """A range of keys and the server that is to hold it under a fence.
+    """Assigns a key range to an owner under a fence.
 
-    ``previous_holders`` are the former holders that have not been seen to give the keys up. The
-    owner may be granted the keys only when each of them has, or when its hold has run out.
-    ``handover`` is the token of the last holder, empty when there is none.
+    ``previous_holders`` are former holders that are not yet recorded as having released the keys.
+    The owner may be granted the keys only after each of them has released them or its hold has
+    expired. ``handover`` is the token that the last holder returned with its release, or empty.
     """
 
     __slots__ = ("fence", "handover", "keys", "owner", "previous_holders")
@@ -60,14 +64,14 @@
 
 
 class OwnershipTable(BaseValue):
-    """The assignments of one service, in the order of their keys, without gap or overlap.
+    """The assignments of one service, in the order of their keys, without gaps or overlaps.
 
-    ``fence`` is the highest one ever used for the service; each change uses a higher one.
-    ``written_by_sole_decider`` tells that no decider from before its writer could still grant when
-    it was written.
+    ``fence`` is the highest fence ever used for the service; each change uses a higher one.
+    ``written_by_sole_decider`` is true if no earlier decider (elected leader) could still grant
+    keys when the table was written.
     """
 
-    __slots__ = ("_firsts", "assignments", "fence", "service", "written_by_sole_decider")
+    __slots__ = ("_first_keys", "assignments", "fence", "service", "written_by_sole_decider")
 
     def __init__(
         self,
@@ -80,7 +84,7 @@
         self.service = service
         self.fence = fence
         self.assignments = assignments
-        self._firsts = [assignment.keys.first for assignment in assignments]
+        self._first_keys = [assignment.keys.first for assignment in assignments]
 
     def __eq__(self, other: object) -> bool:
         return (
@@ -95,13 +99,15 @@
         return hash((self.service, self.fence, self.assignments))
 
     def find(self, key: int) -> Assignment | None:
-        """Returns the assignment of a key, None when the table does not cover it."""
-        index = bisect.bisect_right(self._firsts, key) - 1
+        """Returns the assignment of a key, or None if the table does not cover it."""
+        index = bisect.bisect_right(self._first_keys, key) - 1
         if index < 0:
             return None
-        found = self.assignments[index]
-        return found if key <= found.keys.last else None
+        assignment = self.assignments[index]
+        return assignment if key <= assignment.keys.last else None
 
     def owned_by(self, incarnation: ServerIncarnation) -> tuple[Assignment, ...]:
-        """Returns the assignments of one incarnation of a server."""
-        return tuple(found for found in self.assignments if found.owner == incarnation)
+        """Returns the assignments whose owner is the given server incarnation."""
+        return tuple(
+            assignment for assignment in self.assignments if assignment.owner == incarnation
+        )
