--- a/packages/core/src/fireflylink_core/_call_result.py
+++ b/packages/core/src/fireflylink_core/_call_result.py
@@ -1,4 +1,4 @@
-"""How a call to a backend server ended."""
+"""Results of one call to a backend server."""
 
 import enum
 
@@ -8,7 +8,7 @@
 
 
 class LostReason(enum.Enum):
-    """Why no whole answer was received."""
+    """Why no complete and valid answer was received."""
 
     CANCELLED = "cancelled"
     CLOSED = "closed"
@@ -19,13 +19,13 @@
 
 
 class BaseCallResult(BaseValue):
-    """The end of one call."""
+    """The result of sending one request to one backend server."""
 
     __slots__ = ()
 
 
 class Answered(BaseCallResult):
-    """The server ran the request; its answer is whole."""
+    """The server ran the request, and its complete answer was received."""
 
     __slots__ = ("answer", "load")
 
@@ -35,7 +35,11 @@
 
 
 class Declined(BaseCallResult):
-    """The server states that it did not run the request."""
+    """The server states that it did not run the request.
+
+    ``misdirected`` is true if it declined because the request is for another server or for a key
+    that it does not hold.
+    """
 
     __slots__ = ("load", "misdirected", "status")
 
@@ -46,7 +50,7 @@
 
 
 class NotSent(BaseCallResult):
-    """No byte was sent: the request certainly did not run."""
+    """No byte of the request was sent, so it did not run."""
 
     __slots__ = ("detail",)
 
@@ -55,7 +59,7 @@
 
 
 class Lost(BaseCallResult):
-    """The request may have run."""
+    """The request may have run, but no complete and valid answer was received."""
 
     __slots__ = ("detail", "reason")
 
--- a/packages/core/src/fireflylink_core/_request.py
+++ b/packages/core/src/fireflylink_core/_request.py
@@ -1,19 +1,19 @@
-"""Requests of callers, and what a caller is told."""
+"""Requests of callers and the replies to them."""
 
 from fireflylink_core._value import BaseValue
 
 Headers = tuple[tuple[str, str], ...]
 
 NO_KEY = -1
-"""``key`` of a request that carries none."""
+"""``CallerRequest.key`` of a request without a key."""
 
 
 class CallerRequest(BaseValue):
-    """One attempt of a caller, whole.
+    """A complete request, body included, as the daemon received it from a caller.
 
-    ``target`` is the path with its query, as it was sent. ``deadline`` is in seconds on the
-    daemon's clock; ``headers`` are those that are passed on unchanged. ``key`` is ``NO_KEY`` when
-    the caller sent none.
+    ``target`` is the path with its query, as it was sent. ``headers`` are those that are forwarded
+    unchanged. ``received_at`` and ``deadline`` are in seconds on the daemon's clock. ``key`` is
+    ``NO_KEY`` if the caller sent none.
     """
 
     __slots__ = (
@@ -57,13 +57,13 @@
 
 
 class BaseReply(BaseValue):
-    """What a caller is told."""
+    """The reply to a caller."""
 
     __slots__ = ()
 
 
 class ServerAnswer(BaseReply):
-    """The whole answer of a backend server, unchanged."""
+    """The complete answer of a backend server, which is returned unchanged."""
 
     __slots__ = ("body", "headers", "status")
 
@@ -74,10 +74,10 @@
 
 
 class NotRun(BaseReply):
-    """A promise: the request has not run and never will.
+    """Guarantees that the request has not run and will not run.
 
-    ``reason`` is a stable word for programs and logs. ``retry_after`` is in seconds; None tells
-    that sending the request again unchanged cannot help.
+    ``reason`` is a stable identifier for programs and logs. ``retry_after`` is in seconds; None
+    means that retrying the same request does not help.
     """
 
     __slots__ = ("reason", "retry_after", "status")
@@ -89,7 +89,11 @@
 
 
 class OutcomeUnknown(BaseReply):
-    """The request may have run; it is not sent again. ``timed_out`` tells that time ran out."""
+    """The request may have run, and the daemon does not retry it.
+
+    ``reason`` is a stable identifier for programs and logs. ``timed_out`` is true if no answer came
+    before the deadline.
+    """
 
     __slots__ = ("reason", "timed_out")
 
@@ -99,6 +103,6 @@
 
 
 class CallerDisconnected(BaseReply):
-    """The caller closed its connection: there is nobody to tell."""
+    """The caller closed its connection, so no reply can be sent."""
 
     __slots__ = ()
