--- a/packages/core/src/fireflylink_core/_configuration.py
+++ b/packages/core/src/fireflylink_core/_configuration.py
@@ -1,4 +1,4 @@
-"""The operators' configuration: routes of callers, services and limits."""
+"""The operators' configuration: routes, services and limits on callers."""
 
 import enum
 
@@ -6,14 +6,17 @@
 
 
 class RequestKind(enum.Enum):
-    """What may be done twice with the requests of a route."""
+    """Whether the requests of a route may run more than once.
+
+    ``IDEMPOTENT`` requests may be retried even if they may have run, ``ONCE`` requests may not.
+    """
 
     IDEMPOTENT = "idempotent"
     ONCE = "once"
 
 
 class RouteTarget(BaseValue):
-    """A service that takes part of a route's requests, in proportion to ``weight``."""
+    """A service that receives a share of a route's requests, in proportion to ``weight``."""
 
     __slots__ = ("service", "weight")
 
@@ -23,11 +26,12 @@
 
 
 class Route(BaseValue):
-    """Requests of one host whose path begins with ``prefix``, and how they are treated.
+    """Requests to one host whose path begins with ``prefix``, and how they are handled.
 
-    ``max_attempts`` is the largest number of servers that one request may be sent to, ``priority``
-    the order of urgency with 0 first, ``objective_ms`` the time within which an answer has its full
-    worth, ``timeout_ms`` the longest time that a caller is kept waiting.
+    ``timeout_ms`` is the longest time that a caller waits for its reply. ``objective_ms`` is the
+    target latency: a later answer is worth less to the caller. Priority 0 is the most urgent.
+    ``max_attempts`` limits the attempts of one request that reach a server, not counting those
+    that the server declined as misdirected.
     """
 
     __slots__ = (
@@ -71,11 +75,12 @@
 
 
 class Service(BaseValue):
-    """A kind of backend server.
+    """A group of backend servers that run the same kind of requests.
 
-    ``connection_limit`` is what one server accepts from all daemons together. A cold server bears
-    ``cold_requests_per_second`` for ``cold_seconds``. Servers of a ``keyed`` service run only
-    requests of keys that they hold.
+    ``connection_limit`` is how many connections one server accepts from all daemons together. A
+    server is cold (in warm-up) for ``cold_seconds`` and during that time can run
+    ``cold_requests_per_second``. Servers of a ``keyed`` service run only requests for keys that
+    they hold.
     """
 
     __slots__ = (
@@ -102,7 +107,11 @@
 
 
 class CallerLimits(BaseValue):
-    """What a caller may send, in bytes, and how long it may take or stay idle, in milliseconds."""
+    """Limits on the size of requests, in bytes, and on the time that the daemon waits for callers.
+
+    ``header_timeout_ms`` limits the wait for the headers of a request, ``idle_timeout_ms`` the wait
+    for the next request on a connection and for the body of a request.
+    """
 
     __slots__ = ("header_timeout_ms", "idle_timeout_ms", "max_body_bytes", "max_header_bytes")
 
@@ -120,7 +129,7 @@
 
 
 class Configuration(BaseValue):
-    """One version of everything that operators declare. Versions compare as numbers."""
+    """One version of the operators' configuration. A higher ``version`` is newer."""
 
     __slots__ = ("limits", "routes", "services", "version")
 
--- a/packages/core/src/fireflylink_core/_server.py
+++ b/packages/core/src/fireflylink_core/_server.py
@@ -1,4 +1,4 @@
-"""Backend servers as they register themselves."""
+"""Backend servers, their incarnations and the load that they report."""
 
 import enum
 
@@ -6,18 +6,19 @@
 
 
 class ServerState(enum.Enum):
-    """Whether a server takes new work."""
+    """Whether a server accepts new requests."""
 
     READY = "ready"
     DRAINING = "draining"
 
 
 class BackendServer(BaseValue):
-    """One incarnation of a backend server.
+    """The registration of one incarnation (process lifetime) of a backend server.
 
-    ``started_ms`` is the Unix millisecond of its start: the same ``server_id`` with another value
-    is another incarnation, which holds no key. ``cold_ms`` is how much longer the server said it is
-    cold when it wrote the registration.
+    ``started_ms`` is its start time in milliseconds since the Unix epoch. The same ``server_id``
+    with another start time is another incarnation, which starts without keys. ``slots`` is how many
+    requests the server runs at the same time. ``cold_ms`` is the rest of its warm-up time, as of
+    the registration.
     """
 
     __slots__ = (
@@ -59,12 +60,15 @@
 
     @property
     def incarnation(self) -> "ServerIncarnation":
-        """The identity of this incarnation of the server."""
+        """The identity of this incarnation."""
         return ServerIncarnation(self.server_id, self.started_ms)
 
 
 class ServerIncarnation(BaseValue):
-    """Identifies one incarnation of a server: its id and the Unix millisecond of its start."""
+    """Identifies one incarnation of a server by its id and its start time.
+
+    ``started_ms`` is in milliseconds since the Unix epoch.
+    """
 
     __slots__ = ("server_id", "started_ms")
 
@@ -89,7 +93,8 @@
 class ServerLoad(BaseValue):
     """The load that a server reported with an answer.
 
-    ``slowdown_factor`` is the present service time relative to the normal one, which is 1.
+    ``running`` and ``waiting`` count requests. ``slowdown_factor`` is the present service time
+    relative to the normal one: 1 is normal, 2 takes twice as long.
     """
 
     __slots__ = ("running", "slots", "slowdown_factor", "waiting")
