--- a/packages/core/src/fireflylink_core/__init__.py
+++ b/packages/core/src/fireflylink_core/__init__.py
@@ -1,4 +1,4 @@
-"""Values shared by every package: clocks, configuration, servers, keys and requests."""
+"""Types shared by every package: clocks, configuration, servers, keys and requests."""
 
 from fireflylink_core._call_result import (
     Answered,
--- a/packages/core/src/fireflylink_core/_clock.py
+++ b/packages/core/src/fireflylink_core/_clock.py
@@ -1,4 +1,4 @@
-"""Clocks that decisions take as an argument."""
+"""Clocks. Code that makes decisions gets its clock as an argument, so that tests control time."""
 
 import abc
 import time
@@ -7,24 +7,24 @@
 
 
 class BaseClock(abc.ABC):
-    """A source of time for deadlines and for request identifiers."""
+    """A source of time: monotonic time for deadlines, and wall-clock time."""
 
     __slots__ = ()
 
     @abc.abstractmethod
     def now(self) -> float:
-        """Returns seconds on a clock that never goes back and runs through a suspend."""
+        """Returns seconds on a monotonic clock that also runs while the instance is suspended."""
 
     @abc.abstractmethod
     def wall_ms(self) -> int:
-        """Returns milliseconds since the Unix epoch on the instance's wall clock."""
+        """Returns the wall-clock time in milliseconds since the Unix epoch."""
 
 
 class SystemClock(BaseClock):
-    """The clock of this instance.
+    """The operating system's clock.
 
-    ``CLOCK_BOOTTIME`` is used because ``time.monotonic`` stops while the instance is suspended, and
-    a lease holder must notice after a suspend that its lease has ended.
+    ``now`` reads ``CLOCK_BOOTTIME``, because ``time.monotonic`` stops while the instance is
+    suspended: after a suspend, a lease holder must detect that its lease has expired.
     """
 
     __slots__ = ()
@@ -37,7 +37,7 @@
 
 
 class ManualClock(BaseClock):
-    """A clock that moves only when told to, for tests and measurements.
+    """A clock that moves only when ``advance`` is called, for tests and simulations.
 
     Example::
 
@@ -58,5 +58,5 @@
         return self.wall_offset_ms + int(self.current * MILLISECONDS_PER_SECOND)
 
     def advance(self, seconds: float) -> None:
-        """Moves the clock forward by a number of seconds."""
+        """Moves the clock forward."""
         self.current += seconds
--- a/packages/core/src/fireflylink_core/_errors.py
+++ b/packages/core/src/fireflylink_core/_errors.py
@@ -1,10 +1,10 @@
-"""Base of the errors of every layer."""
+"""Base class of all errors."""
 
 
 class BaseFireflylinkError(Exception):
-    """An error whose text tells the reader what is wrong and what is allowed.
+    """An error whose message states what is wrong and, for invalid input, what is allowed.
 
-    Each layer defines its own subclasses and turns errors of the layer below into them.
+    Each layer defines its own subclasses and converts errors of the layer below to them.
     """
 
 
--- a/packages/core/src/fireflylink_core/_value.py
+++ b/packages/core/src/fireflylink_core/_value.py
@@ -1,4 +1,4 @@
-"""Shared behaviour of immutable values."""
+"""Base class of immutable values."""
 
 from typing import Any, Self
 
@@ -7,7 +7,7 @@
     """An immutable value: a class with slots whose instances compare by their fields.
 
     A subclass lists its fields in ``__slots__`` and assigns each of them in ``__init__``. Instances
-    are not modified after construction; ``replace`` makes a changed copy.
+    are not modified after construction; ``replace`` returns a modified copy.
 
     Example::
 
@@ -29,8 +29,8 @@
         return f"{type(self).__name__}({fields})"
 
     def replace(self, **changes: Any) -> Self:
-        """Returns a copy with the given fields changed."""
-        # Slots with an underscore are derived from the fields.
+        """Returns a copy with the given fields replaced."""
+        # Slots with a leading underscore are computed by ``__init__`` from the other fields.
         names = (name for name in self.__slots__ if not name.startswith("_"))
         fields = {name: getattr(self, name) for name in names}
         fields.update(changes)
