--- a/packages/core/src/fireflylink_core/_keys.py
+++ b/packages/core/src/fireflylink_core/_keys.py
@@ -1,7 +1,7 @@
 """Ownership of keys: key ranges, their assignment to servers, and the ownership table of a service.
 
-A fence is a fencing token: a number that increases with each change of ownership. A server refuses
-a grant whose fence is lower than one that it has seen for the same keys.
+A fence is a fencing token: a number that increases with each change of the ownership table. A
+server refuses a grant whose fence is lower than one that it has seen for the same keys.
 """
 
 import bisect
@@ -43,7 +43,8 @@
 
     ``previous_holders`` are former holders that are not yet recorded as having released the keys.
     The owner may be granted the keys only after each of them has released them or its hold has
-    expired. ``handover`` is the token that the last holder returned with its release, or empty.
+    expired. ``handover`` is the token that the last holder returned with its release, which is
+    passed on to the owner with its grant; it is empty if there is none.
     """
 
     __slots__ = ("fence", "handover", "keys", "owner", "previous_holders")
