--- a/packages/store/src/fireflylink_store/_errors.py
+++ b/packages/store/src/fireflylink_store/_errors.py
@@ -1,4 +1,4 @@
-"""Errors of the store, by what they tell about the call."""
+"""Errors of store calls, distinguished by whether the call may have taken effect."""
 
 from fireflylink_core import BaseFireflylinkError
 from fireflylink_store._items import Item
@@ -9,24 +9,33 @@
 
 
 class StoreUnavailableError(StoreError):
-    """The store did nothing: it refused the call or could not be reached."""
+    """The store refused the call or could not be reached, so the call had no effect."""
 
 
 class StoreOutcomeUnknownError(StoreError):
-    """No answer arrived: the call may have taken effect, or may still."""
+    """No answer arrived, so the call may have taken effect or may still take effect."""
 
 
 class HistoryCompactedError(StoreError):
-    """The changes after the given revision are no longer known; read everything again."""
+    """The store has compacted changes after the requested revision.
+
+    The caller must read all items again.
+    """
 
 
 class LeaseNotFoundError(StoreError):
-    """The lease does not exist any more."""
+    """The lease has expired or was revoked."""
 
 
 class ConflictError(StoreError):
-    """A condition of a commit did not hold. ``items`` are the present ones of its keys."""
+    """A key of a commit has another revision than expected.
+
+    ``items`` are the present items of the keys with an expected revision; keys that do not exist
+    have none.
+    """
 
     def __init__(self, items: tuple[Item, ...]) -> None:
-        super().__init__("a condition did not hold: read the items again")
+        super().__init__(
+            "a key of the commit does not have its expected revision: read the items again"
+        )
         self.items = items
