--- a/packages/store/src/fireflylink_store/_updates.py
+++ b/packages/store/src/fireflylink_store/_updates.py
@@ -1,4 +1,4 @@
-"""What an item of the store says, in the product's terms."""
+"""Updates: changes of the store, decoded to types of the core package."""
 
 import abc
 
@@ -7,13 +7,13 @@
 
 
 class BaseUpdate(BaseValue):
-    """One thing that the store says, with the revision that says it."""
+    """A decoded change of the store. Each subclass holds the ``revision`` of the change."""
 
     __slots__ = ()
 
 
 class ConfigurationUpdate(BaseUpdate):
-    """The operators' newest configuration."""
+    """The operators wrote a configuration."""
 
     __slots__ = ("configuration", "revision")
 
@@ -23,7 +23,7 @@
 
 
 class ServerUpdate(BaseUpdate):
-    """A registration of a backend server."""
+    """A backend server wrote its registration."""
 
     __slots__ = ("revision", "server")
 
@@ -33,7 +33,7 @@
 
 
 class ServerRemoved(BaseUpdate):
-    """A registration that was removed, or that names no server any more."""
+    """A registration of a backend server was deleted or can no longer be decoded."""
 
     __slots__ = ("revision", "server_id")
 
@@ -43,7 +43,7 @@
 
 
 class EvacuationUpdate(BaseUpdate):
-    """Whether a data centre's servers are to get nothing."""
+    """Whether operators request that servers of a data centre get no requests and no keys."""
 
     __slots__ = ("data_centre", "requested", "revision")
 
@@ -54,7 +54,7 @@
 
 
 class RecordUpdate(BaseUpdate):
-    """A record of the daemons themselves; ``value`` is None when it was removed."""
+    """A record that the daemons themselves write; ``value`` is None if it was deleted."""
 
     __slots__ = ("key", "revision", "value")
 
@@ -65,7 +65,7 @@
 
 
 class UnreadableItem(BaseUpdate):
-    """An item that cannot be read: it names no server and no route."""
+    """An item that cannot be decoded, so no server, route or service is taken from it."""
 
     __slots__ = ("key", "problem", "revision")
 
@@ -82,4 +82,4 @@
 
     @abc.abstractmethod
     def decode(self, change: Change) -> tuple[BaseUpdate, ...]:
-        """Returns what a change says; empty when it does not concern the daemons."""
+        """Returns the updates of a change; none if the change does not concern the daemons."""
