--- a/packages/store/src/fireflylink_store/__init__.py
+++ b/packages/store/src/fireflylink_store/__init__.py
@@ -1,4 +1,4 @@
-"""The metadata store: its interface, and the updates that its items decode to."""
+"""The metadata store: its interface, its items, and the updates that the items decode to."""
 
 from fireflylink_store._errors import (
     ConflictError,
--- a/packages/store/src/fireflylink_store/_items.py
+++ b/packages/store/src/fireflylink_store/_items.py
@@ -1,4 +1,4 @@
-"""Items of the store, their changes and conditional commits."""
+"""Items of the store, changes to them, leases and conditional commits."""
 
 from fireflylink_core import BaseValue
 
@@ -6,10 +6,15 @@
 """Revision of a key that does not exist."""
 
 NO_LEASE = 0
+"""Lease id of an item that belongs to no lease."""
 
 
 class Item(BaseValue):
-    """A key with its value. ``revision`` is its last change, ``lease`` 0 for none."""
+    """A key with its value.
+
+    ``revision`` is the store revision of its last change. The item is deleted when its ``lease``
+    expires or is revoked; ``lease`` is ``NO_LEASE`` if it has none.
+    """
 
     __slots__ = ("key", "lease", "revision", "value")
 
@@ -21,7 +26,7 @@
 
 
 class Deletion(BaseValue):
-    """A key that was removed at ``revision``."""
+    """A key that was deleted at ``revision``."""
 
     __slots__ = ("key", "revision")
 
@@ -34,7 +39,11 @@
 
 
 class Snapshot(BaseValue):
-    """The items of a prefix. Changes after ``revision`` are not all in it."""
+    """The items whose keys begin with a prefix.
+
+    They reflect all changes up to ``revision`` and possibly some later ones, so a watch continues
+    from ``revision``.
+    """
 
     __slots__ = ("items", "revision")
 
@@ -44,7 +53,7 @@
 
 
 class ChangeBatch(BaseValue):
-    """What happened up to ``revision``."""
+    """The changes to a prefix after the watched revision, up to ``revision``."""
 
     __slots__ = ("changes", "revision")
 
@@ -54,7 +63,7 @@
 
 
 class Lease(BaseValue):
-    """A lease and its time to live in seconds, from each renewal's arrival."""
+    """A lease. Its time to live restarts when the store receives a renewal."""
 
     __slots__ = ("lease_id", "ttl_seconds")
 
@@ -64,7 +73,7 @@
 
 
 class Put(BaseValue):
-    """A value to write under a key, removed with its lease if it has one."""
+    """Writes a value to a key. The item is deleted with its lease if it has one."""
 
     __slots__ = ("key", "lease", "value")
 
@@ -75,7 +84,10 @@
 
 
 class Commit(BaseValue):
-    """Writes that take effect together, if each key of ``expected`` has its revision."""
+    """Writes that are applied atomically if each key of ``expected`` has the given revision.
+
+    The revision ``ABSENT_REVISION`` requires that the key does not exist.
+    """
 
     __slots__ = ("deletions", "expected", "puts")
 
--- a/packages/store/src/fireflylink_store/_store.py
+++ b/packages/store/src/fireflylink_store/_store.py
@@ -11,38 +11,41 @@
 class BaseStore(abc.ABC):
     """A linearizable key-value store with conditional commits, leases and watches.
 
-    Each call ends by ``deadline``, in seconds on the daemon's clock, with a result or one of the
-    errors of this package.
+    Each call returns a result or one of the errors of this package by ``deadline``, which is in
+    seconds on the daemon's clock.
     """
 
     __slots__ = ()
 
     @abc.abstractmethod
     def read(self, key: str, deadline: float) -> Result[Item | None, StoreError]:
-        """Returns the item of a key, None when there is none."""
+        """Returns the item of a key, or None if the key does not exist."""
 
     @abc.abstractmethod
     def list(self, prefix: str, deadline: float) -> Result[Snapshot, StoreError]:
-        """Returns all items of a prefix."""
+        """Returns all items whose keys begin with a prefix."""
 
     @abc.abstractmethod
     def watch(
         self, prefix: str, revision: int, wait_seconds: float, deadline: float
     ) -> Result[ChangeBatch, StoreError]:
-        """Waits for changes after a revision; none after ``wait_seconds``."""
+        """Returns the changes to a prefix after a revision.
+
+        Waits up to ``wait_seconds`` for the first change, then returns an empty batch.
+        """
 
     @abc.abstractmethod
     def commit(self, commit: Commit, deadline: float) -> Result[int, StoreError]:
-        """Applies a commit; returns its revision."""
+        """Applies a commit and returns its revision."""
 
     @abc.abstractmethod
     def create_lease(self, seconds: float, deadline: float) -> Result[Lease, StoreError]:
-        """Opens a lease."""
+        """Creates a lease with a time to live of ``seconds``."""
 
     @abc.abstractmethod
     def renew_lease(self, lease_id: int, deadline: float) -> Result[float, StoreError]:
-        """Renews a lease; returns its time to live in seconds."""
+        """Renews a lease and returns its time to live in seconds."""
 
     @abc.abstractmethod
     def revoke_lease(self, lease_id: int, deadline: float) -> Result[None, StoreError]:
-        """Ends a lease; its keys are removed."""
+        """Revokes a lease; the store deletes the items that belong to it."""
