--- a/packages/protocol/src/fireflylink_protocol/_datagrams.py
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -1,4 +1,4 @@
-"""Datagrams between daemons: load reports, notices of granted keys, notices of crashes."""
+"""Datagrams between daemons: load reports, grant notices and crash notices, as MessagePack."""
 
 import msgpack
 from returns.result import Failure, Result, Success
@@ -6,19 +6,20 @@
 from fireflylink_core import BaseValue, KeyRange, ServerIncarnation
 from fireflylink_protocol._errors import RecordError
 
-REPORT_FORMAT = 1
-NOTICE_FORMAT = 2
-CRASH_FORMAT = 3
+LOAD_REPORT_FORMAT = 1
+GRANT_NOTICE_FORMAT = 2
+CRASH_NOTICE_FORMAT = 3
 MAX_REPORTED_KEYS = 400
-"""A datagram stays below 1,500 bytes, which no link splits."""
+"""Keeps a load report below 1,500 bytes, so that no link fragments the datagram."""
 
 MAX_KEY = 65535
 
 
 class ServerServiceTime(BaseValue):
-    """How long a server took for some requests of one daemon.
+    """How long a server took for a number of requests that one daemon sent to it.
 
-    ``total_ms`` is the sum of the service times without the time in queues.
+    ``answers`` is the number of requests, ``total_ms`` the sum of their service times in
+    milliseconds, without the time in queues.
     """
 
     __slots__ = ("answers", "server_id", "total_ms")
@@ -30,11 +31,12 @@
 
 
 class LoadReport(BaseValue):
-    """Keys that a daemon was asked for since its last report, in arrival order.
+    """The requests for a service with keys that a daemon received since its last report.
 
-    ``requests`` is how many there were; ``keys`` is a sample of them when there were more than
-    ``MAX_REPORTED_KEYS``. ``service_times`` are those of servers that answered since they were last
-    sent. ``sequence`` grows with each report of one incarnation of a daemon.
+    ``requests`` is their number and ``keys`` holds their keys: a random sample if there were more
+    than ``MAX_REPORTED_KEYS``, otherwise all of them in arrival order. ``service_times`` covers the
+    answers since service times were last reported. ``sequence`` increases with each round of
+    reports and restarts with the daemon.
     """
 
     __slots__ = ("instance", "keys", "requests", "sequence", "service", "service_times")
@@ -57,7 +59,7 @@
 
 
 class GrantNotice(BaseValue):
-    """Keys whose new owner has confirmed to hold them under a fence."""
+    """States that the owner of ``keys`` has confirmed to hold them under ``fence``."""
 
     __slots__ = ("fence", "keys", "service")
 
@@ -68,7 +70,7 @@
 
 
 class CrashNotice(BaseValue):
-    """A request, by its fingerprint, that was running on a server incarnation when it crashed."""
+    """States that a server incarnation crashed while it ran the request with ``fingerprint``."""
 
     __slots__ = ("fingerprint", "incarnation")
 
@@ -85,71 +87,76 @@
     fields: list[object]
     if isinstance(message, LoadReport):
         fields = [
-            REPORT_FORMAT,
+            LOAD_REPORT_FORMAT,
             message.instance,
             message.service,
             message.sequence,
             message.requests,
             list(message.keys),
             [
-                [service_times.server_id, service_times.answers, service_times.total_ms]
-                for service_times in message.service_times
+                [service_time.server_id, service_time.answers, service_time.total_ms]
+                for service_time in message.service_times
             ],
         ]
     elif isinstance(message, CrashNotice):
         incarnation = message.incarnation
-        fields = [CRASH_FORMAT, message.fingerprint, incarnation.server_id, incarnation.started_ms]
+        fields = [
+            CRASH_NOTICE_FORMAT,
+            message.fingerprint,
+            incarnation.server_id,
+            incarnation.started_ms,
+        ]
     else:
         keys = message.keys
-        fields = [NOTICE_FORMAT, message.service, keys.first, keys.last, message.fence]
+        fields = [GRANT_NOTICE_FORMAT, message.service, keys.first, keys.last, message.fence]
     packed: bytes = msgpack.packb(fields)
     return packed
 
 
 def decode_datagram(datagram: bytes) -> Result[Datagram, RecordError]:
-    """Returns the message of a datagram; anything else that arrives on the port is an error."""
+    """Returns the message of a datagram, or an error for bytes that no daemon sends."""
     try:
-        form, *fields = msgpack.unpackb(datagram)
-        if form == REPORT_FORMAT:
-            return Success(_report(*fields))
-        if form == NOTICE_FORMAT:
-            return Success(_notice(*fields))
-        if form == CRASH_FORMAT:
-            return Success(_crash(*fields))
-        return Failure(RecordError(f"format {form!r} is not known"))
+        message_format, *fields = msgpack.unpackb(datagram)
+        if message_format == LOAD_REPORT_FORMAT:
+            return Success(_decode_load_report(*fields))
+        if message_format == GRANT_NOTICE_FORMAT:
+            return Success(_decode_grant_notice(*fields))
+        if message_format == CRASH_NOTICE_FORMAT:
+            return Success(_decode_crash_notice(*fields))
+        return Failure(RecordError(f"datagram format {message_format!r} is not known"))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
-        return Failure(RecordError(f"the datagram cannot be read: {error!r}"))
+        return Failure(RecordError(f"the datagram cannot be decoded: {error!r}"))
 
 
-def _report(
+def _decode_load_report(
     instance: str,
     service: str,
     sequence: int,
     requests: int,
     keys: list[int],
-    times: list[list[object]],
+    service_times: list[list[object]],
 ) -> LoadReport:
     if not all(0 <= key <= MAX_KEY for key in keys):
-        raise ValueError("a key is out of range")
+        raise ValueError("a reported key is outside of 0 to 65535")
     return LoadReport(
         str(instance),
         str(service),
         int(sequence),
         int(requests),
         tuple(keys),
-        tuple(_times(*entry) for entry in times),
+        tuple(_decode_service_time(*entry) for entry in service_times),
     )
 
 
-def _times(server_id: object, answers: object, milliseconds: object) -> ServerServiceTime:
-    if not isinstance(answers, int) or not isinstance(milliseconds, int) or answers < 1:
-        raise ValueError("service times must be whole numbers")
-    return ServerServiceTime(str(server_id), answers, milliseconds)
+def _decode_service_time(server_id: object, answers: object, total_ms: object) -> ServerServiceTime:
+    if not isinstance(answers, int) or not isinstance(total_ms, int) or answers < 1:
+        raise ValueError("service times must be integers, of at least one answer")
+    return ServerServiceTime(str(server_id), answers, total_ms)
 
 
-def _crash(fingerprint: bytes, server_id: str, started_ms: int) -> CrashNotice:
+def _decode_crash_notice(fingerprint: bytes, server_id: str, started_ms: int) -> CrashNotice:
     return CrashNotice(bytes(fingerprint), ServerIncarnation(str(server_id), int(started_ms)))
 
 
-def _notice(service: str, first: int, last: int, fence: int) -> GrantNotice:
+def _decode_grant_notice(service: str, first: int, last: int, fence: int) -> GrantNotice:
     return GrantNotice(str(service), KeyRange(int(first), int(last)), int(fence))
