--- a/packages/protocol/src/fireflylink_protocol/__init__.py
+++ b/packages/protocol/src/fireflylink_protocol/__init__.py
@@ -1,4 +1,4 @@
-"""The inner protocol: records of the daemons in the store, and load reports between them."""
+"""The inner protocol: the daemons' records in the store, and the datagrams between daemons."""
 
 from fireflylink_protocol._datagrams import (
     MAX_REPORTED_KEYS,
--- a/packages/protocol/src/fireflylink_protocol/_errors.py
+++ b/packages/protocol/src/fireflylink_protocol/_errors.py
@@ -4,4 +4,4 @@
 
 
 class RecordError(BaseFireflylinkError):
-    """A record or a datagram of the daemons cannot be read."""
+    """A record or a datagram cannot be decoded."""
--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -1,4 +1,8 @@
-"""Records that the daemons keep in the metadata store, as JSON."""
+"""Records that the daemons write to the metadata store, as JSON.
+
+Each daemon writes a member record. The decider (elected leader) also writes the decider's record
+and the ownership table of each service.
+"""
 
 import json
 import zlib
@@ -24,9 +28,10 @@
 
 
 class MemberRecord(BaseValue):
-    """A daemon that runs, and where it takes load reports.
+    """A running daemon, and the address at which it receives datagrams.
 
-    ``started_ms`` tells one incarnation of a daemon from the next.
+    ``started_ms`` is the start time of the daemon in milliseconds since the Unix epoch. It
+    distinguishes the incarnations of a daemon.
     """
 
     __slots__ = ("data_centre", "host", "instance", "port", "started_ms")
@@ -42,17 +47,17 @@
 
 
 def member_key(instance: str) -> str:
-    """Returns the key of a daemon's member record."""
+    """Returns the store key of the member record of a daemon."""
     return f"{MEMBERS_PREFIX}{instance}"
 
 
 def ownership_key(service: str) -> str:
-    """Returns the key of the ownership table of a service."""
+    """Returns the store key of the ownership table of a service."""
     return f"{OWNERSHIP_PREFIX}{service}"
 
 
 def encode_member(member: MemberRecord) -> bytes:
-    """Returns the record of a daemon; the decider's record has the same form."""
+    """Returns the member record of a daemon; the decider's record has the same format."""
     return _encode(
         {
             "instance": member.instance,
@@ -65,9 +70,9 @@
 
 
 def decode_member(value: bytes) -> Result[MemberRecord, RecordError]:
-    """Returns the daemon that a record names."""
+    """Returns the daemon that a member record or the decider's record describes."""
 
-    def member(fields: Any) -> MemberRecord:
+    def build_member(fields: Any) -> MemberRecord:
         return MemberRecord(
             str(fields["instance"]),
             int(fields["started_ms"]),
@@ -76,24 +81,24 @@
             int(fields["port"]),
         )
 
-    return _decode(value, member)
+    return _decode(value, build_member)
 
 
 def encode_table(table: OwnershipTable) -> bytes:
     """Returns the record of an ownership table.
 
-    Lives of servers are listed once and named by their position: every daemon reads the record
-    after each change, and bytes between data centres are paid for. An assignment is the distance
-    of its last key from the former one, its fence below the table's, its owner, and, while it is
-    on its way, its former holders and the hand-over token. The JSON is compressed; operators see
-    it with ``fireflylink owners``.
+    The format is compact, because every daemon reads the record after each change and traffic
+    between data centres costs money. Server incarnations are listed once, and assignments refer to
+    them by index. An assignment is encoded as its number of keys, the difference between the fence
+    of the table and its own, its owner and, while its keys are being transferred, the previous
+    holders and the hand-over token. The JSON is compressed; ``fireflylink owners`` shows the table.
     """
     incarnations: dict[ServerIncarnation, int] = {}
     rows: list[list[object]] = []
-    before = FIRST_KEY - 1
+    previous_last = FIRST_KEY - 1
     for assignment in table.assignments:
         row: list[object] = [
-            assignment.keys.last - before,
+            assignment.keys.last - previous_last,
             table.fence - assignment.fence,
             incarnations.setdefault(assignment.owner, len(incarnations)),
         ]
@@ -106,8 +111,8 @@
             )
             row.append(assignment.handover)
         rows.append(row)
-        before = assignment.keys.last
-    fields = _encode(
+        previous_last = assignment.keys.last
+    encoded = _encode(
         {
             "service": table.service,
             "fence": table.fence,
@@ -118,48 +123,51 @@
             "assignments": rows,
         }
     )
-    return zlib.compress(fields, COMPRESSION_LEVEL)
+    return zlib.compress(encoded, COMPRESSION_LEVEL)
 
 
 def decode_table(value: bytes) -> Result[OwnershipTable, RecordError]:
-    """Returns the ownership table of a record."""
+    """Returns the ownership table that a record describes."""
 
-    def table(fields: Any) -> OwnershipTable:
+    def build_table(fields: Any) -> OwnershipTable:
         incarnations = [
-            ServerIncarnation(str(server), int(born)) for server, born in fields["lives"]
+            ServerIncarnation(str(server_id), int(started_ms))
+            for server_id, started_ms in fields["lives"]
         ]
         fence = int(fields["fence"])
         assignments = []
-        before = FIRST_KEY - 1
-        for length, below, owner, *rest in fields["assignments"]:
-            last = before + int(length)
-            previous, handover = rest or ((), "")
+        previous_last = FIRST_KEY - 1
+        for key_count, fence_offset, owner, *transfer in fields["assignments"]:
+            last = previous_last + int(key_count)
+            previous_holders, handover = transfer or ((), "")
             assignments.append(
                 Assignment(
-                    KeyRange(before + 1, last),
+                    KeyRange(previous_last + 1, last),
                     incarnations[owner],
-                    fence - int(below),
-                    tuple(incarnations[incarnation] for incarnation in previous),
+                    fence - int(fence_offset),
+                    tuple(incarnations[index] for index in previous_holders),
                     str(handover),
                 )
             )
-            before = last
-        alone = bool(fields["alone"])
-        return OwnershipTable(str(fields["service"]), fence, tuple(assignments), alone)
+            previous_last = last
+        written_by_sole_decider = bool(fields["alone"])
+        return OwnershipTable(
+            str(fields["service"]), fence, tuple(assignments), written_by_sole_decider
+        )
 
     try:
-        fields = zlib.decompress(value)
+        encoded = zlib.decompress(value)
     except zlib.error as error:
-        return Failure(RecordError(f"the record cannot be read: {error!r}"))
-    return _decode(fields, table)
+        return Failure(RecordError(f"the record cannot be decoded: {error!r}"))
+    return _decode(encoded, build_table)
 
 
-def _encode(fields: object) -> bytes:
-    return json.dumps(fields, separators=(",", ":")).encode()
+def _encode(record: object) -> bytes:
+    return json.dumps(record, separators=(",", ":")).encode()
 
 
 def _decode(value: bytes, build: Any) -> Result[Any, RecordError]:
     try:
         return Success(build(json.loads(value)))
     except (ValueError, TypeError, LookupError) as error:
-        return Failure(RecordError(f"the record cannot be read: {error!r}"))
+        return Failure(RecordError(f"the record cannot be decoded: {error!r}"))
