--- a/packages/protocol/tests/test_records.py
+++ b/packages/protocol/tests/test_records.py
@@ -1,4 +1,4 @@
-"""Records in the store and datagrams between daemons."""
+"""Tests of the records in the store and of the datagrams between daemons."""
 
 import pytest
 from hypothesis import given, settings, strategies
@@ -21,7 +21,7 @@
     encode_table,
 )
 
-LIVES = strategies.builds(
+INCARNATIONS = strategies.builds(
     ServerIncarnation,
     strategies.text("abc0123", min_size=1, max_size=4),
     strategies.integers(0, 1 << 41),
@@ -29,42 +29,52 @@
 
 
 @strategies.composite
-def tables(draw) -> OwnershipTable:
-    ends = sorted(draw(strategies.sets(strategies.integers(0, 65534), max_size=8)) | {65535})
+def ownership_tables(draw) -> OwnershipTable:
+    last_keys = sorted(draw(strategies.sets(strategies.integers(0, 65534), max_size=8)) | {65535})
     fence = draw(strategies.integers(1, 1000))
     assignments = []
     first = 0
-    for last in ends:
+    for last in last_keys:
         assignments.append(
             Assignment(
                 KeyRange(first, last),
-                draw(LIVES),
+                draw(INCARNATIONS),
                 draw(strategies.integers(1, fence)),
-                tuple(draw(strategies.lists(LIVES, max_size=2))),
+                tuple(draw(strategies.lists(INCARNATIONS, max_size=2))),
                 draw(strategies.sampled_from(["", "5c0e7a21"])),
             )
         )
         first = last + 1
-    alone = draw(strategies.booleans())
-    return OwnershipTable("availability", fence, tuple(assignments), alone)
+    written_by_sole_decider = draw(strategies.booleans())
+    return OwnershipTable("availability", fence, tuple(assignments), written_by_sole_decider)
 
 
 @settings(derandomize=True, max_examples=100, deadline=None)
-@given(tables())
-def test_a_table_is_read_as_it_was_written(table):
-    """Guards against an owner, fence or former holder that changes on its way."""
+@given(ownership_tables())
+def test_an_ownership_table_round_trips(table):
+    """Guards against an owner, fence or previous holder that differs after decoding.
+
+    The record stores fences as differences and server incarnations by index, so a mistake in either
+    can decode to a valid table with wrong contents.
+    """
     assert_that(decode_table(encode_table(table)), Equals(Success(table)))
 
 
 @pytest.mark.parametrize("value", [b"", b"{}", b"not compressed", b"\x78\x9c\x03\x00"])
-def test_a_record_that_cannot_be_read_is_an_error(value):
-    """Guards against an exception that ends the reading of the store."""
+def test_an_undecodable_record_is_an_error(value):
+    """Guards against an exception that ends the task that processes updates of the store.
+
+    A record may be empty, not compressed, truncated or not a JSON object with the expected fields.
+    """
     assert_that(decode_table(value), IsInstance(Failure))
     assert_that(decode_member(value), IsInstance(Failure))
 
 
-def test_a_member_is_read_as_it_was_written():
-    """Guards against load reports that are sent to a wrong address."""
+def test_a_member_record_round_trips():
+    """Guards against load reports that are sent to a wrong address.
+
+    Daemons send datagrams to the host and port of the decoded record.
+    """
     member = MemberRecord("front-0", 17, "kingston", "10.1.0.34", 7540)
     assert_that(decode_member(encode_member(member)), Equals(Success(member)))
 
@@ -79,15 +89,21 @@
         CrashNotice(b"12345678", ServerIncarnation("i-1", 1787427283046)),
     ],
 )
-def test_a_datagram_is_read_as_it_was_sent(message):
-    """Guards against daemons that misunderstand each other."""
+def test_a_datagram_round_trips(message):
+    """Guards against a message that the receiver decodes with other values than were sent.
+
+    Fields are encoded by position, so encoder and decoder must use the same order.
+    """
     assert_that(decode_datagram(encode_datagram(message)), Equals(Success(message)))
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(strategies.binary(max_size=64))
-def test_any_bytes_are_a_message_or_an_error(datagram):
-    """Guards against a stray datagram that ends the daemon's receiver."""
+def test_arbitrary_bytes_decode_to_a_message_or_an_error(datagram):
+    """Guards against an exception that ends the task that receives datagrams.
+
+    Any program can send bytes to the daemon's port.
+    """
     assert_that(decode_datagram(datagram), IsInstance(Success | Failure))
 
 
@@ -96,14 +112,21 @@
     [[1, "f", "s", 1, 1, [70000], []], [1, "f", "s", 1, 1, ["x"], []], [1, "f"], [2, "s", 1], [9]],
 )
 def test_a_malformed_datagram_is_an_error(fields):
-    """Guards against keys outside of the range in the decider's load."""
+    """Guards against keys outside of 0 to 65,535 in the load that the decider plans by.
+
+    A datagram may be valid MessagePack but have a key out of range, fields of the wrong type, too
+    few fields or an unknown format.
+    """
     import msgpack
 
     assert_that(decode_datagram(msgpack.packb(fields)), IsInstance(Failure))
 
 
-def test_a_table_of_thirty_servers_is_small():
-    """Guards against a record whose reading by every daemon costs more than its moves gain."""
+def test_the_record_of_a_table_of_thirty_servers_is_small():
+    """Guards against an ownership record that costs more to distribute than rebalancing gains.
+
+    Every daemon reads the whole record after each change.
+    """
     assignments = tuple(
         Assignment(
             KeyRange(first, first + 1023),
