--- a/packages/store/src/fireflylink_store/_updates.py
+++ b/packages/store/src/fireflylink_store/_updates.py
@@ -13,7 +13,7 @@
 
 
 class ConfigurationUpdate(BaseUpdate):
-    """The operators wrote a configuration."""
+    """The operators' present configuration."""
 
     __slots__ = ("configuration", "revision")
 
@@ -23,7 +23,7 @@
 
 
 class ServerUpdate(BaseUpdate):
-    """A backend server wrote its registration."""
+    """The present registration of a backend server."""
 
     __slots__ = ("revision", "server")
 
