--- a/packages/decisions/src/fireflylink_decisions/ownership/_decider_election.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_decider_election.py
@@ -1,16 +1,19 @@
-"""Which daemon decides on key ownership, and for how long it may go on without the store."""
+"""State of the election of the decider, as one daemon knows it."""
 
 from fireflylink_decisions.ownership._grant_tracker import OUTAGE_GRACE_SECONDS
 
-CANDIDACY_STEP_SECONDS = 0.12
-"""Daemons of a higher rank wait longer before they try, so that one write is usually enough."""
+CANDIDACY_DELAY_PER_RANK_SECONDS = 0.12
+"""Daemons of a higher rank stand for election later, so that usually only one of them writes."""
 
 
 class DeciderElection:
-    """Whether this daemon is the decider, as far as the store has confirmed it.
+    """Tracks whether this daemon is the decider, the elected leader that assigns keys to servers.
 
-    ``revision`` is that of the decider record that this daemon wrote; each write of ownership is
-    conditional on it, so that a decider that was replaced can change nothing in the store.
+    ``revision`` is the store revision of the decider record that this daemon wrote, 0 while it is
+    not the decider. Every write of ownership is conditional on it, so that a superseded decider
+    cannot change ownership in the store. ``confirmed_at`` is when the last call was sent with which
+    the store confirmed the record. ``vacant_since`` is when the record was found to be missing,
+    None while it is not known to be missing.
     """
 
     __slots__ = ("confirmed_at", "revision", "vacant_since")
@@ -22,25 +25,25 @@
 
     @property
     def is_decider(self) -> bool:
-        """Whether this daemon became the decider and was not told otherwise."""
+        """Whether this daemon was elected and has not been demoted since."""
         return self.revision > 0
 
-    def on_elected(self, revision: int, now: float) -> None:
-        """Takes note that the store has accepted this daemon's record."""
+    def on_elected(self, revision: int, sent_at: float) -> None:
+        """Records that the store accepted this daemon's record in a call sent at ``sent_at``."""
         self.revision = revision
-        self.confirmed_at = now
+        self.confirmed_at = sent_at
         self.vacant_since = None
 
     def on_confirmed(self, sent_at: float) -> None:
-        """Takes note that the store confirmed the record in answer to a call sent at a time."""
+        """Records that the store confirmed the record in a call sent at ``sent_at``."""
         self.confirmed_at = max(self.confirmed_at, sent_at)
 
     def on_demoted(self) -> None:
-        """Takes note that another daemon may be the decider."""
+        """Records that another daemon may have become the decider."""
         self.revision = 0
 
     def on_decider_record(self, revision: int, present: bool, now: float) -> None:
-        """Takes the decider record as the store has it."""
+        """Applies a change of the decider record; ``present`` is false after its deletion."""
         if present:
             self.vacant_since = None
             if self.is_decider and revision > self.revision:
@@ -52,11 +55,11 @@
                 self.vacant_since = now
 
     def may_grant(self, now: float) -> bool:
-        """Whether grants may be sent: a decider without the store stops after a time."""
+        """Whether grants may be sent: up to ``OUTAGE_GRACE_SECONDS`` after a confirmation."""
         return self.is_decider and now < self.confirmed_at + OUTAGE_GRACE_SECONDS
 
     def candidacy_at(self, rank: int) -> float | None:
-        """Returns when this daemon should try to become the decider, None when there is one."""
+        """Returns when this daemon should stand for election, None if there is no vacancy."""
         if self.is_decider or self.vacant_since is None:
             return None
-        return self.vacant_since + rank * CANDIDACY_STEP_SECONDS
+        return self.vacant_since + rank * CANDIDACY_DELAY_PER_RANK_SECONDS
