--- a/packages/decisions/src/fireflylink_decisions/ownership/_service_time_estimates.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_service_time_estimates.py
@@ -1,18 +1,20 @@
-"""How fast the servers of one service are, over the answers that all daemons got."""
+"""Estimates of service times and capacities of the servers of one service."""
 
 PRIOR_ANSWERS = 4.0
-"""A server's own answers count against this many at the mean of its service."""
+"""Weight, in answers, of the mean of all servers in the estimate of one server."""
 
-MEMORY_ANSWERS = 40.0
-"""What is older than about so many answers of a server is forgotten."""
+MAX_REMEMBERED_ANSWERS = 40.0
+"""A server's sums are scaled down to so many answers, so that older ones lose their weight."""
 
-DEFAULT_SECONDS = 0.16
-LEAST_CAPACITY_FACTOR = 0.4
-LARGEST_CAPACITY_FACTOR = 2.0
+DEFAULT_SERVICE_SECONDS = 0.16
+"""Service time of one assumed answer, which counts in the mean of all servers."""
 
+MIN_CAPACITY_FACTOR = 0.4
+MAX_CAPACITY_FACTOR = 2.0
 
-class _Sum:
-    """Answers of one server and their total time in seconds."""
+
+class _ServiceTimeSum:
+    """Number of a server's answers and their total service time in seconds."""
 
     __slots__ = ("answers", "seconds")
 
@@ -22,49 +24,59 @@
 
 
 class ServiceTimeEstimates:
-    """Mean service times without the time in queues.
+    """Mean service times, not including the time in queues.
 
-    One daemon sees too few answers of each server to tell a slow one within seconds, so the
-    decider adds up what all of them report.
+    A single daemon receives too few answers of each server to detect a slow one within seconds, so
+    the decider adds up the reports of all daemons.
     """
 
     __slots__ = ("sums",)
 
     def __init__(self) -> None:
-        self.sums: dict[str, _Sum] = {}
+        self.sums: dict[str, _ServiceTimeSum] = {}
 
     def add(self, server_id: str, answers: int, seconds: float) -> None:
-        """Takes the total time of some answers of a server."""
-        found = self.sums.setdefault(server_id, _Sum())
-        found.answers += answers
-        found.seconds += seconds
-        if found.answers > MEMORY_ANSWERS:
-            part = MEMORY_ANSWERS / found.answers
-            found.answers *= part
-            found.seconds *= part
+        """Adds answers of a server and their total service time."""
+        server_sum = self.sums.setdefault(server_id, _ServiceTimeSum())
+        server_sum.answers += answers
+        server_sum.seconds += seconds
+        if server_sum.answers > MAX_REMEMBERED_ANSWERS:
+            scale = MAX_REMEMBERED_ANSWERS / server_sum.answers
+            server_sum.answers *= scale
+            server_sum.seconds *= scale
 
     def mean_seconds(self) -> float:
-        """Returns the mean over all servers, in seconds."""
-        answers = sum(found.answers for found in self.sums.values())
-        seconds = sum(found.seconds for found in self.sums.values())
-        return (seconds + DEFAULT_SECONDS) / (answers + 1.0)
+        """Returns the mean service time over all servers."""
+        answers = sum(server_sum.answers for server_sum in self.sums.values())
+        seconds = sum(server_sum.seconds for server_sum in self.sums.values())
+        return (seconds + DEFAULT_SERVICE_SECONDS) / (answers + 1.0)
 
     def expected_seconds(self, server_id: str) -> float:
         """Returns the expected service time of a server."""
-        found = self.sums.get(server_id)
-        if found is None:
+        server_sum = self.sums.get(server_id)
+        if server_sum is None:
             return self.mean_seconds()
         prior = self.mean_seconds() * PRIOR_ANSWERS
-        return (found.seconds + prior) / (found.answers + PRIOR_ANSWERS)
+        return (server_sum.seconds + prior) / (server_sum.answers + PRIOR_ANSWERS)
 
     def capacity(self, server_id: str, slots: int, cold: bool) -> float:
-        """Returns how many requests a second a server can run, within bounds around the mean."""
-        usual = slots / self.mean_seconds()
+        """Returns how many requests per second a server can run, limited relative to the mean.
+
+        A cold server, which is still warming up, counts with the least capacity.
+        """
+        mean_capacity = slots / self.mean_seconds()
         if cold:
-            return usual * LEAST_CAPACITY_FACTOR
-        own = slots / self.expected_seconds(server_id)
-        return min(LARGEST_CAPACITY_FACTOR * usual, max(LEAST_CAPACITY_FACTOR * usual, own))
+            return mean_capacity * MIN_CAPACITY_FACTOR
+        server_capacity = slots / self.expected_seconds(server_id)
+        return min(
+            MAX_CAPACITY_FACTOR * mean_capacity,
+            max(MIN_CAPACITY_FACTOR * mean_capacity, server_capacity),
+        )
 
     def keep_only(self, server_ids: frozenset[str]) -> None:
-        """Forgets servers that are gone."""
-        self.sums = {name: found for name, found in self.sums.items() if name in server_ids}
+        """Drops the estimates of all other servers."""
+        self.sums = {
+            server_id: server_sum
+            for server_id, server_sum in self.sums.items()
+            if server_id in server_ids
+        }
--- a/packages/decisions/src/fireflylink_decisions/ownership/_table_changes.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_table_changes.py
@@ -1,13 +1,13 @@
-"""What a new table changes, for logs and for the price of moved keys."""
+"""Numbers of keys that a new table moves, for logs and for the cost of moved keys."""
 
 from fireflylink_core import BaseValue, OwnershipTable, ServerIncarnation
 
 
 class TableChanges(BaseValue):
-    """How many keys change hands, by the reason.
+    """Numbers of keys that change their owner, by reason.
 
-    ``lost_keys`` had an owner that may not own any now, ``moved_keys`` one that goes on with
-    others. ``joined`` are the owners that had no keys before.
+    ``lost_keys`` counts keys whose former owner may no longer own keys, ``moved_keys`` those whose
+    former owner may. ``joined`` counts the owners that had no keys before.
     """
 
     __slots__ = ("joined", "lost_keys", "moved_keys")
@@ -25,7 +25,7 @@
 
     Example::
 
-        changes = changes_between(table, wanted, frozenset({life}))
+        changes = changes_between(table, planned, frozenset({incarnation}))
     """
     lost = 0
     moved = 0
