--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -1,34 +1,37 @@
-"""Which grants, renewals and releases are due, and when a silent server's hold has ended."""
+"""Tracking of grants: which commands are due, and when the hold of each server expires."""
 
 from fireflylink_core import Assignment, BaseValue, KeyRange, OwnershipTable, ServerIncarnation
 
 HOLD_SECONDS = 3.0
-"""A lost server's keys are served again when its hold has ended, within 5 s of its loss. Keys lapse
-if the rest of a hold at a due renewal is shorter than the election of another decider."""
+"""How long a granted key may be served without a renewal. The keys of a lost server are served
+again when its hold has expired, within 5 s of its loss. What remains of a hold when its renewal is
+due has to be longer than the election of another decider, or the grants expire during it."""
 
-RENEWAL_SECONDS = 1.0
-RENEWAL_PART = 1.0 / 3.0
-"""Where the platform allows shorter holds only, they are renewed after this part of them."""
+RENEWAL_INTERVAL_SECONDS = 1.0
+RENEWAL_INTERVAL_FRACTION = 1.0 / 3.0
+"""Fraction of a hold after which it is renewed, if the platform allows only shorter holds."""
 
 GRANT_TIMEOUT_SECONDS = 0.6
-"""Time-out of a grant; the connection is then reset, so that it does not arrive later."""
+"""Time-out of a grant. The connection is then reset, so that the grant cannot arrive later."""
 
 RELEASE_TIMEOUT_SECONDS = 3.0
-"""Time-out of a release: the server answers when the work on the keys has ended."""
+"""Time-out of a release, which a server answers when its requests on the keys have ended."""
+
+RETRY_DELAY_SECONDS = 0.3
+CLOCK_DRIFT_FACTOR = 1.02
+"""The clock of a server may run 2 % slow."""
 
-RETRY_SECONDS = 0.3
-CLOCK_DRIFT = 1.02
 HOLD_MARGIN_SECONDS = 0.2
 OUTAGE_GRACE_SECONDS = 8.0
-"""How long a decider renews without the store. A successor waits for it before it gives the keys of
-servers that it cannot reach to others."""
+"""How long a decider sends grants without confirmation by the store. Its successor waits for as
+long before it grants the keys of servers that it cannot reach to other servers."""
 
-FORMER_DECIDER = 0
-"""Stands for the fences of what a former decider granted."""
+FORMER_DECIDER_FENCE = 0
+"""Stands for the fences under which former deciders granted keys."""
 
 
 class BaseCommand(BaseValue):
-    """Something to tell a server."""
+    """A command to a server."""
 
     __slots__ = ()
 
@@ -36,7 +39,11 @@
 
 
 class GrantCommand(BaseCommand):
-    """Grant keys, or renew their grant."""
+    """Grants keys to a server, or renews the grant.
+
+    ``fence`` is the fencing token of the keys' assignment. ``handover`` is the token that the
+    former holder returned with its release, empty if there is none.
+    """
 
     __slots__ = ("fence", "handover", "keys", "renewal", "server")
 
@@ -51,7 +58,7 @@
 
 
 class ReleaseCommand(BaseCommand):
-    """Take keys back under the fence of their next holder."""
+    """Makes a server release keys. ``fence`` is that of the next holder."""
 
     __slots__ = ("fence", "keys", "server")
 
@@ -61,36 +68,41 @@
         self.fence = fence
 
 
-class _Progress:
-    """How far the grant of one assignment is."""
+class _GrantState:
+    """State of the grant of one assignment.
+
+    ``unreleased`` are the previous holders whose release or expiry the grant waits for.
+    ``in_flight`` are the servers that have been sent a command without a result so far, and
+    ``due_at`` is when the next command to a server is due.
+    """
 
     __slots__ = (
-        "busy",
         "due_at",
         "granted",
         "granted_at",
         "handover",
-        "pending",
+        "in_flight",
+        "unreleased",
     )
 
     def __init__(self, assignment: Assignment) -> None:
-        self.pending = list(dict.fromkeys(assignment.previous_holders))
+        self.unreleased = list(dict.fromkeys(assignment.previous_holders))
         self.handover = assignment.handover
         self.granted = False
         self.granted_at = 0.0
-        self.busy: set[ServerIncarnation] = set()
+        self.in_flight: set[ServerIncarnation] = set()
         self.due_at: dict[ServerIncarnation, float] = {}
 
-    def lapsed(self, now: float, hold_seconds: float) -> bool:
-        """Whether a confirmed grant has run out."""
+    def is_expired(self, now: float, hold_seconds: float) -> bool:
+        """Whether the grant was confirmed and has expired since."""
         return self.granted and now > self.granted_at + hold_seconds
 
 
 def with_new_fence(table: OwnershipTable) -> OwnershipTable:
-    """Returns the table with which a decider takes over: every range under a new fence.
+    """Returns the table with a new fence for every range, as a new decider first writes it.
 
-    A former decider that is cut off from the store may still renew its grants. A server that has
-    confirmed the new fence refuses them, so its hold is known again.
+    A former decider that cannot reach the store may still renew its grants. A server that has
+    confirmed the new fence refuses them, so that this decider knows when the server's hold expires.
     """
     fence = table.fence + 1
     assignments = tuple(assignment.replace(fence=fence) for assignment in table.assignments)
@@ -98,167 +110,182 @@
 
 
 def former_deciders_expire_at(elected_at: float) -> float:
-    """Returns from when on no decider from before one that began at a time can grant."""
+    """Returns when the deciders before the one of ``elected_at`` can no longer grant keys."""
     return elected_at + OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS
 
 
 class GrantTracker:
-    """The decider's bookkeeping of grants.
+    """Tracks the grants of one service for the decider.
+
+    A new holder is granted keys only when every previous holder has confirmed their release under
+    the new fence, or when every grant that may have reached the previous holder has expired.
+    ``elected_at`` is when this decider took over. A former decider may send grants for
+    ``OUTAGE_GRACE_SECONDS`` after that, so the hold of a server that does not answer may last
+    until one whole hold later.
 
-    A new holder is granted keys only when every former holder has confirmed their release under the
-    new fence, or when each grant to it that may still come true has run out. ``elected_at`` is when
-    this decider took over: what a former decider sent to a server that does not answer is known to
-    have ended only ``OUTAGE_GRACE_SECONDS`` and a whole hold later.
+    ``hold_expiries`` has, for each server, the latest time at which the grant of a range under a
+    fence expires; ``previous_hold_expiries`` has its value from before the last grant was sent.
     """
 
     __slots__ = (
         "ended_incarnations",
-        "first_fence",
+        "first_table_fence",
         "former_holds_expire_at",
         "former_previous_holds_expire_at",
+        "grant_states",
         "hold_expiries",
         "hold_seconds",
         "max_hold_seconds",
         "previous_hold_expiries",
-        "progress",
         "renewal_seconds",
         "table",
     )
 
     def __init__(self, elected_at: float, hold_seconds: float = HOLD_SECONDS) -> None:
         self.hold_seconds = hold_seconds
-        self.max_hold_seconds = hold_seconds * CLOCK_DRIFT + HOLD_MARGIN_SECONDS
-        self.renewal_seconds = min(RENEWAL_SECONDS, hold_seconds * RENEWAL_PART)
+        self.max_hold_seconds = hold_seconds * CLOCK_DRIFT_FACTOR + HOLD_MARGIN_SECONDS
+        self.renewal_seconds = min(
+            RENEWAL_INTERVAL_SECONDS, hold_seconds * RENEWAL_INTERVAL_FRACTION
+        )
         self.former_holds_expire_at = (
             elected_at + OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
         )
         self.former_previous_holds_expire_at = self.former_holds_expire_at
-        self.first_fence = 0
+        self.first_table_fence = 0
         self.table: OwnershipTable | None = None
-        self.progress: dict[tuple[KeyRange, int], _Progress] = {}
+        self.grant_states: dict[tuple[KeyRange, int], _GrantState] = {}
         self.hold_expiries: dict[ServerIncarnation, dict[tuple[KeyRange, int], float]] = {}
         self.previous_hold_expiries: dict[tuple[ServerIncarnation, KeyRange, int], float] = {}
         self.ended_incarnations: set[ServerIncarnation] = set()
 
     def mark_no_former_decider(self) -> None:
-        """Takes note that there was no table before: no former decider granted anything."""
+        """Records that there was no table before, so that no former decider granted any keys."""
         self.former_holds_expire_at = float("-inf")
         self.former_previous_holds_expire_at = float("-inf")
 
     def record_former_table(self, table: OwnershipTable, seen_at: float) -> None:
-        """Takes the table that this decider found, and when this daemon first saw it.
+        """Records the table of a former decider, and when this daemon first saw it.
 
-        Its writer granted its former holders nothing after it was written. If no earlier decider
-        could grant then, their holds have ended a whole hold after the table was seen.
+        Its writer granted nothing to the previous holders in it after writing it. If no earlier
+        decider could grant then either, their holds expire at the latest one grant time-out and one
+        whole hold after the table was seen.
         """
         if table.written_by_sole_decider:
-            latest = seen_at + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
-            self.former_previous_holds_expire_at = min(self.former_holds_expire_at, latest)
+            latest_expiry = seen_at + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
+            self.former_previous_holds_expire_at = min(self.former_holds_expire_at, latest_expiry)
 
     def set_table(self, table: OwnershipTable) -> None:
-        """Takes a table that the store has acknowledged.
+        """Replaces the table by one that the store has acknowledged.
 
-        The first one comes from ``with_new_fence``: all its fences are above those of former
-        deciders.
+        If there was a former decider, the first table comes from ``with_new_fence``: all its fences
+        are higher than those of former deciders.
         """
         if self.table is None:
-            self.first_fence = table.fence
-            self._presume_former_holds(table)
-        old = self.progress
-        inherited = self._granted_ranges()
+            self.first_table_fence = table.fence
+            self._add_former_holds(table)
+        old_states = self.grant_states
+        old_assignments = self._assignment_states()
         self.table = table
-        self.progress = {}
+        self.grant_states = {}
         for assignment in table.assignments:
-            name = (assignment.keys, assignment.fence)
-            progress = old.get(name)
-            if progress is None:
-                progress = _Progress(assignment)
-                self._inherit(progress, assignment, inherited)
-            self.progress[name] = progress
+            grant_id = (assignment.keys, assignment.fence)
+            state = old_states.get(grant_id)
+            if state is None:
+                state = _GrantState(assignment)
+                self._copy_state(state, assignment, old_assignments)
+            self.grant_states[grant_id] = state
 
     def due_commands(
         self, now: float, suspended: frozenset[tuple[KeyRange, int]] = frozenset()
     ) -> list[BaseCommand]:
-        """Returns the commands to send now; each counts as under way until its end is noted.
+        """Returns the commands to send now. Each is in flight until its result is recorded.
 
-        ``suspended`` are ranges and fences that a table takes away whose writing was not answered
-        yet: they are not renewed, because a successor may count on that.
+        ``suspended`` are the ranges, with their fences, that a table removes whose write the store
+        has not acknowledged. Their grants are not renewed: if the write succeeded, a successor
+        assumes that the previous holders in that table get no more grants.
         """
         if self.table is None:
             return []
         commands: list[BaseCommand] = []
         for assignment in self.table.assignments:
-            progress = self.progress[(assignment.keys, assignment.fence)]
-            self._drop_ended_holds(progress, assignment.keys, now)
-            if progress.pending:
-                commands.extend(self._releases(assignment, progress, now))
-            elif (assignment.keys, assignment.fence) in suspended or progress.lapsed(
+            state = self.grant_states[(assignment.keys, assignment.fence)]
+            self._drop_expired_holders(state, assignment.keys, now)
+            if state.unreleased:
+                commands.extend(self._due_releases(assignment, state, now))
+            elif (assignment.keys, assignment.fence) in suspended or state.is_expired(
                 now, self.hold_seconds
             ):
                 continue
-            elif self._is_due(progress, assignment.owner, now):
-                commands.append(self._grant(assignment, progress))
+            elif self._is_due(state, assignment.owner, now):
+                commands.append(self._grant_command(assignment, state))
         for command in commands:
-            self._mark_busy(command)
+            self._mark_in_flight(command)
         return commands
 
     def record_sent(self, command: GrantCommand, now: float) -> None:
-        """Takes note that a grant is about to be sent: it may come true whatever follows."""
-        holds = self.hold_expiries.setdefault(command.server, {})
-        name = (command.keys, command.fence)
-        self.previous_hold_expiries[(command.server, *name)] = holds.get(name, float("-inf"))
-        holds[name] = now + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
+        """Records that a grant is about to be sent: the keys may be held from now on."""
+        expiries = self.hold_expiries.setdefault(command.server, {})
+        grant_id = (command.keys, command.fence)
+        self.previous_hold_expiries[(command.server, *grant_id)] = expiries.get(
+            grant_id, float("-inf")
+        )
+        expiries[grant_id] = now + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
 
     def record_not_sent(self, command: GrantCommand) -> None:
-        """Records that a grant was not sent after all: no byte of it left.
+        """Records that no byte of a grant was sent, and restores the expiry of the hold.
 
-        What was sent before it, answered or not, counts on. The table may have changed meanwhile.
+        Earlier grants still count, whether they were answered or not. The table may have been
+        replaced since ``record_sent``.
         """
-        name = (command.keys, command.fence)
-        before = self.previous_hold_expiries.pop((command.server, *name), None)
-        if before is not None:
-            self.hold_expiries[command.server][name] = before
+        grant_id = (command.keys, command.fence)
+        previous_expiry = self.previous_hold_expiries.pop((command.server, *grant_id), None)
+        if previous_expiry is not None:
+            self.hold_expiries[command.server][grant_id] = previous_expiry
 
     def record_granted(self, command: GrantCommand, now: float) -> None:
-        """Records that a server confirmed that it holds the keys."""
+        """Records that a server confirmed a grant."""
         self.previous_hold_expiries.pop((command.server, command.keys, command.fence), None)
-        holds = self.hold_expiries.setdefault(command.server, {})
-        holds[(command.keys, command.fence)] = now + self.max_hold_seconds
-        if command.fence >= self.first_fence:
-            # The server refuses what a former decider may still send for these keys.
-            for held, fence in list(holds):
-                if fence == FORMER_DECIDER and command.keys.covers(held):
-                    del holds[(held, fence)]
-        progress = self._progress_of(command.keys, command.fence, command.server)
-        if progress is not None:
-            progress.granted = True
-            progress.granted_at = now
-            progress.due_at[command.server] = now + self.renewal_seconds
+        expiries = self.hold_expiries.setdefault(command.server, {})
+        expiries[(command.keys, command.fence)] = now + self.max_hold_seconds
+        if command.fence >= self.first_table_fence:
+            # The server refuses grants of these keys that a former decider may still send.
+            for keys, fence in list(expiries):
+                if fence == FORMER_DECIDER_FENCE and command.keys.covers(keys):
+                    del expiries[(keys, fence)]
+        state = self._complete_command(command.keys, command.fence, command.server)
+        if state is not None:
+            state.granted = True
+            state.granted_at = now
+            state.due_at[command.server] = now + self.renewal_seconds
 
     def record_released(self, command: ReleaseCommand, handover: str, now: float) -> None:
-        """Records that a server gave the keys up, with the token for the next holder."""
-        progress = self._progress_of(command.keys, command.fence, command.server)
-        if progress is None:
+        """Records that a server released keys, with its token for the next holder."""
+        state = self._complete_command(command.keys, command.fence, command.server)
+        if state is None:
             return
-        if command.server in progress.pending:
-            progress.pending.remove(command.server)
-        progress.handover = handover or progress.handover
+        if command.server in state.unreleased:
+            state.unreleased.remove(command.server)
+        state.handover = handover or state.handover
 
     def record_failed(self, command: BaseCommand, now: float) -> None:
-        """Takes note that a command had no good end; it is due again soon."""
-        keys, fence = _subject(command)
+        """Records that a command failed; it is due again after ``RETRY_DELAY_SECONDS``."""
+        keys, fence = _keys_and_fence(command)
         self.previous_hold_expiries.pop((command.server, keys, fence), None)
-        progress = self._progress_of(keys, fence, command.server)
-        if progress is None:
+        state = self._complete_command(keys, fence, command.server)
+        if state is None:
             return
-        progress.due_at[command.server] = now + RETRY_SECONDS
+        state.due_at[command.server] = now + RETRY_DELAY_SECONDS
 
     def record_incarnation_ended(self, server: ServerIncarnation) -> None:
-        """Records that an incarnation of a server ended: it holds nothing, whatever was granted."""
+        """Records that an incarnation has ended: it holds no keys, whatever it was granted."""
         self.ended_incarnations.add(server)
 
     def settled_table(self) -> OwnershipTable | None:
-        """Returns the table without former holders that have given up, None when there are none."""
+        """Returns the table without the previous holders of completed moves.
+
+        A move is completed when no previous holder is left and the owner has confirmed its grant.
+        Returns None when there is no such move.
+        """
         if self.table is None:
             return None
         assignments = tuple(self._settled_assignment(found) for found in self.table.assignments)
@@ -269,110 +296,116 @@
         )
 
     def is_current(self, command: GrantCommand) -> bool:
-        """Whether a grant is one of the present table."""
-        return (command.keys, command.fence) in self.progress
+        """Whether a grant is one of the current table."""
+        return (command.keys, command.fence) in self.grant_states
 
     def hold_expires_at(self, server: ServerIncarnation, keys: KeyRange) -> float:
-        """Returns when no grant of any of the keys to a server can be in force any more."""
+        """Returns the latest time at which a grant of any of the keys to a server expires."""
         if server in self.ended_incarnations:
             return float("-inf")
-        holds = self.hold_expiries.get(server, {})
-        ends = (until for (held, _), until in holds.items() if held.overlaps(keys))
-        return max(ends, default=float("-inf"))
-
-    def _presume_former_holds(self, table: OwnershipTable) -> None:
-        """Notes what former deciders may have granted, and may still grant to the owners."""
-        for assignment in table.assignments:
-            name = (assignment.keys, FORMER_DECIDER)
-            self.hold_expiries.setdefault(assignment.owner, {})[name] = self.former_holds_expire_at
-            for incarnation in assignment.previous_holders:
-                holds = self.hold_expiries.setdefault(incarnation, {})
-                holds[name] = max(
-                    holds.get(name, float("-inf")), self.former_previous_holds_expire_at
+        expiries = self.hold_expiries.get(server, {})
+        matching = (expiry for (held, _), expiry in expiries.items() if held.overlaps(keys))
+        return max(matching, default=float("-inf"))
+
+    def _add_former_holds(self, table: OwnershipTable) -> None:
+        """Adds the holds that former deciders may have granted, or may still renew for owners."""
+        for former in table.assignments:
+            grant_id = (former.keys, FORMER_DECIDER_FENCE)
+            self.hold_expiries.setdefault(former.owner, {})[grant_id] = self.former_holds_expire_at
+            for incarnation in former.previous_holders:
+                expiries = self.hold_expiries.setdefault(incarnation, {})
+                expiries[grant_id] = max(
+                    expiries.get(grant_id, float("-inf")), self.former_previous_holds_expire_at
                 )
 
-    def _granted_ranges(self) -> list[tuple[Assignment, _Progress]]:
+    def _assignment_states(self) -> list[tuple[Assignment, _GrantState]]:
         if self.table is None:
             return []
         return [
-            (assignment, self.progress[(assignment.keys, assignment.fence)])
+            (assignment, self.grant_states[(assignment.keys, assignment.fence)])
             for assignment in self.table.assignments
         ]
 
-    def _inherit(
+    def _copy_state(
         self,
-        progress: _Progress,
+        state: _GrantState,
         assignment: Assignment,
-        former: list[tuple[Assignment, _Progress]],
+        old_assignments: list[tuple[Assignment, _GrantState]],
     ) -> None:
-        """Takes over the state of the assignment that a new one was cut from."""
-        for old, state in former:
+        """Copies the state of the old assignment that this one is a remaining part of, if any."""
+        for old, old_state in old_assignments:
             if old.fence == assignment.fence and old.keys.overlaps(assignment.keys):
-                progress.pending = list(state.pending)
-                progress.handover = state.handover
-                progress.granted = state.granted
-                progress.granted_at = state.granted_at
-                progress.due_at = dict(state.due_at)
+                state.unreleased = list(old_state.unreleased)
+                state.handover = old_state.handover
+                state.granted = old_state.granted
+                state.granted_at = old_state.granted_at
+                state.due_at = dict(old_state.due_at)
                 return
 
     def _settled_assignment(self, assignment: Assignment) -> Assignment:
-        progress = self.progress[(assignment.keys, assignment.fence)]
-        if not assignment.previous_holders or progress.pending or not progress.granted:
+        state = self.grant_states[(assignment.keys, assignment.fence)]
+        if not assignment.previous_holders or state.unreleased or not state.granted:
             return assignment
         return assignment.replace(previous_holders=(), handover="")
 
-    def _drop_ended_holds(self, progress: _Progress, keys: KeyRange, now: float) -> None:
-        progress.pending = [
+    def _drop_expired_holders(self, state: _GrantState, keys: KeyRange, now: float) -> None:
+        state.unreleased = [
             incarnation
-            for incarnation in progress.pending
+            for incarnation in state.unreleased
             if now < self.hold_expires_at(incarnation, keys)
         ]
 
-    def _releases(
-        self, assignment: Assignment, progress: _Progress, now: float
+    def _due_releases(
+        self, assignment: Assignment, state: _GrantState, now: float
     ) -> list[BaseCommand]:
         return [
             ReleaseCommand(incarnation, assignment.keys, assignment.fence)
-            for incarnation in progress.pending
-            if self._is_due(progress, incarnation, now)
+            for incarnation in state.unreleased
+            if self._is_due(state, incarnation, now)
         ]
 
-    def _grant(self, assignment: Assignment, progress: _Progress) -> GrantCommand:
-        handover = "" if progress.granted else progress.handover
+    def _grant_command(self, assignment: Assignment, state: _GrantState) -> GrantCommand:
+        handover = "" if state.granted else state.handover
         return GrantCommand(
-            assignment.owner, assignment.keys, assignment.fence, handover, progress.granted
+            assignment.owner, assignment.keys, assignment.fence, handover, state.granted
         )
 
     def expired_ranges(self, now: float) -> frozenset[KeyRange]:
-        """Returns the ranges whose grant ran out before it could be renewed.
+        """Returns the ranges whose grants expired before they were renewed.
 
-        Their server may have started again and know nothing of the fence, so they need a new one.
+        They need a new fence: their server may have restarted, and then does not know the old one.
         """
         if self.table is None:
             return frozenset()
         return frozenset(
             assignment.keys
             for assignment in self.table.assignments
-            if self.progress[(assignment.keys, assignment.fence)].lapsed(now, self.hold_seconds)
+            if self.grant_states[(assignment.keys, assignment.fence)].is_expired(
+                now, self.hold_seconds
+            )
         )
 
-    def _is_due(self, progress: _Progress, incarnation: ServerIncarnation, now: float) -> bool:
-        return incarnation not in progress.busy and now >= progress.due_at.get(incarnation, 0.0)
+    def _is_due(self, state: _GrantState, incarnation: ServerIncarnation, now: float) -> bool:
+        return incarnation not in state.in_flight and now >= state.due_at.get(incarnation, 0.0)
 
-    def _mark_busy(self, command: BaseCommand) -> None:
-        keys, fence = _subject(command)
-        self.progress[(keys, fence)].busy.add(command.server)
+    def _mark_in_flight(self, command: BaseCommand) -> None:
+        keys, fence = _keys_and_fence(command)
+        self.grant_states[(keys, fence)].in_flight.add(command.server)
 
-    def _progress_of(
+    def _complete_command(
         self, keys: KeyRange, fence: int, server: ServerIncarnation
-    ) -> _Progress | None:
-        progress = self.progress.get((keys, fence))
-        if progress is not None:
-            progress.busy.discard(server)
-        return progress
+    ) -> _GrantState | None:
+        """Marks a command as no longer in flight.
+
+        Returns the state of its grant, None when the current table does not have it any more.
+        """
+        state = self.grant_states.get((keys, fence))
+        if state is not None:
+            state.in_flight.discard(server)
+        return state
 
 
-def _subject(command: BaseCommand) -> tuple[KeyRange, int]:
+def _keys_and_fence(command: BaseCommand) -> tuple[KeyRange, int]:
     if isinstance(command, GrantCommand | ReleaseCommand):
         return command.keys, command.fence
     raise TypeError(type(command).__name__)
