--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -1,5 +1,6 @@
-"""Ownership of keys: who decides, who owns, which grants are due."""
+"""Key ownership: election of the decider, planning of ownership tables, tracking of grants."""
 
+from fireflylink_decisions.ownership._candidate import Candidate
 from fireflylink_decisions.ownership._decider_election import DeciderElection
 from fireflylink_decisions.ownership._grant_tracker import (
     GRANT_TIMEOUT_SECONDS,
@@ -16,7 +17,6 @@
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
 from fireflylink_decisions.ownership._keyed_service import KeyedService
 from fireflylink_decisions.ownership._overload_detector import OverloadDetector
-from fireflylink_decisions.ownership._plan_values import Candidate
 from fireflylink_decisions.ownership._planner import initial_table, plan_table
 from fireflylink_decisions.ownership._service_time_estimates import ServiceTimeEstimates
 from fireflylink_decisions.ownership._table_changes import TableChanges, changes_between
--- a/packages/decisions/src/fireflylink_decisions/ownership/_plan_values.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_candidate.py
@@ -1,10 +1,10 @@
-"""Input of the planner: the servers that may own keys."""
+"""Servers that the planner may assign keys to."""
 
 from fireflylink_core import BaseValue, ServerIncarnation
 
 
 class Candidate(BaseValue):
-    """A server that may own keys. ``capacity`` is how many requests a second it can run."""
+    """A server that may own keys. ``capacity`` is how many requests per second it can run."""
 
     __slots__ = ("capacity", "data_centre", "incarnation")
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
@@ -1,4 +1,4 @@
-"""How often each key was asked for lately, over all daemons."""
+"""Request rates of keys, over all daemons."""
 
 import bisect
 import math
@@ -6,19 +6,22 @@
 from fireflylink_core import FIRST_KEY, KEY_COUNT, LAST_KEY, KeyRange
 
 HALF_LIFE_SECONDS = 0.7
-FORGOTTEN_BELOW = 0.02
-ASSUMED_RATE = 1.0
-"""Requests a second that are assumed over all keys together."""
+MIN_DECAYED_COUNT = 0.02
+"""Keys whose decayed count is lower are dropped."""
 
-ASSUMED_KEYS = 512
-_ASSUMED = range(FIRST_KEY, LAST_KEY + 1, KEY_COUNT // ASSUMED_KEYS)
+ASSUMED_TOTAL_RATE = 1.0
+"""Requests per second that are assumed in addition, over all keys together."""
+
+ASSUMED_RATE_KEY_COUNT = 512
+"""The assumed rate is divided among so many evenly spaced keys."""
+
+_ASSUMED_RATE_KEYS = range(FIRST_KEY, LAST_KEY + 1, KEY_COUNT // ASSUMED_RATE_KEY_COUNT)
 
 
 class KeyLoad:
-    """Requests a second of each key, averaged with exponential decay.
+    """Requests per second of each key, averaged with exponential decay.
 
-    Sparse: a key that was not asked for costs nothing. ``rate_factor`` turns the decayed count into
-    a rate.
+    Only keys with recent requests are stored. ``rate_factor`` converts a decayed count to a rate.
 
     Example::
 
@@ -26,50 +29,54 @@
         load.decay(clock.now())
     """
 
-    __slots__ = ("counts", "decayed_at", "service", "started_at")
+    __slots__ = ("decayed_at", "decayed_counts", "service", "started_at")
 
     def __init__(self, service: str, now: float) -> None:
         self.service = service
-        self.counts: dict[int, float] = {}
+        self.decayed_counts: dict[int, float] = {}
         self.started_at = now
         self.decayed_at = now
 
     def add(self, key: int, requests: float) -> None:
         """Counts requests of a key."""
-        self.counts[key] = self.counts.get(key, 0.0) + requests
+        self.decayed_counts[key] = self.decayed_counts.get(key, 0.0) + requests
 
     def decay(self, now: float) -> None:
-        """Lets what was counted before fade."""
+        """Applies the exponential decay since the last call to all counts."""
         factor = 0.5 ** (max(0.0, now - self.decayed_at) / HALF_LIFE_SECONDS)
         self.decayed_at = now
-        self.counts = {
+        self.decayed_counts = {
             key: count * factor
-            for key, count in self.counts.items()
-            if count * factor >= FORGOTTEN_BELOW
+            for key, count in self.decayed_counts.items()
+            if count * factor >= MIN_DECAYED_COUNT
         }
 
     def rate_factor(self, now: float) -> float:
-        """Returns the factor from a decayed count to requests a second."""
+        """Returns the factor that converts a decayed count to requests per second.
+
+        It is larger shortly after the start, when the counts do not cover the whole averaging time.
+        """
         age = max(HALF_LIFE_SECONDS / 2, now - self.started_at)
-        mean_life = HALF_LIFE_SECONDS / math.log(2)
-        return 1.0 / (mean_life * (1.0 - math.exp(-age / mean_life)))
+        time_constant = HALF_LIFE_SECONDS / math.log(2)
+        return 1.0 / (time_constant * (1.0 - math.exp(-age / time_constant)))
 
     def sorted_rates(self, now: float) -> list[tuple[int, float]]:
-        """Returns the keys that were asked for, in order, with their rates."""
-        scale = self.rate_factor(now)
-        return [(key, self.counts[key] * scale) for key in sorted(self.counts)]
+        """Returns the keys with recent requests in ascending order, with their rates."""
+        factor = self.rate_factor(now)
+        return [(key, self.decayed_counts[key] * factor) for key in sorted(self.decayed_counts)]
 
 
 class RangeLoad:
-    """The rates of keys in their order, for sums over ranges.
+    """Request rates in the order of keys, with prefix sums for the totals of ranges.
 
-    A little load is assumed all over the keys, so that without requests the widths decide.
+    A small rate is assumed evenly over all keys, so that ranges without requests are compared by
+    their width.
     """
 
     __slots__ = ("keys", "prefix_sums", "rates")
 
     def __init__(self, rates: list[tuple[int, float]]) -> None:
-        assumed = [(key, ASSUMED_RATE / ASSUMED_KEYS) for key in _ASSUMED]
+        assumed = [(key, ASSUMED_TOTAL_RATE / ASSUMED_RATE_KEY_COUNT) for key in _ASSUMED_RATE_KEYS]
         merged = sorted([*rates, *assumed])
         self.keys = [key for key, _ in merged]
         self.rates = [rate for _, rate in merged]
@@ -77,11 +84,11 @@
         for rate in self.rates:
             self.prefix_sums.append(self.prefix_sums[-1] + rate)
 
-    def total(self, keys: KeyRange) -> float:
-        """Returns the rate of a range."""
+    def total_rate(self, keys: KeyRange) -> float:
+        """Returns the requests per second of all keys in a range."""
         first, last = self.index_range(keys)
         return self.prefix_sums[last] - self.prefix_sums[first]
 
     def index_range(self, keys: KeyRange) -> tuple[int, int]:
-        """Returns the positions of a range's keys: the first one, and the one after the last."""
+        """Returns the index of the first rate of a range, and the index after its last one."""
         return bisect.bisect_left(self.keys, keys.first), bisect.bisect_right(self.keys, keys.last)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -1,36 +1,40 @@
-"""What the decider knows of one service with keys, and which table it wants."""
+"""State of one service with keys at the decider, and the choice of its next ownership table."""
 
 from fireflylink_core import KeyRange, OwnershipTable, ServerIncarnation
+from fireflylink_decisions.ownership._candidate import Candidate
 from fireflylink_decisions.ownership._grant_tracker import GrantTracker, with_new_fence
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
 from fireflylink_decisions.ownership._overload_detector import OverloadDetector
-from fireflylink_decisions.ownership._plan_values import Candidate
 from fireflylink_decisions.ownership._planner import initial_table, plan_table
 from fireflylink_decisions.ownership._service_time_estimates import ServiceTimeEstimates
 
-FIRST_TABLE_SECONDS = 1.5
-"""Time for servers to register before the first table of a service."""
+INITIAL_TABLE_DELAY_SECONDS = 1.5
+"""Time after the last server joined, in which further servers can register before the initial
+table is planned."""
 
-SETTLE_SECONDS = 2.0
-"""Moves that have ended are written down after this time, unless another change comes before."""
+SETTLED_TABLE_DELAY_SECONDS = 2.0
+"""The previous holders of completed moves are removed from the table after this time, unless
+another change is written before."""
 
 UNREACHABLE_FAILURES = 3
-"""After so many commands without an answer a server is taken for one that cannot be reached."""
+"""A server with so many failed commands in a row counts as unreachable."""
 
-REBALANCE_SECONDS = 1.5
-"""Changes that are not urgent are gathered for so long."""
+REBALANCE_INTERVAL_SECONDS = 1.5
+"""Changes that are not urgent are planned together at this interval."""
 
 
 class KeyedService:
-    """What the decider knows of one service with keys.
+    """State of one service with keys at the decider.
 
-    ``unacknowledged_tables`` are tables whose writing was not answered, ``revision`` is that of the
-    table's record, ``consecutive_failures`` counts the commands that each server did not answer
-    since its last answer.
+    ``revision`` is that of the table's record in the store. ``unacknowledged_tables`` are the
+    tables that were sent to the store without a reply so far. ``consecutive_failures`` counts, for
+    each server, the failed commands since the last one that succeeded. ``completed_moves_since`` is
+    when the decider began to gather completed moves for the next table.
     """
 
     __slots__ = (
         "commit_sent_at",
+        "completed_moves_since",
         "consecutive_failures",
         "grants",
         "load",
@@ -42,7 +46,6 @@
         "revision",
         "seen_at",
         "service_times",
-        "settled_at",
         "table",
         "table_first_seen_at",
         "unacknowledged_tables",
@@ -59,7 +62,7 @@
         self.seen_at = now
         self.service_times = ServiceTimeEstimates()
         self.overload_detector = OverloadDetector()
-        self.settled_at = now
+        self.completed_moves_since = now
         self.next_plan_at = 0.0
         self.next_rebalance_at = 0.0
         self.requests_per_second = 0.0
@@ -67,7 +70,7 @@
         self.consecutive_failures: dict[ServerIncarnation, int] = {}
 
     def record_answer(self, server: ServerIncarnation) -> None:
-        """Takes note that a server answered a command."""
+        """Records that a server carried out a command."""
         self.consecutive_failures.pop(server, None)
 
     def record_no_answer(self, server: ServerIncarnation) -> None:
@@ -75,51 +78,52 @@
         self.consecutive_failures[server] = self.consecutive_failures.get(server, 0) + 1
 
     def is_reachable(self, server: ServerIncarnation) -> bool:
-        """Whether a server may be given keys, as far as its answers tell."""
+        """Whether a server has failed too few commands in a row to count as unreachable."""
         return self.consecutive_failures.get(server, 0) < UNREACHABLE_FAILURES
 
     def suspended_ranges(self) -> frozenset[tuple[KeyRange, int]]:
-        """Returns the ranges that a table takes away whose writing was not answered yet."""
+        """Returns the table's ranges, with their fences, that no unacknowledged table has."""
         if not self.unacknowledged_tables or self.table is None:
             return frozenset()
-        present = {(found.keys, found.fence) for found in self.table.assignments}
+        remaining = {(found.keys, found.fence) for found in self.table.assignments}
         for table in self.unacknowledged_tables:
-            present -= {(found.keys, found.fence) for found in table.assignments}
-        return frozenset(present)
+            remaining -= {(found.keys, found.fence) for found in table.assignments}
+        return frozenset(remaining)
 
     def next_table(
         self, candidates: list[Candidate], joined_at: float, now: float
     ) -> OwnershipTable | None:
-        """Returns the table to write now, None when the present one is good enough.
+        """Returns the table to write now, None when the current one needs no change.
 
-        ``joined_at`` is when the last server joined: the first table waits for the others.
+        ``joined_at`` is when the last server joined.
         """
         if self.table is None and not candidates:
             return None
         if self.table is None:
-            if now < joined_at + FIRST_TABLE_SECONDS:
+            if now < joined_at + INITIAL_TABLE_DELAY_SECONDS:
                 return None
             return initial_table(self.name, candidates, fence=1)
         if self.grants is not None and self.grants.table is None:
             self.grants.record_former_table(self.table, self.table_first_seen_at)
             return with_new_fence(self.table)
-        rates = RangeLoad(self.load.sorted_rates(now))
-        self.requests_per_second = rates.prefix_sums[-1]
+        range_load = RangeLoad(self.load.sorted_rates(now))
+        self.requests_per_second = range_load.prefix_sums[-1]
         settled = self.grants.settled_table() if self.grants is not None else None
         if settled is None:
-            self.settled_at = now
-        lapsed = self.grants.expired_ranges(now) if self.grants is not None else frozenset()
+            self.completed_moves_since = now
+        expired = self.grants.expired_ranges(now) if self.grants is not None else frozenset()
         rebalance = now >= self.next_rebalance_at
         if rebalance:
-            self.next_rebalance_at = now + REBALANCE_SECONDS
-        present = settled or self.table
-        changed = plan_table(
-            present, candidates, rates, self.overload_detector, now, lapsed, rebalance
+            self.next_rebalance_at = now + REBALANCE_INTERVAL_SECONDS
+        current = settled or self.table
+        planned = plan_table(
+            current, candidates, range_load, self.overload_detector, now, expired, rebalance
         )
-        if changed is not None:
-            return changed
-        if settled is None or now < self.settled_at + SETTLE_SECONDS:
+        if planned is not None:
+            return planned
+        if settled is None or now < self.completed_moves_since + SETTLED_TABLE_DELAY_SECONDS:
             return None
-        # Moves that end one after the other are gathered again: every daemon reads each table.
-        self.settled_at = now
+        # The delay starts again, so that moves that complete one after the other are written
+        # together: every daemon reads each table.
+        self.completed_moves_since = now
         return settled
--- a/packages/decisions/src/fireflylink_decisions/ownership/_overload_detector.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_overload_detector.py
@@ -1,16 +1,16 @@
-"""How long servers have had more than their part of the load."""
+"""Detection of servers whose load has exceeded their share for some time."""
 
 from fireflylink_core import ServerIncarnation
 
-PATIENCE_SECONDS = 2.0
-"""A load over so long a time is no chance variation any more."""
+SUSTAINED_OVERLOAD_SECONDS = 2.0
+"""An overload that lasts so long is not a random variation of the measured rate."""
 
 
 class OverloadDetector:
-    """Since when each server is above its share of the load.
+    """Tracks since when the load of each server has exceeded its share.
 
-    A large excess is acted on at once. A small one may be chance, as rates are measured over about
-    a second, so it has to last.
+    The planner acts on a large excess at once. A small one may be a random variation, because rates
+    are measured over about one second, so it has to be sustained.
     """
 
     __slots__ = ("overloaded_since",)
@@ -19,15 +19,15 @@
         self.overloaded_since: dict[ServerIncarnation, float] = {}
 
     def update(self, overloaded: frozenset[ServerIncarnation], now: float) -> None:
-        """Replaces the set of servers that are above their share now."""
+        """Replaces the set of servers whose load exceeds their share."""
         self.overloaded_since = {
             incarnation: self.overloaded_since.get(incarnation, now) for incarnation in overloaded
         }
 
     def sustained(self, now: float) -> frozenset[ServerIncarnation]:
-        """Returns the servers that have been above their share for long."""
+        """Returns the servers that have been overloaded for ``SUSTAINED_OVERLOAD_SECONDS``."""
         return frozenset(
             incarnation
             for incarnation, since in self.overloaded_since.items()
-            if now >= since + PATIENCE_SECONDS
+            if now >= since + SUSTAINED_OVERLOAD_SECONDS
         )
--- a/packages/decisions/src/fireflylink_decisions/ownership/_draft.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_table_draft.py
@@ -1,34 +1,41 @@
-"""A table that is being changed."""
+"""Mutable copy of an ownership table for the planner."""
 
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership._key_load import RangeLoad
 
 
-class Draft:
-    """Assignments of one service under change. All changes of one draft share a new fence."""
+class TableDraft:
+    """A mutable copy of an ownership table. All its changes share one new fence."""
 
-    __slots__ = ("assignments", "changed", "fence", "loads", "service")
+    __slots__ = ("assignments", "changed", "fence", "range_load", "service")
 
-    def __init__(self, table: OwnershipTable, loads: RangeLoad) -> None:
+    def __init__(self, table: OwnershipTable, range_load: RangeLoad) -> None:
         self.service = table.service
         self.fence = table.fence + 1
         self.assignments = list(table.assignments)
-        self.loads = loads
+        self.range_load = range_load
         self.changed = False
 
-    def load(self, incarnation: ServerIncarnation) -> float:
-        """Returns the rate of all keys of a server."""
+    def total_rate(self, incarnation: ServerIncarnation) -> float:
+        """Returns the requests per second of all keys of a server."""
         return sum(
-            self.loads.total(assignment.keys)
+            self.range_load.total_rate(assignment.keys)
             for assignment in self.assignments
             if assignment.owner == incarnation
         )
 
-    def move(self, index: int, keys: KeyRange, owner: ServerIncarnation) -> None:
-        """Gives a part of an assignment, at either of its ends or whole, to another server."""
+    def reassign(self, index: int, keys: KeyRange, owner: ServerIncarnation) -> None:
+        """Assigns keys of the assignment at ``index`` to another server.
+
+        The assignment's other keys keep their owner and their fence.
+        """
         old = self.assignments[index]
         moved = Assignment(
-            keys, owner, self.fence, _holders(old), old.handover if old.previous_holders else ""
+            keys,
+            owner,
+            self.fence,
+            _possible_holders(old),
+            old.handover if old.previous_holders else "",
         )
         parts = []
         if old.keys.first < keys.first:
@@ -40,14 +47,15 @@
         self.changed = True
 
     def merge(self) -> None:
-        """Joins neighbouring assignments of one owner that nothing is pending for.
+        """Merges adjacent assignments of one owner that have no previous holders.
 
-        The joined range gets the draft's fence, which is above both former ones.
+        The merged range gets the draft's fence, which is higher than the fences of both in the old
+        table.
         """
         merged: list[Assignment] = []
         for assignment in self.assignments:
             last = merged[-1] if merged else None
-            if last is None or not _joins(last, assignment):
+            if last is None or not _can_merge(last, assignment):
                 merged.append(assignment)
                 continue
             keys = KeyRange(last.keys.first, assignment.keys.last)
@@ -60,10 +68,10 @@
         return OwnershipTable(self.service, self.fence, tuple(self.assignments))
 
 
-def _holders(old: Assignment) -> tuple[ServerIncarnation, ...]:
-    """Returns who may hold the keys of an assignment: its owner and who has not given them up."""
-    return (*old.previous_holders, old.owner)
+def _possible_holders(assignment: Assignment) -> tuple[ServerIncarnation, ...]:
+    """Returns the owner and the previous holders that have not confirmed a release."""
+    return (*assignment.previous_holders, assignment.owner)
 
 
-def _joins(left: Assignment, right: Assignment) -> bool:
+def _can_merge(left: Assignment, right: Assignment) -> bool:
     return left.owner == right.owner and not left.previous_holders and not right.previous_holders
--- a/packages/decisions/tests/test_planner.py
+++ b/packages/decisions/tests/test_planner.py
@@ -278,7 +278,7 @@
             for key, rate in zip(load.keys, load.rates, strict=True)
             if keys.first <= key <= keys.last
         )
-        assert_that(abs(load.total(keys) - naive), LessThan(1e-9))
+        assert_that(abs(load.total_rate(keys) - naive), LessThan(1e-9))
 
 
 def test_a_slow_server_is_told_from_a_fast_one_after_a_few_answers():
