--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -125,6 +125,8 @@
 
     ``hold_expiries`` has, for each server, the latest time at which the grant of a range under a
     fence expires; ``previous_hold_expiries`` has its value from before the last grant was sent.
+    ``former_holds_expire_at`` and ``former_previous_holds_expire_at`` are the latest expiries of
+    what former deciders granted to the owners and to the previous holders in the first table.
     """
 
     __slots__ = (
@@ -167,8 +169,8 @@
         """Records the table of a former decider, and when this daemon first saw it.
 
         Its writer granted nothing to the previous holders in it after writing it. If no earlier
-        decider could grant then either, their holds expire at the latest one grant time-out and one
-        whole hold after the table was seen.
+        decider could still grant at that time, their holds expire at the latest one grant time-out
+        and one whole hold after the table was seen.
         """
         if table.written_by_sole_decider:
             latest_expiry = seen_at + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -27,9 +27,9 @@
     """State of one service with keys at the decider.
 
     ``revision`` is that of the table's record in the store. ``unacknowledged_tables`` are the
-    tables that were sent to the store without a reply so far. ``consecutive_failures`` counts, for
-    each server, the failed commands since the last one that succeeded. ``completed_moves_since`` is
-    when the decider began to gather completed moves for the next table.
+    tables whose write has no known result so far. ``consecutive_failures`` counts, for each server,
+    the failed commands since the last one that succeeded. ``completed_moves_since`` is when the
+    decider began to gather completed moves for the next table.
     """
 
     __slots__ = (
