--- a/packages/decisions/tests/test_decidership.py
+++ b/packages/decisions/tests/test_decider_election.py
@@ -1,4 +1,4 @@
-"""Who decides, and for how long without the store."""
+"""Election of the decider, and how long it may grant keys without the store."""
 
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
@@ -6,8 +6,8 @@
 from fireflylink_decisions.ownership import OUTAGE_GRACE_SECONDS, DeciderElection
 
 
-def test_a_decider_that_wakes_after_a_suspend_sends_nothing(clock):
-    """Guards against grants of a decider whose place another one has taken."""
+def test_a_decider_may_not_grant_after_the_grace_time(clock):
+    """Guards against grants of a decider that was suspended while another one was elected."""
     election = DeciderElection()
     election.on_elected(7, clock.now())
     assert_that(election.may_grant(clock.now()), Is(True))
@@ -15,8 +15,8 @@
     assert_that(election.may_grant(clock.now()), Is(False))
 
 
-def test_a_decider_goes_on_without_the_store_for_a_time(clock):
-    """Guards against keys that lose their owners because the store is away."""
+def test_a_decider_may_grant_without_the_store_during_the_grace_time(clock):
+    """Guards against keys that lose their owners because the store is not reachable."""
     election = DeciderElection()
     election.on_elected(7, clock.now())
     clock.advance(5.0)
@@ -25,8 +25,8 @@
     assert_that(election.may_grant(clock.now()), Is(True))
 
 
-def test_another_daemons_record_ends_the_decidership(clock):
-    """Guards against two daemons that both take themselves for the decider."""
+def test_a_later_decider_record_demotes_the_decider(clock):
+    """Guards against two daemons that act as the decider after one has replaced the other."""
     election = DeciderElection()
     election.on_elected(7, clock.now())
     election.on_decider_record(9, True, clock.now())
@@ -34,17 +34,17 @@
     assert_that(election.candidacy_at(0), Is(None))
 
 
-def test_a_record_from_before_the_election_changes_nothing(clock):
-    """Guards against an old change, read late, that ends a valid decidership."""
+def test_a_decider_record_from_before_the_election_is_ignored(clock):
+    """Guards against the demotion of a valid decider by an old change that is received late."""
     election = DeciderElection()
     election.on_elected(7, clock.now())
     election.on_decider_record(6, False, clock.now())
     assert_that(election.is_decider, Is(True))
 
 
-def test_candidates_stand_one_after_the_other(clock):
-    """Guards against a write of every daemon each time the decider leaves."""
+def test_candidates_of_each_rank_stand_at_another_time(clock):
+    """Guards against a write by every daemon each time the decider leaves."""
     election = DeciderElection()
     election.on_decider_record(3, False, clock.now())
-    moments = [election.candidacy_at(rank) for rank in range(4)]
-    assert_that(moments, Equals(sorted(set(moments))))
+    candidacy_times = [election.candidacy_at(rank) for rank in range(4)]
+    assert_that(candidacy_times, Equals(sorted(set(candidacy_times))))
