--- a/packages/decisions/tests/test_keyed_service.py
+++ b/packages/decisions/tests/test_keyed_service.py
@@ -1,4 +1,4 @@
-"""What the decider wants for one service, how much a server can run, and why keys move."""
+"""Next table of a keyed service, capacity estimates, and counts of keys that move."""
 
 import pytest
 from testtools.assertions import assert_that
@@ -31,49 +31,49 @@
 
 @pytest.fixture
 def service(clock) -> KeyedService:
-    found = KeyedService("holds", clock.now())
-    found.grants = GrantTracker(clock.now())
-    return found
+    keyed_service = KeyedService("holds", clock.now())
+    keyed_service.grants = GrantTracker(clock.now())
+    return keyed_service
 
 
 def test_the_first_table_waits_for_servers_that_are_still_joining(service, clock, candidates):
-    """Guards against a first table for one server, whose keys then all move."""
+    """Guards against an initial table with one server only, from which most keys move soon."""
     joined_at = clock.now()
-    found = [candidates("s1"), candidates("s2")]
-    assert_that(service.next_table(found, joined_at, clock.now()), Is(None))
+    servers = [candidates("s1"), candidates("s2")]
+    assert_that(service.next_table(servers, joined_at, clock.now()), Is(None))
     clock.advance(1.6)
-    wanted = service.next_table(found, joined_at, clock.now())
-    assert_that(len(wanted.assignments), Equals(2))
+    planned = service.next_table(servers, joined_at, clock.now())
+    assert_that(len(planned.assignments), Equals(2))
 
 
-def test_without_servers_nothing_is_wanted(service, clock):
+def test_no_table_is_planned_without_servers(service, clock):
     """Guards against a table without owners."""
     assert_that(service.next_table([], clock.now(), clock.now() + 9.0), Is(None))
 
 
-def test_a_takeover_begins_with_every_range_under_a_new_fence(service, clock, candidates):
-    """Guards against grants of a former decider that a server still takes."""
+def test_a_new_decider_first_gives_every_range_a_new_fence(service, clock, candidates):
+    """Guards against grants of a former decider that servers still accept."""
     service.table = table(7, (0, 65535, ONE))
-    wanted = service.next_table([candidates("s1")], clock.now(), clock.now())
-    assert_that([found.fence for found in wanted.assignments], Equals([8]))
+    planned = service.next_table([candidates("s1")], clock.now(), clock.now())
+    assert_that([found.fence for found in planned.assignments], Equals([8]))
 
 
-def test_changes_tell_lost_owners_from_relieved_ones():
-    """Guards against a log line that does not say why keys moved (inc-6f95)."""
+def test_changes_count_keys_of_lost_owners_and_of_remaining_ones_separately():
+    """Guards against a log line that does not show why keys were moved (inc-6f95)."""
     old = table(1, (0, 99, ONE), (100, 199, TWO), (200, 65535, THREE))
     new = table(2, (0, 49, ONE), (50, 99, THREE), (100, 65535, THREE))
     changes = changes_between(old, new, frozenset((ONE, THREE)))
     assert_that((changes.lost_keys, changes.moved_keys, changes.joined), Equals((100, 50, 0)))
 
 
-def test_an_owner_without_keys_before_counts_as_joined():
-    """Guards against a server that joined and whose first keys look like any move."""
+def test_an_owner_that_had_no_keys_counts_as_joined():
+    """Guards against a log line in which the first keys of a new server look like any move."""
     old = table(1, (0, 65535, ONE))
     new = table(2, (0, 999, ONE), (1000, 65535, TWO))
     assert_that(changes_between(old, new, frozenset((ONE, TWO))).joined, Equals(1))
 
 
-def test_a_slow_server_counts_for_less_and_a_cold_one_for_least():
+def test_slow_and_cold_servers_have_a_lower_capacity():
     """Guards against slow servers that keep as many keys as fast ones."""
     estimates = ServiceTimeEstimates()
     for _ in range(40):
@@ -85,8 +85,8 @@
     assert_that(estimates.capacity("fast", 4, True), LessThan(fast * 0.5))
 
 
-def test_the_bounds_keep_one_estimate_from_moving_all_keys():
-    """Guards against a few strange times that take every key from a server."""
+def test_capacities_are_limited_relative_to_the_mean():
+    """Guards against a server that loses all its keys because of a few outliers in service time."""
     estimates = ServiceTimeEstimates()
     for _ in range(40):
         estimates.add("usual", 1, 0.1)
@@ -97,8 +97,8 @@
     assert_that(estimates.capacity("usual", 4, False), LessThan(usual * 2.01))
 
 
-def settle_range(service: KeyedService, number: int, now: float) -> None:
-    """Lets the release and the grant of one moved range be confirmed."""
+def complete_move(service: KeyedService, number: int, now: float) -> None:
+    """Confirms the release and the grant of one moved range, and fails all other commands."""
     for _ in range(2):
         for command in service.grants.due_commands(now):
             if command.keys.first != number * 100:
@@ -110,9 +110,11 @@
                 service.grants.record_granted(command, now)
 
 
-def test_moves_that_end_one_after_the_other_are_written_down_together(service, clock, candidates):
-    """Guards against a table at every plan while moves end, cfp trouble-2: five tables that moved
-    no key within 1.6 s, each read by every daemon."""
+def test_moves_that_complete_one_after_another_are_written_together(service, clock, candidates):
+    """Guards against a new table with every plan while moves complete, each read by every daemon.
+
+    With cfp trouble-2, five tables within 1.6 s moved no key.
+    """
     service.grants.mark_no_former_decider()
     moved = tuple(
         Assignment(KeyRange(number * 100, number * 100 + 99), TWO, 2, (ONE,))
@@ -124,13 +126,13 @@
     service.next_rebalance_at = clock.now() + 100.0
     written = 0
     for number in range(10):
-        settle_range(service, number, clock.now())
+        complete_move(service, number, clock.now())
         clock.advance(0.4)
-        wanted = service.next_table(
+        planned = service.next_table(
             [candidates("s1", 100.0), candidates("s2", 1.0)], clock.now(), clock.now()
         )
-        if wanted is not None:
+        if planned is not None:
             written += 1
-            service.table = wanted
-            service.grants.set_table(wanted)
+            service.table = planned
+            service.grants.set_table(planned)
     assert_that(written, LessThan(3))
--- a/packages/decisions/tests/test_planner.py
+++ b/packages/decisions/tests/test_planner.py
@@ -1,4 +1,4 @@
-"""Placement of keys: coverage, fences, lost owners, busy keys, churn."""
+"""Planned tables: coverage of all keys, fences, lost owners, balance of the load, few moves."""
 
 import random
 
@@ -30,10 +30,12 @@
     ]
 
 
-def settle(table: OwnershipTable) -> OwnershipTable:
-    """Returns the table after every move has ended."""
-    done = tuple(found.replace(previous_holders=(), handover="") for found in table.assignments)
-    return OwnershipTable(table.service, table.fence, done)
+def complete_moves(table: OwnershipTable) -> OwnershipTable:
+    """Returns the table after every move has completed."""
+    assignments = tuple(
+        found.replace(previous_holders=(), handover="") for found in table.assignments
+    )
+    return OwnershipTable(table.service, table.fence, assignments)
 
 
 def check_covers_all_keys(table: OwnershipTable) -> None:
@@ -49,7 +51,7 @@
 
 
 def test_the_first_table_covers_all_keys_in_proportion_to_the_capacities():
-    """Guards against keys without an owner from the start."""
+    """Guards against keys without an owner at the start, and slow servers with too many keys."""
     candidates = fleet(16)
     table = initial_table("availability", candidates, 1)
     check_covers_all_keys(table)
@@ -61,15 +63,15 @@
     assert_that(widths[fast], GreaterThan(2 * widths[slow]))
 
 
-def test_nothing_changes_without_a_cause():
-    """Guards against churn: keys that change hands are paid for."""
+def test_no_table_is_planned_without_a_cause():
+    """Guards against needless moves: each key that changes its owner has a cost."""
     candidates = fleet(16)
     table = initial_table("availability", candidates, 1)
     assert_that(plan_table(table, candidates, no_load(), OverloadDetector(), 0.0), Is(None))
 
 
 def test_the_keys_of_a_lost_server_get_a_new_owner_and_a_higher_fence():
-    """Guards against keys that stay with a lost server, or move under a fence already used."""
+    """Guards against keys that stay with a lost server, or move under a fence used before."""
     candidates = fleet(16)
     table = initial_table("availability", candidates, 1)
     lost = candidates[2].incarnation
@@ -84,23 +86,23 @@
 
 
 def test_a_joined_server_gets_keys_at_once():
-    """Guards against servers that join and get no request."""
+    """Guards against servers that join and receive no requests."""
     candidates = fleet(16)
     table = initial_table("availability", candidates[:15], 1)
     changed = plan_table(table, candidates, no_load(), OverloadDetector(), 0.0)
     assert_that(len(changed.owned_by(candidates[15].incarnation)), GreaterThan(0))
 
 
-def test_a_key_that_moves_again_keeps_every_holder_that_has_not_given_it_up():
-    """Guards against OWNER: a former holder that is forgotten by a second move."""
+def test_a_key_that_moves_again_keeps_all_previous_holders_without_a_release():
+    """Guards against two holders of a key: a second move drops a previous holder from the table."""
     candidates = fleet(4)
     table = initial_table("availability", candidates, 1)
     first_lost = candidates[0].incarnation
     once = plan_table(table, candidates[1:], no_load(), OverloadDetector(), 0.0)
-    heirs = {a.owner for a in once.assignments if first_lost in a.previous_holders}
+    new_owners = {a.owner for a in once.assignments if first_lost in a.previous_holders}
     twice = plan_table(
         once,
-        [c for c in candidates[1:] if c.incarnation not in heirs],
+        [c for c in candidates[1:] if c.incarnation not in new_owners],
         no_load(),
         OverloadDetector(),
         0.0,
@@ -108,110 +110,115 @@
     for assignment in twice.assignments:
         if assignment.keys.overlaps(table.owned_by(first_lost)[0].keys):
             assert_that(first_lost in assignment.previous_holders, Is(True))
-            assert_that(bool(heirs & set(assignment.previous_holders)), Is(True))
+            assert_that(bool(new_owners & set(assignment.previous_holders)), Is(True))
 
 
-def test_a_lapsed_range_gets_a_new_fence():
-    """Guards against OWNER: a grant under a fence that a restarted server has not seen."""
+def test_a_range_with_an_expired_grant_gets_a_new_fence():
+    """Guards against two holders of a key: a server that has restarted does not know the fence."""
     candidates = fleet(4)
     table = initial_table("availability", candidates, 1)
-    lapsed = table.assignments[1].keys
-    changed = plan_table(table, candidates, no_load(), OverloadDetector(), 0.0, frozenset({lapsed}))
-    fences = {a.fence for a in changed.assignments if a.keys.overlaps(lapsed)}
+    expired = table.assignments[1].keys
+    changed = plan_table(
+        table, candidates, no_load(), OverloadDetector(), 0.0, frozenset({expired})
+    )
+    fences = {a.fence for a in changed.assignments if a.keys.overlaps(expired)}
     assert_that(min(fences), GreaterThan(table.fence))
 
 
-def test_a_takeover_puts_every_range_under_a_new_fence():
-    """Guards against a former decider whose renewals are still taken."""
+def test_a_new_decider_gives_every_range_a_new_fence():
+    """Guards against a former decider whose renewals servers still accept."""
     table = initial_table("availability", fleet(4), 7)
-    taken = with_new_fence(table)
-    assert_that({a.fence for a in taken.assignments}, Equals({8}))
-    assert_that([a.owner for a in taken.assignments], Equals([a.owner for a in table.assignments]))
+    new_table = with_new_fence(table)
+    assert_that({a.fence for a in new_table.assignments}, Equals({8}))
+    assert_that(
+        [a.owner for a in new_table.assignments], Equals([a.owner for a in table.assignments])
+    )
 
 
-class HotDay:
-    """Recorded arrival pattern: part of the requests go to a few neighbouring keys."""
+class HotKeyTraffic:
+    """Generated requests, a fraction of which is for a few adjacent hot keys."""
 
-    def __init__(self, seed: int, rate: float, part: float, first: int, count: int) -> None:
-        self.source = random.Random(seed)
+    def __init__(self, seed: int, rate: float, hot_fraction: float, first: int, count: int) -> None:
+        self.rng = random.Random(seed)
         self.rate = rate
-        self.part = part
+        self.hot_fraction = hot_fraction
         self.first = first
         self.count = count
 
     def arrivals(self) -> list[int]:
-        asked = []
+        keys = []
         for _ in range(int(self.rate * STEP_SECONDS)):
-            if self.source.random() < self.part:
-                asked.append(self.first + self.source.randrange(self.count))
+            if self.rng.random() < self.hot_fraction:
+                keys.append(self.first + self.rng.randrange(self.count))
             else:
-                asked.append(self.source.randrange(KEY_COUNT))
-        return asked
+                keys.append(self.rng.randrange(KEY_COUNT))
+        return keys
 
     def utilization(self, table: OwnershipTable, candidates: list[Candidate]) -> float:
-        """Returns the highest utilization of a server under the true rates."""
+        """Returns the highest utilization of any server under the true rates."""
         rates = {candidate.incarnation: 0.0 for candidate in candidates}
         for assignment in table.assignments:
-            hot = max(
+            hot_keys = max(
                 0,
                 min(assignment.keys.last, self.first + self.count - 1)
                 - max(assignment.keys.first, self.first)
                 + 1,
             )
             rates[assignment.owner] += self.rate * (
-                self.part * hot / self.count + (1 - self.part) * len(assignment.keys) / KEY_COUNT
+                self.hot_fraction * hot_keys / self.count
+                + (1 - self.hot_fraction) * len(assignment.keys) / KEY_COUNT
             )
         return max(rates[candidate.incarnation] / candidate.capacity for candidate in candidates)
 
 
-@pytest.mark.parametrize("part,count", [(0.45, 200), (0.35, 60), (0.5, 60)])
-def test_busy_neighbouring_keys_are_spread_within_seconds(part, count):
-    """Guards against one server under half of the traffic. Baseline: the table as it was."""
+@pytest.mark.parametrize("hot_fraction,count", [(0.45, 200), (0.35, 60), (0.5, 60)])
+def test_adjacent_hot_keys_are_spread_over_servers_within_seconds(hot_fraction, count):
+    """Guards against one server with half of the traffic. The baseline is the initial table."""
     candidates = fleet(16)
-    day = HotDay(1, 200.0, part, 30000, count)
+    traffic = HotKeyTraffic(1, 200.0, hot_fraction, 30000, count)
     table = initial_table("availability", candidates, 1)
-    baseline = day.utilization(table, candidates)
+    baseline = traffic.utilization(table, candidates)
     load = KeyLoad("availability", 0.0)
     now = 0.0
     detector = OverloadDetector()
     for _ in range(12):
-        for key in day.arrivals():
+        for key in traffic.arrivals():
             load.add(key, 1.0)
         now += STEP_SECONDS
         load.decay(now)
-        table = settle(
+        table = complete_moves(
             plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), detector, now) or table
         )
         check_covers_all_keys(table)
-    reached = day.utilization(table, candidates)
-    print(f"utilization of the busiest server: {reached:.2f}, without moves {baseline:.2f}")
+    highest = traffic.utilization(table, candidates)
+    print(f"utilization of the busiest server: {highest:.2f}, without moves {baseline:.2f}")
     assert_that(baseline, GreaterThan(2.0))
-    assert_that(reached, LessThan(1.0))
+    assert_that(highest, LessThan(1.0))
 
 
 def test_even_traffic_causes_few_moves():
-    """Guards against churn that follows the chance variations of few requests."""
+    """Guards against moves that follow the random variations of a low request rate."""
     candidates = fleet(21, 12.5)
-    day = HotDay(3, 60.0, 0.0, 0, 1)
+    traffic = HotKeyTraffic(3, 60.0, 0.0, 0, 1)
     table = initial_table("verses", candidates, 1)
     load = KeyLoad("verses", 0.0)
     now = 0.0
     detector = OverloadDetector()
     moved = 0
     for _ in range(120):
-        for key in day.arrivals():
+        for key in traffic.arrivals():
             load.add(key, 1.0)
         now += STEP_SECONDS
         load.decay(now)
         changed = plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), detector, now)
         if changed is not None:
             moved += sum(len(a.keys) for a in changed.assignments if a.previous_holders)
-            table = settle(changed)
+            table = complete_moves(changed)
     assert_that(moved / KEY_COUNT, LessThan(0.3))
 
 
-def test_many_ranges_are_joined_when_the_load_is_even_again():
-    """Guards against renewals that grow with every hot key that ever was."""
+def test_small_ranges_are_merged_when_the_load_is_even_again():
+    """Guards against a number of ranges, and so of renewals, that grows with each hot key."""
     candidates = fleet(16)
     table = initial_table("availability", candidates, 1)
     load = KeyLoad("availability", 0.0)
@@ -219,12 +226,12 @@
     detector = OverloadDetector()
     most = 0
     for step in range(160):
-        hot = HotDay(step, 200.0, 0.45 if step < 80 else 0.0, (step // 16) * 6000, 60)
-        for key in hot.arrivals():
+        traffic = HotKeyTraffic(step, 200.0, 0.45 if step < 80 else 0.0, (step // 16) * 6000, 60)
+        for key in traffic.arrivals():
             load.add(key, 1.0)
         now += STEP_SECONDS
         load.decay(now)
-        table = settle(
+        table = complete_moves(
             plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), detector, now) or table
         )
         most = max(most, len(table.assignments))
@@ -234,8 +241,8 @@
 
 @settings(max_examples=60, derandomize=True, deadline=None)
 @given(strategies.data())
-def test_any_history_covers_all_keys_with_rising_fences(data):
-    """Guards against gaps, overlaps and fences that are used twice for the same keys."""
+def test_any_sequence_of_plans_covers_all_keys_with_increasing_fences(data):
+    """Guards against gaps, overlaps and fences that are used twice for a key."""
     candidates = fleet(8)
     table = initial_table("availability", candidates, 1)
     fences = {key: 1 for key in range(0, KEY_COUNT, 997)}
@@ -254,35 +261,35 @@
                 assert_that(found.fence, GreaterThan(fences[key]))
                 assert_that(owners[key] in found.previous_holders, Is(True))
             fences[key], owners[key] = found.fence, found.owner
-        table = settle(changed) if data.draw(strategies.booleans()) else changed
+        table = complete_moves(changed) if data.draw(strategies.booleans()) else changed
 
 
-def test_the_owner_of_a_key_agrees_with_a_search_of_the_whole_table():
-    """Differential: the binary search against the naive one."""
+def test_the_owner_of_a_key_agrees_with_a_linear_search():
+    """Guards against a binary search that misses the assignment of a key."""
     table = initial_table("availability", fleet(7), 1)
     for key in range(0, KEY_COUNT, 31):
-        naive = [a for a in table.assignments if a.keys.first <= key <= a.keys.last]
-        assert_that([table.find(key)], Equals(naive))
+        expected = [a for a in table.assignments if a.keys.first <= key <= a.keys.last]
+        assert_that([table.find(key)], Equals(expected))
 
 
 def test_range_sums_agree_with_a_sum_over_all_keys():
-    """Differential: prefix sums against the naive sum."""
+    """Guards against prefix sums that miss or double keys at the ends of a range."""
     rng = random.Random(5)
     rates = sorted((key, rng.random()) for key in rng.sample(range(KEY_COUNT), 500))
     load = RangeLoad(rates)
     table = initial_table("availability", fleet(9), 1)
     for assignment in table.assignments:
         keys = assignment.keys
-        naive = sum(
+        expected = sum(
             rate
             for key, rate in zip(load.keys, load.rates, strict=True)
             if keys.first <= key <= keys.last
         )
-        assert_that(abs(load.total_rate(keys) - naive), LessThan(1e-9))
+        assert_that(abs(load.total_rate(keys) - expected), LessThan(1e-9))
 
 
-def test_a_slow_server_is_told_from_a_fast_one_after_a_few_answers():
-    """Guards against slow servers that own as many busy keys as fast ones."""
+def test_estimates_distinguish_slow_and_fast_servers_after_a_few_answers():
+    """Guards against slow servers that own as many hot keys as fast ones."""
     estimates = ServiceTimeEstimates()
     for _ in range(10):
         estimates.add("slow", 1, 0.32)
