--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -19,7 +19,7 @@
 
 RETRY_DELAY_SECONDS = 0.3
 CLOCK_DRIFT_FACTOR = 1.02
-"""The clock of a server may run 2 % slow."""
+"""The clock of a server may run 2% slow."""
 
 HOLD_MARGIN_SECONDS = 0.2
 OUTAGE_GRACE_SECONDS = 8.0
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -231,6 +231,7 @@
         )
 
     def _exceeds_share(self, incarnation: ServerIncarnation) -> bool:
+        """Whether a server's load is higher than its share by ``OVERLOAD_RATIO``."""
         return (
             self.rates[incarnation] > OVERLOAD_RATIO * self.mean_ratio * self.weights[incarnation]
         )
@@ -251,7 +252,7 @@
         return self.rates[incarnation] / self.weights[incarnation]
 
     def _split(self, keys: KeyRange) -> list[KeyRange]:
-        """Splits a lost server's range into pieces, none with more load than one server's share.
+        """Splits a range into pieces, none with more load than the largest share of a server.
 
         A piece has more if it cannot be cut, or if it is the rest after ``MAX_MOVES`` cuts.
         """
@@ -267,7 +268,7 @@
         return [*pieces, rest]
 
     def _reassign_lost(self, index: int, keys: KeyRange) -> None:
-        """Assigns keys at the start of an assignment to the server that has the least load then."""
+        """Assigns keys at the start of an assignment to the server with the lowest load ratio then."""
         rate = self.draft.range_load.total_rate(keys)
         key_fraction = len(keys) / KEY_COUNT
         recipient = min(
@@ -292,7 +293,7 @@
         indexes = self._movable_ranges(donor)
         if not indexes:
             return
-        index = max(indexes, key=lambda candidate: self._load_and_width(candidate))
+        index = max(indexes, key=lambda found: self._load_and_width(found))
         keys = self.draft.assignments[index].keys
         wanted_rate = self.mean_ratio * self.weights[incarnation] * NEW_SERVER_FRACTION
         wanted_rate = min(wanted_rate, self.rates[donor] * 0.5)
@@ -314,9 +315,7 @@
         indexes = self._movable_ranges(donor)
         if wanted_rate <= 0 or not indexes:
             return False
-        index = max(
-            indexes, key=lambda candidate: self.draft.range_load.total_rate(self._keys(candidate))
-        )
+        index = max(indexes, key=lambda found: self.draft.range_load.total_rate(self._keys(found)))
         piece = self._cut(self._keys(index), wanted_rate)
         if piece is None:
             return False
--- a/packages/decisions/tests/test_grant_tracker.py
+++ b/packages/decisions/tests/test_grant_tracker.py
@@ -42,7 +42,7 @@
 
 
 def test_a_moved_key_is_granted_only_after_its_release(clock):
-    """Guards against two holders of a key: the old one has not released it yet."""
+    """Guards against two holders of a key: the new one is granted it before the release."""
     grants = granted_tracker(clock)
     move_keys(grants)
     [release] = grants.due_commands(clock.now())
@@ -67,7 +67,7 @@
         for command in commands:
             grants.record_failed(command, clock.now())
         clock.advance(0.05)
-    # The clock of a server may run 2 % slow.
+    # The clock of a server may run 2% slow.
     assert_that(clock.now() - last_grant, GreaterThan(HOLD_SECONDS * 1.02))
     assert_that(clock.now() - last_grant, LessThan(5.0))
 
@@ -137,8 +137,8 @@
 
 
 def test_an_expired_grant_is_not_renewed_under_the_same_fence(clock):
-    """Guards against two holders of a key: a server with the same id may have restarted, and does
-    not know the fence."""
+    """Guards against two holders of a key: the server may have restarted with the same id, and then
+    does not know the fence."""
     grants = granted_tracker(clock)
     clock.advance(HOLD_SECONDS + 0.1)
     assert_that(grants.due_commands(clock.now()), HasLength(0))
@@ -159,7 +159,7 @@
 
 
 def test_completed_moves_have_no_previous_holders_in_the_settled_table(clock):
-    """Guards against a successor that waits again for holds that are known to be released."""
+    """Guards against a successor that waits again for holds that are known to have ended."""
     grants = granted_tracker(clock)
     move_keys(grants)
     assert_that(grants.settled_table(), Is(None))
