--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -268,7 +268,7 @@
         return [*pieces, rest]
 
     def _reassign_lost(self, index: int, keys: KeyRange) -> None:
-        """Assigns keys at the start of an assignment to the server with the lowest load ratio then."""
+        """Assigns keys at the start of an assignment to the then least loaded server."""
         rate = self.draft.range_load.total_rate(keys)
         key_fraction = len(keys) / KEY_COUNT
         recipient = min(
