Describe emulated calls and servers by their protocol state

Calls have a status, a deadline and a callback, and the constants of the emulated server say which factor or limit they are. The service time is documented as it is drawn: at least half of the mean, exponential above.

--- a/packages/emulator/src/fireflylink_emulator/_base_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_base_daemon.py
@@ -1,24 +1,29 @@
-"""What every emulated daemon offers: requests in, replies out, calls to servers in between."""
+"""Interface of the emulated daemons, and their calls to servers."""
 
 import abc
 from collections.abc import Callable
 
 from fireflylink_core import BaseReply, OwnershipTable, ServerAnswer
-from fireflylink_emulator._caller_attempt import CallEnd, CallerAttempt, CallOutcome
+from fireflylink_emulator._caller_attempt import CallerAttempt, CallOutcome, CallStatus
 from fireflylink_emulator._emulated_server import Call, EmulatedServer
 from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import FleetProfile
 
 REPLY_MARGIN_SECONDS = 0.03
-WHOLE = ServerAnswer(200, (), b"")
-SERVER_FAILED = ServerAnswer(500, (), b"")
-LOCAL_SECONDS = 0.0005
+"""Calls end this long before the caller's deadline, so that the reply still arrives in time."""
+
+OK_ANSWER = ServerAnswer(200, (), b"")
+ERROR_ANSWER = ServerAnswer(500, (), b"")
+LOCAL_LATENCY_SECONDS = 0.0005
 
 
 class BaseEmulatedDaemon(abc.ABC):
-    """One daemon in one data centre; ``calls`` are those under way, by attempt."""
+    """One daemon in one data centre.
+
+    ``active_calls`` maps each attempt with a call in progress to the server and the call.
+    """
 
-    __slots__ = ("calls", "data_centre", "fleet", "name", "running", "scheduler")
+    __slots__ = ("active_calls", "data_centre", "fleet", "name", "running", "scheduler")
 
     def __init__(
         self, name: str, data_centre: str, fleet: FleetProfile, scheduler: EventScheduler
@@ -28,11 +33,11 @@
         self.fleet = fleet
         self.scheduler = scheduler
         self.running = True
-        self.calls: dict[CallerAttempt, tuple[EmulatedServer, Call]] = {}
+        self.active_calls: dict[CallerAttempt, tuple[EmulatedServer, Call]] = {}
 
     @abc.abstractmethod
-    def receive(self, attempt: CallerAttempt, done: Callable[[BaseReply], None]) -> None:
-        """Takes an attempt of a caller; ``done`` is called once with its end."""
+    def receive(self, attempt: CallerAttempt, on_reply: Callable[[BaseReply], None]) -> None:
+        """Receives an attempt of a caller; ``on_reply`` is called once with the reply to it."""
 
     @abc.abstractmethod
     def cancel(self, attempt: CallerAttempt) -> None:
@@ -40,23 +45,28 @@
 
     @abc.abstractmethod
     def update_servers(self, servers: list[EmulatedServer]) -> None:
-        """Takes the registrations of all servers."""
+        """Replaces the list of registered servers."""
 
     @abc.abstractmethod
     def update_table(self, table: OwnershipTable) -> None:
-        """Takes the owners of the keys of a service."""
+        """Replaces the ownership table of a service."""
 
     def call(
         self,
         attempt: CallerAttempt,
         server: EmulatedServer,
-        ended: Callable[[CallOutcome], None],
+        on_outcome: Callable[[CallOutcome], None],
     ) -> None:
-        """Sends an attempt to the present incarnation of a server; ``ended`` is called once."""
+        """Sends an attempt to the current incarnation of a server.
+
+        ``on_outcome`` is called once, with ``LATE`` if the server has not answered in time.
+        """
         latency = self._latency(server)
-        latest = attempt.latest - REPLY_MARGIN_SECONDS
+        deadline = attempt.deadline - REPLY_MARGIN_SECONDS
         call = Call(
-            attempt, latest, lambda outcome: self.scheduler.schedule_after(latency, arrive(outcome))
+            attempt,
+            deadline,
+            lambda outcome: self.scheduler.schedule_after(latency, deliver(outcome)),
         )
         incarnation = server.incarnation
         finished = [False]
@@ -65,21 +75,21 @@
             if finished[0]:
                 return
             finished[0] = True
-            self.calls.pop(attempt, None)
-            ended(outcome)
+            self.active_calls.pop(attempt, None)
+            on_outcome(outcome)
 
-        def arrive(outcome: CallOutcome) -> Callable[[], None]:
+        def deliver(outcome: CallOutcome) -> Callable[[], None]:
             return lambda: finish(outcome)
 
-        def give_up() -> None:
+        def time_out() -> None:
             if not finished[0]:
                 server.on_disconnect(call)
-                finish(CallOutcome(CallEnd.LATE))
+                finish(CallOutcome(CallStatus.LATE))
 
-        self.calls[attempt] = (server, call)
+        self.active_calls[attempt] = (server, call)
         self.scheduler.schedule_after(latency, lambda: server.receive(call, incarnation))
-        self.scheduler.schedule_at(latest, give_up)
+        self.scheduler.schedule_at(deadline, time_out)
 
     def _latency(self, server: EmulatedServer) -> float:
-        near = server.data_centre == self.data_centre
-        return LOCAL_SECONDS if near else self.fleet.distance_seconds
+        is_local = server.data_centre == self.data_centre
+        return LOCAL_LATENCY_SECONDS if is_local else self.fleet.remote_latency_seconds
--- a/packages/emulator/src/fireflylink_emulator/_baseline_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_baseline_daemon.py
@@ -1,4 +1,4 @@
-"""The baseline: a daemon that sends each request at once, without limits or memory."""
+"""Baseline daemon, which sends each request at once and without limits."""
 
 from collections.abc import Callable
 
@@ -9,8 +9,8 @@
     OutcomeUnknown,
     OwnershipTable,
 )
-from fireflylink_emulator._base_daemon import SERVER_FAILED, WHOLE, BaseEmulatedDaemon
-from fireflylink_emulator._caller_attempt import CallEnd, CallerAttempt, CallOutcome
+from fireflylink_emulator._base_daemon import ERROR_ANSWER, OK_ANSWER, BaseEmulatedDaemon
+from fireflylink_emulator._caller_attempt import CallerAttempt, CallOutcome, CallStatus
 from fireflylink_emulator._emulated_server import EmulatedServer
 from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import FleetProfile
@@ -19,10 +19,11 @@
 
 
 class BaselineDaemon(BaseEmulatedDaemon):
-    """Sends to the owner in the table, else to the servers in turn; repeats nothing.
+    """Sends to the owner of the key, or round-robin without a key; retries nothing.
 
-    What a server declines is refused, what fails is told. It keeps every promise, and decides
-    nothing by load, speed, distance or temperature.
+    Without an ownership table, keys are divided evenly among the servers. Requests that a server
+    declines are refused, and failures are reported to the caller. The baseline keeps every
+    guarantee, but ignores load, speed, distance and warm-up of the servers.
     """
 
     __slots__ = ("next_server", "servers", "tables")
@@ -43,18 +44,18 @@
     def update_table(self, table: OwnershipTable) -> None:
         self.tables[table.service] = table
 
-    def receive(self, attempt: CallerAttempt, done: Callable[[BaseReply], None]) -> None:
+    def receive(self, attempt: CallerAttempt, on_reply: Callable[[BaseReply], None]) -> None:
         server = self._choose(attempt)
         if server is None:
-            done(NotRun("no-owner", retry_after=RETRY_SECONDS))
+            on_reply(NotRun("no-owner", retry_after=RETRY_SECONDS))
             return
-        self.call(attempt, server, lambda outcome: done(_reply(outcome)))
+        self.call(attempt, server, lambda outcome: on_reply(_reply(outcome)))
 
     def cancel(self, attempt: CallerAttempt) -> None:
-        found = self.calls.get(attempt)
-        if found is not None:
-            found[0].on_disconnect(found[1])
-            found[1].done(CallOutcome(CallEnd.LATE))
+        active_call = self.active_calls.get(attempt)
+        if active_call is not None:
+            active_call[0].on_disconnect(active_call[1])
+            active_call[1].on_done(CallOutcome(CallStatus.LATE))
 
     def _choose(self, attempt: CallerAttempt) -> EmulatedServer | None:
         servers = self.servers.get(attempt.profile.name, [])
@@ -72,13 +73,13 @@
 
 
 def _reply(outcome: CallOutcome) -> BaseReply:
-    end = outcome.end
-    if end is CallEnd.ANSWERED:
-        return WHOLE
-    if end is CallEnd.FAILED:
-        return SERVER_FAILED
-    if end in (CallEnd.DECLINED, CallEnd.MISDIRECTED, CallEnd.NOT_SENT):
-        return NotRun(end.value, retry_after=RETRY_SECONDS)
-    if end is CallEnd.LATE:
+    status = outcome.status
+    if status is CallStatus.ANSWERED:
+        return OK_ANSWER
+    if status is CallStatus.FAILED:
+        return ERROR_ANSWER
+    if status in (CallStatus.DECLINED, CallStatus.MISDIRECTED, CallStatus.NOT_SENT):
+        return NotRun(status.value, retry_after=RETRY_SECONDS)
+    if status is CallStatus.LATE:
         return OutcomeUnknown("late", True)
     return OutcomeUnknown("lost")
--- a/packages/emulator/src/fireflylink_emulator/_caller_attempt.py
+++ b/packages/emulator/src/fireflylink_emulator/_caller_attempt.py
@@ -1,4 +1,4 @@
-"""One attempt of a caller, on its way through a daemon to servers."""
+"""One attempt of a caller and the outcome of a call to a server."""
 
 import enum
 from collections.abc import Callable
@@ -8,44 +8,46 @@
 
 
 class CallerAttempt:
-    """One attempt of a caller.
+    """One attempt of a caller to get its request answered. Times are clock times in seconds.
 
-    ``asked_at`` is when the caller's first attempt began, ``latest`` when its deadline passes. An
-    ``impatient`` caller repeats at once, whatever it is told. ``runs`` counts its runs at servers.
+    ``requested_at`` is the start of the first attempt of the request; ``deadline`` counts from it.
+    ``received_at`` is when the daemon receives this attempt. An ``impatient`` caller retries almost
+    at once and ignores the delay that a reply asks for. ``executions`` counts how often servers
+    started to run this attempt.
     """
 
     __slots__ = (
-        "asked_at",
-        "attempts_left",
+        "deadline",
+        "executions",
         "impatient",
         "key",
-        "latest",
         "profile",
         "received_at",
-        "runs",
+        "requested_at",
+        "retries_left",
     )
 
     def __init__(
         self,
         profile: ServiceProfile,
         key: int,
-        asked_at: float,
+        requested_at: float,
         received_at: float,
-        attempts_left: int,
+        retries_left: int,
         impatient: bool = False,
     ) -> None:
         self.profile = profile
         self.key = key
-        self.asked_at = asked_at
+        self.requested_at = requested_at
         self.received_at = received_at
-        self.latest = asked_at + profile.deadline_seconds
-        self.attempts_left = attempts_left
+        self.deadline = requested_at + profile.deadline_seconds
+        self.retries_left = retries_left
         self.impatient = impatient
-        self.runs = 0
+        self.executions = 0
 
 
-class CallEnd(enum.Enum):
-    """How a call to an emulated server ended, as the caller of the server sees it."""
+class CallStatus(enum.Enum):
+    """How a call to an emulated server ended, as the daemon that made it observes."""
 
     ANSWERED = "answered"
     FAILED = "failed"
@@ -57,13 +59,13 @@
 
 
 class CallOutcome(BaseValue):
-    """The end of a call and the load that came with it."""
+    """The status of an ended call and the load that the server reported, if any."""
 
-    __slots__ = ("end", "load")
+    __slots__ = ("load", "status")
 
-    def __init__(self, end: CallEnd, load: ServerLoad | None = None) -> None:
-        self.end = end
+    def __init__(self, status: CallStatus, load: ServerLoad | None = None) -> None:
+        self.status = status
         self.load = load
 
 
-CallDone = Callable[[CallOutcome], None]
+OutcomeCallback = Callable[[CallOutcome], None]
--- a/packages/emulator/src/fireflylink_emulator/_callers.py
+++ b/packages/emulator/src/fireflylink_emulator/_callers.py
@@ -64,10 +64,10 @@
             statistics.check_refused_attempts()
 
     def _order(
-        self, profile: ServiceProfile, key: int, asked_at: float, repeats: int, impatient: bool
+        self, profile: ServiceProfile, key: int, requested_at: float, repeats: int, impatient: bool
     ) -> CallerAttempt:
         received_at = self.scheduler.clock.now() + NETWORK_SECONDS
-        return CallerAttempt(profile, key, asked_at, received_at, repeats, impatient)
+        return CallerAttempt(profile, key, requested_at, received_at, repeats, impatient)
 
     def _send(self, attempt: CallerAttempt) -> None:
         running = [daemon for daemon in self.daemons if daemon.running]
@@ -95,9 +95,9 @@
 
     def _leaves_at(self, attempt: CallerAttempt) -> float:
         if self.rng.random() >= self.early_disconnect_fraction:
-            return attempt.latest
+            return attempt.deadline
         now = self.scheduler.clock.now()
-        return now + (attempt.latest - now) * self.rng.random()
+        return now + (attempt.deadline - now) * self.rng.random()
 
     def _ended(self, attempt: CallerAttempt, reply: BaseReply) -> None:
         now = self.scheduler.clock.now()
@@ -105,9 +105,9 @@
         statistics.record_attempt(attempt, reply)
         # Work that goes on after the caller has its answer would be a second run.
         self.scheduler.schedule_at(
-            attempt.latest + 1.0, lambda: statistics.record_executions(attempt)
+            attempt.deadline + 1.0, lambda: statistics.record_executions(attempt)
         )
-        wait = self._wait(attempt, reply, attempt.latest - now)
+        wait = self._wait(attempt, reply, attempt.deadline - now)
         if wait is None:
             statistics.record_outcome(attempt, reply, now)
             return
@@ -117,8 +117,8 @@
         again = self._order(
             attempt.profile,
             attempt.key,
-            attempt.asked_at,
-            attempt.attempts_left - 1,
+            attempt.requested_at,
+            attempt.retries_left - 1,
             attempt.impatient,
         )
         self._send(again)
@@ -126,7 +126,7 @@
     def _wait(self, attempt: CallerAttempt, reply: BaseReply, left: float) -> float | None:
         """Returns after how long the caller asks again, None if it does not."""
         if (
-            attempt.attempts_left <= 0
+            attempt.retries_left <= 0
             or left < LEAST_LEFT_SECONDS
             or not _asks_again(attempt, reply)
         ):
--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -176,7 +176,7 @@
         if self._unreachable(grants, server, command):
             return
         server.release(command.keys, command.fence)
-        if server.has_work_on(command.keys):
+        if server.has_running_calls(command.keys):
             again = functools.partial(self._release, grants, server, command)
             self.scheduler.schedule_after(RELEASE_POLL_SECONDS, again)
             return
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -1,45 +1,62 @@
-"""A backend server: slots, a short queue, a pace, and the ways in which it fails."""
+"""Emulated backend server with slots, a short queue, variable speed and injected faults."""
 
 import random
 
 from fireflylink_core import BackendServer, KeyRange, ServerIncarnation, ServerLoad
 from fireflylink_decisions.limits import SlidingWindowCounter
-from fireflylink_emulator._caller_attempt import CallDone, CallEnd, CallerAttempt, CallOutcome
+from fireflylink_emulator._caller_attempt import (
+    CallerAttempt,
+    CallOutcome,
+    CallStatus,
+    OutcomeCallback,
+)
 from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 
-QUEUE_PER_SLOT = 2
-FULL_SLOWDOWN = 0.3
+QUEUED_CALLS_PER_SLOT = 2
+FULL_LOAD_SLOWDOWN = 0.3
+"""By this fraction a call takes longer when all slots are in use."""
+
 COLD_SECONDS = 6.0
-COLD_PACE = 1.6
+COLD_SLOWDOWN_FACTOR = 1.6
 RESTART_SECONDS = 4.0
 CRASH_FACTOR = 2.0
-"""A cold server crashes when it gets this many times what it bears."""
+"""A cold server crashes above this multiple of its cold limit."""
 
-LEAST_PART = 0.5
-"""Work takes between this part and twice of the usual, less often long than short."""
+MIN_SERVICE_TIME_FRACTION = 0.5
+"""Minimum service time as a fraction of the mean; the rest is exponentially distributed."""
 
 FIRST_STARTED_MS = 1
+"""Start time of the first incarnation; each restart adds 1, which suffices to tell them apart."""
 
 
 class Call:
-    """One request at a server."""
+    """One request that a daemon sent to a server.
+
+    ``on_done`` receives the outcome. A queued call whose ``deadline``, a clock time in seconds, has
+    passed when a slot becomes free is declined instead of run.
+    """
 
-    __slots__ = ("done", "ended", "latest", "order")
+    __slots__ = ("attempt", "completed", "deadline", "on_done")
 
-    def __init__(self, order: CallerAttempt, latest: float, done: CallDone) -> None:
-        self.order = order
-        self.latest = latest
-        self.done = done
-        self.ended = False
+    def __init__(self, attempt: CallerAttempt, deadline: float, on_done: OutcomeCallback) -> None:
+        self.attempt = attempt
+        self.deadline = deadline
+        self.on_done = on_done
+        self.completed = False
 
 
 class EmulatedServer:
     """One backend server over all its incarnations.
 
-    ``held_ranges`` are the ranges that it was granted, each with its fence and the end of its hold.
-    ``failure_fraction`` is the fraction of requests that it fails, ``answer_loss_fraction`` that of
-    answers that are lost. ``peak_cold_requests`` is the most that it got in one second while cold.
+    ``held_ranges`` maps each granted range and its fence (fencing token) to the time when the hold
+    expires; ``fences`` has the highest fence seen for each range. ``service_time_factor`` is the
+    server's constant service time relative to its profile, ``slowdown_factor`` that of a fault; 1
+    is normal. ``failure_fraction`` is the fraction of requests that fail, ``answer_loss_fraction``
+    that of answers that are lost. ``cold_limit`` is the number of requests per second that all
+    daemons together may send while the server is cold, ``peak_cold_requests`` the highest number
+    that it received. A ``down`` server refuses connections, an ``unresponsive`` one ignores
+    new requests.
     """
 
     __slots__ = (
@@ -59,8 +76,8 @@
         "rng",
         "running",
         "scheduler",
+        "service_time_factor",
         "slowdown_factor",
-        "speed",
         "started_ms",
         "unresponsive",
         "waiting",
@@ -72,14 +89,14 @@
         profile: ServiceProfile,
         fleet: FleetProfile,
         data_centre: str,
-        speed: float,
+        service_time_factor: float,
         scheduler: EventScheduler,
         rng: random.Random,
     ) -> None:
         self.name = name
         self.profile = profile
         self.data_centre = data_centre
-        self.speed = speed
+        self.service_time_factor = service_time_factor
         self.scheduler = scheduler
         self.rng = rng
         self.cold_limit = profile.cold_per_second * fleet.cold_factor + fleet.cold_extra
@@ -100,16 +117,16 @@
 
     @property
     def incarnation(self) -> ServerIncarnation:
-        """The identity of the present incarnation."""
+        """The current incarnation."""
         return ServerIncarnation(self.name, self.started_ms)
 
     @property
     def is_cold(self) -> bool:
-        """Whether it bears little now."""
+        """Whether the server is in warm-up and can take few requests."""
         return self.scheduler.clock.now() < self.cold_until
 
     def registration(self) -> BackendServer:
-        """Returns what the server says of itself."""
+        """Returns the registration that the server publishes."""
         cold_ms = max(0.0, self.cold_until - self.scheduler.clock.now()) * 1000.0
         return BackendServer(
             self.name,
@@ -123,86 +140,89 @@
         )
 
     def holds(self, key: int) -> bool:
-        """Whether a granted range with the key is in force."""
+        """Whether the server has an unexpired grant of a range with the key."""
         now = self.scheduler.clock.now()
         return any(
-            keys.first <= key <= keys.last and now < until
-            for (keys, _), until in self.held_ranges.items()
+            keys.first <= key <= keys.last and now < expires_at
+            for (keys, _), expires_at in self.held_ranges.items()
         )
 
     def receive(self, call: Call, incarnation: ServerIncarnation) -> None:
-        """Receives a request that was sent to one of its incarnations."""
+        """Receives a request that was sent to the given incarnation of the server."""
         if self.unresponsive:
             return
         if self.down:
-            call.ended = True
-            call.done(CallOutcome(CallEnd.NOT_SENT))
+            call.completed = True
+            call.on_done(CallOutcome(CallStatus.NOT_SENT))
             return
         if incarnation != self.incarnation or (
-            self.profile.keyed and not self.holds(call.order.key)
+            self.profile.keyed and not self.holds(call.attempt.key)
         ):
-            self._end(call, CallEnd.MISDIRECTED)
+            self._complete(call, CallStatus.MISDIRECTED)
             return
-        self._count_cold()
+        self._record_cold_arrival()
         if self.down:
-            self._lose(call)
+            self._reset_connection(call)
         elif len(self.running) < self.profile.slots:
             self._start(call)
-        elif len(self.waiting) < self.profile.slots * QUEUE_PER_SLOT:
+        elif len(self.waiting) < self.profile.slots * QUEUED_CALLS_PER_SLOT:
             self.waiting.append(call)
         else:
-            self._end(call, CallEnd.DECLINED)
+            self._complete(call, CallStatus.DECLINED)
 
     def on_disconnect(self, call: Call) -> None:
-        """Takes the close of the connection of a call."""
-        if call.ended:
+        """Aborts a call whose connection the daemon has closed."""
+        if call.completed:
             return
-        call.ended = True
-        self._forget(call)
+        call.completed = True
+        self._remove(call)
 
     def make_cold(self) -> None:
-        """Makes it cold, without a new incarnation."""
+        """Puts the server into warm-up without starting a new incarnation."""
         self.cold_until = self.scheduler.clock.now() + COLD_SECONDS
 
     def crash(self, restart_seconds: float | None = RESTART_SECONDS) -> None:
-        """Ends this life with all its work and keys; None: it is lost for good."""
+        """Ends the current incarnation: its calls are reset and its grants are lost.
+
+        The next one starts after ``restart_seconds``; with None the server stays down.
+        """
         self.down = True
-        lost = [*self.running, *self.waiting]
+        aborted = [*self.running, *self.waiting]
         self.running = []
         self.waiting = []
         self.held_ranges = {}
         self.fences = {}
-        for call in lost:
-            self._lose(call)
+        for call in aborted:
+            self._reset_connection(call)
         if restart_seconds is not None:
             self.scheduler.schedule_after(restart_seconds, self._restart)
 
     def grant(self, keys: KeyRange, fence: int, seconds: float) -> bool:
-        """Takes a grant; returns False when a higher fence was used for some of the keys."""
-        if any(known.overlaps(keys) and used > fence for known, used in self.fences.items()):
+        """Accepts a grant; returns False if a higher fence was seen for any of the keys."""
+        if any(seen.overlaps(keys) and highest > fence for seen, highest in self.fences.items()):
             return False
         self.fences[keys] = fence
-        self._take_out(keys)
+        self._remove_held_keys(keys)
         self.held_ranges[(keys, fence)] = self.scheduler.clock.now() + seconds
         return True
 
     def release(self, keys: KeyRange, fence: int) -> None:
-        """Gives up the keys under the fence of their next holder."""
+        """Releases the keys; ``fence`` is that of their next holder."""
         self.fences[keys] = max(fence, self.fences.get(keys, 0))
-        self._take_out(keys)
+        self._remove_held_keys(keys)
 
-    def _take_out(self, keys: KeyRange) -> None:
-        kept: dict[tuple[KeyRange, int], float] = {}
-        for (held, used), until in self.held_ranges.items():
-            for rest in _without(held, keys):
-                kept[(rest, used)] = until
-        self.held_ranges = kept
+    def _remove_held_keys(self, keys: KeyRange) -> None:
+        remaining: dict[tuple[KeyRange, int], float] = {}
+        for (held, fence), expires_at in self.held_ranges.items():
+            for rest in _subtract(held, keys):
+                remaining[(rest, fence)] = expires_at
+        self.held_ranges = remaining
 
-    def has_work_on(self, keys: KeyRange) -> bool:
-        """Whether work on any of the keys is under way."""
-        return any(keys.first <= call.order.key <= keys.last for call in self.running)
+    def has_running_calls(self, keys: KeyRange) -> bool:
+        """Whether a call for any of the keys is running."""
+        return any(keys.first <= call.attempt.key <= keys.last for call in self.running)
 
-    def _count_cold(self) -> None:
+    def _record_cold_arrival(self) -> None:
         now = self.scheduler.clock.now()
         if not self.is_cold:
             return
@@ -213,27 +233,31 @@
             self.crash()
 
     def _start(self, call: Call) -> None:
-        call.order.runs += 1
+        call.attempt.executions += 1
         self.running.append(call)
-        queueing_factor = len(self.running) / self.profile.slots
-        seconds = call.order.profile.work_seconds * self.speed * self.slowdown_factor
-        seconds *= 1.0 + FULL_SLOWDOWN * queueing_factor
-        seconds *= COLD_PACE if self.is_cold else 1.0
-        seconds *= LEAST_PART + (1.0 - LEAST_PART) * self.rng.expovariate(1.0)
+        utilisation = len(self.running) / self.profile.slots
+        seconds = (
+            call.attempt.profile.work_seconds * self.service_time_factor * self.slowdown_factor
+        )
+        seconds *= 1.0 + FULL_LOAD_SLOWDOWN * utilisation
+        seconds *= COLD_SLOWDOWN_FACTOR if self.is_cold else 1.0
+        seconds *= MIN_SERVICE_TIME_FRACTION + (
+            1.0 - MIN_SERVICE_TIME_FRACTION
+        ) * self.rng.expovariate(1.0)
         self.scheduler.schedule_after(seconds, lambda: self._finish(call))
 
     def _finish(self, call: Call) -> None:
-        if call.ended:
+        if call.completed:
             return
-        self._forget(call)
+        self._remove(call)
         if self.rng.random() < self.answer_loss_fraction:
-            self._lose(call)
+            self._reset_connection(call)
         elif self.rng.random() < self.failure_fraction:
-            self._end(call, CallEnd.FAILED)
+            self._complete(call, CallStatus.FAILED)
         else:
-            self._end(call, CallEnd.ANSWERED)
+            self._complete(call, CallStatus.ANSWERED)
 
-    def _forget(self, call: Call) -> None:
+    def _remove(self, call: Call) -> None:
         if call in self.waiting:
             self.waiting.remove(call)
         if call in self.running:
@@ -244,21 +268,21 @@
         now = self.scheduler.clock.now()
         while self.waiting and len(self.running) < self.profile.slots:
             call = self.waiting.pop(0)
-            if now >= call.latest:
-                self._end(call, CallEnd.DECLINED)
+            if now >= call.deadline:
+                self._complete(call, CallStatus.DECLINED)
             else:
                 self._start(call)
 
-    def _end(self, call: Call, end: CallEnd) -> None:
-        call.ended = True
+    def _complete(self, call: Call, status: CallStatus) -> None:
+        call.completed = True
         load = ServerLoad(
             len(self.running), len(self.waiting), self.profile.slots, self.slowdown_factor
         )
-        call.done(CallOutcome(end, load))
+        call.on_done(CallOutcome(status, load))
 
-    def _lose(self, call: Call) -> None:
-        call.ended = True
-        call.done(CallOutcome(CallEnd.LOST))
+    def _reset_connection(self, call: Call) -> None:
+        call.completed = True
+        call.on_done(CallOutcome(CallStatus.LOST))
 
     def _restart(self) -> None:
         self.down = False
@@ -267,7 +291,7 @@
         self.make_cold()
 
 
-def _without(keys: KeyRange, removed: KeyRange) -> list[KeyRange]:
+def _subtract(keys: KeyRange, removed: KeyRange) -> list[KeyRange]:
     if not keys.overlaps(removed):
         return [keys]
     rest = []
--- a/packages/emulator/src/fireflylink_emulator/_event_scheduler.py
+++ b/packages/emulator/src/fireflylink_emulator/_event_scheduler.py
@@ -1,4 +1,4 @@
-"""What happens next on a manual clock."""
+"""Scheduler of a discrete-event simulation."""
 
 import heapq
 from collections.abc import Callable
@@ -9,10 +9,10 @@
 
 
 class EventScheduler:
-    """Actions in the order of their time.
+    """Runs actions on a manual clock in the order of their due times.
 
-    Actions of the same moment run in the order in which they were added, so that a run repeats
-    exactly.
+    Actions that are due at the same time run in the order in which they were added, so that a run
+    is reproducible.
 
     Example::
 
@@ -27,19 +27,19 @@
         self.entries: list[tuple[float, int, Action]] = []
         self.next_sequence = 0
 
-    def schedule_at(self, moment: float, action: Action) -> None:
-        """Adds an action for a moment; one in the past runs at once."""
+    def schedule_at(self, due_at: float, action: Action) -> None:
+        """Adds an action; with a due time in the past it runs at the current time."""
         self.next_sequence += 1
-        heapq.heappush(self.entries, (moment, self.next_sequence, action))
+        heapq.heappush(self.entries, (due_at, self.next_sequence, action))
 
     def schedule_after(self, seconds: float, action: Action) -> None:
-        """Adds an action for a number of seconds from now."""
+        """Adds an action that is due after a delay in seconds."""
         self.schedule_at(self.clock.now() + seconds, action)
 
     def run_until(self, end: float) -> None:
-        """Runs what is due up to a moment, and leaves the clock there."""
+        """Runs the actions that are due until ``end`` and advances the clock to it."""
         while self.entries and self.entries[0][0] <= end:
-            moment, _, action = heapq.heappop(self.entries)
-            self.clock.current = max(self.clock.current, moment)
+            due_at, _, action = heapq.heappop(self.entries)
+            self.clock.current = max(self.clock.current, due_at)
             action()
         self.clock.current = max(self.clock.current, end)
--- a/packages/emulator/src/fireflylink_emulator/_profile.py
+++ b/packages/emulator/src/fireflylink_emulator/_profile.py
@@ -81,7 +81,7 @@
         "connection_limit",
         "daemons",
         "data_centres",
-        "distance_seconds",
+        "remote_latency_seconds",
     )
 
     def __init__(
@@ -89,7 +89,7 @@
         daemons: int,
         data_centres: tuple[str, ...],
         connection_limit: int,
-        distance_seconds: float = 0.004,
+        remote_latency_seconds: float = 0.004,
         budget_ratio: float = 0.2,
         budget_extra: float = 60.0,
         budget_window_seconds: float = 10.0,
@@ -99,7 +99,7 @@
         self.daemons = daemons
         self.data_centres = data_centres
         self.connection_limit = connection_limit
-        self.distance_seconds = distance_seconds
+        self.remote_latency_seconds = remote_latency_seconds
         self.budget_ratio = budget_ratio
         self.budget_extra = budget_extra
         self.budget_window_seconds = budget_window_seconds
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -27,12 +27,12 @@
 from fireflylink_decisions.retries import Attempts, Retry, ReturnReply
 from fireflylink_decisions.servers import ServerTracker, ServiceLimits
 from fireflylink_emulator._base_daemon import (
+    ERROR_ANSWER,
+    OK_ANSWER,
     REPLY_MARGIN_SECONDS,
-    SERVER_FAILED,
-    WHOLE,
     BaseEmulatedDaemon,
 )
-from fireflylink_emulator._caller_attempt import CallEnd, CallerAttempt, CallOutcome
+from fireflylink_emulator._caller_attempt import CallerAttempt, CallOutcome, CallStatus
 from fireflylink_emulator._emulated_server import EmulatedServer
 from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
@@ -153,10 +153,10 @@
             if waiting is course:
                 del self.waiting[request]
                 self.dispatcher.cancel(request)
-        found = self.calls.get(attempt)
+        found = self.active_calls.get(attempt)
         if found is not None:
             found[0].on_disconnect(found[1])
-            found[1].done(CallOutcome(CallEnd.LATE))
+            found[1].on_done(CallOutcome(CallStatus.LATE))
         course.done(CallerDisconnected())
 
     def _place(self, course: _Course) -> None:
@@ -165,7 +165,7 @@
             attempt.profile.name,
             attempt.profile.priority,
             attempt.received_at,
-            attempt.latest - REPLY_MARGIN_SECONDS,
+            attempt.deadline - REPLY_MARGIN_SECONDS,
             attempt.key if attempt.profile.keyed else -1,
             frozenset(course.attempts.tried_servers),
             attempt.received_at + attempt.profile.objective_seconds,
@@ -214,14 +214,14 @@
         tracker.record_completed()
         if outcome.load is not None:
             tracker.record_load(outcome.load, now)
-        self._learn(course, dispatched, now - sent_at, outcome.end)
-        if outcome.end is CallEnd.MISDIRECTED:
+        self._learn(course, dispatched, now - sent_at, outcome.status)
+        if outcome.status is CallStatus.MISDIRECTED:
             self.dispatcher.record_misdirected(course.order.profile.name, dispatched, now)
         self._sweep()
         if course.left:
             return
         budget = self.budgets[course.order.profile.name]
-        left = course.order.latest - REPLY_MARGIN_SECONDS - now
+        left = course.order.deadline - REPLY_MARGIN_SECONDS - now
         decision = course.attempts.decide(
             _result(outcome), left, budget.allows_retry(now, self.position)
         )
@@ -232,23 +232,25 @@
         elif isinstance(decision, ReturnReply):
             self._finish(course, decision.reply)
 
-    def _learn(self, course: _Course, dispatched: Dispatched, seconds: float, end: CallEnd) -> None:
+    def _learn(
+        self, course: _Course, dispatched: Dispatched, seconds: float, end: CallStatus
+    ) -> None:
         now = self.scheduler.clock.now()
         tracker = dispatched.tracker
         name = tracker.server.server_id
-        if end is CallEnd.ANSWERED:
+        if end is CallStatus.ANSWERED:
             if (
                 tracker.record_answer(seconds, dispatched.queueing_factor, now)
                 and course.order.profile.keyed
             ):
                 self.key_times.append((name, seconds))
-        elif end is CallEnd.LATE:
+        elif end is CallStatus.LATE:
             unqueued = tracker.record_timeout(seconds, dispatched.queueing_factor, now)
             if course.order.profile.keyed:
                 self.key_times.append((name, unqueued))
-        elif end is CallEnd.NOT_SENT:
+        elif end is CallStatus.NOT_SENT:
             tracker.record_no_response(now)
-        elif end is not CallEnd.MISDIRECTED:
+        elif end is not CallStatus.MISDIRECTED:
             tracker.record_failure(now)
 
     def _finish(self, course: _Course, reply: BaseReply) -> None:
@@ -262,16 +264,16 @@
 
 
 def _result(outcome: CallOutcome) -> BaseCallResult:
-    end = outcome.end
-    if end is CallEnd.ANSWERED:
-        return Answered(WHOLE, outcome.load)
-    if end is CallEnd.FAILED:
-        return Answered(SERVER_FAILED, outcome.load)
-    if end is CallEnd.DECLINED:
+    end = outcome.status
+    if end is CallStatus.ANSWERED:
+        return Answered(OK_ANSWER, outcome.load)
+    if end is CallStatus.FAILED:
+        return Answered(ERROR_ANSWER, outcome.load)
+    if end is CallStatus.DECLINED:
         return Declined(DECLINED_STATUS, False, outcome.load)
-    if end is CallEnd.MISDIRECTED:
+    if end is CallStatus.MISDIRECTED:
         return Declined(MISDIRECTED_STATUS, True, outcome.load)
-    if end is CallEnd.NOT_SENT:
+    if end is CallStatus.NOT_SENT:
         return NotSent("refused")
-    reason = LostReason.LATE if end is CallEnd.LATE else LostReason.RESET
+    reason = LostReason.LATE if end is CallStatus.LATE else LostReason.RESET
     return Lost(reason, end.value)
--- a/packages/emulator/src/fireflylink_emulator/_run_statistics.py
+++ b/packages/emulator/src/fireflylink_emulator/_run_statistics.py
@@ -73,17 +73,17 @@
 
     def record_attempt(self, attempt: CallerAttempt, reply: BaseReply) -> None:
         """Records the end of one attempt, for the guarantees."""
-        if isinstance(reply, ServerAnswer) and attempt.runs == 0:
+        if isinstance(reply, ServerAnswer) and attempt.executions == 0:
             self.answers_without_execution += 1
         if isinstance(reply, NotRun):
-            if attempt.runs:
+            if attempt.executions:
                 self.refused_but_executed += 1
             else:
                 self.refused_attempts.append(attempt)
 
     def record_executions(self, attempt: CallerAttempt) -> None:
         """Records the executions of an attempt that is over."""
-        if attempt.runs > 1 and not attempt.profile.idempotent:
+        if attempt.executions > 1 and not attempt.profile.idempotent:
             self.duplicate_executions += 1
 
     def record_outcome(self, attempt: CallerAttempt, reply: BaseReply, now: float) -> None:
@@ -97,11 +97,13 @@
 
     def check_refused_attempts(self) -> None:
         """Counts refusals of attempts that ran after all."""
-        self.refused_but_executed += sum(1 for attempt in self.refused_attempts if attempt.runs)
+        self.refused_but_executed += sum(
+            1 for attempt in self.refused_attempts if attempt.executions
+        )
         self.refused_attempts = []
 
     def _note_served(self, attempt: CallerAttempt, now: float) -> None:
-        seconds = now - attempt.asked_at
+        seconds = now - attempt.requested_at
         self.latency.record_value(max(1, int(seconds * MICROSECONDS_PER_SECOND)))
         if seconds <= attempt.profile.objective_seconds:
             self.in_time += 1
--- a/packages/emulator/tests/test_parts.py
+++ b/packages/emulator/tests/test_parts.py
@@ -24,10 +24,10 @@
     read_pattern,
     run_with_faults,
 )
-from fireflylink_emulator._caller_attempt import CallEnd, CallerAttempt
+from fireflylink_emulator._caller_attempt import CallerAttempt, CallStatus
 from fireflylink_emulator._emulated_server import Call
 
-WHOLE = ServerAnswer(200, (), b"")
+OK_ANSWER = ServerAnswer(200, (), b"")
 
 
 @pytest.fixture
@@ -40,11 +40,11 @@
     return CallerAttempt(APPROVALS, 5, 0.0, 0.0, 1)
 
 
-def arrive(server: EmulatedServer, count: int = 1) -> list[CallEnd]:
-    ends: list[CallEnd] = []
+def arrive(server: EmulatedServer, count: int = 1) -> list[CallStatus]:
+    ends: list[CallStatus] = []
     for _ in range(count):
         attempt = CallerAttempt(LOOKUPS, 5, 0.0, 0.0, 0)
-        call = Call(attempt, 10.0, lambda outcome: ends.append(outcome.end))
+        call = Call(attempt, 10.0, lambda outcome: ends.append(outcome.status))
         server.receive(call, server.incarnation)
     return ends
 
@@ -83,12 +83,12 @@
 
 def test_a_keyed_server_runs_only_keys_that_it_holds(server, scheduler):
     """Guards against an emulator in which ownership does not matter."""
-    assert_that(arrive(server), Equals([CallEnd.MISDIRECTED]))
+    assert_that(arrive(server), Equals([CallStatus.MISDIRECTED]))
     server.grant(KeyRange(0, 9), 1, 3.0)
     arrive(server)
     assert_that(len(server.running), Equals(1))
     scheduler.run_until(3.5)
-    assert_that(arrive(server), Equals([CallEnd.MISDIRECTED]))
+    assert_that(arrive(server), Equals([CallStatus.MISDIRECTED]))
 
 
 def test_a_grant_below_a_fence_that_was_used_is_refused(server):
@@ -104,7 +104,7 @@
     server.grant(KeyRange(0, 9), 1, 3.0)
     ends = arrive(server, 10)
     assert_that((len(server.running), len(server.waiting)), Equals((2, 4)))
-    assert_that(ends, Equals([CallEnd.DECLINED] * 4))
+    assert_that(ends, Equals([CallStatus.DECLINED] * 4))
 
 
 def test_a_cold_server_crashes_well_above_its_bound(server, scheduler):
@@ -123,9 +123,9 @@
 def test_a_tally_counts_each_broken_promise(attempt):
     """Guards against counts of broken promises that cannot be other than zero."""
     statistics = RunStatistics()
-    statistics.record_attempt(attempt, WHOLE)
+    statistics.record_attempt(attempt, OK_ANSWER)
     assert_that(statistics.answers_without_execution, Equals(1))
-    attempt.runs = 2
+    attempt.executions = 2
     statistics.record_executions(attempt)
     assert_that(statistics.duplicate_executions, Equals(1))
     statistics.record_attempt(attempt, NotRun("full"))
@@ -136,7 +136,7 @@
     """Guards against REFUSED: a refusal whose order still runs."""
     statistics = RunStatistics()
     statistics.record_attempt(attempt, NotRun("full"))
-    attempt.runs = 1
+    attempt.executions = 1
     statistics.check_refused_attempts()
     assert_that(statistics.refused_but_executed, Equals(1))
 
