Name the states of a routed attempt and the intervals of the decider

An attempt in progress at a daemon, the queue and the data collected for reports have the names that the decision packages use, and callbacks say which event they handle.

--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -1,4 +1,4 @@
-"""The decider of one keyed service: plans, grants and releases with the project's own code."""
+"""Emulated decider (elected leader) of one keyed service, which runs the production code."""
 
 import functools
 from collections.abc import Callable
@@ -21,20 +21,23 @@
 from fireflylink_emulator._profile import ServiceProfile
 from fireflylink_emulator._routed_daemon import RoutedDaemon
 
-TICK_SECONDS = 0.1
-PLAN_SECONDS = 0.3
-REPORT_SECONDS = 0.25
-TIMES_EACH_REPORTS = 8
-STORE_SECONDS = 0.02
-COMMAND_TRAVEL_SECONDS = 0.01
-RELEASE_POLL_SECONDS = 0.02
+COMMAND_INTERVAL_SECONDS = 0.1
+PLAN_INTERVAL_SECONDS = 0.3
+REPORT_INTERVAL_SECONDS = 0.25
+REPORTS_PER_SERVICE_TIME_REPORT = 8
+"""Service times are reported this many times less often than requested keys."""
+
+STORE_WRITE_SECONDS = 0.02
+COMMAND_LATENCY_SECONDS = 0.01
+RELEASE_POLL_INTERVAL_SECONDS = 0.02
 
 
 class EmulatedDecider:
-    """Decides on the keys of one service while it is ``running``.
+    """Assigns the keys of one service to servers while it is ``running``.
 
-    ``stored_table`` stands for the store: each table is there from its write on. ``moved_keys``
-    counts keys that changed hands between servers that go on.
+    ``stored_table`` is the table in the emulated store; it outlives a stop. ``moved_keys`` counts
+    the keys that were moved away from servers that could have kept them. ``is_registered`` returns
+    whether the registration of a server is still in force.
     """
 
     __slots__ = (
@@ -42,7 +45,7 @@
         "is_registered",
         "moved_keys",
         "profile",
-        "reports",
+        "report_count",
         "running",
         "scheduler",
         "servers",
@@ -64,12 +67,12 @@
         self.running = False
         self.stored_table: OwnershipTable | None = None
         self.moved_keys = 0
-        self.reports = 0
-        self.is_registered: Callable[[EmulatedServer], bool] = _answers
+        self.report_count = 0
+        self.is_registered: Callable[[EmulatedServer], bool] = _is_up
         self.service = KeyedService(profile.name, scheduler.clock.now())
 
     def start(self) -> None:
-        """Begins to decide, from what the store holds."""
+        """Starts as a newly elected decider, from the table in the store."""
         now = self.scheduler.clock.now()
         self.running = True
         service = self.service = KeyedService(self.profile.name, now)
@@ -78,25 +81,27 @@
             service.grants.mark_no_former_decider()
         else:
             service.table = self.stored_table
-            self._write(with_new_fence(self.stored_table))
-        self._tick(service)
-        self._take_reports(service)
+            self._write_table(with_new_fence(self.stored_table))
+        self._run_periodically(service)
+        self._collect_reports(service)
 
     def stop(self) -> None:
-        """Ends at once, as with the process; grants under way may still arrive."""
+        """Stops at once, like a killed process; commands already sent may still arrive."""
         self.running = False
 
-    def _tick(self, service: KeyedService) -> None:
+    def _run_periodically(self, service: KeyedService) -> None:
         if not self.running or service is not self.service:
             return
         now = self.scheduler.clock.now()
         if service.grants is not None:
             for command in service.grants.due_commands(now):
-                self._send(service.grants, command)
+                self._send_command(service.grants, command)
         if now >= service.next_plan_at:
-            service.next_plan_at = now + PLAN_SECONDS
+            service.next_plan_at = now + PLAN_INTERVAL_SECONDS
             self._plan(service, now)
-        self.scheduler.schedule_after(TICK_SECONDS, lambda: self._tick(service))
+        self.scheduler.schedule_after(
+            COMMAND_INTERVAL_SECONDS, lambda: self._run_periodically(service)
+        )
 
     def _plan(self, service: KeyedService, now: float) -> None:
         service.load.decay(now)
@@ -109,24 +114,26 @@
         ]
         if service.commit_sent_at is not None or not candidates:
             return
-        wanted = service.next_table(candidates, 0.0, now)
-        if wanted is None:
+        new_table = service.next_table(candidates, 0.0, now)
+        if new_table is None:
             return
         incarnations = frozenset(candidate.incarnation for candidate in candidates)
         if service.table is not None:
-            self.moved_keys += changes_between(service.table, wanted, incarnations).moved_keys
-        self._write(wanted)
+            self.moved_keys += changes_between(service.table, new_table, incarnations).moved_keys
+        self._write_table(new_table)
 
     def _candidate(self, service: KeyedService, server: EmulatedServer) -> Candidate:
         capacity = service.service_times.capacity(server.name, self.profile.slots, server.is_cold)
         return Candidate(server.incarnation, capacity, server.data_centre)
 
-    def _write(self, table: OwnershipTable) -> None:
+    def _write_table(self, table: OwnershipTable) -> None:
         service = self.service
         service.commit_sent_at = self.scheduler.clock.now()
-        self.scheduler.schedule_after(STORE_SECONDS, lambda: self._written(service, table))
+        self.scheduler.schedule_after(
+            STORE_WRITE_SECONDS, lambda: self._on_table_written(service, table)
+        )
 
-    def _written(self, service: KeyedService, table: OwnershipTable) -> None:
+    def _on_table_written(self, service: KeyedService, table: OwnershipTable) -> None:
         if service is not self.service or not self.running:
             return
         self.stored_table = table
@@ -137,8 +144,8 @@
         for daemon in self.daemons:
             daemon.update_table(table)
 
-    def _send(self, grants: GrantTracker, command: BaseCommand) -> None:
-        server = self._server_of(command.server)
+    def _send_command(self, grants: GrantTracker, command: BaseCommand) -> None:
+        server = self._find_server(command.server)
         if server is None:
             grants.record_incarnation_ended(command.server)
             grants.record_failed(command, self.scheduler.clock.now())
@@ -146,18 +153,18 @@
         if isinstance(command, GrantCommand):
             grants.record_sent(command, self.scheduler.clock.now())
             self.scheduler.schedule_after(
-                COMMAND_TRAVEL_SECONDS, lambda: self._grant(grants, server, command)
+                COMMAND_LATENCY_SECONDS, lambda: self._grant(grants, server, command)
             )
         elif isinstance(command, ReleaseCommand):
             self.scheduler.schedule_after(
-                COMMAND_TRAVEL_SECONDS, lambda: self._release(grants, server, command)
+                COMMAND_LATENCY_SECONDS, lambda: self._release(grants, server, command)
             )
 
-    def _server_of(self, incarnation: ServerIncarnation) -> EmulatedServer | None:
+    def _find_server(self, incarnation: ServerIncarnation) -> EmulatedServer | None:
         return next((server for server in self.servers if server.incarnation == incarnation), None)
 
     def _grant(self, grants: GrantTracker, server: EmulatedServer, command: GrantCommand) -> None:
-        if self._unreachable(grants, server, command):
+        if self._fail_if_unreachable(grants, server, command):
             return
         now = self.scheduler.clock.now()
         if server.incarnation != command.server or not server.grant(
@@ -168,70 +175,75 @@
         self.service.record_answer(command.server)
         grants.record_granted(command, now)
         if not command.renewal:
-            self._notify(command.keys, command.fence)
+            self._announce_grant(command.keys, command.fence)
 
     def _release(
         self, grants: GrantTracker, server: EmulatedServer, command: ReleaseCommand
     ) -> None:
-        if self._unreachable(grants, server, command):
+        if self._fail_if_unreachable(grants, server, command):
             return
         server.release(command.keys, command.fence)
         if server.has_running_calls(command.keys):
-            again = functools.partial(self._release, grants, server, command)
-            self.scheduler.schedule_after(RELEASE_POLL_SECONDS, again)
+            poll = functools.partial(self._release, grants, server, command)
+            self.scheduler.schedule_after(RELEASE_POLL_INTERVAL_SECONDS, poll)
             return
         grants.record_released(command, "", self.scheduler.clock.now())
 
-    def _unreachable(
+    def _fail_if_unreachable(
         self, grants: GrantTracker, server: EmulatedServer, command: BaseCommand
     ) -> bool:
-        """Handles a server that does not answer, at once or after the time-out."""
+        """Returns whether the server is unreachable; if so, the command is scheduled to fail.
+
+        It fails at once if the server is down, or after the time-out if it is unresponsive.
+        """
         if not server.down and not server.unresponsive:
             return False
-        wait = GRANT_TIMEOUT_SECONDS if server.unresponsive else 0.0
+        delay = GRANT_TIMEOUT_SECONDS if server.unresponsive else 0.0
 
         def fail() -> None:
             if command.server in self.service.consecutive_failures and isinstance(
                 command, GrantCommand
             ):
-                # The connection was closed after the first time-out, and no new one opens.
+                # The first time-out closed the connection and no new one opens: nothing was sent.
                 grants.record_not_sent(command)
             self.service.record_no_answer(command.server)
             grants.record_failed(command, self.scheduler.clock.now())
 
-        self.scheduler.schedule_after(wait, fail)
+        self.scheduler.schedule_after(delay, fail)
         return True
 
-    def _notify(self, keys: KeyRange, fence: int) -> None:
+    def _announce_grant(self, keys: KeyRange, fence: int) -> None:
         for daemon in self.daemons:
             daemon.record_granted_keys(self.profile.name, keys, fence)
 
-    def _take_reports(self, service: KeyedService) -> None:
+    def _collect_reports(self, service: KeyedService) -> None:
         if not self.running or service is not self.service:
             return
-        self.reports += 1
+        self.report_count += 1
         for daemon in self.daemons:
-            for key in daemon.key_counts:
+            for key in daemon.requested_keys:
                 service.load.add(key, 1.0)
-            daemon.key_counts = []
-            if self.reports % TIMES_EACH_REPORTS == 0:
-                for name, seconds in daemon.key_times:
+            daemon.requested_keys = []
+            if self.report_count % REPORTS_PER_SERVICE_TIME_REPORT == 0:
+                for name, seconds in daemon.service_times:
                     service.service_times.add(name, 1, seconds)
-                daemon.key_times = []
-        self.scheduler.schedule_after(REPORT_SECONDS, lambda: self._take_reports(service))
+                daemon.service_times = []
+        self.scheduler.schedule_after(
+            REPORT_INTERVAL_SECONDS, lambda: self._collect_reports(service)
+        )
 
 
-def _answers(server: EmulatedServer) -> bool:
+def _is_up(server: EmulatedServer) -> bool:
     return not server.down
 
 
 def held_key_fraction(servers: list[EmulatedServer]) -> float:
-    """Returns the fraction of the keys that some server which answers holds now."""
+    """Returns the fraction of all keys that responsive servers hold now."""
     ranges = sorted(
         (keys.first, keys.last)
         for server in servers
         if not server.down and not server.unresponsive
-        for (keys, _), until in server.held_ranges.items()
-        if server.scheduler.clock.now() < until
+        for (keys, _), expires_at in server.held_ranges.items()
+        if server.scheduler.clock.now() < expires_at
     )
     return sum(last - first + 1 for first, last in ranges) / KEY_COUNT
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -182,7 +182,7 @@
         self.cold_until = self.scheduler.clock.now() + COLD_SECONDS
 
     def crash(self, restart_seconds: float | None = RESTART_SECONDS) -> None:
-        """Ends the current incarnation: its calls are reset and its grants are lost.
+        """Ends the current incarnation: connections are reset and grants are lost.
 
         The next one starts after ``restart_seconds``; with None the server stays down.
         """
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -1,4 +1,4 @@
-"""A daemon that decides with the project's own code: placement, limits, retries."""
+"""Emulated daemon that runs the production code for placement, limits and retries."""
 
 from collections.abc import Callable
 
@@ -37,44 +37,51 @@
 from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 
-SWEEP_SECONDS = 0.02
+SWEEP_INTERVAL_SECONDS = 0.02
 MILLISECONDS_PER_SECOND = 1000.0
 DECLINED_STATUS = 503
 MISDIRECTED_STATUS = 421
 
 
-class _Course:
-    """One attempt of a caller on its way."""
+class _ActiveAttempt:
+    """An attempt of a caller that the daemon has received and not yet replied to.
 
-    __slots__ = ("attempts", "done", "left", "order")
+    ``server_attempts`` decides whether the request is sent to another server.
+    """
+
+    __slots__ = ("attempt", "disconnected", "on_reply", "server_attempts")
 
     def __init__(
-        self, order: CallerAttempt, attempts: Attempts, done: Callable[[BaseReply], None]
+        self,
+        attempt: CallerAttempt,
+        server_attempts: Attempts,
+        on_reply: Callable[[BaseReply], None],
     ) -> None:
-        self.order = order
-        self.attempts = attempts
-        self.done = done
-        self.left = False
+        self.attempt = attempt
+        self.server_attempts = server_attempts
+        self.on_reply = on_reply
+        self.disconnected = False
 
 
 class RoutedDaemon(BaseEmulatedDaemon):
-    """Places requests with ``Dispatcher`` and repeats them with ``Attempts``.
+    """Places requests with ``Dispatcher`` and retries them as ``Attempts`` decides.
 
-    ``key_times`` and ``key_counts`` are what the daemon would report to the decider.
+    ``service_times`` (server name and seconds) and ``requested_keys`` are collected for the next
+    report to the decider. ``queued`` maps requests in the dispatcher's queue to their attempts.
     """
 
     __slots__ = (
-        "budgets",
-        "courses",
+        "active_attempts",
         "dispatcher",
-        "key_counts",
-        "key_times",
         "position",
         "profiles",
+        "queued",
+        "requested_keys",
+        "retry_budgets",
         "servers",
-        "sweeping",
+        "service_times",
+        "sweep_scheduled",
         "trackers",
-        "waiting",
     )
 
     def __init__(
@@ -92,22 +99,22 @@
         self.dispatcher = Dispatcher()
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.servers: dict[ServerIncarnation, EmulatedServer] = {}
-        self.courses: dict[CallerAttempt, _Course] = {}
-        self.waiting: dict[QueuedRequest, _Course] = {}
-        self.sweeping = False
-        self.key_counts: list[int] = []
-        self.key_times: list[tuple[str, float]] = []
+        self.active_attempts: dict[CallerAttempt, _ActiveAttempt] = {}
+        self.queued: dict[QueuedRequest, _ActiveAttempt] = {}
+        self.sweep_scheduled = False
+        self.requested_keys: list[int] = []
+        self.service_times: list[tuple[str, float]] = []
         limits = RetryBudgetLimits(
             fleet.budget_ratio, fleet.budget_extra, fleet.budget_window_seconds
         )
-        self.budgets = {profile.name: RetryBudget(limits) for profile in profiles}
+        self.retry_budgets = {profile.name: RetryBudget(limits) for profile in profiles}
         for profile in profiles:
             self.dispatcher.pools[profile.name] = ServicePool(
                 profile.keyed, self._service_limits(profile)
             )
 
     def update_members(self, members: tuple[str, ...]) -> None:
-        """Takes the daemons that the store lists."""
+        """Replaces the names of the daemons that are listed in the store."""
         self.position = FleetPosition(self.name, members)
         for name, pool in self.dispatcher.pools.items():
             pool.limits = self._service_limits(self.profiles[name])
@@ -131,149 +138,149 @@
         self.dispatcher.pools[table.service].set_table(table, self.scheduler.clock.now())
 
     def record_granted_keys(self, service: str, keys: KeyRange, fence: int) -> None:
-        """Takes the decider's notice that a moved range has its new holder."""
+        """Records that a range was granted to its new holder, as the decider has announced."""
         self.dispatcher.pools[service].confirmed_grants.add((keys, fence))
         self._sweep()
 
-    def receive(self, attempt: CallerAttempt, done: Callable[[BaseReply], None]) -> None:
-        self.budgets[attempt.profile.name].record_request(self.scheduler.clock.now())
+    def receive(self, attempt: CallerAttempt, on_reply: Callable[[BaseReply], None]) -> None:
+        self.retry_budgets[attempt.profile.name].record_request(self.scheduler.clock.now())
         if attempt.profile.keyed:
-            self.key_counts.append(attempt.key)
-        attempts = Attempts(attempt.profile.idempotent, attempt.profile.max_attempts)
-        course = _Course(attempt, attempts, done)
-        self.courses[attempt] = course
-        self._place(course)
+            self.requested_keys.append(attempt.key)
+        server_attempts = Attempts(attempt.profile.idempotent, attempt.profile.max_attempts)
+        active = _ActiveAttempt(attempt, server_attempts, on_reply)
+        self.active_attempts[attempt] = active
+        self._place(active)
 
     def cancel(self, attempt: CallerAttempt) -> None:
-        course = self.courses.pop(attempt, None)
-        if course is None:
+        active = self.active_attempts.pop(attempt, None)
+        if active is None:
             return
-        course.left = True
-        for request, waiting in list(self.waiting.items()):
-            if waiting is course:
-                del self.waiting[request]
+        active.disconnected = True
+        for request, queued in list(self.queued.items()):
+            if queued is active:
+                del self.queued[request]
                 self.dispatcher.cancel(request)
-        found = self.active_calls.get(attempt)
-        if found is not None:
-            found[0].on_disconnect(found[1])
-            found[1].on_done(CallOutcome(CallStatus.LATE))
-        course.done(CallerDisconnected())
+        active_call = self.active_calls.get(attempt)
+        if active_call is not None:
+            active_call[0].on_disconnect(active_call[1])
+            active_call[1].on_done(CallOutcome(CallStatus.LATE))
+        active.on_reply(CallerDisconnected())
 
-    def _place(self, course: _Course) -> None:
-        attempt = course.order
+    def _place(self, active: _ActiveAttempt) -> None:
+        attempt = active.attempt
         request = QueuedRequest(
             attempt.profile.name,
             attempt.profile.priority,
             attempt.received_at,
             attempt.deadline - REPLY_MARGIN_SECONDS,
             attempt.key if attempt.profile.keyed else -1,
-            frozenset(course.attempts.tried_servers),
+            frozenset(active.server_attempts.tried_servers),
             attempt.received_at + attempt.profile.objective_seconds,
         )
         result = self.dispatcher.submit(request, self.scheduler.clock.now())
         if result is not None:
-            self._follow(course, result)
+            self._apply_result(active, result)
             return
-        self.waiting[request] = course
-        if not self.sweeping:
-            self.sweeping = True
-            self.scheduler.schedule_after(SWEEP_SECONDS, self._tick)
+        self.queued[request] = active
+        if not self.sweep_scheduled:
+            self.sweep_scheduled = True
+            self.scheduler.schedule_after(SWEEP_INTERVAL_SECONDS, self._sweep_periodically)
 
-    def _tick(self) -> None:
+    def _sweep_periodically(self) -> None:
         self._sweep()
-        if self.waiting:
-            self.scheduler.schedule_after(SWEEP_SECONDS, self._tick)
+        if self.queued:
+            self.scheduler.schedule_after(SWEEP_INTERVAL_SECONDS, self._sweep_periodically)
         else:
-            self.sweeping = False
+            self.sweep_scheduled = False
 
     def _sweep(self) -> None:
-        if not self.waiting:
+        if not self.queued:
             return
         for request, result in self.dispatcher.sweep(self.scheduler.clock.now()):
-            self._follow(self.waiting.pop(request), result)
+            self._apply_result(self.queued.pop(request), result)
 
-    def _follow(self, course: _Course, placement: BaseDispatchResult) -> None:
+    def _apply_result(self, active: _ActiveAttempt, placement: BaseDispatchResult) -> None:
         if isinstance(placement, Refused):
-            reply = course.attempts.refusal_reply(placement.reason, placement.retry_after)
-            self._finish(course, reply)
+            reply = active.server_attempts.refusal_reply(placement.reason, placement.retry_after)
+            self._finish(active, reply)
         elif isinstance(placement, Dispatched):
             incarnation = placement.tracker.server.incarnation
-            course.attempts.record_sent(incarnation.server_id)
+            active.server_attempts.record_sent(incarnation.server_id)
             sent_at = self.scheduler.clock.now()
             self.call(
-                course.order,
+                active.attempt,
                 self.servers[incarnation],
-                lambda outcome: self._returned(course, placement, sent_at, outcome),
+                lambda outcome: self._on_outcome(active, placement, sent_at, outcome),
             )
 
-    def _returned(
-        self, course: _Course, dispatched: Dispatched, sent_at: float, outcome: CallOutcome
+    def _on_outcome(
+        self, active: _ActiveAttempt, dispatched: Dispatched, sent_at: float, outcome: CallOutcome
     ) -> None:
         now = self.scheduler.clock.now()
         tracker = dispatched.tracker
         tracker.record_completed()
         if outcome.load is not None:
             tracker.record_load(outcome.load, now)
-        self._learn(course, dispatched, now - sent_at, outcome.status)
+        self._record_status(active, dispatched, now - sent_at, outcome.status)
         if outcome.status is CallStatus.MISDIRECTED:
-            self.dispatcher.record_misdirected(course.order.profile.name, dispatched, now)
+            self.dispatcher.record_misdirected(active.attempt.profile.name, dispatched, now)
         self._sweep()
-        if course.left:
+        if active.disconnected:
             return
-        budget = self.budgets[course.order.profile.name]
-        left = course.order.deadline - REPLY_MARGIN_SECONDS - now
-        decision = course.attempts.decide(
-            _result(outcome), left, budget.allows_retry(now, self.position)
+        retry_budget = self.retry_budgets[active.attempt.profile.name]
+        remaining_seconds = active.attempt.deadline - REPLY_MARGIN_SECONDS - now
+        decision = active.server_attempts.decide(
+            _call_result(outcome), remaining_seconds, retry_budget.allows_retry(now, self.position)
         )
         if isinstance(decision, Retry):
             if decision.reached_server:
-                budget.record_retry(now)
-            self._place(course)
+                retry_budget.record_retry(now)
+            self._place(active)
         elif isinstance(decision, ReturnReply):
-            self._finish(course, decision.reply)
+            self._finish(active, decision.reply)
 
-    def _learn(
-        self, course: _Course, dispatched: Dispatched, seconds: float, end: CallStatus
+    def _record_status(
+        self, active: _ActiveAttempt, dispatched: Dispatched, seconds: float, status: CallStatus
     ) -> None:
         now = self.scheduler.clock.now()
         tracker = dispatched.tracker
         name = tracker.server.server_id
-        if end is CallStatus.ANSWERED:
+        if status is CallStatus.ANSWERED:
             if (
                 tracker.record_answer(seconds, dispatched.queueing_factor, now)
-                and course.order.profile.keyed
+                and active.attempt.profile.keyed
             ):
-                self.key_times.append((name, seconds))
-        elif end is CallStatus.LATE:
-            unqueued = tracker.record_timeout(seconds, dispatched.queueing_factor, now)
-            if course.order.profile.keyed:
-                self.key_times.append((name, unqueued))
-        elif end is CallStatus.NOT_SENT:
+                self.service_times.append((name, seconds))
+        elif status is CallStatus.LATE:
+            service_seconds = tracker.record_timeout(seconds, dispatched.queueing_factor, now)
+            if active.attempt.profile.keyed:
+                self.service_times.append((name, service_seconds))
+        elif status is CallStatus.NOT_SENT:
             tracker.record_no_response(now)
-        elif end is not CallStatus.MISDIRECTED:
+        elif status is not CallStatus.MISDIRECTED:
             tracker.record_failure(now)
 
-    def _finish(self, course: _Course, reply: BaseReply) -> None:
-        self.courses.pop(course.order, None)
-        if not course.left:
-            course.done(reply)
+    def _finish(self, active: _ActiveAttempt, reply: BaseReply) -> None:
+        self.active_attempts.pop(active.attempt, None)
+        if not active.disconnected:
+            active.on_reply(reply)
 
     def _service_limits(self, profile: ServiceProfile) -> ServiceLimits:
         cold = ColdLimit(profile.cold_per_second, self.fleet.cold_factor, self.fleet.cold_extra)
         return ServiceLimits(cold, self.fleet.connection_limit, self.position, self.data_centre)
 
 
-def _result(outcome: CallOutcome) -> BaseCallResult:
-    end = outcome.status
-    if end is CallStatus.ANSWERED:
+def _call_result(outcome: CallOutcome) -> BaseCallResult:
+    status = outcome.status
+    if status is CallStatus.ANSWERED:
         return Answered(OK_ANSWER, outcome.load)
-    if end is CallStatus.FAILED:
+    if status is CallStatus.FAILED:
         return Answered(ERROR_ANSWER, outcome.load)
-    if end is CallStatus.DECLINED:
+    if status is CallStatus.DECLINED:
         return Declined(DECLINED_STATUS, False, outcome.load)
-    if end is CallStatus.MISDIRECTED:
+    if status is CallStatus.MISDIRECTED:
         return Declined(MISDIRECTED_STATUS, True, outcome.load)
-    if end is CallStatus.NOT_SENT:
+    if status is CallStatus.NOT_SENT:
         return NotSent("refused")
-    reason = LostReason.LATE if end is CallStatus.LATE else LostReason.RESET
-    return Lost(reason, end.value)
+    reason = LostReason.LATE if status is CallStatus.LATE else LostReason.RESET
+    return Lost(reason, status.value)
