--- a/packages/emulator/src/fireflylink_emulator/_emulation.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulation.py
@@ -1,4 +1,4 @@
-"""A whole deployment on a manual clock: callers, daemons, servers, and who decides on keys."""
+"""Emulated deployment on a manual clock: callers, daemons, servers and deciders."""
 
 import functools
 import random
@@ -15,21 +15,30 @@
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 from fireflylink_emulator._routed_daemon import RoutedDaemon
 
-REFRESH_SECONDS = 0.2
-EXPIRY_SECONDS = 1.5
-"""A silent server's registration ends after this time."""
+REGISTRATION_REFRESH_SECONDS = 0.2
+LEASE_SECONDS = 1.5
+"""Until this has passed, an unavailable server stays registered and a stopped daemon listed."""
 
 SETTLE_SECONDS = 3.0
+"""Time for the first grants before requests arrive."""
+
 DRAIN_SECONDS = 2.0
 RESTART_SECONDS = 0.5
-SLOWEST = 1.4
-FASTEST = 0.7
-ENDLESS_SECONDS = 1e9
-LAST_ANSWERS_SECONDS = 6.0
+MAX_SERVICE_TIME_FACTOR = 1.4
+MIN_SERVICE_TIME_FACTOR = 0.7
+STATIC_HOLD_SECONDS = 1e9
+"""Holds of the baseline outlast every run."""
+
+COMPLETION_SECONDS = 6.0
+"""Time to complete the outstanding requests at the end of a run."""
 
 
 class Emulation:
-    """One run. ``baseline`` uses the baseline: no limits, no placement, keys that never move.
+    """One run of a deployment.
+
+    With ``baseline``, daemons apply no limits and no placement, and keys never move.
+    ``unavailable_since`` maps each server that is down or unresponsive to the time when this was
+    first seen; ``static_assignments`` has the owners and key ranges of the baseline by service.
 
     Example::
 
@@ -47,8 +56,8 @@
         "rng",
         "scheduler",
         "servers",
-        "since_silent",
-        "static",
+        "static_assignments",
+        "unavailable_since",
     )
 
     def __init__(
@@ -63,22 +72,22 @@
         self.fleet = fleet
         self.profiles = profiles
         services = {profile.name: profile for profile in reversed(profiles)}.values()
-        self.servers = [server for profile in services for server in self._servers_of(profile)]
-        self.since_silent: dict[EmulatedServer, float] = {}
-        routed = [] if baseline else self._routed_daemons()
-        self.daemons: list[BaseEmulatedDaemon] = [*routed] or self._baseline_daemons()
+        self.servers = [server for profile in services for server in self._create_servers(profile)]
+        self.unavailable_since: dict[EmulatedServer, float] = {}
+        routed = [] if baseline else self._create_routed_daemons()
+        self.daemons: list[BaseEmulatedDaemon] = [*routed] or self._create_baseline_daemons()
         self.callers = Callers(self.scheduler, self.daemons, random.Random(seed + 1))
         self.deciders: dict[str, EmulatedDecider] = {}
-        self.static: dict[str, list[tuple[EmulatedServer, KeyRange]]] = {}
+        self.static_assignments: dict[str, list[tuple[EmulatedServer, KeyRange]]] = {}
         for profile in services:
             if profile.keyed and baseline:
-                self.static[profile.name] = self._static_owners(profile)
+                self.static_assignments[profile.name] = self._create_static_assignments(profile)
             elif profile.keyed:
-                of_service = self.servers_of(profile)
+                service_servers = self.servers_of(profile)
                 self.deciders[profile.name] = EmulatedDecider(
-                    profile, of_service, routed, self.scheduler
+                    profile, service_servers, routed, self.scheduler
                 )
-        self._refresh()
+        self._refresh_periodically()
         for decider in self.deciders.values():
             decider.is_registered = self._is_registered
             decider.start()
@@ -89,26 +98,26 @@
         return [server for server in self.servers if server.profile.name == profile.name]
 
     def replay(self, pattern: ArrivalPattern) -> None:
-        """Plays a pattern from now to the end of its last request."""
-        began_at = self.scheduler.clock.now()
+        """Replays a pattern and runs until its last request has ended."""
+        started_at = self.scheduler.clock.now()
         for arrival in pattern.arrivals:
             profile = self.profiles[arrival.profile_index]
-            asking = functools.partial(self.callers.send_request, profile, arrival.key)
-            self.scheduler.schedule_at(began_at + arrival.seconds, asking)
+            send_request = functools.partial(self.callers.send_request, profile, arrival.key)
+            self.scheduler.schedule_at(started_at + arrival.seconds, send_request)
         self.finish(pattern.seconds)
 
     def finish(self, seconds: float) -> None:
-        """Runs for a time and to the end of the last request."""
-        self.scheduler.run_until(self.scheduler.clock.now() + seconds + LAST_ANSWERS_SECONDS)
+        """Runs for a number of seconds and until the last request has ended; checks guarantees."""
+        self.scheduler.run_until(self.scheduler.clock.now() + seconds + COMPLETION_SECONDS)
         self.callers.check_guarantees()
 
     def stop_daemon(self, daemon: BaseEmulatedDaemon) -> None:
-        """Ends a daemon; the others learn of it when its lease has ended."""
+        """Stops a daemon; the others are informed when its lease has expired."""
         daemon.running = False
-        self.scheduler.schedule_after(EXPIRY_SECONDS, self._tell_members)
+        self.scheduler.schedule_after(LEASE_SECONDS, self._update_members)
 
     def isolate_data_centre(self, data_centre: str) -> None:
-        """Makes everything in a data centre unresponsive."""
+        """Makes all servers in a data centre unresponsive and stops its daemons."""
         for server in self.servers:
             if server.data_centre == data_centre:
                 server.unresponsive = True
@@ -117,12 +126,12 @@
                 self.stop_daemon(daemon)
 
     def replace_server(self, server: EmulatedServer) -> None:
-        """Drains a server, and starts it again as another, cold incarnation."""
+        """Drains a server, then restarts it as a new incarnation, which is cold."""
         server.draining = True
-        self._refresh_once()
+        self._refresh_registrations()
         self.scheduler.schedule_after(DRAIN_SECONDS, lambda: server.crash(RESTART_SECONDS))
 
-    def _servers_of(self, profile: ServiceProfile) -> list[EmulatedServer]:
+    def _create_servers(self, profile: ServiceProfile) -> list[EmulatedServer]:
         centres = self.fleet.data_centres
         return [
             EmulatedServer(
@@ -130,76 +139,82 @@
                 profile,
                 self.fleet,
                 centres[number % len(centres)],
-                self.rng.uniform(FASTEST, SLOWEST),
+                self.rng.uniform(MIN_SERVICE_TIME_FACTOR, MAX_SERVICE_TIME_FACTOR),
                 self.scheduler,
                 random.Random(self.rng.random()),
             )
             for number in range(profile.servers)
         ]
 
-    def _names(self) -> tuple[str, ...]:
+    def _daemon_names(self) -> tuple[str, ...]:
         return tuple(f"front-{number:02d}" for number in range(self.fleet.daemons))
 
-    def _routed_daemons(self) -> list[RoutedDaemon]:
-        names = self._names()
+    def _create_routed_daemons(self) -> list[RoutedDaemon]:
+        names = self._daemon_names()
         return [
             RoutedDaemon(
-                name, self._centre(number), self.fleet, self.scheduler, self.profiles, names
+                name, self._data_centre(number), self.fleet, self.scheduler, self.profiles, names
             )
             for number, name in enumerate(names)
         ]
 
-    def _baseline_daemons(self) -> list[BaseEmulatedDaemon]:
+    def _create_baseline_daemons(self) -> list[BaseEmulatedDaemon]:
         return [
-            BaselineDaemon(name, self._centre(number), self.fleet, self.scheduler)
-            for number, name in enumerate(self._names())
+            BaselineDaemon(name, self._data_centre(number), self.fleet, self.scheduler)
+            for number, name in enumerate(self._daemon_names())
         ]
 
-    def _centre(self, number: int) -> str:
+    def _data_centre(self, number: int) -> str:
         return self.fleet.data_centres[number % len(self.fleet.data_centres)]
 
-    def _tell_members(self) -> None:
+    def _update_members(self) -> None:
         names = tuple(daemon.name for daemon in self.daemons if daemon.running)
         for daemon in self.daemons:
             if isinstance(daemon, RoutedDaemon):
                 daemon.update_members(names)
 
-    def _refresh(self) -> None:
-        self._refresh_once()
-        self.scheduler.schedule_after(REFRESH_SECONDS, self._refresh)
+    def _refresh_periodically(self) -> None:
+        self._refresh_registrations()
+        self.scheduler.schedule_after(REGISTRATION_REFRESH_SECONDS, self._refresh_periodically)
 
-    def _refresh_once(self) -> None:
+    def _refresh_registrations(self) -> None:
         now = self.scheduler.clock.now()
         registered = []
         for server in self.servers:
             if not server.down and not server.unresponsive:
-                self.since_silent.pop(server, None)
-            elif server not in self.since_silent:
-                self.since_silent[server] = now
-            # A draining owner is sent the requests of its keys while they move.
-            serves = server.profile.keyed or not server.draining
-            if serves and self._is_registered(server):
+                self.unavailable_since.pop(server, None)
+            elif server not in self.unavailable_since:
+                self.unavailable_since[server] = now
+            # A draining owner still receives the requests for its keys until they have moved.
+            is_routable = server.profile.keyed or not server.draining
+            if is_routable and self._is_registered(server):
                 registered.append(server)
         for daemon in self.daemons:
             daemon.update_servers(registered)
-        for name, owners in self.static.items():
-            self._grant_static(name, owners)
+        for name, owners in self.static_assignments.items():
+            self._apply_static_assignments(name, owners)
 
     def _is_registered(self, server: EmulatedServer) -> bool:
-        since = self.since_silent.get(server)
-        return since is None or self.scheduler.clock.now() < since + EXPIRY_SECONDS
+        since = self.unavailable_since.get(server)
+        return since is None or self.scheduler.clock.now() < since + LEASE_SECONDS
 
-    def _static_owners(self, profile: ServiceProfile) -> list[tuple[EmulatedServer, KeyRange]]:
+    def _create_static_assignments(
+        self, profile: ServiceProfile
+    ) -> list[tuple[EmulatedServer, KeyRange]]:
         servers = self.servers_of(profile)
         candidates = [Candidate(server.incarnation, 1.0, server.data_centre) for server in servers]
         table = initial_table(profile.name, candidates, 1)
-        by_life = {server.incarnation: server for server in servers}
-        return [(by_life[found.owner], found.keys) for found in table.assignments]
+        by_incarnation = {server.incarnation: server for server in servers}
+        return [
+            (by_incarnation[assignment.owner], assignment.keys) for assignment in table.assignments
+        ]
 
-    def _grant_static(self, name: str, owners: list[tuple[EmulatedServer, KeyRange]]) -> None:
+    def _apply_static_assignments(
+        self, name: str, owners: list[tuple[EmulatedServer, KeyRange]]
+    ) -> None:
         for server, keys in owners:
             if not server.down and not server.held_ranges:
-                server.grant(keys, 1, ENDLESS_SECONDS)
+                server.grant(keys, 1, STATIC_HOLD_SECONDS)
         assignments = tuple(Assignment(keys, server.incarnation, 1) for server, keys in owners)
         for daemon in self.daemons:
             daemon.update_table(OwnershipTable(name, 1, assignments))
--- a/packages/emulator/src/fireflylink_emulator/_fault_run.py
+++ b/packages/emulator/src/fireflylink_emulator/_fault_run.py
@@ -1,4 +1,4 @@
-"""A run of generated requests with faults."""
+"""A run of generated requests with injected faults."""
 
 import functools
 import random
@@ -9,36 +9,42 @@
 from fireflylink_emulator._profile import APPROVALS, FLEET, LOOKUPS
 
 FAULT_PROFILES = (LOOKUPS, APPROVALS)
-RATE = 160.0
-LOOKUP_PART = 0.7
-FAULT_SECONDS = 4.0
-"""On average one fault begins in this time."""
-
-LONGEST_SECONDS = 8.0
-LEAVERS = 0.05
-IMPATIENT = 0.1
-DECIDER_LEASE_SECONDS = 1.4
+REQUESTS_PER_SECOND = 160.0
+LOOKUP_FRACTION = 0.7
+MEAN_FAULT_INTERVAL_SECONDS = 4.0
+"""Mean of the exponentially distributed time between the starts of two faults."""
+
+MAX_FAULT_SECONDS = 8.0
+EARLY_DISCONNECT_FRACTION = 0.05
+IMPATIENT_FRACTION = 0.1
+DECIDER_TAKEOVER_SECONDS = 1.4
+"""Time from the loss of the decider until its successor starts."""
+
 STEP_SECONDS = 10.0
+"""The run is advanced by this time until all requests are sent, and once more at its end."""
+
 
+class _FaultInjector:
+    """Injects faults at random times; several may be active at once.
 
-class _Faults:
-    """Begins and ends faults at random moments, several at once."""
+    The names of the fault methods, without the underscore, are the keys of ``fault_counts``.
+    """
 
-    __slots__ = ("begun", "emulation", "rng")
+    __slots__ = ("emulation", "fault_counts", "rng")
 
     def __init__(self, emulation: Emulation, rng: random.Random) -> None:
         self.emulation = emulation
         self.rng = rng
-        self.begun: dict[str, int] = {}
+        self.fault_counts: dict[str, int] = {}
 
     def start(self) -> None:
-        """Begins faults until the run ends."""
+        """Schedules the next fault; each fault schedules another one until the run ends."""
         self.emulation.scheduler.schedule_after(
-            self.rng.expovariate(1.0 / FAULT_SECONDS), self._next
+            self.rng.expovariate(1.0 / MEAN_FAULT_INTERVAL_SECONDS), self._inject_next
         )
 
-    def _next(self) -> None:
-        kinds = (
+    def _inject_next(self) -> None:
+        faults = (
             self._crash,
             self._slow,
             self._grey,
@@ -48,61 +54,61 @@
             self._replace,
             self._decider,
         )
-        kind = self.rng.choice(kinds)
-        name = kind.__name__.removeprefix("_")
-        self.begun[name] = self.begun.get(name, 0) + 1
-        kind()
+        fault = self.rng.choice(faults)
+        name = fault.__name__.removeprefix("_")
+        self.fault_counts[name] = self.fault_counts.get(name, 0) + 1
+        fault()
         self.start()
 
-    def _server(self) -> EmulatedServer:
+    def _random_server(self) -> EmulatedServer:
         return self.rng.choice(self.emulation.servers)
 
-    def _seconds(self) -> float:
-        return self.rng.uniform(1.0, LONGEST_SECONDS)
+    def _random_duration(self) -> float:
+        return self.rng.uniform(1.0, MAX_FAULT_SECONDS)
 
     def _restore(self, server: EmulatedServer, name: str, value: float | bool) -> None:
-        """Ends a fault of a server after a random time."""
-        restored = functools.partial(setattr, server, name, value)
-        self.emulation.scheduler.schedule_after(self._seconds(), restored)
+        """Sets an attribute of a server back to ``value`` after a random time."""
+        restore = functools.partial(setattr, server, name, value)
+        self.emulation.scheduler.schedule_after(self._random_duration(), restore)
 
     def _crash(self) -> None:
-        server = self._server()
+        server = self._random_server()
         if not server.down:
             server.crash()
 
     def _slow(self) -> None:
-        server = self._server()
+        server = self._random_server()
         server.slowdown_factor = self.rng.uniform(2.0, 12.0)
         self.emulation.scheduler.schedule_after(
-            self._seconds(), functools.partial(setattr, server, "slowdown_factor", 1.0)
+            self._random_duration(), functools.partial(setattr, server, "slowdown_factor", 1.0)
         )
 
     def _grey(self) -> None:
-        server = self._server()
+        server = self._random_server()
         server.failure_fraction = self.rng.uniform(0.1, 0.9)
         self.emulation.scheduler.schedule_after(
-            self._seconds(), functools.partial(setattr, server, "failure_fraction", 0.0)
+            self._random_duration(), functools.partial(setattr, server, "failure_fraction", 0.0)
         )
 
     def _lossy(self) -> None:
-        server = self._server()
+        server = self._random_server()
         server.answer_loss_fraction = self.rng.uniform(0.1, 0.9)
         self.emulation.scheduler.schedule_after(
-            self._seconds(), functools.partial(setattr, server, "answer_loss_fraction", 0.0)
+            self._random_duration(), functools.partial(setattr, server, "answer_loss_fraction", 0.0)
         )
 
     def _cold(self) -> None:
-        self._server().make_cold()
+        self._random_server().make_cold()
 
     def _silent(self) -> None:
-        server = self._server()
+        server = self._random_server()
         server.unresponsive = True
         self.emulation.scheduler.schedule_after(
-            self._seconds(), functools.partial(setattr, server, "unresponsive", False)
+            self._random_duration(), functools.partial(setattr, server, "unresponsive", False)
         )
 
     def _replace(self) -> None:
-        server = self._server()
+        server = self._random_server()
         if not server.down and not server.draining:
             self.emulation.replace_server(server)
 
@@ -110,29 +116,29 @@
         for decider in self.emulation.deciders.values():
             if decider.running:
                 decider.stop()
-                self.emulation.scheduler.schedule_after(DECIDER_LEASE_SECONDS, decider.start)
+                self.emulation.scheduler.schedule_after(DECIDER_TAKEOVER_SECONDS, decider.start)
 
 
 def run_with_faults(requests: int, seed: int) -> tuple[Emulation, dict[str, int]]:
-    """Plays a number of requests with faults; returns the run and how many faults there were."""
+    """Runs a number of requests with faults; returns the emulation and the number of each fault."""
     emulation = Emulation(FAULT_PROFILES, FLEET, seed)
-    emulation.callers.early_disconnect_fraction = LEAVERS
-    emulation.callers.impatient_fraction = IMPATIENT
+    emulation.callers.early_disconnect_fraction = EARLY_DISCONNECT_FRACTION
+    emulation.callers.impatient_fraction = IMPATIENT_FRACTION
     rng = random.Random(seed + 2)
-    faults = _Faults(emulation, random.Random(seed + 3))
-    faults.start()
-    asked = 0
+    injector = _FaultInjector(emulation, random.Random(seed + 3))
+    injector.start()
+    sent = 0
 
-    def ask() -> None:
-        nonlocal asked
-        profile = LOOKUPS if rng.random() < LOOKUP_PART else APPROVALS
+    def send_next() -> None:
+        nonlocal sent
+        profile = LOOKUPS if rng.random() < LOOKUP_FRACTION else APPROVALS
         emulation.callers.send_request(profile, rng.randrange(KEY_COUNT))
-        asked += 1
-        if asked < requests:
-            emulation.scheduler.schedule_after(rng.expovariate(RATE), ask)
+        sent += 1
+        if sent < requests:
+            emulation.scheduler.schedule_after(rng.expovariate(REQUESTS_PER_SECOND), send_next)
 
-    ask()
-    while asked < requests:
+    send_next()
+    while sent < requests:
         emulation.scheduler.run_until(emulation.scheduler.clock.now() + STEP_SECONDS)
     emulation.finish(STEP_SECONDS)
-    return emulation, faults.begun
+    return emulation, injector.fault_counts
--- a/packages/emulator/src/fireflylink_emulator/_scenarios.py
+++ b/packages/emulator/src/fireflylink_emulator/_scenarios.py
@@ -1,4 +1,4 @@
-"""The worst loads, each a recorded arrival pattern and what happens to the servers meanwhile."""
+"""Scenarios of heavy load: for each an arrival pattern and the events during its replay."""
 
 import abc
 import functools
@@ -10,16 +10,19 @@
 from fireflylink_emulator._profile import APPROVALS, LOOKUPS, ORDERS, ServiceProfile
 
 PATTERN_SECONDS = 12.0
-BEGIN_SECONDS = 3.0
-LASTING_SECONDS = 6.0
+EVENT_START_SECONDS = 3.0
+EVENT_DURATION_SECONDS = 6.0
 HOT_KEY = 20_480
-HOT_KEYS = 60
-HOT_PART = 0.35
-SLOW_PACE = 12.0
+HOT_KEY_COUNT = 60
+HOT_KEY_FRACTION = 0.35
+SLOWDOWN_FACTOR = 12.0
 
 
 class BaseScenario(abc.ABC):
-    """One scenario. ``base_load_fraction`` is its load as a fraction of the servers' capacity."""
+    """One scenario; its recorded pattern has the same ``name``.
+
+    ``base_load_fraction`` is the rate of requests as a fraction of the servers' capacity.
+    """
 
     __slots__ = ()
 
@@ -29,11 +32,11 @@
 
     @property
     def profile(self) -> ServiceProfile:
-        """The kind of requests that the scenario is about."""
+        """The kind of requests that the scenario is measured by."""
         return self.profiles[0]
 
     def generate_pattern(self, rng: random.Random) -> ArrivalPattern:
-        """Makes the pattern that is then kept in a file."""
+        """Generates the pattern that is stored in a file."""
         rate = self.base_load_fraction * self.profile.capacity
         seconds = rng.expovariate(rate)
         arrivals = []
@@ -45,33 +48,33 @@
         return ArrivalPattern(self.name, tuple(arrivals))
 
     def choose_key(self, rng: random.Random, seconds: float) -> int:
-        """Returns the key of one arrival: a fraction of them lies close together."""
-        if rng.random() < HOT_PART:
-            return HOT_KEY + rng.randrange(HOT_KEYS)
+        """Returns the key of one arrival; a fraction of the arrivals falls on adjacent hot keys."""
+        if rng.random() < HOT_KEY_FRACTION:
+            return HOT_KEY + rng.randrange(HOT_KEY_COUNT)
         return rng.randrange(KEY_COUNT)
 
     def choose_profile_index(self, rng: random.Random) -> int:
-        """Returns the position of the profile of one arrival."""
+        """Returns the index in ``profiles`` for one arrival."""
         return 0
 
     def load_factor(self, seconds: float) -> float:
-        """Returns by how much the load exceeds the usual at a moment."""
+        """Returns the load at a time, in seconds from the start, relative to the base load."""
         return 1.0
 
     @abc.abstractmethod
     def schedule_events(self, emulation: Emulation) -> None:
-        """Plans what happens, with times from now on."""
+        """Schedules the events of the scenario; delays count from the call."""
 
 
 class HotKeyOnColdServer(BaseScenario):
-    """One key gets half of the traffic, and its server turns cold."""
+    """One key gets half of the requests, and the server that holds it turns cold."""
 
     __slots__ = ()
     name = "hot-key-on-cold-server"
     base_load_fraction = 0.15
 
     def choose_key(self, rng: random.Random, seconds: float) -> int:
-        if seconds > BEGIN_SECONDS / 2 and rng.random() < 0.5:
+        if seconds > EVENT_START_SECONDS / 2 and rng.random() < 0.5:
             return HOT_KEY
         return rng.randrange(KEY_COUNT)
 
@@ -81,11 +84,11 @@
                 if server.holds(HOT_KEY):
                     server.make_cold()
 
-        emulation.scheduler.schedule_after(BEGIN_SECONDS, turn_cold)
+        emulation.scheduler.schedule_after(EVENT_START_SECONDS, turn_cold)
 
 
 class SlowServers(BaseScenario):
-    """A third of the servers turns twelve times slower under much load."""
+    """A third of the servers becomes twelve times slower under load."""
 
     __slots__ = ()
     name = "slow-third"
@@ -94,16 +97,20 @@
     def schedule_events(self, emulation: Emulation) -> None:
         slow = emulation.servers_of(self.profile)[::3]
 
-        def set_pace(slowdown_factor: float) -> None:
+        def set_slowdown_factor(slowdown_factor: float) -> None:
             for server in slow:
                 server.slowdown_factor = slowdown_factor
 
-        emulation.scheduler.schedule_after(BEGIN_SECONDS, lambda: set_pace(SLOW_PACE))
-        emulation.scheduler.schedule_after(BEGIN_SECONDS + LASTING_SECONDS, lambda: set_pace(1.0))
+        emulation.scheduler.schedule_after(
+            EVENT_START_SECONDS, lambda: set_slowdown_factor(SLOWDOWN_FACTOR)
+        )
+        emulation.scheduler.schedule_after(
+            EVENT_START_SECONDS + EVENT_DURATION_SECONDS, lambda: set_slowdown_factor(1.0)
+        )
 
 
 class DataCentreFailure(BaseScenario):
-    """A data centre is lost while the traffic is 1.4 times the usual."""
+    """A data centre is lost while the load is 1.4 times the base load."""
 
     __slots__ = ()
     name = "lost-data-centre"
@@ -114,12 +121,12 @@
     def schedule_events(self, emulation: Emulation) -> None:
         centre = emulation.fleet.data_centres[-1]
         emulation.scheduler.schedule_after(
-            BEGIN_SECONDS, lambda: emulation.isolate_data_centre(centre)
+            EVENT_START_SECONDS, lambda: emulation.isolate_data_centre(centre)
         )
 
 
 class RetryStorm(BaseScenario):
-    """Half of the callers retry at once and often, under more load than the capacity."""
+    """Half of the callers retry often and almost at once, which multiplies a high base load."""
 
     __slots__ = ()
     name = "impatient-callers"
@@ -130,7 +137,7 @@
 
 
 class GreyFailure(BaseScenario):
-    """A third of the servers of a pooled service fails four in ten requests."""
+    """A third of the servers of a service without keys fails four in ten requests."""
 
     __slots__ = ()
     name = "grey-servers"
@@ -139,32 +146,34 @@
     def schedule_events(self, emulation: Emulation) -> None:
         grey = emulation.servers_of(self.profile)[::3]
 
-        def set_grey(part: float) -> None:
+        def set_failure_fraction(fraction: float) -> None:
             for server in grey:
-                server.failure_fraction = part
+                server.failure_fraction = fraction
 
-        emulation.scheduler.schedule_after(BEGIN_SECONDS, lambda: set_grey(0.4))
-        emulation.scheduler.schedule_after(BEGIN_SECONDS + LASTING_SECONDS, lambda: set_grey(0.0))
+        emulation.scheduler.schedule_after(EVENT_START_SECONDS, lambda: set_failure_fraction(0.4))
+        emulation.scheduler.schedule_after(
+            EVENT_START_SECONDS + EVENT_DURATION_SECONDS, lambda: set_failure_fraction(0.0)
+        )
 
 
 class RollingReplacement(BaseScenario):
-    """All servers of a keyed service are replaced, one after the other."""
+    """All servers of a keyed service are replaced one after the other."""
 
     __slots__ = ()
     name = "replaced-servers"
 
     def schedule_events(self, emulation: Emulation) -> None:
         servers = emulation.servers_of(self.profile)
-        step = (PATTERN_SECONDS - BEGIN_SECONDS) / len(servers)
+        interval = (PATTERN_SECONDS - EVENT_START_SECONDS) / len(servers)
         for number, server in enumerate(servers):
-            moment = BEGIN_SECONDS / 2 + number * step
+            delay = EVENT_START_SECONDS / 2 + number * interval
             emulation.scheduler.schedule_after(
-                moment, functools.partial(emulation.replace_server, server)
+                delay, functools.partial(emulation.replace_server, server)
             )
 
 
 class MixedPriorities(BaseScenario):
-    """The configuration sends urgent orders to servers that much used lookups fill."""
+    """Urgent orders are routed to servers that are mostly busy with lookups."""
 
     __slots__ = ()
     name = "orders-beside-lookups"
@@ -175,7 +184,7 @@
         return 0 if rng.random() < 0.3 else 1
 
     def schedule_events(self, emulation: Emulation) -> None:
-        """Nothing else happens."""
+        """Schedules nothing: the mix of requests is the scenario."""
 
 
 SCENARIOS: tuple[BaseScenario, ...] = (
