--- a/packages/emulator/src/fireflylink_emulator/__init__.py
+++ b/packages/emulator/src/fireflylink_emulator/__init__.py
@@ -1,4 +1,4 @@
-"""A whole deployment on a manual clock, around the real decision code."""
+"""Discrete-event emulator of a whole deployment that runs the production decision code."""
 
 from fireflylink_emulator._base_daemon import BaseEmulatedDaemon
 from fireflylink_emulator._callers import Callers
--- a/packages/emulator/src/fireflylink_emulator/_pattern.py
+++ b/packages/emulator/src/fireflylink_emulator/_pattern.py
@@ -1,4 +1,4 @@
-"""Recorded arrivals: when each caller asks, and for which key."""
+"""Recorded arrivals of requests: the time and the key of each."""
 
 import itertools
 import pathlib
@@ -12,7 +12,7 @@
 
 
 class PatternError(BaseValue):
-    """A file that holds no pattern."""
+    """The reason why a pattern could not be read."""
 
     __slots__ = ("detail",)
 
@@ -21,9 +21,9 @@
 
 
 class Arrival(BaseValue):
-    """A caller's first attempt: when, in seconds from the start, its key and its kind.
+    """Arrival of a request, in seconds from the start of the pattern.
 
-    ``profile_index`` is the position of its profile among those of the scenario.
+    ``profile_index`` is the index of its profile in the scenario's profiles.
     """
 
     __slots__ = ("key", "profile_index", "seconds")
@@ -35,9 +35,10 @@
 
 
 class ArrivalPattern(BaseValue):
-    """The arrivals of one scenario, in the order of time.
+    """The arrivals of one scenario in chronological order.
 
-    On disk it is one line ``milliseconds key``, or ``milliseconds key kind``, for each arrival.
+    A file has one line for each arrival: ``milliseconds key``, with the profile index as a third
+    number if it is not 0.
     """
 
     __slots__ = ("arrivals", "name")
@@ -48,12 +49,12 @@
 
     @property
     def seconds(self) -> float:
-        """How long the pattern lasts."""
+        """Time of the last arrival, in seconds from the start."""
         return self.arrivals[-1].seconds if self.arrivals else 0.0
 
 
 def encode_pattern(pattern: ArrivalPattern) -> str:
-    """Returns the text of a pattern."""
+    """Encodes a pattern as the text of its file."""
     return "".join(
         f"{round(arrival.seconds * MILLISECONDS_PER_SECOND)} {arrival.key}"
         + (f" {arrival.profile_index}\n" if arrival.profile_index else "\n")
@@ -62,14 +63,16 @@
 
 
 def decode_pattern(name: str, text: str) -> Result[ArrivalPattern, PatternError]:
-    """Reads a pattern from its text."""
+    """Decodes a pattern from the text of its file."""
     arrivals = []
-    for number, line in enumerate(text.splitlines(), start=1):
-        words = line.split()
-        if len(words) not in (2, 3) or not all(word.isdecimal() for word in words):
-            return Failure(PatternError(f"{name}, line {number}: not 'milliseconds key [kind]'"))
-        moment, key, *kind = map(int, words)
-        arrivals.append(Arrival(moment / MILLISECONDS_PER_SECOND, key, *kind))
+    for line_number, line in enumerate(text.splitlines(), start=1):
+        fields = line.split()
+        if len(fields) not in (2, 3) or not all(field.isdecimal() for field in fields):
+            return Failure(
+                PatternError(f"{name}, line {line_number}: not 'milliseconds key [kind]'")
+            )
+        milliseconds, key, *profile_index = map(int, fields)
+        arrivals.append(Arrival(milliseconds / MILLISECONDS_PER_SECOND, key, *profile_index))
     pairs = itertools.pairwise(arrivals)
     if any(after.seconds < before.seconds for before, after in pairs):
         return Failure(PatternError(f"{name}: arrivals are not in the order of time"))
@@ -77,7 +80,7 @@
 
 
 def read_pattern(name: str) -> Result[ArrivalPattern, PatternError]:
-    """Reads a recorded pattern of this package."""
+    """Reads one of the recorded patterns of this package."""
     path = PATTERN_DIRECTORY / f"{name}.txt"
     try:
         text = path.read_text()
--- a/packages/emulator/src/fireflylink_emulator/_profile.py
+++ b/packages/emulator/src/fireflylink_emulator/_profile.py
@@ -1,4 +1,4 @@
-"""What is served, and by how many: services, kinds of requests and the fleet."""
+"""Services, kinds of requests and the fleet that the emulator runs."""
 
 from fireflylink_core import BaseValue
 
@@ -6,9 +6,11 @@
 class ServiceProfile(BaseValue):
     """One service and a kind of requests for it. Times are in seconds.
 
-    Two profiles may share a service: they have the same ``name`` and each a ``kind`` of its own. A
-    request in time earns ``value``, a late one ``late_value``. ``max_caller_retries`` is how often
-    a caller comes back after a refusal or, where ``idempotent``, after a failure.
+    Profiles that share a service have the same ``name`` and different ``kind``. A request that is
+    answered within ``objective_seconds`` earns ``value``, a later one ``late_value``. Callers retry
+    up to ``max_caller_retries`` times after a refusal or, if ``idempotent``, after a failure.
+    The limit of requests per second for a cold server is computed from ``cold_per_second``;
+    ``priority`` 0 is the most urgent.
     """
 
     __slots__ = (
@@ -65,12 +67,15 @@
 
     @property
     def capacity(self) -> float:
-        """Requests a second that all servers together can run at their usual pace."""
+        """Requests per second that all servers together can run at normal speed."""
         return self.servers * self.slots / self.work_seconds
 
 
 class FleetProfile(BaseValue):
-    """Daemons, data centres and the limits that all daemons share."""
+    """Daemons, data centres and the limits that all daemons share.
+
+    ``remote_latency_seconds`` is the one-way latency to a server in another data centre.
+    """
 
     __slots__ = (
         "budget_extra",
@@ -113,7 +118,7 @@
 ORDERS = ServiceProfile(
     "lookups", 21, 2, 0.11, 0.3, 0.8, 3.0, 0.3, keyed=True, priority=0, kind="orders"
 )
-"""Orders that the configuration sends to the servers of the lookups."""
+"""Requests for orders, which are routed to the servers of the lookups."""
 
 APPROVALS = ServiceProfile("approvals", 10, 2, 0.21, 0.6, 1.5, 2.0, 0.2)
 FLEET = FleetProfile(12, ("a", "b", "c"), 46)
--- a/packages/emulator/src/fireflylink_emulator/_run_statistics.py
+++ b/packages/emulator/src/fireflylink_emulator/_run_statistics.py
@@ -1,4 +1,4 @@
-"""What became of the requests of a run."""
+"""Outcomes and latencies of the requests of a run."""
 
 from hdrh.histogram import HdrHistogram
 
@@ -6,18 +6,18 @@
 from fireflylink_emulator._caller_attempt import CallerAttempt
 
 MICROSECONDS_PER_SECOND = 1_000_000
-LONGEST_MICROSECONDS = 60 * MICROSECONDS_PER_SECOND
+MAX_LATENCY_MICROSECONDS = 60 * MICROSECONDS_PER_SECOND
 SIGNIFICANT_FIGURES = 3
-SERVER_ERROR = 500
+MIN_SERVER_ERROR_STATUS = 500
 PERCENT = 100.0
 
 
 class RunStatistics:
-    """Counts over one run. A request is all attempts of a caller together.
+    """Counts over one run. A request is the first attempt of a caller with its retries.
 
-    ``duplicate_executions``, ``answers_without_execution`` and ``refused_but_executed`` are broken
-    guarantees: an order that ran twice in one attempt, an answer of an order that never ran, and a
-    refusal of one that ran.
+    Three counts are violations of guarantees. ``duplicate_executions``: an attempt ran more than
+    once although its request is not idempotent. ``answers_without_execution``: an attempt was
+    answered but never ran. ``refused_but_executed``: an attempt was refused but ran.
     """
 
     __slots__ = (
@@ -46,7 +46,7 @@
         self.duplicate_executions = 0
         self.answers_without_execution = 0
         self.refused_but_executed = 0
-        self.latency = HdrHistogram(1, LONGEST_MICROSECONDS, SIGNIFICANT_FIGURES)
+        self.latency = HdrHistogram(1, MAX_LATENCY_MICROSECONDS, SIGNIFICANT_FIGURES)
         self.refused_attempts: list[CallerAttempt] = []
 
     @property
@@ -56,13 +56,13 @@
 
     @property
     def guarantee_violations(self) -> int:
-        """How many guarantees were violated; call ``check_refused_attempts`` first."""
+        """Number of violations; call ``check_refused_attempts`` first."""
         return (
             self.duplicate_executions + self.answers_without_execution + self.refused_but_executed
         )
 
     def percentile(self, fraction: float) -> float:
-        """Returns the latency in seconds that a fraction of the answered requests kept to."""
+        """Returns the latency in seconds at a fraction between 0 and 1 of the answered requests."""
         value = self.latency.get_value_at_percentile(fraction * PERCENT)
         return float(value) / MICROSECONDS_PER_SECOND
 
@@ -72,7 +72,7 @@
         self.possible_value += attempt.profile.value
 
     def record_attempt(self, attempt: CallerAttempt, reply: BaseReply) -> None:
-        """Records the end of one attempt, for the guarantees."""
+        """Records the reply to one attempt, to check the guarantees."""
         if isinstance(reply, ServerAnswer) and attempt.executions == 0:
             self.answers_without_execution += 1
         if isinstance(reply, NotRun):
@@ -82,27 +82,27 @@
                 self.refused_attempts.append(attempt)
 
     def record_executions(self, attempt: CallerAttempt) -> None:
-        """Records the executions of an attempt that is over."""
+        """Checks the number of executions of an ended attempt."""
         if attempt.executions > 1 and not attempt.profile.idempotent:
             self.duplicate_executions += 1
 
     def record_outcome(self, attempt: CallerAttempt, reply: BaseReply, now: float) -> None:
-        """Records the end of a request after its last attempt."""
-        if isinstance(reply, ServerAnswer) and reply.status < SERVER_ERROR:
-            self._note_served(attempt, now)
+        """Records the outcome of a request: the reply to its last attempt."""
+        if isinstance(reply, ServerAnswer) and reply.status < MIN_SERVER_ERROR_STATUS:
+            self._record_answered(attempt, now)
         elif isinstance(reply, NotRun):
             self.refused += 1
         elif isinstance(reply, ServerAnswer | OutcomeUnknown | CallerDisconnected):
             self.failed += 1
 
     def check_refused_attempts(self) -> None:
-        """Counts refusals of attempts that ran after all."""
+        """Counts the refused attempts that ran after the refusal."""
         self.refused_but_executed += sum(
             1 for attempt in self.refused_attempts if attempt.executions
         )
         self.refused_attempts = []
 
-    def _note_served(self, attempt: CallerAttempt, now: float) -> None:
+    def _record_answered(self, attempt: CallerAttempt, now: float) -> None:
         seconds = now - attempt.requested_at
         self.latency.record_value(max(1, int(seconds * MICROSECONDS_PER_SECOND)))
         if seconds <= attempt.profile.objective_seconds:
--- a/packages/emulator/src/fireflylink_emulator/_scenario_run.py
+++ b/packages/emulator/src/fireflylink_emulator/_scenario_run.py
@@ -9,7 +9,7 @@
 def replay_scenario(
     scenario: BaseScenario, pattern: ArrivalPattern, seed: int, baseline: bool
 ) -> Emulation:
-    """Replays one scenario to its end."""
+    """Replays one scenario with its events; returns the ended emulation."""
     emulation = Emulation(scenario.profiles, FLEET, seed, baseline)
     scenario.schedule_events(emulation)
     emulation.replay(pattern)
--- a/packages/emulator/src/fireflylink_emulator/outages.py
+++ b/packages/emulator/src/fireflylink_emulator/outages.py
@@ -1,9 +1,10 @@
-"""For how long keys are not served after losses, beside a baseline without a decider's help.
+"""Prints how long keys are not served after failures, beside a baseline without a decider.
 
 python -m fireflylink_emulator.outages --seed 1
 
-The baseline waits for the longest hold that the platform allows, and its owners are found by hash:
-a lost server's keys come back when that hold is over, all others change hands with them.
+In the baseline, owners are found by a hash of the key, and holds last as long as the platform
+allows. The keys of a lost server are served again when that hold has expired; all other keys change
+owner at the same time.
 """
 
 import statistics
@@ -16,15 +17,15 @@
 
 
 def main() -> None:
-    """Prints one row a loss."""
+    """Prints one row for each failure."""
     flags.FLAGS(sys.argv)
     print(f"{'loss':<32} least part held  seconds until whole: median, most  baseline")
-    for name, lose, naive in FAILURES:
-        found = [measure_recovery(lose, SEED.value + phase) for phase in range(PHASES)]
-        least = min(part for part, _ in found)
-        times = sorted(seconds for _, seconds in found)
+    for name, inject_failure, baseline in FAILURES:
+        results = [measure_recovery(inject_failure, SEED.value + phase) for phase in range(PHASES)]
+        lowest = min(fraction for fraction, _ in results)
+        times = sorted(seconds for _, seconds in results)
         median = statistics.median(times)
-        print(f"{name:<32} {least:>15.2f} {median:>27.2f} {times[-1]:>5.2f} {naive:>9.2f}")
+        print(f"{name:<32} {lowest:>15.2f} {median:>27.2f} {times[-1]:>5.2f} {baseline:>9.2f}")
 
 
 if __name__ == "__main__":
--- a/packages/emulator/src/fireflylink_emulator/record.py
+++ b/packages/emulator/src/fireflylink_emulator/record.py
@@ -1,4 +1,4 @@
-"""Writes the arrival patterns that the tests replay.
+"""Generates the arrival patterns that ``replay`` and the tests read.
 
 python -m fireflylink_emulator.record --seed 1
 """
@@ -14,7 +14,7 @@
 
 
 def main() -> None:
-    """Writes one file a scenario."""
+    """Writes the pattern of each scenario to a file."""
     flags.FLAGS(sys.argv)
     PATTERN_DIRECTORY.mkdir(exist_ok=True)
     for scenario in SCENARIOS:
--- a/packages/emulator/src/fireflylink_emulator/replay.py
+++ b/packages/emulator/src/fireflylink_emulator/replay.py
@@ -1,4 +1,4 @@
-"""Replays the recorded patterns against the real decisions and against the baseline.
+"""Replays the recorded patterns with the production code and with the baseline.
 
 python -m fireflylink_emulator.replay --seed 1
 """
@@ -17,19 +17,19 @@
 
 
 def _row(name: str, emulation: Emulation, statistics: RunStatistics) -> str:
-    cold = max(server.peak_cold_requests for server in emulation.servers)
-    moved = sum(decider.moved_keys for decider in emulation.deciders.values())
+    peak_cold = max(server.peak_cold_requests for server in emulation.servers)
+    moved_keys = sum(decider.moved_keys for decider in emulation.deciders.values())
     return (
         f"{name:<42} {statistics.earned_fraction:>5.3f} {statistics.requests:>6}"
         f" {statistics.in_time:>6} {statistics.late:>6}"
         f" {statistics.refused:>7} {statistics.failed:>6} {statistics.percentile(0.5):>6.3f}"
-        f" {statistics.percentile(0.99):>6.3f} {cold:>5} {moved:>7}"
+        f" {statistics.percentile(0.99):>6.3f} {peak_cold:>5} {moved_keys:>7}"
         f" {statistics.guarantee_violations:>6}"
     )
 
 
 def main() -> int:
-    """Prints two rows a scenario; returns 1 when a pattern cannot be read."""
+    """Prints the rows of each scenario and its baseline; returns 1 if a pattern is unreadable."""
     flags.FLAGS(sys.argv)
     print(
         f"{'situation':<42} worth  asked in-time   late refused failed  p50 s  p99 s  cold   moved"
--- a/packages/emulator/tests/conftest.py
+++ b/packages/emulator/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Runs of the emulator that tests share."""
+"""Fixtures that the tests of the emulator share."""
 
 import pytest
 
@@ -12,11 +12,14 @@
 
 
 @pytest.fixture(scope="session")
-def replayed():
-    """Returns a run of a situation with the real decisions and one with the baseline."""
+def replay_with_baseline():
+    """Returns a function that replays a scenario with the production code and with the baseline.
+
+    Each scenario is replayed once in a session.
+    """
     runs = {}
 
-    def play(scenario):
+    def replay(scenario):
         if scenario.name not in runs:
             pattern = read_pattern(scenario.name).unwrap()
             runs[scenario.name] = tuple(
@@ -25,4 +28,4 @@
             )
         return runs[scenario.name]
 
-    return play
+    return replay
