--- a/packages/emulator/src/fireflylink_emulator/_callers.py
+++ b/packages/emulator/src/fireflylink_emulator/_callers.py
@@ -9,7 +9,7 @@
 from fireflylink_emulator._profile import ServiceProfile
 from fireflylink_emulator._run_statistics import RunStatistics
 
-NETWORK_SECONDS = 0.008
+NETWORK_LATENCY_SECONDS = 0.008
 MAX_DELAY_FRACTION = 1.0 / 3.0
 """Callers wait no longer than this fraction of the remaining time, whatever a reply asks for."""
 
@@ -17,6 +17,8 @@
 IMPATIENT_RETRIES = 4
 IMPATIENT_RETRY_SECONDS = 0.02
 MIN_RETRY_TIME_SECONDS = 0.1
+"""Callers do not retry with less time left before the deadline."""
+
 MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -67,7 +69,7 @@
     def _create_attempt(
         self, profile: ServiceProfile, key: int, requested_at: float, retries: int, impatient: bool
     ) -> CallerAttempt:
-        received_at = self.scheduler.clock.now() + NETWORK_SECONDS
+        received_at = self.scheduler.clock.now() + NETWORK_LATENCY_SECONDS
         return CallerAttempt(profile, key, requested_at, received_at, retries, impatient)
 
     def _send(self, attempt: CallerAttempt) -> None:
@@ -76,7 +78,7 @@
         ended = [False]
 
         def on_reply(reply: BaseReply) -> None:
-            self.scheduler.schedule_after(NETWORK_SECONDS, lambda: receive(reply))
+            self.scheduler.schedule_after(NETWORK_LATENCY_SECONDS, lambda: receive(reply))
 
         def receive(reply: BaseReply) -> None:
             if ended[0]:
@@ -92,7 +94,7 @@
 
         if daemon.running:
             self.scheduler.schedule_after(
-                NETWORK_SECONDS, lambda: daemon.receive(attempt, on_reply)
+                NETWORK_LATENCY_SECONDS, lambda: daemon.receive(attempt, on_reply)
             )
         self.scheduler.schedule_at(self._disconnect_time(attempt), disconnect)
 
