--- /dev/null
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -0,0 +1,353 @@
+"""Handling of one request: routing, dispatch to a server, retries, reply."""
+
+from fireflylink_backend_client import Cancellation
+from fireflylink_caller_frontend import BaseDisconnectNotifier, BaseRequestHandler
+from fireflylink_core import (
+    NO_KEY,
+    Answered,
+    BaseCallResult,
+    BaseClock,
+    BaseReply,
+    CallerDisconnected,
+    CallerLimits,
+    CallerRequest,
+    Declined,
+    Lost,
+    LostReason,
+    NotRun,
+    NotSent,
+    OutcomeUnknown,
+    Route,
+    ServerAnswer,
+)
+from fireflylink_daemon._crash_detector import CrashDetector
+from fireflylink_daemon._dispatch_task import DispatchTask, DispatchWaiter
+from fireflylink_daemon._log import log_event
+from fireflylink_daemon._metrics import Metrics
+from fireflylink_daemon._peers import KeyCounter
+from fireflylink_daemon._request_log_limiter import RequestLogLimiter
+from fireflylink_daemon._routing_state import RoutingState
+from fireflylink_decisions.dispatch import BaseDispatchResult, Dispatched, QueuedRequest, Refused
+from fireflylink_decisions.poison import fingerprint_of
+from fireflylink_decisions.retries import Attempts, BaseRetryDecision, Retry, ReturnReply
+
+NO_ROUTE_STATUS = 404
+MIN_SERVER_ERROR_STATUS = 500
+POSSIBLE_CRASH_REASONS = (LostReason.RESET, LostReason.CLOSED)
+NO_CONFIGURATION_RETRY_SECONDS = 1.0
+LEAVING_RETRY_SECONDS = 0.05
+REPLY_MARGIN_SECONDS = 0.03
+"""Reserved so that the reply reaches the caller before its deadline."""
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+class _RequestContext:
+    """A routed request with its deadline, its attempts and the means to cancel it.
+
+    ``deadline`` and ``objective_at`` are times in seconds on the daemon's clock; an answer after
+    ``objective_at`` misses the target latency of the route.
+    """
+
+    __slots__ = (
+        "attempts",
+        "caller_disconnected",
+        "cancellation",
+        "deadline",
+        "objective_at",
+        "request",
+        "route",
+        "service",
+        "waiter",
+    )
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        route: Route,
+        service: str,
+        deadline: float,
+        attempts: Attempts,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.deadline = deadline
+        self.objective_at = request.received_at + route.objective_ms / MILLISECONDS_PER_SECOND
+        self.attempts = attempts
+        self.cancellation = Cancellation()
+        self.waiter = DispatchWaiter()
+        self.caller_disconnected = False
+
+    def on_disconnect(self) -> None:
+        """Cancels the wait for a server or the call, because the caller has disconnected."""
+        self.caller_disconnected = True
+        self.cancellation.cancel()
+        self.waiter.wake_event.set()
+
+
+class RequestHandler(BaseRequestHandler):
+    """Routes callers' requests, dispatches and retries them, with the state of ``RoutingState``.
+
+    While ``closed`` is true, every new request is refused.
+    """
+
+    __slots__ = (
+        "clock",
+        "closed",
+        "crash_detector",
+        "dispatch_task",
+        "key_counter",
+        "log_limiter",
+        "metrics",
+        "routing_state",
+    )
+
+    def __init__(
+        self,
+        routing_state: RoutingState,
+        dispatch_task: DispatchTask,
+        key_counter: KeyCounter,
+        crash_detector: CrashDetector,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        self.routing_state = routing_state
+        self.dispatch_task = dispatch_task
+        self.closed = False
+        self.key_counter = key_counter
+        self.log_limiter = RequestLogLimiter()
+        self.crash_detector = crash_detector
+        self.clock = clock
+        self.metrics = metrics
+
+    def limits(self) -> CallerLimits:
+        return self.routing_state.limits()
+
+    def handle(
+        self, request: CallerRequest, disconnect_notifier: BaseDisconnectNotifier
+    ) -> BaseReply:
+        routes = self.routing_state.routes
+        if self.closed:
+            return self._refuse(request, NotRun("leaving", retry_after=LEAVING_RETRY_SECONDS))
+        if routes is None:
+            return self._refuse(
+                request, NotRun("no-configuration", 503, NO_CONFIGURATION_RETRY_SECONDS)
+            )
+        route = routes.find(request.host, request.path)
+        if route is None:
+            return self._refuse(request, NotRun("no-route", NO_ROUTE_STATUS))
+        if self._is_poison(request):
+            return self._refuse(request, NotRun("poison"))
+        context = self._make_context(request, route)
+        disconnect_notifier.on_disconnect(context.on_disconnect)
+        reply = self._execute(context)
+        self._record_outcome(context, reply)
+        return reply
+
+    def _is_poison(self, request: CallerRequest) -> bool:
+        poison = self.routing_state.poison
+        return poison.has_suspects() and poison.is_poison(fingerprint_of(request), self.clock.now())
+
+    def _make_context(self, request: CallerRequest, route: Route) -> _RequestContext:
+        service = self.routing_state.traffic_splitter.choose(route)
+        self.routing_state.retry_budget(service).record_request(request.received_at)
+        if request.key != NO_KEY:
+            self.key_counter.record_request(service, request.key)
+        timeout = route.timeout_ms / MILLISECONDS_PER_SECOND
+        deadline = min(request.deadline - REPLY_MARGIN_SECONDS, request.received_at + timeout)
+        attempts = Attempts(route.idempotent, route.max_attempts)
+        return _RequestContext(request, route, service, deadline, attempts)
+
+    def _execute(self, context: _RequestContext) -> BaseReply:
+        while True:
+            dispatch_result = self._dispatch(context)
+            if context.caller_disconnected:
+                self._discard(dispatch_result)
+                return CallerDisconnected()
+            if isinstance(dispatch_result, Refused):
+                return context.attempts.refusal_reply(
+                    dispatch_result.reason, dispatch_result.retry_after
+                )
+            if not isinstance(dispatch_result, Dispatched):
+                return context.attempts.refusal_reply("not-placed", NO_CONFIGURATION_RETRY_SECONDS)
+            result = self._call(context, dispatch_result)
+            if context.caller_disconnected:
+                return CallerDisconnected()
+            decision = self._decide_retry(context, dispatch_result, result)
+            if isinstance(decision, ReturnReply):
+                return decision.reply
+
+    def _dispatch(self, context: _RequestContext) -> BaseDispatchResult | None:
+        request = QueuedRequest(
+            context.service,
+            context.route.priority,
+            context.request.received_at,
+            context.deadline,
+            context.request.key,
+            frozenset(context.attempts.tried_servers),
+            context.objective_at,
+        )
+        context.waiter.wake_event.clear()
+        if context.caller_disconnected:
+            return None
+        return self.dispatch_task.dispatch(request, context.waiter)
+
+    def _discard(self, dispatch_result: BaseDispatchResult | None) -> None:
+        """Ends the in-flight count of a dispatched request that is not sent after all."""
+        if isinstance(dispatch_result, Dispatched):
+            dispatch_result.tracker.record_completed()
+
+    def _call(self, context: _RequestContext, dispatched: Dispatched) -> BaseCallResult:
+        tracker = dispatched.tracker
+        pool = self.routing_state.connection_pool(tracker)
+        sent_at = self.clock.now()
+        context.attempts.record_sent(tracker.server.server_id)
+        try:
+            result = pool.call(context.request, context.deadline, context.cancellation)
+        finally:
+            tracker.record_completed()
+        now = self.clock.now()
+        if isinstance(result, Answered | Declined) and result.load is not None:
+            tracker.record_load(result.load, now)
+        if isinstance(result, Answered) and result.answer.status < MIN_SERVER_ERROR_STATUS:
+            seconds = now - sent_at
+            if (
+                tracker.record_answer(seconds, dispatched.queueing_factor, now)
+                and context.request.key != NO_KEY
+            ):
+                self.key_counter.record_service_time(
+                    context.service, tracker.server.server_id, seconds
+                )
+        elif _failed_at_server(result):
+            tracker.record_failure(now)
+        elif isinstance(result, Lost) and result.reason is LostReason.LATE:
+            seconds = tracker.record_timeout(now - sent_at, dispatched.queueing_factor, now)
+            if context.request.key != NO_KEY:
+                self.key_counter.record_service_time(
+                    context.service, tracker.server.server_id, seconds
+                )
+        elif isinstance(result, NotSent):
+            tracker.record_no_response(now)
+        if isinstance(result, Lost) and result.reason in POSSIBLE_CRASH_REASONS:
+            self.crash_detector.record_lost_connection(tracker.server, context.request)
+        self.dispatch_task.sweep()
+        return result
+
+    def _decide_retry(
+        self, context: _RequestContext, dispatched: Dispatched, result: BaseCallResult
+    ) -> BaseRetryDecision:
+        now = self.clock.now()
+        budget = self.routing_state.retry_budget(context.service)
+        if isinstance(result, Declined) and result.misdirected:
+            self.dispatch_task.dispatcher.record_misdirected(context.service, dispatched, now)
+        decision = context.attempts.decide(
+            result, context.deadline - now, budget.allows_retry(now, self.routing_state.position)
+        )
+        if isinstance(decision, Retry):
+            if decision.reached_server:
+                budget.record_retry(now)
+            log_event(
+                "request-retried",
+                request=context.request.request_id,
+                server=dispatched.tracker.server.server_id,
+                result=type(result).__name__,
+                reason=decision.reason,
+                left_seconds=context.deadline - now,
+            )
+        return decision
+
+    def _refuse(self, request: CallerRequest, reply: NotRun) -> NotRun:
+        self.metrics.count("requests", route="none", outcome=reply.reason)
+        log_event(
+            "request-refused",
+            request=request.request_id,
+            host=request.host,
+            path=request.path,
+            reason=reply.reason,
+            status=reply.status,
+            version=(
+                self.routing_state.routes.version if self.routing_state.routes is not None else 0
+            ),
+        )
+        return reply
+
+    def _record_outcome(self, context: _RequestContext, reply: BaseReply) -> None:
+        seconds = self.clock.now() - context.request.received_at
+        outcome, status = _outcome_and_status(reply)
+        self.metrics.count("requests", route=context.route.name, outcome=outcome)
+        if isinstance(reply, ServerAnswer):
+            self.metrics.record_latency(context.route.name, seconds)
+        self._log_request(context, reply, outcome, status, seconds)
+
+    def _log_request(
+        self, context: _RequestContext, reply: BaseReply, outcome: str, status: int, seconds: float
+    ) -> None:
+        if not self.log_limiter.try_acquire(isinstance(reply, ServerAnswer), self.clock.now()):
+            return
+        omitted = self.log_limiter.take_omitted()
+        if omitted:
+            log_event("request-lines-omitted", count=omitted)
+        table = self.routing_state.ownership_tables.get(context.service)
+        log_event(
+            "request",
+            request=context.request.request_id,
+            route=context.route.name,
+            service=context.service,
+            key=context.request.key,
+            outcome=outcome,
+            status=status,
+            servers=",".join(context.attempts.tried_servers) or "none",
+            seconds=seconds,
+            limit_seconds=context.deadline - context.request.received_at,
+            version=(
+                self.routing_state.routes.version if self.routing_state.routes is not None else 0
+            ),
+            fence=table.fence if table is not None else 0,
+            waiting=self.dispatch_task.dispatcher.queued_count,
+            **({} if isinstance(reply, ServerAnswer) else self._owner_fields(context)),
+        )
+
+    def _owner_fields(self, context: _RequestContext) -> dict[str, object]:
+        """Returns log fields about the owner of the key of a request that was not answered."""
+        pool = self.routing_state.dispatcher.pools.get(context.service)
+        if pool is None or not pool.keyed or pool.table is None:
+            return {}
+        assignment = pool.table.find(context.request.key)
+        if assignment is None:
+            return {"owner": "none"}
+        now = self.clock.now()
+        tracker = pool.trackers.get(assignment.owner)
+        fields: dict[str, object] = {
+            "owner": assignment.owner,
+            "keys_fence": assignment.fence,
+            "moving": bool(assignment.previous_holders),
+            "table_age": now - pool.table_received_at,
+            "reachable": tracker is not None,
+        }
+        if tracker is not None:
+            fields["owner_queue"] = tracker.expected_load(now)
+            fields["owner_report_age"] = (
+                now - tracker.reported_at if tracker.reported_load else -1.0
+            )
+            fields["owner_failures"] = tracker.consecutive_no_responses
+        return fields
+
+
+def _failed_at_server(result: BaseCallResult) -> bool:
+    """Whether the server failed the request, or declined it for another reason than its key."""
+    if isinstance(result, Declined):
+        return not result.misdirected
+    if isinstance(result, Lost):
+        return result.reason not in (LostReason.CANCELLED, LostReason.LATE)
+    return isinstance(result, Answered)
+
+
+def _outcome_and_status(reply: BaseReply) -> tuple[str, int]:
+    if isinstance(reply, ServerAnswer):
+        return "answered", reply.status
+    if isinstance(reply, NotRun):
+        return reply.reason, reply.status
+    if isinstance(reply, OutcomeUnknown):
+        return f"unknown-{reply.reason}", 504 if reply.timed_out else 502
+    return "caller-left", 0
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Tasks of a daemon on a store in memory and a manual clock."""
+"""Fixtures: the tasks of a daemon with an in-memory store and a manual clock."""
 
 import json
 
@@ -9,7 +9,7 @@
 from fireflylink_daemon._decider_task import DeciderTask
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._ownership_task import OwnershipTask
-from fireflylink_daemon._serving import Serving
+from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._view_task import ViewTask
 from fireflylink_platform import PlatformItemDecoder, PlatformServerCodec
 from fireflylink_protocol import MemberRecord
@@ -28,8 +28,8 @@
 }
 
 
-class QuietPeers:
-    """Notices that would have been sent."""
+class RecordingPeers:
+    """Stands in for ``PeerSocket``: records the notices instead of sending them."""
 
     def __init__(self) -> None:
         self.notices = []
@@ -39,26 +39,29 @@
 
 
 class TaskBench:
-    """The tasks around ownership, driven by hand: no greenlet runs."""
+    """The view, decider and ownership tasks of a daemon.
+
+    They run without greenlets: a test calls ``receive``, ``wake`` and ``deliver`` itself.
+    """
 
     def __init__(self, settings, clock: ManualClock, state: StoreState, name: str) -> None:
         self.clock = clock
         self.store = MemoryStore(state)
-        self.serving = Serving(settings, clock, PlatformServerCodec())
-        self.view = ViewTask(self.serving, clock)
+        self.routing_state = RoutingState(settings, clock, PlatformServerCodec())
+        self.view = ViewTask(self.routing_state, clock)
         self.record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
-        self.decider = DeciderTask(self.record, self.store, self.serving, clock, Metrics())
-        self.peers = QuietPeers()
+        self.decider = DeciderTask(self.record, self.store, self.routing_state, clock, Metrics())
+        self.peers = RecordingPeers()
         self.ownership = OwnershipTask(
-            self.serving, self.decider, self.peers, clock, PlatformServerCodec()
+            self.routing_state, self.decider, self.peers, clock, PlatformServerCodec()
         )
         self.decider.ownership = self.ownership
         self.view.ownership = self.ownership
         self.decoder = PlatformItemDecoder()
-        self.read_to = 0
+        self.last_revision = 0
 
     def deliver(self) -> None:
-        """Handles every message that waits, until none is left."""
+        """Lets the tasks handle their messages until every mailbox is empty."""
         tasks = (self.view, self.decider, self.ownership)
         while any(not task.mailbox.empty() for task in tasks):
             for task in tasks:
