Name grant trackers, command results and candidate factories by what they are

KeyedService recorded command results as answers, and named its GrantTracker after the grants. Predicates and intervals now say that they are such.

--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -33,7 +33,7 @@
     KeyLoad,
     ReleaseCommand,
     changes_between,
-    former_deciders_expire_at,
+    former_deciders_may_grant_until,
 )
 from fireflylink_protocol import GrantNotice, LoadReport
 from fireflylink_store import ABSENT_REVISION
@@ -126,7 +126,7 @@
         self.is_decider = True
         self.elected_at = elected_at
         for name, service in self.services.items():
-            service.grants = GrantTracker(elected_at, self.hold_seconds)
+            service.grant_tracker = GrantTracker(elected_at, self.hold_seconds)
             service.commit_sent_at = None
             service.consecutive_failures = {}
             service.load = KeyLoad(name, elected_at)
@@ -138,7 +138,7 @@
     def _stop_deciding(self) -> None:
         self.is_decider = False
         for service in self.services.values():
-            service.grants = None
+            service.grant_tracker = None
         for task in self.grant_tasks.values():
             task.close()
         self.grant_tasks = {}
@@ -147,8 +147,8 @@
         service = self.services.get(name)
         if service is None:
             service = self.services[name] = KeyedService(name, self.clock.now())
-        if self.is_decider and service.grants is None:
-            service.grants = GrantTracker(self.clock.now(), self.hold_seconds)
+        if self.is_decider and service.grant_tracker is None:
+            service.grant_tracker = GrantTracker(self.clock.now(), self.hold_seconds)
         return service
 
     def _keyed_service_names(self) -> list[str]:
@@ -166,8 +166,8 @@
         ):
             # Another decider wrote the table, and this daemon does not know its grants.
             self._step_down("another decider wrote a table")
-        if message.is_first and service.grants is not None:
-            service.grants.mark_no_former_decider()
+        if message.is_first and service.grant_tracker is not None:
+            service.grant_tracker.mark_no_former_decider()
         if message.revision <= service.revision:
             return
         service.table = message.table
@@ -175,14 +175,14 @@
         service.commit_sent_at = None
         service.unacknowledged_tables = []
         service.table_first_seen_at = self.clock.now()
-        if service.grants is not None:
-            service.grants.set_table(message.table)
+        if service.grant_tracker is not None:
+            service.grant_tracker.set_table(message.table)
 
     def _process_service(self, name: str, service: KeyedService, now: float) -> None:
         """Sends the commands that are due and, at intervals, plans a new table."""
-        if service.grants is not None and self.decider.election.may_grant(now):
-            for command in service.grants.due_commands(now, service.suspended_ranges()):
-                self._send_command(name, service.grants, command, now)
+        if service.grant_tracker is not None and self.decider.election.may_grant(now):
+            for command in service.grant_tracker.due_commands(now, service.suspended_ranges()):
+                self._send_command(name, service.grant_tracker, command, now)
         if now >= service.next_plan_at:
             service.next_plan_at = now + PLANNING_INTERVAL_SECONDS
             self._plan_table(name, service, now)
@@ -194,14 +194,15 @@
             service.commit_sent_at = None
         service.load.decay(now)
         candidates = self._candidates(name, service, now)
-        if service.grants is None or not (candidates or service.table):
+        if service.grant_tracker is None or not (candidates or service.table):
             return
         joined = [entry.joined_at for entry in self.routing_state.directory.eligible_servers(name)]
         planned = service.next_table(candidates, max(joined, default=now), now)
         if planned is not None:
             self._log_plan(service, planned, candidates)
-            sole_decider = service.revision == ABSENT_REVISION or now >= former_deciders_expire_at(
-                self.elected_at
+            sole_decider = (
+                service.revision == ABSENT_REVISION
+                or now >= former_deciders_may_grant_until(self.elected_at)
             )
             table = planned.replace(written_by_sole_decider=sole_decider)
             service.commit_sent_at = now
@@ -249,19 +250,21 @@
         cold = tracker is not None and tracker.cold_limiter.is_cold(now)
         return service.service_times.capacity(server.server_id, server.slots, cold)
 
-    def _send_command(self, name: str, grants: GrantTracker, command: object, now: float) -> None:
+    def _send_command(
+        self, name: str, grant_tracker: GrantTracker, command: object, now: float
+    ) -> None:
         if isinstance(command, ReleaseCommand):
             server = self._server_of(command.server)
             if server is None:
-                grants.record_failed(command, now)
+                grant_tracker.record_failed(command, now)
                 return
             spawn_release(server, self.clock, self.codec, name, command, self)
         elif isinstance(command, GrantCommand):
             task = self._grant_task(command.server)
             if task is None:
-                grants.record_failed(command, now)
+                grant_tracker.record_failed(command, now)
                 return
-            grants.record_sent(command, now)
+            grant_tracker.record_sent(command, now)
             task.post(CommandDue(name, command))
 
     def _server_of(self, incarnation: ServerIncarnation) -> BackendServer | None:
@@ -281,16 +284,16 @@
 
     def _record_completion(self, message: CommandCompleted) -> None:
         service = self._service(message.service)
-        grants = service.grants
-        if grants is None:
+        grant_tracker = service.grant_tracker
+        if grant_tracker is None:
             return
         now = self.clock.now()
         command = message.command
         if message.error is not None:
-            self._record_failure(service, grants, message, message.error, now)
+            self._record_failure(service, grant_tracker, message, message.error, now)
         elif isinstance(command, GrantCommand):
-            service.record_answer(command.server)
-            grants.record_granted(command, now)
+            service.record_command_succeeded(command.server)
+            grant_tracker.record_granted(command, now)
             if not command.renewal:
                 self.peers.notify(GrantNotice(message.service, command.keys, command.fence))
                 log_event(
@@ -301,7 +304,7 @@
                     fence=command.fence,
                 )
         elif isinstance(command, ReleaseCommand):
-            grants.record_released(command, message.handover, now)
+            grant_tracker.record_released(command, message.handover, now)
             log_event(
                 "keys-released",
                 service=message.service,
@@ -315,24 +318,24 @@
     def _record_failure(
         self,
         service: KeyedService,
-        grants: GrantTracker,
+        grant_tracker: GrantTracker,
         message: CommandCompleted,
         error: CommandError,
         now: float,
     ) -> None:
         command = message.command
         if isinstance(command, GrantCommand) and not error.sent:
-            grants.record_not_sent(command)
-        grants.record_failed(command, now)
+            grant_tracker.record_not_sent(command)
+        grant_tracker.record_failed(command, now)
         if isinstance(error, ServerMismatchError):
-            grants.record_incarnation_ended(command.server)
+            grant_tracker.record_incarnation_ended(command.server)
         if isinstance(error, StaleFenceError):
-            if isinstance(command, GrantCommand) and grants.is_current(command):
+            if isinstance(command, GrantCommand) and grant_tracker.is_current(command):
                 # Only another decider can have advanced the fence (fencing token) of these keys, so
                 # it has taken over.
                 self._step_down("a server has seen a higher fence")
         else:
-            service.record_no_answer(command.server)
+            service.record_command_failed(command.server)
         log_problem(
             "command-failed",
             service=message.service,
@@ -357,13 +360,13 @@
             ):
                 self.grant_tasks.pop(incarnation).close()
         for service in self.services.values():
-            if service.grants is None or service.table is None:
+            if service.grant_tracker is None or service.table is None:
                 continue
             for assignment in service.table.assignments:
                 for incarnation in (assignment.owner, *assignment.previous_holders):
                     registered_incarnation = registered.get(incarnation.server_id, incarnation)
                     if registered_incarnation.started_ms > incarnation.started_ms > 0:
-                        service.grants.record_incarnation_ended(incarnation)
+                        service.grant_tracker.record_incarnation_ended(incarnation)
 
     def _record_report(self, report: LoadReport) -> None:
         if not self.is_decider or not report.keys:
--- a/packages/decisions/src/fireflylink_decisions/limits/_fleet_position.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_fleet_position.py
@@ -21,25 +21,27 @@
         position.share(14.3, "i-7f3a91c2")
     """
 
-    __slots__ = ("_shares", "instance", "listed", "members")
+    __slots__ = ("_shares", "instance", "is_listed", "members")
 
     def __init__(self, instance: str, members: tuple[str, ...]) -> None:
         self.instance = instance
         self.members = tuple(sorted(members))
-        self.listed = instance in members
+        self.is_listed = instance in members
         self._shares: dict[tuple[str, int], int] = {}
 
     @property
     def count(self) -> int:
         """The number of members among which a divisible total is shared."""
         return (
-            len(self.members) if self.listed else max(ASSUMED_MEMBER_COUNT, len(self.members) + 1)
+            len(self.members)
+            if self.is_listed
+            else max(ASSUMED_MEMBER_COUNT, len(self.members) + 1)
         )
 
     @property
     def rank(self) -> int:
         """This daemon's index among the members by name; after all of them while not listed."""
-        return self.members.index(self.instance) if self.listed else len(self.members)
+        return self.members.index(self.instance) if self.is_listed else len(self.members)
 
     def share(self, total: float, subject: str) -> int:
         """Returns this daemon's share of ``total`` as a whole number; 0 while it is not listed.
@@ -58,7 +60,7 @@
         return total / self.count
 
     def _compute_share(self, whole_total: int, subject: str) -> int:
-        if not self.listed:
+        if not self.is_listed:
             return 0
         quotient, remainder = divmod(whole_total, len(self.members))
         order = sorted(self.members, key=lambda member: _member_hash(subject, member))
--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -11,7 +11,7 @@
     GrantCommand,
     GrantTracker,
     ReleaseCommand,
-    former_deciders_expire_at,
+    former_deciders_may_grant_until,
     with_new_fence,
 )
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
@@ -39,7 +39,7 @@
     "ServiceTimeEstimates",
     "TableChanges",
     "changes_between",
-    "former_deciders_expire_at",
+    "former_deciders_may_grant_until",
     "initial_table",
     "plan_table",
     "with_new_fence",
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -109,8 +109,8 @@
     return OwnershipTable(table.service, fence, assignments)
 
 
-def former_deciders_expire_at(elected_at: float) -> float:
-    """Returns when the deciders before the one of ``elected_at`` can no longer grant keys."""
+def former_deciders_may_grant_until(elected_at: float) -> float:
+    """Returns until when the deciders before the one of ``elected_at`` may grant keys."""
     return elected_at + OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS
 
 
@@ -139,14 +139,14 @@
         "hold_seconds",
         "max_hold_seconds",
         "previous_hold_expiries",
-        "renewal_seconds",
+        "renewal_interval_seconds",
         "table",
     )
 
     def __init__(self, elected_at: float, hold_seconds: float = HOLD_SECONDS) -> None:
         self.hold_seconds = hold_seconds
         self.max_hold_seconds = hold_seconds * CLOCK_DRIFT_FACTOR + HOLD_MARGIN_SECONDS
-        self.renewal_seconds = min(
+        self.renewal_interval_seconds = min(
             RENEWAL_INTERVAL_SECONDS, hold_seconds * RENEWAL_INTERVAL_FRACTION
         )
         self.former_holds_expire_at = (
@@ -258,7 +258,7 @@
         if state is not None:
             state.granted = True
             state.granted_at = now
-            state.due_at[command.server] = now + self.renewal_seconds
+            state.due_at[command.server] = now + self.renewal_interval_seconds
 
     def record_released(self, command: ReleaseCommand, handover: str, now: float) -> None:
         """Records that a server released keys, with its token for the next holder."""
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -36,7 +36,7 @@
         "commit_sent_at",
         "completed_moves_since",
         "consecutive_failures",
-        "grants",
+        "grant_tracker",
         "load",
         "name",
         "next_plan_at",
@@ -57,7 +57,7 @@
         self.name = name
         self.unacknowledged_tables: list[OwnershipTable] = []
         self.table_first_seen_at = now
-        self.grants: GrantTracker | None = None
+        self.grant_tracker: GrantTracker | None = None
         self.load = KeyLoad(name, now)
         self.seen_at = now
         self.service_times = ServiceTimeEstimates()
@@ -69,11 +69,11 @@
         self.commit_sent_at: float | None = None
         self.consecutive_failures: dict[ServerIncarnation, int] = {}
 
-    def record_answer(self, server: ServerIncarnation) -> None:
+    def record_command_succeeded(self, server: ServerIncarnation) -> None:
         """Records that a server carried out a command."""
         self.consecutive_failures.pop(server, None)
 
-    def record_no_answer(self, server: ServerIncarnation) -> None:
+    def record_command_failed(self, server: ServerIncarnation) -> None:
         """Records that a server did not carry out a command."""
         self.consecutive_failures[server] = self.consecutive_failures.get(server, 0) + 1
 
@@ -103,15 +103,19 @@
             if now < joined_at + INITIAL_TABLE_DELAY_SECONDS:
                 return None
             return initial_table(self.name, candidates, fence=1)
-        if self.grants is not None and self.grants.table is None:
-            self.grants.record_former_table(self.table, self.table_first_seen_at)
+        if self.grant_tracker is not None and self.grant_tracker.table is None:
+            self.grant_tracker.record_former_table(self.table, self.table_first_seen_at)
             return with_new_fence(self.table)
         range_load = RangeLoad(self.load.sorted_rates(now))
         self.requests_per_second = range_load.prefix_sums[-1]
-        settled = self.grants.settled_table() if self.grants is not None else None
+        settled = self.grant_tracker.settled_table() if self.grant_tracker is not None else None
         if settled is None:
             self.completed_moves_since = now
-        expired = self.grants.expired_ranges(now) if self.grants is not None else frozenset()
+        expired = (
+            self.grant_tracker.expired_ranges(now)
+            if self.grant_tracker is not None
+            else frozenset()
+        )
         rebalance = now >= self.next_rebalance_at
         if rebalance:
             self.next_rebalance_at = now + REBALANCE_INTERVAL_SECONDS
--- a/packages/decisions/tests/conftest.py
+++ b/packages/decisions/tests/conftest.py
@@ -42,5 +42,5 @@
 
 
 @pytest.fixture
-def candidates():
+def candidate_factory():
     return make_candidate
--- a/packages/decisions/tests/test_grant_tracker.py
+++ b/packages/decisions/tests/test_grant_tracker.py
@@ -28,28 +28,28 @@
 
 def granted_tracker(clock) -> GrantTracker:
     """Returns a tracker with the first table of a service, whose keys are granted to ``OLD``."""
-    grants = GrantTracker(clock.now())
-    grants.mark_no_former_decider()
-    grants.set_table(table(OLD, 1))
-    [grant] = grants.due_commands(clock.now())
-    grants.record_sent(grant, clock.now())
-    grants.record_granted(grant, clock.now())
-    return grants
+    grant_tracker = GrantTracker(clock.now())
+    grant_tracker.mark_no_former_decider()
+    grant_tracker.set_table(table(OLD, 1))
+    [grant] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_sent(grant, clock.now())
+    grant_tracker.record_granted(grant, clock.now())
+    return grant_tracker
 
 
-def move_keys(grants: GrantTracker) -> None:
-    grants.set_table(table(NEW, 2, (OLD,)))
+def move_keys(grant_tracker: GrantTracker) -> None:
+    grant_tracker.set_table(table(NEW, 2, (OLD,)))
 
 
 def test_a_moved_key_is_granted_only_after_its_release(clock):
     """Guards against two holders of a key: the new one is granted it before the release."""
-    grants = granted_tracker(clock)
-    move_keys(grants)
-    [release] = grants.due_commands(clock.now())
+    grant_tracker = granted_tracker(clock)
+    move_keys(grant_tracker)
+    [release] = grant_tracker.due_commands(clock.now())
     assert_that(release, IsInstance(ReleaseCommand))
-    assert_that(grants.due_commands(clock.now()), HasLength(0))
-    grants.record_released(release, "token", clock.now())
-    [grant] = grants.due_commands(clock.now())
+    assert_that(grant_tracker.due_commands(clock.now()), HasLength(0))
+    grant_tracker.record_released(release, "token", clock.now())
+    [grant] = grant_tracker.due_commands(clock.now())
     assert_that(grant.server, Equals(NEW))
     assert_that(grant.handover, Equals("token"))
     assert_that(grant.fence, Equals(2))
@@ -57,15 +57,15 @@
 
 def test_keys_of_an_unresponsive_holder_are_granted_only_after_its_hold_has_expired(clock):
     """Guards against two holders of a key: the old one cannot be reached and still serves it."""
-    grants = granted_tracker(clock)
+    grant_tracker = granted_tracker(clock)
     last_grant = clock.now()
-    move_keys(grants)
+    move_keys(grant_tracker)
     while True:
-        commands = grants.due_commands(clock.now())
+        commands = grant_tracker.due_commands(clock.now())
         if any(isinstance(command, GrantCommand) for command in commands):
             break
         for command in commands:
-            grants.record_failed(command, clock.now())
+            grant_tracker.record_failed(command, clock.now())
         clock.advance(0.05)
     # The clock of a server may run 2% slow.
     assert_that(clock.now() - last_grant, GreaterThan(HOLD_SECONDS * 1.02))
@@ -74,85 +74,85 @@
 
 def test_a_grant_without_an_answer_extends_the_hold(clock):
     """Guards against two holders of a key: the server received the grant, its answer was lost."""
-    grants = granted_tracker(clock)
+    grant_tracker = granted_tracker(clock)
     clock.advance(HOLD_SECONDS / 2)
-    [renewal] = grants.due_commands(clock.now())
-    grants.record_sent(renewal, clock.now())
-    grants.record_failed(renewal, clock.now())
+    [renewal] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_sent(renewal, clock.now())
+    grant_tracker.record_failed(renewal, clock.now())
     expected = clock.now() + GRANT_TIMEOUT_SECONDS + HOLD_SECONDS * 1.02
-    assert_that(grants.hold_expires_at(OLD, KEYS), GreaterThan(expected))
+    assert_that(grant_tracker.hold_expires_at(OLD, KEYS), GreaterThan(expected))
 
 
 def test_a_grant_that_was_not_sent_does_not_extend_the_hold(clock):
     """Guards against waiting for a grant that found no connection to its server."""
-    grants = granted_tracker(clock)
-    before = grants.hold_expires_at(OLD, KEYS)
+    grant_tracker = granted_tracker(clock)
+    before = grant_tracker.hold_expires_at(OLD, KEYS)
     clock.advance(HOLD_SECONDS / 2)
-    [renewal] = grants.due_commands(clock.now())
-    grants.record_sent(renewal, clock.now())
-    grants.record_not_sent(renewal)
-    grants.record_failed(renewal, clock.now())
-    assert_that(grants.hold_expires_at(OLD, KEYS), Equals(before))
+    [renewal] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_sent(renewal, clock.now())
+    grant_tracker.record_not_sent(renewal)
+    grant_tracker.record_failed(renewal, clock.now())
+    assert_that(grant_tracker.hold_expires_at(OLD, KEYS), Equals(before))
 
 
 def test_an_incarnation_that_has_ended_holds_no_keys(clock):
     """Guards against keys without an owner until the hold of a restarted server expires."""
-    grants = granted_tracker(clock)
-    move_keys(grants)
-    grants.record_incarnation_ended(OLD)
-    [grant] = grants.due_commands(clock.now())
+    grant_tracker = granted_tracker(clock)
+    move_keys(grant_tracker)
+    grant_tracker.record_incarnation_ended(OLD)
+    [grant] = grant_tracker.due_commands(clock.now())
     assert_that(grant.server, Equals(NEW))
 
 
 def test_a_new_decider_waits_until_grants_of_the_former_one_have_expired(clock):
     """Guards against two holders of a key: the former decider still reaches a server and renews its
     grants, while the new decider does not reach it."""
-    grants = GrantTracker(clock.now())
-    grants.set_table(with_new_fence(table(NEW, 2, (OLD,))))
+    grant_tracker = GrantTracker(clock.now())
+    grant_tracker.set_table(with_new_fence(table(NEW, 2, (OLD,))))
     waited_from = clock.now()
     while not any(
-        isinstance(command, GrantCommand) for command in _fail_due_commands(grants, clock)
+        isinstance(command, GrantCommand) for command in _fail_due_commands(grant_tracker, clock)
     ):
         clock.advance(0.1)
     assert_that(clock.now() - waited_from, GreaterThan(OUTAGE_GRACE_SECONDS + HOLD_SECONDS))
 
 
-def _fail_due_commands(grants: GrantTracker, clock) -> list:
-    commands = grants.due_commands(clock.now())
+def _fail_due_commands(grant_tracker: GrantTracker, clock) -> list:
+    commands = grant_tracker.due_commands(clock.now())
     for command in commands:
-        grants.record_failed(command, clock.now())
+        grant_tracker.record_failed(command, clock.now())
     return commands
 
 
 def test_a_confirmed_new_fence_ends_the_wait_for_grants_of_the_former_decider(clock):
     """Guards against a long time without an owner when a server is lost after a change of decider:
     once it has confirmed the new fence, it refuses grants of the former decider."""
-    grants = GrantTracker(clock.now())
-    grants.set_table(with_new_fence(table(OLD, 1)))
-    [grant] = grants.due_commands(clock.now())
+    grant_tracker = GrantTracker(clock.now())
+    grant_tracker.set_table(with_new_fence(table(OLD, 1)))
+    [grant] = grant_tracker.due_commands(clock.now())
     assert_that(grant.fence, Equals(2))
-    grants.record_sent(grant, clock.now())
-    grants.record_granted(grant, clock.now())
-    assert_that(grants.hold_expires_at(OLD, KEYS), LessThan(clock.now() + 5.0))
+    grant_tracker.record_sent(grant, clock.now())
+    grant_tracker.record_granted(grant, clock.now())
+    assert_that(grant_tracker.hold_expires_at(OLD, KEYS), LessThan(clock.now() + 5.0))
 
 
 def test_an_expired_grant_is_not_renewed_under_the_same_fence(clock):
     """Guards against two holders of a key: the server may have restarted with the same id, and then
     does not know the fence."""
-    grants = granted_tracker(clock)
+    grant_tracker = granted_tracker(clock)
     clock.advance(HOLD_SECONDS + 0.1)
-    assert_that(grants.due_commands(clock.now()), HasLength(0))
-    assert_that(grants.expired_ranges(clock.now()), Equals(frozenset({KEYS})))
+    assert_that(grant_tracker.due_commands(clock.now()), HasLength(0))
+    assert_that(grant_tracker.expired_ranges(clock.now()), Equals(frozenset({KEYS})))
 
 
 def test_the_rest_of_a_split_range_is_renewed_under_its_fence(clock):
     """Guards against an interruption for keys that stay with their owner while others move."""
-    grants = granted_tracker(clock)
+    grant_tracker = granted_tracker(clock)
     stays = Assignment(KeyRange(0, 99), OLD, 1)
     moves = Assignment(KeyRange(100, 65535), NEW, 2, (OLD,))
-    grants.set_table(OwnershipTable("holds", 2, (stays, moves)))
+    grant_tracker.set_table(OwnershipTable("holds", 2, (stays, moves)))
     clock.advance(1.5)
-    commands = grants.due_commands(clock.now())
+    commands = grant_tracker.due_commands(clock.now())
     renewals = [command for command in commands if isinstance(command, GrantCommand)]
     assert_that([renewal.fence for renewal in renewals], Equals([1]))
     assert_that([renewal.renewal for renewal in renewals], Equals([True]))
@@ -160,30 +160,30 @@
 
 def test_completed_moves_have_no_previous_holders_in_the_settled_table(clock):
     """Guards against a successor that waits again for holds that are known to have ended."""
-    grants = granted_tracker(clock)
-    move_keys(grants)
-    assert_that(grants.settled_table(), Is(None))
-    [release] = grants.due_commands(clock.now())
-    grants.record_released(release, "", clock.now())
-    [grant] = grants.due_commands(clock.now())
-    grants.record_granted(grant, clock.now())
-    assert_that(grants.settled_table(), Equals(table(NEW, 2)))
+    grant_tracker = granted_tracker(clock)
+    move_keys(grant_tracker)
+    assert_that(grant_tracker.settled_table(), Is(None))
+    [release] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_released(release, "", clock.now())
+    [grant] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_granted(grant, clock.now())
+    assert_that(grant_tracker.settled_table(), Equals(table(NEW, 2)))
 
 
 @pytest.mark.parametrize("command", ["grant", "release"])
 def test_a_failed_command_is_retried_after_a_delay_and_never_sent_twice_at_once(clock, command):
     """Guards against a storm of commands to a server that does not answer."""
-    grants = granted_tracker(clock)
+    grant_tracker = granted_tracker(clock)
     if command == "release":
-        move_keys(grants)
+        move_keys(grant_tracker)
     else:
         clock.advance(1.5)
-    [first] = grants.due_commands(clock.now())
-    assert_that(grants.due_commands(clock.now()), HasLength(0))
-    grants.record_failed(first, clock.now())
-    assert_that(grants.due_commands(clock.now()), HasLength(0))
+    [first] = grant_tracker.due_commands(clock.now())
+    assert_that(grant_tracker.due_commands(clock.now()), HasLength(0))
+    grant_tracker.record_failed(first, clock.now())
+    assert_that(grant_tracker.due_commands(clock.now()), HasLength(0))
     clock.advance(0.5)
-    assert_that(grants.due_commands(clock.now()), HasLength(1))
+    assert_that(grant_tracker.due_commands(clock.now()), HasLength(1))
 
 
 def test_previous_holders_in_a_sole_deciders_table_are_waited_for_one_hold_only(clock):
@@ -191,11 +191,11 @@
     the table's writer granted nothing more to the previous holder."""
     former = table(NEW, 2, (OLD,)).replace(written_by_sole_decider=True)
     seen_at = clock.now() - 1.0
-    grants = GrantTracker(clock.now())
-    grants.record_former_table(former, seen_at)
-    grants.set_table(with_new_fence(former))
+    grant_tracker = GrantTracker(clock.now())
+    grant_tracker.record_former_table(former, seen_at)
+    grant_tracker.set_table(with_new_fence(former))
     while not any(
-        isinstance(command, GrantCommand) for command in _fail_due_commands(grants, clock)
+        isinstance(command, GrantCommand) for command in _fail_due_commands(grant_tracker, clock)
     ):
         clock.advance(0.1)
     assert_that(clock.now() - seen_at, GreaterThan(HOLD_SECONDS))
@@ -205,72 +205,72 @@
 def test_keys_that_an_unacknowledged_table_takes_away_are_not_renewed(clock):
     """Guards against two holders of a key: the store wrote the table, its reply was lost, and a
     successor assumes that the previous holder gets no more grants."""
-    grants = granted_tracker(clock)
+    grant_tracker = granted_tracker(clock)
     clock.advance(1.5)
-    assert_that(grants.due_commands(clock.now(), frozenset({(KEYS, 1)})), HasLength(0))
-    assert_that(grants.due_commands(clock.now()), HasLength(1))
+    assert_that(grant_tracker.due_commands(clock.now(), frozenset({(KEYS, 1)})), HasLength(0))
+    assert_that(grant_tracker.due_commands(clock.now()), HasLength(1))
 
 
 def test_the_hold_of_one_server_is_not_counted_for_another(clock):
     """Guards against keys without an owner while the hold of an unrelated server is waited for."""
-    grants = granted_tracker(clock)
-    assert_that(grants.hold_expires_at(OLD, KEYS), GreaterThan(clock.now()))
-    assert_that(grants.hold_expires_at(NEW, KEYS), LessThan(clock.now()))
+    grant_tracker = granted_tracker(clock)
+    assert_that(grant_tracker.hold_expires_at(OLD, KEYS), GreaterThan(clock.now()))
+    assert_that(grant_tracker.hold_expires_at(NEW, KEYS), LessThan(clock.now()))
 
 
 def test_holds_and_renewals_stay_within_the_limit_of_the_platform(clock):
     """Guards against grants that a platform with shorter holds refuses, or renewals after they have
     expired there."""
-    grants = GrantTracker(clock.now(), 1.5)
-    grants.mark_no_former_decider()
-    grants.set_table(table(OLD, 1))
-    [grant] = grants.due_commands(clock.now())
-    grants.record_sent(grant, clock.now())
-    grants.record_granted(grant, clock.now())
+    grant_tracker = GrantTracker(clock.now(), 1.5)
+    grant_tracker.mark_no_former_decider()
+    grant_tracker.set_table(table(OLD, 1))
+    [grant] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_sent(grant, clock.now())
+    grant_tracker.record_granted(grant, clock.now())
     clock.advance(0.6)
-    assert_that(grants.due_commands(clock.now()), HasLength(1))
-    assert_that(grants.hold_expires_at(OLD, KEYS), LessThan(clock.now() + 1.5))
+    assert_that(grant_tracker.due_commands(clock.now()), HasLength(1))
+    assert_that(grant_tracker.hold_expires_at(OLD, KEYS), LessThan(clock.now() + 1.5))
 
 
 def test_a_grant_that_was_not_sent_does_not_undo_an_earlier_one_without_an_answer(clock):
     """Guards against two holders of a key: the server received a first grant, its answer was lost,
     the second one found no connection, and the decider dropped the expiry of the first."""
-    grants = GrantTracker(clock.now())
-    grants.mark_no_former_decider()
-    grants.set_table(table(OLD, 1))
-    [first] = grants.due_commands(clock.now())
-    grants.record_sent(first, clock.now())
+    grant_tracker = GrantTracker(clock.now())
+    grant_tracker.mark_no_former_decider()
+    grant_tracker.set_table(table(OLD, 1))
+    [first] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_sent(first, clock.now())
     clock.advance(GRANT_TIMEOUT_SECONDS)
-    grants.record_failed(first, clock.now())
-    expected = grants.hold_expires_at(OLD, KEYS)
+    grant_tracker.record_failed(first, clock.now())
+    expected = grant_tracker.hold_expires_at(OLD, KEYS)
     clock.advance(0.5)
-    [second] = grants.due_commands(clock.now())
-    grants.record_sent(second, clock.now())
-    grants.record_not_sent(second)
-    grants.record_failed(second, clock.now())
-    assert_that(grants.hold_expires_at(OLD, KEYS), Equals(expected))
+    [second] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_sent(second, clock.now())
+    grant_tracker.record_not_sent(second)
+    grant_tracker.record_failed(second, clock.now())
+    assert_that(grant_tracker.hold_expires_at(OLD, KEYS), Equals(expected))
 
 
 def test_a_grant_that_was_not_sent_does_not_extend_a_hold_after_the_keys_were_moved(clock):
     """Guards against keys without an owner for 0.8 s longer (outages --seed 2): the table changed
     while a renewal waited for a connection, and its hold still counted."""
-    grants = granted_tracker(clock)
-    before = grants.hold_expires_at(OLD, KEYS)
+    grant_tracker = granted_tracker(clock)
+    before = grant_tracker.hold_expires_at(OLD, KEYS)
     clock.advance(HOLD_SECONDS / 2)
-    [renewal] = grants.due_commands(clock.now())
-    grants.record_sent(renewal, clock.now())
-    move_keys(grants)
-    grants.record_not_sent(renewal)
-    grants.record_failed(renewal, clock.now())
-    assert_that(grants.hold_expires_at(OLD, KEYS), Equals(before))
+    [renewal] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_sent(renewal, clock.now())
+    move_keys(grant_tracker)
+    grant_tracker.record_not_sent(renewal)
+    grant_tracker.record_failed(renewal, clock.now())
+    assert_that(grant_tracker.hold_expires_at(OLD, KEYS), Equals(before))
 
 
 def test_a_first_grant_that_was_not_sent_leaves_no_hold(clock):
     """Guards against waiting for the hold of a server that was never sent a grant."""
-    grants = GrantTracker(clock.now())
-    grants.mark_no_former_decider()
-    grants.set_table(table(OLD, 1))
-    [first] = grants.due_commands(clock.now())
-    grants.record_sent(first, clock.now())
-    grants.record_not_sent(first)
-    assert_that(grants.hold_expires_at(OLD, KEYS), LessThan(clock.now()))
+    grant_tracker = GrantTracker(clock.now())
+    grant_tracker.mark_no_former_decider()
+    grant_tracker.set_table(table(OLD, 1))
+    [first] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_sent(first, clock.now())
+    grant_tracker.record_not_sent(first)
+    assert_that(grant_tracker.hold_expires_at(OLD, KEYS), LessThan(clock.now()))
--- a/packages/decisions/tests/test_keyed_service.py
+++ b/packages/decisions/tests/test_keyed_service.py
@@ -32,14 +32,16 @@
 @pytest.fixture
 def service(clock) -> KeyedService:
     keyed_service = KeyedService("holds", clock.now())
-    keyed_service.grants = GrantTracker(clock.now())
+    keyed_service.grant_tracker = GrantTracker(clock.now())
     return keyed_service
 
 
-def test_the_first_table_waits_for_servers_that_are_still_joining(service, clock, candidates):
+def test_the_first_table_waits_for_servers_that_are_still_joining(
+    service, clock, candidate_factory
+):
     """Guards against an initial table with one server only, from which most keys move soon."""
     joined_at = clock.now()
-    servers = [candidates("s1"), candidates("s2")]
+    servers = [candidate_factory("s1"), candidate_factory("s2")]
     assert_that(service.next_table(servers, joined_at, clock.now()), Is(None))
     clock.advance(1.6)
     planned = service.next_table(servers, joined_at, clock.now())
@@ -51,10 +53,10 @@
     assert_that(service.next_table([], clock.now(), clock.now() + 9.0), Is(None))
 
 
-def test_a_new_decider_first_gives_every_range_a_new_fence(service, clock, candidates):
+def test_a_new_decider_first_gives_every_range_a_new_fence(service, clock, candidate_factory):
     """Guards against grants of a former decider that servers still accept."""
     service.table = table(7, (0, 65535, ONE))
-    planned = service.next_table([candidates("s1")], clock.now(), clock.now())
+    planned = service.next_table([candidate_factory("s1")], clock.now(), clock.now())
     assert_that([found.fence for found in planned.assignments], Equals([8]))
 
 
@@ -100,39 +102,41 @@
 def complete_move(service: KeyedService, number: int, now: float) -> None:
     """Confirms the release and the grant of one moved range, and fails all other commands."""
     for _ in range(2):
-        for command in service.grants.due_commands(now):
+        for command in service.grant_tracker.due_commands(now):
             if command.keys.first != number * 100:
-                service.grants.record_failed(command, now)
+                service.grant_tracker.record_failed(command, now)
             elif isinstance(command, ReleaseCommand):
-                service.grants.record_released(command, "", now)
+                service.grant_tracker.record_released(command, "", now)
             else:
-                service.grants.record_sent(command, now)
-                service.grants.record_granted(command, now)
+                service.grant_tracker.record_sent(command, now)
+                service.grant_tracker.record_granted(command, now)
 
 
-def test_moves_that_complete_one_after_another_are_written_together(service, clock, candidates):
+def test_moves_that_complete_one_after_another_are_written_together(
+    service, clock, candidate_factory
+):
     """Guards against a new table with every plan while moves complete, each read by every daemon.
 
     With cfp trouble-2, five tables within 1.6 s moved no key.
     """
-    service.grants.mark_no_former_decider()
+    service.grant_tracker.mark_no_former_decider()
     moved = tuple(
         Assignment(KeyRange(number * 100, number * 100 + 99), TWO, 2, (ONE,))
         for number in range(10)
     )
     rest = Assignment(KeyRange(1000, 65535), ONE, 2)
     service.table = OwnershipTable("holds", 2, (*moved, rest))
-    service.grants.set_table(service.table)
+    service.grant_tracker.set_table(service.table)
     service.next_rebalance_at = clock.now() + 100.0
     written = 0
     for number in range(10):
         complete_move(service, number, clock.now())
         clock.advance(0.4)
         planned = service.next_table(
-            [candidates("s1", 100.0), candidates("s2", 1.0)], clock.now(), clock.now()
+            [candidate_factory("s1", 100.0), candidate_factory("s2", 1.0)], clock.now(), clock.now()
         )
         if planned is not None:
             written += 1
             service.table = planned
-            service.grants.set_table(planned)
+            service.grant_tracker.set_table(planned)
     assert_that(written, LessThan(3))
--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -76,9 +76,9 @@
         now = self.scheduler.clock.now()
         self.running = True
         service = self.service = KeyedService(self.profile.name, now)
-        service.grants = GrantTracker(now)
+        service.grant_tracker = GrantTracker(now)
         if self.stored_table is None:
-            service.grants.mark_no_former_decider()
+            service.grant_tracker.mark_no_former_decider()
         else:
             service.table = self.stored_table
             self._write_table(with_new_fence(self.stored_table))
@@ -93,9 +93,9 @@
         if not self.running or service is not self.service:
             return
         now = self.scheduler.clock.now()
-        if service.grants is not None:
-            for command in service.grants.due_commands(now):
-                self._send_command(service.grants, command)
+        if service.grant_tracker is not None:
+            for command in service.grant_tracker.due_commands(now):
+                self._send_command(service.grant_tracker, command)
         if now >= service.next_plan_at:
             service.next_plan_at = now + PLAN_INTERVAL_SECONDS
             self._plan(service, now)
@@ -139,58 +139,60 @@
         self.stored_table = table
         service.commit_sent_at = None
         service.table = table
-        if service.grants is not None:
-            service.grants.set_table(table)
+        if service.grant_tracker is not None:
+            service.grant_tracker.set_table(table)
         for daemon in self.daemons:
             daemon.update_table(table)
 
-    def _send_command(self, grants: GrantTracker, command: BaseCommand) -> None:
+    def _send_command(self, grant_tracker: GrantTracker, command: BaseCommand) -> None:
         server = self._find_server(command.server)
         if server is None:
-            grants.record_incarnation_ended(command.server)
-            grants.record_failed(command, self.scheduler.clock.now())
+            grant_tracker.record_incarnation_ended(command.server)
+            grant_tracker.record_failed(command, self.scheduler.clock.now())
             return
         if isinstance(command, GrantCommand):
-            grants.record_sent(command, self.scheduler.clock.now())
+            grant_tracker.record_sent(command, self.scheduler.clock.now())
             self.scheduler.schedule_after(
-                COMMAND_LATENCY_SECONDS, lambda: self._grant(grants, server, command)
+                COMMAND_LATENCY_SECONDS, lambda: self._grant(grant_tracker, server, command)
             )
         elif isinstance(command, ReleaseCommand):
             self.scheduler.schedule_after(
-                COMMAND_LATENCY_SECONDS, lambda: self._release(grants, server, command)
+                COMMAND_LATENCY_SECONDS, lambda: self._release(grant_tracker, server, command)
             )
 
     def _find_server(self, incarnation: ServerIncarnation) -> EmulatedServer | None:
         return next((server for server in self.servers if server.incarnation == incarnation), None)
 
-    def _grant(self, grants: GrantTracker, server: EmulatedServer, command: GrantCommand) -> None:
-        if self._fail_if_unreachable(grants, server, command):
+    def _grant(
+        self, grant_tracker: GrantTracker, server: EmulatedServer, command: GrantCommand
+    ) -> None:
+        if self._fail_if_unreachable(grant_tracker, server, command):
             return
         now = self.scheduler.clock.now()
         if server.incarnation != command.server or not server.grant(
             command.keys, command.fence, HOLD_SECONDS
         ):
-            grants.record_failed(command, now)
+            grant_tracker.record_failed(command, now)
             return
-        self.service.record_answer(command.server)
-        grants.record_granted(command, now)
+        self.service.record_command_succeeded(command.server)
+        grant_tracker.record_granted(command, now)
         if not command.renewal:
             self._announce_grant(command.keys, command.fence)
 
     def _release(
-        self, grants: GrantTracker, server: EmulatedServer, command: ReleaseCommand
+        self, grant_tracker: GrantTracker, server: EmulatedServer, command: ReleaseCommand
     ) -> None:
-        if self._fail_if_unreachable(grants, server, command):
+        if self._fail_if_unreachable(grant_tracker, server, command):
             return
         server.release(command.keys, command.fence)
         if server.has_running_calls(command.keys):
-            poll = functools.partial(self._release, grants, server, command)
+            poll = functools.partial(self._release, grant_tracker, server, command)
             self.scheduler.schedule_after(RELEASE_POLL_INTERVAL_SECONDS, poll)
             return
-        grants.record_released(command, "", self.scheduler.clock.now())
+        grant_tracker.record_released(command, "", self.scheduler.clock.now())
 
     def _fail_if_unreachable(
-        self, grants: GrantTracker, server: EmulatedServer, command: BaseCommand
+        self, grant_tracker: GrantTracker, server: EmulatedServer, command: BaseCommand
     ) -> bool:
         """Returns whether the server is unreachable; if so, the command is scheduled to fail.
 
@@ -205,9 +207,9 @@
                 command, GrantCommand
             ):
                 # The first time-out closed the connection and no new one opens: nothing was sent.
-                grants.record_not_sent(command)
-            self.service.record_no_answer(command.server)
-            grants.record_failed(command, self.scheduler.clock.now())
+                grant_tracker.record_not_sent(command)
+            self.service.record_command_failed(command.server)
+            grant_tracker.record_failed(command, self.scheduler.clock.now())
 
         self.scheduler.schedule_after(delay, fail)
         return True
