--- a/packages/emulator/src/fireflylink_emulator/__init__.py
+++ b/packages/emulator/src/fireflylink_emulator/__init__.py
@@ -7,7 +7,7 @@
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._failures import FAILURES, measure_recovery
-from fireflylink_emulator._fault_run import FAULT_PROFILES, run_with_faults
+from fireflylink_emulator._fault_run import FAULT_RUN_PROFILES, run_with_faults
 from fireflylink_emulator._pattern import (
     Arrival,
     ArrivalPattern,
@@ -31,7 +31,7 @@
 __all__ = [
     "APPROVALS",
     "FAILURES",
-    "FAULT_PROFILES",
+    "FAULT_RUN_PROFILES",
     "FLEET",
     "LOOKUPS",
     "ORDERS",
--- a/packages/emulator/src/fireflylink_emulator/_fault_run.py
+++ b/packages/emulator/src/fireflylink_emulator/_fault_run.py
@@ -8,7 +8,7 @@
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._profile import APPROVALS, FLEET, LOOKUPS
 
-FAULT_PROFILES = (LOOKUPS, APPROVALS)
+FAULT_RUN_PROFILES = (LOOKUPS, APPROVALS)
 REQUESTS_PER_SECOND = 160.0
 LOOKUP_FRACTION = 0.7
 MEAN_FAULT_INTERVAL_SECONDS = 4.0
@@ -121,7 +121,7 @@
 
 def run_with_faults(requests: int, seed: int) -> tuple[Emulation, dict[str, int]]:
     """Runs a number of requests with faults; returns the emulation and the number of each fault."""
-    emulation = Emulation(FAULT_PROFILES, FLEET, seed)
+    emulation = Emulation(FAULT_RUN_PROFILES, FLEET, seed)
     emulation.callers.early_disconnect_fraction = EARLY_DISCONNECT_FRACTION
     emulation.callers.impatient_fraction = IMPATIENT_FRACTION
     rng = random.Random(seed + 2)
--- a/packages/emulator/src/fireflylink_emulator/_profile.py
+++ b/packages/emulator/src/fireflylink_emulator/_profile.py
@@ -78,15 +78,15 @@
     """
 
     __slots__ = (
-        "budget_extra",
-        "budget_ratio",
-        "budget_window_seconds",
         "cold_extra",
         "cold_factor",
         "connection_limit",
         "daemons",
         "data_centres",
         "remote_latency_seconds",
+        "retry_budget_extra",
+        "retry_budget_ratio",
+        "retry_budget_window_seconds",
     )
 
     def __init__(
@@ -95,9 +95,9 @@
         data_centres: tuple[str, ...],
         connection_limit: int,
         remote_latency_seconds: float = 0.004,
-        budget_ratio: float = 0.2,
-        budget_extra: float = 60.0,
-        budget_window_seconds: float = 10.0,
+        retry_budget_ratio: float = 0.2,
+        retry_budget_extra: float = 60.0,
+        retry_budget_window_seconds: float = 10.0,
         cold_factor: float = 1.5,
         cold_extra: float = 5.0,
     ) -> None:
@@ -105,9 +105,9 @@
         self.data_centres = data_centres
         self.connection_limit = connection_limit
         self.remote_latency_seconds = remote_latency_seconds
-        self.budget_ratio = budget_ratio
-        self.budget_extra = budget_extra
-        self.budget_window_seconds = budget_window_seconds
+        self.retry_budget_ratio = retry_budget_ratio
+        self.retry_budget_extra = retry_budget_extra
+        self.retry_budget_window_seconds = retry_budget_window_seconds
         self.cold_factor = cold_factor
         self.cold_extra = cold_extra
 
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -105,7 +105,7 @@
         self.requested_keys: list[int] = []
         self.service_times: list[tuple[str, float]] = []
         limits = RetryBudgetLimits(
-            fleet.budget_ratio, fleet.budget_extra, fleet.budget_window_seconds
+            fleet.retry_budget_ratio, fleet.retry_budget_extra, fleet.retry_budget_window_seconds
         )
         self.retry_budgets = {profile.name: RetryBudget(limits) for profile in profiles}
         for profile in profiles:
--- a/packages/emulator/src/fireflylink_emulator/faults.py
+++ b/packages/emulator/src/fireflylink_emulator/faults.py
@@ -7,7 +7,7 @@
 
 from absl import flags
 
-from fireflylink_emulator._fault_run import FAULT_PROFILES, run_with_faults
+from fireflylink_emulator._fault_run import FAULT_RUN_PROFILES, run_with_faults
 from fireflylink_emulator._flags import SEED
 from fireflylink_emulator._run_statistics import RunStatistics
 
@@ -19,10 +19,10 @@
     flags.FLAGS(sys.argv)
     emulation, fault_counts = run_with_faults(REQUESTS.value, SEED.value)
     print("faults: " + ", ".join(f"{name} {count}" for name, count in sorted(fault_counts.items())))
-    all_statistics = [emulation.callers.statistics_of(profile) for profile in FAULT_PROFILES]
-    for profile, statistics in zip(FAULT_PROFILES, all_statistics, strict=True):
+    all_statistics = [emulation.callers.statistics_of(profile) for profile in FAULT_RUN_PROFILES]
+    for profile, statistics in zip(FAULT_RUN_PROFILES, all_statistics, strict=True):
         print(_line(profile.name, statistics))
-    for profile in FAULT_PROFILES:
+    for profile in FAULT_RUN_PROFILES:
         servers = emulation.servers_of(profile)
         peak = max(server.peak_cold_requests for server in servers)
         limit = servers[0].cold_limit
--- a/packages/operator_client/src/fireflylink_operator_client/_commands.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_commands.py
@@ -52,7 +52,7 @@
     return notes
 
 
-def history_lines(request_id: str, logs: list[str]) -> Iterator[str]:
+def request_log_lines(request_id: str, logs: list[str]) -> Iterator[str]:
     """Yields every log line of a request, sorted by time. ``logs`` are the contents of the files.
 
     Raises ``OperatorError`` if there is no such line.
--- a/packages/operator_client/src/fireflylink_operator_client/_main.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_main.py
@@ -9,7 +9,7 @@
 
 from fireflylink_core import SystemClock
 from fireflylink_daemon import read_settings
-from fireflylink_operator_client._commands import history_lines, owner_lines, status_lines
+from fireflylink_operator_client._commands import owner_lines, request_log_lines, status_lines
 from fireflylink_operator_client._errors import OperatorError
 from fireflylink_operator_client._system_view import SystemView, read_system
 from fireflylink_platform import PlatformItemDecoder, PlatformStoreClient
@@ -61,7 +61,7 @@
         case ["owners", service]:
             return owner_lines(_read_view(), service, KEY.value)
         case ["request", request_id, *paths] if paths:
-            return history_lines(request_id, [_read_log(path) for path in paths])
+            return request_log_lines(request_id, [_read_log(path) for path in paths])
         case ["check-settings", path]:
             return _check_settings(path)
         case _:
--- a/packages/operator_client/tests/test_commands.py
+++ b/packages/operator_client/tests/test_commands.py
@@ -10,9 +10,9 @@
 from fireflylink_core import Assignment, KeyRange, ManualClock, OwnershipTable, ServerIncarnation
 from fireflylink_operator_client import (
     OperatorError,
-    history_lines,
     owner_lines,
     read_system,
+    request_log_lines,
     run,
     status_lines,
 )
@@ -120,9 +120,9 @@
         "time=2 event=request request=a outcome=answered\ntime=1 event=request request=ab\n",
         "time=1 event=request-retried request=a server=i-1\n",
     ]
-    assert_that([line[:6] for line in history_lines("a", logs)], Equals(["time=1", "time=2"]))
+    assert_that([line[:6] for line in request_log_lines("a", logs)], Equals(["time=1", "time=2"]))
     with pytest.raises(OperatorError):
-        list(history_lines("c", logs))
+        list(request_log_lines("c", logs))
 
 
 def test_an_unknown_command_prints_the_usage(capsys):
