--- a/packages/core/src/fireflylink_core/_configuration.py
+++ b/packages/core/src/fireflylink_core/_configuration.py
@@ -79,15 +79,15 @@
 
     ``connection_limit`` is how many connections one server accepts from all daemons together. A
     server is cold (in warm-up) for ``cold_seconds`` and during that time can run
-    ``cold_requests_per_second``. Servers of a ``keyed`` service run only requests for keys that
+    ``max_cold_requests_per_second``. Servers of a ``keyed`` service run only requests for keys that
     they hold.
     """
 
     __slots__ = (
-        "cold_requests_per_second",
         "cold_seconds",
         "connection_limit",
         "keyed",
+        "max_cold_requests_per_second",
         "name",
     )
 
@@ -96,13 +96,13 @@
         name: str,
         connection_limit: int,
         cold_seconds: float,
-        cold_requests_per_second: float,
+        max_cold_requests_per_second: float,
         keyed: bool = False,
     ) -> None:
         self.name = name
         self.connection_limit = connection_limit
         self.cold_seconds = cold_seconds
-        self.cold_requests_per_second = cold_requests_per_second
+        self.max_cold_requests_per_second = max_cold_requests_per_second
         self.keyed = keyed
 
 
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -251,7 +251,9 @@
 
     def _service_limits(self, service: Service, position: FleetPosition) -> ServiceLimits:
         bounds = self.settings.bounds
-        cold = ColdLimit(service.cold_requests_per_second, bounds.cold_factor, bounds.cold_extra)
+        cold = ColdLimit(
+            service.max_cold_requests_per_second, bounds.cold_factor, bounds.cold_extra
+        )
         # A restarted server of a keyed service runs no requests before it is granted keys.
         assume_cold = not service.keyed and (
             self.store_doubted or not self.directory.store_reachable
--- a/packages/standins/src/fireflylink_standins/_memory_store.py
+++ b/packages/standins/src/fireflylink_standins/_memory_store.py
@@ -74,10 +74,10 @@
             return Failure(LeaseNotFoundError("ended"))
         return self._answer(revision)
 
-    def create_lease(self, seconds: float, deadline: float) -> Result[Lease, StoreError]:
+    def create_lease(self, ttl_seconds: float, deadline: float) -> Result[Lease, StoreError]:
         if not self.reachable:
             return _unavailable()
-        return Success(Lease(self.state.create_lease(seconds), seconds))
+        return Success(Lease(self.state.create_lease(ttl_seconds), ttl_seconds))
 
     def renew_lease(self, lease_id: int, deadline: float) -> Result[float, StoreError]:
         if not self.reachable:
--- a/packages/standins/src/fireflylink_standins/_store_state.py
+++ b/packages/standins/src/fireflylink_standins/_store_state.py
@@ -87,11 +87,11 @@
             self._remove(key)
         return self.revision
 
-    def create_lease(self, seconds: float) -> int:
+    def create_lease(self, ttl_seconds: float) -> int:
         """Opens a lease."""
         lease_id = self.next_lease
         self.next_lease += 1
-        self.leases[lease_id] = (seconds, self.clock.now() + seconds)
+        self.leases[lease_id] = (ttl_seconds, self.clock.now() + ttl_seconds)
         return lease_id
 
     def renew_lease(self, lease_id: int) -> float | None:
--- a/packages/store/src/fireflylink_store/_store.py
+++ b/packages/store/src/fireflylink_store/_store.py
@@ -39,8 +39,8 @@
         """Applies a commit and returns its revision."""
 
     @abc.abstractmethod
-    def create_lease(self, seconds: float, deadline: float) -> Result[Lease, StoreError]:
-        """Creates a lease with a time to live of ``seconds``."""
+    def create_lease(self, ttl_seconds: float, deadline: float) -> Result[Lease, StoreError]:
+        """Creates a lease with a time to live of ``ttl_seconds``."""
 
     @abc.abstractmethod
     def renew_lease(self, lease_id: int, deadline: float) -> Result[float, StoreError]:
