--- a/packages/daemon/src/fireflylink_daemon/_crash_detector.py
+++ b/packages/daemon/src/fireflylink_daemon/_crash_detector.py
@@ -52,6 +52,6 @@
                 problem=error,
             )
             for fingerprint in fingerprints:
-                self.peers.notify(CrashNotice(fingerprint, server.incarnation))
+                self.peers.broadcast(CrashNotice(fingerprint, server.incarnation))
         finally:
             connection.close()
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -101,7 +101,7 @@
             clock.wall_ms(),
             settings.data_centre,
             settings.address,
-            settings.report_port,
+            settings.peer_port,
         )
         self.member = MemberTask(record, self._make_store_client(), self.view, clock, self.metrics)
         self.decider = DeciderTask(
@@ -109,7 +109,7 @@
         )
         key_counter = KeyCounter()
         self.peers = PeerSocket(
-            settings.instance, settings.address, settings.report_port, key_counter, self.view
+            settings.instance, settings.address, settings.peer_port, key_counter, self.view
         )
         self.ownership = OwnershipTask(self.routing_state, self.decider, self.peers, clock, codec)
         self.peers.ownership = self.ownership
--- a/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
+++ b/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
@@ -5,7 +5,7 @@
 
 from fireflylink_backend_client import BaseServerCodec, ServerCommandClient
 from fireflylink_core import BackendServer, BaseClock
-from fireflylink_daemon._messages import CommandCompleted, CommandDue
+from fireflylink_daemon._messages import CommandCompleted, GrantDue
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.ownership import (
     GRANT_TIMEOUT_SECONDS,
@@ -45,7 +45,7 @@
         """Does nothing: this task only reacts to commands."""
 
     def receive(self, message: object) -> object:
-        if isinstance(message, CommandDue) and isinstance(message.command, GrantCommand):
+        if isinstance(message, GrantDue) and isinstance(message.command, GrantCommand):
             command = message.command
             result = self.command_client.grant(
                 command.keys,
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -128,7 +128,7 @@
         self.report = report
 
 
-class CommandDue:
+class GrantDue:
     """A grant is to be sent to a server."""
 
     __slots__ = ("command", "service")
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -12,10 +12,10 @@
 from fireflylink_daemon._log import log_event, log_problem
 from fireflylink_daemon._messages import (
     CommandCompleted,
-    CommandDue,
     DeciderChanged,
     DeciderDemoted,
     DeciderElected,
+    GrantDue,
     LoadReportReceived,
     ServersChanged,
     TableChanged,
@@ -265,7 +265,7 @@
                 grant_tracker.record_failed(command, now)
                 return
             grant_tracker.record_sent(command, now)
-            task.post(CommandDue(name, command))
+            task.post(GrantDue(name, command))
 
     def _server_of(self, incarnation: ServerIncarnation) -> BackendServer | None:
         tracker = self.routing_state.trackers.get(incarnation)
@@ -295,7 +295,7 @@
             service.record_command_succeeded(command.server)
             grant_tracker.record_granted(command, now)
             if not command.renewal:
-                self.peers.notify(GrantNotice(message.service, command.keys, command.fence))
+                self.peers.broadcast(GrantNotice(message.service, command.keys, command.fence))
                 log_event(
                     "keys-granted",
                     service=message.service,
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -131,7 +131,7 @@
         for greenlet in self.greenlets:
             greenlet.kill(block=False)
 
-    def notify(self, notice: GrantNotice | CrashNotice) -> None:
+    def broadcast(self, notice: GrantNotice | CrashNotice) -> None:
         """Sends a notice to every member, including this daemon."""
         datagram = encode_datagram(notice)
         for member in self.routing_state.members.values():
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -40,7 +40,8 @@
     """The state with which ``RequestHandler`` routes, dispatches and retries requests.
 
     ``ViewTask`` applies the updates from the store; ``DeciderTask`` adds the ownership tables that
-    it has written. ``store_doubted`` is true after a failed call of ``MemberTask`` to the store.
+    it has written. ``store_calls_failing`` is true after a failed call of ``MemberTask`` to the
+    store.
     """
 
     __slots__ = (
@@ -57,7 +58,7 @@
         "retry_budgets",
         "routes",
         "settings",
-        "store_doubted",
+        "store_calls_failing",
         "trackers",
         "traffic_splitter",
     )
@@ -78,7 +79,7 @@
         self.position = FleetPosition(settings.instance, ())
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.connection_pools: dict[ServerIncarnation, ServerConnectionPool] = {}
-        self.store_doubted = False
+        self.store_calls_failing = False
 
     def limits(self) -> CallerLimits:
         """Returns the caller limits of the current configuration; defaults without one."""
@@ -256,7 +257,7 @@
         )
         # A restarted server of a keyed service runs no requests before it is granted keys.
         assume_cold = not service.keyed and (
-            self.store_doubted or not self.directory.store_reachable
+            self.store_calls_failing or not self.directory.store_reachable
         )
         return ServiceLimits(
             cold, service.connection_limit, position, self.settings.data_centre, assume_cold
--- a/packages/daemon/src/fireflylink_daemon/_settings.py
+++ b/packages/daemon/src/fireflylink_daemon/_settings.py
@@ -73,8 +73,8 @@
         "instance",
         "metrics_port",
         "minimum_lease_seconds",
+        "peer_port",
         "readiness_address",
-        "report_port",
         "store_address",
     )
 
@@ -85,7 +85,7 @@
         address: str,
         caller_address: Address,
         readiness_address: Address,
-        report_port: int,
+        peer_port: int,
         metrics_port: int,
         store_address: Address,
         minimum_lease_seconds: float,
@@ -96,7 +96,7 @@
         self.address = address
         self.caller_address = caller_address
         self.readiness_address = readiness_address
-        self.report_port = report_port
+        self.peer_port = peer_port
         self.metrics_port = metrics_port
         self.store_address = store_address
         self.minimum_lease_seconds = minimum_lease_seconds
@@ -169,7 +169,7 @@
         address=fields.string("address"),
         caller_address=fields.address("caller_address"),
         readiness_address=fields.address("readiness_address"),
-        report_port=first_port,
+        peer_port=first_port,
         metrics_port=fields.port("metrics_port"),
         store_address=store.address("address"),
         minimum_lease_seconds=store.seconds("minimum_lease_ms"),
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -82,7 +82,7 @@
         elif isinstance(message, StoreUnreachable):
             self.routing_state.directory.mark_store_unreachable()
         elif isinstance(message, StoreCallStatus):
-            self.routing_state.store_doubted = message.failing
+            self.routing_state.store_calls_failing = message.failing
             log_event("store-doubted", doubted=message.failing)
         elif isinstance(message, StoreReachable):
             self.routing_state.directory.mark_store_reachable(self.clock.now())
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -34,7 +34,7 @@
     def __init__(self) -> None:
         self.notices = []
 
-    def notify(self, notice) -> None:
+    def broadcast(self, notice) -> None:
         self.notices.append(notice)
 
 
--- a/packages/standins/tests/test_adapter_boundary.py
+++ b/packages/standins/tests/test_adapter_boundary.py
@@ -80,7 +80,7 @@
     assert_that(isinstance(result, Success), Equals(True), str(result))
     settings = result.unwrap()
     assert_that(settings.instance, Equals("front-kingston-1"))
-    assert_that((settings.report_port, settings.store_address.port), Equals((7540, 8541)))
+    assert_that((settings.peer_port, settings.store_address.port), Equals((7540, 8541)))
 
 
 def test_the_build_installs_what_the_packages_declare():
