--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -63,12 +63,12 @@
     __slots__ = (
         "caller_listener",
         "clock",
-        "decider",
+        "decider_task",
         "dispatch_task",
-        "member",
+        "member_task",
         "metrics",
         "metrics_listener",
-        "ownership",
+        "ownership_task",
         "peers",
         "readiness_listener",
         "request_handler",
@@ -80,7 +80,7 @@
         "stopped",
         "store_clients",
         "store_reader",
-        "view",
+        "view_task",
     )
 
     def __init__(self, settings: Settings, settings_path: str, clock: BaseClock) -> None:
@@ -95,7 +95,7 @@
         codec = PlatformServerCodec()
         self.routing_state = RoutingState(settings, clock, codec)
         self.dispatch_task = DispatchTask(self.routing_state.dispatcher, clock)
-        self.view = ViewTask(self.routing_state, clock)
+        self.view_task = ViewTask(self.routing_state, clock)
         record = MemberRecord(
             settings.instance,
             clock.wall_ms(),
@@ -103,21 +103,25 @@
             settings.address,
             settings.peer_port,
         )
-        self.member = MemberTask(record, self._make_store_client(), self.view, clock, self.metrics)
-        self.decider = DeciderTask(
+        self.member_task = MemberTask(
+            record, self._make_store_client(), self.view_task, clock, self.metrics
+        )
+        self.decider_task = DeciderTask(
             record, self._make_store_client(), self.routing_state, clock, self.metrics
         )
         key_counter = KeyCounter()
         self.peers = PeerSocket(
-            settings.instance, settings.address, settings.peer_port, key_counter, self.view
+            settings.instance, settings.address, settings.peer_port, key_counter, self.view_task
+        )
+        self.ownership_task = OwnershipTask(
+            self.routing_state, self.decider_task, self.peers, clock, codec
         )
-        self.ownership = OwnershipTask(self.routing_state, self.decider, self.peers, clock, codec)
-        self.peers.ownership = self.ownership
-        self.decider.ownership = self.ownership
-        self.view.ownership = self.ownership
-        self.view.member = self.member
+        self.peers.ownership_task = self.ownership_task
+        self.decider_task.ownership_task = self.ownership_task
+        self.view_task.ownership_task = self.ownership_task
+        self.view_task.member_task = self.member_task
         self.store_reader = StoreReader(
-            self._make_store_client(), PlatformItemDecoder(), self.view, clock, self.metrics
+            self._make_store_client(), PlatformItemDecoder(), self.view_task, clock, self.metrics
         )
         self.request_handler = request_handler = RequestHandler(
             self.routing_state,
@@ -152,10 +156,10 @@
         for listener in (self.caller_listener, self.readiness_listener, self.metrics_listener):
             listener.start()
         for task in (
-            self.view,
-            self.member,
-            self.decider,
-            self.ownership,
+            self.view_task,
+            self.member_task,
+            self.decider_task,
+            self.ownership_task,
             self.store_reader,
             self.peers,
         ):
@@ -192,8 +196,8 @@
             "leaving", instance=self.settings.instance, active=self.caller_listener.active_requests
         )
         self.caller_listener.begin_drain(BALANCER_NOTICE_SECONDS)
-        self.decider.post(Leave())
-        gevent.spawn_later(MEMBER_REMOVAL_DELAY_SECONDS, self.member.post, Leave())
+        self.decider_task.post(Leave())
+        gevent.spawn_later(MEMBER_REMOVAL_DELAY_SECONDS, self.member_task.post, Leave())
         gevent.sleep(BALANCER_NOTICE_SECONDS)
         self.caller_listener.stop_accepting()
         gevent.sleep(IDLE_CLOSE_DELAY_SECONDS)
@@ -242,7 +246,7 @@
         register("requests_active", lambda: self.caller_listener.active_requests)
         register("requests_waiting", lambda: routing_state.dispatcher.queued_count)
         register("members", lambda: len(routing_state.position.members))
-        register("decider", lambda: float(self.decider.election.is_decider))
+        register("decider", lambda: float(self.decider_task.election.is_decider))
         register("store_reached", lambda: float(routing_state.directory.store_reachable))
         register("servers", lambda: len(routing_state.directory.entries))
         register(
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -68,7 +68,7 @@
 class DeciderTask(BaseTask):
     """Runs for decider, renews the decider's lease and writes ownership tables to the store.
 
-    It notifies the ``ownership`` task when this daemon is elected or demoted, when the store has
+    It notifies ``ownership_task`` when this daemon is elected or demoted, when the store has
     accepted a table, and when a table was certainly not written.
     """
 
@@ -80,7 +80,7 @@
         "metrics",
         "next_candidacy_at",
         "next_renewal_at",
-        "ownership",
+        "ownership_task",
         "record",
         "routing_state",
         "store",
@@ -102,7 +102,7 @@
         self.metrics = metrics
         self.election = DeciderElection()
         self.election.vacant_since = None
-        self.ownership: BaseTask | None = None
+        self.ownership_task: BaseTask | None = None
         self.leaving = False
         self.lease_id = 0
         self.lease_ttl_seconds = max(
@@ -280,5 +280,5 @@
             self._notify_ownership(TableNotWritten(table))
 
     def _notify_ownership(self, message: object) -> None:
-        if self.ownership is not None:
-            self.ownership.post(message)
+        if self.ownership_task is not None:
+            self.ownership_task.post(message)
--- a/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
+++ b/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
@@ -20,22 +20,22 @@
 class GrantTask(BaseTask):
     """Sends the grants and renewals of one server, one at a time over one connection.
 
-    It posts a ``CommandCompleted`` to the ``ownership`` task for each of them.
+    It posts a ``CommandCompleted`` to ``ownership_task`` for each of them.
     """
 
-    __slots__ = ("command_client", "hold_seconds", "ownership")
+    __slots__ = ("command_client", "hold_seconds", "ownership_task")
 
     def __init__(
         self,
         server: BackendServer,
         clock: BaseClock,
         codec: BaseServerCodec,
-        ownership: BaseTask,
+        ownership_task: BaseTask,
         hold_seconds: float,
     ) -> None:
         super().__init__(f"grants-{server.server_id}", clock)
         self.command_client = ServerCommandClient(server, clock, codec)
-        self.ownership = ownership
+        self.ownership_task = ownership_task
         self.hold_seconds = hold_seconds
 
     def next_wake_at(self) -> float:
@@ -55,7 +55,7 @@
                 self.clock.now() + GRANT_TIMEOUT_SECONDS,
             )
             error = None if isinstance(result, Success) else result.failure()
-            self.ownership.post(CommandCompleted(message.service, command, error))
+            self.ownership_task.post(CommandCompleted(message.service, command, error))
         return None
 
     def close(self) -> None:
@@ -70,9 +70,9 @@
     codec: BaseServerCodec,
     service: str,
     command: ReleaseCommand,
-    ownership: BaseTask,
+    ownership_task: BaseTask,
 ) -> None:
-    """Sends a release from its own greenlet and posts the result to the ``ownership`` task.
+    """Sends a release from its own greenlet and posts the result to ``ownership_task``.
 
     The server answers a release only when its work on the keys has ended, so a release occupies
     neither the server's ``GrantTask`` nor its connection.
@@ -84,8 +84,8 @@
         result = command_client.release(command.keys, command.fence, deadline)
         command_client.close()
         if isinstance(result, Success):
-            ownership.post(CommandCompleted(service, command, None, result.unwrap()))
+            ownership_task.post(CommandCompleted(service, command, None, result.unwrap()))
         else:
-            ownership.post(CommandCompleted(service, command, result.failure()))
+            ownership_task.post(CommandCompleted(service, command, result.failure()))
 
     gevent.spawn(run)
--- a/packages/daemon/src/fireflylink_daemon/_member_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_member_task.py
@@ -23,13 +23,21 @@
     The store deletes the record when the daemon revokes the lease or no longer renews it.
     """
 
-    __slots__ = ("lease_id", "metrics", "next_call_at", "record", "store", "store_failing", "view")
+    __slots__ = (
+        "lease_id",
+        "metrics",
+        "next_call_at",
+        "record",
+        "store",
+        "store_failing",
+        "view_task",
+    )
 
     def __init__(
         self,
         record: MemberRecord,
         store: BaseStore,
-        view: BaseTask,
+        view_task: BaseTask,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
@@ -37,7 +45,7 @@
         self.record = record
         self.store = store
         self.metrics = metrics
-        self.view = view
+        self.view_task = view_task
         self.store_failing = False
         self.lease_id = 0
         self.next_call_at = 0.0
@@ -67,14 +75,14 @@
         return None
 
     def _report_store_status(self, failing: bool) -> None:
-        """Notifies the view when calls to the store begin to fail or succeed again.
+        """Notifies ``view_task`` when calls to the store begin to fail or succeed again.
 
         The reader of the store learns of an outage later: its watch call may wait for seconds
         before it fails.
         """
         if failing != self.store_failing:
             self.store_failing = failing
-            self.view.post(StoreCallStatus(failing))
+            self.view_task.post(StoreCallStatus(failing))
 
     def _leave(self) -> None:
         """Revokes the lease, which deletes the record.
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -50,13 +50,13 @@
     """Keeps the latest ownership table of each service.
 
     While this daemon is the decider (the elected leader), it also plans new tables and sends grants
-    and releases. The ``decider`` task writes the planned tables to the store, and one ``GrantTask``
+    and releases. ``decider_task`` writes the planned tables to the store, and one ``GrantTask``
     for each server sends the grants.
     """
 
     __slots__ = (
         "codec",
-        "decider",
+        "decider_task",
         "elected_at",
         "grant_tasks",
         "hold_seconds",
@@ -70,7 +70,7 @@
     def __init__(
         self,
         routing_state: RoutingState,
-        decider: DeciderTask,
+        decider_task: DeciderTask,
         peers: PeerSocket,
         clock: BaseClock,
         codec: BaseServerCodec,
@@ -78,7 +78,7 @@
         super().__init__("ownership", clock)
         self.routing_state = routing_state
         self.peers = peers
-        self.decider = decider
+        self.decider_task = decider_task
         self.codec = codec
         self.is_decider = False
         self.elected_at = 0.0
@@ -111,7 +111,7 @@
         elif isinstance(message, LoadReportReceived):
             self._record_report(message.report)
         elif isinstance(message, DeciderChanged):
-            self.decider.post(message)
+            self.decider_task.post(message)
         elif isinstance(message, DeciderElected):
             self._start_deciding(message.elected_at)
         elif isinstance(message, DeciderDemoted):
@@ -180,7 +180,7 @@
 
     def _process_service(self, name: str, service: KeyedService, now: float) -> None:
         """Sends the commands that are due and, at intervals, plans a new table."""
-        if service.grant_tracker is not None and self.decider.election.may_grant(now):
+        if service.grant_tracker is not None and self.decider_task.election.may_grant(now):
             for command in service.grant_tracker.due_commands(now, service.suspended_ranges()):
                 self._send_command(name, service.grant_tracker, command, now)
         if now >= service.next_plan_at:
@@ -207,7 +207,7 @@
             table = planned.replace(written_by_sole_decider=sole_decider)
             service.commit_sent_at = now
             service.unacknowledged_tables.append(table)
-            self.decider.post(CommitTable(table, service.revision))
+            self.decider_task.post(CommitTable(table, service.revision))
 
     def _log_plan(
         self, service: KeyedService, planned: OwnershipTable, candidates: list[Candidate]
@@ -232,7 +232,7 @@
         """Stops deciding, because this daemon does not know the grants of another decider."""
         log_problem("decider-superseded", reason=reason)
         self._stop_deciding()
-        self.decider.post(Superseded(reason))
+        self.decider_task.post(Superseded(reason))
 
     def _candidates(self, name: str, service: KeyedService, now: float) -> list[Candidate]:
         entries = self.routing_state.directory.eligible_servers(name)
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -95,7 +95,7 @@
     """Owns the socket for datagrams between daemons.
 
     It sends this daemon's load reports to the decider and its notices to all members, and posts
-    received ones to the ``ownership`` and ``view`` tasks. Datagrams may be lost: reports are sent
+    received ones to ``ownership_task`` and ``view_task``. Datagrams may be lost: reports are sent
     periodically, and a daemon that did not receive the notice of a grant sends requests to the new
     owner after a time-out.
     """
@@ -104,20 +104,20 @@
         "counter",
         "greenlets",
         "instance",
-        "ownership",
+        "ownership_task",
         "routing_state",
         "sock",
-        "view",
+        "view_task",
     )
 
     def __init__(
-        self, instance: str, host: str, port: int, counter: KeyCounter, view: ViewTask
+        self, instance: str, host: str, port: int, counter: KeyCounter, view_task: ViewTask
     ) -> None:
         self.instance = instance
         self.counter = counter
-        self.view = view
-        self.routing_state = view.routing_state
-        self.ownership: BaseTask | None = None
+        self.view_task = view_task
+        self.routing_state = view_task.routing_state
+        self.ownership_task: BaseTask | None = None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, port))
         self.greenlets: list[gevent.Greenlet] = []
@@ -146,14 +146,14 @@
                 continue
             message = decoded.unwrap()
             if isinstance(message, GrantNotice | CrashNotice):
-                self.view.post(message)
-            elif self.ownership is not None:
-                self.ownership.post(LoadReportReceived(message))
+                self.view_task.post(message)
+            elif self.ownership_task is not None:
+                self.ownership_task.post(LoadReportReceived(message))
 
     def _send_reports(self) -> None:
         while True:
             gevent.sleep(REPORT_INTERVAL_SECONDS)
-            decider = self.view.decider_record
+            decider = self.view_task.decider_record
             for report in self.counter.take_reports(self.instance):
                 if decider is not None:
                     self._send_datagram(encode_datagram(report), decider)
--- a/packages/daemon/src/fireflylink_daemon/_store_reader.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_reader.py
@@ -30,7 +30,7 @@
 
 
 class StoreReader:
-    """A greenlet that owns a store client and posts the decoded updates to the ``view`` task."""
+    """A greenlet that owns a store client and posts the decoded updates to ``view_task``."""
 
     __slots__ = (
         "clock",
@@ -41,20 +41,20 @@
         "revision",
         "store",
         "store_reachable",
-        "view",
+        "view_task",
     )
 
     def __init__(
         self,
         store: BaseStore,
         decoder: BaseItemDecoder,
-        view: BaseTask,
+        view_task: BaseTask,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
         self.store = store
         self.decoder = decoder
-        self.view = view
+        self.view_task = view_task
         self.clock = clock
         self.metrics = metrics
         self.revision = 0
@@ -112,13 +112,13 @@
         return None
 
     def _post_updates(self, updates: tuple[BaseUpdate, ...], is_snapshot: bool) -> None:
-        self.view.post(UpdatesRead(updates, self.revision, is_snapshot))
+        self.view_task.post(UpdatesRead(updates, self.revision, is_snapshot))
 
     def _mark_store_reachable(self) -> None:
         if self.store_reachable is not True:
             self.store_reachable = True
             log_event("store-reached", revision=self.revision)
-            self.view.post(StoreReachable())
+            self.view_task.post(StoreReachable())
 
     def _handle_error(self, error: StoreError) -> None:
         if isinstance(error, HistoryCompactedError):
@@ -126,10 +126,10 @@
             self.revision = 0
             # The missed changes may include registrations that expired and came back. As after an
             # outage, a server whose registration is missing gets a grace time.
-            self.view.post(StoreUnreachable(str(error)))
+            self.view_task.post(StoreUnreachable(str(error)))
             self.store_reachable = False
             return
         if self.store_reachable is not False:
             self.store_reachable = False
             log_problem("store-lost", problem=error, revision=self.revision)
-            self.view.post(StoreUnreachable(str(error)))
+            self.view_task.post(StoreUnreachable(str(error)))
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -47,18 +47,24 @@
 class ViewTask(BaseTask):
     """Applies updates from the store and notices from other daemons to ``RoutingState``.
 
-    It posts what concerns key ownership to the ``ownership`` task. ``decider_record`` is the member
+    It posts what concerns key ownership to ``ownership_task``. ``decider_record`` is the member
     record of the decider (the elected leader that assigns keys to servers), None when there is
     none.
     """
 
-    __slots__ = ("decider_record", "member", "next_refresh_at", "ownership", "routing_state")
+    __slots__ = (
+        "decider_record",
+        "member_task",
+        "next_refresh_at",
+        "ownership_task",
+        "routing_state",
+    )
 
     def __init__(self, routing_state: RoutingState, clock: BaseClock) -> None:
         super().__init__("view", clock)
         self.routing_state = routing_state
-        self.ownership: BaseTask | None = None
-        self.member: BaseTask | None = None
+        self.ownership_task: BaseTask | None = None
+        self.member_task: BaseTask | None = None
         self.decider_record: MemberRecord | None = None
         self.next_refresh_at = 0.0
 
@@ -160,17 +166,21 @@
                 members[name] = member
         if members != self.routing_state.members:
             self.routing_state.set_members(members)
-        if update.value is None and name == self.routing_state.settings.instance and self.member:
+        if (
+            update.value is None
+            and name == self.routing_state.settings.instance
+            and self.member_task
+        ):
             # The record may be deleted without any of the member task's calls failing.
-            self.member.post(MemberRecordMissing())
+            self.member_task.post(MemberRecordMissing())
 
     def _set_decider(self, member: MemberRecord | None, revision: int) -> None:
         self.decider_record = member
         self._notify_ownership(DeciderChanged(member, revision))
 
     def _notify_ownership(self, message: object) -> None:
-        if self.ownership is not None:
-            self.ownership.post(message)
+        if self.ownership_task is not None:
+            self.ownership_task.post(message)
 
 
 def _decoded(result: Result[Decoded, RecordError], update: RecordUpdate) -> Decoded | None:
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -48,21 +48,23 @@
         self.clock = clock
         self.store = MemoryStore(state)
         self.routing_state = RoutingState(settings, clock, PlatformServerCodec())
-        self.view = ViewTask(self.routing_state, clock)
+        self.view_task = ViewTask(self.routing_state, clock)
         self.record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
-        self.decider = DeciderTask(self.record, self.store, self.routing_state, clock, Metrics())
+        self.decider_task = DeciderTask(
+            self.record, self.store, self.routing_state, clock, Metrics()
+        )
         self.peers = RecordingPeers()
-        self.ownership = OwnershipTask(
-            self.routing_state, self.decider, self.peers, clock, PlatformServerCodec()
+        self.ownership_task = OwnershipTask(
+            self.routing_state, self.decider_task, self.peers, clock, PlatformServerCodec()
         )
-        self.decider.ownership = self.ownership
-        self.view.ownership = self.ownership
+        self.decider_task.ownership_task = self.ownership_task
+        self.view_task.ownership_task = self.ownership_task
         self.decoder = PlatformItemDecoder()
         self.last_revision = 0
 
     def deliver(self) -> None:
         """Lets the tasks handle their messages until every mailbox is empty."""
-        tasks = (self.view, self.decider, self.ownership)
+        tasks = (self.view_task, self.decider_task, self.ownership_task)
         while any(not task.mailbox.empty() for task in tasks):
             for task in tasks:
                 while not task.mailbox.empty():
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -110,7 +110,7 @@
         table = OwnershipTable("a", 1, (Assignment(KeyRange(0, 65535), INCARNATION, 1),))
         items.append(Item(ownership_key("a"), encode_table(table), 3))
         updates = tuple(update for item in items for update in bench.decoder.decode(item))
-        bench.view.receive(UpdatesRead(updates, 3, True))
+        bench.view_task.receive(UpdatesRead(updates, 3, True))
 
     def record_lost_connection(self, server, request) -> None:
         """Records a server whose connection ended, in place of ``CrashDetector``."""
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -48,7 +48,7 @@
     """Passes store items to the view task as the store reader does, and delivers all messages."""
     updates = tuple(update for item in items for update in bench.decoder.decode(item))
     bench.last_revision += 1
-    bench.view.receive(UpdatesRead(updates, bench.last_revision, is_snapshot))
+    bench.view_task.receive(UpdatesRead(updates, bench.last_revision, is_snapshot))
     bench.deliver()
 
 
@@ -58,9 +58,9 @@
 
 
 def elect(bench, clock) -> None:
-    bench.decider.receive(DeciderChanged(None, 0))
+    bench.decider_task.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
-    bench.decider.on_wake()
+    bench.decider_task.on_wake()
     bench.deliver()
 
 
@@ -68,12 +68,12 @@
     """Guards against two deciders after two daemons have run for election at the same time."""
     first, second = bench("front-0"), bench("front-1")
     for daemon in (first, second):
-        daemon.decider.receive(DeciderChanged(None, 0))
+        daemon.decider_task.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
     for daemon in (first, second):
-        daemon.decider.on_wake()
-    assert_that(first.decider.election.is_decider, Is(True))
-    assert_that(second.decider.election.is_decider, Is(False))
+        daemon.decider_task.on_wake()
+    assert_that(first.decider_task.election.is_decider, Is(True))
+    assert_that(second.decider_task.election.is_decider, Is(False))
 
 
 def test_a_daemon_reads_from_the_store_that_it_was_elected(bench, clock, state):
@@ -84,11 +84,11 @@
     candidate = bench()
     candidate.store.drops_replies = True
     elect(candidate, clock)
-    assert_that(candidate.decider.election.is_decider, Is(False))
+    assert_that(candidate.decider_task.election.is_decider, Is(False))
     candidate.store.drops_replies = False
     item = state.read(DECIDER_KEY)
-    candidate.decider.receive(DeciderChanged(candidate.record, item.revision))
-    assert_that(candidate.decider.election.is_decider, Is(True))
+    candidate.decider_task.receive(DeciderChanged(candidate.record, item.revision))
+    assert_that(candidate.decider_task.election.is_decider, Is(True))
 
 
 def test_a_new_decider_advances_the_fences_of_the_tables(bench, clock, state):
@@ -100,9 +100,9 @@
     successor = with_configuration(bench())
     apply_items(successor, server_item("i-1", 2))
     elect(successor, clock)
-    successor.ownership.on_wake()
+    successor.ownership_task.on_wake()
     successor.deliver()
-    service = successor.ownership.services["a"]
+    service = successor.ownership_task.services["a"]
     assert_that(service.table.fence, GreaterThan(TABLE.fence))
     assert_that(
         {assignment.fence for assignment in service.table.assignments},
@@ -120,24 +120,24 @@
     former = with_configuration(bench())
     apply_items(former, server_item("i-1", 2))
     elect(former, clock)
-    former.ownership.on_wake()
+    former.ownership_task.on_wake()
     former.deliver()
     moved = Assignment(
         KeyRange(0, 65535), ServerIncarnation("i-2", 1), 9, (ServerIncarnation("i-1", 1),)
     )
     foreign = OwnershipTable("a", 9, (moved,))
     apply_items(former, Item(ownership_key("a"), encode_table(foreign), 900))
-    assert_that(former.ownership.is_decider, Is(False))
-    assert_that(former.decider.election.is_decider, Is(False))
+    assert_that(former.ownership_task.is_decider, Is(False))
+    assert_that(former.decider_task.election.is_decider, Is(False))
 
 
 def test_a_decider_steps_down_when_its_record_is_deleted(bench, clock):
     """Guards against a decider that continues after its lease has been revoked."""
     daemon = with_configuration(bench())
     elect(daemon, clock)
-    daemon.decider.receive(DeciderChanged(None, 10_000))
+    daemon.decider_task.receive(DeciderChanged(None, 10_000))
     daemon.deliver()
-    assert_that(daemon.ownership.is_decider, Is(False))
+    assert_that(daemon.ownership_task.is_decider, Is(False))
 
 
 def test_a_decider_stops_granting_after_the_grace_time_without_the_store(bench, clock):
@@ -146,10 +146,10 @@
     elect(daemon, clock)
     daemon.store.reachable = False
     clock.advance(OUTAGE_GRACE_SECONDS - 1.0)
-    daemon.decider.on_wake()
-    assert_that(daemon.decider.election.may_grant(clock.now()), Is(True))
+    daemon.decider_task.on_wake()
+    assert_that(daemon.decider_task.election.may_grant(clock.now()), Is(True))
     clock.advance(2.0)
-    assert_that(daemon.decider.election.may_grant(clock.now()), Is(False))
+    assert_that(daemon.decider_task.election.may_grant(clock.now()), Is(False))
 
 
 def test_a_snapshot_removes_what_it_does_not_contain(bench, clock):
@@ -177,15 +177,15 @@
     """
     daemon = with_configuration(bench())
     apply_items(daemon, server_item("i-1", 2), server_item("i-2", 3))
-    daemon.view.receive(StoreUnreachable("down"))
+    daemon.view_task.receive(StoreUnreachable("down"))
     clock.advance(8.0)
-    daemon.view.receive(StoreReachable())
+    daemon.view_task.receive(StoreReachable())
     apply_items(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
     pool = daemon.routing_state.dispatcher.pools["a"]
     assert_that(len(pool.trackers), Equals(2))
     apply_items(daemon, server_item("i-1", 9))
     clock.advance(2.1)
-    daemon.view.on_wake()
+    daemon.view_task.on_wake()
     assert_that([incarnation.server_id for incarnation in pool.trackers], Equals(["i-1"]))
 
 
@@ -241,10 +241,10 @@
     """Guards against a fleet without a decider when the store refuses short leases."""
     daemon = bench()
     daemon.routing_state.settings = daemon.routing_state.settings.replace(minimum_lease_seconds=4.0)
-    decider = type(daemon.decider)(
-        daemon.record, daemon.store, daemon.routing_state, clock, daemon.decider.metrics
+    decider_task = type(daemon.decider_task)(
+        daemon.record, daemon.store, daemon.routing_state, clock, daemon.decider_task.metrics
     )
-    decider.receive(DeciderChanged(None, 0))
+    decider_task.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
-    decider.on_wake()
+    decider_task.on_wake()
     assert_that([seconds for seconds, _ in state.leases.values()], Equals([4.0]))
