--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -44,9 +44,9 @@
     They run without greenlets: a test calls ``receive``, ``wake`` and ``deliver`` itself.
     """
 
-    def __init__(self, settings, clock: ManualClock, state: StoreState, name: str) -> None:
+    def __init__(self, settings, clock: ManualClock, store_state: StoreState, name: str) -> None:
         self.clock = clock
-        self.store = MemoryStore(state)
+        self.store = MemoryStore(store_state)
         self.routing_state = RoutingState(settings, clock, PlatformServerCodec())
         self.view_task = ViewTask(self.routing_state, clock)
         self.record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
@@ -87,15 +87,15 @@
 
 
 @pytest.fixture
-def state(clock) -> StoreState:
+def store_state(clock) -> StoreState:
     return StoreState(clock)
 
 
 @pytest.fixture
-def bench(clock, state, settings_file):
+def make_daemon(clock, store_state, settings_file):
     settings = read_settings(settings_file()).unwrap()
 
     def make(name: str = "front-0") -> TaskBench:
-        return TaskBench(settings, clock, state, name)
+        return TaskBench(settings, clock, store_state, name)
 
     return make
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_path.py
@@ -85,12 +85,12 @@
 class RequestHandlerBench:
     """A request handler with scripted servers. It also stands in for the ``CrashDetector``."""
 
-    def __init__(self, bench, clock, monkeypatch) -> None:
+    def __init__(self, task_bench, clock, monkeypatch) -> None:
         self.clock = clock
         self.monkeypatch = monkeypatch
-        self.task_bench = bench
+        self.task_bench = task_bench
         self.key_counter = KeyCounter()
-        routing_state = bench.routing_state
+        routing_state = task_bench.routing_state
         dispatch_task = DispatchTask(routing_state.dispatcher, clock)
         self.request_handler = RequestHandler(
             routing_state, dispatch_task, self.key_counter, self, clock, Metrics()
@@ -109,8 +109,8 @@
             items.append(Item(f"servers/{name}", json.dumps(entry).encode(), 2))
         table = OwnershipTable("a", 1, (Assignment(KeyRange(0, 65535), INCARNATION, 1),))
         items.append(Item(ownership_key("a"), encode_table(table), 3))
-        updates = tuple(update for item in items for update in bench.decoder.decode(item))
-        bench.view_task.receive(UpdatesRead(updates, 3, True))
+        updates = tuple(update for item in items for update in task_bench.decoder.decode(item))
+        task_bench.view_task.receive(UpdatesRead(updates, 3, True))
 
     def record_lost_connection(self, server, request) -> None:
         """Records a server whose connection ended, in place of ``CrashDetector``."""
@@ -129,8 +129,8 @@
 
 
 @pytest.fixture
-def handler_bench(bench, clock, monkeypatch):
-    return RequestHandlerBench(bench(), clock, monkeypatch)
+def handler_bench(make_daemon, clock, monkeypatch):
+    return RequestHandlerBench(make_daemon(), clock, monkeypatch)
 
 
 def test_a_non_idempotent_request_is_not_retried_after_a_lost_answer(handler_bench):
@@ -177,7 +177,7 @@
 
 
 def test_an_unknown_path_is_refused_with_404_and_a_missing_configuration_with_503(
-    handler_bench, bench
+    handler_bench, make_daemon
 ):
     """Guards against a 404 for a valid path from a daemon that has no configuration yet."""
     assert_that(
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -44,29 +44,29 @@
     return Item(f"servers/{name}", json.dumps(value).encode(), revision)
 
 
-def apply_items(bench, *items: Item, is_snapshot: bool = False) -> None:
+def apply_items(daemon, *items: Item, is_snapshot: bool = False) -> None:
     """Passes store items to the view task as the store reader does, and delivers all messages."""
-    updates = tuple(update for item in items for update in bench.decoder.decode(item))
-    bench.last_revision += 1
-    bench.view_task.receive(UpdatesRead(updates, bench.last_revision, is_snapshot))
-    bench.deliver()
+    updates = tuple(update for item in items for update in daemon.decoder.decode(item))
+    daemon.last_revision += 1
+    daemon.view_task.receive(UpdatesRead(updates, daemon.last_revision, is_snapshot))
+    daemon.deliver()
 
 
-def with_configuration(bench):
-    apply_items(bench, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
-    return bench
+def with_configuration(daemon):
+    apply_items(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
+    return daemon
 
 
-def elect(bench, clock) -> None:
-    bench.decider_task.receive(DeciderChanged(None, 0))
+def elect(daemon, clock) -> None:
+    daemon.decider_task.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
-    bench.decider_task.on_wake()
-    bench.deliver()
+    daemon.decider_task.on_wake()
+    daemon.deliver()
 
 
-def test_one_daemon_of_several_becomes_the_decider(bench, clock):
+def test_one_daemon_of_several_becomes_the_decider(make_daemon, clock):
     """Guards against two deciders after two daemons have run for election at the same time."""
-    first, second = bench("front-0"), bench("front-1")
+    first, second = make_daemon("front-0"), make_daemon("front-1")
     for daemon in (first, second):
         daemon.decider_task.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
@@ -76,28 +76,28 @@
     assert_that(second.decider_task.election.is_decider, Is(False))
 
 
-def test_a_daemon_reads_from_the_store_that_it_was_elected(bench, clock, state):
+def test_a_daemon_reads_from_the_store_that_it_was_elected(make_daemon, clock, store_state):
     """Guards against a fleet without a decider.
 
     The write of the decider record took effect, but the daemon did not receive the answer.
     """
-    candidate = bench()
+    candidate = make_daemon()
     candidate.store.drops_replies = True
     elect(candidate, clock)
     assert_that(candidate.decider_task.election.is_decider, Is(False))
     candidate.store.drops_replies = False
-    item = state.read(DECIDER_KEY)
+    item = store_state.read(DECIDER_KEY)
     candidate.decider_task.receive(DeciderChanged(candidate.record, item.revision))
     assert_that(candidate.decider_task.election.is_decider, Is(True))
 
 
-def test_a_new_decider_advances_the_fences_of_the_tables(bench, clock, state):
+def test_a_new_decider_advances_the_fences_of_the_tables(make_daemon, clock, store_state):
     """Guards against two owners of a key.
 
     With the old fences, servers would still accept renewals that a former decider sends.
     """
-    state.commit(Commit((), (Put(ownership_key("a"), encode_table(TABLE)),)))
-    successor = with_configuration(bench())
+    store_state.commit(Commit((), (Put(ownership_key("a"), encode_table(TABLE)),)))
+    successor = with_configuration(make_daemon())
     apply_items(successor, server_item("i-1", 2))
     elect(successor, clock)
     successor.ownership_task.on_wake()
@@ -110,14 +110,16 @@
     )
 
 
-def test_a_decider_steps_down_when_it_reads_a_table_of_another_decider(bench, clock, state):
+def test_a_decider_steps_down_when_it_reads_a_table_of_another_decider(
+    make_daemon, clock, store_state
+):
     """Guards against two owners of a key.
 
     A decider that had been partitioned from the store read its successor's table and granted a key
     to its new owner while the former owner still held it.
     """
-    state.commit(Commit((), (Put(ownership_key("a"), encode_table(TABLE)),)))
-    former = with_configuration(bench())
+    store_state.commit(Commit((), (Put(ownership_key("a"), encode_table(TABLE)),)))
+    former = with_configuration(make_daemon())
     apply_items(former, server_item("i-1", 2))
     elect(former, clock)
     former.ownership_task.on_wake()
@@ -131,18 +133,18 @@
     assert_that(former.decider_task.election.is_decider, Is(False))
 
 
-def test_a_decider_steps_down_when_its_record_is_deleted(bench, clock):
+def test_a_decider_steps_down_when_its_record_is_deleted(make_daemon, clock):
     """Guards against a decider that continues after its lease has been revoked."""
-    daemon = with_configuration(bench())
+    daemon = with_configuration(make_daemon())
     elect(daemon, clock)
     daemon.decider_task.receive(DeciderChanged(None, 10_000))
     daemon.deliver()
     assert_that(daemon.ownership_task.is_decider, Is(False))
 
 
-def test_a_decider_stops_granting_after_the_grace_time_without_the_store(bench, clock):
+def test_a_decider_stops_granting_after_the_grace_time_without_the_store(make_daemon, clock):
     """Guards against a decider that is partitioned from the store and never stops granting."""
-    daemon = with_configuration(bench())
+    daemon = with_configuration(make_daemon())
     elect(daemon, clock)
     daemon.store.reachable = False
     clock.advance(OUTAGE_GRACE_SECONDS - 1.0)
@@ -152,12 +154,12 @@
     assert_that(daemon.decider_task.election.may_grant(clock.now()), Is(False))
 
 
-def test_a_snapshot_removes_what_it_does_not_contain(bench, clock):
+def test_a_snapshot_removes_what_it_does_not_contain(make_daemon, clock):
     """Guards against servers and evacuations that remain after their items were deleted.
 
     A daemon that missed the deletions, because the store had compacted them, reads a snapshot.
     """
-    daemon = with_configuration(bench())
+    daemon = with_configuration(make_daemon())
     apply_items(daemon, server_item("i-1", 2), Item("op/evacuate/kingston", b"{}", 3))
     assert_that(daemon.routing_state.directory.evacuated.keys(), Equals({"kingston"}))
     apply_items(
@@ -170,12 +172,14 @@
     assert_that(daemon.routing_state.directory.evacuated, Equals({}))
 
 
-def test_registrations_that_expired_in_an_outage_are_used_until_the_grace_time_ends(bench, clock):
+def test_registrations_that_expired_in_an_outage_are_used_until_the_grace_time_ends(
+    make_daemon, clock
+):
     """Guards against a daemon without servers after an outage of the store.
 
     The registrations expired during the outage, and the servers need some time to register again.
     """
-    daemon = with_configuration(bench())
+    daemon = with_configuration(make_daemon())
     apply_items(daemon, server_item("i-1", 2), server_item("i-2", 3))
     daemon.view_task.receive(StoreUnreachable("down"))
     clock.advance(8.0)
@@ -189,26 +193,26 @@
     assert_that([incarnation.server_id for incarnation in pool.trackers], Equals(["i-1"]))
 
 
-def test_an_older_configuration_never_replaces_a_newer_one(bench):
+def test_an_older_configuration_never_replaces_a_newer_one(make_daemon):
     """Guards against a daemon that returns to an older configuration version."""
-    daemon = with_configuration(bench())
+    daemon = with_configuration(make_daemon())
     older = {**CONFIGURATION, "version": "r6", "services": []}
     apply_items(daemon, Item("op/config", json.dumps(older).encode(), 9))
     assert_that(daemon.routing_state.routes.version, Equals(7))
 
 
-def test_an_item_that_cannot_be_decoded_changes_nothing(bench):
+def test_an_item_that_cannot_be_decoded_changes_nothing(make_daemon):
     """Guards against a malformed value that removes the routes or adds a server."""
-    daemon = with_configuration(bench())
+    daemon = with_configuration(make_daemon())
     apply_items(daemon, Item("op/config", b"{}", 9), Item("servers/i-9", b"x", 10))
     assert_that(daemon.routing_state.routes.version, Equals(7))
     assert_that(daemon.routing_state.directory.entries, Equals({}))
 
 
-def test_servers_are_cold_after_an_evacuation_has_ended(bench, clock):
+def test_servers_are_cold_after_an_evacuation_has_ended(make_daemon, clock):
     """Guards against overloading servers that need to warm up after an evacuation."""
     service = {"name": "a", "max-conns": 110, "warmup-s": 3.0, "warmup-per-s": 7.3}
-    daemon = bench()
+    daemon = make_daemon()
     value = {**CONFIGURATION, "services": [service]}
     apply_items(daemon, Item("op/config", json.dumps(value).encode(), 1), server_item("i-1", 2))
     [tracker] = daemon.routing_state.trackers.values()
@@ -218,13 +222,13 @@
     assert_that(tracker.cold_limiter.is_cold(clock.now()), Is(True))
 
 
-def test_a_daemon_whose_record_expired_has_no_share_of_cold_servers(bench):
+def test_a_daemon_whose_record_expired_has_no_share_of_cold_servers(make_daemon):
     """Guards against exceeding the rate limit of cold servers.
 
     After an outage of the store, a daemon used its share of the limit although the other daemons
     had divided that share among themselves.
     """
-    daemon = with_configuration(bench())
+    daemon = with_configuration(make_daemon())
     names = [f"front-{number}" for number in range(4)]
     for name in names:
         record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
@@ -237,9 +241,11 @@
     assert_that(daemon.routing_state.position.share(14.0, "i-1"), Equals(0))
 
 
-def test_a_lease_is_not_shorter_than_the_minimum_of_the_store(bench, clock, state, settings_file):
+def test_a_lease_is_not_shorter_than_the_minimum_of_the_store(
+    make_daemon, clock, store_state, settings_file
+):
     """Guards against a fleet without a decider when the store refuses short leases."""
-    daemon = bench()
+    daemon = make_daemon()
     daemon.routing_state.settings = daemon.routing_state.settings.replace(minimum_lease_seconds=4.0)
     decider_task = type(daemon.decider_task)(
         daemon.record, daemon.store, daemon.routing_state, clock, daemon.decider_task.metrics
@@ -247,4 +253,4 @@
     decider_task.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
     decider_task.on_wake()
-    assert_that([seconds for seconds, _ in state.leases.values()], Equals([4.0]))
+    assert_that([seconds for seconds, _ in store_state.leases.values()], Equals([4.0]))
