--- a/packages/daemon/src/fireflylink_daemon/_crash_detector.py
+++ b/packages/daemon/src/fireflylink_daemon/_crash_detector.py
@@ -10,11 +10,15 @@
 from fireflylink_protocol import CrashNotice
 
 CHECK_DELAY_SECONDS = 0.1
+"""The time from the first connection that a server closed until the check, which then covers all
+connections that the server closed meanwhile."""
+
 CONNECT_TIMEOUT_SECONDS = 0.3
+"""A server that accepts no connection within this time counts as crashed."""
 
 
 class CrashDetector:
-    """Checks whether a server still accepts connections after it closed some without an answer.
+    """Checks whether a server still accepts connections after it closed one without an answer.
 
     Overloaded servers also close connections, so a closed connection alone does not show that a
     request crashed the server. If the check cannot connect to the server, the server counts as
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -32,18 +32,22 @@
 )
 from fireflylink_protocol import MemberRecord
 
-BALANCER_NOTICE_SECONDS = 2.5
-"""Within this time the load balancer checks the readiness twice, and then sends no new connections
-to a daemon that is not ready."""
+NOT_READY_PERIOD_SECONDS = 2.5
+"""How long a daemon that shuts down answers readiness checks with not ready, but still accepts
+connections. The load balancer checks twice within this time, and then sends no new connections."""
 
 SHUTDOWN_MARGIN_SECONDS = 0.4
 """Part of the ``leave_seconds`` setting that is reserved for the end of the process."""
 
 IDLE_CLOSE_DELAY_SECONDS = 0.5
-"""Time between the end of accepting connections and the closing of idle ones."""
+"""How long a caller that is already connected can still send a request after the daemon has stopped
+accepting connections. Then new requests are refused and idle connections closed."""
 
 MEMBER_REMOVAL_DELAY_SECONDS = 4.0
-"""While this daemon still sends requests, the other members must count its shares of the limits."""
+"""Time from the start of the shutdown until this daemon's member record is deleted.
+
+While the daemon still sends requests, the other members must count its shares of the limits. The
+delay is less than ``leave_seconds`` (6 s), within which the process ends."""
 
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
 
@@ -182,10 +186,12 @@
         return not self.shutting_down and self.routing_state.routes is not None
 
     def shut_down(self) -> None:
-        """Drains and stops the daemon within the ``leave_seconds`` setting.
+        """Shuts the daemon down within the ``leave_seconds`` setting, in stages.
 
-        New requests are accepted until the load balancer has had time to notice. Those in progress
-        may complete until the end of ``leave_seconds``.
+        1. Draining: the daemon is not ready, but handles new connections and requests.
+        2. No new connections: requests on open connections are still handled.
+        3. Closed: new requests are refused, and those in progress may complete.
+        4. Stopped: the process ends.
         """
         if self.shutting_down:
             return
@@ -195,10 +201,10 @@
         log_event(
             "leaving", instance=self.settings.instance, active=self.caller_listener.active_requests
         )
-        self.caller_listener.begin_drain(BALANCER_NOTICE_SECONDS)
+        self.caller_listener.begin_drain(NOT_READY_PERIOD_SECONDS)
         self.decider_task.post(Leave())
         gevent.spawn_later(MEMBER_REMOVAL_DELAY_SECONDS, self.member_task.post, Leave())
-        gevent.sleep(BALANCER_NOTICE_SECONDS)
+        gevent.sleep(NOT_READY_PERIOD_SECONDS)
         self.caller_listener.stop_accepting()
         gevent.sleep(IDLE_CLOSE_DELAY_SECONDS)
         # A new request might not complete in time. It is refused at once, so that its caller can
@@ -213,7 +219,10 @@
     def reload(self) -> None:
         """Reads the settings file again.
 
-        The addresses and ports of this daemon's own sockets change only at the next start.
+        The address of the store, ``leave_seconds`` and the limits for draining and cold servers
+        apply from now on, those for retries only to services without a retry budget so far. This
+        daemon's member record, the addresses and ports of its sockets, ``hold_max_ms`` and
+        ``minimum_lease_ms`` change only at the next start.
         """
         self.settings_file_stamp = _file_stamp(self.settings_path)
         result = read_settings(self.settings_path)
@@ -245,7 +254,7 @@
         register = self.metrics.register_gauge
         register("requests_active", lambda: self.caller_listener.active_requests)
         register("requests_waiting", lambda: routing_state.dispatcher.queued_count)
-        register("members", lambda: len(routing_state.position.members))
+        register("members", lambda: len(routing_state.fleet_position.members))
         register("decider", lambda: float(self.decider_task.election.is_decider))
         register("store_reached", lambda: float(routing_state.directory.store_reachable))
         register("servers", lambda: len(routing_state.directory.entries))
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -12,8 +12,8 @@
     DeciderDemoted,
     DeciderElected,
     Leave,
-    TableChanged,
     TableNotWritten,
+    TableStored,
 )
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._routing_state import RoutingState
@@ -39,10 +39,16 @@
     StoreUnavailableError,
 )
 
-LEASE_TTL_SECONDS = 1.2
-RENEWAL_INTERVAL_SECONDS = 0.4
+DECIDER_LEASE_TTL_SECONDS = 1.2
+"""When the decider is lost, its record remains until this lease has ended; then the next daemon by
+rank is elected. Holds of 3.0 s that are renewed each 1.0 s outlast the election, so that keys stay
+served."""
+
+DECIDER_RENEWAL_INTERVAL_SECONDS = 0.4
 CALL_TIMEOUT_SECONDS = 0.8
 CHECK_INTERVAL_SECONDS = 0.1
+"""How often a daemon that is not the decider checks whether to stand for election."""
+
 CANDIDACY_RETRY_DELAY_SECONDS = 0.4
 
 
@@ -66,7 +72,7 @@
 
 
 class DeciderTask(BaseTask):
-    """Runs for decider, renews the decider's lease and writes ownership tables to the store.
+    """Stands for election, renews the decider's lease and writes ownership tables to the store.
 
     It notifies ``ownership_task`` when this daemon is elected or demoted, when the store has
     accepted a table, and when a table was certainly not written.
@@ -106,7 +112,7 @@
         self.leaving = False
         self.lease_id = 0
         self.lease_ttl_seconds = max(
-            LEASE_TTL_SECONDS, routing_state.settings.minimum_lease_seconds
+            DECIDER_LEASE_TTL_SECONDS, routing_state.settings.minimum_lease_seconds
         )
         self.next_renewal_at = 0.0
         self.next_candidacy_at = 0.0
@@ -122,13 +128,13 @@
             if now >= self.next_renewal_at:
                 self._renew_lease(now)
                 if self.leaving:
-                    self._leave()
+                    self._step_down_if_lease_revoked()
             return
         if self.leaving:
             return
-        candidate_at = self.election.candidacy_at(self.routing_state.position.rank)
+        candidate_at = self.election.candidacy_at(self.routing_state.fleet_position.rank)
         if candidate_at is not None and now >= max(candidate_at, self.next_candidacy_at):
-            self._run_for_decider()
+            self._stand_for_election()
 
     def receive(self, message: object) -> object:
         if isinstance(message, DeciderChanged):
@@ -137,14 +143,14 @@
             self._write_table(message)
         elif isinstance(message, Leave):
             self.leaving = True
-            self._leave()
+            self._step_down_if_lease_revoked()
         elif isinstance(message, Superseded) and self.election.is_decider:
-            self._resign(message.reason)
+            self._revoke_lease_and_step_down(message.reason)
         if self.election.is_decider and self.clock.now() >= self.next_renewal_at:
             self._renew_lease(self.clock.now())
         return None
 
-    def _leave(self) -> None:
+    def _step_down_if_lease_revoked(self) -> None:
         """Revokes the decider's lease, so that another daemon takes over.
 
         If the call fails, this daemon remains the decider and tries again after later renewals of
@@ -155,15 +161,15 @@
             return
         revoked = self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_TIMEOUT_SECONDS)
         if isinstance(revoked, Success):
-            self._step_down("leaving")
+            self._on_demoted("leaving")
         else:
             log_problem("decider-stays", problem=revoked.failure())
 
-    def _resign(self, reason: str) -> None:
+    def _revoke_lease_and_step_down(self, reason: str) -> None:
         """Steps down and revokes the decider's lease, so that another daemon takes over at once."""
         if self.lease_id:
             self.store.revoke_lease(self.lease_id, self.clock.now() + CALL_TIMEOUT_SECONDS)
-        self._step_down(reason)
+        self._on_demoted(reason)
 
     def _on_decider_record(self, message: DeciderChanged) -> None:
         was_decider = self.election.is_decider
@@ -176,9 +182,9 @@
             return
         self.election.on_decider_record(message.revision, member is not None, now)
         if was_decider and not self.election.is_decider:
-            self._step_down("replaced")
+            self._on_demoted("replaced")
 
-    def _run_for_decider(self) -> None:
+    def _stand_for_election(self) -> None:
         """Tries to become the decider by writing the decider record, which must not exist."""
         self.next_candidacy_at = self.clock.now() + CANDIDACY_RETRY_DELAY_SECONDS
         error = self._create_lease()
@@ -208,10 +214,10 @@
         error = self._read_tables()
         if error is not None:
             log_problem("decider-tables-not-read", problem=error)
-            self._resign("reading the ownership tables failed")
+            self._revoke_lease_and_step_down("reading the ownership tables failed")
             return
         self.election.on_elected(revision, elected_at)
-        self.next_renewal_at = elected_at + RENEWAL_INTERVAL_SECONDS
+        self.next_renewal_at = elected_at + DECIDER_RENEWAL_INTERVAL_SECONDS
         log_event("decider-won", instance=self.record.instance, revision=revision)
         self._notify_ownership(DeciderElected(elected_at))
 
@@ -227,26 +233,27 @@
         for item in read.unwrap().items:
             table = decode_table(item.value)
             if isinstance(table, Success):
-                self._notify_ownership(TableChanged(table.unwrap(), item.revision))
+                self._notify_ownership(TableStored(table.unwrap(), item.revision))
             else:
                 log_problem("record-unreadable", key=item.key, problem=table.failure())
         return None
 
-    def _step_down(self, reason: str) -> None:
+    def _on_demoted(self, reason: str) -> None:
+        """Records that this daemon is not the decider; forgets the lease without revoking it."""
         self.election.on_demoted()
         self.lease_id = 0
         log_event("decider-lost", instance=self.record.instance, reason=reason)
         self._notify_ownership(DeciderDemoted())
 
     def _renew_lease(self, sent_at: float) -> None:
-        self.next_renewal_at = sent_at + RENEWAL_INTERVAL_SECONDS
+        self.next_renewal_at = sent_at + DECIDER_RENEWAL_INTERVAL_SECONDS
         renewed = self.store.renew_lease(self.lease_id, sent_at + CALL_TIMEOUT_SECONDS)
         result = type(renewed).__name__
         self.metrics.count("store_calls", kind="decider-renewal", result=result)
         if isinstance(renewed, Success):
             self.election.on_confirmed(sent_at)
         elif isinstance(renewed.failure(), LeaseNotFoundError):
-            self._step_down("lease-ended")
+            self._on_demoted("lease-ended")
             self.election.vacant_since = self.clock.now()
 
     def _write_table(self, message: CommitTable) -> None:
@@ -271,7 +278,7 @@
                 revision=written.unwrap(),
             )
             is_first = message.revision == ABSENT_REVISION
-            self._notify_ownership(TableChanged(table, written.unwrap(), is_first))
+            self._notify_ownership(TableStored(table, written.unwrap(), is_first))
             self.routing_state.set_table(table)
             return
         error = written.failure()
--- a/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_dispatch_task.py
@@ -25,7 +25,8 @@
 class DispatchTask:
     """Wakes the greenlets of queued requests with their dispatch results.
 
-    A greenlet that sweeps the queues at intervals runs only while requests are queued.
+    The greenlets of the requests call it directly: unlike a ``BaseTask`` it has no mailbox. A
+    greenlet that sweeps the queues at intervals runs only while requests are queued.
     """
 
     __slots__ = ("clock", "dispatcher", "sweeper_running", "waiters")
@@ -58,9 +59,9 @@
         return waiter.result
 
     def sweep(self) -> None:
-        """Dispatches or refuses queued requests, and wakes the greenlets of those that ended.
+        """Dispatches or refuses the queued requests that are due, and wakes their greenlets.
 
-        To be called also when a request has ended at a server, which may now accept another one.
+        To be called also when a server has completed a request, because it may then accept another.
         """
         if not self.waiters:
             return
--- a/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
+++ b/packages/daemon/src/fireflylink_daemon/_grant_tasks.py
@@ -14,7 +14,8 @@
     ReleaseCommand,
 )
 
-IDLE_WAKE_SECONDS = 3600.0
+IDLE_WAKE_INTERVAL_SECONDS = 3600.0
+"""A ``GrantTask`` without messages wakes at this interval and does nothing."""
 
 
 class GrantTask(BaseTask):
@@ -39,7 +40,7 @@
         self.hold_seconds = hold_seconds
 
     def next_wake_at(self) -> float:
-        return self.clock.now() + IDLE_WAKE_SECONDS
+        return self.clock.now() + IDLE_WAKE_INTERVAL_SECONDS
 
     def on_wake(self) -> None:
         """Does nothing: this task only reacts to commands."""
--- a/packages/daemon/src/fireflylink_daemon/_log.py
+++ b/packages/daemon/src/fireflylink_daemon/_log.py
@@ -12,6 +12,8 @@
 CHARACTERS_TO_QUOTE = frozenset(' "=\n\r\t')
 STANDARD_OUTPUT = 1
 MAX_BUFFERED_LINES = 2000
+"""Bounds the memory for lines that the pipe does not accept; further lines are dropped."""
+
 WRITE_RETRY_SECONDS = 0.05
 
 
--- a/packages/daemon/src/fireflylink_daemon/_main.py
+++ b/packages/daemon/src/fireflylink_daemon/_main.py
@@ -27,7 +27,7 @@
 SETTINGS = flags.DEFINE_string(
     "settings",
     None,
-    f"Path of the settings file (JSON); by default, the value of the variable {SETTINGS_VARIABLE}.",
+    f"Path of the settings file (JSON); default: environment variable {SETTINGS_VARIABLE}.",
 )
 CHECK = flags.DEFINE_bool("check", False, "Check the settings and exit without starting.")
 
@@ -40,7 +40,10 @@
     loop = gevent.get_hub().loop
     if type(loop).__module__.startswith("gevent.libev") and loop.backend == REQUIRED_LOOP_BACKEND:
         return ""
-    return f"the event loop must be libev with {REQUIRED_LOOP_BACKEND}, not {type(loop).__module__}"
+    return (
+        f"the event loop must be libev with {REQUIRED_LOOP_BACKEND}; "
+        f"its module is {type(loop).__module__}"
+    )
 
 
 def _run() -> int:
--- a/packages/daemon/src/fireflylink_daemon/_member_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_member_task.py
@@ -10,8 +10,10 @@
 from fireflylink_protocol import MemberRecord, encode_member, member_key
 from fireflylink_store import BaseStore, Commit, LeaseNotFoundError, Put, StoreError
 
-LEASE_TTL_SECONDS = 6.0
-RENEWAL_INTERVAL_SECONDS = 1.0
+MEMBER_LEASE_TTL_SECONDS = 6.0
+"""How long the record of a daemon remains that has ended without leaving."""
+
+MEMBER_RENEWAL_INTERVAL_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 1.0
 RETRY_DELAY_SECONDS = 0.5
 NEVER = float("inf")
@@ -58,7 +60,7 @@
         self.metrics.count("store_calls", kind="member", result="Failure" if error else "Success")
         self._report_store_status(error is not None)
         if error is None:
-            self.next_call_at = self.clock.now() + RENEWAL_INTERVAL_SECONDS
+            self.next_call_at = self.clock.now() + MEMBER_RENEWAL_INTERVAL_SECONDS
             return
         if isinstance(error, LeaseNotFoundError):
             log_problem("member-lease-ended", instance=self.record.instance)
@@ -97,7 +99,7 @@
 
     def _join_fleet(self) -> StoreError | None:
         created = self.store.create_lease(
-            LEASE_TTL_SECONDS, self.clock.now() + CALL_TIMEOUT_SECONDS
+            MEMBER_LEASE_TTL_SECONDS, self.clock.now() + CALL_TIMEOUT_SECONDS
         )
         if not isinstance(created, Success):
             return created.failure()
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -28,7 +28,7 @@
     __slots__ = ()
 
 
-class StoreUnreachable:
+class StoreReadFailed:
     """Reading from the store failed, or the store no longer has the changes to read next."""
 
     __slots__ = ("problem",)
@@ -38,9 +38,10 @@
 
 
 class StoreCallStatus:
-    """The result of the member task's calls to the store has changed.
+    """The member task's calls to the store have begun to fail, or to succeed again.
 
-    ``failing`` is true when its last call failed.
+    ``failing`` is true when its last call failed. This is known earlier than ``StoreReadFailed``,
+    because a watch call may wait for seconds before it fails.
     """
 
     __slots__ = ("failing",)
@@ -55,15 +56,16 @@
     __slots__ = ()
 
 
-class StoreReachable:
+class StoreReadSucceeded:
     """Reading from the store succeeded, for the first time or again after a failure."""
 
     __slots__ = ()
 
 
-class TableChanged:
-    """The store holds an ownership table. ``revision`` is that of its record.
+class TableStored:
+    """An ownership table was read from the store, possibly unchanged, or was written to it.
 
+    ``revision`` is that of its record.
     ``is_first`` is true when this daemon wrote the table and the service had none before.
     """
 
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -18,8 +18,8 @@
     GrantDue,
     LoadReportReceived,
     ServersChanged,
-    TableChanged,
     TableNotWritten,
+    TableStored,
 )
 from fireflylink_daemon._peers import PeerSocket
 from fireflylink_daemon._routing_state import RoutingState
@@ -39,7 +39,12 @@
 from fireflylink_store import ABSENT_REVISION
 
 WAKE_INTERVAL_SECONDS = 0.1
+"""How often the decider looks for grants and releases that are due."""
+
 PLANNING_INTERVAL_SECONDS = 0.3
+"""How often the table of a service is planned anew, at one of these wake-ups. ``KeyedService``
+plans changes that are not urgent at a longer interval."""
+
 COMMIT_TIMEOUT_SECONDS = 2.0
 """A service gets no new plan for this long while the write of a table is not acknowledged."""
 
@@ -61,7 +66,7 @@
         "grant_tasks",
         "hold_seconds",
         "is_decider",
-        "next_work_at",
+        "next_check_at",
         "peers",
         "routing_state",
         "services",
@@ -85,21 +90,21 @@
         self.hold_seconds = min(HOLD_SECONDS, routing_state.settings.bounds.hold_max_seconds)
         self.services: dict[str, KeyedService] = {}
         self.grant_tasks: dict[ServerIncarnation, GrantTask] = {}
-        self.next_work_at = 0.0
+        self.next_check_at = 0.0
 
     def next_wake_at(self) -> float:
-        return self.next_work_at
+        return self.next_check_at
 
     def on_wake(self) -> None:
         now = self.clock.now()
-        self.next_work_at = now + WAKE_INTERVAL_SECONDS
+        self.next_check_at = now + WAKE_INTERVAL_SECONDS
         if not self.is_decider:
             return
         for name in self._keyed_service_names():
-            self._process_service(name, self._service(name), now)
+            self._send_due_commands_and_plan(name, self._service(name), now)
 
     def receive(self, message: object) -> object:
-        if isinstance(message, TableChanged):
+        if isinstance(message, TableStored):
             self._apply_table(message)
         elif isinstance(message, TableNotWritten):
             service = self._service(message.table.service)
@@ -118,7 +123,7 @@
             self._stop_deciding()
         elif isinstance(message, ServersChanged):
             self._update_incarnations()
-        if self.clock.now() >= self.next_work_at:
+        if self.clock.now() >= self.next_check_at:
             self.on_wake()
         return None
 
@@ -133,7 +138,7 @@
             service.unacknowledged_tables = []
             service.next_plan_at = 0.0
         self._update_incarnations()
-        self.next_work_at = 0.0
+        self.next_check_at = 0.0
 
     def _stop_deciding(self) -> None:
         self.is_decider = False
@@ -157,7 +162,7 @@
             return []
         return [service.name for service in routes.services.values() if service.keyed]
 
-    def _apply_table(self, message: TableChanged) -> None:
+    def _apply_table(self, message: TableStored) -> None:
         service = self._service(message.table.service)
         if (
             self.is_decider
@@ -178,8 +183,8 @@
         if service.grant_tracker is not None:
             service.grant_tracker.set_table(message.table)
 
-    def _process_service(self, name: str, service: KeyedService, now: float) -> None:
-        """Sends the commands that are due and, at intervals, plans a new table."""
+    def _send_due_commands_and_plan(self, name: str, service: KeyedService, now: float) -> None:
+        """Sends the commands that are due; plans a new table at the planning interval."""
         if service.grant_tracker is not None and self.decider_task.election.may_grant(now):
             for command in service.grant_tracker.due_commands(now, service.suspended_ranges()):
                 self._send_command(name, service.grant_tracker, command, now)
@@ -196,10 +201,14 @@
         candidates = self._candidates(name, service, now)
         if service.grant_tracker is None or not (candidates or service.table):
             return
-        joined = [entry.joined_at for entry in self.routing_state.directory.eligible_servers(name)]
-        planned = service.next_table(candidates, max(joined, default=now), now)
+        join_times = [
+            entry.joined_at for entry in self.routing_state.directory.eligible_servers(name)
+        ]
+        planned = service.next_table(candidates, max(join_times, default=now), now)
         if planned is not None:
             self._log_plan(service, planned, candidates)
+            # No earlier decider can still grant keys: the service had no table, or the time has
+            # passed for which earlier deciders may grant without reaching the store.
             sole_decider = (
                 service.revision == ABSENT_REVISION
                 or now >= former_deciders_may_grant_until(self.elected_at)
@@ -313,7 +322,7 @@
                 fence=command.fence,
                 handover=bool(message.handover),
             )
-        self.next_work_at = 0.0
+        self.next_check_at = 0.0
 
     def _record_failure(
         self,
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -22,28 +22,31 @@
 )
 
 REPORT_INTERVAL_SECONDS = 0.25
-CALLS_PER_SERVICE_TIMES_REPORT = 8
-"""Reports include service times once in this many calls of ``take_reports``."""
+SERVICE_TIMES_INTERVAL_IN_ROUNDS = 8
+"""Only each eighth round of reports includes service times, because traffic between data centres is
+paid for by the byte."""
 
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_DATAGRAM_BYTES = 2048
+"""Longest datagram that is received whole; what exceeds it is cut off."""
 
 
 class KeyCounter:
-    """Counts requests by key, and collects service times, for this daemon's load reports.
+    """Collects what this daemon's load reports contain, by service.
 
-    ``keys`` are the keys of requests and ``requests`` the number of requests since the last report.
-    ``service_times`` are the service times of each server, in seconds, since the last report that
-    included them. ``reports`` counts the calls of ``take_reports``.
+    ``keys`` are keys of requests (a random sample, if there are many) and ``requests`` is the
+    number of requests since the last report. ``service_times`` are the service times at each
+    server, in seconds, since the last report that included them. ``sequence`` is the number of
+    calls of ``take_reports``; the reports carry it.
     """
 
-    __slots__ = ("keys", "reports", "requests", "service_times")
+    __slots__ = ("keys", "requests", "sequence", "service_times")
 
     def __init__(self) -> None:
         self.keys: dict[str, list[int]] = {}
         self.requests: dict[str, int] = {}
         self.service_times: dict[str, dict[str, list[float]]] = {}
-        self.reports = 0
+        self.sequence = 0
 
     def record_service_time(self, service: str, server_id: str, seconds: float) -> None:
         """Records the service time of one request at a server."""
@@ -66,13 +69,13 @@
 
     def take_reports(self, instance: str) -> list[LoadReport]:
         """Returns a report for each service that had requests since the last call."""
-        self.reports += 1
-        with_service_times = self.reports % CALLS_PER_SERVICE_TIMES_REPORT == 0
+        self.sequence += 1
+        with_service_times = self.sequence % SERVICE_TIMES_INTERVAL_IN_ROUNDS == 0
         reports = [
             LoadReport(
                 instance,
                 service,
-                self.reports,
+                self.sequence,
                 self.requests[service],
                 tuple(keys),
                 self._take_service_times(service) if with_service_times else (),
--- a/packages/daemon/src/fireflylink_daemon/_request_handler.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -36,6 +36,8 @@
 POSSIBLE_CRASH_REASONS = (LostReason.RESET, LostReason.CLOSED)
 NO_CONFIGURATION_RETRY_SECONDS = 1.0
 LEAVING_RETRY_SECONDS = 0.05
+"""Short, because the caller can send the request to another daemon."""
+
 REPLY_MARGIN_SECONDS = 0.03
 """Reserved so that the reply reaches the caller before its deadline."""
 
@@ -43,7 +45,7 @@
 
 
 class _RequestContext:
-    """A routed request with its deadline, its attempts and the means to cancel it.
+    """A routed request with its deadline, its attempts and its cancellation.
 
     ``deadline`` and ``objective_at`` are times in seconds on the daemon's clock; an answer after
     ``objective_at`` misses the target latency of the route.
@@ -122,7 +124,7 @@
         self.metrics = metrics
 
     def limits(self) -> CallerLimits:
-        return self.routing_state.limits()
+        return self.routing_state.caller_limits()
 
     def handle(
         self, request: CallerRequest, disconnect_notifier: BaseDisconnectNotifier
@@ -163,12 +165,13 @@
         while True:
             dispatch_result = self._dispatch(context)
             if context.caller_disconnected:
-                self._discard(dispatch_result)
+                self._undo_dispatch(dispatch_result)
                 return CallerDisconnected()
             if isinstance(dispatch_result, Refused):
                 return context.attempts.refusal_reply(
                     dispatch_result.reason, dispatch_result.retry_after
                 )
+            # Not expected: the result is missing only after the caller has disconnected.
             if not isinstance(dispatch_result, Dispatched):
                 return context.attempts.refusal_reply("not-placed", NO_CONFIGURATION_RETRY_SECONDS)
             result = self._call(context, dispatch_result)
@@ -193,8 +196,8 @@
             return None
         return self.dispatch_task.dispatch(request, context.waiter)
 
-    def _discard(self, dispatch_result: BaseDispatchResult | None) -> None:
-        """Ends the in-flight count of a dispatched request that is not sent after all."""
+    def _undo_dispatch(self, dispatch_result: BaseDispatchResult | None) -> None:
+        """Removes a dispatched request that is not sent after all from the in-flight count."""
         if isinstance(dispatch_result, Dispatched):
             dispatch_result.tracker.record_completed()
 
@@ -242,7 +245,9 @@
         if isinstance(result, Declined) and result.misdirected:
             self.dispatch_task.dispatcher.record_misdirected(context.service, dispatched, now)
         decision = context.attempts.decide(
-            result, context.deadline - now, budget.allows_retry(now, self.routing_state.position)
+            result,
+            context.deadline - now,
+            budget.allows_retry(now, self.routing_state.fleet_position),
         )
         if isinstance(decision, Retry):
             if decision.reached_server:
@@ -327,6 +332,7 @@
         }
         if tracker is not None:
             fields["owner_queue"] = tracker.expected_load(now)
+            # -1 when the server has not reported its load.
             fields["owner_report_age"] = (
                 now - tracker.reported_at if tracker.reported_load else -1.0
             )
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -31,7 +31,8 @@
 
 KEYED_DRAIN_FRACTION = 0.6
 """Part of the drain time for which a draining or evacuated owner still gets requests for its keys,
-while they move to another server."""
+while they move to another server. In the rest it gets no new ones; those in progress may complete.
+"""
 
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -41,7 +42,8 @@
 
     ``ViewTask`` applies the updates from the store; ``DeciderTask`` adds the ownership tables that
     it has written. ``store_calls_failing`` is true after a failed call of ``MemberTask`` to the
-    store.
+    store; ``directory.store_reachable`` is false after a failed call of ``StoreReader``, which may
+    notice an outage seconds later. ``fleet_position`` is this daemon's place among the members.
     """
 
     __slots__ = (
@@ -51,10 +53,10 @@
         "connection_pools",
         "directory",
         "dispatcher",
+        "fleet_position",
         "members",
         "ownership_tables",
         "poison",
-        "position",
         "retry_budgets",
         "routes",
         "settings",
@@ -76,12 +78,12 @@
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.members: dict[str, MemberRecord] = {}
         self.ownership_tables: dict[str, OwnershipTable] = {}
-        self.position = FleetPosition(settings.instance, ())
+        self.fleet_position = FleetPosition(settings.instance, ())
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.connection_pools: dict[ServerIncarnation, ServerConnectionPool] = {}
         self.store_calls_failing = False
 
-    def limits(self) -> CallerLimits:
+    def caller_limits(self) -> CallerLimits:
         """Returns the caller limits of the current configuration; defaults without one."""
         return CallerLimits() if self.configuration is None else self.configuration.limits
 
@@ -109,8 +111,8 @@
         listed again, because the other members divide the limit without it.
         """
         self.members = members
-        self.position = FleetPosition(self.settings.instance, tuple(members))
-        log_event("members-changed", members=len(members), rank=self.position.rank)
+        self.fleet_position = FleetPosition(self.settings.instance, tuple(members))
+        log_event("members-changed", members=len(members), rank=self.fleet_position.rank)
         self.refresh()
 
     def set_table(self, table: OwnershipTable) -> None:
@@ -158,7 +160,8 @@
     def unregister_server(self, server_id: str) -> None:
         """Records that a registration was deleted.
 
-        Around an outage of the store, the server stays in the directory for a grace time.
+        During an outage of the store and for a grace time after it, the server stays in the
+        directory.
         """
         gone = self.directory.remove(server_id, self.clock.now())
         log_event("server-unregistered", server=server_id, gone=gone)
@@ -220,7 +223,7 @@
 
     def _refresh_service(self, service: Service, now: float) -> None:
         pool = self.dispatcher.pools.get(service.name)
-        limits = self._service_limits(service, self.position)
+        limits = self._service_limits(service, self.fleet_position)
         if pool is None:
             pool = ServicePool(service.keyed, limits)
             self.dispatcher.pools[service.name] = pool
@@ -255,7 +258,9 @@
         cold = ColdLimit(
             service.max_cold_requests_per_second, bounds.cold_factor, bounds.cold_extra
         )
-        # A restarted server of a keyed service runs no requests before it is granted keys.
+        # A restarted server is cold, and without the store this daemon does not learn of restarts.
+        # A keyed service is exempt: its restarted server runs no requests before it is granted
+        # keys, and a table with the server's new incarnation reaches this daemon by the store.
         assume_cold = not service.keyed and (
             self.store_calls_failing or not self.directory.store_reachable
         )
--- a/packages/daemon/src/fireflylink_daemon/_settings.py
+++ b/packages/daemon/src/fireflylink_daemon/_settings.py
@@ -28,7 +28,16 @@
 
 
 class Bounds(BaseValue):
-    """Limits and durations that the system must keep, from ``bounds`` in the settings file."""
+    """Limits and durations that the system must keep, from ``bounds`` in the settings file.
+
+    - ``drain_seconds``: how long the draining of a server or an evacuation may take.
+    - ``leave_seconds``: how long the shutdown of a daemon may take.
+    - ``hold_max_seconds``: the longest hold for which servers may be granted keys.
+    - Retries of all daemons for one service, in any window of ``retry_window_seconds``: at most
+      ``retry_ratio`` times the requests, plus ``retry_extra``.
+    - Requests of all daemons to one cold (warming up) server in any second: at most ``cold_factor``
+      times the rate in the service's configuration, plus ``cold_extra``.
+    """
 
     __slots__ = (
         "cold_extra",
@@ -63,7 +72,12 @@
 
 
 class Settings(BaseValue):
-    """The settings of the daemon on one instance."""
+    """The settings of the daemon on one instance.
+
+    ``address`` is the IP address, without a port, of the sockets for other daemons and for metrics.
+    ``peer_port`` is the port for datagrams from other daemons: the first of ``peer_ports`` in the
+    settings file, which names a range of ports. The others are not used.
+    """
 
     __slots__ = (
         "address",
@@ -116,7 +130,7 @@
             raise SettingsError(f"{self.path(field)}: must be a string that is not empty")
         return value
 
-    def seconds(self, field: str) -> float:
+    def milliseconds_as_seconds(self, field: str) -> float:
         return self.number(field) / MILLISECONDS_PER_SECOND
 
     def address(self, field: str) -> Address:
@@ -133,6 +147,7 @@
 
     def ports(self, field: str) -> tuple[int, int]:
         value = self.find(field, MISSING)
+        # The first port may be 0, for any free port.
         if (
             not isinstance(value, list)
             or len(value) != 2
@@ -172,16 +187,16 @@
         peer_port=first_port,
         metrics_port=fields.port("metrics_port"),
         store_address=store.address("address"),
-        minimum_lease_seconds=store.seconds("minimum_lease_ms"),
+        minimum_lease_seconds=store.milliseconds_as_seconds("minimum_lease_ms"),
         bounds=_decode_bounds(fields.json_object("bounds")),
     )
 
 
 def _decode_bounds(fields: _SettingsFields) -> Bounds:
     return Bounds(
-        drain_seconds=fields.seconds("drain_ms"),
+        drain_seconds=fields.milliseconds_as_seconds("drain_ms"),
         leave_seconds=fields.number("leave_seconds"),
-        hold_max_seconds=fields.seconds("hold_max_ms"),
+        hold_max_seconds=fields.milliseconds_as_seconds("hold_max_ms"),
         retry_ratio=fields.number("retry_ratio"),
         retry_window_seconds=fields.number("retry_window_seconds"),
         retry_extra=fields.number("retry_extra"),
--- a/packages/daemon/src/fireflylink_daemon/_store_reader.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_reader.py
@@ -5,7 +5,7 @@
 
 from fireflylink_core import BaseClock
 from fireflylink_daemon._log import log_event, log_problem
-from fireflylink_daemon._messages import StoreReachable, StoreUnreachable, UpdatesRead
+from fireflylink_daemon._messages import StoreReadFailed, StoreReadSucceeded, UpdatesRead
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._task import BaseTask
 from fireflylink_store import (
@@ -16,9 +16,12 @@
     StoreError,
 )
 
-ALL_KEYS_PREFIX = ""
+ALL_ITEMS_PREFIX = ""
 READ_TIMEOUT_SECONDS = 2.0
 WATCH_WAIT_SECONDS = 4.0
+"""How long the store waits for changes before it answers a watch call without any. Each call to the
+store has a cost; but an outage during the wait may be noticed only after it."""
+
 WATCH_TIMEOUT_MARGIN_SECONDS = 1.0
 """Time for the answer to arrive after the store has waited ``WATCH_WAIT_SECONDS``."""
 
@@ -82,7 +85,7 @@
             self.retry_delay_seconds = min(MAX_RETRY_DELAY_SECONDS, self.retry_delay_seconds * 2)
 
     def _read_snapshot(self) -> StoreError | None:
-        read = self.store.list(ALL_KEYS_PREFIX, self.clock.now() + READ_TIMEOUT_SECONDS)
+        read = self.store.list(ALL_ITEMS_PREFIX, self.clock.now() + READ_TIMEOUT_SECONDS)
         self.metrics.count("store_calls", kind="list", result=type(read).__name__)
         if not isinstance(read, Success):
             return read.failure()
@@ -96,7 +99,7 @@
 
     def _read_changes(self) -> StoreError | None:
         deadline = self.clock.now() + WATCH_WAIT_SECONDS + WATCH_TIMEOUT_MARGIN_SECONDS
-        read = self.store.watch(ALL_KEYS_PREFIX, self.revision, WATCH_WAIT_SECONDS, deadline)
+        read = self.store.watch(ALL_ITEMS_PREFIX, self.revision, WATCH_WAIT_SECONDS, deadline)
         self.metrics.count("store_calls", kind="watch", result=type(read).__name__)
         if not isinstance(read, Success):
             return read.failure()
@@ -118,7 +121,7 @@
         if self.store_reachable is not True:
             self.store_reachable = True
             log_event("store-reached", revision=self.revision)
-            self.view_task.post(StoreReachable())
+            self.view_task.post(StoreReadSucceeded())
 
     def _handle_error(self, error: StoreError) -> None:
         if isinstance(error, HistoryCompactedError):
@@ -126,10 +129,10 @@
             self.revision = 0
             # The missed changes may include registrations that expired and came back. As after an
             # outage, a server whose registration is missing gets a grace time.
-            self.view_task.post(StoreUnreachable(str(error)))
+            self.view_task.post(StoreReadFailed(str(error)))
             self.store_reachable = False
             return
         if self.store_reachable is not False:
             self.store_reachable = False
             log_problem("store-lost", problem=error, revision=self.revision)
-            self.view_task.post(StoreUnreachable(str(error)))
+            self.view_task.post(StoreReadFailed(str(error)))
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -11,9 +11,9 @@
     MemberRecordMissing,
     ServersChanged,
     StoreCallStatus,
-    StoreReachable,
-    StoreUnreachable,
-    TableChanged,
+    StoreReadFailed,
+    StoreReadSucceeded,
+    TableStored,
     UpdatesRead,
 )
 from fireflylink_daemon._routing_state import RoutingState
@@ -40,6 +40,8 @@
 )
 
 REFRESH_INTERVAL_SECONDS = 0.2
+"""How often the state that depends on the time is refreshed: servers whose grace or drain time has
+ended, and idle connections."""
 
 Decoded = TypeVar("Decoded")
 
@@ -47,9 +49,9 @@
 class ViewTask(BaseTask):
     """Applies updates from the store and notices from other daemons to ``RoutingState``.
 
-    It posts what concerns key ownership to ``ownership_task``. ``decider_record`` is the member
-    record of the decider (the elected leader that assigns keys to servers), None when there is
-    none.
+    The view is what this daemon knows of the store's contents. The task posts what concerns key
+    ownership to ``ownership_task``. ``decider_record`` is the member record of the decider (the
+    elected leader that assigns keys to servers), None when there is none.
     """
 
     __slots__ = (
@@ -85,12 +87,12 @@
             self.routing_state.poison.record_crash(
                 message.fingerprint, message.incarnation, self.clock.now()
             )
-        elif isinstance(message, StoreUnreachable):
+        elif isinstance(message, StoreReadFailed):
             self.routing_state.directory.mark_store_unreachable()
         elif isinstance(message, StoreCallStatus):
             self.routing_state.store_calls_failing = message.failing
             log_event("store-doubted", doubted=message.failing)
-        elif isinstance(message, StoreReachable):
+        elif isinstance(message, StoreReadSucceeded):
             self.routing_state.directory.mark_store_reachable(self.clock.now())
         return None
 
@@ -145,23 +147,25 @@
     def _apply_record(self, update: RecordUpdate) -> None:
         if update.key == DECIDER_KEY:
             member = (
-                _decoded(decode_member(update.value), update) if update.value is not None else None
+                _value_or_log(decode_member(update.value), update)
+                if update.value is not None
+                else None
             )
             self._set_decider(member, update.revision)
         elif update.key.startswith(MEMBERS_PREFIX):
             self._apply_member(update)
         elif update.key.startswith(OWNERSHIP_PREFIX) and update.value is not None:
-            table: OwnershipTable | None = _decoded(decode_table(update.value), update)
+            table: OwnershipTable | None = _value_or_log(decode_table(update.value), update)
             if table is not None:
                 self.routing_state.set_table(table)
-                self._notify_ownership(TableChanged(table, update.revision))
+                self._notify_ownership(TableStored(table, update.revision))
 
     def _apply_member(self, update: RecordUpdate) -> None:
         name = update.key.removeprefix(MEMBERS_PREFIX)
         members = dict(self.routing_state.members)
         members.pop(name, None)
         if update.value is not None:
-            member = _decoded(decode_member(update.value), update)
+            member = _value_or_log(decode_member(update.value), update)
             if member is not None:
                 members[name] = member
         if members != self.routing_state.members:
@@ -183,7 +187,7 @@
             self.ownership_task.post(message)
 
 
-def _decoded(result: Result[Decoded, RecordError], update: RecordUpdate) -> Decoded | None:
+def _value_or_log(result: Result[Decoded, RecordError], update: RecordUpdate) -> Decoded | None:
     """Returns the decoded record, or logs the error and returns None."""
     if isinstance(result, Success):
         value: Decoded = result.unwrap()
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -28,7 +28,7 @@
 }
 
 
-class RecordingPeers:
+class RecordingPeerSocket:
     """Stands in for ``PeerSocket``: records the notices instead of sending them."""
 
     def __init__(self) -> None:
@@ -38,10 +38,10 @@
         self.notices.append(notice)
 
 
-class TaskBench:
+class TaskHarness:
     """The view, decider and ownership tasks of a daemon.
 
-    They run without greenlets: a test calls ``receive``, ``wake`` and ``deliver`` itself.
+    They run without greenlets: a test calls ``receive``, ``on_wake`` and ``deliver`` itself.
     """
 
     def __init__(self, settings, clock: ManualClock, store_state: StoreState, name: str) -> None:
@@ -53,7 +53,7 @@
         self.decider_task = DeciderTask(
             self.record, self.store, self.routing_state, clock, Metrics()
         )
-        self.peers = RecordingPeers()
+        self.peers = RecordingPeerSocket()
         self.ownership_task = OwnershipTask(
             self.routing_state, self.decider_task, self.peers, clock, PlatformServerCodec()
         )
@@ -95,7 +95,7 @@
 def make_daemon(clock, store_state, settings_file):
     settings = read_settings(settings_file()).unwrap()
 
-    def make(name: str = "front-0") -> TaskBench:
-        return TaskBench(settings, clock, store_state, name)
+    def make(name: str = "front-0") -> TaskHarness:
+        return TaskHarness(settings, clock, store_state, name)
 
     return make
--- a/packages/daemon/tests/test_request_path.py
+++ b/packages/daemon/tests/test_request_handler.py
@@ -69,7 +69,7 @@
 
 
 class FakeDisconnectNotifier:
-    """A caller that stays connected until ``disconnect`` is called."""
+    """Reports a disconnect of the caller when the test calls ``disconnect``."""
 
     def __init__(self) -> None:
         self.actions = []
@@ -82,15 +82,15 @@
             action()
 
 
-class RequestHandlerBench:
+class RequestHandlerHarness:
     """A request handler with scripted servers. It also stands in for the ``CrashDetector``."""
 
-    def __init__(self, task_bench, clock, monkeypatch) -> None:
+    def __init__(self, task_harness, clock, monkeypatch) -> None:
         self.clock = clock
         self.monkeypatch = monkeypatch
-        self.task_bench = task_bench
+        self.task_harness = task_harness
         self.key_counter = KeyCounter()
-        routing_state = task_bench.routing_state
+        routing_state = task_harness.routing_state
         dispatch_task = DispatchTask(routing_state.dispatcher, clock)
         self.request_handler = RequestHandler(
             routing_state, dispatch_task, self.key_counter, self, clock, Metrics()
@@ -109,8 +109,8 @@
             items.append(Item(f"servers/{name}", json.dumps(entry).encode(), 2))
         table = OwnershipTable("a", 1, (Assignment(KeyRange(0, 65535), INCARNATION, 1),))
         items.append(Item(ownership_key("a"), encode_table(table), 3))
-        updates = tuple(update for item in items for update in task_bench.decoder.decode(item))
-        task_bench.view_task.receive(UpdatesRead(updates, 3, True))
+        updates = tuple(update for item in items for update in task_harness.decoder.decode(item))
+        task_harness.view_task.receive(UpdatesRead(updates, 3, True))
 
     def record_lost_connection(self, server, request) -> None:
         """Records a server whose connection ended, in place of ``CrashDetector``."""
@@ -129,28 +129,28 @@
 
 
 @pytest.fixture
-def handler_bench(make_daemon, clock, monkeypatch):
-    return RequestHandlerBench(make_daemon(), clock, monkeypatch)
+def handler_harness(make_daemon, clock, monkeypatch):
+    return RequestHandlerHarness(make_daemon(), clock, monkeypatch)
 
 
-def test_a_non_idempotent_request_is_not_retried_after_a_lost_answer(handler_bench):
+def test_a_non_idempotent_request_is_not_retried_after_a_lost_answer(handler_harness):
     """Guards against running an order twice: it may have run although its answer was lost."""
-    servers = ScriptedServers(handler_bench.clock, [Lost(LostReason.RESET, "reset"), ANSWERED])
-    reply = handler_bench.send("/o/1", servers)
+    servers = ScriptedServers(handler_harness.clock, [Lost(LostReason.RESET, "reset"), ANSWERED])
+    reply = handler_harness.send("/o/1", servers)
     assert_that(reply, IsInstance(OutcomeUnknown))
     assert_that(len(servers.results), Equals(1))
-    assert_that(len(handler_bench.lost_connections), Equals(1))
+    assert_that(len(handler_harness.lost_connections), Equals(1))
 
 
-def test_a_declined_non_idempotent_request_is_retried(handler_bench):
+def test_a_declined_non_idempotent_request_is_retried(handler_harness):
     """Guards against refusing an order that certainly has not run and could still be served."""
-    reply = handler_bench.send(
-        "/o/1", ScriptedServers(handler_bench.clock, [Declined(503, False, None), ANSWERED])
+    reply = handler_harness.send(
+        "/o/1", ScriptedServers(handler_harness.clock, [Declined(503, False, None), ANSWERED])
     )
     assert_that(reply, Equals(ANSWERED.answer))
 
 
-def test_in_flight_counts_return_to_zero_however_a_request_ends(handler_bench):
+def test_in_flight_counts_return_to_zero_however_a_request_ends(handler_harness):
     """Guards against leaked in-flight counts, with which idle servers look full for ever."""
     for results in (
         [ANSWERED],
@@ -158,59 +158,61 @@
         [Declined(503, False, None)] * 3,
         [Declined(421, True, None)],
     ):
-        handler_bench.send(
-            "/o/1", ScriptedServers(handler_bench.clock, [*results, ANSWERED, ANSWERED])
+        handler_harness.send(
+            "/o/1", ScriptedServers(handler_harness.clock, [*results, ANSWERED, ANSWERED])
         )
-    trackers = handler_bench.task_bench.routing_state.trackers.values()
+    trackers = handler_harness.task_harness.routing_state.trackers.values()
     assert_that({tracker.in_flight for tracker in trackers}, Equals({0}))
 
 
-def test_a_disconnected_caller_gets_no_reply_and_no_retry(handler_bench):
+def test_a_disconnected_caller_gets_no_reply_and_no_retry(handler_harness):
     """Guards against a retry for a caller that disconnected during the call."""
-    servers = ScriptedServers(handler_bench.clock, [Lost(LostReason.CANCELLED, "left"), ANSWERED])
+    servers = ScriptedServers(handler_harness.clock, [Lost(LostReason.CANCELLED, "left"), ANSWERED])
     disconnect_notifier = FakeDisconnectNotifier()
     servers.during_call = disconnect_notifier.disconnect
     assert_that(
-        handler_bench.send("/o/1", servers, disconnect_notifier), IsInstance(CallerDisconnected)
+        handler_harness.send("/o/1", servers, disconnect_notifier), IsInstance(CallerDisconnected)
     )
     assert_that(len(servers.results), Equals(1))
 
 
 def test_an_unknown_path_is_refused_with_404_and_a_missing_configuration_with_503(
-    handler_bench, make_daemon
+    handler_harness, make_daemon
 ):
     """Guards against a 404 for a valid path from a daemon that has no configuration yet."""
     assert_that(
-        handler_bench.send("/nope/1", ScriptedServers(handler_bench.clock, [])).status, Equals(404)
+        handler_harness.send("/nope/1", ScriptedServers(handler_harness.clock, [])).status,
+        Equals(404),
     )
-    handler_bench.task_bench.routing_state.routes = None
-    reply = handler_bench.send("/k/1", ScriptedServers(handler_bench.clock, []))
+    handler_harness.task_harness.routing_state.routes = None
+    reply = handler_harness.send("/k/1", ScriptedServers(handler_harness.clock, []))
     assert_that((type(reply), reply.status), Equals((NotRun, 503)))
 
 
-def test_a_request_late_in_the_shutdown_is_refused_and_not_sent(handler_bench):
+def test_a_request_late_in_the_shutdown_is_refused_and_not_sent(handler_harness):
     """Guards against a request that is lost because the process ends before it does.
 
-    It was accepted long after SIGTERM (seen in cmva trouble-3 --seed 47511267048).
+    The request is accepted so long after SIGTERM that little of the time for the shutdown is left.
     """
-    handler_bench.request_handler.closed = True
-    servers = ScriptedServers(handler_bench.clock, [ANSWERED])
-    reply = handler_bench.send("/o/1", servers)
+    handler_harness.request_handler.closed = True
+    servers = ScriptedServers(handler_harness.clock, [ANSWERED])
+    reply = handler_harness.send("/o/1", servers)
     assert_that((type(reply), reply.reason), Equals((NotRun, "leaving")))
     assert_that(len(servers.results), Equals(1))
 
 
-def test_answer_times_of_a_keyed_server_are_counted_for_the_decider(handler_bench):
+def test_service_times_of_a_keyed_server_are_counted_for_the_decider(handler_harness):
     """Guards against slow servers that are assigned as many keys as fast ones."""
-    handler_bench.send("/k/1", ScriptedServers(handler_bench.clock, [ANSWERED], seconds=0.3))
-    [seconds] = handler_bench.key_counter.service_times["a"]["i-1"]
+    handler_harness.send("/k/1", ScriptedServers(handler_harness.clock, [ANSWERED], seconds=0.3))
+    [seconds] = handler_harness.key_counter.service_times["a"]["i-1"]
     assert_that(seconds, GreaterThan(0.29))
 
 
-def test_timed_out_requests_of_a_keyed_server_are_counted_for_the_decider(handler_bench):
-    """Guards against slow servers that keep their keys, as in inc-6f95.
+def test_timed_out_requests_of_a_keyed_server_are_counted_for_the_decider(handler_harness):
+    """Guards against slow servers that keep their keys.
 
-    Servers there became 12 times slower, and requests that timed out were not counted.
+    The requests of a server that has become very slow time out. If they are not counted, the server
+    does not look slow to the decider.
     """
-    handler_bench.send("/k/1", ScriptedServers(handler_bench.clock, [TIMED_OUT], seconds=1.45))
-    assert_that("a" in handler_bench.key_counter.service_times, Equals(True))
+    handler_harness.send("/k/1", ScriptedServers(handler_harness.clock, [TIMED_OUT], seconds=1.45))
+    assert_that("a" in handler_harness.key_counter.service_times, Equals(True))
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -31,7 +31,7 @@
         ({"bounds": {"drain_ms": True}}, "bounds.drain_ms"),
     ],
 )
-def test_an_error_names_the_invalid_field_and_the_allowed_values(settings_file, changes, text):
+def test_an_error_names_the_invalid_field(settings_file, changes, text):
     """Guards against an error from which an operator cannot see what to correct."""
     result = read_settings(settings_file(**changes))
     assert_that(result, IsInstance(Failure))
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -8,8 +8,8 @@
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_daemon._messages import (
     DeciderChanged,
-    StoreReachable,
-    StoreUnreachable,
+    StoreReadFailed,
+    StoreReadSucceeded,
     UpdatesRead,
 )
 from fireflylink_decisions.ownership import OUTAGE_GRACE_SECONDS
@@ -58,6 +58,11 @@
 
 
 def elect(daemon, clock) -> None:
+    """Makes the daemon the decider.
+
+    The store reports that there is no decider record. After 5 s, longer than any daemon waits for
+    those of a lower rank, the daemon stands for election without a rival.
+    """
     daemon.decider_task.receive(DeciderChanged(None, 0))
     clock.advance(5.0)
     daemon.decider_task.on_wake()
@@ -92,7 +97,7 @@
 
 
 def test_a_new_decider_advances_the_fences_of_the_tables(make_daemon, clock, store_state):
-    """Guards against two owners of a key.
+    """Guards against two holders of a key.
 
     With the old fences, servers would still accept renewals that a former decider sends.
     """
@@ -113,10 +118,10 @@
 def test_a_decider_steps_down_when_it_reads_a_table_of_another_decider(
     make_daemon, clock, store_state
 ):
-    """Guards against two owners of a key.
+    """Guards against two holders of a key.
 
-    A decider that had been partitioned from the store read its successor's table and granted a key
-    to its new owner while the former owner still held it.
+    A decider that has been partitioned from the store reads its successor's table. If it stayed the
+    decider, it would grant a key to the new owner while the former owner may still hold it.
     """
     store_state.commit(Commit((), (Put(ownership_key("a"), encode_table(TABLE)),)))
     former = with_configuration(make_daemon())
@@ -181,9 +186,9 @@
     """
     daemon = with_configuration(make_daemon())
     apply_items(daemon, server_item("i-1", 2), server_item("i-2", 3))
-    daemon.view_task.receive(StoreUnreachable("down"))
+    daemon.view_task.receive(StoreReadFailed("down"))
     clock.advance(8.0)
-    daemon.view_task.receive(StoreReachable())
+    daemon.view_task.receive(StoreReadSucceeded())
     apply_items(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
     pool = daemon.routing_state.dispatcher.pools["a"]
     assert_that(len(pool.trackers), Equals(2))
@@ -225,20 +230,20 @@
 def test_a_daemon_whose_record_expired_has_no_share_of_cold_servers(make_daemon):
     """Guards against exceeding the rate limit of cold servers.
 
-    After an outage of the store, a daemon used its share of the limit although the other daemons
-    had divided that share among themselves.
+    The daemon's record expires in an outage of the store, and the other daemons divide its share of
+    the limit among themselves. The daemon must not use that share until it is listed again.
     """
     daemon = with_configuration(make_daemon())
     names = [f"front-{number}" for number in range(4)]
     for name in names:
         record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
         apply_items(daemon, Item(member_key(name), encode_member(record), 5))
-    assert_that(daemon.routing_state.position.share(14.0, "i-1"), GreaterThan(2))
+    assert_that(daemon.routing_state.fleet_position.share(14.0, "i-1"), GreaterThan(2))
     apply_items(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
     for name in names[1:]:
         record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
         apply_items(daemon, Item(member_key(name), encode_member(record), 9))
-    assert_that(daemon.routing_state.position.share(14.0, "i-1"), Equals(0))
+    assert_that(daemon.routing_state.fleet_position.share(14.0, "i-1"), Equals(0))
 
 
 def test_a_lease_is_not_shorter_than_the_minimum_of_the_store(
