--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -40,7 +40,7 @@
 class StoreCallStatus:
     """The member task's calls to the store have begun to fail, or to succeed again.
 
-    ``failing`` is true when its last call failed. This is known earlier than ``StoreReadFailed``,
+    ``failing`` is true when its last call failed. It may arrive before ``StoreReadFailed``,
     because a watch call may wait for seconds before it fails.
     """
 
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -207,8 +207,8 @@
         planned = service.next_table(candidates, max(join_times, default=now), now)
         if planned is not None:
             self._log_plan(service, planned, candidates)
-            # No earlier decider can still grant keys: the service had no table, or the time has
-            # passed for which earlier deciders may grant without reaching the store.
+            # True if no earlier decider can still grant keys: the service has no table so far, or
+            # the time has passed for which earlier deciders may grant without the store.
             sole_decider = (
                 service.revision == ABSENT_REVISION
                 or now >= former_deciders_may_grant_until(self.elected_at)
