--- a/packages/emulator/src/fireflylink_emulator/_base_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_base_daemon.py
@@ -14,7 +14,8 @@
 
 OK_ANSWER = ServerAnswer(200, (), b"")
 ERROR_ANSWER = ServerAnswer(500, (), b"")
-LOCAL_LATENCY_SECONDS = 0.0005
+LOCAL_ONE_WAY_LATENCY_SECONDS = 0.0005
+"""Latency between a daemon and a server in the same data centre."""
 
 
 class BaseEmulatedDaemon(abc.ABC):
@@ -92,4 +93,4 @@
 
     def _latency(self, server: EmulatedServer) -> float:
         is_local = server.data_centre == self.data_centre
-        return LOCAL_LATENCY_SECONDS if is_local else self.fleet.remote_latency_seconds
+        return LOCAL_ONE_WAY_LATENCY_SECONDS if is_local else self.fleet.remote_latency_seconds
--- a/packages/emulator/src/fireflylink_emulator/_baseline_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_baseline_daemon.py
@@ -15,15 +15,17 @@
 from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._profile import FleetProfile
 
-RETRY_SECONDS = 1.0
+RETRY_AFTER_SECONDS = 1.0
+"""Delay that a refusal asks for before a retry."""
 
 
 class BaselineDaemon(BaseEmulatedDaemon):
     """Sends to the owner of the key, or round-robin without a key; retries nothing.
 
     Without an ownership table, keys are divided evenly among the servers. Requests that a server
-    declines are refused, and failures are reported to the caller. The baseline keeps every
-    guarantee, but ignores load, speed, distance and warm-up of the servers.
+    declines are refused, and failures are reported to the caller. The baseline keeps the guarantees
+    whose violations ``RunStatistics`` counts, but ignores load, speed, distance and warm-up of the
+    servers.
     """
 
     __slots__ = ("next_server", "servers", "tables")
@@ -39,7 +41,7 @@
     def update_servers(self, servers: list[EmulatedServer]) -> None:
         self.servers = {}
         for server in servers:
-            self.servers.setdefault(server.profile.name, []).append(server)
+            self.servers.setdefault(server.profile.service, []).append(server)
 
     def update_table(self, table: OwnershipTable) -> None:
         self.tables[table.service] = table
@@ -47,7 +49,7 @@
     def receive(self, attempt: CallerAttempt, on_reply: Callable[[BaseReply], None]) -> None:
         server = self._choose(attempt)
         if server is None:
-            on_reply(NotRun("no-owner", retry_after=RETRY_SECONDS))
+            on_reply(NotRun("no-owner", retry_after=RETRY_AFTER_SECONDS))
             return
         self.call(attempt, server, lambda outcome: on_reply(_reply(outcome)))
 
@@ -55,16 +57,17 @@
         active_call = self.active_calls.get(attempt)
         if active_call is not None:
             active_call[0].on_disconnect(active_call[1])
+            # Any status would do: the caller has disconnected and ignores the reply.
             active_call[1].on_done(CallOutcome(CallStatus.LATE))
 
     def _choose(self, attempt: CallerAttempt) -> EmulatedServer | None:
-        servers = self.servers.get(attempt.profile.name, [])
+        servers = self.servers.get(attempt.profile.service, [])
         if not servers:
             return None
         if not attempt.profile.keyed:
             self.next_server += 1
             return servers[self.next_server % len(servers)]
-        table = self.tables.get(attempt.profile.name)
+        table = self.tables.get(attempt.profile.service)
         if table is None:
             return servers[attempt.key * len(servers) // KEY_COUNT]
         assignment = table.find(attempt.key)
@@ -79,7 +82,7 @@
     if status is CallStatus.FAILED:
         return ERROR_ANSWER
     if status in (CallStatus.DECLINED, CallStatus.MISDIRECTED, CallStatus.NOT_SENT):
-        return NotRun(status.value, retry_after=RETRY_SECONDS)
+        return NotRun(status.value, retry_after=RETRY_AFTER_SECONDS)
     if status is CallStatus.LATE:
         return OutcomeUnknown("late", True)
     return OutcomeUnknown("lost")
--- a/packages/emulator/src/fireflylink_emulator/_caller_attempt.py
+++ b/packages/emulator/src/fireflylink_emulator/_caller_attempt.py
@@ -11,9 +11,10 @@
     """One attempt of a caller to get its request answered. Times are clock times in seconds.
 
     ``requested_at`` is the start of the first attempt of the request; ``deadline`` counts from it.
-    ``received_at`` is when the daemon receives this attempt. An ``impatient`` caller retries almost
-    at once and ignores the delay that a reply asks for. ``executions`` counts how often servers
-    started to run this attempt.
+    ``received_at`` is when the daemon receives this attempt. For one attempt of a caller, the
+    daemon may send the request to several servers; these are the attempts that ``Attempts`` in the
+    production code counts. An ``impatient`` caller retries almost at once and ignores the delay
+    that a reply asks for. ``executions`` counts how often servers started to run this attempt.
     """
 
     __slots__ = (
@@ -47,7 +48,18 @@
 
 
 class CallStatus(enum.Enum):
-    """How a call to an emulated server ended, as the daemon that made it observes."""
+    """How a call to an emulated server ended, as the daemon that made it observes.
+
+    - ``ANSWERED``: the server ran the request and answered with status 200.
+    - ``FAILED``: the server ran the request and answered with status 500.
+    - ``DECLINED``: the server did not run the request because its queue was full, or because the
+      deadline had passed when a slot became free.
+    - ``LATE``: the server did not answer in time, and may have run the request.
+    - ``LOST``: the connection was reset before an answer, and the server may have run the request.
+    - ``MISDIRECTED``: the server did not run the request because it was sent to an earlier
+      incarnation or is for a key that the server does not hold.
+    - ``NOT_SENT``: the server refused the connection.
+    """
 
     ANSWERED = "answered"
     FAILED = "failed"
@@ -59,7 +71,10 @@
 
 
 class CallOutcome(BaseValue):
-    """The status of an ended call and the load that the server reported, if any."""
+    """How one call to a server ended, with the load that the server reported, if any.
+
+    ``RoutedDaemon`` converts it to the ``BaseCallResult`` that the production code expects.
+    """
 
     __slots__ = ("load", "status")
 
--- a/packages/emulator/src/fireflylink_emulator/_callers.py
+++ b/packages/emulator/src/fireflylink_emulator/_callers.py
@@ -9,13 +9,17 @@
 from fireflylink_emulator._profile import ServiceProfile
 from fireflylink_emulator._run_statistics import RunStatistics
 
-NETWORK_LATENCY_SECONDS = 0.008
+CALLER_TO_DAEMON_LATENCY_SECONDS = 0.008
+"""One-way latency between callers and daemons, for requests and for replies."""
+
 MAX_DELAY_FRACTION = 1.0 / 3.0
 """Callers wait no longer than this fraction of the remaining time, whatever a reply asks for."""
 
-DEFAULT_RETRY_SECONDS = 0.1
-IMPATIENT_RETRIES = 4
-IMPATIENT_RETRY_SECONDS = 0.02
+DEFAULT_RETRY_DELAY_SECONDS = 0.1
+"""Delay before a retry if the reply asks for none."""
+
+IMPATIENT_MAX_RETRIES = 4
+IMPATIENT_RETRY_DELAY_SECONDS = 0.02
 MIN_RETRY_TIME_SECONDS = 0.1
 """Callers do not retry with less time left before the deadline."""
 
@@ -50,26 +54,26 @@
         self.early_disconnect_fraction = 0.0
 
     def statistics_of(self, profile: ServiceProfile) -> RunStatistics:
-        """Returns the statistics of one kind of requests."""
-        return self.statistics.setdefault(profile.kind, RunStatistics())
+        """Returns the statistics of one type of requests."""
+        return self.statistics.setdefault(profile.request_type, RunStatistics())
 
     def send_request(self, profile: ServiceProfile, key: int) -> None:
         """Sends the first attempt of a request."""
         impatient = self.rng.random() < self.impatient_fraction
-        retries = IMPATIENT_RETRIES if impatient else profile.max_caller_retries
+        retries = IMPATIENT_MAX_RETRIES if impatient else profile.max_caller_retries
         attempt = self._create_attempt(profile, key, self.scheduler.clock.now(), retries, impatient)
         self.statistics_of(profile).record_request(attempt)
         self._send(attempt)
 
-    def check_guarantees(self) -> None:
-        """Checks that no refused attempt has run; call it after the last event of the run."""
+    def count_refused_but_executed(self) -> None:
+        """Counts the refused attempts that ran; call it after the last event of the run."""
         for statistics in self.statistics.values():
-            statistics.check_refused_attempts()
+            statistics.count_refused_but_executed()
 
     def _create_attempt(
         self, profile: ServiceProfile, key: int, requested_at: float, retries: int, impatient: bool
     ) -> CallerAttempt:
-        received_at = self.scheduler.clock.now() + NETWORK_LATENCY_SECONDS
+        received_at = self.scheduler.clock.now() + CALLER_TO_DAEMON_LATENCY_SECONDS
         return CallerAttempt(profile, key, requested_at, received_at, retries, impatient)
 
     def _send(self, attempt: CallerAttempt) -> None:
@@ -78,7 +82,7 @@
         ended = [False]
 
         def on_reply(reply: BaseReply) -> None:
-            self.scheduler.schedule_after(NETWORK_LATENCY_SECONDS, lambda: receive(reply))
+            self.scheduler.schedule_after(CALLER_TO_DAEMON_LATENCY_SECONDS, lambda: receive(reply))
 
         def receive(reply: BaseReply) -> None:
             if ended[0]:
@@ -94,7 +98,7 @@
 
         if daemon.running:
             self.scheduler.schedule_after(
-                NETWORK_LATENCY_SECONDS, lambda: daemon.receive(attempt, on_reply)
+                CALLER_TO_DAEMON_LATENCY_SECONDS, lambda: daemon.receive(attempt, on_reply)
             )
         self.scheduler.schedule_at(self._disconnect_time(attempt), disconnect)
 
@@ -108,7 +112,8 @@
         now = self.scheduler.clock.now()
         statistics = self.statistics_of(attempt.profile)
         statistics.record_attempt(attempt, reply)
-        # Executions are counted after the deadline, to include those that start after the reply.
+        # Executions are counted one second after the deadline, when all requests have arrived at
+        # their servers, to include executions that start after the reply.
         self.scheduler.schedule_at(
             attempt.deadline + 1.0, lambda: statistics.record_executions(attempt)
         )
@@ -139,10 +144,10 @@
         ):
             return None
         if attempt.impatient:
-            return IMPATIENT_RETRY_SECONDS
+            return IMPATIENT_RETRY_DELAY_SECONDS
         delay = reply.retry_after if isinstance(reply, NotRun) else None
         if delay is None:
-            delay = DEFAULT_RETRY_SECONDS
+            delay = DEFAULT_RETRY_DELAY_SECONDS
         return min(delay, remaining_seconds * MAX_DELAY_FRACTION)
 
 
--- a/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_decider.py
@@ -24,20 +24,27 @@
 COMMAND_INTERVAL_SECONDS = 0.1
 PLAN_INTERVAL_SECONDS = 0.3
 REPORT_INTERVAL_SECONDS = 0.25
+"""Interval of the daemons' reports of requested keys to the decider. It and the two intervals above
+are equal to those of the production daemon."""
+
 REPORTS_PER_SERVICE_TIME_REPORT = 8
-"""Service times are reported this many times less often than requested keys."""
+"""Service times are reported this many times less often than requested keys, as in production."""
 
 STORE_WRITE_SECONDS = 0.02
+"""Time until the emulated store acknowledges a table."""
+
 COMMAND_LATENCY_SECONDS = 0.01
+"""Time until a command arrives at the server; its answer arrives at once."""
+
 RELEASE_POLL_INTERVAL_SECONDS = 0.02
 
 
 class EmulatedDecider:
     """Assigns the keys of one service to servers while it is ``running``.
 
-    ``stored_table`` is the table in the emulated store; it outlives a stop. ``moved_keys`` counts
-    the keys that were moved away from servers that could have kept them. ``is_registered`` returns
-    whether the registration of a server is still in force.
+    ``stored_table`` is the table in the emulated store; it is kept when the decider stops.
+    ``moved_keys`` counts the keys that were moved away from servers that could have kept them.
+    ``is_registered`` returns whether the registration of a server is still in force.
     """
 
     __slots__ = (
@@ -69,13 +76,13 @@
         self.moved_keys = 0
         self.report_count = 0
         self.is_registered: Callable[[EmulatedServer], bool] = _is_up
-        self.service = KeyedService(profile.name, scheduler.clock.now())
+        self.service = KeyedService(profile.service, scheduler.clock.now())
 
     def start(self) -> None:
         """Starts as a newly elected decider, from the table in the store."""
         now = self.scheduler.clock.now()
         self.running = True
-        service = self.service = KeyedService(self.profile.name, now)
+        service = self.service = KeyedService(self.profile.service, now)
         service.grant_tracker = GrantTracker(now)
         if self.stored_table is None:
             service.grant_tracker.mark_no_former_decider()
@@ -114,6 +121,7 @@
         ]
         if service.commit_sent_at is not None or not candidates:
             return
+        # With 0.0 the last server joined long ago, so that the first table is not delayed.
         new_table = service.next_table(candidates, 0.0, now)
         if new_table is None:
             return
@@ -206,7 +214,8 @@
             if command.server in self.service.consecutive_failures and isinstance(
                 command, GrantCommand
             ):
-                # The first time-out closed the connection and no new one opens: nothing was sent.
+                # An earlier command failed and its connection was closed. This grant cannot
+                # connect, so it is not sent.
                 grant_tracker.record_not_sent(command)
             self.service.record_command_failed(command.server)
             grant_tracker.record_failed(command, self.scheduler.clock.now())
@@ -216,7 +225,7 @@
 
     def _announce_grant(self, keys: KeyRange, fence: int) -> None:
         for daemon in self.daemons:
-            daemon.record_granted_keys(self.profile.name, keys, fence)
+            daemon.record_granted_keys(self.profile.service, keys, fence)
 
     def _collect_reports(self, service: KeyedService) -> None:
         if not self.running or service is not self.service:
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -14,13 +14,15 @@
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 
 QUEUED_CALLS_PER_SLOT = 2
-FULL_LOAD_SLOWDOWN = 0.3
+FULL_LOAD_SLOWDOWN_FRACTION = 0.3
 """By this fraction a call takes longer when all slots are in use."""
 
 COLD_SECONDS = 6.0
 COLD_SLOWDOWN_FACTOR = 1.6
-RESTART_SECONDS = 4.0
-CRASH_FACTOR = 2.0
+CRASH_RESTART_SECONDS = 4.0
+"""Time from a crash until the next incarnation starts."""
+
+COLD_CRASH_LIMIT_FACTOR = 2.0
 """A cold server crashes above this multiple of its cold limit."""
 
 MIN_SERVICE_TIME_FRACTION = 0.5
@@ -37,13 +39,13 @@
     passed when a slot becomes free is declined instead of run.
     """
 
-    __slots__ = ("attempt", "completed", "deadline", "on_done")
+    __slots__ = ("attempt", "deadline", "ended", "on_done")
 
     def __init__(self, attempt: CallerAttempt, deadline: float, on_done: OutcomeCallback) -> None:
         self.attempt = attempt
         self.deadline = deadline
         self.on_done = on_done
-        self.completed = False
+        self.ended = False
 
 
 class EmulatedServer:
@@ -54,9 +56,10 @@
     server's constant service time relative to its profile, ``slowdown_factor`` that of a fault; 1
     is normal. ``failure_fraction`` is the fraction of requests that fail, ``answer_loss_fraction``
     that of answers that are lost. ``cold_limit`` is the number of requests per second that all
-    daemons together may send while the server is cold, ``peak_cold_requests`` the highest number
-    that it received. A ``down`` server refuses connections, an ``unresponsive`` one ignores
-    new requests.
+    daemons together may send while the server is cold (in warm-up), and
+    ``peak_cold_requests_per_second`` the highest number that it received in any second while cold.
+    A ``down`` server refuses connections, an ``unresponsive`` one ignores new requests and
+    commands; both are unreachable.
     """
 
     __slots__ = (
@@ -71,16 +74,16 @@
         "fences",
         "held_ranges",
         "name",
-        "peak_cold_requests",
+        "peak_cold_requests_per_second",
         "profile",
         "rng",
-        "running",
+        "running_calls",
         "scheduler",
         "service_time_factor",
         "slowdown_factor",
         "started_ms",
         "unresponsive",
-        "waiting",
+        "waiting_calls",
     )
 
     def __init__(
@@ -99,7 +102,9 @@
         self.service_time_factor = service_time_factor
         self.scheduler = scheduler
         self.rng = rng
-        self.cold_limit = profile.cold_per_second * fleet.cold_factor + fleet.cold_extra
+        self.cold_limit = (
+            profile.max_cold_requests_per_second * fleet.cold_factor + fleet.cold_extra
+        )
         self.started_ms = FIRST_STARTED_MS
         self.down = False
         self.unresponsive = False
@@ -109,11 +114,11 @@
         self.answer_loss_fraction = 0.0
         self.cold_until = float("-inf")
         self.cold_arrivals = SlidingWindowCounter(1.0)
-        self.peak_cold_requests = 0
+        self.peak_cold_requests_per_second = 0
         self.held_ranges: dict[tuple[KeyRange, int], float] = {}
         self.fences: dict[KeyRange, int] = {}
-        self.running: list[Call] = []
-        self.waiting: list[Call] = []
+        self.running_calls: list[Call] = []
+        self.waiting_calls: list[Call] = []
 
     @property
     def incarnation(self) -> ServerIncarnation:
@@ -130,7 +135,7 @@
         cold_ms = max(0.0, self.cold_until - self.scheduler.clock.now()) * 1000.0
         return BackendServer(
             self.name,
-            self.profile.name,
+            self.profile.service,
             "127.0.0.1",
             1,
             self.data_centre,
@@ -152,44 +157,44 @@
         if self.unresponsive:
             return
         if self.down:
-            call.completed = True
+            call.ended = True
             call.on_done(CallOutcome(CallStatus.NOT_SENT))
             return
         if incarnation != self.incarnation or (
             self.profile.keyed and not self.holds(call.attempt.key)
         ):
-            self._complete(call, CallStatus.MISDIRECTED)
+            self._answer(call, CallStatus.MISDIRECTED)
             return
         self._record_cold_arrival()
         if self.down:
             self._reset_connection(call)
-        elif len(self.running) < self.profile.slots:
+        elif len(self.running_calls) < self.profile.slots:
             self._start(call)
-        elif len(self.waiting) < self.profile.slots * QUEUED_CALLS_PER_SLOT:
-            self.waiting.append(call)
+        elif len(self.waiting_calls) < self.profile.slots * QUEUED_CALLS_PER_SLOT:
+            self.waiting_calls.append(call)
         else:
-            self._complete(call, CallStatus.DECLINED)
+            self._answer(call, CallStatus.DECLINED)
 
     def on_disconnect(self, call: Call) -> None:
         """Aborts a call whose connection the daemon has closed."""
-        if call.completed:
+        if call.ended:
             return
-        call.completed = True
+        call.ended = True
         self._remove(call)
 
     def make_cold(self) -> None:
         """Puts the server into warm-up without starting a new incarnation."""
         self.cold_until = self.scheduler.clock.now() + COLD_SECONDS
 
-    def crash(self, restart_seconds: float | None = RESTART_SECONDS) -> None:
+    def crash(self, restart_seconds: float | None = CRASH_RESTART_SECONDS) -> None:
         """Ends the current incarnation: connections are reset and grants are lost.
 
         The next one starts after ``restart_seconds``; with None the server stays down.
         """
         self.down = True
-        aborted = [*self.running, *self.waiting]
-        self.running = []
-        self.waiting = []
+        aborted = [*self.running_calls, *self.waiting_calls]
+        self.running_calls = []
+        self.waiting_calls = []
         self.held_ranges = {}
         self.fences = {}
         for call in aborted:
@@ -220,7 +225,7 @@
 
     def has_running_calls(self, keys: KeyRange) -> bool:
         """Whether a call for any of the keys is running."""
-        return any(keys.first <= call.attempt.key <= keys.last for call in self.running)
+        return any(keys.first <= call.attempt.key <= keys.last for call in self.running_calls)
 
     def _record_cold_arrival(self) -> None:
         now = self.scheduler.clock.now()
@@ -228,18 +233,20 @@
             return
         self.cold_arrivals.add(now)
         count = self.cold_arrivals.count(now)
-        self.peak_cold_requests = max(self.peak_cold_requests, count)
-        if count > self.cold_limit * CRASH_FACTOR:
+        self.peak_cold_requests_per_second = max(self.peak_cold_requests_per_second, count)
+        if count > self.cold_limit * COLD_CRASH_LIMIT_FACTOR:
             self.crash()
 
     def _start(self, call: Call) -> None:
         call.attempt.executions += 1
-        self.running.append(call)
-        utilisation = len(self.running) / self.profile.slots
+        self.running_calls.append(call)
+        utilisation = len(self.running_calls) / self.profile.slots
         seconds = (
-            call.attempt.profile.work_seconds * self.service_time_factor * self.slowdown_factor
+            call.attempt.profile.mean_service_seconds
+            * self.service_time_factor
+            * self.slowdown_factor
         )
-        seconds *= 1.0 + FULL_LOAD_SLOWDOWN * utilisation
+        seconds *= 1.0 + FULL_LOAD_SLOWDOWN_FRACTION * utilisation
         seconds *= COLD_SLOWDOWN_FACTOR if self.is_cold else 1.0
         seconds *= MIN_SERVICE_TIME_FRACTION + (
             1.0 - MIN_SERVICE_TIME_FRACTION
@@ -247,41 +254,44 @@
         self.scheduler.schedule_after(seconds, lambda: self._finish(call))
 
     def _finish(self, call: Call) -> None:
-        if call.completed:
+        if call.ended:
             return
         self._remove(call)
         if self.rng.random() < self.answer_loss_fraction:
             self._reset_connection(call)
         elif self.rng.random() < self.failure_fraction:
-            self._complete(call, CallStatus.FAILED)
+            self._answer(call, CallStatus.FAILED)
         else:
-            self._complete(call, CallStatus.ANSWERED)
+            self._answer(call, CallStatus.ANSWERED)
 
     def _remove(self, call: Call) -> None:
-        if call in self.waiting:
-            self.waiting.remove(call)
-        if call in self.running:
-            self.running.remove(call)
+        if call in self.waiting_calls:
+            self.waiting_calls.remove(call)
+        if call in self.running_calls:
+            self.running_calls.remove(call)
             self._start_next()
 
     def _start_next(self) -> None:
         now = self.scheduler.clock.now()
-        while self.waiting and len(self.running) < self.profile.slots:
-            call = self.waiting.pop(0)
+        while self.waiting_calls and len(self.running_calls) < self.profile.slots:
+            call = self.waiting_calls.pop(0)
             if now >= call.deadline:
-                self._complete(call, CallStatus.DECLINED)
+                self._answer(call, CallStatus.DECLINED)
             else:
                 self._start(call)
 
-    def _complete(self, call: Call, status: CallStatus) -> None:
-        call.completed = True
+    def _answer(self, call: Call, status: CallStatus) -> None:
+        call.ended = True
         load = ServerLoad(
-            len(self.running), len(self.waiting), self.profile.slots, self.slowdown_factor
+            len(self.running_calls),
+            len(self.waiting_calls),
+            self.profile.slots,
+            self.slowdown_factor,
         )
         call.on_done(CallOutcome(status, load))
 
     def _reset_connection(self, call: Call) -> None:
-        call.completed = True
+        call.ended = True
         call.on_done(CallOutcome(CallStatus.LOST))
 
     def _restart(self) -> None:
--- a/packages/emulator/src/fireflylink_emulator/_emulation.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulation.py
@@ -17,17 +17,22 @@
 
 REGISTRATION_REFRESH_SECONDS = 0.2
 LEASE_SECONDS = 1.5
-"""Until this has passed, an unavailable server stays registered and a stopped daemon listed."""
+"""Until this has passed, an unreachable server stays registered and a stopped daemon listed."""
 
-SETTLE_SECONDS = 3.0
+FIRST_GRANTS_SECONDS = 3.0
 """Time for the first grants before requests arrive."""
 
 DRAIN_SECONDS = 2.0
-RESTART_SECONDS = 0.5
+REPLACEMENT_RESTART_SECONDS = 0.5
+"""Time from the stop of a drained server until its next incarnation starts."""
+
 MAX_SERVICE_TIME_FACTOR = 1.4
 MIN_SERVICE_TIME_FACTOR = 0.7
+"""Each server's constant service time factor is drawn at random between these two: the servers of a
+service differ in speed."""
+
 STATIC_HOLD_SECONDS = 1e9
-"""Holds of the baseline outlast every run."""
+"""Hold of the servers behind ``BaselineDaemon``, which is never renewed: longer than every run."""
 
 COMPLETION_SECONDS = 6.0
 """Time to complete the outstanding requests at the end of a run."""
@@ -36,9 +41,11 @@
 class Emulation:
     """One run of a deployment.
 
-    With ``baseline``, daemons apply no limits and no placement, and keys never move.
-    ``unavailable_since`` maps each server that is down or unresponsive to the time when this was
-    first seen; ``static_assignments`` has the owners and key ranges of the baseline by service.
+    With ``baseline``, each daemon is a ``BaselineDaemon``, and keys never move.
+    ``unreachable_since`` maps each server that is down or unresponsive to the time when this was
+    first seen; ``static_assignments`` has the owners and key ranges of the baseline by service. An
+    owner is the server that the ownership table assigns keys to; it holds them, and runs requests
+    for them, only with an unexpired grant.
 
     Example::
 
@@ -57,7 +64,7 @@
         "scheduler",
         "servers",
         "static_assignments",
-        "unavailable_since",
+        "unreachable_since",
     )
 
     def __init__(
@@ -71,9 +78,10 @@
         self.scheduler = EventScheduler(ManualClock())
         self.fleet = fleet
         self.profiles = profiles
-        services = {profile.name: profile for profile in reversed(profiles)}.values()
+        # Of the profiles that share a service, the first one is the profile of its servers.
+        services = {profile.service: profile for profile in reversed(profiles)}.values()
         self.servers = [server for profile in services for server in self._create_servers(profile)]
-        self.unavailable_since: dict[EmulatedServer, float] = {}
+        self.unreachable_since: dict[EmulatedServer, float] = {}
         routed = [] if baseline else self._create_routed_daemons()
         self.daemons: list[BaseEmulatedDaemon] = [*routed] or self._create_baseline_daemons()
         self.callers = Callers(self.scheduler, self.daemons, random.Random(seed + 1))
@@ -81,21 +89,21 @@
         self.static_assignments: dict[str, list[tuple[EmulatedServer, KeyRange]]] = {}
         for profile in services:
             if profile.keyed and baseline:
-                self.static_assignments[profile.name] = self._create_static_assignments(profile)
+                self.static_assignments[profile.service] = self._create_static_assignments(profile)
             elif profile.keyed:
                 service_servers = self.servers_of(profile)
-                self.deciders[profile.name] = EmulatedDecider(
+                self.deciders[profile.service] = EmulatedDecider(
                     profile, service_servers, routed, self.scheduler
                 )
         self._refresh_periodically()
         for decider in self.deciders.values():
             decider.is_registered = self._is_registered
             decider.start()
-        self.scheduler.run_until(self.scheduler.clock.now() + SETTLE_SECONDS)
+        self.scheduler.run_until(self.scheduler.clock.now() + FIRST_GRANTS_SECONDS)
 
     def servers_of(self, profile: ServiceProfile) -> list[EmulatedServer]:
         """Returns the servers of a service."""
-        return [server for server in self.servers if server.profile.name == profile.name]
+        return [server for server in self.servers if server.profile.service == profile.service]
 
     def replay(self, pattern: ArrivalPattern) -> None:
         """Replays a pattern and runs until its last request has ended."""
@@ -103,13 +111,13 @@
         for arrival in pattern.arrivals:
             profile = self.profiles[arrival.profile_index]
             send_request = functools.partial(self.callers.send_request, profile, arrival.key)
-            self.scheduler.schedule_at(started_at + arrival.seconds, send_request)
-        self.finish(pattern.seconds)
+            self.scheduler.schedule_at(started_at + arrival.offset_seconds, send_request)
+        self.finish(pattern.duration_seconds)
 
     def finish(self, seconds: float) -> None:
-        """Runs for a number of seconds and until the last request has ended; checks guarantees."""
+        """Runs for a number of seconds and until the last request has ended."""
         self.scheduler.run_until(self.scheduler.clock.now() + seconds + COMPLETION_SECONDS)
-        self.callers.check_guarantees()
+        self.callers.count_refused_but_executed()
 
     def stop_daemon(self, daemon: BaseEmulatedDaemon) -> None:
         """Stops a daemon; the others are informed when its lease has expired."""
@@ -129,13 +137,15 @@
         """Drains a server, then restarts it as a new incarnation, which is cold."""
         server.draining = True
         self._refresh_registrations()
-        self.scheduler.schedule_after(DRAIN_SECONDS, lambda: server.crash(RESTART_SECONDS))
+        self.scheduler.schedule_after(
+            DRAIN_SECONDS, lambda: server.crash(REPLACEMENT_RESTART_SECONDS)
+        )
 
     def _create_servers(self, profile: ServiceProfile) -> list[EmulatedServer]:
         centres = self.fleet.data_centres
         return [
             EmulatedServer(
-                f"{profile.name}-{number:02d}",
+                f"{profile.service}-{number:02d}",
                 profile,
                 self.fleet,
                 centres[number % len(centres)],
@@ -143,11 +153,11 @@
                 self.scheduler,
                 random.Random(self.rng.random()),
             )
-            for number in range(profile.servers)
+            for number in range(profile.server_count)
         ]
 
     def _daemon_names(self) -> tuple[str, ...]:
-        return tuple(f"front-{number:02d}" for number in range(self.fleet.daemons))
+        return tuple(f"front-{number:02d}" for number in range(self.fleet.daemon_count))
 
     def _create_routed_daemons(self) -> list[RoutedDaemon]:
         names = self._daemon_names()
@@ -182,9 +192,9 @@
         registered = []
         for server in self.servers:
             if not server.down and not server.unresponsive:
-                self.unavailable_since.pop(server, None)
-            elif server not in self.unavailable_since:
-                self.unavailable_since[server] = now
+                self.unreachable_since.pop(server, None)
+            elif server not in self.unreachable_since:
+                self.unreachable_since[server] = now
             # A draining owner still receives the requests for its keys until they have moved.
             is_routable = server.profile.keyed or not server.draining
             if is_routable and self._is_registered(server):
@@ -195,7 +205,7 @@
             self._apply_static_assignments(name, owners)
 
     def _is_registered(self, server: EmulatedServer) -> bool:
-        since = self.unavailable_since.get(server)
+        since = self.unreachable_since.get(server)
         return since is None or self.scheduler.clock.now() < since + LEASE_SECONDS
 
     def _create_static_assignments(
@@ -203,7 +213,7 @@
     ) -> list[tuple[EmulatedServer, KeyRange]]:
         servers = self.servers_of(profile)
         candidates = [Candidate(server.incarnation, 1.0, server.data_centre) for server in servers]
-        table = initial_table(profile.name, candidates, 1)
+        table = initial_table(profile.service, candidates, 1)
         by_incarnation = {server.incarnation: server for server in servers}
         return [
             (by_incarnation[assignment.owner], assignment.keys) for assignment in table.assignments
--- a/packages/emulator/src/fireflylink_emulator/_event_scheduler.py
+++ b/packages/emulator/src/fireflylink_emulator/_event_scheduler.py
@@ -1,4 +1,4 @@
-"""Scheduler of a discrete-event simulation."""
+"""Scheduler of the emulator's events."""
 
 import heapq
 from collections.abc import Callable
--- a/packages/emulator/src/fireflylink_emulator/_failures.py
+++ b/packages/emulator/src/fireflylink_emulator/_failures.py
@@ -1,4 +1,9 @@
-"""Failures, and how long keys have no holder after them."""
+"""Failures, and how long keys have no holder after each of them.
+
+Each failure is injected once into a run without requests, unlike the random faults of
+``_fault_run``, which interrupt a run with requests. The recovery times are compared with a
+calculated baseline, the hash baseline: owners are found by a hash of the key, without a decider.
+"""
 
 from collections.abc import Callable
 
@@ -6,21 +11,34 @@
 from fireflylink_emulator._emulation import Emulation
 from fireflylink_emulator._profile import FLEET, LOOKUPS
 
-SETTLE_SECONDS = 3.0
-PHASES = 8
-PHASE_SECONDS = 0.15
+SECONDS_BEFORE_FAILURE = 3.0
+"""Time from the first grants to the failure in phase 0."""
+
+RENEWAL_PHASES = 8
+RENEWAL_PHASE_SECONDS = 0.15
+"""Each later phase injects the failure this much later. Holds are renewed each second, which all
+phases together cover."""
+
 SAMPLE_INTERVAL_SECONDS = 0.05
 MEASUREMENT_SECONDS = 30.0
 ALL_HELD_FRACTION = 0.9999
 """From this fraction on, all keys count as held."""
 
-BASELINE_HOLD_SECONDS = 10.0
+HASH_BASELINE_HOLD_SECONDS = 10.0
 """The longest hold that the platform allows."""
 
-BASELINE_EXPIRY_SECONDS = 1.5
-BASELINE_LEASE_SECONDS = 6.0
+HASH_BASELINE_REGISTRATION_EXPIRY_SECONDS = 1.5
+"""Time until a lost server is no longer registered."""
+
+HASH_BASELINE_DAEMON_LEASE_SECONDS = 6.0
+"""Time until a lost daemon is no longer listed in the store, as in production."""
+
 DECIDER_LEASE_SECONDS = 1.2
+"""Time until the lease of a lost decider ends, as in production."""
+
 ELECTION_SECONDS = 0.2
+"""Time from the end of the lease until the next decider starts."""
+
 DAEMON_RESTART_SECONDS = 1.0
 
 
@@ -33,7 +51,7 @@
 
 
 def _stop_decider(emulation: Emulation) -> None:
-    decider = emulation.deciders[LOOKUPS.name]
+    decider = emulation.deciders[LOOKUPS.service]
     decider.stop()
     emulation.scheduler.schedule_after(DECIDER_LEASE_SECONDS + ELECTION_SECONDS, decider.start)
 
@@ -48,40 +66,56 @@
 
 
 def _stop_all_daemons(emulation: Emulation) -> None:
-    decider = emulation.deciders[LOOKUPS.name]
+    """Stops the decider only: without requests, the other daemons have no effect on the holds."""
+    decider = emulation.deciders[LOOKUPS.service]
     decider.stop()
     delay = max(DAEMON_RESTART_SECONDS, DECIDER_LEASE_SECONDS) + ELECTION_SECONDS
     emulation.scheduler.schedule_after(delay, decider.start)
 
 
 FAILURES: tuple[tuple[str, Callable[[Emulation], None], float], ...] = (
-    ("a server crashes", _crash_server, BASELINE_EXPIRY_SECONDS + BASELINE_HOLD_SECONDS),
+    (
+        "a server crashes",
+        _crash_server,
+        HASH_BASELINE_REGISTRATION_EXPIRY_SECONDS + HASH_BASELINE_HOLD_SECONDS,
+    ),
     (
         "a server falls silent",
         _make_server_unresponsive,
-        BASELINE_EXPIRY_SECONDS + BASELINE_HOLD_SECONDS,
+        HASH_BASELINE_REGISTRATION_EXPIRY_SECONDS + HASH_BASELINE_HOLD_SECONDS,
     ),
     ("the deciding daemon is lost", _stop_decider, 0.0),
     (
         "a data centre is cut off",
         _isolate_data_centre,
-        BASELINE_EXPIRY_SECONDS + BASELINE_HOLD_SECONDS,
+        HASH_BASELINE_REGISTRATION_EXPIRY_SECONDS + HASH_BASELINE_HOLD_SECONDS,
     ),
     (
         "a data centre with the decider",
         _isolate_data_centre_with_decider,
-        BASELINE_LEASE_SECONDS + BASELINE_HOLD_SECONDS,
+        HASH_BASELINE_DAEMON_LEASE_SECONDS + HASH_BASELINE_HOLD_SECONDS,
+    ),
+    (
+        "all daemons at once",
+        _stop_all_daemons,
+        HASH_BASELINE_DAEMON_LEASE_SECONDS + HASH_BASELINE_HOLD_SECONDS,
     ),
-    ("all daemons at once", _stop_all_daemons, BASELINE_LEASE_SECONDS + BASELINE_HOLD_SECONDS),
 )
+"""Each failure with its printed name and the recovery time of the hash baseline in seconds. That is
+0 for the loss of the decider, because the baseline has none."""
 
 
 def measure_recovery(inject_failure: Callable[[Emulation], None], seed: int) -> tuple[float, float]:
-    """Returns the lowest fraction of keys held and the seconds until all were held again."""
+    """Returns the lowest fraction of keys held and the seconds until all were held again.
+
+    ``seed`` also selects the phase, modulo ``RENEWAL_PHASES``.
+    """
     emulation = Emulation((LOOKUPS,), FLEET, seed)
     # The recovery time depends on the phase of the hold renewals at the failure.
-    settle = SETTLE_SECONDS + (seed % PHASES) * PHASE_SECONDS
-    emulation.scheduler.run_until(emulation.scheduler.clock.now() + settle)
+    seconds_before_failure = (
+        SECONDS_BEFORE_FAILURE + (seed % RENEWAL_PHASES) * RENEWAL_PHASE_SECONDS
+    )
+    emulation.scheduler.run_until(emulation.scheduler.clock.now() + seconds_before_failure)
     failed_at = emulation.scheduler.clock.now()
     inject_failure(emulation)
     lowest = 1.0
--- a/packages/emulator/src/fireflylink_emulator/_fault_run.py
+++ b/packages/emulator/src/fireflylink_emulator/_fault_run.py
@@ -1,4 +1,4 @@
-"""A run of generated requests with injected faults."""
+"""A run of generated requests with faults of random kind, time, strength and duration."""
 
 import functools
 import random
@@ -11,6 +11,9 @@
 FAULT_RUN_PROFILES = (LOOKUPS, APPROVALS)
 REQUESTS_PER_SECOND = 160.0
 LOOKUP_FRACTION = 0.7
+"""Fraction of the requests that are lookups; the others are approvals. New requests arrive at
+about 43% of the capacity for lookups and 50% of that for approvals."""
+
 MEAN_FAULT_INTERVAL_SECONDS = 4.0
 """Mean of the exponentially distributed time between the starts of two faults."""
 
@@ -18,7 +21,7 @@
 EARLY_DISCONNECT_FRACTION = 0.05
 IMPATIENT_FRACTION = 0.1
 DECIDER_TAKEOVER_SECONDS = 1.4
-"""Time from the loss of the decider until its successor starts."""
+"""Time from the loss of the decider until its successor starts: lease of 1.2 s and election."""
 
 STEP_SECONDS = 10.0
 """The run is advanced by this time until all requests are sent, and once more at its end."""
@@ -37,7 +40,7 @@
         self.rng = rng
         self.fault_counts: dict[str, int] = {}
 
-    def start(self) -> None:
+    def schedule_next(self) -> None:
         """Schedules the next fault; each fault schedules another one until the run ends."""
         self.emulation.scheduler.schedule_after(
             self.rng.expovariate(1.0 / MEAN_FAULT_INTERVAL_SECONDS), self._inject_next
@@ -58,7 +61,7 @@
         name = fault.__name__.removeprefix("_")
         self.fault_counts[name] = self.fault_counts.get(name, 0) + 1
         fault()
-        self.start()
+        self.schedule_next()
 
     def _random_server(self) -> EmulatedServer:
         return self.rng.choice(self.emulation.servers)
@@ -120,13 +123,16 @@
 
 
 def run_with_faults(requests: int, seed: int) -> tuple[Emulation, dict[str, int]]:
-    """Runs a number of requests with faults; returns the emulation and the number of each fault."""
+    """Runs a number of requests with faults; returns the emulation and the fault counts.
+
+    The fault counts are how often each kind of fault was injected.
+    """
     emulation = Emulation(FAULT_RUN_PROFILES, FLEET, seed)
     emulation.callers.early_disconnect_fraction = EARLY_DISCONNECT_FRACTION
     emulation.callers.impatient_fraction = IMPATIENT_FRACTION
     rng = random.Random(seed + 2)
     injector = _FaultInjector(emulation, random.Random(seed + 3))
-    injector.start()
+    injector.schedule_next()
     sent = 0
 
     def send_next() -> None:
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -1,4 +1,4 @@
-"""Emulated daemon that runs the production code for placement, limits and retries."""
+"""Emulated daemon that runs the production code for dispatch, limits and retries."""
 
 from collections.abc import Callable
 
@@ -38,6 +38,8 @@
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 
 SWEEP_INTERVAL_SECONDS = 0.02
+"""Interval of sweeps, which dispatch queued requests or refuse those that would be late."""
+
 MILLISECONDS_PER_SECOND = 1000.0
 DECLINED_STATUS = 503
 MISDIRECTED_STATUS = 421
@@ -64,8 +66,11 @@
 
 
 class RoutedDaemon(BaseEmulatedDaemon):
-    """Places requests with ``Dispatcher`` and retries them as ``Attempts`` decides.
+    """Daemon that routes requests with the production code.
 
+    ``Dispatcher`` chooses the server of a request, and ``Attempts`` decides on retries.
+    ``position`` is the daemon's place among the daemons that the store lists, from which its shares
+    of the limits of the fleet follow.
     ``service_times`` (server name and seconds) and ``requested_keys`` are collected for the next
     report to the decider. ``queued`` maps requests in the dispatcher's queue to their attempts.
     """
@@ -95,7 +100,7 @@
     ) -> None:
         super().__init__(name, data_centre, fleet, scheduler)
         self.position = FleetPosition(name, members)
-        self.profiles = {profile.name: profile for profile in profiles}
+        self.profiles = {profile.service: profile for profile in profiles}
         self.dispatcher = Dispatcher()
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.servers: dict[ServerIncarnation, EmulatedServer] = {}
@@ -107,9 +112,9 @@
         limits = RetryBudgetLimits(
             fleet.retry_budget_ratio, fleet.retry_budget_extra, fleet.retry_budget_window_seconds
         )
-        self.retry_budgets = {profile.name: RetryBudget(limits) for profile in profiles}
+        self.retry_budgets = {profile.service: RetryBudget(limits) for profile in profiles}
         for profile in profiles:
-            self.dispatcher.pools[profile.name] = ServicePool(
+            self.dispatcher.pools[profile.service] = ServicePool(
                 profile.keyed, self._service_limits(profile)
             )
 
@@ -131,7 +136,9 @@
                 self.servers[registration.incarnation] = server
             if registration.cold_ms > 0:
                 tracker.cold_limiter.mark_cold(now + registration.cold_ms / MILLISECONDS_PER_SECOND)
-            self.dispatcher.pools[server.profile.name].trackers[registration.incarnation] = tracker
+            self.dispatcher.pools[server.profile.service].trackers[
+                registration.incarnation
+            ] = tracker
         self._sweep()
 
     def update_table(self, table: OwnershipTable) -> None:
@@ -143,13 +150,13 @@
         self._sweep()
 
     def receive(self, attempt: CallerAttempt, on_reply: Callable[[BaseReply], None]) -> None:
-        self.retry_budgets[attempt.profile.name].record_request(self.scheduler.clock.now())
+        self.retry_budgets[attempt.profile.service].record_request(self.scheduler.clock.now())
         if attempt.profile.keyed:
             self.requested_keys.append(attempt.key)
         server_attempts = Attempts(attempt.profile.idempotent, attempt.profile.max_attempts)
         active = _ActiveAttempt(attempt, server_attempts, on_reply)
         self.active_attempts[attempt] = active
-        self._place(active)
+        self._submit(active)
 
     def cancel(self, attempt: CallerAttempt) -> None:
         active = self.active_attempts.pop(attempt, None)
@@ -163,17 +170,18 @@
         active_call = self.active_calls.get(attempt)
         if active_call is not None:
             active_call[0].on_disconnect(active_call[1])
+            # The tracker of the server counts the call as one that timed out.
             active_call[1].on_done(CallOutcome(CallStatus.LATE))
         active.on_reply(CallerDisconnected())
 
-    def _place(self, active: _ActiveAttempt) -> None:
+    def _submit(self, active: _ActiveAttempt) -> None:
         attempt = active.attempt
         request = QueuedRequest(
-            attempt.profile.name,
+            attempt.profile.service,
             attempt.profile.priority,
             attempt.received_at,
             attempt.deadline - REPLY_MARGIN_SECONDS,
-            attempt.key if attempt.profile.keyed else -1,
+            attempt.key if attempt.profile.keyed else -1,  # NO_KEY
             frozenset(active.server_attempts.tried_servers),
             attempt.received_at + attempt.profile.objective_seconds,
         )
@@ -199,18 +207,18 @@
         for request, result in self.dispatcher.sweep(self.scheduler.clock.now()):
             self._apply_result(self.queued.pop(request), result)
 
-    def _apply_result(self, active: _ActiveAttempt, placement: BaseDispatchResult) -> None:
-        if isinstance(placement, Refused):
-            reply = active.server_attempts.refusal_reply(placement.reason, placement.retry_after)
+    def _apply_result(self, active: _ActiveAttempt, result: BaseDispatchResult) -> None:
+        if isinstance(result, Refused):
+            reply = active.server_attempts.refusal_reply(result.reason, result.retry_after)
             self._finish(active, reply)
-        elif isinstance(placement, Dispatched):
-            incarnation = placement.tracker.server.incarnation
+        elif isinstance(result, Dispatched):
+            incarnation = result.tracker.server.incarnation
             active.server_attempts.record_sent(incarnation.server_id)
             sent_at = self.scheduler.clock.now()
             self.call(
                 active.attempt,
                 self.servers[incarnation],
-                lambda outcome: self._on_outcome(active, placement, sent_at, outcome),
+                lambda outcome: self._on_outcome(active, result, sent_at, outcome),
             )
 
     def _on_outcome(
@@ -223,11 +231,11 @@
             tracker.record_load(outcome.load, now)
         self._record_status(active, dispatched, now - sent_at, outcome.status)
         if outcome.status is CallStatus.MISDIRECTED:
-            self.dispatcher.record_misdirected(active.attempt.profile.name, dispatched, now)
+            self.dispatcher.record_misdirected(active.attempt.profile.service, dispatched, now)
         self._sweep()
         if active.disconnected:
             return
-        retry_budget = self.retry_budgets[active.attempt.profile.name]
+        retry_budget = self.retry_budgets[active.attempt.profile.service]
         remaining_seconds = active.attempt.deadline - REPLY_MARGIN_SECONDS - now
         decision = active.server_attempts.decide(
             _call_result(outcome), remaining_seconds, retry_budget.allows_retry(now, self.position)
@@ -235,7 +243,7 @@
         if isinstance(decision, Retry):
             if decision.reached_server:
                 retry_budget.record_retry(now)
-            self._place(active)
+            self._submit(active)
         elif isinstance(decision, ReturnReply):
             self._finish(active, decision.reply)
 
@@ -266,7 +274,9 @@
             active.on_reply(reply)
 
     def _service_limits(self, profile: ServiceProfile) -> ServiceLimits:
-        cold = ColdLimit(profile.cold_per_second, self.fleet.cold_factor, self.fleet.cold_extra)
+        cold = ColdLimit(
+            profile.max_cold_requests_per_second, self.fleet.cold_factor, self.fleet.cold_extra
+        )
         return ServiceLimits(cold, self.fleet.connection_limit, self.position, self.data_centre)
 
 
--- a/packages/emulator/src/fireflylink_emulator/_run_statistics.py
+++ b/packages/emulator/src/fireflylink_emulator/_run_statistics.py
@@ -15,6 +15,10 @@
 class RunStatistics:
     """Counts over one run. A request is the first attempt of a caller with its retries.
 
+    Each request counts by the reply to its last attempt: ``in_time`` and ``late`` if it was
+    answered within or after the target latency, ``refused`` if that attempt was not run, ``failed``
+    if it failed, its outcome is unknown, or the caller disconnected.
+
     Three counts are violations of guarantees. ``duplicate_executions``: an attempt ran more than
     once although its request is not idempotent. ``answers_without_execution``: an attempt was
     answered but never ran. ``refused_but_executed``: an attempt was refused but ran.
@@ -56,7 +60,7 @@
 
     @property
     def guarantee_violations(self) -> int:
-        """Number of violations; call ``check_refused_attempts`` first."""
+        """Number of violations; call ``count_refused_but_executed`` first."""
         return (
             self.duplicate_executions + self.answers_without_execution + self.refused_but_executed
         )
@@ -82,7 +86,7 @@
                 self.refused_attempts.append(attempt)
 
     def record_executions(self, attempt: CallerAttempt) -> None:
-        """Checks the number of executions of an ended attempt."""
+        """Counts an ended attempt that ran more often than allowed."""
         if attempt.executions > 1 and not attempt.profile.idempotent:
             self.duplicate_executions += 1
 
@@ -95,7 +99,7 @@
         elif isinstance(reply, ServerAnswer | OutcomeUnknown | CallerDisconnected):
             self.failed += 1
 
-    def check_refused_attempts(self) -> None:
+    def count_refused_but_executed(self) -> None:
         """Counts the refused attempts that ran after the refusal."""
         self.refused_but_executed += sum(
             1 for attempt in self.refused_attempts if attempt.executions
--- a/packages/emulator/src/fireflylink_emulator/_scenarios.py
+++ b/packages/emulator/src/fireflylink_emulator/_scenarios.py
@@ -12,14 +12,18 @@
 PATTERN_SECONDS = 12.0
 EVENT_START_SECONDS = 3.0
 EVENT_DURATION_SECONDS = 6.0
-HOT_KEY = 20_480
+FIRST_HOT_KEY = 20_480
+"""In ``HotKeyOnColdServer``, the only hot key."""
+
 HOT_KEY_COUNT = 60
+"""Number of adjacent hot keys, from ``FIRST_HOT_KEY`` on."""
+
 HOT_KEY_FRACTION = 0.35
 SLOWDOWN_FACTOR = 12.0
 
 
 class BaseScenario(abc.ABC):
-    """One scenario; its recorded pattern has the same ``name``.
+    """One scenario; its stored pattern has the same ``name``, which is also printed.
 
     ``base_load_fraction`` is the rate of requests as a fraction of the servers' capacity.
     """
@@ -32,7 +36,7 @@
 
     @property
     def profile(self) -> ServiceProfile:
-        """The kind of requests that the scenario is measured by."""
+        """The type of requests that the scenario is measured by."""
         return self.profiles[0]
 
     def generate_pattern(self, rng: random.Random) -> ArrivalPattern:
@@ -50,7 +54,7 @@
     def choose_key(self, rng: random.Random, seconds: float) -> int:
         """Returns the key of one arrival; a fraction of the arrivals falls on adjacent hot keys."""
         if rng.random() < HOT_KEY_FRACTION:
-            return HOT_KEY + rng.randrange(HOT_KEY_COUNT)
+            return FIRST_HOT_KEY + rng.randrange(HOT_KEY_COUNT)
         return rng.randrange(KEY_COUNT)
 
     def choose_profile_index(self, rng: random.Random) -> int:
@@ -75,20 +79,20 @@
 
     def choose_key(self, rng: random.Random, seconds: float) -> int:
         if seconds > EVENT_START_SECONDS / 2 and rng.random() < 0.5:
-            return HOT_KEY
+            return FIRST_HOT_KEY
         return rng.randrange(KEY_COUNT)
 
     def schedule_events(self, emulation: Emulation) -> None:
         def turn_cold() -> None:
             for server in emulation.servers_of(self.profile):
-                if server.holds(HOT_KEY):
+                if server.holds(FIRST_HOT_KEY):
                     server.make_cold()
 
         emulation.scheduler.schedule_after(EVENT_START_SECONDS, turn_cold)
 
 
 class SlowServers(BaseScenario):
-    """A third of the servers becomes twelve times slower under load."""
+    """A third of the servers is twelve times slower for six seconds."""
 
     __slots__ = ()
     name = "slow-third"
--- a/packages/emulator/src/fireflylink_emulator/faults.py
+++ b/packages/emulator/src/fireflylink_emulator/faults.py
@@ -21,13 +21,15 @@
     print("faults: " + ", ".join(f"{name} {count}" for name, count in sorted(fault_counts.items())))
     all_statistics = [emulation.callers.statistics_of(profile) for profile in FAULT_RUN_PROFILES]
     for profile, statistics in zip(FAULT_RUN_PROFILES, all_statistics, strict=True):
-        print(_line(profile.name, statistics))
+        print(_line(profile.service, statistics))
     for profile in FAULT_RUN_PROFILES:
         servers = emulation.servers_of(profile)
-        peak = max(server.peak_cold_requests for server in servers)
+        peak = max(server.peak_cold_requests_per_second for server in servers)
         limit = servers[0].cold_limit
-        print(f"{profile.name}: most in a second at a cold server {peak}, bound {limit:.1f}")
-    exceeded = any(server.peak_cold_requests > server.cold_limit for server in emulation.servers)
+        print(f"{profile.service}: most in a second at a cold server {peak}, bound {limit:.1f}")
+    exceeded = any(
+        server.peak_cold_requests_per_second > server.cold_limit for server in emulation.servers
+    )
     return int(exceeded or any(statistics.guarantee_violations for statistics in all_statistics))
 
 
--- a/packages/emulator/src/fireflylink_emulator/record.py
+++ b/packages/emulator/src/fireflylink_emulator/record.py
@@ -21,7 +21,7 @@
         pattern = scenario.generate_pattern(random.Random(SEED.value))
         path = PATTERN_DIRECTORY / f"{scenario.name}.txt"
         path.write_text(encode_pattern(pattern))
-        print(f"{path.name}: {len(pattern.arrivals)} arrivals in {pattern.seconds:.1f} s")
+        print(f"{path.name}: {len(pattern.arrivals)} arrivals in {pattern.duration_seconds:.1f} s")
 
 
 if __name__ == "__main__":
--- a/packages/emulator/src/fireflylink_emulator/replay.py
+++ b/packages/emulator/src/fireflylink_emulator/replay.py
@@ -1,4 +1,4 @@
-"""Replays the recorded patterns with the production code and with the baseline.
+"""Replays the stored patterns with the production code and with the baseline.
 
 python -m fireflylink_emulator.replay --seed 1
 """
@@ -17,7 +17,7 @@
 
 
 def _row(name: str, emulation: Emulation, statistics: RunStatistics) -> str:
-    peak_cold = max(server.peak_cold_requests for server in emulation.servers)
+    peak_cold = max(server.peak_cold_requests_per_second for server in emulation.servers)
     moved_keys = sum(decider.moved_keys for decider in emulation.deciders.values())
     return (
         f"{name:<42} {statistics.earned_fraction:>5.3f} {statistics.requests:>6}"
@@ -44,7 +44,7 @@
             emulation = replay_scenario(scenario, pattern.unwrap(), SEED.value, baseline)
             name = f"{scenario.name}, baseline" if baseline else scenario.name
             for profile in scenario.profiles:
-                suffix = "" if profile is scenario.profile else f" ({profile.kind})"
+                suffix = "" if profile is scenario.profile else f" ({profile.request_type})"
                 print(_row(name + suffix, emulation, emulation.callers.statistics_of(profile)))
     return 0
 
--- a/packages/emulator/tests/test_components.py
+++ b/packages/emulator/tests/test_components.py
@@ -16,8 +16,8 @@
     ArrivalPattern,
     Callers,
     EmulatedServer,
-    PatternError,
     RunStatistics,
+    UnreadablePattern,
     decode_pattern,
     encode_pattern,
     measure_recovery,
@@ -68,20 +68,20 @@
     pattern = ArrivalPattern("p", (Arrival(0.25, 7), Arrival(0.25, 8), Arrival(3.0, 65535)))
     decoded = decode_pattern("p", encode_pattern(pattern)).unwrap()
     assert_that(encode_pattern(decoded), Equals("250 7\n250 8\n3000 65535\n"))
-    assert_that(decoded.seconds, Equals(3.0))
+    assert_that(decoded.duration_seconds, Equals(3.0))
 
 
 @pytest.mark.parametrize("text", ["12", "12 x", "-1 5", "5 1\n4 1"])
 def test_a_malformed_pattern_is_rejected_with_its_name(text):
     """Guards against a damaged file that is decoded with wrong or missing arrivals."""
     error = decode_pattern("p", text).failure()
-    assert_that(error, IsInstance(PatternError))
+    assert_that(error, IsInstance(UnreadablePattern))
     assert_that(error.detail[0], Equals("p"))
 
 
 def test_a_missing_pattern_is_an_error():
     """Guards against a replay without arrivals when the pattern file is missing."""
-    assert_that(read_pattern("none").failure(), IsInstance(PatternError))
+    assert_that(read_pattern("none").failure(), IsInstance(UnreadablePattern))
 
 
 def test_a_keyed_server_runs_only_keys_that_it_holds(server, scheduler):
@@ -89,7 +89,7 @@
     assert_that(send_calls(server), Equals([CallStatus.MISDIRECTED]))
     server.grant(KeyRange(0, 9), 1, 3.0)
     send_calls(server)
-    assert_that(len(server.running), Equals(1))
+    assert_that(len(server.running_calls), Equals(1))
     scheduler.run_until(3.5)
     assert_that(send_calls(server), Equals([CallStatus.MISDIRECTED]))
 
@@ -106,20 +106,21 @@
     """Guards against an emulated server with an unlimited queue."""
     server.grant(KeyRange(0, 9), 1, 3.0)
     statuses = send_calls(server, 10)
-    assert_that((len(server.running), len(server.waiting)), Equals((2, 4)))
+    assert_that((len(server.running_calls), len(server.waiting_calls)), Equals((2, 4)))
     assert_that(statuses, Equals([CallStatus.DECLINED] * 4))
 
 
 def test_a_cold_server_crashes_above_twice_its_limit(server, scheduler):
     """Guards against an emulated server that survives any load while cold.
 
-    Overload of cold servers would then have no effect in the emulator.
+    Overload of cold servers would then have no effect in the emulator. The server restarts 4 s
+    after the crash, as a new incarnation without grants.
     """
     server.grant(KeyRange(0, 9), 1, 30.0)
     server.make_cold()
     send_calls(server, 30)
     assert_that(server.down, Equals(True))
-    assert_that(server.peak_cold_requests, GreaterThan(2 * int(server.cold_limit) - 1))
+    assert_that(server.peak_cold_requests_per_second, GreaterThan(2 * int(server.cold_limit) - 1))
     scheduler.run_until(6.0)
     assert_that(
         (server.down, server.incarnation.started_ms, server.holds(5)), Equals((False, 2, False))
@@ -143,7 +144,7 @@
     statistics = RunStatistics()
     statistics.record_attempt(attempt, NotRun("full"))
     attempt.executions = 1
-    statistics.check_refused_attempts()
+    statistics.count_refused_but_executed()
     assert_that(statistics.refused_but_executed, Equals(1))
 
 
@@ -161,14 +162,15 @@
 def test_generated_requests_with_faults_violate_no_guarantee():
     """Guards against duplicate executions, executed refusals and overload of cold servers.
 
-    This is a short form of the run of a million requests of ``fireflylink_emulator.faults``.
+    This is a short form of the run of a million requests of ``fireflylink_emulator.faults``. The
+    check of ``fault_counts`` guards against a run that injects few kinds of faults.
     """
     emulation, fault_counts = run_with_faults(requests=4000, seed=7)
     assert_that(len(fault_counts), GreaterThan(3))
     for statistics in emulation.callers.statistics.values():
         assert_that(statistics.guarantee_violations, Equals(0))
     for server in emulation.servers:
-        assert_that(server.peak_cold_requests, LessThan(server.cold_limit))
+        assert_that(server.peak_cold_requests_per_second, LessThan(server.cold_limit))
 
 
 @pytest.mark.parametrize(
@@ -180,7 +182,11 @@
     ],
 )
 def test_keys_are_held_again_soon_after_a_failure(name, max_seconds):
-    """Guards against keys that stay without a holder after a server or the decider is lost."""
+    """Guards against keys that stay without a holder after a server or the decider is lost.
+
+    After the loss of a server or of all daemons, all keys must be held again within 5 s. Holds
+    outlast the election of another decider, so that keys stay held when only the decider is lost.
+    """
     [inject_failure] = [failure for label, failure, _ in FAILURES if label == name]
     _, seconds = measure_recovery(inject_failure, seed=1)
     assert_that(seconds, LessThan(max_seconds))
--- a/packages/emulator/tests/test_scenarios.py
+++ b/packages/emulator/tests/test_scenarios.py
@@ -1,4 +1,4 @@
-"""Replays of the recorded scenarios with the production code and with the baseline."""
+"""Replays of all scenarios with the production code and with the baseline."""
 
 import pytest
 from testtools.assertions import assert_that
@@ -26,13 +26,13 @@
 def test_routing_earns_more_value_than_the_baseline(replay_with_baseline, scenario):
     """Guards against routing decisions that lose their advantage over the baseline in a scenario.
 
-    A change to placement, limits or retries may make a scenario worse than without any of them.
+    A change to dispatch, limits or retries may make a scenario worse than without any of them.
     """
-    routed, baseline = (
+    production, baseline = (
         run.callers.statistics_of(scenario.profile) for run in replay_with_baseline(scenario)
     )
     assert_that(
-        routed.earned_fraction, GreaterThan(baseline.earned_fraction + MIN_GAIN[scenario.name])
+        production.earned_fraction, GreaterThan(baseline.earned_fraction + MIN_GAIN[scenario.name])
     )
 
 
@@ -43,19 +43,19 @@
     Under load, calls time out at servers that may still run them: a retry would then run the
     request a second time, and a refusal would be wrong.
     """
-    routed, _ = replay_with_baseline(scenario)
-    assert_that(routed.callers.statistics_of(scenario.profile).guarantee_violations, Equals(0))
+    production, _ = replay_with_baseline(scenario)
+    assert_that(production.callers.statistics_of(scenario.profile).guarantee_violations, Equals(0))
 
 
 @pytest.mark.parametrize("scenario", SCENARIOS, ids=scenario_name)
 def test_cold_servers_receive_fewer_requests_than_their_limit(replay_with_baseline, scenario):
-    """Guards against more requests to a cold server than its limit, as after a failback.
+    """Guards against more requests to a cold server than its limit.
 
     Each daemon may keep to its own share while the sum over all daemons exceeds the limit.
     """
-    routed, _ = replay_with_baseline(scenario)
-    for server in routed.servers:
-        assert_that(server.peak_cold_requests, LessThan(server.cold_limit))
+    production, _ = replay_with_baseline(scenario)
+    for server in production.servers:
+        assert_that(server.peak_cold_requests_per_second, LessThan(server.cold_limit))
 
 
 @pytest.mark.parametrize("scenario", SCENARIOS, ids=scenario_name)
@@ -63,9 +63,9 @@
     """Guards against results that differ between runs with the same seed."""
 
     again = replay_scenario(scenario, read_pattern(scenario.name).unwrap(), 1, False)
-    routed, _ = replay_with_baseline(scenario)
+    production, _ = replay_with_baseline(scenario)
     profile = scenario.profile
     assert_that(
         again.callers.statistics_of(profile).earned_value,
-        Equals(routed.callers.statistics_of(profile).earned_value),
+        Equals(production.callers.statistics_of(profile).earned_value),
     )
