Name the planner's factors and steps by what they do

Factors say which share they multiply, plan_table lists which changes are urgent and which belong to the rebalancing, and moves of small ranges are told apart from the later merge.

--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -1,5 +1,8 @@
 """Assignment of keys to servers: lost owners, servers that joined, balance of the load.
 
+Load is a rate of requests per second, and a server's share is the part of all load that it should
+have.
+
 Keys with much load are close to each other and change within seconds, so ranges are cut by measured
 load. A piece is cut from an end of a range, which keeps the number of ranges small, and with it the
 number of renewals. As a trade-off, a piece may include some keys without load.
@@ -21,50 +24,56 @@
 from fireflylink_decisions.ownership._overload_detector import OverloadDetector
 from fireflylink_decisions.ownership._table_draft import TableDraft
 
-MIN_OVERLOAD_RATE = 1.5
-"""A server with fewer requests per second is not relieved: a move would gain nothing."""
+MIN_OVERLOAD_REQUESTS_PER_SECOND = 1.5
+"""A server with fewer requests per second is not relieved: the measured rate of so few requests is
+uncertain, and a move would gain nothing."""
 
-FULL_UTILIZATION = 0.8
-"""Below this utilization, fast servers get more than a proportional share, because they answer
-sooner."""
+PROPORTIONAL_UTILIZATION = 0.8
+"""Total request rate, as a fraction of the total capacity, from which shares are in proportion to
+the capacities. Below it, fast servers get more than that, because they answer sooner."""
 
-SPEED_PREFERENCE = 1.0
-"""Exponent of a server's relative speed in its extra share, if there is no load. It decreases to 0
-at ``FULL_UTILIZATION``."""
+IDLE_CAPACITY_EXPONENT = 1.0
+"""A server's weight is its capacity x (capacity / mean capacity) ^ exponent. This is the exponent
+if there is no load. It decreases to 0 at ``PROPORTIONAL_UTILIZATION``."""
 
-OVERLOAD_RATIO = 1.3
-"""A server is relieved when its load is higher than its share by this factor."""
+OVERLOAD_FACTOR = 1.3
+"""A server is relieved when its load is higher than this multiple of its share."""
 
-TARGET_RATIO = 1.1
+RELIEF_TARGET_FACTOR = 1.1
 """Moves relieve a server down to this multiple of its share, and load another one up to it."""
 
 NOISE_DEVIATIONS = 1.5
 """Standard deviations that are subtracted from a measured rate before it counts as too high."""
 
-MAX_MOVES = 10
-"""Limit of the moves that relieve servers in one plan, and of the cuts of one lost range."""
+MAX_CUTS = 10
+"""Limit of the pieces that are cut off to relieve servers in one plan, and of those that are cut
+off one range whose owner is lost or whose grant has expired."""
+
+MAX_MEAN_RANGES_PER_SERVER = 5
+"""When the mean number of ranges per server has reached this limit, no more are cut to relieve
+servers."""
 
-MAX_RANGES_PER_SERVER = 5
-"""With so many ranges, on average, no more are cut to relieve servers."""
+TARGET_MEAN_RANGES_PER_SERVER = 2.0
+"""When the mean number of ranges per server is higher, small ones are moved to the owner of an
+adjacent range and merged with it: each range costs a renewal per second."""
 
-TARGET_RANGES_PER_SERVER = 2.0
-"""With more ranges, on average, small ones are merged with their neighbours: each range costs a
-renewal per second."""
+MAX_SMALL_RANGE_MOVES = 2
+"""Limit of the small ranges that are moved to the owner of an adjacent one in one plan."""
 
-MAX_MERGES = 2
-MERGE_LOAD_RATIO = 1.2
-"""Limit of the load of a server that takes over a small range, in proportion to its share."""
+NEIGHBOUR_LOAD_FACTOR = 1.2
+"""Limit of the load of a server after it takes over a small range, as a multiple of its share."""
 
 SMALL_RANGE_FRACTION = 0.2
 """Only ranges with at most this fraction of the mean load of a server, and with at most the mean
-number of keys, are merged with others."""
+number of keys, are moved to the owner of an adjacent range."""
 
-NEW_SERVER_FRACTION = 0.7
-"""A server that joined is given up to about this fraction of its share of the load."""
+NEW_SERVER_SHARE_FRACTION = 0.7
+"""A server without keys is given a piece of a range with about this fraction of its share of the
+load, or less."""
 
 
 def initial_table(service: str, candidates: list[Candidate], fence: int) -> OwnershipTable:
-    """Returns the first table of a service, with ranges in proportion to the capacities."""
+    """Returns the initial table of a service, with ranges in proportion to the capacities."""
     ordered = sorted(
         candidates, key=lambda candidate: (candidate.data_centre, str(candidate.incarnation))
     )
@@ -92,22 +101,27 @@
     expired: frozenset[KeyRange] = frozenset(),
     rebalance: bool = True,
 ) -> OwnershipTable | None:
-    """Returns a better table under a new fence, None when the present one needs no change.
+    """Returns a changed table under a new fence, None when the present one needs no change.
+
+    Urgent changes are planned in every call: ranges whose owner is lost or whose grant has expired
+    are reassigned, servers without keys are given some, and servers are relieved whose load exceeds
+    their share by a large amount. With ``rebalance``, servers are also relieved of a smaller excess
+    that is sustained, and small ranges are moved to the owner of an adjacent range and merged.
+    These changes are made together, because every daemon reads each new table.
 
     The grants of the ranges in ``expired`` have expired: they get a new fence even if their owner
-    stays. ``overload_detector`` keeps its state from one plan to the next. Without ``rebalance``,
-    only urgent changes are made, because every daemon reads each new table.
+    stays. ``overload_detector`` keeps its state from one plan to the next.
     """
     if not candidates:
         return None
     draft = TableDraft(table, range_load)
     planner = _Planner(draft, candidates)
     planner.detect_overload(overload_detector, now, rebalance)
-    planner.replace_lost_owners(expired)
-    planner.fill_new_servers()
+    planner.reassign_lost_and_expired_ranges(expired)
+    planner.give_keys_to_new_servers()
     planner.relieve_overloaded_servers()
     if rebalance:
-        planner.merge_small_ranges()
+        planner.move_small_ranges_to_neighbours()
     if rebalance or draft.changed:
         draft.merge()
     return draft.table() if draft.changed else None
@@ -117,11 +131,18 @@
     """Changes a draft step by step.
 
     ``rates`` are the requests per second of each server under the draft. ``weights`` are in
-    proportion to the share of the load that each server should have, and ``mean_ratio`` is the rate
-    per weight if all servers had just their share.
+    proportion to the share of the load that each server should have, and ``fair_rate_per_weight``
+    is the request rate per weight if all servers had just their share.
     """
 
-    __slots__ = ("candidates", "draft", "mean_ratio", "rates", "sustained_overload", "weights")
+    __slots__ = (
+        "candidates",
+        "draft",
+        "fair_rate_per_weight",
+        "rates",
+        "sustained_overload",
+        "weights",
+    )
 
     def __init__(self, draft: TableDraft, candidates: list[Candidate]) -> None:
         self.draft = draft
@@ -129,9 +150,9 @@
         self.sustained_overload: frozenset[ServerIncarnation] = frozenset()
         self.rates = {incarnation: draft.total_rate(incarnation) for incarnation in self.candidates}
         self.weights = _weights(candidates, draft.range_load.prefix_sums[-1])
-        self.mean_ratio = draft.range_load.prefix_sums[-1] / sum(self.weights.values())
+        self.fair_rate_per_weight = draft.range_load.prefix_sums[-1] / sum(self.weights.values())
 
-    def replace_lost_owners(self, expired: frozenset[KeyRange]) -> None:
+    def reassign_lost_and_expired_ranges(self, expired: frozenset[KeyRange]) -> None:
         """Reassigns the ranges whose owner may not own keys any more, or whose grant has expired.
 
         They go to the servers with the least load in proportion to their share.
@@ -142,52 +163,52 @@
             if assignment.owner not in self.candidates or assignment.keys in expired:
                 pieces = self._split(assignment.keys)
                 for piece in pieces:
-                    self._reassign_lost(index, piece)
+                    self._reassign_to_least_loaded(index, piece)
                     index += 1
             else:
                 index += 1
 
-    def fill_new_servers(self) -> None:
-        """Moves keys to each server that has none."""
+    def give_keys_to_new_servers(self) -> None:
+        """Moves a piece of the most loaded server's ranges to each server that has no keys."""
         owners = {assignment.owner for assignment in self.draft.assignments}
         for incarnation in sorted(self.candidates, key=str):
             if incarnation not in owners:
-                self._fill(incarnation)
+                self._give_keys_to(incarnation)
 
     def relieve_overloaded_servers(self) -> None:
         """Moves keys from the servers with the most load to those with the least."""
-        for _ in range(MAX_MOVES):
-            if len(self.draft.assignments) >= len(self.candidates) * MAX_RANGES_PER_SERVER:
+        for _ in range(MAX_CUTS):
+            if len(self.draft.assignments) >= len(self.candidates) * MAX_MEAN_RANGES_PER_SERVER:
                 return
             overloaded = [
                 incarnation for incarnation in self.candidates if self._is_overloaded(incarnation)
             ]
             if not any(
                 self._relieve(incarnation)
-                for incarnation in sorted(overloaded, key=self._load_ratio, reverse=True)
+                for incarnation in sorted(overloaded, key=self._rate_per_weight, reverse=True)
             ):
                 return
 
-    def merge_small_ranges(self) -> None:
+    def move_small_ranges_to_neighbours(self) -> None:
         """Moves small ranges to the owner of an adjacent range when there are many ranges.
 
-        The two ranges become one when the move is completed.
+        ``TableDraft.merge`` makes them one range in a later plan, when the move is completed.
         """
-        for _ in range(MAX_MERGES):
-            if len(self.draft.assignments) <= len(self.candidates) * TARGET_RANGES_PER_SERVER:
+        for _ in range(MAX_SMALL_RANGE_MOVES):
+            if len(self.draft.assignments) <= len(self.candidates) * TARGET_MEAN_RANGES_PER_SERVER:
                 return
-            merges = [
-                merge
-                for merge in map(self._possible_merge, range(len(self.draft.assignments)))
-                if merge
+            moves = [
+                move
+                for move in map(self._possible_small_range_move, range(len(self.draft.assignments)))
+                if move
             ]
-            if not merges:
+            if not moves:
                 return
-            _, index, recipient = min(merges, key=lambda merge: merge[:2])
+            _, index, recipient = min(moves, key=lambda move: move[:2])
             donor = self.draft.assignments[index].owner
             self._move(index, self._keys(index), donor, recipient)
 
-    def _possible_merge(self, index: int) -> tuple[float, int, ServerIncarnation] | None:
+    def _possible_small_range_move(self, index: int) -> tuple[float, int, ServerIncarnation] | None:
         """Returns a small range's load, its index, and the owner of an adjacent range.
 
         Returns None if the range is not small, or if no owner of an adjacent range can take it.
@@ -208,11 +229,11 @@
             and neighbour.owner in self.rates
             and neighbour.owner != assignment.owner
             and (self.rates[neighbour.owner] + load) / self.weights[neighbour.owner]
-            <= MERGE_LOAD_RATIO * self.mean_ratio
+            <= NEIGHBOUR_LOAD_FACTOR * self.fair_rate_per_weight
         ]
         if not recipients:
             return None
-        return load, index, min(recipients, key=self._load_ratio)
+        return load, index, min(recipients, key=self._rate_per_weight)
 
     def _neighbours(self, index: int) -> list[Assignment]:
         before = self.draft.assignments[index - 1 : index] if index else []
@@ -222,18 +243,19 @@
         # The rate of few requests, measured over about one second, is uncertain. Moves that follow
         # its random variations would cost more than they gain.
         rate = self.rates[incarnation]
-        if rate < MIN_OVERLOAD_RATE or not self._exceeds_share(incarnation):
+        if rate < MIN_OVERLOAD_REQUESTS_PER_SECOND or not self._exceeds_share(incarnation):
             return False
         lower_bound = rate - NOISE_DEVIATIONS * math.sqrt(rate)
         return (
             incarnation in self.sustained_overload
-            or lower_bound > OVERLOAD_RATIO * self.mean_ratio * self.weights[incarnation]
+            or lower_bound > OVERLOAD_FACTOR * self.fair_rate_per_weight * self.weights[incarnation]
         )
 
     def _exceeds_share(self, incarnation: ServerIncarnation) -> bool:
-        """Whether a server's load is higher than its share by ``OVERLOAD_RATIO``."""
+        """Whether a server's load is higher than ``OVERLOAD_FACTOR`` times its share."""
         return (
-            self.rates[incarnation] > OVERLOAD_RATIO * self.mean_ratio * self.weights[incarnation]
+            self.rates[incarnation]
+            > OVERLOAD_FACTOR * self.fair_rate_per_weight * self.weights[incarnation]
         )
 
     def detect_overload(self, detector: OverloadDetector, now: float, rebalance: bool) -> None:
@@ -247,19 +269,20 @@
         if rebalance:
             self.sustained_overload = detector.sustained(now)
 
-    def _load_ratio(self, incarnation: ServerIncarnation) -> float:
-        """Returns a server's load in proportion to its weight."""
+    def _rate_per_weight(self, incarnation: ServerIncarnation) -> float:
+        """Returns a server's request rate divided by its weight."""
         return self.rates[incarnation] / self.weights[incarnation]
 
     def _split(self, keys: KeyRange) -> list[KeyRange]:
         """Splits a range into pieces, none with more load than the largest share of a server.
 
-        A piece has more if it cannot be cut, or if it is the rest after ``MAX_MOVES`` cuts.
+        Pieces are cut off with about half of that load. A piece has more than the largest share if
+        it cannot be cut, or if it is the rest after ``MAX_CUTS`` cuts.
         """
-        max_rate = self.mean_ratio * max(self.weights.values())
+        max_rate = self.fair_rate_per_weight * max(self.weights.values())
         pieces: list[KeyRange] = []
         rest = keys
-        while self.draft.range_load.total_rate(rest) > max_rate and len(pieces) < MAX_MOVES:
+        while self.draft.range_load.total_rate(rest) > max_rate and len(pieces) < MAX_CUTS:
             piece = _cut_from_start(self.draft.range_load, rest, max_rate / 2)
             if piece is None or piece.last >= rest.last:
                 break
@@ -267,8 +290,8 @@
             rest = KeyRange(piece.last + 1, rest.last)
         return [*pieces, rest]
 
-    def _reassign_lost(self, index: int, keys: KeyRange) -> None:
-        """Assigns keys at the start of an assignment to the then least loaded server."""
+    def _reassign_to_least_loaded(self, index: int, keys: KeyRange) -> None:
+        """Assigns keys at the start of an assignment to the server that is the least loaded now."""
         rate = self.draft.range_load.total_rate(keys)
         key_fraction = len(keys) / KEY_COUNT
         recipient = min(
@@ -288,14 +311,17 @@
             if assignment.owner == incarnation
         ) / (KEY_COUNT * self.candidates[incarnation].capacity)
 
-    def _fill(self, incarnation: ServerIncarnation) -> None:
-        donor = max(self.candidates, key=lambda other: (self._load_ratio(other), str(other)))
+    def _give_keys_to(self, incarnation: ServerIncarnation) -> None:
+        """Moves a piece of the most loaded server's ranges, with at most about half of its load."""
+        donor = max(self.candidates, key=lambda other: (self._rate_per_weight(other), str(other)))
         indexes = self._movable_ranges(donor)
         if not indexes:
             return
-        index = max(indexes, key=lambda found: self._load_and_width(found))
+        index = max(indexes, key=lambda range_index: self._load_and_width(range_index))
         keys = self.draft.assignments[index].keys
-        wanted_rate = self.mean_ratio * self.weights[incarnation] * NEW_SERVER_FRACTION
+        wanted_rate = (
+            self.fair_rate_per_weight * self.weights[incarnation] * NEW_SERVER_SHARE_FRACTION
+        )
         wanted_rate = min(wanted_rate, self.rates[donor] * 0.5)
         piece = _cut_from_end(self.draft.range_load, keys, wanted_rate) or _upper_half(keys)
         if piece is None:
@@ -304,10 +330,11 @@
 
     def _relieve(self, donor: ServerIncarnation) -> bool:
         """Moves one piece away from an overloaded server; returns whether one was moved."""
-        target_ratio = self.mean_ratio * TARGET_RATIO
-        excess_rate = self.rates[donor] - target_ratio * self.weights[donor]
+        target_rate_per_weight = self.fair_rate_per_weight * RELIEF_TARGET_FACTOR
+        excess_rate = self.rates[donor] - target_rate_per_weight * self.weights[donor]
         spare_rates = {
-            incarnation: target_ratio * self.weights[incarnation] - self.rates[incarnation]
+            incarnation: target_rate_per_weight * self.weights[incarnation]
+            - self.rates[incarnation]
             for incarnation in self.candidates
         }
         recipient = max(spare_rates, key=lambda incarnation: spare_rates[incarnation])
@@ -315,13 +342,16 @@
         indexes = self._movable_ranges(donor)
         if wanted_rate <= 0 or not indexes:
             return False
-        index = max(indexes, key=lambda found: self.draft.range_load.total_rate(self._keys(found)))
+        index = max(
+            indexes,
+            key=lambda range_index: self.draft.range_load.total_rate(self._keys(range_index)),
+        )
         piece = self._cut(self._keys(index), wanted_rate)
         if piece is None:
             return False
         moved_rate = self.draft.range_load.total_rate(piece)
-        new_ratio = (self.rates[recipient] + moved_rate) / self.weights[recipient]
-        if moved_rate <= 0 or new_ratio >= self._load_ratio(donor):
+        new_rate_per_weight = (self.rates[recipient] + moved_rate) / self.weights[recipient]
+        if moved_rate <= 0 or new_rate_per_weight >= self._rate_per_weight(donor):
             return False
         self._move(index, piece, donor, recipient)
         return True
@@ -365,15 +395,15 @@
 def _weights(candidates: list[Candidate], total_rate: float) -> dict[ServerIncarnation, float]:
     """Returns weights in proportion to the share of the load that each server should have.
 
-    Below full utilization, servers that are faster than the mean get more than in proportion to
-    their capacity, because they answer sooner. At full utilization, only the capacity counts.
+    Below ``PROPORTIONAL_UTILIZATION``, servers with a higher capacity than the mean get more than
+    in proportion to it, because they answer sooner. From there on, only the capacity counts.
     """
     total_capacity = sum(candidate.capacity for candidate in candidates)
     mean_capacity = total_capacity / len(candidates)
-    spare_fraction = max(0.0, 1.0 - total_rate / total_capacity / FULL_UTILIZATION)
+    spare_fraction = max(0.0, 1.0 - total_rate / total_capacity / PROPORTIONAL_UTILIZATION)
     return {
         candidate.incarnation: candidate.capacity
-        * (candidate.capacity / mean_capacity) ** (SPEED_PREFERENCE * spare_fraction)
+        * (candidate.capacity / mean_capacity) ** (IDLE_CAPACITY_EXPONENT * spare_fraction)
         for candidate in candidates
     }
 
--- a/packages/decisions/tests/test_planner.py
+++ b/packages/decisions/tests/test_planner.py
@@ -23,7 +23,7 @@
 STEP_SECONDS = 0.25
 
 
-def fleet(count: int, capacity: float = 25.0) -> list[Candidate]:
+def make_candidates(count: int, capacity: float = 25.0) -> list[Candidate]:
     return [
         Candidate(ServerIncarnation(f"s{number:02}", 1), capacity * SPEEDS[number % 4], "kingston")
         for number in range(count)
@@ -33,7 +33,7 @@
 def complete_moves(table: OwnershipTable) -> OwnershipTable:
     """Returns the table after every move has completed."""
     assignments = tuple(
-        found.replace(previous_holders=(), handover="") for found in table.assignments
+        assignment.replace(previous_holders=(), handover="") for assignment in table.assignments
     )
     return OwnershipTable(table.service, table.fence, assignments)
 
@@ -50,9 +50,9 @@
     return RangeLoad([])
 
 
-def test_the_first_table_covers_all_keys_in_proportion_to_the_capacities():
+def test_the_initial_table_covers_all_keys_in_proportion_to_the_capacities():
     """Guards against keys without an owner at the start, and slow servers with too many keys."""
-    candidates = fleet(16)
+    candidates = make_candidates(16)
     table = initial_table("availability", candidates, 1)
     check_covers_all_keys(table)
     slow, fast = candidates[0].incarnation, candidates[3].incarnation
@@ -65,18 +65,18 @@
 
 def test_no_table_is_planned_without_a_cause():
     """Guards against needless moves: each key that changes its owner has a cost."""
-    candidates = fleet(16)
+    candidates = make_candidates(16)
     table = initial_table("availability", candidates, 1)
     assert_that(plan_table(table, candidates, no_load(), OverloadDetector(), 0.0), Is(None))
 
 
 def test_the_keys_of_a_lost_server_get_a_new_owner_and_a_higher_fence():
     """Guards against keys that stay with a lost server, or move under a fence used before."""
-    candidates = fleet(16)
+    candidates = make_candidates(16)
     table = initial_table("availability", candidates, 1)
     lost = candidates[2].incarnation
-    left = [candidate for candidate in candidates if candidate.incarnation != lost]
-    changed = plan_table(table, left, no_load(), OverloadDetector(), 0.0)
+    remaining = [candidate for candidate in candidates if candidate.incarnation != lost]
+    changed = plan_table(table, remaining, no_load(), OverloadDetector(), 0.0)
     check_covers_all_keys(changed)
     assert_that(changed.owned_by(lost), Equals(()))
     for assignment in changed.assignments:
@@ -87,7 +87,7 @@
 
 def test_a_joined_server_gets_keys_at_once():
     """Guards against servers that join and receive no requests."""
-    candidates = fleet(16)
+    candidates = make_candidates(16)
     table = initial_table("availability", candidates[:15], 1)
     changed = plan_table(table, candidates, no_load(), OverloadDetector(), 0.0)
     assert_that(len(changed.owned_by(candidates[15].incarnation)), GreaterThan(0))
@@ -95,7 +95,7 @@
 
 def test_a_key_that_moves_again_keeps_all_previous_holders_without_a_release():
     """Guards against two holders of a key: a second move drops a previous holder from the table."""
-    candidates = fleet(4)
+    candidates = make_candidates(4)
     table = initial_table("availability", candidates, 1)
     first_lost = candidates[0].incarnation
     once = plan_table(table, candidates[1:], no_load(), OverloadDetector(), 0.0)
@@ -115,7 +115,7 @@
 
 def test_a_range_with_an_expired_grant_gets_a_new_fence():
     """Guards against two holders of a key: a server that has restarted does not know the fence."""
-    candidates = fleet(4)
+    candidates = make_candidates(4)
     table = initial_table("availability", candidates, 1)
     expired = table.assignments[1].keys
     changed = plan_table(
@@ -127,7 +127,7 @@
 
 def test_a_new_decider_gives_every_range_a_new_fence():
     """Guards against a former decider whose renewals servers still accept."""
-    table = initial_table("availability", fleet(4), 7)
+    table = initial_table("availability", make_candidates(4), 7)
     new_table = with_new_fence(table)
     assert_that({a.fence for a in new_table.assignments}, Equals({8}))
     assert_that(
@@ -154,7 +154,7 @@
                 keys.append(self.rng.randrange(KEY_COUNT))
         return keys
 
-    def utilization(self, table: OwnershipTable, candidates: list[Candidate]) -> float:
+    def highest_utilization(self, table: OwnershipTable, candidates: list[Candidate]) -> float:
         """Returns the highest utilization of any server under the true rates."""
         rates = {candidate.incarnation: 0.0 for candidate in candidates}
         for assignment in table.assignments:
@@ -174,10 +174,10 @@
 @pytest.mark.parametrize("hot_fraction,count", [(0.45, 200), (0.35, 60), (0.5, 60)])
 def test_adjacent_hot_keys_are_spread_over_servers_within_seconds(hot_fraction, count):
     """Guards against one server with half of the traffic. The baseline is the initial table."""
-    candidates = fleet(16)
+    candidates = make_candidates(16)
     traffic = HotKeyTraffic(1, 200.0, hot_fraction, 30000, count)
     table = initial_table("availability", candidates, 1)
-    baseline = traffic.utilization(table, candidates)
+    baseline = traffic.highest_utilization(table, candidates)
     load = KeyLoad("availability", 0.0)
     now = 0.0
     detector = OverloadDetector()
@@ -190,15 +190,16 @@
             plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), detector, now) or table
         )
         check_covers_all_keys(table)
-    highest = traffic.utilization(table, candidates)
+    highest = traffic.highest_utilization(table, candidates)
     print(f"utilization of the busiest server: {highest:.2f}, without moves {baseline:.2f}")
     assert_that(baseline, GreaterThan(2.0))
     assert_that(highest, LessThan(1.0))
 
 
 def test_even_traffic_causes_few_moves():
-    """Guards against moves that follow the random variations of a low request rate."""
-    candidates = fleet(21, 12.5)
+    """Guards against moves that follow the random variations of a low request rate: in 30 s, the
+    moves have to cover less than 30% of the keys."""
+    candidates = make_candidates(21, 12.5)
     traffic = HotKeyTraffic(3, 60.0, 0.0, 0, 1)
     table = initial_table("verses", candidates, 1)
     load = KeyLoad("verses", 0.0)
@@ -219,7 +220,7 @@
 
 def test_small_ranges_are_merged_when_the_load_is_even_again():
     """Guards against a number of ranges, and so of renewals, that grows with each hot key."""
-    candidates = fleet(16)
+    candidates = make_candidates(16)
     table = initial_table("availability", candidates, 1)
     load = KeyLoad("availability", 0.0)
     now = 0.0
@@ -235,6 +236,7 @@
             plan_table(table, candidates, RangeLoad(load.sorted_rates(now)), detector, now) or table
         )
         most = max(most, len(table.assignments))
+    # 16 servers; 5 is MAX_MEAN_RANGES_PER_SERVER, 2 is TARGET_MEAN_RANGES_PER_SERVER.
     assert_that(most, LessThan(16 * 5 + 1))
     assert_that(len(table.assignments), LessThan(16 * 2 + 1))
 
@@ -243,7 +245,7 @@
 @given(strategies.data())
 def test_any_sequence_of_plans_covers_all_keys_with_increasing_fences(data):
     """Guards against gaps, overlaps and fences that are used twice for a key."""
-    candidates = fleet(8)
+    candidates = make_candidates(8)
     table = initial_table("availability", candidates, 1)
     fences = {key: 1 for key in range(0, KEY_COUNT, 997)}
     owners = {key: table.find(key).owner for key in fences}
@@ -256,17 +258,17 @@
             continue
         check_covers_all_keys(changed)
         for key in fences:
-            found = changed.find(key)
-            if found.owner != owners[key]:
-                assert_that(found.fence, GreaterThan(fences[key]))
-                assert_that(owners[key] in found.previous_holders, Is(True))
-            fences[key], owners[key] = found.fence, found.owner
+            assignment = changed.find(key)
+            if assignment.owner != owners[key]:
+                assert_that(assignment.fence, GreaterThan(fences[key]))
+                assert_that(owners[key] in assignment.previous_holders, Is(True))
+            fences[key], owners[key] = assignment.fence, assignment.owner
         table = complete_moves(changed) if data.draw(strategies.booleans()) else changed
 
 
 def test_the_owner_of_a_key_agrees_with_a_linear_search():
     """Guards against a binary search that misses the assignment of a key."""
-    table = initial_table("availability", fleet(7), 1)
+    table = initial_table("availability", make_candidates(7), 1)
     for key in range(0, KEY_COUNT, 31):
         expected = [a for a in table.assignments if a.keys.first <= key <= a.keys.last]
         assert_that([table.find(key)], Equals(expected))
@@ -277,7 +279,7 @@
     rng = random.Random(5)
     rates = sorted((key, rng.random()) for key in rng.sample(range(KEY_COUNT), 500))
     load = RangeLoad(rates)
-    table = initial_table("availability", fleet(9), 1)
+    table = initial_table("availability", make_candidates(9), 1)
     for assignment in table.assignments:
         keys = assignment.keys
         expected = sum(
