--- a/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
@@ -1,4 +1,4 @@
-"""Request rates of keys, over all daemons."""
+"""Load of keys: the rate of their requests, over all daemons, in requests per second."""
 
 import bisect
 import math
@@ -9,8 +9,9 @@
 MIN_DECAYED_COUNT = 0.02
 """Keys whose decayed count is lower are dropped."""
 
-ASSUMED_TOTAL_RATE = 1.0
-"""Requests per second that are assumed in addition, over all keys together."""
+ASSUMED_TOTAL_REQUESTS_PER_SECOND = 1.0
+"""Requests per second over all keys together that ``RangeLoad`` adds to the measured ones, so that
+ranges without requests are compared by their width."""
 
 ASSUMED_RATE_KEY_COUNT = 512
 """The assumed rate is divided among so many evenly spaced keys."""
@@ -54,7 +55,8 @@
     def rate_factor(self, now: float) -> float:
         """Returns the factor that converts a decayed count to requests per second.
 
-        It is larger shortly after the start, when the counts do not cover the whole averaging time.
+        It is larger shortly after the start, when the counts cover only a part of the time that
+        they are averaged over, the time constant of the decay.
         """
         age = max(HALF_LIFE_SECONDS / 2, now - self.started_at)
         time_constant = HALF_LIFE_SECONDS / math.log(2)
@@ -76,7 +78,10 @@
     __slots__ = ("keys", "prefix_sums", "rates")
 
     def __init__(self, rates: list[tuple[int, float]]) -> None:
-        assumed = [(key, ASSUMED_TOTAL_RATE / ASSUMED_RATE_KEY_COUNT) for key in _ASSUMED_RATE_KEYS]
+        assumed = [
+            (key, ASSUMED_TOTAL_REQUESTS_PER_SECOND / ASSUMED_RATE_KEY_COUNT)
+            for key in _ASSUMED_RATE_KEYS
+        ]
         merged = sorted([*rates, *assumed])
         self.keys = [key for key, _ in merged]
         self.rates = [rate for _, rate in merged]
@@ -86,8 +91,8 @@
 
     def total_rate(self, keys: KeyRange) -> float:
         """Returns the requests per second of all keys in a range."""
-        first, last = self.index_range(keys)
-        return self.prefix_sums[last] - self.prefix_sums[first]
+        start, end = self.index_range(keys)
+        return self.prefix_sums[end] - self.prefix_sums[start]
 
     def index_range(self, keys: KeyRange) -> tuple[int, int]:
         """Returns the index of the first rate of a range, and the index after its last one."""
--- a/packages/decisions/src/fireflylink_decisions/ownership/_service_time_estimates.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_service_time_estimates.py
@@ -10,7 +10,11 @@
 """Service time of one assumed answer, which counts in the mean of all servers."""
 
 MIN_CAPACITY_FACTOR = 0.4
+"""Lower limit of a server's capacity relative to the mean, so that a few outliers in service time
+do not make it lose all its keys. It is also the capacity of a cold server."""
+
 MAX_CAPACITY_FACTOR = 2.0
+"""Upper limit of a server's capacity relative to the mean."""
 
 
 class _ServiceTimeSum:
@@ -62,7 +66,7 @@
     def capacity(self, server_id: str, slots: int, cold: bool) -> float:
         """Returns how many requests per second a server can run, limited relative to the mean.
 
-        A cold server, which is still warming up, counts with the least capacity.
+        A cold server, which is still warming up, counts with the lower limit.
         """
         mean_capacity = slots / self.mean_seconds()
         if cold:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_table_changes.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_table_changes.py
@@ -1,4 +1,4 @@
-"""Numbers of keys that a new table moves, for logs and for the cost of moved keys."""
+"""Numbers of keys that a new table moves, for logs."""
 
 from fireflylink_core import BaseValue, OwnershipTable, ServerIncarnation
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_table_draft.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_table_draft.py
@@ -69,7 +69,7 @@
 
 
 def _possible_holders(assignment: Assignment) -> tuple[ServerIncarnation, ...]:
-    """Returns the owner and the previous holders that have not confirmed a release."""
+    """Returns the owner and the previous holders that the table still lists."""
     return (*assignment.previous_holders, assignment.owner)
 
 
