Define owner and holder of keys, and how long a hold lasts

Holds granted by former deciders are called inherited, and ranges that a table without an acknowledged write leaves out are pending removal, so that neither is mistaken for another state.

--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -181,7 +181,9 @@
     def _process_service(self, name: str, service: KeyedService, now: float) -> None:
         """Sends the commands that are due and, at intervals, plans a new table."""
         if service.grant_tracker is not None and self.decider_task.election.may_grant(now):
-            for command in service.grant_tracker.due_commands(now, service.suspended_ranges()):
+            for command in service.grant_tracker.due_commands(
+                now, service.ranges_pending_removal()
+            ):
                 self._send_command(name, service.grant_tracker, command, now)
         if now >= service.next_plan_at:
             service.next_plan_at = now + PLANNING_INTERVAL_SECONDS
--- a/packages/decisions/src/fireflylink_decisions/ownership/_candidate.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_candidate.py
@@ -4,7 +4,10 @@
 
 
 class Candidate(BaseValue):
-    """A server that may own keys. ``capacity`` is how many requests per second it can run."""
+    """A server that the planner may assign keys to, not a daemon that runs for election.
+
+    ``capacity`` is how many requests per second it can run.
+    """
 
     __slots__ = ("capacity", "data_centre", "incarnation")
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -1,15 +1,27 @@
-"""Tracking of grants: which commands are due, and when the hold of each server expires."""
+"""Tracking of grants: which commands are due, and when the hold of each server expires.
+
+The owner of keys is the server that the ownership table assigns them to. A holder of keys is a
+server that may have an unexpired grant of them. After a move, the previous owners stay listed in
+the assignment as its previous holders, and the new owner becomes a holder with its first grant.
+"""
 
 from fireflylink_core import Assignment, BaseValue, KeyRange, OwnershipTable, ServerIncarnation
 
 HOLD_SECONDS = 3.0
-"""How long a granted key may be served without a renewal. The keys of a lost server are served
-again when its hold has expired, within 5 s of its loss. What remains of a hold when its renewal is
-due has to be longer than the election of another decider, or the grants expire during it."""
+"""How long a granted key may be served without a renewal.
+
+The keys of a lost server are granted to another one when its hold has expired. If one more renewal
+is sent to it, that is within 5 s of its loss: 1.0 s until that renewal, 0.6 s until it times out,
+1.02 x 3.0 s of hold, and a margin of 0.2 s.
+
+When a renewal is due, 2.0 s of the hold remain. That outlasts the election of another decider,
+which starts when the lost decider's lease of 1.2 s ends, so that the keys stay served.
+"""
 
 RENEWAL_INTERVAL_SECONDS = 1.0
-RENEWAL_INTERVAL_FRACTION = 1.0 / 3.0
-"""Fraction of a hold after which it is renewed, if the platform allows only shorter holds."""
+MAX_RENEWAL_INTERVAL_FRACTION = 1.0 / 3.0
+"""Limit of the renewal interval, as a fraction of the hold. It applies if the setting
+``hold_max_ms`` allows only holds shorter than ``HOLD_SECONDS``."""
 
 GRANT_TIMEOUT_SECONDS = 0.6
 """Time-out of a grant. The connection is then reset, so that the grant cannot arrive later."""
@@ -17,17 +29,20 @@
 RELEASE_TIMEOUT_SECONDS = 3.0
 """Time-out of a release, which a server answers when its requests on the keys have ended."""
 
-RETRY_DELAY_SECONDS = 0.3
+COMMAND_RETRY_DELAY_SECONDS = 0.3
 CLOCK_DRIFT_FACTOR = 1.02
 """The clock of a server may run 2% slow."""
 
 HOLD_MARGIN_SECONDS = 0.2
+"""Time added to a hold, besides the clock drift, before it counts as expired."""
+
 OUTAGE_GRACE_SECONDS = 8.0
-"""How long a decider sends grants without confirmation by the store. Its successor waits for as
-long before it grants the keys of servers that it cannot reach to other servers."""
+"""How long a decider sends grants without confirmation by the store. Its successor assumes that
+servers that it cannot reach were sent grants for all of that time: see
+``inherited_owner_holds_expire_at`` in ``GrantTracker``."""
 
 FORMER_DECIDER_FENCE = 0
-"""Stands for the fences under which former deciders granted keys."""
+"""Placeholder for every fence under which former deciders granted keys; tables use 1 and above."""
 
 
 class BaseCommand(BaseValue):
@@ -41,8 +56,8 @@
 class GrantCommand(BaseCommand):
     """Grants keys to a server, or renews the grant.
 
-    ``fence`` is the fencing token of the keys' assignment. ``handover`` is the token that the
-    former holder returned with its release, empty if there is none.
+    ``fence`` is the fencing token of the keys' assignment. ``handover`` is opaque data for the new
+    holder that the former one returned with its release, empty if there is none.
     """
 
     __slots__ = ("fence", "handover", "keys", "renewal", "server")
@@ -71,7 +86,7 @@
 class _GrantState:
     """State of the grant of one assignment.
 
-    ``unreleased`` are the previous holders whose release or expiry the grant waits for.
+    ``unreleased_holders`` are the previous holders whose release or expiry the grant waits for.
     ``in_flight`` are the servers that have been sent a command without a result so far, and
     ``due_at`` is when the next command to a server is due.
     """
@@ -82,11 +97,11 @@
         "granted_at",
         "handover",
         "in_flight",
-        "unreleased",
+        "unreleased_holders",
     )
 
     def __init__(self, assignment: Assignment) -> None:
-        self.unreleased = list(dict.fromkeys(assignment.previous_holders))
+        self.unreleased_holders = list(dict.fromkeys(assignment.previous_holders))
         self.handover = assignment.handover
         self.granted = False
         self.granted_at = 0.0
@@ -121,24 +136,26 @@
     the new fence, or when every grant that may have reached the previous holder has expired.
     ``elected_at`` is when this decider took over. A former decider may send grants for
     ``OUTAGE_GRACE_SECONDS`` after that, so the hold of a server that does not answer may last
-    until one whole hold later.
+    until one grant time-out and one whole hold later.
 
     ``hold_expiries`` has, for each server, the latest time at which the grant of a range under a
-    fence expires; ``previous_hold_expiries`` has its value from before the last grant was sent.
-    ``former_holds_expire_at`` and ``former_previous_holds_expire_at`` are the latest expiries of
-    what former deciders granted to the owners and to the previous holders in the first table.
+    fence expires; ``expiries_before_send`` has its value from before the last grant was sent.
+    Inherited holds are those that former deciders granted: ``inherited_owner_holds_expire_at`` and
+    ``inherited_previous_holder_holds_expire_at`` are their latest expiries for the owners and for
+    the previous holders in the table that this decider writes first. ``first_table_fence`` is the
+    fence of that table.
     """
 
     __slots__ = (
         "ended_incarnations",
+        "expiries_before_send",
         "first_table_fence",
-        "former_holds_expire_at",
-        "former_previous_holds_expire_at",
         "grant_states",
         "hold_expiries",
         "hold_seconds",
+        "inherited_owner_holds_expire_at",
+        "inherited_previous_holder_holds_expire_at",
         "max_hold_seconds",
-        "previous_hold_expiries",
         "renewal_interval_seconds",
         "table",
     )
@@ -147,44 +164,47 @@
         self.hold_seconds = hold_seconds
         self.max_hold_seconds = hold_seconds * CLOCK_DRIFT_FACTOR + HOLD_MARGIN_SECONDS
         self.renewal_interval_seconds = min(
-            RENEWAL_INTERVAL_SECONDS, hold_seconds * RENEWAL_INTERVAL_FRACTION
+            RENEWAL_INTERVAL_SECONDS, hold_seconds * MAX_RENEWAL_INTERVAL_FRACTION
         )
-        self.former_holds_expire_at = (
+        self.inherited_owner_holds_expire_at = (
             elected_at + OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
         )
-        self.former_previous_holds_expire_at = self.former_holds_expire_at
+        self.inherited_previous_holder_holds_expire_at = self.inherited_owner_holds_expire_at
         self.first_table_fence = 0
         self.table: OwnershipTable | None = None
         self.grant_states: dict[tuple[KeyRange, int], _GrantState] = {}
         self.hold_expiries: dict[ServerIncarnation, dict[tuple[KeyRange, int], float]] = {}
-        self.previous_hold_expiries: dict[tuple[ServerIncarnation, KeyRange, int], float] = {}
+        self.expiries_before_send: dict[tuple[ServerIncarnation, KeyRange, int], float] = {}
         self.ended_incarnations: set[ServerIncarnation] = set()
 
     def mark_no_former_decider(self) -> None:
-        """Records that there was no table before, so that no former decider granted any keys."""
-        self.former_holds_expire_at = float("-inf")
-        self.former_previous_holds_expire_at = float("-inf")
+        """Records that no table existed before, so that no former decider granted any keys."""
+        self.inherited_owner_holds_expire_at = float("-inf")
+        self.inherited_previous_holder_holds_expire_at = float("-inf")
 
     def record_former_table(self, table: OwnershipTable, seen_at: float) -> None:
         """Records the table of a former decider, and when this daemon first saw it.
 
-        Its writer granted nothing to the previous holders in it after writing it. If no earlier
-        decider could still grant at that time, their holds expire at the latest one grant time-out
-        and one whole hold after the table was seen.
+        Its writer granted nothing to the previous holders in it after writing it. The table is
+        marked ``written_by_sole_decider`` if no earlier decider could still grant at that time (see
+        ``former_deciders_may_grant_until``). The holds of the previous holders then expire at the
+        latest one grant time-out and one whole hold after the table was seen.
         """
         if table.written_by_sole_decider:
             latest_expiry = seen_at + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
-            self.former_previous_holds_expire_at = min(self.former_holds_expire_at, latest_expiry)
+            self.inherited_previous_holder_holds_expire_at = min(
+                self.inherited_owner_holds_expire_at, latest_expiry
+            )
 
     def set_table(self, table: OwnershipTable) -> None:
         """Replaces the table by one that the store has acknowledged.
 
-        If there was a former decider, the first table comes from ``with_new_fence``: all its fences
-        are higher than those of former deciders.
+        If there was a former decider, the first table that this decider writes comes from
+        ``with_new_fence``: all its fences are higher than those of former deciders.
         """
         if self.table is None:
             self.first_table_fence = table.fence
-            self._add_former_holds(table)
+            self._add_inherited_holds(table)
         old_states = self.grant_states
         old_assignments = self._assignment_states()
         self.table = table
@@ -198,13 +218,13 @@
             self.grant_states[grant_id] = state
 
     def due_commands(
-        self, now: float, suspended: frozenset[tuple[KeyRange, int]] = frozenset()
+        self, now: float, pending_removal: frozenset[tuple[KeyRange, int]] = frozenset()
     ) -> list[BaseCommand]:
         """Returns the commands to send now. Each is in flight until its result is recorded.
 
-        ``suspended`` are the ranges, with their fences, that a table removes whose write the store
-        has not acknowledged. Their grants are not renewed: if the write succeeded, a successor
-        assumes that the previous holders in that table get no more grants.
+        ``pending_removal`` are the ranges, with their fences, that are absent from the tables whose
+        write the store has not acknowledged. No grants of them are sent or renewed: if a write
+        succeeded, a successor assumes that the previous holders in that table get no more grants.
         """
         if self.table is None:
             return []
@@ -212,9 +232,9 @@
         for assignment in self.table.assignments:
             state = self.grant_states[(assignment.keys, assignment.fence)]
             self._drop_expired_holders(state, assignment.keys, now)
-            if state.unreleased:
+            if state.unreleased_holders:
                 commands.extend(self._due_releases(assignment, state, now))
-            elif (assignment.keys, assignment.fence) in suspended or state.is_expired(
+            elif (assignment.keys, assignment.fence) in pending_removal or state.is_expired(
                 now, self.hold_seconds
             ):
                 continue
@@ -228,7 +248,7 @@
         """Records that a grant is about to be sent: the keys may be held from now on."""
         expiries = self.hold_expiries.setdefault(command.server, {})
         grant_id = (command.keys, command.fence)
-        self.previous_hold_expiries[(command.server, *grant_id)] = expiries.get(
+        self.expiries_before_send[(command.server, *grant_id)] = expiries.get(
             grant_id, float("-inf")
         )
         expiries[grant_id] = now + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
@@ -240,13 +260,13 @@
         replaced since ``record_sent``.
         """
         grant_id = (command.keys, command.fence)
-        previous_expiry = self.previous_hold_expiries.pop((command.server, *grant_id), None)
+        previous_expiry = self.expiries_before_send.pop((command.server, *grant_id), None)
         if previous_expiry is not None:
             self.hold_expiries[command.server][grant_id] = previous_expiry
 
     def record_granted(self, command: GrantCommand, now: float) -> None:
         """Records that a server confirmed a grant."""
-        self.previous_hold_expiries.pop((command.server, command.keys, command.fence), None)
+        self.expiries_before_send.pop((command.server, command.keys, command.fence), None)
         expiries = self.hold_expiries.setdefault(command.server, {})
         expiries[(command.keys, command.fence)] = now + self.max_hold_seconds
         if command.fence >= self.first_table_fence:
@@ -261,36 +281,38 @@
             state.due_at[command.server] = now + self.renewal_interval_seconds
 
     def record_released(self, command: ReleaseCommand, handover: str, now: float) -> None:
-        """Records that a server released keys, with its token for the next holder."""
+        """Records that a server released keys, with its handover data for the next holder."""
         state = self._complete_command(command.keys, command.fence, command.server)
         if state is None:
             return
-        if command.server in state.unreleased:
-            state.unreleased.remove(command.server)
+        if command.server in state.unreleased_holders:
+            state.unreleased_holders.remove(command.server)
         state.handover = handover or state.handover
 
     def record_failed(self, command: BaseCommand, now: float) -> None:
-        """Records that a command failed; it is due again after ``RETRY_DELAY_SECONDS``."""
+        """Records that a command failed; it is due again after ``COMMAND_RETRY_DELAY_SECONDS``."""
         keys, fence = _keys_and_fence(command)
-        self.previous_hold_expiries.pop((command.server, keys, fence), None)
+        self.expiries_before_send.pop((command.server, keys, fence), None)
         state = self._complete_command(keys, fence, command.server)
         if state is None:
             return
-        state.due_at[command.server] = now + RETRY_DELAY_SECONDS
+        state.due_at[command.server] = now + COMMAND_RETRY_DELAY_SECONDS
 
     def record_incarnation_ended(self, server: ServerIncarnation) -> None:
         """Records that an incarnation has ended: it holds no keys, whatever it was granted."""
         self.ended_incarnations.add(server)
 
-    def settled_table(self) -> OwnershipTable | None:
-        """Returns the table without the previous holders of completed moves.
+    def table_without_completed_moves(self) -> OwnershipTable | None:
+        """Returns the table with the previous holders of completed moves removed from it.
 
         A move is completed when no previous holder is left and the owner has confirmed its grant.
         Returns None when there is no such move.
         """
         if self.table is None:
             return None
-        assignments = tuple(self._settled_assignment(found) for found in self.table.assignments)
+        assignments = tuple(
+            self._without_completed_move(assignment) for assignment in self.table.assignments
+        )
         if assignments == self.table.assignments:
             return None
         return OwnershipTable(
@@ -309,15 +331,18 @@
         matching = (expiry for (held, _), expiry in expiries.items() if held.overlaps(keys))
         return max(matching, default=float("-inf"))
 
-    def _add_former_holds(self, table: OwnershipTable) -> None:
+    def _add_inherited_holds(self, table: OwnershipTable) -> None:
         """Adds the holds that former deciders may have granted, or may still renew for owners."""
         for former in table.assignments:
             grant_id = (former.keys, FORMER_DECIDER_FENCE)
-            self.hold_expiries.setdefault(former.owner, {})[grant_id] = self.former_holds_expire_at
+            self.hold_expiries.setdefault(former.owner, {})[
+                grant_id
+            ] = self.inherited_owner_holds_expire_at
             for incarnation in former.previous_holders:
                 expiries = self.hold_expiries.setdefault(incarnation, {})
                 expiries[grant_id] = max(
-                    expiries.get(grant_id, float("-inf")), self.former_previous_holds_expire_at
+                    expiries.get(grant_id, float("-inf")),
+                    self.inherited_previous_holder_holds_expire_at,
                 )
 
     def _assignment_states(self) -> list[tuple[Assignment, _GrantState]]:
@@ -337,23 +362,23 @@
         """Copies the state of the old assignment that this one is a remaining part of, if any."""
         for old, old_state in old_assignments:
             if old.fence == assignment.fence and old.keys.overlaps(assignment.keys):
-                state.unreleased = list(old_state.unreleased)
+                state.unreleased_holders = list(old_state.unreleased_holders)
                 state.handover = old_state.handover
                 state.granted = old_state.granted
                 state.granted_at = old_state.granted_at
                 state.due_at = dict(old_state.due_at)
                 return
 
-    def _settled_assignment(self, assignment: Assignment) -> Assignment:
+    def _without_completed_move(self, assignment: Assignment) -> Assignment:
         state = self.grant_states[(assignment.keys, assignment.fence)]
-        if not assignment.previous_holders or state.unreleased or not state.granted:
+        if not assignment.previous_holders or state.unreleased_holders or not state.granted:
             return assignment
         return assignment.replace(previous_holders=(), handover="")
 
     def _drop_expired_holders(self, state: _GrantState, keys: KeyRange, now: float) -> None:
-        state.unreleased = [
+        state.unreleased_holders = [
             incarnation
-            for incarnation in state.unreleased
+            for incarnation in state.unreleased_holders
             if now < self.hold_expires_at(incarnation, keys)
         ]
 
@@ -362,7 +387,7 @@
     ) -> list[BaseCommand]:
         return [
             ReleaseCommand(incarnation, assignment.keys, assignment.fence)
-            for incarnation in state.unreleased
+            for incarnation in state.unreleased_holders
             if self._is_due(state, incarnation, now)
         ]
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -1,4 +1,4 @@
-"""State of one service with keys at the decider, and the choice of its next ownership table."""
+"""The decider's state of one keyed service, and the choice of the next ownership table."""
 
 from fireflylink_core import KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership._candidate import Candidate
@@ -12,7 +12,7 @@
 """Time after the last server joined, in which further servers can register before the initial
 table is planned."""
 
-SETTLED_TABLE_DELAY_SECONDS = 2.0
+COMPLETED_MOVES_DELAY_SECONDS = 2.0
 """The previous holders of completed moves are removed from the table after this time, unless
 another change is written before."""
 
@@ -24,12 +24,14 @@
 
 
 class KeyedService:
-    """State of one service with keys at the decider.
+    """The decider's state of one keyed service: only the owner of a request's key may run it.
 
     ``revision`` is that of the table's record in the store. ``unacknowledged_tables`` are the
-    tables whose write has no known result so far. ``consecutive_failures`` counts, for each server,
-    the failed commands since the last one that succeeded. ``completed_moves_since`` is when the
-    decider began to gather completed moves for the next table.
+    tables whose write has no known result so far. ``commit_sent_at`` is when the write of the last
+    planned table was sent, None when no new plan has to wait for its result.
+    ``consecutive_failures`` counts, for each server, the failed commands since the last one that
+    succeeded. ``completed_moves_since`` is when the table was last found to have no completed
+    moves, or when it was last replaced to remove them.
     """
 
     __slots__ = (
@@ -78,16 +80,16 @@
         self.consecutive_failures[server] = self.consecutive_failures.get(server, 0) + 1
 
     def is_reachable(self, server: ServerIncarnation) -> bool:
-        """Whether a server has failed too few commands in a row to count as unreachable."""
+        """Whether fewer than ``UNREACHABLE_FAILURES`` commands to a server failed in a row."""
         return self.consecutive_failures.get(server, 0) < UNREACHABLE_FAILURES
 
-    def suspended_ranges(self) -> frozenset[tuple[KeyRange, int]]:
-        """Returns the table's ranges, with their fences, that no unacknowledged table has."""
+    def ranges_pending_removal(self) -> frozenset[tuple[KeyRange, int]]:
+        """Returns the ranges, with their fences, that are absent from all unacknowledged tables."""
         if not self.unacknowledged_tables or self.table is None:
             return frozenset()
-        remaining = {(found.keys, found.fence) for found in self.table.assignments}
+        remaining = {(assignment.keys, assignment.fence) for assignment in self.table.assignments}
         for table in self.unacknowledged_tables:
-            remaining -= {(found.keys, found.fence) for found in table.assignments}
+            remaining -= {(assignment.keys, assignment.fence) for assignment in table.assignments}
         return frozenset(remaining)
 
     def next_table(
@@ -108,8 +110,12 @@
             return with_new_fence(self.table)
         range_load = RangeLoad(self.load.sorted_rates(now))
         self.requests_per_second = range_load.prefix_sums[-1]
-        settled = self.grant_tracker.settled_table() if self.grant_tracker is not None else None
-        if settled is None:
+        without_completed_moves = (
+            self.grant_tracker.table_without_completed_moves()
+            if self.grant_tracker is not None
+            else None
+        )
+        if without_completed_moves is None:
             self.completed_moves_since = now
         expired = (
             self.grant_tracker.expired_ranges(now)
@@ -119,15 +125,18 @@
         rebalance = now >= self.next_rebalance_at
         if rebalance:
             self.next_rebalance_at = now + REBALANCE_INTERVAL_SECONDS
-        current = settled or self.table
+        current = without_completed_moves or self.table
         planned = plan_table(
             current, candidates, range_load, self.overload_detector, now, expired, rebalance
         )
         if planned is not None:
             return planned
-        if settled is None or now < self.completed_moves_since + SETTLED_TABLE_DELAY_SECONDS:
+        if (
+            without_completed_moves is None
+            or now < self.completed_moves_since + COMPLETED_MOVES_DELAY_SECONDS
+        ):
             return None
         # The delay starts again, so that moves that complete one after the other are written
         # together: every daemon reads each table.
         self.completed_moves_since = now
-        return settled
+        return without_completed_moves
--- a/packages/decisions/tests/test_decider_election.py
+++ b/packages/decisions/tests/test_decider_election.py
@@ -7,7 +7,7 @@
 
 
 def test_a_decider_may_not_grant_after_the_grace_time(clock):
-    """Guards against grants of a decider that was suspended while another one was elected."""
+    """Guards against grants of a decider whose process was paused while another one was elected."""
     election = DeciderElection()
     election.on_elected(7, clock.now())
     assert_that(election.may_grant(clock.now()), Is(True))
@@ -42,7 +42,7 @@
     assert_that(election.is_decider, Is(True))
 
 
-def test_candidates_of_each_rank_stand_at_another_time(clock):
+def test_daemons_of_different_ranks_run_for_election_at_different_times(clock):
     """Guards against a write by every daemon each time the decider leaves."""
     election = DeciderElection()
     election.on_decider_record(3, False, clock.now())
--- a/packages/decisions/tests/test_grant_tracker.py
+++ b/packages/decisions/tests/test_grant_tracker.py
@@ -27,7 +27,7 @@
 
 
 def granted_tracker(clock) -> GrantTracker:
-    """Returns a tracker with the first table of a service, whose keys are granted to ``OLD``."""
+    """Returns a tracker with the initial table of a service, whose keys are granted to ``OLD``."""
     grant_tracker = GrantTracker(clock.now())
     grant_tracker.mark_no_former_decider()
     grant_tracker.set_table(table(OLD, 1))
@@ -84,7 +84,8 @@
 
 
 def test_a_grant_that_was_not_sent_does_not_extend_the_hold(clock):
-    """Guards against waiting for a grant that found no connection to its server."""
+    """Guards against waiting for the hold of a renewal that was never sent, because there was no
+    connection to its server."""
     grant_tracker = granted_tracker(clock)
     before = grant_tracker.hold_expires_at(OLD, KEYS)
     clock.advance(HOLD_SECONDS / 2)
@@ -158,16 +159,16 @@
     assert_that([renewal.renewal for renewal in renewals], Equals([True]))
 
 
-def test_completed_moves_have_no_previous_holders_in_the_settled_table(clock):
+def test_previous_holders_of_completed_moves_are_removed_from_the_table(clock):
     """Guards against a successor that waits again for holds that are known to have ended."""
     grant_tracker = granted_tracker(clock)
     move_keys(grant_tracker)
-    assert_that(grant_tracker.settled_table(), Is(None))
+    assert_that(grant_tracker.table_without_completed_moves(), Is(None))
     [release] = grant_tracker.due_commands(clock.now())
     grant_tracker.record_released(release, "", clock.now())
     [grant] = grant_tracker.due_commands(clock.now())
     grant_tracker.record_granted(grant, clock.now())
-    assert_that(grant_tracker.settled_table(), Equals(table(NEW, 2)))
+    assert_that(grant_tracker.table_without_completed_moves(), Equals(table(NEW, 2)))
 
 
 @pytest.mark.parametrize("command", ["grant", "release"])
@@ -187,8 +188,8 @@
 
 
 def test_previous_holders_in_a_sole_deciders_table_are_waited_for_one_hold_only(clock):
-    """Guards against keys without an owner for 16 s after all daemons were killed during a move:
-    the table's writer granted nothing more to the previous holder."""
+    """Guards against keys without a holder for a whole outage grace time when all daemons are
+    killed during a move: the table's writer granted nothing more to the previous holder."""
     former = table(NEW, 2, (OLD,)).replace(written_by_sole_decider=True)
     seen_at = clock.now() - 1.0
     grant_tracker = GrantTracker(clock.now())
@@ -252,8 +253,8 @@
 
 
 def test_a_grant_that_was_not_sent_does_not_extend_a_hold_after_the_keys_were_moved(clock):
-    """Guards against keys without an owner for 0.8 s longer (outages --seed 2): the table changed
-    while a renewal waited for a connection, and its hold still counted."""
+    """Guards against keys without a holder longer than needed: the table changes while a renewal
+    waits for a connection, the renewal is never sent, and its hold still counts."""
     grant_tracker = granted_tracker(clock)
     before = grant_tracker.hold_expires_at(OLD, KEYS)
     clock.advance(HOLD_SECONDS / 2)
--- a/packages/decisions/tests/test_keyed_service.py
+++ b/packages/decisions/tests/test_keyed_service.py
@@ -36,7 +36,7 @@
     return keyed_service
 
 
-def test_the_first_table_waits_for_servers_that_are_still_joining(
+def test_the_initial_table_waits_for_servers_that_are_still_joining(
     service, clock, candidate_factory
 ):
     """Guards against an initial table with one server only, from which most keys move soon."""
@@ -57,11 +57,11 @@
     """Guards against grants of a former decider that servers still accept."""
     service.table = table(7, (0, 65535, ONE))
     planned = service.next_table([candidate_factory("s1")], clock.now(), clock.now())
-    assert_that([found.fence for found in planned.assignments], Equals([8]))
+    assert_that([assignment.fence for assignment in planned.assignments], Equals([8]))
 
 
 def test_changes_count_keys_of_lost_owners_and_of_remaining_ones_separately():
-    """Guards against a log line that does not show why keys were moved (inc-6f95)."""
+    """Guards against a log line that does not show why keys were moved."""
     old = table(1, (0, 99, ONE), (100, 199, TWO), (200, 65535, THREE))
     new = table(2, (0, 49, ONE), (50, 99, THREE), (100, 65535, THREE))
     changes = changes_between(old, new, frozenset((ONE, THREE)))
@@ -115,10 +115,8 @@
 def test_moves_that_complete_one_after_another_are_written_together(
     service, clock, candidate_factory
 ):
-    """Guards against a new table with every plan while moves complete, each read by every daemon.
-
-    With cfp trouble-2, five tables within 1.6 s moved no key.
-    """
+    """Guards against a new table with every plan while moves complete: every daemon reads each
+    table, although none of them moves a key."""
     service.grant_tracker.mark_no_former_decider()
     moved = tuple(
         Assignment(KeyRange(number * 100, number * 100 + 99), TWO, 2, (ONE,))
