--- a/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_key_load.py
@@ -6,6 +6,8 @@
 from fireflylink_core import FIRST_KEY, KEY_COUNT, LAST_KEY, KeyRange
 
 HALF_LIFE_SECONDS = 0.7
+"""Half-life of a count. The time constant is 1.0 s: rates are averaged over about one second."""
+
 MIN_DECAYED_COUNT = 0.02
 """Keys whose decayed count is lower are dropped."""
 
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -20,7 +20,7 @@
 """A server with so many failed commands in a row counts as unreachable."""
 
 REBALANCE_INTERVAL_SECONDS = 1.5
-"""Changes that are not urgent are planned together at this interval."""
+"""Changes that are not urgent (see ``plan_table``) are planned together at this interval."""
 
 
 class KeyedService:
