--- a/packages/backend_client/src/fireflylink_backend_client/_codec.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_codec.py
@@ -7,7 +7,10 @@
 
 
 class EncodedCommand:
-    """An HTTP request that carries a command of the daemon to a server."""
+    """An HTTP request that carries a command of the daemon to a server.
+
+    ``target`` is the path in the request line.
+    """
 
     __slots__ = ("body", "headers", "method", "target")
 
@@ -27,7 +30,7 @@
     def request_headers(
         self, request: CallerRequest, server_id: str, remaining_seconds: float
     ) -> Headers:
-        """Returns the headers of a request that only the server ``server_id`` may execute."""
+        """Returns the headers of a request that only the server ``server_id`` may run."""
 
     @abc.abstractmethod
     def is_response_to(self, response: HttpResponse, request_id: str) -> bool:
@@ -35,15 +38,18 @@
 
     @abc.abstractmethod
     def is_declined(self, response: HttpResponse) -> bool:
-        """Whether the server states that it did not execute the request."""
+        """Whether the server states that it did not run the request."""
 
     @abc.abstractmethod
     def is_misdirected(self, response: HttpResponse) -> bool:
-        """Whether the server declined because it is not the target or does not hold the key."""
+        """Whether the server declined because it has another id or does not hold the key."""
 
     @abc.abstractmethod
     def decode_answer(self, response: HttpResponse) -> ServerAnswer | None:
-        """Returns the answer to pass to the caller, or None if the server did not produce it."""
+        """Returns the answer to pass to the caller.
+
+        Returns None if the response does not prove that the server itself produced its body.
+        """
 
     @abc.abstractmethod
     def decode_load(self, response: HttpResponse) -> ServerLoad | None:
@@ -53,11 +59,14 @@
     def encode_grant(
         self, server_id: str, keys: KeyRange, fence: int, hold_seconds: float, handover: str
     ) -> EncodedCommand:
-        """Returns the command that grants or renews keys; only ``server_id`` may execute it."""
+        """Returns the command that grants or renews keys; only ``server_id`` may run it."""
 
     @abc.abstractmethod
     def encode_release(self, server_id: str, keys: KeyRange, fence: int) -> EncodedCommand:
-        """Returns the command that makes ``server_id`` release keys."""
+        """Returns the command that makes ``server_id`` release keys.
+
+        ``fence`` is that of the next holder's assignment.
+        """
 
     @abc.abstractmethod
     def decode_handover(self, response: HttpResponse) -> str:
--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -12,18 +12,22 @@
     encode_request,
 )
 
-CONNECT_TIMEOUT_SECONDS = 1.0
-HTTP_OK = 200
-HTTP_CONFLICT = 409
-HTTP_MISDIRECTED = 421
+COMMAND_CONNECT_TIMEOUT_SECONDS = 1.0
+OK_STATUS = 200
+CONFLICT_STATUS = 409
+MISDIRECTED_STATUS = 421
 
 
 class CommandError(BaseFireflylinkError):
-    """A command failed. If ``sent`` is true, the server may have executed it or may still do so."""
+    """A command failed.
 
-    def __init__(self, detail: str, sent: bool) -> None:
+    If ``may_have_run`` is true, the server may have run the command or may still run it. It is
+    false if the command was not sent or if the server refused it.
+    """
+
+    def __init__(self, detail: str, may_have_run: bool) -> None:
         super().__init__(detail)
-        self.sent = sent
+        self.may_have_run = may_have_run
 
 
 class StaleFenceError(CommandError):
@@ -34,7 +38,7 @@
 
 
 class ServerMismatchError(CommandError):
-    """Another server uses the address now, so the target of the command has ended."""
+    """A server with another id uses the address, so the addressed incarnation has ended."""
 
     def __init__(self) -> None:
         super().__init__("another server uses the address now", False)
@@ -49,7 +53,7 @@
         self.server = server
         self.codec = codec
         self.connection = PersistentConnection(
-            server.host, server.port, clock, CONNECT_TIMEOUT_SECONDS
+            server.host, server.port, clock, COMMAND_CONNECT_TIMEOUT_SECONDS
         )
 
     def grant(
@@ -66,19 +70,20 @@
     def release(self, keys: KeyRange, fence: int, deadline: float) -> Result[str, CommandError]:
         """Makes the server release keys; returns its handover token.
 
-        The server responds once its requests for these keys have finished.
+        ``fence`` is that of the next holder's assignment. The server responds once its requests for
+        these keys have finished.
         """
         command = self.codec.encode_release(self.server.server_id, keys, fence)
         return self._send(command, deadline).bind(self._decode_release_response)
 
     def close(self) -> None:
-        """Closes the connection; a command in progress fails."""
-        self.connection.close()
+        """Resets the connection; a command in progress fails."""
+        self.connection.abort()
 
     def _decode_release_response(self, response: HttpResponse) -> Result[str, CommandError]:
-        if response.status == HTTP_MISDIRECTED:
+        if response.status == MISDIRECTED_STATUS:
             return Failure(ServerMismatchError())
-        if response.status != HTTP_OK:
+        if response.status != OK_STATUS:
             return Failure(CommandError(f"release failed with status {response.status}", True))
         return Success(self.codec.decode_handover(response))
 
@@ -91,10 +96,10 @@
 
 
 def _decode_grant_response(response: HttpResponse) -> Result[None, CommandError]:
-    if response.status == HTTP_OK:
+    if response.status == OK_STATUS:
         return Success(None)
-    if response.status == HTTP_CONFLICT:
+    if response.status == CONFLICT_STATUS:
         return Failure(StaleFenceError())
-    if response.status == HTTP_MISDIRECTED:
+    if response.status == MISDIRECTED_STATUS:
         return Failure(ServerMismatchError())
     return Failure(CommandError(f"grant failed with status {response.status}", True))
--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -21,10 +21,17 @@
     encode_request,
 )
 
-CONNECT_TIMEOUT_SECONDS = 0.4
-DEFAULT_IDLE_TIMEOUT_SECONDS = 4.0
-KEEP_ALIVE_MARGIN_SECONDS = 1.0
-MINIMUM_REMAINING_SECONDS = 0.001
+REQUEST_CONNECT_TIMEOUT_SECONDS = 0.4
+MAX_IDLE_TIMEOUT_SECONDS = 4.0
+CLOSE_BEFORE_SERVER_SECONDS = 1.0
+"""Time between closing an idle connection and the end of the keep-alive time-out that the server
+states. A request sent while the server closes the connection would be lost.
+"""
+
+MIN_STATED_REMAINING_SECONDS = 0.001
+"""Lower bound of the remaining time that a request states to the server. If the deadline
+has passed, the exchange sends nothing.
+"""
 
 
 class ServerConnectionPool:
@@ -32,7 +39,8 @@
 
     An idle connection is closed before the server's keep-alive time-out ends. The most recently
     used connection is reused first, so that surplus connections reach the idle time-out when the
-    request rate is low.
+    request rate is low. ``connect_attempts`` counts the connections opened since the start,
+    including attempts that failed.
 
     Example::
 
@@ -43,9 +51,9 @@
         "clock",
         "closed",
         "codec",
+        "connect_attempts",
         "idle_connections",
         "idle_timeout_seconds",
-        "opened_connections",
         "server",
     )
 
@@ -54,8 +62,8 @@
         self.clock = clock
         self.codec = codec
         self.idle_connections: list[HttpConnection] = []
-        self.idle_timeout_seconds = DEFAULT_IDLE_TIMEOUT_SECONDS
-        self.opened_connections = 0
+        self.idle_timeout_seconds = MAX_IDLE_TIMEOUT_SECONDS
+        self.connect_attempts = 0
         self.closed = False
 
     def call(
@@ -99,7 +107,7 @@
     def _exchange(
         self, connection: HttpConnection, request: CallerRequest, deadline: float
     ) -> tuple[HttpResponse, bool]:
-        remaining_seconds = max(MINIMUM_REMAINING_SECONDS, deadline - self.clock.now())
+        remaining_seconds = max(MIN_STATED_REMAINING_SECONDS, deadline - self.clock.now())
         headers = self.codec.request_headers(request, self.server.server_id, remaining_seconds)
         encoded = encode_request(request.method, request.target, headers, request.body)
         return connection.exchange(
@@ -115,7 +123,10 @@
             return Declined(response.status, self.codec.is_misdirected(response), load)
         answer = self.codec.decode_answer(response)
         if answer is None:
-            return Lost(LostReason.MALFORMED, f"status {response.status}: not sent by the server")
+            return Lost(
+                LostReason.MALFORMED,
+                f"status {response.status}: the body is not proven to be the server's own",
+            )
         self._update_idle_timeout(response)
         return Answered(answer, load)
 
@@ -124,7 +135,7 @@
         if keep_alive_seconds is not None:
             self.idle_timeout_seconds = max(
                 0.0,
-                min(DEFAULT_IDLE_TIMEOUT_SECONDS, keep_alive_seconds - KEEP_ALIVE_MARGIN_SECONDS),
+                min(MAX_IDLE_TIMEOUT_SECONDS, keep_alive_seconds - CLOSE_BEFORE_SERVER_SECONDS),
             )
 
     def _checkout(self, deadline: float, cancellation: Cancellation) -> HttpConnection:
@@ -142,8 +153,8 @@
     def _open(self, deadline: float, cancellation: Cancellation) -> HttpConnection:
         connection = HttpConnection(self.clock)
         cancellation.connection = connection
-        self.opened_connections += 1
-        connect_deadline = min(deadline, self.clock.now() + CONNECT_TIMEOUT_SECONDS)
+        self.connect_attempts += 1
+        connect_deadline = min(deadline, self.clock.now() + REQUEST_CONNECT_TIMEOUT_SECONDS)
         try:
             connection.connect(self.server.host, self.server.port, connect_deadline)
         except NotSentError:
--- a/packages/backend_client/tests/test_pool.py
+++ b/packages/backend_client/tests/test_pool.py
@@ -19,14 +19,15 @@
 )
 from fireflylink_platform import PlatformServerCodec
 
+# The fields of Server-Load are running, waiting, slots, and the slowdown in percent.
 SERVER_HEADERS = b"Server-Signature: s\r\nServer-Load: 2,1,4,150\r\n"
 
 
 class ScriptedServer:
-    """Answers each request with the bytes that ``answer`` returns for the request id."""
+    """Answers each request with the bytes that ``make_answer`` returns for the request id."""
 
-    def __init__(self, answer) -> None:
-        self.answer = answer
+    def __init__(self, make_answer) -> None:
+        self.make_answer = make_answer
         self.accepted = 0
         self.listener = socket.socket()
         self.listener.bind(("127.0.0.1", 0))
@@ -42,11 +43,15 @@
     def _serve(self, sock) -> None:
         while data := sock.recv(65536):
             request_id = data.split(b"Request-Id: ", 1)[1].split(b"\r\n", 1)[0]
-            sock.sendall(self.answer(request_id))
+            sock.sendall(self.make_answer(request_id))
 
 
-def answer(request_id: bytes, status: str = "200 OK", extra: bytes = SERVER_HEADERS) -> bytes:
-    head = f"HTTP/1.1 {status}\r\n".encode() + b"Request-Id: " + request_id + b"\r\n" + extra
+def make_response(
+    request_id: bytes, status: str = "200 OK", server_headers: bytes = SERVER_HEADERS
+) -> bytes:
+    head = (
+        f"HTTP/1.1 {status}\r\n".encode() + b"Request-Id: " + request_id + b"\r\n" + server_headers
+    )
     return head + b"Content-Length: 2\r\n\r\nok"
 
 
@@ -54,8 +59,8 @@
 def make_pool():
     servers = []
 
-    def make(answer_request) -> ServerConnectionPool:
-        server = ScriptedServer(answer_request)
+    def make(make_answer) -> ServerConnectionPool:
+        server = ScriptedServer(make_answer)
         servers.append(server)
         port = server.listener.getsockname()[1]
         backend = BackendServer("i-1", "a", "127.0.0.1", port, "kingston", 4)
@@ -79,29 +84,28 @@
 
 
 def test_consecutive_calls_reuse_one_connection(make_pool):
-    """Guards against the cost of a new connection for every request."""
-    pool = make_pool(answer)
+    """Guards against a new connection for each request, and a reported load with swapped fields."""
+    pool = make_pool(make_response)
     results = [call(pool, f"r{number}") for number in range(5)]
     assert_that({type(result) for result in results}, Equals({Answered}))
     assert_that((results[0].load.waiting, results[0].load.slowdown_factor), Equals((1, 1.5)))
-    assert_that((pool.opened_connections, make_pool.servers[0].accepted), Equals((1, 1)))
+    assert_that((pool.connect_attempts, make_pool.servers[0].accepted), Equals((1, 1)))
 
 
-def test_only_a_response_marked_as_not_executed_is_declined(make_pool):
-    """Guards against a wrong conclusion from a 503 about whether the request was executed.
+def test_only_a_response_marked_as_not_run_is_declined(make_pool):
+    """Guards against a wrong conclusion from a 503 about whether the request has run.
 
-    A 503 guarantees that it was not only if it has the Not-Executed header; otherwise it is an
-    answer.
+    Only a 503 with the Not-Executed header guarantees that it has not; any other 503 is an answer.
     """
-    declining = make_pool(lambda i: answer(i, "503 Busy", b"Not-Executed: 1\r\n"))
+    declining = make_pool(lambda i: make_response(i, "503 Busy", b"Not-Executed: 1\r\n"))
     assert_that(call(declining), IsInstance(Declined))
-    failing = make_pool(lambda i: answer(i, "503 Busy", b""))
+    failing = make_pool(lambda i: make_response(i, "503 Busy", b""))
     assert_that(call(failing), IsInstance(Answered))
 
 
 def test_a_success_without_a_signature_is_lost(make_pool):
     """Guards against returning a body that the server did not produce to the caller."""
-    result = call(make_pool(lambda i: answer(i, extra=b"")))
+    result = call(make_pool(lambda i: make_response(i, server_headers=b"")))
     assert_that((type(result), result.reason), Equals((Lost, LostReason.MALFORMED)))
 
 
@@ -109,7 +113,7 @@
     """Guards against sending a request after its caller has disconnected."""
     cancellation = Cancellation()
     cancellation.cancel()
-    pool = make_pool(answer)
+    pool = make_pool(make_response)
     assert_that(call(pool, cancellation=cancellation), IsInstance(NotSent))
     assert_that(make_pool.servers[0].accepted, Equals(0))
 
@@ -122,8 +126,14 @@
 
 
 def test_idle_connections_are_closed_before_the_server_closes_them(make_pool):
-    """Guards against a lost request that is sent while the server closes the idle connection."""
-    pool = make_pool(lambda i: answer(i, extra=SERVER_HEADERS + b"Keep-Alive: timeout=1\r\n"))
+    """Guards against a lost request that is sent while the server closes the idle connection.
+
+    The server's time-out of 1 s equals ``CLOSE_BEFORE_SERVER_SECONDS``, so that the pool closes an
+    idle connection immediately.
+    """
+    pool = make_pool(
+        lambda i: make_response(i, server_headers=SERVER_HEADERS + b"Keep-Alive: timeout=1\r\n")
+    )
     call(pool)
     gevent.sleep(0.01)
     pool.evict_idle()
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
@@ -8,7 +8,7 @@
 from fireflylink_caller_frontend._disconnect_notifier import SocketDisconnectNotifier
 from fireflylink_caller_frontend._errors import RefusedRequestError
 from fireflylink_caller_frontend._handler import BaseRequestHandler
-from fireflylink_caller_frontend._listener import HANDLER_KEY
+from fireflylink_caller_frontend._listener import HANDLER_ENVIRON_NAME
 from fireflylink_core import CallerLimits
 
 READ_SIZE_BYTES = 65536
@@ -24,7 +24,7 @@
         self.codec = codec
 
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_kwargs: Any) -> None:
-        wsgi_handler = req.env[HANDLER_KEY]
+        wsgi_handler = req.env[HANDLER_ENVIRON_NAME]
         try:
             body = _read_body(req, self.handler.limits())
             request = self.codec.decode_request(_received_request(wsgi_handler, body))
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -11,17 +11,23 @@
 from fireflylink_caller_frontend._errors import ListenerError
 from fireflylink_core import CallerLimits
 
-BACKLOG = 512
-POLL_INTERVAL_SECONDS = 0.02
-HANDLER_KEY = "fireflylink.handler"
+LISTEN_BACKLOG_CONNECTIONS = 512
+REQUESTS_END_POLL_INTERVAL_SECONDS = 0.02
+HANDLER_ENVIRON_NAME = "fireflylink.handler"
+"""Name of the WSGI environ entry that holds the ``_ConnectionHandler`` of the request."""
+
 MILLISECONDS_PER_SECOND = 1000.0
 KEEP_ALIVE_TIMEOUT_SECONDS = 6
 """Time-out in the Keep-Alive header; limited because every idle connection uses memory."""
 
 KEEP_ALIVE_MARGIN_SECONDS = 2.0
 """Extra idle time for requests that callers send shortly before the stated time-out ends."""
-BAD_REQUEST = ("400", b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-HEADER_TOO_LARGE = (
+
+BAD_REQUEST_RESPONSE = (
+    "400",
+    b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+)
+HEADER_TOO_LARGE_RESPONSE = (
     "431",
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n",
@@ -52,12 +58,14 @@
             line = super().read_requestline()
         finally:
             self.server.idle_handlers.discard(self)
+        # The clock of ``SystemClock.now``: the deadlines of requests are derived from this time.
         self.received_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         self.socket.settimeout(limits.header_timeout_ms / MILLISECONDS_PER_SECOND)
         return line
 
     def read_request(self, raw_requestline: str) -> Any:
         valid = super().read_request(raw_requestline)
+        # The 4 bytes are the colon, the space and the line end of a header line.
         size_bytes = len(raw_requestline) + sum(
             len(name) + len(value) + 4 for name, value in self.headers.items()
         )
@@ -71,12 +79,12 @@
 
     def _handle_client_error(self, ex: Exception) -> Any:
         if isinstance(ex, _HeaderTooLargeError):
-            return HEADER_TOO_LARGE
-        return BAD_REQUEST
+            return HEADER_TOO_LARGE_RESPONSE
+        return BAD_REQUEST_RESPONSE
 
     def get_environ(self) -> dict[str, Any]:
         environ: dict[str, Any] = super().get_environ()
-        environ[HANDLER_KEY] = self
+        environ[HANDLER_ENVIRON_NAME] = self
         self.socket.settimeout(self.server.limits().idle_timeout_ms / MILLISECONDS_PER_SECOND)
         return environ
 
@@ -98,15 +106,15 @@
         super().finalize_headers()
 
     def log_request(self) -> None:
-        """Suppresses gevent's access log; the daemon's request path logs requests itself."""
+        """Suppresses gevent's access log; the daemon logs each request itself."""
 
 
 class _Server(WSGIServer):  # type: ignore[misc]
     """A WSGI server that sets TCP_NODELAY on connections and counts requests in progress.
 
-    While ``draining`` is true, each connection is closed after its next response. A connection
-    that starts to wait for a request while draining is closed at ``drain_idle_until``, in seconds
-    on the monotonic clock.
+    While ``draining`` is true, connections and requests are still accepted, but each connection is
+    closed after its next response. A connection that starts to wait for a request while draining is
+    closed at ``drain_idle_until``, in seconds of ``time.monotonic()``.
     """
 
     def __init__(self, limits: Callable[[], CallerLimits], *arguments: Any, **options: Any) -> None:
@@ -128,7 +136,11 @@
         return min(keep_alive_seconds, limits.idle_timeout_ms / MILLISECONDS_PER_SECOND)
 
     def drain_idle_timeout_seconds(self) -> float:
-        """Returns how long a connection that starts to wait during a drain may stay idle."""
+        """Returns how long a connection that starts to wait during a drain may stay idle.
+
+        The time is above 0 even after ``drain_idle_until``, because a time-out of 0 makes a socket
+        non-blocking.
+        """
         timeout_seconds: float = max(0.05, self.drain_idle_until - time.monotonic())
         return timeout_seconds
 
@@ -136,11 +148,12 @@
 class HttpListener:
     """Serves a WSGI application on one address.
 
-    Raises ``ListenerError`` when the address cannot be bound.
+    ``limits`` returns the limits in force. Raises ``ListenerError`` when the address cannot be
+    bound.
 
     Example::
 
-        listener = HttpListener(application, "127.0.0.1", 0, CallerLimits)
+        listener = HttpListener(application, "127.0.0.1", 0, handler.limits)
         listener.start()
         print(listener.port)
     """
@@ -161,12 +174,12 @@
             handler_class=_ConnectionHandler,
             log=None,
             error_log=None,
-            backlog=BACKLOG,
+            backlog=LISTEN_BACKLOG_CONNECTIONS,
         )
         try:
             self._server.init_socket()
         except OSError as error:
-            raise ListenerError(f"{host}:{port}: {error.strerror}") from error
+            raise ListenerError(f"cannot listen on {host}:{port}: {error.strerror}") from error
         self.port: int = self._server.server_port
 
     @property
@@ -197,11 +210,11 @@
         """Stops accepting connections; open ones stay open."""
         self._server.stop_accepting()
 
-    def wait_idle(self, timeout_seconds: float) -> bool:
+    def wait_until_requests_end(self, timeout_seconds: float) -> bool:
         """Waits until no request is in progress; returns false if the time-out ends first."""
         with gevent.Timeout(timeout_seconds, False):
             while self._server.active_requests:
-                gevent.sleep(POLL_INTERVAL_SECONDS)
+                gevent.sleep(REQUESTS_END_POLL_INTERVAL_SECONDS)
         return self.active_requests == 0
 
     def close(self) -> None:
--- a/packages/caller_frontend/tests/test_front_end.py
+++ b/packages/caller_frontend/tests/test_front_end.py
@@ -189,7 +189,8 @@
 def test_a_connection_without_a_complete_request_is_closed(front_end, data):
     """Guards against connections that stay open forever because no request is completed.
 
-    The caller sends either nothing or only a part of the header.
+    The caller sends either nothing or only a part of the header. If the connection stays open, the
+    read raises a time-out error after 2 s.
     """
     with front_end.connect() as sock:
         sock.sendall(data)
@@ -205,4 +206,4 @@
         sock.sendall(head())
         assert_that(read_reply(sock), Contains(b"Connection: close"))
         assert_that(sock.recv(1), Equals(b""))
-    assert_that(front_end.listener.wait_idle(1.0), Is(True))
+    assert_that(front_end.listener.wait_until_requests_end(1.0), Is(True))
--- a/packages/core/src/fireflylink_core/_call_result.py
+++ b/packages/core/src/fireflylink_core/_call_result.py
@@ -25,7 +25,7 @@
 
 
 class Answered(BaseCallResult):
-    """The server ran the request, and its complete answer was received."""
+    """A complete answer was received that does not state that the request did not run."""
 
     __slots__ = ("answer", "load")
 
--- a/packages/core/src/fireflylink_core/_clock.py
+++ b/packages/core/src/fireflylink_core/_clock.py
@@ -45,18 +45,20 @@
         clock.advance(2.5)
     """
 
-    __slots__ = ("current", "wall_offset_ms")
+    __slots__ = ("current_seconds", "wall_offset_ms")
 
-    def __init__(self, current: float = 1000.0, wall_offset_ms: int = 1_700_000_000_000) -> None:
-        self.current = current
+    def __init__(
+        self, current_seconds: float = 1000.0, wall_offset_ms: int = 1_700_000_000_000
+    ) -> None:
+        self.current_seconds = current_seconds
         self.wall_offset_ms = wall_offset_ms
 
     def now(self) -> float:
-        return self.current
+        return self.current_seconds
 
     def wall_ms(self) -> int:
-        return self.wall_offset_ms + int(self.current * MILLISECONDS_PER_SECOND)
+        return self.wall_offset_ms + int(self.current_seconds * MILLISECONDS_PER_SECOND)
 
     def advance(self, seconds: float) -> None:
         """Moves the clock forward."""
-        self.current += seconds
+        self.current_seconds += seconds
--- a/packages/core/src/fireflylink_core/_configuration.py
+++ b/packages/core/src/fireflylink_core/_configuration.py
@@ -78,9 +78,9 @@
     """A group of backend servers that run the same kind of requests.
 
     ``connection_limit`` is how many connections one server accepts from all daemons together. A
-    server is cold (in warm-up) for ``cold_seconds`` and during that time can run
-    ``max_cold_requests_per_second``. Servers of a ``keyed`` service run only requests for keys that
-    they hold.
+    server is cold, which means still warming up, for ``cold_seconds`` after its start. During that
+    time it can run only ``max_cold_requests_per_second``. In a ``keyed`` service a
+    request goes to the owner of its key, and servers run only requests for keys that they hold.
     """
 
     __slots__ = (
@@ -109,8 +109,10 @@
 class CallerLimits(BaseValue):
     """Limits on the size of requests, in bytes, and on the time that the daemon waits for callers.
 
-    ``header_timeout_ms`` limits the wait for the headers of a request, ``idle_timeout_ms`` the wait
-    for the next request on a connection and for the body of a request.
+    ``max_header_bytes`` limits the request line and the headers together. ``header_timeout_ms``
+    limits the wait for the headers of a request, ``idle_timeout_ms`` the wait for the next request
+    on a connection and for the body of a request. A front end may wait for less time for the next
+    request.
     """
 
     __slots__ = ("header_timeout_ms", "idle_timeout_ms", "max_body_bytes", "max_header_bytes")
--- a/packages/core/src/fireflylink_core/_errors.py
+++ b/packages/core/src/fireflylink_core/_errors.py
@@ -9,7 +9,7 @@
 
 
 class InvalidValueError(BaseFireflylinkError):
-    """A field of a document or a settings file has a value that is not allowed."""
+    """A field of a file or a stored value has a value that is not allowed."""
 
     def __init__(self, field: str, problem: str) -> None:
         super().__init__(f"{field}: {problem}")
--- a/packages/core/src/fireflylink_core/_json_fields.py
+++ b/packages/core/src/fireflylink_core/_json_fields.py
@@ -12,7 +12,8 @@
 
     A required field that is missing and a value that is not allowed raise ``error``, which each
     subclass sets to the error class of its layer. The message names the path of the field and what
-    is allowed. A field that is null counts as missing.
+    is allowed. ``object_path`` is the path of the JSON object, empty for a whole file. A field that
+    is null counts as missing; a field whose default is ``MISSING`` is required.
 
     Example::
 
@@ -22,15 +23,15 @@
         slots = SettingsFields(json.loads(text), "servers.s1").integer("slots")
     """
 
-    __slots__ = ("name", "value")
+    __slots__ = ("object_path", "value")
 
     error: ClassVar[type[BaseFireflylinkError]] = BaseFireflylinkError
 
-    def __init__(self, value: object, name: str) -> None:
+    def __init__(self, value: object, object_path: str) -> None:
         if not isinstance(value, dict):
-            raise self.error(f"{name or 'the file'}: must be an object")
+            raise self.error(f"{object_path or 'the file'}: must be an object")
         self.value: dict[str, Any] = value
-        self.name = name
+        self.object_path = object_path
 
     def string(self, field: str, default: object = MISSING) -> str:
         """Returns the string in a field."""
@@ -77,7 +78,10 @@
         return self.value.get(field) is not None
 
     def find(self, field: str, default: object) -> object:
-        """Returns the value of a field, or the default if the field is missing."""
+        """Returns the value of a field, or ``default`` if the field is missing.
+
+        Raises ``error`` if a field with the default ``MISSING`` is missing.
+        """
         value = self.value.get(field)
         if value is None:
             if default is MISSING:
@@ -87,4 +91,4 @@
 
     def path(self, field: str) -> str:
         """Returns the path by which error messages name a field."""
-        return f"{self.name}.{field}" if self.name else field
+        return f"{self.object_path}.{field}" if self.object_path else field
--- a/packages/core/src/fireflylink_core/_keys.py
+++ b/packages/core/src/fireflylink_core/_keys.py
@@ -1,5 +1,9 @@
 """Ownership of keys: key ranges, their assignment to servers, and the ownership table of a service.
 
+The owner of keys is the server incarnation that the table assigns them to. A holder is a server
+incarnation with a grant of the keys that has not expired; only a holder runs requests for them.
+After a change of owner, the previous holders may still hold the keys for some time.
+
 A fence is a fencing token: a number that increases with each change of the ownership table. A
 server refuses a grant whose fence is lower than one that it has seen for the same keys.
 """
@@ -41,10 +45,10 @@
 class Assignment(BaseValue):
     """Assigns a key range to an owner under a fence.
 
-    ``previous_holders`` are former holders that are not yet recorded as having released the keys.
+    ``previous_holders`` are earlier holders that are not yet recorded as having released the keys.
     The owner may be granted the keys only after each of them has released them or its hold has
-    expired. ``handover`` is the token that the last holder returned with its release, which is
-    passed on to the owner with its grant; it is empty if there is none.
+    expired. ``handover`` is the token that the previous holder returned with its release. The
+    daemon passes it on unread to the owner with the grant; it is empty if there is none.
     """
 
     __slots__ = ("fence", "handover", "keys", "owner", "previous_holders")
@@ -69,7 +73,8 @@
 
     ``fence`` is the highest fence ever used for the service; each change uses a higher one.
     ``written_by_sole_decider`` is true if no earlier decider (elected leader) could still grant
-    keys when the table was written.
+    keys when the table was written. The next decider then knows that the holds of previous holders
+    in the table expire one grant time-out and one hold after the table was seen, at the latest.
     """
 
     __slots__ = ("_first_keys", "assignments", "fence", "service", "written_by_sole_decider")
--- a/packages/core/src/fireflylink_core/_request.py
+++ b/packages/core/src/fireflylink_core/_request.py
@@ -63,7 +63,7 @@
 
 
 class ServerAnswer(BaseReply):
-    """The complete answer of a backend server, which is returned unchanged."""
+    """The complete answer of a backend server: status, body and end-to-end headers, unchanged."""
 
     __slots__ = ("body", "headers", "status")
 
--- a/packages/core/src/fireflylink_core/_server.py
+++ b/packages/core/src/fireflylink_core/_server.py
@@ -6,7 +6,11 @@
 
 
 class ServerState(enum.Enum):
-    """Whether a server accepts new requests."""
+    """Whether a server may get new work.
+
+    A ``DRAINING`` server is about to leave. It gets no keys and no requests, but the requests for
+    keys that it still owns go to it for a part of the drain time.
+    """
 
     READY = "ready"
     DRAINING = "draining"
@@ -18,7 +22,7 @@
     ``started_ms`` is its start time in milliseconds since the Unix epoch. The same ``server_id``
     with another start time is another incarnation, which starts without keys. ``slots`` is how many
     requests the server runs at the same time. ``cold_ms`` is the rest of its warm-up time, as of
-    the registration.
+    the registration. ``software`` is the version of the server's software.
     """
 
     __slots__ = (
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -205,7 +205,7 @@
         # send it to another daemon.
         self.request_handler.closed = True
         self.caller_listener.close_idle_connections()
-        idle = self.caller_listener.wait_idle(max(0.0, deadline - self.clock.now()))
+        idle = self.caller_listener.wait_until_requests_end(max(0.0, deadline - self.clock.now()))
         log_event("stopped", instance=self.settings.instance, quiet=idle)
         flush_log()
         self.stopped.set()
@@ -251,9 +251,7 @@
         register("servers", lambda: len(routing_state.directory.entries))
         register(
             "connections_opened",
-            lambda: sum(
-                pool.opened_connections for pool in routing_state.connection_pools.values()
-            ),
+            lambda: sum(pool.connect_attempts for pool in routing_state.connection_pools.values()),
         )
         register(
             "configuration_version",
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -324,7 +324,7 @@
         now: float,
     ) -> None:
         command = message.command
-        if isinstance(command, GrantCommand) and not error.sent:
+        if isinstance(command, GrantCommand) and not error.may_have_run:
             grant_tracker.record_not_sent(command)
         grant_tracker.record_failed(command, now)
         if isinstance(error, ServerMismatchError):
@@ -342,7 +342,7 @@
             kind=type(command).__name__,
             server=command.server,
             problem=error,
-            sent=error.sent,
+            sent=error.may_have_run,
         )
 
     def _update_incarnations(self) -> None:
@@ -374,7 +374,7 @@
         service = self._service(report.service)
         for service_times in report.service_times:
             seconds = service_times.total_ms / MILLISECONDS_PER_SECOND
-            service.service_times.add(service_times.server_id, service_times.answers, seconds)
+            service.service_times.add(service_times.server_id, service_times.request_count, seconds)
         load = service.load
         requests_per_key = report.requests / len(report.keys)
         for key in report.keys:
--- a/packages/emulator/src/fireflylink_emulator/_event_scheduler.py
+++ b/packages/emulator/src/fireflylink_emulator/_event_scheduler.py
@@ -40,6 +40,6 @@
         """Runs the actions that are due until ``end`` and advances the clock to it."""
         while self.entries and self.entries[0][0] <= end:
             due_at, _, action = heapq.heappop(self.entries)
-            self.clock.current = max(self.clock.current, due_at)
+            self.clock.current_seconds = max(self.clock.current_seconds, due_at)
             action()
-        self.clock.current = max(self.clock.current, end)
+        self.clock.current_seconds = max(self.clock.current_seconds, end)
--- a/packages/http_client/src/fireflylink_http_client/__init__.py
+++ b/packages/http_client/src/fireflylink_http_client/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client connections that report whether a failed request may have been executed."""
+"""HTTP/1.1 client connections that report whether a failed request may have run."""
 
 from fireflylink_http_client._connection import HttpConnection
 from fireflylink_http_client._encoding import encode_request
--- a/packages/http_client/src/fireflylink_http_client/_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_connection.py
@@ -12,12 +12,13 @@
 from fireflylink_http_client._errors import LostError, NotSentError
 from fireflylink_http_client._response import HttpResponse, ResponseReader
 
-RECEIVE_BYTES = 65536
+READ_SIZE_BYTES = 65536
 TCP_KEEPALIVE_IDLE_SECONDS = 1
 TCP_KEEPALIVE_INTERVAL_SECONDS = 1
 TCP_KEEPALIVE_PROBES = 2
 TCP_USER_TIMEOUT_MS = 3000
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER: enabled with a time of 0 s, so that closing the socket sends a reset."""
 
 ResponsePredicate = Callable[[HttpResponse], bool]
 
@@ -131,11 +132,11 @@
     def _send_remaining(
         self, request: bytes, sent: int, reader: ResponseReader, deadline: float
     ) -> bool:
-        """Sends the rest of the request; returns false if a response arrives before the end."""
+        """Sends the rest of the request; returns false if any bytes arrive before the end."""
         while sent < len(request):
             remaining_seconds = max(0.0, deadline - self.clock.now())
             readable, writable, _ = self._select(remaining_seconds)
-            if readable and self._receive_early_response(reader):
+            if readable and self._receive_early_bytes(reader):
                 return False
             if writable:
                 sent += self._send_more(request[sent:])
@@ -158,10 +159,10 @@
         except OSError as error:
             raise self._connection_error(error) from error
 
-    def _receive_early_response(self, reader: ResponseReader) -> bool:
+    def _receive_early_bytes(self, reader: ResponseReader) -> bool:
         """Receives bytes that arrive while the request is being sent; returns whether any did."""
         try:
-            data = self.sock.recv(RECEIVE_BYTES)
+            data = self.sock.recv(READ_SIZE_BYTES)
         except BlockingIOError:
             return False
         except OSError as error:
@@ -176,7 +177,7 @@
             raise LostError(LostReason.MALFORMED, "bytes that are no response")
         self.sock.settimeout(max(0.0, deadline - self.clock.now()))
         try:
-            data = self.sock.recv(RECEIVE_BYTES)
+            data = self.sock.recv(READ_SIZE_BYTES)
         except (TimeoutError, BlockingIOError) as error:
             raise LostError(LostReason.LATE, "while receiving") from error
         except OSError as error:
@@ -189,13 +190,16 @@
     def _connection_error(self, error: OSError) -> LostError:
         """Returns the error to raise: a cancellation by another greenlet also causes OSError."""
         if self.cancelled:
-            return LostError(LostReason.CANCELLED, "by the caller")
+            return LostError(LostReason.CANCELLED, "the caller disconnected")
         return LostError(LostReason.RESET, str(error))
 
     def _finish_response(self, reader: ResponseReader) -> HttpResponse:
-        """Returns the response that ends with the connection; raises ``LostError`` otherwise."""
+        """Returns the response whose body the peer ended by closing the connection.
+
+        Raises ``LostError`` if there is no such response.
+        """
         if self.cancelled:
-            raise LostError(LostReason.CANCELLED, "by the caller")
+            raise LostError(LostReason.CANCELLED, "the caller disconnected")
         response = reader.finish()
         if response is not None:
             return response
@@ -206,7 +210,8 @@
 
 def _set_options(sock: Any) -> None:
     # Nagle's algorithm would delay small writes by 40 ms. The TCP keep-alive probes detect a peer
-    # that became unreachable without a reset.
+    # that became unreachable without a reset. While sent data is unacknowledged, the kernel sends no
+    # probes, and the user time-out ends the connection instead.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_SECONDS)
--- a/packages/http_client/src/fireflylink_http_client/_persistent_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_persistent_connection.py
@@ -9,6 +9,7 @@
 class PersistentConnection:
     """Sends requests to one address one at a time, over one connection where possible.
 
+    Unlike an ``HttpConnection``, it can be used again after an error: the next exchange reconnects.
     After an error the connection is reset, so that unacknowledged data is not delivered later.
 
     Example::
@@ -33,13 +34,13 @@
             connection = self._connect_if_needed(deadline)
             response, reusable = connection.exchange(request, method, deadline)
         except ExchangeError:
-            self.close()
+            self.abort()
             raise
         if not reusable:
-            self.close()
+            self.abort()
         return response
 
-    def close(self) -> None:
+    def abort(self) -> None:
         """Resets the connection; an exchange in progress fails."""
         if self.connection is not None:
             self.connection.abort()
@@ -48,7 +49,7 @@
     def _connect_if_needed(self, deadline: float) -> HttpConnection:
         if self.connection is not None and self.connection.is_usable():
             return self.connection
-        self.close()
+        self.abort()
         connection = HttpConnection(self.clock)
         self.connection = connection
         connection.connect(
--- a/packages/http_client/src/fireflylink_http_client/_response.py
+++ b/packages/http_client/src/fireflylink_http_client/_response.py
@@ -106,9 +106,9 @@
         return response
 
     def finish(self) -> HttpResponse | None:
-        """Returns the response that ends with the connection, or None if there is none.
+        """Returns the response whose body the peer ended by closing the connection, or None.
 
-        Only a response without Content-Length and Transfer-Encoding ends with the connection.
+        Only a response without Content-Length and Transfer-Encoding has such a body.
         """
         parser = self._parser
         if self.malformed or not parser.headers_complete or parser.message_complete:
--- a/packages/http_client/tests/test_connection.py
+++ b/packages/http_client/tests/test_connection.py
@@ -112,7 +112,7 @@
     ],
 )
 def test_an_incomplete_response_raises_lost_error(connect, parts, reset, reason):
-    """Guards against returning an incomplete response, or reporting the request as not executed.
+    """Guards against returning an incomplete response, or reporting the request as not run.
 
     The peer closes or resets the connection, sends no HTTP, or sends nothing until the deadline.
     """
@@ -124,7 +124,8 @@
 def test_a_response_before_the_body_is_sent_ends_the_sending(connect):
     """Guards against a next request that the peer would read as the rest of a long body.
 
-    Sending stops at the early response, so the connection must not be reused.
+    Sending stops at the early response, so the connection must not be reused. The body is larger
+    than the socket buffers, so that a part of it is unsent when the response arrives.
     """
     request = b"POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n" + b"x" * 9_000_000
     response, reusable = exchange(connect(ScriptedPeer([RESPONSE])), request, 3.0)
--- a/packages/operator_client/src/fireflylink_operator_client/_commands.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_commands.py
@@ -1,4 +1,4 @@
-"""The commands: each is a function that yields the lines to print."""
+"""The operators' commands: each is a function that yields the lines to print."""
 
 from collections.abc import Iterator
 
@@ -41,11 +41,11 @@
     for assignment in table.assignments:
         if key is not None and not assignment.keys.first <= key <= assignment.keys.last:
             continue
-        notes = _notes(assignment.previous_holders, assignment.owner in registered)
+        notes = _assignment_notes(assignment.previous_holders, assignment.owner in registered)
         yield f"  {assignment.keys!s:>12}  {assignment.owner}  fence {assignment.fence}{notes}"
 
 
-def _notes(previous_holders: tuple[ServerIncarnation, ...], is_registered: bool) -> str:
+def _assignment_notes(previous_holders: tuple[ServerIncarnation, ...], is_registered: bool) -> str:
     notes = "" if is_registered else "  NOT REGISTERED"
     if previous_holders:
         notes += f"  on its way from {', '.join(map(str, previous_holders))}"
--- a/packages/operator_client/src/fireflylink_operator_client/_system_view.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_system_view.py
@@ -37,7 +37,8 @@
 
     Changes after ``revision`` may be included only in part. ``evacuated`` lists the data centres
     whose evacuation was requested. ``unreadable`` lists the operators' items and the server
-    registrations that could not be decoded.
+    registrations that could not be decoded. Records of the daemons that could not be decoded are
+    left out of the view.
     """
 
     __slots__ = (
--- a/packages/protocol/src/fireflylink_protocol/__init__.py
+++ b/packages/protocol/src/fireflylink_protocol/__init__.py
@@ -1,4 +1,4 @@
-"""The inner protocol: the daemons' records in the store, and the datagrams between daemons."""
+"""The protocol between daemons: their records in the store and their datagrams."""
 
 from fireflylink_protocol._datagrams import (
     MAX_REPORTED_KEYS,
--- a/packages/protocol/src/fireflylink_protocol/_datagrams.py
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -1,4 +1,7 @@
-"""Datagrams between daemons: load reports, grant notices and crash notices, as MessagePack."""
+"""Datagrams between daemons: load reports, grant notices and crash notices, as MessagePack.
+
+A datagram is a list: the number of its message type, then the fields of the message.
+"""
 
 import msgpack
 from returns.result import Failure, Result, Success
@@ -6,11 +9,13 @@
 from fireflylink_core import BaseValue, KeyRange, ServerIncarnation
 from fireflylink_protocol._errors import RecordError
 
-LOAD_REPORT_FORMAT = 1
-GRANT_NOTICE_FORMAT = 2
-CRASH_NOTICE_FORMAT = 3
+LOAD_REPORT_TYPE = 1
+GRANT_NOTICE_TYPE = 2
+CRASH_NOTICE_TYPE = 3
 MAX_REPORTED_KEYS = 400
-"""Keeps a load report below 1,500 bytes, so that no link fragments the datagram."""
+"""Limit that keeps a load report without service times below 1,500 bytes, so that no link fragments
+the datagram. Each key takes up to 3 bytes.
+"""
 
 MAX_KEY = 65535
 
@@ -18,15 +23,16 @@
 class ServerServiceTime(BaseValue):
     """How long a server took for a number of requests that one daemon sent to it.
 
-    ``answers`` is the number of requests, ``total_ms`` the sum of their service times in
-    milliseconds, without the time in queues.
+    ``total_ms`` is the sum of the service times of ``request_count`` requests, in milliseconds. The
+    time in the daemon's queue is not included. Requests that probably waited in the server's queue
+    are left out, and the expected effect of that queue on requests that timed out is removed.
     """
 
-    __slots__ = ("answers", "server_id", "total_ms")
+    __slots__ = ("request_count", "server_id", "total_ms")
 
-    def __init__(self, server_id: str, answers: int, total_ms: int) -> None:
+    def __init__(self, server_id: str, request_count: int, total_ms: int) -> None:
         self.server_id = server_id
-        self.answers = answers
+        self.request_count = request_count
         self.total_ms = total_ms
 
 
@@ -35,8 +41,9 @@
 
     ``requests`` is their number and ``keys`` holds their keys: a random sample if there were more
     than ``MAX_REPORTED_KEYS``, otherwise all of them in arrival order. ``service_times`` covers the
-    answers since service times were last reported. ``sequence`` increases with each round of
-    reports and restarts with the daemon.
+    requests since service times were last reported. A daemon sends one report for each service at
+    the same time, all with the same ``sequence``, which increases by 1 each time and restarts with
+    the daemon.
     """
 
     __slots__ = ("instance", "keys", "requests", "sequence", "service", "service_times")
@@ -70,7 +77,11 @@
 
 
 class CrashNotice(BaseValue):
-    """States that a server incarnation crashed while it ran the request with ``fingerprint``."""
+    """States that a server incarnation crashed while it ran a request.
+
+    ``fingerprint`` is a digest of the request, the same for each attempt of a caller. The receivers
+    refuse requests that have crashed several incarnations.
+    """
 
     __slots__ = ("fingerprint", "incarnation")
 
@@ -80,6 +91,7 @@
 
 
 Datagram = LoadReport | GrantNotice | CrashNotice
+"""A decoded message; its encoded form is the content of one UDP datagram."""
 
 
 def encode_datagram(message: Datagram) -> bytes:
@@ -87,28 +99,28 @@
     fields: list[object]
     if isinstance(message, LoadReport):
         fields = [
-            LOAD_REPORT_FORMAT,
+            LOAD_REPORT_TYPE,
             message.instance,
             message.service,
             message.sequence,
             message.requests,
             list(message.keys),
             [
-                [service_time.server_id, service_time.answers, service_time.total_ms]
+                [service_time.server_id, service_time.request_count, service_time.total_ms]
                 for service_time in message.service_times
             ],
         ]
     elif isinstance(message, CrashNotice):
         incarnation = message.incarnation
         fields = [
-            CRASH_NOTICE_FORMAT,
+            CRASH_NOTICE_TYPE,
             message.fingerprint,
             incarnation.server_id,
             incarnation.started_ms,
         ]
     else:
         keys = message.keys
-        fields = [GRANT_NOTICE_FORMAT, message.service, keys.first, keys.last, message.fence]
+        fields = [GRANT_NOTICE_TYPE, message.service, keys.first, keys.last, message.fence]
     packed: bytes = msgpack.packb(fields)
     return packed
 
@@ -116,14 +128,14 @@
 def decode_datagram(datagram: bytes) -> Result[Datagram, RecordError]:
     """Returns the message of a datagram, or an error for bytes that no daemon sends."""
     try:
-        message_format, *fields = msgpack.unpackb(datagram)
-        if message_format == LOAD_REPORT_FORMAT:
+        message_type, *fields = msgpack.unpackb(datagram)
+        if message_type == LOAD_REPORT_TYPE:
             return Success(_decode_load_report(*fields))
-        if message_format == GRANT_NOTICE_FORMAT:
+        if message_type == GRANT_NOTICE_TYPE:
             return Success(_decode_grant_notice(*fields))
-        if message_format == CRASH_NOTICE_FORMAT:
+        if message_type == CRASH_NOTICE_TYPE:
             return Success(_decode_crash_notice(*fields))
-        return Failure(RecordError(f"datagram format {message_format!r} is not known"))
+        return Failure(RecordError(f"datagram type {message_type!r} is not known"))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         return Failure(RecordError(f"the datagram cannot be decoded: {error!r}"))
 
@@ -148,10 +160,12 @@
     )
 
 
-def _decode_service_time(server_id: object, answers: object, total_ms: object) -> ServerServiceTime:
-    if not isinstance(answers, int) or not isinstance(total_ms, int) or answers < 1:
-        raise ValueError("service times must be integers, of at least one answer")
-    return ServerServiceTime(str(server_id), answers, total_ms)
+def _decode_service_time(
+    server_id: object, request_count: object, total_ms: object
+) -> ServerServiceTime:
+    if not isinstance(request_count, int) or not isinstance(total_ms, int) or request_count < 1:
+        raise ValueError("service times must be integers, of at least one request")
+    return ServerServiceTime(str(server_id), request_count, total_ms)
 
 
 def _decode_crash_notice(fingerprint: bytes, server_id: str, started_ms: int) -> CrashNotice:
--- a/packages/protocol/src/fireflylink_protocol/_errors.py
+++ b/packages/protocol/src/fireflylink_protocol/_errors.py
@@ -1,7 +1,7 @@
-"""Errors of the inner protocol."""
+"""Errors of the protocol between daemons."""
 
 from fireflylink_core import BaseFireflylinkError
 
 
 class RecordError(BaseFireflylinkError):
-    """A record or a datagram cannot be decoded."""
+    """A record in the store, or a datagram of another daemon, cannot be decoded."""
--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -1,5 +1,6 @@
 """Records that the daemons write to the metadata store, as JSON.
 
+A store key is the name of a record in the store; it is unrelated to the keys of requests.
 Each daemon writes a member record. The decider (elected leader) also writes the decider's record
 and the ownership table of each service.
 """
@@ -28,7 +29,7 @@
 
 
 class MemberRecord(BaseValue):
-    """A running daemon, and the address at which it receives datagrams.
+    """A member: a daemon that the store lists, with the address at which it receives datagrams.
 
     ``started_ms`` is the start time of the daemon in milliseconds since the Unix epoch. It
     distinguishes the incarnations of a daemon.
@@ -91,7 +92,7 @@
     between data centres costs money. Server incarnations are listed once, and assignments refer to
     them by index. An assignment is encoded as its number of keys, the difference between the fence
     of the table and its own, its owner and, while its keys are being transferred, the previous
-    holders and the hand-over token. The JSON is compressed; ``fireflylink owners`` shows the table.
+    holders and the handover token. The JSON is compressed; ``fireflylink owners`` shows the table.
     """
     incarnations: dict[ServerIncarnation, int] = {}
     rows: list[list[object]] = []
@@ -158,7 +159,7 @@
     try:
         encoded = zlib.decompress(value)
     except zlib.error as error:
-        return Failure(RecordError(f"the record cannot be decoded: {error!r}"))
+        return Failure(RecordError(f"the ownership table cannot be decompressed: {error!r}"))
     return _decode(encoded, build_table)
 
 
--- a/packages/protocol/tests/test_records.py
+++ b/packages/protocol/tests/test_records.py
@@ -112,20 +112,22 @@
     [[1, "f", "s", 1, 1, [70000], []], [1, "f", "s", 1, 1, ["x"], []], [1, "f"], [2, "s", 1], [9]],
 )
 def test_a_malformed_datagram_is_an_error(fields):
-    """Guards against keys outside of 0 to 65,535 in the load that the decider plans by.
+    """Guards against a datagram that ends the receiving task or adds impossible keys to the load.
 
-    A datagram may be valid MessagePack but have a key out of range, fields of the wrong type, too
-    few fields or an unknown format.
+    A datagram may be valid MessagePack but have a key outside of 0 to 65,535, fields of the wrong
+    type, too few fields or an unknown type.
     """
     import msgpack
 
     assert_that(decode_datagram(msgpack.packb(fields)), IsInstance(Failure))
 
 
-def test_the_record_of_a_table_of_thirty_servers_is_small():
-    """Guards against an ownership record that costs more to distribute than rebalancing gains.
+def test_the_record_of_an_ownership_table_is_small():
+    """Guards against an ownership record that costs more to distribute than rebalancing saves.
 
-    Every daemon reads the whole record after each change.
+    Every daemon reads the whole record after each change, and traffic between data centres is paid
+    for by the byte. The multiplication makes the ids of the 64 owners dissimilar, so that they
+    compress badly.
     """
     assignments = tuple(
         Assignment(
--- a/packages/standins/src/fireflylink_standins/_store_server.py
+++ b/packages/standins/src/fireflylink_standins/_store_server.py
@@ -174,7 +174,7 @@
         "value": base64.b64encode(change.value).decode(),
         "revision": change.revision,
         "created": change.revision,
-        "lease": change.lease,
+        "lease": change.lease_id,
     }
 
 
--- a/packages/standins/src/fireflylink_standins/_store_state.py
+++ b/packages/standins/src/fireflylink_standins/_store_state.py
@@ -76,11 +76,11 @@
         if any(self._revision_of(key) != revision for key, revision in commit.expected):
             present = (self.items.get(key) for key, _ in commit.expected)
             raise ConditionFailedError(tuple(item for item in present if item is not None))
-        if any(put.lease != NO_LEASE and put.lease not in self.leases for put in commit.puts):
+        if any(put.lease_id != NO_LEASE and put.lease_id not in self.leases for put in commit.puts):
             raise NoSuchLeaseError
         self.revision += 1
         for put in commit.puts:
-            item = Item(put.key, put.value, self.revision, put.lease)
+            item = Item(put.key, put.value, self.revision, put.lease_id)
             self.items[put.key] = item
             self.history.append(item)
         for key in commit.deletions:
@@ -106,7 +106,7 @@
     def revoke_lease(self, lease_id: int) -> None:
         """Ends a lease; its keys are removed."""
         self.leases.pop(lease_id, None)
-        keys = [key for key, item in self.items.items() if item.lease == lease_id]
+        keys = [key for key, item in self.items.items() if item.lease_id == lease_id]
         if keys:
             self.revision += 1
         for key in keys:
--- a/packages/store/src/fireflylink_store/_errors.py
+++ b/packages/store/src/fireflylink_store/_errors.py
@@ -5,7 +5,11 @@
 
 
 class StoreError(BaseFireflylinkError):
-    """A call to the store failed."""
+    """A call to the store failed.
+
+    An error of this class itself means that the answer was unexpected or could not be decoded; it
+    does not say whether the call took effect.
+    """
 
 
 class StoreUnavailableError(StoreError):
@@ -19,7 +23,7 @@
 class HistoryCompactedError(StoreError):
     """The store has compacted changes after the requested revision.
 
-    The caller must read all items again.
+    All items must be read again.
     """
 
 
--- a/packages/store/src/fireflylink_store/_items.py
+++ b/packages/store/src/fireflylink_store/_items.py
@@ -12,17 +12,17 @@
 class Item(BaseValue):
     """A key with its value.
 
-    ``revision`` is the store revision of its last change. The item is deleted when its ``lease``
-    expires or is revoked; ``lease`` is ``NO_LEASE`` if it has none.
+    ``revision`` is the store revision of its last change. The item is deleted when its lease
+    expires or is revoked; ``lease_id`` is ``NO_LEASE`` if it has none.
     """
 
-    __slots__ = ("key", "lease", "revision", "value")
+    __slots__ = ("key", "lease_id", "revision", "value")
 
-    def __init__(self, key: str, value: bytes, revision: int, lease: int = NO_LEASE) -> None:
+    def __init__(self, key: str, value: bytes, revision: int, lease_id: int = NO_LEASE) -> None:
         self.key = key
         self.value = value
         self.revision = revision
-        self.lease = lease
+        self.lease_id = lease_id
 
 
 class Deletion(BaseValue):
@@ -36,6 +36,7 @@
 
 
 Change = Item | Deletion
+"""A change of one key: its new item, or its deletion."""
 
 
 class Snapshot(BaseValue):
@@ -75,18 +76,19 @@
 class Put(BaseValue):
     """Writes a value to a key. The item is deleted with its lease if it has one."""
 
-    __slots__ = ("key", "lease", "value")
+    __slots__ = ("key", "lease_id", "value")
 
-    def __init__(self, key: str, value: bytes, lease: int = NO_LEASE) -> None:
+    def __init__(self, key: str, value: bytes, lease_id: int = NO_LEASE) -> None:
         self.key = key
         self.value = value
-        self.lease = lease
+        self.lease_id = lease_id
 
 
 class Commit(BaseValue):
     """Writes that are applied atomically if each key of ``expected`` has the given revision.
 
-    The revision ``ABSENT_REVISION`` requires that the key does not exist.
+    ``expected`` holds pairs of a key and the revision that it must have. The revision
+    ``ABSENT_REVISION`` requires that the key does not exist.
     """
 
     __slots__ = ("deletions", "expected", "puts")
--- a/packages/store/src/fireflylink_store/_updates.py
+++ b/packages/store/src/fireflylink_store/_updates.py
@@ -65,7 +65,11 @@
 
 
 class UnreadableItem(BaseUpdate):
-    """An item that cannot be decoded, so no server, route or service is taken from it."""
+    """An item that cannot be decoded.
+
+    A daemon keeps the last readable configuration in force. An unreadable registration of a server
+    is also reported as ``ServerRemoved``.
+    """
 
     __slots__ = ("key", "problem", "revision")
 
