--- a/packages/core/src/fireflylink_core/_configuration.py
+++ b/packages/core/src/fireflylink_core/_configuration.py
@@ -78,9 +78,10 @@
     """A group of backend servers that run the same kind of requests.
 
     ``connection_limit`` is how many connections one server accepts from all daemons together. A
-    server is cold, which means still warming up, for ``cold_seconds`` after its start. During that
-    time it can run only ``max_cold_requests_per_second``. In a ``keyed`` service a
-    request goes to the owner of its key, and servers run only requests for keys that they hold.
+    server is cold, which means still warming up, for ``cold_seconds`` after its start and after an
+    evacuation of its data centre has ended. During that time it can run only
+    ``max_cold_requests_per_second``. In a ``keyed`` service a request goes to the owner of its key,
+    and servers run only requests for keys that they hold.
     """
 
     __slots__ = (
--- a/packages/core/src/fireflylink_core/_keys.py
+++ b/packages/core/src/fireflylink_core/_keys.py
@@ -92,6 +92,7 @@
         self.assignments = assignments
         self._first_keys = [assignment.keys.first for assignment in assignments]
 
+    # ``BaseValue`` would include ``_first_keys``, a list, which cannot be hashed.
     def __eq__(self, other: object) -> bool:
         return (
             isinstance(other, OwnershipTable)
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -185,7 +185,7 @@
         if error is None:
             sent_at = self.clock.now()
             put = Put(DECIDER_KEY, encode_member(self.record), self.lease_id)
-            commit = Commit(expected=((DECIDER_KEY, ABSENT_REVISION),), puts=(put,))
+            commit = Commit(expected_revisions=((DECIDER_KEY, ABSENT_REVISION),), puts=(put,))
             written = self.store.commit(commit, sent_at + CALL_TIMEOUT_SECONDS)
             if isinstance(written, Success):
                 self._become_decider(written.unwrap(), sent_at)
@@ -255,7 +255,7 @@
         table = message.table
         key = ownership_key(table.service)
         commit = Commit(
-            expected=((key, message.revision), (DECIDER_KEY, self.election.revision)),
+            expected_revisions=((key, message.revision), (DECIDER_KEY, self.election.revision)),
             puts=(Put(key, encode_table(table)),),
         )
         sent_at = self.clock.now()
--- a/packages/http_client/src/fireflylink_http_client/_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_connection.py
@@ -210,8 +210,8 @@
 
 def _set_options(sock: Any) -> None:
     # Nagle's algorithm would delay small writes by 40 ms. The TCP keep-alive probes detect a peer
-    # that became unreachable without a reset. While sent data is unacknowledged, the kernel sends no
-    # probes, and the user time-out ends the connection instead.
+    # that became unreachable without a reset. While sent data is unacknowledged, the kernel sends
+    # no probes, and the user time-out ends the connection instead.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_SECONDS)
--- a/packages/standins/src/fireflylink_standins/_store_server.py
+++ b/packages/standins/src/fireflylink_standins/_store_server.py
@@ -180,7 +180,7 @@
 
 def _commit(body: Any) -> Commit:
     return Commit(
-        expected=tuple((row["key"], row["revision"]) for row in body["expected"]),
+        expected_revisions=tuple((row["key"], row["revision"]) for row in body["expected"]),
         puts=tuple(
             Put(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
             for row in body["puts"]
--- a/packages/standins/src/fireflylink_standins/_store_state.py
+++ b/packages/standins/src/fireflylink_standins/_store_state.py
@@ -73,8 +73,8 @@
     def commit(self, commit: Commit) -> int:
         """Applies a commit; raises when a condition does not hold or a lease has ended."""
         self.expire()
-        if any(self._revision_of(key) != revision for key, revision in commit.expected):
-            present = (self.items.get(key) for key, _ in commit.expected)
+        if any(self._revision_of(key) != revision for key, revision in commit.expected_revisions):
+            present = (self.items.get(key) for key, _ in commit.expected_revisions)
             raise ConditionFailedError(tuple(item for item in present if item is not None))
         if any(put.lease_id != NO_LEASE and put.lease_id not in self.leases for put in commit.puts):
             raise NoSuchLeaseError
--- a/packages/store/src/fireflylink_store/_items.py
+++ b/packages/store/src/fireflylink_store/_items.py
@@ -85,20 +85,20 @@
 
 
 class Commit(BaseValue):
-    """Writes that are applied atomically if each key of ``expected`` has the given revision.
+    """Writes that are applied atomically if each key has its expected revision.
 
-    ``expected`` holds pairs of a key and the revision that it must have. The revision
+    ``expected_revisions`` holds pairs of a key and its expected revision. The revision
     ``ABSENT_REVISION`` requires that the key does not exist.
     """
 
-    __slots__ = ("deletions", "expected", "puts")
+    __slots__ = ("deletions", "expected_revisions", "puts")
 
     def __init__(
         self,
-        expected: tuple[tuple[str, int], ...] = (),
+        expected_revisions: tuple[tuple[str, int], ...] = (),
         puts: tuple[Put, ...] = (),
         deletions: tuple[str, ...] = (),
     ) -> None:
-        self.expected = expected
+        self.expected_revisions = expected_revisions
         self.puts = puts
         self.deletions = deletions
