--- a/packages/standins/src/fireflylink_standins/_store_server.py
+++ b/packages/standins/src/fireflylink_standins/_store_server.py
@@ -174,13 +174,13 @@
         "value": base64.b64encode(change.value).decode(),
         "revision": change.revision,
         "created": change.revision,
-        "lease": change.lease,
+        "lease": change.lease_id,
     }
 
 
 def _commit(body: Any) -> Commit:
     return Commit(
-        expected=tuple((row["key"], row["revision"]) for row in body["expected"]),
+        expected_revisions=tuple((row["key"], row["revision"]) for row in body["expected"]),
         puts=tuple(
             Put(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
             for row in body["puts"]
