--- a/packages/daemon/src/fireflylink_daemon/_request_handler.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -166,11 +166,11 @@
                 self._discard(dispatch_result)
                 return CallerDisconnected()
             if isinstance(dispatch_result, Refused):
-                return context.attempts.refusal_reply(
+                return context.attempts.final_reply(
                     dispatch_result.reason, dispatch_result.retry_after
                 )
             if not isinstance(dispatch_result, Dispatched):
-                return context.attempts.refusal_reply("not-placed", NO_CONFIGURATION_RETRY_SECONDS)
+                return context.attempts.final_reply("not-placed", NO_CONFIGURATION_RETRY_SECONDS)
             result = self._call(context, dispatch_result)
             if context.caller_disconnected:
                 return CallerDisconnected()
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -160,7 +160,7 @@
 
         Around an outage of the store, the server stays in the directory for a grace time.
         """
-        gone = self.directory.remove(server_id, self.clock.now())
+        gone = self.directory.record_deletion(server_id, self.clock.now())
         log_event("server-unregistered", server=server_id, gone=gone)
 
     def set_evacuated(self, data_centre: str, requested: bool) -> None:
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -109,7 +109,7 @@
         server_ids = frozenset(
             update.server.server_id for update in updates if isinstance(update, ServerUpdate)
         )
-        routing_state.directory.keep_only(server_ids, self.clock.now())
+        routing_state.directory.record_listing(server_ids, self.clock.now())
         listed = {update.data_centre for update in updates if isinstance(update, EvacuationUpdate)}
         for data_centre in [
             found for found in routing_state.directory.evacuated if found not in listed
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -233,12 +233,12 @@
     for name in names:
         record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
         apply_items(daemon, Item(member_key(name), encode_member(record), 5))
-    assert_that(daemon.routing_state.position.share(14.0, "i-1"), GreaterThan(2))
+    assert_that(daemon.routing_state.position.whole_share(14.0, "i-1"), GreaterThan(2))
     apply_items(daemon, Item("op/config", json.dumps(CONFIGURATION).encode(), 1), is_snapshot=True)
     for name in names[1:]:
         record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
         apply_items(daemon, Item(member_key(name), encode_member(record), 9))
-    assert_that(daemon.routing_state.position.share(14.0, "i-1"), Equals(0))
+    assert_that(daemon.routing_state.position.whole_share(14.0, "i-1"), Equals(0))
 
 
 def test_a_lease_is_not_shorter_than_the_minimum_of_the_store(
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -20,32 +20,45 @@
     is_unresponsive,
 )
 
-OWNER_TIMEOUT_SECONDS = 0.25
+NO_OWNER_WAIT_SECONDS = 0.25
 """How long a request is queued while its key has no owner that responds."""
 
 MAX_WAIT_FRACTION = 0.5
-"""Fraction of the time until its deadline for which a request may be queued. A request that is
-dispatched later could only be answered late."""
+"""Fraction of the time until its deadline for which a request may be queued. If it is refused
+then, its caller still has time for a retry."""
+
+NO_ROOM_RETRY_AFTER_SECONDS = 0.25
+"""Retry-after of a request that would wait too long for a free slot."""
+
+NO_SERVER_RETRY_AFTER_SECONDS = 1.0
+"""Retry-after of a request that no server can run: its service is not configured, or its key has no
+owner that responds."""
 
-SHORT_RETRY_AFTER_SECONDS = 0.25
-LONG_RETRY_AFTER_SECONDS = 1.0
 MISDIRECTED_PAUSE_SECONDS = 0.3
-TRANSFER_TIMEOUT_SECONDS = 0.6
-"""Time after which a moved key's new owner is tried even if no notice of its grant has arrived."""
+"""How long an owner that declined a key gets no requests for keys assigned with the same fence.
+Until it holds its keys, it would decline them too, and each retry uses the retry budget."""
+
+GRANT_NOTICE_TIMEOUT_SECONDS = 0.6
+"""Time after which a moved key's new owner is tried even if no notice of its grant has arrived. The
+datagram with the notice may have been lost."""
 
-URGENT_DEMAND_SECONDS = 3.0
-"""How long after a request of a higher priority more of them are expected."""
+URGENT_EXPECTED_SECONDS = 3.0
+"""How long after a request more requests of the same priority are expected. Meanwhile less urgent
+ones are limited to ``MAX_LOW_PRIORITY_REQUESTS_PER_SLOT``."""
 
 
 class ServicePool:
     """The servers of one service, as known to this daemon, and the requests queued for them.
 
     ``trackers`` are the servers that may get requests. In a ``keyed`` service only the owner of a
-    key runs requests for it. ``misdirected_until`` maps an owner that declined a key, and the fence
-    of its assignment, to the time until which it gets no requests under that fence.
-    ``confirmed_grants`` are the moved ranges, with their fences, that have been granted to the new
-    owner. ``table_received_at`` is when ``table`` was set, and ``last_arrival_at`` the time of the
-    last request of each priority.
+    request's key runs it: the server to which ``table`` assigns the key. In any other service each
+    server can run every request. Each assignment has a fence (fencing token), which is higher than
+    those of earlier assignments of its keys.
+
+    ``misdirected_until`` maps an owner that declined a key, and the fence of its assignment, to the
+    time until which it gets no requests under that fence. ``confirmed_grants`` are the moved
+    ranges, with their fences, that have been granted to the new owner. ``table_received_at`` is
+    when ``table`` was set, and ``last_arrival_at`` the time of the last request of each priority.
     """
 
     __slots__ = (
@@ -73,7 +86,7 @@
 
     def max_requests_per_slot(self, priority: int, now: float) -> float:
         """Returns the limit on a server's requests per slot that applies to a priority."""
-        window_start = now - URGENT_DEMAND_SECONDS
+        window_start = now - URGENT_EXPECTED_SECONDS
         urgent_expected = any(
             other < priority and arrived_at > window_start
             for other, arrived_at in self.last_arrival_at.items()
@@ -95,12 +108,12 @@
         assignment = self.table.find(key) if self.table is not None else None
         return None if assignment is None else self.trackers.get(assignment.owner)
 
-    def is_transfer_pending(self, assignment: Assignment, now: float) -> bool:
+    def is_grant_pending(self, assignment: Assignment, now: float) -> bool:
         """Whether the owner of an assignment presumably has not been granted the keys yet."""
         return (
             bool(assignment.previous_holders)
             and (assignment.keys, assignment.fence) not in self.confirmed_grants
-            and now < self.table_received_at + TRANSFER_TIMEOUT_SECONDS
+            and now < self.table_received_at + GRANT_NOTICE_TIMEOUT_SECONDS
         )
 
 
@@ -123,7 +136,7 @@
         """Dispatches a new request, or queues it and returns None."""
         pool = self.pools.get(request.service)
         if pool is None:
-            return Refused("no-such-service", LONG_RETRY_AFTER_SECONDS)
+            return Refused("no-such-service", NO_SERVER_RETRY_AFTER_SECONDS)
         pool.last_arrival_at[request.priority] = now
         # In a keyed service a request waits for the owner of its key, not for others in the queue.
         ahead = 0 if pool.keyed else pool.queue.count_ahead(request, _misses_objective(pool, now))
@@ -132,7 +145,7 @@
             if result is not None:
                 return result
         if pool.queue.is_full or self._would_miss_deadline(pool, request, ahead, now):
-            return Refused("no-room", SHORT_RETRY_AFTER_SECONDS)
+            return Refused("no-room", NO_ROOM_RETRY_AFTER_SECONDS)
         self._enqueue(pool, request)
         return None
 
@@ -193,7 +206,7 @@
         if assignment is None:
             return None
         tracker = pool.trackers.get(assignment.owner)
-        if tracker is None or pool.is_transfer_pending(assignment, now):
+        if tracker is None or pool.is_grant_pending(assignment, now):
             return None
         if now < pool.misdirected_until.get((assignment.owner, assignment.fence), 0.0):
             return None
@@ -205,13 +218,13 @@
         return _dispatch_to(pool, tracker, assignment.fence, now)
 
     def _try_refuse(self, pool: ServicePool, request: QueuedRequest, now: float) -> Refused | None:
-        if now - request.enqueued_at > OWNER_TIMEOUT_SECONDS and self._lacks_owner(pool, request):
-            return Refused("no-owner", LONG_RETRY_AFTER_SECONDS)
+        if now - request.enqueued_at > NO_OWNER_WAIT_SECONDS and self._lacks_owner(pool, request):
+            return Refused("no-owner", NO_SERVER_RETRY_AFTER_SECONDS)
         wait_ends_at = (
             request.enqueued_at + (request.deadline - request.enqueued_at) * MAX_WAIT_FRACTION
         )
         if now > wait_ends_at or now + _min_service_seconds(pool) > request.deadline:
-            return Refused("no-room", SHORT_RETRY_AFTER_SECONDS)
+            return Refused("no-room", NO_ROOM_RETRY_AFTER_SECONDS)
         return None
 
     def _lacks_owner(self, pool: ServicePool, request: QueuedRequest) -> bool:
@@ -237,26 +250,26 @@
     def _enqueue(self, pool: ServicePool, request: QueuedRequest) -> None:
         pool.queue.enqueue(request)
         if pool.keyed:
-            request.awaited_server = pool.owner_of(request.key)
-            if request.awaited_server is not None:
-                request.awaited_server.queued += 1
+            request.awaited_owner = pool.owner_of(request.key)
+            if request.awaited_owner is not None:
+                request.awaited_owner.queued += 1
 
     def _dequeue(self, pool: ServicePool, request: QueuedRequest) -> None:
         pool.queue.remove(request)
-        if request.awaited_server is not None:
-            request.awaited_server.queued -= 1
-            request.awaited_server = None
+        if request.awaited_owner is not None:
+            request.awaited_owner.queued -= 1
+            request.awaited_owner = None
 
 
 def _dispatch_to(pool: ServicePool, tracker: ServerTracker, fence: int, now: float) -> Dispatched:
     queueing_factor = tracker.queueing_factor(now)
     tracker.record_sent(now)
-    pool.queue.dispatched.add(now)
+    pool.queue.recent_dispatches.add(now)
     return Dispatched(tracker, queueing_factor, fence)
 
 
 def _misses_objective(pool: ServicePool, now: float) -> Callable[[QueuedRequest], bool]:
-    """Returns a predicate: whether a request is expected to miss its objective if sent now."""
+    """Returns a predicate: whether a request, if sent now, is expected to miss its objective."""
     if pool.keyed:
         return lambda request: now + _seconds_at_owner(pool, request, now) > request.objective_at
     earliest_answer_at = now + _min_service_seconds(pool)
@@ -269,4 +282,4 @@
 
 
 def _min_service_seconds(pool: ServicePool) -> float:
-    return min((tracker.base_seconds for tracker in pool.trackers.values()), default=0.0)
+    return min((tracker.idle_service_seconds for tracker in pool.trackers.values()), default=0.0)
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_queued_request.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_queued_request.py
@@ -7,14 +7,14 @@
 class QueuedRequest:
     """The properties of a request that the dispatcher needs. Instances compare by identity.
 
-    ``deadline`` is the latest time at which the answer is of use, and ``objective_at`` the latest
-    time at which it has its full value. ``priority`` 0 is the most urgent. ``tried_servers`` are
-    the ids of servers to which the request was sent before. ``awaited_server`` is the owner of
-    its key, which counts the request as queued; None if there is none.
+    An answer after ``deadline`` is of no use. One after ``objective_at`` misses the objective of
+    the route, which is its target latency. ``priority`` 0 is the most urgent. ``tried_servers`` are
+    the ids of servers to which the request was sent before. ``awaited_owner`` is the tracker of the
+    owner of its key, which counts the request as queued; None if there is none.
     """
 
     __slots__ = (
-        "awaited_server",
+        "awaited_owner",
         "deadline",
         "enqueued_at",
         "key",
@@ -34,7 +34,7 @@
         tried_servers: frozenset[str] = frozenset(),
         objective_at: float | None = None,
     ) -> None:
-        self.awaited_server: ServerTracker | None = None
+        self.awaited_owner: ServerTracker | None = None
         self.service = service
         self.priority = priority
         self.enqueued_at = enqueued_at
@@ -54,7 +54,8 @@
     """The request is to be sent to a server, whose tracker already counts it as in flight.
 
     ``fence`` is the fencing token of the server's assignment, 0 for a request without a key.
-    ``queueing_factor`` is by how much the server's load is expected to lengthen the request.
+    ``queueing_factor`` is the factor by which the server's load is expected to lengthen the time
+    of the request.
     """
 
     __slots__ = ("fence", "queueing_factor", "tracker")
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_request_queue.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_request_queue.py
@@ -7,21 +7,24 @@
 from fireflylink_decisions.limits import SlidingWindowCounter
 
 RATE_WINDOW_SECONDS = 2.0
+"""Time over which the dispatch rate is measured, from which the wait in the queue is estimated."""
+
 MAX_QUEUED_REQUESTS = 200
+"""Limit for one service at one daemon."""
 
 
 class RequestQueue:
     """Requests ordered by priority, then by arrival, and a counter of recent dispatches."""
 
-    __slots__ = ("dispatched", "requests")
+    __slots__ = ("recent_dispatches", "requests")
 
     def __init__(self) -> None:
         self.requests: list[QueuedRequest] = []
-        self.dispatched = SlidingWindowCounter(RATE_WINDOW_SECONDS)
+        self.recent_dispatches = SlidingWindowCounter(RATE_WINDOW_SECONDS)
 
     def enqueue(self, request: QueuedRequest) -> None:
         """Adds a request in the order of priority, then of arrival."""
-        bisect.insort_right(self.requests, request, key=_order)
+        bisect.insort_right(self.requests, request, key=_sort_key)
 
     def remove(self, request: QueuedRequest) -> None:
         """Removes a request, if it is still queued."""
@@ -35,10 +38,12 @@
     ) -> int:
         """Returns how many queued requests would be dispatched before a new one.
 
-        The new request is taken to meet its objective. Queued requests of the same priority that
+        The new request is assumed to meet its objective. Queued requests of the same priority that
         miss theirs are not counted, see ``in_dispatch_order``.
         """
-        before = self.requests[: bisect.bisect_right(self.requests, _order(request), key=_order)]
+        before = self.requests[
+            : bisect.bisect_right(self.requests, _sort_key(request), key=_sort_key)
+        ]
         return sum(
             queued.priority < request.priority or not misses_objective(queued) for queued in before
         )
@@ -56,7 +61,7 @@
 
     def expected_wait_seconds(self, ahead: int, now: float) -> float:
         """Returns how long ``ahead`` requests take at the recent dispatch rate, 0 without one."""
-        rate = self.dispatched.count(now) / RATE_WINDOW_SECONDS
+        rate = self.recent_dispatches.count(now) / RATE_WINDOW_SECONDS
         return ahead / rate if rate > 0 else 0.0
 
     @property
@@ -65,5 +70,5 @@
         return len(self.requests) >= MAX_QUEUED_REQUESTS
 
 
-def _order(request: QueuedRequest) -> tuple[int, float]:
+def _sort_key(request: QueuedRequest) -> tuple[int, float]:
     return (request.priority, request.enqueued_at)
--- a/packages/decisions/src/fireflylink_decisions/limits/_cold_server_limiter.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_cold_server_limiter.py
@@ -1,24 +1,30 @@
-"""Rate limit on the requests that this daemon sends to a cold server."""
+"""Rate limit on this daemon's requests to a cold server, that is, one that is still warming up."""
 
 from fireflylink_decisions.limits._fleet_position import FleetPosition
 from fireflylink_decisions.limits._sliding_window_counter import SlidingWindowCounter
 
 COLD_WINDOW_SECONDS = 1.5
-"""Longer than the one second of the limit: a request that first waits for a new connection to a
-slow server is delayed, and arrives closer to the next request than it was sent."""
+"""Window in which requests are counted when they are sent. The limit is for the requests that
+arrive in any second. A request that waits for a new connection to a slow server arrives late, so
+that the next one follows it sooner than it was sent; the longer window allows for 0.5 s."""
 
-SAFETY_FACTOR = 0.85
-"""Fraction of the limit that the listed daemons share. The rest is left for a daemon that is cut
-off from the store and no longer listed, but still sends its former share."""
+LISTED_DAEMONS_FRACTION = 0.85
+"""Fraction of the limit that the daemons listed in the store share. The rest is left for a daemon
+that is cut off from the store and no longer listed, but still sends its former share."""
 
 
 class ColdLimit:
-    """The most requests that a cold server of a service may get from all daemons in any second."""
+    """How many requests the listed daemons together may send to one cold server of a service.
+
+    From all daemons together, the server may get ``requests_per_second`` times ``factor`` plus
+    ``extra`` requests in any second. ``max_requests`` is the fraction of it that the listed daemons
+    share. They keep to it in any ``COLD_WINDOW_SECONDS``.
+    """
 
     __slots__ = ("max_requests",)
 
     def __init__(self, requests_per_second: float, factor: float, extra: float) -> None:
-        self.max_requests = (requests_per_second * factor + extra) * SAFETY_FACTOR
+        self.max_requests = (requests_per_second * factor + extra) * LISTED_DAEMONS_FRACTION
 
 
 class ColdServerLimiter:
@@ -39,7 +45,7 @@
         self.cold_until = max(self.cold_until, until)
 
     def record_sent(self, now: float) -> None:
-        """Counts a request that is sent to the server, probes and retries included."""
+        """Counts a request that is sent to the server, retries included."""
         self.sent.add(now)
 
     def is_cold(self, now: float) -> bool:
@@ -47,7 +53,12 @@
         return now < self.cold_until
 
     def available_at(
-        self, now: float, limit: ColdLimit, position: FleetPosition, server: str, assume_cold: bool
+        self,
+        now: float,
+        limit: ColdLimit,
+        position: FleetPosition,
+        server_id: str,
+        assume_cold: bool,
     ) -> float:
         """Returns when the next request may be sent.
 
@@ -56,6 +67,6 @@
         """
         if now >= self.cold_until and not assume_cold:
             return now
-        share = position.share(limit.max_requests, server)
+        share = position.whole_share(limit.max_requests, server_id)
         within_share_at = self.sent.available_at(now, share)
         return within_share_at if assume_cold else min(self.cold_until, within_share_at)
--- a/packages/decisions/src/fireflylink_decisions/limits/_fleet_position.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_fleet_position.py
@@ -3,22 +3,23 @@
 import hashlib
 import math
 
-ASSUMED_MEMBER_COUNT = 24
+MIN_ASSUMED_MEMBER_COUNT = 24
 """Least number of members assumed while this daemon is not listed. A share that is too small is
 safe; one that is too large exceeds the total."""
 
 
 class FleetPosition:
-    """This daemon's place among the members that the store lists.
+    """This daemon's place among the members, and its share of limits for the whole fleet.
 
-    Shares of a small total, such as the requests to a cold server, are whole numbers. The remainder
-    of the division goes to the members that come first in a hash order, which differs for each
-    subject. When a member joins or leaves, the share of at most one other member changes, so that
-    daemons that learn of it at different times exceed the total by at most one.
+    The fleet is all daemons; a member is a daemon that the store lists. Shares of a small total,
+    such as the requests to a cold server, are whole numbers. The remainder of the division goes to
+    the members that come first in a hash order, which differs for each server. When a member joins
+    or leaves, the share of at most one other member changes, so that daemons that learn of it at
+    different times exceed the total by at most one.
 
     Example::
 
-        position.share(14.3, "i-7f3a91c2")
+        position.whole_share(14.3, "i-7f3a91c2")
     """
 
     __slots__ = ("_shares", "instance", "is_listed", "members")
@@ -30,12 +31,12 @@
         self._shares: dict[tuple[str, int], int] = {}
 
     @property
-    def count(self) -> int:
-        """The number of members among which a divisible total is shared."""
+    def divisor(self) -> int:
+        """What ``equal_share`` divides by: the number of members, or more while not listed."""
         return (
             len(self.members)
             if self.is_listed
-            else max(ASSUMED_MEMBER_COUNT, len(self.members) + 1)
+            else max(MIN_ASSUMED_MEMBER_COUNT, len(self.members) + 1)
         )
 
     @property
@@ -43,29 +44,32 @@
         """This daemon's index among the members by name; after all of them while not listed."""
         return self.members.index(self.instance) if self.is_listed else len(self.members)
 
-    def share(self, total: float, subject: str) -> int:
+    def whole_share(self, total: float, server_id: str) -> int:
         """Returns this daemon's share of ``total`` as a whole number; 0 while it is not listed.
 
-        ``subject`` is what the total belongs to, such as the id of a server.
+        ``total`` is a limit of the server with the id ``server_id``.
         """
         whole_total = math.floor(total)
-        cache_key = (subject, whole_total)
+        cache_key = (server_id, whole_total)
         share = self._shares.get(cache_key)
         if share is None:
-            share = self._shares[cache_key] = self._compute_share(whole_total, subject)
+            share = self._shares[cache_key] = self._compute_share(whole_total, server_id)
         return share
 
-    def fraction(self, total: float) -> float:
-        """Returns an equal share of a total that need not be divided into whole numbers."""
-        return total / self.count
+    def equal_share(self, total: float) -> float:
+        """Returns an equal share of a total that need not be divided into whole numbers.
 
-    def _compute_share(self, whole_total: int, subject: str) -> int:
+        Unlike ``whole_share``, it is not 0 while this daemon is not listed.
+        """
+        return total / self.divisor
+
+    def _compute_share(self, whole_total: int, server_id: str) -> int:
         if not self.is_listed:
             return 0
         quotient, remainder = divmod(whole_total, len(self.members))
-        order = sorted(self.members, key=lambda member: _member_hash(subject, member))
+        order = sorted(self.members, key=lambda member: _member_hash(server_id, member))
         return quotient + (1 if order.index(self.instance) < remainder else 0)
 
 
-def _member_hash(subject: str, member: str) -> bytes:
-    return hashlib.blake2b(f"{subject} {member}".encode(), digest_size=8).digest()
+def _member_hash(server_id: str, member: str) -> bytes:
+    return hashlib.blake2b(f"{server_id} {member}".encode(), digest_size=8).digest()
--- a/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
@@ -3,13 +3,14 @@
 from fireflylink_decisions.limits._fleet_position import FleetPosition
 from fireflylink_decisions.limits._sliding_window_counter import SlidingWindowCounter
 
-SAFETY_FACTOR = 0.7
+USABLE_BUDGET_FRACTION = 0.7
+"""Fraction of its share of the budget that this daemon uses."""
 
 
 class RetryBudgetLimits:
     """How many retries all daemons together may send for one service in any window.
 
-    The limit is ``ratio`` times the requests of the window, plus ``extra``.
+    The limit is ``ratio`` times the callers' requests of the window, plus ``extra`` retries.
     """
 
     __slots__ = ("extra", "ratio", "window_seconds")
@@ -40,5 +41,7 @@
 
     def allows_retry(self, now: float, position: FleetPosition) -> bool:
         """Whether one more retry stays within the budget."""
-        budget = self.limits.ratio * self.requests.count(now) + position.fraction(self.limits.extra)
-        return self.retries.count(now) + 1 <= budget * SAFETY_FACTOR
+        budget = self.limits.ratio * self.requests.count(now) + position.equal_share(
+            self.limits.extra
+        )
+        return self.retries.count(now) + 1 <= budget * USABLE_BUDGET_FRACTION
--- a/packages/decisions/src/fireflylink_decisions/limits/_sliding_window_counter.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_sliding_window_counter.py
@@ -32,7 +32,8 @@
     def available_at(self, now: float, limit: int) -> float:
         """Returns the earliest time at which one more event keeps the count within ``limit``.
 
-        A limit of 0 allows no event; the time returned is then one window from now.
+        With a limit of 0 there is no such time. The time returned is then one window from now, and
+        so in the future at each call.
         """
         if limit <= 0:
             return now + self.window_seconds
--- a/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
+++ b/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
@@ -5,19 +5,23 @@
 
 from fireflylink_core import CallerRequest, ServerIncarnation
 
-MIN_CRASHES = 3
+MIN_CRASHED_INCARNATIONS = 3
 """Number of server incarnations that must have crashed while running a request before it is
 refused."""
 
-CRASH_RETENTION_SECONDS = 60.0
+MAX_CRASH_AGE_SECONDS = 60.0
+"""Older crashes do not count, because the servers may no longer crash at the request."""
+
 MAX_SUSPECTS = 2000
+"""Bounds the memory used: every reset connection could add a fingerprint."""
+
 FINGERPRINT_BYTES = 8
 
 
 def fingerprint_of(request: CallerRequest) -> bytes:
     """Returns a digest that is the same each time a caller sends the same request.
 
-    The request id is left out, since each attempt of a caller may have another one.
+    The request id is left out, since it may differ each time the caller sends the request.
     """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     for field in (request.method, request.host, request.target, str(request.key)):
@@ -31,8 +35,8 @@
     """Records which requests were running when servers crashed, as reported by all daemons.
 
     A harmless request that runs beside a poisonous one may be present at one crash, seldom at two.
-    A request is refused only after ``MIN_CRASHES`` incarnations of servers crashed while running
-    it.
+    A request is refused only after ``MIN_CRASHED_INCARNATIONS`` incarnations of servers crashed
+    while running it.
 
     Example::
 
@@ -60,10 +64,10 @@
         if incarnations is None:
             return False
         recent = sum(
-            now - crashed_at < CRASH_RETENTION_SECONDS for crashed_at in incarnations.values()
+            now - crashed_at < MAX_CRASH_AGE_SECONDS for crashed_at in incarnations.values()
         )
-        return recent >= MIN_CRASHES
+        return recent >= MIN_CRASHED_INCARNATIONS
 
     def has_suspects(self) -> bool:
-        """Whether any crash is recorded; if not, callers need not compute fingerprints."""
+        """Whether any crash is recorded; if not, fingerprints need not be computed."""
         return bool(self.suspects)
--- a/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
@@ -17,11 +17,14 @@
 """Number of attempts without a connection after which a request is refused."""
 
 MAX_MISDIRECTIONS = 3
+"""Number of attempts declined as misdirected after which a request is refused."""
+
 MIN_ATTEMPT_SECONDS = 0.05
 """With less time left until the deadline, another attempt could not be answered in time."""
 
-SERVER_ERROR = 500
+MIN_SERVER_ERROR_STATUS = 500
 RETRY_AFTER_SECONDS = 0.25
+"""Retry-after of a request that has not run and is not retried by the daemon."""
 
 
 class BaseRetryDecision(BaseValue):
@@ -95,15 +98,15 @@
             self.connect_failures += 1
             if self.connect_failures < MAX_CONNECT_FAILURES and seconds_left > MIN_ATTEMPT_SECONDS:
                 return Retry("not-sent", reached_server=False)
-            return ReturnReply(self.refusal_reply("unreachable", RETRY_AFTER_SECONDS))
+            return ReturnReply(self.final_reply("unreachable", RETRY_AFTER_SECONDS))
         if isinstance(result, Declined):
             return self._after_decline(result, seconds_left, budget_allows)
         if isinstance(result, Lost):
             return self._after_loss(result, seconds_left, budget_allows)
         raise TypeError(type(result).__name__)
 
-    def refusal_reply(self, reason: str, retry_after: float) -> BaseReply:
-        """Returns the reply to a request for which no further attempt is made."""
+    def final_reply(self, reason: str, retry_after: float) -> BaseReply:
+        """Returns the reply when no further attempt is made; unknown if the request may have run."""
         if self.may_have_run:
             return OutcomeUnknown(reason)
         return NotRun(reason, retry_after=retry_after)
@@ -113,7 +116,7 @@
     ) -> BaseRetryDecision:
         self.counted_attempts += 1
         self.may_have_run = True
-        is_server_error = result.answer.status >= SERVER_ERROR
+        is_server_error = result.answer.status >= MIN_SERVER_ERROR_STATUS
         if is_server_error and self.idempotent and self._may_retry(seconds_left, budget_allows):
             return Retry(f"status-{result.answer.status}", reached_server=True)
         return ReturnReply(result.answer)
@@ -126,11 +129,11 @@
             below_limit = self.misdirections < MAX_MISDIRECTIONS
             if below_limit and budget_allows and seconds_left > MIN_ATTEMPT_SECONDS:
                 return Retry("misdirected", reached_server=True)
-            return ReturnReply(self.refusal_reply("misdirected", RETRY_AFTER_SECONDS))
+            return ReturnReply(self.final_reply("misdirected", RETRY_AFTER_SECONDS))
         self.counted_attempts += 1
         if self._may_retry(seconds_left, budget_allows):
             return Retry(f"declined-{result.status}", reached_server=True)
-        return ReturnReply(self.refusal_reply("declined", RETRY_AFTER_SECONDS))
+        return ReturnReply(self.final_reply("declined", RETRY_AFTER_SECONDS))
 
     def _after_loss(
         self, result: Lost, seconds_left: float, budget_allows: bool
@@ -139,6 +142,7 @@
         self.may_have_run = True
         if self.idempotent and self._may_retry(seconds_left, budget_allows):
             return Retry(f"lost-{result.reason.value}", reached_server=True)
+        # The second argument is ``timed_out``: no answer came before the deadline.
         return ReturnReply(OutcomeUnknown(result.reason.value, result.reason is LostReason.LATE))
 
     def _may_retry(self, seconds_left: float, budget_allows: bool) -> bool:
--- a/packages/decisions/src/fireflylink_decisions/routing/_route_table.py
+++ b/packages/decisions/src/fireflylink_decisions/routing/_route_table.py
@@ -42,7 +42,8 @@
     """Distributes the requests of a route over its target services in proportion to their weights.
 
     Smooth weighted round robin keeps the proportions of each daemon, and so of all daemons
-    together, exact even over a few requests. A route starts anew when its set of services changes.
+    together, exact even over a few requests. The current weights of a route are reset when its set
+    of services changes.
     """
 
     __slots__ = ("current_weights",)
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -4,29 +4,34 @@
 from fireflylink_decisions.servers._server_tracker import ServerTracker
 
 MAX_REQUESTS_PER_SLOT = 2.5
-"""A server is given at most this many requests per slot; further requests queue at the daemon."""
+"""A server is given at most this many requests per slot; further requests queue at the daemon. A
+server has as many slots as requests that it runs at the same time; others wait at the server."""
 
 MAX_LOW_PRIORITY_REQUESTS_PER_SLOT = 1.5
-"""Limit for a request while requests of a higher priority arrive too. A server's own queue does not
-order by priority, so the difference to ``MAX_REQUESTS_PER_SLOT`` is kept free for those."""
+"""Limit for a request while more urgent requests arrive too. A server's own queue does not order by
+priority, so the difference to ``MAX_REQUESTS_PER_SLOT`` is kept free for the urgent ones."""
 
 CROSS_DATA_CENTRE_COST_SECONDS = 0.08
 """A server in another data centre must be faster by this much, because traffic between data centres
-is paid for."""
+is paid for by the byte."""
 
 FAILURE_COST_SECONDS = 0.6
-"""Latency that is as bad as a certain failure."""
+"""Cost of a server whose failure rate is 1; a lower rate costs proportionally less."""
+
+USABLE_CONNECTION_FRACTION = 0.8
+"""Fraction of its share of a server's connections that this daemon uses. A server resets
+connections beyond its limit for all daemons together."""
 
-CONNECTION_SAFETY_FACTOR = 0.8
 UNRESPONSIVE_AFTER_ATTEMPTS = 2
 UNRESPONSIVE_RETRY_SECONDS = 0.5
+"""Time after the last failed attempt until an unresponsive server may get a request again."""
 
 
 class ServiceLimits:
     """Limits of one service's servers, and this daemon's place in the membership.
 
-    ``assume_cold`` is set while the store does not answer this daemon: without its knowledge a
-    server may have turned cold, or an evacuation may have ended and left servers cold.
+    ``assume_cold`` is set while the store does not answer this daemon, which then does not learn
+    that a server has turned cold, or that an evacuation has ended, after which servers are cold.
     """
 
     __slots__ = ("assume_cold", "cold_limit", "connection_limit", "data_centre", "position")
@@ -47,8 +52,10 @@
 
     @property
     def connection_share(self) -> int:
-        """How many connections this daemon may open to one server."""
-        return max(1, int(self.position.fraction(self.connection_limit) * CONNECTION_SAFETY_FACTOR))
+        """Number of connections this daemon may open to a server; each serves one call at a time."""
+        return max(
+            1, int(self.position.equal_share(self.connection_limit) * USABLE_CONNECTION_FRACTION)
+        )
 
 
 def available_at(
@@ -76,7 +83,10 @@
 
 
 def is_unresponsive(tracker: ServerTracker) -> bool:
-    """Whether several attempts got no response since the last answer of the server."""
+    """Whether several attempts got no response since the last answer of the server.
+
+    Only this daemon's own attempts count, not whether the store lists the server.
+    """
     return tracker.consecutive_no_responses >= UNRESPONSIVE_AFTER_ATTEMPTS
 
 
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -1,4 +1,4 @@
-"""Directory of registered backend servers, and which of them may get new work."""
+"""Directory of registered backend servers, and which of them are leaving."""
 
 from fireflylink_core import BackendServer, ServerState
 
@@ -10,8 +10,9 @@
 class DirectoryEntry:
     """A registered server, and whether it is about to leave.
 
-    ``registration_missing`` is set when the registration was removed around an outage of the store:
-    it may have expired although the server still runs, and may come back. ``draining_since`` is
+    ``registration_missing`` is set when the registration was deleted during an outage of the store
+    or within the grace time after it: it may have expired although the server still runs, and may
+    come back. ``draining_since`` is
     when the server was first seen to drain.
     """
 
@@ -27,6 +28,9 @@
 class ServerDirectory:
     """The server registrations in the store, as far as this daemon has read them.
 
+    ``evacuated`` maps each data centre whose evacuation is requested to the time at which this
+    daemon learned of it.
+
     Example::
 
         directory.register(server, now)
@@ -60,12 +64,12 @@
             entry.draining_since = now
         return entry
 
-    def remove(self, server_id: str, now: float) -> bool:
-        """Records that a registration was removed; returns whether the server was removed with it.
+    def record_deletion(self, server_id: str, now: float) -> bool:
+        """Records that a registration was deleted; returns whether the server is removed as well.
 
-        Around an outage of the store a registration may have expired although its server still
-        runs. The server then stays until ``REGISTRATION_GRACE_SECONDS`` after the store has become
-        reachable again. A draining server is removed at once, because it is leaving anyway.
+        During an outage of the store, or within the grace time after it, a registration may have
+        expired although its server still runs. The server then stays until
+        ``REGISTRATION_GRACE_SECONDS`` after the store has become reachable again. A draining server is removed at once, because it is leaving anyway.
         """
         entry = self.entries.get(server_id)
         if entry is None:
@@ -77,10 +81,13 @@
         entry.registration_missing = True
         return False
 
-    def keep_only(self, server_ids: frozenset[str], now: float) -> list[str]:
-        """Records a full read of the store as ``remove`` does; returns the servers removed."""
+    def record_listing(self, server_ids: frozenset[str], now: float) -> list[str]:
+        """Records the ids of all registrations in the store; returns the servers that are removed.
+
+        Servers with other ids are treated as in ``record_deletion``.
+        """
         absent = [server_id for server_id in self.entries if server_id not in server_ids]
-        return [server_id for server_id in absent if self.remove(server_id, now)]
+        return [server_id for server_id in absent if self.record_deletion(server_id, now)]
 
     def mark_store_unreachable(self) -> None:
         """Marks the store as unreachable from this daemon."""
@@ -118,7 +125,10 @@
         return self.entries.get(server_id)
 
     def is_eligible(self, entry: DirectoryEntry) -> bool:
-        """Whether a server may get new work: it is not draining, nor its data centre evacuated."""
+        """Whether a server may be given keys, or requests without a key.
+
+        It may not while it drains or its data centre is evacuated.
+        """
         return (
             entry.server.state is ServerState.READY
             and entry.server.data_centre not in self.evacuated
@@ -138,7 +148,7 @@
         return 2 * sum(other.registration_missing for other in peers) > len(peers)
 
     def eligible_servers(self, service: str) -> list[DirectoryEntry]:
-        """Returns the entries of a service's servers that may get new work."""
+        """Returns the entries of a service's servers that are eligible."""
         return [
             entry
             for entry in self.entries.values()
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -5,19 +5,24 @@
 from fireflylink_core import BackendServer, ServerLoad
 from fireflylink_decisions.limits import ColdServerLimiter
 
-DEFAULT_BASE_SECONDS = 0.12
+DEFAULT_IDLE_SERVICE_SECONDS = 0.12
 """Service time assumed before the first answer."""
 
-BASE_SECONDS_WEIGHT = 0.15
+IDLE_SERVICE_WEIGHT = 0.15
+"""Weight of an answer in ``idle_service_seconds``, which is a moving average."""
+
 INITIAL_ANSWER_COUNT = 4
-INITIAL_BASE_SECONDS_WEIGHT = 0.5
+INITIAL_IDLE_SERVICE_WEIGHT = 0.5
+"""Weight of each of the first ``INITIAL_ANSWER_COUNT`` answers."""
+
 MAX_UNQUEUED_FACTOR = 1.4
 """Queueing factor up to which a request is assumed to have found a free slot at once."""
 
 FAILURE_RATE_WEIGHT = 0.15
-TIMEOUT_BASE_SECONDS_WEIGHT = 0.5
+TIMEOUT_IDLE_SERVICE_WEIGHT = 0.5
 REPORT_DECAY_SERVICE_TIMES = 2.0
-"""A reported load decays within about this many service times, while the server processes it."""
+"""A reported load decays within about this many service times, because the reported requests end
+meanwhile."""
 
 MIN_REPORT_DECAY_SECONDS = 0.1
 LASTING_SLOWDOWN_FRACTION = 0.4
@@ -25,29 +30,30 @@
 usually recovers before a queue is processed."""
 
 CONTENTION_FACTOR = 2.0
-"""Other daemons take a slot that becomes free as often as this one does."""
+"""Of the slots that become free, the other daemons together are assumed to take as many as this one
+does, whatever their number."""
 
 SLOWDOWN_DECAY_SECONDS = 0.5
 FAILURE_DECAY_SECONDS = 3.0
-OCCUPANCY_SLOWDOWN = 0.3
+OCCUPANCY_INCREASE = 0.3
 """Relative increase of the service time when all slots of a server are occupied."""
 
 
 class ServerTracker:
     """In-flight requests, reported load, speed and failures of one incarnation of a server.
 
-    ``base_seconds`` is the service time while the server is idle and at its normal speed.
+    ``idle_service_seconds`` is the service time while the server is idle and at its normal speed.
     ``failure_rate`` is a moving average of the fraction of requests that failed, as of
     ``failure_rate_at``. Reported values decay exponentially with their age.
     """
 
     __slots__ = (
         "answers",
-        "base_seconds",
         "cold_limiter",
         "consecutive_no_responses",
         "failure_rate",
         "failure_rate_at",
+        "idle_service_seconds",
         "in_flight",
         "own_in_flight_at_report",
         "queued",
@@ -61,7 +67,7 @@
         self.cold_limiter = ColdServerLimiter()
         self.in_flight = 0
         self.answers = 0
-        self.base_seconds = DEFAULT_BASE_SECONDS
+        self.idle_service_seconds = DEFAULT_IDLE_SERVICE_SECONDS
         self.failure_rate = 0.0
         self.failure_rate_at = 0.0
         self.reported_load: ServerLoad | None = None
@@ -96,14 +102,16 @@
         self.consecutive_no_responses = 0
         self._update_failure_rate(0.0, now)
         if queueing_factor > MAX_UNQUEUED_FACTOR:
-            self.base_seconds = min(self.base_seconds, seconds)
+            self.idle_service_seconds = min(self.idle_service_seconds, seconds)
             return False
         weight = (
-            BASE_SECONDS_WEIGHT
+            IDLE_SERVICE_WEIGHT
             if self.answers > INITIAL_ANSWER_COUNT
-            else INITIAL_BASE_SECONDS_WEIGHT
+            else INITIAL_IDLE_SERVICE_WEIGHT
+        )
+        self.idle_service_seconds += weight * (
+            seconds / self.slowdown_factor(now) - self.idle_service_seconds
         )
-        self.base_seconds += weight * (seconds / self.slowdown_factor(now) - self.base_seconds)
         return True
 
     def record_timeout(self, seconds: float, queueing_factor: float, now: float) -> float:
@@ -113,12 +121,14 @@
         """
         unqueued_seconds = seconds / max(1.0, queueing_factor)
         base = unqueued_seconds / self.slowdown_factor(now)
-        self.base_seconds += TIMEOUT_BASE_SECONDS_WEIGHT * max(0.0, base - self.base_seconds)
+        self.idle_service_seconds += TIMEOUT_IDLE_SERVICE_WEIGHT * max(
+            0.0, base - self.idle_service_seconds
+        )
         self.record_no_response(now)
         return unqueued_seconds
 
     def record_failure(self, now: float) -> None:
-        """Records a request that failed, or that the server declined although it holds the key."""
+        """Records a request that failed, or was declined for another reason than its key."""
         self._update_failure_rate(1.0, now)
 
     def record_no_response(self, now: float) -> None:
@@ -148,19 +158,21 @@
         others = (
             self.reported_load.running + self.reported_load.waiting - self.own_in_flight_at_report
         )
-        decay = max(MIN_REPORT_DECAY_SECONDS, REPORT_DECAY_SERVICE_TIMES * self.base_seconds)
+        decay = max(
+            MIN_REPORT_DECAY_SECONDS, REPORT_DECAY_SERVICE_TIMES * self.idle_service_seconds
+        )
         return self.in_flight + max(0, others) * math.exp(-age / decay)
 
     def queueing_factor(self, now: float) -> float:
-        """Returns by which factor the present load lengthens the time of one more request."""
+        """Returns the factor by which the present load lengthens the time of one more request."""
         slots = self.server.slots
         load = self.expected_load(now)
-        slowdown = 1.0 + OCCUPANCY_SLOWDOWN * min(1.0, load / slots)
-        return slowdown * (1.0 + max(0.0, load + 1.0 - slots) / slots)
+        occupancy_factor = 1.0 + OCCUPANCY_INCREASE * min(1.0, load / slots)
+        return occupancy_factor * (1.0 + max(0.0, load + 1.0 - slots) / slots)
 
     def expected_seconds(self, now: float) -> float:
         """Returns how long a request that is sent now is expected to take."""
-        return self.base_seconds * self.slowdown_factor(now) * self.queueing_factor(now)
+        return self.idle_service_seconds * self.slowdown_factor(now) * self.queueing_factor(now)
 
     def expected_wait_seconds(self, now: float) -> float:
         """Returns how long one more request is expected to queue at this daemon for a full server.
@@ -168,12 +180,16 @@
         A full server completes as many requests per service time as it has slots. Other daemons
         queue for the same slots.
         """
-        seconds = self.base_seconds * self._lasting_slowdown_factor(now) / self.server.slots
+        seconds = self.idle_service_seconds * self._lasting_slowdown_factor(now) / self.server.slots
         return (self.queued + 1) * seconds * CONTENTION_FACTOR
 
     def expected_seconds_after_wait(self, now: float) -> float:
-        """Returns how long a request is expected to take once it is sent after that wait."""
-        return self.base_seconds * self._lasting_slowdown_factor(now) * self.queueing_factor(now)
+        """Returns how long a request sent after ``expected_wait_seconds`` is expected to take."""
+        return (
+            self.idle_service_seconds
+            * self._lasting_slowdown_factor(now)
+            * self.queueing_factor(now)
+        )
 
     def _lasting_slowdown_factor(self, now: float) -> float:
         return 1.0 + (self.slowdown_factor(now) - 1.0) * LASTING_SLOWDOWN_FRACTION
--- a/packages/decisions/tests/test_dispatcher.py
+++ b/packages/decisions/tests/test_dispatcher.py
@@ -31,7 +31,7 @@
 
 
 @pytest.fixture
-def pooled_dispatcher(limits) -> Dispatcher:
+def unkeyed_dispatcher(limits) -> Dispatcher:
     dispatcher = Dispatcher()
     dispatcher.pools["holds"] = make_pool(["s1", "s2"], False, limits)
     return dispatcher
@@ -123,50 +123,50 @@
     assert_that(result, IsInstance(Dispatched))
 
 
-def test_the_next_free_slot_goes_to_the_most_urgent_request(pooled_dispatcher, clock):
+def test_the_next_free_slot_goes_to_the_most_urgent_request(unkeyed_dispatcher, clock):
     """Guards against serving less urgent requests better than more urgent ones."""
-    dispatched = fill_servers(pooled_dispatcher, clock.now())
+    dispatched = fill_servers(unkeyed_dispatcher, clock.now())
     less_urgent = make_request(clock.now(), priority=2)
     more_urgent = make_request(clock.now(), priority=0)
-    pooled_dispatcher.submit(less_urgent, clock.now())
-    pooled_dispatcher.submit(more_urgent, clock.now())
+    unkeyed_dispatcher.submit(less_urgent, clock.now())
+    unkeyed_dispatcher.submit(more_urgent, clock.now())
     dispatched[0].tracker.record_completed()
-    [(first, _)] = pooled_dispatcher.sweep(clock.now())
+    [(first, _)] = unkeyed_dispatcher.sweep(clock.now())
     assert_that(first, Is(more_urgent))
 
 
-def test_a_request_that_cannot_meet_its_deadline_is_refused_at_once(pooled_dispatcher, clock):
+def test_a_request_that_cannot_meet_its_deadline_is_refused_at_once(unkeyed_dispatcher, clock):
     """Guards against queueing a request although those ahead of it take longer than it can wait."""
-    fill_servers(pooled_dispatcher, clock.now())
+    fill_servers(unkeyed_dispatcher, clock.now())
     for _ in range(30):
-        pooled_dispatcher.submit(make_request(clock.now(), priority=0), clock.now())
-    result = pooled_dispatcher.submit(
+        unkeyed_dispatcher.submit(make_request(clock.now(), priority=0), clock.now())
+    result = unkeyed_dispatcher.submit(
         make_request(clock.now(), priority=1, seconds=0.1), clock.now()
     )
     assert_that(result, IsInstance(Refused))
     assert_that(result.retry_after, GreaterThan(0.0))
 
 
-def test_a_queued_request_is_refused_before_its_deadline(pooled_dispatcher, clock):
+def test_a_queued_request_is_refused_before_its_deadline(unkeyed_dispatcher, clock):
     """Guards against a refusal so late that the caller has no time left for a retry."""
-    fill_servers(pooled_dispatcher, clock.now())
+    fill_servers(unkeyed_dispatcher, clock.now())
     request = make_request(clock.now(), seconds=1.0)
-    pooled_dispatcher.submit(request, clock.now())
+    unkeyed_dispatcher.submit(request, clock.now())
     clock.advance(0.55)
-    for tracker in pooled_dispatcher.pools["holds"].trackers.values():
+    for tracker in unkeyed_dispatcher.pools["holds"].trackers.values():
         tracker.record_load(ServerLoad(4, 16, 4), clock.now())
-    refused = [result for _, result in pooled_dispatcher.sweep(clock.now())]
+    refused = [result for _, result in unkeyed_dispatcher.sweep(clock.now())]
     assert_that(refused[0], IsInstance(Refused))
 
 
-def test_a_request_whose_caller_has_disconnected_is_not_dispatched(pooled_dispatcher, clock):
+def test_a_request_whose_caller_has_disconnected_is_not_dispatched(unkeyed_dispatcher, clock):
     """Guards against spending slots of servers on answers that nobody receives."""
-    dispatched = fill_servers(pooled_dispatcher, clock.now())
+    dispatched = fill_servers(unkeyed_dispatcher, clock.now())
     request = make_request(clock.now())
-    pooled_dispatcher.submit(request, clock.now())
-    pooled_dispatcher.cancel(request)
+    unkeyed_dispatcher.submit(request, clock.now())
+    unkeyed_dispatcher.cancel(request)
     dispatched[0].tracker.record_completed()
-    assert_that(pooled_dispatcher.sweep(clock.now()), Equals([]))
+    assert_that(unkeyed_dispatcher.sweep(clock.now()), Equals([]))
 
 
 def test_a_slow_server_gets_fewer_requests_than_a_fast_one(limits, clock):
@@ -252,18 +252,18 @@
     tracker = ServerTracker(server)
     for _ in range(10):
         tracker.record_answer(0.2, 1.0, clock.now())
-    before = tracker.base_seconds
+    before = tracker.idle_service_seconds
     for _ in range(20):
         reflects_speed = tracker.record_answer(0.6, 6.0, clock.now())
         assert_that(reflects_speed, Is(False))
-    assert_that(abs(tracker.base_seconds - before), LessThan(0.01))
+    assert_that(abs(tracker.idle_service_seconds - before), LessThan(0.01))
 
 
 def test_a_request_is_queued_although_its_server_is_slow_at_present(keyed_dispatcher, clock):
     """Guards against refusing requests at once because of a slowdown that has passed by the time
     they are sent: the speed of a machine changes many times a second."""
     [tracker, _] = keyed_dispatcher.pools["holds"].trackers.values()
-    tracker.base_seconds = 0.16
+    tracker.idle_service_seconds = 0.16
     tracker.record_load(ServerLoad(4, 6, 4, 3.0), clock.now())
     assert_that(
         keyed_dispatcher.submit(make_request(clock.now(), 5, seconds=1.2), clock.now()), Is(None)
@@ -271,41 +271,41 @@
 
 
 def test_a_request_that_misses_its_objective_waits_behind_one_that_meets_it(
-    pooled_dispatcher, clock
+    unkeyed_dispatcher, clock
 ):
     """Guards against an overload in which every request waits until it is late. In the scenario
     impatient-callers, dispatching by arrival earned 0.03 less of the possible value."""
-    dispatched = fill_servers(pooled_dispatcher, clock.now())
+    dispatched = fill_servers(unkeyed_dispatcher, clock.now())
     older = QueuedRequest(
         "holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.2
     )
-    assert_that(pooled_dispatcher.submit(older, clock.now()), Is(None))
+    assert_that(unkeyed_dispatcher.submit(older, clock.now()), Is(None))
     clock.advance(0.3)
     newer = QueuedRequest(
         "holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.5
     )
-    assert_that(pooled_dispatcher.submit(newer, clock.now()), Is(None))
+    assert_that(unkeyed_dispatcher.submit(newer, clock.now()), Is(None))
     dispatched[0].tracker.record_completed()
-    [(served, _)] = pooled_dispatcher.sweep(clock.now())
+    [(served, _)] = unkeyed_dispatcher.sweep(clock.now())
     assert_that(served, Is(newer))
 
 
 def test_a_more_urgent_request_comes_first_even_if_it_misses_its_objective(
-    pooled_dispatcher, clock
+    unkeyed_dispatcher, clock
 ):
     """Guards against serving less urgent requests better than more urgent ones."""
-    dispatched = fill_servers(pooled_dispatcher, clock.now())
+    dispatched = fill_servers(unkeyed_dispatcher, clock.now())
     urgent = QueuedRequest(
         "holds", 0, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.1
     )
-    assert_that(pooled_dispatcher.submit(urgent, clock.now()), Is(None))
+    assert_that(unkeyed_dispatcher.submit(urgent, clock.now()), Is(None))
     clock.advance(0.3)
     less_urgent = QueuedRequest(
         "holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.5
     )
-    assert_that(pooled_dispatcher.submit(less_urgent, clock.now()), Is(None))
+    assert_that(unkeyed_dispatcher.submit(less_urgent, clock.now()), Is(None))
     dispatched[0].tracker.record_completed()
-    [(served, _)] = pooled_dispatcher.sweep(clock.now())
+    [(served, _)] = unkeyed_dispatcher.sweep(clock.now())
     assert_that(served, Is(urgent))
 
 
--- a/packages/decisions/tests/test_limits.py
+++ b/packages/decisions/tests/test_limits.py
@@ -23,8 +23,8 @@
 @pytest.mark.parametrize("total", [0.5, 9.45, 14.3, 110.0])
 def test_shares_of_all_daemons_stay_within_the_total(members, total):
     """Guards against shares whose sum exceeds what a cold server may get from all daemons."""
-    for subject in ("i-1", "i-2", "i-3"):
-        shares = [position.share(total, subject) for position in fleet(members)]
+    for server_id in ("i-1", "i-2", "i-3"):
+        shares = [position.whole_share(total, server_id) for position in fleet(members)]
         assert_that(sum(shares), Equals(int(total)))
 
 
@@ -32,9 +32,11 @@
 def test_a_membership_change_alters_at_most_one_other_share(joins):
     """Guards against overloading a cold server when a daemon joins or leaves: if every share
     changed, one second could hold the requests of the old and of the new shares."""
-    for subject in (f"i-{number}" for number in range(50)):
-        before = {position.instance: position.share(9.49, subject) for position in fleet(11)}
-        after = {position.instance: position.share(9.49, subject) for position in fleet(12)}
+    for server_id in (f"i-{number}" for number in range(50)):
+        before = {
+            position.instance: position.whole_share(9.49, server_id) for position in fleet(11)
+        }
+        after = {position.instance: position.whole_share(9.49, server_id) for position in fleet(12)}
         if not joins:
             before, after = after, before
         most = sum(max(before.get(name, 0), after.get(name, 0)) for name in {**before, **after})
@@ -44,15 +46,15 @@
 def test_the_remainder_of_a_total_goes_to_different_daemons_for_different_servers():
     """Guards against one daemon that may not use any cold server while another may use them all."""
     position = fleet(12)[11]
-    shares = {position.share(9.45, f"i-{number}") for number in range(40)}
+    shares = {position.whole_share(9.45, f"i-{number}") for number in range(40)}
     assert_that(shares, Equals({0, 1}))
 
 
 def test_an_unlisted_daemon_has_no_whole_share_and_a_small_fraction():
     """Guards against a new daemon that uses a share which the listed daemons already use."""
     unlisted = FleetPosition("new", ("a", "b"))
-    assert_that((unlisted.share(14.3, "i-1"), unlisted.rank), Equals((0, 2)))
-    assert_that(unlisted.fraction(58.0), LessThan(3.0))
+    assert_that((unlisted.whole_share(14.3, "i-1"), unlisted.rank), Equals((0, 2)))
+    assert_that(unlisted.equal_share(58.0), LessThan(3.0))
     assert_that(FleetPosition("b", ("a", "b")).rank, Equals(1))
 
 
--- a/packages/decisions/tests/test_server_directory.py
+++ b/packages/decisions/tests/test_server_directory.py
@@ -11,7 +11,7 @@
     """Guards against sending requests to a server that has left."""
     directory = ServerDirectory()
     directory.register(server_factory("s1"), clock.now())
-    assert_that(directory.remove("s1", clock.now()), Is(True))
+    assert_that(directory.record_deletion("s1", clock.now()), Is(True))
     assert_that(directory.eligible_servers("holds"), Equals([]))
 
 
@@ -25,7 +25,7 @@
     directory.mark_store_unreachable()
     clock.advance(9.0)
     directory.mark_store_reachable(clock.now())
-    assert_that(directory.remove("s1", clock.now()), Is(False))
+    assert_that(directory.record_deletion("s1", clock.now()), Is(False))
     assert_that(len(directory.eligible_servers("holds")), Equals(1))
     clock.advance(REGISTRATION_GRACE_SECONDS - 0.1)
     assert_that(directory.expire(clock.now()), Equals([]))
@@ -39,7 +39,7 @@
     directory.register(server_factory("s1"), clock.now())
     directory.mark_store_unreachable()
     directory.mark_store_reachable(clock.now())
-    directory.remove("s1", clock.now())
+    directory.record_deletion("s1", clock.now())
     clock.advance(1.0)
     directory.register(server_factory("s1"), clock.now())
     clock.advance(REGISTRATION_GRACE_SECONDS)
@@ -53,7 +53,7 @@
     directory.register(server_factory("s1").replace(state=ServerState.DRAINING), clock.now())
     assert_that(directory.eligible_servers("holds"), Equals([]))
     directory.mark_store_unreachable()
-    assert_that(directory.remove("s1", clock.now()), Is(True))
+    assert_that(directory.record_deletion("s1", clock.now()), Is(True))
 
 
 def test_an_evacuated_data_centre_gets_no_work_until_the_evacuation_ends(server_factory, clock):
@@ -84,8 +84,8 @@
     entries = [directory.register(server_factory(f"s{number}"), clock.now()) for number in range(3)]
     directory.mark_store_unreachable()
     directory.mark_store_reachable(clock.now())
-    directory.remove("s0", clock.now())
+    directory.record_deletion("s0", clock.now())
     assert_that(directory.is_presumed_alive(entries[0]), Is(False))
-    directory.remove("s1", clock.now())
+    directory.record_deletion("s1", clock.now())
     assert_that(directory.is_presumed_alive(entries[0]), Is(True))
     assert_that(directory.is_presumed_alive(entries[2]), Is(True))
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -201,7 +201,7 @@
 
     def _apply_result(self, active: _ActiveAttempt, placement: BaseDispatchResult) -> None:
         if isinstance(placement, Refused):
-            reply = active.server_attempts.refusal_reply(placement.reason, placement.retry_after)
+            reply = active.server_attempts.final_reply(placement.reason, placement.retry_after)
             self._finish(active, reply)
         elif isinstance(placement, Dispatched):
             incarnation = placement.tracker.server.incarnation
