--- a/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
@@ -106,7 +106,10 @@
         raise TypeError(type(result).__name__)
 
     def final_reply(self, reason: str, retry_after: float) -> BaseReply:
-        """Returns the reply when no further attempt is made; unknown if the request may have run."""
+        """Returns the reply when no further attempt is made.
+
+        It says that the request has not run, or that this is unknown.
+        """
         if self.may_have_run:
             return OutcomeUnknown(reason)
         return NotRun(reason, retry_after=retry_after)
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -52,7 +52,7 @@
 
     @property
     def connection_share(self) -> int:
-        """Number of connections this daemon may open to a server; each serves one call at a time."""
+        """How many connections, for one call at a time each, this daemon may open to a server."""
         return max(
             1, int(self.position.equal_share(self.connection_limit) * USABLE_CONNECTION_FRACTION)
         )
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -69,7 +69,8 @@
 
         During an outage of the store, or within the grace time after it, a registration may have
         expired although its server still runs. The server then stays until
-        ``REGISTRATION_GRACE_SECONDS`` after the store has become reachable again. A draining server is removed at once, because it is leaving anyway.
+        ``REGISTRATION_GRACE_SECONDS`` after the store has become reachable again. A draining
+        server is removed at once, because it is leaving anyway.
         """
         entry = self.entries.get(server_id)
         if entry is None:
--- a/packages/decisions/tests/conftest.py
+++ b/packages/decisions/tests/conftest.py
@@ -23,6 +23,8 @@
 
 @pytest.fixture
 def limits() -> ServiceLimits:
+    """Limits of one of nine daemons: from all of them together, a cold server may get
+    7.3 x 1.5 + 5 requests in any second, and a server accepts 110 connections."""
     return ServiceLimits(
         ColdLimit(7.3, 1.5, 5.0),
         110,
--- a/packages/decisions/tests/test_dispatcher.py
+++ b/packages/decisions/tests/test_dispatcher.py
@@ -154,6 +154,7 @@
     unkeyed_dispatcher.submit(request, clock.now())
     clock.advance(0.55)
     for tracker in unkeyed_dispatcher.pools["holds"].trackers.values():
+        # 4 requests are running and 16 waiting at a server with 4 slots.
         tracker.record_load(ServerLoad(4, 16, 4), clock.now())
     refused = [result for _, result in unkeyed_dispatcher.sweep(clock.now())]
     assert_that(refused[0], IsInstance(Refused))
@@ -170,10 +171,7 @@
 
 
 def test_a_slow_server_gets_fewer_requests_than_a_fast_one(limits, clock):
-    """Guards against distributing requests evenly when a third of the servers is 12 times slower.
-
-    The printed baseline is a round-robin distribution.
-    """
+    """Guards against distributing requests evenly when one server in three is 12 times slower."""
     pool = make_pool(["fast1", "fast2", "slow"], False, limits)
     counts = {"fast1": 0, "fast2": 0, "slow": 0}
     seconds = {"fast1": 0.1, "fast2": 0.1, "slow": 1.2}
@@ -195,23 +193,24 @@
             running.append((now + seconds[name], now, result))
         clock.advance(0.03)
     mean = total / sum(counts.values())
+    # The second time printed is that of a round-robin distribution.
     print(f"mean time {mean:.2f} s, each in turn {sum(seconds.values()) / 3:.2f} s; {counts}")
     assert_that(counts["slow"], LessThan(counts["fast1"] / 5))
     assert_that(mean, LessThan(0.2))
 
 
-def test_a_server_that_fails_needlessly_is_avoided(limits, clock):
-    """Guards against sending as much to a server that fails half of its requests, although its load
-    and speed are normal, and against avoiding it for good."""
-    pool = make_pool(["good", "grey"], False, limits)
-    good, grey = pool.trackers.values()
+def test_a_server_that_fails_requests_is_avoided_only_for_some_time(limits, clock):
+    """Guards against sending as many requests to a server that fails them as to one that answers,
+    because its load and speed are normal, and against never using it again."""
+    pool = make_pool(["good", "failing"], False, limits)
+    good, failing = pool.trackers.values()
     for _ in range(10):
         good.record_answer(0.12, 1.0, clock.now())
-        grey.record_failure(clock.now())
-    chosen = choose_server([good, grey], limits, clock.now(), frozenset())
+        failing.record_failure(clock.now())
+    chosen = choose_server([good, failing], limits, clock.now(), frozenset())
     assert_that(chosen, Is(good))
     clock.advance(30.0)
-    assert_that(grey.decayed_failure_rate(clock.now()), LessThan(0.01))
+    assert_that(failing.decayed_failure_rate(clock.now()), LessThan(0.01))
 
 
 def test_a_retry_goes_to_another_server(limits, clock):
@@ -246,8 +245,8 @@
 
 
 def test_answers_with_a_queue_do_not_lower_the_service_time_of_a_server(clock):
-    """Guards against a feedback loop: dividing times by the expected queueing factor made the most
-    loaded servers look fast, so that they were assigned still more keys."""
+    """Guards against a feedback loop: if times were divided by the expected queueing factor, the
+    most loaded servers would look fast, and would be assigned still more keys."""
     server = BackendServer("s1", "holds", "h", 1, "kingston", 2, started_ms=1)
     tracker = ServerTracker(server)
     for _ in range(10):
@@ -264,6 +263,7 @@
     they are sent: the speed of a machine changes many times a second."""
     [tracker, _] = keyed_dispatcher.pools["holds"].trackers.values()
     tracker.idle_service_seconds = 0.16
+    # 4 requests are running and 6 waiting at a server with 4 slots, now 3 times slower than normal.
     tracker.record_load(ServerLoad(4, 6, 4, 3.0), clock.now())
     assert_that(
         keyed_dispatcher.submit(make_request(clock.now(), 5, seconds=1.2), clock.now()), Is(None)
@@ -273,8 +273,8 @@
 def test_a_request_that_misses_its_objective_waits_behind_one_that_meets_it(
     unkeyed_dispatcher, clock
 ):
-    """Guards against an overload in which every request waits until it is late. In the scenario
-    impatient-callers, dispatching by arrival earned 0.03 less of the possible value."""
+    """Guards against an overload in which every request is answered late: if requests were
+    dispatched by arrival, each would wait behind those that already miss their target latency."""
     dispatched = fill_servers(unkeyed_dispatcher, clock.now())
     older = QueuedRequest(
         "holds", 1, clock.now(), clock.now() + 2.0, objective_at=clock.now() + 0.2
@@ -310,8 +310,8 @@
 
 
 def test_less_urgent_requests_leave_slots_for_expected_urgent_ones(keyed_dispatcher, clock):
-    """Guards against urgent orders that queue at a server behind lookups: of the orders routed to a
-    keyed service, only 55 of 100 were answered in time."""
+    """Guards against urgent requests that miss their deadline because they queue at a server behind
+    less urgent ones, for the server's own queue does not order by priority."""
     urgent = keyed_dispatcher.submit(make_request(clock.now(), 5, priority=0), clock.now())
     urgent.tracker.record_completed()
     less_urgent_count = 0
@@ -319,6 +319,7 @@
         keyed_dispatcher.submit(make_request(clock.now(), 5, priority=2), clock.now()), Dispatched
     ):
         less_urgent_count += 1
+    # MAX_LOW_PRIORITY_REQUESTS_PER_SLOT, 1.5, times the 4 slots of the server.
     assert_that(less_urgent_count, Equals(6))
     assert_that(
         keyed_dispatcher.submit(make_request(clock.now(), 5, priority=0), clock.now()),
--- a/packages/decisions/tests/test_limits.py
+++ b/packages/decisions/tests/test_limits.py
@@ -15,6 +15,7 @@
 
 
 def fleet(members: int) -> list[FleetPosition]:
+    """Returns the position of each daemon among that many members."""
     names = tuple(f"d{number:03}" for number in range(members))
     return [FleetPosition(name, names) for name in names]
 
@@ -50,7 +51,7 @@
     assert_that(shares, Equals({0, 1}))
 
 
-def test_an_unlisted_daemon_has_no_whole_share_and_a_small_fraction():
+def test_an_unlisted_daemon_has_no_whole_share_and_a_small_equal_share():
     """Guards against a new daemon that uses a share which the listed daemons already use."""
     unlisted = FleetPosition("new", ("a", "b"))
     assert_that((unlisted.whole_share(14.3, "i-1"), unlisted.rank), Equals((0, 2)))
@@ -59,7 +60,8 @@
 
 
 def cold_arrivals(members: int, demand_per_daemon: float, clock) -> list[float]:
-    """Returns the times at which requests of all daemons reach one cold server."""
+    """Returns the times at which requests of all daemons reach one cold server, which may get
+    3.7 x 1.5 + 5 requests in any second."""
     limit = ColdLimit(3.7, 1.5, 5.0)
     limiters = [ColdServerLimiter() for _ in range(members)]
     positions = fleet(members)
@@ -86,6 +88,7 @@
     for arrival in arrivals:
         counter.add(arrival)
         most = max(most, counter.count(arrival))
+    # 3.7 x 1.5 + 5 is 10.55.
     assert_that(most, LessThan(10.56))
     assert_that(len(arrivals), GreaterThan(10))
 
--- a/packages/decisions/tests/test_routing.py
+++ b/packages/decisions/tests/test_routing.py
@@ -18,7 +18,7 @@
 
 
 def test_the_longest_matching_prefix_of_the_host_applies():
-    """Guards against sending a request to a service that its route does not list."""
+    """Guards against using the route of a shorter prefix or of another host."""
     table = make_table(
         make_route("short", "/a/"), make_route("long", "/a/b/"), make_route("root", "/")
     )
@@ -27,9 +27,9 @@
     assert_that(table.find("b.example", "/a/b/c"), Is(None))
 
 
-def test_the_prefix_index_agrees_with_a_linear_search():
-    """Guards against a wrong route from the prefix index: compares it with a linear search over the
-    prefixes of up to 350 routes."""
+def test_the_route_lookup_agrees_with_a_linear_search():
+    """Guards against a wrong route from ``RouteTable.find``: compares it with a linear search over
+    the prefixes of all routes."""
     rng = random.Random(2)
     segments = ["a", "b", "cc", "d1"]
     prefixes = {
@@ -45,7 +45,7 @@
 
 
 def test_a_split_is_proportional_over_any_20_requests():
-    """Guards against proportions that are wrong by a tenth over a short time."""
+    """Guards against proportions that are wrong by 0.06 or more over 20 requests."""
     route = make_route("r", "/", RouteTarget("x", 70.0), RouteTarget("y", 30.0))
     splitter = TrafficSplitter()
     chosen = [splitter.choose(route) for _ in range(200)]
--- a/packages/decisions/tests/test_server_directory.py
+++ b/packages/decisions/tests/test_server_directory.py
@@ -46,9 +46,9 @@
     assert_that(directory.expire(clock.now()), Equals([]))
 
 
-def test_a_draining_server_gets_no_work_and_is_removed_even_in_an_outage(server_factory, clock):
-    """Guards against sending work to a server that was draining before an outage: its registration
-    ended because it left, and did not expire."""
+def test_a_draining_server_is_not_eligible_and_is_removed_even_in_an_outage(server_factory, clock):
+    """Guards against sending requests to a server that was draining before an outage: its
+    registration ended because it left, and did not expire."""
     directory = ServerDirectory()
     directory.register(server_factory("s1").replace(state=ServerState.DRAINING), clock.now())
     assert_that(directory.eligible_servers("holds"), Equals([]))
@@ -56,7 +56,7 @@
     assert_that(directory.record_deletion("s1", clock.now()), Is(True))
 
 
-def test_an_evacuated_data_centre_gets_no_work_until_the_evacuation_ends(server_factory, clock):
+def test_servers_of_an_evacuated_data_centre_are_not_eligible_until_its_end(server_factory, clock):
     """Guards against sending requests to servers of a data centre that operators evacuate."""
     directory = ServerDirectory()
     directory.register(server_factory("s1", "kingston"), clock.now())
@@ -77,7 +77,9 @@
     assert_that(entry.joined_at, Equals(clock.now()))
 
 
-def test_a_missing_server_is_presumed_alive_only_if_most_servers_are_missing(server_factory, clock):
+def test_a_server_without_registration_is_presumed_alive_only_if_most_have_none(
+    server_factory, clock
+):
     """Guards against sending requests to a server that has left: a daemon that was cut off from the
     store could presume that the registration has only expired."""
     directory = ServerDirectory()
