--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -36,23 +36,23 @@
 
 MISDIRECTED_PAUSE_SECONDS = 0.3
 """How long an owner that declined a key gets no requests for keys assigned with the same fence.
-Until it holds its keys, it would decline them too, and each retry uses the retry budget."""
+It would decline them too until it holds its keys, and each retry uses the retry budget."""
 
 GRANT_NOTICE_TIMEOUT_SECONDS = 0.6
 """Time after which a moved key's new owner is tried even if no notice of its grant has arrived. The
 datagram with the notice may have been lost."""
 
 URGENT_EXPECTED_SECONDS = 3.0
-"""How long after a request more requests of the same priority are expected. Meanwhile less urgent
-ones are limited to ``MAX_LOW_PRIORITY_REQUESTS_PER_SLOT``."""
+"""How long after a request more requests of the same priority are expected. Meanwhile a
+server gets less urgent ones only up to ``MAX_LOW_PRIORITY_REQUESTS_PER_SLOT``."""
 
 
 class ServicePool:
     """The servers of one service, as known to this daemon, and the requests queued for them.
 
     ``trackers`` are the servers that may get requests. In a ``keyed`` service only the owner of a
-    request's key runs it: the server to which ``table`` assigns the key. In any other service each
-    server can run every request. Each assignment has a fence (fencing token), which is higher than
+    request's key runs it: the server to which ``table`` assigns the key. In any other service any
+    server may run any request. Each assignment has a fence (fencing token), which is higher than
     those of earlier assignments of its keys.
 
     ``misdirected_until`` maps an owner that declined a key, and the fence of its assignment, to the
--- a/packages/decisions/src/fireflylink_decisions/limits/_cold_server_limiter.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_cold_server_limiter.py
@@ -4,9 +4,9 @@
 from fireflylink_decisions.limits._sliding_window_counter import SlidingWindowCounter
 
 COLD_WINDOW_SECONDS = 1.5
-"""Window in which requests are counted when they are sent. The limit is for the requests that
-arrive in any second. A request that waits for a new connection to a slow server arrives late, so
-that the next one follows it sooner than it was sent; the longer window allows for 0.5 s."""
+"""Window in which this daemon counts the requests that it sends. The limit is for the requests that
+reach the server in any second. The window is longer, because a request that waits for a new
+connection to a slow server arrives late, less than a second before one that was sent later."""
 
 LISTED_DAEMONS_FRACTION = 0.85
 """Fraction of the limit that the daemons listed in the store share. The rest is left for a daemon
--- a/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
+++ b/packages/decisions/src/fireflylink_decisions/poison/_poison_registry.py
@@ -13,7 +13,8 @@
 """Older crashes do not count, because the servers may no longer crash at the request."""
 
 MAX_SUSPECTS = 2000
-"""Bounds the memory used: every reset connection could add a fingerprint."""
+"""Bounds the memory used: every reset connection could add a fingerprint. Those without a crash for
+the longest time are dropped first."""
 
 FINGERPRINT_BYTES = 8
 
--- a/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
@@ -108,7 +108,7 @@
     def final_reply(self, reason: str, retry_after: float) -> BaseReply:
         """Returns the reply when no further attempt is made.
 
-        It says that the request has not run, or that this is unknown.
+        It is ``OutcomeUnknown`` if an attempt may have run the request, ``NotRun`` if none has.
         """
         if self.may_have_run:
             return OutcomeUnknown(reason)
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -5,7 +5,7 @@
 
 MAX_REQUESTS_PER_SLOT = 2.5
 """A server is given at most this many requests per slot; further requests queue at the daemon. A
-server has as many slots as requests that it runs at the same time; others wait at the server."""
+server runs as many requests at the same time as it has slots; the others wait at the server."""
 
 MAX_LOW_PRIORITY_REQUESTS_PER_SLOT = 1.5
 """Limit for a request while more urgent requests arrive too. A server's own queue does not order by
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -1,4 +1,4 @@
-"""Directory of registered backend servers, and which of them are leaving."""
+"""Directory of registered backend servers, and which of them may get keys and requests."""
 
 from fireflylink_core import BackendServer, ServerState
 
@@ -12,8 +12,7 @@
 
     ``registration_missing`` is set when the registration was deleted during an outage of the store
     or within the grace time after it: it may have expired although the server still runs, and may
-    come back. ``draining_since`` is
-    when the server was first seen to drain.
+    come back. ``draining_since`` is when the server was first seen to drain.
     """
 
     __slots__ = ("draining_since", "joined_at", "registration_missing", "server")
