--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -163,7 +163,7 @@
         During an outage of the store and for a grace time after it, the server stays in the
         directory.
         """
-        gone = self.directory.remove(server_id, self.clock.now())
+        gone = self.directory.record_deletion(server_id, self.clock.now())
         log_event("server-unregistered", server=server_id, gone=gone)
 
     def set_evacuated(self, data_centre: str, requested: bool) -> None:
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -209,7 +209,7 @@
 
     def _apply_result(self, active: _ActiveAttempt, result: BaseDispatchResult) -> None:
         if isinstance(result, Refused):
-            reply = active.server_attempts.refusal_reply(result.reason, result.retry_after)
+            reply = active.server_attempts.final_reply(result.reason, result.retry_after)
             self._finish(active, reply)
         elif isinstance(result, Dispatched):
             incarnation = result.tracker.server.incarnation
