--- a/packages/specification/src/fireflylink_specification/__init__.py
+++ b/packages/specification/src/fireflylink_specification/__init__.py
@@ -1,4 +1,4 @@
-"""Models of the ownership protocol and their checks."""
+"""Finite models of the ownership protocol, and the checker that explores their states."""
 
 from fireflylink_specification._check import (
     MAX_STATES,
--- a/packages/specification/src/fireflylink_specification/__main__.py
+++ b/packages/specification/src/fireflylink_specification/__main__.py
@@ -1,4 +1,7 @@
-"""Command that prints the results of all checks."""
+"""Prints the results of all checks: ``python -m fireflylink_specification``.
+
+With ``--guard KEY`` it prints instead the counterexamples that removing this guard leads to.
+"""
 
 from collections.abc import Iterator, Sequence
 
@@ -12,17 +15,20 @@
 )
 
 _GUARD = flags.DEFINE_enum(
-    "guard", None, [guard.key for guard in Guard], "Prints the whole counterexample without it."
+    "guard",
+    None,
+    [guard.key for guard in Guard],
+    "Print the full counterexample found when this guard is removed.",
 )
 
 
 def _lines() -> Iterator[str]:
     if _GUARD.value is not None:
         return trace_lines(next(guard for guard in Guard if guard.key == _GUARD.value))
-    return _all_lines()
+    return _report_lines()
 
 
-def _all_lines() -> Iterator[str]:
+def _report_lines() -> Iterator[str]:
     yield from model_lines()
     yield from removal_lines()
 
--- a/packages/specification/src/fireflylink_specification/_check.py
+++ b/packages/specification/src/fireflylink_specification/_check.py
@@ -1,4 +1,8 @@
-"""Checks of a model: safety over steps and faults, progress over steps after any faults."""
+"""Checks of a model.
+
+Safety is checked over steps and faults. Progress is checked over steps alone, starting from every
+state that steps and faults can reach.
+"""
 
 from itertools import chain
 from typing import Any
@@ -9,13 +13,13 @@
 from fireflylink_specification._model import BaseModel, Step
 
 MAX_STATES = 200_000
-"""Bound of a safety check unless another is given, and of the library's progress check."""
+"""Default bound of a safety check. The bound of the library's progress check is the same."""
 
 
 class SafetyResult:
-    """Whether the properties hold; ``trace`` is a shortest run that breaks ``broken_property``.
+    """Whether the properties hold; ``trace`` is a shortest run that violates ``broken_property``.
 
-    The search stops at the first broken property, so ``states`` counts the whole space only if the
+    The search stops at the first violation, so ``states`` counts the whole state space only if the
     properties hold.
     """
 
@@ -37,15 +41,15 @@
 
     @property
     def steps(self) -> tuple[str, ...]:
-        """What happens in the trace, without the initial state."""
+        """The labels of the trace, without the initial state."""
         return tuple(label for label, _ in self.trace[1:])
 
 
 class ProgressResult:
     """Whether every reachable state leads to the goal without further faults.
 
-    If not, ``trace`` is a shortest run to a state that does not. ``note`` says why an unfinished
-    search has no answer.
+    If not, ``trace`` is a shortest run to a state that does not. ``note`` says why the search gave
+    no result, if it did not finish.
     """
 
     __slots__ = ("holds", "note", "trace")
@@ -57,12 +61,14 @@
 
     @property
     def steps(self) -> tuple[str, ...]:
-        """What happens in the trace, without the initial state."""
+        """The labels of the trace, without the initial state."""
         return tuple(label for label, _ in self.trace[1:])
 
 
 class ModelChecker:
-    """Checks one model with all guards or with one removed; both checks share the explored states.
+    """Checks one model with all guards, or with all but one.
+
+    The safety check and the progress check share the explored states.
 
     Example::
 
@@ -70,65 +76,67 @@
         checker.safety().steps
     """
 
-    __slots__ = ("broken", "model", "numbers", "states", "successors")
+    __slots__ = ("model", "state_numbers", "states", "successors", "violation_found")
 
     def __init__(self, model_type: type[BaseModel[Any]], without: Guard | None = None) -> None:
         self.model = model_type(Guards(without) if without else ALL_GUARDS)
-        self.broken = False
+        self.violation_found = False
         self.states: list[Any] = []
-        self.numbers: dict[Any, int] = {}
+        self.state_numbers: dict[Any, int] = {}
         self.successors: dict[int, tuple[list[tuple[str, int]], list[tuple[str, int]]]] = {}
 
     def safety(self, max_states: int = MAX_STATES) -> SafetyResult:
         """Checks the safety properties over steps and faults."""
-        self.broken = False
+        self.violation_found = False
         protocol = minicheck.Protocol(
             name=self.model.name,
             candidate=False,
             fields=("number",),
-            initial=(self._number(self.model.initial()),),
+            initial=(self._state_number(self.model.initial()),),
             transitions=self._transitions,
-            invariants={name: self._watched(name) for name in self.model.properties()},
+            invariants={name: self._invariant(name) for name in self.model.properties()},
         )
-        found = minicheck.check_safety(protocol, max_states=max_states)
-        results = found["properties"]
-        broken = next((name for name in results if results[name]["holds"] is False), None)
+        report = minicheck.check_safety(protocol, max_states=max_states)
+        results = report["properties"]
+        broken_property = next((name for name in results if results[name]["holds"] is False), None)
         trace: tuple[Step[Any], ...] = ()
-        if broken is not None:
-            trace = self._trace(results[broken]["counterexample"])
+        if broken_property is not None:
+            trace = self._trace(results[broken_property]["counterexample"])
         holds = all(result["holds"] is True for result in results.values())
-        return SafetyResult(found["reachable_states"], holds, found["exhaustive"], broken, trace)
+        return SafetyResult(
+            report["reachable_states"], holds, report["exhaustive"], broken_property, trace
+        )
 
     def progress(self) -> ProgressResult:
         """Checks that steps without faults lead from every reachable state to the goal.
 
-        The states of this search also say whether faults have ended.
+        Each state of this search also records whether faults have ended.
         """
-        self.broken = False
+        self.violation_found = False
         protocol = minicheck.Protocol(
             name=self.model.name,
             candidate=False,
             fields=("number", "faults_ended"),
-            initial=(self._number(self.model.initial()), False),
+            initial=(self._state_number(self.model.initial()), False),
             transitions=self._transitions_until_faults_end,
             invariants={},
             goal=lambda values: (
                 values["faults_ended"] and self.model.is_goal(self.states[values["number"]])
             ),
         )
-        found = minicheck.check_liveness(protocol)
-        trace = self._trace(found.get("counterexample") or [])
-        return ProgressResult(found["holds"] is True, found.get("note", ""), trace)
+        report = minicheck.check_liveness(protocol)
+        trace = self._trace(report.get("counterexample") or [])
+        return ProgressResult(report["holds"] is True, report.get("note", ""), trace)
 
-    def _number(self, unreduced: Any) -> int:
-        known = self.numbers.get(unreduced)
+    def _state_number(self, unreduced: Any) -> int:
+        known = self.state_numbers.get(unreduced)
         if known is not None:
             return known
         state = self.model.representative(unreduced)
-        number = self.numbers.setdefault(state, len(self.states))
+        number = self.state_numbers.setdefault(state, len(self.states))
         if number == len(self.states):
             self.states.append(state)
-        self.numbers[unreduced] = number
+        self.state_numbers[unreduced] = number
         return number
 
     def _successors(self, number: int) -> tuple[list[tuple[str, int]], list[tuple[str, int]]]:
@@ -136,14 +144,14 @@
         if known is None:
             state = self.states[number]
             known = (
-                [(label, self._number(after)) for label, after in self.model.steps(state)],
-                [(label, self._number(after)) for label, after in self.model.faults(state)],
+                [(label, self._state_number(after)) for label, after in self.model.steps(state)],
+                [(label, self._state_number(after)) for label, after in self.model.faults(state)],
             )
             self.successors[number] = known
         return known
 
     def _transitions(self, key: tuple[int]) -> list[tuple[str, tuple[int]]]:
-        if self.broken:
+        if self.violation_found:
             return []
         steps, faults = self._successors(key[0])
         return [(label, (number,)) for label, number in steps + faults]
@@ -159,27 +167,33 @@
         transitions.append(("no fault happens from here on", (number, True)))
         return transitions
 
-    def _watched(self, name: str) -> Any:
+    def _invariant(self, name: str) -> Any:
         holds = self.model.properties()[name]
 
-        def watched(values: dict[str, int]) -> bool:
+        def invariant(values: dict[str, int]) -> bool:
             result = holds(self.states[values["number"]])
-            self.broken = self.broken or not result
+            self.violation_found = self.violation_found or not result
             return result
 
-        return watched
+        return invariant
 
     def _trace(self, counterexample: list[dict[str, Any]]) -> tuple[Step[Any], ...]:
-        """Replays a run through representatives so that it names interchangeable parts alike."""
+        """Replays a counterexample in the model.
+
+        The checker explores representatives of states. The replay starts from the initial state, so
+        that a label names the same server or decider in every step.
+        """
         if not counterexample:
             return ()
         state = self.model.initial()
         trace: list[Step[Any]] = [("start", state)]
         for entry in counterexample[1:]:
             number = entry["state"]["number"]
-            if number == self._number(state):
-                continue  # The step after which no fault happens leaves the state as it is.
+            if number == self._state_number(state):
+                continue  # The step that ends the faults leaves the state unchanged.
             successors = chain(self.model.steps(state), self.model.faults(state))
-            label, state = next(step for step in successors if self._number(step[1]) == number)
+            label, state = next(
+                step for step in successors if self._state_number(step[1]) == number
+            )
             trace.append((label, state))
         return tuple(trace)
--- a/packages/specification/src/fireflylink_specification/_guards.py
+++ b/packages/specification/src/fireflylink_specification/_guards.py
@@ -1,54 +1,54 @@
-"""The guards of the ownership protocol and the switch that removes one of them from a model."""
+"""The guards of the ownership protocol, and which of them a model applies."""
 
 from enum import Enum
 
 
 class Guard(Enum):
-    """A rule of the protocol whose removal must break a property of some model."""
+    """A rule of the protocol without which some model violates a property."""
 
     CONDITIONAL_COMMIT = (
         "conditional-commit",
-        "a table is written only while the decider record is the writer's own",
+        "a decider writes a table only while the decider record in the store is its own",
     )
     RELEASE_FENCE = (
         "release-fence",
-        "a release carries the fence of the next holder, and the server refuses lower grants",
+        "a release carries the fence of the next holder, and the server then refuses lower ones",
     )
     HOLD_WAIT = (
         "hold-wait",
-        "without a confirmed release, the next holder waits until every grant has run out",
+        "without a confirmed release, the next holder waits until every grant has expired",
     )
     COUNT_UNANSWERED = (
         "count-unanswered",
-        "a grant without an answer counts as one that comes true",
+        "a grant without a reply counts as one that the server carries out",
     )
     OUTAGE_GRACE = (
         "outage-grace",
-        "a decider without the store stops to grant after a time",
+        "a decider that cannot reach the store stops granting after a fixed time",
     )
     TAKEOVER_WAIT = (
         "takeover-wait",
-        "a new decider presumes that a silent server was granted keys until the former one stopped",
+        "a new decider assumes that an unresponsive server got grants until the former one stopped",
     )
     TAKEOVER_FENCE = (
         "takeover-fence",
-        "a new decider puts every range under a new fence before it trusts a server's hold",
+        "a new decider advances the fence of every range before it relies on a server's hold",
     )
     ALONE_TABLE = (
         "alone-table",
-        "former holders of a table are waited out for one hold only if its writer was alone",
+        "former holders in a table are waited for one hold only if its writer was the sole decider",
     )
     SUSPEND_MOVED = (
         "suspend-moved",
-        "keys that a table takes away are not renewed while its writing is unanswered",
+        "a decider does not renew keys that a table moves away while its commit is unacknowledged",
     )
     YIELD = (
         "yield",
-        "a decider that reads another one's table stops, as it does not know what that one granted",
+        "a decider that reads another one's table stops: it does not know what the other granted",
     )
     LAPSED_GRANT = (
         "lapsed-grant",
-        "a grant that ran out is not renewed under its fence: the server may have started again",
+        "an expired grant is not renewed under its fence: the server may have restarted",
     )
 
     def __init__(self, key: str, rule: str) -> None:
@@ -57,7 +57,7 @@
 
 
 class Guards:
-    """The guards in force: all of them, or all but one.
+    """The guards that a model applies: all of them, or all but one.
 
     Example::
 
@@ -71,7 +71,7 @@
         self.without = without
 
     def has(self, guard: Guard) -> bool:
-        """Returns whether the guard is in force."""
+        """Returns whether the guard is applied."""
         return guard is not self.without
 
 
--- a/packages/specification/src/fireflylink_specification/_model.py
+++ b/packages/specification/src/fireflylink_specification/_model.py
@@ -1,4 +1,4 @@
-"""What each model provides: states, steps, faults, properties and a goal."""
+"""The interface of a model: states, steps, faults, safety properties and a goal."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator, Mapping
@@ -9,21 +9,22 @@
 State = TypeVar("State", bound=tuple[object, ...])
 
 Step = tuple[str, State]
-"""What happens in plain words, and the state afterwards."""
+"""A label in plain words, and the state after the step."""
 
 
 class BaseModel(ABC, Generic[State]):
     """A finite model of one part of the protocol.
 
-    States are named tuples because the checking library works on tuples. ``steps`` are what a
-    healthy system does, including the passing of time; ``faults`` are what goes wrong. Safety is
-    checked over both, progress over ``steps`` after any sequence of both.
+    States are named tuples because the checking library works on tuples. ``steps`` are the
+    transitions of a system without faults, including the passing of time; ``faults`` are crashes,
+    losses and delays. Safety is checked over both, progress over ``steps`` after any sequence of
+    both. ``bounds`` is the text in which the report states the size of the model.
     """
 
     name: str
     bounds: str
     guards: tuple[Guard, ...]
-    """The guards whose removal breaks a property of this model."""
+    """The guards without which this model violates a property."""
 
     def __init__(self, guards: Guards) -> None:
         self.in_force = guards
@@ -34,14 +35,14 @@
 
     @abstractmethod
     def steps(self, state: State) -> Iterator[Step[State]]:
-        """Yields the steps of a healthy system."""
+        """Yields the possible transitions without a fault."""
 
     @abstractmethod
     def faults(self, state: State) -> Iterator[Step[State]]:
-        """Yields the faults that may happen."""
+        """Yields the possible faults."""
 
     def representative(self, state: State) -> State:
-        """Returns the one state that stands for all that differ only in interchangeable parts."""
+        """Returns the state that stands for all states that are symmetric to this one."""
         return state
 
     @abstractmethod
@@ -50,4 +51,4 @@
 
     @abstractmethod
     def is_goal(self, state: State) -> bool:
-        """Returns whether the system has reached what progress requires."""
+        """Returns whether the state is one that progress requires to be reached."""
--- a/packages/specification/src/fireflylink_specification/_models.py
+++ b/packages/specification/src/fireflylink_specification/_models.py
@@ -1,4 +1,4 @@
-"""All models that the checks run."""
+"""The models that the checks cover."""
 
 from typing import Any
 
--- a/packages/specification/src/fireflylink_specification/_report.py
+++ b/packages/specification/src/fireflylink_specification/_report.py
@@ -1,4 +1,4 @@
-"""The report of all checks as text."""
+"""Formats the results of the checks as lines of text."""
 
 from collections.abc import Iterator
 from typing import Any
@@ -12,7 +12,7 @@
 
 
 def model_lines() -> Iterator[str]:
-    """Yields the table of the models with all guards in force."""
+    """Yields a table with one row for each model, checked with all guards."""
     yield ROW.format("model", "bounds", "states", "holds", "exhaustive", "progress")
     for model in MODELS:
         checker = ModelChecker(model)
@@ -21,29 +21,29 @@
             model.name,
             model.bounds,
             safety.states,
-            _yes(safety.holds),
-            _yes(safety.exhaustive),
-            _yes(progress.holds),
+            _yes_or_no(safety.holds),
+            _yes_or_no(safety.exhaustive),
+            _yes_or_no(progress.holds),
         )
 
 
 def removal_lines() -> Iterator[str]:
-    """Yields what goes wrong without each guard, in plain words."""
+    """Yields for each removed guard the steps that lead to a violated property."""
     for model, guard in _removals():
-        broken, trace = _counterexample(model, guard)
+        violated_property, trace = _counterexample(model, guard)
         yield ""
         yield f"without {guard.key} ({guard.rule})"
-        yield f"  {model.name}: {len(trace) - 1} steps break '{broken}'"
+        yield f"  {model.name}: {len(trace) - 1} steps violate '{violated_property}'"
         yield from (f"    {number}. {label}" for number, (label, _) in enumerate(trace) if number)
 
 
 def trace_lines(guard: Guard) -> Iterator[str]:
-    """Yields the counterexamples of a removed guard with what changes at each step."""
+    """Yields the counterexamples of one removed guard with the fields that each step changes."""
     for model, removed in _removals():
         if removed is not guard:
             continue
-        broken, trace = _counterexample(model, guard)
-        yield f"{model.name} without {guard.key}: '{broken}' is broken"
+        violated_property, trace = _counterexample(model, guard)
+        yield f"{model.name} without {guard.key}: '{violated_property}' is violated"
         before: dict[str, Any] = {}
         for number, (label, state) in enumerate(trace):
             fields = state._asdict()
@@ -68,5 +68,5 @@
     return safety.broken_property or "nothing", safety.trace
 
 
-def _yes(value: bool) -> str:
+def _yes_or_no(value: bool) -> str:
     return "yes" if value else "NO"
--- a/packages/specification/tests/conftest.py
+++ b/packages/specification/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Shares the explored states of a model between the tests of its safety and its progress."""
+"""Fixture that reuses the explored states of a model in the tests of safety and progress."""
 
 from collections.abc import Callable
 from functools import cache
--- a/packages/specification/tests/test_models.py
+++ b/packages/specification/tests/test_models.py
@@ -1,4 +1,4 @@
-"""Guards the ownership protocol: properties of each model and the need for each of its guards."""
+"""Checks the models of the ownership protocol, with all guards and with each guard removed."""
 
 from collections.abc import Callable
 from typing import Any
@@ -13,18 +13,21 @@
 REMOVALS = [(model, guard) for model in MODELS for guard in model.guards]
 
 
-def _name(value: ModelType | Guard) -> str:
+def _test_id(value: ModelType | Guard) -> str:
     return value.key if isinstance(value, Guard) else value.name
 
 
-each_model = pytest.mark.parametrize("model", MODELS, ids=_name)
+each_model = pytest.mark.parametrize("model", MODELS, ids=_test_id)
 
 
 @each_model
 def test_safety_holds_exhaustively_with_all_guards(
     checker_of: Callable[[ModelType], ModelChecker], model: ModelType
 ) -> None:
-    """A protocol with all its rules must not let two owners act ."""
+    """Guards against a protocol that lets two servers hold a key at once.
+
+    An unfinished search fails too, because it proves nothing about the remaining states.
+    """
     result = checker_of(model).safety()
     assert_that(result.steps, Equals(()))
     assert_that(result.holds, Is(True))
@@ -35,21 +38,24 @@
 def test_goal_is_reachable_after_any_faults(
     checker_of: Callable[[ModelType], ModelChecker], model: ModelType
 ) -> None:
-    """Faults that have ended must not leave a shard without an owner for ever."""
+    """Guards against a key that stays without a holder for ever after faults have ended."""
     result = checker_of(model).progress()
     assert_that(result.steps, Equals(()))
     assert_that(result.holds, Is(True))
 
 
-@pytest.mark.parametrize(("model", "guard"), REMOVALS, ids=_name)
+@pytest.mark.parametrize(("model", "guard"), REMOVALS, ids=_test_id)
 def test_removed_guard_has_a_counterexample(model: ModelType, guard: Guard) -> None:
-    """A rule that could be dropped without effect would be unnecessary or not modelled."""
+    """Guards against a rule that is unnecessary, or that no model covers.
+
+    Without such a rule the model still finds no violation.
+    """
     result = ModelChecker(model, without=guard).safety()
     assert_that(result.holds, Is(False))
     assert_that(len(result.steps), GreaterThan(0))
 
 
 def test_every_guard_is_needed_by_some_model() -> None:
-    """A guard that no model removes would be listed without having been shown to be needed."""
+    """Guards against a guard that no model removes: nothing would show that it is needed."""
     removed = {guard for model in MODELS for guard in model.guards}
     assert_that(removed, Equals(set(Guard)))
