--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,4 @@
-"""Lets the test command pass over exactly the tests that KNOWN-RED.txt names, and prints them."""
+"""Marks the tests that KNOWN-RED.txt lists as expected failures, and prints their names."""
 
 import pathlib
 
@@ -8,8 +8,8 @@
 TEST_PREFIX = "packages/"
 
 
-def _known_red() -> frozenset[str]:
-    """Returns the node ids at the start of the lines of the file."""
+def _known_red_ids() -> frozenset[str]:
+    """Returns the pytest node ids with which lines of the file start."""
     if not KNOWN_RED.exists():
         return frozenset()
     lines = KNOWN_RED.read_text().splitlines()
@@ -17,13 +17,13 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Marks the named tests as expected to fail; they still run and their outcome is shown."""
-    known = _known_red()
+    """Marks the listed tests as expected failures; they still run, and their outcome is shown."""
+    known = _known_red_ids()
     for item in items:
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(reason="listed in KNOWN-RED.txt", strict=False))
 
 
 def pytest_report_header() -> list[str]:
-    """Prints the tests that are passed over."""
-    return [f"known red: {nodeid}" for nodeid in sorted(_known_red())]
+    """Prints the tests that are expected to fail."""
+    return [f"known red: {nodeid}" for nodeid in sorted(_known_red_ids())]
--- a/packages/experiments/src/fireflylink_experiments/__init__.py
+++ b/packages/experiments/src/fireflylink_experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the real decision code, each a command that prints both sides of one run."""
+"""Commands that measure the decision code of the daemon."""
--- a/packages/experiments/src/fireflylink_experiments/slopes.py
+++ b/packages/experiments/src/fireflylink_experiments/slopes.py
@@ -1,6 +1,8 @@
-"""How the cost of control grows with the fleet: the figures of ``docs/CAPACITY.md``.
+"""Measures how the cost of planning and granting keys grows with the number of servers.
 
-python -m fireflylink_experiments.slopes --seed 1
+Its output is the source of figures in ``docs/CAPACITY.md``::
+
+    python -m fireflylink_experiments.slopes --seed 1
 """
 
 import random
@@ -24,10 +26,10 @@
 
 SEED = flags.DEFINE_integer("seed", 1, "Seed of the random loads.")
 
-SIZES = (30, 100, 300, 1000)
+FLEET_SIZES = (30, 100, 300, 1000)
 REQUESTS_PER_SERVER = 10.0
-REPEATS = 5
-MILLISECONDS = 1000.0
+REPETITIONS = 5
+MILLISECONDS_PER_SECOND = 1000.0
 
 
 def _fleet(rng: random.Random, count: int) -> list[Candidate]:
@@ -43,21 +45,21 @@
     return RangeLoad([(key, rate / len(keys)) for key in keys])
 
 
-def _milliseconds(action: Callable[[], object]) -> float:
-    began = time.perf_counter()
-    for _ in range(REPEATS):
+def _mean_milliseconds(action: Callable[[], object]) -> float:
+    started = time.perf_counter()
+    for _ in range(REPETITIONS):
         action()
-    return (time.perf_counter() - began) / REPEATS * MILLISECONDS
+    return (time.perf_counter() - started) / REPETITIONS * MILLISECONDS_PER_SECOND
 
 
-def _renewals(table: OwnershipTable) -> tuple[float, int]:
-    """Returns the milliseconds that the book takes a second, and the grants a second."""
+def _grant_cost(table: OwnershipTable) -> tuple[float, int]:
+    """Returns the milliseconds of grant tracking per second, and the grants per second."""
     clock = ManualClock()
     grants = GrantTracker(clock.now())
     grants.mark_no_former_decider()
     grants.set_table(table)
     sent = 0
-    began = time.perf_counter()
+    started = time.perf_counter()
     for _ in range(100):
         for command in grants.due_commands(clock.now()):
             if isinstance(command, GrantCommand):
@@ -65,27 +67,27 @@
                 grants.record_granted(command, clock.now())
                 sent += 1
         clock.advance(0.1)
-    return (time.perf_counter() - began) * MILLISECONDS / 10.0, sent // 10
+    return (time.perf_counter() - started) * MILLISECONDS_PER_SECOND / 10.0, sent // 10
 
 
 def main() -> None:
-    """Prints one row a fleet size."""
+    """Prints one row for each fleet size."""
     flags.FLAGS(sys.argv)
     rng = random.Random(SEED.value)
     print(f"seed {SEED.value}; a fleet of N servers of one service, {REQUESTS_PER_SERVER:g}/s each")
-    print("servers  plan ms  book ms/s  grants/s  table bytes  report bytes")
-    for count in SIZES:
+    print("servers  plan ms grant ms/s  grants/s  table bytes  report bytes")
+    for count in FLEET_SIZES:
         candidates = _fleet(rng, count)
         table = initial_table("availability", candidates, 1)
         loads = _loads(rng, count)
-        planned = _milliseconds(
+        plan_ms = _mean_milliseconds(
             lambda c=candidates, t=table, r=loads: plan_table(t, c, r, OverloadDetector(), 0.0)  # type: ignore[misc]
         )
-        booked, grants = _renewals(table)
+        grant_ms, grants = _grant_cost(table)
         keys = tuple(rng.randrange(KEY_COUNT) for _ in range(min(400, count)))
         report = encode_datagram(LoadReport("front-1", "availability", 1, len(keys), keys))
         print(
-            f"{count:>7} {planned:>8.1f} {booked:>10.1f} {grants:>9}"
+            f"{count:>7} {plan_ms:>8.1f} {grant_ms:>10.1f} {grants:>9}"
             f" {len(encode_table(table)):>12} {len(report):>13}"
         )
 
--- a/packages/experiments/tests/test_slopes.py
+++ b/packages/experiments/tests/test_slopes.py
@@ -1,4 +1,4 @@
-"""The measurement runs, and the bounds of its messages hold."""
+"""The size of the largest message that the measurement encodes."""
 
 from testtools.assertions import assert_that
 from testtools.matchers import LessThan
@@ -7,7 +7,10 @@
 
 
 def test_a_full_report_fits_into_one_datagram():
-    """Guards against reports that a link splits or drops."""
+    """Guards against load reports that exceed a usual link's MTU and are fragmented or dropped.
+
+    1472 bytes are the UDP payload of an Ethernet frame of 1500 bytes.
+    """
     keys = tuple(range(65535, 65535 - MAX_REPORTED_KEYS, -1))
     report = LoadReport("front-spanish-town-1", "availability", 1 << 30, 99999, keys)
     assert_that(len(encode_datagram(report)), LessThan(1472))
--- a/packages/specification/src/fireflylink_specification/_guards.py
+++ b/packages/specification/src/fireflylink_specification/_guards.py
@@ -36,7 +36,7 @@
     )
     ALONE_TABLE = (
         "alone-table",
-        "former holders in a table are waited for one hold only if its writer was the sole decider",
+        "a wait of one hold suffices for former holders only if the writer was the sole decider",
     )
     SUSPEND_MOVED = (
         "suspend-moved",
--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -189,7 +189,7 @@
                 )
             if not self.in_force.has(Guard.HOLD_WAIT) or not decider.known[previous]:
                 yield (
-                    f"{name} has waited until the hold of server {previous} expired",
+                    f"{name} considers the hold of server {previous} expired",
                     _with_decider(state, number, _without_previous(decider)),
                 )
         elif self._may_grant(decider) and self._may_use_fence(decider):
