Name the stand-ins' ports, holds and faults by what they are

Ports, paths, expiry times and HTTP resources carry their usual names, and the doc comments say which status or error each simulated fault leads to.

--- a/packages/standins/src/fireflylink_standins/__init__.py
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform's store and for backend servers, and a local system on them."""
+"""Stand-ins for the platform's store and backend servers, and a local system that uses them."""
 
 from fireflylink_standins._backend_server import BackendServerStandin
 from fireflylink_standins._bench_target import BenchTarget, process_cpu_seconds, resident_megabytes
--- a/packages/standins/src/fireflylink_standins/_backend_server.py
+++ b/packages/standins/src/fireflylink_standins/_backend_server.py
@@ -1,4 +1,4 @@
-"""The stand-in of a backend server, over HTTP."""
+"""Stand-in for a backend server, with the platform's HTTP interface."""
 
 from typing import Any
 
@@ -9,21 +9,22 @@
 from fireflylink_core import NO_KEY, BaseClock, CallerLimits, KeyRange
 from fireflylink_platform import names
 from fireflylink_standins._grant_state import GrantState
-from fireflylink_standins._store_server import encode
+from fireflylink_standins._store_server import encode_json
 from fireflylink_standins._store_state import StoreState
 from fireflylink_store import Commit, Put
 
 HEARTBEAT_SECONDS = 0.87
-LAPSE_SECONDS = 3 * HEARTBEAT_SECONDS
+LEASE_SECONDS = 3 * HEARTBEAT_SECONDS
 MILLISECONDS_PER_SECOND = 1000.0
 SLOTS = 4
 
 
 class BackendServerStandin:
-    """One server: it registers itself, takes grants and runs requests.
+    """A server that registers itself in the store, accepts grants and runs requests.
 
-    ``work_seconds`` is how long a request runs. ``drops_answers`` makes it run requests and close
-    the connection without an answer; ``sheds_load`` makes it decline every request.
+    ``keyed`` says whether its service owns keys exclusively. A request runs for ``work_seconds``.
+    If ``drops_answers`` is true, the server runs a request and closes the connection without an
+    answer. If ``sheds_load`` is true, it declines every request.
     """
 
     __slots__ = (
@@ -35,7 +36,7 @@
         "keyed",
         "lease_id",
         "listener",
-        "running",
+        "running_requests",
         "server_id",
         "service",
         "sheds_load",
@@ -65,22 +66,22 @@
         self.sheds_load = False
         self.drops_answers = False
         self.stopped = False
-        self.running = 0
+        self.running_requests = 0
         self.work_seconds = 0.005
         self.lease_id = 0
         self.listener = HttpListener(_application(self), "127.0.0.1", 0, CallerLimits)
         self.heartbeat: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Starts to serve and registers the server."""
+        """Starts to listen, and registers the server."""
         self.listener.start()
-        self.lease_id = self.store.create_lease(LAPSE_SECONDS)
+        self.lease_id = self.store.create_lease(LEASE_SECONDS)
         self.register()
-        self.heartbeat = gevent.spawn(self._beat)
+        self.heartbeat = gevent.spawn(self._send_heartbeats)
 
     def register(self) -> None:
-        """Writes the registration as it is now."""
-        entry = {
+        """Writes the current registration to the store."""
+        registration = {
             "service": self.service,
             "address": f"127.0.0.1:{self.listener.port}",
             "zone": self.data_centre,
@@ -92,28 +93,31 @@
             "born": self.clock.wall_ms(),
         }
         key = f"{names.SERVERS_PREFIX}{self.server_id}"
-        self.store.commit(Commit(puts=(Put(key, encode(entry), self.lease_id),)))
+        self.store.commit(Commit(puts=(Put(key, encode_json(registration), self.lease_id),)))
 
     def drain(self) -> None:
-        """Announces that the server leaves."""
+        """Registers the server as draining."""
         self.draining = True
         self.register()
 
     def stop(self) -> None:
-        """Ends without a word, as a crash does."""
+        """Stops without notice, as in a crash; the registration stays until its lease expires."""
         self.stopped = True
         if self.heartbeat is not None:
             self.heartbeat.kill(block=False)
         self.listener.close()
 
-    def _beat(self) -> None:
+    def _send_heartbeats(self) -> None:
         while True:
             gevent.sleep(HEARTBEAT_SECONDS)
             self.store.renew_lease(self.lease_id)
 
 
-class _Requests:
-    """Runs requests."""
+class _RequestSink:
+    """Answers the requests that daemons forward.
+
+    A request for another server, or for a key that is not held, gets status 421.
+    """
 
     __slots__ = ("server",)
 
@@ -126,10 +130,10 @@
             raise ConnectionResetError
         request_id = req.get_header(names.REQUEST_ID) or ""
         resp.set_header(names.REQUEST_ID, request_id)
-        resp.set_header(names.SERVER_LOAD, f"{server.running},0,{SLOTS},100")
+        resp.set_header(names.SERVER_LOAD, f"{server.running_requests},0,{SLOTS},100")
         key = int(req.get_header(names.SHARD_KEY) or NO_KEY)
-        other = req.get_header(names.TARGET_INSTANCE) not in (None, server.server_id)
-        if other or (server.keyed and not server.state.holds_key(key)):
+        is_for_other_server = req.get_header(names.TARGET_INSTANCE) not in (None, server.server_id)
+        if is_for_other_server or (server.keyed and not server.state.holds_key(key)):
             resp.status = falcon.HTTP_421
             resp.set_header(names.NOT_EXECUTED, "1")
             return
@@ -137,14 +141,16 @@
             resp.status = falcon.HTTP_503
             resp.set_header(names.NOT_EXECUTED, "1")
             return
-        self._run(request_id, key, req, resp)
+        self._run_request(request_id, key, req, resp)
 
-    def _run(self, request_id: str, key: int, req: falcon.Request, resp: falcon.Response) -> None:
+    def _run_request(
+        self, request_id: str, key: int, req: falcon.Request, resp: falcon.Response
+    ) -> None:
         server = self.server
-        server.running += 1
+        server.running_requests += 1
         server.state.executed.append((request_id, key))
         gevent.sleep(server.work_seconds)
-        server.running -= 1
+        server.running_requests -= 1
         if server.drops_answers:
             raise ConnectionResetError
         resp.set_header(names.SIGNATURE, f"{server.server_id}.{len(server.state.executed)}")
@@ -152,8 +158,8 @@
         resp.data = server.server_id.encode() + b" " + req.bounded_stream.read()
 
 
-class _Grants:
-    """Takes grants."""
+class _GrantResource:
+    """Answers the grants of the decider."""
 
     __slots__ = ("server",)
 
@@ -161,7 +167,7 @@
         self.server = server
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Takes or renews keys; 409 when a higher fence was seen."""
+        """Accepts or renews a grant of keys; 409 if a higher fence was seen for any of them."""
         if self.server.stopped:
             raise ConnectionResetError
         if req.get_header(names.TARGET_INSTANCE) not in (None, self.server.server_id):
@@ -174,8 +180,8 @@
             resp.status = falcon.HTTP_409
 
 
-class _Releases:
-    """Gives keys up."""
+class _ReleaseResource:
+    """Answers the releases of the decider."""
 
     __slots__ = ("server",)
 
@@ -183,7 +189,7 @@
         self.server = server
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Gives keys up and returns the hand-over token."""
+        """Releases keys and returns the handover token."""
         if req.get_header(names.TARGET_INSTANCE) not in (None, self.server.server_id):
             resp.status = falcon.HTTP_421
             return
@@ -194,7 +200,7 @@
 
 def _application(server: BackendServerStandin) -> Any:
     application = falcon.App()
-    application.add_route(names.GRANT_PATH, _Grants(server))
-    application.add_route(names.RELEASE_PATH, _Releases(server))
-    application.add_sink(_Requests(server), "/")
+    application.add_route(names.GRANT_PATH, _GrantResource(server))
+    application.add_route(names.RELEASE_PATH, _ReleaseResource(server))
+    application.add_sink(_RequestSink(server), "/")
     return application
--- a/packages/standins/src/fireflylink_standins/_bench_target.py
+++ b/packages/standins/src/fireflylink_standins/_bench_target.py
@@ -1,4 +1,4 @@
-"""One way to send the requests of the benchmark, and what a process costs."""
+"""Measures one target of the benchmark, and the CPU time and memory of a process."""
 
 import os
 import pathlib
@@ -10,15 +10,18 @@
 from fireflylink_core import SystemClock
 from fireflylink_standins._caller import Caller
 
-MILLISECONDS = 1e3
-MICROSECONDS = 1e6
+MILLISECONDS_PER_SECOND = 1e3
+MICROSECONDS_PER_SECOND = 1e6
 KILOBYTES_PER_MEGABYTE = 1024.0
-CPU_FIELDS = slice(11, 13)
-"""User and system time among the fields after the command's name in ``/proc/PID/stat``."""
+CPU_TIME_FIELDS = slice(11, 13)
+"""User and system time, among the fields after the command name in ``/proc/PID/stat``."""
 
 
 class BenchTarget:
-    """A way to send the request, and what was measured of it; latencies in seconds."""
+    """An endpoint to which the benchmark sends requests, and the measured figures.
+
+    Latencies are in seconds. CPU time is measured for ``process_id``, unless that is None.
+    """
 
     __slots__ = (
         "answered",
@@ -26,15 +29,15 @@
         "elapsed_seconds",
         "latencies",
         "name",
+        "path",
         "port",
         "process_id",
-        "target",
     )
 
-    def __init__(self, name: str, port: int, target: str, process_id: int | None) -> None:
+    def __init__(self, name: str, port: int, path: str, process_id: int | None) -> None:
         self.name = name
         self.port = port
-        self.target = target
+        self.path = path
         self.process_id = process_id
         self.latencies: list[float] = []
         self.answered = 0
@@ -42,27 +45,30 @@
         self.cpu_seconds = 0.0
 
     def run(self, requests: int, concurrency: int, rate: float) -> None:
-        """Sends requests over ``concurrency`` connections, one after another on each.
+        """Sends requests over ``concurrency`` connections, one at a time on each.
 
-        ``rate`` is in requests a second over all connections; 0 stands for no pauses.
+        ``rate`` is in requests per second over all connections; 0 means without pauses.
         """
-        pause = concurrency / rate if rate else 0.0
-        before = 0.0 if self.process_id is None else process_cpu_seconds(self.process_id)
+        pause_seconds = concurrency / rate if rate else 0.0
+        cpu_seconds_before = (
+            0.0 if self.process_id is None else process_cpu_seconds(self.process_id)
+        )
         started = time.monotonic()
         senders = [
-            gevent.spawn(self._send, requests // concurrency, pause) for _ in range(concurrency)
+            gevent.spawn(self._send, requests // concurrency, pause_seconds)
+            for _ in range(concurrency)
         ]
         gevent.joinall(senders, raise_error=True)
         self.elapsed_seconds += time.monotonic() - started
         if self.process_id is not None:
-            self.cpu_seconds += process_cpu_seconds(self.process_id) - before
+            self.cpu_seconds += process_cpu_seconds(self.process_id) - cpu_seconds_before
 
-    def _send(self, requests: int, pause: float) -> None:
+    def _send(self, requests: int, pause_seconds: float) -> None:
         caller = Caller(self.port, SystemClock())
         for _ in range(requests):
-            gevent.sleep(pause)
+            gevent.sleep(pause_seconds)
             started = time.monotonic()
-            reply = caller.send("POST", self.target, body=b"order")
+            reply = caller.send("POST", self.path, body=b"order")
             if reply is not None and reply.status == 200:
                 self.answered += 1
                 self.latencies.append(time.monotonic() - started)
@@ -74,27 +80,27 @@
         return statistics.median(self.latencies)
 
     def report_line(self) -> str:
-        """Returns the measured figures as key=value pairs."""
+        """Returns the measured figures as one line of key=value pairs."""
         ordered = sorted(self.latencies)
         count = len(ordered)
         return (
             f"event=bench way={self.name} answered={count}"
             f" requests_per_second={count / self.elapsed_seconds:.0f}"
-            f" p50_ms={self.median_seconds * MILLISECONDS:.2f}"
-            f" p99_ms={ordered[int(count * 0.99)] * MILLISECONDS:.2f}"
-            f" daemon_cpu_us_per_request={self.cpu_seconds / count * MICROSECONDS:.0f}"
+            f" p50_ms={self.median_seconds * MILLISECONDS_PER_SECOND:.2f}"
+            f" p99_ms={ordered[int(count * 0.99)] * MILLISECONDS_PER_SECOND:.2f}"
+            f" daemon_cpu_us_per_request={self.cpu_seconds / count * MICROSECONDS_PER_SECOND:.0f}"
         )
 
 
 def process_cpu_seconds(process_id: int) -> float:
-    """Returns the processor time that a process has used so far."""
+    """Returns the CPU time that a process has used so far, in seconds."""
     text = pathlib.Path(f"/proc/{process_id}/stat").read_text()
-    ticks = sum(int(field) for field in text.rpartition(")")[2].split()[CPU_FIELDS])
+    ticks = sum(int(field) for field in text.rpartition(")")[2].split()[CPU_TIME_FIELDS])
     return ticks / os.sysconf("SC_CLK_TCK")
 
 
 def resident_megabytes(process_id: int) -> float:
-    """Returns the resident memory of a process."""
+    """Returns the resident memory of a process in megabytes, 0 if it cannot be read."""
     for line in pathlib.Path(f"/proc/{process_id}/status").read_text().splitlines():
         if line.startswith("VmRSS"):
             return int(line.split()[1]) / KILOBYTES_PER_MEGABYTE
--- a/packages/standins/src/fireflylink_standins/_caller.py
+++ b/packages/standins/src/fireflylink_standins/_caller.py
@@ -1,4 +1,4 @@
-"""A caller of the system."""
+"""Client that sends requests as a caller does."""
 
 import uuid
 
@@ -12,12 +12,12 @@
 from fireflylink_platform import names
 from fireflylink_standins._local_system import HOST
 
-CONNECT_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 1.0
 MILLISECONDS_PER_SECOND = 1000
 
 
 class Caller:
-    """Sends requests to one daemon over a persistent connection."""
+    """Sends requests to one port over a persistent connection."""
 
     __slots__ = ("clock", "connection", "port")
 
@@ -35,7 +35,7 @@
         deadline_seconds: float = 3.0,
         request_id: str = "",
     ) -> HttpResponse | None:
-        """Returns the reply, None when the connection ended without one."""
+        """Returns the reply, None if the exchange failed or timed out."""
         headers = [
             ("Host", HOST),
             (names.REQUEST_ID, request_id or uuid.uuid4().hex[:16]),
@@ -43,11 +43,11 @@
         ]
         if key is not None:
             headers.append((names.SHARD_KEY, str(key)))
-        encoded = encode_request(method, path, tuple(headers), body)
+        request = encode_request(method, path, tuple(headers), body)
         try:
-            connection = self._connected()
+            connection = self._usable_connection()
             response, reusable = connection.exchange(
-                encoded, method, self.clock.now() + deadline_seconds
+                request, method, self.clock.now() + deadline_seconds
             )
         except ExchangeError:
             self.close()
@@ -62,9 +62,11 @@
             self.connection.close()
             self.connection = None
 
-    def _connected(self) -> HttpConnection:
+    def _usable_connection(self) -> HttpConnection:
         if self.connection is None or not self.connection.is_usable():
             self.close()
             self.connection = HttpConnection(self.clock)
-            self.connection.connect("127.0.0.1", self.port, self.clock.now() + CONNECT_SECONDS)
+            self.connection.connect(
+                "127.0.0.1", self.port, self.clock.now() + CONNECT_TIMEOUT_SECONDS
+            )
         return self.connection
--- a/packages/standins/src/fireflylink_standins/_grant_state.py
+++ b/packages/standins/src/fireflylink_standins/_grant_state.py
@@ -1,70 +1,81 @@
-"""The state of a backend server's stand-in: which keys it holds under which fence."""
+"""The key ranges that a stand-in of a backend server holds, with their fences."""
 
 from fireflylink_core import BaseClock, KeyRange
 
 
 class _Hold:
-    """A range that is held until a time."""
+    """A key range that is held under a fence until ``expires_at``, in seconds of the clock."""
 
-    __slots__ = ("fence", "keys", "until")
+    __slots__ = ("expires_at", "fence", "keys")
 
-    def __init__(self, keys: KeyRange, fence: int, until: float) -> None:
+    def __init__(self, keys: KeyRange, fence: int, expires_at: float) -> None:
         self.keys = keys
         self.fence = fence
-        self.until = until
+        self.expires_at = expires_at
 
 
 class GrantState:
-    """Grants of one incarnation of a server. ``executed`` records each run request and its key."""
+    """The grants of one incarnation of a server, and the requests that it has executed.
 
-    __slots__ = ("clock", "executed", "holds", "seen_fences", "tokens")
+    ``executed`` contains the id and the key of each request in the order of execution.
+    """
+
+    __slots__ = ("clock", "executed", "holds", "issued_tokens", "seen_fences")
 
     def __init__(self, clock: BaseClock) -> None:
         self.clock = clock
         self.holds: list[_Hold] = []
         self.seen_fences: list[tuple[KeyRange, int]] = []
         self.executed: list[tuple[str, int]] = []
-        self.tokens = 0
+        self.issued_tokens = 0
 
     def grant(self, keys: KeyRange, fence: int, hold_seconds: float) -> bool:
-        """Takes keys; returns whether no higher fence was seen on one of them."""
-        if any(seen > fence and found.overlaps(keys) for found, seen in self.seen_fences):
+        """Holds keys for a time; returns false if a higher fence was seen for any of them."""
+        if any(
+            seen_fence > fence and seen_keys.overlaps(keys)
+            for seen_keys, seen_fence in self.seen_fences
+        ):
             return False
-        self._note_seen(keys, fence)
-        self._drop(keys)
+        self._record_fence(keys, fence)
+        self._remove_keys(keys)
         self.holds.append(_Hold(keys, fence, self.clock.now() + hold_seconds))
         return True
 
     def release(self, keys: KeyRange, fence: int) -> str:
-        """Gives keys up; returns the hand-over token."""
-        self._note_seen(keys, fence)
-        self._drop(keys)
-        self.tokens += 1
-        return f"token-{self.tokens}"
+        """Releases keys; returns the handover token."""
+        self._record_fence(keys, fence)
+        self._remove_keys(keys)
+        self.issued_tokens += 1
+        return f"token-{self.issued_tokens}"
 
     def holds_key(self, key: int) -> bool:
-        """Whether a key is held now."""
+        """Whether the server holds a key now."""
         now = self.clock.now()
         return any(
-            hold.keys.first <= key <= hold.keys.last and now < hold.until for hold in self.holds
+            hold.keys.first <= key <= hold.keys.last and now < hold.expires_at
+            for hold in self.holds
         )
 
-    def _note_seen(self, keys: KeyRange, fence: int) -> None:
+    def _record_fence(self, keys: KeyRange, fence: int) -> None:
         self.seen_fences = [
-            (found, seen) for found, seen in self.seen_fences if found != keys or seen > fence
+            (seen_keys, seen_fence)
+            for seen_keys, seen_fence in self.seen_fences
+            if seen_keys != keys or seen_fence > fence
         ]
         self.seen_fences.append((keys, fence))
 
-    def _drop(self, keys: KeyRange) -> None:
-        kept = []
+    def _remove_keys(self, keys: KeyRange) -> None:
+        remaining = []
         for hold in self.holds:
             if not hold.keys.overlaps(keys):
-                kept.append(hold)
+                remaining.append(hold)
                 continue
             if hold.keys.first < keys.first:
-                kept.append(
-                    _Hold(KeyRange(hold.keys.first, keys.first - 1), hold.fence, hold.until)
+                remaining.append(
+                    _Hold(KeyRange(hold.keys.first, keys.first - 1), hold.fence, hold.expires_at)
                 )
             if hold.keys.last > keys.last:
-                kept.append(_Hold(KeyRange(keys.last + 1, hold.keys.last), hold.fence, hold.until))
-        self.holds = kept
+                remaining.append(
+                    _Hold(KeyRange(keys.last + 1, hold.keys.last), hold.fence, hold.expires_at)
+                )
+        self.holds = remaining
--- a/packages/standins/src/fireflylink_standins/_local_system.py
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -1,4 +1,4 @@
-"""A local system: stand-ins in this process, daemons as processes of their own."""
+"""A system on this machine: stand-ins in this process, and daemons as child processes."""
 
 import json
 import pathlib
@@ -13,7 +13,7 @@
 from fireflylink_core import CallerLimits, SystemClock
 from fireflylink_platform import names
 from fireflylink_standins._backend_server import BackendServerStandin
-from fireflylink_standins._store_server import StoreFaults, encode, make_store_application
+from fireflylink_standins._store_server import StoreFaults, encode_json, make_store_application
 from fireflylink_standins._store_state import StoreState
 from fireflylink_store import Commit, Put
 
@@ -28,43 +28,58 @@
 
 
 class LocalDaemon:
-    """One daemon process and its addresses."""
+    """A daemon process with its ports and files."""
 
-    __slots__ = ("callers", "log", "metrics", "process", "readiness", "settings")
+    __slots__ = (
+        "caller_port",
+        "log_path",
+        "metrics_port",
+        "process",
+        "readiness_port",
+        "settings_path",
+    )
 
     def __init__(
-        self, settings: pathlib.Path, log: pathlib.Path, callers: int, readiness: int, metrics: int
+        self,
+        settings_path: pathlib.Path,
+        log_path: pathlib.Path,
+        caller_port: int,
+        readiness_port: int,
+        metrics_port: int,
     ) -> None:
-        self.settings = settings
-        self.log = log
-        self.callers = callers
-        self.readiness = readiness
-        self.metrics = metrics
+        self.settings_path = settings_path
+        self.log_path = log_path
+        self.caller_port = caller_port
+        self.readiness_port = readiness_port
+        self.metrics_port = metrics_port
         self.process: subprocess.Popen[bytes] | None = None
 
     def start(self, log_output: int | None = None) -> None:
-        """Starts the process; its log goes to a file, or to ``log_output`` of ``subprocess``."""
-        with self.log.open("ab") as log:
+        """Starts the process.
+
+        Its output goes to ``log_path``, or to ``log_output``, such as ``subprocess.PIPE``.
+        """
+        with self.log_path.open("ab") as log:
             output = log if log_output is None else log_output
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "fireflylink_daemon", "--settings", str(self.settings)],
+                [sys.executable, "-m", "fireflylink_daemon", "--settings", str(self.settings_path)],
                 stdout=output,
                 stderr=output,
             )
 
     def kill(self) -> None:
-        """Ends the process without notice."""
+        """Kills the process, so that it cannot shut down in order."""
         if self.process is not None:
             self.process.kill()
             self.process.wait()
 
     def terminate(self) -> None:
-        """Asks the process to leave."""
+        """Requests an orderly shutdown by SIGTERM."""
         if self.process is not None:
             self.process.send_signal(signal.SIGTERM)
 
     def wait(self, seconds: float) -> int | None:
-        """Returns the exit status, None when the process is still there after a time."""
+        """Returns the exit status, None if the process still runs after ``seconds``."""
         if self.process is None:
             return None
         with gevent.Timeout(seconds, False):
@@ -74,7 +89,7 @@
 
 
 class LocalSystem:
-    """Store, servers and daemons on this machine.
+    """A store, backend servers and daemons on this machine.
 
     Example::
 
@@ -86,14 +101,14 @@
 
     __slots__ = (
         "clock",
+        "configuration_version",
         "daemons",
         "folder",
-        "listener",
         "log_output",
         "servers",
         "store",
         "store_faults",
-        "version",
+        "store_listener",
     )
 
     def __init__(self, folder: pathlib.Path) -> None:
@@ -102,15 +117,18 @@
         self.store = StoreState(self.clock)
         self.store_faults = StoreFaults()
         application = make_store_application(self.store, self.store_faults)
-        self.listener = HttpListener(application, "127.0.0.1", 0, CallerLimits)
+        self.store_listener = HttpListener(application, "127.0.0.1", 0, CallerLimits)
         self.servers: dict[str, BackendServerStandin] = {}
         self.daemons: list[LocalDaemon] = []
-        self.version = 0
+        self.configuration_version = 0
         self.log_output: int | None = None
 
     def start(self, daemons: int = 3, keyed: int = 3, pooled: int = 2) -> None:
-        """Starts everything and waits until every daemon is ready."""
-        self.listener.start()
+        """Starts the store, the servers and the daemons; does not wait until the daemons are ready.
+
+        ``keyed`` and ``pooled`` are the numbers of servers that own keys and that do not.
+        """
+        self.store_listener.start()
         self.configure()
         for number in range(keyed):
             self.add_server(f"a{number}", KEYED_SERVICE, number, keyed=True)
@@ -120,28 +138,28 @@
             self.add_daemon()
 
     def add_daemon(self) -> LocalDaemon:
-        """Starts one more daemon."""
-        daemon = self._daemon(len(self.daemons))
+        """Starts another daemon."""
+        daemon = self._make_daemon(len(self.daemons))
         daemon.start(self.log_output)
         self.daemons.append(daemon)
         return daemon
 
     def stop(self) -> None:
-        """Ends every process and stand-in."""
+        """Kills the daemons and stops the stand-ins."""
         for daemon in self.daemons:
             daemon.kill()
         for server in self.servers.values():
             server.stop()
-        self.listener.close()
+        self.store_listener.close()
 
     def configure(self, order_timeout_ms: int = 2000) -> None:
         """Writes the next version of the configuration."""
-        self.version += 1
-        value = encode(_configuration(self.version, order_timeout_ms))
+        self.configuration_version += 1
+        value = encode_json(_make_configuration(self.configuration_version, order_timeout_ms))
         self.store.commit(Commit(puts=(Put(names.CONFIGURATION_KEY, value),)))
 
     def evacuate(self, data_centre: str, requested: bool) -> None:
-        """Asks for an evacuation, or takes it back."""
+        """Requests the evacuation of a data centre, or withdraws the request."""
         key = f"{names.EVACUATION_PREFIX}{data_centre}"
         if requested:
             self.store.commit(Commit(puts=(Put(key, b"{}"),)))
@@ -151,7 +169,7 @@
     def add_server(
         self, server_id: str, service: str, number: int, keyed: bool
     ) -> BackendServerStandin:
-        """Starts a server."""
+        """Starts a backend server; ``number`` selects its data centre."""
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         server = BackendServerStandin(
             server_id, service, data_centre, keyed, self.store, self.clock
@@ -160,23 +178,23 @@
         self.servers[server_id] = server
         return server
 
-    def _daemon(self, number: int) -> LocalDaemon:
-        callers, readiness, metrics, peers = (_free_port() for _ in range(4))
+    def _make_daemon(self, number: int) -> LocalDaemon:
+        caller_port, readiness_port, metrics_port, peer_port = (_free_port() for _ in range(4))
         settings = {
             "instance": f"front-{number}",
             "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
             "address": "127.0.0.1",
-            "caller_address": f"127.0.0.1:{callers}",
-            "readiness_address": f"127.0.0.1:{readiness}",
-            "metrics_port": metrics,
-            "peer_ports": [peers, peers + 1],
-            "store": {"address": f"127.0.0.1:{self.listener.port}", "minimum_lease_ms": 1000},
+            "caller_address": f"127.0.0.1:{caller_port}",
+            "readiness_address": f"127.0.0.1:{readiness_port}",
+            "metrics_port": metrics_port,
+            "peer_ports": [peer_port, peer_port + 1],
+            "store": {"address": f"127.0.0.1:{self.store_listener.port}", "minimum_lease_ms": 1000},
             "bounds": BOUNDS,
         }
-        path = self.folder / f"front-{number}.json"
-        path.write_text(json.dumps(settings))
-        log = self.folder / f"front-{number}.log"
-        return LocalDaemon(path, log, callers, readiness, metrics)
+        settings_path = self.folder / f"front-{number}.json"
+        settings_path.write_text(json.dumps(settings))
+        log_path = self.folder / f"front-{number}.log"
+        return LocalDaemon(settings_path, log_path, caller_port, readiness_port, metrics_port)
 
 
 BOUNDS = {
@@ -198,7 +216,7 @@
         return port
 
 
-def _configuration(version: int, order_timeout_ms: int) -> dict[str, object]:
+def _make_configuration(version: int, order_timeout_ms: int) -> dict[str, object]:
     common = {"health-check": "/healthz", "max-conns": 110, "warmup-s": 3.0, "warmup-per-s": 7.3}
     lookups = {
         "name": "lookup",
--- a/packages/standins/src/fireflylink_standins/_memory_store.py
+++ b/packages/standins/src/fireflylink_standins/_memory_store.py
@@ -1,4 +1,4 @@
-"""A store in memory, for tests of tasks without sockets."""
+"""A store in memory, for tests that use no sockets."""
 
 import gevent
 from returns.result import Failure, Result, Success
@@ -27,10 +27,10 @@
 
 
 class MemoryStore(BaseStore):
-    """One daemon's access to a ``StoreState``.
+    """A client of a ``StoreState``; several clients can share one state.
 
-    ``reachable`` false makes every call fail; ``drops_replies`` makes writes take effect although
-    their callers are told that no answer came.
+    If ``reachable`` is false, every call fails. If ``drops_replies`` is true, a commit takes effect
+    and then fails with ``StoreOutcomeUnknownError``, as if its reply had been lost.
     """
 
     __slots__ = ("drops_replies", "reachable", "state")
@@ -53,12 +53,12 @@
     def watch(
         self, prefix: str, revision: int, wait_seconds: float, deadline: float
     ) -> Result[ChangeBatch, StoreError]:
-        until = self.state.clock.now() + wait_seconds
+        wait_ends_at = self.state.clock.now() + wait_seconds
         while self.reachable:
             changes = self.state.changes(prefix, revision)
             if changes is None:
                 return Failure(HistoryCompactedError("dropped"))
-            if changes or self.state.clock.now() >= until:
+            if changes or self.state.clock.now() >= wait_ends_at:
                 return Success(ChangeBatch(tuple(changes), self.state.revision))
             gevent.sleep(POLL_SECONDS)
         return _unavailable()
@@ -72,7 +72,7 @@
             return Failure(ConflictError(error.items))
         except NoSuchLeaseError:
             return Failure(LeaseNotFoundError("ended"))
-        return self._answer(revision)
+        return self._commit_result(revision)
 
     def create_lease(self, seconds: float, deadline: float) -> Result[Lease, StoreError]:
         if not self.reachable:
@@ -91,11 +91,11 @@
         self.state.revoke_lease(lease_id)
         return Success(None)
 
-    def _answer(self, revision: int) -> Result[int, StoreError]:
+    def _commit_result(self, revision: int) -> Result[int, StoreError]:
         if self.drops_replies:
             return Failure(StoreOutcomeUnknownError("the reply was lost"))
         return Success(revision)
 
 
 def _unavailable() -> Failure[StoreError]:
-    return Failure(StoreUnavailableError("not reachable"))
+    return Failure(StoreUnavailableError("the store is not reachable"))
--- a/packages/standins/src/fireflylink_standins/_store_server.py
+++ b/packages/standins/src/fireflylink_standins/_store_server.py
@@ -1,4 +1,4 @@
-"""The stand-in of the platform's store, over HTTP."""
+"""Stand-in for the platform's store, with the platform's HTTP interface."""
 
 import base64
 import json
@@ -23,7 +23,11 @@
 
 
 class StoreFaults:
-    """What is wrong with the stand-in at this moment."""
+    """The faults that the stand-in of the store simulates.
+
+    While ``down`` is true, every call is refused with status 503. While ``drops_replies`` is true,
+    a commit is processed and the connection is then closed without a reply.
+    """
 
     __slots__ = ("down", "drops_replies")
 
@@ -33,7 +37,7 @@
 
 
 class _Resource:
-    """Calls of the store on one state."""
+    """Base of the HTTP resources, which share one state and one set of faults."""
 
     __slots__ = ("faults", "state")
 
@@ -47,24 +51,24 @@
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Returns the item of a key."""
-        _check_up(self.faults)
+        _raise_if_down(self.faults)
         item = self.state.read(req.get_param("key", required=True))
         if item is None:
             resp.status = falcon.HTTP_404
             return
-        resp.media = {**_fields(item), "current-rev": self.state.revision}
+        resp.media = {**_encode_change(item), "current-rev": self.state.revision}
 
 
 class _RangeResource(_Resource):
     __slots__ = ()
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Returns a page of the items of a prefix."""
-        _check_up(self.faults)
+        """Returns one page of the items of a prefix."""
+        _raise_if_down(self.faults)
         prefix = req.get_param("prefix", default="")
         items = self.state.range(prefix, req.get_param("after", default=""))
         resp.media = {
-            "items": [_fields(item) for item in items[:PAGE_ITEMS]],
+            "items": [_encode_change(item) for item in items[:PAGE_ITEMS]],
             "has-more": len(items) > PAGE_ITEMS,
             "current-rev": self.state.revision,
         }
@@ -74,21 +78,24 @@
     __slots__ = ()
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Returns changes as soon as there are any."""
+        """Returns changes after a revision as soon as there are any, none after ``wait-ms``.
+
+        The status is 410 if some of these changes have been compacted.
+        """
         prefix = req.get_param("prefix", default="")
         after = req.get_param_as_int("after", required=True)
-        wait = req.get_param_as_int("wait-ms", required=True) / MILLISECONDS_PER_SECOND
-        until = time.monotonic() + wait
+        wait_seconds = req.get_param_as_int("wait-ms", required=True) / MILLISECONDS_PER_SECOND
+        wait_ends_at = time.monotonic() + wait_seconds
         while True:
-            _check_up(self.faults)
+            _raise_if_down(self.faults)
             changes = self.state.changes(prefix, after)
             if changes is None:
                 resp.status = falcon.HTTP_410
                 return
-            if changes or time.monotonic() >= until:
+            if changes or time.monotonic() >= wait_ends_at:
                 break
             gevent.sleep(POLL_SECONDS)
-        events = [_fields(change) for change in changes]
+        events = [_encode_change(change) for change in changes]
         resp.media = {"events": events, "current-rev": self.state.revision}
 
 
@@ -96,9 +103,9 @@
     __slots__ = ()
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Applies a commit."""
-        _check_up(self.faults)
-        commit = _commit(req.get_media())
+        """Applies a commit; 403 for keys that the daemons may only read, 412 for a conflict."""
+        _raise_if_down(self.faults)
+        commit = _decode_commit(req.get_media())
         written = (*(put.key for put in commit.puts), *commit.deletions)
         if any(key.startswith(READ_ONLY_PREFIXES) for key in written):
             resp.status = falcon.HTTP_403
@@ -107,7 +114,7 @@
             resp.media = {"revision": self.state.commit(commit)}
         except ConditionFailedError as error:
             resp.status = falcon.HTTP_412
-            resp.media = {"items": [_fields(item) for item in error.items]}
+            resp.media = {"items": [_encode_change(item) for item in error.items]}
         except NoSuchLeaseError:
             resp.status = falcon.HTTP_404
         if self.faults.drops_replies:
@@ -118,19 +125,19 @@
     __slots__ = ()
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Opens a lease."""
-        _check_up(self.faults)
+        """Creates a lease."""
+        _raise_if_down(self.faults)
         ttl = req.get_media()["ttl-ms"]
         lease_id = self.state.create_lease(ttl / MILLISECONDS_PER_SECOND)
         resp.media = {"lease": lease_id, "ttl-ms": ttl}
 
 
-class _RenewalResource(_Resource):
+class _LeaseRenewalResource(_Resource):
     __slots__ = ()
 
     def on_post(self, _req: falcon.Request, resp: falcon.Response, lease: str) -> None:
-        """Renews a lease."""
-        _check_up(self.faults)
+        """Renews a lease; 404 if it does not exist."""
+        _raise_if_down(self.faults)
         seconds = self.state.renew_lease(int(lease))
         if seconds is None:
             resp.status = falcon.HTTP_404
@@ -138,35 +145,37 @@
         resp.media = {"ttl-ms": int(seconds * MILLISECONDS_PER_SECOND)}
 
 
-class _LeaseEndResource(_Resource):
+class _LeaseRevocationResource(_Resource):
     __slots__ = ()
 
     def on_delete(self, _req: falcon.Request, _resp: falcon.Response, lease: str) -> None:
-        """Ends a lease."""
-        _check_up(self.faults)
+        """Revokes a lease, which deletes its keys."""
+        _raise_if_down(self.faults)
         self.state.revoke_lease(int(lease))
 
 
 def make_store_application(state: StoreState, faults: StoreFaults) -> Any:
-    """Returns the WSGI application of the store's stand-in."""
+    """Returns the WSGI application of the stand-in of the store."""
     application = falcon.App()
     application.add_route(names.STORE_ITEM_PATH, _ItemResource(state, faults))
     application.add_route(names.STORE_RANGE_PATH, _RangeResource(state, faults))
     application.add_route(names.STORE_WATCH_PATH, _WatchResource(state, faults))
     application.add_route(names.STORE_COMMIT_PATH, _CommitResource(state, faults))
     application.add_route(names.STORE_LEASE_PATH, _LeaseResource(state, faults))
-    application.add_route(f"{names.STORE_RENEW_PATH}{{lease}}", _RenewalResource(state, faults))
-    end_path = f"{names.STORE_LEASE_END_PATH}{{lease}}"
-    application.add_route(end_path, _LeaseEndResource(state, faults))
+    application.add_route(
+        f"{names.STORE_RENEW_PATH}{{lease}}", _LeaseRenewalResource(state, faults)
+    )
+    revocation_path = f"{names.STORE_LEASE_END_PATH}{{lease}}"
+    application.add_route(revocation_path, _LeaseRevocationResource(state, faults))
     return application
 
 
-def _check_up(faults: StoreFaults) -> None:
+def _raise_if_down(faults: StoreFaults) -> None:
     if faults.down:
         raise falcon.HTTPServiceUnavailable
 
 
-def _fields(change: Change) -> dict[str, object]:
+def _encode_change(change: Change) -> dict[str, object]:
     if not isinstance(change, Item):
         return {"key": change.key, "revision": change.revision, "removed": True}
     return {
@@ -178,7 +187,7 @@
     }
 
 
-def _commit(body: Any) -> Commit:
+def _decode_commit(body: Any) -> Commit:
     return Commit(
         expected=tuple((row["key"], row["revision"]) for row in body["expected"]),
         puts=tuple(
@@ -189,6 +198,6 @@
     )
 
 
-def encode(value: object) -> bytes:
-    """Returns a value as the operator and the servers write it."""
+def encode_json(value: object) -> bytes:
+    """Returns a value as JSON, the format of the items of the operator and the servers."""
     return json.dumps(value).encode()
--- a/packages/standins/src/fireflylink_standins/_store_state.py
+++ b/packages/standins/src/fireflylink_standins/_store_state.py
@@ -1,4 +1,4 @@
-"""The state of the store's stand-in: items, history, leases."""
+"""The state of the stand-in of the store: items, change history and leases."""
 
 from fireflylink_core import BaseClock
 from fireflylink_store import ABSENT_REVISION, NO_LEASE, Change, Commit, Deletion, Item
@@ -7,11 +7,14 @@
 
 
 class NoSuchLeaseError(Exception):
-    """A commit names a lease that has ended."""
+    """A commit names a lease that does not exist or has expired."""
 
 
 class ConditionFailedError(Exception):
-    """A key of a commit has another revision than expected."""
+    """A key of a commit has a revision other than the expected one.
+
+    ``items`` are the present items of the keys with conditions.
+    """
 
     def __init__(self, items: tuple[Item, ...]) -> None:
         super().__init__("condition failed")
@@ -19,41 +22,55 @@
 
 
 class StoreState:
-    """Linearizable items with one revision counter, as the platform's pages describe them."""
-
-    __slots__ = ("clock", "compacted", "history", "items", "leases", "next_lease", "revision")
+    """Linearizable items with one revision counter, like those of the platform's store.
+
+    ``leases`` maps the id of a lease to its time to live and its expiry time, both in seconds.
+    Changes up to ``compacted_revision`` are no longer in the history.
+    """
+
+    __slots__ = (
+        "clock",
+        "compacted_revision",
+        "history",
+        "items",
+        "leases",
+        "next_lease_id",
+        "revision",
+    )
 
     def __init__(self, clock: BaseClock) -> None:
         self.clock = clock
         self.items: dict[str, Item] = {}
         self.history: list[Change] = []
-        self.compacted = FIRST_REVISION
+        self.compacted_revision = FIRST_REVISION
         self.revision = FIRST_REVISION
         self.leases: dict[int, tuple[float, float]] = {}
-        self.next_lease = 1
+        self.next_lease_id = 1
 
-    def expire(self) -> None:
-        """Ends leases whose time is over, with their keys."""
+    def expire_leases(self) -> None:
+        """Revokes expired leases, which also deletes their keys."""
         now = self.clock.now()
-        for lease_id in [found for found, (_, until) in self.leases.items() if until <= now]:
+        for lease_id in [
+            lease_id for lease_id, (_, expires_at) in self.leases.items() if expires_at <= now
+        ]:
             self.revoke_lease(lease_id)
 
     def read(self, key: str) -> Item | None:
         """Returns the item of a key."""
-        self.expire()
+        self.expire_leases()
         return self.items.get(key)
 
     def range(self, prefix: str, after: str = "") -> list[Item]:
-        """Returns the items of a prefix behind a key, in the order of their keys."""
-        self.expire()
+        """Returns the items whose keys have a prefix and sort after ``after``, sorted by key."""
+        self.expire_leases()
         return [
             self.items[key] for key in sorted(self.items) if key.startswith(prefix) and key > after
         ]
 
     def changes(self, prefix: str, after: int) -> list[Change] | None:
-        """Returns the changes of a prefix after a revision, None when they are forgotten."""
-        self.expire()
-        if after < self.compacted and self.history_starts_after(after):
+        """Returns the changes of a prefix after a revision, None if some have been compacted."""
+        self.expire_leases()
+        if after < self.compacted_revision and self.history_starts_after(after):
             return None
         return [
             change
@@ -62,17 +79,20 @@
         ]
 
     def history_starts_after(self, revision: int) -> bool:
-        """Whether changes behind a revision have been dropped."""
-        return self.compacted > max(revision, FIRST_REVISION)
+        """Whether changes after a revision have been compacted."""
+        return self.compacted_revision > max(revision, FIRST_REVISION)
 
     def compact(self) -> None:
-        """Drops the history."""
+        """Deletes the history of changes."""
         self.history = []
-        self.compacted = self.revision
+        self.compacted_revision = self.revision
 
     def commit(self, commit: Commit) -> int:
-        """Applies a commit; raises when a condition does not hold or a lease has ended."""
-        self.expire()
+        """Applies a commit and returns its revision.
+
+        Raises an error and changes nothing if a condition does not hold or a lease does not exist.
+        """
+        self.expire_leases()
         if any(self._revision_of(key) != revision for key, revision in commit.expected):
             present = (self.items.get(key) for key, _ in commit.expected)
             raise ConditionFailedError(tuple(item for item in present if item is not None))
@@ -84,19 +104,19 @@
             self.items[put.key] = item
             self.history.append(item)
         for key in commit.deletions:
-            self._remove(key)
+            self._delete(key)
         return self.revision
 
     def create_lease(self, seconds: float) -> int:
-        """Opens a lease."""
-        lease_id = self.next_lease
-        self.next_lease += 1
+        """Creates a lease and returns its id."""
+        lease_id = self.next_lease_id
+        self.next_lease_id += 1
         self.leases[lease_id] = (seconds, self.clock.now() + seconds)
         return lease_id
 
     def renew_lease(self, lease_id: int) -> float | None:
-        """Renews a lease; returns its time to live, None when it has ended."""
-        self.expire()
+        """Renews a lease; returns its time to live, None if the lease does not exist."""
+        self.expire_leases()
         if lease_id not in self.leases:
             return None
         seconds, _ = self.leases[lease_id]
@@ -104,15 +124,15 @@
         return seconds
 
     def revoke_lease(self, lease_id: int) -> None:
-        """Ends a lease; its keys are removed."""
+        """Revokes a lease and deletes its keys."""
         self.leases.pop(lease_id, None)
         keys = [key for key, item in self.items.items() if item.lease == lease_id]
         if keys:
             self.revision += 1
         for key in keys:
-            self._remove(key)
+            self._delete(key)
 
-    def _remove(self, key: str) -> None:
+    def _delete(self, key: str) -> None:
         if self.items.pop(key, None) is not None:
             self.history.append(Deletion(key, self.revision))
 
--- a/packages/standins/src/fireflylink_standins/bench.py
+++ b/packages/standins/src/fireflylink_standins/bench.py
@@ -1,8 +1,8 @@
-"""Measures what a daemon costs: ``python -m fireflylink_standins.bench``.
+"""Measures the cost of a daemon: ``python -m fireflylink_standins.bench``.
 
-The same request goes to a stand-in server directly and through a daemon, in turn within each round,
-so that a busy machine slows both. With ``--stop_reading`` the log of the daemon goes to a pipe that
-nobody reads.
+The same request is sent to a stand-in server directly and through a daemon. Both are measured in
+turn within each round, so that other load on the machine slows both. With ``--stop_reading`` the
+log of the daemon goes to a pipe that is never read.
 """
 
 import pathlib
@@ -24,32 +24,32 @@
     resident_megabytes,
 )
 
-REQUESTS = flags.DEFINE_integer("requests", 1000, "Requests of a way in a round.", 1, 100_000)
-ROUNDS = flags.DEFINE_integer("rounds", 3, "Rounds of each way.", 1, 20)
-CONCURRENCY = flags.DEFINE_integer("concurrency", 3, "Requests open at once.", 1, 64)
-RATE = flags.DEFINE_float("rate", 0.0, "Requests a second; 0: as many as are answered.", 0.0)
+REQUESTS = flags.DEFINE_integer("requests", 1000, "Requests per target and round.", 1, 100_000)
+ROUNDS = flags.DEFINE_integer("rounds", 3, "Rounds of each target.", 1, 20)
+CONCURRENCY = flags.DEFINE_integer("concurrency", 3, "Concurrent requests.", 1, 64)
+RATE = flags.DEFINE_float("rate", 0.0, "Requests per second; 0 means without pauses.", 0.0)
 STOP_READING = flags.DEFINE_bool("stop_reading", False, "Do not read the daemon's log.")
 
 SETTLE_SECONDS = 4.0
 IDLE_SECONDS = 4.0
-START_LIMIT_SECONDS = 10.0
+START_TIMEOUT_SECONDS = 10.0
 POLL_SECONDS = 0.005
-MILLISECONDS = 1e3
+MILLISECONDS_PER_SECOND = 1e3
 
 
-def listening_seconds(system: LocalSystem) -> float:
-    """Starts another daemon; returns how long it took until it answered anything."""
+def _measure_start_seconds(system: LocalSystem) -> float:
+    """Starts another daemon; returns the seconds until it answers any request."""
     started = time.monotonic()
     daemon = system.add_daemon()
-    while time.monotonic() < started + START_LIMIT_SECONDS:
-        if Caller(daemon.callers, SystemClock()).send("GET", "/none") is not None:
+    while time.monotonic() < started + START_TIMEOUT_SECONDS:
+        if Caller(daemon.caller_port, SystemClock()).send("GET", "/none") is not None:
             return time.monotonic() - started
         gevent.sleep(POLL_SECONDS)
-    return START_LIMIT_SECONDS
+    return START_TIMEOUT_SECONDS
 
 
 def main() -> int:
-    """Runs the rounds and prints a line for each way."""
+    """Runs the rounds and prints one line for each target."""
     flags.FLAGS(sys.argv)
     with tempfile.TemporaryDirectory() as folder:
         system = LocalSystem(pathlib.Path(folder))
@@ -57,12 +57,12 @@
             system.log_output = subprocess.PIPE
         system.start(daemons=1)
         try:
-            return _measure(system)
+            return _run_rounds(system)
         finally:
             system.stop()
 
 
-def _measure(system: LocalSystem) -> int:
+def _run_rounds(system: LocalSystem) -> int:
     gevent.sleep(SETTLE_SECONDS)
     for server in system.servers.values():
         server.work_seconds = 0.0
@@ -70,25 +70,28 @@
     process = daemon.process
     if process is None:
         return 1
-    resident = resident_megabytes(process.pid)
-    used = process_cpu_seconds(process.pid)
+    resident_mb = resident_megabytes(process.pid)
+    cpu_seconds_before = process_cpu_seconds(process.pid)
     gevent.sleep(IDLE_SECONDS)
-    idle = (process_cpu_seconds(process.pid) - used) / IDLE_SECONDS
+    idle_cpu_fraction = (process_cpu_seconds(process.pid) - cpu_seconds_before) / IDLE_SECONDS
     server = next(found for found in system.servers.values() if not found.keyed)
-    target = f"{ORDER_PATH}1"
-    direct = BenchTarget("direct", server.listener.port, target, None)
-    routed = BenchTarget("daemon", daemon.callers, target, process.pid)
+    path = f"{ORDER_PATH}1"
+    direct = BenchTarget("direct", server.listener.port, path, None)
+    routed = BenchTarget("daemon", daemon.caller_port, path, process.pid)
     for _ in range(ROUNDS.value):
-        for way in (direct, routed):
-            way.run(REQUESTS.value, CONCURRENCY.value, RATE.value)
-    for way in (direct, routed):
-        print(way.report_line(), flush=True)
-    asked = REQUESTS.value // CONCURRENCY.value * CONCURRENCY.value * ROUNDS.value
+        for target in (direct, routed):
+            target.run(REQUESTS.value, CONCURRENCY.value, RATE.value)
+    for target in (direct, routed):
+        print(target.report_line(), flush=True)
+    sent = REQUESTS.value // CONCURRENCY.value * CONCURRENCY.value * ROUNDS.value
     print(
         f"event=bench_daemon"
-        f" added_p50_ms={(routed.median_seconds - direct.median_seconds) * MILLISECONDS:.2f}"
-        f" resident_mb={resident:.0f} idle_cpu_ms_per_second={idle * MILLISECONDS:.1f}"
-        f" listening_seconds={listening_seconds(system):.2f} unanswered={asked - routed.answered}"
+        f" added_p50_ms="
+        f"{(routed.median_seconds - direct.median_seconds) * MILLISECONDS_PER_SECOND:.2f}"
+        f" resident_mb={resident_mb:.0f}"
+        f" idle_cpu_ms_per_second={idle_cpu_fraction * MILLISECONDS_PER_SECOND:.1f}"
+        f" listening_seconds={_measure_start_seconds(system):.2f}"
+        f" unanswered={sent - routed.answered}"
     )
     return 0
 
--- a/packages/standins/src/fireflylink_standins/demo.py
+++ b/packages/standins/src/fireflylink_standins/demo.py
@@ -1,4 +1,4 @@
-"""The demo: daemons on stand-ins, requests, an owner that is lost, a server that drains."""
+"""Demo: daemons on stand-ins serve requests during a server crash, a drain and a shutdown."""
 
 import collections
 import pathlib
@@ -11,23 +11,25 @@
 from fireflylink_core import SystemClock
 from fireflylink_standins import LOOKUP_PATH, ORDER_PATH, Caller, LocalSystem
 
-DAEMONS = flags.DEFINE_integer("daemons", 3, "How many daemons to start.", lower_bound=1)
-REQUESTS = flags.DEFINE_integer("requests", 300, "How many requests to send.", lower_bound=1)
+DAEMONS = flags.DEFINE_integer("daemons", 3, "Number of daemons to start.", lower_bound=1)
+REQUESTS = flags.DEFINE_integer(
+    "requests", 300, "Number of requests to send in each phase.", lower_bound=1
+)
 
-START_SECONDS = 6.0
-LOSS_SECONDS = 6.0
-LEAVE_SECONDS = 8.0
+FIRST_TABLE_SECONDS = 6.0
+FAILOVER_SECONDS = 6.0
+EXIT_TIMEOUT_SECONDS = 8.0
 KEY_STEP = 211
-KEYS = 65536
+KEY_COUNT = 65536
 
 
-def _send(system: LocalSystem, count: int) -> None:
-    callers = [Caller(daemon.callers, SystemClock()) for daemon in system.daemons]
+def _send_requests(system: LocalSystem, count: int) -> None:
+    callers = [Caller(daemon.caller_port, SystemClock()) for daemon in system.daemons]
     outcomes: collections.Counter[str] = collections.Counter()
     for number in range(count):
         caller = callers[number % len(callers)]
         if number % 3:
-            reply = caller.send("GET", f"{LOOKUP_PATH}{number}", key=number * KEY_STEP % KEYS)
+            reply = caller.send("GET", f"{LOOKUP_PATH}{number}", key=number * KEY_STEP % KEY_COUNT)
         else:
             reply = caller.send("POST", f"{ORDER_PATH}{number}", body=b"order")
         outcomes["no answer" if reply is None else f"status {reply.status}"] += 1
@@ -35,42 +37,45 @@
         print(f"  {total} requests: {outcome}")
 
 
-def _show_runs(system: LocalSystem) -> None:
+def _print_executed(system: LocalSystem) -> None:
     for name, server in sorted(system.servers.items()):
         print(f"  server {name} ({server.service}): ran {len(server.state.executed)} requests")
 
 
 def main() -> int:
-    """Runs the demo; returns 0 when every daemon left in order."""
+    """Runs the demo; returns 0 if every daemon exits with status 0."""
     flags.FLAGS(sys.argv)
     with tempfile.TemporaryDirectory() as folder:
         system = LocalSystem(pathlib.Path(folder))
         system.start(daemons=DAEMONS.value)
         try:
-            return _play(system)
+            return _run_phases(system)
         finally:
             system.stop()
 
 
-def _play(system: LocalSystem) -> int:
+def _run_phases(system: LocalSystem) -> int:
     print(f"{DAEMONS.value} daemons started; waiting for the first ownership table")
-    gevent.sleep(START_SECONDS)
-    _send(system, REQUESTS.value)
-    _show_runs(system)
+    gevent.sleep(FIRST_TABLE_SECONDS)
+    _send_requests(system, REQUESTS.value)
+    _print_executed(system)
     print("server a0 is lost without a word; its keys get another owner")
     system.servers.pop("a0").stop()
-    gevent.sleep(LOSS_SECONDS)
-    _send(system, REQUESTS.value)
+    gevent.sleep(FAILOVER_SECONDS)
+    _send_requests(system, REQUESTS.value)
     print("server b0 drains; new orders go to the others")
-    before = len(system.servers["b0"].state.executed)
+    executed_before = len(system.servers["b0"].state.executed)
     system.servers["b0"].drain()
     gevent.sleep(1.0)
-    _send(system, REQUESTS.value)
-    print(f"  server b0 ran {len(system.servers['b0'].state.executed) - before} requests since")
+    _send_requests(system, REQUESTS.value)
+    print(
+        f"  server b0 ran {len(system.servers['b0'].state.executed) - executed_before}"
+        " requests since"
+    )
     print("the daemons leave")
     for daemon in system.daemons:
         daemon.terminate()
-    statuses = [daemon.wait(LEAVE_SECONDS) for daemon in system.daemons]
+    statuses = [daemon.wait(EXIT_TIMEOUT_SECONDS) for daemon in system.daemons]
     print(f"  exit status {statuses}")
     return 0 if all(status == 0 for status in statuses) else 1
 
