--- a/packages/standins/tests/conftest.py
+++ b/packages/standins/tests/conftest.py
@@ -1,4 +1,4 @@
-"""A local system on stand-ins, with daemons as processes of their own."""
+"""Fixture with a local system: stand-ins, and daemons as child processes."""
 
 import pathlib
 
@@ -8,12 +8,12 @@
 from fireflylink_core import SystemClock
 from fireflylink_standins import LOOKUP_PATH, ORDER_PATH, Caller, LocalSystem
 
-START_SECONDS = 20.0
+START_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.1
 
 
-class RunningSystem:
-    """A system that serves, and callers of it."""
+class SystemHarness:
+    """Starts a system, waits until it serves requests, and sends requests as a caller."""
 
     def __init__(self, folder: pathlib.Path, daemons: int) -> None:
         self.system = LocalSystem(folder)
@@ -22,48 +22,52 @@
         self.await_service()
 
     def caller(self, number: int = 0) -> Caller:
-        return Caller(self.system.daemons[number].callers, self.clock)
+        return Caller(self.system.daemons[number].caller_port, self.clock)
 
     def lookup(self, key: int, daemon: int = 0) -> int:
-        """Returns the status of a lookup, 0 when there was no reply."""
+        """Returns the status of a lookup, 0 without a reply."""
         caller = self.caller(daemon)
         reply = caller.send("GET", f"{LOOKUP_PATH}{key}", key=key)
         caller.close()
         return 0 if reply is None else reply.status
 
     def await_reply(self, daemon: int) -> None:
-        """Waits until a daemon that was just started replies to anything."""
-        began = self.clock.now()
+        """Waits until a daemon that was just started sends any reply."""
+        started_at = self.clock.now()
         while self.lookup(5, daemon) == 0:
-            assert self.clock.now() < began + START_SECONDS, "no reply in time"
+            assert (
+                self.clock.now() < started_at + START_TIMEOUT_SECONDS
+            ), "no reply from the started daemon in time"
             gevent.sleep(POLL_SECONDS)
 
     def order(self, name: str, daemon: int = 0, request_id: str = "") -> int:
-        """Returns the status of an order, 0 when there was no reply."""
+        """Returns the status of an order, 0 without a reply."""
         caller = self.caller(daemon)
         reply = caller.send("POST", f"{ORDER_PATH}{name}", body=b"order", request_id=request_id)
         caller.close()
         return 0 if reply is None else reply.status
 
-    def served(self, daemon: int) -> bool:
-        """Whether a daemon serves keys all over the range and orders."""
+    def serves_requests(self, daemon: int) -> bool:
+        """Whether a daemon serves orders, and lookups of keys spread over the whole range."""
         keys = (0, 20000, 40000, 65535)
         return (
             all(self.lookup(key, daemon) == 200 for key in keys) and self.order("x", daemon) == 200
         )
 
-    def await_service(self, seconds: float = START_SECONDS) -> float:
-        """Waits until every daemon serves everything; returns how long that took."""
-        began = self.clock.now()
-        while not all(self.served(number) for number in range(len(self.system.daemons))):
-            assert self.clock.now() < began + seconds, "not served in time"
+    def await_service(self, seconds: float = START_TIMEOUT_SECONDS) -> float:
+        """Waits until every daemon serves lookups and orders; returns the seconds that it took."""
+        started_at = self.clock.now()
+        while not all(self.serves_requests(number) for number in range(len(self.system.daemons))):
+            assert (
+                self.clock.now() < started_at + seconds
+            ), "some daemon does not serve lookups and orders in time"
             gevent.sleep(POLL_SECONDS)
-        return self.clock.now() - began
+        return self.clock.now() - started_at
 
 
 @pytest.fixture
-def running(tmp_path):
-    """Three daemons, three servers with keys, two without."""
-    found = RunningSystem(tmp_path, 3)
-    yield found
-    found.system.stop()
+def harness(tmp_path):
+    """Three daemons, three servers that own keys, and two that do not."""
+    started = SystemHarness(tmp_path, 3)
+    yield started
+    started.system.stop()
--- a/packages/standins/tests/test_adapter_boundary.py
+++ b/packages/standins/tests/test_adapter_boundary.py
@@ -1,5 +1,8 @@
-"""The platform's names stay in the adapter, whose folder cannot hold tests: pytest would take its
-name for that of the standard library's module."""
+"""Checks that platform-specific names and settings are confined to the adapter in ``platform``.
+
+The tests are here because pytest would confuse tests in a folder called ``platform`` with the
+module of the standard library.
+"""
 
 import json
 import pathlib
@@ -12,8 +15,8 @@
 from fireflylink_platform import names
 
 ROOT = pathlib.Path(__file__).parents[3]
-PACKAGES = sorted((ROOT / "packages").glob("*/src/**/*.py"))
-ADAPTER = sorted((ROOT / "platform" / "src").glob("**/*.py"))
+PACKAGE_FILES = sorted((ROOT / "packages").glob("*/src/**/*.py"))
+ADAPTER_FILES = sorted((ROOT / "platform" / "src").glob("**/*.py"))
 WIRE_FIELDS = (
     "virtual-hosts",
     "target-latency-ms",
@@ -32,30 +35,30 @@
 
 
 @pytest.mark.parametrize("name", wire_names())
-def test_no_package_uses_a_name_of_the_wire(name):
-    """Guards against decisions that depend on how the platform spells things.
+def test_no_package_uses_a_wire_name(name):
+    """Guards against decisions that depend on the names in the platform's protocol.
 
-    The stand-ins speak the platform's protocol, so they may.
+    The stand-ins implement this protocol, so they may use its names.
     """
     quoted = re.compile(rf"[\"']{re.escape(name)}")
-    users = [
+    files = [
         path.name
-        for path in PACKAGES
+        for path in PACKAGE_FILES
         if STANDINS not in path.parts and quoted.search(path.read_text())
     ]
-    assert_that(users, Equals([]))
+    assert_that(files, Equals([]))
 
 
 def test_the_adapter_stays_small():
-    """Guards against decisions that move into the adapter."""
-    adapter = sum(len(path.read_text().splitlines()) for path in ADAPTER)
-    rest = sum(len(path.read_text().splitlines()) for path in PACKAGES)
-    print(f"adapter {adapter} lines, packages {rest} lines")
-    assert_that(adapter, LessThan((adapter + rest) / 10))
+    """Guards against decision code in the adapter: it stays below a tenth of all code."""
+    adapter_lines = sum(len(path.read_text().splitlines()) for path in ADAPTER_FILES)
+    package_lines = sum(len(path.read_text().splitlines()) for path in PACKAGE_FILES)
+    print(f"adapter {adapter_lines} lines, packages {package_lines} lines")
+    assert_that(adapter_lines, LessThan((adapter_lines + package_lines) / 10))
 
 
-def test_the_template_gives_settings_that_the_daemon_takes(tmp_path):
-    """Guards against a settings file of the platform that the daemon refuses."""
+def test_the_daemon_accepts_settings_rendered_from_the_template(tmp_path):
+    """Guards against a template whose rendered settings the daemon refuses."""
     from returns.result import Success
 
     from fireflylink_daemon import read_settings
@@ -72,7 +75,7 @@
         "platform.address": "10.200.1.7:8541",
     }
     rendered = re.sub(
-        r"{{([^|}]+)\|json}}", lambda found: json.dumps(fields.get(found[1], 6)), template
+        r"{{([^|}]+)\|json}}", lambda match: json.dumps(fields.get(match[1], 6)), template
     )
     path = tmp_path / "settings.json"
     path.write_text(rendered)
@@ -83,9 +86,12 @@
     assert_that((settings.report_port, settings.store_address.port), Equals((7540, 8541)))
 
 
-def test_the_build_installs_what_the_packages_declare():
-    """Guards against a library that the tests have and the instances lack."""
-    required = set((ROOT / "deploy" / "requirements.txt").read_text().split("\n"))
+def test_the_build_installs_every_declared_library():
+    """Guards against a declared library that the tests have and the instances lack.
+
+    The instances get only the libraries of ``deploy/requirements.txt``.
+    """
+    installed = set((ROOT / "deploy" / "requirements.txt").read_text().split("\n"))
     projects = [
         *(
             path
@@ -98,4 +104,4 @@
     for project in projects:
         declared |= set(re.findall(r"\"([a-z-]+==[\d.]+)\"", project.read_text()))
     declared = {pin for pin in declared if not pin.startswith(("hatchling", "minicheck"))}
-    assert_that(sorted(declared - required), Equals([]))
+    assert_that(sorted(declared - installed), Equals([]))
--- a/packages/standins/tests/test_adapter_catalogue.py
+++ b/packages/standins/tests/test_adapter_catalogue.py
@@ -1,4 +1,4 @@
-"""What the items of the platform's store say, well-formed or not."""
+"""Decoding of the items of the platform's store, well-formed and malformed."""
 
 import json
 
@@ -71,8 +71,8 @@
     return Item(key, json.dumps(value).encode(), 5)
 
 
-def test_a_registration_is_read():
-    """Guards against a server that is used with a wrong address or state."""
+def test_a_registration_is_decoded():
+    """Guards against a server that is used with a wrong address, state or start time."""
     server = decode_server("i-1", json.dumps(SERVER).encode())
     assert_that((server.host, server.port, server.slots), Equals(("10.128.0.9", 8080, 4)))
     assert_that((server.state, server.cold_ms), Equals((ServerState.READY, 250.0)))
@@ -95,23 +95,23 @@
         {"warmup-left-ms": "soon"},
     ],
 )
-def test_a_malformed_registration_names_no_server(change):
-    """Guards against entries of other writers that are taken for servers."""
+def test_a_malformed_registration_removes_the_server(change):
+    """Guards against a malformed entry that is used as a server, or that keeps an old one."""
     updates = PlatformItemDecoder().decode(item("servers/i-1", {**SERVER, **change}))
     assert_that(updates[0], IsInstance(UnreadableItem))
     assert_that(updates[1], Equals(ServerRemoved("i-1", 5)))
 
 
 @pytest.mark.parametrize("value", [b"\xff\xfe", b"[]", b"{", b"null", b""])
-def test_bytes_that_cannot_be_read_name_no_server_and_no_route(value):
-    """Guards against an exception that ends the reading of the store."""
+def test_undecodable_bytes_yield_an_unreadable_item(value):
+    """Guards against an exception that ends the task which reads the store."""
     for key in ("servers/i-1", "op/config"):
         updates = PlatformItemDecoder().decode(Item(key, value, 5))
         assert_that(updates[0], IsInstance(UnreadableItem))
 
 
-def test_a_configuration_is_read():
-    """Guards against routes, splits or limits that are lost in translation."""
+def test_a_configuration_is_decoded():
+    """Guards against routes, splits or limits that are lost or changed by decoding."""
     configuration = decode_configuration(json.dumps(CONFIGURATION).encode())
     assert_that(configuration.version, Equals(7))
     [route] = configuration.routes
@@ -136,15 +136,15 @@
     ],
 )
 def test_a_malformed_route_makes_the_configuration_unreadable(change):
-    """Guards against a configuration that is applied in part."""
+    """Guards against a configuration that is applied without its malformed routes."""
     paths = [{**ROUTE, **change}]
     value = {**CONFIGURATION, "virtual-hosts": [{"host": "a", "paths": paths}]}
     with pytest.raises(WireFormatError):
         decode_configuration(json.dumps(value).encode())
 
 
-def test_versions_compare_as_their_numbers():
-    """Guards against r10 that is taken for older than r9."""
+def test_versions_compare_as_numbers():
+    """Guards against comparing versions as text, by which r10 is older than r9."""
     assert_that(decode_version("r10") > decode_version("r9"), Equals(True))
     for text in ("10", "r", "r-1", "r1.5", "rr2"):
         if text == "10":
@@ -153,8 +153,8 @@
             decode_version(text)
 
 
-def test_every_kind_of_item_is_told_apart():
-    """Guards against evacuations or records that go unnoticed."""
+def test_every_kind_of_item_yields_its_update():
+    """Guards against evacuations or records that are ignored, and foreign keys that are not."""
     decoder = PlatformItemDecoder()
     cases = [
         (item("op/config", CONFIGURATION), ConfigurationUpdate),
--- a/packages/standins/tests/test_adapter_dialects.py
+++ b/packages/standins/tests/test_adapter_dialects.py
@@ -1,4 +1,4 @@
-"""Requests, answers and grants on the wire."""
+"""Encoding and decoding of requests, answers, grants and releases."""
 
 import json
 
@@ -23,7 +23,7 @@
 )
 
 
-def read(headers=HEADERS, target="/lepu270/2f?x=1"):
+def decode_request(headers=HEADERS, target="/lepu270/2f?x=1"):
     return PlatformCallerCodec().decode_request(ReceivedRequest("GET", target, headers, b"", 100.0))
 
 
@@ -31,16 +31,19 @@
     return HttpResponse(status, headers, body, False)
 
 
-def test_a_request_is_read_with_its_deadline_and_key():
-    """Guards against a request that is held longer than its caller waits."""
-    request = read()
+def test_a_request_is_decoded_with_its_deadline_and_key():
+    """Guards against a request that is processed after its caller has stopped waiting."""
+    request = decode_request()
     assert_that((request.host, request.path), Equals(("jepu9.example", "/lepu270/2f")))
     assert_that((request.key, request.deadline), Equals((513, 101.2)))
 
 
-def test_headers_of_one_connection_and_of_the_system_are_not_passed_on():
-    """Guards against UNASKED: a caller that chooses the server or the deadline itself."""
-    request = read()
+def test_hop_by_hop_and_internal_headers_are_not_forwarded():
+    """Guards against a caller that sets the target server or the deadline of a server.
+
+    Without the filter, these headers of the caller would reach the server.
+    """
+    request = decode_request()
     names = [name for name, _ in request.headers]
     for name in ("Connection", "X-Hop", "Target-Instance", "Deadline-Ms"):
         assert_that(names, Not(Contains(name)))
@@ -54,14 +57,17 @@
     [("Deadline-Ms", "soon"), ("Deadline-Ms", "-1"), ("Shard-Key", "70000"), ("Request-Id", "")],
 )
 def test_a_malformed_request_is_refused(name, value):
-    """Guards against a request without an id or with a key that no server can hold."""
-    headers = tuple((found, value if found == name else old) for found, old in HEADERS)
+    """Guards against requests without an id, or with an invalid deadline or key."""
+    headers = tuple((header, value if header == name else old) for header, old in HEADERS)
     with pytest.raises(RefusedRequestError):
-        read(headers)
+        decode_request(headers)
+
 
+def test_not_run_and_unknown_outcomes_have_different_statuses():
+    """Guards against status 503 for a request that may have run.
 
-def test_promises_and_unknown_outcomes_have_their_own_statuses():
-    """Guards against REFUSED: a 503 for a request that may have run."""
+    A caller may send it again after a 503, and it would run twice.
+    """
     codec = PlatformCallerCodec()
     refused = codec.encode_reply("id", NotRun("no-room", retry_after=0.25))
     assert_that((refused.status, dict(refused.headers)["Retry-After"]), Equals((503, "0.250")))
@@ -71,24 +77,30 @@
     )
 
 
-def test_an_answer_of_another_request_is_recognised():
-    """Guards against MIXED: a late second answer on a kept connection."""
+def test_an_answer_to_another_request_is_recognised():
+    """Guards against a late answer that is returned for the next request.
+
+    Both are read from the same persistent connection.
+    """
     codec = PlatformServerCodec()
     assert_that(codec.is_response_to(response(200, ("Request-Id", "a")), "a"), Is(True))
     assert_that(codec.is_response_to(response(200, ("Request-Id", "b")), "a"), Is(False))
     assert_that(codec.is_response_to(response(200, ("Server-Signature", "s")), "a"), Is(False))
 
 
-def test_only_a_statement_of_the_server_makes_a_request_not_run():
-    """Guards against REFUSED: a plain 503 that is taken for a promise."""
+def test_only_a_statement_of_the_server_counts_as_declined():
+    """Guards against a 503 without ``Not-Executed`` that counts as not run.
+
+    The request may have run before the server answered.
+    """
     codec = PlatformServerCodec()
     assert_that(codec.is_declined(response(503, ("Not-Executed", "1"))), Is(True))
     assert_that(codec.is_declined(response(421)), Is(True))
     assert_that(codec.is_declined(response(503)), Is(False))
 
 
-def test_a_success_without_signature_or_with_an_encoding_is_not_the_servers():
-    """Guards against MIXED: bytes that are not the server's body."""
+def test_a_success_without_signature_or_with_an_encoding_is_rejected():
+    """Guards against forwarding a body that the server has not sent, or that was re-encoded."""
     codec = PlatformServerCodec()
     signed = ("Server-Signature", "s")
     assert_that(codec.decode_answer(response(200)), Is(None))
@@ -98,20 +110,23 @@
     assert_that(codec.decode_answer(response(500)).status, Equals(500))
 
 
-def test_load_is_read_with_and_without_the_pace():
-    """Guards against a malformed load that is taken for an idle server."""
+def test_load_is_decoded_with_and_without_the_slowdown_factor():
+    """Guards against a malformed load that counts as the load of an idle server."""
     codec = PlatformServerCodec()
     assert_that(
         codec.decode_load(response(200, ("Server-Load", "3,0,8"))), Equals(ServerLoad(3, 0, 8))
     )
-    full = codec.decode_load(response(200, ("Server-Load", "3, 1, 8, 250")))
-    assert_that((full.waiting, full.slowdown_factor), Equals((1, 2.5)))
+    load = codec.decode_load(response(200, ("Server-Load", "3, 1, 8, 250")))
+    assert_that((load.waiting, load.slowdown_factor), Equals((1, 2.5)))
     for text in ("", "3,0", "a,b,c", "3,0,8,x"):
         assert_that(codec.decode_load(response(200, ("Server-Load", text))), Is(None))
 
 
-def test_a_grant_names_its_server_and_its_time():
-    """Guards against OWNER: a grant that another server at the same address carries out."""
+def test_a_grant_names_its_server_and_its_hold():
+    """Guards against a grant that another server at the same address executes.
+
+    The keys would then be held by a server that the ownership table does not name.
+    """
     command = PlatformServerCodec().encode_grant("i-1", KeyRange(4096, 8191), 12, 3.6, "5c0e")
     assert_that(dict(command.headers)["Target-Instance"], Equals("i-1"))
     body = {"from": 4096, "to": 8191, "fence": 12, "hold-ms": 3600, "handover": "5c0e"}
--- a/packages/standins/tests/test_adapter_store_client.py
+++ b/packages/standins/tests/test_adapter_store_client.py
@@ -1,4 +1,4 @@
-"""The client of the store against the stand-in of the store, over HTTP."""
+"""The store client against the stand-in of the platform's store, over HTTP."""
 
 import pytest
 from returns.result import Failure, Success
@@ -45,14 +45,14 @@
 
 @pytest.fixture
 def platform():
-    found = Platform()
-    yield found
-    found.client.close()
-    found.listener.close()
+    started = Platform()
+    yield started
+    started.client.close()
+    started.listener.close()
 
 
-def test_items_are_written_read_and_listed(platform):
-    """Guards against values that change on their way."""
+def test_a_written_item_is_read_unchanged(platform):
+    """Guards against values that are changed by encoding or decoding."""
     value = bytes(range(256))
     revision = platform.put("a/1", value).unwrap()
     item = platform.client.read("a/1", platform.deadline()).unwrap()
@@ -61,23 +61,23 @@
 
 
 def test_a_long_list_is_read_in_pages(platform):
-    """Guards against items beyond the first page that are never seen."""
+    """Guards against a list that lacks the items after the first page."""
     for number in range(1203):
         platform.state.commit(Commit((), (Put(f"a/{number:05}", b"x"),)))
     snapshot = platform.client.list("a/", platform.deadline()).unwrap()
     assert_that(snapshot.items, HasLength(1203))
 
 
-def test_a_commit_whose_condition_fails_tells_the_present_items(platform):
-    """Guards against a decider that overwrites another one's table."""
+def test_a_commit_whose_condition_fails_returns_the_present_items(platform):
+    """Guards against a decider that overwrites the table of another one."""
     revision = platform.put("a", b"1", expected=0).unwrap()
     error = platform.put("a", b"2", expected=0).failure()
     assert_that(error, IsInstance(ConflictError))
     assert_that([(i.key, i.revision) for i in error.items], Equals([("a", revision)]))
 
 
-def test_a_watch_returns_changes_and_removals(platform):
-    """Guards against a removal that is taken for a value."""
+def test_a_watch_returns_changes_and_deletions(platform):
+    """Guards against a deletion that is decoded as an item."""
     revision = platform.put("a", b"1").unwrap()
     platform.client.commit(Commit(deletions=("a",)), platform.deadline())
     changes = platform.client.watch("", revision, 1.0, platform.deadline()).unwrap()
@@ -86,8 +86,8 @@
     assert_that(again.changes, HasLength(0))
 
 
-def test_a_forgotten_history_is_told(platform):
-    """Guards against changes that are missed without a sign."""
+def test_a_watch_of_compacted_history_fails(platform):
+    """Guards against changes that are missed without an error."""
     revision = platform.put("a", b"1").unwrap()
     platform.put("a", b"2")
     platform.state.compact()
@@ -95,8 +95,8 @@
     assert_that(watched.failure(), IsInstance(HistoryCompactedError))
 
 
-def test_a_lease_ends_with_its_keys(platform):
-    """Guards against a member or decider that stays listed after its end."""
+def test_a_revoked_lease_deletes_its_keys(platform):
+    """Guards against a member or decider that stays listed after its lease was revoked."""
     lease = platform.client.create_lease(5.0, platform.deadline()).unwrap()
     platform.put("m", b"1", lease=lease.lease_id)
     assert_that(
@@ -110,14 +110,14 @@
     assert_that(put.failure(), IsInstance(LeaseNotFoundError))
 
 
-def test_a_store_that_is_down_did_nothing(platform):
-    """Guards against a refused call that is taken for an uncertain one."""
+def test_a_commit_to_a_store_that_is_down_was_not_applied(platform):
+    """Guards against a refused call whose outcome counts as unknown."""
     platform.faults.down = True
     assert_that(platform.put("a", b"1").failure(), IsInstance(StoreUnavailableError))
 
 
-def test_a_lost_reply_is_an_uncertain_outcome(platform):
-    """Guards against a write that took effect and is taken for one that did not."""
+def test_a_lost_reply_is_an_unknown_outcome(platform):
+    """Guards against a commit that took effect and counts as not applied."""
     platform.faults.drops_replies = True
     error = platform.put("a", b"1").failure()
     assert_that(error, IsInstance(StoreError))
@@ -127,8 +127,8 @@
     assert_that(item.value, Equals(b"1"))
 
 
-def test_no_listener_means_not_sent():
-    """Guards against an uncertain outcome where nothing left this process."""
+def test_a_refused_connection_means_not_sent():
+    """Guards against an unknown outcome of a call that was never sent."""
     clock = SystemClock()
     store = PlatformStoreClient("127.0.0.1", 1, clock)
     read = store.read("a", clock.now() + 1.0)
