--- a/packages/specification/src/fireflylink_specification/_check.py
+++ b/packages/specification/src/fireflylink_specification/_check.py
@@ -72,7 +72,7 @@
 
     Example::
 
-        checker = ModelChecker(TransferModel, without=Guard.HOLD_WAIT)
+        checker = ModelChecker(SteadyDeciderModel, without=Guard.HOLD_WAIT)
         checker.safety().steps
     """
 
@@ -129,6 +129,7 @@
         return ProgressResult(report["holds"] is True, report.get("note", ""), trace)
 
     def _state_number(self, unreduced: Any) -> int:
+        """Returns the number of the representative of a state, a new one for a new state."""
         known = self.state_numbers.get(unreduced)
         if known is not None:
             return known
@@ -151,6 +152,7 @@
         return known
 
     def _transitions(self, key: tuple[int]) -> list[tuple[str, tuple[int]]]:
+        """Returns the transitions of a state, none after a violation, which ends the search."""
         if self.violation_found:
             return []
         steps, faults = self._successors(key[0])
--- a/packages/standins/src/fireflylink_standins/bench.py
+++ b/packages/standins/src/fireflylink_standins/bench.py
@@ -74,7 +74,7 @@
     cpu_seconds_before = process_cpu_seconds(process.pid)
     gevent.sleep(IDLE_SECONDS)
     idle_cpu_fraction = (process_cpu_seconds(process.pid) - cpu_seconds_before) / IDLE_SECONDS
-    server = next(found for found in system.servers.values() if not found.keyed)
+    server = next(server for server in system.servers.values() if not server.keyed)
     path = f"{ORDER_PATH}1"
     direct = BenchTarget("direct", server.listener.port, path, None)
     routed = BenchTarget("daemon", daemon.caller_port, path, process.pid)
--- a/packages/standins/tests/test_promises.py
+++ b/packages/standins/tests/test_promises.py
@@ -17,7 +17,7 @@
 
 def holder_counts(harness) -> set[int]:
     """Returns the distinct numbers of holders among keys spread over the whole range."""
-    keyed = [found for found in harness.system.servers.values() if found.keyed]
+    keyed = [server for server in harness.system.servers.values() if server.keyed]
     return {sum(server.state.holds_key(key) for server in keyed) for key in range(0, 65536, 257)}
 
 
@@ -38,8 +38,8 @@
 
 def test_p1_keys_of_a_crashed_server_have_one_owner_again_within_seconds(harness):
     """Guards against keys that have no owner for long, or two owners, after a server crash."""
-    lost = harness.system.servers.pop("a0")
-    lost.stop()
+    crashed = harness.system.servers.pop("a0")
+    crashed.stop()
     started_at = harness.clock.now()
     while (counts := holder_counts(harness)) != {1}:
         assert_that(counts <= {0, 1}, Equals(True))
@@ -207,7 +207,7 @@
     harness.order("explained", 0, "explain-me")
     gevent.sleep(0.2)
     log = harness.system.daemons[0].log_path.read_text()
-    [line] = [found for found in log.splitlines() if "request=explain-me" in found]
+    [line] = [line for line in log.splitlines() if "request=explain-me" in line]
     for part in (
         "event=request ",
         "outcome=answered",
