--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -50,9 +50,9 @@
     ``contact`` is for how many ticks it may continue without an answer from the store. ``table`` is
     its copy of the table. ``known`` is, for each server, after how many ticks its hold expires at
     the latest, as far as this decider knows. ``granted`` is true once the owner has confirmed a
-    grant under this table, and ``confirmed`` is how many ticks of that hold are left. ``age``
-    counts the ticks since it took over, up to ``grace``. ``unanswered`` is true if it sent the
-    store a move whose reply was lost.
+    grant under this table, and ``confirmed`` is how many ticks are left of the hold that an owner
+    last confirmed. ``age`` counts the ticks since it took over, up to ``grace``. ``unanswered`` is
+    true if it sent the store a move whose reply was lost.
     """
 
     deciding: bool
