--- a/packages/standins/src/fireflylink_standins/_store_state.py
+++ b/packages/standins/src/fireflylink_standins/_store_state.py
@@ -119,9 +119,9 @@
         self.expire_leases()
         if lease_id not in self.leases:
             return None
-        seconds, _ = self.leases[lease_id]
+        ttl_seconds, _ = self.leases[lease_id]
         self.leases[lease_id] = (ttl_seconds, self.clock.now() + ttl_seconds)
-        return seconds
+        return ttl_seconds
 
     def revoke_lease(self, lease_id: int) -> None:
         """Revokes a lease and deletes its keys."""
