--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -32,18 +32,22 @@
 )
 from fireflylink_protocol import MemberRecord
 
-BALANCER_NOTICE_SECONDS = 2.5
-"""Within this time the load balancer checks the readiness twice, and then sends no new connections
-to a daemon that is not ready."""
+NOT_READY_PERIOD_SECONDS = 2.5
+"""How long a daemon that shuts down answers readiness checks with not ready, but still accepts
+connections. The load balancer checks twice within this time, and then sends no new connections."""
 
 SHUTDOWN_MARGIN_SECONDS = 0.4
 """Part of the ``leave_seconds`` setting that is reserved for the end of the process."""
 
 IDLE_CLOSE_DELAY_SECONDS = 0.5
-"""Time between the end of accepting connections and the closing of idle ones."""
+"""How long a caller that is already connected can still send a request after the daemon has stopped
+accepting connections. Then new requests are refused and idle connections closed."""
 
 MEMBER_REMOVAL_DELAY_SECONDS = 4.0
-"""While this daemon still sends requests, the other members must count its shares of the limits."""
+"""Time from the start of the shutdown until this daemon's member record is deleted.
+
+While the daemon still sends requests, the other members must count its shares of the limits. The
+delay is less than ``leave_seconds`` (6 s), within which the process ends."""
 
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
 
@@ -63,12 +67,12 @@
     __slots__ = (
         "caller_listener",
         "clock",
-        "decider",
+        "decider_task",
         "dispatch_task",
-        "member",
+        "member_task",
         "metrics",
         "metrics_listener",
-        "ownership",
+        "ownership_task",
         "peers",
         "readiness_listener",
         "request_handler",
@@ -80,7 +84,7 @@
         "stopped",
         "store_clients",
         "store_reader",
-        "view",
+        "view_task",
     )
 
     def __init__(self, settings: Settings, settings_path: str, clock: BaseClock) -> None:
@@ -95,29 +99,33 @@
         codec = PlatformServerCodec()
         self.routing_state = RoutingState(settings, clock, codec)
         self.dispatch_task = DispatchTask(self.routing_state.dispatcher, clock)
-        self.view = ViewTask(self.routing_state, clock)
+        self.view_task = ViewTask(self.routing_state, clock)
         record = MemberRecord(
             settings.instance,
             clock.wall_ms(),
             settings.data_centre,
             settings.address,
-            settings.report_port,
+            settings.peer_port,
+        )
+        self.member_task = MemberTask(
+            record, self._make_store_client(), self.view_task, clock, self.metrics
         )
-        self.member = MemberTask(record, self._make_store_client(), self.view, clock, self.metrics)
-        self.decider = DeciderTask(
+        self.decider_task = DeciderTask(
             record, self._make_store_client(), self.routing_state, clock, self.metrics
         )
         key_counter = KeyCounter()
         self.peers = PeerSocket(
-            settings.instance, settings.address, settings.report_port, key_counter, self.view
+            settings.instance, settings.address, settings.peer_port, key_counter, self.view_task
+        )
+        self.ownership_task = OwnershipTask(
+            self.routing_state, self.decider_task, self.peers, clock, codec
         )
-        self.ownership = OwnershipTask(self.routing_state, self.decider, self.peers, clock, codec)
-        self.peers.ownership = self.ownership
-        self.decider.ownership = self.ownership
-        self.view.ownership = self.ownership
-        self.view.member = self.member
+        self.peers.ownership_task = self.ownership_task
+        self.decider_task.ownership_task = self.ownership_task
+        self.view_task.ownership_task = self.ownership_task
+        self.view_task.member_task = self.member_task
         self.store_reader = StoreReader(
-            self._make_store_client(), PlatformItemDecoder(), self.view, clock, self.metrics
+            self._make_store_client(), PlatformItemDecoder(), self.view_task, clock, self.metrics
         )
         self.request_handler = request_handler = RequestHandler(
             self.routing_state,
@@ -152,10 +160,10 @@
         for listener in (self.caller_listener, self.readiness_listener, self.metrics_listener):
             listener.start()
         for task in (
-            self.view,
-            self.member,
-            self.decider,
-            self.ownership,
+            self.view_task,
+            self.member_task,
+            self.decider_task,
+            self.ownership_task,
             self.store_reader,
             self.peers,
         ):
@@ -178,10 +186,12 @@
         return not self.shutting_down and self.routing_state.routes is not None
 
     def shut_down(self) -> None:
-        """Drains and stops the daemon within the ``leave_seconds`` setting.
+        """Shuts the daemon down within the ``leave_seconds`` setting, in stages.
 
-        New requests are accepted until the load balancer has had time to notice. Those in progress
-        may complete until the end of ``leave_seconds``.
+        1. Draining: the daemon is not ready, but handles new connections and requests.
+        2. No new connections: requests on open connections are still handled.
+        3. Closed: new requests are refused, and those in progress may complete.
+        4. Stopped: the process ends.
         """
         if self.shutting_down:
             return
@@ -191,17 +201,17 @@
         log_event(
             "leaving", instance=self.settings.instance, active=self.caller_listener.active_requests
         )
-        self.caller_listener.begin_drain(BALANCER_NOTICE_SECONDS)
-        self.decider.post(Leave())
-        gevent.spawn_later(MEMBER_REMOVAL_DELAY_SECONDS, self.member.post, Leave())
-        gevent.sleep(BALANCER_NOTICE_SECONDS)
+        self.caller_listener.begin_drain(NOT_READY_PERIOD_SECONDS)
+        self.decider_task.post(Leave())
+        gevent.spawn_later(MEMBER_REMOVAL_DELAY_SECONDS, self.member_task.post, Leave())
+        gevent.sleep(NOT_READY_PERIOD_SECONDS)
         self.caller_listener.stop_accepting()
         gevent.sleep(IDLE_CLOSE_DELAY_SECONDS)
         # A new request might not complete in time. It is refused at once, so that its caller can
         # send it to another daemon.
         self.request_handler.closed = True
         self.caller_listener.close_idle_connections()
-        idle = self.caller_listener.wait_idle(max(0.0, deadline - self.clock.now()))
+        idle = self.caller_listener.wait_until_requests_end(max(0.0, deadline - self.clock.now()))
         log_event("stopped", instance=self.settings.instance, quiet=idle)
         flush_log()
         self.stopped.set()
@@ -209,7 +219,10 @@
     def reload(self) -> None:
         """Reads the settings file again.
 
-        The addresses and ports of this daemon's own sockets change only at the next start.
+        The address of the store, ``leave_seconds`` and the limits for draining and cold servers
+        apply from now on, those for retries only to services without a retry budget so far. This
+        daemon's member record, the addresses and ports of its sockets, ``hold_max_ms`` and
+        ``minimum_lease_ms`` change only at the next start.
         """
         self.settings_file_stamp = _file_stamp(self.settings_path)
         result = read_settings(self.settings_path)
@@ -241,15 +254,13 @@
         register = self.metrics.register_gauge
         register("requests_active", lambda: self.caller_listener.active_requests)
         register("requests_waiting", lambda: routing_state.dispatcher.queued_count)
-        register("members", lambda: len(routing_state.position.members))
-        register("decider", lambda: float(self.decider.election.is_decider))
+        register("members", lambda: len(routing_state.fleet_position.members))
+        register("decider", lambda: float(self.decider_task.election.is_decider))
         register("store_reached", lambda: float(routing_state.directory.store_reachable))
         register("servers", lambda: len(routing_state.directory.entries))
         register(
             "connections_opened",
-            lambda: sum(
-                pool.opened_connections for pool in routing_state.connection_pools.values()
-            ),
+            lambda: sum(pool.connect_attempts for pool in routing_state.connection_pools.values()),
         )
         register(
             "configuration_version",
--- a/packages/daemon/src/fireflylink_daemon/_member_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_member_task.py
@@ -10,8 +10,10 @@
 from fireflylink_protocol import MemberRecord, encode_member, member_key
 from fireflylink_store import BaseStore, Commit, LeaseNotFoundError, Put, StoreError
 
-LEASE_TTL_SECONDS = 6.0
-RENEWAL_INTERVAL_SECONDS = 1.0
+MEMBER_LEASE_TTL_SECONDS = 6.0
+"""How long the record of a daemon remains that has ended without leaving."""
+
+MEMBER_RENEWAL_INTERVAL_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 1.0
 RETRY_DELAY_SECONDS = 0.5
 NEVER = float("inf")
@@ -23,13 +25,21 @@
     The store deletes the record when the daemon revokes the lease or no longer renews it.
     """
 
-    __slots__ = ("lease_id", "metrics", "next_call_at", "record", "store", "store_failing", "view")
+    __slots__ = (
+        "lease_id",
+        "metrics",
+        "next_call_at",
+        "record",
+        "store",
+        "store_failing",
+        "view_task",
+    )
 
     def __init__(
         self,
         record: MemberRecord,
         store: BaseStore,
-        view: BaseTask,
+        view_task: BaseTask,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
@@ -37,7 +47,7 @@
         self.record = record
         self.store = store
         self.metrics = metrics
-        self.view = view
+        self.view_task = view_task
         self.store_failing = False
         self.lease_id = 0
         self.next_call_at = 0.0
@@ -50,7 +60,7 @@
         self.metrics.count("store_calls", kind="member", result="Failure" if error else "Success")
         self._report_store_status(error is not None)
         if error is None:
-            self.next_call_at = self.clock.now() + RENEWAL_INTERVAL_SECONDS
+            self.next_call_at = self.clock.now() + MEMBER_RENEWAL_INTERVAL_SECONDS
             return
         if isinstance(error, LeaseNotFoundError):
             log_problem("member-lease-ended", instance=self.record.instance)
@@ -67,14 +77,14 @@
         return None
 
     def _report_store_status(self, failing: bool) -> None:
-        """Notifies the view when calls to the store begin to fail or succeed again.
+        """Notifies ``view_task`` when calls to the store begin to fail or succeed again.
 
         The reader of the store learns of an outage later: its watch call may wait for seconds
         before it fails.
         """
         if failing != self.store_failing:
             self.store_failing = failing
-            self.view.post(StoreCallStatus(failing))
+            self.view_task.post(StoreCallStatus(failing))
 
     def _leave(self) -> None:
         """Revokes the lease, which deletes the record.
@@ -89,7 +99,7 @@
 
     def _join_fleet(self) -> StoreError | None:
         created = self.store.create_lease(
-            LEASE_TTL_SECONDS, self.clock.now() + CALL_TIMEOUT_SECONDS
+            MEMBER_LEASE_TTL_SECONDS, self.clock.now() + CALL_TIMEOUT_SECONDS
         )
         if not isinstance(created, Success):
             return created.failure()
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -12,14 +12,14 @@
 from fireflylink_daemon._log import log_event, log_problem
 from fireflylink_daemon._messages import (
     CommandCompleted,
-    CommandDue,
     DeciderChanged,
     DeciderDemoted,
     DeciderElected,
+    GrantDue,
     LoadReportReceived,
     ServersChanged,
-    TableChanged,
     TableNotWritten,
+    TableStored,
 )
 from fireflylink_daemon._peers import PeerSocket
 from fireflylink_daemon._routing_state import RoutingState
@@ -33,13 +33,18 @@
     KeyLoad,
     ReleaseCommand,
     changes_between,
-    former_deciders_expire_at,
+    former_deciders_may_grant_until,
 )
 from fireflylink_protocol import GrantNotice, LoadReport
 from fireflylink_store import ABSENT_REVISION
 
 WAKE_INTERVAL_SECONDS = 0.1
+"""How often the decider looks for grants and releases that are due."""
+
 PLANNING_INTERVAL_SECONDS = 0.3
+"""How often the table of a service is planned anew, at one of these wake-ups. ``KeyedService``
+plans changes that are not urgent at a longer interval."""
+
 COMMIT_TIMEOUT_SECONDS = 2.0
 """A service gets no new plan for this long while the write of a table is not acknowledged."""
 
@@ -50,18 +55,18 @@
     """Keeps the latest ownership table of each service.
 
     While this daemon is the decider (the elected leader), it also plans new tables and sends grants
-    and releases. The ``decider`` task writes the planned tables to the store, and one ``GrantTask``
+    and releases. ``decider_task`` writes the planned tables to the store, and one ``GrantTask``
     for each server sends the grants.
     """
 
     __slots__ = (
         "codec",
-        "decider",
+        "decider_task",
         "elected_at",
         "grant_tasks",
         "hold_seconds",
         "is_decider",
-        "next_work_at",
+        "next_check_at",
         "peers",
         "routing_state",
         "services",
@@ -70,7 +75,7 @@
     def __init__(
         self,
         routing_state: RoutingState,
-        decider: DeciderTask,
+        decider_task: DeciderTask,
         peers: PeerSocket,
         clock: BaseClock,
         codec: BaseServerCodec,
@@ -78,28 +83,28 @@
         super().__init__("ownership", clock)
         self.routing_state = routing_state
         self.peers = peers
-        self.decider = decider
+        self.decider_task = decider_task
         self.codec = codec
         self.is_decider = False
         self.elected_at = 0.0
         self.hold_seconds = min(HOLD_SECONDS, routing_state.settings.bounds.hold_max_seconds)
         self.services: dict[str, KeyedService] = {}
         self.grant_tasks: dict[ServerIncarnation, GrantTask] = {}
-        self.next_work_at = 0.0
+        self.next_check_at = 0.0
 
     def next_wake_at(self) -> float:
-        return self.next_work_at
+        return self.next_check_at
 
     def on_wake(self) -> None:
         now = self.clock.now()
-        self.next_work_at = now + WAKE_INTERVAL_SECONDS
+        self.next_check_at = now + WAKE_INTERVAL_SECONDS
         if not self.is_decider:
             return
         for name in self._keyed_service_names():
-            self._process_service(name, self._service(name), now)
+            self._send_due_commands_and_plan(name, self._service(name), now)
 
     def receive(self, message: object) -> object:
-        if isinstance(message, TableChanged):
+        if isinstance(message, TableStored):
             self._apply_table(message)
         elif isinstance(message, TableNotWritten):
             service = self._service(message.table.service)
@@ -111,14 +116,14 @@
         elif isinstance(message, LoadReportReceived):
             self._record_report(message.report)
         elif isinstance(message, DeciderChanged):
-            self.decider.post(message)
+            self.decider_task.post(message)
         elif isinstance(message, DeciderElected):
             self._start_deciding(message.elected_at)
         elif isinstance(message, DeciderDemoted):
             self._stop_deciding()
         elif isinstance(message, ServersChanged):
             self._update_incarnations()
-        if self.clock.now() >= self.next_work_at:
+        if self.clock.now() >= self.next_check_at:
             self.on_wake()
         return None
 
@@ -126,19 +131,19 @@
         self.is_decider = True
         self.elected_at = elected_at
         for name, service in self.services.items():
-            service.grants = GrantTracker(elected_at, self.hold_seconds)
+            service.grant_tracker = GrantTracker(elected_at, self.hold_seconds)
             service.commit_sent_at = None
             service.consecutive_failures = {}
             service.load = KeyLoad(name, elected_at)
             service.unacknowledged_tables = []
             service.next_plan_at = 0.0
         self._update_incarnations()
-        self.next_work_at = 0.0
+        self.next_check_at = 0.0
 
     def _stop_deciding(self) -> None:
         self.is_decider = False
         for service in self.services.values():
-            service.grants = None
+            service.grant_tracker = None
         for task in self.grant_tasks.values():
             task.close()
         self.grant_tasks = {}
@@ -147,8 +152,8 @@
         service = self.services.get(name)
         if service is None:
             service = self.services[name] = KeyedService(name, self.clock.now())
-        if self.is_decider and service.grants is None:
-            service.grants = GrantTracker(self.clock.now(), self.hold_seconds)
+        if self.is_decider and service.grant_tracker is None:
+            service.grant_tracker = GrantTracker(self.clock.now(), self.hold_seconds)
         return service
 
     def _keyed_service_names(self) -> list[str]:
@@ -157,7 +162,7 @@
             return []
         return [service.name for service in routes.services.values() if service.keyed]
 
-    def _apply_table(self, message: TableChanged) -> None:
+    def _apply_table(self, message: TableStored) -> None:
         service = self._service(message.table.service)
         if (
             self.is_decider
@@ -166,8 +171,8 @@
         ):
             # Another decider wrote the table, and this daemon does not know its grants.
             self._step_down("another decider wrote a table")
-        if message.is_first and service.grants is not None:
-            service.grants.mark_no_former_decider()
+        if message.is_first and service.grant_tracker is not None:
+            service.grant_tracker.mark_no_former_decider()
         if message.revision <= service.revision:
             return
         service.table = message.table
@@ -175,14 +180,16 @@
         service.commit_sent_at = None
         service.unacknowledged_tables = []
         service.table_first_seen_at = self.clock.now()
-        if service.grants is not None:
-            service.grants.set_table(message.table)
-
-    def _process_service(self, name: str, service: KeyedService, now: float) -> None:
-        """Sends the commands that are due and, at intervals, plans a new table."""
-        if service.grants is not None and self.decider.election.may_grant(now):
-            for command in service.grants.due_commands(now, service.suspended_ranges()):
-                self._send_command(name, service.grants, command, now)
+        if service.grant_tracker is not None:
+            service.grant_tracker.set_table(message.table)
+
+    def _send_due_commands_and_plan(self, name: str, service: KeyedService, now: float) -> None:
+        """Sends the commands that are due; plans a new table at the planning interval."""
+        if service.grant_tracker is not None and self.decider_task.election.may_grant(now):
+            for command in service.grant_tracker.due_commands(
+                now, service.ranges_pending_removal()
+            ):
+                self._send_command(name, service.grant_tracker, command, now)
         if now >= service.next_plan_at:
             service.next_plan_at = now + PLANNING_INTERVAL_SECONDS
             self._plan_table(name, service, now)
@@ -194,19 +201,24 @@
             service.commit_sent_at = None
         service.load.decay(now)
         candidates = self._candidates(name, service, now)
-        if service.grants is None or not (candidates or service.table):
+        if service.grant_tracker is None or not (candidates or service.table):
             return
-        joined = [entry.joined_at for entry in self.routing_state.directory.eligible_servers(name)]
-        planned = service.next_table(candidates, max(joined, default=now), now)
+        join_times = [
+            entry.joined_at for entry in self.routing_state.directory.eligible_servers(name)
+        ]
+        planned = service.next_table(candidates, max(join_times, default=now), now)
         if planned is not None:
             self._log_plan(service, planned, candidates)
-            sole_decider = service.revision == ABSENT_REVISION or now >= former_deciders_expire_at(
-                self.elected_at
+            # True if no earlier decider can still grant keys: the service has no table so far, or
+            # the time has passed for which earlier deciders may grant without the store.
+            sole_decider = (
+                service.revision == ABSENT_REVISION
+                or now >= former_deciders_may_grant_until(self.elected_at)
             )
             table = planned.replace(written_by_sole_decider=sole_decider)
             service.commit_sent_at = now
             service.unacknowledged_tables.append(table)
-            self.decider.post(CommitTable(table, service.revision))
+            self.decider_task.post(CommitTable(table, service.revision))
 
     def _log_plan(
         self, service: KeyedService, planned: OwnershipTable, candidates: list[Candidate]
@@ -231,7 +243,7 @@
         """Stops deciding, because this daemon does not know the grants of another decider."""
         log_problem("decider-superseded", reason=reason)
         self._stop_deciding()
-        self.decider.post(Superseded(reason))
+        self.decider_task.post(Superseded(reason))
 
     def _candidates(self, name: str, service: KeyedService, now: float) -> list[Candidate]:
         entries = self.routing_state.directory.eligible_servers(name)
@@ -249,20 +261,22 @@
         cold = tracker is not None and tracker.cold_limiter.is_cold(now)
         return service.service_times.capacity(server.server_id, server.slots, cold)
 
-    def _send_command(self, name: str, grants: GrantTracker, command: object, now: float) -> None:
+    def _send_command(
+        self, name: str, grant_tracker: GrantTracker, command: object, now: float
+    ) -> None:
         if isinstance(command, ReleaseCommand):
             server = self._server_of(command.server)
             if server is None:
-                grants.record_failed(command, now)
+                grant_tracker.record_failed(command, now)
                 return
             spawn_release(server, self.clock, self.codec, name, command, self)
         elif isinstance(command, GrantCommand):
             task = self._grant_task(command.server)
             if task is None:
-                grants.record_failed(command, now)
+                grant_tracker.record_failed(command, now)
                 return
-            grants.record_sent(command, now)
-            task.post(CommandDue(name, command))
+            grant_tracker.record_sent(command, now)
+            task.post(GrantDue(name, command))
 
     def _server_of(self, incarnation: ServerIncarnation) -> BackendServer | None:
         tracker = self.routing_state.trackers.get(incarnation)
@@ -281,18 +295,18 @@
 
     def _record_completion(self, message: CommandCompleted) -> None:
         service = self._service(message.service)
-        grants = service.grants
-        if grants is None:
+        grant_tracker = service.grant_tracker
+        if grant_tracker is None:
             return
         now = self.clock.now()
         command = message.command
         if message.error is not None:
-            self._record_failure(service, grants, message, message.error, now)
+            self._record_failure(service, grant_tracker, message, message.error, now)
         elif isinstance(command, GrantCommand):
-            service.record_answer(command.server)
-            grants.record_granted(command, now)
+            service.record_command_succeeded(command.server)
+            grant_tracker.record_granted(command, now)
             if not command.renewal:
-                self.peers.notify(GrantNotice(message.service, command.keys, command.fence))
+                self.peers.broadcast(GrantNotice(message.service, command.keys, command.fence))
                 log_event(
                     "keys-granted",
                     service=message.service,
@@ -301,7 +315,7 @@
                     fence=command.fence,
                 )
         elif isinstance(command, ReleaseCommand):
-            grants.record_released(command, message.handover, now)
+            grant_tracker.record_released(command, message.handover, now)
             log_event(
                 "keys-released",
                 service=message.service,
@@ -310,36 +324,36 @@
                 fence=command.fence,
                 handover=bool(message.handover),
             )
-        self.next_work_at = 0.0
+        self.next_check_at = 0.0
 
     def _record_failure(
         self,
         service: KeyedService,
-        grants: GrantTracker,
+        grant_tracker: GrantTracker,
         message: CommandCompleted,
         error: CommandError,
         now: float,
     ) -> None:
         command = message.command
-        if isinstance(command, GrantCommand) and not error.sent:
-            grants.record_not_sent(command)
-        grants.record_failed(command, now)
+        if isinstance(command, GrantCommand) and not error.may_have_run:
+            grant_tracker.record_not_sent(command)
+        grant_tracker.record_failed(command, now)
         if isinstance(error, ServerMismatchError):
-            grants.record_incarnation_ended(command.server)
+            grant_tracker.record_incarnation_ended(command.server)
         if isinstance(error, StaleFenceError):
-            if isinstance(command, GrantCommand) and grants.is_current(command):
+            if isinstance(command, GrantCommand) and grant_tracker.is_current(command):
                 # Only another decider can have advanced the fence (fencing token) of these keys, so
                 # it has taken over.
                 self._step_down("a server has seen a higher fence")
         else:
-            service.record_no_answer(command.server)
+            service.record_command_failed(command.server)
         log_problem(
             "command-failed",
             service=message.service,
             kind=type(command).__name__,
             server=command.server,
             problem=error,
-            sent=error.sent,
+            sent=error.may_have_run,
         )
 
     def _update_incarnations(self) -> None:
@@ -357,13 +371,13 @@
             ):
                 self.grant_tasks.pop(incarnation).close()
         for service in self.services.values():
-            if service.grants is None or service.table is None:
+            if service.grant_tracker is None or service.table is None:
                 continue
             for assignment in service.table.assignments:
                 for incarnation in (assignment.owner, *assignment.previous_holders):
                     registered_incarnation = registered.get(incarnation.server_id, incarnation)
                     if registered_incarnation.started_ms > incarnation.started_ms > 0:
-                        service.grants.record_incarnation_ended(incarnation)
+                        service.grant_tracker.record_incarnation_ended(incarnation)
 
     def _record_report(self, report: LoadReport) -> None:
         if not self.is_decider or not report.keys:
@@ -371,7 +385,7 @@
         service = self._service(report.service)
         for service_times in report.service_times:
             seconds = service_times.total_ms / MILLISECONDS_PER_SECOND
-            service.service_times.add(service_times.server_id, service_times.answers, seconds)
+            service.service_times.add(service_times.server_id, service_times.request_count, seconds)
         load = service.load
         requests_per_key = report.requests / len(report.keys)
         for key in report.keys:
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -22,28 +22,31 @@
 )
 
 REPORT_INTERVAL_SECONDS = 0.25
-CALLS_PER_SERVICE_TIMES_REPORT = 8
-"""Reports include service times once in this many calls of ``take_reports``."""
+SERVICE_TIMES_INTERVAL_IN_ROUNDS = 8
+"""Only each eighth round of reports includes service times, because traffic between data centres is
+paid for by the byte."""
 
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_DATAGRAM_BYTES = 2048
+"""Longest datagram that is received whole; what exceeds it is cut off."""
 
 
 class KeyCounter:
-    """Counts requests by key, and collects service times, for this daemon's load reports.
+    """Collects what this daemon's load reports contain, by service.
 
-    ``keys`` are the keys of requests and ``requests`` the number of requests since the last report.
-    ``service_times`` are the service times of each server, in seconds, since the last report that
-    included them. ``reports`` counts the calls of ``take_reports``.
+    ``keys`` are keys of requests (a random sample, if there are many) and ``requests`` is the
+    number of requests since the last report. ``service_times`` are the service times at each
+    server, in seconds, since the last report that included them. ``sequence`` is the number of
+    calls of ``take_reports``; the reports carry it.
     """
 
-    __slots__ = ("keys", "reports", "requests", "service_times")
+    __slots__ = ("keys", "requests", "sequence", "service_times")
 
     def __init__(self) -> None:
         self.keys: dict[str, list[int]] = {}
         self.requests: dict[str, int] = {}
         self.service_times: dict[str, dict[str, list[float]]] = {}
-        self.reports = 0
+        self.sequence = 0
 
     def record_service_time(self, service: str, server_id: str, seconds: float) -> None:
         """Records the service time of one request at a server."""
@@ -66,13 +69,13 @@
 
     def take_reports(self, instance: str) -> list[LoadReport]:
         """Returns a report for each service that had requests since the last call."""
-        self.reports += 1
-        with_service_times = self.reports % CALLS_PER_SERVICE_TIMES_REPORT == 0
+        self.sequence += 1
+        with_service_times = self.sequence % SERVICE_TIMES_INTERVAL_IN_ROUNDS == 0
         reports = [
             LoadReport(
                 instance,
                 service,
-                self.reports,
+                self.sequence,
                 self.requests[service],
                 tuple(keys),
                 self._take_service_times(service) if with_service_times else (),
@@ -95,7 +98,7 @@
     """Owns the socket for datagrams between daemons.
 
     It sends this daemon's load reports to the decider and its notices to all members, and posts
-    received ones to the ``ownership`` and ``view`` tasks. Datagrams may be lost: reports are sent
+    received ones to ``ownership_task`` and ``view_task``. Datagrams may be lost: reports are sent
     periodically, and a daemon that did not receive the notice of a grant sends requests to the new
     owner after a time-out.
     """
@@ -104,20 +107,20 @@
         "counter",
         "greenlets",
         "instance",
-        "ownership",
+        "ownership_task",
         "routing_state",
         "sock",
-        "view",
+        "view_task",
     )
 
     def __init__(
-        self, instance: str, host: str, port: int, counter: KeyCounter, view: ViewTask
+        self, instance: str, host: str, port: int, counter: KeyCounter, view_task: ViewTask
     ) -> None:
         self.instance = instance
         self.counter = counter
-        self.view = view
-        self.routing_state = view.routing_state
-        self.ownership: BaseTask | None = None
+        self.view_task = view_task
+        self.routing_state = view_task.routing_state
+        self.ownership_task: BaseTask | None = None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, port))
         self.greenlets: list[gevent.Greenlet] = []
@@ -131,7 +134,7 @@
         for greenlet in self.greenlets:
             greenlet.kill(block=False)
 
-    def notify(self, notice: GrantNotice | CrashNotice) -> None:
+    def broadcast(self, notice: GrantNotice | CrashNotice) -> None:
         """Sends a notice to every member, including this daemon."""
         datagram = encode_datagram(notice)
         for member in self.routing_state.members.values():
@@ -146,14 +149,14 @@
                 continue
             message = decoded.unwrap()
             if isinstance(message, GrantNotice | CrashNotice):
-                self.view.post(message)
-            elif self.ownership is not None:
-                self.ownership.post(LoadReportReceived(message))
+                self.view_task.post(message)
+            elif self.ownership_task is not None:
+                self.ownership_task.post(LoadReportReceived(message))
 
     def _send_reports(self) -> None:
         while True:
             gevent.sleep(REPORT_INTERVAL_SECONDS)
-            decider = self.view.decider_record
+            decider = self.view_task.decider_record
             for report in self.counter.take_reports(self.instance):
                 if decider is not None:
                     self._send_datagram(encode_datagram(report), decider)
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -28,41 +28,43 @@
 }
 
 
-class RecordingPeers:
+class RecordingPeerSocket:
     """Stands in for ``PeerSocket``: records the notices instead of sending them."""
 
     def __init__(self) -> None:
         self.notices = []
 
-    def notify(self, notice) -> None:
+    def broadcast(self, notice) -> None:
         self.notices.append(notice)
 
 
-class TaskBench:
+class TaskHarness:
     """The view, decider and ownership tasks of a daemon.
 
-    They run without greenlets: a test calls ``receive``, ``wake`` and ``deliver`` itself.
+    They run without greenlets: a test calls ``receive``, ``on_wake`` and ``deliver`` itself.
     """
 
-    def __init__(self, settings, clock: ManualClock, state: StoreState, name: str) -> None:
+    def __init__(self, settings, clock: ManualClock, store_state: StoreState, name: str) -> None:
         self.clock = clock
-        self.store = MemoryStore(state)
+        self.store = MemoryStore(store_state)
         self.routing_state = RoutingState(settings, clock, PlatformServerCodec())
-        self.view = ViewTask(self.routing_state, clock)
+        self.view_task = ViewTask(self.routing_state, clock)
         self.record = MemberRecord(name, 1, "kingston", "127.0.0.1", 7540)
-        self.decider = DeciderTask(self.record, self.store, self.routing_state, clock, Metrics())
-        self.peers = RecordingPeers()
-        self.ownership = OwnershipTask(
-            self.routing_state, self.decider, self.peers, clock, PlatformServerCodec()
+        self.decider_task = DeciderTask(
+            self.record, self.store, self.routing_state, clock, Metrics()
         )
-        self.decider.ownership = self.ownership
-        self.view.ownership = self.ownership
+        self.peers = RecordingPeerSocket()
+        self.ownership_task = OwnershipTask(
+            self.routing_state, self.decider_task, self.peers, clock, PlatformServerCodec()
+        )
+        self.decider_task.ownership_task = self.ownership_task
+        self.view_task.ownership_task = self.ownership_task
         self.decoder = PlatformItemDecoder()
         self.last_revision = 0
 
     def deliver(self) -> None:
         """Lets the tasks handle their messages until every mailbox is empty."""
-        tasks = (self.view, self.decider, self.ownership)
+        tasks = (self.view_task, self.decider_task, self.ownership_task)
         while any(not task.mailbox.empty() for task in tasks):
             for task in tasks:
                 while not task.mailbox.empty():
@@ -85,15 +87,15 @@
 
 
 @pytest.fixture
-def state(clock) -> StoreState:
+def store_state(clock) -> StoreState:
     return StoreState(clock)
 
 
 @pytest.fixture
-def bench(clock, state, settings_file):
+def make_daemon(clock, store_state, settings_file):
     settings = read_settings(settings_file()).unwrap()
 
-    def make(name: str = "front-0") -> TaskBench:
-        return TaskBench(settings, clock, state, name)
+    def make(name: str = "front-0") -> TaskHarness:
+        return TaskHarness(settings, clock, store_state, name)
 
     return make
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -1,4 +1,4 @@
-"""State of one service with keys at the decider, and the choice of its next ownership table."""
+"""The decider's state of one keyed service, and the choice of the next ownership table."""
 
 from fireflylink_core import KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership._candidate import Candidate
@@ -12,7 +12,7 @@
 """Time after the last server joined, in which further servers can register before the initial
 table is planned."""
 
-SETTLED_TABLE_DELAY_SECONDS = 2.0
+COMPLETED_MOVES_DELAY_SECONDS = 2.0
 """The previous holders of completed moves are removed from the table after this time, unless
 another change is written before."""
 
@@ -20,23 +20,25 @@
 """A server with so many failed commands in a row counts as unreachable."""
 
 REBALANCE_INTERVAL_SECONDS = 1.5
-"""Changes that are not urgent are planned together at this interval."""
+"""Changes that are not urgent (see ``plan_table``) are planned together at this interval."""
 
 
 class KeyedService:
-    """State of one service with keys at the decider.
+    """The decider's state of one keyed service: only the owner of a request's key may run it.
 
     ``revision`` is that of the table's record in the store. ``unacknowledged_tables`` are the
-    tables whose write has no known result so far. ``consecutive_failures`` counts, for each server,
-    the failed commands since the last one that succeeded. ``completed_moves_since`` is when the
-    decider began to gather completed moves for the next table.
+    tables whose write has no known result so far. ``commit_sent_at`` is when the write of the last
+    planned table was sent, None when no new plan has to wait for its result.
+    ``consecutive_failures`` counts, for each server, the failed commands since the last one that
+    succeeded. ``completed_moves_since`` is when the table was last found to have no completed
+    moves, or when it was last replaced to remove them.
     """
 
     __slots__ = (
         "commit_sent_at",
         "completed_moves_since",
         "consecutive_failures",
-        "grants",
+        "grant_tracker",
         "load",
         "name",
         "next_plan_at",
@@ -57,7 +59,7 @@
         self.name = name
         self.unacknowledged_tables: list[OwnershipTable] = []
         self.table_first_seen_at = now
-        self.grants: GrantTracker | None = None
+        self.grant_tracker: GrantTracker | None = None
         self.load = KeyLoad(name, now)
         self.seen_at = now
         self.service_times = ServiceTimeEstimates()
@@ -69,25 +71,25 @@
         self.commit_sent_at: float | None = None
         self.consecutive_failures: dict[ServerIncarnation, int] = {}
 
-    def record_answer(self, server: ServerIncarnation) -> None:
+    def record_command_succeeded(self, server: ServerIncarnation) -> None:
         """Records that a server carried out a command."""
         self.consecutive_failures.pop(server, None)
 
-    def record_no_answer(self, server: ServerIncarnation) -> None:
+    def record_command_failed(self, server: ServerIncarnation) -> None:
         """Records that a server did not carry out a command."""
         self.consecutive_failures[server] = self.consecutive_failures.get(server, 0) + 1
 
     def is_reachable(self, server: ServerIncarnation) -> bool:
-        """Whether a server has failed too few commands in a row to count as unreachable."""
+        """Whether fewer than ``UNREACHABLE_FAILURES`` commands to a server failed in a row."""
         return self.consecutive_failures.get(server, 0) < UNREACHABLE_FAILURES
 
-    def suspended_ranges(self) -> frozenset[tuple[KeyRange, int]]:
-        """Returns the table's ranges, with their fences, that no unacknowledged table has."""
+    def ranges_pending_removal(self) -> frozenset[tuple[KeyRange, int]]:
+        """Returns the ranges, with their fences, that are absent from all unacknowledged tables."""
         if not self.unacknowledged_tables or self.table is None:
             return frozenset()
-        remaining = {(found.keys, found.fence) for found in self.table.assignments}
+        remaining = {(assignment.keys, assignment.fence) for assignment in self.table.assignments}
         for table in self.unacknowledged_tables:
-            remaining -= {(found.keys, found.fence) for found in table.assignments}
+            remaining -= {(assignment.keys, assignment.fence) for assignment in table.assignments}
         return frozenset(remaining)
 
     def next_table(
@@ -103,27 +105,38 @@
             if now < joined_at + INITIAL_TABLE_DELAY_SECONDS:
                 return None
             return initial_table(self.name, candidates, fence=1)
-        if self.grants is not None and self.grants.table is None:
-            self.grants.record_former_table(self.table, self.table_first_seen_at)
+        if self.grant_tracker is not None and self.grant_tracker.table is None:
+            self.grant_tracker.record_former_table(self.table, self.table_first_seen_at)
             return with_new_fence(self.table)
         range_load = RangeLoad(self.load.sorted_rates(now))
         self.requests_per_second = range_load.prefix_sums[-1]
-        settled = self.grants.settled_table() if self.grants is not None else None
-        if settled is None:
+        without_completed_moves = (
+            self.grant_tracker.table_without_completed_moves()
+            if self.grant_tracker is not None
+            else None
+        )
+        if without_completed_moves is None:
             self.completed_moves_since = now
-        expired = self.grants.expired_ranges(now) if self.grants is not None else frozenset()
+        expired = (
+            self.grant_tracker.expired_ranges(now)
+            if self.grant_tracker is not None
+            else frozenset()
+        )
         rebalance = now >= self.next_rebalance_at
         if rebalance:
             self.next_rebalance_at = now + REBALANCE_INTERVAL_SECONDS
-        current = settled or self.table
+        current = without_completed_moves or self.table
         planned = plan_table(
             current, candidates, range_load, self.overload_detector, now, expired, rebalance
         )
         if planned is not None:
             return planned
-        if settled is None or now < self.completed_moves_since + SETTLED_TABLE_DELAY_SECONDS:
+        if (
+            without_completed_moves is None
+            or now < self.completed_moves_since + COMPLETED_MOVES_DELAY_SECONDS
+        ):
             return None
         # The delay starts again, so that moves that complete one after the other are written
         # together: every daemon reads each table.
         self.completed_moves_since = now
-        return settled
+        return without_completed_moves
