--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -13,7 +13,7 @@
 from fireflylink_daemon._view_task import ViewTask
 from fireflylink_platform import PlatformItemDecoder, PlatformServerCodec
 from fireflylink_protocol import MemberRecord
-from fireflylink_standins import BOUNDS, MemoryStore, StoreState
+from fireflylink_standins import DAEMON_BOUNDS, MemoryStore, StoreState
 
 SETTINGS = {
     "instance": "front-0",
@@ -24,7 +24,7 @@
     "metrics_port": 0,
     "peer_ports": [0, 0],
     "store": {"address": "127.0.0.1:1", "minimum_lease_ms": 1000},
-    "bounds": BOUNDS,
+    "bounds": DAEMON_BOUNDS,
 }
 
 
--- a/packages/standins/src/fireflylink_standins/__init__.py
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -1,17 +1,20 @@
-"""Stand-ins for the platform's store and backend servers, and a local system that uses them."""
+"""Stand-ins for the platform's store and backend servers, and a local system that uses them.
+
+The platform is the environment of the daemons, with its own store and HTTP protocol.
+"""
 
 from fireflylink_standins._backend_server import BackendServerStandin
 from fireflylink_standins._bench_target import BenchTarget, process_cpu_seconds, resident_megabytes
 from fireflylink_standins._caller import Caller
 from fireflylink_standins._grant_state import GrantState
 from fireflylink_standins._local_system import (
-    BOUNDS,
+    DAEMON_BOUNDS,
     DATA_CENTRES,
-    HOST,
     KEYED_SERVICE,
     LOOKUP_PATH,
     ORDER_PATH,
     POOLED_SERVICE,
+    VIRTUAL_HOST,
     LocalDaemon,
     LocalSystem,
 )
@@ -20,13 +23,13 @@
 from fireflylink_standins._store_state import StoreState
 
 __all__ = [
-    "BOUNDS",
+    "DAEMON_BOUNDS",
     "DATA_CENTRES",
-    "HOST",
     "KEYED_SERVICE",
     "LOOKUP_PATH",
     "ORDER_PATH",
     "POOLED_SERVICE",
+    "VIRTUAL_HOST",
     "BackendServerStandin",
     "BenchTarget",
     "Caller",
--- a/packages/standins/src/fireflylink_standins/_caller.py
+++ b/packages/standins/src/fireflylink_standins/_caller.py
@@ -10,7 +10,7 @@
     encode_request,
 )
 from fireflylink_platform import names
-from fireflylink_standins._local_system import HOST
+from fireflylink_standins._local_system import VIRTUAL_HOST
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MILLISECONDS_PER_SECOND = 1000
@@ -35,9 +35,12 @@
         deadline_seconds: float = 3.0,
         request_id: str = "",
     ) -> HttpResponse | None:
-        """Returns the reply, None if the exchange failed or timed out."""
+        """Returns the reply, None if the connection was refused, was lost or timed out.
+
+        ``deadline_seconds`` is the time from now in which the reply has to arrive.
+        """
         headers = [
-            ("Host", HOST),
+            ("Host", VIRTUAL_HOST),
             (names.REQUEST_ID, request_id or uuid.uuid4().hex[:16]),
             (names.DEADLINE_MS, str(int(deadline_seconds * MILLISECONDS_PER_SECOND))),
         ]
--- a/packages/standins/src/fireflylink_standins/_local_system.py
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -19,10 +19,14 @@
 
 DATA_CENTRES = ("kingston", "spanish-town", "mandeville")
 KEYED_SERVICE = "availability"
+"""A service in which only the owner of a request's key runs the request."""
 POOLED_SERVICE = "bookings"
-HOST = "rooms.example"
+"""A service in which any server can run any request."""
+VIRTUAL_HOST = "rooms.example"
 LOOKUP_PATH = "/lookup/"
+"""Prefix of the route of lookups: safe requests with a key, to ``KEYED_SERVICE``."""
 ORDER_PATH = "/orders/"
+"""Prefix of the route of orders: unsafe requests without a key, to ``POOLED_SERVICE``."""
 START_SECONDS = 10.0
 POLL_SECONDS = 0.05
 
@@ -68,7 +72,7 @@
             )
 
     def kill(self) -> None:
-        """Kills the process, so that it cannot shut down in order."""
+        """Kills the process by SIGKILL, without an orderly shutdown."""
         if self.process is not None:
             self.process.kill()
             self.process.wait()
@@ -126,7 +130,9 @@
     def start(self, daemons: int = 3, keyed: int = 3, pooled: int = 2) -> None:
         """Starts the store, the servers and the daemons; does not wait until the daemons are ready.
 
-        ``keyed`` and ``pooled`` are the numbers of servers that own keys and that do not.
+        The arguments are counts. The ``keyed`` servers of ``KEYED_SERVICE`` own keys and have the
+        ids ``a0``, ``a1``, ...; the ``pooled`` servers of ``POOLED_SERVICE`` have the ids ``b0``,
+        ``b1``, ...
         """
         self.store_listener.start()
         self.configure()
@@ -189,7 +195,7 @@
             "metrics_port": metrics_port,
             "peer_ports": [peer_port, peer_port + 1],
             "store": {"address": f"127.0.0.1:{self.store_listener.port}", "minimum_lease_ms": 1000},
-            "bounds": BOUNDS,
+            "bounds": DAEMON_BOUNDS,
         }
         settings_path = self.folder / f"front-{number}.json"
         settings_path.write_text(json.dumps(settings))
@@ -197,7 +203,7 @@
         return LocalDaemon(settings_path, log_path, caller_port, readiness_port, metrics_port)
 
 
-BOUNDS = {
+DAEMON_BOUNDS = {
     "drain_ms": 2000,
     "leave_seconds": 6,
     "hold_max_ms": 10000,
@@ -250,5 +256,5 @@
             "header-timeout-ms": 3000,
             "idle-timeout-ms": 15000,
         },
-        "virtual-hosts": [{"host": HOST, "paths": [lookups, orders]}],
+        "virtual-hosts": [{"host": VIRTUAL_HOST, "paths": [lookups, orders]}],
     }
