--- a/packages/standins/tests/test_adapter_boundary.py
+++ b/packages/standins/tests/test_adapter_boundary.py
@@ -1,5 +1,8 @@
 """Checks that platform-specific names and settings are confined to the adapter in ``platform``.
 
+The adapter is the package ``fireflylink_platform``, which encodes and decodes the platform's HTTP
+protocol and store. The last tests check the settings template and the list of libraries.
+
 The tests are here because pytest would confuse tests in a folder called ``platform`` with the
 module of the standard library.
 """
@@ -17,7 +20,7 @@
 ROOT = pathlib.Path(__file__).parents[3]
 PACKAGE_FILES = sorted((ROOT / "packages").glob("*/src/**/*.py"))
 ADAPTER_FILES = sorted((ROOT / "platform" / "src").glob("**/*.py"))
-WIRE_FIELDS = (
+OTHER_WIRE_FIELDS = (
     "virtual-hosts",
     "target-latency-ms",
     "warmup-left-ms",
@@ -30,8 +33,12 @@
 
 
 def wire_names() -> list[str]:
+    """Returns the constants of ``names``, and field names of the platform that are not among them.
+
+    The media type of JSON is left out, because it does not belong to the platform.
+    """
     values = [value for name, value in vars(names).items() if name.isupper()]
-    return [value for value in values if value != names.JSON_TYPE] + list(WIRE_FIELDS)
+    return [value for value in values if value != names.JSON_TYPE] + list(OTHER_WIRE_FIELDS)
 
 
 @pytest.mark.parametrize("name", wire_names())
--- a/packages/standins/tests/test_adapter_codecs.py
+++ b/packages/standins/tests/test_adapter_codecs.py
@@ -1,4 +1,4 @@
-"""Encoding and decoding of requests, answers, grants and releases."""
+"""Encoding and decoding of requests, answers, grants and releases by the platform adapter."""
 
 import json
 
@@ -31,15 +31,18 @@
     return HttpResponse(status, headers, body, False)
 
 
-def test_a_request_is_decoded_with_its_deadline_and_key():
-    """Guards against a request that is processed after its caller has stopped waiting."""
+def test_a_request_is_decoded_with_its_host_path_key_and_deadline():
+    """Guards against a request that is routed by a wrong host, path or key, or that runs too late.
+
+    The host is compared in lower case, and the query is no part of the path.
+    """
     request = decode_request()
     assert_that((request.host, request.path), Equals(("jepu9.example", "/lepu270/2f")))
     assert_that((request.key, request.deadline), Equals((513, 101.2)))
 
 
 def test_hop_by_hop_and_internal_headers_are_not_forwarded():
-    """Guards against a caller that sets the target server or the deadline of a server.
+    """Guards against a caller that sets the target server, or the deadline that a server gets.
 
     Without the filter, these headers of the caller would reach the server.
     """
@@ -88,10 +91,10 @@
     assert_that(codec.is_response_to(response(200, ("Server-Signature", "s")), "a"), Is(False))
 
 
-def test_only_a_statement_of_the_server_counts_as_declined():
+def test_a_503_counts_as_declined_only_with_not_executed():
     """Guards against a 503 without ``Not-Executed`` that counts as not run.
 
-    The request may have run before the server answered.
+    The request may have run before the server answered. Status 421 needs no such header.
     """
     codec = PlatformServerCodec()
     assert_that(codec.is_declined(response(503, ("Not-Executed", "1"))), Is(True))
@@ -100,7 +103,10 @@
 
 
 def test_a_success_without_signature_or_with_an_encoding_is_rejected():
-    """Guards against forwarding a body that the server has not sent, or that was re-encoded."""
+    """Guards against forwarding a success without the server's signature, or an encoded body.
+
+    Other statuses need no signature.
+    """
     codec = PlatformServerCodec()
     signed = ("Server-Signature", "s")
     assert_that(codec.decode_answer(response(200)), Is(None))
@@ -111,7 +117,10 @@
 
 
 def test_load_is_decoded_with_and_without_the_slowdown_factor():
-    """Guards against a malformed load that counts as the load of an idle server."""
+    """Guards against a wrong slowdown factor, and a malformed load that counts as an idle server.
+
+    The fourth field is the slowdown factor in percent.
+    """
     codec = PlatformServerCodec()
     assert_that(
         codec.decode_load(response(200, ("Server-Load", "3,0,8"))), Equals(ServerLoad(3, 0, 8))
@@ -122,10 +131,11 @@
         assert_that(codec.decode_load(response(200, ("Server-Load", text))), Is(None))
 
 
-def test_a_grant_names_its_server_and_its_hold():
+def test_a_grant_and_a_release_are_encoded():
     """Guards against a grant that another server at the same address executes.
 
-    The keys would then be held by a server that the ownership table does not name.
+    The keys would then be held by a server that the ownership table does not name. Of the release
+    only the body is checked.
     """
     command = PlatformServerCodec().encode_grant("i-1", KeyRange(4096, 8191), 12, 3.6, "5c0e")
     assert_that(dict(command.headers)["Target-Instance"], Equals("i-1"))
--- a/packages/standins/tests/test_adapter_item_decoder.py
+++ b/packages/standins/tests/test_adapter_item_decoder.py
@@ -111,7 +111,10 @@
 
 
 def test_a_configuration_is_decoded():
-    """Guards against routes, splits or limits that are lost or changed by decoding."""
+    """Guards against routes, splits or limits that are lost or changed by decoding.
+
+    The configuration also has fields that the decoder does not read.
+    """
     configuration = decode_configuration(json.dumps(CONFIGURATION).encode())
     assert_that(configuration.version, Equals(7))
     [route] = configuration.routes
@@ -144,7 +147,10 @@
 
 
 def test_versions_compare_as_numbers():
-    """Guards against comparing versions as text, by which r10 is older than r9."""
+    """Guards against comparing versions as text, by which r10 is older than r9.
+
+    Whether a version without the letter, such as 10, is accepted is not checked.
+    """
     assert_that(decode_version("r10") > decode_version("r9"), Equals(True))
     for text in ("10", "r", "r-1", "r1.5", "rr2"):
         if text == "10":
@@ -154,7 +160,7 @@
 
 
 def test_every_kind_of_item_yields_its_update():
-    """Guards against evacuations or records that are ignored, and foreign keys that are not."""
+    """Guards against evacuations or records that are ignored, and others' items that are not."""
     decoder = PlatformItemDecoder()
     cases = [
         (item("op/config", CONFIGURATION), ConfigurationUpdate),
--- a/packages/standins/tests/test_bench.py
+++ b/packages/standins/tests/test_bench.py
@@ -10,6 +10,7 @@
 
 def test_cpu_time_and_memory_of_a_process_are_read():
     """Guards against a benchmark that prints zeros for figures that it could not read."""
+    # Uses some CPU time, so that the measured time is more than zero.
     total = sum(number * number for number in range(1_000_000))
     assert_that(total, GreaterThan(0))
     assert_that(process_cpu_seconds(os.getpid()), GreaterThan(0.0))
