--- a/packages/standins/src/fireflylink_standins/_backend_server.py
+++ b/packages/standins/src/fireflylink_standins/_backend_server.py
@@ -196,7 +196,7 @@
         self.server = server
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Releases keys; the reply has the handover token, which the grant to the next holder names."""
+        """Releases keys and returns the handover token, which the next holder's grant contains."""
         if req.get_header(names.TARGET_INSTANCE) not in (None, self.server.server_id):
             resp.status = falcon.HTTP_421
             return
--- a/packages/standins/src/fireflylink_standins/_bench_target.py
+++ b/packages/standins/src/fireflylink_standins/_bench_target.py
@@ -12,7 +12,7 @@
 
 MILLISECONDS_PER_SECOND = 1e3
 MICROSECONDS_PER_SECOND = 1e6
-KILOBYTES_PER_MEGABYTE = 1024.0
+KIBIBYTES_PER_MEBIBYTE = 1024.0
 CPU_TIME_FIELDS = slice(11, 13)
 """User and system time, among the fields after the command name in ``/proc/PID/stat``."""
 
@@ -47,7 +47,8 @@
     def run(self, requests: int, concurrency: int, rate: float) -> None:
         """Sends requests over ``concurrency`` connections, one at a time on each.
 
-        ``rate`` is in requests per second over all connections; 0 means without pauses.
+        ``rate`` is in requests per second over all connections; 0 means without pauses. The pauses
+        do not allow for the latency, so the actual rate is lower.
         """
         pause_seconds = concurrency / rate if rate else 0.0
         cpu_seconds_before = (
@@ -80,7 +81,10 @@
         return statistics.median(self.latencies)
 
     def report_line(self) -> str:
-        """Returns the measured figures as one line of key=value pairs."""
+        """Returns the measured figures as one line of key=value pairs.
+
+        ``way`` is the name of the target. The CPU time is 0 if no process is measured.
+        """
         ordered = sorted(self.latencies)
         count = len(ordered)
         return (
@@ -100,8 +104,8 @@
 
 
 def resident_megabytes(process_id: int) -> float:
-    """Returns the resident memory of a process in megabytes, 0 if it cannot be read."""
+    """Returns the resident memory of a process in mebibytes, 0 if the kernel reports none."""
     for line in pathlib.Path(f"/proc/{process_id}/status").read_text().splitlines():
         if line.startswith("VmRSS"):
-            return int(line.split()[1]) / KILOBYTES_PER_MEGABYTE
+            return int(line.split()[1]) / KIBIBYTES_PER_MEBIBYTE
     return 0.0
--- a/packages/standins/src/fireflylink_standins/_grant_state.py
+++ b/packages/standins/src/fireflylink_standins/_grant_state.py
@@ -3,7 +3,7 @@
 from fireflylink_core import BaseClock, KeyRange
 
 
-class _Hold:
+class _HeldRange:
     """A key range that is held under a fence until ``expires_at``, in seconds of the clock."""
 
     __slots__ = ("expires_at", "fence", "keys")
@@ -15,8 +15,9 @@
 
 
 class GrantState:
-    """The grants of one incarnation of a server, and the requests that it has executed.
+    """The keys that one server process holds, and the requests that it has executed.
 
+    ``seen_fences`` has the fences seen with their key ranges, which may overlap.
     ``executed`` contains the id and the key of each request in the order of execution.
     """
 
@@ -24,7 +25,7 @@
 
     def __init__(self, clock: BaseClock) -> None:
         self.clock = clock
-        self.holds: list[_Hold] = []
+        self.holds: list[_HeldRange] = []
         self.seen_fences: list[tuple[KeyRange, int]] = []
         self.executed: list[tuple[str, int]] = []
         self.issued_tokens = 0
@@ -38,11 +39,11 @@
             return False
         self._record_fence(keys, fence)
         self._remove_keys(keys)
-        self.holds.append(_Hold(keys, fence, self.clock.now() + hold_seconds))
+        self.holds.append(_HeldRange(keys, fence, self.clock.now() + hold_seconds))
         return True
 
     def release(self, keys: KeyRange, fence: int) -> str:
-        """Releases keys; returns the handover token."""
+        """Releases keys under any fence; returns the handover token."""
         self._record_fence(keys, fence)
         self._remove_keys(keys)
         self.issued_tokens += 1
@@ -72,10 +73,12 @@
                 continue
             if hold.keys.first < keys.first:
                 remaining.append(
-                    _Hold(KeyRange(hold.keys.first, keys.first - 1), hold.fence, hold.expires_at)
+                    _HeldRange(
+                        KeyRange(hold.keys.first, keys.first - 1), hold.fence, hold.expires_at
+                    )
                 )
             if hold.keys.last > keys.last:
                 remaining.append(
-                    _Hold(KeyRange(keys.last + 1, hold.keys.last), hold.fence, hold.expires_at)
+                    _HeldRange(KeyRange(keys.last + 1, hold.keys.last), hold.fence, hold.expires_at)
                 )
         self.holds = remaining
--- a/packages/standins/src/fireflylink_standins/_local_system.py
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -193,6 +193,7 @@
             "caller_address": f"127.0.0.1:{caller_port}",
             "readiness_address": f"127.0.0.1:{readiness_port}",
             "metrics_port": metrics_port,
+            # The first and the last port of a range, of which the daemon uses the first.
             "peer_ports": [peer_port, peer_port + 1],
             "store": {"address": f"127.0.0.1:{self.store_listener.port}", "minimum_lease_ms": 1000},
             "bounds": DAEMON_BOUNDS,
--- a/packages/standins/src/fireflylink_standins/_store_server.py
+++ b/packages/standins/src/fireflylink_standins/_store_server.py
@@ -17,8 +17,8 @@
 from fireflylink_store import Change, Commit, Item, Put
 
 POLL_SECONDS = 0.005
-PAGE_ITEMS = 500
-READ_ONLY_PREFIXES = ("op/", "servers/")
+MAX_ITEMS_PER_PAGE = 500
+DAEMON_READ_ONLY_PREFIXES = ("op/", "servers/")
 MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -68,8 +68,8 @@
         prefix = req.get_param("prefix", default="")
         items = self.state.range(prefix, req.get_param("after", default=""))
         resp.media = {
-            "items": [_encode_change(item) for item in items[:PAGE_ITEMS]],
-            "has-more": len(items) > PAGE_ITEMS,
+            "items": [_encode_change(item) for item in items[:MAX_ITEMS_PER_PAGE]],
+            "has-more": len(items) > MAX_ITEMS_PER_PAGE,
             "current-rev": self.state.revision,
         }
 
@@ -103,11 +103,15 @@
     __slots__ = ()
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Applies a commit; 403 for keys that the daemons may only read, 412 for a conflict."""
+        """Applies a commit.
+
+        The status is 403 for keys that the daemons may only read, 404 for a lease that does not
+        exist, and 412 if a key does not have the expected revision.
+        """
         _raise_if_down(self.faults)
         commit = _decode_commit(req.get_media())
         written = (*(put.key for put in commit.puts), *commit.deletions)
-        if any(key.startswith(READ_ONLY_PREFIXES) for key in written):
+        if any(key.startswith(DAEMON_READ_ONLY_PREFIXES) for key in written):
             resp.status = falcon.HTTP_403
             return
         try:
@@ -127,9 +131,9 @@
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Creates a lease."""
         _raise_if_down(self.faults)
-        ttl = req.get_media()["ttl-ms"]
-        lease_id = self.state.create_lease(ttl / MILLISECONDS_PER_SECOND)
-        resp.media = {"lease": lease_id, "ttl-ms": ttl}
+        ttl_ms = req.get_media()["ttl-ms"]
+        lease_id = self.state.create_lease(ttl_ms / MILLISECONDS_PER_SECOND)
+        resp.media = {"lease": lease_id, "ttl-ms": ttl_ms}
 
 
 class _LeaseRenewalResource(_Resource):
@@ -199,5 +203,5 @@
 
 
 def encode_json(value: object) -> bytes:
-    """Returns a value as JSON, the format of the items of the operator and the servers."""
+    """Returns a value as JSON, the format in which the operators and the servers write items."""
     return json.dumps(value).encode()
--- a/packages/standins/src/fireflylink_standins/_store_state.py
+++ b/packages/standins/src/fireflylink_standins/_store_state.py
@@ -22,7 +22,7 @@
 
 
 class StoreState:
-    """Linearizable items with one revision counter, like those of the platform's store.
+    """Items with one revision counter, which each commit increases, as in the platform's store.
 
     ``leases`` maps the id of a lease to its time to live and its expiry time, both in seconds.
     Changes up to ``compacted_revision`` are no longer in the history.
--- a/packages/standins/src/fireflylink_standins/bench.py
+++ b/packages/standins/src/fireflylink_standins/bench.py
@@ -2,7 +2,7 @@
 
 The same request is sent to a stand-in server directly and through a daemon. Both are measured in
 turn within each round, so that other load on the machine slows both. With ``--stop_reading`` the
-log of the daemon goes to a pipe that is never read.
+log of the daemon goes to a pipe that is never read, which measures a daemon whose log is blocked.
 """
 
 import pathlib
@@ -30,15 +30,18 @@
 RATE = flags.DEFINE_float("rate", 0.0, "Requests per second; 0 means without pauses.", 0.0)
 STOP_READING = flags.DEFINE_bool("stop_reading", False, "Do not read the daemon's log.")
 
-SETTLE_SECONDS = 4.0
-IDLE_SECONDS = 4.0
+FIRST_TABLE_WAIT_SECONDS = 4.0
+IDLE_MEASUREMENT_SECONDS = 4.0
 START_TIMEOUT_SECONDS = 10.0
 POLL_SECONDS = 0.005
 MILLISECONDS_PER_SECOND = 1e3
 
 
 def _measure_start_seconds(system: LocalSystem) -> float:
-    """Starts another daemon; returns the seconds until it answers any request."""
+    """Starts another daemon; returns the seconds until it answers any request.
+
+    Returns ``START_TIMEOUT_SECONDS`` if it does not answer within that time.
+    """
     started = time.monotonic()
     daemon = system.add_daemon()
     while time.monotonic() < started + START_TIMEOUT_SECONDS:
@@ -63,7 +66,7 @@
 
 
 def _run_rounds(system: LocalSystem) -> int:
-    gevent.sleep(SETTLE_SECONDS)
+    gevent.sleep(FIRST_TABLE_WAIT_SECONDS)
     for server in system.servers.values():
         server.work_seconds = 0.0
     [daemon] = system.daemons
@@ -72,8 +75,10 @@
         return 1
     resident_mb = resident_megabytes(process.pid)
     cpu_seconds_before = process_cpu_seconds(process.pid)
-    gevent.sleep(IDLE_SECONDS)
-    idle_cpu_fraction = (process_cpu_seconds(process.pid) - cpu_seconds_before) / IDLE_SECONDS
+    gevent.sleep(IDLE_MEASUREMENT_SECONDS)
+    idle_cpu_fraction = (
+        process_cpu_seconds(process.pid) - cpu_seconds_before
+    ) / IDLE_MEASUREMENT_SECONDS
     server = next(server for server in system.servers.values() if not server.keyed)
     path = f"{ORDER_PATH}1"
     direct = BenchTarget("direct", server.listener.port, path, None)
--- a/packages/standins/src/fireflylink_standins/demo.py
+++ b/packages/standins/src/fireflylink_standins/demo.py
@@ -1,4 +1,4 @@
-"""Demo: daemons on stand-ins serve requests during a server crash, a drain and a shutdown."""
+"""Demo: daemons with stand-ins serve requests during a server crash, a drain and a shutdown."""
 
 import collections
 import pathlib
@@ -16,10 +16,11 @@
     "requests", 300, "Number of requests to send in each phase.", lower_bound=1
 )
 
-FIRST_TABLE_SECONDS = 6.0
-FAILOVER_SECONDS = 6.0
+FIRST_TABLE_WAIT_SECONDS = 6.0
+OWNER_CHANGE_WAIT_SECONDS = 6.0
 EXIT_TIMEOUT_SECONDS = 8.0
 KEY_STEP = 211
+"""Distance between the keys of successive requests, which spreads them over the range."""
 KEY_COUNT = 65536
 
 
@@ -56,12 +57,12 @@
 
 def _run_phases(system: LocalSystem) -> int:
     print(f"{DAEMONS.value} daemons started; waiting for the first ownership table")
-    gevent.sleep(FIRST_TABLE_SECONDS)
+    gevent.sleep(FIRST_TABLE_WAIT_SECONDS)
     _send_requests(system, REQUESTS.value)
     _print_executed(system)
     print("server a0 is lost without a word; its keys get another owner")
     system.servers.pop("a0").stop()
-    gevent.sleep(FAILOVER_SECONDS)
+    gevent.sleep(OWNER_CHANGE_WAIT_SECONDS)
     _send_requests(system, REQUESTS.value)
     print("server b0 drains; new orders go to the others")
     executed_before = len(system.servers["b0"].state.executed)
