--- a/packages/standins/src/fireflylink_standins/_memory_store.py
+++ b/packages/standins/src/fireflylink_standins/_memory_store.py
@@ -30,7 +30,8 @@
     """A client of a ``StoreState``; several clients can share one state.
 
     Deadlines are ignored. If ``reachable`` is false, every call fails. If ``drops_replies`` is
-    true, a commit takes effect and then fails with ``StoreOutcomeUnknownError``, as if its reply had been lost.
+    true, a commit takes effect and then fails with ``StoreOutcomeUnknownError``, as if its
+    reply had been lost.
     """
 
     __slots__ = ("drops_replies", "reachable", "state")
@@ -57,9 +58,7 @@
         while self.reachable:
             changes = self.state.changes(prefix, revision)
             if changes is None:
-                return Failure(
-                    HistoryCompactedError("changes after the revision have been compacted")
-                )
+                return Failure(HistoryCompactedError("dropped"))
             if changes or self.state.clock.now() >= wait_ends_at:
                 return Success(ChangeBatch(tuple(changes), self.state.revision))
             gevent.sleep(POLL_SECONDS)
@@ -73,7 +72,7 @@
         except ConditionFailedError as error:
             return Failure(ConflictError(error.items))
         except NoSuchLeaseError:
-            return Failure(LeaseNotFoundError("the lease does not exist"))
+            return Failure(LeaseNotFoundError("ended"))
         return self._commit_result(revision)
 
     def create_lease(self, ttl_seconds: float, deadline: float) -> Result[Lease, StoreError]:
@@ -85,11 +84,7 @@
         if not self.reachable:
             return _unavailable()
         seconds = self.state.renew_lease(lease_id)
-        return (
-            Failure(LeaseNotFoundError("the lease does not exist"))
-            if seconds is None
-            else Success(seconds)
-        )
+        return Failure(LeaseNotFoundError("ended")) if seconds is None else Success(seconds)
 
     def revoke_lease(self, lease_id: int, deadline: float) -> Result[None, StoreError]:
         if not self.reachable:
--- a/packages/standins/tests/test_promises.py
+++ b/packages/standins/tests/test_promises.py
@@ -172,7 +172,7 @@
 def test_p9_every_answer_of_a_daemon_that_shuts_down_has_status_200(harness):
     """Guards against requests that are answered with an error during a planned shutdown.
 
-    One caller sends orders, one after the other, until the daemon has exited.
+    One caller sends orders, one after the other, until the daemon has exited or 30 are sent.
     """
     daemon = harness.system.daemons[0]
     caller = Caller(daemon.caller_port, SystemClock())
