--- a/packages/specification/src/fireflylink_specification/_guards.py
+++ b/packages/specification/src/fireflylink_specification/_guards.py
@@ -1,4 +1,7 @@
-"""The guards of the ownership protocol, and which of them a model applies."""
+"""The guards of the ownership protocol, and which of them a model applies.
+
+``_transfer`` defines the terms: decider, record, table, fence, hold, former holder and late grant.
+"""
 
 from enum import Enum
 
@@ -12,7 +15,7 @@
     )
     RELEASE_FENCE = (
         "release-fence",
-        "a release carries the fence of the next holder, and the server then refuses lower ones",
+        "a release carries the next holder's fence; the server then refuses grants with a lower one",
     )
     HOLD_WAIT = (
         "hold-wait",
@@ -24,31 +27,31 @@
     )
     OUTAGE_GRACE = (
         "outage-grace",
-        "a decider that cannot reach the store stops granting after a fixed time",
+        "a decider that the store does not answer stops granting after the grace time",
     )
     TAKEOVER_WAIT = (
         "takeover-wait",
-        "a new decider assumes that an unresponsive server got grants until the former one stopped",
+        "a new decider assumes that the former decider sent grants until its grace time ended",
     )
     TAKEOVER_FENCE = (
         "takeover-fence",
-        "a new decider advances the fence of every range before it relies on a server's hold",
+        "a new decider advances the fence of every range before it sends grants",
     )
     ALONE_TABLE = (
         "alone-table",
-        "a wait of one hold suffices for former holders only if the writer was the sole decider",
+        "a new decider waits only one hold for a former holder if the writer was the sole decider",
     )
     SUSPEND_MOVED = (
         "suspend-moved",
-        "a decider does not renew keys that a table moves away while its commit is unacknowledged",
+        "a decider without a reply to the commit of a move does not renew the moved keys",
     )
     YIELD = (
         "yield",
-        "a decider that reads another one's table stops: it does not know what the other granted",
+        "a decider that reads another decider's table stops: it does not know the other's grants",
     )
     LAPSED_GRANT = (
         "lapsed-grant",
-        "an expired grant is not renewed under its fence: the server may have restarted",
+        "no expired grant is renewed under its fence: a restarted server has forgotten that fence",
     )
 
     def __init__(self, key: str, rule: str) -> None:
--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -1,9 +1,26 @@
 """Models of how one key is granted, released and moved to another server.
 
-There are two servers, and deciders that lose and take over the decider record. Time passes in
-ticks. A hold lasts ``HOLD`` ticks from the arrival of its grant, and a decider that the store does
-not answer stops after ``grace`` ticks. Different clock rates are not modelled: the code adds a
-margin for them to each wait.
+Terms:
+
+- decider: the elected leader among the daemons. It alone writes the table and sends grants and
+  releases to the servers. After a loss of its record a former decider may still act as one.
+- record: the item in the store that names the decider; ``NO_ID`` if it names none.
+- table: the item in the store that assigns the key to a server, the owner.
+- fence: a fencing token. Each move, takeover and renewal of an expired grant raises the fence of
+  the table; a server refuses grants and releases with a lower fence than the highest it has seen.
+- hold: the time for which a server may serve the key after a grant. The holder is the server whose
+  hold has not expired; the former holder is the one that must release the key after a move.
+- late grant: a grant whose sender gets no reply, and that arrives late or never.
+
+Assumptions:
+
+- There are two servers and one key. Time passes in ticks.
+- A hold lasts ``HOLD_TICKS`` from the arrival of its grant; for a late grant, from its sending.
+- A decider that the store does not answer stops granting after ``grace_ticks``.
+- At most one grant is late at a time.
+- A crashed server loses its hold and the fence that it has seen. It is back after
+  ``HOLD_TICKS + 1`` ticks, and a late grant to it is lost.
+- Clocks run at one rate: the code adds a margin for different rates to each wait.
 """
 
 from collections.abc import Callable, Iterator, Mapping
@@ -12,17 +29,20 @@
 from fireflylink_specification._guards import Guard
 from fireflylink_specification._model import BaseModel, Step
 
-HOLD = 1
+HOLD_TICKS = 1
 NO_ID = -1
 """Stands for no server or no decider."""
 NO_FENCE = 0
+"""The ``seen`` of a server that has seen no fence."""
 SERVERS = (0, 1)
 
 
 class Table(NamedTuple):
-    """The ownership table of one key.
+    """The table of the key, as it is stored or as a decider knows it.
 
-    ``previous`` is the former holder that has not yet released the key, ``NO_ID`` if there is none.
+    ``owner`` is the server that the table assigns the key to. It gets grants once no former holder
+    is left. ``previous`` is the former holder that has not yet released the key, ``NO_ID`` if there
+    is none.
     ``alone`` is true if no earlier decider could still grant keys when the table was written.
     """
 
@@ -35,8 +55,8 @@
 class Server(NamedTuple):
     """A backend server.
 
-    ``hold`` is how many ticks of its hold are left, ``seen`` the highest fence that it has seen,
-    and ``down`` after how many ticks a crashed server is back. All are 0 if they do not apply.
+    ``hold`` counts the ticks until its hold expires, 0 if it holds nothing. ``seen`` is the highest
+    fence that it has seen. ``down`` counts the ticks until a crashed server is back, 0 if it runs.
     """
 
     hold: int
@@ -45,14 +65,16 @@
 
 
 class Decider(NamedTuple):
-    """What a daemon knows as the decider.
-
-    ``contact`` is for how many ticks it may continue without an answer from the store. ``table`` is
-    its copy of the table. ``known`` is, for each server, after how many ticks its hold expires at
-    the latest, as far as this decider knows. ``granted`` is true once the owner has confirmed a
-    grant under this table, and ``confirmed`` is how many ticks are left of the hold that an owner
-    last confirmed. ``age`` counts the ticks since it took over, up to ``grace``. ``unanswered`` is
-    true if it sent the store a move whose reply was lost.
+    """What a daemon knows while it acts as the decider.
+
+    ``deciding`` is false for a daemon that does not act as the decider; the rest is then unused.
+    ``contact`` counts the ticks for which it may still grant without an answer from the store.
+    ``table`` is its copy of the table. ``known`` counts, for each server, the ticks until its hold
+    expires at the latest (an upper bound). ``granted`` is true once the owner has replied to a
+    grant under this table. ``confirmed`` counts the ticks left of the hold that a server last
+    replied to. ``age`` counts the ticks since it took over, up to ``grace_ticks``: from then on
+    no earlier decider can still grant. ``unanswered`` is true if it sent the store a move whose
+    reply was lost.
     """
 
     deciding: bool
@@ -66,7 +88,7 @@
 
 
 class LateGrant(NamedTuple):
-    """A grant without a reply that may still arrive.
+    """A late grant: its sender got no reply, and it may still arrive.
 
     ``left`` is how many ticks of its hold are left; they also pass while it is delayed.
     """
@@ -77,7 +99,7 @@
 
 
 class State(NamedTuple):
-    """The state of the store, the servers and the deciders, and at most one delayed grant.
+    """The state of the store, the servers and the deciders, and at most one late grant.
 
     ``record`` is the number of the decider that the record in the store names, or ``NO_ID``.
     """
@@ -89,98 +111,122 @@
     late: LateGrant | None
 
 
-IDLE = Decider(False, 0, Table(NO_ID, NO_FENCE, NO_ID), (0, 0), False, 0)
+NOT_DECIDING = Decider(False, 0, Table(NO_ID, NO_FENCE, NO_ID), (0, 0), False, 0)
+"""A daemon that does not act as the decider."""
 
 
 class _TransferModel(BaseModel[State]):
-    """The protocol; subclasses set the number of deciders, the bounds and the possible faults."""
+    """The protocol; subclasses set the number of deciders, the bounds and the possible faults.
 
-    deciders: int
-    grace = 1
-    fences = 3
-    crashes = True
-    late_grants = True
-    lost_replies = False
+    The search is bounded by ``max_fence``: no table gets a higher fence.
+    """
+
+    decider_count: int
+    grace_ticks = 1
+    max_fence = 3
+    has_crashes = True
+    has_late_grants = True
+    has_lost_replies = False
 
     def initial(self) -> State:
         table = Table(0, 1, NO_ID)
-        first = Decider(True, self.grace, table, (HOLD, 0), True, HOLD, self.grace)
-        others = (IDLE,) * (self.deciders - 1)
-        servers = (Server(HOLD, 1, 0), Server(0, NO_FENCE, 0))
+        first = Decider(
+            True, self.grace_ticks, table, (HOLD_TICKS, 0), True, HOLD_TICKS, self.grace_ticks
+        )
+        others = (NOT_DECIDING,) * (self.decider_count - 1)
+        servers = (Server(HOLD_TICKS, 1, 0), Server(0, NO_FENCE, 0))
         return State(table, 0, servers, (first, *others), None)
 
     def steps(self, state: State) -> Iterator[Step[State]]:
-        yield "a tick passes", _tick(state, self.grace)
+        yield "a tick passes", _tick(state, self.grace_ticks)
         for number, decider in enumerate(state.deciders):
             name = f"decider {number}"
             if decider.deciding:
                 yield from self._store_steps(state, number, decider, name)
                 yield from self._server_steps(state, number, decider, name)
-            elif state.record == NO_ID and state.table.fence < self.fences:
+            elif state.record == NO_ID and state.table.fence < self.max_fence:
                 yield f"{name} takes over", self._take_over(state, number)
 
     def faults(self, state: State) -> Iterator[Step[State]]:
         if state.record != NO_ID:
             yield "the store drops the decider record", state._replace(record=NO_ID)
         for server in SERVERS:
-            if self.crashes and not state.servers[server].down:
-                crashed = Server(0, NO_FENCE, HOLD + 1)
+            if self.has_crashes and not state.servers[server].down:
+                crashed = Server(0, NO_FENCE, HOLD_TICKS + 1)
                 late = state.late if state.late and state.late.server != server else None
                 yield (
-                    f"server {server} crashes and will restart under its id",
+                    f"server {server} crashes and will restart with the same id",
                     _with_server(state, server, crashed)._replace(late=late),
                 )
         for number, decider in enumerate(state.deciders):
-            if self.lost_replies and self._may_move(state, number, decider):
+            if self.has_lost_replies and self._may_move(state, number, decider):
                 yield (
                     f"decider {number} moves the key and receives no reply",
                     self._move_without_reply(state, number, decider),
                 )
             may_send = self._may_grant(decider) and self._may_use_fence(decider)
-            if self.late_grants and state.late is None and may_send:
+            if self.has_late_grants and state.late is None and may_send:
                 yield (
                     f"decider {number} grants the key and receives no reply",
                     self._grant_without_reply(state, number, decider),
                 )
 
     def properties(self) -> Mapping[str, Callable[[State], bool]]:
+        # At most one server has an unexpired hold.
         return {"one holder": lambda state: not all(server.hold for server in state.servers)}
 
     def is_goal(self, state: State) -> bool:
-        """Whether the owner in the stored table holds the key, or the fences are used up."""
-        holds = state.servers[state.table.owner].hold > 0 and state.table.previous == NO_ID
-        return holds or state.table.fence == self.fences
+        """Returns whether the stored table's owner holds the key, or the bound is reached.
+
+        No table can follow one with fence ``max_fence``, so that its states count as goals.
+        """
+        owner_holds_key = (
+            state.servers[state.table.owner].hold > 0 and state.table.previous == NO_ID
+        )
+        return owner_holds_key or state.table.fence == self.max_fence
 
     def _store_steps(
         self, state: State, number: int, decider: Decider, name: str
     ) -> Iterator[Step[State]]:
+        """Yields the reads and writes of the store by a daemon that acts as the decider."""
         own = state.record == number
         if own:
             yield f"{name} renews its record", _with_decider(
-                state, number, decider._replace(contact=self.grace)
+                state, number, decider._replace(contact=self.grace_ticks)
             )
         elif self.in_force.has(Guard.YIELD) and decider.table != state.table:
-            yield f"{name} reads a different table and stops", _with_decider(state, number, IDLE)
+            yield f"{name} reads a different table and stops", _with_decider(
+                state, number, NOT_DECIDING
+            )
         elif decider.table != state.table:
-            adopted = decider._replace(table=state.table, granted=False)
+            after_read = decider._replace(table=state.table, granted=False)
             yield f"{name} reads a different table and continues", _with_decider(
-                state, number, adopted
+                state, number, after_read
             )
         else:
-            yield f"{name} finds its record missing and stops", _with_decider(state, number, IDLE)
+            yield f"{name} finds its record missing and stops", _with_decider(
+                state, number, NOT_DECIDING
+            )
         if self._may_move(state, number, decider):
             yield f"{name} moves the key", self._move(state, number, decider)
         if own and decider.unanswered:
-            learned = decider._replace(table=state.table, granted=False, unanswered=False)
-            yield f"{name} reads its own move from the store", _with_decider(state, number, learned)
+            after_read = decider._replace(table=state.table, granted=False, unanswered=False)
+            yield f"{name} reads its own move from the store", _with_decider(
+                state, number, after_read
+            )
         elif own and decider.table != state.table and decider.table.previous == NO_ID:
-            yield f"{name} writes that the former holder is done", state._replace(
+            yield f"{name} writes that no former holder is left", state._replace(
                 table=decider.table
             )
 
     def _server_steps(
         self, state: State, number: int, decider: Decider, name: str
     ) -> Iterator[Step[State]]:
+        """Yields the releases and grants of a decider, and the arrival of a late grant.
+
+        A grant is sent only once no former holder is left: it has released the key, or the decider
+        considers its hold expired.
+        """
         previous = decider.table.previous
         if previous != NO_ID:
             if not state.servers[previous].down:
@@ -195,29 +241,39 @@
         elif self._may_grant(decider) and self._may_use_fence(decider):
             yield f"{name} grants the key", self._grant(state, number, decider)
         if state.late is not None:
-            yield "the delayed grant arrives", _apply_late_grant(state, state.late)
+            yield "the late grant arrives", _apply_late_grant(state, state.late)
         if previous == NO_ID and decider.granted and not decider.confirmed:
             yield from self._fence_steps(state, number, decider, name)
 
     def _fence_steps(
         self, state: State, number: int, decider: Decider, name: str
     ) -> Iterator[Step[State]]:
-        """Yields the step that renews an expired grant under a new fence from the store."""
-        if state.record == number and state.table.fence < self.fences:
+        """Yields the write of a higher fence, needed to renew an expired grant.
+
+        The owner becomes its own former holder: it must release the key, or its hold expire, before
+        the grant under the new fence.
+        """
+        if state.record == number and state.table.fence < self.max_fence:
             owner = decider.table.owner
             table = Table(owner, state.table.fence + 1, owner)
-            renewed = decider._replace(table=table, granted=False)
-            yield f"{name} advances the fence", _with_decider(state, number, renewed)._replace(
+            after_write = decider._replace(table=table, granted=False)
+            yield f"{name} advances the fence", _with_decider(state, number, after_write)._replace(
                 table=table
             )
 
     def _may_move(self, state: State, number: int, decider: Decider) -> bool:
+        """Returns whether the decider may write a table that moves the key.
+
+        Without the guard ``CONDITIONAL_COMMIT`` only moves become unconditional: other writes of
+        the table still need the record.
+        """
         if not decider.deciding or decider.unanswered or decider.table.previous != NO_ID:
             return False
         may_write = state.record == number or not self.in_force.has(Guard.CONDITIONAL_COMMIT)
-        return may_write and state.table.fence < self.fences
+        return may_write and state.table.fence < self.max_fence
 
     def _may_grant(self, decider: Decider) -> bool:
+        """Returns whether the decider may grant the key to the owner in its table."""
         if decider.unanswered and self.in_force.has(Guard.SUSPEND_MOVED):
             return False
         if not decider.deciding or decider.table.previous != NO_ID:
@@ -225,81 +281,98 @@
         return decider.contact > 0 or not self.in_force.has(Guard.OUTAGE_GRACE)
 
     def _may_use_fence(self, decider: Decider) -> bool:
-        """Whether no grant under the fence of the decider's table has expired."""
+        """Returns whether no grant under the fence of the decider's table has expired."""
         if not self.in_force.has(Guard.LAPSED_GRANT):
             return True
         return not decider.granted or decider.confirmed > 0
 
     def _take_over(self, state: State, number: int) -> State:
+        """Writes the record and a table with a higher fence, and starts the wait for old holds.
+
+        Until ``grace_ticks`` have passed, the former decider may still grant; the last such grant
+        expires ``HOLD_TICKS`` later. If the stored table has ``alone``, only its writer could
+        still grant when it was written, and the writer grants the former holder nothing any more:
+        one hold is then enough for that server.
+        """
         stored = state.table
         table = stored._replace(alone=False)
         if self.in_force.has(Guard.TAKEOVER_FENCE):
             table = table._replace(fence=table.fence + 1)
-        wait = self.grace + HOLD if self.in_force.has(Guard.TAKEOVER_WAIT) else 0
+        wait = self.grace_ticks + HOLD_TICKS if self.in_force.has(Guard.TAKEOVER_WAIT) else 0
         known = (wait, wait)
         if stored.previous != NO_ID and (stored.alone or not self.in_force.has(Guard.ALONE_TABLE)):
-            known = _replace_at(known, stored.previous, min(wait, HOLD))
-        decider = Decider(True, self.grace, table, known, False, 0)
+            known = _replace_at(known, stored.previous, min(wait, HOLD_TICKS))
+        decider = Decider(True, self.grace_ticks, table, known, False, 0)
         return _with_decider(state, number, decider)._replace(record=number, table=table)
 
     def _move(self, state: State, number: int, decider: Decider) -> State:
+        """Writes a table that assigns the key to the other server; the decider gets the reply."""
         table = self._moved_table(state, decider)
-        moved = decider._replace(table=table, granted=False)
-        return _with_decider(state, number, moved)._replace(table=table)
+        after_move = decider._replace(table=table, granted=False)
+        return _with_decider(state, number, after_move)._replace(table=table)
 
     def _move_without_reply(self, state: State, number: int, decider: Decider) -> State:
+        """Writes the same table, but the reply of the store is lost."""
         table = self._moved_table(state, decider)
         return _with_decider(state, number, decider._replace(unanswered=True))._replace(table=table)
 
     def _moved_table(self, state: State, decider: Decider) -> Table:
+        """Returns a table in which the owner becomes the former holder, the other server owner."""
         owner = decider.table.owner
-        return Table(1 - owner, state.table.fence + 1, owner, decider.age >= self.grace)
+        return Table(1 - owner, state.table.fence + 1, owner, decider.age >= self.grace_ticks)
 
     def _release(self, state: State, number: int, decider: Decider) -> State:
+        """The former holder ends its hold; if it has seen a higher fence, the decider stops."""
         previous = decider.table.previous
         server = state.servers[previous]
         if server.seen > decider.table.fence:
-            return _with_decider(state, number, IDLE)
+            return _with_decider(state, number, NOT_DECIDING)
         seen = decider.table.fence if self.in_force.has(Guard.RELEASE_FENCE) else server.seen
         released = _with_server(state, previous, Server(0, seen, 0))
         return _with_decider(released, number, _without_previous(decider))
 
     def _grant(self, state: State, number: int, decider: Decider) -> State:
+        """The owner starts a hold; if it has seen a higher fence, the decider stops.
+
+        A grant to a crashed server changes nothing.
+        """
         owner = decider.table.owner
         server = state.servers[owner]
         if server.down:
             return state
         if server.seen > decider.table.fence:
-            return _with_decider(state, number, IDLE)
-        # After this answer the server refuses lower fences: its hold ends no later than this grant.
-        known = _replace_at(decider.known, owner, HOLD)
-        granted = decider._replace(known=known, granted=True, confirmed=HOLD)
-        held = _with_server(state, owner, Server(HOLD, decider.table.fence, 0))
-        return _with_decider(held, number, granted)
+            return _with_decider(state, number, NOT_DECIDING)
+        # From now on the server refuses grants with a lower fence, so that they can't extend its
+        # hold.
+        known = _replace_at(decider.known, owner, HOLD_TICKS)
+        granted = decider._replace(known=known, granted=True, confirmed=HOLD_TICKS)
+        after_grant = _with_server(state, owner, Server(HOLD_TICKS, decider.table.fence, 0))
+        return _with_decider(after_grant, number, granted)
 
     def _grant_without_reply(self, state: State, number: int, decider: Decider) -> State:
+        """Sends a late grant; one to a crashed server is lost."""
         owner = decider.table.owner
         known = decider.known
         if self.in_force.has(Guard.COUNT_UNANSWERED):
-            known = _replace_at(known, owner, max(known[owner], HOLD))
+            known = _replace_at(known, owner, max(known[owner], HOLD_TICKS))
         late = None
         if not state.servers[owner].down:
-            late = LateGrant(owner, decider.table.fence, HOLD)
+            late = LateGrant(owner, decider.table.fence, HOLD_TICKS)
         return _with_decider(state, number, decider._replace(known=known))._replace(late=late)
 
 
 class SteadyDeciderModel(_TransferModel):
-    """One decider that loses its record and takes over again; servers crash; grants are delayed."""
+    """One decider that loses its record and takes over again; servers crash; grants are late."""
 
     name = "steady-decider"
     bounds = "1 decider, 2 servers, 4 fences, 1 late grant, crashes"
     guards = (Guard.RELEASE_FENCE, Guard.HOLD_WAIT, Guard.COUNT_UNANSWERED)
-    deciders = 1
-    fences = 4
+    decider_count = 1
+    max_fence = 4
 
 
 class TakeoverModel(_TransferModel):
-    """Two deciders, each of which may continue without knowing of the other."""
+    """Two deciders; the former one may continue until it learns of the other."""
 
     name = "takeover"
     bounds = "2 deciders, 2 servers, 3 fences, 1 late grant, crashes"
@@ -309,20 +382,20 @@
         Guard.HOLD_WAIT,
         Guard.TAKEOVER_WAIT,
     )
-    deciders = 2
+    decider_count = 2
 
 
 class LongGraceModel(_TransferModel):
-    """Two deciders; the former one continues for longer than a hold lasts."""
+    """Two deciders; the former decider may continue for longer than a hold lasts."""
 
     name = "long-grace"
     bounds = "2 deciders, 2 servers, 4 fences"
     guards = (Guard.OUTAGE_GRACE, Guard.TAKEOVER_FENCE, Guard.YIELD)
-    deciders = 2
-    grace = 2
-    fences = 4
-    crashes = False
-    late_grants = False
+    decider_count = 2
+    grace_ticks = 2
+    max_fence = 4
+    has_crashes = False
+    has_late_grants = False
 
 
 class LostReplyModel(_TransferModel):
@@ -331,26 +404,27 @@
     name = "lost-reply"
     bounds = "2 deciders, 2 servers, 4 fences, lost replies"
     guards = (Guard.ALONE_TABLE, Guard.SUSPEND_MOVED)
-    deciders = 2
-    grace = 2
-    fences = 4
-    crashes = False
-    late_grants = False
-    lost_replies = True
+    decider_count = 2
+    grace_ticks = 2
+    max_fence = 4
+    has_crashes = False
+    has_late_grants = False
+    has_lost_replies = True
 
 
 class RestartModel(_TransferModel):
-    """Two deciders; servers restart under their ids while the former one still grants keys."""
+    """Two deciders; servers restart with the same id while the former decider still grants."""
 
     name = "restart"
     bounds = "2 deciders, 2 servers, 3 fences, crashes"
     guards = (Guard.LAPSED_GRANT,)
-    deciders = 2
-    grace = 3
-    late_grants = False
+    decider_count = 2
+    grace_ticks = 3
+    has_late_grants = False
 
 
-def _tick(state: State, grace: int) -> State:
+def _tick(state: State, grace_ticks: int) -> State:
+    """Lets a tick pass: counts all times down, and the deciders' ages up."""
     first, second = (
         Server(max(0, server.hold - 1), server.seen, max(0, server.down - 1))
         for server in state.servers
@@ -360,7 +434,7 @@
             contact=max(0, decider.contact - 1),
             known=(max(0, decider.known[0] - 1), max(0, decider.known[1] - 1)),
             confirmed=max(0, decider.confirmed - 1),
-            age=min(grace, decider.age + 1) if decider.deciding else 0,
+            age=min(grace_ticks, decider.age + 1) if decider.deciding else 0,
         )
         for decider in state.deciders
     )
@@ -371,6 +445,7 @@
 
 
 def _apply_late_grant(state: State, late: LateGrant) -> State:
+    """The late grant arrives; a crashed server or one that saw a higher fence ignores it."""
     server = state.servers[late.server]
     after = state._replace(late=None)
     if server.down or server.seen > late.fence:
