--- a/packages/specification/src/fireflylink_specification/__main__.py
+++ b/packages/specification/src/fireflylink_specification/__main__.py
@@ -22,13 +22,13 @@
 )
 
 
-def _lines() -> Iterator[str]:
+def _selected_lines() -> Iterator[str]:
     if _GUARD.value is not None:
         return trace_lines(next(guard for guard in Guard if guard.key == _GUARD.value))
-    return _report_lines()
+    return _all_lines()
 
 
-def _report_lines() -> Iterator[str]:
+def _all_lines() -> Iterator[str]:
     yield from model_lines()
     yield from removal_lines()
 
@@ -36,7 +36,7 @@
 def _main(arguments: Sequence[str]) -> None:
     if len(arguments) > 1:
         raise app.UsageError("no arguments are expected")
-    for line in _lines():
+    for line in _selected_lines():
         print(line, flush=True)
 
 
--- a/packages/specification/src/fireflylink_specification/_check.py
+++ b/packages/specification/src/fireflylink_specification/_check.py
@@ -1,7 +1,8 @@
-"""Checks of a model.
+"""Explores the states of a model and checks its safety and its progress.
 
-Safety is checked over steps and faults. Progress is checked over steps alone, starting from every
-state that steps and faults can reach.
+Safety is checked over steps and faults. Progress is checked over steps alone: from every
+state that steps and faults can reach, some sequence of steps must reach a goal. The check does not
+show that every sequence does.
 """
 
 from itertools import chain
@@ -13,43 +14,43 @@
 from fireflylink_specification._model import BaseModel, Step
 
 MAX_STATES = 200_000
-"""Default bound of a safety check. The bound of the library's progress check is the same."""
+"""Default bound of a safety check. minicheck's progress check has the same bound."""
 
 
 class SafetyResult:
-    """Whether the properties hold; ``trace`` is a shortest run that violates ``broken_property``.
+    """Whether the properties hold; ``trace`` is a shortest one that violates ``violated_property``.
 
     The search stops at the first violation, so ``states`` counts the whole state space only if the
     properties hold.
     """
 
-    __slots__ = ("broken_property", "exhaustive", "holds", "states", "trace")
+    __slots__ = ("violated_property", "exhaustive", "holds", "states", "trace")
 
     def __init__(
         self,
         states: int,
         holds: bool,
         exhaustive: bool,
-        broken_property: str | None,
+        violated_property: str | None,
         trace: tuple[Step[Any], ...],
     ) -> None:
         self.states = states
         self.holds = holds
         self.exhaustive = exhaustive
-        self.broken_property = broken_property
+        self.violated_property = violated_property
         self.trace = trace
 
     @property
     def steps(self) -> tuple[str, ...]:
-        """The labels of the trace, without the initial state."""
+        """The labels of the trace's transitions (steps and faults), without the initial state."""
         return tuple(label for label, _ in self.trace[1:])
 
 
 class ProgressResult:
-    """Whether every reachable state leads to the goal without further faults.
+    """Whether a goal can be reached without further faults from every reachable state.
 
-    If not, ``trace`` is a shortest run to a state that does not. ``note`` says why the search gave
-    no result, if it did not finish.
+    If not, ``trace`` is a shortest one to a state from which no goal can be reached. If the search
+    did not finish, ``holds`` is false, ``trace`` is empty and ``note`` says why.
     """
 
     __slots__ = ("holds", "note", "trace")
@@ -61,14 +62,17 @@
 
     @property
     def steps(self) -> tuple[str, ...]:
-        """The labels of the trace, without the initial state."""
+        """The labels of the trace's transitions (steps and faults), without the initial state."""
         return tuple(label for label, _ in self.trace[1:])
 
 
 class ModelChecker:
     """Checks one model with all guards, or with all but one.
 
-    The safety check and the progress check share the explored states.
+    The safety check and the progress check share the explored states. ``states`` has the explored
+    representatives by number; ``state_numbers`` maps them, and the states that they stand for, to
+    these numbers. ``successors`` has the labels and numbers of the states that follow by steps,
+    and those that follow by faults.
 
     Example::
 
@@ -98,17 +102,19 @@
         )
         report = minicheck.check_safety(protocol, max_states=max_states)
         results = report["properties"]
-        broken_property = next((name for name in results if results[name]["holds"] is False), None)
+        violated_property = next(
+            (name for name in results if results[name]["holds"] is False), None
+        )
         trace: tuple[Step[Any], ...] = ()
-        if broken_property is not None:
-            trace = self._trace(results[broken_property]["counterexample"])
+        if violated_property is not None:
+            trace = self._trace(results[violated_property]["counterexample"])
         holds = all(result["holds"] is True for result in results.values())
         return SafetyResult(
-            report["reachable_states"], holds, report["exhaustive"], broken_property, trace
+            report["reachable_states"], holds, report["exhaustive"], violated_property, trace
         )
 
     def progress(self) -> ProgressResult:
-        """Checks that steps without faults lead from every reachable state to the goal.
+        """Checks that steps without faults can reach a goal from every reachable state.
 
         Each state of this search also records whether faults have ended.
         """
@@ -128,16 +134,16 @@
         trace = self._trace(report.get("counterexample") or [])
         return ProgressResult(report["holds"] is True, report.get("note", ""), trace)
 
-    def _state_number(self, unreduced: Any) -> int:
-        """Returns the number of the representative of a state, a new one for a new state."""
-        known = self.state_numbers.get(unreduced)
+    def _state_number(self, state: Any) -> int:
+        """Returns the number of the representative of ``state``; numbers a new representative."""
+        known = self.state_numbers.get(state)
         if known is not None:
             return known
-        state = self.model.representative(unreduced)
-        number = self.state_numbers.setdefault(state, len(self.states))
+        representative = self.model.representative(state)
+        number = self.state_numbers.setdefault(representative, len(self.states))
         if number == len(self.states):
-            self.states.append(state)
-        self.state_numbers[unreduced] = number
+            self.states.append(representative)
+        self.state_numbers[state] = number
         return number
 
     def _successors(self, number: int) -> tuple[list[tuple[str, int]], list[tuple[str, int]]]:
@@ -151,17 +157,17 @@
             self.successors[number] = known
         return known
 
-    def _transitions(self, key: tuple[int]) -> list[tuple[str, tuple[int]]]:
-        """Returns the transitions of a state, none after a violation, which ends the search."""
+    def _transitions(self, values: tuple[int]) -> list[tuple[str, tuple[int]]]:
+        """Returns the transitions of a state. After a violation there are none: the search ends."""
         if self.violation_found:
             return []
-        steps, faults = self._successors(key[0])
+        steps, faults = self._successors(values[0])
         return [(label, (number,)) for label, number in steps + faults]
 
     def _transitions_until_faults_end(
-        self, key: tuple[int, bool]
+        self, values: tuple[int, bool]
     ) -> list[tuple[str, tuple[int, bool]]]:
-        number, faults_ended = key
+        number, faults_ended = values
         steps, faults = self._successors(number)
         if faults_ended:
             return [(label, (after, True)) for label, after in steps]
@@ -180,7 +186,7 @@
         return invariant
 
     def _trace(self, counterexample: list[dict[str, Any]]) -> tuple[Step[Any], ...]:
-        """Replays a counterexample in the model.
+        """Returns the transitions of a counterexample, found by replaying it in the model.
 
         The checker explores representatives of states. The replay starts from the initial state, so
         that a label names the same server or decider in every step.
--- a/packages/specification/src/fireflylink_specification/_guards.py
+++ b/packages/specification/src/fireflylink_specification/_guards.py
@@ -15,7 +15,7 @@
     )
     RELEASE_FENCE = (
         "release-fence",
-        "a release carries the next holder's fence; the server then refuses grants with a lower one",
+        "a release carries the next holder's fence; the server then refuses lower fences",
     )
     HOLD_WAIT = (
         "hold-wait",
@@ -31,7 +31,7 @@
     )
     TAKEOVER_WAIT = (
         "takeover-wait",
-        "a new decider assumes that the former decider sent grants until its grace time ended",
+        "the former decider is assumed to grant to an unresponsive server until it stops",
     )
     TAKEOVER_FENCE = (
         "takeover-fence",
--- a/packages/specification/src/fireflylink_specification/_model.py
+++ b/packages/specification/src/fireflylink_specification/_model.py
@@ -9,7 +9,7 @@
 State = TypeVar("State", bound=tuple[object, ...])
 
 Step = tuple[str, State]
-"""A label in plain words, and the state after the step."""
+"""The label of a step or a fault, and the state after it."""
 
 
 class BaseModel(ABC, Generic[State]):
@@ -27,7 +27,7 @@
     """The guards without which this model violates a property."""
 
     def __init__(self, guards: Guards) -> None:
-        self.in_force = guards
+        self.applied_guards = guards
 
     @abstractmethod
     def initial(self) -> State:
@@ -51,4 +51,4 @@
 
     @abstractmethod
     def is_goal(self, state: State) -> bool:
-        """Returns whether the state is one that progress requires to be reached."""
+        """Returns whether the state is a goal of the progress check."""
--- a/packages/specification/src/fireflylink_specification/_report.py
+++ b/packages/specification/src/fireflylink_specification/_report.py
@@ -28,8 +28,8 @@
 
 
 def removal_lines() -> Iterator[str]:
-    """Yields for each removed guard the steps that lead to a violated property."""
-    for model, guard in _removals():
+    """Yields, for each model and each guard that it needs, a violation without that guard."""
+    for model, guard in _models_and_guards():
         violated_property, trace = _counterexample(model, guard)
         yield ""
         yield f"without {guard.key} ({guard.rule})"
@@ -39,7 +39,7 @@
 
 def trace_lines(guard: Guard) -> Iterator[str]:
     """Yields the counterexamples of one removed guard with the fields that each step changes."""
-    for model, removed in _removals():
+    for model, removed in _models_and_guards():
         if removed is not guard:
             continue
         violated_property, trace = _counterexample(model, guard)
@@ -56,7 +56,8 @@
             before = fields
 
 
-def _removals() -> Iterator[tuple[type[BaseModel[Any]], Guard]]:
+def _models_and_guards() -> Iterator[tuple[type[BaseModel[Any]], Guard]]:
+    """Yields each model with each guard without which it violates a property."""
     for model in MODELS:
         for guard in model.guards:
             yield model, guard
@@ -65,7 +66,7 @@
 def _counterexample(model: type[BaseModel[Any]], guard: Guard) -> tuple[str, tuple[Step[Any], ...]]:
     checker = ModelChecker(model, without=guard)
     safety = checker.safety()
-    return safety.broken_property or "nothing", safety.trace
+    return safety.violated_property or "nothing", safety.trace
 
 
 def _yes_or_no(value: bool) -> str:
--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -194,7 +194,7 @@
             yield f"{name} renews its record", _with_decider(
                 state, number, decider._replace(contact=self.grace_ticks)
             )
-        elif self.in_force.has(Guard.YIELD) and decider.table != state.table:
+        elif self.applied_guards.has(Guard.YIELD) and decider.table != state.table:
             yield f"{name} reads a different table and stops", _with_decider(
                 state, number, NOT_DECIDING
             )
@@ -233,7 +233,7 @@
                 yield f"{name} has server {previous} release the key", self._release(
                     state, number, decider
                 )
-            if not self.in_force.has(Guard.HOLD_WAIT) or not decider.known[previous]:
+            if not self.applied_guards.has(Guard.HOLD_WAIT) or not decider.known[previous]:
                 yield (
                     f"{name} considers the hold of server {previous} expired",
                     _with_decider(state, number, _without_previous(decider)),
@@ -269,20 +269,20 @@
         """
         if not decider.deciding or decider.unanswered or decider.table.previous != NO_ID:
             return False
-        may_write = state.record == number or not self.in_force.has(Guard.CONDITIONAL_COMMIT)
+        may_write = state.record == number or not self.applied_guards.has(Guard.CONDITIONAL_COMMIT)
         return may_write and state.table.fence < self.max_fence
 
     def _may_grant(self, decider: Decider) -> bool:
         """Returns whether the decider may grant the key to the owner in its table."""
-        if decider.unanswered and self.in_force.has(Guard.SUSPEND_MOVED):
+        if decider.unanswered and self.applied_guards.has(Guard.SUSPEND_MOVED):
             return False
         if not decider.deciding or decider.table.previous != NO_ID:
             return False
-        return decider.contact > 0 or not self.in_force.has(Guard.OUTAGE_GRACE)
+        return decider.contact > 0 or not self.applied_guards.has(Guard.OUTAGE_GRACE)
 
     def _may_use_fence(self, decider: Decider) -> bool:
         """Returns whether no grant under the fence of the decider's table has expired."""
-        if not self.in_force.has(Guard.LAPSED_GRANT):
+        if not self.applied_guards.has(Guard.LAPSED_GRANT):
             return True
         return not decider.granted or decider.confirmed > 0
 
@@ -296,11 +296,13 @@
         """
         stored = state.table
         table = stored._replace(alone=False)
-        if self.in_force.has(Guard.TAKEOVER_FENCE):
+        if self.applied_guards.has(Guard.TAKEOVER_FENCE):
             table = table._replace(fence=table.fence + 1)
-        wait = self.grace_ticks + HOLD_TICKS if self.in_force.has(Guard.TAKEOVER_WAIT) else 0
+        wait = self.grace_ticks + HOLD_TICKS if self.applied_guards.has(Guard.TAKEOVER_WAIT) else 0
         known = (wait, wait)
-        if stored.previous != NO_ID and (stored.alone or not self.in_force.has(Guard.ALONE_TABLE)):
+        if stored.previous != NO_ID and (
+            stored.alone or not self.applied_guards.has(Guard.ALONE_TABLE)
+        ):
             known = _replace_at(known, stored.previous, min(wait, HOLD_TICKS))
         decider = Decider(True, self.grace_ticks, table, known, False, 0)
         return _with_decider(state, number, decider)._replace(record=number, table=table)
@@ -327,7 +329,7 @@
         server = state.servers[previous]
         if server.seen > decider.table.fence:
             return _with_decider(state, number, NOT_DECIDING)
-        seen = decider.table.fence if self.in_force.has(Guard.RELEASE_FENCE) else server.seen
+        seen = decider.table.fence if self.applied_guards.has(Guard.RELEASE_FENCE) else server.seen
         released = _with_server(state, previous, Server(0, seen, 0))
         return _with_decider(released, number, _without_previous(decider))
 
@@ -353,7 +355,7 @@
         """Sends a late grant; one to a crashed server is lost."""
         owner = decider.table.owner
         known = decider.known
-        if self.in_force.has(Guard.COUNT_UNANSWERED):
+        if self.applied_guards.has(Guard.COUNT_UNANSWERED):
             known = _replace_at(known, owner, max(known[owner], HOLD_TICKS))
         late = None
         if not state.servers[owner].down:
--- a/packages/specification/tests/conftest.py
+++ b/packages/specification/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixture that reuses the explored states of a model in the tests of safety and progress."""
+"""Fixture that reuses the explored states of a model in all tests of a module."""
 
 from collections.abc import Callable
 from functools import cache
@@ -8,9 +8,9 @@
 
 from fireflylink_specification import BaseModel, ModelChecker
 
-Checkers = Callable[[type[BaseModel[Any]]], ModelChecker]
+CheckerFactory = Callable[[type[BaseModel[Any]]], ModelChecker]
 
 
 @pytest.fixture(scope="module")
-def checker_of() -> Checkers:
+def checker_of() -> CheckerFactory:
     return cache(ModelChecker)
--- a/packages/specification/tests/test_models.py
+++ b/packages/specification/tests/test_models.py
@@ -38,7 +38,10 @@
 def test_goal_is_reachable_after_any_faults(
     checker_of: Callable[[ModelType], ModelChecker], model: ModelType
 ) -> None:
-    """Guards against a key that stays without a holder for ever after faults have ended."""
+    """Guards against a state from which the owner can never get the key, although faults have ended.
+
+    The check shows that a goal can be reached, not that every run reaches it.
+    """
     result = checker_of(model).progress()
     assert_that(result.steps, Equals(()))
     assert_that(result.holds, Is(True))
@@ -46,16 +49,16 @@
 
 @pytest.mark.parametrize(("model", "guard"), REMOVALS, ids=_test_id)
 def test_removed_guard_has_a_counterexample(model: ModelType, guard: Guard) -> None:
-    """Guards against a rule that is unnecessary, or that no model covers.
+    """Guards against a guard of a model that is unnecessary.
 
-    Without such a rule the model still finds no violation.
+    The checker then finds no violation when that guard is removed.
     """
     result = ModelChecker(model, without=guard).safety()
     assert_that(result.holds, Is(False))
     assert_that(len(result.steps), GreaterThan(0))
 
 
-def test_every_guard_is_needed_by_some_model() -> None:
-    """Guards against a guard that no model removes: nothing would show that it is needed."""
+def test_every_guard_is_listed_by_some_model() -> None:
+    """Guards against a guard that no model lists: nothing would show that it is needed."""
     removed = {guard for model in MODELS for guard in model.guards}
     assert_that(removed, Equals(set(Guard)))
