--- a/packages/experiments/src/fireflylink_experiments/__init__.py
+++ b/packages/experiments/src/fireflylink_experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Commands that measure the decision code of the daemon."""
+"""A command that measures the cost of planning and granting keys."""
--- a/packages/specification/src/fireflylink_specification/_check.py
+++ b/packages/specification/src/fireflylink_specification/_check.py
@@ -18,13 +18,13 @@
 
 
 class SafetyResult:
-    """Whether the properties hold; ``trace`` is a shortest one that violates ``violated_property``.
+    """Whether the properties hold; ``trace`` is a shortest run that violates ``violated_property``.
 
     The search stops at the first violation, so ``states`` counts the whole state space only if the
     properties hold.
     """
 
-    __slots__ = ("violated_property", "exhaustive", "holds", "states", "trace")
+    __slots__ = ("exhaustive", "holds", "states", "trace", "violated_property")
 
     def __init__(
         self,
@@ -49,7 +49,7 @@
 class ProgressResult:
     """Whether a goal can be reached without further faults from every reachable state.
 
-    If not, ``trace`` is a shortest one to a state from which no goal can be reached. If the search
+    If not, ``trace`` is a shortest run to a state from which no goal can be reached. If the search
     did not finish, ``holds`` is false, ``trace`` is empty and ``note`` says why.
     """
 
--- a/packages/specification/tests/test_models.py
+++ b/packages/specification/tests/test_models.py
@@ -38,7 +38,7 @@
 def test_goal_is_reachable_after_any_faults(
     checker_of: Callable[[ModelType], ModelChecker], model: ModelType
 ) -> None:
-    """Guards against a state from which the owner can never get the key, although faults have ended.
+    """Guards against a state from which the owner can never get the key after faults have ended.
 
     The check shows that a goal can be reached, not that every run reaches it.
     """
