--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -42,8 +42,8 @@
 
     ``owner`` is the server that the table assigns the key to. It gets grants once no former holder
     is left. ``previous`` is the former holder that has not yet released the key, ``NO_ID`` if there
-    is none.
-    ``alone`` is true if no earlier decider could still grant keys when the table was written.
+    is none. ``alone`` is true if no earlier decider could still grant keys when the table was
+    written.
     """
 
     owner: int
@@ -70,8 +70,8 @@
     ``deciding`` is false for a daemon that does not act as the decider; the rest is then unused.
     ``contact`` counts the ticks for which it may still grant without an answer from the store.
     ``table`` is its copy of the table. ``known`` counts, for each server, the ticks until its hold
-    expires at the latest (an upper bound). ``granted`` is true once the owner has replied to a
-    grant under this table. ``confirmed`` counts the ticks left of the hold that a server last
+    expires at the latest, as far as this decider knows (an upper bound). ``granted`` is true
+    once the owner has replied to a grant under this table. ``confirmed`` counts the ticks left of the hold that a server last
     replied to. ``age`` counts the ticks since it took over, up to ``grace_ticks``: from then on
     no earlier decider can still grant. ``unanswered`` is true if it sent the store a move whose
     reply was lost.
@@ -138,6 +138,7 @@
         return State(table, 0, servers, (first, *others), None)
 
     def steps(self, state: State) -> Iterator[Step[State]]:
+        """Yields the tick, what each decider can do, and takeovers while the record names none."""
         yield "a tick passes", _tick(state, self.grace_ticks)
         for number, decider in enumerate(state.deciders):
             name = f"decider {number}"
@@ -148,6 +149,11 @@
                 yield f"{name} takes over", self._take_over(state, number)
 
     def faults(self, state: State) -> Iterator[Step[State]]:
+        """Yields the loss of the record, crashes of servers, and losses of replies.
+
+        The reply to a move is lost after the store has committed it. A grant whose reply is lost
+        becomes the late grant.
+        """
         if state.record != NO_ID:
             yield "the store drops the decider record", state._replace(record=NO_ID)
         for server in SERVERS:
@@ -178,7 +184,8 @@
     def is_goal(self, state: State) -> bool:
         """Returns whether the stored table's owner holds the key, or the bound is reached.
 
-        No table can follow one with fence ``max_fence``, so that its states count as goals.
+        No move, takeover or higher fence can follow a table with fence ``max_fence``, so that its
+        states count as goals.
         """
         owner_holds_key = (
             state.servers[state.table.owner].hold > 0 and state.table.previous == NO_ID
@@ -225,7 +232,7 @@
         """Yields the releases and grants of a decider, and the arrival of a late grant.
 
         A grant is sent only once no former holder is left: it has released the key, or the decider
-        considers its hold expired.
+        considers its hold expired. A late grant arrives only while some daemon acts as the decider.
         """
         previous = decider.table.previous
         if previous != NO_ID:
