--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -71,9 +71,10 @@
     ``contact`` counts the ticks for which it may still grant without an answer from the store.
     ``table`` is its copy of the table. ``known`` counts, for each server, the ticks until its hold
     expires at the latest, as far as this decider knows (an upper bound). ``granted`` is true
-    once the owner has replied to a grant under this table. ``confirmed`` counts the ticks left of the hold that a server last
-    replied to. ``age`` counts the ticks since it took over, up to ``grace_ticks``: from then on
-    no earlier decider can still grant. ``unanswered`` is true if it sent the store a move whose
+    once the owner has replied to a grant under this table. ``confirmed`` counts the
+    ticks left of the hold that a server last confirmed by its reply to a grant. ``age`` counts the
+    ticks since it took over, up to ``grace_ticks``: from then on no earlier decider can still grant.
+    ``unanswered`` is true if it sent the store a move whose
     reply was lost.
     """
 
