--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -73,9 +73,8 @@
     expires at the latest, as far as this decider knows (an upper bound). ``granted`` is true
     once the owner has replied to a grant under this table. ``confirmed`` counts the
     ticks left of the hold that a server last confirmed by its reply to a grant. ``age`` counts the
-    ticks since it took over, up to ``grace_ticks``: from then on no earlier decider can still grant.
-    ``unanswered`` is true if it sent the store a move whose
-    reply was lost.
+    ticks since it took over, up to ``grace_ticks``: from then on no earlier decider can grant.
+    ``unanswered`` is true if it sent the store a move whose reply was lost.
     """
 
     deciding: bool
