--- a/packages/standins/src/fireflylink_standins/_memory_store.py
+++ b/packages/standins/src/fireflylink_standins/_memory_store.py
@@ -29,8 +29,9 @@
 class MemoryStore(BaseStore):
     """A client of a ``StoreState``; several clients can share one state.
 
-    If ``reachable`` is false, every call fails. If ``drops_replies`` is true, a commit takes effect
-    and then fails with ``StoreOutcomeUnknownError``, as if its reply had been lost.
+    Deadlines are ignored. If ``reachable`` is false, every call fails. If ``drops_replies`` is
+    true, a commit takes effect and then fails with ``StoreOutcomeUnknownError``, as if its
+    reply had been lost.
     """
 
     __slots__ = ("drops_replies", "reachable", "state")
