Use one word for the handover token and for standing for election

The reason given for sending service times only in each eighth round of reports had no source in the code or the history; the comment now says what the interval does. Only comments change.

--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -23,8 +23,7 @@
 
 REPORT_INTERVAL_SECONDS = 0.25
 SERVICE_TIMES_INTERVAL_IN_ROUNDS = 8
-"""Only each eighth round of reports includes service times, because traffic between data centres is
-paid for by the byte."""
+"""Only each eighth round of reports includes service times, which keeps the other reports short."""
 
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_DATAGRAM_BYTES = 2048
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -70,7 +70,7 @@
 
 
 def test_one_daemon_of_several_becomes_the_decider(make_daemon, clock):
-    """Guards against two deciders after two daemons have run for election at the same time."""
+    """Guards against two deciders after two daemons have stood for election at the same time."""
     first, second = make_daemon("front-0"), make_daemon("front-1")
     for daemon in (first, second):
         daemon.decider_task.receive(DeciderChanged(None, 0))
--- a/packages/decisions/src/fireflylink_decisions/ownership/_candidate.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_candidate.py
@@ -4,7 +4,7 @@
 
 
 class Candidate(BaseValue):
-    """A server that the planner may assign keys to, not a daemon that runs for election.
+    """A server that the planner may assign keys to, not a daemon that stands for election.
 
     ``capacity`` is how many requests per second it can run.
     """
--- a/packages/decisions/src/fireflylink_decisions/ownership/_decider_election.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_decider_election.py
@@ -3,7 +3,7 @@
 from fireflylink_decisions.ownership._grant_tracker import OUTAGE_GRACE_SECONDS
 
 CANDIDACY_DELAY_PER_RANK_SECONDS = 0.12
-"""Daemons of a higher rank run for election later, so that usually only one of them writes."""
+"""Daemons of a higher rank stand for election later, so that usually only one of them writes."""
 
 
 class DeciderElection:
@@ -63,7 +63,7 @@
         return self.is_decider and now < self.confirmed_call_sent_at + OUTAGE_GRACE_SECONDS
 
     def candidacy_at(self, rank: int) -> float | None:
-        """Returns when this daemon should run for election, None if there is no vacancy."""
+        """Returns when this daemon should stand for election, None if there is no vacancy."""
         if self.is_decider or self.vacant_since is None:
             return None
         return self.vacant_since + rank * CANDIDACY_DELAY_PER_RANK_SECONDS
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -56,8 +56,8 @@
 class GrantCommand(BaseCommand):
     """Grants keys to a server, or renews the grant.
 
-    ``fence`` is the fencing token of the keys' assignment. ``handover`` is opaque data for the new
-    holder that the former one returned with its release, empty if there is none.
+    ``fence`` is the fencing token of the keys' assignment. ``handover`` is the token for the
+    new holder that the former one returned with its release, empty if there is none.
     """
 
     __slots__ = ("fence", "handover", "keys", "renewal", "server")
@@ -281,7 +281,7 @@
             state.due_at[command.server] = now + self.renewal_interval_seconds
 
     def record_released(self, command: ReleaseCommand, handover: str, now: float) -> None:
-        """Records that a server released keys, with its handover data for the next holder."""
+        """Records that a server released keys, with its handover token for the next holder."""
         state = self._complete_command(command.keys, command.fence, command.server)
         if state is None:
             return
