Count what a restarted server may hold for its next incarnation

A caller of a keyed service could be served by two servers at once: a server that restarts under its id accepts the renewals that are still sent to its former incarnation, because commands name a server by its id and the new process knows no fence. When the decider read the new registration it took all holds of the former incarnation for ended and granted its keys on at once, while the next incarnation held them for up to 3 s.

Holds are now counted by HoldExpiries, which passes those of an ended incarnation to its successor: the successor releases the keys, or its hold expires, before they are granted on. An ended incarnation gets no more renewals. A log line server-restarted says for how long keys may be held.

The accessor of the holds moved, so one line of test_command_tasks.py reads tracker.holds.expiries in place of tracker.hold_expiries; the check is the same.

--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -6,7 +6,15 @@
     ServerMismatchError,
     StaleFenceError,
 )
-from fireflylink_core import BackendServer, BaseClock, OwnershipTable, ServerIncarnation
+from fireflylink_core import (
+    FIRST_KEY,
+    LAST_KEY,
+    BackendServer,
+    BaseClock,
+    KeyRange,
+    OwnershipTable,
+    ServerIncarnation,
+)
 from fireflylink_daemon._decider_task import CommitTable, DeciderTask, Superseded
 from fireflylink_daemon._fleet_commands import FleetCommands
 from fireflylink_daemon._log import log_event, log_problem
@@ -52,6 +60,7 @@
 """A service gets no new plan for this long while the write of a table is not acknowledged."""
 
 MILLISECONDS_PER_SECOND = 1000.0
+ALL_KEYS = KeyRange(FIRST_KEY, LAST_KEY)
 
 
 class OwnershipTask(BaseTask):
@@ -366,8 +375,8 @@
     def _update_incarnations(self) -> None:
         """Closes the command tasks of incarnations that are gone; records which ones have ended.
 
-        An incarnation has certainly ended when a newer one of the same server is registered. It
-        then holds none of the keys that were granted to it.
+        An incarnation has certainly ended when a newer one of the same server is registered. That
+        one may hold keys by commands to the former: a command names its server by the id only.
         """
         entries = self.routing_state.directory.entries.values()
         registered = {entry.server.server_id: entry.server.incarnation for entry in entries}
@@ -380,7 +389,23 @@
                 for incarnation in (assignment.owner, *assignment.previous_holders):
                     registered_incarnation = registered.get(incarnation.server_id, incarnation)
                     if registered_incarnation.started_ms > incarnation.started_ms > 0:
-                        service.grant_tracker.record_incarnation_ended(incarnation)
+                        self._record_restart(service, incarnation, registered_incarnation)
+
+    def _record_restart(
+        self, service: KeyedService, former: ServerIncarnation, successor: ServerIncarnation
+    ) -> None:
+        tracker = service.grant_tracker
+        if tracker is None or tracker.holds.has_ended(former):
+            return
+        held_until = tracker.hold_expires_at(former, ALL_KEYS)
+        log_event(
+            "server-restarted",
+            service=service.name,
+            server=former,
+            successor=successor,
+            held_seconds=max(0.0, held_until - self.clock.now()),
+        )
+        tracker.record_incarnation_ended(former, successor)
 
     def _record_commands_failed(self, messages: list[SendCommand]) -> None:
         """Records that the commands in progress at servers that are gone have failed.
--- a/packages/daemon/tests/test_command_tasks.py
+++ b/packages/daemon/tests/test_command_tasks.py
@@ -128,7 +128,7 @@
             keys = KeyRange(body["from"], body["to"])
             hold_ends_at = arrived_at + body["hold-ms"] / 1000.0 * CLOCK_DRIFT_FACTOR
             # Without the holds of former deciders, which would hide a wait of a few seconds.
-            if tracker.hold_expiries[SERVER][(keys, body["fence"])] < hold_ends_at:
+            if tracker.holds.expiries[SERVER][(keys, body["fence"])] < hold_ends_at:
                 late.append((arrived_at, keys))
     assert_that(seen, GreaterThan(RANGE_COUNT))
     assert_that(late, HasLength(0))
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -19,9 +19,7 @@
     OUTAGE_GRACE_SECONDS,
     RENEWAL_INTERVAL_SECONDS,
 )
-
-FORMER_DECIDER_FENCE = 0
-"""Placeholder for every fence under which former deciders granted keys; tables use 1 and above."""
+from fireflylink_decisions.ownership._hold_expiries import FORMER_DECIDER_FENCE, HoldExpiries
 
 
 class _GrantState:
@@ -63,8 +61,7 @@
     ``OUTAGE_GRACE_SECONDS`` after that, so the hold of a server that does not answer may last
     until one grant time-out and one whole hold later.
 
-    ``hold_expiries`` has, for each server, the latest time at which the grant of a range under a
-    fence expires; ``expiries_before_send`` has its value from before the last grant was sent.
+    ``holds`` has the latest time at which each grant that a server may have accepted expires.
     Inherited holds are those that former deciders granted: ``inherited_owner_holds_expire_at`` and
     ``inherited_previous_holder_holds_expire_at`` are their latest expiries for the owners and for
     the previous holders in the table that this decider writes first. ``first_table_fence`` is the
@@ -73,12 +70,10 @@
 
     __slots__ = (
         "assignments_by_server",
-        "ended_incarnations",
-        "expiries_before_send",
         "first_table_fence",
         "grant_states",
-        "hold_expiries",
         "hold_seconds",
+        "holds",
         "inherited_owner_holds_expire_at",
         "inherited_previous_holder_holds_expire_at",
         "max_hold_seconds",
@@ -99,9 +94,7 @@
         self.first_table_fence = 0
         self.table: OwnershipTable | None = None
         self.grant_states: dict[tuple[KeyRange, int], _GrantState] = {}
-        self.hold_expiries: dict[ServerIncarnation, dict[tuple[KeyRange, int], float]] = {}
-        self.expiries_before_send: dict[tuple[ServerIncarnation, KeyRange, int], float] = {}
-        self.ended_incarnations: set[ServerIncarnation] = set()
+        self.holds = HoldExpiries()
         self.assignments_by_server: dict[ServerIncarnation, list[Assignment]] = {}
 
     def mark_no_former_decider(self) -> None:
@@ -172,11 +165,13 @@
         )
         for assignment in assignments:
             state = self.grant_states[(assignment.keys, assignment.fence)]
-            self._drop_expired_holders(state, assignment.keys, now)
+            self._drop_expired_holders(state, assignment, now)
             if state.unreleased_holders:
                 due.extend(self._due_releases(assignment, state, now))
-            elif (assignment.keys, assignment.fence) in pending_removal or state.is_expired(
-                now, self.hold_seconds
+            elif (
+                (assignment.keys, assignment.fence) in pending_removal
+                or state.is_expired(now, self.hold_seconds)
+                or self.holds.has_ended(assignment.owner)
             ):
                 continue
             elif self._is_due(state, assignment.owner, now):
@@ -198,12 +193,9 @@
 
         The keys may be held from now on, until one hold after ``deadline``.
         """
-        expiries = self.hold_expiries.setdefault(command.server, {})
-        grant_id = (command.keys, command.fence)
-        self.expiries_before_send[(command.server, *grant_id)] = expiries.get(
-            grant_id, float("-inf")
+        self.holds.record_sent(
+            command.server, (command.keys, command.fence), deadline + self.max_hold_seconds
         )
-        expiries[grant_id] = deadline + self.max_hold_seconds
 
     def record_not_sent(self, command: GrantCommand) -> None:
         """Records that no byte of a grant was sent, and restores the expiry of the hold.
@@ -211,21 +203,16 @@
         Earlier grants still count, whether they were answered or not. The table may have been
         replaced since ``record_sent``.
         """
-        grant_id = (command.keys, command.fence)
-        previous_expiry = self.expiries_before_send.pop((command.server, *grant_id), None)
-        if previous_expiry is not None:
-            self.hold_expiries[command.server][grant_id] = previous_expiry
+        self.holds.record_not_sent(command.server, (command.keys, command.fence))
 
     def record_granted(self, command: GrantCommand, now: float) -> None:
         """Records that a server confirmed a grant."""
-        self.expiries_before_send.pop((command.server, command.keys, command.fence), None)
-        expiries = self.hold_expiries.setdefault(command.server, {})
-        expiries[(command.keys, command.fence)] = now + self.max_hold_seconds
-        if command.fence >= self.first_table_fence:
-            # The server refuses grants of these keys that a former decider may still send.
-            for keys, fence in list(expiries):
-                if fence == FORMER_DECIDER_FENCE and command.keys.covers(keys):
-                    del expiries[(keys, fence)]
+        self.holds.record_granted(
+            command.server,
+            (command.keys, command.fence),
+            now + self.max_hold_seconds,
+            ends_former=command.fence >= self.first_table_fence,
+        )
         state = self._complete_command(command.keys, command.fence, command.server)
         if state is not None:
             state.granted = True
@@ -237,22 +224,30 @@
         state = self._complete_command(command.keys, command.fence, command.server)
         if state is None:
             return
-        if command.server in state.unreleased_holders:
-            state.unreleased_holders.remove(command.server)
+        state.unreleased_holders = [
+            incarnation
+            for incarnation in state.unreleased_holders
+            if self.holds.holder(incarnation) != self.holds.holder(command.server)
+        ]
         state.handover = handover or state.handover
 
     def record_failed(self, command: BaseCommand, now: float) -> None:
         """Records that a command failed; it is due again after ``COMMAND_RETRY_DELAY_SECONDS``."""
         keys, fence = _keys_and_fence(command)
-        self.expiries_before_send.pop((command.server, keys, fence), None)
+        self.holds.forget_previous(command.server, (keys, fence))
         state = self._complete_command(keys, fence, command.server)
         if state is None:
             return
         state.due_at[command.server] = now + COMMAND_RETRY_DELAY_SECONDS
 
-    def record_incarnation_ended(self, server: ServerIncarnation) -> None:
-        """Records that an incarnation has ended: it holds no keys, whatever it was granted."""
-        self.ended_incarnations.add(server)
+    def record_incarnation_ended(
+        self, server: ServerIncarnation, successor: ServerIncarnation | None = None
+    ) -> None:
+        """Records that an incarnation has ended, and which one has followed under the same id.
+
+        It gets no more grants. What it may hold of earlier ones is counted for its successor.
+        """
+        self.holds.record_ended(server, successor)
 
     def table_without_completed_moves(self) -> OwnershipTable | None:
         """Returns the table with the previous holders of completed moves removed from it.
@@ -277,24 +272,16 @@
 
     def hold_expires_at(self, server: ServerIncarnation, keys: KeyRange) -> float:
         """Returns the latest time at which a grant of any of the keys to a server expires."""
-        if server in self.ended_incarnations:
-            return float("-inf")
-        expiries = self.hold_expiries.get(server, {})
-        matching = (expiry for (held, _), expiry in expiries.items() if held.overlaps(keys))
-        return max(matching, default=float("-inf"))
+        return self.holds.expires_at(server, keys)
 
     def _add_inherited_holds(self, table: OwnershipTable) -> None:
         """Adds the holds that former deciders may have granted, or may still renew for owners."""
         for former in table.assignments:
             grant_id = (former.keys, FORMER_DECIDER_FENCE)
-            self.hold_expiries.setdefault(former.owner, {})[
-                grant_id
-            ] = self.inherited_owner_holds_expire_at
+            self.holds.extend(former.owner, grant_id, self.inherited_owner_holds_expire_at)
             for incarnation in former.previous_holders:
-                expiries = self.hold_expiries.setdefault(incarnation, {})
-                expiries[grant_id] = max(
-                    expiries.get(grant_id, float("-inf")),
-                    self.inherited_previous_holder_holds_expire_at,
+                self.holds.extend(
+                    incarnation, grant_id, self.inherited_previous_holder_holds_expire_at
                 )
 
     def _assignment_states(self) -> list[tuple[Assignment, _GrantState]]:
@@ -327,19 +314,28 @@
             return assignment
         return assignment.replace(previous_holders=(), handover="")
 
-    def _drop_expired_holders(self, state: _GrantState, keys: KeyRange, now: float) -> None:
+    def _drop_expired_holders(self, state: _GrantState, assignment: Assignment, now: float) -> None:
+        """Drops previous holders whose holds have expired, and those that the owner followed."""
         state.unreleased_holders = [
             incarnation
             for incarnation in state.unreleased_holders
-            if now < self.hold_expires_at(incarnation, keys)
+            if now < self.holds.expires_at(incarnation, assignment.keys)
+            and not self._is_former_owner_incarnation(incarnation, assignment.owner)
         ]
 
+    def _is_former_owner_incarnation(
+        self, incarnation: ServerIncarnation, owner: ServerIncarnation
+    ) -> bool:
+        """Whether the owner of keys has restarted: what it holds of them needs no release."""
+        return incarnation != owner and self.holds.holder(incarnation) == self.holds.holder(owner)
+
     def _due_releases(
         self, assignment: Assignment, state: _GrantState, now: float
     ) -> list[BaseCommand]:
+        holders = dict.fromkeys(map(self.holds.holder, state.unreleased_holders))
         return [
             ReleaseCommand(incarnation, assignment.keys, assignment.fence)
-            for incarnation in state.unreleased_holders
+            for incarnation in holders
             if self._is_due(state, incarnation, now)
         ]
 
--- a/packages/decisions/tests/test_grant_tracker.py
+++ b/packages/decisions/tests/test_grant_tracker.py
@@ -16,6 +16,7 @@
 )
 
 OLD = ServerIncarnation("old", 1)
+RESTARTED = ServerIncarnation("old", 2)
 NEW = ServerIncarnation("new", 1)
 KEYS = KeyRange(0, 65535)
 
@@ -105,6 +106,52 @@
     assert_that(grant.server, Equals(NEW))
 
 
+def test_keys_of_a_restarted_server_are_granted_on_only_after_its_next_incarnation_released_them(
+    clock,
+):
+    """Guards against two holders of a key: a renewal that is sent after a server has restarted
+    under its id is accepted by the next incarnation, which knows no fence."""
+    grant_tracker = granted_tracker(clock)
+    move_keys(grant_tracker)
+    grant_tracker.record_incarnation_ended(OLD, RESTARTED)
+    [release] = grant_tracker.due_commands(clock.now())
+    assert_that(release, Equals(ReleaseCommand(RESTARTED, KEYS, 2)))
+    grant_tracker.record_released(release, "", clock.now())
+    [grant] = grant_tracker.due_commands(clock.now())
+    assert_that(grant.server, Equals(NEW))
+
+
+def test_an_answer_that_arrives_after_a_restart_counts_for_the_next_incarnation(clock):
+    """Guards against two holders of a key: the renewal was in flight when the restart was noticed,
+    and the next incarnation had confirmed it."""
+    grant_tracker = granted_tracker(clock)
+    clock.advance(HOLD_SECONDS / 2)
+    [renewal] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_sent(renewal, clock.now() + GRANT_TIMEOUT_SECONDS)
+    grant_tracker.record_incarnation_ended(OLD, RESTARTED)
+    grant_tracker.record_granted(renewal, clock.now())
+    expected = clock.now() + HOLD_SECONDS * 1.02
+    assert_that(grant_tracker.hold_expires_at(RESTARTED, KEYS), GreaterThan(expected))
+    assert_that(grant_tracker.hold_expires_at(OLD, KEYS), GreaterThan(expected))
+
+
+def test_an_incarnation_that_has_ended_gets_no_renewals(clock):
+    """Guards against grants under a forgotten fence: the next incarnation would accept them."""
+    grant_tracker = granted_tracker(clock)
+    grant_tracker.record_incarnation_ended(OLD, RESTARTED)
+    clock.advance(HOLD_SECONDS / 2)
+    assert_that(grant_tracker.due_commands(clock.now()), HasLength(0))
+
+
+def test_a_restarted_server_gets_its_own_keys_back_without_a_release(clock):
+    """Guards against keys without a holder while the server that gets them releases them."""
+    grant_tracker = granted_tracker(clock)
+    grant_tracker.record_incarnation_ended(OLD, RESTARTED)
+    grant_tracker.set_table(table(RESTARTED, 2, (OLD,)))
+    [grant] = grant_tracker.due_commands(clock.now())
+    assert_that((grant.server, grant.fence), Equals((RESTARTED, 2)))
+
+
 def test_a_new_decider_waits_until_grants_of_the_former_one_have_expired(clock):
     """Guards against two holders of a key: the former decider still reaches a server and renews its
     grants, while the new decider does not reach it."""
--- a/packages/specification/src/fireflylink_specification/_guards.py
+++ b/packages/specification/src/fireflylink_specification/_guards.py
@@ -53,7 +53,10 @@
         "lapsed-grant",
         "no expired grant is renewed under its fence: a restarted server has forgotten that fence",
     )
-
+    RESTART_HOLD = (
+        "restart-hold",
+        "what a server was granted counts for its next incarnation, which may accept renewals",
+    )
     SEND_DEADLINE = (
         "send-deadline",
         "a grant that waited at its sender is not sent after the deadline that its decider counted",
--- a/packages/specification/src/fireflylink_specification/_models.py
+++ b/packages/specification/src/fireflylink_specification/_models.py
@@ -6,6 +6,7 @@
 from fireflylink_specification._transfer_models import (
     LongGraceModel,
     LostReplyModel,
+    QuickRestartModel,
     RestartModel,
     SteadyDeciderModel,
     TakeoverModel,
@@ -17,6 +18,7 @@
     TakeoverModel,
     LongGraceModel,
     LostReplyModel,
+    QuickRestartModel,
     RestartModel,
     WaitingGrantModel,
 )
--- a/packages/specification/src/fireflylink_specification/_state.py
+++ b/packages/specification/src/fireflylink_specification/_state.py
@@ -92,6 +92,8 @@
     """The state of the store, the servers and the deciders, one late and one waiting grant at most.
 
     ``record`` is the number of the decider that the record in the store names, or ``NO_ID``.
+    ``restarted`` is a server that has restarted without a pause and whose restart no decider has
+    learned of, or ``NO_ID``.
     """
 
     table: Table
@@ -100,6 +102,7 @@
     deciders: tuple[Decider, ...]
     late: LateGrant | None
     waiting: WaitingGrant | None = None
+    restarted: int = NO_ID
 
 
 NOT_DECIDING = Decider(False, 0, Table(NO_ID, NO_FENCE, NO_ID), (0, 0), False, 0)
--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -20,7 +20,7 @@
 - A decider that the store does not answer stops granting after ``grace_ticks``.
 - At most one grant is late at a time, and at most one waits.
 - A crashed server loses its hold and the fence that it has seen. It is back after
-  ``HOLD_TICKS + 1`` ticks, and a late grant to it is lost.
+  ``HOLD_TICKS + 1`` ticks, or at once in models with quick restarts. A late grant to it is lost.
 - Clocks run at one rate: the code adds a margin for different rates to each wait.
 """
 
@@ -64,6 +64,7 @@
     has_late_grants = True
     has_lost_replies = False
     has_waiting_grants = False
+    has_quick_restarts = False
 
     def initial(self) -> State:
         table = Table(0, 1, NO_ID)
@@ -101,6 +102,11 @@
                     f"server {server} crashes and will restart with the same id",
                     with_server(state, server, crashed)._replace(late=late),
                 )
+            if self.has_quick_restarts and state.restarted == NO_ID:
+                yield (
+                    f"server {server} restarts at once with the same id",
+                    with_server(state, server, Server(0, NO_FENCE, 0))._replace(restarted=server),
+                )
         for number, decider in enumerate(state.deciders):
             if self.has_lost_replies and self._may_move(state, number, decider):
                 yield (
@@ -190,6 +196,11 @@
                 )
         elif self._may_grant(decider) and self._may_use_fence(decider):
             yield f"{name} grants the key", self._grant(state, number, decider)
+        if state.restarted != NO_ID:
+            yield (
+                f"{name} learns that server {state.restarted} has restarted",
+                self._learn_of_restart(state, number, decider),
+            )
         if state.waiting is not None:
             yield from self._waiting_steps(state, state.waiting)
         if state.late is not None:
@@ -223,6 +234,17 @@
                 table=table
             )
 
+    def _learn_of_restart(self, state: State, number: int, decider: Decider) -> State:
+        """The decider reads the registration of a server's next incarnation.
+
+        Renewals that were sent meanwhile have started holds of that incarnation.
+        """
+        known = decider.known
+        if not self.applied_guards.has(Guard.RESTART_HOLD):
+            known = replace_at(known, state.restarted, 0)
+        learned = decider._replace(known=known)
+        return with_decider(state, number, learned)._replace(restarted=NO_ID)
+
     def _may_move(self, state: State, number: int, decider: Decider) -> bool:
         """Returns whether the decider may write a table that moves the key.
 
--- a/packages/specification/src/fireflylink_specification/_transfer_models.py
+++ b/packages/specification/src/fireflylink_specification/_transfer_models.py
@@ -66,6 +66,19 @@
     has_late_grants = False
 
 
+class QuickRestartModel(BaseTransferModel):
+    """One decider; servers restart with the same id within the time of a hold."""
+
+    name = "quick-restart"
+    bounds = "1 decider, 2 servers, 4 fences, quick restarts"
+    guards = (Guard.RESTART_HOLD,)
+    decider_count = 1
+    max_fence = 4
+    has_crashes = False
+    has_late_grants = False
+    has_quick_restarts = True
+
+
 class WaitingGrantModel(BaseTransferModel):
     """One decider whose grants wait before they are sent, while it moves the key."""
 
