Add revisions qualified by the era of the store, and the error of a restored store

When the platform's store is restored from an older copy, it gives out revisions and lease ids once more, so they are no order by themselves. This is the arithmetic and the error that the store's client and its callers will use; nothing uses them yet.

--- a/packages/store/src/fireflylink_store/__init__.py
+++ b/packages/store/src/fireflylink_store/__init__.py
@@ -1,11 +1,13 @@
 """The metadata store: its interface, its items, and the updates that the items decode to."""
 
+from fireflylink_store._era import MAX_ERA, NUMBERS_PER_ERA, era_of, number_of, qualified
 from fireflylink_store._errors import (
     ConflictError,
     HistoryCompactedError,
     LeaseNotFoundError,
     StoreError,
     StoreOutcomeUnknownError,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 from fireflylink_store._items import (
@@ -34,7 +36,9 @@
 
 __all__ = [
     "ABSENT_REVISION",
+    "MAX_ERA",
     "NO_LEASE",
+    "NUMBERS_PER_ERA",
     "BaseItemDecoder",
     "BaseStore",
     "BaseUpdate",
@@ -56,6 +60,10 @@
     "Snapshot",
     "StoreError",
     "StoreOutcomeUnknownError",
+    "StoreRestoredError",
     "StoreUnavailableError",
     "UnreadableItem",
+    "era_of",
+    "number_of",
+    "qualified",
 ]
--- a/packages/store/src/fireflylink_store/_errors.py
+++ b/packages/store/src/fireflylink_store/_errors.py
@@ -27,6 +27,19 @@
     """
 
 
+class StoreRestoredError(StoreError):
+    """The store was restored from an older copy since it gave out a revision or lease of the call.
+
+    The call may have taken effect on the restored store, if it was sent before the restore was
+    known. ``era`` is the present era of the store. All items must be read again, leases created
+    anew, and what is to last written once more.
+    """
+
+    def __init__(self, era: int) -> None:
+        super().__init__(f"the store was restored from an older copy and is in era {era}")
+        self.era = era
+
+
 class LeaseNotFoundError(StoreError):
     """The lease has expired or was revoked."""
 
