--- a/packages/standins/src/fireflylink_standins/_store_server.py
+++ b/packages/standins/src/fireflylink_standins/_store_server.py
@@ -36,6 +36,21 @@
         self.drops_replies = False
 
 
+class _EraHeader:
+    """States the era of the store in every answer, also in that of a refused call."""
+
+    __slots__ = ("state",)
+
+    def __init__(self, state: StoreState) -> None:
+        self.state = state
+
+    def process_response(
+        self, _req: falcon.Request, resp: falcon.Response, _resource: object, _succeeded: bool
+    ) -> None:
+        """Adds the header to a response."""
+        resp.set_header(names.STORE_ERA, str(self.state.era))
+
+
 class _Resource:
     """Base of the HTTP resources, which share one state and one set of faults."""
 
@@ -80,7 +95,8 @@
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Returns changes after a revision as soon as there are any, none after ``wait-ms``.
 
-        The status is 410 if some of these changes have been compacted.
+        The status is 410 if some of these changes have been compacted, or the store has not reached
+        the revision: it was restored from a copy.
         """
         prefix = req.get_param("prefix", default="")
         after = req.get_param_as_int("after", required=True)
@@ -160,7 +176,7 @@
 
 def make_store_application(state: StoreState, faults: StoreFaults) -> Any:
     """Returns the WSGI application of the stand-in of the store."""
-    application = falcon.App()
+    application = falcon.App(middleware=[_EraHeader(state)])
     application.add_route(names.STORE_ITEM_PATH, _ItemResource(state, faults))
     application.add_route(names.STORE_RANGE_PATH, _RangeResource(state, faults))
     application.add_route(names.STORE_WATCH_PATH, _WatchResource(state, faults))
