--- a/packages/standins/tests/conftest.py
+++ b/packages/standins/tests/conftest.py
@@ -1,17 +1,60 @@
-"""Fixture with a local system: stand-ins, and daemons as child processes."""
+"""Fixtures: the store with a client; a local system, with daemons as child processes."""
 
 import pathlib
 
 import gevent
 import pytest
 
-from fireflylink_core import SystemClock
-from fireflylink_standins import LOOKUP_PATH, ORDER_PATH, Caller, LocalSystem
+from fireflylink_caller_frontend import HttpListener
+from fireflylink_core import CallerLimits, SystemClock
+from fireflylink_platform import PlatformStoreClient
+from fireflylink_standins import (
+    LOOKUP_PATH,
+    ORDER_PATH,
+    Caller,
+    LocalSystem,
+    StoreFaults,
+    StoreState,
+    make_store_application,
+)
+from fireflylink_store import Commit, Put
 
 START_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.1
 
 
+class StoreAndClient:
+    """A running stand-in of the store and a client of it."""
+
+    def __init__(self) -> None:
+        self.clock = SystemClock()
+        self.state = StoreState(self.clock)
+        self.faults = StoreFaults()
+        application = make_store_application(self.state, self.faults)
+        self.listener = HttpListener(application, "127.0.0.1", 0, CallerLimits)
+        self.listener.start()
+        self.client = self.new_client()
+
+    def new_client(self) -> PlatformStoreClient:
+        return PlatformStoreClient("127.0.0.1", self.listener.port, self.clock)
+
+    def deadline(self) -> float:
+        return self.clock.now() + 5.0
+
+    def put(self, key: str, value: bytes, expected: int | None = None, lease: int = 0):
+        conditions = () if expected is None else ((key, expected),)
+        commit = Commit(conditions, (Put(key, value, lease),))
+        return self.client.commit(commit, self.deadline())
+
+
+@pytest.fixture
+def store():
+    started = StoreAndClient()
+    yield started
+    started.client.interrupt()
+    started.listener.close()
+
+
 class SystemHarness:
     """Starts a system, waits until it serves requests, and sends requests as a caller."""
 
--- a/packages/standins/tests/test_adapter_store_client.py
+++ b/packages/standins/tests/test_adapter_store_client.py
@@ -1,14 +1,11 @@
 """The store client against the stand-in of the platform's store, over HTTP."""
 
-import pytest
 from returns.result import Failure, Success
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, IsInstance
 
-from fireflylink_caller_frontend import HttpListener
-from fireflylink_core import CallerLimits, SystemClock
+from fireflylink_core import SystemClock
 from fireflylink_platform import PlatformStoreClient
-from fireflylink_standins import StoreFaults, StoreState, make_store_application
 from fireflylink_store import (
     Commit,
     ConflictError,
@@ -22,35 +19,6 @@
 )
 
 
-class StoreAndClient:
-    """A running stand-in of the store and a client of it."""
-
-    def __init__(self) -> None:
-        self.clock = SystemClock()
-        self.state = StoreState(self.clock)
-        self.faults = StoreFaults()
-        application = make_store_application(self.state, self.faults)
-        self.listener = HttpListener(application, "127.0.0.1", 0, CallerLimits)
-        self.listener.start()
-        self.client = PlatformStoreClient("127.0.0.1", self.listener.port, self.clock)
-
-    def deadline(self) -> float:
-        return self.clock.now() + 5.0
-
-    def put(self, key: str, value: bytes, expected: int | None = None, lease: int = 0):
-        conditions = () if expected is None else ((key, expected),)
-        commit = Commit(conditions, (Put(key, value, lease),))
-        return self.client.commit(commit, self.deadline())
-
-
-@pytest.fixture
-def store():
-    started = StoreAndClient()
-    yield started
-    started.client.interrupt()
-    started.listener.close()
-
-
 def test_a_written_item_is_read_unchanged(store):
     """Guards against values that are changed by encoding or decoding."""
     value = bytes(range(256))
