--- a/packages/daemon/src/fireflylink_daemon/_store_reader.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_reader.py
@@ -18,6 +18,7 @@
 )
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._peers import BaseFragmentReceiver, PeerSocket
+from fireflylink_daemon._relay_sender import RelaySender
 from fireflylink_daemon._relayed_changes import relayed_change, store_change
 from fireflylink_daemon._task import spawn_supervised
 from fireflylink_daemon._view_task import ViewTask
@@ -27,7 +28,7 @@
     RelayFollower,
     RelayRoles,
 )
-from fireflylink_protocol import MemberRecord, RelayedChange, decode_changes, encode_changes
+from fireflylink_protocol import RelayedChange, decode_changes
 from fireflylink_store import (
     BaseItemDecoder,
     BaseStore,
@@ -90,16 +91,13 @@
         "greenlets",
         "inbox",
         "known_mode",
-        "known_roles",
         "member_task",
-        "members_of_roles",
         "metrics",
         "outages",
-        "peers",
         "read_jitter_seconds",
         "reading",
         "relay_outages",
-        "relayed_revision",
+        "relay_sender",
         "retry_delay_seconds",
         "revision",
         "routing_state",
@@ -123,20 +121,17 @@
         self.view_task = view_task
         self.routing_state = view_task.routing_state
         self.member_task = member_task
-        self.peers = peers
+        self.relay_sender = RelaySender(view_task.routing_state, peers)
         self.clock = clock
         self.metrics = metrics
         self.revision = 0
-        self.relayed_revision = 0
         self.confirmed_at = float("-inf")
         self.outages = 0
         self.reading = False
         self.relay_outages: dict[str, int] = {}
         self.follower = RelayFollower()
         self.inbox: Queue = Queue()
-        self.known_roles = RelayRoles(False)
         self.known_mode = (True, False)
-        self.members_of_roles: dict[str, MemberRecord] | None = None
         self.read_jitter_seconds = random.random() * MAX_READ_JITTER_SECONDS
         self.store_reachable: bool | None = None
         self.retry_delay_seconds = INITIAL_RETRY_DELAY_SECONDS
@@ -172,21 +167,11 @@
             log_event("store-call-interrupted", revision=self.revision)
             self.store.interrupt()
 
-    def roles(self) -> RelayRoles:
-        """Returns this daemon's part in the relaying, by the members that it knows."""
-        members = self.routing_state.members
-        if members is not self.members_of_roles:
-            self.members_of_roles = members
-            settings = self.routing_state.settings
-            data_centres = {name: member.data_centre for name, member in members.items()}
-            self.known_roles = RelayRoles.of(settings.instance, data_centres)
-        return self.known_roles
-
     def _run(self) -> None:
         while True:
             self._take_waiting_fragments()
             follows = self._follows_relay()
-            self._set_mode(not follows, bool(self.roles().followers))
+            self._set_mode(not follows, bool(self.relay_sender.roles().followers))
             if follows:
                 self._follow()
             else:
@@ -215,7 +200,7 @@
             log_event("relay-role", reads=reads, relays=is_relay)
 
     def _follows_relay(self) -> bool:
-        roles = self.roles()
+        roles = self.relay_sender.roles()
         return bool(self.revision) and roles.has_relay and self.clock.now() < self._read_at(roles)
 
     def _read_at(self, roles: RelayRoles) -> float:
@@ -245,7 +230,7 @@
                 self._handle_error(error)
                 gevent.sleep(self.retry_delay_seconds)
             return
-        wait_seconds = self._read_at(self.roles()) - now
+        wait_seconds = self._read_at(self.relay_sender.roles()) - now
         if self.follower.behind_since is not None:
             wait_seconds = min(wait_seconds, MAX_GAP_SECONDS)
         try:
@@ -292,37 +277,18 @@
         self._send_batch(known_revision, changes)
 
     def _send_batch(self, after: int, changes: tuple[RelayedChange, ...]) -> None:
-        """Sends changes on to the followers, if this daemon is a relay."""
-        receivers = self.roles().batch_receivers
-        if receivers and self.revision > after:
-            fragments = encode_changes(
-                self.routing_state.settings.instance,
-                after,
-                self.revision,
-                changes,
-                self.outages,
-                self._contact_age_ms(),
-            )
-            self.peers.send_fragments(fragments, receivers)
-        self.relayed_revision = self.revision
+        age_ms = self._contact_age_ms()
+        self.relay_sender.send_batch(after, self.revision, changes, self.outages, age_ms)
 
     def _send_statements(self) -> None:
-        """States periodically to the followers up to which revision this relay knows everything.
+        """States periodically to the followers what this daemon knows, if it is a relay.
 
         A relay whose knowledge is too old is silent, so that others read by themselves.
         """
         while True:
             gevent.sleep(STATEMENT_INTERVAL_SECONDS)
-            is_fresh = self.clock.now() < self.contact_at() + MAX_CONTACT_AGE_SECONDS
-            followers = self.roles().followers
-            if followers and is_fresh and self.relayed_revision:
-                instance = self.routing_state.settings.instance
-                revision = self.relayed_revision
-                age_ms = self._contact_age_ms()
-                statement = ChangeFragment(
-                    instance, revision, revision, 0, 0, b"", self.outages, age_ms
-                )
-                self.peers.send_fragments((statement,), followers)
+            if self.clock.now() < self.contact_at() + MAX_CONTACT_AGE_SECONDS:
+                self.relay_sender.send_statement(self.outages, self._contact_age_ms())
 
     def _read_snapshot(self) -> StoreError | None:
         read = self.store.list(ALL_ITEMS_PREFIX, self.clock.now() + READ_TIMEOUT_SECONDS)
@@ -334,7 +300,7 @@
         self._mark_store_reachable()
         updates = tuple(update for item in snapshot.items for update in self.decoder.decode(item))
         self.revision = snapshot.revision
-        self.relayed_revision = snapshot.revision
+        self.relay_sender.relayed_revision = snapshot.revision
         self.follower.set_revision(self.revision)
         self._post_updates(updates, is_snapshot=True)
         log_event("store-read", items=len(snapshot.items), revision=snapshot.revision)
@@ -363,7 +329,7 @@
         return None
 
     def _batch_seconds(self) -> float:
-        roles = self.roles()
+        roles = self.relay_sender.roles()
         is_listed = self.routing_state.settings.instance in self.routing_state.members
         return UNRELAYED_BATCH_SECONDS if roles.has_relay or not is_listed else BATCH_SECONDS
 
