Join the fleet again at once after a restore of the store

A daemon whose lease a restore took back renewed an id that the store did not know, or had given to another daemon. It noticed at a renewal, up to 2 s later, and only if the id was unknown; until then no other daemon knew it, so it got no notices or relayed changes and its part of the limits was divided among the others.

StoreRestoredError at a renewal or while joining now leads to a new lease and a new record in the same step, and the reader of the store is told the era.

--- a/packages/daemon/src/fireflylink_daemon/_member_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_member_task.py
@@ -15,7 +15,14 @@
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._task import BaseTask
 from fireflylink_protocol import MemberRecord, encode_member, member_key
-from fireflylink_store import BaseStore, Commit, LeaseNotFoundError, Put, StoreError
+from fireflylink_store import (
+    BaseStore,
+    Commit,
+    LeaseNotFoundError,
+    Put,
+    StoreError,
+    StoreRestoredError,
+)
 
 MEMBER_LEASE_TTL_SECONDS = 6.0
 """How long the record of a daemon remains that has ended without leaving."""
@@ -38,15 +45,19 @@
 
     The store deletes the record when the daemon revokes the lease or no longer renews it.
     ``confirmed_at`` is when the last call that succeeded was sent, in seconds on the clock.
-    ``on_store_back`` is called when a call succeeds after one that failed.
+    ``joined_revision`` is that of the record as last written. ``on_store_back`` is called when a
+    call succeeds after one that failed, ``on_store_restored`` with the era of the store when a call
+    shows that it was restored from an older copy.
     """
 
     __slots__ = (
         "confirmed_at",
+        "joined_revision",
         "lease_id",
         "metrics",
         "next_call_at",
         "on_store_back",
+        "on_store_restored",
         "record",
         "renewal_interval_seconds",
         "store",
@@ -69,8 +80,10 @@
         self.view_task = view_task
         self.store_failing = False
         self.on_store_back: Callable[[], None] | None = None
+        self.on_store_restored: Callable[[int], None] | None = None
         self.confirmed_at = float("-inf")
         self.lease_id = 0
+        self.joined_revision = 0
         self.next_call_at = 0.0
         self.renewal_interval_seconds = MEMBER_RENEWAL_INTERVAL_SECONDS
 
@@ -80,6 +93,9 @@
     def on_wake(self) -> None:
         sent_at = self.clock.now()
         error = self._renew() if self.lease_id else self._join_fleet()
+        if isinstance(error, StoreRestoredError):
+            self._record_restore(error.era)
+            error = self._join_fleet()
         self.metrics.count("store_calls", kind="member", result="Failure" if error else "Success")
         self._report_store_status(error is not None)
         if error is None:
@@ -94,14 +110,26 @@
     def receive(self, message: object) -> object:
         if isinstance(message, Leave):
             self._leave()
-        elif isinstance(message, MemberRecordMissing) and self.lease_id:
-            log_problem("member-record-missing", instance=self.record.instance)
-            self.lease_id = 0
-            self.next_call_at = 0.0
+        elif isinstance(message, MemberRecordMissing):
+            self._on_record_missing(message)
         elif isinstance(message, RelayRoleChanged):
             self._set_renewal_interval(message)
         return None
 
+    def _on_record_missing(self, message: MemberRecordMissing) -> None:
+        # A snapshot may have been read before the record was written.
+        if self.lease_id and message.revision >= self.joined_revision:
+            log_problem("member-record-missing", instance=self.record.instance)
+            self.lease_id = 0
+            self.next_call_at = 0.0
+
+    def _record_restore(self, era: int) -> None:
+        """Gives the lease up: it may be gone, and its id may have been given to another daemon."""
+        log_problem("member-lease-ended", instance=self.record.instance, era=era)
+        self.lease_id = 0
+        if self.on_store_restored is not None:
+            self.on_store_restored(era)
+
     def _set_renewal_interval(self, role: RelayRoleChanged) -> None:
         if not role.reads:
             self.renewal_interval_seconds = FOLLOWER_RENEWAL_INTERVAL_SECONDS
@@ -146,7 +174,8 @@
         if not isinstance(written, Success):
             return written.failure()
         self.lease_id = lease_id
-        log_event("member-joined", instance=self.record.instance, revision=written.unwrap())
+        self.joined_revision = written.unwrap()
+        log_event("member-joined", instance=self.record.instance, revision=self.joined_revision)
         return None
 
     def _renew(self) -> StoreError | None:
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -61,9 +61,12 @@
 
 
 class MemberRecordMissing:
-    """The store no longer has this daemon's member record."""
+    """The store has no member record of this daemon at ``revision``."""
 
-    __slots__ = ()
+    __slots__ = ("revision",)
+
+    def __init__(self, revision: int) -> None:
+        self.revision = revision
 
 
 class StoreReadSucceeded:
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -28,6 +28,7 @@
     RecordError,
     decode_member,
     decode_table,
+    member_key,
 )
 from fireflylink_store import (
     BaseUpdate,
@@ -125,6 +126,8 @@
         }
         if members != routing_state.members:
             routing_state.set_members(members)
+        if member_key(routing_state.settings.instance) not in keys and self.member_task:
+            self.member_task.post(MemberRecordMissing(message.revision))
         if DECIDER_KEY not in keys:
             self._set_decider(None, message.revision)
 
@@ -176,7 +179,7 @@
             and self.member_task
         ):
             # The record may be deleted without any of the member task's calls failing.
-            self.member_task.post(MemberRecordMissing())
+            self.member_task.post(MemberRecordMissing(update.revision))
 
     def _set_decider(self, member: MemberRecord | None, revision: int) -> None:
         self.decider_record = member
