--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -136,6 +136,7 @@
         )
         self.peers.store_reader = self.store_reader
         self.member_task.on_store_back = self.store_reader.interrupt
+        self.member_task.on_store_restored = self.store_reader.interrupt_former_era
         self.request_handler = request_handler = RequestHandler(
             self.routing_state,
             self.dispatch_task,
--- a/packages/daemon/src/fireflylink_daemon/_store_reader.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_reader.py
@@ -35,6 +35,8 @@
     BaseUpdate,
     HistoryCompactedError,
     StoreError,
+    StoreRestoredError,
+    era_of,
 )
 
 ALL_ITEMS_PREFIX = ""
@@ -167,6 +169,14 @@
             log_event("store-call-interrupted", revision=self.revision)
             self.store.interrupt()
 
+    def interrupt_former_era(self, era: int) -> None:
+        """Ends the call in progress if it was sent before the store was restored to ``era``.
+
+        The answer may be lost, and what this daemon knows would stay in force while it waits.
+        """
+        if self.revision and era_of(self.revision) < era:
+            self.interrupt()
+
     def _run(self) -> None:
         while True:
             self._take_waiting_fragments()
@@ -213,7 +223,11 @@
         reads, _ = self.known_mode
         if not reads:
             return self.follower.contact_at
-        return max(self.confirmed_at, self.member_task.confirmed_at, self.follower.contact_at)
+        contact_at = max(self.confirmed_at, self.follower.contact_at)
+        # A renewal says nothing about what was read before the store was restored.
+        if era_of(self.member_task.lease_id) == era_of(self.revision):
+            contact_at = max(contact_at, self.member_task.confirmed_at)
+        return contact_at
 
     def _contact_age_ms(self) -> int:
         # Rounded up, so that an age does not shrink on its way through several daemons.
@@ -246,6 +260,10 @@
     def _apply_fragment(self, fragment: ChangeFragment) -> None:
         known_outages = self.relay_outages.get(fragment.instance, fragment.outages)
         self.relay_outages[fragment.instance] = fragment.outages
+        if era_of(fragment.after) != era_of(fragment.revision):
+            # No relay sends this: what a restore took back is not among the changes.
+            log_problem("relayed-changes-unreadable", problem="they are of two eras of the store")
+            return
         self.follower.record_fragment(fragment, self.clock.now())
         if not self.revision:
             return
@@ -345,11 +363,15 @@
     def _handle_error(self, error: StoreError) -> None:
         if self.store_reachable is not False:
             self.outages += 1
-        if isinstance(error, HistoryCompactedError):
-            log_problem("store-history-gone", revision=self.revision)
+        if isinstance(error, HistoryCompactedError | StoreRestoredError):
+            if isinstance(error, StoreRestoredError):
+                log_problem("store-restored", era=error.era, revision=self.revision)
+            else:
+                log_problem("store-history-gone", revision=self.revision)
             self.revision = 0
-            # The missed changes may include registrations that expired and came back. As after an
-            # outage, a server whose registration is missing gets a grace time.
+            # The missed changes may include registrations that expired and came back, and those of
+            # a restored copy are old. As after an outage, a server whose registration is missing
+            # gets a grace time.
             self.view_task.post(StoreReadFailed(str(error)))
             self.store_reachable = False
             return
--- a/packages/daemon/tests/test_store_reader.py
+++ b/packages/daemon/tests/test_store_reader.py
@@ -2,11 +2,12 @@
 
 import gevent
 import pytest
-from returns.result import Failure
+from gevent.event import Event
+from returns.result import Failure, Success
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
-from fireflylink_core import SystemClock
+from fireflylink_core import ChangeFragment, SystemClock
 from fireflylink_daemon import read_settings
 from fireflylink_daemon._member_task import MemberTask
 from fireflylink_daemon._metrics import Metrics
@@ -22,8 +23,8 @@
     encode_member,
     member_key,
 )
-from fireflylink_standins import MemoryStore, StoreState
-from fireflylink_store import Commit, Put, StoreUnavailableError
+from fireflylink_standins import MemoryStore, StoreState, write_configuration
+from fireflylink_store import Commit, Put, StoreUnavailableError, era_of, qualified
 
 NAMES = ("front-0", "front-1", "front-2")
 
@@ -66,6 +67,8 @@
             if self.hangs:
                 return super().watch(prefix, revision, wait_seconds, deadline)
             read = super().watch(prefix, revision, 0.0, deadline)
+            if not isinstance(read, Success):
+                return read
             if read.unwrap().changes or gevent.get_hub().loop.now() >= ends_at:
                 return read
             gevent.sleep(0.01)
@@ -104,6 +107,7 @@
         )
         network.readers[name] = self.reader
         self.member_task.on_store_back = self.reader.interrupt
+        self.member_task.on_store_restored = self.reader.interrupt_former_era
         self.view_task.start()
         self.member_task.start()
         self.reader.start()
@@ -112,6 +116,10 @@
     def evacuated(self):
         return set(self.view_task.routing_state.directory.evacuated)
 
+    @property
+    def version(self):
+        return self.view_task.routing_state.configuration.version
+
     def stop(self) -> None:
         self.reader.stop()
         self.member_task.stop()
@@ -276,3 +284,89 @@
     gevent.sleep(0.8)
     assert_that(len(harness.evacuated), Equals(30))
     harness.stop()
+
+
+def test_changes_of_a_restored_store_reach_followers(fleet):
+    """Guards against changes that are dropped as known: the revisions of a restored store go back,
+    and its followers know larger ones of the lost history."""
+    harnesses, relay, state, _ = fleet
+    gevent.sleep(4.5)
+    for number in range(10):
+        write(state, f"op/evacuate/lost{number}")
+    gevent.sleep(0.1)
+    state.restore(0.2)
+    write(state, "op/evacuate/first")
+    gevent.sleep(1.5)
+    write(state, "op/evacuate/second")
+    gevent.sleep(0.4)
+    for harness in harnesses.values():
+        assert_that(harness.evacuated, Contains("first"))
+        assert_that(harness.evacuated, Contains("second"))
+        assert_that(harness.reader.revision, Equals(qualified(1, state.revision)))
+    # Each follower has read a snapshot, and then hears the changes from its relay again.
+    before = sum(h.store.reads for name, h in harnesses.items() if name != relay)
+    write(state, "op/evacuate/third")
+    gevent.sleep(0.4)
+    assert_that(
+        sum(h.store.reads for name, h in harnesses.items() if name != relay), Equals(before)
+    )
+
+
+def test_a_restored_store_brings_no_older_version_back_into_force(fleet):
+    """Guards against requests that are handled by an older version than one acknowledged before:
+    the copy holds the older one, and the next version gets a revision that was in use."""
+    harnesses, _, state, _ = fleet
+    write_configuration(state, 1)
+    gevent.sleep(0.3)
+    write_configuration(state, 2)
+    gevent.sleep(0.8)
+    state.restore(1.0)
+    for _ in range(10):
+        gevent.sleep(0.1)
+        assert_that({harness.version for harness in harnesses.values()}, Equals({2}))
+    write_configuration(state, 3)
+    gevent.sleep(1.0)
+    assert_that({harness.version for harness in harnesses.values()}, Equals({3}))
+
+
+def test_a_renewal_after_a_restore_does_not_confirm_what_was_read_before(lone_reader):
+    """Guards against an old configuration in force at the followers of a relay that renews its
+    lease at the restored store, and whose watch call of the former era gets no answer."""
+    harness, _ = lone_reader
+    confirmed_at = harness.reader.contact_at()
+    harness.member_task.confirmed_at = SystemClock().now() + 5.0
+    harness.member_task.lease_id = qualified(1, 1)
+    assert_that(harness.reader.contact_at() < confirmed_at + 5.0, Equals(True))
+
+
+def test_a_call_of_the_former_era_that_hangs_does_not_delay_the_next_read(lone_reader):
+    """Guards against an old configuration in force for seconds after a restore: the watch call that
+    was sent before it gets no answer, and no other call of the daemon fails."""
+    harness, state = lone_reader
+    watch = harness.store.watch
+    hanging = Event()
+
+    def hang(prefix, revision, wait_seconds, deadline):
+        harness.store.watch = watch
+        hanging.set()
+        return harness.store._wait_for_nothing(SystemClock().now() + 2.8)
+
+    harness.store.watch = hang
+    hanging.wait(3.0)
+    state.restore(0.1)
+    write(state, "op/evacuate/new")
+    gevent.sleep(1.5)
+    assert_that(harness.evacuated, Contains("new"))
+
+
+def test_a_batch_of_two_eras_is_not_applied(lone_reader):
+    """Guards against a follower that keeps what a restore took back, or takes a malformed
+    datagram's huge revision for what it knows."""
+    harness, _ = lone_reader
+    revision = harness.reader.revision
+    harness.reader.post_fragment(
+        ChangeFragment("front-1", revision, qualified(9, 1), 0, 1, b"", 0, 0)
+    )
+    gevent.sleep(2.2)
+    assert_that(harness.reader.follower.pending, Equals({}))
+    assert_that(era_of(harness.reader.follower.revision), Equals(0))
