--- a/packages/standins/src/fireflylink_standins/__init__.py
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -26,7 +26,11 @@
 )
 from fireflylink_standins._memory_store import MemoryStore
 from fireflylink_standins._port_block import PortBlock
-from fireflylink_standins._store_server import StoreFaults, make_store_application
+from fireflylink_standins._store_server import (
+    StoreFaults,
+    make_store_application,
+    restore_store,
+)
 from fireflylink_standins._store_state import StoreState
 
 __all__ = [
@@ -54,6 +58,7 @@
     "make_store_application",
     "process_cpu_seconds",
     "resident_megabytes",
+    "restore_store",
     "write_configuration",
     "write_evacuation",
     "write_settings",
--- a/packages/standins/src/fireflylink_standins/_local_system.py
+++ b/packages/standins/src/fireflylink_standins/_local_system.py
@@ -14,7 +14,12 @@
 from fireflylink_standins._backend_server import BackendServerStandin
 from fireflylink_standins._base_lease_store import BaseLeaseStore
 from fireflylink_standins._port_block import PortBlock
-from fireflylink_standins._store_server import StoreFaults, encode_json, make_store_application
+from fireflylink_standins._store_server import (
+    StoreFaults,
+    encode_json,
+    make_store_application,
+    restore_store,
+)
 from fireflylink_standins._store_state import StoreState
 from fireflylink_store import Commit, Put
 
@@ -175,6 +180,10 @@
         self.configuration_version += 1
         write_configuration(self.store, self.configuration_version, order_timeout_ms)
 
+    def restore_store(self, seconds_old: float) -> None:
+        """Restores the store from a copy; returns when all values have been written again."""
+        restore_store(self.store, self.store_faults, seconds_old)
+
     def evacuate(self, data_centre: str, requested: bool) -> None:
         """Requests the evacuation of a data centre, or withdraws the request."""
         write_evacuation(self.store, data_centre, requested)
--- a/packages/standins/src/fireflylink_standins/_store_server.py
+++ b/packages/standins/src/fireflylink_standins/_store_server.py
@@ -17,6 +17,12 @@
 from fireflylink_store import Change, Commit, Item, Put
 
 POLL_SECONDS = 0.005
+RESTORE_OUTAGE_SECONDS = 0.3
+"""How long the store is away while it is restored from a copy."""
+
+WRITE_AGAIN_SECONDS = 0.3
+"""How long after that operators and servers have written their values again."""
+
 MAX_ITEMS_PER_PAGE = 500
 DAEMON_READ_ONLY_PREFIXES = ("op/", "servers/")
 MILLISECONDS_PER_SECOND = 1000.0
@@ -190,6 +196,19 @@
     return application
 
 
+def restore_store(state: StoreState, faults: StoreFaults, seconds_old: float) -> None:
+    """Takes the store away, restores it from a copy, and has what is lost written again.
+
+    Returns when operators and servers have written their values again.
+    """
+    faults.down = True
+    gevent.sleep(RESTORE_OUTAGE_SECONDS)
+    state.restore(seconds_old)
+    faults.down = False
+    gevent.sleep(WRITE_AGAIN_SECONDS)
+    state.write_again()
+
+
 def _raise_if_down(faults: StoreFaults) -> None:
     if faults.down:
         raise falcon.HTTPServiceUnavailable
