Show the store's own revision and its era in the operators' status

`fireflylink status` would print a revision that begins with the era,  instead of revision 2 of era 3.

Evidence: test_status_shows_the_revision_as_the_store_gave_it_out fails without the change.

--- a/packages/operator_client/src/fireflylink_operator_client/_commands.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_commands.py
@@ -5,13 +5,14 @@
 from fireflylink_core import LAST_KEY, ServerIncarnation
 from fireflylink_operator_client._errors import OperatorError
 from fireflylink_operator_client._system_view import SystemView
+from fireflylink_store import era_of, number_of
 
 
 def status_lines(view: SystemView) -> Iterator[str]:
     """Yields a summary of the system's state."""
     configuration = view.configuration
     version = f"version {configuration.version}" if configuration else "none"
-    yield f"store revision     {view.revision}"
+    yield f"store revision     {number_of(view.revision)}, era {era_of(view.revision)}"
     yield f"configuration      {version}"
     yield f"daemons            {', '.join(sorted(m.instance for m in view.members)) or 'none'}"
     yield f"decider            {view.decider.instance if view.decider else 'none'}"
--- a/packages/operator_client/tests/test_commands.py
+++ b/packages/operator_client/tests/test_commands.py
@@ -81,6 +81,14 @@
         assert_that(text, Contains(expected))
 
 
+def test_status_shows_the_revision_as_the_store_gave_it_out(store, clock):
+    """Guards against a number that no page of the platform shows: inside, revisions have the era of
+    a store that was restored."""
+    store.state.era = 3
+    text = "\n".join(status_lines(read_system(store, PlatformItemDecoder(), clock).unwrap()))
+    assert_that(text, Contains("store revision     2, era 3"))
+
+
 def test_owners_show_previous_holders_and_unregistered_servers(store, clock):
     """Guards against keys that nobody serves without the operator being shown why.
 
