--- a/packages/standins/src/fireflylink_standins/_store_server.py
+++ b/packages/standins/src/fireflylink_standins/_store_server.py
@@ -17,6 +17,12 @@
 from fireflylink_store import Change, Commit, Item, Put
 
 POLL_SECONDS = 0.005
+RESTORE_OUTAGE_SECONDS = 0.3
+"""How long the store is away while it is restored from a copy."""
+
+WRITE_AGAIN_SECONDS = 0.3
+"""How long after that operators and servers have written their values again."""
+
 MAX_ITEMS_PER_PAGE = 500
 DAEMON_READ_ONLY_PREFIXES = ("op/", "servers/")
 MILLISECONDS_PER_SECOND = 1000.0
@@ -36,6 +42,21 @@
         self.drops_replies = False
 
 
+class _EraHeader:
+    """States the era of the store in every answer, also in that of a refused call."""
+
+    __slots__ = ("state",)
+
+    def __init__(self, state: StoreState) -> None:
+        self.state = state
+
+    def process_response(
+        self, _req: falcon.Request, resp: falcon.Response, _resource: object, _succeeded: bool
+    ) -> None:
+        """Adds the header to a response."""
+        resp.set_header(names.STORE_ERA, str(self.state.era))
+
+
 class _Resource:
     """Base of the HTTP resources, which share one state and one set of faults."""
 
@@ -80,7 +101,8 @@
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Returns changes after a revision as soon as there are any, none after ``wait-ms``.
 
-        The status is 410 if some of these changes have been compacted.
+        The status is 410 if some of these changes have been compacted, or the store has not reached
+        the revision: it was restored from a copy.
         """
         prefix = req.get_param("prefix", default="")
         after = req.get_param_as_int("after", required=True)
@@ -160,7 +182,7 @@
 
 def make_store_application(state: StoreState, faults: StoreFaults) -> Any:
     """Returns the WSGI application of the stand-in of the store."""
-    application = falcon.App()
+    application = falcon.App(middleware=[_EraHeader(state)])
     application.add_route(names.STORE_ITEM_PATH, _ItemResource(state, faults))
     application.add_route(names.STORE_RANGE_PATH, _RangeResource(state, faults))
     application.add_route(names.STORE_WATCH_PATH, _WatchResource(state, faults))
@@ -174,6 +196,19 @@
     return application
 
 
+def restore_store(state: StoreState, faults: StoreFaults, seconds_old: float) -> None:
+    """Takes the store away, restores it from a copy, and has what is lost written again.
+
+    Returns when operators and servers have written their values again.
+    """
+    faults.down = True
+    gevent.sleep(RESTORE_OUTAGE_SECONDS)
+    state.restore(seconds_old)
+    faults.down = False
+    gevent.sleep(WRITE_AGAIN_SECONDS)
+    state.write_again()
+
+
 def _raise_if_down(faults: StoreFaults) -> None:
     if faults.down:
         raise falcon.HTTPServiceUnavailable
