Give qualified lease ids room for 64 bits

Revisions stay at 44 bits, because datagrams carry them; lease ids are not sent to other daemons. Tests of the member task and the reader use the functions for leases; their assertions are the same.

--- a/packages/daemon/src/fireflylink_daemon/_store_reader.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_reader.py
@@ -37,6 +37,7 @@
     StoreError,
     StoreRestoredError,
     era_of,
+    era_of_lease,
 )
 
 ALL_ITEMS_PREFIX = ""
@@ -225,7 +226,7 @@
             return self.follower.contact_at
         contact_at = max(self.confirmed_at, self.follower.contact_at)
         # A renewal says nothing about what was read before the store was restored.
-        if era_of(self.member_task.lease_id) == era_of(self.revision):
+        if era_of_lease(self.member_task.lease_id) == era_of(self.revision):
             contact_at = max(contact_at, self.member_task.confirmed_at)
         return contact_at
 
--- a/packages/daemon/tests/test_member_task.py
+++ b/packages/daemon/tests/test_member_task.py
@@ -8,7 +8,7 @@
 from fireflylink_daemon._messages import UpdatesRead
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_protocol import member_key
-from fireflylink_store import qualified
+from fireflylink_store import qualified, qualified_lease
 
 MEMBER_KEY = member_key("front-0")
 
@@ -46,7 +46,7 @@
     member_task.on_wake()
     item = store_state.read(MEMBER_KEY)
     assert_that(item, Not(Is(None)))
-    assert_that(member_task.lease_id, Equals(qualified(1, item.lease_id)))
+    assert_that(member_task.lease_id, Equals(qualified_lease(1, item.lease_id)))
     assert_that(member_task.confirmed_at, Equals(clock.now()))
     assert_that(restored_eras, Equals([1]))
     assert_that(daemon.view_task.mailbox.qsize(), Equals(0))
@@ -63,8 +63,8 @@
     member_task.on_wake()
     clock.advance(4.0)
     item = store_state.read(MEMBER_KEY)
-    assert_that(qualified(1, item.lease_id), Equals(member_task.lease_id))
-    assert_that(member_task.lease_id, GreaterThan(qualified(1, former)))
+    assert_that(qualified_lease(1, item.lease_id), Equals(member_task.lease_id))
+    assert_that(member_task.lease_id, GreaterThan(qualified_lease(1, former)))
 
 
 def test_a_snapshot_without_the_own_record_makes_a_daemon_join_again(member_task, daemon):
--- a/packages/daemon/tests/test_store_reader.py
+++ b/packages/daemon/tests/test_store_reader.py
@@ -24,7 +24,7 @@
     member_key,
 )
 from fireflylink_standins import MemoryStore, StoreState, write_configuration
-from fireflylink_store import Commit, Put, StoreUnavailableError, era_of, qualified
+from fireflylink_store import Commit, Put, StoreUnavailableError, era_of, qualified, qualified_lease
 
 NAMES = ("front-0", "front-1", "front-2")
 
@@ -335,7 +335,7 @@
     harness, _ = lone_reader
     confirmed_at = harness.reader.contact_at()
     harness.member_task.confirmed_at = SystemClock().now() + 5.0
-    harness.member_task.lease_id = qualified(1, 1)
+    harness.member_task.lease_id = qualified_lease(1, 1)
     assert_that(harness.reader.contact_at() < confirmed_at + 5.0, Equals(True))
 
 
--- a/packages/standins/src/fireflylink_standins/_memory_store.py
+++ b/packages/standins/src/fireflylink_standins/_memory_store.py
@@ -26,8 +26,11 @@
     StoreRestoredError,
     StoreUnavailableError,
     era_of,
+    era_of_lease,
+    lease_number_of,
     number_of,
     qualified,
+    qualified_lease,
 )
 
 POLL_SECONDS = 0.01
@@ -87,7 +90,8 @@
         if not self.reachable:
             return _unavailable()
         revisions = [revision for _, revision in commit.expected_revisions]
-        if self._is_of_other_era(*revisions, *(put.lease_id for put in commit.puts)):
+        leases = [put.lease_id for put in commit.puts]
+        if self._is_of_other_era(*revisions) or self._is_lease_of_other_era(*leases):
             return Failure(StoreRestoredError(self.state.era))
         try:
             revision = self.state.commit(_unqualified_commit(commit))
@@ -100,7 +104,7 @@
     def create_lease(self, ttl_seconds: float, deadline: float) -> Result[Lease, StoreError]:
         if not self.reachable:
             return _unavailable()
-        lease_id = self._qualified(self.state.create_lease(ttl_seconds))
+        lease_id = qualified_lease(self.state.era, self.state.create_lease(ttl_seconds))
         return Success(Lease(lease_id, ttl_seconds))
 
     def renew_lease(self, lease_id: int, deadline: float) -> Result[float, StoreError]:
@@ -108,17 +112,17 @@
             return _unavailable()
         if self.hangs:
             return self._wait_for_nothing(deadline)
-        if self._is_of_other_era(lease_id):
+        if self._is_lease_of_other_era(lease_id):
             return Failure(StoreRestoredError(self.state.era))
-        seconds = self.state.renew_lease(number_of(lease_id))
+        seconds = self.state.renew_lease(lease_number_of(lease_id))
         return Failure(LeaseNotFoundError("ended")) if seconds is None else Success(seconds)
 
     def revoke_lease(self, lease_id: int, deadline: float) -> Result[None, StoreError]:
         if not self.reachable:
             return _unavailable()
-        if self._is_of_other_era(lease_id):
+        if self._is_lease_of_other_era(lease_id):
             return Failure(StoreRestoredError(self.state.era))
-        self.state.revoke_lease(number_of(lease_id))
+        self.state.revoke_lease(lease_number_of(lease_id))
         return Success(None)
 
     def interrupt(self) -> None:
@@ -134,7 +138,8 @@
         return qualified(self.state.era, number)
 
     def _qualified_item(self, item: Item) -> Item:
-        revision, lease_id = self._qualified(item.revision), self._qualified(item.lease_id)
+        revision = self._qualified(item.revision)
+        lease_id = qualified_lease(self.state.era, item.lease_id)
         return Item(item.key, item.value, revision, lease_id)
 
     def _qualified_change(self, change: Change) -> Change:
@@ -145,6 +150,9 @@
     def _is_of_other_era(self, *numbers: int) -> bool:
         return any(number and era_of(number) != self.state.era for number in numbers)
 
+    def _is_lease_of_other_era(self, *lease_ids: int) -> bool:
+        return any(lease_id and era_of_lease(lease_id) != self.state.era for lease_id in lease_ids)
+
     def _commit_result(self, revision: int) -> Result[int, StoreError]:
         if self.drops_replies:
             return Failure(StoreOutcomeUnknownError("the reply was lost"))
@@ -154,7 +162,7 @@
 def _unqualified_commit(commit: Commit) -> Commit:
     return Commit(
         tuple((key, number_of(revision)) for key, revision in commit.expected_revisions),
-        tuple(Put(put.key, put.value, number_of(put.lease_id)) for put in commit.puts),
+        tuple(Put(put.key, put.value, lease_number_of(put.lease_id)) for put in commit.puts),
         commit.deletions,
     )
 
--- a/packages/store/src/fireflylink_store/__init__.py
+++ b/packages/store/src/fireflylink_store/__init__.py
@@ -1,6 +1,16 @@
 """The metadata store: its interface, its items, and the updates that the items decode to."""
 
-from fireflylink_store._era import MAX_ERA, NUMBERS_PER_ERA, era_of, number_of, qualified
+from fireflylink_store._era import (
+    LEASES_PER_ERA,
+    MAX_ERA,
+    NUMBERS_PER_ERA,
+    era_of,
+    era_of_lease,
+    lease_number_of,
+    number_of,
+    qualified,
+    qualified_lease,
+)
 from fireflylink_store._errors import (
     ConflictError,
     HistoryCompactedError,
@@ -36,6 +46,7 @@
 
 __all__ = [
     "ABSENT_REVISION",
+    "LEASES_PER_ERA",
     "MAX_ERA",
     "NO_LEASE",
     "NUMBERS_PER_ERA",
@@ -64,6 +75,9 @@
     "StoreUnavailableError",
     "UnreadableItem",
     "era_of",
+    "era_of_lease",
+    "lease_number_of",
     "number_of",
     "qualified",
+    "qualified_lease",
 ]
