Have all servers release keys when the store may have lost ownership tables

A caller got answers of two owners of one key.

Cause: a new decider took the stored table for the latest one. Its fence was the stored one plus one, which the lost tables had used already, and it counted only with holders that the stored table names. A server that the lost tables had given the keys went on holding them. With no table in the copy, the decider took the service for one that never had an owner.

Now fences begin with the era of the store, so that each is above all of earlier eras. A decider that takes over a table of an earlier era, or none in a later one, has every server of the service release the keys of others (HolderSweep) before it grants any; a server that does not answer is waited for until all former holds have expired. Its table says so (has_unknown_holders) until that is done, for the next decider. A daemon keeps the newest table that it knows.

--- a/packages/core/src/fireflylink_core/_keys.py
+++ b/packages/core/src/fireflylink_core/_keys.py
@@ -75,9 +75,18 @@
     ``written_by_sole_decider`` is true if no earlier decider (elected leader) could still grant
     keys when the table was written. The next decider then knows that the holds of previous holders
     in the table expire one grant time-out and one hold after the table was seen, at the latest.
+    ``has_unknown_holders`` is true while servers that the table does not name may hold keys, by an
+    assignment of a later table that the store has lost.
     """
 
-    __slots__ = ("_first_keys", "assignments", "fence", "service", "written_by_sole_decider")
+    __slots__ = (
+        "_first_keys",
+        "assignments",
+        "fence",
+        "has_unknown_holders",
+        "service",
+        "written_by_sole_decider",
+    )
 
     def __init__(
         self,
@@ -85,8 +94,10 @@
         fence: int,
         assignments: tuple[Assignment, ...],
         written_by_sole_decider: bool = False,
+        has_unknown_holders: bool = False,
     ) -> None:
         self.written_by_sole_decider = written_by_sole_decider
+        self.has_unknown_holders = has_unknown_holders
         self.service = service
         self.fence = fence
         self.assignments = assignments
@@ -99,6 +110,7 @@
             and self.service == other.service
             and self.fence == other.fence
             and self.written_by_sole_decider == other.written_by_sole_decider
+            and self.has_unknown_holders == other.has_unknown_holders
             and self.assignments == other.assignments
         )
 
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -3,7 +3,7 @@
 The decider is the daemon that is elected as the leader that assigns keys to servers.
 """
 
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
 from fireflylink_core import BaseClock, OwnershipTable
 from fireflylink_daemon._log import log_event, log_problem
@@ -23,6 +23,7 @@
     DECIDER_KEY,
     OWNERSHIP_PREFIX,
     MemberRecord,
+    decode_member,
     decode_table,
     encode_member,
     encode_table,
@@ -33,10 +34,15 @@
     BaseStore,
     Commit,
     ConflictError,
+    Item,
     LeaseNotFoundError,
     Put,
     StoreError,
+    StoreRestoredError,
     StoreUnavailableError,
+    era_of,
+    lease_number_of,
+    number_of,
 )
 
 DECIDER_LEASE_TTL_SECONDS = 1.2
@@ -178,6 +184,8 @@
             if not was_decider and self.lease_id:
                 # The write of the record took effect, but its answer was lost.
                 self._become_decider(message.revision, now)
+            elif was_decider and era_of(message.revision) > era_of(self.election.revision):
+                self._verify_record()
             return
         self.election.on_decider_record(message.revision, member is not None, now)
         if was_decider and not self.election.is_decider:
@@ -209,18 +217,55 @@
         self.lease_id = created.unwrap().lease_id
         return None
 
-    def _become_decider(self, revision: int, elected_at: float) -> None:
-        error = self._read_tables()
-        if error is not None:
-            log_problem("decider-tables-not-read", problem=error)
+    def _become_decider(
+        self, revision: int, elected_at: float, is_uninterrupted: bool = False
+    ) -> None:
+        read = self._read_tables()
+        if not isinstance(read, Success):
+            log_problem("decider-tables-not-read", problem=read.failure())
             self._revoke_lease_and_step_down("reading the ownership tables failed")
             return
         self.election.on_elected(revision, elected_at)
         self.next_renewal_at = elected_at + DECIDER_RENEWAL_INTERVAL_SECONDS
-        log_event("decider-won", instance=self.record.instance, revision=revision)
-        self._notify_ownership(DeciderElected(elected_at))
+        era = era_of(revision)
+        log_event(
+            "decider-won",
+            instance=self.record.instance,
+            revision=revision,
+            era=era,
+            uninterrupted=is_uninterrupted,
+        )
+        self._notify_ownership(DeciderElected(elected_at, era, read.unwrap(), is_uninterrupted))
+
+    def _verify_record(self) -> None:
+        """Reads the decider record, because a lease that is renewed does not prove that it exists.
 
-    def _read_tables(self) -> StoreError | None:
+        After a restore of the store, a record that is in the copy is still this daemon's, with
+        the same lease. Otherwise this daemon steps down.
+        """
+        sent_at = self.clock.now()
+        read = self.store.read(DECIDER_KEY, sent_at + CALL_TIMEOUT_SECONDS)
+        if not isinstance(read, Success):
+            log_problem("decider-record-not-read", problem=read.failure())
+            return
+        item = read.unwrap()
+        if item is None or not self._is_own_record(item):
+            self._on_demoted("the decider record is not this daemon's")
+            self.election.on_decider_record(0, item is not None, self.clock.now())
+        elif item.revision == self.election.revision:
+            self.election.on_confirmed(sent_at)
+        else:
+            self.lease_id = item.lease_id
+            self._become_decider(item.revision, sent_at, is_uninterrupted=True)
+
+    def _is_own_record(self, item: Item) -> bool:
+        return (
+            decode_member(item.value).value_or(None) == self.record
+            and number_of(item.revision) == number_of(self.election.revision)
+            and lease_number_of(item.lease_id) == lease_number_of(self.lease_id)
+        )
+
+    def _read_tables(self) -> Result[tuple[TableStored, ...], StoreError]:
         """Reads the tables of all services.
 
         Other daemons can no longer write them: their writes are conditional on their own decider
@@ -228,14 +273,15 @@
         """
         read = self.store.list(OWNERSHIP_PREFIX, self.clock.now() + CALL_TIMEOUT_SECONDS)
         if not isinstance(read, Success):
-            return read.failure()
+            return Failure(read.failure())
+        tables = []
         for item in read.unwrap().items:
             table = decode_table(item.value)
             if isinstance(table, Success):
-                self._notify_ownership(TableStored(table.unwrap(), item.revision))
+                tables.append(TableStored(table.unwrap(), item.revision))
             else:
                 log_problem("record-unreadable", key=item.key, problem=table.failure())
-        return None
+        return Success(tuple(tables))
 
     def _on_demoted(self, reason: str) -> None:
         """Records that this daemon is not the decider; forgets the lease without revoking it."""
@@ -251,6 +297,8 @@
         self.metrics.count("store_calls", kind="decider-renewal", result=result)
         if isinstance(renewed, Success):
             self.election.on_confirmed(sent_at)
+        elif isinstance(renewed.failure(), StoreRestoredError):
+            self._verify_record()
         elif isinstance(renewed.failure(), LeaseNotFoundError):
             self._on_demoted("lease-ended")
             self.election.vacant_since = self.clock.now()
@@ -284,6 +332,8 @@
         log_problem("ownership-not-written", service=table.service, problem=error)
         if isinstance(error, ConflictError | StoreUnavailableError):
             self._notify_ownership(TableNotWritten(table))
+        elif isinstance(error, StoreRestoredError):
+            self._verify_record()
 
     def _notify_ownership(self, message: object) -> None:
         if self.ownership_task is not None:
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -110,16 +110,27 @@
 
 
 class DeciderElected:
-    """This daemon was elected as the decider.
+    """This daemon was elected as the decider, or still is it after the store was restored.
 
     ``elected_at`` is when it sent the write of the decider record to the store; if the answer was
-    lost, when it read the record.
+    lost, when it read the record. ``era`` is the era of the store in which it is the decider, and
+    ``tables`` are all ownership tables in the store. If ``is_uninterrupted``, this daemon was the
+    decider when the store was restored, and its record is in the copy.
     """
 
-    __slots__ = ("elected_at",)
+    __slots__ = ("elected_at", "era", "is_uninterrupted", "tables")
 
-    def __init__(self, elected_at: float) -> None:
+    def __init__(
+        self,
+        elected_at: float,
+        era: int,
+        tables: tuple[TableStored, ...],
+        is_uninterrupted: bool = False,
+    ) -> None:
         self.elected_at = elected_at
+        self.era = era
+        self.tables = tables
+        self.is_uninterrupted = is_uninterrupted
 
 
 class DeciderDemoted:
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -6,15 +6,7 @@
     ServerMismatchError,
     StaleFenceError,
 )
-from fireflylink_core import (
-    FIRST_KEY,
-    LAST_KEY,
-    BackendServer,
-    BaseClock,
-    KeyRange,
-    OwnershipTable,
-    ServerIncarnation,
-)
+from fireflylink_core import BaseClock, OwnershipTable, ServerIncarnation
 from fireflylink_daemon._decider_task import CommitTable, DeciderTask, Superseded
 from fireflylink_daemon._fleet_commands import FleetCommands
 from fireflylink_daemon._log import log_event, log_problem
@@ -29,7 +21,9 @@
     TableNotWritten,
     TableStored,
 )
+from fireflylink_daemon._ownership_planning import log_plan, planning_candidates
 from fireflylink_daemon._peers import PeerSocket
+from fireflylink_daemon._possible_holders import add_servers_to_sweep, record_restarts
 from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.ownership import (
@@ -37,17 +31,14 @@
     HOLD_SECONDS,
     RELEASE_TIMEOUT_SECONDS,
     BaseCommand,
-    Candidate,
     GrantCommand,
     GrantTracker,
     KeyedService,
-    KeyLoad,
     ReleaseCommand,
-    changes_between,
     former_deciders_may_grant_until,
 )
 from fireflylink_protocol import GrantNotice, LoadReport
-from fireflylink_store import ABSENT_REVISION
+from fireflylink_store import ABSENT_REVISION, era_of
 
 WAKE_INTERVAL_SECONDS = 0.1
 """How often the decider looks for grants and releases that are due."""
@@ -60,7 +51,6 @@
 """A service gets no new plan for this long while the write of a table is not acknowledged."""
 
 MILLISECONDS_PER_SECOND = 1000.0
-ALL_KEYS = KeyRange(FIRST_KEY, LAST_KEY)
 
 
 class OwnershipTask(BaseTask):
@@ -76,6 +66,7 @@
         "commands",
         "decider_task",
         "elected_at",
+        "era",
         "hold_seconds",
         "is_decider",
         "next_check_at",
@@ -98,6 +89,7 @@
         self.decider_task = decider_task
         self.is_decider = False
         self.elected_at = 0.0
+        self.era = 0
         self.hold_seconds = min(HOLD_SECONDS, routing_state.settings.bounds.hold_max_seconds)
         self.services: dict[str, KeyedService] = {}
         self.commands = FleetCommands(clock, codec, self, self.hold_seconds)
@@ -126,7 +118,7 @@
         elif isinstance(message, DeciderChanged):
             self.decider_task.post(message)
         elif isinstance(message, DeciderElected):
-            self._start_deciding(message.elected_at)
+            self._start_deciding(message)
         elif isinstance(message, DeciderDemoted):
             self._stop_deciding()
         elif isinstance(message, ServersChanged):
@@ -135,19 +127,28 @@
             self.on_wake()
         return None
 
-    def _start_deciding(self, elected_at: float) -> None:
+    def _start_deciding(self, message: DeciderElected) -> None:
         self.is_decider = True
-        self.elected_at = elected_at
-        for name, service in self.services.items():
-            service.grant_tracker = GrantTracker(elected_at, self.hold_seconds)
-            service.commit_sent_at = None
-            service.consecutive_failures = {}
-            service.load = KeyLoad(name, elected_at)
-            service.unacknowledged_tables = []
-            service.next_plan_at = 0.0
+        self.elected_at = message.elected_at
+        self.era = message.era
+        stored = {table.table.service: table for table in message.tables}
+        now = self.clock.now()
+        for name in sorted({*self.services, *stored}):
+            service = self.services.setdefault(name, KeyedService(name, now))
+            tracker = service.grant_tracker if message.is_uninterrupted else None
+            if tracker is None:
+                tracker = GrantTracker(message.elected_at, self.hold_seconds)
+            self._start_service(service, stored.get(name), tracker)
         self._update_incarnations()
         self.next_check_at = 0.0
 
+    def _start_service(
+        self, service: KeyedService, stored: TableStored | None, tracker: GrantTracker
+    ) -> None:
+        table = None if stored is None else stored.table
+        revision = ABSENT_REVISION if stored is None else stored.revision
+        service.start_deciding(table, revision, tracker, self.era, self.clock.now())
+
     def _stop_deciding(self) -> None:
         self.is_decider = False
         for service in self.services.values():
@@ -168,7 +169,8 @@
         if service is None:
             service = self.services[name] = KeyedService(name, self.clock.now())
         if self.is_decider and service.grant_tracker is None:
-            service.grant_tracker = GrantTracker(self.clock.now(), self.hold_seconds)
+            tracker = GrantTracker(self.elected_at, self.hold_seconds)
+            self._start_service(service, None, tracker)
         return service
 
     def _keyed_service_names(self) -> list[str]:
@@ -179,6 +181,9 @@
 
     def _apply_table(self, message: TableStored) -> None:
         service = self._service(message.table.service)
+        if self.is_decider and era_of(message.revision) > self.era:
+            # The store was restored: the decider task finds out whether this daemon still decides.
+            return
         if (
             self.is_decider
             and message.revision > service.revision
@@ -190,14 +195,25 @@
             service.grant_tracker.mark_no_former_decider()
         if message.revision <= service.revision:
             return
-        service.table = message.table
-        service.revision = message.revision
+        service.record_stored_table(message.table, message.revision, self.clock.now())
         service.commit_sent_at = None
         service.unacknowledged_tables = []
-        service.table_first_seen_at = self.clock.now()
         if service.grant_tracker is not None:
+            self._begin_sweep(service, service.grant_tracker)
             service.grant_tracker.set_table(message.table)
 
+    def _begin_sweep(self, service: KeyedService, tracker: GrantTracker) -> None:
+        """Adds the servers that are asked to release keys before the first table is in use."""
+        if tracker.sweep is None or tracker.sweep.table is not None:
+            return
+        add_servers_to_sweep(service, self.routing_state.directory)
+        log_event(
+            "ownership-sweep-started",
+            service=service.name,
+            era=self.era,
+            servers=len(tracker.sweep.servers),
+        )
+
     def _send_due_commands_and_plan(self, name: str, service: KeyedService, now: float) -> None:
         """Sends the commands that are due; plans a new table at the planning interval."""
         self._send_due_commands(name, service, now)
@@ -216,12 +232,17 @@
         tracker = service.grant_tracker
         if tracker is None or not self.decider_task.election.may_grant(now):
             return
+        sweeping = tracker.sweep is not None
+        if sweeping:
+            add_servers_to_sweep(service, self.routing_state.directory)
         tracker.due_commands(
             now,
             service.ranges_pending_removal(),
             lambda command: self._send_if_free(name, tracker, command, now),
             server,
         )
+        if sweeping and tracker.sweep is None:
+            log_event("ownership-sweep-done", service=name, era=self.era)
 
     def _plan_table(self, name: str, service: KeyedService, now: float) -> None:
         if service.commit_sent_at is not None:
@@ -229,7 +250,7 @@
                 return
             service.commit_sent_at = None
         service.load.decay(now)
-        candidates = self._candidates(name, service, now)
+        candidates = planning_candidates(service, self.routing_state, now)
         if service.grant_tracker is None or not (candidates or service.table):
             return
         join_times = [
@@ -237,70 +258,40 @@
         ]
         planned = service.next_table(candidates, max(join_times, default=now), now)
         if planned is not None:
-            self._log_plan(service, planned, candidates)
+            log_plan(service, planned, candidates)
             # True if no earlier decider can still grant keys: the service has no table so far, or
             # the time has passed for which earlier deciders may grant without the store.
             sole_decider = (
                 service.revision == ABSENT_REVISION
                 or now >= former_deciders_may_grant_until(self.elected_at)
             )
-            table = planned.replace(written_by_sole_decider=sole_decider)
+            table = planned.replace(
+                written_by_sole_decider=sole_decider,
+                has_unknown_holders=service.grant_tracker.sweep is not None,
+            )
             service.commit_sent_at = now
             service.unacknowledged_tables.append(table)
             self.decider_task.post(CommitTable(table, service.revision))
 
-    def _log_plan(
-        self, service: KeyedService, planned: OwnershipTable, candidates: list[Candidate]
-    ) -> None:
-        """Logs how many keys change owners, and how many of them because their owner was lost."""
-        incarnations = frozenset(candidate.incarnation for candidate in candidates)
-        current = service.table if service.table is not None else planned
-        changes = changes_between(current, planned, incarnations)
-        log_event(
-            "ownership-planned",
-            service=service.name,
-            fence=planned.fence,
-            ranges=len(planned.assignments),
-            candidates=len(candidates),
-            requests_per_second=service.requests_per_second,
-            lost_keys=changes.lost_keys,
-            moved_keys=changes.moved_keys,
-            joined=changes.joined,
-        )
-
     def _step_down(self, reason: str) -> None:
         """Stops deciding, because this daemon does not know the grants of another decider."""
         log_problem("decider-superseded", reason=reason)
         self._stop_deciding()
         self.decider_task.post(Superseded(reason))
 
-    def _candidates(self, name: str, service: KeyedService, now: float) -> list[Candidate]:
-        entries = self.routing_state.directory.eligible_servers(name)
-        candidates = []
-        for entry in entries:
-            server = entry.server
-            if service.is_reachable(server.incarnation):
-                capacity = self._capacity(service, server, now)
-                candidates.append(Candidate(server.incarnation, capacity, server.data_centre))
-        return candidates
-
-    def _capacity(self, service: KeyedService, server: BackendServer, now: float) -> float:
-        """Returns a server's estimated capacity in requests per second."""
-        tracker = self.routing_state.trackers.get(server.incarnation)
-        cold = tracker is not None and tracker.cold_limiter.is_cold(now)
-        return service.service_times.capacity(server.server_id, server.slots, cold)
-
     def _send_if_free(
         self, name: str, tracker: GrantTracker, command: BaseCommand, now: float
     ) -> bool:
         """Sends a command if a task of its server is free; returns whether it is sent."""
         server_tracker = self.routing_state.trackers.get(command.server)
         if server_tracker is None:
+            if tracker.sweep is not None:
+                tracker.sweep.record_unreachable(command.server)
             return False
         if not self.commands.has_free_task(server_tracker.server, command, now):
             return False
-        is_grant = isinstance(command, GrantCommand)
-        deadline = now + (GRANT_TIMEOUT_SECONDS if is_grant else RELEASE_TIMEOUT_SECONDS)
+        is_prompt = isinstance(command, GrantCommand) or tracker.is_part_of_sweep(command)
+        deadline = now + (GRANT_TIMEOUT_SECONDS if is_prompt else RELEASE_TIMEOUT_SECONDS)
         if isinstance(command, GrantCommand):
             tracker.record_sent(command, deadline)
         self.commands.send(server_tracker.server, name, command, deadline)
@@ -383,29 +374,7 @@
         present = {*registered.values(), *self.routing_state.trackers}
         self._record_commands_failed(self.commands.close_absent(present))
         for service in self.services.values():
-            if service.grant_tracker is None or service.table is None:
-                continue
-            for assignment in service.table.assignments:
-                for incarnation in (assignment.owner, *assignment.previous_holders):
-                    registered_incarnation = registered.get(incarnation.server_id, incarnation)
-                    if registered_incarnation.started_ms > incarnation.started_ms > 0:
-                        self._record_restart(service, incarnation, registered_incarnation)
-
-    def _record_restart(
-        self, service: KeyedService, former: ServerIncarnation, successor: ServerIncarnation
-    ) -> None:
-        tracker = service.grant_tracker
-        if tracker is None or tracker.holds.has_ended(former):
-            return
-        held_until = tracker.hold_expires_at(former, ALL_KEYS)
-        log_event(
-            "server-restarted",
-            service=service.name,
-            server=former,
-            successor=successor,
-            held_seconds=max(0.0, held_until - self.clock.now()),
-        )
-        tracker.record_incarnation_ended(former, successor)
+            record_restarts(service, registered, self.clock.now())
 
     def _record_commands_failed(self, messages: list[SendCommand]) -> None:
         """Records that the commands in progress at servers that are gone have failed.
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -7,6 +7,7 @@
 from fireflylink_core import ManualClock
 from fireflylink_daemon import read_settings
 from fireflylink_daemon._decider_task import DeciderTask
+from fireflylink_daemon._messages import CommandCompleted, DeciderChanged, UpdatesRead
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._ownership_task import OwnershipTask
 from fireflylink_daemon._routing_state import RoutingState
@@ -14,6 +15,7 @@
 from fireflylink_platform import PlatformItemDecoder, PlatformServerCodec
 from fireflylink_protocol import MemberRecord
 from fireflylink_standins import DAEMON_BOUNDS, MemoryStore, StoreState
+from fireflylink_store import Item
 
 SETTINGS = {
     "instance": "front-0",
@@ -38,6 +40,33 @@
         self.notices.append(notice)
 
 
+class RecordingCommands:
+    """Stands in for ``FleetCommands``: records the commands instead of sending them."""
+
+    def __init__(self) -> None:
+        self.sent = []
+
+    def has_free_task(self, server, command, now) -> bool:
+        return True
+
+    def send(self, server, service, command, deadline) -> None:
+        self.sent.append(command)
+
+    def record_completed(self, message) -> bool:
+        return False
+
+    def close_absent(self, present) -> list:
+        return []
+
+    def close(self) -> None:
+        """Does nothing: no connection is open."""
+
+    def take(self) -> list:
+        """Returns the commands that were sent since the last call."""
+        sent, self.sent = self.sent, []
+        return sent
+
+
 class TaskHarness:
     """The view, decider and ownership tasks of a daemon.
 
@@ -62,6 +91,40 @@
         self.decoder = PlatformItemDecoder()
         self.last_revision = 0
 
+    def record_commands(self) -> None:
+        """Records the commands to servers instead of sending them."""
+        self.ownership_task.commands = RecordingCommands()
+
+    def apply_items(self, *items: Item) -> None:
+        """Passes items to the view task as the store reader does, and delivers all messages."""
+        updates = tuple(update for item in items for update in self.decoder.decode(item))
+        self.view_task.receive(UpdatesRead(updates, 1, False))
+        self.deliver()
+
+    def stand_for_election(self) -> None:
+        """Makes the daemon the decider, if the store has no decider record."""
+        self.decider_task.receive(DeciderChanged(None, 0))
+        self.clock.advance(5.0)
+        self.decider_task.on_wake()
+        self.deliver()
+
+    def run(self, seconds: float) -> list:
+        """Lets time pass and the decider act each 0.1 s; returns the commands that it sent."""
+        ends_at = self.clock.now() + seconds
+        while self.clock.now() < ends_at:
+            self.clock.advance(0.1)
+            self.decider_task.on_wake()
+            self.ownership_task.on_wake()
+            self.deliver()
+            self.ownership_task.on_wake()
+        return self.ownership_task.commands.take()
+
+    def complete(self, *commands) -> None:
+        """Lets commands to the service ``a`` succeed."""
+        for command in commands:
+            self.ownership_task.receive(CommandCompleted("a", command, None, "", None))
+        self.deliver()
+
     def deliver(self) -> None:
         """Lets the tasks handle their messages until every mailbox is empty."""
         tasks = (self.view_task, self.decider_task, self.ownership_task)
@@ -104,3 +167,34 @@
         return TaskHarness(settings, clock, store_state, name)
 
     return make
+
+
+CONFIGURATION = {
+    "version": "r7",
+    "services": [{"name": "a", "max-conns": 110, "sharded": True}],
+    "virtual-hosts": [],
+}
+
+
+@pytest.fixture
+def configuration_item() -> Item:
+    """A configuration with the keyed service ``a``."""
+    return Item("op/config", json.dumps(CONFIGURATION).encode(), 1)
+
+
+@pytest.fixture
+def registration():
+    """Returns a function that makes the registration of a server of the service ``a``."""
+
+    def make(name: str, born: int, state: str = "ready") -> Item:
+        value = {
+            "service": "a",
+            "address": f"10.0.0.{name[-1]}:80",
+            "zone": "kingston",
+            "slots": 4,
+            "state": state,
+            "born": born,
+        }
+        return Item(f"servers/{name}", json.dumps(value).encode(), born)
+
+    return make
--- /dev/null
+++ b/packages/daemon/tests/test_restored_ownership.py
@@ -0,0 +1,103 @@
+"""Key ownership after a restore of the store, and after a loss of the decider record."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, HasLength, Is
+
+from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
+from fireflylink_daemon._messages import DeciderChanged
+from fireflylink_decisions.ownership import GrantCommand, ReleaseCommand, first_fence
+from fireflylink_protocol import encode_table, ownership_key
+from fireflylink_store import Commit, Put
+
+ALL_KEYS = KeyRange(0, 65535)
+FIRST = ServerIncarnation("i-1", 1)
+SECOND = ServerIncarnation("i-2", 1)
+
+
+@pytest.fixture
+def stored_table(store_state) -> OwnershipTable:
+    """The table that the copies of the store have: all keys belong to ``i-1``."""
+    table = OwnershipTable("a", 3, (Assignment(ALL_KEYS, FIRST, 3),))
+    store_state.commit(Commit((), (Put(ownership_key("a"), encode_table(table)),)))
+    return table
+
+
+@pytest.fixture
+def make_candidate(make_daemon, configuration_item, registration, stored_table):
+    """Returns a function that makes a daemon that knows two servers of a keyed service."""
+
+    def make(name: str = "front-0"):
+        daemon = make_daemon(name)
+        daemon.record_commands()
+        daemon.apply_items(configuration_item, registration("i-1", 1), registration("i-2", 1))
+        return daemon
+
+    return make
+
+
+def grants_in(commands: list) -> list:
+    return [command for command in commands if isinstance(command, GrantCommand)]
+
+
+def test_a_decider_that_never_saw_the_lost_table_has_all_servers_release_keys_first(
+    make_candidate, store_state
+):
+    """Guards against two owners of a key.
+
+    The table that gave the keys to i-2 is lost, and the daemon that was elected has started since.
+    """
+    store_state.restore(0.0)
+    successor = make_candidate()
+    successor.stand_for_election()
+    commands = successor.run(0.5)
+    assert_that(grants_in(commands), HasLength(0))
+    expected = ReleaseCommand(SECOND, ALL_KEYS, first_fence(1))
+    assert_that(set(commands), Equals({expected}))
+    successor.complete(*commands)
+    first_grant = grants_in(successor.run(2.0))[0]
+    assert_that((first_grant.server, first_grant.fence), Equals((FIRST, first_fence(1))))
+
+
+def test_the_decider_goes_on_with_its_own_table_when_the_store_has_lost_it(
+    make_candidate, store_state, clock
+):
+    """Guards against keys that go back to a former owner, and against a decider whose writes are
+    refused for the rest of its life, because it expects the revision of a table that is lost."""
+    decider = make_candidate()
+    decider.stand_for_election()
+    decider.complete(*decider.run(0.1))
+    copied_at = clock.now()
+    service = decider.ownership_task.services["a"]
+    for _ in range(30):
+        decider.complete(*decider.run(0.1))
+    known = service.table
+    assert_that({assignment.owner for assignment in known.assignments}, Equals({FIRST, SECOND}))
+    store_state.restore(clock.now() - copied_at)
+    commands = decider.run(0.6)
+    assert_that(grants_in(commands), HasLength(0))
+    decider.complete(*commands)
+    grants = grants_in(decider.run(0.2))
+    owners = {(assignment.keys, assignment.owner) for assignment in known.assignments}
+    assert_that({(grant.keys, grant.server) for grant in grants}, Equals(owners))
+    assert_that({grant.fence for grant in grants}, Equals({first_fence(1)}))
+    assert_that(decider.ownership_task.is_decider, Is(True))
+    for _ in range(20):
+        decider.complete(*decider.run(0.1))
+    assert_that(service.table.has_unknown_holders, Is(False))
+    assert_that(service.table.fence, GreaterThan(first_fence(1) - 1))
+
+
+def test_a_record_of_another_daemon_is_not_verified_as_its_own(make_candidate, store_state, clock):
+    """Guards against two deciders after a restore: the copy has the record of an earlier one."""
+    former = make_candidate("front-1")
+    former.stand_for_election()
+    copied_at = clock.now()
+    clock.advance(3.0)
+    decider = make_candidate("front-0")
+    decider.decider_task.receive(DeciderChanged(None, 0))
+    decider.stand_for_election()
+    assert_that(decider.decider_task.election.is_decider, Is(True))
+    store_state.restore(clock.now() - copied_at)
+    decider.run(0.5)
+    assert_that(decider.decider_task.election.is_decider, Is(False))
--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -3,7 +3,11 @@
 from fireflylink_decisions.ownership._candidate import Candidate
 from fireflylink_decisions.ownership._commands import BaseCommand, GrantCommand, ReleaseCommand
 from fireflylink_decisions.ownership._decider_election import DeciderElection
-from fireflylink_decisions.ownership._first_tables import initial_table, with_new_fence
+from fireflylink_decisions.ownership._first_tables import (
+    first_fence,
+    initial_table,
+    with_new_fence,
+)
 from fireflylink_decisions.ownership._grant_timing import (
     CLOCK_DRIFT_FACTOR,
     GRANT_TIMEOUT_SECONDS,
@@ -39,6 +43,7 @@
     "ServiceTimeEstimates",
     "TableChanges",
     "changes_between",
+    "first_fence",
     "former_deciders_may_grant_until",
     "initial_table",
     "plan_table",
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -9,6 +9,7 @@
 
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership._commands import BaseCommand, GrantCommand, ReleaseCommand
+from fireflylink_decisions.ownership._grant_state import GrantState
 from fireflylink_decisions.ownership._grant_timing import (
     CLOCK_DRIFT_FACTOR,
     COMMAND_RETRY_DELAY_SECONDS,
@@ -20,36 +21,7 @@
     RENEWAL_INTERVAL_SECONDS,
 )
 from fireflylink_decisions.ownership._hold_expiries import FORMER_DECIDER_FENCE, HoldExpiries
-
-
-class _GrantState:
-    """State of the grant of one assignment.
-
-    ``unreleased_holders`` are the previous holders whose release or expiry the grant waits for.
-    ``in_flight`` are the servers that have been sent a command without a result so far, and
-    ``due_at`` is when the next command to a server is due.
-    """
-
-    __slots__ = (
-        "due_at",
-        "granted",
-        "granted_at",
-        "handover",
-        "in_flight",
-        "unreleased_holders",
-    )
-
-    def __init__(self, assignment: Assignment) -> None:
-        self.unreleased_holders = list(dict.fromkeys(assignment.previous_holders))
-        self.handover = assignment.handover
-        self.granted = False
-        self.granted_at = 0.0
-        self.in_flight: set[ServerIncarnation] = set()
-        self.due_at: dict[ServerIncarnation, float] = {}
-
-    def is_expired(self, now: float, hold_seconds: float) -> bool:
-        """Whether the grant was confirmed and has expired since."""
-        return self.granted and now > self.granted_at + hold_seconds
+from fireflylink_decisions.ownership._holder_sweep import HolderSweep
 
 
 class GrantTracker:
@@ -65,7 +37,7 @@
     Inherited holds are those that former deciders granted: ``inherited_owner_holds_expire_at`` and
     ``inherited_previous_holder_holds_expire_at`` are their latest expiries for the owners and for
     the previous holders in the table that this decider writes first. ``first_table_fence`` is the
-    fence of that table.
+    fence of that table. While there is a ``sweep``, no keys are granted or renewed.
     """
 
     __slots__ = (
@@ -78,6 +50,7 @@
         "inherited_previous_holder_holds_expire_at",
         "max_hold_seconds",
         "renewal_interval_seconds",
+        "sweep",
         "table",
     )
 
@@ -93,8 +66,9 @@
         self.inherited_previous_holder_holds_expire_at = self.inherited_owner_holds_expire_at
         self.first_table_fence = 0
         self.table: OwnershipTable | None = None
-        self.grant_states: dict[tuple[KeyRange, int], _GrantState] = {}
+        self.grant_states: dict[tuple[KeyRange, int], GrantState] = {}
         self.holds = HoldExpiries()
+        self.sweep: HolderSweep | None = None
         self.assignments_by_server: dict[ServerIncarnation, list[Assignment]] = {}
 
     def mark_no_former_decider(self) -> None:
@@ -102,6 +76,15 @@
         self.inherited_owner_holds_expire_at = float("-inf")
         self.inherited_previous_holder_holds_expire_at = float("-inf")
 
+    def start_sweep(self, opens_at: float, is_uninterrupted: bool) -> None:
+        """Requires that all servers release keys before any are granted, see ``HolderSweep``.
+
+        To be called before the first table of a new era is set. ``is_uninterrupted`` is true if
+        this tracker was in use already when the store was restored.
+        """
+        own_holds = self.holds if is_uninterrupted else None
+        self.sweep = HolderSweep(opens_at, self.inherited_owner_holds_expire_at, own_holds)
+
     def record_former_table(self, table: OwnershipTable, seen_at: float) -> None:
         """Records the table of a former decider, and when this daemon first saw it.
 
@@ -125,6 +108,8 @@
         if self.table is None:
             self.first_table_fence = table.fence
             self._add_inherited_holds(table)
+        if self.sweep is not None and self.sweep.table is None:
+            self.sweep.start(table)
         old_states = self.grant_states
         old_assignments = self._assignment_states()
         self.table = table
@@ -136,7 +121,7 @@
             grant_id = (assignment.keys, assignment.fence)
             state = old_states.get(grant_id)
             if state is None:
-                state = _GrantState(assignment)
+                state = GrantState(assignment)
                 self._copy_state(state, assignment, old_assignments)
             self.grant_states[grant_id] = state
 
@@ -159,7 +144,7 @@
         """
         if self.table is None:
             return []
-        due: list[BaseCommand] = []
+        due: list[BaseCommand] = self._due_sweep_commands(now)
         assignments: Sequence[Assignment] = (
             self.table.assignments if server is None else self.assignments_by_server.get(server, [])
         )
@@ -169,7 +154,8 @@
             if state.unreleased_holders:
                 due.extend(self._due_releases(assignment, state, now))
             elif (
-                (assignment.keys, assignment.fence) in pending_removal
+                self.sweep is not None
+                or (assignment.keys, assignment.fence) in pending_removal
                 or state.is_expired(now, self.hold_seconds)
                 or self.holds.has_ended(assignment.owner)
             ):
@@ -179,14 +165,32 @@
         if accept is None:
             commands = due
         else:
-            commands = [command for command in sorted(due, key=self._due_at) if accept(command)]
+            # The sweep may ask for a release that is due for a move as well.
+            distinct = sorted(dict.fromkeys(due), key=self._due_at)
+            commands = [command for command in distinct if accept(command)]
         for command in commands:
             self._mark_in_flight(command)
         return commands
 
+    def _due_sweep_commands(self, now: float) -> list[BaseCommand]:
+        """Returns the releases of the sweep that are due; ends the sweep when it is done."""
+        if self.sweep is None:
+            return []
+        releases = self.sweep.due_commands(now, self.holds)
+        if self.sweep.is_done(now):
+            self.sweep = None
+            return []
+        return [*releases]
+
+    def is_part_of_sweep(self, command: BaseCommand) -> bool:
+        """Whether a command is a release that is asked of a server for the sweep only."""
+        return isinstance(command, ReleaseCommand) and (
+            _keys_and_fence(command) not in self.grant_states
+        )
+
     def _due_at(self, command: BaseCommand) -> float:
-        keys, fence = _keys_and_fence(command)
-        return self.grant_states[(keys, fence)].due_at.get(command.server, 0.0)
+        state = self.grant_states.get(_keys_and_fence(command))
+        return 0.0 if state is None else state.due_at.get(command.server, 0.0)
 
     def record_sent(self, command: GrantCommand, deadline: float) -> None:
         """Records that a grant is about to be sent, to arrive until ``deadline`` or never.
@@ -221,6 +225,8 @@
 
     def record_released(self, command: ReleaseCommand, handover: str, now: float) -> None:
         """Records that a server released keys, with its handover token for the next holder."""
+        if self.sweep is not None:
+            self.sweep.record_released(command)
         state = self._complete_command(command.keys, command.fence, command.server)
         if state is None:
             return
@@ -233,6 +239,8 @@
 
     def record_failed(self, command: BaseCommand, now: float) -> None:
         """Records that a command failed; it is due again after ``COMMAND_RETRY_DELAY_SECONDS``."""
+        if self.sweep is not None and isinstance(command, ReleaseCommand):
+            self.sweep.record_failed(command, now)
         keys, fence = _keys_and_fence(command)
         self.holds.forget_previous(command.server, (keys, fence))
         state = self._complete_command(keys, fence, command.server)
@@ -262,9 +270,7 @@
         )
         if assignments == self.table.assignments:
             return None
-        return OwnershipTable(
-            self.table.service, self.table.fence, assignments, self.table.written_by_sole_decider
-        )
+        return self.table.replace(assignments=assignments)
 
     def is_current(self, command: GrantCommand) -> bool:
         """Whether a grant is one of the current table."""
@@ -284,7 +290,7 @@
                     incarnation, grant_id, self.inherited_previous_holder_holds_expire_at
                 )
 
-    def _assignment_states(self) -> list[tuple[Assignment, _GrantState]]:
+    def _assignment_states(self) -> list[tuple[Assignment, GrantState]]:
         if self.table is None:
             return []
         return [
@@ -294,9 +300,9 @@
 
     def _copy_state(
         self,
-        state: _GrantState,
+        state: GrantState,
         assignment: Assignment,
-        old_assignments: list[tuple[Assignment, _GrantState]],
+        old_assignments: list[tuple[Assignment, GrantState]],
     ) -> None:
         """Copies the state of the old assignment that this one is a remaining part of, if any."""
         for old, old_state in old_assignments:
@@ -314,7 +320,7 @@
             return assignment
         return assignment.replace(previous_holders=(), handover="")
 
-    def _drop_expired_holders(self, state: _GrantState, assignment: Assignment, now: float) -> None:
+    def _drop_expired_holders(self, state: GrantState, assignment: Assignment, now: float) -> None:
         """Drops previous holders whose holds have expired, and those that the owner followed."""
         state.unreleased_holders = [
             incarnation
@@ -330,7 +336,7 @@
         return incarnation != owner and self.holds.holder(incarnation) == self.holds.holder(owner)
 
     def _due_releases(
-        self, assignment: Assignment, state: _GrantState, now: float
+        self, assignment: Assignment, state: GrantState, now: float
     ) -> list[BaseCommand]:
         holders = dict.fromkeys(map(self.holds.holder, state.unreleased_holders))
         return [
@@ -339,7 +345,7 @@
             if self._is_due(state, incarnation, now)
         ]
 
-    def _grant_command(self, assignment: Assignment, state: _GrantState) -> GrantCommand:
+    def _grant_command(self, assignment: Assignment, state: GrantState) -> GrantCommand:
         handover = "" if state.granted else state.handover
         return GrantCommand(
             assignment.owner, assignment.keys, assignment.fence, handover, state.granted
@@ -360,16 +366,19 @@
             )
         )
 
-    def _is_due(self, state: _GrantState, incarnation: ServerIncarnation, now: float) -> bool:
+    def _is_due(self, state: GrantState, incarnation: ServerIncarnation, now: float) -> bool:
         return incarnation not in state.in_flight and now >= state.due_at.get(incarnation, 0.0)
 
     def _mark_in_flight(self, command: BaseCommand) -> None:
-        keys, fence = _keys_and_fence(command)
-        self.grant_states[(keys, fence)].in_flight.add(command.server)
+        if self.sweep is not None and isinstance(command, ReleaseCommand):
+            self.sweep.record_sent(command)
+        state = self.grant_states.get(_keys_and_fence(command))
+        if state is not None:
+            state.in_flight.add(command.server)
 
     def _complete_command(
         self, keys: KeyRange, fence: int, server: ServerIncarnation
-    ) -> _GrantState | None:
+    ) -> GrantState | None:
         """Marks a command as no longer in flight.
 
         Returns the state of its grant, None when the current table does not have it any more.
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -2,12 +2,17 @@
 
 from fireflylink_core import KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership._candidate import Candidate
-from fireflylink_decisions.ownership._first_tables import initial_table, with_new_fence
+from fireflylink_decisions.ownership._first_tables import (
+    first_fence,
+    initial_table,
+    with_new_fence,
+)
 from fireflylink_decisions.ownership._grant_tracker import GrantTracker
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
 from fireflylink_decisions.ownership._overload_detector import OverloadDetector
 from fireflylink_decisions.ownership._planner import plan_table
 from fireflylink_decisions.ownership._service_time_estimates import ServiceTimeEstimates
+from fireflylink_decisions.servers import REGISTRATION_GRACE_SECONDS
 
 INITIAL_TABLE_DELAY_SECONDS = 1.5
 """Time after the last server joined, in which further servers can register before the initial
@@ -27,7 +32,9 @@
 class KeyedService:
     """The decider's state of one keyed service: only the owner of a request's key may run it.
 
-    ``revision`` is that of the table's record in the store. ``unacknowledged_tables`` are the
+    ``revision`` is that of the service's record in the store, whose table may be older than
+    ``table`` after the store was restored. ``minimum_fence`` is the first fence of the store's
+    present era. ``unacknowledged_tables`` are the
     tables whose write has no known result so far. ``commit_sent_at`` is when the write of the last
     planned table was sent, None when no new plan has to wait for its result.
     ``consecutive_failures`` counts, for each server, the failed commands since the last one that
@@ -41,6 +48,7 @@
         "consecutive_failures",
         "grant_tracker",
         "load",
+        "minimum_fence",
         "name",
         "next_plan_at",
         "next_rebalance_at",
@@ -57,6 +65,7 @@
         self.table: OwnershipTable | None = None
         self.revision = 0
         self.name = name
+        self.minimum_fence = first_fence(0)
         self.unacknowledged_tables: list[OwnershipTable] = []
         self.table_first_seen_at = now
         self.grant_tracker: GrantTracker | None = None
@@ -70,6 +79,51 @@
         self.commit_sent_at: float | None = None
         self.consecutive_failures: dict[ServerIncarnation, int] = {}
 
+    def record_stored_table(self, table: OwnershipTable, revision: int, now: float) -> None:
+        """Records the table in the store; a newer one that the store has lost stays in use."""
+        self.revision = revision
+        if self.table is not None and table.fence < self.table.fence:
+            return
+        if table != self.table:
+            self.table_first_seen_at = now
+        self.table = table
+
+    def start_deciding(
+        self,
+        stored: OwnershipTable | None,
+        revision: int,
+        tracker: GrantTracker,
+        era: int,
+        now: float,
+    ) -> None:
+        """Starts to plan from the stored table and the newest one that this daemon knows.
+
+        ``stored`` is None if the store has none; ``revision`` is then that of an absent record.
+        ``tracker`` is a new one, or the present one if this daemon was the decider all the while.
+        If tables of an earlier era may be lost, all servers have to release keys first.
+        """
+        self.revision = revision
+        if stored is not None:
+            self.record_stored_table(stored, revision, now)
+        is_uninterrupted = tracker is self.grant_tracker
+        self.grant_tracker = tracker
+        self.minimum_fence = first_fence(era)
+        self.commit_sent_at = None
+        self.unacknowledged_tables = []
+        self.next_plan_at = 0.0
+        if not is_uninterrupted:
+            self.consecutive_failures = {}
+            self.load = KeyLoad(self.name, now)
+        if self.may_have_lost_tables(era):
+            opens_at = now if is_uninterrupted else now + REGISTRATION_GRACE_SECONDS
+            tracker.start_sweep(opens_at, is_uninterrupted)
+
+    def may_have_lost_tables(self, era: int) -> bool:
+        """Whether the store may have lost tables that are newer than the one in use."""
+        if self.table is None:
+            return era > 0
+        return self.table.fence < first_fence(era) or self.table.has_unknown_holders
+
     def record_command_succeeded(self, server: ServerIncarnation) -> None:
         """Records that a server carried out a command."""
         self.consecutive_failures.pop(server, None)
@@ -105,38 +159,40 @@
 
         ``joined_at`` is when the last server joined.
         """
-        if self.table is None and not candidates:
-            return None
         if self.table is None:
-            if now < joined_at + INITIAL_TABLE_DELAY_SECONDS:
+            if not candidates or now < joined_at + INITIAL_TABLE_DELAY_SECONDS:
                 return None
-            return initial_table(self.name, candidates, fence=1)
-        if self.grant_tracker is not None and self.grant_tracker.table is None:
-            self.grant_tracker.record_former_table(self.table, self.table_first_seen_at)
-            return with_new_fence(self.table)
+            return initial_table(self.name, candidates, self.minimum_fence)
+        tracker = self.grant_tracker
+        if tracker is None:
+            return None
+        if tracker.table is None or self.table.fence < self.minimum_fence:
+            if tracker.sweep is None:
+                tracker.record_former_table(self.table, self.table_first_seen_at)
+            return with_new_fence(self.table, self.minimum_fence)
+        if tracker.sweep is not None:
+            return None
+        return self._changed_table(self.table, tracker, candidates, now)
+
+    def _changed_table(
+        self, table: OwnershipTable, tracker: GrantTracker, candidates: list[Candidate], now: float
+    ) -> OwnershipTable | None:
+        """Returns the table with the changes that are due, None if there are none."""
         range_load = RangeLoad(self.load.sorted_rates(now))
         self.requests_per_second = range_load.prefix_sums[-1]
-        without_completed_moves = (
-            self.grant_tracker.table_without_completed_moves()
-            if self.grant_tracker is not None
-            else None
-        )
+        without_completed_moves = tracker.table_without_completed_moves()
         if without_completed_moves is None:
             self.completed_moves_since = now
-        expired = (
-            self.grant_tracker.expired_ranges(now)
-            if self.grant_tracker is not None
-            else frozenset()
-        )
+        expired = tracker.expired_ranges(now)
         rebalance = now >= self.next_rebalance_at
         if rebalance:
             self.next_rebalance_at = now + REBALANCE_INTERVAL_SECONDS
-        current = without_completed_moves or self.table
+        current = without_completed_moves or table
         planned = plan_table(
             current, candidates, range_load, self.overload_detector, now, expired, rebalance
         )
-        if planned is not None:
-            return planned
+        if planned is not None or table.has_unknown_holders:
+            return planned or current.replace(has_unknown_holders=False)
         if (
             without_completed_moves is None
             or now < self.completed_moves_since + COMPLETED_MOVES_DELAY_SECONDS
--- /dev/null
+++ b/packages/decisions/tests/test_holder_sweep.py
@@ -0,0 +1,148 @@
+"""Which releases are needed before keys are granted, after the store has lost ownership tables."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, HasLength, Is
+
+from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
+from fireflylink_decisions.ownership import (
+    GRANT_TIMEOUT_SECONDS,
+    HOLD_SECONDS,
+    OUTAGE_GRACE_SECONDS,
+    GrantCommand,
+    GrantTracker,
+    KeyedService,
+    ReleaseCommand,
+    first_fence,
+    with_new_fence,
+)
+
+LEFT = ServerIncarnation("left", 1)
+RIGHT = ServerIncarnation("right", 1)
+UNNAMED = ServerIncarnation("unnamed", 1)
+LOW = KeyRange(0, 999)
+HIGH = KeyRange(1000, 65535)
+RESTORED = OwnershipTable("holds", 7, (Assignment(LOW, LEFT, 7), Assignment(HIGH, RIGHT, 7)))
+ERA = 2
+NEW_TABLE = with_new_fence(RESTORED, first_fence(ERA))
+
+
+@pytest.fixture
+def sweeping(clock) -> GrantTracker:
+    """Returns the tracker of a decider that knows only the table of the restored store."""
+    tracker = GrantTracker(clock.now())
+    tracker.start_sweep(clock.now(), is_uninterrupted=False)
+    for server in (LEFT, RIGHT, UNNAMED):
+        tracker.sweep.add_server(server)
+    tracker.set_table(NEW_TABLE)
+    return tracker
+
+
+def test_no_key_is_granted_before_all_servers_have_released_those_of_others(sweeping, clock):
+    """Guards against two owners of a key: a server that the restored table does not name was
+    granted it by a table that the store has lost."""
+    releases = sweeping.due_commands(clock.now())
+    expected = {
+        ReleaseCommand(LEFT, HIGH, NEW_TABLE.fence),
+        ReleaseCommand(RIGHT, LOW, NEW_TABLE.fence),
+        ReleaseCommand(UNNAMED, KeyRange(0, 65535), NEW_TABLE.fence),
+    }
+    assert_that(set(releases), Equals(expected))
+    *others, last = releases
+    for release in others:
+        sweeping.record_released(release, "", clock.now())
+    assert_that(sweeping.due_commands(clock.now()), HasLength(0))
+    sweeping.record_released(last, "", clock.now())
+    grants = sweeping.due_commands(clock.now())
+    assert_that({grant.server for grant in grants}, Equals({LEFT, RIGHT}))
+    assert_that({type(grant) for grant in grants}, Equals({GrantCommand}))
+
+
+def test_a_server_that_registers_again_during_the_sweep_is_asked_as_well(sweeping, clock):
+    """Guards against two owners of a key: the registration of a holder was lost with the tables."""
+    late = ServerIncarnation("late", 1)
+    for release in sweeping.due_commands(clock.now()):
+        sweeping.record_released(release, "", clock.now())
+    sweeping.sweep.add_server(late)
+    [release] = sweeping.due_commands(clock.now())
+    assert_that((release.server, release.keys), Equals((late, KeyRange(0, 65535))))
+
+
+def test_an_unresponsive_server_is_waited_for_until_every_former_hold_has_expired(sweeping, clock):
+    """Guards against two owners of a key: a former decider still reaches a server that this one
+    does not reach."""
+    started_at = clock.now()
+    while not any(
+        isinstance(command, GrantCommand) for command in _complete_all_but(sweeping, UNNAMED, clock)
+    ):
+        clock.advance(0.1)
+    assert_that(clock.now() - started_at, GreaterThan(OUTAGE_GRACE_SECONDS + HOLD_SECONDS))
+
+
+def _complete_all_but(tracker: GrantTracker, unresponsive: ServerIncarnation, clock) -> list:
+    commands = tracker.due_commands(clock.now())
+    for command in commands:
+        if command.server == unresponsive:
+            tracker.record_failed(command, clock.now())
+        elif isinstance(command, ReleaseCommand):
+            tracker.record_released(command, "", clock.now())
+    return commands
+
+
+def test_an_uninterrupted_decider_waits_for_its_own_holds_only(clock):
+    """Guards against keys without an owner for 12 s after a restore because one server is down,
+    although the decider knows all that it has granted."""
+    tracker = GrantTracker(clock.now())
+    tracker.mark_no_former_decider()
+    tracker.set_table(RESTORED)
+    for grant in tracker.due_commands(clock.now()):
+        tracker.record_sent(grant, clock.now() + GRANT_TIMEOUT_SECONDS)
+        tracker.record_granted(grant, clock.now())
+    tracker.start_sweep(clock.now(), is_uninterrupted=True)
+    for server in (LEFT, RIGHT, UNNAMED):
+        tracker.sweep.add_server(server)
+    tracker.set_table(NEW_TABLE)
+    granted = [
+        command
+        for command in _complete_all_but(tracker, UNNAMED, clock)
+        + _complete_all_but(tracker, UNNAMED, clock)
+        if isinstance(command, GrantCommand)
+    ]
+    assert_that({grant.fence for grant in granted}, Equals({NEW_TABLE.fence}))
+
+
+def test_every_fence_of_an_era_is_above_those_of_earlier_eras():
+    """Guards against a fence that is used twice: the store has lost the tables that used it."""
+    lost = RESTORED.replace(fence=RESTORED.fence + 1_000_000)
+    assert_that(with_new_fence(RESTORED, first_fence(ERA)).fence, GreaterThan(lost.fence))
+    again = with_new_fence(NEW_TABLE, first_fence(ERA))
+    assert_that(again.fence, Equals(NEW_TABLE.fence + 1))
+
+
+def test_a_service_without_a_table_in_a_restored_store_is_swept_too(clock):
+    """Guards against two owners of a key: the copy is older than the first table, and the decider
+    takes the service for one that never had an owner."""
+    service = KeyedService("holds", clock.now())
+    service.start_deciding(None, 0, GrantTracker(clock.now()), ERA, clock.now())
+    assert_that(service.grant_tracker.sweep is None, Is(False))
+    fresh = KeyedService("holds", clock.now())
+    fresh.start_deciding(None, 0, GrantTracker(clock.now()), 0, clock.now())
+    assert_that(fresh.grant_tracker.sweep, Is(None))
+
+
+def test_the_next_decider_goes_on_with_a_sweep_that_was_not_finished(clock):
+    """Guards against two owners of a key: the decider that began the sweep was lost, and its table
+    is of the new era already."""
+    unfinished = NEW_TABLE.replace(has_unknown_holders=True)
+    service = KeyedService("holds", clock.now())
+    service.start_deciding(unfinished, 9, GrantTracker(clock.now()), ERA, clock.now())
+    assert_that(service.grant_tracker.sweep is None, Is(False))
+
+
+def test_a_newer_table_that_the_store_has_lost_stays_in_use(clock):
+    """Guards against moves that are undone after a restore by a daemon that still knows them."""
+    service = KeyedService("holds", clock.now())
+    newer = RESTORED.replace(fence=9)
+    service.record_stored_table(newer, 80, clock.now())
+    service.record_stored_table(RESTORED, 2000, clock.now())
+    assert_that((service.table, service.revision), Equals((newer, 2000)))
--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -118,6 +118,7 @@
             "service": table.service,
             "fence": table.fence,
             "alone": table.written_by_sole_decider,
+            "unknown_holders": table.has_unknown_holders,
             "lives": [
                 [incarnation.server_id, incarnation.started_ms] for incarnation in incarnations
             ],
@@ -151,9 +152,13 @@
                 )
             )
             previous_last = last
-        written_by_sole_decider = bool(fields["alone"])
         return OwnershipTable(
-            str(fields["service"]), fence, tuple(assignments), written_by_sole_decider
+            str(fields["service"]),
+            fence,
+            tuple(assignments),
+            written_by_sole_decider=bool(fields["alone"]),
+            # Records of earlier versions do not have this field.
+            has_unknown_holders=bool(fields.get("unknown_holders", False)),
         )
 
     try:
