Check that the decider record exists when contact with the store is regained

The decider took each renewal of its lease for a proof of its record and granted for another 8 s without the store. The store can delete the record at once while the lease lives; a successor that is elected meanwhile counts with 8 s from its own election. A former decider that renewed its lease late in an outage could then renew grants for longer than the successor waits, at servers that the successor does not reach. A renewal that comes later than the time of the lease after the last one now reads the record.

Evidence: test_a_lease_that_outlives_its_record_does_not_make_a_decider fails without the change ("True is not False").

--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -296,7 +296,10 @@
         result = type(renewed).__name__
         self.metrics.count("store_calls", kind="decider-renewal", result=result)
         if isinstance(renewed, Success):
-            self.election.on_confirmed(sent_at)
+            if sent_at < self.election.confirmed_call_sent_at + self.lease_ttl_seconds:
+                self.election.on_confirmed(sent_at)
+            else:
+                self._verify_record()
         elif isinstance(renewed.failure(), StoreRestoredError):
             self._verify_record()
         elif isinstance(renewed.failure(), LeaseNotFoundError):
--- a/packages/daemon/tests/test_restored_ownership.py
+++ b/packages/daemon/tests/test_restored_ownership.py
@@ -6,8 +6,13 @@
 
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_daemon._messages import DeciderChanged
-from fireflylink_decisions.ownership import GrantCommand, ReleaseCommand, first_fence
-from fireflylink_protocol import encode_table, ownership_key
+from fireflylink_decisions.ownership import (
+    OUTAGE_GRACE_SECONDS,
+    GrantCommand,
+    ReleaseCommand,
+    first_fence,
+)
+from fireflylink_protocol import DECIDER_KEY, encode_table, ownership_key
 from fireflylink_store import Commit, Put
 
 ALL_KEYS = KeyRange(0, 65535)
@@ -88,6 +93,24 @@
     assert_that(service.table.fence, GreaterThan(first_fence(1) - 1))
 
 
+def test_a_lease_that_outlives_its_record_does_not_make_a_decider(
+    make_candidate, store_state, clock
+):
+    """Guards against two owners of a key: the store deletes the decider record in an outage, and
+    the renewal of its lease starts the time anew for which it grants without the store."""
+    decider = make_candidate()
+    decider.stand_for_election()
+    decider.run(0.1)
+    decider.store.reachable = False
+    clock.advance(OUTAGE_GRACE_SECONDS / 2)
+    [(lease_id, (ttl_seconds, _))] = store_state.leases.items()
+    store_state.leases[lease_id] = (ttl_seconds, clock.now() + 60.0)
+    store_state.commit(Commit(deletions=(DECIDER_KEY,)))
+    decider.store.reachable = True
+    decider.decider_task.on_wake()
+    assert_that(decider.decider_task.election.is_decider, Is(False))
+
+
 def test_a_record_of_another_daemon_is_not_verified_as_its_own(make_candidate, store_state, clock):
     """Guards against two deciders after a restore: the copy has the record of an earlier one."""
     former = make_candidate("front-1")
