Ignore late registrations of older incarnations of a server

Two servers could hold the same keys: a registration of an ended incarnation that was held up in a cut replaced that of its successor, or came back after the successor had left. The decider took the ended incarnation for a candidate, and the successor under the same id accepted the grants to it.

The directory registered whatever arrived last. A registration that lasts for 30 s is accepted: it belongs to a server that was restarted with its clock set back, as a late one has expired or been overwritten by then.

--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -146,7 +146,13 @@
         known = self.directory.find(server.server_id)
         joined = known is None or known.server.incarnation != server.incarnation
         state = known.server.state if known is not None else None
-        self.directory.register(server, now)
+        if self.directory.register(server, now) is None:
+            log_event(
+                "server-registration-stale",
+                server=server.incarnation,
+                newest_started_ms=self.directory.newest_started_ms(server.server_id),
+            )
+            return
         tracker = self.trackers.get(server.incarnation)
         if tracker is None:
             tracker = ServerTracker(server)
@@ -197,6 +203,8 @@
                 server=server_id,
                 reason="registration still missing at the end of the grace time",
             )
+        for server in self.directory.take_lasting_registrations(now):
+            self.register_server(server)
         if self.routes is None:
             return
         for service in self.routes.services.values():
--- a/packages/decisions/src/fireflylink_decisions/servers/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/__init__.py
@@ -11,6 +11,7 @@
 )
 from fireflylink_decisions.servers._server_directory import (
     REGISTRATION_GRACE_SECONDS,
+    STALE_REGISTRATION_SECONDS,
     DirectoryEntry,
     ServerDirectory,
 )
@@ -26,6 +27,7 @@
     "MAX_LOW_PRIORITY_REQUESTS_PER_SLOT",
     "MAX_REQUESTS_PER_SLOT",
     "REGISTRATION_GRACE_SECONDS",
+    "STALE_REGISTRATION_SECONDS",
     "DirectoryEntry",
     "ServerDirectory",
     "ServerRanking",
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -1,11 +1,17 @@
 """Directory of registered backend servers, and which of them may get keys and requests."""
 
 from fireflylink_core import BackendServer, ServerState
+from fireflylink_decisions.servers._departures import DepartureLog
 
 REGISTRATION_GRACE_SECONDS = 2.0
 """A server whose registration expired during an outage of the store registers again within this
 time after the store has become reachable."""
 
+STALE_REGISTRATION_SECONDS = 30.0
+"""A registration of an older incarnation is ignored for this long. A late one of an ended server
+has been overwritten or has expired by then, also if several heartbeats were held up; the one of a
+server that was restarted with its clock set back remains, and is used from then on."""
+
 
 class DirectoryEntry:
     """A registered server, and whether it is about to leave.
@@ -24,11 +30,22 @@
         self.draining_since: float | None = None
 
 
+class StaleRegistration:
+    """A registration that is ignored until ``accept_at``: a newer incarnation was registered."""
+
+    __slots__ = ("accept_at", "server")
+
+    def __init__(self, server: BackendServer, accept_at: float) -> None:
+        self.server = server
+        self.accept_at = accept_at
+
+
 class ServerDirectory:
     """The server registrations in the store, as far as this daemon has read them.
 
     ``evacuated`` maps each data centre whose evacuation is requested to the time at which this
-    daemon learned of it.
+    daemon learned of it. ``stale`` maps the ids of servers to the registrations in the store that
+    are ignored.
 
     Example::
 
@@ -37,16 +54,34 @@
             ...
     """
 
-    __slots__ = ("entries", "evacuated", "grace_ends_at", "store_reachable")
+    __slots__ = (
+        "departure_log",
+        "entries",
+        "evacuated",
+        "grace_ends_at",
+        "stale",
+        "store_reachable",
+    )
 
     def __init__(self) -> None:
         self.entries: dict[str, DirectoryEntry] = {}
         self.evacuated: dict[str, float] = {}
+        self.departure_log = DepartureLog()
+        self.stale: dict[str, StaleRegistration] = {}
         self.store_reachable = True
         self.grace_ends_at = float("-inf")
 
-    def register(self, server: BackendServer, now: float) -> DirectoryEntry:
-        """Records a registration. A new incarnation, address or service makes a new entry."""
+    def register(self, server: BackendServer, now: float) -> DirectoryEntry | None:
+        """Records a registration; returns the server's entry, or None if the registration is stale.
+
+        A new incarnation, address or service makes a new entry. A registration of an older
+        incarnation than one that was registered before is stale: it was held up on its way, and
+        keys that are granted to that incarnation would be taken by its successor.
+        """
+        if self._is_stale(server):
+            self._record_stale(server, now)
+            return None
+        self.stale.pop(server.server_id, None)
         entry = self.entries.get(server.server_id)
         if (
             entry is None
@@ -63,6 +98,22 @@
             entry.draining_since = now
         return entry
 
+    def newest_started_ms(self, server_id: str) -> int:
+        """Returns the start time of the newest incarnation that was registered, 0 without one."""
+        entry = self.entries.get(server_id)
+        registered_ms = 0 if entry is None else entry.server.started_ms
+        return max(registered_ms, self.departure_log.newest_started_ms(server_id))
+
+    def _is_stale(self, server: BackendServer) -> bool:
+        return 0 < server.started_ms < self.newest_started_ms(server.server_id)
+
+    def _record_stale(self, server: BackendServer, now: float) -> None:
+        known = self.stale.get(server.server_id)
+        if known is None or known.server.incarnation != server.incarnation:
+            known = StaleRegistration(server, now + STALE_REGISTRATION_SECONDS)
+            self.stale[server.server_id] = known
+        known.server = server
+
     def record_deletion(self, server_id: str, now: float) -> bool:
         """Records that a registration was deleted; returns whether the server is removed as well.
 
@@ -71,12 +122,13 @@
         ``REGISTRATION_GRACE_SECONDS`` after the store has become reachable again. A draining
         server is removed at once, because it is leaving anyway.
         """
+        self.stale.pop(server_id, None)
         entry = self.entries.get(server_id)
         if entry is None:
             return False
         draining = entry.server.state is ServerState.DRAINING
         if draining or (self.store_reachable and now >= self.grace_ends_at):
-            del self.entries[server_id]
+            self._remove(server_id, now)
             return True
         entry.registration_missing = True
         return False
@@ -86,7 +138,8 @@
 
         Servers with other ids are treated as in ``record_deletion``.
         """
-        absent = [server_id for server_id in self.entries if server_id not in server_ids]
+        known = (*self.entries, *self.stale.keys() - self.entries.keys())
+        absent = [server_id for server_id in known if server_id not in server_ids]
         return [server_id for server_id in absent if self.record_deletion(server_id, now)]
 
     def mark_store_unreachable(self) -> None:
@@ -107,9 +160,28 @@
             server_id for server_id, entry in self.entries.items() if entry.registration_missing
         ]
         for server_id in expired:
-            del self.entries[server_id]
+            self._remove(server_id, now)
+        self.departure_log.expire(now)
         return expired
 
+    def take_lasting_registrations(self, now: float) -> list[BackendServer]:
+        """Returns registrations that have been stale for ``STALE_REGISTRATION_SECONDS``.
+
+        They are to be registered again, and are then accepted: the newer incarnations, which would
+        have overwritten them, are removed.
+        """
+        if not self.store_reachable or now < self.grace_ends_at:
+            return []
+        lasting = [stale.server for stale in self.stale.values() if now >= stale.accept_at]
+        for server in lasting:
+            self.entries.pop(server.server_id, None)
+            self.departure_log.forget(server.server_id)
+        return lasting
+
+    def _remove(self, server_id: str, now: float) -> None:
+        entry = self.entries.pop(server_id)
+        self.departure_log.record(entry.server.incarnation, now)
+
     def set_evacuated(self, data_centre: str, requested: bool, now: float) -> bool:
         """Records that an evacuation is requested or has ended; returns whether that is new."""
         if requested == (data_centre in self.evacuated):
--- a/packages/decisions/tests/test_server_directory.py
+++ b/packages/decisions/tests/test_server_directory.py
@@ -4,7 +4,11 @@
 from testtools.matchers import Equals, Is
 
 from fireflylink_core import ServerState
-from fireflylink_decisions.servers import REGISTRATION_GRACE_SECONDS, ServerDirectory
+from fireflylink_decisions.servers import (
+    REGISTRATION_GRACE_SECONDS,
+    STALE_REGISTRATION_SECONDS,
+    ServerDirectory,
+)
 
 
 def test_a_server_whose_registration_ends_is_removed_at_once(server_factory, clock):
@@ -91,3 +95,50 @@
     directory.record_deletion("s1", clock.now())
     assert_that(directory.is_presumed_alive(entries[0]), Is(True))
     assert_that(directory.is_presumed_alive(entries[2]), Is(True))
+
+
+def test_a_late_registration_of_an_older_incarnation_is_ignored(server_factory, clock):
+    """Guards against two holders of a key: the keys of an ended incarnation would be granted to it
+    once more, and its successor under the same id would take them."""
+    directory = ServerDirectory()
+    newer = server_factory("s1").replace(started_ms=2)
+    directory.register(newer, clock.now())
+    assert_that(directory.register(server_factory("s1"), clock.now()), Is(None))
+    [entry] = directory.eligible_servers("holds")
+    assert_that(entry.server, Equals(newer))
+
+
+def test_a_late_registration_is_ignored_also_when_the_newer_incarnation_has_left(
+    server_factory, clock
+):
+    """Guards against grants to an ended incarnation whose successor has left as well."""
+    directory = ServerDirectory()
+    directory.register(server_factory("s1").replace(started_ms=2), clock.now())
+    directory.record_deletion("s1", clock.now())
+    assert_that(directory.register(server_factory("s1"), clock.now()), Is(None))
+    assert_that(directory.eligible_servers("holds"), Equals([]))
+
+
+def test_a_registration_that_lasts_is_accepted_although_its_start_time_is_older(
+    server_factory, clock
+):
+    """Guards against a server that is never used again because its clock was set back before it
+    was restarted."""
+    directory = ServerDirectory()
+    directory.register(server_factory("s1").replace(started_ms=2), clock.now())
+    directory.register(server_factory("s1"), clock.now())
+    clock.advance(STALE_REGISTRATION_SECONDS - 0.1)
+    assert_that(directory.take_lasting_registrations(clock.now()), Equals([]))
+    clock.advance(0.2)
+    [server] = directory.take_lasting_registrations(clock.now())
+    assert_that(directory.register(server, clock.now()).server, Equals(server_factory("s1")))
+
+
+def test_a_late_registration_that_expires_is_not_accepted_later(server_factory, clock):
+    """Guards against a server that has ended and comes into use after its registration expired."""
+    directory = ServerDirectory()
+    directory.register(server_factory("s1").replace(started_ms=2), clock.now())
+    directory.register(server_factory("s1"), clock.now())
+    directory.record_listing(frozenset(), clock.now())
+    clock.advance(STALE_REGISTRATION_SECONDS + 1.0)
+    assert_that(directory.take_lasting_registrations(clock.now()), Equals([]))
