Keep an incarnation draining that was seen to drain

Requests went to a server that was leaving: an older registration with state ready, from a late heartbeat or from a store that was restored, ended the draining of the same incarnation, also after it had left.

A daemon that has seen a server drain is bound by that. A new incarnation is free of it. Incarnations without a start time cannot be told apart and are treated as before. The daemon logs server-drain-kept.

Evidence: test_a_server_that_drains_gets_no_requests_when_an_older_ registration_comes_back failed first with "['i-1@1'] != []".

--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -146,13 +146,17 @@
         known = self.directory.find(server.server_id)
         joined = known is None or known.server.incarnation != server.incarnation
         state = known.server.state if known is not None else None
-        if self.directory.register(server, now) is None:
+        entry = self.directory.register(server, now)
+        if entry is None:
             log_event(
                 "server-registration-stale",
                 server=server.incarnation,
                 newest_started_ms=self.directory.newest_started_ms(server.server_id),
             )
             return
+        if entry.server.state != server.state:
+            log_event("server-drain-kept", server=server.incarnation, since=entry.draining_since)
+            server = entry.server
         tracker = self.trackers.get(server.incarnation)
         if tracker is None:
             tracker = ServerTracker(server)
--- a/packages/daemon/tests/test_view_task.py
+++ b/packages/daemon/tests/test_view_task.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from fireflylink_core import BackendServer, CallerLimits, Configuration, Service
+from fireflylink_core import BackendServer, CallerLimits, Configuration, ServerState, Service
 from fireflylink_daemon._messages import UpdatesRead
 from fireflylink_store import ConfigurationUpdate, ServerUpdate
 
@@ -58,3 +58,11 @@
     clock.advance(31.0)
     view.daemon.view_task.on_wake()
     assert_that(view.used_servers(), Equals(["i-1@1"]))
+
+
+def test_a_server_that_drains_gets_no_requests_when_an_older_registration_comes_back(view, clock):
+    """Guards against requests to a server that has told this daemon that it is leaving."""
+    view.register(server("i-1", state=ServerState.DRAINING))
+    clock.advance(1.5)
+    view.register(server("i-1"))
+    assert_that(view.used_servers(), Equals([]))
--- a/packages/decisions/src/fireflylink_decisions/servers/_departures.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_departures.py
@@ -8,12 +8,18 @@
 
 
 class Departure:
-    """The newest incarnation of a server that has left, and when."""
+    """The newest incarnation of a server that has left.
 
-    __slots__ = ("forget_at", "incarnation")
+    ``draining_since`` is when it was first seen to drain, None if it left without draining.
+    """
 
-    def __init__(self, incarnation: ServerIncarnation, forget_at: float) -> None:
+    __slots__ = ("draining_since", "forget_at", "incarnation")
+
+    def __init__(
+        self, incarnation: ServerIncarnation, draining_since: float | None, forget_at: float
+    ) -> None:
         self.incarnation = incarnation
+        self.draining_since = draining_since
         self.forget_at = forget_at
 
 
@@ -25,12 +31,25 @@
     def __init__(self) -> None:
         self.departures: dict[str, Departure] = {}
 
-    def record(self, incarnation: ServerIncarnation, now: float) -> None:
+    def record(
+        self, incarnation: ServerIncarnation, draining_since: float | None, now: float
+    ) -> None:
         """Records that an incarnation has left, unless a newer one has left before."""
         if incarnation.started_ms >= self.newest_started_ms(incarnation.server_id):
-            departure = Departure(incarnation, now + DEPARTURE_RETENTION_SECONDS)
+            forget_at = now + DEPARTURE_RETENTION_SECONDS
+            departure = Departure(incarnation, draining_since, forget_at)
             self.departures[incarnation.server_id] = departure
 
+    def find(self, incarnation: ServerIncarnation) -> Departure | None:
+        """Returns the departure of an incarnation, None if it has not left.
+
+        Incarnations whose start time is unknown cannot be told apart, and are not found.
+        """
+        departure = self.departures.get(incarnation.server_id)
+        if departure is None or departure.incarnation != incarnation or not incarnation.started_ms:
+            return None
+        return departure
+
     def newest_started_ms(self, server_id: str) -> int:
         """Returns the start time of the newest departed incarnation, 0 for an unknown server."""
         departure = self.departures.get(server_id)
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -76,13 +76,17 @@
 
         A new incarnation, address or service makes a new entry. A registration of an older
         incarnation than one that was registered before is stale: it was held up on its way, and
-        keys that are granted to that incarnation would be taken by its successor.
+        keys that are granted to that incarnation would be taken by its successor. An incarnation
+        that was seen to drain stays draining, whatever it or a restored store says later.
         """
         if self._is_stale(server):
             self._record_stale(server, now)
             return None
         self.stale.pop(server.server_id, None)
         entry = self.entries.get(server.server_id)
+        draining_since = self._first_seen_draining(server, entry, now)
+        if draining_since is not None:
+            server = server.replace(state=ServerState.DRAINING)
         if (
             entry is None
             or entry.server.incarnation != server.incarnation
@@ -92,12 +96,23 @@
             self.entries[server.server_id] = entry
         entry.server = server
         entry.registration_missing = False
-        if server.state is not ServerState.DRAINING:
-            entry.draining_since = None
-        elif entry.draining_since is None:
-            entry.draining_since = now
+        entry.draining_since = draining_since
         return entry
 
+    def _first_seen_draining(
+        self, server: BackendServer, entry: DirectoryEntry | None, now: float
+    ) -> float | None:
+        """Returns when the incarnation of a registration was first seen to drain, None if never."""
+        # With an unknown start time, a ready registration may be that of a restarted server.
+        drains = server.state is ServerState.DRAINING
+        is_known = entry is not None and entry.server.incarnation == server.incarnation
+        if entry is not None and is_known and (drains or server.started_ms):
+            first_seen_at = entry.draining_since
+        else:
+            departure = self.departure_log.find(server.incarnation)
+            first_seen_at = None if departure is None else departure.draining_since
+        return now if first_seen_at is None and drains else first_seen_at
+
     def newest_started_ms(self, server_id: str) -> int:
         """Returns the start time of the newest incarnation that was registered, 0 without one."""
         entry = self.entries.get(server_id)
@@ -180,7 +195,7 @@
 
     def _remove(self, server_id: str, now: float) -> None:
         entry = self.entries.pop(server_id)
-        self.departure_log.record(entry.server.incarnation, now)
+        self.departure_log.record(entry.server.incarnation, entry.draining_since, now)
 
     def set_evacuated(self, data_centre: str, requested: bool, now: float) -> bool:
         """Records that an evacuation is requested or has ended; returns whether that is new."""
--- a/packages/decisions/tests/test_server_directory.py
+++ b/packages/decisions/tests/test_server_directory.py
@@ -142,3 +142,34 @@
     directory.record_listing(frozenset(), clock.now())
     clock.advance(STALE_REGISTRATION_SECONDS + 1.0)
     assert_that(directory.take_lasting_registrations(clock.now()), Equals([]))
+
+
+def test_an_incarnation_that_drains_is_never_ready_again(server_factory, clock):
+    """Guards against requests to a server that is leaving, when its older registration arrives late
+    or comes back with a restored store."""
+    directory = ServerDirectory()
+    drain_at = clock.now()
+    directory.register(server_factory("s1").replace(state=ServerState.DRAINING), drain_at)
+    clock.advance(1.0)
+    entry = directory.register(server_factory("s1"), clock.now())
+    assert_that(directory.eligible_servers("holds"), Equals([]))
+    assert_that(entry.draining_since, Equals(drain_at))
+    moved = directory.register(server_factory("s1").replace(port=7), clock.now())
+    assert_that(moved.draining_since, Equals(drain_at))
+
+
+def test_an_incarnation_that_drained_and_left_is_not_ready_when_it_comes_back(
+    server_factory, clock
+):
+    """Guards against requests to a server that has left, when the store is restored to a state
+    before its departure."""
+    directory = ServerDirectory()
+    drain_at = clock.now()
+    directory.register(server_factory("s1").replace(state=ServerState.DRAINING), drain_at)
+    directory.record_deletion("s1", clock.now())
+    clock.advance(1.0)
+    assert_that(
+        directory.register(server_factory("s1"), clock.now()).draining_since, Equals(drain_at)
+    )
+    directory.register(server_factory("s1").replace(started_ms=2), clock.now())
+    assert_that(len(directory.eligible_servers("holds")), Equals(1))
