Ignore restored registrations of servers that had left

A server that lapsed and registers again by an ordinary change is used at once, as before. StaleRegistrations keeps the ignored registrations in a module of its own.

Evidence: test_a_server_that_had_left_gets_nothing_when_the_store_is_restored failed first with "['i-2@1', 'i-1@1'] != ['i-2@1']".

--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -11,12 +11,21 @@
     """Updates that were read from the store up to ``revision``.
 
     ``is_snapshot`` is true when they are the complete contents of the store, false when they are
-    only what has changed since the last read.
+    only what has changed since the last read. ``is_restored`` is true for the first snapshot after
+    the store came back from a copy: what was written after the copy was made is missing, and what
+    was deleted since then is there again.
     """
 
-    __slots__ = ("is_snapshot", "revision", "updates")
+    __slots__ = ("is_restored", "is_snapshot", "revision", "updates")
 
-    def __init__(self, updates: tuple[BaseUpdate, ...], revision: int, is_snapshot: bool) -> None:
+    def __init__(
+        self,
+        updates: tuple[BaseUpdate, ...],
+        revision: int,
+        is_snapshot: bool,
+        is_restored: bool = False,
+    ) -> None:
+        self.is_restored = is_restored
         self.updates = updates
         self.revision = revision
         self.is_snapshot = is_snapshot
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -23,6 +23,7 @@
 from fireflylink_decisions.routing import RouteTable, TrafficSplitter
 from fireflylink_decisions.servers import (
     DirectoryEntry,
+    RegistrationOrigin,
     ServerDirectory,
     ServerTracker,
     ServiceLimits,
@@ -140,18 +141,21 @@
         if pool is not None:
             pool.confirmed_grants.add((notice.keys, notice.fence))
 
-    def register_server(self, server: BackendServer) -> None:
+    def register_server(
+        self, server: BackendServer, origin: RegistrationOrigin = RegistrationOrigin.WRITE
+    ) -> None:
         """Records a new or changed registration."""
         now = self.clock.now()
         known = self.directory.find(server.server_id)
         joined = known is None or known.server.incarnation != server.incarnation
         state = known.server.state if known is not None else None
-        entry = self.directory.register(server, now)
+        entry = self.directory.register(server, now, origin)
         if entry is None:
             log_event(
                 "server-registration-stale",
                 server=server.incarnation,
                 newest_started_ms=self.directory.newest_started_ms(server.server_id),
+                origin=origin.value,
             )
             return
         if entry.server.state != server.state:
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -18,6 +18,7 @@
 )
 from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._task import BaseTask
+from fireflylink_decisions.servers import RegistrationOrigin
 from fireflylink_protocol import (
     DECIDER_KEY,
     MEMBERS_PREFIX,
@@ -99,8 +100,9 @@
     def _apply(self, message: UpdatesRead) -> None:
         if message.is_snapshot:
             self._remove_absent(message)
+        origin = _registration_origin(message)
         for update in message.updates:
-            self._apply_update(update)
+            self._apply_update(update, origin)
         self.routing_state.refresh()
         self._notify_ownership(ServersChanged())
 
@@ -128,9 +130,9 @@
         if DECIDER_KEY not in keys:
             self._set_decider(None, message.revision)
 
-    def _apply_update(self, update: BaseUpdate) -> None:
+    def _apply_update(self, update: BaseUpdate, origin: RegistrationOrigin) -> None:
         if isinstance(update, ServerUpdate):
-            self.routing_state.register_server(update.server)
+            self.routing_state.register_server(update.server, origin)
         elif isinstance(update, ServerRemoved):
             self.routing_state.unregister_server(update.server_id)
         elif isinstance(update, ConfigurationUpdate):
@@ -187,6 +189,12 @@
             self.ownership_task.post(message)
 
 
+def _registration_origin(message: UpdatesRead) -> RegistrationOrigin:
+    if message.is_restored:
+        return RegistrationOrigin.RESTORED_SNAPSHOT
+    return RegistrationOrigin.SNAPSHOT if message.is_snapshot else RegistrationOrigin.WRITE
+
+
 def _value_or_log(result: Result[Decoded, RecordError], update: RecordUpdate) -> Decoded | None:
     """Returns the decoded record, or logs the error and returns None."""
     if isinstance(result, Success):
--- a/packages/daemon/tests/test_view_task.py
+++ b/packages/daemon/tests/test_view_task.py
@@ -5,9 +5,11 @@
 from testtools.matchers import Equals
 
 from fireflylink_core import BackendServer, CallerLimits, Configuration, ServerState, Service
-from fireflylink_daemon._messages import UpdatesRead
-from fireflylink_store import ConfigurationUpdate, ServerUpdate
+from fireflylink_daemon._messages import StoreReadFailed, StoreReadSucceeded, UpdatesRead
+from fireflylink_decisions.servers import REGISTRATION_LAPSE_SECONDS
+from fireflylink_store import ConfigurationUpdate, ServerRemoved, ServerUpdate
 
+RESTORED = {"is_snapshot": True, "is_restored": True}
 CONFIGURATION = Configuration(7, (), (Service("a", 110, 0.0, 1000.0, keyed=True),), CallerLimits())
 
 
@@ -24,15 +26,18 @@
         self.directory = daemon.routing_state.directory
         self.read(ConfigurationUpdate(CONFIGURATION, 1))
 
-    def read(self, *updates, **flags) -> None:
+    def read(self, *updates, is_snapshot: bool = False, is_restored: bool = False) -> None:
         self.daemon.last_revision += 1
-        message = UpdatesRead(updates, self.daemon.last_revision, flags.pop("is_snapshot", False))
+        message = UpdatesRead(updates, self.daemon.last_revision, is_snapshot, is_restored)
         self.daemon.view_task.receive(message)
         self.daemon.deliver()
 
     def register(self, *servers: BackendServer, **flags) -> None:
         self.read(*(ServerUpdate(found, self.daemon.last_revision) for found in servers), **flags)
 
+    def unregister(self, name: str) -> None:
+        self.read(ServerRemoved(name, self.daemon.last_revision))
+
     def used_servers(self) -> list[str]:
         """Returns the incarnations to which requests are sent, as text."""
         return [str(found) for found in self.daemon.routing_state.dispatcher.pools["a"].trackers]
@@ -66,3 +71,78 @@
     clock.advance(1.5)
     view.register(server("i-1"))
     assert_that(view.used_servers(), Equals([]))
+
+
+@pytest.fixture
+def restored_view(view) -> View:
+    """A view of a restored store that still has the registration of i-1, which has left."""
+    view.register(server("i-1"), server("i-2"))
+    view.unregister("i-1")
+    view.register(server("i-1"), server("i-2"), **RESTORED)
+    return view
+
+
+def test_a_server_that_had_left_gets_nothing_when_the_store_is_restored(restored_view):
+    """Guards against requests and keys for a server that left without draining."""
+    assert_that(restored_view.used_servers(), Equals(["i-2@1"]))
+    [candidate] = restored_view.directory.eligible_servers("a")
+    assert_that(candidate.server.server_id, Equals("i-2"))
+    restored_view.register(server("i-1"), server("i-2"), is_snapshot=True)
+    assert_that(restored_view.used_servers(), Equals(["i-2@1"]))
+
+
+def test_a_server_that_writes_its_registration_after_a_restore_is_used_at_once(restored_view):
+    """Guards against leaving out a server that had lapsed although it runs."""
+    restored_view.register(server("i-1"))
+    assert_that(sorted(restored_view.used_servers()), Equals(["i-1@1", "i-2@1"]))
+
+
+def test_a_restored_registration_is_used_when_it_lasts_longer_than_that_of_an_ended_server(
+    restored_view, clock
+):
+    """Guards against leaving out for good a server whose registration needs no new write."""
+    clock.advance(REGISTRATION_LAPSE_SECONDS - 0.1)
+    restored_view.daemon.view_task.on_wake()
+    assert_that(restored_view.used_servers(), Equals(["i-2@1"]))
+    clock.advance(0.2)
+    restored_view.daemon.view_task.on_wake()
+    assert_that(sorted(restored_view.used_servers()), Equals(["i-1@1", "i-2@1"]))
+
+
+def test_a_restored_registration_that_expires_is_never_used(restored_view, clock):
+    """Guards against the use of an ended server after its registration has expired again."""
+    restored_view.unregister("i-1")
+    clock.advance(REGISTRATION_LAPSE_SECONDS + 1.0)
+    restored_view.daemon.view_task.on_wake()
+    assert_that(restored_view.used_servers(), Equals(["i-2@1"]))
+
+
+def test_a_server_that_returned_before_a_restore_is_used_after_it(view):
+    """Guards against leaving out a running server because it had lapsed some time before."""
+    view.register(server("i-1"))
+    view.unregister("i-1")
+    view.register(server("i-1"))
+    view.register(server("i-1"), **RESTORED)
+    assert_that(view.used_servers(), Equals(["i-1@1"]))
+
+
+def test_a_second_restore_starts_the_wait_anew(restored_view, clock):
+    """Guards against the use of an ended server whose registration was restored twice."""
+    clock.advance(REGISTRATION_LAPSE_SECONDS - 0.1)
+    restored_view.register(server("i-1"), server("i-2"), **RESTORED)
+    clock.advance(3.0)
+    restored_view.daemon.view_task.on_wake()
+    assert_that(restored_view.used_servers(), Equals(["i-2@1"]))
+
+
+def test_a_restored_registration_is_not_used_before_it_could_expire_after_an_outage(
+    restored_view, clock
+):
+    """Guards against the use of an ended server whose registration cannot expire in an outage."""
+    view_task = restored_view.daemon.view_task
+    view_task.receive(StoreReadFailed("down"))
+    clock.advance(20.0)
+    view_task.receive(StoreReadSucceeded())
+    clock.advance(3.0)
+    view_task.on_wake()
+    assert_that(restored_view.used_servers(), Equals(["i-2@1"]))
--- a/packages/decisions/src/fireflylink_decisions/servers/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/__init__.py
@@ -1,5 +1,6 @@
 """Backend servers: which are registered, how loaded and fast they are, and choice among them."""
 
+from fireflylink_decisions.servers._registration_origin import RegistrationOrigin
 from fireflylink_decisions.servers._server_choice import (
     MAX_LOW_PRIORITY_REQUESTS_PER_SLOT,
     MAX_REQUESTS_PER_SLOT,
@@ -11,7 +12,6 @@
 )
 from fireflylink_decisions.servers._server_directory import (
     REGISTRATION_GRACE_SECONDS,
-    STALE_REGISTRATION_SECONDS,
     DirectoryEntry,
     ServerDirectory,
 )
@@ -21,14 +21,20 @@
     group_size,
 )
 from fireflylink_decisions.servers._server_tracker import ServerTracker
+from fireflylink_decisions.servers._stale_registrations import (
+    REGISTRATION_LAPSE_SECONDS,
+    STALE_REGISTRATION_SECONDS,
+)
 
 __all__ = [
     "MAX_GROUP_SIZE",
     "MAX_LOW_PRIORITY_REQUESTS_PER_SLOT",
     "MAX_REQUESTS_PER_SLOT",
     "REGISTRATION_GRACE_SECONDS",
+    "REGISTRATION_LAPSE_SECONDS",
     "STALE_REGISTRATION_SECONDS",
     "DirectoryEntry",
+    "RegistrationOrigin",
     "ServerDirectory",
     "ServerRanking",
     "ServerTracker",
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -2,16 +2,17 @@
 
 from fireflylink_core import BackendServer, ServerState
 from fireflylink_decisions.servers._departures import DepartureLog
+from fireflylink_decisions.servers._registration_origin import RegistrationOrigin
+from fireflylink_decisions.servers._stale_registrations import (
+    REGISTRATION_LAPSE_SECONDS,
+    STALE_REGISTRATION_SECONDS,
+    StaleRegistrations,
+)
 
 REGISTRATION_GRACE_SECONDS = 2.0
 """A server whose registration expired during an outage of the store registers again within this
 time after the store has become reachable."""
 
-STALE_REGISTRATION_SECONDS = 30.0
-"""A registration of an older incarnation is ignored for this long. A late one of an ended server
-has been overwritten or has expired by then, also if several heartbeats were held up; the one of a
-server that was restarted with its clock set back remains, and is used from then on."""
-
 
 class DirectoryEntry:
     """A registered server, and whether it is about to leave.
@@ -30,22 +31,11 @@
         self.draining_since: float | None = None
 
 
-class StaleRegistration:
-    """A registration that is ignored until ``accept_at``: a newer incarnation was registered."""
-
-    __slots__ = ("accept_at", "server")
-
-    def __init__(self, server: BackendServer, accept_at: float) -> None:
-        self.server = server
-        self.accept_at = accept_at
-
-
 class ServerDirectory:
     """The server registrations in the store, as far as this daemon has read them.
 
     ``evacuated`` maps each data centre whose evacuation is requested to the time at which this
-    daemon learned of it. ``stale`` maps the ids of servers to the registrations in the store that
-    are ignored.
+    daemon learned of it. ``stale`` are the registrations in the store that are ignored.
 
     Example::
 
@@ -67,22 +57,31 @@
         self.entries: dict[str, DirectoryEntry] = {}
         self.evacuated: dict[str, float] = {}
         self.departure_log = DepartureLog()
-        self.stale: dict[str, StaleRegistration] = {}
+        self.stale = StaleRegistrations()
         self.store_reachable = True
         self.grace_ends_at = float("-inf")
 
-    def register(self, server: BackendServer, now: float) -> DirectoryEntry | None:
+    def register(
+        self,
+        server: BackendServer,
+        now: float,
+        origin: RegistrationOrigin = RegistrationOrigin.WRITE,
+    ) -> DirectoryEntry | None:
         """Records a registration; returns the server's entry, or None if the registration is stale.
 
         A new incarnation, address or service makes a new entry. A registration of an older
         incarnation than one that was registered before is stale: it was held up on its way, and
-        keys that are granted to that incarnation would be taken by its successor. An incarnation
+        keys that are granted to that incarnation would be taken by its successor. So is one of a
+        server that has left, in a restored store, until the server writes it anew. An incarnation
         that was seen to drain stays draining, whatever it or a restored store says later.
         """
-        if self._is_stale(server):
-            self._record_stale(server, now)
+        if self._is_superseded(server):
+            self.stale.record(server, origin, now + STALE_REGISTRATION_SECONDS)
             return None
-        self.stale.pop(server.server_id, None)
+        if self._is_restored_after_departure(server, origin):
+            self.stale.record(server, origin, now + REGISTRATION_LAPSE_SECONDS)
+            return None
+        self.stale.discard(server.server_id)
         entry = self.entries.get(server.server_id)
         draining_since = self._first_seen_draining(server, entry, now)
         if draining_since is not None:
@@ -119,15 +118,17 @@
         registered_ms = 0 if entry is None else entry.server.started_ms
         return max(registered_ms, self.departure_log.newest_started_ms(server_id))
 
-    def _is_stale(self, server: BackendServer) -> bool:
+    def _is_superseded(self, server: BackendServer) -> bool:
         return 0 < server.started_ms < self.newest_started_ms(server.server_id)
 
-    def _record_stale(self, server: BackendServer, now: float) -> None:
-        known = self.stale.get(server.server_id)
-        if known is None or known.server.incarnation != server.incarnation:
-            known = StaleRegistration(server, now + STALE_REGISTRATION_SECONDS)
-            self.stale[server.server_id] = known
-        known.server = server
+    def _is_restored_after_departure(
+        self, server: BackendServer, origin: RegistrationOrigin
+    ) -> bool:
+        if origin is RegistrationOrigin.WRITE or server.server_id in self.entries:
+            return False
+        if origin is RegistrationOrigin.RESTORED_SNAPSHOT:
+            return self.departure_log.find(server.incarnation) is not None
+        return self.stale.has(server.incarnation)
 
     def record_deletion(self, server_id: str, now: float) -> bool:
         """Records that a registration was deleted; returns whether the server is removed as well.
@@ -137,7 +138,7 @@
         ``REGISTRATION_GRACE_SECONDS`` after the store has become reachable again. A draining
         server is removed at once, because it is leaving anyway.
         """
-        self.stale.pop(server_id, None)
+        self.stale.discard(server_id)
         entry = self.entries.get(server_id)
         if entry is None:
             return False
@@ -153,7 +154,7 @@
 
         Servers with other ids are treated as in ``record_deletion``.
         """
-        known = (*self.entries, *self.stale.keys() - self.entries.keys())
+        known = self.entries.keys() | self.stale.registrations.keys()
         absent = [server_id for server_id in known if server_id not in server_ids]
         return [server_id for server_id in absent if self.record_deletion(server_id, now)]
 
@@ -166,6 +167,7 @@
         if not self.store_reachable:
             self.store_reachable = True
             self.grace_ends_at = now + REGISTRATION_GRACE_SECONDS
+            self.stale.mark_store_reachable(now)
 
     def expire(self, now: float) -> list[str]:
         """Removes and returns servers whose registration is missing after the grace time."""
@@ -180,17 +182,18 @@
         return expired
 
     def take_lasting_registrations(self, now: float) -> list[BackendServer]:
-        """Returns registrations that have been stale for ``STALE_REGISTRATION_SECONDS``.
+        """Returns the registrations that have lasted although they were taken for stale.
 
-        They are to be registered again, and are then accepted: the newer incarnations, which would
-        have overwritten them, are removed.
+        They are to be registered again, and are then accepted. A newer incarnation, which would
+        have overwritten the registration, is removed.
         """
         if not self.store_reachable or now < self.grace_ends_at:
             return []
-        lasting = [stale.server for stale in self.stale.values() if now >= stale.accept_at]
+        lasting = self.stale.lasting(now)
         for server in lasting:
-            self.entries.pop(server.server_id, None)
-            self.departure_log.forget(server.server_id)
+            if self._is_superseded(server):
+                self.entries.pop(server.server_id, None)
+                self.departure_log.forget(server.server_id)
         return lasting
 
     def _remove(self, server_id: str, now: float) -> None:
