--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -202,6 +202,15 @@
                 tracker = self.trackers[entry.server.incarnation]
                 tracker.cold_limiter.mark_cold(now + service.cold_seconds)
 
+    def mark_store_restored(self) -> None:
+        """Records that the store came back from a copy: it may lack what this daemon has read."""
+        self.directory.mark_store_restored(self.clock.now())
+        log_event(
+            "restored-store-read",
+            servers=len(self.directory.entries),
+            evacuations=len(self.directory.evacuated),
+        )
+
     def refresh(self) -> None:
         """Updates the service pools after a change of configuration, registrations or time."""
         now = self.clock.now()
@@ -211,6 +220,8 @@
                 server=server_id,
                 reason="registration still missing at the end of the grace time",
             )
+        for data_centre in self.directory.lapsed_evacuations(now):
+            self.set_evacuated(data_centre, False)
         for server in self.directory.take_lasting_registrations(now):
             self.register_server(server)
         if self.routes is None:
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -107,17 +107,20 @@
         self._notify_ownership(ServersChanged())
 
     def _remove_absent(self, message: UpdatesRead) -> None:
-        """Removes servers, evacuations and records that are not in a snapshot of the store."""
+        """Removes servers, evacuations and records that are not in a snapshot of the store.
+
+        Servers and evacuations that a restored store lacks stay for a grace time.
+        """
         updates = message.updates
         routing_state = self.routing_state
         server_ids = frozenset(
             update.server.server_id for update in updates if isinstance(update, ServerUpdate)
         )
+        if message.is_restored:
+            routing_state.mark_store_restored()
         routing_state.directory.record_listing(server_ids, self.clock.now())
         listed = {update.data_centre for update in updates if isinstance(update, EvacuationUpdate)}
-        for data_centre in [
-            found for found in routing_state.directory.evacuated if found not in listed
-        ]:
+        for data_centre in routing_state.directory.ended_evacuations(listed):
             routing_state.set_evacuated(data_centre, False)
         keys = {update.key for update in updates if isinstance(update, RecordUpdate)}
         members = {
--- a/packages/daemon/tests/test_view_task.py
+++ b/packages/daemon/tests/test_view_task.py
@@ -6,8 +6,8 @@
 
 from fireflylink_core import BackendServer, CallerLimits, Configuration, ServerState, Service
 from fireflylink_daemon._messages import StoreReadFailed, StoreReadSucceeded, UpdatesRead
-from fireflylink_decisions.servers import REGISTRATION_LAPSE_SECONDS
-from fireflylink_store import ConfigurationUpdate, ServerRemoved, ServerUpdate
+from fireflylink_decisions.servers import REGISTRATION_GRACE_SECONDS, REGISTRATION_LAPSE_SECONDS
+from fireflylink_store import ConfigurationUpdate, EvacuationUpdate, ServerRemoved, ServerUpdate
 
 RESTORED = {"is_snapshot": True, "is_restored": True}
 CONFIGURATION = Configuration(7, (), (Service("a", 110, 0.0, 1000.0, keyed=True),), CallerLimits())
@@ -146,3 +146,58 @@
     clock.advance(3.0)
     view_task.on_wake()
     assert_that(restored_view.used_servers(), Equals(["i-2@1"]))
+
+
+@pytest.fixture
+def evacuated_view(view) -> View:
+    """A view of a restored store that lacks the evacuation that was requested before."""
+    view.register(server("i-1"))
+    view.read(EvacuationUpdate("kingston", True, 3))
+    view.register(server("i-1"), **RESTORED)
+    return view
+
+
+def test_an_evacuation_that_a_restored_store_lacks_holds_until_the_grace_time_ends(
+    evacuated_view, clock
+):
+    """Guards against requests to an evacuated data centre before the operators' request has been
+    written to the restored store again."""
+    clock.advance(REGISTRATION_GRACE_SECONDS - 0.1)
+    evacuated_view.daemon.view_task.on_wake()
+    evacuated_view.register(server("i-1"), is_snapshot=True)
+    assert_that(evacuated_view.directory.eligible_servers("a"), Equals([]))
+    clock.advance(0.2)
+    evacuated_view.daemon.view_task.on_wake()
+    assert_that(len(evacuated_view.directory.eligible_servers("a")), Equals(1))
+
+
+def test_an_evacuation_that_is_written_again_after_a_restore_stays(evacuated_view, clock):
+    """Guards against an evacuation that ends by itself although operators still request it."""
+    evacuated_view.read(EvacuationUpdate("kingston", True, 5))
+    clock.advance(REGISTRATION_GRACE_SECONDS + 1.0)
+    evacuated_view.daemon.view_task.on_wake()
+    assert_that(evacuated_view.directory.eligible_servers("a"), Equals([]))
+
+
+def test_an_evacuation_that_is_taken_back_after_a_restore_ends_at_once(evacuated_view):
+    """Guards against a data centre that stays unused after its evacuation was taken back."""
+    evacuated_view.read(EvacuationUpdate("kingston", False, 5))
+    assert_that(len(evacuated_view.directory.eligible_servers("a")), Equals(1))
+
+
+def test_an_evacuation_that_a_store_without_its_history_lacks_ends_at_once(view):
+    """Guards against a data centre that stays unused because its end was missed."""
+    view.register(server("i-1"))
+    view.read(EvacuationUpdate("kingston", True, 3))
+    view.register(server("i-1"), is_snapshot=True)
+    assert_that(len(view.directory.eligible_servers("a")), Equals(1))
+
+
+def test_a_server_that_a_restored_store_lacks_gets_a_grace_time(view, clock):
+    """Guards against dropping running servers that registered after the copy was made."""
+    view.register(server("i-1"), server("i-2"))
+    view.read(**RESTORED)
+    assert_that(sorted(view.used_servers()), Equals(["i-1@1", "i-2@1"]))
+    clock.advance(REGISTRATION_GRACE_SECONDS + 0.1)
+    view.daemon.view_task.on_wake()
+    assert_that(view.used_servers(), Equals([]))
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -35,7 +35,9 @@
     """The server registrations in the store, as far as this daemon has read them.
 
     ``evacuated`` maps each data centre whose evacuation is requested to the time at which this
-    daemon learned of it. ``stale`` are the registrations in the store that are ignored.
+    daemon learned of it. ``unconfirmed_evacuations`` are those of them that a
+    restored store lacks: they hold until the grace time ends, in which operators write them again.
+    ``stale`` are the registrations in the store that are ignored.
 
     Example::
 
@@ -51,11 +53,13 @@
         "grace_ends_at",
         "stale",
         "store_reachable",
+        "unconfirmed_evacuations",
     )
 
     def __init__(self) -> None:
         self.entries: dict[str, DirectoryEntry] = {}
         self.evacuated: dict[str, float] = {}
+        self.unconfirmed_evacuations: set[str] = set()
         self.departure_log = DepartureLog()
         self.stale = StaleRegistrations()
         self.store_reachable = True
@@ -169,6 +173,14 @@
             self.grace_ends_at = now + REGISTRATION_GRACE_SECONDS
             self.stale.mark_store_reachable(now)
 
+    def mark_store_restored(self, now: float) -> None:
+        """Marks the store as restored from a copy; this starts the grace time.
+
+        What was written to the store after the copy was made is written again in this time.
+        """
+        self.grace_ends_at = max(self.grace_ends_at, now + REGISTRATION_GRACE_SECONDS)
+        self.unconfirmed_evacuations = set(self.evacuated)
+
     def expire(self, now: float) -> list[str]:
         """Removes and returns servers whose registration is missing after the grace time."""
         if not self.store_reachable or now < self.grace_ends_at:
@@ -202,6 +214,7 @@
 
     def set_evacuated(self, data_centre: str, requested: bool, now: float) -> bool:
         """Records that an evacuation is requested or has ended; returns whether that is new."""
+        self.unconfirmed_evacuations.discard(data_centre)
         if requested == (data_centre in self.evacuated):
             return False
         if requested:
@@ -210,6 +223,23 @@
             del self.evacuated[data_centre]
         return True
 
+    def ended_evacuations(self, listed: set[str]) -> list[str]:
+        """Returns the evacuations that have ended, as a snapshot lists only those of ``listed``.
+
+        Unconfirmed evacuations have not.
+        """
+        return [
+            data_centre
+            for data_centre in self.evacuated
+            if data_centre not in listed and data_centre not in self.unconfirmed_evacuations
+        ]
+
+    def lapsed_evacuations(self, now: float) -> list[str]:
+        """Returns the evacuations that are still unconfirmed after the grace time."""
+        if not self.store_reachable or now < self.grace_ends_at:
+            return []
+        return list(self.unconfirmed_evacuations)
+
     def find(self, server_id: str) -> DirectoryEntry | None:
         """Returns the entry of a server, None for an unknown one."""
         return self.entries.get(server_id)
