Presume servers alive that only a restored store lacks

A server that had registered after the copy of a restored store was made got no requests until it registered again: most registrations of its service were there, so that it was presumed to have left.

Servers whose registration was deleted during the outage before are judged as before.

--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -118,7 +118,7 @@
         )
         if message.is_restored:
             routing_state.mark_store_restored()
-        routing_state.directory.record_listing(server_ids, self.clock.now())
+        routing_state.directory.record_listing(server_ids, self.clock.now(), message.is_restored)
         listed = {update.data_centre for update in updates if isinstance(update, EvacuationUpdate)}
         for data_centre in routing_state.directory.ended_evacuations(listed):
             routing_state.set_evacuated(data_centre, False)
--- a/packages/daemon/tests/test_view_task.py
+++ b/packages/daemon/tests/test_view_task.py
@@ -201,3 +201,10 @@
     clock.advance(REGISTRATION_GRACE_SECONDS + 0.1)
     view.daemon.view_task.on_wake()
     assert_that(view.used_servers(), Equals([]))
+
+
+def test_a_server_that_a_restored_store_lacks_is_used_though_it_has_the_others(view):
+    """Guards against a server without requests that registered after the copy was made."""
+    view.register(server("i-1"), server("i-2"), server("i-3"))
+    view.register(server("i-2"), server("i-3"), **RESTORED)
+    assert_that(sorted(view.used_servers()), Equals(["i-1@1", "i-2@1", "i-3@1"]))
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -19,15 +19,23 @@
 
     ``registration_missing`` is set when the registration was deleted during an outage of the store
     or within the grace time after it: it may have expired although the server still runs, and may
-    come back. ``draining_since`` is when the server was first seen to drain.
+    come back. ``missing_in_copy`` is set when it is missing because the store came back from a copy
+    that was made before. ``draining_since`` is when the server was first seen to drain.
     """
 
-    __slots__ = ("draining_since", "joined_at", "registration_missing", "server")
+    __slots__ = (
+        "draining_since",
+        "joined_at",
+        "missing_in_copy",
+        "registration_missing",
+        "server",
+    )
 
     def __init__(self, server: BackendServer, joined_at: float) -> None:
         self.server = server
         self.joined_at = joined_at
         self.registration_missing = False
+        self.missing_in_copy = False
         self.draining_since: float | None = None
 
 
@@ -99,6 +107,7 @@
             self.entries[server.server_id] = entry
         entry.server = server
         entry.registration_missing = False
+        entry.missing_in_copy = False
         entry.draining_since = draining_since
         return entry
 
@@ -153,11 +162,17 @@
         entry.registration_missing = True
         return False
 
-    def record_listing(self, server_ids: frozenset[str], now: float) -> list[str]:
+    def record_listing(
+        self, server_ids: frozenset[str], now: float, is_restored: bool = False
+    ) -> list[str]:
         """Records the ids of all registrations in the store; returns the servers that are removed.
 
         Servers with other ids are treated as in ``record_deletion``.
         """
+        if is_restored:
+            for server_id, entry in self.entries.items():
+                was_registered = not entry.registration_missing
+                entry.missing_in_copy |= was_registered and server_id not in server_ids
         known = self.entries.keys() | self.stale.registrations.keys()
         absent = [server_id for server_id in known if server_id not in server_ids]
         return [server_id for server_id in absent if self.record_deletion(server_id, now)]
@@ -259,9 +274,10 @@
 
         If most registrations of its service are missing, they are presumed to have expired during
         the outage of the store. If most are present, the servers could reach the store, and one
-        whose registration is missing is presumed to have left.
+        whose registration is missing is presumed to have left, unless the store came back from a
+        copy: then it has registered after the copy was made.
         """
-        if not entry.registration_missing:
+        if not entry.registration_missing or entry.missing_in_copy:
             return True
         service = entry.server.service
         peers = [other for other in self.entries.values() if other.server.service == service]
