Keep a daemon listed when its settings file names another instance

After a reload with another instance name a daemon had no share of any limit and no relay role: it looked for the new name among the members, where its record has the name with which it was started. A reload also took another data centre for the choice of servers, but not for the member record.

A reload now leaves the fields of the member record and the addresses of the sockets as they were at the start, as its doc comment said, and settings-reloaded tells with needs_restart that the file has others.

--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -239,13 +239,13 @@
         if not isinstance(result, Success):
             log_problem("settings-refused", problem=result.failure())
             return
-        settings = result.unwrap()
+        settings = self.settings.apply_to_running(result.unwrap())
         changed = settings != self.settings
         self.settings = settings
         self.routing_state.settings = settings
         for client in self.store_clients:
             client.set_address(settings.store_address.host, settings.store_address.port)
-        log_event("settings-reloaded", changed=changed)
+        log_event("settings-reloaded", changed=changed, needs_restart=settings != result.unwrap())
 
     def _make_store_client(self) -> PlatformStoreClient:
         address = self.settings.store_address
--- a/packages/daemon/src/fireflylink_daemon/_settings.py
+++ b/packages/daemon/src/fireflylink_daemon/_settings.py
@@ -122,6 +122,26 @@
         self.minimum_lease_seconds = minimum_lease_seconds
         self.bounds = bounds
 
+    def apply_to_running(self, changed: "Settings") -> "Settings":
+        """Returns what is in force in a daemon with these settings after its file has changed.
+
+        The fields of its member record, by which the other daemons know it, and the addresses of
+        its sockets change only at its next start.
+        """
+        return changed.replace(**{field: getattr(self, field) for field in _START_FIELDS})
+
+
+_START_FIELDS = (
+    "instance",
+    "data_centre",
+    "address",
+    "caller_address",
+    "readiness_address",
+    "peer_port",
+    "advertised_peer_port",
+    "metrics_port",
+)
+
 
 class _SettingsFields(BaseJsonFields):
     """Decodes the fields of one JSON object of the settings file."""
