Apply reloaded retry limits to services in use

A reload of the settings file did not change the retry budgets of services that had had requests: with lower limits, a daemon went on retrying by the old ones until its next start.

RoutingState.set_settings replaces the limits of the budgets in use; what they have counted counts on. hold_max_ms and minimum_lease_ms still change at the next start, as the doc comment of reload says.

Evidence: test_a_reload_changes_the_retry_budgets_of_services_in_use failed first with "True != False".

--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -229,10 +229,9 @@
     def reload(self) -> None:
         """Reads the settings file again.
 
-        The address of the store, ``leave_seconds`` and the limits for draining and cold servers
-        apply from now on, those for retries only to services without a retry budget so far. This
-        daemon's member record, the addresses and ports of its sockets, ``hold_max_ms`` and
-        ``minimum_lease_ms`` change only at the next start.
+        The address of the store, ``leave_seconds`` and the limits for retries and for draining and
+        cold servers apply from now on. This daemon's member record, the addresses and ports of its
+        sockets, ``hold_max_ms`` and ``minimum_lease_ms`` change only at the next start.
         """
         self.settings_file_stamp = _file_stamp(self.settings_path)
         result = read_settings(self.settings_path)
@@ -242,7 +241,7 @@
         settings = self.settings.apply_to_running(result.unwrap())
         changed = settings != self.settings
         self.settings = settings
-        self.routing_state.settings = settings
+        self.routing_state.set_settings(settings)
         for client in self.store_clients:
             client.set_address(settings.store_address.host, settings.store_address.port)
         log_event("settings-reloaded", changed=changed, needs_restart=settings != result.unwrap())
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -87,6 +87,12 @@
         self.connection_pools: dict[ServerIncarnation, ServerConnectionPool] = {}
         self.store_calls_failing = False
 
+    def set_settings(self, settings: Settings) -> None:
+        """Replaces the settings, also for the retry budgets in use."""
+        self.settings = settings
+        for budget in self.retry_budgets.values():
+            budget.set_limits(self._retry_limits())
+
     def caller_limits(self) -> CallerLimits:
         """Returns the caller limits of the current configuration; defaults without one."""
         return CallerLimits() if self.configuration is None else self.configuration.limits
@@ -234,13 +240,15 @@
         """Returns this daemon's retry budget for a service."""
         budget = self.retry_budgets.get(service)
         if budget is None:
-            bounds = self.settings.bounds
-            limits = RetryBudgetLimits(
-                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
-            )
-            budget = self.retry_budgets[service] = RetryBudget(limits)
+            budget = self.retry_budgets[service] = RetryBudget(self._retry_limits())
         return budget
 
+    def _retry_limits(self) -> RetryBudgetLimits:
+        bounds = self.settings.bounds
+        return RetryBudgetLimits(
+            bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
+        )
+
     def connection_pool(self, tracker: ServerTracker) -> ServerConnectionPool:
         """Returns the connection pool of a server, and creates it at the first call."""
         incarnation = tracker.server.incarnation
--- a/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
+++ b/packages/decisions/src/fireflylink_decisions/limits/_retry_budget.py
@@ -31,6 +31,12 @@
         self.requests = SlidingWindowCounter(limits.window_seconds)
         self.retries = SlidingWindowCounter(limits.window_seconds)
 
+    def set_limits(self, limits: RetryBudgetLimits) -> None:
+        """Replaces the limits. What has been counted so far counts on."""
+        self.limits = limits
+        self.requests.window_seconds = limits.window_seconds
+        self.retries.window_seconds = limits.window_seconds
+
     def record_request(self, now: float) -> None:
         """Counts a request of a caller, once however often it is sent."""
         self.requests.add(now)
