Log for how long a server has been draining

server-drain-kept stated the first time of draining on the daemon's own clock, which an on-call engineer cannot compare with other lines. It now states how long ago that was.

--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -8,6 +8,7 @@
     Configuration,
     OwnershipTable,
     ServerIncarnation,
+    ServerState,
     Service,
 )
 from fireflylink_daemon._log import log_event, log_problem
@@ -164,8 +165,12 @@
                 origin=origin.value,
             )
             return
-        if entry.server.state != server.state:
-            log_event("server-drain-kept", server=server.incarnation, since=entry.draining_since)
+        if entry.draining_since is not None and server.state is ServerState.READY:
+            log_event(
+                "server-drain-kept",
+                server=server.incarnation,
+                draining_seconds=round(now - entry.draining_since, 3),
+            )
             server = entry.server
         tracker = self.trackers.get(server.incarnation)
         if tracker is None:
