--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -8,6 +8,7 @@
     Configuration,
     OwnershipTable,
     ServerIncarnation,
+    ServerState,
     Service,
 )
 from fireflylink_daemon._log import log_event, log_problem
@@ -23,6 +24,7 @@
 from fireflylink_decisions.routing import RouteTable, TrafficSplitter
 from fireflylink_decisions.servers import (
     DirectoryEntry,
+    RegistrationOrigin,
     ServerDirectory,
     ServerTracker,
     ServiceLimits,
@@ -86,6 +88,12 @@
         self.connection_pools: dict[ServerIncarnation, ServerConnectionPool] = {}
         self.store_calls_failing = False
 
+    def set_settings(self, settings: Settings) -> None:
+        """Replaces the settings, also for the retry budgets in use."""
+        self.settings = settings
+        for budget in self.retry_budgets.values():
+            budget.set_limits(self._retry_limits())
+
     def caller_limits(self) -> CallerLimits:
         """Returns the caller limits of the current configuration; defaults without one."""
         return CallerLimits() if self.configuration is None else self.configuration.limits
@@ -140,13 +148,30 @@
         if pool is not None:
             pool.confirmed_grants.add((notice.keys, notice.fence))
 
-    def register_server(self, server: BackendServer) -> None:
+    def register_server(
+        self, server: BackendServer, origin: RegistrationOrigin = RegistrationOrigin.WRITE
+    ) -> None:
         """Records a new or changed registration."""
         now = self.clock.now()
         known = self.directory.find(server.server_id)
         joined = known is None or known.server.incarnation != server.incarnation
         state = known.server.state if known is not None else None
-        self.directory.register(server, now)
+        entry = self.directory.register(server, now, origin)
+        if entry is None:
+            log_event(
+                "server-registration-stale",
+                server=server.incarnation,
+                newest_started_ms=self.directory.newest_started_ms(server.server_id),
+                origin=origin.value,
+            )
+            return
+        if entry.draining_since is not None and server.state is ServerState.READY:
+            log_event(
+                "server-drain-kept",
+                server=server.incarnation,
+                draining_seconds=round(now - entry.draining_since, 3),
+            )
+            server = entry.server
         tracker = self.trackers.get(server.incarnation)
         if tracker is None:
             tracker = ServerTracker(server)
@@ -188,6 +213,15 @@
                 tracker = self.trackers[entry.server.incarnation]
                 tracker.cold_limiter.mark_cold(now + service.cold_seconds)
 
+    def mark_store_restored(self) -> None:
+        """Records that the store came back from a copy: it may lack what this daemon has read."""
+        self.directory.mark_store_restored(self.clock.now())
+        log_event(
+            "restored-store-read",
+            servers=len(self.directory.entries),
+            evacuations=len(self.directory.evacuated),
+        )
+
     def refresh(self) -> None:
         """Updates the service pools after a change of configuration, registrations or time."""
         now = self.clock.now()
@@ -197,6 +231,10 @@
                 server=server_id,
                 reason="registration still missing at the end of the grace time",
             )
+        for data_centre in self.directory.lapsed_evacuations(now):
+            self.set_evacuated(data_centre, False)
+        for server in self.directory.take_lasting_registrations(now):
+            self.register_server(server)
         if self.routes is None:
             return
         for service in self.routes.services.values():
@@ -207,13 +245,15 @@
         """Returns this daemon's retry budget for a service."""
         budget = self.retry_budgets.get(service)
         if budget is None:
-            bounds = self.settings.bounds
-            limits = RetryBudgetLimits(
-                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
-            )
-            budget = self.retry_budgets[service] = RetryBudget(limits)
+            budget = self.retry_budgets[service] = RetryBudget(self._retry_limits())
         return budget
 
+    def _retry_limits(self) -> RetryBudgetLimits:
+        bounds = self.settings.bounds
+        return RetryBudgetLimits(
+            bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
+        )
+
     def connection_pool(self, tracker: ServerTracker) -> ServerConnectionPool:
         """Returns the connection pool of a server, and creates it at the first call."""
         incarnation = tracker.server.incarnation
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -18,6 +18,7 @@
 )
 from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._task import BaseTask
+from fireflylink_decisions.servers import RegistrationOrigin
 from fireflylink_protocol import (
     DECIDER_KEY,
     MEMBERS_PREFIX,
@@ -100,23 +101,27 @@
     def _apply(self, message: UpdatesRead) -> None:
         if message.is_snapshot:
             self._remove_absent(message)
+        origin = _registration_origin(message)
         for update in message.updates:
-            self._apply_update(update)
+            self._apply_update(update, origin)
         self.routing_state.refresh()
         self._notify_ownership(ServersChanged())
 
     def _remove_absent(self, message: UpdatesRead) -> None:
-        """Removes servers, evacuations and records that are not in a snapshot of the store."""
+        """Removes servers, evacuations and records that are not in a snapshot of the store.
+
+        Servers and evacuations that a restored store lacks stay for a grace time.
+        """
         updates = message.updates
         routing_state = self.routing_state
         server_ids = frozenset(
             update.server.server_id for update in updates if isinstance(update, ServerUpdate)
         )
-        routing_state.directory.record_listing(server_ids, self.clock.now())
+        if message.is_restored:
+            routing_state.mark_store_restored()
+        routing_state.directory.record_listing(server_ids, self.clock.now(), message.is_restored)
         listed = {update.data_centre for update in updates if isinstance(update, EvacuationUpdate)}
-        for data_centre in [
-            found for found in routing_state.directory.evacuated if found not in listed
-        ]:
+        for data_centre in routing_state.directory.ended_evacuations(listed):
             routing_state.set_evacuated(data_centre, False)
         keys = {update.key for update in updates if isinstance(update, RecordUpdate)}
         members = {
@@ -131,9 +136,9 @@
         if DECIDER_KEY not in keys:
             self._set_decider(None, message.revision)
 
-    def _apply_update(self, update: BaseUpdate) -> None:
+    def _apply_update(self, update: BaseUpdate, origin: RegistrationOrigin) -> None:
         if isinstance(update, ServerUpdate):
-            self.routing_state.register_server(update.server)
+            self.routing_state.register_server(update.server, origin)
         elif isinstance(update, ServerRemoved):
             self.routing_state.unregister_server(update.server_id)
         elif isinstance(update, ConfigurationUpdate):
@@ -190,6 +195,12 @@
             self.ownership_task.post(message)
 
 
+def _registration_origin(message: UpdatesRead) -> RegistrationOrigin:
+    if message.is_restored:
+        return RegistrationOrigin.RESTORED_SNAPSHOT
+    return RegistrationOrigin.SNAPSHOT if message.is_snapshot else RegistrationOrigin.WRITE
+
+
 def _value_or_log(result: Result[Decoded, RecordError], update: RecordUpdate) -> Decoded | None:
     """Returns the decoded record, or logs the error and returns None."""
     if isinstance(result, Success):
