Refuse numbers out of range in entries of the store

One registration with 10**400 slots raised OverflowError in each refresh of the servers and in each request of its service; one with 10**30 slots drew all requests to itself; a cold time of 1e308 ms kept a server cold for ever, and an incarnation beyond 64 bits could not be packed into a notice. A version of 400 digits kept all later ones out and failed in the metrics. Two weights of 1e308 add up to infinity.

Very deep nesting, 5,000 digits and ports out of range were refused before; tests show that.

--- a/packages/core/src/fireflylink_core/__init__.py
+++ b/packages/core/src/fireflylink_core/__init__.py
@@ -19,7 +19,7 @@
     Service,
 )
 from fireflylink_core._errors import BaseFireflylinkError
-from fireflylink_core._json_fields import MISSING, BaseJsonFields
+from fireflylink_core._json_fields import MAX_INTEGER, MISSING, BaseJsonFields
 from fireflylink_core._keys import (
     FIRST_KEY,
     KEY_COUNT,
@@ -45,6 +45,7 @@
     "FIRST_KEY",
     "KEY_COUNT",
     "LAST_KEY",
+    "MAX_INTEGER",
     "MISSING",
     "NO_KEY",
     "Answered",
--- a/packages/core/src/fireflylink_core/_json_fields.py
+++ b/packages/core/src/fireflylink_core/_json_fields.py
@@ -1,11 +1,15 @@
 """Typed access to decoded JSON objects."""
 
-import math
 from typing import Any, ClassVar, Self, TypeGuard
 
 from fireflylink_core._errors import BaseFireflylinkError
 
 MISSING = object()
+MAX_INTEGER = 2**63 - 1
+"""Largest integer that MessagePack and other systems take for a signed number of 64 bits."""
+
+MAX_NUMBER = 2.0**53
+"""Sums and products of a few numbers up to this one stay finite."""
 
 
 class BaseJsonFields:
@@ -41,18 +45,22 @@
             raise self.error(f"{self.path(field)}: must be a string")
         return value
 
-    def integer(self, field: str, default: object = MISSING) -> int:
-        """Returns the integer in a field, which must be 0 or more."""
+    def integer(
+        self, field: str, default: object = MISSING, maximum: int = MAX_INTEGER
+    ) -> int:
+        """Returns the integer in a field, which must be from 0 to ``maximum``."""
         value = self.find(field, default)
-        if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-            raise self.error(f"{self.path(field)}: must be a whole number from 0")
+        if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value <= maximum:
+            raise self.error(f"{self.path(field)}: must be a whole number from 0 to {maximum}")
         return value
 
-    def number(self, field: str, default: object = MISSING) -> float:
-        """Returns the number in a field, which must be 0 or more."""
+    def number(
+        self, field: str, default: object = MISSING, maximum: float = MAX_NUMBER
+    ) -> float:
+        """Returns the number in a field, which must be from 0 to ``maximum``."""
         value = self.find(field, default)
-        if not _is_finite_number(value) or value < 0:
-            raise self.error(f"{self.path(field)}: must be a number from 0")
+        if not _is_number(value) or not 0 <= value <= maximum:
+            raise self.error(f"{self.path(field)}: must be a number from 0 to {maximum:g}")
         return float(value)
 
     def boolean(self, field: str, default: object = MISSING) -> bool:
@@ -95,11 +103,5 @@
         return f"{self.object_path}.{field}" if self.object_path else field
 
 
-def _is_finite_number(value: object) -> TypeGuard[int | float]:
-    """Whether a value is a number that a float can hold."""
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        return False
-    try:
-        return math.isfinite(value)
-    except OverflowError:
-        return False
+def _is_number(value: object) -> TypeGuard[int | float]:
+    return isinstance(value, int | float) and not isinstance(value, bool)
--- a/packages/standins/tests/test_adapter_item_decoder.py
+++ b/packages/standins/tests/test_adapter_item_decoder.py
@@ -95,6 +95,12 @@
         {"warmup-left-ms": "soon"},
         {"warmup-left-ms": float("inf")},
         {"warmup-left-ms": 10**400},
+        {"warmup-left-ms": 1e308},
+        {"slots": 10**30},
+        {"slots": 10**400},
+        {"born": 2**64},
+        {"address": "10.0.0.1:65536"},
+        {"address": f"10.0.0.1:{'9' * 5000}"},
         {"address": "a host:80"},
     ],
 )
@@ -105,7 +111,19 @@
     assert_that(updates[1], Equals(ServerRemoved("i-1", 5)))
 
 
-@pytest.mark.parametrize("value", [b"\xff\xfe", b"[]", b"{", b"null", b""])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"[]",
+        b"{",
+        b"null",
+        b"",
+        b"[" * 100_000,
+        b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+        b'{"slots": ' + b"9" * 5000 + b"}",
+    ],
+)
 def test_undecodable_bytes_yield_an_unreadable_item(value):
     """Guards against an exception that ends the task which reads the store."""
     for key in ("servers/i-1", "op/config"):
@@ -144,6 +162,7 @@
         {"split": [{"service": "a", "weight": 0}]},
         {"split": [{"service": "a"}]},
         {"split": [{"service": "a", "weight": 1}, "b"]},
+        {"split": [{"service": "a", "weight": 1e308}, {"service": "b", "weight": 1e308}]},
         {"split": None, "service": 7},
     ],
 )
@@ -168,6 +187,9 @@
         ({"max-attempts": "many"}, "max_attempts", 1),
         ({"priority": []}, "priority", 0),
         ({"target-latency-ms": True}, "objective_ms", 1500.0),
+        ({"target-latency-ms": 1e308}, "objective_ms", 1500.0),
+        ({"timeout-ms": 1e308}, "timeout_ms", 30_000.0),
+        ({"max-attempts": 10**400}, "max_attempts", 1),
     ],
 )
 def test_a_bound_of_a_route_that_cannot_be_read_has_a_cautious_default(change, field, expected):
@@ -202,7 +224,7 @@
     assert_that(configuration.problems, HasLength(4))
 
 
-@pytest.mark.parametrize("version", [None, 7, "10", "r", "rx"])
+@pytest.mark.parametrize("version", [None, 7, "10", "r", "rx", f"r{10**400}"])
 def test_a_configuration_without_a_readable_version_is_refused(version):
     """Guards against a value that stands in for a newer version, as its age is unknown."""
     with pytest.raises(WireFormatError):
