Refuse records of daemons that are nested deeply or out of range

A deeply nested member record, decider's record or table raised RecursionError, and a start time or fence of 1e400 raised OverflowError, in the task that applies the updates of the store. A port out of range or a name in place of an address raised in each round of load reports. A table could assign keys that do not exist, and one of a few kB could decompress to gigabytes.

The decoders check the range of each number, the address, and the size of a decompressed table, and turn RecursionError into RecordError.

--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -5,6 +5,7 @@
 and the ownership table of each service.
 """
 
+import ipaddress
 import json
 import zlib
 from typing import Any
@@ -13,6 +14,7 @@
 
 from fireflylink_core import (
     FIRST_KEY,
+    LAST_KEY,
     Assignment,
     BaseValue,
     KeyRange,
@@ -20,12 +22,16 @@
     ServerIncarnation,
 )
 from fireflylink_protocol._errors import RecordError
+from fireflylink_protocol._numbers import checked_integer
 
 RECORD_PREFIX = "fireflylink/"
 MEMBERS_PREFIX = f"{RECORD_PREFIX}members/"
 OWNERSHIP_PREFIX = f"{RECORD_PREFIX}ownership/"
 DECIDER_KEY = f"{RECORD_PREFIX}decider"
 COMPRESSION_LEVEL = 9
+MAX_PORT = 65535
+MAX_TABLE_BYTES = 16 * 1024 * 1024
+"""Limit on what a table may decompress to; one with an assignment for each key has about 2 MB."""
 
 
 class MemberRecord(BaseValue):
@@ -76,10 +82,11 @@
     def build_member(fields: Any) -> MemberRecord:
         return MemberRecord(
             str(fields["instance"]),
-            int(fields["started_ms"]),
+            checked_integer(fields["started_ms"]),
             str(fields["data_centre"]),
-            str(fields["host"]),
-            int(fields["port"]),
+            # Datagrams are sent to the address, and a name would have to be looked up each time.
+            str(ipaddress.IPv4Address(fields["host"])),
+            checked_integer(fields["port"], 1, MAX_PORT),
         )
 
     return _decode(value, build_member)
@@ -132,21 +139,21 @@
 
     def build_table(fields: Any) -> OwnershipTable:
         incarnations = [
-            ServerIncarnation(str(server_id), int(started_ms))
+            ServerIncarnation(str(server_id), checked_integer(started_ms))
             for server_id, started_ms in fields["lives"]
         ]
-        fence = int(fields["fence"])
+        fence = checked_integer(fields["fence"])
         assignments = []
         previous_last = FIRST_KEY - 1
         for key_count, fence_offset, owner, *transfer in fields["assignments"]:
-            last = previous_last + int(key_count)
+            last = checked_integer(previous_last + key_count, previous_last + 1, LAST_KEY)
             previous_holders, handover = transfer or ((), "")
             assignments.append(
                 Assignment(
                     KeyRange(previous_last + 1, last),
-                    incarnations[owner],
-                    fence - int(fence_offset),
-                    tuple(incarnations[index] for index in previous_holders),
+                    incarnations[checked_integer(owner)],
+                    checked_integer(fence - fence_offset),
+                    tuple(incarnations[checked_integer(index)] for index in previous_holders),
                     str(handover),
                 )
             )
@@ -157,9 +164,12 @@
         )
 
     try:
-        encoded = zlib.decompress(value)
+        decompressor = zlib.decompressobj()
+        encoded = decompressor.decompress(value, MAX_TABLE_BYTES)
     except zlib.error as error:
         return Failure(RecordError(f"the ownership table cannot be decompressed: {error!r}"))
+    if not decompressor.eof:
+        return Failure(RecordError("the ownership table is not whole or too large"))
     return _decode(encoded, build_table)
 
 
@@ -170,5 +180,5 @@
 def _decode(value: bytes, build: Any) -> Result[Any, RecordError]:
     try:
         return Success(build(json.loads(value)))
-    except (ValueError, TypeError, LookupError) as error:
+    except (ValueError, TypeError, LookupError, RecursionError) as error:
         return Failure(RecordError(f"the record cannot be decoded: {error!r}"))
--- a/packages/protocol/tests/test_records.py
+++ b/packages/protocol/tests/test_records.py
@@ -1,5 +1,8 @@
 """Tests of the records in the store and of the datagrams between daemons."""
 
+import json
+import zlib
+
 import pytest
 from hypothesis import given, settings, strategies
 from returns.result import Failure, Success
@@ -70,6 +73,68 @@
     assert_that(decode_member(value), IsInstance(Failure))
 
 
+MEMBER = {"instance": "a", "started_ms": 1, "data_centre": "z", "host": "10.0.0.1", "port": 1}
+TABLE = {"service": "a", "fence": 1, "alone": True, "lives": [["i-1", 1]], "assignments": []}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"port": 65536},
+        {"port": 0},
+        {"port": 10**30},
+        {"host": "a.host"},
+        {"host": "h" * 80},
+        {"host": 2**40},
+        {"started_ms": float("inf")},
+        {"started_ms": float("nan")},
+        {"started_ms": 2**64},
+        {"started_ms": -1},
+    ],
+)
+def test_a_member_record_out_of_range_is_an_error(change):
+    """Guards against an address that raises each time when a datagram is sent to it, and against a
+    start time that ends the task which applies the store's updates (report)."""
+    assert_that(decode_member(json.dumps({**MEMBER, **change}).encode()), IsInstance(Failure))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"fence": float("inf")},
+        {"fence": 10**30},
+        {"lives": [["i-1", 1e400]]},
+        {"lives": [["i-1", 2**64]]},
+        {"assignments": [[65537, 0, 0]]},
+        {"assignments": [[10**30, 0, 0]]},
+        {"assignments": [[-5, 0, 0]]},
+        {"assignments": [[5, 0, -1]]},
+        {"assignments": [[5, 10**400, 0]]},
+        {"assignments": [[5, 0.5, 0]]},
+        {"assignments": [[5, 0, 0, [-1], ""]]},
+    ],
+)
+def test_a_table_out_of_range_is_an_error(change):
+    """Guards against owners of keys that do not exist, and numbers that end the task which applies
+    the store's updates (report)."""
+    value = zlib.compress(json.dumps({**TABLE, **change}).encode())
+    assert_that(decode_table(value), IsInstance(Failure))
+
+
+@pytest.mark.parametrize("value", [b"[" * 100_000, b'{"fence":' * 100_000, b"9" * 5000])
+def test_a_deeply_nested_record_is_an_error(value):
+    """Guards against a RecursionError in the task that applies the store's updates (report)."""
+    assert_that(decode_member(value), IsInstance(Failure))
+    assert_that(decode_table(zlib.compress(value)), IsInstance(Failure))
+
+
+def test_a_table_that_decompresses_to_too_much_is_an_error():
+    """Guards against a short record that takes the memory of a daemon (report)."""
+    value = json.dumps(TABLE).encode()
+    assert_that(decode_table(zlib.compress(value)), IsInstance(Success))
+    assert_that(decode_table(zlib.compress(b" " * 20_000_000 + value)), IsInstance(Failure))
+
+
 def test_a_member_record_round_trips():
     """Guards against load reports that are sent to a wrong address.
 
