--- a/packages/core/src/fireflylink_core/_json_fields.py
+++ b/packages/core/src/fireflylink_core/_json_fields.py
@@ -45,18 +45,14 @@
             raise self.error(f"{self.path(field)}: must be a string")
         return value
 
-    def integer(
-        self, field: str, default: object = MISSING, maximum: int = MAX_INTEGER
-    ) -> int:
+    def integer(self, field: str, default: object = MISSING, maximum: int = MAX_INTEGER) -> int:
         """Returns the integer in a field, which must be from 0 to ``maximum``."""
         value = self.find(field, default)
         if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value <= maximum:
             raise self.error(f"{self.path(field)}: must be a whole number from 0 to {maximum}")
         return value
 
-    def number(
-        self, field: str, default: object = MISSING, maximum: float = MAX_NUMBER
-    ) -> float:
+    def number(self, field: str, default: object = MISSING, maximum: float = MAX_NUMBER) -> float:
         """Returns the number in a field, which must be from 0 to ``maximum``."""
         value = self.find(field, default)
         if not _is_number(value) or not 0 <= value <= maximum:
