Refuse datagrams with numbers out of range

An infinite number in a load report, a notice or a fragment raised OverflowError in the greenlet that receives datagrams, which then paused for 0.2 s; a crash notice whose fingerprint was a number allocated that many bytes, up to the end of the process. Numbers of 300 digits, keys such as 1.5 and ranges of keys that do not exist reached the decider's arithmetic, and a relayed revision near 2**64 would have kept a follower from all later ones.

The decoders check the type and range of each number.

The new cases of test_a_datagram_out_of_range_is_an_error (15 of 15) and test_deeply_nested_datagrams_and_changes_are_errors (for a revision of -1) fail without the change; deep nesting itself was refused before.

--- a/packages/protocol/src/fireflylink_protocol/_changes.py
+++ b/packages/protocol/src/fireflylink_protocol/_changes.py
@@ -7,6 +7,7 @@
 
 from fireflylink_core import BaseValue, ChangeFragment
 from fireflylink_protocol._errors import RecordError
+from fireflylink_protocol._numbers import checked_integer
 
 MAX_FRAGMENT_BYTES = 1200
 """Limit that keeps a datagram below 1,500 bytes, so that no link fragments it."""
@@ -74,6 +75,8 @@
 
 def _decode_change(key: object, value: object, revision: object) -> RelayedChange:
     is_value = value is None or isinstance(value, bytes)
-    if not isinstance(key, str) or not is_value or not isinstance(revision, int):
+    if not isinstance(key, str) or not is_value:
         raise ValueError("a change must have a key, a value and a revision")
-    return RelayedChange(key, value if isinstance(value, bytes) else None, revision)
+    return RelayedChange(
+        key, value if isinstance(value, bytes) else None, checked_integer(revision)
+    )
--- a/packages/protocol/src/fireflylink_protocol/_datagrams.py
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -15,6 +15,7 @@
     ServerIncarnation,
 )
 from fireflylink_protocol._errors import RecordError
+from fireflylink_protocol._numbers import checked_integer
 
 LOAD_REPORT_TYPE = 1
 GRANT_NOTICE_TYPE = 2
@@ -25,6 +26,12 @@
 the datagram. Each key takes up to 3 bytes.
 """
 
+MAX_COUNT = 1_000_000_000
+"""Limit on requests in a report, which the decider adds up and multiplies."""
+
+MAX_TOTAL_MS = 1_000_000_000_000
+"""Limit on the sum of service times in a report."""
+
 
 class ServerServiceTime(BaseValue):
     """How long a server took for a number of requests that one daemon sent to it.
@@ -168,14 +175,12 @@
     keys: list[int],
     service_times: list[list[object]],
 ) -> LoadReport:
-    if not all(FIRST_KEY <= key <= LAST_KEY for key in keys):
-        raise ValueError("a reported key is outside of 0 to 65535")
     return LoadReport(
         str(instance),
         str(service),
-        int(sequence),
-        int(requests),
-        tuple(keys),
+        checked_integer(sequence),
+        checked_integer(requests, maximum=MAX_COUNT),
+        tuple(checked_integer(key, FIRST_KEY, LAST_KEY) for key in keys),
         tuple(_decode_service_time(*entry) for entry in service_times),
     )
 
@@ -183,13 +188,19 @@
 def _decode_service_time(
     server_id: object, request_count: object, total_ms: object
 ) -> ServerServiceTime:
-    if not isinstance(request_count, int) or not isinstance(total_ms, int) or request_count < 1:
-        raise ValueError("service times must be integers, of at least one request")
-    return ServerServiceTime(str(server_id), request_count, total_ms)
+    return ServerServiceTime(
+        str(server_id),
+        checked_integer(request_count, 1, MAX_COUNT),
+        checked_integer(total_ms, maximum=MAX_TOTAL_MS),
+    )
 
 
 def _decode_crash_notice(fingerprint: bytes, server_id: str, started_ms: int) -> CrashNotice:
-    return CrashNotice(bytes(fingerprint), ServerIncarnation(str(server_id), int(started_ms)))
+    # ``bytes`` of a number would be that many zeros.
+    if not isinstance(fingerprint, bytes):
+        raise ValueError("the fingerprint of a request must be bytes")
+    incarnation = ServerIncarnation(str(server_id), checked_integer(started_ms))
+    return CrashNotice(fingerprint, incarnation)
 
 
 def _decode_change_fragment(
@@ -204,19 +215,19 @@
 ) -> ChangeFragment:
     if not isinstance(payload, bytes):
         raise ValueError("the payload of a fragment must be bytes")
-    if not isinstance(contact_age_ms, int) or contact_age_ms < 0:
-        raise ValueError("the age of a contact must be a whole number, not below 0")
     return ChangeFragment(
         str(instance),
-        int(after),
-        int(revision),
-        int(index),
-        int(count),
+        checked_integer(after),
+        checked_integer(revision),
+        checked_integer(index),
+        checked_integer(count),
         payload,
-        int(outages),
-        contact_age_ms,
+        checked_integer(outages),
+        checked_integer(contact_age_ms),
     )
 
 
 def _decode_grant_notice(service: str, first: int, last: int, fence: int) -> GrantNotice:
-    return GrantNotice(str(service), KeyRange(int(first), int(last)), int(fence))
+    first = checked_integer(first, FIRST_KEY, LAST_KEY)
+    last = checked_integer(last, first, LAST_KEY)
+    return GrantNotice(str(service), KeyRange(first, last), checked_integer(fence))
--- a/packages/protocol/tests/test_records.py
+++ b/packages/protocol/tests/test_records.py
@@ -3,6 +3,7 @@
 import json
 import zlib
 
+import msgpack
 import pytest
 from hypothesis import given, settings, strategies
 from returns.result import Failure, Success
@@ -16,6 +17,7 @@
     LoadReport,
     MemberRecord,
     ServerServiceTime,
+    decode_changes,
     decode_datagram,
     decode_member,
     decode_table,
@@ -207,3 +209,38 @@
     encoded = encode_table(OwnershipTable("availability", 40, assignments))
     print(f"{len(encoded)} bytes")
     assert_that(len(encoded), LessThan(1600))
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        [1, "a", "s", float("inf"), 1, [], []],
+        [1, "a", "s", 1, 1e300, [], []],
+        [1, "a", "s", 1, -1, [], []],
+        [1, "a", "s", 1, 1, [1.5], []],
+        [1, "a", "s", 1, 1, [1], [["i-1", 1, -5]]],
+        [1, "a", "s", 1, 1, [1], [["i-1", 2**63, 5]]],
+        [2, "a", float("inf"), 5, 1],
+        [2, "a", 7, 5, 1],
+        [2, "a", 0, 70_000, 1],
+        [2, "a", 0, 5, -1],
+        [3, b"a", "i-1", float("inf")],
+        [3, 2**62, "i-1", 5],
+        [4, "a", 1e300, 5, 0, 1, b"", 1, 1],
+        [4, "a", 0, float("inf"), 0, 1, b"", 1, 1],
+        [4, "a", 0, 2**64 - 1, 0, 1, b"", 1, 1],
+    ],
+)
+def test_a_datagram_out_of_range_is_an_error(fields):
+    """Guards against a number that raises in the greenlet that receives datagrams, or later in
+    the arithmetic of the task that takes the message (report)."""
+    assert_that(decode_datagram(msgpack.packb(fields)), IsInstance(Failure))
+
+
+def test_deeply_nested_datagrams_and_changes_are_errors():
+    """Guards against nested MessagePack that ends the receiving greenlet (report)."""
+    assert_that(decode_datagram(b"\x91" * 2000), IsInstance(Failure))
+    assert_that(decode_changes(zlib.compress(b"\x91" * 200_000)), IsInstance(Failure))
+    for revision in (float("inf"), -1, 2**64 - 1):
+        changes = zlib.compress(msgpack.packb([["servers/i-1", b"", revision]]))
+        assert_that(decode_changes(changes), IsInstance(Failure))
