Refuse numbers of thousands of digits in headers

A load, a keep-alive time-out or a deadline of 400 or 5,000 digits raised ValueError or OverflowError while the headers were decoded. For a header of a server, its caller got a 500 without the answer although the request had run; for one of a caller, a 500 in place of a 400.

--- a/packages/http_client/src/fireflylink_http_client/_response.py
+++ b/packages/http_client/src/fireflylink_http_client/_response.py
@@ -19,6 +19,8 @@
 """Added to that limit for each byte of a body, which may arrive in chunks of one byte."""
 
 KEEP_ALIVE_TIMEOUT_PREFIX = "timeout="
+MAX_TIMEOUT_DIGITS = 9
+"""Numbers of thousands of digits can be converted neither to an integer nor to a float."""
 
 
 class HttpResponse:
@@ -47,7 +49,8 @@
             parameter = item.strip().lower()
             if parameter.startswith(KEEP_ALIVE_TIMEOUT_PREFIX):
                 number = parameter.removeprefix(KEEP_ALIVE_TIMEOUT_PREFIX)
-                return int(number) if number.isascii() and number.isdecimal() else None
+                is_number = number.isascii() and number.isdecimal()
+                return int(number) if is_number and len(number) <= MAX_TIMEOUT_DIGITS else None
         return None
 
 
--- a/packages/standins/tests/test_adapter_codecs.py
+++ b/packages/standins/tests/test_adapter_codecs.py
@@ -57,7 +57,15 @@
 
 @pytest.mark.parametrize(
     "name,value",
-    [("Deadline-Ms", "soon"), ("Deadline-Ms", "-1"), ("Shard-Key", "70000"), ("Request-Id", "")],
+    [
+        ("Deadline-Ms", "soon"),
+        ("Deadline-Ms", "-1"),
+        ("Deadline-Ms", "9" * 400),
+        ("Deadline-Ms", "9" * 5000),
+        ("Shard-Key", "70000"),
+        ("Shard-Key", "9" * 5000),
+        ("Request-Id", ""),
+    ],
 )
 def test_a_malformed_request_is_refused(name, value):
     """Guards against requests without an id, or with an invalid deadline or key."""
--- a/packages/standins/tests/test_adapter_properties.py
+++ b/packages/standins/tests/test_adapter_properties.py
@@ -21,6 +21,13 @@
     | st.dictionaries(st.text(max_size=12), children, max_size=4),
     max_leaves=12,
 )
+HEADER_NUMBERS = st.builds(
+    "{}{}".format,
+    st.sampled_from(("", "timeout=", "1,2,", "1,2,3,")),
+    st.sampled_from((3, 400, 5000)).map("9".__mul__),
+)
+"""Header values with numbers of up to 5,000 digits."""
+
 KEYS = st.sampled_from(("op/config", "servers/i-1", "op/evacuate/z", "fireflylink/decider"))
 CONFIGURATION = {
     "version": "r7",
@@ -145,7 +152,7 @@
 
 
 @EXAMPLES
-@given(st.text(max_size=24), st.integers(100, 999))
+@given(st.text(max_size=24) | HEADER_NUMBERS, st.integers(100, 999))
 def test_arbitrary_answer_headers_are_decoded(text: str, status: int) -> None:
     """Guards against a header of a server that raises while its answer is decoded."""
     codec = PlatformServerCodec()
