Test that no prefix of an answer counts as the answer

Another operator reported a 200 with an empty or short body, framed as whole, from a server that stopped within the head of its answer and closed. It cannot happen here: the reader returns an answer only once its head is complete and its body has the stated length; heads with two lengths, with a length and an encoding, or with an unknown encoding are malformed or never complete.

The tests feed every proper prefix of seven answers, at once and byte by byte, alone, behind a 100 and behind a late answer to another request.

--- a/packages/http_client/tests/test_response_reader.py
+++ b/packages/http_client/tests/test_response_reader.py
@@ -79,3 +79,78 @@
     reader = ResponseReader("GET")
     reader.feed(COMPLETE.replace(b"Content-Length", b"Keep-Alive: timeout=9\r\nContent-Length"))
     assert_that(reader.next_response().keep_alive_seconds, Equals(9))
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+BODY = b"12\r\n0\r\nbody\r\n\r\n"
+CHUNKED = (
+    HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n10\r\n0123456789abcdef\r\n0\r\nA: b\r\n\r\n"
+)
+LATE_ANSWER = COMPLETE.replace(b"Id: a", b"Id: z")
+
+
+@pytest.mark.parametrize("step", [1, 1000])
+@pytest.mark.parametrize("earlier", [b"", b"HTTP/1.1 100 Continue\r\n\r\n", LATE_ANSWER])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HEAD + b"Content-Length: 15\r\n\r\n" + BODY,
+        HEAD + b"content-length: 1\r\nContent-Type: text/plain\r\n\r\nb",
+        HEAD + b"Content-Length: 0\r\n\r\n",
+        CHUNKED,
+        b"HTTP/1.1 204 No Content\r\nRequest-Id: a\r\n\r\n",
+        HEAD + b"\r\n" + BODY,
+        b"HTTP/1.0 200 OK\r\nRequest-Id: a\r\n\r\n" + BODY,
+    ],
+)
+def test_no_prefix_of_an_answer_counts_as_the_answer(answer, earlier, step):
+    """Guards against a 200 with a short body that is framed as whole, because the server stopped
+    within the head, a header line, the body, a chunk or the trailers and closed (report).
+
+    Only what an answer without a length has brought is its body, once its head is complete.
+    """
+    ends_with_connection = answer.endswith(BODY) and b"Content-Length" not in answer
+    head_length = answer.index(b"\r\n\r\n") + 4
+    for length in range(len(answer)):
+        reader = ResponseReader("GET")
+        data = earlier + answer[:length]
+        for position in range(0, len(data), step):
+            reader.feed(data[position : position + step])
+        if earlier == LATE_ANSWER:
+            assert_that(reader.next_response().header("request-id"), Equals("z"))
+        assert_that(reader.next_response(), Is(None))
+        response = reader.finish()
+        if ends_with_connection and length >= head_length:
+            assert_that(response.body, Equals(answer[head_length:length]))
+            assert_that(response.header("request-id"), Equals("a"))
+        else:
+            assert_that(response, Is(None))
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"Content-Length: 4\r\nContent-Length: 2\r\n",
+        b"Content-Length: 2\r\nContent-Length: 4\r\n",
+        b"Content-Length: 2, 4\r\n",
+        b"Content-Length: 2\r\n 4\r\n",
+        b"Content-Length: 4x\r\n",
+        b"Content-Length: -4\r\n",
+        b"Content-Length: \r\n",
+        b"Content-Length : 4\r\n",
+        b"Content-Length: " + b"9" * 5000 + b"\r\n",
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        b"Transfer-Encoding: gzip\r\n",
+        b"Transfer-Encoding: chunked, gzip\r\n",
+    ],
+)
+@pytest.mark.parametrize("body", [b"body", b"4\r\nbody\r\n0\r\n\r\n"])
+def test_an_answer_without_one_clear_length_never_counts(headers, body):
+    """Guards against a body that is cut, or that has bytes of another answer, because the head
+    states its length in two ways or in none that is valid (report)."""
+    reader = ResponseReader("GET")
+    reader.feed(HEAD + headers + b"\r\n" + body)
+    assert_that(reader.next_response(), Is(None))
+    assert_that(reader.finish(), Is(None))
