Refuse a request whose caller ended within its head

The parser of the headers takes the end of the connection for the end of the head. A caller that ended within it had its request run without the headers that were missing: an order with an empty body, or with a shorter time limit.

The listener checks that the head ended with an empty line, and answers 400 if not.

test_no_prefix_of_a_request_is_handled fails without the change for both requests (a request with an empty id and body was handled).

--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -30,6 +30,9 @@
 KEEP_ALIVE_MARGIN_SECONDS = 2.0
 """Extra idle time for requests that callers send shortly before the stated time-out ends."""
 
+EMPTY_LINES = (b"\r\n", b"\n")
+"""Lines that end the head of a request."""
+
 BAD_REQUEST_RESPONSE = (
     "400",
     b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
@@ -47,6 +50,21 @@
     """The request line and the headers together exceed the limit on header bytes."""
 
 
+class _HeadLines:
+    """The lines of a head, as the parser of the headers reads them; ``last`` is the latest."""
+
+    __slots__ = ("last", "stream")
+
+    def __init__(self, stream: Any) -> None:
+        self.stream = stream
+        self.last = b""
+
+    def readline(self, *limit: int) -> bytes:
+        """Returns the next line; it is empty when the connection has ended."""
+        self.last = self.stream.readline(*limit)
+        return self.last
+
+
 class _ConnectionHandler(WSGIHandler):  # type: ignore[misc]
     """Serves one connection: applies the limits and counts requests in progress.
 
@@ -109,6 +127,15 @@
         self.socket.settimeout(limits.header_timeout_ms / MILLISECONDS_PER_SECOND)
         return line
 
+    def MessageClass(self, stream: Any, *arguments: Any) -> Any:  # noqa: N802
+        """Parses the headers; raises ``ValueError`` when the connection ended within them."""
+        lines = _HeadLines(stream)
+        headers = super().MessageClass(lines, *arguments)
+        # The parser takes the end of the connection for the end of the head.
+        if lines.last not in EMPTY_LINES:
+            raise ValueError("the connection ended within the head of a request")
+        return headers
+
     def read_request(self, raw_requestline: str) -> Any:
         valid = super().read_request(raw_requestline)
         # The 4 bytes are the colon, the space and the line end of a header line.
--- a/packages/caller_frontend/tests/test_front_end.py
+++ b/packages/caller_frontend/tests/test_front_end.py
@@ -217,6 +217,25 @@
         assert_that(read_reply(sock), Not(Contains(b"200")))
 
 
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        head("Content-Length: 12", method="POST") + b"body-of-body",
+        head("Transfer-Encoding: chunked", method="POST") + b"4\r\nbody\r\n0\r\n\r\n",
+    ],
+)
+def test_no_prefix_of_a_request_is_handled(front_end, request_bytes):
+    """Guards against an order that runs with an empty or short body, because its caller ended
+    within the head, the body or a chunk of its request."""
+    for length in range(len(request_bytes)):
+        with front_end.connect() as sock:
+            sock.sendall(request_bytes[:length])
+            sock.shutdown(socket.SHUT_WR)
+            while sock.recv(65536):
+                pass
+        assert_that(front_end.handler.requests, HasLength(0))
+
+
 def test_a_draining_listener_answers_and_then_closes_its_connections(front_end):
     """Guards against losing a request on a persistent connection during a planned shutdown."""
     with front_end.connect() as sock:
