Answer every request that a planned stop finds at a server

During a planned stop, a request that came in the first 3 s was passed on whatever its server took, and so was a queued request or a repetition later on. What was still at a server 5.6 s after SIGTERM was cut without an answer, among it orders that may not be repeated. With leave_seconds below 3.4 s there was no time at all for requests in progress.

ShutdownPlan derives the stages from leave_seconds and decides, with the time as an argument, whether a request may still be passed on: three times its expected time must be left. Otherwise it is refused with 503 at once, which is true as no server has got it. Deadlines are bounded by the time of the last answers, which servers are told, and then what is still in progress gets an answer: 503 if no server has got it, 504 if one has. Connections that have sent no whole request are closed without one.

New log line: requests-ended.

--- a/packages/caller_frontend/tests/test_front_end.py
+++ b/packages/caller_frontend/tests/test_front_end.py
@@ -58,6 +58,7 @@
     def __init__(self) -> None:
         self.disconnected_at_start = []
         self.delay_seconds = 0.0
+        self.refusal = None
         self.requests = []
         self.disconnects = 0
 
@@ -67,6 +68,8 @@
         disconnect_notifier.on_disconnect(self._count_disconnect)
         self.disconnected_at_start.append(self.disconnects > known)
         gevent.sleep(self.delay_seconds)
+        if self.refusal is not None:
+            return self.refusal
         return ServerAnswer(200, (("X-Server", "s1"),), request.body)
 
     def limits(self):
@@ -342,6 +345,29 @@
         sock.close()
 
 
+def test_a_request_late_in_a_planned_stop_is_refused_on_its_open_connection(front_end):
+    """Guards against a request that is cut without an answer, and against a second one on a
+    connection that ends with the process (report). A request that has not been read whole is not
+    handled."""
+    with front_end.connect() as sock, front_end.connect() as unfinished:
+        for connection in (sock, unfinished):
+            connection.sendall(head())
+            read_reply(connection)
+        front_end.listener.begin_drain(1.0)
+        front_end.listener.stop_accepting()
+        front_end.handler.refusal = NotRun("leaving", retry_after=0.05)
+        unfinished.sendall(head("Content-Length: 9", method="POST") + b"order")
+        sock.sendall(head())
+        reply = read_reply(sock).lower()
+        assert_that(reply, Contains(b"503 service unavailable"))
+        assert_that(reply, Contains(b"retry-after: 0.05"))
+        assert_that(reply, Contains(b"connection: close"))
+        assert_that(sock.recv(1), Equals(b""))
+        front_end.listener.wait_until_connections_end(0.1)
+        front_end.listener.close()
+    assert_that(front_end.handler.requests, HasLength(3))
+
+
 def test_a_connection_after_the_stop_is_refused_at_once(front_end):
     """Guards against callers that wait on a connection that nobody will accept."""
     front_end.listener.begin_drain(0.2)
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -24,6 +24,7 @@
 from fireflylink_daemon._store_reader import StoreReader
 from fireflylink_daemon._task import spawn_supervised
 from fireflylink_daemon._view_task import ViewTask
+from fireflylink_decisions.shutdown import ShutdownPlan
 from fireflylink_platform import (
     READY_PATH,
     PlatformCallerCodec,
@@ -33,17 +34,6 @@
 )
 from fireflylink_protocol import MemberRecord
 
-NOT_READY_PERIOD_SECONDS = 2.5
-"""How long a daemon that shuts down answers readiness checks with not ready, but still accepts
-connections. The load balancer checks twice within this time, and then sends no new connections."""
-
-SHUTDOWN_MARGIN_SECONDS = 0.4
-"""Part of the ``leave_seconds`` setting that is reserved for the end of the process."""
-
-IDLE_CLOSE_DELAY_SECONDS = 0.5
-"""How long a caller that is already connected can still send a request after the daemon has stopped
-accepting connections. Then new requests are refused and idle connections closed."""
-
 MEMBER_REMOVAL_DELAY_SECONDS = 4.0
 """Time from the start of the shutdown until this daemon's member record is deleted.
 
@@ -200,32 +190,39 @@
         1. Draining: the daemon is not ready, but handles new connections and requests.
         2. No new connections: requests on open connections are still handled.
         3. Closed: new requests are refused, and those in progress may complete.
-        4. Stopped: the process ends.
+        4. Ended: each request that is still in progress gets an answer of the daemon.
+        5. Stopped: the process ends.
+
+        From the start on, requests that cannot be expected to complete in time are refused.
         """
         if self.shutting_down:
             return
         self.shutting_down = True
-        started_at = self.clock.now()
-        deadline = started_at + self.settings.bounds.leave_seconds - SHUTDOWN_MARGIN_SECONDS
+        plan = ShutdownPlan.of(self.clock.now(), self.settings.bounds.leave_seconds)
         log_event(
             "leaving", instance=self.settings.instance, active=self.caller_listener.active_requests
         )
-        self.caller_listener.begin_drain(NOT_READY_PERIOD_SECONDS)
+        self.request_handler.begin_shutdown(plan)
+        self.caller_listener.begin_drain(self._seconds_until(plan.accepts_until))
         self.decider_task.post(Leave())
         gevent.spawn_later(MEMBER_REMOVAL_DELAY_SECONDS, self.member_task.post, Leave())
-        gevent.sleep(NOT_READY_PERIOD_SECONDS)
+        gevent.sleep(self._seconds_until(plan.accepts_until))
         self.caller_listener.stop_accepting()
-        gevent.sleep(IDLE_CLOSE_DELAY_SECONDS)
+        gevent.sleep(self._seconds_until(plan.handles_until))
         # A new request might not complete in time. It is refused at once, so that its caller can
         # send it to another daemon.
         self.request_handler.closed = True
-        idle = self.caller_listener.wait_until_connections_end(
-            max(0.0, deadline - self.clock.now())
+        gevent.spawn_later(
+            self._seconds_until(plan.answers_until), self.request_handler.end_open_requests
         )
+        idle = self.caller_listener.wait_until_connections_end(self._seconds_until(plan.ends_at))
         log_event("stopped", instance=self.settings.instance, quiet=idle)
         flush_log()
         self.stopped.set()
 
+    def _seconds_until(self, time: float) -> float:
+        return max(0.0, time - self.clock.now())
+
     def reload(self) -> None:
         """Reads the settings file again.
 
--- a/packages/daemon/src/fireflylink_daemon/_request_handler.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -1,6 +1,5 @@
 """Handling of one request: routing, dispatch to a server, retries, reply."""
 
-from fireflylink_backend_client import Cancellation
 from fireflylink_caller_frontend import BaseDisconnectNotifier, BaseRequestHandler
 from fireflylink_core import (
     NO_KEY,
@@ -21,10 +20,11 @@
     ServerAnswer,
 )
 from fireflylink_daemon._crash_detector import CrashDetector
-from fireflylink_daemon._dispatch_task import DispatchTask, DispatchWaiter
+from fireflylink_daemon._dispatch_task import DispatchTask
 from fireflylink_daemon._log import log_event
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._peers import KeyCounter
+from fireflylink_daemon._request_context import RequestContext
 from fireflylink_daemon._request_log_limiter import RequestLogLimiter
 from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_decisions.dispatch import BaseDispatchResult, Dispatched, QueuedRequest, Refused
@@ -36,6 +36,7 @@
     Retry,
     ReturnReply,
 )
+from fireflylink_decisions.shutdown import ShutdownPlan
 
 NO_ROUTE_STATUS = 404
 POSSIBLE_CRASH_REASONS = (LostReason.RESET, LostReason.CLOSED)
@@ -49,54 +50,11 @@
 MILLISECONDS_PER_SECOND = 1000.0
 
 
-class _RequestContext:
-    """A routed request with its deadline, its attempts and its cancellation.
-
-    ``deadline`` and ``objective_at`` are times in seconds on the daemon's clock; an answer after
-    ``objective_at`` misses the target latency of the route.
-    """
-
-    __slots__ = (
-        "attempts",
-        "caller_disconnected",
-        "cancellation",
-        "deadline",
-        "objective_at",
-        "request",
-        "route",
-        "service",
-        "waiter",
-    )
-
-    def __init__(
-        self,
-        request: CallerRequest,
-        route: Route,
-        service: str,
-        deadline: float,
-        attempts: Attempts,
-    ) -> None:
-        self.request = request
-        self.route = route
-        self.service = service
-        self.deadline = deadline
-        self.objective_at = request.received_at + route.objective_ms / MILLISECONDS_PER_SECOND
-        self.attempts = attempts
-        self.cancellation = Cancellation()
-        self.waiter = DispatchWaiter()
-        self.caller_disconnected = False
-
-    def on_disconnect(self) -> None:
-        """Cancels the wait for a server or the call, because the caller has disconnected."""
-        self.caller_disconnected = True
-        self.cancellation.cancel()
-        self.waiter.wake_event.set()
-
-
 class RequestHandler(BaseRequestHandler):
     """Routes callers' requests, dispatches and retries them, with the state of ``RoutingState``.
 
-    While ``closed`` is true, every new request is refused.
+    While ``closed`` is true, every new request is refused. ``shutdown_plan`` is None until the
+    daemon shuts down.
     """
 
     __slots__ = (
@@ -107,7 +65,9 @@
         "key_counter",
         "log_limiter",
         "metrics",
+        "open_contexts",
         "routing_state",
+        "shutdown_plan",
     )
 
     def __init__(
@@ -122,12 +82,27 @@
         self.routing_state = routing_state
         self.dispatch_task = dispatch_task
         self.closed = False
+        self.shutdown_plan: ShutdownPlan | None = None
+        self.open_contexts: set[RequestContext] = set()
         self.key_counter = key_counter
         self.log_limiter = RequestLogLimiter()
         self.crash_detector = crash_detector
         self.clock = clock
         self.metrics = metrics
 
+    def begin_shutdown(self, plan: ShutdownPlan) -> None:
+        """Bounds the deadlines of all requests by the end of the shutdown."""
+        self.shutdown_plan = plan
+        for context in self.open_contexts:
+            context.deadline = plan.bounded_deadline(context.deadline)
+
+    def end_open_requests(self) -> None:
+        """Gives every request that is still in progress an answer of this daemon."""
+        if self.open_contexts:
+            log_event("requests-ended", count=len(self.open_contexts))
+        for context in list(self.open_contexts):
+            context.end()
+
     def limits(self) -> CallerLimits:
         return self.routing_state.caller_limits()
 
@@ -152,7 +127,11 @@
             return self._refuse(request, NotRun("poison"))
         context = self._make_context(request, route)
         disconnect_notifier.on_disconnect(context.on_disconnect)
-        reply = self._execute(context)
+        self.open_contexts.add(context)
+        try:
+            reply = self._execute(context)
+        finally:
+            self.open_contexts.discard(context)
         self._record_outcome(context, reply)
         return reply
 
@@ -160,22 +139,27 @@
         poison = self.routing_state.poison
         return poison.has_suspects() and poison.is_poison(fingerprint_of(request), self.clock.now())
 
-    def _make_context(self, request: CallerRequest, route: Route) -> _RequestContext:
+    def _make_context(self, request: CallerRequest, route: Route) -> RequestContext:
         service = self.routing_state.traffic_splitter.choose(route)
         self.routing_state.retry_budget(service).record_request(request.received_at)
         if request.key != NO_KEY:
             self.key_counter.record_request(service, request.key)
         timeout = route.timeout_ms / MILLISECONDS_PER_SECOND
         deadline = min(request.deadline - REPLY_MARGIN_SECONDS, request.received_at + timeout)
+        if self.shutdown_plan is not None:
+            deadline = self.shutdown_plan.bounded_deadline(deadline)
         attempts = Attempts(route.idempotent, route.max_attempts)
-        return _RequestContext(request, route, service, deadline, attempts)
+        return RequestContext(request, route, service, deadline, attempts)
 
-    def _execute(self, context: _RequestContext) -> BaseReply:
+    def _execute(self, context: RequestContext) -> BaseReply:
         while True:
             dispatch_result = self._dispatch(context)
             if context.caller_disconnected:
                 self._undo_dispatch(dispatch_result)
                 return CallerDisconnected()
+            if context.ended or self._would_outlast_shutdown(dispatch_result):
+                self._undo_dispatch(dispatch_result)
+                return context.attempts.final_reply("leaving", LEAVING_RETRY_SECONDS)
             if isinstance(dispatch_result, Refused):
                 return context.attempts.final_reply(
                     dispatch_result.reason, dispatch_result.retry_after
@@ -186,11 +170,13 @@
             result = self._call(context, dispatch_result)
             if context.caller_disconnected:
                 return CallerDisconnected()
+            if context.ended and isinstance(result, Lost):
+                return OutcomeUnknown("leaving", timed_out=True)
             decision = self._decide_retry(context, dispatch_result, result)
             if isinstance(decision, ReturnReply):
                 return decision.reply
 
-    def _dispatch(self, context: _RequestContext) -> BaseDispatchResult | None:
+    def _dispatch(self, context: RequestContext) -> BaseDispatchResult | None:
         request = QueuedRequest(
             context.service,
             context.route.priority,
@@ -205,12 +191,20 @@
             return None
         return self.dispatch_task.dispatch(request, context.waiter)
 
+    def _would_outlast_shutdown(self, dispatch_result: BaseDispatchResult | None) -> bool:
+        """Whether a request cannot be expected to complete before the daemon ends."""
+        if self.shutdown_plan is None or not isinstance(dispatch_result, Dispatched):
+            return False
+        now = self.clock.now()
+        expected_seconds = dispatch_result.tracker.expected_seconds(now)
+        return not self.shutdown_plan.may_pass_on(expected_seconds, now)
+
     def _undo_dispatch(self, dispatch_result: BaseDispatchResult | None) -> None:
         """Removes a dispatched request that is not sent after all from the in-flight count."""
         if isinstance(dispatch_result, Dispatched):
             dispatch_result.tracker.record_completed()
 
-    def _call(self, context: _RequestContext, dispatched: Dispatched) -> BaseCallResult:
+    def _call(self, context: RequestContext, dispatched: Dispatched) -> BaseCallResult:
         tracker = dispatched.tracker
         pool = self.routing_state.connection_pool(tracker)
         sent_at = self.clock.now()
@@ -247,7 +241,7 @@
         return result
 
     def _decide_retry(
-        self, context: _RequestContext, dispatched: Dispatched, result: BaseCallResult
+        self, context: RequestContext, dispatched: Dispatched, result: BaseCallResult
     ) -> BaseRetryDecision:
         now = self.clock.now()
         budget = self.routing_state.retry_budget(context.service)
@@ -286,7 +280,7 @@
         )
         return reply
 
-    def _record_outcome(self, context: _RequestContext, reply: BaseReply) -> None:
+    def _record_outcome(self, context: RequestContext, reply: BaseReply) -> None:
         seconds = self.clock.now() - context.request.received_at
         outcome, status = _outcome_and_status(reply)
         self.metrics.count("requests", route=context.route.name, outcome=outcome)
@@ -295,7 +289,7 @@
         self._log_request(context, reply, outcome, status, seconds)
 
     def _log_request(
-        self, context: _RequestContext, reply: BaseReply, outcome: str, status: int, seconds: float
+        self, context: RequestContext, reply: BaseReply, outcome: str, status: int, seconds: float
     ) -> None:
         if not self.log_limiter.try_acquire(isinstance(reply, ServerAnswer), self.clock.now()):
             return
@@ -322,7 +316,7 @@
             **({} if isinstance(reply, ServerAnswer) else self._owner_fields(context)),
         )
 
-    def _owner_fields(self, context: _RequestContext) -> dict[str, object]:
+    def _owner_fields(self, context: RequestContext) -> dict[str, object]:
         """Returns log fields about the owner of the key of a request that was not answered."""
         pool = self.routing_state.dispatcher.pools.get(context.service)
         if pool is None or not pool.keyed or pool.table is None:
--- a/packages/daemon/tests/test_request_handler.py
+++ b/packages/daemon/tests/test_request_handler.py
@@ -16,6 +16,7 @@
     Lost,
     LostReason,
     NotRun,
+    NotSent,
     OutcomeUnknown,
     OwnershipTable,
     ServerAnswer,
@@ -28,6 +29,7 @@
 from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._request_handler import RequestHandler
 from fireflylink_daemon._routing_state import RoutingState
+from fireflylink_decisions.shutdown import ShutdownPlan
 from fireflylink_protocol import encode_table, ownership_key
 from fireflylink_store import Item
 
@@ -201,6 +203,61 @@
     assert_that(len(servers.results), Equals(1))
 
 
+def shut_down_within(harness, seconds: float) -> None:
+    """Begins a shutdown in which requests may be answered for so long."""
+    now = harness.clock.now()
+    plan = ShutdownPlan(now, now + seconds, now + seconds, now + seconds + 0.1)
+    harness.request_handler.begin_shutdown(plan)
+
+
+def test_a_request_that_cannot_end_before_the_shutdown_is_refused_and_not_sent(handler_harness):
+    """Guards against an order that is passed on late in a planned stop and then cut (report)."""
+    shut_down_within(handler_harness, 0.2)
+    servers = ScriptedServers(handler_harness.clock, [ANSWERED])
+    reply = handler_harness.send("/o/1", servers)
+    assert_that((type(reply), reply.reason, reply.status), Equals((NotRun, "leaving", 503)))
+    assert_that(len(servers.results), Equals(1))
+    trackers = handler_harness.task_harness.routing_state.trackers.values()
+    assert_that({tracker.in_flight for tracker in trackers}, Equals({0}))
+
+
+def test_a_request_early_in_the_shutdown_is_answered(handler_harness):
+    """Guards against refusals of requests for which there is time enough in a planned stop."""
+    shut_down_within(handler_harness, 2.0)
+    reply = handler_harness.send("/o/1", ScriptedServers(handler_harness.clock, [ANSWERED]))
+    assert_that(reply, Equals(ANSWERED.answer))
+
+
+def test_a_retry_that_cannot_end_before_the_shutdown_is_not_sent(handler_harness):
+    """Guards against a repetition that is cut when the process ends (report)."""
+    shut_down_within(handler_harness, 0.8)
+    lost = Lost(LostReason.RESET, "reset")
+    servers = ScriptedServers(handler_harness.clock, [lost, ANSWERED], seconds=0.5)
+    assert_that(handler_harness.send("/k/1", servers), IsInstance(OutcomeUnknown))
+    assert_that(len(servers.results), Equals(1))
+
+
+def test_a_request_in_progress_at_the_end_of_the_shutdown_gets_an_unknown_outcome(handler_harness):
+    """Guards against a connection that is cut without an answer when the process ends (report)."""
+    shut_down_within(handler_harness, 2.0)
+    cancelled = Lost(LostReason.CANCELLED, "cancelled")
+    servers = ScriptedServers(handler_harness.clock, [cancelled, ANSWERED])
+    servers.during_call = handler_harness.request_handler.end_open_requests
+    reply = handler_harness.send("/k/1", servers)
+    assert_that(reply, Equals(OutcomeUnknown("leaving", timed_out=True)))
+    assert_that(len(servers.results), Equals(1))
+
+
+def test_a_request_that_is_not_sent_at_the_end_of_the_shutdown_is_refused(handler_harness):
+    """Guards against an unknown outcome for a request that no server has got, and against an
+    answer that is dropped although it came at the last moment."""
+    shut_down_within(handler_harness, 2.0)
+    for results, expected in (([NotSent("no"), ANSWERED], NotRun), ([ANSWERED], ServerAnswer)):
+        servers = ScriptedServers(handler_harness.clock, results)
+        servers.during_call = handler_harness.request_handler.end_open_requests
+        assert_that(handler_harness.send("/o/1", servers), IsInstance(expected))
+
+
 def test_service_times_of_a_keyed_server_are_counted_for_the_decider(handler_harness):
     """Guards against slow servers that are assigned as many keys as fast ones."""
     handler_harness.send("/k/1", ScriptedServers(handler_harness.clock, [ANSWERED], seconds=0.3))
--- a/packages/standins/tests/test_reports.py
+++ b/packages/standins/tests/test_reports.py
@@ -6,11 +6,11 @@
 import pytest
 from gevent import socket
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, Is
+from testtools.matchers import Contains, Equals, Is, LessThan
 
 from fireflylink_platform import names
 from fireflylink_protocol import MEMBERS_PREFIX, ownership_key
-from fireflylink_standins import POOLED_SERVICE
+from fireflylink_standins import ORDER_PATH, POOLED_SERVICE
 from fireflylink_store import Commit, Put
 
 JUNK = [
@@ -152,3 +152,58 @@
     assert_that(outcome.get(timeout=5.0), Equals(200))
     runs = [request for server in silent for request, _ in server.state.executed]
     assert_that(runs.count("slow-order"), Equals(1))
+
+
+def patient_order(harness, caller=None, request_id: str = ""):
+    """Sends an order that has 20 s; returns its reply, None if there is none."""
+    caller = caller or harness.caller()
+    reply = caller.send("POST", f"{ORDER_PATH}x", None, b"order", 20.0, request_id)
+    return reply.value_or(None)
+
+
+def slow_down_orders(harness, work_seconds: float) -> None:
+    """Makes every order take ``work_seconds``, and its route wait for that."""
+    harness.system.configure(order_timeout_ms=20_000)
+    gevent.sleep(0.8)
+    for name in ("b0", "b1"):
+        harness.system.servers[name].work_seconds = work_seconds
+
+
+def test_requests_in_progress_at_the_end_of_a_planned_stop_are_answered(harness):
+    """Guards against orders that are cut without an answer when the process ends (report).
+
+    They come at three times of the grace, and the server works for longer than what is left.
+    """
+    slow_down_orders(harness, 9.0)
+    daemon = harness.system.daemons[0]
+    daemon.terminate()
+    orders = []
+    for delay_seconds in (0.1, 1.0, 1.2):
+        gevent.sleep(delay_seconds)
+        orders.append(gevent.spawn(patient_order, harness))
+    replies = [order.get(timeout=10.0) for order in orders]
+    assert_that(daemon.wait(3.0), Equals(0))
+    assert_that([reply and reply.status for reply in replies], Equals([504, 504, 504]))
+
+
+def test_an_order_that_cannot_end_before_a_planned_stop_is_refused_and_not_run(harness):
+    """Guards against orders that are passed on late in the grace and then cut (report): each may
+    have run, and its caller must not repeat it."""
+    slow_down_orders(harness, 4.0)
+    for _ in range(2):
+        known = [gevent.spawn(patient_order, harness) for _ in range(4)]
+        assert_that({order.get(timeout=15.0).status for order in known}, Equals({200}))
+    caller = harness.caller()
+    daemon = harness.system.daemons[0]
+    daemon.terminate()
+    gevent.sleep(2.3)
+    started_at = harness.clock.now()
+    reply = patient_order(harness, caller, "late-order")
+    seconds = harness.clock.now() - started_at
+    assert_that(daemon.wait(5.0), Equals(0))
+    assert_that((reply.status, reply.header("Connection")), Equals((503, "close")))
+    assert_that(float(reply.header("Retry-After")), LessThan(1.0))
+    assert_that(seconds, LessThan(1.0))
+    servers = [harness.system.servers[name] for name in ("b0", "b1")]
+    runs = [request for server in servers for request, _ in server.state.executed]
+    assert_that(runs.count("late-order"), Equals(0))
