Test odd entries among the servers on running daemons

The entries are nested deeply or have numbers or ports out of range, below the prefixes of servers, members, tables and evacuations. A daemon is restarted and the servers of a service are replaced after they were written.

--- a/packages/standins/tests/test_reports.py
+++ b/packages/standins/tests/test_reports.py
@@ -1,12 +1,14 @@
 """Faults that operators of similar systems have reported, brought about on running processes."""
 
+import json
 import random
+import re
 
 import gevent
 import pytest
 from gevent import socket
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, Is, LessThan
+from testtools.matchers import Contains, Equals, Is, LessThan, Not
 
 from fireflylink_platform import names
 from fireflylink_protocol import MEMBERS_PREFIX, ownership_key
@@ -22,6 +24,15 @@
     b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 100_000 + b"\r\n\r\n",
     bytes(random.Random(7).randbytes(4096)),
 ]
+SERVER = {
+    "service": POOLED_SERVICE,
+    "address": "127.0.0.1:9",
+    "zone": "z",
+    "slots": 4,
+    "state": "ready",
+    "born": 1,
+}
+MEMBER = {"instance": "odd", "started_ms": 1, "data_centre": "z", "host": "127.0.0.1", "port": 9}
 VALUES = [b"", b"\xff\xfe", b"[]", b"{}", b'{"service": 7, "address": []}', b"1" * 5000]
 
 
@@ -78,6 +89,49 @@
     assert_that(log, Contains("event=record-unreadable"))
 
 
+ODD_VALUES = [
+    b"[" * 100_000,
+    b'{"slots": ' + b"9" * 5000 + b"}",
+    *(
+        json.dumps({**SERVER, **change}).encode()
+        for change in (
+            {"slots": 10**30},
+            {"slots": 10**400},
+            {"warmup-left-ms": 1e308},
+            {"warmup-left-ms": float("inf")},
+            {"warmup-left-ms": float("nan")},
+            {"born": 2**64},
+            {"address": "127.0.0.1:65536"},
+        )
+    ),
+    *(
+        json.dumps({**MEMBER, **change}).encode()
+        for change in ({"started_ms": float("inf")}, {"port": 10**30}, {"host": "h" * 80})
+    ),
+]
+
+
+def test_odd_entries_among_the_servers_do_not_keep_daemons_from_following_the_list(harness):
+    """Guards against one odd entry of another writer with which the daemons end again and again, or
+    stop following the list (report): servers that come and go later are not noticed."""
+    for number, value in enumerate(ODD_VALUES):
+        prefixes = (names.SERVERS_PREFIX, MEMBERS_PREFIX, ownership_key(""), "op/evacuate/")
+        puts = tuple(Put(f"{prefix}odd-{number}", value, 0) for prefix in prefixes)
+        harness.system.store.commit(Commit(puts=puts))
+    gevent.sleep(0.8)
+    harness.system.daemons[1].kill()
+    harness.system.daemons[1].start()
+    harness.system.add_server("b9", POOLED_SERVICE, 0, keyed=False).register()
+    for name in ("b0", "b1"):
+        harness.system.servers.pop(name).stop()
+    harness.await_service(12.0)
+    check_serving(harness)
+    for daemon in harness.system.daemons:
+        log = daemon.log_path.read_text()
+        assert_that(log, Not(Contains("event=task-error")))
+        assert_that(re.findall(r"event=server-registered server=(odd-\S+)", log), Equals([]))
+
+
 def test_a_server_that_answers_with_junk_without_end_does_not_end_a_daemon(harness):
     """Guards against memory and tasks that a faulty server takes with it: bytes that are no answer
     come until the caller closes (report)."""
