Accept member records without a port

The settings may name port 0, for any free one, and such a daemon writes it into its record. Refusing the record would take the daemon out of the members that share the limits on retries and on cold servers.

--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -86,7 +86,8 @@
             str(fields["data_centre"]),
             # Datagrams are sent to the address, and a name would have to be looked up each time.
             str(ipaddress.IPv4Address(fields["host"])),
-            checked_integer(fields["port"], 1, MAX_PORT),
+            # A daemon whose settings name no port writes 0; it gets no datagrams.
+            checked_integer(fields["port"], maximum=MAX_PORT),
         )
 
     return _decode(value, build_member)
