Pass on requests in a planned stop that end by their own deadline

With servers that are slow, the daemon refused every request from SIGTERM on, also those whose deadline comes long before the end of the grace: callers would have seen refusals where they had answers before. Such a request is never cut by the stop, so it is passed on.

--- a/packages/daemon/src/fireflylink_daemon/_request_handler.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -157,7 +157,7 @@
             if context.caller_disconnected:
                 self._undo_dispatch(dispatch_result)
                 return CallerDisconnected()
-            if context.ended or self._would_outlast_shutdown(dispatch_result):
+            if context.ended or self._would_outlast_shutdown(context, dispatch_result):
                 self._undo_dispatch(dispatch_result)
                 return context.attempts.final_reply("leaving", LEAVING_RETRY_SECONDS)
             if isinstance(dispatch_result, Refused):
@@ -191,13 +191,15 @@
             return None
         return self.dispatch_task.dispatch(request, context.waiter)
 
-    def _would_outlast_shutdown(self, dispatch_result: BaseDispatchResult | None) -> bool:
+    def _would_outlast_shutdown(
+        self, context: RequestContext, dispatch_result: BaseDispatchResult | None
+    ) -> bool:
         """Whether a request cannot be expected to complete before the daemon ends."""
         if self.shutdown_plan is None or not isinstance(dispatch_result, Dispatched):
             return False
         now = self.clock.now()
         expected_seconds = dispatch_result.tracker.expected_seconds(now)
-        return not self.shutdown_plan.may_pass_on(expected_seconds, now)
+        return not self.shutdown_plan.may_pass_on(expected_seconds, context.deadline, now)
 
     def _undo_dispatch(self, dispatch_result: BaseDispatchResult | None) -> None:
         """Removes a dispatched request that is not sent after all from the in-flight count."""
--- a/packages/decisions/src/fireflylink_decisions/shutdown/_shutdown_plan.py
+++ b/packages/decisions/src/fireflylink_decisions/shutdown/_shutdown_plan.py
@@ -55,13 +55,16 @@
             started_at + ends_after,
         )
 
-    def may_pass_on(self, expected_seconds: float, now: float) -> bool:
+    def may_pass_on(self, expected_seconds: float, deadline: float, now: float) -> bool:
         """Whether a request that a server is expected to run for so long can end in time.
 
+        It also can if its own deadline comes before that of the last answers.
+
         A request that is passed on and then cut may have run, and its caller must not repeat it.
         One that is refused can be sent to another daemon.
         """
-        return now + expected_seconds * SERVICE_TIME_FACTOR <= self.answers_until
+        ends_by = now + expected_seconds * SERVICE_TIME_FACTOR
+        return deadline < self.answers_until or ends_by <= self.answers_until
 
     def bounded_deadline(self, deadline: float) -> float:
         """Returns the time until which a request in progress may be answered."""
