--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -30,6 +30,9 @@
 KEEP_ALIVE_MARGIN_SECONDS = 2.0
 """Extra idle time for requests that callers send shortly before the stated time-out ends."""
 
+EMPTY_LINES = (b"\r\n", b"\n")
+"""Lines that end the head of a request."""
+
 BAD_REQUEST_RESPONSE = (
     "400",
     b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
@@ -47,6 +50,21 @@
     """The request line and the headers together exceed the limit on header bytes."""
 
 
+class _HeadLines:
+    """The lines of a head, as the parser of the headers reads them; ``last`` is the latest."""
+
+    __slots__ = ("last", "stream")
+
+    def __init__(self, stream: Any) -> None:
+        self.stream = stream
+        self.last = b""
+
+    def readline(self, *limit: int) -> bytes:
+        """Returns the next line; it is empty when the connection has ended."""
+        self.last = self.stream.readline(*limit)
+        return self.last
+
+
 class _ConnectionHandler(WSGIHandler):  # type: ignore[misc]
     """Serves one connection: applies the limits and counts requests in progress.
 
@@ -109,6 +127,16 @@
         self.socket.settimeout(limits.header_timeout_ms / MILLISECONDS_PER_SECOND)
         return line
 
+    def MessageClass(self, stream: Any, *arguments: Any) -> Any:  # noqa: N802
+        """Parses the headers; raises ``ValueError`` when the connection ended within them."""
+        lines = _HeadLines(stream)
+        headers = super().MessageClass(lines, *arguments)
+        # The parser takes the end of the connection for the end of the head.
+        if lines.last not in EMPTY_LINES:
+            raise ValueError("the connection ended within the head of a request")
+        _check_body_length(headers)
+        return headers
+
     def read_request(self, raw_requestline: str) -> Any:
         valid = super().read_request(raw_requestline)
         # The 4 bytes are the colon, the space and the line end of a header line.
@@ -117,10 +145,6 @@
         )
         if size_bytes > self.server.limits().max_header_bytes:
             raise _HeaderTooLargeError(raw_requestline)
-        if self.headers.get("transfer-encoding") and self.headers.get("content-length"):
-            raise ValueError("request with both Transfer-Encoding and Content-Length")
-        if len(set(self.headers.get_all("content-length") or ())) > 1:
-            raise ValueError("request with conflicting Content-Length headers")
         return valid
 
     def _handle_client_error(self, ex: Exception) -> Any:
@@ -287,6 +311,24 @@
         self._server.stop(timeout=0)
 
 
+def _check_body_length(headers: Any) -> None:
+    """Raises ``ValueError`` unless the headers state the length of the body in one clear way.
+
+    To be called before gevent's server looks at them: of a request with two statements it removes
+    one, and an encoding that it does not know it takes for no body.
+    """
+    encodings = headers.get_all("transfer-encoding") or []
+    lengths = headers.get_all("content-length") or []
+    if encodings and lengths:
+        raise ValueError("request with both Transfer-Encoding and Content-Length")
+    if encodings and [encoding.strip().lower() for encoding in encodings] != ["chunked"]:
+        raise ValueError("request with an unknown Transfer-Encoding")
+    if len(set(lengths)) > 1:
+        raise ValueError("request with conflicting Content-Length headers")
+    if lengths and not (lengths[0].strip().isascii() and lengths[0].strip().isdecimal()):
+        raise ValueError("request whose Content-Length is no number")
+
+
 def _close_after_last_response(sock: Any) -> None:
     """Closes a connection so that its last response arrives.
 
--- a/packages/caller_frontend/tests/test_front_end.py
+++ b/packages/caller_frontend/tests/test_front_end.py
@@ -58,6 +58,7 @@
     def __init__(self) -> None:
         self.disconnected_at_start = []
         self.delay_seconds = 0.0
+        self.refusal = None
         self.requests = []
         self.disconnects = 0
 
@@ -67,6 +68,8 @@
         disconnect_notifier.on_disconnect(self._count_disconnect)
         self.disconnected_at_start.append(self.disconnects > known)
         gevent.sleep(self.delay_seconds)
+        if self.refusal is not None:
+            return self.refusal
         return ServerAnswer(200, (("X-Server", "s1"),), request.body)
 
     def limits(self):
@@ -217,6 +220,46 @@
         assert_that(read_reply(sock), Not(Contains(b"200")))
 
 
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        head("Content-Length: 12", method="POST") + b"body-of-body",
+        head("Transfer-Encoding: chunked", method="POST") + b"4\r\nbody\r\n0\r\n\r\n",
+    ],
+)
+def test_no_prefix_of_a_request_is_handled(front_end, request_bytes):
+    """Guards against an order that runs with an empty or short body, because its caller ended
+    within the head, the body or a chunk of its request."""
+    for length in range(len(request_bytes)):
+        with front_end.connect() as sock:
+            sock.sendall(request_bytes[:length])
+            sock.shutdown(socket.SHUT_WR)
+            while sock.recv(65536):
+                pass
+        assert_that(front_end.handler.requests, HasLength(0))
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ["Content-Length: 3", "Transfer-Encoding: chunked"],
+        ["Transfer-Encoding: chunked", "Content-Length: 3"],
+        ["Transfer-Encoding: gzip"],
+        ["Transfer-Encoding: gzip, chunked"],
+        ["Transfer-Encoding: chunked", "Transfer-Encoding: gzip"],
+        ["Content-Length: +3"],
+        ["Content-Length: 1_0"],
+        [f"Content-Length: {'9' * 1500}"],
+    ],
+)
+def test_a_request_without_one_clear_length_is_not_handled(front_end, lines):
+    """Guards against bytes of one request that are taken for another one: a whole chunked body
+    follows, which servers and proxies on the way may measure differently."""
+    reply = send(front_end, head(*lines, method="POST") + b"4\r\nbody\r\n0\r\n\r\n")
+    assert_that(reply[9:12] in (b"400", b"413"), Is(True))
+    assert_that(front_end.handler.requests, HasLength(0))
+
+
 def test_a_draining_listener_answers_and_then_closes_its_connections(front_end):
     """Guards against losing a request on a persistent connection during a planned shutdown."""
     with front_end.connect() as sock:
@@ -302,6 +345,29 @@
         sock.close()
 
 
+def test_a_request_late_in_a_planned_stop_is_refused_on_its_open_connection(front_end):
+    """Guards against a request that is cut without an answer, and against a second one on a
+    connection that ends with the process (report). A request that has not been read whole is not
+    handled."""
+    with front_end.connect() as sock, front_end.connect() as unfinished:
+        for connection in (sock, unfinished):
+            connection.sendall(head())
+            read_reply(connection)
+        front_end.listener.begin_drain(1.0)
+        front_end.listener.stop_accepting()
+        front_end.handler.refusal = NotRun("leaving", retry_after=0.05)
+        unfinished.sendall(head("Content-Length: 9", method="POST") + b"order")
+        sock.sendall(head())
+        reply = read_reply(sock).lower()
+        assert_that(reply, Contains(b"503 service unavailable"))
+        assert_that(reply, Contains(b"retry-after: 0.05"))
+        assert_that(reply, Contains(b"connection: close"))
+        assert_that(sock.recv(1), Equals(b""))
+        front_end.listener.wait_until_connections_end(0.1)
+        front_end.listener.close()
+    assert_that(front_end.handler.requests, HasLength(3))
+
+
 def test_a_connection_after_the_stop_is_refused_at_once(front_end):
     """Guards against callers that wait on a connection that nobody will accept."""
     front_end.listener.begin_drain(0.2)
--- a/packages/protocol/tests/test_records.py
+++ b/packages/protocol/tests/test_records.py
@@ -1,5 +1,9 @@
 """Tests of the records in the store and of the datagrams between daemons."""
 
+import json
+import zlib
+
+import msgpack
 import pytest
 from hypothesis import given, settings, strategies
 from returns.result import Failure, Success
@@ -13,6 +17,7 @@
     LoadReport,
     MemberRecord,
     ServerServiceTime,
+    decode_changes,
     decode_datagram,
     decode_member,
     decode_table,
@@ -70,6 +75,68 @@
     assert_that(decode_member(value), IsInstance(Failure))
 
 
+MEMBER = {"instance": "a", "started_ms": 1, "data_centre": "z", "host": "10.0.0.1", "port": 1}
+TABLE = {"service": "a", "fence": 1, "alone": True, "lives": [["i-1", 1]], "assignments": []}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"port": 65536},
+        {"port": -1},
+        {"port": 10**30},
+        {"host": "a.host"},
+        {"host": "h" * 80},
+        {"host": 2**40},
+        {"started_ms": float("inf")},
+        {"started_ms": float("nan")},
+        {"started_ms": 2**64},
+        {"started_ms": -1},
+    ],
+)
+def test_a_member_record_out_of_range_is_an_error(change):
+    """Guards against an address that raises each time when a datagram is sent to it, and against a
+    start time that ends the task which applies the store's updates (report)."""
+    assert_that(decode_member(json.dumps({**MEMBER, **change}).encode()), IsInstance(Failure))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"fence": float("inf")},
+        {"fence": 10**30},
+        {"lives": [["i-1", 1e400]]},
+        {"lives": [["i-1", 2**64]]},
+        {"assignments": [[65537, 0, 0]]},
+        {"assignments": [[10**30, 0, 0]]},
+        {"assignments": [[-5, 0, 0]]},
+        {"assignments": [[5, 0, -1]]},
+        {"assignments": [[5, 10**400, 0]]},
+        {"assignments": [[5, 0.5, 0]]},
+        {"assignments": [[5, 0, 0, [-1], ""]]},
+    ],
+)
+def test_a_table_out_of_range_is_an_error(change):
+    """Guards against owners of keys that do not exist, and numbers that end the task which applies
+    the store's updates (report)."""
+    value = zlib.compress(json.dumps({**TABLE, **change}).encode())
+    assert_that(decode_table(value), IsInstance(Failure))
+
+
+@pytest.mark.parametrize("value", [b"[" * 100_000, b'{"fence":' * 100_000, b"9" * 5000])
+def test_a_deeply_nested_record_is_an_error(value):
+    """Guards against a RecursionError in the task that applies the store's updates (report)."""
+    assert_that(decode_member(value), IsInstance(Failure))
+    assert_that(decode_table(zlib.compress(value)), IsInstance(Failure))
+
+
+def test_a_table_that_decompresses_to_too_much_is_an_error():
+    """Guards against a short record that takes the memory of a daemon (report)."""
+    value = json.dumps(TABLE).encode()
+    assert_that(decode_table(zlib.compress(value)), IsInstance(Success))
+    assert_that(decode_table(zlib.compress(b" " * 20_000_000 + value)), IsInstance(Failure))
+
+
 def test_a_member_record_round_trips():
     """Guards against load reports that are sent to a wrong address.
 
@@ -142,3 +209,38 @@
     encoded = encode_table(OwnershipTable("availability", 40, assignments))
     print(f"{len(encoded)} bytes")
     assert_that(len(encoded), LessThan(1600))
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        [1, "a", "s", float("inf"), 1, [], []],
+        [1, "a", "s", 1, 1e300, [], []],
+        [1, "a", "s", 1, -1, [], []],
+        [1, "a", "s", 1, 1, [1.5], []],
+        [1, "a", "s", 1, 1, [1], [["i-1", 1, -5]]],
+        [1, "a", "s", 1, 1, [1], [["i-1", 2**63, 5]]],
+        [2, "a", float("inf"), 5, 1],
+        [2, "a", 7, 5, 1],
+        [2, "a", 0, 70_000, 1],
+        [2, "a", 0, 5, -1],
+        [3, b"a", "i-1", float("inf")],
+        [3, 2**62, "i-1", 5],
+        [4, "a", 1e300, 5, 0, 1, b"", 1, 1],
+        [4, "a", 0, float("inf"), 0, 1, b"", 1, 1],
+        [4, "a", 0, 2**64 - 1, 0, 1, b"", 1, 1],
+    ],
+)
+def test_a_datagram_out_of_range_is_an_error(fields):
+    """Guards against a number that raises in the greenlet that receives datagrams, or later in
+    the arithmetic of the task that takes the message (report)."""
+    assert_that(decode_datagram(msgpack.packb(fields)), IsInstance(Failure))
+
+
+def test_deeply_nested_datagrams_and_changes_are_errors():
+    """Guards against nested MessagePack that ends the receiving greenlet (report)."""
+    assert_that(decode_datagram(b"\x91" * 2000), IsInstance(Failure))
+    assert_that(decode_changes(zlib.compress(b"\x91" * 200_000)), IsInstance(Failure))
+    for revision in (float("inf"), -1, 2**64 - 1):
+        changes = zlib.compress(msgpack.packb([["servers/i-1", b"", revision]]))
+        assert_that(decode_changes(changes), IsInstance(Failure))
