--- a/packages/daemon/src/fireflylink_daemon/_store_reader.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_reader.py
@@ -84,6 +84,7 @@
     daemon reads by itself at its start, while it has no relay or hears nothing recent from one, and
     once when changes that a relay knows do not arrive in time. ``known_mode`` is whether it reads
     by itself and whether it sends on what it knows, as the member task was last told.
+    ``snapshot_era`` is the era of the store in which this daemon last read all items, None before.
     """
 
     __slots__ = (
@@ -104,6 +105,7 @@
         "retry_delay_seconds",
         "revision",
         "routing_state",
+        "snapshot_era",
         "store",
         "store_reachable",
         "view_task",
@@ -128,6 +130,7 @@
         self.clock = clock
         self.metrics = metrics
         self.revision = 0
+        self.snapshot_era: int | None = None
         self.confirmed_at = float("-inf")
         self.outages = 0
         self.reading = False
@@ -292,7 +295,7 @@
             update for change in changes for update in self.decoder.decode(store_change(change))
         )
         if updates:
-            self._post_updates(updates, is_snapshot=False)
+            self._post_changes(updates)
         self._send_batch(known_revision, changes)
 
     def _send_batch(self, after: int, changes: tuple[RelayedChange, ...]) -> None:
@@ -318,10 +321,13 @@
         self.confirmed_at = self.clock.now()
         self._mark_store_reachable()
         updates = tuple(update for item in snapshot.items for update in self.decoder.decode(item))
+        former_era = self.snapshot_era
+        self.snapshot_era = era_of(snapshot.revision)
+        is_restored = former_era is not None and self.snapshot_era > former_era
         self.revision = snapshot.revision
         self.relay_sender.relayed_revision = snapshot.revision
         self.follower.set_revision(self.revision)
-        self._post_updates(updates, is_snapshot=True)
+        self.view_task.post(UpdatesRead(updates, self.revision, True, is_restored))
         log_event("store-read", items=len(snapshot.items), revision=snapshot.revision)
         return None
 
@@ -341,7 +347,7 @@
         self.revision = max(self.revision, batch.revision)
         self.follower.set_revision(self.revision)
         if updates:
-            self._post_updates(updates, is_snapshot=False)
+            self._post_changes(updates)
         self._send_batch(after, tuple(relayed_change(change) for change in batch.changes))
         if updates:
             gevent.sleep(self._batch_seconds())
@@ -352,8 +358,8 @@
         is_listed = self.routing_state.settings.instance in self.routing_state.members
         return UNRELAYED_BATCH_SECONDS if roles.has_relay or not is_listed else BATCH_SECONDS
 
-    def _post_updates(self, updates: tuple[BaseUpdate, ...], is_snapshot: bool) -> None:
-        self.view_task.post(UpdatesRead(updates, self.revision, is_snapshot))
+    def _post_changes(self, updates: tuple[BaseUpdate, ...]) -> None:
+        self.view_task.post(UpdatesRead(updates, self.revision, is_snapshot=False))
 
     def _mark_store_reachable(self) -> None:
         if self.store_reachable is not True:
--- a/packages/daemon/tests/test_store_reader.py
+++ b/packages/daemon/tests/test_store_reader.py
@@ -329,6 +329,20 @@
     assert_that({harness.version for harness in harnesses.values()}, Equals({3}))
 
 
+def test_an_evacuation_that_a_restored_store_lacks_stays_until_it_can_be_written_again(fleet):
+    """Guards against requests to a data centre that is taken out: the copy is older than the
+    evacuation, and the daemon takes it for lifted until the operator has written it again."""
+    harnesses, _, state, _ = fleet
+    gevent.sleep(0.3)
+    write(state, "op/evacuate/kingston")
+    gevent.sleep(0.5)
+    state.restore(0.6)
+    for _ in range(10):
+        gevent.sleep(0.1)
+        for harness in harnesses.values():
+            assert_that(harness.evacuated, Contains("kingston"))
+
+
 def test_a_renewal_after_a_restore_does_not_confirm_what_was_read_before(lone_reader):
     """Guards against an old configuration in force at the followers of a relay that renews its
     lease at the restored store, and whose watch call of the former era gets no answer."""
