--- a/packages/soak/src/fireflylink_soak/_faults.py
+++ b/packages/soak/src/fireflylink_soak/_faults.py
@@ -15,6 +15,8 @@
 MAX_PAUSE_SECONDS = 1.5
 MAX_FAULT_SECONDS = 3.0
 REUSE_SECONDS = 2.0
+STORE_FAULTS = ("down", "drops-replies")
+STORE_ACTIONS = ("compact", "revoke-daemon-leases", "restore")
 LEAVE_SECONDS = 7.0
 """A daemon that got SIGTERM ends within ``leave_seconds``, and some time for a busy machine."""
 
@@ -195,7 +197,10 @@
 
 
 class HarmStore(BaseFault):
-    """Switches a fault of the store on for a time, or carries out one action at once."""
+    """Switches a fault of the store on for a time, or carries out one action at once.
+
+    A restore is from a copy that is ``seconds`` old.
+    """
 
     __slots__ = ("action", "seconds")
 
@@ -204,8 +209,8 @@
         self.seconds = seconds
 
     def inject(self, system: SoakSystem) -> None:
-        if self.action in ("compact", "revoke-daemon-leases"):
-            system.try_store_action({"action": self.action})
+        if self.action in STORE_ACTIONS:
+            system.try_store_action({"action": self.action, "seconds": self.seconds})
             return
         down, drops = self.action == "down", self.action == "drops-replies"
         system.try_store_action({"action": "faults", "down": down, "drops_replies": drops})
@@ -280,13 +285,7 @@
         (1, SwapAddresses(server, generator.choice(system.servers))),
         (2, _draw_datagram_fault(generator, daemon, seconds)),
         (2, PauseProcess(generator.choice((daemon, server, None)), seconds)),
-        (
-            2,
-            HarmStore(
-                generator.choice(("down", "drops-replies", "compact", "revoke-daemon-leases")),
-                seconds,
-            ),
-        ),
+        (2, HarmStore(generator.choice(STORE_FAULTS + STORE_ACTIONS), seconds)),
         (1, ChangeConfiguration(generator.randrange(1, 5))),
         (1, Evacuate(generator.choice(DATA_CENTRES), seconds)),
         (1, ReloadSettings(daemon)),
--- a/packages/soak/src/fireflylink_soak/_remote_store.py
+++ b/packages/soak/src/fireflylink_soak/_remote_store.py
@@ -12,7 +12,7 @@
 
 from fireflylink_core import BaseClock
 from fireflylink_http_client import ExchangeError, HttpConnection, encode_request
-from fireflylink_standins import BaseLeaseStore, StoreFaults, StoreState
+from fireflylink_standins import BaseLeaseStore, StoreFaults, StoreState, restore_store
 from fireflylink_store import Commit, Put
 
 CONTROL_PATH = "/standin/control"
@@ -42,6 +42,9 @@
         if action == "compact":
             self.state.compact()
             return None
+        if action == "restore":
+            restore_store(self.state, self.faults, body["seconds"])
+            return None
         if action == "revoke-daemon-leases":
             return self._revoke_leases_of_daemons()
         if self.faults.down:
@@ -85,16 +88,11 @@
         return None if result is None else float(result)
 
     def commit(self, commit: Commit) -> int:
-        return int(
-            self._repeat(
-                {
-                    "action": "commit",
-                    "lease": commit.puts[0].lease_id if commit.puts else 0,
-                    "puts": {put.key: put.value.decode() for put in commit.puts},
-                    "deletions": list(commit.deletions),
-                }
-            )
-        )
+        lease_id = commit.puts[0].lease_id if commit.puts else 0
+        puts = {put.key: put.value.decode() for put in commit.puts}
+        deletions = list(commit.deletions)
+        body = {"action": "commit", "lease": lease_id, "puts": puts, "deletions": deletions}
+        return int(self._repeat(body))
 
     def call(self, body: dict[str, Any]) -> Any:
         """Returns the result of one action; raises ``ExchangeError`` if there is none."""
