Test a server that closes within the head of its answer

On running daemons, the only server for orders stops after each byte of its head in turn; every caller gets 502 or 503.

--- a/packages/standins/tests/test_reports.py
+++ b/packages/standins/tests/test_reports.py
@@ -8,7 +8,7 @@
 import pytest
 from gevent import socket
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, Is, LessThan, Not
+from testtools.matchers import Contains, Equals, GreaterThan, Is, LessThan, Not
 
 from fireflylink_platform import names
 from fireflylink_protocol import MEMBERS_PREFIX, ownership_key
@@ -165,6 +165,45 @@
         assert_that(daemon.process.poll(), Is(None))
 
 
+def test_a_server_that_closes_within_the_head_of_its_answer_yields_no_answer(harness):
+    """Guards against a 200 with an empty or short body, framed as whole (report): the only server
+    for orders stops after each byte of its head in turn."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(16)
+    answer = (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: cut\r\nServer-Signature: s\r\nContent-Length: 12\r\n\r\n"
+    )
+    lengths = iter(range(1, len(answer)))
+    read = []
+
+    def accept() -> None:
+        while True:
+            sock, _ = listener.accept()
+            gevent.spawn(answer_in_part, sock)
+
+    def answer_in_part(sock) -> None:
+        if sock.recv(65536):
+            length = next(lengths)
+            read.append(length)
+            sock.sendall(answer[:length])
+        sock.close()
+
+    accepting = gevent.spawn(accept)
+    server = harness.system.add_server("b9", POOLED_SERVICE, 0, keyed=False)
+    server.advertised_port = listener.getsockname()[1]
+    server.register()
+    for name in ("b0", "b1"):
+        harness.system.servers.pop(name).stop()
+    gevent.sleep(0.8)
+    statuses = {harness.order("x", number % 3, "cut") for number in range(len(answer) - 1)}
+    accepting.kill()
+    listener.close()
+    server.stop()
+    assert_that(statuses <= {502, 503}, Is(True))
+    assert_that(len(read), GreaterThan(20))
+
+
 def test_a_restarted_daemon_does_not_use_a_server_that_has_left_or_an_older_version(harness):
     """Guards against a server that had left, or a route that had been withdrawn, being in use again
     after a restart of the system's processes (report)."""
