--- a/packages/soak/src/fireflylink_soak/_regressions.py
+++ b/packages/soak/src/fireflylink_soak/_regressions.py
@@ -16,4 +16,5 @@
     Regression(1, 15.0, "harness: the proxy repeated parts of answers instead of whole ones"),
     Regression(2, 15.0, "harness: the check counted the holds of servers that had been killed"),
     Regression(6, 15.0, "harness: the proxy repeated parts of answers instead of whole ones"),
+    Regression(901, 15.0, "a decider used fences of tables that a restored store had lost"),
 )
