Decode what servers announce about leaving and pauses

A server says in its answers that it leaves, or with a 503 for how long it wants no requests. Nothing read either header, so a daemon went on sending to both.

The codec returns a ServerNotice with the pause as a deadline. It reads only answers that name their request and that the named server gave: not status 421, which another server at the address may give, no unsigned success, no late or incomplete answer. A pause that is not a number of seconds is ignored, one of more than 30 s is cut, and of several the longest counts.

A connection pool has a SendWindow, which is checked again when a request has its connection.

Without the check of status 421, test_an_announcement_from_an_address_in_use_again fails; without the check before sending, test_a_request_with_a_connection_is_not_sent_into_a_pause fails.

--- a/packages/backend_client/src/fireflylink_backend_client/_codec.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_codec.py
@@ -2,7 +2,14 @@
 
 import abc
 
-from fireflylink_core import CallerRequest, Headers, KeyRange, ServerAnswer, ServerLoad
+from fireflylink_core import (
+    CallerRequest,
+    Headers,
+    KeyRange,
+    ServerAnswer,
+    ServerLoad,
+    ServerNotice,
+)
 from fireflylink_http_client import HttpResponse
 
 
@@ -60,6 +67,16 @@
     def decode_load(self, response: HttpResponse) -> ServerLoad | None:
         """Returns the load that the server reported, or None if it reported none."""
 
+    @abc.abstractmethod
+    def decode_notice(
+        self, response: HttpResponse, request_id: str, now: float
+    ) -> ServerNotice | None:
+        """Returns what the server announced with its answer to the request ``request_id``.
+
+        Returns None if it announced nothing, or if the response does not name the request or may
+        come from another server that uses the address now. A pause counts from ``now``.
+        """
+
     @abc.abstractmethod
     def encode_grant(
         self,
--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -12,6 +12,7 @@
     Lost,
     LostReason,
     NotSent,
+    SendWindow,
 )
 from fireflylink_http_client import (
     HttpConnection,
@@ -49,7 +50,8 @@
     An idle connection is closed before the server's keep-alive time-out ends. The most recently
     used connection is reused first, so that surplus connections reach the idle time-out when the
     request rate is low. ``connect_attempts`` counts the connections opened since the start,
-    including attempts that failed.
+    including attempts that failed. ``send_window`` is when the server may get new requests. It is
+    checked again once a request has its connection, because opening one takes time.
 
     Example::
 
@@ -63,10 +65,17 @@
         "connect_attempts",
         "idle_connections",
         "idle_timeout_seconds",
+        "send_window",
         "server",
     )
 
-    def __init__(self, server: BackendServer, clock: BaseClock, codec: BaseServerCodec) -> None:
+    def __init__(
+        self,
+        server: BackendServer,
+        clock: BaseClock,
+        codec: BaseServerCodec,
+        send_window: SendWindow | None = None,
+    ) -> None:
         self.server = server
         self.clock = clock
         self.codec = codec
@@ -74,6 +83,7 @@
         self.idle_timeout_seconds = MAX_IDLE_TIMEOUT_SECONDS
         self.connect_attempts = 0
         self.closed = False
+        self.send_window = SendWindow() if send_window is None else send_window
 
     def call(
         self, request: CallerRequest, deadline: float, cancellation: Cancellation
@@ -85,6 +95,9 @@
             return NotSent(str(error))
         reusable = False
         try:
+            if not self.send_window.is_open(self.clock.now()):
+                reusable = True
+                return NotSent("the server wants no requests now", withheld=True)
             response, reusable = self._exchange(connection, request, deadline)
             result = self._decode_result(response, request.request_id)
             if isinstance(result, Declined):
@@ -134,16 +147,18 @@
 
     def _decode_result(self, response: HttpResponse, request_id: str) -> BaseCallResult:
         load = self.codec.decode_load(response)
+        notice = self.codec.decode_notice(response, request_id, self.clock.now())
         if self.codec.is_declined(response, request_id):
-            return Declined(response.status, self.codec.is_misdirected(response), load)
+            return Declined(response.status, self.codec.is_misdirected(response), load, notice)
         answer = self.codec.decode_answer(response, request_id)
         if answer is None:
             return Lost(
                 LostReason.MALFORMED,
                 f"status {response.status}: the body is not proven to be the server's own",
+                notice,
             )
         self._update_idle_timeout(response)
-        return Answered(answer, load)
+        return Answered(answer, load, notice)
 
     def _update_idle_timeout(self, response: HttpResponse) -> None:
         keep_alive_seconds = response.keep_alive_seconds
--- a/packages/backend_client/tests/test_pool.py
+++ b/packages/backend_client/tests/test_pool.py
@@ -236,3 +236,64 @@
     backend = BackendServer("i-1", "a", "127.0.0.1", refusing_server, "kingston", 4)
     pool = ServerConnectionPool(backend, SystemClock(), PlatformServerCodec())
     assert_that(call(pool), IsInstance(NotSent))
+
+
+LEAVING = b"Server-Leaving: 1\r\n"
+DECLINED_WITH_PAUSE = b"Not-Executed: 1\r\nRetry-After: 1.5\r\n"
+
+
+def test_an_announcement_on_a_kept_connection_is_read_with_each_answer(make_pool):
+    """Guards against a server that leaves unnoticed, because only its registration is read."""
+    responses = iter([SERVER_HEADERS, SERVER_HEADERS + LEAVING])
+    pool = make_pool(lambda i: make_response(i, server_headers=next(responses)))
+    assert_that(call(pool, "r1").notice, Equals(None))
+    assert_that(call(pool, "r2").notice.is_leaving, Equals(True))
+    assert_that(make_pool.servers[0].accepted, Equals(1))
+
+
+@pytest.mark.parametrize("status", ["500 Error", "503 Busy"])
+def test_an_announcement_on_an_error_answer_counts(make_pool, status):
+    """Guards against new requests to a server that says that it leaves when it fails a request."""
+    pool = make_pool(lambda i: make_response(i, status, SERVER_HEADERS + LEAVING))
+    assert_that(call(pool).notice.is_leaving, Equals(True))
+
+
+def test_an_announcement_from_an_address_in_use_again_tells_nothing(make_pool):
+    """Guards against giving up a server because another one at its former address leaves."""
+    headers = b"Not-Executed: 1\r\nRetry-After: 2\r\n" + LEAVING
+    misdirected = make_pool(lambda i: make_response(i, "421 Misdirected", headers))
+    assert_that(call(misdirected).notice, Equals(None))
+    unsigned = make_pool(lambda i: make_response(i, server_headers=LEAVING))
+    assert_that(call(unsigned).notice, Equals(None))
+
+
+def test_a_late_or_broken_off_announcement_tells_nothing(make_pool):
+    """Guards against a pause or a leaving that is taken from an answer to another request."""
+    late = make_response(b"r0", "503 Busy", DECLINED_WITH_PAUSE + LEAVING)
+    copied = make_pool(lambda i: late + make_response(i))
+    assert_that(call(copied).notice, Equals(None))
+    broken = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + SERVER_HEADERS + LEAVING
+    ended = make_pool(lambda i: broken + b"Content-Length: 9\r\nConnection: close\r\n\r\nok")
+    result = call(ended)
+    assert_that((type(result), result.notice), Equals((Lost, None)))
+
+
+def test_a_request_with_a_connection_is_not_sent_into_a_pause(make_pool):
+    """Guards against requests that wait for a connection and are sent although the server has
+    asked for a pause meanwhile."""
+    received = []
+
+    def answer(request_id: bytes) -> bytes:
+        received.append(request_id)
+        return make_response(request_id)
+
+    pool = make_pool(answer)
+    call(pool, "r1")
+    pool.send_window.opens_at = pool.clock.now() + 5.0
+    for request_id in ("r2", "r3"):
+        result = call(pool, request_id)
+        assert_that((type(result), result.withheld), Equals((NotSent, True)))
+    pool.send_window.opens_at = pool.clock.now()
+    pool.send_window.close_at(pool.clock.now())
+    assert_that(call(pool, "r4").withheld, Equals(True))
+    assert_that((received, pool.connect_attempts), Equals(([b"r1"], 1)))
--- a/packages/core/src/fireflylink_core/__init__.py
+++ b/packages/core/src/fireflylink_core/__init__.py
@@ -38,7 +38,14 @@
     OutcomeUnknown,
     ServerAnswer,
 )
-from fireflylink_core._server import BackendServer, ServerIncarnation, ServerLoad, ServerState
+from fireflylink_core._send_window import SendWindow
+from fireflylink_core._server import (
+    BackendServer,
+    ServerIncarnation,
+    ServerLoad,
+    ServerNotice,
+    ServerState,
+)
 from fireflylink_core._value import BaseValue
 
 __all__ = [
@@ -74,9 +81,11 @@
     "RequestKind",
     "Route",
     "RouteTarget",
+    "SendWindow",
     "ServerAnswer",
     "ServerIncarnation",
     "ServerLoad",
+    "ServerNotice",
     "ServerState",
     "Service",
     "SystemClock",
--- a/packages/core/src/fireflylink_core/_server.py
+++ b/packages/core/src/fireflylink_core/_server.py
@@ -110,3 +110,27 @@
         self.waiting = waiting
         self.slots = slots
         self.slowdown_factor = slowdown_factor
+
+
+class ServerNotice(BaseValue):
+    """What a server announced with an answer about the requests that it wants from this daemon.
+
+    ``is_leaving`` is true if the server is about to leave. ``pause_until`` is the time, in seconds
+    on the daemon's clock, until which it wants no requests; None if it asked for no pause.
+    ``problem`` says why a part of the announcement was ignored or bounded, and is empty otherwise;
+    ``problem_value`` is the start of that part.
+    """
+
+    __slots__ = ("is_leaving", "pause_until", "problem", "problem_value")
+
+    def __init__(
+        self,
+        is_leaving: bool,
+        pause_until: float | None,
+        problem: str = "",
+        problem_value: str = "",
+    ) -> None:
+        self.is_leaving = is_leaving
+        self.pause_until = pause_until
+        self.problem = problem
+        self.problem_value = problem_value
--- a/packages/standins/tests/test_adapter_codecs.py
+++ b/packages/standins/tests/test_adapter_codecs.py
@@ -168,3 +168,42 @@
     assert_that(json.loads(command.body), Equals(body))
     release = PlatformServerCodec().encode_release("i-1", KeyRange(1, 2), 13, "c2")
     assert_that(json.loads(release.body), Equals({"from": 1, "to": 2, "fence": 13}))
+
+
+@pytest.mark.parametrize(
+    ("values", "pause_until", "has_problem"),
+    [
+        (["1.5"], 11.5, False),
+        (["2", "2"], 12.0, False),
+        (["2", "1"], 12.0, True),
+        (["1", "soon"], 11.0, True),
+        (["86400"], 40.0, True),
+        (["9" * 400], 40.0, True),
+        (["-1"], None, True),
+        (["inf"], None, True),
+        (["nan"], None, True),
+        (["1e3"], None, True),
+        (["\u0663"], None, True),
+        (["Sat, 05 Dec 2026 08:00:00 GMT"], None, True),
+    ],
+)
+def test_a_useless_pause_is_bounded_or_dropped(values, pause_until, has_problem):
+    """Guards against a malformed pause that takes a server out for long, or ends the process."""
+    headers = [("Retry-After", value) for value in values]
+    own = ("Request-Id", "a")
+    codec = PlatformServerCodec()
+    notice = codec.decode_notice(response(503, own, ("Not-Executed", "1"), *headers), "a", 10.0)
+    assert_that((notice.pause_until, bool(notice.problem)), Equals((pause_until, has_problem)))
+    assert_that(codec.decode_notice(response(500, own, *headers), "a", 10.0), Is(None))
+    assert_that(codec.decode_notice(response(503, *headers), "a", 10.0), Is(None))
+
+
+@pytest.mark.parametrize(
+    ("values", "is_leaving"), [(["1"], True), (["1", "1"], True), (["0"], False), (["yes"], False)]
+)
+def test_only_the_defined_value_announces_leaving(values, is_leaving):
+    """Guards against giving up a server for a header value that does not say that it leaves."""
+    headers = [("Server-Leaving", value) for value in values]
+    answer = response(200, ("Request-Id", "a"), ("Server-Signature", "s"), *headers)
+    notice = PlatformServerCodec().decode_notice(answer, "a", 10.0)
+    assert_that((notice.is_leaving, bool(notice.problem)), Equals((is_leaving, not is_leaving)))
