Stop sending to a server that announces that it leaves

A server that leaves says so in all its answers. A daemon learned of it only from the registration: with the store away or the watch behind, it went on sending for as long, and after a restore an old registration brought the server back.

A daemon that gets such an answer treats the incarnation, and earlier ones, as draining from then on, whatever the store says: a pooled server gets no new requests, an owner gets those of its keys for the same part of the drain time as with a registration that drains. The window is checked again before each send. If the daemon is the decider, the owner is no longer eligible and its keys move.

Without the final state, test_a_pooled_server_that_announces_leaving_gets_no_more_requests and test_an_owner_that_announces_leaving_gets_requests_only_while_its_keys_move fail.

--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -144,6 +144,7 @@
             clock,
             self.metrics,
         )
+        request_handler.notice_recorder.view_task = self.view_task
         self.caller_listener = HttpListener(
             make_application(request_handler, PlatformCallerCodec()),
             settings.caller_address.host,
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -1,7 +1,7 @@
 """Messages between the tasks of a daemon."""
 
 from fireflylink_backend_client import CommandError
-from fireflylink_core import OwnershipTable
+from fireflylink_core import OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import BaseCommand
 from fireflylink_protocol import LoadReport, MemberRecord
 from fireflylink_store import BaseUpdate
@@ -28,6 +28,16 @@
     __slots__ = ()
 
 
+class ServerLeaving:
+    """A server announced that it leaves, in an answer that was received at ``announced_at``."""
+
+    __slots__ = ("announced_at", "incarnation")
+
+    def __init__(self, incarnation: ServerIncarnation, announced_at: float) -> None:
+        self.incarnation = incarnation
+        self.announced_at = announced_at
+
+
 class StoreReadFailed:
     """Reading from the store failed, or the store no longer has the changes to read next."""
 
--- /dev/null
+++ b/packages/daemon/src/fireflylink_daemon/_notice_recorder.py
@@ -0,0 +1,54 @@
+"""Records what servers announce with their answers about the requests that they want."""
+
+from fireflylink_core import ServerNotice
+from fireflylink_daemon._log import log_event, log_problem
+from fireflylink_daemon._messages import ServerLeaving
+from fireflylink_daemon._metrics import Metrics
+from fireflylink_daemon._routing_state import RoutingState
+from fireflylink_daemon._task import BaseTask
+from fireflylink_decisions.servers import ServerTracker
+
+
+class NoticeRecorder:
+    """Applies the notices of servers to their trackers, and logs them.
+
+    A server that leaves is reported to ``view_task``, which owns the state of the request path.
+    """
+
+    __slots__ = ("metrics", "routing_state", "view_task")
+
+    def __init__(self, routing_state: RoutingState, metrics: Metrics) -> None:
+        self.routing_state = routing_state
+        self.metrics = metrics
+        self.view_task: BaseTask | None = None
+
+    def record(
+        self, request_id: str, tracker: ServerTracker, notice: ServerNotice, now: float
+    ) -> None:
+        """Records what a server announced with its answer to the request ``request_id``."""
+        if notice.is_leaving and not tracker.announced_leaving:
+            self._record_leaving(request_id, tracker, now)
+        if notice.problem and notice.problem not in tracker.logged_problems:
+            tracker.logged_problems.add(notice.problem)
+            log_problem(
+                "server-notice-unusable",
+                server=tracker.server.incarnation,
+                request=request_id,
+                problem=notice.problem,
+                value=notice.problem_value,
+            )
+
+    def _record_leaving(self, request_id: str, tracker: ServerTracker, now: float) -> None:
+        tracker.announced_leaving = True
+        tracker.send_window.close_at(now + self.routing_state.drain_seconds(tracker.server.service))
+        self.metrics.count("servers_leaving")
+        log_event(
+            "server-leaving",
+            server=tracker.server.incarnation,
+            request=request_id,
+            service=tracker.server.service,
+            requests_end_at=tracker.send_window.closes_at,
+            now=now,
+        )
+        if self.view_task is not None:
+            self.view_task.post(ServerLeaving(tracker.server.incarnation, now))
--- a/packages/daemon/src/fireflylink_daemon/_request_handler.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -24,6 +24,7 @@
 from fireflylink_daemon._dispatch_task import DispatchTask, DispatchWaiter
 from fireflylink_daemon._log import log_event
 from fireflylink_daemon._metrics import Metrics
+from fireflylink_daemon._notice_recorder import NoticeRecorder
 from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._request_log_limiter import RequestLogLimiter
 from fireflylink_daemon._routing_state import RoutingState
@@ -107,6 +108,7 @@
         "key_counter",
         "log_limiter",
         "metrics",
+        "notice_recorder",
         "routing_state",
     )
 
@@ -127,6 +129,7 @@
         self.crash_detector = crash_detector
         self.clock = clock
         self.metrics = metrics
+        self.notice_recorder = NoticeRecorder(routing_state, metrics)
 
     def limits(self) -> CallerLimits:
         return self.routing_state.caller_limits()
@@ -222,6 +225,8 @@
         now = self.clock.now()
         if isinstance(result, Answered | Declined) and result.load is not None:
             tracker.record_load(result.load, now)
+        if isinstance(result, Answered | Declined | Lost) and result.notice is not None:
+            self.notice_recorder.record(context.request.request_id, tracker, result.notice, now)
         if isinstance(result, Answered) and result.answer.status < MIN_SERVER_ERROR_STATUS:
             seconds = now - sent_at
             if (
@@ -239,7 +244,7 @@
                 self.key_counter.record_service_time(
                     context.service, tracker.server.server_id, seconds
                 )
-        elif isinstance(result, NotSent):
+        elif isinstance(result, NotSent) and not result.withheld:
             tracker.record_no_response(now)
         if isinstance(result, Lost) and result.reason in POSSIBLE_CRASH_REASONS:
             self.crash_detector.record_lost_connection(tracker.server, context.request)
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -23,6 +23,7 @@
 from fireflylink_decisions.routing import RouteTable, TrafficSplitter
 from fireflylink_decisions.servers import (
     DirectoryEntry,
+    LeavingServers,
     ServerDirectory,
     ServerTracker,
     ServiceLimits,
@@ -57,6 +58,7 @@
         "directory",
         "dispatcher",
         "fleet_position",
+        "leaving_servers",
         "members",
         "ownership_tables",
         "poison",
@@ -76,6 +78,7 @@
         self.routes: RouteTable | None = None
         self.traffic_splitter = TrafficSplitter()
         self.directory = ServerDirectory()
+        self.leaving_servers = LeavingServers()
         self.dispatcher = Dispatcher()
         self.poison = PoisonRegistry()
         self.retry_budgets: dict[str, RetryBudget] = {}
@@ -143,6 +146,7 @@
     def register_server(self, server: BackendServer) -> None:
         """Records a new or changed registration."""
         now = self.clock.now()
+        server = self.leaving_servers.as_announced(server)
         known = self.directory.find(server.server_id)
         joined = known is None or known.server.incarnation != server.incarnation
         state = known.server.state if known is not None else None
@@ -152,6 +156,7 @@
             tracker = ServerTracker(server)
             self.trackers[server.incarnation] = tracker
         tracker.server = server
+        self._close_if_leaving(server.incarnation)
         cold_seconds = server.cold_ms / MILLISECONDS_PER_SECOND
         if cold_seconds > 0:
             tracker.cold_limiter.mark_cold(now + cold_seconds)
@@ -165,6 +170,31 @@
                 cold_ms=server.cold_ms,
             )
 
+    def mark_leaving(self, incarnation: ServerIncarnation, announced_at: float) -> None:
+        """Records that a server announced, in an answer to this daemon, that it leaves.
+
+        This daemon is bound by it, whatever the store says of this incarnation afterwards.
+        """
+        if self.leaving_servers.record(incarnation, announced_at):
+            self._close_if_leaving(incarnation)
+            self.refresh()
+
+    def _close_if_leaving(self, incarnation: ServerIncarnation) -> None:
+        announced_at = self.leaving_servers.announced_at(incarnation)
+        if announced_at is None:
+            return
+        self.directory.mark_leaving(incarnation, announced_at)
+        tracker = self.trackers.get(incarnation)
+        if tracker is not None:
+            tracker.send_window.close_at(announced_at + self.drain_seconds(tracker.server.service))
+
+    def drain_seconds(self, service: str) -> float:
+        """Returns for how long a server of a service gets requests after it began to leave."""
+        pool = self.dispatcher.pools.get(service)
+        if pool is None or not pool.keyed:
+            return 0.0
+        return self.settings.bounds.drain_seconds * KEYED_DRAIN_FRACTION
+
     def unregister_server(self, server_id: str) -> None:
         """Records that a registration was deleted.
 
@@ -220,7 +250,7 @@
         pool = self.connection_pools.get(incarnation)
         if pool is None:
             pool = self.connection_pools[incarnation] = ServerConnectionPool(
-                tracker.server, self.clock, self.codec
+                tracker.server, self.clock, self.codec, tracker.send_window
             )
         return pool
 
@@ -260,8 +290,7 @@
             return False
         evacuated_at = self.directory.evacuated.get(entry.server.data_centre)
         drain_starts = [at for at in (entry.draining_since, evacuated_at) if at is not None]
-        drain_seconds = self.settings.bounds.drain_seconds * KEYED_DRAIN_FRACTION
-        return bool(drain_starts) and now < min(drain_starts) + drain_seconds
+        return bool(drain_starts) and now < min(drain_starts) + self.drain_seconds(service.name)
 
     def _service_limits(self, service: Service, position: FleetPosition) -> ServiceLimits:
         bounds = self.settings.bounds
--- a/packages/daemon/src/fireflylink_daemon/_view_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_view_task.py
@@ -9,6 +9,7 @@
 from fireflylink_daemon._messages import (
     DeciderChanged,
     MemberRecordMissing,
+    ServerLeaving,
     ServersChanged,
     StoreCallStatus,
     StoreReadFailed,
@@ -87,6 +88,9 @@
             self.routing_state.poison.record_crash(
                 message.fingerprint, message.incarnation, self.clock.now()
             )
+        elif isinstance(message, ServerLeaving):
+            self.routing_state.mark_leaving(message.incarnation, message.announced_at)
+            self._notify_ownership(ServersChanged())
         elif isinstance(message, StoreReadFailed):
             self.routing_state.directory.mark_store_unreachable()
         elif isinstance(message, StoreCallStatus):
--- a/packages/daemon/tests/test_request_handler.py
+++ b/packages/daemon/tests/test_request_handler.py
@@ -16,11 +16,13 @@
     Lost,
     LostReason,
     NotRun,
+    NotSent,
     OutcomeUnknown,
     OwnershipTable,
     ServerAnswer,
     ServerIncarnation,
     ServerLoad,
+    ServerNotice,
 )
 from fireflylink_daemon._dispatch_task import DispatchTask
 from fireflylink_daemon._messages import UpdatesRead
@@ -28,6 +30,7 @@
 from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._request_handler import RequestHandler
 from fireflylink_daemon._routing_state import RoutingState
+from fireflylink_decisions.servers import available_at
 from fireflylink_protocol import encode_table, ownership_key
 from fireflylink_store import Item
 
@@ -47,6 +50,7 @@
 }
 INCARNATION = ServerIncarnation("i-1", 1)
 ANSWERED = Answered(ServerAnswer(200, (), b"ok"), ServerLoad(1, 0, 4))
+LEAVING = Answered(ServerAnswer(200, (), b"ok"), None, ServerNotice(True, None))
 TIMED_OUT = Lost(LostReason.LATE, "late")
 
 
@@ -82,6 +86,18 @@
             action()
 
 
+def make_registration(name: str, service: str, started_ms: int = 1) -> Item:
+    entry = {
+        "service": service,
+        "address": "10.0.0.1:80",
+        "zone": "kingston",
+        "slots": 4,
+        "state": "ready",
+        "born": started_ms,
+    }
+    return Item(f"servers/{name}", json.dumps(entry).encode(), 2)
+
+
 class RequestHandlerHarness:
     """A request handler with scripted servers. It also stands in for the ``CrashDetector``."""
 
@@ -95,18 +111,12 @@
         self.request_handler = RequestHandler(
             routing_state, dispatch_task, self.key_counter, self, clock, Metrics()
         )
+        self.request_handler.notice_recorder.view_task = task_harness.view_task
         self.lost_connections = []
+        self.sent_to = []
         items = [Item("op/config", json.dumps(CONFIGURATION).encode(), 1)]
         for name, service in (("i-1", "a"), ("i-2", "b"), ("i-3", "b")):
-            entry = {
-                "service": service,
-                "address": "10.0.0.1:80",
-                "zone": "kingston",
-                "slots": 4,
-                "state": "ready",
-                "born": 1,
-            }
-            items.append(Item(f"servers/{name}", json.dumps(entry).encode(), 2))
+            items.append(make_registration(name, service))
         table = OwnershipTable("a", 1, (Assignment(KeyRange(0, 65535), INCARNATION, 1),))
         items.append(Item(ownership_key("a"), encode_table(table), 3))
         updates = tuple(update for item in items for update in task_harness.decoder.decode(item))
@@ -116,13 +126,30 @@
         """Records a server whose connection ended, in place of ``CrashDetector``."""
         self.lost_connections.append(server.server_id)
 
+    def register(self, name: str, service: str, started_ms: int = 1) -> None:
+        """Lets the daemon read a registration that says ready from the store."""
+        updates = self.task_harness.decoder.decode(make_registration(name, service, started_ms))
+        self.task_harness.view_task.receive(UpdatesRead(tuple(updates), 4, False))
+
+    def send_many(self, target: str, results) -> list[str]:
+        """Sends a request for each result; returns the servers to which they were sent."""
+        self.sent_to.clear()
+        for result in results:
+            self.send(target, ScriptedServers(self.clock, [result, ANSWERED], seconds=0.01))
+            self.task_harness.deliver()
+        return list(self.sent_to)
+
     def send(
         self,
         target: str,
         servers: ScriptedServers,
         disconnect_notifier: FakeDisconnectNotifier | None = None,
     ):
-        self.monkeypatch.setattr(RoutingState, "connection_pool", lambda _state, _tracker: servers)
+        def connection_pool(_state, tracker):
+            self.sent_to.append(tracker.server.server_id)
+            return servers
+
+        self.monkeypatch.setattr(RoutingState, "connection_pool", connection_pool)
         now = self.clock.now()
         request = CallerRequest("id", "h", "POST", target, (), b"", now, now + 3.0, 5)
         return self.request_handler.handle(request, disconnect_notifier or FakeDisconnectNotifier())
@@ -216,3 +243,53 @@
     """
     handler_harness.send("/k/1", ScriptedServers(handler_harness.clock, [TIMED_OUT], seconds=1.45))
     assert_that("a" in handler_harness.key_counter.service_times, Equals(True))
+
+
+def test_a_pooled_server_that_announces_leaving_gets_no_more_requests(handler_harness):
+    """Guards against requests to a server that says in its answers that it leaves, while its
+    registration says ready: the store is away, its watch lags, or a restored store has it."""
+    pool = handler_harness.task_harness.routing_state.dispatcher.pools["b"]
+    [leaving] = handler_harness.send_many("/o/1", [LEAVING])
+    remaining = {ServerIncarnation(name, 1) for name in ("i-2", "i-3") if name != leaving}
+    assert_that(set(pool.trackers), Equals(remaining))
+    handler_harness.register(leaving, "b")
+    assert_that(set(pool.trackers), Equals(remaining))
+    handler_harness.task_harness.routing_state.directory.record_deletion(leaving, 0.0)
+    handler_harness.task_harness.routing_state.refresh()
+    for started_ms in (1, 0):
+        handler_harness.register(leaving, "b", started_ms)
+        assert_that(set(pool.trackers), Equals(remaining))
+    sent_to = handler_harness.send_many("/o/1", [ANSWERED] * 5)
+    assert_that(leaving in sent_to, Equals(False))
+    handler_harness.register(leaving, "b", started_ms=2)
+    assert_that(set(pool.trackers), Equals(remaining | {ServerIncarnation(leaving, 2)}))
+
+
+def test_an_owner_that_announces_leaving_gets_requests_only_while_its_keys_move(handler_harness):
+    """Guards against requests to an owner after its drain time, and against keys without service
+    while they could still be served: its registration says ready all the time."""
+    routing_state = handler_harness.task_harness.routing_state
+    assert_that(handler_harness.send_many("/k/1", [LEAVING, ANSWERED]), Equals(["i-1", "i-1"]))
+    assert_that(routing_state.directory.eligible_servers("a"), Equals([]))
+    handler_harness.register("i-1", "a")
+    handler_harness.clock.advance(1.0)
+    assert_that(handler_harness.send_many("/k/1", [ANSWERED]), Equals(["i-1"]))
+    handler_harness.register("i-1", "a")
+    handler_harness.clock.advance(0.2)
+    tracker = routing_state.trackers[INCARNATION]
+    assert_that(tracker.send_window.is_open(handler_harness.clock.now()), Equals(False))
+    pool = routing_state.dispatcher.pools["a"]
+    result = available_at(tracker, pool.limits, handler_harness.clock.now())
+    assert_that(result, Equals(None))
+    routing_state.refresh()
+    assert_that(pool.trackers, Equals({}))
+
+
+def test_a_request_that_is_withheld_goes_to_another_server(handler_harness):
+    """Guards against *unreachable*, and a server that counts as unresponsive, because a request was
+    held back for a pause while it waited for its connection."""
+    withheld = NotSent("pause", withheld=True)
+    servers = ScriptedServers(handler_harness.clock, [*[withheld] * 6, ANSWERED], seconds=0.01)
+    assert_that(handler_harness.send("/o/1", servers), Equals(ANSWERED.answer))
+    trackers = handler_harness.task_harness.routing_state.trackers.values()
+    assert_that({tracker.consecutive_no_responses for tracker in trackers}, Equals({0}))
--- a/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
@@ -63,6 +63,8 @@
     is retried whether it is idempotent or not. Retries are limited by ``max_attempts``, the time
     left and the shared retry budget. Failed connections and misdirected attempts do not count
     towards ``max_attempts`` and have their own limits; a failed connection needs no budget either.
+    An attempt that was not sent because its server wants no requests now is not limited: the next
+    one waits for that server or goes to another one.
     """
 
     __slots__ = (
@@ -94,6 +96,8 @@
         """Returns whether to retry after an attempt that ended with ``result``."""
         if isinstance(result, Answered):
             return self._after_answer(result, seconds_left, budget_allows)
+        if isinstance(result, NotSent) and result.withheld:
+            return self._after_withholding(seconds_left)
         if isinstance(result, NotSent):
             self.connect_failures += 1
             if self.connect_failures < MAX_CONNECT_FAILURES and seconds_left > MIN_ATTEMPT_SECONDS:
@@ -114,6 +118,11 @@
             return OutcomeUnknown(reason)
         return NotRun(reason, retry_after=retry_after)
 
+    def _after_withholding(self, seconds_left: float) -> BaseRetryDecision:
+        if seconds_left > MIN_ATTEMPT_SECONDS:
+            return Retry("withheld", reached_server=False)
+        return ReturnReply(self.final_reply("no-room", RETRY_AFTER_SECONDS))
+
     def _after_answer(
         self, result: Answered, seconds_left: float, budget_allows: bool
     ) -> BaseRetryDecision:
--- a/packages/decisions/src/fireflylink_decisions/servers/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/__init__.py
@@ -1,5 +1,6 @@
 """Backend servers: which are registered, how loaded and fast they are, and choice among them."""
 
+from fireflylink_decisions.servers._leaving_servers import LeavingServers
 from fireflylink_decisions.servers._server_choice import (
     MAX_LOW_PRIORITY_REQUESTS_PER_SLOT,
     MAX_REQUESTS_PER_SLOT,
@@ -27,6 +28,7 @@
     "MAX_REQUESTS_PER_SLOT",
     "REGISTRATION_GRACE_SECONDS",
     "DirectoryEntry",
+    "LeavingServers",
     "ServerDirectory",
     "ServerRanking",
     "ServerTracker",
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -79,6 +79,8 @@
     ``max_requests_per_slot`` limits the server's running and queued requests per slot, the new one
     included.
     """
+    if now >= tracker.send_window.closes_at:
+        return None
     if tracker.in_flight >= limits.connection_share:
         return None
     if tracker.expected_load(now) + 1.0 > tracker.server.slots * max_requests_per_slot:
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -1,6 +1,6 @@
 """Directory of registered backend servers, and which of them may get keys and requests."""
 
-from fireflylink_core import BackendServer, ServerState
+from fireflylink_core import BackendServer, ServerIncarnation, ServerState
 
 REGISTRATION_GRACE_SECONDS = 2.0
 """A server whose registration expired during an outage of the store registers again within this
@@ -63,6 +63,15 @@
             entry.draining_since = now
         return entry
 
+    def mark_leaving(self, incarnation: ServerIncarnation, announced_at: float) -> None:
+        """Records that an incarnation announced that it leaves, before its registration said so."""
+        entry = self.entries.get(incarnation.server_id)
+        if entry is None or entry.server.started_ms > incarnation.started_ms:
+            return
+        entry.server = entry.server.replace(state=ServerState.DRAINING)
+        if entry.draining_since is None or announced_at < entry.draining_since:
+            entry.draining_since = announced_at
+
     def record_deletion(self, server_id: str, now: float) -> bool:
         """Records that a registration was deleted; returns whether the server is removed as well.
 
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -2,7 +2,7 @@
 
 import math
 
-from fireflylink_core import BackendServer, ServerLoad
+from fireflylink_core import BackendServer, SendWindow, ServerLoad
 from fireflylink_decisions.limits import ColdServerLimiter
 
 DEFAULT_IDLE_SERVICE_SECONDS = 0.12
@@ -44,10 +44,13 @@
 
     ``idle_service_seconds`` is the service time while the server is idle and at its normal speed.
     ``failure_rate`` is a moving average of the fraction of requests that failed, as of
-    ``failure_rate_at``. Reported values decay exponentially with their age.
+    ``failure_rate_at``. ``send_window`` is when the server may get new requests.
+    ``logged_problems`` are the kinds of unusable announcements of the server that have been logged.
+    Reported values decay exponentially with their age.
     """
 
     __slots__ = (
+        "announced_leaving",
         "answers",
         "cold_limiter",
         "consecutive_no_responses",
@@ -55,10 +58,12 @@
         "failure_rate_at",
         "idle_service_seconds",
         "in_flight",
+        "logged_problems",
         "own_in_flight_at_report",
         "queued",
         "reported_at",
         "reported_load",
+        "send_window",
         "server",
     )
 
@@ -75,6 +80,9 @@
         self.own_in_flight_at_report = 0
         self.consecutive_no_responses = 0
         self.queued = 0
+        self.send_window = SendWindow()
+        self.announced_leaving = False
+        self.logged_problems: set[str] = set()
 
     def record_sent(self, now: float) -> None:
         """Counts a request that is about to be sent."""
--- a/packages/decisions/tests/test_server_directory.py
+++ b/packages/decisions/tests/test_server_directory.py
@@ -3,8 +3,12 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from fireflylink_core import ServerState
-from fireflylink_decisions.servers import REGISTRATION_GRACE_SECONDS, ServerDirectory
+from fireflylink_core import ServerIncarnation, ServerState
+from fireflylink_decisions.servers import (
+    REGISTRATION_GRACE_SECONDS,
+    LeavingServers,
+    ServerDirectory,
+)
 
 
 def test_a_server_whose_registration_ends_is_removed_at_once(server_factory, clock):
@@ -91,3 +95,30 @@
     directory.record_deletion("s1", clock.now())
     assert_that(directory.is_presumed_alive(entries[0]), Is(True))
     assert_that(directory.is_presumed_alive(entries[2]), Is(True))
+
+
+def test_an_announcement_to_leave_holds_for_its_incarnation_and_earlier_ones(server_factory, clock):
+    """Guards against a registration, as a restored store may have it, that takes an announcement of
+    its server back; the next incarnation is not bound by it."""
+    leaving = LeavingServers()
+    announced = server_factory("s1").replace(started_ms=5)
+    assert_that(leaving.record(announced.incarnation, 1.0), Is(True))
+    assert_that(leaving.record(announced.incarnation, 2.0), Is(False))
+    states = [
+        leaving.as_announced(announced.replace(started_ms=started_ms)).state
+        for started_ms in (4, 5, 6)
+    ]
+    assert_that(states, Equals([ServerState.DRAINING, ServerState.DRAINING, ServerState.READY]))
+    assert_that(leaving.announced_at(ServerIncarnation("s1", 6)), Is(None))
+    assert_that(leaving.announced_at(announced.incarnation), Equals(1.0))
+
+
+def test_leaving_marks_only_the_incarnation_that_announced_it(server_factory, clock):
+    """Guards against a new incarnation that gets no keys because the earlier one has left."""
+    directory = ServerDirectory()
+    directory.register(server_factory("s1"), clock.now())
+    directory.mark_leaving(ServerIncarnation("s1", 0), clock.now())
+    assert_that(len(directory.eligible_servers("holds")), Equals(1))
+    directory.mark_leaving(ServerIncarnation("s1", 1), 0.5)
+    assert_that(directory.eligible_servers("holds"), Equals([]))
+    assert_that(directory.find("s1").draining_since, Equals(0.5))
