Send nothing to a server during the pause that it asks for

A server that is over its limits answers 503 and says for how long it wants no requests.

From the answer to the end of the pause a daemon sends the server no new request. Pooled services use the servers without a pause, also beyond the groups that are compared otherwise. A request that would wait too long for the owner of its key, or for every server of its service, is refused at once with a Retry-After from the end of the pause and from what returns before it; others wait. An earlier end never shortens a pause: the answer that states it may be the older one.

--- a/packages/daemon/src/fireflylink_daemon/_notice_recorder.py
+++ b/packages/daemon/src/fireflylink_daemon/_notice_recorder.py
@@ -8,6 +8,10 @@
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.servers import ServerTracker
 
+PAUSE_LOG_INTERVAL_SECONDS = 1.0
+"""Least time between two lines about the pauses of a server. Requests in flight may all be turned
+away, each with an end of the pause that is a little later."""
+
 
 class NoticeRecorder:
     """Applies the notices of servers to their trackers, and logs them.
@@ -28,6 +32,8 @@
         """Records what a server announced with its answer to the request ``request_id``."""
         if notice.is_leaving and not tracker.announced_leaving:
             self._record_leaving(request_id, tracker, now)
+        if notice.pause_until is not None:
+            self._record_pause(request_id, tracker, notice.pause_until, now)
         if notice.problem and notice.problem not in tracker.logged_problems:
             tracker.logged_problems.add(notice.problem)
             log_problem(
@@ -38,6 +44,23 @@
                 value=notice.problem_value,
             )
 
+    def _record_pause(
+        self, request_id: str, tracker: ServerTracker, until: float, now: float
+    ) -> None:
+        self.metrics.count("server_pauses")
+        is_later = self.routing_state.record_pause(tracker, until)
+        if is_later and now >= tracker.pause_logged_at + PAUSE_LOG_INTERVAL_SECONDS:
+            tracker.pause_logged_at = now
+            log_event(
+                "server-paused",
+                server=tracker.server.incarnation,
+                request=request_id,
+                service=tracker.server.service,
+                paused_until=until,
+                now=now,
+                in_flight=tracker.in_flight,
+            )
+
     def _record_leaving(self, request_id: str, tracker: ServerTracker, now: float) -> None:
         tracker.announced_leaving = True
         tracker.send_window.close_at(now + self.routing_state.drain_seconds(tracker.server.service))
--- a/packages/daemon/src/fireflylink_daemon/_request_handler.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -32,6 +32,7 @@
 from fireflylink_decisions.poison import fingerprint_of
 from fireflylink_decisions.retries import (
     MIN_SERVER_ERROR_STATUS,
+    RETRY_AFTER_SECONDS,
     Attempts,
     BaseRetryDecision,
     Retry,
@@ -258,10 +259,10 @@
         budget = self.routing_state.retry_budget(context.service)
         if isinstance(result, Declined) and result.misdirected:
             self.dispatch_task.dispatcher.record_misdirected(context.service, dispatched, now)
+        budget_allows = budget.allows_retry(now, self.routing_state.fleet_position)
+        seconds_left = context.deadline - now
         decision = context.attempts.decide(
-            result,
-            context.deadline - now,
-            budget.allows_retry(now, self.routing_state.fleet_position),
+            result, seconds_left, budget_allows, self._retry_after(context, result, now)
         )
         if isinstance(decision, Retry):
             if decision.reached_server:
@@ -276,6 +277,15 @@
             )
         return decision
 
+    def _retry_after(self, context: _RequestContext, result: BaseCallResult, now: float) -> float:
+        """Returns when a caller should return whose request was declined and is not retried."""
+        if not isinstance(result, Declined) or result.notice is None:
+            return RETRY_AFTER_SECONDS
+        seconds = self.dispatch_task.dispatcher.retry_after_pause(
+            context.service, context.request.key, now
+        )
+        return RETRY_AFTER_SECONDS if seconds is None else seconds
+
     def _refuse(self, request: CallerRequest, reply: NotRun) -> NotRun:
         self.metrics.count("requests", route="none", outcome=reply.reason)
         log_event(
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -27,6 +27,7 @@
     ServerDirectory,
     ServerTracker,
     ServiceLimits,
+    offset_fraction,
 )
 from fireflylink_protocol import GrantNotice, MemberRecord
 
@@ -179,6 +180,23 @@
             self._close_if_leaving(incarnation)
             self.refresh()
 
+    def record_pause(self, tracker: ServerTracker, until: float) -> bool:
+        """Records that a server wants no requests until a time; returns whether it was earlier.
+
+        After it, this daemon's requests return at its share of the pace that the server sustains.
+        """
+        now = self.clock.now()
+        server = tracker.server
+        interval_seconds = tracker.idle_service_seconds / self.fleet_position.equal_share(
+            server.slots
+        )
+        offset = offset_fraction(self.settings.instance, server.server_id)
+        is_new = tracker.pause_limiter.start(until, now, interval_seconds, offset)
+        pool = self.dispatcher.pools.get(server.service)
+        if pool is not None:
+            pool.record_pause(tracker)
+        return is_new
+
     def _close_if_leaving(self, incarnation: ServerIncarnation) -> None:
         announced_at = self.leaving_servers.announced_at(incarnation)
         if announced_at is None:
@@ -231,7 +249,7 @@
             return
         for service in self.routes.services.values():
             self._refresh_service(service, now)
-        self._remove_absent_servers()
+        self._remove_absent_servers(now)
 
     def retry_budget(self, service: str) -> RetryBudget:
         """Returns this daemon's retry budget for a service."""
@@ -307,11 +325,14 @@
             cold, service.connection_limit, position, self.settings.data_centre, assume_cold
         )
 
-    def _remove_absent_servers(self) -> None:
+    def _remove_absent_servers(self, now: float) -> None:
         present = {entry.server.incarnation for entry in self.directory.entries.values()}
         for incarnation in list(self.connection_pools):
             if incarnation not in present:
                 self.connection_pools.pop(incarnation).close()
         for incarnation in list(self.trackers):
-            if incarnation not in present and not self.trackers[incarnation].in_flight:
+            tracker = self.trackers[incarnation]
+            # A pause still counts if the registration only lapsed and comes back.
+            is_paused = now < tracker.send_window.opens_at
+            if incarnation not in present and not tracker.in_flight and not is_paused:
                 del self.trackers[incarnation]
--- a/packages/daemon/tests/test_request_handler.py
+++ b/packages/daemon/tests/test_request_handler.py
@@ -86,6 +86,10 @@
             action()
 
 
+def declined_with_pause(until: float) -> Declined:
+    return Declined(503, False, None, ServerNotice(False, until))
+
+
 def make_registration(name: str, service: str, started_ms: int = 1) -> Item:
     entry = {
         "service": service,
@@ -293,3 +297,36 @@
     assert_that(handler_harness.send("/o/1", servers), Equals(ANSWERED.answer))
     trackers = handler_harness.task_harness.routing_state.trackers.values()
     assert_that({tracker.consecutive_no_responses for tracker in trackers}, Equals({0}))
+
+
+def test_a_declined_request_goes_to_a_server_without_a_pause(handler_harness):
+    """Guards against requests to a server inside the pause that it asked for."""
+    paused = declined_with_pause(handler_harness.clock.now() + 2.0)
+    servers = ScriptedServers(handler_harness.clock, [paused, *[ANSWERED] * 3], seconds=0.01)
+    replies = [handler_harness.send("/o/1", servers) for _ in range(3)]
+    assert_that({reply.status for reply in replies}, Equals({200}))
+    assert_that(handler_harness.sent_to.count(handler_harness.sent_to[0]), Equals(1))
+
+
+def test_a_caller_of_a_paused_owner_is_told_when_the_pause_ends(handler_harness):
+    """Guards against requests that are held for a paused owner, and against callers that are told
+    to return inside the pause."""
+    paused = declined_with_pause(handler_harness.clock.now() + 2.5)
+    servers = ScriptedServers(handler_harness.clock, [paused, ANSWERED], seconds=0.01)
+    started_at = handler_harness.clock.now()
+    replies = [handler_harness.send("/k/1", servers) for _ in range(2)]
+    assert_that([(reply.reason, reply.status) for reply in replies], Equals([("paused", 503)] * 2))
+    assert_that(min(reply.retry_after for reply in replies), GreaterThan(2.4))
+    assert_that(handler_harness.clock.now() - started_at < 0.1, Equals(True))
+    assert_that(handler_harness.sent_to, Equals(["i-1"]))
+
+
+def test_a_pause_outlasts_a_registration_that_lapses(handler_harness):
+    """Guards against requests inside a pause to a server whose registration lapsed for a while."""
+    paused = declined_with_pause(handler_harness.clock.now() + 2.5)
+    handler_harness.send_many("/k/1", [paused])
+    routing_state = handler_harness.task_harness.routing_state
+    routing_state.unregister_server("i-1")
+    routing_state.refresh()
+    handler_harness.register("i-1", "a")
+    assert_that(handler_harness.send_many("/k/1", [ANSWERED]), Equals([]))
--- a/packages/decisions/src/fireflylink_decisions/dispatch/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/__init__.py
@@ -1,6 +1,6 @@
 """Queueing of requests, their dispatch to servers, and refusal of those that cannot be served."""
 
-from fireflylink_decisions.dispatch._dispatcher import Dispatcher, ServicePool
+from fireflylink_decisions.dispatch._dispatcher import Dispatcher
 from fireflylink_decisions.dispatch._queued_request import (
     BaseDispatchResult,
     Dispatched,
@@ -8,6 +8,7 @@
     Refused,
 )
 from fireflylink_decisions.dispatch._request_queue import RequestQueue
+from fireflylink_decisions.dispatch._service_pool import ServicePool
 
 __all__ = [
     "BaseDispatchResult",
--- a/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
+++ b/packages/decisions/src/fireflylink_decisions/dispatch/_dispatcher.py
@@ -2,22 +2,17 @@
 
 from collections.abc import Callable
 
-from fireflylink_core import NO_KEY, Assignment, KeyRange, OwnershipTable, ServerIncarnation
+from fireflylink_core import NO_KEY
 from fireflylink_decisions.dispatch._queued_request import (
     BaseDispatchResult,
     Dispatched,
     QueuedRequest,
     Refused,
 )
-from fireflylink_decisions.dispatch._request_queue import RequestQueue
-from fireflylink_decisions.limits import SlidingWindowCounter
+from fireflylink_decisions.dispatch._service_pool import ServicePool
 from fireflylink_decisions.servers import (
     MAX_GROUP_SIZE,
-    MAX_LOW_PRIORITY_REQUESTS_PER_SLOT,
-    MAX_REQUESTS_PER_SLOT,
-    ServerRanking,
     ServerTracker,
-    ServiceLimits,
     available_at,
     is_unresponsive,
 )
@@ -40,115 +35,6 @@
 """How long an owner that declined a key gets no requests for keys assigned with the same fence.
 It would decline them too until it holds its keys, and each retry uses the retry budget."""
 
-GRANT_NOTICE_TIMEOUT_SECONDS = 0.6
-"""Time after which a moved key's new owner is tried even if no notice of its grant has arrived. The
-datagram with the notice may have been lost."""
-
-URGENT_EXPECTED_SECONDS = 3.0
-"""How long after a request more requests of the same priority are expected. Meanwhile a
-server gets less urgent ones only up to ``MAX_LOW_PRIORITY_REQUESTS_PER_SLOT``."""
-
-
-RATE_WINDOW_SECONDS = 5.0
-"""Window over which the rate of requests is counted that determines how many servers are used."""
-
-
-class ServicePool:
-    """The servers of one service, as known to this daemon, and the requests queued for them.
-
-    ``trackers`` are the servers that may get requests. In a ``keyed`` service only the owner of a
-    request's key runs it: the server to which ``table`` assigns the key. In any other service any
-    server may run any request. Each assignment has a fence (fencing token), which is higher than
-    those of earlier assignments of its keys.
-
-    ``misdirected_until`` maps an owner that declined a key, and the fence of its assignment, to the
-    time until which it gets no requests under that fence. ``confirmed_grants`` are the moved
-    ranges, with their fences, that have been granted to the new owner. ``table_received_at`` is
-    when ``table`` was set, and ``last_arrival_at`` the time of the last request of each priority.
-    """
-
-    __slots__ = (
-        "confirmed_grants",
-        "keyed",
-        "known_ranking",
-        "last_arrival_at",
-        "limits",
-        "misdirected_until",
-        "queue",
-        "ranked_trackers",
-        "recent_arrivals",
-        "table",
-        "table_received_at",
-        "trackers",
-    )
-
-    def __init__(self, keyed: bool, limits: ServiceLimits) -> None:
-        self.keyed = keyed
-        self.limits = limits
-        self.trackers: dict[ServerIncarnation, ServerTracker] = {}
-        self.table: OwnershipTable | None = None
-        self.queue = RequestQueue()
-        self.misdirected_until: dict[tuple[ServerIncarnation, int], float] = {}
-        self.confirmed_grants: set[tuple[KeyRange, int]] = set()
-        self.table_received_at = 0.0
-        self.last_arrival_at: dict[int, float] = {}
-        self.recent_arrivals = SlidingWindowCounter(RATE_WINDOW_SECONDS)
-        self.known_ranking: ServerRanking | None = None
-        self.ranked_trackers: dict[ServerIncarnation, ServerTracker] | None = None
-
-    def ranking(self) -> ServerRanking:
-        """Returns the servers in the order in which this daemon uses them.
-
-        The order is determined anew when ``trackers`` is replaced or gets more or fewer servers.
-        """
-        ranking = self.known_ranking
-        if (
-            ranking is None
-            or self.trackers is not self.ranked_trackers
-            or len(self.trackers) != len(ranking.ranked)
-        ):
-            ranking = self.known_ranking = ServerRanking(
-                self.limits.position.instance, self.limits.data_centre, self.trackers
-            )
-            self.ranked_trackers = self.trackers
-        return ranking
-
-    def requests_per_second(self, now: float) -> float:
-        """Returns the rate at which this daemon gets requests for the service."""
-        return self.recent_arrivals.count(now) / RATE_WINDOW_SECONDS
-
-    def max_requests_per_slot(self, priority: int, now: float) -> float:
-        """Returns the limit on a server's requests per slot that applies to a priority."""
-        window_start = now - URGENT_EXPECTED_SECONDS
-        urgent_expected = any(
-            other < priority and arrived_at > window_start
-            for other, arrived_at in self.last_arrival_at.items()
-        )
-        return MAX_LOW_PRIORITY_REQUESTS_PER_SLOT if urgent_expected else MAX_REQUESTS_PER_SLOT
-
-    def set_table(self, table: OwnershipTable, now: float) -> None:
-        """Replaces the table of the owners of keys."""
-        self.table = table
-        self.table_received_at = now
-        self.misdirected_until.clear()
-        moved_ranges = {
-            (moved.keys, moved.fence) for moved in table.assignments if moved.previous_holders
-        }
-        self.confirmed_grants &= moved_ranges
-
-    def owner_of(self, key: int) -> ServerTracker | None:
-        """Returns the owner of a key, None if it has none that may get requests."""
-        assignment = self.table.find(key) if self.table is not None else None
-        return None if assignment is None else self.trackers.get(assignment.owner)
-
-    def is_grant_pending(self, assignment: Assignment, now: float) -> bool:
-        """Whether the owner of an assignment presumably has not been granted the keys yet."""
-        return (
-            bool(assignment.previous_holders)
-            and (assignment.keys, assignment.fence) not in self.confirmed_grants
-            and now < self.table_received_at + GRANT_NOTICE_TIMEOUT_SECONDS
-        )
-
 
 class Dispatcher:
     """Dispatches requests to servers in the order of their priority.
@@ -178,6 +64,9 @@
             result = self._try_dispatch(pool, request, now)
             if result is not None:
                 return result
+        refused = self._try_refuse_for_pause(pool, request, True, now)
+        if refused is not None:
+            return refused
         if pool.queue.is_full or self._would_miss_deadline(pool, request, ahead, now):
             return Refused("no-room", NO_ROOM_RETRY_AFTER_SECONDS)
         self._enqueue(pool, request)
@@ -205,6 +94,19 @@
                 now + MISDIRECTED_PAUSE_SECONDS
             )
 
+    def retry_after_pause(self, service: str, key: int, now: float) -> float | None:
+        """Returns when a caller should return if every server that may run its request is paused.
+
+        Returns None if one is not. The value is in seconds from ``now``.
+        """
+        pool = self.pools.get(service)
+        first = None if pool is None else pool.next_after_pause(key, now)
+        if pool is None or first is None:
+            return None
+        return first.pause_limiter.retry_after_seconds(
+            now, pool.queued_ahead(first, key), pool.seconds_each(first, key)
+        )
+
     @property
     def queued_count(self) -> int:
         """The number of queued requests of all services."""
@@ -234,6 +136,7 @@
             pool.requests_per_second(now),
             max_requests_per_slot,
             request.objective_at,
+            skip_paused=now < pool.pauses_end_at,
         )
         return None if tracker is None else _dispatch_to(pool, tracker, 0, now)
 
@@ -258,12 +161,29 @@
     def _try_refuse(self, pool: ServicePool, request: QueuedRequest, now: float) -> Refused | None:
         if now - request.enqueued_at > NO_OWNER_WAIT_SECONDS and self._lacks_owner(pool, request):
             return Refused("no-owner", NO_SERVER_RETRY_AFTER_SECONDS)
-        wait_ends_at = (
-            request.enqueued_at + (request.deadline - request.enqueued_at) * MAX_WAIT_FRACTION
-        )
-        if now > wait_ends_at or now + _min_service_seconds(pool) > request.deadline:
+        if now > _wait_ends_at(request) or now + _min_service_seconds(pool) > request.deadline:
             return Refused("no-room", NO_ROOM_RETRY_AFTER_SECONDS)
-        return None
+        return self._try_refuse_for_pause(pool, request, False, now)
+
+    def _try_refuse_for_pause(
+        self, pool: ServicePool, request: QueuedRequest, is_new: bool, now: float
+    ) -> Refused | None:
+        """Refuses a request that would wait too long for the end of a pause.
+
+        A new one comes after those that are queued.
+        """
+        first = pool.next_after_pause(request.key, now)
+        if first is None:
+            return None
+        queued = pool.queued_ahead(first, request.key)
+        seconds_each = pool.seconds_each(first, request.key)
+        limiter = first.pause_limiter
+        sent_at = limiter.next_send_at + (queued * seconds_each if is_new else 0.0)
+        if sent_at <= min(_wait_ends_at(request), request.deadline - first.idle_service_seconds):
+            return None
+        retry_after = limiter.retry_after_seconds(now, queued, seconds_each)
+        limiter.turned_away += 1
+        return Refused("paused", retry_after)
 
     def _lacks_owner(self, pool: ServicePool, request: QueuedRequest) -> bool:
         if not pool.keyed or request.key == NO_KEY:
@@ -302,6 +222,7 @@
 def _dispatch_to(pool: ServicePool, tracker: ServerTracker, fence: int, now: float) -> Dispatched:
     queueing_factor = tracker.queueing_factor(now)
     tracker.record_sent(now)
+    pool.first_server_as_of = float("-inf")
     pool.queue.recent_dispatches.add(now)
     return Dispatched(tracker, queueing_factor, fence)
 
@@ -319,6 +240,11 @@
     return 0.0 if tracker is None else tracker.expected_seconds(now)
 
 
+def _wait_ends_at(request: QueuedRequest) -> float:
+    """Returns until when a request may be queued."""
+    return request.enqueued_at + (request.deadline - request.enqueued_at) * MAX_WAIT_FRACTION
+
+
 def _min_service_seconds(pool: ServicePool) -> float:
     """Returns the shortest service time among the servers that are used first."""
     preferred = pool.ranking().ranked[:MAX_GROUP_SIZE]
--- a/packages/decisions/src/fireflylink_decisions/retries/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/__init__.py
@@ -2,10 +2,18 @@
 
 from fireflylink_decisions.retries._attempts import (
     MIN_SERVER_ERROR_STATUS,
+    RETRY_AFTER_SECONDS,
     Attempts,
     BaseRetryDecision,
     Retry,
     ReturnReply,
 )
 
-__all__ = ["MIN_SERVER_ERROR_STATUS", "Attempts", "BaseRetryDecision", "Retry", "ReturnReply"]
+__all__ = [
+    "MIN_SERVER_ERROR_STATUS",
+    "RETRY_AFTER_SECONDS",
+    "Attempts",
+    "BaseRetryDecision",
+    "Retry",
+    "ReturnReply",
+]
--- a/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
+++ b/packages/decisions/src/fireflylink_decisions/retries/_attempts.py
@@ -91,9 +91,17 @@
         self.tried_servers.append(server_id)
 
     def decide(
-        self, result: BaseCallResult, seconds_left: float, budget_allows: bool
+        self,
+        result: BaseCallResult,
+        seconds_left: float,
+        budget_allows: bool,
+        retry_after: float = RETRY_AFTER_SECONDS,
     ) -> BaseRetryDecision:
-        """Returns whether to retry after an attempt that ended with ``result``."""
+        """Returns whether to retry after an attempt that ended with ``result``.
+
+        A caller whose request was declined and is not retried is told to return after
+        ``retry_after`` seconds.
+        """
         if isinstance(result, Answered):
             return self._after_answer(result, seconds_left, budget_allows)
         if isinstance(result, NotSent) and result.withheld:
@@ -104,7 +112,7 @@
                 return Retry("not-sent", reached_server=False)
             return ReturnReply(self.final_reply("unreachable", RETRY_AFTER_SECONDS))
         if isinstance(result, Declined):
-            return self._after_decline(result, seconds_left, budget_allows)
+            return self._after_decline(result, seconds_left, budget_allows, retry_after)
         if isinstance(result, Lost):
             return self._after_loss(result, seconds_left, budget_allows)
         raise TypeError(type(result).__name__)
@@ -134,7 +142,7 @@
         return ReturnReply(result.answer)
 
     def _after_decline(
-        self, result: Declined, seconds_left: float, budget_allows: bool
+        self, result: Declined, seconds_left: float, budget_allows: bool, retry_after: float
     ) -> BaseRetryDecision:
         if result.misdirected:
             self.misdirections += 1
@@ -145,7 +153,7 @@
         self.counted_attempts += 1
         if self._may_retry(seconds_left, budget_allows):
             return Retry(f"declined-{result.status}", reached_server=True)
-        return ReturnReply(self.final_reply("declined", RETRY_AFTER_SECONDS))
+        return ReturnReply(self.final_reply("declined", retry_after))
 
     def _after_loss(
         self, result: Lost, seconds_left: float, budget_allows: bool
--- a/packages/decisions/src/fireflylink_decisions/servers/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/__init__.py
@@ -1,6 +1,12 @@
 """Backend servers: which are registered, how loaded and fast they are, and choice among them."""
 
 from fireflylink_decisions.servers._leaving_servers import LeavingServers
+from fireflylink_decisions.servers._pause_limiter import (
+    MAX_RETURN_SPREAD_SECONDS,
+    RELEASE_SECONDS,
+    PauseLimiter,
+    offset_fraction,
+)
 from fireflylink_decisions.servers._server_choice import (
     MAX_LOW_PRIORITY_REQUESTS_PER_SLOT,
     MAX_REQUESTS_PER_SLOT,
@@ -26,9 +32,12 @@
     "MAX_GROUP_SIZE",
     "MAX_LOW_PRIORITY_REQUESTS_PER_SLOT",
     "MAX_REQUESTS_PER_SLOT",
+    "MAX_RETURN_SPREAD_SECONDS",
     "REGISTRATION_GRACE_SECONDS",
+    "RELEASE_SECONDS",
     "DirectoryEntry",
     "LeavingServers",
+    "PauseLimiter",
     "ServerDirectory",
     "ServerRanking",
     "ServerTracker",
@@ -38,4 +47,5 @@
     "cost_seconds",
     "group_size",
     "is_unresponsive",
+    "offset_fraction",
 ]
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -89,6 +89,7 @@
     earliest = tracker.cold_limiter.available_at(
         now, limits.cold_limit, limits.position, server_id, limits.assume_cold
     )
+    earliest = max(earliest, tracker.pause_limiter.next_send_at)
     if is_unresponsive(tracker):
         earliest = max(earliest, tracker.failure_rate_at + UNRESPONSIVE_RETRY_SECONDS)
     return earliest
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_ranking.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_ranking.py
@@ -65,15 +65,20 @@
         requests_per_second: float,
         max_requests_per_slot: float = MAX_REQUESTS_PER_SLOT,
         objective_at: float = NO_OBJECTIVE,
+        skip_paused: bool = False,
     ) -> ServerTracker | None:
         """Returns the server for a request, None if none of those compared is available.
 
-        An answer after ``objective_at`` misses the objective of the request.
+        An answer after ``objective_at`` misses the objective of the request. With ``skip_paused``,
+        servers that asked for a pause take no place in the groups.
         """
-        size = group_size(requests_per_second, len(self.ranked))
+        ranked = self.ranked
+        if skip_paused:
+            ranked = [tracker for tracker in ranked if tracker.pause_limiter.next_send_at <= now]
+        size = group_size(requests_per_second, len(ranked))
         best: ServerTracker | None = None
-        for start in range(0, min(len(self.ranked), size * MAX_GROUPS), size):
-            group = self.ranked[start : start + size]
+        for start in range(0, min(len(ranked), size * MAX_GROUPS), size):
+            group = ranked[start : start + size]
             candidate = choose_server(
                 group, limits, now, tried_servers, max_requests_per_slot, objective_at
             )
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -4,6 +4,7 @@
 
 from fireflylink_core import BackendServer, SendWindow, ServerLoad
 from fireflylink_decisions.limits import ColdServerLimiter
+from fireflylink_decisions.servers._pause_limiter import PauseLimiter
 
 DEFAULT_IDLE_SERVICE_SECONDS = 0.12
 """Service time assumed before the first answer."""
@@ -60,6 +61,8 @@
         "in_flight",
         "logged_problems",
         "own_in_flight_at_report",
+        "pause_limiter",
+        "pause_logged_at",
         "queued",
         "reported_at",
         "reported_load",
@@ -81,6 +84,8 @@
         self.consecutive_no_responses = 0
         self.queued = 0
         self.send_window = SendWindow()
+        self.pause_limiter = PauseLimiter(self.send_window)
+        self.pause_logged_at = float("-inf")
         self.announced_leaving = False
         self.logged_problems: set[str] = set()
 
@@ -88,6 +93,7 @@
         """Counts a request that is about to be sent."""
         self.in_flight += 1
         self.cold_limiter.record_sent(now)
+        self.pause_limiter.record_sent(now)
 
     def record_completed(self) -> None:
         """Counts a request as ended, whatever its result."""
