Test announcements of servers on running daemons, and explain them

The stand-in of a server can say in its answers that it leaves, and can ask for a pause when it declines requests.

--- a/packages/standins/src/fireflylink_standins/_backend_server.py
+++ b/packages/standins/src/fireflylink_standins/_backend_server.py
@@ -29,13 +29,18 @@
     and the requests that it has executed. ``advertised_port`` is the port of the registration,
     where a proxy may listen; 0 stands for the server's own. If ``drops_answers`` is true, the
     server runs a request and closes the connection without an answer. If ``declines_requests`` is
-    true, it declines every request.
+    true, it declines every request, and asks for a pause of ``pause_seconds`` unless that is 0. If
+    ``announces_leaving`` is true, or its registration says that it drains, each answer says that it
+    leaves. ``arrived_at`` are the times at which requests for it arrived, whether it ran them or
+    not.
 
     An HTTP handler raises ``ConnectionResetError`` to close the connection without an answer.
     """
 
     __slots__ = (
         "advertised_port",
+        "announces_leaving",
+        "arrived_at",
         "clock",
         "cold_until",
         "data_centre",
@@ -46,6 +51,7 @@
         "keyed",
         "lease_id",
         "listener",
+        "pause_seconds",
         "running_requests",
         "sequence",
         "server_id",
@@ -76,6 +82,9 @@
         self.state = GrantState(clock)
         self.draining = False
         self.declines_requests = False
+        self.announces_leaving = False
+        self.pause_seconds = 0.0
+        self.arrived_at: list[float] = []
         self.drops_answers = False
         self.stopped = False
         self.running_requests = 0
@@ -141,7 +150,8 @@
     """Answers the requests that daemons forward.
 
     A request for another server, or for a key that is not held, gets status 421. Other requests get
-    status 503 while the server declines requests. A stopped server closes the connection.
+    status 503 while the server declines requests, with a pause if it asks for one. A stopped server
+    closes the connection.
     """
 
     __slots__ = ("server",)
@@ -157,13 +167,18 @@
         resp.set_header(names.REQUEST_ID, request_id)
         # Running and waiting requests, slots, and the slowdown factor in percent (100 is normal).
         resp.set_header(names.SERVER_LOAD, f"{server.running_requests},0,{SLOTS},100")
+        if server.announces_leaving or server.draining:
+            resp.set_header(names.SERVER_LEAVING, "1")
         key = int(req.get_header(names.SHARD_KEY) or NO_KEY)
         is_for_other_server = req.get_header(names.TARGET_INSTANCE) not in (None, server.server_id)
         if is_for_other_server or (server.keyed and not server.state.holds_key(key)):
             _reject(server, request_id, resp, falcon.HTTP_421)
             return
+        server.arrived_at.append(server.clock.now())
         if server.declines_requests:
             _reject(server, request_id, resp, falcon.HTTP_503)
+            if server.pause_seconds:
+                resp.set_header(names.RETRY_AFTER, f"{server.pause_seconds:g}")
             return
         self._run_request(request_id, key, req, resp)
 
