Give a server that asked for a pause only what finds a free slot

A burst was replayed in the emulator on servers that turn requests away, and ask for a pause of 1.5 s, as soon as their slots are in use. Daemons gave such a server 2.5 requests for each slot again after each pause, which was answered with the next pause.

For 10 s after a pause a server gets requests only for slots that are presumably free, and the paced return lasts 0.3 s instead of 1 s, which left servers idle.

--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -27,7 +27,6 @@
     ServerDirectory,
     ServerTracker,
     ServiceLimits,
-    offset_fraction,
 )
 from fireflylink_protocol import GrantNotice, MemberRecord
 
@@ -181,21 +180,12 @@
             self.refresh()
 
     def record_pause(self, tracker: ServerTracker, until: float) -> bool:
-        """Records that a server wants no requests until a time; returns whether it was earlier.
-
-        After it, this daemon's requests return at its share of the pace that the server sustains.
-        """
-        now = self.clock.now()
-        server = tracker.server
-        interval_seconds = tracker.idle_service_seconds / self.fleet_position.equal_share(
-            server.slots
-        )
-        offset = offset_fraction(self.settings.instance, server.server_id)
-        is_new = tracker.pause_limiter.start(until, now, interval_seconds, offset)
-        pool = self.dispatcher.pools.get(server.service)
+        """Records that a server wants no requests until a time; returns whether it was earlier."""
+        is_later = tracker.record_pause(until, self.clock.now(), self.fleet_position)
+        pool = self.dispatcher.pools.get(tracker.server.service)
         if pool is not None:
             pool.record_pause(tracker)
-        return is_new
+        return is_later
 
     def _close_if_leaving(self, incarnation: ServerIncarnation) -> None:
         announced_at = self.leaving_servers.announced_at(incarnation)
--- a/packages/decisions/src/fireflylink_decisions/servers/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflylink_decisions.servers._leaving_servers import LeavingServers
 from fireflylink_decisions.servers._pause_limiter import (
+    CAUTION_SECONDS,
     MAX_RETURN_SPREAD_SECONDS,
     RELEASE_SECONDS,
     PauseLimiter,
@@ -29,6 +30,7 @@
 from fireflylink_decisions.servers._server_tracker import ServerTracker
 
 __all__ = [
+    "CAUTION_SECONDS",
     "MAX_GROUP_SIZE",
     "MAX_LOW_PRIORITY_REQUESTS_PER_SLOT",
     "MAX_REQUESTS_PER_SLOT",
--- a/packages/decisions/src/fireflylink_decisions/servers/_pause_limiter.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_pause_limiter.py
@@ -4,9 +4,13 @@
 
 from fireflylink_core import SendWindow
 
-RELEASE_SECONDS = 1.0
+RELEASE_SECONDS = 0.3
 """Time after a pause in which requests return at a limited pace. All daemons were told to stay away
-at about the same time, and what waited would arrive at once."""
+at about the same time, and what waited would arrive at once. A longer time leaves servers idle."""
+
+CAUTION_SECONDS = 10.0
+"""Time after a pause in which the server gets requests only for slots that are presumably free. It
+has shown that it queues fewer than are sent to other servers, and each pause costs its capacity."""
 
 MAX_RETURN_SPREAD_SECONDS = 2.0
 """Longest time over which the callers that were refused during a pause are asked to return."""
@@ -21,7 +25,8 @@
     shortened: no request is sent during a pause, so an answer that states an earlier end is that to
     a request sent before it, and may have been given before the answer that states the later end.
 
-    ``next_send_at`` is when the next request may be dispatched to the server. ``turned_away`` is
+    ``next_send_at`` is when the next request may be dispatched to the server. Until
+    ``caution_ends_at`` it gets no requests that it would have to queue. ``turned_away`` is
     how many callers were refused because of the pause, and will return after it.
 
     Example::
@@ -30,6 +35,7 @@
     """
 
     __slots__ = (
+        "caution_ends_at",
         "interval_seconds",
         "next_send_at",
         "release_ends_at",
@@ -41,6 +47,7 @@
         self.send_window = send_window
         self.next_send_at = float("-inf")
         self.release_ends_at = float("-inf")
+        self.caution_ends_at = float("-inf")
         self.interval_seconds = 0.0
         self.turned_away = 0
 
@@ -58,6 +65,7 @@
         self.interval_seconds = interval_seconds
         self.next_send_at = until + offset * min(interval_seconds, RELEASE_SECONDS)
         self.release_ends_at = until + RELEASE_SECONDS
+        self.caution_ends_at = until + CAUTION_SECONDS
         return True
 
     def record_sent(self, now: float) -> None:
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -11,6 +11,9 @@
 """Limit for a request while more urgent requests arrive too. A server's own queue does not order by
 priority, so the difference to ``MAX_REQUESTS_PER_SLOT`` is kept free for the urgent ones."""
 
+MAX_REQUESTS_PER_SLOT_AFTER_PAUSE = 1.0
+"""Limit for a server that has recently asked for a pause: it is given no requests to queue."""
+
 CROSS_DATA_CENTRE_COST_SECONDS = 0.08
 """A server in another data centre must be faster by this much, because traffic between data centres
 is paid for by the byte."""
@@ -83,6 +86,8 @@
         return None
     if tracker.in_flight >= limits.connection_share:
         return None
+    if now < tracker.pause_limiter.caution_ends_at:
+        max_requests_per_slot = min(max_requests_per_slot, MAX_REQUESTS_PER_SLOT_AFTER_PAUSE)
     if tracker.expected_load(now) + 1.0 > tracker.server.slots * max_requests_per_slot:
         return None
     server_id = tracker.server.server_id
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -3,8 +3,8 @@
 import math
 
 from fireflylink_core import BackendServer, SendWindow, ServerLoad
-from fireflylink_decisions.limits import ColdServerLimiter
-from fireflylink_decisions.servers._pause_limiter import PauseLimiter
+from fireflylink_decisions.limits import ColdServerLimiter, FleetPosition
+from fireflylink_decisions.servers._pause_limiter import PauseLimiter, offset_fraction
 
 DEFAULT_IDLE_SERVICE_SECONDS = 0.12
 """Service time assumed before the first answer."""
@@ -153,6 +153,15 @@
         self.consecutive_no_responses += 1
         self._update_failure_rate(1.0, now)
 
+    def record_pause(self, until: float, now: float, position: FleetPosition) -> bool:
+        """Records that the server wants no requests until a time; returns whether it was earlier.
+
+        After it, this daemon's requests return at its share of the pace that the server sustains.
+        """
+        interval_seconds = self.idle_service_seconds / position.equal_share(self.server.slots)
+        offset = offset_fraction(position.instance, self.server.server_id)
+        return self.pause_limiter.start(until, now, interval_seconds, offset)
+
     def decayed_failure_rate(self, now: float) -> float:
         """Returns the failure rate, which decays while the server gets no requests."""
         age = max(0.0, now - self.failure_rate_at)
--- a/packages/decisions/tests/test_pauses.py
+++ b/packages/decisions/tests/test_pauses.py
@@ -13,6 +13,7 @@
     ServicePool,
 )
 from fireflylink_decisions.servers import (
+    CAUTION_SECONDS,
     MAX_RETURN_SPREAD_SECONDS,
     RELEASE_SECONDS,
     PauseLimiter,
@@ -59,7 +60,10 @@
     dispatched_at = []
     while clock.now() < end:
         results = dispatcher.sweep(clock.now())
-        dispatched_at += [clock.now() for _, result in results if isinstance(result, Dispatched)]
+        for _, result in results:
+            if isinstance(result, Dispatched):
+                dispatched_at.append(clock.now())
+                result.tracker.record_completed()
         clock.advance(0.02)
     return dispatched_at
 
@@ -146,6 +150,21 @@
     )
 
 
+def test_a_server_that_asked_for_a_pause_gets_no_requests_to_queue(make_dispatcher, clock):
+    """Guards against one pause after the other: a server that turns requests away when its slots
+    are in use is given as many as one that queues them."""
+    dispatcher = make_dispatcher(1, keyed=True)
+    tracker = pause(dispatcher, "s0", clock.now() + 0.5, clock.now())
+    clock.advance(1.0)
+    for _ in range(20):
+        dispatcher.submit(make_request(clock.now(), 5), clock.now())
+    assert_that(tracker.in_flight, Equals(tracker.server.slots))
+    clock.advance(CAUTION_SECONDS)
+    for _ in range(20):
+        dispatcher.submit(make_request(clock.now(), 5), clock.now())
+    assert_that(tracker.in_flight, GreaterThan(tracker.server.slots))
+
+
 def test_daemons_return_to_a_server_at_different_times():
     """Guards against one instant at which the requests of all daemons reach a paused server."""
     offsets = [offset_fraction(f"front-{number}", "i-1") for number in range(195)]
--- a/packages/emulator/src/fireflylink_emulator/__init__.py
+++ b/packages/emulator/src/fireflylink_emulator/__init__.py
@@ -24,6 +24,7 @@
     FleetProfile,
     ServiceProfile,
 )
+from fireflylink_emulator._routed_daemon import RoutedDaemon
 from fireflylink_emulator._run_statistics import RunStatistics
 from fireflylink_emulator._scenario_run import replay_scenario
 from fireflylink_emulator._scenarios import SCENARIOS, BaseScenario
@@ -46,6 +47,7 @@
     "Emulation",
     "EventScheduler",
     "FleetProfile",
+    "RoutedDaemon",
     "RunStatistics",
     "ServiceProfile",
     "UnreadablePattern",
--- a/packages/emulator/src/fireflylink_emulator/_base_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_base_daemon.py
@@ -68,6 +68,7 @@
             attempt,
             deadline,
             lambda outcome: self.scheduler.schedule_after(latency, deliver(outcome)),
+            self.name,
         )
         incarnation = server.incarnation
         finished = [False]
--- a/packages/emulator/src/fireflylink_emulator/_caller_attempt.py
+++ b/packages/emulator/src/fireflylink_emulator/_caller_attempt.py
@@ -73,14 +73,19 @@
 class CallOutcome(BaseValue):
     """How one call to a server ended, with the load that the server reported, if any.
 
+    ``pause_seconds`` is for how long the server wants no more requests, 0 if it did not say so.
+
     ``RoutedDaemon`` converts it to the ``BaseCallResult`` that the production code expects.
     """
 
-    __slots__ = ("load", "status")
+    __slots__ = ("load", "pause_seconds", "status")
 
-    def __init__(self, status: CallStatus, load: ServerLoad | None = None) -> None:
+    def __init__(
+        self, status: CallStatus, load: ServerLoad | None = None, pause_seconds: float = 0.0
+    ) -> None:
         self.status = status
         self.load = load
+        self.pause_seconds = pause_seconds
 
 
 OutcomeCallback = Callable[[CallOutcome], None]
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -11,6 +11,7 @@
     OutcomeCallback,
 )
 from fireflylink_emulator._event_scheduler import EventScheduler
+from fireflylink_emulator._pause_record import PauseRecord
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 
 QUEUED_CALLS_PER_SLOT = 2
@@ -36,12 +37,15 @@
     """One request that a daemon sent to a server.
 
     ``on_done`` receives the outcome. A queued call whose ``deadline``, a clock time in seconds, has
-    passed when a slot becomes free is declined instead of run.
+    passed when a slot becomes free is declined instead of run. ``sender`` is the daemon's name.
     """
 
-    __slots__ = ("attempt", "deadline", "ended", "on_done")
+    __slots__ = ("attempt", "deadline", "ended", "on_done", "sender")
 
-    def __init__(self, attempt: CallerAttempt, deadline: float, on_done: OutcomeCallback) -> None:
+    def __init__(
+        self, attempt: CallerAttempt, deadline: float, on_done: OutcomeCallback, sender: str = ""
+    ) -> None:
+        self.sender = sender
         self.attempt = attempt
         self.deadline = deadline
         self.on_done = on_done
@@ -59,7 +63,9 @@
     daemons together may send while the server is cold (in warm-up), and
     ``peak_cold_requests_per_second`` the highest number that it received in any second while cold.
     A ``down`` server refuses connections, an ``unresponsive`` one ignores new requests and
-    commands; both are unreachable.
+    commands; both are unreachable. If ``pause_seconds`` is not 0, the server queues no requests,
+    and asks for a pause of that length when its slots are in use; ``pauses`` counts what it
+    receives meanwhile.
     """
 
     __slots__ = (
@@ -74,6 +80,8 @@
         "fences",
         "held_ranges",
         "name",
+        "pause_seconds",
+        "pauses",
         "peak_cold_requests_per_second",
         "profile",
         "rng",
@@ -112,6 +120,8 @@
         self.slowdown_factor = 1.0
         self.failure_fraction = 0.0
         self.answer_loss_fraction = 0.0
+        self.pause_seconds = 0.0
+        self.pauses = PauseRecord()
         self.cold_until = float("-inf")
         self.cold_arrivals = SlidingWindowCounter(1.0)
         self.peak_cold_requests_per_second = 0
@@ -166,10 +176,14 @@
             self._answer(call, CallStatus.MISDIRECTED)
             return
         self._record_cold_arrival()
+        self.pauses.record_arrival(call.sender, self.scheduler.clock.now())
         if self.down:
             self._reset_connection(call)
         elif len(self.running_calls) < self.profile.slots:
             self._start(call)
+        elif self.pause_seconds:
+            self.pauses.record_pause(call.sender, self.scheduler.clock.now(), self.pause_seconds)
+            self._answer(call, CallStatus.DECLINED, self.pause_seconds)
         elif len(self.waiting_calls) < self.profile.slots * QUEUED_CALLS_PER_SLOT:
             self.waiting_calls.append(call)
         else:
@@ -280,7 +294,7 @@
             else:
                 self._start(call)
 
-    def _answer(self, call: Call, status: CallStatus) -> None:
+    def _answer(self, call: Call, status: CallStatus, pause_seconds: float = 0.0) -> None:
         call.ended = True
         load = ServerLoad(
             len(self.running_calls),
@@ -288,7 +302,7 @@
             self.profile.slots,
             self.slowdown_factor,
         )
-        call.on_done(CallOutcome(status, load))
+        call.on_done(CallOutcome(status, load, pause_seconds))
 
     def _reset_connection(self, call: Call) -> None:
         call.ended = True
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -24,7 +24,7 @@
     ServicePool,
 )
 from fireflylink_decisions.limits import ColdLimit, FleetPosition, RetryBudget, RetryBudgetLimits
-from fireflylink_decisions.retries import Attempts, Retry, ReturnReply
+from fireflylink_decisions.retries import RETRY_AFTER_SECONDS, Attempts, Retry, ReturnReply
 from fireflylink_decisions.servers import ServerTracker, ServiceLimits
 from fireflylink_emulator._base_daemon import (
     ERROR_ANSWER,
@@ -70,7 +70,8 @@
 
     ``Dispatcher`` chooses the server of a request, and ``Attempts`` decides on retries.
     ``position`` is the daemon's place among the daemons that the store lists, from which its shares
-    of the limits of the fleet follow.
+    of the limits of the fleet follow. If ``heeds_pauses`` is false, it sends requests also to
+    servers that have asked for a pause.
     ``service_times`` (server name and seconds) and ``requested_keys`` are collected for the next
     report to the decider. ``queued`` maps requests in the dispatcher's queue to their attempts.
     """
@@ -78,6 +79,7 @@
     __slots__ = (
         "active_attempts",
         "dispatcher",
+        "heeds_pauses",
         "position",
         "profiles",
         "queued",
@@ -102,6 +104,7 @@
         self.position = FleetPosition(name, members)
         self.profiles = {profile.service: profile for profile in profiles}
         self.dispatcher = Dispatcher()
+        self.heeds_pauses = True
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.servers: dict[ServerIncarnation, EmulatedServer] = {}
         self.active_attempts: dict[CallerAttempt, _ActiveAttempt] = {}
@@ -230,6 +233,9 @@
         if outcome.load is not None:
             tracker.record_load(outcome.load, now)
         self._record_status(active, dispatched, now - sent_at, outcome.status)
+        if outcome.pause_seconds and self.heeds_pauses:
+            tracker.record_pause(now + outcome.pause_seconds, now, self.position)
+            self.dispatcher.pools[tracker.server.service].record_pause(tracker)
         if outcome.status is CallStatus.MISDIRECTED:
             self.dispatcher.record_misdirected(active.attempt.profile.service, dispatched, now)
         self._sweep()
@@ -237,8 +243,14 @@
             return
         retry_budget = self.retry_budgets[active.attempt.profile.service]
         remaining_seconds = active.attempt.deadline - REPLY_MARGIN_SECONDS - now
+        retry_after = self.dispatcher.retry_after_pause(
+            active.attempt.profile.service, active.attempt.key, now
+        )
         decision = active.server_attempts.decide(
-            _call_result(outcome), remaining_seconds, retry_budget.allows_retry(now, self.position)
+            _call_result(outcome),
+            remaining_seconds,
+            retry_budget.allows_retry(now, self.position),
+            RETRY_AFTER_SECONDS if retry_after is None else retry_after,
         )
         if isinstance(decision, Retry):
             if decision.reached_server:
