--- a/packages/decisions/src/fireflylink_decisions/servers/_pause_limiter.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_pause_limiter.py
@@ -66,6 +66,8 @@
         self.next_send_at = until + offset * min(interval_seconds, RELEASE_SECONDS)
         self.release_ends_at = until + RELEASE_SECONDS
         self.caution_ends_at = until + CAUTION_SECONDS
+        window = self.send_window
+        window.restricted_until = max(window.restricted_until, self.caution_ends_at)
         return True
 
     def record_sent(self, now: float) -> None:
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -82,19 +82,23 @@
     ``max_requests_per_slot`` limits the server's running and queued requests per slot, the new one
     included.
     """
-    if now >= tracker.send_window.closes_at:
-        return None
+    resumes_at = now
+    if now < tracker.send_window.restricted_until:
+        if now >= tracker.send_window.closes_at:
+            return None
+        resumes_at = tracker.pause_limiter.next_send_at
+        if now < tracker.pause_limiter.caution_ends_at:
+            max_requests_per_slot = min(max_requests_per_slot, MAX_REQUESTS_PER_SLOT_AFTER_PAUSE)
     if tracker.in_flight >= limits.connection_share:
         return None
-    if now < tracker.pause_limiter.caution_ends_at:
-        max_requests_per_slot = min(max_requests_per_slot, MAX_REQUESTS_PER_SLOT_AFTER_PAUSE)
     if tracker.expected_load(now) + 1.0 > tracker.server.slots * max_requests_per_slot:
         return None
     server_id = tracker.server.server_id
     earliest = tracker.cold_limiter.available_at(
         now, limits.cold_limit, limits.position, server_id, limits.assume_cold
     )
-    earliest = max(earliest, tracker.pause_limiter.next_send_at)
+    if resumes_at > earliest:
+        earliest = resumes_at
     if is_unresponsive(tracker):
         earliest = max(earliest, tracker.failure_rate_at + UNRESPONSIVE_RETRY_SECONDS)
     return earliest
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -93,7 +93,8 @@
         """Counts a request that is about to be sent."""
         self.in_flight += 1
         self.cold_limiter.record_sent(now)
-        self.pause_limiter.record_sent(now)
+        if now < self.send_window.restricted_until:
+            self.pause_limiter.record_sent(now)
 
     def record_completed(self) -> None:
         """Counts a request as ended, whatever its result."""
--- a/packages/standins/tests/test_adapter_properties.py
+++ b/packages/standins/tests/test_adapter_properties.py
@@ -145,14 +145,25 @@
 
 
 @EXAMPLES
-@given(st.text(max_size=24), st.integers(100, 999))
+@given(st.text(max_size=24), st.just(503) | st.integers(100, 999))
 def test_arbitrary_answer_headers_are_decoded(text: str, status: int) -> None:
     """Guards against a header of a server that raises while its answer is decoded."""
     codec = PlatformServerCodec()
-    names = ("Server-Load", "Keep-Alive", "Server-Signature", "Warmup-Ms")
-    response = HttpResponse(status, tuple((name, text) for name in names), b"", False)
+    names = (
+        "Server-Load",
+        "Keep-Alive",
+        "Server-Signature",
+        "Warmup-Ms",
+        "Retry-After",
+        "Server-Leaving",
+    )
+    headers = (("Request-Id", "a"), *((name, text) for name in names))
+    response = HttpResponse(status, headers, b"", False)
     codec.decode_load(response)
     codec.decode_answer(response, "a")
+    notice = codec.decode_notice(response, "a", 0.0)
+    if notice is not None and notice.pause_until is not None:
+        assert_that(0.0 <= notice.pause_until <= 30.0, Equals(True))
     assert_that(
         response.keep_alive_seconds is None or response.keep_alive_seconds >= 0, Equals(True)
     )
