Replay a release that servers announce while the store is away

Four of ten pooled servers leave one after the other, and the registrations say nothing. The experiment, now fireflylink_experiments.notices, prints it beside the bursts. The servers in the replay serve for 4 s after their announcement, which daemons that stop at once do not use.

--- a/packages/emulator/src/fireflylink_emulator/_caller_attempt.py
+++ b/packages/emulator/src/fireflylink_emulator/_caller_attempt.py
@@ -74,15 +74,21 @@
     """How one call to a server ended, with the load that the server reported, if any.
 
     ``pause_seconds`` is for how long the server wants no more requests, 0 if it did not say so.
+    ``is_leaving`` is true if the server announced that it leaves.
 
     ``RoutedDaemon`` converts it to the ``BaseCallResult`` that the production code expects.
     """
 
-    __slots__ = ("load", "pause_seconds", "status")
+    __slots__ = ("is_leaving", "load", "pause_seconds", "status")
 
     def __init__(
-        self, status: CallStatus, load: ServerLoad | None = None, pause_seconds: float = 0.0
+        self,
+        status: CallStatus,
+        load: ServerLoad | None = None,
+        pause_seconds: float = 0.0,
+        is_leaving: bool = False,
     ) -> None:
+        self.is_leaving = is_leaving
         self.status = status
         self.load = load
         self.pause_seconds = pause_seconds
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -18,6 +18,9 @@
 FULL_LOAD_SLOWDOWN_FRACTION = 0.3
 """By this fraction a call takes longer when all slots are in use."""
 
+DRAIN_SECONDS = 2.0
+"""Time from the announcement of a server that it leaves until it may get no more requests."""
+
 COLD_SECONDS = 6.0
 COLD_SLOWDOWN_FACTOR = 1.6
 CRASH_RESTART_SECONDS = 4.0
@@ -63,13 +66,20 @@
     daemons together may send while the server is cold (in warm-up), and
     ``peak_cold_requests_per_second`` the highest number that it received in any second while cold.
     A ``down`` server refuses connections, an ``unresponsive`` one ignores new requests and
-    commands; both are unreachable. If ``pause_seconds`` is not 0, the server queues no requests,
-    and asks for a pause of that length when its slots are in use; ``pauses`` counts what it
-    receives meanwhile.
+    commands; both are unreachable.
+
+    If ``pause_seconds`` is not 0, the server queues no requests, and asks for a pause of that
+    length when its slots are in use; ``pauses`` counts what it receives meanwhile. If
+    ``announces_leaving`` is true, it says with each answer that it leaves;
+    ``arrivals_after_leaving`` counts the requests of daemons that had such an answer longer ago
+    than ``DRAIN_SECONDS``.
     """
 
     __slots__ = (
+        "announced_to",
+        "announces_leaving",
         "answer_loss_fraction",
+        "arrivals_after_leaving",
         "cold_arrivals",
         "cold_limit",
         "cold_until",
@@ -120,6 +130,9 @@
         self.slowdown_factor = 1.0
         self.failure_fraction = 0.0
         self.answer_loss_fraction = 0.0
+        self.announces_leaving = False
+        self.announced_to: dict[str, float] = {}
+        self.arrivals_after_leaving = 0
         self.pause_seconds = 0.0
         self.pauses = PauseRecord()
         self.cold_until = float("-inf")
@@ -176,7 +189,10 @@
             self._answer(call, CallStatus.MISDIRECTED)
             return
         self._record_cold_arrival()
-        self.pauses.record_arrival(call.sender, self.scheduler.clock.now())
+        now = self.scheduler.clock.now()
+        self.pauses.record_arrival(call.sender, now)
+        if now > self.announced_to.get(call.sender, now) + DRAIN_SECONDS:
+            self.arrivals_after_leaving += 1
         if self.down:
             self._reset_connection(call)
         elif len(self.running_calls) < self.profile.slots:
@@ -302,7 +318,9 @@
             self.profile.slots,
             self.slowdown_factor,
         )
-        call.on_done(CallOutcome(status, load, pause_seconds))
+        if self.announces_leaving:
+            self.announced_to.setdefault(call.sender, self.scheduler.clock.now())
+        call.on_done(CallOutcome(status, load, pause_seconds, self.announces_leaving))
 
     def _reset_connection(self, call: Call) -> None:
         call.ended = True
@@ -311,6 +329,8 @@
     def _restart(self) -> None:
         self.down = False
         self.draining = False
+        self.announces_leaving = False
+        self.announced_to = {}
         self.started_ms += 1
         self.make_cold()
 
--- a/packages/emulator/src/fireflylink_emulator/_emulation.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulation.py
@@ -9,7 +9,7 @@
 from fireflylink_emulator._baseline_daemon import BaselineDaemon
 from fireflylink_emulator._callers import Callers
 from fireflylink_emulator._emulated_decider import EmulatedDecider
-from fireflylink_emulator._emulated_server import EmulatedServer
+from fireflylink_emulator._emulated_server import DRAIN_SECONDS, EmulatedServer
 from fireflylink_emulator._event_scheduler import EventScheduler
 from fireflylink_emulator._pattern import ArrivalPattern
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
@@ -22,7 +22,6 @@
 FIRST_GRANTS_SECONDS = 3.0
 """Time for the first grants before requests arrive."""
 
-DRAIN_SECONDS = 2.0
 REPLACEMENT_RESTART_SECONDS = 0.5
 """Time from the stop of a drained server until its next incarnation starts."""
 
@@ -44,6 +43,7 @@
     With ``baseline``, each daemon is a ``BaselineDaemon``, and keys never move.
     ``unreachable_since`` maps each server that is down or unresponsive to the time when this was
     first seen; ``static_assignments`` has the owners and key ranges of the baseline by service. An
+    While ``store_reachable`` is false, no daemon learns of a change of the registrations. An
     owner is the server that the ownership table assigns keys to; it holds them, and runs requests
     for them, only with an unexpired grant.
 
@@ -64,6 +64,7 @@
         "scheduler",
         "servers",
         "static_assignments",
+        "store_reachable",
         "unreachable_since",
     )
 
@@ -81,6 +82,7 @@
         # Of the profiles that share a service, the first one is the profile of its servers.
         services = {profile.service: profile for profile in reversed(profiles)}.values()
         self.servers = [server for profile in services for server in self._create_servers(profile)]
+        self.store_reachable = True
         self.unreachable_since: dict[EmulatedServer, float] = {}
         routed = [] if baseline else self._create_routed_daemons()
         self.daemons: list[BaseEmulatedDaemon] = [*routed] or self._create_baseline_daemons()
@@ -199,6 +201,8 @@
             is_routable = server.profile.keyed or not server.draining
             if is_routable and self._is_registered(server):
                 registered.append(server)
+        if not self.store_reachable:
+            return
         for daemon in self.daemons:
             daemon.update_servers(registered)
         for name, owners in self.static_assignments.items():
--- a/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
+++ b/packages/emulator/src/fireflylink_emulator/_routed_daemon.py
@@ -70,8 +70,8 @@
 
     ``Dispatcher`` chooses the server of a request, and ``Attempts`` decides on retries.
     ``position`` is the daemon's place among the daemons that the store lists, from which its shares
-    of the limits of the fleet follow. If ``heeds_pauses`` is false, it sends requests also to
-    servers that have asked for a pause.
+    of the limits of the fleet follow. If ``heeds_notices`` is false, it sends requests also to
+    servers that have asked for a pause or announced that they leave.
     ``service_times`` (server name and seconds) and ``requested_keys`` are collected for the next
     report to the decider. ``queued`` maps requests in the dispatcher's queue to their attempts.
     """
@@ -79,7 +79,7 @@
     __slots__ = (
         "active_attempts",
         "dispatcher",
-        "heeds_pauses",
+        "heeds_notices",
         "position",
         "profiles",
         "queued",
@@ -104,7 +104,7 @@
         self.position = FleetPosition(name, members)
         self.profiles = {profile.service: profile for profile in profiles}
         self.dispatcher = Dispatcher()
-        self.heeds_pauses = True
+        self.heeds_notices = True
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.servers: dict[ServerIncarnation, EmulatedServer] = {}
         self.active_attempts: dict[CallerAttempt, _ActiveAttempt] = {}
@@ -233,7 +233,9 @@
         if outcome.load is not None:
             tracker.record_load(outcome.load, now)
         self._record_status(active, dispatched, now - sent_at, outcome.status)
-        if outcome.pause_seconds and self.heeds_pauses:
+        if outcome.is_leaving and self.heeds_notices and not active.attempt.profile.keyed:
+            tracker.send_window.close_at(now)
+        if outcome.pause_seconds and self.heeds_notices:
             tracker.record_pause(now + outcome.pause_seconds, now, self.position)
             self.dispatcher.pools[tracker.server.service].record_pause(tracker)
         if outcome.status is CallStatus.MISDIRECTED:
--- a/packages/experiments/src/fireflylink_experiments/pauses.py
+++ b/packages/experiments/src/fireflylink_experiments/notices.py
@@ -1,10 +1,11 @@
-"""Measures what callers get, and servers receive, when servers ask for pauses during a burst.
+"""Measures what callers get, and servers receive, when servers ask for pauses or leave.
 
-Each scenario is replayed with daemons that heed the pauses and with daemons that do not::
+Each scenario is replayed with daemons that heed the servers' notices and with daemons that do not::
 
-    python -m fireflylink_experiments.pauses --seed 1 --daemons 12
+    python -m fireflylink_experiments.notices --seed 1 --daemons 12
 """
 
+import functools
 import random
 import sys
 
@@ -27,6 +28,9 @@
 BURST_END_SECONDS = 9.0
 BURST_LOAD_FACTOR = 2.5
 PAUSE_SECONDS = 1.5
+LEAVING_SECONDS = 4.0
+"""Time from the announcement of a server until it ends, which is longer than the drain time."""
+
 HOT_KEY = 20_480
 HOT_KEY_FRACTION = 0.3
 
@@ -74,31 +78,58 @@
         return HOT_KEY if is_hot else super().choose_key(rng, seconds)
 
 
-SCENARIOS = (ThirdOfPooledServers(), AllPooledServers(), OwnersWithHotKey())
+class ReleaseWithoutStore(ThirdOfPooledServers):
+    """While the store is away, a third of the servers leaves, one after the other."""
 
+    __slots__ = ()
+    name = "release"
 
-def replay(scenario: BaseScenario, seed: int, daemons: int, heeds_pauses: bool) -> Emulation:
+    def load_factor(self, seconds: float) -> float:
+        return 1.0
+
+    def schedule_events(self, emulation: Emulation) -> None:
+        emulation.store_reachable = False
+        for number, server in enumerate(self.pausing_servers(emulation)):
+            announced_at = BURST_START_SECONDS + number
+            emulation.scheduler.schedule_after(
+                announced_at, functools.partial(setattr, server, "announces_leaving", True)
+            )
+            emulation.scheduler.schedule_after(
+                announced_at + LEAVING_SECONDS, functools.partial(server.crash, None)
+            )
+
+
+SCENARIOS = (
+    ThirdOfPooledServers(),
+    AllPooledServers(),
+    OwnersWithHotKey(),
+    ReleaseWithoutStore(),
+)
+
+
+def replay(scenario: BaseScenario, seed: int, daemons: int, heeds_notices: bool) -> Emulation:
     """Replays a scenario; returns the ended emulation."""
     fleet = FLEET.replace(daemon_count=daemons)
     emulation = Emulation(scenario.profiles, fleet, seed)
     for daemon in emulation.daemons:
         if isinstance(daemon, RoutedDaemon):
-            daemon.heeds_pauses = heeds_pauses
+            daemon.heeds_notices = heeds_notices
     scenario.schedule_events(emulation)
     emulation.replay(scenario.generate_pattern(random.Random(seed)))
     return emulation
 
 
-def _row(scenario: BaseScenario, emulation: Emulation, heeds_pauses: bool) -> str:
+def _row(scenario: BaseScenario, emulation: Emulation, heeds_notices: bool) -> str:
     statistics = emulation.callers.statistics_of(scenario.profile)
     records = [server.pauses for server in emulation.servers]
-    heeds = "yes" if heeds_pauses else "no"
+    heeds = "yes" if heeds_notices else "no"
     return (
         f"{scenario.name:<14} {heeds:>5} {statistics.earned_fraction:>6.3f}"
         f" {statistics.requests:>6} {statistics.in_time:>7} {statistics.late:>5}"
         f" {statistics.refused:>7} {statistics.failed:>6}"
         f" {sum(record.arrivals for record in records):>9}"
         f" {max(record.most_arrivals for record in records):>4}"
+        f" {sum(server.arrivals_after_leaving for server in emulation.servers):>7}"
         f" {statistics.guarantee_violations:>6}"
     )
 
@@ -107,11 +138,14 @@
     """Prints two rows for each scenario."""
     flags.FLAGS(sys.argv)
     print(f"seed {SEED.value}; {DAEMONS.value} daemons; pauses of {PAUSE_SECONDS:g} s")
-    print("scenario       heeds  worth  asked in-time  late refused failed in pauses most broken")
+    print(
+        "scenario       heeds  worth  asked in-time  late refused failed in pauses most leaving"
+        " broken"
+    )
     for scenario in SCENARIOS:
-        for heeds_pauses in (False, True):
-            emulation = replay(scenario, SEED.value, DAEMONS.value, heeds_pauses)
-            print(_row(scenario, emulation, heeds_pauses))
+        for heeds_notices in (False, True):
+            emulation = replay(scenario, SEED.value, DAEMONS.value, heeds_notices)
+            print(_row(scenario, emulation, heeds_notices))
 
 
 if __name__ == "__main__":
