--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -135,6 +135,7 @@
             clock,
             self.metrics,
         )
+        request_handler.notice_recorder.view_task = self.view_task
         self.caller_listener = HttpListener(
             make_application(request_handler, PlatformCallerCodec()),
             settings.caller_address.host,
--- a/packages/daemon/src/fireflylink_daemon/_request_handler.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -23,6 +23,7 @@
 from fireflylink_daemon._dispatch_task import DispatchTask
 from fireflylink_daemon._log import log_event
 from fireflylink_daemon._metrics import Metrics
+from fireflylink_daemon._notice_recorder import NoticeRecorder
 from fireflylink_daemon._peers import KeyCounter
 from fireflylink_daemon._request_context import RequestContext
 from fireflylink_daemon._request_log_limiter import RequestLogLimiter
@@ -31,6 +32,7 @@
 from fireflylink_decisions.poison import fingerprint_of
 from fireflylink_decisions.retries import (
     MIN_SERVER_ERROR_STATUS,
+    RETRY_AFTER_SECONDS,
     Attempts,
     BaseRetryDecision,
     Retry,
@@ -65,6 +67,7 @@
         "key_counter",
         "log_limiter",
         "metrics",
+        "notice_recorder",
         "open_contexts",
         "routing_state",
         "shutdown_plan",
@@ -89,6 +92,7 @@
         self.crash_detector = crash_detector
         self.clock = clock
         self.metrics = metrics
+        self.notice_recorder = NoticeRecorder(routing_state, metrics)
 
     def begin_shutdown(self, plan: ShutdownPlan) -> None:
         """Bounds the deadlines of all requests by the end of the shutdown."""
@@ -218,6 +222,8 @@
         now = self.clock.now()
         if isinstance(result, Answered | Declined) and result.load is not None:
             tracker.record_load(result.load, now)
+        if isinstance(result, Answered | Declined | Lost) and result.notice is not None:
+            self.notice_recorder.record(context.request.request_id, tracker, result.notice, now)
         if isinstance(result, Answered) and result.answer.status < MIN_SERVER_ERROR_STATUS:
             seconds = now - sent_at
             if (
@@ -235,7 +241,7 @@
                 self.key_counter.record_service_time(
                     context.service, tracker.server.server_id, seconds
                 )
-        elif isinstance(result, NotSent):
+        elif isinstance(result, NotSent) and not result.withheld:
             tracker.record_no_response(now)
         if isinstance(result, Lost) and result.reason in POSSIBLE_CRASH_REASONS:
             self.crash_detector.record_lost_connection(tracker.server, context.request)
@@ -249,10 +255,10 @@
         budget = self.routing_state.retry_budget(context.service)
         if isinstance(result, Declined) and result.misdirected:
             self.dispatch_task.dispatcher.record_misdirected(context.service, dispatched, now)
+        budget_allows = budget.allows_retry(now, self.routing_state.fleet_position)
+        seconds_left = context.deadline - now
         decision = context.attempts.decide(
-            result,
-            context.deadline - now,
-            budget.allows_retry(now, self.routing_state.fleet_position),
+            result, seconds_left, budget_allows, self._retry_after(context, result, now)
         )
         if isinstance(decision, Retry):
             if decision.reached_server:
@@ -267,6 +273,15 @@
             )
         return decision
 
+    def _retry_after(self, context: RequestContext, result: BaseCallResult, now: float) -> float:
+        """Returns when a caller should return whose request was declined and is not retried."""
+        if not isinstance(result, Declined) or result.notice is None:
+            return RETRY_AFTER_SECONDS
+        seconds = self.dispatch_task.dispatcher.retry_after_pause(
+            context.service, context.request.key, now
+        )
+        return RETRY_AFTER_SECONDS if seconds is None else seconds
+
     def _refuse(self, request: CallerRequest, reply: NotRun) -> NotRun:
         self.metrics.count("requests", route="none", outcome=reply.reason)
         log_event(
--- a/packages/decisions/src/fireflylink_decisions/servers/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/__init__.py
@@ -1,5 +1,13 @@
 """Backend servers: which are registered, how loaded and fast they are, and choice among them."""
 
+from fireflylink_decisions.servers._leaving_servers import LeavingServers
+from fireflylink_decisions.servers._pause_limiter import (
+    CAUTION_SECONDS,
+    MAX_RETURN_SPREAD_SECONDS,
+    RELEASE_SECONDS,
+    PauseLimiter,
+    offset_fraction,
+)
 from fireflylink_decisions.servers._registration_origin import RegistrationOrigin
 from fireflylink_decisions.servers._server_choice import (
     MAX_LOW_PRIORITY_REQUESTS_PER_SLOT,
@@ -27,13 +35,18 @@
 )
 
 __all__ = [
+    "CAUTION_SECONDS",
     "MAX_GROUP_SIZE",
     "MAX_LOW_PRIORITY_REQUESTS_PER_SLOT",
     "MAX_REQUESTS_PER_SLOT",
+    "MAX_RETURN_SPREAD_SECONDS",
     "REGISTRATION_GRACE_SECONDS",
     "REGISTRATION_LAPSE_SECONDS",
+    "RELEASE_SECONDS",
     "STALE_REGISTRATION_SECONDS",
     "DirectoryEntry",
+    "LeavingServers",
+    "PauseLimiter",
     "RegistrationOrigin",
     "ServerDirectory",
     "ServerRanking",
@@ -44,4 +57,5 @@
     "cost_seconds",
     "group_size",
     "is_unresponsive",
+    "offset_fraction",
 ]
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_choice.py
@@ -11,6 +11,9 @@
 """Limit for a request while more urgent requests arrive too. A server's own queue does not order by
 priority, so the difference to ``MAX_REQUESTS_PER_SLOT`` is kept free for the urgent ones."""
 
+MAX_REQUESTS_PER_SLOT_AFTER_PAUSE = 1.0
+"""Limit for a server that has recently asked for a pause: it is given no requests to queue."""
+
 CROSS_DATA_CENTRE_COST_SECONDS = 0.08
 """A server in another data centre must be faster by this much, because traffic between data centres
 is paid for by the byte."""
@@ -79,6 +82,13 @@
     ``max_requests_per_slot`` limits the server's running and queued requests per slot, the new one
     included.
     """
+    resumes_at = now
+    if now < tracker.send_window.restricted_until:
+        if now >= tracker.send_window.closes_at:
+            return None
+        resumes_at = tracker.pause_limiter.next_send_at
+        if now < tracker.pause_limiter.caution_ends_at:
+            max_requests_per_slot = min(max_requests_per_slot, MAX_REQUESTS_PER_SLOT_AFTER_PAUSE)
     if tracker.in_flight >= limits.connection_share:
         return None
     if tracker.expected_load(now) + 1.0 > tracker.server.slots * max_requests_per_slot:
@@ -87,6 +97,8 @@
     earliest = tracker.cold_limiter.available_at(
         now, limits.cold_limit, limits.position, server_id, limits.assume_cold
     )
+    if resumes_at > earliest:
+        earliest = resumes_at
     if is_unresponsive(tracker):
         earliest = max(earliest, tracker.failure_rate_at + UNRESPONSIVE_RETRY_SECONDS)
     return earliest
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_directory.py
@@ -1,6 +1,6 @@
 """Directory of registered backend servers, and which of them may get keys and requests."""
 
-from fireflylink_core import BackendServer, ServerState
+from fireflylink_core import BackendServer, ServerIncarnation, ServerState
 from fireflylink_decisions.servers._departures import DepartureLog
 from fireflylink_decisions.servers._registration_origin import RegistrationOrigin
 from fireflylink_decisions.servers._stale_registrations import (
@@ -143,6 +143,15 @@
             return self.departure_log.find(server.incarnation) is not None
         return self.stale.has(server.incarnation)
 
+    def mark_leaving(self, incarnation: ServerIncarnation, announced_at: float) -> None:
+        """Records that an incarnation announced that it leaves, before its registration said so."""
+        entry = self.entries.get(incarnation.server_id)
+        if entry is None or entry.server.started_ms > incarnation.started_ms:
+            return
+        entry.server = entry.server.replace(state=ServerState.DRAINING)
+        if entry.draining_since is None or announced_at < entry.draining_since:
+            entry.draining_since = announced_at
+
     def record_deletion(self, server_id: str, now: float) -> bool:
         """Records that a registration was deleted; returns whether the server is removed as well.
 
--- a/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/servers/_server_tracker.py
@@ -2,8 +2,9 @@
 
 import math
 
-from fireflylink_core import BackendServer, ServerLoad
-from fireflylink_decisions.limits import ColdServerLimiter
+from fireflylink_core import BackendServer, SendWindow, ServerLoad
+from fireflylink_decisions.limits import ColdServerLimiter, FleetPosition
+from fireflylink_decisions.servers._pause_limiter import PauseLimiter, offset_fraction
 
 DEFAULT_IDLE_SERVICE_SECONDS = 0.12
 """Service time assumed before the first answer."""
@@ -44,10 +45,13 @@
 
     ``idle_service_seconds`` is the service time while the server is idle and at its normal speed.
     ``failure_rate`` is a moving average of the fraction of requests that failed, as of
-    ``failure_rate_at``. Reported values decay exponentially with their age.
+    ``failure_rate_at``. ``send_window`` is when the server may get new requests.
+    ``logged_problems`` are the kinds of unusable announcements of the server that have been logged.
+    Reported values decay exponentially with their age.
     """
 
     __slots__ = (
+        "announced_leaving",
         "answers",
         "cold_limiter",
         "consecutive_no_responses",
@@ -55,10 +59,14 @@
         "failure_rate_at",
         "idle_service_seconds",
         "in_flight",
+        "logged_problems",
         "own_in_flight_at_report",
+        "pause_limiter",
+        "pause_logged_at",
         "queued",
         "reported_at",
         "reported_load",
+        "send_window",
         "server",
     )
 
@@ -75,11 +83,18 @@
         self.own_in_flight_at_report = 0
         self.consecutive_no_responses = 0
         self.queued = 0
+        self.send_window = SendWindow()
+        self.pause_limiter = PauseLimiter(self.send_window)
+        self.pause_logged_at = float("-inf")
+        self.announced_leaving = False
+        self.logged_problems: set[str] = set()
 
     def record_sent(self, now: float) -> None:
         """Counts a request that is about to be sent."""
         self.in_flight += 1
         self.cold_limiter.record_sent(now)
+        if now < self.send_window.restricted_until:
+            self.pause_limiter.record_sent(now)
 
     def record_completed(self) -> None:
         """Counts a request as ended, whatever its result."""
@@ -139,6 +154,15 @@
         self.consecutive_no_responses += 1
         self._update_failure_rate(1.0, now)
 
+    def record_pause(self, until: float, now: float, position: FleetPosition) -> bool:
+        """Records that the server wants no requests until a time; returns whether it was earlier.
+
+        After it, this daemon's requests return at its share of the pace that the server sustains.
+        """
+        interval_seconds = self.idle_service_seconds / position.equal_share(self.server.slots)
+        offset = offset_fraction(position.instance, self.server.server_id)
+        return self.pause_limiter.start(until, now, interval_seconds, offset)
+
     def decayed_failure_rate(self, now: float) -> float:
         """Returns the failure rate, which decays while the server gets no requests."""
         age = max(0.0, now - self.failure_rate_at)
--- a/packages/emulator/src/fireflylink_emulator/_emulated_server.py
+++ b/packages/emulator/src/fireflylink_emulator/_emulated_server.py
@@ -11,12 +11,16 @@
     OutcomeCallback,
 )
 from fireflylink_emulator._event_scheduler import EventScheduler
+from fireflylink_emulator._pause_record import PauseRecord
 from fireflylink_emulator._profile import FleetProfile, ServiceProfile
 
 QUEUED_CALLS_PER_SLOT = 2
 FULL_LOAD_SLOWDOWN_FRACTION = 0.3
 """By this fraction a call takes longer when all slots are in use."""
 
+DRAIN_SECONDS = 2.0
+"""Time from the announcement of a server that it leaves until it may get no more requests."""
+
 COLD_SECONDS = 6.0
 COLD_SLOWDOWN_FACTOR = 1.6
 CRASH_RESTART_SECONDS = 4.0
@@ -36,12 +40,15 @@
     """One request that a daemon sent to a server.
 
     ``on_done`` receives the outcome. A queued call whose ``deadline``, a clock time in seconds, has
-    passed when a slot becomes free is declined instead of run.
+    passed when a slot becomes free is declined instead of run. ``sender`` is the daemon's name.
     """
 
-    __slots__ = ("attempt", "deadline", "ended", "on_done")
+    __slots__ = ("attempt", "deadline", "ended", "on_done", "sender")
 
-    def __init__(self, attempt: CallerAttempt, deadline: float, on_done: OutcomeCallback) -> None:
+    def __init__(
+        self, attempt: CallerAttempt, deadline: float, on_done: OutcomeCallback, sender: str = ""
+    ) -> None:
+        self.sender = sender
         self.attempt = attempt
         self.deadline = deadline
         self.on_done = on_done
@@ -60,10 +67,19 @@
     ``peak_cold_requests_per_second`` the highest number that it received in any second while cold.
     A ``down`` server refuses connections, an ``unresponsive`` one ignores new requests and
     commands; both are unreachable.
+
+    If ``pause_seconds`` is not 0, the server queues no requests, and asks for a pause of that
+    length when its slots are in use; ``pauses`` counts what it receives meanwhile. If
+    ``announces_leaving`` is true, it says with each answer that it leaves;
+    ``arrivals_after_leaving`` counts the requests of daemons that had such an answer longer ago
+    than ``DRAIN_SECONDS``.
     """
 
     __slots__ = (
+        "announced_to",
+        "announces_leaving",
         "answer_loss_fraction",
+        "arrivals_after_leaving",
         "cold_arrivals",
         "cold_limit",
         "cold_until",
@@ -74,6 +90,8 @@
         "fences",
         "held_ranges",
         "name",
+        "pause_seconds",
+        "pauses",
         "peak_cold_requests_per_second",
         "profile",
         "rng",
@@ -112,6 +130,11 @@
         self.slowdown_factor = 1.0
         self.failure_fraction = 0.0
         self.answer_loss_fraction = 0.0
+        self.announces_leaving = False
+        self.announced_to: dict[str, float] = {}
+        self.arrivals_after_leaving = 0
+        self.pause_seconds = 0.0
+        self.pauses = PauseRecord()
         self.cold_until = float("-inf")
         self.cold_arrivals = SlidingWindowCounter(1.0)
         self.peak_cold_requests_per_second = 0
@@ -166,10 +189,17 @@
             self._answer(call, CallStatus.MISDIRECTED)
             return
         self._record_cold_arrival()
+        now = self.scheduler.clock.now()
+        self.pauses.record_arrival(call.sender, now)
+        if now > self.announced_to.get(call.sender, now) + DRAIN_SECONDS:
+            self.arrivals_after_leaving += 1
         if self.down:
             self._reset_connection(call)
         elif len(self.running_calls) < self.profile.slots:
             self._start(call)
+        elif self.pause_seconds:
+            self.pauses.record_pause(call.sender, self.scheduler.clock.now(), self.pause_seconds)
+            self._answer(call, CallStatus.DECLINED, self.pause_seconds)
         elif len(self.waiting_calls) < self.profile.slots * QUEUED_CALLS_PER_SLOT:
             self.waiting_calls.append(call)
         else:
@@ -280,7 +310,7 @@
             else:
                 self._start(call)
 
-    def _answer(self, call: Call, status: CallStatus) -> None:
+    def _answer(self, call: Call, status: CallStatus, pause_seconds: float = 0.0) -> None:
         call.ended = True
         load = ServerLoad(
             len(self.running_calls),
@@ -288,7 +318,9 @@
             self.profile.slots,
             self.slowdown_factor,
         )
-        call.on_done(CallOutcome(status, load))
+        if self.announces_leaving:
+            self.announced_to.setdefault(call.sender, self.scheduler.clock.now())
+        call.on_done(CallOutcome(status, load, pause_seconds, self.announces_leaving))
 
     def _reset_connection(self, call: Call) -> None:
         call.ended = True
@@ -297,6 +329,8 @@
     def _restart(self) -> None:
         self.down = False
         self.draining = False
+        self.announces_leaving = False
+        self.announced_to = {}
         self.started_ms += 1
         self.make_cold()
 
