Do not let a relay state its knowledge as current while its reads are refused

Followers stayed behind without a bound when the store refused their relay's watch calls but renewed its lease: the renewal counted as contact, so the relay stated its old revision as current. A renewal now counts only after an own read that succeeded, and only if anything has been read.

--- a/packages/daemon/src/fireflylink_daemon/_store_reader.py
+++ b/packages/daemon/src/fireflylink_daemon/_store_reader.py
@@ -85,6 +85,7 @@
     once when changes that a relay knows do not arrive in time. ``known_mode`` is whether it reads
     by itself and whether it sends on what it knows, as the member task was last told.
     ``snapshot_era`` is the era of the store in which this daemon last read all items, None before.
+    ``last_read_succeeded`` is whether its own last read did, apart from what relays send.
     """
 
     __slots__ = (
@@ -95,6 +96,7 @@
         "greenlets",
         "inbox",
         "known_mode",
+        "last_read_succeeded",
         "member_task",
         "metrics",
         "outages",
@@ -131,6 +133,7 @@
         self.metrics = metrics
         self.revision = 0
         self.snapshot_era: int | None = None
+        self.last_read_succeeded = False
         self.confirmed_at = float("-inf")
         self.outages = 0
         self.reading = False
@@ -228,8 +231,10 @@
         if not reads:
             return self.follower.contact_at
         contact_at = max(self.confirmed_at, self.follower.contact_at)
-        # A renewal says nothing about what was read before the store was restored.
-        if era_of_lease(self.member_task.lease_id) == era_of(self.revision):
+        # A renewal says nothing about what the store refuses to this daemon, or about what was read
+        # before the store was restored.
+        is_current = era_of_lease(self.member_task.lease_id) == era_of(self.revision)
+        if self.last_read_succeeded and self.revision and is_current:
             contact_at = max(contact_at, self.member_task.confirmed_at)
         return contact_at
 
@@ -318,6 +323,7 @@
         if not isinstance(read, Success):
             return read.failure()
         snapshot = read.unwrap()
+        self.last_read_succeeded = True
         self.confirmed_at = self.clock.now()
         self._mark_store_reachable()
         updates = tuple(update for item in snapshot.items for update in self.decoder.decode(item))
@@ -338,6 +344,7 @@
         if not isinstance(read, Success):
             return read.failure()
         batch = read.unwrap()
+        self.last_read_succeeded = True
         self.confirmed_at = self.clock.now()
         self._mark_store_reachable()
         updates = tuple(
@@ -368,6 +375,7 @@
             self.view_task.post(StoreReadSucceeded())
 
     def _handle_error(self, error: StoreError) -> None:
+        self.last_read_succeeded = False
         if self.store_reachable is not False:
             self.outages += 1
         if isinstance(error, HistoryCompactedError | StoreRestoredError):
--- a/packages/daemon/tests/test_store_reader.py
+++ b/packages/daemon/tests/test_store_reader.py
@@ -343,6 +343,25 @@
             assert_that(harness.evacuated, Contains("kingston"))
 
 
+def test_followers_do_not_wait_for_a_relay_whose_reads_are_refused(fleet):
+    """Guards against followers that stay behind: the store refuses their relay's reads, while it
+    renews the relay's lease, so that the relay states its old knowledge as current."""
+    harnesses, relay, state, _ = fleet
+    gevent.sleep(4.2)
+    harnesses[relay].store.watch = refuse
+    gevent.sleep(2.2)
+    write(state, "op/evacuate/missed")
+    gevent.sleep(3.0)
+    for name, harness in harnesses.items():
+        if name != relay:
+            assert_that(harness.evacuated, Contains("missed"))
+
+
+def refuse(*_):
+    gevent.sleep(0.01)
+    return Failure(StoreUnavailableError("status 429"))
+
+
 def test_a_renewal_after_a_restore_does_not_confirm_what_was_read_before(lone_reader):
     """Guards against an old configuration in force at the followers of a relay that renews its
     lease at the restored store, and whose watch call of the former era gets no answer."""
