Ask all servers again however long the decider of a restored store has decided

Two owners of a key could follow.

The end is now counted from the call that confirmed the record. A decider knows all holders only if its own grants have been renewed in time up to now: another decider would have advanced the fences, and servers would have refused the renewals.

The test of the uninterrupted decider passed although no server was asked; it is replaced by one that checks the releases as well, and one for servers that hold keys.

--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -147,7 +147,8 @@
     ) -> None:
         table = None if stored is None else stored.table
         revision = ABSENT_REVISION if stored is None else stored.revision
-        service.start_deciding(table, revision, tracker, self.era, self.clock.now())
+        now = self.clock.now()
+        service.start_deciding(table, revision, tracker, self.era, self.elected_at, now)
 
     def _stop_deciding(self) -> None:
         self.is_decider = False
@@ -262,9 +263,8 @@
             # True if no earlier decider can still grant keys: the service has no table so far, or
             # the time has passed for which earlier deciders may grant without the store.
             sole_decider = (
-                service.revision == ABSENT_REVISION
-                or now >= former_deciders_may_grant_until(self.elected_at)
-            )
+                service.table is None and self.era == 0
+            ) or now >= former_deciders_may_grant_until(self.elected_at)
             table = planned.replace(
                 written_by_sole_decider=sole_decider,
                 has_unknown_holders=service.grant_tracker.sweep is not None,
--- a/packages/daemon/tests/test_restored_ownership.py
+++ b/packages/daemon/tests/test_restored_ownership.py
@@ -4,8 +4,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, Is
 
+from fireflylink_backend_client import CommandError
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
-from fireflylink_daemon._messages import DeciderChanged
+from fireflylink_daemon._messages import CommandCompleted, DeciderChanged
 from fireflylink_decisions.ownership import (
     OUTAGE_GRACE_SECONDS,
     GrantCommand,
@@ -29,24 +30,32 @@
 
 
 @pytest.fixture
-def make_candidate(make_daemon, configuration_item, registration, stored_table):
-    """Returns a function that makes a daemon that knows two servers of a keyed service."""
+def make_candidate(make_daemon, configuration_item, registration):
+    """Returns a function that makes a daemon that knows servers of a keyed service."""
 
-    def make(name: str = "front-0"):
+    def make(name: str = "front-0", servers: tuple[str, ...] = ("i-1", "i-2")):
         daemon = make_daemon(name)
         daemon.record_commands()
-        daemon.apply_items(configuration_item, registration("i-1", 1), registration("i-2", 1))
+        daemon.apply_items(configuration_item, *(registration(server, 1) for server in servers))
         return daemon
 
     return make
 
 
+def fail(daemon, *commands) -> None:
+    """Lets commands end without an answer."""
+    for command in commands:
+        error = CommandError("no answer", True)
+        daemon.ownership_task.receive(CommandCompleted("a", command, error, "", None))
+    daemon.deliver()
+
+
 def grants_in(commands: list) -> list:
     return [command for command in commands if isinstance(command, GrantCommand)]
 
 
 def test_a_decider_that_never_saw_the_lost_table_has_all_servers_release_keys_first(
-    make_candidate, store_state
+    make_candidate, store_state, stored_table
 ):
     """Guards against two owners of a key.
 
@@ -65,7 +74,7 @@
 
 
 def test_the_decider_goes_on_with_its_own_table_when_the_store_has_lost_it(
-    make_candidate, store_state, clock
+    make_candidate, store_state, clock, stored_table
 ):
     """Guards against keys that go back to a former owner, and against a decider whose writes are
     refused for the rest of its life, because it expects the revision of a table that is lost."""
@@ -124,3 +133,92 @@
     store_state.restore(clock.now() - copied_at)
     decider.run(0.5)
     assert_that(decider.decider_task.election.is_decider, Is(False))
+
+
+@pytest.mark.parametrize("decides_seconds", [0.3, 15.0])
+def test_a_decider_that_another_one_had_replaced_does_not_go_on_with_its_own_holds(
+    make_candidate, store_state, clock, stored_table, decides_seconds
+):
+    """Guards against two owners of a key: the copy has the record of a decider that was cut off,
+    and the one that was elected in the lost time has moved keys to i-2."""
+    former = make_candidate("front-0", ("i-1",))
+    former.stand_for_election()
+    former.complete(*former.run(0.1))
+    ends_at = clock.now() + decides_seconds
+    while clock.now() < ends_at:
+        former.complete(*former.run(0.1))
+    assert_that(former.decider_task.election.is_decider, Is(True))
+    copied_at = clock.now()
+    # The machine of the former decider is frozen or cut off; the next one is elected.
+    former.store.reachable = False
+    clock.advance(1.5)
+    latest = make_candidate("front-1")
+    latest.stand_for_election()
+    assert_that(latest.decider_task.election.is_decider, Is(True))
+    granted_to_second = []
+    for _ in range(40):
+        commands = latest.run(0.1)
+        granted_to_second += [g for g in grants_in(commands) if g.server == SECOND]
+        latest.complete(*commands)
+    assert_that(len(granted_to_second) > 0, Is(True))
+    store_state.restore(clock.now() - copied_at)
+    # i-2 holds keys of ``latest`` for 3 s from now on.
+    former.store.reachable = True
+    from_registration = latest.routing_state.directory.entries["i-2"].server
+    former.routing_state.register_server(from_registration)
+    commands = former.run(0.5)
+    assert_that(former.decider_task.election.is_decider, Is(True))
+    assert_that(grants_in(commands), HasLength(0))
+
+
+def test_a_decider_that_another_one_had_replaced_waits_for_a_server_that_does_not_answer(
+    make_candidate, store_state, clock, stored_table
+):
+    """As above, right after the election: i-2 does not answer the release of the sweep."""
+    former = make_candidate("front-0", ("i-1",))
+    former.stand_for_election()
+    former.complete(*former.run(0.1))
+    copied_at = clock.now()
+    former.store.reachable = False
+    clock.advance(1.5)
+    latest = make_candidate("front-1")
+    latest.stand_for_election()
+    for _ in range(15):
+        latest.complete(*latest.run(0.1))
+    store_state.restore(clock.now() - copied_at)
+    former.store.reachable = True
+    former.routing_state.register_server(latest.routing_state.directory.entries["i-2"].server)
+    grants = []
+    for _ in range(10):
+        commands = former.run(0.1)
+        grants += grants_in(commands)
+        for command in commands:
+            if command.server == SECOND:
+                fail(former, command)
+            else:
+                former.complete(command)
+    assert_that(former.decider_task.election.is_decider, Is(True))
+    assert_that(grants, HasLength(0))
+
+
+def test_a_second_restore_does_not_cut_the_sweep_short(
+    make_candidate, store_state, clock, stored_table
+):
+    """Guards against two owners of a key: the decider of the unfinished sweep goes on in the copy,
+    and takes its own holds for all that there are."""
+    store_state.restore(0.0)
+    successor = make_candidate()
+    successor.stand_for_election()
+    fail(successor, *successor.run(0.5))
+    store_state.restore(0.1)
+    grants = []
+    for _ in range(30):
+        commands = successor.run(0.1)
+        grants += grants_in(commands)
+        for command in commands:
+            if command.server == SECOND:
+                fail(successor, command)
+            else:
+                successor.complete(command)
+    assert_that(successor.decider_task.election.is_decider, Is(True))
+    assert_that(grants, HasLength(0))
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_timing.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_timing.py
@@ -38,3 +38,8 @@
 def former_deciders_may_grant_until(elected_at: float) -> float:
     """Returns until when the deciders before the one of ``elected_at`` may grant keys."""
     return elected_at + OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS
+
+
+def former_holds_expire_at(elected_at: float, max_hold_seconds: float) -> float:
+    """Returns when all holds of the deciders before the one of ``elected_at`` have expired."""
+    return former_deciders_may_grant_until(elected_at) + max_hold_seconds
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -17,8 +17,8 @@
     HOLD_MARGIN_SECONDS,
     HOLD_SECONDS,
     MAX_RENEWAL_INTERVAL_FRACTION,
-    OUTAGE_GRACE_SECONDS,
     RENEWAL_INTERVAL_SECONDS,
+    former_holds_expire_at,
 )
 from fireflylink_decisions.ownership._hold_expiries import FORMER_DECIDER_FENCE, HoldExpiries
 from fireflylink_decisions.ownership._holder_sweep import HolderSweep
@@ -60,8 +60,8 @@
         self.renewal_interval_seconds = min(
             RENEWAL_INTERVAL_SECONDS, hold_seconds * MAX_RENEWAL_INTERVAL_FRACTION
         )
-        self.inherited_owner_holds_expire_at = (
-            elected_at + OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
+        self.inherited_owner_holds_expire_at = former_holds_expire_at(
+            elected_at, self.max_hold_seconds
         )
         self.inherited_previous_holder_holds_expire_at = self.inherited_owner_holds_expire_at
         self.first_table_fence = 0
@@ -76,14 +76,23 @@
         self.inherited_owner_holds_expire_at = float("-inf")
         self.inherited_previous_holder_holds_expire_at = float("-inf")
 
-    def start_sweep(self, opens_at: float, is_uninterrupted: bool) -> None:
+    def start_sweep(self, opens_at: float, expires_at: float, knows_all_holders: bool) -> None:
         """Requires that all servers release keys before any are granted, see ``HolderSweep``.
 
-        To be called before the first table of a new era is set. ``is_uninterrupted`` is true if
-        this tracker was in use already when the store was restored.
+        To be called before the first table of a new era is set.
         """
-        own_holds = self.holds if is_uninterrupted else None
-        self.sweep = HolderSweep(opens_at, self.inherited_owner_holds_expire_at, own_holds)
+        own_holds = self.holds if knows_all_holders else None
+        self.sweep = HolderSweep(opens_at, expires_at, own_holds)
+
+    def has_unexpired_grants(self, now: float) -> bool:
+        """Whether servers have confirmed grants, and each of these has been renewed in time.
+
+        Another decider would have advanced the fence at these servers, which then refuse renewals.
+        """
+        granted = [state for state in self.grant_states.values() if state.granted]
+        return bool(granted) and not any(
+            state.is_expired(now, self.hold_seconds) for state in granted
+        )
 
     def record_former_table(self, table: OwnershipTable, seen_at: float) -> None:
         """Records the table of a former decider, and when this daemon first saw it.
--- a/packages/decisions/src/fireflylink_decisions/ownership/_holder_sweep.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_holder_sweep.py
@@ -18,8 +18,8 @@
 
     ``opens_at`` is when every server has registered again that runs; until then more may be added.
     ``expires_at`` is when all holds of former deciders have expired. ``own_holds``, if given, are
-    the holds that this decider itself has granted without interruption since before the restore:
-    they bound the wait for ``unresponsive`` servers.
+    the holds that this decider itself has granted without interruption since before the restore.
+    They bound the wait for ``unresponsive`` servers: nobody else has granted anything.
 
     All times are in seconds on the daemon's clock.
     """
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -7,6 +7,7 @@
     initial_table,
     with_new_fence,
 )
+from fireflylink_decisions.ownership._grant_timing import former_holds_expire_at
 from fireflylink_decisions.ownership._grant_tracker import GrantTracker
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
 from fireflylink_decisions.ownership._overload_detector import OverloadDetector
@@ -94,6 +95,7 @@
         revision: int,
         tracker: GrantTracker,
         era: int,
+        elected_at: float,
         now: float,
     ) -> None:
         """Starts to plan from the stored table and the newest one that this daemon knows.
@@ -115,8 +117,12 @@
             self.consecutive_failures = {}
             self.load = KeyLoad(self.name, now)
         if self.may_have_lost_tables(era):
-            opens_at = now if is_uninterrupted else now + REGISTRATION_GRACE_SECONDS
-            tracker.start_sweep(opens_at, is_uninterrupted)
+            # Another daemon may have been the decider in the time that the store has lost, or an
+            # earlier sweep is not done; the servers that hold keys of this one would not tell.
+            knows_all_holders = is_uninterrupted and tracker.has_unexpired_grants(now)
+            opens_at = now if knows_all_holders else now + REGISTRATION_GRACE_SECONDS
+            expires_at = former_holds_expire_at(elected_at, tracker.max_hold_seconds)
+            tracker.start_sweep(opens_at, expires_at, knows_all_holders)
 
     def may_have_lost_tables(self, era: int) -> bool:
         """Whether the store may have lost tables that are newer than the one in use."""
--- a/packages/decisions/tests/test_holder_sweep.py
+++ b/packages/decisions/tests/test_holder_sweep.py
@@ -25,13 +25,15 @@
 RESTORED = OwnershipTable("holds", 7, (Assignment(LOW, LEFT, 7), Assignment(HIGH, RIGHT, 7)))
 ERA = 2
 NEW_TABLE = with_new_fence(RESTORED, first_fence(ERA))
+FORMER_HOLDS_SECONDS = OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS + HOLD_SECONDS * 1.02 + 0.2
 
 
 @pytest.fixture
 def sweeping(clock) -> GrantTracker:
     """Returns the tracker of a decider that knows only the table of the restored store."""
     tracker = GrantTracker(clock.now())
-    tracker.start_sweep(clock.now(), is_uninterrupted=False)
+    expires_at = clock.now() + FORMER_HOLDS_SECONDS
+    tracker.start_sweep(clock.now(), expires_at, knows_all_holders=False)
     for server in (LEFT, RIGHT, UNNAMED):
         tracker.sweep.add_server(server)
     tracker.set_table(NEW_TABLE)
@@ -89,26 +91,48 @@
     return commands
 
 
-def test_an_uninterrupted_decider_waits_for_its_own_holds_only(clock):
+def test_a_decider_that_knows_all_holders_waits_for_its_own_holds_only(clock):
     """Guards against keys without an owner for 12 s after a restore because one server is down,
-    although the decider knows all that it has granted."""
+    although the decider knows all that it has granted. It was elected long ago."""
     tracker = GrantTracker(clock.now())
     tracker.mark_no_former_decider()
+    clock.advance(60.0)
     tracker.set_table(RESTORED)
     for grant in tracker.due_commands(clock.now()):
         tracker.record_sent(grant, clock.now() + GRANT_TIMEOUT_SECONDS)
         tracker.record_granted(grant, clock.now())
-    tracker.start_sweep(clock.now(), is_uninterrupted=True)
+    tracker.start_sweep(clock.now(), clock.now() + FORMER_HOLDS_SECONDS, knows_all_holders=True)
     for server in (LEFT, RIGHT, UNNAMED):
         tracker.sweep.add_server(server)
     tracker.set_table(NEW_TABLE)
-    granted = [
-        command
-        for command in _complete_all_but(tracker, UNNAMED, clock)
-        + _complete_all_but(tracker, UNNAMED, clock)
-        if isinstance(command, GrantCommand)
-    ]
-    assert_that({grant.fence for grant in granted}, Equals({NEW_TABLE.fence}))
+    releases = _complete_all_but(tracker, UNNAMED, clock)
+    assert_that({release.server for release in releases}, Equals({LEFT, RIGHT, UNNAMED}))
+    grants = _complete_all_but(tracker, UNNAMED, clock)
+    assert_that(
+        {(grant.server, grant.fence) for grant in grants},
+        Equals({(LEFT, NEW_TABLE.fence), (RIGHT, NEW_TABLE.fence)}),
+    )
+
+
+def test_a_server_that_the_decider_granted_keys_is_waited_for_until_they_expire(clock):
+    """Guards against two owners of a key: a server that does not answer holds keys that the decider
+    itself has granted it, by a table that the store has lost."""
+    tracker = GrantTracker(clock.now())
+    tracker.mark_no_former_decider()
+    tracker.set_table(RESTORED)
+    for grant in tracker.due_commands(clock.now()):
+        tracker.record_sent(grant, clock.now() + GRANT_TIMEOUT_SECONDS)
+        tracker.record_granted(grant, clock.now())
+    started_at = clock.now()
+    tracker.start_sweep(clock.now(), clock.now() + FORMER_HOLDS_SECONDS, knows_all_holders=True)
+    for server in (LEFT, RIGHT):
+        tracker.sweep.add_server(server)
+    tracker.set_table(NEW_TABLE)
+    while not any(
+        isinstance(command, GrantCommand) for command in _complete_all_but(tracker, RIGHT, clock)
+    ):
+        clock.advance(0.1)
+    assert_that(clock.now() - started_at, GreaterThan(HOLD_SECONDS * 1.02))
 
 
 def test_every_fence_of_an_era_is_above_those_of_earlier_eras():
@@ -123,10 +147,10 @@
     """Guards against two owners of a key: the copy is older than the first table, and the decider
     takes the service for one that never had an owner."""
     service = KeyedService("holds", clock.now())
-    service.start_deciding(None, 0, GrantTracker(clock.now()), ERA, clock.now())
+    service.start_deciding(None, 0, GrantTracker(clock.now()), ERA, clock.now(), clock.now())
     assert_that(service.grant_tracker.sweep is None, Is(False))
     fresh = KeyedService("holds", clock.now())
-    fresh.start_deciding(None, 0, GrantTracker(clock.now()), 0, clock.now())
+    fresh.start_deciding(None, 0, GrantTracker(clock.now()), 0, clock.now(), clock.now())
     assert_that(fresh.grant_tracker.sweep, Is(None))
 
 
@@ -135,7 +159,7 @@
     is of the new era already."""
     unfinished = NEW_TABLE.replace(has_unknown_holders=True)
     service = KeyedService("holds", clock.now())
-    service.start_deciding(unfinished, 9, GrantTracker(clock.now()), ERA, clock.now())
+    service.start_deciding(unfinished, 9, GrantTracker(clock.now()), ERA, clock.now(), clock.now())
     assert_that(service.grant_tracker.sweep is None, Is(False))
 
 
