--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -192,7 +192,7 @@
         ):
             # Another decider wrote the table, and this daemon does not know its grants.
             self._step_down("another decider wrote a table")
-        if message.is_first and service.grant_tracker is not None:
+        if message.is_first and service.table is None and service.grant_tracker is not None:
             service.grant_tracker.mark_no_former_decider()
         if message.revision <= service.revision:
             return
@@ -260,7 +260,7 @@
         planned = service.next_table(candidates, max(join_times, default=now), now)
         if planned is not None:
             log_plan(service, planned, candidates)
-            # True if no earlier decider can still grant keys: the service has no table so far, or
+            # True if no earlier decider can still grant keys: the service has never had a table, or
             # the time has passed for which earlier deciders may grant without the store.
             sole_decider = (
                 service.table is None and self.era == 0
--- a/packages/daemon/tests/test_restored_ownership.py
+++ b/packages/daemon/tests/test_restored_ownership.py
@@ -222,3 +222,25 @@
                 successor.complete(command)
     assert_that(successor.decider_task.election.is_decider, Is(True))
     assert_that(grants, HasLength(0))
+
+
+def test_a_known_owner_is_waited_for_when_the_copy_has_no_table(make_candidate, store_state, clock):
+    """Guards against two owners of a key: the copy is older than the first table, but this daemon
+    knows it; its owner is gone from the store."""
+    copied_at = clock.now()
+    clock.advance(1.0)
+    table = OwnershipTable("a", 3, (Assignment(ALL_KEYS, FIRST, 3),))
+    store_state.commit(Commit((), (Put(ownership_key("a"), encode_table(table)),)))
+    daemon = make_candidate(servers=("i-2",))
+    daemon.apply_items(*daemon.store.list("", 0.0).unwrap().items)
+    assert_that(daemon.ownership_task.services["a"].table, Equals(table))
+    store_state.restore(clock.now() - copied_at)
+    assert_that(store_state.read(ownership_key("a")), Is(None))
+    daemon.stand_for_election()
+    elected_at = clock.now()
+    grants = []
+    while clock.now() < elected_at + OUTAGE_GRACE_SECONDS:
+        commands = daemon.run(0.1)
+        grants += [(round(clock.now() - elected_at, 1), g) for g in grants_in(commands)]
+        daemon.complete(*commands)
+    assert_that([g for g in grants if g[1].server == SECOND], HasLength(0))
