--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -177,13 +177,15 @@
             )
             server = entry.server
         tracker = self.trackers.get(server.incarnation)
+        # The copy may be from the time before a server that is known had warmed up.
+        is_current = tracker is None or origin is not RegistrationOrigin.RESTORED_SNAPSHOT
         if tracker is None:
             tracker = ServerTracker(server)
             self.trackers[server.incarnation] = tracker
         tracker.server = server
         self._close_if_leaving(server.incarnation)
         cold_seconds = server.cold_ms / MILLISECONDS_PER_SECOND
-        if cold_seconds > 0:
+        if cold_seconds > 0 and is_current:
             tracker.cold_limiter.mark_cold(now + cold_seconds)
         if joined or state != server.state:
             log_event(
--- a/packages/daemon/tests/test_view_task.py
+++ b/packages/daemon/tests/test_view_task.py
@@ -208,3 +208,13 @@
     view.register(server("i-1"), server("i-2"), server("i-3"))
     view.register(server("i-2"), server("i-3"), **RESTORED)
     assert_that(sorted(view.used_servers()), Equals(["i-1@1", "i-2@1", "i-3@1"]))
+
+
+def test_a_warm_server_is_not_cold_again_because_an_old_copy_says_so(view, clock):
+    """Guards against rejected requests: the copy is from the time when the server was cold."""
+    view.register(server("i-1", cold_ms=4000))
+    clock.advance(4.1)
+    view.register(server("i-1", cold_ms=0))
+    view.register(server("i-1", cold_ms=4000), **RESTORED)
+    [tracker] = view.daemon.routing_state.trackers.values()
+    assert_that(tracker.cold_limiter.is_cold(clock.now()), Equals(False))
