--- a/packages/decisions/src/fireflylink_decisions/ownership/_commands.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_commands.py
@@ -39,3 +39,10 @@
         self.server = server
         self.keys = keys
         self.fence = fence
+
+
+def keys_and_fence(command: BaseCommand) -> tuple[KeyRange, int]:
+    """Returns the keys of a command and its fence, which identify the grant that it is part of."""
+    if isinstance(command, GrantCommand | ReleaseCommand):
+        return command.keys, command.fence
+    raise TypeError(type(command).__name__)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -8,7 +8,12 @@
 from collections.abc import Callable, Sequence
 
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
-from fireflylink_decisions.ownership._commands import BaseCommand, GrantCommand, ReleaseCommand
+from fireflylink_decisions.ownership._commands import (
+    BaseCommand,
+    GrantCommand,
+    ReleaseCommand,
+    keys_and_fence,
+)
 from fireflylink_decisions.ownership._grant_state import GrantState
 from fireflylink_decisions.ownership._grant_timing import (
     CLOCK_DRIFT_FACTOR,
@@ -194,11 +199,11 @@
     def is_part_of_sweep(self, command: BaseCommand) -> bool:
         """Whether a command is a release that is asked of a server for the sweep only."""
         return isinstance(command, ReleaseCommand) and (
-            _keys_and_fence(command) not in self.grant_states
+            keys_and_fence(command) not in self.grant_states
         )
 
     def _due_at(self, command: BaseCommand) -> float:
-        state = self.grant_states.get(_keys_and_fence(command))
+        state = self.grant_states.get(keys_and_fence(command))
         return 0.0 if state is None else state.due_at.get(command.server, 0.0)
 
     def record_sent(self, command: GrantCommand, deadline: float) -> None:
@@ -250,7 +255,7 @@
         """Records that a command failed; it is due again after ``COMMAND_RETRY_DELAY_SECONDS``."""
         if self.sweep is not None and isinstance(command, ReleaseCommand):
             self.sweep.record_failed(command, now)
-        keys, fence = _keys_and_fence(command)
+        keys, fence = keys_and_fence(command)
         self.holds.forget_previous(command.server, (keys, fence))
         state = self._complete_command(keys, fence, command.server)
         if state is None:
@@ -381,7 +386,7 @@
     def _mark_in_flight(self, command: BaseCommand) -> None:
         if self.sweep is not None and isinstance(command, ReleaseCommand):
             self.sweep.record_sent(command)
-        state = self.grant_states.get(_keys_and_fence(command))
+        state = self.grant_states.get(keys_and_fence(command))
         if state is not None:
             state.in_flight.add(command.server)
 
@@ -396,9 +401,3 @@
         if state is not None:
             state.in_flight.discard(server)
         return state
-
-
-def _keys_and_fence(command: BaseCommand) -> tuple[KeyRange, int]:
-    if isinstance(command, GrantCommand | ReleaseCommand):
-        return command.keys, command.fence
-    raise TypeError(type(command).__name__)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_holder_sweep.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_holder_sweep.py
@@ -16,7 +16,7 @@
     released those that are not its own under the first fence of the new era, or can hold nothing
     any more. A server that holds none of these keys answers at once, and owners keep theirs.
 
-    ``opens_at`` is when every server has registered again that runs; until then more may be added.
+    ``opens_at`` is when all running servers have registered again; until then more may be added.
     ``expires_at`` is when all holds of former deciders have expired. ``own_holds``, if given, are
     the holds that this decider itself has granted without interruption since before the restore.
     They bound the wait for ``unresponsive`` servers: nobody else has granted anything.
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -35,9 +35,9 @@
 
     ``revision`` is that of the service's record in the store, whose table may be older than
     ``table`` after the store was restored. ``minimum_fence`` is the first fence of the store's
-    present era. ``unacknowledged_tables`` are the
-    tables whose write has no known result so far. ``commit_sent_at`` is when the write of the last
-    planned table was sent, None when no new plan has to wait for its result.
+    present era. ``unacknowledged_tables`` are the tables whose write has no known result so far.
+    ``commit_sent_at`` is when the write of the last planned table was sent, None when no new plan
+    has to wait for its result.
     ``consecutive_failures`` counts, for each server, the failed commands since the last one that
     succeeded. ``completed_moves_since`` is when the table was last found to have no completed
     moves, or when it was last replaced to remove them.
@@ -118,7 +118,7 @@
             self.load = KeyLoad(self.name, now)
         if self.may_have_lost_tables(era):
             # Another daemon may have been the decider in the time that the store has lost, or an
-            # earlier sweep is not done; the servers that hold keys of this one would not tell.
+            # earlier sweep may not be done: then this daemon's own holds are not all that there are.
             knows_all_holders = is_uninterrupted and tracker.has_unexpired_grants(now)
             opens_at = now if knows_all_holders else now + REGISTRATION_GRACE_SECONDS
             expires_at = former_holds_expire_at(elected_at, tracker.max_hold_seconds)
