--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -366,9 +366,9 @@
         )
 
     def expired_ranges(self, now: float) -> frozenset[KeyRange]:
-        """Returns the ranges whose grants expired before they were renewed.
+        """Returns the ranges whose grants expired before they were renewed: they need a new fence.
 
-        They need a new fence: their server may have restarted, and then does not know the old one.
+        Their server may have restarted, and then does not know the old one.
         """
         if self.table is None:
             return frozenset()
@@ -393,10 +393,7 @@
     def _complete_command(
         self, keys: KeyRange, fence: int, server: ServerIncarnation
     ) -> GrantState | None:
-        """Marks a command as no longer in flight.
-
-        Returns the state of its grant, None when the current table does not have it any more.
-        """
+        """Marks a command as not in flight; returns the state of its grant if it is current."""
         state = self.grant_states.get((keys, fence))
         if state is not None:
             state.in_flight.discard(server)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -118,7 +118,7 @@
             self.load = KeyLoad(self.name, now)
         if self.may_have_lost_tables(era):
             # Another daemon may have been the decider in the time that the store has lost, or an
-            # earlier sweep may not be done: then this daemon's own holds are not all that there are.
+            # earlier sweep may not be done: then there are other holds than this daemon's own.
             knows_all_holders = is_uninterrupted and tracker.has_unexpired_grants(now)
             opens_at = now if knows_all_holders else now + REGISTRATION_GRACE_SECONDS
             expires_at = former_holds_expire_at(elected_at, tracker.max_hold_seconds)
