--- a/packages/daemon/tests/test_restored_ownership.py
+++ b/packages/daemon/tests/test_restored_ownership.py
@@ -54,6 +54,20 @@
     return [command for command in commands if isinstance(command, GrantCommand)]
 
 
+def grants_without_answers_of(server: ServerIncarnation, daemon, rounds: int) -> list:
+    """Returns the grants of so many rounds of 0.1 s in which all servers but one answer."""
+    grants = []
+    for _ in range(rounds):
+        commands = daemon.run(0.1)
+        grants += grants_in(commands)
+        for command in commands:
+            if command.server == server:
+                fail(daemon, command)
+            else:
+                daemon.complete(command)
+    return grants
+
+
 def test_a_decider_that_never_saw_the_lost_table_has_all_servers_release_keys_first(
     make_candidate, store_state, stored_table
 ):
@@ -188,15 +202,7 @@
     store_state.restore(clock.now() - copied_at)
     former.store.reachable = True
     former.routing_state.register_server(latest.routing_state.directory.entries["i-2"].server)
-    grants = []
-    for _ in range(10):
-        commands = former.run(0.1)
-        grants += grants_in(commands)
-        for command in commands:
-            if command.server == SECOND:
-                fail(former, command)
-            else:
-                former.complete(command)
+    grants = grants_without_answers_of(SECOND, former, 10)
     assert_that(former.decider_task.election.is_decider, Is(True))
     assert_that(grants, HasLength(0))
 
@@ -211,15 +217,7 @@
     successor.stand_for_election()
     fail(successor, *successor.run(0.5))
     store_state.restore(0.1)
-    grants = []
-    for _ in range(30):
-        commands = successor.run(0.1)
-        grants += grants_in(commands)
-        for command in commands:
-            if command.server == SECOND:
-                fail(successor, command)
-            else:
-                successor.complete(command)
+    grants = grants_without_answers_of(SECOND, successor, 30)
     assert_that(successor.decider_task.election.is_decider, Is(True))
     assert_that(grants, HasLength(0))
 
