--- a/review/common/platform_process.py
+++ b/review/common/platform_process.py
@@ -1,7 +1,9 @@
 """The platform's store, the operator and the sound servers, in one process of their own.
 
 The stand-ins are the project's own. Prints the address of the store, then obeys lines on standard
-input: ``servers`` prints what each server has run, ``quit`` ends the process.
+input: ``servers`` prints what each server has run, ``decider`` the name in the decider's record,
+``register JSON`` changes the entry of a server of another process, ``evacuate ZONE`` and
+``take-back ZONE`` are the operator's, ``quit`` ends the process.
 """
 
 import hashlib
@@ -113,8 +115,9 @@
             servers.append(server)
     # Servers in another process are registered here: they write to the store by themselves, by
     # ways that the pages do not show. Their leases live as long as this process renews them.
-    for entry in options.get("others", []):
-        gevent.spawn(keep_registered, state, entry)
+    entries = {entry["id"]: entry for entry in options.get("others", [])}
+    for server_id in entries:
+        gevent.spawn(keep_registered, state, entries, server_id)
     print(json.dumps({"store": f"127.0.0.1:{listener.port}"}), flush=True)
     commands = FileObject(sys.stdin, "r")
     for line in commands:
@@ -124,6 +127,18 @@
                 for server in servers
             }
             print(json.dumps(ran), flush=True)
+        elif line.startswith("register "):
+            entry = json.loads(line.removeprefix("register "))
+            entries[entry["id"]] = entry
+        elif line.startswith("evacuate "):
+            key = "op/evacuate/" + line.split()[1]
+            state.commit(Commit(puts=(Put(key, b"{}"),)))
+        elif line.startswith("take-back "):
+            state.commit(Commit(deletions=("op/evacuate/" + line.split()[1],)))
+        elif line.strip() == "decider":
+            item = state.read("fireflylink/decider")
+            name = "" if item is None else json.loads(item.value)["instance"]
+            print(json.dumps(name), flush=True)
         elif line.strip() == "quit":
             return
 
@@ -145,15 +160,24 @@
     server.listener._server.application = recording
 
 
-def keep_registered(state: StoreState, entry: dict) -> None:
-    key = f"servers/{entry['id']}"
-    value = json.dumps({name: field for name, field in entry.items() if name != "id"}).encode()
-    lease = 0
+def keep_registered(state: StoreState, entries: dict[str, dict], server_id: str) -> None:
+    """Writes the entry of a server at once when it has changed, and keeps its lease alive."""
+    written, lease = None, 0
     while True:
-        if state.renew_lease(lease) is None:
+        entry = entries[server_id]
+        if state.renew_lease(lease) is None or entry is not written:
             lease = state.create_lease(2.61)
-            state.commit(Commit(puts=(Put(key, value, lease),)))
-        gevent.sleep(0.87)
+            fields = {name: field for name, field in entry.items() if name != "id"}
+            state.commit(Commit(puts=(Put(f"servers/{server_id}", encode(fields), lease),)))
+            written = entry
+        for _ in range(17):
+            gevent.sleep(0.05)
+            if entries[server_id] is not written:
+                break
+
+
+def encode(value: object) -> bytes:
+    return json.dumps(value).encode()
 
 
 if __name__ == "__main__":
