Take a release for final only when no former decider can grant any more

Cause: a decider that the store does not answer grants for 8 s, because it cannot tell an outage from a cut; the next one is elected after 1.2 s. Only the fences at the servers divide them, and a server's next incarnation has seen none. The decider took a confirmed release and a confirmed fence for final, whoever could still grant.

Change: tables name their writer; the next decider asks it by datagram to step down, and it does so before it answers. Until then, or until its time has passed, no release is sent, only keys of lost owners are planned anew, and a confirmed fence does not end the wait for former deciders.

Why it works: after the answer, or the time, no grant under a lower fence can be sent to any incarnation, so what a server confirms from then on stays true for its successors as well.

--- a/packages/core/src/fireflylink_core/__init__.py
+++ b/packages/core/src/fireflylink_core/__init__.py
@@ -18,6 +18,7 @@
     RouteTarget,
     Service,
 )
+from fireflylink_core._daemon_address import DaemonAddress
 from fireflylink_core._errors import BaseFireflylinkError
 from fireflylink_core._json_fields import MAX_INTEGER, MISSING, BaseJsonFields
 from fireflylink_core._keys import (
@@ -69,6 +70,7 @@
     "CallerRequest",
     "ChangeFragment",
     "Configuration",
+    "DaemonAddress",
     "Declined",
     "Headers",
     "KeyRange",
--- a/packages/core/src/fireflylink_core/_keys.py
+++ b/packages/core/src/fireflylink_core/_keys.py
@@ -10,6 +10,7 @@
 
 import bisect
 
+from fireflylink_core._daemon_address import DaemonAddress
 from fireflylink_core._server import ServerIncarnation
 from fireflylink_core._value import BaseValue
 
@@ -77,6 +78,8 @@
     in the table expire one grant time-out and one hold after the table was seen, at the latest.
     ``has_unknown_holders`` is true while servers that the table does not name may hold keys, by an
     assignment of a later table that the store has lost.
+    ``writer`` is the decider that wrote the table, None if the record does not say. No other daemon
+    can have granted keys under it, because a decider writes a table before it grants any.
     """
 
     __slots__ = (
@@ -85,6 +88,7 @@
         "fence",
         "has_unknown_holders",
         "service",
+        "writer",
         "written_by_sole_decider",
     )
 
@@ -95,7 +99,9 @@
         assignments: tuple[Assignment, ...],
         written_by_sole_decider: bool = False,
         has_unknown_holders: bool = False,
+        writer: DaemonAddress | None = None,
     ) -> None:
+        self.writer = writer
         self.written_by_sole_decider = written_by_sole_decider
         self.has_unknown_holders = has_unknown_holders
         self.service = service
@@ -111,6 +117,7 @@
             and self.fence == other.fence
             and self.written_by_sole_decider == other.written_by_sole_decider
             and self.has_unknown_holders == other.has_unknown_holders
+            and self.writer == other.writer
             and self.assignments == other.assignments
         )
 
--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -227,15 +227,16 @@
             return
         self.election.on_elected(revision, elected_at)
         self.next_renewal_at = elected_at + DECIDER_RENEWAL_INTERVAL_SECONDS
-        era = era_of(revision)
         log_event(
             "decider-won",
             instance=self.record.instance,
             revision=revision,
-            era=era,
+            era=era_of(revision),
             uninterrupted=is_uninterrupted,
         )
-        self._notify_ownership(DeciderElected(elected_at, era, read.unwrap(), is_uninterrupted))
+        self._notify_ownership(
+            DeciderElected(elected_at, revision, read.unwrap(), is_uninterrupted)
+        )
 
     def _verify_record(self) -> None:
         """Reads the decider record, because a lease that is renewed does not prove that it exists.
--- a/packages/daemon/src/fireflylink_daemon/_messages.py
+++ b/packages/daemon/src/fireflylink_daemon/_messages.py
@@ -3,8 +3,8 @@
 from fireflylink_backend_client import CommandError
 from fireflylink_core import OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership import BaseCommand
-from fireflylink_protocol import LoadReport, MemberRecord
-from fireflylink_store import BaseUpdate
+from fireflylink_protocol import DeciderClaim, DeciderRetired, LoadReport, MemberRecord
+from fireflylink_store import BaseUpdate, era_of
 
 
 class UpdatesRead:
@@ -132,25 +132,30 @@
     """This daemon was elected as the decider, or still is it after the store was restored.
 
     ``elected_at`` is when it sent the write of the decider record to the store; if the answer was
-    lost, when it read the record. ``era`` is the era of the store in which it is the decider, and
-    ``tables`` are all ownership tables in the store. If ``is_uninterrupted``, this daemon was the
+    lost, when it read the record. ``revision`` is that of the decider record, and ``tables`` are
+    all ownership tables in the store. If ``is_uninterrupted``, this daemon was the
     decider when the store was restored, and its record is in the copy.
     """
 
-    __slots__ = ("elected_at", "era", "is_uninterrupted", "tables")
+    __slots__ = ("elected_at", "is_uninterrupted", "revision", "tables")
 
     def __init__(
         self,
         elected_at: float,
-        era: int,
+        revision: int,
         tables: tuple[TableStored, ...],
         is_uninterrupted: bool = False,
     ) -> None:
         self.elected_at = elected_at
-        self.era = era
+        self.revision = revision
         self.tables = tables
         self.is_uninterrupted = is_uninterrupted
 
+    @property
+    def era(self) -> int:
+        """The era of the store in which this daemon is the decider."""
+        return era_of(self.revision)
+
 
 class DeciderDemoted:
     """This daemon is no longer the decider."""
@@ -173,6 +178,32 @@
         self.report = report
 
 
+class DeciderClaimReceived:
+    """A daemon that was elected as the decider asks this one not to decide any more.
+
+    ``sender`` is the host and the port to answer to.
+    """
+
+    __slots__ = ("claim", "sender")
+
+    def __init__(self, claim: DeciderClaim, sender: tuple[str, int]) -> None:
+        self.claim = claim
+        self.sender = sender
+
+
+class DeciderRetiredReceived:
+    """A daemon that this one has sent a claim does not decide any more.
+
+    ``sender`` is its host and port.
+    """
+
+    __slots__ = ("notice", "sender")
+
+    def __init__(self, notice: DeciderRetired, sender: tuple[str, int]) -> None:
+        self.notice = notice
+        self.sender = sender
+
+
 class SendCommand:
     """A grant or release is to be sent to a server, at the latest at ``deadline``.
 
--- a/packages/daemon/src/fireflylink_daemon/_ownership_planning.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_planning.py
@@ -1,9 +1,22 @@
-"""The servers that may own keys of a service, and the log line of a planned table."""
+"""What plans are made of: reported load, servers that may own keys; the log line of a plan."""
 
 from fireflylink_core import BackendServer, OwnershipTable
 from fireflylink_daemon._log import log_event
 from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_decisions.ownership import Candidate, KeyedService, changes_between
+from fireflylink_protocol import LoadReport
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+def record_load(service: KeyedService, report: LoadReport) -> None:
+    """Records the requests for keys, and the service times, that a daemon reported."""
+    for service_times in report.service_times:
+        seconds = service_times.total_ms / MILLISECONDS_PER_SECOND
+        service.service_times.add(service_times.server_id, service_times.request_count, seconds)
+    requests_per_key = report.requests / len(report.keys)
+    for key in report.keys:
+        service.load.add(key, requests_per_key)
 
 
 def planning_candidates(
--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -7,24 +7,28 @@
     StaleFenceError,
 )
 from fireflylink_core import BaseClock, OwnershipTable, ServerIncarnation
+from fireflylink_daemon._command_log import log_command_failed, log_granted, log_released
 from fireflylink_daemon._decider_task import CommitTable, DeciderTask, Superseded
 from fireflylink_daemon._fleet_commands import FleetCommands
 from fireflylink_daemon._log import log_event, log_problem
 from fireflylink_daemon._messages import (
     CommandCompleted,
     DeciderChanged,
+    DeciderClaimReceived,
     DeciderDemoted,
     DeciderElected,
+    DeciderRetiredReceived,
     LoadReportReceived,
     SendCommand,
     ServersChanged,
     TableNotWritten,
     TableStored,
 )
-from fireflylink_daemon._ownership_planning import log_plan, planning_candidates
+from fireflylink_daemon._ownership_planning import log_plan, planning_candidates, record_load
 from fireflylink_daemon._peers import PeerSocket
 from fireflylink_daemon._possible_holders import add_servers_to_sweep, record_restarts
 from fireflylink_daemon._routing_state import RoutingState
+from fireflylink_daemon._takeover import Takeover
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.ownership import (
     GRANT_TIMEOUT_SECONDS,
@@ -35,7 +39,6 @@
     GrantTracker,
     KeyedService,
     ReleaseCommand,
-    former_deciders_may_grant_until,
 )
 from fireflylink_protocol import GrantNotice, LoadReport
 from fireflylink_store import ABSENT_REVISION, era_of
@@ -50,8 +53,6 @@
 COMMIT_TIMEOUT_SECONDS = 2.0
 """A service gets no new plan for this long while the write of a table is not acknowledged."""
 
-MILLISECONDS_PER_SECOND = 1000.0
-
 
 class OwnershipTask(BaseTask):
     """Keeps the latest ownership table of each service.
@@ -73,6 +74,7 @@
         "peers",
         "routing_state",
         "services",
+        "takeover",
     )
 
     def __init__(
@@ -94,6 +96,7 @@
         self.services: dict[str, KeyedService] = {}
         self.commands = FleetCommands(clock, codec, self, self.hold_seconds)
         self.next_check_at = 0.0
+        self.takeover = Takeover(decider_task.record.address, peers, clock)
 
     def next_wake_at(self) -> float:
         return self.next_check_at
@@ -103,6 +106,7 @@
         self.next_check_at = now + WAKE_INTERVAL_SECONDS
         if not self.is_decider:
             return
+        self.takeover.send_claims(self.services.values())
         for name in self._keyed_service_names():
             self._send_due_commands_and_plan(name, self._service(name), now)
 
@@ -115,20 +119,32 @@
             self._record_completion(message)
         elif isinstance(message, LoadReportReceived):
             self._record_report(message.report)
-        elif isinstance(message, DeciderChanged):
-            self.decider_task.post(message)
-        elif isinstance(message, DeciderElected):
-            self._start_deciding(message)
-        elif isinstance(message, DeciderDemoted):
-            self._stop_deciding()
         elif isinstance(message, ServersChanged):
             self._update_incarnations()
+        else:
+            self._receive_election_message(message)
         if self.clock.now() >= self.next_check_at:
             self.on_wake()
         return None
 
+    def _receive_election_message(self, message: object) -> None:
+        if isinstance(message, DeciderChanged):
+            self.decider_task.post(message)
+        elif isinstance(message, DeciderElected):
+            self._start_deciding(message)
+        elif isinstance(message, DeciderDemoted):
+            self._stop_deciding()
+        elif isinstance(message, DeciderClaimReceived):
+            self._answer_claim(message)
+        elif isinstance(message, DeciderRetiredReceived):
+            self.takeover.record_retired(message, self.services.values())
+
     def _start_deciding(self, message: DeciderElected) -> None:
+        if message.revision < self.takeover.retired_before:
+            self.decider_task.post(Superseded("another daemon was elected since"))
+            return
         self.is_decider = True
+        self.takeover.revision = message.revision
         self.elected_at = message.elected_at
         self.era = message.era
         stored = {table.table.service: table for table in message.tables}
@@ -152,18 +168,23 @@
 
     def _stop_deciding(self) -> None:
         self.is_decider = False
+        self.takeover.revision = 0
+        self.commands.close()
         for service in self.services.values():
             service.grant_tracker = None
-        self.commands.close()
+
+    def _answer_claim(self, message: DeciderClaimReceived) -> None:
+        if self.takeover.must_step_down(message):
+            self._step_down(f"{message.claim.instance} was elected since")
+        self.takeover.answer(message)
 
     def _record_not_written(self, table: OwnershipTable) -> None:
         """Records that a table will never be in the store, so that another can be planned."""
         service = self._service(table.service)
-        if service.unacknowledged_tables and service.unacknowledged_tables[-1] is table:
+        pending = service.unacknowledged_tables
+        if pending and pending[-1] is table:
             service.commit_sent_at = None
-        service.unacknowledged_tables = [
-            other for other in service.unacknowledged_tables if other is not table
-        ]
+        service.unacknowledged_tables = [other for other in pending if other is not table]
 
     def _service(self, name: str) -> KeyedService:
         service = self.services.get(name)
@@ -260,14 +281,13 @@
         planned = service.next_table(candidates, max(join_times, default=now), now)
         if planned is not None:
             log_plan(service, planned, candidates)
-            # True if no earlier decider can still grant keys: the service has never had a table, or
-            # the time has passed for which earlier deciders may grant without the store.
-            sole_decider = (
-                service.table is None and self.era == 0
-            ) or now >= former_deciders_may_grant_until(self.elected_at)
+            # A service that has never had a table has had no earlier decider either.
+            is_first = service.table is None and self.era == 0
+            tracker = service.grant_tracker
             table = planned.replace(
-                written_by_sole_decider=sole_decider,
-                has_unknown_holders=service.grant_tracker.sweep is not None,
+                written_by_sole_decider=is_first or tracker.is_sole_decider(now),
+                has_unknown_holders=tracker.sweep is not None,
+                writer=self.takeover.address,
             )
             service.commit_sent_at = now
             service.unacknowledged_tables.append(table)
@@ -312,23 +332,10 @@
             grant_tracker.record_granted(command, now)
             if not command.renewal:
                 self.peers.broadcast(GrantNotice(message.service, command.keys, command.fence))
-                log_event(
-                    "keys-granted",
-                    service=message.service,
-                    server=command.server,
-                    keys=command.keys,
-                    fence=command.fence,
-                )
+                log_granted(message.service, command)
         elif isinstance(command, ReleaseCommand):
             grant_tracker.record_released(command, message.handover, now)
-            log_event(
-                "keys-released",
-                service=message.service,
-                server=command.server,
-                keys=command.keys,
-                fence=command.fence,
-                handover=bool(message.handover),
-            )
+            log_released(message.service, command, message.handover)
             self.next_check_at = 0.0
         if others_wait and self.is_decider:
             self._send_due_commands(message.service, service, now, command.server)
@@ -354,14 +361,7 @@
                 self._step_down("a server has seen a higher fence")
         else:
             service.record_command_failed(command.server)
-        log_problem(
-            "command-failed",
-            service=message.service,
-            kind=type(command).__name__,
-            server=command.server,
-            problem=error,
-            sent=error.may_have_run,
-        )
+        log_command_failed(message.service, command, error)
 
     def _update_incarnations(self) -> None:
         """Closes the command tasks of incarnations that are gone; records which ones have ended.
@@ -390,11 +390,4 @@
     def _record_report(self, report: LoadReport) -> None:
         if not self.is_decider or not report.keys:
             return
-        service = self._service(report.service)
-        for service_times in report.service_times:
-            seconds = service_times.total_ms / MILLISECONDS_PER_SECOND
-            service.service_times.add(service_times.server_id, service_times.request_count, seconds)
-        load = service.load
-        requests_per_key = report.requests / len(report.keys)
-        for key in report.keys:
-            load.add(key, requests_per_key)
+        record_load(self._service(report.service), report)
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -1,4 +1,4 @@
-"""Datagrams between daemons: load reports to the decider, notices of grants and crashes."""
+"""Datagrams between daemons: load reports, notices of grants and crashes, claims of deciders."""
 
 import abc
 import random
@@ -9,15 +9,21 @@
 
 from fireflylink_core import ChangeFragment
 from fireflylink_daemon._log import log_problem
-from fireflylink_daemon._messages import LoadReportReceived
+from fireflylink_daemon._messages import (
+    DeciderClaimReceived,
+    DeciderRetiredReceived,
+    LoadReportReceived,
+)
 from fireflylink_daemon._task import BaseTask, spawn_supervised
 from fireflylink_daemon._view_task import ViewTask
 from fireflylink_protocol import (
     MAX_REPORTED_KEYS,
     CrashNotice,
+    Datagram,
+    DeciderClaim,
+    DeciderRetired,
     GrantNotice,
     LoadReport,
-    MemberRecord,
     ServerServiceTime,
     decode_datagram,
     encode_datagram,
@@ -154,7 +160,11 @@
         """Sends a notice to every member, including this daemon."""
         datagram = encode_datagram(notice)
         for member in self.routing_state.members.values():
-            self._send_datagram(datagram, member)
+            self._send_datagram(datagram, member.host, member.port)
+
+    def send(self, message: Datagram, host: str, port: int) -> None:
+        """Sends a datagram to one daemon, whether it is a member or not."""
+        self._send_datagram(encode_datagram(message), host, port)
 
     def send_fragments(
         self, fragments: tuple[ChangeFragment, ...], receivers: tuple[str, ...]
@@ -165,7 +175,7 @@
             member = self.routing_state.members.get(name)
             if member is not None:
                 for datagram in datagrams:
-                    self._send_datagram(datagram, member)
+                    self._send_datagram(datagram, member.host, member.port)
 
     def _receive_datagrams(self) -> None:
         while True:
@@ -181,7 +191,7 @@
                 if self.store_reader is not None:
                     self.store_reader.post_fragment(message)
             elif self.ownership_task is not None:
-                self.ownership_task.post(LoadReportReceived(message))
+                self.ownership_task.post(_message_to_ownership(message, sender))
 
     def _send_reports(self) -> None:
         while True:
@@ -189,10 +199,20 @@
             decider = self.view_task.decider_record
             for report in self.counter.take_reports(self.instance):
                 if decider is not None:
-                    self._send_datagram(encode_datagram(report), decider)
+                    self._send_datagram(encode_datagram(report), decider.host, decider.port)
 
-    def _send_datagram(self, datagram: bytes, member: MemberRecord) -> None:
+    def _send_datagram(self, datagram: bytes, host: str, port: int) -> None:
         try:
-            self.sock.sendto(datagram, (member.host, member.port))
+            self.sock.sendto(datagram, (host, port))
         except OSError as error:
-            log_problem("datagram-not-sent", to=member.instance, problem=error)
+            log_problem("datagram-not-sent", to=host, problem=error)
+
+
+def _message_to_ownership(
+    message: LoadReport | DeciderClaim | DeciderRetired, sender: tuple[str, int]
+) -> LoadReportReceived | DeciderClaimReceived | DeciderRetiredReceived:
+    if isinstance(message, DeciderClaim):
+        return DeciderClaimReceived(message, sender)
+    if isinstance(message, DeciderRetired):
+        return DeciderRetiredReceived(message, sender)
+    return LoadReportReceived(message)
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -4,16 +4,21 @@
 
 import pytest
 
-from fireflylink_core import ManualClock
+from fireflylink_core import DaemonAddress, ManualClock
 from fireflylink_daemon import read_settings
 from fireflylink_daemon._decider_task import DeciderTask
-from fireflylink_daemon._messages import CommandCompleted, DeciderChanged, UpdatesRead
+from fireflylink_daemon._messages import (
+    CommandCompleted,
+    DeciderChanged,
+    DeciderRetiredReceived,
+    UpdatesRead,
+)
 from fireflylink_daemon._metrics import Metrics
 from fireflylink_daemon._ownership_task import OwnershipTask
 from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._view_task import ViewTask
 from fireflylink_platform import PlatformItemDecoder, PlatformServerCodec
-from fireflylink_protocol import MemberRecord
+from fireflylink_protocol import DeciderClaim, DeciderRetired, MemberRecord
 from fireflylink_standins import DAEMON_BOUNDS, MemoryStore, StoreState
 from fireflylink_store import Item
 
@@ -35,10 +40,19 @@
 
     def __init__(self) -> None:
         self.notices = []
+        self.sent = []
 
     def broadcast(self, notice) -> None:
         self.notices.append(notice)
 
+    def send(self, message, host, port) -> None:
+        self.sent.append((message, (host, port)))
+
+    def take(self) -> list:
+        """Returns what was sent to single daemons since the last call, with their addresses."""
+        sent, self.sent = self.sent, []
+        return sent
+
 
 class RecordingCommands:
     """Stands in for ``FleetCommands``: records the commands instead of sending them."""
@@ -119,6 +133,13 @@
             self.ownership_task.on_wake()
         return self.ownership_task.commands.take()
 
+    def answer_claims(self) -> None:
+        """Lets the former deciders that were asked to step down answer that they have."""
+        for message, address in self.peers.take():
+            if isinstance(message, DeciderClaim):
+                notice = DeciderRetired("front-9", message.revision)
+                self.ownership_task.receive(DeciderRetiredReceived(notice, address))
+
     def complete(self, *commands) -> None:
         """Lets commands to the service ``a`` succeed."""
         for command in commands:
@@ -169,6 +190,12 @@
     return make
 
 
+@pytest.fixture
+def former_decider() -> DaemonAddress:
+    """A daemon that was the decider before those of the test."""
+    return DaemonAddress("front-9", "127.0.0.9", 7540)
+
+
 CONFIGURATION = {
     "version": "r7",
     "services": [{"name": "a", "max-conns": 110, "sharded": True}],
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_timing.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_timing.py
@@ -30,9 +30,13 @@
 """Time added to a hold, besides the clock drift, before it counts as expired."""
 
 OUTAGE_GRACE_SECONDS = 8.0
-"""How long a decider sends grants without confirmation by the store. Its successor assumes that
-servers that it cannot reach were sent grants for all of that time: see
-``inherited_owner_holds_expire_at`` in ``GrantTracker``."""
+"""How long a decider sends grants without confirmation by the store. Its successor assumes that it
+does so for all of that time, unless it has said that it stepped down: see
+``former_deciders_end_at`` in ``GrantTracker``."""
+
+MAX_DELIVERY_SECONDS = 3.0
+"""How long what a process has sent may still be delivered after its end: the TCP user time-out of
+the daemons' connections."""
 
 
 def former_deciders_may_grant_until(elected_at: float) -> float:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -14,6 +14,7 @@
     ReleaseCommand,
     keys_and_fence,
 )
+from fireflylink_decisions.ownership._former_deciders import FormerDeciders
 from fireflylink_decisions.ownership._grant_state import GrantState
 from fireflylink_decisions.ownership._grant_timing import (
     CLOCK_DRIFT_FACTOR,
@@ -23,9 +24,8 @@
     HOLD_SECONDS,
     MAX_RENEWAL_INTERVAL_FRACTION,
     RENEWAL_INTERVAL_SECONDS,
-    former_holds_expire_at,
 )
-from fireflylink_decisions.ownership._hold_expiries import FORMER_DECIDER_FENCE, HoldExpiries
+from fireflylink_decisions.ownership._hold_expiries import HoldExpiries
 from fireflylink_decisions.ownership._holder_sweep import HolderSweep
 
 
@@ -34,25 +34,23 @@
 
     A new holder is granted keys only when every previous holder has confirmed their release under
     the new fence, or when every grant that may have reached the previous holder has expired.
-    ``elected_at`` is when this decider took over. A former decider may send grants for
-    ``OUTAGE_GRACE_SECONDS`` after that, so the hold of a server that does not answer may last
-    until one grant time-out and one whole hold later.
+    ``elected_at`` is when this decider took over from ``former_deciders``, which may go on for some
+    time. A release is final only when none of them can send its server grants any more: if the
+    server restarts under its id, it has forgotten the release and its fence. So none is sent before
+    that.
 
     ``holds`` has the latest time at which each grant that a server may have accepted expires.
-    Inherited holds are those that former deciders granted: ``inherited_owner_holds_expire_at`` and
-    ``inherited_previous_holder_holds_expire_at`` are their latest expiries for the owners and for
-    the previous holders in the table that this decider writes first. ``first_table_fence`` is the
-    fence of that table. While there is a ``sweep``, no keys are granted or renewed.
+    ``first_table_fence`` is the fence of the table that this decider writes first. While there is a
+    ``sweep``, no keys are granted or renewed.
     """
 
     __slots__ = (
         "assignments_by_server",
         "first_table_fence",
+        "former_deciders",
         "grant_states",
         "hold_seconds",
         "holds",
-        "inherited_owner_holds_expire_at",
-        "inherited_previous_holder_holds_expire_at",
         "max_hold_seconds",
         "renewal_interval_seconds",
         "sweep",
@@ -65,10 +63,7 @@
         self.renewal_interval_seconds = min(
             RENEWAL_INTERVAL_SECONDS, hold_seconds * MAX_RENEWAL_INTERVAL_FRACTION
         )
-        self.inherited_owner_holds_expire_at = former_holds_expire_at(
-            elected_at, self.max_hold_seconds
-        )
-        self.inherited_previous_holder_holds_expire_at = self.inherited_owner_holds_expire_at
+        self.former_deciders = FormerDeciders(elected_at, self.max_hold_seconds)
         self.first_table_fence = 0
         self.table: OwnershipTable | None = None
         self.grant_states: dict[tuple[KeyRange, int], GrantState] = {}
@@ -78,8 +73,16 @@
 
     def mark_no_former_decider(self) -> None:
         """Records that no table existed before, so that no former decider granted any keys."""
-        self.inherited_owner_holds_expire_at = float("-inf")
-        self.inherited_previous_holder_holds_expire_at = float("-inf")
+        self.former_deciders.mark_none()
+
+    def record_former_deciders_end(self, end_at: float) -> None:
+        """Records that all former deciders have stepped down, or will have by ``end_at``."""
+        self.former_deciders.record_end(end_at)
+        self.holds.limit_former(self.former_deciders.owner_hold)
+
+    def is_sole_decider(self, now: float) -> bool:
+        """Whether no former decider can send grants any more."""
+        return now >= self.former_deciders.end_at
 
     def start_sweep(self, opens_at: float, expires_at: float, knows_all_holders: bool) -> None:
         """Requires that all servers release keys before any are granted, see ``HolderSweep``.
@@ -100,18 +103,8 @@
         )
 
     def record_former_table(self, table: OwnershipTable, seen_at: float) -> None:
-        """Records the table of a former decider, and when this daemon first saw it.
-
-        Its writer granted nothing to the previous holders in it after writing it. The table is
-        marked ``written_by_sole_decider`` if no earlier decider could still grant at that time (see
-        ``former_deciders_may_grant_until``). The holds of the previous holders then expire at the
-        latest one grant time-out and one whole hold after the table was seen.
-        """
-        if table.written_by_sole_decider:
-            latest_expiry = seen_at + GRANT_TIMEOUT_SECONDS + self.max_hold_seconds
-            self.inherited_previous_holder_holds_expire_at = min(
-                self.inherited_owner_holds_expire_at, latest_expiry
-            )
+        """Records the table that was taken over, and when this daemon first saw it."""
+        self.former_deciders.record_table(table, seen_at)
 
     def set_table(self, table: OwnershipTable) -> None:
         """Replaces the table by one that the store has acknowledged.
@@ -209,10 +202,14 @@
     def record_sent(self, command: GrantCommand, deadline: float) -> None:
         """Records that a grant is about to be sent, to arrive until ``deadline`` or never.
 
-        The keys may be held from now on, until one hold after ``deadline``.
+        ``deadline`` is ``GRANT_TIMEOUT_SECONDS`` from now. The keys may be held from now on, until
+        one hold after ``deadline``.
         """
         self.holds.record_sent(
-            command.server, (command.keys, command.fence), deadline + self.max_hold_seconds
+            command.server,
+            (command.keys, command.fence),
+            deadline - GRANT_TIMEOUT_SECONDS,
+            deadline + self.max_hold_seconds,
         )
 
     def record_not_sent(self, command: GrantCommand) -> None:
@@ -256,7 +253,7 @@
         if self.sweep is not None and isinstance(command, ReleaseCommand):
             self.sweep.record_failed(command, now)
         keys, fence = keys_and_fence(command)
-        self.holds.forget_previous(command.server, (keys, fence))
+        self.holds.record_failed(command.server, (keys, fence))
         state = self._complete_command(keys, fence, command.server)
         if state is None:
             return
@@ -296,13 +293,11 @@
 
     def _add_inherited_holds(self, table: OwnershipTable) -> None:
         """Adds the holds that former deciders may have granted, or may still renew for owners."""
-        for former in table.assignments:
-            grant_id = (former.keys, FORMER_DECIDER_FENCE)
-            self.holds.extend(former.owner, grant_id, self.inherited_owner_holds_expire_at)
-            for incarnation in former.previous_holders:
-                self.holds.extend(
-                    incarnation, grant_id, self.inherited_previous_holder_holds_expire_at
-                )
+        former = self.former_deciders
+        for assignment in table.assignments:
+            self.holds.add_former(assignment.owner, assignment.keys, former.owner_hold)
+            for incarnation in assignment.previous_holders:
+                self.holds.add_former(incarnation, assignment.keys, former.previous_holder_hold)
 
     def _assignment_states(self) -> list[tuple[Assignment, GrantState]]:
         if self.table is None:
@@ -357,6 +352,7 @@
             ReleaseCommand(incarnation, assignment.keys, assignment.fence)
             for incarnation in holders
             if self._is_due(state, incarnation, now)
+            and self.holds.is_release_final(incarnation, assignment, now)
         ]
 
     def _grant_command(self, assignment: Assignment, state: GrantState) -> GrantCommand:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -1,13 +1,16 @@
 """The decider's state of one keyed service, and the choice of the next ownership table."""
 
-from fireflylink_core import KeyRange, OwnershipTable, ServerIncarnation
+from fireflylink_core import DaemonAddress, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_decisions.ownership._candidate import Candidate
 from fireflylink_decisions.ownership._first_tables import (
     first_fence,
     initial_table,
     with_new_fence,
 )
-from fireflylink_decisions.ownership._grant_timing import former_holds_expire_at
+from fireflylink_decisions.ownership._grant_timing import (
+    former_deciders_may_grant_until,
+    former_holds_expire_at,
+)
 from fireflylink_decisions.ownership._grant_tracker import GrantTracker
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
 from fireflylink_decisions.ownership._overload_detector import OverloadDetector
@@ -35,9 +38,11 @@
 
     ``revision`` is that of the service's record in the store, whose table may be older than
     ``table`` after the store was restored. ``minimum_fence`` is the first fence of the store's
-    present era. ``unacknowledged_tables`` are the tables whose write has no known result so far.
-    ``commit_sent_at`` is when the write of the last planned table was sent, None when no new plan
-    has to wait for its result.
+    present era. ``former_decider`` is the decider that wrote the table which this one took over,
+    None if it is known to have stepped down or if there may be others; deciders before that one
+    send no grants from ``earlier_deciders_end_at`` on. ``unacknowledged_tables`` are the tables
+    whose write has no known result so far. ``commit_sent_at`` is when the write of the last planned
+    table was sent, None when no new plan has to wait for its result.
     ``consecutive_failures`` counts, for each server, the failed commands since the last one that
     succeeded. ``completed_moves_since`` is when the table was last found to have no completed
     moves, or when it was last replaced to remove them.
@@ -47,6 +52,8 @@
         "commit_sent_at",
         "completed_moves_since",
         "consecutive_failures",
+        "earlier_deciders_end_at",
+        "former_decider",
         "grant_tracker",
         "load",
         "minimum_fence",
@@ -67,6 +74,8 @@
         self.revision = 0
         self.name = name
         self.minimum_fence = first_fence(0)
+        self.former_decider: DaemonAddress | None = None
+        self.earlier_deciders_end_at = 0.0
         self.unacknowledged_tables: list[OwnershipTable] = []
         self.table_first_seen_at = now
         self.grant_tracker: GrantTracker | None = None
@@ -123,6 +132,32 @@
             opens_at = now if knows_all_holders else now + REGISTRATION_GRACE_SECONDS
             expires_at = former_holds_expire_at(elected_at, tracker.max_hold_seconds)
             tracker.start_sweep(opens_at, expires_at, knows_all_holders)
+            self.former_decider = None
+        elif not is_uninterrupted:
+            self._inherit_decider()
+
+    def record_former_decider_stopped(self, now: float) -> None:
+        """Records that the decider which wrote the table that was taken over has stepped down."""
+        self.former_decider = None
+        if self.grant_tracker is not None:
+            ends_at = max(now, self.earlier_deciders_end_at)
+            self.grant_tracker.record_former_deciders_end(ends_at)
+
+    def _inherit_decider(self) -> None:
+        """Finds the deciders that may still grant keys when this daemon is elected.
+
+        A decider writes a table before it grants any keys, so besides the writer of the table only
+        those can that were deciders before it.
+        """
+        self.former_decider = None
+        if self.table is None:
+            return
+        self.former_decider = self.table.writer
+        self.earlier_deciders_end_at = (
+            0.0
+            if self.table.written_by_sole_decider
+            else former_deciders_may_grant_until(self.table_first_seen_at)
+        )
 
     def may_have_lost_tables(self, era: int) -> bool:
         """Whether the store may have lost tables that are newer than the one in use."""
@@ -190,12 +225,21 @@
         if without_completed_moves is None:
             self.completed_moves_since = now
         expired = tracker.expired_ranges(now)
-        rebalance = now >= self.next_rebalance_at
+        # Before that, keys that are taken from a server would be without an owner.
+        may_move_held_keys = tracker.is_sole_decider(now)
+        rebalance = may_move_held_keys and now >= self.next_rebalance_at
         if rebalance:
             self.next_rebalance_at = now + REBALANCE_INTERVAL_SECONDS
         current = without_completed_moves or table
         planned = plan_table(
-            current, candidates, range_load, self.overload_detector, now, expired, rebalance
+            current,
+            candidates,
+            range_load,
+            self.overload_detector,
+            now,
+            expired,
+            rebalance,
+            may_move_held_keys,
         )
         if planned is not None or table.has_unknown_holders:
             return planned or current.replace(has_unknown_holders=False)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_planner.py
@@ -84,6 +84,7 @@
     now: float,
     expired: frozenset[KeyRange] = frozenset(),
     rebalance: bool = True,
+    may_move_held_keys: bool = True,
 ) -> OwnershipTable | None:
     """Returns a changed table under a new fence, None when the present one needs no change.
 
@@ -93,6 +94,10 @@
     that is sustained, and small ranges are moved to the owner of an adjacent range and merged.
     These changes are made together, because every daemon reads each new table.
 
+    Without ``may_move_held_keys``, only ranges whose owner is lost or whose grant has expired are
+    reassigned: a former decider may still grant keys, and those that a server releases could not be
+    granted to another one before that has ended.
+
     The grants of the ranges in ``expired`` have expired: they get a new fence even if their owner
     stays. ``overload_detector`` keeps its state from one plan to the next.
     """
@@ -102,8 +107,9 @@
     planner = _Planner(draft, candidates)
     planner.detect_overload(overload_detector, now, rebalance)
     planner.reassign_lost_and_expired_ranges(expired)
-    planner.give_keys_to_new_servers()
-    planner.relieve_overloaded_servers()
+    if may_move_held_keys:
+        planner.give_keys_to_new_servers()
+        planner.relieve_overloaded_servers()
     if rebalance:
         # A range that was moved to its neighbour's owner before is merged first; otherwise it would
         # be moved back to its other neighbour's.
--- a/packages/protocol/src/fireflylink_protocol/_datagrams.py
+++ b/packages/protocol/src/fireflylink_protocol/_datagrams.py
@@ -1,4 +1,4 @@
-"""Datagrams between daemons, as MessagePack: load reports, notices and fragments of changes.
+"""Datagrams between daemons, as MessagePack: load reports, notices, fragments, claims of deciders.
 
 A datagram is a list: the number of its message type, then the fields of the message.
 """
@@ -21,6 +21,8 @@
 GRANT_NOTICE_TYPE = 2
 CRASH_NOTICE_TYPE = 3
 CHANGE_FRAGMENT_TYPE = 4
+DECIDER_CLAIM_TYPE = 5
+DECIDER_RETIRED_TYPE = 6
 MAX_REPORTED_KEYS = 400
 """Limit that keeps a load report without service times below 1,500 bytes, so that no link fragments
 the datagram. Each key takes up to 3 bytes.
@@ -103,7 +105,34 @@
         self.incarnation = incarnation
 
 
-Datagram = LoadReport | GrantNotice | CrashNotice | ChangeFragment
+class DeciderClaim(BaseValue):
+    """States that a daemon is the decider, and asks the receiver not to be one any more.
+
+    ``revision`` is that of the sender's decider record. A receiver that decides by an older record
+    steps down, as it may do without the store.
+    """
+
+    __slots__ = ("instance", "revision")
+
+    def __init__(self, instance: str, revision: int) -> None:
+        self.instance = instance
+        self.revision = revision
+
+
+class DeciderRetired(BaseValue):
+    """States that a daemon sends no commands by a decider record older than ``revision``.
+
+    It answers a ``DeciderClaim``, and stays true: no command is on its way any more.
+    """
+
+    __slots__ = ("instance", "revision")
+
+    def __init__(self, instance: str, revision: int) -> None:
+        self.instance = instance
+        self.revision = revision
+
+
+Datagram = LoadReport | GrantNotice | CrashNotice | ChangeFragment | DeciderClaim | DeciderRetired
 """A decoded message; its encoded form is the content of one UDP datagram."""
 
 
@@ -131,6 +160,10 @@
             incarnation.server_id,
             incarnation.started_ms,
         ]
+    elif isinstance(message, DeciderClaim):
+        fields = [DECIDER_CLAIM_TYPE, message.instance, message.revision]
+    elif isinstance(message, DeciderRetired):
+        fields = [DECIDER_RETIRED_TYPE, message.instance, message.revision]
     elif isinstance(message, ChangeFragment):
         fields = [
             CHANGE_FRAGMENT_TYPE,
@@ -162,6 +195,10 @@
             return Success(_decode_crash_notice(*fields))
         if message_type == CHANGE_FRAGMENT_TYPE:
             return Success(_decode_change_fragment(*fields))
+        if message_type == DECIDER_CLAIM_TYPE:
+            return Success(_decode_decider_claim(*fields))
+        if message_type == DECIDER_RETIRED_TYPE:
+            return Success(_decode_decider_retired(*fields))
         return Failure(RecordError(f"datagram type {message_type!r} is not known"))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         return Failure(RecordError(f"the datagram cannot be decoded: {error!r}"))
@@ -227,6 +264,14 @@
     )
 
 
+def _decode_decider_claim(instance: str, revision: int) -> DeciderClaim:
+    return DeciderClaim(str(instance), checked_integer(revision, 1))
+
+
+def _decode_decider_retired(instance: str, revision: int) -> DeciderRetired:
+    return DeciderRetired(str(instance), checked_integer(revision, 1))
+
+
 def _decode_grant_notice(service: str, first: int, last: int, fence: int) -> GrantNotice:
     first = checked_integer(first, FIRST_KEY, LAST_KEY)
     last = checked_integer(last, first, LAST_KEY)
--- a/packages/protocol/src/fireflylink_protocol/_records.py
+++ b/packages/protocol/src/fireflylink_protocol/_records.py
@@ -17,6 +17,7 @@
     LAST_KEY,
     Assignment,
     BaseValue,
+    DaemonAddress,
     KeyRange,
     OwnershipTable,
     ServerIncarnation,
@@ -52,6 +53,11 @@
         self.host = host
         self.port = port
 
+    @property
+    def address(self) -> DaemonAddress:
+        """The daemon with the address at which it receives datagrams."""
+        return DaemonAddress(self.instance, self.host, self.port)
+
 
 def member_key(instance: str) -> str:
     """Returns the store key of the member record of a daemon."""
@@ -127,6 +133,7 @@
             "fence": table.fence,
             "alone": table.written_by_sole_decider,
             "unknown_holders": table.has_unknown_holders,
+            "writer": _encode_address(table.writer),
             "lives": [
                 [incarnation.server_id, incarnation.started_ms] for incarnation in incarnations
             ],
@@ -167,6 +174,7 @@
             written_by_sole_decider=bool(fields["alone"]),
             # Records of earlier versions do not have this field.
             has_unknown_holders=bool(fields.get("unknown_holders", False)),
+            writer=_decode_address(fields.get("writer")),
         )
 
     try:
@@ -179,6 +187,21 @@
     return _decode(encoded, build_table)
 
 
+def _encode_address(address: DaemonAddress | None) -> list[object] | None:
+    return None if address is None else [address.instance, address.host, address.port]
+
+
+def _decode_address(fields: Any) -> DaemonAddress | None:
+    if fields is None:
+        return None
+    instance, host, port = fields
+    return DaemonAddress(
+        str(instance),
+        str(ipaddress.IPv4Address(host)),
+        checked_integer(port, maximum=MAX_PORT),
+    )
+
+
 def _encode(record: object) -> bytes:
     return json.dumps(record, separators=(",", ":")).encode()
 
