Bound what answers without end cost, one by one and together

Cause: parsing costs by the piece, and the bounds on an answer counted bytes. An answer in chunks of 2 bytes was parsed for 9.47 s of processor time before it was given up, in turns of 10.8 ms for each read of 64 KiB, and the loop of an exchange let nobody else run while bytes were there.

Change: a limit on pieces (8,192, and one for each 256 bytes of body); reads of 8 KiB unless the pieces are large; another greenlet runs before each further read; answers in small pieces share a ParsingLimiter, so that they take a fifth of the time together, and one without a turn before its deadline is given up at once. Commands have a limiter of their own.

Why it works: the sum over all such answers is bounded, not only each, and no turn is longer than parsing 8 KiB.

On the code before, these new tests failed: small_pieces (chunks-2, chunks-1, chunks-16), other_greenlets_run (all three), without_a_turn.

--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -6,7 +6,13 @@
 from returns.result import Failure, Result, Success
 
 from fireflylink_backend_client._codec import BaseServerCodec, EncodedCommand
-from fireflylink_core import BackendServer, BaseClock, BaseFireflylinkError, KeyRange
+from fireflylink_core import (
+    BackendServer,
+    BaseClock,
+    BaseFireflylinkError,
+    KeyRange,
+    ParsingLimiter,
+)
 from fireflylink_http_client import (
     ExchangeError,
     HttpResponse,
@@ -58,11 +64,17 @@
 
     __slots__ = ("codec", "command_ids", "connection", "echoes_ids", "last_handover", "server")
 
-    def __init__(self, server: BackendServer, clock: BaseClock, codec: BaseServerCodec) -> None:
+    def __init__(
+        self,
+        server: BackendServer,
+        clock: BaseClock,
+        codec: BaseServerCodec,
+        limiter: ParsingLimiter | None = None,
+    ) -> None:
         self.server = server
         self.codec = codec
         self.connection = PersistentConnection(
-            server.host, server.port, clock, COMMAND_CONNECT_TIMEOUT_SECONDS
+            server.host, server.port, clock, COMMAND_CONNECT_TIMEOUT_SECONDS, limiter
         )
         # Unlike those of other clients, which may use the connection's address before or later.
         prefix = f"{random.getrandbits(48):012x}"
--- a/packages/core/src/fireflylink_core/__init__.py
+++ b/packages/core/src/fireflylink_core/__init__.py
@@ -20,6 +20,7 @@
 )
 from fireflylink_core._daemon_address import DaemonAddress
 from fireflylink_core._errors import BaseFireflylinkError
+from fireflylink_core._event_loop import yield_to_event_loop
 from fireflylink_core._json_fields import MAX_INTEGER, MISSING, BaseJsonFields
 from fireflylink_core._keys import (
     FIRST_KEY,
@@ -29,6 +30,7 @@
     KeyRange,
     OwnershipTable,
 )
+from fireflylink_core._parsing_limiter import ParsingLimiter
 from fireflylink_core._request import (
     NO_KEY,
     BaseReply,
@@ -81,6 +83,7 @@
     "NotSent",
     "OutcomeUnknown",
     "OwnershipTable",
+    "ParsingLimiter",
     "RequestKind",
     "Route",
     "RouteTarget",
@@ -92,4 +95,5 @@
     "ServerState",
     "Service",
     "SystemClock",
+    "yield_to_event_loop",
 ]
--- a/packages/daemon/src/fireflylink_daemon/_command_tasks.py
+++ b/packages/daemon/src/fireflylink_daemon/_command_tasks.py
@@ -3,7 +3,7 @@
 from returns.result import Result, Success
 
 from fireflylink_backend_client import BaseServerCodec, CommandError, ServerCommandClient
-from fireflylink_core import BackendServer, BaseClock
+from fireflylink_core import BackendServer, BaseClock, ParsingLimiter
 from fireflylink_daemon._messages import CommandCompleted, SendCommand
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.ownership import BaseCommand, GrantCommand, ReleaseCommand
@@ -41,9 +41,10 @@
         codec: BaseServerCodec,
         ownership_task: BaseTask,
         hold_seconds: float,
+        limiter: ParsingLimiter | None = None,
     ) -> None:
         super().__init__(f"commands-{server.server_id}", clock)
-        self.command_client = ServerCommandClient(server, clock, codec)
+        self.command_client = ServerCommandClient(server, clock, codec, limiter)
         self.ownership_task = ownership_task
         self.hold_seconds = hold_seconds
 
@@ -98,6 +99,7 @@
         "idle",
         "last_sent_at",
         "limit",
+        "limiter",
         "ownership_task",
         "server",
     )
@@ -110,6 +112,7 @@
         ownership_task: BaseTask,
         hold_seconds: float,
         limit: int,
+        limiter: ParsingLimiter | None = None,
     ) -> None:
         self.server = server
         self.clock = clock
@@ -117,6 +120,7 @@
         self.ownership_task = ownership_task
         self.hold_seconds = hold_seconds
         self.limit = limit
+        self.limiter = limiter
         self.idle: list[CommandTask] = []
         self.busy: dict[CommandTask, SendCommand] = {}
         self.last_sent_at = float("-inf")
@@ -157,7 +161,12 @@
 
     def _start_task(self) -> CommandTask:
         task = CommandTask(
-            self.server, self.clock, self.codec, self.ownership_task, self.hold_seconds
+            self.server,
+            self.clock,
+            self.codec,
+            self.ownership_task,
+            self.hold_seconds,
+            self.limiter,
         )
         task.start()
         return task
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -7,6 +7,7 @@
     CallerLimits,
     Configuration,
     OwnershipTable,
+    ParsingLimiter,
     ServerIncarnation,
     ServerState,
     Service,
@@ -63,6 +64,7 @@
         "leaving_servers",
         "members",
         "ownership_tables",
+        "parsing_limiter",
         "poison",
         "retry_budgets",
         "routes",
@@ -89,6 +91,7 @@
         self.fleet_position = FleetPosition(settings.instance, ())
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.connection_pools: dict[ServerIncarnation, ServerConnectionPool] = {}
+        self.parsing_limiter = ParsingLimiter()
         self.store_calls_failing = False
 
     def set_settings(self, settings: Settings) -> None:
@@ -300,7 +303,7 @@
         pool = self.connection_pools.get(incarnation)
         if pool is None:
             pool = self.connection_pools[incarnation] = ServerConnectionPool(
-                tracker.server, self.clock, self.codec, tracker.send_window
+                tracker.server, self.clock, self.codec, tracker.send_window, self.parsing_limiter
             )
         return pool
 
--- a/packages/http_client/src/fireflylink_http_client/_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_connection.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable
 from typing import Any
 
+import gevent
 from gevent import socket
 from gevent.select import select
 
-from fireflylink_core import BaseClock, LostReason
+from fireflylink_core import BaseClock, LostReason, ParsingLimiter, yield_to_event_loop
 from fireflylink_http_client._errors import LostError, NotSentError
 from fireflylink_http_client._response import HttpResponse, ResponseReader
 
-READ_SIZE_BYTES = 65536
 TCP_KEEPALIVE_IDLE_SECONDS = 1
 TCP_KEEPALIVE_INTERVAL_SECONDS = 1
 TCP_KEEPALIVE_PROBES = 2
@@ -31,6 +31,8 @@
     ``connect_seconds`` is how long it took to establish. ``declined_request_ids`` are the ids of
     requests that the peer declined on this connection. Such a request must not be sent here again:
     if the peer writes the refusal once more, it would be taken for the response to the new attempt.
+    ``limiter`` gives turns to answers that arrive in small pieces and are not complete; connections
+    to peers that may be in trouble share one.
 
     Example::
 
@@ -45,11 +47,13 @@
         "connect_seconds",
         "declined_request_ids",
         "last_used_at",
+        "limiter",
         "sock",
     )
 
-    def __init__(self, clock: BaseClock) -> None:
+    def __init__(self, clock: BaseClock, limiter: ParsingLimiter | None = None) -> None:
         self.clock = clock
+        self.limiter = ParsingLimiter() if limiter is None else limiter
         self.sock: Any = None
         self.last_used_at = 0.0
         self.connect_seconds = 0.0
@@ -175,7 +179,7 @@
             raise LostError(LostReason.MALFORMED, "bytes that are no response")
         readable, writable, _ = self._select(remaining_seconds)
         if readable:
-            self._receive_early_bytes(reader)
+            self._receive_early_bytes(reader, deadline)
         if writable:
             unsent.advance(self._send_more(unsent.next_bytes()))
 
@@ -195,10 +199,12 @@
         except OSError as error:
             raise self._connection_error(error) from error
 
-    def _receive_early_bytes(self, reader: ResponseReader) -> None:
+    def _receive_early_bytes(self, reader: ResponseReader, deadline: float) -> None:
         """Receives bytes that arrive while the request is being sent."""
+        self._wait_for_turn(reader, deadline)
+        self.sock.settimeout(0.0)
         try:
-            data = self.sock.recv(READ_SIZE_BYTES)
+            data = self.sock.recv(reader.next_read_bytes)
         except BlockingIOError:
             return
         except OSError as error:
@@ -210,13 +216,15 @@
     def _receive(self, reader: ResponseReader, deadline: float) -> HttpResponse | None:
         if reader.malformed:
             raise LostError(LostReason.MALFORMED, "bytes that are no response")
+        if reader.started:
+            self._wait_for_turn(reader, deadline)
         remaining_seconds = deadline - self.clock.now()
         if remaining_seconds <= 0:
             # Bytes that arrive without end would keep a read without a time-out from failing.
             raise LostError(LostReason.LATE, "while receiving")
         self.sock.settimeout(remaining_seconds)
         try:
-            data = self.sock.recv(READ_SIZE_BYTES)
+            data = self.sock.recv(reader.next_read_bytes)
         except (TimeoutError, BlockingIOError) as error:
             raise LostError(LostReason.LATE, "while receiving") from error
         except OSError as error:
@@ -226,6 +234,19 @@
         reader.feed(data)
         return None
 
+    def _wait_for_turn(self, reader: ResponseReader, deadline: float) -> None:
+        """Lets other greenlets run, and waits for a turn if the last bytes were costly to parse.
+
+        Raises ``LostError`` at once if there is no turn before the deadline.
+        """
+        turn_at = self.limiter.reserve(self.clock.now(), reader.last_steps)
+        if turn_at >= deadline:
+            raise LostError(LostReason.LATE, "no turn to parse small pieces before the deadline")
+        if turn_at > self.clock.now():
+            gevent.sleep(turn_at - self.clock.now())
+        else:
+            yield_to_event_loop()
+
     def _connection_error(self, error: OSError) -> LostError:
         """Returns the error to raise: a cancellation by another greenlet also causes OSError."""
         if self.cancelled:
--- a/packages/http_client/src/fireflylink_http_client/_response.py
+++ b/packages/http_client/src/fireflylink_http_client/_response.py
@@ -18,6 +18,21 @@
 MAX_FRAMING_BYTES_PER_BODY_BYTE = 8
 """Added to that limit for each byte of a body, which may arrive in chunks of one byte."""
 
+MAX_STEPS = 8192
+"""Limit on header fields, pieces of bodies and responses, which are what parsing costs. An answer
+of 8 kB may arrive in chunks of one byte."""
+
+BODY_BYTES_PER_STEP = 256
+"""A step is added to that limit for so many bytes of bodies: larger ones have larger pieces."""
+
+MIN_READ_BYTES = 8192
+MAX_READ_BYTES = 65536
+"""Bytes that are read at once. Only input in large pieces is read in large amounts: 64 KiB of it
+are parsed in 0.02 ms, 64 KiB of header fields or chunks of two bytes in 10 to 40 ms."""
+
+LARGE_PIECES_STEPS = 16
+"""A read with so few steps brought large pieces."""
+
 KEEP_ALIVE_TIMEOUT_PREFIX = "timeout="
 MAX_TIMEOUT_DIGITS = 9
 """Numbers of thousands of digits can be converted neither to an integer nor to a float."""
@@ -61,14 +76,21 @@
         super().__init__(method)
         self.responses: list[HttpResponse] = []
         self.body_bytes = 0
+        self.steps = 0
 
     def _on_message_begin(self) -> None:
         super()._on_message_begin()
+        self.steps += 1
         self._body_buffer = bytearray()
 
+    def _on_header_field(self, string: str) -> None:
+        self.steps += 1
+        super()._on_header_field(string)
+
     def _on_body(self, buf: Any) -> None:
+        self.steps += 1
         self.body_bytes += len(buf)
-        super()._on_body(buf)
+        self._body_buffer += buf
 
     def _on_message_complete(self) -> None:
         super()._on_message_complete()
@@ -87,10 +109,17 @@
     More than one may arrive, because a server can send a late second response to an earlier
     request. ``started`` is true once any byte was received. Bytes that are not valid HTTP set
     ``malformed``; complete responses before them stay valid. So do bytes beyond the limits of this
-    module: after them no more bytes are kept.
+    module: after them no more bytes are kept. ``last_steps`` is what the last bytes have cost.
     """
 
-    __slots__ = ("_parser", "_returned_count", "fed_bytes", "malformed", "started")
+    __slots__ = (
+        "_parser",
+        "_returned_count",
+        "fed_bytes",
+        "last_steps",
+        "malformed",
+        "started",
+    )
 
     def __init__(self, method: str) -> None:
         self._parser: Any = _Parser(method)
@@ -98,6 +127,13 @@
         self.started = False
         self.malformed = False
         self.fed_bytes = 0
+        self.last_steps = 0
+
+    @property
+    def next_read_bytes(self) -> int:
+        """How many bytes to read and feed next, so that parsing them takes a few milliseconds."""
+        is_large = self.started and self.last_steps <= LARGE_PIECES_STEPS
+        return MAX_READ_BYTES if is_large else MIN_READ_BYTES
 
     @property
     def has_excess(self) -> bool:
@@ -115,13 +151,20 @@
         if self.malformed:
             return
         self.fed_bytes += len(data)
+        steps_before = self._parser.steps
         try:
             self._parser.feed(data)
         except (HTTPParseError, UnicodeDecodeError):
             self.malformed = True
+        self.last_steps = self._parser.steps - steps_before
         body_bytes = self._parser.body_bytes
+        step_limit = MAX_STEPS + body_bytes // BODY_BYTES_PER_STEP
         framing_limit = MAX_FRAMING_BYTES + body_bytes * MAX_FRAMING_BYTES_PER_BODY_BYTE
-        if body_bytes > MAX_BODY_BYTES or self.fed_bytes - body_bytes > framing_limit:
+        if (
+            body_bytes > MAX_BODY_BYTES
+            or self.fed_bytes - body_bytes > framing_limit
+            or self._parser.steps > step_limit
+        ):
             self.malformed = True
 
     def next_response(self) -> HttpResponse | None:
--- a/packages/http_client/tests/test_connection.py
+++ b/packages/http_client/tests/test_connection.py
@@ -1,5 +1,6 @@
 """Exchanges over real sockets with a scripted peer."""
 
+import itertools
 import tracemalloc
 
 import gevent
@@ -8,7 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, LessThan
 
-from fireflylink_core import LostReason, SystemClock
+from fireflylink_core import LostReason, ParsingLimiter, SystemClock
 from fireflylink_http_client import HttpConnection, LostError, NotSentError
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 4\r\n\r\nbody"
@@ -275,3 +276,86 @@
         body,
     )
     assert_that((response.body, reusable), Equals((b"body", False)))
+
+
+class ReadySocket:
+    """A socket on which bytes are there whenever it is read, in the given answer without end."""
+
+    def __init__(self, start: bytes, piece: bytes) -> None:
+        self.unread = start
+        self.piece = piece
+        self.read_bytes = 0
+
+    def settimeout(self, seconds: float) -> None:
+        """Does nothing: no call waits."""
+
+    def send(self, data: bytes) -> int:
+        return len(data)
+
+    def recv(self, count: int) -> bytes:
+        while len(self.unread) < count:
+            self.unread += self.piece * 100
+        data, self.unread = self.unread[:count], self.unread[count:]
+        self.read_bytes += len(data)
+        return data
+
+    def close(self) -> None:
+        """Does nothing: there is no descriptor."""
+
+
+@pytest.fixture
+def ready_connection():
+    """Returns a function that makes a connection to a ``ReadySocket``."""
+
+    def make(start: bytes, piece: bytes, limiter=None) -> HttpConnection:
+        connection = HttpConnection(SystemClock(), limiter)
+        connection.sock = ReadySocket(start, piece)
+        return connection
+
+    return make
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (HEAD + b"\r\n", b"z" * 4096),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"2\r\n.\n\r\n"),
+        (HEAD, b"a:b\r\n"),
+    ],
+    ids=["body", "chunks", "fields"],
+)
+def test_other_greenlets_run_while_bytes_are_always_there(ready_connection, start, piece):
+    """Guards against an answer without end that stops a daemon for all callers: a read that need
+    not wait does not let the event loop run (review/3)."""
+    connection = ready_connection(start, piece)
+    turns = []
+
+    def count_turns() -> None:
+        while True:
+            turns.append(connection.sock.read_bytes)
+            gevent.sleep(0)
+
+    counter = gevent.spawn(count_turns)
+    try:
+        with pytest.raises(LostError):
+            exchange(connection, seconds=5.0)
+    finally:
+        counter.kill()
+    read_between = [later - earlier for earlier, later in itertools.pairwise(turns)]
+    assert_that(len(turns) > 3, Is(True))
+    assert_that(max(read_between), LessThan(65537))
+
+
+def test_an_answer_without_a_turn_before_its_deadline_is_given_up_at_once(ready_connection):
+    """Guards against a caller that waits for an answer which cannot be read in time any more, as a
+    hundred others in small pieces are read first."""
+    limiter = ParsingLimiter()
+    connection = ready_connection(
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"2\r\n.\n\r\n", limiter
+    )
+    limiter.reserve(connection.clock.now(), 10_000_000)
+    started_at = connection.clock.now()
+    with pytest.raises(LostError) as caught:
+        exchange(connection, seconds=30.0)
+    assert_that(caught.value.reason, Equals(LostReason.LATE))
+    assert_that(connection.clock.now() - started_at, LessThan(5.0))
--- a/packages/http_client/tests/test_response_reader.py
+++ b/packages/http_client/tests/test_response_reader.py
@@ -154,3 +154,55 @@
     reader.feed(HEAD + headers + b"\r\n" + body)
     assert_that(reader.next_response(), Is(None))
     assert_that(reader.finish(), Is(None))
+
+
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (CHUNKED_HEAD, b"2\r\n.\n\r\n"),
+        (CHUNKED_HEAD, b"1\r\nx\r\n"),
+        (CHUNKED_HEAD, b"10\r\n" + b"z" * 16 + b"\r\n"),
+        (HEAD, b"a:b\r\n"),
+        (b"", b"HTTP/1.1 102 P\r\n\r\n"),
+        (b"", LATE_ANSWER),
+    ],
+    ids=["chunks-2", "chunks-1", "chunks-16", "fields", "interim", "late"],
+)
+def test_small_pieces_without_end_are_given_up_after_little_work(start, piece):
+    """Guards against an answer in chunks of 2 bytes that costs 9 s of processor time, because it is
+    given up only after 16 MiB of body (review/3)."""
+    reader = ResponseReader("GET")
+    reader.feed(start)
+    pieces = 0
+    block = piece * 100
+    while not reader.malformed and pieces < 100_000:
+        reader.feed(block)
+        pieces += 100
+    # A piece is parsed in 1 to 11 us, the dear ones being those that bring whole responses.
+    assert_that(pieces <= 20_000, Is(True))
+
+
+@pytest.mark.parametrize(("count", "size"), [(8000, 1), (4096, 256), (256, 65536)])
+def test_a_body_in_the_chunks_of_a_sound_server_is_whole(count, size):
+    """Guards against limits that refuse proper answers."""
+    reader = ResponseReader("GET")
+    chunk = b"%x\r\n" % size + b"z" * size + b"\r\n"
+    reader.feed(CHUNKED_HEAD)
+    for _ in range(count):
+        reader.feed(chunk)
+    reader.feed(b"0\r\n\r\n")
+    assert_that(len(reader.next_response().body), Equals(count * size))
+
+
+def test_only_input_in_large_pieces_is_read_in_large_amounts():
+    """Guards against a turn of 40 ms for one read of 64 KiB of header fields."""
+    reader = ResponseReader("GET")
+    assert_that(reader.next_read_bytes, Equals(8192))
+    reader.feed(HEAD + b"\r\n" + b"z" * 4096)
+    assert_that(reader.next_read_bytes, Equals(65536))
+    small = ResponseReader("GET")
+    small.feed(HEAD + b"a:b\r\n" * 100)
+    assert_that(small.next_read_bytes, Equals(8192))
