Let other callers run while one caller's bytes are always there

The readers of heads, bodies and trailers, the discarding of what comes after the last response, requests that were sent ahead, and the receiver of datagrams go on as long as bytes are there, and a read that need not wait does not let the event loop run.

Change: each of them lets other greenlets run. Bodies in chunks of 64 bytes or less share a ParsingLimiter.

--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
@@ -1,8 +1,10 @@
 """Falcon application that serves the requests of callers."""
 
+import time
 from typing import Any
 
 import falcon
+import gevent
 
 from fireflylink_caller_frontend._body_memory import (
     MAX_BODIES_BYTES,
@@ -14,15 +16,20 @@
 from fireflylink_caller_frontend._errors import RefusedRequestError
 from fireflylink_caller_frontend._handler import BaseRequestHandler
 from fireflylink_caller_frontend._listener import HANDLER_ENVIRON_NAME
-from fireflylink_core import CallerLimits, NotRun
+from fireflylink_core import CallerLimits, NotRun, ParsingLimiter
 
 READ_SIZE_BYTES = 65536
+CHUNKS_READ_SIZE_BYTES = 4096
+"""Bytes of a body in chunks that are read at once, because each chunk costs time."""
+
+SMALL_CHUNK_BYTES = 64
+"""A body whose last chunk is not larger is read in turns with others of its kind."""
 
 
 class _RequestSink:
     """Receives every request of callers, whatever its path."""
 
-    __slots__ = ("bodies", "codec", "handler")
+    __slots__ = ("bodies", "codec", "handler", "limiter")
 
     def __init__(
         self, handler: BaseRequestHandler, codec: BaseCallerCodec, bodies: BodyMemory
@@ -30,6 +37,7 @@
         self.handler = handler
         self.codec = codec
         self.bodies = bodies
+        self.limiter = ParsingLimiter()
 
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_kwargs: Any) -> None:
         wsgi_handler = req.env[HANDLER_ENVIRON_NAME]
@@ -44,7 +52,7 @@
         reservation: BodyReservation,
     ) -> None:
         try:
-            body = _read_body(req, self.handler.limits(), reservation)
+            body = _read_body(req, self.handler.limits(), reservation, self.limiter)
             request = self.codec.decode_request(_received_request(wsgi_handler, body))
         except RefusedRequestError as error:
             wsgi_handler.close_connection = True
@@ -66,7 +74,12 @@
     )
 
 
-def _read_body(req: falcon.Request, limits: CallerLimits, reservation: BodyReservation) -> bytes:
+def _read_body(
+    req: falcon.Request,
+    limits: CallerLimits,
+    reservation: BodyReservation,
+    limiter: ParsingLimiter,
+) -> bytes:
     length = req.content_length or 0
     if length > limits.max_body_bytes:
         raise RefusedRequestError(413, "the body is over the limit")
@@ -77,8 +90,9 @@
         return b""
     parts: list[bytes] = []
     size = 0
+    read_size = CHUNKS_READ_SIZE_BYTES if stream.chunked_input else READ_SIZE_BYTES
     while True:
-        part = _read_part(stream)
+        part = _read_part(stream, read_size)
         if not part:
             return b"".join(parts)
         size += len(part)
@@ -86,11 +100,23 @@
             raise RefusedRequestError(413, "the body is over the limit")
         reservation.extend_to(size)
         parts.append(part)
+        if stream.chunked_input:
+            _wait_for_turn(limiter, len(part), stream.chunk_length)
+
+
+def _wait_for_turn(limiter: ParsingLimiter, part_bytes: int, last_chunk_bytes: int) -> None:
+    """Waits for a turn to read the next part of a body that arrives in small chunks."""
+    if not 0 < last_chunk_bytes <= SMALL_CHUNK_BYTES:
+        return
+    now = time.monotonic()
+    turn_at = limiter.reserve(now, part_bytes // last_chunk_bytes)
+    if turn_at > now:
+        gevent.sleep(turn_at - now)
 
 
-def _read_part(stream: Any) -> bytes:
+def _read_part(stream: Any, read_size: int) -> bytes:
     try:
-        part: bytes = stream.read(READ_SIZE_BYTES)
+        part: bytes = stream.read(read_size)
     except (OSError, ValueError) as error:
         raise RefusedRequestError(400, f"the body is not whole: {error}") from error
     return part
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -12,7 +12,7 @@
 
 from fireflylink_caller_frontend._errors import ListenerError
 from fireflylink_caller_frontend._read_ahead import ReadAheadStream
-from fireflylink_core import CallerLimits
+from fireflylink_core import CallerLimits, yield_to_event_loop
 
 LISTEN_BACKLOG_CONNECTIONS = 512
 REQUESTS_END_POLL_INTERVAL_SECONDS = 0.02
@@ -87,6 +87,9 @@
             while self.socket is not None:
                 result = self._handle_next()
                 if result is True:
+                    # The next one may be there already, and need no wait of its own.
+                    if self.has_unread_bytes():
+                        yield_to_event_loop()
                     continue
                 if result is not None:
                     sock.sendall(result[1])
@@ -342,4 +345,6 @@
         sock.settimeout(remaining_seconds)
         if not sock.recv(LINGER_READ_BYTES):
             break
+        # A caller that sends without end would hold the event loop for all of that time.
+        yield_to_event_loop()
     sock.close()
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_read_ahead.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_read_ahead.py
@@ -5,6 +5,8 @@
 
 from gevent import socket
 
+from fireflylink_core import yield_to_event_loop
+
 MAX_READ_AHEAD_BYTES = 64 * 1024
 """Limit on the bytes of later requests that are kept while one is in progress."""
 
@@ -15,6 +17,9 @@
     While a request is in progress, ``read_ahead`` takes the bytes of requests that were sent behind
     it. Without that, the end of the connection behind these bytes would not be noticed. They are
     returned by later reads in their order.
+
+    The readers of heads, bodies and trailers go on as long as bytes are there. So a read lets other
+    greenlets run if the one before it did not have to wait: ``had_to_wait`` is whether it did.
     """
 
     def __init__(self, sock: Any) -> None:
@@ -22,12 +27,16 @@
         self.sock = sock
         self.kept = bytearray()
         self.ended = False
+        self.had_to_wait = True
 
     def readable(self) -> bool:
         return True
 
     def readinto(self, buffer: Any) -> int:
         """Reads bytes into a buffer; waits for some with the time-out of the socket."""
+        if not self.had_to_wait:
+            yield_to_event_loop()
+        self.had_to_wait = False
         if self.kept:
             count = min(len(buffer), len(self.kept))
             buffer[:count] = self.kept[:count]
@@ -35,7 +44,11 @@
             return count
         if self.ended:
             return 0
-        return int(self.sock.recv_into(buffer))
+        try:
+            return int(self.sock._sock.recv_into(buffer, 0, socket.MSG_DONTWAIT))
+        except BlockingIOError:
+            self.had_to_wait = True
+            return int(self.sock.recv_into(buffer))
 
     @property
     def has_unread_bytes(self) -> bool:
--- a/packages/caller_frontend/tests/test_front_end.py
+++ b/packages/caller_frontend/tests/test_front_end.py
@@ -6,48 +6,14 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength, Is, Not
 
-from fireflylink_caller_frontend import (
-    BaseCallerCodec,
-    BaseRequestHandler,
-    EncodedReply,
-    HttpListener,
-    RefusedRequestError,
-    make_application,
-)
-from fireflylink_core import CallerLimits, CallerRequest, NotRun, ServerAnswer
+from fireflylink_caller_frontend import BaseRequestHandler, HttpListener, make_application
+from fireflylink_core import CallerLimits, NotRun, ServerAnswer
 
 LIMITS = CallerLimits(
     max_header_bytes=2000, max_body_bytes=1000, header_timeout_ms=300.0, idle_timeout_ms=600.0
 )
 
 
-class PlainCodec(BaseCallerCodec):
-    """Uses header names other than the platform's: the front end must not depend on any."""
-
-    __slots__ = ()
-
-    def decode_request(self, received):
-        headers = dict(received.headers)
-        if "X-Id" not in headers:
-            raise RefusedRequestError(400, "X-Id is missing")
-        return CallerRequest(
-            headers["X-Id"],
-            headers["Host"],
-            received.method,
-            received.target,
-            received.headers,
-            received.body,
-            received.received_at,
-            received.received_at + 5.0,
-        )
-
-    def encode_reply(self, request_id, reply):
-        if isinstance(reply, NotRun):
-            headers = (("Retry-After", str(reply.retry_after)),)
-            return EncodedReply(reply.status, headers, reply.reason.encode())
-        return EncodedReply(reply.status, (("X-Id", request_id), *reply.headers), reply.body)
-
-
 class Handler(BaseRequestHandler):
     """Answers with the body of the request after ``delay_seconds``; counts disconnects.
 
@@ -82,9 +48,9 @@
 class FrontEnd:
     """A running listener and its handler."""
 
-    def __init__(self) -> None:
+    def __init__(self, codec) -> None:
         self.handler = Handler()
-        application = make_application(self.handler, PlainCodec())
+        application = make_application(self.handler, codec)
         self.listener = HttpListener(application, "127.0.0.1", 0, self.handler.limits)
         self.listener.start()
 
@@ -93,8 +59,8 @@
 
 
 @pytest.fixture
-def front_end():
-    running = FrontEnd()
+def front_end(codec):
+    running = FrontEnd(codec)
     yield running
     running.listener.close()
 
@@ -376,11 +342,11 @@
         front_end.connect()
 
 
-def test_bodies_beyond_the_memory_are_refused_as_not_run():
+def test_bodies_beyond_the_memory_are_refused_as_not_run(codec):
     """Guards against a daemon that is ended because many uploads exceed its memory."""
     handler = Handler()
     handler.delay_seconds = 0.2
-    application = make_application(handler, PlainCodec(), max_bodies_bytes=1500)
+    application = make_application(handler, codec, max_bodies_bytes=1500)
     listener = HttpListener(application, "127.0.0.1", 0, handler.limits)
     listener.start()
     upload = head("Content-Length: 900", method="POST") + b"x" * 900
--- a/packages/daemon/src/fireflylink_daemon/_peers.py
+++ b/packages/daemon/src/fireflylink_daemon/_peers.py
@@ -1,13 +1,14 @@
 """Datagrams between daemons: load reports, notices of grants and crashes, claims of deciders."""
 
 import abc
+import itertools
 import random
 
 import gevent
 from gevent import socket
 from returns.result import Success
 
-from fireflylink_core import ChangeFragment
+from fireflylink_core import ChangeFragment, yield_to_event_loop
 from fireflylink_daemon._log import log_problem
 from fireflylink_daemon._messages import (
     DeciderClaimReceived,
@@ -34,6 +35,9 @@
 """Only each eighth round of reports includes service times, which keeps the other reports short."""
 
 MILLISECONDS_PER_SECOND = 1000.0
+DATAGRAMS_PER_TURN = 16
+"""After so many datagrams other greenlets run: a read that need not wait does not let them."""
+
 MAX_DATAGRAM_BYTES = 2048
 """Longest datagram that is received whole; what exceeds it is cut off."""
 
@@ -178,7 +182,9 @@
                     self._send_datagram(datagram, member.host, member.port)
 
     def _receive_datagrams(self) -> None:
-        while True:
+        for count in itertools.count(1):
+            if count % DATAGRAMS_PER_TURN == 0:
+                yield_to_event_loop()
             datagram, sender = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
             decoded = decode_datagram(datagram)
             if not isinstance(decoded, Success):
