Limit the memory of all unfinished answers together

Cause: each unfinished answer was limited to 16 MiB of bodies, but not their sum, nor the number of header fields and late answers that are kept.

Change: the answers to callers' requests share a MemoryBudget of 24 MiB, commands another one; an answer has at most 1,000 fields. An answer beyond that is given up as malformed. The bodies of callers use the same budget class.

--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -11,7 +11,7 @@
     BaseClock,
     BaseFireflylinkError,
     KeyRange,
-    ParsingLimiter,
+    ReceiveLimits,
 )
 from fireflylink_http_client import (
     ExchangeError,
@@ -69,12 +69,12 @@
         server: BackendServer,
         clock: BaseClock,
         codec: BaseServerCodec,
-        limiter: ParsingLimiter | None = None,
+        receive_limits: ReceiveLimits | None = None,
     ) -> None:
         self.server = server
         self.codec = codec
         self.connection = PersistentConnection(
-            server.host, server.port, clock, COMMAND_CONNECT_TIMEOUT_SECONDS, limiter
+            server.host, server.port, clock, COMMAND_CONNECT_TIMEOUT_SECONDS, receive_limits
         )
         # Unlike those of other clients, which may use the connection's address before or later.
         prefix = f"{random.getrandbits(48):012x}"
--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -12,7 +12,7 @@
     Lost,
     LostReason,
     NotSent,
-    ParsingLimiter,
+    ReceiveLimits,
     SendWindow,
 )
 from fireflylink_http_client import (
@@ -52,8 +52,8 @@
     used connection is reused first, so that surplus connections reach the idle time-out when the
     request rate is low. ``connect_attempts`` counts the connections opened since the start,
     including attempts that failed. ``send_window`` is when the server may get new requests. It is
-    checked again once a request has its connection, because opening one takes time. ``limiter`` is
-    shared by the pools of all servers.
+    checked again once a request has its connection, because opening one takes time.
+    ``receive_limits`` are shared by the pools of all servers.
 
     Example::
 
@@ -67,7 +67,7 @@
         "connect_attempts",
         "idle_connections",
         "idle_timeout_seconds",
-        "limiter",
+        "receive_limits",
         "send_window",
         "server",
     )
@@ -78,7 +78,7 @@
         clock: BaseClock,
         codec: BaseServerCodec,
         send_window: SendWindow | None = None,
-        limiter: ParsingLimiter | None = None,
+        receive_limits: ReceiveLimits | None = None,
     ) -> None:
         self.server = server
         self.clock = clock
@@ -87,7 +87,7 @@
         self.idle_timeout_seconds = MAX_IDLE_TIMEOUT_SECONDS
         self.connect_attempts = 0
         self.closed = False
-        self.limiter = ParsingLimiter() if limiter is None else limiter
+        self.receive_limits = ReceiveLimits() if receive_limits is None else receive_limits
         self.send_window = SendWindow() if send_window is None else send_window
 
     def call(
@@ -197,7 +197,7 @@
         return found
 
     def _open(self, deadline: float, cancellation: Cancellation) -> HttpConnection:
-        connection = HttpConnection(self.clock, self.limiter)
+        connection = HttpConnection(self.clock, self.receive_limits)
         cancellation.connection = connection
         self.connect_attempts += 1
         connect_deadline = min(deadline, self.clock.now() + REQUEST_CONNECT_TIMEOUT_SECONDS)
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
@@ -6,17 +6,26 @@
 import falcon
 import gevent
 
-from fireflylink_caller_frontend._body_memory import (
-    MAX_BODIES_BYTES,
-    BodyMemory,
-    BodyReservation,
-)
 from fireflylink_caller_frontend._codec import BaseCallerCodec, EncodedReply, ReceivedRequest
 from fireflylink_caller_frontend._disconnect_notifier import SocketDisconnectNotifier
 from fireflylink_caller_frontend._errors import RefusedRequestError
 from fireflylink_caller_frontend._handler import BaseRequestHandler
 from fireflylink_caller_frontend._listener import HANDLER_ENVIRON_NAME
-from fireflylink_core import CallerLimits, NotRun, ParsingLimiter
+from fireflylink_core import (
+    CallerLimits,
+    MemoryBudget,
+    MemoryReservation,
+    NotRun,
+    ParsingLimiter,
+)
+
+MAX_BODIES_BYTES = 48 * 1024 * 1024
+"""Default limit. An instance of 200 MB has about 130 MB beside the daemon itself, and a body is
+held twice for a moment while its parts are joined."""
+
+NO_MEMORY_STATUS = 503
+NO_MEMORY_RETRY_SECONDS = 0.5
+"""About the time in which some of the bodies have been sent on."""
 
 READ_SIZE_BYTES = 65536
 CHUNKS_READ_SIZE_BYTES = 4096
@@ -32,7 +41,7 @@
     __slots__ = ("bodies", "codec", "handler", "limiter")
 
     def __init__(
-        self, handler: BaseRequestHandler, codec: BaseCallerCodec, bodies: BodyMemory
+        self, handler: BaseRequestHandler, codec: BaseCallerCodec, bodies: MemoryBudget
     ) -> None:
         self.handler = handler
         self.codec = codec
@@ -49,7 +58,7 @@
         req: falcon.Request,
         resp: falcon.Response,
         wsgi_handler: Any,
-        reservation: BodyReservation,
+        reservation: MemoryReservation,
     ) -> None:
         try:
             body = _read_body(req, self.handler.limits(), reservation, self.limiter)
@@ -77,14 +86,14 @@
 def _read_body(
     req: falcon.Request,
     limits: CallerLimits,
-    reservation: BodyReservation,
+    reservation: MemoryReservation,
     limiter: ParsingLimiter,
 ) -> bytes:
     length = req.content_length or 0
     if length > limits.max_body_bytes:
         raise RefusedRequestError(413, "the body is over the limit")
     # What does not fit is refused before it is read, so that the caller can go elsewhere at once.
-    reservation.extend_to(length)
+    _reserve(reservation, length)
     stream = req.env["wsgi.input"]
     if not length and not stream.chunked_input:
         return b""
@@ -98,12 +107,19 @@
         size += len(part)
         if size > limits.max_body_bytes:
             raise RefusedRequestError(413, "the body is over the limit")
-        reservation.extend_to(size)
+        _reserve(reservation, size)
         parts.append(part)
         if stream.chunked_input:
             _wait_for_turn(limiter, len(part), stream.chunk_length)
 
 
+def _reserve(reservation: MemoryReservation, size_bytes: int) -> None:
+    if not reservation.extend_to(size_bytes):
+        raise RefusedRequestError(
+            NO_MEMORY_STATUS, "no memory for the body", NO_MEMORY_RETRY_SECONDS
+        )
+
+
 def _wait_for_turn(limiter: ParsingLimiter, part_bytes: int, last_chunk_bytes: int) -> None:
     """Waits for a turn to read the next part of a body that arrives in small chunks."""
     if not 0 < last_chunk_bytes <= SMALL_CHUNK_BYTES:
@@ -144,5 +160,5 @@
     application = falcon.App()
     # Keeps falcon from adding a Content-Type header to an answer that has none.
     application.resp_options.default_media_type = None  # type: ignore[assignment]
-    application.add_sink(_RequestSink(handler, codec, BodyMemory(max_bodies_bytes)), "/")
+    application.add_sink(_RequestSink(handler, codec, MemoryBudget(max_bodies_bytes)), "/")
     return application
--- a/packages/core/src/fireflylink_core/__init__.py
+++ b/packages/core/src/fireflylink_core/__init__.py
@@ -30,7 +30,9 @@
     KeyRange,
     OwnershipTable,
 )
+from fireflylink_core._memory_budget import MemoryBudget, MemoryReservation
 from fireflylink_core._parsing_limiter import ParsingLimiter
+from fireflylink_core._receive_limits import ReceiveLimits
 from fireflylink_core._request import (
     NO_KEY,
     BaseReply,
@@ -79,11 +81,14 @@
     "Lost",
     "LostReason",
     "ManualClock",
+    "MemoryBudget",
+    "MemoryReservation",
     "NotRun",
     "NotSent",
     "OutcomeUnknown",
     "OwnershipTable",
     "ParsingLimiter",
+    "ReceiveLimits",
     "RequestKind",
     "Route",
     "RouteTarget",
--- a/packages/daemon/src/fireflylink_daemon/_command_tasks.py
+++ b/packages/daemon/src/fireflylink_daemon/_command_tasks.py
@@ -3,7 +3,7 @@
 from returns.result import Result, Success
 
 from fireflylink_backend_client import BaseServerCodec, CommandError, ServerCommandClient
-from fireflylink_core import BackendServer, BaseClock, ParsingLimiter
+from fireflylink_core import BackendServer, BaseClock, ReceiveLimits
 from fireflylink_daemon._messages import CommandCompleted, SendCommand
 from fireflylink_daemon._task import BaseTask
 from fireflylink_decisions.ownership import BaseCommand, GrantCommand, ReleaseCommand
@@ -41,10 +41,10 @@
         codec: BaseServerCodec,
         ownership_task: BaseTask,
         hold_seconds: float,
-        limiter: ParsingLimiter | None = None,
+        receive_limits: ReceiveLimits | None = None,
     ) -> None:
         super().__init__(f"commands-{server.server_id}", clock)
-        self.command_client = ServerCommandClient(server, clock, codec, limiter)
+        self.command_client = ServerCommandClient(server, clock, codec, receive_limits)
         self.ownership_task = ownership_task
         self.hold_seconds = hold_seconds
 
@@ -99,8 +99,8 @@
         "idle",
         "last_sent_at",
         "limit",
-        "limiter",
         "ownership_task",
+        "receive_limits",
         "server",
     )
 
@@ -112,7 +112,7 @@
         ownership_task: BaseTask,
         hold_seconds: float,
         limit: int,
-        limiter: ParsingLimiter | None = None,
+        receive_limits: ReceiveLimits | None = None,
     ) -> None:
         self.server = server
         self.clock = clock
@@ -120,7 +120,7 @@
         self.ownership_task = ownership_task
         self.hold_seconds = hold_seconds
         self.limit = limit
-        self.limiter = limiter
+        self.receive_limits = receive_limits
         self.idle: list[CommandTask] = []
         self.busy: dict[CommandTask, SendCommand] = {}
         self.last_sent_at = float("-inf")
@@ -166,7 +166,7 @@
             self.codec,
             self.ownership_task,
             self.hold_seconds,
-            self.limiter,
+            self.receive_limits,
         )
         task.start()
         return task
--- a/packages/daemon/src/fireflylink_daemon/_fleet_commands.py
+++ b/packages/daemon/src/fireflylink_daemon/_fleet_commands.py
@@ -1,7 +1,7 @@
 """The tasks that send commands to all servers."""
 
 from fireflylink_backend_client import BaseServerCodec
-from fireflylink_core import BackendServer, BaseClock, ParsingLimiter, ServerIncarnation
+from fireflylink_core import BackendServer, BaseClock, ReceiveLimits, ServerIncarnation
 from fireflylink_daemon._command_tasks import (
     MAX_GRANTS_IN_PROGRESS,
     MAX_RELEASES_IN_PROGRESS,
@@ -17,8 +17,8 @@
     """The ``ServerCommandTasks`` of each server, owned by ``OwnershipTask``.
 
     Grants and releases of a server have tasks of their own, so that renewals do not wait for
-    releases, which a server answers when its requests have ended. Their ``limiter`` is not that of
-    the callers' requests, so that grants do not wait for these.
+    releases, which a server answers when its requests have ended. Their ``receive_limits`` are not
+    those of the callers' requests, so that grants do not wait for these.
     """
 
     __slots__ = (
@@ -26,8 +26,8 @@
         "codec",
         "grant_tasks",
         "hold_seconds",
-        "limiter",
         "ownership_task",
+        "receive_limits",
         "release_tasks",
     )
 
@@ -42,7 +42,7 @@
         self.codec = codec
         self.ownership_task = ownership_task
         self.hold_seconds = hold_seconds
-        self.limiter = ParsingLimiter()
+        self.receive_limits = ReceiveLimits()
         self.grant_tasks: dict[ServerIncarnation, ServerCommandTasks] = {}
         self.release_tasks: dict[ServerIncarnation, ServerCommandTasks] = {}
 
@@ -93,6 +93,6 @@
                 self.ownership_task,
                 self.hold_seconds,
                 MAX_GRANTS_IN_PROGRESS if is_grant else MAX_RELEASES_IN_PROGRESS,
-                self.limiter,
+                self.receive_limits,
             )
         return tasks
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -7,7 +7,7 @@
     CallerLimits,
     Configuration,
     OwnershipTable,
-    ParsingLimiter,
+    ReceiveLimits,
     ServerIncarnation,
     ServerState,
     Service,
@@ -64,8 +64,8 @@
         "leaving_servers",
         "members",
         "ownership_tables",
-        "parsing_limiter",
         "poison",
+        "receive_limits",
         "retry_budgets",
         "routes",
         "settings",
@@ -91,7 +91,7 @@
         self.fleet_position = FleetPosition(settings.instance, ())
         self.trackers: dict[ServerIncarnation, ServerTracker] = {}
         self.connection_pools: dict[ServerIncarnation, ServerConnectionPool] = {}
-        self.parsing_limiter = ParsingLimiter()
+        self.receive_limits = ReceiveLimits()
         self.store_calls_failing = False
 
     def set_settings(self, settings: Settings) -> None:
@@ -303,7 +303,7 @@
         pool = self.connection_pools.get(incarnation)
         if pool is None:
             pool = self.connection_pools[incarnation] = ServerConnectionPool(
-                tracker.server, self.clock, self.codec, tracker.send_window, self.parsing_limiter
+                tracker.server, self.clock, self.codec, tracker.send_window, self.receive_limits
             )
         return pool
 
--- a/packages/http_client/src/fireflylink_http_client/_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_connection.py
@@ -9,7 +9,7 @@
 from gevent import socket
 from gevent.select import select
 
-from fireflylink_core import BaseClock, LostReason, ParsingLimiter, yield_to_event_loop
+from fireflylink_core import BaseClock, LostReason, ReceiveLimits, yield_to_event_loop
 from fireflylink_http_client._errors import LostError, NotSentError
 from fireflylink_http_client._response import HttpResponse, ResponseReader
 
@@ -31,8 +31,8 @@
     ``connect_seconds`` is how long it took to establish. ``declined_request_ids`` are the ids of
     requests that the peer declined on this connection. Such a request must not be sent here again:
     if the peer writes the refusal once more, it would be taken for the response to the new attempt.
-    ``limiter`` gives turns to answers that arrive in small pieces and are not complete; connections
-    to peers that may be in trouble share one.
+    ``receive_limits`` are what unfinished answers may take; connections to peers that may be in
+    trouble share them.
 
     Example::
 
@@ -47,13 +47,13 @@
         "connect_seconds",
         "declined_request_ids",
         "last_used_at",
-        "limiter",
+        "receive_limits",
         "sock",
     )
 
-    def __init__(self, clock: BaseClock, limiter: ParsingLimiter | None = None) -> None:
+    def __init__(self, clock: BaseClock, receive_limits: ReceiveLimits | None = None) -> None:
         self.clock = clock
-        self.limiter = ParsingLimiter() if limiter is None else limiter
+        self.receive_limits = ReceiveLimits() if receive_limits is None else receive_limits
         self.sock: Any = None
         self.last_used_at = 0.0
         self.connect_seconds = 0.0
@@ -115,8 +115,18 @@
         skipped. If the response arrives before the request is sent, the rest is not sent, and the
         connection cannot be reused. Raises ``NotSentError`` or ``LostError``.
         """
-        reader = ResponseReader(method)
-        unsent = _UnsentBytes(request, body)
+        with self.receive_limits.memory.reservation() as reservation:
+            reader = ResponseReader(method, reservation)
+            unsent = _UnsentBytes(request, body)
+            return self._exchange(unsent, reader, deadline, is_response_to_request)
+
+    def _exchange(
+        self,
+        unsent: "_UnsentBytes",
+        reader: ResponseReader,
+        deadline: float,
+        is_response_to_request: ResponsePredicate | None,
+    ) -> tuple[HttpResponse, bool]:
         self._send_initial(unsent, deadline)
         skipped = 0
         while True:
@@ -239,7 +249,7 @@
 
         Raises ``LostError`` at once if there is no turn before the deadline.
         """
-        turn_at = self.limiter.reserve(self.clock.now(), reader.last_steps)
+        turn_at = self.receive_limits.parsing.reserve(self.clock.now(), reader.last_steps)
         if turn_at >= deadline:
             raise LostError(LostReason.LATE, "no turn to parse small pieces before the deadline")
         if turn_at > self.clock.now():
--- a/packages/http_client/src/fireflylink_http_client/_persistent_connection.py
+++ b/packages/http_client/src/fireflylink_http_client/_persistent_connection.py
@@ -1,6 +1,6 @@
 """A persistent connection to one address that reconnects when necessary."""
 
-from fireflylink_core import BaseClock, ParsingLimiter
+from fireflylink_core import BaseClock, ReceiveLimits
 from fireflylink_http_client._connection import HttpConnection, ResponsePredicate
 from fireflylink_http_client._errors import ExchangeError
 from fireflylink_http_client._response import HttpResponse
@@ -17,7 +17,7 @@
         response = connection.exchange(request, "POST", clock.now() + 1.0)
     """
 
-    __slots__ = ("clock", "connect_timeout_seconds", "connection", "host", "limiter", "port")
+    __slots__ = ("clock", "connect_timeout_seconds", "connection", "host", "port", "receive_limits")
 
     def __init__(
         self,
@@ -25,13 +25,13 @@
         port: int,
         clock: BaseClock,
         connect_timeout_seconds: float,
-        limiter: ParsingLimiter | None = None,
+        receive_limits: ReceiveLimits | None = None,
     ) -> None:
         self.host = host
         self.port = port
         self.clock = clock
         self.connect_timeout_seconds = connect_timeout_seconds
-        self.limiter = ParsingLimiter() if limiter is None else limiter
+        self.receive_limits = ReceiveLimits() if receive_limits is None else receive_limits
         self.connection: HttpConnection | None = None
 
     def exchange(
@@ -68,7 +68,7 @@
         if self.connection is not None and self.connection.is_usable():
             return self.connection
         self.abort()
-        connection = HttpConnection(self.clock, self.limiter)
+        connection = HttpConnection(self.clock, self.receive_limits)
         self.connection = connection
         connection.connect(
             self.host, self.port, min(deadline, self.clock.now() + self.connect_timeout_seconds)
--- a/packages/http_client/src/fireflylink_http_client/_response.py
+++ b/packages/http_client/src/fireflylink_http_client/_response.py
@@ -4,7 +4,7 @@
 
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
-from fireflylink_core import Headers
+from fireflylink_core import Headers, MemoryReservation
 
 FIRST_FINAL_STATUS = 200
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -22,6 +22,10 @@
 """Limit on header fields, pieces of bodies and responses, which are what parsing costs. An answer
 of 8 kB may arrive in chunks of one byte."""
 
+MAX_FIELDS = 1000
+"""Limit on header fields and responses that are kept: each takes some hundred bytes of memory,
+however short it is."""
+
 BODY_BYTES_PER_STEP = 256
 """A step is added to that limit for so many bytes of bodies: larger ones have larger pieces."""
 
@@ -77,14 +81,17 @@
         self.responses: list[HttpResponse] = []
         self.body_bytes = 0
         self.steps = 0
+        self.fields = 0
 
     def _on_message_begin(self) -> None:
         super()._on_message_begin()
         self.steps += 1
+        self.fields += 1
         self._body_buffer = bytearray()
 
     def _on_header_field(self, string: str) -> None:
         self.steps += 1
+        self.fields += 1
         super()._on_header_field(string)
 
     def _on_body(self, buf: Any) -> None:
@@ -109,7 +116,8 @@
     More than one may arrive, because a server can send a late second response to an earlier
     request. ``started`` is true once any byte was received. Bytes that are not valid HTTP set
     ``malformed``; complete responses before them stay valid. So do bytes beyond the limits of this
-    module: after them no more bytes are kept. ``last_steps`` is what the last bytes have cost.
+    module, or for which ``reservation`` has no memory: after them no more bytes are kept.
+    ``last_steps`` is what the last bytes have cost.
     """
 
     __slots__ = (
@@ -118,10 +126,12 @@
         "fed_bytes",
         "last_steps",
         "malformed",
+        "reservation",
         "started",
     )
 
-    def __init__(self, method: str) -> None:
+    def __init__(self, method: str, reservation: MemoryReservation | None = None) -> None:
+        self.reservation = reservation
         self._parser: Any = _Parser(method)
         self._returned_count = 0
         self.started = False
@@ -164,9 +174,14 @@
             body_bytes > MAX_BODY_BYTES
             or self.fed_bytes - body_bytes > framing_limit
             or self._parser.steps > step_limit
+            or self._parser.fields > MAX_FIELDS
+            or not self._has_memory(body_bytes)
         ):
             self.malformed = True
 
+    def _has_memory(self, body_bytes: int) -> bool:
+        return self.reservation is None or self.reservation.extend_to(body_bytes)
+
     def next_response(self) -> HttpResponse | None:
         """Returns the next complete response, or None if there is none yet."""
         responses = self._parser.responses
