Take only a new handover token for the answer to a release

Cause: while a server had named no command, any answer with another token than that of the last release counted for a release, and so did one without any. A copy of the answer to an older release, or to a grant, was taken for it.

Change: a release is answered with a handover token that none of the last 1,000 releases had; a grant with none. Refusals count as before.

Evidence: test_an_answer_to_an_older_release_does_not_answer_a_later_one and test_an_answer_to_a_grant_does_not_answer_a_release failed before.

--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections import deque
 
 from returns.result import Failure, Result, Success
 
@@ -21,6 +22,10 @@
     encode_request,
 )
 
+MAX_HANDOVERS = 1000
+"""Handover tokens that are remembered, the latest ones. A copy of an older answer would have waited
+at the server for as many releases."""
+
 COMMAND_CONNECT_TIMEOUT_SECONDS = 1.0
 OK_STATUS = 200
 CONFLICT_STATUS = 409
@@ -56,13 +61,13 @@
 class ServerCommandClient:
     """Sends commands to one server over a connection that carries no requests of callers.
 
-    A server may write an answer once more where the next one is expected. Taken for the answer to a
+    A server may write an answer once more where a later one is expected. Taken for the answer to a
     release, it would let two servers hold the same keys. So a response that names another command
-    is skipped. If the server has named none so far (``echoes_ids`` is false), a response is skipped
-    that has the handover token of the last release (``last_handover``), or one after a grant.
+    is skipped. If the server has named none so far (``echoes_ids`` is false), the handover token
+    decides: a release is answered with a new one, none of ``handovers``, and a grant with none.
     """
 
-    __slots__ = ("codec", "command_ids", "connection", "echoes_ids", "last_handover", "server")
+    __slots__ = ("codec", "command_ids", "connection", "echoes_ids", "handovers", "server")
 
     def __init__(
         self,
@@ -80,7 +85,7 @@
         prefix = f"{random.getrandbits(48):012x}"
         self.command_ids = (f"{prefix}{number:08x}" for number in itertools.count())
         self.echoes_ids = False
-        self.last_handover = ""
+        self.handovers: deque[str] = deque(maxlen=MAX_HANDOVERS)
 
     def grant(
         self, keys: KeyRange, fence: int, hold_seconds: float, handover: str, deadline: float
@@ -117,16 +122,21 @@
             return Failure(ServerMismatchError())
         if response.status != OK_STATUS:
             return Failure(CommandError(f"release failed with status {response.status}", True))
-        self.last_handover = self.codec.decode_handover(response)
-        return Success(self.last_handover)
+        handover = self.codec.decode_handover(response)
+        self.handovers.append(handover)
+        return Success(handover)
 
     def _is_response_to(self, response: HttpResponse, command_id: str, is_release: bool) -> bool:
         named_id = self.codec.decode_command_id(response)
         if named_id or self.echoes_ids:
             self.echoes_ids = True
             return named_id == command_id
+        if response.status != OK_STATUS:
+            return True
         handover = self.codec.decode_handover(response)
-        return not handover or (is_release and handover != self.last_handover)
+        if is_release:
+            return bool(handover) and handover not in self.handovers
+        return not handover
 
     def _send(
         self, command: EncodedCommand, command_id: str, deadline: float, is_release: bool
--- a/packages/backend_client/tests/test_commands.py
+++ b/packages/backend_client/tests/test_commands.py
@@ -90,3 +90,54 @@
     assert_that(grant(client), Equals(Success(None)))
     elapsed = client.connection.clock.now() - started_at
     assert_that(elapsed >= ANSWER_DELAY_SECONDS, Is(True))
+
+
+class ScriptedServer(RepeatingServer):
+    """Answers commands with the given handover tokens, without naming them; empty: no token."""
+
+    def __init__(self, answers: list[list[str]]) -> None:
+        self.answers = answers
+        super().__init__(echoes_ids=False)
+
+    def _serve(self, sock) -> None:
+        while sock.recv(65536):
+            for token in self.answers.pop(0):
+                header = f"Handover: {token}\r\n" if token else ""
+                sock.sendall(f"HTTP/1.1 200 OK\r\n{header}Content-Length: 0\r\n\r\n".encode())
+                gevent.sleep(ANSWER_DELAY_SECONDS)
+
+
+@pytest.fixture
+def scripted_client():
+    """Returns a function that makes a client of a ``ScriptedServer``."""
+    opened = []
+
+    def make(answers: list[list[str]]) -> ServerCommandClient:
+        server = ScriptedServer(answers)
+        port = server.listener.getsockname()[1]
+        backend = BackendServer("i-1", "a", "127.0.0.1", port, "kingston", 4)
+        opened.append((ServerCommandClient(backend, SystemClock(), PlatformServerCodec()), server))
+        return opened[-1][0]
+
+    yield make
+    for command_client, server in opened:
+        command_client.close()
+        server.greenlet.kill()
+        server.listener.close()
+
+
+def test_an_answer_to_an_older_release_does_not_answer_a_later_one(scripted_client):
+    """Guards against two owners: a copy of the answer to the release before the last one counts as
+    the answer to a release whose requests still run."""
+    client = scripted_client([["one"], ["two"], ["one", "three"]])
+    assert_that(release(client), Equals(Success("one")))
+    assert_that(release(client), Equals(Success("two")))
+    assert_that(release(client), Equals(Success("three")))
+
+
+def test_an_answer_to_a_grant_does_not_answer_a_release(scripted_client):
+    """Guards against two owners: a second copy of the answer to a grant, which has no handover
+    token, counts as the answer to a release whose requests still run."""
+    client = scripted_client([[""], ["", "one"]])
+    assert_that(grant(client), Equals(Success(None)))
+    assert_that(release(client), Equals(Success("one")))
