Read little of an answer first

Cause: the first read of an answer needs no turn, so that a hundred answers in chunks of 2 bytes that begin at once cost a hundred times 1.3 ms in a row.

Change: the first read takes 2 KiB, which most answers do not exceed, in place of 8 KiB. Later reads are as before.

Evidence: one step of such an answer takes 1.1 us, so 2 KiB take 0.3 ms.

--- a/packages/http_client/src/fireflylink_http_client/_response.py
+++ b/packages/http_client/src/fireflylink_http_client/_response.py
@@ -29,10 +29,14 @@
 BODY_BYTES_PER_STEP = 256
 """A step is added to that limit for so many bytes of bodies: larger ones have larger pieces."""
 
+FIRST_READ_BYTES = 2048
+"""Bytes that are read first, when nothing is known of an answer. A hundred answers in small pieces
+may begin at once, and the first read needs no turn."""
+
 MIN_READ_BYTES = 8192
 MAX_READ_BYTES = 65536
-"""Bytes that are read at once. Only input in large pieces is read in large amounts: 64 KiB of it
-are parsed in 0.02 ms, 64 KiB of header fields or chunks of two bytes in 10 to 40 ms."""
+"""Bytes that are read at once afterwards. Only input in large pieces is read in large amounts:
+64 KiB of it are parsed in 0.02 ms, 64 KiB of header fields or chunks of two bytes in 10 to 40 ms."""
 
 LARGE_PIECES_STEPS = 16
 """A read with so few steps brought large pieces."""
@@ -142,7 +146,9 @@
     @property
     def next_read_bytes(self) -> int:
         """How many bytes to read and feed next, so that parsing them takes a few milliseconds."""
-        is_large = self.started and self.last_steps <= LARGE_PIECES_STEPS
+        if not self.started:
+            return FIRST_READ_BYTES
+        is_large = self.last_steps <= LARGE_PIECES_STEPS
         return MAX_READ_BYTES if is_large else MIN_READ_BYTES
 
     @property
