--- a/packages/http_client/src/fireflylink_http_client/_response.py
+++ b/packages/http_client/src/fireflylink_http_client/_response.py
@@ -36,7 +36,7 @@
 MIN_READ_BYTES = 8192
 MAX_READ_BYTES = 65536
 """Bytes that are read at once afterwards. Only input in large pieces is read in large amounts:
-64 KiB of it are parsed in 0.02 ms, 64 KiB of header fields or chunks of two bytes in 10 to 40 ms."""
+64 KiB of it are parsed in 0.02 ms, 64 KiB of fields or chunks of two bytes in 10 to 40 ms."""
 
 LARGE_PIECES_STEPS = 16
 """A read with so few steps brought large pieces."""
