Ask a former decider to step down only when its tables are replaced

Cause: the claim was sent as soon as a daemon was elected. If the store is too slow, or away, to take its first table, it cannot grant keys, and the former decider, which could go on for 8 s, has stepped down: the keys lose their owner when their holds of 3 s end.

Change: the claim waits until all tables of the former decider are replaced. That is as safe: its grants count until it has answered.

Evidence: test_a_claim_is_sent_only_when_the_store_has_taken_the_table failed before. Found by reading.

--- a/packages/daemon/src/fireflylink_daemon/_takeover.py
+++ b/packages/daemon/src/fireflylink_daemon/_takeover.py
@@ -33,9 +33,14 @@
         self.retired_before = 0
 
     def send_claims(self, services: Iterable[KeyedService]) -> None:
-        """Sends a claim to each former decider that has not answered so far."""
+        """Sends a claim to each former decider that has not answered so far.
+
+        It is told only when all of its tables are replaced by this daemon's. Until then it may go
+        on: without them this daemon cannot grant keys, and the store may be too slow to take them.
+        """
         services = list(services)
-        former = {service.former_decider for service in services} - {None}
+        unready = {service.former_decider for service in services if not service.can_grant}
+        former = {service.former_decider for service in services} - {None} - unready
         if self.address in former:
             # This daemon stopped its own commands when it was demoted, or it is a later process.
             self._record_stopped(self.address, services)
--- a/packages/daemon/tests/test_takeover.py
+++ b/packages/daemon/tests/test_takeover.py
@@ -6,6 +6,7 @@
 
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_daemon._messages import (
+    DeciderChanged,
     DeciderClaimReceived,
     DeciderElected,
     DeciderRetiredReceived,
@@ -86,6 +87,28 @@
     assert_that(claims_to(decider, former_decider), HasLength(0))
 
 
+def test_a_claim_is_sent_only_when_the_store_has_taken_the_table(
+    make_daemon, store_state, configuration_item, registration, former_decider, clock
+):
+    """Guards against keys without an owner: the former decider steps down, and the store is too
+    slow, or away again, to take the table without which the next one cannot grant keys."""
+    stored = OwnershipTable("a", 3, (Assignment(ALL_KEYS, SERVER, 3),), True, writer=former_decider)
+    store_state.commit(Commit((), (Put(ownership_key("a"), encode_table(stored)),)))
+    daemon = make_daemon()
+    daemon.record_commands()
+    daemon.apply_items(configuration_item, registration("i-1", 1))
+    daemon.decider_task.receive(DeciderChanged(None, 0))
+    clock.advance(5.0)
+    daemon.decider_task.on_wake()
+    daemon.store.reachable = False
+    daemon.run(1.0)
+    assert_that(daemon.ownership_task.is_decider, Is(True))
+    assert_that(claims_to(daemon, former_decider), HasLength(0))
+    daemon.store.reachable = True
+    daemon.run(3.0)
+    assert_that(len(claims_to(daemon, former_decider)) > 0, Is(True))
+
+
 @pytest.mark.parametrize(
     ("sender", "revision_offset"), [(("127.0.0.3", 7540), 0), (("127.0.0.9", 7540), -1)]
 )
--- a/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_keyed_service.py
@@ -159,6 +159,11 @@
             else former_deciders_may_grant_until(self.table_first_seen_at)
         )
 
+    @property
+    def can_grant(self) -> bool:
+        """Whether the store has acknowledged a table of this decider."""
+        return self.grant_tracker is not None and self.grant_tracker.table is not None
+
     def may_have_lost_tables(self, era: int) -> bool:
         """Whether the store may have lost tables that are newer than the one in use."""
         if self.table is None:
--- a/packages/http_client/tests/test_connection.py
+++ b/packages/http_client/tests/test_connection.py
@@ -381,9 +381,7 @@
     connections = [ready_connection(start, piece, limits) for _ in range(60)]
     tracemalloc.start()
     try:
-        exchanges = [
-            gevent.spawn(exchange_without_answer, connection) for connection in connections
-        ]
+        exchanges = [gevent.spawn(exchange_without_answer, opened) for opened in connections]
         gevent.joinall(exchanges)
         _, peak_bytes = tracemalloc.get_traced_memory()
     finally:
@@ -396,8 +394,6 @@
 
 
 def exchange_without_answer(connection) -> bool:
-    try:
+    with pytest.raises(LostError):
         exchange(connection, seconds=3.0)
-    except LostError:
-        return True
-    return False
+    return True
