--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -23,7 +23,7 @@
 )
 
 MAX_HANDOVERS = 1000
-"""Handover tokens that are remembered, the latest ones. A copy of an older answer would have waited
+"""So many of the latest handover tokens are remembered. A copy of an older answer would have waited
 at the server for as many releases."""
 
 COMMAND_CONNECT_TIMEOUT_SECONDS = 1.0
