--- a/packages/backend_client/tests/test_commands.py
+++ b/packages/backend_client/tests/test_commands.py
@@ -14,7 +14,7 @@
 KEYS = KeyRange(0, 9)
 ANSWER_DELAY_SECONDS = 0.05
 COMMAND_SECONDS = 10.0
-"""Time for a command. No test is about its end, and on a busy machine the peer may take a second."""
+"""Time for a command. No test is about its end, and on a busy machine a peer may take a second."""
 
 
 class RepeatingServer:
