Reset the connection of a request that was given up

Cause: a call without an answer closed its connection in order. The kernel then keeps the bytes that a partition holds up, and delivers them when it ends; the server runs a request that nobody waits for. Commands and store calls have reset their connections all along; the pool did not.

The test failed before ('closed' in place of 'reset').

--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -113,6 +113,8 @@
         except NotSentError as error:
             return NotSent(str(error))
         except LostError as error:
+            # Closed in order, the connection would deliver the request later, when a partition ends.
+            connection.abort()
             return Lost(error.reason, str(error))
         finally:
             cancellation.connection = None
--- a/packages/backend_client/tests/test_pool.py
+++ b/packages/backend_client/tests/test_pool.py
@@ -1,6 +1,7 @@
 """Calls through a connection pool to a scripted server on real sockets."""
 
 import gevent
+import gevent.event
 import pytest
 from gevent import socket
 from testtools.assertions import assert_that
@@ -297,3 +298,23 @@
     pool.send_window.close_at(pool.clock.now())
     assert_that(call(pool, "r4").withheld, Equals(True))
     assert_that((received, pool.connect_attempts), Equals(([b"r1"], 1)))
+
+
+def test_a_request_that_was_given_up_is_not_delivered_later(make_pool):
+    """Guards against a request that a partition holds up, and that the kernel delivers when it ends:
+    after its caller has an answer, and to a server that is to get nothing new by then."""
+    ends = gevent.event.AsyncResult()
+
+    def serve(sock) -> None:
+        gevent.sleep(0.7)
+        try:
+            while sock.recv(65536):
+                pass
+            ends.set("closed")
+        except ConnectionResetError:
+            ends.set("reset")
+
+    pool = make_pool(make_response)
+    make_pool.servers[0]._serve = serve
+    result = call(pool)
+    assert_that((result.reason, ends.get(timeout=5.0)), Equals((LostReason.LATE, "reset")))
