--- a/packages/backend_client/src/fireflylink_backend_client/_pool.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_pool.py
@@ -113,7 +113,7 @@
         except NotSentError as error:
             return NotSent(str(error))
         except LostError as error:
-            # Closed in order, the connection would deliver the request later, when a partition ends.
+            # After an orderly close, the kernel would still deliver it when a partition ends.
             connection.abort()
             return Lost(error.reason, str(error))
         finally:
--- a/packages/backend_client/tests/test_pool.py
+++ b/packages/backend_client/tests/test_pool.py
@@ -301,7 +301,7 @@
 
 
 def test_a_request_that_was_given_up_is_not_delivered_later(make_pool):
-    """Guards against a request that a partition holds up, and that the kernel delivers when it ends:
+    """Guards against a request that a partition holds up and the kernel delivers when it ends:
     after its caller has an answer, and to a server that is to get nothing new by then."""
     ends = gevent.event.AsyncResult()
 
