--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -147,6 +147,22 @@
     assert_that(daemon.ownership_task.is_decider, Is(False))
 
 
+def test_a_decider_stops_when_another_has_its_record_although_its_lease_is_renewed(
+    make_daemon, clock, store_state
+):
+    """Guards against two deciders: the store revoked the record, another daemon was elected, and
+    the former decider, whose watch hears nothing, goes on for as long as its lease is renewed."""
+    daemon = with_configuration(make_daemon())
+    elect(daemon, clock)
+    other = encode_member(MemberRecord("front-9", 1, "kingston", "127.0.0.9", 7540))
+    store_state.commit(Commit(puts=(Put(DECIDER_KEY, other),)))
+    for _ in range(20):
+        clock.advance(0.1)
+        daemon.decider_task.on_wake()
+    daemon.deliver()
+    assert_that(daemon.ownership_task.is_decider, Is(False))
+
+
 def test_a_decider_stops_granting_after_the_grace_time_without_the_store(make_daemon, clock):
     """Guards against a decider that is partitioned from the store and never stops granting."""
     daemon = with_configuration(make_daemon())
