Send a release only when no grant of the keys is unanswered

A renewal and a release go to a server over two connections. If the renewal is still under way when the release is answered (its connection is being opened, or the answer is late) and the server restarts under its id, the next incarnation knows neither the release nor its fence and accepts the renewal: it holds the keys for 3 s beside the server that they were granted to.

A release now waits for the results of the grants of its keys, 0.6 s at most (the time-out of a grant, after which its connection is reset), and is sent as soon as the last one is there. Grants without a result follow a server to its next incarnation, as holds do; before, their entries were left behind.

--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -330,6 +330,9 @@
         elif isinstance(command, GrantCommand):
             service.record_command_succeeded(command.server)
             grant_tracker.record_granted(command, now)
+            if not grant_tracker.is_current(command):
+                # A release of the keys may wait for the result of this grant.
+                self.next_check_at = 0.0
             if not command.renewal:
                 self.peers.broadcast(GrantNotice(message.service, command.keys, command.fence))
                 log_granted(message.service, command)
--- a/packages/decisions/src/fireflylink_decisions/ownership/_hold_expiries.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_hold_expiries.py
@@ -90,6 +90,7 @@
         self.successors[self.holder(server)] = successor
         for grant_id, expires_at in holds.items():
             self._extend(successor, grant_id, expires_at)
+        self._move_sent_grants()
         for keys, former_hold in former_holds.items():
             self.add_former(successor, keys, former_hold)
 
@@ -110,13 +111,17 @@
     def is_release_final(
         self, server: ServerIncarnation, assignment: Assignment, now: float
     ) -> bool:
-        """Whether a server that releases the keys now gets no grants of former deciders any more.
+        """Whether a server that releases the keys now gets no earlier grant of them any more.
 
-        It makes no difference if the server is to own the keys itself.
+        Former deciders may still send one, and one that this decider has sent may still arrive while
+        it has no result: at the server's next incarnation, which knows of no release. It makes no
+        difference if the server is to own the keys itself.
         """
         holder = self.holder(server)
         if holder == self.holder(assignment.owner):
             return True
+        if self._has_unsettled_grant(holder, assignment.keys):
+            return False
         return all(
             former.grants_end_at <= now
             for held, former in self.former_holds.get(holder, {}).items()
@@ -175,6 +180,18 @@
                 expiries.append(former.expires_at)
         return max(expiries, default=NEVER)
 
+    def _move_sent_grants(self) -> None:
+        """Counts grants without a result for the incarnations that they reach now."""
+        self.sent_grants = {
+            (self.holder(server), keys, fence): sent
+            for (server, keys, fence), sent in self.sent_grants.items()
+        }
+
+    def _has_unsettled_grant(self, holder: ServerIncarnation, keys: KeyRange) -> bool:
+        return any(
+            grantee == holder and held.overlaps(keys) for grantee, held, _ in self.sent_grants
+        )
+
     def _extend(self, server: ServerIncarnation, grant_id: GrantId, expires_at: float) -> None:
         holds = self.expiries.setdefault(self.holder(server), {})
         holds[grant_id] = max(holds.get(grant_id, NEVER), expires_at)
--- a/packages/decisions/tests/test_grant_tracker.py
+++ b/packages/decisions/tests/test_grant_tracker.py
@@ -121,6 +121,39 @@
     assert_that(grant.server, Equals(NEW))
 
 
+def sent_renewal(grant_tracker: GrantTracker, clock) -> GrantCommand:
+    """Returns a renewal of the grant to ``OLD`` that has no result so far."""
+    clock.advance(HOLD_SECONDS / 2)
+    [renewal] = grant_tracker.due_commands(clock.now())
+    grant_tracker.record_sent(renewal, clock.now() + GRANT_TIMEOUT_SECONDS)
+    return renewal
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_no_release_is_sent_while_a_renewal_has_no_answer(clock, restarted):
+    """Guards against two holders of a key: the holder answers the release and restarts, and its
+    next incarnation, which knows of no release, accepts the renewal that was under way."""
+    grant_tracker = granted_tracker(clock)
+    renewal = sent_renewal(grant_tracker, clock)
+    move_keys(grant_tracker)
+    if restarted:
+        grant_tracker.record_incarnation_ended(OLD, RESTARTED)
+    assert_that(grant_tracker.due_commands(clock.now()), HasLength(0))
+    grant_tracker.record_granted(renewal, clock.now())
+    [release] = grant_tracker.due_commands(clock.now())
+    assert_that(release, Equals(ReleaseCommand(RESTARTED if restarted else OLD, KEYS, 2)))
+
+
+def test_a_release_is_sent_when_a_renewal_without_an_answer_has_timed_out(clock):
+    """Guards against keys that nobody owns until the hold ends, because one answer was lost."""
+    grant_tracker = granted_tracker(clock)
+    renewal = sent_renewal(grant_tracker, clock)
+    move_keys(grant_tracker)
+    grant_tracker.record_failed(renewal, clock.now())
+    [release] = grant_tracker.due_commands(clock.now())
+    assert_that(release, Equals(ReleaseCommand(OLD, KEYS, 2)))
+
+
 def test_an_answer_that_arrives_after_a_restart_counts_for_the_next_incarnation(clock):
     """Guards against two holders of a key: the renewal was in flight when the restart was noticed,
     and the next incarnation had confirmed it."""
--- a/packages/specification/src/fireflylink_specification/_guards.py
+++ b/packages/specification/src/fireflylink_specification/_guards.py
@@ -66,6 +66,11 @@
         "send-deadline",
         "a grant that waited at its sender is not sent after the deadline that its decider counted",
     )
+    SETTLED_GRANTS = (
+        "settled-grants",
+        "a server is asked to release a key only when no grant of it to that server is unanswered: "
+        "if it restarts, it has forgotten the release when the grant arrives",
+    )
 
     def __init__(self, key: str, rule: str) -> None:
         self.key = key
--- a/packages/specification/src/fireflylink_specification/_models.py
+++ b/packages/specification/src/fireflylink_specification/_models.py
@@ -12,6 +12,7 @@
     SteadyDeciderModel,
     TakeoverModel,
     WaitingGrantModel,
+    WaitingGrantRestartModel,
 )
 
 MODELS: tuple[type[BaseModel[Any]], ...] = (
@@ -23,4 +24,5 @@
     QuickRestartTakeoverModel,
     RestartModel,
     WaitingGrantModel,
+    WaitingGrantRestartModel,
 )
--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -187,7 +187,7 @@
         """
         previous = decider.table.previous
         if previous != NO_ID:
-            if not state.servers[previous].down and self._may_release(decider):
+            if not state.servers[previous].down and self._may_release(state, decider):
                 yield f"{name} has server {previous} release the key", self._release(
                     state, number, decider
                 )
@@ -271,16 +271,18 @@
             return False
         return decider.contact > 0 or not self.applied_guards.has(Guard.OUTAGE_GRACE)
 
-    def _may_release(self, decider: Decider) -> bool:
+    def _may_release(self, state: State, decider: Decider) -> bool:
         """Returns whether a release by the former holder is final.
 
-        While a former decider may renew its grant, its next incarnation may hold the key again,
-        unless that server is to own it.
+        While a former decider may renew its grant, or a grant of this decider is under way, its
+        next incarnation may hold the key again, unless that server is to own it.
         """
-        if not self.applied_guards.has(Guard.FORMER_ENDED):
-            return True
         previous = decider.table.previous
-        return previous == decider.table.owner or not decider.former[previous]
+        if previous == decider.table.owner:
+            return True
+        if self.applied_guards.has(Guard.SETTLED_GRANTS) and _waits_for(state, previous):
+            return False
+        return not self.applied_guards.has(Guard.FORMER_ENDED) or not decider.former[previous]
 
     def _end_former_decider(self, state: State, number: int, decider: Decider) -> State:
         """The other decider is told that it is superseded, stops, and says so.
@@ -390,3 +392,8 @@
         if not state.servers[owner].down:
             late = LateGrant(owner, decider.table.fence, HOLD_TICKS)
         return with_decider(state, number, decider._replace(known=known))._replace(late=late)
+
+
+def _waits_for(state: State, server: int) -> bool:
+    """Returns whether a grant to a server waits to be sent."""
+    return state.waiting is not None and state.waiting.server == server
--- a/packages/specification/src/fireflylink_specification/_transfer_models.py
+++ b/packages/specification/src/fireflylink_specification/_transfer_models.py
@@ -115,3 +115,20 @@
     max_fence = 4
     has_late_grants = False
     has_waiting_grants = True
+
+
+class WaitingGrantRestartModel(BaseTransferModel):
+    """One decider whose grants wait at its sender, while it moves the key and servers restart.
+
+    A server that is being restarted gets the waiting grant after it has released the key, and has
+    forgotten the release.
+    """
+
+    name = "waiting-grant-restart"
+    bounds = "1 decider, 2 servers, 3 fences, 1 waiting grant, quick restarts"
+    guards = (Guard.SETTLED_GRANTS,)
+    decider_count = 1
+    has_crashes = False
+    has_late_grants = False
+    has_waiting_grants = True
+    has_quick_restarts = True
