--- a/packages/decisions/src/fireflylink_decisions/ownership/_hold_expiries.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_hold_expiries.py
@@ -113,9 +113,9 @@
     ) -> bool:
         """Whether a server that releases the keys now gets no earlier grant of them any more.
 
-        Former deciders may still send one, and one that this decider has sent may still arrive while
-        it has no result: at the server's next incarnation, which knows of no release. It makes no
-        difference if the server is to own the keys itself.
+        Former deciders may still send one, and one that this decider has sent may still arrive
+        while it has no result: at the server's next incarnation, which knows of no release. It
+        makes no difference if the server is to own the keys itself.
         """
         holder = self.holder(server)
         if holder == self.holder(assignment.owner):
