Log what ended the former hold of keys that change owners

A report of two owners of a key could not be traced: `keys-granted` named neither the former holder nor what ended its hold, an expired hold left no line, and `command-failed` named neither keys nor fence.

The grant tracker records the end of each previous holder's hold as a typed value, `HoldEnd`: the reason (released, expired, incarnation ended, owner restarted, no known grant), the former fence, when the server last confirmed a grant, until when the hold was counted, and the grants without an answer at that time. When a holder counts as free is decided as before; the conditions moved from `GrantTracker` to `HoldEnds`. The daemon writes one line `hold-ended` for each of them at the decision, so that the line is there also when the answer to the next grant is lost, and names the former holders in `keys-granted`. Commands that end because their server is gone are logged as well.

Evidence: test_hold_ends.py has one case for each reason, test_command_log.py checks the lines of a drain, of a holder that does not answer, and of commands without an answer. The volume is one more line for each previous holder of a range that moves, beside the two that there were.

--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -7,7 +7,12 @@
     StaleFenceError,
 )
 from fireflylink_core import BaseClock, OwnershipTable, ServerIncarnation
-from fireflylink_daemon._command_log import log_command_failed, log_granted, log_released
+from fireflylink_daemon._command_log import (
+    log_command_failed,
+    log_granted,
+    log_hold_ends,
+    log_released,
+)
 from fireflylink_daemon._decider_task import CommitTable, DeciderTask, Superseded
 from fireflylink_daemon._fleet_commands import FleetCommands
 from fireflylink_daemon._log import log_event, log_problem
@@ -263,6 +268,7 @@
             lambda command: self._send_if_free(name, tracker, command, now),
             server,
         )
+        log_hold_ends(name, tracker)
         if sweeping and tracker.sweep is None:
             log_event("ownership-sweep-done", service=name, era=self.era)
 
@@ -332,10 +338,10 @@
             grant_tracker.record_granted(command, now)
             if not command.renewal:
                 self.peers.broadcast(GrantNotice(message.service, command.keys, command.fence))
-                log_granted(message.service, command)
+                log_granted(message.service, command, grant_tracker, now)
         elif isinstance(command, ReleaseCommand):
             grant_tracker.record_released(command, message.handover, now)
-            log_released(message.service, command, message.handover)
+            log_released(message.service, command, message.handover, grant_tracker, now)
             self.next_check_at = 0.0
         if others_wait and self.is_decider:
             self._send_due_commands(message.service, service, now, command.server)
@@ -381,11 +387,11 @@
 
         A server may register again under the same incarnation, and then needs new commands.
         """
-        now = self.clock.now()
         for message in messages:
             grant_tracker = self._service(message.service).grant_tracker
             if grant_tracker is not None:
-                grant_tracker.record_failed(message.command, now)
+                grant_tracker.record_failed(message.command, self.clock.now())
+                log_command_failed(message.service, message.command, None)
 
     def _record_report(self, report: LoadReport) -> None:
         if not self.is_decider or not report.keys:
--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -1,7 +1,12 @@
 """Key ownership: election of the decider, planning of ownership tables, tracking of grants."""
 
 from fireflylink_decisions.ownership._candidate import Candidate
-from fireflylink_decisions.ownership._commands import BaseCommand, GrantCommand, ReleaseCommand
+from fireflylink_decisions.ownership._commands import (
+    BaseCommand,
+    GrantCommand,
+    ReleaseCommand,
+    keys_and_fence,
+)
 from fireflylink_decisions.ownership._decider_election import DeciderElection
 from fireflylink_decisions.ownership._first_tables import (
     first_fence,
@@ -17,6 +22,7 @@
     former_deciders_may_grant_until,
 )
 from fireflylink_decisions.ownership._grant_tracker import GrantTracker
+from fireflylink_decisions.ownership._hold_end import HoldEnd, HoldEndReason
 from fireflylink_decisions.ownership._key_load import KeyLoad, RangeLoad
 from fireflylink_decisions.ownership._keyed_service import KeyedService
 from fireflylink_decisions.ownership._overload_detector import OverloadDetector
@@ -35,6 +41,8 @@
     "DeciderElection",
     "GrantCommand",
     "GrantTracker",
+    "HoldEnd",
+    "HoldEndReason",
     "KeyLoad",
     "KeyedService",
     "OverloadDetector",
@@ -46,6 +54,7 @@
     "first_fence",
     "former_deciders_may_grant_until",
     "initial_table",
+    "keys_and_fence",
     "plan_table",
     "with_new_fence",
 ]
--- a/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_grant_tracker.py
@@ -25,6 +25,8 @@
     MAX_RENEWAL_INTERVAL_FRACTION,
     RENEWAL_INTERVAL_SECONDS,
 )
+from fireflylink_decisions.ownership._hold_end import HoldEnd
+from fireflylink_decisions.ownership._hold_ends import HoldEnds
 from fireflylink_decisions.ownership._hold_expiries import HoldExpiries
 from fireflylink_decisions.ownership._holder_sweep import HolderSweep
 
@@ -49,6 +51,7 @@
         "first_table_fence",
         "former_deciders",
         "grant_states",
+        "hold_ends",
         "hold_seconds",
         "holds",
         "max_hold_seconds",
@@ -68,6 +71,7 @@
         self.table: OwnershipTable | None = None
         self.grant_states: dict[tuple[KeyRange, int], GrantState] = {}
         self.holds = HoldExpiries()
+        self.hold_ends = HoldEnds()
         self.sweep: HolderSweep | None = None
         self.assignments_by_server: dict[ServerIncarnation, list[Assignment]] = {}
 
@@ -157,7 +161,7 @@
         )
         for assignment in assignments:
             state = self.grant_states[(assignment.keys, assignment.fence)]
-            self._drop_expired_holders(state, assignment, now)
+            self.hold_ends.end_without_release(self.holds, state, assignment, now)
             if state.unreleased_holders:
                 due.extend(self._due_releases(assignment, state, now))
             elif (
@@ -228,6 +232,7 @@
             now + self.max_hold_seconds,
             ends_former=command.fence >= self.first_table_fence,
         )
+        self.hold_ends.record_granted(command.server, (command.keys, command.fence), now)
         state = self._complete_command(command.keys, command.fence, command.server)
         if state is not None:
             state.granted = True
@@ -241,11 +246,7 @@
         state = self._complete_command(command.keys, command.fence, command.server)
         if state is None:
             return
-        state.unreleased_holders = [
-            incarnation
-            for incarnation in state.unreleased_holders
-            if self.holds.holder(incarnation) != self.holds.holder(command.server)
-        ]
+        self.hold_ends.end_released(self.holds, state, command, now)
         state.handover = handover or state.handover
 
     def record_failed(self, command: BaseCommand, now: float) -> None:
@@ -283,6 +284,14 @@
             return None
         return self.table.replace(assignments=assignments)
 
+    def take_hold_ends_of(self, command: GrantCommand) -> list[HoldEnd]:
+        """Returns what ended the former holds of the keys of a grant, once for each grant."""
+        state = self.grant_states.get((command.keys, command.fence))
+        if state is None:
+            return []
+        taken, state.hold_ends = state.hold_ends, []
+        return taken
+
     def is_current(self, command: GrantCommand) -> bool:
         """Whether a grant is one of the current table."""
         return (command.keys, command.fence) in self.grant_states
@@ -316,11 +325,7 @@
         """Copies the state of the old assignment that this one is a remaining part of, if any."""
         for old, old_state in old_assignments:
             if old.fence == assignment.fence and old.keys.overlaps(assignment.keys):
-                state.unreleased_holders = list(old_state.unreleased_holders)
-                state.handover = old_state.handover
-                state.granted = old_state.granted
-                state.granted_at = old_state.granted_at
-                state.due_at = dict(old_state.due_at)
+                state.copy_progress(old_state)
                 return
 
     def _without_completed_move(self, assignment: Assignment) -> Assignment:
@@ -329,21 +334,6 @@
             return assignment
         return assignment.replace(previous_holders=(), handover="")
 
-    def _drop_expired_holders(self, state: GrantState, assignment: Assignment, now: float) -> None:
-        """Drops previous holders whose holds have expired, and those that the owner followed."""
-        state.unreleased_holders = [
-            incarnation
-            for incarnation in state.unreleased_holders
-            if now < self.holds.expires_at(incarnation, assignment.keys)
-            and not self._is_former_owner_incarnation(incarnation, assignment.owner)
-        ]
-
-    def _is_former_owner_incarnation(
-        self, incarnation: ServerIncarnation, owner: ServerIncarnation
-    ) -> bool:
-        """Whether the owner of keys has restarted: what it holds of them needs no release."""
-        return incarnation != owner and self.holds.holder(incarnation) == self.holds.holder(owner)
-
     def _due_releases(
         self, assignment: Assignment, state: GrantState, now: float
     ) -> list[BaseCommand]:
--- a/packages/decisions/src/fireflylink_decisions/ownership/_hold_expiries.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_hold_expiries.py
@@ -166,8 +166,10 @@
     def expires_at(self, server: ServerIncarnation, keys: KeyRange) -> float:
         """Returns the latest time at which a grant of any of the keys to a server expires."""
         holder = self.holder(server)
-        if self.has_ended(holder):
-            return NEVER
+        return NEVER if self.has_ended(holder) else self.counted_expiry(holder, keys)
+
+    def counted_expiry(self, holder: ServerIncarnation, keys: KeyRange) -> float:
+        """Returns the same for an incarnation that may have ended, as if it still ran."""
         holds = self.expiries.get(holder, {})
         expiries = [expiry for (held, _), expiry in holds.items() if held.overlaps(keys)]
         for held, former in self.former_holds.get(holder, {}).items():
