Add a command that prints the history of a key and flags overlaps

To find who held a key, an operator had to merge the logs of all daemons by hand and compare fences line by line.

It flags a grant while the grant to another server has neither been released nor ended, a fence that is not above that of another server, and a daemon that decides after another one was elected; the exit status is then 3. A grant without an answer that was sent counts as a grant, unless its server had seen a higher fence.

Evidence: test_key_history.py has logs with and without each overlap; test_p1_the_logs_of_all_daemons_show_who_held_the_keys_of_a_drained_server reads the logs of three running daemons after a drain, and none is flagged.

--- a/packages/operator_client/src/fireflylink_operator_client/_main.py
+++ b/packages/operator_client/src/fireflylink_operator_client/_main.py
@@ -10,22 +10,28 @@
 from fireflylink_core import SystemClock
 from fireflylink_daemon import read_settings
 from fireflylink_operator_client._commands import owner_lines, request_log_lines, status_lines
-from fireflylink_operator_client._errors import OperatorError
+from fireflylink_operator_client._errors import OperatorError, OverlapError
+from fireflylink_operator_client._history_command import history_lines
 from fireflylink_operator_client._system_view import SystemView, read_system
 from fireflylink_platform import PlatformItemDecoder, PlatformStoreClient
 
-USAGE = """fireflylink: what the system knows, and what became of a request
+USAGE = """fireflylink: what the system knows, what became of a request, and who held a key
 
   fireflylink status --store HOST:PORT               daemons, decider, servers, configuration
   fireflylink owners SERVICE --store HOST:PORT       who owns which keys   [--key K]
   fireflylink request ID LOG...                      every line of the logs about a request
+  fireflylink history KEY --service SERVICE LOG...   who held a key, from the logs of all daemons;
+                                                     exit status 3 if two owners overlap, which
+                                                     clocks that differ can feign
   fireflylink check-settings FILE                    whether a daemon takes a settings file
 """
 EXIT_COMMAND_FAILED = 1
 EXIT_USAGE = 2
+EXIT_OVERLAP = 3
 
 STORE = flags.DEFINE_string("store", None, "Address of the metadata store, as HOST:PORT.")
 KEY = flags.DEFINE_integer("key", None, "Show only the owner of this key.")
+SERVICE = flags.DEFINE_string("service", None, "The service of the key whose history to show.")
 
 
 def _read_view() -> SystemView:
@@ -62,6 +68,10 @@
             return owner_lines(_read_view(), service, KEY.value)
         case ["request", request_id, *paths] if paths:
             return request_log_lines(request_id, [_read_log(path) for path in paths])
+        case ["history", key, *paths] if paths and SERVICE.value and key.isdecimal():
+            return history_lines(
+                SERVICE.value, int(key), [(path, _read_log(path)) for path in paths]
+            )
         case ["check-settings", path]:
             return _check_settings(path)
         case _:
@@ -77,6 +87,9 @@
             return EXIT_USAGE
         for line in lines:
             sys.stdout.write(f"{line}\n")
+    except OverlapError as error:
+        sys.stderr.write(f"fireflylink: {error}\n")
+        return EXIT_OVERLAP
     except OperatorError as error:
         sys.stderr.write(f"fireflylink: {error}\n")
         return EXIT_COMMAND_FAILED
--- a/packages/standins/tests/test_promises.py
+++ b/packages/standins/tests/test_promises.py
@@ -23,10 +23,11 @@
 import gevent
 from returns.result import Success
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, GreaterThan, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan
 
 from fireflylink_core import SystemClock
 from fireflylink_http_client import NotSentError
+from fireflylink_operator_client import history_lines
 from fireflylink_protocol import decode_table, ownership_key
 from fireflylink_standins import KEYED_SERVICE, ORDER_PATH, POOLED_SERVICE, Caller
 
@@ -72,6 +73,28 @@
     print(f"every key has an owner again after {elapsed_seconds:.1f} s")
 
 
+def test_p1_the_logs_of_all_daemons_show_who_held_the_keys_of_a_drained_server(harness):
+    """Guards against a history of a key that misses its change of owner, or that takes an ordinary
+    one for an overlap: the lines that daemons write and the command that reads them differ."""
+    moved = [key for key, owner in stored_owners(harness).items() if owner == "a1"]
+    harness.system.servers["a1"].drain()
+    harness.await_service(10.0)
+    with gevent.Timeout(10.0):
+        while holder_counts(harness) != {1} or "a1" in stored_owners(harness).values():
+            gevent.sleep(0.1)
+    logs = [
+        (daemon.log_path.name, daemon.log_path.read_text()) for daemon in harness.system.daemons
+    ]
+    # Raises ``OverlapError`` if two owners of the key overlap.
+    history = list(history_lines(KEYED_SERVICE, moved[0], logs))
+    ends = [line for line in history if "event=hold-ended" in line and "server=a1@" in line]
+    assert_that(ends, HasLength(1))
+    assert_that(ends[0], Contains("reason=released"))
+    granted = [line for line in history if "event=keys-granted" in line and "former=a1@" in line]
+    assert_that(granted, HasLength(1))
+    assert_that(history.index(granted[0]), GreaterThan(history.index(ends[0])))
+
+
 def test_p2_daemons_killed_together_serve_again_and_advance_the_stored_fence(harness):
     """Guards against daemons that cannot serve again after all of them were killed at once.
 
