Log the commands in progress when a daemon decides no more

A decider that steps down closes its connections for commands, and a grant in progress may have reached its server. It left no line, and the next decider knows it only from the table. `command-failed` now names it, with its keys and fence.

Evidence: test_a_command_in_progress_is_logged_when_the_daemon_decides_no_more.

--- a/packages/daemon/src/fireflylink_daemon/_command_log.py
+++ b/packages/daemon/src/fireflylink_daemon/_command_log.py
@@ -13,7 +13,7 @@
 NONE = "none"
 """Value of a field without one, such as the former holder of keys that nobody held."""
 
-NO_ANSWER = "ended without an answer: the server is not registered any more"
+NO_ANSWER = "ended without an answer: the connection was closed"
 
 
 def log_granted(service: str, command: GrantCommand, tracker: GrantTracker, now: float) -> None:
@@ -72,7 +72,8 @@
 def log_command_failed(service: str, command: BaseCommand, error: CommandError | None) -> None:
     """Logs a command without a good answer, and whether it was sent.
 
-    Without an ``error``, it was ended because its server is gone, and may have been sent.
+    Without an ``error``, its connection was closed, because the server is gone or this daemon
+    decides no more. It may have been sent.
     """
     keys, fence = keys_and_fence(command)
     log_problem(
--- a/packages/daemon/src/fireflylink_daemon/_fleet_commands.py
+++ b/packages/daemon/src/fireflylink_daemon/_fleet_commands.py
@@ -2,6 +2,7 @@
 
 from fireflylink_backend_client import BaseServerCodec
 from fireflylink_core import BackendServer, BaseClock, ReceiveLimits, ServerIncarnation
+from fireflylink_daemon._command_log import log_command_failed
 from fireflylink_daemon._command_tasks import (
     MAX_GRANTS_IN_PROGRESS,
     MAX_RELEASES_IN_PROGRESS,
@@ -74,8 +75,9 @@
         return in_progress
 
     def close(self) -> None:
-        """Closes the tasks of all servers."""
-        self.close_absent(set())
+        """Closes the tasks of all servers, and logs their commands in progress."""
+        for message in self.close_absent(set()):
+            log_command_failed(message.service, message.command, None)
 
     def _tasks_by_server(self, command: BaseCommand) -> dict[ServerIncarnation, ServerCommandTasks]:
         return self.grant_tasks if isinstance(command, GrantCommand) else self.release_tasks
--- a/packages/daemon/tests/test_command_log.py
+++ b/packages/daemon/tests/test_command_log.py
@@ -8,7 +8,7 @@
 from testtools.matchers import Contains, HasLength, MatchesListwise, MatchesRegex
 
 from fireflylink_backend_client import CommandError
-from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
+from fireflylink_core import Assignment, BackendServer, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_daemon._messages import CommandCompleted, SendCommand
 from fireflylink_decisions.ownership import GrantCommand, ReleaseCommand
 from fireflylink_protocol import encode_table, ownership_key
@@ -129,3 +129,15 @@
     [failed] = log.take("command-failed")
     assert_that(failed, Contains("keys=0-65535 fence=4"))
     assert_that(failed, Contains("sent=True"))
+
+
+def test_a_command_in_progress_is_logged_when_the_daemon_decides_no_more(log, make_daemon):
+    """Guards against a grant that the next decider does not know of and that left no line."""
+    daemon = make_daemon()
+    server = BackendServer("i-1", "a", "127.0.0.1", 1, "kingston", 4, started_ms=1)
+    grant = GrantCommand(FORMER, ALL_KEYS, 4, "", False)
+    daemon.ownership_task.commands.send(server, "a", grant, daemon.clock.now() + 1.0)
+    daemon.ownership_task._stop_deciding()
+    [failed] = log.take("command-failed")
+    assert_that(failed, Contains("server=i-1@1 keys=0-65535 fence=4"))
+    assert_that(failed, Contains("sent=True"))
--- a/packages/decisions/src/fireflylink_decisions/ownership/_hold_end.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_hold_end.py
@@ -15,7 +15,7 @@
     """The hold of the last grant that it may have accepted has expired."""
 
     INCARNATION_ENDED = "incarnation-ended"
-    """The incarnation has ended, and none under its id holds what was granted to it."""
+    """Another server uses its address, and no later incarnation of it is known."""
 
     OWNER_RESTARTED = "owner-restarted"
     """It is a former incarnation of the new owner."""
