Do not take the first table after a restore for the first one ever

When the store had lost all tables of a service, the first table that the next decider wrote made it record that there was no former decider. Found by reading. Only a first table in the first era of a store proves that nobody decided before.

The test test_a_first_table_after_a_restore_does_not_prove_that_there_was_no_decider failed before (the tracker counted as that of the sole decider).

--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -226,7 +226,8 @@
         ):
             # Another decider wrote the table, and this daemon does not know its grants.
             self._step_down("another decider wrote a table")
-        if message.is_first and service.table is None and service.grant_tracker is not None:
+        is_first = message.is_first and service.table is None and self.era == 0
+        if is_first and service.grant_tracker is not None:
             service.grant_tracker.mark_no_former_decider()
         if message.revision <= service.revision:
             return
--- a/packages/daemon/tests/test_restored_ownership.py
+++ b/packages/daemon/tests/test_restored_ownership.py
@@ -310,6 +310,23 @@
     assert_that(len(grants_until(decider, elected_at + KEYS_OWNED_SECONDS)) > 0, Is(True))
 
 
+def test_a_first_table_after_a_restore_does_not_prove_that_there_was_no_decider(
+    make_candidate, store_state, clock
+):
+    """Guards against two owners of a key: the copy is older than the first table, whose decider
+    is cut off from the store and may still grant keys."""
+    store_state.restore(0.0)
+    decider = make_candidate()
+    decider.stand_for_election()
+    elected_at = decider.ownership_task.elected_at
+    while decider.ownership_task.services["a"].table is None:
+        decider.run(0.1)
+    tracker = decider.ownership_task.services["a"].grant_tracker
+    assert_that(tracker.is_sole_decider(elected_at + OUTAGE_GRACE_SECONDS), Is(False))
+    grants = grants_until(decider, elected_at + FORMER_HOLDS_SECONDS)
+    assert_that(grants, HasLength(0))
+
+
 def test_the_next_decider_does_not_begin_the_wait_anew(
     make_candidate, store_state, clock, stored_table
 ):
