--- a/packages/decisions/src/fireflylink_decisions/ownership/_holder_sweep.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/_holder_sweep.py
@@ -114,10 +114,16 @@
 
 
 def _keys_of_others(server: ServerIncarnation, table: OwnershipTable) -> list[KeyRange]:
-    """Returns the ranges, as wide as possible, whose owner is not ``server``."""
+    """Returns the ranges, as wide as possible, that ``server`` neither owns nor has to release.
+
+    Moves in the table ask for releases themselves, when these are final.
+    """
     ranges: list[KeyRange] = []
     first = FIRST_KEY
-    for assignment in table.owned_by(server):
+    for assignment in table.assignments:
+        previous_ids = {holder.server_id for holder in assignment.previous_holders}
+        if assignment.owner != server and server.server_id not in previous_ids:
+            continue
         if first < assignment.keys.first:
             ranges.append(KeyRange(first, assignment.keys.first - 1))
         first = assignment.keys.last + 1
--- a/packages/decisions/tests/test_holder_sweep.py
+++ b/packages/decisions/tests/test_holder_sweep.py
@@ -74,6 +74,28 @@
     assert_that((release.server, release.keys), Equals((late, KeyRange(0, 65535))))
 
 
+def test_a_release_of_the_sweep_is_not_final_for_a_known_holder(clock):
+    """Guards against two owners of a key: the decider before this one, of the same era, is cut off
+    from the store and renews its grant at a previous holder that restarts after its release."""
+    tracker = GrantTracker(clock.now())
+    tracker.start_sweep(clock.now() + 1.0, knows_all_holders=False)
+    for server in (LEFT, RIGHT):
+        tracker.sweep.add_server(server)
+    moved = Assignment(LOW, LEFT, NEW_TABLE.fence, (RIGHT,))
+    others = NEW_TABLE.assignments[1:]
+    tracker.set_table(NEW_TABLE.replace(assignments=(moved, *others), has_unknown_holders=True))
+    ends_at = clock.now() + OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS
+    granted = []
+    while clock.now() < ends_at - 0.1:
+        for command in tracker.due_commands(clock.now()):
+            if isinstance(command, ReleaseCommand):
+                tracker.record_released(command, "", clock.now())
+            else:
+                granted.append(command)
+        clock.advance(0.1)
+    assert_that({grant.server for grant in granted}, Equals({RIGHT}))
+
+
 def test_an_unresponsive_server_is_waited_for_until_every_former_hold_has_expired(sweeping, clock):
     """Guards against two owners of a key: a former decider still reaches a server that this one
     does not reach."""
