Plan before the first grants after the wait for unknown holders

Keys of a server that did not answer in all of the wait after a restore had no owner for about 16 s: the first grants went to it as well, and the hold that such a grant may have started was waited for once more. The plan that takes its keys from it is now made first. So that a server that answers again is not taken for unreachable then, an answered release counts as a command that a server has carried out.

test_keys_of_an_owner_that_does_not_answer_are_granted_on_after_the_wait failed before; with the plan alone, test_an_owner_that_answers_again_during_the_wait_keeps_its_keys failed.

--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -26,11 +26,7 @@
 )
 from fireflylink_daemon._ownership_planning import log_plan, planning_candidates, record_load
 from fireflylink_daemon._peers import PeerSocket
-from fireflylink_daemon._possible_holders import (
-    add_servers_to_sweep,
-    begin_sweep,
-    record_restarts,
-)
+from fireflylink_daemon._possible_holders import add_servers_to_sweep, begin_sweep, record_restarts
 from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._takeover import Takeover
 from fireflylink_daemon._task import BaseTask
@@ -256,16 +252,20 @@
         tracker = service.grant_tracker
         if tracker is None or not self.decider_task.election.may_grant(now):
             return
-        sweeping = tracker.sweep is not None
-        if sweeping:
+        sweep = tracker.sweep
+        if sweep is not None:
             add_servers_to_sweep(service, self.routing_state.directory)
+            if sweep.is_done(now):
+                # A grant to a server that has not answered would count as a hold: plan first.
+                tracker.sweep = None
+                self._plan_table(name, service, now)
         tracker.due_commands(
             now,
             service.ranges_pending_removal(),
             lambda command: self._send_if_free(name, tracker, command, now),
             server,
         )
-        if sweeping and tracker.sweep is None:
+        if sweep is not None and tracker.sweep is None:
             log_event("ownership-sweep-done", service=name, era=self.era)
 
     def _plan_table(self, name: str, service: KeyedService, now: float) -> None:
@@ -336,6 +336,7 @@
                 self.peers.broadcast(GrantNotice(message.service, command.keys, command.fence))
                 log_granted(message.service, command)
         elif isinstance(command, ReleaseCommand):
+            service.record_command_succeeded(command.server)
             grant_tracker.record_released(command, message.handover, now)
             log_released(message.service, command, message.handover)
             self.next_check_at = 0.0
--- a/packages/daemon/tests/test_restored_ownership.py
+++ b/packages/daemon/tests/test_restored_ownership.py
@@ -367,3 +367,47 @@
     grants = grants_until(following, learned_at + FORMER_HOLDS_SECONDS)
     assert_that(following.decider_task.election.is_decider, Is(True))
     assert_that(grants, HasLength(0))
+
+
+@pytest.fixture
+def divided_table(store_state, former_decider) -> OwnershipTable:
+    """The table that the copies of the store have: each server owns half of the keys."""
+    assignments = (
+        Assignment(KeyRange(0, 32767), FIRST, 3),
+        Assignment(KeyRange(32768, 65535), SECOND, 3),
+    )
+    table = OwnershipTable("a", 3, assignments, True, writer=former_decider)
+    store_state.commit(Commit((), (Put(ownership_key("a"), encode_table(table)),)))
+    return table
+
+
+def test_an_owner_that_answers_again_during_the_wait_keeps_its_keys(
+    make_candidate, store_state, divided_table
+):
+    """Guards against moves of keys from an owner that did not answer right after the restore."""
+    store_state.restore(0.0)
+    daemon = make_candidate()
+    daemon.stand_for_election()
+    learned_at = daemon.ownership_task.era_seen_at
+    assert_that(grants_without_answers_of(SECOND, daemon, 30), HasLength(0))
+    assert_that(daemon.ownership_task.services["a"].is_reachable(SECOND), Is(False))
+    grants = grants_until(daemon, learned_at + KEYS_OWNED_SECONDS)
+    owners = {(assignment.keys, assignment.owner) for assignment in divided_table.assignments}
+    assert_that({(grant.keys, grant.server) for grant in grants}, Equals(owners))
+
+
+def test_keys_of_an_owner_that_does_not_answer_are_granted_on_after_the_wait(
+    make_candidate, store_state, clock, divided_table
+):
+    """Guards against keys without an owner for more than 15 s: a grant to the server that has not
+    answered in all of the wait counts as a hold, which is then waited for as well."""
+    store_state.restore(0.0)
+    daemon = make_candidate()
+    daemon.stand_for_election()
+    learned_at = daemon.ownership_task.era_seen_at
+    rounds = round((learned_at + 13.0 - clock.now()) / 0.1)
+    grants = grants_without_answers_of(SECOND, daemon, rounds)
+    keys_of_first = {
+        key for g in grants if g.server == FIRST for key in (g.keys.first, g.keys.last)
+    }
+    assert_that(keys_of_first, Equals({0, 32767, 32768, 65535}))
