--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -31,7 +31,7 @@
 )
 from fireflylink_daemon._ownership_planning import log_plan, planning_candidates, record_load
 from fireflylink_daemon._peers import PeerSocket
-from fireflylink_daemon._possible_holders import add_servers_to_sweep, record_restarts
+from fireflylink_daemon._possible_holders import add_servers_to_sweep, begin_sweep, record_restarts
 from fireflylink_daemon._routing_state import RoutingState
 from fireflylink_daemon._takeover import Takeover
 from fireflylink_daemon._task import BaseTask
@@ -65,7 +65,7 @@
     While this daemon is the decider (the elected leader), it also plans new tables and sends grants
     and releases. ``decider_task`` writes the planned tables to the store. The tasks of ``commands``
     send what the ``GrantTracker`` says is due when they are free: no command waits between its
-    decision and its sending.
+    decision and its sending. ``era_seen_at`` is when this daemon first knew of the store's ``era``.
     """
 
     __slots__ = (
@@ -73,6 +73,7 @@
         "decider_task",
         "elected_at",
         "era",
+        "era_seen_at",
         "hold_seconds",
         "is_decider",
         "next_check_at",
@@ -97,6 +98,7 @@
         self.is_decider = False
         self.elected_at = 0.0
         self.era = 0
+        self.era_seen_at = 0.0
         self.hold_seconds = min(HOLD_SECONDS, routing_state.settings.bounds.hold_max_seconds)
         self.services: dict[str, KeyedService] = {}
         self.commands = FleetCommands(clock, codec, self, self.hold_seconds)
@@ -134,6 +136,7 @@
 
     def _receive_election_message(self, message: object) -> None:
         if isinstance(message, DeciderChanged):
+            self._record_era(era_of(message.revision), self.clock.now())
             self.decider_task.post(message)
         elif isinstance(message, DeciderElected):
             self._start_deciding(message)
@@ -151,7 +154,7 @@
         self.is_decider = True
         self.takeover.revision = message.revision
         self.elected_at = message.elected_at
-        self.era = message.era
+        self._record_era(message.era, message.elected_at)
         stored = {table.table.service: table for table in message.tables}
         now = self.clock.now()
         for name in sorted({*self.services, *stored}):
@@ -169,7 +172,12 @@
         table = None if stored is None else stored.table
         revision = ABSENT_REVISION if stored is None else stored.revision
         now = self.clock.now()
-        service.start_deciding(table, revision, tracker, self.era, self.elected_at, now)
+        service.start_deciding(table, revision, tracker, self.era, self.era_seen_at, now)
+
+    def _record_era(self, era: int, seen_at: float) -> None:
+        if era > self.era:
+            self.era = era
+            self.era_seen_at = seen_at
 
     def _stop_deciding(self) -> None:
         self.is_decider = False
@@ -208,7 +216,8 @@
 
     def _apply_table(self, message: TableStored) -> None:
         service = self._service(message.table.service)
-        if self.is_decider and era_of(message.revision) > self.era:
+        self._record_era(era_of(message.revision), self.clock.now())
+        if self.is_decider and era_of(message.revision) > era_of(self.takeover.revision):
             # The store was restored: the decider task finds out whether this daemon still decides.
             return
         if (
@@ -218,7 +227,8 @@
         ):
             # Another decider wrote the table, and this daemon does not know its grants.
             self._step_down("another decider wrote a table")
-        if message.is_first and service.table is None and service.grant_tracker is not None:
+        is_first = message.is_first and service.table is None and self.era == 0
+        if is_first and service.grant_tracker is not None:
             service.grant_tracker.mark_no_former_decider()
         if message.revision <= service.revision:
             return
@@ -226,21 +236,9 @@
         service.commit_sent_at = None
         service.unacknowledged_tables = []
         if service.grant_tracker is not None:
-            self._begin_sweep(service, service.grant_tracker)
+            begin_sweep(service, self.routing_state.directory, self.era)
             service.grant_tracker.set_table(message.table)
 
-    def _begin_sweep(self, service: KeyedService, tracker: GrantTracker) -> None:
-        """Adds the servers that are asked to release keys before the first table is in use."""
-        if tracker.sweep is None or tracker.sweep.table is not None:
-            return
-        add_servers_to_sweep(service, self.routing_state.directory)
-        log_event(
-            "ownership-sweep-started",
-            service=service.name,
-            era=self.era,
-            servers=len(tracker.sweep.servers),
-        )
-
     def _send_due_commands_and_plan(self, name: str, service: KeyedService, now: float) -> None:
         """Sends the commands that are due; plans a new table at the planning interval."""
         self._send_due_commands(name, service, now)
@@ -259,9 +257,13 @@
         tracker = service.grant_tracker
         if tracker is None or not self.decider_task.election.may_grant(now):
             return
-        sweeping = tracker.sweep is not None
-        if sweeping:
+        sweep = tracker.sweep
+        if sweep is not None:
             add_servers_to_sweep(service, self.routing_state.directory)
+            if sweep.is_done(now):
+                # A grant to a server that has not answered would count as a hold: plan first.
+                tracker.sweep = None
+                self._plan_table(name, service, now)
         tracker.due_commands(
             now,
             service.ranges_pending_removal(),
@@ -269,7 +271,7 @@
             server,
         )
         log_hold_ends(name, tracker)
-        if sweeping and tracker.sweep is None:
+        if sweep is not None and tracker.sweep is None:
             log_event("ownership-sweep-done", service=name, era=self.era)
 
     def _plan_table(self, name: str, service: KeyedService, now: float) -> None:
@@ -343,6 +345,7 @@
                 self.peers.broadcast(GrantNotice(message.service, command.keys, command.fence))
                 log_granted(message.service, command, grant_tracker, now)
         elif isinstance(command, ReleaseCommand):
+            service.record_command_succeeded(command.server)
             grant_tracker.record_released(command, message.handover, now)
             log_released(message.service, command, message.handover, grant_tracker, now)
             self.next_check_at = 0.0
--- a/packages/decisions/tests/test_holder_sweep.py
+++ b/packages/decisions/tests/test_holder_sweep.py
@@ -32,17 +32,18 @@
 def sweeping(clock) -> GrantTracker:
     """Returns the tracker of a decider that knows only the table of the restored store."""
     tracker = GrantTracker(clock.now())
-    expires_at = clock.now() + FORMER_HOLDS_SECONDS
-    tracker.start_sweep(clock.now(), expires_at, knows_all_holders=False)
+    tracker.start_sweep(clock.now() + FORMER_HOLDS_SECONDS, knows_all_holders=False)
     for server in (LEFT, RIGHT, UNNAMED):
         tracker.sweep.add_server(server)
     tracker.set_table(NEW_TABLE)
     return tracker
 
 
-def test_no_key_is_granted_before_all_servers_have_released_those_of_others(sweeping, clock):
+def test_no_key_is_granted_before_all_former_holds_have_expired(sweeping, clock):
     """Guards against two owners of a key: a server that the restored table does not name was
-    granted it by a table that the store has lost."""
+    granted it by a table that the store has lost. That all servers have released the keys of others
+    proves nothing: another one may register later, or restart and accept a former renewal."""
+    started_at = clock.now()
     releases = sweeping.due_commands(clock.now())
     expected = {
         ReleaseCommand(LEFT, HIGH, NEW_TABLE.fence),
@@ -55,6 +56,9 @@
         sweeping.record_released(release, "", clock.now())
     assert_that(sweeping.due_commands(clock.now()), HasLength(0))
     sweeping.record_released(last, "", clock.now())
+    while clock.now() < started_at + FORMER_HOLDS_SECONDS:
+        assert_that(sweeping.due_commands(clock.now()), HasLength(0))
+        clock.advance(0.1)
     grants = sweeping.due_commands(clock.now())
     assert_that({grant.server for grant in grants}, Equals({LEFT, RIGHT}))
     assert_that({type(grant) for grant in grants}, Equals({GrantCommand}))
@@ -70,6 +74,28 @@
     assert_that((release.server, release.keys), Equals((late, KeyRange(0, 65535))))
 
 
+def test_a_release_of_the_sweep_is_not_final_for_a_known_holder(clock):
+    """Guards against two owners of a key: the decider before this one, of the same era, is cut off
+    from the store and renews its grant at a previous holder that restarts after its release."""
+    tracker = GrantTracker(clock.now())
+    tracker.start_sweep(clock.now() + 1.0, knows_all_holders=False)
+    for server in (LEFT, RIGHT):
+        tracker.sweep.add_server(server)
+    moved = Assignment(LOW, LEFT, NEW_TABLE.fence, (RIGHT,))
+    others = NEW_TABLE.assignments[1:]
+    tracker.set_table(NEW_TABLE.replace(assignments=(moved, *others), has_unknown_holders=True))
+    ends_at = clock.now() + OUTAGE_GRACE_SECONDS + GRANT_TIMEOUT_SECONDS
+    granted = []
+    while clock.now() < ends_at - 0.1:
+        for command in tracker.due_commands(clock.now()):
+            if isinstance(command, ReleaseCommand):
+                tracker.record_released(command, "", clock.now())
+            else:
+                granted.append(command)
+        clock.advance(0.1)
+    assert_that({grant.server for grant in granted}, Equals({RIGHT}))
+
+
 def test_an_unresponsive_server_is_waited_for_until_every_former_hold_has_expired(sweeping, clock):
     """Guards against two owners of a key: a former decider still reaches a server that this one
     does not reach."""
@@ -101,7 +127,7 @@
     for grant in tracker.due_commands(clock.now()):
         tracker.record_sent(grant, clock.now() + GRANT_TIMEOUT_SECONDS)
         tracker.record_granted(grant, clock.now())
-    tracker.start_sweep(clock.now(), clock.now() + FORMER_HOLDS_SECONDS, knows_all_holders=True)
+    tracker.start_sweep(clock.now() + FORMER_HOLDS_SECONDS, knows_all_holders=True)
     for server in (LEFT, RIGHT, UNNAMED):
         tracker.sweep.add_server(server)
     tracker.set_table(NEW_TABLE)
@@ -114,6 +140,29 @@
     )
 
 
+def test_a_decider_that_knows_all_holders_does_not_wait_for_an_incarnation_that_has_ended(clock):
+    """Guards against keys without an owner for 12 s: the former incarnation of a server that the
+    table does not name is asked for a release that nobody can answer."""
+    tracker = GrantTracker(clock.now())
+    tracker.mark_no_former_decider()
+    tracker.set_table(RESTORED)
+    for grant in tracker.due_commands(clock.now()):
+        tracker.record_sent(grant, clock.now() + GRANT_TIMEOUT_SECONDS)
+        tracker.record_granted(grant, clock.now())
+    tracker.start_sweep(clock.now() + FORMER_HOLDS_SECONDS, knows_all_holders=True)
+    for server in (LEFT, RIGHT, UNNAMED):
+        tracker.sweep.add_server(server)
+    tracker.set_table(NEW_TABLE)
+    for release in tracker.due_commands(clock.now()):
+        if release.server != UNNAMED:
+            tracker.record_released(release, "", clock.now())
+    assert_that(tracker.due_commands(clock.now()), HasLength(0))
+    tracker.record_incarnation_ended(UNNAMED, ServerIncarnation("unnamed", 2))
+    grants = tracker.due_commands(clock.now())
+    assert_that({grant.server for grant in grants}, Equals({LEFT, RIGHT}))
+    assert_that({type(grant) for grant in grants}, Equals({GrantCommand}))
+
+
 def test_a_server_that_the_decider_granted_keys_is_waited_for_until_they_expire(clock):
     """Guards against two owners of a key: a server that does not answer holds keys that the decider
     itself has granted it, by a table that the store has lost."""
@@ -124,7 +173,7 @@
         tracker.record_sent(grant, clock.now() + GRANT_TIMEOUT_SECONDS)
         tracker.record_granted(grant, clock.now())
     started_at = clock.now()
-    tracker.start_sweep(clock.now(), clock.now() + FORMER_HOLDS_SECONDS, knows_all_holders=True)
+    tracker.start_sweep(clock.now() + FORMER_HOLDS_SECONDS, knows_all_holders=True)
     for server in (LEFT, RIGHT):
         tracker.sweep.add_server(server)
     tracker.set_table(NEW_TABLE)
