Answer what was read behind other requests at a planned stop

Whether a connection goes on is now one decision from what has been read, answers_request_behind. From the start of a drain nothing more is read ahead, so that a caller that keeps sending does not keep its connection.

--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from fireflylink_caller_frontend._connection_end import answers_request_behind
 from fireflylink_caller_frontend._errors import ListenerError
 from fireflylink_caller_frontend._read_ahead import ReadAheadStream
 from fireflylink_core import CallerLimits, yield_to_event_loop
@@ -78,6 +79,8 @@
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
         self.stream = ReadAheadStream(sock)
+        if server.draining:
+            self.stream.stop_reading_ahead()
         super().__init__(sock, address, server, rfile=io.BufferedReader(self.stream))
 
     def handle(self) -> None:
@@ -169,7 +172,7 @@
             self.server.active_requests -= 1
 
     def finalize_headers(self) -> None:
-        if self.server.draining:
+        if not answers_request_behind(self.server.draining, self._read_behind()):
             self.close_connection = True
         if self.close_connection:
             self.response_headers.append((b"Connection", b"close"))
@@ -178,6 +181,10 @@
             self.response_headers.append((b"Keep-Alive", keep_alive))
         super().finalize_headers()
 
+    def _read_behind(self) -> bytes:
+        """Returns what has been read behind the request in progress, while the listener drains."""
+        return self.stream.read_behind(self.rfile) if self.server.draining else b""
+
     def log_request(self) -> None:
         """Suppresses gevent's access log; the daemon logs each request itself."""
 
@@ -185,9 +192,9 @@
 class _Server(WSGIServer):  # type: ignore[misc]
     """A WSGI server that sets TCP_NODELAY on connections and counts requests in progress.
 
-    While ``draining`` is true, connections and requests are still accepted, but each connection is
-    closed after its next response. A connection that starts to wait for a request while draining is
-    closed at ``drain_idle_until``, in seconds of ``time.monotonic()``.
+    While ``draining`` is true, connections and requests are still accepted, but each connection
+    ends as ``answers_request_behind`` says. A connection that starts to wait for a request while
+    draining is closed at ``drain_idle_until``, in seconds of ``time.monotonic()``.
     """
 
     def __init__(self, limits: Callable[[], CallerLimits], *arguments: Any, **options: Any) -> None:
@@ -266,12 +273,16 @@
         self._server.start()
 
     def begin_drain(self, idle_seconds: float) -> None:
-        """Closes each connection after its next response; new connections are still accepted.
+        """Ends each connection with the answer to what has been read; new ones are still accepted.
+
+        What callers send behind other requests from now on is left unread.
 
         A connection that starts to wait for a request after this call is closed if none arrives
         within ``idle_seconds`` of the call.
         """
         self._server.draining = True
+        for handler in self._server.open_handlers:
+            handler.stream.stop_reading_ahead()
         self._server.drain_idle_until = time.monotonic() + idle_seconds
 
     def close_idle_connections(self) -> None:
