Keep the connection of a request that the codec refuses

A request without an id, or with a malformed number, closed its connection although its end was known, and sound requests that had been read behind it were dropped. The new test failed before ([200, 400] in place of [200, 400, 200]).

--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
@@ -62,11 +62,15 @@
     ) -> None:
         try:
             body = _read_body(req, self.handler.limits(), reservation, self.limiter)
-            request = self.codec.decode_request(_received_request(wsgi_handler, body))
         except RefusedRequestError as error:
+            # Where the next request begins is not known.
             wsgi_handler.close_connection = True
-            refusal = NotRun(str(error), error.status, error.retry_after_seconds)
-            _write_reply(resp, self.codec.encode_reply("", refusal))
+            self._refuse(resp, error)
+            return
+        try:
+            request = self.codec.decode_request(_received_request(wsgi_handler, body))
+        except RefusedRequestError as error:
+            self._refuse(resp, error)
             return
         disconnect_notifier = SocketDisconnectNotifier(wsgi_handler.socket, wsgi_handler.stream)
         try:
@@ -75,6 +79,10 @@
             disconnect_notifier.stop()
         _write_reply(resp, self.codec.encode_reply(request.request_id, reply))
 
+    def _refuse(self, resp: falcon.Response, error: RefusedRequestError) -> None:
+        refusal = NotRun(str(error), error.status, error.retry_after_seconds)
+        _write_reply(resp, self.codec.encode_reply("", refusal))
+
 
 def _received_request(wsgi_handler: Any, body: bytes) -> ReceivedRequest:
     headers = tuple((str(name), str(value)) for name, value in wsgi_handler.headers.items())
--- a/packages/caller_frontend/tests/test_planned_stop.py
+++ b/packages/caller_frontend/tests/test_planned_stop.py
@@ -4,7 +4,7 @@
 import pytest
 from gevent import socket
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, Is, LessThan
+from testtools.matchers import Equals, HasLength, Is, LessThan
 
 from fireflylink_caller_frontend import BaseRequestHandler, HttpListener, make_application
 from fireflylink_caller_frontend._connection_end import answers_request_behind
@@ -187,3 +187,15 @@
         sock.sendall(requests(1, 2))
         gevent.sleep(0.2)
     assert_that(len(calls), LessThan(3))
+
+
+def test_a_refused_request_ends_no_connection_whose_next_request_can_be_found(front_end):
+    """Guards against the drop of sound requests that were read behind one that the codec refuses
+    although its end is known."""
+    refused = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+    with front_end.connect() as sock:
+        sock.sendall(requests(0, 1) + refused + requests(1, 1))
+        gevent.sleep(0.05)
+        front_end.listener.begin_drain(1.0)
+        assert_that(read_statuses(sock), Equals([200, 400, 200]))
+    assert_that(front_end.handler.ids, HasLength(2))
