Read the heads and chunks of requests strictly

Heads and chunks are now read by a strict reading of our own. What has no one meaning gets 400 and the connection ends, with a log line and a counter. Heads with over 100 fields, long request lines and wishes for Upgrade are served.

--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_application.py
@@ -65,12 +65,12 @@
         except RefusedRequestError as error:
             # Where the next request begins is not known.
             wsgi_handler.close_connection = True
-            self._refuse(resp, error)
+            self._refuse(wsgi_handler, resp, error)
             return
         try:
             request = self.codec.decode_request(_received_request(wsgi_handler, body))
         except RefusedRequestError as error:
-            self._refuse(resp, error)
+            self._refuse(wsgi_handler, resp, error)
             return
         disconnect_notifier = SocketDisconnectNotifier(wsgi_handler.socket, wsgi_handler.stream)
         try:
@@ -79,7 +79,8 @@
             disconnect_notifier.stop()
         _write_reply(resp, self.codec.encode_reply(request.request_id, reply))
 
-    def _refuse(self, resp: falcon.Response, error: RefusedRequestError) -> None:
+    def _refuse(self, wsgi_handler: Any, resp: falcon.Response, error: RefusedRequestError) -> None:
+        wsgi_handler.record_refusal(str(error))
         refusal = NotRun(str(error), error.status, error.retry_after_seconds)
         _write_reply(resp, self.codec.encode_reply("", refusal))
 
--- a/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
+++ b/packages/caller_frontend/src/fireflylink_caller_frontend/_listener.py
@@ -4,7 +4,7 @@
 import io
 import socket
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import gevent
@@ -13,6 +13,13 @@
 from fireflylink_caller_frontend._connection_end import answers_request_behind
 from fireflylink_caller_frontend._errors import ListenerError
 from fireflylink_caller_frontend._read_ahead import ReadAheadStream
+from fireflylink_caller_frontend._request_body import RequestBody
+from fireflylink_caller_frontend._request_head import (
+    HeadTooLargeError,
+    MalformedRequestError,
+    decode_head,
+    read_field_lines,
+)
 from fireflylink_core import CallerLimits, yield_to_event_loop
 
 LISTEN_BACKLOG_CONNECTIONS = 512
@@ -31,9 +38,6 @@
 KEEP_ALIVE_MARGIN_SECONDS = 2.0
 """Extra idle time for requests that callers send shortly before the stated time-out ends."""
 
-EMPTY_LINES = (b"\r\n", b"\n")
-"""Lines that end the head of a request."""
-
 BAD_REQUEST_RESPONSE = (
     "400",
     b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
@@ -44,28 +48,10 @@
     b"Connection: close\r\nContent-Length: 0\r\n\r\n",
 )
 
+UNPREFIXED_ENVIRON_NAMES = ("CONTENT_LENGTH", "CONTENT_TYPE")
 WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
-class _HeaderTooLargeError(ValueError):
-    """The request line and the headers together exceed the limit on header bytes."""
-
-
-class _HeadLines:
-    """The lines of a head, as the parser of the headers reads them; ``last`` is the latest."""
-
-    __slots__ = ("last", "stream")
-
-    def __init__(self, stream: Any) -> None:
-        self.stream = stream
-        self.last = b""
-
-    def readline(self, *limit: int) -> bytes:
-        """Returns the next line; it is empty when the connection has ended."""
-        self.last = self.stream.readline(*limit)
-        return self.last
-
-
 class _ConnectionHandler(WSGIHandler):  # type: ignore[misc]
     """Serves one connection: applies the limits and counts requests in progress.
 
@@ -76,6 +62,7 @@
     socket: Any
     server: Any
     headers: Any
+    wsgi_input: Any
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
         self.stream = ReadAheadStream(sock)
@@ -118,48 +105,82 @@
         """Whether bytes of a request have arrived that have not been handled."""
         return self.stream.has_unread_bytes
 
-    def read_requestline(self) -> Any:
+    def read_requestline(self) -> str:
         limits: CallerLimits = self.server.limits()
         self.socket.settimeout(self.server.idle_timeout_seconds(limits))
         if self.server.draining:
             self.socket.settimeout(self.server.drain_idle_timeout_seconds())
         self.server.idle_handlers.add(self)
         try:
-            line = super().read_requestline()
+            line: bytes = self.rfile.readline(limits.max_header_bytes + 1)
         finally:
             self.server.idle_handlers.discard(self)
         # The clock of ``SystemClock.now``: the deadlines of requests are derived from this time.
         self.received_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         self.socket.settimeout(limits.header_timeout_ms / MILLISECONDS_PER_SECOND)
-        return line
-
-    def MessageClass(self, stream: Any, *arguments: Any) -> Any:  # noqa: N802
-        """Parses the headers; raises ``ValueError`` when the connection ended within them."""
-        lines = _HeadLines(stream)
-        headers = super().MessageClass(lines, *arguments)
-        # The parser takes the end of the connection for the end of the head.
-        if lines.last not in EMPTY_LINES:
-            raise ValueError("the connection ended within the head of a request")
-        _check_body_length(headers)
-        return headers
-
-    def read_request(self, raw_requestline: str) -> Any:
-        valid = super().read_request(raw_requestline)
-        # The 4 bytes are the colon, the space and the line end of a header line.
-        size_bytes = len(raw_requestline) + sum(
-            len(name) + len(value) + 4 for name, value in self.headers.items()
-        )
-        if size_bytes > self.server.limits().max_header_bytes:
-            raise _HeaderTooLargeError(raw_requestline)
-        return valid
+        return line.decode("latin-1")
 
-    def _handle_client_error(self, ex: Exception) -> Any:
-        if isinstance(ex, _HeaderTooLargeError):
-            return HEADER_TOO_LARGE_RESPONSE
-        return BAD_REQUEST_RESPONSE
+    def handle_one_request(self) -> Any:
+        """Handles the next request; returns what ``_handle_next`` does."""
+        try:
+            line = self.read_requestline()
+        except OSError:
+            return None
+        if not line:
+            return None
+        try:
+            self.read_request(line)
+        except OSError:
+            self.record_refusal("head that did not arrive")
+            return BAD_REQUEST_RESPONSE
+        except MalformedRequestError as error:
+            self.record_refusal(str(error))
+            is_too_large = isinstance(error, HeadTooLargeError)
+            return HEADER_TOO_LARGE_RESPONSE if is_too_large else BAD_REQUEST_RESPONSE
+        self.environ = self.get_environ()
+        self.application = self.server.application
+        self.handle_one_response()
+        return None if self.close_connection else True
+
+    def read_request(self, raw_requestline: str) -> None:
+        """Reads the rest of a head; raises ``MalformedRequestError`` unless it has one meaning."""
+        max_field_bytes = self.server.limits().max_header_bytes - len(raw_requestline)
+        if max_field_bytes < 0:
+            raise HeadTooLargeError("request line over the limit on header bytes")
+        lines = read_field_lines(self.rfile, max_field_bytes)
+        head = decode_head(raw_requestline, lines)
+        if head.content_length and head.method == "HEAD":
+            raise MalformedRequestError("HEAD with a body")
+        self.requestline = raw_requestline.rstrip()
+        self.command = head.method
+        self.path = head.target
+        self.request_version = head.version
+        self.headers = head.fields
+        self.content_length = head.content_length
+        self.close_connection = head.closes
+
+    def record_refusal(self, reason: str) -> None:
+        """Reports that a request was refused before it was decoded."""
+        self.server.on_refusal(reason)
+
+    def _connection_upgrade_requested(self) -> bool:
+        # No other protocol is spoken, so a wish for one is ignored as HTTP allows.
+        return False
+
+    def _headers(self) -> Iterator[tuple[str, str]]:
+        """Yields the fields for the environ, without those that could pose as others there."""
+        for name, value in self.headers.items():
+            key = name.replace("-", "_").upper()
+            if "_" not in name and key not in UNPREFIXED_ENVIRON_NAMES:
+                yield f"HTTP_{key}", value
 
     def get_environ(self) -> dict[str, Any]:
         environ: dict[str, Any] = super().get_environ()
+        body = self.wsgi_input
+        self.wsgi_input = RequestBody(
+            self.rfile, body.content_length, body.socket, body.chunked_input
+        )
+        environ["wsgi.input"] = self.wsgi_input
         environ[HANDLER_ENVIRON_NAME] = self
         self.socket.settimeout(self.server.limits().idle_timeout_ms / MILLISECONDS_PER_SECOND)
         return environ
@@ -197,9 +218,16 @@
     draining is closed at ``drain_idle_until``, in seconds of ``time.monotonic()``.
     """
 
-    def __init__(self, limits: Callable[[], CallerLimits], *arguments: Any, **options: Any) -> None:
+    def __init__(
+        self,
+        limits: Callable[[], CallerLimits],
+        on_refusal: Callable[[str], None],
+        *arguments: Any,
+        **options: Any,
+    ) -> None:
         super().__init__(*arguments, **options)
         self.limits = limits
+        self.on_refusal = on_refusal
         self.active_requests = 0
         self.draining = False
         self.drain_idle_until = 0.0
@@ -226,11 +254,16 @@
         return timeout_seconds
 
 
+def _ignore(_reason: str) -> None:
+    pass
+
+
 class HttpListener:
     """Serves a WSGI application on one address.
 
-    ``limits`` returns the limits in force. Raises ``ListenerError`` when the address cannot be
-    bound.
+    ``limits`` returns the limits in force. ``on_refusal`` is called with the reason for which a
+    request was refused before it was handled; the reason has no bytes of the caller. Raises
+    ``ListenerError`` when the address cannot be bound.
 
     Example::
 
@@ -247,9 +280,11 @@
         host: str,
         port: int,
         limits: Callable[[], CallerLimits],
+        on_refusal: Callable[[str], None] = _ignore,
     ) -> None:
         self._server = _Server(
             limits,
+            on_refusal,
             (host, port),
             application,
             handler_class=_ConnectionHandler,
@@ -325,24 +360,6 @@
         self._server.stop(timeout=0)
 
 
-def _check_body_length(headers: Any) -> None:
-    """Raises ``ValueError`` unless the headers state the length of the body in one clear way.
-
-    To be called before gevent's server looks at them: of a request with two statements it removes
-    one, and an encoding that it does not know it takes for no body.
-    """
-    encodings = headers.get_all("transfer-encoding") or []
-    lengths = headers.get_all("content-length") or []
-    if encodings and lengths:
-        raise ValueError("request with both Transfer-Encoding and Content-Length")
-    if encodings and [encoding.strip().lower() for encoding in encodings] != ["chunked"]:
-        raise ValueError("request with an unknown Transfer-Encoding")
-    if len(set(lengths)) > 1:
-        raise ValueError("request with conflicting Content-Length headers")
-    if lengths and not (lengths[0].strip().isascii() and lengths[0].strip().isdecimal()):
-        raise ValueError("request whose Content-Length is no number")
-
-
 def _close_after_last_response(sock: Any) -> None:
     """Closes a connection so that its last response arrives.
 
--- a/packages/daemon/src/fireflylink_daemon/_daemon.py
+++ b/packages/daemon/src/fireflylink_daemon/_daemon.py
@@ -141,6 +141,7 @@
             settings.caller_address.host,
             settings.caller_address.port,
             request_handler.limits,
+            request_handler.record_refusal,
         )
         self.readiness_listener = HttpListener(
             make_readiness_application(READY_PATH, self.is_ready),
--- a/packages/daemon/src/fireflylink_daemon/_request_handler.py
+++ b/packages/daemon/src/fireflylink_daemon/_request_handler.py
@@ -282,6 +282,12 @@
         )
         return RETRY_AFTER_SECONDS if seconds is None else seconds
 
+    def record_refusal(self, reason: str) -> None:
+        """Records that the front end refused a request that it could not read or decode."""
+        self.metrics.count("requests_refused_unread")
+        if self.log_limiter.try_acquire(False, self.clock.now()):
+            log_event("request-unread", reason=reason)
+
     def _refuse(self, request: CallerRequest, reply: NotRun) -> NotRun:
         self.metrics.count("requests", route="none", outcome=reply.reason)
         log_event(
--- a/packages/daemon/tests/test_request_handler.py
+++ b/packages/daemon/tests/test_request_handler.py
@@ -386,3 +386,19 @@
     routing_state.refresh()
     handler_harness.register("i-1", "a")
     assert_that(handler_harness.send_many("/k/1", [ANSWERED]), Equals([]))
+
+
+def test_each_request_that_was_not_handled_is_counted_and_logged(handler_harness, monkeypatch):
+    """Guards against refusals of which nobody learns, and against a log that grows with them."""
+    events = []
+    monkeypatch.setattr(
+        "fireflylink_daemon._request_handler.log_event",
+        lambda name, **fields: events.append((name, fields["reason"])),
+    )
+    for _ in range(500):
+        handler_harness.request_handler.record_refusal("line that is no field")
+    assert_that(events, Equals([("request-unread", "line that is no field")] * 400))
+    assert_that(
+        handler_harness.request_handler.metrics.counters[("requests_refused_unread", ())],
+        Equals(500),
+    )
