--- a/packages/soak/src/fireflylink_soak/_callers.py
+++ b/packages/soak/src/fireflylink_soak/_callers.py
@@ -85,13 +85,29 @@
     """Sends requests over kept connections until ``stop``, and collects the replies.
 
     Some are sent behind others on one connection, some callers leave early, and a caller that was
-    refused sends its next request at once.
+    refused sends its next request at once. ``sent_ahead_fraction`` of the draws send several
+    lookups at once.
     """
 
-    __slots__ = ("clock", "generator", "greenlets", "replies", "stopping", "system")
+    __slots__ = (
+        "clock",
+        "generator",
+        "greenlets",
+        "replies",
+        "sent_ahead_fraction",
+        "stopping",
+        "system",
+    )
 
-    def __init__(self, system: SoakSystem, clock: BaseClock, seed: int) -> None:
+    def __init__(
+        self,
+        system: SoakSystem,
+        clock: BaseClock,
+        seed: int,
+        sent_ahead_fraction: float = SENT_AHEAD_FRACTION,
+    ) -> None:
         self.system = system
+        self.sent_ahead_fraction = sent_ahead_fraction
         self.clock = clock
         self.generator = random.Random(seed)
         self.replies: list[Reply] = []
@@ -134,9 +150,9 @@
             if not refused:
                 gevent.sleep(self.generator.uniform(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS))
             draw = self.generator.random()
-            if draw < SENT_AHEAD_FRACTION:
-                replies = self._send_ahead(port, number)
-            elif draw < SENT_AHEAD_FRACTION + LEAVING_FRACTION:
+            if draw < self.sent_ahead_fraction:
+                replies = self.send_ahead(port, number)
+            elif draw < self.sent_ahead_fraction + LEAVING_FRACTION:
                 replies = [self._send_and_leave(port, number)]
             else:
                 replies = [self._send_random(caller, number)]
@@ -164,7 +180,7 @@
     def _new_request_id(self) -> str:
         return uuid.UUID(int=self.generator.getrandbits(128)).hex[:16]
 
-    def _send_ahead(self, port: int, number: int) -> list[Reply]:
+    def send_ahead(self, port: int, number: int) -> list[Reply]:
         """Sends several lookups at once on a new connection, and reads the answers in order."""
         keys = [self._draw_key() for _ in range(REQUESTS_SENT_AHEAD)]
         ids = [self._new_request_id() for _ in keys]
--- a/packages/soak/src/fireflylink_soak/_run.py
+++ b/packages/soak/src/fireflylink_soak/_run.py
@@ -7,7 +7,7 @@
 import gevent
 
 from fireflylink_core import BaseClock
-from fireflylink_soak._callers import SUCCESS_STATUS, Callers, Reply
+from fireflylink_soak._callers import SENT_AHEAD_FRACTION, SUCCESS_STATUS, Callers, Reply
 from fireflylink_soak._calm_period import CalmPeriod
 from fireflylink_soak._checks import EVACUATION_SECONDS, check_all
 from fireflylink_soak._datagram_proxy import DatagramFault
@@ -78,11 +78,17 @@
 
     __slots__ = ("callers", "clock", "generator", "result", "started_at", "system")
 
-    def __init__(self, folder: pathlib.Path, clock: BaseClock, seed: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        clock: BaseClock,
+        seed: int,
+        sent_ahead_fraction: float = SENT_AHEAD_FRACTION,
+    ) -> None:
         self.clock = clock
         self.generator = random.Random(seed)
         self.system = SoakSystem(folder, clock)
-        self.callers = Callers(self.system, clock, seed)
+        self.callers = Callers(self.system, clock, seed, sent_ahead_fraction)
         self.result = RunResult()
         self.started_at = clock.now()
 
--- a/packages/soak/tests/test_run.py
+++ b/packages/soak/tests/test_run.py
@@ -7,7 +7,16 @@
 from testtools.matchers import Equals, GreaterThan
 
 from fireflylink_core import SystemClock
-from fireflylink_soak import DatagramFault, DatagramProxy, EdgeFault, Proxy, SoakRun
+from fireflylink_soak import (
+    CalmPeriod,
+    DatagramFault,
+    DatagramProxy,
+    EdgeFault,
+    Proxy,
+    SoakRun,
+    check_all,
+)
+from fireflylink_soak._callers import Callers
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 RECEIVE_SECONDS = 2.0
@@ -22,6 +31,54 @@
     assert_that(result.runs, GreaterThan(100))
 
 
+def test_a_planned_stop_drops_no_request_that_was_sent_ahead(tmp_path):
+    """Guards against requests that a daemon has read behind others and drops at its stop (review/4;
+    the listed failure of seed 2): with 1 in 20 draws sent ahead, a stop rarely meets them."""
+    run = SoakRun(tmp_path, SystemClock(), seed=2, sent_ahead_fraction=0.5)
+    result = run.play(seconds=1.0, daemons=3)
+    shown = [str(violation) for violation in result.violations]
+    assert_that(shown, Equals([]), "\n".join([*result.trace, *shown]))
+
+
+class DroppingSystem:
+    """Stands in for the system: its only daemon answers the first of the requests on a connection
+    and drops the others."""
+
+    def __init__(self) -> None:
+        self.daemons = [self]
+        self.pid = 77
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(4)
+        self.greenlet = gevent.spawn(self._serve)
+
+    def _serve(self) -> None:
+        accepted, _ = self.listener.accept()
+        accepted.recv(65536)
+        gevent.sleep(0.3)
+        accepted.sendall(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+        accepted.close()
+
+
+@pytest.fixture
+def dropping_system():
+    system = DroppingSystem()
+    yield system
+    system.greenlet.kill()
+    system.listener.close()
+
+
+def test_requests_that_are_dropped_behind_others_are_reported(dropping_system):
+    """Guards against callers that send ahead and do not see a planted drop."""
+    clock = SystemClock()
+    callers = Callers(dropping_system, clock, 1)
+    starts_at = clock.now()
+    replies = callers.send_ahead(dropping_system.listener.getsockname()[1], 0)
+    calm = CalmPeriod(starts_at, clock.now(), starts_at, frozenset())
+    promises = [violation.promise for violation in check_all(replies, [], calm)]
+    assert_that(promises, Equals(["planned stop"] * 2))
+
+
 @pytest.fixture
 def answering_target():
     """Answers each request with ``ANSWER`` and the request, the head and the body apart."""
