--- a/packages/daemon/tests/test_server_restarts.py
+++ b/packages/daemon/tests/test_server_restarts.py
@@ -4,7 +4,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
+from fireflylink_backend_client import CommandError
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
+from fireflylink_daemon._messages import CommandCompleted
 from fireflylink_decisions.ownership import GrantCommand, ReleaseCommand
 from fireflylink_protocol import encode_table, ownership_key
 from fireflylink_store import Commit, Put
@@ -46,3 +48,23 @@
     decider.complete(release)
     grants = [command for command in decider.run(0.1) if isinstance(command, GrantCommand)]
     assert_that([grant.server for grant in grants], Equals([ServerIncarnation("i-2", 1)]))
+
+
+def test_a_key_is_not_released_while_a_grant_of_it_may_still_reach_the_next_incarnation(
+    decider, registration
+):
+    """Guards against two owners of a key.
+
+    A renewal that still waits for its connection reached the next incarnation of the server, which
+    had forgotten the release that the one before it had answered.
+    """
+    [renewal] = decider.run(1.1)
+    decider.apply_items(registration("i-1", 1, "draining"), registration("i-2", 1))
+    assert_that(decider.run(0.5), HasLength(0))
+    error = CommandError("no answer", True)
+    decider.ownership_task.receive(CommandCompleted("a", renewal, error, "", None))
+    releases = [command for command in decider.run(0.5) if isinstance(command, ReleaseCommand)]
+    assert_that([release.server for release in releases], Equals([FORMER]))
+    decider.complete(*releases)
+    grants = [command for command in decider.run(0.1) if isinstance(command, GrantCommand)]
+    assert_that([grant.server for grant in grants], Equals([ServerIncarnation("i-2", 1)]))
--- a/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
+++ b/packages/decisions/src/fireflylink_decisions/ownership/__init__.py
@@ -23,6 +23,7 @@
 from fireflylink_decisions.ownership._planner import plan_table
 from fireflylink_decisions.ownership._service_time_estimates import ServiceTimeEstimates
 from fireflylink_decisions.ownership._table_changes import TableChanges, changes_between
+from fireflylink_decisions.ownership._table_draft import TableDraft
 
 __all__ = [
     "CLOCK_DRIFT_FACTOR",
@@ -42,6 +43,7 @@
     "ReleaseCommand",
     "ServiceTimeEstimates",
     "TableChanges",
+    "TableDraft",
     "changes_between",
     "first_fence",
     "former_deciders_may_grant_until",
