Model a restored store

Without the new guard restore-wait, seven steps lead to two holders: the next decider takes the release of the server that the copy does not name for final, and the decider from before the restore renews its grant at that server's next incarnation.

--- a/packages/specification/src/fireflylink_specification/_guards.py
+++ b/packages/specification/src/fireflylink_specification/_guards.py
@@ -62,6 +62,11 @@
         "a release or a fence counts as final only when no former decider can grant any more: a "
         "server that restarts has forgotten both",
     )
+    RESTORE_WAIT = (
+        "restore-wait",
+        "after a restore nothing is granted until all holds of earlier deciders have expired: the "
+        "release of a server that the restored table does not name is not final",
+    )
     SEND_DEADLINE = (
         "send-deadline",
         "a grant that waited at its sender is not sent after the deadline that its decider counted",
--- a/packages/specification/src/fireflylink_specification/_models.py
+++ b/packages/specification/src/fireflylink_specification/_models.py
@@ -9,6 +9,7 @@
     QuickRestartModel,
     QuickRestartTakeoverModel,
     RestartModel,
+    RestoredStoreModel,
     SteadyDeciderModel,
     TakeoverModel,
     WaitingGrantModel,
@@ -22,5 +23,6 @@
     QuickRestartModel,
     QuickRestartTakeoverModel,
     RestartModel,
+    RestoredStoreModel,
     WaitingGrantModel,
 )
--- a/packages/specification/src/fireflylink_specification/_state.py
+++ b/packages/specification/src/fireflylink_specification/_state.py
@@ -6,6 +6,9 @@
 from typing import NamedTuple
 
 HOLD_TICKS = 1
+RESTORED_FENCE = 3
+"""The first fence of the era that begins when the store is restored."""
+
 WAIT_TICKS = 1
 """Ticks from the decision to send a grant to its deadline."""
 
@@ -94,6 +97,8 @@
     """The state of the store, the servers and the deciders, one late and one waiting grant at most.
 
     ``record`` is the number of the decider that the record in the store names, or ``NO_ID``.
+    ``restored`` is true once the store has been restored from the copy with the initial table;
+    ``unknown`` then counts the ticks until no server can hold the key by a table that was lost.
     ``restarted`` is a server that has restarted without a pause and whose restart no decider has
     learned of, or ``NO_ID``.
     """
@@ -105,6 +110,8 @@
     late: LateGrant | None
     waiting: WaitingGrant | None = None
     restarted: int = NO_ID
+    restored: bool = False
+    unknown: int = 0
 
 
 NOT_DECIDING = Decider(False, 0, Table(NO_ID, NO_FENCE, NO_ID), (0, 0), False, 0)
@@ -133,7 +140,13 @@
     waiting = state.waiting
     if waiting is not None:
         waiting = waiting._replace(left=max(0, waiting.left - 1))
-    return state._replace(servers=(first, second), deciders=deciders, late=late, waiting=waiting)
+    return state._replace(
+        servers=(first, second),
+        deciders=deciders,
+        late=late,
+        waiting=waiting,
+        unknown=max(0, state.unknown - 1),
+    )
 
 
 def apply_late_grant(state: State, late: LateGrant) -> State:
@@ -155,6 +168,43 @@
     return with_server(after, waiting.server, Server(HOLD_TICKS, waiting.fence, 0))
 
 
+def restore(state: State, unknown_ticks: int) -> State:
+    """The store has the initial table and no decider record; no decider learns of it."""
+    table = Table(0, 1, NO_ID)
+    return state._replace(table=table, record=NO_ID, restored=True, unknown=unknown_ticks)
+
+
+def waits_for_unknown_holders(state: State, decider: Decider) -> bool:
+    """Returns whether a decider of the restored store has to wait; earlier ones do not."""
+    return state.unknown > 0 and decider.table.fence >= RESTORED_FENCE
+
+
+def release_unknown_holder(state: State) -> State:
+    """The server that the restored table does not name releases the key, if it runs."""
+    other = 1 - state.table.owner
+    if state.servers[other].down:
+        return state
+    return with_server(state, other, Server(0, state.table.fence, 0))
+
+
+def end_former_decider(state: State, number: int, decider: Decider) -> State:
+    """The other decider is told that it is superseded, stops, and says so.
+
+    Its last grant may have started a hold just before.
+    """
+    known = (min(decider.known[0], HOLD_TICKS), min(decider.known[1], HOLD_TICKS))
+    told = decider._replace(known=known, former=(0, 0))
+    return with_decider(with_decider(state, 1 - number, NOT_DECIDING), number, told)
+
+
+def decide_waiting_grant(state: State, number: int, decider: Decider) -> State:
+    """Decides a grant that is sent later; the decider counts one hold from its deadline."""
+    owner = decider.table.owner
+    known = replace_at(decider.known, owner, max(decider.known[owner], WAIT_TICKS + HOLD_TICKS))
+    waiting = WaitingGrant(owner, decider.table.fence, WAIT_TICKS)
+    return with_decider(state, number, decider._replace(known=known))._replace(waiting=waiting)
+
+
 def without_previous(decider: Decider) -> Decider:
     return decider._replace(table=decider.table._replace(previous=NO_ID))
 
--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -33,8 +33,8 @@
     NO_FENCE,
     NO_ID,
     NOT_DECIDING,
+    RESTORED_FENCE,
     SERVERS,
-    WAIT_TICKS,
     Decider,
     LateGrant,
     Server,
@@ -43,8 +43,13 @@
     WaitingGrant,
     apply_late_grant,
     apply_waiting_grant,
+    decide_waiting_grant,
+    end_former_decider,
+    release_unknown_holder,
     replace_at,
+    restore,
     tick,
+    waits_for_unknown_holders,
     with_decider,
     with_server,
     without_previous,
@@ -65,6 +70,7 @@
     has_lost_replies = False
     has_waiting_grants = False
     has_quick_restarts = False
+    has_restores = False
     has_former_ended = True
     """Whether ``Guard.FORMER_ENDED`` applies at all."""
 
@@ -85,7 +91,7 @@
             if decider.deciding:
                 yield from self._store_steps(state, number, decider, name)
                 yield from self._server_steps(state, number, decider, name)
-            elif state.record == NO_ID and state.table.fence < self.max_fence:
+            elif state.record == NO_ID and state.table.fence < self._fence_limit(state):
                 yield f"{name} takes over", self._take_over(state, number)
 
     def faults(self, state: State) -> Iterator[Step[State]]:
@@ -96,6 +102,10 @@
         """
         if state.record != NO_ID:
             yield "the store drops the decider record", state._replace(record=NO_ID)
+        if self.has_restores and not state.restored:
+            waits = self.applied_guards.has(Guard.RESTORE_WAIT)
+            ticks = self.grace_ticks + HOLD_TICKS if waits else 0
+            yield "the store is restored from an older copy", restore(state, ticks)
         for server in SERVERS:
             if self.has_crashes and not state.servers[server].down:
                 crashed = Server(0, NO_FENCE, HOLD_TICKS + 1)
@@ -115,7 +125,7 @@
                     f"decider {number} moves the key and receives no reply",
                     self._move_without_reply(state, number, decider),
                 )
-            may_send = self._may_grant(decider) and self._may_use_fence(decider)
+            may_send = self._may_grant(state, decider) and self._may_use_fence(decider)
             if self.has_late_grants and state.late is None and may_send:
                 yield (
                     f"decider {number} grants the key and receives no reply",
@@ -125,7 +135,7 @@
             if self.has_waiting_grants and state.waiting is None and may_send:
                 yield (
                     f"decider {number} decides a grant that waits to be sent",
-                    self._grant_later(state, number, decider),
+                    decide_waiting_grant(state, number, decider),
                 )
 
     def properties(self) -> Mapping[str, Callable[[State], bool]]:
@@ -141,7 +151,10 @@
         owner_holds_key = (
             state.servers[state.table.owner].hold > 0 and state.table.previous == NO_ID
         )
-        return owner_holds_key or state.table.fence == self.max_fence
+        return owner_holds_key or state.table.fence == self._fence_limit(state)
+
+    def _fence_limit(self, state: State) -> int:
+        return RESTORED_FENCE - 1 if self.has_restores and not state.restored else self.max_fence
 
     def _store_steps(
         self, state: State, number: int, decider: Decider, name: str
@@ -196,12 +209,12 @@
                     f"{name} considers the hold of server {previous} expired",
                     with_decider(state, number, without_previous(decider)),
                 )
-        elif self._may_grant(decider) and self._may_use_fence(decider):
+        elif self._may_grant(state, decider) and self._may_use_fence(decider):
             yield f"{name} grants the key", self._grant(state, number, decider)
         if decider.former != (0, 0) and state.record == number:
             yield (
                 f"{name} learns that the former decider has stopped",
-                self._end_former_decider(state, number, decider),
+                end_former_decider(state, number, decider),
             )
         if state.restarted != NO_ID:
             yield (
@@ -233,7 +246,7 @@
         The owner becomes its own former holder: it must release the key, or its hold expire, before
         the grant under the new fence.
         """
-        if state.record == number and state.table.fence < self.max_fence:
+        if state.record == number and state.table.fence < self._fence_limit(state):
             owner = decider.table.owner
             table = Table(owner, state.table.fence + 1, owner)
             after_write = decider._replace(table=table, granted=False)
@@ -260,11 +273,15 @@
         """
         if not decider.deciding or decider.unanswered or decider.table.previous != NO_ID:
             return False
+        if waits_for_unknown_holders(state, decider):
+            return False
         may_write = state.record == number or not self.applied_guards.has(Guard.CONDITIONAL_COMMIT)
-        return may_write and state.table.fence < self.max_fence
+        return may_write and state.table.fence < self._fence_limit(state)
 
-    def _may_grant(self, decider: Decider) -> bool:
+    def _may_grant(self, state: State, decider: Decider) -> bool:
         """Returns whether the decider may grant the key to the owner in its table."""
+        if waits_for_unknown_holders(state, decider):
+            return False
         if decider.unanswered and self.applied_guards.has(Guard.SUSPEND_MOVED):
             return False
         if not decider.deciding or decider.table.previous != NO_ID:
@@ -282,15 +299,6 @@
         previous = decider.table.previous
         return previous == decider.table.owner or not decider.former[previous]
 
-    def _end_former_decider(self, state: State, number: int, decider: Decider) -> State:
-        """The other decider is told that it is superseded, stops, and says so.
-
-        Its last grant may have started a hold just before.
-        """
-        known = (min(decider.known[0], HOLD_TICKS), min(decider.known[1], HOLD_TICKS))
-        told = decider._replace(known=known, former=(0, 0))
-        return with_decider(with_decider(state, 1 - number, NOT_DECIDING), number, told)
-
     def _may_use_fence(self, decider: Decider) -> bool:
         """Returns whether no grant under the fence of the decider's table has expired."""
         if not self.applied_guards.has(Guard.LAPSED_GRANT):
@@ -308,7 +316,8 @@
         stored = state.table
         table = stored._replace(alone=False)
         if self.applied_guards.has(Guard.TAKEOVER_FENCE):
-            table = table._replace(fence=table.fence + 1)
+            first_fence = RESTORED_FENCE if state.restored else NO_FENCE
+            table = table._replace(fence=max(table.fence + 1, first_fence))
         wait = self.grace_ticks + HOLD_TICKS if self.applied_guards.has(Guard.TAKEOVER_WAIT) else 0
         known = (wait, wait)
         if stored.previous != NO_ID and (
@@ -322,7 +331,9 @@
         elif stored.previous != NO_ID and stored.alone:
             former = replace_at(former, stored.previous, 0)
         decider = Decider(True, self.grace_ticks, table, known, False, 0, former=former)
-        return with_decider(state, number, decider)._replace(record=number, table=table)
+        after = with_decider(state, number, decider)._replace(record=number, table=table)
+        sweeps = state.restored and stored.fence < RESTORED_FENCE
+        return release_unknown_holder(after) if sweeps else after
 
     def _move(self, state: State, number: int, decider: Decider) -> State:
         """Writes a table that assigns the key to the other server; the decider gets the reply."""
@@ -373,13 +384,6 @@
         after_grant = with_server(state, owner, Server(HOLD_TICKS, decider.table.fence, 0))
         return with_decider(after_grant, number, granted)
 
-    def _grant_later(self, state: State, number: int, decider: Decider) -> State:
-        """Decides a grant that is sent later; the decider counts one hold from its deadline."""
-        owner = decider.table.owner
-        known = replace_at(decider.known, owner, max(decider.known[owner], WAIT_TICKS + HOLD_TICKS))
-        waiting = WaitingGrant(owner, decider.table.fence, WAIT_TICKS)
-        return with_decider(state, number, decider._replace(known=known))._replace(waiting=waiting)
-
     def _grant_without_reply(self, state: State, number: int, decider: Decider) -> State:
         """Sends a late grant; one to a crashed server is lost."""
         owner = decider.table.owner
--- a/packages/specification/src/fireflylink_specification/_transfer_models.py
+++ b/packages/specification/src/fireflylink_specification/_transfer_models.py
@@ -1,6 +1,7 @@
 """The models of one key: deciders, bounds and faults of each."""
 
 from fireflylink_specification._guards import Guard
+from fireflylink_specification._state import RESTORED_FENCE
 from fireflylink_specification._transfer import BaseTransferModel
 
 
@@ -105,6 +106,25 @@
     has_quick_restarts = True
 
 
+class RestoredStoreModel(BaseTransferModel):
+    """Two deciders; the store is restored from a copy that lacks the table of the first one.
+
+    The copy has the initial table. All that the next decider knows of the holders is that no
+    earlier decider is confirmed by the store after the restore. Servers restart with the same id
+    within the time of a hold, so that they forget the fence of a release.
+    """
+
+    name = "restored-store"
+    bounds = "2 deciders, 2 servers, 2 fences before and 2 after the restore, quick restarts"
+    guards = (Guard.RESTORE_WAIT,)
+    decider_count = 2
+    max_fence = RESTORED_FENCE + 1
+    has_crashes = False
+    has_late_grants = False
+    has_quick_restarts = True
+    has_restores = True
+
+
 class WaitingGrantModel(BaseTransferModel):
     """One decider whose grants wait before they are sent, while it moves the key."""
 
