--- a/packages/daemon/src/fireflylink_daemon/_ownership_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_ownership_task.py
@@ -114,7 +114,7 @@
         if not self.is_decider:
             return
         self.takeover.send_claims(self.services.values())
-        for name in self._keyed_service_names():
+        for name in self.routing_state.keyed_service_names():
             self._send_due_commands_and_plan(name, self._service(name), now)
 
     def receive(self, message: object) -> object:
@@ -208,12 +208,6 @@
             self._start_service(service, None, tracker)
         return service
 
-    def _keyed_service_names(self) -> list[str]:
-        routes = self.routing_state.routes
-        if routes is None:
-            return []
-        return [service.name for service in routes.services.values() if service.keyed]
-
     def _apply_table(self, message: TableStored) -> None:
         service = self._service(message.table.service)
         self._record_era(era_of(message.revision), self.clock.now())
--- a/packages/daemon/src/fireflylink_daemon/_routing_state.py
+++ b/packages/daemon/src/fireflylink_daemon/_routing_state.py
@@ -137,6 +137,12 @@
         log_event("members-changed", members=len(members), rank=self.fleet_position.rank)
         self.refresh()
 
+    def keyed_service_names(self) -> list[str]:
+        """Returns the names of the services whose requests only the owner of their key may run."""
+        if self.routes is None:
+            return []
+        return [service.name for service in self.routes.services.values() if service.keyed]
+
     def set_table(self, table: OwnershipTable) -> None:
         """Replaces the ownership table of a service, unless the new one has a lower fence."""
         current = self.ownership_tables.get(table.service)
--- a/packages/specification/src/fireflylink_specification/_state.py
+++ b/packages/specification/src/fireflylink_specification/_state.py
@@ -205,6 +205,11 @@
     return with_decider(state, number, decider._replace(known=known))._replace(waiting=waiting)
 
 
+def grant_waits_for(state: State, server: int) -> bool:
+    """Returns whether a grant to a server waits to be sent."""
+    return state.waiting is not None and state.waiting.server == server
+
+
 def without_previous(decider: Decider) -> Decider:
     return decider._replace(table=decider.table._replace(previous=NO_ID))
 
--- a/packages/specification/src/fireflylink_specification/_transfer.py
+++ b/packages/specification/src/fireflylink_specification/_transfer.py
@@ -43,6 +43,7 @@
     WaitingGrant,
     apply_late_grant,
     apply_waiting_grant,
+    grant_waits_for,
     decide_waiting_grant,
     end_former_decider,
     release_unknown_holder,
@@ -297,7 +298,7 @@
         previous = decider.table.previous
         if previous == decider.table.owner:
             return True
-        if self.applied_guards.has(Guard.SETTLED_GRANTS) and _waits_for(state, previous):
+        if self.applied_guards.has(Guard.SETTLED_GRANTS) and grant_waits_for(state, previous):
             return False
         return not self.applied_guards.has(Guard.FORMER_ENDED) or not decider.former[previous]
 
@@ -396,8 +397,3 @@
         if not state.servers[owner].down:
             late = LateGrant(owner, decider.table.fence, HOLD_TICKS)
         return with_decider(state, number, decider._replace(known=known))._replace(late=late)
-
-
-def _waits_for(state: State, server: int) -> bool:
-    """Returns whether a grant to a server waits to be sent."""
-    return state.waiting is not None and state.waiting.server == server
