--- a/packages/experiments/src/fireflylink_experiments/_ownership_search/_checker.py
+++ b/packages/experiments/src/fireflylink_experiments/_ownership_search/_checker.py
@@ -6,7 +6,7 @@
 
 from fireflylink_core import BaseClock, KeyRange
 from fireflylink_experiments._ownership_search._holds import FenceMap, Hold, Work
-from fireflylink_experiments._ownership_search._server import BaseServerObserver, SearchedServer
+from fireflylink_experiments._ownership_search._server import BaseServerObserver, SimulatedServer
 
 MAX_OVERLAP_SECONDS = 0.5
 """Two servers may hold the same keys for so long if not both begin requests on them."""
@@ -47,10 +47,10 @@
 
     __slots__ = ("beginners", "is_reported", "parts", "since")
 
-    def __init__(self, parts: dict[SearchedServer, Hold], since: float) -> None:
+    def __init__(self, parts: dict[SimulatedServer, Hold], since: float) -> None:
         self.parts = parts
         self.since = since
-        self.beginners: set[SearchedServer] = set()
+        self.beginners: set[SimulatedServer] = set()
         self.is_reported = False
 
     def common_keys(self, now: float) -> list[KeyRange]:
@@ -81,7 +81,7 @@
 
     def __init__(self, clock: BaseClock) -> None:
         self.clock = clock
-        self.servers: set[SearchedServer] = set()
+        self.servers: set[SimulatedServer] = set()
         self.fences = FenceMap()
         self.moves = 0
         self.overlaps: list[_Overlap] = []
@@ -93,7 +93,7 @@
         """Records what happened to keys, or to all of them, for the traces."""
         self.events.append((self.clock.now(), keys, text))
 
-    def record_grant(self, server: SearchedServer, hold: Hold) -> None:
+    def record_grant(self, server: SimulatedServer, hold: Hold) -> None:
         """Checks a grant that a server has accepted in time."""
         now = self.clock.now()
         for keys in hold.ranges:
@@ -113,7 +113,7 @@
             for other_hold in other.holds:
                 self._add_overlap({server: hold, other: other_hold}, now)
 
-    def record_begin(self, server: SearchedServer, work: Work) -> None:
+    def record_begin(self, server: SimulatedServer, work: Work) -> None:
         """Checks a request that a server begins."""
         now = self.clock.now()
         for overlap in self.overlaps:
@@ -142,10 +142,10 @@
                 self._report_overlap(ViolationKind.LONG_OVERLAP, overlap, common[0])
         self.overlaps = remaining
 
-    def _others(self, server: SearchedServer) -> list[SearchedServer]:
+    def _others(self, server: SimulatedServer) -> list[SimulatedServer]:
         return sorted(self.servers - {server}, key=str)
 
-    def _check_work(self, server: SearchedServer, hold: Hold, work: Iterable[Work]) -> None:
+    def _check_work(self, server: SimulatedServer, hold: Hold, work: Iterable[Work]) -> None:
         for running in work:
             now = self.clock.now()
             if now >= running.hold.counts_until or not hold.has(running.key, now):
@@ -159,7 +159,7 @@
                 (server, hold.fence, running.hold.fence),
             )
 
-    def _add_overlap(self, parts: dict[SearchedServer, Hold], now: float) -> None:
+    def _add_overlap(self, parts: dict[SimulatedServer, Hold], now: float) -> None:
         overlap = _Overlap(parts, now)
         if overlap.common_keys(now) and all(known.parts != parts for known in self.overlaps):
             self.overlaps.append(overlap)
--- a/packages/experiments/src/fireflylink_experiments/_ownership_search/_daemon.py
+++ b/packages/experiments/src/fireflylink_experiments/_ownership_search/_daemon.py
@@ -1,4 +1,4 @@
-"""A daemon of the search: its view, decider and ownership tasks, without greenlets."""
+"""A simulated daemon: its view, decider and ownership tasks, without greenlets."""
 
 import random
 from collections.abc import Callable
@@ -37,7 +37,7 @@
     TableDraft,
 )
 from fireflylink_experiments._ownership_search._wire import (
-    SearchedDaemonProcess,
+    SimulatedProcess,
     Wire,
     WireFleetCommands,
 )
@@ -61,6 +61,8 @@
 FORCED_MOVE_FRACTION = 0.5
 """How often the search moves keys when the plan has nothing to change."""
 
+SPLIT_FRACTION = 0.5
+MERGE_FRACTION = 0.5
 COMPLETED_FRACTION = 0.8
 """How often such a move leaves out ranges whose last move is not completed."""
 
@@ -91,7 +93,7 @@
         only_completed = self.rng.random() < COMPLETED_FRACTION
         for _ in range(self.rng.randint(1, MAX_MOVED_RANGES)):
             self._move(draft, only_completed, candidates)
-        if self.rng.random() < FORCED_MOVE_FRACTION:
+        if self.rng.random() < MERGE_FRACTION:
             draft.merge()
         return draft.table() if draft.changed else None
 
@@ -104,12 +106,12 @@
         if owner == assignment.owner or is_moved_before or is_incomplete:
             return
         first, last = assignment.keys.first, assignment.keys.last
-        if self.rng.random() < FORCED_MOVE_FRACTION and len(draft.assignments) < MAX_SPLIT_RANGES:
+        if self.rng.random() < SPLIT_FRACTION and len(draft.assignments) < MAX_SPLIT_RANGES:
             first, last = sorted((self.rng.randint(first, last), self.rng.randint(first, last)))
         draft.reassign(index, KeyRange(first, last), owner)
 
 
-class SearchedPeerSocket(PeerSocket):
+class SimulatedPeerSocket(PeerSocket):
     """Passes datagrams to single daemons to the play; nothing else is sent."""
 
     __slots__ = ("address", "send_datagram")
@@ -126,7 +128,7 @@
         self.send_datagram(self.address, message, (host, port))
 
 
-class SearchedDaemon:
+class SimulatedDaemon:
     """One process of a daemon. ``run`` lets its tasks handle what is due."""
 
     __slots__ = (
@@ -164,7 +166,7 @@
             BOUNDS,
             PEER_PORT,
         )
-        self.process = SearchedDaemonProcess(record.instance)
+        self.process = SimulatedProcess(record.instance)
         self.store = store
         self.store_was_reachable = True
         codec = PlatformServerCodec()
@@ -173,7 +175,7 @@
         self.view_task = ViewTask(self.routing_state, clock)
         self.decider_task = DeciderTask(record, store, self.routing_state, clock, Metrics())
         address = DaemonAddress(record.instance, record.host, record.port)
-        peers = SearchedPeerSocket(address, send_datagram)
+        peers = SimulatedPeerSocket(address, send_datagram)
         self.ownership_task = OwnershipTask(
             self.routing_state, self.decider_task, peers, clock, codec
         )
--- a/packages/experiments/src/fireflylink_experiments/_ownership_search/_fleet.py
+++ b/packages/experiments/src/fireflylink_experiments/_ownership_search/_fleet.py
@@ -6,7 +6,7 @@
 from fireflylink_core import BackendServer, ServerState
 from fireflylink_experiments._ownership_search._checker import OwnershipChecker
 from fireflylink_experiments._ownership_search._daemon import SERVICE
-from fireflylink_experiments._ownership_search._server import SearchedServer
+from fireflylink_experiments._ownership_search._server import SimulatedServer
 from fireflylink_experiments._ownership_search._wire import Wire
 from fireflylink_store import BaseUpdate, EvacuationUpdate, ServerRemoved, ServerUpdate
 
@@ -65,7 +65,7 @@
         """Restarts a server under its id, before its registration lapses."""
         self._restart(self.rng.uniform(*QUICK_RESTART_SECONDS), "")
 
-    def restart_server(self, server: SearchedServer) -> None:
+    def restart_server(self, server: SimulatedServer) -> None:
         """Restarts one server quickly under its id."""
         for host, present in self.wire.servers.items():
             if present is server:
@@ -109,7 +109,7 @@
         (self.evacuated.add if requested else self.evacuated.discard)(name)
         self.updates.append(EvacuationUpdate(name, requested, 1))
 
-    def _choose(self) -> tuple[str, SearchedServer] | None:
+    def _choose(self) -> tuple[str, SimulatedServer] | None:
         if len(self.wire.servers) < SERVER_COUNT // 2:
             return None
         host = self.rng.choice(sorted(self.wire.servers))
@@ -120,7 +120,7 @@
         if server is not None:
             self._end(*server, seconds, server_id)
 
-    def _end(self, host: str, server: SearchedServer, seconds: float, next_id: str) -> None:
+    def _end(self, host: str, server: SimulatedServer, seconds: float, next_id: str) -> None:
         if not server.is_up:
             return
         server.is_up = False
@@ -133,7 +133,7 @@
         )
         scheduler.schedule_after(LAPSE_SECONDS, functools.partial(self._lapse, server))
 
-    def _lapse(self, server: SearchedServer) -> None:
+    def _lapse(self, server: SimulatedServer) -> None:
         for update in reversed(self.updates):
             if isinstance(update, ServerUpdate) and update.server.server_id == server.server_id:
                 if update.server.started_ms == server.started_ms:
@@ -142,7 +142,7 @@
 
     def _start(self, host: str, server_id: str) -> None:
         now = self.wire.scheduler.clock.now()
-        server = SearchedServer(
+        server = SimulatedServer(
             server_id,
             round(now * 1000.0),
             self.wire.scheduler,
@@ -158,7 +158,7 @@
             functools.partial(self._register, host, server, ServerState.READY),
         )
 
-    def _register(self, host: str, server: SearchedServer, state: ServerState) -> None:
+    def _register(self, host: str, server: SimulatedServer, state: ServerState) -> None:
         if not server.is_up:
             return
         data_centre = DATA_CENTRES[int(host[-1]) % len(DATA_CENTRES)]
--- a/packages/experiments/src/fireflylink_experiments/_ownership_search/_play.py
+++ b/packages/experiments/src/fireflylink_experiments/_ownership_search/_play.py
@@ -12,7 +12,7 @@
 from fireflylink_experiments._ownership_search._daemon import (
     PEER_PORT,
     SERVICE,
-    SearchedDaemon,
+    SimulatedDaemon,
 )
 from fireflylink_experiments._ownership_search._fleet import DATA_CENTRES, Fleet
 from fireflylink_experiments._ownership_search._wire import Wire
@@ -107,7 +107,7 @@
             name: MemberRecord(name, 1, DATA_CENTRES[0], f"127.0.0.{number + 1}", PEER_PORT)
             for number, name in enumerate(f"front-{number}" for number in range(DAEMON_COUNT))
         }
-        self.daemons: dict[str, SearchedDaemon] = {}
+        self.daemons: dict[str, SimulatedDaemon] = {}
         self.positions: dict[str, tuple[int, int]] = {}
 
     def run(self, moves: int) -> PlayResult:
@@ -170,7 +170,7 @@
 
     def _start_daemon(self, name: str) -> None:
         member = self.members[name]
-        daemon = SearchedDaemon(
+        daemon = SimulatedDaemon(
             member, self.members, MemoryStore(self.store_state), self.wire, self._send_datagram
         )
         self.daemons[name] = daemon
@@ -192,7 +192,7 @@
             self.rng.uniform(0.5, 1.5) * TURN_SECONDS, functools.partial(self._turn, name)
         )
 
-    def _read_store(self, name: str, daemon: SearchedDaemon) -> None:
+    def _read_store(self, name: str, daemon: SimulatedDaemon) -> None:
         self.store_state.expire_leases()
         updates = []
         if daemon.store.reachable:
@@ -243,7 +243,7 @@
             action = self.rng.choice((self.fleet.restart_quickly, self.fleet.drain))
             self.scheduler.schedule_after(delay, action)
 
-    def _join(self, name: str, daemon: SearchedDaemon) -> None:
+    def _join(self, name: str, daemon: SimulatedDaemon) -> None:
         daemon.store.reachable = True
         self.isolated.discard(name)
         self.checker.record_event(f"{name} reaches the store again")
--- a/packages/experiments/src/fireflylink_experiments/_ownership_search/_server.py
+++ b/packages/experiments/src/fireflylink_experiments/_ownership_search/_server.py
@@ -23,15 +23,15 @@
     __slots__ = ()
 
     @abc.abstractmethod
-    def record_grant(self, server: "SearchedServer", hold: Hold) -> None:
+    def record_grant(self, server: "SimulatedServer", hold: Hold) -> None:
         """Called when a grant has been accepted in time."""
 
     @abc.abstractmethod
-    def record_begin(self, server: "SearchedServer", work: Work) -> None:
+    def record_begin(self, server: "SimulatedServer", work: Work) -> None:
         """Called when a request begins."""
 
 
-class SearchedServer:
+class SimulatedServer:
     """One incarnation of a server; it starts without keys, and without knowledge of fences.
 
     ``slow_fraction`` of its requests run for seconds. ``clock_factor`` is how long a second of its
--- a/packages/experiments/src/fireflylink_experiments/_ownership_search/_wire.py
+++ b/packages/experiments/src/fireflylink_experiments/_ownership_search/_wire.py
@@ -28,7 +28,7 @@
 )
 from fireflylink_emulator import EventScheduler
 from fireflylink_experiments._ownership_search._checker import OwnershipChecker
-from fireflylink_experiments._ownership_search._server import SearchedServer
+from fireflylink_experiments._ownership_search._server import SimulatedServer
 
 LATENCY_SECONDS = (0.001, 0.01)
 SLOW_LATENCY_SECONDS = (0.05, 2.5)
@@ -89,10 +89,10 @@
         self.checker = checker
         self.rng = rng
         self.probabilities = _draw_probabilities(rng)
-        self.servers: dict[str, SearchedServer] = {}
+        self.servers: dict[str, SimulatedServer] = {}
         self.faults: Counter[str] = Counter()
         self.commands: Counter[str] = Counter()
-        self.restart_quickly: Callable[[SearchedServer], None] | None = None
+        self.restart_quickly: Callable[[SimulatedServer], None] | None = None
 
     def latency(self) -> float:
         """Returns the time that some bytes take."""
@@ -116,7 +116,7 @@
         self.is_done = False
 
 
-class SearchedDaemonProcess:
+class SimulatedProcess:
     """What the tasks of a daemon share: whether the process runs, and where messages are posted."""
 
     __slots__ = ("frozen_until", "is_alive", "name", "to_deliver")
@@ -144,13 +144,13 @@
         ownership_task: BaseTask,
         hold_seconds: float,
         wire: Wire,
-        process: SearchedDaemonProcess,
+        process: SimulatedProcess,
     ) -> None:
         super().__init__(server, clock, codec, ownership_task, hold_seconds)
         self.server = server
         self.wire = wire
         self.process = process
-        self.peer: SearchedServer | None = None
+        self.peer: SimulatedServer | None = None
         self.exchange: _Exchange | None = None
         self.is_closed = False
 
@@ -195,7 +195,7 @@
         delay = wire.rng.uniform(*SLOW_LATENCY_SECONDS) if is_slow else wire.latency()
         wire.scheduler.schedule_after(delay, functools.partial(self._arrive, exchange, self.peer))
 
-    def _arrive(self, exchange: _Exchange, peer: SearchedServer) -> None:
+    def _arrive(self, exchange: _Exchange, peer: SimulatedServer) -> None:
         """The bytes of a command arrive, unless its sender reset the connection before.
 
         Those that a killed process had sent arrive.
@@ -216,7 +216,7 @@
         self._carry_out(exchange, peer, self.clock.now(), False)
 
     def _carry_out(
-        self, exchange: _Exchange, peer: SearchedServer, arrived_at: float, is_late: bool
+        self, exchange: _Exchange, peer: SimulatedServer, arrived_at: float, is_late: bool
     ) -> None:
         if not peer.is_up:
             return
@@ -243,7 +243,9 @@
             if not is_late:
                 answer(None if accepted else StaleFenceError(), "")
 
-    def _respond_to_release(self, exchange: _Exchange, peer: SearchedServer, handover: str) -> None:
+    def _respond_to_release(
+        self, exchange: _Exchange, peer: SimulatedServer, handover: str
+    ) -> None:
         self._answer(exchange, None, handover)
         wire = self.wire
         if wire.restart_quickly is not None and wire.strikes("restart_after_release"):
@@ -299,7 +301,7 @@
             )
 
 
-def _discard(_server: SearchedServer, _handover: str) -> None:
+def _discard(_server: SimulatedServer, _handover: str) -> None:
     """Loses the answer to a release that is carried out late."""
 
 
@@ -309,7 +311,7 @@
     __slots__ = ("process", "wire")
 
     wire: Wire
-    process: SearchedDaemonProcess
+    process: SimulatedProcess
 
     def _start_task(self) -> CommandTask:
         return WireCommandTask(
@@ -329,7 +331,7 @@
     __slots__ = ("process", "wire")
 
     wire: Wire
-    process: SearchedDaemonProcess
+    process: SimulatedProcess
 
     def _tasks(self, server: BackendServer, command: BaseCommand) -> ServerCommandTasks:
         tasks_by_server: dict[ServerIncarnation, ServerCommandTasks]
