Close the connection where the stand-in of a server gives no answer

Cause: Falcon answered status 500 for the ConnectionResetError of a handler, so a stand-in that was stopped, or that dropped its answers, never closed a connection. The tests of lost answers tested answers with status 500. Change: the error is passed on to the listener, with the error number that makes it close the connection. Evidence: a request to a stand-in that drops answers got "500 Internal Server Error" before and a closed connection now; 31 tests of the stand-ins that stop servers or drop answers pass.

--- a/packages/standins/src/fireflylink_standins/_backend_server.py
+++ b/packages/standins/src/fireflylink_standins/_backend_server.py
@@ -1,5 +1,6 @@
 """Stand-in for a backend server, with the platform's HTTP interface."""
 
+import errno
 from typing import Any
 
 import falcon
@@ -34,7 +35,7 @@
     leaves. ``arrived_at`` are the times at which requests for it arrived, whether it ran them or
     not.
 
-    An HTTP handler raises ``ConnectionResetError`` to close the connection without an answer.
+    An HTTP handler raises ``_no_answer()`` to close the connection without an answer.
     """
 
     __slots__ = (
@@ -162,7 +163,7 @@
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_kwargs: Any) -> None:
         server = self.server
         if server.stopped:
-            raise ConnectionResetError
+            raise _no_answer()
         request_id = req.get_header(names.REQUEST_ID) or ""
         resp.set_header(names.REQUEST_ID, request_id)
         # Running and waiting requests, slots, and the slowdown factor in percent (100 is normal).
@@ -191,7 +192,7 @@
         gevent.sleep(server.work_seconds)
         server.running_requests -= 1
         if server.drops_answers:
-            raise ConnectionResetError
+            raise _no_answer()
         resp.set_header(names.SIGNATURE, f"{server.server_id}.{len(server.state.executed)}")
         resp.content_type = "application/octet-stream"
         resp.data = f"{server.server_id} {request_id} ".encode() + req.bounded_stream.read()
@@ -216,7 +217,7 @@
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Accepts or renews a grant of keys; 409 if a higher fence was seen for any of them."""
         if self.server.stopped:
-            raise ConnectionResetError
+            raise _no_answer()
         resp.set_header(names.REQUEST_ID, req.get_header(names.REQUEST_ID) or "")
         if req.get_header(names.TARGET_INSTANCE) not in (None, self.server.server_id):
             resp.status = falcon.HTTP_421
@@ -243,14 +244,27 @@
             resp.status = falcon.HTTP_421
             return
         if self.server.stopped:
-            raise ConnectionResetError
+            raise _no_answer()
         body = req.get_media()
         token = self.server.state.release(KeyRange(body["from"], body["to"]), body["fence"])
         resp.set_header(names.HANDOVER, token)
 
 
+def _no_answer() -> ConnectionResetError:
+    """Returns the error on which the listener closes the connection; others are answered 500."""
+    return ConnectionResetError(errno.ECONNRESET, "no answer")
+
+
+def _pass_on_reset(
+    _req: falcon.Request, _resp: falcon.Response, error: ConnectionResetError, _params: Any
+) -> None:
+    raise error
+
+
 def _application(server: BackendServerStandin) -> Any:
     application = falcon.App()
+    # Falcon answers status 500 for errors that it does not know.
+    application.add_error_handler(ConnectionResetError, _pass_on_reset)
     application.add_route(names.GRANT_PATH, _GrantResource(server))
     application.add_route(names.RELEASE_PATH, _ReleaseResource(server))
     application.add_sink(_RequestSink(server), "/")
