Answer a release in the stand-in when the work on its keys has ended

Cause: the stand-in answered a release at once although requests on its keys still ran. Change: a release stops new work at once and waits for the executions that go on; releases that overlap each wait and get a token of their own; one whose connection closes is carried out. A grant or a release that a proxy marks is carried out late and gets no answer; its time counts from its arrival. Every Nth request can be slow. The servers of the soak record the end of each execution, the arrival of each grant, and the harness when it continues a paused process.

--- a/packages/soak/src/fireflylink_soak/_faults.py
+++ b/packages/soak/src/fireflylink_soak/_faults.py
@@ -8,6 +8,7 @@
 
 from fireflylink_soak._datagram_proxy import DatagramFault, DatagramProxy
 from fireflylink_soak._proxy import EdgeFault, Proxy
+from fireflylink_soak._record import RESUMED
 from fireflylink_soak._system import DaemonProcess, ServerProcess, SoakSystem
 from fireflylink_standins import DATA_CENTRES
 
@@ -104,6 +105,8 @@
         system.signal(pid, signal.SIGSTOP)
         gevent.sleep(self.seconds)
         if pid == self._pid(system):
+            if self.target is not None:
+                system.record_signal(self.target, RESUMED)
             system.signal(pid, signal.SIGCONT)
 
     def _pid(self, system: SoakSystem) -> int:
--- a/packages/soak/src/fireflylink_soak/_system.py
+++ b/packages/soak/src/fireflylink_soak/_system.py
@@ -10,7 +10,7 @@
 from fireflylink_http_client import ExchangeError
 from fireflylink_soak._datagram_proxy import DatagramProxy
 from fireflylink_soak._proxy import Proxy
-from fireflylink_soak._record import record_end
+from fireflylink_soak._record import ENDED, record_signal
 from fireflylink_soak._remote_store import RemoteStore
 from fireflylink_standins import (
     DATA_CENTRES,
@@ -31,10 +31,11 @@
     """A backend server process behind a proxy.
 
     ``keyed`` says which of the two services it belongs to. A restart keeps its address, unless it
-    is given the port and the proxy of another one.
+    is given the port and the proxy of another one. ``lives`` counts the processes that have
+    followed the first one under the same id.
     """
 
-    __slots__ = ("generation", "keyed", "number", "port", "process", "proxy")
+    __slots__ = ("generation", "keyed", "lives", "number", "port", "process", "proxy")
 
     def __init__(self, number: int, keyed: bool, port: int, proxy: Proxy) -> None:
         self.number = number
@@ -42,6 +43,7 @@
         self.port = port
         self.proxy = proxy
         self.generation = 0
+        self.lives = 0
         self.process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -54,6 +56,11 @@
         """The id of the present incarnation; each start gets a new one."""
         return f"{'k' if self.keyed else 'p'}{self.number}-{self.generation}"
 
+    @property
+    def record_name(self) -> str:
+        """The name of the present process in the records."""
+        return self.server_id + (f".{self.lives}" if self.lives else "")
+
 
 class DaemonProcess:
     """A daemon with proxies before it for callers and for datagrams, and one before the store."""
@@ -151,7 +158,7 @@
         process = server.process
         if process is None or process.poll() is not None:
             return
-        record_end(self.clock, self.folder / f"{server.server_id}.events")
+        self.record_signal(server, ENDED)
         process.kill()
         process.wait()
 
@@ -181,6 +188,14 @@
         if pid:
             os.kill(pid, number)
 
+    def record_signal(self, target: DaemonProcess | ServerProcess, what: str) -> None:
+        """Records that a process is killed or continued now."""
+        if isinstance(target, DaemonProcess):
+            name = target.local.settings_path.stem
+        else:
+            name = target.record_name
+        record_signal(self.clock, self.folder / f"{name}.events", what)
+
     def configure(self) -> None:
         """Writes the next version of the configuration."""
         self.configuration_version += 1
--- a/packages/standins/src/fireflylink_standins/__init__.py
+++ b/packages/standins/src/fireflylink_standins/__init__.py
@@ -3,11 +3,15 @@
 The platform is the environment of the daemons, with its own store and HTTP protocol.
 """
 
-from fireflylink_standins._backend_server import BackendServerStandin
+from fireflylink_standins._backend_server import (
+    COMMAND_PATHS,
+    LATE_HEADER,
+    BackendServerStandin,
+)
 from fireflylink_standins._base_lease_store import BaseLeaseStore
 from fireflylink_standins._bench_target import BenchTarget, process_cpu_seconds, resident_megabytes
 from fireflylink_standins._caller import Caller, encode_call
-from fireflylink_standins._grant_state import GrantState
+from fireflylink_standins._grant_state import GrantState, Run
 from fireflylink_standins._local_system import (
     COLD_REQUESTS_PER_SECOND,
     DAEMON_BOUNDS,
@@ -35,9 +39,11 @@
 
 __all__ = [
     "COLD_REQUESTS_PER_SECOND",
+    "COMMAND_PATHS",
     "DAEMON_BOUNDS",
     "DATA_CENTRES",
     "KEYED_SERVICE",
+    "LATE_HEADER",
     "LOOKUP_PATH",
     "ORDER_PATH",
     "POOLED_SERVICE",
@@ -52,6 +58,7 @@
     "LocalSystem",
     "MemoryStore",
     "PortBlock",
+    "Run",
     "StoreFaults",
     "StoreState",
     "encode_call",
--- a/packages/standins/src/fireflylink_standins/_backend_server.py
+++ b/packages/standins/src/fireflylink_standins/_backend_server.py
@@ -10,7 +10,7 @@
 from fireflylink_core import NO_KEY, BaseClock, CallerLimits, KeyRange
 from fireflylink_platform import names
 from fireflylink_standins._base_lease_store import BaseLeaseStore
-from fireflylink_standins._grant_state import GrantState
+from fireflylink_standins._grant_state import GrantState, Run
 from fireflylink_standins._store_server import encode_json
 from fireflylink_store import Commit, Put
 
@@ -20,20 +20,28 @@
 SLOTS = 4
 """Number of requests that the server announces to run at once; it does not enforce it."""
 
+COMMAND_PATHS = (names.GRANT_PATH, names.RELEASE_PATH)
+"""Paths of the commands of the decider."""
+
+LATE_HEADER = "Standin-Seconds-Late"
+"""Header of a grant or a release that is to be carried out so many seconds after its arrival, and
+gets no answer. Proxies of tests add it."""
+
 
 class BackendServerStandin:
     """A server that registers itself in the store, accepts grants and runs requests.
 
     ``keyed`` says whether its service is keyed: only the owner of a request's key runs the request.
-    A request runs for ``work_seconds``. The server is cold until ``cold_until``, in seconds on the
-    clock; it does not enforce the limit for that time. ``state`` has the keys that the server holds
-    and the requests that it has executed. ``advertised_port`` is the port of the registration,
-    where a proxy may listen; 0 stands for the server's own. If ``drops_answers`` is true, the
-    server runs a request and closes the connection without an answer. If ``declines_requests`` is
-    true, it declines every request, and asks for a pause of ``pause_seconds`` unless that is 0. If
-    ``announces_leaving`` is true, or its registration says that it drains, each answer says that it
-    leaves. ``arrived_at`` are the times at which requests for it arrived, whether it ran them or
-    not.
+    A request runs for ``work_seconds``, or if ``slow_every`` is not 0, each request of this number
+    for one to three times ``slow_seconds``. The server is cold until ``cold_until``, in seconds on
+    the clock; it does not enforce the limit for that time. ``state`` has the keys that the server
+    holds and the requests that it has executed. ``advertised_port`` is the port of the
+    registration, where a proxy may listen; 0 stands for the server's own. If ``drops_answers`` is
+    true, the server runs a request and closes the connection without an answer. If
+    ``declines_requests`` is true, it declines every request, and asks for a pause of
+    ``pause_seconds`` unless that is 0. If ``announces_leaving`` is true, or its registration says
+    that it drains, each answer says that it leaves. ``arrived_at`` are the times at which requests
+    for it arrived, whether it ran them or not.
 
     An HTTP handler raises ``_no_answer()`` to close the connection without an answer.
     """
@@ -57,6 +65,8 @@
         "sequence",
         "server_id",
         "service",
+        "slow_every",
+        "slow_seconds",
         "started_ms",
         "state",
         "stopped",
@@ -90,6 +100,8 @@
         self.stopped = False
         self.running_requests = 0
         self.work_seconds = 0.005
+        self.slow_every = 0
+        self.slow_seconds = 0.0
         self.cold_until = 0.0
         self.lease_id = 0
         self.sequence = 0
@@ -188,8 +200,9 @@
     ) -> None:
         server = self.server
         server.running_requests += 1
-        server.state.record_executed(request_id, key)
-        gevent.sleep(server.work_seconds)
+        run = server.state.begin_run(request_id, key)
+        gevent.sleep(_work_seconds(server, run))
+        server.state.end_run(run)
         server.running_requests -= 1
         if server.drops_answers:
             raise _no_answer()
@@ -198,6 +211,12 @@
         resp.data = f"{server.server_id} {request_id} ".encode() + req.bounded_stream.read()
 
 
+def _work_seconds(server: BackendServerStandin, run: Run) -> float:
+    if not server.slow_every or run.number % server.slow_every:
+        return server.work_seconds
+    return server.slow_seconds * (1 + run.number // server.slow_every % 3)
+
+
 def _reject(
     server: BackendServerStandin, request_id: str, resp: falcon.Response, status: str
 ) -> None:
@@ -225,8 +244,12 @@
         body = req.get_media()
         keys = KeyRange(body["from"], body["to"])
         hold_seconds = body["hold-ms"] / MILLISECONDS_PER_SECOND
-        if not self.server.state.grant(keys, body["fence"], hold_seconds):
+        arrived_at = self.server.clock.now()
+        seconds_late = _wait_if_late(req)
+        if not self.server.state.grant(keys, body["fence"], arrived_at, hold_seconds):
             resp.status = falcon.HTTP_409
+        if seconds_late or self.server.stopped:
+            raise _no_answer()
 
 
 class _ReleaseResource:
@@ -238,7 +261,11 @@
         self.server = server
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Releases keys and returns the handover token, which the next holder's grant contains."""
+        """Releases keys; answers when the work on them has ended.
+
+        The answer has the handover token, which the next holder's grant contains. A release whose
+        connection has closed meanwhile is carried out all the same.
+        """
         resp.set_header(names.REQUEST_ID, req.get_header(names.REQUEST_ID) or "")
         if req.get_header(names.TARGET_INSTANCE) not in (None, self.server.server_id):
             resp.status = falcon.HTTP_421
@@ -246,10 +273,21 @@
         if self.server.stopped:
             raise _no_answer()
         body = req.get_media()
+        seconds_late = _wait_if_late(req)
         token = self.server.state.release(KeyRange(body["from"], body["to"]), body["fence"])
+        if seconds_late or self.server.stopped:
+            raise _no_answer()
         resp.set_header(names.HANDOVER, token)
 
 
+def _wait_if_late(req: falcon.Request) -> float:
+    """Waits as long as a proxy has asked for; returns how long."""
+    seconds_late = float(req.get_header(LATE_HEADER) or 0.0)
+    if seconds_late:
+        gevent.sleep(seconds_late)
+    return seconds_late
+
+
 def _no_answer() -> ConnectionResetError:
     """Returns the error on which the listener closes the connection; others are answered 500."""
     return ConnectionResetError(errno.ECONNRESET, "no answer")
