Check in the soak that no key is given on while at work, and that fences rise

The rule OWNER has two cases that the soak did not check: a server is given a key on which another one is at work under a hold that goes on, and a server takes a key under a fence that is not above all with which other servers had it. Grants that were taken later than the time-out after their arrival, or within 1 s after their server or any daemon was continued, do not count, as the rule says. The former checks are unchanged.

--- a/packages/soak/src/fireflylink_soak/_checks.py
+++ b/packages/soak/src/fireflylink_soak/_checks.py
@@ -5,6 +5,7 @@
 
 from fireflylink_soak._callers import LEFT, LOST, SUCCESS_STATUS, Reply
 from fireflylink_soak._calm_period import CalmPeriod
+from fireflylink_soak._grant_checks import check_rising_fences, check_work_has_ended
 from fireflylink_soak._ownership_check import check_one_owner
 from fireflylink_soak._record import DRAINING, RAN, REJECTED, STARTED, ServerEvent
 from fireflylink_soak._violation import Violation
@@ -33,6 +34,8 @@
         *check_at_most_once(replies, events),
         *check_refusals(replies, events),
         *check_one_owner(events),
+        *check_work_has_ended(events),
+        *check_rising_fences(events),
         *check_versions(replies),
         *check_cold_servers(events),
         *check_retry_budget(replies, events),
--- a/packages/soak/tests/test_checks.py
+++ b/packages/soak/tests/test_checks.py
@@ -25,8 +25,14 @@
     return event("ran", server, at, request=request, key=key)
 
 
-def granted(server, first, last, fence, at, until):
-    return event("granted", server, at, keys=(first, last), fence=fence, until=until)
+def granted(server, first, last, fence, at, until, **fields):
+    return event("granted", server, at, keys=(first, last), fence=fence, until=until, **fields)
+
+
+def at_work(server, start, end, key):
+    """Returns the begin and the end of one execution of a request."""
+    begin = event("ran", server, start, request="a", key=key, run=1)
+    return [begin, event("finished", server, end, request="a", key=key, run=1)]
 
 
 def promises_broken(replies=(), events=()):
@@ -36,7 +42,18 @@
 
 TWO_HOLDERS = [granted("k0-1", 0, 9, 1, 1.0, 4.0), granted("k1-1", 5, 9, 2, 3.0, 6.0)]
 
+RELEASED_AT_WORK = [
+    granted("k0-1", 0, 9, 1, 1.0, 4.0),
+    *at_work("k0-1", 1.5, 3.0, key=4),
+    event("released", "k0-1", 2.0, keys=(0, 9), fence=2),
+]
+
 PLANTED = {
+    "given while at work": ([], [*RELEASED_AT_WORK, granted("k1-1", 4, 4, 2, 2.9, 5.9)]),
+    "rising fences": (
+        [],
+        [granted("k0-1", 0, 9, 2, 1.0, 2.0), granted("k1-1", 9, 9, 2, 3.0, 6.0)],
+    ),
     "own answer": ([order(body=b"p0-1 b x")], [ran()]),
     "at most once": ([order()], [ran(), ran(server="p1-2")]),
     "true refusal": ([order(status=NOT_RUN)], [ran(at=9.0)]),
@@ -86,6 +103,46 @@
         [],
         [granted("k0-1", 0, 9, 1, 1.0, 3.4), granted("k1-1", 0, 9, 2, 3.0, 6.0)],
     ),
+    "a grant after the work has ended": (
+        [],
+        [*RELEASED_AT_WORK, granted("k1-1", 0, 9, 2, 3.1, 6.1)],
+    ),
+    "a grant of other keys than those at work": (
+        [],
+        [*RELEASED_AT_WORK, granted("k1-1", 5, 9, 2, 2.5, 5.5)],
+    ),
+    "a grant after the hold of a server at work has run out": (
+        [],
+        [
+            granted("k0-1", 0, 9, 1, 1.0, 4.0),
+            *at_work("k0-1", 1.5, 9.0, key=4),
+            granted("k1-1", 0, 9, 2, 4.1, 7.1),
+        ],
+    ),
+    "a grant after the end of a server at work": (
+        [],
+        [*RELEASED_AT_WORK, event("ended", "k0-1", 2.3), granted("k1-1", 0, 9, 2, 2.4, 5.4)],
+    ),
+    "a grant that was taken late": (
+        [],
+        [*RELEASED_AT_WORK, granted("k1-1", 0, 9, 1, 2.9, 5.2, arrived_at=2.2)],
+    ),
+    "a grant whose sender was paused": (
+        [],
+        [
+            *RELEASED_AT_WORK,
+            event("resumed", "front-0", 2.2),
+            granted("k1-1", 0, 9, 1, 2.9, 5.9),
+        ],
+    ),
+    "another process of the same server under the same fence": (
+        [],
+        [
+            granted("k0-1", 0, 9, 1, 1.0, 4.0),
+            event("ended", "k0-1", 2.0),
+            granted("k0-1.1", 0, 9, 1, 2.5, 5.5),
+        ],
+    ),
     "a version that is not yet in force": (
         [
             order("b", path="/version/3/x", status=NO_ROUTE),
@@ -112,6 +169,22 @@
     assert_that(promises_broken(replies, events), Equals([]))
 
 
+@pytest.mark.parametrize(
+    "excuse",
+    [event("resumed", "front-0", 1.8), event("resumed", "p0-1", 2.8)],
+    ids=["a pause long before", "a pause of another server"],
+)
+def test_only_a_grant_that_a_pause_held_up_is_excused(excuse):
+    """Guards against a check that any paused process of the run switches off."""
+    events = [
+        event("started", "p0-1", 0.0),
+        *RELEASED_AT_WORK,
+        excuse,
+        granted("k1-1", 0, 9, 2, 2.9, 5.9),
+    ]
+    assert_that(promises_broken(events=events), Equals(["given while at work"]))
+
+
 def test_both_holders_running_requests_are_reported_however_short_the_overlap():
     """Guards against two owners that serve a key within the time that an idle overlap may have."""
     events = [
