--- a/packages/soak/src/fireflylink_soak/_callers.py
+++ b/packages/soak/src/fireflylink_soak/_callers.py
@@ -16,6 +16,10 @@
 MAX_PAUSE_SECONDS = 0.15
 HOT_KEY_LIMIT = 200
 KEY_LIMIT = 65536
+STAY_SECONDS = 4.0
+"""How long the hot keys stay before they wander by ``STEP_KEYS``."""
+
+STEP_KEYS = 21001
 MAX_BODY_BYTES = 200_000
 UPLOAD_FRACTION = 0.1
 SENT_AHEAD_FRACTION = 0.05
@@ -25,6 +29,7 @@
 MAX_STAY_SECONDS = 0.05
 READ_SIZE_BYTES = 65536
 SUCCESS_STATUS = 200
+MAX_WORK_SECONDS = 4.0
 LOST = 0
 """Status of a request whose connection ended, or that got no reply in time."""
 
@@ -85,10 +90,20 @@
     """Sends requests over kept connections until ``stop``, and collects the replies.
 
     Some are sent behind others on one connection, some callers leave early, and a caller that was
-    refused sends its next request at once.
+    refused sends its next request at once. While ``slow_fraction`` is not 0, such a part of the
+    lookups works for up to ``MAX_WORK_SECONDS``, and the keys that are asked for most change every
+    few seconds.
     """
 
-    __slots__ = ("clock", "generator", "greenlets", "replies", "stopping", "system")
+    __slots__ = (
+        "clock",
+        "generator",
+        "greenlets",
+        "replies",
+        "slow_fraction",
+        "stopping",
+        "system",
+    )
 
     def __init__(self, system: SoakSystem, clock: BaseClock, seed: int) -> None:
         self.system = system
@@ -96,6 +111,7 @@
         self.generator = random.Random(seed)
         self.replies: list[Reply] = []
         self.stopping = False
+        self.slow_fraction = 0.0
         self.greenlets: list[gevent.Greenlet] = []
 
     def start(self, per_daemon: int) -> None:
@@ -148,7 +164,10 @@
         kind = self.generator.choices(("lookup", "order", "version"), (6, 3, 1))[0]
         if kind == "lookup":
             key = self._draw_key()
-            return self.send(caller, number, f"{LOOKUP_PATH}{key}", key, b"")
+            path = f"{LOOKUP_PATH}{key}"
+            if self.slow_fraction and self.generator.random() < self.slow_fraction:
+                path += f"?work={self.generator.uniform(1.0, MAX_WORK_SECONDS):.2f}"
+            return self.send(caller, number, path, key, b"")
         if kind == "version":
             version = self.system.configuration_version
             return self.send(caller, number, f"{VERSION_PATH}{version}/x", None, b"probe")
@@ -159,7 +178,8 @@
 
     def _draw_key(self) -> int:
         limit = self.generator.choice((HOT_KEY_LIMIT, KEY_LIMIT))
-        return self.generator.randrange(limit)
+        wandered = int(self.clock.now() / STAY_SECONDS) * STEP_KEYS if self.slow_fraction else 0
+        return (wandered + self.generator.randrange(limit)) % KEY_LIMIT
 
     def _new_request_id(self) -> str:
         return uuid.UUID(int=self.generator.getrandbits(128)).hex[:16]
--- a/packages/soak/src/fireflylink_soak/_faults.py
+++ b/packages/soak/src/fireflylink_soak/_faults.py
@@ -3,11 +3,12 @@
 import abc
 import random
 import signal
+from typing import Any
 
 import gevent
 
-from fireflylink_soak._datagram_proxy import DatagramFault, DatagramProxy
-from fireflylink_soak._proxy import EdgeFault, Proxy
+from fireflylink_soak._datagram_proxy import DatagramFault
+from fireflylink_soak._proxy import EdgeFault
 from fireflylink_soak._record import RESUMED
 from fireflylink_soak._system import DaemonProcess, ServerProcess, SoakSystem
 from fireflylink_standins import DATA_CENTRES
@@ -36,15 +37,20 @@
         """Returns what is shown in the trace of a run."""
 
 
-class HarmEdge(BaseFault):
-    """Harms the connections through one proxy for a time; resets them first if ``resets``."""
+class HarmProxy(BaseFault):
+    """Harms what passes a proxy for a time; resets its connections first if ``resets``."""
 
-    __slots__ = ("edge", "fault", "name", "resets", "seconds")
+    __slots__ = ("fault", "name", "proxy", "resets", "seconds")
 
     def __init__(
-        self, edge: Proxy, name: str, fault: EdgeFault, resets: bool, seconds: float
+        self,
+        proxy: Any,
+        name: str,
+        fault: EdgeFault | DatagramFault,
+        resets: bool,
+        seconds: float,
     ) -> None:
-        self.edge = edge
+        self.proxy = proxy
         self.name = name
         self.fault = fault
         self.resets = resets
@@ -52,43 +58,19 @@
 
     def inject(self, system: SoakSystem) -> None:
         if self.resets:
-            self.edge.reset_connections()
-        self.edge.fault = self.fault
-        gevent.sleep(self.seconds)
-        if self.edge.fault is self.fault:
-            self.edge.fault = EdgeFault()
-
-    def __str__(self) -> str:
-        harms = [
-            f"{name}={getattr(self.fault, name)}"
-            for name in EdgeFault.__slots__
-            if getattr(self.fault, name)
-        ]
-        return f"edge {self.name} {'reset ' * self.resets}{' '.join(harms)} {self.seconds:.1f} s"
-
-
-class HarmDatagrams(BaseFault):
-    """Loses, repeats and delays the datagrams to one daemon for a time."""
-
-    __slots__ = ("fault", "proxy", "seconds")
-
-    def __init__(self, proxy: DatagramProxy, fault: DatagramFault, seconds: float) -> None:
-        self.proxy = proxy
-        self.fault = fault
-        self.seconds = seconds
-
-    def inject(self, system: SoakSystem) -> None:
+            self.proxy.reset_connections()
         self.proxy.fault = self.fault
         gevent.sleep(self.seconds)
         if self.proxy.fault is self.fault:
-            self.proxy.fault = DatagramFault()
+            self.proxy.fault = type(self.fault)()
+
+    def harms(self) -> list[str]:
+        """Returns the names of what the proxy does."""
+        return [name for name in self.fault.__slots__ if getattr(self.fault, name)]
 
     def __str__(self) -> str:
-        return (
-            f"datagrams to port {self.proxy.port} lost {self.fault.lost_fraction:.2f} repeated "
-            f"{self.fault.repeated_fraction:.2f} delay {self.fault.max_delay_seconds:.2f} s, "
-            f"{self.seconds:.1f} s"
-        )
+        harms = [f"{name}={getattr(self.fault, name)}" for name in self.harms()]
+        return f"edge {self.name} {'reset ' * self.resets}{' '.join(harms)} {self.seconds:.1f} s"
 
 
 class PauseProcess(BaseFault):
@@ -105,8 +87,7 @@
         system.signal(pid, signal.SIGSTOP)
         gevent.sleep(self.seconds)
         if pid == self._pid(system):
-            if self.target is not None:
-                system.record_signal(self.target, RESUMED)
+            system.record_signal(_name(self.target), RESUMED)
             system.signal(pid, signal.SIGCONT)
 
     def _pid(self, system: SoakSystem) -> int:
@@ -145,18 +126,25 @@
 
 
 class RestartServer(BaseFault):
-    """Ends a server by a signal, and starts its next incarnation at the same address."""
+    """Ends a server by a signal, and starts its next incarnation at the same address.
+
+    If it ``keeps_id``, its successor has the same id, and waits for its port when it is killed.
+    """
 
-    __slots__ = ("is_planned", "server")
+    __slots__ = ("is_planned", "keeps_id", "server")
 
-    def __init__(self, server: ServerProcess, is_planned: bool) -> None:
+    def __init__(self, server: ServerProcess, is_planned: bool, keeps_id: bool = False) -> None:
         self.server = server
         self.is_planned = is_planned
+        self.keeps_id = keeps_id
 
     def inject(self, system: SoakSystem) -> None:
         process = self.server.process
         if process is None or process.poll() is not None:
             return
+        if self.keeps_id:
+            system.replace_server(self.server)
+            return
         if self.is_planned:
             process.terminate()
             gevent.sleep(LEAVE_SECONDS)
@@ -165,7 +153,8 @@
             system.start_server(self.server)
 
     def __str__(self) -> str:
-        return f"{'drain' if self.is_planned else 'kill'} server {self.server.server_id}"
+        action = "replace" if self.keeps_id else "drain" if self.is_planned else "kill"
+        return f"{action} server {self.server.server_id}"
 
 
 class SwapAddresses(BaseFault):
@@ -305,7 +294,7 @@
         repeated_fraction=generator.choice((0.0, 0.5)),
         max_delay_seconds=generator.choice((0.0, 0.8)),
     )
-    return HarmDatagrams(daemon.peer_proxy, fault, seconds)
+    return HarmProxy(daemon.peer_proxy, f"peers-{_name(daemon)}", fault, False, seconds)
 
 
 def _draw_edge_fault(generator: random.Random, system: SoakSystem, seconds: float) -> BaseFault:
@@ -327,12 +316,12 @@
     if name.startswith("daemons-"):
         harms.append(EdgeFault(repeats_answers=True, repeat_after=generator.uniform(0.0, 0.05)))
         harms.append(EdgeFault(repeats_before_next=True))
-    return HarmEdge(edge, name, generator.choice(harms), generator.random() < 0.3, seconds)
+    return HarmProxy(edge, name, generator.choice(harms), generator.random() < 0.3, seconds)
 
 
 def _name(target: DaemonProcess | ServerProcess | None) -> str:
     if target is None:
         return "store"
     if isinstance(target, ServerProcess):
-        return f"server {target.server_id}"
+        return target.record_name
     return target.local.settings_path.stem
--- a/packages/soak/src/fireflylink_soak/_grant_checks.py
+++ b/packages/soak/src/fireflylink_soak/_grant_checks.py
@@ -75,43 +75,43 @@
 def check_rising_fences(events: list[ServerEvent]) -> Iterator[Violation]:
     """A server takes a key under a higher fence than all with which other servers had it."""
     held_up = _held_up_grants(events)
-    taken: dict[str, dict[tuple[int, int], int]] = collections.defaultdict(dict)
     reported: set[tuple[str, str]] = set()
-    for event in events:
-        if event.what != GRANTED or event.keys is None:
-            continue
-        for name, fences in taken.items():
-            if name == event.server_id or event in held_up or (event.server, name) in reported:
+    for event, formers in _grants_after_others(events):
+        for former in formers:
+            servers = (event.server, former.server)
+            if former.fence < event.fence or event in held_up or servers in reported:
                 continue
-            for (first, last), fence in fences.items():
-                if event.keys.overlaps(KeyRange(first, last)) and fence >= event.fence:
-                    reported.add((event.server, name))
-                    yield Violation(
-                        "rising fences",
-                        f"{event.server} took {event.keys} under fence {event.fence} at "
-                        f"{event.at:.2f}; {name} had {first}-{last} under fence {fence}",
-                    )
-                    break
-        own, keys = taken[event.server_id], (event.keys.first, event.keys.last)
-        own[keys] = max(own.get(keys, 0), event.fence)
+            reported.add(servers)
+            yield Violation(
+                "rising fences",
+                f"{event.server} took {event.keys} under fence {event.fence} at {event.at:.2f}; "
+                f"{former.server} had {former.keys} under fence {former.fence}",
+            )
 
 
 def count_moves(events: list[ServerEvent]) -> int:
     """Returns the number of grants that gave keys to a server after another one had them."""
-    taken: dict[str, set[tuple[int, int, int]]] = collections.defaultdict(set)
-    moves = 0
+    moves = _grants_after_others(events)
+    return len(
+        {(event.server, str(event.keys), event.fence) for event, formers in moves if formers}
+    )
+
+
+def _grants_after_others(
+    events: list[ServerEvent],
+) -> Iterator[tuple[ServerEvent, list[ServerEvent]]]:
+    """Returns each grant with those that other servers had of its keys before."""
+    taken: dict[tuple[str, str, int], ServerEvent] = {}
     for event in events:
         if event.what != GRANTED or event.keys is None:
             continue
-        grant = (event.keys.first, event.keys.last, event.fence)
-        moves += grant not in taken[event.server] and any(
-            first <= event.keys.last and event.keys.first <= last
-            for name, grants in taken.items()
-            if name != event.server
-            for first, last, _ in grants
-        )
-        taken[event.server].add(grant)
-    return moves
+        formers = [
+            former
+            for former in taken.values()
+            if former.keys is not None and former.keys.overlaps(event.keys)
+        ]
+        yield event, [former for former in formers if former.server_id != event.server_id]
+        taken[event.server_id, str(event.keys), event.fence] = event
 
 
 def _held_up_grants(events: list[ServerEvent]) -> set[ServerEvent]:
@@ -119,7 +119,7 @@
 
     A pause of a daemon counts for the grants to all servers: a grant does not name its sender.
     """
-    servers = {event.server for event in events if event.what != RESUMED}
+    servers = {"store", *(event.server for event in events if event.what != RESUMED)}
     resumed_at: dict[str, float] = {}
     found = set()
     for event in events:
--- a/packages/soak/src/fireflylink_soak/_proxy.py
+++ b/packages/soak/src/fireflylink_soak/_proxy.py
@@ -6,6 +6,7 @@
 from gevent import socket
 
 from fireflylink_http_client import ResponseReader
+from fireflylink_standins import COMMAND_PATHS, LATE_HEADER
 
 READ_SIZE_BYTES = 65536
 
@@ -17,13 +18,17 @@
     flows in that direction. ``truncates_answers`` passes on half of a read from the target and then
     resets the connection. ``repeats_answers`` writes each answer a second time, ``repeat_after``
     seconds later; ``repeats_before_next`` writes it when the next answer on the connection begins.
-    ``refuses`` resets new connections.
+    ``refuses`` resets new connections, and ``connects_after`` holds them up for so many seconds.
+    With ``late_seconds``, every second command of the decider gets no answer and is carried out so
+    much later.
     """
 
     __slots__ = (
+        "connects_after",
         "delay_seconds",
         "drops_to_caller",
         "drops_to_target",
+        "late_seconds",
         "refuses",
         "repeat_after",
         "repeats_answers",
@@ -41,7 +46,11 @@
         repeat_after: float = 0.0,
         repeats_before_next: bool = False,
         refuses: bool = False,
+        connects_after: float = 0.0,
+        late_seconds: float = 0.0,
     ) -> None:
+        self.connects_after = connects_after
+        self.late_seconds = late_seconds
         self.repeats_before_next = repeats_before_next
         self.delay_seconds = delay_seconds
         self.drops_to_target = drops_to_target
@@ -81,11 +90,12 @@
         proxy.fault = EdgeFault(delay_seconds=0.3)
     """
 
-    __slots__ = ("connections", "fault", "greenlet", "listener", "target_port")
+    __slots__ = ("commands", "connections", "fault", "greenlet", "listener", "target_port")
 
     def __init__(self, listen_port: int, target_port: int) -> None:
         self.target_port = target_port
         self.fault = EdgeFault()
+        self.commands = 0
         self.connections: set[Any] = set()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -113,6 +123,8 @@
             gevent.spawn(self._connect, caller)
 
     def _connect(self, caller: Any) -> None:
+        if self.fault.connects_after:
+            gevent.sleep(self.fault.connects_after)
         target = socket.socket()
         try:
             target.connect(("127.0.0.1", self.target_port))
@@ -139,13 +151,23 @@
                 if to_caller:
                     self._pass_answer(data, sink, answers)
                 else:
-                    self._pass_data(data, sink, self.fault.drops_to_target)
+                    self._pass_data(self._delay_command(data), sink, self.fault.drops_to_target)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             # One side has reset the connection, or this proxy has: the other side is told.
             _reset(source)
             _reset(sink)
 
+    def _delay_command(self, data: bytes) -> bytes:
+        """Returns what a caller has sent, marked if it is a command to be carried out late."""
+        head, end_of_line, rest = data.partition(b"\r\n")
+        is_command = any(path.encode() in head for path in COMMAND_PATHS)
+        self.commands += is_command
+        if not self.fault.late_seconds or not is_command or self.commands % 2 == 0:
+            return data
+        mark = f"{LATE_HEADER}: {self.fault.late_seconds:.3f}".encode()
+        return head + end_of_line + mark + end_of_line + rest
+
     def _pass_answer(self, data: bytes, sink: Any, answers: _AnswerCollector) -> None:
         fault = self.fault
         if fault.truncates_answers:
--- a/packages/soak/src/fireflylink_soak/_run.py
+++ b/packages/soak/src/fireflylink_soak/_run.py
@@ -1,5 +1,6 @@
 """One run of the soak: start, a calm period with planned work, faults, recovery, checks."""
 
+import collections
 import pathlib
 import random
 import signal
@@ -14,12 +15,16 @@
 from fireflylink_soak._faults import (
     MAX_PAUSE_SECONDS,
     MIN_PAUSE_SECONDS,
+    BaseFault,
+    HarmProxy,
     RestartDaemon,
     RestartServer,
     draw_fault,
 )
+from fireflylink_soak._grant_checks import count_moves
+from fireflylink_soak._move_faults import draw_move_fault
 from fireflylink_soak._proxy import EdgeFault
-from fireflylink_soak._record import read_events
+from fireflylink_soak._record import RAN, read_events
 from fireflylink_soak._system import SoakSystem
 from fireflylink_soak._violation import Violation
 from fireflylink_standins import (
@@ -40,16 +45,27 @@
 MAX_DAEMON_MEGABYTES = 200.0
 MAX_DAEMON_DESCRIPTORS = 1000
 MAX_FAULTS_IN_PROGRESS = 4
+SLOW_FRACTION = 0.15
+"""Part of the lookups that work for seconds in a run that moves keys, until its faults end."""
+
+NO_CALM = CalmPeriod(0.0, 0.0, 0.0, frozenset())
 POLL_SECONDS = 0.2
 PROBED_KEYS = (0, 20000, 40000, 65535)
 
 
 class RunResult:
-    """What a run has shown."""
+    """What a run has shown.
+
+    ``kinds`` counts the faults by kind, and ``events`` what the servers have recorded. ``moves`` is
+    the number of grants that gave keys to a server after another one had them.
+    """
 
     __slots__ = (
+        "events",
         "faults",
+        "kinds",
         "megabytes",
+        "moves",
         "recovery_seconds",
         "replies",
         "runs",
@@ -60,6 +76,9 @@
     def __init__(self) -> None:
         self.faults = 0
         self.runs = 0
+        self.moves = 0
+        self.kinds: collections.Counter[str] = collections.Counter()
+        self.events: collections.Counter[str] = collections.Counter()
         self.megabytes = 0.0
         self.recovery_seconds = 0.0
         self.replies: list[Reply] = []
@@ -68,7 +87,7 @@
 
 
 class SoakRun:
-    """Plays one seed.
+    """Plays one seed. With ``moves``, owners of keys change as often as they can.
 
     Example::
 
@@ -76,13 +95,18 @@
         assert not result.violations
     """
 
-    __slots__ = ("callers", "clock", "generator", "result", "started_at", "system")
+    __slots__ = ("callers", "clock", "generator", "moves", "result", "started_at", "system")
 
-    def __init__(self, folder: pathlib.Path, clock: BaseClock, seed: int) -> None:
+    def __init__(
+        self, folder: pathlib.Path, clock: BaseClock, seed: int, moves: bool = False
+    ) -> None:
+        self.moves = moves
         self.clock = clock
         self.generator = random.Random(seed)
         self.system = SoakSystem(folder, clock)
         self.callers = Callers(self.system, clock, seed)
+        if moves:
+            self.callers.slow_fraction = SLOW_FRACTION
         self.result = RunResult()
         self.started_at = clock.now()
 
@@ -92,7 +116,7 @@
             self.system.start(daemons, keyed, pooled)
             self._await_service(START_SECONDS, "start")
             self.callers.start(per_daemon=3)
-            calm = self._work_calmly()
+            calm = NO_CALM if self.moves else self._work_calmly()
             self._inject_faults(self.clock.now() + seconds)
             self._end_faults()
             self.result.recovery_seconds = self._await_service(RECOVERY_SECONDS, "recovery")
@@ -126,13 +150,17 @@
 
     def _inject_faults(self, ends_at: float) -> None:
         in_progress: list[gevent.Greenlet] = []
+        max_pause_seconds = MAX_PAUSE_SECONDS / 3 if self.moves else MAX_PAUSE_SECONDS
+        max_in_progress = MAX_FAULTS_IN_PROGRESS * (2 if self.moves else 1)
         while self.clock.now() < ends_at:
-            gevent.sleep(self.generator.uniform(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS))
-            fault = draw_fault(self.generator, self.system)
+            gevent.sleep(self.generator.uniform(MIN_PAUSE_SECONDS, max_pause_seconds))
+            draw = draw_move_fault if self.moves else draw_fault
+            fault = draw(self.generator, self.system)
             in_progress = [greenlet for greenlet in in_progress if not greenlet.ready()]
-            if len(in_progress) < MAX_FAULTS_IN_PROGRESS:
+            if len(in_progress) < max_in_progress:
                 self._trace(str(fault))
                 self.result.faults += 1
+                self.result.kinds[_kind(fault)] += 1
                 in_progress.append(gevent.spawn(fault.inject, self.system))
             self._check_daemons_run()
         gevent.joinall(in_progress, raise_error=True)
@@ -150,6 +178,7 @@
             self.system.signal(daemon.pid, signal.SIGCONT)
         for server in self.system.servers:
             server.proxy.fault = EdgeFault()
+        self.callers.slow_fraction = 0.0
         self._trace("all faults ended")
 
     def _await_service(self, seconds: float, phase: str) -> float:
@@ -190,7 +219,9 @@
 
     def _check(self, calm: CalmPeriod) -> None:
         events = read_events(self.system.folder)
-        self.result.runs = sum(event.what == "ran" for event in events)
+        self.result.events.update(event.what for event in events)
+        self.result.runs = self.result.events[RAN]
+        self.result.moves = count_moves(events)
         self.result.replies = self.callers.replies
         self.result.violations.extend(check_all(self.callers.replies, events, calm))
 
@@ -200,3 +231,9 @@
 
     def _trace(self, text: str) -> None:
         self.result.trace.append(f"{self.clock.now() - self.started_at:7.2f} s  {text}")
+
+
+def _kind(fault: BaseFault) -> str:
+    if isinstance(fault, HarmProxy):
+        return "+".join(fault.harms()) or "reset"
+    return str(fault).split()[0]
--- a/packages/soak/src/fireflylink_soak/_system.py
+++ b/packages/soak/src/fireflylink_soak/_system.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 
+import gevent
+
 from fireflylink_core import BaseClock
 from fireflylink_http_client import ExchangeError
 from fireflylink_soak._datagram_proxy import DatagramProxy
@@ -26,6 +28,9 @@
 COLD_SECONDS = 3.0
 """How long a server is cold that starts while requests are served."""
 
+SUCCESSOR_START_SECONDS = 1.5
+"""How long the process of a successor is given to start, before it takes the port."""
+
 
 class ServerProcess:
     """A backend server process behind a proxy.
@@ -158,13 +163,28 @@
         process = server.process
         if process is None or process.poll() is not None:
             return
-        self.record_signal(server, ENDED)
+        self.record_signal(server.record_name, ENDED)
         process.kill()
         process.wait()
 
     def start_server(self, server: ServerProcess, cold_seconds: float = COLD_SECONDS) -> None:
-        """Starts a new incarnation of a server at its address."""
+        """Starts a server at its address under a new id."""
         server.generation += 1
+        server.lives = 0
+        self._start_process(server, cold_seconds)
+
+    def replace_server(self, server: ServerProcess) -> None:
+        """Kills a server once its successor is ready to take its port, under the same id."""
+        former, former_name = server.process, server.record_name
+        server.lives += 1
+        self._start_process(server, COLD_SECONDS)
+        gevent.sleep(SUCCESSOR_START_SECONDS)
+        if former is not None:
+            self.record_signal(former_name, ENDED)
+            former.kill()
+            former.wait()
+
+    def _start_process(self, server: ServerProcess, cold_seconds: float) -> None:
         service = KEYED_SERVICE if server.keyed else POOLED_SERVICE
         server.process = self._spawn(
             server.server_id,
@@ -179,7 +199,7 @@
                 f"--advertised_port={server.proxy.listener.getsockname()[1]}",
                 f"--store_port={self.store_port}",
                 f"--cold_seconds={cold_seconds}",
-                f"--events={self.folder / server.server_id}.events",
+                f"--events={self.folder / server.record_name}.events",
             ],
         )
 
@@ -188,12 +208,8 @@
         if pid:
             os.kill(pid, number)
 
-    def record_signal(self, target: DaemonProcess | ServerProcess, what: str) -> None:
-        """Records that a process is killed or continued now."""
-        if isinstance(target, DaemonProcess):
-            name = target.local.settings_path.stem
-        else:
-            name = target.record_name
+    def record_signal(self, name: str, what: str) -> None:
+        """Records that the process of this name is killed or continued now."""
         record_signal(self.clock, self.folder / f"{name}.events", what)
 
     def configure(self) -> None:
--- a/packages/soak/tests/test_run.py
+++ b/packages/soak/tests/test_run.py
@@ -8,6 +8,7 @@
 
 from fireflylink_core import SystemClock
 from fireflylink_soak import DatagramFault, DatagramProxy, EdgeFault, Proxy, SoakRun
+from fireflylink_standins import COMMAND_PATHS, LATE_HEADER
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 RECEIVE_SECONDS = 2.0
@@ -22,6 +23,18 @@
     assert_that(result.runs, GreaterThan(100))
 
 
+def test_a_short_run_that_moves_keys_breaks_no_promise(tmp_path):
+    """Guards against two owners when keys move beside slow work and commands that are lost, late or
+    answered twice, and while servers restart under their ids."""
+    result = SoakRun(tmp_path, SystemClock(), seed=3, moves=True).play(
+        seconds=12.0, daemons=2, keyed=5, pooled=1
+    )
+    shown = [str(violation) for violation in result.violations]
+    assert_that(shown, Equals([]), "\n".join([*result.trace, *shown]))
+    assert_that(result.moves, GreaterThan(5))
+    assert_that(result.events["released"], GreaterThan(5))
+
+
 @pytest.fixture
 def answering_target():
     """Answers each request with ``ANSWER`` and the request, the head and the body apart."""
@@ -96,6 +109,29 @@
         receive(sock, len(ANSWER) + 4)
 
 
+def test_a_proxy_marks_every_second_command_as_late():
+    """Guards against a soak in which no grant is carried out after newer ones."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(1)
+    proxy = Proxy(0, listener.getsockname()[1])
+    proxy.fault = EdgeFault(late_seconds=2.5)
+    sender = socket.create_connection(proxy.listener.getsockname())
+    accepted, _ = listener.accept()
+    accepted.settimeout(RECEIVE_SECONDS)
+    command = f"POST {COMMAND_PATHS[0]} HTTP/1.1\r\nHost: a\r\n\r\n".encode()
+    late = command.replace(b"Host", f"{LATE_HEADER}: 2.500\r\nHost".encode())
+    request = b"GET / HTTP/1.1\r\n\r\n"
+    try:
+        for sent, expected in ((command, late), (command, command), (request, request)):
+            sender.sendall(sent)
+            assert_that(receive(accepted, len(expected)), Equals(expected))
+    finally:
+        proxy.close()
+        for sock in (sender, accepted, listener):
+            sock.close()
+
+
 def test_a_datagram_proxy_loses_and_repeats():
     """Guards against a soak in which all datagrams between daemons arrive."""
     receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/packages/standins/src/fireflylink_standins/_backend_server.py
+++ b/packages/standins/src/fireflylink_standins/_backend_server.py
@@ -10,7 +10,7 @@
 from fireflylink_core import NO_KEY, BaseClock, CallerLimits, KeyRange
 from fireflylink_platform import names
 from fireflylink_standins._base_lease_store import BaseLeaseStore
-from fireflylink_standins._grant_state import GrantState, Run
+from fireflylink_standins._grant_state import GrantState
 from fireflylink_standins._store_server import encode_json
 from fireflylink_store import Commit, Put
 
@@ -32,16 +32,16 @@
     """A server that registers itself in the store, accepts grants and runs requests.
 
     ``keyed`` says whether its service is keyed: only the owner of a request's key runs the request.
-    A request runs for ``work_seconds``, or if ``slow_every`` is not 0, each request of this number
-    for one to three times ``slow_seconds``. The server is cold until ``cold_until``, in seconds on
-    the clock; it does not enforce the limit for that time. ``state`` has the keys that the server
-    holds and the requests that it has executed. ``advertised_port`` is the port of the
-    registration, where a proxy may listen; 0 stands for the server's own. If ``drops_answers`` is
-    true, the server runs a request and closes the connection without an answer. If
-    ``declines_requests`` is true, it declines every request, and asks for a pause of
-    ``pause_seconds`` unless that is 0. If ``announces_leaving`` is true, or its registration says
-    that it drains, each answer says that it leaves. ``arrived_at`` are the times at which requests
-    for it arrived, whether it ran them or not.
+    A request runs for ``work_seconds``, or for the seconds that it asks for in the parameter
+    ``work`` of its query. The server is cold until ``cold_until``, in seconds on the clock; it does
+    not enforce the limit for that time. ``state`` has the keys that the server holds and the
+    requests that it has executed. ``advertised_port`` is the port of the registration, where a
+    proxy may listen; 0 stands for the server's own. If ``drops_answers`` is true, the server runs a
+    request and closes the connection without an answer. If ``declines_requests`` is true, it
+    declines every request, and asks for a pause of ``pause_seconds`` unless that is 0. If
+    ``announces_leaving`` is true, or its registration says that it drains, each answer says that it
+    leaves. ``arrived_at`` are the times at which requests for it arrived, whether it ran them or
+    not.
 
     An HTTP handler raises ``_no_answer()`` to close the connection without an answer.
     """
@@ -65,8 +65,6 @@
         "sequence",
         "server_id",
         "service",
-        "slow_every",
-        "slow_seconds",
         "started_ms",
         "state",
         "stopped",
@@ -100,8 +98,6 @@
         self.stopped = False
         self.running_requests = 0
         self.work_seconds = 0.005
-        self.slow_every = 0
-        self.slow_seconds = 0.0
         self.cold_until = 0.0
         self.lease_id = 0
         self.sequence = 0
@@ -201,7 +197,7 @@
         server = self.server
         server.running_requests += 1
         run = server.state.begin_run(request_id, key)
-        gevent.sleep(_work_seconds(server, run))
+        gevent.sleep(req.get_param_as_float("work") or server.work_seconds)
         server.state.end_run(run)
         server.running_requests -= 1
         if server.drops_answers:
@@ -211,12 +207,6 @@
         resp.data = f"{server.server_id} {request_id} ".encode() + req.bounded_stream.read()
 
 
-def _work_seconds(server: BackendServerStandin, run: Run) -> float:
-    if not server.slow_every or run.number % server.slow_every:
-        return server.work_seconds
-    return server.slow_seconds * (1 + run.number // server.slow_every % 3)
-
-
 def _reject(
     server: BackendServerStandin, request_id: str, resp: falcon.Response, status: str
 ) -> None:
