Send notices in the soak only to processes that have a handler for them

The fault is the soak's. SIGHUP and the signals that drain servers are now sent to processes that catch them.

--- a/packages/soak/src/fireflylink_soak/__init__.py
+++ b/packages/soak/src/fireflylink_soak/__init__.py
@@ -8,6 +8,7 @@
 from fireflylink_soak._record import ServerEvent, read_events
 from fireflylink_soak._regressions import REGRESSIONS, Regression
 from fireflylink_soak._run import RunResult, SoakRun
+from fireflylink_soak._system import SoakSystem
 from fireflylink_soak._trace import log_lines_of
 from fireflylink_soak._violation import Violation
 
@@ -25,6 +26,7 @@
     "RunResult",
     "ServerEvent",
     "SoakRun",
+    "SoakSystem",
     "Violation",
     "check_all",
     "log_lines_of",
--- a/packages/soak/src/fireflylink_soak/_faults.py
+++ b/packages/soak/src/fireflylink_soak/_faults.py
@@ -13,6 +13,7 @@
 from fireflylink_soak._system import DaemonProcess, ServerProcess, SoakSystem
 from fireflylink_standins import DATA_CENTRES
 
+Harm = EdgeFault | DatagramFault
 MIN_PAUSE_SECONDS = 0.2
 MAX_PAUSE_SECONDS = 1.5
 MAX_FAULT_SECONDS = 3.0
@@ -42,14 +43,7 @@
 
     __slots__ = ("fault", "name", "proxy", "resets", "seconds")
 
-    def __init__(
-        self,
-        proxy: Any,
-        name: str,
-        fault: EdgeFault | DatagramFault,
-        resets: bool,
-        seconds: float,
-    ) -> None:
+    def __init__(self, proxy: Any, name: str, fault: Harm, resets: bool, seconds: float) -> None:
         self.proxy = proxy
         self.name = name
         self.fault = fault
@@ -227,7 +221,7 @@
             gevent.sleep(MIN_PAUSE_SECONDS)
 
     def __str__(self) -> str:
-        return f"{self.count} configurations"
+        return f"configure {self.count} times"
 
 
 class Evacuate(BaseFault):
@@ -257,7 +251,7 @@
         self.daemon = daemon
 
     def inject(self, system: SoakSystem) -> None:
-        system.signal(self.daemon.pid, signal.SIGHUP)
+        system.notify(self.daemon.pid, signal.SIGHUP)
 
     def __str__(self) -> str:
         return f"hup {_name(self.daemon)}"
--- a/packages/soak/src/fireflylink_soak/_move_faults.py
+++ b/packages/soak/src/fireflylink_soak/_move_faults.py
@@ -36,12 +36,9 @@
 
     def inject(self, system: SoakSystem) -> None:
         process = self.server.process
-        # A process that has not begun its record has no handler for the signals yet.
-        if not (system.folder / f"{self.server.record_name}.events").exists():
-            return
         for number in (signal.SIGUSR1, signal.SIGUSR2):
             if process is not None and process.poll() is None:
-                system.signal(process.pid, number)
+                system.notify(process.pid, number)
             gevent.sleep(self.seconds)
 
     def __str__(self) -> str:
@@ -54,7 +51,7 @@
     daemon = generator.choice(system.daemons)
     server, other = generator.choices([server for server in system.servers if server.keyed], k=2)
     kinds: list[tuple[int, BaseFault]] = [
-        (8, _draw_command_fault(generator, server, seconds)),
+        (8, _draw_harm(generator, server, seconds)),
         (5, DrainAndReturn(server, seconds)),
         (3, RestartServer(server, is_planned=False, keeps_id=True)),
         (3, Evacuate(generator.choice(DATA_CENTRES), seconds)),
@@ -68,9 +65,7 @@
     return generator.choices([fault for _, fault in kinds], weights)[0]
 
 
-def _draw_command_fault(
-    generator: random.Random, server: ServerProcess, seconds: float
-) -> BaseFault:
+def _draw_harm(generator: random.Random, server: ServerProcess, seconds: float) -> BaseFault:
     faults = [
         EdgeFault(late_seconds=generator.uniform(MIN_LATE_SECONDS, MAX_LATE_SECONDS)),
         EdgeFault(repeats_answers=True, repeat_after=generator.uniform(0.0, 2.0)),
--- a/packages/soak/src/fireflylink_soak/_regressions.py
+++ b/packages/soak/src/fireflylink_soak/_regressions.py
@@ -18,6 +18,7 @@
     Regression(2, 15.0, "harness: the check counted the holds of servers that had been killed"),
     Regression(6, 15.0, "harness: the proxy repeated parts of answers instead of whole ones"),
     Regression(901, 15.0, "a decider used fences of tables that a restored store had lost"),
+    Regression(3871, 20.0, "harness: SIGHUP ended a daemon that had just started"),
     Regression(3811, 30.0, "harness: a drain ended servers that had just started", moves=True),
     Regression(3820, 30.0, "harness: work stayed slow after the faults had ended", moves=True),
 )
--- a/packages/soak/src/fireflylink_soak/_system.py
+++ b/packages/soak/src/fireflylink_soak/_system.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -212,6 +213,16 @@
         """Records that the process of this name is killed or continued now."""
         record_signal(self.clock, self.folder / f"{name}.events", what)
 
+    def notify(self, pid: int, number: int) -> None:
+        """Sends a signal, unless the process has ended or has no handler for it yet.
+
+        A process that is starting would be ended by it.
+        """
+        status = pathlib.Path(f"/proc/{pid}/status")
+        caught = re.search(r"SigCgt:\s*(\w+)", status.read_text()) if status.exists() else None
+        if caught is not None and int(caught[1], 16) >> (number - 1) & 1:
+            os.kill(pid, number)
+
     def configure(self) -> None:
         """Writes the next version of the configuration."""
         self.configuration_version += 1
--- a/packages/soak/tests/test_run.py
+++ b/packages/soak/tests/test_run.py
@@ -1,5 +1,9 @@
 """A short run of the soak, and its proxies on real sockets."""
 
+import signal
+import subprocess
+import sys
+
 import gevent
 import pytest
 from gevent import socket
@@ -7,7 +11,7 @@
 from testtools.matchers import Equals, GreaterThan
 
 from fireflylink_core import SystemClock
-from fireflylink_soak import DatagramFault, DatagramProxy, EdgeFault, Proxy, SoakRun
+from fireflylink_soak import DatagramFault, DatagramProxy, EdgeFault, Proxy, SoakRun, SoakSystem
 from fireflylink_standins import COMMAND_PATHS, LATE_HEADER
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
@@ -132,6 +136,24 @@
             sock.close()
 
 
+def test_a_process_without_a_handler_gets_no_notice(tmp_path):
+    """Guards against runs in which a notice ends a program that has just started."""
+    program = (
+        "import signal, time; time.sleep(0.5); signal.signal(1, print); print(); time.sleep(9)"
+    )
+    process = subprocess.Popen([sys.executable, "-uc", program], stdout=subprocess.PIPE)
+    system = SoakSystem(tmp_path, SystemClock())
+    try:
+        system.notify(process.pid, signal.SIGHUP)
+        assert_that(process.stdout.readline(), Equals(b"\n"))
+        system.notify(process.pid, signal.SIGHUP)
+        assert_that(process.stdout.readline()[:2], Equals(b"1 "))
+    finally:
+        system.ports.close()
+        process.kill()
+        process.wait()
+
+
 def test_a_datagram_proxy_loses_and_repeats():
     """Guards against a soak in which all datagrams between daemons arrive."""
     receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
