--- a/packages/soak/src/fireflylink_soak/_run.py
+++ b/packages/soak/src/fireflylink_soak/_run.py
@@ -151,12 +151,11 @@
     def _inject_faults(self, ends_at: float) -> None:
         in_progress: list[gevent.Greenlet] = []
         max_pause_seconds = MAX_PAUSE_SECONDS / 3 if self.moves else MAX_PAUSE_SECONDS
-        max_faults = MAX_FAULTS_IN_PROGRESS * (2 if self.moves else 1)
         while self.clock.now() < ends_at:
             gevent.sleep(self.generator.uniform(MIN_PAUSE_SECONDS, max_pause_seconds))
             fault = (draw_move_fault if self.moves else draw_fault)(self.generator, self.system)
             in_progress = [greenlet for greenlet in in_progress if not greenlet.ready()]
-            if len(in_progress) < max_faults:
+            if len(in_progress) < MAX_FAULTS_IN_PROGRESS:
                 self._trace(str(fault))
                 self.result.faults += 1
                 self.result.kinds[_kind(fault)] += 1
