--- a/packages/soak/src/fireflylink_soak/_system.py
+++ b/packages/soak/src/fireflylink_soak/_system.py
@@ -2,15 +2,18 @@
 
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
 
+import gevent
+
 from fireflylink_core import BaseClock
 from fireflylink_http_client import ExchangeError
 from fireflylink_soak._datagram_proxy import DatagramProxy
 from fireflylink_soak._proxy import Proxy
-from fireflylink_soak._record import record_end
+from fireflylink_soak._record import ENDED, record_signal
 from fireflylink_soak._remote_store import RemoteStore
 from fireflylink_standins import (
     DATA_CENTRES,
@@ -26,15 +29,19 @@
 COLD_SECONDS = 3.0
 """How long a server is cold that starts while requests are served."""
 
+SUCCESSOR_START_SECONDS = 1.5
+"""How long the process of a successor is given to start, before it takes the port."""
+
 
 class ServerProcess:
     """A backend server process behind a proxy.
 
     ``keyed`` says which of the two services it belongs to. A restart keeps its address, unless it
-    is given the port and the proxy of another one.
+    is given the port and the proxy of another one. ``lives`` counts the processes that have
+    followed the first one under the same id.
     """
 
-    __slots__ = ("generation", "keyed", "number", "port", "process", "proxy")
+    __slots__ = ("generation", "keyed", "lives", "number", "port", "process", "proxy")
 
     def __init__(self, number: int, keyed: bool, port: int, proxy: Proxy) -> None:
         self.number = number
@@ -42,6 +49,7 @@
         self.port = port
         self.proxy = proxy
         self.generation = 0
+        self.lives = 0
         self.process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -54,6 +62,11 @@
         """The id of the present incarnation; each start gets a new one."""
         return f"{'k' if self.keyed else 'p'}{self.number}-{self.generation}"
 
+    @property
+    def record_name(self) -> str:
+        """The name of the present process in the records."""
+        return self.server_id + (f".{self.lives}" if self.lives else "")
+
 
 class DaemonProcess:
     """A daemon with proxies before it for callers and for datagrams, and one before the store."""
@@ -151,13 +164,28 @@
         process = server.process
         if process is None or process.poll() is not None:
             return
-        record_end(self.clock, self.folder / f"{server.server_id}.events")
+        self.record_signal(server.record_name, ENDED)
         process.kill()
         process.wait()
 
     def start_server(self, server: ServerProcess, cold_seconds: float = COLD_SECONDS) -> None:
-        """Starts a new incarnation of a server at its address."""
+        """Starts a server at its address under a new id."""
         server.generation += 1
+        server.lives = 0
+        self._start_process(server, cold_seconds)
+
+    def replace_server(self, server: ServerProcess) -> None:
+        """Kills a server once its successor is ready to take its port, under the same id."""
+        former, former_name = server.process, server.record_name
+        server.lives += 1
+        self._start_process(server, COLD_SECONDS)
+        gevent.sleep(SUCCESSOR_START_SECONDS)
+        if former is not None:
+            self.record_signal(former_name, ENDED)
+            former.kill()
+            former.wait()
+
+    def _start_process(self, server: ServerProcess, cold_seconds: float) -> None:
         service = KEYED_SERVICE if server.keyed else POOLED_SERVICE
         server.process = self._spawn(
             server.server_id,
@@ -172,7 +200,7 @@
                 f"--advertised_port={server.proxy.listener.getsockname()[1]}",
                 f"--store_port={self.store_port}",
                 f"--cold_seconds={cold_seconds}",
-                f"--events={self.folder / server.server_id}.events",
+                f"--events={self.folder / server.record_name}.events",
             ],
         )
 
@@ -181,6 +209,20 @@
         if pid:
             os.kill(pid, number)
 
+    def record_signal(self, name: str, what: str) -> None:
+        """Records that the process of this name is killed or continued now."""
+        record_signal(self.clock, self.folder / f"{name}.events", what)
+
+    def notify(self, pid: int, number: int) -> None:
+        """Sends a signal, unless the process has ended or has no handler for it yet.
+
+        A process that is starting would be ended by it.
+        """
+        status = pathlib.Path(f"/proc/{pid}/status")
+        caught = re.search(r"SigCgt:\s*(\w+)", status.read_text()) if status.exists() else None
+        if caught is not None and int(caught[1], 16) >> (number - 1) & 1:
+            os.kill(pid, number)
+
     def configure(self) -> None:
         """Writes the next version of the configuration."""
         self.configuration_version += 1
--- a/packages/standins/src/fireflylink_standins/_backend_server.py
+++ b/packages/standins/src/fireflylink_standins/_backend_server.py
@@ -1,5 +1,6 @@
 """Stand-in for a backend server, with the platform's HTTP interface."""
 
+import errno
 from typing import Any
 
 import falcon
@@ -19,22 +20,30 @@
 SLOTS = 4
 """Number of requests that the server announces to run at once; it does not enforce it."""
 
+COMMAND_PATHS = (names.GRANT_PATH, names.RELEASE_PATH)
+"""Paths of the commands of the decider."""
+
+LATE_HEADER = "Standin-Seconds-Late"
+"""Header of a grant or a release that is to be carried out so many seconds after its arrival, and
+gets no answer. Proxies of tests add it."""
+
 
 class BackendServerStandin:
     """A server that registers itself in the store, accepts grants and runs requests.
 
     ``keyed`` says whether its service is keyed: only the owner of a request's key runs the request.
-    A request runs for ``work_seconds``. The server is cold until ``cold_until``, in seconds on the
-    clock; it does not enforce the limit for that time. ``state`` has the keys that the server holds
-    and the requests that it has executed. ``advertised_port`` is the port of the registration,
-    where a proxy may listen; 0 stands for the server's own. If ``drops_answers`` is true, the
-    server runs a request and closes the connection without an answer. If ``declines_requests`` is
-    true, it declines every request, and asks for a pause of ``pause_seconds`` unless that is 0. If
+    A request runs for ``work_seconds``, or for the seconds that it asks for in the parameter
+    ``work`` of its query. The server is cold until ``cold_until``, in seconds on the clock; it does
+    not enforce the limit for that time. ``state`` has the keys that the server holds and the
+    requests that it has executed. ``advertised_port`` is the port of the registration, where a
+    proxy may listen; 0 stands for the server's own. If ``drops_answers`` is true, the server runs a
+    request and closes the connection without an answer. If ``declines_requests`` is true, it
+    declines every request, and asks for a pause of ``pause_seconds`` unless that is 0. If
     ``announces_leaving`` is true, or its registration says that it drains, each answer says that it
     leaves. ``arrived_at`` are the times at which requests for it arrived, whether it ran them or
     not.
 
-    An HTTP handler raises ``ConnectionResetError`` to close the connection without an answer.
+    An HTTP handler raises ``_no_answer()`` to close the connection without an answer.
     """
 
     __slots__ = (
@@ -162,7 +171,7 @@
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_kwargs: Any) -> None:
         server = self.server
         if server.stopped:
-            raise ConnectionResetError
+            raise _no_answer()
         request_id = req.get_header(names.REQUEST_ID) or ""
         resp.set_header(names.REQUEST_ID, request_id)
         # Running and waiting requests, slots, and the slowdown factor in percent (100 is normal).
@@ -187,11 +196,12 @@
     ) -> None:
         server = self.server
         server.running_requests += 1
-        server.state.record_executed(request_id, key)
-        gevent.sleep(server.work_seconds)
+        run = server.state.begin_run(request_id, key)
+        gevent.sleep(req.get_param_as_float("work") or server.work_seconds)
+        server.state.end_run(run)
         server.running_requests -= 1
         if server.drops_answers:
-            raise ConnectionResetError
+            raise _no_answer()
         resp.set_header(names.SIGNATURE, f"{server.server_id}.{len(server.state.executed)}")
         resp.content_type = "application/octet-stream"
         resp.data = f"{server.server_id} {request_id} ".encode() + req.bounded_stream.read()
@@ -216,7 +226,7 @@
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Accepts or renews a grant of keys; 409 if a higher fence was seen for any of them."""
         if self.server.stopped:
-            raise ConnectionResetError
+            raise _no_answer()
         resp.set_header(names.REQUEST_ID, req.get_header(names.REQUEST_ID) or "")
         if req.get_header(names.TARGET_INSTANCE) not in (None, self.server.server_id):
             resp.status = falcon.HTTP_421
@@ -224,8 +234,12 @@
         body = req.get_media()
         keys = KeyRange(body["from"], body["to"])
         hold_seconds = body["hold-ms"] / MILLISECONDS_PER_SECOND
-        if not self.server.state.grant(keys, body["fence"], hold_seconds):
+        arrived_at = self.server.clock.now()
+        seconds_late = _wait_if_late(req)
+        if not self.server.state.grant(keys, body["fence"], arrived_at, hold_seconds):
             resp.status = falcon.HTTP_409
+        if seconds_late or self.server.stopped:
+            raise _no_answer()
 
 
 class _ReleaseResource:
@@ -237,20 +251,48 @@
         self.server = server
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Releases keys and returns the handover token, which the next holder's grant contains."""
+        """Releases keys; answers when the work on them has ended.
+
+        The answer has the handover token, which the next holder's grant contains. A release whose
+        connection has closed meanwhile is carried out all the same.
+        """
         resp.set_header(names.REQUEST_ID, req.get_header(names.REQUEST_ID) or "")
         if req.get_header(names.TARGET_INSTANCE) not in (None, self.server.server_id):
             resp.status = falcon.HTTP_421
             return
         if self.server.stopped:
-            raise ConnectionResetError
+            raise _no_answer()
         body = req.get_media()
+        seconds_late = _wait_if_late(req)
         token = self.server.state.release(KeyRange(body["from"], body["to"]), body["fence"])
+        if seconds_late or self.server.stopped:
+            raise _no_answer()
         resp.set_header(names.HANDOVER, token)
 
 
+def _wait_if_late(req: falcon.Request) -> float:
+    """Waits as long as a proxy has asked for; returns how long."""
+    seconds_late = float(req.get_header(LATE_HEADER) or 0.0)
+    if seconds_late:
+        gevent.sleep(seconds_late)
+    return seconds_late
+
+
+def _no_answer() -> ConnectionResetError:
+    """Returns the error on which the listener closes the connection; others are answered 500."""
+    return ConnectionResetError(errno.ECONNRESET, "no answer")
+
+
+def _pass_on_reset(
+    _req: falcon.Request, _resp: falcon.Response, error: ConnectionResetError, _params: Any
+) -> None:
+    raise error
+
+
 def _application(server: BackendServerStandin) -> Any:
     application = falcon.App()
+    # Falcon answers status 500 for errors that it does not know.
+    application.add_error_handler(ConnectionResetError, _pass_on_reset)
     application.add_route(names.GRANT_PATH, _GrantResource(server))
     application.add_route(names.RELEASE_PATH, _ReleaseResource(server))
     application.add_sink(_RequestSink(server), "/")
