--- a/packages/soak/src/fireflylink_soak/__main__.py
+++ b/packages/soak/src/fireflylink_soak/__main__.py
@@ -40,7 +40,7 @@
     for seed, seconds, moves in plays:
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
-            run = SoakRun(folder, SystemClock(), seed, moves)
+            run = SoakRun(folder, SystemClock(), seed, moves=moves)
             result = run.play(seconds, DAEMONS.value, KEYED.value, POOLED.value)
             print(_summary(seed, result), flush=True)
             if result.violations:
