Link the holds of a server to each later incarnation

A server that was found replaced (421) counted as ended without a successor. When it registered again under its id, its holds and the grants to it without an answer were not counted for that incarnation, and its keys were granted on at once. A server that restarted twice while the table named its first incarnation was followed to the second one only; its keys waited until the hold had expired.

The restart is now recorded for the incarnation that holds the keys at present, unless it was recorded before. test_a_hold_counts_for_the_next_incarnation_after_another_server_used_the_address and test_a_server_that_restarts_twice_gets_its_keys_without_a_wait failed before.

--- a/packages/daemon/src/fireflylink_daemon/_possible_holders.py
+++ b/packages/daemon/src/fireflylink_daemon/_possible_holders.py
@@ -21,7 +21,8 @@
     if tracker is None:
         return
     swept = tracker.sweep.servers if tracker.sweep is not None else frozenset()
-    for incarnation in {*_named_servers(service), *swept}:
+    named = {tracker.holds.holder(server) for server in _named_servers(service)}
+    for incarnation in {*named, *swept}:
         successor = registered.get(incarnation.server_id, incarnation)
         if successor.started_ms > incarnation.started_ms > 0:
             _record_restart(service, tracker, incarnation, successor, now)
@@ -70,9 +71,9 @@
     successor: ServerIncarnation,
     now: float,
 ) -> None:
-    if tracker.holds.has_ended(former):
+    if tracker.holds.holder(former) != former:
         return
-    held_until = tracker.hold_expires_at(former, ALL_KEYS)
+    held_until = tracker.holds.counted_expiry(former, ALL_KEYS)
     log_event(
         "server-restarted",
         service=service.name,
--- a/packages/daemon/tests/test_server_restarts.py
+++ b/packages/daemon/tests/test_server_restarts.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from fireflylink_backend_client import CommandError
+from fireflylink_backend_client import CommandError, ServerMismatchError
 from fireflylink_core import Assignment, KeyRange, OwnershipTable, ServerIncarnation
 from fireflylink_daemon._messages import CommandCompleted
 from fireflylink_decisions.ownership import GrantCommand, ReleaseCommand
@@ -68,3 +68,30 @@
     decider.complete(*releases)
     grants = [command for command in decider.run(0.1) if isinstance(command, GrantCommand)]
     assert_that([grant.server for grant in grants], Equals([ServerIncarnation("i-2", 1)]))
+
+
+def test_a_hold_counts_for_the_next_incarnation_after_another_server_used_the_address(
+    decider, registration
+):
+    """Guards against two owners of a key.
+
+    A command found another server at the address, and then the server is back under its id, while a
+    renewal that was sent to it before is unanswered.
+    """
+    assert_that(decider.run(1.1), HasLength(1))
+    earlier = GrantCommand(FORMER, KeyRange(0, 1), 2, "", True)
+    error = ServerMismatchError()
+    decider.ownership_task.receive(CommandCompleted("a", earlier, error, "", None))
+    decider.apply_items(registration("i-1", 2, "draining"), registration("i-2", 1))
+    assert_that(decider.run(0.5), HasLength(0))
+
+
+def test_a_server_that_restarts_twice_gets_its_keys_without_a_wait(decider, registration):
+    """Guards against keys that nobody owns until a hold has expired: the second restart of a server
+    was not seen, because its table names the first incarnation only."""
+    [renewal] = decider.run(1.1)
+    decider.complete(renewal)
+    decider.apply_items(registration("i-1", 2))
+    decider.apply_items(registration("i-1", 3))
+    tracker = decider.ownership_task.services["a"].grant_tracker
+    assert_that(tracker.holds.holder(FORMER), Equals(ServerIncarnation("i-1", 3)))
