Count the hold of a grant whose refusal names no command

A server that names no commands may write the 409 to one grant once more where the answer to a later one is expected. The later grant counted as not sent, so its hold was not counted: if its range was not current any more, its keys were granted on while the server held them. Such a refusal now says that the grant may have run. test_a_refusal_that_names_no_command_does_not_say_that_a_later_grant_has_not_run failed before.

--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -45,10 +45,13 @@
 
 
 class StaleFenceError(CommandError):
-    """The server has seen a higher fence (fencing token) on one of the keys and refused a grant."""
+    """The server has seen a higher fence (fencing token) on one of the keys and refused a grant.
 
-    def __init__(self) -> None:
-        super().__init__("the server has seen a higher fence", False)
+    If the answer names no command, it may be a copy of an earlier one, so this grant may have run.
+    """
+
+    def __init__(self, may_have_run: bool = False) -> None:
+        super().__init__("the server has seen a higher fence", may_have_run)
 
 
 class ServerMismatchError(CommandError):
@@ -100,7 +103,7 @@
             server_id, keys, fence, hold_seconds, handover, command_id
         )
         sent = self._send(command, command_id, deadline, is_release=False)
-        return sent.bind(_decode_grant_response)
+        return sent.bind(self._decode_grant_response)
 
     def release(self, keys: KeyRange, fence: int, deadline: float) -> Result[str, CommandError]:
         """Makes the server release keys; returns its handover token.
@@ -117,6 +120,15 @@
         """Resets the connection; a command in progress fails."""
         self.connection.abort()
 
+    def _decode_grant_response(self, response: HttpResponse) -> Result[None, CommandError]:
+        if response.status == OK_STATUS:
+            return Success(None)
+        if response.status == CONFLICT_STATUS:
+            return Failure(StaleFenceError(may_have_run=not self.echoes_ids))
+        if response.status == MISDIRECTED_STATUS:
+            return Failure(ServerMismatchError())
+        return Failure(CommandError(f"grant failed with status {response.status}", True))
+
     def _decode_release_response(self, response: HttpResponse) -> Result[str, CommandError]:
         if response.status == MISDIRECTED_STATUS:
             return Failure(ServerMismatchError())
@@ -153,13 +165,3 @@
             )
         except ExchangeError as error:
             return Failure(CommandError(str(error), not isinstance(error, NotSentError)))
-
-
-def _decode_grant_response(response: HttpResponse) -> Result[None, CommandError]:
-    if response.status == OK_STATUS:
-        return Success(None)
-    if response.status == CONFLICT_STATUS:
-        return Failure(StaleFenceError())
-    if response.status == MISDIRECTED_STATUS:
-        return Failure(ServerMismatchError())
-    return Failure(CommandError(f"grant failed with status {response.status}", True))
--- a/packages/backend_client/tests/test_commands.py
+++ b/packages/backend_client/tests/test_commands.py
@@ -7,7 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from fireflylink_backend_client import ServerCommandClient
+from fireflylink_backend_client import ServerCommandClient, StaleFenceError
 from fireflylink_core import BackendServer, KeyRange, SystemClock
 from fireflylink_platform import PlatformServerCodec
 
@@ -143,3 +143,36 @@
     client = scripted_client([[""], ["", "one"]])
     assert_that(grant(client), Equals(Success(None)))
     assert_that(release(client), Equals(Success("one")))
+
+
+class RefusingServer(ScriptedServer):
+    """Answers each command with the given statuses, and names no command."""
+
+    def _serve(self, sock) -> None:
+        while sock.recv(65536):
+            for status in self.answers.pop(0):
+                sock.sendall(f"HTTP/1.1 {status} Any\r\nContent-Length: 0\r\n\r\n".encode())
+                gevent.sleep(ANSWER_DELAY_SECONDS)
+
+
+@pytest.fixture
+def refused_client():
+    """Returns the client of a server that refuses a grant, and writes that answer once more."""
+    server = RefusingServer([["409", "409"], []])
+    port = server.listener.getsockname()[1]
+    backend = BackendServer("i-1", "a", "127.0.0.1", port, "kingston", 4)
+    client = ServerCommandClient(backend, SystemClock(), PlatformServerCodec())
+    yield client
+    client.close()
+    server.greenlet.kill()
+    server.listener.close()
+
+
+def test_a_refusal_that_names_no_command_does_not_say_that_a_later_grant_has_not_run(
+    refused_client,
+):
+    """Guards against two owners: the refusal of an earlier grant is written once more, and the hold
+    of a later one that the server accepts is not counted."""
+    assert_that(isinstance(grant(refused_client).failure(), StaleFenceError), Is(True))
+    later = grant(refused_client).failure()
+    assert_that(later.may_have_run, Is(True))
