--- a/packages/backend_client/tests/test_commands.py
+++ b/packages/backend_client/tests/test_commands.py
@@ -176,3 +176,13 @@
     assert_that(isinstance(grant(refused_client).failure(), StaleFenceError), Is(True))
     later = grant(refused_client).failure()
     assert_that(later.may_have_run, Is(True))
+
+
+def test_an_answer_to_a_grant_does_not_answer_a_later_grant(scripted_client):
+    """Guards against a grant that counts as confirmed before it has arrived: its hold would be
+    counted from too early a time, and a release would not wait for it."""
+    client = scripted_client([["", ""], []])
+    assert_that(grant(client), Equals(Success(None)))
+    deadline = client.connection.clock.now() + 4 * ANSWER_DELAY_SECONDS
+    later = client.grant(KEYS, 3, 3.0, "", deadline)
+    assert_that(isinstance(later, Success), Is(False))
--- a/packages/daemon/tests/test_tasks.py
+++ b/packages/daemon/tests/test_tasks.py
@@ -2,6 +2,7 @@
 
 import json
 
+from returns.result import Failure
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is
 
@@ -21,7 +22,11 @@
     member_key,
     ownership_key,
 )
-from fireflylink_store import Commit, Item, Put
+from fireflylink_standins import MemoryStore
+from fireflylink_store import Commit, Item, Put, StoreUnavailableError
+
+SLOW_CALL_SECONDS = 0.65
+"""Less than the time-out of a call, and more than half of the decider's lease."""
 
 CONFIGURATION = {
     "version": "r7",
@@ -275,3 +280,56 @@
     clock.advance(5.0)
     decider_task.on_wake()
     assert_that([seconds for seconds, _ in store_state.leases.values()], Equals([4.0]))
+
+
+class RefusingStore(MemoryStore):
+    """Refuses to read single items, as a store does whose limit on reads is used up."""
+
+    __slots__ = ()
+
+    def read(self, key, deadline):
+        return Failure(StoreUnavailableError("status 429"))
+
+
+class SlowStore(MemoryStore):
+    """Takes ``SLOW_CALL_SECONDS`` for a read and for the renewal of a lease."""
+
+    __slots__ = ()
+
+    def read(self, key, deadline):
+        return self._slowly(lambda: super(SlowStore, self).read(key, deadline))
+
+    def renew_lease(self, lease_id, deadline):
+        return self._slowly(lambda: super(SlowStore, self).renew_lease(lease_id, deadline))
+
+    def _slowly(self, call):
+        self.state.clock.advance(SLOW_CALL_SECONDS / 2)
+        result = call()
+        self.state.clock.advance(SLOW_CALL_SECONDS / 2)
+        return result
+
+
+def test_a_decider_whose_record_cannot_be_read_makes_way_for_another_one(make_daemon, store_state):
+    """Guards against keys that nobody owns: a decider renews its lease for a tenth of a read, while
+    the store refuses its reads, and grants nothing after the grace time of an outage."""
+    daemon = make_daemon()
+    daemon.record_commands()
+    daemon.stand_for_election()
+    daemon.decider_task.store = RefusingStore(store_state)
+    daemon.run(OUTAGE_GRACE_SECONDS + 2.0)
+    election = daemon.decider_task.election
+    is_idle = election.is_decider and not election.may_grant(daemon.clock.now())
+    assert_that(is_idle, Is(False))
+
+
+def test_a_decider_keeps_its_lease_while_the_store_is_slow(make_daemon, clock, store_state):
+    """Guards against a decider that loses its lease of 1.2 s, because it reads its record between
+    two renewals that take 0.65 s each."""
+    daemon = make_daemon()
+    daemon.stand_for_election()
+    daemon.decider_task.store = SlowStore(store_state)
+    revision = daemon.decider_task.election.revision
+    for _ in range(200):
+        clock.advance(0.01)
+        daemon.decider_task.on_wake()
+        assert_that(daemon.decider_task.election.revision, Equals(revision))
