Revert "Confirm the decider by its record, not by its lease"

The review showed two cases in which it takes the owner from all keys: the read of the record delays the next renewal at a store whose calls take 0.65 s, so that the decider loses its lease of 1.2 s; and a decider whose reads are refused while its renewals are served keeps the record and grants nothing after 8 s.

What it closed needs four things at once: a record that is revoked while its lease lives, for longer than 8 s, a watch that hears nothing, and claims of the successor that do not arrive. A store that answers renewals answers reads too, mostly, and a decider that hears nothing reads anew within 3.2 s. A check by a client of its own, beside the renewals, would close it without the cost.

--- a/packages/daemon/src/fireflylink_daemon/_decider_task.py
+++ b/packages/daemon/src/fireflylink_daemon/_decider_task.py
@@ -51,10 +51,6 @@
 served."""
 
 DECIDER_RENEWAL_INTERVAL_SECONDS = 0.4
-RECORD_CHECK_INTERVAL_SECONDS = 1.0
-"""The decider reads its record when no call has confirmed it for so long. A renewed lease does not:
-the store may delete the record and let the lease live."""
-
 CALL_TIMEOUT_SECONDS = 0.8
 CHECK_INTERVAL_SECONDS = 0.1
 """How often a daemon that is not the decider checks whether to stand for election."""
@@ -301,7 +297,9 @@
         result = type(renewed).__name__
         self.metrics.count("store_calls", kind="decider-renewal", result=result)
         if isinstance(renewed, Success):
-            if sent_at >= self.election.confirmed_call_sent_at + RECORD_CHECK_INTERVAL_SECONDS:
+            if sent_at < self.election.confirmed_call_sent_at + self.lease_ttl_seconds:
+                self.election.on_confirmed(sent_at)
+            else:
                 self._verify_record()
         elif isinstance(renewed.failure(), StoreRestoredError):
             self._verify_record()
