Revert "Open a new connection for each command to a server that names none"

The servers of that site seem to name no commands in their answers, and a connection for each command makes many of them fail, so that keys move away. It needs a bound that costs no connections.

--- a/packages/backend_client/src/fireflylink_backend_client/_commands.py
+++ b/packages/backend_client/src/fireflylink_backend_client/_commands.py
@@ -66,9 +66,8 @@
 
     A server may write an answer once more where a later one is expected. Taken for the answer to a
     release, it would let two servers hold the same keys. So a response that names another command
-    is skipped. While the server has named none (``echoes_ids`` is false), each command gets a new
-    connection, and the handover token decides: a release is answered with a new one, none of
-    ``handovers``, and a grant with none.
+    is skipped. If the server has named none so far (``echoes_ids`` is false), the handover token
+    decides: a release is answered with a new one, none of ``handovers``, and a grant with none.
     """
 
     __slots__ = ("codec", "command_ids", "connection", "echoes_ids", "handovers", "server")
@@ -156,15 +155,13 @@
     ) -> Result[HttpResponse, CommandError]:
         encoded = encode_request(command.method, command.target, command.headers, command.body)
         try:
-            response = self.connection.exchange(
-                encoded,
-                command.method,
-                deadline,
-                lambda response: self._is_response_to(response, command_id, is_release),
+            return Success(
+                self.connection.exchange(
+                    encoded,
+                    command.method,
+                    deadline,
+                    lambda response: self._is_response_to(response, command_id, is_release),
+                )
             )
         except ExchangeError as error:
             return Failure(CommandError(str(error), not isinstance(error, NotSentError)))
-        if not self.echoes_ids:
-            # A second copy of this answer could not be told from the answer to the next command.
-            self.connection.abort()
-        return Success(response)
